--- a/src/libparsleygw/errors.c
+++ b/src/libparsleygw/errors.c
@@ -1,6 +1,10 @@
 #include "parsleygw/errors.h"
 
-G_DEFINE_QUARK(pgw-error-quark, pgw_error)
+GQuark
+pgw_error_quark(void)
+{
+    return g_quark_from_static_string("pgw-error");
+}
 
 static const char *const error_names[] = {
     [PGW_ERROR_INVALID] = "invalid",
