--- /dev/null
+++ b/src/libparsleygw/frame.c
@@ -0,0 +1,87 @@
+#include "libparsleygw/frame.h"
+#include "parsleygw/errors.h"
+#include <arpa/inet.h>
+
+static const ProtobufCMessageDescriptor
+    *const descriptors[PGW_FRAME_TYPE_COUNT] = {
+        [PGW_FRAME_HELLO] = &pgw__hello__descriptor,
+        [PGW_FRAME_PROBE] = &pgw__probe__descriptor,
+        [PGW_FRAME_PROBE_REPLY] = &pgw__probe_reply__descriptor,
+        [PGW_FRAME_OPEN] = &pgw__open__descriptor,
+        [PGW_FRAME_STARTED] = &pgw__started__descriptor,
+        [PGW_FRAME_DATA] = &pgw__data__descriptor,
+        [PGW_FRAME_END] = &pgw__end__descriptor,
+        [PGW_FRAME_FAIL] = &pgw__fail__descriptor,
+        [PGW_FRAME_CANCEL] = &pgw__cancel__descriptor,
+        [PGW_FRAME_WINDOW] = &pgw__window__descriptor,
+        [PGW_FRAME_STATE] = &pgw__state__descriptor,
+        [PGW_FRAME_DIGEST] = &pgw__digest__descriptor,
+        [PGW_FRAME_OBJECTS] = &pgw__objects__descriptor,
+};
+
+void
+pgw_frame_append(struct pgw_buffer *out, enum pgw_frame_type type,
+                 const ProtobufCMessage *message)
+{
+    size_t size = protobuf_c_message_get_packed_size(message);
+    uint32_t length = htonl((uint32_t)size + 1);
+    uint8_t *room;
+
+    g_assert(message->descriptor == descriptors[type]);
+    room = pgw_buffer_reserve(out, size + PGW_FRAME_HEADER);
+    memcpy(room, &length, sizeof(length));
+    room[sizeof(length)] = (uint8_t)type;
+    protobuf_c_message_pack(message, room + PGW_FRAME_HEADER);
+    out->end += size + PGW_FRAME_HEADER;
+}
+
+enum pgw_frame_result
+pgw_frame_take(enum pgw_frame_type *type, ProtobufCMessage **message,
+               struct pgw_buffer *in, GError **error)
+{
+    const uint8_t *head = pgw_buffer_head(in);
+    uint32_t length;
+
+    if (pgw_buffer_size(in) < PGW_FRAME_HEADER) {
+        return PGW_FRAME_MORE;
+    }
+    memcpy(&length, head, sizeof(length));
+    length = ntohl(length);
+    if (length == 0 || length > PGW_FRAME_MAX) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_PROTOCOL,
+                    "frame of %u bytes, allowed are 1 to %zu: check that "
+                    "the peer is a parsleygw process of this version",
+                    length, PGW_FRAME_MAX);
+        return PGW_FRAME_BROKEN;
+    }
+    *type = (enum pgw_frame_type)head[sizeof(length)];
+    if (*type == 0 || *type >= PGW_FRAME_TYPE_COUNT) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_PROTOCOL,
+                    "frame of unknown type %u: check that the peer is a "
+                    "parsleygw process of this version",
+                    *type);
+        return PGW_FRAME_BROKEN;
+    }
+    if (pgw_buffer_size(in) < sizeof(length) + length) {
+        return PGW_FRAME_MORE;
+    }
+    *message = protobuf_c_message_unpack(descriptors[*type], NULL, length - 1,
+                                         head + PGW_FRAME_HEADER);
+    if (*message == NULL) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_PROTOCOL,
+                    "frame of type %u does not decode: check that the peer "
+                    "is a parsleygw process of this version",
+                    *type);
+        return PGW_FRAME_BROKEN;
+    }
+    pgw_buffer_consume(in, sizeof(length) + length);
+    return PGW_FRAME_TAKEN;
+}
+
+void
+pgw_frame_free(ProtobufCMessage *message)
+{
+    if (message != NULL) {
+        protobuf_c_message_free_unpacked(message, NULL);
+    }
+}
--- /dev/null
+++ b/src/libparsleygw/frame.h
@@ -0,0 +1,71 @@
+#ifndef PGW_FRAME_H
+#define PGW_FRAME_H
+
+#include "proto/parsleygw.pb-c.h"
+#include "util/buffer.h"
+#include <stdbool.h>
+
+/**
+ * DOC: Frames between our processes
+ *
+ * A frame is 4 bytes of length (big endian, counting the type byte and the
+ * payload), 1 byte of type and a packed protobuf message.
+ */
+
+#define PGW_FRAME_HEADER 5
+/* Largest frame: a request body of the largest setting and its fields. */
+#define PGW_FRAME_MAX ((size_t)10 << 20)
+
+enum pgw_frame_type {
+    PGW_FRAME_HELLO = 1,
+    PGW_FRAME_PROBE,
+    PGW_FRAME_PROBE_REPLY,
+    PGW_FRAME_OPEN,
+    PGW_FRAME_STARTED,
+    PGW_FRAME_DATA,
+    PGW_FRAME_END,
+    PGW_FRAME_FAIL,
+    PGW_FRAME_CANCEL,
+    PGW_FRAME_WINDOW,
+    PGW_FRAME_STATE,
+    PGW_FRAME_DIGEST,
+    PGW_FRAME_OBJECTS,
+    PGW_FRAME_TYPE_COUNT,
+};
+
+/**
+ * pgw_frame_append() - pack one message as a frame at the end of a buffer
+ * @out: the buffer
+ * @type: the message's type
+ * @message: the message that belongs to @type
+ */
+void pgw_frame_append(struct pgw_buffer *out, enum pgw_frame_type type,
+                      const ProtobufCMessage *message);
+
+/**
+ * enum pgw_frame_result - outcome of pgw_frame_take()
+ * @PGW_FRAME_MORE: the buffer holds no whole frame yet
+ * @PGW_FRAME_TAKEN: one frame was decoded and consumed
+ * @PGW_FRAME_BROKEN: the stream is not ours to read on; close the connection
+ */
+enum pgw_frame_result {
+    PGW_FRAME_MORE,
+    PGW_FRAME_TAKEN,
+    PGW_FRAME_BROKEN,
+};
+
+/**
+ * pgw_frame_take() - decode and consume the frame at the front of a buffer
+ * @type: receives the type
+ * @message: receives the message; free it with pgw_frame_free()
+ * @in: received bytes
+ * @error: with %PGW_FRAME_BROKEN, %PGW_ERROR_PROTOCOL
+ */
+enum pgw_frame_result pgw_frame_take(enum pgw_frame_type *type,
+                                     ProtobufCMessage **message,
+                                     struct pgw_buffer *in, GError **error);
+
+/** pgw_frame_free() - free a message from pgw_frame_take() */
+void pgw_frame_free(ProtobufCMessage *message);
+
+#endif
--- /dev/null
+++ b/src/libparsleygw/link.c
@@ -0,0 +1,402 @@
+#include "libparsleygw/link.h"
+#include "parsleygw/errors.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LINK_READ_SIZE 65536
+#define LISTEN_BACKLOG 512
+/* Unacknowledged data older than this breaks the connection: a peer whose
+ * machine vanished sends no reset, and waiting writes would queue for ever. */
+#define LINK_USER_TIMEOUT_MS 3000
+
+struct pgw_link {
+    struct pgw_loop_fd watch;
+    struct pgw_task reap;
+    struct pgw_loop *loop;
+    const struct pgw_link_ops *ops;
+    void *context;
+    struct pgw_buffer in;
+    struct pgw_buffer out;
+    uint64_t heard_us;
+    GError *error;
+    bool connecting;
+    bool closing;
+    bool wants_write;
+};
+
+static void
+link_reap(struct pgw_task *task)
+{
+    struct pgw_link *link = pgw_container_of(task, struct pgw_link, reap);
+
+    link->ops->on_closed(link, link->error, link->context);
+    g_clear_error(&link->error);
+    pgw_buffer_dispose(&link->in);
+    pgw_buffer_dispose(&link->out);
+    g_free(link);
+}
+
+/* Takes @error. The owner hears of it from the loop, never from inside its
+ * own call: a send from the middle of a table walk must not change it. */
+static void
+link_break(struct pgw_link *link, GError *error)
+{
+    if (link->closing) {
+        g_clear_error(&error);
+        return;
+    }
+    link->closing = true;
+    link->error = error;
+    pgw_loop_fd_remove(link->loop, &link->watch);
+    close(link->watch.fd);
+    link->reap.run = link_reap;
+    pgw_loop_post(link->loop, &link->reap);
+}
+
+static void
+link_break_errno(struct pgw_link *link, const char *what)
+{
+    link_break(link, g_error_new(PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                                 "%s: %s: check that the peer runs and that "
+                                 "its address is right",
+                                 what, g_strerror(errno)));
+}
+
+static void
+link_flush(struct pgw_link *link)
+{
+    bool wants_write;
+
+    while (pgw_buffer_size(&link->out) > 0) {
+        ssize_t sent = send(link->watch.fd, pgw_buffer_head(&link->out),
+                            pgw_buffer_size(&link->out), MSG_NOSIGNAL);
+
+        if (sent < 0 && errno == EINTR) {
+            continue;
+        }
+        if (sent < 0 && errno == EAGAIN) {
+            break;
+        }
+        if (sent < 0) {
+            link_break_errno(link, "send");
+            return;
+        }
+        pgw_buffer_consume(&link->out, (size_t)sent);
+    }
+    wants_write = pgw_buffer_size(&link->out) > 0;
+    if (wants_write != link->wants_write) {
+        link->wants_write = wants_write;
+        pgw_loop_fd_modify(link->loop, &link->watch,
+                           EPOLLIN | (wants_write ? EPOLLOUT : 0));
+    }
+}
+
+static void
+link_deliver(struct pgw_link *link)
+{
+    while (!link->closing) {
+        enum pgw_frame_type type;
+        ProtobufCMessage *message = NULL;
+        GError *error = NULL;
+
+        switch (pgw_frame_take(&type, &message, &link->in, &error)) {
+        case PGW_FRAME_MORE:
+            return;
+        case PGW_FRAME_BROKEN:
+            link_break(link, error);
+            return;
+        case PGW_FRAME_TAKEN:
+            if (!link->ops->on_frame(link, type, message, link->context)) {
+                pgw_frame_free(message);
+            }
+            break;
+        }
+    }
+}
+
+static void
+link_read(struct pgw_link *link)
+{
+    ssize_t got;
+
+    do {
+        uint8_t *room = pgw_buffer_reserve(&link->in, LINK_READ_SIZE);
+
+        got = recv(link->watch.fd, room, LINK_READ_SIZE, 0);
+    } while (got < 0 && errno == EINTR);
+    if (got < 0 && errno == EAGAIN) {
+        return;
+    }
+    if (got < 0) {
+        link_break_errno(link, "receive");
+        return;
+    }
+    if (got == 0) {
+        link_break(link, g_error_new(PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                                     "the peer closed the connection"));
+        return;
+    }
+    link->in.end += (size_t)got;
+    link->heard_us = pgw_now_us();
+    link_deliver(link);
+    /* An idle link keeps no read buffer: thousands of them stay small. */
+    if (!link->closing && pgw_buffer_size(&link->in) == 0) {
+        pgw_buffer_dispose(&link->in);
+    }
+}
+
+static void
+link_connected(struct pgw_link *link)
+{
+    int code = 0;
+    socklen_t size = sizeof(code);
+
+    getsockopt(link->watch.fd, SOL_SOCKET, SO_ERROR, &code, &size);
+    if (code != 0) {
+        errno = code;
+        link_break_errno(link, "connect");
+        return;
+    }
+    link->connecting = false;
+    link->heard_us = pgw_now_us();
+    link->wants_write = true;
+    if (link->ops->on_open != NULL) {
+        link->ops->on_open(link, link->context);
+    }
+    if (!link->closing) {
+        link_flush(link);
+    }
+}
+
+static void
+link_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_link *link = pgw_container_of(watch, struct pgw_link, watch);
+
+    if (link->connecting) {
+        link_connected(link);
+        return;
+    }
+    if (events & EPOLLOUT) {
+        link_flush(link);
+    }
+    if (!link->closing && (events & (EPOLLIN | EPOLLHUP | EPOLLERR))) {
+        link_read(link);
+    }
+}
+
+static struct pgw_link *
+link_new(struct pgw_loop *loop, int fd, const struct pgw_link_ops *ops,
+         void *context, bool connecting, GError **error)
+{
+    struct pgw_link *link = g_new0(struct pgw_link, 1);
+    int one = 1;
+    int timeout = LINK_USER_TIMEOUT_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    link->watch = (struct pgw_loop_fd){.fd = fd, .on_ready = link_ready};
+    link->loop = loop;
+    link->ops = ops;
+    link->context = context;
+    link->connecting = connecting;
+    link->heard_us = pgw_now_us();
+    if (!pgw_loop_fd_add(loop, &link->watch, connecting ? EPOLLOUT : EPOLLIN,
+                         error)) {
+        close(fd);
+        g_free(link);
+        return NULL;
+    }
+    return link;
+}
+
+static bool
+parse_address(struct sockaddr_storage *out, socklen_t *size, const char *host,
+              uint16_t port, GError **error)
+{
+    struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+    *out = (struct sockaddr_storage){0};
+    if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(port);
+        *size = sizeof(*v4);
+        return true;
+    }
+    if (inet_pton(AF_INET6, host, &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(port);
+        *size = sizeof(*v6);
+        return true;
+    }
+    g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                "'%s' is not an IP address: write it in numbers", host);
+    return false;
+}
+
+struct pgw_link *
+pgw_link_connect(struct pgw_loop *loop, const char *host, uint16_t port,
+                 const struct pgw_link_ops *ops, void *context, GError **error)
+{
+    struct sockaddr_storage address;
+    socklen_t size = 0;
+    int fd;
+
+    if (!parse_address(&address, &size, host, port, error)) {
+        return NULL;
+    }
+    fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
+                0);
+    if (fd < 0 || (connect(fd, (struct sockaddr *)&address, size) != 0 &&
+                   errno != EINPROGRESS)) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
+                    "cannot connect to %s:%u (%s): check the address and the "
+                    "limit of open files",
+                    host, port, g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    return link_new(loop, fd, ops, context, true, error);
+}
+
+struct pgw_link *
+pgw_link_accept(struct pgw_loop *loop, int fd, const struct pgw_link_ops *ops,
+                void *context, GError **error)
+{
+    return link_new(loop, fd, ops, context, false, error);
+}
+
+void
+pgw_link_send(struct pgw_link *link, enum pgw_frame_type type,
+              const ProtobufCMessage *message)
+{
+    bool was_empty;
+
+    if (link->closing) {
+        return;
+    }
+    was_empty = pgw_buffer_size(&link->out) == 0;
+    pgw_frame_append(&link->out, type, message);
+    if (was_empty && !link->connecting) {
+        link_flush(link);
+    }
+}
+
+size_t
+pgw_link_pending(const struct pgw_link *link)
+{
+    return pgw_buffer_size(&link->out);
+}
+
+bool
+pgw_link_is_open(const struct pgw_link *link)
+{
+    return !link->connecting && !link->closing;
+}
+
+uint64_t
+pgw_link_heard_us(const struct pgw_link *link)
+{
+    return link->heard_us;
+}
+
+void
+pgw_link_close(struct pgw_link *link)
+{
+    link_break(link, NULL);
+}
+
+struct pgw_listener {
+    struct pgw_loop_fd watch;
+    struct pgw_loop *loop;
+    void (*on_accept)(int fd, void *context);
+    void *context;
+    uint16_t port;
+};
+
+static void
+listener_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_listener *listener =
+        pgw_container_of(watch, struct pgw_listener, watch);
+    int fd;
+
+    (void)events;
+    while ((fd = accept4(watch->fd, NULL, NULL,
+                         SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
+        listener->on_accept(fd, listener->context);
+    }
+}
+
+struct pgw_listener *
+pgw_listener_new(struct pgw_loop *loop, const char *host, uint16_t port,
+                 void (*on_accept)(int fd, void *context), void *context,
+                 GError **error)
+{
+    struct pgw_listener *listener = g_new0(struct pgw_listener, 1);
+    struct sockaddr_storage address;
+    socklen_t size = 0;
+    int one = 1;
+
+    listener->watch =
+        (struct pgw_loop_fd){.fd = -1, .on_ready = listener_ready};
+    listener->loop = loop;
+    listener->on_accept = on_accept;
+    listener->context = context;
+    if (!parse_address(&address, &size, host, port, error)) {
+        goto fail;
+    }
+    listener->watch.fd = socket(address.ss_family,
+                                SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (listener->watch.fd >= 0) {
+        setsockopt(listener->watch.fd, SOL_SOCKET, SO_REUSEADDR, &one,
+                   sizeof(one));
+    }
+    if (listener->watch.fd < 0 ||
+        bind(listener->watch.fd, (struct sockaddr *)&address, size) != 0 ||
+        listen(listener->watch.fd, LISTEN_BACKLOG) != 0) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
+                    "cannot listen on %s:%u (%s): free the port or change "
+                    "the setting",
+                    host, port, g_strerror(errno));
+        goto fail;
+    }
+    getsockname(listener->watch.fd, (struct sockaddr *)&address, &size);
+    /* The port stands at the same place for both families. */
+    listener->port = ntohs(((struct sockaddr_in *)&address)->sin_port);
+    if (!pgw_loop_fd_add(loop, &listener->watch, EPOLLIN, error)) {
+        goto fail;
+    }
+    return listener;
+fail:
+    if (listener->watch.fd >= 0) {
+        close(listener->watch.fd);
+    }
+    g_free(listener);
+    return NULL;
+}
+
+uint16_t
+pgw_listener_port(const struct pgw_listener *listener)
+{
+    return listener->port;
+}
+
+void
+pgw_listener_free(struct pgw_listener *listener)
+{
+    if (listener == NULL) {
+        return;
+    }
+    pgw_loop_fd_remove(listener->loop, &listener->watch);
+    close(listener->watch.fd);
+    g_free(listener);
+}
--- /dev/null
+++ b/src/libparsleygw/link.h
@@ -0,0 +1,95 @@
+#ifndef PGW_LINK_H
+#define PGW_LINK_H
+
+#include "libparsleygw/frame.h"
+#include "util/loop.h"
+
+/**
+ * DOC: One framed TCP connection between two of our processes
+ *
+ * A link lives on one loop's thread. Sending never blocks: frames queue in
+ * memory, and who sends much watches pgw_link_pending(). A link that breaks
+ * reports it once through @on_closed, from the loop and never from inside a
+ * send, and is freed by the loop afterwards.
+ */
+
+struct pgw_link;
+
+/**
+ * struct pgw_link_ops - what the owner of a link does
+ * @on_open: an outgoing connection is established; may be NULL
+ * @on_frame: one frame arrived; return true to keep the message (and free it
+ *            with pgw_frame_free()), false to let the link free it
+ * @on_closed: the link is gone; @error says why, NULL after pgw_link_close()
+ */
+struct pgw_link_ops {
+    void (*on_open)(struct pgw_link *link, void *context);
+    bool (*on_frame)(struct pgw_link *link, enum pgw_frame_type type,
+                     ProtobufCMessage *message, void *context);
+    void (*on_closed)(struct pgw_link *link, const GError *error,
+                      void *context);
+};
+
+/**
+ * pgw_link_connect() - start an outgoing connection
+ * @loop: loop that serves the link
+ * @host: numeric IP address
+ * @port: TCP port
+ * @ops: the owner's callbacks
+ * @context: handed to them
+ * @error: %PGW_ERROR_INVALID for a bad address, %PGW_ERROR_IO otherwise
+ *
+ * Return: the link, or NULL. Frames may be sent at once and queue.
+ */
+struct pgw_link *pgw_link_connect(struct pgw_loop *loop, const char *host,
+                                  uint16_t port,
+                                  const struct pgw_link_ops *ops,
+                                  void *context, GError **error);
+
+/** pgw_link_accept() - take over an accepted, connected socket */
+struct pgw_link *pgw_link_accept(struct pgw_loop *loop, int fd,
+                                 const struct pgw_link_ops *ops, void *context,
+                                 GError **error);
+
+/** pgw_link_send() - queue one message; dropped when the link is closing */
+void pgw_link_send(struct pgw_link *link, enum pgw_frame_type type,
+                   const ProtobufCMessage *message);
+
+/** pgw_link_pending() - bytes queued and not yet taken by the system */
+size_t pgw_link_pending(const struct pgw_link *link);
+
+/** pgw_link_is_open() - connected and not closing */
+bool pgw_link_is_open(const struct pgw_link *link);
+
+/** pgw_link_heard_us() - monotonic time of the last received byte */
+uint64_t pgw_link_heard_us(const struct pgw_link *link);
+
+/** pgw_link_close() - close after @on_closed was called from the loop */
+void pgw_link_close(struct pgw_link *link);
+
+/**
+ * struct pgw_listener - accepts framed connections
+ */
+struct pgw_listener;
+
+/**
+ * pgw_listener_new() - listen on a numeric address
+ * @loop: loop that accepts
+ * @host: numeric IP address
+ * @port: TCP port; 0 picks a free one
+ * @on_accept: receives each accepted socket and owns it
+ * @context: handed to it
+ * @error: %PGW_ERROR_INVALID or %PGW_ERROR_IO
+ */
+struct pgw_listener *pgw_listener_new(struct pgw_loop *loop, const char *host,
+                                      uint16_t port,
+                                      void (*on_accept)(int fd, void *context),
+                                      void *context, GError **error);
+
+/** pgw_listener_port() - the port that it listens on */
+uint16_t pgw_listener_port(const struct pgw_listener *listener);
+
+/** pgw_listener_free() - stop listening */
+void pgw_listener_free(struct pgw_listener *listener);
+
+#endif
