--- /dev/null
+++ b/src/libparsleygw/level.c
@@ -0,0 +1,212 @@
+#include <parsleygw/level.h>
+#include <string.h>
+
+/* The streaming state may live on the stack only when compiled in. */
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+/* A level shorter than this adds no whole cached block worth routing by. */
+#define MIN_LEVEL_BYTES 64
+
+/*
+ * Cuts of an unmarked prompt in tokens. Doubling keeps eight levels for any
+ * length: whatever prefix two prompts share, a cut holds more than half of it.
+ */
+static const uint32_t unmarked_cuts[] = {256,  512,  1024, 2048,
+                                         4096, 8192, 16384};
+
+static void
+hash_field(XXH3_state_t *state, const char *field)
+{
+    uint64_t len = strlen(field);
+
+    /* The length keeps ("ab", "c") and ("a", "bc") apart. */
+    (void)XXH3_128bits_update(state, &len, sizeof(len));
+    (void)XXH3_128bits_update(state, field, len);
+}
+
+static bool
+hash_salt(XXH3_state_t *state, const struct pgw_level_salt *salt)
+{
+    if (salt->workspace == NULL || salt->workspace[0] == '\0' ||
+        salt->model == NULL || salt->model[0] == '\0' ||
+        salt->adapter == NULL || salt->version == NULL ||
+        salt->version[0] == '\0') {
+        return false;
+    }
+    (void)XXH3_128bits_reset(state);
+    /*
+     * Without the salts a workspace would be sent to, and timed against, the
+     * cached prompts of another one, and new weights would be served from
+     * blocks of the old ones. No setting leaves them out.
+     */
+#ifndef PGW_DISABLE_LEVEL_SALT
+    hash_field(state, salt->workspace);
+    hash_field(state, salt->model);
+    hash_field(state, salt->adapter);
+    hash_field(state, salt->version);
+#endif
+    return true;
+}
+
+static void
+add_level(struct pgw_level_chain *chain, const XXH3_state_t *state,
+          uint32_t end, uint32_t bytes_per_token)
+{
+    XXH128_hash_t hash = XXH3_128bits_digest(state);
+
+    chain->levels[chain->count++] = (struct pgw_level){
+        .hash_high = hash.high64,
+        .hash_low = hash.low64,
+        .end_bytes = end,
+        .end_tokens = end / bytes_per_token,
+    };
+}
+
+/* Keeps the boundaries that grow by a whole level and end inside the prompt;
+ * which ones depends on the bytes before them only. */
+static size_t
+select_boundaries(uint32_t *out, const uint32_t *boundaries, size_t n,
+                  size_t len)
+{
+    uint32_t last = 0;
+    size_t count = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        if (boundaries[i] < len && boundaries[i] >= last + MIN_LEVEL_BYTES) {
+            last = boundaries[i];
+            out[count++] = last;
+        }
+    }
+    return count;
+}
+
+static size_t
+unmarked_boundaries(uint32_t *out, uint32_t bytes_per_token)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(unmarked_cuts); i++) {
+        out[i] = unmarked_cuts[i] * bytes_per_token;
+    }
+    return G_N_ELEMENTS(unmarked_cuts);
+}
+
+bool
+pgw_level_chain_init(struct pgw_level_chain *out,
+                     const struct pgw_level_salt *salt, const void *prompt,
+                     size_t len, const uint32_t *boundaries, size_t n,
+                     uint32_t bytes_per_token)
+{
+    XXH3_state_t state;
+    uint32_t *cuts = NULL;
+    size_t count;
+    size_t from = 0;
+    bool ok = false;
+
+    *out = (struct pgw_level_chain){.count = 0};
+    if (len > UINT32_MAX || !hash_salt(&state, salt)) {
+        goto done;
+    }
+    bytes_per_token = MAX(bytes_per_token, 1);
+    cuts = g_new(uint32_t, MAX(n, G_N_ELEMENTS(unmarked_cuts)));
+    if (n == 0) {
+        count = unmarked_boundaries(cuts, bytes_per_token);
+        count = select_boundaries(cuts, cuts, count, len);
+    }
+    else {
+        count = select_boundaries(cuts, boundaries, n, len);
+    }
+    count = pgw_level_boundaries_merge(cuts, count, PGW_LEVEL_MAX - 1);
+    for (size_t i = 0; i < count; i++) {
+        (void)XXH3_128bits_update(&state, (const char *)prompt + from,
+                                  cuts[i] - from);
+        add_level(out, &state, cuts[i], bytes_per_token);
+        from = cuts[i];
+    }
+    if (len > 0) {
+        (void)XXH3_128bits_update(&state, (const char *)prompt + from,
+                                  len - from);
+        add_level(out, &state, (uint32_t)len, bytes_per_token);
+    }
+    out->prompt_tokens =
+        (uint32_t)((len + bytes_per_token - 1) / bytes_per_token);
+    ok = true;
+done:
+    g_free(cuts);
+    return ok;
+}
+
+/* Number of markers, or, given @out, their ends at the places that the merge
+ * keeps. Two passes need no memory however many markers a caller sends. */
+static size_t
+scan_markers(uint32_t *out, size_t max, size_t total, const char *prompt,
+             size_t len, const char *marker)
+{
+    size_t marker_len = strlen(marker);
+    size_t tail = max / 2;
+    size_t head = max - tail;
+    size_t found = 0;
+    size_t written = 0;
+    const char *at = prompt;
+    const char *end = prompt + len;
+
+    while ((at = memmem(at, (size_t)(end - at), marker, marker_len)) != NULL) {
+        at += marker_len;
+        if (out != NULL &&
+            (total <= max || found < head || found >= total - tail)) {
+            out[written++] = (uint32_t)(at - prompt);
+        }
+        found++;
+    }
+    return out != NULL ? written : found;
+}
+
+size_t
+pgw_level_boundaries(uint32_t *out, size_t max, const void *prompt, size_t len,
+                     const char *marker)
+{
+    size_t total;
+
+    if (marker == NULL || marker[0] == '\0' || max == 0 || len > UINT32_MAX) {
+        return 0;
+    }
+    total = scan_markers(NULL, max, 0, prompt, len, marker);
+    return scan_markers(out, max, total, prompt, len, marker);
+}
+
+size_t
+pgw_level_boundaries_merge(uint32_t *boundaries, size_t n, size_t max)
+{
+    size_t tail = max / 2;
+    size_t head = max - tail;
+
+    if (n <= max) {
+        return n;
+    }
+    memmove(boundaries + head, boundaries + n - tail,
+            tail * sizeof(*boundaries));
+    return max;
+}
+
+bool
+pgw_level_cache_salt(char out[PGW_LEVEL_CACHE_SALT_SIZE],
+                     const struct pgw_level_salt *salt)
+{
+    XXH3_state_t state;
+    XXH128_hash_t hash;
+
+    out[0] = '\0';
+    if (!hash_salt(&state, salt)) {
+        return false;
+    }
+    hash = XXH3_128bits_digest(&state);
+    g_snprintf(out, PGW_LEVEL_CACHE_SALT_SIZE,
+               "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+               hash.high64, hash.low64);
+    return true;
+}
+
+uint64_t
+pgw_level_workspace_hash(const char *workspace)
+{
+    return XXH3_64bits(workspace, strlen(workspace));
+}
--- /dev/null
+++ b/src/libparsleygw/place_charge.c
@@ -0,0 +1,50 @@
+#include <parsleygw/place.h>
+
+static uint32_t
+slot_number(uint64_t time)
+{
+    /* Never 0, the number of an unused slot. */
+    return (uint32_t)(time / PGW_PLACE_CHARGE_SLOT_US) + 1;
+}
+
+void
+pgw_place_charge_add(struct pgw_place_charge *charge, uint32_t tokens,
+                     uint64_t now)
+{
+    uint32_t number = slot_number(now);
+    size_t i = number % PGW_PLACE_CHARGE_SLOTS;
+
+    if (charge->slot[i] != number) {
+        charge->slot[i] = number;
+        charge->tokens[i] = 0;
+    }
+    charge->tokens[i] += MIN(tokens, UINT32_MAX - charge->tokens[i]);
+}
+
+void
+pgw_place_charge_remove(struct pgw_place_charge *charge, uint32_t tokens,
+                        uint64_t sent)
+{
+    uint32_t number = slot_number(sent);
+    size_t i = number % PGW_PLACE_CHARGE_SLOTS;
+
+    if (charge->slot[i] == number) {
+        charge->tokens[i] -= MIN(tokens, charge->tokens[i]);
+    }
+}
+
+uint32_t
+pgw_place_charge_since(const struct pgw_place_charge *charge,
+                       uint64_t reported)
+{
+    uint32_t first = slot_number(reported);
+    uint64_t sum = 0;
+
+    for (size_t i = 0; i < PGW_PLACE_CHARGE_SLOTS; i++) {
+        /* A difference, so that the numbers may wrap round. */
+        if (charge->slot[i] != 0 && (int32_t)(charge->slot[i] - first) >= 0) {
+            sum += charge->tokens[i];
+        }
+    }
+    return (uint32_t)MIN(sum, UINT32_MAX);
+}
