Fix the interfaces of quarantine and store operations

Cause: the daemons are written in parallel and need the names.

Change: public headers; the store operations that pure machines ask for are one type for claims and quarantine.

--- a/include/parsleygw/claim.h
+++ b/include/parsleygw/claim.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYGW_CLAIM_H
 #define PARSLEYGW_CLAIM_H
 
+#include "parsleygw/io.h"
 #include "parsleygw/types.h"
 
 G_BEGIN_DECLS
@@ -295,89 +296,29 @@
 bool pgw_claim_cancel(struct pgw_claim_shard *shard, uint64_t ticket,
                       uint64_t now_us);
 
-/**
- * enum pgw_claim_io_kind - store operation wanted
- * @PGW_CLAIM_IO_NONE: none now
- * @PGW_CLAIM_IO_READ: get the object, then pgw_claim_read_result()
- * @PGW_CLAIM_IO_WRITE: conditional put, then pgw_claim_write_result()
- */
-enum pgw_claim_io_kind {
-    PGW_CLAIM_IO_NONE,
-    PGW_CLAIM_IO_READ,
-    PGW_CLAIM_IO_WRITE,
-};
-
-/**
- * struct pgw_claim_io - a store operation
- * @kind: which
- * @expected_version: for WRITE: the version to be replaced, 0: none may exist
- * @value: for WRITE: the new value as JSON; g_free() it
- * @length: for WRITE: bytes of @value
- */
-struct pgw_claim_io {
-    enum pgw_claim_io_kind kind;
-    uint64_t expected_version;
-    char *value;
-    size_t length;
-};
-
 /**
  * pgw_claim_next_io() - take the store operation that is due
- * @out: receives it
+ * @out: receives it, to be disposed of
  * @shard: machine
  * @now_us: the time
  *
  * Also refuses calls that have waited too long, so it is to be called at
- * pgw_claim_next_time() and after each begin, report and result.
+ * pgw_claim_next_time() and after each begin, report and result. Each
+ * operation taken is answered by exactly one pgw_claim_io_done().
  *
  * Return: false when none is due or one is outstanding.
  */
-bool pgw_claim_next_io(struct pgw_claim_io *out, struct pgw_claim_shard *shard,
+bool pgw_claim_next_io(struct pgw_io *out, struct pgw_claim_shard *shard,
                        uint64_t now_us);
 
 /**
- * enum pgw_claim_store - how a store operation ended
- * @PGW_CLAIM_STORE_OK: done; for a read: the object exists
- * @PGW_CLAIM_STORE_MISSING: for a read: there is no such object
- * @PGW_CLAIM_STORE_CONFLICT: another version stands; nothing was written
- * @PGW_CLAIM_STORE_THROTTLED: over the rate limit; nothing was done
- * @PGW_CLAIM_STORE_UNAVAILABLE: it certainly was not done
- * @PGW_CLAIM_STORE_UNKNOWN: no answer; it may have been done or may be yet
- */
-enum pgw_claim_store {
-    PGW_CLAIM_STORE_OK,
-    PGW_CLAIM_STORE_MISSING,
-    PGW_CLAIM_STORE_CONFLICT,
-    PGW_CLAIM_STORE_THROTTLED,
-    PGW_CLAIM_STORE_UNAVAILABLE,
-    PGW_CLAIM_STORE_UNKNOWN,
-};
-
-/**
- * pgw_claim_write_result() - end of the outstanding write
- * @shard: machine
- * @result: how it ended
- * @version: for OK: the new version; for CONFLICT: the current one
- * @value: for CONFLICT: the current value, or NULL when not told
- * @length: bytes of @value
- * @now_us: the time
- */
-void pgw_claim_write_result(struct pgw_claim_shard *shard,
-                            enum pgw_claim_store result, uint64_t version,
-                            const char *value, size_t length, uint64_t now_us);
-
-/**
- * pgw_claim_read_result() - end of the outstanding read
+ * pgw_claim_io_done() - end of the outstanding operation
  * @shard: machine
- * @result: how it ended
- * @version: for OK
- * @value: for OK
- * @length: bytes of @value
+ * @reply: how it ended
  * @now_us: the time
  */
-void pgw_claim_read_result(struct pgw_claim_shard *shard,
-                           enum pgw_claim_store result, uint64_t version,
-                           const char *value, size_t length, uint64_t now_us);
+void pgw_claim_io_done(struct pgw_claim_shard *shard,
+                       const struct pgw_io_reply *reply, uint64_t now_us);
 
 /**
  * pgw_claim_next_time() - when to call pgw_claim_next_io() at the latest
