--- a/src/util/json_reader.h
+++ b/src/util/json_reader.h
@@ -36,26 +36,26 @@
 /**
  * struct pgw_json_field - one key of an object and where its value goes
  * @key: the key
- * @type: type of the value
  * @offset: offsetof() the member in the struct that is filled
  * @min: least number; for text its bytes, for lists their members, for
  *   addresses the port
  * @max: the same, greatest; 0 for lists and text means no limit
- * @required: a missing key is an error
  * @number: default of numbers and booleans
  * @text: default of text; NULL leaves the member NULL
  * @choices: NULL-terminated allowed values of a text; NULL: any
+ * @type: type of the value
+ * @required: a missing key is an error
  */
 struct pgw_json_field {
     const char *key;
-    enum pgw_json_type type;
     size_t offset;
     double min;
     double max;
-    bool required;
     double number;
     const char *text;
     const char *const *choices;
+    enum pgw_json_type type;
+    bool required;
 };
 
 /** PGW_JSON_MAX_DEPTH - deepest nesting that pgw_json_parse() takes */
