--- /dev/null
+++ b/src/libparsleygw/json_slice.h
@@ -0,0 +1,39 @@
+#ifndef PGW_JSON_SLICE_H
+#define PGW_JSON_SLICE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/**
+ * struct pgw_json__slice - cuts a JSON array into the texts of its elements
+ *
+ * A list of 29,000 workspaces parsed at once takes some 60 MB as a tree of
+ * nodes, the whole allowance of a process. Cut into elements, each is parsed
+ * and released by itself.
+ */
+struct pgw_json__slice {
+    const char *next;
+    const char *end;
+};
+
+/**
+ * pgw_json__slice_init() - find an array member of a top-level object
+ * @slice: to be walked with pgw_json__slice_next()
+ * @text: JSON text
+ * @size: its bytes
+ * @member: name of the member; must need no escapes
+ *
+ * Return: false when there is no such array.
+ */
+bool pgw_json__slice_init(struct pgw_json__slice *slice, const char *text,
+                          size_t size, const char *member);
+
+/**
+ * pgw_json__slice_next() - text of the next element
+ *
+ * Return: false at the end of the array or of the text.
+ */
+bool pgw_json__slice_next(struct pgw_json__slice *slice, const char **text,
+                          size_t *size);
+
+#endif
--- /dev/null
+++ b/src/libparsleygw/store_answer.c
@@ -0,0 +1,143 @@
+#include "store_answer.h"
+
+#include <string.h>
+
+#include "config_internal.h"
+#include "json_slice.h"
+
+static uint64_t
+read_version(JsonObject *object)
+{
+    gint64 version =
+        json_object_get_int_member_with_default(object, "version", 0);
+
+    return version < 0 ? 0 : (uint64_t)version;
+}
+
+bool
+pgw_store__read_object(struct pgw_store_object *out, const char *text,
+                       size_t size)
+{
+    JsonParser *parser =
+        pgw_config__json_parse(text, (gssize)size, "answer", NULL);
+    JsonObject *object;
+    JsonNode *value;
+
+    *out = (struct pgw_store_object){0};
+    if (parser == NULL) {
+        return false;
+    }
+    object = json_node_get_object(json_parser_get_root(parser));
+    out->name = g_strdup(
+        json_object_get_string_member_with_default(object, "name", ""));
+    out->version = read_version(object);
+    out->deleted =
+        json_object_get_boolean_member_with_default(object, "deleted", FALSE);
+    value = json_object_get_member(object, "value");
+    if (value != NULL && !JSON_NODE_HOLDS_NULL(value) && !out->deleted) {
+        out->value = json_to_string(value, FALSE);
+    }
+    g_object_unref(parser);
+    return true;
+}
+
+/* The collection's version stands outside the array; what is left of the
+ * text without the array's elements is small. */
+static bool
+read_collection_version(uint64_t *out, const char *text, size_t size,
+                        const char *array, const char *array_end)
+{
+    GString *rest = g_string_new_len(text, array - text);
+    JsonParser *parser;
+
+    g_string_append_len(rest, array_end, (gssize)(text + size - array_end));
+    parser =
+        pgw_config__json_parse(rest->str, (gssize)rest->len, "answer", NULL);
+    g_string_free(rest, TRUE);
+    if (parser == NULL) {
+        return false;
+    }
+    *out = read_version(json_node_get_object(json_parser_get_root(parser)));
+    g_object_unref(parser);
+    return true;
+}
+
+bool
+pgw_store__read_list(struct pgw_store_list *out, const char *text, size_t size,
+                     const char *member)
+{
+    GArray *objects =
+        g_array_new(FALSE, FALSE, sizeof(struct pgw_store_object));
+    struct pgw_json__slice slice;
+    struct pgw_store_object object;
+    const char *array;
+    const char *element;
+    size_t length;
+    bool ok;
+
+    ok = pgw_json__slice_init(&slice, text, size, member);
+    array = slice.next;
+    while (ok && pgw_json__slice_next(&slice, &element, &length)) {
+        ok = pgw_store__read_object(&object, element, length);
+        if (ok) {
+            g_array_append_val(objects, object);
+        }
+    }
+    *out = (struct pgw_store_list){.n = objects->len};
+    out->objects =
+        (struct pgw_store_object *)(void *)g_array_free(objects, FALSE);
+    ok = ok &&
+         read_collection_version(&out->version, text, size, array, slice.next);
+    if (!ok) {
+        pgw_store_list_dispose(out);
+    }
+    return ok;
+}
+
+bool
+pgw_store__read_instances(struct pgw_store_instances *out, const char *text,
+                          size_t size)
+{
+    JsonParser *parser =
+        pgw_config__json_parse(text, (gssize)size, "answer", NULL);
+    JsonNode *list;
+    JsonArray *array;
+    bool ok = false;
+
+    *out = (struct pgw_store_instances){0};
+    if (parser == NULL) {
+        return false;
+    }
+    list = json_object_get_member(
+        json_node_get_object(json_parser_get_root(parser)), "instances");
+    if (list == NULL || !JSON_NODE_HOLDS_ARRAY(list)) {
+        goto done;
+    }
+    array = json_node_get_array(list);
+    out->n = json_array_get_length(array);
+    out->instances = g_new0(struct pgw_store_instance, out->n);
+    for (guint i = 0; i < out->n; i++) {
+        JsonNode *node = json_array_get_element(array, i);
+        JsonObject *object;
+
+        if (!JSON_NODE_HOLDS_OBJECT(node)) {
+            goto done;
+        }
+        object = json_node_get_object(node);
+        out->instances[i].id = g_strdup(
+            json_object_get_string_member_with_default(object, "id", ""));
+        out->instances[i].zone = g_strdup(
+            json_object_get_string_member_with_default(object, "zone", ""));
+        out->instances[i].leaving =
+            strcmp(json_object_get_string_member_with_default(object, "state",
+                                                              ""),
+                   "leaving") == 0;
+    }
+    ok = true;
+done:
+    if (!ok) {
+        pgw_store_instances_dispose(out);
+    }
+    g_object_unref(parser);
+    return ok;
+}
--- /dev/null
+++ b/src/libparsleygw/store_http.c
@@ -0,0 +1,461 @@
+/* The object API over libcurl. */
+#include <curl/curl.h>
+#include <string.h>
+
+#include "parsleygw/errors.h"
+#include "parsleygw/store.h"
+#include "store_answer.h"
+
+struct http_store {
+    struct pgw_store base;
+    char *url;
+    uint32_t connect_timeout_ms;
+    uint32_t max_idle;
+    size_t max_answer;
+    GMutex lock;
+    GQueue idle; /* CURL handles with their open connections */
+};
+
+/* One call: what is sent, what came back. */
+struct call {
+    struct http_store *store;
+    CURL *curl;
+    struct curl_slist *headers;
+    const char *method;
+    char *what; /* "GET profile/name", for messages */
+    const char *body;
+    size_t body_size;
+    size_t body_sent;
+    GString *answer;
+    bool too_large;
+    long status;
+};
+
+static CURL *
+take_handle(struct http_store *store)
+{
+    CURL *curl;
+
+    g_mutex_lock(&store->lock);
+    curl = g_queue_pop_tail(&store->idle);
+    g_mutex_unlock(&store->lock);
+    return curl == NULL ? curl_easy_init() : curl;
+}
+
+static void
+return_handle(struct http_store *store, CURL *curl)
+{
+    bool kept = false;
+
+    curl_easy_reset(curl);
+    g_mutex_lock(&store->lock);
+    if (store->idle.length < store->max_idle) {
+        g_queue_push_tail(&store->idle, curl);
+        kept = true;
+    }
+    g_mutex_unlock(&store->lock);
+    if (!kept) {
+        curl_easy_cleanup(curl);
+    }
+}
+
+static size_t
+take_answer(char *data, size_t size, size_t count, void *pointer)
+{
+    struct call *call = pointer;
+
+    if (call->answer->len + size * count > call->store->max_answer) {
+        call->too_large = true;
+        return 0;
+    }
+    g_string_append_len(call->answer, data, (gssize)(size * count));
+    return size * count;
+}
+
+static size_t
+give_body(char *buffer, size_t size, size_t count, void *pointer)
+{
+    struct call *call = pointer;
+    size_t n = MIN(size * count, call->body_size - call->body_sent);
+
+    memcpy(buffer, call->body + call->body_sent, n);
+    call->body_sent += n;
+    return n;
+}
+
+static void call_init(struct call *call, struct http_store *store,
+                      const char *method, const char *format, ...)
+    G_GNUC_PRINTF(4, 5);
+
+static void
+call_init(struct call *call, struct http_store *store, const char *method,
+          const char *format, ...)
+{
+    va_list arguments;
+    char *path;
+    char *url;
+
+    va_start(arguments, format);
+    path = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    *call = (struct call){.store = store, .method = method};
+    call->curl = take_handle(store);
+    call->answer = g_string_new(NULL);
+    call->what = g_strdup_printf("%s %s", method, path);
+    url = g_strconcat(store->url, path, NULL);
+    curl_easy_setopt(call->curl, CURLOPT_URL, url);
+    curl_easy_setopt(call->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(call->curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(call->curl, CURLOPT_CUSTOMREQUEST, method);
+    curl_easy_setopt(call->curl, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)store->connect_timeout_ms);
+    curl_easy_setopt(call->curl, CURLOPT_WRITEFUNCTION, take_answer);
+    curl_easy_setopt(call->curl, CURLOPT_WRITEDATA, call);
+    g_free(url);
+    g_free(path);
+}
+
+static void
+call_dispose(struct call *call)
+{
+    return_handle(call->store, call->curl);
+    curl_slist_free_all(call->headers);
+    g_string_free(call->answer, TRUE);
+    g_free(call->what);
+}
+
+static void
+call_set_condition(struct call *call, uint64_t expected)
+{
+    char header[64];
+
+    g_snprintf(header, sizeof(header), "If-Match: %" G_GUINT64_FORMAT,
+               expected);
+    call->headers = curl_slist_append(call->headers, header);
+    call->headers = curl_slist_append(call->headers, "Expect:");
+    curl_easy_setopt(call->curl, CURLOPT_HTTPHEADER, call->headers);
+}
+
+/* libcurl sends a request again by itself when a kept connection closes
+ * before an answer. A conditional write that had taken effect would then come
+ * back as a conflict with itself, and the operator would be told that
+ * somebody else was first. The body is given by a function that cannot be
+ * rewound, so libcurl has to report the lost answer. */
+static void
+call_set_body(struct call *call, const char *body)
+{
+    call->body = body;
+    call->body_size = strlen(body);
+    curl_easy_setopt(call->curl, CURLOPT_UPLOAD, 1L);
+    curl_easy_setopt(call->curl, CURLOPT_READFUNCTION, give_body);
+    curl_easy_setopt(call->curl, CURLOPT_READDATA, call);
+    curl_easy_setopt(call->curl, CURLOPT_INFILESIZE_LARGE,
+                     (curl_off_t)call->body_size);
+}
+
+static bool
+is_write(const struct call *call)
+{
+    return strcmp(call->method, "GET") != 0;
+}
+
+/* Nothing of a request leaves before the connection stands. */
+static bool
+was_sent(struct call *call, CURLcode code)
+{
+    curl_off_t ready_us = 0;
+
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT) {
+        return false;
+    }
+    curl_easy_getinfo(call->curl, CURLINFO_PRETRANSFER_TIME_T, &ready_us);
+    return ready_us > 0;
+}
+
+static void
+set_transport_error(struct call *call, CURLcode code, GError **error)
+{
+    const char *reason = curl_easy_strerror(code);
+
+    if (call->too_large) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_TOO_LARGE,
+                    "%s: answer over %zu bytes: split the collection",
+                    call->what, call->store->max_answer);
+    }
+    else if (!was_sent(call, code)) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                    "%s: %s: check the store's address and state", call->what,
+                    reason);
+    }
+    else if (is_write(call)) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_UNKNOWN_OUTCOME,
+                    "%s: %s: the change may have been made: read it back",
+                    call->what, reason);
+    }
+    else if (code == CURLE_OPERATION_TIMEDOUT) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_TIMEOUT,
+                    "%s: no answer in time: try again later", call->what);
+    }
+    else {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                    "%s: %s: try again later", call->what, reason);
+    }
+}
+
+/* Kinds and remedies by status; a status that is not here is unexpected. */
+struct status_error {
+    long status;
+    enum pgw_error code;
+    const char *remedy;
+};
+
+static const struct status_error status_errors[] = {
+    {404, PGW_ERROR_NOT_FOUND, "no such object: check kind and name"},
+    {409, PGW_ERROR_CONFLICT, "another writer was first: read and rebase"},
+    {410, PGW_ERROR_STALE, "the watch is too old: list again"},
+    {413, PGW_ERROR_TOO_LARGE, "value over the store's limit: split it"},
+    {429, PGW_ERROR_OVERLOADED, "over the store's rate limit: call less"},
+    {503, PGW_ERROR_UNAVAILABLE, "the store is down: try again later"},
+};
+
+static void
+set_status_error(struct call *call, GError **error)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(status_errors); i++) {
+        if (status_errors[i].status == call->status) {
+            g_set_error(error, PGW_ERROR, (gint)status_errors[i].code,
+                        "%s: %s", call->what, status_errors[i].remedy);
+            return;
+        }
+    }
+    g_set_error(error, PGW_ERROR,
+                is_write(call) ? PGW_ERROR_UNKNOWN_OUTCOME
+                               : PGW_ERROR_PROTOCOL,
+                "%s: status %ld: check that the address is the object API's",
+                call->what, call->status);
+}
+
+static bool
+set_nonsense_error(struct call *call, GError **error)
+{
+    g_set_error(error, PGW_ERROR,
+                is_write(call) ? PGW_ERROR_UNKNOWN_OUTCOME
+                               : PGW_ERROR_PROTOCOL,
+                "%s: answer makes no sense: check that the address is the "
+                "object API's",
+                call->what);
+    return false;
+}
+
+static bool
+call_run(struct call *call, uint64_t deadline_us, GError **error)
+{
+    gint64 left_ms =
+        ((gint64)deadline_us - g_get_monotonic_time() + 999) / 1000;
+    CURLcode code;
+
+    if (left_ms <= 0) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                    "%s: the deadline had passed before the call: allow more "
+                    "time",
+                    call->what);
+        return false;
+    }
+    curl_easy_setopt(call->curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
+    code = curl_easy_perform(call->curl);
+    if (code != CURLE_OK) {
+        set_transport_error(call, code, error);
+        return false;
+    }
+    curl_easy_getinfo(call->curl, CURLINFO_RESPONSE_CODE, &call->status);
+    if (call->status != 200) {
+        set_status_error(call, error);
+        return false;
+    }
+    return true;
+}
+
+static struct http_store *
+http_store(struct pgw_store *store)
+{
+    return (struct http_store *)store;
+}
+
+static bool
+http_get(struct pgw_store *store, struct pgw_store_object *out,
+         const char *kind, const char *name, uint64_t deadline_us,
+         GError **error)
+{
+    struct call call;
+    bool ok;
+
+    *out = (struct pgw_store_object){0};
+    call_init(&call, http_store(store), "GET", "/objects/%s/%s", kind, name);
+    ok = call_run(&call, deadline_us, error);
+    if (ok &&
+        !pgw_store__read_object(out, call.answer->str, call.answer->len)) {
+        ok = set_nonsense_error(&call, error);
+    }
+    call_dispose(&call);
+    return ok;
+}
+
+static bool
+run_list(struct call *call, struct pgw_store_list *out, const char *member,
+         uint64_t deadline_us, GError **error)
+{
+    bool ok = call_run(call, deadline_us, error);
+
+    *out = (struct pgw_store_list){0};
+    if (ok && !pgw_store__read_list(out, call->answer->str, call->answer->len,
+                                    member)) {
+        ok = set_nonsense_error(call, error);
+    }
+    call_dispose(call);
+    return ok;
+}
+
+static bool
+http_list(struct pgw_store *store, struct pgw_store_list *out,
+          const char *kind, uint64_t deadline_us, GError **error)
+{
+    struct call call;
+
+    call_init(&call, http_store(store), "GET", "/objects/%s", kind);
+    return run_list(&call, out, "objects", deadline_us, error);
+}
+
+static bool
+http_watch(struct pgw_store *store, struct pgw_store_list *out,
+           const char *kind, uint64_t after, uint32_t wait_ms,
+           uint64_t deadline_us, GError **error)
+{
+    struct call call;
+
+    call_init(&call, http_store(store), "GET",
+              "/watch/%s?after=%" G_GUINT64_FORMAT "&wait_ms=%u", kind, after,
+              wait_ms);
+    return run_list(&call, out, "changes", deadline_us, error);
+}
+
+static bool
+http_put_if(struct pgw_store *store, struct pgw_store_object *out,
+            const char *kind, const char *name, uint64_t expected,
+            const char *value, uint64_t deadline_us, GError **error)
+{
+    struct call call;
+    bool ok;
+
+    *out = (struct pgw_store_object){0};
+    call_init(&call, http_store(store), "PUT", "/objects/%s/%s", kind, name);
+    call_set_condition(&call, expected);
+    call_set_body(&call, value);
+    ok = call_run(&call, deadline_us, error);
+    if ((ok || call.status == 409) &&
+        !pgw_store__read_object(out, call.answer->str, call.answer->len)) {
+        if (ok) {
+            ok = set_nonsense_error(&call, error);
+        }
+    }
+    call_dispose(&call);
+    return ok;
+}
+
+static bool
+http_delete_if(struct pgw_store *store, const char *kind, const char *name,
+               uint64_t expected, uint64_t deadline_us, GError **error)
+{
+    struct call call;
+    bool ok;
+
+    call_init(&call, http_store(store), "DELETE", "/objects/%s/%s", kind,
+              name);
+    call_set_condition(&call, expected);
+    /* No body to hold back here: a fresh connection is never retried. */
+    curl_easy_setopt(call.curl, CURLOPT_FRESH_CONNECT, 1L);
+    ok = call_run(&call, deadline_us, error);
+    call_dispose(&call);
+    return ok;
+}
+
+static bool
+http_instances(struct pgw_store *store, struct pgw_store_instances *out,
+               uint64_t deadline_us, GError **error)
+{
+    struct call call;
+    bool ok;
+
+    *out = (struct pgw_store_instances){0};
+    call_init(&call, http_store(store), "GET", "/instances");
+    ok = call_run(&call, deadline_us, error);
+    if (ok &&
+        !pgw_store__read_instances(out, call.answer->str, call.answer->len)) {
+        ok = set_nonsense_error(&call, error);
+    }
+    call_dispose(&call);
+    return ok;
+}
+
+static void
+http_free(struct pgw_store *base)
+{
+    struct http_store *store = http_store(base);
+    CURL *curl;
+
+    while ((curl = g_queue_pop_head(&store->idle)) != NULL) {
+        curl_easy_cleanup(curl);
+    }
+    g_mutex_clear(&store->lock);
+    g_free(store->url);
+    g_free(store);
+}
+
+static const struct pgw_store_ops http_ops = {
+    .get = http_get,
+    .list = http_list,
+    .put_if = http_put_if,
+    .delete_if = http_delete_if,
+    .watch = http_watch,
+    .instances = http_instances,
+    .free = http_free,
+};
+
+static gpointer
+init_curl(gpointer data)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    return data;
+}
+
+bool
+pgw_store_new(struct pgw_store **out, const struct pgw_store_options *options,
+              GError **error)
+{
+    static GOnce once = G_ONCE_INIT;
+    struct http_store *store;
+    size_t length;
+
+    *out = NULL;
+    if (options->url == NULL || !g_str_has_prefix(options->url, "http://")) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                    "store: \"%s\" is no URL: give http://ip:port",
+                    options->url == NULL ? "" : options->url);
+        return false;
+    }
+    g_once(&once, init_curl, &once);
+    store = g_new0(struct http_store, 1);
+    store->base.ops = &http_ops;
+    store->url = g_strdup(options->url);
+    length = strlen(store->url);
+    while (length > 0 && store->url[length - 1] == '/') {
+        store->url[--length] = '\0';
+    }
+    store->connect_timeout_ms = options->connect_timeout_ms;
+    store->max_idle = options->max_idle;
+    store->max_answer = options->max_answer;
+    g_mutex_init(&store->lock);
+    g_queue_init(&store->idle);
+    *out = &store->base;
+    return true;
+}
