Replicate configuration between processes

Cause: no process may depend on the store at its start, and a change has to reach all of them within seconds without a store watch each. Change: push of fresh changes to a few random links, periodic exchange of a summary with one random link, then bucket hashes, versions, objects. A list is answered once at most, so a value that one side refuses cannot loop.

--- /dev/null
+++ b/src/libparsleygw/sync.c
@@ -0,0 +1,382 @@
+#include "libparsleygw/sync.h"
+#include "parsleygw/errors.h"
+
+/* One frame of objects stays well below PGW_FRAME_MAX. */
+#define SYNC_FRAME_BYTES ((size_t)1 << 20)
+/* More objects at once are a process catching up, which others need not
+ * hear of: only fresh changes are pushed on. */
+#define SYNC_PUSH_OBJECTS 16
+
+struct pgw_sync {
+    struct pgw_sync_options options;
+    GPtrArray *links;
+    struct pgw_timer timer;
+    struct pgw_task notify;
+    bool notify_queued;
+    bool freed;
+};
+
+static void
+send_digest(struct pgw_sync *sync, struct pgw_link *link,
+            const uint64_t *buckets)
+{
+    Pgw__Digest digest = PGW__DIGEST__INIT;
+
+    digest.summary = pgw_config_set_summary(sync->options.set);
+    if (buckets != NULL) {
+        digest.n_buckets = PGW_CONFIG_BUCKETS;
+        digest.buckets = (uint64_t *)buckets;
+    }
+    pgw_link_send(link, PGW_FRAME_DIGEST, &digest.base);
+}
+
+static void
+exchange_due(struct pgw_timer *timer)
+{
+    struct pgw_sync *sync = pgw_container_of(timer, struct pgw_sync, timer);
+    uint64_t interval = sync->options.interval_us;
+
+    if (sync->links->len > 0) {
+        guint pick = (guint)g_random_int_range(0, (gint32)sync->links->len);
+
+        send_digest(sync, g_ptr_array_index(sync->links, pick), NULL);
+    }
+    /* Jitter keeps processes that started together from staying in step. */
+    pgw_timer_start(sync->options.loop, timer,
+                    interval / 2 +
+                        (uint64_t)(g_random_double() * (double)interval));
+}
+
+static void
+notify_run(struct pgw_task *task)
+{
+    struct pgw_sync *sync = pgw_container_of(task, struct pgw_sync, notify);
+
+    sync->notify_queued = false;
+    if (sync->freed) {
+        g_free(sync);
+        return;
+    }
+    sync->options.on_change(sync->options.context);
+}
+
+struct pgw_sync *
+pgw_sync_new(const struct pgw_sync_options *options)
+{
+    struct pgw_sync *sync = g_new0(struct pgw_sync, 1);
+
+    sync->options = *options;
+    sync->links = g_ptr_array_new();
+    sync->timer.on_due = exchange_due;
+    sync->notify.run = notify_run;
+    pgw_timer_start(options->loop, &sync->timer, options->interval_us);
+    return sync;
+}
+
+void
+pgw_sync_free(struct pgw_sync *sync)
+{
+    if (sync == NULL) {
+        return;
+    }
+    pgw_timer_stop(sync->options.loop, &sync->timer);
+    g_ptr_array_unref(sync->links);
+    sync->freed = true;
+    if (!sync->notify_queued) {
+        g_free(sync);
+    }
+}
+
+void
+pgw_sync_add_link(struct pgw_sync *sync, struct pgw_link *link)
+{
+    g_ptr_array_add(sync->links, link);
+    send_digest(sync, link, NULL);
+}
+
+void
+pgw_sync_remove_link(struct pgw_sync *sync, struct pgw_link *link)
+{
+    g_ptr_array_remove_fast(sync->links, link);
+}
+
+/* Objects gathered for one or more frames to one link. */
+struct object_batch {
+    struct pgw_link *link;
+    GPtrArray *objects;
+    size_t bytes;
+};
+
+static void
+batch_flush(struct object_batch *batch)
+{
+    Pgw__Objects message = PGW__OBJECTS__INIT;
+
+    if (batch->objects->len > 0) {
+        message.n_objects = batch->objects->len;
+        message.objects = (Pgw__Object **)batch->objects->pdata;
+        pgw_link_send(batch->link, PGW_FRAME_OBJECTS, &message.base);
+    }
+    g_ptr_array_set_size(batch->objects, 0);
+    batch->bytes = 0;
+}
+
+static void
+batch_add(const char *kind, const char *name, uint64_t version,
+          const char *value, void *data)
+{
+    struct object_batch *batch = data;
+    size_t size = value == NULL ? 0 : strlen(value);
+    Pgw__Object *object = g_new(Pgw__Object, 1);
+
+    if (batch->bytes + size > SYNC_FRAME_BYTES) {
+        batch_flush(batch);
+    }
+    *object = (Pgw__Object)PGW__OBJECT__INIT;
+    object->kind = (char *)kind;
+    object->name = (char *)name;
+    object->version = version;
+    object->deleted = value == NULL;
+    object->value.data = (uint8_t *)value;
+    object->value.len = size;
+    batch->bytes += size;
+    g_ptr_array_add(batch->objects, object);
+}
+
+static void
+batch_init(struct object_batch *batch, struct pgw_link *link)
+{
+    *batch = (struct object_batch){
+        .link = link,
+        .objects = g_ptr_array_new_with_free_func(g_free),
+    };
+}
+
+static void
+batch_dispose(struct object_batch *batch)
+{
+    batch_flush(batch);
+    g_ptr_array_unref(batch->objects);
+}
+
+static void
+push_to_link(struct pgw_link *link, const char *kind, const char *name,
+             uint64_t version, const char *value)
+{
+    struct object_batch batch;
+
+    batch_init(&batch, link);
+    batch_add(kind, name, version, value, &batch);
+    batch_dispose(&batch);
+}
+
+/* A few random links suffice: the fleet is reached in logarithmic time, and
+ * the cost of a change does not grow with the number of links. */
+static void
+push(struct pgw_sync *sync, const struct pgw_link *origin, const char *kind,
+     const char *name, uint64_t version, const char *value)
+{
+    guint count = sync->links->len;
+    guint start;
+    unsigned sent = 0;
+
+    if (count == 0) {
+        return;
+    }
+    start = (guint)g_random_int_range(0, (gint32)count);
+    for (guint i = 0; i < count && sent < sync->options.push_links; i++) {
+        struct pgw_link *link =
+            g_ptr_array_index(sync->links, (start + i) % count);
+
+        if (link != origin) {
+            push_to_link(link, kind, name, version, value);
+            sent++;
+        }
+    }
+}
+
+static bool
+merge(struct pgw_sync *sync, const struct pgw_link *origin, const char *kind,
+      const char *name, uint64_t version, const char *value, bool push_on,
+      GError **error)
+{
+    bool changed = false;
+
+    if (!pgw_config_set_apply(sync->options.set, kind, name, version, value,
+                              &changed, error)) {
+        return false;
+    }
+    if (!changed) {
+        return true;
+    }
+    if (push_on) {
+        push(sync, origin, kind, name, version, value);
+    }
+    if (!sync->notify_queued) {
+        sync->notify_queued = true;
+        pgw_loop_post(sync->options.loop, &sync->notify);
+    }
+    return true;
+}
+
+bool
+pgw_sync_offer(struct pgw_sync *sync, const char *kind, const char *name,
+               uint64_t version, const char *value, GError **error)
+{
+    return merge(sync, NULL, kind, name, version, value, true, error);
+}
+
+static void
+take_objects(struct pgw_sync *sync, struct pgw_link *link,
+             const Pgw__Objects *message)
+{
+    for (size_t i = 0; i < message->n_objects; i++) {
+        const Pgw__Object *object = message->objects[i];
+        char *value = object->deleted
+                          ? NULL
+                          : g_strndup((const char *)object->value.data,
+                                      object->value.len);
+        GError *error = NULL;
+
+        /* A value that this version refuses stays out; its older form, which
+         * every process agreed on before, remains in force. */
+        if (!merge(sync, link, object->kind, object->name, object->version,
+                   value, message->n_objects <= SYNC_PUSH_OBJECTS, &error)) {
+            g_message("event=config_refused kind=%s name=%s error=%s",
+                      object->kind, object->name, error->message);
+            g_clear_error(&error);
+        }
+        g_free(value);
+    }
+}
+
+/* Lists the versions in the buckets of @wanted. */
+static void
+send_versions(struct pgw_sync *sync, struct pgw_link *link, const bool *wanted,
+              bool answer)
+{
+    Pgw__Digest digest = PGW__DIGEST__INIT;
+    GArray *versions = pgw_config_set_versions(sync->options.set, wanted);
+    Pgw__ObjectVersion *lines = g_new(Pgw__ObjectVersion, versions->len + 1);
+    Pgw__ObjectVersion **pointers =
+        g_new(Pgw__ObjectVersion *, versions->len + 1);
+    uint32_t covered[PGW_CONFIG_BUCKETS];
+
+    for (uint32_t i = 0; i < PGW_CONFIG_BUCKETS; i++) {
+        if (wanted[i]) {
+            covered[digest.n_covered++] = i;
+        }
+    }
+    for (guint i = 0; i < versions->len; i++) {
+        const struct pgw_config_version *version =
+            &g_array_index(versions, struct pgw_config_version, i);
+
+        lines[i] = (Pgw__ObjectVersion)PGW__OBJECT_VERSION__INIT;
+        lines[i].kind = (char *)version->kind;
+        lines[i].name = (char *)version->name;
+        lines[i].version = version->version;
+        pointers[i] = &lines[i];
+    }
+    digest.summary = pgw_config_set_summary(sync->options.set);
+    digest.answer = answer;
+    digest.covered = covered;
+    digest.n_objects = versions->len;
+    digest.objects = pointers;
+    pgw_link_send(link, PGW_FRAME_DIGEST, &digest.base);
+    g_free(pointers);
+    g_free(lines);
+    g_array_unref(versions);
+}
+
+static void
+compare_buckets(struct pgw_sync *sync, struct pgw_link *link,
+                const Pgw__Digest *digest)
+{
+    uint64_t own[PGW_CONFIG_BUCKETS];
+    bool wanted[PGW_CONFIG_BUCKETS];
+
+    pgw_config_set_digest(sync->options.set, own);
+    for (size_t i = 0; i < PGW_CONFIG_BUCKETS; i++) {
+        wanted[i] = own[i] != digest->buckets[i];
+    }
+    send_versions(sync, link, wanted, false);
+}
+
+static void
+compare_versions(struct pgw_sync *sync, struct pgw_link *link,
+                 const Pgw__Digest *digest)
+{
+    bool covered[PGW_CONFIG_BUCKETS] = {false};
+    GArray *peer =
+        g_array_sized_new(FALSE, FALSE, sizeof(struct pgw_config_version),
+                          (guint)digest->n_objects);
+    struct object_batch batch;
+    size_t newer_there;
+
+    for (size_t i = 0; i < digest->n_covered; i++) {
+        if (digest->covered[i] < PGW_CONFIG_BUCKETS) {
+            covered[digest->covered[i]] = true;
+        }
+    }
+    for (size_t i = 0; i < digest->n_objects; i++) {
+        struct pgw_config_version line = {
+            .kind = digest->objects[i]->kind,
+            .name = digest->objects[i]->name,
+            .version = digest->objects[i]->version,
+        };
+
+        g_array_append_val(peer, line);
+    }
+    batch_init(&batch, link);
+    newer_there = pgw_config_set_diff(
+        sync->options.set, (const struct pgw_config_version *)peer->data,
+        peer->len, covered, batch_add, &batch);
+    batch_dispose(&batch);
+    g_array_unref(peer);
+    /*
+     * The peer compares our list in turn and sends what is newer there. Were
+     * that list answered, too, a value that one side refuses would be asked
+     * for without end and fill the link; the next periodic summary is soon
+     * enough to try again.
+     */
+    if (newer_there > 0 && !digest->answer) {
+        send_versions(sync, link, covered, true);
+    }
+}
+
+static void
+take_digest(struct pgw_sync *sync, struct pgw_link *link,
+            const Pgw__Digest *digest)
+{
+    uint64_t own[PGW_CONFIG_BUCKETS];
+
+    if (digest->summary == pgw_config_set_summary(sync->options.set)) {
+        return;
+    }
+    if (digest->n_covered > 0) {
+        compare_versions(sync, link, digest);
+    }
+    else if (digest->n_buckets == PGW_CONFIG_BUCKETS) {
+        compare_buckets(sync, link, digest);
+    }
+    else {
+        pgw_config_set_digest(sync->options.set, own);
+        send_digest(sync, link, own);
+    }
+}
+
+bool
+pgw_sync_take_frame(struct pgw_sync *sync, struct pgw_link *link,
+                    enum pgw_frame_type type, const ProtobufCMessage *message)
+{
+    switch (type) {
+    case PGW_FRAME_DIGEST:
+        take_digest(sync, link, (const Pgw__Digest *)message);
+        return true;
+    case PGW_FRAME_OBJECTS:
+        take_objects(sync, link, (const Pgw__Objects *)message);
+        return true;
+    default:
+        return false;
+    }
+}
--- /dev/null
+++ b/src/libparsleygw/sync.h
@@ -0,0 +1,75 @@
+#ifndef PGW_SYNC_H
+#define PGW_SYNC_H
+
+#include "libparsleygw/link.h"
+#include "parsleygw/config.h"
+
+/**
+ * DOC: Configuration between our processes
+ *
+ * Each process holds a configuration set. What is new to it goes at once to a
+ * few random links (push); a periodic exchange of summaries with one random
+ * link repairs whatever a push missed (anti-entropy). The set applies only
+ * higher versions, so order, loss and repetition do not matter.
+ */
+
+struct pgw_sync;
+
+/**
+ * struct pgw_sync_options - one process's replica
+ * @loop: loop of all its links
+ * @set: the objects; owned by the caller, used on the loop's thread only
+ * @on_change: some object changed; called once a loop turn at most
+ * @context: handed to @on_change
+ * @interval_us: mean time between two exchanges of summaries
+ * @push_links: links that a change is pushed to
+ */
+struct pgw_sync_options {
+    struct pgw_loop *loop;
+    struct pgw_config_set *set;
+    void (*on_change)(void *context);
+    void *context;
+    uint64_t interval_us;
+    unsigned push_links;
+};
+
+#define PGW_SYNC_OPTIONS_INIT                                                 \
+    {                                                                         \
+        .interval_us = 500000, .push_links = 4                                \
+    }
+
+struct pgw_sync *pgw_sync_new(const struct pgw_sync_options *options);
+void pgw_sync_free(struct pgw_sync *sync);
+
+/** pgw_sync_add_link() - a peer said Hello: exchange with it from now on */
+void pgw_sync_add_link(struct pgw_sync *sync, struct pgw_link *link);
+
+/** pgw_sync_remove_link() - the link is closing; unknown links are ignored */
+void pgw_sync_remove_link(struct pgw_sync *sync, struct pgw_link *link);
+
+/**
+ * pgw_sync_take_frame() - handle a frame of a link
+ * @sync: the replica
+ * @link: where it came from
+ * @type: the frame's type
+ * @message: the message, not consumed
+ *
+ * Return: false when the type is none of its own.
+ */
+bool pgw_sync_take_frame(struct pgw_sync *sync, struct pgw_link *link,
+                         enum pgw_frame_type type,
+                         const ProtobufCMessage *message);
+
+/**
+ * pgw_sync_offer() - an object read from the store
+ * @sync: the replica
+ * @kind: kind of the object
+ * @name: its name
+ * @version: the store's version
+ * @value: JSON text; NULL: deleted
+ * @error: as pgw_config_set_apply()
+ */
+bool pgw_sync_offer(struct pgw_sync *sync, const char *kind, const char *name,
+                    uint64_t version, const char *value, GError **error);
+
+#endif
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -2262,39 +2262,63 @@
   (ProtobufCMessageInit) pgw__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__digest__field_descriptors[3] =
+static const ProtobufCFieldDescriptor pgw__digest__field_descriptors[5] =
 {
   {
-    "objects",
+    "summary",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Pgw__Digest, n_objects),
-    offsetof(Pgw__Digest, objects),
-    &pgw__object_version__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Digest, summary),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reply_wanted",
+    "buckets",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Pgw__Digest, reply_wanted),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pgw__Digest, n_buckets),
+    offsetof(Pgw__Digest, buckets),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "summary",
+    "covered",
     3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pgw__Digest, n_covered),
+    offsetof(Pgw__Digest, covered),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__Digest, n_objects),
+    offsetof(Pgw__Digest, objects),
+    &pgw__object_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Pgw__Digest, summary),
+    offsetof(Pgw__Digest, answer),
     NULL,
     NULL,
     0,             /* flags */
@@ -2302,14 +2326,16 @@
   },
 };
 static const unsigned pgw__digest__field_indices_by_name[] = {
-  0,   /* field[0] = objects */
-  1,   /* field[1] = reply_wanted */
-  2,   /* field[2] = summary */
+  4,   /* field[4] = answer */
+  1,   /* field[1] = buckets */
+  2,   /* field[2] = covered */
+  3,   /* field[3] = objects */
+  0,   /* field[0] = summary */
 };
 static const ProtobufCIntRange pgw__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pgw__digest__descriptor =
 {
@@ -2319,7 +2345,7 @@
   "Pgw__Digest",
   "pgw",
   sizeof(Pgw__Digest),
-  3,
+  5,
   pgw__digest__field_descriptors,
   pgw__digest__field_indices_by_name,
   1,  pgw__digest__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -342,22 +342,37 @@
 
 
 /*
- * Configuration objects held, for anti-entropy; absent objects are version 0.
+ * Anti-entropy over configuration objects, from coarse to fine: a summary
+ * that differs is answered with bucket hashes, these with the versions in the
+ * buckets that differ, these with the newer objects.
  */
 struct  Pgw__Digest
 {
   ProtobufCMessage base;
+  /*
+   * hash over all versions held
+   */
+  uint64_t summary;
+  /*
+   * one hash for each bucket of names
+   */
+  size_t n_buckets;
+  uint64_t *buckets;
+  /*
+   * buckets that "objects" lists in full
+   */
+  size_t n_covered;
+  uint32_t *covered;
   size_t n_objects;
   Pgw__ObjectVersion **objects;
-  protobuf_c_boolean reply_wanted;
   /*
-   * hash over all versions: equal means nothing to do
+   * objects are listed for the last time
    */
-  uint64_t summary;
+  protobuf_c_boolean answer;
 };
 #define PGW__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__digest__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Pgw__ObjectVersion
