Know what the engine's cache holds

Cause: the sidecar must answer how much of a prompt its engine holds, from late events with losses. Change: pgw_cache keeps blocks, levels and recent requests, each bounded; certain knowledge and hints of bounded time are apart; a new incarnation or version forgets everything.

--- a/include/parsleygw/cache.h
+++ b/include/parsleygw/cache.h
@@ -53,8 +53,9 @@
  * @version: the weights version that it gave
  * @asked: when the question was sent, microseconds of the clock of all calls
  *
- * An answer that differs from what is known counts as news only if it was
- * asked for after that became known; otherwise it is late and is dropped.
+ * An answer that differs from what is known is news if it was asked for after
+ * that became known. Otherwise either may be the later one: everything is
+ * forgotten until an answer to a later question settles it.
  */
 struct pgw_cache_source {
     uint64_t incarnation;
@@ -106,6 +107,8 @@
  * @gaps: losses seen in the sequence
  * @syncs: lists of all blocks taken
  * @forgets: times that everything was dropped
+ * @overcounted: tokens that were certain when a request was sent and that
+ *     the engine then had evicted already
  * @bytes: heap bytes held by blocks, levels and requests, without the
  *     allocator's own overhead
  */
@@ -117,6 +120,7 @@
     uint64_t gaps;
     uint64_t syncs;
     uint64_t forgets;
+    uint64_t overcounted;
     size_t bytes;
 };
 
@@ -132,18 +136,19 @@
  * pgw_cache_set_engine() - an engine said who it is (any answer says so)
  * @cache: the view
  * @source: what it said
+ * @now: microseconds
  *
  * Everything is forgotten when the incarnation or the version is a new one.
  *
- * Return: false if the word is late and was dropped.
+ * Return: false if the answer is late and must not be used.
  */
 bool pgw_cache_set_engine(struct pgw_cache *cache,
-                          const struct pgw_cache_source *source);
+                          const struct pgw_cache_source *source, uint64_t now);
 
 /**
  * pgw_cache_lose_engine() - the engine is known to be dead
  * @cache: the view
- * @now: microseconds; words asked for before this are dropped from now on
+ * @now: microseconds; answers asked for before this are dropped
  *
  * Forgets everything at once.
  */
@@ -220,13 +225,15 @@
  * @seq: the event as of which the list is true
  * @blocks: the list, in any order
  * @n: its length
+ * @now: microseconds
  *
  * Return: false if it is late (older than events taken since) and another one
  * must be asked for.
  */
 bool pgw_cache_sync(struct pgw_cache *cache,
                     const struct pgw_cache_source *source, uint64_t seq,
-                    const struct pgw_cache_block *blocks, size_t n);
+                    const struct pgw_cache_block *blocks, size_t n,
+                    uint64_t now);
 
 /**
  * pgw_cache_wants_sync() - whether to read the list of all blocks now
--- /dev/null
+++ b/src/libparsleygw/cache.c
@@ -0,0 +1,478 @@
+#include "libparsleygw/cache_table.h"
+
+#include <stdlib.h>
+
+struct pgw_cache {
+    struct pgw_cache__table table;
+    bool known;           /* an engine has said who it is */
+    uint64_t incarnation; /* its own word */
+    char *version;
+    uint64_t since;    /* when that became known, or was last lost */
+    uint64_t last_seq; /* last event taken of this incarnation */
+    bool sync_needed;
+    uint64_t next_sync;
+    struct pgw_cache_stats stats;
+};
+
+struct pgw_cache *
+pgw_cache_new(const struct pgw_cache_options *options)
+{
+    static const struct pgw_cache_options defaults = PGW_CACHE_OPTIONS_INIT;
+    struct pgw_cache_options limits = options != NULL ? *options : defaults;
+    struct pgw_cache *cache = g_new0(struct pgw_cache, 1);
+
+    limits.blocks = MAX(limits.blocks, 16);
+    limits.levels = MAX(limits.levels, 1);
+    limits.requests = MAX(limits.requests, 1);
+    limits.block_tokens = MAX(limits.block_tokens, 1);
+    pgw_cache__table_init(&cache->table, &limits);
+    cache->version = g_strdup("");
+    return cache;
+}
+
+void
+pgw_cache_free(struct pgw_cache *cache)
+{
+    if (cache == NULL) {
+        return;
+    }
+    pgw_cache__table_dispose(&cache->table);
+    g_free(cache->version);
+    g_free(cache);
+}
+
+static void
+forget(struct pgw_cache *cache)
+{
+    pgw_cache__table_clear(&cache->table);
+    cache->last_seq = 0;
+    cache->sync_needed = false;
+    cache->stats.forgets++;
+}
+
+void
+pgw_cache_lose_engine(struct pgw_cache *cache, uint64_t now)
+{
+    if (cache->known) {
+        forget(cache);
+    }
+    cache->known = false;
+    cache->incarnation = 0;
+    g_free(cache->version);
+    cache->version = g_strdup("");
+    cache->since = now;
+}
+
+static bool
+same_engine(const struct pgw_cache *cache,
+            const struct pgw_cache_source *source)
+{
+#ifdef PGW_DISABLE_CACHE_VERSION
+    return cache->known && cache->incarnation == source->incarnation;
+#elif defined(PGW_DISABLE_CACHE_INCARNATION)
+    return cache->known && g_strcmp0(cache->version, source->version) == 0;
+#else
+    return cache->known && cache->incarnation == source->incarnation &&
+           g_strcmp0(cache->version, source->version) == 0;
+#endif
+}
+
+/*
+ * An engine that crashed or loaded other weights has none of the blocks that
+ * it had. Counting them would send requests there for nothing, seen as
+ * misses after every restart. Any answer names its incarnation and version,
+ * and an answer that was asked for after the known one came can only be from
+ * an engine at least as new, so a late answer never brings an old one back.
+ */
+bool
+pgw_cache_set_engine(struct pgw_cache *cache,
+                     const struct pgw_cache_source *source, uint64_t now)
+{
+    if (same_engine(cache, source)) {
+        return true;
+    }
+    if (source->asked < cache->since ||
+        (cache->known && source->asked == cache->since)) {
+        cache->stats.late++;
+        pgw_cache_lose_engine(cache, now);
+        return false;
+    }
+    pgw_cache_lose_engine(cache, now);
+    cache->known = true;
+    cache->incarnation = source->incarnation;
+    g_free(cache->version);
+    cache->version = g_strdup(source->version);
+    return true;
+}
+
+uint64_t
+pgw_cache_incarnation(const struct pgw_cache *cache)
+{
+    return cache->incarnation;
+}
+
+const char *
+pgw_cache_version(const struct pgw_cache *cache)
+{
+    return cache->version;
+}
+
+uint64_t
+pgw_cache_last_seq(const struct pgw_cache *cache)
+{
+    return cache->last_seq;
+}
+
+static void
+hint_levels(struct pgw_cache *cache, const struct pgw_cache__request *request,
+            uint64_t now)
+{
+    for (size_t i = 0; i < request->chain.count; i++) {
+        const struct pgw_level *level = &request->chain.levels[i];
+        struct pgw_cache__level *known =
+            pgw_cache__level_get(&cache->table, level, request->workspace);
+
+        known->hint_until = now + cache->table.options.hint_us;
+        known->hint_tokens =
+            level->end_tokens -
+            level->end_tokens % cache->table.options.block_tokens;
+    }
+}
+
+void
+pgw_cache_note_request(struct pgw_cache *cache,
+                       const struct pgw_request_id *request,
+                       const struct pgw_level_chain *chain,
+                       const struct pgw_level_salt *salt, uint64_t now)
+{
+    struct pgw_cache__request *note;
+
+    if (!cache->known || g_strcmp0(salt->version, cache->version) != 0) {
+        return;
+    }
+    note = pgw_cache__request_get(&cache->table, request);
+    note->workspace = pgw_level_workspace_hash(salt->workspace);
+    note->chain = *chain;
+    note->sure_tokens =
+        pgw_cache_match(cache, salt->workspace, chain, now, NULL);
+    hint_levels(cache, note, now);
+}
+
+void
+pgw_cache_note_answer(struct pgw_cache *cache,
+                      const struct pgw_request_id *request,
+                      const struct pgw_cache_source *source,
+                      uint32_t cached_tokens, uint64_t now)
+{
+    const struct pgw_cache__request *note;
+
+    if (!pgw_cache_set_engine(cache, source, now)) {
+        return;
+    }
+    note = pgw_cache__request_find(&cache->table, request);
+    if (note == NULL) {
+        return;
+    }
+    if (note->sure_tokens > cached_tokens) {
+        cache->stats.overcounted += note->sure_tokens - cached_tokens;
+    }
+    hint_levels(cache, note, now);
+}
+
+/* Levels of the request that reach at least to the block's end are known up
+ * to this block, unless they are known further. */
+static void
+bind_levels(struct pgw_cache *cache, const struct pgw_cache_event *event,
+            struct pgw_cache__block *block)
+{
+    const struct pgw_cache__request *request =
+        pgw_cache__request_find(&cache->table, &event->request);
+
+    for (size_t i = 0; request != NULL && i < request->chain.count; i++) {
+        const struct pgw_level *level = &request->chain.levels[i];
+        struct pgw_cache__level *known;
+
+        if (level->end_tokens < event->end_token) {
+            continue;
+        }
+        known = pgw_cache__level_get(&cache->table, level, request->workspace);
+        if (known->block == NULL || known->block_end <= event->end_token) {
+            pgw_cache__level_bind(known, block, event->end_token);
+        }
+    }
+}
+
+static void
+apply_event(struct pgw_cache *cache, const struct pgw_cache_event *event)
+{
+    struct pgw_cache__block *block;
+
+    cache->stats.events++;
+    switch (event->kind) {
+    case PGW_CACHE_STORED:
+    case PGW_CACHE_USED:
+        block =
+            pgw_cache__block_store(&cache->table, event->block, event->parent);
+        if (block != NULL) {
+            bind_levels(cache, event, block);
+        }
+        else {
+            cache->sync_needed = true;
+        }
+        break;
+    case PGW_CACHE_EVICTED:
+        block = pgw_cache__block_find(&cache->table, event->block);
+        if (block != NULL) {
+            pgw_cache__block_evict(&cache->table, block);
+        }
+        break;
+    case PGW_CACHE_CLEARED:
+        pgw_cache__block_evict_all(&cache->table);
+        break;
+    }
+}
+
+/*
+ * A lost event may have been an eviction. Blocks known until then would count
+ * for ever, seen as hits that never come true. So all of them become hints of
+ * bounded time, and the full list is asked for.
+ */
+static void
+note_gap(struct pgw_cache *cache, uint64_t now)
+{
+    cache->stats.gaps++;
+#ifndef PGW_DISABLE_CACHE_GAP
+    pgw_cache__block_doubt_all(&cache->table,
+                               now + cache->table.options.hint_us);
+    cache->sync_needed = true;
+#else
+    (void)now;
+#endif
+}
+
+static int
+compare_seq(const void *a, const void *b)
+{
+    const struct pgw_cache_event *left = a;
+    const struct pgw_cache_event *right = b;
+
+    return (left->seq > right->seq) - (left->seq < right->seq);
+}
+
+void
+pgw_cache_apply(struct pgw_cache *cache, const struct pgw_cache_source *source,
+                struct pgw_cache_event *events, size_t n, uint64_t last,
+                uint64_t now)
+{
+    if (!pgw_cache_set_engine(cache, source, now)) {
+        return;
+    }
+    if (n > 0) {
+        qsort(events, n, sizeof(*events), compare_seq);
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (events[i].seq <= cache->last_seq) {
+            cache->stats.late++;
+            continue;
+        }
+        if (events[i].seq > cache->last_seq + 1) {
+            note_gap(cache, now);
+        }
+        cache->last_seq = events[i].seq;
+        apply_event(cache, &events[i]);
+    }
+    if (last > cache->last_seq) {
+        note_gap(cache, now);
+        cache->last_seq = last;
+    }
+}
+
+static int
+compare_blocks(const void *a, const void *b)
+{
+    const uint64_t left = *(const uint64_t *)a;
+    const uint64_t right = *(const uint64_t *)b;
+
+    return (left > right) - (left < right);
+}
+
+/* Evicts every block that the sorted list of @ids does not name. */
+static void
+evict_unlisted(struct pgw_cache__table *table, const uint64_t *ids, size_t n)
+{
+    GHashTableIter iter;
+    gpointer value;
+    GPtrArray *gone = g_ptr_array_new();
+
+    g_hash_table_iter_init(&iter, table->blocks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pgw_cache__block *block = value;
+        uint64_t id = (uint64_t)block->id;
+
+        if (block->valid_until != 0 &&
+            (n == 0 ||
+             bsearch(&id, ids, n, sizeof(id), compare_blocks) == NULL)) {
+            g_ptr_array_add(gone, block);
+        }
+    }
+    /* A present block is only freed by its own eviction, so none of the
+     * pointers dangles. */
+    for (guint i = 0; i < gone->len; i++) {
+        pgw_cache__block_evict(table, g_ptr_array_index(gone, i));
+    }
+    g_ptr_array_unref(gone);
+}
+
+bool
+pgw_cache_sync(struct pgw_cache *cache, const struct pgw_cache_source *source,
+               uint64_t seq, const struct pgw_cache_block *blocks, size_t n,
+               uint64_t now)
+{
+    uint64_t *ids;
+
+    if (!pgw_cache_set_engine(cache, source, now)) {
+        return false;
+    }
+    if (seq < cache->last_seq) {
+        cache->stats.late++;
+        return false;
+    }
+    ids = g_new(uint64_t, MAX(n, 1));
+    for (size_t i = 0; i < n; i++) {
+        ids[i] = blocks[i].block;
+    }
+    qsort(ids, n, sizeof(*ids), compare_blocks);
+    evict_unlisted(&cache->table, ids, n);
+    g_free(ids);
+    for (size_t i = 0; i < n; i++) {
+        (void)pgw_cache__block_store(&cache->table, blocks[i].block,
+                                     blocks[i].parent);
+    }
+    cache->last_seq = seq;
+    cache->sync_needed = false;
+    cache->stats.syncs++;
+    return true;
+}
+
+bool
+pgw_cache_wants_sync(struct pgw_cache *cache, uint64_t now)
+{
+    if (!cache->known || !cache->sync_needed || now < cache->next_sync) {
+        return false;
+    }
+    cache->next_sync = now + cache->table.options.sync_interval_us;
+    return true;
+}
+
+/**
+ * struct run - cached blocks from the prompt's start, up to the first hole
+ * @sure: blocks that are certain
+ * @likely: blocks that are certain or a hint that still counts
+ * @last_sure: the last one of @sure
+ */
+struct run {
+    uint32_t sure;
+    uint32_t likely;
+    uint64_t last_sure;
+};
+
+/* Walks from the block to the prompt's start. A hole resets the count, since
+ * an engine matches from the start; a start that is not known counts nothing.
+ */
+static struct run
+walk(const struct pgw_cache__table *table,
+     const struct pgw_cache__block *block, uint64_t now)
+{
+    struct run run = {0};
+    size_t steps = g_hash_table_size(table->blocks);
+
+    for (; block != NULL && steps > 0; block = block->parent, steps--) {
+        if (block->valid_until != PGW_CACHE__SURE) {
+            run.sure = 0;
+        }
+        else if (run.sure++ == 0) {
+            run.last_sure = (uint64_t)block->id;
+        }
+        run.likely = block->valid_until > now ? run.likely + 1 : 0;
+        if (block->first) {
+            return run;
+        }
+    }
+    return (struct run){0};
+}
+
+static struct run
+match_run(const struct pgw_cache *cache, uint64_t workspace,
+          const struct pgw_level_chain *chain, uint64_t now)
+{
+    struct run best = {0};
+
+    /* A deeper level's blocks include a shallower one's, so the first level
+     * whose certain run is whole ends the search. */
+    for (size_t i = chain->count; i > 0; i--) {
+        const struct pgw_cache__level *level = pgw_cache__level_find(
+            &cache->table, &chain->levels[i - 1], workspace);
+        struct run run;
+
+        if (level == NULL || level->block == NULL) {
+            continue;
+        }
+        run = walk(&cache->table, level->block, now);
+        best.likely = MAX(best.likely, run.likely);
+        if (run.sure > best.sure) {
+            best.sure = run.sure;
+            best.last_sure = run.last_sure;
+        }
+        if (run.sure > 0) {
+            break;
+        }
+    }
+    return best;
+}
+
+uint32_t
+pgw_cache_match(const struct pgw_cache *cache, const char *workspace,
+                const struct pgw_level_chain *chain, uint64_t now,
+                uint32_t *hint_tokens)
+{
+    uint64_t owner = pgw_level_workspace_hash(workspace);
+    struct run run = match_run(cache, owner, chain, now);
+    uint32_t sure = run.sure * cache->table.options.block_tokens;
+    uint32_t likely = run.likely * cache->table.options.block_tokens;
+
+    for (size_t i = chain->count; hint_tokens != NULL && i > 0; i--) {
+        const struct pgw_cache__level *level =
+            pgw_cache__level_find(&cache->table, &chain->levels[i - 1], owner);
+
+        if (level != NULL && now < level->hint_until) {
+            likely = MAX(likely, level->hint_tokens);
+            break;
+        }
+    }
+    if (hint_tokens != NULL) {
+        *hint_tokens = MAX(sure, likely);
+    }
+    return sure;
+}
+
+uint64_t
+pgw_cache_last_block(const struct pgw_cache *cache, const char *workspace,
+                     const struct pgw_level_chain *chain)
+{
+    return match_run(cache, pgw_level_workspace_hash(workspace), chain, 0)
+        .last_sure;
+}
+
+void
+pgw_cache_stats_get(struct pgw_cache_stats *out, const struct pgw_cache *cache)
+{
+    const struct pgw_cache__table *table = &cache->table;
+
+    *out = cache->stats;
+    out->blocks = g_hash_table_size(table->blocks);
+    out->levels = g_hash_table_size(table->levels);
+    out->bytes =
+        out->blocks * sizeof(struct pgw_cache__block) +
+        out->levels * sizeof(struct pgw_cache__level) +
+        g_hash_table_size(table->requests) * sizeof(struct pgw_cache__request);
+}
