--- a/src/util/hlc.h
+++ b/src/util/hlc.h
@@ -18,7 +18,7 @@
 #define PGW_HLC_LOGICAL_BITS 12
 
 /* A received value further ahead than this is not followed. */
-#define PGW_HLC_MAX_AHEAD_US (60u * G_USEC_PER_SEC)
+#define PGW_HLC_MAX_AHEAD_US (UINT64_C(60) * G_USEC_PER_SEC)
 
 /**
  * struct pgw_hlc - a process's clock; zeroed is a valid start
