--- a/src/libparsleygw/store_answer.c
+++ b/src/libparsleygw/store_answer.c
@@ -68,7 +68,7 @@
 {
     GArray *objects =
         g_array_new(FALSE, FALSE, sizeof(struct pgw_store_object));
-    struct pgw_json__slice slice;
+    struct pgw_json__slice slice = {.next = text, .end = text};
     struct pgw_store_object object;
     const char *array;
     const char *element;
