Admit by priority, fair share and deadline at the sidecar

Cause: upstream queues must stay short and their order be decided late. Change: pgw_admit with strict priorities, start-time fair queueing between workspaces, early refusal by estimated time to first token, reserved slots, one start per interval for a starved priority, learned rates.

--- a/include/parsleygw/admit.h
+++ b/include/parsleygw/admit.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "libparsleygw/heap.h"
 #include "util/list.h"
 
 G_BEGIN_DECLS
@@ -60,17 +61,17 @@
 /**
  * struct pgw_admit_place - where an item stands at the gate; not for callers
  * @queue: link of its workspace's queue
- * @flow: its workspace's queue
- * @start_tag: virtual start time for fair queueing
- * @since: when it was offered, later when it was started
- * @heap: one more than its index among the deadlines, 0: no deadline
+ * @flow: its workspace's queue; NULL once it is not waiting there
+ * @deadline: link among the deadlines of waiting items
+ * @since: when it was started, later when its first token came
+ * @started: when it was started
  */
 struct pgw_admit_place {
     struct pgw_list queue;
     struct pgw_admit_flow *flow;
-    double start_tag;
+    struct pgw_heap_node deadline;
     uint64_t since;
-    size_t heap;
+    uint64_t started;
 };
 
 /**
@@ -163,7 +164,7 @@
  * @admit: the gate
  * @now: microseconds
  *
- * Call again until NULL, after each pgw_admit_done(),
+ * Call again until NULL, after each pgw_admit_offer(), pgw_admit_done(),
  * pgw_admit_first_token(), pgw_admit_remove() and from a timer.
  *
  * Return: an item, now counted as running, or NULL.
--- /dev/null
+++ b/src/libparsleygw/admit.c
@@ -0,0 +1,450 @@
+#include <parsleygw/admit.h>
+
+#include "libparsleygw/admit_rate.h"
+#include "libparsleygw/fair_queue.h"
+
+#define US_PER_MS 1000
+#define MAX_RETRY_AFTER_MS 60000
+
+/* However small its share, a workspace may have that many waiting. */
+#define MIN_WAITING_PER_FLOW 4
+
+struct pgw_admit {
+    struct pgw_admit_options options;
+    struct pgw_fair_queue queues[PGW_PRIORITY_COUNT];
+    struct pgw_heap deadlines;
+    struct pgw_list expired;
+    uint32_t running;
+    uint32_t waiting;
+    uint64_t prefill_tokens; /* handed over, first token not come */
+    struct pgw_admit__rate rate;
+};
+
+struct pgw_admit *
+pgw_admit_new(const struct pgw_admit_options *options)
+{
+    static const struct pgw_admit_options defaults = PGW_ADMIT_OPTIONS_INIT;
+    struct pgw_admit *admit = g_new0(struct pgw_admit, 1);
+
+    admit->options = options != NULL ? *options : defaults;
+    admit->options.max_running = MAX(admit->options.max_running, 1);
+    admit->options.reserved =
+        MIN(admit->options.reserved, admit->options.max_running - 1);
+    for (int i = 0; i < PGW_PRIORITY_COUNT; i++) {
+        pgw_fair_queue__init(&admit->queues[i]);
+    }
+    pgw_list_init(&admit->expired);
+    pgw_admit__rate_init(&admit->rate, admit->options.prefill_tokens_per_s,
+                         admit->options.step_us);
+    return admit;
+}
+
+void
+pgw_admit_free(struct pgw_admit *admit)
+{
+    if (admit == NULL) {
+        return;
+    }
+    for (int i = 0; i < PGW_PRIORITY_COUNT; i++) {
+        pgw_fair_queue__dispose(&admit->queues[i]);
+    }
+    pgw_heap__dispose(&admit->deadlines);
+    g_free(admit);
+}
+
+static struct pgw_fair_queue *
+queue_of(struct pgw_admit *admit, const struct pgw_admit_item *item)
+{
+    return &admit->queues[item->priority];
+}
+
+static bool
+is_past(const struct pgw_admit_item *item, uint64_t now)
+{
+    return item->deadline != 0 && item->deadline <= now;
+}
+
+static void
+stop_waiting(struct pgw_admit *admit, struct pgw_admit_item *item)
+{
+    pgw_heap__remove(&admit->deadlines, &item->at.deadline);
+    if (item->at.flow != NULL) {
+        pgw_fair_queue__remove(queue_of(admit, item), item);
+        admit->waiting--;
+    }
+    else {
+        pgw_list_remove(&item->at.queue);
+    }
+}
+
+/*
+ * A request that starts after its deadline takes the place of one that could
+ * still be in time, and under overload each next one is late, too. So what
+ * has passed leaves the queues before anything is picked from them.
+ */
+static void
+set_expired_aside(struct pgw_admit *admit, uint64_t now)
+{
+#ifndef PGW_DISABLE_ADMIT_DEADLINE
+    struct pgw_heap_node *node;
+
+    while ((node = pgw_heap__first(&admit->deadlines)) != NULL) {
+        struct pgw_admit_item *item =
+            pgw_container_of(node, struct pgw_admit_item, at.deadline);
+
+        if (!is_past(item, now)) {
+            break;
+        }
+        stop_waiting(admit, item);
+        pgw_list_append(&admit->expired, &item->at.queue);
+    }
+#else
+    (void)admit;
+    (void)now;
+    (void)is_past;
+#endif
+}
+
+/* Whether the upstream has room. Urgent work is not held back by the prefill
+ * bound: the upstream itself takes it first. */
+static bool
+has_room(const struct pgw_admit *admit, const struct pgw_admit_item *item)
+{
+    const struct pgw_admit_options *options = &admit->options;
+    uint32_t slots = options->max_running;
+
+    if (item->is_batch || item->priority == PGW_PRIORITY_BATCH) {
+        slots -= options->reserved;
+    }
+    if (admit->running >= slots) {
+        return false;
+    }
+    return item->priority == PGW_PRIORITY_URGENT ||
+           admit->prefill_tokens == 0 || item->uncached_tokens == 0 ||
+           admit->prefill_tokens + item->uncached_tokens <=
+               options->max_prefill_tokens;
+}
+
+/*
+ * Strict priorities alone starve batch work for ever while others keep the
+ * upstream full: the overnight run would never complete. So a priority that
+ * has waited starve_us without a start gets one, whatever waits above it;
+ * what this costs the others is one request in that time.
+ */
+static struct pgw_admit_item *
+starved_item(struct pgw_admit *admit, uint64_t now)
+{
+#ifndef PGW_DISABLE_ADMIT_STARVE
+    for (int i = PGW_PRIORITY_COUNT - 1; i > 0; i--) {
+        const struct pgw_fair_queue *queue = &admit->queues[i];
+
+        if (queue->count > 0 &&
+            now >= queue->last_start + admit->options.starve_us &&
+            admit->running < admit->options.max_running) {
+            return pgw_fair_queue__first(queue);
+        }
+    }
+#else
+    (void)admit;
+    (void)now;
+#endif
+    return NULL;
+}
+
+/* The item to start now, left where it is, or NULL. A first item that finds
+ * no room holds back the lower priorities, or small ones would pass it for
+ * ever. */
+static struct pgw_admit_item *
+pick(struct pgw_admit *admit, uint64_t now)
+{
+    struct pgw_admit_item *item = starved_item(admit, now);
+
+    for (int i = 0; i < PGW_PRIORITY_COUNT && item == NULL; i++) {
+        item = pgw_fair_queue__first(&admit->queues[i]);
+        if (item != NULL && !has_room(admit, item)) {
+            return NULL;
+        }
+    }
+    return item;
+}
+
+static void
+start(struct pgw_admit *admit, struct pgw_admit_item *item, uint64_t now)
+{
+    struct pgw_fair_queue *queue = queue_of(admit, item);
+    double cost =
+        pgw_admit__rate_cost_us(&admit->rate, item->uncached_tokens,
+                                item->max_tokens, admit->options.max_running);
+
+    pgw_heap__remove(&admit->deadlines, &item->at.deadline);
+    pgw_fair_queue__serve(queue, item, cost);
+    queue->last_start = now;
+    admit->waiting--;
+    admit->running++;
+    admit->prefill_tokens += item->uncached_tokens;
+    item->state = PGW_ADMIT_PREFILL;
+    item->at.started = now;
+    item->at.since = now;
+}
+
+static void
+wait_in_queue(struct pgw_admit *admit, struct pgw_admit_item *item,
+              uint64_t now)
+{
+    struct pgw_fair_queue *queue = queue_of(admit, item);
+
+    if (queue->count == 0) {
+        queue->last_start = now;
+    }
+    pgw_fair_queue__push(queue, item);
+    if (item->deadline != 0) {
+        pgw_heap__push(&admit->deadlines, &item->at.deadline,
+                       (double)item->deadline);
+    }
+    admit->waiting++;
+    item->state = PGW_ADMIT_WAITING;
+}
+
+/*
+ * One workspace could otherwise fill the queue and have all others refused.
+ * Each gets the part that its share gives it among those that wait now, and a
+ * few whatever its share; twice the limit bounds memory.
+ */
+static bool
+queue_is_full(const struct pgw_admit *admit, const struct pgw_admit_item *item)
+{
+    const struct pgw_fair_queue *queue = &admit->queues[item->priority];
+    const struct pgw_admit_flow *flow =
+        pgw_fair_queue__find(queue, item->workspace);
+    uint64_t share = MAX(item->share, 1);
+    uint64_t shares = queue->shares;
+    uint64_t count = flow != NULL ? flow->count : 0;
+
+    if (count == 0) {
+        shares += share;
+    }
+    if (queue->count >= 2 * (uint64_t)admit->options.max_waiting) {
+        return true;
+    }
+    return count >= MAX(admit->options.max_waiting * share / MAX(shares, 1),
+                        MIN_WAITING_PER_FLOW);
+}
+
+static void
+refuse(struct pgw_admit_answer *out, enum pgw_refusal refusal)
+{
+    uint64_t after = MIN(out->ttft_us / US_PER_MS + 1, MAX_RETRY_AFTER_MS);
+
+    out->verdict = PGW_ADMIT_REFUSE;
+    out->refusal = refusal;
+    out->retry_after_ms = (uint32_t)after;
+}
+
+void
+pgw_admit_offer(struct pgw_admit_answer *out, struct pgw_admit *admit,
+                struct pgw_admit_item *item, uint64_t now)
+{
+    bool idle = admit->running == 0 && admit->waiting == 0;
+
+    item->priority = CLAMP((int)item->priority, 0, PGW_PRIORITY_COUNT - 1);
+    item->at = (struct pgw_admit_place){.since = now};
+    *out = (struct pgw_admit_answer){
+        .verdict = PGW_ADMIT_QUEUE,
+        .ttft_us =
+            pgw_admit_estimate_us(admit, item->workspace, item->share,
+                                  item->priority, item->uncached_tokens),
+    };
+    /* An idle upstream takes everything that is not past: otherwise a rate
+     * learned too low would refuse all, and never be corrected. */
+    if (is_past(item, now) || (item->deadline != 0 && !idle &&
+                               now + out->ttft_us > item->deadline)) {
+        refuse(out, PGW_REFUSAL_DEADLINE);
+        return;
+    }
+    if (queue_is_full(admit, item)) {
+        refuse(out, PGW_REFUSAL_OVERLOADED);
+        return;
+    }
+    set_expired_aside(admit, now);
+    wait_in_queue(admit, item, now);
+    if (pick(admit, now) == item) {
+        start(admit, item, now);
+        out->verdict = PGW_ADMIT_RUN;
+    }
+}
+
+struct pgw_admit_item *
+pgw_admit_next(struct pgw_admit *admit, uint64_t now)
+{
+    struct pgw_admit_item *item;
+
+    set_expired_aside(admit, now);
+    item = pick(admit, now);
+    if (item != NULL) {
+        start(admit, item, now);
+    }
+    return item;
+}
+
+void
+pgw_admit_first_token(struct pgw_admit *admit, struct pgw_admit_item *item,
+                      uint64_t now)
+{
+    if (item->state != PGW_ADMIT_PREFILL) {
+        return;
+    }
+    pgw_admit__rate_prefill(&admit->rate, item->uncached_tokens,
+                            item->at.since, now);
+    admit->prefill_tokens -= item->uncached_tokens;
+    item->state = PGW_ADMIT_DECODE;
+    item->at.since = now;
+}
+
+static void
+stop_running(struct pgw_admit *admit, struct pgw_admit_item *item)
+{
+    if (item->state == PGW_ADMIT_PREFILL) {
+        admit->prefill_tokens -= item->uncached_tokens;
+    }
+    admit->running--;
+    item->state = PGW_ADMIT_IDLE;
+}
+
+static bool
+is_running(const struct pgw_admit_item *item)
+{
+    return item->state == PGW_ADMIT_PREFILL || item->state == PGW_ADMIT_DECODE;
+}
+
+void
+pgw_admit_done(struct pgw_admit *admit, struct pgw_admit_item *item,
+               uint32_t completion_tokens, uint64_t now)
+{
+    if (!is_running(item)) {
+        return;
+    }
+    if (completion_tokens > 0) {
+        uint64_t decode =
+            item->state == PGW_ADMIT_DECODE ? now - item->at.since : 0;
+
+        pgw_admit__rate_done(&admit->rate, completion_tokens, decode,
+                             now - item->at.started);
+    }
+    stop_running(admit, item);
+}
+
+bool
+pgw_admit_remove(struct pgw_admit *admit, struct pgw_admit_item *item,
+                 uint64_t now)
+{
+    (void)now;
+    if (is_running(item)) {
+        stop_running(admit, item);
+        return false;
+    }
+    if (item->state != PGW_ADMIT_WAITING) {
+        return false;
+    }
+    stop_waiting(admit, item);
+    item->state = PGW_ADMIT_IDLE;
+    return true;
+}
+
+struct pgw_admit_item *
+pgw_admit_expire(struct pgw_admit *admit, uint64_t now)
+{
+    struct pgw_list *link;
+    struct pgw_admit_item *item;
+
+    set_expired_aside(admit, now);
+    link = pgw_list_first(&admit->expired);
+    if (link == NULL) {
+        return NULL;
+    }
+    item = pgw_container_of(link, struct pgw_admit_item, at.queue);
+    pgw_list_remove(link);
+    item->state = PGW_ADMIT_IDLE;
+    return item;
+}
+
+struct pgw_admit_item *
+pgw_admit_drain(struct pgw_admit *admit)
+{
+    struct pgw_admit_item *item = pgw_admit_expire(admit, 0);
+
+    for (int i = 0; i < PGW_PRIORITY_COUNT && item == NULL; i++) {
+        item = pgw_fair_queue__first(&admit->queues[i]);
+        if (item != NULL) {
+            stop_waiting(admit, item);
+            item->state = PGW_ADMIT_IDLE;
+        }
+    }
+    return item;
+}
+
+/* Uncached tokens that will be served before a new request. Fair queueing
+ * lets each other workspace have its share's part of what this one has
+ * waiting, and no more than it has itself. */
+static double
+tokens_ahead(const struct pgw_admit *admit, uint64_t workspace, uint32_t share,
+             enum pgw_priority priority, uint32_t uncached_tokens)
+{
+    const struct pgw_fair_queue *queue = &admit->queues[priority];
+    const struct pgw_admit_flow *flow = pgw_fair_queue__find(queue, workspace);
+    double own = flow != NULL ? (double)flow->tokens : 0.0;
+    double shares = (double)queue->shares;
+    double ahead = (double)admit->prefill_tokens;
+
+    share = MAX(share, 1);
+    if (flow == NULL || flow->count == 0) {
+        shares += share;
+    }
+    for (int i = 0; i < (int)priority; i++) {
+        ahead += (double)admit->queues[i].tokens;
+    }
+    return ahead + MIN((double)queue->tokens,
+                       (own + uncached_tokens) * shares / share);
+}
+
+uint64_t
+pgw_admit_estimate_us(const struct pgw_admit *admit, uint64_t workspace,
+                      uint32_t share, enum pgw_priority priority,
+                      uint32_t uncached_tokens)
+{
+    double tokens =
+        tokens_ahead(admit, workspace, share, priority, uncached_tokens) +
+        uncached_tokens;
+    double slots_us = 0.0;
+    uint32_t before = 0;
+
+    for (int i = 0; i <= (int)priority; i++) {
+        before += admit->queues[i].count;
+    }
+    if (admit->running + before >= admit->options.max_running) {
+        double late =
+            admit->running + before + 1.0 - admit->options.max_running;
+
+        slots_us = late * admit->rate.run_us / admit->options.max_running;
+    }
+    /* Waiting for slots and for prefill overlap. */
+    return (uint64_t)(MAX(slots_us,
+                          pgw_admit__rate_prefill_us(&admit->rate, tokens)) +
+                      (uncached_tokens > 0 ? admit->rate.step_us : 0.0));
+}
+
+void
+pgw_admit_load_get(struct pgw_admit_load *out, const struct pgw_admit *admit)
+{
+    uint64_t tokens = admit->prefill_tokens;
+
+    for (int i = 0; i < PGW_PRIORITY_COUNT; i++) {
+        tokens += admit->queues[i].tokens;
+    }
+    *out = (struct pgw_admit_load){
+        .running = admit->running,
+        .waiting = admit->waiting,
+        .queued_tokens = (uint32_t)MIN(tokens, UINT32_MAX),
+        .prefill_tokens_per_s = admit->rate.prefill_tokens_per_s,
+        .step_us = admit->rate.step_us,
+    };
+}
--- /dev/null
+++ b/src/libparsleygw/fair_queue.c
@@ -0,0 +1,150 @@
+#include "libparsleygw/fair_queue.h"
+
+/* Idle flows looked at for each request served: more than one request can
+ * add, so that the forgotten ones do not pile up. */
+#define SWEEP_STEPS 2
+
+void
+pgw_fair_queue__init(struct pgw_fair_queue *queue)
+{
+    *queue = (struct pgw_fair_queue){
+        .flows =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free),
+    };
+    pgw_list_init(&queue->idle);
+}
+
+void
+pgw_fair_queue__dispose(struct pgw_fair_queue *queue)
+{
+    g_hash_table_destroy(queue->flows);
+    pgw_heap__dispose(&queue->active);
+}
+
+static struct pgw_admit_flow *
+find_flow(const struct pgw_fair_queue *queue, uint64_t workspace)
+{
+    gint64 key = (gint64)workspace;
+
+    return g_hash_table_lookup(queue->flows, &key);
+}
+
+const struct pgw_admit_flow *
+pgw_fair_queue__find(const struct pgw_fair_queue *queue, uint64_t workspace)
+{
+    return find_flow(queue, workspace);
+}
+
+static struct pgw_admit_flow *
+get_flow(struct pgw_fair_queue *queue, uint64_t workspace)
+{
+    struct pgw_admit_flow *flow = find_flow(queue, workspace);
+
+    if (flow == NULL) {
+        flow = g_new0(struct pgw_admit_flow, 1);
+        flow->workspace = (gint64)workspace;
+        pgw_list_init(&flow->items);
+        g_hash_table_add(queue->flows, flow);
+    }
+    return flow;
+}
+
+static struct pgw_admit_item *
+first_item(struct pgw_admit_flow *flow)
+{
+    return pgw_container_of(flow->items.next, struct pgw_admit_item, at.queue);
+}
+
+void
+pgw_fair_queue__push(struct pgw_fair_queue *queue, struct pgw_admit_item *item)
+{
+    struct pgw_admit_flow *flow = get_flow(queue, item->workspace);
+    uint32_t share = MAX(item->share, 1);
+
+    if (flow->count == 0) {
+        pgw_list_remove(&flow->idle);
+        flow->share = share;
+        flow->start = MAX(flow->start, queue->virtual_time);
+        pgw_heap__push(&queue->active, &flow->active, flow->start);
+        queue->shares += share;
+    }
+    else if (flow->share != share) {
+        queue->shares = queue->shares - flow->share + share;
+        flow->share = share;
+    }
+    item->at.flow = flow;
+    pgw_list_append(&flow->items, &item->at.queue);
+    flow->count++;
+    flow->tokens += item->uncached_tokens;
+    queue->count++;
+    queue->tokens += item->uncached_tokens;
+}
+
+struct pgw_admit_item *
+pgw_fair_queue__first(const struct pgw_fair_queue *queue)
+{
+    struct pgw_heap_node *node = pgw_heap__first(&queue->active);
+
+    if (node == NULL) {
+        return NULL;
+    }
+    return first_item(pgw_container_of(node, struct pgw_admit_flow, active));
+}
+
+/* A flow whose start time has passed would start at the virtual time like a
+ * new one: it need not be remembered. */
+static void
+sweep_idle(struct pgw_fair_queue *queue)
+{
+    for (int i = 0; i < SWEEP_STEPS && !pgw_list_is_empty(&queue->idle); i++) {
+        struct pgw_admit_flow *flow =
+            pgw_container_of(queue->idle.next, struct pgw_admit_flow, idle);
+
+        pgw_list_remove(&flow->idle);
+        if (flow->start <= queue->virtual_time) {
+            g_hash_table_remove(queue->flows, &flow->workspace);
+        }
+        else {
+            pgw_list_append(&queue->idle, &flow->idle);
+        }
+    }
+}
+
+void
+pgw_fair_queue__remove(struct pgw_fair_queue *queue,
+                       struct pgw_admit_item *item)
+{
+    struct pgw_admit_flow *flow = item->at.flow;
+
+    pgw_list_remove(&item->at.queue);
+    item->at.flow = NULL;
+    flow->count--;
+    flow->tokens -= item->uncached_tokens;
+    queue->count--;
+    queue->tokens -= item->uncached_tokens;
+    if (flow->count == 0) {
+        pgw_heap__remove(&queue->active, &flow->active);
+        queue->shares -= flow->share;
+        pgw_list_append(&queue->idle, &flow->idle);
+    }
+}
+
+void
+pgw_fair_queue__serve(struct pgw_fair_queue *queue,
+                      struct pgw_admit_item *item, double cost)
+{
+    struct pgw_admit_flow *flow = item->at.flow;
+
+    queue->virtual_time = MAX(queue->virtual_time, flow->start);
+#ifndef PGW_DISABLE_FAIR_SHARE
+    flow->start += cost / flow->share;
+#else
+    (void)cost;
+#endif
+    pgw_fair_queue__remove(queue, item);
+    if (flow->count > 0) {
+        pgw_heap__remove(&queue->active, &flow->active);
+        pgw_heap__push(&queue->active, &flow->active, flow->start);
+    }
+    sweep_idle(queue);
+}
