--- a/src/util/json_reader.c
+++ b/src/util/json_reader.c
@@ -32,9 +32,12 @@
             in_string = true;
         }
         else if (c == '[' || c == '{') {
-            if (++depth > PGW_JSON_MAX_DEPTH) {
+            depth++;
+#ifndef PGW_DISABLE_JSON_DEPTH
+            if (depth > PGW_JSON_MAX_DEPTH) {
                 return false;
             }
+#endif
         }
         else if ((c == ']' || c == '}') && depth > 0) {
             depth--;
@@ -51,14 +54,12 @@
     GError *cause = NULL;
     bool ok = false;
 
-#ifndef PGW_DISABLE_JSON_DEPTH
     if (!nesting_is_bounded(text, size)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "%s: nested deeper than %d; write it flatter", where,
                     PGW_JSON_MAX_DEPTH);
         goto done;
     }
-#endif
     if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "%s: not valid JSON: %s", where, cause->message);
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -34,7 +34,10 @@
  * reads logs, so the values of these names are never written, whichever
  * module passes them. */
 static const char *const secret_names[] = {
-    "prompt", "body", "key", "authorization", "text", "idempotency_key", NULL};
+#ifndef PGW_DISABLE_LOG_SECRETS
+    "prompt", "body", "key", "authorization", "text", "idempotency_key",
+#endif
+    NULL};
 
 bool
 pgw_log_enabled(enum pgw_log_level level)
@@ -244,11 +247,9 @@
         append_conversion(value, &spec, args);
     }
     g_string_append_printf(out, " %s=", name);
-#ifndef PGW_DISABLE_LOG_SECRETS
     if (g_strv_contains(secret_names, name)) {
         g_string_assign(value, "[not logged]");
     }
-#endif
     pgw_log_append_value(out, value->str);
     g_string_free(value, TRUE);
     g_free(name);
