--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,252 @@
+#include "entry/entry.h"
+#include "entry/exchange.h"
+#include "entry/upstream.h"
+#include "util/json_text.h"
+#include "util/log.h"
+#include "util/random.h"
+#include <xxhash.h>
+
+#define WATCH_INTERVAL_US (200 * 1000)
+#define DRAIN_CHECK_US (20 * 1000)
+#define TRACE_EVENTS (1u << 14)
+
+static guint
+id_hash(gconstpointer key)
+{
+    return (guint)XXH3_64bits(key, PGW_REQUEST_ID_SIZE);
+}
+
+static gboolean
+id_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, PGW_REQUEST_ID_SIZE) == 0;
+}
+
+static void
+pool_free(gpointer data)
+{
+    struct pool *pool = data;
+
+    g_free(pool->name);
+    g_free(pool->nodes);
+    g_free(pool->upstreams);
+    g_free(pool);
+}
+
+static void
+config_unref(void *config)
+{
+    pgw_config_unref(config);
+}
+
+static void
+config_changed(void *context)
+{
+    struct entry *entry = context;
+    struct pgw_config *config = pgw_config_build(entry->set);
+
+    if (entry->config != NULL) {
+        pgw_config_unref(entry->config);
+    }
+    entry->config = config;
+    pgw_rcu_replace(entry->snapshot, pgw_config_ref(config));
+    upstreams_apply(entry);
+    pgw_trace_record(entry->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
+                     pgw_config_version(config), 0, NULL);
+}
+
+static void
+watch_due(struct pgw_timer *timer)
+{
+    struct entry *entry = pgw_container_of(timer, struct entry, watch_timer);
+    GList *all = g_hash_table_get_values(entry->exchanges);
+
+    for (GList *link = all; link != NULL; link = link->next) {
+        struct exchange *exchange = link->data;
+
+        if (exchange_caller_is_gone(exchange)) {
+            forward_caller_gone(exchange);
+        }
+    }
+    g_list_free(all);
+    pgw_timer_start(entry->loop, timer, WATCH_INTERVAL_US);
+}
+
+static void
+refuse_rest(struct entry *entry)
+{
+    GList *all = g_hash_table_get_values(entry->exchanges);
+
+    for (GList *link = all; link != NULL; link = link->next) {
+        struct exchange *exchange = link->data;
+        struct refusal refusal = {0};
+
+        refusal_set(&refusal, PGW_REFUSAL_LEAVING, PGW_RAN_UNKNOWN, 0,
+                    "the instance stops and its drain timeout has passed");
+        forward_refuse(exchange, &refusal);
+        refusal_dispose(&refusal);
+    }
+    g_list_free(all);
+}
+
+static void
+drain_due(struct pgw_timer *timer)
+{
+    struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
+    unsigned inflight = atomic_load(&entry->inflight);
+
+    if (inflight > 0 && pgw_now_us() < entry->drain_until_us) {
+        pgw_timer_start(entry->loop, timer, DRAIN_CHECK_US);
+        return;
+    }
+    pgw_log_info("drain_end", "unfinished=%u", inflight);
+    refuse_rest(entry);
+    pgw_loop_stop(entry->loop);
+}
+
+void
+entry_drain(struct entry *entry)
+{
+    if (atomic_exchange(&entry->leaving, true)) {
+        return;
+    }
+    pgw_log_info("drain_begin", "inflight=%u", atomic_load(&entry->inflight));
+    pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_BEGIN, NULL, 0,
+                     atomic_load(&entry->inflight), 0, NULL);
+    entry->drain_until_us =
+        pgw_now_us() + (uint64_t)entry->settings->drain_timeout_ms * 1000;
+    /* New requests are refused as not run until the last old one has ended;
+     * closing the port first would reset callers that just connected. */
+    pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_CHECK_US);
+}
+
+bool
+entry_is_ready(struct entry *entry, char **reason)
+{
+    struct pgw_config *config = pgw_rcu_read_lock(entry->snapshot);
+    bool empty = config == NULL || pgw_config_is_empty(config);
+    const char *why = NULL;
+
+    pgw_rcu_read_unlock(entry->snapshot);
+    if (atomic_load(&entry->leaving)) {
+        why = "leaving: a planned stop is under way\n";
+    }
+    else if (empty) {
+        why = "no configuration yet: neither the store nor any peer has "
+              "answered; check store_url and seeds\n";
+    }
+    else if (atomic_load(&entry->usable) == 0) {
+        why = "no upstream can be reached: check that sidecars run and that "
+              "the declared addresses are right\n";
+    }
+    if (why != NULL) {
+        *reason = g_strdup(why);
+    }
+    return why == NULL;
+}
+
+char *
+entry_status(struct entry *entry)
+{
+    GString *out = g_string_new("{\"role\":\"entry\",\"instance\":");
+    struct pgw_config *config;
+
+    pgw_json_append_text(out, entry->settings->instance);
+    g_string_append(out, ",\"zone\":");
+    pgw_json_append_text(out, entry->settings->zone);
+    config = pgw_rcu_read_lock(entry->snapshot);
+    g_string_append_printf(
+        out,
+        ",\"leaving\":%s,\"inflight\":%u,\"usable_upstreams\":%u"
+        ",\"config_version\":%" G_GUINT64_FORMAT
+        ",\"config_summary\":\"%" G_GINT64_MODIFIER "x\"}",
+        atomic_load(&entry->leaving) ? "true" : "false",
+        atomic_load(&entry->inflight), atomic_load(&entry->usable),
+        config == NULL ? 0 : pgw_config_version(config),
+        config == NULL ? 0 : pgw_config_summary(config));
+    pgw_rcu_read_unlock(entry->snapshot);
+    return g_string_free(out, FALSE);
+}
+
+static void
+tables_init(struct entry *entry)
+{
+    entry->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
+    entry->pools =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+    entry->exchanges = g_hash_table_new(id_hash, id_equal);
+    entry->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
+}
+
+static void
+sync_init(struct entry *entry)
+{
+    struct pgw_sync_options options = PGW_SYNC_OPTIONS_INIT;
+
+    options.loop = entry->loop;
+    options.set = entry->set;
+    options.on_change = config_changed;
+    options.context = entry;
+    entry->sync = pgw_sync_new(&options);
+}
+
+struct entry *
+entry_new(struct pgw_entry_settings *settings, GError **error)
+{
+    struct entry *entry = g_new0(struct entry, 1);
+    struct pgw_retry_options retry = PGW_RETRY_OPTIONS_INIT;
+
+    entry->settings = settings;
+    entry->policy = pgw_place_policy_find(settings->policy);
+    entry->incarnation = pgw_random_u64();
+    entry->snapshot = pgw_rcu_new(config_unref);
+    entry->budget = pgw_retry_budget_new(&retry);
+    entry->set = pgw_config_set_new();
+    pgw_trace_new(&entry->trace, TRACE_EVENTS, pgw_hlc_process());
+    tables_init(entry);
+    account_init();
+    entry->loop = pgw_loop_new(error);
+    if (entry->loop == NULL) {
+        goto fail;
+    }
+    sync_init(entry);
+    if (settings->bootstrap_file != NULL &&
+        !pgw_config_set_load_file(entry->set, settings->bootstrap_file,
+                                  error)) {
+        goto fail;
+    }
+    config_changed(entry);
+    if (!upstreams_add_seeds(entry, error)) {
+        goto fail;
+    }
+    entry->watch_timer.on_due = watch_due;
+    entry->drain_timer.on_due = drain_due;
+    pgw_timer_start(entry->loop, &entry->watch_timer, WATCH_INTERVAL_US);
+    return entry;
+fail:
+    entry_free(entry);
+    return NULL;
+}
+
+void
+entry_free(struct entry *entry)
+{
+    if (entry->loop != NULL) {
+        pgw_timer_stop(entry->loop, &entry->watch_timer);
+        upstreams_free(entry);
+        pgw_sync_free(entry->sync);
+    }
+    pgw_rcu_free(entry->snapshot);
+    if (entry->config != NULL) {
+        pgw_config_unref(entry->config);
+    }
+    pgw_config_set_free(entry->set);
+    pgw_retry_budget_free(entry->budget);
+    g_hash_table_unref(entry->probes);
+    g_hash_table_unref(entry->exchanges);
+    g_hash_table_unref(entry->pools);
+    g_hash_table_unref(entry->upstreams);
+    pgw_loop_free(entry->loop);
+    pgw_trace_free(entry->trace);
+    g_free(entry);
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,101 @@
+#ifndef PGW_ENTRY_ENTRY_H
+#define PGW_ENTRY_ENTRY_H
+
+#include "libparsleygw/link.h"
+#include "libparsleygw/sync.h"
+#include "parsleygw/config.h"
+#include "parsleygw/place.h"
+#include "parsleygw/retry.h"
+#include "parsleygw/settings.h"
+#include "util/metric.h"
+#include "util/rcu.h"
+#include "util/trace.h"
+#include <pthread.h>
+#include <stdatomic.h>
+
+/**
+ * DOC: The entry: callers' HTTP on one side, sidecars' frames on the other
+ *
+ * The threads of the HTTP server run the filters that need nothing but the
+ * request and a configuration snapshot (read-copy-update). The loop thread
+ * owns links, placement, attempts and timers. An exchange is handed from the
+ * first to the second once; afterwards they share only its output, under the
+ * exchange's lock.
+ */
+
+struct exchange;
+struct upstream;
+
+/**
+ * struct pool - the upstreams of one configured pool as placement sees them
+ * @name: the pool's name
+ * @nodes: for ranking, parallel to @upstreams
+ * @upstreams: their sidecars
+ * @count: number of both
+ */
+struct pool {
+    char *name;
+    struct pgw_place_node *nodes;
+    struct upstream **upstreams;
+    size_t count;
+};
+
+/**
+ * struct entry - the whole process
+ * @settings: checked settings
+ * @policy: how requests are placed
+ * @loop: owner of everything below, but for @snapshot, @budget and atomics
+ * @sync: configuration replica
+ * @set: its objects
+ * @config: snapshot of @set that the loop uses
+ * @snapshot: the same for the HTTP threads (&struct pgw_config)
+ * @upstreams: &struct upstream by id
+ * @pools: &struct pool by name
+ * @exchanges: &struct exchange by request id
+ * @budget: retry budget
+ * @trace: the time line's ring
+ * @incarnation: random number of this process
+ * @turn: requests placed
+ * @probe_serial: number of the last probe
+ * @probes: &struct exchange by probe number
+ * @watch_timer: next look for callers that went away
+ * @drain_timer: checks whether a planned stop is over
+ * @drain_until_us: when it gives up waiting
+ * @inflight: exchanges not yet ended, over all threads
+ * @usable: upstreams that take new work, for readiness
+ * @leaving: no new work
+ */
+struct entry {
+    struct pgw_entry_settings *settings;
+    const struct pgw_place_policy *policy;
+    struct pgw_loop *loop;
+    struct pgw_sync *sync;
+    struct pgw_config_set *set;
+    struct pgw_config *config;
+    struct pgw_rcu *snapshot;
+    GHashTable *upstreams;
+    GHashTable *pools;
+    GHashTable *exchanges;
+    struct pgw_retry_budget *budget;
+    struct pgw_trace *trace;
+    uint64_t incarnation;
+    uint64_t turn;
+    uint64_t probe_serial;
+    GHashTable *probes;
+    struct pgw_timer watch_timer;
+    struct pgw_timer drain_timer;
+    uint64_t drain_until_us;
+    atomic_uint inflight;
+    atomic_uint usable;
+    atomic_bool leaving;
+};
+
+/* entry.c */
+struct entry *entry_new(struct pgw_entry_settings *settings, GError **error);
+void entry_free(struct entry *entry);
+/** entry_drain() - begin a planned stop; on the loop's thread */
+void entry_drain(struct entry *entry);
+bool entry_is_ready(struct entry *entry, char **reason);
+char *entry_status(struct entry *entry);
+
+#endif
--- /dev/null
+++ b/src/entry/filter_limit.c
@@ -0,0 +1,31 @@
+#include "entry/exchange.h"
+
+#define LIMIT_RETRY_MS 1000
+
+/* Bounds this entry's own memory; fairness between workspaces is decided at
+ * the sidecars, where the capacity is. */
+static bool
+limit(struct exchange *exchange, const struct pgw_config *config,
+      struct refusal *refusal)
+{
+    struct entry *entry = exchange->entry;
+
+    (void)config;
+    if (atomic_load(&entry->leaving)) {
+        refusal_set(refusal, PGW_REFUSAL_LEAVING, PGW_RAN_NO, LIMIT_RETRY_MS,
+                    "this instance is leaving: send to another one");
+        return false;
+    }
+    if (atomic_fetch_add(&entry->inflight, 1) >=
+        entry->settings->max_inflight) {
+        atomic_fetch_sub(&entry->inflight, 1);
+        refusal_set(refusal, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
+                    LIMIT_RETRY_MS,
+                    "too many requests in progress here: try again later");
+        return false;
+    }
+    exchange->counted = true;
+    return true;
+}
+
+const struct filter filter_limit = {.name = "limit", .run = limit};
--- /dev/null
+++ b/src/entry/http.c
@@ -0,0 +1,468 @@
+#include "entry/http.h"
+#include "entry/exchange.h"
+#include "parsleygw/errors.h"
+#include "util/address.h"
+#include "util/hex.h"
+#include "util/log.h"
+
+/* Holds a request's head and nothing else; it is the limit on a head's size
+ * and the bulk of what an open stream costs. */
+#define CONNECTION_MEMORY ((size_t)8 << 10)
+#define RESPONSE_BLOCK ((size_t)2 << 10)
+#define GRANT_BELOW ((size_t)16 << 10)
+#define CONNECTION_SLACK 256u
+
+struct http {
+    struct MHD_Daemon *daemon;
+    struct entry *entry;
+    uint16_t port;
+};
+
+static const struct filter *const filters[] = {
+    &filter_identify, &filter_limit,  &filter_parse,
+    &filter_profile,  &filter_levels,
+};
+
+static void
+add_headers(struct MHD_Response *response, const struct exchange *exchange)
+{
+    const struct exchange_output *output = &exchange->output;
+    char text[PGW_REQUEST_ID_TEXT_SIZE];
+
+    pgw_request_id_format(text, &exchange->id);
+    MHD_add_response_header(response, "X-Pgw-Request-Id", text);
+    if (output->content_type != NULL && output->content_type[0] != '\0') {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                                output->content_type);
+    }
+    if (output->upstream != NULL) {
+        MHD_add_response_header(response, "X-Pgw-Upstream", output->upstream);
+        g_snprintf(text, sizeof(text), "%u", output->cached_tokens);
+        MHD_add_response_header(response, "X-Pgw-Cached-Tokens", text);
+    }
+    if (output->retry_after_ms > 0) {
+        g_snprintf(text, sizeof(text), "%u",
+                   (output->retry_after_ms + 999) / 1000);
+        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, text);
+    }
+}
+
+/* With the output's lock held. */
+static void
+grant_if_caught_up(struct exchange *exchange)
+{
+    struct exchange_output *output = &exchange->output;
+
+    if (!output->starved || output->grant_queued ||
+        pgw_buffer_size(&output->bytes) > GRANT_BELOW) {
+        return;
+    }
+    output->starved = false;
+    output->grant_queued = true;
+    exchange->grant.run = forward_grant;
+    exchange_ref(exchange);
+    pgw_loop_post(exchange->entry->loop, &exchange->grant);
+}
+
+static ssize_t
+read_output(void *context, uint64_t position, char *buffer, size_t max)
+{
+    struct exchange *exchange = context;
+    struct exchange_output *output = &exchange->output;
+    size_t size;
+    ssize_t result;
+
+    (void)position;
+    pthread_mutex_lock(&output->lock);
+    size = MIN(max, pgw_buffer_size(&output->bytes));
+    if (size > 0) {
+        memcpy(buffer, pgw_buffer_head(&output->bytes), size);
+        pgw_buffer_consume(&output->bytes, size);
+        grant_if_caught_up(exchange);
+        result = (ssize_t)size;
+    }
+    else if (output->finished) {
+        result = output->broken ? MHD_CONTENT_READER_END_WITH_ERROR
+                                : MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    else {
+        output->suspended = true;
+        MHD_suspend_connection(exchange->connection);
+        result = 0;
+    }
+    pthread_mutex_unlock(&output->lock);
+    return result;
+}
+
+static void
+release_output(void *context)
+{
+    exchange_unref(context);
+}
+
+/* Queues the response whose status the loop has settled. */
+static enum MHD_Result
+respond(struct exchange *exchange)
+{
+    struct exchange_output *output = &exchange->output;
+    struct MHD_Response *response;
+    enum MHD_Result result;
+    unsigned status;
+
+    pthread_mutex_lock(&output->lock);
+    if (output->finished) {
+        response = MHD_create_response_from_buffer(
+            pgw_buffer_size(&output->bytes), pgw_buffer_head(&output->bytes),
+            MHD_RESPMEM_MUST_COPY);
+    }
+    else {
+        response = MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN, RESPONSE_BLOCK, read_output,
+            exchange_ref(exchange), release_output);
+    }
+    add_headers(response, exchange);
+    status = output->status;
+    output->responding = true;
+    pthread_mutex_unlock(&output->lock);
+    exchange->phase = PHASE_RESPONDED;
+    result = MHD_queue_response(exchange->connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+respond_refusal(struct exchange *exchange, const struct refusal *refusal)
+{
+    char *body = refusal_render(refusal);
+
+    account_refusal(&exchange->id, refusal);
+    exchange_answer(exchange, pgw_refusal_status(refusal->code),
+                    "application/json", refusal->retry_after_ms, body,
+                    strlen(body));
+    g_free(body);
+    return respond(exchange);
+}
+
+static bool
+run_filters(struct exchange *exchange, struct refusal *refusal)
+{
+    struct pgw_config *config = pgw_rcu_read_lock(exchange->entry->snapshot);
+    bool good = config != NULL && !pgw_config_is_empty(config);
+
+    if (!good) {
+        refusal_set(refusal, PGW_REFUSAL_NOT_READY, PGW_RAN_NO, 500,
+                    "no configuration yet: see /readyz");
+    }
+    for (size_t i = 0; good && i < G_N_ELEMENTS(filters); i++) {
+        good = filters[i]->run(exchange, config, refusal);
+    }
+    pgw_rcu_read_unlock(exchange->entry->snapshot);
+    return good;
+}
+
+static enum MHD_Result
+hand_over(struct exchange *exchange)
+{
+    struct refusal refusal = {0};
+    enum MHD_Result result = MHD_YES;
+
+    if (exchange->too_large) {
+        refusal_set(&refusal, PGW_REFUSAL_TOO_LARGE, PGW_RAN_NO, 0,
+                    "the body is larger than %" G_GUINT64_FORMAT
+                    " bytes: shorten it or raise max_body_bytes",
+                    exchange->entry->settings->max_body_bytes);
+    }
+    if (exchange->too_large || !run_filters(exchange, &refusal)) {
+        result = respond_refusal(exchange, &refusal);
+        refusal_dispose(&refusal);
+        return result;
+    }
+    exchange->phase = PHASE_WAITING;
+    exchange->begin.run = forward_begin;
+    pthread_mutex_lock(&exchange->output.lock);
+    exchange->output.suspended = true;
+    MHD_suspend_connection(exchange->connection);
+    pthread_mutex_unlock(&exchange->output.lock);
+    exchange_ref(exchange);
+    pgw_loop_post(exchange->entry->loop, &exchange->begin);
+    return result;
+}
+
+static bool
+format_from_path(enum exchange_format *out, const char *method,
+                 const char *path)
+{
+    if (g_str_has_prefix(path, "/svc/")) {
+        *out = FORMAT_SERVICE;
+        return true;
+    }
+    if (strcmp(method, MHD_HTTP_METHOD_POST) != 0) {
+        return false;
+    }
+    if (strcmp(path, "/v1/completions") == 0) {
+        *out = FORMAT_COMPLETION;
+        return true;
+    }
+    if (strcmp(path, "/v1/chat/completions") == 0) {
+        *out = FORMAT_CHAT;
+        return true;
+    }
+    return false;
+}
+
+static enum MHD_Result
+append_argument(void *context, enum MHD_ValueKind kind, const char *key,
+                const char *value)
+{
+    GString *path = context;
+    char *name = g_uri_escape_string(key, NULL, FALSE);
+
+    (void)kind;
+    g_string_append_c(path, strchr(path->str, '?') == NULL ? '?' : '&');
+    g_string_append(path, name);
+    if (value != NULL) {
+        char *text = g_uri_escape_string(value, NULL, FALSE);
+
+        g_string_append_printf(path, "=%s", text);
+        g_free(text);
+    }
+    g_free(name);
+    return MHD_YES;
+}
+
+static void
+copy_head(struct exchange *exchange, const char *path, const char *method)
+{
+    struct exchange_request *request = &exchange->request;
+    char *escaped = g_uri_escape_string(path, "/:@!$&'()*+,;=", FALSE);
+    GString *whole = g_string_new(escaped);
+    const char *type = MHD_lookup_connection_value(
+        exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_TYPE);
+
+    if (exchange->format == FORMAT_SERVICE) {
+        MHD_get_connection_values(exchange->connection, MHD_GET_ARGUMENT_KIND,
+                                  append_argument, whole);
+    }
+    request->path = g_string_free(whole, FALSE);
+    request->method = g_strdup(method);
+    request->content_type = g_strdup(type == NULL ? "" : type);
+    g_free(escaped);
+}
+
+static enum MHD_Result
+respond_plain(struct MHD_Connection *connection, unsigned status,
+              const char *text)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
+
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* The balancer asks the port that callers use. */
+static enum MHD_Result
+respond_probe(struct http *http, struct MHD_Connection *connection,
+              const char *path)
+{
+    char *reason = NULL;
+    enum MHD_Result result;
+
+    if (strcmp(path, "/healthz") == 0) {
+        return respond_plain(connection, MHD_HTTP_OK, "ok\n");
+    }
+    if (strcmp(path, "/metrics") == 0) {
+        reason = pgw_metric_render();
+        result = respond_plain(connection, MHD_HTTP_OK, reason);
+    }
+    else if (entry_is_ready(http->entry, &reason)) {
+        result = respond_plain(connection, MHD_HTTP_OK, "ready\n");
+    }
+    else {
+        result =
+            respond_plain(connection, MHD_HTTP_SERVICE_UNAVAILABLE, reason);
+    }
+    g_free(reason);
+    return result;
+}
+
+static bool
+is_probe(const char *method, const char *path)
+{
+    return strcmp(method, MHD_HTTP_METHOD_GET) == 0 &&
+           (strcmp(path, "/healthz") == 0 || strcmp(path, "/readyz") == 0 ||
+            strcmp(path, "/metrics") == 0);
+}
+
+static enum MHD_Result
+begin_exchange(struct http *http, struct MHD_Connection *connection,
+               const char *path, const char *method, void **slot)
+{
+    struct exchange *exchange = exchange_new(http->entry, connection);
+
+    *slot = exchange;
+    account_accept();
+    if (!format_from_path(&exchange->format, method, path)) {
+        struct refusal refusal = {0};
+        enum MHD_Result result;
+
+        refusal_set(&refusal, PGW_REFUSAL_UNKNOWN_PROFILE, PGW_RAN_NO, 0,
+                    "no such path: POST /v1/chat/completions, POST "
+                    "/v1/completions or call /svc/PROFILE/PATH");
+        result = respond_refusal(exchange, &refusal);
+        refusal_dispose(&refusal);
+        return result;
+    }
+    copy_head(exchange, path, method);
+    pgw_trace_record(http->entry->trace, PGW_TRACE_REQUEST_ACCEPT,
+                     &exchange->id, 0, 0, 0, method);
+    return MHD_YES;
+}
+
+static bool
+body_is_late(const struct exchange *exchange)
+{
+    uint64_t limit =
+        (uint64_t)exchange->entry->settings->body_timeout_ms * 1000;
+
+    return pgw_now_us() - exchange->began_us > limit;
+}
+
+static void
+take_body(struct exchange *exchange, const char *data, size_t size)
+{
+    struct exchange_request *request = &exchange->request;
+
+    if (exchange->too_large || pgw_buffer_size(&request->body) + size >
+                                   exchange->entry->settings->max_body_bytes) {
+        exchange->too_large = true;
+        pgw_buffer_dispose(&request->body);
+        return;
+    }
+    pgw_buffer_append(&request->body, data, size);
+}
+
+static enum MHD_Result
+handle(void *context, struct MHD_Connection *connection, const char *path,
+       const char *method, const char *version, const char *data, size_t *size,
+       void **slot)
+{
+    struct http *http = context;
+    struct exchange *exchange = *slot;
+
+    (void)version;
+    if (exchange == NULL) {
+        if (is_probe(method, path)) {
+            return respond_probe(http, connection, path);
+        }
+        return begin_exchange(http, connection, path, method, slot);
+    }
+    switch (exchange->phase) {
+    case PHASE_BODY:
+        if (*size > 0) {
+            /* A sender that drips its body would hold memory and a slot for
+             * as long as it likes; the connection is closed instead. */
+            if (body_is_late(exchange)) {
+                return MHD_NO;
+            }
+            take_body(exchange, data, *size);
+            *size = 0;
+            return MHD_YES;
+        }
+        return hand_over(exchange);
+    case PHASE_WAITING:
+        return respond(exchange);
+    default:
+        *size = 0;
+        return MHD_YES;
+    }
+}
+
+static void
+gone_run(struct pgw_task *task)
+{
+    struct exchange *exchange = pgw_container_of(task, struct exchange, gone);
+
+    if (!exchange->ended && exchange->text != NULL) {
+        forward_caller_gone(exchange);
+    }
+    exchange_unref(exchange);
+}
+
+static void
+completed(void *context, struct MHD_Connection *connection, void **slot,
+          enum MHD_RequestTerminationCode code)
+{
+    struct exchange *exchange = *slot;
+
+    (void)context;
+    (void)connection;
+    if (exchange == NULL) {
+        return;
+    }
+    *slot = NULL;
+    pthread_mutex_lock(&exchange->output.lock);
+    exchange->output.suspended = false;
+    pthread_mutex_unlock(&exchange->output.lock);
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+        exchange->phase != PHASE_BODY) {
+        exchange->gone.run = gone_run;
+        exchange_ref(exchange);
+        pgw_loop_post(exchange->entry->loop, &exchange->gone);
+    }
+    exchange_unref(exchange);
+}
+
+struct http *
+http_start(struct entry *entry, GError **error)
+{
+    const struct pgw_entry_settings *settings = entry->settings;
+    struct http *http = g_new0(struct http, 1);
+    struct pgw_address address;
+    const union MHD_DaemonInfo *info;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+
+    http->entry = entry;
+    if (!pgw_address_parse(&address, settings->listen, error)) {
+        goto fail;
+    }
+    if (address.storage.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    http->daemon = MHD_start_daemon(
+        flags, 0, NULL, NULL, handle, http, MHD_OPTION_SOCK_ADDR,
+        &address.storage, MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
+        MHD_OPTION_CONNECTION_LIMIT, settings->max_inflight + CONNECTION_SLACK,
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        MAX(1u, settings->header_timeout_ms / 1000),
+        MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
+    if (http->daemon == NULL) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
+                    "cannot listen on %s: free the port or change 'listen'",
+                    settings->listen);
+        goto fail;
+    }
+    info = MHD_get_daemon_info(http->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    http->port = info == NULL ? 0 : info->port;
+    return http;
+fail:
+    g_free(http);
+    return NULL;
+}
+
+uint16_t
+http_port(const struct http *http)
+{
+    return http->port;
+}
+
+void
+http_stop(struct http *http)
+{
+    if (http != NULL) {
+        MHD_stop_daemon(http->daemon);
+        g_free(http);
+    }
+}
--- /dev/null
+++ b/src/entry/http.h
@@ -0,0 +1,21 @@
+#ifndef PGW_ENTRY_HTTP_H
+#define PGW_ENTRY_HTTP_H
+
+#include "entry/entry.h"
+
+/**
+ * DOC: The HTTP server towards callers
+ */
+
+struct http;
+
+/** http_start() - listen for callers; %PGW_ERROR_IO or %PGW_ERROR_INVALID */
+struct http *http_start(struct entry *entry, GError **error);
+
+/** http_port() - the port it listens on */
+uint16_t http_port(const struct http *http);
+
+/** http_stop() - close all connections and end the threads */
+void http_stop(struct http *http);
+
+#endif
--- /dev/null
+++ b/src/entry/upstream.c
@@ -0,0 +1,414 @@
+#include "entry/upstream.h"
+#include "entry/exchange.h"
+#include "util/log.h"
+#include "util/random.h"
+#include <xxhash.h>
+
+#define RECONNECT_MIN_US (50 * 1000)
+#define RECONNECT_MAX_US (1000 * 1000)
+/* A sidecar sends its state twice a second. After four missed words the
+ * connection is taken as dead: a stalled or half-open one gives no error of
+ * its own and requests would wait there until their deadline. */
+#define SILENCE_MAX_US (2 * 1000 * 1000)
+#define SILENCE_CHECK_US (250 * 1000)
+
+static void upstream_connect(struct upstream *upstream);
+
+bool
+upstream_can_talk(const struct upstream *upstream)
+{
+    return upstream->link != NULL && upstream->greeted &&
+           pgw_link_is_open(upstream->link);
+}
+
+bool
+upstream_is_usable(const struct upstream *upstream)
+{
+    return upstream_can_talk(upstream) && upstream->alive &&
+           !upstream->leaving && !upstream->declared_leaving &&
+           upstream->declared && !upstream->is_seed;
+}
+
+static void
+upstream_free(struct upstream *upstream)
+{
+    pgw_timer_stop(upstream->entry->loop, &upstream->retry);
+    g_free(upstream->id);
+    g_free(upstream->zone);
+    g_free(upstream);
+}
+
+/* Frees one that the configuration no longer names and nobody uses. */
+static bool
+upstream_drop_if_unused(struct upstream *upstream)
+{
+    if (upstream->declared || !pgw_list_is_empty(&upstream->attempts)) {
+        return false;
+    }
+    if (upstream->link != NULL) {
+        pgw_link_close(upstream->link);
+        return false;
+    }
+    place_forget(upstream->entry, upstream);
+    g_hash_table_remove(upstream->entry->upstreams, upstream->id);
+    upstream_free(upstream);
+    return true;
+}
+
+/* Any change of an upstream's state ends here. */
+static void
+count_usable(struct entry *entry)
+{
+    GHashTableIter iter;
+    gpointer value;
+    unsigned usable = 0;
+
+    g_hash_table_iter_init(&iter, entry->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        usable += upstream_is_usable(value);
+    }
+    atomic_store(&entry->usable, usable);
+}
+
+static void
+take_state(struct upstream *upstream, const Pgw__State *state)
+{
+    pgw_hlc_receive(pgw_hlc_process(), state->clock, pgw_hlc_wall_us());
+    if (state->leaving && !upstream->leaving) {
+        pgw_log_info("upstream_leaving", "upstream=%s", upstream->id);
+    }
+    /* Leaving is sticky for a connection: a sidecar that began to stop does
+     * not come back but as a new process, which connects anew. */
+    upstream->leaving = upstream->leaving || state->leaving;
+    upstream->alive = state->upstream_alive;
+    upstream->engine = state->engine;
+    upstream->running = state->running;
+    upstream->waiting = state->waiting;
+    upstream->queued_tokens = state->queued_tokens;
+    count_usable(upstream->entry);
+}
+
+static void
+take_hello(struct upstream *upstream, const Pgw__Hello *hello)
+{
+    if (hello->protocol != PGW_PROTOCOL ||
+        strcmp(hello->role, "sidecar") != 0 ||
+        (!upstream->is_seed && strcmp(hello->instance, upstream->id) != 0)) {
+        pgw_log_warning("hello_refused", "upstream=%s instance=%s role=%s",
+                        upstream->id, hello->instance, hello->role);
+        pgw_link_close(upstream->link);
+        return;
+    }
+    upstream->greeted = true;
+    upstream->failures = 0;
+    pgw_hlc_receive(pgw_hlc_process(), hello->clock, pgw_hlc_wall_us());
+    pgw_trace_record(upstream->entry->trace, PGW_TRACE_PEER_UP, NULL, 0, 0, 0,
+                     upstream->id);
+    pgw_sync_add_link(upstream->entry->sync, upstream->link);
+}
+
+static bool
+on_frame(struct pgw_link *link, enum pgw_frame_type type,
+         ProtobufCMessage *message, void *context)
+{
+    struct upstream *upstream = context;
+    struct entry *entry = upstream->entry;
+
+    if (type == PGW_FRAME_HELLO && !upstream->greeted) {
+        take_hello(upstream, (const Pgw__Hello *)message);
+        return false;
+    }
+    if (!upstream->greeted) {
+        pgw_link_close(link);
+        return false;
+    }
+    switch (type) {
+    case PGW_FRAME_STATE:
+        take_state(upstream, (const Pgw__State *)message);
+        break;
+    case PGW_FRAME_PROBE_REPLY:
+        place_take_reply(entry, upstream, (const Pgw__ProbeReply *)message);
+        break;
+    case PGW_FRAME_STARTED:
+    case PGW_FRAME_DATA:
+    case PGW_FRAME_END:
+    case PGW_FRAME_FAIL:
+        forward_take_frame(entry, upstream, type, message);
+        break;
+    default:
+        if (!pgw_sync_take_frame(entry->sync, link, type, message)) {
+            pgw_log_warning("frame_unexpected", "type=%d upstream=%s", type,
+                            upstream->id);
+            pgw_link_close(link);
+        }
+        break;
+    }
+    return false;
+}
+
+static void
+schedule_reconnect(struct upstream *upstream)
+{
+    uint64_t bound = RECONNECT_MIN_US;
+
+    for (unsigned i = 0; i < upstream->failures && bound < RECONNECT_MAX_US;
+         i++) {
+        bound *= 2;
+    }
+    upstream->failures++;
+    bound = MIN(bound, RECONNECT_MAX_US);
+    pgw_timer_start(upstream->entry->loop, &upstream->retry,
+                    bound / 2 + pgw_random_u64() % (bound / 2));
+}
+
+static void
+on_closed(struct pgw_link *link, const GError *error, void *context)
+{
+    struct upstream *upstream = context;
+
+    if (upstream->greeted) {
+        pgw_log_warning("upstream_link_lost", "upstream=%s error=%s",
+                        upstream->id,
+                        error == NULL ? "closed here" : error->message);
+        pgw_trace_record(upstream->entry->trace, PGW_TRACE_PEER_DOWN, NULL, 0,
+                         0, 0, upstream->id);
+    }
+    pgw_sync_remove_link(upstream->entry->sync, link);
+    upstream->link = NULL;
+    upstream->greeted = false;
+    upstream->leaving = false;
+    count_usable(upstream->entry);
+    pgw_timer_stop(upstream->entry->loop, &upstream->retry);
+    /* Each one leaves the list as it is told, and may start elsewhere. */
+    while (!pgw_list_is_empty(&upstream->attempts)) {
+        forward_link_lost(pgw_container_of(pgw_list_first(&upstream->attempts),
+                                           struct exchange, at_target));
+    }
+    if (!upstream_drop_if_unused(upstream)) {
+        schedule_reconnect(upstream);
+    }
+}
+
+static void
+on_open(struct pgw_link *link, void *context)
+{
+    struct upstream *upstream = context;
+    struct entry *entry = upstream->entry;
+    Pgw__Hello hello = PGW__HELLO__INIT;
+
+    hello.protocol = PGW_PROTOCOL;
+    hello.instance = entry->settings->instance;
+    hello.role = "entry";
+    hello.zone = entry->settings->zone;
+    hello.incarnation = entry->incarnation;
+    hello.clock = pgw_hlc_now(pgw_hlc_process(), pgw_hlc_wall_us());
+    pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
+}
+
+static const struct pgw_link_ops upstream_ops = {
+    .on_open = on_open,
+    .on_frame = on_frame,
+    .on_closed = on_closed,
+};
+
+static void
+upstream_connect(struct upstream *upstream)
+{
+    GError *error = NULL;
+
+    upstream->link =
+        pgw_link_connect(upstream->entry->loop, &upstream->address,
+                         &upstream_ops, upstream, &error);
+    if (upstream->link == NULL) {
+        pgw_log_warning("connect_failed", "upstream=%s error=%s", upstream->id,
+                        error->message);
+        g_clear_error(&error);
+        schedule_reconnect(upstream);
+        return;
+    }
+    pgw_timer_start(upstream->entry->loop, &upstream->retry, SILENCE_CHECK_US);
+}
+
+static void
+retry_due(struct pgw_timer *timer)
+{
+    struct upstream *upstream =
+        pgw_container_of(timer, struct upstream, retry);
+
+    if (upstream->link == NULL) {
+        if (!upstream_drop_if_unused(upstream)) {
+            upstream_connect(upstream);
+        }
+        return;
+    }
+    if (pgw_now_us() - pgw_link_heard_us(upstream->link) > SILENCE_MAX_US) {
+        pgw_log_warning("upstream_silent", "upstream=%s", upstream->id);
+        pgw_link_close(upstream->link);
+        return;
+    }
+    upstream_drop_if_unused(upstream);
+    pgw_timer_start(upstream->entry->loop, timer, SILENCE_CHECK_US);
+}
+
+static struct upstream *
+upstream_new(struct entry *entry, const char *id,
+             const struct pgw_address *address, const char *zone)
+{
+    struct upstream *upstream = g_new0(struct upstream, 1);
+
+    upstream->entry = entry;
+    upstream->id = g_strdup(id);
+    upstream->zone = g_strdup(zone);
+    upstream->address = *address;
+    upstream->declared = true;
+    upstream->retry.on_due = retry_due;
+    pgw_list_init(&upstream->attempts);
+    g_hash_table_insert(entry->upstreams, upstream->id, upstream);
+    upstream_connect(upstream);
+    return upstream;
+}
+
+static bool
+same_address(const struct pgw_address *a, const struct pgw_address *b)
+{
+    return a->size == b->size &&
+           memcmp(&a->storage, &b->storage, a->size) == 0;
+}
+
+static void
+apply_one(struct entry *entry, const struct pgw_upstream *declared)
+{
+    struct upstream *upstream =
+        g_hash_table_lookup(entry->upstreams, declared->id);
+    struct pgw_address address;
+    char *text =
+        strchr(declared->host, ':') != NULL
+            ? g_strdup_printf("[%s]:%u", declared->host, declared->port)
+            : g_strdup_printf("%s:%u", declared->host, declared->port);
+    bool good = pgw_address_parse(&address, text, NULL);
+
+    g_free(text);
+    if (!good) {
+        return;
+    }
+    if (upstream == NULL) {
+        upstream = upstream_new(entry, declared->id, &address, declared->zone);
+    }
+    else if (!same_address(&upstream->address, &address)) {
+        upstream->address = address;
+        if (upstream->link != NULL) {
+            pgw_link_close(upstream->link);
+        }
+    }
+    upstream->declared = true;
+    upstream->declared_leaving = declared->leaving;
+    g_free(upstream->zone);
+    upstream->zone = g_strdup(declared->zone);
+}
+
+static uint32_t
+zone_number(const char *zone)
+{
+    return (uint32_t)XXH3_64bits(zone, strlen(zone));
+}
+
+static void
+pool_add(struct entry *entry, const struct pgw_upstream *declared)
+{
+    struct pool *pool = g_hash_table_lookup(entry->pools, declared->pool);
+    struct upstream *upstream =
+        g_hash_table_lookup(entry->upstreams, declared->id);
+
+    if (upstream == NULL) {
+        return;
+    }
+    if (pool == NULL) {
+        pool = g_new0(struct pool, 1);
+        pool->name = g_strdup(declared->pool);
+        g_hash_table_insert(entry->pools, pool->name, pool);
+    }
+    pool->nodes = g_renew(struct pgw_place_node, pool->nodes, pool->count + 1);
+    pool->upstreams =
+        g_renew(struct upstream *, pool->upstreams, pool->count + 1);
+    pool->nodes[pool->count] = (struct pgw_place_node){
+        .id_hash = pgw_place_id_hash(declared->id),
+        .zone = zone_number(declared->zone),
+    };
+    pool->upstreams[pool->count++] = upstream;
+}
+
+void
+upstreams_apply(struct entry *entry)
+{
+    size_t count = 0;
+    const struct pgw_upstream *const *declared =
+        pgw_config_upstreams(entry->config, NULL, &count);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct upstream *upstream = value;
+
+        upstream->declared = upstream->is_seed;
+    }
+    g_hash_table_remove_all(entry->pools);
+    for (size_t i = 0; i < count; i++) {
+        apply_one(entry, declared[i]);
+        pool_add(entry, declared[i]);
+    }
+    count_usable(entry);
+    /* Those no longer named go as soon as their last attempt has ended; their
+     * timers look after them. */
+}
+
+bool
+upstreams_add_seeds(struct entry *entry, GError **error)
+{
+    for (char **seed = entry->settings->seeds; seed != NULL && *seed != NULL;
+         seed++) {
+        struct pgw_address address;
+        struct upstream *upstream;
+
+        if (!pgw_address_parse(&address, *seed, error)) {
+            return false;
+        }
+        upstream = upstream_new(entry, *seed, &address, "");
+        upstream->is_seed = true;
+    }
+    return true;
+}
+
+void
+upstreams_free(struct entry *entry)
+{
+    GList *all = g_hash_table_get_values(entry->upstreams);
+
+    for (GList *link = all; link != NULL; link = link->next) {
+        struct upstream *upstream = link->data;
+
+        upstream->declared = false;
+        if (upstream->link != NULL) {
+            pgw_link_close(upstream->link);
+        }
+        else {
+            upstream_drop_if_unused(upstream);
+        }
+    }
+    g_list_free(all);
+    pgw_loop_run_tasks(entry->loop);
+}
+
+struct pool *
+pool_find(struct entry *entry, const char *name)
+{
+    struct pool *pool = g_hash_table_lookup(entry->pools, name);
+
+    if (pool == NULL) {
+        return NULL;
+    }
+    for (size_t i = 0; i < pool->count; i++) {
+        pool->nodes[i].usable = upstream_is_usable(pool->upstreams[i]);
+    }
+    return pool;
+}
--- a/src/libparsleygw/frame.h
+++ b/src/libparsleygw/frame.h
@@ -12,7 +12,13 @@
  * payload), 1 byte of type and a packed protobuf message.
  */
 
+/* Version of the messages; processes of different ones do not talk. */
+#define PGW_PROTOCOL 1
 #define PGW_FRAME_HEADER 5
+/* What a Data frame of @size bytes takes from a window. The fixed part stands
+ * for what a receiver makes of it (framing, JSON), so that many small tokens
+ * cannot fill the memory of a slow caller's entry either. */
+#define PGW_DATA_COST(size) ((size_t)(size) + 192)
 /* Largest frame: a request body of the largest setting and its fields. */
 #define PGW_FRAME_MAX ((size_t)10 << 20)
 
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -1,6 +1,5 @@
 #include "libparsleygw/link.h"
 #include "parsleygw/errors.h"
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -215,50 +214,22 @@
     return link;
 }
 
-static bool
-parse_address(struct sockaddr_storage *out, socklen_t *size, const char *host,
-              uint16_t port, GError **error)
-{
-    struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-    *out = (struct sockaddr_storage){0};
-    if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
-        v4->sin_family = AF_INET;
-        v4->sin_port = htons(port);
-        *size = sizeof(*v4);
-        return true;
-    }
-    if (inet_pton(AF_INET6, host, &v6->sin6_addr) == 1) {
-        v6->sin6_family = AF_INET6;
-        v6->sin6_port = htons(port);
-        *size = sizeof(*v6);
-        return true;
-    }
-    g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                "'%s' is not an IP address: write it in numbers", host);
-    return false;
-}
-
 struct pgw_link *
-pgw_link_connect(struct pgw_loop *loop, const char *host, uint16_t port,
+pgw_link_connect(struct pgw_loop *loop, const struct pgw_address *address,
                  const struct pgw_link_ops *ops, void *context, GError **error)
 {
-    struct sockaddr_storage address;
-    socklen_t size = 0;
-    int fd;
+    char text[PGW_ADDRESS_TEXT_SIZE];
+    int fd = socket(address->storage.ss_family,
+                    SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 
-    if (!parse_address(&address, &size, host, port, error)) {
-        return NULL;
-    }
-    fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
-                0);
-    if (fd < 0 || (connect(fd, (struct sockaddr *)&address, size) != 0 &&
+    if (fd < 0 || (connect(fd, (const struct sockaddr *)&address->storage,
+                           address->size) != 0 &&
                    errno != EINPROGRESS)) {
+        pgw_address_format(text, address);
         g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
-                    "cannot connect to %s:%u (%s): check the address and the "
+                    "cannot connect to %s (%s): check the address and the "
                     "limit of open files",
-                    host, port, g_strerror(errno));
+                    text, g_strerror(errno));
         if (fd >= 0) {
             close(fd);
         }
@@ -336,52 +307,58 @@
     }
 }
 
+static int
+open_listening(const struct pgw_address *address)
+{
+    int one = 1;
+    int fd = socket(address->storage.ss_family,
+                    SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(fd, (const struct sockaddr *)&address->storage, address->size) !=
+            0 ||
+        listen(fd, LISTEN_BACKLOG) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
 struct pgw_listener *
-pgw_listener_new(struct pgw_loop *loop, const char *host, uint16_t port,
+pgw_listener_new(struct pgw_loop *loop, const struct pgw_address *address,
                  void (*on_accept)(int fd, void *context), void *context,
                  GError **error)
 {
-    struct pgw_listener *listener = g_new0(struct pgw_listener, 1);
-    struct sockaddr_storage address;
-    socklen_t size = 0;
-    int one = 1;
+    struct pgw_listener *listener;
+    struct pgw_address bound = *address;
+    char text[PGW_ADDRESS_TEXT_SIZE];
+    int fd = open_listening(address);
 
+    if (fd < 0) {
+        pgw_address_format(text, address);
+        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
+                    "cannot listen on %s (%s): free the port or change the "
+                    "setting",
+                    text, g_strerror(errno));
+        return NULL;
+    }
+    getsockname(fd, (struct sockaddr *)&bound.storage, &bound.size);
+    listener = g_new0(struct pgw_listener, 1);
     listener->watch =
-        (struct pgw_loop_fd){.fd = -1, .on_ready = listener_ready};
+        (struct pgw_loop_fd){.fd = fd, .on_ready = listener_ready};
     listener->loop = loop;
     listener->on_accept = on_accept;
     listener->context = context;
-    if (!parse_address(&address, &size, host, port, error)) {
-        goto fail;
-    }
-    listener->watch.fd = socket(address.ss_family,
-                                SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    if (listener->watch.fd >= 0) {
-        setsockopt(listener->watch.fd, SOL_SOCKET, SO_REUSEADDR, &one,
-                   sizeof(one));
-    }
-    if (listener->watch.fd < 0 ||
-        bind(listener->watch.fd, (struct sockaddr *)&address, size) != 0 ||
-        listen(listener->watch.fd, LISTEN_BACKLOG) != 0) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
-                    "cannot listen on %s:%u (%s): free the port or change "
-                    "the setting",
-                    host, port, g_strerror(errno));
-        goto fail;
-    }
-    getsockname(listener->watch.fd, (struct sockaddr *)&address, &size);
-    /* The port stands at the same place for both families. */
-    listener->port = ntohs(((struct sockaddr_in *)&address)->sin_port);
+    listener->port = (uint16_t)pgw_address_port(&bound);
     if (!pgw_loop_fd_add(loop, &listener->watch, EPOLLIN, error)) {
-        goto fail;
+        close(fd);
+        g_free(listener);
+        return NULL;
     }
     return listener;
-fail:
-    if (listener->watch.fd >= 0) {
-        close(listener->watch.fd);
-    }
-    g_free(listener);
-    return NULL;
 }
 
 uint16_t
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -2,6 +2,7 @@
 #define PGW_LINK_H
 
 #include "libparsleygw/frame.h"
+#include "util/address.h"
 #include "util/loop.h"
 
 /**
@@ -33,16 +34,15 @@
 /**
  * pgw_link_connect() - start an outgoing connection
  * @loop: loop that serves the link
- * @host: numeric IP address
- * @port: TCP port
+ * @address: the peer's
  * @ops: the owner's callbacks
  * @context: handed to them
- * @error: %PGW_ERROR_INVALID for a bad address, %PGW_ERROR_IO otherwise
+ * @error: %PGW_ERROR_IO
  *
  * Return: the link, or NULL. Frames may be sent at once and queue.
  */
-struct pgw_link *pgw_link_connect(struct pgw_loop *loop, const char *host,
-                                  uint16_t port,
+struct pgw_link *pgw_link_connect(struct pgw_loop *loop,
+                                  const struct pgw_address *address,
                                   const struct pgw_link_ops *ops,
                                   void *context, GError **error);
 
@@ -75,14 +75,13 @@
 /**
  * pgw_listener_new() - listen on a numeric address
  * @loop: loop that accepts
- * @host: numeric IP address
- * @port: TCP port; 0 picks a free one
+ * @address: the address; port 0 picks a free one
  * @on_accept: receives each accepted socket and owns it
  * @context: handed to it
- * @error: %PGW_ERROR_INVALID or %PGW_ERROR_IO
+ * @error: %PGW_ERROR_IO
  */
-struct pgw_listener *pgw_listener_new(struct pgw_loop *loop, const char *host,
-                                      uint16_t port,
+struct pgw_listener *pgw_listener_new(struct pgw_loop *loop,
+                                      const struct pgw_address *address,
                                       void (*on_accept)(int fd, void *context),
                                       void *context, GError **error);
 
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -894,7 +894,7 @@
   (ProtobufCMessageInit) pgw__level__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[9] =
 {
   {
     "probe",
@@ -992,6 +992,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Probe, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__probe__field_indices_by_name[] = {
   4,   /* field[4] = deadline_ms */
@@ -1000,13 +1012,14 @@
   2,   /* field[2] = priority */
   0,   /* field[0] = probe */
   3,   /* field[3] = prompt_tokens */
+  8,   /* field[8] = share */
   6,   /* field[6] = version */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange pgw__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pgw__probe__descriptor =
 {
@@ -1016,7 +1029,7 @@
   "Pgw__Probe",
   "pgw",
   sizeof(Pgw__Probe),
-  8,
+  9,
   pgw__probe__field_descriptors,
   pgw__probe__field_indices_by_name,
   1,  pgw__probe__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -96,10 +96,11 @@
   char *version;
   size_t n_levels;
   Pgw__Level **levels;
+  uint32_t share;
 };
 #define PGW__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__probe__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 struct  Pgw__ProbeReply
--- /dev/null
+++ b/src/sidecar/fetch.c
@@ -0,0 +1,133 @@
+#include "sidecar/fetch.h"
+#include "util/buffer.h"
+
+/* The list of all blocks of an engine with a million of them fits. */
+#define FETCH_MAX_BYTES ((size_t)64 << 20)
+
+struct fetch {
+    struct pgw_transfer *transfer;
+    struct pgw_buffer body;
+    fetch_done done;
+    void *context;
+    uint64_t asked_us;
+    bool too_large;
+};
+
+static bool
+on_body(struct pgw_transfer *transfer, const uint8_t *data, size_t size,
+        void *context)
+{
+    struct fetch *fetch = context;
+
+    (void)transfer;
+    if (pgw_buffer_size(&fetch->body) + size > FETCH_MAX_BYTES) {
+        fetch->too_large = true;
+    }
+    else {
+        pgw_buffer_append(&fetch->body, data, size);
+    }
+    return true;
+}
+
+static void
+fetch_free(struct fetch *fetch)
+{
+    pgw_buffer_dispose(&fetch->body);
+    g_free(fetch);
+}
+
+static void
+on_done(struct pgw_transfer *transfer, CURLcode code, long status,
+        void *context)
+{
+    struct fetch *fetch = context;
+    JsonParser *parser = json_parser_new_immutable();
+    JsonObject *object = NULL;
+    JsonNode *root;
+
+    (void)transfer;
+    if (code != CURLE_OK || fetch->too_large) {
+        status = 0;
+    }
+    else if (json_parser_load_from_data(
+                 parser, (const char *)pgw_buffer_head(&fetch->body),
+                 (gssize)pgw_buffer_size(&fetch->body), NULL)) {
+        root = json_parser_get_root(parser);
+        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+            object = json_node_get_object(root);
+        }
+    }
+    fetch->done(fetch->context, status, object, fetch->asked_us);
+    g_object_unref(parser);
+    fetch_free(fetch);
+}
+
+static const struct pgw_transfer_ops fetch_ops = {
+    .on_body = on_body,
+    .on_done = on_done,
+};
+
+struct fetch *
+fetch_start(struct pgw_transfer_pool *pool, const char *url, const char *body,
+            long timeout_ms, fetch_done done, void *context)
+{
+    struct fetch *fetch = g_new0(struct fetch, 1);
+    struct pgw_transfer_options options = {
+        .method = body == NULL ? "GET" : "POST",
+        .url = url,
+        .content_type = body == NULL ? NULL : "application/json",
+        .body = body,
+        .body_size = body == NULL ? 0 : strlen(body),
+        .timeout_ms = timeout_ms,
+    };
+
+    fetch->done = done;
+    fetch->context = context;
+    fetch->asked_us = pgw_now_us();
+    fetch->transfer = pgw_transfer_start(pool, &options, &fetch_ops, fetch);
+    return fetch;
+}
+
+void
+fetch_cancel(struct fetch *fetch)
+{
+    if (fetch != NULL) {
+        pgw_transfer_cancel(fetch->transfer);
+        fetch_free(fetch);
+    }
+}
+
+static JsonNode *
+object_member(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+
+    return node != NULL && JSON_NODE_HOLDS_VALUE(node) ? node : NULL;
+}
+
+uint64_t
+fetch_object_uint(JsonObject *object, const char *name)
+{
+    JsonNode *node = object_member(object, name);
+    gint64 value = node == NULL ? 0 : json_node_get_int(node);
+
+    return value < 0 ? 0 : (uint64_t)value;
+}
+
+uint64_t
+fetch_object_hex(JsonObject *object, const char *name)
+{
+    return g_ascii_strtoull(fetch_object_string(object, name), NULL, 16);
+}
+
+const char *
+fetch_object_string(JsonObject *object, const char *name)
+{
+    JsonNode *node = object_member(object, name);
+    const char *text = NULL;
+
+    if (node != NULL && json_node_get_value_type(node) == G_TYPE_STRING) {
+        text = json_node_get_string(node);
+    }
+    return text == NULL ? "" : text;
+}
--- /dev/null
+++ b/src/sidecar/fetch.h
@@ -0,0 +1,46 @@
+#ifndef PGW_SIDECAR_FETCH_H
+#define PGW_SIDECAR_FETCH_H
+
+#include "util/transfer.h"
+#include <json-glib/json-glib.h>
+
+/**
+ * struct fetch - one small JSON request to the upstream, answered whole
+ */
+struct fetch;
+
+/**
+ * fetch_done - outcome of a fetch
+ * @status: HTTP status, 0 when there was no answer
+ * @body: the answer's JSON object, NULL when there is none
+ * @asked_us: when the request was sent
+ */
+typedef void (*fetch_done)(void *context, long status, JsonObject *body,
+                           uint64_t asked_us);
+
+/**
+ * fetch_start() - GET (or POST, with a body) a URL
+ * @pool: transfers
+ * @url: absolute URL
+ * @body: JSON text to POST, or NULL
+ * @timeout_ms: limit for the whole request
+ * @done: called once, unless cancelled
+ * @context: handed to @done
+ */
+struct fetch *fetch_start(struct pgw_transfer_pool *pool, const char *url,
+                          const char *body, long timeout_ms, fetch_done done,
+                          void *context);
+
+/** fetch_cancel() - forget the request; NULL does nothing */
+void fetch_cancel(struct fetch *fetch);
+
+/** fetch_object_uint() - an unsigned member, 0 when it is missing */
+uint64_t fetch_object_uint(JsonObject *object, const char *name);
+
+/** fetch_object_hex() - a member of hexadecimal digits, 0 when missing */
+uint64_t fetch_object_hex(JsonObject *object, const char *name);
+
+/** fetch_object_string() - a text member, "" when it is missing */
+const char *fetch_object_string(JsonObject *object, const char *name);
+
+#endif
--- /dev/null
+++ b/src/sidecar/gate.c
@@ -0,0 +1,410 @@
+#include "sidecar/gate.h"
+#include "util/log.h"
+#include <xxhash.h>
+
+#define GATE_TICK_US (20 * 1000)
+
+guint
+run_key_hash(gconstpointer key)
+{
+    return (guint)XXH3_64bits(key, sizeof(struct run_key));
+}
+
+gboolean
+run_key_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, sizeof(struct run_key)) == 0;
+}
+
+static bool
+key_from(struct run_key *out, const ProtobufCBinaryData *request,
+         uint32_t attempt)
+{
+    *out = (struct run_key){.attempt = attempt};
+    if (request->len != PGW_REQUEST_ID_SIZE) {
+        return false;
+    }
+    memcpy(out->request.bytes, request->data, PGW_REQUEST_ID_SIZE);
+    return true;
+}
+
+static void
+run_free(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+
+    pgw_list_remove(&run->link);
+    pgw_timer_stop(sidecar->loop, &run->deadline);
+    if (run->transfer != NULL) {
+        pgw_transfer_cancel(run->transfer);
+    }
+    if (run->peer != NULL) {
+        g_hash_table_remove(run->peer->runs, &run->key);
+    }
+    pgw_frame_free(&run->open->base);
+    pgw_buffer_dispose(&run->line);
+    g_free(run->finish_reason);
+    g_free(run);
+    sidecar->runs--;
+}
+
+void
+gate_finish(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+
+    if (run->item.state == PGW_ADMIT_WAITING) {
+        pgw_admit_remove(sidecar->admit, &run->item, pgw_now_us());
+    }
+    else if (run->item.state != PGW_ADMIT_IDLE) {
+        pgw_admit_done(sidecar->admit, &run->item, run->completion_tokens,
+                       pgw_now_us());
+    }
+    run_free(run);
+    gate_pump(sidecar);
+}
+
+static void
+run_start(struct run *run)
+{
+    run->state = RUN_SENT;
+    run->sent_us = pgw_now_us();
+    pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_START,
+                     &run->key.request, run->key.attempt,
+                     run->item.uncached_tokens, run->open->prompt_tokens,
+                     NULL);
+    run->call->start(run);
+}
+
+static void
+run_expire(struct run *run)
+{
+    bool waiting = run->state == RUN_WAITING;
+
+    run_send_fail(run, PGW_REFUSAL_DEADLINE,
+                  waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                  waiting ? "the deadline passed while the request waited"
+                          : "the deadline passed while the request ran");
+    /* A call that may not be repeated runs on: cutting it off would leave
+     * even its service unsure whether it ran. */
+    if (waiting || run->open->repeatable) {
+        gate_finish(run);
+    }
+}
+
+static void
+deadline_due(struct pgw_timer *timer)
+{
+    run_expire(pgw_container_of(timer, struct run, deadline));
+}
+
+static void
+gate_tick(struct pgw_timer *timer)
+{
+    gate_pump(pgw_container_of(timer, struct sidecar, gate_timer));
+}
+
+void
+gate_pump(struct sidecar *sidecar)
+{
+    struct pgw_admit_item *item;
+    struct pgw_admit_load load;
+    uint64_t now = pgw_now_us();
+
+    while ((item = pgw_admit_expire(sidecar->admit, now)) != NULL) {
+        struct run *run = pgw_container_of(item, struct run, item);
+
+        run_send_fail(run, PGW_REFUSAL_DEADLINE, PGW_RAN_NO, 0,
+                      "the deadline passed while the request waited");
+        run_free(run);
+    }
+    while ((item = pgw_admit_next(sidecar->admit, now)) != NULL) {
+        run_start(pgw_container_of(item, struct run, item));
+    }
+    pgw_admit_load_get(&load, sidecar->admit);
+    if (load.waiting > 0 && sidecar->gate_timer.position == 0) {
+        sidecar->gate_timer.on_due = gate_tick;
+        pgw_timer_start(sidecar->loop, &sidecar->gate_timer, GATE_TICK_US);
+    }
+}
+
+static void
+chain_from(struct pgw_level_chain *out, size_t count, Pgw__Level **levels,
+           uint32_t prompt_tokens)
+{
+    *out = (struct pgw_level_chain){
+        .count = MIN(count, PGW_LEVEL_MAX),
+        .prompt_tokens = prompt_tokens,
+    };
+    for (size_t i = 0; i < out->count; i++) {
+        out->levels[i] = (struct pgw_level){
+            .hash_high = levels[i]->hash_high,
+            .hash_low = levels[i]->hash_low,
+            .end_tokens = levels[i]->end_tokens,
+        };
+    }
+}
+
+static uint32_t
+uncached(const struct sidecar *sidecar, const char *workspace,
+         const struct pgw_level_chain *chain, uint64_t now, uint32_t *matched)
+{
+    uint32_t hint = 0;
+
+    if (!sidecar->is_model) {
+        *matched = 0;
+        return 0;
+    }
+    *matched = pgw_cache_match(sidecar->cache, workspace, chain, now, &hint);
+    *matched = MAX(*matched, hint);
+    return chain->prompt_tokens - MIN(chain->prompt_tokens, *matched);
+}
+
+/* Why an attempt cannot even wait here; false when it can. */
+static bool
+must_refuse(const struct sidecar *sidecar, const char *model,
+            const char *version, enum pgw_refusal *refusal,
+            const char **message)
+{
+    const struct engine *engine = &sidecar->engine;
+
+    if (sidecar->leaving) {
+        *refusal = PGW_REFUSAL_LEAVING;
+        *message = "the instance is leaving: send to another one";
+        return true;
+    }
+    if (!engine->alive) {
+        *refusal = PGW_REFUSAL_UPSTREAM_FAILED;
+        *message = "the upstream does not answer";
+        return true;
+    }
+    if (sidecar->is_model && (strcmp(engine->model, model) != 0 ||
+                              strcmp(engine->version, version) != 0)) {
+        *refusal = PGW_REFUSAL_STALE;
+        *message = "the engine runs another model or weights version";
+        return true;
+    }
+    return false;
+}
+
+static struct run *
+run_new(struct peer *peer, const struct run_key *key, Pgw__Open *open)
+{
+    struct sidecar *sidecar = peer->sidecar;
+    struct run *run = g_new0(struct run, 1);
+    uint64_t now = pgw_now_us();
+    uint32_t matched;
+
+    run->key = *key;
+    run->sidecar = sidecar;
+    run->peer = peer;
+    run->open = open;
+    run->call = open->service ? &run_call_service : &run_call_model;
+    run->window = open->window;
+    run->deadline.on_due = deadline_due;
+    chain_from(&run->chain, open->n_levels, open->levels, open->prompt_tokens);
+    run->item = (struct pgw_admit_item){
+        .workspace = pgw_level_workspace_hash(open->workspace),
+        .share = open->share,
+        .priority =
+            (enum pgw_priority)MIN(open->priority, PGW_PRIORITY_COUNT - 1),
+        .deadline = now + (uint64_t)open->deadline_ms * 1000,
+        .uncached_tokens =
+            uncached(sidecar, open->workspace, &run->chain, now, &matched),
+        .max_tokens = open->max_tokens,
+        .is_batch = open->priority == PGW_PRIORITY_BATCH,
+    };
+    sidecar->runs++;
+    pgw_list_append(&sidecar->all_runs, &run->link);
+    g_hash_table_insert(peer->runs, &run->key, run);
+    pgw_timer_start(sidecar->loop, &run->deadline,
+                    (uint64_t)open->deadline_ms * 1000);
+    return run;
+}
+
+static void
+run_offer(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+    struct pgw_admit_answer answer;
+
+    pgw_admit_offer(&answer, sidecar->admit, &run->item, pgw_now_us());
+    switch (answer.verdict) {
+    case PGW_ADMIT_RUN:
+        run_start(run);
+        break;
+    case PGW_ADMIT_QUEUE:
+        pgw_trace_record(sidecar->trace, PGW_TRACE_QUEUE, &run->key.request,
+                         run->key.attempt, answer.ttft_us, 0, NULL);
+        gate_pump(sidecar);
+        break;
+    case PGW_ADMIT_REFUSE:
+        run_send_fail(run, answer.refusal, PGW_RAN_NO, answer.retry_after_ms,
+                      answer.refusal == PGW_REFUSAL_DEADLINE
+                          ? "the deadline cannot be met"
+                          : "the upstream's queue is full");
+        run_free(run);
+        break;
+    }
+}
+
+void
+gate_open(struct peer *peer, Pgw__Open *open)
+{
+    struct sidecar *sidecar = peer->sidecar;
+    struct run_key key;
+    struct run *run;
+    enum pgw_refusal refusal;
+    const char *message;
+
+    if (!key_from(&key, &open->request, open->attempt) ||
+        g_hash_table_contains(peer->runs, &key) ||
+        open->service == sidecar->is_model) {
+        pgw_log_warning("open_dropped", "entry=%s", peer->instance);
+        pgw_frame_free(&open->base);
+        return;
+    }
+    pgw_hlc_receive(pgw_hlc_process(), open->clock, pgw_hlc_wall_us());
+    run = run_new(peer, &key, open);
+    if (must_refuse(sidecar, open->model, open->version, &refusal, &message)) {
+        run_send_fail(run, refusal, PGW_RAN_NO, 0, message);
+        run_free(run);
+        return;
+    }
+    run_offer(run);
+}
+
+/* The entry no longer wants the attempt. */
+static void
+run_abandon(struct run *run)
+{
+    bool waiting = run->state == RUN_WAITING;
+
+    if (!waiting && !run->open->repeatable) {
+        return;
+    }
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_CANCELLED,
+                      waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0, "cancelled");
+    }
+    pgw_trace_record(run->sidecar->trace, PGW_TRACE_CANCEL, &run->key.request,
+                     run->key.attempt, waiting, 0, NULL);
+    gate_finish(run);
+}
+
+static struct run *
+find_run(struct peer *peer, const ProtobufCBinaryData *request,
+         uint32_t attempt)
+{
+    struct run_key key;
+
+    if (!key_from(&key, request, attempt)) {
+        return NULL;
+    }
+    return g_hash_table_lookup(peer->runs, &key);
+}
+
+void
+gate_cancel(struct peer *peer, const Pgw__Cancel *cancel)
+{
+    struct run *run = find_run(peer, &cancel->request, cancel->attempt);
+
+    if (run != NULL) {
+        run_abandon(run);
+    }
+}
+
+void
+gate_grant(struct peer *peer, const Pgw__Window *window)
+{
+    struct run *run = find_run(peer, &window->request, window->attempt);
+
+    if (run == NULL) {
+        return;
+    }
+    run->window += window->bytes;
+    if (run->paused && run->window > 0) {
+        run->paused = false;
+        pgw_transfer_resume(run->transfer);
+    }
+}
+
+void
+gate_forget_peer(struct peer *peer)
+{
+    GList *runs = g_hash_table_get_values(peer->runs);
+
+    for (GList *link = runs; link != NULL; link = link->next) {
+        struct run *run = link->data;
+
+        g_hash_table_remove(peer->runs, &run->key);
+        run->peer = NULL;
+        if (run->paused) {
+            run->paused = false;
+            pgw_transfer_resume(run->transfer);
+        }
+        run_abandon(run);
+    }
+    g_list_free(runs);
+}
+
+void
+gate_refuse_waiting(struct sidecar *sidecar, enum pgw_refusal refusal)
+{
+    struct pgw_admit_item *item;
+
+    while ((item = pgw_admit_drain(sidecar->admit)) != NULL) {
+        struct run *run = pgw_container_of(item, struct run, item);
+
+        run_send_fail(run, refusal, PGW_RAN_NO, 0,
+                      "the upstream takes no work now");
+        run_free(run);
+    }
+}
+
+void
+gate_abandon_all(struct sidecar *sidecar)
+{
+    pgw_timer_stop(sidecar->loop, &sidecar->gate_timer);
+    pgw_list_foreach_safe (link, &sidecar->all_runs) {
+        run_free(pgw_container_of(link, struct run, link));
+    }
+}
+
+void
+gate_probe(struct peer *peer, const Pgw__Probe *probe)
+{
+    struct sidecar *sidecar = peer->sidecar;
+    Pgw__ProbeReply reply = PGW__PROBE_REPLY__INIT;
+    struct pgw_level_chain chain;
+    struct pgw_admit_load load;
+    enum pgw_refusal refusal;
+    const char *message;
+    uint32_t matched;
+    uint32_t missing;
+    uint64_t ttft_us;
+
+    chain_from(&chain, probe->n_levels, probe->levels, probe->prompt_tokens);
+    missing =
+        uncached(sidecar, probe->workspace, &chain, pgw_now_us(), &matched);
+    pgw_admit_load_get(&load, sidecar->admit);
+    ttft_us = pgw_admit_estimate_us(
+        sidecar->admit, pgw_level_workspace_hash(probe->workspace),
+        probe->share,
+        (enum pgw_priority)MIN(probe->priority, PGW_PRIORITY_COUNT - 1),
+        missing);
+    reply.probe = probe->probe;
+    reply.matched_tokens = matched;
+    reply.queued_tokens = load.queued_tokens;
+    reply.running = load.running;
+    reply.waiting = load.waiting;
+    reply.ttft_us = (uint32_t)MIN(ttft_us, UINT32_MAX);
+    reply.leaving = sidecar->leaving;
+    reply.refuses = must_refuse(sidecar, probe->model, probe->version,
+                                &refusal, &message) ||
+                    (probe->deadline_ms > 0 &&
+                     ttft_us > (uint64_t)probe->deadline_ms * 1000);
+    reply.version = sidecar->engine.version;
+    reply.engine = sidecar->engine.incarnation;
+    pgw_link_send(peer->connection, PGW_FRAME_PROBE_REPLY, &reply.base);
+}
--- /dev/null
+++ b/src/sidecar/run.c
@@ -0,0 +1,177 @@
+#include "sidecar/gate.h"
+#include "util/log.h"
+
+static ProtobufCBinaryData
+run_id(const struct run *run)
+{
+    return (ProtobufCBinaryData){
+        .data = (uint8_t *)run->key.request.bytes,
+        .len = PGW_REQUEST_ID_SIZE,
+    };
+}
+
+static void
+run_send(struct run *run, enum pgw_frame_type type,
+         const ProtobufCMessage *message)
+{
+    if (run->peer != NULL) {
+        pgw_link_send(run->peer->connection, type, message);
+    }
+}
+
+void
+run_send_started(struct run *run, const char *content_type,
+                 const char *version, uint64_t engine)
+{
+    Pgw__Started started = PGW__STARTED__INIT;
+
+    if (run->state == RUN_STARTED) {
+        return;
+    }
+    run->state = RUN_STARTED;
+    started.request = run_id(run);
+    started.attempt = run->key.attempt;
+    started.status = (uint32_t)run->status;
+    started.content_type = (char *)content_type;
+    started.prompt_tokens = run->prompt_tokens;
+    started.cached_tokens = run->cached_tokens;
+    started.version = (char *)version;
+    started.engine = engine;
+    run_send(run, PGW_FRAME_STARTED, &started.base);
+    pgw_trace_record(run->sidecar->trace, PGW_TRACE_FIRST_TOKEN,
+                     &run->key.request, run->key.attempt, run->cached_tokens,
+                     run->prompt_tokens, NULL);
+}
+
+void
+run_send_data(struct run *run, const void *data, size_t size,
+              uint32_t token_index, uint32_t token_count)
+{
+    Pgw__Data message = PGW__DATA__INIT;
+
+    message.request = run_id(run);
+    message.attempt = run->key.attempt;
+    message.sequence = run->sequence++;
+    message.data.data = (uint8_t *)data;
+    message.data.len = size;
+    message.token_index = token_index;
+    message.token_count = token_count;
+    run->window -= (int64_t)PGW_DATA_COST(size);
+    run_send(run, PGW_FRAME_DATA, &message.base);
+}
+
+void
+run_send_end(struct run *run)
+{
+    Pgw__End end = PGW__END__INIT;
+
+    run->ended = true;
+    end.request = run_id(run);
+    end.attempt = run->key.attempt;
+    end.sequence = run->sequence;
+    end.finish_reason = run->finish_reason == NULL ? "" : run->finish_reason;
+    end.prompt_tokens = run->prompt_tokens;
+    end.cached_tokens = run->cached_tokens;
+    end.completion_tokens = run->completion_tokens;
+    run_send(run, PGW_FRAME_END, &end.base);
+    pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_END,
+                     &run->key.request, run->key.attempt, run->sequence,
+                     run->completion_tokens, run->finish_reason);
+}
+
+void
+run_send_fail(struct run *run, enum pgw_refusal refusal, enum pgw_ran ran,
+              uint32_t retry_after_ms, const char *message)
+{
+    Pgw__Fail fail = PGW__FAIL__INIT;
+
+    run->ended = true;
+    fail.request = run_id(run);
+    fail.attempt = run->key.attempt;
+    fail.code = refusal;
+    fail.ran = ran;
+    fail.retry_after_ms = retry_after_ms;
+    fail.message = (char *)message;
+    run_send(run, PGW_FRAME_FAIL, &fail.base);
+    pgw_trace_record(run->sidecar->trace, PGW_TRACE_SIDECAR_REFUSE,
+                     &run->key.request, run->key.attempt, refusal, ran,
+                     pgw_refusal_name(refusal));
+}
+
+static void
+on_head(struct pgw_transfer *transfer, long status, void *context)
+{
+    struct run *run = context;
+
+    (void)transfer;
+    run->status = status;
+    run->call->head(run, status);
+}
+
+static bool
+on_body(struct pgw_transfer *transfer, const uint8_t *data, size_t size,
+        void *context)
+{
+    struct run *run = context;
+
+    (void)transfer;
+    if (run->broken || run->refused) {
+        return true;
+    }
+    /* A slow caller leaves its window shut; holding the upstream's answer
+     * back here bounds the memory of every process between them. */
+    if (run->window <= 0 && run->peer != NULL) {
+        run->paused = true;
+        return false;
+    }
+    if (!run->call->body(run, data, size)) {
+        run->broken = true;
+    }
+    return true;
+}
+
+static void
+run_fail_broken(struct run *run, bool was_sent)
+{
+    enum pgw_ran ran = was_sent ? PGW_RAN_UNKNOWN : PGW_RAN_NO;
+
+    run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, ran, 0,
+                  was_sent ? "the upstream broke off its answer"
+                           : "the upstream took no connection");
+    engine_suspect(&run->sidecar->engine);
+}
+
+static void
+on_done(struct pgw_transfer *transfer, CURLcode code, long status,
+        void *context)
+{
+    struct run *run = context;
+    bool was_sent = pgw_transfer_was_sent(transfer);
+
+    (void)status;
+    run->transfer = NULL;
+    if (run->ended) {
+        /* Its deadline or its caller ended it before. */
+    }
+    else if (run->refused) {
+        run_send_fail(run,
+                      run->status == 409 ? PGW_REFUSAL_STALE
+                                         : PGW_REFUSAL_OVERLOADED,
+                      PGW_RAN_NO, 0, "the upstream refused the request");
+    }
+    else if (code != CURLE_OK || run->broken || !run->call->complete(run)) {
+        pgw_log_warning("upstream_broke", "code=%s status=%ld",
+                        curl_easy_strerror(code), run->status);
+        run_fail_broken(run, was_sent);
+    }
+    else {
+        run_send_end(run);
+    }
+    gate_finish(run);
+}
+
+const struct pgw_transfer_ops run_transfer_ops = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_done = on_done,
+};
--- /dev/null
+++ b/src/sidecar/sidecar.c
@@ -0,0 +1,270 @@
+#include "sidecar/sidecar.h"
+#include "parsleygw/errors.h"
+#include "sidecar/gate.h"
+#include "util/address.h"
+#include "util/json_text.h"
+#include "util/log.h"
+#include "util/random.h"
+
+#define STATE_INTERVAL_US (500 * 1000)
+#define DRAIN_CHECK_US (20 * 1000)
+#define TRACE_EVENTS (1u << 14)
+
+static void
+config_changed(void *context)
+{
+    struct sidecar *sidecar = context;
+    struct pgw_config *config = pgw_config_build(sidecar->set);
+
+    if (sidecar->config != NULL) {
+        pgw_config_unref(sidecar->config);
+    }
+    sidecar->config = config;
+    pgw_trace_record(sidecar->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
+                     pgw_config_version(config), 0, NULL);
+}
+
+static void
+view_update(struct sidecar *sidecar)
+{
+    struct sidecar_view *view = &sidecar->view;
+
+    pthread_mutex_lock(&view->lock);
+    view->leaving = sidecar->leaving;
+    view->alive = sidecar->engine.alive;
+    view->engine = sidecar->engine.incarnation;
+    g_strlcpy(view->version, sidecar->engine.version, sizeof(view->version));
+    pgw_admit_load_get(&view->load, sidecar->admit);
+    pgw_cache_stats_get(&view->cache, sidecar->cache);
+    if (sidecar->config != NULL) {
+        view->config_version = pgw_config_version(sidecar->config);
+    }
+    pthread_mutex_unlock(&view->lock);
+}
+
+bool
+sidecar_is_ready(struct sidecar *sidecar, char **reason)
+{
+    struct sidecar_view *view = &sidecar->view;
+    const char *why = NULL;
+
+    pthread_mutex_lock(&view->lock);
+    if (view->leaving) {
+        why = "leaving: a planned stop is under way";
+    }
+    else if (!view->alive) {
+        why = "the upstream does not answer: check that it runs and that "
+              "upstream_url is right";
+    }
+    pthread_mutex_unlock(&view->lock);
+    if (why != NULL) {
+        *reason = g_strdup(why);
+    }
+    return why == NULL;
+}
+
+char *
+sidecar_status(struct sidecar *sidecar)
+{
+    struct sidecar_view *view = &sidecar->view;
+    GString *out = g_string_new("{\"role\":\"sidecar\",\"instance\":");
+
+    pgw_json_append_text(out, sidecar->settings->instance);
+    g_string_append(out, ",\"zone\":");
+    pgw_json_append_text(out, sidecar->settings->zone);
+    g_string_append(out, ",\"pool\":");
+    pgw_json_append_text(out, sidecar->settings->pool);
+    pthread_mutex_lock(&view->lock);
+    g_string_append(out, ",\"version\":");
+    pgw_json_append_text(out, view->version);
+    g_string_append_printf(
+        out,
+        ",\"leaving\":%s,\"alive\":%s,\"engine\":\"%" G_GINT64_MODIFIER
+        "x\",\"running\":%u,\"waiting\":%u,\"queued_tokens\":%u"
+        ",\"cached_blocks\":%zu,\"cached_levels\":%zu,\"event_gaps\":"
+        "%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT "}",
+        view->leaving ? "true" : "false", view->alive ? "true" : "false",
+        view->engine, view->load.running, view->load.waiting,
+        view->load.queued_tokens, view->cache.blocks, view->cache.levels,
+        view->cache.gaps, view->config_version);
+    pthread_mutex_unlock(&view->lock);
+    return g_string_free(out, FALSE);
+}
+
+void
+sidecar_push_state(struct sidecar *sidecar)
+{
+    view_update(sidecar);
+    pgw_list_foreach (link, &sidecar->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, link);
+
+        if (peer->instance != NULL) {
+            peer_send_state(peer);
+        }
+    }
+}
+
+/* The regular word also tells entries that the connection still works: an
+ * entry that hears nothing for a few intervals looks for another way. */
+static void
+state_due(struct pgw_timer *timer)
+{
+    struct sidecar *sidecar =
+        pgw_container_of(timer, struct sidecar, state_timer);
+
+    sidecar_push_state(sidecar);
+    pgw_timer_start(sidecar->loop, timer, STATE_INTERVAL_US);
+}
+
+static bool
+is_drained(const struct sidecar *sidecar)
+{
+    if (sidecar->runs > 0) {
+        return false;
+    }
+    pgw_list_foreach (link, &sidecar->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, link);
+
+        if (pgw_link_pending(peer->connection) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+drain_due(struct pgw_timer *timer)
+{
+    struct sidecar *sidecar =
+        pgw_container_of(timer, struct sidecar, drain_timer);
+
+    if (is_drained(sidecar) || pgw_now_us() >= sidecar->drain_until_us) {
+        pgw_log_info("drain_end", "unfinished=%u", sidecar->runs);
+        pgw_loop_stop(sidecar->loop);
+        return;
+    }
+    pgw_timer_start(sidecar->loop, timer, DRAIN_CHECK_US);
+}
+
+void
+sidecar_drain(struct sidecar *sidecar)
+{
+    if (sidecar->leaving) {
+        return;
+    }
+    sidecar->leaving = true;
+    sidecar->drain_until_us =
+        pgw_now_us() + (uint64_t)sidecar->settings->drain_timeout_ms * 1000;
+    pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_BEGIN, NULL, 0,
+                     sidecar->runs, 0, NULL);
+    pgw_log_info("drain_begin", "runs=%u", sidecar->runs);
+    sidecar_push_state(sidecar);
+    sidecar->drain_timer.on_due = drain_due;
+    /* One interval for entries to read the word: a request already on its way
+     * is still refused as not run instead of meeting a closed connection. */
+    pgw_timer_start(sidecar->loop, &sidecar->drain_timer, STATE_INTERVAL_US);
+}
+
+static bool
+listen_for_entries(struct sidecar *sidecar, GError **error)
+{
+    struct pgw_address address;
+
+    if (!pgw_address_parse(&address, sidecar->settings->listen, error)) {
+        return false;
+    }
+    sidecar->listener =
+        pgw_listener_new(sidecar->loop, &address, peer_accept, sidecar, error);
+    return sidecar->listener != NULL;
+}
+
+static struct pgw_admit *
+admit_new(const struct pgw_sidecar_settings *settings)
+{
+    struct pgw_admit_options options = PGW_ADMIT_OPTIONS_INIT;
+
+    options.max_running = settings->max_running;
+    options.max_waiting = settings->queue_limit;
+    options.reserved = MIN(options.reserved, options.max_running / 4);
+    return pgw_admit_new(&options);
+}
+
+struct sidecar *
+sidecar_new(struct pgw_sidecar_settings *settings, GError **error)
+{
+    struct sidecar *sidecar = g_new0(struct sidecar, 1);
+    struct pgw_sync_options sync = PGW_SYNC_OPTIONS_INIT;
+
+    sidecar->settings = settings;
+    sidecar->is_model = strcmp(settings->upstream_type, "model") == 0;
+    sidecar->incarnation = pgw_random_u64();
+    pthread_mutex_init(&sidecar->view.lock, NULL);
+    pgw_list_init(&sidecar->peers);
+    pgw_list_init(&sidecar->all_runs);
+    pgw_trace_new(&sidecar->trace, TRACE_EVENTS, pgw_hlc_process());
+    sidecar->loop = pgw_loop_new(error);
+    if (sidecar->loop == NULL) {
+        goto fail;
+    }
+    sidecar->transfers = pgw_transfer_pool_new(sidecar->loop);
+    sidecar->admit = admit_new(settings);
+    sidecar->cache = pgw_cache_new(NULL);
+    sidecar->set = pgw_config_set_new();
+    sync.loop = sidecar->loop;
+    sync.set = sidecar->set;
+    sync.on_change = config_changed;
+    sync.context = sidecar;
+    sidecar->sync = pgw_sync_new(&sync);
+    engine_init(&sidecar->engine, sidecar);
+    if (settings->bootstrap_file != NULL &&
+        !pgw_config_set_load_file(sidecar->set, settings->bootstrap_file,
+                                  error)) {
+        goto fail;
+    }
+    config_changed(sidecar);
+    if (!listen_for_entries(sidecar, error)) {
+        goto fail;
+    }
+    sidecar->state_timer.on_due = state_due;
+    pgw_timer_start(sidecar->loop, &sidecar->state_timer, STATE_INTERVAL_US);
+    return sidecar;
+fail:
+    sidecar_free(sidecar);
+    return NULL;
+}
+
+static void
+close_peers(struct sidecar *sidecar)
+{
+    pgw_list_foreach_safe (link, &sidecar->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, link);
+
+        pgw_link_close(peer->connection);
+    }
+    pgw_loop_run_tasks(sidecar->loop);
+}
+
+void
+sidecar_free(struct sidecar *sidecar)
+{
+    if (sidecar->listener != NULL) {
+        close_peers(sidecar);
+        pgw_listener_free(sidecar->listener);
+    }
+    if (sidecar->transfers != NULL) {
+        engine_dispose(&sidecar->engine);
+        gate_abandon_all(sidecar);
+        pgw_sync_free(sidecar->sync);
+        pgw_admit_free(sidecar->admit);
+        pgw_cache_free(sidecar->cache);
+        pgw_transfer_pool_free(sidecar->transfers);
+        pgw_config_set_free(sidecar->set);
+    }
+    if (sidecar->config != NULL) {
+        pgw_config_unref(sidecar->config);
+    }
+    pgw_loop_free(sidecar->loop);
+    pgw_trace_free(sidecar->trace);
+    pthread_mutex_destroy(&sidecar->view.lock);
+    g_free(sidecar);
+}
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,148 @@
+#ifndef PGW_SIDECAR_SIDECAR_H
+#define PGW_SIDECAR_SIDECAR_H
+
+#include "libparsleygw/link.h"
+#include "libparsleygw/sync.h"
+#include "parsleygw/admit.h"
+#include "parsleygw/cache.h"
+#include "parsleygw/config.h"
+#include "parsleygw/settings.h"
+#include "util/metric.h"
+#include "util/trace.h"
+#include "util/transfer.h"
+#include <pthread.h>
+
+/**
+ * DOC: The process beside one upstream
+ *
+ * One loop thread owns all state here; the admin server and the store's
+ * watcher run on threads of their own and hand work over by posting tasks.
+ */
+
+struct sidecar;
+struct peer;
+struct run;
+
+/**
+ * struct engine - what is known about the model engine
+ * @sidecar: owner
+ * @alive: it answered lately; a plain service always counts as alive
+ * @incarnation: of its present process
+ * @model: model that it runs
+ * @version: weights version that it runs
+ * @last_seq: last cache event taken
+ * @status_failures: status requests that failed in a row
+ * @status_timer: next status request
+ * @events_timer: next poll for cache events, after a failure
+ * @status: request in progress, or NULL
+ * @events: poll in progress, or NULL
+ * @blocks: list of all blocks in progress, or NULL
+ */
+struct engine {
+    struct sidecar *sidecar;
+    bool alive;
+    uint64_t incarnation;
+    char *model;
+    char *version;
+    unsigned status_failures;
+    struct pgw_timer status_timer;
+    struct pgw_timer events_timer;
+    struct fetch *status;
+    struct fetch *events;
+    struct fetch *blocks;
+};
+
+/**
+ * struct sidecar_view - what other threads may read, under @lock
+ * @lock: held briefly
+ * @leaving: as in &struct sidecar
+ * @alive: the upstream answers
+ * @engine: its incarnation
+ * @version: its weights version
+ * @load: the gate's load
+ * @cache: the cache's counters
+ * @config_version: highest version of configuration in force
+ */
+struct sidecar_view {
+    pthread_mutex_t lock;
+    bool leaving;
+    bool alive;
+    uint64_t engine;
+    char version[PGW_CONFIG_NAME_MAX + 1];
+    struct pgw_admit_load load;
+    struct pgw_cache_stats cache;
+    uint64_t config_version;
+};
+
+/**
+ * struct sidecar - the whole process
+ * @settings: checked settings
+ * @loop: the loop of everything below
+ * @transfers: HTTP requests to the upstream
+ * @listener: entries connect here
+ * @peers: connected entries (&struct peer)
+ * @sync: configuration replica
+ * @set: its objects
+ * @config: snapshot of @set
+ * @admit: the gate before the upstream
+ * @gate_timer: looks at the gate's waiting requests
+ * @cache: what the engine's prefix cache holds
+ * @engine: the engine's own state
+ * @trace: the time line's ring
+ * @incarnation: random number of this process
+ * @is_model: model engine, not a plain service
+ * @state_timer: next regular word to the entries
+ * @all_runs: every attempt (&struct run)
+ * @leaving: no new work; set by a planned stop
+ * @runs: attempts that wait or run
+ * @view: copy for other threads
+ * @drain_timer: checks whether a planned stop is over
+ * @drain_until_us: when it gives up waiting
+ */
+struct sidecar {
+    struct pgw_sidecar_settings *settings;
+    struct pgw_loop *loop;
+    struct pgw_transfer_pool *transfers;
+    struct pgw_listener *listener;
+    struct pgw_list peers;
+    struct pgw_sync *sync;
+    struct pgw_config_set *set;
+    struct pgw_config *config;
+    struct pgw_admit *admit;
+    struct pgw_timer gate_timer;
+    struct pgw_cache *cache;
+    struct engine engine;
+    struct pgw_trace *trace;
+    uint64_t incarnation;
+    bool is_model;
+    struct pgw_timer state_timer;
+    struct pgw_list all_runs;
+    bool leaving;
+    unsigned runs;
+    struct sidecar_view view;
+    struct pgw_timer drain_timer;
+    uint64_t drain_until_us;
+};
+
+/* sidecar.c */
+struct sidecar *sidecar_new(struct pgw_sidecar_settings *settings,
+                            GError **error);
+void sidecar_free(struct sidecar *sidecar);
+/** sidecar_drain() - begin a planned stop; on the loop's thread */
+void sidecar_drain(struct sidecar *sidecar);
+/** sidecar_push_state() - tell all entries about a change of state */
+void sidecar_push_state(struct sidecar *sidecar);
+
+/** sidecar_is_ready() - may be called from any thread; see pgw_admin_options
+ */
+bool sidecar_is_ready(struct sidecar *sidecar, char **reason);
+/** sidecar_status() - JSON for operators; any thread; g_free() it */
+char *sidecar_status(struct sidecar *sidecar);
+
+/* engine.c */
+void engine_init(struct engine *engine, struct sidecar *sidecar);
+void engine_dispose(struct engine *engine);
+/** engine_suspect() - a request failed as if the engine had died */
+void engine_suspect(struct engine *engine);
+
+#endif
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -109,8 +109,8 @@
     }
 }
 
-static void
-loop_run_tasks(struct pgw_loop *loop)
+void
+pgw_loop_run_tasks(struct pgw_loop *loop)
 {
     struct pgw_task *task = atomic_exchange(&loop->tasks, NULL);
     struct pgw_task *oldest = NULL;
@@ -303,6 +303,6 @@
         loop->ready_count = 0;
         loop->ready_index = 0;
         loop_run_timers(loop);
-        loop_run_tasks(loop);
+        pgw_loop_run_tasks(loop);
     }
 }
--- a/src/util/loop.h
+++ b/src/util/loop.h
@@ -59,6 +59,9 @@
 /** pgw_loop_stop() - make pgw_loop_run() return; any thread */
 void pgw_loop_stop(struct pgw_loop *loop);
 
+/** pgw_loop_run_tasks() - run what is queued; the loop must not be running */
+void pgw_loop_run_tasks(struct pgw_loop *loop);
+
 /** pgw_loop_post() - queue a task; any thread, wait-free for the caller */
 void pgw_loop_post(struct pgw_loop *loop, struct pgw_task *task);
 
