--- a/src/libparsleygw/config.c
+++ b/src/libparsleygw/config.c
@@ -4,7 +4,7 @@
 #include "config_internal.h"
 
 struct pgw_config {
-    gatomicrefcount refs;
+    atomic_uint refs;
     uint64_t summary;
     struct pgw_config__table *tables[PGW_CONFIG__KINDS];
 };
@@ -12,14 +12,14 @@
 static struct pgw_config__table *
 table_ref(struct pgw_config__table *table)
 {
-    g_atomic_ref_count_inc(&table->refs);
+    atomic_fetch_add(&table->refs, 1);
     return table;
 }
 
 void
 pgw_config__table_unref(struct pgw_config__table *table)
 {
-    if (table == NULL || !g_atomic_ref_count_dec(&table->refs)) {
+    if (table == NULL || atomic_fetch_sub(&table->refs, 1) != 1) {
         return;
     }
     g_clear_pointer(&table->pools, g_hash_table_unref);
@@ -149,7 +149,7 @@
     GHashTableIter iter;
     gpointer value;
 
-    g_atomic_ref_count_init(&table->refs);
+    atomic_init(&table->refs, 1);
     table->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                            pgw_config__object_unref);
     g_hash_table_iter_init(&iter, objects);
@@ -176,7 +176,7 @@
 {
     struct pgw_config *config = g_new0(struct pgw_config, 1);
 
-    g_atomic_ref_count_init(&config->refs);
+    atomic_init(&config->refs, 1);
     config->summary = pgw_config_set_summary(set);
     for (int i = 0; i < PGW_CONFIG__KINDS; i++) {
         if (set->tables[i] == NULL) {
@@ -191,14 +191,14 @@
 struct pgw_config *
 pgw_config_ref(struct pgw_config *config)
 {
-    g_atomic_ref_count_inc(&config->refs);
+    atomic_fetch_add(&config->refs, 1);
     return config;
 }
 
 void
 pgw_config_unref(struct pgw_config *config)
 {
-    if (config == NULL || !g_atomic_ref_count_dec(&config->refs)) {
+    if (config == NULL || atomic_fetch_sub(&config->refs, 1) != 1) {
         return;
     }
     for (int i = 0; i < PGW_CONFIG__KINDS; i++) {
--- a/src/libparsleygw/config_internal.h
+++ b/src/libparsleygw/config_internal.h
@@ -2,6 +2,7 @@
 #define PGW_CONFIG_INTERNAL_H
 
 #include <json-glib/json-glib.h>
+#include <stdatomic.h>
 
 #include "parsleygw/config.h"
 
@@ -15,7 +16,7 @@
 
 /* One version of one object: immutable, shared by the set and snapshots. */
 struct pgw_config__object {
-    gatomicrefcount refs;
+    atomic_uint refs;
     enum pgw_config__kind kind;
     uint64_t version;
     char *name;
@@ -36,7 +37,7 @@
 
 /* All objects of one kind at one moment, with the indexes of that kind. */
 struct pgw_config__table {
-    gatomicrefcount refs;
+    atomic_uint refs;
     GHashTable *by_name; /* name -> object, holds references */
     struct pgw_config__slot *slots;
     size_t slot_mask;
--- a/src/libparsleygw/config_value.c
+++ b/src/libparsleygw/config_value.c
@@ -372,7 +372,7 @@
         return NULL;
     }
     object = g_new0(struct pgw_config__object, 1);
-    g_atomic_ref_count_init(&object->refs);
+    atomic_init(&object->refs, 1);
     object->kind = kind;
     object->version = version;
     object->name = g_strdup(name);
@@ -387,7 +387,7 @@
 struct pgw_config__object *
 pgw_config__object_ref(struct pgw_config__object *object)
 {
-    g_atomic_ref_count_inc(&object->refs);
+    atomic_fetch_add(&object->refs, 1);
     return object;
 }
 
@@ -427,7 +427,7 @@
 {
     struct pgw_config__object *object = pointer;
 
-    if (!g_atomic_ref_count_dec(&object->refs)) {
+    if (atomic_fetch_sub(&object->refs, 1) != 1) {
         return;
     }
     free_value(object);
--- a/src/libparsleygw/store_http.c
+++ b/src/libparsleygw/store_http.c
@@ -1,5 +1,6 @@
 /* The object API over libcurl. */
 #include <curl/curl.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "parsleygw/errors.h"
@@ -12,7 +13,7 @@
     uint32_t connect_timeout_ms;
     uint32_t max_idle;
     size_t max_answer;
-    GMutex lock;
+    pthread_mutex_t lock;
     GQueue idle; /* CURL handles with their open connections */
 };
 
@@ -36,9 +37,9 @@
 {
     CURL *curl;
 
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     curl = g_queue_pop_tail(&store->idle);
-    g_mutex_unlock(&store->lock);
+    pthread_mutex_unlock(&store->lock);
     return curl == NULL ? curl_easy_init() : curl;
 }
 
@@ -48,12 +49,12 @@
     bool kept = false;
 
     curl_easy_reset(curl);
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     if (store->idle.length < store->max_idle) {
         g_queue_push_tail(&store->idle, curl);
         kept = true;
     }
-    g_mutex_unlock(&store->lock);
+    pthread_mutex_unlock(&store->lock);
     if (!kept) {
         curl_easy_cleanup(curl);
     }
@@ -406,7 +407,7 @@
     while ((curl = g_queue_pop_head(&store->idle)) != NULL) {
         curl_easy_cleanup(curl);
     }
-    g_mutex_clear(&store->lock);
+    pthread_mutex_destroy(&store->lock);
     g_free(store->url);
     g_free(store);
 }
@@ -454,7 +455,7 @@
     store->connect_timeout_ms = options->connect_timeout_ms;
     store->max_idle = options->max_idle;
     store->max_answer = options->max_answer;
-    g_mutex_init(&store->lock);
+    pthread_mutex_init(&store->lock, NULL);
     g_queue_init(&store->idle);
     *out = &store->base;
     return true;
--- a/tests/standins/objects.c
+++ b/tests/standins/objects.c
@@ -1,5 +1,6 @@
 #include <getopt.h>
 #include <inttypes.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -60,7 +61,7 @@
 };
 
 struct objects {
-    GMutex lock; /* guards all below */
+    pthread_mutex_t lock; /* guards all below */
     struct objects_history *history;
     struct limit reads;
     struct limit writes;
@@ -416,7 +417,7 @@
     struct objects *objects = data;
     const char *path = standin_call_path(call);
 
-    g_mutex_lock(&objects->lock);
+    pthread_mutex_lock(&objects->lock);
     if (strcmp(path, "/_control") == 0) {
         control(objects, call);
     }
@@ -429,11 +430,11 @@
     else if (admit(objects, call)) {
         serve(objects, call);
     }
-    g_mutex_unlock(&objects->lock);
+    pthread_mutex_unlock(&objects->lock);
 }
 
-static gpointer
-run_pending(gpointer data)
+static void *
+run_pending(void *data)
 {
     struct objects *objects = data;
 
@@ -442,7 +443,7 @@
 
         g_usleep(TICK_US);
         now = g_get_monotonic_time();
-        g_mutex_lock(&objects->lock);
+        pthread_mutex_lock(&objects->lock);
         pgw_list_foreach_safe (link, &objects->pending) {
             struct pending *pending =
                 pgw_container_of(link, struct pending, link);
@@ -460,7 +461,7 @@
             }
             pending_free(pending);
         }
-        g_mutex_unlock(&objects->lock);
+        pthread_mutex_unlock(&objects->lock);
     }
     return NULL;
 }
@@ -522,10 +523,11 @@
 main(int argc, char **argv)
 {
     struct objects *objects = g_new0(struct objects, 1);
+    pthread_t pending;
     uint16_t port = 0;
 
     standin_process_init();
-    g_mutex_init(&objects->lock);
+    pthread_mutex_init(&objects->lock, NULL);
     objects->history = objects_history_new();
     objects->reads.rate = 2000;
     objects->writes.rate = 300;
@@ -533,7 +535,7 @@
     objects->instances = g_array_new(FALSE, FALSE, sizeof(struct instances));
     pgw_list_init(&objects->pending);
     parse_arguments(objects, &port, argc, argv);
-    g_thread_unref(g_thread_new("pending", run_pending, objects));
+    pthread_create(&pending, NULL, run_pending, objects);
     standin_server_run(&(struct standin_server_options){
         .port = port,
         .threads = SERVER_THREADS,
