Merge declarations, the platform's list and evidence into membership

Cause: the platform's list lags, operators declare, sidecars know; the request path needs one answer on whom to give work. Change: pure judgement over the facts of one upstream, a tracker that merges the three sources, immutable views whose version grows only with a change. Leaving is sticky for an incarnation.

--- /dev/null
+++ b/include/parsleygw/member.h
@@ -0,0 +1,233 @@
+#ifndef PARSLEYGW_MEMBER_H
+#define PARSLEYGW_MEMBER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "parsleygw/config.h"
+#include "parsleygw/store.h"
+
+G_BEGIN_DECLS
+
+/**
+ * DOC: Membership: which upstreams may be given work
+ *
+ * Three sources are merged. The operators' declarations say which upstreams
+ * belong to a pool. The platform's list says which instances exist or leave,
+ * but lags. Evidence says what works: connections to the sidecars, their
+ * incarnations and their own word. The merge is pure: times are passed in.
+ *
+ * A tracker belongs to one thread; the views that it builds are immutable,
+ * reference-counted and may be read by all.
+ */
+
+/**
+ * enum pgw_member_state - what the merge makes of an upstream
+ * @PGW_MEMBER_USABLE: may be given new work
+ * @PGW_MEMBER_SUSPECT: no working connection, or its upstream is down: only
+ *   for lack of a usable one
+ * @PGW_MEMBER_LEAVING: no new work; running requests end there
+ * @PGW_MEMBER_GONE: does not exist any more
+ */
+enum pgw_member_state {
+    PGW_MEMBER_USABLE,
+    PGW_MEMBER_SUSPECT,
+    PGW_MEMBER_LEAVING,
+    PGW_MEMBER_GONE,
+};
+
+/** pgw_member_state_name() - "usable", "suspect", "leaving" or "gone" */
+const char *pgw_member_state_name(enum pgw_member_state state);
+
+/**
+ * enum pgw_member_connection - own connection to the sidecar
+ * @PGW_MEMBER_UNTRIED: not tried yet; taken as working, so that a restarted
+ *   process ranks upstreams as it did before
+ * @PGW_MEMBER_UP: the sidecar has said Hello
+ * @PGW_MEMBER_DOWN: refused, lost or silent
+ */
+enum pgw_member_connection {
+    PGW_MEMBER_UNTRIED,
+    PGW_MEMBER_UP,
+    PGW_MEMBER_DOWN,
+};
+
+/**
+ * enum pgw_member_listing - what the platform's list says
+ * @PGW_MEMBER_UNLISTED: no list was read yet
+ * @PGW_MEMBER_LISTED: live
+ * @PGW_MEMBER_LIST_LEAVING: the platform is about to take it away
+ * @PGW_MEMBER_ABSENT: not in the list
+ */
+enum pgw_member_listing {
+    PGW_MEMBER_UNLISTED,
+    PGW_MEMBER_LISTED,
+    PGW_MEMBER_LIST_LEAVING,
+    PGW_MEMBER_ABSENT,
+};
+
+/**
+ * struct pgw_member_facts - everything known about one upstream
+ * @declared: an operator's declaration exists
+ * @declared_leaving: it says "leaving"
+ * @listing: the platform's list
+ * @list_us: when that list was read
+ * @connection: own connection
+ * @down_us: since when @connection is down
+ * @incarnation: of the sidecar's process; 0: none seen
+ * @left: this incarnation was said to leave, by itself or by the list
+ * @upstream_alive: the sidecar's word on its upstream
+ */
+struct pgw_member_facts {
+    bool declared;
+    bool declared_leaving;
+    enum pgw_member_listing listing;
+    uint64_t list_us;
+    enum pgw_member_connection connection;
+    uint64_t down_us;
+    uint64_t incarnation;
+    bool left;
+    bool upstream_alive;
+};
+
+/**
+ * pgw_member_judge() - state that follows from the facts
+ * @facts: the facts
+ * @lag_us: how far the platform's list may lag behind
+ */
+enum pgw_member_state pgw_member_judge(const struct pgw_member_facts *facts,
+                                       uint64_t lag_us);
+
+/**
+ * struct pgw_member - one upstream in a view
+ * @upstream: its declaration
+ * @state: see &enum pgw_member_state
+ * @incarnation: of its sidecar; 0: none seen
+ * @engine: incarnation of its engine, the sidecar's word; 0: none
+ * @weights: weights version that its engine runs; empty: not known
+ */
+struct pgw_member {
+    const struct pgw_upstream *upstream;
+    enum pgw_member_state state;
+    uint64_t incarnation;
+    uint64_t engine;
+    char weights[PGW_CONFIG_NAME_MAX + 1];
+};
+
+struct pgw_member_view;
+struct pgw_members;
+
+/**
+ * struct pgw_member_options - how to merge
+ * @list_lag_us: how far the platform's list may lag behind
+ */
+struct pgw_member_options {
+    uint64_t list_lag_us;
+};
+
+#define PGW_MEMBER_OPTIONS_INIT                                               \
+    {                                                                         \
+        .list_lag_us = 60000000                                               \
+    }
+
+struct pgw_members *pgw_members_new(const struct pgw_member_options *options);
+void pgw_members_free(struct pgw_members *members);
+
+/** pgw_members_set_config() - declarations of a snapshot; takes a reference */
+void pgw_members_set_config(struct pgw_members *members,
+                            struct pgw_config *config);
+
+/** pgw_members_set_list() - the platform's list, read at @now_us */
+void pgw_members_set_list(struct pgw_members *members,
+                          const struct pgw_store_instances *list,
+                          uint64_t now_us);
+
+/**
+ * pgw_members_connected() - a sidecar said Hello
+ * @members: the tracker
+ * @id: its instance
+ * @incarnation: of its process, not 0
+ *
+ * Another incarnation than before is a new process: it starts without the
+ * old one's word.
+ */
+void pgw_members_connected(struct pgw_members *members, const char *id,
+                           uint64_t incarnation);
+
+/**
+ * pgw_members_disconnected() - no connection
+ * @members: the tracker
+ * @id: the instance
+ * @incarnation: whose connection was lost; 0: none could be made
+ * @now_us: time
+ *
+ * The loss of an older incarnation's connection is ignored.
+ */
+void pgw_members_disconnected(struct pgw_members *members, const char *id,
+                              uint64_t incarnation, uint64_t now_us);
+
+/**
+ * struct pgw_member_word - a sidecar's own word (message State)
+ * @leaving: it takes no new work; never taken back by the same incarnation
+ * @upstream_alive: its upstream answers
+ * @engine: incarnation of its engine
+ * @weights: weights version of its engine
+ */
+struct pgw_member_word {
+    bool leaving;
+    bool upstream_alive;
+    uint64_t engine;
+    const char *weights;
+};
+
+/**
+ * pgw_members_said() - take a sidecar's word
+ * @members: the tracker
+ * @id: the instance
+ * @incarnation: who said it; the word of an older process is ignored
+ * @word: what it said
+ */
+void pgw_members_said(struct pgw_members *members, const char *id,
+                      uint64_t incarnation,
+                      const struct pgw_member_word *word);
+
+/**
+ * pgw_members_build() - view of the present facts
+ *
+ * Return: a reference to the last view if nothing changed, else to a new one
+ * whose version is one higher; NULL before the first configuration.
+ */
+struct pgw_member_view *pgw_members_build(struct pgw_members *members);
+
+struct pgw_member_view *pgw_member_view_ref(struct pgw_member_view *view);
+void pgw_member_view_unref(struct pgw_member_view *view);
+
+/** pgw_member_view_version() - grows by one with each change */
+uint64_t pgw_member_view_version(const struct pgw_member_view *view);
+
+/** pgw_member_view_config() - the snapshot that the view was built on */
+const struct pgw_config *
+pgw_member_view_config(const struct pgw_member_view *view);
+
+/**
+ * pgw_member_view_pool() - upstreams of a pool, sorted by id
+ * @view: the view
+ * @pool: name of the pool
+ * @n: receives the number
+ *
+ * Return: array owned by the view, in the order of pgw_config_upstreams();
+ * NULL when @n is 0. Leaving and gone ones are in it.
+ */
+const struct pgw_member *
+pgw_member_view_pool(const struct pgw_member_view *view, const char *pool,
+                     size_t *n);
+
+/** pgw_member_view_find() - by id; NULL when it is not declared */
+const struct pgw_member *
+pgw_member_view_find(const struct pgw_member_view *view, const char *id);
+
+G_END_DECLS
+
+#endif
