--- a/src/libparsleygw/cache_table.c
+++ b/src/libparsleygw/cache_table.c
@@ -217,11 +217,19 @@
 static struct pgw_cache__level_key
 level_key(const struct pgw_level *level, uint64_t workspace)
 {
-    return (struct pgw_cache__level_key){
+    struct pgw_cache__level_key key = {
         .high = level->hash_high,
         .low = level->hash_low,
-        .workspace = workspace,
     };
+
+    /* The hash is fast, not cryptographic: a workspace that forged another's
+     * level would learn from the answer what that one has cached. */
+#ifndef PGW_DISABLE_CACHE_WORKSPACE
+    key.workspace = workspace;
+#else
+    (void)workspace;
+#endif
+    return key;
 }
 
 struct pgw_cache__level *
--- a/src/libparsleygw/level.c
+++ b/src/libparsleygw/level.c
@@ -45,6 +45,8 @@
     hash_field(state, salt->model);
     hash_field(state, salt->adapter);
     hash_field(state, salt->version);
+#else
+    (void)hash_field;
 #endif
     return true;
 }
--- /dev/null
+++ b/tests/property/prop_admit.cc
@@ -0,0 +1,319 @@
+#include <parsleygw/admit.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <vector>
+
+struct Request {
+    pgw_admit_item item = {};
+    uint64_t offered = 0;
+};
+
+static Request *
+request_of(pgw_admit_item *item)
+{
+    return reinterpret_cast<Request *>(item);
+}
+
+static pgw_admit_item
+random_item(uint64_t now)
+{
+    pgw_admit_item item = {};
+
+    item.workspace = *rc::gen::inRange<uint64_t>(1, 6);
+    item.share = *rc::gen::inRange<uint32_t>(0, 5);
+    item.priority = static_cast<pgw_priority>(*rc::gen::inRange(0, 4));
+    item.deadline = *rc::gen::inRange(0, 2)
+                        ? now + *rc::gen::inRange<uint64_t>(1, 3000000)
+                        : 0;
+    item.uncached_tokens = *rc::gen::inRange<uint32_t>(0, 3000);
+    item.max_tokens = *rc::gen::inRange<uint32_t>(1, 64);
+    return item;
+}
+
+struct Gate {
+    pgw_admit_options options = PGW_ADMIT_OPTIONS_INIT;
+    pgw_admit *admit;
+    std::list<Request> requests;
+    std::list<Request *> waiting;
+    std::vector<Request *> running;
+    uint64_t now = 1000;
+    std::map<int, uint64_t> last_start;
+
+    Gate()
+    {
+        options.max_running = *rc::gen::inRange<uint32_t>(1, 12);
+        options.reserved = *rc::gen::inRange<uint32_t>(0, 4);
+        options.max_waiting = 64;
+        options.starve_us = *rc::gen::inRange<uint64_t>(100000, 2000000);
+        admit = pgw_admit_new(&options);
+    }
+
+    ~Gate() { pgw_admit_free(admit); }
+
+    void
+    started(Request *request)
+    {
+        const auto &item = request->item;
+
+        /* Never past its deadline, never more than the upstream takes. */
+        RC_ASSERT(item.deadline == 0 || item.deadline > now);
+        RC_ASSERT(running.size() < options.max_running);
+        /* Strictly by priority, but for one start of a lower one after it has
+         * waited so long. */
+        for (const Request *other : waiting) {
+            if (other->item.priority < item.priority &&
+                (other->item.deadline == 0 || other->item.deadline > now)) {
+                RC_ASSERT(now >= last_start[item.priority] +
+                                     options.starve_us);
+            }
+        }
+        last_start[item.priority] = now;
+        running.push_back(request);
+    }
+
+    void
+    start_all()
+    {
+        while (pgw_admit_item *item = pgw_admit_next(admit, now)) {
+            waiting.remove(request_of(item));
+            started(request_of(item));
+        }
+    }
+
+    pgw_admit_answer
+    offer(const pgw_admit_item &item)
+    {
+        pgw_admit_answer answer;
+        int priority = item.priority;
+
+        requests.emplace_back();
+        Request *request = &requests.back();
+        request->item = item;
+        request->offered = now;
+        if (std::none_of(waiting.begin(), waiting.end(), [&](Request *r) {
+                return r->item.priority == priority;
+            })) {
+            last_start[priority] = now;
+        }
+        pgw_admit_offer(&answer, admit, &request->item, now);
+        if (answer.verdict == PGW_ADMIT_RUN) {
+            started(request);
+        }
+        else if (answer.verdict == PGW_ADMIT_QUEUE) {
+            waiting.push_back(request);
+        }
+        else {
+            RC_ASSERT(answer.refusal == PGW_REFUSAL_DEADLINE ||
+                      answer.refusal == PGW_REFUSAL_OVERLOADED);
+            RC_ASSERT(answer.retry_after_ms > 0u);
+            RC_ASSERT(answer.refusal != PGW_REFUSAL_DEADLINE ||
+                      item.deadline != 0);
+        }
+        return answer;
+    }
+
+    void
+    finish(size_t i)
+    {
+        pgw_admit_item *item = &running[i]->item;
+
+        running.erase(running.begin() + static_cast<long>(i));
+        if (*rc::gen::inRange(0, 4) > 0) {
+            pgw_admit_first_token(admit, item, now);
+            now += 1000;
+        }
+        pgw_admit_done(admit, item, *rc::gen::inRange<uint32_t>(0, 20), now);
+    }
+
+    void
+    expire()
+    {
+        while (pgw_admit_item *item = pgw_admit_expire(admit, now)) {
+            RC_ASSERT(item->deadline != 0 && item->deadline <= now);
+            waiting.remove(request_of(item));
+        }
+    }
+
+    void
+    check_load() const
+    {
+        pgw_admit_load load;
+
+        pgw_admit_load_get(&load, admit);
+        RC_ASSERT(load.running == running.size());
+        RC_ASSERT(load.waiting <= waiting.size());
+    }
+};
+
+/* Random histories: nothing starts late, out of priority or beyond the
+ * limits; each request is given back exactly once; all of them end. */
+static void
+random_histories_hold()
+{
+    Gate gate;
+    int steps = *rc::gen::inRange(1, 200);
+
+    for (int i = 0; i < steps; i++) {
+        int kind = *rc::gen::inRange(0, 10);
+
+        gate.now += *rc::gen::inRange<uint64_t>(0, 100000);
+        if (kind < 5) {
+            gate.offer(random_item(gate.now));
+        }
+        else if (kind < 8 && !gate.running.empty()) {
+            gate.finish(*rc::gen::inRange<size_t>(0, gate.running.size()));
+        }
+        else if (kind == 8 && !gate.waiting.empty()) {
+            Request *gone = gate.waiting.front();
+
+            gate.waiting.pop_front();
+            RC_ASSERT(pgw_admit_remove(gate.admit, &gone->item, gate.now));
+        }
+        else {
+            gate.expire();
+        }
+        gate.start_all();
+        gate.check_load();
+    }
+    for (size_t i = gate.requests.size();
+         i > 0 && !(gate.running.empty() && gate.waiting.empty()); i--) {
+        while (!gate.running.empty()) {
+            gate.finish(0);
+        }
+        gate.expire();
+        gate.start_all();
+    }
+    RC_ASSERT(gate.running.empty() && gate.waiting.empty());
+    gate.check_load();
+}
+
+/* While two workspaces of one priority both wait, what they were served,
+ * divided by share, differs by at most one largest request of each: a large
+ * workspace with a long queue does not starve a small one. */
+static void
+service_is_fair()
+{
+    pgw_admit_options options = PGW_ADMIT_OPTIONS_INIT;
+    uint32_t shares[2] = { *rc::gen::inRange<uint32_t>(1, 9),
+                           *rc::gen::inRange<uint32_t>(1, 9) };
+    double served[2] = { 0, 0 }, largest[2] = { 0, 0 };
+    size_t left[2] = { 0, 0 };
+    std::list<Request> requests;
+    uint64_t now = 1;
+
+    options.max_running = 1;
+    options.starve_us = UINT64_MAX / 2;
+    pgw_admit *admit = pgw_admit_new(&options);
+    pgw_admit_answer answer;
+    pgw_admit_item first = {};
+    first.workspace = 9;
+    pgw_admit_offer(&answer, admit, &first, now);
+    RC_ASSERT(answer.verdict == PGW_ADMIT_RUN);
+    for (int w = 0; w < 2; w++) {
+        left[w] = *rc::gen::inRange<size_t>(20, 200);
+        for (size_t i = 0; i < left[w]; i++) {
+            requests.emplace_back();
+            pgw_admit_item *item = &requests.back().item;
+            item->workspace = static_cast<uint64_t>(w) + 1;
+            item->share = shares[w];
+            item->priority = PGW_PRIORITY_NORMAL;
+            item->uncached_tokens = *rc::gen::inRange<uint32_t>(1, 2000);
+            largest[w] = std::max<double>(largest[w], item->uncached_tokens);
+            pgw_admit_offer(&answer, admit, item, now);
+            RC_ASSERT(answer.verdict == PGW_ADMIT_QUEUE);
+        }
+    }
+    pgw_admit_done(admit, &first, 0, now);
+    while (left[0] > 0 && left[1] > 0) {
+        pgw_admit_item *item = pgw_admit_next(admit, ++now);
+        size_t w = item->workspace - 1;
+
+        served[w] += item->uncached_tokens;
+        left[w]--;
+        pgw_admit_done(admit, item, 0, now);
+        /* Costs carry 1 us = 0.01 token more for each request. */
+        RC_ASSERT(std::abs(served[0] / shares[0] - served[1] / shares[1]) <=
+                  largest[0] / shares[0] + largest[1] / shares[1] + 4);
+    }
+    pgw_admit_free(admit);
+}
+
+/* A stream of urgent work that never leaves a slot idle: batch work still
+ * gets one start in each interval, so the overnight run completes. */
+static void
+batch_completes()
+{
+    Gate gate;
+    size_t batch = *rc::gen::inRange<size_t>(1, 10);
+    uint64_t limit = batch * (gate.options.starve_us + 200000) + gate.now;
+    pgw_admit_item item = {};
+
+    auto flood = [&]() {
+        pgw_admit_item urgent = {};
+
+        urgent.workspace = 1;
+        urgent.priority = PGW_PRIORITY_URGENT;
+        urgent.uncached_tokens = 1500;
+        while (gate.waiting.size() < 32) {
+            gate.offer(urgent);
+        }
+    };
+    flood();
+    item.workspace = 2;
+    item.priority = PGW_PRIORITY_BATCH;
+    item.is_batch = true;
+    item.uncached_tokens = 3000;
+    for (size_t i = 0; i < batch; i++) {
+        gate.offer(item);
+    }
+    auto batch_waits = [&]() {
+        return std::any_of(
+            gate.waiting.begin(), gate.waiting.end(),
+            [](Request *r) { return r->item.priority == PGW_PRIORITY_BATCH; });
+    };
+    while (batch_waits()) {
+        flood();
+        gate.now += 50000;
+        gate.finish(0);
+        gate.start_all();
+        RC_ASSERT(gate.now < limit);
+    }
+}
+
+/* A full queue still takes a small workspace's first requests, and a request
+ * that cannot be in time is refused at once. */
+static void
+refusals_are_early_and_fair()
+{
+    Gate gate;
+    pgw_admit_item large = {}, small = {};
+    bool refused = false;
+
+    large.workspace = 1;
+    large.uncached_tokens = 2000;
+    large.priority = small.priority = PGW_PRIORITY_NORMAL;
+    for (int i = 0; i < 300; i++) {
+        refused |= gate.offer(large).verdict == PGW_ADMIT_REFUSE;
+    }
+    RC_ASSERT(refused);
+    small.workspace = 2;
+    RC_ASSERT(gate.offer(small).verdict != PGW_ADMIT_REFUSE);
+    small.deadline = gate.now + 50000;
+    small.uncached_tokens = 1000;
+    RC_ASSERT(gate.offer(small).refusal == PGW_REFUSAL_DEADLINE);
+}
+
+int
+main()
+{
+    bool ok = rc::check("random histories hold", random_histories_hold);
+
+    ok &= rc::check("service is fair", service_is_fair);
+    ok &= rc::check("batch completes", batch_completes);
+    ok &= rc::check("refusals are early and fair",
+                    refusals_are_early_and_fair);
+    return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/property/prop_cache.cc
@@ -0,0 +1,387 @@
+#include <parsleygw/cache.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstring>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/*
+ * A small engine with an LRU cache runs random histories: requests of two
+ * workspaces, restarts and new weights. Its answers are lost, doubled, late
+ * and crossed before the view gets them. What the view calls certain is then
+ * compared with what the engine held as of the last event that the view took.
+ */
+
+static const uint32_t kBlock = 16;
+static const size_t kCapacity = 20;
+static const uint64_t kHintUs = 1000;
+
+struct Prompt {
+    std::string workspace;
+    std::string version;
+    std::string text;
+    std::vector<uint32_t> ends;
+};
+
+static pgw_level_chain
+chain_of(const Prompt &p)
+{
+    pgw_level_salt salt = { p.workspace.c_str(), "m", "", p.version.c_str() };
+    pgw_level_chain chain;
+
+    RC_ASSERT(pgw_level_chain_init(&chain, &salt, p.text.data(), p.text.size(),
+                                   p.ends.data(), p.ends.size(), 4));
+    return chain;
+}
+
+static std::vector<uint64_t>
+blocks_of(const Prompt &p)
+{
+    std::vector<uint64_t> out;
+    std::string salt = p.workspace + "/" + p.version + "/";
+
+    for (size_t end = kBlock * 4; end <= p.text.size(); end += kBlock * 4) {
+        out.push_back(std::hash<std::string>()(salt + p.text.substr(0, end)) |
+                      1);
+    }
+    return out;
+}
+
+using Blocks = std::set<uint64_t>;
+
+struct Event {
+    pgw_cache_event event;
+    bool lost;
+};
+
+/* One answer of the engine on its way to the view. */
+struct Answer {
+    uint64_t incarnation;
+    int generation;
+    std::string version;
+    uint64_t asked;
+    bool is_list;
+    uint64_t last;
+    std::vector<pgw_cache_event> events;
+    std::vector<pgw_cache_block> blocks;
+};
+
+struct Engine {
+    int generation = 1;
+    uint64_t incarnation = 1001;
+    std::string version = "w1";
+    std::list<uint64_t> lru;
+    std::map<uint64_t, uint64_t> parents;
+    std::vector<Event> log;
+    /* What was cached after each event, by incarnation. */
+    std::map<uint64_t, std::vector<Blocks>> held = { { 1001, { {} } } };
+
+    void
+    emit(pgw_cache_event event)
+    {
+        event.seq = log.size() + 1;
+        log.push_back({ event, *rc::gen::inRange(0, 12) == 0 });
+        held[incarnation].push_back(Blocks(lru.begin(), lru.end()));
+    }
+
+    void
+    run(const pgw_request_id &id, const Prompt &p)
+    {
+        uint64_t parent = 0;
+        uint32_t end = 0;
+
+        if (p.version != version) {
+            return;
+        }
+        for (uint64_t block : blocks_of(p)) {
+            auto at = std::find(lru.begin(), lru.end(), block);
+            auto kind = at == lru.end() ? PGW_CACHE_STORED : PGW_CACHE_USED;
+
+            end += kBlock;
+            if (at != lru.end()) {
+                lru.erase(at);
+            }
+            else if (lru.size() == kCapacity) {
+                uint64_t oldest = lru.front();
+
+                lru.pop_front();
+                emit({ 0, PGW_CACHE_EVICTED, {}, oldest, 0, 0 });
+            }
+            lru.push_back(block);
+            parents[block] = parent;
+            emit({ 0, kind, id, block, parent, end });
+            parent = block;
+        }
+    }
+
+    void
+    restart()
+    {
+        generation++;
+        incarnation++;
+        lru.clear();
+        log.clear();
+        held[incarnation] = { {} };
+    }
+
+    void
+    load_version()
+    {
+        generation++;
+        version = "w" + std::to_string(generation);
+        lru.clear();
+        emit({ 0, PGW_CACHE_CLEARED, {}, 0, 0, 0 });
+    }
+
+    Answer
+    answer(uint64_t asked, bool is_list, uint64_t after, bool lossless) const
+    {
+        Answer out = { incarnation, generation, version,      asked,
+                       is_list,     log.size(), {}, {} };
+
+        for (size_t i = after; i < log.size() && !is_list; i++) {
+            if (lossless || !log[i].lost) {
+                out.events.push_back(log[i].event);
+            }
+        }
+        for (uint64_t block : lru) {
+            out.blocks.push_back({ block, parents.at(block) });
+        }
+        return out;
+    }
+};
+
+static uint32_t
+held_prefix(const Blocks &held, const Prompt &p)
+{
+    uint32_t tokens = 0;
+
+    for (uint64_t block : blocks_of(p)) {
+        if (held.count(block) == 0) {
+            break;
+        }
+        tokens += kBlock;
+    }
+    return tokens;
+}
+
+struct World {
+    Engine engine;
+    pgw_cache *view;
+    uint64_t now = 100;
+    int delivered = 0;
+    std::vector<Answer> pending;
+    uint64_t next_id = 1;
+
+    World()
+    {
+        pgw_cache_options options = PGW_CACHE_OPTIONS_INIT;
+
+        options.blocks = kCapacity;
+        options.hint_us = kHintUs;
+        view = pgw_cache_new(&options);
+    }
+
+    ~World() { pgw_cache_free(view); }
+
+    Prompt
+    prompt(const std::string &version) const
+    {
+        Prompt p;
+
+        p.workspace = *rc::gen::inRange(0, 2) ? "a" : "b";
+        p.version = version;
+        p.text = std::string(192, *rc::gen::inRange('a', 'c'));
+        p.ends.push_back(192);
+        p.text += std::string(128, *rc::gen::inRange('d', 'f'));
+        p.ends.push_back(320);
+        p.text += std::string(*rc::gen::inRange<size_t>(1, 140),
+                              *rc::gen::inRange('g', 'j'));
+        return p;
+    }
+
+    pgw_request_id
+    request(const Prompt &p)
+    {
+        pgw_request_id id = {};
+        pgw_level_salt salt = { p.workspace.c_str(), "m", "",
+                                p.version.c_str() };
+        auto chain = chain_of(p);
+
+        memcpy(id.bytes, &next_id, sizeof(next_id));
+        next_id++;
+        pgw_cache_note_request(view, &id, &chain, &salt, now);
+        engine.run(id, p);
+        return id;
+    }
+
+    void
+    deliver(Answer answer)
+    {
+        pgw_cache_source source = { answer.incarnation,
+                                    answer.version.c_str(), answer.asked };
+
+        delivered = std::max(delivered, answer.generation);
+        if (answer.is_list) {
+            pgw_cache_sync(view, &source, answer.last, answer.blocks.data(),
+                           answer.blocks.size(), now);
+        }
+        else {
+            pgw_cache_apply(view, &source, answer.events.data(),
+                            answer.events.size(), answer.last, now);
+        }
+    }
+
+    void
+    check(const Prompt &p) const
+    {
+        auto chain = chain_of(p);
+        uint32_t hint = 0;
+        uint32_t sure = pgw_cache_match(view, p.workspace.c_str(), &chain, now,
+                                        &hint);
+        uint64_t incarnation = pgw_cache_incarnation(view);
+
+        RC_ASSERT(hint >= sure);
+        if (incarnation == 0 || p.version != pgw_cache_version(view)) {
+            RC_ASSERT(hint == 0u);
+            return;
+        }
+        const auto &held = engine.held.at(incarnation);
+        RC_ASSERT(pgw_cache_last_seq(view) < held.size());
+        RC_ASSERT(sure <= held_prefix(held[pgw_cache_last_seq(view)], p));
+        RC_ASSERT((pgw_cache_last_block(view, p.workspace.c_str(), &chain) !=
+                   0) == (sure > 0));
+    }
+
+    void
+    check_engine() const
+    {
+        if (pgw_cache_incarnation(view) == 0) {
+            return;
+        }
+        /* Never an engine or weights older than one already heard of. */
+        RC_ASSERT(pgw_cache_incarnation(view) <= engine.incarnation);
+        int heard = std::stoi(std::string(pgw_cache_version(view)).substr(1));
+        if (pgw_cache_incarnation(view) == engine.incarnation) {
+            RC_ASSERT(heard <= std::stoi(engine.version.substr(1)));
+        }
+        if (delivered == engine.generation) {
+            RC_ASSERT(pgw_cache_incarnation(view) == engine.incarnation);
+            RC_ASSERT(engine.version == pgw_cache_version(view));
+        }
+    }
+
+    void
+    step()
+    {
+        std::string old = *rc::gen::inRange(0, 4)
+                              ? engine.version
+                              : "w" + std::to_string(*rc::gen::inRange(
+                                          1, engine.generation + 1));
+        int kind = *rc::gen::inRange(0, 100);
+        uint64_t asked = now - *rc::gen::inRange<uint64_t>(0, 40);
+
+        now += *rc::gen::inRange<uint64_t>(1, 60);
+        if (kind < 35) {
+            request(prompt(old));
+        }
+        else if (kind < 60) {
+            pending.push_back(engine.answer(asked, kind >= 55,
+                                            pgw_cache_last_seq(view), false));
+        }
+        else if (kind < 92 && !pending.empty()) {
+            size_t i = *rc::gen::inRange<size_t>(0, pending.size());
+            Answer one = pending[i];
+
+            if (*rc::gen::inRange(0, 4) > 0) {
+                pending.erase(pending.begin() + static_cast<long>(i));
+            }
+            deliver(one);
+        }
+        else if (kind >= 92 && kind < 95) {
+            engine.restart();
+        }
+        else if (kind >= 95) {
+            engine.load_version();
+        }
+        check_engine();
+        check(prompt(old));
+    }
+
+    /* Once answers come whole and in time, the view is exact, and hints have
+     * an end. */
+    void
+    settle()
+    {
+        pending.clear();
+        for (int i = 0; i < 2; i++) {
+            now += 10;
+            deliver(engine.answer(now - 1, true, 0, true));
+        }
+        Prompt p = prompt(engine.version);
+        request(p);
+        now += 10;
+        deliver(engine.answer(now - 1, false, pgw_cache_last_seq(view), true));
+        auto chain = chain_of(p);
+        uint32_t hint = 0;
+        uint32_t sure = pgw_cache_match(view, p.workspace.c_str(), &chain,
+                                        now + kHintUs + 1, &hint);
+        RC_ASSERT(sure == p.text.size() / 64 * kBlock);
+        RC_ASSERT(hint == sure);
+    }
+};
+
+static void
+certain_means_held()
+{
+    World world;
+    int steps = *rc::gen::inRange(1, 120);
+
+    for (int i = 0; i < steps; i++) {
+        world.step();
+    }
+    world.settle();
+}
+
+/* However many requests, blocks and levels come, the view stays in its
+ * limits. */
+static void
+memory_is_bounded()
+{
+    pgw_cache_options options = PGW_CACHE_OPTIONS_INIT;
+    pgw_cache_source source = { 7, "w1", 1 };
+    pgw_cache_stats stats;
+    uint64_t seq = 0;
+
+    options.blocks = *rc::gen::inRange<size_t>(16, 64);
+    options.levels = options.requests = options.blocks;
+    pgw_cache *view = pgw_cache_new(&options);
+    for (uint64_t i = 1; i < 300; i++) {
+        uint64_t parent = *rc::gen::inRange<uint64_t>(0, 1000);
+        pgw_cache_event event = { ++seq,      PGW_CACHE_STORED, {}, i + 5000,
+                                  parent * 7, 16 };
+
+        pgw_cache_apply(view, &source, &event, 1, 0, 2);
+        if (*rc::gen::inRange(0, 3) == 0) {
+            event = { ++seq, PGW_CACHE_EVICTED, {}, i + 4990, 0, 0 };
+            pgw_cache_apply(view, &source, &event, 1, 0, 2);
+        }
+    }
+    pgw_cache_stats_get(&stats, view);
+    pgw_cache_free(view);
+    RC_ASSERT(stats.blocks <= 2 * options.blocks);
+    RC_ASSERT(stats.levels <= options.levels);
+}
+
+int
+main()
+{
+    bool ok = rc::check("certain means held", certain_means_held);
+
+    ok &= rc::check("memory is bounded", memory_is_bounded);
+    return ok ? 0 : 1;
+}
