Keep naming events that a full list overtook; see through harmless losses

Cause: one event in a hundred is lost and one request emits hundreds, so the view was in doubt nearly always and a list of all blocks a second was wanted; and events older than the list were dropped although only they say which request's prompt a block belongs to. Change: such events still bind levels to blocks; a loss inside a run of one request's blocks is recognised as no eviction.

--- a/include/parsleygw/cache.h
+++ b/include/parsleygw/cache.h
@@ -172,6 +172,15 @@
  */
 uint64_t pgw_cache_last_seq(const struct pgw_cache *cache);
 
+/**
+ * pgw_cache_true_seq() - event as of which the certain blocks are true
+ * @cache: the view
+ *
+ * Beyond pgw_cache_last_seq() after a list of all blocks that was newer than
+ * the events: those still come, and tell what the listed blocks are.
+ */
+uint64_t pgw_cache_true_seq(const struct pgw_cache *cache);
+
 /**
  * pgw_cache_note_request() - a request goes to the engine now
  * @cache: the view
--- a/src/libparsleygw/cache.c
+++ b/src/libparsleygw/cache.c
@@ -1,6 +1,7 @@
 #include "libparsleygw/cache_table.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 struct pgw_cache {
     struct pgw_cache__table table;
@@ -9,6 +10,8 @@
     char *version;
     uint64_t since;    /* when that became known, or was last lost */
     uint64_t last_seq; /* last event taken of this incarnation */
+    uint64_t list_seq; /* event as of which the last full list was true */
+    struct pgw_cache_event last_event; /* the one of last_seq, if taken */
     bool sync_needed;
     uint64_t next_sync;
     struct pgw_cache_stats stats;
@@ -46,6 +49,8 @@
 {
     pgw_cache__table_clear(&cache->table);
     cache->last_seq = 0;
+    cache->list_seq = 0;
+    cache->last_event = (struct pgw_cache_event){.seq = 0};
     cache->sync_needed = false;
     cache->stats.forgets++;
 }
@@ -123,6 +128,12 @@
     return cache->last_seq;
 }
 
+uint64_t
+pgw_cache_true_seq(const struct pgw_cache *cache)
+{
+    return MAX(cache->last_seq, cache->list_seq);
+}
+
 static void
 hint_levels(struct pgw_cache *cache, const struct pgw_cache__request *request,
             uint64_t now)
@@ -180,7 +191,8 @@
 }
 
 /* Levels of the request that reach at least to the block's end are known up
- * to this block, unless they are known further. */
+ * to this block, unless they are known further. That is true whenever it is
+ * heard: it says what the block is, not that it is cached. */
 static void
 bind_levels(struct pgw_cache *cache, const struct pgw_cache_event *event,
             struct pgw_cache__block *block)
@@ -250,6 +262,59 @@
 #endif
 }
 
+static bool
+names_block(const struct pgw_cache_event *event)
+{
+    return event->kind == PGW_CACHE_STORED || event->kind == PGW_CACHE_USED;
+}
+
+/* An event from before the last full list, or a doubled one. */
+static void
+apply_late_event(struct pgw_cache *cache, const struct pgw_cache_event *event)
+{
+    struct pgw_cache__block *block =
+        pgw_cache__block_find(&cache->table, event->block);
+
+    cache->stats.late++;
+    if (block != NULL && names_block(event)) {
+        bind_levels(cache, event, block);
+    }
+}
+
+/*
+ * Whether what was lost before @event can have been no eviction. Most events
+ * name one block after the other of one request, so a loss among them leaves
+ * just as many blocks unnamed as numbers are missing:
+ * - used blocks are all named, so the lost ones were used;
+ * - of stored ones only a single loss is sure: its block must have been
+ *   stored just now, since the certain view did not have it.
+ */
+static bool
+loss_is_harmless(struct pgw_cache *cache, const struct pgw_cache_event *event)
+{
+    const struct pgw_cache_event *last = &cache->last_event;
+    uint64_t lost = event->seq - cache->last_seq - 1;
+    const struct pgw_cache__block *parent;
+
+    if (last->seq != cache->last_seq || last->kind != event->kind ||
+        !names_block(event) ||
+        memcmp(&last->request, &event->request, sizeof(last->request)) != 0 ||
+        event->end_token !=
+            last->end_token + (lost + 1) * cache->table.options.block_tokens) {
+        return false;
+    }
+    if (event->kind == PGW_CACHE_USED) {
+        return true;
+    }
+    parent = pgw_cache__block_find(&cache->table, event->parent);
+    if (lost != 1 || cache->sync_needed ||
+        (parent != NULL && parent->valid_until != 0)) {
+        return false;
+    }
+    return pgw_cache__block_store(&cache->table, event->parent, last->block) !=
+           NULL;
+}
+
 static int
 compare_seq(const void *a, const void *b)
 {
@@ -259,6 +324,29 @@
     return (left->seq > right->seq) - (left->seq < right->seq);
 }
 
+static void
+take_event(struct pgw_cache *cache, const struct pgw_cache_event *event,
+           uint64_t now)
+{
+    if (event->seq <= cache->last_seq) {
+        apply_late_event(cache, event);
+        return;
+    }
+    /* What was lost before the last full list is in it. */
+    if (event->seq > pgw_cache_true_seq(cache) + 1 &&
+        !loss_is_harmless(cache, event)) {
+        note_gap(cache, now);
+    }
+    cache->last_seq = event->seq;
+    cache->last_event = *event;
+    if (event->seq <= cache->list_seq) {
+        apply_late_event(cache, event);
+    }
+    else {
+        apply_event(cache, event);
+    }
+}
+
 void
 pgw_cache_apply(struct pgw_cache *cache, const struct pgw_cache_source *source,
                 struct pgw_cache_event *events, size_t n, uint64_t last,
@@ -271,20 +359,12 @@
         qsort(events, n, sizeof(*events), compare_seq);
     }
     for (size_t i = 0; i < n; i++) {
-        if (events[i].seq <= cache->last_seq) {
-            cache->stats.late++;
-            continue;
-        }
-        if (events[i].seq > cache->last_seq + 1) {
-            note_gap(cache, now);
-        }
-        cache->last_seq = events[i].seq;
-        apply_event(cache, &events[i]);
+        take_event(cache, &events[i], now);
     }
-    if (last > cache->last_seq) {
+    if (last > pgw_cache_true_seq(cache)) {
         note_gap(cache, now);
-        cache->last_seq = last;
     }
+    cache->last_seq = MAX(cache->last_seq, last);
 }
 
 static int
@@ -333,7 +413,7 @@
     if (!pgw_cache_set_engine(cache, source, now)) {
         return false;
     }
-    if (seq < cache->last_seq) {
+    if (seq < pgw_cache_true_seq(cache)) {
         cache->stats.late++;
         return false;
     }
@@ -348,7 +428,7 @@
         (void)pgw_cache__block_store(&cache->table, blocks[i].block,
                                      blocks[i].parent);
     }
-    cache->last_seq = seq;
+    cache->list_seq = seq;
     cache->sync_needed = false;
     cache->stats.syncs++;
     return true;
