Feed the replica from the store

Cause: no process read the configuration, so the demo stopped at readiness. Change: the watch's batches become tasks of the loop that owns the replica; the declared sidecars of a zone watch, entries hear from them. The label still runs twice: claims are not wired yet.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -6,8 +6,8 @@
 #include "util/random.h"
 #include <xxhash.h>
 
-#define WATCH_INTERVAL_US (200 * 1000)
-#define DRAIN_CHECK_US (20 * 1000)
+#define WATCH_INTERVAL_US UINT64_C(200000)
+#define DRAIN_CHECK_US UINT64_C(20000)
 #define TRACE_EVENTS (1u << 14)
 
 static guint
@@ -51,6 +51,9 @@
     entry->config = config;
     pgw_rcu_replace(entry->snapshot, pgw_config_ref(config));
     upstreams_apply(entry);
+    if (entry->feed != NULL) {
+        pgw_config_feed_changed(entry->feed, config);
+    }
     pgw_trace_record(entry->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
                      pgw_config_version(config), 0, NULL);
 }
@@ -190,6 +193,26 @@
     entry->sync = pgw_sync_new(&options);
 }
 
+static bool
+feed_init(struct entry *entry, GError **error)
+{
+    struct pgw_config_feed_options options = {
+        .store_url = entry->settings->store_url,
+        .instance = entry->settings->instance,
+        .zone = entry->settings->zone,
+        .loop = entry->loop,
+        .sync = entry->sync,
+        .set = entry->set,
+    };
+
+    entry->feed = pgw_config_feed_new(&options, error);
+    if (entry->feed == NULL) {
+        return false;
+    }
+    pgw_config_feed_changed(entry->feed, entry->config);
+    return true;
+}
+
 struct entry *
 entry_new(struct pgw_entry_settings *settings, GError **error)
 {
@@ -216,7 +239,7 @@
         goto fail;
     }
     config_changed(entry);
-    if (!upstreams_add_seeds(entry, error)) {
+    if (!feed_init(entry, error) || !upstreams_add_seeds(entry, error)) {
         goto fail;
     }
     entry->watch_timer.on_due = watch_due;
@@ -233,6 +256,7 @@
 {
     if (entry->loop != NULL) {
         pgw_timer_stop(entry->loop, &entry->watch_timer);
+        pgw_config_feed_free(entry->feed);
         upstreams_free(entry);
         pgw_sync_free(entry->sync);
     }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,6 +1,7 @@
 #ifndef PGW_ENTRY_ENTRY_H
 #define PGW_ENTRY_ENTRY_H
 
+#include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/config.h"
@@ -47,6 +48,7 @@
  * @loop: owner of everything below, but for @snapshot, @budget and atomics
  * @sync: configuration replica
  * @set: its objects
+ * @feed: what the store says
  * @config: snapshot of @set that the loop uses
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
@@ -71,6 +73,7 @@
     struct pgw_loop *loop;
     struct pgw_sync *sync;
     struct pgw_config_set *set;
+    struct pgw_config_feed *feed;
     struct pgw_config *config;
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -6,10 +6,10 @@
 
 /* Sidecars answer within a fraction of a millisecond; one that is slower than
  * this is left out of the choice rather than waited for. */
-#define PROBE_TIMEOUT_US (20 * 1000)
+#define PROBE_TIMEOUT_US UINT64_C(20000)
 /* After a restart the first connections take a moment; a request that comes
  * earlier waits for them instead of being refused. */
-#define NOBODY_RETRY_US (25 * 1000)
+#define NOBODY_RETRY_US UINT64_C(25000)
 #define NOBODY_TRIES 12
 #define NO_UPSTREAM_RETRY_MS 500
 
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -4,13 +4,13 @@
 #include "util/random.h"
 #include <xxhash.h>
 
-#define RECONNECT_MIN_US (50 * 1000)
-#define RECONNECT_MAX_US (1000 * 1000)
+#define RECONNECT_MIN_US UINT64_C(50000)
+#define RECONNECT_MAX_US UINT64_C(1000000)
 /* A sidecar sends its state twice a second. After four missed words the
  * connection is taken as dead: a stalled or half-open one gives no error of
  * its own and requests would wait there until their deadline. */
-#define SILENCE_MAX_US (2 * 1000 * 1000)
-#define SILENCE_CHECK_US (250 * 1000)
+#define SILENCE_MAX_US UINT64_C(2000000)
+#define SILENCE_CHECK_US UINT64_C(250000)
 
 static void upstream_connect(struct upstream *upstream);
 
--- /dev/null
+++ b/src/libparsleygw/config_feed.c
@@ -0,0 +1,159 @@
+#include "libparsleygw/config_feed.h"
+#include "util/log.h"
+
+struct pgw_config_feed {
+    struct pgw_config_feed_options options;
+    struct pgw_store *store;
+    struct pgw_watch *watch;
+};
+
+struct batch_task {
+    struct pgw_task task;
+    struct pgw_config_feed *feed;
+    struct pgw_watch_batch *batch;
+};
+
+static void
+offer(const char *kind, const char *name, uint64_t version, const char *value,
+      void *data)
+{
+    struct pgw_config_feed *feed = data;
+    GError *error = NULL;
+
+    if (!pgw_sync_offer(feed->options.sync, kind, name, version, value,
+                        &error)) {
+        pgw_log_warning("config_refused", "kind=%s name=%s error=%s", kind,
+                        name, error->message);
+        g_clear_error(&error);
+    }
+}
+
+static void
+batch_run(struct pgw_task *task)
+{
+    struct batch_task *self = pgw_container_of(task, struct batch_task, task);
+
+    pgw_watch_batch_foreach(self->batch, self->feed->options.set, offer,
+                            self->feed);
+    pgw_watch_batch_free(self->batch);
+    g_free(self);
+}
+
+static void
+on_batch(void *data, struct pgw_watch_batch *batch)
+{
+    struct pgw_config_feed *feed = data;
+    struct batch_task *self = g_new0(struct batch_task, 1);
+
+    self->task.run = batch_run;
+    self->feed = feed;
+    self->batch = batch;
+    pgw_loop_post(feed->options.loop, &self->task);
+}
+
+struct pgw_config_feed *
+pgw_config_feed_new(const struct pgw_config_feed_options *options,
+                    GError **error)
+{
+    struct pgw_config_feed *feed = g_new0(struct pgw_config_feed, 1);
+    struct pgw_store_options store = PGW_STORE_OPTIONS_INIT;
+    struct pgw_watch_options watch = PGW_WATCH_OPTIONS_INIT;
+
+    feed->options = *options;
+    store.url = options->store_url;
+    if (!pgw_store_new(&feed->store, &store, error)) {
+        g_free(feed);
+        return NULL;
+    }
+    watch.store = feed->store;
+    watch.self = options->instance;
+    watch.zone = options->zone;
+    watch.on_batch = on_batch;
+    watch.data = feed;
+    feed->watch = pgw_watch_new(&watch);
+    return feed;
+}
+
+void
+pgw_config_feed_free(struct pgw_config_feed *feed)
+{
+    if (feed == NULL) {
+        return;
+    }
+    pgw_watch_free(feed->watch);
+    pgw_loop_run_tasks(feed->options.loop);
+    pgw_store_free(feed->store);
+    g_free(feed);
+}
+
+static void
+keep_highest(const char *kind, const char *name, uint64_t version,
+             const char *value, void *data)
+{
+    GHashTable *highest = data;
+    uint64_t *held = g_hash_table_lookup(highest, kind);
+
+    (void)name;
+    (void)value;
+    if (held == NULL) {
+        held = g_new0(uint64_t, 1);
+        g_hash_table_insert(highest, (gpointer)kind, held);
+    }
+    *held = MAX(*held, version);
+}
+
+static void
+tell_held(struct pgw_config_feed *feed)
+{
+    GHashTable *highest =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    GHashTableIter iter;
+    gpointer kind;
+    gpointer held;
+
+    pgw_config_set_foreach(feed->options.set, keep_highest, highest);
+    g_hash_table_iter_init(&iter, highest);
+    while (g_hash_table_iter_next(&iter, &kind, &held)) {
+        pgw_watch_set_held(feed->watch, kind, *(uint64_t *)held);
+    }
+    g_hash_table_unref(highest);
+}
+
+void
+pgw_config_feed_changed(struct pgw_config_feed *feed,
+                        const struct pgw_config *config)
+{
+    size_t count = 0;
+    const struct pgw_upstream *const *upstreams =
+        pgw_config_upstreams(config, NULL, &count);
+    GPtrArray *peers = g_ptr_array_new();
+
+    for (size_t i = 0; i < count; i++) {
+        if (!upstreams[i]->leaving &&
+            strcmp(upstreams[i]->zone, feed->options.zone) == 0) {
+            g_ptr_array_add(peers, (gpointer)upstreams[i]->id);
+        }
+    }
+    /* The declared sidecars of the zone watch. An entry is declared nowhere,
+     * so it does only in a zone without any. */
+    if (peers->len == 0) {
+        g_ptr_array_add(peers, (gpointer)feed->options.instance);
+    }
+    pgw_watch_set_peers(feed->watch, (const char *const *)peers->pdata,
+                        peers->len);
+    g_ptr_array_unref(peers);
+    tell_held(feed);
+}
+
+struct pgw_store *
+pgw_config_feed_store(struct pgw_config_feed *feed)
+{
+    return feed->store;
+}
+
+void
+pgw_config_feed_state(struct pgw_config_feed *feed,
+                      struct pgw_watch_state *out)
+{
+    pgw_watch_get_state(feed->watch, out);
+}
--- /dev/null
+++ b/src/libparsleygw/config_feed.h
@@ -0,0 +1,59 @@
+#ifndef PGW_CONFIG_FEED_H
+#define PGW_CONFIG_FEED_H
+
+#include "libparsleygw/sync.h"
+#include "parsleygw/watch.h"
+
+/**
+ * DOC: From the store to a process's replica
+ *
+ * Binds the watch, which has threads of its own, to the loop that owns the
+ * replica: batches become tasks of the loop.
+ */
+
+struct pgw_config_feed;
+
+/**
+ * struct pgw_config_feed_options - one process's feed
+ * @store_url: object API
+ * @instance: this process
+ * @zone: its availability zone
+ * @loop: owner of the replica
+ * @sync: the replica; must outlive the feed
+ * @set: its objects
+ */
+struct pgw_config_feed_options {
+    const char *store_url;
+    const char *instance;
+    const char *zone;
+    struct pgw_loop *loop;
+    struct pgw_sync *sync;
+    struct pgw_config_set *set;
+};
+
+/** pgw_config_feed_new() - start to watch; %PGW_ERROR_INVALID for the URL */
+struct pgw_config_feed *
+pgw_config_feed_new(const struct pgw_config_feed_options *options,
+                    GError **error);
+
+/** pgw_config_feed_free() - stop; the loop must not be running any more */
+void pgw_config_feed_free(struct pgw_config_feed *feed);
+
+/**
+ * pgw_config_feed_changed() - the replica changed; on the loop's thread
+ * @feed: the feed
+ * @config: the new snapshot
+ *
+ * Tells the watch who may share its work in this zone and what is held.
+ */
+void pgw_config_feed_changed(struct pgw_config_feed *feed,
+                             const struct pgw_config *config);
+
+/** pgw_config_feed_store() - the store client, shared with other users */
+struct pgw_store *pgw_config_feed_store(struct pgw_config_feed *feed);
+
+/** pgw_config_feed_state() - whether the store can be reached; any thread */
+void pgw_config_feed_state(struct pgw_config_feed *feed,
+                           struct pgw_watch_state *out);
+
+#endif
--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -4,12 +4,12 @@
 #include "util/hex.h"
 #include "util/log.h"
 
-#define STATUS_INTERVAL_US (500 * 1000)
+#define STATUS_INTERVAL_US UINT64_C(500000)
 #define STATUS_TIMEOUT_MS 1000L
 /* One lost answer is no death; two in a row, a second apart, are. */
 #define STATUS_FAILURES_DEAD 2
-#define EVENTS_RETRY_US (100 * 1000)
-#define EVENTS_PAUSE_US (10 * 1000)
+#define EVENTS_RETRY_US UINT64_C(100000)
+#define EVENTS_PAUSE_US UINT64_C(10000)
 #define EVENTS_GRACE_MS 1000L
 #define BLOCKS_TIMEOUT_MS 2000L
 
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -2,7 +2,7 @@
 #include "util/log.h"
 #include <xxhash.h>
 
-#define GATE_TICK_US (20 * 1000)
+#define GATE_TICK_US UINT64_C(20000)
 
 guint
 run_key_hash(gconstpointer key)
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -6,8 +6,8 @@
 #include "util/log.h"
 #include "util/random.h"
 
-#define STATE_INTERVAL_US (500 * 1000)
-#define DRAIN_CHECK_US (20 * 1000)
+#define STATE_INTERVAL_US UINT64_C(500000)
+#define DRAIN_CHECK_US UINT64_C(20000)
 #define TRACE_EVENTS (1u << 14)
 
 static void
@@ -20,6 +20,9 @@
         pgw_config_unref(sidecar->config);
     }
     sidecar->config = config;
+    if (sidecar->feed != NULL) {
+        pgw_config_feed_changed(sidecar->feed, config);
+    }
     pgw_trace_record(sidecar->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
                      pgw_config_version(config), 0, NULL);
 }
@@ -189,6 +192,26 @@
     return pgw_admit_new(&options);
 }
 
+static bool
+feed_init(struct sidecar *sidecar, GError **error)
+{
+    struct pgw_config_feed_options options = {
+        .store_url = sidecar->settings->store_url,
+        .instance = sidecar->settings->instance,
+        .zone = sidecar->settings->zone,
+        .loop = sidecar->loop,
+        .sync = sidecar->sync,
+        .set = sidecar->set,
+    };
+
+    sidecar->feed = pgw_config_feed_new(&options, error);
+    if (sidecar->feed == NULL) {
+        return false;
+    }
+    pgw_config_feed_changed(sidecar->feed, sidecar->config);
+    return true;
+}
+
 struct sidecar *
 sidecar_new(struct pgw_sidecar_settings *settings, GError **error)
 {
@@ -222,7 +245,7 @@
         goto fail;
     }
     config_changed(sidecar);
-    if (!listen_for_entries(sidecar, error)) {
+    if (!feed_init(sidecar, error) || !listen_for_entries(sidecar, error)) {
         goto fail;
     }
     sidecar->state_timer.on_due = state_due;
@@ -247,6 +270,7 @@
 void
 sidecar_free(struct sidecar *sidecar)
 {
+    pgw_config_feed_free(sidecar->feed);
     if (sidecar->listener != NULL) {
         close_peers(sidecar);
         pgw_listener_free(sidecar->listener);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -1,6 +1,7 @@
 #ifndef PGW_SIDECAR_SIDECAR_H
 #define PGW_SIDECAR_SIDECAR_H
 
+#include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/admit.h"
@@ -83,6 +84,7 @@
  * @peers: connected entries (&struct peer)
  * @sync: configuration replica
  * @set: its objects
+ * @feed: what the store says
  * @config: snapshot of @set
  * @admit: the gate before the upstream
  * @gate_timer: looks at the gate's waiting requests
@@ -107,6 +109,7 @@
     struct pgw_list peers;
     struct pgw_sync *sync;
     struct pgw_config_set *set;
+    struct pgw_config_feed *feed;
     struct pgw_config *config;
     struct pgw_admit *admit;
     struct pgw_timer gate_timer;
