Let the thread sanitizer see the stand-ins' locks

GLib's locks are futexes that the thread sanitizer does not know, so that it reported every guarded access; the stand-ins take POSIX ones now. What was left was a true inversion of lock order: the answer was queued under the call's lock, while the server calls back for stream data under the response's. The answer is queued without the lock now; the test of the stand-ins runs clean under the thread and address sanitizers.

--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -246,9 +246,9 @@
     if (strcmp(expected->str, resume_text) != 0) {
         request->text_hash = XXH3_64bits_withSeed(
             resume_text, strlen(resume_text), request->text_hash);
-        g_mutex_lock(&engine->lock);
+        pthread_mutex_lock(&engine->lock);
         engine->stats.resume_mismatches++;
-        g_mutex_unlock(&engine->lock);
+        pthread_mutex_unlock(&engine->lock);
     }
     g_string_free(expected, TRUE);
 }
@@ -262,10 +262,10 @@
     uint64_t root;
 
     g_string_append(text, member(body, "resume_text"));
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     root = engine_chain_root(member(body, "cache_salt"), engine->model,
                              member(body, "adapter"), engine->version);
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     request->chain = engine_chain_blocks(root, text->str, text->len,
                                          (size_t)engine->options.block_tokens *
                                              ENGINE_TOKEN_BYTES);
@@ -318,14 +318,14 @@
     bool runs, busy;
     char incarnation[20];
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     *load_order = engine->load_order;
     runs = engine_runs(engine, member(body, "model"), member(body, "version"),
                        member(body, "adapter"));
     busy = engine->waiting_count >= engine->options.queue_limit ||
            (engine->loading && *engine->next_adapter == '\0');
     standin_call_add_header(call, "X-Model-Version", engine->version);
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
              engine->incarnation);
     standin_call_add_header(call, "X-Engine-Incarnation", incarnation);
@@ -431,6 +431,9 @@
     struct engine *engine = g_new0(struct engine, 1);
 
     engine->options = arguments->engine;
+    pthread_mutex_init(&engine->lock, NULL);
+    standin_cond_init(&engine->work);
+    standin_cond_init(&engine->poll_changed);
     if (getrandom(&engine->incarnation, sizeof(engine->incarnation), 0) < 0) {
         engine->incarnation = (uint64_t)g_get_real_time();
     }
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -9,6 +9,7 @@
 #include "engine_cache_lib.h"
 #include "engine_events_lib.h"
 #include "http_lib.h"
+#include "sync_lib.h"
 #include "util/list.h"
 
 /**
@@ -112,8 +113,8 @@
     struct engine_options options;
     uint64_t incarnation;
 
-    GMutex lock; /* guards all below */
-    GCond work;
+    pthread_mutex_t lock; /* guards all below */
+    pthread_cond_t work;
     struct engine_cache *cache;
     struct engine_journal *journal;
     struct pgw_list waiting[ENGINE_PRIORITIES];
@@ -127,7 +128,7 @@
     struct engine_stats stats;
     GHashTable *executions; /* request id to how often it began to run */
 
-    GCond poll_changed;
+    pthread_cond_t poll_changed;
     struct pgw_list polls; /* waiting readers of events */
 
     char *model;
--- a/tests/standins/engine_batch_lib.c
+++ b/tests/standins/engine_batch_lib.c
@@ -38,7 +38,7 @@
 {
     bool fresh;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     fresh = request->load_order == engine->load_order;
     if (!fresh) {
         goto done;
@@ -50,9 +50,9 @@
     request->arrival = ++engine->arrivals;
     pgw_list_append(&engine->waiting[request->priority], &request->link);
     engine->waiting_count++;
-    g_cond_signal(&engine->work);
+    pthread_cond_signal(&engine->work);
 done:
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     return fresh;
 }
 
@@ -78,13 +78,13 @@
 {
     unsigned count;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     count = cancel_in(&engine->running, id);
     for (unsigned i = 0; i < ENGINE_PRIORITIES; i++) {
         count += cancel_in(&engine->waiting[i], id);
     }
-    g_cond_signal(&engine->work);
-    g_mutex_unlock(&engine->lock);
+    pthread_cond_signal(&engine->work);
+    pthread_mutex_unlock(&engine->lock);
     return count > 0;
 }
 
@@ -396,7 +396,7 @@
     struct engine *engine = data;
     uint64_t begin = engine_now(), now;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     for (;;) {
         now = engine_now();
         reap_cancelled(engine, now);
@@ -404,8 +404,8 @@
         admit_waiting(engine);
         engine_load_sample(engine, now);
         if (engine->running_count == 0) {
-            g_cond_wait_until(&engine->work, &engine->lock,
-                              (gint64)(now + IDLE_WAIT_US));
+            standin_cond_wait_until(&engine->work, &engine->lock,
+                                    now + IDLE_WAIT_US);
             begin = engine_now();
             continue;
         }
@@ -413,9 +413,9 @@
          * unless the whole machine is behind. */
         begin = MAX(begin, now > MAX_LAG_US ? now - MAX_LAG_US : 0);
         begin += plan_step(engine, now);
-        g_mutex_unlock(&engine->lock);
+        pthread_mutex_unlock(&engine->lock);
         sleep_until(begin);
-        g_mutex_lock(&engine->lock);
+        pthread_mutex_lock(&engine->lock);
         apply_step(engine, engine_now());
         engine_events_notify(engine);
     }
--- a/tests/standins/engine_kv_lib.c
+++ b/tests/standins/engine_kv_lib.c
@@ -42,14 +42,14 @@
     GString *value = g_string_new(NULL), *answer = g_string_new(NULL);
     GArray *chain;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     chain = engine_cache_chain(engine->cache, task->block);
     g_string_append_printf(value,
                            "{\"model\":\"%s\",\"version\":\"%s\","
                            "\"checksum\":\"%016" PRIx64 "\",\"chain\":[",
                            engine->model, engine->version,
                            chain_checksum(chain));
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     for (guint i = 0; i < chain->len; i++) {
         g_string_append_printf(value, "%s\"%016" PRIx64 "\"",
                                i == 0 ? "" : ",",
@@ -103,7 +103,7 @@
     struct engine_block *tail = NULL;
     uint64_t now = engine_now();
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     while (stored < chain->len &&
            engine_cache_store(engine->cache, &tail,
                               g_array_index(chain, uint64_t, stored),
@@ -112,7 +112,7 @@
     }
     engine_cache_release(engine->cache, tail, now);
     engine_events_notify(engine);
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     return stored * size;
 }
 
@@ -123,12 +123,12 @@
     GArray *chain = parse_chain(value);
     bool runs;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     runs = engine_runs(
         engine,
         json_object_get_string_member_with_default(value, "model", "?"),
         json_object_get_string_member_with_default(value, "version", "?"), "");
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     if (chain == NULL) {
         standin_call_error(task->call, 502, "damaged",
                            "the value from the KV store is damaged");
--- a/tests/standins/engine_orders_lib.c
+++ b/tests/standins/engine_orders_lib.c
@@ -29,7 +29,7 @@
 {
     GString *out = g_string_new(NULL);
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     g_string_append_printf(out,
                            "{\"incarnation\":\"%016" PRIx64
                            "\",\"model\":\"%s\",\"version\":\"%s\","
@@ -43,7 +43,7 @@
     g_string_append_printf(
         out, "],\"role\":\"%s\",\"fence\":%" PRIu64 ",\"loading\":%s}",
         engine->role, engine->fence, engine->loading ? "true" : "false");
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     standin_call_reply(call, 200, out);
 }
 
@@ -63,12 +63,12 @@
     if (task->url == NULL) {
         g_usleep(engine->options.load_us);
     }
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     if (engine->load_order == task->order) {
         engine->loaded = true;
-        g_cond_signal(&engine->work);
+        pthread_cond_signal(&engine->work);
     }
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     g_string_free(answer, TRUE);
     g_free(task->url);
     g_free(task);
@@ -196,7 +196,7 @@
                            "load_adapter or set_role");
         goto done;
     }
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     stale = !engine->options.ignore_fence && fence < engine->fence;
     if (stale) {
         standin_call_replyf(call, 409,
@@ -210,7 +210,7 @@
         standin_call_replyf(call, idle ? 200 : 202, "{\"state\":\"%s\"}",
                             idle ? "done" : "loading");
     }
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
 done:
     json_object_unref(order);
 }
--- a/tests/standins/engine_reports_lib.c
+++ b/tests/standins/engine_reports_lib.c
@@ -55,7 +55,7 @@
     uint64_t now = engine_now();
     struct engine_load load = {0};
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     engine_load_sample(engine, now);
     for (uint64_t i = engine->load_count;
          i > 0 && i + ENGINE_LOAD_SAMPLES > engine->load_count; i--) {
@@ -67,7 +67,7 @@
             break;
         }
     }
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     standin_call_replyf(
         call, 200,
         "{\"incarnation\":\"%016" PRIx64 "\",\"running\":%u,\"waiting\":%u,"
@@ -99,7 +99,7 @@
     uint64_t now = engine_now();
     struct engine_poll *poll;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     /* A number beyond the last comes from another incarnation: its reader
      * must learn that at once. */
     if (wait_ms == 0 || after > engine_journal_last(engine->journal) ||
@@ -112,16 +112,16 @@
         poll->after = after;
         poll->deadline = now + MIN(wait_ms, POLL_LIMIT_MS) * 1000;
         pgw_list_append(&engine->polls, &poll->link);
-        g_cond_signal(&engine->poll_changed);
+        pthread_cond_signal(&engine->poll_changed);
     }
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
 }
 
 void
 engine_events_notify(struct engine *engine)
 {
     if (!pgw_list_is_empty(&engine->polls)) {
-        g_cond_signal(&engine->poll_changed);
+        pthread_cond_signal(&engine->poll_changed);
     }
 }
 
@@ -154,17 +154,17 @@
     struct engine *engine = data;
     uint64_t now, next;
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     for (;;) {
         now = engine_now();
         next = answer_polls(engine, now);
         if (next == UINT64_MAX) {
-            g_cond_wait(&engine->poll_changed, &engine->lock);
+            pthread_cond_wait(&engine->poll_changed, &engine->lock);
         }
         else {
             next = MIN(next, engine_journal_due(engine->journal));
-            g_cond_wait_until(&engine->poll_changed, &engine->lock,
-                              (gint64)MAX(next, now + POLL_MIN_PERIOD_US));
+            standin_cond_wait_until(&engine->poll_changed, &engine->lock,
+                                    MAX(next, now + POLL_MIN_PERIOD_US));
         }
     }
     return NULL;
@@ -181,7 +181,7 @@
 {
     GString *blocks = g_string_new(NULL);
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     engine_cache_write(engine->cache, blocks);
     standin_call_replyf(call, 200,
                         "{\"incarnation\":\"%016" PRIx64
@@ -189,7 +189,7 @@
                         ",\"blocks\":[%s]}",
                         engine->incarnation, engine->version,
                         engine_journal_last(engine->journal), blocks->str);
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     g_string_free(blocks, TRUE);
 }
 
@@ -202,7 +202,7 @@
     gpointer id, count;
     const char *comma = "";
 
-    g_mutex_lock(&engine->lock);
+    pthread_mutex_lock(&engine->lock);
     g_string_append_printf(
         out,
         "{\"requests\":%" PRIu64 ",\"cancelled\":%" PRIu64
@@ -219,7 +219,7 @@
                                GPOINTER_TO_UINT(count));
         comma = ",";
     }
-    g_mutex_unlock(&engine->lock);
+    pthread_mutex_unlock(&engine->lock);
     g_string_append(out, "}}");
     standin_call_reply(call, 200, out);
 }
--- a/tests/standins/http_lib.c
+++ b/tests/standins/http_lib.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -31,7 +32,7 @@
     GString *body;
     bool handled;
 
-    GMutex lock; /* guards all below */
+    pthread_mutex_t lock; /* guards all below */
     enum answer_state state;
     bool suspended;
     unsigned status;
@@ -75,7 +76,7 @@
     call->body = g_string_new(NULL);
     call->answer = g_string_new(NULL);
     call->headers = g_ptr_array_new_with_free_func(g_free);
-    g_mutex_init(&call->lock);
+    pthread_mutex_init(&call->lock, NULL);
     return call;
 }
 
@@ -99,7 +100,7 @@
         g_string_free(call->answer, TRUE);
     }
     g_ptr_array_unref(call->headers);
-    g_mutex_clear(&call->lock);
+    pthread_mutex_destroy(&call->lock);
     g_free(call);
 }
 
@@ -175,10 +176,10 @@
 standin_call_add_header(struct standin_call *call, const char *name,
                         const char *value)
 {
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     g_ptr_array_add(call->headers, g_strdup(name));
     g_ptr_array_add(call->headers, g_strdup(value));
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
 }
 
 /* Caller holds the lock. */
@@ -195,7 +196,7 @@
 settle(struct standin_call *call, enum answer_state state, unsigned status,
        GString *body)
 {
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     if (call->state == ANSWER_OPEN) {
         call->state = state;
         call->status = status;
@@ -206,7 +207,7 @@
         }
         wake(call);
     }
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
     if (body != NULL) {
         g_string_free(body, TRUE);
     }
@@ -249,29 +250,29 @@
 void
 standin_call_begin_stream(struct standin_call *call)
 {
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     call->streams = true;
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
     settle(call, ANSWER_READY, MHD_HTTP_OK, NULL);
 }
 
 void
 standin_call_write(struct standin_call *call, const char *data, size_t length)
 {
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     g_string_append_len(call->answer, data, (gssize)length);
     wake(call);
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
 }
 
 void
 standin_call_end_stream(struct standin_call *call, bool whole)
 {
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     call->ended = true;
     call->cut = !whole;
     wake(call);
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
 }
 
 bool
@@ -289,7 +290,7 @@
 
     /* The server looks at no suspended connection; only while it is
      * suspended is the descriptor sure to be still this connection's. */
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     if (call->suspended) {
         info = MHD_get_connection_info(call->connection,
                                        MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -298,7 +299,7 @@
             count = 1;
         }
     }
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
     return count <= 0;
 }
 
@@ -310,7 +311,7 @@
     ssize_t result = 0;
 
     (void)position;
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
     left = call->answer->len - call->answer_sent;
     if (left > 0) {
         result = (ssize_t)MIN(left, size);
@@ -329,7 +330,7 @@
         call->suspended = true;
         MHD_suspend_connection(call->connection);
     }
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
     return result;
 }
 
@@ -339,12 +340,10 @@
     standin_call_unref(data);
 }
 
-/* Caller holds the lock. */
-static enum MHD_Result
-queue_answer(struct standin_call *call)
+static struct MHD_Response *
+compose_response(struct standin_call *call)
 {
     struct MHD_Response *response;
-    enum MHD_Result result;
     size_t length = call->answer->len;
 
     if (call->streams) {
@@ -364,19 +363,20 @@
         MHD_add_response_header(response, call->headers->pdata[i],
                                 call->headers->pdata[i + 1]);
     }
-    result = MHD_queue_response(call->connection, call->status, response);
-    MHD_destroy_response(response);
-    return result;
+    return response;
 }
 
 static enum MHD_Result
 serve_answer(struct standin_call *call)
 {
+    struct MHD_Response *response = NULL;
     enum MHD_Result result = MHD_YES;
+    unsigned status;
 
-    g_mutex_lock(&call->lock);
+    pthread_mutex_lock(&call->lock);
+    status = call->status;
     if (call->state == ANSWER_READY) {
-        result = queue_answer(call);
+        response = compose_response(call);
     }
     else if (call->state == ANSWER_DROPPED) {
         result = MHD_NO;
@@ -385,7 +385,13 @@
         call->suspended = true;
         MHD_suspend_connection(call->connection);
     }
-    g_mutex_unlock(&call->lock);
+    pthread_mutex_unlock(&call->lock);
+    /* Without the lock: the server takes the response's own lock here, and
+     * holds that one whenever it calls read_stream(). */
+    if (response != NULL) {
+        result = MHD_queue_response(call->connection, status, response);
+        MHD_destroy_response(response);
+    }
     return result;
 }
 
--- a/tests/standins/kvstore.c
+++ b/tests/standins/kvstore.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "http_lib.h"
+#include "sync_lib.h"
 #include "util/list.h"
 
 /**
@@ -28,8 +29,8 @@
 
 struct kvstore {
     struct kvstore_options options;
-    GMutex lock;
-    GCond changed;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
     GHashTable *values; /* key to GBytes */
     struct pgw_list loads;
     unsigned loading;
@@ -43,10 +44,10 @@
     size_t length;
     const char *body = standin_call_body(call, &length);
 
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     g_hash_table_replace(store->values, g_strdup(key),
                          g_bytes_new(body, length));
-    g_mutex_unlock(&store->lock);
+    pthread_mutex_unlock(&store->lock);
     standin_call_replyf(call, 200, "{}");
 }
 
@@ -56,13 +57,13 @@
     GString *body = NULL;
     GBytes *value;
 
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     value = g_hash_table_lookup(store->values, key);
     if (value != NULL) {
         body = g_string_new_len(g_bytes_get_data(value, NULL),
                                 (gssize)g_bytes_get_size(value));
     }
-    g_mutex_unlock(&store->lock);
+    pthread_mutex_unlock(&store->lock);
     if (body != NULL) {
         standin_call_reply(call, 200, body);
     }
@@ -78,12 +79,12 @@
 
     load->call = standin_call_ref(call);
     load->left_us = (double)standin_call_query_uint(call, "ms", 0) * 1000;
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     pgw_list_append(&store->loads, &load->link);
     store->loading++;
     store->max_loading = MAX(store->max_loading, store->loading);
-    g_cond_signal(&store->changed);
-    g_mutex_unlock(&store->lock);
+    pthread_cond_signal(&store->changed);
+    pthread_mutex_unlock(&store->lock);
 }
 
 static void
@@ -115,16 +116,16 @@
     struct kvstore *store = data;
     gint64 before = g_get_monotonic_time(), now;
 
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     for (;;) {
         if (store->loading == 0) {
-            g_cond_wait(&store->changed, &store->lock);
+            pthread_cond_wait(&store->changed, &store->lock);
             before = g_get_monotonic_time();
             continue;
         }
-        g_mutex_unlock(&store->lock);
+        pthread_mutex_unlock(&store->lock);
         g_usleep(TICK_US);
-        g_mutex_lock(&store->lock);
+        pthread_mutex_lock(&store->lock);
         now = g_get_monotonic_time();
         advance_loads(store, (double)(now - before));
         before = now;
@@ -135,13 +136,13 @@
 static void
 serve_stats(struct kvstore *store, struct standin_call *call)
 {
-    g_mutex_lock(&store->lock);
+    pthread_mutex_lock(&store->lock);
     standin_call_replyf(call, 200,
                         "{\"values\":%u,\"loading\":%u,"
                         "\"max_loading\":%u,\"loads_done\":%u}",
                         g_hash_table_size(store->values), store->loading,
                         store->max_loading, store->loads_done);
-    g_mutex_unlock(&store->lock);
+    pthread_mutex_unlock(&store->lock);
 }
 
 static void
@@ -197,6 +198,8 @@
             return 2;
         }
     }
+    pthread_mutex_init(&store.lock, NULL);
+    standin_cond_init(&store.changed);
     pgw_list_init(&store.loads);
     g_thread_unref(g_thread_new("loads", run_loads, &store));
     standin_server_run(&(struct standin_server_options){
--- a/tests/standins/service.c
+++ b/tests/standins/service.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "http_lib.h"
+#include "sync_lib.h"
 #include "util/list.h"
 
 /**
@@ -36,8 +37,8 @@
 
 struct service {
     struct service_options options;
-    GMutex lock;
-    GCond changed;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
     GHashTable *counts; /* idempotency key to executions */
     GString *log;       /* JSON objects, comma-separated */
     struct pgw_list delayed;
@@ -119,10 +120,10 @@
     answer->call = standin_call_ref(call);
     answer->body = body;
     answer->due = (uint64_t)g_get_monotonic_time() + service->options.delay_us;
-    g_mutex_lock(&service->lock);
+    pthread_mutex_lock(&service->lock);
     pgw_list_append(&service->delayed, &answer->link);
-    g_cond_signal(&service->changed);
-    g_mutex_unlock(&service->lock);
+    pthread_cond_signal(&service->changed);
+    pthread_mutex_unlock(&service->lock);
 }
 
 static void *
@@ -130,19 +131,19 @@
 {
     struct service *service = data;
 
-    g_mutex_lock(&service->lock);
+    pthread_mutex_lock(&service->lock);
     for (;;) {
         struct pgw_list *first = pgw_list_first(&service->delayed);
         struct service_answer *answer;
 
         if (first == NULL) {
-            g_cond_wait(&service->changed, &service->lock);
+            pthread_cond_wait(&service->changed, &service->lock);
             continue;
         }
         answer = pgw_container_of(first, struct service_answer, link);
         if ((uint64_t)g_get_monotonic_time() < answer->due) {
-            g_cond_wait_until(&service->changed, &service->lock,
-                              (gint64)answer->due);
+            standin_cond_wait_until(&service->changed, &service->lock,
+                                    answer->due);
             continue;
         }
         pgw_list_remove(first);
@@ -162,10 +163,10 @@
     guint execution;
 
     key = key == NULL ? "" : key;
-    g_mutex_lock(&service->lock);
+    pthread_mutex_lock(&service->lock);
     execution = count_execution(service, key);
     log_execution(service, key, execution, call);
-    g_mutex_unlock(&service->lock);
+    pthread_mutex_unlock(&service->lock);
     if (crash_on != NULL &&
         (strstr(standin_call_body(call, NULL), crash_on) != NULL ||
          strstr(standin_call_path(call), crash_on) != NULL)) {
@@ -187,7 +188,7 @@
     GHashTableIter iter;
     gpointer key, count;
 
-    g_mutex_lock(&service->lock);
+    pthread_mutex_lock(&service->lock);
     g_hash_table_iter_init(&iter, service->counts);
     while (g_hash_table_iter_next(&iter, &key, &count)) {
         if (out->len > 1) {
@@ -196,7 +197,7 @@
         append_quoted(out, key);
         g_string_append_printf(out, ":%u", GPOINTER_TO_UINT(count));
     }
-    g_mutex_unlock(&service->lock);
+    pthread_mutex_unlock(&service->lock);
     g_string_append_c(out, '}');
     standin_call_reply(call, 200, out);
 }
@@ -210,9 +211,9 @@
         serve_counts(service, call);
     }
     else if (strcmp(standin_call_path(call), "/_log") == 0) {
-        g_mutex_lock(&service->lock);
+        pthread_mutex_lock(&service->lock);
         standin_call_replyf(call, 200, "[%s]", service->log->str);
-        g_mutex_unlock(&service->lock);
+        pthread_mutex_unlock(&service->lock);
     }
     else {
         execute(service, call);
@@ -294,6 +295,8 @@
 
     standin_process_init();
     parse_arguments(&service.options, argc, argv);
+    pthread_mutex_init(&service.lock, NULL);
+    standin_cond_init(&service.changed);
     pgw_list_init(&service.delayed);
     open_log_file(&service);
     g_thread_unref(g_thread_new("answers", run_answers, &service));
