--- a/tests/failure/fail_standins.c
+++ b/tests/failure/fail_standins.c
@@ -220,6 +220,45 @@
     harness_free(harness);
 }
 
+static void
+test_kv_store_moves_a_prefix(void)
+{
+    struct harness *harness = harness_new();
+    struct harness_process *from = start_engine(harness);
+    struct harness_process *to = start_engine(harness);
+    struct harness_process *other =
+        harness_spawn(harness, "standin-engine", "--version", "w2", NULL);
+    struct harness_process *store =
+        harness_spawn(harness, "standin-kvstore", NULL);
+    struct harness_stream stream;
+    struct harness_answer answer;
+    JsonNode *events;
+    char *body;
+
+    complete(&stream, from, "d1", "5a17", "");
+    harness_stream_dispose(&stream);
+    events = harness_get_json(
+        harness_process_url(from, "/events?after=9&wait_ms=30000"));
+    body = g_strdup_printf("{\"block\":\"%s\",\"store\":\"%s\"}",
+                           harness_json_string(events, "events/0/block"),
+                           harness_process_url(store, ""));
+    json_node_unref(events);
+    g_assert_cmpint(
+        harness_post(&answer, harness_process_url(from, "/kv/export"), body),
+        ==, 200);
+    harness_answer_dispose(&answer);
+    expect_refusal(other, "/kv/import", body, 409, "wrong_version");
+    g_assert_cmpint(
+        harness_post(&answer, harness_process_url(to, "/kv/import"), body), ==,
+        200);
+    harness_answer_dispose(&answer);
+    complete(&stream, to, "d2", "5a17", "");
+    g_assert_cmpint(stream.cached_tokens, ==, 160);
+    harness_stream_dispose(&stream);
+    g_free(body);
+    harness_free(harness);
+}
+
 static void
 test_service_counts_over_a_crash(void)
 {
@@ -256,6 +295,7 @@
     g_test_add_func("/standins/resume", test_resume_and_restart);
     g_test_add_func("/standins/cancel", test_closed_stream_frees_its_slot);
     g_test_add_func("/standins/versions", test_versions_and_fences);
+    g_test_add_func("/standins/kv", test_kv_store_moves_a_prefix);
     g_test_add_func("/standins/service", test_service_counts_over_a_crash);
     return g_test_run();
 }
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -323,7 +323,7 @@
     runs = engine_runs(engine, member(body, "model"), member(body, "version"),
                        member(body, "adapter"));
     busy = engine->waiting_count >= engine->options.queue_limit ||
-           (engine->loading && *engine->next_adapter == '\0');
+           engine->weights_loading;
     standin_call_add_header(call, "X-Model-Version", engine->version);
     pthread_mutex_unlock(&engine->lock);
     snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
@@ -452,7 +452,7 @@
     engine->role = g_strdup("serve");
     engine->next_model = g_strdup("");
     engine->next_version = g_strdup("");
-    engine->next_adapter = g_strdup("");
+    engine->adapters_loading = g_ptr_array_new_with_free_func(g_free);
     engine->adapters = g_ptr_array_new_with_free_func(g_free);
     return engine;
 }
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -136,13 +136,13 @@
     GPtrArray *adapters;
     char *role;
     uint64_t fence;
-    bool loading;
-    bool loaded; /* the weights are there; they replace the old ones as soon
-                    as no request needs those */
+    bool weights_loading;
+    bool weights_loaded; /* they replace the old ones as soon as no request
+                            needs those */
     uint64_t load_order;
     char *next_model;
     char *next_version;
-    char *next_adapter;
+    GPtrArray *adapters_loading;
 };
 
 uint64_t engine_now(void);
