--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,7 @@
+#include "cli/cli.h"
+
+int
+main(int argc, char **argv)
+{
+    return pgw_cli_main(argc, argv);
+}
--- a/src/util/trace.c
+++ b/src/util/trace.c
@@ -10,65 +10,98 @@
 
 G_STATIC_ASSERT(sizeof(struct pgw_trace_event) % sizeof(uint64_t) == 0);
 
-/* Behind each name: what the numbers a and b mean. */
-static const char *const kind_names[PGW_TRACE_KIND_COUNT] = {
-    [PGW_TRACE_PROCESS_START] = "process_start", /* incarnation, - */
-    [PGW_TRACE_PROCESS_STOP] = "process_stop",   /* signal, - */
-    /* prompt or body bytes, deadline ms */
-    [PGW_TRACE_REQUEST_ACCEPT] = "request_accept",
-    /* enum pgw_refusal, enum pgw_ran */
-    [PGW_TRACE_REQUEST_REFUSE] = "request_refuse",
-    /* HTTP status, us since accept */
-    [PGW_TRACE_REQUEST_DONE] = "request_done",
-    [PGW_TRACE_PROBE] = "probe", /* rank, prompt tokens */
-    /* matched tokens, estimated us to the first token */
-    [PGW_TRACE_PROBE_REPLY] = "probe_reply",
-    [PGW_TRACE_PLACE] = "place",               /* rank, cost */
-    [PGW_TRACE_CLAIM] = "claim",               /* -, - */
-    [PGW_TRACE_CLAIM_RESULT] = "claim_result", /* state, us */
-    [PGW_TRACE_ATTEMPT_OPEN] = "attempt_open", /* deadline ms, resume from */
-    /* enum pgw_refusal, enum pgw_ran */
-    [PGW_TRACE_ATTEMPT_FAIL] = "attempt_fail",
-    [PGW_TRACE_ATTEMPT_END] = "attempt_end", /* tokens, cached tokens */
-    [PGW_TRACE_RETRY] = "retry",             /* attempts so far, wait us */
-    [PGW_TRACE_RESUME] = "resume",           /* tokens delivered, - */
-    [PGW_TRACE_CANCEL] = "cancel",           /* -, - */
-    [PGW_TRACE_ADMIT] = "admit",             /* running, waiting */
-    [PGW_TRACE_QUEUE] = "queue",             /* waiting, queued tokens */
-    /* enum pgw_refusal, retry after ms */
-    [PGW_TRACE_SIDECAR_REFUSE] = "sidecar_refuse",
-    [PGW_TRACE_UPSTREAM_START] = "upstream_start", /* us in queue, running */
-    [PGW_TRACE_FIRST_TOKEN] = "first_token",       /* us, cached tokens */
-    [PGW_TRACE_UPSTREAM_END] = "upstream_end",     /* status, us */
-    [PGW_TRACE_CONFIG_APPLY] = "config_apply",     /* version, old version */
-    [PGW_TRACE_CONFIG_STALE] = "config_stale",     /* version, held version */
-    [PGW_TRACE_PEER_UP] = "peer_up",               /* incarnation, - */
-    [PGW_TRACE_PEER_DOWN] = "peer_down",           /* incarnation, errno */
-    [PGW_TRACE_UPSTREAM_UP] = "upstream_up",       /* incarnation, - */
-    [PGW_TRACE_UPSTREAM_DOWN] = "upstream_down",   /* incarnation, running */
-    [PGW_TRACE_EVENT_GAP] = "event_gap",           /* expected, found */
-    [PGW_TRACE_RESYNC] = "resync",                 /* blocks, us */
-    [PGW_TRACE_ORDER] = "order",                   /* fence, - */
-    [PGW_TRACE_ORDER_DONE] = "order_done",         /* fence, HTTP status */
-    [PGW_TRACE_PERMIT_TAKE] = "permit_take",       /* fence, permits in use */
-    [PGW_TRACE_PERMIT_RELEASE] = "permit_release", /* fence, - */
-    [PGW_TRACE_DRAIN_BEGIN] = "drain_begin",       /* in progress, - */
-    [PGW_TRACE_DRAIN_END] = "drain_end",           /* cut off, us */
-    [PGW_TRACE_QUARANTINE_ADD] = "quarantine_add", /* crashes, - */
-    [PGW_TRACE_QUARANTINE_LIFT] = "quarantine_lift", /* -, - */
-    [PGW_TRACE_STORE_UP] = "store_up",               /* us down, - */
-    [PGW_TRACE_STORE_DOWN] = "store_down",           /* HTTP status, - */
-    [PGW_TRACE_OVERLOAD] = "overload",               /* in progress, limit */
-    [PGW_TRACE_FAULT] = "fault",                     /* -, - */
+/* A kind's name and what its numbers a and b mean; NULL: nothing. Labels
+ * that end in _us or _ms give the unit; "refusal" and "ran" are printed by
+ * name. */
+struct kind_row {
+    const char *name;
+    const char *a;
+    const char *b;
 };
 
+static const struct kind_row kinds[PGW_TRACE_KIND_COUNT] = {
+    [PGW_TRACE_PROCESS_START] = {"process_start", "incarnation", NULL},
+    [PGW_TRACE_PROCESS_STOP] = {"process_stop", "signal", NULL},
+    [PGW_TRACE_REQUEST_ACCEPT] = {"request_accept", "bytes", "deadline_ms"},
+    [PGW_TRACE_REQUEST_REFUSE] = {"request_refuse", "refusal", "ran"},
+    [PGW_TRACE_REQUEST_DONE] = {"request_done", "status", "us"},
+    [PGW_TRACE_PROBE] = {"probe", "rank", "prompt_tokens"},
+    [PGW_TRACE_PROBE_REPLY] = {"probe_reply", "matched_tokens", "ttft_us"},
+    [PGW_TRACE_PLACE] = {"place", "matched_tokens", "cost_us"},
+    [PGW_TRACE_CLAIM] = {"claim", NULL, NULL},
+    [PGW_TRACE_CLAIM_RESULT] = {"claim_result", "state", "us"},
+    [PGW_TRACE_ATTEMPT_OPEN] = {"attempt_open", "uncached_tokens",
+                                "resume_from"},
+    [PGW_TRACE_ATTEMPT_FAIL] = {"attempt_fail", "refusal", "ran"},
+    [PGW_TRACE_ATTEMPT_END] = {"attempt_end", "tokens", "cached_tokens"},
+    [PGW_TRACE_RETRY] = {"retry", "resume_from", "failures"},
+    [PGW_TRACE_RESUME] = {"resume", "resume_from", "failures"},
+    [PGW_TRACE_CANCEL] = {"cancel", "waiting", NULL},
+    [PGW_TRACE_ADMIT] = {"admit", "running", "waiting"},
+    [PGW_TRACE_QUEUE] = {"queue", "ttft_us", NULL},
+    [PGW_TRACE_SIDECAR_REFUSE] = {"sidecar_refuse", "refusal", "ran"},
+    [PGW_TRACE_UPSTREAM_START] = {"upstream_start", "uncached_tokens",
+                                  "prompt_tokens"},
+    [PGW_TRACE_FIRST_TOKEN] = {"first_token", "cached_tokens",
+                               "prompt_tokens"},
+    [PGW_TRACE_UPSTREAM_END] = {"upstream_end", "frames", "completion_tokens"},
+    [PGW_TRACE_CONFIG_APPLY] = {"config_apply", "version", NULL},
+    [PGW_TRACE_CONFIG_STALE] = {"config_stale", "version", "held"},
+    [PGW_TRACE_PEER_UP] = {"peer_up", NULL, NULL},
+    [PGW_TRACE_PEER_DOWN] = {"peer_down", NULL, NULL},
+    [PGW_TRACE_UPSTREAM_UP] = {"upstream_up", "incarnation", NULL},
+    [PGW_TRACE_UPSTREAM_DOWN] = {"upstream_down", "incarnation", NULL},
+    [PGW_TRACE_EVENT_GAP] = {"event_gap", "expected", "found"},
+    [PGW_TRACE_RESYNC] = {"resync", "blocks", NULL},
+    [PGW_TRACE_ORDER] = {"order", "fence", NULL},
+    [PGW_TRACE_ORDER_DONE] = {"order_done", "fence", "status"},
+    [PGW_TRACE_PERMIT_TAKE] = {"permit_take", "fence", "in_use"},
+    [PGW_TRACE_PERMIT_RELEASE] = {"permit_release", "fence", NULL},
+    [PGW_TRACE_DRAIN_BEGIN] = {"drain_begin", "in_progress", NULL},
+    [PGW_TRACE_DRAIN_END] = {"drain_end", "cut_off", "us"},
+    [PGW_TRACE_QUARANTINE_ADD] = {"quarantine_add", "crashes", NULL},
+    [PGW_TRACE_QUARANTINE_LIFT] = {"quarantine_lift", NULL, NULL},
+    [PGW_TRACE_STORE_UP] = {"store_up", "down_us", NULL},
+    [PGW_TRACE_STORE_DOWN] = {"store_down", "status", NULL},
+    [PGW_TRACE_OVERLOAD] = {"overload", "in_progress", "limit"},
+    [PGW_TRACE_FAULT] = {"fault", NULL, NULL},
+};
+
+static const struct kind_row *
+kind_row(int kind)
+{
+    static const struct kind_row unknown = {"unknown", "a", "b"};
+
+    return kind < 0 || kind >= PGW_TRACE_KIND_COUNT ? &unknown : &kinds[kind];
+}
+
 const char *
 pgw_trace_kind_name(int kind)
 {
-    if (kind < 0 || kind >= PGW_TRACE_KIND_COUNT) {
-        return "unknown";
+    return kind_row(kind)->name;
+}
+
+const char *
+pgw_trace_kind_label_a(int kind)
+{
+    return kind_row(kind)->a;
+}
+
+const char *
+pgw_trace_kind_label_b(int kind)
+{
+    return kind_row(kind)->b;
+}
+
+int
+pgw_trace_kind_parse(const char *name)
+{
+    for (int i = 0; i < PGW_TRACE_KIND_COUNT; i++) {
+        if (strcmp(kinds[i].name, name) == 0) {
+            return i;
+        }
     }
-    return kind_names[kind];
+    return -1;
 }
 
 /* One place of the ring. @sequence is 0 when unused, 2 * n + 1 while writer
--- a/src/util/trace.h
+++ b/src/util/trace.h
@@ -61,6 +61,15 @@
 /** pgw_trace_kind_name() - stable snake-case name of a kind */
 const char *pgw_trace_kind_name(int kind);
 
+/** pgw_trace_kind_label_a() - what a kind's first number is; NULL: nothing */
+const char *pgw_trace_kind_label_a(int kind);
+
+/** pgw_trace_kind_label_b() - what a kind's second number is */
+const char *pgw_trace_kind_label_b(int kind);
+
+/** pgw_trace_kind_parse() - number of a kind by its name, -1 for none */
+int pgw_trace_kind_parse(const char *name);
+
 /* Bytes of an event's text with its NUL; longer texts are cut. */
 #define PGW_TRACE_TEXT_SIZE 40
 
