Fold the walks over a shard's slots

Cause: three functions walked the slots in the same way.

Change: one walk that takes the rule; both ways to a new base share one function.

Conclusion: no duplicates left.

--- a/src/libparsleygw/claim_io.c
+++ b/src/libparsleygw/claim_io.c
@@ -152,6 +152,17 @@
     shard->retry_us = shard->now_us;
 }
 
+static void
+replace_base(struct pgw_claim_shard *shard, struct pgw_claim_object *object,
+             uint64_t version)
+{
+    store_answered(shard);
+    pgw_claim__object_free(shard->base);
+    shard->base = object;
+    shard->version = version;
+    pgw_claim__settle(shard);
+}
+
 static void
 adopt(struct pgw_claim_shard *shard, const struct pgw_io_reply *reply)
 {
@@ -166,22 +177,14 @@
         store_failed(shard);
         return;
     }
-    store_answered(shard);
-    pgw_claim__object_free(shard->base);
-    shard->base = object;
-    shard->version = reply->version;
     shard->read_wanted = false;
-    pgw_claim__settle(shard);
+    replace_base(shard, object, reply->version);
 }
 
 static void
 accept_draft(struct pgw_claim_shard *shard, uint64_t version)
 {
-    store_answered(shard);
-    pgw_claim__object_free(shard->base);
-    shard->base = g_steal_pointer(&shard->draft);
-    shard->version = version;
-    pgw_claim__settle(shard);
+    replace_base(shard, g_steal_pointer(&shard->draft), version);
 }
 
 static void
--- a/src/libparsleygw/claim_settle.c
+++ b/src/libparsleygw/claim_settle.c
@@ -110,20 +110,29 @@
     }
 }
 
-void
-pgw_claim__settle(struct pgw_claim_shard *shard)
+/* Goes over all slots and drops those that are no longer needed. */
+static void
+filter_slots(struct pgw_claim_shard *shard,
+             bool (*keep)(struct pgw_claim_shard *shard,
+                          struct pgw_claim_slot *slot))
 {
     GHashTableIter iter;
     gpointer slot;
 
     g_hash_table_iter_init(&iter, shard->slots);
     while (g_hash_table_iter_next(&iter, NULL, &slot)) {
-        if (!settle_slot(shard, slot)) {
+        if (!keep(shard, slot)) {
             g_hash_table_iter_remove(&iter);
         }
     }
 }
 
+void
+pgw_claim__settle(struct pgw_claim_shard *shard)
+{
+    filter_slots(shard, settle_slot);
+}
+
 /* A pending call gives up: the claim may be on its way into the store. */
 bool
 pgw_claim__keep_abandoned(struct pgw_claim_slot *slot)
@@ -208,15 +217,7 @@
 void
 pgw_claim__store_failed(struct pgw_claim_shard *shard)
 {
-    GHashTableIter iter;
-    gpointer slot;
-
-    g_hash_table_iter_init(&iter, shard->slots);
-    while (g_hash_table_iter_next(&iter, NULL, &slot)) {
-        if (!fail_slot(shard, slot)) {
-            g_hash_table_iter_remove(&iter);
-        }
-    }
+    filter_slots(shard, fail_slot);
 }
 
 /* Runs at most twice over one slot: once more after a grant. */
@@ -253,17 +254,9 @@
 void
 pgw_claim__expire(struct pgw_claim_shard *shard)
 {
-    GHashTableIter iter;
-    gpointer slot;
-
     if (shard->now_us < shard->expire_us) {
         return;
     }
     shard->expire_us = UINT64_MAX;
-    g_hash_table_iter_init(&iter, shard->slots);
-    while (g_hash_table_iter_next(&iter, NULL, &slot)) {
-        if (!expire_slot(shard, slot)) {
-            g_hash_table_iter_remove(&iter);
-        }
-    }
+    filter_slots(shard, expire_slot);
 }
