--- a/include/parsleygw/quarantine.h
+++ b/include/parsleygw/quarantine.h
@@ -92,7 +92,10 @@
  * @owner: incarnation of this process, never 0
  * @run_us: longest run under a permit; after it a silent run is a crash
  * @expiry_us: how long a record counts after its last change
- * @patience_us: longest wait for a permit
+ * @spread_us: time in which a record reaches all processes; the end of a
+ *             crashed run is told that much after the record stands, so that
+ *             no caller can send it again to a process that does not know
+ * @patience_us: longest wait for a permit, and for a crash to be recorded
  * @poll_us: wait between two looks at a permit that another holds
  * @backoff_us: wait after the store failed
  * @records_max: most fingerprints kept in this process
@@ -101,6 +104,7 @@
     uint64_t owner;
     uint64_t run_us;
     uint64_t expiry_us;
+    uint64_t spread_us;
     uint64_t patience_us;
     uint64_t poll_us;
     uint64_t backoff_us;
@@ -111,8 +115,8 @@
     {                                                                         \
         .run_us = 60ull * G_USEC_PER_SEC,                                     \
         .expiry_us = 24ull * 3600 * G_USEC_PER_SEC,                           \
-        .patience_us = 10ull * G_USEC_PER_SEC, .poll_us = 100000,             \
-        .backoff_us = 200000, .records_max = 4096                             \
+        .spread_us = G_USEC_PER_SEC, .patience_us = 10ull * G_USEC_PER_SEC,   \
+        .poll_us = 100000, .backoff_us = 200000, .records_max = 4096          \
     }
 
 /** struct pgw_quarantine - machine of one process; not thread-safe */
@@ -132,8 +136,10 @@
  * @PGW_QUARANTINE_RUN_ALONE: run it on an engine that runs nothing else, then
  *                            report the end
  * @PGW_QUARANTINE_REFUSE: refuse it, not run
- * @PGW_QUARANTINE_RECORDED: no request's decision: the crash named by @ticket
- *                           stands in the store; its Fail may be sent
+ * @PGW_QUARANTINE_RECORDED: the crash reported with @ticket stands in the
+ *                           store and had time to spread: its Fail may be sent
+ * @PGW_QUARANTINE_UNRECORDED: the store did not take the crash in time; its
+ *                             Fail may be sent, the record is tried again
  */
 enum pgw_quarantine_action {
     PGW_QUARANTINE_PENDING,
@@ -141,6 +147,7 @@
     PGW_QUARANTINE_RUN_ALONE,
     PGW_QUARANTINE_REFUSE,
     PGW_QUARANTINE_RECORDED,
+    PGW_QUARANTINE_UNRECORDED,
 };
 
 /**
@@ -178,7 +185,8 @@
  * pgw_quarantine_crash() - an upstream crashed while it ran a request
  * @quarantine: machine
  * @fingerprint: of the request
- * @ticket: as given to pgw_quarantine_admit(); RECORDED will name it
+ * @ticket: as given to pgw_quarantine_admit(); RECORDED or UNRECORDED will
+ *          name it; 0: nobody waits for that
  * @crash: the engine's incarnation: one crash counts once, whoever reports it
  * @now_us: the time
  */
@@ -186,6 +194,21 @@
                           const struct pgw_fingerprint *fingerprint,
                           uint64_t ticket, uint64_t crash, uint64_t now_us);
 
+/**
+ * pgw_quarantine_hear() - a peer passes on a record that may not stand in the
+ * store yet
+ * @quarantine: machine
+ * @fingerprint: of the request
+ * @value: the record as JSON
+ * @length: bytes of @value
+ * @now_us: the time
+ *
+ * Its crashes count here at once and are written to the store when it answers.
+ */
+void pgw_quarantine_hear(struct pgw_quarantine *quarantine,
+                         const struct pgw_fingerprint *fingerprint,
+                         const char *value, size_t length, uint64_t now_us);
+
 /**
  * pgw_quarantine_success() - a request ran to its end without a crash
  * @quarantine: machine
