--- a/include/parsleygw/claim.h
+++ b/include/parsleygw/claim.h
@@ -49,7 +49,7 @@
 
 #define PGW_CLAIM_LAYOUT_INIT                                                 \
     {                                                                         \
-        .shards = 4, .period_us = 60 * G_USEC_PER_SEC,                        \
+        .shards = 4, .period_us = 60ull * G_USEC_PER_SEC,                     \
         .retention_us = 24ull * 3600 * G_USEC_PER_SEC,                        \
         .skew_us = 600ull * G_USEC_PER_SEC                                    \
     }
--- a/src/entry/filter_levels.c
+++ b/src/entry/filter_levels.c
@@ -1,20 +1,41 @@
 #include "entry/exchange.h"
+#include "parsleygw/claim.h"
+#include "util/hlc.h"
 
-/* Plain calls have no prompt: what ranks their upstreams is the key, so that
- * repeats of one call meet at the same sidecar. */
+/* Plain calls have no prompt. One that may not be repeated is ranked by the
+ * object that holds its key: all calls of that object meet at one sidecar,
+ * which writes their claims together. */
 static bool
-key_levels(struct exchange_request *request)
+key_levels(struct exchange_request *request, struct refusal *refusal)
 {
+    struct pgw_claim_layout layout = PGW_CLAIM_LAYOUT_INIT;
+    struct pgw_claim_place place = {.name = "repeatable"};
     struct pgw_level_salt salt = {
-        .workspace = request->workspace,
+        .workspace = "-",
         .model = request->profile,
         .adapter = "",
         .version = "service",
     };
+    GError *error = NULL;
 
-    return pgw_level_chain_init(&request->chain, &salt,
-                                request->idempotency_key,
-                                strlen(request->idempotency_key), NULL, 0, 1);
+    layout.service = request->profile;
+    if (!request->repeatable &&
+        !pgw_claim_locate(&place, &layout, request->workspace,
+                          request->idempotency_key, pgw_hlc_wall_us(),
+                          &error)) {
+        refusal_set(refusal, PGW_REFUSAL_BAD_REQUEST, PGW_RAN_NO, 0, "%s",
+                    error->message);
+        g_clear_error(&error);
+        return false;
+    }
+    if (place.expired) {
+        refusal_set(refusal, PGW_REFUSAL_EXPIRED, PGW_RAN_UNKNOWN, 0,
+                    "the idempotency key is older than the retention: "
+                    "whether it ran is no longer known");
+        return false;
+    }
+    return pgw_level_chain_init(&request->chain, &salt, place.name,
+                                strlen(place.name), NULL, 0, 1);
 }
 
 static bool
@@ -44,17 +65,18 @@
     struct exchange_request *request = &exchange->request;
     const struct pgw_profile *profile =
         pgw_config_profile(config, request->profile);
-    bool good = exchange->format == FORMAT_SERVICE
-                    ? key_levels(request)
-                    : prompt_levels(request, profile->level_marker);
 
-    if (!good) {
-        refusal_set(refusal, PGW_REFUSAL_NOT_READY, PGW_RAN_NO, 1000,
-                    "pool '%s' declares no model or weights version: the "
-                    "operator must set them",
-                    request->pool);
+    if (exchange->format == FORMAT_SERVICE) {
+        return key_levels(request, refusal);
+    }
+    if (prompt_levels(request, profile->level_marker)) {
+        return true;
     }
-    return good;
+    refusal_set(refusal, PGW_REFUSAL_NOT_READY, PGW_RAN_NO, 1000,
+                "pool '%s' declares no model or weights version: the "
+                "operator must set them",
+                request->pool);
+    return false;
 }
 
 const struct filter filter_levels = {.name = "levels", .run = levels};
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -139,6 +139,30 @@
                                       : entry->settings->probe_fanout;
 }
 
+/* A call that may not be repeated goes to the first rank without asking:
+ * the claims of one object are written by one sidecar, and load hardly
+ * differs where nothing is cached. */
+static bool
+send_to_first(struct exchange *exchange, const struct pool *pool)
+{
+    struct placement *placement = exchange->placement;
+
+    placement->n_ranks =
+        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes,
+                       pool->count, &exchange->request.chain);
+    for (size_t i = 0; i < placement->n_ranks; i++) {
+        struct upstream *upstream = pool->upstreams[placement->ranks[i]];
+
+        if (!pgw_attempt_was_tried(&exchange->attempt,
+                                   candidate_number(upstream))) {
+            place_cancel(exchange);
+            forward_send(exchange, upstream, 0);
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 probe_first_ranks(struct exchange *exchange)
 {
@@ -150,6 +174,9 @@
     if (pool == NULL) {
         return false;
     }
+    if (!exchange->request.repeatable) {
+        return send_to_first(exchange, pool);
+    }
     placement->n_ranks = entry->policy->rank(
         placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes, pool->count,
         &exchange->request.chain, entry->turn++);
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -1,4 +1,5 @@
 #include "sidecar/gate.h"
+#include "sidecar/claims.h"
 #include "util/log.h"
 #include <xxhash.h>
 
@@ -44,6 +45,10 @@
     pgw_frame_free(&run->open->base);
     pgw_buffer_dispose(&run->line);
     g_free(run->finish_reason);
+    g_free(run->content_type);
+    if (run->answer != NULL) {
+        g_byte_array_unref(run->answer);
+    }
     g_free(run);
     sidecar->runs--;
 }
@@ -64,8 +69,29 @@
     gate_pump(sidecar);
 }
 
+static const char *
+claim_advice(enum pgw_refusal refusal)
+{
+    switch (refusal) {
+    case PGW_REFUSAL_STORE_DOWN:
+        return "the store does not take the claim now: send again with the "
+               "same key";
+    case PGW_REFUSAL_DUPLICATE:
+        return "the key was used before and its outcome is not known: look "
+               "at the service before you use a new key";
+    case PGW_REFUSAL_EXPIRED:
+        return "the key is older than the retention: whether it ran is no "
+               "longer known";
+    case PGW_REFUSAL_BAD_REQUEST:
+        return "the idempotency key is malformed: send up to 128 printable "
+               "characters, best a UUIDv7";
+    default:
+        return pgw_refusal_name(refusal);
+    }
+}
+
 static void
-run_start(struct run *run)
+run_hand_over(struct run *run)
 {
     run->state = RUN_SENT;
     run->sent_us = pgw_now_us();
@@ -76,18 +102,80 @@
     run->call->start(run);
 }
 
+/* The gate has a place free at the upstream. */
+static void
+run_start(struct run *run)
+{
+    if (run->open->repeatable) {
+        run_hand_over(run);
+        return;
+    }
+    run->state = RUN_CLAIMING;
+    run->answer = g_byte_array_new();
+    claims_ask(run->sidecar->claims, run);
+}
+
+static void
+run_replay(struct run *run, const struct pgw_claim_decision *decision)
+{
+    gsize size = 0;
+    const void *body = decision->body == NULL
+                           ? NULL
+                           : g_bytes_get_data(decision->body, &size);
+
+    run->replayed = true;
+    run->status = decision->status;
+    run_send_started(run, decision->content_type, "", 0);
+    run_send_data(run, body, size, 0, 0);
+    run_send_end(run);
+    gate_finish(run);
+}
+
+void
+gate_claim_decided(struct run *run, const struct pgw_claim_decision *decision)
+{
+    switch (decision->action) {
+    case PGW_CLAIM_RUN:
+        /* The claim stands in the store before the first byte leaves for the
+         * service: whatever dies from here on, nobody else runs the key. */
+        run_hand_over(run);
+        break;
+    case PGW_CLAIM_REPLAY:
+        run->claim = NULL;
+        run_replay(run, decision);
+        break;
+    default:
+        run->claim = NULL;
+        run_send_fail(run, decision->refusal, decision->ran,
+                      decision->retry_after_ms,
+                      claim_advice(decision->refusal));
+        gate_finish(run);
+        break;
+    }
+}
+
+/* Whether the attempt certainly has not run and now never will. */
+static bool
+run_withdraw(struct run *run)
+{
+    if (run->state == RUN_CLAIMING) {
+        return claims_cancel(run->sidecar->claims, run);
+    }
+    return run->state == RUN_WAITING;
+}
+
 static void
 run_expire(struct run *run)
 {
-    bool waiting = run->state == RUN_WAITING;
+    bool withdrawn = run_withdraw(run);
 
     run_send_fail(run, PGW_REFUSAL_DEADLINE,
-                  waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
-                  waiting ? "the deadline passed while the request waited"
-                          : "the deadline passed while the request ran");
+                  withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                  withdrawn ? "the deadline passed while the request waited"
+                            : "the deadline passed while the request ran");
     /* A call that may not be repeated runs on: cutting it off would leave
      * even its service unsure whether it ran. */
-    if (waiting || run->open->repeatable) {
+    if (withdrawn || run->open->repeatable) {
         gate_finish(run);
     }
 }
@@ -278,17 +366,18 @@
 static void
 run_abandon(struct run *run)
 {
-    bool waiting = run->state == RUN_WAITING;
+    bool withdrawn = run_withdraw(run);
 
-    if (!waiting && !run->open->repeatable) {
+    if (!withdrawn && !run->open->repeatable) {
         return;
     }
     if (!run->ended) {
         run_send_fail(run, PGW_REFUSAL_CANCELLED,
-                      waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0, "cancelled");
+                      withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                      "cancelled");
     }
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_CANCEL, &run->key.request,
-                     run->key.attempt, waiting, 0, NULL);
+                     run->key.attempt, withdrawn, 0, NULL);
     gate_finish(run);
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -34,11 +34,13 @@
 /**
  * enum run_state - progress of an attempt
  * @RUN_WAITING: at the gate: certainly not run
+ * @RUN_CLAIMING: asks for the claim of its idempotency key: not run here
  * @RUN_SENT: handed to the upstream, nothing heard yet
  * @RUN_STARTED: the upstream answers
  */
 enum run_state {
     RUN_WAITING,
+    RUN_CLAIMING,
     RUN_SENT,
     RUN_STARTED,
 };
@@ -66,7 +68,13 @@
  * @ended: End or Fail was sent
  * @refused: the upstream said that it did not run it
  * @broken: the upstream's answer made no sense
+ * @failed: the transfer is over and the answer is not whole
  * @status: plain call: HTTP status
+ * @content_type: plain call: of the answer
+ * @answer: plain call that may not be repeated: its answer, to be recorded
+ * @ticket: its number among the claims
+ * @claim: object that holds its key, NULL without one
+ * @replayed: the answer is a record of an earlier run
  * @prompt_tokens: as the engine counts
  * @cached_tokens: as the engine counts
  * @completion_tokens: as the engine counts
@@ -93,7 +101,13 @@
     bool ended;
     bool refused;
     bool broken;
+    bool failed;
     long status;
+    char *content_type;
+    GByteArray *answer;
+    uint64_t ticket;
+    struct claim_object *claim;
+    bool replayed;
     uint32_t prompt_tokens;
     uint32_t cached_tokens;
     uint32_t completion_tokens;
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -1,4 +1,4 @@
-#include "sidecar/gate.h"
+#include "sidecar/claims.h"
 #include "util/log.h"
 
 static ProtobufCBinaryData
@@ -73,6 +73,7 @@
     end.prompt_tokens = run->prompt_tokens;
     end.cached_tokens = run->cached_tokens;
     end.completion_tokens = run->completion_tokens;
+    end.replayed = run->replayed;
     run_send(run, PGW_FRAME_END, &end.base);
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_END,
                      &run->key.request, run->key.attempt, run->sequence,
@@ -141,6 +142,17 @@
     engine_suspect(&run->sidecar->engine);
 }
 
+static void
+run_settle_claim(struct run *run, bool was_sent)
+{
+    if (run->failed) {
+        claims_fail(run->sidecar->claims, run, was_sent);
+    }
+    else {
+        claims_finish(run->sidecar->claims, run);
+    }
+}
+
 static void
 on_done(struct pgw_transfer *transfer, CURLcode code, long status,
         void *context)
@@ -150,6 +162,10 @@
 
     (void)status;
     run->transfer = NULL;
+    run->failed = code != CURLE_OK || run->broken || !run->call->complete(run);
+    if (run->claim != NULL) {
+        run_settle_claim(run, was_sent);
+    }
     if (run->ended) {
         /* Its deadline or its caller ended it before. */
     }
@@ -159,7 +175,7 @@
                                          : PGW_REFUSAL_OVERLOADED,
                       PGW_RAN_NO, 0, "the upstream refused the request");
     }
-    else if (code != CURLE_OK || run->broken || !run->call->complete(run)) {
+    else if (run->failed) {
         pgw_log_warning("upstream_broke", "code=%s status=%ld",
                         curl_easy_strerror(code), run->status);
         run_fail_broken(run, was_sent);
--- a/src/sidecar/service_call.c
+++ b/src/sidecar/service_call.c
@@ -1,5 +1,8 @@
 #include "sidecar/gate.h"
 
+/* Beyond this an answer is too large to be recorded and replayed anyway. */
+#define RECORD_MAX ((guint)1 << 20)
+
 static void
 service_start(struct run *run)
 {
@@ -33,12 +36,16 @@
     const char *type = pgw_transfer_header(run->transfer, "Content-Type");
 
     (void)status;
-    run_send_started(run, type == NULL ? "" : type, "", 0);
+    run->content_type = g_strdup(type == NULL ? "" : type);
+    run_send_started(run, run->content_type, "", 0);
 }
 
 static bool
 service_body(struct run *run, const uint8_t *data, size_t size)
 {
+    if (run->answer != NULL && run->answer->len <= RECORD_MAX) {
+        g_byte_array_append(run->answer, data, (guint)size);
+    }
     run_send_data(run, data, size, 0, 0);
     return true;
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -1,6 +1,6 @@
 #include "sidecar/sidecar.h"
 #include "parsleygw/errors.h"
-#include "sidecar/gate.h"
+#include "sidecar/claims.h"
 #include "util/address.h"
 #include "util/json_text.h"
 #include "util/log.h"
@@ -120,11 +120,17 @@
 }
 
 static bool
-is_drained(const struct sidecar *sidecar)
+is_drained(struct sidecar *sidecar)
 {
     if (sidecar->runs > 0) {
         return false;
     }
+    /* An outcome that is not recorded would turn a repeat of a finished call
+     * into "unknown". */
+    claims_close(sidecar->claims);
+    if (!claims_are_settled(sidecar->claims)) {
+        return false;
+    }
     pgw_list_foreach (link, &sidecar->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, link);
 
@@ -245,7 +251,11 @@
         goto fail;
     }
     config_changed(sidecar);
-    if (!feed_init(sidecar, error) || !listen_for_entries(sidecar, error)) {
+    if (!feed_init(sidecar, error)) {
+        goto fail;
+    }
+    sidecar->claims = claims_new(sidecar);
+    if (!listen_for_entries(sidecar, error)) {
         goto fail;
     }
     sidecar->state_timer.on_due = state_due;
@@ -270,7 +280,6 @@
 void
 sidecar_free(struct sidecar *sidecar)
 {
-    pgw_config_feed_free(sidecar->feed);
     if (sidecar->listener != NULL) {
         close_peers(sidecar);
         pgw_listener_free(sidecar->listener);
@@ -278,6 +287,8 @@
     if (sidecar->transfers != NULL) {
         engine_dispose(&sidecar->engine);
         gate_abandon_all(sidecar);
+        claims_free(sidecar->claims);
+        pgw_config_feed_free(sidecar->feed);
         pgw_sync_free(sidecar->sync);
         pgw_admit_free(sidecar->admit);
         pgw_cache_free(sidecar->cache);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -86,6 +86,7 @@
  * @set: its objects
  * @feed: what the store says
  * @config: snapshot of @set
+ * @claims: keys of calls that may not be repeated
  * @admit: the gate before the upstream
  * @gate_timer: looks at the gate's waiting requests
  * @cache: what the engine's prefix cache holds
@@ -111,6 +112,7 @@
     struct pgw_config_set *set;
     struct pgw_config_feed *feed;
     struct pgw_config *config;
+    struct claims *claims;
     struct pgw_admit *admit;
     struct pgw_timer gate_timer;
     struct pgw_cache *cache;
