--- a/include/parsleygw/config.h
+++ b/include/parsleygw/config.h
@@ -192,6 +192,18 @@
                           const char *name, uint64_t version,
                           const char *value, bool *changed, GError **error);
 
+/**
+ * pgw_config_set_listed() - a whole list of the store was applied
+ * @set: the set, which holds all objects of the list
+ * @kind: kind that was listed
+ * @version: the collection's version
+ *
+ * From now on news of that kind with no higher version is known to be of a
+ * deleted object: pgw_config_set_apply() takes a tombstone for it.
+ */
+void pgw_config_set_listed(struct pgw_config_set *set, const char *kind,
+                           uint64_t version);
+
 /**
  * pgw_config_set_version() - version held of one object
  *
--- a/include/parsleygw/watch.h
+++ b/include/parsleygw/watch.h
@@ -77,19 +77,20 @@
 void pgw_watch_batch_free(struct pgw_watch_batch *batch);
 
 /**
- * pgw_watch_batch_foreach() - what a batch says about a set's objects
+ * pgw_watch_batch_apply() - apply a batch to a set, through a function
  * @batch: the batch
- * @set: the set that it will be applied to; not changed here
+ * @set: the set
  * @func: receives each object that is newer than the set's, deleted ones
- *   with a NULL value; may change the set
+ *   with a NULL value; applies it to @set, by pgw_config_set_apply() or what
+ *   calls it
  * @data: handed to @func
  *
  * A whole list also says which objects of the set were deleted while nobody
  * watched: those it misses, unless they are newer than the list itself.
  */
-void pgw_watch_batch_foreach(const struct pgw_watch_batch *batch,
-                             const struct pgw_config_set *set,
-                             pgw_config_object_func func, void *data);
+void pgw_watch_batch_apply(const struct pgw_watch_batch *batch,
+                           struct pgw_config_set *set,
+                           pgw_config_object_func func, void *data);
 
 struct pgw_watch;
 
--- a/src/libparsleygw/config_internal.h
+++ b/src/libparsleygw/config_internal.h
@@ -50,6 +50,7 @@
     GHashTable *objects[PGW_CONFIG__KINDS];              /* name -> object */
     struct pgw_config__table *tables[PGW_CONFIG__KINDS]; /* NULL: changed */
     uint64_t buckets[PGW_CONFIG_BUCKETS];
+    uint64_t listed[PGW_CONFIG__KINDS]; /* version of the last whole list */
 };
 
 bool pgw_config__kind_parse(enum pgw_config__kind *out, const char *kind);
--- a/src/libparsleygw/config_set.c
+++ b/src/libparsleygw/config_set.c
@@ -80,6 +80,36 @@
 #endif
 }
 
+/* A process that listed the store after a deletion holds no tombstone for what
+ * it never knew. A peer that was cut off meanwhile would give it the deleted
+ * object back, and it would spread from there: a deleted workspace's keys
+ * open again. But whatever lives at the list's version is held since, so that
+ * news from before it can only be of objects that were deleted. */
+static bool
+is_known_deleted(const struct pgw_config_set *set, enum pgw_config__kind kind,
+                 uint64_t version)
+{
+#ifndef PGW_DISABLE_CONFIG_LISTED
+    return version <= set->listed[kind];
+#else
+    (void)set;
+    (void)kind;
+    (void)version;
+    return false;
+#endif
+}
+
+void
+pgw_config_set_listed(struct pgw_config_set *set, const char *kind,
+                      uint64_t version)
+{
+    enum pgw_config__kind number;
+
+    if (pgw_config__kind_parse(&number, kind)) {
+        set->listed[number] = MAX(set->listed[number], version);
+    }
+}
+
 static bool
 parse_header(enum pgw_config__kind *out, const char *kind, const char *name,
              uint64_t version, GError **error)
@@ -119,6 +149,10 @@
     if (!is_news(held, version)) {
         return true;
     }
+    if (value != NULL && is_known_deleted(set, number, version)) {
+        version = set->listed[number];
+        value = NULL;
+    }
     object =
         pgw_config__object_new(number, name, version, value, false, error);
     if (object == NULL) {
--- a/src/libparsleygw/watch_rule.c
+++ b/src/libparsleygw/watch_rule.c
@@ -109,10 +109,27 @@
     g_hash_table_unref(missing.listed);
 }
 
+/* A listed object that this program refused keeps its older form, which a
+ * list's version must not turn into a deletion. */
+static bool
+is_complete(const struct pgw_watch_batch *batch,
+            const struct pgw_config_set *set)
+{
+    for (size_t i = 0; i < batch->list.n; i++) {
+        const struct pgw_store_object *object = &batch->list.objects[i];
+
+        if (pgw_config_set_version(set, batch->kind, object->name) <
+            object->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
-pgw_watch_batch_foreach(const struct pgw_watch_batch *batch,
-                        const struct pgw_config_set *set,
-                        pgw_config_object_func func, void *data)
+pgw_watch_batch_apply(const struct pgw_watch_batch *batch,
+                      struct pgw_config_set *set, pgw_config_object_func func,
+                      void *data)
 {
     if (batch->whole) {
         foreach_missing(batch, set, func, data);
@@ -126,4 +143,7 @@
                  data);
         }
     }
+    if (batch->whole && is_complete(batch, set)) {
+        pgw_config_set_listed(set, batch->kind, batch->list.version);
+    }
 }
--- a/tests/unit/test_watch.c
+++ b/tests/unit/test_watch.c
@@ -124,7 +124,7 @@
     struct memory_store *memory = data;
 
     pthread_mutex_lock(&memory->lock);
-    pgw_watch_batch_foreach(batch, memory->set, apply, memory);
+    pgw_watch_batch_apply(batch, memory->set, apply, memory);
     pthread_cond_broadcast(&memory->changed);
     pthread_mutex_unlock(&memory->lock);
     pgw_watch_batch_free(batch);
@@ -247,10 +247,10 @@
 
     memory_init(&memory, &options);
     apply("pool", "a", 5, POOL, &memory);
-    pgw_watch_batch_foreach(&batch, memory.set, apply, &memory);
+    pgw_watch_batch_apply(&batch, memory.set, apply, &memory);
     g_assert_cmpuint(pgw_config_set_count(memory.set), ==, 1);
     batch.list.version = 6;
-    pgw_watch_batch_foreach(&batch, memory.set, apply, &memory);
+    pgw_watch_batch_apply(&batch, memory.set, apply, &memory);
     g_assert_cmpuint(pgw_config_set_count(memory.set), ==, 0);
     g_assert_cmpuint(pgw_config_set_version(memory.set, "pool", "a"), ==, 6);
     memory_dispose(&memory);
