--- a/src/cli/history.c
+++ b/src/cli/history.c
@@ -59,7 +59,7 @@
     json_array_add_element(entries, entry);
     for (guint i = 0; old != NULL && i < json_array_get_length(old); i++) {
         JsonNode *element = json_array_get_element(old, i);
-        char *text = json_to_string(element, FALSE);
+        char *text = pgw_cli_json_text(element, false);
 
         bytes += strlen(text);
         g_free(text);
--- a/src/cli/json_diff.c
+++ b/src/cli/json_diff.c
@@ -3,7 +3,7 @@
 static void
 append_line(GString *out, char sign, const char *path, JsonNode *value)
 {
-    char *text = json_to_string(value, FALSE);
+    char *text = pgw_cli_json_text(value, false);
 
     g_string_append_printf(out, "  %c %s: %s\n", sign,
                            *path == '\0' ? "(value)" : path, text);
--- a/src/cli/objects.c
+++ b/src/cli/objects.c
@@ -183,7 +183,7 @@
         return pgw_store_delete_if(cli->store, change->kind, change->name,
                                    change->base, deadline, error);
     }
-    text = json_to_string(change->value, FALSE);
+    text = pgw_cli_json_text(change->value, false);
     ok = pgw_store_put_if(cli->store, &object, change->kind, change->name,
                           change->base, text, deadline, error);
     *version = object.version;
@@ -251,7 +251,7 @@
                      const struct pgw_cli_change *change, GError **error)
 {
     char *text =
-        change->value == NULL ? NULL : json_to_string(change->value, FALSE);
+        change->value == NULL ? NULL : pgw_cli_json_text(change->value, false);
     enum pgw_config_check_flags flags =
         cli->options.force ? PGW_CONFIG_CHECK_FORCE : PGW_CONFIG_CHECK_NONE;
     bool ok =
--- a/src/cli/objects.h
+++ b/src/cli/objects.h
@@ -94,6 +94,15 @@
  */
 char *pgw_cli_json_diff(JsonNode *before, JsonNode *after);
 
+/**
+ * pgw_cli_json_text() - a value as text, numbers as briefly as they read back
+ * @node: the value
+ * @pretty: with line breaks
+ *
+ * Return: text to release with g_free().
+ */
+char *pgw_cli_json_text(JsonNode *node, bool pretty);
+
 /** pgw_cli_report_change() - print what was written */
 void pgw_cli_report_change(const struct pgw_cli *cli,
                            const struct pgw_cli_change *change,
--- a/src/cli/table.c
+++ b/src/cli/table.c
@@ -1,5 +1,7 @@
 #include "cli/table.h"
 
+#include "cli/objects.h"
+
 #include <stdio.h>
 
 /* Numbers keep their type for JSON. */
@@ -155,7 +157,7 @@
 void
 pgw_cli_json_print(JsonNode *node)
 {
-    char *text = json_to_string(node, TRUE);
+    char *text = pgw_cli_json_text(node, true);
 
     puts(text);
     g_free(text);
--- a/src/cli/timeline_text.c
+++ b/src/cli/timeline_text.c
@@ -1,5 +1,6 @@
 #include "cli/timeline.h"
 
+#include "cli/objects.h"
 #include "util/trace.h"
 
 static const struct pgw_timeline_lane *
@@ -137,7 +138,7 @@
     json_object_set_array_member(root, "events", events);
     json_object_set_array_member(root, "missing", missing);
     json_node_take_object(node, root);
-    text = json_to_string(node, TRUE);
+    text = pgw_cli_json_text(node, true);
     json_node_unref(node);
     return text;
 }
