--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -1,13 +1,13 @@
 #include "sidecar/sidecar.h"
 #include "parsleygw/errors.h"
-#include "sidecar/gate.h"
+#include "sidecar/claims.h"
 #include "util/address.h"
 #include "util/json_text.h"
 #include "util/log.h"
 #include "util/random.h"
 
-#define STATE_INTERVAL_US (500 * 1000)
-#define DRAIN_CHECK_US (20 * 1000)
+#define STATE_INTERVAL_US UINT64_C(500000)
+#define DRAIN_CHECK_US UINT64_C(20000)
 #define TRACE_EVENTS (1u << 14)
 
 static void
@@ -20,6 +20,9 @@
         pgw_config_unref(sidecar->config);
     }
     sidecar->config = config;
+    if (sidecar->feed != NULL) {
+        pgw_config_feed_changed(sidecar->feed, config);
+    }
     pgw_trace_record(sidecar->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
                      pgw_config_version(config), 0, NULL);
 }
@@ -117,11 +120,17 @@
 }
 
 static bool
-is_drained(const struct sidecar *sidecar)
+is_drained(struct sidecar *sidecar)
 {
     if (sidecar->runs > 0) {
         return false;
     }
+    /* An outcome that is not recorded would turn a repeat of a finished call
+     * into "unknown". */
+    claims_close(sidecar->claims);
+    if (!claims_are_settled(sidecar->claims)) {
+        return false;
+    }
     pgw_list_foreach (link, &sidecar->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, link);
 
@@ -189,6 +198,26 @@
     return pgw_admit_new(&options);
 }
 
+static bool
+feed_init(struct sidecar *sidecar, GError **error)
+{
+    struct pgw_config_feed_options options = {
+        .store_url = sidecar->settings->store_url,
+        .instance = sidecar->settings->instance,
+        .zone = sidecar->settings->zone,
+        .loop = sidecar->loop,
+        .sync = sidecar->sync,
+        .set = sidecar->set,
+    };
+
+    sidecar->feed = pgw_config_feed_new(&options, error);
+    if (sidecar->feed == NULL) {
+        return false;
+    }
+    pgw_config_feed_changed(sidecar->feed, sidecar->config);
+    return true;
+}
+
 struct sidecar *
 sidecar_new(struct pgw_sidecar_settings *settings, GError **error)
 {
@@ -222,6 +251,10 @@
         goto fail;
     }
     config_changed(sidecar);
+    if (!feed_init(sidecar, error)) {
+        goto fail;
+    }
+    sidecar->claims = claims_new(sidecar);
     if (!listen_for_entries(sidecar, error)) {
         goto fail;
     }
@@ -254,6 +287,8 @@
     if (sidecar->transfers != NULL) {
         engine_dispose(&sidecar->engine);
         gate_abandon_all(sidecar);
+        claims_free(sidecar->claims);
+        pgw_config_feed_free(sidecar->feed);
         pgw_sync_free(sidecar->sync);
         pgw_admit_free(sidecar->admit);
         pgw_cache_free(sidecar->cache);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -1,6 +1,7 @@
 #ifndef PGW_SIDECAR_SIDECAR_H
 #define PGW_SIDECAR_SIDECAR_H
 
+#include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/admit.h"
@@ -83,7 +84,9 @@
  * @peers: connected entries (&struct peer)
  * @sync: configuration replica
  * @set: its objects
+ * @feed: what the store says
  * @config: snapshot of @set
+ * @claims: keys of calls that may not be repeated
  * @admit: the gate before the upstream
  * @gate_timer: looks at the gate's waiting requests
  * @cache: what the engine's prefix cache holds
@@ -107,7 +110,9 @@
     struct pgw_list peers;
     struct pgw_sync *sync;
     struct pgw_config_set *set;
+    struct pgw_config_feed *feed;
     struct pgw_config *config;
+    struct claims *claims;
     struct pgw_admit *admit;
     struct pgw_timer gate_timer;
     struct pgw_cache *cache;
