Suspect requests whose engine crashed while it ran them

Cause: a request that crashes each engine that runs it would be retried from engine to engine, and again with each repeat of its caller. Change: a broken answer makes the sidecar ask its engine; if it died, every request that it ran is reported to the quarantine machine, told to all processes over all links, and runs alone from then on; two crashes quarantine it, which entries refuse at once. Records are kept in the store.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -185,12 +185,15 @@
 sync_init(struct entry *entry)
 {
     struct pgw_sync_options options = PGW_SYNC_OPTIONS_INIT;
+    struct pgw_suspects_options suspects = PGW_SUSPECTS_OPTIONS_INIT;
 
     options.loop = entry->loop;
     options.set = entry->set;
     options.on_change = config_changed;
     options.context = entry;
     entry->sync = pgw_sync_new(&options);
+    suspects.loop = entry->loop;
+    entry->suspects = pgw_suspects_new(&suspects);
 }
 
 static bool
@@ -203,6 +206,7 @@
         .loop = entry->loop,
         .sync = entry->sync,
         .set = entry->set,
+        .suspects = entry->suspects,
     };
 
     entry->feed = pgw_config_feed_new(&options, error);
@@ -258,6 +262,7 @@
         pgw_timer_stop(entry->loop, &entry->watch_timer);
         pgw_config_feed_free(entry->feed);
         upstreams_free(entry);
+        pgw_suspects_free(entry->suspects);
         pgw_sync_free(entry->sync);
     }
     pgw_rcu_free(entry->snapshot);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -3,6 +3,7 @@
 
 #include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
+#include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/config.h"
 #include "parsleygw/place.h"
@@ -49,6 +50,7 @@
  * @sync: configuration replica
  * @set: its objects
  * @feed: what the store says
+ * @suspects: quarantine records, shared with all processes
  * @config: snapshot of @set that the loop uses
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
@@ -74,6 +76,7 @@
     struct pgw_sync *sync;
     struct pgw_config_set *set;
     struct pgw_config_feed *feed;
+    struct pgw_suspects *suspects;
     struct pgw_config *config;
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -61,6 +61,7 @@
  * @idempotency_key: caller's key, or empty
  * @chain: levels of the prompt, or of the idempotency key
  * @bytes_per_token: the pool's
+ * @fingerprint: what it asks, whoever sends it again
  */
 struct exchange_request {
     char *method;
@@ -88,6 +89,7 @@
     char *idempotency_key;
     struct pgw_level_chain chain;
     uint32_t bytes_per_token;
+    struct pgw_fingerprint fingerprint;
 };
 
 /**
@@ -171,6 +173,7 @@
  * @service_type: its content type
  * @first_token_us: when the answer began, 0 before
  * @failures: failed attempts
+ * @suspect: a quarantine record names its fingerprint
  * @ended: the caller has its final answer
  */
 struct exchange {
@@ -208,6 +211,7 @@
     char *service_type;
     uint64_t first_token_us;
     uint32_t failures;
+    bool suspect;
     bool ended;
 };
 
--- a/src/entry/filter_levels.c
+++ b/src/entry/filter_levels.c
@@ -69,6 +69,8 @@
     if (exchange->format == FORMAT_SERVICE) {
         return key_levels(request, refusal);
     }
+    pgw_fingerprint_compute(&request->fingerprint, request->workspace,
+                            request->prompt->str, request->prompt->len);
     if (prompt_levels(request, profile->level_marker)) {
         return true;
     }
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -85,6 +85,27 @@
     pgw_attempt_init(&exchange->attempt, &options);
 }
 
+/* Refuses a request that crashed engines before; at once and here, so that
+ * its repeats cost no sidecar anything. */
+static bool
+is_quarantined(struct exchange *exchange)
+{
+    const struct pgw_quarantine_record *record = pgw_suspects_find(
+        exchange->entry->suspects, &exchange->request.fingerprint);
+    struct refusal refusal = {0};
+
+    exchange->suspect = record != NULL;
+    if (record == NULL || record->crash_count < PGW_QUARANTINE_CRASHES) {
+        return false;
+    }
+    refusal_set(&refusal, PGW_REFUSAL_QUARANTINED, PGW_RAN_NO, 0,
+                "the request crashed engines before: change it, or ask the "
+                "operator to lift the quarantine");
+    forward_refuse(exchange, &refusal);
+    refusal_dispose(&refusal);
+    return true;
+}
+
 void
 forward_begin(struct pgw_task *task)
 {
@@ -98,7 +119,9 @@
     g_hash_table_insert(entry->exchanges, &exchange->id, exchange);
     pgw_retry_budget_deposit(entry->budget);
     schedule_timer(exchange);
-    place_begin(exchange);
+    if (!is_quarantined(exchange)) {
+        place_begin(exchange);
+    }
 }
 
 static ProtobufCBinaryData
@@ -142,6 +165,9 @@
         open->body.len = pgw_buffer_size(&request->body);
         return;
     }
+    open->fingerprint.data = (uint8_t *)request->fingerprint.bytes;
+    open->fingerprint.len = PGW_FINGERPRINT_SIZE;
+    open->suspect = exchange->suspect || exchange->failures > 0;
     open->body.data = (uint8_t *)request->prompt->str;
     open->body.len = request->prompt->len;
     open->resume_from = exchange->resume_from;
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -104,6 +104,7 @@
     pgw_hlc_receive(pgw_hlc_process(), hello->clock, pgw_hlc_wall_us());
     pgw_trace_record(upstream->entry->trace, PGW_TRACE_PEER_UP, NULL, 0, 0, 0,
                      upstream->id);
+    pgw_suspects_add_link(upstream->entry->suspects, upstream->link);
     pgw_sync_add_link(upstream->entry->sync, upstream->link);
 }
 
@@ -135,6 +136,10 @@
     case PGW_FRAME_FAIL:
         forward_take_frame(entry, upstream, type, message);
         break;
+    case PGW_FRAME_SUSPECTS:
+        pgw_suspects_take_frame(entry->suspects, link,
+                                (const Pgw__Objects *)message);
+        break;
     default:
         if (!pgw_sync_take_frame(entry->sync, link, type, message)) {
             pgw_log_warning("frame_unexpected", "type=%d upstream=%s", type,
@@ -174,6 +179,7 @@
                          0, 0, upstream->id);
     }
     pgw_sync_remove_link(upstream->entry->sync, link);
+    pgw_suspects_remove_link(upstream->entry->suspects, link);
     upstream->link = NULL;
     upstream->greeted = false;
     upstream->leaving = false;
--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -28,13 +28,36 @@
     }
 }
 
+static void
+take_suspects(struct pgw_config_feed *feed,
+              const struct pgw_watch_batch *batch)
+{
+    struct pgw_suspects *suspects = feed->options.suspects;
+
+    for (size_t i = 0; i < batch->list.n; i++) {
+        const struct pgw_store_object *object = &batch->list.objects[i];
+        const char *value = object->deleted ? NULL : object->value;
+
+        pgw_suspects_offer(suspects, object->name, object->version, value,
+                           value == NULL ? 0 : strlen(value));
+    }
+    if (batch->whole) {
+        pgw_suspects_retain(suspects, &batch->list);
+    }
+}
+
 static void
 batch_run(struct pgw_task *task)
 {
     struct batch_task *self = pgw_container_of(task, struct batch_task, task);
 
-    pgw_watch_batch_foreach(self->batch, self->feed->options.set, offer,
-                            self->feed);
+    if (strcmp(self->batch->kind, PGW_QUARANTINE_KIND) == 0) {
+        take_suspects(self->feed, self->batch);
+    }
+    else {
+        pgw_watch_batch_apply(self->batch, self->feed->options.set, offer,
+                              self->feed);
+    }
     pgw_watch_batch_free(self->batch);
     g_free(self);
 }
@@ -51,6 +74,11 @@
     pgw_loop_post(feed->options.loop, &self->task);
 }
 
+static const char *const kinds[] = {
+    PGW_CONFIG_KIND_PROFILE,  PGW_CONFIG_KIND_WORKSPACE, PGW_CONFIG_KIND_POOL,
+    PGW_CONFIG_KIND_UPSTREAM, PGW_QUARANTINE_KIND,       NULL,
+};
+
 struct pgw_config_feed *
 pgw_config_feed_new(const struct pgw_config_feed_options *options,
                     GError **error)
@@ -68,6 +96,7 @@
     watch.store = feed->store;
     watch.self = options->instance;
     watch.zone = options->zone;
+    watch.kinds = kinds;
     watch.on_batch = on_batch;
     watch.data = feed;
     feed->watch = pgw_watch_new(&watch);
@@ -116,6 +145,9 @@
     while (g_hash_table_iter_next(&iter, &kind, &held)) {
         pgw_watch_set_held(feed->watch, kind, *(uint64_t *)held);
     }
+    /* Peers send all records when they connect, and mostly there is none:
+     * a process without any need not ask the store. */
+    pgw_watch_set_held(feed->watch, PGW_QUARANTINE_KIND, 1);
     g_hash_table_unref(highest);
 }
 
--- a/src/libparsleygw/config_feed.h
+++ b/src/libparsleygw/config_feed.h
@@ -1,6 +1,7 @@
 #ifndef PGW_CONFIG_FEED_H
 #define PGW_CONFIG_FEED_H
 
+#include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/watch.h"
 
@@ -21,6 +22,7 @@
  * @loop: owner of the replica
  * @sync: the replica; must outlive the feed
  * @set: its objects
+ * @suspects: copy of the quarantine records; must outlive the feed
  */
 struct pgw_config_feed_options {
     const char *store_url;
@@ -29,6 +31,7 @@
     struct pgw_loop *loop;
     struct pgw_sync *sync;
     struct pgw_config_set *set;
+    struct pgw_suspects *suspects;
 };
 
 /** pgw_config_feed_new() - start to watch; %PGW_ERROR_INVALID for the URL */
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -17,6 +17,7 @@
         [PGW_FRAME_STATE] = &pgw__state__descriptor,
         [PGW_FRAME_DIGEST] = &pgw__digest__descriptor,
         [PGW_FRAME_OBJECTS] = &pgw__objects__descriptor,
+        [PGW_FRAME_SUSPECTS] = &pgw__objects__descriptor,
 };
 
 void
--- a/src/libparsleygw/frame.h
+++ b/src/libparsleygw/frame.h
@@ -36,6 +36,7 @@
     PGW_FRAME_STATE,
     PGW_FRAME_DIGEST,
     PGW_FRAME_OBJECTS,
+    PGW_FRAME_SUSPECTS,
     PGW_FRAME_TYPE_COUNT,
 };
 
--- /dev/null
+++ b/src/libparsleygw/suspects.c
@@ -0,0 +1,265 @@
+#include "libparsleygw/suspects.h"
+#include "util/log.h"
+
+#define SWEEP_US UINT64_C(60000000)
+
+struct suspect {
+    struct pgw_list link; /* oldest change first */
+    struct pgw_fingerprint fingerprint;
+    char name[PGW_FINGERPRINT_HEX];
+    uint64_t version;
+    char *value; /* NULL: lifted */
+    size_t length;
+    struct pgw_quarantine_record record;
+    uint64_t changed_us;
+};
+
+struct pgw_suspects {
+    struct pgw_suspects_options options;
+    GPtrArray *links;
+    GHashTable *table; /* struct suspect by name */
+    struct pgw_list order;
+    size_t in_force;
+    struct pgw_timer sweep;
+};
+
+static void
+suspect_remove(struct pgw_suspects *suspects, struct suspect *suspect)
+{
+    pgw_list_remove(&suspect->link);
+    suspects->in_force -= suspect->value != NULL;
+    g_hash_table_remove(suspects->table, suspect->name);
+    g_free(suspect->value);
+    g_free(suspect);
+}
+
+static void
+sweep_due(struct pgw_timer *timer)
+{
+    struct pgw_suspects *suspects =
+        pgw_container_of(timer, struct pgw_suspects, sweep);
+    uint64_t now = pgw_now_us();
+
+    pgw_list_foreach_safe (link, &suspects->order) {
+        struct suspect *suspect = pgw_container_of(link, struct suspect, link);
+
+        if (now - suspect->changed_us < suspects->options.keep_us) {
+            break;
+        }
+        suspect_remove(suspects, suspect);
+    }
+    pgw_timer_start(suspects->options.loop, timer, SWEEP_US);
+}
+
+struct pgw_suspects *
+pgw_suspects_new(const struct pgw_suspects_options *options)
+{
+    struct pgw_suspects *suspects = g_new0(struct pgw_suspects, 1);
+
+    suspects->options = *options;
+    suspects->links = g_ptr_array_new();
+    suspects->table = g_hash_table_new(g_str_hash, g_str_equal);
+    pgw_list_init(&suspects->order);
+    suspects->sweep.on_due = sweep_due;
+    pgw_timer_start(options->loop, &suspects->sweep, SWEEP_US);
+    return suspects;
+}
+
+void
+pgw_suspects_free(struct pgw_suspects *suspects)
+{
+    if (suspects == NULL) {
+        return;
+    }
+    pgw_timer_stop(suspects->options.loop, &suspects->sweep);
+    pgw_list_foreach_safe (link, &suspects->order) {
+        suspect_remove(suspects, pgw_container_of(link, struct suspect, link));
+    }
+    g_hash_table_unref(suspects->table);
+    g_ptr_array_unref(suspects->links);
+    g_free(suspects);
+}
+
+static void
+send_one(struct pgw_link *link, const struct suspect *suspect)
+{
+    Pgw__Objects message = PGW__OBJECTS__INIT;
+    Pgw__Object object = PGW__OBJECT__INIT;
+    Pgw__Object *pointer = &object;
+
+    object.kind = PGW_QUARANTINE_KIND;
+    object.name = (char *)suspect->name;
+    object.version = suspect->version;
+    object.deleted = suspect->value == NULL;
+    object.value.data = (uint8_t *)suspect->value;
+    object.value.len = suspect->length;
+    message.n_objects = 1;
+    message.objects = &pointer;
+    pgw_link_send(link, PGW_FRAME_SUSPECTS, &message.base);
+}
+
+void
+pgw_suspects_add_link(struct pgw_suspects *suspects, struct pgw_link *link)
+{
+    g_ptr_array_add(suspects->links, link);
+    pgw_list_foreach (at, &suspects->order) {
+        send_one(link, pgw_container_of(at, struct suspect, link));
+    }
+}
+
+void
+pgw_suspects_remove_link(struct pgw_suspects *suspects, struct pgw_link *link)
+{
+    g_ptr_array_remove_fast(suspects->links, link);
+}
+
+static struct suspect *
+suspect_get(struct pgw_suspects *suspects,
+            const struct pgw_fingerprint *fingerprint)
+{
+    char name[PGW_FINGERPRINT_HEX];
+    struct suspect *suspect;
+
+    pgw_fingerprint_print(name, fingerprint);
+    suspect = g_hash_table_lookup(suspects->table, name);
+    if (suspect != NULL) {
+        return suspect;
+    }
+    if (g_hash_table_size(suspects->table) >= suspects->options.limit) {
+        suspect_remove(suspects,
+                       pgw_container_of(pgw_list_first(&suspects->order),
+                                        struct suspect, link));
+    }
+    suspect = g_new0(struct suspect, 1);
+    suspect->fingerprint = *fingerprint;
+    memcpy(suspect->name, name, sizeof(name));
+    g_hash_table_insert(suspects->table, suspect->name, suspect);
+    pgw_list_append(&suspects->order, &suspect->link);
+    return suspect;
+}
+
+static bool
+suspect_set(struct pgw_suspects *suspects, struct suspect *suspect,
+            uint64_t version, const char *value, size_t length)
+{
+    struct pgw_quarantine_record record = {0};
+    GError *error = NULL;
+
+    if (version <= suspect->version) {
+        return false;
+    }
+    if (value != NULL &&
+        !pgw_quarantine_record_parse(&record, value, length, &error)) {
+        pgw_log_warning("quarantine_refused", "name=%s error=%s",
+                        suspect->name, error->message);
+        g_clear_error(&error);
+        return false;
+    }
+    suspects->in_force += (value != NULL) - (suspect->value != NULL);
+    g_free(suspect->value);
+    suspect->version = version;
+    suspect->value = value == NULL ? NULL : g_strndup(value, length);
+    suspect->length = length;
+    suspect->record = record;
+    suspect->changed_us = pgw_now_us();
+    pgw_list_remove(&suspect->link);
+    pgw_list_append(&suspects->order, &suspect->link);
+    return true;
+}
+
+static void
+merge(struct pgw_suspects *suspects, const struct pgw_link *origin,
+      const char *name, uint64_t version, const char *value, size_t length)
+{
+    struct pgw_fingerprint fingerprint;
+    struct suspect *suspect;
+
+    if (!pgw_fingerprint_parse(&fingerprint, name)) {
+        return;
+    }
+    suspect = suspect_get(suspects, &fingerprint);
+    if (!suspect_set(suspects, suspect, version, value, length)) {
+        return;
+    }
+    /* To all links: the record must arrive everywhere before the caller of
+     * the refused request can come back, and records are rare. */
+    for (guint i = 0; i < suspects->links->len; i++) {
+        struct pgw_link *link = g_ptr_array_index(suspects->links, i);
+
+        if (link != origin) {
+            send_one(link, suspect);
+        }
+    }
+    if (suspects->options.on_record != NULL) {
+        suspects->options.on_record(suspects->options.context, &fingerprint,
+                                    version, suspect->value, suspect->length);
+    }
+}
+
+void
+pgw_suspects_offer(struct pgw_suspects *suspects, const char *name,
+                   uint64_t version, const char *value, size_t length)
+{
+    merge(suspects, NULL, name, version, value, length);
+}
+
+static bool
+list_has(const struct pgw_store_list *list, const char *name)
+{
+    for (size_t i = 0; i < list->n; i++) {
+        if (strcmp(list->objects[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+pgw_suspects_retain(struct pgw_suspects *suspects,
+                    const struct pgw_store_list *list)
+{
+    pgw_list_foreach_safe (link, &suspects->order) {
+        struct suspect *suspect = pgw_container_of(link, struct suspect, link);
+
+        /* A record written after the list was read is not in it, either. */
+        if (suspect->value != NULL && suspect->version < list->version &&
+            !list_has(list, suspect->name)) {
+            merge(suspects, NULL, suspect->name, list->version, NULL, 0);
+        }
+    }
+}
+
+void
+pgw_suspects_take_frame(struct pgw_suspects *suspects,
+                        const struct pgw_link *origin,
+                        const Pgw__Objects *message)
+{
+    for (size_t i = 0; i < message->n_objects; i++) {
+        const Pgw__Object *object = message->objects[i];
+
+        merge(suspects, origin, object->name, object->version,
+              object->deleted ? NULL : (const char *)object->value.data,
+              object->value.len);
+    }
+}
+
+const struct pgw_quarantine_record *
+pgw_suspects_find(const struct pgw_suspects *suspects,
+                  const struct pgw_fingerprint *fingerprint)
+{
+    char name[PGW_FINGERPRINT_HEX];
+    struct suspect *suspect;
+
+    if (suspects->in_force == 0) {
+        return NULL;
+    }
+    pgw_fingerprint_print(name, fingerprint);
+    suspect = g_hash_table_lookup(suspects->table, name);
+    return suspect == NULL || suspect->value == NULL ? NULL : &suspect->record;
+}
+
+size_t
+pgw_suspects_count(const struct pgw_suspects *suspects)
+{
+    return suspects->in_force;
+}
--- /dev/null
+++ b/src/libparsleygw/suspects.h
@@ -0,0 +1,84 @@
+#ifndef PGW_SUSPECTS_H
+#define PGW_SUSPECTS_H
+
+#include "libparsleygw/link.h"
+#include "parsleygw/quarantine.h"
+#include "parsleygw/store.h"
+
+/**
+ * DOC: Quarantine records between our processes
+ *
+ * Every process keeps the few records that are in force and passes on each
+ * new one to all its links at once, so that a request which crashed two
+ * engines is known everywhere before its caller can send it again. Records
+ * live in the store; what is missed here is read from there.
+ */
+
+struct pgw_suspects;
+
+/**
+ * struct pgw_suspects_options - one process's copy
+ * @loop: loop of all its links
+ * @on_record: a record is new here; @value is NULL when it was lifted; may
+ *             be NULL
+ * @context: handed to @on_record
+ * @keep_us: how long a record is kept after its last change
+ * @limit: most records; the oldest go first
+ */
+struct pgw_suspects_options {
+    struct pgw_loop *loop;
+    void (*on_record)(void *context, const struct pgw_fingerprint *fingerprint,
+                      uint64_t version, const char *value, size_t length);
+    void *context;
+    uint64_t keep_us;
+    size_t limit;
+};
+
+#define PGW_SUSPECTS_OPTIONS_INIT                                             \
+    {                                                                         \
+        .keep_us = 24ull * 3600 * G_USEC_PER_SEC, .limit = 4096               \
+    }
+
+struct pgw_suspects *
+pgw_suspects_new(const struct pgw_suspects_options *options);
+void pgw_suspects_free(struct pgw_suspects *suspects);
+
+/** pgw_suspects_add_link() - tell a new peer all records, then changes */
+void pgw_suspects_add_link(struct pgw_suspects *suspects,
+                           struct pgw_link *link);
+void pgw_suspects_remove_link(struct pgw_suspects *suspects,
+                              struct pgw_link *link);
+
+/**
+ * pgw_suspects_offer() - a record read from or written to the store
+ * @suspects: the copy
+ * @name: the object's name
+ * @version: its version; an older or equal one changes nothing
+ * @value: JSON, or NULL: deleted
+ * @length: bytes of @value
+ */
+void pgw_suspects_offer(struct pgw_suspects *suspects, const char *name,
+                        uint64_t version, const char *value, size_t length);
+
+/** pgw_suspects_retain() - what a whole list of the store misses was lifted */
+void pgw_suspects_retain(struct pgw_suspects *suspects,
+                         const struct pgw_store_list *list);
+
+/** pgw_suspects_take_frame() - handle a SUSPECTS frame of a link */
+void pgw_suspects_take_frame(struct pgw_suspects *suspects,
+                             const struct pgw_link *origin,
+                             const Pgw__Objects *message);
+
+/**
+ * pgw_suspects_find() - the record of a fingerprint
+ *
+ * Return: the record, NULL when there is none in force.
+ */
+const struct pgw_quarantine_record *
+pgw_suspects_find(const struct pgw_suspects *suspects,
+                  const struct pgw_fingerprint *fingerprint);
+
+/** pgw_suspects_count() - records in force */
+size_t pgw_suspects_count(const struct pgw_suspects *suspects);
+
+#endif
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1191,7 +1191,7 @@
   (ProtobufCMessageInit) pgw__probe_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__open__field_descriptors[27] =
+static const ProtobufCFieldDescriptor pgw__open__field_descriptors[28] =
 {
   {
     "request",
@@ -1517,6 +1517,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Open, suspect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__open__field_indices_by_name[] = {
   8,   /* field[8] = adapter */
@@ -1542,6 +1554,7 @@
   25,   /* field[25] = seed */
   12,   /* field[12] = service */
   6,   /* field[6] = share */
+  27,   /* field[27] = suspect */
   24,   /* field[24] = temperature */
   9,   /* field[9] = version */
   26,   /* field[26] = window */
@@ -1550,7 +1563,7 @@
 static const ProtobufCIntRange pgw__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor pgw__open__descriptor =
 {
@@ -1560,7 +1573,7 @@
   "Pgw__Open",
   "pgw",
   sizeof(Pgw__Open),
-  27,
+  28,
   pgw__open__field_descriptors,
   pgw__open__field_indices_by_name,
   1,  pgw__open__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -195,10 +195,14 @@
    * bytes that the entry takes before it grants more
    */
   uint32_t window;
+  /*
+   * may have crashed an engine: look into the store
+   */
+  protobuf_c_boolean suspect;
 };
 #define PGW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__open__descriptor) \
-    , {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/sidecar/claims.c
+++ b/src/sidecar/claims.c
@@ -2,7 +2,6 @@
 #include "libparsleygw/store_worker.h"
 #include "util/log.h"
 
-#define STORE_THREADS 4
 #define STORE_TIMEOUT_US UINT64_C(1000000)
 /* An object that nobody has asked for this long is forgotten; its truth
  * stands in the store. */
@@ -10,7 +9,6 @@
 
 struct claims {
     struct sidecar *sidecar;
-    struct pgw_store_worker *worker;
     GHashTable *objects; /* struct claim_object by name */
     GHashTable *runs;    /* struct run by ticket */
     uint64_t last_ticket;
@@ -101,8 +99,9 @@
     uint64_t next;
 
     if (pgw_claim_next_io(&io, object->shard, now)) {
-        pgw_store_worker_submit(claims->worker, PGW_CLAIM_KIND, object->name,
-                                &io, STORE_TIMEOUT_US, store_done, object);
+        pgw_store_worker_submit(claims->sidecar->worker, PGW_CLAIM_KIND,
+                                object->name, &io, STORE_TIMEOUT_US,
+                                store_done, object);
     }
     object_deliver(object);
     next = pgw_claim_next_time(object->shard);
@@ -143,8 +142,6 @@
     struct claims *claims = g_new0(struct claims, 1);
 
     claims->sidecar = sidecar;
-    claims->worker = pgw_store_worker_new(pgw_config_feed_store(sidecar->feed),
-                                          sidecar->loop, STORE_THREADS);
     claims->objects =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, object_free);
     claims->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -157,7 +154,6 @@
     if (claims == NULL) {
         return;
     }
-    pgw_store_worker_free(claims->worker);
     g_hash_table_unref(claims->runs);
     g_hash_table_unref(claims->objects);
     g_free(claims);
--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -88,6 +88,7 @@
     }
     pgw_timer_start(engine->sidecar->loop, &engine->status_timer,
                     STATUS_INTERVAL_US);
+    gate_engine_told(engine->sidecar);
 }
 
 static void
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -1,5 +1,6 @@
 #include "sidecar/gate.h"
 #include "sidecar/claims.h"
+#include "sidecar/suspicion.h"
 #include "util/log.h"
 #include <xxhash.h>
 
@@ -35,7 +36,9 @@
     struct sidecar *sidecar = run->sidecar;
 
     pgw_list_remove(&run->link);
+    pgw_list_remove(&run->held);
     pgw_timer_stop(sidecar->loop, &run->deadline);
+    suspicion_released(sidecar->suspicion, run);
     if (run->transfer != NULL) {
         pgw_transfer_cancel(run->transfer);
     }
@@ -53,6 +56,30 @@
     sidecar->runs--;
 }
 
+static void run_hand_over(struct run *run);
+static void run_start(struct run *run);
+
+/* A suspect starts once it is alone; the others once no suspect is left. */
+static void
+release_held(struct sidecar *sidecar)
+{
+    struct pgw_list *link;
+
+    if (sidecar->exclusive != NULL) {
+        if (sidecar->handed == 0 && sidecar->exclusive->state == RUN_WAITING) {
+            run_hand_over(sidecar->exclusive);
+        }
+        return;
+    }
+    while (sidecar->exclusive == NULL &&
+           (link = pgw_list_first(&sidecar->held)) != NULL) {
+        struct run *run = pgw_container_of(link, struct run, held);
+
+        pgw_list_remove(link);
+        run_start(run);
+    }
+}
+
 void
 gate_finish(struct run *run)
 {
@@ -65,7 +92,14 @@
         pgw_admit_done(sidecar->admit, &run->item, run->completion_tokens,
                        pgw_now_us());
     }
+    if (run->state >= RUN_SENT) {
+        sidecar->handed--;
+    }
+    if (sidecar->exclusive == run) {
+        sidecar->exclusive = NULL;
+    }
     run_free(run);
+    release_held(sidecar);
     gate_pump(sidecar);
 }
 
@@ -95,6 +129,8 @@
 {
     run->state = RUN_SENT;
     run->sent_us = pgw_now_us();
+    run->engine = run->sidecar->engine.incarnation;
+    run->sidecar->handed++;
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_START,
                      &run->key.request, run->key.attempt,
                      run->item.uncached_tokens, run->open->prompt_tokens,
@@ -106,6 +142,20 @@
 static void
 run_start(struct run *run)
 {
+    struct sidecar *sidecar = run->sidecar;
+
+    if (sidecar->exclusive != NULL) {
+        pgw_list_append(&sidecar->held, &run->held);
+        return;
+    }
+    /* An engine that a suspect crashes takes everything beside it along, and
+     * nobody could say which of them it was. */
+    if (run->alone) {
+        sidecar->exclusive = run;
+        if (sidecar->handed > 0) {
+            return;
+        }
+    }
     if (run->open->repeatable) {
         run_hand_over(run);
         return;
@@ -167,8 +217,12 @@
 static void
 run_expire(struct run *run)
 {
-    bool withdrawn = run_withdraw(run);
+    bool withdrawn;
 
+    if (run->state == RUN_BROKEN) {
+        return;
+    }
+    withdrawn = run_withdraw(run);
     run_send_fail(run, PGW_REFUSAL_DEADLINE,
                   withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
                   withdrawn ? "the deadline passed while the request waited"
@@ -305,6 +359,10 @@
     sidecar->runs++;
     pgw_list_append(&sidecar->all_runs, &run->link);
     g_hash_table_insert(peer->runs, &run->key, run);
+    if (open->fingerprint.len == PGW_FINGERPRINT_SIZE) {
+        memcpy(run->fingerprint.bytes, open->fingerprint.data,
+               PGW_FINGERPRINT_SIZE);
+    }
     pgw_timer_start(sidecar->loop, &run->deadline,
                     (uint64_t)open->deadline_ms * 1000);
     return run;
@@ -359,15 +417,98 @@
         run_free(run);
         return;
     }
-    run_offer(run);
+    if (!sidecar->is_model || suspicion_ask(sidecar->suspicion, run)) {
+        run_offer(run);
+    }
+}
+
+void
+gate_suspicion_decided(struct run *run,
+                       const struct pgw_quarantine_decision *decision)
+{
+    switch (decision->action) {
+    case PGW_QUARANTINE_RUN_ALONE:
+        run->alone = true;
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_RUN:
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_REFUSE:
+        run_send_fail(run, decision->refusal, PGW_RAN_NO,
+                      decision->retry_after_ms,
+                      "the request crashed upstreams before: an operator can "
+                      "lift the quarantine");
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_RECORDED:
+    case PGW_QUARANTINE_UNRECORDED:
+        if (!run->ended) {
+            run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                          "the engine died while it ran the request");
+        }
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_PENDING:
+        break;
+    }
+}
+
+void
+gate_run_broke(struct run *run)
+{
+    run->state = RUN_BROKEN;
+    if (run->sidecar->engine.alive) {
+        engine_suspect(&run->sidecar->engine);
+    }
+    else {
+        gate_engine_told(run->sidecar);
+    }
+}
+
+static void
+settle_broken(struct run *run)
+{
+    const struct engine *engine = &run->sidecar->engine;
+
+    if (run->settled) {
+        return;
+    }
+    run->settled = true;
+    if (!engine->alive || engine->incarnation != run->engine) {
+        suspicion_crashed(run->sidecar->suspicion, run, run->engine);
+        return;
+    }
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                      "the upstream broke off its answer");
+    }
+    gate_finish(run);
+}
+
+void
+gate_engine_told(struct sidecar *sidecar)
+{
+    pgw_list_foreach_safe (link, &sidecar->all_runs) {
+        struct run *run = pgw_container_of(link, struct run, link);
+
+        if (run->state == RUN_BROKEN) {
+            settle_broken(run);
+        }
+    }
 }
 
 /* The entry no longer wants the attempt. */
 static void
 run_abandon(struct run *run)
 {
-    bool withdrawn = run_withdraw(run);
+    bool withdrawn;
 
+    /* Its crash is still to be told, whoever waits for the answer. */
+    if (run->state == RUN_BROKEN) {
+        return;
+    }
+    withdrawn = run_withdraw(run);
     if (!withdrawn && !run->open->repeatable) {
         return;
     }
@@ -489,7 +630,9 @@
     reply.waiting = load.waiting;
     reply.ttft_us = (uint32_t)MIN(ttft_us, UINT32_MAX);
     reply.leaving = sidecar->leaving;
-    reply.refuses = must_refuse(sidecar, probe->model, probe->version,
+    /* Behind a suspect that runs alone everything waits. */
+    reply.refuses = sidecar->exclusive != NULL ||
+                    must_refuse(sidecar, probe->model, probe->version,
                                 &refusal, &message) ||
                     (probe->deadline_ms > 0 &&
                      ttft_us > (uint64_t)probe->deadline_ms * 1000);
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -1,6 +1,7 @@
 #ifndef PGW_SIDECAR_GATE_H
 #define PGW_SIDECAR_GATE_H
 
+#include "parsleygw/quarantine.h"
 #include "sidecar/sidecar.h"
 
 /**
@@ -37,12 +38,14 @@
  * @RUN_CLAIMING: asks for the claim of its idempotency key: not run here
  * @RUN_SENT: handed to the upstream, nothing heard yet
  * @RUN_STARTED: the upstream answers
+ * @RUN_BROKEN: the answer broke off; whether the engine died is being asked
  */
 enum run_state {
     RUN_WAITING,
     RUN_CLAIMING,
     RUN_SENT,
     RUN_STARTED,
+    RUN_BROKEN,
 };
 
 /**
@@ -75,6 +78,12 @@
  * @ticket: its number among the claims
  * @claim: object that holds its key, NULL without one
  * @replayed: the answer is a record of an earlier run
+ * @fingerprint: what it asks, whoever sends it again
+ * @suspicion_ticket: its number at the suspicion, 0 without one
+ * @alone: a suspect: nothing else may run at the engine beside it
+ * @held: link in the sidecar's list of those that wait for such a one
+ * @settled: broken, and its crash, if it was one, is reported
+ * @engine: incarnation of the engine that it was handed to
  * @prompt_tokens: as the engine counts
  * @cached_tokens: as the engine counts
  * @completion_tokens: as the engine counts
@@ -108,6 +117,12 @@
     uint64_t ticket;
     struct claim_object *claim;
     bool replayed;
+    struct pgw_fingerprint fingerprint;
+    uint64_t suspicion_ticket;
+    bool alone;
+    struct pgw_list held;
+    bool settled;
+    uint64_t engine;
     uint32_t prompt_tokens;
     uint32_t cached_tokens;
     uint32_t completion_tokens;
@@ -165,6 +180,11 @@
                    uint32_t retry_after_ms, const char *message);
 /** run_transfer_ops - callbacks that all calls start their transfer with */
 extern const struct pgw_transfer_ops run_transfer_ops;
+/* gate.c: a run's answer broke off; it ends once the engine was asked */
+void gate_run_broke(struct run *run);
+/** gate_engine_told() - the engine's state is known: settle broken runs */
+void gate_engine_told(struct sidecar *sidecar);
+
 /* gate.c: end of a run, reported by run.c */
 void gate_finish(struct run *run);
 
--- a/src/sidecar/peer.c
+++ b/src/sidecar/peer.c
@@ -49,6 +49,7 @@
                      peer->instance);
     peer_send_hello(peer);
     peer_send_state(peer);
+    pgw_suspects_add_link(peer->sidecar->suspects, peer->connection);
     pgw_sync_add_link(peer->sidecar->sync, peer->connection);
 }
 
@@ -80,6 +81,10 @@
     case PGW_FRAME_WINDOW:
         gate_grant(peer, (const Pgw__Window *)message);
         break;
+    case PGW_FRAME_SUSPECTS:
+        pgw_suspects_take_frame(peer->sidecar->suspects, link,
+                                (const Pgw__Objects *)message);
+        break;
     default:
         if (!pgw_sync_take_frame(peer->sidecar->sync, link, type, message)) {
             pgw_log_warning("frame_unexpected", "type=%d entry=%s", type,
@@ -101,6 +106,7 @@
     pgw_trace_record(peer->sidecar->trace, PGW_TRACE_PEER_DOWN, NULL, 0, 0, 0,
                      peer->instance);
     pgw_sync_remove_link(peer->sidecar->sync, link);
+    pgw_suspects_remove_link(peer->sidecar->suspects, link);
     gate_forget_peer(peer);
     pgw_list_remove(&peer->link);
     g_hash_table_unref(peer->runs);
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -1,4 +1,5 @@
 #include "sidecar/claims.h"
+#include "sidecar/suspicion.h"
 #include "util/log.h"
 
 static ProtobufCBinaryData
@@ -131,15 +132,22 @@
     return true;
 }
 
-static void
+/* Returns whether the run goes on until it is known why it broke off. */
+static bool
 run_fail_broken(struct run *run, bool was_sent)
 {
-    enum pgw_ran ran = was_sent ? PGW_RAN_UNKNOWN : PGW_RAN_NO;
-
-    run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, ran, 0,
-                  was_sent ? "the upstream broke off its answer"
-                           : "the upstream took no connection");
+    if (was_sent && run->sidecar->is_model) {
+        gate_run_broke(run);
+        return true;
+    }
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED,
+                      was_sent ? PGW_RAN_UNKNOWN : PGW_RAN_NO, 0,
+                      was_sent ? "the upstream broke off its answer"
+                               : "the upstream took no connection");
+    }
     engine_suspect(&run->sidecar->engine);
+    return false;
 }
 
 static void
@@ -166,21 +174,21 @@
     if (run->claim != NULL) {
         run_settle_claim(run, was_sent);
     }
-    if (run->ended) {
-        /* Its deadline or its caller ended it before. */
-    }
-    else if (run->refused) {
+    if (run->refused && !run->ended) {
         run_send_fail(run,
                       run->status == 409 ? PGW_REFUSAL_STALE
                                          : PGW_REFUSAL_OVERLOADED,
                       PGW_RAN_NO, 0, "the upstream refused the request");
     }
-    else if (run->failed) {
+    else if (run->failed && !run->refused) {
         pgw_log_warning("upstream_broke", "code=%s status=%ld",
                         curl_easy_strerror(code), run->status);
-        run_fail_broken(run, was_sent);
+        if (run_fail_broken(run, was_sent)) {
+            return;
+        }
     }
-    else {
+    else if (!run->ended) {
+        suspicion_succeeded(run->sidecar->suspicion, run);
         run_send_end(run);
     }
     gate_finish(run);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -1,6 +1,8 @@
 #include "sidecar/sidecar.h"
+#include "libparsleygw/store_worker.h"
 #include "parsleygw/errors.h"
 #include "sidecar/claims.h"
+#include "sidecar/suspicion.h"
 #include "util/address.h"
 #include "util/json_text.h"
 #include "util/log.h"
@@ -8,6 +10,7 @@
 
 #define STATE_INTERVAL_US UINT64_C(500000)
 #define DRAIN_CHECK_US UINT64_C(20000)
+#define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
 
 static void
@@ -208,6 +211,7 @@
         .loop = sidecar->loop,
         .sync = sidecar->sync,
         .set = sidecar->set,
+        .suspects = sidecar->suspects,
     };
 
     sidecar->feed = pgw_config_feed_new(&options, error);
@@ -218,6 +222,18 @@
     return true;
 }
 
+static void
+suspects_init(struct sidecar *sidecar)
+{
+    struct pgw_suspects_options options = PGW_SUSPECTS_OPTIONS_INIT;
+
+    sidecar->suspicion = suspicion_new(sidecar);
+    options.loop = sidecar->loop;
+    options.on_record = suspicion_record;
+    options.context = sidecar->suspicion;
+    sidecar->suspects = pgw_suspects_new(&options);
+}
+
 struct sidecar *
 sidecar_new(struct pgw_sidecar_settings *settings, GError **error)
 {
@@ -230,6 +246,7 @@
     pthread_mutex_init(&sidecar->view.lock, NULL);
     pgw_list_init(&sidecar->peers);
     pgw_list_init(&sidecar->all_runs);
+    pgw_list_init(&sidecar->held);
     pgw_trace_new(&sidecar->trace, TRACE_EVENTS, pgw_hlc_process());
     sidecar->loop = pgw_loop_new(error);
     if (sidecar->loop == NULL) {
@@ -244,6 +261,7 @@
     sync.on_change = config_changed;
     sync.context = sidecar;
     sidecar->sync = pgw_sync_new(&sync);
+    suspects_init(sidecar);
     engine_init(&sidecar->engine, sidecar);
     if (settings->bootstrap_file != NULL &&
         !pgw_config_set_load_file(sidecar->set, settings->bootstrap_file,
@@ -254,6 +272,8 @@
     if (!feed_init(sidecar, error)) {
         goto fail;
     }
+    sidecar->worker = pgw_store_worker_new(
+        pgw_config_feed_store(sidecar->feed), sidecar->loop, STORE_THREADS);
     sidecar->claims = claims_new(sidecar);
     if (!listen_for_entries(sidecar, error)) {
         goto fail;
@@ -287,8 +307,11 @@
     if (sidecar->transfers != NULL) {
         engine_dispose(&sidecar->engine);
         gate_abandon_all(sidecar);
+        pgw_store_worker_free(sidecar->worker);
         claims_free(sidecar->claims);
+        suspicion_free(sidecar->suspicion);
         pgw_config_feed_free(sidecar->feed);
+        pgw_suspects_free(sidecar->suspects);
         pgw_sync_free(sidecar->sync);
         pgw_admit_free(sidecar->admit);
         pgw_cache_free(sidecar->cache);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -86,6 +86,12 @@
  * @set: its objects
  * @feed: what the store says
  * @config: snapshot of @set
+ * @worker: makes store operations
+ * @suspects: quarantine records, shared with all processes
+ * @suspicion: decides on suspects
+ * @exclusive: suspect that runs, or waits to run, alone; NULL without one
+ * @held: runs that wait for it
+ * @handed: runs at the upstream
  * @claims: keys of calls that may not be repeated
  * @admit: the gate before the upstream
  * @gate_timer: looks at the gate's waiting requests
@@ -112,6 +118,12 @@
     struct pgw_config_set *set;
     struct pgw_config_feed *feed;
     struct pgw_config *config;
+    struct pgw_store_worker *worker;
+    struct pgw_suspects *suspects;
+    struct suspicion *suspicion;
+    struct run *exclusive;
+    struct pgw_list held;
+    unsigned handed;
     struct claims *claims;
     struct pgw_admit *admit;
     struct pgw_timer gate_timer;
