--- a/src/libparsleygw/attempt.c
+++ b/src/libparsleygw/attempt.c
@@ -84,7 +84,8 @@
      * have. The answer is the worst of all attempts, so "no" needs all of
      * them.
      */
-    if (ran == PGW_RAN_YES || attempt->ran == PGW_RAN_NO) {
+    if (ran == PGW_RAN_YES ||
+        (ran == PGW_RAN_UNKNOWN && attempt->ran == PGW_RAN_NO)) {
         attempt->ran = ran;
     }
 #endif
@@ -147,9 +148,9 @@
     attempt->verdict = failure->verdict;
     attempt->last_refusal = failure->refusal;
     attempt->last_retry_after_ms = failure->retry_after_ms;
-    if (failure->verdict != PGW_ATTEMPT_NOT_RUN) {
-        remember_ran(attempt, failure->ran);
-    }
+    remember_ran(attempt, failure->verdict == PGW_ATTEMPT_NOT_RUN
+                              ? PGW_RAN_NO
+                              : failure->ran);
     if (attempt->closing || now_us >= attempt->options.deadline_us) {
         finish(out, attempt, PGW_REFUSAL_DEADLINE);
     }
--- a/tests/property/prop_support.h
+++ b/tests/property/prop_support.h
@@ -13,21 +13,22 @@
 inline std::vector<uint32_t>
 random_script(int length)
 {
-    auto step = rc::gen::resize(rc::kNominalSize,
-                                rc::gen::arbitrary<uint32_t>());
+    auto step =
+        rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<uint32_t>());
 
-    return *rc::gen::resize(
-        length, rc::gen::container<std::vector<uint32_t>>(step));
+    return *rc::gen::resize(length,
+                            rc::gen::container<std::vector<uint32_t>>(step));
 }
 
 // Takes several small choices out of one number.
 struct choices {
     uint64_t bits;
 
-    explicit choices(uint32_t step) : bits(step * 0x9E3779B97F4A7C15ull) {}
+    explicit choices(uint32_t step) : bits(step * 0x9E3779B97F4A7C15ull)
+    {
+    }
 
-    uint32_t
-    pick(uint32_t count)
+    uint32_t pick(uint32_t count)
     {
         uint32_t high = static_cast<uint32_t>(bits >> 32);
 
