--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -95,11 +95,15 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     if (!pgw_cli_options_parse(&cli.options, argc, argv, &error)) {
         code = usage_error("%s", error->message);
-        g_clear_error(&error);
+    }
+    else if (!pgw_cli_options_load_settings(&cli.options, &error)) {
+        fprintf(stderr, "parsleygw: %s\n", error->message);
+        code = pgw_exit_from_error(error);
     }
     else {
         code = dispatch(&cli, argc, argv, optind);
     }
+    g_clear_error(&error);
     if (cli.store != NULL) {
         pgw_store_free(cli.store);
     }
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -29,6 +29,7 @@
 
 /**
  * struct pgw_cli_options - what the command line and the settings file say
+ * @settings: settings file, NULL when not given
  * @store_url: object API; NULL when not given
  * @admin: NULL-terminated ip:port of admin servers, may be empty
  * @admin_port: admin port of every declared upstream's instance, 0 for none
@@ -41,6 +42,7 @@
  * @given: &enum pgw_cli_flag of the options that were given
  */
 struct pgw_cli_options {
+    const char *settings;
     char *store_url;
     char **admin;
     uint32_t admin_port;
@@ -111,9 +113,12 @@
 bool pgw_cli_complete(struct pgw_cli *cli,
                       const struct pgw_cli_command *command, GError **error);
 
-/** pgw_cli_options_parse() - read options; false after printing why not */
+/** pgw_cli_options_parse() - read the options of the command line */
 bool pgw_cli_options_parse(struct pgw_cli_options *out, int argc, char **argv,
                            GError **error);
+/** pgw_cli_options_load_settings() - add what the settings file says */
+bool pgw_cli_options_load_settings(struct pgw_cli_options *options,
+                                   GError **error);
 void pgw_cli_options_dispose(struct pgw_cli_options *options);
 void pgw_cli_print_options(void);
 /** pgw_cli_option_names() - NULL-terminated "--name" of all options */
--- a/src/cli/options.c
+++ b/src/cli/options.c
@@ -206,6 +206,8 @@
 text_target(struct pgw_cli_options *options, enum option_id id)
 {
     switch (id) {
+    case OPT_SETTINGS:
+        return &options->settings;
     case OPT_POOL:
         return &options->pool;
     case OPT_ZONE:
@@ -260,9 +262,11 @@
     }
 }
 
-static bool
-finish(struct pgw_cli_options *options, const char *settings, GError **error)
+bool
+pgw_cli_options_load_settings(struct pgw_cli_options *options, GError **error)
 {
+    const char *settings = options->settings;
+
     if (settings == NULL) {
         settings = g_getenv("PARSLEYGW_SETTINGS");
     }
@@ -283,7 +287,6 @@
                       GError **error)
 {
     struct option long_options[G_N_ELEMENTS(rows) + 1] = {{0}};
-    const char *settings = NULL;
     int index = 0;
     int found;
 
@@ -301,14 +304,11 @@
                         argv[optind - 1]);
             return false;
         }
-        if (found == OPT_SETTINGS) {
-            settings = optarg;
-        }
-        else if (!take_option(out, &rows[found - OPT_STORE], error)) {
+        if (!take_option(out, &rows[found - OPT_STORE], error)) {
             return false;
         }
     }
-    return finish(out, settings, error);
+    return true;
 }
 
 void
