--- a/src/libparsleygw/level.c
+++ b/src/libparsleygw/level.c
@@ -137,42 +137,32 @@
     return ok;
 }
 
-/* Number of markers, or, given @out, their ends at the places that the merge
- * keeps. Two passes need no memory however many markers a caller sends. */
-static size_t
-scan_markers(uint32_t *out, size_t max, size_t total, const char *prompt,
-             size_t len, const char *marker)
+size_t
+pgw_level_boundaries(uint32_t *out, size_t max, const void *prompt, size_t len,
+                     const char *marker)
 {
-    size_t marker_len = strlen(marker);
+    size_t marker_len = marker != NULL ? strlen(marker) : 0;
     size_t tail = max / 2;
     size_t head = max - tail;
-    size_t found = 0;
-    size_t written = 0;
     const char *at = prompt;
-    const char *end = prompt + len;
+    const char *end = at + len;
+    size_t count = 0;
 
+    if (marker_len == 0 || max == 0 || len > UINT32_MAX) {
+        return 0;
+    }
     while ((at = memmem(at, (size_t)(end - at), marker, marker_len)) != NULL) {
         at += marker_len;
-        if (out != NULL &&
-            (total <= max || found < head || found >= total - tail)) {
-            out[written++] = (uint32_t)(at - prompt);
+        if (count == max && tail > 0) {
+            /* Too many: the innermost ones so far move up. */
+            memmove(out + head, out + head + 1, (tail - 1) * sizeof(*out));
+            count--;
+        }
+        if (count < max) {
+            out[count++] = (uint32_t)(at - (const char *)prompt);
         }
-        found++;
-    }
-    return out != NULL ? written : found;
-}
-
-size_t
-pgw_level_boundaries(uint32_t *out, size_t max, const void *prompt, size_t len,
-                     const char *marker)
-{
-    size_t total;
-
-    if (marker == NULL || marker[0] == '\0' || max == 0 || len > UINT32_MAX) {
-        return 0;
     }
-    total = scan_markers(NULL, max, 0, prompt, len, marker);
-    return scan_markers(out, max, total, prompt, len, marker);
+    return count;
 }
 
 size_t
