--- a/src/sidecar/suspicion.h
+++ b/src/sidecar/suspicion.h
@@ -34,8 +34,7 @@
 void suspicion_released(struct suspicion *suspicion, struct run *run);
 
 /** suspicion_record() - a record arrived from the store or a peer */
-void suspicion_record(void *suspicion,
-                      const struct pgw_fingerprint *fingerprint,
+void suspicion_record(void *context, const struct pgw_fingerprint *fingerprint,
                       uint64_t version, const char *value, size_t length);
 
 /* gate.c */
