--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -894,7 +894,7 @@
   (ProtobufCMessageInit) pgw__level__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[9] =
 {
   {
     "probe",
@@ -992,6 +992,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Probe, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__probe__field_indices_by_name[] = {
   4,   /* field[4] = deadline_ms */
@@ -1000,13 +1012,14 @@
   2,   /* field[2] = priority */
   0,   /* field[0] = probe */
   3,   /* field[3] = prompt_tokens */
+  8,   /* field[8] = share */
   6,   /* field[6] = version */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange pgw__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pgw__probe__descriptor =
 {
@@ -1016,7 +1029,7 @@
   "Pgw__Probe",
   "pgw",
   sizeof(Pgw__Probe),
-  8,
+  9,
   pgw__probe__field_descriptors,
   pgw__probe__field_indices_by_name,
   1,  pgw__probe__number_ranges,
@@ -1178,7 +1191,7 @@
   (ProtobufCMessageInit) pgw__probe_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__open__field_descriptors[27] =
+static const ProtobufCFieldDescriptor pgw__open__field_descriptors[28] =
 {
   {
     "request",
@@ -1504,6 +1517,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Open, suspect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__open__field_indices_by_name[] = {
   8,   /* field[8] = adapter */
@@ -1529,6 +1554,7 @@
   25,   /* field[25] = seed */
   12,   /* field[12] = service */
   6,   /* field[6] = share */
+  27,   /* field[27] = suspect */
   24,   /* field[24] = temperature */
   9,   /* field[9] = version */
   26,   /* field[26] = window */
@@ -1537,7 +1563,7 @@
 static const ProtobufCIntRange pgw__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor pgw__open__descriptor =
 {
@@ -1547,7 +1573,7 @@
   "Pgw__Open",
   "pgw",
   sizeof(Pgw__Open),
-  27,
+  28,
   pgw__open__field_descriptors,
   pgw__open__field_indices_by_name,
   1,  pgw__open__number_ranges,
