Print event numbers by their meaning and the hit rate in status

Identities of 64 bits were cut at the largest signed number in the time line; they travel as hexadecimal text now. Labels stand beside their dots and the lanes' names stay in sight.

--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -59,6 +59,12 @@
                                                        fallback);
 }
 
+static bool
+is_entry(const struct process_status *status)
+{
+    return g_strcmp0(text_member(status, "role"), "entry") == 0;
+}
+
 /* The worst thing that is true, in one word. */
 static const char *
 state_word(const struct process_status *status,
@@ -76,11 +82,32 @@
     return ready->status == 200 ? "ready" : "not-ready";
 }
 
+/* Value of a counter without labels in Prometheus' text, 0 for none. */
+static guint64
+counter_value(const char *metrics, const char *name)
+{
+    const char *line = metrics;
+    size_t length = strlen(name);
+
+    while (line != NULL) {
+        if (strncmp(line, name, length) == 0 && line[length] == ' ') {
+            return g_ascii_strtoull(line + length + 1, NULL, 10);
+        }
+        line = strchr(line, '\n');
+        line = line != NULL ? line + 1 : NULL;
+    }
+    return 0;
+}
+
+/* Share of the prompt tokens since the process's start that came from a
+ * cache; entries count it. */
 static char *
-hit_rate_text(const struct process_status *status)
+hit_rate_text(const struct pgw_cli_answer *metrics)
 {
-    gint64 prompt = number_member(status, "prompt_tokens");
-    gint64 cached = number_member(status, "cached_tokens");
+    guint64 prompt =
+        counter_value(metrics->body->str, "pgw_prompt_tokens_total");
+    guint64 cached =
+        counter_value(metrics->body->str, "pgw_cached_tokens_total");
 
     return prompt == 0 ? NULL
                        : g_strdup_printf("%.1f%%", 100.0 * (double)cached /
@@ -103,7 +130,8 @@
 
 static void
 add_process(struct pgw_cli_table *table, const struct pgw_cli_answer *answer,
-            const struct pgw_cli_answer *ready)
+            const struct pgw_cli_answer *ready,
+            const struct pgw_cli_answer *metrics)
 {
     struct process_status status;
     const char *instance;
@@ -112,7 +140,7 @@
 
     process_status_parse(&status, answer);
     instance = text_member(&status, "instance");
-    hit_rate = hit_rate_text(&status);
+    hit_rate = hit_rate_text(metrics);
     pgw_cli_table_text(table, instance != NULL ? instance : answer->address);
     pgw_cli_table_text(table, text_member(&status, "role"));
     pgw_cli_table_text(table, text_member(&status, "zone"));
@@ -120,7 +148,9 @@
     pgw_cli_table_text(table, state_word(&status, ready));
     pgw_cli_table_text(table, text_member(&status, "version"));
     pgw_cli_table_number(table, number_member(&status, "config_version"));
-    pgw_cli_table_number(table, number_member(&status, "running"));
+    pgw_cli_table_number(
+        table,
+        number_member(&status, is_entry(&status) ? "inflight" : "running"));
     pgw_cli_table_number(table, number_member(&status, "waiting"));
     pgw_cli_table_text(table, hit_rate);
     pgw_cli_table_text(table, note);
@@ -218,6 +248,7 @@
     struct pgw_cli_table *table;
     GArray *statuses;
     GArray *readies;
+    GArray *metrics;
 
     if (addresses == NULL) {
         return false;
@@ -225,11 +256,14 @@
     statuses =
         pgw_cli_fetch_all(addresses, "/status", cli->options.timeout_ms);
     readies = pgw_cli_fetch_all(addresses, "/readyz", cli->options.timeout_ms);
+    metrics =
+        pgw_cli_fetch_all(addresses, "/metrics", cli->options.timeout_ms);
     ask_store(cli, &health);
     table = pgw_cli_table_new(columns);
     for (guint i = 0; i < statuses->len; i++) {
         add_process(table, &g_array_index(statuses, struct pgw_cli_answer, i),
-                    &g_array_index(readies, struct pgw_cli_answer, i));
+                    &g_array_index(readies, struct pgw_cli_answer, i),
+                    &g_array_index(metrics, struct pgw_cli_answer, i));
     }
     if (cli->options.json) {
         print_json(table, &health);
@@ -241,6 +275,7 @@
     pgw_cli_table_free(table);
     g_array_unref(statuses);
     g_array_unref(readies);
+    g_array_unref(metrics);
     g_ptr_array_unref(addresses);
     g_free(health.problem);
     return true;
--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -58,19 +58,25 @@
     return (uint64_t)json_object_get_int_member_with_default(object, name, 0);
 }
 
+static uint64_t
+hex_of(JsonObject *object, const char *name)
+{
+    return g_ascii_strtoull(text_of(object, name), NULL, 16);
+}
+
 static void
 add_event(struct pgw_timeline *timeline, JsonObject *object, unsigned lane)
 {
     const char *request = text_of(object, "request");
     struct pgw_timeline_event event = {
-        .hlc = g_ascii_strtoull(text_of(object, "hlc"), NULL, 16),
+        .hlc = hex_of(object, "hlc"),
         .lane = lane,
         .kind = pgw_trace_kind_parse(text_of(object, "kind")),
         .kind_name = g_strdup(text_of(object, "kind")),
         .request = *request == '\0' ? NULL : g_strdup(request),
         .attempt = (uint32_t)number_of(object, "attempt"),
-        .a = number_of(object, "a"),
-        .b = number_of(object, "b"),
+        .a = hex_of(object, "a"),
+        .b = hex_of(object, "b"),
         .text = g_strdup(text_of(object, "text")),
     };
 
--- a/src/cli/timeline_html.c
+++ b/src/cli/timeline_html.c
@@ -8,10 +8,10 @@
 /* One row an event, the newest that fit; more would be no picture. */
 #define MAX_EVENTS 3000
 #define ROW_HEIGHT 18
-#define TOP 44
+#define HEAD_HEIGHT 40
 #define TIME_WIDTH 120
 #define LANE_WIDTH 150
-#define LABEL_WIDTH 760
+#define LABEL_WIDTH 640
 
 enum look {
     LOOK_REQUEST,
@@ -77,7 +77,7 @@
 {
     return (struct place){.x = TIME_WIDTH + LANE_WIDTH * event->lane +
                                LANE_WIDTH / 2,
-                          .y = TOP + ROW_HEIGHT * row + ROW_HEIGHT / 2};
+                          .y = ROW_HEIGHT * row + ROW_HEIGHT / 2};
 }
 
 static void
@@ -89,20 +89,22 @@
     g_free(escaped);
 }
 
+/* The names stay in sight while the picture scrolls under them. */
 static void
-append_lanes(GString *out, const struct pgw_timeline *timeline,
-             unsigned height)
+append_lane_names(GString *out, const struct pgw_timeline *timeline,
+                  unsigned width)
 {
+    g_string_append_printf(out,
+                           "<div class=\"names\"><svg width=\"%u\" "
+                           "height=\"%u\">\n",
+                           width, HEAD_HEIGHT);
     for (guint i = 0; i < timeline->lanes->len; i++) {
         const struct pgw_timeline_lane *lane =
             &g_array_index(timeline->lanes, struct pgw_timeline_lane, i);
         unsigned x = TIME_WIDTH + LANE_WIDTH * i + LANE_WIDTH / 2;
 
-        g_string_append_printf(
-            out,
-            "<line class=\"lane\" x1=\"%u\" y1=\"%u\" x2=\"%u\" y2=\"%u\"/>"
-            "<text class=\"head\" x=\"%u\" y=\"16\">",
-            x, TOP, x, height, x);
+        g_string_append_printf(out, "<text class=\"head\" x=\"%u\" y=\"16\">",
+                               x);
         append_escaped(out, lane->instance);
         g_string_append_printf(out,
                                "</text><text class=\"zone\" x=\"%u\" "
@@ -111,6 +113,21 @@
         append_escaped(out, lane->zone);
         g_string_append(out, "</text>\n");
     }
+    g_string_append(out, "</svg></div>\n");
+}
+
+static void
+append_lanes(GString *out, const struct pgw_timeline *timeline,
+             unsigned height)
+{
+    for (guint i = 0; i < timeline->lanes->len; i++) {
+        unsigned x = TIME_WIDTH + LANE_WIDTH * i + LANE_WIDTH / 2;
+
+        g_string_append_printf(out,
+                               "<line class=\"lane\" x1=\"%u\" y1=\"0\" "
+                               "x2=\"%u\" y2=\"%u\"/>\n",
+                               x, x, height);
+    }
 }
 
 /* From a request's last event to this one: its way through the processes. */
@@ -140,10 +157,9 @@
 }
 
 static void
-append_event(GString *out, const struct pgw_timeline *timeline,
-             const struct pgw_timeline_event *event, struct place at)
+append_event(GString *out, const struct pgw_timeline_event *event,
+             struct place at)
 {
-    unsigned label_x = TIME_WIDTH + LANE_WIDTH * timeline->lanes->len + 12;
     char *details = pgw_timeline_details(event);
 
     g_string_append_printf(
@@ -151,7 +167,7 @@
         "<g class=\"event %s\" data-r=\"%s\"><circle cx=\"%u\" cy=\"%u\" "
         "r=\"5\"/><text x=\"%u\" y=\"%u\">",
         look_names[look_of(event->kind)],
-        event->request != NULL ? event->request : "", at.x, at.y, label_x,
+        event->request != NULL ? event->request : "", at.x, at.y, at.x + 10,
         at.y + 4);
     append_escaped(out, event->kind_name);
     if (event->request != NULL) {
@@ -192,7 +208,7 @@
             g_hash_table_insert(last, event->request,
                                 GUINT_TO_POINTER(i - first + 1));
         }
-        append_event(out, timeline, event, at);
+        append_event(out, event, at);
     }
     g_hash_table_unref(last);
 }
@@ -205,7 +221,9 @@
         "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
         "<title>parsleygw time line</title>\n<style>\n"
         "body{font:13px sans-serif;margin:12px;color:#222;background:#fff}\n"
-        "svg text{font:12px monospace}\n.lane{stroke:#ddd}\n"
+        "svg text{font:12px monospace;paint-order:stroke;stroke:#fff;"
+        "stroke-width:3px}\n.lane{stroke:#ddd}\n"
+        ".names{position:sticky;top:0;background:#fff}\n"
         ".head{text-anchor:middle;font-weight:bold}\n"
         ".zone{text-anchor:middle;fill:#777}\n.time{fill:#777}\n"
         ".id{fill:#777}\n.step{stroke:#9bb;stroke-width:1.5}\n"
@@ -253,9 +271,10 @@
     guint first = count > MAX_EVENTS ? count - MAX_EVENTS : 0;
     unsigned width =
         TIME_WIDTH + LANE_WIDTH * timeline->lanes->len + LABEL_WIDTH;
-    unsigned height = TOP + ROW_HEIGHT * (count - first) + 8;
+    unsigned height = ROW_HEIGHT * (count - first) + 8;
 
     append_head(out, timeline, count - first);
+    append_lane_names(out, timeline, width);
     g_string_append_printf(out,
                            "<svg id=\"lines\" "
                            "xmlns=\"http://www.w3.org/2000/svg\" "
--- a/src/cli/timeline_text.c
+++ b/src/cli/timeline_text.c
@@ -107,8 +107,6 @@
         add_text(object, "request", event->request);
     }
     json_object_set_int_member(object, "attempt", event->attempt);
-    json_object_set_int_member(object, "a", (gint64)event->a);
-    json_object_set_int_member(object, "b", (gint64)event->b);
     add_text(object, "text", event->text);
     add_text(object, "details", details);
     g_free(details);
--- a/src/util/trace.c
+++ b/src/util/trace.c
@@ -22,21 +22,21 @@
 static const struct kind_row kinds[PGW_TRACE_KIND_COUNT] = {
     [PGW_TRACE_PROCESS_START] = {"process_start", "incarnation", NULL},
     [PGW_TRACE_PROCESS_STOP] = {"process_stop", "signal", NULL},
-    [PGW_TRACE_REQUEST_ACCEPT] = {"request_accept", "bytes", "deadline_ms"},
+    [PGW_TRACE_REQUEST_ACCEPT] = {"request_accept", NULL, NULL},
     [PGW_TRACE_REQUEST_REFUSE] = {"request_refuse", "refusal", "ran"},
-    [PGW_TRACE_REQUEST_DONE] = {"request_done", "status", "us"},
+    [PGW_TRACE_REQUEST_DONE] = {"request_done", "us", "cached_tokens"},
     [PGW_TRACE_PROBE] = {"probe", "rank", "prompt_tokens"},
     [PGW_TRACE_PROBE_REPLY] = {"probe_reply", "matched_tokens", "ttft_us"},
     [PGW_TRACE_PLACE] = {"place", "matched_tokens", "cost_us"},
-    [PGW_TRACE_CLAIM] = {"claim", NULL, NULL},
-    [PGW_TRACE_CLAIM_RESULT] = {"claim_result", "state", "us"},
+    [PGW_TRACE_CLAIM] = {"claim", "shard", NULL},
+    [PGW_TRACE_CLAIM_RESULT] = {"claim_result", "action", "refusal"},
     [PGW_TRACE_ATTEMPT_OPEN] = {"attempt_open", "uncached_tokens",
                                 "resume_from"},
     [PGW_TRACE_ATTEMPT_FAIL] = {"attempt_fail", "refusal", "ran"},
     [PGW_TRACE_ATTEMPT_END] = {"attempt_end", "tokens", "cached_tokens"},
     [PGW_TRACE_RETRY] = {"retry", "resume_from", "failures"},
     [PGW_TRACE_RESUME] = {"resume", "resume_from", "failures"},
-    [PGW_TRACE_CANCEL] = {"cancel", "waiting", NULL},
+    [PGW_TRACE_CANCEL] = {"cancel", "withdrawn", NULL},
     [PGW_TRACE_ADMIT] = {"admit", "running", "waiting"},
     [PGW_TRACE_QUEUE] = {"queue", "ttft_us", NULL},
     [PGW_TRACE_SIDECAR_REFUSE] = {"sidecar_refuse", "refusal", "ran"},
@@ -275,7 +275,7 @@
 }
 
 static void
-add_clock(JsonBuilder *json, const char *name, uint64_t value)
+add_hex(JsonBuilder *json, const char *name, uint64_t value)
 {
     char text[17];
 
@@ -288,7 +288,7 @@
 add_number(JsonBuilder *json, const char *name, uint64_t value)
 {
     json_builder_set_member_name(json, name);
-    json_builder_add_int_value(json, (gint64)MIN(value, (uint64_t)INT64_MAX));
+    json_builder_add_int_value(json, (gint64)value);
 }
 
 static void
@@ -306,15 +306,15 @@
     char *text = g_utf8_make_valid(event->text, -1);
 
     json_builder_begin_object(json);
-    add_clock(json, "hlc", event->hlc);
+    add_hex(json, "hlc", event->hlc);
     add_string(json, "kind", pgw_trace_kind_name((int)event->kind));
     if (memcmp(&event->request, &none, sizeof(none)) != 0) {
         pgw_request_id_format(request, &event->request);
         add_string(json, "request", request);
     }
     add_number(json, "attempt", event->attempt);
-    add_number(json, "a", event->a);
-    add_number(json, "b", event->b);
+    add_hex(json, "a", event->a);
+    add_hex(json, "b", event->b);
     add_string(json, "text", text);
     json_builder_end_object(json);
     g_free(text);
@@ -333,7 +333,7 @@
     json_builder_begin_object(json);
     add_string(json, "instance", instance);
     add_string(json, "zone", zone);
-    add_clock(json, "clock", pgw_hlc_now(trace->clock, pgw_hlc_wall_us()));
+    add_hex(json, "clock", pgw_hlc_now(trace->clock, pgw_hlc_wall_us()));
     add_number(json, "dropped", pgw_trace_dropped(trace));
     json_builder_set_member_name(json, "events");
     json_builder_begin_array(json);
--- a/src/util/trace.h
+++ b/src/util/trace.h
@@ -157,7 +157,8 @@
  *
  * Return: one JSON object, to release with g_free():
  * {"instance","zone","clock":"16 hex","dropped":n,"events":[{"hlc":"16 hex",
- * "kind","request":"32 hex","attempt":n,"a":n,"b":n,"text"}..]}
+ * "kind","request":"32 hex","attempt":n,"a":"16 hex","b":"16 hex",
+ * "text"}..]}; a and b may be identities of 64 bits, hence no JSON numbers
  */
 char *pgw_trace_to_json(const struct pgw_trace *trace,
                         const struct pgw_trace_query *query,
--- a/tests/unit/test_trace.c
+++ b/tests/unit/test_trace.c
@@ -134,7 +134,8 @@
     g_assert_cmpstr(json_object_get_string_member(event, "request"), ==,
                     "ab010000000000000000000000000000");
     g_assert_cmpint(json_object_get_int_member(event, "attempt"), ==, 2);
-    g_assert_cmpint(json_object_get_int_member(event, "b"), ==, INT64_MAX);
+    g_assert_cmpstr(json_object_get_string_member(event, "b"), ==,
+                    "ffffffffffffffff");
     json_node_unref(root);
     g_free(text);
     pgw_trace_free(trace);
