--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -1,5 +1,6 @@
 #include "cli/timeline.h"
 
+#include "parsleygw/claim.h"
 #include "util/hlc.h"
 #include "util/trace.h"
 
@@ -137,6 +138,19 @@
     g_array_sort(timeline->events, compare_events);
 }
 
+static const char *
+claim_action_name(uint64_t action)
+{
+    static const char *const names[] = {
+        [PGW_CLAIM_PENDING] = "pending",
+        [PGW_CLAIM_RUN] = "run",
+        [PGW_CLAIM_REPLAY] = "replay",
+        [PGW_CLAIM_REFUSE] = "refuse",
+    };
+
+    return action < G_N_ELEMENTS(names) ? names[action] : "unknown";
+}
+
 static void
 append_number(GString *out, const char *label, uint64_t value)
 {
@@ -150,6 +164,9 @@
     else if (strcmp(label, "ran") == 0) {
         g_string_append(out, pgw_ran_name((int)MIN(value, G_MAXINT)));
     }
+    else if (strcmp(label, "action") == 0) {
+        g_string_append(out, claim_action_name(value));
+    }
     else if (strcmp(label, "incarnation") == 0) {
         g_string_append_printf(out, "%" G_GINT64_MODIFIER "x", value);
     }
--- a/src/cli/timeline_command.c
+++ b/src/cli/timeline_command.c
@@ -71,7 +71,7 @@
         !pgw_request_id_parse(&id, options->request)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "--request: found \"%s\"; write the 32 digits of the "
-                    "answer's X-Request-Id",
+                    "answer's X-Pgw-Request-Id",
                     options->request);
         return NULL;
     }
--- a/src/cli/timeline_html.c
+++ b/src/cli/timeline_html.c
@@ -184,35 +184,50 @@
     g_free(details);
 }
 
+/* All steps come before all events, so that no line crosses a label. */
 static void
-append_events(GString *out, const struct pgw_timeline *timeline, guint first)
+append_steps(GString *out, const struct pgw_timeline_event *events,
+             guint count)
 {
     GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
-    const struct pgw_timeline_event *events =
-        (const struct pgw_timeline_event *)(void *)timeline->events->data;
-
-    for (guint i = first; i < timeline->events->len; i++) {
-        const struct pgw_timeline_event *event = &events[i];
-        struct place at = place_of(event, i - first);
-
-        append_time(out, event, events[first].hlc, at.y);
-        if (event->request != NULL) {
-            gpointer before = g_hash_table_lookup(last, event->request);
 
-            if (before != NULL) {
-                guint row = GPOINTER_TO_UINT(before) - 1;
+    for (guint row = 0; row < count; row++) {
+        const char *request = events[row].request;
+        guint before;
 
-                append_step(out, event, place_of(&events[row + first], row),
-                            at);
-            }
-            g_hash_table_insert(last, event->request,
-                                GUINT_TO_POINTER(i - first + 1));
+        if (request == NULL) {
+            continue;
         }
-        append_event(out, event, at);
+        /* Rows count from 1 in the table; 0 is a request not seen yet. */
+        before = GPOINTER_TO_UINT(g_hash_table_lookup(last, request));
+        if (before != 0) {
+            append_step(out, &events[row],
+                        place_of(&events[before - 1], before - 1),
+                        place_of(&events[row], row));
+        }
+        g_hash_table_insert(last, events[row].request,
+                            GUINT_TO_POINTER(row + 1));
     }
     g_hash_table_unref(last);
 }
 
+static void
+append_events(GString *out, const struct pgw_timeline *timeline, guint first)
+{
+    const struct pgw_timeline_event *events =
+        (const struct pgw_timeline_event *)(void *)timeline->events->data +
+        first;
+    guint count = timeline->events->len - first;
+
+    append_steps(out, events, count);
+    for (guint row = 0; row < count; row++) {
+        struct place at = place_of(&events[row], row);
+
+        append_time(out, &events[row], events[0].hlc, at.y);
+        append_event(out, &events[row], at);
+    }
+}
+
 static void
 append_head(GString *out, const struct pgw_timeline *timeline, guint shown)
 {
--- a/src/util/trace.c
+++ b/src/util/trace.c
@@ -29,7 +29,7 @@
     [PGW_TRACE_PROBE_REPLY] = {"probe_reply", "matched_tokens", "ttft_us"},
     [PGW_TRACE_PLACE] = {"place", "matched_tokens", "cost_us"},
     [PGW_TRACE_CLAIM] = {"claim", "shard", NULL},
-    [PGW_TRACE_CLAIM_RESULT] = {"claim_result", "action", "refusal"},
+    [PGW_TRACE_CLAIM_RESULT] = {"claim_result", "action", NULL},
     [PGW_TRACE_ATTEMPT_OPEN] = {"attempt_open", "uncached_tokens",
                                 "resume_from"},
     [PGW_TRACE_ATTEMPT_FAIL] = {"attempt_fail", "refusal", "ran"},
--- a/tests/unit/test_timeline.c
+++ b/tests/unit/test_timeline.c
@@ -1,4 +1,5 @@
 #include "cli/timeline.h"
+#include "order.h"
 #include "util/hex.h"
 #include "util/hlc.h"
 #include "util/trace.h"
@@ -19,17 +20,6 @@
     g_free(text);
 }
 
-static void
-assert_in_order(const char *text, const char *const *parts)
-{
-    for (; *parts != NULL; parts++) {
-        text = strstr(text, *parts);
-        if (text == NULL) {
-            g_error("\"%s\" is missing or out of order", *parts);
-        }
-    }
-}
-
 /* An entry whose wall clock lags by a minute sends a request to a sidecar and
  * hears from it; by wall clocks the answer would stand before the question. */
 static void
@@ -91,9 +81,9 @@
 static void
 test_json_and_html(void)
 {
-    static const char *const expected[] = {"attempt_open",
+    static const char *const expected[] = {"class=\"step\"",
+                                           "attempt_open",
                                            "&lt;guide&amp;1&gt;",
-                                           "class=\"step\"",
                                            "first_token",
                                            "class=\"event fault\"",
                                            "sidecar_refuse",
