--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -1,5 +1,6 @@
 #include "cli/timeline.h"
 
+#include "parsleygw/claim.h"
 #include "util/hlc.h"
 #include "util/trace.h"
 
@@ -58,19 +59,25 @@
     return (uint64_t)json_object_get_int_member_with_default(object, name, 0);
 }
 
+static uint64_t
+hex_of(JsonObject *object, const char *name)
+{
+    return g_ascii_strtoull(text_of(object, name), NULL, 16);
+}
+
 static void
 add_event(struct pgw_timeline *timeline, JsonObject *object, unsigned lane)
 {
     const char *request = text_of(object, "request");
     struct pgw_timeline_event event = {
-        .hlc = g_ascii_strtoull(text_of(object, "hlc"), NULL, 16),
+        .hlc = hex_of(object, "hlc"),
         .lane = lane,
         .kind = pgw_trace_kind_parse(text_of(object, "kind")),
         .kind_name = g_strdup(text_of(object, "kind")),
         .request = *request == '\0' ? NULL : g_strdup(request),
         .attempt = (uint32_t)number_of(object, "attempt"),
-        .a = number_of(object, "a"),
-        .b = number_of(object, "b"),
+        .a = hex_of(object, "a"),
+        .b = hex_of(object, "b"),
         .text = g_strdup(text_of(object, "text")),
     };
 
@@ -131,6 +138,19 @@
     g_array_sort(timeline->events, compare_events);
 }
 
+static const char *
+claim_action_name(uint64_t action)
+{
+    static const char *const names[] = {
+        [PGW_CLAIM_PENDING] = "pending",
+        [PGW_CLAIM_RUN] = "run",
+        [PGW_CLAIM_REPLAY] = "replay",
+        [PGW_CLAIM_REFUSE] = "refuse",
+    };
+
+    return action < G_N_ELEMENTS(names) ? names[action] : "unknown";
+}
+
 static void
 append_number(GString *out, const char *label, uint64_t value)
 {
@@ -144,6 +164,9 @@
     else if (strcmp(label, "ran") == 0) {
         g_string_append(out, pgw_ran_name((int)MIN(value, G_MAXINT)));
     }
+    else if (strcmp(label, "action") == 0) {
+        g_string_append(out, claim_action_name(value));
+    }
     else if (strcmp(label, "incarnation") == 0) {
         g_string_append_printf(out, "%" G_GINT64_MODIFIER "x", value);
     }
