--- a/src/entry/request_parse.c
+++ b/src/entry/request_parse.c
@@ -1,9 +1,11 @@
 #include "entry/request_parse.h"
 #include "parsleygw/errors.h"
-#include <json-glib/json-glib.h>
+#include "util/json_reader.h"
 #include <string.h>
 
 #define MAX_TOKENS_LIMIT 1000000
+/* JSON numbers are exact up to 2^53. */
+#define SEED_LIMIT 9007199254740992.0
 
 static bool
 invalid(GError **error, const char *message)
@@ -24,26 +26,73 @@
     return json_node_get_string(node);
 }
 
+static bool
+is_absent(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+
+    return node == NULL || JSON_NODE_HOLDS_NULL(node);
+}
+
+/* The member as a number; false when it is something else. */
+static bool
+member_number(double *out, JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    GType type = JSON_NODE_HOLDS_VALUE(node) ? json_node_get_value_type(node)
+                                             : G_TYPE_INVALID;
+
+    if (type != G_TYPE_INT64 && type != G_TYPE_DOUBLE) {
+        return false;
+    }
+    *out = json_node_get_double(node);
+    return true;
+}
+
+static bool
+is_false(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+
+    return JSON_NODE_HOLDS_VALUE(node) &&
+           json_node_get_value_type(node) == G_TYPE_BOOLEAN &&
+           !json_node_get_boolean(node);
+}
+
 /* Answers that callers would take for something else must be refused, not
  * silently reduced to what we do. */
 static bool
 check_unsupported(JsonObject *object, GError **error)
 {
-    static const char *const names[] = {"tools",   "functions", "logprobs",
-                                        "best_of", "suffix",    "echo"};
-    JsonNode *node = json_object_get_member(object, "n");
+    static const char *const names[] = {
+        "tools", "functions", "logprobs",   "best_of",         "suffix",
+        "echo",  "stop",      "logit_bias", "response_format",
+    };
+    static const struct {
+        const char *name;
+        double only;
+    } fixed[] = {
+        {"n", 1},
+        {"top_p", 1},
+        {"presence_penalty", 0},
+        {"frequency_penalty", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(fixed); i++) {
+        double value;
 
-    if (node != NULL &&
-        !(JSON_NODE_HOLDS_VALUE(node) && json_node_get_int(node) == 1)) {
-        return invalid(error, "member 'n': only 1 answer is given: leave it "
-                              "out or write 1");
+        if (!is_absent(object, fixed[i].name) &&
+            (!member_number(&value, object, fixed[i].name) ||
+             value < fixed[i].only || value > fixed[i].only)) {
+            g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                        "member '%s' is not supported: leave it out or "
+                        "write %.0f",
+                        fixed[i].name, fixed[i].only);
+            return false;
+        }
     }
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        node = json_object_get_member(object, names[i]);
-        if (node != NULL && !JSON_NODE_HOLDS_NULL(node) &&
-            !(JSON_NODE_HOLDS_VALUE(node) &&
-              json_node_get_value_type(node) == G_TYPE_BOOLEAN &&
-              !json_node_get_boolean(node))) {
+        if (!is_absent(object, names[i]) && !is_false(object, names[i])) {
             g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                         "member '%s' is not supported: leave it out",
                         names[i]);
@@ -57,25 +106,36 @@
 parse_number(double *out, JsonObject *object, const char *name, double max,
              GError **error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    GType type;
-
-    if (node == NULL || JSON_NODE_HOLDS_NULL(node)) {
+    if (is_absent(object, name)) {
         return true;
     }
-    type = JSON_NODE_HOLDS_VALUE(node) ? json_node_get_value_type(node)
-                                       : G_TYPE_INVALID;
-    if (type == G_TYPE_INT64 || type == G_TYPE_DOUBLE) {
-        *out = json_node_get_double(node);
-        if (*out >= 0 && *out <= max) {
-            return true;
-        }
+    if (member_number(out, object, name) && *out >= 0 && *out <= max) {
+        return true;
     }
     g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                 "member '%s': write a number from 0 to %.0f", name, max);
     return false;
 }
 
+static bool
+parse_integer(uint64_t *out, JsonObject *object, const char *name, double max,
+              GError **error)
+{
+    double value = (double)*out;
+
+    if (!parse_number(&value, object, name, max, error)) {
+        return false;
+    }
+    *out = (uint64_t)value;
+    if ((double)*out < value) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                    "member '%s': write a whole number from 0 to %.0f", name,
+                    max);
+        return false;
+    }
+    return true;
+}
+
 static bool
 append_message(struct request_fields *out, GArray *ends, JsonNode *node,
                GError **error)
@@ -167,21 +227,24 @@
 parse_object(struct request_fields *out, JsonObject *object, bool chat,
              GError **error)
 {
-    double max_tokens = 0;
-    double seed = 0;
+    uint64_t max_tokens = 0;
     const char *model = member_string(object, "model");
 
     if (!check_unsupported(object, error) ||
-        !parse_number(&max_tokens, object, "max_tokens", MAX_TOKENS_LIMIT,
-                      error) ||
-        !parse_number(&seed, object, "seed", 9007199254740992.0, error) ||
+        !parse_integer(&max_tokens, object, "max_tokens", MAX_TOKENS_LIMIT,
+                       error) ||
+        !parse_integer(&max_tokens, object, "max_completion_tokens",
+                       MAX_TOKENS_LIMIT, error) ||
+        !parse_integer(&out->seed, object, "seed", SEED_LIMIT, error) ||
         !parse_number(&out->temperature, object, "temperature", 2, error) ||
         !parse_stream(out, object, error)) {
         return false;
     }
+    if (model == NULL && !is_absent(object, "model")) {
+        return invalid(error, "member 'model': write the profile's name");
+    }
     out->model = g_strdup(model == NULL ? "" : model);
     out->max_tokens = (uint32_t)max_tokens;
-    out->seed = (uint64_t)seed;
     return chat ? parse_messages(out, object, error)
                 : parse_prompt(out, object, error);
 }
@@ -190,30 +253,19 @@
 request_parse(struct request_fields *out, const void *body, size_t size,
               bool chat, GError **error)
 {
-    JsonParser *parser = json_parser_new_immutable();
-    GError *cause = NULL;
-    JsonNode *root;
+    JsonNode *root = NULL;
     bool good = false;
 
     *out = (struct request_fields){.prompt = g_string_new(NULL)};
     if (size == 0) {
         invalid(error, "the body is empty: send a JSON object");
-        goto done;
     }
-    if (!json_parser_load_from_data(parser, body, (gssize)size, &cause)) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "the body is not JSON: %s", cause->message);
-        goto done;
-    }
-    root = json_parser_get_root(parser);
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        invalid(error, "the body is not a JSON object: send one");
-        goto done;
-    }
-    good = parse_object(out, json_node_get_object(root), chat, error);
-done:
-    g_clear_error(&cause);
-    g_object_unref(parser);
+    else if (pgw_json_parse(&root, body, size, "body", error)) {
+        good = JSON_NODE_HOLDS_OBJECT(root)
+                   ? parse_object(out, json_node_get_object(root), chat, error)
+                   : invalid(error, "the body is not a JSON object: send one");
+    }
+    g_clear_pointer(&root, json_node_unref);
     if (!good) {
         request_fields_dispose(out);
     }
--- a/src/util/json_reader.c
+++ b/src/util/json_reader.c
@@ -8,42 +8,90 @@
 
 #define MAX_FILE_BYTES (1u << 20)
 
-/* json-glib parses by recursion. Without a bound a body of nested brackets
+/* What a first look at a text found that the JSON library would not. */
+enum text_fault {
+    TEXT_GOOD,
+    TEXT_DEEP,
+    TEXT_NUL,
+    TEXT_NO_JSON,
+};
+
+/* Skips the string that begins at @i; returns the index of its last byte. */
+static size_t
+skip_string(enum text_fault *fault, const char *text, size_t size, size_t i)
+{
+    for (i++; i < size && text[i] != '"'; i++) {
+        if (text[i] != '\\') {
+            continue;
+        }
+        if (size - i >= 6 && memcmp(text + i, "\\u0000", 6) == 0) {
+            *fault = TEXT_NUL;
+        }
+        i++;
+    }
+    return i;
+}
+
+/*
+ * json-glib parses by recursion. Without a bound a body of nested brackets
  * ends in a stack overflow, and the process dies for one caller's request;
- * counting brackets outside strings first keeps the parser's depth bounded. */
-static bool
-nesting_is_bounded(const char *text, size_t size)
+ * counting brackets outside strings first keeps the parser's depth bounded.
+ * It also takes comments and single quotes, which could hide brackets from
+ * the count, and cuts strings at an escaped NUL, so that half a prompt would
+ * be answered; such texts are refused.
+ */
+static enum text_fault
+scan_text(const char *text, size_t size)
 {
+    enum text_fault fault = TEXT_GOOD;
     unsigned depth = 0;
-    bool in_string = false;
-
-    for (size_t i = 0; i < size; i++) {
-        char c = text[i];
 
-        if (in_string) {
-            if (c == '\\') {
-                i++;
-            }
-            else if (c == '"') {
-                in_string = false;
-            }
-        }
-        else if (c == '"') {
-            in_string = true;
-        }
-        else if (c == '[' || c == '{') {
-            depth++;
+    for (size_t i = 0; i < size && fault == TEXT_GOOD; i++) {
+        switch (text[i]) {
+        case '"':
+            i = skip_string(&fault, text, size, i);
+            break;
+        case '[':
+        case '{':
 #ifndef PGW_DISABLE_JSON_DEPTH
-            if (depth > PGW_JSON_MAX_DEPTH) {
-                return false;
-            }
+            fault = ++depth > PGW_JSON_MAX_DEPTH ? TEXT_DEEP : TEXT_GOOD;
 #endif
-        }
-        else if ((c == ']' || c == '}') && depth > 0) {
-            depth--;
+            break;
+        case ']':
+        case '}':
+            depth -= depth > 0;
+            break;
+        default:
+            if (!g_ascii_isspace(text[i]) && !g_ascii_isalnum(text[i]) &&
+                strchr(":,+-.", text[i]) == NULL) {
+                fault = TEXT_NO_JSON;
+            }
+            break;
         }
     }
-    return true;
+    return fault;
+}
+
+static void
+set_text_error(GError **error, enum text_fault fault, const char *where)
+{
+    switch (fault) {
+    case TEXT_DEEP:
+        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                    "%s: nested deeper than %d; write it flatter", where,
+                    PGW_JSON_MAX_DEPTH);
+        break;
+    case TEXT_NUL:
+        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                    "%s: holds the escape \\u0000; leave it out", where);
+        break;
+    default:
+        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                    "%s: not valid JSON: a character that JSON does not have "
+                    "outside of strings; remove it",
+                    where);
+        break;
+    }
 }
 
 bool
@@ -51,13 +99,12 @@
                const char *where, GError **error)
 {
     JsonParser *parser = json_parser_new_immutable();
+    enum text_fault fault = scan_text(text, size);
     GError *cause = NULL;
     bool ok = false;
 
-    if (!nesting_is_bounded(text, size)) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "%s: nested deeper than %d; write it flatter", where,
-                    PGW_JSON_MAX_DEPTH);
+    if (fault != TEXT_GOOD) {
+        set_text_error(error, fault, where);
         goto done;
     }
     if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
--- a/src/util/rcu.c
+++ b/src/util/rcu.c
@@ -3,6 +3,21 @@
 #include <ck_epoch.h>
 #include <ck_pr.h>
 
+/*
+ * The order that Concurrency Kit's fences give lies in assembler, which
+ * ThreadSanitizer does not see. These tell it the same: a reader sees what was
+ * written before the snapshot was published, and a snapshot is freed after the
+ * sections that read it.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define ORDER_RELEASE(address) __tsan_release(address)
+#define ORDER_ACQUIRE(address) __tsan_acquire(address)
+#else
+#define ORDER_RELEASE(address) ((void)(address))
+#define ORDER_ACQUIRE(address) ((void)(address))
+#endif
+
 struct pgw_rcu {
     ck_epoch_t epoch;
     void *snapshot;
@@ -13,8 +28,8 @@
 
 struct rcu_garbage {
     ck_epoch_entry_t entry;
+    struct pgw_rcu *cell;
     void *snapshot;
-    void (*dispose)(void *snapshot);
 };
 
 /* A thread's record goes back for the next thread to recycle. */
@@ -76,6 +91,7 @@
         return;
     }
     ck_epoch_barrier(cell->writer);
+    ORDER_ACQUIRE(&cell->epoch);
     if (cell->snapshot != NULL) {
         cell->dispose(cell->snapshot);
     }
@@ -87,13 +103,18 @@
 void *
 pgw_rcu_read_lock(struct pgw_rcu *cell)
 {
+    void *snapshot;
+
     ck_epoch_begin(record_get(cell), NULL);
-    return ck_pr_load_ptr(&cell->snapshot);
+    snapshot = ck_pr_load_ptr(&cell->snapshot);
+    ORDER_ACQUIRE(&cell->snapshot);
+    return snapshot;
 }
 
 void
 pgw_rcu_read_unlock(struct pgw_rcu *cell)
 {
+    ORDER_RELEASE(&cell->epoch);
     ck_epoch_end(record_get(cell), NULL);
 }
 
@@ -103,20 +124,23 @@
     struct rcu_garbage *garbage =
         pgw_container_of(entry, struct rcu_garbage, entry);
 
-    garbage->dispose(garbage->snapshot);
+    ORDER_ACQUIRE(&garbage->cell->epoch);
+    garbage->cell->dispose(garbage->snapshot);
     g_free(garbage);
 }
 
 void
 pgw_rcu_replace(struct pgw_rcu *cell, void *snapshot)
 {
-    void *old = ck_pr_fas_ptr(&cell->snapshot, snapshot);
+    void *old;
 
+    ORDER_RELEASE(&cell->snapshot);
+    old = ck_pr_fas_ptr(&cell->snapshot, snapshot);
     if (old != NULL) {
         struct rcu_garbage *garbage = g_new0(struct rcu_garbage, 1);
 
+        garbage->cell = cell;
         garbage->snapshot = old;
-        garbage->dispose = cell->dispose;
         ck_epoch_call(cell->writer, &garbage->entry, garbage_free);
     }
     /* Frees what earlier replacements left as soon as readers have moved on;
--- /dev/null
+++ b/tests/unit/test_frame.c
@@ -0,0 +1,130 @@
+/* Frames: whole, split at every byte, and broken ones. */
+#include <string.h>
+
+#include "libparsleygw/frame.h"
+#include "parsleygw/errors.h"
+
+static void
+append_cancel(struct pgw_buffer *out, uint32_t attempt)
+{
+    uint8_t id[16] = {1, 2, 3};
+    Pgw__Cancel cancel = PGW__CANCEL__INIT;
+
+    cancel.request.data = id;
+    cancel.request.len = sizeof(id);
+    cancel.attempt = attempt;
+    pgw_frame_append(out, PGW_FRAME_CANCEL, &cancel.base);
+}
+
+static void
+take_cancel(struct pgw_buffer *in, uint32_t attempt)
+{
+    enum pgw_frame_type type;
+    ProtobufCMessage *message = NULL;
+    GError *error = NULL;
+
+    g_assert_cmpint(pgw_frame_take(&type, &message, in, &error), ==,
+                    PGW_FRAME_TAKEN);
+    g_assert_no_error(error);
+    g_assert_cmpint(type, ==, PGW_FRAME_CANCEL);
+    g_assert_cmpuint(((Pgw__Cancel *)message)->attempt, ==, attempt);
+    g_assert_cmpuint(((Pgw__Cancel *)message)->request.len, ==, 16);
+    pgw_frame_free(message);
+}
+
+static void
+test_split_anywhere(void)
+{
+    struct pgw_buffer whole = {0};
+    struct pgw_buffer in = {0};
+    enum pgw_frame_type type;
+    ProtobufCMessage *message = NULL;
+    GError *error = NULL;
+
+    append_cancel(&whole, 7);
+    append_cancel(&whole, 8);
+    for (size_t cut = 0; cut < pgw_buffer_size(&whole) / 2; cut++) {
+        const uint8_t *head = pgw_buffer_head(&whole);
+
+        pgw_buffer_append(&in, head, cut);
+        g_assert_cmpint(pgw_frame_take(&type, &message, &in, &error), ==,
+                        PGW_FRAME_MORE);
+        g_assert_no_error(error);
+        pgw_buffer_append(&in, head + cut, pgw_buffer_size(&whole) - cut);
+        take_cancel(&in, 7);
+        take_cancel(&in, 8);
+        g_assert_cmpuint(pgw_buffer_size(&in), ==, 0);
+    }
+    pgw_buffer_dispose(&in);
+    pgw_buffer_dispose(&whole);
+}
+
+static void
+assert_broken(const uint8_t *bytes, size_t size)
+{
+    struct pgw_buffer in = {0};
+    enum pgw_frame_type type;
+    ProtobufCMessage *message = NULL;
+    GError *error = NULL;
+
+    pgw_buffer_append(&in, bytes, size);
+    g_assert_cmpint(pgw_frame_take(&type, &message, &in, &error), ==,
+                    PGW_FRAME_BROKEN);
+    g_assert_error(error, PGW_ERROR, PGW_ERROR_PROTOCOL);
+    g_assert_null(message);
+    g_clear_error(&error);
+    pgw_buffer_dispose(&in);
+}
+
+/* Each is refused from its header alone: a peer cannot make us wait for, or
+ * hold, more than one frame. */
+static void
+test_broken(void)
+{
+    const uint8_t zero[] = {0, 0, 0, 0, PGW_FRAME_CANCEL};
+    const uint8_t huge[] = {0xff, 0xff, 0xff, 0xff, PGW_FRAME_CANCEL};
+    const uint8_t over[] = {0, 0xa0, 0, 1, PGW_FRAME_CANCEL};
+    const uint8_t no_type[] = {0, 0, 0, 1, 0};
+    const uint8_t unknown[] = {0, 0, 0, 9, PGW_FRAME_TYPE_COUNT};
+    /* Field 1 claims 127 bytes of which none follow. */
+    const uint8_t lying[] = {0, 0, 0, 3, PGW_FRAME_CANCEL, 0x0a, 0x7f};
+
+    assert_broken(zero, sizeof(zero));
+    assert_broken(huge, sizeof(huge));
+    assert_broken(over, sizeof(over));
+    assert_broken(no_type, sizeof(no_type));
+    assert_broken(unknown, sizeof(unknown));
+    assert_broken(lying, sizeof(lying));
+}
+
+static void
+test_largest(void)
+{
+    struct pgw_buffer in = {0};
+    Pgw__Data data = PGW__DATA__INIT;
+    enum pgw_frame_type type;
+    ProtobufCMessage *message = NULL;
+    GError *error = NULL;
+
+    data.data.len = PGW_FRAME_MAX - 64;
+    data.data.data = g_malloc0(data.data.len);
+    pgw_frame_append(&in, PGW_FRAME_DATA, &data.base);
+    g_assert_cmpint(pgw_frame_take(&type, &message, &in, &error), ==,
+                    PGW_FRAME_TAKEN);
+    g_assert_cmpuint(((Pgw__Data *)message)->data.len, ==, data.data.len);
+    /* The peak is not kept once the buffer is empty. */
+    g_assert_cmpuint(in.capacity, ==, 0);
+    pgw_frame_free(message);
+    g_free(data.data.data);
+    pgw_buffer_dispose(&in);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/frame/split-anywhere", test_split_anywhere);
+    g_test_add_func("/frame/broken", test_broken);
+    g_test_add_func("/frame/largest", test_largest);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_sync.c
@@ -0,0 +1,357 @@
+/* Replicas of the configuration over links of one loop. */
+#include <string.h>
+
+#include "libparsleygw/sync.h"
+
+#define REPLICAS 3
+#define POOL "{\"type\":\"model\",\"model\":\"m\",\"version\":\"w%u\"}"
+
+/**
+ * struct replica - one process in miniature: a listener and links to others
+ */
+struct replica {
+    struct pgw_loop *loop;
+    struct pgw_config_set *set;
+    struct pgw_sync *sync;
+    struct pgw_listener *listener;
+    GPtrArray *links;
+    unsigned changes;
+    unsigned frames;
+};
+
+struct fleet {
+    struct pgw_loop *loop;
+    struct replica replicas[REPLICAS];
+    struct pgw_timer check;
+    bool (*is_done)(struct fleet *fleet);
+    unsigned checks;
+};
+
+static bool
+on_frame(struct pgw_link *link, enum pgw_frame_type type,
+         ProtobufCMessage *message, void *context)
+{
+    struct replica *replica = context;
+
+    replica->frames++;
+    g_assert_true(pgw_sync_take_frame(replica->sync, link, type, message));
+    return false;
+}
+
+static void
+on_closed(struct pgw_link *link, const GError *error, void *context)
+{
+    struct replica *replica = context;
+
+    (void)error;
+    pgw_sync_remove_link(replica->sync, link);
+    g_ptr_array_remove(replica->links, link);
+}
+
+static const struct pgw_link_ops ops = {
+    .on_frame = on_frame,
+    .on_closed = on_closed,
+};
+
+static void
+add_link(struct replica *replica, struct pgw_link *link)
+{
+    g_assert_nonnull(link);
+    g_ptr_array_add(replica->links, link);
+    pgw_sync_add_link(replica->sync, link);
+}
+
+static void
+on_accept(int fd, void *context)
+{
+    struct replica *replica = context;
+
+    add_link(replica, pgw_link_accept(replica->loop, fd, &ops, replica, NULL));
+}
+
+static void
+join(struct replica *from, struct replica *to)
+{
+    struct pgw_address address;
+    char *text =
+        g_strdup_printf("127.0.0.1:%u", pgw_listener_port(to->listener));
+
+    g_assert_true(pgw_address_parse(&address, text, NULL));
+    add_link(from, pgw_link_connect(from->loop, &address, &ops, from, NULL));
+    g_free(text);
+}
+
+static void
+on_change(void *context)
+{
+    ((struct replica *)context)->changes++;
+}
+
+static void
+check_due(struct pgw_timer *timer)
+{
+    struct fleet *fleet = pgw_container_of(timer, struct fleet, check);
+
+    if (fleet->is_done(fleet)) {
+        pgw_loop_stop(fleet->loop);
+        return;
+    }
+    g_assert_cmpuint(++fleet->checks, <, 60000);
+    pgw_timer_start(fleet->loop, timer, 1000);
+}
+
+static struct fleet *
+fleet_new(bool (*is_done)(struct fleet *fleet))
+{
+    struct fleet *fleet = g_new0(struct fleet, 1);
+    struct pgw_sync_options options = PGW_SYNC_OPTIONS_INIT;
+    struct pgw_address any;
+
+    g_assert_true(pgw_address_parse(&any, "127.0.0.1:0", NULL));
+    fleet->loop = pgw_loop_new(NULL);
+    fleet->is_done = is_done;
+    fleet->check.on_due = check_due;
+    pgw_timer_start(fleet->loop, &fleet->check, 1000);
+    options.loop = fleet->loop;
+    options.on_change = on_change;
+    options.interval_us = 5000;
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        struct replica *replica = &fleet->replicas[i];
+
+        replica->loop = fleet->loop;
+        replica->set = pgw_config_set_new();
+        replica->links = g_ptr_array_new();
+        options.set = replica->set;
+        options.context = replica;
+        replica->sync = pgw_sync_new(&options);
+        replica->listener =
+            pgw_listener_new(fleet->loop, &any, on_accept, replica, NULL);
+        g_assert_nonnull(replica->listener);
+    }
+    return fleet;
+}
+
+static void
+fleet_free(struct fleet *fleet)
+{
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        struct replica *replica = &fleet->replicas[i];
+
+        for (guint k = 0; k < replica->links->len; k++) {
+            pgw_link_close(g_ptr_array_index(replica->links, k));
+        }
+    }
+    pgw_loop_run_tasks(fleet->loop);
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        struct replica *replica = &fleet->replicas[i];
+
+        pgw_sync_free(replica->sync);
+        pgw_listener_free(replica->listener);
+        g_ptr_array_unref(replica->links);
+    }
+    pgw_loop_run_tasks(fleet->loop);
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        pgw_config_set_free(fleet->replicas[i].set);
+    }
+    pgw_loop_free(fleet->loop);
+    g_free(fleet);
+}
+
+static void
+offer(struct replica *replica, const char *name, uint64_t version)
+{
+    char *value = g_strdup_printf(POOL, (unsigned)version);
+    GError *error = NULL;
+
+    pgw_sync_offer(replica->sync, "pool", name, version, value, &error);
+    g_assert_no_error(error);
+    g_free(value);
+}
+
+static bool
+all_agree(struct fleet *fleet)
+{
+    uint64_t first = pgw_config_set_summary(fleet->replicas[0].set);
+
+    for (unsigned i = 1; i < REPLICAS; i++) {
+        if (pgw_config_set_summary(fleet->replicas[i].set) != first) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* In a line of three, each holds something newer and something older than
+ * the others; all end with the highest version of everything. */
+static void
+test_replicas_converge(void)
+{
+    struct fleet *fleet = fleet_new(all_agree);
+    struct replica *all = fleet->replicas;
+
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        char *own = g_strdup_printf("own-%u", i);
+
+        offer(&all[i], "shared", 10 + i);
+        offer(&all[i], own, 100 + i);
+        g_free(own);
+    }
+    offer(&all[0], "gone", 5);
+    g_assert_true(pgw_sync_offer(all[2].sync, "pool", "gone", 6, NULL, NULL));
+    join(&all[0], &all[1]);
+    join(&all[1], &all[2]);
+    pgw_loop_run(fleet->loop);
+    for (unsigned i = 0; i < REPLICAS; i++) {
+        g_assert_cmpuint(pgw_config_set_count(all[i].set), ==, 4);
+        g_assert_cmpuint(pgw_config_set_version(all[i].set, "pool", "shared"),
+                         ==, 12);
+        g_assert_null(pgw_config_set_value(all[i].set, "pool", "gone"));
+        g_assert_cmpuint(all[i].changes, >, 0);
+    }
+    fleet_free(fleet);
+}
+
+/* A process that starts empty gets a large configuration, in several frames,
+ * from the only peer that it knows. */
+static void
+test_late_starter_catches_up(void)
+{
+    struct fleet *fleet = fleet_new(all_agree);
+    struct replica *all = fleet->replicas;
+
+    for (unsigned i = 0; i < 2000; i++) {
+        char *name = g_strdup_printf("pool-%u", i);
+
+        offer(&all[0], name, i + 1);
+        g_free(name);
+    }
+    join(&all[1], &all[0]);
+    join(&all[2], &all[1]);
+    pgw_loop_run(fleet->loop);
+    g_assert_cmpuint(pgw_config_set_count(all[2].set), ==, 2000);
+    fleet_free(fleet);
+}
+
+/* A peer of another program version, whose one object the replicas refuse:
+ * it answers as the protocol says. */
+static void
+newer_send_versions(struct pgw_link *link)
+{
+    uint32_t bucket = pgw_config_bucket("pool", "bad");
+    Pgw__ObjectVersion version = PGW__OBJECT_VERSION__INIT;
+    Pgw__ObjectVersion *list[] = {&version};
+    Pgw__Digest digest = PGW__DIGEST__INIT;
+
+    version.kind = "pool";
+    version.name = "bad";
+    version.version = 9;
+    digest.summary = 1;
+    digest.covered = &bucket;
+    digest.n_covered = 1;
+    digest.objects = list;
+    digest.n_objects = 1;
+    pgw_link_send(link, PGW_FRAME_DIGEST, &digest.base);
+}
+
+static void
+newer_send_object(struct pgw_link *link)
+{
+    char bad[] = "{\"type\":\"model\",\"model\":7}";
+    Pgw__Object object = PGW__OBJECT__INIT;
+    Pgw__Object *list[] = {&object};
+    Pgw__Objects objects = PGW__OBJECTS__INIT;
+
+    object.kind = "pool";
+    object.name = "bad";
+    object.version = 9;
+    object.value.data = (uint8_t *)bad;
+    object.value.len = strlen(bad);
+    objects.n_objects = 1;
+    objects.objects = list;
+    pgw_link_send(link, PGW_FRAME_OBJECTS, &objects.base);
+}
+
+struct newer_peer {
+    unsigned rounds;
+    unsigned asked;
+};
+
+static bool
+newer_on_frame(struct pgw_link *link, enum pgw_frame_type type,
+               ProtobufCMessage *message, void *context)
+{
+    struct newer_peer *peer = context;
+
+    if (type != PGW_FRAME_DIGEST) {
+        return false;
+    }
+    if (((const Pgw__Digest *)message)->n_covered > 0) {
+        peer->asked++;
+        newer_send_object(link);
+    }
+    else {
+        peer->rounds++;
+        newer_send_versions(link);
+    }
+    return false;
+}
+
+static void
+newer_on_closed(struct pgw_link *link, const GError *error, void *context)
+{
+    (void)link;
+    (void)error;
+    (void)context;
+}
+
+static const struct pgw_link_ops newer_ops = {
+    .on_frame = newer_on_frame,
+    .on_closed = newer_on_closed,
+};
+
+static bool
+many_checks_passed(struct fleet *fleet)
+{
+    return fleet->checks > 200;
+}
+
+/* The refused object is asked for once in each periodic exchange, not again
+ * as soon as it was refused, which would fill the link; other objects travel
+ * on as ever. */
+static void
+test_refused_value_does_not_loop(void)
+{
+    struct fleet *fleet = fleet_new(many_checks_passed);
+    struct replica *all = fleet->replicas;
+    struct newer_peer peer = {0};
+    struct pgw_address address;
+    struct pgw_link *link;
+    char *text =
+        g_strdup_printf("127.0.0.1:%u", pgw_listener_port(all[1].listener));
+
+    g_assert_true(pgw_address_parse(&address, text, NULL));
+    link = pgw_link_connect(fleet->loop, &address, &newer_ops, &peer, NULL);
+    offer(&all[0], "good", 1);
+    join(&all[0], &all[1]);
+    pgw_loop_run(fleet->loop);
+    g_assert_cmpuint(pgw_config_set_version(all[1].set, "pool", "good"), ==,
+                     1);
+    g_assert_cmpuint(pgw_config_set_version(all[1].set, "pool", "bad"), ==, 0);
+    g_assert_cmpuint(peer.asked, >, 0);
+    g_assert_cmpuint(peer.asked, <=, peer.rounds);
+    pgw_link_close(link);
+    fleet_free(fleet);
+    g_free(text);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/sync/replicas-converge", test_replicas_converge);
+    g_test_add_func("/sync/late-starter-catches-up",
+                    test_late_starter_catches_up);
+    g_test_add_func("/sync/refused-value-does-not-loop",
+                    test_refused_value_does_not_loop);
+    return g_test_run();
+}
