--- a/src/libparsleygw/config_json.c
+++ b/src/libparsleygw/config_json.c
@@ -60,6 +60,8 @@
     }
     parser = json_parser_new_immutable();
     if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
+        /* It quotes the text, whose line breaks would split our one line. */
+        g_strdelimit(cause->message, "\r\n", ' ');
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "%s: not JSON: %s: correct the syntax", what,
                     cause->message);
--- a/src/util/json_reader.c
+++ b/src/util/json_reader.c
@@ -94,6 +94,15 @@
     }
 }
 
+/* Messages quote keys and text, whose line breaks would split our one line. */
+static void
+one_line(GError **error)
+{
+    if (error != NULL && *error != NULL) {
+        g_strdelimit((*error)->message, "\r\n", ' ');
+    }
+}
+
 bool
 pgw_json_parse(JsonNode **out, const char *text, size_t size,
                const char *where, GError **error)
@@ -110,6 +119,7 @@
     if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "%s: not valid JSON: %s", where, cause->message);
+        one_line(error);
         goto done;
     }
     if (json_parser_get_root(parser) == NULL) {
@@ -516,6 +526,7 @@
     }
     if (!ok) {
         pgw_json_dispose(out, fields, count);
+        one_line(error);
     }
     return ok;
 }
