Place by merged membership instead of flags of the links

Cause: the entry judged upstreams by four flags of its own while the pure membership merge stood unused; the platform's list was not read at all, and a restarted entry placed its first requests among the few sidecars that had connected first.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 #include "entry/exchange.h"
 #include "entry/upstream.h"
+#include "libparsleygw/store_worker.h"
 #include "util/json_text.h"
 #include "util/log.h"
 #include "util/random.h"
@@ -8,6 +9,8 @@
 
 #define WATCH_INTERVAL_US UINT64_C(200000)
 #define DRAIN_CHECK_US UINT64_C(20000)
+#define LIST_INTERVAL_US UINT64_C(10000000)
+#define LIST_TIMEOUT_US UINT64_C(2000000)
 #define TRACE_EVENTS (1u << 14)
 
 static guint
@@ -22,17 +25,6 @@
     return memcmp(a, b, PGW_REQUEST_ID_SIZE) == 0;
 }
 
-static void
-pool_free(gpointer data)
-{
-    struct pool *pool = data;
-
-    g_free(pool->name);
-    g_free(pool->nodes);
-    g_free(pool->upstreams);
-    g_free(pool);
-}
-
 static void
 config_unref(void *config)
 {
@@ -72,9 +64,34 @@
         }
     }
     g_list_free(all);
+    pools_refresh(entry);
     pgw_timer_start(entry->loop, timer, WATCH_INTERVAL_US);
 }
 
+static void
+list_done(void *context, const struct pgw_store_instances *list)
+{
+    struct entry *entry = context;
+    uint64_t pause =
+        LIST_INTERVAL_US / 2 + pgw_random_u64() % LIST_INTERVAL_US;
+
+    if (list != NULL) {
+        pgw_members_set_list(entry->members, list, pgw_now_us());
+    }
+    pgw_timer_start(entry->loop, &entry->list_timer, pause);
+}
+
+/* The list lags, so it is looked at seldom; what is urgent the sidecars and
+ * the operators say themselves. */
+static void
+list_due(struct pgw_timer *timer)
+{
+    struct entry *entry = pgw_container_of(timer, struct entry, list_timer);
+
+    pgw_store_worker_list_instances(entry->worker, LIST_TIMEOUT_US, list_done,
+                                    entry);
+}
+
 static void
 refuse_rest(struct entry *entry)
 {
@@ -214,6 +231,11 @@
         return false;
     }
     pgw_config_feed_changed(entry->feed, entry->config);
+    entry->worker = pgw_store_worker_new(pgw_config_feed_store(entry->feed),
+                                         entry->loop, 1);
+    entry->list_timer.on_due = list_due;
+    pgw_timer_start(entry->loop, &entry->list_timer,
+                    pgw_random_u64() % LIST_INTERVAL_US);
     return true;
 }
 
@@ -222,6 +244,7 @@
 {
     struct entry *entry = g_new0(struct entry, 1);
     struct pgw_retry_options retry = PGW_RETRY_OPTIONS_INIT;
+    struct pgw_member_options members = PGW_MEMBER_OPTIONS_INIT;
 
     entry->settings = settings;
     entry->policy = pgw_place_policy_find(settings->policy);
@@ -229,6 +252,7 @@
     entry->snapshot = pgw_rcu_new(config_unref);
     entry->budget = pgw_retry_budget_new(&retry);
     entry->set = pgw_config_set_new();
+    entry->members = pgw_members_new(&members);
     pgw_trace_new(&entry->trace, TRACE_EVENTS, pgw_hlc_process());
     tables_init(entry);
     account_init();
@@ -260,11 +284,17 @@
 {
     if (entry->loop != NULL) {
         pgw_timer_stop(entry->loop, &entry->watch_timer);
+        pgw_timer_stop(entry->loop, &entry->list_timer);
+        pgw_store_worker_free(entry->worker);
         pgw_config_feed_free(entry->feed);
         upstreams_free(entry);
         pgw_suspects_free(entry->suspects);
         pgw_sync_free(entry->sync);
     }
+    if (entry->view != NULL) {
+        pgw_member_view_unref(entry->view);
+    }
+    pgw_members_free(entry->members);
     pgw_rcu_free(entry->snapshot);
     if (entry->config != NULL) {
         pgw_config_unref(entry->config);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -6,6 +6,7 @@
 #include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/config.h"
+#include "parsleygw/member.h"
 #include "parsleygw/place.h"
 #include "parsleygw/retry.h"
 #include "parsleygw/settings.h"
@@ -55,6 +56,10 @@
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
  * @pools: &struct pool by name
+ * @members: which upstreams may be given work
+ * @view: what @pools was built from
+ * @list_timer: next look at the platform's list
+ * @worker: makes store calls
  * @exchanges: &struct exchange by request id
  * @budget: retry budget
  * @trace: the time line's ring
@@ -81,6 +86,10 @@
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
     GHashTable *pools;
+    struct pgw_members *members;
+    struct pgw_member_view *view;
+    struct pgw_timer list_timer;
+    struct pgw_store_worker *worker;
     GHashTable *exchanges;
     struct pgw_retry_budget *budget;
     struct pgw_trace *trace;
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -25,6 +25,8 @@
  * @n_candidates: number of both
  * @n_answered: answers that came
  * @spilled: the second round is out
+ * @connecting: one of the first ranks is not connected yet, for the first
+ *              time since this process began
  * @tries: times that no upstream was found
  */
 struct placement {
@@ -38,6 +40,7 @@
     size_t n_candidates;
     size_t n_answered;
     bool spilled;
+    bool connecting;
     unsigned tries;
 };
 
@@ -109,6 +112,10 @@
                                   candidate_number(upstream))) {
             continue;
         }
+        if (!upstream_can_talk(upstream)) {
+            placement->connecting = true;
+            continue;
+        }
         placement->asked[placement->n_candidates] = upstream;
         placement->candidates[placement->n_candidates++] =
             (struct pgw_place_candidate){
@@ -153,6 +160,10 @@
     for (size_t i = 0; i < placement->n_ranks; i++) {
         struct upstream *upstream = pool->upstreams[placement->ranks[i]];
 
+        if (!upstream_can_talk(upstream)) {
+            placement->connecting = true;
+            return false;
+        }
         if (!pgw_attempt_was_tried(&exchange->attempt,
                                    candidate_number(upstream))) {
             place_cancel(exchange);
@@ -185,7 +196,14 @@
     }
     placement->probed_us = pgw_now_us();
     start_probing(exchange);
-    if (ask_more(exchange, pool, fanout(entry)) == 0) {
+    ask_more(exchange, pool, fanout(entry));
+    /*
+     * Right after a start the best ranks may still be connecting. Passing
+     * them over would place the first requests elsewhere than before the
+     * restart and compute their prefixes anew, for the sake of milliseconds.
+     */
+    if (placement->n_candidates == 0 ||
+        (placement->connecting && placement->tries + 1 < NOBODY_TRIES)) {
         stop_probing(exchange);
         return false;
     }
@@ -221,10 +239,15 @@
     if (probe_first_ranks(exchange)) {
         return;
     }
-    if (placement->n_ranks > 0 || ++placement->tries >= NOBODY_TRIES) {
+    if ((placement->n_ranks > 0 && !placement->connecting) ||
+        ++placement->tries >= NOBODY_TRIES) {
         refuse_no_upstream(exchange);
         return;
     }
+    placement->connecting = false;
+    placement->next_rank = 0;
+    placement->n_candidates = 0;
+    placement->n_answered = 0;
     pgw_timer_start(exchange->entry->loop, &exchange->place_timer,
                     NOBODY_RETRY_US);
 }
@@ -266,7 +289,7 @@
         struct upstream *upstream = placement->asked[i];
 
         /* A sidecar may have gone since it was asked. */
-        if (upstream == NULL || !upstream_is_usable(upstream)) {
+        if (upstream == NULL || !upstream_can_talk(upstream)) {
             candidate->answered = true;
             candidate->refuses = true;
             continue;
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -2,7 +2,6 @@
 #include "entry/exchange.h"
 #include "util/log.h"
 #include "util/random.h"
-#include <xxhash.h>
 
 #define RECONNECT_MIN_US UINT64_C(50000)
 #define RECONNECT_MAX_US UINT64_C(1000000)
@@ -21,14 +20,6 @@
            pgw_link_is_open(upstream->link);
 }
 
-bool
-upstream_is_usable(const struct upstream *upstream)
-{
-    return upstream_can_talk(upstream) && upstream->alive &&
-           !upstream->leaving && !upstream->declared_leaving &&
-           upstream->declared && !upstream->is_seed;
-}
-
 static void
 upstream_free(struct upstream *upstream)
 {
@@ -55,37 +46,21 @@
     return true;
 }
 
-/* Any change of an upstream's state ends here. */
-static void
-count_usable(struct entry *entry)
-{
-    GHashTableIter iter;
-    gpointer value;
-    unsigned usable = 0;
-
-    g_hash_table_iter_init(&iter, entry->upstreams);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        usable += upstream_is_usable(value);
-    }
-    atomic_store(&entry->usable, usable);
-}
-
 static void
 take_state(struct upstream *upstream, const Pgw__State *state)
 {
+    struct pgw_member_word word = {
+        .leaving = state->leaving,
+        .upstream_alive = state->upstream_alive,
+        .engine = state->engine,
+        .weights = state->version,
+    };
+
     pgw_hlc_receive(pgw_hlc_process(), state->clock, pgw_hlc_wall_us());
-    if (state->leaving && !upstream->leaving) {
-        pgw_log_info("upstream_leaving", "upstream=%s", upstream->id);
+    if (!upstream->is_seed) {
+        pgw_members_said(upstream->entry->members, upstream->id,
+                         upstream->incarnation, &word);
     }
-    /* Leaving is sticky for a connection: a sidecar that began to stop does
-     * not come back but as a new process, which connects anew. */
-    upstream->leaving = upstream->leaving || state->leaving;
-    upstream->alive = state->upstream_alive;
-    upstream->engine = state->engine;
-    upstream->running = state->running;
-    upstream->waiting = state->waiting;
-    upstream->queued_tokens = state->queued_tokens;
-    count_usable(upstream->entry);
 }
 
 static void
@@ -101,6 +76,11 @@
     }
     upstream->greeted = true;
     upstream->failures = 0;
+    upstream->incarnation = hello->incarnation;
+    if (!upstream->is_seed) {
+        pgw_members_connected(upstream->entry->members, upstream->id,
+                              hello->incarnation);
+    }
     pgw_hlc_receive(pgw_hlc_process(), hello->clock, pgw_hlc_wall_us());
     pgw_trace_record(upstream->entry->trace, PGW_TRACE_PEER_UP, NULL, 0, 0, 0,
                      upstream->id);
@@ -180,10 +160,13 @@
     }
     pgw_sync_remove_link(upstream->entry->sync, link);
     pgw_suspects_remove_link(upstream->entry->suspects, link);
+    if (!upstream->is_seed) {
+        pgw_members_disconnected(upstream->entry->members, upstream->id,
+                                 upstream->greeted ? upstream->incarnation : 0,
+                                 pgw_now_us());
+    }
     upstream->link = NULL;
     upstream->greeted = false;
-    upstream->leaving = false;
-    count_usable(upstream->entry);
     pgw_timer_stop(upstream->entry->loop, &upstream->retry);
     /* Each one leaves the list as it is told, and may start elsewhere. */
     while (!pgw_list_is_empty(&upstream->attempts)) {
@@ -307,42 +290,10 @@
         }
     }
     upstream->declared = true;
-    upstream->declared_leaving = declared->leaving;
     g_free(upstream->zone);
     upstream->zone = g_strdup(declared->zone);
 }
 
-static uint32_t
-zone_number(const char *zone)
-{
-    return (uint32_t)XXH3_64bits(zone, strlen(zone));
-}
-
-static void
-pool_add(struct entry *entry, const struct pgw_upstream *declared)
-{
-    struct pool *pool = g_hash_table_lookup(entry->pools, declared->pool);
-    struct upstream *upstream =
-        g_hash_table_lookup(entry->upstreams, declared->id);
-
-    if (upstream == NULL) {
-        return;
-    }
-    if (pool == NULL) {
-        pool = g_new0(struct pool, 1);
-        pool->name = g_strdup(declared->pool);
-        g_hash_table_insert(entry->pools, pool->name, pool);
-    }
-    pool->nodes = g_renew(struct pgw_place_node, pool->nodes, pool->count + 1);
-    pool->upstreams =
-        g_renew(struct upstream *, pool->upstreams, pool->count + 1);
-    pool->nodes[pool->count] = (struct pgw_place_node){
-        .id_hash = pgw_place_id_hash(declared->id),
-        .zone = zone_number(declared->zone),
-    };
-    pool->upstreams[pool->count++] = upstream;
-}
-
 void
 upstreams_apply(struct entry *entry)
 {
@@ -358,12 +309,11 @@
 
         upstream->declared = upstream->is_seed;
     }
-    g_hash_table_remove_all(entry->pools);
     for (size_t i = 0; i < count; i++) {
         apply_one(entry, declared[i]);
-        pool_add(entry, declared[i]);
     }
-    count_usable(entry);
+    pgw_members_set_config(entry->members, entry->config);
+    pools_refresh(entry);
     /* Those no longer named go as soon as their last attempt has ended; their
      * timers look after them. */
 }
@@ -404,17 +354,3 @@
     g_list_free(all);
     pgw_loop_run_tasks(entry->loop);
 }
-
-struct pool *
-pool_find(struct entry *entry, const char *name)
-{
-    struct pool *pool = g_hash_table_lookup(entry->pools, name);
-
-    if (pool == NULL) {
-        return NULL;
-    }
-    for (size_t i = 0; i < pool->count; i++) {
-        pool->nodes[i].usable = upstream_is_usable(pool->upstreams[i]);
-    }
-    return pool;
-}
--- a/src/libparsleygw/store_worker.c
+++ b/src/libparsleygw/store_worker.c
@@ -17,7 +17,9 @@
     uint64_t timeout_us;
     void (*done)(void *context, const struct pgw_io_reply *reply);
     void *context;
+    void (*list_done)(void *context, const struct pgw_store_instances *list);
     struct pgw_store_object object;
+    struct pgw_store_instances list;
     enum pgw_io_result result;
 };
 
@@ -26,6 +28,7 @@
 {
     pgw_io_dispose(&job->io);
     pgw_store_object_dispose(&job->object);
+    pgw_store_instances_dispose(&job->list);
     g_free(job->kind);
     g_free(job->name);
     g_free(job);
@@ -42,7 +45,14 @@
         .length = job->object.value == NULL ? 0 : strlen(job->object.value),
     };
 
-    if (!job->worker->stopping) {
+    if (job->worker->stopping) {
+        /* Whoever asked is being freed. */
+    }
+    else if (job->list_done != NULL) {
+        job->list_done(job->context,
+                       job->result == PGW_IO_OK ? &job->list : NULL);
+    }
+    else {
         job->done(job->context, &reply);
     }
     job_free(job);
@@ -92,6 +102,8 @@
                                    job->io.expected_version, deadline, &error);
         break;
     case PGW_IO_NONE:
+        good =
+            pgw_store_instances(worker->store, &job->list, deadline, &error);
         break;
     }
     if (good) {
@@ -152,3 +164,18 @@
     job->context = context;
     g_thread_pool_push(worker->pool, job, NULL);
 }
+
+void
+pgw_store_worker_list_instances(
+    struct pgw_store_worker *worker, uint64_t timeout_us,
+    void (*done)(void *context, const struct pgw_store_instances *list),
+    void *context)
+{
+    struct job *job = g_new0(struct job, 1);
+
+    job->worker = worker;
+    job->timeout_us = timeout_us;
+    job->list_done = done;
+    job->context = context;
+    g_thread_pool_push(worker->pool, job, NULL);
+}
--- a/src/libparsleygw/store_worker.h
+++ b/src/libparsleygw/store_worker.h
@@ -44,4 +44,16 @@
                                           const struct pgw_io_reply *reply),
                              void *context);
 
+/**
+ * pgw_store_worker_list_instances() - read the platform's list
+ * @worker: the worker
+ * @timeout_us: time for the call
+ * @done: called on the loop's thread; @list is NULL when there is none
+ * @context: handed to @done
+ */
+void pgw_store_worker_list_instances(
+    struct pgw_store_worker *worker, uint64_t timeout_us,
+    void (*done)(void *context, const struct pgw_store_instances *list),
+    void *context);
+
 #endif
