Keep restarted fleets and forgotten changes from flooding the store

Cause: a process that took itself for the only watcher asked the store at once after its start, so that a restarted fleet would have asked together; and one that stood in for dead watchers asked without pause when the store had forgotten the changes since. Change: the grace ends early for nobody; a forgotten change leads to a list; a process that is not among its zone's watchers does not watch. Measurement: unit tests; the grace's mutant fails its test. Conclusion: calls stay bounded at a restart and after long outages.

--- a/include/parsleygw/watch.h
+++ b/include/parsleygw/watch.h
@@ -28,8 +28,8 @@
 /**
  * pgw_watch_is_mine() - does this process watch the store for its zone?
  * @self: instance id of this process
- * @peers: ids of the processes of the zone that may watch, with or without
- *   @self
+ * @peers: ids of the processes of the zone that may watch; one that is not
+ *   among them does not, unless there are none at all
  * @n: number of @peers
  * @zone: availability zone
  * @k: watchers wanted
--- a/src/libparsleygw/watch.c
+++ b/src/libparsleygw/watch.c
@@ -14,7 +14,8 @@
     const char *kind;
     pthread_t thread;
     uint64_t held; /* guarded by the watch's lock */
-    bool listed;
+    bool listed;   /* all that is older than @cursor was read */
+    bool too_old;  /* the store keeps no changes from @cursor on */
     uint64_t cursor;
     gint64 listed_at;
     gint64 extra_until; /* stands in for the chosen watchers until then */
@@ -116,6 +117,7 @@
         return false;
     }
     watcher->listed = true;
+    watcher->too_old = false;
     watcher->listed_at = now;
     watcher->cursor = list.version;
     hand_over(watcher, &list, true);
@@ -141,8 +143,8 @@
     note_result(watcher, too_old ? NULL : error);
     g_clear_error(&error);
     *found = too_old || (ok && changes.n > 0);
+    watcher->too_old = too_old;
     if (too_old) {
-        watcher->listed = false;
         return true;
     }
     if (ok) {
@@ -186,7 +188,7 @@
     gint64 now = g_get_monotonic_time();
     bool found;
 
-    if (!watcher->listed ||
+    if (!watcher->listed || watcher->too_old ||
         now - watcher->listed_at > (gint64)options->relist_us) {
         return list_all(watcher);
     }
@@ -200,6 +202,9 @@
     bool found;
 
     watcher->listed = false;
+    if (watcher->too_old) {
+        return list_all(watcher);
+    }
     return watch_once(watcher, MAX(watcher->cursor, role->held),
                       watcher->watch->options.wait_ms, &found);
 }
@@ -217,7 +222,7 @@
         return list_all(watcher);
     }
 #ifndef PGW_DISABLE_WATCH_FLOOR
-    if (!watch_once(watcher, role->held, 0, &found)) {
+    if (!watch_once(watcher, MAX(watcher->cursor, role->held), 0, &found)) {
         return false;
     }
 #endif
@@ -259,17 +264,23 @@
 }
 
 /* Peers get time to bring a first copy: were the store asked at once, a fleet
- * that restarts together would ask it all at the same moment. The pause ends
- * early only for a chosen watcher. */
+ * that restarts together would ask it all at the same moment. */
 static bool
 wait_grace(struct watcher *watcher)
 {
     struct pgw_watch *watch = watcher->watch;
     uint64_t grace = watch->options.grace_us;
-    double spread = g_random_double() * (double)grace;
+    gint64 until = watch->started_at + (gint64)grace +
+                   (gint64)(g_random_double() * (double)grace);
+    bool go_on = true;
 
-    return pause_until(watch,
-                       watch->started_at + (gint64)grace + (gint64)spread);
+#ifdef PGW_DISABLE_WATCH_GRACE
+    until = 0;
+#endif
+    while (go_on && g_get_monotonic_time() < until) {
+        go_on = pause_until(watch, until);
+    }
+    return go_on;
 }
 
 static void *
--- a/src/libparsleygw/watch_rule.c
+++ b/src/libparsleygw/watch_rule.c
@@ -20,16 +20,18 @@
 {
     uint64_t own = weight(self, zone);
     unsigned better = 0;
+    bool listed = n == 0;
 
     for (size_t i = 0; i < n && better < k; i++) {
         uint64_t other = weight(peers[i], zone);
         int order = strcmp(peers[i], self);
 
+        listed |= order == 0;
         if (order != 0 && (other > own || (other == own && order > 0))) {
             better++;
         }
     }
-    return better < k;
+    return listed && better < k;
 }
 
 uint64_t
--- a/tests/unit/test_watch.c
+++ b/tests/unit/test_watch.c
@@ -14,6 +14,7 @@
     pthread_mutex_t lock;
     pthread_cond_t changed;
     uint64_t version;
+    uint64_t oldest; /* watches from before are too old */
     bool down;
     unsigned lists;
     unsigned watches;
@@ -98,7 +99,14 @@
            pthread_cond_timedwait(&memory->changed, &memory->lock, &end) ==
                0) {
     }
-    ok = answer(memory, out, after, error);
+    if (after < memory->oldest) {
+        *out = (struct pgw_store_list){0};
+        g_set_error(error, PGW_ERROR, PGW_ERROR_STALE, "too old");
+        ok = false;
+    }
+    else {
+        ok = answer(memory, out, after, error);
+    }
     pthread_mutex_unlock(&memory->lock);
     return ok;
 }
@@ -233,6 +241,32 @@
     pgw_watch_set_held(memory.watch, "pool", 5);
     set_store(&memory, 6, false);
     g_assert_true(wait_version(&memory, 6));
+    /* Meanwhile the store forgot the changes since then. */
+    pthread_mutex_lock(&memory.lock);
+    memory.oldest = 8;
+    pthread_mutex_unlock(&memory.lock);
+    set_store(&memory, 9, false);
+    g_assert_true(wait_version(&memory, 9));
+    memory_dispose(&memory);
+}
+
+/* Everybody restarts together: before the grace is over nobody asks the
+ * store, and afterwards only those that no peer gave a copy. */
+static void
+test_grace(void)
+{
+    static const char *const peers[] = {"self"};
+    struct memory_store memory;
+    struct pgw_watch_options options = PGW_WATCH_OPTIONS_INIT;
+    struct pgw_watch_state state;
+
+    memory_init(&memory, &options);
+    options.grace_us = (uint64_t)3600 * G_USEC_PER_SEC;
+    memory.watch = pgw_watch_new(&options);
+    pgw_watch_set_peers(memory.watch, peers, G_N_ELEMENTS(peers));
+    g_usleep(50000);
+    pgw_watch_get_state(memory.watch, &state);
+    g_assert_cmpuint(state.calls, ==, 0);
     memory_dispose(&memory);
 }
 
@@ -268,6 +302,7 @@
     }
     g_assert_cmpuint(watchers, ==, 2);
     g_assert_true(pgw_watch_is_mine("self", NULL, 0, "z1", 2));
+    g_assert_false(pgw_watch_is_mine("self", peers, 1, "z1", 2));
     g_assert_cmpuint(pgw_watch_backoff_us(1, 10000000, 0), ==, 100000);
     g_assert_cmpuint(pgw_watch_backoff_us(1000, 10000000, 1), ==, 10000000);
     g_assert_cmpuint(pgw_watch_floor_us(3000, 2000000, 0.5), ==, 6000000000);
@@ -279,6 +314,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/watch/watcher", test_watcher);
     g_test_add_func("/watch/dead_watchers", test_dead_watchers);
+    g_test_add_func("/watch/grace", test_grace);
     g_test_add_func("/watch/missing_objects", test_missing_objects);
     g_test_add_func("/watch/rules", test_rules);
     return g_test_run();
