--- a/bench/microbench/main.c
+++ b/bench/microbench/main.c
@@ -14,10 +14,8 @@
 #define NS_PER_S UINT64_C(1000000000)
 
 static const struct microbench_case *const tables[] = {
-    microbench_level_cases,
-    microbench_place_cases,
-    microbench_cache_cases,
-    microbench_admit_cases,
+    microbench_level_cases, microbench_place_cases,  microbench_cache_cases,
+    microbench_admit_cases, microbench_config_cases,
 };
 
 /**
