--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -138,6 +138,10 @@
         why = "no configuration yet: neither the store nor any peer has "
               "answered; check store_url and seeds\n";
     }
+    else if (!pgw_sync_is_settled(entry->sync)) {
+        why = "catching up: a part of the configuration is still on its way "
+              "from the peers\n";
+    }
     else if (atomic_load(&entry->usable) == 0) {
         why = "no upstream can be reached: check that sidecars run and that "
               "the declared addresses are right\n";
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -1,6 +1,6 @@
 #include "entry/exchange.h"
 #include "util/random.h"
-#include <sys/socket.h>
+#include <poll.h>
 
 struct exchange *
 exchange_new(struct entry *entry, struct MHD_Connection *connection)
@@ -159,21 +159,23 @@
 {
     struct exchange_output *output = &exchange->output;
     const union MHD_ConnectionInfo *info;
+    struct pollfd look = {.events = POLLRDHUP};
     bool gone = false;
-    char byte;
 
     pthread_mutex_lock(&output->lock);
     /*
      * The HTTP server does not watch a suspended connection: a caller who
      * hangs up while waiting would go unnoticed and its request would be
      * computed for nobody. Looking at the socket is safe here because the
-     * server closes no connection while it is suspended.
+     * server closes no connection while it is suspended. Reading instead would
+     * miss the end behind bytes that were sent ahead.
      */
     if (output->suspended) {
         info = MHD_get_connection_info(exchange->connection,
                                        MHD_CONNECTION_INFO_CONNECTION_FD);
-        gone = info != NULL &&
-               recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        look.fd = info == NULL ? -1 : info->connect_fd;
+        gone = poll(&look, 1, 0) > 0 &&
+               (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
     pthread_mutex_unlock(&output->lock);
     return gone;
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -147,11 +147,12 @@
 run_filters(struct exchange *exchange, struct refusal *refusal)
 {
     struct pgw_config *config = pgw_rcu_read_lock(exchange->entry->snapshot);
-    bool good = config != NULL && !pgw_config_is_empty(config);
+    bool good = config != NULL && !pgw_config_is_empty(config) &&
+                pgw_sync_is_settled(exchange->entry->sync);
 
     if (!good) {
         refusal_set(refusal, PGW_REFUSAL_NOT_READY, PGW_RAN_NO, 500,
-                    "no configuration yet: see /readyz");
+                    "no whole configuration yet: see /readyz");
     }
     for (size_t i = 0; good && i < G_N_ELEMENTS(filters); i++) {
         good = filters[i]->run(exchange, config, refusal);
--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -1,5 +1,6 @@
 #include "libparsleygw/sync.h"
 #include "parsleygw/errors.h"
+#include <stdatomic.h>
 
 /* One frame of objects stays well below PGW_FRAME_MAX. */
 #define SYNC_FRAME_BYTES ((size_t)1 << 20)
@@ -10,6 +11,8 @@
 struct pgw_sync {
     struct pgw_sync_options options;
     GPtrArray *links;
+    GHashTable *summaries; /* by link: what its peer last said it holds */
+    atomic_bool settled;
     struct pgw_timer timer;
     struct pgw_task notify;
     bool notify_queued;
@@ -67,6 +70,7 @@
 
     sync->options = *options;
     sync->links = g_ptr_array_new();
+    sync->summaries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sync->timer.on_due = exchange_due;
     sync->notify.run = notify_run;
     pgw_timer_start(options->loop, &sync->timer, options->interval_us);
@@ -81,6 +85,7 @@
     }
     pgw_timer_stop(sync->options.loop, &sync->timer);
     g_ptr_array_unref(sync->links);
+    g_hash_table_unref(sync->summaries);
     sync->freed = true;
     if (!sync->notify_queued) {
         g_free(sync);
@@ -98,6 +103,36 @@
 pgw_sync_remove_link(struct pgw_sync *sync, struct pgw_link *link)
 {
     g_ptr_array_remove_fast(sync->links, link);
+    g_hash_table_remove(sync->summaries, link);
+}
+
+bool
+pgw_sync_is_settled(const struct pgw_sync *sync)
+{
+    return atomic_load(&sync->settled);
+}
+
+/* Two empty replicas agree, too, and know nothing. */
+static void
+settle_if_equal(struct pgw_sync *sync, const struct pgw_link *link)
+{
+    const uint64_t *theirs = g_hash_table_lookup(sync->summaries, link);
+
+    if (theirs != NULL &&
+        *theirs == pgw_config_set_summary(sync->options.set) &&
+        pgw_config_set_count(sync->options.set) > 0) {
+        atomic_store(&sync->settled, true);
+    }
+}
+
+static void
+note_summary(struct pgw_sync *sync, struct pgw_link *link, uint64_t summary)
+{
+    uint64_t *held = g_new(uint64_t, 1);
+
+    *held = summary;
+    g_hash_table_insert(sync->summaries, link, held);
+    settle_if_equal(sync, link);
 }
 
 /* Objects gathered for one or more frames to one link. */
@@ -248,6 +283,7 @@
         }
         g_free(value);
     }
+    settle_if_equal(sync, link);
 }
 
 /* Lists the versions in the buckets of @wanted. */
@@ -333,6 +369,9 @@
         peer->len, covered, batch_add, &batch);
     batch_dispose(&batch);
     g_array_unref(peer);
+    if (newer_there == 0) {
+        atomic_store(&sync->settled, true);
+    }
     /*
      * The peer compares our list in turn and sends what is newer there. Were
      * that list answered, too, a value that one side refuses would be asked
@@ -350,6 +389,7 @@
 {
     uint64_t own[PGW_CONFIG_BUCKETS];
 
+    note_summary(sync, link, digest->summary);
     if (digest->summary == pgw_config_set_summary(sync->options.set)) {
         return;
     }
--- a/src/libparsleygw/sync.h
+++ b/src/libparsleygw/sync.h
@@ -60,6 +60,15 @@
                          enum pgw_frame_type type,
                          const ProtobufCMessage *message);
 
+/**
+ * pgw_sync_is_settled() - a peer was found to hold nothing newer than we do
+ * @sync: the replica
+ *
+ * Before that a process that starts has a part of the configuration at most:
+ * it would refuse a profile that exists. Any thread; never false again.
+ */
+bool pgw_sync_is_settled(const struct pgw_sync *sync);
+
 /**
  * pgw_sync_offer() - an object read from the store
  * @sync: the replica
