Add parsleygw-bench: policies under seeded workloads on real processes

Cause: routing has to be measured, not argued: the same calls under parsleygw, hash, least-loaded and round-robin, with real entries, sidecars and stand-ins.

Change: scenarios passports (18 engines, 3 record servers) and labels (9 engines, 3 label servers) in three zones; open-loop seeded schedules with nested prefixes, Zipf-like heat, batch runs and calls that may not be repeated; every answer is checked against what the stand-in must say, every plain call against the service's own counts; crash, shift, herd and burst at fixed moments. The bench reuses the process harness of the failure tests.

--- /dev/null
+++ b/bench/bench/main.c
@@ -0,0 +1,120 @@
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "fault.h"
+#include "run.h"
+
+/**
+ * DOC: parsleygw-bench, the load and experiment tool
+ *
+ * Starts real processes, sends them a seeded workload at its own pace, checks
+ * every answer and prints one JSON object.
+ */
+
+#define PATH_SIZE 4096
+
+/* The programs stand beside this one: build/bench/parsleygw-bench, build/
+ * and build/tests/. */
+static void
+find_programs(void)
+{
+    char path[PATH_SIZE];
+    ssize_t length = readlink("/proc/self/exe", path, sizeof(path) - 1);
+    char *bench, *build, *standins;
+
+    path[MAX(length, 0)] = '\0';
+    bench = g_path_get_dirname(path);
+    build = g_path_get_dirname(bench);
+    standins = g_build_filename(build, "tests", NULL);
+    g_setenv("PGW_BIN", build, FALSE);
+    g_setenv("PGW_STANDINS", standins, FALSE);
+    g_free(standins);
+    g_free(build);
+    g_free(bench);
+}
+
+/* Thousands of connections, here and in the entries that inherit this. */
+static void
+raise_file_limit(void)
+{
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+static void
+write_text(JsonBuilder *out, const char *name, const char *text)
+{
+    json_builder_set_member_name(out, name);
+    json_builder_add_string_value(out, text);
+}
+
+static void
+write_number(JsonBuilder *out, const char *name, double number)
+{
+    json_builder_set_member_name(out, name);
+    json_builder_add_double_value(out, number);
+}
+
+static void
+write_faults(JsonBuilder *out, unsigned faults)
+{
+    json_builder_set_member_name(out, "faults");
+    json_builder_begin_array(out);
+    for (unsigned i = 0; i < FAULT_COUNT; i++) {
+        if ((faults & 1u << i) != 0) {
+            json_builder_add_string_value(out, fault_kinds[i].name);
+        }
+    }
+    json_builder_end_array(out);
+}
+
+static void
+measure(JsonBuilder *out, const struct bench_options *options)
+{
+    if (options->mode != MODE_POLICIES) {
+        return;
+    }
+    write_text(out, "scenario", options->scenario->name);
+    json_builder_set_member_name(out, "seed");
+    json_builder_add_int_value(out, (gint64)options->seed);
+    write_number(out, "seconds", options->seconds);
+    write_number(out, "warmup", options->warmup);
+    write_number(out, "load", options->load);
+    write_number(out, "skew", options->skew);
+    write_number(out, "time_scale", options->time_scale);
+    write_faults(out, options->faults);
+    run_policies(out, options);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct bench_options options;
+    JsonBuilder *out;
+    JsonNode *root;
+    char *text;
+
+    bench_options_parse(&options, argc, argv);
+    find_programs();
+    raise_file_limit();
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    out = json_builder_new();
+    json_builder_begin_object(out);
+    measure(out, &options);
+    json_builder_end_object(out);
+    root = json_builder_get_root(out);
+    text = json_to_string(root, TRUE);
+    puts(text);
+    g_free(text);
+    json_node_unref(root);
+    g_object_unref(out);
+    g_strfreev(options.policies);
+    return 0;
+}
