Divide a pool's requests among versions while it changes over

Cause: every request was stamped with the version that the pool's object names, and sidecars refuse another one, so a change of weights refused all requests until the first engine had loaded, and then sent all to that one. Change: the entry divides requests by the share of engines that run each version, by a hash that no version changes; the version is settled at placement, where the engines' state is known, and an engine that says it is loading gets nothing new. A resumed answer keeps its version. Conclusion: all engines that can serve do, each request by one version.

--- a/include/parsleygw/member.h
+++ b/include/parsleygw/member.h
@@ -107,6 +107,7 @@
  * @incarnation: of its sidecar; 0: none seen
  * @engine: incarnation of its engine, the sidecar's word; 0: none
  * @weights: weights version that its engine runs; empty: not known
+ * @loading: the engine changes its weights and takes no new work meanwhile
  */
 struct pgw_member {
     const struct pgw_upstream *upstream;
@@ -114,6 +115,7 @@
     uint64_t incarnation;
     uint64_t engine;
     char weights[PGW_CONFIG_NAME_MAX + 1];
+    bool loading;
 };
 
 struct pgw_member_view;
@@ -174,12 +176,14 @@
  * @upstream_alive: its upstream answers
  * @engine: incarnation of its engine
  * @weights: weights version of its engine
+ * @loading: the engine changes its weights
  */
 struct pgw_member_word {
     bool leaving;
     bool upstream_alive;
     uint64_t engine;
     const char *weights;
+    bool loading;
 };
 
 /**
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "parsleygw/place.h"
 #include "parsleygw/retry.h"
 #include "parsleygw/settings.h"
+#include "parsleygw/version.h"
 #include "util/metric.h"
 #include "util/rcu.h"
 #include "util/trace.h"
@@ -32,13 +33,18 @@
 /**
  * struct pool - the upstreams of one configured pool as placement sees them
  * @name: the pool's name
- * @nodes: for ranking, parallel to @upstreams
+ * @track: weights versions that its requests may get
+ * @split: how requests are divided among them
+ * @nodes: for ranking, one array for each part of @split, each parallel to
+ *   @upstreams: an engine is usable only for what it runs
  * @upstreams: their sidecars
- * @count: number of both
+ * @count: number of upstreams
  */
 struct pool {
     char *name;
-    struct pgw_place_node *nodes;
+    struct pgw_version_track track;
+    struct pgw_version_split split;
+    struct pgw_place_node *nodes[PGW_VERSION_PARTS];
     struct upstream **upstreams;
     size_t count;
 };
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -172,6 +172,7 @@
  * @service_status: HTTP status of a plain answer
  * @service_type: its content type
  * @first_token_us: when the answer began, 0 before
+ * @version_shift: parts of the pool's split that had no place for it
  * @failures: failed attempts
  * @suspect: a quarantine record names its fingerprint
  * @ended: the caller has its final answer
@@ -210,6 +211,7 @@
     unsigned service_status;
     char *service_type;
     uint64_t first_token_us;
+    size_t version_shift;
     uint32_t failures;
     bool suspect;
     bool ended;
@@ -268,6 +270,10 @@
 extern const struct filter filter_limit;
 extern const struct filter filter_levels;
 
+/* filter_levels.c */
+/** levels_stamp() - give a prompt another weights version, with its levels */
+void levels_stamp(struct exchange_request *request, const char *version);
+
 /* place.c: on the loop's thread */
 /** place_begin() - choose a sidecar for the next attempt */
 void place_begin(struct exchange *exchange);
--- a/src/entry/filter_levels.c
+++ b/src/entry/filter_levels.c
@@ -81,4 +81,14 @@
     return false;
 }
 
+void
+levels_stamp(struct exchange_request *request, const char *version)
+{
+    g_free(request->version);
+    request->version = g_strdup(version);
+    /* Its ends of levels are known by now; a prompt without any has no
+     * marker either. */
+    prompt_levels(request, NULL);
+}
+
 const struct filter filter_levels = {.name = "levels", .run = levels};
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -106,8 +106,13 @@
     while (placement->next_rank < placement->n_ranks &&
            placement->n_candidates - first < wanted) {
         uint32_t index = placement->ranks[placement->next_rank++];
-        struct upstream *upstream = pool->upstreams[index];
+        struct upstream *upstream;
 
+        /* The pool may have shrunk since it was ranked. */
+        if (index >= pool->count) {
+            continue;
+        }
+        upstream = pool->upstreams[index];
         if (pgw_attempt_was_tried(&exchange->attempt,
                                   candidate_number(upstream))) {
             continue;
@@ -139,6 +144,52 @@
     pgw_timer_start(entry->loop, &exchange->place_timer, PROBE_TIMEOUT_US);
 }
 
+/* The version is settled here and not where the request was read: an engine
+ * that changes over while it waits must not leave it without any. Tokens that
+ * the caller has can only be continued by the weights that gave them. */
+static void
+stamp_version(struct exchange *exchange, const struct pool *pool)
+{
+    struct exchange_request *request = &exchange->request;
+    const struct pgw_version_split *split = &pool->split;
+    const char *version;
+    uint64_t hash;
+    size_t part;
+
+#ifndef PGW_DISABLE_VERSION_RESUME
+    if (exchange->resume_from > 0) {
+        return;
+    }
+#endif
+    if (exchange->format == FORMAT_SERVICE) {
+        return;
+    }
+    memcpy(&hash, request->fingerprint.bytes, sizeof(hash));
+    part = pgw_version_split_choose(split, hash) + exchange->version_shift;
+    version = split->parts[part % split->n].version;
+    if (strcmp(request->version, version) != 0) {
+        levels_stamp(request, version);
+    }
+}
+
+/* Nobody of the stamped version has a place: the next version that engines
+ * run. Once through all of them, so that a refusal still comes soon. */
+static bool
+shift_version(struct exchange *exchange)
+{
+    const struct pool *pool =
+        pool_find(exchange->entry, exchange->request.pool);
+
+    if (pool == NULL || exchange->resume_from > 0 ||
+        exchange->format == FORMAT_SERVICE ||
+        pool->split.parts[0].engines == pool->split.engines ||
+        exchange->version_shift + 1 >= pool->split.n) {
+        return false;
+    }
+    exchange->version_shift++;
+    return true;
+}
+
 static size_t
 fanout(const struct entry *entry)
 {
@@ -150,12 +201,13 @@
  * the claims of one object are written by one sidecar, and load hardly
  * differs where nothing is cached. */
 static bool
-send_to_first(struct exchange *exchange, const struct pool *pool)
+send_to_first(struct exchange *exchange, const struct pool *pool,
+              const struct pgw_place_node *nodes)
 {
     struct placement *placement = exchange->placement;
 
     placement->n_ranks =
-        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes,
+        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
                        pool->count, &exchange->request.chain);
     for (size_t i = 0; i < placement->n_ranks; i++) {
         struct upstream *upstream = pool->upstreams[placement->ranks[i]];
@@ -180,16 +232,22 @@
     struct entry *entry = exchange->entry;
     struct placement *placement = exchange->placement;
     struct pool *pool = pool_find(entry, exchange->request.pool);
+    const struct pgw_place_node *nodes;
 
     placement->n_ranks = 0;
     if (pool == NULL) {
         return false;
     }
+    stamp_version(exchange, pool);
+    nodes = pool_nodes(pool, exchange->request.version);
+    if (nodes == NULL) {
+        return false;
+    }
     if (!exchange->request.repeatable) {
-        return send_to_first(exchange, pool);
+        return send_to_first(exchange, pool, nodes);
     }
     placement->n_ranks = entry->policy->rank(
-        placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes, pool->count,
+        placement->ranks, PGW_PLACE_RANK_MAX, nodes, pool->count,
         &exchange->request.chain, entry->turn++);
     if (placement->n_ranks == 0) {
         return false;
@@ -217,13 +275,17 @@
     struct refusal refusal = {0};
 
     place_cancel(exchange);
+    if (shift_version(exchange)) {
+        place_begin(exchange);
+        return;
+    }
     /* A first attempt that finds nobody was never sent anywhere. */
     if (exchange->attempt.count == 0) {
         refusal_set(&refusal, PGW_REFUSAL_NO_UPSTREAM, PGW_RAN_NO,
                     NO_UPSTREAM_RETRY_MS,
-                    "no upstream of pool '%s' can be reached: see "
-                    "'parsleygw status'",
-                    exchange->request.pool);
+                    "no upstream of pool '%s' can be reached and runs "
+                    "weights '%s': see 'parsleygw status'",
+                    exchange->request.pool, exchange->request.version);
         forward_refuse(exchange, &refusal);
         refusal_dispose(&refusal);
         return;
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -1,14 +1,24 @@
 #include "entry/upstream.h"
 #include <xxhash.h>
 
+/* Keeps what is known about versions. */
+static void
+pool_clear(struct pool *pool)
+{
+    for (size_t i = 0; i < PGW_VERSION_PARTS; i++) {
+        g_clear_pointer(&pool->nodes[i], g_free);
+    }
+    g_clear_pointer(&pool->upstreams, g_free);
+    pool->count = 0;
+}
+
 void
 pool_free(gpointer data)
 {
     struct pool *pool = data;
 
+    pool_clear(pool);
     g_free(pool->name);
-    g_free(pool->nodes);
-    g_free(pool->upstreams);
     g_free(pool);
 }
 
@@ -32,42 +42,76 @@
 }
 
 static void
-pool_add(struct pool *pool, const struct pgw_upstream *declared,
-         struct upstream *upstream, bool usable)
+add_nodes(struct pool *pool, const struct pgw_member *member,
+          struct upstream *upstream)
 {
-    pool->nodes = g_renew(struct pgw_place_node, pool->nodes, pool->count + 1);
-    pool->upstreams =
-        g_renew(struct upstream *, pool->upstreams, pool->count + 1);
-    pool->nodes[pool->count] = (struct pgw_place_node){
-        .id_hash = pgw_place_id_hash(declared->id),
-        .zone = zone_number(declared->zone),
-        .usable = usable,
-    };
+    for (size_t i = 0; i < pool->split.n; i++) {
+        pool->nodes[i][pool->count] = (struct pgw_place_node){
+            .id_hash = pgw_place_id_hash(member->upstream->id),
+            .zone = zone_number(member->upstream->zone),
+            .usable =
+                pgw_version_can_run(member, pool->split.parts[i].version),
+        };
+    }
     pool->upstreams[pool->count++] = upstream;
 }
 
+static void
+pool_fill(struct pool *pool, struct entry *entry,
+          const struct pgw_member_view *view, unsigned *usable)
+{
+    size_t n = 0;
+    const struct pgw_member *members =
+        pgw_member_view_pool(view, pool->name, &n);
+    const struct pgw_pool *declared =
+        pgw_config_pool(pgw_member_view_config(view), pool->name);
+
+    pgw_version_track_declare(&pool->track,
+                              declared == NULL ? "" : declared->version);
+    pgw_version_track_observe(&pool->track, members, n);
+    pgw_version_split_init(&pool->split, &pool->track, members, n);
+    for (size_t i = 0; i < pool->split.n; i++) {
+        pool->nodes[i] = g_new(struct pgw_place_node, n);
+    }
+    pool->upstreams = g_new(struct upstream *, n);
+    for (size_t i = 0; i < n; i++) {
+        struct upstream *upstream =
+            g_hash_table_lookup(entry->upstreams, members[i].upstream->id);
+
+        if (upstream != NULL) {
+            add_nodes(pool, &members[i], upstream);
+            *usable += members[i].state == PGW_MEMBER_USABLE &&
+                       upstream_can_talk(upstream);
+        }
+    }
+}
+
 static void
 rebuild(struct entry *entry, const struct pgw_member_view *view)
 {
     size_t count = 0;
     const struct pgw_upstream *const *declared =
         pgw_config_upstreams(pgw_member_view_config(view), NULL, &count);
+    GHashTableIter iter;
+    gpointer value;
     unsigned usable = 0;
 
-    g_hash_table_remove_all(entry->pools);
+    g_hash_table_iter_init(&iter, entry->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pool_clear(value);
+    }
     for (size_t i = 0; i < count; i++) {
-        struct upstream *upstream =
-            g_hash_table_lookup(entry->upstreams, declared[i]->id);
-        const struct pgw_member *member =
-            pgw_member_view_find(view, declared[i]->id);
-        bool good = member != NULL && member->state == PGW_MEMBER_USABLE;
+        struct pool *pool = pool_get(entry, declared[i]->pool);
 
-        if (upstream == NULL) {
-            continue;
+        if (pool->upstreams == NULL) {
+            pool_fill(pool, entry, view, &usable);
+        }
+    }
+    g_hash_table_iter_init(&iter, entry->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((struct pool *)value)->count == 0) {
+            g_hash_table_iter_remove(&iter);
         }
-        pool_add(pool_get(entry, declared[i]->pool), declared[i], upstream,
-                 good);
-        usable += good && upstream_can_talk(upstream);
     }
     atomic_store(&entry->usable, usable);
 }
@@ -92,3 +136,14 @@
     pools_refresh(entry);
     return g_hash_table_lookup(entry->pools, name);
 }
+
+const struct pgw_place_node *
+pool_nodes(const struct pool *pool, const char *version)
+{
+    for (size_t i = 0; i < pool->split.n; i++) {
+        if (strcmp(pool->split.parts[i].version, version) == 0) {
+            return pool->nodes[i];
+        }
+    }
+    return NULL;
+}
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -54,6 +54,7 @@
         .upstream_alive = state->upstream_alive,
         .engine = state->engine,
         .weights = state->version,
+        .loading = state->loading,
     };
 
     pgw_hlc_receive(pgw_hlc_process(), state->clock, pgw_hlc_wall_us());
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -56,4 +56,14 @@
 /** pool_find() - the pool as membership stands now, or NULL */
 struct pool *pool_find(struct entry *entry, const char *name);
 
+/**
+ * pool_nodes() - upstreams as a request of one weights version sees them
+ * @pool: the pool
+ * @version: the version
+ *
+ * Return: parallel to @pool's upstreams; NULL when none runs that version.
+ */
+const struct pgw_place_node *pool_nodes(const struct pool *pool,
+                                        const char *version);
+
 #endif
--- a/src/libparsleygw/member.c
+++ b/src/libparsleygw/member.c
@@ -11,6 +11,7 @@
     struct pgw_member_facts facts;
     uint64_t engine;
     char weights[PGW_CONFIG_NAME_MAX + 1];
+    bool loading;
 };
 
 struct pgw_members {
@@ -182,6 +183,7 @@
         tracked->facts.upstream_alive = true;
         tracked->engine = 0;
         tracked->weights[0] = '\0';
+        tracked->loading = false;
     }
     tracked->facts.connection = PGW_MEMBER_UP;
     members->changed = true;
@@ -227,6 +229,7 @@
     tracked->engine = word->engine;
     g_strlcpy(tracked->weights, word->weights == NULL ? "" : word->weights,
               sizeof(tracked->weights));
+    tracked->loading = word->loading;
     members->changed = true;
 }
 
@@ -243,6 +246,7 @@
     member->incarnation = facts.incarnation;
     member->engine = tracked->engine;
     memcpy(member->weights, tracked->weights, sizeof(member->weights));
+    member->loading = tracked->loading;
 }
 
 struct pgw_member_view *
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -2159,7 +2159,7 @@
   (ProtobufCMessageInit) pgw__window__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pgw__state__field_descriptors[9] =
 {
   {
     "leaving",
@@ -2257,11 +2257,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loading",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__State, loading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__state__field_indices_by_name[] = {
   4,   /* field[4] = clock */
   1,   /* field[1] = engine */
   0,   /* field[0] = leaving */
+  8,   /* field[8] = loading */
   5,   /* field[5] = queued_tokens */
   6,   /* field[6] = running */
   3,   /* field[3] = upstream_alive */
@@ -2271,7 +2284,7 @@
 static const ProtobufCIntRange pgw__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pgw__state__descriptor =
 {
@@ -2281,7 +2294,7 @@
   "Pgw__State",
   "pgw",
   sizeof(Pgw__State),
-  8,
+  9,
   pgw__state__field_descriptors,
   pgw__state__field_indices_by_name,
   1,  pgw__state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -340,10 +340,14 @@
   uint32_t queued_tokens;
   uint32_t running;
   uint32_t waiting;
+  /*
+   * the engine changes its weights: no new work
+   */
+  protobuf_c_boolean loading;
 };
 #define PGW__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/tests/property/prop_version.cc
@@ -0,0 +1,174 @@
+// Properties of dividing a pool's requests among weights versions while its
+// engines change over.
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "parsleygw/version.h"
+
+namespace {
+
+struct Engine {
+    int version; // 0: not known
+    bool loading;
+    bool usable;
+};
+
+std::vector<pgw_member>
+members(const std::vector<Engine> &engines)
+{
+    std::vector<pgw_member> out;
+    for (const auto &engine : engines) {
+        pgw_member member{};
+        member.state = engine.usable ? PGW_MEMBER_USABLE : PGW_MEMBER_SUSPECT;
+        member.loading = engine.loading;
+        if (engine.version > 0) {
+            g_strlcpy(member.weights,
+                      ("w" + std::to_string(engine.version)).c_str(),
+                      sizeof(member.weights));
+        }
+        out.push_back(member);
+    }
+    return out;
+}
+
+rc::Gen<std::vector<Engine>>
+anyEngines()
+{
+    return rc::gen::container<std::vector<Engine>>(
+        rc::gen::apply(
+            [](int version, int loading, int usable) {
+                return Engine{version, loading == 0, usable != 0};
+            },
+            rc::gen::inRange(0, 5), rc::gen::inRange(0, 4),
+            rc::gen::inRange(0, 6)));
+}
+
+// From w1 to w2, seen from the start.
+pgw_version_track
+changing()
+{
+    pgw_version_track track{};
+    auto settled = members({{1, false, true}});
+    pgw_version_track_declare(&track, "w1");
+    pgw_version_track_observe(&track, settled.data(), settled.size());
+    pgw_version_track_declare(&track, "w2");
+    return track;
+}
+
+const char *
+choose(const pgw_version_track &track, const std::vector<Engine> &engines,
+       uint64_t hash, pgw_version_split *split)
+{
+    auto all = members(engines);
+    pgw_version_split_init(split, &track, all.data(), all.size());
+    return split->parts[pgw_version_split_choose(split, hash)].version;
+}
+
+bool
+onlyAcceptedThatRun()
+{
+    return rc::check("a request gets a declared or replaced version, and "
+                     "one that an engine can serve if there is any", [] {
+        const auto engines = *anyEngines();
+        const auto hash = *rc::gen::arbitrary<uint64_t>();
+        const auto track = changing();
+        pgw_version_split split;
+        const std::string version = choose(track, engines, hash, &split);
+        int able = 0;
+        int chosen = 0;
+        for (const auto &member : members(engines)) {
+            const std::string weights = member.weights;
+            const bool serves = member.state == PGW_MEMBER_USABLE &&
+                                !member.loading &&
+                                (weights == "w1" || weights == "w2");
+            able += serves;
+            chosen += serves && weights == version;
+        }
+        RC_ASSERT((version == "w2" || version == "w1"));
+        RC_ASSERT((able == 0 && version == "w2") || chosen > 0);
+        RC_ASSERT(split.engines == static_cast<size_t>(able));
+    });
+}
+
+bool
+neverBack()
+{
+    return rc::check("an engine that goes over takes requests to the new "
+                     "version and none back", [] {
+        auto engines = *anyEngines();
+        const auto hash = *rc::gen::arbitrary<uint64_t>();
+        const auto track = changing();
+        pgw_version_split split;
+        engines.push_back({1, *rc::gen::arbitrary<bool>(), true});
+        const std::string before = choose(track, engines, hash, &split);
+        const bool served = split.parts[0].engines > 0;
+        auto &engine = engines.back();
+        if (engine.loading) {
+            engine = {2, false, engine.usable};
+        }
+        else {
+            engine.loading = true;
+        }
+        const std::string after = choose(track, engines, hash, &split);
+        RC_ASSERT((!served || before != "w2" || after == "w2"));
+    });
+}
+
+bool
+sharesFollowEngines()
+{
+    return rc::check("each version's share is that of its engines", [] {
+        auto engines = *anyEngines();
+        engines.push_back({1, false, true});
+        const auto track = changing();
+        const int samples = 1000;
+        std::vector<int> counts(PGW_VERSION_PARTS);
+        pgw_version_split split{};
+        auto all = members(engines);
+        pgw_version_split_init(&split, &track, all.data(), all.size());
+        for (int i = 0; i < samples; i++) {
+            counts[pgw_version_split_choose(&split,
+                                            UINT64_MAX / samples * i)]++;
+        }
+        for (size_t i = 0; i < split.n; i++) {
+            const double wanted = static_cast<double>(samples) *
+                                  split.parts[i].engines / split.engines;
+            RC_ASSERT(std::abs(counts[i] - wanted) <= 2);
+        }
+    });
+}
+
+bool
+settledServesDeclaredOnly()
+{
+    return rc::check("once all run the declared version no other one is "
+                     "served, until the next change", [] {
+        const auto late = *anyEngines();
+        auto track = changing();
+        auto all = members({{2, false, true}, {2, false, true}});
+        pgw_version_split split;
+        pgw_version_track_observe(&track, all.data(), all.size());
+        const std::string version =
+            choose(track, late, *rc::gen::arbitrary<uint64_t>(), &split);
+        RC_ASSERT(version == "w2");
+        RC_ASSERT(split.n == 1u);
+        pgw_version_track_declare(&track, "w3");
+        choose(track, {{2, false, true}}, 0, &split);
+        RC_ASSERT(split.parts[1].engines == 1u);
+    });
+}
+
+} // namespace
+
+int
+main()
+{
+    bool good = onlyAcceptedThatRun();
+    good = neverBack() && good;
+    good = sharesFollowEngines() && good;
+    good = settledServesDeclaredOnly() && good;
+    return good ? 0 : 1;
+}
