Keep control cheap where nobody waits

Cause: derived for a region of 134 entries and 1,430 sidecars, two State frames a second on every link are about 130 KB/s for an entry, copies of quarantine records passed on by every sidecar up to 8 KB/s, and the platform's list of 10,000 lines every 10 s about 60 KB/s; 16 KB/s is the limit for all control. Change: the regular word only where attempts run and nothing else was sent, else every 10 s; a record is told by the sidecar that wrote or watched it and not passed on; the list is read more seldom the longer it is. Calls that may not be repeated now ask their one sidecar first, since an idle dead link is found later than before and a call sent into it would end as unknown.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -10,6 +10,8 @@
 #define WATCH_INTERVAL_US UINT64_C(200000)
 #define DRAIN_CHECK_US UINT64_C(20000)
 #define LIST_INTERVAL_US UINT64_C(10000000)
+/* A line has about 60 bytes: 2 KB/s at most. */
+#define LIST_LINE_US UINT64_C(30000)
 #define LIST_TIMEOUT_US UINT64_C(2000000)
 #define TRACE_EVENTS (1u << 14)
 
@@ -72,13 +74,15 @@
 list_done(void *context, const struct pgw_store_instances *list)
 {
     struct entry *entry = context;
-    uint64_t pause =
-        LIST_INTERVAL_US / 2 + pgw_random_u64() % LIST_INTERVAL_US;
+    uint64_t pause = LIST_INTERVAL_US;
 
     if (list != NULL) {
+        /* A fleet's list is hundreds of kilobytes: the larger, the rarer. */
+        pause = MAX(pause, list->n * LIST_LINE_US);
         pgw_members_set_list(entry->members, list, pgw_now_us());
     }
-    pgw_timer_start(entry->loop, &entry->list_timer, pause);
+    pgw_timer_start(entry->loop, &entry->list_timer,
+                    pause / 2 + pgw_random_u64() % pause);
 }
 
 /* The list lags, so it is looked at seldom; what is urgent the sidecars and
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -139,39 +139,38 @@
     pgw_timer_start(entry->loop, &exchange->place_timer, PROBE_TIMEOUT_US);
 }
 
+/*
+ * The claims of one object are written by one sidecar, the first in rank
+ * whatever the policy, so a call that may not be repeated asks only that one;
+ * it still asks, because a call sent into a dead connection would end as
+ * "unknown", which nobody may repeat.
+ */
 static size_t
-fanout(const struct entry *entry)
+rank(struct exchange *exchange, const struct pool *pool)
 {
-    return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
-                                      : entry->settings->probe_fanout;
+    struct entry *entry = exchange->entry;
+    struct placement *placement = exchange->placement;
+
+    if (!exchange->request.repeatable) {
+        return pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX,
+                              pool->nodes, pool->count,
+                              &exchange->request.chain);
+    }
+    return entry->policy->rank(placement->ranks, PGW_PLACE_RANK_MAX,
+                               pool->nodes, pool->count,
+                               &exchange->request.chain, entry->turn++);
 }
 
-/* A call that may not be repeated goes to the first rank without asking:
- * the claims of one object are written by one sidecar, and load hardly
- * differs where nothing is cached. */
-static bool
-send_to_first(struct exchange *exchange, const struct pool *pool)
+static size_t
+fanout(const struct exchange *exchange)
 {
-    struct placement *placement = exchange->placement;
+    const struct entry *entry = exchange->entry;
 
-    placement->n_ranks =
-        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes,
-                       pool->count, &exchange->request.chain);
-    for (size_t i = 0; i < placement->n_ranks; i++) {
-        struct upstream *upstream = pool->upstreams[placement->ranks[i]];
-
-        if (!upstream_can_talk(upstream)) {
-            placement->connecting = true;
-            return false;
-        }
-        if (!pgw_attempt_was_tried(&exchange->attempt,
-                                   candidate_number(upstream))) {
-            place_cancel(exchange);
-            forward_send(exchange, upstream, 0);
-            return true;
-        }
+    if (!exchange->request.repeatable) {
+        return 1;
     }
-    return false;
+    return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
+                                      : entry->settings->probe_fanout;
 }
 
 static bool
@@ -185,18 +184,13 @@
     if (pool == NULL) {
         return false;
     }
-    if (!exchange->request.repeatable) {
-        return send_to_first(exchange, pool);
-    }
-    placement->n_ranks = entry->policy->rank(
-        placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes, pool->count,
-        &exchange->request.chain, entry->turn++);
+    placement->n_ranks = rank(exchange, pool);
     if (placement->n_ranks == 0) {
         return false;
     }
     placement->probed_us = pgw_now_us();
     start_probing(exchange);
-    ask_more(exchange, pool, fanout(entry));
+    ask_more(exchange, pool, fanout(exchange));
     /*
      * Right after a start the best ranks may still be connecting. Passing
      * them over would place the first requests elsewhere than before the
@@ -319,7 +313,7 @@
 
         placement->spilled = true;
         start_probing(exchange);
-        if (pool != NULL && ask_more(exchange, pool, fanout(entry)) > 0) {
+        if (pool != NULL && ask_more(exchange, pool, fanout(exchange)) > 0) {
             return;
         }
         stop_probing(exchange);
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -5,10 +5,15 @@
 
 #define RECONNECT_MIN_US UINT64_C(50000)
 #define RECONNECT_MAX_US UINT64_C(1000000)
-/* A sidecar sends its state twice a second. After four missed words the
- * connection is taken as dead: a stalled or half-open one gives no error of
- * its own and requests would wait there until their deadline. */
+/*
+ * While attempts run there, a sidecar is heard at least twice a second. After
+ * four missed words the connection is taken as dead: a stalled or half-open
+ * one gives no error of its own and requests would wait there until their
+ * deadline. An idle connection is heard seldom, to keep control cheap, and
+ * a probe that stays unanswered keeps requests away from a dead one.
+ */
 #define SILENCE_MAX_US UINT64_C(2000000)
+#define SILENCE_IDLE_US UINT64_C(25000000)
 #define SILENCE_CHECK_US UINT64_C(250000)
 
 static void upstream_connect(struct upstream *upstream);
@@ -84,7 +89,6 @@
     pgw_hlc_receive(pgw_hlc_process(), hello->clock, pgw_hlc_wall_us());
     pgw_trace_record(upstream->entry->trace, PGW_TRACE_PEER_UP, NULL, 0, 0, 0,
                      upstream->id);
-    pgw_suspects_add_link(upstream->entry->suspects, upstream->link);
     pgw_sync_add_link(upstream->entry->sync, upstream->link);
 }
 
@@ -117,7 +121,7 @@
         forward_take_frame(entry, upstream, type, message);
         break;
     case PGW_FRAME_SUSPECTS:
-        pgw_suspects_take_frame(entry->suspects, link,
+        pgw_suspects_take_frame(entry->suspects,
                                 (const Pgw__Objects *)message);
         break;
     default:
@@ -159,7 +163,6 @@
                          0, 0, upstream->id);
     }
     pgw_sync_remove_link(upstream->entry->sync, link);
-    pgw_suspects_remove_link(upstream->entry->suspects, link);
     if (!upstream->is_seed) {
         pgw_members_disconnected(upstream->entry->members, upstream->id,
                                  upstream->greeted ? upstream->incarnation : 0,
@@ -218,6 +221,20 @@
     pgw_timer_start(upstream->entry->loop, &upstream->retry, SILENCE_CHECK_US);
 }
 
+static bool
+is_silent(const struct upstream *upstream)
+{
+    uint64_t heard = pgw_link_heard_us(upstream->link);
+    bool waits = !upstream->greeted || !pgw_list_is_empty(&upstream->attempts);
+    uint64_t now = pgw_now_us();
+
+    /* An attempt that began on an idle connection gives it time to answer. */
+    if (waits) {
+        heard = MAX(heard, upstream->busy_us);
+    }
+    return now - heard > (waits ? SILENCE_MAX_US : SILENCE_IDLE_US);
+}
+
 static void
 retry_due(struct pgw_timer *timer)
 {
@@ -230,7 +247,7 @@
         }
         return;
     }
-    if (pgw_now_us() - pgw_link_heard_us(upstream->link) > SILENCE_MAX_US) {
+    if (is_silent(upstream)) {
         pgw_log_warning("upstream_silent", "upstream=%s", upstream->id);
         pgw_link_close(upstream->link);
         return;
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -16,6 +16,7 @@
  * @incarnation: of its process, as it said in Hello
  * @failures: connections that failed in a row
  * @retry: next connection, or next look at a silent one
+ * @busy_us: when @attempts was last empty before an attempt
  * @attempts: exchanges whose current attempt runs there
  * @charge: what this entry sent there of late
  */
@@ -31,6 +32,7 @@
     uint64_t incarnation;
     unsigned failures;
     struct pgw_timer retry;
+    uint64_t busy_us;
     struct pgw_list attempts;
     struct pgw_place_charge charge;
 };
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -22,6 +22,7 @@
     struct pgw_buffer in;
     struct pgw_buffer out;
     uint64_t heard_us;
+    uint64_t sent_us;
     GError *error;
     bool connecting;
     bool closing;
@@ -255,6 +256,7 @@
         return;
     }
     was_empty = pgw_buffer_size(&link->out) == 0;
+    link->sent_us = pgw_now_us();
     pgw_frame_append(&link->out, type, message);
     if (was_empty && !link->connecting) {
         link_flush(link);
@@ -279,6 +281,12 @@
     return link->heard_us;
 }
 
+uint64_t
+pgw_link_sent_us(const struct pgw_link *link)
+{
+    return link->sent_us;
+}
+
 void
 pgw_link_close(struct pgw_link *link)
 {
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -64,6 +64,9 @@
 /** pgw_link_heard_us() - monotonic time of the last received byte */
 uint64_t pgw_link_heard_us(const struct pgw_link *link);
 
+/** pgw_link_sent_us() - monotonic time of the last queued message */
+uint64_t pgw_link_sent_us(const struct pgw_link *link);
+
 /** pgw_link_close() - close after @on_closed was called from the loop */
 void pgw_link_close(struct pgw_link *link);
 
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -168,8 +168,8 @@
 }
 
 static void
-merge(struct pgw_suspects *suspects, const struct pgw_link *origin,
-      const char *name, uint64_t version, const char *value, size_t length)
+merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
+      const char *value, size_t length, bool tell)
 {
     struct pgw_fingerprint fingerprint;
     struct suspect *suspect;
@@ -181,14 +181,14 @@
     if (!suspect_set(suspects, suspect, version, value, length)) {
         return;
     }
-    /* To all links: the record must arrive everywhere before the caller of
-     * the refused request can come back, and records are rare. */
-    for (guint i = 0; i < suspects->links->len; i++) {
-        struct pgw_link *link = g_ptr_array_index(suspects->links, i);
-
-        if (link != origin) {
-            send_one(link, suspect);
-        }
+    /*
+     * To all links: the record must reach every entry before the caller of
+     * the refused request can come back. Who hears it does not pass it on:
+     * the sidecar that wrote or watched it is linked to every entry of its
+     * region, and copies of copies would be most of what a link carries.
+     */
+    for (guint i = 0; tell && i < suspects->links->len; i++) {
+        send_one(g_ptr_array_index(suspects->links, i), suspect);
     }
     if (suspects->options.on_record != NULL) {
         suspects->options.on_record(suspects->options.context, &fingerprint,
@@ -200,7 +200,7 @@
 pgw_suspects_offer(struct pgw_suspects *suspects, const char *name,
                    uint64_t version, const char *value, size_t length)
 {
-    merge(suspects, NULL, name, version, value, length);
+    merge(suspects, name, version, value, length, true);
 }
 
 static bool
@@ -224,22 +224,21 @@
         /* A record written after the list was read is not in it, either. */
         if (suspect->value != NULL && suspect->version < list->version &&
             !list_has(list, suspect->name)) {
-            merge(suspects, NULL, suspect->name, list->version, NULL, 0);
+            merge(suspects, suspect->name, list->version, NULL, 0, true);
         }
     }
 }
 
 void
 pgw_suspects_take_frame(struct pgw_suspects *suspects,
-                        const struct pgw_link *origin,
                         const Pgw__Objects *message)
 {
     for (size_t i = 0; i < message->n_objects; i++) {
         const Pgw__Object *object = message->objects[i];
 
-        merge(suspects, origin, object->name, object->version,
+        merge(suspects, object->name, object->version,
               object->deleted ? NULL : (const char *)object->value.data,
-              object->value.len);
+              object->value.len, false);
     }
 }
 
--- a/src/libparsleygw/suspects.h
+++ b/src/libparsleygw/suspects.h
@@ -8,10 +8,10 @@
 /**
  * DOC: Quarantine records between our processes
  *
- * Every process keeps the few records that are in force and passes on each
- * new one to all its links at once, so that a request which crashed two
- * engines is known everywhere before its caller can send it again. Records
- * live in the store; what is missed here is read from there.
+ * Every process keeps the few records that are in force. A sidecar that
+ * writes or watches a new one tells all its entries at once, so that a request
+ * which crashed two engines is known everywhere before its caller can send it
+ * again. Records live in the store; sidecars read there what they need.
  */
 
 struct pgw_suspects;
@@ -66,7 +66,6 @@
 
 /** pgw_suspects_take_frame() - handle a SUSPECTS frame of a link */
 void pgw_suspects_take_frame(struct pgw_suspects *suspects,
-                             const struct pgw_link *origin,
                              const Pgw__Objects *message);
 
 /**
--- a/src/sidecar/peer.c
+++ b/src/sidecar/peer.c
@@ -82,7 +82,7 @@
         gate_grant(peer, (const Pgw__Window *)message);
         break;
     case PGW_FRAME_SUSPECTS:
-        pgw_suspects_take_frame(peer->sidecar->suspects, link,
+        pgw_suspects_take_frame(peer->sidecar->suspects,
                                 (const Pgw__Objects *)message);
         break;
     default:
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -9,6 +9,7 @@
 #include "util/random.h"
 
 #define STATE_INTERVAL_US UINT64_C(500000)
+#define STATE_IDLE_US UINT64_C(10000000)
 #define DRAIN_CHECK_US UINT64_C(20000)
 #define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
@@ -110,15 +111,29 @@
     }
 }
 
-/* The regular word also tells entries that the connection still works: an
- * entry that hears nothing for a few intervals looks for another way. */
+/* The regular word tells an entry that waits for something that the
+ * connection still works; one that hears nothing for a few intervals looks
+ * for another way. Where the entry waits for nothing, or has heard from us
+ * anyway, the word is left out: with many entries it would be most of what
+ * control costs. */
 static void
 state_due(struct pgw_timer *timer)
 {
     struct sidecar *sidecar =
         pgw_container_of(timer, struct sidecar, state_timer);
+    uint64_t now = pgw_now_us();
 
-    sidecar_push_state(sidecar);
+    view_update(sidecar);
+    pgw_list_foreach (link, &sidecar->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, link);
+        uint64_t quiet = now - pgw_link_sent_us(peer->connection);
+        bool busy = g_hash_table_size(peer->runs) > 0;
+
+        if (peer->instance != NULL &&
+            quiet >= (busy ? STATE_INTERVAL_US : STATE_IDLE_US)) {
+            peer_send_state(peer);
+        }
+    }
     pgw_timer_start(sidecar->loop, timer, STATE_INTERVAL_US);
 }
 
