Learn the prefill rate from what was computed

Cause: tokens are counted when a request comes; by its first token its prefix may be cached or evicted, and one such sample moved the learned rate by half. Change: pgw_admit_correct() for waiting and running requests; a sample counts at most twice the present rate. Conclusion: the sidecar should call it with usage.cached_tokens.

--- a/include/parsleygw/admit.h
+++ b/include/parsleygw/admit.h
@@ -171,6 +171,19 @@
  */
 struct pgw_admit_item *pgw_admit_next(struct pgw_admit *admit, uint64_t now);
 
+/**
+ * pgw_admit_correct() - the tokens to compute are known better by now
+ * @admit: the gate
+ * @item: waiting or running
+ * @uncached_tokens: new count
+ *
+ * For a waiting item whose prefix has been cached meanwhile, and before
+ * pgw_admit_first_token() with what the upstream's answer says, so that the
+ * rate is learned from what was computed and not from what was expected.
+ */
+void pgw_admit_correct(struct pgw_admit *admit, struct pgw_admit_item *item,
+                       uint32_t uncached_tokens);
+
 /**
  * pgw_admit_first_token() - a running item's prefill is over
  * @admit: the gate
--- a/src/libparsleygw/admit.c
+++ b/src/libparsleygw/admit.c
@@ -286,6 +286,21 @@
     return item;
 }
 
+void
+pgw_admit_correct(struct pgw_admit *admit, struct pgw_admit_item *item,
+                  uint32_t uncached_tokens)
+{
+    if (item->state == PGW_ADMIT_WAITING && item->at.flow != NULL) {
+        pgw_fair_queue__correct(queue_of(admit, item), item, uncached_tokens);
+        return;
+    }
+    if (item->state == PGW_ADMIT_PREFILL) {
+        admit->prefill_tokens =
+            admit->prefill_tokens - item->uncached_tokens + uncached_tokens;
+    }
+    item->uncached_tokens = uncached_tokens;
+}
+
 void
 pgw_admit_first_token(struct pgw_admit *admit, struct pgw_admit_item *item,
                       uint64_t now)
--- a/src/libparsleygw/admit_rate.c
+++ b/src/libparsleygw/admit_rate.c
@@ -8,6 +8,10 @@
 /* A shorter prefill says more about the decode step than about the rate. */
 #define MIN_SAMPLE_TOKENS 128
 
+/* A sample counts at most by this factor: a prefix that was cached or evicted
+ * since the tokens were counted makes a wild one. */
+#define MAX_SAMPLE_FACTOR 2.0
+
 /* The learned rate stays within this factor of the first guess. */
 #define MAX_DRIFT 16.0
 
@@ -43,9 +47,12 @@
 
     rate->last_first_token = now;
     if (tokens >= MIN_SAMPLE_TOKENS && took > 0.0) {
+        double sample = CLAMP(tokens * US_PER_S / took,
+                              rate->prefill_tokens_per_s / MAX_SAMPLE_FACTOR,
+                              rate->prefill_tokens_per_s * MAX_SAMPLE_FACTOR);
+
         average(&rate->prefill_tokens_per_s,
-                CLAMP(tokens * US_PER_S / took,
-                      rate->first_prefill / MAX_DRIFT,
+                CLAMP(sample, rate->first_prefill / MAX_DRIFT,
                       rate->first_prefill * MAX_DRIFT));
     }
 }
--- a/src/libparsleygw/fair_queue.c
+++ b/src/libparsleygw/fair_queue.c
@@ -129,6 +129,17 @@
     }
 }
 
+void
+pgw_fair_queue__correct(struct pgw_fair_queue *queue,
+                        struct pgw_admit_item *item, uint32_t uncached_tokens)
+{
+    struct pgw_admit_flow *flow = item->at.flow;
+
+    flow->tokens = flow->tokens - item->uncached_tokens + uncached_tokens;
+    queue->tokens = queue->tokens - item->uncached_tokens + uncached_tokens;
+    item->uncached_tokens = uncached_tokens;
+}
+
 void
 pgw_fair_queue__serve(struct pgw_fair_queue *queue,
                       struct pgw_admit_item *item, double cost)
--- a/src/libparsleygw/fair_queue.h
+++ b/src/libparsleygw/fair_queue.h
@@ -81,6 +81,11 @@
 void pgw_fair_queue__serve(struct pgw_fair_queue *queue,
                            struct pgw_admit_item *item, double cost);
 
+/* Changes the uncached tokens of a waiting item. */
+void pgw_fair_queue__correct(struct pgw_fair_queue *queue,
+                             struct pgw_admit_item *item,
+                             uint32_t uncached_tokens);
+
 /* Takes out any item, uncharged. */
 void pgw_fair_queue__remove(struct pgw_fair_queue *queue,
                             struct pgw_admit_item *item);
--- a/tests/property/prop_admit.cc
+++ b/tests/property/prop_admit.cc
@@ -145,6 +145,14 @@
         pgw_admit_load_get(&load, admit);
         RC_ASSERT(load.running == running.size());
         RC_ASSERT(load.waiting <= waiting.size());
+        uint64_t tokens = 0;
+        for (const Request *one : waiting) {
+            tokens += one->item.at.flow ? one->item.uncached_tokens : 0;
+        }
+        for (const Request *one : running) {
+            tokens += one->item.uncached_tokens;
+        }
+        RC_ASSERT(load.queued_tokens == tokens);
     }
 };
 
@@ -157,7 +165,7 @@
     int steps = *rc::gen::inRange(1, 200);
 
     for (int i = 0; i < steps; i++) {
-        int kind = *rc::gen::inRange(0, 10);
+        int kind = *rc::gen::inRange(0, 11);
 
         gate.now += *rc::gen::inRange<uint64_t>(0, 100000);
         if (kind < 5) {
@@ -172,6 +180,15 @@
             gate.waiting.pop_front();
             RC_ASSERT(pgw_admit_remove(gate.admit, &gone->item, gate.now));
         }
+        else if (kind == 9 && !gate.requests.empty()) {
+            size_t i = *rc::gen::inRange<size_t>(0, gate.requests.size());
+
+            pgw_admit_correct(gate.admit,
+                              &std::next(gate.requests.begin(),
+                                         static_cast<long>(i))
+                                   ->item,
+                              *rc::gen::inRange<uint32_t>(0, 3000));
+        }
         else {
             gate.expire();
         }
@@ -190,6 +207,37 @@
     gate.check_load();
 }
 
+/* The rate is learned from what was computed, and one prefill whose prefix
+ * had been cached meanwhile does not spoil it. */
+static void
+rate_is_learned()
+{
+    double rate = *rc::gen::inRange(3000, 40000);
+    pgw_admit *admit = pgw_admit_new(nullptr);
+    pgw_admit_load load;
+    uint64_t now = 1;
+
+    for (int i = 0; i < 200; i++) {
+        pgw_admit_item item = {};
+        pgw_admit_answer answer;
+        uint32_t computed = *rc::gen::inRange<uint32_t>(300, 3000);
+
+        item.uncached_tokens = 4000;
+        pgw_admit_offer(&answer, admit, &item, now);
+        RC_ASSERT(answer.verdict == PGW_ADMIT_RUN);
+        now += static_cast<uint64_t>(computed * 1e6 / rate + 20000);
+        if (i < 199) {
+            pgw_admit_correct(admit, &item, computed);
+        }
+        pgw_admit_first_token(admit, &item, now);
+        pgw_admit_done(admit, &item, 0, now);
+    }
+    pgw_admit_load_get(&load, admit);
+    pgw_admit_free(admit);
+    RC_ASSERT(load.prefill_tokens_per_s > 0.9 * rate);
+    RC_ASSERT(load.prefill_tokens_per_s < 1.2 * rate);
+}
+
 /* While two workspaces of one priority both wait, what they were served,
  * divided by share, differs by at most one largest request of each: a large
  * workspace with a long queue does not starve a small one. */
@@ -311,6 +359,7 @@
 {
     bool ok = rc::check("random histories hold", random_histories_hold);
 
+    ok &= rc::check("rate is learned", rate_is_learned);
     ok &= rc::check("service is fair", service_is_fair);
     ok &= rc::check("batch completes", batch_completes);
     ok &= rc::check("refusals are early and fair",
