--- a/src/cli/object_commands.c
+++ b/src/cli/object_commands.c
@@ -117,6 +117,7 @@
         return is_new;
     }
     json_node_unref(current);
+#ifndef PGW_DISABLE_CLI_BASE
     if (!cli->options.force) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_CONFLICT,
                     "%s/%s: exists as version %" G_GUINT64_FORMAT
@@ -125,6 +126,7 @@
                     change->kind, change->name, change->base, change->base);
         return false;
     }
+#endif
     return true;
 }
 
--- a/src/cli/objects.c
+++ b/src/cli/objects.c
@@ -199,12 +199,21 @@
            g_error_matches(error, PGW_ERROR, PGW_ERROR_OVERLOADED);
 }
 
+/* The store's answer to a write can be lost after the change was made. Taken
+ * at its word, the command would report a failure, and the operator would
+ * make the change again, perhaps over another's. A conflict is looked at too:
+ * it can be this run's own write. Reading back is enough, because the version
+ * tells whether anything was written since. */
 static bool
 needs_settling(const GError *error)
 {
+#ifndef PGW_DISABLE_CLI_SETTLE
     return g_error_matches(error, PGW_ERROR, PGW_ERROR_UNKNOWN_OUTCOME) ||
            g_error_matches(error, PGW_ERROR, PGW_ERROR_CONFLICT) ||
            g_error_matches(error, PGW_ERROR, PGW_ERROR_NOT_FOUND);
+#else
+    return g_error_matches(error, PGW_ERROR, PGW_ERROR_CONFLICT);
+#endif
 }
 
 bool
@@ -221,7 +230,6 @@
             return true;
         }
         if (needs_settling(cause)) {
-            /* A conflict can be this run's own write whose answer was lost. */
             g_clear_error(&cause);
             settled = settle(cli, version, change, &cause);
         }
