--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -25,6 +25,8 @@
  * @n_candidates: number of both
  * @n_answered: answers that came
  * @spilled: the second round is out
+ * @connecting: one of the first ranks is not connected yet, for the first
+ *              time since this process began
  * @tries: times that no upstream was found
  */
 struct placement {
@@ -38,6 +40,7 @@
     size_t n_candidates;
     size_t n_answered;
     bool spilled;
+    bool connecting;
     unsigned tries;
 };
 
@@ -109,6 +112,10 @@
                                   candidate_number(upstream))) {
             continue;
         }
+        if (!upstream_can_talk(upstream)) {
+            placement->connecting = true;
+            continue;
+        }
         placement->asked[placement->n_candidates] = upstream;
         placement->candidates[placement->n_candidates++] =
             (struct pgw_place_candidate){
@@ -132,35 +139,38 @@
     pgw_timer_start(entry->loop, &exchange->place_timer, PROBE_TIMEOUT_US);
 }
 
+/*
+ * The claims of one object are written by one sidecar, the first in rank
+ * whatever the policy, so a call that may not be repeated asks only that one;
+ * it still asks, because a call sent into a dead connection would end as
+ * "unknown", which nobody may repeat.
+ */
 static size_t
-fanout(const struct entry *entry)
+rank(struct exchange *exchange, const struct pool *pool)
 {
-    return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
-                                      : entry->settings->probe_fanout;
+    struct entry *entry = exchange->entry;
+    struct placement *placement = exchange->placement;
+
+    if (!exchange->request.repeatable) {
+        return pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX,
+                              pool->nodes, pool->count,
+                              &exchange->request.chain);
+    }
+    return entry->policy->rank(placement->ranks, PGW_PLACE_RANK_MAX,
+                               pool->nodes, pool->count,
+                               &exchange->request.chain, entry->turn++);
 }
 
-/* A call that may not be repeated goes to the first rank without asking:
- * the claims of one object are written by one sidecar, and load hardly
- * differs where nothing is cached. */
-static bool
-send_to_first(struct exchange *exchange, const struct pool *pool)
+static size_t
+fanout(const struct exchange *exchange)
 {
-    struct placement *placement = exchange->placement;
+    const struct entry *entry = exchange->entry;
 
-    placement->n_ranks =
-        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes,
-                       pool->count, &exchange->request.chain);
-    for (size_t i = 0; i < placement->n_ranks; i++) {
-        struct upstream *upstream = pool->upstreams[placement->ranks[i]];
-
-        if (!pgw_attempt_was_tried(&exchange->attempt,
-                                   candidate_number(upstream))) {
-            place_cancel(exchange);
-            forward_send(exchange, upstream, 0);
-            return true;
-        }
+    if (!exchange->request.repeatable) {
+        return 1;
     }
-    return false;
+    return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
+                                      : entry->settings->probe_fanout;
 }
 
 static bool
@@ -174,18 +184,20 @@
     if (pool == NULL) {
         return false;
     }
-    if (!exchange->request.repeatable) {
-        return send_to_first(exchange, pool);
-    }
-    placement->n_ranks = entry->policy->rank(
-        placement->ranks, PGW_PLACE_RANK_MAX, pool->nodes, pool->count,
-        &exchange->request.chain, entry->turn++);
+    placement->n_ranks = rank(exchange, pool);
     if (placement->n_ranks == 0) {
         return false;
     }
     placement->probed_us = pgw_now_us();
     start_probing(exchange);
-    if (ask_more(exchange, pool, fanout(entry)) == 0) {
+    ask_more(exchange, pool, fanout(exchange));
+    /*
+     * Right after a start the best ranks may still be connecting. Passing
+     * them over would place the first requests elsewhere than before the
+     * restart and compute their prefixes anew, for the sake of milliseconds.
+     */
+    if (placement->n_candidates == 0 ||
+        (placement->connecting && placement->tries + 1 < NOBODY_TRIES)) {
         stop_probing(exchange);
         return false;
     }
@@ -221,10 +233,15 @@
     if (probe_first_ranks(exchange)) {
         return;
     }
-    if (placement->n_ranks > 0 || ++placement->tries >= NOBODY_TRIES) {
+    if ((placement->n_ranks > 0 && !placement->connecting) ||
+        ++placement->tries >= NOBODY_TRIES) {
         refuse_no_upstream(exchange);
         return;
     }
+    placement->connecting = false;
+    placement->next_rank = 0;
+    placement->n_candidates = 0;
+    placement->n_answered = 0;
     pgw_timer_start(exchange->entry->loop, &exchange->place_timer,
                     NOBODY_RETRY_US);
 }
@@ -266,7 +283,7 @@
         struct upstream *upstream = placement->asked[i];
 
         /* A sidecar may have gone since it was asked. */
-        if (upstream == NULL || !upstream_is_usable(upstream)) {
+        if (upstream == NULL || !upstream_can_talk(upstream)) {
             candidate->answered = true;
             candidate->refuses = true;
             continue;
@@ -296,7 +313,7 @@
 
         placement->spilled = true;
         start_probing(exchange);
-        if (pool != NULL && ask_more(exchange, pool, fanout(entry)) > 0) {
+        if (pool != NULL && ask_more(exchange, pool, fanout(exchange)) > 0) {
             return;
         }
         stop_probing(exchange);
