Mend ends of runs at the sidecar

- A lost entry's runs were ended along a list made beforehand, although ending one starts or frees others: read of freed memory; now the table is asked anew.
- A not-repeatable call past its deadline stayed paused for ever behind a shut window and kept its place; it is read to its end, within a minute.
- queue_bytes bounds the bodies that wait; before it was read and not used.
- An Open of the wrong type was dropped and its caller waited until the deadline: refused as not run. 4xx of an engine was taken for a crash and tried on the next one: bad_request, not run.
- HEAD waited for a body; POST without one lacked Content-Length; an answer without a body lost its head (a 503 became 'unknown').
- Answers of engines are parsed with bounded depth.

--- a/src/sidecar/fetch.c
+++ b/src/sidecar/fetch.c
@@ -1,5 +1,6 @@
 #include "sidecar/fetch.h"
 #include "util/buffer.h"
+#include "util/json_reader.h"
 
 /* The list of all blocks of an engine with a million of them fits. */
 #define FETCH_MAX_BYTES ((size_t)64 << 20)
@@ -41,24 +42,20 @@
         void *context)
 {
     struct fetch *fetch = context;
-    JsonParser *parser = json_parser_new_immutable();
     JsonObject *object = NULL;
-    JsonNode *root;
+    JsonNode *root = NULL;
 
     (void)transfer;
     if (code != CURLE_OK || fetch->too_large) {
         status = 0;
     }
-    else if (json_parser_load_from_data(
-                 parser, (const char *)pgw_buffer_head(&fetch->body),
-                 (gssize)pgw_buffer_size(&fetch->body), NULL)) {
-        root = json_parser_get_root(parser);
-        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
-            object = json_node_get_object(root);
-        }
+    else if (pgw_json_parse(&root, (const char *)pgw_buffer_head(&fetch->body),
+                            pgw_buffer_size(&fetch->body), "answer", NULL) &&
+             JSON_NODE_HOLDS_OBJECT(root)) {
+        object = json_node_get_object(root);
     }
     fetch->done(fetch->context, status, object, fetch->asked_us);
-    g_object_unref(parser);
+    g_clear_pointer(&root, json_node_unref);
     fetch_free(fetch);
 }
 
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #define GATE_TICK_US UINT64_C(20000)
+#define QUEUE_RETRY_MS 1000
 
 guint
 run_key_hash(gconstpointer key)
@@ -214,6 +215,15 @@
     return run->state == RUN_WAITING;
 }
 
+static void
+run_resume(struct run *run)
+{
+    if (run->paused) {
+        run->paused = false;
+        pgw_transfer_resume(run->transfer);
+    }
+}
+
 static void
 run_expire(struct run *run)
 {
@@ -232,6 +242,9 @@
     if (withdrawn || run->open->repeatable) {
         gate_finish(run);
     }
+    else {
+        run_resume(run);
+    }
 }
 
 static void
@@ -368,6 +381,25 @@
     return run;
 }
 
+/* Bodies of waiting requests are the bulk of this process's memory; their
+ * number alone does not bound it. One may always wait. */
+static bool
+queue_is_too_large(struct sidecar *sidecar)
+{
+    uint64_t bytes = 0;
+    unsigned count = 0;
+
+    pgw_list_foreach (link, &sidecar->all_runs) {
+        const struct run *run = pgw_container_of(link, struct run, link);
+
+        if (run->state == RUN_WAITING) {
+            bytes += run->open->body.len + run->open->resume_text.len;
+            count++;
+        }
+    }
+    return count > 1 && bytes > sidecar->settings->queue_bytes;
+}
+
 static void
 run_offer(struct run *run)
 {
@@ -380,6 +412,13 @@
         run_start(run);
         break;
     case PGW_ADMIT_QUEUE:
+        if (queue_is_too_large(sidecar)) {
+            run_send_fail(run, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
+                          QUEUE_RETRY_MS,
+                          "the bodies of waiting requests fill queue_bytes");
+            gate_finish(run);
+            break;
+        }
         pgw_trace_record(sidecar->trace, PGW_TRACE_QUEUE, &run->key.request,
                          run->key.attempt, answer.ttft_us, 0, NULL);
         gate_pump(sidecar);
@@ -404,14 +443,20 @@
     const char *message;
 
     if (!key_from(&key, &open->request, open->attempt) ||
-        g_hash_table_contains(peer->runs, &key) ||
-        open->service == sidecar->is_model) {
+        g_hash_table_contains(peer->runs, &key)) {
         pgw_log_warning("open_dropped", "entry=%s", peer->instance);
         pgw_frame_free(&open->base);
         return;
     }
     pgw_hlc_receive(pgw_hlc_process(), open->clock, pgw_hlc_wall_us());
     run = run_new(peer, &key, open);
+    if (open->service == sidecar->is_model) {
+        run_send_fail(run, PGW_REFUSAL_INTERNAL, PGW_RAN_NO, 0,
+                      "the upstream's type is not the pool's: correct "
+                      "upstream_type or the pool object");
+        run_free(run);
+        return;
+    }
     if (must_refuse(sidecar, open->model, open->version, &refusal, &message)) {
         run_send_fail(run, refusal, PGW_RAN_NO, 0, message);
         run_free(run);
@@ -553,29 +598,45 @@
         return;
     }
     run->window += window->bytes;
-    if (run->paused && run->window > 0) {
-        run->paused = false;
-        pgw_transfer_resume(run->transfer);
+    if (run->window > 0) {
+        run_resume(run);
     }
 }
 
+static void
+run_forget_peer(struct run *run)
+{
+    g_hash_table_remove(run->peer->runs, &run->key);
+    run->peer = NULL;
+    run_resume(run);
+    run_abandon(run);
+}
+
 void
 gate_forget_peer(struct peer *peer)
 {
-    GList *runs = g_hash_table_get_values(peer->runs);
-
-    for (GList *link = runs; link != NULL; link = link->next) {
-        struct run *run = link->data;
-
-        g_hash_table_remove(peer->runs, &run->key);
-        run->peer = NULL;
-        if (run->paused) {
-            run->paused = false;
-            pgw_transfer_resume(run->transfer);
+    GHashTableIter iter;
+    gpointer value;
+
+    /*
+     * Ending one run starts or ends others: a list made beforehand would name
+     * freed ones, so the table is asked anew each time. Those that still wait
+     * go first, or they would be started for nobody.
+     */
+    g_hash_table_iter_init(&iter, peer->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct run *run = value;
+
+        if (run->state == RUN_WAITING) {
+            run_forget_peer(run);
+            g_hash_table_iter_init(&iter, peer->runs);
         }
-        run_abandon(run);
     }
-    g_list_free(runs);
+    g_hash_table_iter_init(&iter, peer->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        run_forget_peer(value);
+        g_hash_table_iter_init(&iter, peer->runs);
+    }
 }
 
 void
--- a/src/sidecar/model_call.c
+++ b/src/sidecar/model_call.c
@@ -1,6 +1,7 @@
 #include "sidecar/fetch.h"
 #include "sidecar/gate.h"
 #include "util/hex.h"
+#include "util/json_reader.h"
 #include "util/json_text.h"
 #include "util/log.h"
 
@@ -84,8 +85,9 @@
 static void
 model_head(struct run *run, long status)
 {
-    /* Engines refuse before they run anything. */
-    run->refused = status == 409 || status == 503;
+    /* Engines refuse before they run anything. One that finds fault with the
+     * request itself has not failed: the next one would say the same. */
+    run->refused = (status >= 400 && status < 500) || status == 503;
     run->broken = !run->refused && status != 200;
 }
 
@@ -178,9 +180,8 @@
 static bool
 take_line(struct run *run, const char *line, size_t size)
 {
-    JsonParser *parser;
-    JsonNode *root;
-    bool good = false;
+    JsonNode *root = NULL;
+    bool good;
 
     if (size <= strlen(EVENT_PREFIX) ||
         memcmp(line, EVENT_PREFIX, strlen(EVENT_PREFIX)) != 0) {
@@ -191,13 +192,10 @@
     if (size >= 6 && memcmp(line, "[DONE]", 6) == 0) {
         return true;
     }
-    parser = json_parser_new_immutable();
-    if (json_parser_load_from_data(parser, line, (gssize)size, NULL)) {
-        root = json_parser_get_root(parser);
-        good = root != NULL && JSON_NODE_HOLDS_OBJECT(root) &&
-               take_event(run, json_node_get_object(root));
-    }
-    g_object_unref(parser);
+    good = pgw_json_parse(&root, line, size, "event", NULL) &&
+           JSON_NODE_HOLDS_OBJECT(root) &&
+           take_event(run, json_node_get_object(root));
+    g_clear_pointer(&root, json_node_unref);
     return good;
 }
 
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -50,6 +50,11 @@
 {
     Pgw__Data message = PGW__DATA__INIT;
 
+    /* A call that may not be repeated runs on after its deadline, for its
+     * record's sake; the entry has heard the end already. */
+    if (run->ended) {
+        return;
+    }
     message.request = run_id(run);
     message.attempt = run->key.attempt;
     message.sequence = run->sequence++;
@@ -121,8 +126,9 @@
         return true;
     }
     /* A slow caller leaves its window shut; holding the upstream's answer
-     * back here bounds the memory of every process between them. */
-    if (run->window <= 0 && run->peer != NULL) {
+     * back here bounds the memory of every process between them. One whose
+     * end was told is read to its end, or it would keep its place for ever. */
+    if (run->window <= 0 && run->peer != NULL && !run->ended) {
         run->paused = true;
         return false;
     }
@@ -161,6 +167,20 @@
     }
 }
 
+static enum pgw_refusal
+refusal_from_status(long status)
+{
+    switch (status) {
+    case 409:
+        return PGW_REFUSAL_STALE;
+    case 429:
+    case 503:
+        return PGW_REFUSAL_OVERLOADED;
+    default:
+        return PGW_REFUSAL_BAD_REQUEST;
+    }
+}
+
 static void
 on_done(struct pgw_transfer *transfer, CURLcode code, long status,
         void *context)
@@ -175,10 +195,8 @@
         run_settle_claim(run, was_sent);
     }
     if (run->refused && !run->ended) {
-        run_send_fail(run,
-                      run->status == 409 ? PGW_REFUSAL_STALE
-                                         : PGW_REFUSAL_OVERLOADED,
-                      PGW_RAN_NO, 0, "the upstream refused the request");
+        run_send_fail(run, refusal_from_status(run->status), PGW_RAN_NO, 0,
+                      "the upstream refused the request");
     }
     else if (run->failed && !run->refused) {
         pgw_log_warning("upstream_broke", "code=%s status=%ld",
--- a/src/sidecar/service_call.c
+++ b/src/sidecar/service_call.c
@@ -2,6 +2,10 @@
 
 /* Beyond this an answer is too large to be recorded and replayed anyway. */
 #define RECORD_MAX ((guint)1 << 20)
+/* A call that may not be repeated goes on after its deadline, so that its
+ * record tells whether it ran; a service that never answers must not keep the
+ * place for ever. */
+#define SERVICE_GRACE_MS 60000L
 
 static void
 service_start(struct run *run)
@@ -22,6 +26,7 @@
         .headers = headers,
         .body = open->body.data,
         .body_size = open->body.len,
+        .timeout_ms = (long)open->deadline_ms + SERVICE_GRACE_MS,
     };
 
     run->transfer = pgw_transfer_start(run->sidecar->transfers, &options,
--- a/src/util/transfer.c
+++ b/src/util/transfer.c
@@ -35,6 +35,21 @@
     g_free(transfer);
 }
 
+static void
+transfer_head(struct pgw_transfer *transfer)
+{
+    long status = 0;
+
+    if (transfer->head_done) {
+        return;
+    }
+    transfer->head_done = true;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (transfer->ops->on_head != NULL) {
+        transfer->ops->on_head(transfer, status, transfer->context);
+    }
+}
+
 static void
 pool_collect(struct pgw_transfer_pool *pool)
 {
@@ -52,6 +67,10 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
         curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
                           &status);
+        /* An answer without a body has a head all the same. */
+        if (!transfer->cancelled && code == CURLE_OK) {
+            transfer_head(transfer);
+        }
         if (!transfer->cancelled) {
             transfer->ops->on_done(transfer, code, status, transfer->context);
         }
@@ -170,21 +189,6 @@
     g_free(pool);
 }
 
-static void
-transfer_head(struct pgw_transfer *transfer)
-{
-    long status = 0;
-
-    if (transfer->head_done) {
-        return;
-    }
-    transfer->head_done = true;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (transfer->ops->on_head != NULL) {
-        transfer->ops->on_head(transfer, status, transfer->context);
-    }
-}
-
 static size_t
 on_write(char *data, size_t size, size_t count, void *context)
 {
@@ -207,6 +211,29 @@
     return taken ? total : CURL_WRITEFUNC_PAUSE;
 }
 
+static void
+set_method(CURL *easy, const struct pgw_transfer_options *options)
+{
+    bool sends = options->body_size > 0 ||
+                 strcmp(options->method, "POST") == 0 ||
+                 strcmp(options->method, "PUT") == 0;
+
+    /* Without a body libcurl would leave out "Content-Length: 0", which
+     * servers want of these methods. */
+    if (sends) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)options->body_size);
+        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+                         options->body_size > 0 ? options->body : "");
+    }
+    /* Told otherwise libcurl waits for the body that HEAD never brings. */
+    if (strcmp(options->method, "HEAD") == 0) {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
+}
+
 struct pgw_transfer *
 pgw_transfer_start(struct pgw_transfer_pool *pool,
                    const struct pgw_transfer_options *options,
@@ -251,12 +278,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-    if (options->body_size > 0) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)options->body_size);
-        curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, options->body);
-    }
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
+    set_method(easy, options);
     curl_multi_add_handle(pool->multi, easy);
     return transfer;
 }
