Bound the time of heads and bodies; make the planned stop of the entry safe

- The HTTP server bounds idle time only: a sender of one byte a second held its connection for ever.
A guard bounds the whole head and the whole body and answers 408 with a refusal object.
- The same idle limit cut slow readers of a stream after 5 s: now the profile's deadline.
- A request could pass the look at 'leaving' just before a planned stop and be handed to a loop that had ended: the HTTP library aborts the process for its suspended connection.
It is counted first now, and what is left at the drain timeout is refused after the loop has ended.
- Requests whose body was on its way were cut at a planned stop: waited for.
- A refusal decided by the entry while an attempt ran left it running.
- Usage of a resumed answer counted the delivered text as prompt.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,9 @@
 
 #define WATCH_INTERVAL_US UINT64_C(200000)
 #define DRAIN_CHECK_US UINT64_C(20000)
+#define DRAIN_LINGER_US UINT64_C(500000)
+#define FINISH_CHECK_US 2000
+#define FINISH_LIMIT_US UINT64_C(500000)
 #define LIST_INTERVAL_US UINT64_C(10000000)
 #define LIST_TIMEOUT_US UINT64_C(2000000)
 #define TRACE_EVENTS (1u << 14)
@@ -101,7 +104,7 @@
         struct exchange *exchange = link->data;
         struct refusal refusal = {0};
 
-        refusal_set(&refusal, PGW_REFUSAL_LEAVING, PGW_RAN_UNKNOWN, 0,
+        refusal_set(&refusal, PGW_REFUSAL_LEAVING, forward_ran(exchange), 0,
                     "the instance stops and its drain timeout has passed");
         forward_refuse(exchange, &refusal);
         refusal_dispose(&refusal);
@@ -114,8 +117,9 @@
 {
     struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
     unsigned inflight = atomic_load(&entry->inflight);
+    unsigned reading = atomic_load(&entry->reading);
 
-    if (inflight > 0 && pgw_now_us() < entry->drain_until_us) {
+    if (inflight + reading > 0 && pgw_now_us() < entry->drain_until_us) {
         pgw_timer_start(entry->loop, timer, DRAIN_CHECK_US);
         return;
     }
@@ -135,9 +139,30 @@
                      atomic_load(&entry->inflight), 0, NULL);
     entry->drain_until_us =
         pgw_now_us() + (uint64_t)entry->settings->drain_timeout_ms * 1000;
-    /* New requests are refused as not run until the last old one has ended;
+    /* New requests are refused as not run until the last old one has ended,
+     * and for a while in any case, in which the balancer sees /readyz;
      * closing the port first would reset callers that just connected. */
-    pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_CHECK_US);
+    pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_LINGER_US);
+}
+
+void
+entry_finish(struct entry *entry)
+{
+    uint64_t until = pgw_now_us() + FINISH_LIMIT_US;
+
+    /*
+     * The drain timeout may have passed. A request that was handed over just
+     * then waits for a loop that has ended, and the HTTP server must not stop
+     * while it holds a connection for one: it would abort the process.
+     */
+    do {
+        pgw_loop_run_tasks(entry->loop);
+        refuse_rest(entry);
+        if (atomic_load(&entry->inflight) == 0) {
+            return;
+        }
+        g_usleep(FINISH_CHECK_US);
+    } while (pgw_now_us() < until);
 }
 
 bool
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -71,6 +71,7 @@
  * @drain_timer: checks whether a planned stop is over
  * @drain_until_us: when it gives up waiting
  * @inflight: exchanges not yet ended, over all threads
+ * @reading: requests whose body is still on its way
  * @usable: upstreams that take new work, for readiness
  * @leaving: no new work
  */
@@ -101,6 +102,7 @@
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
     atomic_uint inflight;
+    atomic_uint reading;
     atomic_uint usable;
     atomic_bool leaving;
 };
@@ -110,6 +112,8 @@
 void entry_free(struct entry *entry);
 /** entry_drain() - begin a planned stop; on the loop's thread */
 void entry_drain(struct entry *entry);
+/** entry_finish() - refuse what is left; after the loop has ended */
+void entry_finish(struct entry *entry);
 bool entry_is_ready(struct entry *entry, char **reason);
 char *entry_status(struct entry *entry);
 
--- a/src/entry/filter_limit.c
+++ b/src/entry/filter_limit.c
@@ -9,15 +9,23 @@
       struct refusal *refusal)
 {
     struct entry *entry = exchange->entry;
+    unsigned inflight;
 
     (void)config;
+    inflight = atomic_fetch_add(&entry->inflight, 1);
+    /*
+     * Counted before the look at @leaving: a planned stop sets that first and
+     * reads the count afterwards, so that one of the two sees the other. Else
+     * a request could pass just before the stop and be handed to a loop that
+     * has ended, and its caller would wait for ever.
+     */
     if (atomic_load(&entry->leaving)) {
+        atomic_fetch_sub(&entry->inflight, 1);
         refusal_set(refusal, PGW_REFUSAL_LEAVING, PGW_RAN_NO, LIMIT_RETRY_MS,
                     "this instance is leaving: send to another one");
         return false;
     }
-    if (atomic_fetch_add(&entry->inflight, 1) >=
-        entry->settings->max_inflight) {
+    if (inflight >= entry->settings->max_inflight) {
         atomic_fetch_sub(&entry->inflight, 1);
         refusal_set(refusal, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
                     LIMIT_RETRY_MS,
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -37,16 +37,32 @@
     exchange_unref(exchange);
 }
 
+static void send_cancel(struct exchange *exchange, uint32_t attempt);
+
 void
 forward_refuse(struct exchange *exchange, const struct refusal *refusal)
 {
     if (exchange->ended) {
         return;
     }
+    if (exchange->attempt.in_flight) {
+        send_cancel(exchange, exchange->attempt_number);
+    }
     relay_refuse(exchange, refusal);
     exchange_end(exchange, refusal);
 }
 
+enum pgw_ran
+forward_ran(const struct exchange *exchange)
+{
+    const struct pgw_attempt *attempt = &exchange->attempt;
+
+    if (!attempt->in_flight || attempt->ran == PGW_RAN_YES) {
+        return attempt->ran;
+    }
+    return attempt->next_sequence > 0 ? PGW_RAN_YES : PGW_RAN_UNKNOWN;
+}
+
 static void
 schedule_timer(struct exchange *exchange)
 {
--- /dev/null
+++ b/src/entry/guard.c
@@ -0,0 +1,203 @@
+#include "entry/guard.h"
+#include "entry/exchange.h"
+#include "util/log.h"
+#include <pthread.h>
+#include <sys/socket.h>
+
+#define CHECK_MIN_US UINT64_C(5000)
+#define CHECK_MAX_US UINT64_C(250000)
+
+/**
+ * struct guard - all connections of the HTTP server
+ * @lock: of the list and its members
+ * @callers: &struct caller
+ */
+struct guard {
+    pthread_mutex_t lock;
+    struct pgw_list callers;
+    struct pgw_loop *loop;
+    struct pgw_timer timer;
+    uint64_t head_us;
+    uint64_t body_us;
+};
+
+/**
+ * struct caller - one connection
+ * @fd: its socket, open as long as it is listed
+ * @due_us: when it is closed unless more has come; UINT64_MAX: never
+ * @fresh: no answer was given on it yet
+ * @in_body: the head is whole
+ */
+struct caller {
+    struct pgw_list link;
+    struct guard *guard;
+    int fd;
+    uint64_t due_us;
+    bool fresh;
+    bool in_body;
+};
+
+/* Nothing of ours is under way to a caller that still sends, so the answer
+ * may go past the HTTP server. It has no hook for this. */
+static void
+send_refusal(const struct caller *caller)
+{
+    struct refusal refusal = {0};
+    GString *text = g_string_new(NULL);
+    char *body;
+
+    refusal_set(&refusal, PGW_REFUSAL_BAD_REQUEST, PGW_RAN_NO, 0,
+                "the %s took too long to come: send it faster, or the "
+                "operator raises %s",
+                caller->in_body ? "body" : "head",
+                caller->in_body ? "body_timeout_ms" : "header_timeout_ms");
+    body = refusal_render(&refusal);
+    g_string_printf(text,
+                    "HTTP/1.1 408 Request Timeout\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                    strlen(body), body);
+    send(caller->fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+    g_string_free(text, TRUE);
+    g_free(body);
+    refusal_dispose(&refusal);
+}
+
+static void
+close_late(struct caller *caller)
+{
+    caller->due_us = UINT64_MAX;
+    /* One that only kept an answered connection open expects no word. */
+    if (caller->fresh || caller->in_body) {
+        pgw_log_info("caller_slow", "part=%s",
+                     caller->in_body ? "body" : "head");
+        send_refusal(caller);
+    }
+    /* The HTTP server sees the end and closes the socket itself. */
+    shutdown(caller->fd, SHUT_RDWR);
+}
+
+static void
+check_due(struct pgw_timer *timer)
+{
+    struct guard *guard = pgw_container_of(timer, struct guard, timer);
+    uint64_t shortest = MIN(guard->head_us, guard->body_us);
+    uint64_t now = pgw_now_us();
+
+    pthread_mutex_lock(&guard->lock);
+    pgw_list_foreach (link, &guard->callers) {
+        struct caller *caller = pgw_container_of(link, struct caller, link);
+
+        if (caller->due_us <= now) {
+            close_late(caller);
+        }
+    }
+    pthread_mutex_unlock(&guard->lock);
+    pgw_timer_start(guard->loop, timer,
+                    CLAMP(shortest / 8, CHECK_MIN_US, CHECK_MAX_US));
+}
+
+struct guard *
+guard_new(struct pgw_loop *loop, uint64_t head_us, uint64_t body_us)
+{
+    struct guard *guard = g_new0(struct guard, 1);
+
+    pthread_mutex_init(&guard->lock, NULL);
+    pgw_list_init(&guard->callers);
+    guard->loop = loop;
+    guard->head_us = head_us;
+    guard->body_us = body_us;
+    guard->timer.on_due = check_due;
+    pgw_timer_start(loop, &guard->timer, CHECK_MIN_US);
+    return guard;
+}
+
+void
+guard_free(struct guard *guard)
+{
+    if (guard == NULL) {
+        return;
+    }
+    pgw_timer_stop(guard->loop, &guard->timer);
+    pthread_mutex_destroy(&guard->lock);
+    g_free(guard);
+}
+
+static void
+caller_add(struct guard *guard, struct MHD_Connection *connection,
+           void **socket_context)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct caller *caller = g_new0(struct caller, 1);
+
+    caller->guard = guard;
+    caller->fd = info->connect_fd;
+    caller->fresh = true;
+    caller->due_us = pgw_now_us() + guard->head_us;
+    *socket_context = caller;
+    pthread_mutex_lock(&guard->lock);
+    pgw_list_append(&guard->callers, &caller->link);
+    pthread_mutex_unlock(&guard->lock);
+}
+
+void
+guard_notify(void *context, struct MHD_Connection *connection,
+             void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+    struct guard *guard = context;
+    struct caller *caller = *socket_context;
+
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        caller_add(guard, connection, socket_context);
+        return;
+    }
+    /* The socket is still open here and closed after this returns. */
+    pthread_mutex_lock(&guard->lock);
+    pgw_list_remove(&caller->link);
+    pthread_mutex_unlock(&guard->lock);
+    *socket_context = NULL;
+    g_free(caller);
+}
+
+static struct caller *
+caller_lock(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    struct caller *caller = info->socket_context;
+
+    pthread_mutex_lock(&caller->guard->lock);
+    return caller;
+}
+
+void
+guard_head_done(struct MHD_Connection *connection)
+{
+    struct caller *caller = caller_lock(connection);
+
+    caller->in_body = true;
+    caller->due_us = pgw_now_us() + caller->guard->body_us;
+    pthread_mutex_unlock(&caller->guard->lock);
+}
+
+void
+guard_body_done(struct MHD_Connection *connection)
+{
+    struct caller *caller = caller_lock(connection);
+
+    caller->in_body = false;
+    caller->due_us = UINT64_MAX;
+    pthread_mutex_unlock(&caller->guard->lock);
+}
+
+void
+guard_answered(struct MHD_Connection *connection)
+{
+    struct caller *caller = caller_lock(connection);
+
+    caller->in_body = false;
+    caller->fresh = false;
+    caller->due_us = pgw_now_us() + caller->guard->head_us;
+    pthread_mutex_unlock(&caller->guard->lock);
+}
--- /dev/null
+++ b/src/entry/guard.h
@@ -0,0 +1,44 @@
+#ifndef PGW_ENTRY_GUARD_H
+#define PGW_ENTRY_GUARD_H
+
+#include "util/loop.h"
+#include <microhttpd.h>
+
+/**
+ * DOC: Limits on the time that a caller takes to send its request
+ *
+ * The HTTP server bounds idle time only. A sender that drips a byte now and
+ * then would hold a connection, and with enough of them all connections, for
+ * as long as it likes; the guard bounds the time for the whole head and for
+ * the whole body.
+ */
+
+struct guard;
+
+/**
+ * guard_new() - make a guard
+ * @loop: looks at the connections
+ * @head_us: time from connecting, or the last answer, to a whole head
+ * @body_us: time from a whole head to a whole body
+ */
+struct guard *guard_new(struct pgw_loop *loop, uint64_t head_us,
+                        uint64_t body_us);
+
+/** guard_free() - after the HTTP server has closed all connections */
+void guard_free(struct guard *guard);
+
+/** guard_notify() - for MHD_OPTION_NOTIFY_CONNECTION, with the guard */
+void guard_notify(void *guard, struct MHD_Connection *connection,
+                  void **socket_context,
+                  enum MHD_ConnectionNotificationCode code);
+
+/** guard_head_done() - the head is whole; the body's time begins */
+void guard_head_done(struct MHD_Connection *connection);
+
+/** guard_body_done() - the request is whole; no limit until the next head */
+void guard_body_done(struct MHD_Connection *connection);
+
+/** guard_answered() - the next head's time begins */
+void guard_answered(struct MHD_Connection *connection);
+
+#endif
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -1,5 +1,6 @@
 #include "entry/http.h"
 #include "entry/exchange.h"
+#include "entry/guard.h"
 #include "parsleygw/errors.h"
 #include "util/address.h"
 #include "util/hex.h"
@@ -15,6 +16,7 @@
 struct http {
     struct MHD_Daemon *daemon;
     struct entry *entry;
+    struct guard *guard;
     uint16_t port;
 };
 
@@ -31,6 +33,11 @@
 
     pgw_request_id_format(text, &exchange->id);
     MHD_add_response_header(response, "X-Pgw-Request-Id", text);
+    /* A caller that keeps the connection would send its next request to a
+     * process that has gone by then. */
+    if (atomic_load(&exchange->entry->leaving)) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     if (output->content_type != NULL && output->content_type[0] != '\0') {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
                                 output->content_type);
@@ -100,6 +107,13 @@
     exchange_unref(context);
 }
 
+static unsigned
+idle_limit_s(const struct pgw_entry_settings *settings)
+{
+    return MAX(settings->header_timeout_ms, settings->body_timeout_ms) / 1000 +
+           1;
+}
+
 /* Queues the response whose status the loop has settled. */
 static enum MHD_Result
 respond(struct exchange *exchange)
@@ -125,6 +139,13 @@
     output->responding = true;
     pthread_mutex_unlock(&output->lock);
     exchange->phase = PHASE_RESPONDED;
+    /* The server's own limit is on idle time and would cut a caller who takes
+     * a pause in reading; it may take one as long as the profile's deadline.
+     */
+    MHD_set_connection_option(exchange->connection,
+                              MHD_CONNECTION_OPTION_TIMEOUT,
+                              exchange->request.deadline_ms / 1000 +
+                                  idle_limit_s(exchange->entry->settings));
     result = MHD_queue_response(exchange->connection, status, response);
     MHD_destroy_response(response);
     return result;
@@ -315,21 +336,13 @@
         refusal_dispose(&refusal);
         return result;
     }
+    atomic_fetch_add(&http->entry->reading, 1);
     copy_head(exchange, path, method);
     pgw_trace_record(http->entry->trace, PGW_TRACE_REQUEST_ACCEPT,
                      &exchange->id, 0, 0, 0, method);
     return MHD_YES;
 }
 
-static bool
-body_is_late(const struct exchange *exchange)
-{
-    uint64_t limit =
-        (uint64_t)exchange->entry->settings->body_timeout_ms * 1000;
-
-    return pgw_now_us() - exchange->began_us > limit;
-}
-
 static void
 take_body(struct exchange *exchange, const char *data, size_t size)
 {
@@ -354,6 +367,7 @@
 
     (void)version;
     if (exchange == NULL) {
+        guard_head_done(connection);
         if (is_probe(method, path)) {
             return respond_probe(http, connection, path);
         }
@@ -362,15 +376,12 @@
     switch (exchange->phase) {
     case PHASE_BODY:
         if (*size > 0) {
-            /* A sender that drips its body would hold memory and a slot for
-             * as long as it likes; the connection is closed instead. */
-            if (body_is_late(exchange)) {
-                return MHD_NO;
-            }
             take_body(exchange, data, *size);
             *size = 0;
             return MHD_YES;
         }
+        guard_body_done(connection);
+        atomic_fetch_sub(&http->entry->reading, 1);
         return hand_over(exchange);
     case PHASE_WAITING:
         return respond(exchange);
@@ -398,7 +409,7 @@
     struct exchange *exchange = *slot;
 
     (void)context;
-    (void)connection;
+    guard_answered(connection);
     if (exchange == NULL) {
         return;
     }
@@ -406,8 +417,10 @@
     pthread_mutex_lock(&exchange->output.lock);
     exchange->output.suspended = false;
     pthread_mutex_unlock(&exchange->output.lock);
-    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-        exchange->phase != PHASE_BODY) {
+    if (exchange->phase == PHASE_BODY) {
+        atomic_fetch_sub(&exchange->entry->reading, 1);
+    }
+    else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
         exchange->gone.run = gone_run;
         exchange_ref(exchange);
         pgw_loop_post(exchange->entry->loop, &exchange->gone);
@@ -425,6 +438,9 @@
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
 
     http->entry = entry;
+    http->guard =
+        guard_new(entry->loop, (uint64_t)settings->header_timeout_ms * 1000,
+                  (uint64_t)settings->body_timeout_ms * 1000);
     if (!pgw_address_parse(&address, settings->listen, error)) {
         goto fail;
     }
@@ -436,8 +452,8 @@
         &address.storage, MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
         MHD_OPTION_CONNECTION_LIMIT, settings->max_inflight + CONNECTION_SLACK,
-        MHD_OPTION_CONNECTION_TIMEOUT,
-        MAX(1u, settings->header_timeout_ms / 1000),
+        MHD_OPTION_CONNECTION_TIMEOUT, idle_limit_s(settings),
+        MHD_OPTION_NOTIFY_CONNECTION, guard_notify, http->guard,
         MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
     if (http->daemon == NULL) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
@@ -449,6 +465,7 @@
     http->port = info == NULL ? 0 : info->port;
     return http;
 fail:
+    guard_free(http->guard);
     g_free(http);
     return NULL;
 }
@@ -464,6 +481,7 @@
 {
     if (http != NULL) {
         MHD_stop_daemon(http->daemon);
+        guard_free(http->guard);
         g_free(http);
     }
 }
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -75,6 +75,7 @@
     http = http_start(entry, error);
     if (http != NULL && serve(entry, http, error)) {
         code = PGW_EXIT_OK;
+        entry_finish(entry);
     }
 done:
     http_stop(http);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -103,8 +103,11 @@
     if (first) {
         exchange->first_token_us = pgw_now_us();
     }
-    exchange->prompt_tokens = started->prompt_tokens;
-    exchange->cached_tokens = started->cached_tokens;
+    /* A resumed attempt's prompt holds the delivered text, too. */
+    if (exchange->resume_from == 0) {
+        exchange->prompt_tokens = started->prompt_tokens;
+        exchange->cached_tokens = started->cached_tokens;
+    }
     exchange_set_upstream(exchange, exchange->target->id);
     if (exchange->format == FORMAT_SERVICE) {
         exchange->service_status = started->status;
