--- a/include/parsleygw/quarantine.h
+++ b/include/parsleygw/quarantine.h
@@ -90,12 +90,16 @@
 /**
  * struct pgw_quarantine_options - settings
  * @owner: incarnation of this process, never 0
- * @run_us: longest run under a permit; after it a silent run is a crash
- * @expiry_us: how long a record counts after its last change
+ * @run_us: how long a permit holds; a live process renews it, a run that
+ *          is not heard of in time counts as a crash
+ * @expiry_us: how long a record counts after its last crash
  * @spread_us: time in which a record reaches all processes; the end of a
  *             crashed run is told that much after the record stands, so that
  *             no caller can send it again to a process that does not know
  * @patience_us: longest wait for a permit, and for a crash to be recorded
+ * @stale_us: longest time since pgw_quarantine_synced() in which this process
+ *            trusts that it knows all records; after it each request is
+ *            checked in the store. 0 (the default): always trusted
  * @poll_us: wait between two looks at a permit that another holds
  * @backoff_us: wait after the store failed
  * @records_max: most fingerprints kept in this process
@@ -106,6 +110,7 @@
     uint64_t expiry_us;
     uint64_t spread_us;
     uint64_t patience_us;
+    uint64_t stale_us;
     uint64_t poll_us;
     uint64_t backoff_us;
     uint32_t records_max;
@@ -174,7 +179,9 @@
  *         store even if nothing is known here
  * @now_us: the time
  *
- * A request that is not suspect is answered at once, without I/O.
+ * A request that is not suspect is answered at once, without I/O. Each
+ * request told to run must be ended by pgw_quarantine_success(), _crash() or
+ * _release(), so that a process knows what runs when a record appears.
  */
 void pgw_quarantine_admit(struct pgw_quarantine_decision *out,
                           struct pgw_quarantine *quarantine,
@@ -242,6 +249,13 @@
                           uint64_t version, const char *value, size_t length,
                           uint64_t now_us);
 
+/**
+ * pgw_quarantine_synced() - all records up to this moment were applied
+ * @quarantine: machine
+ * @now_us: when the watch, or a peer that is up to date, last said so
+ */
+void pgw_quarantine_synced(struct pgw_quarantine *quarantine, uint64_t now_us);
+
 /**
  * pgw_quarantine_next_io() - take a store operation that is due
  * @out: receives it, to be disposed of
--- a/src/libparsleygw/quarantine.c
+++ b/src/libparsleygw/quarantine.c
@@ -29,6 +29,9 @@
     pgw_list_foreach_safe (waiting, &suspect->waiters) {
         g_free(pgw_container_of(waiting, struct pgw_suspect_waiter, link));
     }
+    pgw_list_foreach_safe (running, &suspect->runs) {
+        g_free(pgw_container_of(running, struct pgw_suspect_waiter, link));
+    }
     g_free(suspect);
 }
 
@@ -87,6 +90,12 @@
     return g_hash_table_lookup(quarantine->suspects, fingerprint);
 }
 
+void
+pgw_quarantine_synced(struct pgw_quarantine *quarantine, uint64_t now_us)
+{
+    quarantine->synced_us = MAX(quarantine->synced_us, now_us);
+}
+
 /* The longest untouched entry that only repeats what the store holds. */
 static void
 evict(struct pgw_quarantine *quarantine)
@@ -101,7 +110,8 @@
         bool pending = suspect->runner != 0 ||
                        suspect->outstanding != PGW_IO_NONE ||
                        !pgw_list_is_empty(&suspect->crashes) ||
-                       !pgw_list_is_empty(&suspect->waiters);
+                       !pgw_list_is_empty(&suspect->waiters) ||
+                       !pgw_list_is_empty(&suspect->runs);
 
         if (!pending &&
             (oldest == NULL || suspect->touched_us < oldest->touched_us)) {
@@ -137,6 +147,7 @@
     suspect->touched_us = quarantine->now_us;
     pgw_list_init(&suspect->crashes);
     pgw_list_init(&suspect->waiters);
+    pgw_list_init(&suspect->runs);
     g_hash_table_insert(quarantine->suspects, &suspect->fingerprint, suspect);
     return suspect;
 }
@@ -181,6 +192,14 @@
 
     *out = (struct pgw_quarantine_decision){.ticket = ticket};
     pgw_quarantine__advance(quarantine, now_us);
+    /*
+     * Failure: a process wakes from a long pause and takes a request before
+     * it hears of the records made meanwhile. Symptom: a third upstream
+     * crashes. A copy that may be old is not trusted, the store is asked.
+     */
+    check = check || (quarantine->options.stale_us > 0 &&
+                      quarantine->now_us > quarantine->synced_us +
+                                               quarantine->options.stale_us);
 #ifdef PGW_DISABLE_QUARANTINE_CHECK
     check = false;
 #endif
@@ -189,6 +208,10 @@
     }
     if (crashes == 0 && !check) {
         out->action = PGW_QUARANTINE_RUN;
+        suspect = pgw_quarantine__find_or_add(quarantine, fingerprint);
+        if (suspect != NULL) {
+            pgw_suspect__add_run(suspect, ticket);
+        }
         return;
     }
 #ifndef PGW_DISABLE_QUARANTINE_LIMIT
@@ -211,6 +234,35 @@
     wait_for_store(out, quarantine, suspect);
 }
 
+static void
+remove_ticket(struct pgw_list *head, uint64_t ticket)
+{
+    pgw_list_foreach_safe (link, head) {
+        struct pgw_suspect_waiter *entry =
+            pgw_container_of(link, struct pgw_suspect_waiter, link);
+
+        if (entry->ticket == ticket) {
+            pgw_list_remove(link);
+            g_free(entry);
+        }
+    }
+}
+
+/* The ticket neither waits nor runs any more; true: it held the permit. */
+static bool
+end_ticket(struct pgw_suspect *suspect, uint64_t ticket)
+{
+    bool held = ticket != 0 && suspect->runner == ticket;
+
+    if (held) {
+        suspect->runner = 0;
+        suspect->running = false;
+    }
+    remove_ticket(&suspect->waiters, ticket);
+    remove_ticket(&suspect->runs, ticket);
+    return held;
+}
+
 void
 pgw_quarantine_crash(struct pgw_quarantine *quarantine,
                      const struct pgw_fingerprint *fingerprint,
@@ -224,10 +276,7 @@
     if (suspect == NULL) {
         return;
     }
-    if (suspect->runner == ticket) {
-        suspect->runner = 0;
-        suspect->running = false;
-    }
+    end_ticket(suspect, ticket);
     suspect->cleared = false;
     entry = g_new0(struct pgw_suspect_crash, 1);
     entry->ticket = ticket;
@@ -285,15 +334,11 @@
     if (suspect == NULL) {
         return;
     }
-    if (suspect->runner == ticket) {
-        suspect->runner = 0;
-        suspect->running = false;
-        suspect->cleared = true;
-    }
-    else if (suspect->record.run_owner == 0) {
+    if (end_ticket(suspect, ticket) || suspect->record.run_owner == 0) {
         suspect->cleared =
             suspect->present && pgw_list_is_empty(&suspect->crashes);
     }
+    pgw_quarantine__drop_if_idle(quarantine, suspect);
 }
 
 void
@@ -308,19 +353,7 @@
     if (suspect == NULL) {
         return;
     }
-    if (suspect->runner == ticket) {
-        suspect->runner = 0;
-        suspect->running = false;
-    }
-    pgw_list_foreach_safe (link, &suspect->waiters) {
-        struct pgw_suspect_waiter *waiter =
-            pgw_container_of(link, struct pgw_suspect_waiter, link);
-
-        if (waiter->ticket == ticket) {
-            pgw_list_remove(link);
-            g_free(waiter);
-        }
-    }
+    end_ticket(suspect, ticket);
     pgw_quarantine__drop_if_idle(quarantine, suspect);
 }
 
--- a/src/libparsleygw/quarantine_io.c
+++ b/src/libparsleygw/quarantine_io.c
@@ -55,7 +55,43 @@
 {
     return a->crash_count != b->crash_count ||
            memcmp(a->crashes, b->crashes, sizeof(a->crashes)) != 0 ||
-           a->run_owner != b->run_owner || a->run_permit != b->run_permit;
+           a->run_owner != b->run_owner || a->run_permit != b->run_permit ||
+           a->run_until_us != b->run_until_us;
+}
+
+static void
+draft_run(const struct pgw_quarantine *quarantine, struct pgw_suspect *suspect,
+          struct pgw_list *link)
+{
+    struct pgw_quarantine_record *draft = &suspect->draft;
+
+    suspect->runner =
+        pgw_container_of(link, struct pgw_suspect_waiter, link)->ticket;
+    draft->run_owner = quarantine->options.owner;
+    draft->run_permit = pgw_suspect__permit(quarantine, suspect->runner);
+    draft->run_until_us = quarantine->now_us + quarantine->options.run_us;
+}
+
+static bool
+must_renew(const struct pgw_quarantine *quarantine,
+           const struct pgw_suspect *suspect)
+{
+    return suspect->running && suspect->present &&
+           suspect->record.run_owner == quarantine->options.owner &&
+           quarantine->now_us + quarantine->options.run_us / 2 >=
+               suspect->record.run_until_us;
+}
+
+/* From when on a permit may be given to a request that waits. */
+static uint64_t
+permit_time(const struct pgw_quarantine *quarantine,
+            const struct pgw_suspect *suspect)
+{
+#ifdef PGW_DISABLE_QUARANTINE_SPREAD
+    return 0;
+#else
+    return suspect->record.changed_us + quarantine->options.spread_us;
+#endif
 }
 
 /* The value that the store should hold, and who is to get the permit. */
@@ -64,17 +100,29 @@
 {
     struct pgw_quarantine_record *draft = &suspect->draft;
     struct pgw_list *first = pgw_list_first(&suspect->waiters);
+    struct pgw_list *run = pgw_list_first(&suspect->runs);
 
     *draft = pgw_suspect__effective(quarantine, suspect);
-    if (first == NULL || suspect->running || draft->run_owner != 0 ||
+    if (must_renew(quarantine, suspect) && draft->run_owner != 0) {
+        draft->run_until_us = quarantine->now_us + quarantine->options.run_us;
+    }
+    if (suspect->running || draft->run_owner != 0 ||
         draft->crash_count != PGW_QUARANTINE_CRASHES - 1) {
         return;
     }
-    suspect->runner =
-        pgw_container_of(first, struct pgw_suspect_waiter, link)->ticket;
-    draft->run_owner = quarantine->options.owner;
-    draft->run_permit = pgw_suspect__permit(quarantine, suspect->runner);
-    draft->run_until_us = quarantine->now_us + quarantine->options.run_us;
+    /*
+     * Failure: two copies run when the first crashes its upstream. Symptom:
+     * the first is sent again, crashes a second one, and the copy a third. A
+     * copy that runs already takes the permit as soon as its process hears of
+     * the record, and nobody else gets it before all had time to hear.
+     */
+    if (run != NULL) {
+        draft_run(quarantine, suspect, run);
+    }
+    else if (first != NULL &&
+             quarantine->now_us >= permit_time(quarantine, suspect)) {
+        draft_run(quarantine, suspect, first);
+    }
 }
 
 static bool
@@ -103,6 +151,10 @@
         return true;
     }
     suspect->cleared = false;
+    if (waits && quarantine->now_us < permit_time(quarantine, suspect)) {
+        suspect->retry_us = permit_time(quarantine, suspect);
+        return false;
+    }
     if (waits) {
         /* Another process holds the permit: look again after a while. */
         out->kind = PGW_IO_READ;
@@ -122,6 +174,15 @@
     return false;
 }
 
+/* A run from before the suspicion that should hold the permit. */
+static bool
+has_bare_run(const struct pgw_suspect *suspect)
+{
+    return !pgw_list_is_empty(&suspect->runs) && suspect->present &&
+           !suspect->running && suspect->record.run_owner == 0 &&
+           suspect->record.crash_count == PGW_QUARANTINE_CRASHES - 1;
+}
+
 /* Only a process with something to do writes; the others just know. */
 static bool
 has_work(const struct pgw_quarantine *quarantine,
@@ -129,6 +190,7 @@
 {
     return suspect->read_wanted || suspect->cleared ||
            !pgw_list_is_empty(&suspect->waiters) || has_new_crash(suspect) ||
+           has_bare_run(suspect) || must_renew(quarantine, suspect) ||
            (suspect->present && suspect->runner == 0 &&
             suspect->record.run_owner == quarantine->options.owner);
 }
@@ -289,6 +351,10 @@
             has_work(quarantine, suspect)) {
             next = MIN(next, suspect->retry_us);
         }
+        else if (suspect->running && suspect->present) {
+            next = MIN(next, suspect->record.run_until_us -
+                                 quarantine->options.run_us / 2);
+        }
     }
     return next;
 }
--- a/src/libparsleygw/quarantine_suspect.c
+++ b/src/libparsleygw/quarantine_suspect.c
@@ -99,7 +99,17 @@
     return !suspect->present && !suspect->read_wanted &&
            suspect->runner == 0 && suspect->outstanding == PGW_IO_NONE &&
            pgw_list_is_empty(&suspect->crashes) &&
-           pgw_list_is_empty(&suspect->waiters);
+           pgw_list_is_empty(&suspect->waiters) &&
+           pgw_list_is_empty(&suspect->runs);
+}
+
+void
+pgw_suspect__add_run(struct pgw_suspect *suspect, uint64_t ticket)
+{
+    struct pgw_suspect_waiter *run = g_new0(struct pgw_suspect_waiter, 1);
+
+    run->ticket = ticket;
+    pgw_list_append(&suspect->runs, &run->link);
 }
 
 static void
@@ -123,11 +133,14 @@
 }
 
 static void
-answer_waiter(struct pgw_quarantine *quarantine,
+answer_waiter(struct pgw_quarantine *quarantine, struct pgw_suspect *suspect,
               struct pgw_suspect_waiter *waiter,
               enum pgw_quarantine_action action, enum pgw_refusal refusal)
 {
     tell(quarantine, action, waiter->ticket, refusal);
+    if (action == PGW_QUARANTINE_RUN) {
+        pgw_suspect__add_run(suspect, waiter->ticket);
+    }
     pgw_list_remove(&waiter->link);
     g_free(waiter);
 }
@@ -140,7 +153,7 @@
         suspect->runner = 0;
     }
     pgw_list_foreach_safe (link, &suspect->waiters) {
-        answer_waiter(quarantine,
+        answer_waiter(quarantine, suspect,
                       pgw_container_of(link, struct pgw_suspect_waiter, link),
                       action, refusal);
     }
@@ -167,16 +180,18 @@
     }
 }
 
+/* The permit stands: a run from before the suspicion just goes on. */
 static void
 grant(struct pgw_quarantine *quarantine, struct pgw_suspect *suspect)
 {
+    suspect->running = true;
     pgw_list_foreach_safe (link, &suspect->waiters) {
         struct pgw_suspect_waiter *waiter =
             pgw_container_of(link, struct pgw_suspect_waiter, link);
 
         if (waiter->ticket == suspect->runner) {
-            suspect->running = true;
-            answer_waiter(quarantine, waiter, PGW_QUARANTINE_RUN_ALONE, 0);
+            answer_waiter(quarantine, suspect, waiter,
+                          PGW_QUARANTINE_RUN_ALONE, 0);
         }
     }
 }
@@ -270,7 +285,7 @@
             if (waiter->ticket == suspect->runner) {
                 suspect->runner = 0;
             }
-            answer_waiter(quarantine, waiter, PGW_QUARANTINE_REFUSE,
+            answer_waiter(quarantine, suspect, waiter, PGW_QUARANTINE_REFUSE,
                           PGW_REFUSAL_OVERLOADED);
         }
     }
--- a/src/libparsleygw/quarantine_suspect.h
+++ b/src/libparsleygw/quarantine_suspect.h
@@ -19,7 +19,10 @@
     bool stands;
 };
 
-/** struct pgw_suspect_waiter - a request that waits for the store's word */
+/**
+ * struct pgw_suspect_waiter - a request that waits for the store's word, or
+ * one that runs without a permit
+ */
 struct pgw_suspect_waiter {
     struct pgw_list link;
     uint64_t ticket;
@@ -36,6 +39,7 @@
  * @running: @runner was told to run
  * @cleared: a run came to a good end, so the record is to be deleted
  * @draft: value of the outstanding write
+ * @runs: requests that run beside others since before they were suspect
  */
 struct pgw_suspect {
     struct pgw_fingerprint fingerprint;
@@ -53,6 +57,7 @@
     struct pgw_quarantine_record draft;
     struct pgw_list crashes;
     struct pgw_list waiters;
+    struct pgw_list runs;
 };
 
 /** struct pgw_quarantine_event - a decision that waits to be taken */
@@ -70,6 +75,7 @@
     GHashTable *suspects;
     struct pgw_list events;
     uint64_t now_us;
+    uint64_t synced_us;
 };
 
 /** pgw_quarantine__advance() - take the time, which never goes back */
@@ -87,6 +93,9 @@
 void pgw_quarantine__drop_if_idle(struct pgw_quarantine *quarantine,
                                   struct pgw_suspect *suspect);
 
+/** pgw_suspect__add_run() - remember a request that runs without a permit */
+void pgw_suspect__add_run(struct pgw_suspect *suspect, uint64_t ticket);
+
 /** pgw_suspect__permit() - number of a ticket's permit, unique in the fleet */
 uint64_t pgw_suspect__permit(const struct pgw_quarantine *quarantine,
                              uint64_t ticket);
