--- /dev/null
+++ b/src/entry/upstream.h
@@ -0,0 +1,59 @@
+#ifndef PGW_ENTRY_UPSTREAM_H
+#define PGW_ENTRY_UPSTREAM_H
+
+#include "entry/entry.h"
+
+/**
+ * struct upstream - the sidecar of one upstream as this entry knows it
+ * @entry: owner
+ * @id: instance id; for a seed its address
+ * @zone: availability zone
+ * @address: of the sidecar
+ * @is_seed: only asked for configuration
+ * @declared: configuration still names it
+ * @link: connection, NULL while there is none
+ * @greeted: it said Hello on this connection
+ * @incarnation: of its process, as it said in Hello
+ * @failures: connections that failed in a row
+ * @retry: next connection, or next look at a silent one
+ * @attempts: exchanges whose current attempt runs there
+ * @charge: what this entry sent there of late
+ */
+struct upstream {
+    struct entry *entry;
+    char *id;
+    char *zone;
+    struct pgw_address address;
+    bool is_seed;
+    bool declared;
+    struct pgw_link *link;
+    bool greeted;
+    uint64_t incarnation;
+    unsigned failures;
+    struct pgw_timer retry;
+    struct pgw_list attempts;
+    struct pgw_place_charge charge;
+};
+
+/** upstream_can_talk() - connected and greeted, also while leaving */
+bool upstream_can_talk(const struct upstream *upstream);
+
+/** upstreams_apply() - bring the table in line with the configuration */
+void upstreams_apply(struct entry *entry);
+
+/** upstreams_add_seeds() - connect to the settings' seeds */
+bool upstreams_add_seeds(struct entry *entry, GError **error);
+
+/** upstreams_free() - close everything; the loop must not be running */
+void upstreams_free(struct entry *entry);
+
+/** pools_refresh() - rebuild the pools if membership has changed */
+void pools_refresh(struct entry *entry);
+
+/** pool_free() - for the table of pools */
+void pool_free(gpointer data);
+
+/** pool_find() - the pool as membership stands now, or NULL */
+struct pool *pool_find(struct entry *entry, const char *name);
+
+#endif
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -96,10 +96,11 @@
   char *version;
   size_t n_levels;
   Pgw__Level **levels;
+  uint32_t share;
 };
 #define PGW__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__probe__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 struct  Pgw__ProbeReply
@@ -194,10 +195,14 @@
    * bytes that the entry takes before it grants more
    */
   uint32_t window;
+  /*
+   * may have crashed an engine: look into the store
+   */
+  protobuf_c_boolean suspect;
 };
 #define PGW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__open__descriptor) \
-    , {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -342,22 +347,37 @@
 
 
 /*
- * Configuration objects held, for anti-entropy; absent objects are version 0.
+ * Anti-entropy over configuration objects, from coarse to fine: a summary
+ * that differs is answered with bucket hashes, these with the versions in the
+ * buckets that differ, these with the newer objects.
  */
 struct  Pgw__Digest
 {
   ProtobufCMessage base;
+  /*
+   * hash over all versions held
+   */
+  uint64_t summary;
+  /*
+   * one hash for each bucket of names
+   */
+  size_t n_buckets;
+  uint64_t *buckets;
+  /*
+   * buckets that "objects" lists in full
+   */
+  size_t n_covered;
+  uint32_t *covered;
   size_t n_objects;
   Pgw__ObjectVersion **objects;
-  protobuf_c_boolean reply_wanted;
   /*
-   * hash over all versions: equal means nothing to do
+   * objects are listed for the last time
    */
-  uint64_t summary;
+  protobuf_c_boolean answer;
 };
 #define PGW__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__digest__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Pgw__ObjectVersion
