--- a/bench/bench/fleet.c
+++ b/bench/bench/fleet.c
@@ -7,11 +7,25 @@
 #include "failure/harness_http.h"
 
 #define READY_LIMIT_S 30
+#define ENTRY_INFLIGHT 4096u
 #define US_PER_TICK (1000000 / (uint64_t)sysconf(_SC_CLK_TCK))
 
 static void put_object(struct fleet *fleet, const char *kind, const char *name,
                        const char *format, ...) G_GNUC_PRINTF(4, 5);
 
+/* The first number with that name in a JSON text of our own programs. */
+static uint64_t
+find_number(const char *text, const char *name)
+{
+    char *quoted = g_strdup_printf("\"%s\":", name);
+    const char *found = strstr(text, quoted);
+    uint64_t value =
+        found == NULL ? 0 : g_ascii_strtoull(found + strlen(quoted), NULL, 10);
+
+    g_free(quoted);
+    return value;
+}
+
 static void
 put_object(struct fleet *fleet, const char *kind, const char *name,
            const char *format, ...)
@@ -109,15 +123,29 @@
 static struct harness_process *
 spawn_engine(struct fleet *fleet, unsigned engine, uint16_t port)
 {
+    const struct fleet_options *options = &fleet->options;
     char port_text[16], scale[G_ASCII_DTOSTR_BUF_SIZE], seed[16];
+    char decode[16], batch[16];
+    const char *args[24] = {
+        "--model", options->scenario->model, "--version", "w1",     "--port",
+        port_text, "--time-scale",           scale,       "--seed", seed};
 
     snprintf(port_text, sizeof(port_text), "%u", port);
     snprintf(seed, sizeof(seed), "%u", engine + 1);
-    g_ascii_dtostr(scale, sizeof(scale), fleet->options.time_scale);
-    return harness_spawn(fleet->harness, "standin-engine", "--model",
-                         fleet->options.scenario->model, "--version", "w1",
-                         "--port", port_text, "--time-scale", scale, "--seed",
-                         seed, NULL);
+    g_ascii_dtostr(scale, sizeof(scale), options->time_scale);
+    if (options->instant) {
+        static const char *const instant[] = {"--prefill-rate", "1e9",
+                                              "--prefill-chunk", "1000000"};
+
+        memcpy(args + 10, instant, sizeof(instant));
+        snprintf(decode, sizeof(decode), "%u", options->decode_ms);
+        args[14] = "--decode-ms";
+        args[15] = decode;
+        snprintf(batch, sizeof(batch), "%u", MAX(options->max_running, 32));
+        args[16] = "--batch";
+        args[17] = batch;
+    }
+    return harness_spawnv(fleet->harness, "standin-engine", args);
 }
 
 static void
@@ -125,14 +153,14 @@
 {
     const struct fleet_options *options = &fleet->options;
 
-    for (unsigned i = 0; i < options->engines; i++) {
+    for (unsigned i = 0; i < options->scenario->engines; i++) {
         fleet->engines[i] = spawn_engine(fleet, i, 0);
     }
     for (unsigned i = 0; i < options->scenario->services; i++) {
         fleet->services[i] = harness_spawn(fleet->harness, "standin-service",
                                            "--delay-ms", "5", NULL);
     }
-    for (unsigned i = 0; i < options->engines; i++) {
+    for (unsigned i = 0; i < options->scenario->engines; i++) {
         fleet->engine_ports[i] = harness_process_port(fleet->engines[i]);
     }
     for (unsigned i = 0; i < options->scenario->services; i++) {
@@ -154,12 +182,13 @@
         "{\"instance\":\"%s\",\"zone\":\"%s\",\"pool\":\"%s\","
         "\"listen\":\"127.0.0.1:0\",\"admin_listen\":\"127.0.0.1:0\","
         "\"upstream_url\":\"http://127.0.0.1:%u\",\"upstream_type\":\"%s\","
-        "\"store_url\":\"%s\",\"log_level\":\"warning\"}",
+        "\"store_url\":\"%s\",\"max_running\":%u,"
+        "\"log_level\":\"warning\"}",
         name, scenario->zones[number % 3],
         service ? scenario->service_pool : scenario->pool,
         service ? fleet->service_ports[number] : fleet->engine_ports[number],
-        service ? "service" : "model",
-        harness_process_url(fleet->objects, ""));
+        service ? "service" : "model", harness_process_url(fleet->objects, ""),
+        MAX(fleet->options.max_running, 32));
     return harness_spawn(fleet->harness, "parsleygw-sidecar", "--config", path,
                          NULL);
 }
@@ -168,7 +197,7 @@
 start_sidecars(struct fleet *fleet)
 {
     const struct scenario *scenario = fleet->options.scenario;
-    unsigned engines = fleet->options.engines;
+    unsigned engines = fleet->options.scenario->engines;
     unsigned total = engines + scenario->services;
 
     for (unsigned i = 0; i < total; i++) {
@@ -209,12 +238,35 @@
         "\"max_inflight\":%u,\"log_level\":\"error\"}",
         name, options->scenario->zones[number % 3], fleet->entry_ports[number],
         harness_process_url(fleet->objects, ""), fleet->sidecar_ports[0],
-        fleet->sidecar_ports[options->engines - 1], options->policy,
-        options->max_inflight > 0 ? options->max_inflight : 4096);
+        fleet->sidecar_ports[options->scenario->engines - 1], options->policy,
+        ENTRY_INFLIGHT);
     return harness_spawn(fleet->harness, "parsleygw-entry", "--config", path,
                          NULL);
 }
 
+uint64_t
+fleet_entry_status(struct fleet *fleet, unsigned entry, const char *name)
+{
+    char *output = harness_process_output(fleet->entries[entry]);
+    const char *line = strstr(output, "admin_port=");
+    struct harness_answer answer;
+    uint64_t value = 0;
+
+    if (line != NULL) {
+        unsigned port =
+            (unsigned)g_ascii_strtoull(line + strlen("admin_port="), NULL, 10);
+        char url[64];
+
+        snprintf(url, sizeof(url), "http://127.0.0.1:%u/status", port);
+        if (harness_get(&answer, url) == 200) {
+            value = find_number(answer.body->str, name);
+        }
+        harness_answer_dispose(&answer);
+    }
+    g_free(output);
+    return value;
+}
+
 struct readiness {
     struct fleet *fleet;
     unsigned entry;
@@ -225,30 +277,11 @@
 reaches_all(void *data)
 {
     struct readiness *readiness = data;
-    struct fleet *fleet = readiness->fleet;
-    struct harness_answer answer;
-    char url[64], *output;
-    const char *line, *found;
-    bool good = false;
-    unsigned expected =
-        fleet->options.engines + fleet->options.scenario->services;
-
-    output = harness_process_output(fleet->entries[readiness->entry]);
-    line = strstr(output, "admin_port=");
-    if (line != NULL) {
-        snprintf(url, sizeof(url), "http://127.0.0.1:%u/status",
-                 (unsigned)g_ascii_strtoull(line + strlen("admin_port="), NULL,
-                                            10));
-        if (harness_get(&answer, url) == 200 &&
-            (found = strstr(answer.body->str, "\"usable_upstreams\":")) !=
-                NULL) {
-            good = g_ascii_strtoull(found + strlen("\"usable_upstreams\":"),
-                                    NULL, 10) >= expected;
-        }
-        harness_answer_dispose(&answer);
-    }
-    g_free(output);
-    return good;
+    const struct scenario *scenario = readiness->fleet->options.scenario;
+
+    return fleet_entry_status(readiness->fleet, readiness->entry,
+                              "usable_upstreams") >=
+           scenario->engines + scenario->services;
 }
 
 static void
@@ -280,9 +313,6 @@
     struct fleet *fleet = g_new0(struct fleet, 1);
 
     fleet->options = *options;
-    if (fleet->options.engines == 0) {
-        fleet->options.engines = options->scenario->engines;
-    }
     if (fleet->options.entries == 0) {
         fleet->options.entries = FLEET_ENTRIES;
     }
@@ -308,14 +338,11 @@
 engine_prefilled(struct fleet *fleet, unsigned engine)
 {
     struct harness_answer answer;
-    const char *found;
     uint64_t tokens = 0;
 
     if (harness_get(&answer, harness_process_url(fleet->engines[engine],
-                                                 "/_stats")) == 200 &&
-        (found = strstr(answer.body->str, "\"prefilled_tokens\":")) != NULL) {
-        tokens = g_ascii_strtoull(found + strlen("\"prefilled_tokens\":"),
-                                  NULL, 10);
+                                                 "/_stats")) == 200) {
+        tokens = find_number(answer.body->str, "prefilled_tokens");
     }
     harness_answer_dispose(&answer);
     return tokens;
@@ -326,7 +353,7 @@
 {
     uint64_t tokens = fleet->prefilled_before_crash;
 
-    for (unsigned i = 0; i < fleet->options.engines; i++) {
+    for (unsigned i = 0; i < fleet->options.scenario->engines; i++) {
         tokens += engine_prefilled(fleet, i);
     }
     return tokens;
@@ -362,22 +389,19 @@
 void
 fleet_sample(struct fleet *fleet, struct fleet_sample *sum)
 {
-    for (unsigned i = 0; i < fleet->options.engines; i++) {
+    for (unsigned i = 0; i < fleet->options.scenario->engines; i++) {
         char url[64];
         struct harness_answer answer;
-        unsigned running = 0, waiting = 0;
-        const char *found;
 
         snprintf(url, sizeof(url), "http://127.0.0.1:%u/load",
                  fleet->engine_ports[i]);
-        if (harness_get(&answer, url) == 200 &&
-            (found = strstr(answer.body->str, "\"running\"")) != NULL &&
-            sscanf(found, "\"running\":%u,\"waiting\":%u", &running,
-                   &waiting) == 2) {
+        if (harness_get(&answer, url) == 200) {
+            uint64_t running = find_number(answer.body->str, "running");
+
             sum->asked++;
             sum->busy += running > 0;
             sum->running += running;
-            sum->waiting += waiting;
+            sum->waiting += find_number(answer.body->str, "waiting");
         }
         harness_answer_dispose(&answer);
     }
--- a/bench/bench/fleet.h
+++ b/bench/bench/fleet.h
@@ -17,17 +17,19 @@
 
 /**
  * struct fleet_options - what is started
- * @engines: of the scenario's, 0 for all of them
- * @entries: one a zone, at most %FLEET_ENTRIES
- * @event_poll_ms: of the sidecars, 0 for the default
+ * @entries: one a zone, at most %FLEET_ENTRIES; 0 for that many
+ * @instant: engines need no time for a prompt
+ * @decode_ms: of an instant engine, for each token
+ * @max_running: calls that one engine runs at once, 0 for the default
  */
 struct fleet_options {
     const struct scenario *scenario;
     const char *policy;
     double time_scale;
-    unsigned engines;
     unsigned entries;
-    unsigned max_inflight;
+    bool instant;
+    unsigned decode_ms;
+    unsigned max_running;
 };
 
 struct fleet {
@@ -64,14 +66,18 @@
  * @busy: of these, engines that ran something
  */
 struct fleet_sample {
-    unsigned asked;
-    unsigned busy;
-    unsigned running;
-    unsigned waiting;
+    uint64_t asked;
+    uint64_t busy;
+    uint64_t running;
+    uint64_t waiting;
 };
 
 void fleet_sample(struct fleet *fleet, struct fleet_sample *sum);
 
+/** fleet_entry_status() - a number of an entry's /status, 0 without answer */
+uint64_t fleet_entry_status(struct fleet *fleet, unsigned entry,
+                            const char *name);
+
 /** fleet_prefilled() - prompt tokens that all engines computed so far */
 uint64_t fleet_prefilled(struct fleet *fleet);
 
--- a/bench/bench/main.c
+++ b/bench/bench/main.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "fault.h"
+#include "report.h"
 #include "run.h"
 
 /**
@@ -78,8 +79,18 @@
 static void
 measure(JsonBuilder *out, const struct bench_options *options)
 {
-    if (options->mode != MODE_POLICIES) {
+    switch (options->mode) {
+    case MODE_OVERHEAD:
+        run_overhead(out, options);
         return;
+    case MODE_STREAMS:
+        run_streams(out, options);
+        return;
+    case MODE_SATURATE:
+        run_saturate(out, options);
+        return;
+    default:
+        break;
     }
     write_text(out, "scenario", options->scenario->name);
     json_builder_set_member_name(out, "seed");
@@ -93,28 +104,59 @@
     run_policies(out, options);
 }
 
+static JsonNode *
+run(const struct bench_options *options)
+{
+    JsonBuilder *out = json_builder_new();
+    JsonNode *root;
+
+    json_builder_begin_object(out);
+    measure(out, options);
+    json_builder_end_object(out);
+    root = json_builder_get_root(out);
+    g_object_unref(out);
+    return root;
+}
+
+static JsonNode *
+read_output(const char *path)
+{
+    JsonParser *parser = json_parser_new();
+    GError *error = NULL;
+    JsonNode *root = NULL;
+
+    if (json_parser_load_from_file(parser, path, &error)) {
+        root = json_parser_steal_root(parser);
+    }
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        fprintf(stderr, "parsleygw-bench: %s: give an earlier output\n",
+                error == NULL ? path : error->message);
+        exit(1);
+    }
+    g_object_unref(parser);
+    return root;
+}
+
 int
 main(int argc, char **argv)
 {
     struct bench_options options;
-    JsonBuilder *out;
     JsonNode *root;
     char *text;
+    bool good = true;
 
     bench_options_parse(&options, argc, argv);
     find_programs();
     raise_file_limit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    out = json_builder_new();
-    json_builder_begin_object(out);
-    measure(out, &options);
-    json_builder_end_object(out);
-    root = json_builder_get_root(out);
-    text = json_to_string(root, TRUE);
+    root = options.from != NULL ? read_output(options.from) : run(&options);
+    text = json_to_string(root, FALSE);
     puts(text);
+    if (options.report != NULL) {
+        good = report_write(options.report, root);
+    }
     g_free(text);
     json_node_unref(root);
-    g_object_unref(out);
     g_strfreev(options.policies);
-    return 0;
+    return good ? 0 : 1;
 }
--- a/bench/bench/measure.c
+++ b/bench/bench/measure.c
@@ -281,16 +281,16 @@
     const struct fleet_sample *sample = &measure->sample;
     GArray *late = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     double wall_s = (double)measure->wall_us / US_PER_S;
-    double asked = MAX(sample->asked, 1);
+    double asked = (double)MAX(sample->asked, 1);
 
     for (guint i = 0; i < measure->schedule->len; i++) {
         g_array_append_val(late, measure->results[i].late_us);
     }
     json_builder_set_member_name(out, "engines");
     json_builder_begin_object(out);
-    write_number(out, "busy", sample->busy / asked);
-    write_number(out, "running", sample->running / asked);
-    write_number(out, "waiting", sample->waiting / asked);
+    write_number(out, "busy", (double)sample->busy / asked);
+    write_number(out, "running", (double)sample->running / asked);
+    write_number(out, "waiting", (double)sample->waiting / asked);
     write_number(out, "prefill_use",
                  (double)measure->prefilled /
                      (PREFILL_RATE * measure->options->time_scale * wall_s *
--- a/bench/bench/options.c
+++ b/bench/bench/options.c
@@ -25,6 +25,7 @@
     OPTION_SATURATE,
     OPTION_RATE,
     OPTION_REPORT,
+    OPTION_FROM,
     OPTION_HELP,
 };
 
@@ -45,6 +46,7 @@
     {"saturate", no_argument, NULL, OPTION_SATURATE},
     {"rate", required_argument, NULL, OPTION_RATE},
     {"report", required_argument, NULL, OPTION_REPORT},
+    {"from", required_argument, NULL, OPTION_FROM},
     {"help", no_argument, NULL, OPTION_HELP},
     {NULL, 0, NULL, 0},
 };
@@ -63,6 +65,7 @@
     "  --threads N       threads of callers (4)\n"
     "  --json            print JSON (always done; accepted for scripts)\n"
     "  --report DIR      also write a page with plots\n"
+    "  --from FILE       of an earlier output; runs nothing\n"
     "other measurements, in place of a scenario:\n"
     "  --overhead        latency added by entry and sidecar, at --rate (500)\n"
     "  --streams N       memory of one entry that holds N open streams\n"
@@ -120,6 +123,9 @@
             fail("--faults: write some of crash,shift,herd,burst", text);
         }
         break;
+    case OPTION_FROM:
+        out->from = text;
+        break;
     default:
         out->report = text;
         break;
@@ -198,6 +204,7 @@
         case OPTION_POLICY:
         case OPTION_FAULTS:
         case OPTION_REPORT:
+        case OPTION_FROM:
             set_text(out, option, optarg);
             break;
         case '?':
--- a/bench/bench/options.h
+++ b/bench/bench/options.h
@@ -32,6 +32,7 @@
     unsigned streams;
     double rate;
     const char *report;
+    const char *from;
 };
 
 /** bench_options_parse() - read the command line; exits on a wrong one */
