--- a/src/cli/timeline_text.c
+++ b/src/cli/timeline_text.c
@@ -1,5 +1,6 @@
 #include "cli/timeline.h"
 
+#include "cli/objects.h"
 #include "util/trace.h"
 
 static const struct pgw_timeline_lane *
@@ -106,8 +107,6 @@
         add_text(object, "request", event->request);
     }
     json_object_set_int_member(object, "attempt", event->attempt);
-    json_object_set_int_member(object, "a", (gint64)event->a);
-    json_object_set_int_member(object, "b", (gint64)event->b);
     add_text(object, "text", event->text);
     add_text(object, "details", details);
     g_free(details);
@@ -137,7 +136,7 @@
     json_object_set_array_member(root, "events", events);
     json_object_set_array_member(root, "missing", missing);
     json_node_take_object(node, root);
-    text = json_to_string(node, TRUE);
+    text = pgw_cli_json_text(node, true);
     json_node_unref(node);
     return text;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -3,8 +3,10 @@
 
 #include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
+#include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/config.h"
+#include "parsleygw/member.h"
 #include "parsleygw/place.h"
 #include "parsleygw/retry.h"
 #include "parsleygw/settings.h"
@@ -49,10 +51,15 @@
  * @sync: configuration replica
  * @set: its objects
  * @feed: what the store says
+ * @suspects: quarantine records, shared with all processes
  * @config: snapshot of @set that the loop uses
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
  * @pools: &struct pool by name
+ * @members: which upstreams may be given work
+ * @view: what @pools was built from
+ * @list_timer: next look at the platform's list
+ * @worker: makes store calls
  * @exchanges: &struct exchange by request id
  * @budget: retry budget
  * @trace: the time line's ring
@@ -74,10 +81,15 @@
     struct pgw_sync *sync;
     struct pgw_config_set *set;
     struct pgw_config_feed *feed;
+    struct pgw_suspects *suspects;
     struct pgw_config *config;
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
     GHashTable *pools;
+    struct pgw_members *members;
+    struct pgw_member_view *view;
+    struct pgw_timer list_timer;
+    struct pgw_store_worker *worker;
     GHashTable *exchanges;
     struct pgw_retry_budget *budget;
     struct pgw_trace *trace;
--- a/src/libparsleygw/watch_rule.c
+++ b/src/libparsleygw/watch_rule.c
@@ -20,16 +20,18 @@
 {
     uint64_t own = weight(self, zone);
     unsigned better = 0;
+    bool listed = n == 0;
 
     for (size_t i = 0; i < n && better < k; i++) {
         uint64_t other = weight(peers[i], zone);
         int order = strcmp(peers[i], self);
 
+        listed |= order == 0;
         if (order != 0 && (other > own || (other == own && order > 0))) {
             better++;
         }
     }
-    return better < k;
+    return listed && better < k;
 }
 
 uint64_t
@@ -72,13 +74,15 @@
                 const char *value, void *data)
 {
     struct missing *missing = data;
+    bool is_younger = version > missing->batch->list.version;
 
     /* A store that answers from the past misses objects younger than its
      * answer; taking those as deleted would drop an accepted object. */
-    if (value != NULL && strcmp(kind, missing->batch->kind) == 0 &&
-#ifndef PGW_DISABLE_WATCH_OLD_LIST
-        version <= missing->batch->list.version &&
+#ifdef PGW_DISABLE_WATCH_OLD_LIST
+    is_younger = false;
 #endif
+    if (value != NULL && !is_younger &&
+        strcmp(kind, missing->batch->kind) == 0 &&
         !g_hash_table_contains(missing->listed, name)) {
         g_ptr_array_add(missing->names, g_strdup(name));
     }
@@ -109,10 +113,27 @@
     g_hash_table_unref(missing.listed);
 }
 
+/* A listed object that this program refused keeps its older form, which a
+ * list's version must not turn into a deletion. */
+static bool
+is_complete(const struct pgw_watch_batch *batch,
+            const struct pgw_config_set *set)
+{
+    for (size_t i = 0; i < batch->list.n; i++) {
+        const struct pgw_store_object *object = &batch->list.objects[i];
+
+        if (pgw_config_set_version(set, batch->kind, object->name) <
+            object->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
-pgw_watch_batch_foreach(const struct pgw_watch_batch *batch,
-                        const struct pgw_config_set *set,
-                        pgw_config_object_func func, void *data)
+pgw_watch_batch_apply(const struct pgw_watch_batch *batch,
+                      struct pgw_config_set *set, pgw_config_object_func func,
+                      void *data)
 {
     if (batch->whole) {
         foreach_missing(batch, set, func, data);
@@ -126,4 +147,7 @@
                  data);
         }
     }
+    if (batch->whole && is_complete(batch, set)) {
+        pgw_config_set_listed(set, batch->kind, batch->list.version);
+    }
 }
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -1,4 +1,6 @@
 #include "sidecar/gate.h"
+#include "sidecar/claims.h"
+#include "sidecar/suspicion.h"
 #include "util/log.h"
 #include <xxhash.h>
 
@@ -34,7 +36,9 @@
     struct sidecar *sidecar = run->sidecar;
 
     pgw_list_remove(&run->link);
+    pgw_list_remove(&run->held);
     pgw_timer_stop(sidecar->loop, &run->deadline);
+    suspicion_released(sidecar->suspicion, run);
     if (run->transfer != NULL) {
         pgw_transfer_cancel(run->transfer);
     }
@@ -44,10 +48,38 @@
     pgw_frame_free(&run->open->base);
     pgw_buffer_dispose(&run->line);
     g_free(run->finish_reason);
+    g_free(run->content_type);
+    if (run->answer != NULL) {
+        g_byte_array_unref(run->answer);
+    }
     g_free(run);
     sidecar->runs--;
 }
 
+static void run_hand_over(struct run *run);
+static void run_start(struct run *run);
+
+/* A suspect starts once it is alone; the others once no suspect is left. */
+static void
+release_held(struct sidecar *sidecar)
+{
+    struct pgw_list *link;
+
+    if (sidecar->exclusive != NULL) {
+        if (sidecar->handed == 0 && sidecar->exclusive->state == RUN_WAITING) {
+            run_hand_over(sidecar->exclusive);
+        }
+        return;
+    }
+    while (sidecar->exclusive == NULL &&
+           (link = pgw_list_first(&sidecar->held)) != NULL) {
+        struct run *run = pgw_container_of(link, struct run, held);
+
+        pgw_list_remove(link);
+        run_start(run);
+    }
+}
+
 void
 gate_finish(struct run *run)
 {
@@ -60,15 +92,45 @@
         pgw_admit_done(sidecar->admit, &run->item, run->completion_tokens,
                        pgw_now_us());
     }
+    if (run->state >= RUN_SENT) {
+        sidecar->handed--;
+    }
+    if (sidecar->exclusive == run) {
+        sidecar->exclusive = NULL;
+    }
     run_free(run);
+    release_held(sidecar);
     gate_pump(sidecar);
 }
 
+static const char *
+claim_advice(enum pgw_refusal refusal)
+{
+    switch (refusal) {
+    case PGW_REFUSAL_STORE_DOWN:
+        return "the store does not take the claim now: send again with the "
+               "same key";
+    case PGW_REFUSAL_DUPLICATE:
+        return "the key was used before and its outcome is not known: look "
+               "at the service before you use a new key";
+    case PGW_REFUSAL_EXPIRED:
+        return "the key is older than the retention: whether it ran is no "
+               "longer known";
+    case PGW_REFUSAL_BAD_REQUEST:
+        return "the idempotency key is malformed: send up to 128 printable "
+               "characters, best a UUIDv7";
+    default:
+        return pgw_refusal_name(refusal);
+    }
+}
+
 static void
-run_start(struct run *run)
+run_hand_over(struct run *run)
 {
     run->state = RUN_SENT;
     run->sent_us = pgw_now_us();
+    run->engine = run->sidecar->engine.incarnation;
+    run->sidecar->handed++;
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_START,
                      &run->key.request, run->key.attempt,
                      run->item.uncached_tokens, run->open->prompt_tokens,
@@ -76,18 +138,98 @@
     run->call->start(run);
 }
 
+/* The gate has a place free at the upstream. */
+static void
+run_start(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+
+    if (sidecar->exclusive != NULL) {
+        pgw_list_append(&sidecar->held, &run->held);
+        return;
+    }
+    /* An engine that a suspect crashes takes everything beside it along, and
+     * nobody could say which of them it was. */
+    if (run->alone) {
+        sidecar->exclusive = run;
+        if (sidecar->handed > 0) {
+            return;
+        }
+    }
+    if (run->open->repeatable) {
+        run_hand_over(run);
+        return;
+    }
+    run->state = RUN_CLAIMING;
+    run->answer = g_byte_array_new();
+    claims_ask(run->sidecar->claims, run);
+}
+
+static void
+run_replay(struct run *run, const struct pgw_claim_decision *decision)
+{
+    gsize size = 0;
+    const void *body = decision->body == NULL
+                           ? NULL
+                           : g_bytes_get_data(decision->body, &size);
+
+    run->replayed = true;
+    run->status = decision->status;
+    run_send_started(run, decision->content_type, "", 0);
+    run_send_data(run, body, size, 0, 0);
+    run_send_end(run);
+    gate_finish(run);
+}
+
+void
+gate_claim_decided(struct run *run, const struct pgw_claim_decision *decision)
+{
+    switch (decision->action) {
+    case PGW_CLAIM_RUN:
+        /* The claim stands in the store before the first byte leaves for the
+         * service: whatever dies from here on, nobody else runs the key. */
+        run_hand_over(run);
+        break;
+    case PGW_CLAIM_REPLAY:
+        run->claim = NULL;
+        run_replay(run, decision);
+        break;
+    default:
+        run->claim = NULL;
+        run_send_fail(run, decision->refusal, decision->ran,
+                      decision->retry_after_ms,
+                      claim_advice(decision->refusal));
+        gate_finish(run);
+        break;
+    }
+}
+
+/* Whether the attempt certainly has not run and now never will. */
+static bool
+run_withdraw(struct run *run)
+{
+    if (run->state == RUN_CLAIMING) {
+        return claims_cancel(run->sidecar->claims, run);
+    }
+    return run->state == RUN_WAITING;
+}
+
 static void
 run_expire(struct run *run)
 {
-    bool waiting = run->state == RUN_WAITING;
+    bool withdrawn;
 
+    if (run->state == RUN_BROKEN) {
+        return;
+    }
+    withdrawn = run_withdraw(run);
     run_send_fail(run, PGW_REFUSAL_DEADLINE,
-                  waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
-                  waiting ? "the deadline passed while the request waited"
-                          : "the deadline passed while the request ran");
+                  withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                  withdrawn ? "the deadline passed while the request waited"
+                            : "the deadline passed while the request ran");
     /* A call that may not be repeated runs on: cutting it off would leave
      * even its service unsure whether it ran. */
-    if (waiting || run->open->repeatable) {
+    if (withdrawn || run->open->repeatable) {
         gate_finish(run);
     }
 }
@@ -217,6 +359,10 @@
     sidecar->runs++;
     pgw_list_append(&sidecar->all_runs, &run->link);
     g_hash_table_insert(peer->runs, &run->key, run);
+    if (open->fingerprint.len == PGW_FINGERPRINT_SIZE) {
+        memcpy(run->fingerprint.bytes, open->fingerprint.data,
+               PGW_FINGERPRINT_SIZE);
+    }
     pgw_timer_start(sidecar->loop, &run->deadline,
                     (uint64_t)open->deadline_ms * 1000);
     return run;
@@ -271,24 +417,108 @@
         run_free(run);
         return;
     }
-    run_offer(run);
+    if (!sidecar->is_model || suspicion_ask(sidecar->suspicion, run)) {
+        run_offer(run);
+    }
+}
+
+void
+gate_suspicion_decided(struct run *run,
+                       const struct pgw_quarantine_decision *decision)
+{
+    switch (decision->action) {
+    case PGW_QUARANTINE_RUN_ALONE:
+        run->alone = true;
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_RUN:
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_REFUSE:
+        run_send_fail(run, decision->refusal, PGW_RAN_NO,
+                      decision->retry_after_ms,
+                      "the request crashed upstreams before: an operator can "
+                      "lift the quarantine");
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_RECORDED:
+    case PGW_QUARANTINE_UNRECORDED:
+        if (!run->ended) {
+            run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                          "the engine died while it ran the request");
+        }
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_PENDING:
+        break;
+    }
+}
+
+void
+gate_run_broke(struct run *run)
+{
+    run->state = RUN_BROKEN;
+    if (run->sidecar->engine.alive) {
+        engine_suspect(&run->sidecar->engine);
+    }
+    else {
+        gate_engine_told(run->sidecar);
+    }
+}
+
+static void
+settle_broken(struct run *run)
+{
+    const struct engine *engine = &run->sidecar->engine;
+
+    if (run->settled) {
+        return;
+    }
+    run->settled = true;
+    if (!engine->alive || engine->incarnation != run->engine) {
+        suspicion_crashed(run->sidecar->suspicion, run, run->engine);
+        return;
+    }
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                      "the upstream broke off its answer");
+    }
+    gate_finish(run);
+}
+
+void
+gate_engine_told(struct sidecar *sidecar)
+{
+    pgw_list_foreach_safe (link, &sidecar->all_runs) {
+        struct run *run = pgw_container_of(link, struct run, link);
+
+        if (run->state == RUN_BROKEN) {
+            settle_broken(run);
+        }
+    }
 }
 
 /* The entry no longer wants the attempt. */
 static void
 run_abandon(struct run *run)
 {
-    bool waiting = run->state == RUN_WAITING;
+    bool withdrawn;
 
-    if (!waiting && !run->open->repeatable) {
+    /* Its crash is still to be told, whoever waits for the answer. */
+    if (run->state == RUN_BROKEN) {
+        return;
+    }
+    withdrawn = run_withdraw(run);
+    if (!withdrawn && !run->open->repeatable) {
         return;
     }
     if (!run->ended) {
         run_send_fail(run, PGW_REFUSAL_CANCELLED,
-                      waiting ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0, "cancelled");
+                      withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                      "cancelled");
     }
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_CANCEL, &run->key.request,
-                     run->key.attempt, waiting, 0, NULL);
+                     run->key.attempt, withdrawn, 0, NULL);
     gate_finish(run);
 }
 
@@ -400,7 +630,9 @@
     reply.waiting = load.waiting;
     reply.ttft_us = (uint32_t)MIN(ttft_us, UINT32_MAX);
     reply.leaving = sidecar->leaving;
-    reply.refuses = must_refuse(sidecar, probe->model, probe->version,
+    /* Behind a suspect that runs alone everything waits. */
+    reply.refuses = sidecar->exclusive != NULL ||
+                    must_refuse(sidecar, probe->model, probe->version,
                                 &refusal, &message) ||
                     (probe->deadline_ms > 0 &&
                      ttft_us > (uint64_t)probe->deadline_ms * 1000);
