--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -274,6 +274,23 @@
 /** levels_stamp() - give a prompt another weights version, with its levels */
 void levels_stamp(struct exchange_request *request, const char *version);
 
+/* version.c: on the loop's thread */
+/**
+ * version_stamp() - give the request the weights version that is its share
+ *
+ * Done at placement and not where the request was read: an engine that
+ * changes over while the request waits must not leave it without any.
+ */
+void version_stamp(struct exchange *exchange, const struct pool *pool);
+/**
+ * version_shift() - nobody of the stamped version takes it: try the next one
+ *
+ * Once through all versions, so that a refusal still comes soon.
+ *
+ * Return: false when there is no other one.
+ */
+bool version_shift(struct exchange *exchange);
+
 /* place.c: on the loop's thread */
 /** place_begin() - choose a sidecar for the next attempt */
 void place_begin(struct exchange *exchange);
@@ -299,6 +316,8 @@
                         enum pgw_frame_type type,
                         const ProtobufCMessage *message);
 void forward_link_lost(struct exchange *exchange);
+/** forward_ran() - whether the request ran, as far as is known now */
+enum pgw_ran forward_ran(const struct exchange *exchange);
 void forward_refuse(struct exchange *exchange, const struct refusal *refusal);
 void forward_caller_gone(struct exchange *exchange);
 void forward_grant(struct pgw_task *task);
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -144,117 +144,62 @@
     pgw_timer_start(entry->loop, &exchange->place_timer, PROBE_TIMEOUT_US);
 }
 
-/* The version is settled here and not where the request was read: an engine
- * that changes over while it waits must not leave it without any. Tokens that
- * the caller has can only be continued by the weights that gave them. */
-static void
-stamp_version(struct exchange *exchange, const struct pool *pool)
+/*
+ * The claims of one object are written by one sidecar, the first in rank
+ * whatever the policy, so a call that may not be repeated asks only that one;
+ * it still asks, because a call sent into a dead connection would end as
+ * "unknown", which nobody may repeat.
+ */
+static size_t
+rank(struct exchange *exchange, const struct pool *pool)
 {
-    struct exchange_request *request = &exchange->request;
-    const struct pgw_version_split *split = &pool->split;
-    const char *version;
-    uint64_t hash;
-    size_t part;
-
-#ifndef PGW_DISABLE_VERSION_RESUME
-    if (exchange->resume_from > 0) {
-        return;
-    }
-#endif
-    if (exchange->format == FORMAT_SERVICE) {
-        return;
+    struct entry *entry = exchange->entry;
+    struct placement *placement = exchange->placement;
+    const struct exchange_request *request = &exchange->request;
+    const struct pgw_place_node *nodes = pool_nodes(pool, request->version);
+
+    if (nodes == NULL) {
+        return 0;
     }
-    memcpy(&hash, request->fingerprint.bytes, sizeof(hash));
-    part = pgw_version_split_choose(split, hash) + exchange->version_shift;
-    version = split->parts[part % split->n].version;
-    if (strcmp(request->version, version) != 0) {
-        levels_stamp(request, version);
+    if (!request->repeatable) {
+        return pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
+                              pool->count, &request->chain);
     }
+    return entry->policy->rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
+                               pool->count, &request->chain, entry->turn++);
 }
 
-/* Nobody of the stamped version has a place: the next version that engines
- * run. Once through all of them, so that a refusal still comes soon. */
-static bool
-shift_version(struct exchange *exchange)
+static size_t
+fanout(const struct exchange *exchange)
 {
-    const struct pool *pool =
-        pool_find(exchange->entry, exchange->request.pool);
+    const struct entry *entry = exchange->entry;
 
-    if (pool == NULL || exchange->resume_from > 0 ||
-        exchange->format == FORMAT_SERVICE ||
-        pool->split.parts[0].engines == pool->split.engines ||
-        exchange->version_shift + 1 >= pool->split.n) {
-        return false;
+    if (!exchange->request.repeatable) {
+        return 1;
     }
-    exchange->version_shift++;
-    return true;
-}
-
-static size_t
-fanout(const struct entry *entry)
-{
     return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
                                       : entry->settings->probe_fanout;
 }
 
-/* A call that may not be repeated goes to the first rank without asking:
- * the claims of one object are written by one sidecar, and load hardly
- * differs where nothing is cached. */
-static bool
-send_to_first(struct exchange *exchange, const struct pool *pool,
-              const struct pgw_place_node *nodes)
-{
-    struct placement *placement = exchange->placement;
-
-    placement->n_ranks =
-        pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
-                       pool->count, &exchange->request.chain);
-    for (size_t i = 0; i < placement->n_ranks; i++) {
-        struct upstream *upstream = pool->upstreams[placement->ranks[i]];
-
-        if (!upstream_can_talk(upstream)) {
-            placement->connecting = true;
-            return false;
-        }
-        if (!pgw_attempt_was_tried(&exchange->attempt,
-                                   candidate_number(upstream))) {
-            place_cancel(exchange);
-            forward_send(exchange, upstream, 0);
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 probe_first_ranks(struct exchange *exchange)
 {
     struct entry *entry = exchange->entry;
     struct placement *placement = exchange->placement;
     struct pool *pool = pool_find(entry, exchange->request.pool);
-    const struct pgw_place_node *nodes;
 
     placement->n_ranks = 0;
     if (pool == NULL) {
         return false;
     }
-    stamp_version(exchange, pool);
-    nodes = pool_nodes(pool, exchange->request.version);
-    if (nodes == NULL) {
-        return false;
-    }
-    if (!exchange->request.repeatable) {
-        return send_to_first(exchange, pool, nodes);
-    }
-    placement->n_ranks = entry->policy->rank(
-        placement->ranks, PGW_PLACE_RANK_MAX, nodes, pool->count,
-        &exchange->request.chain, entry->turn++);
+    version_stamp(exchange, pool);
+    placement->n_ranks = rank(exchange, pool);
     if (placement->n_ranks == 0) {
         return false;
     }
     placement->probed_us = pgw_now_us();
     start_probing(exchange);
-    ask_more(exchange, pool, fanout(entry));
+    ask_more(exchange, pool, fanout(exchange));
     /*
      * Right after a start the best ranks may still be connecting. Passing
      * them over would place the first requests elsewhere than before the
@@ -275,7 +220,7 @@
     struct refusal refusal = {0};
 
     place_cancel(exchange);
-    if (shift_version(exchange)) {
+    if (version_shift(exchange)) {
         place_begin(exchange);
         return;
     }
@@ -381,7 +326,7 @@
 
         placement->spilled = true;
         start_probing(exchange);
-        if (pool != NULL && ask_more(exchange, pool, fanout(entry)) > 0) {
+        if (pool != NULL && ask_more(exchange, pool, fanout(exchange)) > 0) {
             return;
         }
         stop_probing(exchange);
