Carry out orders to engines under permits

Cause: pools are moved to new weights while processes crash, pause and are replaced; each engine must get its order once, with few loads at a time.

--- /dev/null
+++ b/src/libparsleygw/orders_engine.c
@@ -0,0 +1,195 @@
+#include "libparsleygw/orders_engine.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#include "config_internal.h"
+#include "parsleygw/errors.h"
+
+#define TIMEOUT_MS 2000L
+#define ANSWER_MAX 65536
+
+static size_t
+take_answer(char *data, size_t size, size_t count, void *pointer)
+{
+    GString *answer = pointer;
+
+    if (answer->len + size * count > ANSWER_MAX) {
+        return 0;
+    }
+    g_string_append_len(answer, data, (gssize)(size * count));
+    return size * count;
+}
+
+/* GET, or POST with a body. Return: the HTTP status, 0 without an answer. */
+static long
+call(GString *answer, const char *base, const char *path, const char *body,
+     GError **error)
+{
+    CURL *curl = curl_easy_init();
+    char *url = g_strconcat(base, path, NULL);
+    CURLcode code;
+    long status = 0;
+
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_answer);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+    if (body != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+    }
+    code = curl_easy_perform(curl);
+    if (code == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    }
+    else {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                    "engine%s: %s: check that the engine runs", path,
+                    curl_easy_strerror(code));
+    }
+    curl_easy_cleanup(curl);
+    g_free(url);
+    return status;
+}
+
+static bool
+set_status_error(long status, const char *path, GError **error)
+{
+    if (status != 0) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_PROTOCOL,
+                    "engine%s: status %ld: check that upstream_url is the "
+                    "engine's",
+                    path, status);
+    }
+    return false;
+}
+
+static char *
+member_text(JsonObject *object, const char *name)
+{
+    return g_strdup(
+        json_object_get_string_member_with_default(object, name, ""));
+}
+
+static char **
+member_list(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    GPtrArray *list = g_ptr_array_new();
+
+    if (node != NULL && JSON_NODE_HOLDS_ARRAY(node)) {
+        JsonArray *array = json_node_get_array(node);
+
+        for (guint i = 0; i < json_array_get_length(array); i++) {
+            JsonNode *element = json_array_get_element(array, i);
+
+            if (JSON_NODE_HOLDS_VALUE(element) &&
+                json_node_get_value_type(element) == G_TYPE_STRING) {
+                g_ptr_array_add(list, json_node_dup_string(element));
+            }
+        }
+    }
+    g_ptr_array_add(list, NULL);
+    return (char **)g_ptr_array_free(list, FALSE);
+}
+
+bool
+pgw_orders__status(struct pgw_rollout_engine *out, const char *url,
+                   GError **error)
+{
+    GString *answer = g_string_new(NULL);
+    long status = call(answer, url, "/status", NULL, error);
+    JsonParser *parser = NULL;
+    JsonObject *object;
+    bool ok = false;
+
+    if (status != 200) {
+        ok = set_status_error(status, "/status", error);
+        goto done;
+    }
+    parser = pgw_config__json_parse(answer->str, (gssize)answer->len,
+                                    "engine/status", error);
+    if (parser == NULL) {
+        goto done;
+    }
+    object = json_node_get_object(json_parser_get_root(parser));
+    *out = (struct pgw_rollout_engine){
+        .model = member_text(object, "model"),
+        .version = member_text(object, "version"),
+        .role = member_text(object, "role"),
+        .adapters = member_list(object, "adapters"),
+        .loading = json_object_get_boolean_member_with_default(
+            object, "loading", FALSE),
+        .fence = (uint64_t)json_object_get_int_member_with_default(
+            object, "fence", 0)};
+    ok = true;
+done:
+    g_clear_object(&parser);
+    g_string_free(answer, TRUE);
+    return ok;
+}
+
+void
+pgw_orders__status_dispose(struct pgw_rollout_engine *engine)
+{
+    g_free(engine->model);
+    g_free(engine->version);
+    g_free(engine->role);
+    g_strfreev(engine->adapters);
+    *engine = (struct pgw_rollout_engine){0};
+}
+
+static void
+add_text(JsonBuilder *builder, const char *name, const char *text)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_string_value(builder, text);
+}
+
+static char *
+order_text(const struct pgw_permit_order *order, uint64_t fence)
+{
+    JsonBuilder *builder = json_builder_new();
+    JsonNode *root;
+    char *text;
+
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "fence");
+    json_builder_add_int_value(builder, (gint64)fence);
+    add_text(builder, "kind", order->kind);
+    add_text(builder, "model", order->model);
+    add_text(builder, "version", order->version);
+    add_text(builder, "adapter", order->adapter);
+    add_text(builder, "role", order->role);
+    json_builder_end_object(builder);
+    root = json_builder_get_root(builder);
+    text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return text;
+}
+
+bool
+pgw_orders__send(const char *url, const struct pgw_permit_order *order,
+                 uint64_t fence, GError **error)
+{
+    GString *answer = g_string_new(NULL);
+    char *body = order_text(order, fence);
+    long status = call(answer, url, "/orders", body, error);
+    bool ok = status == 200 || status == 202;
+
+    if (status == 409) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_STALE,
+                    "engine/orders: number %" G_GUINT64_FORMAT
+                    " is old: acquire again",
+                    fence);
+    }
+    else if (!ok) {
+        set_status_error(status, "/orders", error);
+    }
+    g_free(body);
+    g_string_free(answer, TRUE);
+    return ok;
+}
