--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,7 +9,12 @@
 
 #define WATCH_INTERVAL_US UINT64_C(200000)
 #define DRAIN_CHECK_US UINT64_C(20000)
+#define DRAIN_LINGER_US UINT64_C(500000)
+#define FINISH_CHECK_US 2000
+#define FINISH_LIMIT_US UINT64_C(500000)
 #define LIST_INTERVAL_US UINT64_C(10000000)
+/* A line has about 60 bytes: 2 KB/s at most. */
+#define LIST_LINE_US UINT64_C(30000)
 #define LIST_TIMEOUT_US UINT64_C(2000000)
 #define TRACE_EVENTS (1u << 14)
 
@@ -72,13 +77,15 @@
 list_done(void *context, const struct pgw_store_instances *list)
 {
     struct entry *entry = context;
-    uint64_t pause =
-        LIST_INTERVAL_US / 2 + pgw_random_u64() % LIST_INTERVAL_US;
+    uint64_t pause = LIST_INTERVAL_US;
 
     if (list != NULL) {
+        /* A fleet's list is hundreds of kilobytes: the larger, the rarer. */
+        pause = MAX(pause, list->n * LIST_LINE_US);
         pgw_members_set_list(entry->members, list, pgw_now_us());
     }
-    pgw_timer_start(entry->loop, &entry->list_timer, pause);
+    pgw_timer_start(entry->loop, &entry->list_timer,
+                    pause / 2 + pgw_random_u64() % pause);
 }
 
 /* The list lags, so it is looked at seldom; what is urgent the sidecars and
@@ -101,7 +108,7 @@
         struct exchange *exchange = link->data;
         struct refusal refusal = {0};
 
-        refusal_set(&refusal, PGW_REFUSAL_LEAVING, PGW_RAN_UNKNOWN, 0,
+        refusal_set(&refusal, PGW_REFUSAL_LEAVING, forward_ran(exchange), 0,
                     "the instance stops and its drain timeout has passed");
         forward_refuse(exchange, &refusal);
         refusal_dispose(&refusal);
@@ -114,8 +121,9 @@
 {
     struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
     unsigned inflight = atomic_load(&entry->inflight);
+    unsigned reading = atomic_load(&entry->reading);
 
-    if (inflight > 0 && pgw_now_us() < entry->drain_until_us) {
+    if (inflight + reading > 0 && pgw_now_us() < entry->drain_until_us) {
         pgw_timer_start(entry->loop, timer, DRAIN_CHECK_US);
         return;
     }
@@ -135,9 +143,30 @@
                      atomic_load(&entry->inflight), 0, NULL);
     entry->drain_until_us =
         pgw_now_us() + (uint64_t)entry->settings->drain_timeout_ms * 1000;
-    /* New requests are refused as not run until the last old one has ended;
+    /* New requests are refused as not run until the last old one has ended,
+     * and for a while in any case, in which the balancer sees /readyz;
      * closing the port first would reset callers that just connected. */
-    pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_CHECK_US);
+    pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_LINGER_US);
+}
+
+void
+entry_finish(struct entry *entry)
+{
+    uint64_t until = pgw_now_us() + FINISH_LIMIT_US;
+
+    /*
+     * The drain timeout may have passed. A request that was handed over just
+     * then waits for a loop that has ended, and the HTTP server must not stop
+     * while it holds a connection for one: it would abort the process.
+     */
+    do {
+        pgw_loop_run_tasks(entry->loop);
+        refuse_rest(entry);
+        if (atomic_load(&entry->inflight) == 0) {
+            return;
+        }
+        g_usleep(FINISH_CHECK_US);
+    } while (pgw_now_us() < until);
 }
 
 bool
@@ -155,6 +184,10 @@
         why = "no configuration yet: neither the store nor any peer has "
               "answered; check store_url and seeds\n";
     }
+    else if (!pgw_sync_is_settled(entry->sync)) {
+        why = "catching up: a part of the configuration is still on its way "
+              "from the peers\n";
+    }
     else if (atomic_load(&entry->usable) == 0) {
         why = "no upstream can be reached: check that sidecars run and that "
               "the declared addresses are right\n";
