Keep engines at what their pool declares

Cause: nothing compared what an engine runs with its pool's object, so an edited version changed nothing but refusals. Change: the sidecar joins its gate with the thread that carries out orders: it says what is asked once the store has confirmed the pool's object, closes the gate and lets running requests end before new weights are loaded, opens it when the engine shows them even if the store does not take the permit back, and tells entries that it is loading. Conclusion: an edit of the version is carried out without a caller seeing it.

--- a/src/entry/version.c
+++ b/src/entry/version.c
@@ -9,11 +9,7 @@
     if (exchange->format == FORMAT_SERVICE) {
         return false;
     }
-#ifndef PGW_DISABLE_VERSION_RESUME
     return exchange->resume_from == 0;
-#else
-    return true;
-#endif
 }
 
 void
@@ -25,6 +21,9 @@
     uint64_t hash;
     size_t part;
 
+#ifdef PGW_DISABLE_VERSION_SPLIT
+    return;
+#endif
     if (!is_free(exchange)) {
         return;
     }
--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -1,10 +1,13 @@
 #include "sidecar/fetch.h"
 #include "sidecar/gate.h"
+#include "sidecar/orders.h"
 #include "sidecar/sidecar.h"
 #include "util/hex.h"
 #include "util/log.h"
 
 #define STATUS_INTERVAL_US UINT64_C(500000)
+/* While the gate is closed every status brings the engine back sooner. */
+#define STATUS_CLOSED_US UINT64_C(50000)
 #define STATUS_TIMEOUT_MS 1000L
 /* One lost answer is no death; two in a row, a second apart, are. */
 #define STATUS_FAILURES_DEAD 2
@@ -37,6 +40,7 @@
     if (!alive) {
         pgw_cache_lose_engine(sidecar->cache, pgw_now_us());
         engine->incarnation = 0;
+        engine->loading = false;
         gate_refuse_waiting(sidecar, PGW_REFUSAL_UPSTREAM_FAILED);
     }
     sidecar_push_state(sidecar);
@@ -81,13 +85,18 @@
         engine->status_failures = 0;
         g_free(engine->model);
         engine->model = g_strdup(fetch_object_string(body, "model"));
+        engine->loading = fetch_object_bool(body, "loading");
+        engine->told_us = asked_us;
         engine_set_alive(engine, true);
     }
     else if (++engine->status_failures >= STATUS_FAILURES_DEAD) {
         engine_set_alive(engine, false);
     }
+    orders_engine_told(engine->sidecar->orders);
     pgw_timer_start(engine->sidecar->loop, &engine->status_timer,
-                    STATUS_INTERVAL_US);
+                    orders_is_closed(engine->sidecar->orders)
+                        ? STATUS_CLOSED_US
+                        : STATUS_INTERVAL_US);
     gate_engine_told(engine->sidecar);
 }
 
--- a/src/sidecar/fetch.c
+++ b/src/sidecar/fetch.c
@@ -111,6 +111,14 @@
     return value < 0 ? 0 : (uint64_t)value;
 }
 
+bool
+fetch_object_bool(JsonObject *object, const char *name)
+{
+    JsonNode *node = object_member(object, name);
+
+    return node != NULL && json_node_get_boolean(node);
+}
+
 uint64_t
 fetch_object_hex(JsonObject *object, const char *name)
 {
--- a/src/sidecar/fetch.h
+++ b/src/sidecar/fetch.h
@@ -40,6 +40,9 @@
 /** fetch_object_hex() - a member of hexadecimal digits, 0 when missing */
 uint64_t fetch_object_hex(JsonObject *object, const char *name);
 
+/** fetch_object_bool() - a truth member, false when it is missing */
+bool fetch_object_bool(JsonObject *object, const char *name);
+
 /** fetch_object_string() - a text member, "" when it is missing */
 const char *fetch_object_string(JsonObject *object, const char *name);
 
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -1,5 +1,6 @@
 #include "sidecar/gate.h"
 #include "sidecar/claims.h"
+#include "sidecar/orders.h"
 #include "sidecar/suspicion.h"
 #include "util/log.h"
 #include <xxhash.h>
@@ -333,6 +334,11 @@
         *message = "the upstream does not answer";
         return true;
     }
+    if (orders_is_closed(sidecar->orders)) {
+        *refusal = PGW_REFUSAL_STALE;
+        *message = "the engine changes its weights: send to another one";
+        return true;
+    }
     if (sidecar->is_model && (strcmp(engine->model, model) != 0 ||
                               strcmp(engine->version, version) != 0)) {
         *refusal = PGW_REFUSAL_STALE;
--- a/src/sidecar/peer.c
+++ b/src/sidecar/peer.c
@@ -1,4 +1,5 @@
 #include "sidecar/gate.h"
+#include "sidecar/orders.h"
 #include "util/log.h"
 
 void
@@ -12,6 +13,7 @@
     state.leaving = sidecar->leaving;
     state.engine = sidecar->engine.incarnation;
     state.version = sidecar->engine.version;
+    state.loading = orders_is_closed(sidecar->orders);
     state.upstream_alive = sidecar->engine.alive;
     state.clock = pgw_hlc_now(pgw_hlc_process(), pgw_hlc_wall_us());
     state.queued_tokens = load.queued_tokens;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -2,6 +2,7 @@
 #include "libparsleygw/store_worker.h"
 #include "parsleygw/errors.h"
 #include "sidecar/claims.h"
+#include "sidecar/orders.h"
 #include "sidecar/suspicion.h"
 #include "util/address.h"
 #include "util/json_text.h"
@@ -27,6 +28,7 @@
     if (sidecar->feed != NULL) {
         pgw_config_feed_changed(sidecar->feed, config);
     }
+    orders_config_changed(sidecar->orders);
     pgw_trace_record(sidecar->trace, PGW_TRACE_CONFIG_APPLY, NULL, 0,
                      pgw_config_version(config), 0, NULL);
 }
@@ -41,6 +43,8 @@
     view->alive = sidecar->engine.alive;
     view->engine = sidecar->engine.incarnation;
     g_strlcpy(view->version, sidecar->engine.version, sizeof(view->version));
+    view->loading = orders_is_closed(sidecar->orders);
+    orders_get_state(sidecar->orders, &view->order);
     pgw_admit_load_get(&view->load, sidecar->admit);
     pgw_cache_stats_get(&view->cache, sidecar->cache);
     if (sidecar->config != NULL) {
@@ -70,6 +74,27 @@
     return why == NULL;
 }
 
+static void
+append_order(GString *out, const struct sidecar_view *view)
+{
+    const struct pgw_orders_state *order = &view->order;
+    bool any = order->fence != 0;
+
+    g_string_append_printf(
+        out,
+        ",\"loading\":%s,\"order\":{\"phase\":\"%s\",\"fence\":"
+        "%" G_GUINT64_FORMAT ",\"done\":%" G_GUINT64_FORMAT
+        ",\"refused\":%" G_GUINT64_FORMAT ",\"kind\":",
+        view->loading ? "true" : "false", pgw_orders_phase_name(order->phase),
+        order->fence, order->done, order->refused);
+    pgw_json_append_text(out, any ? order->order.kind : "");
+    g_string_append(out, ",\"version\":");
+    pgw_json_append_text(out, any ? order->order.version : "");
+    g_string_append(out, ",\"problem\":");
+    pgw_json_append_text(out, order->problem);
+    g_string_append_c(out, '}');
+}
+
 char *
 sidecar_status(struct sidecar *sidecar)
 {
@@ -89,12 +114,14 @@
         ",\"leaving\":%s,\"alive\":%s,\"engine\":\"%" G_GINT64_MODIFIER
         "x\",\"running\":%u,\"waiting\":%u,\"queued_tokens\":%u"
         ",\"cached_blocks\":%zu,\"cached_levels\":%zu,\"event_gaps\":"
-        "%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT "}",
+        "%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT,
         view->leaving ? "true" : "false", view->alive ? "true" : "false",
         view->engine, view->load.running, view->load.waiting,
         view->load.queued_tokens, view->cache.blocks, view->cache.levels,
         view->cache.gaps, view->config_version);
+    append_order(out, view);
     pthread_mutex_unlock(&view->lock);
+    g_string_append_c(out, '}');
     return g_string_free(out, FALSE);
 }
 
@@ -180,6 +207,7 @@
         return;
     }
     sidecar->leaving = true;
+    orders_close(sidecar->orders);
     sidecar->drain_until_us =
         pgw_now_us() + (uint64_t)sidecar->settings->drain_timeout_ms * 1000;
     pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_BEGIN, NULL, 0,
@@ -290,6 +318,9 @@
     sidecar->worker = pgw_store_worker_new(
         pgw_config_feed_store(sidecar->feed), sidecar->loop, STORE_THREADS);
     sidecar->claims = claims_new(sidecar);
+    if (sidecar->is_model) {
+        sidecar->orders = orders_new(sidecar);
+    }
     if (!listen_for_entries(sidecar, error)) {
         goto fail;
     }
@@ -320,6 +351,7 @@
         pgw_listener_free(sidecar->listener);
     }
     if (sidecar->transfers != NULL) {
+        orders_free(sidecar->orders);
         engine_dispose(&sidecar->engine);
         gate_abandon_all(sidecar);
         pgw_store_worker_free(sidecar->worker);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -3,6 +3,7 @@
 
 #include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
+#include "libparsleygw/orders.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/admit.h"
 #include "parsleygw/cache.h"
@@ -21,6 +22,7 @@
  */
 
 struct sidecar;
+struct orders;
 struct peer;
 struct run;
 
@@ -31,6 +33,8 @@
  * @incarnation: of its present process
  * @model: model that it runs
  * @version: weights version that it runs
+ * @loading: it carries out an order
+ * @told_us: when the question was asked whose answer is known best
  * @last_seq: last cache event taken
  * @status_failures: status requests that failed in a row
  * @status_timer: next status request
@@ -45,6 +49,8 @@
     uint64_t incarnation;
     char *model;
     char *version;
+    bool loading;
+    uint64_t told_us;
     unsigned status_failures;
     struct pgw_timer status_timer;
     struct pgw_timer events_timer;
@@ -60,6 +66,8 @@
  * @alive: the upstream answers
  * @engine: its incarnation
  * @version: its weights version
+ * @loading: the gate is closed while the engine changes its weights
+ * @order: progress of orders to the engine
  * @load: the gate's load
  * @cache: the cache's counters
  * @config_version: highest version of configuration in force
@@ -70,6 +78,8 @@
     bool alive;
     uint64_t engine;
     char version[PGW_CONFIG_NAME_MAX + 1];
+    bool loading;
+    struct pgw_orders_state order;
     struct pgw_admit_load load;
     struct pgw_cache_stats cache;
     uint64_t config_version;
@@ -97,6 +107,7 @@
  * @gate_timer: looks at the gate's waiting requests
  * @cache: what the engine's prefix cache holds
  * @engine: the engine's own state
+ * @orders: keeps the engine at what its pool declares; NULL beside a service
  * @trace: the time line's ring
  * @incarnation: random number of this process
  * @is_model: model engine, not a plain service
@@ -129,6 +140,7 @@
     struct pgw_timer gate_timer;
     struct pgw_cache *cache;
     struct engine engine;
+    struct orders *orders;
     struct pgw_trace *trace;
     uint64_t incarnation;
     bool is_model;
--- /dev/null
+++ b/tests/failure/fail_rollout.c
@@ -0,0 +1,251 @@
+/*
+ * The operator edits the pool's version from w1 to w2 and does nothing else.
+ * Callers go on asking all the while and see nothing of it: no request is
+ * refused or cut off, and none is answered by two versions. The operator sees
+ * at most load_permits engines loading at once, also as the weight store
+ * counts them, and all engines on w2 at the end. With the store down in the
+ * middle nothing more begins to load, what loads serves when it has loaded,
+ * and the rest follows when the store is back.
+ */
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "harness_fleet.h"
+
+#define ENGINES 4
+#define PERMITS 2
+#define CALLERS 6
+#define TOKENS 12
+/* One event a token and a last one with the reason. */
+#define EVENTS (TOKENS + 1)
+#define LIMIT_S 90
+
+static const char pool[] =
+    "{\"type\":\"model\",\"model\":\"rulebook-7b\",\"version\":\"w2\","
+    "\"load_permits\":%d,\"checks_fencing\":true,\"kv_store\":\"\","
+    "\"bytes_per_token\":4}";
+
+struct traffic {
+    struct fleet *fleet;
+    pthread_t threads[CALLERS];
+    atomic_bool stop;
+    atomic_uint serial;
+    atomic_uint answered;
+    atomic_uint lost;
+    char *problem;
+};
+
+/* The stand-in's tokens follow from the prompt alone, so a gap, a repetition
+ * or another engine's text shows. */
+static void
+judge(struct traffic *traffic, const struct harness_answer *answer)
+{
+    struct harness_stream stream;
+
+    harness_stream_parse(&stream, answer->body->str);
+    if (answer->status != 200 || !stream.done || stream.error != NULL ||
+        stream.tokens != EVENTS) {
+        if (atomic_fetch_add(&traffic->lost, 1) == 0) {
+            traffic->problem = g_strdup(answer->body->str);
+        }
+    }
+    else {
+        atomic_fetch_add(&traffic->answered, 1);
+    }
+    harness_stream_dispose(&stream);
+}
+
+static void *
+ask_on(void *data)
+{
+    struct traffic *traffic = data;
+
+    while (!atomic_load(&traffic->stop)) {
+        unsigned number = atomic_fetch_add(&traffic->serial, 1);
+        char *prompt = g_strdup_printf("the long rulebook\n---\nmenu %u\n---\n"
+                                       "dish %u",
+                                       number % 7, number);
+        char *body = fleet_body(prompt, TOKENS);
+        struct harness_answer answer;
+
+        fleet_call(&answer, traffic->fleet->entries[0], "/v1/completions",
+                   &(struct harness_call){.body = body});
+        judge(traffic, &answer);
+        harness_answer_dispose(&answer);
+        g_free(body);
+        g_free(prompt);
+    }
+    return NULL;
+}
+
+static void
+traffic_start(struct traffic *traffic, struct fleet *fleet)
+{
+    memset(traffic, 0, sizeof(*traffic));
+    traffic->fleet = fleet;
+    for (unsigned i = 0; i < CALLERS; i++) {
+        pthread_create(&traffic->threads[i], NULL, ask_on, traffic);
+    }
+}
+
+static void
+traffic_finish(struct traffic *traffic)
+{
+    atomic_store(&traffic->stop, true);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        pthread_join(traffic->threads[i], NULL);
+    }
+    g_test_message("answered %u lost %u", atomic_load(&traffic->answered),
+                   atomic_load(&traffic->lost));
+    if (atomic_load(&traffic->lost) > 0) {
+        g_error("lost %u: %s", atomic_load(&traffic->lost), traffic->problem);
+    }
+    g_assert_cmpuint(atomic_load(&traffic->answered), >, CALLERS);
+}
+
+static unsigned
+engines_on_w2(struct fleet *fleet)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < fleet->options.engines; i++) {
+        JsonNode *status = harness_get_json(
+            harness_process_url(fleet->engines[i], "/status"));
+
+        count += strcmp(harness_json_string(status, "version"), "w2") == 0;
+        json_node_unref(status);
+    }
+    return count;
+}
+
+static bool
+all_on_w2(void *data)
+{
+    return engines_on_w2(data) == ENGINES;
+}
+
+static bool
+one_on_w2(void *data)
+{
+    return engines_on_w2(data) > 0;
+}
+
+struct rollout {
+    struct harness *weights_harness;
+    struct harness_process *weights;
+    struct fleet *fleet;
+    struct traffic traffic;
+};
+
+static void
+rollout_begin(struct rollout *rollout, bool proxy_store)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    const char *args[] = {"--weight-store", NULL, "--load-ms", "1500",
+                          "--decode-ms",    "5",  NULL};
+
+    rollout->weights_harness = harness_new();
+    rollout->weights = harness_spawn(
+        rollout->weights_harness, "standin-kvstore", "--permits", "2", NULL);
+    args[1] = harness_process_url(rollout->weights, "");
+    options.engines = ENGINES;
+    options.proxy_store = proxy_store;
+    options.engine_args = args;
+    rollout->fleet = fleet_new(&options);
+    traffic_start(&rollout->traffic, rollout->fleet);
+    fleet_put(rollout->fleet, "pool", "guide", pool, PERMITS);
+}
+
+static void
+rollout_end(struct rollout *rollout)
+{
+    const char *stats = harness_process_url(rollout->weights, "/_stats");
+    gint64 most;
+
+    g_assert_true(harness_wait_until(all_on_w2, rollout->fleet, LIMIT_S));
+    traffic_finish(&rollout->traffic);
+    most = harness_get_int(stats, "max_loading");
+    g_assert_cmpint(most, >=, 1);
+    g_assert_cmpint(most, <=, PERMITS);
+    g_assert_cmpint(harness_get_int(stats, "loads_done"), ==, ENGINES);
+    fleet_free(rollout->fleet);
+    harness_free(rollout->weights_harness);
+}
+
+static void
+test_whole(void)
+{
+    struct rollout rollout;
+
+    rollout_begin(&rollout, false);
+    rollout_end(&rollout);
+}
+
+static void
+test_store_outage(void)
+{
+    struct rollout rollout;
+
+    rollout_begin(&rollout, true);
+    g_assert_true(harness_wait_until(one_on_w2, rollout.fleet, LIMIT_S));
+    fleet_set_mode(rollout.fleet->store, "{\"mode\":\"cut\"}");
+    g_usleep(3 * G_USEC_PER_SEC);
+    g_assert_cmpuint(engines_on_w2(rollout.fleet), <, ENGINES);
+    fleet_set_mode(rollout.fleet->store, "{\"mode\":\"pass\"}");
+    rollout_end(&rollout);
+}
+
+static bool
+runs_one(void *data)
+{
+    return harness_get_int(harness_process_url(data, "/_stats"), "running") ==
+           1;
+}
+
+/* One engine still answers by w1 while the other has w2 already; it crashes,
+ * and nobody is left who could go on with the answer. The caller gets what
+ * came so far and an explicit error, and not a rest by other weights. */
+static void
+test_crash_midway(void)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    const char *const args[] = {"--load-ms", "200", "--decode-ms", "5", NULL};
+    const unsigned tokens = 3000;
+    struct fleet *fleet;
+    struct fleet_caller *caller;
+    struct harness_stream stream;
+    struct harness_stream whole;
+    unsigned at;
+
+    options.engine_args = args;
+    fleet = fleet_new(&options);
+    caller = fleet_caller_start(fleet->entries[0], "a long answer", tokens);
+    fleet_caller_wait_begun(caller, 1000);
+    at = runs_one(fleet->engines[0]) ? 0 : 1;
+    fleet_put(fleet, "pool", "guide", pool, 1);
+    g_assert_true(harness_wait_until(one_on_w2, fleet, LIMIT_S));
+    g_assert_true(runs_one(fleet->engines[at]));
+    harness_process_stop(fleet->engines[at], SIGKILL);
+    g_assert_cmpint(fleet_caller_finish(caller, &stream), ==, 200);
+    g_assert_false(stream.done);
+    g_assert_nonnull(stream.error);
+    g_assert_cmpuint(stream.tokens, >, 0);
+    g_assert_cmpuint(stream.tokens, <, tokens);
+    fleet_ask(&whole, fleet->entries[0], "a long answer", stream.tokens);
+    g_assert_true(g_str_has_prefix(whole.text->str, stream.text->str));
+    harness_stream_dispose(&stream);
+    harness_stream_dispose(&whole);
+    fleet_free(fleet);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/rollout/whole", test_whole);
+    g_test_add_func("/rollout/store-outage", test_store_outage);
+    g_test_add_func("/rollout/crash-midway", test_crash_midway);
+    return g_test_run();
+}
