Record what the time line promised

Cause: seven kinds of events were never recorded and eight more that operators need (start, stop, store down, lost cache events, failed attempts) were not recorded either; the sidecar noted the end of a run after telling the entry, so that the time line showed effect before cause; a lint finding in suspects.c came from removing records through a second look-up. Change: the seven kinds are gone, the eight are recorded and documented; the end is noted first; /readyz says what the store answers; reasons of dropped frames have names.

--- a/src/cli/timeline_html.c
+++ b/src/cli/timeline_html.c
@@ -41,11 +41,8 @@
     case PGW_TRACE_STORE_DOWN:
     case PGW_TRACE_EVENT_GAP:
     case PGW_TRACE_QUARANTINE_ADD:
-    case PGW_TRACE_OVERLOAD:
-    case PGW_TRACE_FAULT:
         return LOOK_FAULT;
     case PGW_TRACE_CONFIG_APPLY:
-    case PGW_TRACE_CONFIG_STALE:
         return LOOK_CONFIG;
     case PGW_TRACE_PROCESS_START:
     case PGW_TRACE_PROCESS_STOP:
--- a/src/entry/account.c
+++ b/src/entry/account.c
@@ -12,6 +12,14 @@
 };
 static struct pgw_metric_counter refused[PGW_REFUSAL_COUNT];
 static char refused_labels[PGW_REFUSAL_COUNT][48];
+static const char *const drop_names[PGW_ATTEMPT_DROP_COUNT] = {
+    [PGW_ATTEMPT_KEPT] = "none",
+    [PGW_ATTEMPT_DROP_REQUEST] = "request",
+    [PGW_ATTEMPT_DROP_ATTEMPT] = "attempt",
+    [PGW_ATTEMPT_DROP_FINISHED] = "finished",
+    [PGW_ATTEMPT_DROP_IDLE] = "idle",
+    [PGW_ATTEMPT_DROP_DUPLICATE] = "duplicate",
+};
 static struct pgw_metric_counter dropped[PGW_ATTEMPT_DROP_COUNT];
 static char dropped_labels[PGW_ATTEMPT_DROP_COUNT][24];
 static struct pgw_metric_counter retries = {
@@ -56,7 +64,7 @@
     }
     for (int i = 1; i < PGW_ATTEMPT_DROP_COUNT; i++) {
         g_snprintf(dropped_labels[i], sizeof(dropped_labels[i]),
-                   "reason=\"%d\"", i);
+                   "reason=\"%s\"", drop_names[i]);
         dropped[i] = (struct pgw_metric_counter){
             .name = "pgw_frames_dropped_total",
             .help = "Frames that belong to no current attempt, by reason",
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -70,6 +70,7 @@
     }
     g_list_free(all);
     pools_refresh(entry);
+    pgw_config_feed_trace(entry->feed, entry->trace);
     pgw_timer_start(entry->loop, timer, WATCH_INTERVAL_US);
 }
 
@@ -128,6 +129,8 @@
         return;
     }
     pgw_log_info("drain_end", "unfinished=%u", inflight);
+    pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_END, NULL, 0, inflight, 0,
+                     NULL);
     refuse_rest(entry);
     pgw_loop_stop(entry->loop);
 }
@@ -174,6 +177,7 @@
 {
     struct pgw_config *config = pgw_rcu_read_lock(entry->snapshot);
     bool empty = config == NULL || pgw_config_is_empty(config);
+    struct pgw_watch_state store;
     const char *why = NULL;
 
     pgw_rcu_read_unlock(entry->snapshot);
@@ -181,8 +185,13 @@
         why = "leaving: a planned stop is under way\n";
     }
     else if (empty) {
-        why = "no configuration yet: neither the store nor any peer has "
-              "answered; check store_url and seeds\n";
+        pgw_config_feed_state(entry->feed, &store);
+        *reason = g_strdup_printf(
+            "no configuration yet: no peer has one and the store %s%s; check "
+            "store_url and seeds\n",
+            store.reachable ? "holds none" : "does not answer: ",
+            store.last_error);
+        return false;
     }
     else if (!pgw_sync_is_settled(entry->sync)) {
         why = "catching up: a part of the configuration is still on its way "
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -327,6 +327,11 @@
         return;
     }
     pgw_attempt_step(&decision, &exchange->attempt, event, pgw_now_us());
+    if (event->kind == PGW_ATTEMPT_FAIL) {
+        pgw_trace_record(exchange->entry->trace, PGW_TRACE_ATTEMPT_FAIL,
+                         &exchange->id, event->attempt, event->refusal,
+                         event->ran, pgw_refusal_name((int)event->refusal));
+    }
     if (decision.protocol_fault) {
         pgw_log_warning("protocol_fault", "upstream=%s",
                         exchange->target == NULL ? "-" : exchange->target->id);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -39,6 +39,7 @@
         .loop = entry->loop,
         .drain = drain,
         .context = entry,
+        .incarnation = entry->incarnation,
         .port = http_port(http),
         .admin =
             {
--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -5,6 +5,8 @@
     struct pgw_config_feed_options options;
     struct pgw_store *store;
     struct pgw_watch *watch;
+    bool told_down;
+    uint64_t down_us;
 };
 
 struct batch_task {
@@ -183,6 +185,31 @@
     return feed->store;
 }
 
+void
+pgw_config_feed_trace(struct pgw_config_feed *feed, struct pgw_trace *trace)
+{
+    struct pgw_watch_state state;
+    bool down;
+
+    pgw_watch_get_state(feed->watch, &state);
+    down = state.failures > 0 && !state.reachable;
+    if (down == feed->told_down) {
+        return;
+    }
+    feed->told_down = down;
+    if (down) {
+        feed->down_us = pgw_now_us();
+        pgw_log_warning("store_down", "error=%s", state.last_error);
+        pgw_trace_record(trace, PGW_TRACE_STORE_DOWN, NULL, 0, 0, 0,
+                         state.last_error);
+        return;
+    }
+    pgw_log_info("store_up", "down_ms=%" G_GUINT64_FORMAT,
+                 (pgw_now_us() - feed->down_us) / 1000);
+    pgw_trace_record(trace, PGW_TRACE_STORE_UP, NULL, 0,
+                     pgw_now_us() - feed->down_us, 0, NULL);
+}
+
 void
 pgw_config_feed_state(struct pgw_config_feed *feed,
                       struct pgw_watch_state *out)
--- a/src/libparsleygw/config_feed.h
+++ b/src/libparsleygw/config_feed.h
@@ -4,6 +4,7 @@
 #include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/watch.h"
+#include "util/trace.h"
 
 /**
  * DOC: From the store to a process's replica
@@ -55,6 +56,10 @@
 /** pgw_config_feed_store() - the store client, shared with other users */
 struct pgw_store *pgw_config_feed_store(struct pgw_config_feed *feed);
 
+/** pgw_config_feed_trace() - note when the store went or came back */
+void pgw_config_feed_trace(struct pgw_config_feed *feed,
+                           struct pgw_trace *trace);
+
 /** pgw_config_feed_state() - whether the store can be reached; any thread */
 void pgw_config_feed_state(struct pgw_config_feed *feed,
                            struct pgw_watch_state *out);
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -168,16 +168,9 @@
 }
 
 static void
-merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
-      const char *value, size_t length, bool tell)
+change(struct pgw_suspects *suspects, struct suspect *suspect,
+       uint64_t version, const char *value, size_t length, bool tell)
 {
-    struct pgw_fingerprint fingerprint;
-    struct suspect *suspect;
-
-    if (!pgw_fingerprint_parse(&fingerprint, name)) {
-        return;
-    }
-    suspect = suspect_get(suspects, &fingerprint);
     if (!suspect_set(suspects, suspect, version, value, length)) {
         return;
     }
@@ -191,8 +184,21 @@
         send_one(g_ptr_array_index(suspects->links, i), suspect);
     }
     if (suspects->options.on_record != NULL) {
-        suspects->options.on_record(suspects->options.context, &fingerprint,
-                                    version, suspect->value, suspect->length);
+        suspects->options.on_record(suspects->options.context,
+                                    &suspect->fingerprint, version,
+                                    suspect->value, suspect->length);
+    }
+}
+
+static void
+merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
+      const char *value, size_t length, bool tell)
+{
+    struct pgw_fingerprint fingerprint;
+
+    if (pgw_fingerprint_parse(&fingerprint, name)) {
+        change(suspects, suspect_get(suspects, &fingerprint), version, value,
+               length, tell);
     }
 }
 
@@ -224,7 +230,7 @@
         /* A record written after the list was read is not in it, either. */
         if (suspect->value != NULL && suspect->version < list->version &&
             !list_has(list, suspect->name)) {
-            merge(suspects, suspect->name, list->version, NULL, 0, true);
+            change(suspects, suspect, list->version, NULL, 0, true);
         }
     }
 }
--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -221,6 +221,8 @@
     guint count = array == NULL ? 0 : json_array_get_length(array);
     struct pgw_cache_event *events = g_new0(struct pgw_cache_event, count + 1);
     size_t n = 0;
+    struct pgw_cache_stats before;
+    struct pgw_cache_stats after;
     struct pgw_cache_source source = {
         .incarnation = fetch_object_hex(body, "incarnation"),
         .version = fetch_object_string(body, "version"),
@@ -232,8 +234,14 @@
             n++;
         }
     }
+    pgw_cache_stats_get(&before, engine->sidecar->cache);
     pgw_cache_apply(engine->sidecar->cache, &source, events, n,
                     fetch_object_uint(body, "last"), pgw_now_us());
+    pgw_cache_stats_get(&after, engine->sidecar->cache);
+    if (after.gaps > before.gaps) {
+        pgw_trace_record(engine->sidecar->trace, PGW_TRACE_EVENT_GAP, NULL, 0,
+                         pgw_cache_last_seq(engine->sidecar->cache), 0, NULL);
+    }
     g_free(events);
 }
 
--- a/src/sidecar/main.c
+++ b/src/sidecar/main.c
@@ -38,6 +38,7 @@
         .loop = sidecar->loop,
         .drain = drain,
         .context = sidecar,
+        .incarnation = sidecar->incarnation,
         .port = pgw_listener_port(sidecar->listener),
         .admin =
             {
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -80,10 +80,11 @@
     end.cached_tokens = run->cached_tokens;
     end.completion_tokens = run->completion_tokens;
     end.replayed = run->replayed;
-    run_send(run, PGW_FRAME_END, &end.base);
+    /* First, so that it stands before the entry's word on the time line. */
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_END,
                      &run->key.request, run->key.attempt, run->sequence,
                      run->completion_tokens, run->finish_reason);
+    run_send(run, PGW_FRAME_END, &end.base);
 }
 
 void
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -102,6 +102,7 @@
 sidecar_push_state(struct sidecar *sidecar)
 {
     view_update(sidecar);
+    pgw_config_feed_trace(sidecar->feed, sidecar->trace);
     pgw_list_foreach (link, &sidecar->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, link);
 
@@ -124,6 +125,7 @@
     uint64_t now = pgw_now_us();
 
     view_update(sidecar);
+    pgw_config_feed_trace(sidecar->feed, sidecar->trace);
     pgw_list_foreach (link, &sidecar->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, link);
         uint64_t quiet = now - pgw_link_sent_us(peer->connection);
@@ -167,6 +169,8 @@
 
     if (is_drained(sidecar) || pgw_now_us() >= sidecar->drain_until_us) {
         pgw_log_info("drain_end", "unfinished=%u", sidecar->runs);
+        pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_END, NULL, 0,
+                         sidecar->runs, 0, NULL);
         pgw_loop_stop(sidecar->loop);
         return;
     }
--- a/src/sidecar/suspicion.c
+++ b/src/sidecar/suspicion.c
@@ -210,6 +210,10 @@
 {
     struct suspicion *suspicion = context;
 
+    if (value == NULL) {
+        pgw_trace_record(suspicion->sidecar->trace, PGW_TRACE_QUARANTINE_LIFT,
+                         NULL, 0, version, 0, NULL);
+    }
     pgw_quarantine_apply(suspicion->machine, fingerprint, version, value,
                          length, pgw_hlc_wall_us());
     drive(suspicion);
--- a/src/util/daemon.c
+++ b/src/util/daemon.c
@@ -31,6 +31,7 @@
     struct pgw_admin *admin = NULL;
     pthread_t thread;
     bool served = false;
+    int signal;
 
     if (!pgw_admin_start(&admin, &daemon->admin, error)) {
         goto done;
@@ -40,10 +41,14 @@
                     "cannot start a thread: raise the limit of processes");
         goto done;
     }
+    pgw_trace_record(daemon->admin.trace, PGW_TRACE_PROCESS_START, NULL, 0,
+                     daemon->incarnation, 0, PGW_VERSION);
     printf("port=%u\nadmin_port=%u\n", daemon->port, pgw_admin_port(admin));
     fflush(stdout);
-    while (pgw_program_signal_wait(-1) == 0) {
+    while ((signal = pgw_program_signal_wait(-1)) == 0) {
     }
+    pgw_trace_record(daemon->admin.trace, PGW_TRACE_PROCESS_STOP, NULL, 0,
+                     (uint64_t)signal, 0, NULL);
     pgw_loop_post(daemon->loop, &drain.task);
     pthread_join(thread, NULL);
     served = true;
--- a/src/util/daemon.h
+++ b/src/util/daemon.h
@@ -9,6 +9,7 @@
  * @loop: run on a thread of its own
  * @drain: begins a planned stop; called on the loop's thread at a signal
  * @context: handed to @drain
+ * @incarnation: random number of this process
  * @port: port of the daemon's work, printed for whoever started it
  * @admin: how to start the admin server
  */
@@ -16,6 +17,7 @@
     struct pgw_loop *loop;
     void (*drain)(void *context);
     void *context;
+    uint64_t incarnation;
     unsigned port;
     struct pgw_admin_options admin;
 };
--- a/tests/unit/test_trace.c
+++ b/tests/unit/test_trace.c
@@ -59,7 +59,7 @@
 
     for (uint64_t i = 0; i < ROUNDS; i++) {
         memset(id.bytes, (int)(i & 0xff), sizeof(id.bytes));
-        pgw_trace_record(writer->trace, PGW_TRACE_ADMIT, &id, writer->number,
+        pgw_trace_record(writer->trace, PGW_TRACE_QUEUE, &id, writer->number,
                          i, ~i, NULL);
     }
     __atomic_fetch_sub(writer->running, 1, __ATOMIC_SEQ_CST);
@@ -123,14 +123,14 @@
     char *text;
 
     pgw_trace_new(&trace, 8, &clock);
-    pgw_trace_record(trace, PGW_TRACE_FAULT, &id, 2, 3, UINT64_MAX,
+    pgw_trace_record(trace, PGW_TRACE_CLAIM, &id, 2, 3, UINT64_MAX,
                      "quote \" and \xff");
     text = pgw_trace_to_json(trace, &all, "entry-a", "za");
     root = json_from_string(text, NULL);
     g_assert_nonnull(root);
     event = json_array_get_object_element(
         json_object_get_array_member(json_node_get_object(root), "events"), 0);
-    g_assert_cmpstr(json_object_get_string_member(event, "kind"), ==, "fault");
+    g_assert_cmpstr(json_object_get_string_member(event, "kind"), ==, "claim");
     g_assert_cmpstr(json_object_get_string_member(event, "request"), ==,
                     "ab010000000000000000000000000000");
     g_assert_cmpint(json_object_get_int_member(event, "attempt"), ==, 2);
