Let outcomes share the write of the next claim

Cause: each call made two store writes at low rates, and the even spacing of writes let a claim wait for the record of somebody else's outcome.

--- a/include/parsleygw/claim.h
+++ b/include/parsleygw/claim.h
@@ -108,8 +108,11 @@
  * struct pgw_claim_options - settings of a shard's machine
  * @owner: incarnation of this process; never 0, random per process start
  * @retention_us: as in the layout
- * @write_interval_us: least time from one write to the next: the share of
- *                     the store's write budget that this shard may use
+ * @write_interval_us: mean time from one write to the next: the share of the
+ *                     store's write budget that this shard may use
+ * @write_burst: writes that may follow on at once after a quiet time
+ * @lazy_us: how long an outcome waits for a claim to share its write with;
+ *           a crash in that time leaves the key "unknown"
  * @backoff_us: wait after the store failed, doubled up to @backoff_max_us
  * @backoff_max_us: longest such wait
  * @patience_us: a claim not decided after this time is refused as not run
@@ -125,6 +128,8 @@
     uint64_t owner;
     uint64_t retention_us;
     uint64_t write_interval_us;
+    uint32_t write_burst;
+    uint64_t lazy_us;
     uint64_t backoff_us;
     uint64_t backoff_max_us;
     uint64_t patience_us;
@@ -138,9 +143,10 @@
 #define PGW_CLAIM_OPTIONS_INIT                                                \
     {                                                                         \
         .retention_us = 24ull * 3600 * G_USEC_PER_SEC,                        \
-        .write_interval_us = 10000, .backoff_us = 50000,                      \
-        .backoff_max_us = 2000000, .patience_us = 1000000, .body_max = 16384, \
-        .object_max = 1000000, .slots_max = 4096, .window_back_us = 5000000   \
+        .write_interval_us = 10000, .write_burst = 4, .lazy_us = 50000,       \
+        .backoff_us = 50000, .backoff_max_us = 2000000,                       \
+        .patience_us = 1000000, .body_max = 16384, .object_max = 1000000,     \
+        .slots_max = 4096, .window_back_us = 5000000                          \
     }
 
 /** struct pgw_claim_shard - machine of one object; not thread-safe */
--- a/src/libparsleygw/claim.c
+++ b/src/libparsleygw/claim.c
@@ -392,6 +392,7 @@
     if (slot != NULL) {
         g_hash_table_remove(shard->runners, &ticket);
         slot->runner = 0;
+        slot->ended_us = shard->now_us;
     }
     return slot;
 }
--- a/src/libparsleygw/claim_io.c
+++ b/src/libparsleygw/claim_io.c
@@ -36,6 +36,18 @@
     slot->drafted = true;
 }
 
+/* A token bucket: a quiet time saves up some writes, never more. */
+static void
+pace(struct pgw_claim_shard *shard)
+{
+    uint64_t interval = shard->options.write_interval_us;
+    uint64_t saved = interval * shard->options.write_burst;
+
+    shard->next_write_us =
+        MAX(shard->next_write_us, shard->now_us - MIN(shard->now_us, saved)) +
+        interval;
+}
+
 static void
 take_write(struct pgw_io *out, struct pgw_claim_shard *shard)
 {
@@ -58,36 +70,51 @@
     out->kind = PGW_IO_WRITE;
     out->expected_version = shard->version;
     out->value = pgw_claim__object_print(shard->draft, &out->length);
-    shard->next_write_us = shard->now_us + shard->options.write_interval_us;
+    pace(shard);
     shard->stats.writes++;
 }
 
-/* Whether any slot needs a read (first) or a write (second). */
-static bool
-has_work(const struct pgw_claim_shard *shard)
+/*
+ * When a slot wants the store, UINT64_MAX: not. A caller waits for its claim;
+ * nobody waits for the record of an outcome, so it shares a later write.
+ */
+static uint64_t
+slot_due(const struct pgw_claim_shard *shard,
+         const struct pgw_claim_slot *slot)
+{
+    if (!slot->dirty && !slot->inquiry) {
+        return UINT64_MAX;
+    }
+    if (slot->state == PGW_SLOT_ASKING || shard->closing) {
+        return 0;
+    }
+    return slot->ended_us + shard->options.lazy_us;
+}
+
+static uint64_t
+work_due(const struct pgw_claim_shard *shard)
 {
+    uint64_t due = pgw_claim__window_is_due(shard) ? 0 : UINT64_MAX;
     GHashTableIter iter;
-    gpointer value;
+    gpointer slot;
 
     g_hash_table_iter_init(&iter, shard->slots);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct pgw_claim_slot *slot = value;
-
-        if (slot->dirty || slot->inquiry) {
-            return true;
-        }
+    while (due > 0 && g_hash_table_iter_next(&iter, NULL, &slot)) {
+        due = MIN(due, slot_due(shard, slot));
     }
-    return pgw_claim__window_is_due(shard);
+    return due;
 }
 
 static uint64_t
 due_time(const struct pgw_claim_shard *shard)
 {
-    if (shard->outstanding != PGW_IO_NONE || !has_work(shard)) {
+    uint64_t due;
+
+    if (shard->outstanding != PGW_IO_NONE) {
         return UINT64_MAX;
     }
-    return shard->read_wanted ? shard->retry_us
-                              : MAX(shard->retry_us, shard->next_write_us);
+    due = MAX(work_due(shard), shard->retry_us);
+    return shard->read_wanted ? due : MAX(due, shard->next_write_us);
 }
 
 bool
--- a/src/libparsleygw/claim_shard.h
+++ b/src/libparsleygw/claim_shard.h
@@ -26,6 +26,7 @@
  * @runner: ticket that was told to run, 0: none
  * @record: for FINISHED and LOST
  * @dirty: the store does not hold the state as known here
+ * @ended_us: when the run ended
  * @inquiry: another process's record or window was seen: ask the store again
  * @drafted: part of a write that is outstanding or whose answer was lost
  */
@@ -34,6 +35,7 @@
     enum pgw_claim_slot_state state;
     char nonce[PGW_CLAIM_NONCE_SIZE];
     uint64_t claimed_us;
+    uint64_t ended_us;
     uint64_t birth_us;
     uint64_t runner;
     struct pgw_claim_record *record;
