--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -106,8 +106,13 @@
     while (placement->next_rank < placement->n_ranks &&
            placement->n_candidates - first < wanted) {
         uint32_t index = placement->ranks[placement->next_rank++];
-        struct upstream *upstream = pool->upstreams[index];
+        struct upstream *upstream;
 
+        /* The pool may have shrunk since it was ranked. */
+        if (index >= pool->count) {
+            continue;
+        }
+        upstream = pool->upstreams[index];
         if (pgw_attempt_was_tried(&exchange->attempt,
                                   candidate_number(upstream))) {
             continue;
@@ -150,15 +155,18 @@
 {
     struct entry *entry = exchange->entry;
     struct placement *placement = exchange->placement;
+    const struct exchange_request *request = &exchange->request;
+    const struct pgw_place_node *nodes = pool_nodes(pool, request->version);
 
-    if (!exchange->request.repeatable) {
-        return pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX,
-                              pool->nodes, pool->count,
-                              &exchange->request.chain);
+    if (nodes == NULL) {
+        return 0;
     }
-    return entry->policy->rank(placement->ranks, PGW_PLACE_RANK_MAX,
-                               pool->nodes, pool->count,
-                               &exchange->request.chain, entry->turn++);
+    if (!request->repeatable) {
+        return pgw_place_rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
+                              pool->count, &request->chain);
+    }
+    return entry->policy->rank(placement->ranks, PGW_PLACE_RANK_MAX, nodes,
+                               pool->count, &request->chain, entry->turn++);
 }
 
 static size_t
@@ -184,6 +192,7 @@
     if (pool == NULL) {
         return false;
     }
+    version_stamp(exchange, pool);
     placement->n_ranks = rank(exchange, pool);
     if (placement->n_ranks == 0) {
         return false;
@@ -211,13 +220,17 @@
     struct refusal refusal = {0};
 
     place_cancel(exchange);
+    if (version_shift(exchange)) {
+        place_begin(exchange);
+        return;
+    }
     /* A first attempt that finds nobody was never sent anywhere. */
     if (exchange->attempt.count == 0) {
         refusal_set(&refusal, PGW_REFUSAL_NO_UPSTREAM, PGW_RAN_NO,
                     NO_UPSTREAM_RETRY_MS,
-                    "no upstream of pool '%s' can be reached: see "
-                    "'parsleygw status'",
-                    exchange->request.pool);
+                    "no upstream of pool '%s' can be reached and runs "
+                    "weights '%s': see 'parsleygw status'",
+                    exchange->request.pool, exchange->request.version);
         forward_refuse(exchange, &refusal);
         refusal_dispose(&refusal);
         return;
