--- a/src/entry/guard.h
+++ b/src/entry/guard.h
@@ -28,7 +28,7 @@
 void guard_free(struct guard *guard);
 
 /** guard_notify() - for MHD_OPTION_NOTIFY_CONNECTION, with the guard */
-void guard_notify(void *guard, struct MHD_Connection *connection,
+void guard_notify(void *context, struct MHD_Connection *connection,
                   void **socket_context,
                   enum MHD_ConnectionNotificationCode code);
 
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -43,7 +43,8 @@
     pgw_list_foreach_safe (link, &suspects->order) {
         struct suspect *suspect = pgw_container_of(link, struct suspect, link);
 
-        if (now - suspect->changed_us < suspects->options.keep_us) {
+        if (now - suspect->changed_us < suspects->options.keep_us &&
+            g_hash_table_size(suspects->table) <= suspects->options.limit) {
             break;
         }
         suspect_remove(suspects, suspect);
@@ -125,16 +126,14 @@
     if (suspect != NULL) {
         return suspect;
     }
-    if (g_hash_table_size(suspects->table) >= suspects->options.limit) {
-        suspect_remove(suspects,
-                       pgw_container_of(pgw_list_first(&suspects->order),
-                                        struct suspect, link));
-    }
     suspect = g_new0(struct suspect, 1);
     suspect->fingerprint = *fingerprint;
     memcpy(suspect->name, name, sizeof(name));
     g_hash_table_insert(suspects->table, suspect->name, suspect);
     pgw_list_append(&suspects->order, &suspect->link);
+    if (g_hash_table_size(suspects->table) > suspects->options.limit) {
+        pgw_timer_start(suspects->options.loop, &suspects->sweep, 0);
+    }
     return suspect;
 }
 
