Limit the requests in progress of each workspace

Cause: the workspace object's max_inflight was checked, documented and then ignored. Change: a small table of the workspaces that have requests in progress; the limit's refusal names it.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 #include "entry/exchange.h"
 #include "entry/upstream.h"
+#include "entry/workspace_count.h"
 #include "libparsleygw/store_worker.h"
 #include "util/json_text.h"
 #include "util/log.h"
@@ -294,6 +295,7 @@
     entry->snapshot = pgw_rcu_new(config_unref);
     entry->budget = pgw_retry_budget_new(&retry);
     entry->set = pgw_config_set_new();
+    entry->workspaces = workspace_count_new();
     entry->members = pgw_members_new(&members);
     pgw_trace_new(&entry->trace, TRACE_EVENTS, pgw_hlc_process());
     tables_init(entry);
@@ -342,6 +344,7 @@
         pgw_config_unref(entry->config);
     }
     pgw_config_set_free(entry->set);
+    workspace_count_free(entry->workspaces);
     pgw_retry_budget_free(entry->budget);
     g_hash_table_unref(entry->probes);
     g_hash_table_unref(entry->exchanges);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -76,6 +76,7 @@
  * @watch_timer: next look for callers that went away
  * @drain_timer: checks whether a planned stop is over
  * @drain_until_us: when it gives up waiting
+ * @workspaces: requests in progress of each workspace
  * @inflight: exchanges not yet ended, over all threads
  * @reading: requests whose body is still on its way
  * @usable: upstreams that take new work, for readiness
@@ -107,6 +108,7 @@
     struct pgw_timer watch_timer;
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
+    struct workspace_count *workspaces;
     atomic_uint inflight;
     atomic_uint reading;
     atomic_uint usable;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -1,4 +1,5 @@
 #include "entry/exchange.h"
+#include "entry/workspace_count.h"
 #include "util/random.h"
 #include <poll.h>
 
@@ -49,6 +50,10 @@
     if (atomic_fetch_sub(&exchange->references, 1) != 1) {
         return;
     }
+    if (exchange->workspace_counted) {
+        workspace_count_leave(exchange->entry->workspaces,
+                              exchange->request.workspace);
+    }
     if (exchange->counted) {
         atomic_fetch_sub(&exchange->entry->inflight, 1);
     }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -152,6 +152,7 @@
  * @phase: progress on the HTTP side; of that thread only
  * @too_large: the body went over the limit; the rest is thrown away
  * @counted: it counts among the entry's exchanges in flight
+ * @workspace_counted: and among those of its workspace
  *
  * Of the loop's thread:
  * @attempt: state machine of the attempts
@@ -193,6 +194,7 @@
     enum exchange_phase phase;
     bool too_large;
     bool counted;
+    bool workspace_counted;
     struct pgw_attempt attempt;
     struct pgw_timer timer;
     struct pgw_timer place_timer;
--- a/src/entry/filter_limit.c
+++ b/src/entry/filter_limit.c
@@ -1,9 +1,29 @@
 #include "entry/exchange.h"
+#include "entry/workspace_count.h"
 
 #define LIMIT_RETRY_MS 1000
 
-/* Bounds this entry's own memory; fairness between workspaces is decided at
- * the sidecars, where the capacity is. */
+/* Bounds this entry's own memory, in all and for each workspace; fairness
+ * between workspaces is decided at the sidecars, where the capacity is. */
+static bool
+limit_workspace(struct exchange *exchange, const struct pgw_config *config,
+                struct refusal *refusal)
+{
+    const char *name = exchange->request.workspace;
+    uint32_t most = pgw_config_workspace(config, name)->max_inflight;
+
+    if (!workspace_count_enter(exchange->entry->workspaces, name, most)) {
+        refusal_set(refusal, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
+                    LIMIT_RETRY_MS,
+                    "workspace '%s' has %u requests in progress here, which "
+                    "is its max_inflight: wait for some to end",
+                    name, most);
+        return false;
+    }
+    exchange->workspace_counted = true;
+    return true;
+}
+
 static bool
 limit(struct exchange *exchange, const struct pgw_config *config,
       struct refusal *refusal)
@@ -11,7 +31,6 @@
     struct entry *entry = exchange->entry;
     unsigned inflight;
 
-    (void)config;
     inflight = atomic_fetch_add(&entry->inflight, 1);
     /*
      * Counted before the look at @leaving: a planned stop sets that first and
@@ -33,7 +52,7 @@
         return false;
     }
     exchange->counted = true;
-    return true;
+    return limit_workspace(exchange, config, refusal);
 }
 
 const struct filter filter_limit = {.name = "limit", .run = limit};
