--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 #include "entry/exchange.h"
 #include "entry/upstream.h"
+#include "entry/workspace_count.h"
 #include "libparsleygw/store_worker.h"
 #include "util/json_text.h"
 #include "util/log.h"
@@ -70,6 +71,7 @@
     }
     g_list_free(all);
     pools_refresh(entry);
+    pgw_config_feed_trace(entry->feed, entry->trace);
     pgw_timer_start(entry->loop, timer, WATCH_INTERVAL_US);
 }
 
@@ -128,6 +130,8 @@
         return;
     }
     pgw_log_info("drain_end", "unfinished=%u", inflight);
+    pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_END, NULL, 0, inflight, 0,
+                     NULL);
     refuse_rest(entry);
     pgw_loop_stop(entry->loop);
 }
@@ -174,6 +178,7 @@
 {
     struct pgw_config *config = pgw_rcu_read_lock(entry->snapshot);
     bool empty = config == NULL || pgw_config_is_empty(config);
+    struct pgw_watch_state store;
     const char *why = NULL;
 
     pgw_rcu_read_unlock(entry->snapshot);
@@ -181,8 +186,13 @@
         why = "leaving: a planned stop is under way\n";
     }
     else if (empty) {
-        why = "no configuration yet: neither the store nor any peer has "
-              "answered; check store_url and seeds\n";
+        pgw_config_feed_state(entry->feed, &store);
+        *reason = g_strdup_printf(
+            "no configuration yet: no peer has one and the store %s%s; check "
+            "store_url and seeds\n",
+            store.reachable ? "holds none" : "does not answer: ",
+            store.last_error);
+        return false;
     }
     else if (!pgw_sync_is_settled(entry->sync)) {
         why = "catching up: a part of the configuration is still on its way "
@@ -285,6 +295,7 @@
     entry->snapshot = pgw_rcu_new(config_unref);
     entry->budget = pgw_retry_budget_new(&retry);
     entry->set = pgw_config_set_new();
+    entry->workspaces = workspace_count_new();
     entry->members = pgw_members_new(&members);
     pgw_trace_new(&entry->trace, TRACE_EVENTS, pgw_hlc_process());
     tables_init(entry);
@@ -333,6 +344,7 @@
         pgw_config_unref(entry->config);
     }
     pgw_config_set_free(entry->set);
+    workspace_count_free(entry->workspaces);
     pgw_retry_budget_free(entry->budget);
     g_hash_table_unref(entry->probes);
     g_hash_table_unref(entry->exchanges);
