Order nothing by an old configuration, and let an edit be taken back

Cause: fencing numbers stop an old holder, but a process that wakes from a pause or starts from an old copy takes a permit under a fresh number and orders the weights of yesterday. And weights that never come held their engine for ever, as an order was carried out to its end. Change: the pool's object is read from the store before an order is begun and again before it is sent; what is wanted anew while weights load goes out as another order under the same permit and number.

--- a/include/parsleygw/permit.h
+++ b/include/parsleygw/permit.h
@@ -169,7 +169,8 @@
  * @holder: this process
  * @target: upstream whose engine the order is for
  * @fence: number of the grant; ignored by acquire
- * @order: the order; acquire only
+ * @order: the order, for acquire; for renew another one that takes the place
+ *   of the first, or NULL
  * @limit: orders at once, from pgw_permit_limit(); acquire only
  * @is_gone: the target does not exist any more (membership says so), so that
  *   nobody will ever go on with its started order; NULL: none is
--- a/src/libparsleygw/orders.c
+++ b/src/libparsleygw/orders.c
@@ -22,12 +22,14 @@
     struct pgw_permit_gate gate;
     struct pgw_permit_slot slot;
     uint64_t confirmed_us; /* the permit was last written by us */
+    uint64_t taken;        /* serial that the order in progress is from */
     bool looked;           /* for an order that an earlier process left */
 
     pthread_mutex_t lock; /* guards all below */
     pthread_cond_t wake;
     bool stopping;
     bool wanted;
+    uint64_t serial; /* of what is wanted */
     char *model;
     char *version;
     char **adapters;
@@ -180,17 +182,107 @@
     return done;
 }
 
+static bool
+next_order(struct pgw_orders *orders, struct pgw_permit_order *out,
+           const struct pgw_rollout_engine *engine)
+{
+    bool needed;
+
+    pthread_mutex_lock(&orders->lock);
+    needed = orders->wanted &&
+             pgw_rollout_next(
+                 out,
+                 &(struct pgw_rollout_wanted){
+                     .model = orders->model,
+                     .version = orders->version,
+                     .adapters = (const char *const *)orders->adapters},
+                 engine);
+    orders->taken = orders->serial;
+    pthread_mutex_unlock(&orders->lock);
+    return needed;
+}
+
+static bool
+has_changed(struct pgw_orders *orders)
+{
+    bool changed;
+
+    pthread_mutex_lock(&orders->lock);
+    changed = orders->serial != orders->taken;
+    pthread_mutex_unlock(&orders->lock);
+    return changed;
+}
+
+/*
+ * A process that was paused, or that started from an old copy of the
+ * configuration, would take a permit under a fresh number and order the
+ * weights of yesterday, which no engine refuses: so the store is asked first.
+ * An order that an earlier process left is only ended, not begun.
+ */
+static bool
+is_current(struct pgw_orders *orders, GError **error)
+{
+#ifndef PGW_DISABLE_ORDERS_CONFIG
+    if (orders->taken == 0) {
+        return true;
+    }
+    if (orders->options.confirm != NULL &&
+        !orders->options.confirm(orders->options.context, error)) {
+        return false;
+    }
+#endif
+    if (orders->taken != 0 && has_changed(orders)) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_CONFLICT,
+                    "order for %s: something else is wanted meanwhile: start "
+                    "again",
+                    orders->target);
+        return false;
+    }
+    return true;
+}
+
+/* What is wanted has changed and the engine would carry the order out to its
+ * end, perhaps to one that never comes: weights that are not in the store.
+ * The changed order goes out under the same permit and number. */
+static bool
+replace_order(struct pgw_orders *orders, bool *replaced, GError **error)
+{
+    const struct pgw_permit_order *order = &orders->slot.order;
+    struct pgw_rollout_engine as_ordered = {
+        .model = (char *)order->model,
+        .version = (char *)order->version,
+    };
+    struct pgw_permit_order next;
+    uint64_t taken = orders->taken;
+
+    *replaced = false;
+    if (!pgw_rollout_needs_idle(order) || !has_changed(orders) ||
+        !next_order(orders, &next, &as_ordered) ||
+        !pgw_rollout_needs_idle(&next)) {
+        return true;
+    }
+    *replaced = (orders->options.confirm == NULL ||
+                 orders->options.confirm(orders->options.context, error)) &&
+                permit_step(orders, PGW_PERMIT_RENEW, &next, error);
+    if (!*replaced) {
+        orders->taken = taken;
+    }
+    return *replaced;
+}
+
 /* An engine that crashes meanwhile comes back without the order: then it is
  * sent again, under the same number. */
 static bool
 send_and_watch(struct pgw_orders *orders, GError **error)
 {
     bool loading = false;
+    bool replaced = false;
     bool sent = false;
     GError *cause = NULL;
 
     for (;;) {
-        if (!sent || !loading) {
+        if (replace_order(orders, &replaced, &cause) &&
+            (!sent || !loading || replaced)) {
             sent = send_order(orders, &cause);
         }
         if (g_error_matches(cause, PGW_ERROR, PGW_ERROR_STALE)) {
@@ -243,11 +335,13 @@
 prepare(struct pgw_orders *orders, const struct pgw_permit_order *order,
         GError **error)
 {
-    if (!permit_step(orders, PGW_PERMIT_ACQUIRE, order, error)) {
+    if (!is_current(orders, error) ||
+        !permit_step(orders, PGW_PERMIT_ACQUIRE, order, error)) {
         return false;
     }
     if ((pgw_rollout_needs_idle(&orders->slot.order) &&
          !drain(orders, error)) ||
+        !is_current(orders, error) ||
         !permit_step(orders, PGW_PERMIT_START, NULL, error)) {
         /* Not sent: others need not wait until it lapses. */
         if (orders->slot.phase == PGW_PERMIT_GRANTED) {
@@ -275,25 +369,6 @@
     g_clear_error(&error);
 }
 
-static bool
-next_order(struct pgw_orders *orders, struct pgw_permit_order *out,
-           const struct pgw_rollout_engine *engine)
-{
-    bool needed;
-
-    pthread_mutex_lock(&orders->lock);
-    needed = orders->wanted &&
-             pgw_rollout_next(
-                 out,
-                 &(struct pgw_rollout_wanted){
-                     .model = orders->model,
-                     .version = orders->version,
-                     .adapters = (const char *const *)orders->adapters},
-                 engine);
-    pthread_mutex_unlock(&orders->lock);
-    return needed;
-}
-
 /* An order of an earlier process: the engine may already show its effect, yet
  * its permit stands until somebody ends it. */
 static bool
@@ -341,6 +416,7 @@
         return;
     }
     orders->gate.high_water = MAX(orders->gate.high_water, engine.fence);
+    orders->taken = 0;
     needed = (!orders->looked && left_order(orders, &order)) ||
              next_order(orders, &order, &engine);
     pgw_orders__status_dispose(&engine);
@@ -408,11 +484,28 @@
     g_free(orders);
 }
 
+static bool
+is_other(const struct pgw_orders *orders,
+         const struct pgw_rollout_wanted *wanted)
+{
+    const char *const none[] = {NULL};
+    const char *const *before = orders->adapters == NULL
+                                    ? none
+                                    : (const char *const *)orders->adapters;
+    const char *const *now =
+        wanted->adapters == NULL ? none : wanted->adapters;
+
+    return !orders->wanted || strcmp(orders->model, wanted->model) != 0 ||
+           strcmp(orders->version, wanted->version) != 0 ||
+           !g_strv_equal(before, now);
+}
+
 void
 pgw_orders_want(struct pgw_orders *orders,
                 const struct pgw_rollout_wanted *wanted, unsigned limit)
 {
     pthread_mutex_lock(&orders->lock);
+    orders->serial += is_other(orders, wanted);
     g_free(orders->model);
     g_free(orders->version);
     g_strfreev(orders->adapters);
--- a/src/libparsleygw/orders.h
+++ b/src/libparsleygw/orders.h
@@ -63,6 +63,9 @@
  * @hold: true: hand no new request to the engine; false: go on. Called on
  *   this module's thread
  * @is_idle: no request runs at the engine; called on this module's thread
+ * @confirm: asks the store whether what is wanted is still what is declared;
+ *   called on this module's thread before an order is begun and once more
+ *   before it is sent. False, with an error set, gives the order up
  * @context: handed to both
  * @term_us: term of a permit
  * @poll_us: between two looks at the engine
@@ -75,6 +78,7 @@
     const char *holder;
     void (*hold)(void *context, bool hold);
     bool (*is_idle)(void *context);
+    bool (*confirm)(void *context, GError **error);
     void *context;
     uint64_t term_us;
     uint64_t poll_us;
--- a/src/libparsleygw/permit.c
+++ b/src/libparsleygw/permit.c
@@ -236,6 +236,9 @@
         table->slots[i].beat++;
         decision->write = true;
     }
+    if (request->step == PGW_PERMIT_RENEW && request->order != NULL) {
+        table->slots[i].order = *request->order;
+    }
     if (request->step == PGW_PERMIT_START) {
         table->slots[i].phase = PGW_PERMIT_STARTED;
     }
--- a/src/sidecar/orders.c
+++ b/src/sidecar/orders.c
@@ -1,13 +1,12 @@
 #include "sidecar/orders.h"
-#include "libparsleygw/store_worker.h"
+#include "parsleygw/errors.h"
 #include "sidecar/gate.h"
 #include "util/log.h"
 #include <stdatomic.h>
 
 #define TICK_US UINT64_C(100000)
 #define TICK_CLOSED_US UINT64_C(10000)
-#define STORE_TIMEOUT_US UINT64_C(1000000)
-#define CONFIRM_RETRY_US UINT64_C(1000000)
+#define STORE_TIMEOUT_US UINT64_C(2000000)
 /* Requests that wait here when the gate closes may still run for so long;
  * the rest is sent elsewhere, so that a long queue does not hold a permit. */
 #define QUEUE_LIMIT_US UINT64_C(1000000)
@@ -26,10 +25,7 @@
  * @closed: the gate is closed
  * @closed_us: since when
  * @reopen_us: the thread let go; open once the engine was asked after that
- * @told: @thread was told what is asked
- * @confirmed: version of the pool's object that the store confirmed last
- * @confirming: the store is asked whether the pool's object is current
- * @confirm_us: when to ask again
+ * @told: version of the pool's object that @thread knows
  * @adapters: that profiles of the pool name, with a NULL at the end
  * @adapters_changed: @thread may not know them all
  * @limit: orders at once, as the thread was told
@@ -45,10 +41,7 @@
     bool closed;
     uint64_t closed_us;
     uint64_t reopen_us;
-    bool told;
-    uint64_t confirmed;
-    bool confirming;
-    uint64_t confirm_us;
+    _Atomic uint64_t told;
     GPtrArray *adapters;
     bool adapters_changed;
     unsigned limit;
@@ -207,53 +200,38 @@
     };
 
     orders->limit = orders_limit(orders, pool);
-    orders->told = true;
     orders->adapters_changed = false;
     pgw_orders_want(orders->thread, &wanted, orders->limit);
+    /* After it: a version that is confirmed for what was wanted before would
+     * let that pass. */
+    atomic_store(&orders->told, pool->object_version);
 }
 
-static void
-confirm_done(void *context, const struct pgw_io_reply *reply)
+/* On the thread: is the pool's object that it was told of still the store's?
+ * A newer one is on its way here and will be told. */
+static bool
+confirm(void *context, GError **error)
 {
     struct orders *orders = context;
-    const struct pgw_pool *pool = own_pool(orders);
-
-    orders->confirming = false;
-    orders->confirm_us = pgw_now_us() + CONFIRM_RETRY_US;
-    if (reply->result != PGW_IO_OK || pool == NULL) {
-        return;
-    }
-    if (reply->version <= pool->object_version) {
-        orders->confirmed = pool->object_version;
-        tell_thread(orders, pool);
+    struct sidecar *sidecar = orders->sidecar;
+    const char *name = sidecar->settings->pool;
+    struct pgw_store_object object;
+    bool current;
+
+    if (!pgw_store_get(pgw_config_feed_store(sidecar->feed), &object,
+                       PGW_CONFIG_KIND_POOL, name,
+                       pgw_now_us() + STORE_TIMEOUT_US, error)) {
+        return false;
     }
-    else {
-        /* One that is refused here is refused, and logged, by the feed too. */
-        pgw_sync_offer(orders->sidecar->sync, PGW_CONFIG_KIND_POOL, pool->name,
-                       reply->version, reply->value, NULL);
+    current = object.version <= atomic_load(&orders->told);
+    pgw_store_object_dispose(&object);
+    if (!current) {
+        g_set_error(error, PGW_ERROR, PGW_ERROR_CONFLICT,
+                    "pool %s: the store has a newer object than this "
+                    "process: wait until it arrives",
+                    name);
     }
-}
-
-/*
- * A process that starts from a peer's or a file's old copy would order the
- * weights of yesterday, and the engine would load them once more and back
- * again. So the store is asked for the pool's object before anything is
- * ordered by it; the order needs the store for its permit anyway.
- */
-static void
-confirm(struct orders *orders, const struct pgw_pool *pool)
-{
-    struct pgw_io io = {.kind = PGW_IO_READ};
-
-#ifdef PGW_DISABLE_ORDERS_CONFIG
-    orders->confirmed = pool->object_version;
-    tell_thread(orders, pool);
-    return;
-#endif
-    orders->confirming = true;
-    pgw_store_worker_submit(orders->sidecar->worker, PGW_CONFIG_KIND_POOL,
-                            pool->name, &io, STORE_TIMEOUT_US, confirm_done,
-                            orders);
+    return current;
 }
 
 static void
@@ -274,21 +252,13 @@
     options.holder = holder;
     options.hold = on_hold;
     options.is_idle = is_idle;
+    options.confirm = confirm;
     options.context = orders;
     options.poll_us = MAX(POLL_MIN_US, count * POLL_UPSTREAM_US);
     orders->thread = pgw_orders_new(&options);
     g_free(holder);
 }
 
-/* Whether the thread has anything to know: a fleet that runs what is declared
- * starts without a call of the store. */
-static bool
-has_business(const struct orders *orders, const struct pgw_pool *pool)
-{
-    return orders->told || orders->adapters->len > 1 ||
-           !runs(&orders->sidecar->engine, pool->model, pool->version);
-}
-
 static void
 update_wanted(struct orders *orders)
 {
@@ -300,16 +270,9 @@
     if (orders->thread == NULL) {
         start_thread(orders);
     }
-    if (!has_business(orders, pool)) {
-        return;
-    }
-    if (orders->confirmed != pool->object_version) {
-        if (!orders->confirming && pgw_now_us() >= orders->confirm_us) {
-            confirm(orders, pool);
-        }
-    }
-    else if (orders->adapters_changed ||
-             orders->limit != orders_limit(orders, pool)) {
+    if (atomic_load(&orders->told) != pool->object_version ||
+        orders->adapters_changed ||
+        orders->limit != orders_limit(orders, pool)) {
         tell_thread(orders, pool);
     }
 }
--- a/tests/failure/fail_paused_holder.c
+++ b/tests/failure/fail_paused_holder.c
@@ -2,9 +2,10 @@
  * A sidecar is stopped (a paused virtual machine) while its engine loads; its
  * lease lapses, and a second process for the same upstream takes the order
  * over. Then the first one wakes up and still believes that it holds the
- * permit. The operator sees: the engine keeps the successor's number and
- * weights, the order counts once at the weight store and no permit stays
- * taken, whether the engine checks numbers or takes any order.
+ * permit; meanwhile the pool has moved on to w3, of which it has not heard.
+ * The operator sees: the engine keeps the successor's number and weights, each
+ * version was loaded once and no permit stays taken, whether the engine checks
+ * numbers or takes any order.
  */
 #include <signal.h>
 #include <string.h>
@@ -57,6 +58,12 @@
     return fence;
 }
 
+static bool
+has_carried_out_both(void *data)
+{
+    return fleet_status_int(data, "order/done") == 2;
+}
+
 static bool
 has_carried_out(void *data)
 {
@@ -143,17 +150,22 @@
     harness_process_signal(first, SIGSTOP);
     start_second(&scene);
     g_assert_true(harness_wait_until(has_carried_out, scene.second, LIMIT_S));
+    g_assert_cmpint(engine_fence(&scene, NULL), >, first_fence);
+    put_version(&scene, "w3", checks);
+    g_assert_true(
+        harness_wait_until(has_carried_out_both, scene.second, LIMIT_S));
     fence = engine_fence(&scene, NULL);
-    g_assert_cmpint(fence, >, first_fence);
     harness_process_signal(first, SIGCONT);
     g_assert_true(harness_wait_until(is_told_to_stop, first, LIMIT_S));
+    /* It has had time to order anew by the pool that it knows. */
+    g_usleep(3 * G_USEC_PER_SEC);
     g_assert_true(harness_wait_until(is_released, &scene, LIMIT_S));
     g_assert_cmpint(engine_fence(&scene, &version), ==, fence);
-    g_assert_cmpstr(version, ==, "w2");
+    g_assert_cmpstr(version, ==, "w3");
     g_assert_cmpint(
         harness_get_int(harness_process_url(scene.weights, "/_stats"),
                         "loads_done"),
-        ==, 1);
+        ==, 2);
     g_free(version);
     harness_process_stop(scene.second, SIGTERM);
     fleet_free(scene.fleet);
--- a/tests/failure/fail_rollout.c
+++ b/tests/failure/fail_rollout.c
@@ -23,7 +23,7 @@
 #define LIMIT_S 90
 
 static const char pool[] =
-    "{\"type\":\"model\",\"model\":\"rulebook-7b\",\"version\":\"w2\","
+    "{\"type\":\"model\",\"model\":\"rulebook-7b\",\"version\":\"%s\","
     "\"load_permits\":%d,\"checks_fencing\":true,\"kv_store\":\"\","
     "\"bytes_per_token\":4}";
 
@@ -155,7 +155,7 @@
     options.engine_args = args;
     rollout->fleet = fleet_new(&options);
     traffic_start(&rollout->traffic, rollout->fleet);
-    fleet_put(rollout->fleet, "pool", "guide", pool, PERMITS);
+    fleet_put(rollout->fleet, "pool", "guide", pool, "w2", PERMITS);
 }
 
 static void
@@ -197,6 +197,16 @@
     rollout_end(&rollout);
 }
 
+static bool
+is_loading(void *data)
+{
+    JsonNode *status = harness_get_json(harness_process_url(data, "/status"));
+    bool loading = json_node_get_boolean(harness_json(status, "loading"));
+
+    json_node_unref(status);
+    return loading;
+}
+
 static bool
 runs_one(void *data)
 {
@@ -224,7 +234,7 @@
     caller = fleet_caller_start(fleet->entries[0], "a long answer", tokens);
     fleet_caller_wait_begun(caller, 1000);
     at = runs_one(fleet->engines[0]) ? 0 : 1;
-    fleet_put(fleet, "pool", "guide", pool, 1);
+    fleet_put(fleet, "pool", "guide", pool, "w2", 1);
     g_assert_true(harness_wait_until(one_on_w2, fleet, LIMIT_S));
     g_assert_true(runs_one(fleet->engines[at]));
     harness_process_stop(fleet->engines[at], SIGKILL);
@@ -240,6 +250,36 @@
     fleet_free(fleet);
 }
 
+static bool
+is_done(void *data)
+{
+    return fleet_status_int(data, "order/done") == 1;
+}
+
+/* The operator takes an edit back while the engine loads: weights that never
+ * come would hold the engine and its permit for ever. */
+static void
+test_taken_back(void)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    const char *const args[] = {"--load-ms", "4000", NULL};
+    struct fleet *fleet;
+    struct harness_stream stream;
+
+    options.engines = 1;
+    options.engine_args = args;
+    fleet = fleet_new(&options);
+    fleet_put(fleet, "pool", "guide", pool, "w2", PERMITS);
+    g_assert_true(harness_wait_until(is_loading, fleet->engines[0], LIMIT_S));
+    fleet_put(fleet, "pool", "guide", pool, "w1", PERMITS);
+    g_assert_true(harness_wait_until(is_done, fleet->sidecars[0], LIMIT_S));
+    g_assert_cmpuint(engines_on_w2(fleet), ==, 0);
+    fleet_ask(&stream, fleet->entries[0], "once more", TOKENS);
+    g_assert_true(stream.done);
+    harness_stream_dispose(&stream);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -247,5 +287,6 @@
     g_test_add_func("/rollout/whole", test_whole);
     g_test_add_func("/rollout/store-outage", test_store_outage);
     g_test_add_func("/rollout/crash-midway", test_crash_midway);
+    g_test_add_func("/rollout/taken-back", test_taken_back);
     return g_test_run();
 }
