Take back the previous weights in a pool's object

Cause: version.h divides requests among versions during a rollout by what engines run; a declared previous version would be a second way. Measurement: none needed; the tests of version.h stand. Conclusion: one module decides on the version of a request.

--- a/include/parsleygw/config.h
+++ b/include/parsleygw/config.h
@@ -101,8 +101,6 @@
  * @is_service: plain service instead of model
  * @model: model that the engines run
  * @version: weights version that the engines are to run ("w1")
- * @previous: weights version that may still answer during a rollout; empty:
- *   none
  * @object_version: version of the object in the store
  * @load_permits: engines that may load weights at once
  * @checks_fencing: the engines refuse an order with an old fencing number
@@ -115,7 +113,6 @@
     bool is_service;
     const char *model;
     const char *version;
-    const char *previous;
     uint64_t object_version;
     uint32_t load_permits;
     bool checks_fencing;
--- a/include/parsleygw/member.h
+++ b/include/parsleygw/member.h
@@ -228,24 +228,6 @@
 pgw_member_view_pool(const struct pgw_member_view *view, const char *pool,
                      size_t *n);
 
-/**
- * pgw_member_view_weights() - weights version that a request should ask for
- * @view: the view
- * @pool: name of the pool
- * @random: any number; the same one gives the same version while the view
- *   stays the same, so that a hash of the prompt's first level keeps requests
- *   of one prefix together
- *
- * The pool's version, but while engines move to it also its previous one, in
- * proportion to the usable upstreams that run each: asked for the new version
- * only, the first engine that has it would get the load of all. No other
- * version is ever asked for.
- *
- * Return: text owned by the view; NULL when there is no such pool.
- */
-const char *pgw_member_view_weights(const struct pgw_member_view *view,
-                                    const char *pool, uint64_t random);
-
 /** pgw_member_view_find() - by id; NULL when it is not declared */
 const struct pgw_member *
 pgw_member_view_find(const struct pgw_member_view *view, const char *id);
--- a/src/libparsleygw/config_value.c
+++ b/src/libparsleygw/config_value.c
@@ -235,7 +235,6 @@
     pool->model = pgw_config__read_string(reader, "model", fallback, TEXT_MAX);
     pool->version =
         pgw_config__read_string(reader, "version", fallback, TEXT_MAX);
-    pool->previous = pgw_config__read_string(reader, "previous", "", TEXT_MAX);
     pool->load_permits =
         pgw_config__read_uint(reader, "load_permits", 3, 1, 1000);
     pool->checks_fencing =
@@ -412,7 +411,6 @@
     case PGW_CONFIG__POOL:
         g_free((char *)object->as.pool.model);
         g_free((char *)object->as.pool.version);
-        g_free((char *)object->as.pool.previous);
         g_free((char *)object->as.pool.kv_store);
         g_free((char *)object->as.pool.region);
         break;
--- a/src/libparsleygw/member_view.c
+++ b/src/libparsleygw/member_view.c
@@ -126,39 +126,6 @@
     return *n == 0 ? NULL : &view->members[range->first];
 }
 
-static bool
-may_answer(const struct pgw_member *member, const struct pgw_pool *pool)
-{
-    return member->state == PGW_MEMBER_USABLE && member->weights[0] != '\0' &&
-           (strcmp(member->weights, pool->version) == 0 ||
-            strcmp(member->weights, pool->previous) == 0);
-}
-
-const char *
-pgw_member_view_weights(const struct pgw_member_view *view, const char *pool,
-                        uint64_t random)
-{
-    const struct pgw_pool *declared = pgw_config_pool(view->config, pool);
-    size_t n;
-    const struct pgw_member *members = pgw_member_view_pool(view, pool, &n);
-    uint64_t may = 0;
-    uint64_t turn;
-
-    if (declared == NULL) {
-        return NULL;
-    }
-    for (size_t i = 0; i < n; i++) {
-        may += may_answer(&members[i], declared);
-    }
-    turn = may == 0 ? 0 : random % may;
-    for (size_t i = 0; i < n && may > 0; i++) {
-        if (may_answer(&members[i], declared) && turn-- == 0) {
-            return members[i].weights;
-        }
-    }
-    return declared->version;
-}
-
 const struct pgw_member *
 pgw_member_view_find(const struct pgw_member_view *view, const char *id)
 {
