--- a/src/libparsleygw/member.c
+++ b/src/libparsleygw/member.c
@@ -133,10 +133,12 @@
 {
     struct pgw_member_facts *facts = &tracked->facts;
 
+#ifndef PGW_DISABLE_LEAVING_LISTED
     if (listing == PGW_MEMBER_LIST_LEAVING &&
         facts->listing != PGW_MEMBER_LIST_LEAVING) {
         facts->left = true;
     }
+#endif
     facts->listing = listing;
     facts->list_us = now_us;
 }
--- a/tests/standins/objects.c
+++ b/tests/standins/objects.c
@@ -41,6 +41,7 @@
     uint64_t watches;
     uint64_t conflicts;
     uint64_t limited;
+    uint64_t refused; /* in an outage */
 };
 
 /* An answer that waits for its time: a delayed one, or a watch. */
@@ -319,6 +320,7 @@
     bool write = strcmp(standin_call_method(call), "GET") != 0;
 
     if (objects->outage) {
+        objects->stats.refused++;
         answer_error(objects, call, 503, "outage");
         return false;
     }
@@ -378,14 +380,14 @@
 static void
 report_stats(struct objects *objects, struct standin_call *call)
 {
-    standin_call_replyf(call, 200,
-                        "{\"reads\":%" PRIu64 ",\"writes\":%" PRIu64
-                        ",\"watches\":%" PRIu64 ",\"conflicts\":%" PRIu64
-                        ",\"limited\":%" PRIu64 ",\"version\":%" PRIu64 "}",
-                        objects->stats.reads, objects->stats.writes,
-                        objects->stats.watches, objects->stats.conflicts,
-                        objects->stats.limited,
-                        objects_history_counter(objects->history));
+    standin_call_replyf(
+        call, 200,
+        "{\"reads\":%" PRIu64 ",\"writes\":%" PRIu64 ",\"watches\":%" PRIu64
+        ",\"conflicts\":%" PRIu64 ",\"limited\":%" PRIu64
+        ",\"refused\":%" PRIu64 ",\"version\":%" PRIu64 "}",
+        objects->stats.reads, objects->stats.writes, objects->stats.watches,
+        objects->stats.conflicts, objects->stats.limited,
+        objects->stats.refused, objects_history_counter(objects->history));
 }
 
 /* Paths of the object API, after the limits have let the call in. */
