--- a/include/parsleygw/member.h
+++ b/include/parsleygw/member.h
@@ -107,6 +107,7 @@
  * @incarnation: of its sidecar; 0: none seen
  * @engine: incarnation of its engine, the sidecar's word; 0: none
  * @weights: weights version that its engine runs; empty: not known
+ * @loading: the engine changes its weights and takes no new work meanwhile
  */
 struct pgw_member {
     const struct pgw_upstream *upstream;
@@ -114,6 +115,7 @@
     uint64_t incarnation;
     uint64_t engine;
     char weights[PGW_CONFIG_NAME_MAX + 1];
+    bool loading;
 };
 
 struct pgw_member_view;
@@ -174,12 +176,14 @@
  * @upstream_alive: its upstream answers
  * @engine: incarnation of its engine
  * @weights: weights version of its engine
+ * @loading: the engine changes its weights
  */
 struct pgw_member_word {
     bool leaving;
     bool upstream_alive;
     uint64_t engine;
     const char *weights;
+    bool loading;
 };
 
 /**
@@ -224,6 +228,24 @@
 pgw_member_view_pool(const struct pgw_member_view *view, const char *pool,
                      size_t *n);
 
+/**
+ * pgw_member_view_weights() - weights version that a request should ask for
+ * @view: the view
+ * @pool: name of the pool
+ * @random: any number; the same one gives the same version while the view
+ *   stays the same, so that a hash of the prompt's first level keeps requests
+ *   of one prefix together
+ *
+ * The pool's version, but while engines move to it also its previous one, in
+ * proportion to the usable upstreams that run each: asked for the new version
+ * only, the first engine that has it would get the load of all. No other
+ * version is ever asked for.
+ *
+ * Return: text owned by the view; NULL when there is no such pool.
+ */
+const char *pgw_member_view_weights(const struct pgw_member_view *view,
+                                    const char *pool, uint64_t random);
+
 /** pgw_member_view_find() - by id; NULL when it is not declared */
 const struct pgw_member *
 pgw_member_view_find(const struct pgw_member_view *view, const char *id);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "parsleygw/place.h"
 #include "parsleygw/retry.h"
 #include "parsleygw/settings.h"
+#include "parsleygw/version.h"
 #include "util/metric.h"
 #include "util/rcu.h"
 #include "util/trace.h"
@@ -32,13 +33,18 @@
 /**
  * struct pool - the upstreams of one configured pool as placement sees them
  * @name: the pool's name
- * @nodes: for ranking, parallel to @upstreams
+ * @track: weights versions that its requests may get
+ * @split: how requests are divided among them
+ * @nodes: for ranking, one array for each part of @split, each parallel to
+ *   @upstreams: an engine is usable only for what it runs
  * @upstreams: their sidecars
- * @count: number of both
+ * @count: number of upstreams
  */
 struct pool {
     char *name;
-    struct pgw_place_node *nodes;
+    struct pgw_version_track track;
+    struct pgw_version_split split;
+    struct pgw_place_node *nodes[PGW_VERSION_PARTS];
     struct upstream **upstreams;
     size_t count;
 };
@@ -70,6 +76,7 @@
  * @watch_timer: next look for callers that went away
  * @drain_timer: checks whether a planned stop is over
  * @drain_until_us: when it gives up waiting
+ * @workspaces: requests in progress of each workspace
  * @inflight: exchanges not yet ended, over all threads
  * @reading: requests whose body is still on its way
  * @usable: upstreams that take new work, for readiness
@@ -101,6 +108,7 @@
     struct pgw_timer watch_timer;
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
+    struct workspace_count *workspaces;
     atomic_uint inflight;
     atomic_uint reading;
     atomic_uint usable;
