--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -6,6 +6,8 @@
 
 #define GATE_TICK_US UINT64_C(20000)
 #define QUEUE_RETRY_MS 1000
+/* Tokens of a running answer come many times a second. */
+#define SILENT_US UINT64_C(2000000)
 
 guint
 run_key_hash(gconstpointer key)
@@ -130,6 +132,7 @@
 {
     run->state = RUN_SENT;
     run->sent_us = pgw_now_us();
+    run->heard_us = run->sent_us;
     run->engine = run->sidecar->engine.incarnation;
     run->sidecar->handed++;
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_UPSTREAM_START,
@@ -531,16 +534,54 @@
     gate_finish(run);
 }
 
-void
-gate_engine_told(struct sidecar *sidecar)
+/* The first run for which @wanted holds. Ending one run may free others, so
+ * that every search begins anew. */
+static struct run *
+find_first(struct sidecar *sidecar, bool (*wanted)(const struct run *run))
 {
-    pgw_list_foreach_safe (link, &sidecar->all_runs) {
+    pgw_list_foreach (link, &sidecar->all_runs) {
         struct run *run = pgw_container_of(link, struct run, link);
 
-        if (run->state == RUN_BROKEN) {
-            settle_broken(run);
+        if (wanted(run)) {
+            return run;
         }
     }
+    return NULL;
+}
+
+static bool
+is_unsettled(const struct run *run)
+{
+    return run->state == RUN_BROKEN && !run->settled;
+}
+
+static bool
+is_silent(const struct run *run)
+{
+    return run->transfer != NULL && !run->paused && !run->ended &&
+           pgw_now_us() - run->heard_us > SILENT_US;
+}
+
+void
+gate_engine_told(struct sidecar *sidecar)
+{
+    struct run *run;
+
+    while ((run = find_first(sidecar, is_unsettled)) != NULL) {
+        settle_broken(run);
+    }
+    /*
+     * A crash closes its connections and is heard at once. An engine whose
+     * machine or network is gone says nothing: without this its streams would
+     * stand still until their deadline. Whether it crashed, or on which
+     * request, is not known, so nobody is suspected.
+     */
+    while (!sidecar->engine.alive &&
+           (run = find_first(sidecar, is_silent)) != NULL) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                      "the upstream fell silent");
+        gate_finish(run);
+    }
 }
 
 /* The entry no longer wants the attempt. */
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -60,6 +60,7 @@
  * @state: progress
  * @transfer: the call to the upstream, NULL while waiting
  * @sent_us: when it was handed over
+ * @heard_us: when the upstream last sent something, or @sent_us
  * @call: table of the call's kind
  * @deadline: timer of the request's deadline
  * @window: bytes that the entry still takes
@@ -99,6 +100,7 @@
     enum run_state state;
     struct pgw_transfer *transfer;
     uint64_t sent_us;
+    uint64_t heard_us;
     const struct run_call *call;
     struct pgw_timer deadline;
     int64_t window;
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -123,6 +123,7 @@
     struct run *run = context;
 
     (void)transfer;
+    run->heard_us = pgw_now_us();
     if (run->broken || run->refused) {
         return true;
     }
--- a/tests/failure/harness_fleet.c
+++ b/tests/failure/harness_fleet.c
@@ -353,32 +353,35 @@
 static void
 assert_sound(struct harness_process *process)
 {
-    char *log;
-    int status = 0;
+    int status = harness_process_wait(process);
 
-    if (process == NULL) {
-        return;
-    }
-    if (harness_process_is_running(process)) {
-        status = harness_process_stop(process, SIGTERM);
-    }
-    else {
-        status = harness_process_wait(process);
-    }
     if (status != 0 && status != -SIGKILL) {
-        log = harness_process_log(process);
-        g_error("a daemon ended with %d: %s", status, log);
+        g_error("a daemon ended with %d: %s", status,
+                harness_process_log(process));
     }
 }
 
 void
 fleet_free(struct fleet *fleet)
 {
+    struct harness_process *daemons[2 * FLEET_MAX];
+    unsigned count = 0;
+
     for (unsigned i = 0; i < FLEET_MAX; i++) {
-        assert_sound(fleet->entries[i]);
+        if (fleet->entries[i] != NULL) {
+            daemons[count++] = fleet->entries[i];
+        }
+        if (fleet->sidecars[i] != NULL) {
+            daemons[count++] = fleet->sidecars[i];
+        }
     }
-    for (unsigned i = 0; i < FLEET_MAX; i++) {
-        assert_sound(fleet->sidecars[i]);
+    for (unsigned i = 0; i < count; i++) {
+        if (harness_process_is_running(daemons[i])) {
+            harness_process_signal(daemons[i], SIGTERM);
+        }
+    }
+    for (unsigned i = 0; i < count; i++) {
+        assert_sound(daemons[i]);
     }
     harness_free(fleet->harness);
     pgw_config_set_free(fleet->expected);
@@ -443,8 +446,7 @@
 }
 
 char *
-fleet_expected(struct harness_process *engine, const char *prompt,
-               unsigned tokens)
+fleet_expected(struct fleet *fleet, const char *prompt, unsigned tokens)
 {
     char *text = quoted(prompt);
     char *body = g_strdup_printf(
@@ -455,8 +457,13 @@
     struct harness_stream stream;
     char *expected;
 
+    if (fleet->oracle == NULL) {
+        fleet->oracle = harness_spawn(fleet->harness, "standin-engine",
+                                      "--time-scale", "100", NULL);
+    }
     g_assert_cmpint(
-        harness_post(&answer, harness_process_url(engine, "/v1/completions"),
+        harness_post(&answer,
+                     harness_process_url(fleet->oracle, "/v1/completions"),
                      body),
         ==, 200);
     harness_stream_parse(&stream, answer.body->str);
--- a/tests/failure/harness_fleet.h
+++ b/tests/failure/harness_fleet.h
@@ -58,6 +58,7 @@
  * struct fleet - the running processes
  * @expected: configuration objects as the store holds them
  * @engines: model engines
+ * @oracle: a fast engine that tells fleet_expected()
  * @sidecars: theirs, by the same index; the service's one follows
  * @links: proxies before the sidecars, by the same index, or NULL
  * @upstreams: proxies before the upstreams, by the same index, or NULL
@@ -70,6 +71,7 @@
     struct harness_process *store;
     struct harness_process *engines[FLEET_MAX];
     struct harness_process *service;
+    struct harness_process *oracle;
     struct harness_process *sidecars[FLEET_MAX];
     struct harness_process *links[FLEET_MAX];
     struct harness_process *upstreams[FLEET_MAX];
@@ -119,9 +121,8 @@
 void fleet_ask(struct harness_stream *out, struct harness_process *entry,
                const char *prompt, unsigned tokens);
 
-/** fleet_expected() - the text that any engine gives, asked directly */
-char *fleet_expected(struct harness_process *engine, const char *prompt,
-                     unsigned tokens);
+/** fleet_expected() - the text that any engine gives; free it */
+char *fleet_expected(struct fleet *fleet, const char *prompt, unsigned tokens);
 
 /**
  * struct fleet_caller - a streamed completion on a thread of its own
