Delete expired claims; keep 10 s of keys in an object

Cause: nobody deleted objects of claims, so the store would keep every key for ever; and the span of an object was still 60 s, at which four shards take 133 calls a second.

Conclusion: the driver still has to be called by claims.c.

--- a/include/parsleygw/claim.h
+++ b/include/parsleygw/claim.h
@@ -49,7 +49,7 @@
 
 #define PGW_CLAIM_LAYOUT_INIT                                                 \
     {                                                                         \
-        .shards = 4, .period_us = 60ull * G_USEC_PER_SEC,                     \
+        .shards = 4, .period_us = 10ull * G_USEC_PER_SEC,                     \
         .retention_us = 24ull * 3600 * G_USEC_PER_SEC,                        \
         .skew_us = 600ull * G_USEC_PER_SEC                                    \
     }
@@ -104,6 +104,56 @@
                                  const char *name, uint64_t slack_us,
                                  uint64_t now_us);
 
+/**
+ * struct pgw_claim_sweep - deletes objects whose keys are all expired
+ *
+ * A pure machine: for each object that comes into use it goes after the
+ * periods of the same shard that have expired since the last one, so that as
+ * many objects go as come and nobody has to list them.
+ */
+struct pgw_claim_sweep;
+
+/**
+ * pgw_claim_sweep_new() - make a machine with nothing to do
+ * @layout: the layout of all its objects; @service is not used
+ * @slack_us: how far the clocks of two processes may differ
+ * @catch_up: expired periods to look at when a shard is first used
+ */
+struct pgw_claim_sweep *
+pgw_claim_sweep_new(const struct pgw_claim_layout *layout, uint64_t slack_us,
+                    uint32_t catch_up);
+
+/** pgw_claim_sweep_free() - free a machine; NULL is allowed */
+void pgw_claim_sweep_free(struct pgw_claim_sweep *sweep);
+
+/**
+ * pgw_claim_sweep_used() - an object came into use in this process
+ * @sweep: machine
+ * @name: the object's name
+ * @now_us: the time
+ */
+void pgw_claim_sweep_used(struct pgw_claim_sweep *sweep, const char *name,
+                          uint64_t now_us);
+
+/**
+ * pgw_claim_sweep_next_io() - take the next store operation
+ * @out: receives it, to be disposed of
+ * @name: receives the name of its object
+ * @sweep: machine
+ *
+ * One at a time; the caller chooses the pace. After a failure the same object
+ * comes again.
+ *
+ * Return: false when there is nothing to do or one is outstanding.
+ */
+bool pgw_claim_sweep_next_io(struct pgw_io *out,
+                             char name[PGW_CLAIM_NAME_SIZE],
+                             struct pgw_claim_sweep *sweep);
+
+/** pgw_claim_sweep_io_done() - end of the outstanding operation */
+void pgw_claim_sweep_io_done(struct pgw_claim_sweep *sweep,
+                             const struct pgw_io_reply *reply);
+
 /**
  * struct pgw_claim_options - settings of a shard's machine
  * @owner: incarnation of this process; never 0, random per process start
