Measure control, and take one copy at a start, not one a peer

Cause: a process that starts is greeted by all its peers at once and asked each of them for their whole configuration before the first copy was there. Change: details are exchanged with one peer at a time (sync_turn), and one without any copy asks for all instead of comparing buckets. Links count their bytes (pgw_link_sent_bytes_total, pgw_link_received_bytes_total). Conclusion: what a restart costs no longer grows with the number of peers.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -289,6 +289,7 @@
     pgw_trace_new(&entry->trace, TRACE_EVENTS, pgw_hlc_process());
     tables_init(entry);
     account_init();
+    pgw_link_register_metrics();
     entry->loop = pgw_loop_new(error);
     if (entry->loop == NULL) {
         goto fail;
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -1,5 +1,6 @@
 #include "libparsleygw/link.h"
 #include "parsleygw/errors.h"
+#include "util/metric.h"
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +14,15 @@
  * machine vanished sends no reset, and waiting writes would queue for ever. */
 #define LINK_USER_TIMEOUT_MS 3000
 
+static struct pgw_metric_counter sent_bytes = {
+    .name = "pgw_link_sent_bytes_total",
+    .help = "Bytes sent to other processes of the system",
+};
+static struct pgw_metric_counter received_bytes = {
+    .name = "pgw_link_received_bytes_total",
+    .help = "Bytes received from other processes of the system",
+};
+
 struct pgw_link {
     struct pgw_loop_fd watch;
     struct pgw_task reap;
@@ -86,6 +96,7 @@
             link_break_errno(link, "send");
             return;
         }
+        pgw_metric_counter_add(&sent_bytes, (uint64_t)sent);
         pgw_buffer_consume(&link->out, (size_t)sent);
     }
     wants_write = pgw_buffer_size(&link->out) > 0;
@@ -141,6 +152,7 @@
                                      "the peer closed the connection"));
         return;
     }
+    pgw_metric_counter_add(&received_bytes, (uint64_t)got);
     link->in.end += (size_t)got;
     link->heard_us = pgw_now_us();
     link_deliver(link);
@@ -246,6 +258,13 @@
     return link_new(loop, fd, ops, context, false, error);
 }
 
+void
+pgw_link_register_metrics(void)
+{
+    pgw_metric_register_counter(&sent_bytes);
+    pgw_metric_register_counter(&received_bytes);
+}
+
 void
 pgw_link_send(struct pgw_link *link, enum pgw_frame_type type,
               const ProtobufCMessage *message)
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -70,6 +70,9 @@
 /** pgw_link_close() - close after @on_closed was called from the loop */
 void pgw_link_close(struct pgw_link *link);
 
+/** pgw_link_register_metrics() - show the bytes of all links in /metrics */
+void pgw_link_register_metrics(void);
+
 /**
  * struct pgw_listener - accepts framed connections
  */
--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -1,17 +1,22 @@
 #include "libparsleygw/sync.h"
+#include "libparsleygw/sync_turn.h"
 #include "parsleygw/errors.h"
 #include <stdatomic.h>
+#include <string.h>
 
 /* One frame of objects stays well below PGW_FRAME_MAX. */
 #define SYNC_FRAME_BYTES ((size_t)1 << 20)
 /* More objects at once are a process catching up, which others need not
  * hear of: only fresh changes are pushed on. */
 #define SYNC_PUSH_OBJECTS 16
+/* More than this still queued for a partner keeps the turn with it. */
+#define SYNC_TURN_PENDING ((size_t)1 << 20)
 
 struct pgw_sync {
     struct pgw_sync_options options;
     GPtrArray *links;
     GHashTable *summaries; /* by link: what its peer last said it holds */
+    struct pgw_sync_turn turn;
     atomic_bool settled;
     struct pgw_timer timer;
     struct pgw_task notify;
@@ -41,8 +46,11 @@
 
     if (sync->links->len > 0) {
         guint pick = (guint)g_random_int_range(0, (gint32)sync->links->len);
+        struct pgw_link *link = g_ptr_array_index(sync->links, pick);
 
-        send_digest(sync, g_ptr_array_index(sync->links, pick), NULL);
+        if (!pgw_sync_turn_is_others(&sync->turn, link, pgw_now_us())) {
+            send_digest(sync, link, NULL);
+        }
     }
     /* Jitter keeps processes that started together from staying in step. */
     pgw_timer_start(sync->options.loop, timer,
@@ -96,7 +104,9 @@
 pgw_sync_add_link(struct pgw_sync *sync, struct pgw_link *link)
 {
     g_ptr_array_add(sync->links, link);
-    send_digest(sync, link, NULL);
+    if (!pgw_sync_turn_is_others(&sync->turn, link, pgw_now_us())) {
+        send_digest(sync, link, NULL);
+    }
 }
 
 void
@@ -104,6 +114,7 @@
 {
     g_ptr_array_remove_fast(sync->links, link);
     g_hash_table_remove(sync->summaries, link);
+    pgw_sync_turn_end(&sync->turn, link);
 }
 
 bool
@@ -112,15 +123,28 @@
     return atomic_load(&sync->settled);
 }
 
+static bool
+is_empty(const struct pgw_sync *sync)
+{
+    static const uint64_t empty[PGW_CONFIG_BUCKETS];
+    uint64_t own[PGW_CONFIG_BUCKETS];
+
+    pgw_config_set_digest(sync->options.set, own);
+    return memcmp(own, empty, sizeof(own)) == 0;
+}
+
 /* Two empty replicas agree, too, and know nothing. */
 static void
 settle_if_equal(struct pgw_sync *sync, const struct pgw_link *link)
 {
     const uint64_t *theirs = g_hash_table_lookup(sync->summaries, link);
 
-    if (theirs != NULL &&
-        *theirs == pgw_config_set_summary(sync->options.set) &&
-        pgw_config_set_count(sync->options.set) > 0) {
+    if (theirs == NULL ||
+        *theirs != pgw_config_set_summary(sync->options.set)) {
+        return;
+    }
+    pgw_sync_turn_end(&sync->turn, link);
+    if (!is_empty(sync)) {
         atomic_store(&sync->settled, true);
     }
 }
@@ -265,6 +289,7 @@
 take_objects(struct pgw_sync *sync, struct pgw_link *link,
              const Pgw__Objects *message)
 {
+    pgw_sync_turn_heard(&sync->turn, link, pgw_now_us());
     for (size_t i = 0; i < message->n_objects; i++) {
         const Pgw__Object *object = message->objects[i];
         char *value = object->deleted
@@ -371,6 +396,9 @@
     g_array_unref(peer);
     if (newer_there == 0) {
         atomic_store(&sync->settled, true);
+        if (pgw_link_pending(link) < SYNC_TURN_PENDING) {
+            pgw_sync_turn_end(&sync->turn, link);
+        }
     }
     /*
      * The peer compares our list in turn and sends what is newer there. Were
@@ -383,6 +411,19 @@
     }
 }
 
+/* Without a copy of one's own there is nothing to compare. */
+static void
+ask_for_all(struct pgw_sync *sync, struct pgw_link *link)
+{
+    bool all[PGW_CONFIG_BUCKETS];
+
+    if (!sync->turn.asked_all) {
+        sync->turn.asked_all = true;
+        memset(all, true, sizeof(all));
+        send_versions(sync, link, all, false);
+    }
+}
+
 static void
 take_digest(struct pgw_sync *sync, struct pgw_link *link,
             const Pgw__Digest *digest)
@@ -393,9 +434,15 @@
     if (digest->summary == pgw_config_set_summary(sync->options.set)) {
         return;
     }
+    if (!pgw_sync_turn_take(&sync->turn, link, pgw_now_us())) {
+        return;
+    }
     if (digest->n_covered > 0) {
         compare_versions(sync, link, digest);
     }
+    else if (is_empty(sync)) {
+        ask_for_all(sync, link);
+    }
     else if (digest->n_buckets == PGW_CONFIG_BUCKETS) {
         compare_buckets(sync, link, digest);
     }
--- /dev/null
+++ b/src/libparsleygw/sync_turn.c
@@ -0,0 +1,48 @@
+#include "libparsleygw/sync_turn.h"
+
+bool
+pgw_sync_turn_is_others(const struct pgw_sync_turn *turn, const void *link,
+                        uint64_t now_us)
+{
+#ifndef PGW_DISABLE_SYNC_TURN
+    return turn->partner != NULL && turn->partner != link &&
+           now_us - turn->heard_us < PGW_SYNC_TURN_SILENT_US &&
+           now_us - turn->began_us < PGW_SYNC_TURN_MOST_US;
+#else
+    (void)turn;
+    (void)link;
+    (void)now_us;
+    return false;
+#endif
+}
+
+bool
+pgw_sync_turn_take(struct pgw_sync_turn *turn, const void *link,
+                   uint64_t now_us)
+{
+    if (pgw_sync_turn_is_others(turn, link, now_us)) {
+        return false;
+    }
+    if (turn->partner != link) {
+        *turn = (struct pgw_sync_turn){.partner = link, .began_us = now_us};
+    }
+    turn->heard_us = now_us;
+    return true;
+}
+
+void
+pgw_sync_turn_heard(struct pgw_sync_turn *turn, const void *link,
+                    uint64_t now_us)
+{
+    if (turn->partner == link) {
+        turn->heard_us = now_us;
+    }
+}
+
+void
+pgw_sync_turn_end(struct pgw_sync_turn *turn, const void *link)
+{
+    if (turn->partner == link) {
+        turn->partner = NULL;
+    }
+}
--- /dev/null
+++ b/src/libparsleygw/sync_turn.h
@@ -0,0 +1,57 @@
+#ifndef PGW_SYNC_TURN_H
+#define PGW_SYNC_TURN_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/**
+ * DOC: Details are exchanged with one peer at a time
+ *
+ * A process that starts is greeted by all its peers within milliseconds. Were
+ * each asked before the first copy is there, all would send their whole copy:
+ * hundreds of megabytes, and at the peers as many that wait in the queues of
+ * links. Whoever does not get its turn is heard at the next periodic summary.
+ * Pure: the clock is passed in.
+ */
+
+/* A partner that is silent for so long has lost its turn. */
+#define PGW_SYNC_TURN_SILENT_US UINT64_C(1000000)
+/* After so long others may take the turn: one that differs for ever, because
+ * one side refuses a value, must not keep the others out. */
+#define PGW_SYNC_TURN_MOST_US UINT64_C(5000000)
+
+/**
+ * struct pgw_sync_turn - whose turn it is
+ * @partner: a link; NULL: anybody's
+ * @began_us: when its turn began
+ * @heard_us: when it last took part
+ * @asked_all: it was asked for its whole copy
+ */
+struct pgw_sync_turn {
+    const void *partner;
+    uint64_t began_us;
+    uint64_t heard_us;
+    bool asked_all;
+};
+
+/** pgw_sync_turn_is_others() - somebody else's, so that @link must wait */
+bool pgw_sync_turn_is_others(const struct pgw_sync_turn *turn,
+                             const void *link, uint64_t now_us);
+
+/** pgw_sync_turn_take() - begin or go on. Return: false if @link must wait */
+bool pgw_sync_turn_take(struct pgw_sync_turn *turn, const void *link,
+                        uint64_t now_us);
+
+/** pgw_sync_turn_heard() - @link sent something; counts if it has the turn */
+void pgw_sync_turn_heard(struct pgw_sync_turn *turn, const void *link,
+                         uint64_t now_us);
+
+/** pgw_sync_turn_end() - @link needs its turn no longer, if it has it */
+void pgw_sync_turn_end(struct pgw_sync_turn *turn, const void *link);
+
+G_END_DECLS
+
+#endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -263,6 +263,7 @@
     pgw_list_init(&sidecar->all_runs);
     pgw_list_init(&sidecar->held);
     pgw_trace_new(&sidecar->trace, TRACE_EVENTS, pgw_hlc_process());
+    pgw_link_register_metrics();
     sidecar->loop = pgw_loop_new(error);
     if (sidecar->loop == NULL) {
         goto fail;
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -4,6 +4,7 @@
 #include "libparsleygw/sync.h"
 
 #define REPLICAS 3
+#define MANY_LINKS 40
 #define POOL "{\"type\":\"model\",\"model\":\"m\",\"version\":\"w%u\"}"
 
 /**
@@ -17,6 +18,7 @@
     GPtrArray *links;
     unsigned changes;
     unsigned frames;
+    size_t objects; /* received */
 };
 
 struct fleet {
@@ -34,6 +36,9 @@
     struct replica *replica = context;
 
     replica->frames++;
+    if (type == PGW_FRAME_OBJECTS) {
+        replica->objects += ((const Pgw__Objects *)message)->n_objects;
+    }
     g_assert_true(pgw_sync_take_frame(replica->sync, link, type, message));
     return false;
 }
@@ -168,6 +173,17 @@
     g_free(value);
 }
 
+static void
+offer_many(struct replica *replica, unsigned count)
+{
+    for (unsigned i = 0; i < count; i++) {
+        char *name = g_strdup_printf("pool-%u", i);
+
+        offer(replica, name, i + 1);
+        g_free(name);
+    }
+}
+
 static bool
 all_agree(struct fleet *fleet)
 {
@@ -219,12 +235,7 @@
     struct fleet *fleet = fleet_new(all_agree);
     struct replica *all = fleet->replicas;
 
-    for (unsigned i = 0; i < 2000; i++) {
-        char *name = g_strdup_printf("pool-%u", i);
-
-        offer(&all[0], name, i + 1);
-        g_free(name);
-    }
+    offer_many(&all[0], 2000);
     join(&all[1], &all[0]);
     join(&all[2], &all[1]);
     pgw_loop_run(fleet->loop);
@@ -232,6 +243,25 @@
     fleet_free(fleet);
 }
 
+/* One that starts empty before several peers takes the copy of one: what it
+ * receives in objects stays near one copy, however many greet it. */
+static void
+test_starter_takes_one_copy(void)
+{
+    struct fleet *fleet = fleet_new(all_agree);
+    struct replica *all = fleet->replicas;
+
+    offer_many(&all[0], 500);
+    for (unsigned i = 0; i < MANY_LINKS; i++) {
+        join(&all[1], &all[0]);
+    }
+    join(&all[2], &all[1]);
+    pgw_loop_run(fleet->loop);
+    g_assert_cmpuint(all[1].objects, >=, 500);
+    g_assert_cmpuint(all[1].objects, <, 3 * 500);
+    fleet_free(fleet);
+}
+
 /* A peer of another program version, whose one object the replicas refuse:
  * it answers as the protocol says. */
 static void
@@ -351,6 +381,8 @@
     g_test_add_func("/sync/replicas-converge", test_replicas_converge);
     g_test_add_func("/sync/late-starter-catches-up",
                     test_late_starter_catches_up);
+    g_test_add_func("/sync/starter-takes-one-copy",
+                    test_starter_takes_one_copy);
     g_test_add_func("/sync/refused-value-does-not-loop",
                     test_refused_value_does_not_loop);
     return g_test_run();
