Let the next prefill start when the first token comes

Cause: the gate's contract asks for a look at the queue after each first token; the sidecar looked only at the end of a request and every 20 ms, so an engine with room could stand idle that long. Change: the first token wakes the gate from the loop, since a transfer's callback may not start another transfer.

--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -284,6 +284,18 @@
     }
 }
 
+void
+gate_pump_soon(struct sidecar *sidecar)
+{
+    struct pgw_admit_load load;
+
+    pgw_admit_load_get(&load, sidecar->admit);
+    if (load.waiting > 0) {
+        sidecar->gate_timer.on_due = gate_tick;
+        pgw_timer_start(sidecar->loop, &sidecar->gate_timer, 0);
+    }
+}
+
 static void
 chain_from(struct pgw_level_chain *out, size_t count, Pgw__Level **levels,
            uint32_t prompt_tokens)
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -163,6 +163,10 @@
 void gate_abandon_all(struct sidecar *sidecar);
 /** gate_pump() - start what may start now */
 void gate_pump(struct sidecar *sidecar);
+
+/** gate_pump_soon() - the same from the loop, for callers inside a transfer's
+ * callback, where no other transfer may be started */
+void gate_pump_soon(struct sidecar *sidecar);
 guint run_key_hash(gconstpointer key);
 gboolean run_key_equal(gconstpointer a, gconstpointer b);
 
--- a/src/sidecar/model_call.c
+++ b/src/sidecar/model_call.c
@@ -112,6 +112,9 @@
             (uint32_t)fetch_object_uint(usage, "cached_tokens");
     }
     pgw_admit_first_token(sidecar->admit, &run->item, pgw_now_us());
+    /* The engine has room for the next prefill; waiting for the gate's own
+     * tick would leave it idle in the meantime. */
+    gate_pump_soon(sidecar);
     pgw_cache_note_answer(sidecar->cache, &run->key.request, &source,
                           run->cached_tokens, pgw_now_us());
     run_send_started(run, "", source.version, source.incarnation);
