Import prefixes from the KV cache store where that is quicker

Cause: after an engine's death, or when a hot prefix spreads, the next engine computed again what another one had computed before. Change: the sidecar looks for the deepest level that the store has and lets the engine import it before the request is offered to the gate, if the measured rates say that this is quicker; levels that two requests shared are exported, overnight work left out. Another workspace imports nothing. A store that hangs: three of 24 requests take 20 ms longer. KV_BREAKER switched off is caught.

--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -1,5 +1,6 @@
 #include "sidecar/gate.h"
 #include "sidecar/claims.h"
+#include "sidecar/kv.h"
 #include "sidecar/orders.h"
 #include "sidecar/suspicion.h"
 #include "util/log.h"
@@ -39,6 +40,7 @@
 {
     struct sidecar *sidecar = run->sidecar;
 
+    kv_forget(sidecar->kv, run);
     pgw_list_remove(&run->link);
     pgw_list_remove(&run->held);
     pgw_timer_stop(sidecar->loop, &run->deadline);
@@ -427,6 +429,14 @@
     struct sidecar *sidecar = run->sidecar;
     struct pgw_admit_answer answer;
 
+    /* Imported before it is admitted: the gate counts what is then left to
+     * compute. */
+    if (!run->import_asked && sidecar->is_model) {
+        run->import_asked = true;
+        if (kv_ask(sidecar->kv, run)) {
+            return;
+        }
+    }
     pgw_admit_offer(&answer, sidecar->admit, &run->item, pgw_now_us());
     switch (answer.verdict) {
     case PGW_ADMIT_RUN:
@@ -454,6 +464,24 @@
     }
 }
 
+void
+gate_import_done(struct run *run, uint32_t tokens)
+{
+    uint32_t total = run->chain.prompt_tokens;
+    enum pgw_refusal refusal;
+    const char *message;
+
+    run->item.uncached_tokens =
+        MIN(run->item.uncached_tokens, total - MIN(total, tokens));
+    if (must_refuse(run->sidecar, run->open->model, run->open->version,
+                    &refusal, &message)) {
+        run_send_fail(run, refusal, PGW_RAN_NO, 0, message);
+        gate_finish(run);
+        return;
+    }
+    run_offer(run);
+}
+
 void
 gate_open(struct peer *peer, Pgw__Open *open)
 {
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -84,6 +84,8 @@
  * @alone: a suspect: nothing else may run at the engine beside it
  * @held: link in the sidecar's list of those that wait for such a one
  * @settled: broken, and its crash, if it was one, is reported
+ * @import: its wait for the KV store, NULL without one
+ * @import_asked: the KV store was asked, or is left out
  * @engine: incarnation of the engine that it was handed to
  * @prompt_tokens: as the engine counts
  * @cached_tokens: as the engine counts
@@ -124,6 +126,8 @@
     bool alone;
     struct pgw_list held;
     bool settled;
+    struct kv_wait *import;
+    bool import_asked;
     uint64_t engine;
     uint32_t prompt_tokens;
     uint32_t cached_tokens;
--- a/src/sidecar/model_call.c
+++ b/src/sidecar/model_call.c
@@ -1,5 +1,6 @@
 #include "sidecar/fetch.h"
 #include "sidecar/gate.h"
+#include "sidecar/kv.h"
 #include "util/hex.h"
 #include "util/json_reader.h"
 #include "util/json_text.h"
@@ -117,6 +118,7 @@
     gate_pump_soon(sidecar);
     pgw_cache_note_answer(sidecar->cache, &run->key.request, &source,
                           run->cached_tokens, pgw_now_us());
+    kv_note_answer(sidecar->kv, run);
     run_send_started(run, "", source.version, source.incarnation);
 }
 
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -2,6 +2,7 @@
 #include "libparsleygw/store_worker.h"
 #include "parsleygw/errors.h"
 #include "sidecar/claims.h"
+#include "sidecar/kv.h"
 #include "sidecar/orders.h"
 #include "sidecar/suspicion.h"
 #include "util/address.h"
@@ -325,6 +326,7 @@
     sidecar->claims = claims_new(sidecar);
     if (sidecar->is_model) {
         sidecar->orders = orders_new(sidecar);
+        sidecar->kv = kv_new(sidecar);
     }
     if (!listen_for_entries(sidecar, error)) {
         goto fail;
@@ -359,6 +361,7 @@
         orders_free(sidecar->orders);
         engine_dispose(&sidecar->engine);
         gate_abandon_all(sidecar);
+        kv_free(sidecar->kv);
         pgw_store_worker_free(sidecar->worker);
         claims_free(sidecar->claims);
         suspicion_free(sidecar->suspicion);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -22,6 +22,7 @@
  */
 
 struct sidecar;
+struct kv;
 struct orders;
 struct peer;
 struct run;
@@ -108,6 +109,7 @@
  * @cache: what the engine's prefix cache holds
  * @engine: the engine's own state
  * @orders: keeps the engine at what its pool declares; NULL beside a service
+ * @kv: use of the kept KV cache store; NULL beside a service
  * @trace: the time line's ring
  * @incarnation: random number of this process
  * @is_model: model engine, not a plain service
@@ -141,6 +143,7 @@
     struct pgw_cache *cache;
     struct engine engine;
     struct orders *orders;
+    struct kv *kv;
     struct pgw_trace *trace;
     uint64_t incarnation;
     bool is_model;
