Split the sidecar's gate by what it does

Change: gate.c takes frames and decides who may wait, gate_run.c takes a run from start to end, gate_crash.c deals with engines that die; no logic changed.

--- /dev/null
+++ b/src/sidecar/gate_crash.c
@@ -0,0 +1,119 @@
+#include "sidecar/gate_internal.h"
+#include "sidecar/suspicion.h"
+
+/* Tokens of a running answer come many times a second. */
+#define SILENT_US UINT64_C(2000000)
+
+void
+gate_suspicion_decided(struct run *run,
+                       const struct pgw_quarantine_decision *decision)
+{
+    switch (decision->action) {
+    case PGW_QUARANTINE_RUN_ALONE:
+        run->alone = true;
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_RUN:
+        run_offer(run);
+        break;
+    case PGW_QUARANTINE_REFUSE:
+        run_send_fail(run, decision->refusal, PGW_RAN_NO,
+                      decision->retry_after_ms,
+                      "the request crashed upstreams before: an operator can "
+                      "lift the quarantine");
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_RECORDED:
+    case PGW_QUARANTINE_UNRECORDED:
+        if (!run->ended) {
+            run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                          "the engine died while it ran the request");
+        }
+        gate_finish(run);
+        break;
+    case PGW_QUARANTINE_PENDING:
+        break;
+    }
+}
+
+void
+gate_run_broke(struct run *run)
+{
+    run->state = RUN_BROKEN;
+    if (run->sidecar->engine.alive) {
+        engine_suspect(&run->sidecar->engine);
+    }
+    else {
+        gate_engine_told(run->sidecar);
+    }
+}
+
+static void
+settle_broken(struct run *run)
+{
+    const struct engine *engine = &run->sidecar->engine;
+
+    if (run->settled) {
+        return;
+    }
+    run->settled = true;
+    if (!engine->alive || engine->incarnation != run->engine) {
+        suspicion_crashed(run->sidecar->suspicion, run, run->engine);
+        return;
+    }
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                      "the upstream broke off its answer");
+    }
+    gate_finish(run);
+}
+
+/* The first run for which @wanted holds. Ending one run may free others, so
+ * that every search begins anew. */
+static struct run *
+find_first(struct sidecar *sidecar, bool (*wanted)(const struct run *run))
+{
+    pgw_list_foreach (link, &sidecar->all_runs) {
+        struct run *run = pgw_container_of(link, struct run, link);
+
+        if (wanted(run)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_unsettled(const struct run *run)
+{
+    return run->state == RUN_BROKEN && !run->settled;
+}
+
+static bool
+is_silent(const struct run *run)
+{
+    return run->transfer != NULL && !run->paused && !run->ended &&
+           pgw_now_us() - run->heard_us > SILENT_US;
+}
+
+void
+gate_engine_told(struct sidecar *sidecar)
+{
+    struct run *run;
+
+    while ((run = find_first(sidecar, is_unsettled)) != NULL) {
+        settle_broken(run);
+    }
+    /*
+     * A crash closes its connections and is heard at once. An engine whose
+     * machine or network is gone says nothing: without this its streams would
+     * stand still until their deadline. Whether it crashed, or on which
+     * request, is not known, so nobody is suspected.
+     */
+    while (!sidecar->engine.alive &&
+           (run = find_first(sidecar, is_silent)) != NULL) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                      "the upstream fell silent");
+        gate_finish(run);
+    }
+}
--- /dev/null
+++ b/src/sidecar/gate_internal.h
@@ -0,0 +1,29 @@
+#ifndef PGW_SIDECAR_GATE_INTERNAL_H
+#define PGW_SIDECAR_GATE_INTERNAL_H
+
+#include "sidecar/gate.h"
+
+/**
+ * DOC: Shared by the gate's files
+ *
+ * gate.c takes frames and decides who may wait, gate_run.c takes a run from
+ * its start to its end, gate_crash.c deals with engines that die.
+ */
+
+/* gate.c */
+/** run_offer() - ask the admission for a place */
+void run_offer(struct run *run);
+
+/* gate_run.c */
+/** run_start() - the admission gave a place: claim, or wait for a suspect */
+void run_start(struct run *run);
+/** run_withdraw() - whether it certainly has not run and now never will */
+bool run_withdraw(struct run *run);
+/** run_resume() - go on with an answer that was held back */
+void run_resume(struct run *run);
+/** run_free() - forget a run that the admission no longer knows */
+void run_free(struct run *run);
+/** run_deadline_due() - callback of a run's timer */
+void run_deadline_due(struct pgw_timer *timer);
+
+#endif
