Fold the reading of JSON and wait for quiet before counting reads

Cause: configuration had its own check of nesting and its own hexadecimal digits beside those of util; the herd test counted the sidecars' first reads. Change: one parser, one decoder; values are kept in one form; the test waits until the sidecars' first reads are over. Conclusion: two twins less, and the herd test measures what it says.

--- a/src/libparsleygw/config_file.c
+++ b/src/libparsleygw/config_file.c
@@ -43,17 +43,17 @@
 pgw_config_set_load_text(struct pgw_config_set *set, const char *text,
                          gssize length, GError **error)
 {
-    JsonParser *parser =
+    JsonNode *document =
         pgw_config__json_parse(text, length, "snapshot", error);
     JsonObject *root;
     JsonNode *node;
     JsonArray *array;
     bool ok = false;
 
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    root = json_node_get_object(json_parser_get_root(parser));
+    root = json_node_get_object(document);
     node = json_object_get_member(root, "objects");
     if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
@@ -68,7 +68,7 @@
     }
     ok = true;
 done:
-    g_object_unref(parser);
+    json_node_unref(document);
     return ok;
 }
 
--- a/src/libparsleygw/config_internal.h
+++ b/src/libparsleygw/config_internal.h
@@ -79,8 +79,9 @@
     bool failed;
 };
 
-JsonParser *pgw_config__json_parse(const char *text, gssize length,
-                                   const char *what, GError **error);
+/* The root of a text that is one JSON object; json_node_unref() it. */
+JsonNode *pgw_config__json_parse(const char *text, gssize length,
+                                 const char *what, GError **error);
 void pgw_config__read_fail(struct pgw_config__reader *reader,
                            const char *member, const char *remedy);
 char *pgw_config__read_string(struct pgw_config__reader *reader,
--- a/src/libparsleygw/config_json.c
+++ b/src/libparsleygw/config_json.c
@@ -4,79 +4,25 @@
 
 #include "config_internal.h"
 #include "parsleygw/errors.h"
+#include "util/json_reader.h"
 
-#define MAX_DEPTH 16
-
-/* One value of balanced brackets, nothing but JSON's own characters outside
- * strings. json-glib's parser recurses once a nesting level, so a value of a
- * megabyte of "[" would overflow the stack and crash every process that it
- * reaches. It also takes comments and assignments, which would hide brackets
- * and quotes from this scan and break a saved snapshot; they are refused. */
-static bool
-structure_is_safe(const char *text, size_t length)
-{
-    bool in_string = false;
-    bool ended = false;
-    unsigned depth = 0;
-
-    for (size_t i = 0; i < length; i++) {
-        char c = text[i];
-
-        if (in_string) {
-            in_string = c != '"';
-            i += c == '\\';
-            continue;
-        }
-        if (g_ascii_isspace(c)) {
-            continue;
-        }
-        if (ended || (depth == 0 && c != '{') || depth > MAX_DEPTH ||
-            (!g_ascii_isalnum(c) && strchr("[]{}\",:+-.", c) == NULL)) {
-            return false;
-        }
-        in_string = c == '"';
-        depth += c == '[' || c == '{';
-        depth -= c == ']' || c == '}';
-        ended = depth == 0;
-    }
-    return ended;
-}
-
-JsonParser *
+JsonNode *
 pgw_config__json_parse(const char *text, gssize length, const char *what,
                        GError **error)
 {
-    JsonParser *parser = NULL;
-    GError *cause = NULL;
     size_t size = length < 0 ? strlen(text) : (size_t)length;
-    JsonNode *root;
+    JsonNode *root = NULL;
 
-    if (!structure_is_safe(text, size)) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "%s: not one plain JSON object of at most %d levels: "
-                    "write {...} without comments",
-                    what, MAX_DEPTH);
-        return NULL;
-    }
-    parser = json_parser_new_immutable();
-    if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
-        /* It quotes the text, whose line breaks would split our one line. */
-        g_strdelimit(cause->message, "\r\n", ' ');
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "%s: not JSON: %s: correct the syntax", what,
-                    cause->message);
-        g_error_free(cause);
-        g_object_unref(parser);
+    if (!pgw_json_parse(&root, text, size, what, error)) {
         return NULL;
     }
-    root = json_parser_get_root(parser);
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+    if (!JSON_NODE_HOLDS_OBJECT(root)) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "%s: not a JSON object: write {...}", what);
-        g_object_unref(parser);
+        json_node_unref(root);
         return NULL;
     }
-    return parser;
+    return root;
 }
 
 void
--- a/src/libparsleygw/config_value.c
+++ b/src/libparsleygw/config_value.c
@@ -3,6 +3,7 @@
 
 #include "config_internal.h"
 #include "parsleygw/errors.h"
+#include "util/hex.h"
 
 #define MAX_KEYS 1024
 #define MAX_WORKSPACES 32768
@@ -136,24 +137,6 @@
     profile->workspaces = (const char *const *)read_workspaces(reader);
 }
 
-static bool
-parse_digest(uint8_t out[PGW_KEY_DIGEST_SIZE], const char *hex)
-{
-    if (strlen(hex) != DIGEST_DIGITS) {
-        return false;
-    }
-    for (size_t i = 0; i < PGW_KEY_DIGEST_SIZE; i++) {
-        int high = g_ascii_xdigit_value(hex[2 * i]);
-        int low = g_ascii_xdigit_value(hex[2 * i + 1]);
-
-        if (high < 0 || low < 0) {
-            return false;
-        }
-        out[i] = (uint8_t)(high << 4 | low);
-    }
-    return true;
-}
-
 static void
 read_key(struct pgw_config__reader *outer, JsonNode *node, guint index,
          struct pgw_key *key)
@@ -174,7 +157,8 @@
     pgw_config__read_known(&reader, members);
     key->id = pgw_config__read_name(&reader, "id", NULL);
     hex = pgw_config__read_string(&reader, "sha256", NULL, DIGEST_DIGITS);
-    if (hex != NULL && !parse_digest(key->sha256, hex)) {
+    if (hex != NULL &&
+        !pgw_hex_decode(key->sha256, PGW_KEY_DIGEST_SIZE, hex)) {
         pgw_config__read_fail(
             &reader, "sha256",
             "give the 64 hexadecimal digits of the key's SHA-256");
@@ -336,7 +320,7 @@
                                         .strict = strict,
                                         .error = error};
     char *what = g_strdup_printf("%s/%s", reader.kind, reader.name);
-    JsonParser *parser = NULL;
+    JsonNode *document = NULL;
     bool ok = false;
 
     if (strlen(object->text) > PGW_CONFIG_VALUE_MAX) {
@@ -345,15 +329,19 @@
                     what, PGW_CONFIG_VALUE_MAX);
         goto done;
     }
-    parser = pgw_config__json_parse(object->text, -1, what, error);
-    if (parser == NULL) {
+    document = pgw_config__json_parse(object->text, -1, what, error);
+    if (document == NULL) {
         goto done;
     }
-    reader.object = json_node_get_object(json_parser_get_root(parser));
+    reader.object = json_node_get_object(document);
     read_value(&reader, object);
     ok = !reader.failed;
+    /* Kept and passed on in one form, whatever spaces the store's text has:
+     * it is put into snapshots as it stands. */
+    g_free(object->text);
+    object->text = json_to_string(document, FALSE);
 done:
-    g_clear_object(&parser);
+    g_clear_pointer(&document, json_node_unref);
     g_free(what);
     return ok;
 }
--- a/src/libparsleygw/orders_engine.c
+++ b/src/libparsleygw/orders_engine.c
@@ -101,7 +101,7 @@
 {
     GString *answer = g_string_new(NULL);
     long status = call(answer, url, "/status", NULL, error);
-    JsonParser *parser = NULL;
+    JsonNode *document = NULL;
     JsonObject *object;
     bool ok = false;
 
@@ -109,12 +109,12 @@
         ok = set_status_error(status, "/status", error);
         goto done;
     }
-    parser = pgw_config__json_parse(answer->str, (gssize)answer->len,
-                                    "engine/status", error);
-    if (parser == NULL) {
+    document = pgw_config__json_parse(answer->str, (gssize)answer->len,
+                                      "engine/status", error);
+    if (document == NULL) {
         goto done;
     }
-    object = json_node_get_object(json_parser_get_root(parser));
+    object = json_node_get_object(document);
     *out = (struct pgw_rollout_engine){
         .model = member_text(object, "model"),
         .version = member_text(object, "version"),
@@ -126,7 +126,7 @@
             object, "fence", 0)};
     ok = true;
 done:
-    g_clear_object(&parser);
+    g_clear_pointer(&document, json_node_unref);
     g_string_free(answer, TRUE);
     return ok;
 }
--- a/src/libparsleygw/permit_store.c
+++ b/src/libparsleygw/permit_store.c
@@ -48,18 +48,17 @@
 pgw_permit_table_parse(struct pgw_permit_table *out, uint64_t version,
                        const char *value, GError **error)
 {
-    JsonParser *parser = pgw_config__json_parse(value, -1, "permit", error);
+    JsonNode *document = pgw_config__json_parse(value, -1, "permit", error);
     JsonNode *node;
     JsonArray *array;
     bool ok = false;
 
     out->version = version;
     out->n = 0;
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    node = json_object_get_member(
-        json_node_get_object(json_parser_get_root(parser)), "slots");
+    node = json_object_get_member(json_node_get_object(document), "slots");
     if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
         goto done;
     }
@@ -77,7 +76,7 @@
     }
     ok = true;
 done:
-    g_object_unref(parser);
+    json_node_unref(document);
     if (!ok) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
                     "permit: slots: must be a list of at most %d objects: "
--- a/src/libparsleygw/store_answer.c
+++ b/src/libparsleygw/store_answer.c
@@ -18,16 +18,16 @@
 pgw_store__read_object(struct pgw_store_object *out, const char *text,
                        size_t size)
 {
-    JsonParser *parser =
+    JsonNode *document =
         pgw_config__json_parse(text, (gssize)size, "answer", NULL);
     JsonObject *object;
     JsonNode *value;
 
     *out = (struct pgw_store_object){0};
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    object = json_node_get_object(json_parser_get_root(parser));
+    object = json_node_get_object(document);
     out->name = g_strdup(
         json_object_get_string_member_with_default(object, "name", ""));
     out->version = read_version(object);
@@ -37,7 +37,7 @@
     if (value != NULL && !JSON_NODE_HOLDS_NULL(value) && !out->deleted) {
         out->value = json_to_string(value, FALSE);
     }
-    g_object_unref(parser);
+    json_node_unref(document);
     return true;
 }
 
@@ -48,17 +48,17 @@
                         const char *array, const char *array_end)
 {
     GString *rest = g_string_new_len(text, array - text);
-    JsonParser *parser;
+    JsonNode *document;
 
     g_string_append_len(rest, array_end, (gssize)(text + size - array_end));
-    parser =
+    document =
         pgw_config__json_parse(rest->str, (gssize)rest->len, "answer", NULL);
     g_string_free(rest, TRUE);
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    *out = read_version(json_node_get_object(json_parser_get_root(parser)));
-    g_object_unref(parser);
+    *out = read_version(json_node_get_object(document));
+    json_node_unref(document);
     return true;
 }
 
@@ -98,18 +98,17 @@
 pgw_store__read_instances(struct pgw_store_instances *out, const char *text,
                           size_t size)
 {
-    JsonParser *parser =
+    JsonNode *document =
         pgw_config__json_parse(text, (gssize)size, "answer", NULL);
     JsonNode *list;
     JsonArray *array;
     bool ok = false;
 
     *out = (struct pgw_store_instances){0};
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    list = json_object_get_member(
-        json_node_get_object(json_parser_get_root(parser)), "instances");
+    list = json_object_get_member(json_node_get_object(document), "instances");
     if (list == NULL || !JSON_NODE_HOLDS_ARRAY(list)) {
         goto done;
     }
@@ -138,6 +137,6 @@
     if (!ok) {
         pgw_store_instances_dispose(out);
     }
-    g_object_unref(parser);
+    json_node_unref(document);
     return ok;
 }
--- a/tests/failure/fail_store.c
+++ b/tests/failure/fail_store.c
@@ -57,12 +57,32 @@
     harness_stream_dispose(&stream);
 }
 
+struct settled {
+    struct fleet *fleet;
+    gint64 reads;
+    unsigned same;
+};
+
+/* No read for two seconds: the sidecars have made their first ones. */
+static bool
+has_settled(void *data)
+{
+    struct settled *settled = data;
+    gint64 reads = stat_of(settled->fleet, "reads");
+
+    g_usleep(200000);
+    settled->same = reads == settled->reads ? settled->same + 1 : 0;
+    settled->reads = reads;
+    return settled->same >= 10;
+}
+
 /* All entries restart at once while each answer of the store takes longer
  * than they may take to serve, or while it is down. */
 static void
 check_herd(const char *trouble)
 {
     struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct settled settled = {.fleet = NULL};
     struct fleet *fleet;
     gint64 reads;
     gint64 refused;
@@ -70,6 +90,8 @@
 
     options.entries = ENTRIES;
     fleet = fleet_new(&options);
+    settled.fleet = fleet;
+    g_assert_true(harness_wait_until(has_settled, &settled, 120));
     order(fleet, "/_control", trouble);
     for (unsigned i = 0; i < ENTRIES; i++) {
         harness_process_stop(fleet->entries[i], SIGKILL);
