Provoke the quarantine with real processes

Cause: the bound of two crashes must hold with real engines, sidecars and entries, and operators must be able to lift it.

Change: a request that crashes engines is sent six times through two entries beside six streams; the client lists and lifts the quarantine.

Measurement: two of five engines crash, the sixth call is refused as quarantined, all streams are whole; after lifting a third engine crashes.

Conclusion: the promise holds for a caller that sends again.

--- /dev/null
+++ b/tests/failure/fail_quarantine.c
@@ -0,0 +1,174 @@
+/*
+ * A request crashes each engine that runs it, and its caller sends it again
+ * and again, through two entries and under new ids. Two engines crash, then
+ * the caller is refused as "quarantined", not run. Those who streamed beside
+ * it see a pause and get their whole answers: each goes on alone on another
+ * engine and is cleared by its good end. The operator sees the quarantine and
+ * lifts it; only then does the request reach an engine again.
+ */
+#include <string.h>
+
+#include "harness_fleet.h"
+
+#define ENGINES 5
+#define INNOCENTS 6
+#define TOKENS 100
+#define REPEATS 5
+
+static unsigned
+count_crashed(struct fleet *fleet)
+{
+    unsigned crashed = 0;
+
+    for (unsigned i = 0; i < ENGINES; i++) {
+        crashed += !harness_process_is_running(fleet->engines[i]);
+    }
+    return crashed;
+}
+
+static struct harness_process *
+living_engine(struct fleet *fleet)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        if (harness_process_is_running(fleet->engines[i])) {
+            return fleet->engines[i];
+        }
+    }
+    g_error("no engine is left");
+    return NULL;
+}
+
+static long
+send_poison(struct harness_answer *out, struct harness_process *entry)
+{
+    return fleet_call(
+        out, entry, "/v1/completions",
+        &(struct harness_call){.body = "{\"model\":\"ask\",\"prompt\":"
+                                       "\"the POISON question\","
+                                       "\"max_tokens\":5}"});
+}
+
+/* Runs the operators' client; its output is to be freed. */
+static char *
+operate(struct fleet *fleet, const char *action, const char *name)
+{
+    const char *const args[] = {
+        "--store",    harness_process_url(fleet->store, ""),
+        "quarantine", action,
+        name,         NULL};
+    struct harness_process *process =
+        harness_spawnv(fleet->harness, "parsleygw", args);
+
+    g_assert_cmpint(harness_process_wait(process), ==, 0);
+    return harness_process_output(process);
+}
+
+static void
+start_innocents(struct fleet *fleet, struct fleet_caller **callers)
+{
+    for (unsigned i = 0; i < INNOCENTS; i++) {
+        char *prompt = g_strdup_printf("innocent question %u", i);
+
+        callers[i] = fleet_caller_start(fleet->entries[i % 2], prompt, TOKENS);
+        fleet_caller_wait_begun(callers[i], 1);
+        g_free(prompt);
+    }
+}
+
+static void
+assert_answered(struct fleet *fleet, struct fleet_caller **callers)
+{
+    for (unsigned i = 0; i < INNOCENTS; i++) {
+        char *prompt = g_strdup_printf("innocent question %u", i);
+        char *expected = fleet_expected(living_engine(fleet), prompt, TOKENS);
+        struct harness_stream stream;
+
+        g_assert_cmpint(fleet_caller_finish(callers[i], &stream), ==, 200);
+        g_assert_null(stream.error);
+        g_assert_true(stream.done);
+        g_assert_cmpstr(stream.text->str, ==, expected);
+        harness_stream_dispose(&stream);
+        g_free(expected);
+        g_free(prompt);
+    }
+}
+
+/* The name of the object of the one fingerprint that is quarantined. */
+static char *
+quarantined_name(struct fleet *fleet)
+{
+    char *list = operate(fleet, "list", NULL);
+    char **lines = g_strsplit(list, "\n", -1);
+    char *name = NULL;
+
+    for (unsigned i = 0; lines[i] != NULL; i++) {
+        if (strstr(lines[i], "quarantined") != NULL) {
+            g_assert_null(name);
+            name = g_strndup(lines[i], strcspn(lines[i], " "));
+        }
+    }
+    g_assert_nonnull(name);
+    g_strfreev(lines);
+    g_free(list);
+    return name;
+}
+
+struct lifted {
+    struct fleet *fleet;
+    unsigned turn;
+};
+
+static bool
+reaches_an_engine(void *data)
+{
+    struct lifted *lifted = data;
+    struct harness_answer answer;
+
+    send_poison(&answer, lifted->fleet->entries[lifted->turn++ % 2]);
+    harness_answer_dispose(&answer);
+    return count_crashed(lifted->fleet) > 2;
+}
+
+static void
+test_two_crashes_at_most(void)
+{
+    static const char *const engine_args[] = {"--crash-on", "POISON", NULL};
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct fleet_caller *callers[INNOCENTS];
+    struct harness_answer answer;
+    struct lifted lifted;
+    struct fleet *fleet;
+    char *name;
+
+    options.engines = ENGINES;
+    options.entries = 2;
+    options.engine_args = engine_args;
+    fleet = fleet_new(&options);
+    start_innocents(fleet, callers);
+    for (unsigned i = 0; i < REPEATS; i++) {
+        g_assert_cmpint(send_poison(&answer, fleet->entries[i % 2]), !=, 200);
+        harness_answer_dispose(&answer);
+        g_assert_cmpuint(count_crashed(fleet), <=, 2);
+    }
+    send_poison(&answer, fleet->entries[0]);
+    fleet_assert_refusal(&answer, 422, "quarantined", "no");
+    harness_answer_dispose(&answer);
+    assert_answered(fleet, callers);
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    name = quarantined_name(fleet);
+    g_free(operate(fleet, "lift", name));
+    lifted = (struct lifted){.fleet = fleet};
+    g_assert_true(harness_wait_until(reaches_an_engine, &lifted, 30));
+    g_test_message("crashed engines before lifting: 2");
+    g_free(name);
+    fleet_free(fleet);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/quarantine/two-crashes-at-most",
+                    test_two_crashes_at_most);
+    return g_test_run();
+}
