--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -60,6 +60,7 @@
  * @state: progress
  * @transfer: the call to the upstream, NULL while waiting
  * @sent_us: when it was handed over
+ * @heard_us: when the upstream last sent something, or @sent_us
  * @call: table of the call's kind
  * @deadline: timer of the request's deadline
  * @window: bytes that the entry still takes
@@ -99,6 +100,7 @@
     enum run_state state;
     struct pgw_transfer *transfer;
     uint64_t sent_us;
+    uint64_t heard_us;
     const struct run_call *call;
     struct pgw_timer deadline;
     int64_t window;
@@ -163,6 +165,10 @@
 void gate_abandon_all(struct sidecar *sidecar);
 /** gate_pump() - start what may start now */
 void gate_pump(struct sidecar *sidecar);
+
+/** gate_pump_soon() - the same from the loop, for callers inside a transfer's
+ * callback, where no other transfer may be started */
+void gate_pump_soon(struct sidecar *sidecar);
 guint run_key_hash(gconstpointer key);
 gboolean run_key_equal(gconstpointer a, gconstpointer b);
 
