--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -152,6 +152,7 @@
  * @phase: progress on the HTTP side; of that thread only
  * @too_large: the body went over the limit; the rest is thrown away
  * @counted: it counts among the entry's exchanges in flight
+ * @workspace_counted: and among those of its workspace
  *
  * Of the loop's thread:
  * @attempt: state machine of the attempts
@@ -172,6 +173,7 @@
  * @service_status: HTTP status of a plain answer
  * @service_type: its content type
  * @first_token_us: when the answer began, 0 before
+ * @version_shift: parts of the pool's split that had no place for it
  * @failures: failed attempts
  * @suspect: a quarantine record names its fingerprint
  * @ended: the caller has its final answer
@@ -192,6 +194,7 @@
     enum exchange_phase phase;
     bool too_large;
     bool counted;
+    bool workspace_counted;
     struct pgw_attempt attempt;
     struct pgw_timer timer;
     struct pgw_timer place_timer;
@@ -210,6 +213,7 @@
     unsigned service_status;
     char *service_type;
     uint64_t first_token_us;
+    size_t version_shift;
     uint32_t failures;
     bool suspect;
     bool ended;
@@ -268,6 +272,27 @@
 extern const struct filter filter_limit;
 extern const struct filter filter_levels;
 
+/* filter_levels.c */
+/** levels_stamp() - give a prompt another weights version, with its levels */
+void levels_stamp(struct exchange_request *request, const char *version);
+
+/* version.c: on the loop's thread */
+/**
+ * version_stamp() - give the request the weights version that is its share
+ *
+ * Done at placement and not where the request was read: an engine that
+ * changes over while the request waits must not leave it without any.
+ */
+void version_stamp(struct exchange *exchange, const struct pool *pool);
+/**
+ * version_shift() - nobody of the stamped version takes it: try the next one
+ *
+ * Once through all versions, so that a refusal still comes soon.
+ *
+ * Return: false when there is no other one.
+ */
+bool version_shift(struct exchange *exchange);
+
 /* place.c: on the loop's thread */
 /** place_begin() - choose a sidecar for the next attempt */
 void place_begin(struct exchange *exchange);
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -43,7 +43,8 @@
     pgw_list_foreach_safe (link, &suspects->order) {
         struct suspect *suspect = pgw_container_of(link, struct suspect, link);
 
-        if (now - suspect->changed_us < suspects->options.keep_us) {
+        if (now - suspect->changed_us < suspects->options.keep_us &&
+            g_hash_table_size(suspects->table) <= suspects->options.limit) {
             break;
         }
         suspect_remove(suspects, suspect);
@@ -125,16 +126,14 @@
     if (suspect != NULL) {
         return suspect;
     }
-    if (g_hash_table_size(suspects->table) >= suspects->options.limit) {
-        suspect_remove(suspects,
-                       pgw_container_of(pgw_list_first(&suspects->order),
-                                        struct suspect, link));
-    }
     suspect = g_new0(struct suspect, 1);
     suspect->fingerprint = *fingerprint;
     memcpy(suspect->name, name, sizeof(name));
     g_hash_table_insert(suspects->table, suspect->name, suspect);
     pgw_list_append(&suspects->order, &suspect->link);
+    if (g_hash_table_size(suspects->table) > suspects->options.limit) {
+        pgw_timer_start(suspects->options.loop, &suspects->sweep, 0);
+    }
     return suspect;
 }
 
@@ -168,16 +167,9 @@
 }
 
 static void
-merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
-      const char *value, size_t length, bool tell)
+change(struct pgw_suspects *suspects, struct suspect *suspect,
+       uint64_t version, const char *value, size_t length, bool tell)
 {
-    struct pgw_fingerprint fingerprint;
-    struct suspect *suspect;
-
-    if (!pgw_fingerprint_parse(&fingerprint, name)) {
-        return;
-    }
-    suspect = suspect_get(suspects, &fingerprint);
     if (!suspect_set(suspects, suspect, version, value, length)) {
         return;
     }
@@ -191,8 +183,21 @@
         send_one(g_ptr_array_index(suspects->links, i), suspect);
     }
     if (suspects->options.on_record != NULL) {
-        suspects->options.on_record(suspects->options.context, &fingerprint,
-                                    version, suspect->value, suspect->length);
+        suspects->options.on_record(suspects->options.context,
+                                    &suspect->fingerprint, version,
+                                    suspect->value, suspect->length);
+    }
+}
+
+static void
+merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
+      const char *value, size_t length, bool tell)
+{
+    struct pgw_fingerprint fingerprint;
+
+    if (pgw_fingerprint_parse(&fingerprint, name)) {
+        change(suspects, suspect_get(suspects, &fingerprint), version, value,
+               length, tell);
     }
 }
 
@@ -224,7 +229,7 @@
         /* A record written after the list was read is not in it, either. */
         if (suspect->value != NULL && suspect->version < list->version &&
             !list_has(list, suspect->name)) {
-            merge(suspects, suspect->name, list->version, NULL, 0, true);
+            change(suspects, suspect, list->version, NULL, 0, true);
         }
     }
 }
