Read a bootstrap file object by object

Cause: a file of 29,000 workspaces and 10,000 upstreams was parsed as one tree that the heap then kept: an entry stood at 136 MB and a sidecar at 134 MB at the peak, of 64. Change: the array is cut into elements, as lists of the store are; what is left without them must be whole, so that a file cut short is still refused.

--- a/src/libparsleygw/config_file.c
+++ b/src/libparsleygw/config_file.c
@@ -3,73 +3,88 @@
 #include <string.h>
 
 #include "config_internal.h"
+#include "json_slice.h"
 #include "parsleygw/errors.h"
 
 static bool
-apply_node(struct pgw_config_set *set, JsonNode *node, guint index,
-           GError **error)
+apply_element(struct pgw_config_set *set, const char *text, size_t size,
+              GError **error)
 {
+    JsonParser *parser =
+        pgw_config__json_parse(text, (gssize)size, "object", error);
     JsonObject *object;
     JsonNode *value;
-    char *text = NULL;
+    char *written = NULL;
     gint64 version;
     bool ok;
 
-    if (!JSON_NODE_HOLDS_OBJECT(node)) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "objects[%u]: must be an object with kind, name, version "
-                    "and value",
-                    index);
+    if (parser == NULL) {
         return false;
     }
-    object = json_node_get_object(node);
+    object = json_node_get_object(json_parser_get_root(parser));
     version = json_object_get_int_member_with_default(object, "version", 0);
     value = json_object_get_member(object, "value");
     if (value != NULL && !JSON_NODE_HOLDS_NULL(value)) {
-        text = json_to_string(value, FALSE);
+        written = json_to_string(value, FALSE);
     }
     ok = pgw_config_set_apply(
         set, json_object_get_string_member_with_default(object, "kind", ""),
         json_object_get_string_member_with_default(object, "name", ""),
-        version < 0 ? 0 : (uint64_t)version, text, NULL, error);
-    if (!ok) {
-        g_prefix_error(error, "objects[%u]: ", index);
-    }
-    g_free(text);
+        version < 0 ? 0 : (uint64_t)version, written, NULL, error);
+    g_free(written);
+    g_object_unref(parser);
     return ok;
 }
 
+/* What is left of a text without the elements of its array must be whole: a
+ * file that was cut short would else pass with the objects before the cut. */
+static bool
+check_frame(const char *text, size_t length, const char *array,
+            const char *end, GError **error)
+{
+    GString *frame = g_string_new_len(text, array - text);
+    JsonParser *parser;
+
+    g_string_append_len(frame, end, text + length - end);
+    parser = pgw_config__json_parse(frame->str, (gssize)frame->len, "snapshot",
+                                    error);
+    g_string_free(frame, TRUE);
+    g_clear_object(&parser);
+    return error == NULL || *error == NULL;
+}
+
 bool
 pgw_config_set_load_text(struct pgw_config_set *set, const char *text,
                          gssize length, GError **error)
 {
-    JsonParser *parser =
-        pgw_config__json_parse(text, length, "snapshot", error);
-    JsonObject *root;
-    JsonNode *node;
-    JsonArray *array;
-    bool ok = false;
+    size_t size = length < 0 ? strlen(text) : (size_t)length;
+    struct pgw_json__slice slice;
+    GError *cause = NULL;
+    const char *array;
+    const char *element;
+    size_t element_size;
+    unsigned index = 0;
 
-    if (parser == NULL) {
+    if (!pgw_json__slice_init(&slice, text, size, "objects")) {
+        if (check_frame(text, size, text + size, text + size, error)) {
+            g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                        "objects: missing: write {\"objects\":[...]}");
+        }
         return false;
     }
-    root = json_node_get_object(json_parser_get_root(parser));
-    node = json_object_get_member(root, "objects");
-    if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
-        g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
-                    "objects: missing: write {\"objects\":[...]}");
-        goto done;
-    }
-    array = json_node_get_array(node);
-    for (guint i = 0; i < json_array_get_length(array); i++) {
-        if (!apply_node(set, json_array_get_element(array, i), i, error)) {
-            goto done;
+    array = slice.next;
+    while (pgw_json__slice_next(&slice, &element, &element_size)) {
+        if (!apply_element(set, element, element_size, &cause)) {
+            g_propagate_prefixed_error(error, cause, "objects[%u]: ", index);
+            return false;
         }
+        index++;
     }
-    ok = true;
-done:
-    g_object_unref(parser);
-    return ok;
+    if (!check_frame(text, size, array, slice.next, &cause)) {
+        g_propagate_error(error, cause);
+        return false;
+    }
+    return true;
 }
 
 bool
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -236,11 +236,34 @@
     pgw_config_set_free(set);
 }
 
+/* A bootstrap file that was cut short anywhere is refused, though its objects
+ * are read one by one. */
+static void
+test_cut_text_refused(void)
+{
+    static const char text[] =
+        "{\"note\":[1],\"objects\":[{\"kind\":\"workspace\",\"name\":\"w\","
+        "\"version\":3,\"value\":{\"share\":1,\"keys\":[]}}]}";
+
+    for (gssize length = 0; length <= (gssize)strlen(text); length++) {
+        struct pgw_config_set *set = pgw_config_set_new();
+        GError *error = NULL;
+        bool whole = length == (gssize)strlen(text);
+
+        g_assert_cmpint(pgw_config_set_load_text(set, text, length, &error),
+                        ==, whole);
+        g_assert_true((error == NULL) == whole);
+        g_clear_error(&error);
+        pgw_config_set_free(set);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/config/snapshot", test_snapshot);
+    g_test_add_func("/config/cut-text-refused", test_cut_text_refused);
     g_test_add_func("/config/refused_values", test_refused_values);
     g_test_add_func("/config/hostile_sizes", test_hostile_sizes);
     g_test_add_func("/config/file_round_trip", test_file_round_trip);
