Keep unreachable and idle upstreams cheap at the entry

Cause: each upstream without a connection was tried about once a second and each idle connection looked at four times a second; each idle State made a new membership view. 10,000 unreachable upstreams cost 32 % of a core, and 10,000 idle ones would have brought 29 KB/s. Daemons kept the soft limit of open files, 1,024 on many systems. Change: all unreachable upstreams share some 330 attempts a second; idle connections are looked at every 2.5 s (an attempt that begins sets the short interval again); idle State every 30 s instead of 10 s, silence of an idle connection 75 s; a State that says nothing new makes no view; daemons raise the limit to what they are allowed.

--- a/bench/control/peers.c
+++ b/bench/control/peers.c
@@ -9,7 +9,7 @@
 #include "util/hlc.h"
 #include "util/random.h"
 
-#define STATE_IDLE_US UINT64_C(10000000)
+#define STATE_IDLE_US UINT64_C(30000000)
 #define RETRY_US UINT64_C(200000)
 
 struct peer {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -62,6 +62,7 @@
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
  * @pools: &struct pool by name
+ * @unreachable: upstreams whose last connection failed
  * @members: which upstreams may be given work
  * @view: what @pools was built from
  * @list_timer: next look at the platform's list
@@ -93,6 +94,7 @@
     struct pgw_config *config;
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
+    uint64_t unreachable;
     GHashTable *pools;
     struct pgw_members *members;
     struct pgw_member_view *view;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -210,9 +210,7 @@
     }
     exchange->target = upstream;
     exchange->ungranted = 0;
-    if (pgw_list_is_empty(&upstream->attempts)) {
-        upstream->busy_us = pgw_now_us();
-    }
+    upstream_begin(upstream);
     pgw_list_append(&upstream->attempts, &exchange->at_target);
     exchange->charge_tokens = uncached_tokens;
     exchange->charge_us = pgw_now_us();
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -13,8 +13,15 @@
  * a probe that stays unanswered keeps requests away from a dead one.
  */
 #define SILENCE_MAX_US UINT64_C(2000000)
-#define SILENCE_IDLE_US UINT64_C(25000000)
+#define SILENCE_IDLE_US UINT64_C(75000000)
 #define SILENCE_CHECK_US UINT64_C(250000)
+#define SILENCE_CHECK_IDLE_US UINT64_C(2500000)
+/*
+ * All upstreams that cannot be reached share some 330 attempts a second:
+ * when a region is gone, attempts at each one's own pace were a third of a
+ * core at 10,000 upstreams.
+ */
+#define RECONNECT_SHARE_US UINT64_C(4000)
 
 static void upstream_connect(struct upstream *upstream);
 
@@ -25,9 +32,24 @@
            pgw_link_is_open(upstream->link);
 }
 
+static void
+note_failure(struct upstream *upstream)
+{
+    upstream->entry->unreachable += upstream->failures == 0;
+    upstream->failures++;
+}
+
+static void
+forget_failures(struct upstream *upstream)
+{
+    upstream->entry->unreachable -= upstream->failures > 0;
+    upstream->failures = 0;
+}
+
 static void
 upstream_free(struct upstream *upstream)
 {
+    forget_failures(upstream);
     pgw_timer_stop(upstream->entry->loop, &upstream->retry);
     g_free(upstream->id);
     g_free(upstream->zone);
@@ -81,7 +103,7 @@
         return;
     }
     upstream->greeted = true;
-    upstream->failures = 0;
+    forget_failures(upstream);
     upstream->incarnation = hello->incarnation;
     if (!upstream->is_seed) {
         pgw_members_connected(upstream->entry->members, upstream->id,
@@ -145,8 +167,9 @@
          i++) {
         bound *= 2;
     }
-    upstream->failures++;
+    note_failure(upstream);
     bound = MIN(bound, RECONNECT_MAX_US);
+    bound = MAX(bound, upstream->entry->unreachable * RECONNECT_SHARE_US);
     pgw_timer_start(upstream->entry->loop, &upstream->retry,
                     bound / 2 + pgw_random_u64() % (bound / 2));
 }
@@ -254,7 +277,20 @@
         return;
     }
     upstream_drop_if_unused(upstream);
-    pgw_timer_start(upstream->entry->loop, timer, SILENCE_CHECK_US);
+    pgw_timer_start(upstream->entry->loop, timer,
+                    upstream->greeted && pgw_list_is_empty(&upstream->attempts)
+                        ? SILENCE_CHECK_IDLE_US
+                        : SILENCE_CHECK_US);
+}
+
+void
+upstream_begin(struct upstream *upstream)
+{
+    if (pgw_list_is_empty(&upstream->attempts)) {
+        upstream->busy_us = pgw_now_us();
+        pgw_timer_start(upstream->entry->loop, &upstream->retry,
+                        SILENCE_CHECK_US);
+    }
 }
 
 static struct upstream *
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -40,6 +40,9 @@
 /** upstream_can_talk() - connected and greeted, also while leaving */
 bool upstream_can_talk(const struct upstream *upstream);
 
+/** upstream_begin() - an attempt is about to be listed there */
+void upstream_begin(struct upstream *upstream);
+
 /** upstreams_apply() - bring the table in line with the configuration */
 void upstreams_apply(struct entry *entry);
 
--- a/src/libparsleygw/member.c
+++ b/src/libparsleygw/member.c
@@ -208,11 +208,21 @@
     }
 }
 
+static bool
+says_the_same(const struct tracked *a, const struct tracked *b)
+{
+    return a->facts.left == b->facts.left &&
+           a->facts.upstream_alive == b->facts.upstream_alive &&
+           a->loading == b->loading && a->engine == b->engine &&
+           strcmp(a->weights, b->weights) == 0;
+}
+
 void
 pgw_members_said(struct pgw_members *members, const char *id,
                  uint64_t incarnation, const struct pgw_member_word *word)
 {
     struct tracked *tracked = track(members, id);
+    struct tracked before = *tracked;
 
     if (incarnation != tracked->facts.incarnation) {
         return;
@@ -230,7 +240,9 @@
     g_strlcpy(tracked->weights, word->weights == NULL ? "" : word->weights,
               sizeof(tracked->weights));
     tracked->loading = word->loading;
-    members->changed = true;
+    /* An idle sidecar repeats itself; a new view for each word would be most
+     * of what thousands of them cost. */
+    members->changed |= !says_the_same(&before, tracked);
 }
 
 static void
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -10,7 +10,8 @@
 #include "util/random.h"
 
 #define STATE_INTERVAL_US UINT64_C(500000)
-#define STATE_IDLE_US UINT64_C(10000000)
+/* 29 bytes from each of 10,000 sidecars: 10 KB/s at an entry. */
+#define STATE_IDLE_US UINT64_C(30000000)
 #define DRAIN_CHECK_US UINT64_C(20000)
 #define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
--- a/src/util/program.c
+++ b/src/util/program.c
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/resource.h>
 #include <time.h>
 
 int
@@ -73,6 +74,19 @@
     pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
+/* An entry holds a connection for each sidecar, a sidecar one for each entry:
+ * more than the 1,024 that many systems grant unless asked. */
+static void
+raise_file_limit(void)
+{
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 int
 pgw_program_signal_wait(int timeout_ms)
 {
@@ -176,6 +190,7 @@
         return report(program, error, PGW_EXIT_OK);
     }
     prepare_signals();
+    raise_file_limit();
     code = program->run(line.config, &error);
     return report(program, error, code);
 }
