Spread a suddenly hot prefix further, and decide as soon as one answer is good

Cause: in the launch (five times the arrivals, all on one new prefix) calls waited 7 s for their first token. Only six of 18 upstreams were ever asked, and every call waited for the slowest of them, up to the probe's limit of 20 ms. Change: while even the best answer is over its bound, ask twice as many further ranks, up to the whole ranking; decide once an answered candidate holds all that calls share of the prompt and has next to no queue. The bench can write each call as CSV (--dump) with the upstream that answered.

--- a/bench/bench/load.c
+++ b/bench/bench/load.c
@@ -240,6 +240,7 @@
 settle(struct call *call, CURLcode code, long status)
 {
     struct load_result *result = call->result;
+    struct curl_header *upstream;
     struct answer_check check = {
         .prompt = call->prompt,
         .tokens = call->class->max_tokens,
@@ -248,6 +249,10 @@
     };
 
     answer_judge(&call->answer, result, code == CURLE_OK, status, &check);
+    if (curl_easy_header(call->curl, "X-Pgw-Upstream", 0, CURLH_HEADER, -1,
+                         &upstream) == CURLHE_OK) {
+        g_strlcpy(result->upstream, upstream->value, sizeof(result->upstream));
+    }
     if (result->outcome == OUTCOME_LOST && may_repeat(call)) {
         result->repeats++;
         call->repeat_us = now_us() + REPEAT_PAUSE_US;
--- a/bench/bench/load.h
+++ b/bench/bench/load.h
@@ -33,6 +33,7 @@
  * @late_us: intended to actual send time
  * @repeats: times that the caller sent it again
  * @code: code of the refusal
+ * @upstream: who answered, as the entry names it
  */
 struct load_result {
     enum outcome outcome;
@@ -44,6 +45,7 @@
     unsigned cached_tokens;
     unsigned repeats;
     char code[24];
+    char upstream[24];
 };
 
 /**
--- a/bench/bench/measure.c
+++ b/bench/bench/measure.c
@@ -1,6 +1,8 @@
 #include "measure.h"
 
+#include <inttypes.h>
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "fault.h"
@@ -394,3 +396,30 @@
     write_series(out, measure);
     json_builder_end_object(out);
 }
+
+void
+measure_dump(const struct measure *measure, const char *path)
+{
+    FILE *file = fopen(path, "we");
+
+    if (file == NULL) {
+        fprintf(stderr, "parsleygw-bench: cannot write %s\n", path);
+        return;
+    }
+    fprintf(file, "at_s,profile,workspace,prefix,outcome,ttft_ms,total_ms,"
+                  "late_ms,prompt,cached,upstream\n");
+    for (guint i = 0; i < measure->schedule->len; i++) {
+        const struct arrival *arrival =
+            &g_array_index(measure->schedule, struct arrival, i);
+        const struct load_result *result = &measure->results[i];
+
+        fprintf(file, "%.3f,%s,%u,%016" PRIx64 ",%d,%.1f,%.1f,%.1f,%u,%u,%s\n",
+                time_of(measure, i), class_of(measure, i)->profile,
+                arrival->workspace, arrival->levels[0], (int)result->outcome,
+                (double)result->ttft_us / 1000,
+                (double)result->total_us / 1000,
+                (double)result->late_us / 1000, result->prompt_tokens,
+                result->cached_tokens, result->upstream);
+    }
+    fclose(file);
+}
--- a/bench/bench/measure.h
+++ b/bench/bench/measure.h
@@ -33,6 +33,9 @@
 /** measure_write() - one object of the output's "policies" */
 void measure_write(JsonBuilder *out, const struct measure *measure);
 
+/** measure_dump() - one line of CSV for each call, to look into a run */
+void measure_dump(const struct measure *measure, const char *path);
+
 /** measure_percentile() - of unsorted times (uint64_t), sorted in place */
 double measure_percentile_ms(GArray *times, double percent);
 
--- a/bench/bench/options.c
+++ b/bench/bench/options.c
@@ -26,6 +26,7 @@
     OPTION_RATE,
     OPTION_REPORT,
     OPTION_FROM,
+    OPTION_DUMP,
     OPTION_HELP,
 };
 
@@ -47,6 +48,7 @@
     {"rate", required_argument, NULL, OPTION_RATE},
     {"report", required_argument, NULL, OPTION_REPORT},
     {"from", required_argument, NULL, OPTION_FROM},
+    {"dump", required_argument, NULL, OPTION_DUMP},
     {"help", no_argument, NULL, OPTION_HELP},
     {NULL, 0, NULL, 0},
 };
@@ -66,6 +68,7 @@
     "  --json            print JSON (always done; accepted for scripts)\n"
     "  --report DIR      also write a page with plots\n"
     "  --from FILE       of an earlier output; runs nothing\n"
+    "  --dump FILE       write each call of the last policy as CSV\n"
     "other measurements, in place of a scenario:\n"
     "  --overhead        latency added by entry and sidecar, at --rate (500)\n"
     "  --streams N       memory of one entry that holds N open streams\n"
@@ -126,6 +129,9 @@
     case OPTION_FROM:
         out->from = text;
         break;
+    case OPTION_DUMP:
+        out->dump = text;
+        break;
     default:
         out->report = text;
         break;
@@ -205,6 +211,7 @@
         case OPTION_FAULTS:
         case OPTION_REPORT:
         case OPTION_FROM:
+        case OPTION_DUMP:
             set_text(out, option, optarg);
             break;
         case '?':
--- a/bench/bench/options.h
+++ b/bench/bench/options.h
@@ -33,6 +33,7 @@
     double rate;
     const char *report;
     const char *from;
+    const char *dump;
 };
 
 /** bench_options_parse() - read the command line; exits on a wrong one */
--- a/bench/bench/run.c
+++ b/bench/bench/run.c
@@ -132,6 +132,9 @@
         measure.entry_cpu_us += fleet_cpu_us(fleet->entries[i]);
     }
     measure_write(out, &measure);
+    if (options->dump != NULL) {
+        measure_dump(&measure, options->dump);
+    }
     g_hash_table_unref(measure.executions);
     load_free(conductor.load);
     fleet_stop(fleet);
--- a/include/parsleygw/place.h
+++ b/include/parsleygw/place.h
@@ -139,6 +139,20 @@
                       const struct pgw_place_weights *weights,
                       uint32_t prompt_tokens, uint64_t random);
 
+/**
+ * pgw_place_is_settled() - no missing answer could change much
+ * @candidates: in order of rank, some of them answered
+ * @n: their number
+ * @weights: the profile's
+ * @chain: the prompt's levels
+ *
+ * Return: true if an answered candidate holds all that requests share of the
+ * prompt and has next to no queue.
+ */
+bool pgw_place_is_settled(const struct pgw_place_candidate *candidates,
+                          size_t n, const struct pgw_place_weights *weights,
+                          const struct pgw_level_chain *chain);
+
 /**
  * struct pgw_place_policy - a way to place requests
  * @name: as settings and the bench name it
@@ -146,6 +160,7 @@
  *     %PGW_PLACE_RANK_MAX)
  * @rank: as pgw_place_rank(), with @turn counting the entry's requests
  * @choose: as pgw_place_choose()
+ * @settled: as pgw_place_is_settled(), NULL to wait for all answers
  */
 struct pgw_place_policy {
     const char *name;
@@ -157,6 +172,9 @@
                    const struct pgw_place_candidate *candidates, size_t n,
                    const struct pgw_place_weights *weights,
                    uint32_t prompt_tokens, uint64_t random);
+    bool (*settled)(const struct pgw_place_candidate *candidates, size_t n,
+                    const struct pgw_place_weights *weights,
+                    const struct pgw_level_chain *chain);
 };
 
 /**
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -11,6 +11,9 @@
  * earlier waits for them instead of being refused. */
 #define NOBODY_RETRY_US UINT64_C(25000)
 #define NOBODY_TRIES 12
+/* Each round asks twice as many as the one before: after four the whole
+ * ranking was asked. */
+#define SPILLS_MAX 4
 #define NO_UPSTREAM_RETRY_MS 500
 
 /**
@@ -24,7 +27,7 @@
  * @asked: the same; NULL for one that was dropped meanwhile
  * @n_candidates: number of both
  * @n_answered: answers that came
- * @spilled: the second round is out
+ * @spills: rounds that asked further ranks
  * @connecting: one of the first ranks is not connected yet, for the first
  *              time since this process began
  * @tries: times that no upstream was found
@@ -39,7 +42,7 @@
     struct upstream *asked[PGW_PLACE_RANK_MAX];
     size_t n_candidates;
     size_t n_answered;
-    bool spilled;
+    unsigned spills;
     bool connecting;
     unsigned tries;
 };
@@ -307,6 +310,31 @@
     }
 }
 
+/*
+ * A prefix that became hot without warning is cached on its first ranks only,
+ * and all of them are overloaded together: seen as a queue of seconds there
+ * beside idle upstreams. Asking ever more ranks while the best one is over its
+ * bound spreads it over the pool as far as its load needs.
+ */
+static bool
+ask_further(struct exchange *exchange)
+{
+    struct placement *placement = exchange->placement;
+    struct pool *pool = pool_find(exchange->entry, exchange->request.pool);
+    unsigned most = exchange->request.repeatable ? SPILLS_MAX : 1;
+
+    if (pool == NULL || placement->spills >= most) {
+        return false;
+    }
+    start_probing(exchange);
+    if (ask_more(exchange, pool, fanout(exchange) << placement->spills++) ==
+        0) {
+        stop_probing(exchange);
+        return false;
+    }
+    return true;
+}
+
 static void
 decide(struct exchange *exchange)
 {
@@ -321,15 +349,8 @@
     entry->policy->choose(
         &choice, placement->candidates, placement->n_candidates, &weights,
         exchange->request.chain.prompt_tokens, pgw_random_u64());
-    if ((!choice.found || choice.spill) && !placement->spilled) {
-        struct pool *pool = pool_find(entry, exchange->request.pool);
-
-        placement->spilled = true;
-        start_probing(exchange);
-        if (pool != NULL && ask_more(exchange, pool, fanout(exchange)) > 0) {
-            return;
-        }
-        stop_probing(exchange);
+    if ((!choice.found || choice.spill) && ask_further(exchange)) {
+        return;
     }
     if (!choice.found) {
         refuse_no_upstream(exchange);
@@ -338,6 +359,27 @@
     send_to(exchange, choice.position, choice.cost_us);
 }
 
+/*
+ * One sidecar that is slow to answer would hold up every request that asks it
+ * among others. Most requests need no further answer once one is good.
+ */
+static bool
+is_settled(struct exchange *exchange)
+{
+    const struct placement *placement = exchange->placement;
+    struct pgw_place_weights weights = PGW_PLACE_WEIGHTS_INIT;
+
+    if (exchange->entry->policy->settled == NULL ||
+        exchange->format == FORMAT_SERVICE) {
+        return false;
+    }
+    refresh(exchange);
+    weights.ttft_weight = exchange->request.ttft_weight;
+    return exchange->entry->policy->settled(placement->candidates,
+                                            placement->n_candidates, &weights,
+                                            &exchange->request.chain);
+}
+
 void
 place_take_reply(struct entry *entry, struct upstream *upstream,
                  const Pgw__ProbeReply *reply)
@@ -367,7 +409,8 @@
         placement->n_answered++;
         break;
     }
-    if (placement->n_answered == placement->n_candidates) {
+    if (placement->n_answered == placement->n_candidates ||
+        is_settled(exchange)) {
         decide(exchange);
     }
 }
--- a/src/libparsleygw/place_choice.c
+++ b/src/libparsleygw/place_choice.c
@@ -18,6 +18,11 @@
 #define SPILL_WAIT_MIN_US 100000.0
 #define SPILL_WAIT_MAX_US 1000000.0
 
+/* A queue shorter than this is not worth waiting for another answer. */
+#define SETTLED_WAIT_US 10000.0
+/* Levels end inside a block, which is then not cached. */
+#define SETTLED_MISSING_TOKENS 64u
+
 #define US_PER_S 1e6
 
 /* What costs are computed from, the same for all candidates. */
@@ -190,3 +195,34 @@
     choose_unanswered(out, candidates, n);
     out->spill = !out->found;
 }
+
+/* Prompt tokens that other requests can have brought into a cache. */
+static uint32_t
+shared_tokens(const struct pgw_level_chain *chain)
+{
+    uint32_t end = chain->count > 1
+                       ? chain->levels[chain->count - 2].end_tokens
+                       : chain->prompt_tokens;
+
+    return end - MIN(end, SETTLED_MISSING_TOKENS);
+}
+
+bool
+pgw_place_is_settled(const struct pgw_place_candidate *candidates, size_t n,
+                     const struct pgw_place_weights *weights,
+                     const struct pgw_level_chain *chain)
+{
+    double us_per_token = US_PER_S / MAX(weights->prefill_tokens_per_s, 1.0);
+
+    for (size_t i = 0; i < n; i++) {
+        const struct pgw_place_candidate *one = &candidates[i];
+        double queued = (double)one->queued_tokens + one->charged_tokens;
+
+        if (one->answered && takes_work(one) && one->waiting == 0 &&
+            one->matched_tokens >= shared_tokens(chain) &&
+            queued * us_per_token <= SETTLED_WAIT_US) {
+            return true;
+        }
+    }
+    return false;
+}
