--- a/src/entry/guard.c
+++ b/src/entry/guard.c
@@ -4,6 +4,10 @@
 #include <pthread.h>
 #include <sys/socket.h>
 
+/* The system would let a send buffer grow to megabytes, so that each caller
+ * that does not read takes that much of its memory, beyond any window of ours.
+ * This is plenty for a stream of tokens. */
+#define SEND_BUFFER (64 << 10)
 #define CHECK_MIN_US UINT64_C(5000)
 #define CHECK_MAX_US UINT64_C(250000)
 
@@ -130,9 +134,11 @@
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct caller *caller = g_new0(struct caller, 1);
+    int size = SEND_BUFFER;
 
     caller->guard = guard;
     caller->fd = info->connect_fd;
+    setsockopt(caller->fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
     caller->fresh = true;
     caller->due_us = pgw_now_us() + guard->head_us;
     *socket_context = caller;
