--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -246,6 +246,18 @@
                      attempt, 0, 0, exchange->target->id);
 }
 
+/* Every token that was asked for has been delivered, only the word that it was
+ * the last one is missing: nothing is left that an engine could add. */
+static void
+finish_delivered(struct exchange *exchange)
+{
+    Pgw__End end = PGW__END__INIT;
+
+    end.finish_reason = "length";
+    relay_end(exchange, &end);
+    exchange_end(exchange, NULL);
+}
+
 static void
 start_again(struct exchange *exchange,
             const struct pgw_attempt_decision *decision)
@@ -256,6 +268,10 @@
     struct entry *entry = exchange->entry;
 
     leave_target(exchange);
+    if (resume && decision->resume_from >= exchange->request.max_tokens) {
+        finish_delivered(exchange);
+        return;
+    }
     exchange->failures++;
     if (decision->charged && !pgw_retry_budget_withdraw(entry->budget)) {
         forward_step(exchange, &event, NULL);
--- /dev/null
+++ b/tests/failure/fail_sidecar_frames.c
@@ -0,0 +1,385 @@
+/*
+ * The sidecar's side of the frames, with the test as the entry. Whatever an
+ * entry sends or leaves out, each attempt that the sidecar accepts ends in one
+ * End or Fail whose "ran" is true, no place at the upstream stays taken, and
+ * who does not speak the protocol is cut off without harm to others.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "harness_fleet.h"
+#include "libparsleygw/frame.h"
+#include "parsleygw/types.h"
+#include "util/random.h"
+
+#define LIMIT_S 30
+
+/**
+ * struct entry_end - a connection to a sidecar, blocking
+ */
+struct entry_end {
+    int fd;
+    struct pgw_buffer in;
+    uint8_t id[PGW_REQUEST_ID_SIZE];
+};
+
+static void
+send_frame(struct entry_end *end, enum pgw_frame_type type,
+           const ProtobufCMessage *message)
+{
+    struct pgw_buffer out = {0};
+
+    pgw_frame_append(&out, type, message);
+    g_assert_cmpint(send(end->fd, pgw_buffer_head(&out), pgw_buffer_size(&out),
+                         MSG_NOSIGNAL),
+                    ==, (ssize_t)pgw_buffer_size(&out));
+    pgw_buffer_dispose(&out);
+}
+
+static struct entry_end *
+connect_only(struct harness_process *sidecar)
+{
+    struct entry_end *end = g_new0(struct entry_end, 1);
+    struct timeval limit = {.tv_sec = LIMIT_S};
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(harness_process_port(sidecar)),
+    };
+
+    end->fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(end->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    g_assert_cmpint(
+        connect(end->fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+    pgw_random_bytes(end->id, sizeof(end->id));
+    return end;
+}
+
+static void
+send_hello(struct entry_end *end, uint32_t protocol)
+{
+    Pgw__Hello hello = PGW__HELLO__INIT;
+
+    hello.protocol = protocol;
+    hello.instance = "test";
+    hello.role = "entry";
+    hello.zone = "a";
+    hello.incarnation = 1;
+    send_frame(end, PGW_FRAME_HELLO, &hello.base);
+}
+
+static struct entry_end *
+greet(struct harness_process *sidecar)
+{
+    struct entry_end *end = connect_only(sidecar);
+
+    send_hello(end, PGW_PROTOCOL);
+    return end;
+}
+
+static void
+hang_up(struct entry_end *end)
+{
+    close(end->fd);
+    pgw_buffer_dispose(&end->in);
+    g_free(end);
+}
+
+/* The next frame of one of the wanted types (a set of bits), or NULL at the
+ * end of the connection. */
+static ProtobufCMessage *
+next_frame(struct entry_end *end, uint32_t wanted, enum pgw_frame_type *type)
+{
+    for (;;) {
+        ProtobufCMessage *message = NULL;
+        GError *error = NULL;
+        ssize_t got;
+
+        switch (pgw_frame_take(type, &message, &end->in, &error)) {
+        case PGW_FRAME_TAKEN:
+            if (wanted & (1u << *type)) {
+                return message;
+            }
+            pgw_frame_free(message);
+            continue;
+        case PGW_FRAME_BROKEN:
+            g_error("%s", error->message);
+        default:
+            break;
+        }
+        got = recv(end->fd, pgw_buffer_reserve(&end->in, 65536), 65536, 0);
+        if (got <= 0) {
+            g_assert_true(got == 0 || errno == ECONNRESET);
+            return NULL;
+        }
+        end->in.end += (size_t)got;
+    }
+}
+
+static void
+assert_cut_off(struct entry_end *end)
+{
+    enum pgw_frame_type type;
+
+    g_assert_null(next_frame(end, 0, &type));
+    hang_up(end);
+}
+
+static void
+fill_open(Pgw__Open *open, struct entry_end *end, bool service)
+{
+    open->request.data = end->id;
+    open->request.len = sizeof(end->id);
+    open->attempt = 1;
+    open->workspace = "parish";
+    open->profile = service ? "print" : "ask";
+    open->deadline_ms = 60000;
+    open->share = 1;
+    open->model = "rulebook-7b";
+    open->version = "w1";
+    open->service = service;
+    open->method = "POST";
+    open->path = "/labels";
+    open->body.data = (uint8_t *)"peanut free";
+    open->body.len = strlen("peanut free");
+    open->max_tokens = 10;
+    open->repeatable = true;
+    open->window = 1 << 20;
+}
+
+/* Waits for the end of the attempt and checks what it says. */
+static void
+assert_fail(struct entry_end *end, enum pgw_refusal code, enum pgw_ran ran)
+{
+    enum pgw_frame_type type;
+    Pgw__Fail *fail = (Pgw__Fail *)next_frame(
+        end, 1u << PGW_FRAME_FAIL | 1u << PGW_FRAME_END, &type);
+
+    g_assert_nonnull(fail);
+    g_assert_cmpint(type, ==, PGW_FRAME_FAIL);
+    if (fail->code != code || fail->ran != ran) {
+        g_error("%s ran=%s: %s", pgw_refusal_name((int)fail->code),
+                pgw_ran_name((int)fail->ran), fail->message);
+    }
+    pgw_frame_free(&fail->base);
+}
+
+static void
+assert_answered(struct entry_end *end)
+{
+    enum pgw_frame_type type;
+    ProtobufCMessage *message =
+        next_frame(end, 1u << PGW_FRAME_FAIL | 1u << PGW_FRAME_END, &type);
+
+    g_assert_cmpint(type, ==, PGW_FRAME_END);
+    pgw_frame_free(message);
+}
+
+static struct fleet *
+start_fleet(const char *sidecar_settings, const char *const *service_args)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct fleet *fleet;
+
+    options.engines = 1;
+    options.entries = 0;
+    options.service = true;
+    options.sidecar_settings = sidecar_settings;
+    options.service_args = service_args;
+    fleet = fleet_new(&options);
+    for (unsigned i = 0; i < 2; i++) {
+        harness_wait_ready(fleet_admin_url(fleet->sidecars[i], "/readyz"));
+    }
+    return fleet;
+}
+
+static bool
+is_idle(void *data)
+{
+    return fleet_status_int(data, "running") == 0 &&
+           fleet_status_int(data, "waiting") == 0;
+}
+
+static void
+assert_idle(struct harness_process *sidecar)
+{
+    g_assert_true(harness_wait_until(is_idle, sidecar, LIMIT_S));
+}
+
+static gint64
+engine_requests(struct fleet *fleet)
+{
+    return harness_get_int(harness_process_url(fleet->engines[0], "/_stats"),
+                           "requests");
+}
+
+static void
+test_strangers(void)
+{
+    struct fleet *fleet = start_fleet("", NULL);
+    struct harness_process *sidecar = fleet->sidecars[0];
+    struct entry_end *end = connect_only(sidecar);
+    Pgw__Open open = PGW__OPEN__INIT;
+    static const char http[] = "GET / HTTP/1.1\r\n\r\n";
+
+    g_assert_cmpint(send(end->fd, http, sizeof(http), MSG_NOSIGNAL), ==,
+                    (ssize_t)sizeof(http));
+    assert_cut_off(end);
+    end = connect_only(sidecar);
+    send_hello(end, PGW_PROTOCOL + 1);
+    assert_cut_off(end);
+    end = connect_only(sidecar);
+    fill_open(&open, end, false);
+    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    assert_cut_off(end);
+    end = greet(sidecar);
+    send_hello(end, PGW_PROTOCOL);
+    assert_cut_off(end);
+    g_assert_cmpint(engine_requests(fleet), ==, 0);
+    fleet_free(fleet);
+}
+
+static void
+test_refused_opens(void)
+{
+    struct fleet *fleet = start_fleet("", NULL);
+    struct entry_end *model = greet(fleet->sidecars[0]);
+    struct entry_end *service = greet(fleet->sidecars[1]);
+    Pgw__Open open = PGW__OPEN__INIT;
+
+    /* The engine refuses it as malformed: nothing ran, no other engine would
+     * say otherwise, and it is no crash. */
+    fill_open(&open, model, false);
+    open.resume_from = 99;
+    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    assert_fail(model, PGW_REFUSAL_BAD_REQUEST, PGW_RAN_NO);
+    fill_open(&open, model, false);
+    open.resume_from = 0;
+    open.attempt = 2;
+    open.version = "w9";
+    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    assert_fail(model, PGW_REFUSAL_STALE, PGW_RAN_NO);
+    fill_open(&open, model, true);
+    open.attempt = 3;
+    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    assert_fail(model, PGW_REFUSAL_INTERNAL, PGW_RAN_NO);
+    fill_open(&open, service, false);
+    send_frame(service, PGW_FRAME_OPEN, &open.base);
+    assert_fail(service, PGW_REFUSAL_INTERNAL, PGW_RAN_NO);
+    /* An Open sent twice runs once; frames for unknown attempts are nothing.
+     */
+    fill_open(&open, model, false);
+    open.attempt = 4;
+    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    assert_answered(model);
+    g_assert_cmpint(engine_requests(fleet), ==, 1);
+    hang_up(model);
+    hang_up(service);
+    fleet_free(fleet);
+}
+
+/* Two bodies fit into the memory for waiting requests, a third does not. */
+static void
+test_queue_bytes(void)
+{
+    struct fleet *fleet =
+        start_fleet(",\"max_running\":1,\"queue_bytes\":2500", NULL);
+    struct entry_end *end = greet(fleet->sidecars[0]);
+    Pgw__Open open = PGW__OPEN__INIT;
+    char *body = g_strnfill(1200, 'b');
+
+    fill_open(&open, end, false);
+    open.max_tokens = 100000;
+    open.body.data = (uint8_t *)body;
+    open.body.len = strlen(body);
+    for (unsigned i = 0; i < 4; i++) {
+        open.attempt = i + 1;
+        send_frame(end, PGW_FRAME_OPEN, &open.base);
+    }
+    assert_fail(end, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO);
+    g_assert_cmpint(fleet_status_int(fleet->sidecars[0], "waiting"), <=, 2);
+    hang_up(end);
+    assert_idle(fleet->sidecars[0]);
+    g_free(body);
+    fleet_free(fleet);
+}
+
+/* An entry dies with one request running and many waiting: the running one is
+ * cancelled and none of the others is started for nobody. */
+static void
+test_entry_lost(void)
+{
+    struct fleet *fleet = start_fleet(",\"max_running\":1", NULL);
+    struct entry_end *end = greet(fleet->sidecars[0]);
+    enum pgw_frame_type type;
+    Pgw__Open open = PGW__OPEN__INIT;
+
+    fill_open(&open, end, false);
+    open.max_tokens = 100000;
+    for (unsigned i = 0; i < 50; i++) {
+        open.attempt = i + 1;
+        /* Half of them run out of time about when the entry is lost. */
+        open.deadline_ms = i % 2 == 0 ? 60000 : 3000 + i;
+        send_frame(end, PGW_FRAME_OPEN, &open.base);
+    }
+    pgw_frame_free(next_frame(end, 1u << PGW_FRAME_DATA, &type));
+    hang_up(end);
+    assert_idle(fleet->sidecars[0]);
+    g_assert_cmpint(engine_requests(fleet), ==, 1);
+    fleet_free(fleet);
+}
+
+/* The entry stops granting in the middle of a call that may not be repeated,
+ * and its deadline passes. The call runs to its end for its record's sake, and
+ * its place is free again; with the same key its answer is replayed. */
+static void
+test_shut_window(void)
+{
+    static const char *const args[] = {"--answer-bytes", "900000", NULL};
+    struct fleet *fleet = start_fleet("", args);
+    struct entry_end *end = greet(fleet->sidecars[1]);
+    Pgw__Open open = PGW__OPEN__INIT;
+    enum pgw_frame_type type;
+    Pgw__End *whole;
+
+    fill_open(&open, end, true);
+    open.repeatable = false;
+    open.idempotency_key = "tray-7";
+    open.window = 1000;
+    open.deadline_ms = 1500;
+    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    assert_fail(end, PGW_REFUSAL_DEADLINE, PGW_RAN_UNKNOWN);
+    assert_idle(fleet->sidecars[1]);
+    open.attempt = 2;
+    open.window = 1 << 20;
+    open.deadline_ms = 20000;
+    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    whole = (Pgw__End *)next_frame(
+        end, 1u << PGW_FRAME_END | 1u << PGW_FRAME_FAIL, &type);
+    g_assert_cmpint(type, ==, PGW_FRAME_END);
+    g_assert_true(whole->replayed);
+    pgw_frame_free(&whole->base);
+    g_assert_cmpint(
+        harness_get_int(harness_process_url(fleet->service, "/_counts"),
+                        "tray-7"),
+        ==, 1);
+    hang_up(end);
+    fleet_free(fleet);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/sidecar-frames/strangers", test_strangers);
+    g_test_add_func("/sidecar-frames/refused-opens", test_refused_opens);
+    g_test_add_func("/sidecar-frames/queue-bytes", test_queue_bytes);
+    g_test_add_func("/sidecar-frames/entry-lost", test_entry_lost);
+    g_test_add_func("/sidecar-frames/shut-window", test_shut_window);
+    return g_test_run();
+}
