--- a/src/libparsleygw/quarantine_io.c
+++ b/src/libparsleygw/quarantine_io.c
@@ -25,7 +25,6 @@
     }
     suspect->version = version;
     suspect->present = value != NULL;
-    suspect->known = true;
     suspect->read_wanted = false;
     suspect->record = record;
     pgw_suspect__settle(quarantine, suspect);
@@ -236,7 +235,6 @@
 written(struct pgw_quarantine *quarantine, struct pgw_suspect *suspect,
         enum pgw_io_kind kind, uint64_t version)
 {
-    suspect->known = true;
     suspect->present = kind == PGW_IO_WRITE;
     suspect->version = MAX(version, suspect->version);
     suspect->record =
@@ -258,7 +256,6 @@
 static void
 missing(struct pgw_quarantine *quarantine, struct pgw_suspect *suspect)
 {
-    suspect->known = true;
     suspect->present = false;
     suspect->read_wanted = false;
     pgw_suspect__settle(quarantine, suspect);
--- a/src/libparsleygw/quarantine_suspect.h
+++ b/src/libparsleygw/quarantine_suspect.h
@@ -34,7 +34,6 @@
 /**
  * struct pgw_suspect - one fingerprint as this process knows it
  * @version: of @record in the store
- * @known: the store's value has been seen
  * @present: there is a record
  * @read_wanted: the value may be old
  * @runner: ticket that holds the permit here, 0: none
@@ -46,7 +45,6 @@
 struct pgw_suspect {
     struct pgw_fingerprint fingerprint;
     uint64_t version;
-    bool known;
     bool present;
     bool read_wanted;
     bool running;
