--- a/bench/microbench/config.c
+++ b/bench/microbench/config.c
@@ -188,6 +188,48 @@
     pgw_config_set_apply(data, kind, name, version, value, NULL, NULL);
 }
 
+/* The whole set from nothing, as after a start, and its first snapshot. */
+static void
+load_run(void *data, uint64_t turn)
+{
+    const struct config_state *state = data;
+    struct pgw_config_set *set = pgw_config_set_new();
+    struct pgw_config *config;
+
+    (void)turn;
+    pgw_config_set_foreach(state->set, take, set);
+    config = pgw_config_build(set);
+    microbench_use((uintptr_t)config);
+    pgw_config_unref(config);
+    pgw_config_set_free(set);
+}
+
+/* Workspaces and upstreams in the proportion of the target size. */
+static void *
+whole_setup(uint64_t size)
+{
+    uint64_t workspaces = size * 29 / 39;
+    struct config_state *state = state_new(size);
+
+    for (uint64_t i = 0; i < workspaces; i++) {
+        apply_workspace(state->set, i, i + 1);
+    }
+    for (uint64_t i = workspaces; i < size; i++) {
+        apply_upstream(state->set, i - workspaces, i + 1);
+    }
+    state->config = pgw_config_build(state->set);
+    return state;
+}
+
+static void
+digest_run(void *data, uint64_t turn)
+{
+    const struct config_state *state = data;
+
+    (void)turn;
+    microbench_use(pgw_config_set_summary(state->set));
+}
+
 /* Anti-entropy after one missed change: buckets, versions, the object. */
 static void
 exchange_run(void *data, uint64_t turn)
@@ -242,5 +284,17 @@
      exchange_setup,
      exchange_run,
      config_teardown},
+    {"config_load",
+     "objects",
+     {1000, 3900, 13000, 39000},
+     whole_setup,
+     load_run,
+     config_teardown},
+    {"config_summary",
+     "objects",
+     {1000, 3900, 13000, 39000},
+     whole_setup,
+     digest_run,
+     config_teardown},
     {NULL, NULL, {0}, NULL, NULL, NULL},
 };
--- a/bench/microbench/main.c
+++ b/bench/microbench/main.c
@@ -15,7 +15,7 @@
 
 static const struct microbench_case *const tables[] = {
     microbench_level_cases, microbench_place_cases,  microbench_cache_cases,
-    microbench_admit_cases, microbench_config_cases,
+    microbench_admit_cases, microbench_config_cases, microbench_frame_cases,
 };
 
 /**
--- a/bench/microbench/microbench.h
+++ b/bench/microbench/microbench.h
@@ -30,6 +30,7 @@
 extern const struct microbench_case microbench_cache_cases[];
 extern const struct microbench_case microbench_admit_cases[];
 extern const struct microbench_case microbench_config_cases[];
+extern const struct microbench_case microbench_frame_cases[];
 
 /* Keeps a result alive, so that the compiler does not drop the work. */
 static inline void
