--- a/src/libparsleygw/json_slice.h
+++ b/src/libparsleygw/json_slice.h
@@ -7,8 +7,8 @@
 /**
  * struct pgw_json__slice - cuts a JSON array into the texts of its elements
  *
- * A list of 29,000 workspaces parsed at once takes some 60 MB as a tree of
- * nodes, the whole allowance of a process. Cut into elements, each is parsed
+ * A list of 29,000 workspaces parsed at once as a tree of nodes takes more
+ * than the 64 MB that a process may have. Cut into elements, each is parsed
  * and released by itself.
  */
 struct pgw_json__slice {
