Stop the feed of configuration before those who hear of it are freed

A sidecar could die at the end of a planned stop: changes that the watch had read were delivered after the machines that hear of them, or the watch itself, had been freed (seen once as a segmentation fault of the queue-bytes test, after drain_end). The watch now stops first and what it read is delivered while everything is there.

--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -105,14 +105,23 @@
     return feed;
 }
 
+void
+pgw_config_feed_stop(struct pgw_config_feed *feed)
+{
+    if (feed != NULL && feed->watch != NULL) {
+        pgw_watch_free(feed->watch);
+        feed->watch = NULL;
+        pgw_loop_run_tasks(feed->options.loop);
+    }
+}
+
 void
 pgw_config_feed_free(struct pgw_config_feed *feed)
 {
     if (feed == NULL) {
         return;
     }
-    pgw_watch_free(feed->watch);
-    pgw_loop_run_tasks(feed->options.loop);
+    pgw_config_feed_stop(feed);
     pgw_store_free(feed->store);
     g_free(feed);
 }
@@ -160,8 +169,12 @@
     size_t count = 0;
     const struct pgw_upstream *const *upstreams =
         pgw_config_upstreams(config, NULL, &count);
-    GPtrArray *peers = g_ptr_array_new();
+    GPtrArray *peers;
 
+    if (feed->watch == NULL) {
+        return;
+    }
+    peers = g_ptr_array_new();
     for (size_t i = 0; i < count; i++) {
         if (!upstreams[i]->leaving &&
             strcmp(upstreams[i]->zone, feed->options.zone) == 0) {
--- a/src/libparsleygw/config_feed.h
+++ b/src/libparsleygw/config_feed.h
@@ -40,6 +40,15 @@
 pgw_config_feed_new(const struct pgw_config_feed_options *options,
                     GError **error);
 
+/**
+ * pgw_config_feed_stop() - deliver what was read and read nothing more
+ * @feed: the feed; the loop must not be running any more
+ *
+ * To be called while all that hears of changes is still there. The store
+ * client stays until pgw_config_feed_free().
+ */
+void pgw_config_feed_stop(struct pgw_config_feed *feed);
+
 /** pgw_config_feed_free() - stop; the loop must not be running any more */
 void pgw_config_feed_free(struct pgw_config_feed *feed);
 
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -356,6 +356,7 @@
         close_peers(sidecar);
         pgw_listener_free(sidecar->listener);
     }
+    pgw_config_feed_stop(sidecar->feed);
     if (sidecar->transfers != NULL) {
         orders_free(sidecar->orders);
         engine_dispose(&sidecar->engine);
