Free a path in the claim test

Cause: LeakSanitizer names a path of replace_sidecar().

Change: it is freed.

Measurement: fail_claim, fail_quarantine, test_claim and the four property tests pass under AddressSanitizer and UBSan.

Conclusion: the daemons were clean before, the test is now.

--- a/tests/failure/fail_claim.c
+++ b/tests/failure/fail_claim.c
@@ -148,6 +148,7 @@
             fleet_wait_usable(fleet->entries[i], 1);
         }
     }
+    g_free(path);
 }
 
 static struct fleet *
