Ask the first four ranks, where a shared prefix lives

Cause: a first-level prefix is kept on the first four ranks, in an order that differs by its children, but only three were asked: every fourth child missed the one that had computed it and computed it anew, most of all in a cold fleet.

--- a/src/libparsleygw/settings.c
+++ b/src/libparsleygw/settings.c
@@ -86,7 +86,7 @@
     UINT_FIELD(pgw_entry_settings, body_timeout_ms, 10, MAX_TIMEOUT_MS, 15000),
     UINT_FIELD(pgw_entry_settings, max_inflight, 1, 1000000, 4096),
     CHOICE_FIELD(pgw_entry_settings, policy, policies, "parsleygw"),
-    UINT_FIELD(pgw_entry_settings, probe_fanout, 1, 16, 3),
+    UINT_FIELD(pgw_entry_settings, probe_fanout, 1, 16, 4),
 };
 
 static const struct pgw_json_field sidecar_fields[] = {
--- a/tests/unit/test_json_reader.c
+++ b/tests/unit/test_json_reader.c
@@ -86,7 +86,7 @@
     g_assert_true(pgw_entry_settings_load(&settings, path, &error));
     g_assert_no_error(error);
     g_assert_cmpuint(settings->max_body_bytes, ==, 4096);
-    g_assert_cmpuint(settings->probe_fanout, ==, 3);
+    g_assert_cmpuint(settings->probe_fanout, ==, 4);
     g_assert_cmpstr(settings->policy, ==, "parsleygw");
     g_assert_cmpstr(settings->region, ==, "");
     g_assert_cmpuint(g_strv_length(settings->seeds), ==, 2);
