--- a/bench/bench/answer.c
+++ b/bench/bench/answer.c
@@ -169,6 +169,7 @@
     JsonObject *error =
         member(parse_object(parser, text->str, text->len), "error");
     const char *ran = "";
+    bool said;
 
     if (error != NULL) {
         ran = json_object_get_string_member_with_default(error, "ran", "");
@@ -180,8 +181,9 @@
     result->ran = strcmp(ran, "no") == 0    ? SAID_NO
                   : strcmp(ran, "yes") == 0 ? SAID_YES
                                             : SAID_UNKNOWN;
+    said = *ran != '\0';
     g_object_unref(parser);
-    return *ran != '\0';
+    return said;
 }
 
 static bool
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -183,7 +183,8 @@
     }
     open->fingerprint.data = (uint8_t *)request->fingerprint.bytes;
     open->fingerprint.len = PGW_FINGERPRINT_SIZE;
-    open->suspect = exchange->suspect || exchange->failures > 0;
+    open->suspect =
+        exchange->suspect || pgw_attempt_ran(&exchange->attempt) != PGW_RAN_NO;
     open->body.data = (uint8_t *)request->prompt->str;
     open->body.len = request->prompt->len;
     open->resume_from = exchange->resume_from;
--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -19,11 +19,13 @@
 offer(const char *kind, const char *name, uint64_t version, const char *value,
       void *data)
 {
-    struct pgw_config_feed *feed = data;
+    const struct batch_task *self = data;
     GError *error = NULL;
 
-    if (!pgw_sync_offer(feed->options.sync, kind, name, version, value,
-                        &error)) {
+    /* A whole list would go four times over the links, object by object;
+     * peers that lack some of it find out by their summaries. */
+    if (!pgw_sync_offer(self->feed->options.sync, kind, name, version, value,
+                        !self->batch->whole, &error)) {
         pgw_log_warning("config_refused", "kind=%s name=%s error=%s", kind,
                         name, error->message);
         g_clear_error(&error);
@@ -58,7 +60,7 @@
     }
     else {
         pgw_watch_batch_apply(self->batch, self->feed->options.set, offer,
-                              self->feed);
+                              self);
     }
     pgw_watch_batch_free(self->batch);
     g_free(self);
@@ -156,9 +158,10 @@
     while (g_hash_table_iter_next(&iter, &kind, &held)) {
         pgw_watch_set_held(feed->watch, kind, *(uint64_t *)held);
     }
-    /* Peers send all records when they connect, and mostly there is none:
-     * a process without any need not ask the store. */
-    pgw_watch_set_held(feed->watch, PGW_QUARANTINE_KIND, 1);
+    /* Sidecars tell all records when an entry connects, and mostly there is
+     * none: a process without any need not ask the store. */
+    pgw_watch_set_held(feed->watch, PGW_QUARANTINE_KIND,
+                       MAX(1, pgw_suspects_version(feed->options.suspects)));
     g_hash_table_unref(highest);
 }
 
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -20,6 +20,7 @@
     GHashTable *table; /* struct suspect by name */
     struct pgw_list order;
     size_t in_force;
+    uint64_t version;
     struct pgw_timer sweep;
 };
 
@@ -157,6 +158,7 @@
     suspects->in_force += (value != NULL) - (suspect->value != NULL);
     g_free(suspect->value);
     suspect->version = version;
+    suspects->version = MAX(suspects->version, version);
     suspect->value = value == NULL ? NULL : g_strndup(value, length);
     suspect->length = length;
     suspect->record = record;
@@ -262,6 +264,12 @@
     return suspect == NULL || suspect->value == NULL ? NULL : &suspect->record;
 }
 
+uint64_t
+pgw_suspects_version(const struct pgw_suspects *suspects)
+{
+    return suspects->version;
+}
+
 size_t
 pgw_suspects_count(const struct pgw_suspects *suspects)
 {
--- a/src/libparsleygw/suspects.h
+++ b/src/libparsleygw/suspects.h
@@ -77,6 +77,9 @@
 pgw_suspects_find(const struct pgw_suspects *suspects,
                   const struct pgw_fingerprint *fingerprint);
 
+/** pgw_suspects_version() - highest version seen, 0 before any */
+uint64_t pgw_suspects_version(const struct pgw_suspects *suspects);
+
 /** pgw_suspects_count() - records in force */
 size_t pgw_suspects_count(const struct pgw_suspects *suspects);
 
--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -280,9 +280,9 @@
 
 bool
 pgw_sync_offer(struct pgw_sync *sync, const char *kind, const char *name,
-               uint64_t version, const char *value, GError **error)
+               uint64_t version, const char *value, bool fresh, GError **error)
 {
-    return merge(sync, NULL, kind, name, version, value, true, error);
+    return merge(sync, NULL, kind, name, version, value, fresh, error);
 }
 
 static void
--- a/src/libparsleygw/sync.h
+++ b/src/libparsleygw/sync.h
@@ -76,9 +76,11 @@
  * @name: its name
  * @version: the store's version
  * @value: JSON text; NULL: deleted
+ * @fresh: a change just made, to be pushed on; not one of a whole list
  * @error: as pgw_config_set_apply()
  */
 bool pgw_sync_offer(struct pgw_sync *sync, const char *kind, const char *name,
-                    uint64_t version, const char *value, GError **error);
+                    uint64_t version, const char *value, bool fresh,
+                    GError **error);
 
 #endif
--- a/src/sidecar/claims.c
+++ b/src/sidecar/claims.c
@@ -1,16 +1,18 @@
 #include "sidecar/claims.h"
 #include "libparsleygw/store_worker.h"
+#include "sidecar/claim_sweep.h"
 #include "util/log.h"
 
 #define STORE_TIMEOUT_US UINT64_C(1000000)
 /* An object that nobody has asked for this long is forgotten; its truth
  * stands in the store. */
-#define IDLE_US UINT64_C(120000000)
+#define IDLE_US UINT64_C(20000000)
 
 struct claims {
     struct sidecar *sidecar;
     GHashTable *objects; /* struct claim_object by name */
     GHashTable *runs;    /* struct run by ticket */
+    struct claim_sweep *sweep;
     uint64_t last_ticket;
     uint64_t now_us;
     bool closing;
@@ -131,6 +133,7 @@
         object->shard = pgw_claim_shard_new(&options);
         object->timer.on_due = object_due;
         g_hash_table_insert(claims->objects, object->name, object);
+        claim_sweep_used(claims->sweep, name);
     }
     object->used_us = claims_now(claims);
     return object;
@@ -145,6 +148,7 @@
     claims->objects =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, object_free);
     claims->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
+    claims->sweep = claim_sweep_new(sidecar);
     return claims;
 }
 
@@ -156,6 +160,7 @@
     }
     g_hash_table_unref(claims->runs);
     g_hash_table_unref(claims->objects);
+    claim_sweep_free(claims->sweep);
     g_free(claims);
 }
 
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -168,7 +168,7 @@
     char *value = g_strdup_printf(POOL, (unsigned)version);
     GError *error = NULL;
 
-    pgw_sync_offer(replica->sync, "pool", name, version, value, &error);
+    pgw_sync_offer(replica->sync, "pool", name, version, value, true, &error);
     g_assert_no_error(error);
     g_free(value);
 }
@@ -213,7 +213,8 @@
         g_free(own);
     }
     offer(&all[0], "gone", 5);
-    g_assert_true(pgw_sync_offer(all[2].sync, "pool", "gone", 6, NULL, NULL));
+    g_assert_true(
+        pgw_sync_offer(all[2].sync, "pool", "gone", 6, NULL, true, NULL));
     join(&all[0], &all[1]);
     join(&all[1], &all[2]);
     pgw_loop_run(fleet->loop);
