Let entries pass changes on to more sidecars than the reverse

Cause: every process passed a change on to four links. 940 entries reach at most 3,760 of 10,000 sidecars that way, the other two thirds found it out by an exchange of details; each entry was told by 42 sidecars. Change: entries pass on to 16 links, sidecars to 2.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -16,6 +16,9 @@
 #define LIST_INTERVAL_US UINT64_C(10000000)
 /* A line has about 60 bytes: 2 KB/s at most. */
 #define LIST_LINE_US UINT64_C(30000)
+/* Entries are few before many sidecars: were each to pass a change on to as
+ * few as a sidecar does, two in three sidecars would have to find it out. */
+#define PUSH_LINKS 16
 #define LIST_TIMEOUT_US UINT64_C(2000000)
 #define TRACE_EVENTS (1u << 14)
 
@@ -250,6 +253,7 @@
     options.loop = entry->loop;
     options.set = entry->set;
     options.on_change = config_changed;
+    options.push_links = PUSH_LINKS;
     options.context = entry;
     entry->sync = pgw_sync_new(&options);
     suspects.loop = entry->loop;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -12,6 +12,8 @@
 #define STATE_INTERVAL_US UINT64_C(500000)
 /* 29 bytes from each of 10,000 sidecars: 10 KB/s at an entry. */
 #define STATE_IDLE_US UINT64_C(30000000)
+/* Sidecars are many before few entries, which hear of a change from many. */
+#define PUSH_LINKS 2
 #define DRAIN_CHECK_US UINT64_C(20000)
 #define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
@@ -308,6 +310,7 @@
     sync.loop = sidecar->loop;
     sync.set = sidecar->set;
     sync.on_change = config_changed;
+    sync.push_links = PUSH_LINKS;
     sync.context = sidecar;
     sidecar->sync = pgw_sync_new(&sync);
     suspects_init(sidecar);
