--- a/bench/control/control.h
+++ b/bench/control/control.h
@@ -88,5 +88,6 @@
 void part_entry(JsonBuilder *out, const struct control_options *options);
 void part_sidecar(JsonBuilder *out, const struct control_options *options);
 void part_fleet(JsonBuilder *out, const struct control_options *options);
+void part_requests(JsonBuilder *out, const struct control_options *options);
 
 #endif
--- a/bench/control/main.c
+++ b/bench/control/main.c
@@ -12,10 +12,9 @@
     const char *name;
     void (*run)(JsonBuilder *out, const struct control_options *options);
 } parts[] = {
-    {"table", part_table},
-    {"entry", part_entry},
-    {"sidecar", part_sidecar},
-    {"fleet", part_fleet},
+    {"table", part_table},       {"entry", part_entry},
+    {"sidecar", part_sidecar},   {"fleet", part_fleet},
+    {"requests", part_requests},
 };
 
 /* Programs lie beside this one's folder, as the build makes them. */
@@ -38,7 +37,8 @@
 static void
 usage(int code)
 {
-    fputs("usage: parsleygw-control-bench --part table|entry|sidecar|fleet\n"
+    fputs("usage: parsleygw-control-bench --part "
+          "table|entry|sidecar|fleet|requests\n"
           "  --seconds T     idle period, 10\n"
           "  --workspaces N  1000\n"
           "  --upstreams N   declared, nobody listens; part table, 1000\n"
