Read what a peer sent before it closed, though our own sends fail

A peer that sent its last frames and closed while something of ours was unread resets the connection. The first send of ours after that failed, broke the link and threw away the frames that had arrived, among them ends of answers: a call that may not be repeated ended as 'unknown' although its answer was there. The link now only falls silent and reads to the end. A sidecar at a planned stop waits until its frames have been received, not only handed to the system.

--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -2,9 +2,11 @@
 #include "parsleygw/errors.h"
 #include "util/metric.h"
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,6 +39,7 @@
     bool connecting;
     bool closing;
     bool wants_write;
+    bool deaf; /* the peer takes nothing more; what it sent is still read */
 };
 
 static void
@@ -61,7 +64,13 @@
         return;
     }
     link->closing = true;
-    link->error = error;
+    /* The first sign of trouble says most. */
+    if (link->error != NULL) {
+        g_clear_error(&error);
+    }
+    else {
+        link->error = error;
+    }
     pgw_loop_fd_remove(link->loop, &link->watch);
     close(link->watch.fd);
     link->reap.run = link_reap;
@@ -78,10 +87,36 @@
 }
 
 static void
-link_flush(struct pgw_link *link)
+link_watch_write(struct pgw_link *link, bool wants_write)
 {
-    bool wants_write;
+    if (wants_write != link->wants_write) {
+        link->wants_write = wants_write;
+        pgw_loop_fd_modify(link->loop, &link->watch,
+                           EPOLLIN | (wants_write ? EPOLLOUT : 0));
+    }
+}
+
+/*
+ * A peer that has sent its last frames and closed answers our next byte with
+ * a reset. Breaking the link for that would throw away frames that have
+ * arrived, among them the ends of answers, and callers would be told that the
+ * outcome is unknown. So we only fall silent: reading on gives what is there
+ * and then the end.
+ */
+static void
+link_fall_silent(struct pgw_link *link)
+{
+    link->deaf = true;
+    link->error =
+        g_error_new(PGW_ERROR, PGW_ERROR_UNAVAILABLE,
+                    "send: %s: check that the peer runs", g_strerror(errno));
+    pgw_buffer_dispose(&link->out);
+    link_watch_write(link, false);
+}
 
+static void
+link_flush(struct pgw_link *link)
+{
     while (pgw_buffer_size(&link->out) > 0) {
         ssize_t sent = send(link->watch.fd, pgw_buffer_head(&link->out),
                             pgw_buffer_size(&link->out), MSG_NOSIGNAL);
@@ -93,18 +128,12 @@
             break;
         }
         if (sent < 0) {
-            link_break_errno(link, "send");
+            link_fall_silent(link);
             return;
         }
-        pgw_metric_counter_add(&sent_bytes, (uint64_t)sent);
         pgw_buffer_consume(&link->out, (size_t)sent);
     }
-    wants_write = pgw_buffer_size(&link->out) > 0;
-    if (wants_write != link->wants_write) {
-        link->wants_write = wants_write;
-        pgw_loop_fd_modify(link->loop, &link->watch,
-                           EPOLLIN | (wants_write ? EPOLLOUT : 0));
-    }
+    link_watch_write(link, pgw_buffer_size(&link->out) > 0);
 }
 
 static void
@@ -271,7 +300,7 @@
 {
     bool was_empty;
 
-    if (link->closing) {
+    if (link->closing || link->deaf) {
         return;
     }
     was_empty = pgw_buffer_size(&link->out) == 0;
@@ -285,13 +314,23 @@
 size_t
 pgw_link_pending(const struct pgw_link *link)
 {
-    return pgw_buffer_size(&link->out);
+    int unsent = 0;
+
+    if (link->closing || link->deaf) {
+        return 0;
+    }
+    /* Closing with unread bytes from the peer resets the connection, which
+     * takes along what the system has not delivered yet. */
+    if (ioctl(link->watch.fd, SIOCOUTQ, &unsent) != 0) {
+        unsent = 0;
+    }
+    return pgw_buffer_size(&link->out) + (size_t)unsent;
 }
 
 bool
 pgw_link_is_open(const struct pgw_link *link)
 {
-    return !link->connecting && !link->closing;
+    return !link->connecting && !link->closing && !link->deaf;
 }
 
 uint64_t
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -55,7 +55,7 @@
 void pgw_link_send(struct pgw_link *link, enum pgw_frame_type type,
                    const ProtobufCMessage *message);
 
-/** pgw_link_pending() - bytes queued and not yet taken by the system */
+/** pgw_link_pending() - bytes queued and not yet received by the peer */
 size_t pgw_link_pending(const struct pgw_link *link);
 
 /** pgw_link_is_open() - connected and not closing */
--- a/tests/unit/test_link.c
+++ b/tests/unit/test_link.c
@@ -1,4 +1,5 @@
 /* Two ends of a link on one loop: order, size, breakage, closing. */
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -251,6 +252,72 @@
     }
 }
 
+static bool
+answer_each(struct pgw_link *link, enum pgw_frame_type type,
+            ProtobufCMessage *message, void *context)
+{
+    (void)type;
+    (void)context;
+    fixture.server.frames++;
+    pgw_link_send(link, PGW_FRAME_DATA, message);
+    return false;
+}
+
+static const struct pgw_link_ops answering_ops = {
+    .on_frame = answer_each,
+    .on_closed = on_closed,
+};
+
+static int raw_peer;
+
+/* The peer sends its last frames and closes without having read ours. */
+static void
+accept_and_lose(int fd, void *context)
+{
+    struct pollfd wait = {.fd = raw_peer, .events = POLLIN};
+    struct pgw_buffer out = {0};
+    Pgw__Data data = PGW__DATA__INIT;
+
+    (void)context;
+    fixture.server.link = pgw_link_accept(fixture.loop, fd, &answering_ops,
+                                          &fixture.server, NULL);
+    send_data(fixture.server.link, 0, 10);
+    g_assert_cmpint(poll(&wait, 1, 60000), ==, 1);
+    for (unsigned i = 0; i < FRAMES; i++) {
+        pgw_frame_append(&out, PGW_FRAME_DATA, &data.base);
+    }
+    g_assert_cmpint(
+        send(raw_peer, pgw_buffer_head(&out), pgw_buffer_size(&out), 0), ==,
+        (ssize_t)pgw_buffer_size(&out));
+    close(raw_peer);
+    pgw_buffer_dispose(&out);
+}
+
+/* That resets the connection. Every frame that arrived counts, also while
+ * each of our own sends fails. */
+static void
+test_frames_before_a_reset(void)
+{
+    struct pgw_address any;
+    struct pgw_address address;
+
+    set_up();
+    pgw_listener_free(fixture.listener);
+    g_assert_true(pgw_address_parse(&any, "127.0.0.1:0", NULL));
+    fixture.listener =
+        pgw_listener_new(fixture.loop, &any, accept_and_lose, NULL, NULL);
+    address = listening_address();
+    fixture.stop_closed = 1;
+    raw_peer = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(
+        connect(raw_peer, (struct sockaddr *)&address.storage, address.size),
+        ==, 0);
+    pgw_loop_run(fixture.loop);
+    g_assert_cmpuint(fixture.server.frames, ==, FRAMES);
+    g_assert_cmpint(fixture.server.error_code, ==, PGW_ERROR_UNAVAILABLE);
+    tear_down();
+}
+
 static void
 test_refused_connection(void)
 {
@@ -277,6 +344,7 @@
     g_test_add_func("/link/order-and-size", test_order_and_size);
     g_test_add_func("/link/close-inside-callback", test_close_inside_callback);
     g_test_add_func("/link/broken-stream", test_broken_stream);
+    g_test_add_func("/link/frames-before-a-reset", test_frames_before_a_reset);
     g_test_add_func("/link/refused-connection", test_refused_connection);
     return g_test_run();
 }
