--- a/bench/bench/fleet.c
+++ b/bench/bench/fleet.c
@@ -278,10 +278,16 @@
 {
     struct readiness *readiness = data;
     const struct scenario *scenario = readiness->fleet->options.scenario;
+    struct harness_answer answer;
+    bool ready =
+        harness_get(&answer, harness_process_url(
+                                 readiness->fleet->entries[readiness->entry],
+                                 "/readyz")) == 200;
 
-    return fleet_entry_status(readiness->fleet, readiness->entry,
-                              "usable_upstreams") >=
-           scenario->engines + scenario->services;
+    harness_answer_dispose(&answer);
+    return ready && fleet_entry_status(readiness->fleet, readiness->entry,
+                                       "usable_upstreams") >=
+                        scenario->engines + scenario->services;
 }
 
 static void
