--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -19,11 +19,13 @@
 offer(const char *kind, const char *name, uint64_t version, const char *value,
       void *data)
 {
-    struct pgw_config_feed *feed = data;
+    const struct batch_task *self = data;
     GError *error = NULL;
 
-    if (!pgw_sync_offer(feed->options.sync, kind, name, version, value,
-                        &error)) {
+    /* A whole list would go four times over the links, object by object;
+     * peers that lack some of it find out by their summaries. */
+    if (!pgw_sync_offer(self->feed->options.sync, kind, name, version, value,
+                        !self->batch->whole, &error)) {
         pgw_log_warning("config_refused", "kind=%s name=%s error=%s", kind,
                         name, error->message);
         g_clear_error(&error);
@@ -58,7 +60,7 @@
     }
     else {
         pgw_watch_batch_apply(self->batch, self->feed->options.set, offer,
-                              self->feed);
+                              self);
     }
     pgw_watch_batch_free(self->batch);
     g_free(self);
@@ -105,14 +107,23 @@
     return feed;
 }
 
+void
+pgw_config_feed_stop(struct pgw_config_feed *feed)
+{
+    if (feed != NULL && feed->watch != NULL) {
+        pgw_watch_free(feed->watch);
+        feed->watch = NULL;
+        pgw_loop_run_tasks(feed->options.loop);
+    }
+}
+
 void
 pgw_config_feed_free(struct pgw_config_feed *feed)
 {
     if (feed == NULL) {
         return;
     }
-    pgw_watch_free(feed->watch);
-    pgw_loop_run_tasks(feed->options.loop);
+    pgw_config_feed_stop(feed);
     pgw_store_free(feed->store);
     g_free(feed);
 }
@@ -147,9 +158,10 @@
     while (g_hash_table_iter_next(&iter, &kind, &held)) {
         pgw_watch_set_held(feed->watch, kind, *(uint64_t *)held);
     }
-    /* Peers send all records when they connect, and mostly there is none:
-     * a process without any need not ask the store. */
-    pgw_watch_set_held(feed->watch, PGW_QUARANTINE_KIND, 1);
+    /* Sidecars tell all records when an entry connects, and mostly there is
+     * none: a process without any need not ask the store. */
+    pgw_watch_set_held(feed->watch, PGW_QUARANTINE_KIND,
+                       MAX(1, pgw_suspects_version(feed->options.suspects)));
     g_hash_table_unref(highest);
 }
 
@@ -160,8 +172,12 @@
     size_t count = 0;
     const struct pgw_upstream *const *upstreams =
         pgw_config_upstreams(config, NULL, &count);
-    GPtrArray *peers = g_ptr_array_new();
+    GPtrArray *peers;
 
+    if (feed->watch == NULL) {
+        return;
+    }
+    peers = g_ptr_array_new();
     for (size_t i = 0; i < count; i++) {
         if (!upstreams[i]->leaving &&
             strcmp(upstreams[i]->zone, feed->options.zone) == 0) {
