--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -218,15 +218,17 @@
     g_string_append(out, ",\"zone\":");
     pgw_json_append_text(out, entry->settings->zone);
     config = pgw_rcu_read_lock(entry->snapshot);
-    g_string_append_printf(
-        out,
-        ",\"leaving\":%s,\"inflight\":%u,\"usable_upstreams\":%u"
-        ",\"config_version\":%" G_GUINT64_FORMAT
-        ",\"config_summary\":\"%" G_GINT64_MODIFIER "x\"}",
-        atomic_load(&entry->leaving) ? "true" : "false",
-        atomic_load(&entry->inflight), atomic_load(&entry->usable),
-        config == NULL ? 0 : pgw_config_version(config),
-        config == NULL ? 0 : pgw_config_summary(config));
+    g_string_append_printf(out,
+                           ",\"leaving\":%s,\"inflight\":%u,\"reading\":%u"
+                           ",\"usable_upstreams\":%u"
+                           ",\"config_version\":%" G_GUINT64_FORMAT
+                           ",\"config_summary\":\"%" G_GINT64_MODIFIER "x\"}",
+                           atomic_load(&entry->leaving) ? "true" : "false",
+                           atomic_load(&entry->inflight),
+                           atomic_load(&entry->reading),
+                           atomic_load(&entry->usable),
+                           config == NULL ? 0 : pgw_config_version(config),
+                           config == NULL ? 0 : pgw_config_summary(config));
     pgw_rcu_read_unlock(entry->snapshot);
     return g_string_free(out, FALSE);
 }
--- a/tests/failure/fail_drain.c
+++ b/tests/failure/fail_drain.c
@@ -4,9 +4,12 @@
  * comes new is told "leaving", not run (by the entry), or is served by another
  * upstream (behind a leaving sidecar). The process then ends with status 0.
  */
+#include <arpa/inet.h>
 #include <pthread.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "harness_fleet.h"
 
@@ -117,6 +120,46 @@
     fleet_free(fleet);
 }
 
+static bool
+is_reading(void *data)
+{
+    return fleet_status_int(data, "reading") == 1;
+}
+
+/* A body that is half sent when the stop begins gets its answer, too. */
+static void
+test_entry_body_on_its_way(void)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct fleet *fleet = fleet_new(&options);
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(harness_process_port(fleet->entries[0])),
+    };
+    const char *head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                       "Content-Length: 6\r\n"
+                       "Authorization: Bearer " FLEET_KEY "\r\n\r\n{  ";
+    char answer[2048] = "";
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    g_assert_cmpint(send(fd, head, strlen(head), 0), ==,
+                    (ssize_t)strlen(head));
+    g_assert_true(harness_wait_until(is_reading, fleet->entries[0], LIMIT_S));
+    harness_process_signal(fleet->entries[0], SIGTERM);
+    /* Longer than the process stays in any case. */
+    g_usleep(1500000);
+    g_assert_cmpint(send(fd, "  }", 3, MSG_NOSIGNAL), ==, 3);
+    g_assert_cmpint(recv(fd, answer, sizeof(answer) - 1, 0), >, 0);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(answer, "\"ran\":\"no\""));
+    close(fd);
+    g_assert_cmpint(harness_process_wait(fleet->entries[0]), ==, 0);
+    fleet_free(fleet);
+}
+
 struct print {
     struct harness_process *entry;
     struct harness_answer answer;
@@ -182,6 +225,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/drain/entry", test_entry);
     g_test_add_func("/drain/entry-gives-up", test_entry_gives_up);
+    g_test_add_func("/drain/entry-body-on-its-way",
+                    test_entry_body_on_its_way);
     g_test_add_func("/drain/sidecar", test_sidecar);
     return g_test_run();
 }
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -228,15 +228,29 @@
     fleet_free(fleet);
 }
 
+/* Whoever is settled holds all that its peer holds. */
+static bool
+all_agree_and_settle(struct fleet *fleet)
+{
+    const struct replica *late = &fleet->replicas[1];
+    bool settled = pgw_sync_is_settled(late->sync);
+
+    if (settled) {
+        g_assert_cmpuint(pgw_config_set_count(late->set), ==, 2000);
+    }
+    return settled && all_agree(fleet);
+}
+
 /* A process that starts empty gets a large configuration, in several frames,
  * from the only peer that it knows. */
 static void
 test_late_starter_catches_up(void)
 {
-    struct fleet *fleet = fleet_new(all_agree);
+    struct fleet *fleet = fleet_new(all_agree_and_settle);
     struct replica *all = fleet->replicas;
 
     offer_many(&all[0], 2000);
+    g_assert_false(pgw_sync_is_settled(all[1].sync));
     join(&all[1], &all[0]);
     join(&all[2], &all[1]);
     pgw_loop_run(fleet->loop);
