--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -95,6 +95,19 @@
     g_string_free(out, TRUE);
 }
 
+/* The HTTP server would close the connection without a word. */
+static void
+refuse_status(struct exchange *exchange, uint32_t status)
+{
+    struct refusal refusal = {0};
+
+    refusal_set(&refusal, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                "the sidecar told of HTTP status %u, which no answer has",
+                status);
+    forward_refuse(exchange, &refusal);
+    refusal_dispose(&refusal);
+}
+
 void
 relay_start(struct exchange *exchange, const Pgw__Started *started)
 {
@@ -109,7 +122,11 @@
         exchange->cached_tokens = started->cached_tokens;
     }
     exchange_set_upstream(exchange, exchange->target->id);
-    if (exchange->format == FORMAT_SERVICE) {
+    if (exchange->format == FORMAT_SERVICE &&
+        (started->status < 200 || started->status > 599)) {
+        refuse_status(exchange, started->status);
+    }
+    else if (exchange->format == FORMAT_SERVICE) {
         exchange->service_status = started->status;
         g_free(exchange->service_type);
         exchange->service_type = g_strdup(started->content_type);
--- a/tests/failure/fail_frames.c
+++ b/tests/failure/fail_frames.c
@@ -31,6 +31,7 @@
     struct pgw_timer state;
     pthread_t thread;
     const char *instance;
+    const char *version;
     void (*misbehave)(struct fake *fake, const Pgw__Open *open);
     atomic_uint opens;
     uint8_t first[PGW_REQUEST_ID_SIZE];
@@ -43,7 +44,7 @@
     Pgw__State state = PGW__STATE__INIT;
 
     state.engine = 7;
-    state.version = "w1";
+    state.version = (char *)fake->version;
     state.upstream_alive = true;
     pgw_link_send(fake->link, PGW_FRAME_STATE, &state.base);
 }
@@ -79,7 +80,7 @@
     Pgw__ProbeReply reply = PGW__PROBE_REPLY__INIT;
 
     reply.probe = probe->probe;
-    reply.version = "w1";
+    reply.version = (char *)fake->version;
     reply.engine = 7;
     /* More attractive than any real one: it gets each first attempt. */
     reply.matched_tokens = probe->prompt_tokens;
@@ -181,7 +182,7 @@
 }
 
 static struct fake *
-fake_start(struct fleet *fleet, const char *instance,
+fake_start(struct fleet *fleet, const char *instance, const char *pool,
            void (*misbehave)(struct fake *fake, const Pgw__Open *open))
 {
     struct fake *fake = g_new0(struct fake, 1);
@@ -190,6 +191,7 @@
     g_assert_true(pgw_address_parse(&any, "127.0.0.1:0", NULL));
     fake->loop = pgw_loop_new(NULL);
     fake->instance = instance;
+    fake->version = strcmp(pool, "guide") == 0 ? "w1" : "";
     fake->misbehave = misbehave;
     fake->listener = pgw_listener_new(fake->loop, &any, on_accept, fake, NULL);
     fake->state.on_due = state_due;
@@ -197,9 +199,9 @@
     g_assert_cmpint(pthread_create(&fake->thread, NULL, fake_main, fake), ==,
                     0);
     fleet_put(fleet, "upstream", instance,
-              "{\"pool\":\"guide\",\"zone\":\"a\",\"address\":"
+              "{\"pool\":\"%s\",\"zone\":\"a\",\"address\":"
               "\"127.0.0.1:%u\",\"state\":\"joined\"}",
-              pgw_listener_port(fake->listener));
+              pool, pgw_listener_port(fake->listener));
     fleet_wait_usable(fleet->entries[0], 2);
     return fake;
 }
@@ -357,7 +359,7 @@
 
         name = g_strdup_printf("fake%zu", i);
         g_test_message("%s", misbehaviours[i].name);
-        fake = fake_start(fleet, name, misbehaviours[i].run);
+        fake = fake_start(fleet, name, "guide", misbehaviours[i].run);
         /* A fake that was too slow to answer a probe is passed over. */
         for (unsigned k = 0; k < 100 && atomic_load(&fake->opens) == 0; k++) {
             assert_own_answer(fleet, misbehaviours[i].name, TOKENS);
@@ -389,7 +391,7 @@
 test_lost_end(void)
 {
     struct fleet *fleet = start_fleet();
-    struct fake *fake = fake_start(fleet, "fake", send_all_but_end);
+    struct fake *fake = fake_start(fleet, "fake", "guide", send_all_but_end);
     struct harness_stream stream;
 
     for (unsigned k = 0; k < 100 && atomic_load(&fake->opens) == 0; k++) {
@@ -404,6 +406,29 @@
     fleet_free(fleet);
 }
 
+/* Started with the status 0 that this message has by default. */
+static void
+send_no_status(struct fake *fake, const Pgw__Open *open)
+{
+    send_started(fake, open->request, open->attempt);
+    send_end(fake, open->request, open->attempt, 0);
+}
+
+static void
+test_no_status(void)
+{
+    struct fleet *fleet = start_fleet();
+    struct fake *fake = fake_start(fleet, "fake", "desk", send_no_status);
+    struct harness_answer answer;
+
+    fleet_call(&answer, fleet->entries[0], "/svc/look/x",
+               &(struct harness_call){.body = "x"});
+    fleet_assert_refusal(&answer, 502, "upstream_failed", "unknown");
+    harness_answer_dispose(&answer);
+    fake_stop(fake);
+    fleet_free(fleet);
+}
+
 /* Holds the first request's frames back until a second one is open, then
  * answers each with frames of both, crossed, doubled and late. */
 static void
@@ -469,7 +494,7 @@
 test_crossed_answers(void)
 {
     struct fleet *fleet = start_fleet();
-    struct fake *fake = fake_start(fleet, "fake", cross);
+    struct fake *fake = fake_start(fleet, "fake", "guide", cross);
     struct fleet_caller *first;
     struct fleet_caller *second;
 
@@ -494,6 +519,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/frames/broken", test_broken_frames);
     g_test_add_func("/frames/lost-end", test_lost_end);
+    g_test_add_func("/frames/no-status", test_no_status);
     g_test_add_func("/frames/crossed-answers", test_crossed_answers);
     return g_test_run();
 }
--- a/tests/failure/harness_fleet.c
+++ b/tests/failure/harness_fleet.c
@@ -486,7 +486,9 @@
 {
     JsonNode *node;
 
-    g_assert_cmpint(answer->status, ==, status);
+    if (answer->status != status) {
+        g_error("status %ld: %s", answer->status, answer->body->str);
+    }
     node = harness_parse(answer->body->str);
     g_assert_cmpstr(harness_json_string(node, "error/code"), ==, code);
     g_assert_cmpstr(harness_json_string(node, "error/ran"), ==, ran);
