--- a/bench/control/links.c
+++ b/bench/control/links.c
@@ -70,6 +70,31 @@
     return process;
 }
 
+/* The same period again with changes; what is more falls on them. */
+static void
+measure_changes(JsonBuilder *out, const struct control_options *options,
+                const struct waiting *waiting, const struct sample *from,
+                const struct sample *to)
+{
+    double idle_us = (double)(to->cpu_us - from->cpu_us);
+    double idle_bytes = to->received - from->received;
+    struct sample end;
+    double changes;
+
+    peers_change(waiting->peers, (uint64_t)options->pause_ms * 1000);
+    g_usleep((gulong)(options->seconds * 1e6));
+    sample_take(&end, waiting->process);
+    changes = (double)(fleet_status_int(waiting->process, "config_version") -
+                       (gint64)waiting->version);
+    sample_member(out, "changes_applied", changes);
+    sample_member(out, "cpu_ms_a_change",
+                  ((double)(end.cpu_us - to->cpu_us) - idle_us) / changes /
+                      1e3);
+    sample_member(out, "sent_bytes_a_change", (end.sent - to->sent) / changes);
+    sample_member(out, "received_bytes_a_change",
+                  (end.received - to->received - idle_bytes) / changes);
+}
+
 /* What the start costs until the whole copy is held, then an idle period. */
 static void
 measure(JsonBuilder *out, const struct control_options *options,
@@ -99,6 +124,9 @@
     g_usleep((gulong)(options->seconds * 1e6));
     sample_take(&to, waiting->process);
     sample_write(out, &from, &to);
+    if (waiting->peers != NULL && options->pause_ms > 0) {
+        measure_changes(out, options, waiting, &from, &to);
+    }
 }
 
 void
--- a/bench/control/peers.c
+++ b/bench/control/peers.c
@@ -32,6 +32,10 @@
     struct peer *all;
     atomic_uint greeted;
     pthread_t thread;
+    struct pgw_task begin_changes;
+    struct pgw_timer change;
+    uint64_t change_us;
+    unsigned changes;
 };
 
 static void
@@ -269,6 +273,36 @@
     return peers->version;
 }
 
+/* The first peer hears of each change from the store, as a watcher does. */
+static void
+change_due(struct pgw_timer *timer)
+{
+    struct peers *peers = pgw_container_of(timer, struct peers, change);
+    char *value = objects_workspace(0, 2 + peers->changes++ % 8);
+
+    pgw_sync_offer(peers->all[0].sync, "workspace", "workspace-00000",
+                   peers->version + peers->changes, value, NULL);
+    g_free(value);
+    pgw_timer_start(peers->loop, timer, peers->change_us);
+}
+
+static void
+begin_changes(struct pgw_task *task)
+{
+    struct peers *peers = pgw_container_of(task, struct peers, begin_changes);
+
+    change_due(&peers->change);
+}
+
+void
+peers_change(struct peers *peers, uint64_t interval_us)
+{
+    peers->change_us = interval_us;
+    peers->change.on_due = change_due;
+    peers->begin_changes.run = begin_changes;
+    pgw_loop_post(peers->loop, &peers->begin_changes);
+}
+
 void
 peers_free(struct peers *peers)
 {
@@ -283,6 +317,7 @@
         pgw_listener_free(peer->listener);
     }
     pgw_loop_run_tasks(peers->loop);
+    pgw_timer_stop(peers->loop, &peers->change);
     for (unsigned i = 0; i < peers->options.count; i++) {
         pgw_timer_stop(peers->loop, &peers->all[i].timer);
         pgw_sync_free(peers->all[i].sync);
--- a/bench/control/peers.h
+++ b/bench/control/peers.h
@@ -40,6 +40,12 @@
 /** peers_greeted() - how many have a connection that said Hello; any thread */
 unsigned peers_greeted(struct peers *peers);
 
+/**
+ * peers_change() - change a workspace again and again, from now on
+ * @interval_us: between two changes
+ */
+void peers_change(struct peers *peers, uint64_t interval_us);
+
 /** peers_version() - highest version of their configuration */
 uint64_t peers_version(const struct peers *peers);
 
