--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -17,11 +17,11 @@
 #define SILENCE_CHECK_US UINT64_C(250000)
 #define SILENCE_CHECK_IDLE_US UINT64_C(2500000)
 /*
- * All upstreams that cannot be reached share some 330 attempts a second:
+ * All upstreams that cannot be reached share some 220 attempts a second:
  * when a region is gone, attempts at each one's own pace were a third of a
  * core at 10,000 upstreams.
  */
-#define RECONNECT_SHARE_US UINT64_C(4000)
+#define RECONNECT_SHARE_US UINT64_C(6000)
 
 static void upstream_connect(struct upstream *upstream);
 
