--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -183,7 +183,8 @@
     }
     open->fingerprint.data = (uint8_t *)request->fingerprint.bytes;
     open->fingerprint.len = PGW_FINGERPRINT_SIZE;
-    open->suspect = exchange->suspect || exchange->failures > 0;
+    open->suspect =
+        exchange->suspect || pgw_attempt_ran(&exchange->attempt) != PGW_RAN_NO;
     open->body.data = (uint8_t *)request->prompt->str;
     open->body.len = request->prompt->len;
     open->resume_from = exchange->resume_from;
@@ -244,6 +245,18 @@
                      attempt, 0, 0, exchange->target->id);
 }
 
+/* Every token that was asked for has been delivered, only the word that it was
+ * the last one is missing: nothing is left that an engine could add. */
+static void
+finish_delivered(struct exchange *exchange)
+{
+    Pgw__End end = PGW__END__INIT;
+
+    end.finish_reason = "length";
+    relay_end(exchange, &end);
+    exchange_end(exchange, NULL);
+}
+
 static void
 start_again(struct exchange *exchange,
             const struct pgw_attempt_decision *decision)
@@ -254,6 +267,10 @@
     struct entry *entry = exchange->entry;
 
     leave_target(exchange);
+    if (resume && decision->resume_from >= exchange->request.max_tokens) {
+        finish_delivered(exchange);
+        return;
+    }
     exchange->failures++;
     if (decision->charged && !pgw_retry_budget_withdraw(entry->budget)) {
         forward_step(exchange, &event, NULL);
--- a/src/libparsleygw/config_file.c
+++ b/src/libparsleygw/config_file.c
@@ -10,7 +10,7 @@
 apply_element(struct pgw_config_set *set, const char *text, size_t size,
               GError **error)
 {
-    JsonParser *parser =
+    JsonNode *document =
         pgw_config__json_parse(text, (gssize)size, "object", error);
     JsonObject *object;
     JsonNode *value;
@@ -18,10 +18,10 @@
     gint64 version;
     bool ok;
 
-    if (parser == NULL) {
+    if (document == NULL) {
         return false;
     }
-    object = json_node_get_object(json_parser_get_root(parser));
+    object = json_node_get_object(document);
     version = json_object_get_int_member_with_default(object, "version", 0);
     value = json_object_get_member(object, "value");
     if (value != NULL && !JSON_NODE_HOLDS_NULL(value)) {
@@ -32,7 +32,7 @@
         json_object_get_string_member_with_default(object, "name", ""),
         version < 0 ? 0 : (uint64_t)version, written, NULL, error);
     g_free(written);
-    g_object_unref(parser);
+    json_node_unref(document);
     return ok;
 }
 
@@ -43,13 +43,13 @@
             const char *end, GError **error)
 {
     GString *frame = g_string_new_len(text, array - text);
-    JsonParser *parser;
+    JsonNode *document;
 
     g_string_append_len(frame, end, text + length - end);
-    parser = pgw_config__json_parse(frame->str, (gssize)frame->len, "snapshot",
-                                    error);
+    document = pgw_config__json_parse(frame->str, (gssize)frame->len,
+                                      "snapshot", error);
     g_string_free(frame, TRUE);
-    g_clear_object(&parser);
+    g_clear_pointer(&document, json_node_unref);
     return error == NULL || *error == NULL;
 }
 
