Tell entries of crashes that the store has not taken

Cause: while the store is down a crash is known to the sidecar alone that saw it, so a request that is sent again crashes an engine of each sidecar.

Change: each crash goes to all entries at once as a record of version 0; they hand it to the sidecar that they ask next, which counts it, refuses and writes it when the store answers. The end of a crashed run no longer waits two seconds for a store that fails.

Conclusion: the bound of two crashes holds in a store outage as well.

--- a/include/parsleygw/quarantine.h
+++ b/include/parsleygw/quarantine.h
@@ -87,6 +87,10 @@
  */
 char *pgw_quarantine_record_print(const struct pgw_quarantine_record *record);
 
+/** pgw_quarantine_record_has() - whether a record names a crash */
+bool pgw_quarantine_record_has(const struct pgw_quarantine_record *record,
+                               uint64_t crash);
+
 /**
  * struct pgw_quarantine_options - settings
  * @owner: incarnation of this process, never 0
@@ -96,7 +100,9 @@
  * @spread_us: time in which a record reaches all processes; the end of a
  *             crashed run is told that much after the record stands, so that
  *             no caller can send it again to a process that does not know
- * @patience_us: longest wait for a permit, and for a crash to be recorded
+ * @patience_us: longest wait for a permit
+ * @record_us: longest wait for a crash to be recorded; a store that fails
+ *             ends it after @spread_us, since peers hear of it at once
  * @stale_us: longest time since pgw_quarantine_synced() in which this process
  *            trusts that it knows all records; after it each request is
  *            checked in the store. 0 (the default): always trusted
@@ -110,6 +116,7 @@
     uint64_t expiry_us;
     uint64_t spread_us;
     uint64_t patience_us;
+    uint64_t record_us;
     uint64_t stale_us;
     uint64_t poll_us;
     uint64_t backoff_us;
@@ -121,7 +128,8 @@
         .run_us = 60ull * G_USEC_PER_SEC,                                     \
         .expiry_us = 24ull * 3600 * G_USEC_PER_SEC,                           \
         .spread_us = G_USEC_PER_SEC, .patience_us = 10ull * G_USEC_PER_SEC,   \
-        .poll_us = 100000, .backoff_us = 200000, .records_max = 4096          \
+        .record_us = 10ull * G_USEC_PER_SEC, .poll_us = 100000,               \
+        .backoff_us = 200000, .records_max = 4096                             \
     }
 
 /** struct pgw_quarantine - machine of one process; not thread-safe */
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -106,12 +106,16 @@
 static bool
 is_quarantined(struct exchange *exchange)
 {
+    bool recorded;
     const struct pgw_quarantine_record *record = pgw_suspects_find(
-        exchange->entry->suspects, &exchange->request.fingerprint);
+        exchange->entry->suspects, &exchange->request.fingerprint, &recorded);
     struct refusal refusal = {0};
 
     exchange->suspect = record != NULL;
-    if (record == NULL || record->crash_count < PGW_QUARANTINE_CRASHES) {
+    /* What is not recorded goes on to a sidecar, which refuses it as well and
+     * writes it down: an operator can lift only what stands in the store. */
+    if (record == NULL || !recorded ||
+        record->crash_count < PGW_QUARANTINE_CRASHES) {
         return false;
     }
     refusal_set(&refusal, PGW_REFUSAL_QUARANTINED, PGW_RAN_NO, 0,
@@ -227,6 +231,15 @@
     pgw_trace_record(exchange->entry->trace, PGW_TRACE_ATTEMPT_OPEN,
                      &exchange->id, exchange->attempt_number, uncached_tokens,
                      exchange->resume_from, upstream->id);
+    /*
+     * Only for requests that came when they were suspect: what ran beside a
+     * crash goes on once as before, although the store may be down, and the
+     * attempt's own limit holds for it.
+     */
+    if (exchange->suspect) {
+        pgw_suspects_pass_on(exchange->entry->suspects,
+                             &exchange->request.fingerprint, upstream->link);
+    }
     pgw_link_send(upstream->link, PGW_FRAME_OPEN, &open.base);
 }
 
--- a/src/libparsleygw/quarantine.c
+++ b/src/libparsleygw/quarantine.c
@@ -288,7 +288,7 @@
     entry = g_new0(struct pgw_suspect_crash, 1);
     entry->ticket = ticket;
     entry->crash = crash;
-    entry->patience_us = quarantine->now_us + quarantine->options.patience_us;
+    entry->patience_us = quarantine->now_us + quarantine->options.record_us;
     pgw_list_append(&suspect->crashes, &entry->link);
 }
 
--- a/src/libparsleygw/quarantine_record.c
+++ b/src/libparsleygw/quarantine_record.c
@@ -143,3 +143,15 @@
     g_string_append_c(json, '}');
     return g_string_free(json, FALSE);
 }
+
+bool
+pgw_quarantine_record_has(const struct pgw_quarantine_record *record,
+                          uint64_t crash)
+{
+    for (uint32_t i = 0; i < record->crash_count; i++) {
+        if (record->crashes[i] == crash) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/libparsleygw/quarantine_suspect.c
+++ b/src/libparsleygw/quarantine_suspect.c
@@ -9,23 +9,12 @@
                                 quarantine->options.owner);
 }
 
-static bool
-has_crash(const struct pgw_quarantine_record *record, uint64_t crash)
-{
-    for (uint32_t i = 0; i < record->crash_count; i++) {
-        if (record->crashes[i] == crash) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
 add_crash(struct pgw_quarantine_record *record, uint64_t crash,
           uint64_t now_us)
 {
     if (record->crash_count < PGW_QUARANTINE_CRASHES &&
-        !has_crash(record, crash)) {
+        !pgw_quarantine_record_has(record, crash)) {
         record->crashes[record->crash_count++] = crash;
         record->changed_us = now_us;
     }
@@ -172,7 +161,7 @@
             pgw_container_of(link, struct pgw_suspect_crash, link);
 
         if (!crash->stands && suspect->present &&
-            (has_crash(&suspect->record, crash->crash) ||
+            (pgw_quarantine_record_has(&suspect->record, crash->crash) ||
              suspect->record.crash_count == PGW_QUARANTINE_CRASHES)) {
             crash->stands = true;
             crash->told_us = quarantine->now_us + spread;
@@ -238,6 +227,21 @@
 #endif
 }
 
+/* Peers have been told: the end of a run is not held back for a store that
+ * does not answer, only until they have heard. */
+static void
+hasten_crashes(struct pgw_quarantine *quarantine, struct pgw_suspect *suspect)
+{
+    uint64_t until_us = quarantine->now_us + quarantine->options.spread_us;
+
+    pgw_list_foreach (link, &suspect->crashes) {
+        struct pgw_suspect_crash *crash =
+            pgw_container_of(link, struct pgw_suspect_crash, link);
+
+        crash->patience_us = MIN(crash->patience_us, until_us);
+    }
+}
+
 void
 pgw_suspect__store_failed(struct pgw_quarantine *quarantine,
                           struct pgw_suspect *suspect)
@@ -247,6 +251,7 @@
     if (!suspect->running) {
         suspect->runner = 0;
     }
+    hasten_crashes(quarantine, suspect);
     /*
      * A retry that nobody here knows to be suspect goes on: an outage must not
      * refuse all that an unrelated crash sent to another upstream. One that is
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -10,8 +10,9 @@
     uint64_t version;
     char *value; /* NULL: lifted */
     size_t length;
-    struct pgw_quarantine_record record;
+    struct pgw_quarantine_record record; /* stays when it was lifted */
     uint64_t changed_us;
+    bool unrecorded; /* @value may not stand in the store yet */
 };
 
 struct pgw_suspects {
@@ -91,7 +92,7 @@
 
     object.kind = PGW_QUARANTINE_KIND;
     object.name = (char *)suspect->name;
-    object.version = suspect->version;
+    object.version = suspect->unrecorded ? 0 : suspect->version;
     object.deleted = suspect->value == NULL;
     object.value.data = (uint8_t *)suspect->value;
     object.value.len = suspect->length;
@@ -138,6 +139,19 @@
     return suspect;
 }
 
+static void
+set_value(struct pgw_suspects *suspects, struct suspect *suspect,
+          const char *value, size_t length)
+{
+    suspects->in_force += (value != NULL) - (suspect->value != NULL);
+    g_free(suspect->value);
+    suspect->value = value == NULL ? NULL : g_strndup(value, length);
+    suspect->length = length;
+    suspect->changed_us = pgw_now_us();
+    pgw_list_remove(&suspect->link);
+    pgw_list_append(&suspects->order, &suspect->link);
+}
+
 static bool
 suspect_set(struct pgw_suspects *suspects, struct suspect *suspect,
             uint64_t version, const char *value, size_t length)
@@ -155,26 +169,20 @@
         g_clear_error(&error);
         return false;
     }
-    suspects->in_force += (value != NULL) - (suspect->value != NULL);
-    g_free(suspect->value);
     suspect->version = version;
+    suspect->unrecorded = false;
     suspects->version = MAX(suspects->version, version);
-    suspect->value = value == NULL ? NULL : g_strndup(value, length);
-    suspect->length = length;
-    suspect->record = record;
-    suspect->changed_us = pgw_now_us();
-    pgw_list_remove(&suspect->link);
-    pgw_list_append(&suspects->order, &suspect->link);
+    if (value != NULL) {
+        suspect->record = record;
+    }
+    set_value(suspects, suspect, value, length);
     return true;
 }
 
 static void
-change(struct pgw_suspects *suspects, struct suspect *suspect,
-       uint64_t version, const char *value, size_t length, bool tell)
+publish(struct pgw_suspects *suspects, const struct suspect *suspect,
+        bool tell)
 {
-    if (!suspect_set(suspects, suspect, version, value, length)) {
-        return;
-    }
     /*
      * To all links: the record must reach every entry before the caller of
      * the refused request can come back. Who hears it does not pass it on:
@@ -186,21 +194,142 @@
     }
     if (suspects->options.on_record != NULL) {
         suspects->options.on_record(suspects->options.context,
-                                    &suspect->fingerprint, version,
+                                    &suspect->fingerprint,
+                                    suspect->unrecorded ? 0 : suspect->version,
                                     suspect->value, suspect->length);
     }
 }
 
+static void
+change(struct pgw_suspects *suspects, struct suspect *suspect,
+       uint64_t version, const char *value, size_t length, bool tell)
+{
+    if (suspect_set(suspects, suspect, version, value, length)) {
+        publish(suspects, suspect, tell);
+    }
+}
+
+/* The crashes of @more that @record lacks; true when there are any. */
+static bool
+add_crashes(struct pgw_quarantine_record *record,
+            const struct pgw_quarantine_record *more)
+{
+    bool added = false;
+
+    for (uint32_t i = 0; i < more->crash_count; i++) {
+        if (!pgw_quarantine_record_has(record, more->crashes[i])) {
+            added = true;
+            if (record->crash_count < PGW_QUARANTINE_CRASHES) {
+                record->crashes[record->crash_count++] = more->crashes[i];
+            }
+        }
+    }
+    return added;
+}
+
+/*
+ * Crashes that may not stand in the store. What stands there counts for more:
+ * a record in force already keeps the request from running without the
+ * store's permit. A lifted one is known by its crashes: an announcement that
+ * names only these is late, any other is news.
+ */
+static void
+hear(struct pgw_suspects *suspects, struct suspect *suspect,
+     const struct pgw_quarantine_record *heard, bool tell)
+{
+    struct pgw_quarantine_record record = suspect->record;
+    char *json;
+
+    if ((suspect->value != NULL && !suspect->unrecorded) ||
+        !add_crashes(&record, heard)) {
+        return;
+    }
+    if (suspect->value == NULL) {
+        record = *heard;
+    }
+    record.changed_us = heard->changed_us;
+    json = pgw_quarantine_record_print(&record);
+    suspect->record = record;
+    suspect->unrecorded = true;
+    set_value(suspects, suspect, json, strlen(json));
+    g_free(json);
+    publish(suspects, suspect, tell);
+}
+
 static void
 merge(struct pgw_suspects *suspects, const char *name, uint64_t version,
       const char *value, size_t length, bool tell)
 {
+    struct pgw_quarantine_record record;
     struct pgw_fingerprint fingerprint;
 
-    if (pgw_fingerprint_parse(&fingerprint, name)) {
+    if (!pgw_fingerprint_parse(&fingerprint, name)) {
+        return;
+    }
+    if (version > 0) {
         change(suspects, suspect_get(suspects, &fingerprint), version, value,
                length, tell);
     }
+    else if (value != NULL &&
+             pgw_quarantine_record_parse(&record, value, length, NULL)) {
+        hear(suspects, suspect_get(suspects, &fingerprint), &record, tell);
+    }
+}
+
+void
+pgw_suspects_announce(struct pgw_suspects *suspects,
+                      const struct pgw_fingerprint *fingerprint,
+                      uint64_t crash, uint64_t changed_us)
+{
+    struct pgw_quarantine_record record = {
+        .crash_count = 1,
+        .crashes = {crash},
+        .changed_us = changed_us,
+    };
+
+    hear(suspects, suspect_get(suspects, fingerprint), &record, true);
+}
+
+static struct suspect *
+find(const struct pgw_suspects *suspects,
+     const struct pgw_fingerprint *fingerprint)
+{
+    char name[PGW_FINGERPRINT_HEX];
+    struct suspect *suspect;
+
+    if (suspects->in_force == 0) {
+        return NULL;
+    }
+    pgw_fingerprint_print(name, fingerprint);
+    suspect = g_hash_table_lookup(suspects->table, name);
+    return suspect == NULL || suspect->value == NULL ? NULL : suspect;
+}
+
+void
+pgw_suspects_pass_on(const struct pgw_suspects *suspects,
+                     const struct pgw_fingerprint *fingerprint,
+                     struct pgw_link *link)
+{
+    const struct suspect *suspect = find(suspects, fingerprint);
+
+    if (suspect != NULL && suspect->unrecorded) {
+        send_one(link, suspect);
+    }
+}
+
+void
+pgw_suspects_withdraw(struct pgw_suspects *suspects, uint64_t crash)
+{
+    pgw_list_foreach_safe (link, &suspects->order) {
+        struct suspect *suspect = pgw_container_of(link, struct suspect, link);
+
+        if (suspect->unrecorded && suspect->record.crash_count == 1 &&
+            suspect->record.crashes[0] == crash) {
+            suspect->unrecorded = false;
+            suspect->record = (struct pgw_quarantine_record){0};
+            set_value(suspects, suspect, NULL, 0);
+        }
+    }
 }
 
 void
@@ -228,8 +357,10 @@
     pgw_list_foreach_safe (link, &suspects->order) {
         struct suspect *suspect = pgw_container_of(link, struct suspect, link);
 
-        /* A record written after the list was read is not in it, either. */
-        if (suspect->value != NULL && suspect->version < list->version &&
+        /* A record written after the list was read is not in it, either, nor
+         * one that the store has not taken yet. */
+        if (suspect->value != NULL && !suspect->unrecorded &&
+            suspect->version < list->version &&
             !list_has(list, suspect->name)) {
             change(suspects, suspect, list->version, NULL, 0, true);
         }
@@ -251,17 +382,12 @@
 
 const struct pgw_quarantine_record *
 pgw_suspects_find(const struct pgw_suspects *suspects,
-                  const struct pgw_fingerprint *fingerprint)
+                  const struct pgw_fingerprint *fingerprint, bool *recorded)
 {
-    char name[PGW_FINGERPRINT_HEX];
-    struct suspect *suspect;
+    const struct suspect *suspect = find(suspects, fingerprint);
 
-    if (suspects->in_force == 0) {
-        return NULL;
-    }
-    pgw_fingerprint_print(name, fingerprint);
-    suspect = g_hash_table_lookup(suspects->table, name);
-    return suspect == NULL || suspect->value == NULL ? NULL : &suspect->record;
+    *recorded = suspect != NULL && !suspect->unrecorded;
+    return suspect == NULL ? NULL : &suspect->record;
 }
 
 uint64_t
--- a/src/libparsleygw/suspects.h
+++ b/src/libparsleygw/suspects.h
@@ -12,6 +12,11 @@
  * writes or watches a new one tells all its entries at once, so that a request
  * which crashed two engines is known everywhere before its caller can send it
  * again. Records live in the store; sidecars read there what they need.
+ *
+ * A crash that the store may not have taken yet is told as version 0. Entries
+ * keep it until a recorded version or a lift replaces it, and hand it to the
+ * sidecar to which they send the request again: that one counts the crash
+ * and writes it when the store answers.
  */
 
 struct pgw_suspects;
@@ -19,8 +24,8 @@
 /**
  * struct pgw_suspects_options - one process's copy
  * @loop: loop of all its links
- * @on_record: a record is new here; @value is NULL when it was lifted; may
- *             be NULL
+ * @on_record: a record is new here; @value is NULL when it was lifted;
+ *             @version is 0 when it may not stand in the store; may be NULL
  * @context: handed to @on_record
  * @keep_us: how long a record is kept after its last change
  * @limit: most records; the oldest go first
@@ -60,6 +65,28 @@
 void pgw_suspects_offer(struct pgw_suspects *suspects, const char *name,
                         uint64_t version, const char *value, size_t length);
 
+/**
+ * pgw_suspects_announce() - a crash that may not stand in the store yet
+ * @suspects: the copy
+ * @fingerprint: of a request that ran there
+ * @crash: the engine's incarnation
+ * @changed_us: when, microseconds since 1970
+ *
+ * Told to all links at once; changes nothing where a recorded version is in
+ * force.
+ */
+void pgw_suspects_announce(struct pgw_suspects *suspects,
+                           const struct pgw_fingerprint *fingerprint,
+                           uint64_t crash, uint64_t changed_us);
+
+/** pgw_suspects_pass_on() - tell a link what the store may not hold */
+void pgw_suspects_pass_on(const struct pgw_suspects *suspects,
+                          const struct pgw_fingerprint *fingerprint,
+                          struct pgw_link *link);
+
+/** pgw_suspects_withdraw() - @crash did not happen: the engine lives */
+void pgw_suspects_withdraw(struct pgw_suspects *suspects, uint64_t crash);
+
 /** pgw_suspects_retain() - what a whole list of the store misses was lifted */
 void pgw_suspects_retain(struct pgw_suspects *suspects,
                          const struct pgw_store_list *list);
@@ -70,12 +97,15 @@
 
 /**
  * pgw_suspects_find() - the record of a fingerprint
+ * @suspects: the copy
+ * @fingerprint: of the request
+ * @recorded: receives whether it stands in the store
  *
  * Return: the record, NULL when there is none in force.
  */
 const struct pgw_quarantine_record *
 pgw_suspects_find(const struct pgw_suspects *suspects,
-                  const struct pgw_fingerprint *fingerprint);
+                  const struct pgw_fingerprint *fingerprint, bool *recorded);
 
 /** pgw_suspects_version() - highest version seen, 0 before any */
 uint64_t pgw_suspects_version(const struct pgw_suspects *suspects);
--- a/src/sidecar/suspicion.c
+++ b/src/sidecar/suspicion.c
@@ -8,6 +8,9 @@
  * does not find a process that has not heard. */
 #define SPREAD_US UINT64_C(50000)
 #define PATIENCE_US UINT64_C(2000000)
+/* All entries know of the crash at once, so that the end of its runs needs
+ * to wait for the store only as long as a slow one takes. */
+#define RECORD_US UINT64_C(500000)
 
 struct suspicion {
     struct sidecar *sidecar;
@@ -42,6 +45,7 @@
     options.owner = sidecar->incarnation;
     options.spread_us = SPREAD_US;
     options.patience_us = PATIENCE_US;
+    options.record_us = RECORD_US;
     suspicion->sidecar = sidecar;
     suspicion->machine = pgw_quarantine_new(&options);
     suspicion->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -170,6 +174,17 @@
     pgw_quarantine_crash(suspicion->machine, &run->fingerprint,
                          run->suspicion_ticket, incarnation,
                          pgw_hlc_wall_us());
+#ifndef PGW_DISABLE_QUARANTINE_ANNOUNCE
+    /*
+     * Failure: the store is down, so that no other process learns of the
+     * crash. Symptom: the request, sent again after its answer, crashes one
+     * engine of each sidecar. All entries hear of it before its end is told
+     * and hand it to whichever sidecar they ask next, which then refuses it
+     * until the store gives a permit.
+     */
+    pgw_suspects_announce(suspicion->sidecar->suspects, &run->fingerprint,
+                          incarnation, pgw_hlc_wall_us());
+#endif
     drive(suspicion);
 }
 
@@ -210,6 +225,12 @@
 {
     struct suspicion *suspicion = context;
 
+    if (version == 0) {
+        pgw_quarantine_hear(suspicion->machine, fingerprint, value, length,
+                            pgw_hlc_wall_us());
+        drive(suspicion);
+        return;
+    }
     if (value == NULL) {
         pgw_trace_record(suspicion->sidecar->trace, PGW_TRACE_QUARANTINE_LIFT,
                          NULL, 0, version, 0, NULL);
--- a/tests/failure/fail_quarantine.c
+++ b/tests/failure/fail_quarantine.c
@@ -5,7 +5,15 @@
  * it see a pause and get their whole answers: each goes on alone on another
  * engine and is cleared by its good end. The operator sees the quarantine and
  * lifts it; only then does the request reach an engine again.
+ *
+ * While the store is down it is two engines as well: the sidecars tell each
+ * crash to all entries at once, these hand it to whichever sidecar they ask
+ * next, and the caller hears "quarantined", not run. A request whose engine
+ * was killed once is answered by another one; its repeat is refused at once as
+ * "store_down", not run. When the store is back the first one stands in the
+ * operators' list and the second is answered.
  */
+#include <signal.h>
 #include <string.h>
 
 #include "harness_fleet.h"
@@ -14,6 +22,7 @@
 #define INNOCENTS 6
 #define TOKENS 100
 #define REPEATS 5
+#define INNOCENT "innocent question"
 
 static unsigned
 count_crashed(struct fleet *fleet)
@@ -51,6 +60,18 @@
     return harness_process_output(process);
 }
 
+static struct fleet *
+start(void)
+{
+    static const char *const engine_args[] = {"--crash-on", "POISON", NULL};
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+
+    options.engines = ENGINES;
+    options.entries = 2;
+    options.engine_args = engine_args;
+    return fleet_new(&options);
+}
+
 static void
 start_innocents(struct fleet *fleet, struct fleet_caller **callers)
 {
@@ -120,18 +141,12 @@
 static void
 test_two_crashes_at_most(void)
 {
-    static const char *const engine_args[] = {"--crash-on", "POISON", NULL};
-    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct fleet *fleet = start();
     struct fleet_caller *callers[INNOCENTS];
     struct harness_answer answer;
     struct lifted lifted;
-    struct fleet *fleet;
     char *name;
 
-    options.engines = ENGINES;
-    options.entries = 2;
-    options.engine_args = engine_args;
-    fleet = fleet_new(&options);
     start_innocents(fleet, callers);
     for (unsigned i = 0; i < REPEATS; i++) {
         g_assert_cmpint(send_poison(&answer, fleet->entries[i % 2]), !=, 200);
@@ -152,11 +167,134 @@
     fleet_free(fleet);
 }
 
+static long
+send_innocent(struct harness_answer *out, struct harness_process *entry)
+{
+    char *body = fleet_body(INNOCENT, TOKENS);
+    long status = fleet_call(out, entry, "/v1/completions",
+                             &(struct harness_call){.body = body});
+
+    g_free(body);
+    return status;
+}
+
+static bool
+is_answered(void *data)
+{
+    struct harness_answer answer;
+    long status = send_innocent(&answer, ((struct fleet *)data)->entries[1]);
+
+    harness_answer_dispose(&answer);
+    return status == 200;
+}
+
+static void
+set_outage(struct fleet *fleet, bool outage)
+{
+    struct harness_answer answer;
+
+    g_assert_cmpint(
+        harness_post(&answer, harness_process_url(fleet->objects, "/_control"),
+                     outage ? "{\"outage\":true}" : "{\"outage\":false}"),
+        ==, 200);
+    harness_answer_dispose(&answer);
+}
+
+/* The sidecars write what they know as soon as they find the store back. */
+static bool
+is_listed(void *data)
+{
+    char *list = operate(data, "list", NULL);
+    bool listed = strstr(list, "quarantined") != NULL;
+
+    g_free(list);
+    return listed;
+}
+
+static void
+test_two_crashes_without_store(void)
+{
+    struct fleet *fleet = start();
+    struct harness_answer answer;
+
+    set_outage(fleet, true);
+    for (unsigned i = 0; i < REPEATS; i++) {
+        gint64 began = g_get_monotonic_time();
+
+        g_assert_cmpint(send_poison(&answer, fleet->entries[i % 2]), !=, 200);
+        g_test_message("answer %u after %.0f ms", i,
+                       (double)(g_get_monotonic_time() - began) / 1000);
+        if (i > 0) {
+            fleet_assert_refusal(&answer, 422, "quarantined", "no");
+        }
+        harness_answer_dispose(&answer);
+        g_assert_cmpuint(count_crashed(fleet), <=, 2);
+    }
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    set_outage(fleet, false);
+    g_assert_true(harness_wait_until(is_listed, fleet, 30));
+    send_poison(&answer, fleet->entries[0]);
+    fleet_assert_refusal(&answer, 422, "quarantined", "no");
+    harness_answer_dispose(&answer);
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    fleet_free(fleet);
+}
+
+static void
+kill_serving(struct fleet *fleet)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        if (harness_get_int(harness_process_url(fleet->engines[i], "/_stats"),
+                            "running") > 0) {
+            harness_process_stop(fleet->engines[i], SIGKILL);
+            return;
+        }
+    }
+    g_error("no engine runs the request");
+}
+
+static void
+test_innocent_without_store(void)
+{
+    struct fleet *fleet = start();
+    struct fleet_caller *caller;
+    struct harness_stream stream;
+    struct harness_answer answer;
+    char *expected;
+
+    set_outage(fleet, true);
+    caller = fleet_caller_start(fleet->entries[0], INNOCENT, TOKENS);
+    fleet_caller_wait_begun(caller, 1);
+    kill_serving(fleet);
+    g_assert_cmpint(fleet_caller_finish(caller, &stream), ==, 200);
+    g_assert_true(stream.done);
+    expected = fleet_expected(fleet, INNOCENT, TOKENS);
+    g_assert_cmpstr(stream.text->str, ==, expected);
+    for (unsigned i = 0; i < 2; i++) {
+        gint64 began = g_get_monotonic_time();
+
+        send_innocent(&answer, fleet->entries[i]);
+        g_test_message("repeat refused after %.0f ms",
+                       (double)(g_get_monotonic_time() - began) / 1000);
+        fleet_assert_refusal(&answer, 503, "store_down", "no");
+        harness_answer_dispose(&answer);
+    }
+    set_outage(fleet, false);
+    g_assert_true(harness_wait_until(is_answered, fleet, 30));
+    harness_stream_dispose(&stream);
+    g_free(expected);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quarantine/two-crashes-at-most",
                     test_two_crashes_at_most);
+    g_test_add_func("/quarantine/two-crashes-without-store",
+                    test_two_crashes_without_store);
+    g_test_add_func("/quarantine/innocent-without-store",
+                    test_innocent_without_store);
     return g_test_run();
 }
