Follow the sync interface in the control bench

Cause: pgw_sync_offer() has taken whether a change is fresh since the merge. Change: the bench's change is a fresh one. Conclusion: builds again.

--- a/bench/control/peers.c
+++ b/bench/control/peers.c
@@ -281,7 +281,7 @@
     char *value = objects_workspace(0, 2 + peers->changes++ % 8);
 
     pgw_sync_offer(peers->all[0].sync, "workspace", "workspace-00000",
-                   peers->version + peers->changes, value, NULL);
+                   peers->version + peers->changes, value, true, NULL);
     g_free(value);
     pgw_timer_start(peers->loop, timer, peers->change_us);
 }
