Take no empty peer's list for the sign of holding all

Cause: a process that starts empty asks for everything with a list of no versions. Its peer found nothing newer there and took itself to be settled, though it might hold a part only itself, as when many start together; it would then refuse profiles that exist. Change: only a list that names something settles; a peer that took our copy says so by its summary. Conclusion: readiness rests on a peer that knows something.

--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -395,7 +395,12 @@
     batch_dispose(&batch);
     g_array_unref(peer);
     if (newer_there == 0) {
-        atomic_store(&sync->settled, true);
+        /* A peer that lists nothing may know nothing: were its word taken, a
+         * process with a part of the configuration would refuse profiles that
+         * exist. When it holds what we sent, its summary says so. */
+        if (digest->n_objects > 0) {
+            atomic_store(&sync->settled, true);
+        }
         if (pgw_link_pending(link) < SYNC_TURN_PENDING) {
             pgw_sync_turn_end(&sync->turn, link);
         }
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -19,6 +19,8 @@
     unsigned changes;
     unsigned frames;
     size_t objects; /* received */
+    bool watches_settled;
+    bool settled_by_empty; /* after a list of versions without any */
 };
 
 struct fleet {
@@ -40,6 +42,11 @@
         replica->objects += ((const Pgw__Objects *)message)->n_objects;
     }
     g_assert_true(pgw_sync_take_frame(replica->sync, link, type, message));
+    if (replica->watches_settled && type == PGW_FRAME_DIGEST &&
+        ((const Pgw__Digest *)message)->n_covered > 0 &&
+        ((const Pgw__Digest *)message)->n_objects == 0) {
+        replica->settled_by_empty |= pgw_sync_is_settled(replica->sync);
+    }
     return false;
 }
 
@@ -263,6 +270,28 @@
     fleet_free(fleet);
 }
 
+static bool
+third_has_all(struct fleet *fleet)
+{
+    return pgw_config_set_count(fleet->replicas[2].set) == 5;
+}
+
+/* One that holds a part only does not take the word of a peer that starts
+ * with nothing for the sign that it holds all. */
+static void
+test_empty_peer_settles_nobody(void)
+{
+    struct fleet *fleet = fleet_new(third_has_all);
+    struct replica *all = fleet->replicas;
+
+    offer_many(&all[1], 5);
+    all[1].watches_settled = true;
+    join(&all[2], &all[1]);
+    pgw_loop_run(fleet->loop);
+    g_assert_false(all[1].settled_by_empty);
+    fleet_free(fleet);
+}
+
 /* A peer of another program version, whose one object the replicas refuse:
  * it answers as the protocol says. */
 static void
@@ -384,6 +413,8 @@
                     test_late_starter_catches_up);
     g_test_add_func("/sync/starter-takes-one-copy",
                     test_starter_takes_one_copy);
+    g_test_add_func("/sync/empty-peer-settles-nobody",
+                    test_empty_peer_settles_nobody);
     g_test_add_func("/sync/refused-value-does-not-loop",
                     test_refused_value_does_not_loop);
     return g_test_run();
