--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -131,6 +131,7 @@
             link_fall_silent(link);
             return;
         }
+        pgw_metric_counter_add(&sent_bytes, (uint64_t)sent);
         pgw_buffer_consume(&link->out, (size_t)sent);
     }
     link_watch_write(link, pgw_buffer_size(&link->out) > 0);
