--- a/bench/bench/overhead.c
+++ b/bench/bench/overhead.c
@@ -14,8 +14,8 @@
 #define SETTLE_S 2.0 /* not measured: connections are made */
 #define OVERHEAD_S 10.0
 #define STREAMS_OPEN_S 4.0 /* time in which the streams are opened */
-#define STREAMS_HOLD_S 6.0
-#define STREAM_DECODE_MS 500
+#define STREAMS_HOLD_S 30.0
+#define STREAM_DECODE_MS 250
 #define LOOK_US 20000
 #define SATURATE_STEP_S 4.0
 #define SATURATE_FIRST 500.0
@@ -182,6 +182,43 @@
     fleet_stop(fleet);
 }
 
+static gint
+compare_moments(gconstpointer a, gconstpointer b)
+{
+    int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+
+    left = left < 0 ? -left : left;
+    right = right < 0 ? -right : right;
+    return (left > right) - (left < right);
+}
+
+/* Most calls at once between their first token and their end. */
+static unsigned
+most_streaming(const GArray *schedule, const struct load_result *results)
+{
+    /* Times at which a stream begins, and, negative, at which it ends. */
+    GArray *moments = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    unsigned open = 0, most = 0;
+
+    for (guint i = 0; i < schedule->len; i++) {
+        uint64_t at = g_array_index(schedule, struct arrival, i).at_us;
+        int64_t begin = (int64_t)(at + results[i].ttft_us);
+        int64_t end = -(int64_t)(at + results[i].total_us);
+
+        if (results[i].ttft_us > 0) {
+            g_array_append_val(moments, begin);
+            g_array_append_val(moments, end);
+        }
+    }
+    g_array_sort(moments, compare_moments);
+    for (guint i = 0; i < moments->len; i++) {
+        open += g_array_index(moments, int64_t, i) > 0 ? 1 : -1u;
+        most = MAX(most, open);
+    }
+    g_array_unref(moments);
+    return most;
+}
+
 void
 run_streams(JsonBuilder *out, const struct bench_options *options)
 {
@@ -199,7 +236,7 @@
                                             .max_running = options->streams});
     GArray *schedule = path_schedule(&scenario, STREAMS_OPEN_S, options->seed);
     uint64_t idle_kb = fleet_rss_kb(fleet->entries[0]), peak_kb = 0;
-    uint64_t peak_open = 0;
+    const struct load_result *results;
     struct path_times times;
     struct load *load = load_start(&(struct load_options){
         .scenario = &scenario,
@@ -211,16 +248,14 @@
     });
 
     while (!load_is_done(load)) {
-        uint64_t open = fleet_entry_status(fleet, 0, "inflight");
-
-        peak_open = MAX(peak_open, open);
         peak_kb = MAX(peak_kb, fleet_rss_kb(fleet->entries[0]));
         g_usleep(LOOK_US);
     }
-    collect(&times, schedule, load_finish(load));
+    results = load_finish(load);
+    collect(&times, schedule, results);
     write_count(out, "calls", schedule->len);
     write_count(out, "failed", times.failed);
-    write_count(out, "most_open_streams", peak_open);
+    write_count(out, "most_streaming", most_streaming(schedule, results));
     write_count(out, "entry_idle_rss_kb", idle_kb);
     write_count(out, "entry_peak_rss_kb", peak_kb);
     write_count(out, "entry_after_rss_kb", fleet_rss_kb(fleet->entries[0]));
