Suspect what was lost with a machine

Cause: a sidecar that dies with its engine reports nothing, so a request that takes machines along costs two each time that it is sent.

Change: when one link breaks alone, the entry makes suspects of the newest attempts there; their next attempt carries the record and runs alone under the store's permit. A series of broken links makes none.

Conclusion: two machines at most for what the entry marks.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -249,6 +249,7 @@
 {
     struct pgw_sync_options options = PGW_SYNC_OPTIONS_INIT;
     struct pgw_suspects_options suspects = PGW_SUSPECTS_OPTIONS_INIT;
+    struct pgw_loss_options loss = PGW_LOSS_OPTIONS_INIT;
 
     options.loop = entry->loop;
     options.set = entry->set;
@@ -258,6 +259,7 @@
     entry->sync = pgw_sync_new(&options);
     suspects.loop = entry->loop;
     entry->suspects = pgw_suspects_new(&suspects);
+    pgw_loss_init(&entry->loss, &loss);
 }
 
 static bool
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -3,6 +3,7 @@
 
 #include "libparsleygw/config_feed.h"
 #include "libparsleygw/link.h"
+#include "libparsleygw/loss.h"
 #include "libparsleygw/suspects.h"
 #include "libparsleygw/sync.h"
 #include "parsleygw/config.h"
@@ -49,6 +50,20 @@
     size_t count;
 };
 
+/**
+ * struct lost_marks - suspects of one broken link, while they can be withdrawn
+ * @engine: incarnation of the engine behind it
+ * @crash: what they were given as crash
+ * @marks: their fingerprints
+ * @count: number of @marks
+ */
+struct lost_marks {
+    uint64_t engine;
+    uint64_t crash;
+    struct pgw_fingerprint marks[PGW_LOSS_MARKS_MAX];
+    uint32_t count;
+};
+
 /**
  * struct entry - the whole process
  * @settings: checked settings
@@ -58,6 +73,8 @@
  * @set: its objects
  * @feed: what the store says
  * @suspects: quarantine records, shared with all processes
+ * @loss: judges broken links
+ * @lost: suspects made by the last lone one
  * @config: snapshot of @set that the loop uses
  * @snapshot: the same for the HTTP threads (&struct pgw_config)
  * @upstreams: &struct upstream by id
@@ -91,6 +108,8 @@
     struct pgw_config_set *set;
     struct pgw_config_feed *feed;
     struct pgw_suspects *suspects;
+    struct pgw_loss loss;
+    struct lost_marks lost;
     struct pgw_config *config;
     struct pgw_rcu *snapshot;
     GHashTable *upstreams;
--- /dev/null
+++ b/src/entry/lost.c
@@ -0,0 +1,114 @@
+#include "entry/lost.h"
+#include "entry/exchange.h"
+#include "util/log.h"
+
+#define CRASH_SPAN_US UINT64_C(600000000)
+
+/*
+ * One number for all engines: a prompt that many send runs on several engines,
+ * and entries that each lose sight of another one would add up to two crashes
+ * that nobody saw. All that is lost within ten minutes counts as one; the
+ * second crash is proof only when the request ran alone.
+ */
+static uint64_t
+crash_number(void)
+{
+    return pgw_hlc_wall_us() / CRASH_SPAN_US;
+}
+
+static void
+take_back(struct entry *entry)
+{
+    struct lost_marks *lost = &entry->lost;
+
+    for (uint32_t i = 0; i < lost->count; i++) {
+        pgw_suspects_withdraw(entry->suspects, &lost->marks[i], lost->crash);
+    }
+    lost->count = 0;
+}
+
+static uint32_t
+count_attempts(const struct upstream *upstream)
+{
+    uint32_t count = 0;
+
+    pgw_list_foreach (link, &upstream->attempts) {
+        count += pgw_container_of(link, struct exchange, at_target)->format !=
+                 FORMAT_SERVICE;
+    }
+    return count;
+}
+
+static void
+mark(struct entry *entry, struct exchange *exchange)
+{
+    const struct pgw_fingerprint *fingerprint = &exchange->request.fingerprint;
+    struct lost_marks *lost = &entry->lost;
+    bool recorded;
+
+    exchange->suspect = true;
+    if (pgw_suspects_find(entry->suspects, fingerprint, &recorded) == NULL) {
+        pgw_suspects_announce(entry->suspects, fingerprint, lost->crash,
+                              pgw_hlc_wall_us());
+        lost->marks[lost->count++] = *fingerprint;
+    }
+}
+
+static void
+mark_newest(struct upstream *upstream, uint32_t marks)
+{
+    struct pgw_list *link = upstream->attempts.prev;
+
+    upstream->entry->lost = (struct lost_marks){
+        .engine = upstream->engine,
+        .crash = crash_number(),
+    };
+    for (; marks > 0 && link != &upstream->attempts; link = link->prev) {
+        struct exchange *exchange =
+            pgw_container_of(link, struct exchange, at_target);
+
+        if (exchange->format != FORMAT_SERVICE) {
+            mark(upstream->entry, exchange);
+            marks--;
+        }
+    }
+}
+
+void
+lost_mark(struct upstream *upstream)
+{
+    struct entry *entry = upstream->entry;
+    uint32_t marks;
+
+    if (!upstream->greeted || upstream->is_seed) {
+        return;
+    }
+    if (!pgw_loss_judge(&marks, &entry->loss, count_attempts(upstream),
+                        pgw_now_us())) {
+        take_back(entry);
+    }
+#ifndef PGW_DISABLE_QUARANTINE_LOST
+    /*
+     * Failure: a request takes the machine along, so that no sidecar reports
+     * the crash. Symptom: two machines are lost each time that it is sent.
+     * Its next attempt carries the suspicion with it and runs alone under the
+     * store's permit; if that machine goes as well, the permit runs out and
+     * counts as the second crash.
+     */
+    if (marks > 0) {
+        mark_newest(upstream, marks);
+    }
+#endif
+}
+
+void
+lost_take_state(struct upstream *upstream, bool alive, uint64_t engine)
+{
+    struct entry *entry = upstream->entry;
+
+    upstream->engine = engine;
+    /* An engine that died is reported by its sidecar, if that lives. */
+    if (entry->lost.count > 0 && alive && engine == entry->lost.engine) {
+        take_back(entry);
+    }
+}
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -1,5 +1,6 @@
 #include "entry/upstream.h"
 #include "entry/exchange.h"
+#include "entry/lost.h"
 #include "util/log.h"
 #include "util/random.h"
 
@@ -85,6 +86,7 @@
     };
 
     pgw_hlc_receive(pgw_hlc_process(), state->clock, pgw_hlc_wall_us());
+    lost_take_state(upstream, state->upstream_alive, state->engine);
     if (!upstream->is_seed) {
         pgw_members_said(upstream->entry->members, upstream->id,
                          upstream->incarnation, &word);
@@ -192,6 +194,7 @@
                                  upstream->greeted ? upstream->incarnation : 0,
                                  pgw_now_us());
     }
+    lost_mark(upstream);
     upstream->link = NULL;
     upstream->greeted = false;
     pgw_timer_stop(upstream->entry->loop, &upstream->retry);
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -19,6 +19,7 @@
  * @busy_us: when @attempts was last empty before an attempt
  * @attempts: exchanges whose current attempt runs there
  * @charge: what this entry sent there of late
+ * @engine: incarnation of its engine, as it last said
  */
 struct upstream {
     struct entry *entry;
@@ -35,6 +36,7 @@
     uint64_t busy_us;
     struct pgw_list attempts;
     struct pgw_place_charge charge;
+    uint64_t engine;
 };
 
 /** upstream_can_talk() - connected and greeted, also while leaving */
--- /dev/null
+++ b/src/libparsleygw/loss.c
@@ -0,0 +1,30 @@
+#include "libparsleygw/loss.h"
+
+void
+pgw_loss_init(struct pgw_loss *out, const struct pgw_loss_options *options)
+{
+    *out = (struct pgw_loss){.options = *options};
+    out->options.marks_max = MIN(options->marks_max, PGW_LOSS_MARKS_MAX);
+}
+
+bool
+pgw_loss_judge(uint32_t *out, struct pgw_loss *loss, uint32_t lost,
+               uint64_t now_us)
+{
+    bool alone =
+        !loss->any || now_us > loss->last_us + loss->options.window_us;
+
+#ifdef PGW_DISABLE_LOSS_MANY
+    alone = true;
+#else
+    /*
+     * Failure: a rack or this process's network goes. Symptom: every entry
+     * makes suspects of all it had there, and these take the store's writes
+     * and one engine each. Only the first break of a series makes any.
+     */
+#endif
+    loss->any = true;
+    loss->last_us = now_us;
+    *out = alone ? MIN(lost, loss->options.marks_max) : 0;
+    return alone;
+}
--- /dev/null
+++ b/src/libparsleygw/loss.h
@@ -0,0 +1,71 @@
+#ifndef PGW_LOSS_H
+#define PGW_LOSS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/**
+ * DOC: Attempts lost with their sidecar
+ *
+ * When an engine takes its sidecar along (the machine goes), nobody reports
+ * the crash. The entry then takes the newest attempts that it had there for
+ * suspects: what crashes an engine mostly does so soon after it began. A
+ * break that comes with others is the network's, a zone's or this process's
+ * own: it says nothing about requests, and suspects of a whole rack would
+ * take the store's writes and run alone on engines that are short already.
+ */
+
+/** Most attempts marked for one lost link, whatever the options say. */
+#define PGW_LOSS_MARKS_MAX 8
+
+/**
+ * struct pgw_loss_options - settings
+ * @window_us: links that break within this time of one another belong
+ *             together; longer than it takes to find all of a rack silent
+ * @marks_max: most attempts of one link that become suspect
+ */
+struct pgw_loss_options {
+    uint64_t window_us;
+    uint32_t marks_max;
+};
+
+#define PGW_LOSS_OPTIONS_INIT                                                 \
+    {                                                                         \
+        .window_us = 3000000, .marks_max = PGW_LOSS_MARKS_MAX                 \
+    }
+
+/**
+ * struct pgw_loss - what one entry remembers of broken links
+ * @options: settings
+ * @last_us: when the last one broke
+ * @any: one broke before
+ */
+struct pgw_loss {
+    struct pgw_loss_options options;
+    uint64_t last_us;
+    bool any;
+};
+
+/** pgw_loss_init() - nothing broke yet */
+void pgw_loss_init(struct pgw_loss *out,
+                   const struct pgw_loss_options *options);
+
+/**
+ * pgw_loss_judge() - a link broke
+ * @out: receives how many of its attempts, newest first, become suspect
+ * @loss: the entry's memory
+ * @lost: attempts that were open there
+ * @now_us: the time, microseconds
+ *
+ * Return: whether it broke alone so far; false: the marks that were made for
+ * the break before it should be taken back, it was no lone one, either.
+ */
+bool pgw_loss_judge(uint32_t *out, struct pgw_loss *loss, uint32_t lost,
+                    uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- a/src/libparsleygw/suspects.c
+++ b/src/libparsleygw/suspects.c
@@ -318,17 +318,18 @@
 }
 
 void
-pgw_suspects_withdraw(struct pgw_suspects *suspects, uint64_t crash)
+pgw_suspects_withdraw(struct pgw_suspects *suspects,
+                      const struct pgw_fingerprint *fingerprint,
+                      uint64_t crash)
 {
-    pgw_list_foreach_safe (link, &suspects->order) {
-        struct suspect *suspect = pgw_container_of(link, struct suspect, link);
-
-        if (suspect->unrecorded && suspect->record.crash_count == 1 &&
-            suspect->record.crashes[0] == crash) {
-            suspect->unrecorded = false;
-            suspect->record = (struct pgw_quarantine_record){0};
-            set_value(suspects, suspect, NULL, 0);
-        }
+    struct suspect *suspect = find(suspects, fingerprint);
+
+    if (suspect != NULL && suspect->unrecorded &&
+        suspect->record.crash_count == 1 &&
+        suspect->record.crashes[0] == crash) {
+        suspect->unrecorded = false;
+        suspect->record = (struct pgw_quarantine_record){0};
+        set_value(suspects, suspect, NULL, 0);
     }
 }
 
--- a/src/libparsleygw/suspects.h
+++ b/src/libparsleygw/suspects.h
@@ -84,8 +84,11 @@
                           const struct pgw_fingerprint *fingerprint,
                           struct pgw_link *link);
 
-/** pgw_suspects_withdraw() - @crash did not happen: the engine lives */
-void pgw_suspects_withdraw(struct pgw_suspects *suspects, uint64_t crash);
+/** pgw_suspects_withdraw() - an announced crash, the only one, is taken back
+ */
+void pgw_suspects_withdraw(struct pgw_suspects *suspects,
+                           const struct pgw_fingerprint *fingerprint,
+                           uint64_t crash);
 
 /** pgw_suspects_retain() - what a whole list of the store misses was lifted */
 void pgw_suspects_retain(struct pgw_suspects *suspects,
--- a/tests/failure/fail_quarantine.c
+++ b/tests/failure/fail_quarantine.c
@@ -12,6 +12,12 @@
  * was killed once is answered by another one; its repeat is refused at once as
  * "store_down", not run. When the store is back the first one stands in the
  * operators' list and the second is answered.
+ *
+ * A request takes machines along, engine and sidecar, so that nobody reports
+ * the crash. Its entry lost it there and makes it a suspect, so that it runs
+ * alone under a permit. After the second machine its stream ends with an
+ * error; each repeat is refused, not run, first for want of the permit, then
+ * as "quarantined", when the permit of the dead holder has run out.
  */
 #include <signal.h>
 #include <string.h>
@@ -286,6 +292,73 @@
     fleet_free(fleet);
 }
 
+static unsigned
+kill_machine(struct fleet *fleet)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        if (harness_process_is_running(fleet->engines[i]) &&
+            harness_get_int(harness_process_url(fleet->engines[i], "/_stats"),
+                            "running") > 0) {
+            harness_process_stop(fleet->sidecars[i], SIGKILL);
+            harness_process_stop(fleet->engines[i], SIGKILL);
+            return i;
+        }
+    }
+    return ENGINES;
+}
+
+struct machine {
+    struct fleet *fleet;
+    unsigned killed;
+};
+
+static bool
+is_killed(void *data)
+{
+    struct machine *machine = data;
+
+    machine->killed = kill_machine(machine->fleet);
+    return machine->killed < ENGINES;
+}
+
+static bool
+is_quarantined(void *data)
+{
+    struct fleet *fleet = data;
+    struct harness_answer answer;
+    bool quarantined;
+
+    send_innocent(&answer, fleet->entries[1]);
+    quarantined = strstr(answer.body->str, "quarantined") != NULL;
+    g_assert_nonnull(strstr(answer.body->str, "\"no\""));
+    harness_answer_dispose(&answer);
+    return quarantined;
+}
+
+/* Its machine is ended, as if by the request, wherever it runs. */
+static void
+test_two_machines_at_most(void)
+{
+    struct fleet *fleet = start();
+    struct machine machine = {fleet, 0};
+    struct fleet_caller *caller;
+    struct harness_stream stream;
+    unsigned first;
+
+    caller = fleet_caller_start(fleet->entries[0], INNOCENT, TOKENS);
+    fleet_caller_wait_begun(caller, 1);
+    first = kill_machine(fleet);
+    g_assert_true(harness_wait_until(is_killed, &machine, 30));
+    g_assert_cmpuint(first, !=, machine.killed);
+    fleet_caller_finish(caller, &stream);
+    g_assert_false(stream.done);
+    harness_stream_dispose(&stream);
+    g_assert_true(harness_wait_until(is_quarantined, fleet, 120));
+    g_assert_true(is_listed(fleet));
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -296,5 +369,7 @@
                     test_two_crashes_without_store);
     g_test_add_func("/quarantine/innocent-without-store",
                     test_innocent_without_store);
+    g_test_add_func("/quarantine/two-machines-at-most",
+                    test_two_machines_at_most);
     return g_test_run();
 }
