Mark only recent attempts of a lost sidecar, four at most

Cause: each suspect empties an engine and has it alone, so that marking eight innocents of one killed sidecar costs more than it is worth.

Change: candidates are the attempts opened shortly before the sidecar's last word, four at most for each entry.

--- a/src/entry/lost.c
+++ b/src/entry/lost.c
@@ -27,14 +27,22 @@
     lost->count = 0;
 }
 
+static bool
+is_candidate(const struct upstream *upstream, const struct exchange *exchange)
+{
+    return exchange->format != FORMAT_SERVICE &&
+           pgw_loss_is_candidate(&upstream->entry->loss, exchange->charge_us,
+                                 pgw_link_heard_us(upstream->link));
+}
+
 static uint32_t
-count_attempts(const struct upstream *upstream)
+count_candidates(const struct upstream *upstream)
 {
     uint32_t count = 0;
 
     pgw_list_foreach (link, &upstream->attempts) {
-        count += pgw_container_of(link, struct exchange, at_target)->format !=
-                 FORMAT_SERVICE;
+        count += is_candidate(
+            upstream, pgw_container_of(link, struct exchange, at_target));
     }
     return count;
 }
@@ -67,7 +75,7 @@
         struct exchange *exchange =
             pgw_container_of(link, struct exchange, at_target);
 
-        if (exchange->format != FORMAT_SERVICE) {
+        if (is_candidate(upstream, exchange)) {
             mark(upstream->entry, exchange);
             marks--;
         }
@@ -83,7 +91,7 @@
     if (!upstream->greeted || upstream->is_seed) {
         return;
     }
-    if (!pgw_loss_judge(&marks, &entry->loss, count_attempts(upstream),
+    if (!pgw_loss_judge(&marks, &entry->loss, count_candidates(upstream),
                         pgw_now_us())) {
         take_back(entry);
     }
--- a/src/libparsleygw/loss.c
+++ b/src/libparsleygw/loss.c
@@ -28,3 +28,11 @@
     *out = alone ? MIN(lost, loss->options.marks_max) : 0;
     return alone;
 }
+
+bool
+pgw_loss_is_candidate(const struct pgw_loss *loss, uint64_t opened_us,
+                      uint64_t heard_us)
+{
+    return opened_us + loss->options.recent_us >= heard_us &&
+           opened_us <= heard_us + loss->options.slack_us;
+}
--- a/tests/unit/test_loss.c
+++ b/tests/unit/test_loss.c
@@ -41,11 +41,31 @@
     g_assert_cmpuint(marks, ==, PGW_LOSS_MARKS_MAX);
 }
 
+/* Neither what streams since long, nor what was sent to a dead machine. */
+static void
+test_recent_ones_count(void)
+{
+    struct pgw_loss_options options = PGW_LOSS_OPTIONS_INIT;
+    uint64_t heard = 10 * options.recent_us;
+    struct pgw_loss loss;
+
+    pgw_loss_init(&loss, &options);
+    g_assert_false(
+        pgw_loss_is_candidate(&loss, heard - options.recent_us - 1, heard));
+    g_assert_true(
+        pgw_loss_is_candidate(&loss, heard - options.recent_us, heard));
+    g_assert_true(
+        pgw_loss_is_candidate(&loss, heard + options.slack_us, heard));
+    g_assert_false(
+        pgw_loss_is_candidate(&loss, heard + options.slack_us + 1, heard));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/loss/series-is-bounded", test_series_is_bounded);
     g_test_add_func("/loss/lone-ones-count", test_lone_ones_count);
+    g_test_add_func("/loss/recent-ones-count", test_recent_ones_count);
     return g_test_run();
 }
