Give the bench an overnight run that is handed over at once

Cause: the batch work of labels comes spread over the whole run, at gaps that leave next to no queue, so nothing in it tells how long a night's work takes or how well it spreads over the engines. Change: scenario "overnight", labels with all batch work in the first tenth of the measured time and in runs of 64, and batch_makespan_s in the output of all scenarios. Conclusion: it can compare ways to spread batch work.

--- a/bench/bench/measure.c
+++ b/bench/bench/measure.c
@@ -371,6 +371,26 @@
     json_builder_end_array(out);
 }
 
+/* From the first measured call of batch work to the end of the last one. */
+static double
+batch_makespan_s(const struct measure *measure)
+{
+    double first = -1, last = 0;
+
+    for (guint i = 0; i < measure->schedule->len; i++) {
+        double at = time_of(measure, i);
+        double end = at + (double)measure->results[i].total_us *
+                              measure->options->time_scale / US_PER_S;
+
+        if (at < 0 || strcmp(class_of(measure, i)->priority, "batch") != 0) {
+            continue;
+        }
+        first = first < 0 ? at : first;
+        last = MAX(last, end);
+    }
+    return first < 0 ? 0 : last - first;
+}
+
 void
 measure_write(JsonBuilder *out, const struct measure *measure)
 {
@@ -384,6 +404,7 @@
     write_tokens(out, measure);
     write_times(out, "ttft_ms", measure, is_waited, NULL, false);
     write_times(out, "ttft_with_refused_ms", measure, is_waited, NULL, true);
+    write_number(out, "batch_makespan_s", batch_makespan_s(measure));
     json_builder_set_member_name(out, "profiles");
     json_builder_begin_object(out);
     for (unsigned i = 0; i < scenario->n_classes; i++) {
--- a/bench/bench/options.c
+++ b/bench/bench/options.c
@@ -54,7 +54,8 @@
 };
 
 static const char usage[] =
-    "usage: parsleygw-bench [--scenario passports|labels] [options]\n"
+    "usage: parsleygw-bench [--scenario passports|labels|overnight] "
+    "[options]\n"
     "  --policy A,B,..   parsleygw, hash, least-loaded, round-robin\n"
     "                    (default: all four); one fresh fleet for each\n"
     "  --seconds N       measured time (20)\n"
@@ -109,7 +110,7 @@
     case OPTION_SCENARIO:
         out->scenario = scenario_find(text);
         if (out->scenario == NULL) {
-            fail("--scenario: write passports or labels", text);
+            fail("--scenario: write passports, labels or overnight", text);
         }
         break;
     case OPTION_POLICY:
--- a/bench/bench/scenario.c
+++ b/bench/bench/scenario.c
@@ -2,6 +2,39 @@
 
 #include <string.h>
 
+/* The labels deployment; its batch work differs between scenarios. */
+#define LABELS(batch_share, batch_run, batch_within)                          \
+    .pool = "rulebooks", .model = "rulebook-7b", .service_pool = "printers",  \
+    .zones = {"saigon-a", "saigon-b", "saigon-c"}, .engines = 9,              \
+    .services = 3, .rate = 90, .guides = 3, .hostels = 6, .walkers = 1,       \
+    .n_classes = 3, .launch = 1,                                              \
+    .classes = {                                                              \
+        {.profile = "overnight-menu",                                         \
+         .priority = "batch",                                                 \
+         .deadline_ms = 120000,                                               \
+         .ttft_weight = 0,                                                    \
+         .level_tokens = {6144, 512, 768},                                    \
+         .question_tokens = 64,                                               \
+         .max_tokens = 8,                                                     \
+         .share = (batch_share),                                              \
+         .run = (batch_run),                                                  \
+         .within = (batch_within)},                                           \
+        {.profile = "ingredient-lookup",                                      \
+         .priority = "interactive",                                           \
+         .deadline_ms = 10000,                                                \
+         .ttft_weight = 0.5,                                                  \
+         .level_tokens = {6144, 512},                                         \
+         .question_tokens = 40,                                               \
+         .max_tokens = 12,                                                    \
+         .share = 0.26},                                                      \
+        {.profile = "label-print",                                            \
+         .priority = "urgent",                                                \
+         .service = true,                                                     \
+         .deadline_ms = 5000,                                                 \
+         .ttft_weight = 1,                                                    \
+         .share = 0.14},                                                      \
+    }
+
 /* Prefixes of a deployment fit the fleet's caches about twice, and no single
  * engine's: where a prompt goes decides whether it hits. */
 static const struct scenario scenarios[] = {
@@ -53,47 +86,9 @@
                  .share = 0.08},
             },
     },
-    {
-        .name = "labels",
-        .pool = "rulebooks",
-        .model = "rulebook-7b",
-        .service_pool = "printers",
-        .zones = {"saigon-a", "saigon-b", "saigon-c"},
-        .engines = 9,
-        .services = 3,
-        .rate = 90,
-        .guides = 3,
-        .hostels = 6,
-        .walkers = 1,
-        .n_classes = 3,
-        .launch = 1,
-        .classes =
-            {
-                {.profile = "overnight-menu",
-                 .priority = "batch",
-                 .deadline_ms = 120000,
-                 .ttft_weight = 0,
-                 .level_tokens = {6144, 512, 768},
-                 .question_tokens = 64,
-                 .max_tokens = 8,
-                 .share = 0.6,
-                 .run = 32},
-                {.profile = "ingredient-lookup",
-                 .priority = "interactive",
-                 .deadline_ms = 10000,
-                 .ttft_weight = 0.5,
-                 .level_tokens = {6144, 512},
-                 .question_tokens = 40,
-                 .max_tokens = 12,
-                 .share = 0.26},
-                {.profile = "label-print",
-                 .priority = "urgent",
-                 .service = true,
-                 .deadline_ms = 5000,
-                 .ttft_weight = 1,
-                 .share = 0.14},
-            },
-    },
+    {.name = "labels", LABELS(0.6, 32, 0)},
+    /* The whole of the night's work is handed over at once. */
+    {.name = "overnight", LABELS(1.1, 64, 0.1)},
 };
 
 const struct scenario *
--- a/bench/bench/workload.c
+++ b/bench/bench/workload.c
@@ -11,6 +11,7 @@
 #define WAVE_DEPTH 0.2   /* how far the rate swings around its mean */
 #define WAVES 2.0        /* swings in the measured time */
 #define RUN_GAP_S 0.12   /* mean time between the calls of a batch run */
+#define RUN_GAP_AT_ONCE_S 0.002
 #define WARMUP_LEAST 0.3 /* rate at the start of the warm-up, of the usual */
 
 struct generator {
@@ -155,7 +156,10 @@
         if (at < options->warmup_s + options->seconds) {
             add_arrival(generator, arrival, at);
         }
-        at += exponential(generator, RUN_GAP_S);
+        at += exponential(generator,
+                          options->scenario->classes[arrival->class].within > 0
+                              ? RUN_GAP_AT_ONCE_S
+                              : RUN_GAP_S);
     }
 }
 
@@ -191,6 +195,11 @@
 
     double at = 0;
 
+    if (one->within > 0) {
+        at = options->warmup_s;
+        end = at + one->within * options->seconds;
+        rate /= one->within;
+    }
     while ((at += exponential(generator, 1 / rate)) < end) {
         struct arrival arrival = {.class = class};
 
--- a/bench/bench/workload.h
+++ b/bench/bench/workload.h
@@ -34,6 +34,8 @@
  * @share: part of the scenario's calls
  * @run: calls that come together with a third level of their own, 0 or 1 for
  *     single calls
+ * @within: part of the measured time, from its start, in which all of them
+ *     come as fast as they can be sent; 0: spread over all of it
  */
 struct call_class {
     const char *profile;
@@ -46,6 +48,7 @@
     unsigned max_tokens;
     double share;
     unsigned run;
+    double within;
 };
 
 /**
