Name the weights versions that a request tried

A request counted the versions that had no place for it. The last engine of its version closed its gate between the stamp and the answers to the probes; then one version was left and the count said that all were tried, or the division had changed and the next number meant the same version again. Change: the versions are kept by name in the request, until it is sent; the search is pgw_version_split_next(), with two properties. A rollout of twelve edits with weights that load at once provokes the moment (/rollout/many).

--- a/include/parsleygw/version.h
+++ b/include/parsleygw/version.h
@@ -108,6 +108,45 @@
 size_t pgw_version_split_choose(const struct pgw_version_split *split,
                                 uint64_t hash);
 
+/**
+ * struct pgw_version_tried - versions that had no place for a request
+ * @names: each once
+ * @n: number of @names
+ *
+ * Kept by name: engines change over while the request looks for one, so the
+ * place of a version among the parts of a split means another version a
+ * moment later. Zeroed is a new one.
+ */
+struct pgw_version_tried {
+    char names[PGW_VERSION_PARTS][PGW_CONFIG_NAME_MAX + 1];
+    size_t n;
+};
+
+/**
+ * pgw_version_tried_add() - nobody of that version takes the request
+ * @tried: the request's
+ * @version: what it was stamped with
+ *
+ * Return: false when as many were tried as a pool has, so that the search
+ * ends although operators go on naming versions.
+ */
+bool pgw_version_tried_add(struct pgw_version_tried *tried,
+                           const char *version);
+
+/**
+ * pgw_version_split_next() - the version to try now
+ * @split: the pool's, as it is now
+ * @hash: as for pgw_version_split_choose()
+ * @tried: versions that had no place for the request
+ *
+ * The request's own share if it was not tried, else one that engines run.
+ *
+ * Return: name within @split, or NULL when all were tried.
+ */
+const char *pgw_version_split_next(const struct pgw_version_split *split,
+                                   uint64_t hash,
+                                   const struct pgw_version_tried *tried);
+
 /**
  * pgw_version_can_run() - may a request of that version go to the upstream?
  * @member: the upstream
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -173,7 +173,8 @@
  * @service_status: HTTP status of a plain answer
  * @service_type: its content type
  * @first_token_us: when the answer began, 0 before
- * @version_shift: parts of the pool's split that had no place for it
+ * @versions_tried: weights versions that had no place for it, since it was
+ *   sent last
  * @failures: failed attempts
  * @suspect: a quarantine record names its fingerprint
  * @ended: the caller has its final answer
@@ -213,7 +214,7 @@
     unsigned service_status;
     char *service_type;
     uint64_t first_token_us;
-    size_t version_shift;
+    struct pgw_version_tried versions_tried;
     uint32_t failures;
     bool suspect;
     bool ended;
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -283,6 +283,7 @@
     pgw_trace_record(exchange->entry->trace, PGW_TRACE_PLACE, &exchange->id, 0,
                      candidate->matched_tokens, cost_us, upstream->id);
     place_cancel(exchange);
+    exchange->versions_tried.n = 0;
     forward_send(exchange, upstream,
                  exchange->format == FORMAT_SERVICE ? 0 : missing);
 }
--- a/src/libparsleygw/version.c
+++ b/src/libparsleygw/version.c
@@ -123,6 +123,56 @@
     return 0;
 }
 
+static bool
+was_tried(const struct pgw_version_tried *tried, const char *version)
+{
+    for (size_t i = 0; i < tried->n; i++) {
+        if (strcmp(tried->names[i], version) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+pgw_version_tried_add(struct pgw_version_tried *tried, const char *version)
+{
+    if (was_tried(tried, version)) {
+        return true;
+    }
+    if (tried->n == PGW_VERSION_PARTS) {
+        return false;
+    }
+    g_strlcpy(tried->names[tried->n], version, sizeof(tried->names[0]));
+    tried->n++;
+    return true;
+}
+
+const char *
+pgw_version_split_next(const struct pgw_version_split *split, uint64_t hash,
+                       const struct pgw_version_tried *tried)
+{
+    const char *own =
+        split->parts[pgw_version_split_choose(split, hash)].version;
+    const char *idle = NULL;
+
+    if (!was_tried(tried, own)) {
+        return own;
+    }
+    for (size_t i = 0; i < split->n; i++) {
+        const struct pgw_version_part *part = &split->parts[i];
+
+        if (was_tried(tried, part->version)) {
+            continue;
+        }
+        if (part->engines > 0) {
+            return part->version;
+        }
+        idle = part->version;
+    }
+    return idle;
+}
+
 bool
 pgw_version_can_run(const struct pgw_member *member, const char *version)
 {
--- a/tests/failure/fail_rollout.c
+++ b/tests/failure/fail_rollout.c
@@ -21,6 +21,7 @@
 /* One event a token and a last one with the reason. */
 #define EVENTS (TOKENS + 1)
 #define LIMIT_S 90
+#define EDITS 12
 
 static const char pool[] =
     "{\"type\":\"model\",\"model\":\"rulebook-7b\",\"version\":\"%s\","
@@ -106,7 +107,7 @@
 }
 
 static unsigned
-engines_on_w2(struct fleet *fleet)
+engines_on(struct fleet *fleet, const char *version)
 {
     unsigned count = 0;
 
@@ -114,12 +115,18 @@
         JsonNode *status = harness_get_json(
             harness_process_url(fleet->engines[i], "/status"));
 
-        count += strcmp(harness_json_string(status, "version"), "w2") == 0;
+        count += strcmp(harness_json_string(status, "version"), version) == 0;
         json_node_unref(status);
     }
     return count;
 }
 
+static unsigned
+engines_on_w2(struct fleet *fleet)
+{
+    return engines_on(fleet, "w2");
+}
+
 static bool
 all_on_w2(void *data)
 {
@@ -197,6 +204,43 @@
     rollout_end(&rollout);
 }
 
+struct target {
+    struct fleet *fleet;
+    char version[8];
+};
+
+static bool
+all_on_target(void *data)
+{
+    struct target *target = data;
+
+    return engines_on(target->fleet, target->version) == ENGINES;
+}
+
+/* Weights that load at once, edit upon edit: requests are under way at each
+ * of the moments at which the last engine of a version closes its gate. */
+static void
+test_many(void)
+{
+    const char *const args[] = {"--load-ms", "20", "--decode-ms", "2", NULL};
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct traffic traffic;
+    struct target target;
+
+    options.engines = ENGINES;
+    options.engine_args = args;
+    target.fleet = fleet_new(&options);
+    traffic_start(&traffic, target.fleet);
+    for (unsigned i = 0; i < EDITS; i++) {
+        g_snprintf(target.version, sizeof(target.version), "w%u", i + 2);
+        fleet_put(target.fleet, "pool", "guide", pool, target.version,
+                  PERMITS);
+        g_assert_true(harness_wait_until(all_on_target, &target, LIMIT_S));
+    }
+    traffic_finish(&traffic);
+    fleet_free(target.fleet);
+}
+
 static bool
 is_loading(void *data)
 {
@@ -295,6 +339,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/rollout/whole", test_whole);
+    g_test_add_func("/rollout/many", test_many);
     g_test_add_func("/rollout/store-outage", test_store_outage);
     g_test_add_func("/rollout/crash-midway", test_crash_midway);
     g_test_add_func("/rollout/taken-back", test_taken_back);
--- a/tests/property/prop_version.cc
+++ b/tests/property/prop_version.cc
@@ -2,6 +2,7 @@
 // engines change over.
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <string>
 #include <vector>
@@ -161,6 +162,64 @@
     });
 }
 
+// The search of one request while engines change over between its steps.
+bool
+searchEndsAndFinds()
+{
+    return rc::check("a request that finds no place tries each version at "
+                     "most once, and every one that an engine runs before "
+                     "it is refused", [] {
+        const auto hash = *rc::gen::arbitrary<uint64_t>();
+        const auto track = changing();
+        pgw_version_tried tried{};
+        std::vector<std::string> seen;
+        for (;;) {
+            auto all = members(*anyEngines());
+            pgw_version_split split;
+            pgw_version_split_init(&split, &track, all.data(), all.size());
+            const char *next = pgw_version_split_next(&split, hash, &tried);
+            const auto known = [&seen](const std::string &version) {
+                return std::find(seen.begin(), seen.end(), version) !=
+                       seen.end();
+            };
+            if (next == nullptr) {
+                for (size_t i = 0; i < split.n; i++) {
+                    RC_ASSERT(known(split.parts[i].version));
+                }
+                break;
+            }
+            RC_ASSERT(!known(next));
+            seen.emplace_back(next);
+            RC_ASSERT(pgw_version_tried_add(&tried, next));
+            RC_ASSERT(seen.size() <= static_cast<size_t>(PGW_VERSION_PARTS));
+        }
+    });
+}
+
+// The last engine on w1 goes over between the stamp and the answer.
+bool
+lastOldEngineGoesOver()
+{
+    return rc::check("a request of the old version whose last engine goes "
+                     "over gets the new one", [] {
+        // The upper half, which is the share of the second part.
+        const auto hash = *rc::gen::arbitrary<uint64_t>() | UINT64_C(1) << 63;
+        const auto track = changing();
+        const std::vector<Engine> before = {{2, false, true}, {1, false, true}};
+        const std::vector<Engine> after = {{2, false, true}, {1, true, true}};
+        pgw_version_tried tried{};
+        pgw_version_split split;
+        const std::string first = choose(track, before, hash, &split);
+        RC_ASSERT(first == "w1");
+        pgw_version_tried_add(&tried, first.c_str());
+        auto all = members(after);
+        pgw_version_split_init(&split, &track, all.data(), all.size());
+        const char *next = pgw_version_split_next(&split, hash, &tried);
+        RC_ASSERT(next != nullptr);
+        RC_ASSERT(std::string(next) == "w2");
+    });
+}
+
 } // namespace
 
 int
@@ -170,5 +229,7 @@
     good = neverBack() && good;
     good = sharesFollowEngines() && good;
     good = settledServesDeclaredOnly() && good;
+    good = searchEndsAndFinds() && good;
+    good = lastOldEngineGoesOver() && good;
     return good ? 0 : 1;
 }
