Take an engine for alive only when asked well after a break

Its first run broke off while a status call of the sidecar was under way; that call's answer, from just before the crash, settled the run as if the engine lived, so that nobody was suspected and the request went on to a second engine as a plain retry. A status call that failed in that moment counted as the first of two failures and did the same. Ruled out: records that spread too slowly (both entries had heard). Change: a run that was cut off is settled by a status asked at least 200 ms after the break; meanwhile the engine is asked every 20 ms. This covers an engine that tells for a moment more that it is well. A whole answer that makes no sense waits for one status asked after it only. The innocent that met a second engine which was dead already is another matter, still open.

--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -8,6 +8,7 @@
 #define STATUS_INTERVAL_US UINT64_C(500000)
 /* While the gate is closed every status brings the engine back sooner. */
 #define STATUS_CLOSED_US UINT64_C(50000)
+#define STATUS_DOUBT_US UINT64_C(20000)
 #define STATUS_TIMEOUT_MS 1000L
 /* One lost answer is no death; two in a row, a second apart, are. */
 #define STATUS_FAILURES_DEAD 2
@@ -74,6 +75,16 @@
     return true;
 }
 
+static uint64_t
+status_interval(const struct engine *engine, uint64_t asked_us)
+{
+    if (engine->alive && asked_us <= engine->doubt_us) {
+        return STATUS_DOUBT_US;
+    }
+    return orders_is_closed(engine->sidecar->orders) ? STATUS_CLOSED_US
+                                                     : STATUS_INTERVAL_US;
+}
+
 static void
 status_done(void *context, long status, JsonObject *body, uint64_t asked_us)
 {
@@ -82,7 +93,9 @@
     engine->status = NULL;
     if (status == 200 && body != NULL &&
         engine_take_identity(engine, body, asked_us)) {
-        engine->status_failures = 0;
+        if (asked_us > engine->doubt_us) {
+            engine->status_failures = 0;
+        }
         g_free(engine->model);
         engine->model = g_strdup(fetch_object_string(body, "model"));
         engine->loading = fetch_object_bool(body, "loading");
@@ -94,9 +107,7 @@
     }
     orders_engine_told(engine->sidecar->orders);
     pgw_timer_start(engine->sidecar->loop, &engine->status_timer,
-                    orders_is_closed(engine->sidecar->orders)
-                        ? STATUS_CLOSED_US
-                        : STATUS_INTERVAL_US);
+                    status_interval(engine, asked_us));
     gate_engine_told(engine->sidecar);
 }
 
@@ -316,13 +327,19 @@
 }
 
 void
-engine_suspect(struct engine *engine)
+engine_suspect(struct engine *engine, uint64_t doubt_us)
 {
-    if (!engine->sidecar->is_model || engine->status != NULL) {
+    if (!engine->sidecar->is_model) {
+        return;
+    }
+    /* Ask at once: until the answer new work would go to a dead engine. A
+     * question that is out already is asked again after its answer. */
+    engine->doubt_us = MAX(engine->doubt_us, doubt_us);
+    engine->status_failures =
+        MAX(engine->status_failures, STATUS_FAILURES_DEAD - 1);
+    if (engine->status != NULL) {
         return;
     }
-    /* Ask at once: until the answer new work would go to a dead engine. */
-    engine->status_failures = STATUS_FAILURES_DEAD - 1;
     pgw_timer_start(engine->sidecar->loop, &engine->status_timer, 0);
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -83,6 +83,7 @@
  * @suspicion_ticket: its number at the suspicion, 0 without one
  * @alone: a suspect: nothing else may run at the engine beside it
  * @held: link in the sidecar's list of those that wait for such a one
+ * @doubt_us: broken: only what the engine is asked after it counts
  * @settled: broken, and its crash, if it was one, is reported
  * @import: its wait for the KV store, NULL without one
  * @import_asked: the KV store was asked, or is left out
@@ -125,6 +126,7 @@
     uint64_t suspicion_ticket;
     bool alone;
     struct pgw_list held;
+    uint64_t doubt_us;
     bool settled;
     struct kv_wait *import;
     bool import_asked;
@@ -190,8 +192,9 @@
                    uint32_t retry_after_ms, const char *message);
 /** run_transfer_ops - callbacks that all calls start their transfer with */
 extern const struct pgw_transfer_ops run_transfer_ops;
-/* gate.c: a run's answer broke off; it ends once the engine was asked */
-void gate_run_broke(struct run *run);
+/* gate_crash.c: a run's answer broke off, @cut: in the middle of the
+ * connection; it ends once the engine was asked */
+void gate_run_broke(struct run *run, bool cut);
 /** gate_engine_told() - the engine's state is known: settle broken runs */
 void gate_engine_told(struct sidecar *sidecar);
 
--- a/src/sidecar/gate_crash.c
+++ b/src/sidecar/gate_crash.c
@@ -3,6 +3,9 @@
 
 /* Tokens of a running answer come many times a second. */
 #define SILENT_US UINT64_C(2000000)
+/* A dying engine's connections may break some time before it stops to answer;
+ * so long does one that lives keep a broken run from being sent again. */
+#define DYING_US UINT64_C(200000)
 
 void
 gate_suspicion_decided(struct run *run,
@@ -37,11 +40,12 @@
 }
 
 void
-gate_run_broke(struct run *run)
+gate_run_broke(struct run *run, bool cut)
 {
     run->state = RUN_BROKEN;
+    run->doubt_us = pgw_now_us() + (cut ? DYING_US : 0);
     if (run->sidecar->engine.alive) {
-        engine_suspect(&run->sidecar->engine);
+        engine_suspect(&run->sidecar->engine, run->doubt_us);
     }
     else {
         gate_engine_told(run->sidecar);
@@ -83,10 +87,30 @@
     return NULL;
 }
 
+/*
+ * Failure: an engine breaks off its streams as it dies, and goes on telling
+ * for a moment that all is well, or did so just before. Symptom: the run ends
+ * as if its engine lived, nobody is suspected, and the request crashes a third
+ * engine. Only what was asked well after the break says that it lives.
+ */
+static bool
+knows_engine(const struct run *run)
+{
+    const struct engine *engine = &run->sidecar->engine;
+
+#ifndef PGW_DISABLE_CRASH_ASKED
+    return !engine->alive || engine->incarnation != run->engine ||
+           engine->told_us > run->doubt_us;
+#else
+    (void)engine;
+    return true;
+#endif
+}
+
 static bool
 is_unsettled(const struct run *run)
 {
-    return run->state == RUN_BROKEN && !run->settled;
+    return run->state == RUN_BROKEN && !run->settled && knows_engine(run);
 }
 
 static bool
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -142,10 +142,10 @@
 
 /* Returns whether the run goes on until it is known why it broke off. */
 static bool
-run_fail_broken(struct run *run, bool was_sent)
+run_fail_broken(struct run *run, bool was_sent, bool cut)
 {
     if (was_sent && run->sidecar->is_model) {
-        gate_run_broke(run);
+        gate_run_broke(run, cut);
         return true;
     }
     if (!run->ended) {
@@ -154,7 +154,7 @@
                       was_sent ? "the upstream broke off its answer"
                                : "the upstream took no connection");
     }
-    engine_suspect(&run->sidecar->engine);
+    engine_suspect(&run->sidecar->engine, pgw_now_us());
     return false;
 }
 
@@ -203,7 +203,7 @@
     else if (run->failed && !run->refused) {
         pgw_log_warning("upstream_broke", "code=%s status=%ld",
                         curl_easy_strerror(code), run->status);
-        if (run_fail_broken(run, was_sent)) {
+        if (run_fail_broken(run, was_sent, code != CURLE_OK)) {
             return;
         }
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -38,6 +38,8 @@
  * @told_us: when the question was asked whose answer is known best
  * @last_seq: last cache event taken
  * @status_failures: status requests that failed in a row
+ * @doubt_us: until then it is asked again and again: a request failed as if
+ *   it had died
  * @status_timer: next status request
  * @events_timer: next poll for cache events, after a failure
  * @status: request in progress, or NULL
@@ -53,6 +55,7 @@
     bool loading;
     uint64_t told_us;
     unsigned status_failures;
+    uint64_t doubt_us;
     struct pgw_timer status_timer;
     struct pgw_timer events_timer;
     struct fetch *status;
@@ -174,7 +177,8 @@
 /* engine.c */
 void engine_init(struct engine *engine, struct sidecar *sidecar);
 void engine_dispose(struct engine *engine);
-/** engine_suspect() - a request failed as if the engine had died */
-void engine_suspect(struct engine *engine);
+/** engine_suspect() - a request failed as if the engine had died; ask it until
+ * it has told that it lives after @doubt_us */
+void engine_suspect(struct engine *engine, uint64_t doubt_us);
 
 #endif
--- a/tests/failure/fail_quarantine.c
+++ b/tests/failure/fail_quarantine.c
@@ -6,6 +6,8 @@
  * engine and is cleared by its good end. The operator sees the quarantine and
  * lifts it; only then does the request reach an engine again.
  *
+ * So it is with engines that tell for a moment more that all is well.
+ *
  * While the store is down it is two engines as well: the sidecars tell each
  * crash to all entries at once, these hand it to whichever sidecar they ask
  * next, and the caller hears "quarantined", not run. A request whose engine
@@ -67,9 +69,8 @@
 }
 
 static struct fleet *
-start(void)
+start_with(const char *const *engine_args)
 {
-    static const char *const engine_args[] = {"--crash-on", "POISON", NULL};
     struct fleet_options options = FLEET_OPTIONS_INIT;
 
     options.engines = ENGINES;
@@ -78,6 +79,14 @@
     return fleet_new(&options);
 }
 
+static struct fleet *
+start(void)
+{
+    static const char *const engine_args[] = {"--crash-on", "POISON", NULL};
+
+    return start_with(engine_args);
+}
+
 static void
 start_innocents(struct fleet *fleet, struct fleet_caller **callers)
 {
@@ -173,6 +182,27 @@
     fleet_free(fleet);
 }
 
+/* The engines break off the answer some time before they end, and say until
+ * then that all is well. */
+static void
+test_dying_slowly(void)
+{
+    static const char *const engine_args[] = {"--crash-on", "POISON",
+                                              "--crash-linger-ms", "60", NULL};
+    struct fleet *fleet = start_with(engine_args);
+    struct harness_answer answer;
+
+    for (unsigned i = 0; i < REPEATS; i++) {
+        g_assert_cmpint(send_poison(&answer, fleet->entries[i % 2]), !=, 200);
+        harness_answer_dispose(&answer);
+    }
+    send_poison(&answer, fleet->entries[0]);
+    fleet_assert_refusal(&answer, 422, "quarantined", "no");
+    harness_answer_dispose(&answer);
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    fleet_free(fleet);
+}
+
 static long
 send_innocent(struct harness_answer *out, struct harness_process *entry)
 {
@@ -365,6 +395,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quarantine/two-crashes-at-most",
                     test_two_crashes_at_most);
+    g_test_add_func("/quarantine/dying-slowly", test_dying_slowly);
     g_test_add_func("/quarantine/two-crashes-without-store",
                     test_two_crashes_without_store);
     g_test_add_func("/quarantine/innocent-without-store",
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -63,6 +63,7 @@
     OPTION_TIME_SCALE,
     OPTION_SEED,
     OPTION_CRASH_ON,
+    OPTION_CRASH_LINGER_MS,
     OPTION_STOP_AT,
     OPTION_IGNORE_FENCE,
     OPTION_LOAD_MS,
@@ -87,6 +88,7 @@
     {"time-scale", required_argument, NULL, OPTION_TIME_SCALE},
     {"seed", required_argument, NULL, OPTION_SEED},
     {"crash-on", required_argument, NULL, OPTION_CRASH_ON},
+    {"crash-linger-ms", required_argument, NULL, OPTION_CRASH_LINGER_MS},
     {"stop-at", required_argument, NULL, OPTION_STOP_AT},
     {"ignore-fence", no_argument, NULL, OPTION_IGNORE_FENCE},
     {"load-ms", required_argument, NULL, OPTION_LOAD_MS},
@@ -176,6 +178,9 @@
     case OPTION_SEED:
         arguments->journal.seed = (uint32_t)number;
         return true;
+    case OPTION_CRASH_LINGER_MS:
+        engine->crash_linger_us = (uint64_t)(number * 1000);
+        return true;
     case OPTION_STOP_AT:
         engine->stop_at = (unsigned)number;
         return true;
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -34,6 +34,7 @@
  * @load_us: time that loading weights takes
  * @kv_rate: tokens a second to or from the KV store
  * @crash_on: a prompt with this text ends the process, or NULL
+ * @crash_linger_us: time from the break of that answer to the end
  * @stop_at: answers end by themselves after so many tokens, 0 for never
  */
 struct engine_options {
@@ -51,6 +52,7 @@
     double kv_rate;
     const char *weight_store;
     const char *crash_on;
+    uint64_t crash_linger_us;
     unsigned stop_at;
     bool ignore_fence;
 };
--- a/tests/standins/engine_batch_lib.c
+++ b/tests/standins/engine_batch_lib.c
@@ -196,6 +196,28 @@
                          GUINT_TO_POINTER(count + 1));
 }
 
+static void *
+end_later(void *data)
+{
+    g_usleep(*(const uint64_t *)data);
+    _exit(CRASH_STATUS);
+}
+
+/* With a time to linger the answer breaks off while the process still tells
+ * that all is well, as one whose HTTP server outlives its engine. */
+static void
+crash(struct engine *engine, struct engine_request *request)
+{
+    uint64_t *linger_us = &engine->options.crash_linger_us;
+
+    if (*linger_us == 0) {
+        _exit(CRASH_STATUS);
+    }
+    standin_call_drop(request->call);
+    request->cancelled = true;
+    g_thread_unref(g_thread_new("crash", end_later, linger_us));
+}
+
 static void
 start_request(struct engine *engine, struct engine_request *request,
               uint64_t now)
@@ -206,7 +228,7 @@
     unsigned limit = (request->prompt_tokens - 1) / options->block_tokens;
 
     if (request->poison) {
-        _exit(CRASH_STATUS);
+        crash(engine, request);
     }
     request->started = true;
     count_execution(engine, request->id);
