Refuse at the sidecar what comes after its upstream was declared leaving

Cause: found on a walk through docs/operators/install.md: after 'instance leave' status showed the sidecar as 'ready', where the page says 'leaving'. The sidecar did not look at its own upstream's object at all; only the entries did, so an entry that the edit had not reached went on sending. Change: the sidecar takes the declaration from its configuration: new work is refused as 'leaving', not run, probes and status say so, the time line has declared_leaving and declared_joined. The word that entries hold against an incarnation is not touched, so joining again works without a new process. Measured: fail_sidecar_frames declared-leaving, an entry that has not heard; script/mutate DECLARED_LEAVING: caught; fail_drain and fail_orders pass.

--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -71,7 +71,7 @@
 {
     const struct engine *engine = &sidecar->engine;
 
-    if (sidecar->leaving) {
+    if (!sidecar_takes_work(sidecar)) {
         *refusal = PGW_REFUSAL_LEAVING;
         *message = "the instance is leaving: send to another one";
         return true;
@@ -393,7 +393,7 @@
     reply.running = load.running;
     reply.waiting = load.waiting;
     reply.ttft_us = (uint32_t)MIN(ttft_us, UINT32_MAX);
-    reply.leaving = sidecar->leaving;
+    reply.leaving = !sidecar_takes_work(sidecar);
     /* Behind a suspect that runs alone everything waits. */
     reply.refuses = sidecar->exclusive != NULL ||
                     must_refuse(sidecar, probe->model, probe->version,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -19,6 +19,41 @@
 #define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
 
+bool
+sidecar_takes_work(const struct sidecar *sidecar)
+{
+    return !sidecar->leaving && !sidecar->declared_leaving;
+}
+
+/*
+ * Failure: an entry that the news of the leaving upstream has not reached goes
+ * on sending. Symptom: the upstream is taken away under its new requests.
+ * This process hears of its own upstream from more peers than any entry, and
+ * nothing passes it by. The word that entries hold against an incarnation is
+ * left alone: an operator may declare the same one joined again.
+ */
+static void
+take_declaration(struct sidecar *sidecar)
+{
+    const struct pgw_upstream *declared =
+        pgw_config_upstream(sidecar->config, sidecar->settings->instance);
+    bool leaving = declared != NULL && declared->leaving;
+
+#ifdef PGW_DISABLE_DECLARED_LEAVING
+    leaving = false;
+#endif
+    if (leaving == sidecar->declared_leaving) {
+        return;
+    }
+    sidecar->declared_leaving = leaving;
+    pgw_trace_record(sidecar->trace,
+                     leaving ? PGW_TRACE_DECLARED_LEAVING
+                             : PGW_TRACE_DECLARED_JOINED,
+                     NULL, 0, sidecar->runs, 0, NULL);
+    pgw_log_info(leaving ? "declared_leaving" : "declared_joined", "runs=%u",
+                 sidecar->runs);
+}
+
 static void
 config_changed(void *context)
 {
@@ -29,6 +64,7 @@
         pgw_config_unref(sidecar->config);
     }
     sidecar->config = config;
+    take_declaration(sidecar);
     if (sidecar->feed != NULL) {
         pgw_config_feed_changed(sidecar->feed, config);
     }
@@ -44,6 +80,7 @@
 
     pthread_mutex_lock(&view->lock);
     view->leaving = sidecar->leaving;
+    view->takes_work = sidecar_takes_work(sidecar);
     view->alive = sidecar->engine.alive;
     view->engine = sidecar->engine.incarnation;
     g_strlcpy(view->version, sidecar->engine.version, sizeof(view->version));
@@ -119,7 +156,7 @@
         "x\",\"running\":%u,\"waiting\":%u,\"queued_tokens\":%u"
         ",\"cached_blocks\":%zu,\"cached_levels\":%zu,\"event_gaps\":"
         "%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT,
-        view->leaving ? "true" : "false", view->alive ? "true" : "false",
+        view->takes_work ? "false" : "true", view->alive ? "true" : "false",
         view->engine, view->load.running, view->load.waiting,
         view->load.queued_tokens, view->cache.blocks, view->cache.levels,
         view->cache.gaps, view->config_version);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -67,6 +67,7 @@
  * struct sidecar_view - what other threads may read, under @lock
  * @lock: held briefly
  * @leaving: as in &struct sidecar
+ * @takes_work: neither stopped nor declared leaving
  * @alive: the upstream answers
  * @engine: its incarnation
  * @version: its weights version
@@ -79,6 +80,7 @@
 struct sidecar_view {
     pthread_mutex_t lock;
     bool leaving;
+    bool takes_work;
     bool alive;
     uint64_t engine;
     char version[PGW_CONFIG_NAME_MAX + 1];
@@ -119,6 +121,8 @@
  * @state_timer: next regular word to the entries
  * @all_runs: every attempt (&struct run)
  * @leaving: no new work; set by a planned stop
+ * @declared_leaving: no new work; an operator declared it in the upstream's
+ *   object
  * @runs: attempts that wait or run
  * @view: copy for other threads
  * @drain_timer: checks whether a planned stop is over
@@ -153,6 +157,7 @@
     struct pgw_timer state_timer;
     struct pgw_list all_runs;
     bool leaving;
+    bool declared_leaving;
     unsigned runs;
     struct sidecar_view view;
     struct pgw_timer drain_timer;
@@ -177,6 +182,8 @@
 /* engine.c */
 void engine_init(struct engine *engine, struct sidecar *sidecar);
 void engine_dispose(struct engine *engine);
+/** sidecar_takes_work() - neither stopped nor declared leaving */
+bool sidecar_takes_work(const struct sidecar *sidecar);
 /** engine_suspect() - a request failed as if the engine had died; ask it until
  * it has told that it lives after @doubt_us */
 void engine_suspect(struct engine *engine, uint64_t doubt_us);
--- a/tests/failure/fail_sidecar_frames.c
+++ b/tests/failure/fail_sidecar_frames.c
@@ -284,6 +284,56 @@
 }
 
 /* Two bodies fit into the memory for waiting requests, a third does not. */
+static bool
+is_leaving(void *data)
+{
+    JsonNode *status = harness_get_json(fleet_admin_url(data, "/status"));
+    bool leaving = json_node_get_boolean(harness_json(status, "leaving"));
+
+    json_node_unref(status);
+    return leaving;
+}
+
+static bool
+is_joined(void *data)
+{
+    return !is_leaving(data);
+}
+
+static void
+declare(struct fleet *fleet, const char *state)
+{
+    fleet_put(fleet, "upstream", "up0",
+              "{\"pool\":\"guide\",\"zone\":\"a\",\"address\":"
+              "\"127.0.0.1:%u\",\"state\":\"%s\"}",
+              harness_process_port(fleet->sidecars[0]), state);
+}
+
+/* The test is an entry that has not heard that the upstream leaves: what it
+ * sends is refused as not run. Declared joined again, it runs. */
+static void
+test_declared_leaving(void)
+{
+    struct fleet *fleet = start_fleet("", NULL);
+    struct harness_process *sidecar = fleet->sidecars[0];
+    struct entry_end *end = greet(sidecar);
+    Pgw__Open open = PGW__OPEN__INIT;
+
+    declare(fleet, "leaving");
+    g_assert_true(harness_wait_until(is_leaving, sidecar, LIMIT_S));
+    fill_open(&open, end, false);
+    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    assert_fail(end, PGW_REFUSAL_LEAVING, PGW_RAN_NO);
+    g_assert_cmpint(engine_requests(fleet), ==, 0);
+    declare(fleet, "joined");
+    g_assert_true(harness_wait_until(is_joined, sidecar, LIMIT_S));
+    open.attempt = 2;
+    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    assert_answered(end);
+    hang_up(end);
+    fleet_free(fleet);
+}
+
 static void
 test_queue_bytes(void)
 {
@@ -380,6 +430,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/sidecar-frames/strangers", test_strangers);
     g_test_add_func("/sidecar-frames/refused-opens", test_refused_opens);
+    g_test_add_func("/sidecar-frames/declared-leaving", test_declared_leaving);
     g_test_add_func("/sidecar-frames/queue-bytes", test_queue_bytes);
     g_test_add_func("/sidecar-frames/entry-lost", test_entry_lost);
     g_test_add_func("/sidecar-frames/shut-window", test_shut_window);
