Measure the memory of workspaces that have called

Two new cases call once for each workspace, with nobody else waiting and with another workspace that always waits.

So a share is kept for each workspace that has called, although nothing of it waits, also when the whole queue is empty.

--- a/bench/microbench/admit.c
+++ b/bench/microbench/admit.c
@@ -5,6 +5,9 @@
 /* Two waiting requests for each workspace. */
 #define ITEMS_PER_WORKSPACE 2
 
+/* Requests of the workspace that always waits: one runs, the others wait. */
+#define BACKLOG 4
+
 struct admit_state {
     struct pgw_admit *admit;
     struct pgw_admit_item *items;
@@ -76,6 +79,65 @@
         PGW_PRIORITY_NORMAL, 500));
 }
 
+/* One request of a workspace, from its offer to its end. */
+static void
+call_run(void *data, uint64_t turn)
+{
+    struct admit_state *state = data;
+    struct pgw_admit_item *item = &state->items[0];
+
+    state->now++;
+    offer(state, item, turn % state->workspaces);
+    if (item->state == PGW_ADMIT_WAITING) {
+        microbench_use(
+            (uintptr_t)pgw_admit_next(state->admit, state->now));
+    }
+    pgw_admit_done(state->admit, item, 0, state->now);
+}
+
+/* All workspaces have called, one after the other. */
+static void *
+called_setup(uint64_t workspaces)
+{
+    struct admit_state *state = g_new0(struct admit_state, 1);
+
+    state->admit = pgw_admit_new(NULL);
+    state->workspaces = workspaces;
+    state->now = 1;
+    state->items = g_new0(struct pgw_admit_item, BACKLOG + 1);
+    for (uint64_t i = 0; i < workspaces; i++) {
+        call_run(state, i);
+    }
+    return state;
+}
+
+/* The same while another one always waits, whose requests are so large that
+ * the virtual time hardly moves. */
+static void *
+backlog_setup(uint64_t workspaces)
+{
+    struct admit_state *state = called_setup(0);
+    struct pgw_admit_answer answer;
+
+    for (size_t i = 1; i <= BACKLOG; i++) {
+        state->items[i] = (struct pgw_admit_item){
+            .workspace = 1,
+            .share = 1,
+            .priority = PGW_PRIORITY_NORMAL,
+            .uncached_tokens = 1000000000,
+        };
+        pgw_admit_offer(&answer, state->admit, &state->items[i], state->now);
+    }
+    /* The first one's prefill is known to be short by now, so that there is
+     * room for the others' requests, and none for its next. */
+    pgw_admit_correct(state->admit, &state->items[1], 1);
+    state->workspaces = workspaces;
+    for (uint64_t i = 0; i < workspaces; i++) {
+        call_run(state, i);
+    }
+    return state;
+}
+
 static void
 admit_teardown(void *data)
 {
@@ -99,5 +161,17 @@
      admit_setup,
      estimate_run,
      admit_teardown},
+    {"admit_call",
+     "workspaces_that_called",
+     {8, 100, 1000, 10000, 29000},
+     called_setup,
+     call_run,
+     admit_teardown},
+    {"admit_call_backlog",
+     "workspaces_that_called",
+     {8, 100, 1000, 10000, 29000},
+     backlog_setup,
+     call_run,
+     admit_teardown},
     {.name = NULL},
 };
