Make a workspace's share smaller

Start time and heap key were the same number, and a workspace either has waiting requests or is linked among those without: 88 bytes become 56, which malloc rounds to 64.

A flow leaves the heap before its start time changes, since the heap compares the key of the one that it takes out.

--- a/src/libparsleygw/fair_queue.c
+++ b/src/libparsleygw/fair_queue.c
@@ -43,7 +43,6 @@
     if (flow == NULL) {
         flow = g_new0(struct pgw_admit_flow, 1);
         flow->workspace = (gint64)workspace;
-        pgw_list_init(&flow->items);
         g_hash_table_add(queue->flows, flow);
     }
     return flow;
@@ -62,10 +61,11 @@
     uint32_t share = MAX(item->share, 1);
 
     if (flow->count == 0) {
-        pgw_list_remove(&flow->idle);
+        pgw_list_remove(&flow->items);
+        pgw_list_init(&flow->items);
         flow->share = share;
-        flow->start = MAX(flow->start, queue->virtual_time);
-        pgw_heap__push(&queue->active, &flow->active, flow->start);
+        pgw_heap__push(&queue->active, &flow->start,
+                       MAX(flow->start.key, queue->virtual_time));
         queue->shares += share;
     }
     else if (flow->share != share) {
@@ -88,7 +88,7 @@
     if (node == NULL) {
         return NULL;
     }
-    return first_item(pgw_container_of(node, struct pgw_admit_flow, active));
+    return first_item(pgw_container_of(node, struct pgw_admit_flow, start));
 }
 
 /* A flow whose start time has passed would start at the virtual time like a
@@ -98,14 +98,14 @@
 {
     for (int i = 0; i < SWEEP_STEPS && !pgw_list_is_empty(&queue->idle); i++) {
         struct pgw_admit_flow *flow =
-            pgw_container_of(queue->idle.next, struct pgw_admit_flow, idle);
+            pgw_container_of(queue->idle.next, struct pgw_admit_flow, items);
 
-        pgw_list_remove(&flow->idle);
-        if (flow->start <= queue->virtual_time) {
+        pgw_list_remove(&flow->items);
+        if (flow->start.key <= queue->virtual_time) {
             g_hash_table_remove(queue->flows, &flow->workspace);
         }
         else {
-            pgw_list_append(&queue->idle, &flow->idle);
+            pgw_list_append(&queue->idle, &flow->items);
         }
     }
 }
@@ -136,9 +136,9 @@
     queue->count--;
     queue->tokens -= item->uncached_tokens;
     if (flow->count == 0) {
-        pgw_heap__remove(&queue->active, &flow->active);
+        pgw_heap__remove(&queue->active, &flow->start);
         queue->shares -= flow->share;
-        pgw_list_append(&queue->idle, &flow->idle);
+        pgw_list_append(&queue->idle, &flow->items);
     }
 }
 
@@ -169,9 +169,10 @@
 {
     struct pgw_admit_flow *flow = item->at.flow;
 
-    queue->virtual_time = MAX(queue->virtual_time, flow->start);
+    queue->virtual_time = MAX(queue->virtual_time, flow->start.key);
+    pgw_heap__remove(&queue->active, &flow->start);
 #ifndef PGW_DISABLE_FAIR_SHARE
-    flow->start += cost / flow->share;
+    flow->start.key += cost / flow->share;
 #else
     (void)cost;
 #endif
@@ -181,8 +182,7 @@
         return;
     }
     if (flow->count > 0) {
-        pgw_heap__remove(&queue->active, &flow->active);
-        pgw_heap__push(&queue->active, &flow->active, flow->start);
+        pgw_heap__push(&queue->active, &flow->start, flow->start.key);
     }
     sweep_idle(queue);
 }
--- a/src/libparsleygw/fair_queue.h
+++ b/src/libparsleygw/fair_queue.h
@@ -23,22 +23,19 @@
  * struct pgw_admit_flow - one workspace's waiting requests
  * @workspace: pgw_level_workspace_hash(); first, as the hash table's key
  * @share: weight, from its latest request
- * @start: virtual start time of its next request
- * @items: waiting, oldest first
- * @count: their number
+ * @count: requests that wait
  * @tokens: their uncached tokens
- * @active: link in the heap while it has items
- * @idle: link among the flows without items
+ * @start: link in the heap while any waits; its key is the virtual start time
+ *     of the next request, also while none does
+ * @items: waiting, oldest first; with none the link among the idle flows
  */
 struct pgw_admit_flow {
     gint64 workspace;
     uint32_t share;
-    double start;
-    struct pgw_list items;
     uint32_t count;
     uint64_t tokens;
-    struct pgw_heap_node active;
-    struct pgw_list idle;
+    struct pgw_heap_node start;
+    struct pgw_list items;
 };
 
 /**
