--- a/src/libparsleygw/fair_queue.h
+++ b/src/libparsleygw/fair_queue.h
@@ -15,36 +15,35 @@
  * requests served; the least is served next. A workspace that comes back
  * starts at the queue's virtual time, so idling saves up nothing. Over any
  * time in which two workspaces both wait, their services divided by share
- * differ by at most one request of each.
+ * differ by at most one request of each. Nothing is remembered beyond the
+ * moment at which nothing waits.
  */
 
 /**
  * struct pgw_admit_flow - one workspace's waiting requests
  * @workspace: pgw_level_workspace_hash(); first, as the hash table's key
  * @share: weight, from its latest request
- * @start: virtual start time of its next request
- * @items: waiting, oldest first
- * @count: their number
+ * @count: requests that wait
  * @tokens: their uncached tokens
- * @active: link in the heap while it has items
- * @idle: link among the flows without items
+ * @start: link in the heap while any waits; its key is the virtual start time
+ *     of the next request, also while none does
+ * @items: waiting, oldest first; with none the link among the idle flows
  */
 struct pgw_admit_flow {
     gint64 workspace;
     uint32_t share;
-    double start;
-    struct pgw_list items;
     uint32_t count;
     uint64_t tokens;
-    struct pgw_heap_node active;
-    struct pgw_list idle;
+    struct pgw_heap_node start;
+    struct pgw_list items;
 };
 
 /**
  * struct pgw_fair_queue - the waiting requests of one priority
  * @flows: by workspace
  * @active: flows with items, by virtual start time
- * @idle: flows without items that are remembered for their start time
+ * @idle: flows without items that are remembered for their start time, as
+ *     long as others wait
  * @virtual_time: virtual start time of the request served last
  * @count: waiting requests
  * @tokens: their uncached tokens
