--- a/bench/bench/fleet.c
+++ b/bench/bench/fleet.c
@@ -244,26 +244,31 @@
                          NULL);
 }
 
+char *
+fleet_admin_url(const struct harness_process *process, const char *path)
+{
+    char *output = harness_process_output(process);
+    const char *line = strstr(output, "admin_port=");
+    unsigned port = line == NULL ? 0
+                                 : (unsigned)g_ascii_strtoull(
+                                       line + strlen("admin_port="), NULL, 10);
+
+    g_free(output);
+    return g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+}
+
 uint64_t
 fleet_entry_status(struct fleet *fleet, unsigned entry, const char *name)
 {
-    char *output = harness_process_output(fleet->entries[entry]);
-    const char *line = strstr(output, "admin_port=");
+    char *url = fleet_admin_url(fleet->entries[entry], "/status");
     struct harness_answer answer;
     uint64_t value = 0;
 
-    if (line != NULL) {
-        unsigned port =
-            (unsigned)g_ascii_strtoull(line + strlen("admin_port="), NULL, 10);
-        char url[64];
-
-        snprintf(url, sizeof(url), "http://127.0.0.1:%u/status", port);
-        if (harness_get(&answer, url) == 200) {
-            value = find_number(answer.body->str, name);
-        }
-        harness_answer_dispose(&answer);
+    if (harness_get(&answer, url) == 200) {
+        value = find_number(answer.body->str, name);
     }
-    g_free(output);
+    harness_answer_dispose(&answer);
+    g_free(url);
     return value;
 }
 
--- a/bench/bench/fleet.h
+++ b/bench/bench/fleet.h
@@ -78,6 +78,10 @@
 uint64_t fleet_entry_status(struct fleet *fleet, unsigned entry,
                             const char *name);
 
+/** fleet_admin_url() - a path of a daemon's admin port, with g_free() to
+ * release; the process has told its port in its log */
+char *fleet_admin_url(const struct harness_process *process, const char *path);
+
 /** fleet_prefilled() - prompt tokens that all engines computed so far */
 uint64_t fleet_prefilled(struct fleet *fleet);
 
--- a/bench/bench/overhead.c
+++ b/bench/bench/overhead.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 
+#include "hops.h"
 #include "measure.h"
 #include "run.h"
 
@@ -141,6 +142,7 @@
     GArray *schedules[2];
     struct load *loads[2];
     struct path_times times[2];
+    static const unsigned percents[] = {50, 95, 99};
 
     for (unsigned i = 0; i < 2; i++) {
         bool direct = i == 1;
@@ -163,7 +165,8 @@
     write_number(out, "rate", options->rate);
     write_times(out, "through_entry", &times[0]);
     write_times(out, "direct", &times[1]);
-    for (unsigned percent = 50; percent <= 99; percent += 49) {
+    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        unsigned percent = percents[i];
         char *name = g_strdup_printf("added_ttft_p%u_ms", percent);
 
         write_number(out, name,
@@ -174,6 +177,7 @@
     write_number(out, "entry_cores",
                  (double)fleet_cpu_us(fleet->entries[0]) /
                      ((SETTLE_S + OVERHEAD_S) * US_PER_S));
+    hops_write(out, fleet);
     for (unsigned i = 0; i < 2; i++) {
         path_times_dispose(&times[i]);
         load_free(loads[i]);
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -1,5 +1,6 @@
 #include "util/loop.h"
 #include "parsleygw/errors.h"
+#include "util/metric.h"
 #include <errno.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -9,6 +10,12 @@
 
 #define LOOP_EVENTS 128
 
+static struct pgw_metric_histogram turn = {
+    .name = "pgw_loop_turn_seconds",
+    .help = "Time in which an event loop served what was ready and heard "
+            "nothing else",
+};
+
 struct pgw_loop {
     int epoll_fd;
     struct pgw_loop_fd wake;
@@ -289,9 +296,13 @@
 void
 pgw_loop_run(struct pgw_loop *loop)
 {
+    pgw_metric_register_histogram(&turn);
     while (!atomic_load(&loop->stop)) {
+        uint64_t began_us;
+
         loop->ready_count = epoll_wait(loop->epoll_fd, loop->ready,
                                        LOOP_EVENTS, loop_timeout_ms(loop));
+        began_us = pgw_now_us();
         for (int i = 0; i < loop->ready_count; i++) {
             struct pgw_loop_fd *watch = loop->ready[i].data.ptr;
 
@@ -304,5 +315,6 @@
         loop->ready_index = 0;
         loop_run_timers(loop);
         pgw_loop_run_tasks(loop);
+        pgw_metric_histogram_record_us(&turn, pgw_now_us() - began_us);
     }
 }
