--- a/bench/bench/overhead.c
+++ b/bench/bench/overhead.c
@@ -79,12 +79,34 @@
     json_builder_add_int_value(out, (gint64)count);
 }
 
+/**
+ * struct path_times - calls of one side
+ * @failures: counts by outcome and code, of GUINT_TO_POINTER()
+ */
 struct path_times {
     GArray *first;
     GArray *total;
     uint64_t failed;
+    GHashTable *failures;
 };
 
+static void
+count_failure(struct path_times *times, const struct load_result *result)
+{
+    static const char *const outcomes[] = {
+        [OUTCOME_ANSWERED] = "answered", [OUTCOME_REFUSED] = "refused",
+        [OUTCOME_BROKEN] = "broken",     [OUTCOME_LOST] = "lost",
+        [OUTCOME_WRONG] = "wrong",
+    };
+    char *name =
+        g_strdup_printf("%s %s", outcomes[result->outcome], result->code);
+    guint count =
+        GPOINTER_TO_UINT(g_hash_table_lookup(times->failures, name)) + 1;
+
+    times->failed++;
+    g_hash_table_replace(times->failures, name, GUINT_TO_POINTER(count));
+}
+
 /* Counted from the actual send: how late this process was is not part of the
  * path, and the calls are sent at their pace either way. */
 static void
@@ -94,6 +116,8 @@
     *out = (struct path_times){
         .first = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
         .total = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+        .failures =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
     };
     for (guint i = 0; i < schedule->len; i++) {
         const struct load_result *result = &results[i];
@@ -101,7 +125,7 @@
         uint64_t total = result->total_us - result->late_us;
 
         if (result->outcome != OUTCOME_ANSWERED) {
-            out->failed++;
+            count_failure(out, result);
         }
         else if ((double)g_array_index(schedule, struct arrival, i).at_us >=
                  SETTLE_S * US_PER_S) {
@@ -116,6 +140,25 @@
 {
     g_array_unref(times->first);
     g_array_unref(times->total);
+    g_hash_table_unref(times->failures);
+}
+
+/* What became of the calls that got no whole answer. */
+static void
+write_failures(JsonBuilder *out, const struct path_times *times)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gpointer count;
+
+    write_count(out, "failed", times->failed);
+    json_builder_set_member_name(out, "failures");
+    json_builder_begin_object(out);
+    g_hash_table_iter_init(&iter, times->failures);
+    while (g_hash_table_iter_next(&iter, &name, &count)) {
+        write_count(out, name, GPOINTER_TO_UINT(count));
+    }
+    json_builder_end_object(out);
 }
 
 static void
@@ -123,7 +166,7 @@
 {
     json_builder_set_member_name(out, name);
     json_builder_begin_object(out);
-    write_count(out, "failed", times->failed);
+    write_failures(out, times);
     measure_write_percentiles(out, "ttft_ms", times->first);
     measure_write_percentiles(out, "total_ms", times->total);
     json_builder_end_object(out);
@@ -258,7 +301,7 @@
     results = load_finish(load);
     collect(&times, schedule, results);
     write_count(out, "calls", schedule->len);
-    write_count(out, "failed", times.failed);
+    write_failures(out, &times);
     write_count(out, "most_streaming", most_streaming(schedule, results));
     write_count(out, "entry_idle_rss_kb", idle_kb);
     write_count(out, "entry_peak_rss_kb", peak_kb);
@@ -303,7 +346,7 @@
     write_number(out, "offered_per_s", rate);
     write_number(out, "answered_per_s",
                  (double)(schedule->len - times.failed) * US_PER_S / wall_us);
-    write_count(out, "failed", times.failed);
+    write_failures(out, &times);
     write_number(out, "entry_cores", cores);
     measure_write_percentiles(out, "ttft_ms", times.first);
     json_builder_end_object(out);
