--- a/src/util/json_scan.c
+++ b/src/util/json_scan.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-/* Twice what the largest number needs; a longer text is none of ours. */
-#define HEX_TEXT_SIZE 33
+/* They hold the largest number; a longer text is none of ours. */
+#define HEX_DIGITS_MAX 16
 
 static bool
 fail(struct pgw_json_scan *scan)
@@ -189,19 +189,37 @@
     return value;
 }
 
+/* The library's conversion copies, looks at the locale's tables and was a
+ * quarter of the time of a list. Negative for anything but a digit. */
+static int
+hex_digit(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    c |= 0x20;
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
 uint64_t
 pgw_json_scan_hex(struct pgw_json_scan *scan)
 {
     struct pgw_json_text text;
-    char digits[HEX_TEXT_SIZE];
+    uint64_t value = 0;
 
     pgw_json_scan_text(scan, &text);
-    if (text.size >= sizeof(digits)) {
+    if (text.size > HEX_DIGITS_MAX) {
         return 0;
     }
-    memcpy(digits, text.start, text.size);
-    digits[text.size] = '\0';
-    return g_ascii_strtoull(digits, NULL, 16);
+    for (size_t i = 0; i < text.size; i++) {
+        int digit = hex_digit(text.start[i]);
+
+        if (digit < 0) {
+            return 0;
+        }
+        value = value << 4 | (uint64_t)digit;
+    }
+    return value;
 }
 
 bool
--- a/src/util/json_scan.h
+++ b/src/util/json_scan.h
@@ -90,7 +90,7 @@
 /** pgw_json_scan_uint() - read a whole number; 0 for any other value */
 uint64_t pgw_json_scan_uint(struct pgw_json_scan *scan);
 
-/** pgw_json_scan_hex() - read a number from a string of up to 32 hexadecimal
+/** pgw_json_scan_hex() - read a number from a string of up to 16 hexadecimal
  * digits; 0 for any other value */
 uint64_t pgw_json_scan_hex(struct pgw_json_scan *scan);
 
