Take an engine's long answers a slice a turn

Cause: the tail that was left came about once a second from turns of 4 to 8 ms: an engine whose delay falls tells thousands of events at once, and a gap has all 4,096 blocks read. Both are now read and taken 64 entries a turn of the loop. Nothing of an answer counts before it was read whole, as before; events out of order are sorted when it is.

--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -1,4 +1,3 @@
-#include "sidecar/engine_list.h"
 #include "sidecar/fetch.h"
 #include "sidecar/gate.h"
 #include "sidecar/orders.h"
@@ -15,6 +14,8 @@
 #define EVENTS_PAUSE_US UINT64_C(10000)
 #define EVENTS_GRACE_MS 1000L
 #define BLOCKS_TIMEOUT_MS 2000L
+/* Entries of a list that one turn of the loop takes; less than 0.1 ms. */
+#define LIST_SLICE ((size_t)64)
 
 static char *
 engine_url(const struct engine *engine, const char *path)
@@ -116,36 +117,91 @@
 }
 
 static struct pgw_cache_source
-list_source(const struct engine_list *list, uint64_t asked_us)
+list_source(const struct engine_answer *answer)
 {
     return (struct pgw_cache_source){
-        .incarnation = list->incarnation,
-        .version = list->version,
-        .asked = asked_us,
+        .incarnation = answer->list.incarnation,
+        .version = answer->list.version,
+        .asked = answer->asked_us,
     };
 }
 
+static void
+answer_dispose(struct engine *engine, struct engine_answer *answer)
+{
+    pgw_timer_stop(engine->sidecar->loop, &answer->timer);
+    engine_list_dispose(&answer->list);
+    g_clear_pointer(&answer->text, g_free);
+}
+
+/*
+ * An engine that lost time tells thousands of events at once. Taken in one
+ * turn of the loop, they would hold up every probe and token for as many
+ * microseconds; so each turn takes a few and others come in between.
+ */
+static void
+answer_begin(struct engine_answer *answer, const char *text, size_t size,
+             uint64_t asked_us)
+{
+    answer->text = g_memdup2(text, size);
+    answer->asked_us = asked_us;
+    answer->whole = false;
+    answer->taken = 0;
+    engine_list_init(&answer->list, answer->text, size);
+    answer->timer.on_due(&answer->timer);
+}
+
+static void
+answer_continue(struct engine *engine, struct engine_answer *answer)
+{
+    pgw_timer_start(engine->sidecar->loop, &answer->timer, 0);
+}
+
+static void
+blocks_take(struct engine *engine)
+{
+    struct engine_answer *answer = &engine->blocks_answer;
+    struct pgw_cache_source source = list_source(answer);
+    const GArray *blocks = answer->list.blocks;
+
+    if (blocks == NULL) {
+        return;
+    }
+    pgw_cache_sync(engine->sidecar->cache, &source, answer->list.last,
+                   (const struct pgw_cache_block *)blocks->data, blocks->len,
+                   pgw_now_us());
+    pgw_trace_record(engine->sidecar->trace, PGW_TRACE_RESYNC, NULL, 0,
+                     blocks->len, 0, NULL);
+}
+
+static void
+blocks_read(struct pgw_timer *timer)
+{
+    struct engine *engine =
+        pgw_container_of(timer, struct engine, blocks_answer.timer);
+    enum engine_list_state state =
+        engine_list_read(&engine->blocks_answer.list, LIST_SLICE);
+
+    if (state == ENGINE_LIST_MORE) {
+        answer_continue(engine, &engine->blocks_answer);
+        return;
+    }
+    if (state == ENGINE_LIST_WHOLE) {
+        blocks_take(engine);
+    }
+    answer_dispose(engine, &engine->blocks_answer);
+}
+
 static void
 blocks_done(void *context, long status, const char *text, size_t size,
             uint64_t asked_us)
 {
     struct engine *engine = context;
-    struct pgw_cache_source source;
-    struct engine_list list;
 
     engine->blocks = NULL;
-    if (status != 200 || !engine_list_read(&list, text, size)) {
-        return;
-    }
-    if (list.blocks != NULL) {
-        source = list_source(&list, asked_us);
-        pgw_cache_sync(engine->sidecar->cache, &source, list.last,
-                       (const struct pgw_cache_block *)list.blocks->data,
-                       list.blocks->len, pgw_now_us());
-        pgw_trace_record(engine->sidecar->trace, PGW_TRACE_RESYNC, NULL, 0,
-                         list.blocks->len, 0, NULL);
+    if (status == 200) {
+        answer_begin(&engine->blocks_answer, text, size, asked_us);
     }
-    engine_list_dispose(&list);
 }
 
 static void
@@ -153,7 +209,7 @@
 {
     char *url;
 
-    if (engine->blocks != NULL ||
+    if (engine->blocks != NULL || engine->blocks_answer.text != NULL ||
         !pgw_cache_wants_sync(engine->sidecar->cache, pgw_now_us())) {
         return;
     }
@@ -163,27 +219,75 @@
     g_free(url);
 }
 
-static void
-events_take(struct engine *engine, const struct engine_list *list,
-            const struct pgw_cache_source *source)
+/* Takes some of the events that were read. Return: whether any are left. */
+static bool
+events_take(struct engine *engine)
 {
+    struct engine_answer *answer = &engine->events_answer;
     struct pgw_cache *cache = engine->sidecar->cache;
+    struct pgw_cache_source source = list_source(answer);
+    GArray *events = answer->list.events;
+    size_t left = events == NULL ? 0 : events->len - answer->taken;
+    size_t count = MIN(left, LIST_SLICE);
     struct pgw_cache_stats before;
     struct pgw_cache_stats after;
-    struct pgw_cache_event *events = NULL;
-    size_t count = 0;
 
-    if (list->events != NULL) {
-        events = (struct pgw_cache_event *)list->events->data;
-        count = list->events->len;
-    }
     pgw_cache_stats_get(&before, cache);
-    pgw_cache_apply(cache, source, events, count, list->last, pgw_now_us());
+    pgw_cache_apply(cache, &source,
+                    count == 0 ? NULL
+                               : &g_array_index(events, struct pgw_cache_event,
+                                                answer->taken),
+                    count, count == left ? answer->list.last : 0,
+                    pgw_now_us());
     pgw_cache_stats_get(&after, cache);
+    answer->taken += count;
     if (after.gaps > before.gaps) {
         pgw_trace_record(engine->sidecar->trace, PGW_TRACE_EVENT_GAP, NULL, 0,
                          pgw_cache_last_seq(cache), 0, NULL);
     }
+    return count < left;
+}
+
+static void
+events_end(struct engine *engine, uint64_t pause_us)
+{
+    answer_dispose(engine, &engine->events_answer);
+    pgw_timer_start(engine->sidecar->loop, &engine->events_timer, pause_us);
+}
+
+static void
+events_read(struct pgw_timer *timer)
+{
+    struct engine *engine =
+        pgw_container_of(timer, struct engine, events_answer.timer);
+    struct engine_answer *answer = &engine->events_answer;
+    struct pgw_cache_source source;
+
+    if (!answer->whole) {
+        enum engine_list_state state =
+            engine_list_read(&answer->list, LIST_SLICE);
+
+        if (state == ENGINE_LIST_BROKEN) {
+            events_end(engine, EVENTS_RETRY_US);
+            return;
+        }
+        answer->whole = state == ENGINE_LIST_WHOLE;
+        if (!answer->whole) {
+            answer_continue(engine, answer);
+            return;
+        }
+    }
+    source = list_source(answer);
+    if (engine_take_identity(engine, &source)) {
+        if (events_take(engine)) {
+            answer_continue(engine, answer);
+            return;
+        }
+        blocks_start_if_wanted(engine);
+    }
+    /* Polls that are answered at once would keep both processes busy; a busy
+     * engine's events are collected for a moment instead. */
+    events_end(engine, EVENTS_PAUSE_US);
 }
 
 static void
@@ -191,25 +295,14 @@
             uint64_t asked_us)
 {
     struct engine *engine = context;
-    struct pgw_cache_source source;
-    struct engine_list list;
 
     engine->events = NULL;
-    if (status != 200 || !engine_list_read(&list, text, size)) {
+    if (status != 200) {
         pgw_timer_start(engine->sidecar->loop, &engine->events_timer,
                         EVENTS_RETRY_US);
         return;
     }
-    source = list_source(&list, asked_us);
-    if (engine_take_identity(engine, &source)) {
-        events_take(engine, &list, &source);
-        blocks_start_if_wanted(engine);
-    }
-    engine_list_dispose(&list);
-    /* Polls that are answered at once would keep both processes busy; a busy
-     * engine's events are collected for a moment instead. */
-    pgw_timer_start(engine->sidecar->loop, &engine->events_timer,
-                    EVENTS_PAUSE_US);
+    answer_begin(&engine->events_answer, text, size, asked_us);
 }
 
 static void
@@ -243,6 +336,8 @@
         .version = g_strdup(""),
         .status_timer.on_due = status_due,
         .events_timer.on_due = events_due,
+        .events_answer.timer.on_due = events_read,
+        .blocks_answer.timer.on_due = blocks_read,
     };
     if (!sidecar->is_model) {
         engine->alive = true;
@@ -271,6 +366,8 @@
     fetch_cancel(engine->status);
     fetch_cancel(engine->events);
     fetch_cancel(engine->blocks);
+    answer_dispose(engine, &engine->events_answer);
+    answer_dispose(engine, &engine->blocks_answer);
     g_free(engine->model);
     g_free(engine->version);
 }
--- a/src/sidecar/engine_list.c
+++ b/src/sidecar/engine_list.c
@@ -98,86 +98,133 @@
     g_array_append_val(blocks, block);
 }
 
-/* Return: NULL when the value is no array. A name that comes twice counts as
- * it is found last. */
-static GArray *
-read_array(GArray *before, size_t size, struct pgw_json_scan *scan,
-           void (*read)(GArray *array, struct pgw_json_scan *scan))
+/* A name that comes twice counts as it is found last. */
+static void
+begin_array(struct engine_list *list, GArray **array, size_t size,
+            void (*read)(GArray *array, struct pgw_json_scan *scan))
 {
-    GArray *array;
+    g_clear_pointer(array, g_array_unref);
+    if (!pgw_json_scan_is(&list->scan, '[')) {
+        pgw_json_scan_skip(&list->scan);
+        return;
+    }
+    pgw_json_scan_enter(&list->scan, '[');
+    *array = g_array_new(FALSE, FALSE, (guint)size);
+    list->array = *array;
+    list->read = read;
+}
 
-    if (before != NULL) {
-        g_array_unref(before);
+static void
+read_item(struct engine_list *list)
+{
+    if (!pgw_json_scan_item(&list->scan)) {
+        list->array = NULL;
     }
-    if (!pgw_json_scan_is(scan, '[')) {
-        pgw_json_scan_skip(scan);
-        return NULL;
+    else if (pgw_json_scan_is(&list->scan, '{')) {
+        list->read(list->array, &list->scan);
     }
-    array = g_array_new(FALSE, FALSE, (guint)size);
-    pgw_json_scan_enter(scan, '[');
-    while (pgw_json_scan_item(scan)) {
-        if (pgw_json_scan_is(scan, '{')) {
-            read(array, scan);
-        }
-        else {
-            pgw_json_scan_skip(scan);
-        }
+    else {
+        pgw_json_scan_skip(&list->scan);
     }
-    return array;
 }
 
 static void
-read_version(struct engine_list *out, struct pgw_json_scan *scan)
+read_version(struct engine_list *list)
 {
     struct pgw_json_text text;
 
-    pgw_json_scan_text(scan, &text);
-    g_free(out->version);
-    out->version = pgw_json_text_dup(&text);
+    pgw_json_scan_text(&list->scan, &text);
+    g_free(list->version);
+    list->version = pgw_json_text_dup(&text);
 }
 
 static void
-read_member(struct engine_list *out, struct pgw_json_scan *scan,
-            const struct pgw_json_text *name)
+read_member(struct engine_list *list, const struct pgw_json_text *name)
 {
     if (pgw_json_text_is(name, "incarnation")) {
-        out->incarnation = pgw_json_scan_hex(scan);
+        list->incarnation = pgw_json_scan_hex(&list->scan);
     }
     else if (pgw_json_text_is(name, "version")) {
-        read_version(out, scan);
+        read_version(list);
     }
     else if (pgw_json_text_is(name, "last")) {
-        out->last = pgw_json_scan_uint(scan);
+        list->last = pgw_json_scan_uint(&list->scan);
     }
     else if (pgw_json_text_is(name, "events")) {
-        out->events = read_array(out->events, sizeof(struct pgw_cache_event),
-                                 scan, read_event);
+        begin_array(list, &list->events, sizeof(struct pgw_cache_event),
+                    read_event);
     }
     else if (pgw_json_text_is(name, "blocks")) {
-        out->blocks = read_array(out->blocks, sizeof(struct pgw_cache_block),
-                                 scan, read_block);
+        begin_array(list, &list->blocks, sizeof(struct pgw_cache_block),
+                    read_block);
     }
     else {
-        pgw_json_scan_skip(scan);
+        pgw_json_scan_skip(&list->scan);
     }
 }
 
-bool
-engine_list_read(struct engine_list *out, const char *text, size_t size)
+void
+engine_list_init(struct engine_list *out, const char *text, size_t size)
 {
-    struct pgw_json_scan scan = PGW_JSON_SCAN(text, size);
-    struct pgw_json_text name;
+    *out = (struct engine_list){
+        .version = g_strdup(""),
+        .scan = PGW_JSON_SCAN(text, size),
+    };
+    pgw_json_scan_enter(&out->scan, '{');
+}
+
+static gint
+compare_seq(gconstpointer a, gconstpointer b)
+{
+    const struct pgw_cache_event *left = a;
+    const struct pgw_cache_event *right = b;
 
-    *out = (struct engine_list){.version = g_strdup("")};
-    pgw_json_scan_enter(&scan, '{');
-    while (pgw_json_scan_member(&scan, &name)) {
-        read_member(out, &scan, &name);
+    return (left->seq > right->seq) - (left->seq < right->seq);
+}
+
+/* An event that comes after its successor looks like a gap to whoever takes
+ * them a few at a time. They mostly come in order. */
+static void
+sort_events(GArray *events)
+{
+    for (guint i = 1; events != NULL && i < events->len; i++) {
+        if (compare_seq(&g_array_index(events, struct pgw_cache_event, i - 1),
+                        &g_array_index(events, struct pgw_cache_event, i)) >
+            0) {
+            g_array_sort(events, compare_seq);
+            return;
+        }
     }
-    if (pgw_json_scan_done(&scan) && g_utf8_validate(out->version, -1, NULL)) {
-        return true;
+}
+
+static enum engine_list_state
+end(struct engine_list *list)
+{
+    if (!pgw_json_scan_done(&list->scan) ||
+        !g_utf8_validate(list->version, -1, NULL)) {
+        return ENGINE_LIST_BROKEN;
     }
-    engine_list_dispose(out);
-    return false;
+    sort_events(list->events);
+    return ENGINE_LIST_WHOLE;
+}
+
+enum engine_list_state
+engine_list_read(struct engine_list *list, size_t most)
+{
+    struct pgw_json_text name;
+
+    for (size_t i = 0; i < most; i++) {
+        if (list->array != NULL) {
+            read_item(list);
+        }
+        else if (pgw_json_scan_member(&list->scan, &name)) {
+            read_member(list, &name);
+        }
+        else {
+            return end(list);
+        }
+    }
+    return ENGINE_LIST_MORE;
 }
 
 void
@@ -186,4 +233,5 @@
     g_clear_pointer(&list->version, g_free);
     g_clear_pointer(&list->events, g_array_unref);
     g_clear_pointer(&list->blocks, g_array_unref);
+    list->array = NULL;
 }
--- a/src/sidecar/engine_list.h
+++ b/src/sidecar/engine_list.h
@@ -2,14 +2,30 @@
 #define PGW_SIDECAR_ENGINE_LIST_H
 
 #include "parsleygw/cache.h"
+#include "util/json_scan.h"
+
+/** enum engine_list_state - how far an answer is read
+ * @ENGINE_LIST_MORE: not to its end
+ * @ENGINE_LIST_WHOLE: to its end
+ * @ENGINE_LIST_BROKEN: it is no JSON object; nothing of it counts
+ */
+enum engine_list_state {
+    ENGINE_LIST_MORE,
+    ENGINE_LIST_WHOLE,
+    ENGINE_LIST_BROKEN,
+};
 
 /**
  * struct engine_list - what an engine answers to /events or /blocks
  * @incarnation: of the engine; 0 when it is missing
  * @version: of its weights; "" when it is missing
  * @last: number of the last event that the answer covers
- * @events: array of struct pgw_cache_event, NULL without a list of that name
+ * @events: array of struct pgw_cache_event, by their numbers once it is whole;
+ *     NULL without a list of that name
  * @blocks: array of struct pgw_cache_block, likewise
+ * @scan: what is still to be read
+ * @array: one of both arrays while it is read, else NULL
+ * @read: reads one entry of @array
  */
 struct engine_list {
     uint64_t incarnation;
@@ -17,21 +33,29 @@
     uint64_t last;
     GArray *events;
     GArray *blocks;
+    struct pgw_json_scan scan;
+    GArray *array;
+    void (*read)(GArray *array, struct pgw_json_scan *scan);
 };
 
 /**
- * engine_list_read() - read an answer
- * @out: receives it; dispose of it after true only
- * @text: JSON, which may be of thousands of events
+ * engine_list_init() - begin to read an answer
+ * @out: to be disposed of in any case
+ * @text: JSON of thousands of events at times; must stay until it is read
  * @size: its bytes
+ */
+void engine_list_init(struct engine_list *out, const char *text, size_t size);
+
+/**
+ * engine_list_read() - read on
+ * @list: the answer
+ * @most: entries to read at most, so that others get their turn in between
  *
  * Events of an unknown kind and entries that are no objects are left out.
- *
- * Return: false when the text is no JSON object; then nothing of it counts.
  */
-bool engine_list_read(struct engine_list *out, const char *text, size_t size);
+enum engine_list_state engine_list_read(struct engine_list *list, size_t most);
 
-/** engine_list_dispose() - free what engine_list_read() made */
+/** engine_list_dispose() - free what was read */
 void engine_list_dispose(struct engine_list *list);
 
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -9,6 +9,7 @@
 #include "parsleygw/cache.h"
 #include "parsleygw/config.h"
 #include "parsleygw/settings.h"
+#include "sidecar/engine_list.h"
 #include "util/metric.h"
 #include "util/trace.h"
 #include "util/transfer.h"
@@ -27,6 +28,24 @@
 struct peer;
 struct run;
 
+/**
+ * struct engine_answer - a long answer that is taken in slices
+ * @timer: its next slice
+ * @text: the answer, NULL while there is none
+ * @asked_us: when it was asked for
+ * @list: what was read of it
+ * @whole: all of it was read
+ * @taken: events that the cache has
+ */
+struct engine_answer {
+    struct pgw_timer timer;
+    char *text;
+    uint64_t asked_us;
+    struct engine_list list;
+    bool whole;
+    size_t taken;
+};
+
 /**
  * struct engine - what is known about the model engine
  * @sidecar: owner
@@ -43,6 +62,8 @@
  * @status: request in progress, or NULL
  * @events: poll in progress, or NULL
  * @blocks: list of all blocks in progress, or NULL
+ * @events_answer: answer to a poll
+ * @blocks_answer: list of all blocks
  */
 struct engine {
     struct sidecar *sidecar;
@@ -58,6 +79,8 @@
     struct fetch *status;
     struct fetch *events;
     struct fetch *blocks;
+    struct engine_answer events_answer;
+    struct engine_answer blocks_answer;
 };
 
 /**
