Compare an engine's full list without sorting it

The list was sorted and each known block searched in it; now the listed blocks are marked and the others evicted.

--- a/src/libparsleygw/cache.c
+++ b/src/libparsleygw/cache.c
@@ -353,40 +353,31 @@
     cache->last_seq = MAX(cache->last_seq, last);
 }
 
-static int
-compare_blocks(const void *a, const void *b)
-{
-    const uint64_t left = *(const uint64_t *)a;
-    const uint64_t right = *(const uint64_t *)b;
-
-    return (left > right) - (left < right);
-}
-
-/* Evicts every block that the sorted list of @ids does not name. */
+/* Evicts every block that is not among @blocks. */
 static void
-evict_unlisted(struct pgw_cache__table *table, const uint64_t *ids, size_t n)
+evict_unlisted(struct pgw_cache__table *table,
+               const struct pgw_cache_block *blocks, size_t n)
 {
-    GHashTableIter iter;
-    gpointer value;
-    GPtrArray *gone = g_ptr_array_new();
-
-    g_hash_table_iter_init(&iter, table->blocks);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct pgw_cache__block *block = value;
-        uint64_t id = (uint64_t)block->id;
-
-        if (block->valid_until != 0 &&
-            (n == 0 ||
-             bsearch(&id, ids, n, sizeof(id), compare_blocks) == NULL)) {
-            g_ptr_array_add(gone, block);
+    for (size_t i = 0; i < n; i++) {
+        struct pgw_cache__block *block =
+            pgw_cache__block_find(table, blocks[i].block);
+
+        if (block != NULL && block->valid_until != 0) {
+            block->listed = true;
         }
     }
-    /* A present block is only freed by its own eviction, so none of the
-     * pointers dangles. */
-    for (guint i = 0; i < gone->len; i++) {
-        pgw_cache__block_evict(table, g_ptr_array_index(gone, i));
+    /* Only present blocks are in this list, and a present block is only freed
+     * by its own eviction, so the next one stays. */
+    pgw_list_foreach_safe (link, &table->block_lru) {
+        struct pgw_cache__block *block =
+            pgw_container_of(link, struct pgw_cache__block, lru);
+
+        if (!block->listed) {
+            pgw_cache__block_evict(table, block);
+            continue;
+        }
+        block->listed = false;
     }
-    g_ptr_array_unref(gone);
 }
 
 bool
@@ -394,8 +385,6 @@
                uint64_t seq, const struct pgw_cache_block *blocks, size_t n,
                uint64_t now)
 {
-    uint64_t *ids;
-
     if (!pgw_cache_set_engine(cache, source, now)) {
         return false;
     }
@@ -403,13 +392,7 @@
         cache->stats.late++;
         return false;
     }
-    ids = g_new(uint64_t, MAX(n, 1));
-    for (size_t i = 0; i < n; i++) {
-        ids[i] = blocks[i].block;
-    }
-    qsort(ids, n, sizeof(*ids), compare_blocks);
-    evict_unlisted(&cache->table, ids, n);
-    g_free(ids);
+    evict_unlisted(&cache->table, blocks, n);
     for (size_t i = 0; i < n; i++) {
         (void)pgw_cache__block_store(&cache->table, blocks[i].block,
                                      blocks[i].parent);
--- a/src/libparsleygw/cache_table.h
+++ b/src/libparsleygw/cache_table.h
@@ -21,6 +21,7 @@
  * @valid_until: %PGW_CACHE__SURE while certain, else when the hint ends;
  *     0 for an absent block
  * @first: it starts a prompt
+ * @listed: the list that is compared names it
  * @lru: link, least recently touched first
  * @levels: levels that end in it
  */
@@ -29,6 +30,7 @@
     struct pgw_cache__block *parent;
     uint32_t children;
     bool first;
+    bool listed;
     uint64_t valid_until;
     struct pgw_list lru;
     struct pgw_list levels;
