--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -2,7 +2,6 @@
 #include "sidecar/gate.h"
 #include "sidecar/orders.h"
 #include "sidecar/sidecar.h"
-#include "util/hex.h"
 #include "util/log.h"
 
 #define STATUS_INTERVAL_US UINT64_C(500000)
@@ -16,6 +15,8 @@
 #define EVENTS_PAUSE_US UINT64_C(10000)
 #define EVENTS_GRACE_MS 1000L
 #define BLOCKS_TIMEOUT_MS 2000L
+/* Entries of a list that one turn of the loop takes; less than 0.1 ms. */
+#define LIST_SLICE ((size_t)64)
 
 static char *
 engine_url(const struct engine *engine, const char *path)
@@ -50,26 +51,21 @@
 /* An engine said who it is. Anything that it said before it was asked for is
  * ignored by the cache, so a late word of a dead engine changes nothing. */
 static bool
-engine_take_identity(struct engine *engine, JsonObject *body,
-                     uint64_t asked_us)
+engine_take_identity(struct engine *engine,
+                     const struct pgw_cache_source *source)
 {
-    struct pgw_cache_source source = {
-        .incarnation = fetch_object_hex(body, "incarnation"),
-        .version = fetch_object_string(body, "version"),
-        .asked = asked_us,
-    };
     bool changed;
 
-    if (source.incarnation == 0 ||
-        !pgw_cache_set_engine(engine->sidecar->cache, &source, pgw_now_us())) {
+    if (source->incarnation == 0 ||
+        !pgw_cache_set_engine(engine->sidecar->cache, source, pgw_now_us())) {
         return false;
     }
-    changed = source.incarnation != engine->incarnation ||
-              strcmp(source.version, engine->version) != 0;
-    engine->incarnation = source.incarnation;
+    changed = source->incarnation != engine->incarnation ||
+              strcmp(source->version, engine->version) != 0;
+    engine->incarnation = source->incarnation;
     if (changed) {
         g_free(engine->version);
-        engine->version = g_strdup(source.version);
+        engine->version = g_strdup(source->version);
         sidecar_push_state(engine->sidecar);
     }
     return true;
@@ -89,10 +85,14 @@
 status_done(void *context, long status, JsonObject *body, uint64_t asked_us)
 {
     struct engine *engine = context;
+    struct pgw_cache_source source = {.asked = asked_us};
 
     engine->status = NULL;
-    if (status == 200 && body != NULL &&
-        engine_take_identity(engine, body, asked_us)) {
+    if (status == 200 && body != NULL) {
+        source.incarnation = fetch_object_hex(body, "incarnation");
+        source.version = fetch_object_string(body, "version");
+    }
+    if (engine_take_identity(engine, &source)) {
         if (asked_us > engine->doubt_us) {
             engine->status_failures = 0;
         }
@@ -127,96 +127,92 @@
     g_free(url);
 }
 
-static bool
-event_kind_parse(enum pgw_cache_kind *out, const char *name)
+static struct pgw_cache_source
+list_source(const struct engine_answer *answer)
 {
-    static const char *const names[] = {
-        [PGW_CACHE_STORED] = "stored",
-        [PGW_CACHE_USED] = "used",
-        [PGW_CACHE_EVICTED] = "evicted",
-        [PGW_CACHE_CLEARED] = "cleared",
+    return (struct pgw_cache_source){
+        .incarnation = answer->list.incarnation,
+        .version = answer->list.version,
+        .asked = answer->asked_us,
     };
+}
 
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (strcmp(names[i], name) == 0) {
-            *out = (enum pgw_cache_kind)i;
-            return true;
-        }
-    }
-    return false;
+static void
+answer_dispose(struct engine *engine, struct engine_answer *answer)
+{
+    pgw_timer_stop(engine->sidecar->loop, &answer->timer);
+    engine_list_dispose(&answer->list);
+    g_clear_pointer(&answer->text, g_free);
 }
 
-static bool
-event_parse(struct pgw_cache_event *out, JsonNode *node)
+/*
+ * An engine that lost time tells thousands of events at once. Taken in one
+ * turn of the loop, they would hold up every probe and token for as many
+ * microseconds; so each turn takes a few and others come in between.
+ */
+static void
+answer_begin(struct engine_answer *answer, const char *text, size_t size,
+             uint64_t asked_us)
 {
-    JsonObject *object;
+    answer->text = g_memdup2(text, size);
+    answer->asked_us = asked_us;
+    answer->whole = false;
+    answer->taken = 0;
+    engine_list_init(&answer->list, answer->text, size);
+    answer->timer.on_due(&answer->timer);
+}
 
-    if (!JSON_NODE_HOLDS_OBJECT(node)) {
-        return false;
-    }
-    object = json_node_get_object(node);
-    *out = (struct pgw_cache_event){
-        .seq = fetch_object_uint(object, "seq"),
-        .block = fetch_object_hex(object, "block"),
-        .parent = fetch_object_hex(object, "parent"),
-        .end_token = (uint32_t)fetch_object_uint(object, "end_token"),
-    };
-    if (!pgw_request_id_parse(&out->request,
-                              fetch_object_string(object, "request_id"))) {
-        out->request = (struct pgw_request_id){{0}};
-    }
-    return event_kind_parse(&out->kind, fetch_object_string(object, "kind"));
+static void
+answer_continue(struct engine *engine, struct engine_answer *answer)
+{
+    pgw_timer_start(engine->sidecar->loop, &answer->timer, 0);
 }
 
-static JsonArray *
-member_array(JsonObject *object, const char *name)
+static void
+blocks_take(struct engine *engine)
 {
-    JsonNode *node = json_object_get_member(object, name);
+    struct engine_answer *answer = &engine->blocks_answer;
+    struct pgw_cache_source source = list_source(answer);
+    const GArray *blocks = answer->list.blocks;
 
-    return node != NULL && JSON_NODE_HOLDS_ARRAY(node)
-               ? json_node_get_array(node)
-               : NULL;
+    if (blocks == NULL) {
+        return;
+    }
+    pgw_cache_sync(engine->sidecar->cache, &source, answer->list.last,
+                   (const struct pgw_cache_block *)blocks->data, blocks->len,
+                   pgw_now_us());
+    pgw_trace_record(engine->sidecar->trace, PGW_TRACE_RESYNC, NULL, 0,
+                     blocks->len, 0, NULL);
 }
 
 static void
-blocks_done(void *context, long status, JsonObject *body, uint64_t asked_us)
+blocks_read(struct pgw_timer *timer)
 {
-    struct engine *engine = context;
-    JsonArray *array = NULL;
-    struct pgw_cache_block *blocks;
-    guint count;
-    struct pgw_cache_source source;
+    struct engine *engine =
+        pgw_container_of(timer, struct engine, blocks_answer.timer);
+    enum engine_list_state state =
+        engine_list_read(&engine->blocks_answer.list, LIST_SLICE);
 
-    engine->blocks = NULL;
-    if (status == 200 && body != NULL) {
-        array = member_array(body, "blocks");
-    }
-    if (array == NULL) {
+    if (state == ENGINE_LIST_MORE) {
+        answer_continue(engine, &engine->blocks_answer);
         return;
     }
-    count = json_array_get_length(array);
-    blocks = g_new0(struct pgw_cache_block, count + 1);
-    for (guint i = 0; i < count; i++) {
-        JsonNode *node = json_array_get_element(array, i);
+    if (state == ENGINE_LIST_WHOLE) {
+        blocks_take(engine);
+    }
+    answer_dispose(engine, &engine->blocks_answer);
+}
 
-        if (JSON_NODE_HOLDS_OBJECT(node)) {
-            JsonObject *object = json_node_get_object(node);
+static void
+blocks_done(void *context, long status, const char *text, size_t size,
+            uint64_t asked_us)
+{
+    struct engine *engine = context;
 
-            blocks[i].block = fetch_object_hex(object, "block");
-            blocks[i].parent = fetch_object_hex(object, "parent");
-        }
+    engine->blocks = NULL;
+    if (status == 200) {
+        answer_begin(&engine->blocks_answer, text, size, asked_us);
     }
-    source = (struct pgw_cache_source){
-        .incarnation = fetch_object_hex(body, "incarnation"),
-        .version = fetch_object_string(body, "version"),
-        .asked = asked_us,
-    };
-    pgw_cache_sync(engine->sidecar->cache, &source,
-                   fetch_object_uint(body, "last"), blocks, count,
-                   pgw_now_us());
-    pgw_trace_record(engine->sidecar->trace, PGW_TRACE_RESYNC, NULL, 0, count,
-                     0, NULL);
-    g_free(blocks);
 }
 
 static void
@@ -224,66 +220,100 @@
 {
     char *url;
 
-    if (engine->blocks != NULL ||
+    if (engine->blocks != NULL || engine->blocks_answer.text != NULL ||
         !pgw_cache_wants_sync(engine->sidecar->cache, pgw_now_us())) {
         return;
     }
     url = engine_url(engine, "/blocks");
-    engine->blocks = fetch_start(engine->sidecar->transfers, url, NULL,
-                                 BLOCKS_TIMEOUT_MS, blocks_done, engine);
+    engine->blocks = fetch_start_text(engine->sidecar->transfers, url,
+                                      BLOCKS_TIMEOUT_MS, blocks_done, engine);
     g_free(url);
 }
 
-static void
-events_take(struct engine *engine, JsonObject *body, uint64_t asked_us)
+/* Takes some of the events that were read. Return: whether any are left. */
+static bool
+events_take(struct engine *engine)
 {
-    JsonArray *array = member_array(body, "events");
-    guint count = array == NULL ? 0 : json_array_get_length(array);
-    struct pgw_cache_event *events = g_new0(struct pgw_cache_event, count + 1);
-    size_t n = 0;
+    struct engine_answer *answer = &engine->events_answer;
+    struct pgw_cache *cache = engine->sidecar->cache;
+    struct pgw_cache_source source = list_source(answer);
+    GArray *events = answer->list.events;
+    size_t left = events == NULL ? 0 : events->len - answer->taken;
+    size_t count = MIN(left, LIST_SLICE);
     struct pgw_cache_stats before;
     struct pgw_cache_stats after;
-    struct pgw_cache_source source = {
-        .incarnation = fetch_object_hex(body, "incarnation"),
-        .version = fetch_object_string(body, "version"),
-        .asked = asked_us,
-    };
 
-    for (guint i = 0; i < count; i++) {
-        if (event_parse(&events[n], json_array_get_element(array, i))) {
-            n++;
-        }
-    }
-    pgw_cache_stats_get(&before, engine->sidecar->cache);
-    pgw_cache_apply(engine->sidecar->cache, &source, events, n,
-                    fetch_object_uint(body, "last"), pgw_now_us());
-    pgw_cache_stats_get(&after, engine->sidecar->cache);
+    pgw_cache_stats_get(&before, cache);
+    pgw_cache_apply(cache, &source,
+                    count == 0 ? NULL
+                               : &g_array_index(events, struct pgw_cache_event,
+                                                answer->taken),
+                    count, count == left ? answer->list.last : 0,
+                    pgw_now_us());
+    pgw_cache_stats_get(&after, cache);
+    answer->taken += count;
     if (after.gaps > before.gaps) {
         pgw_trace_record(engine->sidecar->trace, PGW_TRACE_EVENT_GAP, NULL, 0,
-                         pgw_cache_last_seq(engine->sidecar->cache), 0, NULL);
+                         pgw_cache_last_seq(cache), 0, NULL);
     }
-    g_free(events);
+    return count < left;
 }
 
 static void
-events_done(void *context, long status, JsonObject *body, uint64_t asked_us)
+events_end(struct engine *engine, uint64_t pause_us)
+{
+    answer_dispose(engine, &engine->events_answer);
+    pgw_timer_start(engine->sidecar->loop, &engine->events_timer, pause_us);
+}
+
+static void
+events_read(struct pgw_timer *timer)
+{
+    struct engine *engine =
+        pgw_container_of(timer, struct engine, events_answer.timer);
+    struct engine_answer *answer = &engine->events_answer;
+    struct pgw_cache_source source;
+
+    if (!answer->whole) {
+        enum engine_list_state state =
+            engine_list_read(&answer->list, LIST_SLICE);
+
+        if (state == ENGINE_LIST_BROKEN) {
+            events_end(engine, EVENTS_RETRY_US);
+            return;
+        }
+        answer->whole = state == ENGINE_LIST_WHOLE;
+        if (!answer->whole) {
+            answer_continue(engine, answer);
+            return;
+        }
+    }
+    source = list_source(answer);
+    if (engine_take_identity(engine, &source)) {
+        if (events_take(engine)) {
+            answer_continue(engine, answer);
+            return;
+        }
+        blocks_start_if_wanted(engine);
+    }
+    /* Polls that are answered at once would keep both processes busy; a busy
+     * engine's events are collected for a moment instead. */
+    events_end(engine, EVENTS_PAUSE_US);
+}
+
+static void
+events_done(void *context, long status, const char *text, size_t size,
+            uint64_t asked_us)
 {
     struct engine *engine = context;
 
     engine->events = NULL;
-    if (status != 200 || body == NULL) {
+    if (status != 200) {
         pgw_timer_start(engine->sidecar->loop, &engine->events_timer,
                         EVENTS_RETRY_US);
         return;
     }
-    if (engine_take_identity(engine, body, asked_us)) {
-        events_take(engine, body, asked_us);
-        blocks_start_if_wanted(engine);
-    }
-    /* Polls that are answered at once would keep both processes busy; a busy
-     * engine's events are collected for a moment instead. */
-    pgw_timer_start(engine->sidecar->loop, &engine->events_timer,
-                    EVENTS_PAUSE_US);
+    answer_begin(&engine->events_answer, text, size, asked_us);
 }
 
 static void
@@ -296,8 +326,8 @@
     char *url = engine_url(engine, path);
 
     engine->events =
-        fetch_start(engine->sidecar->transfers, url, NULL,
-                    (long)wait_ms + EVENTS_GRACE_MS, events_done, engine);
+        fetch_start_text(engine->sidecar->transfers, url,
+                         (long)wait_ms + EVENTS_GRACE_MS, events_done, engine);
     g_free(url);
     g_free(path);
 }
@@ -317,6 +347,8 @@
         .version = g_strdup(""),
         .status_timer.on_due = status_due,
         .events_timer.on_due = events_due,
+        .events_answer.timer.on_due = events_read,
+        .blocks_answer.timer.on_due = blocks_read,
     };
     if (!sidecar->is_model) {
         engine->alive = true;
@@ -351,6 +383,8 @@
     fetch_cancel(engine->status);
     fetch_cancel(engine->events);
     fetch_cancel(engine->blocks);
+    answer_dispose(engine, &engine->events_answer);
+    answer_dispose(engine, &engine->blocks_answer);
     g_free(engine->model);
     g_free(engine->version);
 }
