Let stand-ins hold, reset and repeat what a test of cached data needs

Cause: no test could deliver a dead engine's events after its successor was known, publish an event twice, or read what the sidecar counts as cached. Change: the proxy lifts a fault that a connection keeps ("lift") and passes a reset on, where before the other end waited for ever; the engine publishes a share of its events twice (--event-repeat); the test's end of a sidecar's frames moves from fail_sidecar_frames to the harness, unchanged but for names; a stream's usage is also read where an entry puts it; a second workspace and its call are the harness's. No assertion was changed.

--- a/tests/failure/fail_kv_store.c
+++ b/tests/failure/fail_kv_store.c
@@ -140,19 +140,6 @@
     return ask_with(scene, FLEET_KEY, letter, bytes, question);
 }
 
-static void
-put_other_workspace(struct scene *scene)
-{
-    char *digest =
-        g_compute_checksum_for_string(G_CHECKSUM_SHA256, OTHER_KEY, -1);
-
-    fleet_put(scene->fleet, "workspace", "hostel",
-              "{\"share\":1,\"keys\":[{\"id\":\"k1\",\"sha256\":\"%s\"}]}",
-              digest);
-    fleet_wait_configured(scene->fleet, scene->fleet->entries[0]);
-    g_free(digest);
-}
-
 /* The blocks and the level's entry. */
 static bool
 is_exported(void *data)
@@ -195,7 +182,7 @@
     kill_warm(&scene);
     g_usleep(3 * G_USEC_PER_SEC);
     if (with_store) {
-        put_other_workspace(&scene);
+        fleet_put_workspace(scene.fleet, "hostel", OTHER_KEY);
         g_assert_cmpint(ask_with(&scene, OTHER_KEY, 'a', RULEBOOK_BYTES, 9),
                         ==, 0);
         g_assert_cmpint(ask(&scene, 'a', RULEBOOK_BYTES, 9), >=,
--- a/tests/failure/fail_sidecar_frames.c
+++ b/tests/failure/fail_sidecar_frames.c
@@ -4,129 +4,22 @@
  * End or Fail whose "ran" is true, no place at the upstream stays taken, and
  * who does not speak the protocol is cut off without harm to others.
  */
-#include <arpa/inet.h>
-#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
 
+#include "harness_entry_end.h"
 #include "harness_fleet.h"
-#include "libparsleygw/frame.h"
 #include "parsleygw/types.h"
-#include "util/random.h"
 
 #define LIMIT_S 30
 
-/**
- * struct entry_end - a connection to a sidecar, blocking
- */
-struct entry_end {
-    int fd;
-    struct pgw_buffer in;
-    uint8_t id[PGW_REQUEST_ID_SIZE];
-};
-
-static void
-send_frame(struct entry_end *end, enum pgw_frame_type type,
-           const ProtobufCMessage *message)
-{
-    struct pgw_buffer out = {0};
-
-    pgw_frame_append(&out, type, message);
-    g_assert_cmpint(send(end->fd, pgw_buffer_head(&out), pgw_buffer_size(&out),
-                         MSG_NOSIGNAL),
-                    ==, (ssize_t)pgw_buffer_size(&out));
-    pgw_buffer_dispose(&out);
-}
-
-static struct entry_end *
-connect_only(struct harness_process *sidecar)
-{
-    struct entry_end *end = g_new0(struct entry_end, 1);
-    struct timeval limit = {.tv_sec = LIMIT_S};
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-        .sin_port = htons(harness_process_port(sidecar)),
-    };
-
-    end->fd = socket(AF_INET, SOCK_STREAM, 0);
-    setsockopt(end->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    g_assert_cmpint(
-        connect(end->fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
-    pgw_random_bytes(end->id, sizeof(end->id));
-    return end;
-}
-
-static void
-send_hello(struct entry_end *end, uint32_t protocol)
-{
-    Pgw__Hello hello = PGW__HELLO__INIT;
-
-    hello.protocol = protocol;
-    hello.instance = "test";
-    hello.role = "entry";
-    hello.zone = "a";
-    hello.incarnation = 1;
-    send_frame(end, PGW_FRAME_HELLO, &hello.base);
-}
-
-static struct entry_end *
-greet(struct harness_process *sidecar)
-{
-    struct entry_end *end = connect_only(sidecar);
-
-    send_hello(end, PGW_PROTOCOL);
-    return end;
-}
-
-static void
-hang_up(struct entry_end *end)
-{
-    close(end->fd);
-    pgw_buffer_dispose(&end->in);
-    g_free(end);
-}
-
-/* The next frame of one of the wanted types (a set of bits), or NULL at the
- * end of the connection. */
-static ProtobufCMessage *
-next_frame(struct entry_end *end, uint32_t wanted, enum pgw_frame_type *type)
-{
-    for (;;) {
-        ProtobufCMessage *message = NULL;
-        GError *error = NULL;
-        ssize_t got;
-
-        switch (pgw_frame_take(type, &message, &end->in, &error)) {
-        case PGW_FRAME_TAKEN:
-            if (wanted & (1u << *type)) {
-                return message;
-            }
-            pgw_frame_free(message);
-            continue;
-        case PGW_FRAME_BROKEN:
-            g_error("%s", error->message);
-        default:
-            break;
-        }
-        got = recv(end->fd, pgw_buffer_reserve(&end->in, 65536), 65536, 0);
-        if (got <= 0) {
-            g_assert_true(got == 0 || errno == ECONNRESET);
-            return NULL;
-        }
-        end->in.end += (size_t)got;
-    }
-}
-
 static void
 assert_cut_off(struct entry_end *end)
 {
     enum pgw_frame_type type;
 
-    g_assert_null(next_frame(end, 0, &type));
-    hang_up(end);
+    g_assert_null(entry_end_next(end, 0, &type));
+    entry_end_free(end);
 }
 
 static void
@@ -156,7 +49,7 @@
 assert_fail(struct entry_end *end, enum pgw_refusal code, enum pgw_ran ran)
 {
     enum pgw_frame_type type;
-    Pgw__Fail *fail = (Pgw__Fail *)next_frame(
+    Pgw__Fail *fail = (Pgw__Fail *)entry_end_next(
         end, 1u << PGW_FRAME_FAIL | 1u << PGW_FRAME_END, &type);
 
     g_assert_nonnull(fail);
@@ -173,7 +66,7 @@
 {
     enum pgw_frame_type type;
     ProtobufCMessage *message =
-        next_frame(end, 1u << PGW_FRAME_FAIL | 1u << PGW_FRAME_END, &type);
+        entry_end_next(end, 1u << PGW_FRAME_FAIL | 1u << PGW_FRAME_END, &type);
 
     g_assert_cmpint(type, ==, PGW_FRAME_END);
     pgw_frame_free(message);
@@ -222,22 +115,22 @@
 {
     struct fleet *fleet = start_fleet("", NULL);
     struct harness_process *sidecar = fleet->sidecars[0];
-    struct entry_end *end = connect_only(sidecar);
+    struct entry_end *end = entry_end_connect(sidecar);
     Pgw__Open open = PGW__OPEN__INIT;
     static const char http[] = "GET / HTTP/1.1\r\n\r\n";
 
     g_assert_cmpint(send(end->fd, http, sizeof(http), MSG_NOSIGNAL), ==,
                     (ssize_t)sizeof(http));
     assert_cut_off(end);
-    end = connect_only(sidecar);
-    send_hello(end, PGW_PROTOCOL + 1);
+    end = entry_end_connect(sidecar);
+    entry_end_hello(end, PGW_PROTOCOL + 1);
     assert_cut_off(end);
-    end = connect_only(sidecar);
+    end = entry_end_connect(sidecar);
     fill_open(&open, end, false);
-    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     assert_cut_off(end);
-    end = greet(sidecar);
-    send_hello(end, PGW_PROTOCOL);
+    end = entry_end_greet(sidecar);
+    entry_end_hello(end, PGW_PROTOCOL);
     assert_cut_off(end);
     g_assert_cmpint(engine_requests(fleet), ==, 0);
     fleet_free(fleet);
@@ -247,39 +140,39 @@
 test_refused_opens(void)
 {
     struct fleet *fleet = start_fleet("", NULL);
-    struct entry_end *model = greet(fleet->sidecars[0]);
-    struct entry_end *service = greet(fleet->sidecars[1]);
+    struct entry_end *model = entry_end_greet(fleet->sidecars[0]);
+    struct entry_end *service = entry_end_greet(fleet->sidecars[1]);
     Pgw__Open open = PGW__OPEN__INIT;
 
     /* The engine refuses it as malformed: nothing ran, no other engine would
      * say otherwise, and it is no crash. */
     fill_open(&open, model, false);
     open.resume_from = 99;
-    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(model, PGW_FRAME_OPEN, &open.base);
     assert_fail(model, PGW_REFUSAL_BAD_REQUEST, PGW_RAN_NO);
     fill_open(&open, model, false);
     open.resume_from = 0;
     open.attempt = 2;
     open.version = "w9";
-    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(model, PGW_FRAME_OPEN, &open.base);
     assert_fail(model, PGW_REFUSAL_STALE, PGW_RAN_NO);
     fill_open(&open, model, true);
     open.attempt = 3;
-    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(model, PGW_FRAME_OPEN, &open.base);
     assert_fail(model, PGW_REFUSAL_INTERNAL, PGW_RAN_NO);
     fill_open(&open, service, false);
-    send_frame(service, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(service, PGW_FRAME_OPEN, &open.base);
     assert_fail(service, PGW_REFUSAL_INTERNAL, PGW_RAN_NO);
     /* An Open sent twice runs once; frames for unknown attempts are nothing.
      */
     fill_open(&open, model, false);
     open.attempt = 4;
-    send_frame(model, PGW_FRAME_OPEN, &open.base);
-    send_frame(model, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(model, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(model, PGW_FRAME_OPEN, &open.base);
     assert_answered(model);
     g_assert_cmpint(engine_requests(fleet), ==, 1);
-    hang_up(model);
-    hang_up(service);
+    entry_end_free(model);
+    entry_end_free(service);
     fleet_free(fleet);
 }
 
@@ -289,7 +182,7 @@
 {
     struct fleet *fleet =
         start_fleet(",\"max_running\":1,\"queue_bytes\":2500", NULL);
-    struct entry_end *end = greet(fleet->sidecars[0]);
+    struct entry_end *end = entry_end_greet(fleet->sidecars[0]);
     Pgw__Open open = PGW__OPEN__INIT;
     char *body = g_strnfill(1200, 'b');
 
@@ -299,11 +192,11 @@
     open.body.len = strlen(body);
     for (unsigned i = 0; i < 4; i++) {
         open.attempt = i + 1;
-        send_frame(end, PGW_FRAME_OPEN, &open.base);
+        entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     }
     assert_fail(end, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO);
     g_assert_cmpint(fleet_status_int(fleet->sidecars[0], "waiting"), <=, 2);
-    hang_up(end);
+    entry_end_free(end);
     assert_idle(fleet->sidecars[0]);
     g_free(body);
     fleet_free(fleet);
@@ -315,7 +208,7 @@
 test_entry_lost(void)
 {
     struct fleet *fleet = start_fleet(",\"max_running\":1", NULL);
-    struct entry_end *end = greet(fleet->sidecars[0]);
+    struct entry_end *end = entry_end_greet(fleet->sidecars[0]);
     enum pgw_frame_type type;
     Pgw__Open open = PGW__OPEN__INIT;
 
@@ -325,10 +218,10 @@
         open.attempt = i + 1;
         /* Half of them run out of time about when the entry is lost. */
         open.deadline_ms = i % 2 == 0 ? 60000 : 3000 + i;
-        send_frame(end, PGW_FRAME_OPEN, &open.base);
+        entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     }
-    pgw_frame_free(next_frame(end, 1u << PGW_FRAME_DATA, &type));
-    hang_up(end);
+    pgw_frame_free(entry_end_next(end, 1u << PGW_FRAME_DATA, &type));
+    entry_end_free(end);
     assert_idle(fleet->sidecars[0]);
     g_assert_cmpint(engine_requests(fleet), ==, 1);
     fleet_free(fleet);
@@ -342,7 +235,7 @@
 {
     static const char *const args[] = {"--answer-bytes", "12000", NULL};
     struct fleet *fleet = start_fleet("", args);
-    struct entry_end *end = greet(fleet->sidecars[1]);
+    struct entry_end *end = entry_end_greet(fleet->sidecars[1]);
     Pgw__Open open = PGW__OPEN__INIT;
     enum pgw_frame_type type;
     Pgw__End *whole;
@@ -352,14 +245,14 @@
     open.idempotency_key = "tray-7";
     open.window = 0;
     open.deadline_ms = 1500;
-    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     assert_fail(end, PGW_REFUSAL_DEADLINE, PGW_RAN_UNKNOWN);
     assert_idle(fleet->sidecars[1]);
     open.attempt = 2;
     open.window = 1 << 20;
     open.deadline_ms = 20000;
-    send_frame(end, PGW_FRAME_OPEN, &open.base);
-    whole = (Pgw__End *)next_frame(
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
+    whole = (Pgw__End *)entry_end_next(
         end, 1u << PGW_FRAME_END | 1u << PGW_FRAME_FAIL, &type);
     if (type != PGW_FRAME_END) {
         g_error("%s", ((Pgw__Fail *)whole)->message);
@@ -370,7 +263,7 @@
         harness_get_int(harness_process_url(fleet->service, "/_counts"),
                         "tray-7"),
         ==, 1);
-    hang_up(end);
+    entry_end_free(end);
     fleet_free(fleet);
 }
 
--- a/tests/failure/harness_fleet.c
+++ b/tests/failure/harness_fleet.c
@@ -450,6 +450,41 @@
     g_free(body);
 }
 
+void
+fleet_ask_as(struct fleet *fleet, struct harness_stream *out, const char *key,
+             const char *prompt, unsigned tokens)
+{
+    char *authorization = g_strdup_printf("Authorization: Bearer %s", key);
+    const char *headers[] = {authorization, NULL};
+    char *body = fleet_body(prompt, tokens);
+    struct harness_answer answer;
+
+    harness_send(&answer, &(struct harness_call){
+                              .url = harness_process_url(fleet->entries[0],
+                                                         "/v1/completions"),
+                              .headers = headers,
+                              .body = body});
+    if (answer.status != 200) {
+        g_error("status %ld: %s", answer.status, answer.body->str);
+    }
+    harness_stream_parse(out, answer.body->str);
+    harness_answer_dispose(&answer);
+    g_free(authorization);
+    g_free(body);
+}
+
+void
+fleet_put_workspace(struct fleet *fleet, const char *name, const char *key)
+{
+    char *digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+
+    fleet_put(fleet, "workspace", name,
+              "{\"share\":1,\"keys\":[{\"id\":\"k1\",\"sha256\":\"%s\"}]}",
+              digest);
+    fleet_wait_configured(fleet, fleet->entries[0]);
+    g_free(digest);
+}
+
 char *
 fleet_expected(struct fleet *fleet, const char *prompt, unsigned tokens)
 {
--- a/tests/failure/harness_fleet.h
+++ b/tests/failure/harness_fleet.h
@@ -121,6 +121,14 @@
 void fleet_ask(struct harness_stream *out, struct harness_process *entry,
                const char *prompt, unsigned tokens);
 
+/** fleet_ask_as() - the same with the key of another workspace */
+void fleet_ask_as(struct fleet *fleet, struct harness_stream *out,
+                  const char *key, const char *prompt, unsigned tokens);
+
+/** fleet_put_workspace() - add a workspace, and wait for the first entry */
+void fleet_put_workspace(struct fleet *fleet, const char *name,
+                         const char *key);
+
 /** fleet_expected() - the text that any engine gives; free it */
 char *fleet_expected(struct fleet *fleet, const char *prompt, unsigned tokens);
 
--- a/tests/failure/harness_http.c
+++ b/tests/failure/harness_http.c
@@ -233,6 +233,21 @@
                : NULL;
 }
 
+/* An engine names cached tokens directly, an entry among the details. */
+static void
+parse_usage(struct harness_stream *out, JsonNode *root)
+{
+    static const char *const paths[] = {
+        "usage/cached_tokens", "usage/prompt_tokens_details/cached_tokens"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        if (harness_json(root, paths[i]) != NULL) {
+            out->prompt_tokens = harness_json_int(root, "usage/prompt_tokens");
+            out->cached_tokens = harness_json_int(root, paths[i]);
+        }
+    }
+}
+
 static void
 parse_event(struct harness_stream *out, const char *data)
 {
@@ -254,10 +269,7 @@
         g_free(out->finish_reason);
         out->finish_reason = dup_reason(root);
     }
-    if (harness_json(root, "usage/cached_tokens") != NULL) {
-        out->prompt_tokens = harness_json_int(root, "usage/prompt_tokens");
-        out->cached_tokens = harness_json_int(root, "usage/cached_tokens");
-    }
+    parse_usage(out, root);
     json_node_unref(root);
 }
 
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -58,6 +58,7 @@
     OPTION_PREFILL_CHUNK,
     OPTION_EVENT_DELAY_MS,
     OPTION_EVENT_LOSS,
+    OPTION_EVENT_REPEAT,
     OPTION_LOAD_AGE_MS,
     OPTION_QUEUE_LIMIT,
     OPTION_TIME_SCALE,
@@ -82,6 +83,7 @@
     {"prefill-chunk", required_argument, NULL, OPTION_PREFILL_CHUNK},
     {"event-delay-ms", required_argument, NULL, OPTION_EVENT_DELAY_MS},
     {"event-loss", required_argument, NULL, OPTION_EVENT_LOSS},
+    {"event-repeat", required_argument, NULL, OPTION_EVENT_REPEAT},
     {"load-age-ms", required_argument, NULL, OPTION_LOAD_AGE_MS},
     {"queue-limit", required_argument, NULL, OPTION_QUEUE_LIMIT},
     {"time-scale", required_argument, NULL, OPTION_TIME_SCALE},
@@ -164,6 +166,9 @@
     case OPTION_EVENT_LOSS:
         arguments->journal.loss = number;
         return true;
+    case OPTION_EVENT_REPEAT:
+        arguments->journal.repeat = number;
+        return true;
     case OPTION_LOAD_AGE_MS:
         arguments->load_age_ms = number;
         return true;
--- a/tests/standins/engine_events_lib.c
+++ b/tests/standins/engine_events_lib.c
@@ -9,6 +9,7 @@
     struct engine_event event;
     uint64_t due;
     bool lost;
+    bool twice;
 };
 
 struct engine_journal {
@@ -70,6 +71,8 @@
     entry->event = *event;
     entry->due = journal->last_due;
     entry->lost = g_rand_double(journal->random) < journal->options.loss;
+    entry->twice = journal->options.repeat > 0.0 &&
+                   g_rand_double(journal->random) < journal->options.repeat;
 }
 
 uint64_t
@@ -160,10 +163,12 @@
         if (entry->lost) {
             continue;
         }
-        if (written++ > 0) {
-            g_string_append_c(out, ',');
+        for (unsigned i = 0; i < (entry->twice ? 2 : 1); i++) {
+            if (written++ > 0) {
+                g_string_append_c(out, ',');
+            }
+            write_event(out, seq, &entry->event);
         }
-        write_event(out, seq, &entry->event);
         last = seq;
     }
     return last;
--- a/tests/standins/engine_events_lib.h
+++ b/tests/standins/engine_events_lib.h
@@ -42,12 +42,14 @@
  * @delay_min_us: least delay of an event
  * @delay_max_us: greatest delay of an event
  * @loss: share of events that are never published, 0 to 1
+ * @repeat: share of events that are published twice, 0 to 1
  * @seed: seed of delays and losses
  */
 struct engine_journal_options {
     uint64_t delay_min_us;
     uint64_t delay_max_us;
     double loss;
+    double repeat;
     uint32_t seed;
 };
 
--- a/tests/standins/proxy.c
+++ b/tests/standins/proxy.c
@@ -3,14 +3,15 @@
  * says; the mode is set by POST /mode on the port of the "admin_port=" line:
  *
  *   {"mode": "pass|delay|cut|stall|half_open|refuse|reorder",
- *    "delay_ms": n, "after_bytes": n, "once": bool, "hold": n}
+ *    "delay_ms": n, "after_bytes": n, "once": bool, "hold": n, "lift": bool}
  *
  * delay: each piece waits; cut: connections are reset; stall: nothing moves
  * and nothing is read; half_open: bytes are taken and vanish, for the rest of
  * the connection's life; refuse: new connections are reset; reorder: "hold"
  * new connections wait and reach the target in reverse order. after_bytes
  * counts what each connection still carries to the client before the fault;
- * once: the first connection concerned keeps the fault, the others pass.
+ * once: the first connection concerned keeps the fault, the others pass; lift
+ * takes it from it, so that what was held arrives late.
  * GET /stats answers {"open":n,"accepted":n,"to_client":bytes}.
  */
 #include <arpa/inet.h>
@@ -61,6 +62,7 @@
     unsigned delay_ms;
     uint64_t after_bytes;
     bool once;
+    bool lift;
     unsigned hold;
 };
 
@@ -109,6 +111,9 @@
     }
     mode = order.mode;
     *delay_ms = order.delay_ms;
+    if (order.lift) {
+        connection->fault = MODE_PASS;
+    }
     if (connection->fault != MODE_PASS) {
         mode = connection->fault;
     }
@@ -177,6 +182,16 @@
     return size == 0;
 }
 
+static void
+end_connection(struct connection *connection, bool reset)
+{
+    atomic_store(&connection->over, true);
+    if (reset) {
+        reset_on_close(connection->ends[0]);
+        reset_on_close(connection->ends[1]);
+    }
+}
+
 /* Moves one piece; returns false at the end of this direction. */
 static bool
 move_piece(struct connection *connection, unsigned from, enum mode mode,
@@ -186,12 +201,17 @@
     size_t most = from == 1 ? piece_size(connection) : PIECE;
     ssize_t got = recv(connection->ends[from], data, most, MSG_DONTWAIT);
 
-    if (got < 0) {
-        return errno == EAGAIN || errno == EINTR;
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return true;
+    }
+    if (got < 0 && mode != MODE_HALF_OPEN) {
+        /* A reset is passed on; the other end would wait for ever. */
+        end_connection(connection, true);
+        return false;
     }
     if (mode == MODE_HALF_OPEN) {
         /* The other end is never told; this one just waits. */
-        g_usleep(got == 0 ? POLL_MS * 1000 : 0);
+        g_usleep(got <= 0 ? POLL_MS * 1000 : 0);
         return true;
     }
     if (got == 0) {
@@ -208,16 +228,6 @@
                      (size_t)got);
 }
 
-static void
-end_connection(struct connection *connection, bool reset)
-{
-    atomic_store(&connection->over, true);
-    if (reset) {
-        reset_on_close(connection->ends[0]);
-        reset_on_close(connection->ends[1]);
-    }
-}
-
 static void
 release(struct connection *connection)
 {
@@ -381,6 +391,8 @@
                 .hold = member_uint(object, "hold"),
                 .once = json_object_get_boolean_member_with_default(
                     object, "once", FALSE),
+                .lift = json_object_get_boolean_member_with_default(
+                    object, "lift", FALSE),
             };
         }
     }
