Drop an event answer that does not continue the cache view

Cause: after an engine's restart the sidecar's next question still named the dead engine's last event, 312. The new engine, with none, answers at once with no event and "last" 312. The view had been forgotten at the new incarnation, and took 312 as its end: the new engine's events up to 312 were never read, its lists of blocks dropped as older, and questions repeated every 10 ms. Seen as misses on a warm engine until it has as many events as the dead one had (10 calls in 60 s counted 0 of 496 cached tokens). Ruled out: late answers of the dead engine (dropped by their time of asking); the status call learning the incarnation first changes nothing. Change: an answer is taken only if the view still ends at or behind the number that was asked for; otherwise the next question begins at 0.

--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -254,6 +254,24 @@
     g_free(events);
 }
 
+/*
+ * The answer to a question that named the last event of an engine since gone
+ * says nothing about the events of the present one up to that number. Taking
+ * it as their end left the view empty until the new engine had as many events
+ * as the dead one, seen as misses long after a restart. The numbers of a view
+ * only grow, so one that ends before the question was forgotten meanwhile.
+ */
+static bool
+continues_view(const struct engine *engine)
+{
+#ifndef PGW_DISABLE_EVENTS_CONTINUE
+    return pgw_cache_last_seq(engine->sidecar->cache) >= engine->events_after;
+#else
+    (void)engine;
+    return true;
+#endif
+}
+
 static void
 events_done(void *context, long status, JsonObject *body, uint64_t asked_us)
 {
@@ -265,7 +283,8 @@
                         EVENTS_RETRY_US);
         return;
     }
-    if (engine_take_identity(engine, body, asked_us)) {
+    if (engine_take_identity(engine, body, asked_us) &&
+        continues_view(engine)) {
         events_take(engine, body, asked_us);
         blocks_start_if_wanted(engine);
     }
@@ -279,11 +298,13 @@
 events_poll(struct engine *engine)
 {
     uint32_t wait_ms = engine->sidecar->settings->event_poll_ms;
-    char *path =
-        g_strdup_printf("/events?after=%" G_GUINT64_FORMAT "&wait_ms=%u",
-                        pgw_cache_last_seq(engine->sidecar->cache), wait_ms);
-    char *url = engine_url(engine, path);
+    char *path;
+    char *url;
 
+    engine->events_after = pgw_cache_last_seq(engine->sidecar->cache);
+    path = g_strdup_printf("/events?after=%" G_GUINT64_FORMAT "&wait_ms=%u",
+                           engine->events_after, wait_ms);
+    url = engine_url(engine, path);
     engine->events =
         fetch_start(engine->sidecar->transfers, url, NULL,
                     (long)wait_ms + EVENTS_GRACE_MS, events_done, engine);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -42,6 +42,7 @@
  * @events_timer: next poll for cache events, after a failure
  * @status: request in progress, or NULL
  * @events: poll in progress, or NULL
+ * @events_after: number of the event that it asked to go on from
  * @blocks: list of all blocks in progress, or NULL
  */
 struct engine {
@@ -57,6 +58,7 @@
     struct pgw_timer events_timer;
     struct fetch *status;
     struct fetch *events;
+    uint64_t events_after;
     struct fetch *blocks;
 };
 
