--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -118,11 +118,12 @@
         ",\"leaving\":%s,\"alive\":%s,\"engine\":\"%" G_GINT64_MODIFIER
         "x\",\"running\":%u,\"waiting\":%u,\"queued_tokens\":%u"
         ",\"cached_blocks\":%zu,\"cached_levels\":%zu,\"event_gaps\":"
-        "%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT,
+        "%" G_GUINT64_FORMAT ",\"late_events\":%" G_GUINT64_FORMAT
+        ",\"config_version\":%" G_GUINT64_FORMAT,
         view->leaving ? "true" : "false", view->alive ? "true" : "false",
         view->engine, view->load.running, view->load.waiting,
         view->load.queued_tokens, view->cache.blocks, view->cache.levels,
-        view->cache.gaps, view->config_version);
+        view->cache.gaps, view->cache.late, view->config_version);
     append_order(out, view);
     pthread_mutex_unlock(&view->lock);
     g_string_append_c(out, '}');
