Keep earlier versions of the own policy choosable

Change: parsleygw-v1 to -v3 beside parsleygw in the table of policies: the rank term is a weight, the rounds of further ranks and the number asked at first are members.

--- a/include/parsleygw/place.h
+++ b/include/parsleygw/place.h
@@ -71,6 +71,10 @@
  * @zone_cost_us: added for an upstream in another availability zone
  * @lag_us: age at which an answer's load counts half
  * @load_factor: bounded load, times the candidates' mean
+ * @rank_weight: cost of each rank further down, as a part of the prefill that
+ *     is missing there. Requests for a new prefix that arrive together see it
+ *     cached nowhere and no load: this sends them to one upstream, whatever
+ *     zones they come from, and is little once the prefix is cached
  */
 struct pgw_place_weights {
     double ttft_weight;
@@ -78,12 +82,14 @@
     uint32_t zone_cost_us;
     uint32_t lag_us;
     double load_factor;
+    double rank_weight;
 };
 
 #define PGW_PLACE_WEIGHTS_INIT                                                \
     {                                                                         \
         .ttft_weight = 0.5, .prefill_tokens_per_s = 10000.0,                  \
-        .zone_cost_us = 2000, .lag_us = 500000, .load_factor = 1.25           \
+        .zone_cost_us = 2000, .lag_us = 500000, .load_factor = 1.25,          \
+        .rank_weight = 0.05                                                   \
     }
 
 /**
@@ -158,6 +164,8 @@
  * @name: as settings and the bench name it
  * @probes: candidates to ask before choosing, 0: all (up to
  *     %PGW_PLACE_RANK_MAX)
+ * @fixed_probes: the setting probe_fanout does not replace @probes
+ * @rounds: times that further ranks are asked, twice as many each time
  * @rank: as pgw_place_rank(), with @turn counting the entry's requests
  * @choose: as pgw_place_choose()
  * @settled: as pgw_place_is_settled(), NULL to wait for all answers
@@ -165,6 +173,8 @@
 struct pgw_place_policy {
     const char *name;
     size_t probes;
+    bool fixed_probes;
+    unsigned rounds;
     size_t (*rank)(uint32_t *out, size_t k, const struct pgw_place_node *nodes,
                    size_t n, const struct pgw_level_chain *chain,
                    uint64_t turn);
@@ -179,7 +189,8 @@
 
 /**
  * pgw_place_policy_find() - look a policy up
- * @name: "parsleygw", "hash", "least-loaded" or "round-robin"
+ * @name: "parsleygw", an earlier version of it ("parsleygw-v1" to
+ *     "parsleygw-v3"), "hash", "least-loaded" or "round-robin"
  *
  * Return: the policy, NULL for any other name.
  */
--- a/include/parsleygw/settings.h
+++ b/include/parsleygw/settings.h
@@ -32,7 +32,7 @@
  * @header_timeout_ms: time that a caller has to send the whole head
  * @body_timeout_ms: time that a caller has to send the whole body
  * @max_inflight: requests in progress beyond which new ones are refused
- * @policy: placement: parsleygw, hash, least-loaded or round-robin
+ * @policy: placement, as pgw_place_policy_find() knows it
  * @probe_fanout: ranked sidecars asked before a request is sent
  * @log_level: error, warning, info or debug
  * @drain_timeout_ms: longest wait for requests in progress at a planned stop
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -11,9 +11,6 @@
  * earlier waits for them instead of being refused. */
 #define NOBODY_RETRY_US UINT64_C(25000)
 #define NOBODY_TRIES 12
-/* Each round asks twice as many as the one before: after four the whole
- * ranking was asked. */
-#define SPILLS_MAX 4
 #define NO_UPSTREAM_RETRY_MS 500
 
 /**
@@ -180,6 +177,9 @@
     if (!exchange->request.repeatable) {
         return 1;
     }
+    if (entry->policy->fixed_probes) {
+        return entry->policy->probes;
+    }
     return entry->policy->probes == 0 ? PGW_PLACE_RANK_MAX
                                       : entry->settings->probe_fanout;
 }
@@ -321,7 +321,8 @@
 {
     struct placement *placement = exchange->placement;
     struct pool *pool = pool_find(exchange->entry, exchange->request.pool);
-    unsigned most = exchange->request.repeatable ? SPILLS_MAX : 1;
+    unsigned most =
+        exchange->request.repeatable ? exchange->entry->policy->rounds : 1;
 
     if (pool == NULL || placement->spills >= most) {
         return false;
--- a/src/libparsleygw/place_choice.c
+++ b/src/libparsleygw/place_choice.c
@@ -5,14 +5,6 @@
 #define RECOMPUTE_WEIGHT_MIN 0.5
 #define RECOMPUTE_WEIGHT_MAX 8.0
 
-/*
- * Cost of each rank further down, as a part of the prefill that is missing
- * there. Requests for a new prefix that arrive together see it cached nowhere
- * and no load: this sends them to one upstream, whatever zones they come from,
- * and is little once the prefix is cached.
- */
-#define RANK_WEIGHT 0.05
-
 /* Wait before the own prefill that asks for the next ranks: at ttft_weight 1
  * and 0, in microseconds. */
 #define SPILL_WAIT_MIN_US 100000.0
@@ -176,10 +168,10 @@
             continue;
         }
         wait = expected_wait_us(&pricing, one, i);
-        cost =
-            wait +
-            own * (1.0 + pricing.recompute_weight + RANK_WEIGHT * (double)i) +
-            (one->same_zone ? 0 : weights->zone_cost_us);
+        cost = wait +
+               own * (1.0 + pricing.recompute_weight +
+                      weights->rank_weight * (double)i) +
+               (one->same_zone ? 0 : weights->zone_cost_us);
         if (!out->found || cost < best) {
             best = cost;
             best_wait = wait;
--- a/src/libparsleygw/place_policy.c
+++ b/src/libparsleygw/place_policy.c
@@ -1,7 +1,12 @@
 #include <parsleygw/place.h>
 #include <string.h>
 
-/* The baselines that the project's own policy is measured against. */
+/* Each round asks twice as many as the one before: after four the whole
+ * ranking was asked. */
+#define ROUNDS 4
+
+/* The baselines and earlier versions that the project's own policy is measured
+ * against. */
 
 static bool
 takes_work(const struct pgw_place_candidate *candidate)
@@ -131,22 +136,59 @@
     }
 }
 
+/* Until 5af4405: entries of several zones compute a new prefix several times.
+ */
+static void
+choose_without_rank(struct pgw_place_choice *out,
+                    const struct pgw_place_candidate *candidates, size_t n,
+                    const struct pgw_place_weights *weights,
+                    uint32_t prompt_tokens, uint64_t random)
+{
+    struct pgw_place_weights earlier = *weights;
+
+    earlier.rank_weight = 0.0;
+    pgw_place_choose(out, candidates, n, &earlier, prompt_tokens, random);
+}
+
 static const struct pgw_place_policy policies[] = {
     {.name = "parsleygw",
      .probes = 4,
+     .rounds = ROUNDS,
+     .rank = rank_nested,
+     .choose = pgw_place_choose,
+     .settled = pgw_place_is_settled},
+    {.name = "parsleygw-v1",
+     .probes = 3,
+     .fixed_probes = true,
+     .rounds = 1,
+     .rank = rank_nested,
+     .choose = choose_without_rank},
+    {.name = "parsleygw-v2",
+     .probes = 3,
+     .fixed_probes = true,
+     .rounds = 1,
+     .rank = rank_nested,
+     .choose = pgw_place_choose},
+    {.name = "parsleygw-v3",
+     .probes = 3,
+     .fixed_probes = true,
+     .rounds = ROUNDS,
      .rank = rank_nested,
      .choose = pgw_place_choose,
      .settled = pgw_place_is_settled},
     {.name = "hash",
      .probes = 0,
+     .rounds = ROUNDS,
      .rank = rank_first_level,
      .choose = choose_bounded},
     {.name = "least-loaded",
      .probes = 0,
+     .rounds = ROUNDS,
      .rank = rank_in_turn,
      .choose = choose_least_loaded},
     {.name = "round-robin",
      .probes = 1,
+     .rounds = ROUNDS,
      .rank = rank_in_turn,
      .choose = choose_first},
 };
