--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -259,6 +259,24 @@
     return count < left;
 }
 
+/*
+ * The answer to a question that named the last event of an engine since gone
+ * says nothing about the events of the present one up to that number. Taking
+ * it as their end left the view empty until the new engine had as many events
+ * as the dead one, seen as misses long after a restart. The numbers of a view
+ * only grow, so one that ends before the question was forgotten meanwhile.
+ */
+static bool
+continues_view(const struct engine *engine)
+{
+#ifndef PGW_DISABLE_EVENTS_CONTINUE
+    return pgw_cache_last_seq(engine->sidecar->cache) >= engine->events_after;
+#else
+    (void)engine;
+    return true;
+#endif
+}
+
 static void
 events_end(struct engine *engine, uint64_t pause_us)
 {
@@ -289,7 +307,7 @@
         }
     }
     source = list_source(answer);
-    if (engine_take_identity(engine, &source)) {
+    if (engine_take_identity(engine, &source) && continues_view(engine)) {
         if (events_take(engine)) {
             answer_continue(engine, answer);
             return;
@@ -320,11 +338,13 @@
 events_poll(struct engine *engine)
 {
     uint32_t wait_ms = engine->sidecar->settings->event_poll_ms;
-    char *path =
-        g_strdup_printf("/events?after=%" G_GUINT64_FORMAT "&wait_ms=%u",
-                        pgw_cache_last_seq(engine->sidecar->cache), wait_ms);
-    char *url = engine_url(engine, path);
+    char *path;
+    char *url;
 
+    engine->events_after = pgw_cache_last_seq(engine->sidecar->cache);
+    path = g_strdup_printf("/events?after=%" G_GUINT64_FORMAT "&wait_ms=%u",
+                           engine->events_after, wait_ms);
+    url = engine_url(engine, path);
     engine->events =
         fetch_start_text(engine->sidecar->transfers, url,
                          (long)wait_ms + EVENTS_GRACE_MS, events_done, engine);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -63,6 +63,7 @@
  * @events_timer: next poll for cache events, after a failure
  * @status: request in progress, or NULL
  * @events: poll in progress, or NULL
+ * @events_after: number of the event that it asked to go on from
  * @blocks: list of all blocks in progress, or NULL
  * @events_answer: answer to a poll
  * @blocks_answer: list of all blocks
@@ -81,6 +82,7 @@
     struct pgw_timer events_timer;
     struct fetch *status;
     struct fetch *events;
+    uint64_t events_after;
     struct fetch *blocks;
     struct engine_answer events_answer;
     struct engine_answer blocks_answer;
