Gather copies of a request on two upstreams until one has ended well

Cause: copies of a request that crashes its upstreams were placed each for itself. All that started before the first crash was known crashed an engine each; only two copies were bounded, by the permit. Ruled out: holding copies in each entry (940 entries, one copy each), a permit in the store for each new request (a write on the path), the first token as proof (a crash in the middle of an answer passes). Change: the sidecar that ranks first is told the fingerprint with the probe and tells the first asker from later ones (copies.h); later ones go to it until one ended well there. Two gaps of the order of words closed beside it: a dead engine's crash is told before those that wait or found no connection are sent elsewhere, and an attempt after "not run" looks for the crash again. The path's added time was not measured.

--- a/include/parsleygw/place.h
+++ b/include/parsleygw/place.h
@@ -44,6 +44,7 @@
  * @ttft_us: sidecar's estimate for this request, 0: not known
  * @refuses: it would refuse this request now
  * @leaving: it takes no new work
+ * @gather: first in rank and asked to have the request (copies.h)
  * @same_zone: it is in the entry's availability zone
  * @age_us: age of the answer
  * @charged_tokens: uncached tokens that this entry sent there since the
@@ -59,6 +60,7 @@
     uint32_t ttft_us;
     bool refuses;
     bool leaving;
+    bool gather;
     bool same_zone;
     uint64_t age_us;
     uint32_t charged_tokens;
@@ -139,6 +141,18 @@
                       const struct pgw_place_weights *weights,
                       uint32_t prompt_tokens, uint64_t random);
 
+/**
+ * pgw_place_gather() - where a copy of an unproven request goes (copies.h)
+ * @out: receives the choice
+ * @candidates: in order of rank
+ * @n: their number
+ *
+ * Return: false when the first candidate does not ask for it; else @out names
+ * the first in rank that takes work, the same one for all entries.
+ */
+bool pgw_place_gather(struct pgw_place_choice *out,
+                      const struct pgw_place_candidate *candidates, size_t n);
+
 /**
  * pgw_place_is_settled() - no missing answer could change much
  * @candidates: in order of rank, some of them answered
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -204,6 +204,7 @@
 {
     Pgw__Open open = PGW__OPEN__INIT;
     struct levels_frame levels;
+    bool recorded;
 
     exchange->attempt_number =
         pgw_attempt_start(&exchange->attempt, pgw_place_id_hash(upstream->id));
@@ -223,6 +224,17 @@
         pgw_place_charge_add(&upstream->charge, uncached_tokens,
                              exchange->charge_us);
     }
+    /*
+     * Failure: a copy waits at an engine that another copy crashes, and is
+     * sent on as "not run". Symptom: a third engine crashes, since the next
+     * sidecar has not heard. The crash was told on the same link before that
+     * word.
+     */
+    if (pgw_attempt_ran(&exchange->attempt) == PGW_RAN_NO) {
+        exchange->suspect = pgw_suspects_find(exchange->entry->suspects,
+                                              &exchange->request.fingerprint,
+                                              &recorded) != NULL;
+    }
     fill_open(&open, exchange);
     levels_frame_init(&levels, &exchange->request.chain);
     open.n_levels = exchange->request.chain.count;
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -77,8 +77,9 @@
     }
 }
 
+/* Only the first in rank tells copies of one request apart. */
 static void
-send_probe(struct exchange *exchange, struct upstream *upstream)
+send_probe(struct exchange *exchange, struct upstream *upstream, bool is_first)
 {
     const struct exchange_request *request = &exchange->request;
     Pgw__Probe probe = PGW__PROBE__INIT;
@@ -96,6 +97,10 @@
     probe.version = request->version;
     probe.n_levels = request->chain.count;
     probe.levels = levels.pointers;
+    if (is_first && exchange->format != FORMAT_SERVICE) {
+        probe.fingerprint.data = exchange->request.fingerprint.bytes;
+        probe.fingerprint.len = PGW_FINGERPRINT_SIZE;
+    }
     pgw_link_send(upstream->link, PGW_FRAME_PROBE, &probe.base);
 }
 
@@ -131,7 +136,7 @@
                 .same_zone = strcmp(upstream->zone,
                                     exchange->entry->settings->zone) == 0,
             };
-        send_probe(exchange, upstream);
+        send_probe(exchange, upstream, placement->n_candidates == 1);
     }
     return placement->n_candidates - first;
 }
@@ -346,9 +351,12 @@
     stop_probing(exchange);
     refresh(exchange);
     weights.ttft_weight = exchange->request.ttft_weight;
-    entry->policy->choose(
-        &choice, placement->candidates, placement->n_candidates, &weights,
-        exchange->request.chain.prompt_tokens, pgw_random_u64());
+    if (!pgw_place_gather(&choice, placement->candidates,
+                          placement->n_candidates)) {
+        entry->policy->choose(
+            &choice, placement->candidates, placement->n_candidates, &weights,
+            exchange->request.chain.prompt_tokens, pgw_random_u64());
+    }
     if ((!choice.found || choice.spill) && ask_further(exchange)) {
         return;
     }
@@ -370,7 +378,8 @@
     struct pgw_place_weights weights = PGW_PLACE_WEIGHTS_INIT;
 
     if (exchange->entry->policy->settled == NULL ||
-        exchange->format == FORMAT_SERVICE) {
+        exchange->format == FORMAT_SERVICE ||
+        !placement->candidates[0].answered) {
         return false;
     }
     refresh(exchange);
@@ -406,6 +415,7 @@
         candidate->ttft_us = reply->ttft_us;
         candidate->refuses = reply->refuses;
         candidate->leaving = reply->leaving;
+        candidate->gather = reply->gather;
         placement->n_answered++;
         break;
     }
--- a/src/libparsleygw/place_choice.c
+++ b/src/libparsleygw/place_choice.c
@@ -196,6 +196,21 @@
     out->spill = !out->found;
 }
 
+bool
+pgw_place_gather(struct pgw_place_choice *out,
+                 const struct pgw_place_candidate *candidates, size_t n)
+{
+    *out = (struct pgw_place_choice){.found = false};
+    if (n == 0 || !candidates[0].answered || !candidates[0].gather) {
+        return false;
+    }
+    for (size_t i = 0; i < n && !out->found; i++) {
+        out->found = candidates[i].answered && takes_work(&candidates[i]);
+        out->position = i;
+    }
+    return true;
+}
+
 /* Prompt tokens that other requests can have brought into a cache. */
 static uint32_t
 shared_tokens(const struct pgw_level_chain *chain)
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -894,7 +894,7 @@
   (ProtobufCMessageInit) pgw__level__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pgw__probe__field_descriptors[10] =
 {
   {
     "probe",
@@ -1004,9 +1004,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Probe, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__probe__field_indices_by_name[] = {
   4,   /* field[4] = deadline_ms */
+  9,   /* field[9] = fingerprint */
   7,   /* field[7] = levels */
   5,   /* field[5] = model */
   2,   /* field[2] = priority */
@@ -1019,7 +1032,7 @@
 static const ProtobufCIntRange pgw__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pgw__probe__descriptor =
 {
@@ -1029,14 +1042,14 @@
   "Pgw__Probe",
   "pgw",
   sizeof(Pgw__Probe),
-  9,
+  10,
   pgw__probe__field_descriptors,
   pgw__probe__field_indices_by_name,
   1,  pgw__probe__number_ranges,
   (ProtobufCMessageInit) pgw__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__probe_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pgw__probe_reply__field_descriptors[11] =
 {
   {
     "probe",
@@ -1158,9 +1171,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gather",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ProbeReply, gather),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__probe_reply__field_indices_by_name[] = {
   9,   /* field[9] = engine */
+  10,   /* field[10] = gather */
   6,   /* field[6] = leaving */
   1,   /* field[1] = matched_tokens */
   0,   /* field[0] = probe */
@@ -1174,7 +1200,7 @@
 static const ProtobufCIntRange pgw__probe_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pgw__probe_reply__descriptor =
 {
@@ -1184,7 +1210,7 @@
   "Pgw__ProbeReply",
   "pgw",
   sizeof(Pgw__ProbeReply),
-  10,
+  11,
   pgw__probe_reply__field_descriptors,
   pgw__probe_reply__field_indices_by_name,
   1,  pgw__probe_reply__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -97,10 +97,14 @@
   size_t n_levels;
   Pgw__Level **levels;
   uint32_t share;
+  /*
+   * to the upstream that ranks first only
+   */
+  ProtobufCBinaryData fingerprint;
 };
 #define PGW__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__probe__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL} }
 
 
 struct  Pgw__ProbeReply
@@ -128,10 +132,14 @@
    * engine's incarnation
    */
   uint64_t engine;
+  /*
+   * copies of the request are to come here
+   */
+  protobuf_c_boolean gather;
 };
 #define PGW__PROBE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__probe_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Pgw__Open
--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -41,7 +41,6 @@
         pgw_cache_lose_engine(sidecar->cache, pgw_now_us());
         engine->incarnation = 0;
         engine->loading = false;
-        gate_refuse_waiting(sidecar, PGW_REFUSAL_UPSTREAM_FAILED);
     }
     sidecar_push_state(sidecar);
 }
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -400,6 +400,7 @@
                                 &refusal, &message) ||
                     (probe->deadline_ms > 0 &&
                      ttft_us > (uint64_t)probe->deadline_ms * 1000);
+    reply.gather = suspicion_gathers(sidecar->suspicion, probe);
     reply.version = sidecar->engine.version;
     reply.engine = sidecar->engine.incarnation;
     pgw_link_send(peer->connection, PGW_FRAME_PROBE_REPLY, &reply.base);
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -84,6 +84,7 @@
  * @alone: a suspect: nothing else may run at the engine beside it
  * @held: link in the sidecar's list of those that wait for such a one
  * @settled: broken, and its crash, if it was one, is reported
+ * @unsent: broken, and the upstream took no connection for it
  * @import: its wait for the KV store, NULL without one
  * @import_asked: the KV store was asked, or is left out
  * @engine: incarnation of the engine that it was handed to
@@ -126,6 +127,7 @@
     bool alone;
     struct pgw_list held;
     bool settled;
+    bool unsent;
     struct kv_wait *import;
     bool import_asked;
     uint64_t engine;
@@ -192,7 +194,8 @@
 extern const struct pgw_transfer_ops run_transfer_ops;
 /* gate.c: a run's answer broke off; it ends once the engine was asked */
 void gate_run_broke(struct run *run);
-/** gate_engine_told() - the engine's state is known: settle broken runs */
+/** gate_engine_told() - the engine's state is known: settle broken runs, and
+ * send elsewhere what waits if it is dead */
 void gate_engine_told(struct sidecar *sidecar);
 
 /* gate.c: end of a run, reported by run.c */
--- a/src/sidecar/gate_crash.c
+++ b/src/sidecar/gate_crash.c
@@ -68,6 +68,17 @@
     gate_finish(run);
 }
 
+static void
+settle_unsent(struct run *run)
+{
+    run->settled = true;
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_NO, 0,
+                      "the upstream took no connection");
+    }
+    gate_finish(run);
+}
+
 /* The first run for which @wanted holds. Ending one run may free others, so
  * that every search begins anew. */
 static struct run *
@@ -86,7 +97,13 @@
 static bool
 is_unsettled(const struct run *run)
 {
-    return run->state == RUN_BROKEN && !run->settled;
+    return run->state == RUN_BROKEN && !run->settled && !run->unsent;
+}
+
+static bool
+is_unsent(const struct run *run)
+{
+    return run->state == RUN_BROKEN && !run->settled && run->unsent;
 }
 
 static bool
@@ -104,6 +121,14 @@
     while ((run = find_first(sidecar, is_unsettled)) != NULL) {
         settle_broken(run);
     }
+    /* The crash is told before others are sent elsewhere: they may be copies
+     * of what crashed the engine. */
+    if (!sidecar->engine.alive) {
+        gate_refuse_waiting(sidecar, PGW_REFUSAL_UPSTREAM_FAILED);
+    }
+    while ((run = find_first(sidecar, is_unsent)) != NULL) {
+        settle_unsent(run);
+    }
     /*
      * A crash closes its connections and is heard at once. An engine whose
      * machine or network is gone says nothing: without this its streams would
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -144,7 +144,10 @@
 static bool
 run_fail_broken(struct run *run, bool was_sent)
 {
-    if (was_sent && run->sidecar->is_model) {
+    /* One that was not sent waits as well: it may be a copy of what crashed
+     * the engine, and is sent elsewhere only after the crash was told. */
+    if (run->sidecar->is_model) {
+        run->unsent = !was_sent;
         gate_run_broke(run);
         return true;
     }
--- a/src/sidecar/suspicion.c
+++ b/src/sidecar/suspicion.c
@@ -1,5 +1,6 @@
 #include "sidecar/suspicion.h"
 #include "libparsleygw/store_worker.h"
+#include "parsleygw/copies.h"
 #include "util/log.h"
 
 #define STORE_TIMEOUT_US UINT64_C(1000000)
@@ -11,10 +12,13 @@
 /* All entries know of the crash at once, so that the end of its runs needs
  * to wait for the store only as long as a slow one takes. */
 #define RECORD_US UINT64_C(500000)
+/* About 150 KB; a sidecar ranks first for a few requests a second. */
+#define COPIES_MAX 2048
 
 struct suspicion {
     struct sidecar *sidecar;
     struct pgw_quarantine *machine;
+    struct pgw_copies *copies;
     GHashTable *runs; /* struct run by ticket */
     uint64_t last_ticket;
     struct pgw_timer timer;
@@ -48,6 +52,7 @@
     options.record_us = RECORD_US;
     suspicion->sidecar = sidecar;
     suspicion->machine = pgw_quarantine_new(&options);
+    suspicion->copies = pgw_copies_new(COPIES_MAX);
     suspicion->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
     suspicion->timer.on_due = timer_due;
     return suspicion;
@@ -61,6 +66,7 @@
     }
     pgw_timer_stop(suspicion->sidecar->loop, &suspicion->timer);
     pgw_quarantine_free(suspicion->machine);
+    pgw_copies_free(suspicion->copies);
     g_hash_table_unref(suspicion->runs);
     g_free(suspicion);
 }
@@ -171,6 +177,7 @@
     pgw_trace_record(suspicion->sidecar->trace, PGW_TRACE_QUARANTINE_ADD,
                      &run->key.request, run->key.attempt, incarnation, 0,
                      NULL);
+    pgw_copies_doubt(suspicion->copies, &run->fingerprint);
     pgw_quarantine_crash(suspicion->machine, &run->fingerprint,
                          run->suspicion_ticket, incarnation,
                          pgw_hlc_wall_us());
@@ -201,6 +208,7 @@
     if (run->suspicion_ticket == 0) {
         return;
     }
+    pgw_copies_prove(suspicion->copies, &run->fingerprint);
     pgw_quarantine_success(suspicion->machine, &run->fingerprint,
                            run->suspicion_ticket, pgw_hlc_wall_us());
     forget(suspicion, run);
@@ -219,6 +227,20 @@
     drive(suspicion);
 }
 
+bool
+suspicion_gathers(struct suspicion *suspicion, const Pgw__Probe *probe)
+{
+    struct pgw_fingerprint fingerprint;
+    uint64_t now = pgw_now_us();
+
+    if (probe->fingerprint.len != PGW_FINGERPRINT_SIZE) {
+        return false;
+    }
+    memcpy(fingerprint.bytes, probe->fingerprint.data, PGW_FINGERPRINT_SIZE);
+    return pgw_copies_ask(suspicion->copies, &fingerprint,
+                          now + (uint64_t)probe->deadline_ms * 1000, now);
+}
+
 void
 suspicion_record(void *context, const struct pgw_fingerprint *fingerprint,
                  uint64_t version, const char *value, size_t length)
--- a/src/sidecar/suspicion.h
+++ b/src/sidecar/suspicion.h
@@ -33,6 +33,10 @@
 /** suspicion_released() - it ended without having run, or nobody asks more */
 void suspicion_released(struct suspicion *suspicion, struct run *run);
 
+/** suspicion_gathers() - whether the request that an entry is about to place
+ * must come here, see copies.h */
+bool suspicion_gathers(struct suspicion *suspicion, const Pgw__Probe *probe);
+
 /** suspicion_record() - a record arrived from the store or a peer */
 void suspicion_record(void *context, const struct pgw_fingerprint *fingerprint,
                       uint64_t version, const char *value, size_t length);
--- a/tests/failure/fail_quarantine.c
+++ b/tests/failure/fail_quarantine.c
@@ -6,6 +6,10 @@
  * engine and is cleared by its good end. The operator sees the quarantine and
  * lifts it; only then does the request reach an engine again.
  *
+ * Six copies are sent at once, three by each of two entries, before any engine
+ * has crashed. All but the first go to one engine: two crash, each of the six
+ * callers hears a refusal, and the innocents beside them are answered whole.
+ *
  * While the store is down it is two engines as well: the sidecars tell each
  * crash to all entries at once, these hand it to whichever sidecar they ask
  * next, and the caller hears "quarantined", not run. A request whose engine
@@ -28,6 +32,10 @@
 #define INNOCENTS 6
 #define TOKENS 100
 #define REPEATS 5
+#define COPIES 6
+/* So long that a copy is load enough to send others elsewhere, and so short
+ * that no sidecar holds one back. */
+#define FILLER 6000
 #define INNOCENT "innocent question"
 
 static unsigned
@@ -173,6 +181,94 @@
     fleet_free(fleet);
 }
 
+struct copy {
+    struct harness_process *entry;
+    const char *body;
+    struct harness_answer answer;
+    long status;
+};
+
+static gpointer
+send_copy(gpointer data)
+{
+    struct copy *copy = data;
+
+    copy->status = fleet_call(&copy->answer, copy->entry, "/v1/completions",
+                              &(struct harness_call){.body = copy->body});
+    return NULL;
+}
+
+static bool
+copies_wait(void *data)
+{
+    const struct fleet *fleet = data;
+    gint64 runs = 0;
+
+    for (unsigned i = 0; i < ENGINES; i++) {
+        runs += fleet_status_int(fleet->sidecars[i], "running") +
+                fleet_status_int(fleet->sidecars[i], "waiting");
+    }
+    return runs >= INNOCENTS + COPIES;
+}
+
+static void
+signal_engines(struct fleet *fleet, int number)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        harness_process_signal(fleet->engines[i], number);
+    }
+}
+
+/* The engines stand still until all copies are with their sidecars. */
+static void
+send_copies(struct fleet *fleet, const char *body)
+{
+    struct copy copies[COPIES] = {0};
+    GThread *threads[COPIES];
+
+    signal_engines(fleet, SIGSTOP);
+    for (unsigned i = 0; i < COPIES; i++) {
+        copies[i].entry = fleet->entries[i % 2];
+        copies[i].body = body;
+        threads[i] = g_thread_new("copy", send_copy, &copies[i]);
+    }
+    g_assert_true(harness_wait_until(copies_wait, fleet, 30));
+    signal_engines(fleet, SIGCONT);
+    for (unsigned i = 0; i < COPIES; i++) {
+        g_thread_join(threads[i]);
+        g_test_message("copy %u: %ld %s", i, copies[i].status,
+                       copies[i].answer.body->str);
+        g_assert_cmpint(copies[i].status, >=, 400);
+        g_assert_nonnull(strstr(copies[i].answer.body->str, "\"ran\""));
+        harness_answer_dispose(&copies[i].answer);
+    }
+}
+
+static void
+test_copies_at_once(void)
+{
+    struct fleet *fleet = start();
+    struct fleet_caller *callers[INNOCENTS];
+    struct harness_answer answer;
+    char *filler = g_strnfill(FILLER, 'x');
+    char *prompt = g_strdup_printf("%s the POISON question", filler);
+    char *body = fleet_body(prompt, 5);
+
+    start_innocents(fleet, callers);
+    send_copies(fleet, body);
+    g_assert_cmpuint(count_crashed(fleet), <=, 2);
+    assert_answered(fleet, callers);
+    fleet_call(&answer, fleet->entries[0], "/v1/completions",
+               &(struct harness_call){.body = body});
+    fleet_assert_refusal(&answer, 422, "quarantined", "no");
+    harness_answer_dispose(&answer);
+    g_assert_cmpuint(count_crashed(fleet), ==, 2);
+    g_free(filler);
+    g_free(prompt);
+    g_free(body);
+    fleet_free(fleet);
+}
+
 static long
 send_innocent(struct harness_answer *out, struct harness_process *entry)
 {
@@ -365,6 +461,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quarantine/two-crashes-at-most",
                     test_two_crashes_at_most);
+    g_test_add_func("/quarantine/copies-at-once", test_copies_at_once);
     g_test_add_func("/quarantine/two-crashes-without-store",
                     test_two_crashes_without_store);
     g_test_add_func("/quarantine/innocent-without-store",
--- a/tests/property/prop_quarantine.cc
+++ b/tests/property/prop_quarantine.cc
@@ -1,6 +1,9 @@
 // A request that crashes every engine is sent again and again, to any sidecar,
 // beside innocent ones, while sidecars die with their engines, pause, and the
-// store delays, loses and refuses. At most two engines crash by it in all.
+// store delays, loses and refuses. At most two engines crash by it in all. So it
+// is when many entries send many copies at any time, if each asks sidecar 0,
+// which ranks first, and its Open arrives any time after the answer.
+#include "parsleygw/copies.h"
 #include "parsleygw/quarantine.h"
 #include "prop_support.h"
 
@@ -64,6 +67,12 @@
     unsigned sidecar = 0;
 };
 
+// An entry knows where the copy goes; its Open is on the way.
+struct placed {
+    size_t caller;
+    unsigned sidecar;
+};
+
 struct world {
     uint64_t now = 1700000000 * kSecond;
     bool up = true;
@@ -78,6 +87,8 @@
     process processes[kSidecars + 1];
     std::vector<caller> callers;
     std::map<uint64_t, size_t> owners; // ticket to caller
+    pgw_copies *copies = nullptr;      // of sidecar 0, if copies gather
+    std::vector<placed> opens;
 
     world(unsigned poisoners, bool is_prompt) : prompt(is_prompt)
     {
@@ -97,6 +108,7 @@
         for (auto &one : processes) {
             pgw_quarantine_free(one.machine);
         }
+        pgw_copies_free(copies);
     }
 
     static pgw_fingerprint
@@ -242,6 +254,34 @@
         decide(i, out);
     }
 
+    void
+    place(size_t who, unsigned wanted)
+    {
+        pgw_fingerprint fingerprint = name(callers[who].body);
+
+        for (const placed &one : opens) {
+            if (one.caller == who) {
+                return;
+            }
+        }
+        if (callers[who].ticket != 0) {
+            return;
+        }
+        if (pgw_copies_ask(copies, &fingerprint, now + 3600 * kSecond, now)) {
+            wanted = 0;
+        }
+        opens.push_back({who, wanted});
+    }
+
+    void
+    open(size_t which)
+    {
+        placed one = opens[which];
+
+        opens.erase(opens.begin() + (long)which);
+        send(one.caller, one.sidecar, false);
+    }
+
     // The engine of sidecar i dies; `reporter` tells what was running, unless
     // `silent`: then nobody is left who could.
     void
@@ -300,6 +340,9 @@
             one.running.erase(ticket);
             one.alone = one.alone == ticket ? 0 : one.alone;
             pgw_quarantine_success(one.machine, &fingerprint, ticket, now);
+            if (copies != nullptr && i == 0) {
+                pgw_copies_prove(copies, &fingerprint);
+            }
             answer(ticket, PGW_REFUSAL_COUNT);
         }
         start(i);
@@ -445,7 +488,15 @@
             size_t who = choose.pick((uint32_t)callers.size());
             bool check = callers[who].answered && choose.pick(2);
 
-            send(who, i, check);
+            if (copies == nullptr) {
+                send(who, i, check);
+            }
+            else if (i != kEntry) {
+                place(who, i);
+            }
+        }
+        else if (what < 20 && !opens.empty()) {
+            open(choose.pick((uint32_t)opens.size()));
         }
         else if (what < 26) {
             take_io(i);
@@ -486,6 +537,9 @@
     heal()
     {
         up = true;
+        while (!opens.empty()) {
+            open(0);
+        }
         for (auto &one : processes) {
             one.paused = false;
         }
@@ -522,10 +576,13 @@
 };
 
 void
-run(unsigned poisoners, bool prompt)
+run(unsigned poisoners, bool prompt, bool gather = false)
 {
     world one(poisoners, prompt);
 
+    if (gather) {
+        one.copies = pgw_copies_new(16);
+    }
     for (uint32_t number : random_script(300)) {
         one.step(number);
     }
@@ -544,5 +601,7 @@
                       [] { run(1, false); });
     good &= rc::check("two copies at once, a store that answers in time",
                       [] { run(2, true); });
+    good &= rc::check("eight copies at once that gather, a store in time",
+                      [] { run(8, true, true); });
     return good ? 0 : 1;
 }
