Test that an old copy of the configuration begins no order

Cause: script/safeguards named ORDERS_CONFIG, but no code asked for that flag, so that nothing was switched off, and no test noticed when the look into the store before each order was taken out by hand. Change: the flag guards the comparison in the sidecar's confirm(). The new case of fail_rollout stops all processes that could tell one sidecar of the edit and brings its engine back with other weights: it must load once, the new ones.

--- a/src/sidecar/orders.c
+++ b/src/sidecar/orders.c
@@ -223,7 +223,17 @@
                        pgw_now_us() + STORE_TIMEOUT_US, error)) {
         return false;
     }
+#ifndef PGW_DISABLE_ORDERS_CONFIG
+    /*
+     * Failure: a process wakes, or hears of nothing for some seconds, and
+     * knows only yesterday's pool. Symptom: the engine is ordered to load
+     * yesterday's weights, under a fresh number that no engine refuses. A copy
+     * that the store confirms may be ordered; an edit after that replaces it.
+     */
     current = object.version <= atomic_load(&orders->told);
+#else
+    current = true;
+#endif
     pgw_store_object_dispose(&object);
     if (!current) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_CONFLICT,
--- a/tests/failure/fail_rollout.c
+++ b/tests/failure/fail_rollout.c
@@ -6,6 +6,10 @@
  * counts them, and all engines on w2 at the end. With the store down in the
  * middle nothing more begins to load, what loads serves when it has loaded,
  * and the rest follows when the store is back.
+ *
+ * All processes stop that could tell one sidecar of the edit, and its engine
+ * comes back with other weights. The sidecar, which knows only w1, looks into
+ * the store before it orders anything; the engine loads once, w2.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -13,6 +17,7 @@
 #include <string.h>
 
 #include "harness_fleet.h"
+#include "parsleygw/watch.h"
 
 #define ENGINES 4
 #define PERMITS 2
@@ -21,6 +26,9 @@
 /* One event a token and a last one with the reason. */
 #define EVENTS (TOKENS + 1)
 #define LIMIT_S 90
+/* A process that starts watches the store until it knows its zone; an edit in
+ * that time would reach it. */
+#define FIRST_WATCH_US (3 * G_USEC_PER_SEC)
 
 static const char pool[] =
     "{\"type\":\"model\",\"model\":\"rulebook-7b\",\"version\":\"%s\","
@@ -290,6 +298,86 @@
     fleet_free(fleet);
 }
 
+/* A sidecar that does not watch the store for its zone. */
+static unsigned
+find_follower(void)
+{
+    static const char *const names[ENGINES] = {"up0", "up1", "up2", "up3"};
+
+    for (unsigned i = 0; i < ENGINES; i++) {
+        if (!pgw_watch_is_mine(names[i], names, ENGINES, "a", 2)) {
+            return i;
+        }
+    }
+    g_assert_not_reached();
+}
+
+static void
+signal_others(struct fleet *fleet, unsigned follower, int number)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        if (i != follower) {
+            harness_process_signal(fleet->sidecars[i], number);
+        }
+    }
+    harness_process_signal(fleet->entries[0], number);
+}
+
+/* An engine with weights that nobody declares, at the same address. */
+static void
+replace_engine(struct rollout *rollout, unsigned index, unsigned port)
+{
+    char *number = g_strdup_printf("%u", port);
+
+    rollout->fleet->engines[index] = harness_spawn(
+        rollout->fleet->harness, "standin-engine", "--port", number,
+        "--version", "w0", "--load-ms", "100", "--weight-store",
+        harness_process_url(rollout->weights, ""), NULL);
+    g_free(number);
+}
+
+static bool
+is_on_w2(void *data)
+{
+    JsonNode *node = harness_get_json(harness_process_url(data, "/status"));
+    bool moved = strcmp(harness_json_string(node, "version"), "w2") == 0;
+
+    json_node_unref(node);
+    return moved;
+}
+
+/* The follower's copy is old until it looks into the store by itself, which
+ * takes seconds; an order takes a tenth of that. */
+static void
+test_old_copy(void)
+{
+    unsigned follower = find_follower();
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct rollout rollout = {0};
+    unsigned port;
+
+    rollout.weights_harness = harness_new();
+    rollout.weights =
+        harness_spawn(rollout.weights_harness, "standin-kvstore", NULL);
+    options.engines = ENGINES;
+    rollout.fleet = fleet_new(&options);
+    g_usleep(FIRST_WATCH_US);
+    port = harness_process_port(rollout.fleet->engines[follower]);
+    harness_process_stop(rollout.fleet->engines[follower], SIGKILL);
+    signal_others(rollout.fleet, follower, SIGSTOP);
+    fleet_put(rollout.fleet, "pool", "guide", pool, "w2", PERMITS);
+    replace_engine(&rollout, follower, port);
+    g_assert_true(harness_wait_until(
+        is_on_w2, rollout.fleet->engines[follower], LIMIT_S));
+    g_assert_cmpint(
+        harness_get_int(harness_process_url(rollout.weights, "/_stats"),
+                        "loads_done"),
+        ==, 1);
+    signal_others(rollout.fleet, follower, SIGCONT);
+    fleet_free(rollout.fleet);
+    harness_free(rollout.weights_harness);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -298,5 +386,6 @@
     g_test_add_func("/rollout/store-outage", test_store_outage);
     g_test_add_func("/rollout/crash-midway", test_crash_midway);
     g_test_add_func("/rollout/taken-back", test_taken_back);
+    g_test_add_func("/rollout/old-copy", test_old_copy);
     return g_test_run();
 }
