Take back an edit that does harm together with one made meanwhile

Cause: an edit is checked against all objects before its write, and the write's condition covers its own object only. Two edits at once that are harmless each (the last two upstreams of a pool leave) both passed. Ruled out: one common object that every edit must write (any two operators would conflict, see shared-state.md). The later of two writes always sees the earlier one.

--- a/src/cli/objects.c
+++ b/src/cli/objects.c
@@ -280,13 +280,22 @@
                const struct pgw_cli_change *change, GError **error)
 {
     struct pgw_config_set *set = NULL;
+    const char *before;
     bool ok;
 
     if (!pgw_cli_load_set(cli, &set, error)) {
         return false;
     }
+    before = pgw_config_set_value(set, change->kind, change->name);
+    /*
+     * Failure: two operators let the last two upstreams of a pool leave; each
+     * check sees the other one joined. Symptom: the pool serves nobody, and
+     * neither was asked for --force. No condition spans two objects, so each
+     * looks again after its write: the later one sees both.
+     */
     ok = pgw_cli_check_change(cli, set, change, error) &&
-         pgw_cli_write(cli, version, change, error);
+         pgw_cli_write(cli, version, change, error) &&
+         pgw_cli_recheck(cli, change, before, *version, error);
     pgw_config_set_free(set);
     if (ok) {
         pgw_cli_note_history(cli, change, *version);
--- a/src/cli/objects.h
+++ b/src/cli/objects.h
@@ -67,6 +67,21 @@
 bool pgw_cli_write(struct pgw_cli *cli, uint64_t *version,
                    const struct pgw_cli_change *change, GError **error);
 
+/**
+ * pgw_cli_recheck() - check a written change together with what others wrote
+ * meanwhile, and take it back if the two do harm together
+ * @cli: open store
+ * @change: the change
+ * @before: what stood before it, NULL: nothing
+ * @version: what was written, 0: deleted
+ * @error: as pgw_cli_check_change(); says whether the change still stands
+ *
+ * Of two changes that overlap the later one sees both. A store that cannot be
+ * read is only warned of.
+ */
+bool pgw_cli_recheck(struct pgw_cli *cli, const struct pgw_cli_change *change,
+                     const char *before, uint64_t version, GError **error);
+
 /** pgw_cli_note_history() - add a change to the object's history */
 void pgw_cli_note_history(struct pgw_cli *cli,
                           const struct pgw_cli_change *change,
--- a/tests/failure/fail_cli.c
+++ b/tests/failure/fail_cli.c
@@ -4,6 +4,8 @@
  * winner's edit is lost; a change whose answer was lost is reported as the
  * change that it is; an edit that would lock callers out or take a pool from
  * under its profiles needs --force; a key's text is nowhere in the store.
+ * Two edits made at once that do harm only together: one operator or both are
+ * refused after the write and nothing of theirs stands.
  */
 #include <string.h>
 
@@ -257,6 +259,63 @@
     tear_down(&f);
 }
 
+static struct harness_process *
+start_leave(struct fixture *f, const char *id)
+{
+    return harness_spawn(f->harness, "parsleygw", "--store", f->url,
+                         "instance", "leave", id, NULL);
+}
+
+/* The store is so slow that both look before either writes. */
+static void
+test_two_edits_together(void)
+{
+    static const char *const ids[] = {"guide-1", "guide-2"};
+    struct harness_process *leaving[2];
+    struct harness_answer answer;
+    struct fixture f;
+    unsigned refused = 0;
+    unsigned joined = 0;
+
+    set_up(&f);
+    for (unsigned i = 0; i < 2; i++) {
+        g_assert_cmpint(run(&f, "instance", "join", ids[i], "--pool",
+                            "assistants", "--zone", "a", "--address",
+                            "127.0.0.1:9", NULL),
+                        ==, 0);
+    }
+    harness_post(&answer, harness_process_url(f.store, "/_control"),
+                 "{\"latency_ms\":200}");
+    harness_answer_dispose(&answer);
+    for (unsigned i = 0; i < 2; i++) {
+        leaving[i] = start_leave(&f, ids[i]);
+    }
+    for (unsigned i = 0; i < 2; i++) {
+        int code = harness_process_wait(leaving[i]);
+        char *log = harness_process_log(leaving[i]);
+
+        g_test_message("exit code %d: %s", code, log);
+        g_assert_true(code == 0 || code == PGW_EXIT_REFUSED);
+        refused += code == PGW_EXIT_REFUSED;
+        if (code == PGW_EXIT_REFUSED) {
+            assert_contains(log, "last joined upstream");
+        }
+        g_free(log);
+    }
+    for (unsigned i = 0; i < 2; i++) {
+        char *path = g_strconcat("/objects/upstream/", ids[i], NULL);
+        JsonNode *node = harness_get_json(harness_process_url(f.store, path));
+
+        joined +=
+            strcmp(harness_json_string(node, "value/state"), "joined") == 0;
+        json_node_unref(node);
+        g_free(path);
+    }
+    g_assert_cmpuint(refused, >=, 1);
+    g_assert_cmpuint(joined, ==, refused);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -267,5 +326,6 @@
     g_test_add_func("/cli/harm", test_harm_needs_force);
     g_test_add_func("/cli/key", test_key_is_shown_once_and_not_stored);
     g_test_add_func("/cli/instances", test_instances_join_and_leave);
+    g_test_add_func("/cli/two-edits-together", test_two_edits_together);
     return g_test_run();
 }
