--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -85,6 +85,7 @@
  * @held: link in the sidecar's list of those that wait for such a one
  * @doubt_us: broken: only what the engine is asked after it counts
  * @settled: broken, and its crash, if it was one, is reported
+ * @unsent: broken, and the upstream took no connection for it
  * @import: its wait for the KV store, NULL without one
  * @import_asked: the KV store was asked, or is left out
  * @engine: incarnation of the engine that it was handed to
@@ -128,6 +129,7 @@
     struct pgw_list held;
     uint64_t doubt_us;
     bool settled;
+    bool unsent;
     struct kv_wait *import;
     bool import_asked;
     uint64_t engine;
@@ -195,7 +197,8 @@
 /* gate_crash.c: a run's answer broke off, @cut: in the middle of the
  * connection; it ends once the engine was asked */
 void gate_run_broke(struct run *run, bool cut);
-/** gate_engine_told() - the engine's state is known: settle broken runs */
+/** gate_engine_told() - the engine's state is known: settle broken runs, and
+ * send elsewhere what waits if it is dead */
 void gate_engine_told(struct sidecar *sidecar);
 
 /* gate.c: end of a run, reported by run.c */
--- a/src/sidecar/gate_crash.c
+++ b/src/sidecar/gate_crash.c
@@ -72,6 +72,17 @@
     gate_finish(run);
 }
 
+static void
+settle_unsent(struct run *run)
+{
+    run->settled = true;
+    if (!run->ended) {
+        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_NO, 0,
+                      "the upstream took no connection");
+    }
+    gate_finish(run);
+}
+
 /* The first run for which @wanted holds. Ending one run may free others, so
  * that every search begins anew. */
 static struct run *
@@ -110,7 +121,15 @@
 static bool
 is_unsettled(const struct run *run)
 {
-    return run->state == RUN_BROKEN && !run->settled && knows_engine(run);
+    return run->state == RUN_BROKEN && !run->settled && !run->unsent &&
+           knows_engine(run);
+}
+
+static bool
+is_unsent(const struct run *run)
+{
+    return run->state == RUN_BROKEN && !run->settled && run->unsent &&
+           knows_engine(run);
 }
 
 static bool
@@ -128,6 +147,14 @@
     while ((run = find_first(sidecar, is_unsettled)) != NULL) {
         settle_broken(run);
     }
+    /* The crash is told before others are sent elsewhere: they may be copies
+     * of what crashed the engine. */
+    if (!sidecar->engine.alive) {
+        gate_refuse_waiting(sidecar, PGW_REFUSAL_UPSTREAM_FAILED);
+    }
+    while ((run = find_first(sidecar, is_unsent)) != NULL) {
+        settle_unsent(run);
+    }
     /*
      * A crash closes its connections and is heard at once. An engine whose
      * machine or network is gone says nothing: without this its streams would
--- a/tests/failure/fail_sidecar_frames.c
+++ b/tests/failure/fail_sidecar_frames.c
@@ -209,21 +209,21 @@
 {
     struct fleet *fleet = start_fleet("", NULL);
     struct harness_process *sidecar = fleet->sidecars[0];
-    struct entry_end *end = greet(sidecar);
+    struct entry_end *end = entry_end_greet(sidecar);
     Pgw__Open open = PGW__OPEN__INIT;
 
     declare(fleet, "leaving");
     g_assert_true(harness_wait_until(is_leaving, sidecar, LIMIT_S));
     fill_open(&open, end, false);
-    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     assert_fail(end, PGW_REFUSAL_LEAVING, PGW_RAN_NO);
     g_assert_cmpint(engine_requests(fleet), ==, 0);
     declare(fleet, "joined");
     g_assert_true(harness_wait_until(is_joined, sidecar, LIMIT_S));
     open.attempt = 2;
-    send_frame(end, PGW_FRAME_OPEN, &open.base);
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
     assert_answered(end);
-    hang_up(end);
+    entry_end_free(end);
     fleet_free(fleet);
 }
 
