Keep every ask for a whole copy until it is served

The sidecar exchanged details with one link at a time and dropped what came from others meanwhile, also the ask; an entry asked a partner once only, so that it stayed empty. Its later summaries were answered by bucket hashes, which it cannot use, and kept the sidecar's turn for up to 5 s, away from the others. After the grace it listed all five kinds from the store (3 s an answer) and got the rest from peers once it held a first object. Logs with a line for each digest show it: two entries greeted the sidecar within 0.02 ms, the second one's summary and ask (256 buckets covered, no object) were refused 0.04 ms after the first one's summary had taken the turn, and it received seven answers of bucket hashes in the next 3.6 s and no object.

The sidecars' watches are not counted as reads; without a stuck entry 0 or 1 read was made, at a load average of 15 to 36 as well.

Change: a process without any object needs no turn. It is told that there is something to ask for, and whoever asks waits in a queue (sync_copy.c) until less than 1 MB of the last copy is still queued. A partner that did not answer is asked again after a second.

--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -1,4 +1,5 @@
 #include "libparsleygw/sync.h"
+#include "libparsleygw/sync_copy.h"
 #include "libparsleygw/sync_turn.h"
 #include "parsleygw/errors.h"
 #include <stdatomic.h>
@@ -11,12 +12,16 @@
 #define SYNC_PUSH_OBJECTS 16
 /* More than this still queued for a partner keeps the turn with it. */
 #define SYNC_TURN_PENDING ((size_t)1 << 20)
+#define SYNC_COPY_CHECK_US UINT64_C(20000)
 
 struct pgw_sync {
     struct pgw_sync_options options;
     GPtrArray *links;
     GHashTable *summaries; /* by link: what its peer last said it holds */
     struct pgw_sync_turn turn;
+    struct pgw_sync_copy copies;
+    struct pgw_timer copy_timer;
+    uint64_t empty; /* summary of one that holds nothing */
     atomic_bool settled;
     struct pgw_timer timer;
     struct pgw_task notify;
@@ -71,6 +76,18 @@
     sync->options.on_change(sync->options.context);
 }
 
+static uint64_t
+empty_summary(void)
+{
+    struct pgw_config_set *set = pgw_config_set_new();
+    uint64_t summary = pgw_config_set_summary(set);
+
+    pgw_config_set_free(set);
+    return summary;
+}
+
+static void copies_due(struct pgw_timer *timer);
+
 struct pgw_sync *
 pgw_sync_new(const struct pgw_sync_options *options)
 {
@@ -79,6 +96,9 @@
     sync->options = *options;
     sync->links = g_ptr_array_new();
     sync->summaries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    sync->copies = (struct pgw_sync_copy)PGW_SYNC_COPY_INIT;
+    sync->copy_timer.on_due = copies_due;
+    sync->empty = empty_summary();
     sync->timer.on_due = exchange_due;
     sync->notify.run = notify_run;
     pgw_timer_start(options->loop, &sync->timer, options->interval_us);
@@ -92,6 +112,8 @@
         return;
     }
     pgw_timer_stop(sync->options.loop, &sync->timer);
+    pgw_timer_stop(sync->options.loop, &sync->copy_timer);
+    g_queue_clear(&sync->copies.waiting);
     g_ptr_array_unref(sync->links);
     g_hash_table_unref(sync->summaries);
     sync->freed = true;
@@ -115,6 +137,7 @@
     g_ptr_array_remove_fast(sync->links, link);
     g_hash_table_remove(sync->summaries, link);
     pgw_sync_turn_end(&sync->turn, link);
+    pgw_sync_copy_forget(&sync->copies, link);
 }
 
 bool
@@ -422,13 +445,67 @@
 {
     bool all[PGW_CONFIG_BUCKETS];
 
-    if (!sync->turn.asked_all) {
-        sync->turn.asked_all = true;
+    if (pgw_sync_turn_ask(&sync->turn, pgw_now_us())) {
         memset(all, true, sizeof(all));
         send_versions(sync, link, all, false);
     }
 }
 
+static void
+send_copy(struct pgw_sync *sync, struct pgw_link *link)
+{
+    struct object_batch batch;
+
+    batch_init(&batch, link);
+    pgw_config_set_foreach(sync->options.set, batch_add, &batch);
+    batch_dispose(&batch);
+}
+
+static void
+serve_copies(struct pgw_sync *sync)
+{
+    struct pgw_sync_copy *copies = &sync->copies;
+    struct pgw_link *link;
+
+    do {
+        size_t pending =
+            copies->current == NULL ? 0 : pgw_link_pending(copies->current);
+
+        link = pgw_sync_copy_next(copies, pending, pgw_now_us());
+        if (link != NULL) {
+            send_copy(sync, link);
+        }
+    } while (link != NULL);
+    if (!g_queue_is_empty(&copies->waiting)) {
+        pgw_timer_start(sync->options.loop, &sync->copy_timer,
+                        SYNC_COPY_CHECK_US);
+    }
+}
+
+static void
+copies_due(struct pgw_timer *timer)
+{
+    serve_copies(pgw_container_of(timer, struct pgw_sync, copy_timer));
+}
+
+/*
+ * The peer holds nothing, so there is nothing to compare and it needs no turn:
+ * were it to wait for one, a herd that restarts before the same peer would
+ * get no copy but the first, and ask the store. It asks as soon as it hears
+ * that there is something to ask for.
+ */
+static void
+take_empty(struct pgw_sync *sync, struct pgw_link *link,
+           const Pgw__Digest *digest)
+{
+    if (digest->n_covered == 0) {
+        send_digest(sync, link, NULL);
+        return;
+    }
+    pgw_sync_copy_ask(&sync->copies, link);
+    serve_copies(sync);
+}
+
 static void
 take_digest(struct pgw_sync *sync, struct pgw_link *link,
             const Pgw__Digest *digest)
@@ -439,6 +516,11 @@
     if (digest->summary == pgw_config_set_summary(sync->options.set)) {
         return;
     }
+    if (digest->summary == sync->empty) {
+        take_empty(sync, link, digest);
+        return;
+    }
+    pgw_sync_copy_forget(&sync->copies, link);
     if (!pgw_sync_turn_take(&sync->turn, link, pgw_now_us())) {
         return;
     }
--- a/src/libparsleygw/sync_turn.c
+++ b/src/libparsleygw/sync_turn.c
@@ -39,6 +39,17 @@
     }
 }
 
+bool
+pgw_sync_turn_ask(struct pgw_sync_turn *turn, uint64_t now_us)
+{
+    if (turn->asked_us != 0 &&
+        now_us - turn->asked_us < PGW_SYNC_TURN_SILENT_US) {
+        return false;
+    }
+    turn->asked_us = now_us;
+    return true;
+}
+
 void
 pgw_sync_turn_end(struct pgw_sync_turn *turn, const void *link)
 {
--- a/src/libparsleygw/sync_turn.h
+++ b/src/libparsleygw/sync_turn.h
@@ -28,13 +28,13 @@
  * @partner: a link; NULL: anybody's
  * @began_us: when its turn began
  * @heard_us: when it last took part
- * @asked_all: it was asked for its whole copy
+ * @asked_us: when it was asked for its whole copy; 0: not yet
  */
 struct pgw_sync_turn {
     const void *partner;
     uint64_t began_us;
     uint64_t heard_us;
-    bool asked_all;
+    uint64_t asked_us;
 };
 
 /** pgw_sync_turn_is_others() - somebody else's, so that @link must wait */
@@ -49,6 +49,17 @@
 void pgw_sync_turn_heard(struct pgw_sync_turn *turn, const void *link,
                          uint64_t now_us);
 
+/**
+ * pgw_sync_turn_ask() - may the partner be asked for its whole copy now?
+ * @turn: the turn, which the partner has; notes that it is asked
+ * @now_us: present time
+ *
+ * Asked twice at once it would send two copies. Never asked again, one that
+ * did not answer would leave this process empty for as long as it is the
+ * partner.
+ */
+bool pgw_sync_turn_ask(struct pgw_sync_turn *turn, uint64_t now_us);
+
 /** pgw_sync_turn_end() - @link needs its turn no longer, if it has it */
 void pgw_sync_turn_end(struct pgw_sync_turn *turn, const void *link);
 
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -418,6 +418,133 @@
     g_free(text);
 }
 
+/* A peer that says only what its test lets it say. */
+struct scripted_peer {
+    size_t objects;   /* received */
+    unsigned details; /* bucket hashes received */
+    unsigned asks;    /* for a whole copy */
+};
+
+static void
+scripted_say(struct pgw_link *link, uint64_t summary, bool asks)
+{
+    Pgw__Digest digest = PGW__DIGEST__INIT;
+    uint32_t covered[PGW_CONFIG_BUCKETS];
+
+    for (uint32_t i = 0; asks && i < PGW_CONFIG_BUCKETS; i++) {
+        covered[digest.n_covered++] = i;
+    }
+    digest.covered = covered;
+    digest.summary = summary;
+    pgw_link_send(link, PGW_FRAME_DIGEST, &digest.base);
+}
+
+/* Its answer to a summary is a summary; it answers no question. */
+static bool
+scripted_on_frame(struct pgw_link *link, enum pgw_frame_type type,
+                  ProtobufCMessage *message, void *context)
+{
+    struct scripted_peer *peer = context;
+
+    if (type == PGW_FRAME_OBJECTS) {
+        peer->objects += ((const Pgw__Objects *)message)->n_objects;
+    }
+    else if (((const Pgw__Digest *)message)->n_covered > 0) {
+        peer->asks++;
+    }
+    else if (((const Pgw__Digest *)message)->n_buckets > 0) {
+        peer->details++;
+    }
+    else {
+        scripted_say(link, 1, false);
+    }
+    return false;
+}
+
+static const struct pgw_link_ops scripted_ops = {
+    .on_frame = scripted_on_frame,
+    .on_closed = newer_on_closed,
+};
+
+static struct pgw_link *
+scripted_join(struct replica *to, struct scripted_peer *peer)
+{
+    struct pgw_address address;
+    char *text =
+        g_strdup_printf("127.0.0.1:%u", pgw_listener_port(to->listener));
+    struct pgw_link *link;
+
+    g_assert_true(pgw_address_parse(&address, text, NULL));
+    link = pgw_link_connect(to->loop, &address, &scripted_ops, peer, NULL);
+    g_assert_nonnull(link);
+    g_free(text);
+    return link;
+}
+
+static struct scripted_peer slow_peer;
+static struct scripted_peer askers[2];
+static struct pgw_link *asking[2];
+
+/* They ask as soon as the slow one has its turn. */
+static bool
+askers_are_served(struct fleet *fleet)
+{
+    struct replica *hub = &fleet->replicas[0];
+    bool served = true;
+
+    for (unsigned i = 0; slow_peer.details > 0 && i < 2; i++) {
+        if (asking[i] == NULL) {
+            asking[i] = scripted_join(hub, &askers[i]);
+            scripted_say(asking[i],
+                         pgw_config_set_summary(fleet->replicas[1].set), true);
+        }
+    }
+    for (unsigned i = 0; i < 2; i++) {
+        served &= askers[i].objects > 0;
+    }
+    return served;
+}
+
+/* Two that start empty ask the same peer, once, while a third has its turn
+ * there and is slow: both get their copy. */
+static void
+test_no_asker_is_dropped(void)
+{
+    struct fleet *fleet = fleet_new(askers_are_served);
+    struct pgw_link *slow;
+
+    offer_many(&fleet->replicas[0], 5);
+    slow = scripted_join(&fleet->replicas[0], &slow_peer);
+    pgw_loop_run(fleet->loop);
+    for (unsigned i = 0; i < 2; i++) {
+        g_assert_cmpuint(askers[i].objects, ==, 5);
+        pgw_link_close(asking[i]);
+    }
+    pgw_link_close(slow);
+    fleet_free(fleet);
+}
+
+static bool
+asked_again(struct fleet *fleet)
+{
+    (void)fleet;
+    return slow_peer.asks >= 2;
+}
+
+/* A peer that did not answer is asked again, though it is the only one. */
+static void
+test_asks_again(void)
+{
+    struct fleet *fleet = fleet_new(asked_again);
+    struct pgw_link *link;
+
+    slow_peer = (struct scripted_peer){0};
+    link = scripted_join(&fleet->replicas[0], &slow_peer);
+    pgw_loop_run(fleet->loop);
+    pgw_link_close(link);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -431,5 +558,7 @@
                     test_empty_peer_settles_nobody);
     g_test_add_func("/sync/refused-value-does-not-loop",
                     test_refused_value_does_not_loop);
+    g_test_add_func("/sync/no-asker-is-dropped", test_no_asker_is_dropped);
+    g_test_add_func("/sync/asks-again", test_asks_again);
     return g_test_run();
 }
