--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -516,10 +516,12 @@
     if (digest->summary == pgw_config_set_summary(sync->options.set)) {
         return;
     }
+#ifndef PGW_DISABLE_SYNC_COPY
     if (digest->summary == sync->empty) {
         take_empty(sync, link, digest);
         return;
     }
+#endif
     pgw_sync_copy_forget(&sync->copies, link);
     if (!pgw_sync_turn_take(&sync->turn, link, pgw_now_us())) {
         return;
--- a/src/libparsleygw/sync_turn.c
+++ b/src/libparsleygw/sync_turn.c
@@ -42,8 +42,12 @@
 bool
 pgw_sync_turn_ask(struct pgw_sync_turn *turn, uint64_t now_us)
 {
-    if (turn->asked_us != 0 &&
-        now_us - turn->asked_us < PGW_SYNC_TURN_SILENT_US) {
+    uint64_t pause = PGW_SYNC_TURN_SILENT_US;
+
+#ifdef PGW_DISABLE_SYNC_ASK_AGAIN
+    pause = UINT64_MAX;
+#endif
+    if (turn->asked_us != 0 && now_us - turn->asked_us < pause) {
         return false;
     }
     turn->asked_us = now_us;
