Let only a complete peer settle a process that starts

An entry called itself settled as soon as it agreed with any one peer that held something. In a fleet that starts together that peer may have read profiles and upstreams but no workspaces yet, since each kind is listed by a thread of its own. Change: a summary says whether its sender is complete: it has read each kind as a whole, or agreed with a complete peer, or has an operator's bootstrap file. Only such a peer settles others, and who has read all settles by itself. Measured: test_sync part-settles-nobody; script/mutate SYNC_COMPLETE: caught. empty-peer-settles-nobody now has the empty peer claim that it holds all, so that it still tests its own guard. fail_store, fail_zone, fail_operators, fail_cli, fail_claim, fail_drain, fail_examples pass. Conclusion: the gap is closed; that it was the whole cause of the refusals is likely and not shown.

--- a/bench/control/peers.c
+++ b/bench/control/peers.c
@@ -177,6 +177,7 @@
     sync.on_change = ignore_change;
     sync.interval_us *= MAX(peers->options.peer_links, 1);
     peer->sync = pgw_sync_new(&sync);
+    pgw_sync_note_listed(peer->sync);
     if (!peers->are_sidecars) {
         pgw_timer_start(peers->loop, &peer->timer,
                         pgw_random_u64() % RETRY_US);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -314,10 +314,12 @@
         goto fail;
     }
     sync_init(entry);
-    if (settings->bootstrap_file != NULL &&
-        !pgw_config_set_load_file(entry->set, settings->bootstrap_file,
-                                  error)) {
-        goto fail;
+    if (settings->bootstrap_file != NULL) {
+        if (!pgw_config_set_load_file(entry->set, settings->bootstrap_file,
+                                      error)) {
+            goto fail;
+        }
+        pgw_sync_note_seeded(entry->sync);
     }
     config_changed(entry);
     if (!feed_init(entry, error) || !upstreams_add_seeds(entry, error)) {
--- a/src/libparsleygw/config_feed.c
+++ b/src/libparsleygw/config_feed.c
@@ -1,10 +1,17 @@
 #include "libparsleygw/config_feed.h"
 #include "util/log.h"
 
+static const char *const kinds[] = {
+    PGW_CONFIG_KIND_PROFILE,  PGW_CONFIG_KIND_WORKSPACE, PGW_CONFIG_KIND_POOL,
+    PGW_CONFIG_KIND_UPSTREAM, PGW_QUARANTINE_KIND,       NULL,
+};
+#define CONFIG_KINDS 4 /* the first ones: what makes up the configuration */
+
 struct pgw_config_feed {
     struct pgw_config_feed_options options;
     struct pgw_store *store;
     struct pgw_watch *watch;
+    bool listed[CONFIG_KINDS]; /* a whole list of it was applied */
     bool told_down;
     uint64_t down_us;
 };
@@ -50,6 +57,22 @@
     }
 }
 
+/* Each kind has a list of its own; with one of them missing the configuration
+ * is a part, however many objects it has. */
+static void
+note_listed(struct pgw_config_feed *feed, const char *kind)
+{
+    bool all = true;
+
+    for (size_t i = 0; i < CONFIG_KINDS; i++) {
+        feed->listed[i] |= strcmp(kinds[i], kind) == 0;
+        all &= feed->listed[i];
+    }
+    if (all) {
+        pgw_sync_note_listed(feed->options.sync);
+    }
+}
+
 static void
 batch_run(struct pgw_task *task)
 {
@@ -61,6 +84,9 @@
     else {
         pgw_watch_batch_apply(self->batch, self->feed->options.set, offer,
                               self);
+        if (self->batch->whole) {
+            note_listed(self->feed, self->batch->kind);
+        }
     }
     pgw_watch_batch_free(self->batch);
     g_free(self);
@@ -78,11 +104,6 @@
     pgw_loop_post(feed->options.loop, &self->task);
 }
 
-static const char *const kinds[] = {
-    PGW_CONFIG_KIND_PROFILE,  PGW_CONFIG_KIND_WORKSPACE, PGW_CONFIG_KIND_POOL,
-    PGW_CONFIG_KIND_UPSTREAM, PGW_QUARANTINE_KIND,       NULL,
-};
-
 struct pgw_config_feed *
 pgw_config_feed_new(const struct pgw_config_feed_options *options,
                     GError **error)
--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -23,12 +23,26 @@
     struct pgw_timer copy_timer;
     uint64_t empty; /* summary of one that holds nothing */
     atomic_bool settled;
+    bool listed; /* each kind was read from the store as a whole */
+    bool seeded; /* an operator gave the first copy */
     struct pgw_timer timer;
     struct pgw_task notify;
     bool notify_queued;
     bool freed;
 };
 
+/* What a peer last said of itself. */
+struct peer_word {
+    uint64_t summary;
+    bool complete;
+};
+
+static bool
+is_complete(const struct pgw_sync *sync)
+{
+    return atomic_load(&sync->settled) || sync->seeded;
+}
+
 static void
 send_digest(struct pgw_sync *sync, struct pgw_link *link,
             const uint64_t *buckets)
@@ -36,6 +50,7 @@
     Pgw__Digest digest = PGW__DIGEST__INIT;
 
     digest.summary = pgw_config_set_summary(sync->options.set);
+    digest.complete = is_complete(sync);
     if (buckets != NULL) {
         digest.n_buckets = PGW_CONFIG_BUCKETS;
         digest.buckets = (uint64_t *)buckets;
@@ -149,36 +164,73 @@
 static bool
 is_empty(const struct pgw_sync *sync)
 {
-    static const uint64_t empty[PGW_CONFIG_BUCKETS];
-    uint64_t own[PGW_CONFIG_BUCKETS];
+    return pgw_config_set_summary(sync->options.set) == sync->empty;
+}
 
-    pgw_config_set_digest(sync->options.set, own);
-    return memcmp(own, empty, sizeof(own)) == 0;
+static void
+settle_if_listed(struct pgw_sync *sync)
+{
+    if (sync->listed && !is_empty(sync)) {
+        atomic_store(&sync->settled, true);
+    }
+}
+
+void
+pgw_sync_note_listed(struct pgw_sync *sync)
+{
+    sync->listed = true;
+    settle_if_listed(sync);
+}
+
+void
+pgw_sync_note_seeded(struct pgw_sync *sync)
+{
+    sync->seeded = true;
+}
+
+/*
+ * Failure: a fleet starts together, and this process agrees with a peer that
+ * has read only some kinds of objects so far. Symptom: it says that it is
+ * ready and refuses a valid key as "unauthorized". A peer that holds all says
+ * so, and learned it from the store, from such a peer or from its operator.
+ */
+static bool
+is_proof(bool complete)
+{
+#ifndef PGW_DISABLE_SYNC_COMPLETE
+    return complete;
+#else
+    (void)complete;
+    return true;
+#endif
 }
 
 /* Two empty replicas agree, too, and know nothing. */
 static void
 settle_if_equal(struct pgw_sync *sync, const struct pgw_link *link)
 {
-    const uint64_t *theirs = g_hash_table_lookup(sync->summaries, link);
+    const struct peer_word *theirs =
+        g_hash_table_lookup(sync->summaries, link);
 
     if (theirs == NULL ||
-        *theirs != pgw_config_set_summary(sync->options.set)) {
+        theirs->summary != pgw_config_set_summary(sync->options.set)) {
         return;
     }
     pgw_sync_turn_end(&sync->turn, link);
-    if (!is_empty(sync)) {
+    if (is_proof(theirs->complete) && !is_empty(sync)) {
         atomic_store(&sync->settled, true);
     }
 }
 
 static void
-note_summary(struct pgw_sync *sync, struct pgw_link *link, uint64_t summary)
+note_word(struct pgw_sync *sync, struct pgw_link *link,
+          const Pgw__Digest *digest)
 {
-    uint64_t *held = g_new(uint64_t, 1);
+    struct peer_word *word = g_new(struct peer_word, 1);
 
-    *held = summary;
-    g_hash_table_insert(sync->summaries, link, held);
+    word->summary = digest->summary;
+    word->complete = digest->complete;
+    g_hash_table_insert(sync->summaries, link, word);
     settle_if_equal(sync, link);
 }
 
@@ -305,7 +357,10 @@
 pgw_sync_offer(struct pgw_sync *sync, const char *kind, const char *name,
                uint64_t version, const char *value, bool fresh, GError **error)
 {
-    return merge(sync, NULL, kind, name, version, value, fresh, error);
+    bool ok = merge(sync, NULL, kind, name, version, value, fresh, error);
+
+    settle_if_listed(sync);
+    return ok;
 }
 
 static void
@@ -362,6 +417,7 @@
         pointers[i] = &lines[i];
     }
     digest.summary = pgw_config_set_summary(sync->options.set);
+    digest.complete = is_complete(sync);
     digest.answer = answer;
     digest.covered = covered;
     digest.n_objects = versions->len;
@@ -421,7 +477,7 @@
         /* A peer that lists nothing may know nothing: were its word taken, a
          * process with a part of the configuration would refuse profiles that
          * exist. When it holds what we sent, its summary says so. */
-        if (digest->n_objects > 0) {
+        if (digest->n_objects > 0 && is_proof(digest->complete)) {
             atomic_store(&sync->settled, true);
         }
         if (pgw_link_pending(link) < SYNC_TURN_PENDING) {
@@ -512,7 +568,7 @@
 {
     uint64_t own[PGW_CONFIG_BUCKETS];
 
-    note_summary(sync, link, digest->summary);
+    note_word(sync, link, digest);
     if (digest->summary == pgw_config_set_summary(sync->options.set)) {
         return;
     }
--- a/src/libparsleygw/sync.h
+++ b/src/libparsleygw/sync.h
@@ -60,8 +60,16 @@
                          enum pgw_frame_type type,
                          const ProtobufCMessage *message);
 
+/** pgw_sync_note_listed() - each kind was read from the store as a whole */
+void pgw_sync_note_listed(struct pgw_sync *sync);
+
+/** pgw_sync_note_seeded() - the set holds a whole copy that an operator gave
+ */
+void pgw_sync_note_seeded(struct pgw_sync *sync);
+
 /**
- * pgw_sync_is_settled() - a peer was found to hold nothing newer than we do
+ * pgw_sync_is_settled() - all was read from the store, or a peer that holds
+ *                         all was found to hold nothing newer than we do
  * @sync: the replica
  *
  * Before that a process that starts has a part of the configuration at most:
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -2327,7 +2327,7 @@
   (ProtobufCMessageInit) pgw__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__digest__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pgw__digest__field_descriptors[6] =
 {
   {
     "summary",
@@ -2389,10 +2389,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "complete",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Digest, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__digest__field_indices_by_name[] = {
   4,   /* field[4] = answer */
   1,   /* field[1] = buckets */
+  5,   /* field[5] = complete */
   2,   /* field[2] = covered */
   3,   /* field[3] = objects */
   0,   /* field[0] = summary */
@@ -2400,7 +2413,7 @@
 static const ProtobufCIntRange pgw__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pgw__digest__descriptor =
 {
@@ -2410,7 +2423,7 @@
   "Pgw__Digest",
   "pgw",
   sizeof(Pgw__Digest),
-  5,
+  6,
   pgw__digest__field_descriptors,
   pgw__digest__field_indices_by_name,
   1,  pgw__digest__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -386,10 +386,14 @@
    * objects are listed for the last time
    */
   protobuf_c_boolean answer;
+  /*
+   * once held all that the store lists
+   */
+  protobuf_c_boolean complete;
 };
 #define PGW__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__digest__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Pgw__ObjectVersion
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -354,10 +354,12 @@
     sidecar->sync = pgw_sync_new(&sync);
     suspects_init(sidecar);
     engine_init(&sidecar->engine, sidecar);
-    if (settings->bootstrap_file != NULL &&
-        !pgw_config_set_load_file(sidecar->set, settings->bootstrap_file,
-                                  error)) {
-        goto fail;
+    if (settings->bootstrap_file != NULL) {
+        if (!pgw_config_set_load_file(sidecar->set, settings->bootstrap_file,
+                                      error)) {
+            goto fail;
+        }
+        pgw_sync_note_seeded(sidecar->sync);
     }
     config_changed(sidecar);
     if (!feed_init(sidecar, error)) {
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -257,6 +257,7 @@
     struct replica *all = fleet->replicas;
 
     offer_many(&all[0], 2000);
+    pgw_sync_note_listed(all[0].sync);
     g_assert_false(pgw_sync_is_settled(all[1].sync));
     join(&all[1], &all[0]);
     join(&all[2], &all[1]);
@@ -265,6 +266,40 @@
     fleet_free(fleet);
 }
 
+static bool
+third_settles(struct fleet *fleet)
+{
+    struct replica *all = fleet->replicas;
+    bool whole = pgw_config_set_count(all[0].set) == 7;
+
+    if (pgw_sync_is_settled(all[2].sync)) {
+        g_assert_true(whole);
+        return true;
+    }
+    /* They agree on a part for some turns, then the rest is read. */
+    if (!whole && all_agree(fleet) && fleet->checks > 100) {
+        offer_many(&all[0], 7);
+        pgw_sync_note_listed(all[0].sync);
+    }
+    return false;
+}
+
+/* A fleet starts together: the one that reads the store holds a part so far,
+ * and whoever agrees with it knows that it is no more than that. */
+static void
+test_part_settles_nobody(void)
+{
+    struct fleet *fleet = fleet_new(third_settles);
+    struct replica *all = fleet->replicas;
+
+    offer_many(&all[0], 5);
+    join(&all[1], &all[0]);
+    join(&all[2], &all[1]);
+    pgw_loop_run(fleet->loop);
+    g_assert_cmpuint(pgw_config_set_count(all[2].set), ==, 7);
+    fleet_free(fleet);
+}
+
 /* One that starts empty before several peers takes the copy of one: what it
  * receives in objects stays near one copy, however many greet it. */
 static void
@@ -300,6 +335,8 @@
 
     offer_many(&all[1], 5);
     all[1].watches_settled = true;
+    /* Even if it takes the nothing that it holds for all. */
+    pgw_sync_note_seeded(all[2].sync);
     join(&all[2], &all[1]);
     pgw_loop_run(fleet->loop);
     g_assert_false(all[1].settled_by_empty);
@@ -552,6 +589,7 @@
     g_test_add_func("/sync/replicas-converge", test_replicas_converge);
     g_test_add_func("/sync/late-starter-catches-up",
                     test_late_starter_catches_up);
+    g_test_add_func("/sync/part-settles-nobody", test_part_settles_nobody);
     g_test_add_func("/sync/starter-takes-one-copy",
                     test_starter_takes_one_copy);
     g_test_add_func("/sync/empty-peer-settles-nobody",
