Let the limit of open files and the optional object stand once

Cause: duplicates showed raising the limit of open files three times and the read of an object that need not exist twice. Change: pgw_program_raise_file_limit() and pgw_cli_find_object(); no behaviour changes.

--- a/bench/bench/main.c
+++ b/bench/bench/main.c
@@ -1,12 +1,12 @@
 #include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include "fault.h"
 #include "report.h"
 #include "run.h"
+#include "util/program.h"
 
 /**
  * DOC: parsleygw-bench, the load and experiment tool
@@ -37,18 +37,6 @@
     g_free(bench);
 }
 
-/* Thousands of connections, here and in the entries that inherit this. */
-static void
-raise_file_limit(void)
-{
-    struct rlimit limit;
-
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-        limit.rlim_cur = limit.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &limit);
-    }
-}
-
 static void
 write_text(JsonBuilder *out, const char *name, const char *text)
 {
@@ -147,7 +135,7 @@
 
     bench_options_parse(&options, argc, argv);
     find_programs();
-    raise_file_limit();
+    pgw_program_raise_file_limit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     root = options.from != NULL ? read_output(options.from) : run(&options);
     text = json_to_string(root, FALSE);
--- a/bench/control/main.c
+++ b/bench/control/main.c
@@ -1,11 +1,11 @@
 #include "control.h"
+#include "util/program.h"
 
 #include <curl/curl.h>
 #include <getopt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 static const struct {
@@ -102,18 +102,6 @@
     return part;
 }
 
-/* Thousands of connections, here and in the processes that inherit this. */
-static void
-raise_file_limit(void)
-{
-    struct rlimit limit;
-
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-        limit.rlim_cur = limit.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &limit);
-    }
-}
-
 static void
 write_options(JsonBuilder *out, const struct control_options *options)
 {
@@ -152,7 +140,7 @@
         usage(2);
     }
     find_programs();
-    raise_file_limit();
+    pgw_program_raise_file_limit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     json_builder_begin_object(out);
     json_builder_set_member_name(out, "part");
--- a/src/cli/history.c
+++ b/src/cli/history.c
@@ -73,25 +73,6 @@
     return node;
 }
 
-static bool
-read_history(struct pgw_cli *cli, JsonNode **out, uint64_t *version,
-             const char *name, GError **error)
-{
-    GError *cause = NULL;
-
-    *out = NULL;
-    *version = 0;
-    if (pgw_cli_get_object(cli, out, version, HISTORY_KIND, name, &cause)) {
-        return true;
-    }
-    if (g_error_matches(cause, PGW_ERROR, PGW_ERROR_NOT_FOUND)) {
-        g_error_free(cause);
-        return true;
-    }
-    g_propagate_error(error, cause);
-    return false;
-}
-
 static bool
 try_note(struct pgw_cli *cli, const struct pgw_cli_change *change,
          uint64_t version, const char *name, GError **error)
@@ -99,7 +80,8 @@
     JsonNode *history = NULL;
     struct pgw_cli_change note = {.kind = HISTORY_KIND, .name = name};
     uint64_t noted;
-    bool ok = read_history(cli, &history, &note.base, name, error);
+    bool ok = pgw_cli_find_object(cli, &history, &note.base, HISTORY_KIND,
+                                  name, error);
 
     if (ok) {
         note.value = prepend_entry(history, new_entry(change, version));
@@ -165,7 +147,8 @@
     JsonNode *history = NULL;
     uint64_t version;
     bool ok = pgw_cli_open_store(cli, error) &&
-              read_history(cli, &history, &version, name, error);
+              pgw_cli_find_object(cli, &history, &version, HISTORY_KIND, name,
+                                  error);
 
     g_free(name);
     if (!ok) {
--- a/src/cli/instance.c
+++ b/src/cli/instance.c
@@ -20,25 +20,6 @@
     return node;
 }
 
-/* The version to replace; 0 for an instance that is not declared yet. */
-static bool
-find_declared(struct pgw_cli *cli, struct pgw_cli_change *change,
-              JsonNode **value, GError **error)
-{
-    GError *cause = NULL;
-
-    if (pgw_cli_get_object(cli, value, &change->base, change->kind,
-                           change->name, &cause)) {
-        return true;
-    }
-    if (g_error_matches(cause, PGW_ERROR, PGW_ERROR_NOT_FOUND)) {
-        g_error_free(cause);
-        return true;
-    }
-    g_propagate_error(error, cause);
-    return false;
-}
-
 static bool
 commit_and_report(struct pgw_cli *cli, struct pgw_cli_change *change,
                   GError **error)
@@ -70,7 +51,8 @@
         return false;
     }
     if (!pgw_cli_open_store(cli, error) ||
-        !find_declared(cli, &change, &declared, error)) {
+        !pgw_cli_find_object(cli, &declared, &change.base, change.kind,
+                             change.name, error)) {
         return false;
     }
     g_clear_pointer(&declared, json_node_unref);
--- a/src/cli/objects.c
+++ b/src/cli/objects.c
@@ -103,6 +103,25 @@
     return ok;
 }
 
+bool
+pgw_cli_find_object(struct pgw_cli *cli, JsonNode **value, uint64_t *version,
+                    const char *kind, const char *name, GError **error)
+{
+    GError *cause = NULL;
+
+    *value = NULL;
+    *version = 0;
+    if (pgw_cli_get_object(cli, value, version, kind, name, &cause)) {
+        return true;
+    }
+    if (g_error_matches(cause, PGW_ERROR, PGW_ERROR_NOT_FOUND)) {
+        g_error_free(cause);
+        return true;
+    }
+    g_propagate_error(error, cause);
+    return false;
+}
+
 static bool
 values_equal(JsonNode *a, JsonNode *b)
 {
--- a/src/cli/objects.h
+++ b/src/cli/objects.h
@@ -100,6 +100,19 @@
                         uint64_t *version, const char *kind, const char *name,
                         GError **error);
 
+/**
+ * pgw_cli_find_object() - read one object that need not exist
+ * @cli: open store
+ * @value: receives its value, NULL when there is none; release it
+ * @version: receives its version, 0 when there is none: the base of a write
+ * @kind: kind
+ * @name: name
+ * @error: as pgw_store_get(), but not that it does not exist
+ */
+bool pgw_cli_find_object(struct pgw_cli *cli, JsonNode **value,
+                         uint64_t *version, const char *kind, const char *name,
+                         GError **error);
+
 /**
  * pgw_cli_json_diff() - differences by path
  * @before: a value, or NULL
--- a/src/util/program.c
+++ b/src/util/program.c
@@ -74,10 +74,8 @@
     pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
-/* An entry holds a connection for each sidecar, a sidecar one for each entry:
- * more than the 1,024 that many systems grant unless asked. */
-static void
-raise_file_limit(void)
+void
+pgw_program_raise_file_limit(void)
 {
     struct rlimit limit;
 
@@ -190,7 +188,7 @@
         return report(program, error, PGW_EXIT_OK);
     }
     prepare_signals();
-    raise_file_limit();
+    pgw_program_raise_file_limit();
     code = program->run(line.config, &error);
     return report(program, error, code);
 }
--- a/src/util/program.h
+++ b/src/util/program.h
@@ -45,6 +45,15 @@
     int (*run)(const char *config, GError **error);
 };
 
+/**
+ * pgw_program_raise_file_limit() - allow as many open files as the system does
+ *
+ * An entry holds a connection for each sidecar, a sidecar one for each entry,
+ * and stand-ins for thousands: more than the 1,024 that many systems grant
+ * unless asked. Programs started later inherit it.
+ */
+void pgw_program_raise_file_limit(void);
+
 /**
  * pgw_program_main() - whole main() of a daemon
  * @program: the daemon
