--- a/bench/control/fleet.c
+++ b/bench/control/fleet.c
@@ -7,7 +7,7 @@
 #include "parsleygw/watch.h"
 #include "util/hlc.h"
 
-#define PROCESSES_MAX 200
+#define PROCESSES_MAX 400
 #define ZONES 3
 #define READY_LIMIT_S 90
 #define SETTLE_US 5000000
