--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -5,6 +5,9 @@
 #include "util/log.h"
 #include <xxhash.h>
 
+/* Some answers' length. */
+#define WAIT_ALONE_US UINT64_C(2000000)
+
 #define QUEUE_RETRY_MS 1000
 
 guint
@@ -365,6 +368,18 @@
     }
 }
 
+/*
+ * Behind a suspect that runs alone everything waits, nobody knows how long.
+ * Refusing it told callers of a small pool that no upstream could be reached
+ * while suspects ran on all of them; so it counts as a long queue, which
+ * others go round as long as there is a shorter one.
+ */
+static uint64_t
+wait_alone_us(const struct sidecar *sidecar)
+{
+    return sidecar->exclusive == NULL ? 0 : WAIT_ALONE_US;
+}
+
 void
 gate_probe(struct peer *peer, const Pgw__Probe *probe)
 {
@@ -391,12 +406,11 @@
     reply.matched_tokens = matched;
     reply.queued_tokens = load.queued_tokens;
     reply.running = load.running;
-    reply.waiting = load.waiting;
-    reply.ttft_us = (uint32_t)MIN(ttft_us, UINT32_MAX);
+    reply.waiting = load.waiting + (sidecar->exclusive != NULL);
+    reply.ttft_us =
+        (uint32_t)MIN(ttft_us + wait_alone_us(sidecar), UINT32_MAX);
     reply.leaving = !sidecar_takes_work(sidecar);
-    /* Behind a suspect that runs alone everything waits. */
-    reply.refuses = sidecar->exclusive != NULL ||
-                    must_refuse(sidecar, probe->model, probe->version,
+    reply.refuses = must_refuse(sidecar, probe->model, probe->version,
                                 &refusal, &message) ||
                     (probe->deadline_ms > 0 &&
                      ttft_us > (uint64_t)probe->deadline_ms * 1000);
