--- a/src/libparsleygw/sync.c
+++ b/src/libparsleygw/sync.c
@@ -1,12 +1,11 @@
 #include "libparsleygw/sync.h"
+#include "libparsleygw/object_batch.h"
 #include "libparsleygw/sync_copy.h"
 #include "libparsleygw/sync_turn.h"
 #include "parsleygw/errors.h"
 #include <stdatomic.h>
 #include <string.h>
 
-/* One frame of objects stays well below PGW_FRAME_MAX. */
-#define SYNC_FRAME_BYTES ((size_t)1 << 20)
 /* More objects at once are a process catching up, which others need not
  * hear of: only fresh changes are pushed on. */
 #define SYNC_PUSH_OBJECTS 16
@@ -234,74 +233,15 @@
     settle_if_equal(sync, link);
 }
 
-/* Objects gathered for one or more frames to one link. */
-struct object_batch {
-    struct pgw_link *link;
-    GPtrArray *objects;
-    size_t bytes;
-};
-
-static void
-batch_flush(struct object_batch *batch)
-{
-    Pgw__Objects message = PGW__OBJECTS__INIT;
-
-    if (batch->objects->len > 0) {
-        message.n_objects = batch->objects->len;
-        message.objects = (Pgw__Object **)batch->objects->pdata;
-        pgw_link_send(batch->link, PGW_FRAME_OBJECTS, &message.base);
-    }
-    g_ptr_array_set_size(batch->objects, 0);
-    batch->bytes = 0;
-}
-
-static void
-batch_add(const char *kind, const char *name, uint64_t version,
-          const char *value, void *data)
-{
-    struct object_batch *batch = data;
-    size_t size = value == NULL ? 0 : strlen(value);
-    Pgw__Object *object = g_new(Pgw__Object, 1);
-
-    if (batch->bytes + size > SYNC_FRAME_BYTES) {
-        batch_flush(batch);
-    }
-    *object = (Pgw__Object)PGW__OBJECT__INIT;
-    object->kind = (char *)kind;
-    object->name = (char *)name;
-    object->version = version;
-    object->deleted = value == NULL;
-    object->value.data = (uint8_t *)value;
-    object->value.len = size;
-    batch->bytes += size;
-    g_ptr_array_add(batch->objects, object);
-}
-
-static void
-batch_init(struct object_batch *batch, struct pgw_link *link)
-{
-    *batch = (struct object_batch){
-        .link = link,
-        .objects = g_ptr_array_new_with_free_func(g_free),
-    };
-}
-
-static void
-batch_dispose(struct object_batch *batch)
-{
-    batch_flush(batch);
-    g_ptr_array_unref(batch->objects);
-}
-
 static void
 push_to_link(struct pgw_link *link, const char *kind, const char *name,
              uint64_t version, const char *value)
 {
-    struct object_batch batch;
+    struct pgw_object_batch batch;
 
-    batch_init(&batch, link);
-    batch_add(kind, name, version, value, &batch);
-    batch_dispose(&batch);
+    pgw_object_batch_init(&batch, link);
+    pgw_object_batch_add(kind, name, version, value, &batch);
+    pgw_object_batch_dispose(&batch);
 }
 
 /* A few random links suffice: the fleet is reached in logarithmic time, and
@@ -450,7 +390,7 @@
     GArray *peer =
         g_array_sized_new(FALSE, FALSE, sizeof(struct pgw_config_version),
                           (guint)digest->n_objects);
-    struct object_batch batch;
+    struct pgw_object_batch batch;
     size_t newer_there;
 
     for (size_t i = 0; i < digest->n_covered; i++) {
@@ -467,11 +407,11 @@
 
         g_array_append_val(peer, line);
     }
-    batch_init(&batch, link);
+    pgw_object_batch_init(&batch, link);
     newer_there = pgw_config_set_diff(
         sync->options.set, (const struct pgw_config_version *)peer->data,
-        peer->len, covered, batch_add, &batch);
-    batch_dispose(&batch);
+        peer->len, covered, pgw_object_batch_add, &batch);
+    pgw_object_batch_dispose(&batch);
     g_array_unref(peer);
     if (newer_there == 0) {
         /* A peer that lists nothing may know nothing: were its word taken, a
@@ -510,11 +450,11 @@
 static void
 send_copy(struct pgw_sync *sync, struct pgw_link *link)
 {
-    struct object_batch batch;
+    struct pgw_object_batch batch;
 
-    batch_init(&batch, link);
-    pgw_config_set_foreach(sync->options.set, batch_add, &batch);
-    batch_dispose(&batch);
+    pgw_object_batch_init(&batch, link);
+    pgw_config_set_foreach(sync->options.set, pgw_object_batch_add, &batch);
+    pgw_object_batch_dispose(&batch);
 }
 
 static void
