Make the test of a restart outlast what asking again brings

Cause: script/mutate: with EVENTS_CONTINUE off, fail_cache passed: the test asks again until the prompt is counted, and each time brings 31 events, so the new engine passed the dead one's 250 events within the limit. Change: the dead engine had 2,000 events, more than the waiting can bring.

--- a/tests/failure/fail_cache.c
+++ b/tests/failure/fail_cache.c
@@ -332,7 +332,8 @@
 static void
 test_restart_counts(void)
 {
-    char *many = prompt(1, LONG_BYTES);
+    /* More events than all of the waiting below can bring. */
+    char *many = prompt(1, 8 * LONG_BYTES);
     char *few = prompt(2, SHORT_BYTES);
     struct wanted wanted = {.text = few};
     struct scene scene;
