Count who waits when prefixes are computed again

The price of recomputation did not grow with those whom it delays. Ruled out: idle upstreams beside full ones; admission order (stamp checks waited 0.3 s at most); retries (none); capacity alone (2.5 s of the fleet, so about 1.3 s of waiting; measured 2.9). Change: each request that waits at a candidate adds one prefill of what is missing there to its price. The test of settings listed the policies in its expected message; it lists the longer list now, and a new case holds settings and table together.

--- a/bench/bench/options.c
+++ b/bench/bench/options.c
@@ -57,7 +57,7 @@
     "usage: parsleygw-bench [--scenario passports|labels|overnight] "
     "[options]\n"
     "  --policy A,B,..   parsleygw, hash, least-loaded, round-robin\n"
-    "                    (default: these), parsleygw-v1 to -v3 (earlier\n"
+    "                    (default: these), parsleygw-v1 to -v4 (earlier\n"
     "                    versions); one fresh fleet for each\n"
     "  --seconds N       measured time (20)\n"
     "  --warmup N        time before it, at a growing rate (6)\n"
--- a/include/parsleygw/place.h
+++ b/include/parsleygw/place.h
@@ -75,6 +75,8 @@
  *     is missing there. Requests for a new prefix that arrive together see it
  *     cached nowhere and no load: this sends them to one upstream, whatever
  *     zones they come from, and is little once the prefix is cached
+ * @queue_weight: cost of recomputation for each request that waits there and
+ *     is delayed by it, as a part of the prefill that is missing
  */
 struct pgw_place_weights {
     double ttft_weight;
@@ -83,13 +85,14 @@
     uint32_t lag_us;
     double load_factor;
     double rank_weight;
+    double queue_weight;
 };
 
 #define PGW_PLACE_WEIGHTS_INIT                                                \
     {                                                                         \
         .ttft_weight = 0.5, .prefill_tokens_per_s = 10000.0,                  \
         .zone_cost_us = 2000, .lag_us = 500000, .load_factor = 1.25,          \
-        .rank_weight = 0.05                                                   \
+        .rank_weight = 0.05, .queue_weight = 1.0                              \
     }
 
 /**
@@ -190,7 +193,7 @@
 /**
  * pgw_place_policy_find() - look a policy up
  * @name: "parsleygw", an earlier version of it ("parsleygw-v1" to
- *     "parsleygw-v3"), "hash", "least-loaded" or "round-robin"
+ *     "parsleygw-v4"), "hash", "least-loaded" or "round-robin"
  *
  * Return: the policy, NULL for any other name.
  */
--- a/src/libparsleygw/place_choice.c
+++ b/src/libparsleygw/place_choice.c
@@ -134,6 +134,21 @@
     out->mean_wait_us = mean_wait_us(out, candidates, n);
 }
 
+/*
+ * What is computed again delays all that wait behind it. Without counting
+ * them a launch has each engine compute each of its prefixes, seen as a longer
+ * queue at every engine; with them a prefix moves on only when a shorter queue
+ * is worth it to all.
+ */
+static double
+recompute_price(const struct pricing *pricing,
+                const struct pgw_place_candidate *candidate, size_t position)
+{
+    return pricing->recompute_weight +
+           pricing->weights->rank_weight * (double)position +
+           pricing->weights->queue_weight * candidate->waiting;
+}
+
 static void
 choose_unanswered(struct pgw_place_choice *out,
                   const struct pgw_place_candidate *candidates, size_t n)
@@ -168,9 +183,7 @@
             continue;
         }
         wait = expected_wait_us(&pricing, one, i);
-        cost = wait +
-               own * (1.0 + pricing.recompute_weight +
-                      weights->rank_weight * (double)i) +
+        cost = wait + own * (1.0 + recompute_price(&pricing, one, i)) +
                (one->same_zone ? 0 : weights->zone_cost_us);
         if (!out->found || cost < best) {
             best = cost;
--- a/src/libparsleygw/place_policy.c
+++ b/src/libparsleygw/place_policy.c
@@ -136,6 +136,19 @@
     }
 }
 
+/* Until the last change: what waits at a candidate does not count. */
+static void
+choose_without_queue(struct pgw_place_choice *out,
+                     const struct pgw_place_candidate *candidates, size_t n,
+                     const struct pgw_place_weights *weights,
+                     uint32_t prompt_tokens, uint64_t random)
+{
+    struct pgw_place_weights earlier = *weights;
+
+    earlier.queue_weight = 0.0;
+    pgw_place_choose(out, candidates, n, &earlier, prompt_tokens, random);
+}
+
 /* Until 5af4405: entries of several zones compute a new prefix several times.
  */
 static void
@@ -147,7 +160,7 @@
     struct pgw_place_weights earlier = *weights;
 
     earlier.rank_weight = 0.0;
-    pgw_place_choose(out, candidates, n, &earlier, prompt_tokens, random);
+    choose_without_queue(out, candidates, n, &earlier, prompt_tokens, random);
 }
 
 static const struct pgw_place_policy policies[] = {
@@ -168,13 +181,19 @@
      .fixed_probes = true,
      .rounds = 1,
      .rank = rank_nested,
-     .choose = pgw_place_choose},
+     .choose = choose_without_queue},
     {.name = "parsleygw-v3",
      .probes = 3,
      .fixed_probes = true,
      .rounds = ROUNDS,
      .rank = rank_nested,
-     .choose = pgw_place_choose,
+     .choose = choose_without_queue,
+     .settled = pgw_place_is_settled},
+    {.name = "parsleygw-v4",
+     .probes = 4,
+     .rounds = ROUNDS,
+     .rank = rank_nested,
+     .choose = choose_without_queue,
      .settled = pgw_place_is_settled},
     {.name = "hash",
      .probes = 0,
--- a/src/libparsleygw/settings.c
+++ b/src/libparsleygw/settings.c
@@ -10,8 +10,9 @@
 #define MIB (1024.0 * 1024)
 
 static const char *const policies[] = {
-    "parsleygw", "parsleygw-v1", "parsleygw-v2", "parsleygw-v3",
-    "hash",      "least-loaded", "round-robin",  NULL};
+    "parsleygw",    "parsleygw-v1", "parsleygw-v2",
+    "parsleygw-v3", "parsleygw-v4", "hash",
+    "least-loaded", "round-robin",  NULL};
 static const char *const log_levels[] = {"error", "warning", "info", "debug",
                                          NULL};
 static const char *const upstream_types[] = {"model", "service", NULL};
--- a/tests/unit/test_json_reader.c
+++ b/tests/unit/test_json_reader.c
@@ -1,4 +1,5 @@
 #include "parsleygw/errors.h"
+#include "parsleygw/place.h"
 #include "parsleygw/settings.h"
 #include "util/address.h"
 #include "util/json_reader.h"
@@ -29,7 +30,8 @@
     {"{" ENTRY_HEAD "\"store_url\":\"http://127.0.0.1:1\",\"threads\":1.5}",
      "write a whole number"},
     {"{" ENTRY_HEAD "\"store_url\":\"http://127.0.0.1:1\",\"policy\":\"x\"}",
-     "write parsleygw, hash, least-loaded, round-robin"},
+     "write parsleygw, parsleygw-v1, parsleygw-v2, parsleygw-v3, "
+     "parsleygw-v4, hash, least-loaded, round-robin"},
     {"{" ENTRY_HEAD
      "\"store_url\":\"http://127.0.0.1:1\",\"seeds\":[\"127.0.0.1:2\",3]}",
      "seeds: found 3; write text"},
@@ -74,6 +76,34 @@
     }
 }
 
+/* The settings know the names that the table of policies has. */
+static void
+test_policies(void)
+{
+    static const char *const names[] = {
+        "parsleygw",    "parsleygw-v1", "parsleygw-v2", "parsleygw-v3",
+        "parsleygw-v4", "hash",         "least-loaded", "round-robin"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *text = g_strdup_printf(
+            "{" ENTRY_HEAD "\"store_url\":\"http://127.0.0.1:1\","
+            "\"seeds\":[\"127.0.0.1:2\"],\"policy\":\"%s\"}",
+            names[i]);
+        char *path = write_file(text);
+        struct pgw_entry_settings *settings = NULL;
+        GError *error = NULL;
+
+        pgw_entry_settings_load(&settings, path, &error);
+        g_assert_no_error(error);
+        g_assert_cmpstr(pgw_place_policy_find(settings->policy)->name, ==,
+                        names[i]);
+        pgw_entry_settings_free(settings);
+        g_unlink(path);
+        g_free(path);
+        g_free(text);
+    }
+}
+
 static void
 test_settings_and_defaults(void)
 {
@@ -158,6 +188,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/json_reader/bad", test_bad_settings_name_the_remedy);
     g_test_add_func("/json_reader/defaults", test_settings_and_defaults);
+    g_test_add_func("/settings/policies", test_policies);
     g_test_add_func("/json_reader/missing_file", test_missing_file);
     g_test_add_func("/json_reader/depth", test_deep_nesting_is_refused);
     g_test_add_func("/json_reader/address", test_address_round_trip);
