--- a/src/libparsleygw/place_policy.c
+++ b/src/libparsleygw/place_policy.c
@@ -136,7 +136,7 @@
     }
 }
 
-/* Until the last change: what waits at a candidate does not count. */
+/* Until 66e9d4b: what waits at a candidate does not count. */
 static void
 choose_without_queue(struct pgw_place_choice *out,
                      const struct pgw_place_candidate *candidates, size_t n,
