Ask a zone's other sidecars before a lost attempt goes on as suspect

Cause: when a zone goes silent and only one of its sidecars has an attempt of this entry, only that link is found silent after 2 s; the idle others are looked at after 75 s. The break looks like a lone machine's, its attempts are marked, and the two sidecars of the entry's own zone, whose store is silent, refuse the marked attempt after 2 s each (overloaded, or store_down). The fourth and last attempt goes to the other, idle and silent sidecar of the lost zone and ends as upstream_failed.

Ruled out: marks taken back too late for attempts sent meanwhile as the main cause: where both links were busy, the second break withdrew the marks and a later attempt went on. Tried and taken out: to run an unknown request when the store is silent for the whole patience; not needed, its read fails after 1 s.

Change: a lone break with marks asks up to 4 other sidecars of the zone for a word. Until each has answered or is found silent (2 s, within the 3 s in which breaks belong together) the retry of a suspect is held back, so a mark that is withdrawn was told to nobody.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -262,6 +262,7 @@
     suspects.loop = entry->loop;
     entry->suspects = pgw_suspects_new(&suspects);
     pgw_loss_init(&entry->loss, &loss);
+    pgw_list_init(&entry->lost.asked);
 }
 
 static bool
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -56,12 +56,14 @@
  * @crash: what they were given as crash
  * @marks: their fingerprints
  * @count: number of @marks
+ * @asked: upstreams of its zone whose sign of life tells whether it was alone
  */
 struct lost_marks {
     uint64_t engine;
     uint64_t crash;
     struct pgw_fingerprint marks[PGW_LOSS_MARKS_MAX];
     uint32_t count;
+    struct pgw_list asked;
 };
 
 /**
--- a/src/entry/lost.c
+++ b/src/entry/lost.c
@@ -3,6 +3,8 @@
 #include "util/log.h"
 
 #define CRASH_SPAN_US UINT64_C(600000000)
+/* A zone that is gone is silent wherever it is asked. */
+#define ASKED_MAX 4
 
 /*
  * One number for all engines: a prompt that many send runs on several engines,
@@ -67,10 +69,9 @@
 {
     struct pgw_list *link = upstream->attempts.prev;
 
-    upstream->entry->lost = (struct lost_marks){
-        .engine = upstream->engine,
-        .crash = crash_number(),
-    };
+    upstream->entry->lost.engine = upstream->engine;
+    upstream->entry->lost.crash = crash_number();
+    upstream->entry->lost.count = 0;
     for (; marks > 0 && link != &upstream->attempts; link = link->prev) {
         struct exchange *exchange =
             pgw_container_of(link, struct exchange, at_target);
@@ -82,6 +83,52 @@
     }
 }
 
+/*
+ * Failure: a zone goes, and only one of its sidecars has an attempt of this
+ * entry. Symptom: the others' silence is found after a minute, so that the
+ * break looks like a lone one; its marked attempts are refused where the store
+ * cannot be reached, and end although there are engines. Asked, the others
+ * are found within the time in which breaks belong together.
+ */
+static void
+ask_others(const struct upstream *upstream)
+{
+#ifndef PGW_DISABLE_LOST_ASK
+    struct entry *entry = upstream->entry;
+    GHashTableIter iter;
+    gpointer value;
+    unsigned asked = 0;
+
+    g_hash_table_iter_init(&iter, entry->upstreams);
+    while (asked < ASKED_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct upstream *other = value;
+
+        if (other != upstream && !other->is_seed && upstream_can_talk(other) &&
+            strcmp(other->zone, upstream->zone) == 0) {
+            upstream_ask(other);
+            asked++;
+        }
+    }
+#else
+    (void)upstream;
+#endif
+}
+
+bool
+lost_is_open(struct entry *entry)
+{
+    pgw_list_foreach_safe (link, &entry->lost.asked) {
+        struct upstream *upstream =
+            pgw_container_of(link, struct upstream, asked);
+
+        if (!upstream_can_talk(upstream) ||
+            pgw_link_heard_us(upstream->link) >= upstream->asked_us) {
+            pgw_list_remove(link);
+        }
+    }
+    return !pgw_list_is_empty(&entry->lost.asked);
+}
+
 void
 lost_mark(struct upstream *upstream)
 {
@@ -105,6 +152,7 @@
      */
     if (marks > 0) {
         mark_newest(upstream, marks);
+        ask_others(upstream);
     }
 #endif
 }
--- a/src/entry/lost.h
+++ b/src/entry/lost.h
@@ -15,6 +15,13 @@
 /** lost_mark() - a link broke; before its attempts are told */
 void lost_mark(struct upstream *upstream);
 
+/**
+ * lost_is_open() - whether the last break may yet turn out to be its zone's
+ *
+ * Until then the next attempt of a marked request is held back.
+ */
+bool lost_is_open(struct entry *entry);
+
 /** lost_take_state() - its sidecar is there again: does the engine live? */
 void lost_take_state(struct upstream *upstream, bool alive, uint64_t engine);
 
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -1,5 +1,6 @@
 #include "entry/exchange.h"
 #include "entry/levels_frame.h"
+#include "entry/lost.h"
 #include "entry/upstream.h"
 #include "util/log.h"
 #include "util/random.h"
@@ -451,7 +452,12 @@
     struct exchange *exchange =
         pgw_container_of(timer, struct exchange, place_timer);
 
-    if (exchange->placement == NULL) {
+    if (exchange->placement == NULL && exchange->suspect &&
+        lost_is_open(exchange->entry)) {
+        pgw_timer_start(exchange->entry->loop, &exchange->place_timer,
+                        NOBODY_RETRY_US);
+    }
+    else if (exchange->placement == NULL) {
         place_begin(exchange);
     }
     else if (exchange->placement->probe != 0) {
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -52,6 +52,7 @@
 {
     forget_failures(upstream);
     pgw_timer_stop(upstream->entry->loop, &upstream->retry);
+    pgw_list_remove(&upstream->asked);
     g_free(upstream->id);
     g_free(upstream->zone);
     g_free(upstream);
@@ -252,13 +253,17 @@
 is_silent(const struct upstream *upstream)
 {
     uint64_t heard = pgw_link_heard_us(upstream->link);
-    bool waits = !upstream->greeted || !pgw_list_is_empty(&upstream->attempts);
+    bool busy = !upstream->greeted || !pgw_list_is_empty(&upstream->attempts);
+    bool waits = busy || upstream->asked_us > heard;
     uint64_t now = pgw_now_us();
 
     /* An attempt that began on an idle connection gives it time to answer. */
-    if (waits) {
+    if (busy) {
         heard = MAX(heard, upstream->busy_us);
     }
+    else if (waits) {
+        heard = upstream->asked_us;
+    }
     return now - heard > (waits ? SILENCE_MAX_US : SILENCE_IDLE_US);
 }
 
@@ -280,10 +285,12 @@
         return;
     }
     upstream_drop_if_unused(upstream);
-    pgw_timer_start(upstream->entry->loop, timer,
-                    upstream->greeted && pgw_list_is_empty(&upstream->attempts)
-                        ? SILENCE_CHECK_IDLE_US
-                        : SILENCE_CHECK_US);
+    pgw_timer_start(
+        upstream->entry->loop, timer,
+        upstream->greeted && pgw_list_is_empty(&upstream->attempts) &&
+                upstream->asked_us <= pgw_link_heard_us(upstream->link)
+            ? SILENCE_CHECK_IDLE_US
+            : SILENCE_CHECK_US);
 }
 
 void
@@ -296,6 +303,18 @@
     }
 }
 
+void
+upstream_ask(struct upstream *upstream)
+{
+    Pgw__Probe probe = PGW__PROBE__INIT;
+
+    upstream->asked_us = pgw_now_us();
+    pgw_list_remove(&upstream->asked);
+    pgw_list_append(&upstream->entry->lost.asked, &upstream->asked);
+    pgw_link_send(upstream->link, PGW_FRAME_PROBE, &probe.base);
+    pgw_timer_start(upstream->entry->loop, &upstream->retry, SILENCE_CHECK_US);
+}
+
 static struct upstream *
 upstream_new(struct entry *entry, const char *id,
              const struct pgw_address *address, const char *zone)
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -17,6 +17,8 @@
  * @failures: connections that failed in a row
  * @retry: next connection, or next look at a silent one
  * @busy_us: when @attempts was last empty before an attempt
+ * @asked_us: when it was last asked for a sign of life
+ * @asked: in the entry's list of those that have not given it yet
  * @attempts: exchanges whose current attempt runs there
  * @charge: what this entry sent there of late
  * @engine: incarnation of its engine, as it last said
@@ -34,6 +36,8 @@
     unsigned failures;
     struct pgw_timer retry;
     uint64_t busy_us;
+    uint64_t asked_us;
+    struct pgw_list asked;
     struct pgw_list attempts;
     struct pgw_place_charge charge;
     uint64_t engine;
@@ -45,6 +49,9 @@
 /** upstream_begin() - an attempt is about to be listed there */
 void upstream_begin(struct upstream *upstream);
 
+/** upstream_ask() - close its link soon unless a word comes */
+void upstream_ask(struct upstream *upstream);
+
 /** upstreams_apply() - bring the table in line with the configuration */
 void upstreams_apply(struct entry *entry);
 
--- a/tests/failure/fail_region.c
+++ b/tests/failure/fail_region.c
@@ -16,6 +16,8 @@
 #define SIDECARS (ENGINES + FLEET_REGIONS)
 #define DAEMONS (SIDECARS + FLEET_REGIONS)
 #define CALLERS 6
+/* A zone has its callers served outside it once it has so many. */
+#define CALLERS_MAX 24
 #define TOKENS 200
 #define LIMIT_S 60
 
@@ -193,18 +195,28 @@
 }
 
 struct callers {
-    struct fleet_caller *callers[CALLERS];
-    char *prompts[CALLERS];
+    struct fleet_caller *callers[CALLERS_MAX];
+    char *prompts[CALLERS_MAX];
+    unsigned count;
 };
 
+static void
+callers_add(struct callers *callers, struct harness_process *entry)
+{
+    unsigned i = callers->count++;
+
+    callers->prompts[i] = g_strdup_printf("%u: tell the way", i * 7919);
+    callers->callers[i] =
+        fleet_caller_start(entry, callers->prompts[i], TOKENS);
+}
+
 /* Spread over so many regions. */
 static void
 callers_start(struct callers *callers, struct fleet *fleet, unsigned regions)
 {
+    callers->count = 0;
     for (unsigned i = 0; i < CALLERS; i++) {
-        callers->prompts[i] = g_strdup_printf("%u: tell the way", i * 7919);
-        callers->callers[i] = fleet_caller_start(fleet->entries[i % regions],
-                                                 callers->prompts[i], TOKENS);
+        callers_add(callers, fleet->entries[i % regions]);
     }
     for (unsigned i = 0; i < CALLERS; i++) {
         fleet_caller_wait_begun(callers->callers[i], 200);
@@ -216,7 +228,7 @@
 {
     struct harness_stream stream;
 
-    for (unsigned i = 0; i < CALLERS; i++) {
+    for (unsigned i = 0; i < callers->count; i++) {
         g_assert_cmpint(fleet_caller_finish(callers->callers[i], &stream), ==,
                         200);
         fleet_assert_whole(fleet, &stream, callers->prompts[i], TOKENS);
@@ -307,6 +319,43 @@
     fleet_free(fleet);
 }
 
+static gint64
+count_running(struct fleet *fleet, unsigned region)
+{
+    gint64 running = 0;
+
+    for (unsigned i = region; i < ENGINES; i += FLEET_REGIONS) {
+        running += fleet_status_int(fleet->sidecars[i], "running");
+    }
+    return running;
+}
+
+/* The same for callers in the zone, of which one stream runs outside. The
+ * other upstreams there are idle, and the store can't say that the stream
+ * crashed nothing; the zone's own engines go on with it. */
+static void
+test_inside_zone(void)
+{
+    struct fleet *fleet = regions_new();
+    struct harness_process *entry = fleet->entries[1];
+    struct callers callers = {.count = 0};
+    gint64 outside = 0;
+
+    while (outside == 0) {
+        g_assert_cmpuint(callers.count, <, CALLERS_MAX);
+        callers_add(&callers, entry);
+        fleet_caller_wait_begun(callers.callers[callers.count - 1], 200);
+        /* Its /status lags; a second stream would make another one busy. */
+        g_usleep(400000);
+        outside = count_running(fleet, 0);
+    }
+    set_link(fleet, "stall");
+    set_store(fleet, 1, "stall");
+    callers_finish(&callers, fleet);
+    g_assert_cmpfloat(fleet_metric(entry, "pgw_resumes_total"), >, 0);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -314,5 +363,6 @@
     g_test_add_data_func("/region/link-reset", "cut", test_link);
     g_test_add_data_func("/region/link-silent", "stall", test_link);
     g_test_add_func("/region/zone-and-store", test_zone_and_store);
+    g_test_add_func("/region/inside-zone", test_inside_zone);
     return g_test_run();
 }
