Switch the whole division of versions off with VERSION_SPLIT

Cause: script/mutate VERSION_SPLIT was not caught any more: the flag left the search for another version in place, which then asked the same one again and again until an engine had loaded, so that callers waited and were not refused. Only the build with the flag was concerned; with stamps each turn of the search names a version that was not tried. Change: the flag sits where the next version is chosen. Measured: script/mutate VERSION_SPLIT: caught by fail_rollout; prop_version passes. Without the flag the code is the same.

--- a/src/entry/version.c
+++ b/src/entry/version.c
@@ -17,6 +17,9 @@
 {
     uint64_t hash;
 
+#ifdef PGW_DISABLE_VERSION_SPLIT
+    return NULL;
+#endif
     memcpy(&hash, exchange->request.fingerprint.bytes, sizeof(hash));
     return pgw_version_split_next(&pool->split, hash,
                                   &exchange->versions_tried);
@@ -28,9 +31,6 @@
     struct exchange_request *request = &exchange->request;
     const char *version;
 
-#ifdef PGW_DISABLE_VERSION_SPLIT
-    return;
-#endif
     if (!is_free(exchange)) {
         return;
     }
