--- /dev/null
+++ b/src/gateway/call.c
@@ -0,0 +1,562 @@
+#include "gateway/call.h"
+#include "util/log.h"
+#include "util/metric.h"
+#include "util/socket.h"
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_SIZE 65536
+/* How long before the announced end of its keep-alive time a connection is
+ * given up: a request that crosses the peer's close is lost. */
+#define KEEP_ALIVE_MARGIN_US 700000
+
+static struct pgw_metric_counter connects = {
+    .name = "pgw_call_connections_total",
+    .help = "Connections opened to upstreams and the platform",
+};
+
+/**
+ * struct peer - connections to one address
+ * @idle: &struct pgw_connection, the least recently used first
+ */
+struct peer {
+    struct pgw_address address;
+    char name[PGW_ADDRESS_TEXT_SIZE];
+    struct pgw_list idle;
+    unsigned idle_count;
+};
+
+struct pgw_call_pool {
+    struct pgw_loop *loop;
+    struct pgw_call_pool_options options;
+    GHashTable *peers;
+    struct pgw_list all;
+    char *buffer;
+};
+
+/**
+ * struct pgw_connection - one socket
+ * @call: the call that it carries, NULL while idle
+ * @keep_us: how long it may stay idle
+ * @events: what epoll watches
+ */
+struct pgw_connection {
+    struct pgw_loop_fd watch;
+    struct pgw_list in_pool;
+    struct pgw_list in_idle;
+    struct pgw_task reap;
+    struct pgw_call_pool *pool;
+    struct peer *peer;
+    struct pgw_call *call;
+    struct pgw_http_reader reader;
+    struct pgw_buffer out;
+    struct pgw_timer idle_timer;
+    uint64_t idle_since_us;
+    uint64_t keep_us;
+    uint32_t events;
+    bool connecting;
+    bool paused;
+    bool skipping;
+    bool closed;
+};
+
+static void
+connection_reap(struct pgw_task *task)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(task, struct pgw_connection, reap);
+
+    pgw_list_remove(&connection->in_pool);
+    pgw_http_reader_dispose(&connection->reader);
+    pgw_buffer_dispose(&connection->out);
+    g_free(connection);
+}
+
+static void
+leave_idle(struct pgw_connection *connection)
+{
+    if (pgw_list_is_linked(&connection->in_idle)) {
+        pgw_list_remove(&connection->in_idle);
+        connection->peer->idle_count--;
+    }
+    pgw_timer_stop(connection->pool->loop, &connection->idle_timer);
+}
+
+/* Closes the socket at once and frees the memory from the loop, since the
+ * connection's own callbacks may be on the stack. */
+static void
+connection_close(struct pgw_connection *connection)
+{
+    if (connection->closed) {
+        return;
+    }
+    connection->closed = true;
+    connection->reader.stop = true;
+    leave_idle(connection);
+    pgw_loop_fd_remove(connection->pool->loop, &connection->watch);
+    close(connection->watch.fd);
+    connection->reap.run = connection_reap;
+    pgw_loop_post(connection->pool->loop, &connection->reap);
+}
+
+static struct pgw_call *
+detach(struct pgw_connection *connection)
+{
+    struct pgw_call *call = connection->call;
+
+    connection->call = NULL;
+    if (call != NULL) {
+        pgw_timer_stop(connection->pool->loop, &call->timer);
+        call->connection = NULL;
+    }
+    return call;
+}
+
+static void
+connection_fail(struct pgw_connection *connection, enum pgw_call_failure why)
+{
+    struct pgw_call *call = detach(connection);
+
+    if (connection->connecting) {
+        why = PGW_CALL_NO_CONNECTION;
+    }
+    connection_close(connection);
+    if (call != NULL) {
+        call->ops->on_failed(call, why);
+    }
+}
+
+static void
+watch_events(struct pgw_connection *connection)
+{
+    uint32_t events = connection->paused ? 0 : EPOLLIN;
+
+    if (connection->connecting || pgw_buffer_size(&connection->out) > 0) {
+        events |= EPOLLOUT;
+    }
+    if (events != connection->events && !connection->closed) {
+        connection->events = events;
+        pgw_loop_fd_modify(connection->pool->loop, &connection->watch, events);
+    }
+}
+
+static bool
+connection_flush(struct pgw_connection *connection)
+{
+    while (pgw_buffer_size(&connection->out) > 0) {
+        ssize_t sent =
+            send(connection->watch.fd, pgw_buffer_head(&connection->out),
+                 pgw_buffer_size(&connection->out), MSG_NOSIGNAL);
+
+        if (sent < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        if (connection->call != NULL) {
+            connection->call->sent = true;
+        }
+        pgw_buffer_consume(&connection->out, (size_t)sent);
+    }
+    return true;
+}
+
+static void
+on_head(struct pgw_http_reader *reader)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(reader, struct pgw_connection, reader);
+    struct pgw_call *call = connection->call;
+    const char *keep = pgw_http_head_find(&reader->head, "Keep-Alive");
+
+    connection->skipping = false;
+    if (call == NULL) {
+        return;
+    }
+    connection->keep_us = connection->pool->options.idle_us;
+    if (keep != NULL && (keep = strstr(keep, "timeout=")) != NULL) {
+        uint64_t limit = g_ascii_strtoull(keep + 8, NULL, 10) * 1000000;
+
+        limit = limit > KEEP_ALIVE_MARGIN_US ? limit - KEEP_ALIVE_MARGIN_US
+                                             : limit / 4;
+        connection->keep_us = MIN(connection->keep_us, limit);
+    }
+    call->answered = true;
+    if (!call->ops->on_head(call, &reader->head)) {
+        connection->skipping = true;
+        call->answered = false;
+    }
+}
+
+static void
+on_body(struct pgw_http_reader *reader, const char *data, size_t size)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(reader, struct pgw_connection, reader);
+
+    if (connection->call != NULL && !connection->skipping) {
+        connection->call->ops->on_body(connection->call, data, size);
+    }
+}
+
+static void
+on_done(struct pgw_http_reader *reader)
+{
+    (void)reader;
+}
+
+static const struct pgw_http_reader_ops reader_ops = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_done = on_done,
+};
+
+static void
+idle_due(struct pgw_timer *timer)
+{
+    connection_close(
+        pgw_container_of(timer, struct pgw_connection, idle_timer));
+}
+
+/* The answer is complete. The connection is kept only when nothing odd was
+ * seen on it: bytes behind the answer belong to no request, and bytes of the
+ * request that were not yet sent would be taken for the next one. */
+static void
+finish(struct pgw_connection *connection, bool clean)
+{
+    struct pgw_call_pool *pool = connection->pool;
+    struct pgw_call *call = detach(connection);
+    bool keep = clean && connection->reader.head.keep_alive &&
+                pgw_buffer_size(&connection->out) == 0 &&
+                connection->peer->idle_count < pool->options.max_idle &&
+                connection->keep_us > 0;
+
+    if (keep) {
+        pgw_http_reader_next(&connection->reader);
+        connection->idle_since_us = pgw_now_us();
+        pgw_list_append(&connection->peer->idle, &connection->in_idle);
+        connection->peer->idle_count++;
+        connection->idle_timer.on_due = idle_due;
+        pgw_timer_start(pool->loop, &connection->idle_timer,
+                        connection->keep_us);
+    }
+    else {
+        connection_close(connection);
+    }
+    if (call != NULL) {
+        call->ops->on_done(call);
+    }
+}
+
+/* Returns false when the connection must not be read on. */
+static bool
+take(struct pgw_connection *connection, const char *data, size_t size)
+{
+    size_t taken;
+
+    while (size > 0 || data == NULL) {
+        enum pgw_http_result result = pgw_http_reader_feed(
+            &taken, &connection->reader, data, data == NULL ? 0 : size);
+
+        if (connection->closed || connection->call == NULL) {
+            connection_close(connection);
+            return false;
+        }
+        if (result == PGW_HTTP_MORE) {
+            return data != NULL;
+        }
+        if (result != PGW_HTTP_DONE) {
+            connection_fail(connection, PGW_CALL_GARBLED);
+            return false;
+        }
+        if (!connection->skipping) {
+            finish(connection, data != NULL && taken == size);
+            return false;
+        }
+        if (data == NULL) {
+            return false;
+        }
+        connection->skipping = false;
+        pgw_http_reader_next(&connection->reader);
+        data += taken;
+        size -= taken;
+    }
+    return true;
+}
+
+static void
+connection_read(struct pgw_connection *connection)
+{
+    char *buffer = connection->pool->buffer;
+    ssize_t got = recv(connection->watch.fd, buffer, READ_SIZE, 0);
+
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (connection->call == NULL) {
+        /* Closed while idle, or bytes that belong to no request. */
+        connection_close(connection);
+        return;
+    }
+    if (got < 0) {
+        connection_fail(connection, PGW_CALL_CLOSED);
+        return;
+    }
+    if (got > 0) {
+        take(connection, buffer, (size_t)got);
+        return;
+    }
+    /* An answer without a length ends here; any other is cut short. */
+    if (take(connection, NULL, 0) || connection->call != NULL) {
+        connection_fail(connection, PGW_CALL_CLOSED);
+    }
+}
+
+static void
+connected(struct pgw_connection *connection)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+
+    getsockopt(connection->watch.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        connection_fail(connection, PGW_CALL_NO_CONNECTION);
+        return;
+    }
+    connection->connecting = false;
+    pgw_timer_stop(connection->pool->loop, &connection->idle_timer);
+}
+
+static void
+connection_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(watch, struct pgw_connection, watch);
+
+    if (connection->connecting) {
+        connected(connection);
+        if (connection->closed) {
+            return;
+        }
+    }
+    /* A peer that refuses early answers before it closes: read first. */
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        connection_read(connection);
+        if (connection->closed) {
+            return;
+        }
+    }
+    if ((events & EPOLLOUT) != 0 && !connection_flush(connection)) {
+        connection_fail(connection, PGW_CALL_CLOSED);
+        return;
+    }
+    watch_events(connection);
+}
+
+static void
+connect_due(struct pgw_timer *timer)
+{
+    connection_fail(pgw_container_of(timer, struct pgw_connection, idle_timer),
+                    PGW_CALL_NO_CONNECTION);
+}
+
+static struct pgw_connection *
+connection_open(struct pgw_call_pool *pool, struct peer *peer)
+{
+    const struct pgw_address *address = &peer->address;
+    int fd = socket(address->storage.ss_family,
+                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    struct pgw_connection *connection;
+
+    if (fd < 0) {
+        pgw_log_warning("no_socket", "errno=%d", errno);
+        return NULL;
+    }
+    pgw_socket_tune(fd, pool->options.user_timeout_ms);
+    if (connect(fd, (const struct sockaddr *)&address->storage,
+                address->size) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return NULL;
+    }
+    pgw_metric_counter_add(&connects, 1);
+    connection = g_new0(struct pgw_connection, 1);
+    connection->watch.fd = fd;
+    connection->watch.on_ready = connection_ready;
+    connection->pool = pool;
+    connection->peer = peer;
+    connection->connecting = true;
+    connection->events = EPOLLIN | EPOLLOUT;
+    pgw_http_reader_init(&connection->reader, true, pool->options.head_limit,
+                         &reader_ops);
+    pgw_list_append(&pool->all, &connection->in_pool);
+    if (!pgw_loop_fd_add(pool->loop, &connection->watch, connection->events,
+                         NULL)) {
+        connection_close(connection);
+        return NULL;
+    }
+    connection->idle_timer.on_due = connect_due;
+    pgw_timer_start(pool->loop, &connection->idle_timer,
+                    pool->options.connect_timeout_us);
+    return connection;
+}
+
+static struct peer *
+peer_get(struct pgw_call_pool *pool, const struct pgw_address *address)
+{
+    char name[PGW_ADDRESS_TEXT_SIZE];
+    struct peer *peer;
+
+    pgw_address_format(name, address);
+    peer = g_hash_table_lookup(pool->peers, name);
+    if (peer == NULL) {
+        peer = g_new0(struct peer, 1);
+        peer->address = *address;
+        g_strlcpy(peer->name, name, sizeof(peer->name));
+        pgw_list_init(&peer->idle);
+        g_hash_table_insert(pool->peers, peer->name, peer);
+    }
+    return peer;
+}
+
+/* The most recently used one: the others get old and are closed. */
+static struct pgw_connection *
+take_idle(struct peer *peer, const struct pgw_call_pool_options *options,
+          bool fresh)
+{
+    struct pgw_connection *connection;
+    uint64_t idle_us;
+
+    if (pgw_list_is_empty(&peer->idle)) {
+        return NULL;
+    }
+    connection =
+        pgw_container_of(peer->idle.prev, struct pgw_connection, in_idle);
+    idle_us = pgw_now_us() - connection->idle_since_us;
+    if (idle_us >= connection->keep_us ||
+        (fresh && idle_us >= options->fresh_after_us)) {
+        return NULL;
+    }
+    leave_idle(connection);
+    return connection;
+}
+
+static void
+call_due(struct pgw_timer *timer)
+{
+    struct pgw_call *call = pgw_container_of(timer, struct pgw_call, timer);
+
+    connection_fail(call->connection, PGW_CALL_TIMEOUT);
+}
+
+bool
+pgw_call_start(struct pgw_call *call, struct pgw_call_pool *pool,
+               const struct pgw_call_options *options)
+{
+    struct peer *peer = peer_get(pool, options->address);
+    struct pgw_connection *connection =
+        take_idle(peer, &pool->options, options->fresh);
+
+    call->reused = connection != NULL;
+    call->sent = false;
+    call->answered = false;
+    if (connection == NULL) {
+        connection = connection_open(pool, peer);
+    }
+    if (connection == NULL) {
+        return false;
+    }
+    connection->call = call;
+    connection->paused = false;
+    connection->reader.no_body = options->no_body;
+    call->connection = connection;
+    pgw_buffer_append(&connection->out, options->bytes, options->size);
+    if (!connection->connecting && !connection_flush(connection)) {
+        /* The peer has closed it; its reset is read from the loop. */
+        pgw_buffer_consume(&connection->out,
+                           pgw_buffer_size(&connection->out));
+    }
+    watch_events(connection);
+    if (options->timeout_us > 0) {
+        call->timer.on_due = call_due;
+        pgw_timer_start(pool->loop, &call->timer, options->timeout_us);
+    }
+    return true;
+}
+
+void
+pgw_call_cancel(struct pgw_call *call)
+{
+    struct pgw_connection *connection = call->connection;
+
+    if (connection != NULL) {
+        detach(connection);
+        connection_close(connection);
+    }
+}
+
+void
+pgw_call_pause(struct pgw_call *call, bool pause)
+{
+    if (call->connection != NULL && call->connection->paused != pause) {
+        call->connection->paused = pause;
+        watch_events(call->connection);
+    }
+}
+
+static void
+peer_free(void *data)
+{
+    g_free(data);
+}
+
+struct pgw_call_pool *
+pgw_call_pool_new(struct pgw_loop *loop,
+                  const struct pgw_call_pool_options *options)
+{
+    struct pgw_call_pool *pool = g_new0(struct pgw_call_pool, 1);
+
+    pgw_metric_register_counter(&connects);
+    pool->loop = loop;
+    pool->options = *options;
+    pool->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+    pool->buffer = g_malloc(READ_SIZE);
+    pgw_list_init(&pool->all);
+    return pool;
+}
+
+void
+pgw_call_pool_drop(struct pgw_call_pool *pool,
+                   const struct pgw_address *address)
+{
+    char name[PGW_ADDRESS_TEXT_SIZE];
+    struct peer *peer;
+
+    pgw_address_format(name, address);
+    peer = g_hash_table_lookup(pool->peers, name);
+    if (peer == NULL) {
+        return;
+    }
+    pgw_list_foreach_safe (link, &peer->idle) {
+        connection_close(
+            pgw_container_of(link, struct pgw_connection, in_idle));
+    }
+}
+
+void
+pgw_call_pool_free(struct pgw_call_pool *pool)
+{
+    pgw_list_foreach_safe (link, &pool->all) {
+        struct pgw_connection *connection =
+            pgw_container_of(link, struct pgw_connection, in_pool);
+
+        detach(connection);
+        connection_close(connection);
+    }
+    pgw_loop_run_tasks(pool->loop);
+    g_hash_table_destroy(pool->peers);
+    g_free(pool->buffer);
+    g_free(pool);
+}
--- /dev/null
+++ b/src/gateway/caller.c
@@ -0,0 +1,633 @@
+#include "gateway/caller.h"
+#include "parsleygw/errors.h"
+#include "util/log.h"
+#include "util/metric.h"
+#include "util/socket.h"
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_SIZE 65536
+#define LISTEN_BACKLOG 1024
+/* Accepts of one turn: a burst of connections must not hold up answers. */
+#define ACCEPT_BATCH 32
+/* What a caller may send ahead while its request is being answered. */
+#define AHEAD_LIMIT ((size_t)64 * 1024)
+/* A caller that leaves so much of its answer untaken has stopped reading; its
+ * connection is closed, which bounds the memory for slow callers. */
+#define OUT_LIMIT ((size_t)1024 * 1024)
+/* A request whose body has a length up to this is read with its buffer made
+ * at once. */
+#define BODY_RESERVE ((size_t)256 * 1024)
+/* Time for a caller to read an error after which the connection closes. */
+#define LINGER_US 500000
+#define USER_TIMEOUT_MS 5000
+
+static struct pgw_metric_counter accepted = {
+    .name = "pgw_caller_connections_total",
+    .help = "Connections accepted from callers",
+};
+static struct pgw_metric_gauge open_callers = {
+    .name = "pgw_caller_connections",
+    .help = "Connections of callers that are open",
+};
+
+struct pgw_caller_server {
+    struct pgw_loop_fd watch;
+    struct pgw_loop *loop;
+    const struct pgw_caller_ops *ops;
+    void *context;
+    struct pgw_caller_limits limits;
+    struct pgw_list callers;
+    char *buffer;
+    unsigned busy;
+    uint16_t port;
+    bool listening;
+    bool draining;
+};
+
+static void process(struct pgw_caller *caller);
+
+static void
+caller_reap(struct pgw_task *task)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(task, struct pgw_caller, reap);
+
+    pgw_list_remove(&caller->in_server);
+    pgw_http_reader_dispose(&caller->reader);
+    pgw_buffer_dispose(&caller->in);
+    pgw_buffer_dispose(&caller->out);
+    pgw_buffer_dispose(&caller->body);
+    g_free(caller);
+}
+
+static void
+set_started(struct pgw_caller *caller, bool started)
+{
+    if (caller->started != started) {
+        caller->started = started;
+        caller->server->busy += started ? 1 : -1;
+    }
+}
+
+static void
+caller_close(struct pgw_caller *caller)
+{
+    struct pgw_caller_server *server = caller->server;
+
+    if (caller->closed) {
+        return;
+    }
+    caller->closed = true;
+    caller->reader.stop = true;
+    set_started(caller, false);
+    pgw_metric_gauge_add(&open_callers, -1);
+    pgw_timer_stop(server->loop, &caller->timer);
+    pgw_loop_fd_remove(server->loop, &caller->watch);
+    close(caller->watch.fd);
+    /* A posted "next" task runs before this one and finds it closed. */
+    caller->reap.run = caller_reap;
+    pgw_loop_post(server->loop, &caller->reap);
+}
+
+static void
+caller_gone(struct pgw_caller *caller)
+{
+    bool busy = caller->busy;
+
+    caller->busy = false;
+    caller_close(caller);
+    if (busy) {
+        caller->server->ops->on_gone(caller, caller->server->context);
+    }
+}
+
+static void
+watch_events(struct pgw_caller *caller)
+{
+    uint32_t events = EPOLLRDHUP;
+
+    if (pgw_buffer_size(&caller->in) < AHEAD_LIMIT && !caller->half_closed) {
+        events |= EPOLLIN;
+    }
+    if (pgw_buffer_size(&caller->out) > 0) {
+        events |= EPOLLOUT;
+    }
+    if (!caller->closed && events != caller->events) {
+        caller->events = events;
+        pgw_loop_fd_modify(caller->server->loop, &caller->watch, events);
+    }
+}
+
+static void
+start_timer(struct pgw_caller *caller, uint32_t ms)
+{
+    pgw_timer_start(caller->server->loop, &caller->timer, (uint64_t)ms * 1000);
+}
+
+static void
+caller_flush(struct pgw_caller *caller)
+{
+    while (!caller->closed && pgw_buffer_size(&caller->out) > 0) {
+        ssize_t sent = send(caller->watch.fd, pgw_buffer_head(&caller->out),
+                            pgw_buffer_size(&caller->out), MSG_NOSIGNAL);
+
+        if (sent < 0) {
+            if (errno == EAGAIN || errno == EINTR) {
+                break;
+            }
+            /* Found out from the loop: the owner may be writing. */
+            shutdown(caller->watch.fd, SHUT_RDWR);
+            pgw_buffer_consume(&caller->out, pgw_buffer_size(&caller->out));
+            return;
+        }
+        pgw_buffer_consume(&caller->out, (size_t)sent);
+    }
+}
+
+/* Everything was answered and the connection is to end: half-close, so that
+ * the caller reads the answer before it sees the end. */
+static void
+finish_closing(struct pgw_caller *caller)
+{
+    shutdown(caller->watch.fd, SHUT_WR);
+    pgw_timer_start(caller->server->loop, &caller->timer, LINGER_US);
+}
+
+static void
+answer_error(struct pgw_caller *caller, unsigned status)
+{
+    struct pgw_caller_server *server = caller->server;
+    char *body = server->ops->render_error(status, server->context);
+
+    pgw_log_info("caller_error", "status=%u head_bytes=%zu", status,
+                 caller->reader.head_size);
+    caller->refused = true;
+    caller->close_after = true;
+    set_started(caller, true);
+    pgw_caller_begin(caller, status, "Content-Type: application/json\r\n",
+                     (int64_t)strlen(body));
+    pgw_caller_write(caller, body, strlen(body));
+    pgw_caller_end(caller);
+    g_free(body);
+}
+
+static void
+on_head(struct pgw_http_reader *reader)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(reader, struct pgw_caller, reader);
+    struct pgw_caller_server *server = caller->server;
+    const char *expect = pgw_http_head_find(&reader->head, "Expect");
+
+    caller->body_limit = server->limits.body_bytes;
+    if (reader->head.has_length && reader->head.length > caller->body_limit) {
+        reader->stop = true;
+        answer_error(caller, 413);
+        return;
+    }
+    if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+        pgw_buffer_append(&caller->out, go_on, sizeof(go_on) - 1);
+        caller_flush(caller);
+    }
+    if (reader->head.has_length) {
+        pgw_buffer_reserve(&caller->body,
+                           MIN((size_t)reader->head.length, BODY_RESERVE));
+    }
+    start_timer(caller, server->limits.body_timeout_ms);
+}
+
+static void
+on_body(struct pgw_http_reader *reader, const char *data, size_t size)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(reader, struct pgw_caller, reader);
+
+    if (pgw_buffer_size(&caller->body) + size > caller->body_limit) {
+        reader->stop = true;
+        answer_error(caller, 413);
+        return;
+    }
+    pgw_buffer_append(&caller->body, data, size);
+}
+
+static void
+on_done(struct pgw_http_reader *reader)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(reader, struct pgw_caller, reader);
+
+    pgw_timer_stop(caller->server->loop, &caller->timer);
+    caller->busy = true;
+    caller->head = &reader->head;
+    caller->close_after = !reader->head.keep_alive;
+}
+
+static const struct pgw_http_reader_ops reader_ops = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_done = on_done,
+};
+
+/* Parses what has been received until a request is complete. */
+static void
+process(struct pgw_caller *caller)
+{
+    struct pgw_caller_server *server = caller->server;
+
+    while (!caller->closed && !caller->busy && !caller->refused &&
+           pgw_buffer_size(&caller->in) > 0) {
+        enum pgw_http_result result;
+        size_t taken;
+
+        if (!caller->started) {
+            caller->head_at_us = pgw_now_us();
+            caller->reader.head_limit = server->limits.head_bytes;
+            set_started(caller, true);
+            start_timer(caller, server->limits.head_timeout_ms);
+        }
+        result =
+            pgw_http_reader_feed(&taken, &caller->reader,
+                                 (const char *)pgw_buffer_head(&caller->in),
+                                 pgw_buffer_size(&caller->in));
+        if (caller->closed || caller->refused) {
+            return;
+        }
+        pgw_buffer_consume(&caller->in, taken);
+        if (result == PGW_HTTP_DONE) {
+            server->ops->on_request(caller, server->context);
+        }
+        else if (result == PGW_HTTP_TOO_LARGE) {
+            answer_error(caller, 431);
+        }
+        else if (result == PGW_HTTP_BAD) {
+            answer_error(caller, 400);
+        }
+    }
+}
+
+static void
+caller_read(struct pgw_caller *caller)
+{
+    char *buffer = caller->server->buffer;
+    ssize_t got = recv(caller->watch.fd, buffer, READ_SIZE, 0);
+
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (got <= 0) {
+        caller_gone(caller);
+        return;
+    }
+    if (caller->refused) {
+        return; /* the rest of what was refused is thrown away */
+    }
+    pgw_buffer_append(&caller->in, buffer, (size_t)got);
+    process(caller);
+}
+
+static void
+caller_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(watch, struct pgw_caller, watch);
+
+    if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+        caller_gone(caller);
+        return;
+    }
+    /* A caller that closes its side has left: what waits for it would run
+     * for nobody. */
+    if ((events & EPOLLRDHUP) != 0 && caller->busy) {
+        caller_gone(caller);
+        return;
+    }
+    if ((events & (EPOLLIN | EPOLLRDHUP)) != 0) {
+        caller_read(caller);
+    }
+    if (!caller->closed && (events & EPOLLOUT) != 0) {
+        caller_flush(caller);
+        if (!caller->busy && caller->close_after && !caller->closed &&
+            pgw_buffer_size(&caller->out) == 0) {
+            finish_closing(caller);
+        }
+    }
+    watch_events(caller);
+}
+
+static void
+timer_due(struct pgw_timer *timer)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(timer, struct pgw_caller, timer);
+
+    if (caller->started && !caller->answering && !caller->refused) {
+        /* Half a request: say so, then close. */
+        caller->reader.stop = true;
+        answer_error(caller, 408);
+        return;
+    }
+    caller_gone(caller);
+}
+
+static void
+next_run(struct pgw_task *task)
+{
+    struct pgw_caller *caller =
+        pgw_container_of(task, struct pgw_caller, next);
+
+    caller->next_posted = false;
+    if (!caller->closed && !caller->busy) {
+        process(caller);
+        watch_events(caller);
+    }
+}
+
+void
+pgw_caller_begin(struct pgw_caller *caller, unsigned status,
+                 const char *fields, int64_t length)
+{
+    struct pgw_caller_server *server = caller->server;
+    char head[256];
+    int size;
+
+    if (caller->closed) {
+        return;
+    }
+    caller->answering = true;
+    caller->chunked = length < 0;
+    if (server->draining) {
+        caller->close_after = true;
+    }
+    size = g_snprintf(head, sizeof(head), "HTTP/1.1 %u %s\r\n", status,
+                      http_status_str((enum http_status)status));
+    pgw_buffer_append(&caller->out, head, (size_t)size);
+    pgw_buffer_append(&caller->out, fields, strlen(fields));
+    if (caller->chunked) {
+        size =
+            g_snprintf(head, sizeof(head), "Transfer-Encoding: chunked\r\n");
+    }
+    else {
+        size = g_snprintf(head, sizeof(head),
+                          "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+    }
+    pgw_buffer_append(&caller->out, head, (size_t)size);
+    if (caller->close_after) {
+        size = g_snprintf(head, sizeof(head), "Connection: close\r\n\r\n");
+    }
+    else {
+        size = g_snprintf(head, sizeof(head), "Keep-Alive: timeout=%u\r\n\r\n",
+                          server->limits.idle_timeout_ms / 1000);
+    }
+    pgw_buffer_append(&caller->out, head, (size_t)size);
+}
+
+void
+pgw_caller_write(struct pgw_caller *caller, const void *data, size_t size)
+{
+    if (caller->closed || size == 0) {
+        return;
+    }
+    if (caller->chunked) {
+        char head[24];
+        int length = g_snprintf(head, sizeof(head), "%zx\r\n", size);
+
+        pgw_buffer_append(&caller->out, head, (size_t)length);
+        pgw_buffer_append(&caller->out, data, size);
+        pgw_buffer_append(&caller->out, "\r\n", 2);
+        caller_flush(caller);
+    }
+    else {
+        pgw_buffer_append(&caller->out, data, size);
+    }
+    if (pgw_buffer_size(&caller->out) > OUT_LIMIT) {
+        pgw_log_warning("caller_slow", "pending=%zu",
+                        pgw_buffer_size(&caller->out));
+        shutdown(caller->watch.fd, SHUT_RDWR);
+    }
+    watch_events(caller);
+}
+
+void
+pgw_caller_end(struct pgw_caller *caller)
+{
+    if (caller->closed) {
+        return;
+    }
+    if (caller->chunked) {
+        pgw_buffer_append(&caller->out, "0\r\n\r\n", 5);
+    }
+    caller_flush(caller);
+    caller->busy = false;
+    caller->answering = false;
+    caller->owner = NULL;
+    set_started(caller, false);
+    pgw_buffer_dispose(&caller->body);
+    if (caller->close_after) {
+        caller->refused = true;
+        if (pgw_buffer_size(&caller->out) == 0) {
+            finish_closing(caller);
+        }
+        watch_events(caller);
+        return;
+    }
+    pgw_http_reader_next(&caller->reader);
+    start_timer(caller, caller->server->limits.idle_timeout_ms);
+    if (pgw_buffer_size(&caller->in) > 0 && !caller->next_posted) {
+        caller->next_posted = true;
+        caller->next.run = next_run;
+        pgw_loop_post(caller->server->loop, &caller->next);
+    }
+    watch_events(caller);
+}
+
+void
+pgw_caller_abort(struct pgw_caller *caller)
+{
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    if (caller->closed) {
+        return;
+    }
+    caller->busy = false;
+    caller->owner = NULL;
+    /* What was relayed so far reaches the caller; the end then shows that
+     * the answer is not whole. A reset is only for a body without chunks. */
+    if (!caller->chunked) {
+        setsockopt(caller->watch.fd, SOL_SOCKET, SO_LINGER, &reset,
+                   sizeof(reset));
+    }
+    caller_close(caller);
+}
+
+static void
+accept_one(struct pgw_caller_server *server, int fd)
+{
+    struct pgw_caller *caller = g_new0(struct pgw_caller, 1);
+
+    pgw_socket_tune(fd, USER_TIMEOUT_MS);
+    caller->server = server;
+    caller->watch.fd = fd;
+    caller->watch.on_ready = caller_ready;
+    caller->events = EPOLLIN | EPOLLRDHUP;
+    caller->timer.on_due = timer_due;
+    pgw_http_reader_init(&caller->reader, false, server->limits.head_bytes,
+                         &reader_ops);
+    pgw_list_append(&server->callers, &caller->in_server);
+    pgw_metric_counter_add(&accepted, 1);
+    pgw_metric_gauge_add(&open_callers, 1);
+    if (!pgw_loop_fd_add(server->loop, &caller->watch, caller->events, NULL)) {
+        caller_close(caller);
+        return;
+    }
+    start_timer(caller, server->limits.idle_timeout_ms);
+}
+
+static void
+server_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_caller_server *server =
+        pgw_container_of(watch, struct pgw_caller_server, watch);
+
+    (void)events;
+    for (unsigned i = 0; i < ACCEPT_BATCH; i++) {
+        int fd = accept4(watch->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+        if (fd < 0) {
+            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+                pgw_log_warning("accept_failed", "errno=%d", errno);
+            }
+            return;
+        }
+        accept_one(server, fd);
+    }
+}
+
+static void
+stop_listening(struct pgw_caller_server *server)
+{
+    if (server->listening) {
+        server->listening = false;
+        pgw_loop_fd_remove(server->loop, &server->watch);
+        close(server->watch.fd);
+    }
+}
+
+static bool
+start_listening(struct pgw_caller_server *server,
+                const struct pgw_address *address)
+{
+    struct sockaddr_storage bound;
+    socklen_t size = sizeof(bound);
+    int one = 1;
+    int fd = socket(address->storage.ss_family,
+                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return false;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    server->watch.fd = fd;
+    server->watch.on_ready = server_ready;
+    if (bind(fd, (const struct sockaddr *)&address->storage, address->size) !=
+            0 ||
+        listen(fd, LISTEN_BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)&bound, &size) != 0 ||
+        !pgw_loop_fd_add(server->loop, &server->watch, EPOLLIN, NULL)) {
+        close(fd);
+        return false;
+    }
+    server->port = ntohs(bound.ss_family == AF_INET6
+                             ? ((struct sockaddr_in6 *)&bound)->sin6_port
+                             : ((struct sockaddr_in *)&bound)->sin_port);
+    server->listening = true;
+    return true;
+}
+
+struct pgw_caller_server *
+pgw_caller_server_new(struct pgw_loop *loop, const struct pgw_address *address,
+                      const struct pgw_caller_ops *ops, void *context,
+                      GError **error)
+{
+    struct pgw_caller_server *server = g_new0(struct pgw_caller_server, 1);
+
+    pgw_metric_register_counter(&accepted);
+    pgw_metric_register_gauge(&open_callers);
+    server->loop = loop;
+    server->ops = ops;
+    server->context = context;
+    server->limits = (struct pgw_caller_limits)PGW_CALLER_LIMITS_INIT;
+    server->buffer = g_malloc(READ_SIZE);
+    pgw_list_init(&server->callers);
+    if (!start_listening(server, address)) {
+        char name[PGW_ADDRESS_TEXT_SIZE];
+
+        pgw_address_format(name, address);
+        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
+                    "cannot listen on %s (%s): free the port or change the "
+                    "setting",
+                    name, g_strerror(errno));
+        g_free(server->buffer);
+        g_free(server);
+        return NULL;
+    }
+    return server;
+}
+
+uint16_t
+pgw_caller_server_port(const struct pgw_caller_server *server)
+{
+    return server->port;
+}
+
+void
+pgw_caller_server_set_limits(struct pgw_caller_server *server,
+                             const struct pgw_caller_limits *limits)
+{
+    server->limits = *limits;
+}
+
+void
+pgw_caller_server_drain(struct pgw_caller_server *server)
+{
+    server->draining = true;
+}
+
+void
+pgw_caller_server_close_idle(struct pgw_caller_server *server)
+{
+    server->draining = true;
+    stop_listening(server);
+    pgw_list_foreach_safe (link, &server->callers) {
+        struct pgw_caller *caller =
+            pgw_container_of(link, struct pgw_caller, in_server);
+
+        if (!caller->started && pgw_buffer_size(&caller->out) == 0) {
+            caller_close(caller);
+        }
+    }
+}
+
+unsigned
+pgw_caller_server_busy(const struct pgw_caller_server *server)
+{
+    return server->busy;
+}
+
+void
+pgw_caller_server_free(struct pgw_caller_server *server)
+{
+    stop_listening(server);
+    pgw_list_foreach_safe (link, &server->callers) {
+        caller_close(pgw_container_of(link, struct pgw_caller, in_server));
+    }
+    pgw_loop_run_tasks(server->loop);
+    g_free(server->buffer);
+    g_free(server);
+}
--- /dev/null
+++ b/src/gateway/choose.h
@@ -0,0 +1,127 @@
+#ifndef PGW_GATEWAY_CHOOSE_H
+#define PGW_GATEWAY_CHOOSE_H
+
+#include "gateway/upstream_table.h"
+
+/**
+ * DOC: Which upstream gets a request
+ *
+ * Pure decisions over an entry's knowledge, with the clock passed in. Plain
+ * calls go to the least loaded upstream nearby; prompts go where the least
+ * remains to be computed before their first token.
+ */
+
+#define PGW_PROMPT_PARTS_MAX 16
+
+/**
+ * struct pgw_prompt_part - one part of a prompt
+ * @key: hash of its id, of the weights' version and of who may share it
+ * @id: hash of its id alone
+ * @tokens: its size
+ */
+struct pgw_prompt_part {
+    uint64_t key;
+    uint64_t id;
+    uint32_t tokens;
+};
+
+/**
+ * struct pgw_prompt - what placement needs to know of a prompt
+ * @parts: in order; the last one belongs to this request alone
+ * @part_count: number of @parts
+ * @tokens: size of the prompt
+ * @output_tokens: most tokens of the answer
+ */
+struct pgw_prompt {
+    struct pgw_prompt_part parts[PGW_PROMPT_PARTS_MAX];
+    size_t part_count;
+    uint32_t tokens;
+    uint32_t output_tokens;
+};
+
+/**
+ * struct pgw_choose_options - thresholds of the choice
+ * @plain_depth: a plain upstream gets no more than this times its slots: its
+ *   own short queue hides the time between two answers
+ * @engine_depth: the same for engines, whose queue only delays
+ * @memory_share: part of an engine's memory that may be promised; preemption
+ *   begins when it is full, and estimates of several entries overlap
+ * @zone_tokens: prefill that is worth computing again rather than cross to
+ *   another availability zone, in tokens; bytes between zones cost, and 4,000
+ *   tokens are some 70 ms of one engine
+ * @request_tokens: what each request at an engine delays another, in tokens
+ * @rank_share: cost of each rank further down, as a part of the shared tokens:
+ *   settles where a prompt that is cached nowhere goes
+ * @old_tokens: cost of older weights, in tokens
+ * @old_limit_us: older weights are not used so long after newer were named
+ * @bad_rate: failure rate above which an upstream counts as unhealthy
+ */
+struct pgw_choose_options {
+    double plain_depth;
+    double engine_depth;
+    double memory_share;
+    uint32_t zone_tokens;
+    uint32_t request_tokens;
+    double rank_share;
+    uint32_t old_tokens;
+    uint64_t old_limit_us;
+    double bad_rate;
+};
+
+#define PGW_CHOOSE_OPTIONS_INIT                                               \
+    {                                                                         \
+        .plain_depth = 2.0, .engine_depth = 1.0, .memory_share = 0.92,        \
+        .zone_tokens = 4000, .request_tokens = 200, .rank_share = 0.02,       \
+        .old_tokens = 30000, .old_limit_us = 4500000, .bad_rate = 0.35        \
+    }
+
+#define PGW_TRIED_MAX 8
+
+/**
+ * struct pgw_choose_input - one question
+ * @upstreams: of the service, GPtrArray of &struct pgw_upstream
+ * @tried: upstreams that had the request before
+ * @tried_count: number of @tried
+ * @prompt: of an engine's request; NULL for a plain call
+ * @model: whose weights; NULL for a plain call
+ * @version: newest version that was named, 0: not known
+ * @version_age_us: how long ago
+ * @kv_tokens: memory of one engine where it has not said
+ * @now_us: monotonic time
+ */
+struct pgw_choose_input {
+    const GPtrArray *upstreams;
+    struct pgw_upstream *const *tried;
+    size_t tried_count;
+    const struct pgw_prompt *prompt;
+    const char *model;
+    uint64_t version;
+    uint64_t version_age_us;
+    uint64_t kv_tokens;
+    uint64_t now_us;
+};
+
+/**
+ * struct pgw_choice - the answer
+ * @upstream: where to send it; NULL: nowhere now
+ * @holder: another upstream that should hold the shared parts that @upstream
+ *   lacks; NULL when there is none
+ * @missing_tokens: shared tokens that @upstream lacks
+ * @busy: some upstream could take it later
+ */
+struct pgw_choice {
+    struct pgw_upstream *upstream;
+    struct pgw_upstream *holder;
+    uint32_t missing_tokens;
+    bool busy;
+};
+
+/** pgw_choose() - pick an upstream */
+void pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
+                const struct pgw_choose_options *options);
+
+/** pgw_upstream_is_usable() - listed and neither leaving nor loading */
+bool pgw_upstream_is_usable(const struct pgw_upstream *upstream,
+                            uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/gateway/dispatch.c
@@ -0,0 +1,395 @@
+#include "gateway/exchange.h"
+#include "util/log.h"
+#include "util/metric.h"
+#include "util/random.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* The least time that is worth starting an attempt with. */
+#define LEAST_TIME_US 5000
+/* When to come back after a refusal: about one generation's time. */
+#define RETRY_AFTER_MS 250
+/* A process that has no configuration yet has one after a second. */
+#define NO_CONFIG_RETRY_MS 400
+
+static struct pgw_metric_counter requests = {
+    .name = "pgw_gateway_requests_total",
+    .help = "Requests that were read whole",
+};
+static struct pgw_metric_counter refused = {
+    .name = "pgw_gateway_refused_total",
+    .help = "Requests that the gateway answered itself",
+};
+static struct pgw_metric_gauge waiting_now = {
+    .name = "pgw_gateway_waiting",
+    .help = "Requests that wait for a place at an upstream",
+};
+static struct pgw_metric_histogram first_answer = {
+    .name = "pgw_gateway_first_answer_seconds",
+    .help = "From a request's first byte to the first byte of its answer",
+};
+
+static void
+register_metrics(void)
+{
+    pgw_metric_register_counter(&requests);
+    pgw_metric_register_counter(&refused);
+    pgw_metric_register_gauge(&waiting_now);
+    pgw_metric_register_histogram(&first_answer);
+}
+
+static void
+leave_queue(struct pgw_exchange *exchange)
+{
+    pgw_waiting_remove(&exchange->gateway->waiting, &exchange->waiting);
+    pgw_metric_gauge_set(&waiting_now, exchange->gateway->waiting.count);
+}
+
+void
+pgw_exchange_free(struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    leave_queue(exchange);
+    pgw_timer_stop(gateway->loop, &exchange->timer);
+    pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
+    pgw_call_cancel(&exchange->call);
+    pgw_exchange_leave(exchange);
+    pgw_list_remove(&exchange->in_gateway);
+    if (exchange->caller != NULL) {
+        exchange->caller->owner = NULL;
+    }
+    for (size_t i = 0; i < exchange->tried_count; i++) {
+        pgw_upstream_unref(exchange->tried[i]);
+    }
+    if (exchange->answer_fields != NULL) {
+        g_string_free(exchange->answer_fields, TRUE);
+    }
+    pgw_buffer_dispose(&exchange->answer);
+    pgw_event_stream_dispose(&exchange->events);
+    pgw_route_table_unref(exchange->table);
+    g_free((char *)exchange->facts.id);
+    g_free((char *)exchange->facts.model);
+    g_free(exchange);
+}
+
+static void
+log_end(const struct pgw_exchange *exchange, const char *outcome)
+{
+    uint64_t now = pgw_now_us();
+    uint64_t first = exchange->first_event_us == 0
+                         ? 0
+                         : exchange->first_event_us - exchange->received_us;
+
+    pgw_log_info("request_end",
+                 "request=%s route=%s outcome=%s status=%u sends=%u runs=%u "
+                 "upstream=%s weights=%" G_GUINT64_FORMAT " missing=%u "
+                 "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
+                 " events=%" G_GUINT64_FORMAT,
+                 exchange->facts.id, exchange->route->name, outcome,
+                 exchange->status, exchange->sends, exchange->runs,
+                 exchange->tried_count == 0
+                     ? "-"
+                     : exchange->tried[exchange->tried_count - 1]->id,
+                 exchange->weights, exchange->missing_tokens, first / 1000,
+                 (now - exchange->received_us) / 1000,
+                 exchange->events.events);
+    if (first > 0) {
+        pgw_metric_histogram_record_us(&first_answer, first);
+    }
+}
+
+void
+pgw_exchange_finish(struct pgw_exchange *exchange, const char *outcome)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    log_end(exchange, outcome);
+    pgw_exchange_free(exchange);
+    pgw_gateway_pump(gateway);
+}
+
+static void
+answer_own(struct pgw_caller *caller, unsigned status, const char *reason,
+           bool ran, uint32_t retry_after_ms)
+{
+    char fields[128];
+    char body[256];
+    int size = g_snprintf(
+        body, sizeof(body),
+        "{\"error\":{\"code\":\"%s\",\"ran\":\"%s\",\"retry_after_ms\":%u}}",
+        reason, ran ? "unknown" : "no", retry_after_ms);
+
+    g_snprintf(fields, sizeof(fields), "Content-Type: application/json\r\n");
+    if (retry_after_ms > 0) {
+        g_snprintf(fields, sizeof(fields),
+                   "Content-Type: application/json\r\n"
+                   "Retry-After: %u.%03u\r\n",
+                   retry_after_ms / 1000, retry_after_ms % 1000);
+    }
+    pgw_metric_counter_add(&refused, 1);
+    pgw_caller_begin(caller, status, fields, size);
+    pgw_caller_write(caller, body, (size_t)size);
+    pgw_caller_end(caller);
+}
+
+void
+pgw_exchange_refuse(struct pgw_exchange *exchange, unsigned status,
+                    const char *reason, uint32_t retry_after_ms)
+{
+    struct pgw_caller *caller = exchange->caller;
+
+    exchange->status = status;
+    if (caller != NULL) {
+        exchange->caller = NULL;
+        caller->owner = NULL;
+        log_end(exchange, reason);
+        if (exchange->phase == PGW_PHASE_RELAYING) {
+            pgw_caller_abort(caller);
+        }
+        else {
+            answer_own(caller, status, reason, exchange->may_have_run,
+                       retry_after_ms);
+        }
+    }
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    pgw_exchange_free(exchange);
+    pgw_gateway_pump(gateway);
+}
+
+/* Time is over. What never reached an upstream has not run, and is told so;
+ * of the rest nothing can be promised. */
+static void
+deadline_due(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, timer);
+
+    if (exchange->caller == NULL) {
+        pgw_exchange_finish(exchange, "abandoned");
+        return;
+    }
+    if (exchange->upstream == NULL && !exchange->may_have_run) {
+        pgw_exchange_refuse(exchange, 503, "no_place", RETRY_AFTER_MS);
+        return;
+    }
+    if (exchange->upstream != NULL) {
+        pgw_upstream_note(exchange->upstream, PGW_RESULT_SILENT, pgw_now_us());
+    }
+    pgw_exchange_refuse(exchange, 504, "deadline", 0);
+}
+
+static void
+wait_due(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+
+    if (exchange->may_have_run) {
+        pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
+    }
+    else {
+        pgw_exchange_refuse(exchange, 503, "no_place", RETRY_AFTER_MS);
+    }
+}
+
+static void
+make_choice(struct pgw_choice *out, const struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_service *service =
+        pgw_route_table_service(exchange->table, exchange->service);
+    const struct pgw_named_weights *named =
+        exchange->facts.model == NULL
+            ? NULL
+            : g_hash_table_lookup(gateway->weights, exchange->facts.model);
+    struct pgw_choose_input input = {
+        .upstreams =
+            pgw_upstream_table_service(gateway->upstreams, exchange->service),
+        .tried = exchange->tried,
+        .tried_count = exchange->tried_count,
+        .now_us = pgw_now_us(),
+    };
+
+    if (exchange->facts.model != NULL) {
+        input.prompt = &exchange->facts.prompt;
+        input.model = exchange->facts.model;
+        input.kv_tokens = service == NULL ? 0 : service->kv_tokens;
+    }
+    if (named != NULL) {
+        input.version = named->version;
+        input.version_age_us = input.now_us - named->at_us;
+    }
+    pgw_choose(out, &input, &gateway->options.choose);
+}
+
+/* Waiting longer than this cannot end in time: refused at once, the caller
+ * has the rest of its time to come back. */
+static uint64_t
+wait_limit_us(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    uint64_t left = exchange->deadline_us - now_us;
+
+    return (uint64_t)((double)left * exchange->gateway->options.wait_share);
+}
+
+void
+pgw_exchange_place(struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+    uint64_t now = pgw_now_us();
+    struct pgw_choice choice;
+
+    if (exchange->deadline_us < now + LEAST_TIME_US) {
+        deadline_due(&exchange->timer);
+        return;
+    }
+    make_choice(&choice, exchange);
+    if (choice.upstream != NULL) {
+        leave_queue(exchange);
+        pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
+        pgw_exchange_send(exchange, &choice);
+        return;
+    }
+    if (pgw_list_is_linked(&exchange->waiting.link)) {
+        return;
+    }
+    exchange->phase = PGW_PHASE_WAITING;
+    pgw_waiting_add(&gateway->waiting, &exchange->waiting,
+                    MIN(exchange->route->priority, 3) * 4 +
+                        (exchange->workspace == NULL
+                             ? 0
+                             : MIN(exchange->workspace->priority, 3)));
+    pgw_metric_gauge_set(&waiting_now, gateway->waiting.count);
+    exchange->attempt_timer.on_due = wait_due;
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+                    wait_limit_us(exchange, now));
+}
+
+/*
+ * Parts are cached under the weights that computed them and, for isolated
+ * workspaces, under the workspace: neither the engines nor their store look at
+ * these, and a part found under the wrong ones would be used.
+ */
+static void
+key_parts(struct pgw_exchange *exchange)
+{
+    struct pgw_prompt *prompt = &exchange->facts.prompt;
+    const char *salt = "";
+
+    if (exchange->workspace != NULL && exchange->workspace->isolated) {
+        salt = exchange->workspace->name;
+    }
+    for (size_t i = 0; i < prompt->part_count; i++) {
+        prompt->parts[i].key = XXH3_64bits_withSeed(
+            salt, strlen(salt),
+            prompt->parts[i].id ^ XXH3_64bits(exchange->facts.model,
+                                              strlen(exchange->facts.model)));
+    }
+}
+
+static struct pgw_exchange *
+exchange_new(struct pgw_gateway *gateway, struct pgw_caller *caller,
+             const struct pgw_request_facts *facts,
+             const struct pgw_route *route,
+             const struct pgw_workspace *workspace)
+{
+    struct pgw_exchange *exchange = g_new0(struct pgw_exchange, 1);
+    uint64_t wait_ms = facts->deadline_ms;
+
+    exchange->gateway = gateway;
+    exchange->caller = caller;
+    caller->owner = exchange;
+    exchange->table = pgw_route_table_ref(gateway->routes);
+    exchange->route = route;
+    exchange->workspace = workspace;
+    exchange->facts = *facts;
+    /* The caller may go, and its head with it, before the upstream ends. */
+    exchange->facts.id = g_strdup(facts->id);
+    exchange->facts.model = g_strdup(facts->model);
+    exchange->received_us = caller->head_at_us;
+    if (wait_ms == 0 ||
+        (route->timeout_ms > 0 && route->timeout_ms < wait_ms)) {
+        wait_ms = route->timeout_ms;
+    }
+    exchange->deadline_us = exchange->received_us + wait_ms * 1000;
+    exchange->caller_deadline_us =
+        exchange->received_us +
+        (facts->deadline_ms == 0 ? wait_ms : facts->deadline_ms) * 1000ULL;
+    exchange->service = pgw_route_pick(route, pgw_random_u64());
+    exchange->timer.on_due = deadline_due;
+    pgw_list_append(&gateway->exchanges, &exchange->in_gateway);
+    return exchange;
+}
+
+static void
+refuse_early(struct pgw_caller *caller, const char *id, unsigned status,
+             const char *reason, uint32_t retry_after_ms)
+{
+    pgw_log_info("request_refused", "request=%s status=%u reason=%s", id,
+                 status, reason);
+    answer_own(caller, status, reason, false, retry_after_ms);
+}
+
+void
+pgw_exchange_begin(struct pgw_gateway *gateway, struct pgw_caller *caller)
+{
+    struct pgw_request_facts facts = {0};
+    const struct pgw_workspace *workspace = NULL;
+    const struct pgw_route *route;
+    struct pgw_exchange *exchange;
+    uint64_t now = pgw_now_us();
+
+    register_metrics();
+    pgw_metric_counter_add(&requests, 1);
+    if (!gateway->options.codec->read_request(&facts, caller->head)) {
+        refuse_early(caller, "-", 400, "malformed", 0);
+        return;
+    }
+    if (gateway->routes == NULL) {
+        refuse_early(caller, facts.id, 503, "no_configuration",
+                     NO_CONFIG_RETRY_MS);
+        return;
+    }
+    route = pgw_route_table_match(gateway->routes, facts.host,
+                                  pgw_http_head_target(caller->head));
+    if (route == NULL) {
+        refuse_early(caller, facts.id, 404, "no_route", 0);
+        return;
+    }
+    if (!route->open && pgw_route_table_has_keys(gateway->routes)) {
+        workspace =
+            facts.key == NULL
+                ? NULL
+                : pgw_route_table_workspace(gateway->routes, facts.key);
+        if (workspace == NULL) {
+            refuse_early(caller, facts.id, 401, "unauthorized", 0);
+            return;
+        }
+    }
+    exchange = exchange_new(gateway, caller, &facts, route, workspace);
+    if (exchange->facts.model != NULL) {
+        key_parts(exchange);
+    }
+    pgw_retry_budget_deposit(gateway->budget);
+    pgw_timer_start(gateway->loop, &exchange->timer,
+                    exchange->deadline_us > now ? exchange->deadline_us - now
+                                                : 0);
+    pgw_exchange_place(exchange);
+}
+
+void
+pgw_exchange_caller_gone(struct pgw_exchange *exchange)
+{
+    exchange->caller = NULL;
+    /*
+     * A call that must not run twice is left to its upstream: cut off half
+     * way nobody knows what it did. Everything else would compute for nobody.
+     */
+    if (exchange->upstream != NULL && !exchange->route->repeatable &&
+        !exchange->route->stream) {
+        return;
+    }
+    pgw_exchange_finish(exchange, "caller_gone");
+}
--- /dev/null
+++ b/src/gateway/documents.c
@@ -0,0 +1,91 @@
+#include "gateway/documents.h"
+#include <string.h>
+
+struct pgw_documents {
+    GHashTable *by_key; /* "kind/name" -> struct pgw_document */
+};
+
+static void
+document_free(void *data)
+{
+    struct pgw_document *document = data;
+
+    g_free(document->kind);
+    g_free(document->name);
+    g_free(document->body);
+    g_free(document);
+}
+
+struct pgw_documents *
+pgw_documents_new(void)
+{
+    struct pgw_documents *documents = g_new0(struct pgw_documents, 1);
+
+    documents->by_key =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, document_free);
+    return documents;
+}
+
+void
+pgw_documents_free(struct pgw_documents *documents)
+{
+    g_hash_table_destroy(documents->by_key);
+    g_free(documents);
+}
+
+static char *
+key_of(const char *kind, const char *name)
+{
+    return g_strconcat(kind, "/", name, NULL);
+}
+
+const struct pgw_document *
+pgw_documents_put(struct pgw_documents *documents,
+                  const struct pgw_document *document)
+{
+    char *key = key_of(document->kind, document->name);
+    struct pgw_document *known = g_hash_table_lookup(documents->by_key, key);
+
+    if (known != NULL && document->revision <= known->revision) {
+        g_free(key);
+        return NULL;
+    }
+    known = g_new0(struct pgw_document, 1);
+    known->kind = g_strdup(document->kind);
+    known->name = g_strdup(document->name);
+    known->revision = document->revision;
+    known->deleted = document->deleted;
+    known->body = document->deleted ? NULL : g_strdup(document->body);
+    g_hash_table_replace(documents->by_key, key, known);
+    return known;
+}
+
+const struct pgw_document *
+pgw_documents_find(const struct pgw_documents *documents, const char *kind,
+                   const char *name)
+{
+    char *key = key_of(kind, name);
+    const struct pgw_document *known =
+        g_hash_table_lookup(documents->by_key, key);
+
+    g_free(key);
+    return known;
+}
+
+GPtrArray *
+pgw_documents_list(const struct pgw_documents *documents, const char *kind)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, documents->by_key);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pgw_document *document = value;
+
+        if (kind == NULL || strcmp(document->kind, kind) == 0) {
+            g_ptr_array_add(list, document);
+        }
+    }
+    return list;
+}
--- /dev/null
+++ b/src/gateway/engine_guard.h
@@ -0,0 +1,108 @@
+#ifndef PGW_GATEWAY_ENGINE_GUARD_H
+#define PGW_GATEWAY_ENGINE_GUARD_H
+
+#include "gateway/call.h"
+#include "gateway/upstream_table.h"
+#include "gateway/weights_order.h"
+
+/**
+ * DOC: The process beside a model engine
+ *
+ * It asks its engine for reports, which cost nothing from its own machine,
+ * and tells the entries of its zone what changes. It is the only one that
+ * gives the engine orders: entries say which weights are named and when it is
+ * this engine's turn. Its fencing token comes from the platform's store, once
+ * a lifetime and only when an order is due.
+ */
+
+/**
+ * struct pgw_engine_report - an engine's own word
+ * @load: its load
+ * @models: weights that it runs
+ * @model_count: number of @models
+ * @busy: it carries out an order
+ * @sequence: orders that it accepted
+ */
+struct pgw_engine_report {
+    struct pgw_upstream_load load;
+    struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
+    size_t model_count;
+    bool busy;
+    uint64_t sequence;
+};
+
+/**
+ * struct pgw_engine_order - weights that the engine is to load
+ * @model: name of the model
+ * @version: its number
+ * @instance: incarnation that the order is for
+ * @holder: name of this process
+ * @token: fencing token
+ * @sequence: orders that the engine must have accepted before
+ */
+struct pgw_engine_order {
+    const char *model;
+    uint64_t version;
+    const char *instance;
+    const char *holder;
+    uint64_t token;
+    uint64_t sequence;
+};
+
+/**
+ * struct pgw_engine_codec - how the deployment's engines are spoken to
+ * @write_report: append a whole request for a report
+ * @read_report: decode its answer; false: it makes no sense. Names are owned
+ *   by the caller
+ * @write_order: append a whole order
+ */
+struct pgw_engine_codec {
+    void (*write_report)(GString *out);
+    bool (*read_report)(struct pgw_engine_report *out, const char *body,
+                        size_t size);
+    void (*write_order)(GString *out, const struct pgw_engine_order *order);
+};
+
+struct pgw_engine_guard;
+
+/**
+ * struct pgw_engine_guard_options - settings
+ * @instance: name of this process
+ * @zone: its availability zone
+ * @engine: address of the engine
+ * @listen: where entries connect
+ * @codec: how the engine is spoken to
+ * @get_token: ask for a new fencing token above all before; the answer comes
+ *   through pgw_engine_guard_take_token()
+ * @context: handed to @get_token
+ */
+struct pgw_engine_guard_options {
+    const char *instance;
+    const char *zone;
+    struct pgw_address engine;
+    struct pgw_address listen;
+    const struct pgw_engine_codec *codec;
+    void (*get_token)(void *context);
+    void *context;
+};
+
+/** pgw_engine_guard_new() - listen and begin; %PGW_ERROR_IO */
+struct pgw_engine_guard *
+pgw_engine_guard_new(struct pgw_loop *loop,
+                     const struct pgw_engine_guard_options *options,
+                     GError **error);
+void pgw_engine_guard_free(struct pgw_engine_guard *guard);
+
+/** pgw_engine_guard_take_token() - a fencing token; 0: none can be had now */
+void pgw_engine_guard_take_token(struct pgw_engine_guard *guard,
+                                 uint64_t token);
+
+/** pgw_engine_guard_entries() - entries that are connected */
+unsigned pgw_engine_guard_entries(const struct pgw_engine_guard *guard);
+
+/** pgw_engine_guard_name_weights() - weights that the engine is to run */
+void pgw_engine_guard_name_weights(struct pgw_engine_guard *guard,
+                                   const char *model, uint64_t version,
+                                   uint32_t turn, const char *instance);
+
+#endif
--- /dev/null
+++ b/src/gateway/event_stream.c
@@ -0,0 +1,94 @@
+#include "gateway/event_stream.h"
+#include <string.h>
+
+/* Reads the id of one event, whose lines end in LF or CRLF. */
+static void
+note_event(struct pgw_event_stream *stream, const char *event, size_t size)
+{
+    const char *end = event + size;
+
+    while (event < end) {
+        const char *line_end = memchr(event, '\n', (size_t)(end - event));
+        size_t length = (size_t)((line_end == NULL ? end : line_end) - event);
+
+        if (length > 3 && memcmp(event, "id:", 3) == 0) {
+            uint64_t id = g_ascii_strtoull(event + 3, NULL, 10);
+
+            if (stream->has_id && id <= stream->last_id) {
+                stream->out_of_order = true;
+            }
+            stream->last_id = id;
+            stream->has_id = true;
+        }
+        event += length + 1;
+    }
+    stream->events++;
+}
+
+/* Offset behind the blank line that ends the first event, 0 without one. */
+static size_t
+event_end(const char *data, size_t size, size_t from)
+{
+    for (size_t i = from; i + 1 < size; i++) {
+        if (data[i] != '\n') {
+            continue;
+        }
+        if (data[i + 1] == '\n') {
+            return i + 2;
+        }
+        if (i + 2 < size && data[i + 1] == '\r' && data[i + 2] == '\n') {
+            return i + 3;
+        }
+    }
+    return 0;
+}
+
+size_t
+pgw_event_stream_feed(struct pgw_event_stream *stream, const void *data,
+                      size_t size)
+{
+    const char *head;
+    size_t total;
+    size_t whole = 0;
+
+    pgw_buffer_append(&stream->pending, data, size);
+    head = (const char *)pgw_buffer_head(&stream->pending);
+    total = pgw_buffer_size(&stream->pending);
+    for (;;) {
+        size_t from = stream->scanned > whole ? stream->scanned - whole : 0;
+        size_t end = event_end(head + whole, total - whole, from);
+
+        if (end == 0) {
+            break;
+        }
+        note_event(stream, head + whole, end);
+        whole += end;
+    }
+    /* The last two bytes may be the beginning of an end. */
+    stream->scanned = MAX(whole, total > 2 ? total - 2 : 0);
+    if (whole == 0 && total > PGW_EVENT_SIZE_MAX) {
+        stream->out_of_order = true;
+        return total;
+    }
+    return whole;
+}
+
+void
+pgw_event_stream_consume(struct pgw_event_stream *stream, size_t size)
+{
+    pgw_buffer_consume(&stream->pending, size);
+    stream->scanned = stream->scanned > size ? stream->scanned - size : 0;
+}
+
+void
+pgw_event_stream_restart(struct pgw_event_stream *stream)
+{
+    pgw_buffer_consume(&stream->pending, pgw_buffer_size(&stream->pending));
+    stream->scanned = 0;
+}
+
+void
+pgw_event_stream_dispose(struct pgw_event_stream *stream)
+{
+    pgw_buffer_dispose(&stream->pending);
+}
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,134 @@
+#ifndef PGW_GATEWAY_EXCHANGE_H
+#define PGW_GATEWAY_EXCHANGE_H
+
+#include "gateway/gateway.h"
+
+/**
+ * struct pgw_gateway - one entry
+ * @routes: configuration in force, NULL before the first
+ * @weights: model -> &struct named_weights
+ * @waiting: requests without a place
+ * @kv_saved: prompt parts that the KV store should hold -> time
+ */
+struct pgw_gateway {
+    struct pgw_loop *loop;
+    struct pgw_gateway_options options;
+    char *instance;
+    char *zone;
+    struct pgw_caller_server *server;
+    struct pgw_call_pool *pool;
+    struct pgw_route_table *routes;
+    struct pgw_upstream_table *upstreams;
+    struct pgw_retry_budget *budget;
+    struct pgw_waiting waiting;
+    struct pgw_list exchanges;
+    struct pgw_task pump;
+    GHashTable *weights;
+    bool pump_posted;
+};
+
+/**
+ * struct pgw_named_weights - newest version of a model
+ * @version: its number
+ * @at_us: when this process heard of it
+ */
+struct pgw_named_weights {
+    uint64_t version;
+    uint64_t at_us;
+};
+
+/**
+ * enum pgw_exchange_phase - progress of a request
+ * @PGW_PHASE_WAITING: it waits for a place
+ * @PGW_PHASE_SENT: an upstream has it and has not answered
+ * @PGW_PHASE_RELAYING: events have reached the caller
+ */
+enum pgw_exchange_phase {
+    PGW_PHASE_WAITING,
+    PGW_PHASE_SENT,
+    PGW_PHASE_RELAYING,
+};
+
+/**
+ * struct pgw_exchange - one request of a caller
+ * @caller: NULL once the caller is gone
+ * @table: configuration that it was accepted under
+ * @facts: decoded head; texts point into the caller's head
+ * @deadline_us: the caller gets its final answer by then
+ * @caller_deadline_us: how long the caller itself waits
+ * @runs: upstreams that may have run it
+ * @sends: upstreams that it was sent to, refusals included
+ * @may_have_run: some attempt ended without saying that it did not run
+ * @upstream: where the current attempt is
+ * @counted_tokens: memory that it counts at @upstream
+ * @prefill_tokens: and prompt tokens without a first event
+ * @weights: version that its events come from
+ * @answer_fields: header lines for the caller
+ * @answer: body collected so far, of an answer that is not a stream
+ * @events: of a stream
+ * @settled: the caller has its final answer or is gone
+ */
+struct pgw_exchange {
+    struct pgw_list in_gateway;
+    struct pgw_gateway *gateway;
+    struct pgw_caller *caller;
+    struct pgw_route_table *table;
+    const struct pgw_route *route;
+    const struct pgw_workspace *workspace;
+    const char *service;
+    struct pgw_request_facts facts;
+    enum pgw_exchange_phase phase;
+    struct pgw_waiting_item waiting;
+    struct pgw_timer timer;
+    struct pgw_timer attempt_timer;
+    uint64_t received_us;
+    uint64_t deadline_us;
+    uint64_t caller_deadline_us;
+    uint64_t sent_us;
+    uint64_t first_event_us;
+    uint32_t runs;
+    uint32_t sends;
+    bool may_have_run;
+    struct pgw_upstream *tried[PGW_TRIED_MAX];
+    size_t tried_count;
+    struct pgw_call call;
+    struct pgw_upstream *upstream;
+    uint32_t counted_tokens;
+    uint32_t prefill_tokens;
+    uint32_t missing_tokens;
+    uint64_t weights;
+    unsigned status;
+    bool not_run;
+    bool is_stream;
+    GString *answer_fields;
+    struct pgw_buffer answer;
+    struct pgw_event_stream events;
+    uint64_t resumed_from;
+    bool resuming;
+    struct pgw_task release;
+};
+
+/* dispatch.c */
+/** pgw_exchange_begin() - accept a whole request */
+void pgw_exchange_begin(struct pgw_gateway *gateway,
+                        struct pgw_caller *caller);
+/** pgw_exchange_caller_gone() - nobody waits for the answer any more */
+void pgw_exchange_caller_gone(struct pgw_exchange *exchange);
+/** pgw_exchange_place() - try to send it; it waits if there is no place */
+void pgw_exchange_place(struct pgw_exchange *exchange);
+/** pgw_exchange_refuse() - a final answer of the gateway's own */
+void pgw_exchange_refuse(struct pgw_exchange *exchange, unsigned status,
+                         const char *reason, uint32_t retry_after_ms);
+/** pgw_exchange_free() - give back everything, close the call */
+void pgw_exchange_free(struct pgw_exchange *exchange);
+/** pgw_exchange_finish() - the caller has its answer; frees the exchange */
+void pgw_exchange_finish(struct pgw_exchange *exchange, const char *outcome);
+
+/* forward.c */
+/** pgw_exchange_send() - send it to the chosen upstream */
+void pgw_exchange_send(struct pgw_exchange *exchange,
+                       const struct pgw_choice *choice);
+/** pgw_exchange_leave() - the attempt is over: give back what it counts */
+void pgw_exchange_leave(struct pgw_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,196 @@
+#include "gateway/exchange.h"
+#include "util/log.h"
+
+static void
+on_request(struct pgw_caller *caller, void *context)
+{
+    pgw_exchange_begin(context, caller);
+}
+
+static void
+on_gone(struct pgw_caller *caller, void *context)
+{
+    (void)context;
+    if (caller->owner != NULL) {
+        pgw_exchange_caller_gone(caller->owner);
+    }
+}
+
+static char *
+render_error(unsigned status, void *context)
+{
+    (void)context;
+    return g_strdup_printf("{\"error\":{\"code\":\"http_%u\",\"ran\":\"no\"}}",
+                           status);
+}
+
+static const struct pgw_caller_ops caller_ops = {
+    .on_request = on_request,
+    .on_gone = on_gone,
+    .render_error = render_error,
+};
+
+struct pgw_gateway *
+pgw_gateway_new(struct pgw_loop *loop,
+                const struct pgw_gateway_options *options, GError **error)
+{
+    struct pgw_gateway *gateway = g_new0(struct pgw_gateway, 1);
+    struct pgw_call_pool_options pool = PGW_CALL_POOL_OPTIONS_INIT;
+
+    gateway->loop = loop;
+    gateway->options = *options;
+    pgw_list_init(&gateway->exchanges);
+    pgw_waiting_init(&gateway->waiting);
+    gateway->server = pgw_caller_server_new(loop, &options->listen,
+                                            &caller_ops, gateway, error);
+    if (gateway->server == NULL) {
+        g_free(gateway);
+        return NULL;
+    }
+    gateway->instance = g_strdup(options->instance);
+    gateway->zone = g_strdup(options->zone);
+    gateway->pool = pgw_call_pool_new(loop, &pool);
+    gateway->upstreams = pgw_upstream_table_new(options->zone);
+    gateway->budget = pgw_retry_budget_new(&options->retry);
+    gateway->weights =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return gateway;
+}
+
+void
+pgw_gateway_free(struct pgw_gateway *gateway)
+{
+    pgw_list_foreach_safe (link, &gateway->exchanges) {
+        pgw_exchange_free(
+            pgw_container_of(link, struct pgw_exchange, in_gateway));
+    }
+    pgw_caller_server_free(gateway->server);
+    pgw_call_pool_free(gateway->pool);
+    pgw_upstream_table_free(gateway->upstreams);
+    pgw_retry_budget_free(gateway->budget);
+    pgw_route_table_unref(gateway->routes);
+    g_hash_table_destroy(gateway->weights);
+    g_free(gateway->instance);
+    g_free(gateway->zone);
+    g_free(gateway);
+}
+
+uint16_t
+pgw_gateway_port(const struct pgw_gateway *gateway)
+{
+    return pgw_caller_server_port(gateway->server);
+}
+
+bool
+pgw_gateway_set_routes(struct pgw_gateway *gateway,
+                       struct pgw_route_table *table)
+{
+    uint64_t version = pgw_route_table_version(table);
+
+    /*
+     * Failure: the platform's store or a peer answers with an older copy.
+     * Symptom: a revoked key works again, a request goes to a service that
+     * its route left. Versions only grow, so a lower one is always old.
+     */
+    if (gateway->routes != NULL &&
+        version <= pgw_route_table_version(gateway->routes)) {
+        return false;
+    }
+    pgw_route_table_unref(gateway->routes);
+    gateway->routes = pgw_route_table_ref(table);
+    pgw_caller_server_set_limits(gateway->server,
+                                 pgw_route_table_limits(table));
+    pgw_log_info("configuration", "version=%" G_GUINT64_FORMAT, version);
+    return true;
+}
+
+const struct pgw_route_table *
+pgw_gateway_routes(const struct pgw_gateway *gateway)
+{
+    return gateway->routes;
+}
+
+struct pgw_upstream_table *
+pgw_gateway_upstreams(struct pgw_gateway *gateway)
+{
+    return gateway->upstreams;
+}
+
+void
+pgw_gateway_name_weights(struct pgw_gateway *gateway, const char *model,
+                         uint64_t version)
+{
+    struct pgw_named_weights *named =
+        g_hash_table_lookup(gateway->weights, model);
+
+    if (named == NULL) {
+        named = g_new0(struct pgw_named_weights, 1);
+        g_hash_table_insert(gateway->weights, g_strdup(model), named);
+    }
+    if (version > named->version) {
+        named->version = version;
+        named->at_us = pgw_now_us();
+        pgw_log_info("weights_named", "model=%s version=%" G_GUINT64_FORMAT,
+                     model, version);
+    }
+}
+
+uint64_t
+pgw_gateway_weights(const struct pgw_gateway *gateway, const char *model)
+{
+    const struct pgw_named_weights *named =
+        g_hash_table_lookup(gateway->weights, model);
+
+    return named == NULL ? 0 : named->version;
+}
+
+/* All that waits is looked at, since what blocks the first may not block the
+ * next: another service, a smaller prompt. */
+static void
+pump_run(struct pgw_task *task)
+{
+    struct pgw_gateway *gateway =
+        pgw_container_of(task, struct pgw_gateway, pump);
+
+    gateway->pump_posted = false;
+    for (unsigned rank = 0; rank < PGW_WAITING_RANKS; rank++) {
+        pgw_list_foreach_safe (link, &gateway->waiting.queues[rank]) {
+            pgw_exchange_place(
+                pgw_container_of(link, struct pgw_exchange, waiting.link));
+        }
+    }
+}
+
+void
+pgw_gateway_pump(struct pgw_gateway *gateway)
+{
+    if (gateway->waiting.count > 0 && !gateway->pump_posted) {
+        gateway->pump_posted = true;
+        gateway->pump.run = pump_run;
+        pgw_loop_post(gateway->loop, &gateway->pump);
+    }
+}
+
+struct pgw_call_pool *
+pgw_gateway_pool(struct pgw_gateway *gateway)
+{
+    return gateway->pool;
+}
+
+void
+pgw_gateway_drain(struct pgw_gateway *gateway)
+{
+    pgw_caller_server_drain(gateway->server);
+}
+
+void
+pgw_gateway_close(struct pgw_gateway *gateway)
+{
+    pgw_caller_server_close_idle(gateway->server);
+}
+
+unsigned
+pgw_gateway_busy(const struct pgw_gateway *gateway)
+{
+    return pgw_caller_server_busy(gateway->server);
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,101 @@
+#ifndef PGW_GATEWAY_GATEWAY_H
+#define PGW_GATEWAY_GATEWAY_H
+
+#include "gateway/call.h"
+#include "gateway/caller.h"
+#include "gateway/choose.h"
+#include "gateway/codec.h"
+#include "gateway/event_stream.h"
+#include "gateway/route_table.h"
+#include "gateway/upstream_table.h"
+#include "gateway/waiting.h"
+#include "parsleygw/retry.h"
+
+/**
+ * DOC: The entry that passes requests on as they are
+ *
+ * Callers and upstreams speak HTTP to each other; the gateway decides who may
+ * ask, where a request runs and what happens when that fails. It reads heads
+ * and the borders of events, never bodies.
+ *
+ *   read -> identify -> wait -> choose -> send -> relay -> account
+ *
+ * Everything is on one loop's thread: an entry has a fraction of a core, and a
+ * second thread would only take turns with the first.
+ */
+
+/**
+ * struct pgw_gateway_options - settings of a gateway
+ * @instance: name of this process
+ * @zone: its availability zone
+ * @listen: where callers connect
+ * @codec: how the deployment spells requests
+ * @retry_share_permille: repeats for 1000 requests, all entries together
+ * @retry_burst: repeats that this entry may make at once
+ * @choose: thresholds of placement
+ * @wait_share: part of a request's time that it may wait for a place
+ * @hedge_share: part of the objective after which a silent upstream is given
+ *   up for a request that may run again
+ */
+struct pgw_gateway_options {
+    const char *instance;
+    const char *zone;
+    struct pgw_address listen;
+    const struct pgw_codec *codec;
+    struct pgw_retry_options retry;
+    struct pgw_choose_options choose;
+    double wait_share;
+    double hedge_share;
+};
+
+struct pgw_gateway;
+struct pgw_exchange;
+
+/** pgw_gateway_new() - listen for callers; %PGW_ERROR_IO */
+struct pgw_gateway *pgw_gateway_new(struct pgw_loop *loop,
+                                    const struct pgw_gateway_options *options,
+                                    GError **error);
+void pgw_gateway_free(struct pgw_gateway *gateway);
+
+/** pgw_gateway_port() - where it listens */
+uint16_t pgw_gateway_port(const struct pgw_gateway *gateway);
+
+/**
+ * pgw_gateway_set_routes() - take a newer configuration
+ *
+ * Return: false when the one in force is as new; @table is not kept then.
+ */
+bool pgw_gateway_set_routes(struct pgw_gateway *gateway,
+                            struct pgw_route_table *table);
+
+/** pgw_gateway_routes() - the configuration in force, or NULL */
+const struct pgw_route_table *
+pgw_gateway_routes(const struct pgw_gateway *gateway);
+
+/** pgw_gateway_upstreams() - the table to fill */
+struct pgw_upstream_table *pgw_gateway_upstreams(struct pgw_gateway *gateway);
+
+/** pgw_gateway_name_weights() - a newer version of a model was named */
+void pgw_gateway_name_weights(struct pgw_gateway *gateway, const char *model,
+                              uint64_t version);
+
+/** pgw_gateway_weights() - newest version named of a model, 0: none */
+uint64_t pgw_gateway_weights(const struct pgw_gateway *gateway,
+                             const char *model);
+
+/** pgw_gateway_pump() - upstreams have changed: look at what waits */
+void pgw_gateway_pump(struct pgw_gateway *gateway);
+
+/** pgw_gateway_pool() - connections, shared with other callers of upstreams */
+struct pgw_call_pool *pgw_gateway_pool(struct pgw_gateway *gateway);
+
+/** pgw_gateway_drain() - answers end their connections from now on */
+void pgw_gateway_drain(struct pgw_gateway *gateway);
+
+/** pgw_gateway_close() - accept no more, close what is idle */
+void pgw_gateway_close(struct pgw_gateway *gateway);
+
+/** pgw_gateway_busy() - requests being read or answered */
+unsigned pgw_gateway_busy(const struct pgw_gateway *gateway);
+
+#endif
--- /dev/null
+++ b/src/gateway/guard_links.c
@@ -0,0 +1,338 @@
+#include "gateway/guard_links.h"
+#include "libparsleygw/link.h"
+#include "parsleygw/place.h"
+#include "util/log.h"
+#include "util/random.h"
+#include <netinet/in.h>
+#include <string.h>
+
+/* A process that does not answer is tried again after this time and up to
+ * twice as long. */
+#define RECONNECT_US 400000
+/* Longest time for which "loading" is believed without another word: a load
+ * takes well under a second, and the runs before it end. */
+#define LOADING_MAX_US 4000000
+/* A process that has been silent for so long may be cut off: its word on load
+ * and weights is no longer fresh. It speaks once a second. */
+#define FRESH_US 2500000
+
+struct guard_link {
+    struct pgw_guard_links *links;
+    char *engine; /* address of the engine */
+    struct pgw_address address;
+    struct pgw_link *link;
+    struct pgw_timer timer;
+    bool wanted;
+};
+
+struct pgw_guard_links {
+    struct pgw_loop *loop;
+    struct pgw_gateway *gateway;
+    GHashTable *by_engine;
+    uint16_t port;
+    double at_once_share;
+    bool closing;
+};
+
+static struct pgw_upstream *
+find_upstream(struct pgw_guard_links *links, const char *engine)
+{
+    struct pgw_upstream *found = NULL;
+
+    pgw_list_foreach (
+        item, pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway))) {
+        struct pgw_upstream *upstream =
+            pgw_container_of(item, struct pgw_upstream, in_table);
+
+        /* The newest one of an address is behind the one that it replaces. */
+        if (strcmp(upstream->address_text, engine) == 0) {
+            found = upstream;
+        }
+    }
+    return found;
+}
+
+/* Position of an engine among its pool in an order that each rollout draws
+ * anew, so that it is not always the same ones that serve the old weights
+ * longest; all entries draw alike. */
+static uint32_t
+turn_of(const struct pgw_guard_links *links,
+        const struct pgw_upstream *upstream, uint64_t version)
+{
+    const GPtrArray *pool = pgw_upstream_table_service(
+        pgw_gateway_upstreams(links->gateway), upstream->service);
+    uint64_t own = upstream->id_hash * (2 * version + 1);
+    unsigned before = 0;
+    unsigned total = 0;
+    unsigned at_once;
+
+    for (unsigned i = 0; pool != NULL && i < pool->len; i++) {
+        const struct pgw_upstream *other = g_ptr_array_index(pool, i);
+
+        if (!other->leaving && !other->removed) {
+            total++;
+            before += other->id_hash * (2 * version + 1) < own;
+        }
+    }
+    at_once = (unsigned)((double)total * links->at_once_share + 0.5);
+    return before / MAX(at_once, 1);
+}
+
+static void
+announce_to(struct guard_link *guard)
+{
+    struct pgw_upstream *upstream = find_upstream(guard->links, guard->engine);
+
+    if (upstream == NULL || guard->link == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        const char *model = upstream->models[i].model;
+        uint64_t version = pgw_gateway_weights(guard->links->gateway, model);
+        Pgw__LoadWeights message = PGW__LOAD_WEIGHTS__INIT;
+
+        if (version == 0) {
+            continue;
+        }
+        message.model = (char *)model;
+        message.version = version;
+        message.turn = turn_of(guard->links, upstream, version);
+        message.instance = upstream->id;
+        pgw_link_send(guard->link, PGW_FRAME_LOAD_WEIGHTS, &message.base);
+    }
+}
+
+static void
+take_state(struct guard_link *guard, const Pgw__EngineState *state)
+{
+    struct pgw_upstream *upstream = find_upstream(guard->links, guard->engine);
+    struct pgw_upstream_load load = {
+        .running = state->running,
+        .waiting = state->waiting,
+        .kv_used = state->kv_used,
+        .kv_total = state->kv_total,
+    };
+    uint64_t now = pgw_now_us();
+
+    if (upstream == NULL || strcmp(state->address, guard->engine) != 0) {
+        return;
+    }
+    upstream->guarded = true;
+    for (size_t i = 0; i < state->n_models; i++) {
+        pgw_upstream_set_version(upstream, state->models[i]->name,
+                                 state->models[i]->version);
+    }
+    upstream->loading = state->loading || !state->alive;
+    upstream->loading_until_us =
+        now + (state->alive ? LOADING_MAX_US : FRESH_US);
+    if (state->alive) {
+        pgw_upstream_take_load(upstream, &load, now);
+    }
+    pgw_gateway_pump(guard->links->gateway);
+}
+
+static bool
+on_frame(struct pgw_link *link, enum pgw_frame_type type,
+         ProtobufCMessage *message, void *context)
+{
+    (void)link;
+    if (type == PGW_FRAME_ENGINE_STATE) {
+        take_state(context, (const Pgw__EngineState *)message);
+    }
+    return false;
+}
+
+static void
+guard_free(void *data)
+{
+    struct guard_link *guard = data;
+
+    pgw_timer_stop(guard->links->loop, &guard->timer);
+    g_free(guard->engine);
+    g_free(guard);
+}
+
+static void
+on_closed(struct pgw_link *link, const GError *error, void *context)
+{
+    struct guard_link *guard = context;
+    struct pgw_guard_links *links = guard->links;
+    struct pgw_upstream *upstream;
+
+    (void)link;
+    guard->link = NULL;
+    upstream = find_upstream(links, guard->engine);
+    if (upstream != NULL) {
+        /* Its last word may be old: the list speaks again, and a load that
+         * was announced is not waited for. */
+        upstream->guarded = false;
+        upstream->loading = false;
+    }
+    if (links->closing) {
+        return;
+    }
+    pgw_log_info("guard_link_lost", "engine=%s reason=%s", guard->engine,
+                 error == NULL ? "closed" : error->message);
+    if (!guard->wanted) {
+        g_hash_table_remove(links->by_engine, guard->engine);
+        return;
+    }
+    pgw_timer_start(links->loop, &guard->timer,
+                    RECONNECT_US + pgw_random_u64() % RECONNECT_US);
+}
+
+static void
+on_open(struct pgw_link *link, void *context)
+{
+    (void)link;
+    announce_to(context);
+}
+
+static const struct pgw_link_ops link_ops = {
+    .on_open = on_open,
+    .on_frame = on_frame,
+    .on_closed = on_closed,
+};
+
+static void
+connect_due(struct pgw_timer *timer)
+{
+    struct guard_link *guard =
+        pgw_container_of(timer, struct guard_link, timer);
+    GError *error = NULL;
+
+    if (!guard->wanted) {
+        g_hash_table_remove(guard->links->by_engine, guard->engine);
+        return;
+    }
+    guard->link = pgw_link_connect(guard->links->loop, &guard->address,
+                                   &link_ops, guard, &error);
+    if (guard->link == NULL) {
+        pgw_log_warning("guard_link", "engine=%s reason=%s", guard->engine,
+                        error->message);
+        g_error_free(error);
+        pgw_timer_start(guard->links->loop, &guard->timer, RECONNECT_US);
+    }
+}
+
+static void
+add(struct pgw_guard_links *links, const struct pgw_upstream *upstream)
+{
+    struct guard_link *guard = g_new0(struct guard_link, 1);
+
+    guard->links = links;
+    guard->engine = g_strdup(upstream->address_text);
+    guard->address = upstream->address;
+    if (guard->address.storage.ss_family == AF_INET6) {
+        ((struct sockaddr_in6 *)&guard->address.storage)->sin6_port =
+            htons(links->port);
+    }
+    else {
+        ((struct sockaddr_in *)&guard->address.storage)->sin_port =
+            htons(links->port);
+    }
+    guard->wanted = true;
+    guard->timer.on_due = connect_due;
+    g_hash_table_insert(links->by_engine, guard->engine, guard);
+    pgw_timer_start(links->loop, &guard->timer, 0);
+}
+
+struct pgw_guard_links *
+pgw_guard_links_new(struct pgw_loop *loop, struct pgw_gateway *gateway,
+                    uint16_t port, double at_once_share)
+{
+    struct pgw_guard_links *links = g_new0(struct pgw_guard_links, 1);
+
+    links->loop = loop;
+    links->gateway = gateway;
+    links->port = port;
+    links->at_once_share = at_once_share;
+    links->by_engine =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, guard_free);
+    return links;
+}
+
+void
+pgw_guard_links_free(struct pgw_guard_links *links)
+{
+    GHashTableIter iter;
+    void *value;
+
+    links->closing = true;
+    g_hash_table_iter_init(&iter, links->by_engine);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct guard_link *guard = value;
+
+        if (guard->link != NULL) {
+            pgw_link_close(guard->link);
+        }
+    }
+    pgw_loop_run_tasks(links->loop);
+    g_hash_table_destroy(links->by_engine);
+    g_free(links);
+}
+
+static void
+drop_unwanted(struct pgw_guard_links *links)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, links->by_engine);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct guard_link *guard = value;
+
+        if (guard->wanted) {
+            continue;
+        }
+        if (guard->link != NULL) {
+            pgw_link_close(guard->link);
+        }
+        else {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+pgw_guard_links_refresh(struct pgw_guard_links *links)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, links->by_engine);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct guard_link *)value)->wanted = false;
+    }
+    pgw_list_foreach (
+        item, pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway))) {
+        const struct pgw_upstream *upstream =
+            pgw_container_of(item, struct pgw_upstream, in_table);
+        struct guard_link *guard;
+
+        if (!upstream->same_zone || upstream->model_count == 0) {
+            continue;
+        }
+        guard = g_hash_table_lookup(links->by_engine, upstream->address_text);
+        if (guard == NULL) {
+            add(links, upstream);
+        }
+        else {
+            guard->wanted = true;
+            announce_to(guard);
+        }
+    }
+    drop_unwanted(links);
+}
+
+void
+pgw_guard_links_announce(struct pgw_guard_links *links)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, links->by_engine);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        announce_to(value);
+    }
+}
--- /dev/null
+++ b/src/gateway/guard_links.h
@@ -0,0 +1,37 @@
+#ifndef PGW_GATEWAY_GUARD_LINKS_H
+#define PGW_GATEWAY_GUARD_LINKS_H
+
+#include "gateway/gateway.h"
+
+/**
+ * DOC: An entry's connections to the processes beside the engines
+ *
+ * To those of its own availability zone only: their reports say where a prompt
+ * is served soonest, and prompts leave their zone rarely. An entry tells them
+ * which weights are named and when it is their turn; they say what their
+ * engines run and how full they are.
+ */
+
+struct pgw_guard_links;
+
+/**
+ * pgw_guard_links_new() - none yet
+ * @loop: serves the links
+ * @gateway: whose upstreams they report on
+ * @port: port on which the processes beside the engines listen
+ * @at_once_share: engines of a pool that load at the same time, as a part of
+ *   all; weights come slower to each when more do
+ */
+struct pgw_guard_links *pgw_guard_links_new(struct pgw_loop *loop,
+                                            struct pgw_gateway *gateway,
+                                            uint16_t port,
+                                            double at_once_share);
+void pgw_guard_links_free(struct pgw_guard_links *links);
+
+/** pgw_guard_links_refresh() - the list of upstreams has changed */
+void pgw_guard_links_refresh(struct pgw_guard_links *links);
+
+/** pgw_guard_links_announce() - weights were named: tell all whose they are */
+void pgw_guard_links_announce(struct pgw_guard_links *links);
+
+#endif
--- /dev/null
+++ b/src/gateway/mesh.h
@@ -0,0 +1,55 @@
+#ifndef PGW_GATEWAY_MESH_H
+#define PGW_GATEWAY_MESH_H
+
+#include "gateway/documents.h"
+#include "util/address.h"
+#include "util/loop.h"
+
+/**
+ * DOC: Entries that tell each other the platform's news
+ *
+ * Each entry connects to the few seeds that its settings name; seeds pass on
+ * what they hear. An entry that the platform's store turns away, or that
+ * starts while the store is down, so learns of configurations, revoked keys
+ * and leaving upstreams from the others. Nothing is decided here: copies are
+ * compared by the platform's own revisions.
+ */
+
+struct pgw_mesh;
+
+/**
+ * struct pgw_mesh_options - settings
+ * @listen: where other entries connect
+ * @seeds: addresses to connect to; its own is left out
+ * @seed_count: number of @seeds
+ * @instance: name of this process
+ * @zone: its availability zone
+ * @on_document: a newer copy came, from whichever side
+ * @context: handed to @on_document
+ */
+struct pgw_mesh_options {
+    struct pgw_address listen;
+    const struct pgw_address *seeds;
+    size_t seed_count;
+    const char *instance;
+    const char *zone;
+    void (*on_document)(const struct pgw_document *document, void *context);
+    void *context;
+};
+
+/** pgw_mesh_new() - listen and start connecting; %PGW_ERROR_IO */
+struct pgw_mesh *pgw_mesh_new(struct pgw_loop *loop,
+                              const struct pgw_mesh_options *options,
+                              GError **error);
+void pgw_mesh_free(struct pgw_mesh *mesh);
+
+/** pgw_mesh_put() - news from the platform's store */
+void pgw_mesh_put(struct pgw_mesh *mesh, const struct pgw_document *document);
+
+/** pgw_mesh_documents() - what is known */
+const struct pgw_documents *pgw_mesh_documents(const struct pgw_mesh *mesh);
+
+/** pgw_mesh_peers() - open connections to other entries */
+unsigned pgw_mesh_peers(const struct pgw_mesh *mesh);
+
+#endif
--- /dev/null
+++ b/src/gateway/upstream_table.c
@@ -0,0 +1,297 @@
+#include "gateway/upstream_table.h"
+#include "parsleygw/place.h"
+#include "util/log.h"
+#include <string.h>
+
+/* After this time a report says nothing any more: requests of this size last
+ * a few hundred milliseconds. */
+#define LOAD_FADE_US 1000000
+/* Weight of one attempt in the moving failure rate: about the last 16 count.
+ */
+#define RATE_WEIGHT (1.0 / 16.0)
+/* First pause after an upstream could not be reached or broke off; doubled
+ * with each failure in a row. A server that restarts needs seconds. */
+#define AVOID_BASE_US 100000
+#define AVOID_MAX_US 2000000
+/* Pause after it said that it is full: about the time of one short request. */
+#define AVOID_FULL_US 30000
+
+struct pgw_upstream_table {
+    char *zone;
+    GHashTable *by_id;
+    GHashTable *by_service; /* name -> GPtrArray */
+    struct pgw_list all;
+};
+
+struct pgw_upstream_table *
+pgw_upstream_table_new(const char *zone)
+{
+    struct pgw_upstream_table *table = g_new0(struct pgw_upstream_table, 1);
+
+    table->zone = g_strdup(zone);
+    table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    table->by_service = g_hash_table_new_full(
+        g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    pgw_list_init(&table->all);
+    return table;
+}
+
+struct pgw_upstream *
+pgw_upstream_ref(struct pgw_upstream *upstream)
+{
+    upstream->references++;
+    return upstream;
+}
+
+static void
+models_clear(struct pgw_upstream *upstream)
+{
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        g_free(upstream->models[i].model);
+    }
+    upstream->model_count = 0;
+}
+
+void
+pgw_upstream_unref(struct pgw_upstream *upstream)
+{
+    if (upstream == NULL || --upstream->references > 0) {
+        return;
+    }
+    models_clear(upstream);
+    g_free(upstream->id);
+    g_free(upstream->service);
+    g_free(upstream->zone);
+    g_free(upstream->address_text);
+    g_free(upstream);
+}
+
+void
+pgw_upstream_table_free(struct pgw_upstream_table *table)
+{
+    pgw_list_foreach_safe (link, &table->all) {
+        pgw_upstream_table_remove(
+            table, pgw_container_of(link, struct pgw_upstream, in_table));
+    }
+    g_hash_table_destroy(table->by_id);
+    g_hash_table_destroy(table->by_service);
+    g_free(table->zone);
+    g_free(table);
+}
+
+static GPtrArray *
+service_get(struct pgw_upstream_table *table, const char *service)
+{
+    GPtrArray *array = g_hash_table_lookup(table->by_service, service);
+
+    if (array == NULL) {
+        array = g_ptr_array_new();
+        g_hash_table_insert(table->by_service, g_strdup(service), array);
+    }
+    return array;
+}
+
+static struct pgw_upstream *
+upstream_new(struct pgw_upstream_table *table,
+             const struct pgw_upstream_facts *facts)
+{
+    struct pgw_upstream *upstream = g_new0(struct pgw_upstream, 1);
+    GError *error = NULL;
+
+    if (!pgw_address_parse(&upstream->address, facts->address, &error)) {
+        pgw_log_warning("upstream_address", "upstream=%s reason=%s", facts->id,
+                        error->message);
+        g_error_free(error);
+        g_free(upstream);
+        return NULL;
+    }
+    upstream->references = 1;
+    upstream->id = g_strdup(facts->id);
+    upstream->service = g_strdup(facts->service);
+    upstream->zone = g_strdup(facts->zone);
+    upstream->address_text = g_strdup(facts->address);
+    upstream->id_hash = pgw_place_id_hash(facts->address);
+    upstream->same_zone = strcmp(facts->zone, table->zone) == 0;
+    pgw_list_append(&table->all, &upstream->in_table);
+    g_hash_table_insert(table->by_id, upstream->id, upstream);
+    g_ptr_array_add(service_get(table, facts->service), upstream);
+    return upstream;
+}
+
+struct pgw_upstream *
+pgw_upstream_table_put(struct pgw_upstream_table *table,
+                       const struct pgw_upstream_facts *facts)
+{
+    struct pgw_upstream *upstream = pgw_upstream_table_find(table, facts->id);
+    bool is_new = upstream == NULL;
+
+    if (is_new) {
+        upstream = upstream_new(table, facts);
+    }
+    if (upstream == NULL) {
+        return NULL;
+    }
+    upstream->slots = MAX(facts->slots, 1);
+    upstream->lapsed_until_us = 0;
+    /*
+     * Failure: an old copy of the list arrives late and says "ready" of an
+     * upstream that is leaving. Symptom: it is given requests that it drops.
+     * One that leaves never comes back under the same id, so leaving stays.
+     */
+    upstream->leaving = upstream->leaving || facts->leaving;
+    upstream->cold_until_us =
+        facts->cold_ms == 0
+            ? 0
+            : (uint64_t)g_get_monotonic_time() + facts->cold_ms * 1000ULL;
+    /* The sidecar's word is newer than the list's. */
+    if (!upstream->guarded) {
+        for (size_t i = 0; i < facts->model_count; i++) {
+            pgw_upstream_set_version(upstream, facts->models[i].model,
+                                     facts->models[i].version);
+        }
+    }
+    return upstream;
+}
+
+void
+pgw_upstream_table_remove(struct pgw_upstream_table *table,
+                          struct pgw_upstream *upstream)
+{
+    g_hash_table_remove(table->by_id, upstream->id);
+    g_ptr_array_remove(service_get(table, upstream->service), upstream);
+    pgw_list_remove(&upstream->in_table);
+    upstream->removed = true;
+    pgw_upstream_unref(upstream);
+}
+
+struct pgw_upstream *
+pgw_upstream_table_find(const struct pgw_upstream_table *table, const char *id)
+{
+    return g_hash_table_lookup(table->by_id, id);
+}
+
+const GPtrArray *
+pgw_upstream_table_service(const struct pgw_upstream_table *table,
+                           const char *service)
+{
+    return g_hash_table_lookup(table->by_service, service);
+}
+
+struct pgw_list *
+pgw_upstream_table_all(struct pgw_upstream_table *table)
+{
+    return &table->all;
+}
+
+void
+pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
+                         uint64_t version)
+{
+    struct pgw_model_version *entry = NULL;
+
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        if (strcmp(upstream->models[i].model, model) == 0) {
+            entry = &upstream->models[i];
+        }
+    }
+    if (entry == NULL) {
+        if (upstream->model_count == PGW_UPSTREAM_MODELS_MAX) {
+            pgw_log_warning("too_many_models", "upstream=%s model=%s",
+                            upstream->id, model);
+            return;
+        }
+        entry = &upstream->models[upstream->model_count++];
+        entry->model = g_strdup(model);
+        entry->version = 0;
+    }
+    if (version > entry->version) {
+        /* New weights drop everything that was computed under the old. */
+        pgw_prefix_memory_clear(&upstream->prefixes);
+        entry->version = version;
+    }
+}
+
+uint64_t
+pgw_upstream_version(const struct pgw_upstream *upstream, const char *model)
+{
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        if (strcmp(upstream->models[i].model, model) == 0) {
+            return upstream->models[i].version;
+        }
+    }
+    return 0;
+}
+
+void
+pgw_upstream_take_load(struct pgw_upstream *upstream,
+                       const struct pgw_upstream_load *load, uint64_t now_us)
+{
+    upstream->load = *load;
+    upstream->load_at_us = now_us;
+    upstream->load_own = upstream->inflight;
+    upstream->load_own_tokens = upstream->inflight_tokens;
+    if (load->slots > 0) {
+        upstream->slots = load->slots;
+    }
+}
+
+/* What others had there when the report was made, fading with its age. */
+static uint64_t
+others(uint64_t reported, uint64_t own, uint64_t at_us, uint64_t now_us)
+{
+    uint64_t age = now_us - at_us;
+
+    if (at_us == 0 || reported <= own || age >= LOAD_FADE_US) {
+        return 0;
+    }
+    return (reported - own) * (LOAD_FADE_US - age) / LOAD_FADE_US;
+}
+
+uint32_t
+pgw_upstream_load_estimate(const struct pgw_upstream *upstream,
+                           uint64_t now_us)
+{
+    return upstream->inflight +
+           (uint32_t)others(upstream->load.running + upstream->load.waiting,
+                            upstream->load_own, upstream->load_at_us, now_us);
+}
+
+uint64_t
+pgw_upstream_kv_estimate(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    return upstream->inflight_tokens + others(upstream->load.kv_used,
+                                              upstream->load_own_tokens,
+                                              upstream->load_at_us, now_us);
+}
+
+static void
+avoid(struct pgw_upstream *upstream, uint64_t us, uint64_t now_us)
+{
+    upstream->avoid_until_us = MAX(upstream->avoid_until_us, now_us + us);
+}
+
+void
+pgw_upstream_note(struct pgw_upstream *upstream,
+                  enum pgw_attempt_result result, uint64_t now_us)
+{
+    uint64_t pause = AVOID_BASE_US;
+
+    if (result == PGW_RESULT_REFUSED) {
+        avoid(upstream, AVOID_FULL_US, now_us);
+        return;
+    }
+    upstream->failure_rate *= 1.0 - RATE_WEIGHT;
+    if (result == PGW_RESULT_GOOD) {
+        upstream->failures = 0;
+        return;
+    }
+    upstream->failure_rate += RATE_WEIGHT;
+    upstream->failures++;
+    if (result == PGW_RESULT_ERROR) {
+        return;
+    }
+    for (uint32_t i = 1; i < upstream->failures && pause < AVOID_MAX_US; i++) {
+        pause *= 2;
+    }
+    avoid(upstream, MIN(pause, AVOID_MAX_US), now_us);
+}
--- /dev/null
+++ b/src/gateway/upstream_table.h
@@ -0,0 +1,207 @@
+#ifndef PGW_GATEWAY_UPSTREAM_TABLE_H
+#define PGW_GATEWAY_UPSTREAM_TABLE_H
+
+#include "gateway/prefix_memory.h"
+#include "util/address.h"
+#include "util/list.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: What an entry knows of the upstreams
+ *
+ * Who exists and who leaves comes from the platform's list, load and weights
+ * from the sidecars and from answers, health from the entry's own attempts.
+ */
+
+#define PGW_UPSTREAM_MODELS_MAX 4
+
+/**
+ * struct pgw_model_version - weights that an engine runs
+ * @model: name of the model; owned
+ * @version: number of its weights
+ */
+struct pgw_model_version {
+    char *model;
+    uint64_t version;
+};
+
+/**
+ * struct pgw_upstream_facts - one line of the platform's list
+ * @id: incarnation of the upstream: new at each of its starts
+ * @service: what it serves
+ * @address: "IP:PORT"
+ * @zone: its availability zone
+ * @slots: requests that it runs at once
+ * @leaving: it finishes what it has and goes
+ * @cold_ms: how much longer it stays slow after its start
+ * @models: weights, for engines
+ * @model_count: number of @models
+ */
+struct pgw_upstream_facts {
+    const char *id;
+    const char *service;
+    const char *address;
+    const char *zone;
+    uint32_t slots;
+    bool leaving;
+    uint32_t cold_ms;
+    struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
+    size_t model_count;
+};
+
+/**
+ * struct pgw_upstream_load - a report of an upstream's load
+ * @running: requests that it runs
+ * @waiting: requests in its queue
+ * @slots: requests that it runs at once, 0: not said
+ * @kv_used: tokens of memory that cannot be freed
+ * @kv_total: tokens of memory, 0: not said
+ */
+struct pgw_upstream_load {
+    uint32_t running;
+    uint32_t waiting;
+    uint32_t slots;
+    uint64_t kv_used;
+    uint64_t kv_total;
+};
+
+/**
+ * struct pgw_upstream - one upstream
+ * @references: held by the table and by each request on its way
+ * @removed: no longer in the list
+ * @lapsed_until_us: dropped from the list while the platform's store was away;
+ *   counts as there until then, 0: is in the list
+ * @loading: its sidecar says that it changes its weights
+ * @guarded: its sidecar's word is fresh, so @models is
+ * @inflight: requests that this entry has there
+ * @inflight_tokens: memory that they take at most
+ * @prefill_tokens: prompt tokens of those without a first event
+ * @load: last report
+ * @load_at_us: when it came, 0: never
+ * @load_own: @inflight at that time
+ * @load_own_tokens: @inflight_tokens at that time
+ * @failures: in a row
+ * @failure_rate: moving share of failed attempts, 0..1
+ * @avoid_until_us: not to be chosen before, while others can be
+ * @prefixes: shared prompt parts that it should hold
+ */
+struct pgw_upstream {
+    struct pgw_list in_table;
+    int references;
+    char *id;
+    char *service;
+    char *zone;
+    char *address_text;
+    struct pgw_address address;
+    uint64_t id_hash;
+    bool same_zone;
+    uint32_t slots;
+    bool leaving;
+    bool removed;
+    uint64_t lapsed_until_us;
+    uint64_t cold_until_us;
+    struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
+    size_t model_count;
+    bool loading;
+    uint64_t loading_until_us;
+    bool guarded;
+    uint32_t inflight;
+    uint64_t inflight_tokens;
+    uint64_t prefill_tokens;
+    struct pgw_upstream_load load;
+    uint64_t load_at_us;
+    uint32_t load_own;
+    uint64_t load_own_tokens;
+    uint32_t failures;
+    double failure_rate;
+    uint64_t avoid_until_us;
+    struct pgw_prefix_memory prefixes;
+    void *guard_link;
+};
+
+/**
+ * enum pgw_attempt_result - how an attempt at an upstream went, for its health
+ * @PGW_RESULT_GOOD: a whole answer
+ * @PGW_RESULT_REFUSED: it said that it did not run the request
+ * @PGW_RESULT_ERROR: it answered with a failure of its own
+ * @PGW_RESULT_BROKEN: the connection broke or what came is no answer
+ * @PGW_RESULT_UNREACHABLE: no connection was established
+ * @PGW_RESULT_SILENT: nothing came for so long that it was given up
+ */
+enum pgw_attempt_result {
+    PGW_RESULT_GOOD,
+    PGW_RESULT_REFUSED,
+    PGW_RESULT_ERROR,
+    PGW_RESULT_BROKEN,
+    PGW_RESULT_UNREACHABLE,
+    PGW_RESULT_SILENT,
+};
+
+struct pgw_upstream_table;
+
+/**
+ * pgw_upstream_table_new() - an empty table
+ * @zone: the entry's own availability zone
+ */
+struct pgw_upstream_table *pgw_upstream_table_new(const char *zone);
+void pgw_upstream_table_free(struct pgw_upstream_table *table);
+
+/**
+ * pgw_upstream_table_put() - take a line of the platform's list
+ * @table: the table
+ * @facts: copied
+ *
+ * Return: the upstream, or NULL when the address makes no sense.
+ */
+struct pgw_upstream *
+pgw_upstream_table_put(struct pgw_upstream_table *table,
+                       const struct pgw_upstream_facts *facts);
+
+/** pgw_upstream_table_remove() - it is no longer in the list */
+void pgw_upstream_table_remove(struct pgw_upstream_table *table,
+                               struct pgw_upstream *upstream);
+
+struct pgw_upstream *
+pgw_upstream_table_find(const struct pgw_upstream_table *table,
+                        const char *id);
+
+/** pgw_upstream_table_service() - upstreams of a service, as GPtrArray of
+ * &struct pgw_upstream; NULL when there never was one */
+const GPtrArray *
+pgw_upstream_table_service(const struct pgw_upstream_table *table,
+                           const char *service);
+
+/** pgw_upstream_table_all() - head of the list of all */
+struct pgw_list *pgw_upstream_table_all(struct pgw_upstream_table *table);
+
+struct pgw_upstream *pgw_upstream_ref(struct pgw_upstream *upstream);
+void pgw_upstream_unref(struct pgw_upstream *upstream);
+
+/** pgw_upstream_set_version() - newest word on the weights of a model */
+void pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
+                              uint64_t version);
+
+/** pgw_upstream_version() - weights of a model, 0: not known */
+uint64_t pgw_upstream_version(const struct pgw_upstream *upstream,
+                              const char *model);
+
+/** pgw_upstream_take_load() - a report of its load, received at @now_us */
+void pgw_upstream_take_load(struct pgw_upstream *upstream,
+                            const struct pgw_upstream_load *load,
+                            uint64_t now_us);
+
+/** pgw_upstream_load_estimate() - requests there now, of all entries */
+uint32_t pgw_upstream_load_estimate(const struct pgw_upstream *upstream,
+                                    uint64_t now_us);
+
+/** pgw_upstream_kv_estimate() - tokens of memory in use now */
+uint64_t pgw_upstream_kv_estimate(const struct pgw_upstream *upstream,
+                                  uint64_t now_us);
+
+/** pgw_upstream_note() - account the end of an attempt */
+void pgw_upstream_note(struct pgw_upstream *upstream,
+                       enum pgw_attempt_result result, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/gateway/weights_order.c
@@ -0,0 +1,142 @@
+#include "gateway/weights_order.h"
+#include <glib.h>
+#include <string.h>
+
+/* An engine that stays announced for so long without loading is given back to
+ * the entries: it would serve nobody for an order that does not come through.
+ */
+#define ANNOUNCED_MAX_US 6000000
+
+void
+pgw_weights_order_init(struct pgw_weights_order *order,
+                       const struct pgw_weights_order_options *options)
+{
+    memset(order, 0, sizeof(*order));
+    order->options = *options;
+}
+
+void
+pgw_weights_order_want(struct pgw_weights_order *order, uint64_t version,
+                       uint32_t turn, uint64_t now_us)
+{
+    if (version <= order->wanted) {
+        return;
+    }
+    /* The turn of a rollout that is under way counts on: a version that is
+     * named meanwhile takes the place of the one before. */
+    if (order->wanted <= order->running || order->due_us > now_us) {
+        order->due_us = now_us + turn * order->options.turn_us;
+    }
+    order->wanted = version;
+}
+
+void
+pgw_weights_order_report(struct pgw_weights_order *order, uint64_t version,
+                         bool busy, uint64_t now_us)
+{
+    order->running = version;
+    if (!order->sent || busy) {
+        return;
+    }
+    /* Not busy any more: an accepted order is done; one without an answer is
+     * settled once it cannot be on its way any longer. */
+    if (version >= order->wanted || order->accepted ||
+        now_us - order->sent_us >= order->options.settle_us) {
+        order->sent = false;
+        order->accepted = false;
+    }
+}
+
+void
+pgw_weights_order_token(struct pgw_weights_order *order, uint64_t token,
+                        uint64_t now_us)
+{
+    order->asked_token = false;
+    order->token = MAX(order->token, token);
+    if (token == 0) {
+        order->not_before_us = now_us + order->options.token_again_us;
+    }
+}
+
+void
+pgw_weights_order_sent(struct pgw_weights_order *order, uint64_t now_us)
+{
+    order->sent = true;
+    order->accepted = false;
+    order->sent_us = now_us;
+}
+
+void
+pgw_weights_order_answer(struct pgw_weights_order *order,
+                         enum pgw_order_answer answer, uint64_t now_us)
+{
+    switch (answer) {
+    case PGW_ORDER_ACCEPTED:
+        order->accepted = true;
+        return;
+    case PGW_ORDER_LOST:
+        /* May have been taken or may be later: the reports will tell. */
+        return;
+    case PGW_ORDER_FENCED:
+        order->token = 0;
+        break;
+    case PGW_ORDER_BUSY:
+    case PGW_ORDER_OTHER:
+    case PGW_ORDER_REFUSED:
+        break;
+    }
+    order->sent = false;
+    order->not_before_us = now_us + order->options.again_us;
+}
+
+static enum pgw_weights_order_step
+rest_until(struct pgw_weights_order *order, uint64_t us)
+{
+    order->next_us = us;
+    return PGW_WEIGHTS_REST;
+}
+
+static enum pgw_weights_order_step
+open_again(struct pgw_weights_order *order)
+{
+    order->announced = false;
+    return PGW_WEIGHTS_OPEN;
+}
+
+enum pgw_weights_order_step
+pgw_weights_order_step(struct pgw_weights_order *order, uint64_t now_us)
+{
+    if (order->sent) {
+        return rest_until(order, now_us + order->options.again_us / 3);
+    }
+    if (order->wanted <= order->running) {
+        return order->announced ? open_again(order) : rest_until(order, 0);
+    }
+    if (now_us < order->due_us) {
+        return rest_until(order, order->due_us);
+    }
+    if (now_us < order->not_before_us) {
+        return rest_until(order, order->not_before_us);
+    }
+    if (order->token == 0) {
+        if (order->asked_token) {
+            return rest_until(order, 0);
+        }
+        order->asked_token = true;
+        return PGW_WEIGHTS_GET_TOKEN;
+    }
+    if (!order->announced) {
+        order->announced = true;
+        order->announced_us = now_us;
+        return PGW_WEIGHTS_ANNOUNCE;
+    }
+    if (now_us < order->announced_us + order->options.announce_us) {
+        return rest_until(order,
+                          order->announced_us + order->options.announce_us);
+    }
+    if (now_us > order->announced_us + ANNOUNCED_MAX_US) {
+        order->not_before_us = now_us + order->options.again_us;
+        return open_again(order);
+    }
+    return PGW_WEIGHTS_ORDER;
+}
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -18,6 +18,9 @@
         [PGW_FRAME_DIGEST] = &pgw__digest__descriptor,
         [PGW_FRAME_OBJECTS] = &pgw__objects__descriptor,
         [PGW_FRAME_SUSPECTS] = &pgw__objects__descriptor,
+        [PGW_FRAME_DOCUMENTS] = &pgw__documents__descriptor,
+        [PGW_FRAME_ENGINE_STATE] = &pgw__engine_state__descriptor,
+        [PGW_FRAME_LOAD_WEIGHTS] = &pgw__load_weights__descriptor,
 };
 
 void
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -1,10 +1,10 @@
 #include "libparsleygw/link.h"
 #include "parsleygw/errors.h"
 #include "util/metric.h"
+#include "util/socket.h"
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -237,11 +237,8 @@
          void *context, bool connecting, GError **error)
 {
     struct pgw_link *link = g_new0(struct pgw_link, 1);
-    int one = 1;
-    int timeout = LINK_USER_TIMEOUT_MS;
 
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    pgw_socket_tune(fd, LINK_USER_TIMEOUT_MS);
     link->watch = (struct pgw_loop_fd){.fd = fd, .on_ready = link_ready};
     link->loop = loop;
     link->ops = ops;
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -727,6 +727,231 @@
   assert(message->base.descriptor == &pgw__objects__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__document__init
+                     (Pgw__Document         *message)
+{
+  static const Pgw__Document init_value = PGW__DOCUMENT__INIT;
+  *message = init_value;
+}
+size_t pgw__document__get_packed_size
+                     (const Pgw__Document *message)
+{
+  assert(message->base.descriptor == &pgw__document__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__document__pack
+                     (const Pgw__Document *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__document__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__document__pack_to_buffer
+                     (const Pgw__Document *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__document__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__Document *
+       pgw__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__Document *)
+     protobuf_c_message_unpack (&pgw__document__descriptor,
+                                allocator, len, data);
+}
+void   pgw__document__free_unpacked
+                     (Pgw__Document *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__document__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__documents__init
+                     (Pgw__Documents         *message)
+{
+  static const Pgw__Documents init_value = PGW__DOCUMENTS__INIT;
+  *message = init_value;
+}
+size_t pgw__documents__get_packed_size
+                     (const Pgw__Documents *message)
+{
+  assert(message->base.descriptor == &pgw__documents__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__documents__pack
+                     (const Pgw__Documents *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__documents__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__documents__pack_to_buffer
+                     (const Pgw__Documents *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__documents__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__Documents *
+       pgw__documents__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__Documents *)
+     protobuf_c_message_unpack (&pgw__documents__descriptor,
+                                allocator, len, data);
+}
+void   pgw__documents__free_unpacked
+                     (Pgw__Documents *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__documents__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__engine_model__init
+                     (Pgw__EngineModel         *message)
+{
+  static const Pgw__EngineModel init_value = PGW__ENGINE_MODEL__INIT;
+  *message = init_value;
+}
+size_t pgw__engine_model__get_packed_size
+                     (const Pgw__EngineModel *message)
+{
+  assert(message->base.descriptor == &pgw__engine_model__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__engine_model__pack
+                     (const Pgw__EngineModel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__engine_model__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__engine_model__pack_to_buffer
+                     (const Pgw__EngineModel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__engine_model__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__EngineModel *
+       pgw__engine_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__EngineModel *)
+     protobuf_c_message_unpack (&pgw__engine_model__descriptor,
+                                allocator, len, data);
+}
+void   pgw__engine_model__free_unpacked
+                     (Pgw__EngineModel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__engine_model__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__engine_state__init
+                     (Pgw__EngineState         *message)
+{
+  static const Pgw__EngineState init_value = PGW__ENGINE_STATE__INIT;
+  *message = init_value;
+}
+size_t pgw__engine_state__get_packed_size
+                     (const Pgw__EngineState *message)
+{
+  assert(message->base.descriptor == &pgw__engine_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__engine_state__pack
+                     (const Pgw__EngineState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__engine_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__engine_state__pack_to_buffer
+                     (const Pgw__EngineState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__engine_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__EngineState *
+       pgw__engine_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__EngineState *)
+     protobuf_c_message_unpack (&pgw__engine_state__descriptor,
+                                allocator, len, data);
+}
+void   pgw__engine_state__free_unpacked
+                     (Pgw__EngineState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__engine_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__load_weights__init
+                     (Pgw__LoadWeights         *message)
+{
+  static const Pgw__LoadWeights init_value = PGW__LOAD_WEIGHTS__INIT;
+  *message = init_value;
+}
+size_t pgw__load_weights__get_packed_size
+                     (const Pgw__LoadWeights *message)
+{
+  assert(message->base.descriptor == &pgw__load_weights__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__load_weights__pack
+                     (const Pgw__LoadWeights *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__load_weights__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__load_weights__pack_to_buffer
+                     (const Pgw__LoadWeights *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__load_weights__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__LoadWeights *
+       pgw__load_weights__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__LoadWeights *)
+     protobuf_c_message_unpack (&pgw__load_weights__descriptor,
+                                allocator, len, data);
+}
+void   pgw__load_weights__free_unpacked
+                     (Pgw__LoadWeights *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__load_weights__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[6] =
 {
   {
@@ -2622,3 +2847,388 @@
   (ProtobufCMessageInit) pgw__objects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__document__field_descriptors[5] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__document__field_indices_by_name[] = {
+  4,   /* field[4] = body */
+  3,   /* field[3] = deleted */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = name */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange pgw__document__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pgw__document__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.Document",
+  "Document",
+  "Pgw__Document",
+  "pgw",
+  sizeof(Pgw__Document),
+  5,
+  pgw__document__field_descriptors,
+  pgw__document__field_indices_by_name,
+  1,  pgw__document__number_ranges,
+  (ProtobufCMessageInit) pgw__document__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__documents__field_descriptors[1] =
+{
+  {
+    "documents",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__Documents, n_documents),
+    offsetof(Pgw__Documents, documents),
+    &pgw__document__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__documents__field_indices_by_name[] = {
+  0,   /* field[0] = documents */
+};
+static const ProtobufCIntRange pgw__documents__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pgw__documents__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.Documents",
+  "Documents",
+  "Pgw__Documents",
+  "pgw",
+  sizeof(Pgw__Documents),
+  1,
+  pgw__documents__field_descriptors,
+  pgw__documents__field_indices_by_name,
+  1,  pgw__documents__number_ranges,
+  (ProtobufCMessageInit) pgw__documents__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__engine_model__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineModel, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineModel, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__engine_model__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pgw__engine_model__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__engine_model__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.EngineModel",
+  "EngineModel",
+  "Pgw__EngineModel",
+  "pgw",
+  sizeof(Pgw__EngineModel),
+  2,
+  pgw__engine_model__field_descriptors,
+  pgw__engine_model__field_indices_by_name,
+  1,  pgw__engine_model__number_ranges,
+  (ProtobufCMessageInit) pgw__engine_model__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[8] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alive",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, alive),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loading",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, loading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "models",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__EngineState, n_models),
+    offsetof(Pgw__EngineState, models),
+    &pgw__engine_model__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_used",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, kv_used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_total",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, kv_total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__engine_state__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = alive */
+  7,   /* field[7] = kv_total */
+  6,   /* field[6] = kv_used */
+  2,   /* field[2] = loading */
+  3,   /* field[3] = models */
+  4,   /* field[4] = running */
+  5,   /* field[5] = waiting */
+};
+static const ProtobufCIntRange pgw__engine_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.EngineState",
+  "EngineState",
+  "Pgw__EngineState",
+  "pgw",
+  sizeof(Pgw__EngineState),
+  8,
+  pgw__engine_state__field_descriptors,
+  pgw__engine_state__field_indices_by_name,
+  1,  pgw__engine_state__number_ranges,
+  (ProtobufCMessageInit) pgw__engine_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__load_weights__field_descriptors[4] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LoadWeights, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LoadWeights, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LoadWeights, turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LoadWeights, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__load_weights__field_indices_by_name[] = {
+  3,   /* field[3] = instance */
+  0,   /* field[0] = model */
+  2,   /* field[2] = turn */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pgw__load_weights__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pgw__load_weights__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.LoadWeights",
+  "LoadWeights",
+  "Pgw__LoadWeights",
+  "pgw",
+  sizeof(Pgw__LoadWeights),
+  4,
+  pgw__load_weights__field_descriptors,
+  pgw__load_weights__field_indices_by_name,
+  1,  pgw__load_weights__number_ranges,
+  (ProtobufCMessageInit) pgw__load_weights__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -31,6 +31,11 @@
 typedef struct Pgw__ObjectVersion Pgw__ObjectVersion;
 typedef struct Pgw__Object Pgw__Object;
 typedef struct Pgw__Objects Pgw__Objects;
+typedef struct Pgw__Document Pgw__Document;
+typedef struct Pgw__Documents Pgw__Documents;
+typedef struct Pgw__EngineModel Pgw__EngineModel;
+typedef struct Pgw__EngineState Pgw__EngineState;
+typedef struct Pgw__LoadWeights Pgw__LoadWeights;
 
 
 /* --- enums --- */
@@ -436,6 +441,104 @@
     , 0,NULL }
 
 
+/*
+ * A copy of one object of the platform, passed on between entries. A higher
+ * revision replaces a lower one, also where the object was deleted.
+ */
+struct  Pgw__Document
+{
+  ProtobufCMessage base;
+  char *kind;
+  char *name;
+  uint64_t revision;
+  protobuf_c_boolean deleted;
+  /*
+   * JSON, as the platform holds it
+   */
+  ProtobufCBinaryData body;
+};
+#define PGW__DOCUMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__document__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
+struct  Pgw__Documents
+{
+  ProtobufCMessage base;
+  size_t n_documents;
+  Pgw__Document **documents;
+};
+#define PGW__DOCUMENTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__documents__descriptor) \
+    , 0,NULL }
+
+
+struct  Pgw__EngineModel
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t version;
+};
+#define PGW__ENGINE_MODEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_model__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A sidecar's word on its engine, pushed when it changes.
+ */
+struct  Pgw__EngineState
+{
+  ProtobufCMessage base;
+  /*
+   * IP:PORT of the engine
+   */
+  char *address;
+  /*
+   * it answered the last report
+   */
+  protobuf_c_boolean alive;
+  /*
+   * it changes its weights: no new work
+   */
+  protobuf_c_boolean loading;
+  size_t n_models;
+  Pgw__EngineModel **models;
+  uint32_t running;
+  uint32_t waiting;
+  /*
+   * tokens that cannot be freed
+   */
+  uint64_t kv_used;
+  uint64_t kv_total;
+};
+#define PGW__ENGINE_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
+
+
+/*
+ * An entry tells a sidecar which weights its engine is to run.
+ */
+struct  Pgw__LoadWeights
+{
+  ProtobufCMessage base;
+  char *model;
+  uint64_t version;
+  /*
+   * how many groups of engines load before it
+   */
+  uint32_t turn;
+  /*
+   * incarnation of the engine as the list names it
+   */
+  char *instance;
+};
+#define PGW__LOAD_WEIGHTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__load_weights__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /* Pgw__Hello methods */
 void   pgw__hello__init
                      (Pgw__Hello         *message);
@@ -740,6 +843,101 @@
 void   pgw__objects__free_unpacked
                      (Pgw__Objects *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__Document methods */
+void   pgw__document__init
+                     (Pgw__Document         *message);
+size_t pgw__document__get_packed_size
+                     (const Pgw__Document   *message);
+size_t pgw__document__pack
+                     (const Pgw__Document   *message,
+                      uint8_t             *out);
+size_t pgw__document__pack_to_buffer
+                     (const Pgw__Document   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__Document *
+       pgw__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__document__free_unpacked
+                     (Pgw__Document *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__Documents methods */
+void   pgw__documents__init
+                     (Pgw__Documents         *message);
+size_t pgw__documents__get_packed_size
+                     (const Pgw__Documents   *message);
+size_t pgw__documents__pack
+                     (const Pgw__Documents   *message,
+                      uint8_t             *out);
+size_t pgw__documents__pack_to_buffer
+                     (const Pgw__Documents   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__Documents *
+       pgw__documents__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__documents__free_unpacked
+                     (Pgw__Documents *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__EngineModel methods */
+void   pgw__engine_model__init
+                     (Pgw__EngineModel         *message);
+size_t pgw__engine_model__get_packed_size
+                     (const Pgw__EngineModel   *message);
+size_t pgw__engine_model__pack
+                     (const Pgw__EngineModel   *message,
+                      uint8_t             *out);
+size_t pgw__engine_model__pack_to_buffer
+                     (const Pgw__EngineModel   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__EngineModel *
+       pgw__engine_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__engine_model__free_unpacked
+                     (Pgw__EngineModel *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__EngineState methods */
+void   pgw__engine_state__init
+                     (Pgw__EngineState         *message);
+size_t pgw__engine_state__get_packed_size
+                     (const Pgw__EngineState   *message);
+size_t pgw__engine_state__pack
+                     (const Pgw__EngineState   *message,
+                      uint8_t             *out);
+size_t pgw__engine_state__pack_to_buffer
+                     (const Pgw__EngineState   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__EngineState *
+       pgw__engine_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__engine_state__free_unpacked
+                     (Pgw__EngineState *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__LoadWeights methods */
+void   pgw__load_weights__init
+                     (Pgw__LoadWeights         *message);
+size_t pgw__load_weights__get_packed_size
+                     (const Pgw__LoadWeights   *message);
+size_t pgw__load_weights__pack
+                     (const Pgw__LoadWeights   *message,
+                      uint8_t             *out);
+size_t pgw__load_weights__pack_to_buffer
+                     (const Pgw__LoadWeights   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__LoadWeights *
+       pgw__load_weights__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__load_weights__free_unpacked
+                     (Pgw__LoadWeights *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pgw__Hello_Closure)
@@ -790,6 +988,21 @@
 typedef void (*Pgw__Objects_Closure)
                  (const Pgw__Objects *message,
                   void *closure_data);
+typedef void (*Pgw__Document_Closure)
+                 (const Pgw__Document *message,
+                  void *closure_data);
+typedef void (*Pgw__Documents_Closure)
+                 (const Pgw__Documents *message,
+                  void *closure_data);
+typedef void (*Pgw__EngineModel_Closure)
+                 (const Pgw__EngineModel *message,
+                  void *closure_data);
+typedef void (*Pgw__EngineState_Closure)
+                 (const Pgw__EngineState *message,
+                  void *closure_data);
+typedef void (*Pgw__LoadWeights_Closure)
+                 (const Pgw__LoadWeights *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -812,6 +1025,11 @@
 extern const ProtobufCMessageDescriptor pgw__object_version__descriptor;
 extern const ProtobufCMessageDescriptor pgw__object__descriptor;
 extern const ProtobufCMessageDescriptor pgw__objects__descriptor;
+extern const ProtobufCMessageDescriptor pgw__document__descriptor;
+extern const ProtobufCMessageDescriptor pgw__documents__descriptor;
+extern const ProtobufCMessageDescriptor pgw__engine_model__descriptor;
+extern const ProtobufCMessageDescriptor pgw__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor pgw__load_weights__descriptor;
 
 PROTOBUF_C__END_DECLS
 
