Give a silent engine up only after the time that reading its prompt takes

Cause: an engine was given up after 0.7 of the objective (420 ms), but reading 25,000 tokens takes more; each such request was read twice or three times. Change: the limit for prompts is the objective plus 70 us a token.

--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -12,6 +12,9 @@
  * fetch takes about a millisecond, as long as computing 60 tokens, and moving
  * them costs as well. */
 #define FETCH_MIN_TOKENS 1024
+/* Time in which even a slow, busy engine has read one prompt token: a quarter
+ * of the usual speed of 50 to 60 tokens a millisecond. */
+#define PREFILL_SLOW_US 70
 #define SALT_SIZE 96
 
 static struct pgw_metric_counter sends = {
@@ -420,20 +423,33 @@
     pgw_exchange_place(exchange);
 }
 
+/* How long an upstream may be silent. A plain call is short. A prompt takes
+ * its time to be read, and giving it up throws that work away. */
+static uint64_t
+silence_us(const struct pgw_exchange *exchange)
+{
+    uint64_t objective_us = (uint64_t)exchange->route->objective_ms * 1000;
+
+    if (exchange->facts.model == NULL) {
+        return (uint64_t)((double)objective_us *
+                          exchange->gateway->options.hedge_share);
+    }
+    return objective_us +
+           exchange->facts.prompt.tokens * (uint64_t)PREFILL_SLOW_US;
+}
+
 static void
 start_silence_timer(struct pgw_exchange *exchange)
 {
     struct pgw_gateway *gateway = exchange->gateway;
-    uint64_t objective_us = (uint64_t)exchange->route->objective_ms * 1000;
 
-    if (objective_us == 0 || !may_run_again(exchange) ||
+    if (exchange->route->objective_ms == 0 || !may_run_again(exchange) ||
         exchange->phase == PGW_PHASE_RELAYING) {
         return;
     }
     exchange->attempt_timer.on_due = silent_due;
-    pgw_timer_start(
-        gateway->loop, &exchange->attempt_timer,
-        (uint64_t)((double)objective_us * gateway->options.hedge_share));
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+                    silence_us(exchange));
 }
 
 static uint32_t
