--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -2,6 +2,7 @@
 #include "parsleygw/place.h"
 #include <float.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define UPSTREAMS_MAX 256
 
@@ -72,17 +73,47 @@
     return total;
 }
 
+void
+pgw_cache_salt(char out[PGW_CACHE_SALT_SIZE], uint64_t version,
+               const char *isolated_to)
+{
+    g_snprintf(out, PGW_CACHE_SALT_SIZE, "w%" G_GUINT64_FORMAT "%s%s", version,
+               isolated_to == NULL ? "" : "-",
+               isolated_to == NULL ? "" : isolated_to);
+}
+
+uint64_t
+pgw_part_id(const char *text, size_t size)
+{
+    return XXH3_64bits(text, size);
+}
+
+uint64_t
+pgw_part_key(const char *model, const char *salt, uint64_t id)
+{
+    uint64_t key = XXH3_64bits_withSeed(salt, strlen(salt), id);
+
+    key ^= XXH3_64bits(model, strlen(model));
+    return key == 0 ? 1 : key;
+}
+
 /* Shared tokens that an engine lacks; a part counts only behind all before
  * it. */
 static uint32_t
 missing_tokens(const struct pgw_upstream *upstream,
-               const struct pgw_prompt *prompt, uint64_t capacity)
+               const struct pgw_choose_input *input, bool expected)
 {
+    const struct pgw_prompt *prompt = input->prompt;
+    uint64_t version = pgw_upstream_version(upstream, input->model);
     uint32_t missing = shared_tokens(prompt);
+    char salt[PGW_CACHE_SALT_SIZE];
 
+    pgw_cache_salt(salt, version, prompt->isolated_to);
     for (size_t i = 0; i + 1 < prompt->part_count; i++) {
-        if (!pgw_prefix_memory_has(&upstream->prefixes, prompt->parts[i].key,
-                                   capacity)) {
+        uint64_t key = pgw_part_key(input->model, salt, prompt->parts[i].id);
+
+        if (!pgw_upstream_holds(upstream, key, prompt->parts[i].tokens,
+                                expected, input->now_us)) {
             break;
         }
         missing -= prompt->parts[i].tokens;
@@ -121,8 +152,6 @@
     const struct pgw_prompt *prompt = input->prompt;
     uint32_t load = pgw_upstream_load_estimate(upstream, input->now_us);
     uint64_t version = pgw_upstream_version(upstream, input->model);
-    uint64_t memory = memory_of(upstream, input);
-    uint64_t used = pgw_upstream_kv_estimate(upstream, input->now_us);
     double cost;
 
     if (load + 1 > options->engine_depth * upstream->slots ||
@@ -134,7 +163,7 @@
         return DBL_MAX;
     }
     cost = (double)upstream->prefill_tokens +
-           missing_tokens(upstream, prompt, memory > used ? memory - used : 0);
+           missing_tokens(upstream, input, true);
     cost += (double)load * options->request_tokens;
     cost += rank * options->rank_share * shared_tokens(prompt);
     cost += upstream->same_zone ? 0 : options->zone_tokens;
@@ -193,8 +222,7 @@
                 pgw_upstream_version(choice->upstream, input->model)) {
             continue;
         }
-        missing = missing_tokens(upstream, input->prompt,
-                                 memory_of(upstream, input));
+        missing = missing_tokens(upstream, input, false);
         if (missing < least) {
             least = missing;
             best = upstream;
@@ -266,8 +294,7 @@
     if (out->upstream == NULL || input->prompt == NULL) {
         return;
     }
-    out->missing_tokens = missing_tokens(out->upstream, input->prompt,
-                                         memory_of(out->upstream, input));
+    out->missing_tokens = missing_tokens(out->upstream, input, true);
     if (out->missing_tokens > 0) {
         out->holder = find_holder(out, input);
     }
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -15,12 +15,10 @@
 
 /**
  * struct pgw_prompt_part - one part of a prompt
- * @key: hash of its id, of the weights' version and of who may share it
- * @id: hash of its id alone
+ * @id: hash of its id
  * @tokens: its size
  */
 struct pgw_prompt_part {
-    uint64_t key;
     uint64_t id;
     uint32_t tokens;
 };
@@ -31,14 +29,41 @@
  * @part_count: number of @parts
  * @tokens: size of the prompt
  * @output_tokens: most tokens of the answer
+ * @isolated_to: workspace that alone may use its cached parts, NULL: all may
  */
 struct pgw_prompt {
     struct pgw_prompt_part parts[PGW_PROMPT_PARTS_MAX];
     size_t part_count;
     uint32_t tokens;
     uint32_t output_tokens;
+    const char *isolated_to;
 };
 
+#define PGW_CACHE_SALT_SIZE 96
+
+/**
+ * pgw_cache_salt() - text under which a prompt's parts are cached
+ * @out: receives the text
+ * @version: weights that compute them
+ * @isolated_to: workspace that alone may use them, NULL: all may
+ *
+ * Neither engines nor their store look at version or workspace: a part that
+ * is found under the same text is used. So the text names both.
+ */
+void pgw_cache_salt(char out[PGW_CACHE_SALT_SIZE], uint64_t version,
+                    const char *isolated_to);
+
+/**
+ * pgw_part_key() - identity of a cached part
+ * @model: name of the model
+ * @salt: text that it is cached under
+ * @id: pgw_part_id() of its id
+ */
+uint64_t pgw_part_key(const char *model, const char *salt, uint64_t id);
+
+/** pgw_part_id() - hash of a part's id */
+uint64_t pgw_part_id(const char *text, size_t size);
+
 /**
  * struct pgw_choose_options - thresholds of the choice
  * @plain_depth: a plain upstream gets no more than this times its slots: its
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -21,7 +21,7 @@
  * @key: the caller's key, NULL without one
  * @deadline_ms: how long the caller waits, 0: not said
  * @model: model's name, NULL for a plain call
- * @prompt: parts of the prompt; their @key fields are not set
+ * @prompt: parts of the prompt
  * @resume_after: the caller has events up to this one
  * @has_resume: @resume_after was sent
  */
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -3,7 +3,6 @@
 #include "util/metric.h"
 #include "util/random.h"
 #include <string.h>
-#include <xxhash.h>
 
 /* The least time that is worth starting an attempt with. */
 #define LEAST_TIME_US 5000
@@ -83,7 +82,8 @@
 
     pgw_log_info("request_end",
                  "request=%s route=%s outcome=%s status=%u sends=%u runs=%u "
-                 "upstream=%s weights=%" G_GUINT64_FORMAT " missing=%u "
+                 "upstream=%s weights=%" G_GUINT64_FORMAT
+                 " tokens=%u missing=%u fetch=%s "
                  "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
                  " events=%" G_GUINT64_FORMAT,
                  exchange->facts.id, exchange->route->name, outcome,
@@ -91,8 +91,10 @@
                  exchange->tried_count == 0
                      ? "-"
                      : exchange->tried[exchange->tried_count - 1]->id,
-                 exchange->weights, exchange->missing_tokens, first / 1000,
-                 (now - exchange->received_us) / 1000,
+                 exchange->weights, exchange->facts.prompt.tokens,
+                 exchange->missing_tokens,
+                 exchange->fetched == NULL ? "-" : exchange->fetched,
+                 first / 1000, (now - exchange->received_us) / 1000,
                  exchange->events.events);
     if (first > 0) {
         pgw_metric_histogram_record_us(&first_answer, first);
@@ -267,28 +269,6 @@
                     wait_limit_us(exchange, now));
 }
 
-/*
- * Parts are cached under the weights that computed them and, for isolated
- * workspaces, under the workspace: neither the engines nor their store look at
- * these, and a part found under the wrong ones would be used.
- */
-static void
-key_parts(struct pgw_exchange *exchange)
-{
-    struct pgw_prompt *prompt = &exchange->facts.prompt;
-    const char *salt = "";
-
-    if (exchange->workspace != NULL && exchange->workspace->isolated) {
-        salt = exchange->workspace->name;
-    }
-    for (size_t i = 0; i < prompt->part_count; i++) {
-        prompt->parts[i].key = XXH3_64bits_withSeed(
-            salt, strlen(salt),
-            prompt->parts[i].id ^ XXH3_64bits(exchange->facts.model,
-                                              strlen(exchange->facts.model)));
-    }
-}
-
 static struct pgw_exchange *
 exchange_new(struct pgw_gateway *gateway, struct pgw_caller *caller,
              const struct pgw_request_facts *facts,
@@ -369,8 +349,8 @@
         }
     }
     exchange = exchange_new(gateway, caller, &facts, route, workspace);
-    if (exchange->facts.model != NULL) {
-        key_parts(exchange);
+    if (workspace != NULL && workspace->isolated) {
+        exchange->facts.prompt.isolated_to = workspace->name;
     }
     pgw_retry_budget_deposit(gateway->budget);
     pgw_timer_start(gateway->loop, &exchange->timer,
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -16,6 +16,12 @@
 /* Entries hear something at least this often, so that a load they add up
  * themselves does not drift. */
 #define PUSH_MAX_US 1000000
+/* Cache events are waited for so long; shorter waits count as probes. */
+#define EVENTS_WAIT_MS 800
+#define EVENTS_TIMEOUT_US 2000000
+/* After an answer with events: what follows at once is told together. */
+#define EVENTS_PAUSE_US 30000
+#define EVENTS_AGAIN_US 300000
 /* Failed reports in a row before the engine counts as gone. */
 #define DEAD_AFTER 2
 
@@ -52,9 +58,14 @@
     struct pgw_list entries;
     struct pgw_timer report_timer;
     struct pgw_timer step_timer;
+    struct pgw_timer events_timer;
     struct pgw_call report_call;
     struct pgw_call order_call;
+    struct pgw_call events_call;
     GString *report_body;
+    GString *events_body;
+    unsigned events_status;
+    struct pgw_held_parts parts;
     unsigned report_status;
     unsigned order_status;
     struct pgw_engine_report report;
@@ -102,8 +113,41 @@
     return guard->report.busy;
 }
 
+/* All parts of @keys; those that are not held go as 0 tokens. */
 static void
-send_state(const struct pgw_engine_guard *guard, struct pgw_link *link)
+fill_parts(Pgw__EngineState *state, const struct pgw_engine_guard *guard,
+           GHashTable *keys)
+{
+    unsigned count = g_hash_table_size(keys);
+    Pgw__HeldPart *parts = g_new0(Pgw__HeldPart, count + 1);
+    GHashTableIter iter;
+    void *key;
+
+    state->parts = g_new0(Pgw__HeldPart *, count + 1);
+    g_hash_table_iter_init(&iter, keys);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        Pgw__HeldPart *part = &parts[state->n_parts];
+
+        pgw__held_part__init(part);
+        part->key = *(const uint64_t *)key;
+        part->tokens = pgw_held_parts_tokens(&guard->parts, part->key);
+        state->parts[state->n_parts++] = part;
+    }
+}
+
+static void
+free_parts(Pgw__EngineState *state)
+{
+    if (state->n_parts > 0) {
+        g_free(state->parts[0]);
+    }
+    g_free(state->parts);
+}
+
+/* @whole: to an entry that knows nothing yet. */
+static void
+send_state(const struct pgw_engine_guard *guard, struct pgw_link *link,
+           bool whole)
 {
     Pgw__EngineState state = PGW__ENGINE_STATE__INIT;
     Pgw__EngineModel models[PGW_UPSTREAM_MODELS_MAX];
@@ -124,7 +168,11 @@
     state.waiting = guard->report.load.waiting;
     state.kv_used = guard->report.load.kv_used;
     state.kv_total = guard->report.load.kv_total;
+    state.parts_reset = whole || guard->parts.reset;
+    fill_parts(&state, guard,
+               state.parts_reset ? guard->parts.tokens : guard->parts.changed);
     pgw_link_send(link, PGW_FRAME_ENGINE_STATE, &state.base);
+    free_parts(&state);
 }
 
 static void
@@ -136,8 +184,10 @@
     guard->told_us = pgw_now_us();
     pgw_list_foreach (link, &guard->entries) {
         send_state(guard,
-                   pgw_container_of(link, struct entry_peer, in_guard)->link);
+                   pgw_container_of(link, struct entry_peer, in_guard)->link,
+                   false);
     }
+    pgw_held_parts_told(&guard->parts);
 }
 
 static uint32_t
@@ -310,6 +360,86 @@
     }
 }
 
+static struct pgw_engine_guard *
+of_events(struct pgw_call *call)
+{
+    return pgw_container_of(call, struct pgw_engine_guard, events_call);
+}
+
+static bool
+events_head(struct pgw_call *call, const struct pgw_http_head *head)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+
+    guard->events_status = head->status;
+    g_string_truncate(guard->events_body, 0);
+    return true;
+}
+
+static void
+events_body(struct pgw_call *call, const char *data, size_t size)
+{
+    g_string_append_len(of_events(call)->events_body, data, (gssize)size);
+}
+
+static void
+events_done(struct pgw_call *call)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+    struct pgw_cache_events events = {0};
+
+    if (guard->events_status != 200 ||
+        !guard->options.codec->read_events(&events, guard->events_body->str,
+                                           guard->events_body->len)) {
+        pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+        return;
+    }
+    pgw_held_parts_take(&guard->parts, &events);
+    g_free(events.events);
+    if (guard->parts.reset || g_hash_table_size(guard->parts.changed) > 0) {
+        tell_all(guard);
+    }
+    pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_PAUSE_US);
+}
+
+static void
+events_lost(struct pgw_call *call, enum pgw_call_failure why)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+
+    (void)why;
+    pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+}
+
+static const struct pgw_call_ops events_ops = {
+    .on_head = events_head,
+    .on_body = events_body,
+    .on_done = events_done,
+    .on_failed = events_lost,
+};
+
+static void
+events_due(struct pgw_timer *timer)
+{
+    struct pgw_engine_guard *guard =
+        pgw_container_of(timer, struct pgw_engine_guard, events_timer);
+    GString *bytes = g_string_new(NULL);
+    struct pgw_call_options options = {
+        .address = &guard->options.engine,
+        .timeout_us = EVENTS_TIMEOUT_US,
+    };
+
+    guard->options.codec->write_events(bytes, guard->parts.next,
+                                       EVENTS_WAIT_MS);
+    options.bytes = bytes->str;
+    options.size = bytes->len;
+    guard->events_call.ops = &events_ops;
+    if (!pgw_call_start(&guard->events_call, guard->pool, &options)) {
+        pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+    }
+    g_string_free(bytes, TRUE);
+}
+
 static enum pgw_order_answer
 answer_of(unsigned status)
 {
@@ -585,7 +715,7 @@
     }
     pgw_list_append(&guard->entries, &peer->in_guard);
     if (guard->alive) {
-        send_state(guard, peer->link);
+        send_state(guard, peer->link, true);
     }
 }
 
@@ -613,6 +743,10 @@
     pgw_address_format(guard->engine, &options->engine);
     guard->pool = pgw_call_pool_new(loop, &pool);
     guard->report_body = g_string_new(NULL);
+    guard->events_body = g_string_new(NULL);
+    pgw_held_parts_init(&guard->parts);
+    guard->events_timer.on_due = events_due;
+    pgw_timer_start(loop, &guard->events_timer, 0);
     guard->report_timer.on_due = report_due;
     guard->step_timer.on_due = step_due;
     pgw_timer_start(loop, &guard->report_timer, 0);
@@ -635,6 +769,10 @@
 {
     pgw_call_cancel(&guard->report_call);
     pgw_call_cancel(&guard->order_call);
+    pgw_call_cancel(&guard->events_call);
+    pgw_timer_stop(guard->loop, &guard->events_timer);
+    pgw_held_parts_dispose(&guard->parts);
+    g_string_free(guard->events_body, TRUE);
     pgw_list_foreach_safe (link, &guard->entries) {
         pgw_link_close(
             pgw_container_of(link, struct entry_peer, in_guard)->link);
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_ENGINE_GUARD_H
 
 #include "gateway/call.h"
+#include "gateway/held_parts.h"
 #include "gateway/upstream_table.h"
 #include "gateway/weights_order.h"
 
@@ -55,12 +56,18 @@
  * @read_report: decode its answer; false: it makes no sense. Names are owned
  *   by the caller
  * @write_order: append a whole order
+ * @write_events: append a whole request for cache events that waits for some
+ * @read_events: decode its answer; false: it makes no sense. The array is
+ *   owned by the caller
  */
 struct pgw_engine_codec {
     void (*write_report)(GString *out);
     bool (*read_report)(struct pgw_engine_report *out, const char *body,
                         size_t size);
     void (*write_order)(GString *out, const struct pgw_engine_order *order);
+    void (*write_events)(GString *out, uint64_t since, uint32_t wait_ms);
+    bool (*read_events)(struct pgw_cache_events *out, const char *body,
+                        size_t size);
 };
 
 struct pgw_engine_guard;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,7 @@
  * @upstream: where the current attempt is
  * @counted_tokens: memory that it counts at @upstream
  * @prefill_tokens: and prompt tokens without a first event
+ * @fetched: where missing prompt parts are fetched from, for logs
  * @weights: version that its events come from
  * @answer_fields: header lines for the caller
  * @answer: body collected so far, of an answer that is not a stream
@@ -96,6 +97,7 @@
     uint32_t counted_tokens;
     uint32_t prefill_tokens;
     uint32_t missing_tokens;
+    const char *fetched;
     uint64_t weights;
     unsigned status;
     bool not_run;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -15,7 +15,6 @@
 /* Time in which even a slow, busy engine has read one prompt token: a quarter
  * of the usual speed of 50 to 60 tokens a millisecond. */
 #define PREFILL_SLOW_US 70
-#define SALT_SIZE 96
 
 static struct pgw_metric_counter sends = {
     .name = "pgw_gateway_sends_total",
@@ -240,19 +239,13 @@
 note_first_event(struct pgw_exchange *exchange)
 {
     struct pgw_upstream *upstream = exchange->upstream;
-    const struct pgw_prompt *prompt = &exchange->facts.prompt;
-    uint64_t now = pgw_now_us();
 
     if (exchange->first_event_us == 0) {
-        exchange->first_event_us = now;
+        exchange->first_event_us = pgw_now_us();
     }
     pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     upstream->prefill_tokens -= exchange->prefill_tokens;
     exchange->prefill_tokens = 0;
-    for (size_t i = 0; i + 1 < prompt->part_count; i++) {
-        pgw_prefix_memory_note(&upstream->prefixes, prompt->parts[i].key,
-                               prompt->parts[i].tokens, now);
-    }
 }
 
 static void
@@ -462,36 +455,56 @@
                : (uint32_t)((exchange->deadline_us - now) / 1000);
 }
 
+/* From now on the prompt's shared parts are expected there: requests for the
+ * same parts that come meanwhile find them, and need not read them elsewhere.
+ */
+static void
+note_parts(const struct pgw_exchange *exchange, struct pgw_upstream *upstream,
+           uint64_t version)
+{
+    const struct pgw_prompt *prompt = &exchange->facts.prompt;
+    uint64_t now = pgw_now_us();
+    char salt[PGW_CACHE_SALT_SIZE];
+
+    pgw_cache_salt(salt, version, prompt->isolated_to);
+    for (size_t i = 0; version > 0 && i + 1 < prompt->part_count; i++) {
+        pgw_prefix_memory_note(
+            &upstream->expected,
+            pgw_part_key(exchange->facts.model, salt, prompt->parts[i].id),
+            now);
+    }
+}
+
 static void
 fill_engine(struct pgw_forward *forward, struct pgw_exchange *exchange,
-            const struct pgw_choice *choice, char salt[SALT_SIZE])
+            const struct pgw_choice *choice, char salt[PGW_CACHE_SALT_SIZE])
 {
     const struct pgw_service *store =
         pgw_route_table_kv_store(exchange->table);
-    const struct pgw_workspace *workspace = exchange->workspace;
     uint64_t version =
         pgw_upstream_version(choice->upstream, exchange->facts.model);
 
     exchange->weights = version;
+    exchange->fetched = NULL;
     forward->weights = version;
+    note_parts(exchange, choice->upstream, version);
     if (version > 0) {
-        g_snprintf(salt, SALT_SIZE, "w%" G_GUINT64_FORMAT "%s%s", version,
-                   workspace != NULL && workspace->isolated ? "-" : "",
-                   workspace != NULL && workspace->isolated ? workspace->name
-                                                            : "");
+        pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
     }
     else {
         /* Not known under which weights it will run: share nothing. */
-        g_snprintf(salt, SALT_SIZE, "once-%s", exchange->facts.id);
+        g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
     }
     forward->cache_salt = salt;
     if (version == 0 || choice->missing_tokens < FETCH_MIN_TOKENS) {
         return;
     }
     if (choice->holder != NULL) {
+        exchange->fetched = "engine";
         forward->fetch_from = choice->holder->address_text;
     }
     else if (store != NULL) {
+        exchange->fetched = "store";
         forward->fetch_from = store->store_address;
     }
     if (store != NULL) {
@@ -501,7 +514,7 @@
 
 static void
 fill_forward(struct pgw_forward *out, struct pgw_exchange *exchange,
-             const struct pgw_choice *choice, char salt[SALT_SIZE])
+             const struct pgw_choice *choice, char salt[PGW_CACHE_SALT_SIZE])
 {
     struct pgw_caller *caller = exchange->caller;
 
@@ -542,7 +555,7 @@
     struct pgw_gateway *gateway = exchange->gateway;
     const struct pgw_route *route = exchange->route;
     struct pgw_forward forward;
-    char salt[SALT_SIZE];
+    char salt[PGW_CACHE_SALT_SIZE];
     GString *bytes = g_string_sized_new(1024);
     struct pgw_call_options options = {
         .address = &choice->upstream->address,
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -122,6 +122,13 @@
         pgw_upstream_set_version(upstream, state->models[i]->name,
                                  state->models[i]->version);
     }
+    if (state->parts_reset) {
+        pgw_upstream_forget_parts(upstream);
+    }
+    for (size_t i = 0; i < state->n_parts; i++) {
+        pgw_upstream_hold(upstream, state->parts[i]->key,
+                          state->parts[i]->tokens);
+    }
     upstream->loading = state->loading || !state->alive;
     upstream->loading_until_us =
         now + (state->alive ? LOADING_MAX_US : FRESH_US);
@@ -167,6 +174,7 @@
          * was announced is not waited for. */
         upstream->guarded = false;
         upstream->loading = false;
+        pgw_upstream_forget_parts(upstream);
     }
     if (links->closing) {
         return;
--- a/src/gateway/prefix_memory.c
+++ b/src/gateway/prefix_memory.c
@@ -14,7 +14,7 @@
 
 void
 pgw_prefix_memory_note(struct pgw_prefix_memory *memory, uint64_t key,
-                       uint32_t tokens, uint64_t now_us)
+                       uint64_t now_us)
 {
     size_t place = find(memory, key);
 
@@ -27,26 +27,17 @@
         }
     }
     memory->keys[place] = key;
-    memory->tokens[place] = tokens;
     memory->used_us[place] = now_us;
 }
 
 bool
 pgw_prefix_memory_has(const struct pgw_prefix_memory *memory, uint64_t key,
-                      uint64_t capacity)
+                      uint64_t since_us)
 {
     size_t place = find(memory, key);
-    uint64_t newer = 0;
 
-    if (key == 0 || place == PGW_PREFIX_MEMORY_SIZE) {
-        return false;
-    }
-    for (size_t i = 0; i < PGW_PREFIX_MEMORY_SIZE; i++) {
-        if (memory->used_us[i] >= memory->used_us[place]) {
-            newer += memory->tokens[i];
-        }
-    }
-    return newer <= capacity;
+    return key != 0 && place < PGW_PREFIX_MEMORY_SIZE &&
+           memory->used_us[place] > since_us;
 }
 
 void
@@ -56,7 +47,6 @@
 
     if (key != 0 && place < PGW_PREFIX_MEMORY_SIZE) {
         memory->keys[place] = 0;
-        memory->tokens[place] = 0;
         memory->used_us[place] = 0;
     }
 }
--- a/src/gateway/prefix_memory.h
+++ b/src/gateway/prefix_memory.h
@@ -6,42 +6,34 @@
 #include <stdint.h>
 
 /**
- * DOC: Which shared prompt parts an upstream probably holds
+ * DOC: Shared prompt parts that were sent to an upstream lately
  *
- * A fixed table of the newest parts, by age. It is a guess made from what was
- * sent there: a wrong one costs a prefill, never a wrong answer, because the
- * engine looks for itself.
+ * A fixed table of the newest parts, by time. It is a guess: a wrong one costs
+ * reading the part again, never a wrong answer, because the engine looks for
+ * itself.
  */
 
-/* An engine's memory holds some ten long shared parts; 64 also leave room for
- * the short ones. */
+/* An entry sends an engine some ten prompts a second, and an engine's memory
+ * holds some ten long parts. */
 #define PGW_PREFIX_MEMORY_SIZE 64
 
 /**
  * struct pgw_prefix_memory - the parts, in no order
  * @keys: hashes of part, salt and weights; 0 is an empty place
- * @tokens: their sizes
  * @used_us: last use
  */
 struct pgw_prefix_memory {
     uint64_t keys[PGW_PREFIX_MEMORY_SIZE];
-    uint32_t tokens[PGW_PREFIX_MEMORY_SIZE];
     uint64_t used_us[PGW_PREFIX_MEMORY_SIZE];
 };
 
-/** pgw_prefix_memory_note() - a part was read there or used there */
+/** pgw_prefix_memory_note() - a part is used there now */
 void pgw_prefix_memory_note(struct pgw_prefix_memory *memory, uint64_t key,
-                            uint32_t tokens, uint64_t now_us);
+                            uint64_t now_us);
 
-/**
- * pgw_prefix_memory_has() - whether a part should be there
- * @memory: the parts
- * @key: the part
- * @capacity: tokens of the upstream's memory that may hold parts: the least
- *   recently used ones beyond it are taken for evicted
- */
+/** pgw_prefix_memory_has() - whether a part was used there after a time */
 bool pgw_prefix_memory_has(const struct pgw_prefix_memory *memory,
-                           uint64_t key, uint64_t capacity);
+                           uint64_t key, uint64_t since_us);
 
 /** pgw_prefix_memory_forget() - it lost one part */
 void pgw_prefix_memory_forget(struct pgw_prefix_memory *memory, uint64_t key);
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -16,6 +16,15 @@
 /* Pause after it said that it is full: about the time of one short request. */
 #define AVOID_FULL_US 30000
 
+/* Tokens of one block of an engine's memory. */
+#define KV_BLOCK_TOKENS 16
+/* A part of a request that was sent there counts as held for this time; by
+ * then the sidecar has told what became of it. */
+#define EXPECTED_US 1500000
+/* The same where no sidecar tells: engines keep a shared part for some
+ * seconds. */
+#define GUESS_US 8000000
+
 struct pgw_upstream_table {
     char *zone;
     GHashTable *by_id;
@@ -59,6 +68,7 @@
         return;
     }
     models_clear(upstream);
+    g_hash_table_destroy(upstream->held);
     g_free(upstream->id);
     g_free(upstream->service);
     g_free(upstream->zone);
@@ -106,6 +116,8 @@
         return NULL;
     }
     upstream->references = 1;
+    upstream->held =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     upstream->id = g_strdup(facts->id);
     upstream->service = g_strdup(facts->service);
     upstream->zone = g_strdup(facts->zone);
@@ -206,7 +218,7 @@
     }
     if (version > entry->version) {
         /* New weights drop everything that was computed under the old. */
-        pgw_prefix_memory_clear(&upstream->prefixes);
+        pgw_upstream_forget_parts(upstream);
         entry->version = version;
     }
 }
@@ -222,6 +234,42 @@
     return 0;
 }
 
+void
+pgw_upstream_hold(struct pgw_upstream *upstream, uint64_t key, uint32_t tokens)
+{
+    if (tokens == 0) {
+        g_hash_table_remove(upstream->held, &key);
+        pgw_prefix_memory_forget(&upstream->expected, key);
+        return;
+    }
+    g_hash_table_replace(upstream->held, g_memdup2(&key, sizeof(key)),
+                         GUINT_TO_POINTER(tokens));
+}
+
+void
+pgw_upstream_forget_parts(struct pgw_upstream *upstream)
+{
+    g_hash_table_remove_all(upstream->held);
+    pgw_prefix_memory_clear(&upstream->expected);
+}
+
+bool
+pgw_upstream_holds(const struct pgw_upstream *upstream, uint64_t key,
+                   uint32_t tokens, bool expected, uint64_t now_us)
+{
+    uint32_t held =
+        GPOINTER_TO_UINT(g_hash_table_lookup(upstream->held, &key));
+
+    /* Memory goes by blocks: the last, broken one of a part is not kept. */
+    if (held > 0 && held + KV_BLOCK_TOKENS > tokens) {
+        return true;
+    }
+    return expected &&
+           pgw_prefix_memory_has(&upstream->expected, key,
+                                 upstream->guarded ? now_us - EXPECTED_US
+                                                   : now_us - GUESS_US);
+}
+
 void
 pgw_upstream_take_load(struct pgw_upstream *upstream,
                        const struct pgw_upstream_load *load, uint64_t now_us)
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -85,7 +85,9 @@
  * @failures: in a row
  * @failure_rate: moving share of failed attempts, 0..1
  * @avoid_until_us: not to be chosen before, while others can be
- * @prefixes: shared prompt parts that it should hold
+ * @held: prompt parts that its engine holds, by its sidecar's word: key to
+ *   tokens; only while @guarded
+ * @expected: prompt parts of requests that this entry sent there lately
  */
 struct pgw_upstream {
     struct pgw_list in_table;
@@ -117,8 +119,8 @@
     uint32_t failures;
     double failure_rate;
     uint64_t avoid_until_us;
-    struct pgw_prefix_memory prefixes;
-    void *guard_link;
+    GHashTable *held;
+    struct pgw_prefix_memory expected;
 };
 
 /**
@@ -187,6 +189,24 @@
 uint64_t pgw_upstream_version(const struct pgw_upstream *upstream,
                               const char *model);
 
+/** pgw_upstream_hold() - its sidecar's word on a part; 0 tokens: gone */
+void pgw_upstream_hold(struct pgw_upstream *upstream, uint64_t key,
+                       uint32_t tokens);
+
+/** pgw_upstream_forget_parts() - nothing is known of what it holds */
+void pgw_upstream_forget_parts(struct pgw_upstream *upstream);
+
+/**
+ * pgw_upstream_holds() - whether a part is in its engine's memory
+ * @upstream: the upstream
+ * @key: pgw_part_key()
+ * @tokens: size of the part
+ * @expected: also count what is being read for a request on its way
+ * @now_us: monotonic time
+ */
+bool pgw_upstream_holds(const struct pgw_upstream *upstream, uint64_t key,
+                        uint32_t tokens, bool expected, uint64_t now_us);
+
 /** pgw_upstream_take_load() - a report of its load, received at @now_us */
 void pgw_upstream_take_load(struct pgw_upstream *upstream,
                             const struct pgw_upstream_load *load,
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &pgw__engine_model__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__held_part__init
+                     (Pgw__HeldPart         *message)
+{
+  static const Pgw__HeldPart init_value = PGW__HELD_PART__INIT;
+  *message = init_value;
+}
+size_t pgw__held_part__get_packed_size
+                     (const Pgw__HeldPart *message)
+{
+  assert(message->base.descriptor == &pgw__held_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__held_part__pack
+                     (const Pgw__HeldPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__held_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__held_part__pack_to_buffer
+                     (const Pgw__HeldPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__held_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__HeldPart *
+       pgw__held_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__HeldPart *)
+     protobuf_c_message_unpack (&pgw__held_part__descriptor,
+                                allocator, len, data);
+}
+void   pgw__held_part__free_unpacked
+                     (Pgw__HeldPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__held_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pgw__engine_state__init
                      (Pgw__EngineState         *message)
 {
@@ -3026,7 +3071,58 @@
   (ProtobufCMessageInit) pgw__engine_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pgw__held_part__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__HeldPart, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__HeldPart, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__held_part__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange pgw__held_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__held_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.HeldPart",
+  "HeldPart",
+  "Pgw__HeldPart",
+  "pgw",
+  sizeof(Pgw__HeldPart),
+  2,
+  pgw__held_part__field_descriptors,
+  pgw__held_part__field_indices_by_name,
+  1,  pgw__held_part__number_ranges,
+  (ProtobufCMessageInit) pgw__held_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[10] =
 {
   {
     "address",
@@ -3124,6 +3220,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts_reset",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, parts_reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__EngineState, n_parts),
+    offsetof(Pgw__EngineState, parts),
+    &pgw__held_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3132,13 +3252,15 @@
   6,   /* field[6] = kv_used */
   2,   /* field[2] = loading */
   3,   /* field[3] = models */
+  9,   /* field[9] = parts */
+  8,   /* field[8] = parts_reset */
   4,   /* field[4] = running */
   5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange pgw__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3148,7 +3270,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  8,
+  10,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   1,  pgw__engine_state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Pgw__Document Pgw__Document;
 typedef struct Pgw__Documents Pgw__Documents;
 typedef struct Pgw__EngineModel Pgw__EngineModel;
+typedef struct Pgw__HeldPart Pgw__HeldPart;
 typedef struct Pgw__EngineState Pgw__EngineState;
 typedef struct Pgw__LoadWeights Pgw__LoadWeights;
 
@@ -484,6 +485,26 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A part of a prompt that an engine holds in its KV cache.
+ */
+struct  Pgw__HeldPart
+{
+  ProtobufCMessage base;
+  /*
+   * hash of model, salt and the part's id
+   */
+  uint64_t key;
+  /*
+   * 0: it holds nothing of it any more
+   */
+  uint32_t tokens;
+};
+#define PGW__HELD_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__held_part__descriptor) \
+    , 0, 0 }
+
+
 /*
  * A sidecar's word on its engine, pushed when it changes.
  */
@@ -511,10 +532,19 @@
    */
   uint64_t kv_used;
   uint64_t kv_total;
+  /*
+   * forget all parts told before
+   */
+  protobuf_c_boolean parts_reset;
+  /*
+   * those that have changed
+   */
+  size_t n_parts;
+  Pgw__HeldPart **parts;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -900,6 +930,25 @@
 void   pgw__engine_model__free_unpacked
                      (Pgw__EngineModel *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__HeldPart methods */
+void   pgw__held_part__init
+                     (Pgw__HeldPart         *message);
+size_t pgw__held_part__get_packed_size
+                     (const Pgw__HeldPart   *message);
+size_t pgw__held_part__pack
+                     (const Pgw__HeldPart   *message,
+                      uint8_t             *out);
+size_t pgw__held_part__pack_to_buffer
+                     (const Pgw__HeldPart   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__HeldPart *
+       pgw__held_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__held_part__free_unpacked
+                     (Pgw__HeldPart *message,
+                      ProtobufCAllocator *allocator);
 /* Pgw__EngineState methods */
 void   pgw__engine_state__init
                      (Pgw__EngineState         *message);
@@ -997,6 +1046,9 @@
 typedef void (*Pgw__EngineModel_Closure)
                  (const Pgw__EngineModel *message,
                   void *closure_data);
+typedef void (*Pgw__HeldPart_Closure)
+                 (const Pgw__HeldPart *message,
+                  void *closure_data);
 typedef void (*Pgw__EngineState_Closure)
                  (const Pgw__EngineState *message,
                   void *closure_data);
@@ -1028,6 +1080,7 @@
 extern const ProtobufCMessageDescriptor pgw__document__descriptor;
 extern const ProtobufCMessageDescriptor pgw__documents__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_model__descriptor;
+extern const ProtobufCMessageDescriptor pgw__held_part__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_state__descriptor;
 extern const ProtobufCMessageDescriptor pgw__load_weights__descriptor;
 
