Let every engine of a small pool tell every entry what it holds

Change: below 128 engines entries hear of all of them (long parts, load each 0.7 s); placement weighs reading, fetching, crowding and the bytes between zones in tokens; an answer's load header no longer wipes the engine's memory.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -97,8 +97,19 @@
     return key == 0 ? 1 : key;
 }
 
-/* Shared tokens that an engine lacks; a part counts only behind all before
- * it. */
+/**
+ * struct survey - what the engines of a pool hold of one prompt, by position
+ * @missing: shared tokens that each lacks, counting what is on its way there
+ * @confirmed: the same by its sidecar's word alone
+ * @rank: its rank for the prompt
+ */
+struct survey {
+    uint32_t missing[UPSTREAMS_MAX];
+    uint32_t confirmed[UPSTREAMS_MAX];
+    uint32_t rank[UPSTREAMS_MAX];
+};
+
+/* A part counts only behind all before it. */
 static uint32_t
 missing_tokens(const struct pgw_upstream *upstream,
                const struct pgw_choose_input *input, bool expected)
@@ -144,14 +155,76 @@
            (double)(used + need) <= (double)total * options->memory_share;
 }
 
+/* The engine that lacks least of the prompt by its sidecar's word and could
+ * give it to @upstream; NULL when none has more. */
+static struct pgw_upstream *
+find_holder(const struct pgw_upstream *upstream, uint32_t missing,
+            const struct pgw_choose_input *input, const struct survey *survey)
+{
+    uint64_t version = pgw_upstream_version(upstream, input->model);
+    struct pgw_upstream *best = NULL;
+    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        struct pgw_upstream *other = g_ptr_array_index(input->upstreams, i);
+
+        /* Among equals one of the same zone: the way is shorter. */
+        if (other == upstream || survey->confirmed[i] > missing ||
+            (survey->confirmed[i] == missing &&
+             (best == NULL || best->same_zone || !other->same_zone)) ||
+            !pgw_upstream_is_usable(other, input->now_us) ||
+            input->now_us < other->avoid_until_us ||
+            pgw_upstream_version(other, input->model) != version) {
+            continue;
+        }
+        missing = survey->confirmed[i];
+        best = other;
+    }
+    return best;
+}
+
+/* What it costs to get the shared parts that an engine lacks: a fetch where
+ * another one holds them, reading them again where none does. */
+static double
+missing_cost(const struct pgw_upstream *upstream, uint32_t missing,
+             const struct pgw_choose_input *input,
+             const struct pgw_choose_options *options,
+             const struct survey *survey)
+{
+    if (missing == 0) {
+        return 0;
+    }
+    if (missing >= options->fetch_min_tokens &&
+        find_holder(upstream, missing, input, survey) != NULL) {
+        return options->fetch_tokens + options->fetch_share * missing;
+    }
+    return options->reread_weight * missing;
+}
+
+/* Requests that run slow each other down a little, and a lot once there are
+ * as many as there are places. */
+static double
+crowd_cost(const struct pgw_upstream *upstream,
+           const struct pgw_choose_options *options, uint64_t now_us)
+{
+    double load = pgw_upstream_load_estimate(upstream, now_us);
+    double fullness = load / upstream->slots;
+
+    return load * options->request_tokens +
+           fullness * fullness * options->full_tokens;
+}
+
 static double
-engine_cost(const struct pgw_upstream *upstream, uint32_t rank,
+engine_cost(const struct pgw_upstream *upstream, size_t position,
             const struct pgw_choose_input *input,
-            const struct pgw_choose_options *options)
+            const struct pgw_choose_options *options,
+            const struct survey *survey)
 {
-    const struct pgw_prompt *prompt = input->prompt;
     uint32_t load = pgw_upstream_load_estimate(upstream, input->now_us);
     uint64_t version = pgw_upstream_version(upstream, input->model);
+    double rank_tokens =
+        MAX(options->rank_share * shared_tokens(input->prompt),
+            options->rank_tokens);
     double cost;
 
     if (load + 1 > options->engine_depth * upstream->slots ||
@@ -163,12 +236,17 @@
         return DBL_MAX;
     }
     cost = (double)upstream->prefill_tokens +
-           missing_tokens(upstream, input, true);
-    cost += (double)load * options->request_tokens;
-    cost += rank * options->rank_share * shared_tokens(prompt);
-    cost += upstream->same_zone ? 0 : options->zone_tokens;
+           pgw_upstream_long_prefills(upstream, input->now_us) *
+               options->long_prefill_tokens;
+    cost += missing_cost(upstream, survey->missing[position], input, options,
+                         survey);
+    cost += crowd_cost(upstream, options, input->now_us);
+    cost += survey->rank[position] * rank_tokens;
+    if (!upstream->same_zone) {
+        cost += (double)input->size * options->zone_tokens_per_kb / 1024;
+    }
     cost += version < input->version ? options->old_tokens : 0;
-    return cost + upstream->failure_rate * options->zone_tokens;
+    return cost + upstream->failure_rate * options->failing_tokens;
 }
 
 /* Ranks of the upstreams for the prompt's shared parts, by position. */
@@ -188,8 +266,7 @@
         ranks[i] = PGW_PLACE_RANK_MAX;
         nodes[i] = (struct pgw_place_node){
             .id_hash = upstream->id_hash,
-            .usable = upstream->same_zone &&
-                      pgw_upstream_is_usable(upstream, input->now_us),
+            .usable = pgw_upstream_is_usable(upstream, input->now_us),
         };
     }
     for (size_t i = 0; i + 1 < input->prompt->part_count && i < PGW_LEVEL_MAX;
@@ -204,46 +281,35 @@
     }
 }
 
-static struct pgw_upstream *
-find_holder(const struct pgw_choice *choice,
-            const struct pgw_choose_input *input)
+static void
+make_survey(struct survey *out, const struct pgw_choose_input *input)
 {
-    struct pgw_upstream *best = NULL;
-    uint32_t least = choice->missing_tokens;
+    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
 
-    for (unsigned i = 0; i < input->upstreams->len; i++) {
-        struct pgw_upstream *upstream = g_ptr_array_index(input->upstreams, i);
-        uint32_t missing;
+    rank_upstreams(out->rank, input);
+    for (size_t i = 0; i < count; i++) {
+        const struct pgw_upstream *upstream =
+            g_ptr_array_index(input->upstreams, i);
 
-        if (upstream == choice->upstream || !upstream->same_zone ||
-            !pgw_upstream_is_usable(upstream, input->now_us) ||
-            input->now_us < upstream->avoid_until_us ||
-            pgw_upstream_version(upstream, input->model) !=
-                pgw_upstream_version(choice->upstream, input->model)) {
-            continue;
-        }
-        missing = missing_tokens(upstream, input, false);
-        if (missing < least) {
-            least = missing;
-            best = upstream;
-        }
+        out->missing[i] = missing_tokens(upstream, input, true);
+        out->confirmed[i] = missing_tokens(upstream, input, false);
     }
-    return best;
 }
 
 static double
-cost_of(const struct pgw_upstream *upstream, uint32_t rank,
+cost_of(const struct pgw_upstream *upstream, size_t position,
         const struct pgw_choose_input *input,
-        const struct pgw_choose_options *options)
+        const struct pgw_choose_options *options, const struct survey *survey)
 {
-    return input->prompt == NULL ? plain_cost(upstream, options, input->now_us)
-                                 : engine_cost(upstream, rank, input, options);
+    return input->prompt == NULL
+               ? plain_cost(upstream, options, input->now_us)
+               : engine_cost(upstream, position, input, options, survey);
 }
 
 /* One pass over all; @unhealthy takes those that failed lately as well. */
 static struct pgw_upstream *
 cheapest(bool *busy, const struct pgw_choose_input *input,
-         const struct pgw_choose_options *options, const uint32_t *ranks,
+         const struct pgw_choose_options *options, const struct survey *survey,
          bool unhealthy)
 {
     struct pgw_upstream *best = NULL;
@@ -265,7 +331,7 @@
         if (!unhealthy && is_unhealthy(upstream, options, input->now_us)) {
             continue;
         }
-        cost = cost_of(upstream, ranks[i], input, options);
+        cost = cost_of(upstream, i, input, options, survey);
         if (cost < best_cost) {
             best_cost = cost;
             best = upstream;
@@ -278,24 +344,24 @@
 pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
            const struct pgw_choose_options *options)
 {
-    uint32_t ranks[UPSTREAMS_MAX] = {0};
+    struct survey survey;
 
     memset(out, 0, sizeof(*out));
     if (input->upstreams == NULL) {
         return;
     }
     if (input->prompt != NULL) {
-        rank_upstreams(ranks, input);
+        make_survey(&survey, input);
     }
-    out->upstream = cheapest(&out->busy, input, options, ranks, false);
+    out->upstream = cheapest(&out->busy, input, options, &survey, false);
     if (out->upstream == NULL) {
-        out->upstream = cheapest(&out->busy, input, options, ranks, true);
+        out->upstream = cheapest(&out->busy, input, options, &survey, true);
     }
     if (out->upstream == NULL || input->prompt == NULL) {
         return;
     }
     out->missing_tokens = missing_tokens(out->upstream, input, true);
-    if (out->missing_tokens > 0) {
-        out->holder = find_holder(out, input);
-    }
+    out->shared_tokens = shared_tokens(input->prompt);
+    out->holder =
+        find_holder(out->upstream, out->shared_tokens, input, &survey);
 }
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -71,12 +71,25 @@
  * @engine_depth: the same for engines, whose queue only delays
  * @memory_share: part of an engine's memory that may be promised; preemption
  *   begins when it is full, and estimates of several entries overlap
- * @zone_tokens: prefill that is worth computing again rather than cross to
- *   another availability zone, in tokens; bytes between zones cost, and 4,000
- *   tokens are some 70 ms of one engine
- * @request_tokens: what each request at an engine delays another, in tokens
+ * @zone_tokens_per_kb: what a KiB of a request costs that crosses to another
+ *   availability zone, in tokens: where such bytes are dear, 20 KB cost as
+ *   much as reading 400 tokens again
+ * @request_tokens: what each request at an engine delays another, in tokens:
+ *   a step grows by half a percent with each, which is 10 to 20 tokens in the
+ *   time of one answer
+ * @full_tokens: the same of an engine with all places taken
+ * @long_prefill_tokens: what is left on average of a long prompt that an
+ *   engine reads for another entry
  * @rank_share: cost of each rank further down, as a part of the shared tokens:
  *   settles where a prompt that is cached nowhere goes
+ * @rank_tokens: the least cost of a rank, for short prompts
+ * @reread_weight: cost of reading a shared part that no engine is known to
+ *   hold, in times its tokens: it takes the engine's time from others, too
+ * @fetch_tokens: cost of a fetch from another engine, in tokens: 2 ms
+ * @fetch_share: and of each token that it moves: links carry seven to fifteen
+ *   times what an engine reads
+ * @fetch_min_tokens: less is read again rather than fetched
+ * @failing_tokens: cost of an upstream that fails always
  * @old_tokens: cost of older weights, in tokens
  * @old_limit_us: older weights are not used so long after newer were named
  * @bad_rate: failure rate above which an upstream counts as unhealthy
@@ -85,9 +98,17 @@
     double plain_depth;
     double engine_depth;
     double memory_share;
-    uint32_t zone_tokens;
-    uint32_t request_tokens;
+    double zone_tokens_per_kb;
+    double request_tokens;
+    double full_tokens;
+    double long_prefill_tokens;
     double rank_share;
+    double rank_tokens;
+    double reread_weight;
+    double fetch_tokens;
+    double fetch_share;
+    uint32_t fetch_min_tokens;
+    double failing_tokens;
     uint32_t old_tokens;
     uint64_t old_limit_us;
     double bad_rate;
@@ -96,8 +117,11 @@
 #define PGW_CHOOSE_OPTIONS_INIT                                               \
     {                                                                         \
         .plain_depth = 2.0, .engine_depth = 1.0, .memory_share = 0.92,        \
-        .zone_tokens = 4000, .request_tokens = 200, .rank_share = 0.02,       \
-        .old_tokens = 30000, .old_limit_us = 4500000, .bad_rate = 0.35        \
+        .zone_tokens_per_kb = 20, .request_tokens = 20, .full_tokens = 2000,  \
+        .long_prefill_tokens = 6000, .rank_share = 0.02, .rank_tokens = 15,   \
+        .reread_weight = 2.5, .fetch_tokens = 100, .fetch_share = 0.12,       \
+        .fetch_min_tokens = 32, .failing_tokens = 4000, .old_tokens = 30000,  \
+        .old_limit_us = 4500000, .bad_rate = 0.35                             \
     }
 
 #define PGW_TRIED_MAX 8
@@ -111,6 +135,7 @@
  * @model: whose weights; NULL for a plain call
  * @version: newest version that was named, 0: not known
  * @version_age_us: how long ago
+ * @size: bytes of the request
  * @kv_tokens: memory of one engine where it has not said
  * @now_us: monotonic time
  */
@@ -122,6 +147,7 @@
     const char *model;
     uint64_t version;
     uint64_t version_age_us;
+    size_t size;
     uint64_t kv_tokens;
     uint64_t now_us;
 };
@@ -132,12 +158,14 @@
  * @holder: another upstream that should hold the shared parts that @upstream
  *   lacks; NULL when there is none
  * @missing_tokens: shared tokens that @upstream lacks
+ * @shared_tokens: all shared tokens of the prompt
  * @busy: some upstream could take it later
  */
 struct pgw_choice {
     struct pgw_upstream *upstream;
     struct pgw_upstream *holder;
     uint32_t missing_tokens;
+    uint32_t shared_tokens;
     bool busy;
 };
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -6,6 +6,8 @@
 
 /* The least time that is worth starting an attempt with. */
 #define LEAST_TIME_US 5000
+/* Bytes of a request's head and of a short answer. */
+#define HEAD_SIZE_GUESS 1200
 /* When to come back after a refusal: about one generation's time. */
 #define RETRY_AFTER_MS 250
 /* A process that has no configuration yet has one after a second. */
@@ -218,6 +220,10 @@
         input.prompt = &exchange->facts.prompt;
         input.model = exchange->facts.model;
         input.kv_tokens = service == NULL ? 0 : service->kv_tokens;
+        input.size =
+            HEAD_SIZE_GUESS + (exchange->caller == NULL
+                                   ? 0
+                                   : pgw_buffer_size(&exchange->caller->body));
     }
     if (named != NULL) {
         input.version = named->version;
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -6,7 +6,7 @@
 
 /* Reports are asked for this often; while an order is on its way more often,
  * since requests wait for its end. */
-#define REPORT_US 200000
+#define REPORT_US 100000
 #define REPORT_LOADING_US 40000
 #define REPORT_TIMEOUT_US 400000
 #define ORDER_TIMEOUT_US 400000
@@ -16,6 +16,9 @@
 /* Entries hear something at least this often, so that a load they add up
  * themselves does not drift. */
 #define PUSH_MAX_US 1000000
+/* Entries of other zones hear of load and cache this often: bytes between
+ * zones cost. */
+#define FAR_PUSH_US 700000
 /* Cache events are waited for so long; shorter waits count as probes. */
 #define EVENTS_WAIT_MS 800
 #define EVENTS_TIMEOUT_US 2000000
@@ -41,10 +44,17 @@
     struct pgw_weights_order order;
 };
 
+/**
+ * struct entry_peer - one entry
+ * @known: it has said who it is and been told everything
+ * @far: it is in another zone: told less, and less often
+ */
 struct entry_peer {
     struct pgw_list in_guard;
     struct pgw_engine_guard *guard;
     struct pgw_link *link;
+    bool known;
+    bool far;
 };
 
 struct pgw_engine_guard {
@@ -71,6 +81,7 @@
     struct pgw_engine_report report;
     struct pgw_engine_report told;
     uint64_t told_us;
+    uint64_t told_far_us;
     struct model_order models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
     struct model_order *ordering;
@@ -127,12 +138,14 @@
     g_hash_table_iter_init(&iter, keys);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         Pgw__HeldPart *part = &parts[state->n_parts];
-
         pgw__held_part__init(part);
         part->key = *(const uint64_t *)key;
         part->tokens = pgw_held_parts_tokens(&guard->parts, part->key);
         state->parts[state->n_parts++] = part;
     }
+    if (state->n_parts == 0) {
+        g_free(parts);
+    }
 }
 
 static void
@@ -144,14 +157,14 @@
     g_free(state->parts);
 }
 
-/* @whole: to an entry that knows nothing yet. */
 static void
-send_state(const struct pgw_engine_guard *guard, struct pgw_link *link,
-           bool whole)
+send_state(const struct pgw_engine_guard *guard, struct entry_peer *peer)
 {
     Pgw__EngineState state = PGW__ENGINE_STATE__INIT;
     Pgw__EngineModel models[PGW_UPSTREAM_MODELS_MAX];
     Pgw__EngineModel *pointers[PGW_UPSTREAM_MODELS_MAX];
+    const struct pgw_held_parts *parts = &guard->parts;
+    bool reset = peer->far ? parts->far_reset : parts->reset;
 
     for (size_t i = 0; i < guard->report.model_count; i++) {
         pgw__engine_model__init(&models[i]);
@@ -166,28 +179,53 @@
     state.models = pointers;
     state.running = guard->report.load.running;
     state.waiting = guard->report.load.waiting;
+    state.long_prefills = guard->report.load.long_prefills;
     state.kv_used = guard->report.load.kv_used;
     state.kv_total = guard->report.load.kv_total;
-    state.parts_reset = whole || guard->parts.reset;
-    fill_parts(&state, guard,
-               state.parts_reset ? guard->parts.tokens : guard->parts.changed);
-    pgw_link_send(link, PGW_FRAME_ENGINE_STATE, &state.base);
+    state.parts_reset = reset || !peer->known;
+    if (state.parts_reset) {
+        fill_parts(&state, guard,
+                   peer->far ? parts->long_held : parts->tokens);
+    }
+    else {
+        fill_parts(&state, guard,
+                   peer->far ? parts->far_changed : parts->changed);
+    }
+    peer->known = true;
+    pgw_link_send(peer->link, PGW_FRAME_ENGINE_STATE, &state.base);
     free_parts(&state);
 }
 
 static void
-tell_all(struct pgw_engine_guard *guard)
+tell(struct pgw_engine_guard *guard, bool far)
 {
+    pgw_list_foreach (link, &guard->entries) {
+        struct entry_peer *peer =
+            pgw_container_of(link, struct entry_peer, in_guard);
+
+        if (far || !peer->far) {
+            send_state(guard, peer);
+        }
+    }
+    pgw_held_parts_told(&guard->parts, far);
+}
+
+/* Changes of the engine's state go to all at once; those of its load and its
+ * cache to the entries of the zone, and to the others now and then. */
+static void
+tell_all(struct pgw_engine_guard *guard, bool urgent)
+{
+    uint64_t now = pgw_now_us();
+    bool far = urgent || now - guard->told_far_us >= FAR_PUSH_US;
+
     report_copy(&guard->told, &guard->report);
     guard->told_alive = guard->alive;
     guard->told_loading = is_loading(guard);
-    guard->told_us = pgw_now_us();
-    pgw_list_foreach (link, &guard->entries) {
-        send_state(guard,
-                   pgw_container_of(link, struct entry_peer, in_guard)->link,
-                   false);
+    guard->told_us = now;
+    if (far) {
+        guard->told_far_us = now;
     }
-    pgw_held_parts_told(&guard->parts);
+    tell(guard, far);
 }
 
 static uint32_t
@@ -196,8 +234,9 @@
     return (uint32_t)(a > b ? a - b : b - a);
 }
 
+/* What no request may wait for: its engine's life, weights and orders. */
 static bool
-is_news(const struct pgw_engine_guard *guard)
+is_urgent(const struct pgw_engine_guard *guard)
 {
     const struct pgw_engine_report *now = &guard->report;
     const struct pgw_engine_report *told = &guard->told;
@@ -212,14 +251,21 @@
             return true;
         }
     }
-    if (pgw_now_us() - guard->told_us >= PUSH_MAX_US) {
-        return true;
-    }
-    return distance(now->load.running + now->load.waiting,
-                    told->load.running + told->load.waiting) >=
-               NEWS_REQUESTS ||
-           distance(now->load.kv_used, told->load.kv_used) >
-               now->load.kv_total / NEWS_MEMORY_PARTS;
+    return false;
+}
+
+static bool
+is_news(const struct pgw_engine_guard *guard)
+{
+    const struct pgw_upstream_load *now = &guard->report.load;
+    const struct pgw_upstream_load *told = &guard->told.load;
+
+    return pgw_now_us() - guard->told_us >= PUSH_MAX_US ||
+           now->long_prefills != told->long_prefills ||
+           distance(now->running + now->waiting,
+                    told->running + told->waiting) >= NEWS_REQUESTS ||
+           distance(now->kv_used, told->kv_used) >
+               now->kv_total / NEWS_MEMORY_PARTS;
 }
 
 static void
@@ -237,7 +283,7 @@
     if (guard->failures == DEAD_AFTER) {
         guard->alive = false;
         pgw_log_warning("engine_lost", "engine=%s", guard->engine);
-        tell_all(guard);
+        tell_all(guard, true);
     }
     start_report_timer(guard);
 }
@@ -271,8 +317,11 @@
                                  guard->report.busy, now);
     }
     step(guard);
-    if (is_news(guard)) {
-        tell_all(guard);
+    if (is_urgent(guard)) {
+        tell_all(guard, true);
+    }
+    else if (is_news(guard)) {
+        tell_all(guard, false);
     }
     start_report_timer(guard);
 }
@@ -397,7 +446,7 @@
     pgw_held_parts_take(&guard->parts, &events);
     g_free(events.events);
     if (guard->parts.reset || g_hash_table_size(guard->parts.changed) > 0) {
-        tell_all(guard);
+        tell_all(guard, false);
     }
     pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_PAUSE_US);
 }
@@ -576,7 +625,7 @@
             break;
         case PGW_WEIGHTS_ANNOUNCE:
         case PGW_WEIGHTS_OPEN:
-            tell_all(guard);
+            tell_all(guard, true);
             break;
         case PGW_WEIGHTS_ORDER:
             /* One order at a time; nothing is known of an engine that does
@@ -672,7 +721,15 @@
     struct entry_peer *peer = context;
 
     (void)link;
-    if (type == PGW_FRAME_LOAD_WEIGHTS) {
+    if (type == PGW_FRAME_HELLO) {
+        const Pgw__Hello *hello = (const Pgw__Hello *)message;
+
+        peer->far = strcmp(hello->zone, peer->guard->zone) != 0;
+        if (peer->guard->alive) {
+            send_state(peer->guard, peer);
+        }
+    }
+    else if (type == PGW_FRAME_LOAD_WEIGHTS) {
         const Pgw__LoadWeights *load = (const Pgw__LoadWeights *)message;
 
         pgw_engine_guard_name_weights(peer->guard, load->model, load->version,
@@ -714,9 +771,6 @@
         return;
     }
     pgw_list_append(&guard->entries, &peer->in_guard);
-    if (guard->alive) {
-        send_state(guard, peer->link, true);
-    }
 }
 
 struct pgw_engine_guard *
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -8,10 +8,14 @@
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
 /* How often one request is offered in all, refusals by upstreams included. */
 #define SENDS_MAX 5
-/* The least missing shared tokens that are fetched and not computed again: a
- * fetch takes about a millisecond, as long as computing 60 tokens, and moving
- * them costs as well. */
-#define FETCH_MIN_TOKENS 1024
+/* The least missing shared tokens that are fetched from an engine that holds
+ * them: a fetch takes about two milliseconds. */
+#define FETCH_MIN_TOKENS 32
+/* Shared parts from this size on are fetched from wherever they may be, also
+ * where the engine should hold them: an eviction that was not heard of costs
+ * reading them again, a needless fetch a millisecond. The store keeps only
+ * such parts. */
+#define FETCH_LONG_TOKENS 1024
 /* Time in which even a slow, busy engine has read one prompt token: a quarter
  * of the usual speed of 50 to 60 tokens a millisecond. */
 #define PREFILL_SLOW_US 70
@@ -35,6 +39,16 @@
     return pgw_container_of(call, struct pgw_exchange, call);
 }
 
+static void
+end_prefill(struct pgw_exchange *exchange)
+{
+    struct pgw_upstream *upstream = exchange->upstream;
+
+    upstream->prefill_tokens -= exchange->prefill_tokens;
+    upstream->long_prefills -= exchange->prefill_tokens >= PGW_LONG_PREFILL;
+    exchange->prefill_tokens = 0;
+}
+
 void
 pgw_exchange_leave(struct pgw_exchange *exchange)
 {
@@ -45,9 +59,8 @@
     }
     upstream->inflight--;
     upstream->inflight_tokens -= exchange->counted_tokens;
-    upstream->prefill_tokens -= exchange->prefill_tokens;
+    end_prefill(exchange);
     exchange->counted_tokens = 0;
-    exchange->prefill_tokens = 0;
     exchange->upstream = NULL;
     pgw_upstream_unref(upstream);
 }
@@ -71,6 +84,7 @@
     }
     upstream->inflight_tokens += exchange->counted_tokens;
     upstream->prefill_tokens += exchange->prefill_tokens;
+    upstream->long_prefills += exchange->prefill_tokens >= PGW_LONG_PREFILL;
     if (exchange->tried_count < PGW_TRIED_MAX) {
         exchange->tried[exchange->tried_count++] = pgw_upstream_ref(upstream);
     }
@@ -238,14 +252,11 @@
 static void
 note_first_event(struct pgw_exchange *exchange)
 {
-    struct pgw_upstream *upstream = exchange->upstream;
-
     if (exchange->first_event_us == 0) {
         exchange->first_event_us = pgw_now_us();
     }
     pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
-    upstream->prefill_tokens -= exchange->prefill_tokens;
-    exchange->prefill_tokens = 0;
+    end_prefill(exchange);
 }
 
 static void
@@ -496,18 +507,20 @@
         g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
     }
     forward->cache_salt = salt;
-    if (version == 0 || choice->missing_tokens < FETCH_MIN_TOKENS) {
+    if (version == 0 || (choice->missing_tokens < FETCH_MIN_TOKENS &&
+                         choice->shared_tokens < FETCH_LONG_TOKENS)) {
         return;
     }
     if (choice->holder != NULL) {
         exchange->fetched = "engine";
         forward->fetch_from = choice->holder->address_text;
     }
-    else if (store != NULL) {
+    else if (store != NULL && choice->shared_tokens >= FETCH_LONG_TOKENS) {
         exchange->fetched = "store";
         forward->fetch_from = store->store_address;
     }
-    if (store != NULL) {
+    if (store != NULL && choice->holder == NULL &&
+        choice->missing_tokens >= FETCH_LONG_TOKENS) {
         forward->save_to = store->store_address;
     }
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -75,6 +75,18 @@
     g_free(gateway);
 }
 
+const char *
+pgw_gateway_instance(const struct pgw_gateway *gateway)
+{
+    return gateway->instance;
+}
+
+const char *
+pgw_gateway_zone(const struct pgw_gateway *gateway)
+{
+    return gateway->zone;
+}
+
 uint16_t
 pgw_gateway_port(const struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,6 +57,12 @@
                                     GError **error);
 void pgw_gateway_free(struct pgw_gateway *gateway);
 
+/** pgw_gateway_instance() - name of this process */
+const char *pgw_gateway_instance(const struct pgw_gateway *gateway);
+
+/** pgw_gateway_zone() - its availability zone */
+const char *pgw_gateway_zone(const struct pgw_gateway *gateway);
+
 /** pgw_gateway_port() - where it listens */
 uint16_t pgw_gateway_port(const struct pgw_gateway *gateway);
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -12,6 +12,10 @@
 /* Longest time for which "loading" is believed without another word: a load
  * takes well under a second, and the runs before it end. */
 #define LOADING_MAX_US 4000000
+/* Up to so many engines an entry hears of those of other zones, too: what is
+ * cached where decides more than the way. Beyond, its own zone has engines
+ * enough, and the control traffic of all would not fit. */
+#define FAR_MAX 128
 /* A process that has been silent for so long may be cut off: its word on load
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
@@ -109,6 +113,7 @@
     struct pgw_upstream_load load = {
         .running = state->running,
         .waiting = state->waiting,
+        .long_prefills = state->long_prefills,
         .kv_used = state->kv_used,
         .kv_total = state->kv_total,
     };
@@ -192,8 +197,15 @@
 static void
 on_open(struct pgw_link *link, void *context)
 {
-    (void)link;
-    announce_to(context);
+    struct guard_link *guard = context;
+    Pgw__Hello hello = PGW__HELLO__INIT;
+
+    hello.protocol = PGW_PROTOCOL;
+    hello.instance = (char *)pgw_gateway_instance(guard->links->gateway);
+    hello.role = (char *)"entry";
+    hello.zone = (char *)pgw_gateway_zone(guard->links->gateway);
+    pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
+    announce_to(guard);
 }
 
 static const struct pgw_link_ops link_ops = {
@@ -302,9 +314,24 @@
     }
 }
 
+/* Whether the engines are few enough to hear of all of them. */
+static bool
+are_few(const struct pgw_guard_links *links)
+{
+    unsigned engines = 0;
+
+    pgw_list_foreach (
+        item, pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway))) {
+        engines += pgw_container_of(item, struct pgw_upstream, in_table)
+                       ->model_count > 0;
+    }
+    return engines <= FAR_MAX;
+}
+
 void
 pgw_guard_links_refresh(struct pgw_guard_links *links)
 {
+    bool all = are_few(links);
     GHashTableIter iter;
     void *value;
 
@@ -318,7 +345,7 @@
             pgw_container_of(item, struct pgw_upstream, in_table);
         struct guard_link *guard;
 
-        if (!upstream->same_zone || upstream->model_count == 0) {
+        if (upstream->model_count == 0 || (!upstream->same_zone && !all)) {
             continue;
         }
         guard = g_hash_table_lookup(links->by_engine, upstream->address_text);
--- a/src/gateway/held_parts.c
+++ b/src/gateway/held_parts.c
@@ -8,6 +8,10 @@
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL),
         .changed =
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL),
+        .long_held =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL),
+        .far_changed =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL),
     };
 }
 
@@ -16,6 +20,8 @@
 {
     g_hash_table_destroy(parts->tokens);
     g_hash_table_destroy(parts->changed);
+    g_hash_table_destroy(parts->long_held);
+    g_hash_table_destroy(parts->far_changed);
 }
 
 void
@@ -23,7 +29,10 @@
 {
     g_hash_table_remove_all(parts->tokens);
     g_hash_table_remove_all(parts->changed);
+    g_hash_table_remove_all(parts->long_held);
+    g_hash_table_remove_all(parts->far_changed);
     parts->reset = true;
+    parts->far_reset = true;
 }
 
 static void *
@@ -32,6 +41,18 @@
     return g_memdup2(&key, sizeof(key));
 }
 
+static void
+note_long(struct pgw_held_parts *parts, const struct pgw_cache_event *event)
+{
+    if (event->tokens >= PGW_LONG_PART_TOKENS) {
+        g_hash_table_add(parts->long_held, copy_key(event->key));
+    }
+    else if (!g_hash_table_remove(parts->long_held, &event->key)) {
+        return;
+    }
+    g_hash_table_add(parts->far_changed, copy_key(event->key));
+}
+
 void
 pgw_held_parts_take(struct pgw_held_parts *parts,
                     const struct pgw_cache_events *events)
@@ -57,6 +78,7 @@
                                  GUINT_TO_POINTER(event->tokens));
         }
         g_hash_table_add(parts->changed, copy_key(event->key));
+        note_long(parts, event);
     }
 }
 
@@ -67,8 +89,12 @@
 }
 
 void
-pgw_held_parts_told(struct pgw_held_parts *parts)
+pgw_held_parts_told(struct pgw_held_parts *parts, bool far)
 {
     g_hash_table_remove_all(parts->changed);
     parts->reset = false;
+    if (far) {
+        g_hash_table_remove_all(parts->far_changed);
+        parts->far_reset = false;
+    }
 }
--- a/src/gateway/held_parts.h
+++ b/src/gateway/held_parts.h
@@ -13,6 +13,10 @@
  * answer rests on.
  */
 
+/* Parts from this size on are long: entries of other zones hear of these
+ * alone, since bytes between zones cost. */
+#define PGW_LONG_PART_TOKENS 1024
+
 /**
  * struct pgw_cache_event - one change of an engine's cache
  * @number: grows by one with each event
@@ -46,15 +50,21 @@
  * @epoch: of the engine's current start
  * @next: where the next call begins
  * @tokens: key -> tokens
- * @changed: keys to be told
+ * @changed: keys to be told to entries of the zone
+ * @long_held: keys of long parts that are held
+ * @far_changed: keys of long parts to be told to the others
  * @reset: what was told before is void
+ * @far_reset: the same for the others
  */
 struct pgw_held_parts {
     uint64_t epoch;
     uint64_t next;
     GHashTable *tokens;
     GHashTable *changed;
+    GHashTable *long_held;
+    GHashTable *far_changed;
     bool reset;
+    bool far_reset;
 };
 
 void pgw_held_parts_init(struct pgw_held_parts *parts);
@@ -71,7 +81,7 @@
 uint32_t pgw_held_parts_tokens(const struct pgw_held_parts *parts,
                                uint64_t key);
 
-/** pgw_held_parts_told() - all changes have been told */
-void pgw_held_parts_told(struct pgw_held_parts *parts);
+/** pgw_held_parts_told() - all changes have been told, to the far ones, too */
+void pgw_held_parts_told(struct pgw_held_parts *parts, bool far);
 
 #endif
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -6,6 +6,8 @@
 /* After this time a report says nothing any more: requests of this size last
  * a few hundred milliseconds. */
 #define LOAD_FADE_US 1000000
+/* A long prompt is read in some hundred milliseconds. */
+#define LONG_FADE_US 400000
 /* Weight of one attempt in the moving failure rate: about the last 16 count.
  */
 #define RATE_WEIGHT (1.0 / 16.0)
@@ -274,13 +276,22 @@
 pgw_upstream_take_load(struct pgw_upstream *upstream,
                        const struct pgw_upstream_load *load, uint64_t now_us)
 {
-    upstream->load = *load;
+    upstream->load.running = load->running;
+    upstream->load.waiting = load->waiting;
     upstream->load_at_us = now_us;
     upstream->load_own = upstream->inflight;
-    upstream->load_own_tokens = upstream->inflight_tokens;
     if (load->slots > 0) {
         upstream->slots = load->slots;
     }
+    if (load->kv_total == 0) {
+        return; /* an answer's head says nothing of memory */
+    }
+    upstream->load.kv_used = load->kv_used;
+    upstream->load.kv_total = load->kv_total;
+    upstream->load.long_prefills = load->long_prefills;
+    upstream->memory_at_us = now_us;
+    upstream->load_own_tokens = upstream->inflight_tokens;
+    upstream->load_own_long = upstream->long_prefills;
 }
 
 /* What others had there when the report was made, fading with its age. */
@@ -309,7 +320,21 @@
 {
     return upstream->inflight_tokens + others(upstream->load.kv_used,
                                               upstream->load_own_tokens,
-                                              upstream->load_at_us, now_us);
+                                              upstream->memory_at_us, now_us);
+}
+
+double
+pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
+                           uint64_t now_us)
+{
+    uint64_t age = now_us - upstream->memory_at_us;
+
+    if (upstream->memory_at_us == 0 || age >= LONG_FADE_US ||
+        upstream->load.long_prefills <= upstream->load_own_long) {
+        return 0;
+    }
+    return (double)(upstream->load.long_prefills - upstream->load_own_long) *
+           (double)(LONG_FADE_US - age) / LONG_FADE_US;
 }
 
 static void
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -16,6 +16,9 @@
  */
 
 #define PGW_UPSTREAM_MODELS_MAX 4
+/* A prompt of which more tokens than this must be read is long: it holds up
+ * the others of its engine for more than an answer's objective leaves. */
+#define PGW_LONG_PREFILL 1500
 
 /**
  * struct pgw_model_version - weights that an engine runs
@@ -56,6 +59,7 @@
  * @running: requests that it runs
  * @waiting: requests in its queue
  * @slots: requests that it runs at once, 0: not said
+ * @long_prefills: long prompts that it is reading
  * @kv_used: tokens of memory that cannot be freed
  * @kv_total: tokens of memory, 0: not said
  */
@@ -63,6 +67,7 @@
     uint32_t running;
     uint32_t waiting;
     uint32_t slots;
+    uint32_t long_prefills;
     uint64_t kv_used;
     uint64_t kv_total;
 };
@@ -78,10 +83,13 @@
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
  * @prefill_tokens: prompt tokens of those without a first event
+ * @long_prefills: how many of these are long
  * @load: last report
  * @load_at_us: when it came, 0: never
+ * @memory_at_us: when it last said what memory is in use, 0: never
  * @load_own: @inflight at that time
  * @load_own_tokens: @inflight_tokens at that time
+ * @load_own_long: @long_prefills at that time
  * @failures: in a row
  * @failure_rate: moving share of failed attempts, 0..1
  * @avoid_until_us: not to be chosen before, while others can be
@@ -112,10 +120,13 @@
     uint32_t inflight;
     uint64_t inflight_tokens;
     uint64_t prefill_tokens;
+    uint32_t long_prefills;
     struct pgw_upstream_load load;
     uint64_t load_at_us;
+    uint64_t memory_at_us;
     uint32_t load_own;
     uint64_t load_own_tokens;
+    uint32_t load_own_long;
     uint32_t failures;
     double failure_rate;
     uint64_t avoid_until_us;
@@ -220,7 +231,11 @@
 uint64_t pgw_upstream_kv_estimate(const struct pgw_upstream *upstream,
                                   uint64_t now_us);
 
-/** pgw_upstream_note() - account the end of an attempt */
+/** pgw_upstream_long_prefills() - long prompts that it reads for others */
+double pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
+                                  uint64_t now_us);
+
+/** pgw_upstream_note()  - account the end of an attempt */
 void pgw_upstream_note(struct pgw_upstream *upstream,
                        enum pgw_attempt_result result, uint64_t now_us);
 
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3122,7 +3122,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[11] =
 {
   {
     "address",
@@ -3244,6 +3244,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "long_prefills",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, long_prefills),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3251,6 +3263,7 @@
   7,   /* field[7] = kv_total */
   6,   /* field[6] = kv_used */
   2,   /* field[2] = loading */
+  10,   /* field[10] = long_prefills */
   3,   /* field[3] = models */
   9,   /* field[9] = parts */
   8,   /* field[8] = parts_reset */
@@ -3260,7 +3273,7 @@
 static const ProtobufCIntRange pgw__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3270,7 +3283,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  10,
+  11,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   1,  pgw__engine_state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -541,10 +541,14 @@
    */
   size_t n_parts;
   Pgw__HeldPart **parts;
+  /*
+   * long prompts that it is reading
+   */
+  uint32_t long_prefills;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
