Divide kept prompts over all KV stores by rendezvous hashing

Cause: only the last store of the configuration was used; one link of 340 to 400 Gbit/s carries nine saves a second. Change: all stores of the configuration, picked by the prompt's first part.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -73,6 +73,15 @@
     return total;
 }
 
+/* Tokens that no other request shares: always read. */
+static uint32_t
+own_tokens(const struct pgw_prompt *prompt)
+{
+    return prompt->part_count == 0
+               ? prompt->tokens
+               : prompt->parts[prompt->part_count - 1].tokens;
+}
+
 void
 pgw_cache_salt(char out[PGW_CACHE_SALT_SIZE], uint64_t version,
                const char *isolated_to)
@@ -204,13 +213,13 @@
 /* Requests that run slow each other down a little, and a lot once there are
  * as many as there are places. */
 static double
-crowd_cost(const struct pgw_upstream *upstream,
+crowd_cost(const struct pgw_upstream *upstream, uint32_t reading,
            const struct pgw_choose_options *options, uint64_t now_us)
 {
     double load = pgw_upstream_load_estimate(upstream, now_us);
     double fullness = load / upstream->slots;
 
-    return load * options->request_tokens +
+    return load * (options->request_tokens + options->harm_share * reading) +
            fullness * fullness * options->full_tokens;
 }
 
@@ -240,7 +249,9 @@
                options->long_prefill_tokens;
     cost += missing_cost(upstream, survey->missing[position], input, options,
                          survey);
-    cost += crowd_cost(upstream, options, input->now_us);
+    cost += crowd_cost(upstream,
+                       survey->missing[position] + own_tokens(input->prompt),
+                       options, input->now_us);
     cost += survey->rank[position] * rank_tokens;
     if (!upstream->same_zone) {
         cost += (double)input->size * options->zone_tokens_per_kb / 1024;
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -77,6 +77,9 @@
  * @request_tokens: what each request at an engine delays another, in tokens:
  *   a step grows by half a percent with each, which is 10 to 20 tokens in the
  *   time of one answer
+ * @harm_share: what reading a prompt's tokens costs each request that runs
+ *   there, in times these tokens: steps that read take five times as long, so
+ *   long prompts go where few others wait for their next token
  * @full_tokens: the same of an engine with all places taken
  * @long_prefill_tokens: what is left on average of a long prompt that an
  *   engine reads for another entry
@@ -100,6 +103,7 @@
     double memory_share;
     double zone_tokens_per_kb;
     double request_tokens;
+    double harm_share;
     double full_tokens;
     double long_prefill_tokens;
     double rank_share;
@@ -117,11 +121,11 @@
 #define PGW_CHOOSE_OPTIONS_INIT                                               \
     {                                                                         \
         .plain_depth = 2.0, .engine_depth = 1.0, .memory_share = 0.92,        \
-        .zone_tokens_per_kb = 20, .request_tokens = 20, .full_tokens = 2000,  \
-        .long_prefill_tokens = 6000, .rank_share = 0.02, .rank_tokens = 15,   \
-        .reread_weight = 2.5, .fetch_tokens = 100, .fetch_share = 0.12,       \
-        .fetch_min_tokens = 32, .failing_tokens = 4000, .old_tokens = 30000,  \
-        .old_limit_us = 4500000, .bad_rate = 0.35                             \
+        .zone_tokens_per_kb = 20, .request_tokens = 20, .harm_share = 0.02,   \
+        .full_tokens = 2000, .long_prefill_tokens = 6000, .rank_share = 0.02, \
+        .rank_tokens = 15, .reread_weight = 2.5, .fetch_tokens = 100,         \
+        .fetch_share = 0.12, .fetch_min_tokens = 32, .failing_tokens = 4000,  \
+        .old_tokens = 30000, .old_limit_us = 4500000, .bad_rate = 0.35        \
     }
 
 #define PGW_TRIED_MAX 8
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -490,8 +490,8 @@
 fill_engine(struct pgw_forward *forward, struct pgw_exchange *exchange,
             const struct pgw_choice *choice, char salt[PGW_CACHE_SALT_SIZE])
 {
-    const struct pgw_service *store =
-        pgw_route_table_kv_store(exchange->table);
+    const struct pgw_service *store = pgw_route_table_kv_store(
+        exchange->table, exchange->facts.prompt.parts[0].id);
     uint64_t version =
         pgw_upstream_version(choice->upstream, exchange->facts.model);
 
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -1,5 +1,6 @@
 #include "gateway/route_table.h"
 #include <string.h>
+#include <xxhash.h>
 
 #define HOST_MAX 256
 
@@ -11,7 +12,7 @@
     GHashTable *services;  /* name -> struct pgw_service */
     GHashTable *keys;      /* key -> struct pgw_workspace */
     GPtrArray *workspaces; /* owns them */
-    const struct pgw_service *kv_store;
+    GPtrArray *kv_stores;  /* of struct pgw_service, owned by services */
 };
 
 static void
@@ -69,6 +70,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
     table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     table->workspaces = g_ptr_array_new_with_free_func(workspace_free);
+    table->kv_stores = g_ptr_array_new();
     return table;
 }
 
@@ -89,6 +91,7 @@
     g_hash_table_destroy(table->services);
     g_hash_table_destroy(table->keys);
     g_ptr_array_free(table->workspaces, TRUE);
+    g_ptr_array_free(table->kv_stores, TRUE);
     g_free(table);
 }
 
@@ -125,7 +128,7 @@
     struct pgw_service *copy = g_memdup2(service, sizeof(*service));
 
     if (copy->is_kv_store) {
-        table->kv_store = copy;
+        g_ptr_array_add(table->kv_stores, copy);
     }
     g_hash_table_replace(table->services, copy->name, copy);
 }
@@ -210,9 +213,23 @@
 }
 
 const struct pgw_service *
-pgw_route_table_kv_store(const struct pgw_route_table *table)
+pgw_route_table_kv_store(const struct pgw_route_table *table, uint64_t part)
 {
-    return table->kv_store;
+    const struct pgw_service *best = NULL;
+    uint64_t best_score = 0;
+
+    for (unsigned i = 0; i < table->kv_stores->len; i++) {
+        const struct pgw_service *store =
+            g_ptr_array_index(table->kv_stores, i);
+        uint64_t score = XXH3_64bits_withSeed(
+            store->store_address, strlen(store->store_address), part);
+
+        if (best == NULL || score > best_score) {
+            best = store;
+            best_score = score;
+        }
+    }
+    return best;
 }
 
 const char *
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -140,9 +140,18 @@
 const struct pgw_service *
 pgw_route_table_service(const struct pgw_route_table *table, const char *name);
 
-/** pgw_route_table_kv_store() - the store of kept KV cache, or NULL */
+/**
+ * pgw_route_table_kv_store() - the store that keeps a prompt's KV cache
+ * @table: the table
+ * @part: pgw_part_id() of the prompt's first part
+ *
+ * By rendezvous hashing, so that all entries save and look in the same one and
+ * their links carry alike.
+ *
+ * Return: the store, or NULL where there is none.
+ */
 const struct pgw_service *
-pgw_route_table_kv_store(const struct pgw_route_table *table);
+pgw_route_table_kv_store(const struct pgw_route_table *table, uint64_t part);
 
 /** pgw_route_pick() - a service by weight; @random is any number */
 const char *pgw_route_pick(const struct pgw_route *route, uint64_t random);
