Test the gateway between sockets that a test holds

18 scenes: what may run once is never sent twice, a stream resumes behind the last whole event, a late answer of another request reaches nobody, callers that leave free their upstream, waiting goes by urgency.

--- /dev/null
+++ b/tests/unit/scene_gateway.c
@@ -0,0 +1,372 @@
+#include "scene_gateway.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LOOPBACK "127.0.0.1"
+
+static int
+listen_anywhere(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+                    0);
+    g_assert_cmpint(listen(fd, 16), ==, 0);
+    return fd;
+}
+
+static unsigned
+port_of(int fd)
+{
+    struct sockaddr_in address;
+    socklen_t size = sizeof(address);
+
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    return ntohs(address.sin_port);
+}
+
+static void
+set_timeout(int fd)
+{
+    struct timeval limit = {.tv_sec = SCENE_TIMEOUT_S};
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+}
+
+struct job {
+    struct pgw_task task;
+    struct scene *scene;
+    void (*run)(struct scene *scene);
+    GMutex lock;
+    GCond cond;
+    bool done;
+};
+
+static void
+job_run(struct pgw_task *task)
+{
+    struct job *job = pgw_container_of(task, struct job, task);
+
+    job->run(job->scene);
+    g_mutex_lock(&job->lock);
+    job->done = true;
+    g_cond_signal(&job->cond);
+    g_mutex_unlock(&job->lock);
+}
+
+void
+scene_run(struct scene *scene, void (*run)(struct scene *scene))
+{
+    struct job job = {.task.run = job_run, .scene = scene, .run = run};
+
+    g_mutex_init(&job.lock);
+    g_cond_init(&job.cond);
+    pgw_loop_post(scene->loop, &job.task);
+    g_mutex_lock(&job.lock);
+    while (!job.done) {
+        g_cond_wait(&job.cond, &job.lock);
+    }
+    g_mutex_unlock(&job.lock);
+    g_mutex_clear(&job.lock);
+    g_cond_clear(&job.cond);
+}
+
+static void
+add_route(struct pgw_route_table *table, const char *prefix,
+          const struct pgw_route *terms)
+{
+    struct pgw_route route = *terms;
+
+    route.name = g_strdup(prefix);
+    route.host = g_strdup("h.example");
+    route.path_prefix = g_strdup(prefix);
+    route.targets = g_new0(struct pgw_route_target, 1);
+    route.target_count = 1;
+    route.targets[0].service = g_strdup("service");
+    route.targets[0].weight = 1;
+    if (route.timeout_ms == 0) {
+        route.timeout_ms = SCENE_TIMEOUT_S * 1000;
+    }
+    route.max_attempts = 3;
+    pgw_route_table_add_route(table, &route);
+}
+
+static void
+add_routes(struct pgw_route_table *table)
+{
+    add_route(table, "/once/", &(struct pgw_route){.priority = 1});
+    add_route(table, "/first/", &(struct pgw_route){.priority = 0});
+    add_route(table, "/again/", &(struct pgw_route){.repeatable = true});
+    add_route(table, "/flow/",
+              &(struct pgw_route){.stream = true, .resumable = true});
+    add_route(table, "/brook/", &(struct pgw_route){.stream = true});
+    add_route(table, "/late/", &(struct pgw_route){.timeout_ms = 300});
+    add_route(table, "/open/", &(struct pgw_route){.open = true});
+}
+
+static struct pgw_route_table *next_table;
+
+static void
+apply_table(struct scene *scene)
+{
+    pgw_gateway_set_routes(scene->gateway, next_table);
+    pgw_route_table_unref(next_table);
+}
+
+void
+scene_set_routes(struct scene *scene, uint64_t version, bool with_key)
+{
+    const char *keys[] = {with_key ? SCENE_KEY : "other-key", NULL};
+    struct pgw_workspace workspace = {.name = g_strdup("parish")};
+
+    next_table = pgw_route_table_new(version);
+    add_routes(next_table);
+    pgw_route_table_add_workspace(next_table, &workspace, keys);
+    scene_run(scene, apply_table);
+}
+
+static void
+put_upstreams(struct scene *scene)
+{
+    for (unsigned i = 0; i < scene->upstreams; i++) {
+        char address[32];
+        char id[8];
+        struct pgw_upstream_facts facts = {
+            .id = id,
+            .service = "service",
+            .address = address,
+            .zone = "a",
+            .slots = 1,
+        };
+
+        g_snprintf(id, sizeof(id), "u%u", i);
+        g_snprintf(address, sizeof(address), LOOPBACK ":%u",
+                   port_of(scene->listeners[i]));
+        pgw_upstream_table_put(pgw_gateway_upstreams(scene->gateway), &facts);
+    }
+    pgw_gateway_pump(scene->gateway);
+}
+
+static void *
+loop_main(void *loop)
+{
+    pgw_loop_run(loop);
+    return NULL;
+}
+
+struct scene *
+scene_new(unsigned upstreams)
+{
+    struct scene *scene = g_new0(struct scene, 1);
+    struct pgw_gateway_options options = {
+        .instance = "gateway",
+        .zone = "a",
+        .codec = &platform_codec,
+        .retry = PGW_RETRY_OPTIONS_INIT,
+        .choose = PGW_CHOOSE_OPTIONS_INIT,
+        .wait_share = 0.9,
+        .hedge_share = 1000,
+    };
+
+    g_assert_true(pgw_address_parse(&options.listen, LOOPBACK ":0", NULL));
+    /* One place means one request at a time. */
+    options.choose.plain_depth = 1.0;
+    scene->loop = pgw_loop_new(NULL);
+    scene->gateway = pgw_gateway_new(scene->loop, &options, NULL);
+    g_assert_nonnull(scene->gateway);
+    scene->upstreams = upstreams;
+    for (unsigned i = 0; i < upstreams; i++) {
+        scene->listeners[i] = listen_anywhere();
+    }
+    pthread_create(&scene->thread, NULL, loop_main, scene->loop);
+    scene_run(scene, put_upstreams);
+    return scene;
+}
+
+void
+scene_free(struct scene *scene)
+{
+    pgw_loop_stop(scene->loop);
+    pthread_join(scene->thread, NULL);
+    pgw_gateway_free(scene->gateway);
+    pgw_loop_free(scene->loop);
+    for (unsigned i = 0; i < scene->upstreams; i++) {
+        close(scene->listeners[i]);
+    }
+    g_free(scene);
+}
+
+void
+scene_send(int fd, const char *text)
+{
+    size_t size = strlen(text);
+
+    while (size > 0) {
+        ssize_t sent = send(fd, text, size, MSG_NOSIGNAL);
+
+        g_assert_cmpint(sent, >, 0);
+        text += sent;
+        size -= (size_t)sent;
+    }
+}
+
+int
+scene_call(struct scene *scene, const char *path, const char *id)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    char *text = g_strdup_printf("POST %s HTTP/1.1\r\n"
+                                 "Host: h.example\r\n"
+                                 "Attempt-Id: %s\r\n"
+                                 "Deadline-Ms: 60000\r\n"
+                                 "Authorization: Bearer " SCENE_KEY "\r\n"
+                                 "Content-Length: 4\r\n\r\nbody",
+                                 path, id);
+
+    inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
+    address.sin_port = htons(pgw_gateway_port(scene->gateway));
+    set_timeout(fd);
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    scene_send(fd, text);
+    g_free(text);
+    return fd;
+}
+
+int
+scene_accept(struct scene *scene, unsigned upstream)
+{
+    struct pollfd waits = {.fd = scene->listeners[upstream], .events = POLLIN};
+    int fd;
+
+    g_assert_cmpint(poll(&waits, 1, SCENE_TIMEOUT_S * 1000), ==, 1);
+    fd = accept(scene->listeners[upstream], NULL, NULL);
+    set_timeout(fd);
+    return fd;
+}
+
+int
+scene_accept_any(struct scene *scene, unsigned *upstream)
+{
+    struct pollfd waits[SCENE_UPSTREAMS];
+
+    for (unsigned i = 0; i < scene->upstreams; i++) {
+        waits[i] =
+            (struct pollfd){.fd = scene->listeners[i], .events = POLLIN};
+    }
+    g_assert_cmpint(poll(waits, scene->upstreams, SCENE_TIMEOUT_S * 1000), >,
+                    0);
+    for (*upstream = 0; waits[*upstream].revents == 0; (*upstream)++) {
+    }
+    return scene_accept(scene, *upstream);
+}
+
+bool
+scene_is_quiet(struct scene *scene, unsigned upstream)
+{
+    struct pollfd waits = {.fd = scene->listeners[upstream], .events = POLLIN};
+
+    return poll(&waits, 1, 0) == 0;
+}
+
+char *
+scene_read_until(int fd, const char *text)
+{
+    GString *out = g_string_new(NULL);
+
+    while (strstr(out->str, text) == NULL) {
+        char byte;
+        ssize_t got = recv(fd, &byte, 1, 0);
+
+        if (got <= 0) {
+            g_error("the connection ended before '%s' came, after: %s", text,
+                    out->str);
+        }
+        g_string_append_c(out, byte);
+    }
+    return g_string_free(out, FALSE);
+}
+
+char *
+scene_read_request(int fd)
+{
+    char *head = scene_read_until(fd, "\r\n\r\n");
+    char *body = scene_read_until(fd, "body");
+    char *whole = g_strconcat(head, body, NULL);
+
+    g_free(head);
+    g_free(body);
+    return whole;
+}
+
+char *
+scene_read_all(int fd)
+{
+    GString *out = g_string_new(NULL);
+    char buffer[4096];
+    ssize_t got;
+
+    while ((got = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+        g_string_append_len(out, buffer, got);
+    }
+    g_assert_true(got == 0 || errno == ECONNRESET);
+    return g_string_free(out, FALSE);
+}
+
+void
+scene_answer(int fd, const char *id, unsigned status, const char *fields,
+             const char *body)
+{
+    char *text = g_strdup_printf("HTTP/1.1 %u X\r\nAttempt-Id: %s\r\n"
+                                 "Server-Seal: s.%s\r\n%s"
+                                 "Content-Length: %zu\r\n\r\n%s",
+                                 status, id, id, fields, strlen(body), body);
+
+    scene_send(fd, text);
+    g_free(text);
+}
+
+void
+scene_refuse(int fd)
+{
+    scene_send(fd, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"
+                   "Content-Length: 0\r\n\r\n");
+}
+
+void
+scene_begin_stream(int fd, const char *id)
+{
+    char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+                                 "Server-Seal: s.%s\r\n"
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n",
+                                 id, id);
+
+    scene_send(fd, text);
+    g_free(text);
+}
+
+void
+scene_chunk(int fd, const char *text)
+{
+    char *chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(text), text);
+
+    scene_send(fd, chunk);
+    g_free(chunk);
+}
+
+void
+scene_reset(int fd)
+{
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    close(fd);
+}
--- /dev/null
+++ b/tests/unit/test_gateway.c
@@ -0,0 +1,500 @@
+#include "scene_gateway.h"
+#include "util/log.h"
+#include <string.h>
+#include <unistd.h>
+
+static void
+assert_has(const char *text, const char *part)
+{
+    if (strstr(text, part) == NULL) {
+        g_error("'%s' is missing in: %s", part, text);
+    }
+}
+
+static void
+assert_lacks(const char *text, const char *part)
+{
+    if (strstr(text, part) != NULL) {
+        g_error("'%s' should not be in: %s", part, text);
+    }
+}
+
+/* Reads an answer with "ok" as body and closes the caller. */
+static void
+expect_ok(int caller)
+{
+    char *answer = scene_read_until(caller, "\r\n\r\nok");
+
+    assert_has(answer, "HTTP/1.1 200 ");
+    assert_has(answer, "Server-Seal: ");
+    g_free(answer);
+    close(caller);
+}
+
+static void
+expect_status(int caller, const char *status)
+{
+    char *answer = scene_read_until(caller, "}}");
+
+    g_assert_true(g_str_has_prefix(answer, status));
+    assert_lacks(answer, "Server-Seal");
+    g_free(answer);
+    close(caller);
+}
+
+static struct scene *
+ready_scene(unsigned upstreams)
+{
+    struct scene *scene = scene_new(upstreams);
+
+    scene_set_routes(scene, 5, true);
+    return scene;
+}
+
+static void
+test_passes_on_unchanged(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/a%20b?q=1", "id-1");
+    int upstream = scene_accept(scene, 0);
+    char *request = scene_read_request(upstream);
+
+    g_assert_true(g_str_has_prefix(request, "POST /once/a%20b?q=1 HTTP/1.1"));
+    assert_has(request, "\r\nTenant: parish\r\n");
+    assert_has(request, "\r\nExpect-Instance: u0\r\n");
+    assert_has(request, "\r\nDeadline-Ms: 1");
+    assert_lacks(request, SCENE_KEY);
+    g_free(request);
+    scene_answer(upstream, "id-1", 200, "X-Mine: 1\r\n", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
+static void
+test_who_may_not_ask(void)
+{
+    struct scene *scene = scene_new(1);
+
+    expect_status(scene_call(scene, "/once/", "a"), "HTTP/1.1 503 ");
+    scene_set_routes(scene, 5, false);
+    expect_status(scene_call(scene, "/once/", "b"), "HTTP/1.1 401 ");
+    expect_status(scene_call(scene, "/none/", "c"), "HTTP/1.1 404 ");
+    g_assert_true(scene_is_quiet(scene, 0));
+    scene_free(scene);
+}
+
+/*
+ * The caller's key is taken away and a late copy of the older configuration
+ * comes afterwards. The caller must stay out: versions never go back.
+ */
+static void
+test_revoked_key_stays_revoked(void)
+{
+    struct scene *scene = ready_scene(1);
+
+    scene_set_routes(scene, 9, false);
+    scene_set_routes(scene, 5, true);
+    expect_status(scene_call(scene, "/once/", "a"), "HTTP/1.1 401 ");
+    scene_free(scene);
+}
+
+/*
+ * The first upstream says that it did not run the call, so the second may,
+ * although the call must run once. When all say so, the caller is told that it
+ * has not run and when to come back.
+ */
+static void
+test_not_run_goes_on(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/once/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    int two;
+
+    g_free(scene_read_request(one));
+    scene_refuse(one);
+    two = scene_accept(scene, 1 - first);
+    g_free(scene_read_request(two));
+    scene_answer(two, "a", 200, "", "ok");
+    expect_ok(caller);
+    close(one);
+    close(two);
+    scene_free(scene);
+}
+
+static void
+test_all_refuse(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+    char *answer;
+
+    g_free(scene_read_request(upstream));
+    scene_refuse(upstream);
+    close(scene_call(scene, "/none/", "b")); /* the loop serves on */
+    answer = scene_read_until(caller, "}}");
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503 "));
+    assert_has(answer, "Retry-After: ");
+    assert_has(answer, "\"ran\":\"no\"");
+    g_free(answer);
+    close(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
+/*
+ * The upstream takes a call that must run once and breaks off. It may have run
+ * it, so no other upstream gets it and the caller is not told "not run".
+ */
+static void
+test_broken_call_is_not_repeated(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/once/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+
+    g_free(scene_read_request(one));
+    scene_reset(one);
+    expect_status(caller, "HTTP/1.1 502 ");
+    g_assert_true(scene_is_quiet(scene, 1 - first));
+    scene_free(scene);
+}
+
+static void
+test_broken_repeatable_call_is_repeated(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/again/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    int two;
+
+    g_free(scene_read_request(one));
+    scene_reset(one);
+    two = scene_accept(scene, 1 - first);
+    g_free(scene_read_request(two));
+    scene_answer(two, "a", 200, "", "ok");
+    expect_ok(caller);
+    close(two);
+    scene_free(scene);
+}
+
+/*
+ * One upstream answers a request twice; the second answer arrives where the
+ * next request's answer is due. The next caller must get its own.
+ */
+static void
+test_foreign_answer_is_passed_over(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/again/", "a");
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(caller);
+    caller = scene_call(scene, "/again/", "b");
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "a", 200, "", "not yours");
+    scene_answer(upstream, "b", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
+/*
+ * Bytes follow a whole answer. They belong to no request: the connection is
+ * not used again, and the next caller's request comes on a new one.
+ */
+static void
+test_odd_connection_is_dropped(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/again/", "a");
+    int upstream = scene_accept(scene, 0);
+    int second;
+
+    g_free(scene_read_request(upstream));
+    scene_send(upstream, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"
+                         "Server-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+                         "HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nx");
+    expect_ok(caller);
+    caller = scene_call(scene, "/again/", "b");
+    second = scene_accept(scene, 0);
+    g_free(scene_read_request(second));
+    scene_answer(second, "b", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    close(second);
+    scene_free(scene);
+}
+
+/* A success that no upstream vouches for is not passed on as one. */
+static void
+test_answer_without_mark(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    scene_send(upstream, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok");
+    expect_status(caller, "HTTP/1.1 502 ");
+    close(upstream);
+    scene_free(scene);
+}
+
+/* An answer without a length whose connection is reset is cut short. */
+static void
+test_reset_is_no_end(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    scene_send(upstream, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"
+                         "Server-Seal: s\r\n\r\nhalf");
+    scene_reset(upstream);
+    expect_status(caller, "HTTP/1.1 502 ");
+    scene_free(scene);
+}
+
+/*
+ * An engine dies in the middle of the caller's third event. The caller sees
+ * events 1 to 4 once each and in order, in one answer that ends properly: the
+ * second engine goes on behind event 2.
+ */
+static void
+test_stream_resumes(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/flow/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    int two;
+    char *request;
+    char *answer;
+
+    g_free(scene_read_request(one));
+    scene_begin_stream(one, "a");
+    scene_chunk(one, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\nda");
+    g_free(scene_read_until(caller, "id: 2\ndata: x\n\n"));
+    scene_reset(one);
+    two = scene_accept(scene, 1 - first);
+    request = scene_read_request(two);
+    assert_has(request, "\r\nLast-Event-Id: 2\r\n");
+    g_free(request);
+    scene_begin_stream(two, "a");
+    scene_chunk(two, "id: 3\ndata: y\n\n");
+    scene_chunk(two, "id: 4\ndata: y\n\n");
+    scene_send(two, "0\r\n\r\n");
+    answer = scene_read_until(caller, "\r\n0\r\n\r\n");
+    assert_has(answer, "id: 3\ndata: y\n\n");
+    assert_has(answer, "id: 4\ndata: y\n\n");
+    assert_lacks(answer, "HTTP/1.1");
+    assert_lacks(answer, "data: x");
+    g_free(answer);
+    close(caller);
+    close(two);
+    scene_free(scene);
+}
+
+/*
+ * A stream that may not be resumed breaks: the caller's connection ends
+ * without the last chunk, so that half an answer does not look whole.
+ */
+static void
+test_broken_stream_shows(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/brook/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    char *answer;
+
+    g_free(scene_read_request(one));
+    scene_begin_stream(one, "a");
+    scene_chunk(one, "id: 1\ndata: x\n\n");
+    g_free(scene_read_until(caller, "id: 1\ndata: x\n\n"));
+    scene_reset(one);
+    answer = scene_read_all(caller);
+    assert_lacks(answer, "0\r\n\r\n");
+    g_free(answer);
+    g_assert_true(scene_is_quiet(scene, 1 - first));
+    close(caller);
+    scene_free(scene);
+}
+
+/* The next upstream answers a resumed stream with a failure of its own: that
+ * must not end the caller's answer as if it were whole. */
+static void
+test_failed_resumption_is_no_end(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/flow/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    int two;
+    char *answer;
+
+    g_free(scene_read_request(one));
+    scene_begin_stream(one, "a");
+    scene_chunk(one, "id: 1\ndata: x\n\n");
+    g_free(scene_read_until(caller, "id: 1\ndata: x\n\n"));
+    scene_reset(one);
+    two = scene_accept(scene, 1 - first);
+    g_free(scene_read_request(two));
+    scene_answer(two, "a", 400, "", "no");
+    answer = scene_read_all(caller);
+    assert_lacks(answer, "0\r\n\r\n");
+    g_free(answer);
+    close(two);
+    close(caller);
+    scene_free(scene);
+}
+
+/*
+ * The caller leaves while its request runs. What may be repeated is cancelled,
+ * which the upstream sees as a closed connection; what must run once is left
+ * to end.
+ */
+static void
+test_caller_leaves(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/again/", "a");
+    int upstream = scene_accept(scene, 0);
+    char *rest;
+
+    g_free(scene_read_request(upstream));
+    close(caller);
+    rest = scene_read_all(upstream);
+    g_assert_cmpstr(rest, ==, "");
+    g_free(rest);
+    close(upstream);
+    caller = scene_call(scene, "/once/", "b");
+    upstream = scene_accept(scene, 0);
+    g_free(scene_read_request(upstream));
+    close(caller);
+    scene_answer(upstream, "b", 200, "", "ok");
+    caller = scene_call(scene, "/once/", "c");
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "c", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
+/*
+ * The only place is taken and two requests wait, the less urgent one first.
+ * When the place becomes free the urgent one gets it.
+ */
+static void
+test_urgent_request_goes_first(void)
+{
+    struct scene *scene = ready_scene(1);
+    int running = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+    int later;
+    int sooner;
+    char *request;
+
+    g_free(scene_read_request(upstream));
+    later = scene_call(scene, "/once/", "b");
+    /* A refusal that comes back shows that the one before it was read. */
+    expect_status(scene_call(scene, "/none/", "x"), "HTTP/1.1 404 ");
+    sooner = scene_call(scene, "/first/", "c");
+    expect_status(scene_call(scene, "/none/", "y"), "HTTP/1.1 404 ");
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(running);
+    request = scene_read_request(upstream);
+    assert_has(request, "POST /first/");
+    g_free(request);
+    scene_answer(upstream, "c", 200, "", "ok");
+    expect_ok(sooner);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "b", 200, "", "ok");
+    expect_ok(later);
+    close(upstream);
+    scene_free(scene);
+}
+
+/* The route's time passes while an upstream is silent: the caller hears that
+ * nothing is known, and the upstream's connection is closed. */
+static void
+test_route_timeout(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/late/", "a");
+    int upstream = scene_accept(scene, 0);
+    char *rest;
+
+    g_free(scene_read_request(upstream));
+    expect_status(caller, "HTTP/1.1 504 ");
+    rest = scene_read_all(upstream);
+    g_free(rest);
+    close(upstream);
+    scene_free(scene);
+}
+
+static void
+begin_drain(struct scene *scene)
+{
+    pgw_gateway_drain(scene->gateway);
+}
+
+/* A planned stop: what runs is answered, and the answer ends its connection.
+ */
+static void
+test_drain(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+    char *answer;
+
+    g_free(scene_read_request(upstream));
+    scene_run(scene, begin_drain);
+    scene_answer(upstream, "a", 200, "", "ok");
+    answer = scene_read_all(caller);
+    assert_has(answer, "Connection: close\r\n");
+    assert_has(answer, "\r\n\r\nok");
+    g_free(answer);
+    close(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
+    g_test_add_func("/gateway/unchanged", test_passes_on_unchanged);
+    g_test_add_func("/gateway/who_may_not_ask", test_who_may_not_ask);
+    g_test_add_func("/gateway/revoked", test_revoked_key_stays_revoked);
+    g_test_add_func("/gateway/not_run", test_not_run_goes_on);
+    g_test_add_func("/gateway/all_refuse", test_all_refuse);
+    g_test_add_func("/gateway/broken_once", test_broken_call_is_not_repeated);
+    g_test_add_func("/gateway/broken_again",
+                    test_broken_repeatable_call_is_repeated);
+    g_test_add_func("/gateway/foreign_answer",
+                    test_foreign_answer_is_passed_over);
+    g_test_add_func("/gateway/odd_connection", test_odd_connection_is_dropped);
+    g_test_add_func("/gateway/answer_without_mark", test_answer_without_mark);
+    g_test_add_func("/gateway/reset_is_no_end", test_reset_is_no_end);
+    g_test_add_func("/gateway/stream_resumes", test_stream_resumes);
+    g_test_add_func("/gateway/broken_stream", test_broken_stream_shows);
+    g_test_add_func("/gateway/failed_resumption",
+                    test_failed_resumption_is_no_end);
+    g_test_add_func("/gateway/caller_leaves", test_caller_leaves);
+    g_test_add_func("/gateway/urgent_first", test_urgent_request_goes_first);
+    g_test_add_func("/gateway/route_timeout", test_route_timeout);
+    g_test_add_func("/gateway/drain", test_drain);
+    return g_test_run();
+}
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -1,6 +1,7 @@
 #include "decode.h"
 #include "gateway/route_table.h"
 #include "settings.h"
+#include "util/log.h"
 #include <glib/gstdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -150,6 +151,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
     g_test_add_func("/platform_decode/config", test_config);
     g_test_add_func("/platform_decode/bad", test_bad_documents);
     g_test_add_func("/platform_decode/server", test_server);
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -1,4 +1,5 @@
 #include "gateway/upstream_table.h"
+#include "util/log.h"
 
 #define NOW UINT64_C(100000000)
 
@@ -121,6 +122,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
     g_test_add_func("/upstream_table/leaving", test_leaving_is_sticky);
     g_test_add_func("/upstream_table/bad_address",
                     test_bad_address_is_not_taken);
