--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -8,18 +8,40 @@
 /* Seeds that do not answer are tried again after this time and up to twice as
  * long, so that a herd that starts together does not come in step. */
 #define RECONNECT_US 500000
-/* A peer that has not been heard of is asked by keep-alive probes of the
- * kernel; frames are sent only when there is news. */
+/* What changes within this time is announced together. */
+#define NEWS_US 150000
+/* An entry that knows less than a peer waits so long for the store to tell it
+ * before it asks: its own watch takes changes together for 350 ms. A leaving
+ * upstream or a revoked key is known everywhere within a second. */
+#define ASK_AFTER_US 450000
+/* Kinds of objects that are passed on. */
+#define KINDS_MAX 8
+
+/**
+ * struct revisions - how far each kind has come
+ * @kinds: names, owned
+ * @reached: newest revision of each
+ * @count: number of @kinds
+ */
+struct revisions {
+    char *kinds[KINDS_MAX];
+    uint64_t reached[KINDS_MAX];
+    size_t count;
+};
 
 /**
  * struct peer - one connection to another entry
  * @seed: index of the seed that it leads to, -1: it came to us
+ * @has: what it says that it has reached
+ * @told: what it was told that we have reached
  */
 struct peer {
     struct pgw_list in_mesh;
     struct pgw_mesh *mesh;
     struct pgw_link *link;
     int seed;
+    struct revisions has;
+    struct revisions told;
 };
 
 struct seed {
@@ -33,6 +55,9 @@
     struct pgw_loop *loop;
     struct pgw_mesh_options options;
     struct pgw_documents *documents;
+    struct revisions reached;
+    struct pgw_timer news_timer;
+    struct pgw_timer ask_timer;
     struct pgw_listener *listener;
     struct pgw_list peers;
     struct seed *seeds;
@@ -75,36 +100,154 @@
     g_free(pointers);
 }
 
+static uint64_t
+reached(const struct revisions *revisions, const char *kind)
+{
+    for (size_t i = 0; i < revisions->count; i++) {
+        if (strcmp(revisions->kinds[i], kind) == 0) {
+            return revisions->reached[i];
+        }
+    }
+    return 0;
+}
+
+static void
+raise_to(struct revisions *revisions, const char *kind, uint64_t revision)
+{
+    size_t i = 0;
+
+    while (i < revisions->count && strcmp(revisions->kinds[i], kind) != 0) {
+        i++;
+    }
+    if (i == KINDS_MAX) {
+        pgw_log_warning("too_many_kinds", "kind=%s", kind);
+        return;
+    }
+    if (i == revisions->count) {
+        revisions->kinds[i] = g_strdup(kind);
+        revisions->count++;
+    }
+    revisions->reached[i] = MAX(revisions->reached[i], revision);
+}
+
+static void
+revisions_clear(struct revisions *revisions)
+{
+    for (size_t i = 0; i < revisions->count; i++) {
+        g_free(revisions->kinds[i]);
+    }
+    revisions->count = 0;
+}
+
+static void
+send_news(struct pgw_link *link, const struct revisions *revisions, bool ask)
+{
+    Pgw__News message = PGW__NEWS__INIT;
+    Pgw__KindRevision kinds[KINDS_MAX];
+    Pgw__KindRevision *pointers[KINDS_MAX];
+
+    for (size_t i = 0; i < revisions->count; i++) {
+        pgw__kind_revision__init(&kinds[i]);
+        kinds[i].kind = revisions->kinds[i];
+        kinds[i].revision = revisions->reached[i];
+        pointers[i] = &kinds[i];
+    }
+    message.n_kinds = revisions->count;
+    message.kinds = pointers;
+    message.ask = ask;
+    pgw_link_send(link, PGW_FRAME_NEWS, &message.base);
+}
+
+/* Tells a peer how far we are, unless it is as far or was told. */
+static void
+tell_peer(struct peer *peer)
+{
+    const struct revisions *own = &peer->mesh->reached;
+    bool news = false;
+
+    for (size_t i = 0; i < own->count; i++) {
+        const char *kind = own->kinds[i];
+
+        if (own->reached[i] > reached(&peer->has, kind) &&
+            own->reached[i] > reached(&peer->told, kind)) {
+            news = true;
+        }
+    }
+    if (!news) {
+        return;
+    }
+    send_news(peer->link, own, false);
+    for (size_t i = 0; i < own->count; i++) {
+        raise_to(&peer->told, own->kinds[i], own->reached[i]);
+    }
+}
+
+static void
+news_due(struct pgw_timer *timer)
+{
+    struct pgw_mesh *mesh =
+        pgw_container_of(timer, struct pgw_mesh, news_timer);
+
+    pgw_list_foreach (link, &mesh->peers) {
+        tell_peer(pgw_container_of(link, struct peer, in_mesh));
+    }
+}
+
+static bool
+is_ahead(const struct peer *peer)
+{
+    for (size_t i = 0; i < peer->has.count; i++) {
+        if (peer->has.reached[i] >
+            reached(&peer->mesh->reached, peer->has.kinds[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Asks one peer that is ahead; if it does not answer, another one follows. */
 static void
-pass_on(struct pgw_mesh *mesh, const struct pgw_document *document,
-        const struct peer *from)
+ask_due(struct pgw_timer *timer)
 {
+    struct pgw_mesh *mesh =
+        pgw_container_of(timer, struct pgw_mesh, ask_timer);
+
     pgw_list_foreach (link, &mesh->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, in_mesh);
 
-        if (peer != from) {
-            send_documents(peer->link, &document, 1);
+        if (!is_ahead(peer) || !pgw_link_is_open(peer->link)) {
+            continue;
         }
+        pgw_log_info("ask_peer", "seed=%d", peer->seed);
+        send_news(peer->link, &mesh->reached, true);
+        /* The one that was asked goes behind the others. */
+        pgw_list_remove(&peer->in_mesh);
+        pgw_list_append(&mesh->peers, &peer->in_mesh);
+        pgw_timer_start(mesh->loop, &mesh->ask_timer, ASK_AFTER_US);
+        return;
     }
 }
 
 static void
-take_document(struct pgw_mesh *mesh, const struct pgw_document *document,
-              const struct peer *from)
+take_document(struct pgw_mesh *mesh, const struct pgw_document *document)
 {
     const struct pgw_document *stored =
         pgw_documents_put(mesh->documents, document);
 
-    if (stored != NULL) {
-        pass_on(mesh, stored, from);
-        mesh->options.on_document(stored, mesh->options.context);
+    if (stored == NULL) {
+        return;
+    }
+    raise_to(&mesh->reached, stored->kind, stored->revision);
+    if (mesh->news_timer.position == 0) {
+        pgw_timer_start(mesh->loop, &mesh->news_timer, NEWS_US);
     }
+    mesh->options.on_document(stored, mesh->options.context);
 }
 
 void
 pgw_mesh_put(struct pgw_mesh *mesh, const struct pgw_document *document)
 {
-    take_document(mesh, document, NULL);
+    take_document(mesh, document);
 }
 
 static void
@@ -120,10 +263,51 @@
         .body = body,
     };
 
-    take_document(peer->mesh, &document, peer);
+    take_document(peer->mesh, &document);
     g_free(body);
 }
 
+/* Everything that is newer than what a peer has reached. */
+static void
+answer_peer(struct peer *peer, const struct revisions *since)
+{
+    GPtrArray *all = pgw_documents_list(peer->mesh->documents, NULL);
+    GPtrArray *newer = g_ptr_array_new();
+
+    for (unsigned i = 0; i < all->len; i++) {
+        struct pgw_document *document = g_ptr_array_index(all, i);
+
+        if (document->revision > reached(since, document->kind)) {
+            g_ptr_array_add(newer, document);
+        }
+    }
+    send_documents(peer->link,
+                   (const struct pgw_document *const *)newer->pdata,
+                   newer->len);
+    g_ptr_array_unref(newer);
+    g_ptr_array_unref(all);
+}
+
+static void
+take_news(struct peer *peer, const Pgw__News *news)
+{
+    struct pgw_mesh *mesh = peer->mesh;
+    struct revisions since = {0};
+
+    for (size_t i = 0; i < news->n_kinds; i++) {
+        raise_to(&peer->has, news->kinds[i]->kind, news->kinds[i]->revision);
+        raise_to(&since, news->kinds[i]->kind, news->kinds[i]->revision);
+    }
+    if (news->ask) {
+        answer_peer(peer, &since);
+    }
+    else if (is_ahead(peer) && mesh->ask_timer.position == 0) {
+        pgw_timer_start(mesh->loop, &mesh->ask_timer,
+                        mesh->reached.count == 0 ? 0 : ASK_AFTER_US);
+    }
+    revisions_clear(&since);
+}
+
 static bool
 on_frame(struct pgw_link *link, enum pgw_frame_type type,
          ProtobufCMessage *message, void *context)
@@ -136,6 +320,9 @@
             take_frame_document(context, documents->documents[i]);
         }
     }
+    else if (type == PGW_FRAME_NEWS) {
+        take_news(context, (const Pgw__News *)message);
+    }
     return false;
 }
 
@@ -159,6 +346,8 @@
         start_reconnect(&mesh->seeds[peer->seed]);
     }
     pgw_list_remove(&peer->in_mesh);
+    revisions_clear(&peer->has);
+    revisions_clear(&peer->told);
     g_free(peer);
 }
 
@@ -170,12 +359,8 @@
 static void
 add_peer(struct peer *peer)
 {
-    GPtrArray *all = pgw_documents_list(peer->mesh->documents, NULL);
-
     pgw_list_append(&peer->mesh->peers, &peer->in_mesh);
-    send_documents(peer->link, (const struct pgw_document *const *)all->pdata,
-                   all->len);
-    g_ptr_array_unref(all);
+    tell_peer(peer);
 }
 
 static void
@@ -252,6 +437,8 @@
     mesh->options = *options;
     pgw_list_init(&mesh->peers);
     mesh->documents = pgw_documents_new();
+    mesh->news_timer.on_due = news_due;
+    mesh->ask_timer.on_due = ask_due;
     mesh->listener =
         pgw_listener_new(loop, &options->listen, on_accept, mesh, error);
     if (mesh->listener == NULL) {
@@ -276,8 +463,11 @@
     for (size_t i = 0; i < mesh->seed_count; i++) {
         pgw_timer_stop(mesh->loop, &mesh->seeds[i].timer);
     }
+    pgw_timer_stop(mesh->loop, &mesh->news_timer);
+    pgw_timer_stop(mesh->loop, &mesh->ask_timer);
     pgw_listener_free(mesh->listener);
     pgw_documents_free(mesh->documents);
+    revisions_clear(&mesh->reached);
     g_free(mesh->seeds);
     g_free(mesh->instance);
     g_free(mesh->zone);
@@ -290,6 +480,12 @@
     return mesh->documents;
 }
 
+uint16_t
+pgw_mesh_port(const struct pgw_mesh *mesh)
+{
+    return pgw_listener_port(mesh->listener);
+}
+
 unsigned
 pgw_mesh_peers(const struct pgw_mesh *mesh)
 {
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -8,11 +8,13 @@
 /**
  * DOC: Entries that tell each other the platform's news
  *
- * Each entry connects to the few seeds that its settings name; seeds pass on
- * what they hear. An entry that the platform's store turns away, or that
- * starts while the store is down, so learns of configurations, revoked keys
- * and leaving upstreams from the others. Nothing is decided here: copies are
- * compared by the platform's own revisions.
+ * Each entry connects to the few seeds that its settings name. Entries say
+ * which revision of each kind they have reached, and who stays behind asks for
+ * what it lacks. An entry that the platform's store turns away, or that starts
+ * while the store is down, so learns of configurations, revoked keys and
+ * leaving upstreams from the others; one that hears from the store itself asks
+ * for nothing, so that copies are not sent twice. Nothing is decided here:
+ * copies are compared by the platform's own revisions.
  */
 
 struct pgw_mesh;
@@ -49,6 +51,9 @@
 /** pgw_mesh_documents() - what is known */
 const struct pgw_documents *pgw_mesh_documents(const struct pgw_mesh *mesh);
 
+/** pgw_mesh_port() - the port that it listens on */
+uint16_t pgw_mesh_port(const struct pgw_mesh *mesh);
+
 /** pgw_mesh_peers() - open connections to other entries */
 unsigned pgw_mesh_peers(const struct pgw_mesh *mesh);
 
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -21,6 +21,7 @@
         [PGW_FRAME_DOCUMENTS] = &pgw__documents__descriptor,
         [PGW_FRAME_ENGINE_STATE] = &pgw__engine_state__descriptor,
         [PGW_FRAME_LOAD_WEIGHTS] = &pgw__load_weights__descriptor,
+        [PGW_FRAME_NEWS] = &pgw__news__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -817,6 +817,96 @@
   assert(message->base.descriptor == &pgw__documents__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__kind_revision__init
+                     (Pgw__KindRevision         *message)
+{
+  static const Pgw__KindRevision init_value = PGW__KIND_REVISION__INIT;
+  *message = init_value;
+}
+size_t pgw__kind_revision__get_packed_size
+                     (const Pgw__KindRevision *message)
+{
+  assert(message->base.descriptor == &pgw__kind_revision__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__kind_revision__pack
+                     (const Pgw__KindRevision *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__kind_revision__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__kind_revision__pack_to_buffer
+                     (const Pgw__KindRevision *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__kind_revision__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__KindRevision *
+       pgw__kind_revision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__KindRevision *)
+     protobuf_c_message_unpack (&pgw__kind_revision__descriptor,
+                                allocator, len, data);
+}
+void   pgw__kind_revision__free_unpacked
+                     (Pgw__KindRevision *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__kind_revision__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__news__init
+                     (Pgw__News         *message)
+{
+  static const Pgw__News init_value = PGW__NEWS__INIT;
+  *message = init_value;
+}
+size_t pgw__news__get_packed_size
+                     (const Pgw__News *message)
+{
+  assert(message->base.descriptor == &pgw__news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__news__pack
+                     (const Pgw__News *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__news__pack_to_buffer
+                     (const Pgw__News *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__News *
+       pgw__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__News *)
+     protobuf_c_message_unpack (&pgw__news__descriptor,
+                                allocator, len, data);
+}
+void   pgw__news__free_unpacked
+                     (Pgw__News *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pgw__engine_model__init
                      (Pgw__EngineModel         *message)
 {
@@ -3020,6 +3110,108 @@
   (ProtobufCMessageInit) pgw__documents__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__kind_revision__field_descriptors[2] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__KindRevision, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__KindRevision, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__kind_revision__field_indices_by_name[] = {
+  0,   /* field[0] = kind */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange pgw__kind_revision__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__kind_revision__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.KindRevision",
+  "KindRevision",
+  "Pgw__KindRevision",
+  "pgw",
+  sizeof(Pgw__KindRevision),
+  2,
+  pgw__kind_revision__field_descriptors,
+  pgw__kind_revision__field_indices_by_name,
+  1,  pgw__kind_revision__number_ranges,
+  (ProtobufCMessageInit) pgw__kind_revision__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__news__field_descriptors[2] =
+{
+  {
+    "kinds",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__News, n_kinds),
+    offsetof(Pgw__News, kinds),
+    &pgw__kind_revision__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__News, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__news__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  0,   /* field[0] = kinds */
+};
+static const ProtobufCIntRange pgw__news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.News",
+  "News",
+  "Pgw__News",
+  "pgw",
+  sizeof(Pgw__News),
+  2,
+  pgw__news__field_descriptors,
+  pgw__news__field_indices_by_name,
+  1,  pgw__news__number_ranges,
+  (ProtobufCMessageInit) pgw__news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pgw__engine_model__field_descriptors[2] =
 {
   {
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -33,6 +33,8 @@
 typedef struct Pgw__Objects Pgw__Objects;
 typedef struct Pgw__Document Pgw__Document;
 typedef struct Pgw__Documents Pgw__Documents;
+typedef struct Pgw__KindRevision Pgw__KindRevision;
+typedef struct Pgw__News Pgw__News;
 typedef struct Pgw__EngineModel Pgw__EngineModel;
 typedef struct Pgw__HeldPart Pgw__HeldPart;
 typedef struct Pgw__EngineState Pgw__EngineState;
@@ -474,6 +476,36 @@
     , 0,NULL }
 
 
+/*
+ * The newest revision of a kind that an entry knows of, or from which on it asks
+ * for copies.
+ */
+struct  Pgw__KindRevision
+{
+  ProtobufCMessage base;
+  char *kind;
+  uint64_t revision;
+};
+#define PGW__KIND_REVISION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__kind_revision__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Pgw__News
+{
+  ProtobufCMessage base;
+  size_t n_kinds;
+  Pgw__KindRevision **kinds;
+  /*
+   * send what is newer than these
+   */
+  protobuf_c_boolean ask;
+};
+#define PGW__NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__news__descriptor) \
+    , 0,NULL, 0 }
+
+
 struct  Pgw__EngineModel
 {
   ProtobufCMessage base;
@@ -915,6 +947,44 @@
 void   pgw__documents__free_unpacked
                      (Pgw__Documents *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__KindRevision methods */
+void   pgw__kind_revision__init
+                     (Pgw__KindRevision         *message);
+size_t pgw__kind_revision__get_packed_size
+                     (const Pgw__KindRevision   *message);
+size_t pgw__kind_revision__pack
+                     (const Pgw__KindRevision   *message,
+                      uint8_t             *out);
+size_t pgw__kind_revision__pack_to_buffer
+                     (const Pgw__KindRevision   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__KindRevision *
+       pgw__kind_revision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__kind_revision__free_unpacked
+                     (Pgw__KindRevision *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__News methods */
+void   pgw__news__init
+                     (Pgw__News         *message);
+size_t pgw__news__get_packed_size
+                     (const Pgw__News   *message);
+size_t pgw__news__pack
+                     (const Pgw__News   *message,
+                      uint8_t             *out);
+size_t pgw__news__pack_to_buffer
+                     (const Pgw__News   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__News *
+       pgw__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__news__free_unpacked
+                     (Pgw__News *message,
+                      ProtobufCAllocator *allocator);
 /* Pgw__EngineModel methods */
 void   pgw__engine_model__init
                      (Pgw__EngineModel         *message);
@@ -1047,6 +1117,12 @@
 typedef void (*Pgw__Documents_Closure)
                  (const Pgw__Documents *message,
                   void *closure_data);
+typedef void (*Pgw__KindRevision_Closure)
+                 (const Pgw__KindRevision *message,
+                  void *closure_data);
+typedef void (*Pgw__News_Closure)
+                 (const Pgw__News *message,
+                  void *closure_data);
 typedef void (*Pgw__EngineModel_Closure)
                  (const Pgw__EngineModel *message,
                   void *closure_data);
@@ -1083,6 +1159,8 @@
 extern const ProtobufCMessageDescriptor pgw__objects__descriptor;
 extern const ProtobufCMessageDescriptor pgw__document__descriptor;
 extern const ProtobufCMessageDescriptor pgw__documents__descriptor;
+extern const ProtobufCMessageDescriptor pgw__kind_revision__descriptor;
+extern const ProtobufCMessageDescriptor pgw__news__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_model__descriptor;
 extern const ProtobufCMessageDescriptor pgw__held_part__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_state__descriptor;
--- /dev/null
+++ b/tests/unit/test_mesh.c
@@ -0,0 +1,146 @@
+#include "gateway/mesh.h"
+#include "util/log.h"
+#include <string.h>
+
+#define ENTRIES 3
+
+/**
+ * struct fleet - entries on one loop; the first one is everybody's seed
+ * @heard: documents that each heard of
+ * @wanted: stop once the last entry has heard of so many
+ */
+struct fleet {
+    struct pgw_loop *loop;
+    struct pgw_mesh *meshes[ENTRIES];
+    struct pgw_timer limit;
+    unsigned heard[ENTRIES];
+    unsigned wanted;
+    bool late;
+};
+
+struct hearer {
+    struct fleet *fleet;
+    unsigned index;
+};
+
+static struct hearer hearers[ENTRIES];
+
+static void
+on_document(const struct pgw_document *document, void *context)
+{
+    struct hearer *hearer = context;
+    struct fleet *fleet = hearer->fleet;
+
+    (void)document;
+    fleet->heard[hearer->index]++;
+    if (fleet->heard[ENTRIES - 1] >= fleet->wanted) {
+        pgw_loop_stop(fleet->loop);
+    }
+}
+
+static void
+limit_due(struct pgw_timer *timer)
+{
+    struct fleet *fleet = pgw_container_of(timer, struct fleet, limit);
+
+    fleet->late = true;
+    pgw_loop_stop(fleet->loop);
+}
+
+static void
+add_entry(struct fleet *fleet, unsigned index)
+{
+    struct pgw_address seed;
+    char text[32];
+    struct pgw_mesh_options options = {
+        .seeds = &seed,
+        .seed_count = index > 0,
+        .instance = "e",
+        .zone = "a",
+        .on_document = on_document,
+        .context = &hearers[index],
+    };
+    GError *error = NULL;
+
+    g_assert_true(pgw_address_parse(&options.listen, "127.0.0.1:0", NULL));
+    if (index > 0) {
+        g_snprintf(text, sizeof(text), "127.0.0.1:%u",
+                   pgw_mesh_port(fleet->meshes[0]));
+        g_assert_true(pgw_address_parse(&seed, text, NULL));
+    }
+    hearers[index] = (struct hearer){.fleet = fleet, .index = index};
+    fleet->meshes[index] = pgw_mesh_new(fleet->loop, &options, &error);
+    g_assert_no_error(error);
+}
+
+static struct pgw_document
+make(uint64_t revision, bool deleted)
+{
+    return (struct pgw_document){
+        .kind = (char *)"config",
+        .name = (char *)"main",
+        .revision = revision,
+        .deleted = deleted,
+        .body = (char *)"{}",
+    };
+}
+
+/*
+ * Only the second entry reaches the platform's store. The third one starts
+ * without anything and hears, through the seed, of what was known before it
+ * started and of what changes afterwards; a late old copy changes nothing.
+ */
+static void
+test_news_reach_who_hears_nothing(void)
+{
+    struct fleet fleet = {.wanted = 1};
+    struct pgw_document document = make(4, false);
+
+    fleet.loop = pgw_loop_new(NULL);
+    fleet.limit.on_due = limit_due;
+    pgw_timer_start(fleet.loop, &fleet.limit, 20000000);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        add_entry(&fleet, i);
+    }
+    pgw_mesh_put(fleet.meshes[1], &document);
+    pgw_loop_run(fleet.loop);
+    g_assert_false(fleet.late);
+    g_assert_cmpuint(pgw_documents_find(pgw_mesh_documents(fleet.meshes[2]),
+                                        "config", "main")
+                         ->revision,
+                     ==, 4);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        pgw_mesh_free(fleet.meshes[i]);
+    }
+    pgw_timer_stop(fleet.loop, &fleet.limit);
+    pgw_loop_free(fleet.loop);
+}
+
+static void
+test_old_copies_are_dropped(void)
+{
+    struct fleet fleet = {.wanted = 99};
+    struct pgw_document newest = make(9, true);
+    struct pgw_document older = make(8, false);
+
+    fleet.loop = pgw_loop_new(NULL);
+    add_entry(&fleet, 0);
+    pgw_mesh_put(fleet.meshes[0], &newest);
+    pgw_mesh_put(fleet.meshes[0], &older);
+    g_assert_cmpuint(fleet.heard[0], ==, 1);
+    g_assert_true(pgw_documents_find(pgw_mesh_documents(fleet.meshes[0]),
+                                     "config", "main")
+                      ->deleted);
+    pgw_mesh_free(fleet.meshes[0]);
+    pgw_loop_free(fleet.loop);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
+    g_test_add_func("/mesh/news", test_news_reach_who_hears_nothing);
+    g_test_add_func("/mesh/old_copies", test_old_copies_are_dropped);
+    return g_test_run();
+}
