Let an address belong to the newest line that names it

Cause: after all machines lost power, engines came back at their addresses under new ids while the old lines had not lapsed; half of the requests went to the old ids, came back 421 and were refused once the repeats were spent. Change: a newer line of an address takes the place of the older; an upstream at whose address another incarnation answers is left alone.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -9,7 +9,7 @@
 bool
 pgw_upstream_is_usable(const struct pgw_upstream *upstream, uint64_t now_us)
 {
-    if (upstream->leaving || upstream->removed) {
+    if (upstream->leaving || upstream->removed || upstream->displaced) {
         return false;
     }
     if (upstream->lapsed_until_us > 0 && now_us >= upstream->lapsed_until_us) {
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -73,6 +73,7 @@
  * @id: the attempt that it answers, NULL: not said
  * @genuine: it bears the mark of an upstream's own answer
  * @not_run: the upstream states that it did not run the request
+ * @instance: incarnation that answered, NULL: not said
  * @has_load: @load is set
  * @load: its load
  * @weights: version that computes the answer, 0: not said
@@ -82,6 +83,7 @@
     const char *id;
     bool genuine;
     bool not_run;
+    const char *instance;
     bool has_load;
     struct pgw_upstream_load load;
     uint64_t weights;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -226,6 +226,13 @@
     exchange->not_run = facts.not_run;
     exchange->is_stream = facts.is_stream && head->status < 300;
     if (facts.not_run) {
+        /* The list still names an incarnation that is no more. */
+        if (facts.instance != NULL &&
+            strcmp(facts.instance, exchange->upstream->id) != 0) {
+            pgw_log_info("upstream_displaced", "upstream=%s by=%s",
+                         exchange->upstream->id, facts.instance);
+            exchange->upstream->displaced = true;
+        }
         return true;
     }
     if (!facts.genuine) {
--- a/src/gateway/http_reader.c
+++ b/src/gateway/http_reader.c
@@ -196,7 +196,7 @@
             head->values[i] = (uint32_t)head->text->len;
         }
         if (!is_token(pgw_http_head_name(head, i))) {
-                        return -1;
+            return -1;
         }
     }
     parser->upgrade = 0;
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -132,20 +132,51 @@
     return upstream;
 }
 
+/*
+ * Failure: an upstream crashes and is back under the same address, or another
+ * service gets the address, while the line of the one before has not lapsed.
+ * Symptom: half of the requests go to an incarnation that is not there and
+ * come back "not run" until the line lapses after seconds. An address belongs
+ * to the newest line that names it.
+ *
+ * Return: false when another line is newer than @facts.
+ */
+static bool
+claim_address(struct pgw_upstream_table *table,
+              const struct pgw_upstream_facts *facts)
+{
+    pgw_list_foreach_safe (link, &table->all) {
+        struct pgw_upstream *other =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        if (strcmp(other->address_text, facts->address) != 0 ||
+            strcmp(other->id, facts->id) == 0) {
+            continue;
+        }
+        if (other->revision > facts->revision) {
+            return false;
+        }
+        pgw_log_info("upstream_replaced", "upstream=%s by=%s", other->id,
+                     facts->id);
+        pgw_upstream_table_remove(table, other);
+    }
+    return true;
+}
+
 struct pgw_upstream *
 pgw_upstream_table_put(struct pgw_upstream_table *table,
                        const struct pgw_upstream_facts *facts)
 {
     struct pgw_upstream *upstream = pgw_upstream_table_find(table, facts->id);
-    bool is_new = upstream == NULL;
-
-    if (is_new) {
+    if (upstream == NULL && claim_address(table, facts)) {
         upstream = upstream_new(table, facts);
     }
     if (upstream == NULL) {
         return NULL;
     }
     upstream->slots = MAX(facts->slots, 1);
+    upstream->revision = facts->revision;
+    upstream->displaced = false;
     upstream->lapsed_until_us = 0;
     /*
      * Failure: an old copy of the list arrives late and says "ready" of an
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -37,6 +37,7 @@
  * @address: "IP:PORT"
  * @zone: its availability zone
  * @slots: requests that it runs at once
+ * @revision: of this line in the list
  * @leaving: it finishes what it has and goes
  * @cold_ms: how much longer it stays slow after its start
  * @models: weights, for engines
@@ -48,6 +49,7 @@
     const char *address;
     const char *zone;
     uint32_t slots;
+    uint64_t revision;
     bool leaving;
     uint32_t cold_ms;
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
@@ -75,6 +77,8 @@
 /**
  * struct pgw_upstream - one upstream
  * @references: held by the table and by each request on its way
+ * @revision: of its line in the list
+ * @displaced: another incarnation answered at its address
  * @removed: no longer in the list
  * @lapsed_until_us: dropped from the list while the platform's store was away;
  *   counts as there until then, 0: is in the list
@@ -108,7 +112,9 @@
     uint64_t id_hash;
     bool same_zone;
     uint32_t slots;
+    uint64_t revision;
     bool leaving;
+    bool displaced;
     bool removed;
     uint64_t lapsed_until_us;
     uint64_t cold_until_us;
@@ -166,7 +172,8 @@
  * @table: the table
  * @facts: copied
  *
- * Return: the upstream, or NULL when the address makes no sense.
+ * Return: the upstream, or NULL when the address makes no sense or belongs to
+ * a newer line.
  */
 struct pgw_upstream *
 pgw_upstream_table_put(struct pgw_upstream_table *table,
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -124,6 +124,39 @@
     scene_free(scene);
 }
 
+/*
+ * Another incarnation answers at an upstream's address. It did not run the
+ * request, so the next one gets it, and nothing more is sent to the first
+ * although nobody said yet that it is gone.
+ */
+static void
+test_displaced_upstream_is_left_alone(void)
+{
+    struct scene *scene = ready_scene(2);
+    int caller = scene_call(scene, "/once/", "a");
+    unsigned first;
+    int one = scene_accept_any(scene, &first);
+    int two;
+
+    g_free(scene_read_request(one));
+    scene_send(one, "HTTP/1.1 421 Other\r\nInstance-Id: i-new\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    two = scene_accept(scene, 1 - first);
+    g_free(scene_read_request(two));
+    scene_answer(two, "a", 200, "", "ok");
+    expect_ok(caller);
+    for (unsigned i = 0; i < 3; i++) {
+        caller = scene_call(scene, "/again/", "b");
+        g_free(scene_read_request(two));
+        scene_answer(two, "b", 200, "", "ok");
+        expect_ok(caller);
+    }
+    g_assert_true(scene_is_quiet(scene, first));
+    close(one);
+    close(two);
+    scene_free(scene);
+}
+
 static void
 test_all_refuse(void)
 {
@@ -479,6 +512,8 @@
     g_test_add_func("/gateway/who_may_not_ask", test_who_may_not_ask);
     g_test_add_func("/gateway/revoked", test_revoked_key_stays_revoked);
     g_test_add_func("/gateway/not_run", test_not_run_goes_on);
+    g_test_add_func("/gateway/displaced",
+                    test_displaced_upstream_is_left_alone);
     g_test_add_func("/gateway/all_refuse", test_all_refuse);
     g_test_add_func("/gateway/broken_once", test_broken_call_is_not_repeated);
     g_test_add_func("/gateway/broken_again",
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -30,6 +30,31 @@
     pgw_upstream_table_free(table);
 }
 
+/*
+ * An upstream crashes and is back at its address under a new id; the line of
+ * the old one has not lapsed yet. Requests go to the new one alone, in
+ * whichever order the lines are read.
+ */
+static void
+test_address_belongs_to_the_newest(void)
+{
+    for (unsigned order = 0; order < 2; order++) {
+        struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+        struct pgw_upstream_facts facts[] = {
+            {.id = "old", .service = "s", .zone = "a", .revision = 3},
+            {.id = "new", .service = "s", .zone = "a", .revision = 8},
+        };
+
+        facts[0].address = facts[1].address = "127.0.0.1:1";
+        pgw_upstream_table_put(table, &facts[order]);
+        pgw_upstream_table_put(table, &facts[1 - order]);
+        g_assert_nonnull(pgw_upstream_table_find(table, "new"));
+        g_assert_null(pgw_upstream_table_find(table, "old"));
+        g_assert_cmpuint(pgw_upstream_table_service(table, "s")->len, ==, 1);
+        pgw_upstream_table_free(table);
+    }
+}
+
 static void
 test_bad_address_is_not_taken(void)
 {
@@ -124,6 +149,8 @@
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/upstream_table/leaving", test_leaving_is_sticky);
+    g_test_add_func("/upstream_table/address",
+                    test_address_belongs_to_the_newest);
     g_test_add_func("/upstream_table/bad_address",
                     test_bad_address_is_not_taken);
     g_test_add_func("/upstream_table/removed",
