--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -523,7 +523,7 @@
 start_listening(struct pgw_caller_server *server,
                 const struct pgw_address *address)
 {
-    struct sockaddr_storage bound;
+    struct sockaddr_storage bound = {0};
     socklen_t size = sizeof(bound);
     int one = 1;
     int fd = socket(address->storage.ss_family,
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -109,7 +109,7 @@
 
 /** pgw_engine_guard_name_weights() - weights that the engine is to run */
 void pgw_engine_guard_name_weights(struct pgw_engine_guard *guard,
-                                   const char *model, uint64_t version,
+                                   const char *name, uint64_t version,
                                    uint32_t turn, const char *instance);
 
 #endif
