--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -380,7 +380,7 @@
         self.path = f"{soak.dir}/{role}-{index}"
         with open(self.path + ".conf", "w", encoding="ascii") as out:
             out.write("".join(f"{k}={v}\n" for k, v in settings.items()))
-                self.process, self.started_at = None, 0.0
+        self.process, self.started_at = None, 0.0
 
     async def start(self):
         self.started_at = time.monotonic()
@@ -395,7 +395,7 @@
             self.process.send_signal(number)
 
     async def stop(self, number):
-                age = time.monotonic() - self.started_at
+        age = time.monotonic() - self.started_at
         self.signal(number)
         code = await self.process.wait()
         if code == -signal.SIGTERM and age < STARTING_S:
