--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -807,6 +807,12 @@
     return guard;
 }
 
+uint16_t
+pgw_engine_guard_port(const struct pgw_engine_guard *guard)
+{
+    return pgw_listener_port(guard->listener);
+}
+
 unsigned
 pgw_engine_guard_entries(const struct pgw_engine_guard *guard)
 {
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -104,6 +104,9 @@
 void pgw_engine_guard_take_token(struct pgw_engine_guard *guard,
                                  uint64_t token);
 
+/** pgw_engine_guard_port() - where entries connect */
+uint16_t pgw_engine_guard_port(const struct pgw_engine_guard *guard);
+
 /** pgw_engine_guard_entries() - entries that are connected */
 unsigned pgw_engine_guard_entries(const struct pgw_engine_guard *guard);
 
--- /dev/null
+++ b/tests/unit/test_platform_feed.c
@@ -0,0 +1,188 @@
+#include "scene_gateway.h"
+
+#include "feed.h"
+#include "util/log.h"
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/**
+ * struct follower - a feed on a thread, the test is the store
+ * @news: lines "name revision deleted" in the order of their coming
+ */
+struct follower {
+    struct pgw_loop *loop;
+    struct platform_store *store;
+    struct platform_feed *feed;
+    struct pgw_documents *known;
+    pthread_t thread;
+    int listener;
+    GMutex lock;
+    GString *news;
+};
+
+static void
+on_document(const struct pgw_document *document, void *context)
+{
+    struct follower *self = context;
+
+    if (pgw_documents_put(self->known, document) == NULL) {
+        return;
+    }
+    g_mutex_lock(&self->lock);
+    g_string_append_printf(self->news, "%s %d;", document->name,
+                           (int)document->deleted);
+    g_mutex_unlock(&self->lock);
+}
+
+static void *
+loop_main(void *loop)
+{
+    pgw_loop_run(loop);
+    return NULL;
+}
+
+static struct follower *
+follow(void)
+{
+    struct follower *self = g_new0(struct follower, 1);
+    struct pgw_address address;
+    struct platform_feed_options options = {
+        .kind = "servers",
+        .on_document = on_document,
+        .context = self,
+    };
+
+    g_mutex_init(&self->lock);
+    self->news = g_string_new(NULL);
+    self->known = pgw_documents_new();
+    options.known = self->known;
+    g_assert_true(pgw_address_parse(&address, "127.0.0.1:0", NULL));
+    self->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(bind(self->listener, (struct sockaddr *)&address.storage,
+                         address.size),
+                    ==, 0);
+    g_assert_cmpint(listen(self->listener, 8), ==, 0);
+    getsockname(self->listener, (struct sockaddr *)&address.storage,
+                &address.size);
+    self->loop = pgw_loop_new(NULL);
+    self->store = platform_store_new(self->loop, &address);
+    self->feed = platform_feed_new(self->loop, self->store, &options);
+    pthread_create(&self->thread, NULL, loop_main, self->loop);
+    return self;
+}
+
+static void
+stop(struct follower *self)
+{
+    pgw_loop_stop(self->loop);
+    pthread_join(self->thread, NULL);
+    platform_feed_free(self->feed);
+    platform_store_free(self->store);
+    pgw_loop_free(self->loop);
+    pgw_documents_free(self->known);
+    close(self->listener);
+    g_string_free(self->news, TRUE);
+    g_mutex_clear(&self->lock);
+    g_free(self);
+}
+
+/* Answers the next call, which must contain @asked. */
+static void
+serve(int fd, const char *asked, unsigned status, const char *body)
+{
+    char *head = scene_read_until(fd, "\r\n\r\n");
+
+    if (strstr(head, asked) == NULL) {
+        g_error("asked for %s instead of %s", head, asked);
+    }
+    g_free(head);
+    scene_answer(fd, "s", status, "", body);
+}
+
+static void
+expect_news(struct follower *self, const char *news)
+{
+    g_mutex_lock(&self->lock);
+    g_assert_cmpstr(self->news->str, ==, news);
+    g_string_truncate(self->news, 0);
+    g_mutex_unlock(&self->lock);
+}
+
+#define OBJECT(name, revision)                                                \
+    "{\"metadata\":{\"name\":\"" name "\",\"revision\":" revision             \
+    "},\"specification\":{\"a\":1}}"
+
+/*
+ * A list in two pages, then changes. The store drops its history while a
+ * server leaves: the next list lacks it, and that is news of its deletion,
+ * while what the list still has, unchanged, is no news.
+ */
+static void
+test_history_is_lost(void)
+{
+    struct follower *self = follow();
+    int fd = accept(self->listener, NULL, NULL);
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[" OBJECT("a", "3") "],\"has_more\":true,"
+                                          "\"current_rev\":7}");
+    serve(fd, "servers?after=a ", 200,
+          "{\"items\":[" OBJECT("b", "5") "],\"has_more\":false,"
+                                          "\"current_rev\":8}");
+    serve(fd, "servers?watch=7&", 200,
+          "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
+              "c", "9") "}],\"current_rev\":9}");
+    serve(fd, "servers?watch=9&", 410, "{}");
+    expect_news(self, "a 0;b 0;c 0;");
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[" OBJECT("a", "3") "," OBJECT(
+              "c", "11") "],\"has_more\":false,\"current_rev\":12}");
+    serve(fd, "servers?watch=12&", 200, "{\"events\":[],\"current_rev\":12}");
+    serve(fd, "servers?watch=12&", 200, "{\"events\":[],\"current_rev\":12}");
+    expect_news(self, "c 0;b 1;");
+    close(fd);
+    stop(self);
+}
+
+/*
+ * The store turns the entry away, cuts a watch and comes back: the watch goes
+ * on where it was, and an event that comes twice is news once.
+ */
+static void
+test_trouble_and_return(void)
+{
+    struct follower *self = follow();
+    int fd = accept(self->listener, NULL, NULL);
+
+    serve(fd, "GET /api/objects/servers HTTP", 503, "");
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":7}");
+    g_free(scene_read_until(fd, "\r\n\r\n"));
+    scene_reset(fd);
+    fd = accept(self->listener, NULL, NULL);
+    serve(
+        fd, "servers?watch=7&", 200,
+        "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
+            "a",
+            "8") "},{\"deleted\":true,\"object\":" OBJECT("a",
+                                                          "8") "}],\"current_"
+                                                               "rev\":9}");
+    serve(fd, "servers?watch=9&", 200,
+          "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
+              "a", "8") "}],\"current_rev\":9}");
+    serve(fd, "servers?watch=9&", 200, "{\"events\":[],\"current_rev\":9}");
+    expect_news(self, "a 0;a 1;");
+    close(fd);
+    stop(self);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
+    g_test_add_func("/platform_feed/history", test_history_is_lost);
+    g_test_add_func("/platform_feed/trouble", test_trouble_and_return);
+    return g_test_run();
+}
