--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -109,7 +109,16 @@
     if (exchange->runs >= MAX(route->max_attempts, 1)) {
         return false;
     }
+#ifndef PGW_DISABLE_GATEWAY_ONCE
+    /*
+     * Failure: an upstream takes a request and breaks off. Symptom when it is
+     * sent again: a record is written twice. Only the route says what may be
+     * repeated, and only streams that may be resumed go on elsewhere.
+     */
     return route->stream ? route->resumable : route->repeatable;
+#else
+    return true;
+#endif
 }
 
 static bool
@@ -216,12 +225,14 @@
      * or twice. Symptom: a caller gets another caller's answer. The name of
      * the attempt is echoed, so an answer of another name is passed over.
      */
+#ifndef PGW_DISABLE_GATEWAY_FOREIGN
     if (facts.id != NULL && strcmp(facts.id, exchange->facts.id) != 0) {
         pgw_metric_counter_add(&skipped, 1);
         pgw_log_warning("foreign_answer", "request=%s upstream=%s",
                         exchange->facts.id, exchange->upstream->id);
         return false;
     }
+#endif
     if (facts.has_load) {
         pgw_upstream_take_load(exchange->upstream, &facts.load, pgw_now_us());
     }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -104,10 +104,12 @@
      * Symptom: a revoked key works again, a request goes to a service that
      * its route left. Versions only grow, so a lower one is always old.
      */
+#ifndef PGW_DISABLE_GATEWAY_ROUTES
     if (gateway->routes != NULL &&
         version <= pgw_route_table_version(gateway->routes)) {
         return false;
     }
+#endif
     pgw_route_table_unref(gateway->routes);
     gateway->routes = pgw_route_table_ref(table);
     pgw_caller_server_set_limits(gateway->server,
--- a/src/gateway/held_parts.c
+++ b/src/gateway/held_parts.c
@@ -62,10 +62,12 @@
      * they were read. Symptom: parts that are long gone count as held, and
      * prompts go where they are read again. Nothing of before is kept.
      */
+#ifndef PGW_DISABLE_GATEWAY_HELD
     if (events->epoch != parts->epoch || events->gap) {
         pgw_held_parts_clear(parts);
         parts->epoch = events->epoch;
     }
+#endif
     parts->next = events->next;
     for (size_t i = 0; i < events->count; i++) {
         const struct pgw_cache_event *event = &events->events[i];
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -145,6 +145,7 @@
 claim_address(struct pgw_upstream_table *table,
               const struct pgw_upstream_facts *facts)
 {
+#ifndef PGW_DISABLE_GATEWAY_ADDRESS
     pgw_list_foreach_safe (link, &table->all) {
         struct pgw_upstream *other =
             pgw_container_of(link, struct pgw_upstream, in_table);
@@ -160,6 +161,7 @@
                      facts->id);
         pgw_upstream_table_remove(table, other);
     }
+#endif
     return true;
 }
 
@@ -183,7 +185,11 @@
      * upstream that is leaving. Symptom: it is given requests that it drops.
      * One that leaves never comes back under the same id, so leaving stays.
      */
+#ifndef PGW_DISABLE_GATEWAY_LEAVING
     upstream->leaving = upstream->leaving || facts->leaving;
+#else
+    upstream->leaving = facts->leaving;
+#endif
     upstream->cold_until_us =
         facts->cold_ms == 0
             ? 0
