Bound repeats service by service and by the number of entries

Cause: one bucket of an eighth of the slack for all services: 31 entries could spend four times the deployment's slack, and the requests of a large service could pay for the repeats of a small one that fails. Change: a bucket for each service; the slack is divided by the entries that the sidecars count (the highest number of the last 5 s).

--- a/include/parsleygw/retry.h
+++ b/include/parsleygw/retry.h
@@ -46,6 +46,10 @@
 /** pgw_retry_budget_free() - free a bucket; NULL is allowed */
 void pgw_retry_budget_free(struct pgw_retry_budget *budget);
 
+/** pgw_retry_budget_set_burst() - another size; what is beyond it is lost */
+void pgw_retry_budget_set_burst(struct pgw_retry_budget *budget,
+                                uint32_t burst);
+
 /** pgw_retry_budget_deposit() - account one first attempt */
 void pgw_retry_budget_deposit(struct pgw_retry_budget *budget);
 
--- /dev/null
+++ b/src/gateway/budgets.c
@@ -0,0 +1,77 @@
+#include "gateway/budgets.h"
+
+struct pgw_budgets {
+    struct pgw_budgets_options options;
+    GHashTable *by_service;
+};
+
+struct pgw_budgets *
+pgw_budgets_new(const struct pgw_budgets_options *options)
+{
+    struct pgw_budgets *budgets = g_new0(struct pgw_budgets, 1);
+
+    budgets->options = *options;
+    budgets->by_service =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                              (GDestroyNotify)pgw_retry_budget_free);
+    return budgets;
+}
+
+void
+pgw_budgets_free(struct pgw_budgets *budgets)
+{
+    g_hash_table_destroy(budgets->by_service);
+    g_free(budgets);
+}
+
+static uint32_t
+own_slack(const struct pgw_budgets *budgets)
+{
+    return MAX(budgets->options.slack / MAX(budgets->options.entries, 1), 1);
+}
+
+void
+pgw_budgets_set_entries(struct pgw_budgets *budgets, uint32_t entries)
+{
+    GHashTableIter iter;
+    void *budget;
+
+    if (entries == 0 || entries == budgets->options.entries) {
+        return;
+    }
+    budgets->options.entries = entries;
+    g_hash_table_iter_init(&iter, budgets->by_service);
+    while (g_hash_table_iter_next(&iter, NULL, &budget)) {
+        pgw_retry_budget_set_burst(budget, own_slack(budgets));
+    }
+}
+
+static struct pgw_retry_budget *
+get(struct pgw_budgets *budgets, const char *service)
+{
+    struct pgw_retry_budget *budget =
+        g_hash_table_lookup(budgets->by_service, service);
+
+    if (budget == NULL) {
+        struct pgw_retry_options options = {
+            .share_permille = budgets->options.share_permille,
+            .burst = own_slack(budgets),
+        };
+
+        budget = pgw_retry_budget_new(&options);
+        g_hash_table_insert(budgets->by_service, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+void
+pgw_budgets_deposit(struct pgw_budgets *budgets, const char *service)
+{
+    pgw_retry_budget_deposit(get(budgets, service));
+}
+
+bool
+pgw_budgets_withdraw(struct pgw_budgets *budgets, const char *service)
+{
+    return pgw_retry_budget_withdraw(get(budgets, service));
+}
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #define READ_SIZE 65536
+/* Addresses that are remembered without a connection to them. */
+#define PEERS_KEPT 1024
 /* How long before the announced end of its keep-alive time a connection is
  * given up: a request that crosses the peer's close is lost. */
 #define KEEP_ALIVE_MARGIN_US 700000
@@ -21,12 +23,14 @@
 /**
  * struct peer - connections to one address
  * @idle: &struct pgw_connection, the least recently used first
+ * @connections: all connections to it, idle ones included
  */
 struct peer {
     struct pgw_address address;
     char name[PGW_ADDRESS_TEXT_SIZE];
     struct pgw_list idle;
     unsigned idle_count;
+    unsigned connections;
 };
 
 struct pgw_call_pool {
@@ -63,6 +67,18 @@
     bool closed;
 };
 
+/* Addresses come and go with upstreams; those that are not called any more are
+ * forgotten once there are many. */
+static void
+peer_left(struct pgw_call_pool *pool, struct peer *peer)
+{
+    peer->connections--;
+    if (peer->connections == 0 &&
+        g_hash_table_size(pool->peers) > PEERS_KEPT) {
+        g_hash_table_remove(pool->peers, peer->name);
+    }
+}
+
 static void
 connection_reap(struct pgw_task *task)
 {
@@ -70,6 +86,7 @@
         pgw_container_of(task, struct pgw_connection, reap);
 
     pgw_list_remove(&connection->in_pool);
+    peer_left(connection->pool, connection->peer);
     pgw_http_reader_dispose(&connection->reader);
     pgw_buffer_dispose(&connection->out);
     g_free(connection);
@@ -386,6 +403,7 @@
     connection->watch.on_ready = connection_ready;
     connection->pool = pool;
     connection->peer = peer;
+    peer->connections++;
     connection->connecting = true;
     connection->events = EPOLLIN | EPOLLOUT;
     pgw_http_reader_init(&connection->reader, true, pool->options.head_limit,
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -365,7 +365,7 @@
     if (workspace != NULL && workspace->isolated) {
         exchange->facts.prompt.isolated_to = workspace->name;
     }
-    pgw_retry_budget_deposit(gateway->budget);
+    pgw_budgets_deposit(gateway->budgets, exchange->service);
     pgw_timer_start(gateway->loop, &exchange->timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
                                                 : 0);
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -180,6 +180,7 @@
     state.running = guard->report.load.running;
     state.waiting = guard->report.load.waiting;
     state.long_prefills = guard->report.load.long_prefills;
+    state.entries = pgw_engine_guard_entries(guard);
     state.kv_used = guard->report.load.kv_used;
     state.kv_total = guard->report.load.kv_total;
     state.parts_reset = reset || !peer->known;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,7 +19,7 @@
     struct pgw_call_pool *pool;
     struct pgw_route_table *routes;
     struct pgw_upstream_table *upstreams;
-    struct pgw_retry_budget *budget;
+    struct pgw_budgets *budgets;
     struct pgw_waiting waiting;
     struct pgw_list exchanges;
     struct pgw_task pump;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -125,7 +125,7 @@
 take_repeat(struct pgw_exchange *exchange)
 {
     if (exchange->sends >= SENDS_MAX || exchange->caller == NULL ||
-        !pgw_retry_budget_withdraw(exchange->gateway->budget)) {
+        !pgw_budgets_withdraw(exchange->gateway->budgets, exchange->service)) {
         return false;
     }
     pgw_metric_counter_add(&repeats, 1);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -51,7 +51,7 @@
     gateway->zone = g_strdup(options->zone);
     gateway->pool = pgw_call_pool_new(loop, &pool);
     gateway->upstreams = pgw_upstream_table_new(options->zone);
-    gateway->budget = pgw_retry_budget_new(&options->retry);
+    gateway->budgets = pgw_budgets_new(&options->budgets);
     gateway->weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -67,7 +67,7 @@
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_upstream_table_free(gateway->upstreams);
-    pgw_retry_budget_free(gateway->budget);
+    pgw_budgets_free(gateway->budgets);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->weights);
     g_free(gateway->instance);
@@ -191,6 +191,12 @@
     return gateway->pool;
 }
 
+void
+pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries)
+{
+    pgw_budgets_set_entries(gateway->budgets, entries);
+}
+
 void
 pgw_gateway_drain(struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_GATEWAY_H
 #define PGW_GATEWAY_GATEWAY_H
 
+#include "gateway/budgets.h"
 #include "gateway/call.h"
 #include "gateway/caller.h"
 #include "gateway/choose.h"
@@ -9,7 +10,6 @@
 #include "gateway/route_table.h"
 #include "gateway/upstream_table.h"
 #include "gateway/waiting.h"
-#include "parsleygw/retry.h"
 
 /**
  * DOC: The entry that passes requests on as they are
@@ -30,8 +30,7 @@
  * @zone: its availability zone
  * @listen: where callers connect
  * @codec: how the deployment spells requests
- * @retry_share_permille: repeats for 1000 requests, all entries together
- * @retry_burst: repeats that this entry may make at once
+ * @budgets: bounds of repeats
  * @choose: thresholds of placement
  * @wait_share: part of a request's time that it may wait for a place
  * @hedge_share: part of the objective after which a silent upstream is given
@@ -42,7 +41,7 @@
     const char *zone;
     struct pgw_address listen;
     const struct pgw_codec *codec;
-    struct pgw_retry_options retry;
+    struct pgw_budgets_options budgets;
     struct pgw_choose_options choose;
     double wait_share;
     double hedge_share;
@@ -89,6 +88,9 @@
 uint64_t pgw_gateway_weights(const struct pgw_gateway *gateway,
                              const char *model);
 
+/** pgw_gateway_set_entries() - how many entries share the bounds of repeats */
+void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
+
 /** pgw_gateway_pump() - upstreams have changed: look at what waits */
 void pgw_gateway_pump(struct pgw_gateway *gateway);
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -16,6 +16,8 @@
  * cached where decides more than the way. Beyond, its own zone has engines
  * enough, and the control traffic of all would not fit. */
 #define FAR_MAX 128
+/* The highest count of entries holds for so long. */
+#define ENTRIES_HOLD_US 5000000
 /* A process that has been silent for so long may be cut off: its word on load
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
@@ -35,6 +37,8 @@
     GHashTable *by_engine;
     uint16_t port;
     double at_once_share;
+    uint32_t entries;
+    uint64_t entries_at_us;
     bool closing;
 };
 
@@ -106,6 +110,21 @@
     }
 }
 
+/* Sidecars count the entries that are connected to them. One that has just
+ * started counts few, so a lower number holds only once no higher one has been
+ * heard for some seconds: repeats beyond the bound are worse than a few less.
+ */
+static void
+note_entries(struct pgw_guard_links *links, uint32_t entries, uint64_t now_us)
+{
+    if (entries >= links->entries ||
+        now_us - links->entries_at_us > ENTRIES_HOLD_US) {
+        links->entries = entries;
+        links->entries_at_us = now_us;
+        pgw_gateway_set_entries(links->gateway, entries);
+    }
+}
+
 static void
 take_state(struct guard_link *guard, const Pgw__EngineState *state)
 {
@@ -122,6 +141,7 @@
     if (upstream == NULL || strcmp(state->address, guard->engine) != 0) {
         return;
     }
+    note_entries(guard->links, state->entries, now);
     upstream->guarded = true;
     for (size_t i = 0; i < state->n_models; i++) {
         pgw_upstream_set_version(upstream, state->models[i]->name,
--- a/src/libparsleygw/retry.c
+++ b/src/libparsleygw/retry.c
@@ -8,7 +8,7 @@
 
 struct pgw_retry_budget {
     _Atomic int64_t level;
-    int64_t limit;
+    _Atomic int64_t limit;
     int64_t deposit;
 };
 
@@ -17,9 +17,9 @@
 {
     struct pgw_retry_budget *budget = g_new0(struct pgw_retry_budget, 1);
 
-    budget->limit = (int64_t)options->burst * TOKEN;
     budget->deposit = options->share_permille;
-    atomic_init(&budget->level, budget->limit);
+    atomic_init(&budget->limit, (int64_t)options->burst * TOKEN);
+    atomic_init(&budget->level, (int64_t)options->burst * TOKEN);
     return budget;
 }
 
@@ -29,13 +29,27 @@
     g_free(budget);
 }
 
+void
+pgw_retry_budget_set_burst(struct pgw_retry_budget *budget, uint32_t burst)
+{
+    int64_t limit = (int64_t)burst * TOKEN;
+    int64_t level = atomic_load_explicit(&budget->level, memory_order_relaxed);
+
+    atomic_store_explicit(&budget->limit, limit, memory_order_relaxed);
+    while (level > limit && !atomic_compare_exchange_weak_explicit(
+                                &budget->level, &level, limit,
+                                memory_order_relaxed, memory_order_relaxed)) {
+    }
+}
+
 void
 pgw_retry_budget_deposit(struct pgw_retry_budget *budget)
 {
     int64_t level = atomic_load_explicit(&budget->level, memory_order_relaxed);
+    int64_t limit = atomic_load_explicit(&budget->limit, memory_order_relaxed);
 
-    while (level < budget->limit) {
-        int64_t next = MIN(level + budget->deposit, budget->limit);
+    while (level < limit) {
+        int64_t next = MIN(level + budget->deposit, limit);
 
         if (atomic_compare_exchange_weak_explicit(&budget->level, &level, next,
                                                   memory_order_relaxed,
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3314,7 +3314,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[12] =
 {
   {
     "address",
@@ -3448,10 +3448,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
   1,   /* field[1] = alive */
+  11,   /* field[11] = entries */
   7,   /* field[7] = kv_total */
   6,   /* field[6] = kv_used */
   2,   /* field[2] = loading */
@@ -3465,7 +3478,7 @@
 static const ProtobufCIntRange pgw__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3475,7 +3488,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  11,
+  12,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   1,  pgw__engine_state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -577,10 +577,14 @@
    * long prompts that it is reading
    */
   uint32_t long_prefills;
+  /*
+   * entries that are connected to the sidecar
+   */
+  uint32_t entries;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -169,7 +169,7 @@
         .instance = "gateway",
         .zone = "a",
         .codec = &platform_codec,
-        .retry = PGW_RETRY_OPTIONS_INIT,
+        .budgets = PGW_BUDGETS_OPTIONS_INIT,
         .choose = PGW_CHOOSE_OPTIONS_INIT,
         .wait_share = 0.9,
         .hedge_share = 1000,
