Give an engine up only after the time that a full one needs for its prompts

Change: 200 us a token, in a function of its own that test_silence holds to the eight prompts of one engine (70 us fails it).

--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -1,4 +1,5 @@
 #include "gateway/exchange.h"
+#include "gateway/silence.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
@@ -16,9 +17,6 @@
  * reading them again, a needless fetch a millisecond. The store keeps only
  * such parts. */
 #define FETCH_LONG_TOKENS 1024
-/* Time in which even a slow, busy engine has read one prompt token: a quarter
- * of the usual speed of 50 to 60 tokens a millisecond. */
-#define PREFILL_SLOW_US 70
 
 static struct pgw_metric_counter sends = {
     .name = "pgw_gateway_sends_total",
@@ -448,21 +446,6 @@
     pgw_exchange_place(exchange);
 }
 
-/* How long an upstream may be silent. A plain call is short. A prompt takes
- * its time to be read, and giving it up throws that work away. */
-static uint64_t
-silence_us(const struct pgw_exchange *exchange)
-{
-    uint64_t objective_us = (uint64_t)exchange->route->objective_ms * 1000;
-
-    if (exchange->facts.model == NULL) {
-        return (uint64_t)((double)objective_us *
-                          exchange->gateway->options.hedge_share);
-    }
-    return objective_us +
-           exchange->facts.prompt.tokens * (uint64_t)PREFILL_SLOW_US;
-}
-
 static void
 start_silence_timer(struct pgw_exchange *exchange)
 {
@@ -473,8 +456,13 @@
         return;
     }
     exchange->attempt_timer.on_due = silent_due;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
-                    silence_us(exchange));
+    pgw_timer_start(
+        gateway->loop, &exchange->attempt_timer,
+        pgw_silence_limit_us((uint64_t)exchange->route->objective_ms * 1000,
+                             gateway->options.hedge_share,
+                             exchange->facts.model == NULL
+                                 ? 0
+                                 : MAX(exchange->facts.prompt.tokens, 1)));
 }
 
 static uint32_t
