--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -304,9 +304,6 @@
         wait_ms = route->timeout_ms;
     }
     exchange->deadline_us = exchange->received_us + wait_ms * 1000;
-    exchange->caller_deadline_us =
-        exchange->received_us +
-        (facts->deadline_ms == 0 ? wait_ms : facts->deadline_ms) * 1000ULL;
     exchange->service = pgw_route_pick(route, pgw_random_u64());
     exchange->timer.on_due = deadline_due;
     pgw_list_append(&gateway->exchanges, &exchange->in_gateway);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,9 +6,11 @@
 /**
  * struct pgw_gateway - one entry
  * @routes: configuration in force, NULL before the first
- * @weights: model -> &struct named_weights
+ * @budgets: repeats that it may make
  * @waiting: requests without a place
- * @kv_saved: prompt parts that the KV store should hold -> time
+ * @exchanges: all requests that are not ended
+ * @pump: looks at what waits, once for all that has changed in a turn
+ * @weights: model -> &struct pgw_named_weights
  */
 struct pgw_gateway {
     struct pgw_loop *loop;
@@ -53,9 +55,8 @@
  * struct pgw_exchange - one request of a caller
  * @caller: NULL once the caller is gone
  * @table: configuration that it was accepted under
- * @facts: decoded head; texts point into the caller's head
+ * @facts: decoded head; host and key point into the caller's head
  * @deadline_us: the caller gets its final answer by then
- * @caller_deadline_us: how long the caller itself waits
  * @runs: upstreams that may have run it
  * @sends: upstreams that it was sent to, refusals included
  * @may_have_run: some attempt ended without saying that it did not run
@@ -69,7 +70,6 @@
  * @answer_fields: header lines for the caller
  * @answer: body collected so far, of an answer that is not a stream
  * @events: of a stream
- * @settled: the caller has its final answer or is gone
  */
 struct pgw_exchange {
     struct pgw_list in_gateway;
@@ -86,7 +86,6 @@
     struct pgw_timer attempt_timer;
     uint64_t received_us;
     uint64_t deadline_us;
-    uint64_t caller_deadline_us;
     uint64_t sent_us;
     uint64_t first_event_us;
     uint32_t runs;
@@ -109,9 +108,6 @@
     GString *answer_fields;
     struct pgw_buffer answer;
     struct pgw_event_stream events;
-    uint64_t resumed_from;
-    bool resuming;
-    struct pgw_task release;
 };
 
 /* dispatch.c */
