Keep no connection of a caller once a planned stop takes no new ones

Cause: a stream whose head went out before SIGTERM ended on a kept connection 2.6 s after it; the caller's next request came on it at 4.9 s and was cut when the process ended at 7.3 s. Change: from the moment at which no connection is accepted an answer ends its connection. test_gateway (/gateway/kept_connection) failed before.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -427,7 +427,16 @@
     caller->answering = false;
     caller->owner = NULL;
     set_started(caller, false);
-    pgw_buffer_dispose(&caller->body);
+        pgw_buffer_dispose(&caller->body);
+    /*
+     * Failure: a planned stop has begun, and a stream whose head went out
+     * before it ends on a kept connection. Symptom: the caller's next request
+     * comes on that connection, is taken, and is cut off when the process
+     * ends. From the moment at which no new connection is taken none is kept.
+     */
+    if (!caller->server->listening) {
+        caller->close_after = true;
+    }
     if (caller->close_after) {
         caller->refused = true;
         if (pgw_buffer_size(&caller->out) == 0) {
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -503,6 +503,42 @@
     scene_free(scene);
 }
 
+static void
+begin_close(struct scene *scene)
+{
+    pgw_gateway_drain(scene->gateway);
+    pgw_gateway_close(scene->gateway);
+}
+
+/*
+ * A planned stop comes while a stream runs, whose head went out before and
+ * does not say that the connection will end. Once the stream has ended the
+ * connection must end too: a request that came on it would be taken so late
+ * that the process ends before its answer.
+ */
+static void
+test_kept_connection_ends_with_the_stop(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/brook/", "a");
+    int upstream = scene_accept(scene, 0);
+    char *answer;
+
+    g_free(scene_read_request(upstream));
+    scene_begin_stream(upstream, "a");
+    scene_chunk(upstream, "id: 1\ndata: x\n\n");
+    g_free(scene_read_until(caller, "id: 1\ndata: x\n\n"));
+    scene_run(scene, begin_close);
+    scene_chunk(upstream, "id: 2\ndata: x\n\n");
+    scene_send(upstream, "0\r\n\r\n");
+    answer = scene_read_all(caller);
+    g_assert_true(g_str_has_suffix(answer, "id: 2\ndata: x\n\n\r\n0\r\n\r\n"));
+    g_free(answer);
+    close(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -531,5 +567,7 @@
     g_test_add_func("/gateway/urgent_first", test_urgent_request_goes_first);
     g_test_add_func("/gateway/route_timeout", test_route_timeout);
     g_test_add_func("/gateway/drain", test_drain);
+    g_test_add_func("/gateway/kept_connection",
+                    test_kept_connection_ends_with_the_stop);
     return g_test_run();
 }
