--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -427,7 +427,7 @@
     caller->answering = false;
     caller->owner = NULL;
     set_started(caller, false);
-        pgw_buffer_dispose(&caller->body);
+    pgw_buffer_dispose(&caller->body);
     /*
      * Failure: a planned stop has begun, and a stream whose head went out
      * before it ends on a kept connection. Symptom: the caller's next request
