Keep the head of a stream that waits for a place to go on

Cause: a resumed stream that found no free place was marked as waiting, so its next upstream's head was written into the middle of the caller's answer. Found by reading the change once more.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -267,7 +267,11 @@
     if (pgw_list_is_linked(&exchange->waiting.link)) {
         return;
     }
-    exchange->phase = PGW_PHASE_WAITING;
+    /* A stream that waits to go on elsewhere has its head already: a second
+     * one would stand in the middle of the caller's answer. */
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        exchange->phase = PGW_PHASE_WAITING;
+    }
     pgw_waiting_add(&gateway->waiting, &exchange->waiting,
                     MIN(exchange->route->priority, 3) * 4 +
                         (exchange->workspace == NULL
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -539,6 +539,44 @@
     scene_free(scene);
 }
 
+/*
+ * An engine dies within a stream while the only other place is taken. The
+ * stream waits, then goes on: one head, events in order, a proper end.
+ */
+static void
+test_resumption_may_wait(void)
+{
+    struct scene *scene = ready_scene(2);
+    int other = scene_call(scene, "/once/", "o");
+    unsigned taken;
+    int busy = scene_accept_any(scene, &taken);
+    int caller = scene_call(scene, "/flow/", "a");
+    int one = scene_accept(scene, 1 - taken);
+    char *answer;
+
+    g_free(scene_read_request(busy));
+    g_free(scene_read_request(one));
+    scene_begin_stream(one, "a");
+    scene_chunk(one, "id: 1\ndata: x\n\n");
+    g_free(scene_read_until(caller, "id: 1\ndata: x\n\n"));
+    scene_reset(one);
+    /* Behind this refusal the loop has seen the reset. */
+    expect_status(scene_call(scene, "/none/", "n"), "HTTP/1.1 404 ");
+    scene_answer(busy, "o", 200, "", "ok");
+    expect_ok(other);
+    g_free(scene_read_request(busy));
+    scene_begin_stream(busy, "a");
+    scene_chunk(busy, "id: 2\ndata: y\n\n");
+    scene_send(busy, "0\r\n\r\n");
+    answer = scene_read_until(caller, "\r\n0\r\n\r\n");
+    assert_has(answer, "id: 2\ndata: y\n\n");
+    assert_lacks(answer, "HTTP/1.1");
+    g_free(answer);
+    close(caller);
+    close(busy);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -567,6 +605,7 @@
     g_test_add_func("/gateway/urgent_first", test_urgent_request_goes_first);
     g_test_add_func("/gateway/route_timeout", test_route_timeout);
     g_test_add_func("/gateway/drain", test_drain);
+    g_test_add_func("/gateway/resumption_waits", test_resumption_may_wait);
     g_test_add_func("/gateway/kept_connection",
                     test_kept_connection_ends_with_the_stop);
     return g_test_run();
