Hand jobs between test threads by locks that the thread sanitizer sees

Cause: test_gateway and test_engine_guard handed work between threads by GLib's locks.

Change: the three test programs that share data with a loop's thread (test_platform_feed too) use POSIX locks. Nothing is suppressed.

--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -40,12 +40,14 @@
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
 }
 
+/* POSIX locks: the thread sanitizer does not see those inside GLib, which is
+   not built with it, and would call each hand-over a race. */
 struct job {
     struct pgw_task task;
     struct scene *scene;
     void (*run)(struct scene *scene);
-    GMutex lock;
-    GCond cond;
+    pthread_mutex_t lock;
+    pthread_cond_t cond;
     bool done;
 };
 
@@ -55,10 +57,10 @@
     struct job *job = pgw_container_of(task, struct job, task);
 
     job->run(job->scene);
-    g_mutex_lock(&job->lock);
+    pthread_mutex_lock(&job->lock);
     job->done = true;
-    g_cond_signal(&job->cond);
-    g_mutex_unlock(&job->lock);
+    pthread_cond_signal(&job->cond);
+    pthread_mutex_unlock(&job->lock);
 }
 
 void
@@ -66,16 +68,16 @@
 {
     struct job job = {.task.run = job_run, .scene = scene, .run = run};
 
-    g_mutex_init(&job.lock);
-    g_cond_init(&job.cond);
+    pthread_mutex_init(&job.lock, NULL);
+    pthread_cond_init(&job.cond, NULL);
     pgw_loop_post(scene->loop, &job.task);
-    g_mutex_lock(&job.lock);
+    pthread_mutex_lock(&job.lock);
     while (!job.done) {
-        g_cond_wait(&job.cond, &job.lock);
+        pthread_cond_wait(&job.cond, &job.lock);
     }
-    g_mutex_unlock(&job.lock);
-    g_mutex_clear(&job.lock);
-    g_cond_clear(&job.cond);
+    pthread_mutex_unlock(&job.lock);
+    pthread_mutex_destroy(&job.lock);
+    pthread_cond_destroy(&job.cond);
 }
 
 static void
--- a/tests/unit/test_engine_guard.c
+++ b/tests/unit/test_engine_guard.c
@@ -17,7 +17,8 @@
  * @states: states that the entry has heard
  * @loading: the last one said that the engine loads
  * @version: weights in the last one
- * @lock: of what the entry has heard
+ * @lock: of what the entry has heard; a POSIX one, as the thread sanitizer
+ *        does not see those inside GLib
  */
 struct stage {
     struct pgw_loop *loop;
@@ -26,8 +27,7 @@
     pthread_t thread;
     int engine;
     uint64_t tokens;
-    GMutex lock;
-    GCond heard;
+    pthread_mutex_t lock;
     unsigned states;
     bool loading;
     uint64_t version;
@@ -54,12 +54,11 @@
     if (type != PGW_FRAME_ENGINE_STATE) {
         return false;
     }
-    g_mutex_lock(&stage->lock);
+    pthread_mutex_lock(&stage->lock);
     stage->states++;
     stage->loading = state->loading;
     stage->version = state->n_models > 0 ? state->models[0]->version : 0;
-    g_cond_signal(&stage->heard);
-    g_mutex_unlock(&stage->lock);
+    pthread_mutex_unlock(&stage->lock);
     return false;
 }
 
@@ -124,8 +123,7 @@
     };
 
     stage = g_new0(struct stage, 1);
-    g_mutex_init(&stage->lock);
-    g_cond_init(&stage->heard);
+    pthread_mutex_init(&stage->lock, NULL);
     stage->engine = listen_loopback(&options.engine);
     g_assert_true(pgw_address_parse(&options.listen, "127.0.0.1:0", NULL));
     stage->loop = pgw_loop_new(NULL);
@@ -144,8 +142,7 @@
     pgw_engine_guard_free(stage->guard);
     pgw_loop_free(stage->loop);
     close(stage->engine);
-    g_mutex_clear(&stage->lock);
-    g_cond_clear(&stage->heard);
+    pthread_mutex_destroy(&stage->lock);
     g_free(stage);
 }
 
@@ -238,9 +235,9 @@
 {
     bool known;
 
-    g_mutex_lock(&stage->lock);
+    pthread_mutex_lock(&stage->lock);
     known = stage->version == version && stage->loading == loading;
-    g_mutex_unlock(&stage->lock);
+    pthread_mutex_unlock(&stage->lock);
     return known;
 }
 
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -17,7 +17,7 @@
     struct pgw_documents *known;
     pthread_t thread;
     int listener;
-    GMutex lock;
+    pthread_mutex_t lock;
     GString *news;
 };
 
@@ -29,10 +29,10 @@
     if (pgw_documents_put(self->known, document) == NULL) {
         return;
     }
-    g_mutex_lock(&self->lock);
+    pthread_mutex_lock(&self->lock);
     g_string_append_printf(self->news, "%s %d;", document->name,
                            (int)document->deleted);
-    g_mutex_unlock(&self->lock);
+    pthread_mutex_unlock(&self->lock);
 }
 
 static void *
@@ -53,7 +53,7 @@
         .context = self,
     };
 
-    g_mutex_init(&self->lock);
+    pthread_mutex_init(&self->lock, NULL);
     self->news = g_string_new(NULL);
     self->known = pgw_documents_new();
     options.known = self->known;
@@ -83,7 +83,7 @@
     pgw_documents_free(self->known);
     close(self->listener);
     g_string_free(self->news, TRUE);
-    g_mutex_clear(&self->lock);
+    pthread_mutex_destroy(&self->lock);
     g_free(self);
 }
 
@@ -103,10 +103,10 @@
 static void
 expect_news(struct follower *self, const char *news)
 {
-    g_mutex_lock(&self->lock);
+    pthread_mutex_lock(&self->lock);
     g_assert_cmpstr(self->news->str, ==, news);
     g_string_truncate(self->news, 0);
-    g_mutex_unlock(&self->lock);
+    pthread_mutex_unlock(&self->lock);
 }
 
 #define OBJECT(name, revision)                                                \
