Weigh candidates of a whole large pool, not the first 256 of the list

Cause: a choice looked at the first 256 upstreams of a pool in the order of the list and took the first of equals. On a deployment of our own with 330 engines and 1,500 plain upstreams the busiest plain upstream had 100 times the mean of calls, most engines none, and 36 entries all took the same one. Every line of the list, every frame of a sidecar and every announcement of weights walked through all upstreams.

Equals are settled by a draw. The table finds an upstream by its address by a hash, and the order of loads is made once a round of announcements.

Tests: /choose/equals, /choose/large_pool and /choose/homes; the first two fail without the change.

--- /dev/null
+++ b/src/gateway/candidates.c
@@ -0,0 +1,134 @@
+#include "gateway/candidates.h"
+#include "parsleygw/place.h"
+#include <xxhash.h>
+
+/* An own zone with fewer upstreams than this is not looked at alone: a few
+ * that are busy or failing would send every request to the second look. */
+#define NEAR_MIN 8
+/* Drawn for a plain call. The shortest queue of 16 is within a request or two
+ * of the shortest of all, and entries that decide at the same moment on the
+ * same reports do not all go to one upstream. */
+#define DRAWN_PLAIN 16
+/* Drawn for a prompt beside the first in rank: when those are full it goes to
+ * one with room, whichever that is. */
+#define DRAWN_PROMPT 32
+/* Drawn when nothing nearby could take the request. */
+#define DRAWN_ANYWHERE 96
+/* Most upstreams that are ranked: a zone of the size that the design aims at
+ * has 560 engines; ranking one takes some 5 ns. */
+#define RANKED_MAX 4096
+
+static bool
+is_in(const struct pgw_candidates *candidates,
+      const struct pgw_upstream *upstream)
+{
+    for (size_t i = 0; i < candidates->count; i++) {
+        if (candidates->items[i] == upstream) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+append(struct pgw_candidates *out, struct pgw_upstream *upstream,
+       uint32_t rank)
+{
+    if (out->count < PGW_CANDIDATES_MAX) {
+        out->items[out->count] = upstream;
+        out->rank[out->count++] = rank;
+    }
+}
+
+/* All of @from, beginning somewhere: the first of equals is the one that is
+ * chosen, and it must not be the same one for all entries. */
+static void
+add_all(struct pgw_candidates *out, const GPtrArray *from, uint64_t random)
+{
+    for (unsigned i = 0; i < from->len; i++) {
+        append(out, g_ptr_array_index(from, (random + i) % from->len),
+               PGW_PLACE_RANK_MAX);
+    }
+}
+
+static void
+add_drawn(struct pgw_candidates *out, const GPtrArray *from, unsigned count,
+          uint64_t random)
+{
+    for (unsigned i = 0; i < count && from->len > 0; i++) {
+        uint64_t draw = XXH3_64bits_withSeed(&i, sizeof(i), random);
+        struct pgw_upstream *upstream =
+            g_ptr_array_index(from, draw % from->len);
+
+        if (!is_in(out, upstream)) {
+            append(out, upstream, PGW_PLACE_RANK_MAX);
+        }
+    }
+}
+
+static void
+set_rank(struct pgw_candidates *out, struct pgw_upstream *upstream,
+         uint32_t rank)
+{
+    for (size_t i = 0; i < out->count; i++) {
+        if (out->items[i] == upstream) {
+            out->rank[i] = rank;
+            return;
+        }
+    }
+    append(out, upstream, rank);
+}
+
+/* Ranks @from for the prompt and takes in the first ones. */
+static void
+add_ranked(struct pgw_candidates *out, const GPtrArray *from,
+           const struct pgw_level_chain *chain, uint64_t now_us)
+{
+    size_t count = MIN(from->len, RANKED_MAX);
+    struct pgw_place_node *nodes = g_new0(struct pgw_place_node, count);
+    uint32_t order[PGW_PLACE_RANK_MAX];
+    size_t ranked;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct pgw_upstream *upstream = g_ptr_array_index(from, i);
+
+        nodes[i] = (struct pgw_place_node){
+            .id_hash = upstream->id_hash,
+            .usable = pgw_upstream_is_usable(upstream, now_us),
+        };
+    }
+    ranked = pgw_place_rank(order, PGW_PLACE_RANK_MAX, nodes, count, chain);
+    for (size_t i = 0; i < ranked; i++) {
+        set_rank(out, g_ptr_array_index(from, order[i]), (uint32_t)i);
+    }
+    g_free(nodes);
+}
+
+void
+pgw_candidates_pick(struct pgw_candidates *out,
+                    const struct pgw_upstream_pool *pool,
+                    enum pgw_candidates_from from,
+                    const struct pgw_level_chain *chain, uint64_t random,
+                    uint64_t now_us)
+{
+    const GPtrArray *source = pool->all;
+    unsigned drawn = chain == NULL ? DRAWN_PLAIN : DRAWN_PROMPT;
+
+    out->count = 0;
+    out->all = pool->all->len <= PGW_CANDIDATES_MAX;
+    if (from == PGW_CANDIDATES_ANYWHERE) {
+        drawn = DRAWN_ANYWHERE;
+    }
+    else if (!out->all && pool->near->len >= NEAR_MIN) {
+        source = pool->near;
+    }
+    if (source->len <= PGW_CANDIDATES_MAX) {
+        add_all(out, source, random);
+    }
+    if (chain != NULL) {
+        add_ranked(out, source, chain, now_us);
+    }
+    if (source->len > PGW_CANDIDATES_MAX) {
+        add_drawn(out, source, drawn, random);
+    }
+}
--- /dev/null
+++ b/src/gateway/candidates.h
@@ -0,0 +1,60 @@
+#ifndef PGW_GATEWAY_CANDIDATES_H
+#define PGW_GATEWAY_CANDIDATES_H
+
+#include "gateway/upstream_table.h"
+#include "parsleygw/level.h"
+
+/**
+ * DOC: Which upstreams of a pool are weighed for a request
+ *
+ * A small pool is weighed whole. Of a large one only some are: those of the
+ * entry's own availability zone, and of these the first ones in rank for the
+ * prompt and a few drawn by lot. So a choice costs the same among 300 and
+ * 10,000 upstreams, and no upstream is left out for its place in the list.
+ */
+
+/* Most upstreams that one choice weighs. Weighing 128 engines takes about as
+ * long as reading and writing the request does. */
+#define PGW_CANDIDATES_MAX 128
+
+/**
+ * struct pgw_candidates - upstreams to weigh
+ * @items: these; the order between equals is the draw's
+ * @rank: rank of each for the prompt, %PGW_PLACE_RANK_MAX for the rest
+ * @count: number of @items
+ * @all: no upstream of the pool is missing
+ */
+struct pgw_candidates {
+    struct pgw_upstream *items[PGW_CANDIDATES_MAX];
+    uint32_t rank[PGW_CANDIDATES_MAX];
+    size_t count;
+    bool all;
+};
+
+/**
+ * enum pgw_candidates_from - where candidates are looked for
+ * @PGW_CANDIDATES_NEAR: in the entry's own zone, if the pool is large and the
+ *   zone has a fair number
+ * @PGW_CANDIDATES_ANYWHERE: in all zones: nobody nearby could take it
+ */
+enum pgw_candidates_from {
+    PGW_CANDIDATES_NEAR,
+    PGW_CANDIDATES_ANYWHERE,
+};
+
+/**
+ * pgw_candidates_pick() - upstreams to weigh for one request
+ * @out: receives them
+ * @pool: upstreams of the service
+ * @from: where to look
+ * @chain: shared parts of the prompt; NULL: a plain call
+ * @random: the draw; the same one gives the same candidates
+ * @now_us: monotonic time
+ */
+void pgw_candidates_pick(struct pgw_candidates *out,
+                         const struct pgw_upstream_pool *pool,
+                         enum pgw_candidates_from from,
+                         const struct pgw_level_chain *chain, uint64_t random,
+                         uint64_t now_us);
+
+#endif
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -1,23 +1,9 @@
 #include "gateway/choose.h"
-#include "parsleygw/place.h"
+#include "gateway/candidates.h"
 #include <float.h>
 #include <string.h>
 #include <xxhash.h>
 
-#define UPSTREAMS_MAX 256
-
-bool
-pgw_upstream_is_usable(const struct pgw_upstream *upstream, uint64_t now_us)
-{
-    if (upstream->leaving || upstream->removed || upstream->displaced) {
-        return false;
-    }
-    if (upstream->lapsed_until_us > 0 && now_us >= upstream->lapsed_until_us) {
-        return false;
-    }
-    return !upstream->loading || now_us >= upstream->loading_until_us;
-}
-
 static bool
 was_tried(const struct pgw_choose_input *input,
           const struct pgw_upstream *upstream)
@@ -107,15 +93,15 @@
 }
 
 /**
- * struct survey - what the engines of a pool hold of one prompt, by position
+ * struct survey - the candidates and what they hold of one prompt, by position
+ * @candidates: upstreams that are weighed
  * @missing: shared tokens that each lacks, counting what is on its way there
  * @confirmed: the same by its sidecar's word alone
- * @rank: its rank for the prompt
  */
 struct survey {
-    uint32_t missing[UPSTREAMS_MAX];
-    uint32_t confirmed[UPSTREAMS_MAX];
-    uint32_t rank[UPSTREAMS_MAX];
+    struct pgw_candidates candidates;
+    uint32_t missing[PGW_CANDIDATES_MAX];
+    uint32_t confirmed[PGW_CANDIDATES_MAX];
 };
 
 /* A part counts only behind all before it. */
@@ -172,10 +158,9 @@
 {
     uint64_t version = pgw_upstream_version(upstream, input->model);
     struct pgw_upstream *best = NULL;
-    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
 
-    for (size_t i = 0; i < count; i++) {
-        struct pgw_upstream *other = g_ptr_array_index(input->upstreams, i);
+    for (size_t i = 0; i < survey->candidates.count; i++) {
+        struct pgw_upstream *other = survey->candidates.items[i];
 
         /* Among equals one of the same zone: the way is shorter. */
         if (other == upstream || survey->confirmed[i] > missing ||
@@ -252,7 +237,7 @@
     cost += crowd_cost(upstream,
                        survey->missing[position] + own_tokens(input->prompt),
                        options, input->now_us);
-    cost += survey->rank[position] * rank_tokens;
+    cost += survey->candidates.rank[position] * rank_tokens;
     if (!upstream->same_zone) {
         cost += (double)input->size * options->zone_tokens_per_kb / 1024;
     }
@@ -260,25 +245,17 @@
     return cost + upstream->failure_rate * options->failing_tokens;
 }
 
-/* Ranks of the upstreams for the prompt's shared parts, by position. */
 static void
-rank_upstreams(uint32_t *ranks, const struct pgw_choose_input *input)
+make_survey(struct survey *out, const struct pgw_choose_input *input,
+            enum pgw_candidates_from from)
 {
-    struct pgw_place_node nodes[UPSTREAMS_MAX];
-    uint32_t order[PGW_PLACE_RANK_MAX];
+    struct pgw_candidates *candidates = &out->candidates;
     struct pgw_level_chain chain = {0};
-    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
-    size_t ranked;
-
-    for (size_t i = 0; i < count; i++) {
-        const struct pgw_upstream *upstream =
-            g_ptr_array_index(input->upstreams, i);
-
-        ranks[i] = PGW_PLACE_RANK_MAX;
-        nodes[i] = (struct pgw_place_node){
-            .id_hash = upstream->id_hash,
-            .usable = pgw_upstream_is_usable(upstream, input->now_us),
-        };
+
+    if (input->prompt == NULL) {
+        pgw_candidates_pick(candidates, input->pool, from, NULL, input->random,
+                            input->now_us);
+        return;
     }
     for (size_t i = 0; i + 1 < input->prompt->part_count && i < PGW_LEVEL_MAX;
          i++) {
@@ -286,24 +263,11 @@
         chain.levels[i].hash_low = input->prompt->parts[i].id;
         chain.count = i + 1;
     }
-    ranked = pgw_place_rank(order, PGW_PLACE_RANK_MAX, nodes, count, &chain);
-    for (size_t i = 0; i < ranked; i++) {
-        ranks[order[i]] = (uint32_t)i;
-    }
-}
-
-static void
-make_survey(struct survey *out, const struct pgw_choose_input *input)
-{
-    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
-
-    rank_upstreams(out->rank, input);
-    for (size_t i = 0; i < count; i++) {
-        const struct pgw_upstream *upstream =
-            g_ptr_array_index(input->upstreams, i);
-
-        out->missing[i] = missing_tokens(upstream, input, true);
-        out->confirmed[i] = missing_tokens(upstream, input, false);
+    pgw_candidates_pick(candidates, input->pool, from, &chain, input->random,
+                        input->now_us);
+    for (size_t i = 0; i < candidates->count; i++) {
+        out->missing[i] = missing_tokens(candidates->items[i], input, true);
+        out->confirmed[i] = missing_tokens(candidates->items[i], input, false);
     }
 }
 
@@ -317,7 +281,8 @@
                : engine_cost(upstream, position, input, options, survey);
 }
 
-/* One pass over all; @unhealthy takes those that failed lately as well. */
+/* One pass over the candidates; @unhealthy takes those that failed lately as
+ * well. */
 static struct pgw_upstream *
 cheapest(bool *busy, const struct pgw_choose_input *input,
          const struct pgw_choose_options *options, const struct survey *survey,
@@ -325,10 +290,9 @@
 {
     struct pgw_upstream *best = NULL;
     double best_cost = DBL_MAX;
-    size_t count = MIN(input->upstreams->len, UPSTREAMS_MAX);
 
-    for (size_t i = 0; i < count; i++) {
-        struct pgw_upstream *upstream = g_ptr_array_index(input->upstreams, i);
+    for (size_t i = 0; i < survey->candidates.count; i++) {
+        struct pgw_upstream *upstream = survey->candidates.items[i];
         double cost;
 
         if (!pgw_upstream_is_usable(upstream, input->now_us)) {
@@ -351,6 +315,20 @@
     return best;
 }
 
+static struct pgw_upstream *
+cheapest_of(struct pgw_choice *out, const struct pgw_choose_input *input,
+            const struct pgw_choose_options *options, struct survey *survey,
+            enum pgw_candidates_from from)
+{
+    struct pgw_upstream *upstream;
+
+    make_survey(survey, input, from);
+    upstream = cheapest(&out->busy, input, options, survey, false);
+    return upstream != NULL
+               ? upstream
+               : cheapest(&out->busy, input, options, survey, true);
+}
+
 void
 pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
            const struct pgw_choose_options *options)
@@ -358,15 +336,14 @@
     struct survey survey;
 
     memset(out, 0, sizeof(*out));
-    if (input->upstreams == NULL) {
+    if (input->pool == NULL) {
         return;
     }
-    if (input->prompt != NULL) {
-        make_survey(&survey, input);
-    }
-    out->upstream = cheapest(&out->busy, input, options, &survey, false);
-    if (out->upstream == NULL) {
-        out->upstream = cheapest(&out->busy, input, options, &survey, true);
+    out->upstream =
+        cheapest_of(out, input, options, &survey, PGW_CANDIDATES_NEAR);
+    if (out->upstream == NULL && !survey.candidates.all) {
+        out->upstream =
+            cheapest_of(out, input, options, &survey, PGW_CANDIDATES_ANYWHERE);
     }
     if (out->upstream == NULL || input->prompt == NULL) {
         return;
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -132,7 +132,7 @@
 
 /**
  * struct pgw_choose_input - one question
- * @upstreams: of the service, GPtrArray of &struct pgw_upstream
+ * @pool: upstreams of the service, NULL: there never was one
  * @tried: upstreams that had the request before
  * @tried_count: number of @tried
  * @prompt: of an engine's request; NULL for a plain call
@@ -142,9 +142,10 @@
  * @size: bytes of the request
  * @kv_tokens: memory of one engine where it has not said
  * @now_us: monotonic time
+ * @random: settles between equals, and who of a large pool is weighed
  */
 struct pgw_choose_input {
-    const GPtrArray *upstreams;
+    const struct pgw_upstream_pool *pool;
     struct pgw_upstream *const *tried;
     size_t tried_count;
     const struct pgw_prompt *prompt;
@@ -154,6 +155,7 @@
     size_t size;
     uint64_t kv_tokens;
     uint64_t now_us;
+    uint64_t random;
 };
 
 /**
@@ -177,8 +179,4 @@
 void pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
                 const struct pgw_choose_options *options);
 
-/** pgw_upstream_is_usable() - listed and neither leaving nor loading */
-bool pgw_upstream_is_usable(const struct pgw_upstream *upstream,
-                            uint64_t now_us);
-
 #endif
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -213,11 +213,11 @@
             ? NULL
             : g_hash_table_lookup(gateway->weights, exchange->facts.model);
     struct pgw_choose_input input = {
-        .upstreams =
-            pgw_upstream_table_service(gateway->upstreams, exchange->service),
+        .pool = pgw_upstream_table_pool(gateway->upstreams, exchange->service),
         .tried = exchange->tried,
         .tried_count = exchange->tried_count,
         .now_us = pgw_now_us(),
+        .random = pgw_random_u64(),
     };
 
     if (exchange->facts.model != NULL) {
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -1,4 +1,5 @@
 #include "gateway/guard_links.h"
+#include "gateway/candidates.h"
 #include "libparsleygw/link.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
@@ -13,9 +14,10 @@
  * takes well under a second, and the runs before it end. */
 #define LOADING_MAX_US 4000000
 /* Up to so many engines an entry hears of those of other zones, too: what is
- * cached where decides more than the way. Beyond, its own zone has engines
- * enough, and the control traffic of all would not fit. */
-#define FAR_MAX 128
+ * cached where decides more than the way, and all of them are weighed for a
+ * prompt. Beyond, its own zone has engines enough, and the control traffic of
+ * all would not fit. */
+#define FAR_MAX PGW_CANDIDATES_MAX
 /* The highest count of entries holds for so long. */
 #define ENTRIES_HOLD_US 5000000
 /* A process that has been silent for so long may be cut off: its word on load
@@ -39,51 +41,104 @@
     double at_once_share;
     uint32_t entries;
     uint64_t entries_at_us;
+    GArray *places; /* uint64_t, ascending: the pool that was put in order */
+    char *ordered_service;
+    uint64_t ordered_version;
     bool closing;
 };
 
 static struct pgw_upstream *
 find_upstream(struct pgw_guard_links *links, const char *engine)
 {
-    struct pgw_upstream *found = NULL;
+    return pgw_upstream_table_at(pgw_gateway_upstreams(links->gateway),
+                                 engine);
+}
 
-    pgw_list_foreach (
-        item, pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway))) {
-        struct pgw_upstream *upstream =
-            pgw_container_of(item, struct pgw_upstream, in_table);
+static int
+compare_places(const void *left, const void *right)
+{
+    uint64_t a = *(const uint64_t *)left;
+    uint64_t b = *(const uint64_t *)right;
+
+    return a < b ? -1 : a > b;
+}
+
+/* Place of an engine in the order in which a version is loaded: each rollout
+ * draws anew, so that it is not always the same ones that serve the old
+ * weights longest; all entries draw alike. */
+static uint64_t
+place_of(const struct pgw_upstream *upstream, uint64_t version)
+{
+    return upstream->id_hash * (2 * version + 1);
+}
+
+/* Puts a pool in order for a version. One order serves all engines of a round
+ * of announcements: 3,000 engines that each count who goes before them would
+ * take as long as serving for a tenth of a second. */
+static void
+order_pool(struct pgw_guard_links *links, const char *service,
+           uint64_t version)
+{
+    const struct pgw_upstream_pool *pool = pgw_upstream_table_pool(
+        pgw_gateway_upstreams(links->gateway), service);
+
+    g_array_set_size(links->places, 0);
+    g_free(links->ordered_service);
+    links->ordered_service = g_strdup(service);
+    links->ordered_version = version;
+    for (unsigned i = 0; pool != NULL && i < pool->all->len; i++) {
+        const struct pgw_upstream *upstream = g_ptr_array_index(pool->all, i);
+
+        if (!upstream->leaving && !upstream->removed) {
+            uint64_t place = place_of(upstream, version);
 
-        /* The newest one of an address is behind the one that it replaces. */
-        if (strcmp(upstream->address_text, engine) == 0) {
-            found = upstream;
+            g_array_append_val(links->places, place);
         }
     }
-    return found;
+    g_array_sort(links->places, compare_places);
 }
 
-/* Position of an engine among its pool in an order that each rollout draws
- * anew, so that it is not always the same ones that serve the old weights
- * longest; all entries draw alike. */
-static uint32_t
-turn_of(const struct pgw_guard_links *links,
-        const struct pgw_upstream *upstream, uint64_t version)
+/* Number of engines that are before @place. */
+static unsigned
+count_before(const GArray *places, uint64_t place)
 {
-    const GPtrArray *pool = pgw_upstream_table_service(
-        pgw_gateway_upstreams(links->gateway), upstream->service);
-    uint64_t own = upstream->id_hash * (2 * version + 1);
-    unsigned before = 0;
-    unsigned total = 0;
-    unsigned at_once;
+    unsigned low = 0;
+    unsigned high = places->len;
 
-    for (unsigned i = 0; pool != NULL && i < pool->len; i++) {
-        const struct pgw_upstream *other = g_ptr_array_index(pool, i);
+    while (low < high) {
+        unsigned middle = low + (high - low) / 2;
 
-        if (!other->leaving && !other->removed) {
-            total++;
-            before += other->id_hash * (2 * version + 1) < own;
+        if (g_array_index(places, uint64_t, middle) < place) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
         }
     }
-    at_once = (unsigned)((double)total * links->at_once_share + 0.5);
-    return before / MAX(at_once, 1);
+    return low;
+}
+
+static uint32_t
+turn_of(struct pgw_guard_links *links, const struct pgw_upstream *upstream,
+        uint64_t version)
+{
+    unsigned at_once;
+
+    if (links->ordered_service == NULL || links->ordered_version != version ||
+        strcmp(links->ordered_service, upstream->service) != 0) {
+        order_pool(links, upstream->service, version);
+    }
+    at_once =
+        (unsigned)((double)links->places->len * links->at_once_share + 0.5);
+    return count_before(links->places, place_of(upstream, version)) /
+           MAX(at_once, 1);
+}
+
+/* The pools may have changed since the last round of announcements. */
+static void
+forget_order(struct pgw_guard_links *links)
+{
+    g_clear_pointer(&links->ordered_service, g_free);
 }
 
 static void
@@ -225,6 +280,7 @@
     hello.role = (char *)"entry";
     hello.zone = (char *)pgw_gateway_zone(guard->links->gateway);
     pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
+    forget_order(guard->links);
     announce_to(guard);
 }
 
@@ -287,6 +343,7 @@
     links->gateway = gateway;
     links->port = port;
     links->at_once_share = at_once_share;
+    links->places = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     links->by_engine =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, guard_free);
     return links;
@@ -309,6 +366,8 @@
     }
     pgw_loop_run_tasks(links->loop);
     g_hash_table_destroy(links->by_engine);
+    g_array_unref(links->places);
+    g_free(links->ordered_service);
     g_free(links);
 }
 
@@ -355,6 +414,7 @@
     GHashTableIter iter;
     void *value;
 
+    forget_order(links);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         ((struct guard_link *)value)->wanted = false;
@@ -386,6 +446,7 @@
     GHashTableIter iter;
     void *value;
 
+    forget_order(links);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         announce_to(value);
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -30,10 +30,21 @@
 struct pgw_upstream_table {
     char *zone;
     GHashTable *by_id;
-    GHashTable *by_service; /* name -> GPtrArray */
+    GHashTable *by_address; /* an address has one upstream, the newest */
+    GHashTable *by_service; /* name -> struct pgw_upstream_pool */
     struct pgw_list all;
 };
 
+static void
+pool_free(void *data)
+{
+    struct pgw_upstream_pool *pool = data;
+
+    g_ptr_array_unref(pool->all);
+    g_ptr_array_unref(pool->near);
+    g_free(pool);
+}
+
 struct pgw_upstream_table *
 pgw_upstream_table_new(const char *zone)
 {
@@ -41,8 +52,9 @@
 
     table->zone = g_strdup(zone);
     table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-    table->by_service = g_hash_table_new_full(
-        g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    table->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    table->by_service =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
     pgw_list_init(&table->all);
     return table;
 }
@@ -86,21 +98,36 @@
             table, pgw_container_of(link, struct pgw_upstream, in_table));
     }
     g_hash_table_destroy(table->by_id);
+    g_hash_table_destroy(table->by_address);
     g_hash_table_destroy(table->by_service);
     g_free(table->zone);
     g_free(table);
 }
 
-static GPtrArray *
-service_get(struct pgw_upstream_table *table, const char *service)
+static struct pgw_upstream_pool *
+pool_get(struct pgw_upstream_table *table, const char *service)
+{
+    struct pgw_upstream_pool *pool =
+        g_hash_table_lookup(table->by_service, service);
+
+    if (pool == NULL) {
+        pool = g_new0(struct pgw_upstream_pool, 1);
+        pool->all = g_ptr_array_new();
+        pool->near = g_ptr_array_new();
+        g_hash_table_insert(table->by_service, g_strdup(service), pool);
+    }
+    return pool;
+}
+
+static void
+pool_add(struct pgw_upstream_table *table, struct pgw_upstream *upstream)
 {
-    GPtrArray *array = g_hash_table_lookup(table->by_service, service);
+    struct pgw_upstream_pool *pool = pool_get(table, upstream->service);
 
-    if (array == NULL) {
-        array = g_ptr_array_new();
-        g_hash_table_insert(table->by_service, g_strdup(service), array);
+    g_ptr_array_add(pool->all, upstream);
+    if (upstream->same_zone) {
+        g_ptr_array_add(pool->near, upstream);
     }
-    return array;
 }
 
 static struct pgw_upstream *
@@ -128,7 +155,8 @@
     upstream->same_zone = strcmp(facts->zone, table->zone) == 0;
     pgw_list_append(&table->all, &upstream->in_table);
     g_hash_table_insert(table->by_id, upstream->id, upstream);
-    g_ptr_array_add(service_get(table, facts->service), upstream);
+    g_hash_table_replace(table->by_address, upstream->address_text, upstream);
+    pool_add(table, upstream);
     return upstream;
 }
 
@@ -146,14 +174,9 @@
               const struct pgw_upstream_facts *facts)
 {
 #ifndef PGW_DISABLE_GATEWAY_ADDRESS
-    pgw_list_foreach_safe (link, &table->all) {
-        struct pgw_upstream *other =
-            pgw_container_of(link, struct pgw_upstream, in_table);
+    struct pgw_upstream *other = pgw_upstream_table_at(table, facts->address);
 
-        if (strcmp(other->address_text, facts->address) != 0 ||
-            strcmp(other->id, facts->id) == 0) {
-            continue;
-        }
+    if (other != NULL) {
         if (other->revision > facts->revision) {
             return false;
         }
@@ -208,8 +231,14 @@
 pgw_upstream_table_remove(struct pgw_upstream_table *table,
                           struct pgw_upstream *upstream)
 {
+    struct pgw_upstream_pool *pool = pool_get(table, upstream->service);
+
     g_hash_table_remove(table->by_id, upstream->id);
-    g_ptr_array_remove(service_get(table, upstream->service), upstream);
+    if (pgw_upstream_table_at(table, upstream->address_text) == upstream) {
+        g_hash_table_remove(table->by_address, upstream->address_text);
+    }
+    g_ptr_array_remove(pool->all, upstream);
+    g_ptr_array_remove(pool->near, upstream);
     pgw_list_remove(&upstream->in_table);
     upstream->removed = true;
     pgw_upstream_unref(upstream);
@@ -221,9 +250,16 @@
     return g_hash_table_lookup(table->by_id, id);
 }
 
-const GPtrArray *
-pgw_upstream_table_service(const struct pgw_upstream_table *table,
-                           const char *service)
+struct pgw_upstream *
+pgw_upstream_table_at(const struct pgw_upstream_table *table,
+                      const char *address)
+{
+    return g_hash_table_lookup(table->by_address, address);
+}
+
+const struct pgw_upstream_pool *
+pgw_upstream_table_pool(const struct pgw_upstream_table *table,
+                        const char *service)
 {
     return g_hash_table_lookup(table->by_service, service);
 }
@@ -234,6 +270,18 @@
     return &table->all;
 }
 
+bool
+pgw_upstream_is_usable(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    if (upstream->leaving || upstream->removed || upstream->displaced) {
+        return false;
+    }
+    if (upstream->lapsed_until_us > 0 && now_us >= upstream->lapsed_until_us) {
+        return false;
+    }
+    return !upstream->loading || now_us >= upstream->loading_until_us;
+}
+
 void
 pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
                          uint64_t version)
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -158,6 +158,16 @@
     PGW_RESULT_SILENT,
 };
 
+/**
+ * struct pgw_upstream_pool - the upstreams of one service
+ * @all: of &struct pgw_upstream
+ * @near: those of the entry's own availability zone
+ */
+struct pgw_upstream_pool {
+    GPtrArray *all;
+    GPtrArray *near;
+};
+
 struct pgw_upstream_table;
 
 /**
@@ -187,11 +197,16 @@
 pgw_upstream_table_find(const struct pgw_upstream_table *table,
                         const char *id);
 
-/** pgw_upstream_table_service() - upstreams of a service, as GPtrArray of
- * &struct pgw_upstream; NULL when there never was one */
-const GPtrArray *
-pgw_upstream_table_service(const struct pgw_upstream_table *table,
-                           const char *service);
+/** pgw_upstream_table_pool() - upstreams of a service; NULL when there never
+ * was one */
+const struct pgw_upstream_pool *
+pgw_upstream_table_pool(const struct pgw_upstream_table *table,
+                        const char *service);
+
+/** pgw_upstream_table_at() - the newest upstream of an address; NULL: none */
+struct pgw_upstream *
+pgw_upstream_table_at(const struct pgw_upstream_table *table,
+                      const char *address);
 
 /** pgw_upstream_table_all() - head of the list of all */
 struct pgw_list *pgw_upstream_table_all(struct pgw_upstream_table *table);
@@ -199,6 +214,10 @@
 struct pgw_upstream *pgw_upstream_ref(struct pgw_upstream *upstream);
 void pgw_upstream_unref(struct pgw_upstream *upstream);
 
+/** pgw_upstream_is_usable() - listed and neither leaving nor loading */
+bool pgw_upstream_is_usable(const struct pgw_upstream *upstream,
+                            uint64_t now_us);
+
 /** pgw_upstream_set_version() - newest word on the weights of a model */
 void pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
                               uint64_t version);
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -1,4 +1,5 @@
 #include "gateway/choose.h"
+#include <stdlib.h>
 #include <string.h>
 
 #define NOW UINT64_C(100000000)
@@ -29,7 +30,7 @@
 
     g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
     upstream = pgw_upstream_table_put(pool->table, &facts);
-    pool->input.upstreams = pgw_upstream_table_service(pool->table, "s");
+    pool->input.pool = pgw_upstream_table_pool(pool->table, "s");
     return upstream;
 }
 
@@ -277,6 +278,118 @@
     pgw_upstream_table_free(pool.table);
 }
 
+/* Three zones with 400 upstreams each, "a" listed last. */
+static void
+add_many(struct pool *pool)
+{
+    static const char *const zones[] = {"c", "b", "a"};
+
+    for (unsigned i = 0; i < 1200; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "u%u", i);
+        add(pool, id, zones[i / 400], 1000 + i);
+    }
+}
+
+/*
+ * Entries that decide on the same reports see the same idle upstreams. Each
+ * draws among equals, so that they do not all send to the first in the list.
+ */
+static void
+test_equals_share_calls(void)
+{
+    struct pool pool;
+    unsigned got[4] = {0};
+
+    pool_init(&pool);
+    for (unsigned i = 0; i < 4; i++) {
+        char id[4];
+
+        g_snprintf(id, sizeof(id), "%u", i);
+        add(&pool, id, "a", 1 + i);
+    }
+    for (pool.input.random = 0; pool.input.random < 400; pool.input.random++) {
+        got[atoi(choose(&pool).upstream->id)]++;
+    }
+    for (unsigned i = 0; i < 4; i++) {
+        g_assert_cmpuint(got[i], >, 50);
+    }
+    pgw_upstream_table_free(pool.table);
+}
+
+/*
+ * 1,200 upstreams, the own zone's ones at the end of the list. Calls stay in
+ * the zone, and no upstream gets more than a few of 4,000; once the zone is
+ * full they leave it.
+ */
+static void
+test_large_pool_is_used_whole(void)
+{
+    struct pool pool;
+    unsigned got[1200] = {0};
+    const GPtrArray *near;
+
+    pool_init(&pool);
+    add_many(&pool);
+    for (unsigned i = 0; i < 4000; i++) {
+        struct pgw_upstream *upstream;
+
+        pool.input.random = i;
+        upstream = choose(&pool).upstream;
+        g_assert_true(upstream->same_zone);
+        got[atoi(upstream->id + 1)]++;
+    }
+    for (unsigned i = 0; i < 1200; i++) {
+        g_assert_cmpuint(got[i], <, 40);
+    }
+    near = pool.input.pool->near;
+    g_assert_cmpuint(near->len, ==, 400);
+    for (unsigned i = 0; i < near->len; i++) {
+        ((struct pgw_upstream *)g_ptr_array_index(near, i))->inflight = 24;
+    }
+    g_assert_false(choose(&pool).upstream->same_zone);
+    pgw_upstream_table_free(pool.table);
+}
+
+/*
+ * A prompt that is cached nowhere has one home in a large pool, whatever is
+ * drawn; other prompts have other homes; and when the homes of one are full
+ * it still finds an engine.
+ */
+static void
+test_prompts_have_homes_in_a_large_pool(void)
+{
+    struct pool pool;
+    struct pgw_upstream *home;
+    unsigned others = 0;
+
+    pool_init(&pool);
+    add_many(&pool);
+    ask_prompt(&pool, 13000);
+    home = choose(&pool).upstream;
+    g_assert_true(home->same_zone);
+    for (unsigned i = 0; i < 50; i++) {
+        pool.input.random = i;
+        g_assert_true(choose(&pool).upstream == home);
+    }
+    for (unsigned i = 0; i < 50; i++) {
+        pool.prompt.parts[0].id = 1000 + i;
+        others += choose(&pool).upstream != home;
+    }
+    g_assert_cmpuint(others, >, 45);
+    pool.prompt.parts[0].id = 11;
+    for (unsigned i = 0; i < 200; i++) {
+        struct pgw_upstream *upstream;
+
+        pool.input.random = i;
+        upstream = choose(&pool).upstream;
+        g_assert_nonnull(upstream);
+        upstream->inflight = 12;
+    }
+    pgw_upstream_table_free(pool.table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -293,5 +406,8 @@
     g_test_add_func("/choose/answers_and_memory",
                     test_answers_do_not_hide_memory);
     g_test_add_func("/choose/long_reads", test_short_prompts_avoid_long_reads);
+    g_test_add_func("/choose/equals", test_equals_share_calls);
+    g_test_add_func("/choose/large_pool", test_large_pool_is_used_whole);
+    g_test_add_func("/choose/homes", test_prompts_have_homes_in_a_large_pool);
     return g_test_run();
 }
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -50,7 +50,7 @@
         pgw_upstream_table_put(table, &facts[1 - order]);
         g_assert_nonnull(pgw_upstream_table_find(table, "new"));
         g_assert_null(pgw_upstream_table_find(table, "old"));
-        g_assert_cmpuint(pgw_upstream_table_service(table, "s")->len, ==, 1);
+        g_assert_cmpuint(pgw_upstream_table_pool(table, "s")->all->len, ==, 1);
         pgw_upstream_table_free(table);
     }
 }
@@ -75,7 +75,7 @@
 
     pgw_upstream_table_remove(table, upstream);
     g_assert_null(pgw_upstream_table_find(table, "i"));
-    g_assert_cmpuint(pgw_upstream_table_service(table, "s")->len, ==, 0);
+    g_assert_cmpuint(pgw_upstream_table_pool(table, "s")->all->len, ==, 0);
     g_assert_true(upstream->removed);
     pgw_upstream_unref(upstream);
     pgw_upstream_table_free(table);
