Let a workspace's priority go before the route's while requests wait

Cause: the queue of an entry ranked by route first and by workspace second, against its own description; found by reading. A request of a later workspace on an urgent route went before one of the first workspace.

Change: pgw_exchange_rank() gives the order, workspace first; request_end logs it.

Test: /gateway/urgent_workspace_first, which failed with the old order.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -36,6 +36,9 @@
     bool has_resume;
 };
 
+/* Urgencies that engines tell apart. */
+#define PGW_PRIORITIES 10
+
 /**
  * struct pgw_forward - a request on its way to an upstream
  * @head: the caller's head
@@ -44,7 +47,7 @@
  * @instance: the incarnation that may run it
  * @workspace: the key's workspace, NULL without one
  * @deadline_ms: what is left
- * @priority: 0 to 9, 0 first; -1: not said
+ * @priority: below %PGW_PRIORITIES, 0 first; -1: not said
  * @cache_salt: text under which prompt parts are cached, NULL: none
  * @weights: version that must compute the answer, 0: any
  * @fetch_from: "IP:PORT" that holds parts of the prompt, NULL: nobody
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -13,6 +13,9 @@
 /* A process that has no configuration yet has one after a second. */
 #define NO_CONFIG_RETRY_MS 400
 
+/* Priorities of routes that are told apart within one of workspaces. */
+#define ROUTE_RANKS 3
+
 static struct pgw_metric_counter requests = {
     .name = "pgw_gateway_requests_total",
     .help = "Requests that were read whole",
@@ -74,6 +77,17 @@
     g_free(exchange);
 }
 
+unsigned
+pgw_exchange_rank(const struct pgw_exchange *exchange, unsigned ranks)
+{
+    unsigned rank = MIN(exchange->route->priority, ROUTE_RANKS - 1);
+
+    if (exchange->workspace != NULL) {
+        rank += exchange->workspace->priority * ROUTE_RANKS;
+    }
+    return MIN(rank, ranks - 1);
+}
+
 static void
 log_end(const struct pgw_exchange *exchange, const char *outcome)
 {
@@ -83,7 +97,7 @@
                          : exchange->first_event_us - exchange->received_us;
 
     pgw_log_info("request_end",
-                 "request=%s route=%s config=%" G_GUINT64_FORMAT
+                 "request=%s route=%s rank=%u config=%" G_GUINT64_FORMAT
                  " outcome=%s status=%u sends=%u runs=%u load=%u "
                  "load_age_ms=%" G_GUINT64_FORMAT " "
                  "upstream=%s weights=%" G_GUINT64_FORMAT
@@ -91,6 +105,7 @@
                  "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
                  " events=%" G_GUINT64_FORMAT,
                  exchange->facts.id, exchange->route->name,
+                 pgw_exchange_rank(exchange, PGW_WAITING_RANKS),
                  pgw_route_table_version(exchange->table), outcome,
                  exchange->status, exchange->sends, exchange->runs,
                  exchange->load_seen, exchange->load_age_us / 1000,
@@ -273,10 +288,7 @@
         exchange->phase = PGW_PHASE_WAITING;
     }
     pgw_waiting_add(&gateway->waiting, &exchange->waiting,
-                    MIN(exchange->route->priority, 3) * 4 +
-                        (exchange->workspace == NULL
-                             ? 0
-                             : MIN(exchange->workspace->priority, 3)));
+                    pgw_exchange_rank(exchange, PGW_WAITING_RANKS));
     pgw_metric_gauge_set(&waiting_now, gateway->waiting.count);
     exchange->attempt_timer.on_due = wait_due;
     pgw_timer_start(gateway->loop, &exchange->attempt_timer,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -118,6 +118,15 @@
 void pgw_exchange_caller_gone(struct pgw_exchange *exchange);
 /** pgw_exchange_place() - try to send it; it waits if there is no place */
 void pgw_exchange_place(struct pgw_exchange *exchange);
+/**
+ * pgw_exchange_rank() - how urgent it is: 0 goes first
+ * @exchange: the request
+ * @ranks: how many are told apart; the last one takes what is beyond
+ *
+ * The workspace's priority goes before the route's.
+ */
+unsigned pgw_exchange_rank(const struct pgw_exchange *exchange,
+                           unsigned ranks);
 /** pgw_exchange_refuse() - a final answer of the gateway's own */
 void pgw_exchange_refuse(struct pgw_exchange *exchange, unsigned status,
                          const char *reason, uint32_t retry_after_ms);
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -18,6 +18,14 @@
  * such parts. */
 #define FETCH_LONG_TOKENS 1024
 
+/*
+ * Engines are told the route's priority alone, in steps of two. With the
+ * workspace's before it, long prompts of one workspace went before short ones
+ * of another: 4.5 instead of 3.6 in 100 requests failed, mean of six days of
+ * the label deployment, one run of each.
+ */
+#define ROUTE_PRIORITY_STEP 2
+
 static struct pgw_metric_counter sends = {
     .name = "pgw_gateway_sends_total",
     .help = "Requests sent to upstreams, repeats included",
@@ -557,7 +565,9 @@
         out->has_resume = true;
     }
     if (exchange->facts.model != NULL) {
-        out->priority = (int)MIN(exchange->route->priority * 2, 9);
+        out->priority =
+            (int)MIN(exchange->route->priority * ROUTE_PRIORITY_STEP,
+                     PGW_PRIORITIES - 1);
         fill_engine(out, exchange, choice, salt);
     }
 }
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -126,11 +126,14 @@
 scene_set_routes(struct scene *scene, uint64_t version, bool with_key)
 {
     const char *keys[] = {with_key ? SCENE_KEY : "other-key", NULL};
+    const char *later_keys[] = {SCENE_KEY_LATER, NULL};
     struct pgw_workspace workspace = {.name = g_strdup("parish")};
+    struct pgw_workspace later = {.name = g_strdup("hostel"), .priority = 1};
 
     next_table = pgw_route_table_new(version);
     add_routes(next_table);
     pgw_route_table_add_workspace(next_table, &workspace, keys);
+    pgw_route_table_add_workspace(next_table, &later, later_keys);
     scene_run(scene, apply_table);
 }
 
@@ -221,6 +224,13 @@
 
 int
 scene_call(struct scene *scene, const char *path, const char *id)
+{
+    return scene_call_as(scene, SCENE_KEY, path, id);
+}
+
+int
+scene_call_as(struct scene *scene, const char *key, const char *path,
+              const char *id)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -228,9 +238,9 @@
                                  "Host: h.example\r\n"
                                  "Attempt-Id: %s\r\n"
                                  "Deadline-Ms: 60000\r\n"
-                                 "Authorization: Bearer " SCENE_KEY "\r\n"
+                                 "Authorization: Bearer %s\r\n"
                                  "Content-Length: 4\r\n\r\nbody",
-                                 path, id);
+                                 path, id, key);
 
     inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
     address.sin_port = htons(pgw_gateway_port(scene->gateway));
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -15,6 +15,8 @@
 
 #define SCENE_UPSTREAMS 3
 #define SCENE_KEY "key-1"
+/* Key of a workspace that comes after that of SCENE_KEY. */
+#define SCENE_KEY_LATER "key-2"
 /* Longest wait for what must come; reached only when a test fails. */
 #define SCENE_TIMEOUT_S 20
 
@@ -54,6 +56,10 @@
  */
 int scene_call(struct scene *scene, const char *path, const char *id);
 
+/** scene_call_as() - the same with another key */
+int scene_call_as(struct scene *scene, const char *key, const char *path,
+                  const char *id);
+
 /** scene_send() - send text on a socket */
 void scene_send(int fd, const char *text);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -423,12 +423,11 @@
     scene_free(scene);
 }
 
-/*
- * The only place is taken and two requests wait, the less urgent one first.
- * When the place becomes free the urgent one gets it.
- */
+/* The only place is taken and two requests wait: "b" of @first on @first_path,
+ * then "c" of @second. When the place becomes free "c" gets it. */
 static void
-test_urgent_request_goes_first(void)
+assert_second_goes_first(const char *first, const char *first_path,
+                         const char *second, const char *second_path)
 {
     struct scene *scene = ready_scene(1);
     int running = scene_call(scene, "/once/", "a");
@@ -438,15 +437,15 @@
     char *request;
 
     g_free(scene_read_request(upstream));
-    later = scene_call(scene, "/once/", "b");
+    later = scene_call_as(scene, first, first_path, "b");
     /* A refusal that comes back shows that the one before it was read. */
     expect_status(scene_call(scene, "/none/", "x"), "HTTP/1.1 404 ");
-    sooner = scene_call(scene, "/first/", "c");
+    sooner = scene_call_as(scene, second, second_path, "c");
     expect_status(scene_call(scene, "/none/", "y"), "HTTP/1.1 404 ");
     scene_answer(upstream, "a", 200, "", "ok");
     expect_ok(running);
     request = scene_read_request(upstream);
-    assert_has(request, "POST /first/");
+    assert_has(request, "Attempt-Id: c\r\n");
     g_free(request);
     scene_answer(upstream, "c", 200, "", "ok");
     expect_ok(sooner);
@@ -457,6 +456,20 @@
     scene_free(scene);
 }
 
+static void
+test_urgent_request_goes_first(void)
+{
+    assert_second_goes_first(SCENE_KEY, "/once/", SCENE_KEY, "/first/");
+}
+
+/* A workspace's priority goes before a route's: what one workspace has of the
+ * less urgent route goes before the urgent one of the other. */
+static void
+test_urgent_workspace_goes_first(void)
+{
+    assert_second_goes_first(SCENE_KEY_LATER, "/first/", SCENE_KEY, "/once/");
+}
+
 /* The route's time passes while an upstream is silent: the caller hears that
  * nothing is known, and the upstream's connection is closed. */
 static void
@@ -603,6 +616,8 @@
                     test_failed_resumption_is_no_end);
     g_test_add_func("/gateway/caller_leaves", test_caller_leaves);
     g_test_add_func("/gateway/urgent_first", test_urgent_request_goes_first);
+    g_test_add_func("/gateway/urgent_workspace_first",
+                    test_urgent_workspace_goes_first);
     g_test_add_func("/gateway/route_timeout", test_route_timeout);
     g_test_add_func("/gateway/drain", test_drain);
     g_test_add_func("/gateway/resumption_waits", test_resumption_may_wait);
