Find routes by their prefixes, not by sorting and scanning all

The table put all routes of a host in order again at each route that it took, so 1,600 routes held the loop for over a second, and each request looked through them.

Change: routes are found by host and prefix in a hash; a path has as many candidates as slashes.

--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -1,4 +1,5 @@
 #include "gateway/route_table.h"
+#include "util/log.h"
 #include <string.h>
 #include <xxhash.h>
 
@@ -8,7 +9,8 @@
     int references;
     uint64_t version;
     struct pgw_caller_limits limits;
-    GHashTable *hosts;     /* host -> GPtrArray of routes, longest first */
+    GHashTable *routes;    /* host and path prefix -> struct pgw_route */
+    size_t longest_prefix; /* bytes of the longest one */
     GHashTable *services;  /* name -> struct pgw_service */
     GHashTable *keys;      /* key -> struct pgw_workspace */
     GPtrArray *workspaces; /* owns them */
@@ -50,12 +52,6 @@
     g_free(workspace);
 }
 
-static void
-routes_free(void *data)
-{
-    g_ptr_array_free(data, TRUE);
-}
-
 struct pgw_route_table *
 pgw_route_table_new(uint64_t version)
 {
@@ -64,8 +60,8 @@
     table->references = 1;
     table->version = version;
     table->limits = (struct pgw_caller_limits)PGW_CALLER_LIMITS_INIT;
-    table->hosts =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, routes_free);
+    table->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_free);
     table->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
     table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -87,7 +83,7 @@
     if (table == NULL || --table->references > 0) {
         return;
     }
-    g_hash_table_destroy(table->hosts);
+    g_hash_table_destroy(table->routes);
     g_hash_table_destroy(table->services);
     g_hash_table_destroy(table->keys);
     g_ptr_array_free(table->workspaces, TRUE);
@@ -95,30 +91,21 @@
     g_free(table);
 }
 
-static int
-longest_first(const void *a, const void *b)
-{
-    const struct pgw_route *left = *(struct pgw_route *const *)a;
-    const struct pgw_route *right = *(struct pgw_route *const *)b;
-    size_t left_size = strlen(left->path_prefix);
-    size_t right_size = strlen(right->path_prefix);
-
-    return left_size == right_size ? 0 : left_size < right_size ? 1 : -1;
-}
-
 void
 pgw_route_table_add_route(struct pgw_route_table *table,
                           const struct pgw_route *route)
 {
     struct pgw_route *copy = g_memdup2(route, sizeof(*route));
-    GPtrArray *routes = g_hash_table_lookup(table->hosts, route->host);
+    char *key = g_strconcat(copy->host, copy->path_prefix, NULL);
 
-    if (routes == NULL) {
-        routes = g_ptr_array_new_with_free_func(route_free);
-        g_hash_table_insert(table->hosts, g_strdup(route->host), routes);
+    if (!g_str_has_suffix(copy->path_prefix, "/")) {
+        pgw_log_warning("route_never_matches",
+                        "route=%s prefix=%s reason=no_slash_at_the_end",
+                        copy->name, copy->path_prefix);
     }
-    g_ptr_array_add(routes, copy);
-    g_ptr_array_sort(routes, longest_first);
+    table->longest_prefix =
+        MAX(table->longest_prefix, strlen(copy->path_prefix));
+    g_hash_table_replace(table->routes, key, copy);
 }
 
 void
@@ -171,33 +158,49 @@
     return table->workspaces->len > 0;
 }
 
+/* Cuts @key down to its last slash that is behind @least bytes. */
+static bool
+cut_to_slash(char *key, size_t least)
+{
+    char *slash = strrchr(key + least, '/');
+
+    if (slash == NULL) {
+        return false;
+    }
+    slash[1] = '\0';
+    return true;
+}
+
+/*
+ * Prefixes end with a slash, so the ones that begin a path are its pieces up
+ * to each of its slashes: these are looked up, the longest first. A scan of
+ * all routes of a host takes as long as the configuration is large.
+ */
 const struct pgw_route *
 pgw_route_table_match(const struct pgw_route_table *table, const char *host,
                       const char *target)
 {
-    char name[HOST_MAX];
     size_t host_size = strcspn(host, ":");
-    size_t path_size = strcspn(target, "?");
-    const GPtrArray *routes;
+    size_t path_size = MIN(strcspn(target, "?"), table->longest_prefix);
+    const struct pgw_route *route = NULL;
+    char *key;
 
-    if (host_size >= sizeof(name)) {
+    if (host_size >= HOST_MAX) {
         return NULL;
     }
+    key = g_malloc(host_size + path_size + 1);
     for (size_t i = 0; i < host_size; i++) {
-        name[i] = g_ascii_tolower(host[i]);
+        key[i] = g_ascii_tolower(host[i]);
     }
-    name[host_size] = '\0';
-    routes = g_hash_table_lookup(table->hosts, name);
-    for (unsigned i = 0; routes != NULL && i < routes->len; i++) {
-        const struct pgw_route *route = g_ptr_array_index(routes, i);
-        size_t size = strlen(route->path_prefix);
-
-        if (size <= path_size &&
-            memcmp(route->path_prefix, target, size) == 0) {
-            return route;
-        }
+    memcpy(key + host_size, target, path_size);
+    key[host_size + path_size] = '\0';
+    while (route == NULL && cut_to_slash(key, host_size)) {
+        route = g_hash_table_lookup(table->routes, key);
+        /* The slash itself is not found a second time. */
+        key[strlen(key) - 1] = '\0';
     }
-    return NULL;
+    g_free(key);
+    return route;
 }
 
 const struct pgw_workspace *
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -58,6 +58,37 @@
     pgw_route_table_unref(table);
 }
 
+/*
+ * An operator adds 40,000 routes to one host. Each is found, and so are the
+ * ones that were there before. A table that sorts at each route, or looks
+ * through all at each request, does not get there before the test program is
+ * ended; callers would wait for it all the while.
+ */
+static void
+test_many_routes(void)
+{
+    struct pgw_route_table *table = make_table();
+    const unsigned count = 40000;
+
+    for (unsigned i = 0; i < count; i++) {
+        char *prefix = g_strdup_printf("/x/many/%u/", i);
+
+        add_route(table, "a.example", prefix, "s");
+        g_free(prefix);
+    }
+    for (unsigned i = 0; i < count; i++) {
+        char *prefix = g_strdup_printf("/x/many/%u/", i);
+        char *target = g_strconcat(prefix, "below/1", NULL);
+
+        g_assert_cmpstr(matched(table, "a.example", target), ==, prefix);
+        g_free(target);
+        g_free(prefix);
+    }
+    g_assert_cmpstr(matched(table, "a.example", "/x/many/"), ==, "/x/");
+    g_assert_cmpstr(matched(table, "a.example", "/x/y/1"), ==, "/x/y/");
+    pgw_route_table_unref(table);
+}
+
 static void
 test_keys(void)
 {
@@ -127,6 +158,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/route_table/longest_prefix",
                     test_longest_prefix_of_the_host);
+    g_test_add_func("/route_table/many", test_many_routes);
     g_test_add_func("/route_table/keys", test_keys);
     g_test_add_func("/route_table/weights", test_weights);
     g_test_add_func("/route_table/kv_stores",
