Remove two functions that nobody calls; one bound for fetches

pgw_call_pool_drop() and pgw_mesh_peers() had no caller. The least number of tokens that are fetched stood in forward.c and in the choice's options.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -545,24 +545,6 @@
     return pool;
 }
 
-void
-pgw_call_pool_drop(struct pgw_call_pool *pool,
-                   const struct pgw_address *address)
-{
-    char name[PGW_ADDRESS_TEXT_SIZE];
-    struct peer *peer;
-
-    pgw_address_format(name, address);
-    peer = g_hash_table_lookup(pool->peers, name);
-    if (peer == NULL) {
-        return;
-    }
-    pgw_list_foreach_safe (link, &peer->idle) {
-        connection_close(
-            pgw_container_of(link, struct pgw_connection, in_idle));
-    }
-}
-
 void
 pgw_call_pool_free(struct pgw_call_pool *pool)
 {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -127,10 +127,6 @@
 /** pgw_call_pool_free() - close all connections; no callbacks follow */
 void pgw_call_pool_free(struct pgw_call_pool *pool);
 
-/** pgw_call_pool_drop() - close the idle connections to an address */
-void pgw_call_pool_drop(struct pgw_call_pool *pool,
-                        const struct pgw_address *address);
-
 /**
  * pgw_call_start() - send a request
  * @call: ops set, otherwise zeroed or ended
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -91,7 +91,8 @@
  * @fetch_tokens: cost of a fetch from another engine, in tokens: 2 ms
  * @fetch_share: and of each token that it moves: links carry seven to fifteen
  *   times what an engine reads
- * @fetch_min_tokens: less is read again rather than fetched
+ * @fetch_min_tokens: less is read again rather than fetched; a fetch takes
+ *   about two milliseconds
  * @failing_tokens: cost of an upstream that fails always
  * @old_tokens: cost of older weights, in tokens
  * @bad_rate: failure rate above which an upstream counts as unhealthy
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -9,9 +9,6 @@
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
 /* How often one request is offered in all, refusals by upstreams included. */
 #define SENDS_MAX 5
-/* The least missing shared tokens that are fetched from an engine that holds
- * them: a fetch takes about two milliseconds. */
-#define FETCH_MIN_TOKENS 32
 /* Shared parts from this size on are fetched from wherever they may be, also
  * where the engine should hold them: an eviction that was not heard of costs
  * reading them again, a needless fetch a millisecond. The store keeps only
@@ -524,8 +521,10 @@
         g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
     }
     forward->cache_salt = salt;
-    if (version == 0 || (choice->missing_tokens < FETCH_MIN_TOKENS &&
-                         choice->shared_tokens < FETCH_LONG_TOKENS)) {
+    if (version == 0 ||
+        (choice->missing_tokens <
+             exchange->gateway->options.choose.fetch_min_tokens &&
+         choice->shared_tokens < FETCH_LONG_TOKENS)) {
         return;
     }
     if (choice->holder != NULL) {
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -485,15 +485,3 @@
 {
     return pgw_listener_port(mesh->listener);
 }
-
-unsigned
-pgw_mesh_peers(const struct pgw_mesh *mesh)
-{
-    unsigned count = 0;
-
-    pgw_list_foreach (link, &mesh->peers) {
-        count += pgw_link_is_open(
-            pgw_container_of(link, struct peer, in_mesh)->link);
-    }
-    return count;
-}
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -54,7 +54,4 @@
 /** pgw_mesh_port() - the port that it listens on */
 uint16_t pgw_mesh_port(const struct pgw_mesh *mesh);
 
-/** pgw_mesh_peers() - open connections to other entries */
-unsigned pgw_mesh_peers(const struct pgw_mesh *mesh);
-
 #endif
