--- /dev/null
+++ b/src/gateway/guard_ask.c
@@ -0,0 +1,257 @@
+#include "gateway/guard_state.h"
+#include "util/log.h"
+#include "util/metric.h"
+#include <string.h>
+
+/* Reports are asked for this often; while an order is on its way more often,
+ * since requests wait for its end. */
+#define REPORT_US 100000
+#define REPORT_LOADING_US 40000
+#define REPORT_TIMEOUT_US 400000
+/* Cache events are waited for so long; shorter waits count as probes. */
+#define EVENTS_WAIT_MS 800
+#define EVENTS_TIMEOUT_US 2000000
+/* After an answer with events: what follows at once is told together. */
+#define EVENTS_PAUSE_US 30000
+#define EVENTS_AGAIN_US 300000
+/* Failed reports in a row before the engine counts as gone. */
+#define DEAD_AFTER 2
+
+static struct pgw_metric_counter reports_failed = {
+    .name = "pgw_engine_reports_failed_total",
+    .help = "Reports that the engine did not give",
+};
+
+static void
+start_report_timer(struct pgw_engine_guard *guard)
+{
+    pgw_timer_start(guard->loop, &guard->report_timer,
+                    pgw_guard_is_loading(guard) ? REPORT_LOADING_US
+                                                : REPORT_US);
+}
+
+static void
+report_failed(struct pgw_engine_guard *guard)
+{
+    pgw_metric_counter_add(&reports_failed, 1);
+    guard->failures++;
+    if (guard->failures == DEAD_AFTER) {
+        guard->alive = false;
+        pgw_log_warning("engine_lost", "engine=%s", guard->engine);
+        pgw_guard_tell_all(guard, true);
+    }
+    start_report_timer(guard);
+}
+
+uint64_t
+pgw_guard_version_of(const struct pgw_engine_report *report, const char *model)
+{
+    for (size_t i = 0; i < report->model_count; i++) {
+        if (strcmp(report->models[i].model, model) == 0) {
+            return report->models[i].version;
+        }
+    }
+    return 0;
+}
+
+static void
+take_report(struct pgw_engine_guard *guard)
+{
+    uint64_t now = pgw_now_us();
+
+    if (!guard->alive) {
+        pgw_log_info("engine_found", "engine=%s", guard->engine);
+    }
+    guard->alive = true;
+    guard->failures = 0;
+    for (size_t i = 0; i < guard->model_count; i++) {
+        struct pgw_guard_model *model = &guard->models[i];
+        uint64_t version = pgw_guard_version_of(&guard->report, model->model);
+
+        if (version != model->order.running) {
+            pgw_log_info("weights_running",
+                         "model=%s version=%" G_GUINT64_FORMAT
+                         " before=%" G_GUINT64_FORMAT,
+                         model->model, version, model->order.running);
+        }
+        pgw_weights_order_report(&model->order, version, guard->report.busy,
+                                 now);
+    }
+    pgw_guard_step(guard);
+    if (pgw_guard_is_urgent(guard)) {
+        pgw_guard_tell_all(guard, true);
+    }
+    else if (pgw_guard_is_news(guard)) {
+        pgw_guard_tell_all(guard, false);
+    }
+    start_report_timer(guard);
+}
+
+static struct pgw_engine_guard *
+of_report(struct pgw_call *call)
+{
+    return pgw_container_of(call, struct pgw_engine_guard, report_call);
+}
+
+static bool
+report_head(struct pgw_call *call, const struct pgw_http_head *head)
+{
+    struct pgw_engine_guard *guard = of_report(call);
+
+    guard->report_status = head->status;
+    g_string_truncate(guard->report_body, 0);
+    return true;
+}
+
+static void
+report_body(struct pgw_call *call, const char *data, size_t size)
+{
+    g_string_append_len(of_report(call)->report_body, data, (gssize)size);
+}
+
+static void
+report_done(struct pgw_call *call)
+{
+    struct pgw_engine_guard *guard = of_report(call);
+    struct pgw_engine_report report = {0};
+
+    if (guard->report_status != 200 ||
+        !guard->options.codec->read_report(&report, guard->report_body->str,
+                                           guard->report_body->len)) {
+        report_failed(guard);
+        return;
+    }
+    pgw_guard_report_clear(&guard->report);
+    guard->report = report;
+    take_report(guard);
+}
+
+static void
+report_lost(struct pgw_call *call, enum pgw_call_failure why)
+{
+    (void)why;
+    report_failed(of_report(call));
+}
+
+static const struct pgw_call_ops report_ops = {
+    .on_head = report_head,
+    .on_body = report_body,
+    .on_done = report_done,
+    .on_failed = report_lost,
+};
+
+void
+pgw_guard_report_due(struct pgw_timer *timer)
+{
+    struct pgw_engine_guard *guard =
+        pgw_container_of(timer, struct pgw_engine_guard, report_timer);
+    GString *bytes = g_string_new(NULL);
+    struct pgw_call_options options = {
+        .address = &guard->options.engine,
+        .timeout_us = REPORT_TIMEOUT_US,
+    };
+
+    guard->options.codec->write_report(bytes);
+    options.bytes = bytes->str;
+    options.size = bytes->len;
+    guard->report_call.ops = &report_ops;
+    if (!pgw_call_start(&guard->report_call, guard->pool, &options)) {
+        report_failed(guard);
+    }
+    g_string_free(bytes, TRUE);
+}
+
+/* A report at once: something is about to have changed. */
+void
+pgw_guard_ask_report(struct pgw_engine_guard *guard)
+{
+    if (!pgw_call_is_running(&guard->report_call)) {
+        pgw_timer_start(guard->loop, &guard->report_timer, 0);
+    }
+}
+
+static struct pgw_engine_guard *
+of_events(struct pgw_call *call)
+{
+    return pgw_container_of(call, struct pgw_engine_guard, events_call);
+}
+
+static bool
+events_head(struct pgw_call *call, const struct pgw_http_head *head)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+
+    guard->events_status = head->status;
+    g_string_truncate(guard->events_body, 0);
+    return true;
+}
+
+static void
+events_body(struct pgw_call *call, const char *data, size_t size)
+{
+    g_string_append_len(of_events(call)->events_body, data, (gssize)size);
+}
+
+static void
+events_done(struct pgw_call *call)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+    struct pgw_cache_events events = {0};
+
+    if (guard->events_status != 200 ||
+        !guard->options.codec->read_events(&events, guard->events_body->str,
+                                           guard->events_body->len)) {
+        pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+        return;
+    }
+    pgw_held_parts_take(&guard->parts, &events);
+    g_free(events.events);
+    if (guard->parts.reset || g_hash_table_size(guard->parts.changed) > 0) {
+        pgw_guard_tell_all(guard, false);
+    }
+    pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_PAUSE_US);
+}
+
+static void
+events_lost(struct pgw_call *call, enum pgw_call_failure why)
+{
+    struct pgw_engine_guard *guard = of_events(call);
+
+    (void)why;
+    pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+}
+
+static const struct pgw_call_ops events_ops = {
+    .on_head = events_head,
+    .on_body = events_body,
+    .on_done = events_done,
+    .on_failed = events_lost,
+};
+
+void
+pgw_guard_events_due(struct pgw_timer *timer)
+{
+    struct pgw_engine_guard *guard =
+        pgw_container_of(timer, struct pgw_engine_guard, events_timer);
+    GString *bytes = g_string_new(NULL);
+    struct pgw_call_options options = {
+        .address = &guard->options.engine,
+        .timeout_us = EVENTS_TIMEOUT_US,
+    };
+
+    guard->options.codec->write_events(bytes, guard->parts.next,
+                                       EVENTS_WAIT_MS);
+    options.bytes = bytes->str;
+    options.size = bytes->len;
+    guard->events_call.ops = &events_ops;
+    if (!pgw_call_start(&guard->events_call, guard->pool, &options)) {
+        pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+    }
+    g_string_free(bytes, TRUE);
+}
+
+void
+pgw_guard_register_ask_metrics(void)
+{
+    pgw_metric_register_counter(&reports_failed);
+}
--- /dev/null
+++ b/src/gateway/guard_state.h
@@ -0,0 +1,106 @@
+#ifndef PGW_GATEWAY_GUARD_STATE_H
+#define PGW_GATEWAY_GUARD_STATE_H
+
+#include "gateway/engine_guard.h"
+#include "libparsleygw/link.h"
+
+/**
+ * DOC: Inside of the process beside an engine
+ *
+ * guard_ask.c asks the engine for reports and cache events, guard_order.c
+ * orders new weights, guard_tell.c tells the entries, engine_guard.c holds
+ * them together. Nobody else includes this.
+ */
+
+/** struct pgw_guard_model - the weights of one model */
+struct pgw_guard_model {
+    char *model;
+    char *instance;
+    struct pgw_weights_order order;
+};
+
+/**
+ * struct pgw_guard_entry - one entry
+ * @known: it has said who it is and been told everything
+ * @far: it is in another zone: told less, and less often
+ */
+struct pgw_guard_entry {
+    struct pgw_list in_guard;
+    struct pgw_engine_guard *guard;
+    struct pgw_link *link;
+    bool known;
+    bool far;
+};
+
+struct pgw_engine_guard {
+    struct pgw_loop *loop;
+    struct pgw_engine_guard_options options;
+    char *instance;
+    char *zone;
+    char engine[PGW_ADDRESS_TEXT_SIZE];
+    struct pgw_call_pool *pool;
+    struct pgw_listener *listener;
+    struct pgw_list entries;
+    struct pgw_timer report_timer;
+    struct pgw_timer step_timer;
+    struct pgw_timer events_timer;
+    struct pgw_call report_call;
+    struct pgw_call order_call;
+    struct pgw_call events_call;
+    GString *report_body;
+    GString *events_body;
+    unsigned events_status;
+    struct pgw_held_parts parts;
+    unsigned report_status;
+    unsigned order_status;
+    struct pgw_engine_report report;
+    struct pgw_engine_report told;
+    uint64_t told_us;
+    uint64_t told_far_us;
+    struct pgw_guard_model models[PGW_UPSTREAM_MODELS_MAX];
+    size_t model_count;
+    struct pgw_guard_model *ordering;
+    unsigned failures;
+    bool alive;
+    bool told_alive;
+    bool told_loading;
+};
+
+/* guard_ask.c */
+/** pgw_guard_ask_report() - ask the engine now */
+void pgw_guard_ask_report(struct pgw_engine_guard *guard);
+/** pgw_guard_report_due() - for the timer of reports */
+void pgw_guard_report_due(struct pgw_timer *timer);
+/** pgw_guard_events_due() - for the timer of cache events */
+void pgw_guard_events_due(struct pgw_timer *timer);
+/** pgw_guard_version_of() - weights of a model in a report, 0: not there */
+uint64_t pgw_guard_version_of(const struct pgw_engine_report *report,
+                              const char *model);
+/** pgw_guard_register_ask_metrics() - counters of this part */
+void pgw_guard_register_ask_metrics(void);
+
+/* guard_order.c */
+/** pgw_guard_step() - do what the weights need next */
+void pgw_guard_step(struct pgw_engine_guard *guard);
+/** pgw_guard_step_due() - for the timer of steps */
+void pgw_guard_step_due(struct pgw_timer *timer);
+/** pgw_guard_register_order_metrics() - counters of this part */
+void pgw_guard_register_order_metrics(void);
+
+/* guard_tell.c */
+/** pgw_guard_send_state() - everything that is known, to one entry */
+void pgw_guard_send_state(const struct pgw_engine_guard *guard,
+                          struct pgw_guard_entry *peer);
+/** pgw_guard_tell_all() - to all entries; those far away when it is urgent or
+ * their time has come */
+void pgw_guard_tell_all(struct pgw_engine_guard *guard, bool urgent);
+/** pgw_guard_is_loading() - the engine takes no requests for its weights */
+bool pgw_guard_is_loading(const struct pgw_engine_guard *guard);
+/** pgw_guard_is_urgent() - entries must hear of a change at once */
+bool pgw_guard_is_urgent(const struct pgw_engine_guard *guard);
+/** pgw_guard_is_news() - enough has changed to tell them */
+bool pgw_guard_is_news(const struct pgw_engine_guard *guard);
+/** pgw_guard_report_clear() - give back what a report owns */
+void pgw_guard_report_clear(struct pgw_engine_report *report);
+
+#endif
