Hear of the store's return soon; keep each vanished upstream's own time

Traced by the log of edge-hella-hall-1: - A watch asked just before the store came back was swallowed by it and given up after 7.5 s, so the return was heard of at 26.2 instead of 18.2 s. - An upstream that vanished prolonged the time of all that had vanished before, so in a release they were used for as long as others followed; and 2.2 s, meant for a store that has just come back, counted until 3 s after it.

Change: watches are short (200 ms) while the store fails. gateway/lapse.c, out of entry_main.c, runs each upstream's time from its own end; the long time holds while the store is not yet back for 3 s, a quarter of a pool at once is kept for the drain time less half a second.

Tests: test_lapse; /platform_feed/short_watches, which the old feed fails (it asks for 6,000 ms each time).

--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -80,6 +80,7 @@
  * @revision: of its line in the list
  * @displaced: another incarnation answered at its address
  * @removed: no longer in the list
+ * @lapsed_at_us: when it was dropped from the list
  * @lapsed_until_us: dropped from the list while the platform's store was away;
  *   counts as there until then, 0: is in the list
  * @loading: its sidecar says that it changes its weights
@@ -116,6 +117,7 @@
     bool leaving;
     bool displaced;
     bool removed;
+    uint64_t lapsed_at_us;
     uint64_t lapsed_until_us;
     uint64_t cold_until_us;
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
--- /dev/null
+++ b/tests/unit/test_lapse.c
@@ -0,0 +1,110 @@
+#include "gateway/lapse.h"
+
+#define NOW UINT64_C(100000000)
+#define SECOND UINT64_C(1000000)
+
+static const struct pgw_lapse_options options = {
+    .usual_us = SECOND,
+    .many_us = 3 * SECOND / 2,
+    .trouble_us = 11 * SECOND / 5,
+};
+
+static struct pgw_upstream *
+put(struct pgw_upstream_table *table, unsigned number)
+{
+    char id[8];
+    char address[32];
+    struct pgw_upstream_facts facts = {
+        .id = id,
+        .service = "s",
+        .address = address,
+        .zone = "a",
+        .slots = 4,
+    };
+
+    g_snprintf(id, sizeof(id), "u%u", number);
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u", 1000 + number);
+    return pgw_upstream_table_put(table, &facts);
+}
+
+/*
+ * The upstreams of a pool are replaced one after the other, one a second, and
+ * vanish without having said that they leave. Each is used for one second
+ * more, however many follow: requests that reach one later find it gone.
+ */
+static void
+test_each_has_its_own_time(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+
+    for (unsigned i = 0; i < 12; i++) {
+        put(table, i);
+    }
+    for (unsigned i = 0; i < 8; i++) {
+        uint64_t now = NOW + i * SECOND * 9 / 10;
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "u%u", i);
+        pgw_lapse_drop(table, pgw_upstream_table_find(table, id), false,
+                       &options, now);
+        pgw_lapse_sweep(table, now);
+        if (i >= 2) {
+            g_snprintf(id, sizeof(id), "u%u", i - 2);
+            g_assert_null(pgw_upstream_table_find(table, id));
+        }
+    }
+    pgw_upstream_table_free(table);
+}
+
+/*
+ * The store comes back and its list lacks the upstreams one after the other.
+ * All are used until living ones are in the list again, and no longer.
+ */
+static void
+test_store_is_back(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *first = put(table, 0);
+    struct pgw_upstream *second = put(table, 1);
+
+    pgw_lapse_drop(table, first, true, &options, NOW);
+    pgw_lapse_drop(table, second, true, &options, NOW + SECOND / 2);
+    g_assert_false(pgw_lapse_sweep(table, NOW + 2 * SECOND));
+    put(table, 1);
+    g_assert_true(pgw_lapse_sweep(table, NOW + 11 * SECOND / 5));
+    g_assert_null(pgw_upstream_table_find(table, "u0"));
+    g_assert_false(pgw_lapse_sweep(table, NOW + 9 * SECOND));
+    g_assert_nonnull(pgw_upstream_table_find(table, "u1"));
+    pgw_upstream_table_free(table);
+}
+
+/* A third of the pool is gone at once: used longer, but each for no more than
+ * the time for many. */
+static void
+test_many_at_once(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstreams[6];
+
+    for (unsigned i = 0; i < 6; i++) {
+        upstreams[i] = put(table, i);
+    }
+    pgw_lapse_drop(table, upstreams[0], false, &options, NOW);
+    pgw_lapse_drop(table, upstreams[1], false, &options, NOW);
+    g_assert_false(pgw_lapse_sweep(table, NOW + SECOND));
+    pgw_lapse_drop(table, upstreams[2], false, &options, NOW + SECOND);
+    g_assert_true(pgw_lapse_sweep(table, NOW + 3 * SECOND / 2));
+    g_assert_null(pgw_upstream_table_find(table, "u0"));
+    g_assert_nonnull(pgw_upstream_table_find(table, "u2"));
+    pgw_upstream_table_free(table);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/lapse/own_time", test_each_has_its_own_time);
+    g_test_add_func("/lapse/store_is_back", test_store_is_back);
+    g_test_add_func("/lapse/many", test_many_at_once);
+    return g_test_run();
+}
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -177,6 +177,29 @@
     stop(self);
 }
 
+/*
+ * A watch breaks: the store may be silent and swallow what it is asked. Until
+ * it has answered once watches are short, so that its return is heard of soon;
+ * then they are long again, since each costs a call.
+ */
+static void
+test_watches_are_short_in_trouble(void)
+{
+    struct follower *self = follow();
+    int fd = accept(self->listener, NULL, NULL);
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":7}");
+    serve(fd, "watch=7&wait_ms=6000 ", 503, "");
+    serve(fd, "watch=7&wait_ms=200 ", 503, "");
+    serve(fd, "watch=7&wait_ms=200 ", 200,
+          "{\"events\":[],\"current_rev\":8}");
+    serve(fd, "watch=8&wait_ms=6000 ", 200,
+          "{\"events\":[],\"current_rev\":8}");
+    close(fd);
+    stop(self);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -184,5 +207,7 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/platform_feed/history", test_history_is_lost);
     g_test_add_func("/platform_feed/trouble", test_trouble_and_return);
+    g_test_add_func("/platform_feed/short_watches",
+                    test_watches_are_short_in_trouble);
     return g_test_run();
 }
