--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -14,6 +14,9 @@
  * before it asks: its own watch takes changes together for 350 ms. A leaving
  * upstream or a revoked key is known everywhere within a second. */
 #define ASK_AFTER_US 450000
+/* A frame of copies is sent when it has so many bytes; with one more object of
+ * the most that the store takes (1 MiB) it stays below PGW_FRAME_MAX. */
+#define FRAME_BYTES ((size_t)1 << 20)
 /* Kinds of objects that are passed on. */
 #define KINDS_MAX 8
 
@@ -82,18 +85,17 @@
 }
 
 static void
-send_documents(struct pgw_link *link, const struct pgw_document *const *list,
-               size_t count)
+send_documents(struct pgw_link *link, const GPtrArray *list)
 {
     Pgw__Documents message = PGW__DOCUMENTS__INIT;
-    Pgw__Document *copies = g_new0(Pgw__Document, count);
-    Pgw__Document **pointers = g_new0(Pgw__Document *, count);
+    Pgw__Document *copies = g_new0(Pgw__Document, list->len);
+    Pgw__Document **pointers = g_new0(Pgw__Document *, list->len);
 
-    for (size_t i = 0; i < count; i++) {
-        fill_document(&copies[i], list[i]);
+    for (unsigned i = 0; i < list->len; i++) {
+        fill_document(&copies[i], g_ptr_array_index(list, i));
         pointers[i] = &copies[i];
     }
-    message.n_documents = count;
+    message.n_documents = list->len;
     message.documents = pointers;
     pgw_link_send(link, PGW_FRAME_DOCUMENTS, &message.base);
     g_free(copies);
@@ -267,23 +269,46 @@
     g_free(body);
 }
 
-/* Everything that is newer than what a peer has reached. */
+static int
+oldest_first(const void *a, const void *b)
+{
+    const struct pgw_document *left = *(struct pgw_document *const *)a;
+    const struct pgw_document *right = *(struct pgw_document *const *)b;
+
+    return left->revision < right->revision ? -1
+                                            : left->revision > right->revision;
+}
+
+/*
+ * Everything that is newer than what a peer has reached, the oldest first: a
+ * peer that loses the connection half-way has reached just what it got, and
+ * asks for the rest.
+ */
 static void
 answer_peer(struct peer *peer, const struct revisions *since)
 {
     GPtrArray *all = pgw_documents_list(peer->mesh->documents, NULL);
     GPtrArray *newer = g_ptr_array_new();
+    size_t bytes = 0;
 
+    g_ptr_array_sort(all, oldest_first);
     for (unsigned i = 0; i < all->len; i++) {
         struct pgw_document *document = g_ptr_array_index(all, i);
 
-        if (document->revision > reached(since, document->kind)) {
-            g_ptr_array_add(newer, document);
+        if (document->revision <= reached(since, document->kind)) {
+            continue;
         }
+        g_ptr_array_add(newer, document);
+        bytes += document->deleted ? 0 : strlen(document->body);
+        if (bytes >= FRAME_BYTES) {
+            send_documents(peer->link, newer);
+            g_ptr_array_set_size(newer, 0);
+            bytes = 0;
+        }
+    }
+    if (newer->len > 0) {
+        send_documents(peer->link, newer);
     }
-    send_documents(peer->link,
-                   (const struct pgw_document *const *)newer->pdata,
-                   newer->len);
     g_ptr_array_unref(newer);
     g_ptr_array_unref(all);
 }
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -7,6 +7,7 @@
 /**
  * struct fleet - entries on one loop; the first one is everybody's seed
  * @heard: documents that each heard of
+ * @last: revisions that the last one heard of, in their order
  * @wanted: stop once the last entry has heard of so many
  */
 struct fleet {
@@ -14,6 +15,7 @@
     struct pgw_mesh *meshes[ENTRIES];
     struct pgw_timer limit;
     unsigned heard[ENTRIES];
+    uint64_t last[32];
     unsigned wanted;
     bool late;
 };
@@ -31,7 +33,10 @@
     struct hearer *hearer = context;
     struct fleet *fleet = hearer->fleet;
 
-    (void)document;
+    if (hearer->index == ENTRIES - 1 &&
+        fleet->heard[hearer->index] < G_N_ELEMENTS(fleet->last)) {
+        fleet->last[fleet->heard[hearer->index]] = document->revision;
+    }
     fleet->heard[hearer->index]++;
     if (fleet->heard[ENTRIES - 1] >= fleet->wanted) {
         pgw_loop_stop(fleet->loop);
@@ -116,6 +121,45 @@
     pgw_loop_free(fleet.loop);
 }
 
+/*
+ * One entry knows more than fits into a frame: 30 objects of 400 KB. A second
+ * one starts while the store is away and hears of all of them.
+ */
+static void
+test_much_is_known(void)
+{
+    struct fleet fleet = {.wanted = 30};
+    char *body = g_strnfill(400 * 1024, 'x');
+
+    fleet.loop = pgw_loop_new(NULL);
+    fleet.limit.on_due = limit_due;
+    pgw_timer_start(fleet.loop, &fleet.limit, 20000000);
+    add_entry(&fleet, 0);
+    /* Revisions fall, so that the order of the table is not the right one. */
+    for (uint64_t i = 0; i < 30; i++) {
+        char *name = g_strdup_printf("u%" G_GUINT64_FORMAT, i);
+        struct pgw_document document = make(100 - i, false);
+
+        document.name = name;
+        document.body = body;
+        pgw_mesh_put(fleet.meshes[0], &document);
+        g_free(name);
+    }
+    add_entry(&fleet, ENTRIES - 1);
+    pgw_loop_run(fleet.loop);
+    g_assert_false(fleet.late);
+    g_assert_cmpuint(fleet.heard[ENTRIES - 1], ==, 30);
+    /* What ends half-way is asked for again from there. */
+    for (unsigned i = 1; i < 30; i++) {
+        g_assert_cmpuint(fleet.last[i], >, fleet.last[i - 1]);
+    }
+    pgw_mesh_free(fleet.meshes[0]);
+    pgw_mesh_free(fleet.meshes[ENTRIES - 1]);
+    pgw_timer_stop(fleet.loop, &fleet.limit);
+    pgw_loop_free(fleet.loop);
+    g_free(body);
+}
+
 static void
 test_old_copies_are_dropped(void)
 {
@@ -141,6 +185,7 @@
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/mesh/news", test_news_reach_who_hears_nothing);
+    g_test_add_func("/mesh/much", test_much_is_known);
     g_test_add_func("/mesh/old_copies", test_old_copies_are_dropped);
     return g_test_run();
 }
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -177,6 +177,32 @@
     stop(self);
 }
 
+/*
+ * The store fails between two pages of a list. Pages go by names: the first
+ * one has the newest object. Nothing is news before the list is whole, and
+ * then the oldest comes first; else who is told of the newest revision would
+ * never ask for the older object.
+ */
+static void
+test_half_a_list_is_no_news(void)
+{
+    struct follower *self = follow();
+    int fd = accept(self->listener, NULL, NULL);
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[" OBJECT("a", "9") "],\"has_more\":true,"
+                                          "\"current_rev\":9}");
+    serve(fd, "servers?after=a ", 503, "");
+    expect_news(self, "");
+    serve(fd, "servers?after=a ", 200,
+          "{\"items\":[" OBJECT("b", "5") "],\"has_more\":false,"
+                                          "\"current_rev\":9}");
+    serve(fd, "servers?watch=9&", 200, "{\"events\":[],\"current_rev\":9}");
+    expect_news(self, "b 0;a 0;");
+    close(fd);
+    stop(self);
+}
+
 /*
  * A watch breaks: the store may be silent and swallow what it is asked. Until
  * it has answered once watches are short, so that its return is heard of soon;
@@ -207,6 +233,7 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/platform_feed/history", test_history_is_lost);
     g_test_add_func("/platform_feed/trouble", test_trouble_and_return);
+    g_test_add_func("/platform_feed/half_a_list", test_half_a_list_is_no_news);
     g_test_add_func("/platform_feed/short_watches",
                     test_watches_are_short_in_trouble);
     return g_test_run();
