--- a/src/gateway/documents.c
+++ b/src/gateway/documents.c
@@ -89,3 +89,19 @@
     }
     return list;
 }
+
+static int
+oldest_first(const void *a, const void *b)
+{
+    const struct pgw_document *left = *(struct pgw_document *const *)a;
+    const struct pgw_document *right = *(struct pgw_document *const *)b;
+
+    return left->revision < right->revision ? -1
+                                            : left->revision > right->revision;
+}
+
+void
+pgw_documents_sort(GPtrArray *list)
+{
+    g_ptr_array_sort(list, oldest_first);
+}
--- a/src/gateway/documents.h
+++ b/src/gateway/documents.h
@@ -57,4 +57,8 @@
 GPtrArray *pgw_documents_list(const struct pgw_documents *documents,
                               const char *kind);
 
+/** pgw_documents_sort() - put a list of documents in the order of their
+ * revisions, the oldest first */
+void pgw_documents_sort(GPtrArray *list);
+
 #endif
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -269,16 +269,6 @@
     g_free(body);
 }
 
-static int
-oldest_first(const void *a, const void *b)
-{
-    const struct pgw_document *left = *(struct pgw_document *const *)a;
-    const struct pgw_document *right = *(struct pgw_document *const *)b;
-
-    return left->revision < right->revision ? -1
-                                            : left->revision > right->revision;
-}
-
 /*
  * Everything that is newer than what a peer has reached, the oldest first: a
  * peer that loses the connection half-way has reached just what it got, and
@@ -291,7 +281,7 @@
     GPtrArray *newer = g_ptr_array_new();
     size_t bytes = 0;
 
-    g_ptr_array_sort(all, oldest_first);
+    pgw_documents_sort(all);
     for (unsigned i = 0; i < all->len; i++) {
         struct pgw_document *document = g_ptr_array_index(all, i);
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -1,4 +1,6 @@
 #include "scene_gateway.h"
+
+#include "gateway/engine_guard.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
@@ -159,13 +161,46 @@
     pgw_gateway_pump(scene->gateway);
 }
 
-static void *
-loop_main(void *loop)
+void *
+scene_loop_main(void *loop)
 {
     pgw_loop_run(loop);
     return NULL;
 }
 
+int
+scene_listen(struct pgw_address *address)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    g_assert_true(pgw_address_parse(address, LOOPBACK ":0", NULL));
+    g_assert_cmpint(
+        bind(fd, (struct sockaddr *)&address->storage, address->size), ==, 0);
+    g_assert_cmpint(listen(fd, 8), ==, 0);
+    getsockname(fd, (struct sockaddr *)&address->storage, &address->size);
+    return fd;
+}
+
+struct pgw_link *
+scene_connect_entry(struct pgw_loop *loop,
+                    const struct pgw_engine_guard *guard,
+                    const struct pgw_link_ops *ops)
+{
+    struct pgw_address address;
+    struct pgw_link *link;
+    Pgw__Hello hello = PGW__HELLO__INIT;
+    char text[32];
+
+    g_snprintf(text, sizeof(text), LOOPBACK ":%u",
+               pgw_engine_guard_port(guard));
+    g_assert_true(pgw_address_parse(&address, text, NULL));
+    link = pgw_link_connect(loop, &address, ops, NULL, NULL);
+    hello.instance = (char *)"e";
+    hello.zone = (char *)"a";
+    pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
+    return link;
+}
+
 struct scene *
 scene_new(unsigned upstreams)
 {
@@ -190,7 +225,7 @@
     for (unsigned i = 0; i < upstreams; i++) {
         scene->listeners[i] = listen_anywhere();
     }
-    pthread_create(&scene->thread, NULL, loop_main, scene->loop);
+    pthread_create(&scene->thread, NULL, scene_loop_main, scene->loop);
     scene_run(scene, put_upstreams);
     return scene;
 }
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -3,6 +3,7 @@
 
 #include "codec.h"
 #include "gateway/gateway.h"
+#include "libparsleygw/link.h"
 #include <pthread.h>
 
 /**
@@ -45,6 +46,19 @@
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
 
+/** scene_listen() - a listening socket on loopback and where it listens */
+int scene_listen(struct pgw_address *address);
+
+/** scene_loop_main() - a thread's function that runs a &struct pgw_loop */
+void *scene_loop_main(void *loop);
+
+struct pgw_engine_guard;
+
+/** scene_connect_entry() - connect to a guard as an entry; on its loop */
+struct pgw_link *scene_connect_entry(struct pgw_loop *loop,
+                                     const struct pgw_engine_guard *guard,
+                                     const struct pgw_link_ops *ops);
+
 /** scene_run() - run a function on the gateway's thread and wait for it */
 void scene_run(struct scene *scene, void (*run)(struct scene *scene));
 
--- a/tests/unit/test_engine_guard.c
+++ b/tests/unit/test_engine_guard.c
@@ -75,43 +75,6 @@
     .on_closed = on_closed,
 };
 
-static int
-listen_loopback(struct pgw_address *address)
-{
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    g_assert_true(pgw_address_parse(address, "127.0.0.1:0", NULL));
-    g_assert_cmpint(
-        bind(fd, (struct sockaddr *)&address->storage, address->size), ==, 0);
-    g_assert_cmpint(listen(fd, 8), ==, 0);
-    getsockname(fd, (struct sockaddr *)&address->storage, &address->size);
-    return fd;
-}
-
-static void *
-loop_main(void *loop)
-{
-    pgw_loop_run(loop);
-    return NULL;
-}
-
-static void
-connect_entry(void)
-{
-    struct pgw_address address;
-    Pgw__Hello hello = PGW__HELLO__INIT;
-    char text[32];
-
-    g_snprintf(text, sizeof(text), "127.0.0.1:%u",
-               pgw_engine_guard_port(stage->guard));
-    g_assert_true(pgw_address_parse(&address, text, NULL));
-    stage->entry =
-        pgw_link_connect(stage->loop, &address, &link_ops, NULL, NULL);
-    hello.instance = (char *)"e";
-    hello.zone = (char *)"a";
-    pgw_link_send(stage->entry, PGW_FRAME_HELLO, &hello.base);
-}
-
 static void
 stage_open(void)
 {
@@ -124,13 +87,13 @@
 
     stage = g_new0(struct stage, 1);
     pthread_mutex_init(&stage->lock, NULL);
-    stage->engine = listen_loopback(&options.engine);
+    stage->engine = scene_listen(&options.engine);
     g_assert_true(pgw_address_parse(&options.listen, "127.0.0.1:0", NULL));
     stage->loop = pgw_loop_new(NULL);
     stage->guard = pgw_engine_guard_new(stage->loop, &options, NULL);
     g_assert_nonnull(stage->guard);
-    connect_entry();
-    pthread_create(&stage->thread, NULL, loop_main, stage->loop);
+    stage->entry = scene_connect_entry(stage->loop, stage->guard, &link_ops);
+    pthread_create(&stage->thread, NULL, scene_loop_main, stage->loop);
 }
 
 static void
--- a/tests/unit/test_platform_alone.c
+++ b/tests/unit/test_platform_alone.c
@@ -59,26 +59,6 @@
     .on_closed = on_closed,
 };
 
-static void *
-loop_main(void *loop)
-{
-    pgw_loop_run(loop);
-    return NULL;
-}
-
-static int
-listen_loopback(struct pgw_address *address)
-{
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    g_assert_true(pgw_address_parse(address, "127.0.0.1:0", NULL));
-    g_assert_cmpint(
-        bind(fd, (struct sockaddr *)&address->storage, address->size), ==, 0);
-    g_assert_cmpint(listen(fd, 8), ==, 0);
-    getsockname(fd, (struct sockaddr *)&address->storage, &address->size);
-    return fd;
-}
-
 static void
 stage_open(void)
 {
@@ -92,7 +72,7 @@
     struct platform_alone_options alone = {.after_us = 1};
 
     stage = g_new0(struct stage, 1);
-    stage->listener = listen_loopback(&address);
+    stage->listener = scene_listen(&address);
     stage->loop = pgw_loop_new(NULL);
     stage->store = platform_store_new(stage->loop, &address);
     /* Nothing listens there: an engine that does not answer. */
@@ -103,7 +83,7 @@
     alone.store = stage->store;
     alone.guard = stage->guard;
     stage->alone = platform_alone_new(stage->loop, &alone);
-    pthread_create(&stage->thread, NULL, loop_main, stage->loop);
+    pthread_create(&stage->thread, NULL, scene_loop_main, stage->loop);
 }
 
 static void
@@ -125,19 +105,8 @@
 static void
 connect_entry(struct pgw_task *task)
 {
-    struct pgw_address address;
-    Pgw__Hello hello = PGW__HELLO__INIT;
-    char text[32];
-
     (void)task;
-    g_snprintf(text, sizeof(text), "127.0.0.1:%u",
-               pgw_engine_guard_port(stage->guard));
-    g_assert_true(pgw_address_parse(&address, text, NULL));
-    stage->entry =
-        pgw_link_connect(stage->loop, &address, &link_ops, NULL, NULL);
-    hello.instance = (char *)"e";
-    hello.zone = (char *)"a";
-    pgw_link_send(stage->entry, PGW_FRAME_HELLO, &hello.base);
+    stage->entry = scene_connect_entry(stage->loop, stage->guard, &link_ops);
 }
 
 /*
