Let soaks that run at once hold their addresses

Two soaks whose process ids differ by a multiple of 200 used the same addresses; ctest runs two at once. Each now holds its network by a bound socket and takes the next one if it is held.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -26,6 +27,8 @@
 GUARD_PORT, APP_PORT, PROXY_PORT = 17340, 18785, 18786
 FRONT, READY, CONTROL, STORE_PORT = 18782, 18789, 18783, 18784
 MODEL = "guide"
+# Soaks that run at once differ in the second byte of their addresses.
+FIRST_NET, NETS = 20, 200
 # A revoked key may work this long after the store's answer, by the settings'
 # bound of two seconds and one for a busy machine.
 REVOKE_GRACE_S = 3.0
@@ -35,6 +38,19 @@
 STARTING_S = 0.3
 
 
+def free_net():
+    """A second byte of 127.x that no other soak uses, and what holds it."""
+    for i in range(NETS):
+        net = (os.getpid() + i) % NETS + FIRST_NET
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{net}.255.1", STORE_PORT))
+            return net, holder
+        except OSError:
+            holder.close()
+    raise RuntimeError("every 127.x is used by another soak: wait for one")
+
+
 class Broken(Exception):
     """A promise was broken."""
 
@@ -45,7 +61,7 @@
     def __init__(self, options):
         self.options = options
         self.random = random.Random(options.seed)
-        self.net = os.getpid() % 200 + 20
+        self.net, self.net_held = free_net()
         self.dir = tempfile.mkdtemp(prefix="soak-")
         self.runs = {}
         self.promised = set()
