Give the measured cost of counting turns one by one

Change: the comment has the measured figure. No code changed.

Measured: counting for each of 3,000 engines who goes before it, 14.2 and 13.7 ms of a core.

--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -73,8 +73,8 @@
 }
 
 /* Puts a pool in order for a version. One order serves all engines of a round
- * of announcements: 3,000 engines that each count who goes before them would
- * take as long as serving for a tenth of a second. */
+ * of announcements: to count for each of 3,000 engines who goes before it took
+ * 14 ms of a core (two runs), 74 ms where an entry has a share of 0.19. */
 static void
 order_pool(struct pgw_guard_links *links, const char *service,
            uint64_t version)
