Hold back requests that crash their upstreams on the gateway path

Cause: a request that brings down each engine that begins to run it was sent on without end on this path: each of its caller's attempts, and each repeat of an entry, took another engine with all that it ran. Only the older path had a quarantine, which needs a permit in the store for each suspect.

Entries tell each other on the mesh (frame CrashedRuns).

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -4,6 +4,9 @@
 #include "util/random.h"
 #include <string.h>
 
+/* When a caller may send a request again that crashes its upstreams: after the
+ * longest time that any caller waits, so that it is not sent again in vain. */
+#define POISON_RETRY_MS 30000
 /* The least time that is worth starting an attempt with. */
 #define LEAST_TIME_US 5000
 /* Bytes of a request's head and of a short answer. */
@@ -29,6 +32,10 @@
     .name = "pgw_gateway_refused_total",
     .help = "Requests that the gateway answered itself",
 };
+static struct pgw_metric_counter poisonous = {
+    .name = "pgw_gateway_poison_refused_total",
+    .help = "Requests refused since they were running in several crashes",
+};
 static struct pgw_metric_gauge waiting_now = {
     .name = "pgw_gateway_waiting",
     .help = "Requests that wait for a place at an upstream",
@@ -43,6 +50,7 @@
 {
     pgw_metric_register_counter(&requests);
     pgw_metric_register_counter(&refused);
+    pgw_metric_register_counter(&poisonous);
     pgw_metric_register_gauge(&waiting_now);
     pgw_metric_register_histogram(&first_answer);
 }
@@ -344,6 +352,23 @@
     answer_own(caller, status, reason, false, retry_after_ms);
 }
 
+/* The same path, caller and body: its header fields differ from one attempt to
+ * the next. */
+static void
+compute_fingerprint(struct pgw_fingerprint *out, struct pgw_caller *caller,
+                    const struct pgw_request_facts *facts,
+                    const struct pgw_workspace *workspace)
+{
+    char *asked =
+        g_strdup_printf("%s %s%s %s", caller->head->method, facts->host,
+                        pgw_http_head_target(caller->head),
+                        workspace == NULL ? "" : workspace->name);
+
+    pgw_fingerprint_compute(out, asked, pgw_buffer_head(&caller->body),
+                            pgw_buffer_size(&caller->body));
+    g_free(asked);
+}
+
 void
 pgw_exchange_begin(struct pgw_gateway *gateway, struct pgw_caller *caller)
 {
@@ -351,6 +376,7 @@
     const struct pgw_workspace *workspace = NULL;
     const struct pgw_route *route;
     struct pgw_exchange *exchange;
+    struct pgw_fingerprint fingerprint;
     uint64_t now = pgw_now_us();
     uint64_t config =
         gateway->routes == NULL ? 0 : pgw_route_table_version(gateway->routes);
@@ -382,7 +408,21 @@
             return;
         }
     }
+    compute_fingerprint(&fingerprint, caller, &facts, workspace);
+    /*
+     * Failure: one request crashes each engine that runs it, and its caller
+     * sends it again. Symptom: an engine goes down every few seconds with all
+     * that it runs. It is refused before it reaches one; that the entries tell
+     * each other what crashed makes that so wherever it is sent.
+     */
+    if (pgw_poison_holds(gateway->poison, &fingerprint, now)) {
+        pgw_metric_counter_add(&poisonous, 1);
+        refuse_early(caller, config, facts.id, 503, "crashes_upstreams",
+                     POISON_RETRY_MS);
+        return;
+    }
     exchange = exchange_new(gateway, caller, &facts, route, workspace);
+    exchange->fingerprint = fingerprint;
     if (workspace != NULL && workspace->isolated) {
         exchange->facts.prompt.isolated_to = workspace->name;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,11 +3,13 @@
 
 #include "gateway/gateway.h"
 #include "gateway/named_weights.h"
+#include "gateway/poison.h"
 
 /**
  * struct pgw_gateway - one entry
  * @routes: configuration in force, NULL before the first
  * @budgets: repeats that it may make
+ * @poison: requests that were running when upstreams crashed
  * @waiting: requests without a place
  * @exchanges: all requests that are not ended
  * @pump: looks at what waits, once for all that has changed in a turn
@@ -23,6 +25,7 @@
     struct pgw_route_table *routes;
     struct pgw_upstream_table *upstreams;
     struct pgw_budgets *budgets;
+    struct pgw_poison *poison;
     struct pgw_waiting waiting;
     struct pgw_list exchanges;
     struct pgw_task pump;
@@ -47,6 +50,7 @@
  * @caller: NULL once the caller is gone
  * @table: configuration that it was accepted under
  * @facts: decoded head; host and key point into the caller's head
+ * @fingerprint: what it asks, whoever sends it again
  * @deadline_us: the caller gets its final answer by then
  * @runs: upstreams that may have run it
  * @sends: upstreams that it was sent to, refusals included
@@ -71,6 +75,7 @@
     const struct pgw_workspace *workspace;
     const char *service;
     struct pgw_request_facts facts;
+    struct pgw_fingerprint fingerprint;
     enum pgw_exchange_phase phase;
     struct pgw_waiting_item waiting;
     struct pgw_timer timer;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -109,7 +109,9 @@
 {
     const struct pgw_route *route = exchange->route;
 
-    if (exchange->runs >= MAX(route->max_attempts, 1)) {
+    if (exchange->runs >= MAX(route->max_attempts, 1) ||
+        pgw_poison_holds(exchange->gateway->poison, &exchange->fingerprint,
+                         pgw_now_us())) {
         return false;
     }
 #ifndef PGW_DISABLE_GATEWAY_ONCE
@@ -249,6 +251,8 @@
             pgw_log_info("upstream_displaced", "upstream=%s by=%s",
                          exchange->upstream->id, facts.instance);
             exchange->upstream->displaced = true;
+            pgw_poison_crashed(exchange->gateway->poison,
+                               exchange->upstream->id, pgw_now_us());
         }
         return true;
     }
@@ -376,6 +380,8 @@
     if (pgw_buffer_size(&exchange->events.pending) > 0 ||
         (exchange->phase == PGW_PHASE_RELAYING && !exchange->is_stream)) {
         note(exchange, PGW_RESULT_BROKEN);
+        pgw_poison_broke(exchange->gateway->poison, &exchange->fingerprint,
+                         exchange->upstream->id, pgw_now_us());
         after_unknown(exchange, "cut_event");
         return;
     }
@@ -393,6 +399,8 @@
     }
     else {
         note(exchange, PGW_RESULT_GOOD);
+        pgw_poison_ended_well(exchange->gateway->poison,
+                              &exchange->fingerprint);
     }
     deliver(exchange);
 }
@@ -414,12 +422,18 @@
              call->sent ? PGW_RESULT_BROKEN : PGW_RESULT_UNREACHABLE);
     }
     if (!call->sent) {
+        /* No listener at its address any more: what broke off there a moment
+         * ago may have crashed it. */
+        pgw_poison_crashed(exchange->gateway->poison, exchange->upstream->id,
+                           pgw_now_us());
         if (exchange->runs > 0) {
             exchange->runs--;
         }
         after_not_run(exchange, names[why], false);
         return;
     }
+    pgw_poison_broke(exchange->gateway->poison, &exchange->fingerprint,
+                     exchange->upstream->id, pgw_now_us());
     after_unknown(exchange, names[why]);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -30,12 +30,22 @@
     .render_error = render_error,
 };
 
+/* It vanished from the list without having left. */
+static void
+on_upstream_lost(struct pgw_upstream *upstream, void *context)
+{
+    struct pgw_gateway *gateway = context;
+
+    pgw_poison_crashed(gateway->poison, upstream->id, pgw_now_us());
+}
+
 struct pgw_gateway *
 pgw_gateway_new(struct pgw_loop *loop,
                 const struct pgw_gateway_options *options, GError **error)
 {
     struct pgw_gateway *gateway = g_new0(struct pgw_gateway, 1);
     struct pgw_call_pool_options pool = PGW_CALL_POOL_OPTIONS_INIT;
+    struct pgw_poison_options poison = PGW_POISON_OPTIONS_INIT;
 
     gateway->loop = loop;
     gateway->options = *options;
@@ -52,6 +62,8 @@
     gateway->pool = pgw_call_pool_new(loop, &pool);
     gateway->upstreams = pgw_upstream_table_new(options->zone);
     gateway->budgets = pgw_budgets_new(&options->budgets);
+    gateway->poison = pgw_poison_new(&poison);
+    pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
     gateway->weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -68,6 +80,7 @@
     pgw_call_pool_free(gateway->pool);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_budgets_free(gateway->budgets);
+    pgw_poison_free(gateway->poison);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->weights);
     g_free(gateway->instance);
@@ -75,6 +88,12 @@
     g_free(gateway);
 }
 
+struct pgw_poison *
+pgw_gateway_poison(struct pgw_gateway *gateway)
+{
+    return gateway->poison;
+}
+
 const char *
 pgw_gateway_instance(const struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,12 @@
 /** pgw_gateway_set_entries() - how many entries share the bounds of repeats */
 void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
 
+struct pgw_poison;
+
+/** pgw_gateway_poison() - what is known of requests that crash upstreams, to
+ * be told to other entries */
+struct pgw_poison *pgw_gateway_poison(struct pgw_gateway *gateway);
+
 /** pgw_gateway_pump() - upstreams have changed: look at what waits */
 void pgw_gateway_pump(struct pgw_gateway *gateway);
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -1,4 +1,5 @@
 #include "gateway/guard_links.h"
+#include "gateway/poison.h"
 #include "gateway/candidates.h"
 #include "libparsleygw/link.h"
 #include "parsleygw/place.h"
@@ -215,6 +216,10 @@
     if (state->alive) {
         pgw_upstream_take_load(upstream, &load, now);
     }
+    else {
+        pgw_poison_crashed(pgw_gateway_poison(guard->links->gateway),
+                           upstream->id, now);
+    }
     pgw_gateway_pump(guard->links->gateway);
 }
 
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -1,4 +1,5 @@
 #include "gateway/mesh.h"
+#include "gateway/poison_news.h"
 #include "libparsleygw/link.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -323,6 +324,45 @@
     revisions_clear(&since);
 }
 
+static void
+take_crashed_runs(struct peer *peer, const Pgw__CrashedRuns *message)
+{
+    if (peer->mesh->options.poison != NULL) {
+        pgw_poison_news_take(peer->mesh->options.poison, message,
+                             pgw_now_us());
+    }
+}
+
+/* To all peers, also to the one that it came from: that one knows it already
+ * and does not pass it on. */
+static void
+on_poison_news(const struct pgw_poison_news *news, size_t count, void *context)
+{
+    struct pgw_mesh *mesh = context;
+
+    pgw_list_foreach (link, &mesh->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, in_mesh);
+
+        pgw_poison_news_send(peer->link, news, count);
+    }
+}
+
+/* A peer that is new, or was cut off, hears of everything that is known. */
+static void
+tell_known_poison(struct peer *peer)
+{
+    GArray *known;
+
+    if (peer->mesh->options.poison == NULL) {
+        return;
+    }
+    known = pgw_poison_known(peer->mesh->options.poison);
+    pgw_poison_news_send(peer->link,
+                         (const struct pgw_poison_news *)(void *)known->data,
+                         known->len);
+    g_array_unref(known);
+}
+
 static bool
 on_frame(struct pgw_link *link, enum pgw_frame_type type,
          ProtobufCMessage *message, void *context)
@@ -338,6 +378,9 @@
     else if (type == PGW_FRAME_NEWS) {
         take_news(context, (const Pgw__News *)message);
     }
+    else if (type == PGW_FRAME_CRASHED_RUNS) {
+        take_crashed_runs(context, (const Pgw__CrashedRuns *)message);
+    }
     return false;
 }
 
@@ -376,6 +419,7 @@
 {
     pgw_list_append(&peer->mesh->peers, &peer->in_mesh);
     tell_peer(peer);
+    tell_known_poison(peer);
 }
 
 static void
@@ -461,6 +505,9 @@
         g_free(mesh);
         return NULL;
     }
+    if (options->poison != NULL) {
+        pgw_poison_listen(options->poison, on_poison_news, mesh);
+    }
     mesh->instance = g_strdup(options->instance);
     mesh->zone = g_strdup(options->zone);
     add_seeds(mesh);
@@ -471,6 +518,9 @@
 pgw_mesh_free(struct pgw_mesh *mesh)
 {
     mesh->closing = true;
+    if (mesh->options.poison != NULL) {
+        pgw_poison_listen(mesh->options.poison, NULL, NULL);
+    }
     pgw_list_foreach_safe (link, &mesh->peers) {
         pgw_link_close(pgw_container_of(link, struct peer, in_mesh)->link);
     }
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_MESH_H
 
 #include "gateway/documents.h"
+#include "gateway/poison.h"
 #include "util/address.h"
 #include "util/loop.h"
 
@@ -14,7 +15,9 @@
  * while the store is down, so learns of configurations, revoked keys and
  * leaving upstreams from the others; one that hears from the store itself asks
  * for nothing, so that copies are not sent twice. Nothing is decided here:
- * copies are compared by the platform's own revisions.
+ * copies are compared by the platform's own revisions. On the same connections
+ * go the crashes that each entry has seen (&struct pgw_poison): a request that
+ * brings engines down comes to another entry each time.
  */
 
 struct pgw_mesh;
@@ -28,6 +31,8 @@
  * @zone: its availability zone
  * @on_document: a newer copy came, from whichever side
  * @context: handed to @on_document
+ * @poison: what is known of requests that crash upstreams, kept alike on all
+ *   entries; NULL: none
  */
 struct pgw_mesh_options {
     struct pgw_address listen;
@@ -37,6 +42,7 @@
     const char *zone;
     void (*on_document)(const struct pgw_document *document, void *context);
     void *context;
+    struct pgw_poison *poison;
 };
 
 /** pgw_mesh_new() - listen and start connecting; %PGW_ERROR_IO */
--- /dev/null
+++ b/src/gateway/poison.h
@@ -0,0 +1,117 @@
+#ifndef PGW_GATEWAY_POISON_H
+#define PGW_GATEWAY_POISON_H
+
+#include "parsleygw/quarantine.h"
+#include "util/list.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Requests that crash the upstreams that run them
+ *
+ * Now and then a request crashes each upstream that begins to run it, and its
+ * caller sends it again. An entry sees only connections that end; which of the
+ * dozens of runs at an upstream brought it down, nobody can tell from one
+ * crash. A fingerprint that was running in several crashes is held back; one
+ * that ended well since is innocent.
+ *
+ * Pure state: nothing is sent here, time is passed in as monotonic
+ * microseconds. Entries tell each other what they count (&struct
+ * pgw_poison_news).
+ */
+
+/**
+ * struct pgw_poison_news - what one entry tells the others
+ * @fingerprint: of the request
+ * @crash: hash of the incarnation that crashed while running it; 0: it ended
+ *   well, what was counted is void
+ */
+struct pgw_poison_news {
+    struct pgw_fingerprint fingerprint;
+    uint64_t crash;
+};
+
+/**
+ * struct pgw_poison_options - thresholds
+ * @crashes: distinct incarnations after which a fingerprint is held back
+ * @link_us: a run that broke off and the end of its upstream belong together
+ *   when at most this long lies between them
+ * @keep_us: how long a fingerprint is remembered after its last crash
+ * @records_max: most fingerprints remembered
+ */
+struct pgw_poison_options {
+    uint32_t crashes;
+    uint64_t link_us;
+    uint64_t keep_us;
+    uint32_t records_max;
+};
+
+/* Most crashes that a record names; crashes beyond @crashes add nothing. */
+#define PGW_POISON_CRASHES_MAX 4
+
+/*
+ * Three: with one more than two innocents that are sent again beside the
+ * request that does the harm are hardly ever in three crashes without ending
+ * well once. Eight seconds: a service without a sidecar lapses from the
+ * platform's list after three heartbeats of 1.2 s, and the list is believed
+ * after two to four seconds more. Ten minutes: servers are back within
+ * seconds, so that such a request costs a crash in ten minutes at most. 4,096
+ * records of some 100 bytes are below half a megabyte.
+ */
+#define PGW_POISON_OPTIONS_INIT                                               \
+    {                                                                         \
+        .crashes = 3, .link_us = 8 * (uint64_t)G_USEC_PER_SEC,                \
+        .keep_us = 600 * (uint64_t)G_USEC_PER_SEC, .records_max = 4096        \
+    }
+
+struct pgw_poison;
+
+/** pgw_poison_new() - nothing is known */
+struct pgw_poison *pgw_poison_new(const struct pgw_poison_options *options);
+void pgw_poison_free(struct pgw_poison *poison);
+
+/**
+ * pgw_poison_listen() - be told of what others should hear
+ * @poison: the state
+ * @on_news: gets @count items; NULL: nobody listens
+ * @context: handed to @on_news
+ */
+void pgw_poison_listen(struct pgw_poison *poison,
+                       void (*on_news)(const struct pgw_poison_news *news,
+                                       size_t count, void *context),
+                       void *context);
+
+/**
+ * pgw_poison_broke() - a run ended with its connection
+ * @poison: the state
+ * @fingerprint: of the request
+ * @upstream: incarnation that ran it
+ * @now_us: monotonic time
+ */
+void pgw_poison_broke(struct pgw_poison *poison,
+                      const struct pgw_fingerprint *fingerprint,
+                      const char *upstream, uint64_t now_us);
+
+/** pgw_poison_crashed() - an incarnation is gone without having left */
+void pgw_poison_crashed(struct pgw_poison *poison, const char *upstream,
+                        uint64_t now_us);
+
+/** pgw_poison_ended_well() - a run had its whole answer */
+void pgw_poison_ended_well(struct pgw_poison *poison,
+                           const struct pgw_fingerprint *fingerprint);
+
+/** pgw_poison_hear() - another entry's word; passed on if it is new */
+void pgw_poison_hear(struct pgw_poison *poison,
+                     const struct pgw_poison_news *news, size_t count,
+                     uint64_t now_us);
+
+/** pgw_poison_holds() - the request would crash the next upstream, too */
+bool pgw_poison_holds(const struct pgw_poison *poison,
+                      const struct pgw_fingerprint *fingerprint,
+                      uint64_t now_us);
+
+/** pgw_poison_known() - all that is counted, of &struct pgw_poison_news */
+GArray *pgw_poison_known(const struct pgw_poison *poison);
+
+#endif
--- /dev/null
+++ b/src/gateway/poison_news.c
@@ -0,0 +1,56 @@
+#include "gateway/poison_news.h"
+#include "util/log.h"
+#include <string.h>
+
+/* Items of one frame: some 32 bytes each, far below PGW_FRAME_MAX. */
+#define ITEMS_MAX 1024
+
+static void
+send_some(struct pgw_link *link, const struct pgw_poison_news *news,
+          size_t count)
+{
+    Pgw__CrashedRuns message = PGW__CRASHED_RUNS__INIT;
+    Pgw__CrashedRun *items = g_new(Pgw__CrashedRun, count);
+    Pgw__CrashedRun **pointers = g_new(Pgw__CrashedRun *, count);
+
+    for (size_t i = 0; i < count; i++) {
+        pgw__crashed_run__init(&items[i]);
+        items[i].fingerprint.data = (uint8_t *)news[i].fingerprint.bytes;
+        items[i].fingerprint.len = sizeof(news[i].fingerprint.bytes);
+        items[i].crash = news[i].crash;
+        pointers[i] = &items[i];
+    }
+    message.n_runs = count;
+    message.runs = pointers;
+    pgw_link_send(link, PGW_FRAME_CRASHED_RUNS, &message.base);
+    g_free(pointers);
+    g_free(items);
+}
+
+void
+pgw_poison_news_send(struct pgw_link *link, const struct pgw_poison_news *news,
+                     size_t count)
+{
+    for (size_t i = 0; i < count; i += ITEMS_MAX) {
+        send_some(link, news + i, MIN(count - i, ITEMS_MAX));
+    }
+}
+
+void
+pgw_poison_news_take(struct pgw_poison *poison,
+                     const Pgw__CrashedRuns *message, uint64_t now_us)
+{
+    for (size_t i = 0; i < message->n_runs; i++) {
+        const Pgw__CrashedRun *run = message->runs[i];
+        struct pgw_poison_news news = {.crash = run->crash};
+
+        if (run->fingerprint.len != sizeof(news.fingerprint.bytes)) {
+            pgw_log_warning("crashed_run", "outcome=ignored bytes=%zu",
+                            run->fingerprint.len);
+            continue;
+        }
+        memcpy(news.fingerprint.bytes, run->fingerprint.data,
+               sizeof(news.fingerprint.bytes));
+        pgw_poison_hear(poison, &news, 1, now_us);
+    }
+}
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -33,6 +33,8 @@
     GHashTable *by_address; /* an address has one upstream, the newest */
     GHashTable *by_service; /* name -> struct pgw_upstream_pool */
     struct pgw_list all;
+    void (*on_lost)(struct pgw_upstream *upstream, void *context);
+    void *context;
 };
 
 static void
@@ -93,6 +95,7 @@
 void
 pgw_upstream_table_free(struct pgw_upstream_table *table)
 {
+    table->on_lost = NULL;
     pgw_list_foreach_safe (link, &table->all) {
         pgw_upstream_table_remove(
             table, pgw_container_of(link, struct pgw_upstream, in_table));
@@ -104,6 +107,16 @@
     g_free(table);
 }
 
+void
+pgw_upstream_table_on_lost(struct pgw_upstream_table *table,
+                           void (*on_lost)(struct pgw_upstream *upstream,
+                                           void *context),
+                           void *context)
+{
+    table->on_lost = on_lost;
+    table->context = context;
+}
+
 static struct pgw_upstream_pool *
 pool_get(struct pgw_upstream_table *table, const char *service)
 {
@@ -233,6 +246,9 @@
 {
     struct pgw_upstream_pool *pool = pool_get(table, upstream->service);
 
+    if (!upstream->leaving && table->on_lost != NULL) {
+        table->on_lost(upstream, table->context);
+    }
     g_hash_table_remove(table->by_id, upstream->id);
     if (pgw_upstream_table_at(table, upstream->address_text) == upstream) {
         g_hash_table_remove(table->by_address, upstream->address_text);
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -179,6 +179,18 @@
 struct pgw_upstream_table *pgw_upstream_table_new(const char *zone);
 void pgw_upstream_table_free(struct pgw_upstream_table *table);
 
+/**
+ * pgw_upstream_table_on_lost() - be told of upstreams that are gone without
+ * having said that they leave
+ * @table: the table
+ * @on_lost: called before the upstream is removed
+ * @context: handed to @on_lost
+ */
+void pgw_upstream_table_on_lost(struct pgw_upstream_table *table,
+                                void (*on_lost)(struct pgw_upstream *upstream,
+                                                void *context),
+                                void *context);
+
 /**
  * pgw_upstream_table_put() - take a line of the platform's list
  * @table: the table
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &pgw__news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__crashed_run__init
+                     (Pgw__CrashedRun         *message)
+{
+  static const Pgw__CrashedRun init_value = PGW__CRASHED_RUN__INIT;
+  *message = init_value;
+}
+size_t pgw__crashed_run__get_packed_size
+                     (const Pgw__CrashedRun *message)
+{
+  assert(message->base.descriptor == &pgw__crashed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__crashed_run__pack
+                     (const Pgw__CrashedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__crashed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__crashed_run__pack_to_buffer
+                     (const Pgw__CrashedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__crashed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__CrashedRun *
+       pgw__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__CrashedRun *)
+     protobuf_c_message_unpack (&pgw__crashed_run__descriptor,
+                                allocator, len, data);
+}
+void   pgw__crashed_run__free_unpacked
+                     (Pgw__CrashedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__crashed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__crashed_runs__init
+                     (Pgw__CrashedRuns         *message)
+{
+  static const Pgw__CrashedRuns init_value = PGW__CRASHED_RUNS__INIT;
+  *message = init_value;
+}
+size_t pgw__crashed_runs__get_packed_size
+                     (const Pgw__CrashedRuns *message)
+{
+  assert(message->base.descriptor == &pgw__crashed_runs__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__crashed_runs__pack
+                     (const Pgw__CrashedRuns *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__crashed_runs__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__crashed_runs__pack_to_buffer
+                     (const Pgw__CrashedRuns *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__crashed_runs__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__CrashedRuns *
+       pgw__crashed_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__CrashedRuns *)
+     protobuf_c_message_unpack (&pgw__crashed_runs__descriptor,
+                                allocator, len, data);
+}
+void   pgw__crashed_runs__free_unpacked
+                     (Pgw__CrashedRuns *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__crashed_runs__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pgw__engine_model__init
                      (Pgw__EngineModel         *message)
 {
@@ -3212,6 +3302,95 @@
   (ProtobufCMessageInit) pgw__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__crashed_run__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__CrashedRun, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__CrashedRun, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__crashed_run__field_indices_by_name[] = {
+  1,   /* field[1] = crash */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange pgw__crashed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__crashed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.CrashedRun",
+  "CrashedRun",
+  "Pgw__CrashedRun",
+  "pgw",
+  sizeof(Pgw__CrashedRun),
+  2,
+  pgw__crashed_run__field_descriptors,
+  pgw__crashed_run__field_indices_by_name,
+  1,  pgw__crashed_run__number_ranges,
+  (ProtobufCMessageInit) pgw__crashed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__crashed_runs__field_descriptors[1] =
+{
+  {
+    "runs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__CrashedRuns, n_runs),
+    offsetof(Pgw__CrashedRuns, runs),
+    &pgw__crashed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__crashed_runs__field_indices_by_name[] = {
+  0,   /* field[0] = runs */
+};
+static const ProtobufCIntRange pgw__crashed_runs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pgw__crashed_runs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.CrashedRuns",
+  "CrashedRuns",
+  "Pgw__CrashedRuns",
+  "pgw",
+  sizeof(Pgw__CrashedRuns),
+  1,
+  pgw__crashed_runs__field_descriptors,
+  pgw__crashed_runs__field_indices_by_name,
+  1,  pgw__crashed_runs__number_ranges,
+  (ProtobufCMessageInit) pgw__crashed_runs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pgw__engine_model__field_descriptors[2] =
 {
   {
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Pgw__Documents Pgw__Documents;
 typedef struct Pgw__KindRevision Pgw__KindRevision;
 typedef struct Pgw__News Pgw__News;
+typedef struct Pgw__CrashedRun Pgw__CrashedRun;
+typedef struct Pgw__CrashedRuns Pgw__CrashedRuns;
 typedef struct Pgw__EngineModel Pgw__EngineModel;
 typedef struct Pgw__HeldPart Pgw__HeldPart;
 typedef struct Pgw__EngineState Pgw__EngineState;
@@ -506,6 +508,37 @@
     , 0,NULL, 0 }
 
 
+/*
+ * A run that was under way when its upstream crashed.
+ */
+struct  Pgw__CrashedRun
+{
+  ProtobufCMessage base;
+  /*
+   * 16 bytes
+   */
+  ProtobufCBinaryData fingerprint;
+  /*
+   * hash of the incarnation; 0: the request ended well
+   */
+  uint64_t crash;
+};
+#define PGW__CRASHED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__crashed_run__descriptor) \
+    , {0,NULL}, 0 }
+
+
+struct  Pgw__CrashedRuns
+{
+  ProtobufCMessage base;
+  size_t n_runs;
+  Pgw__CrashedRun **runs;
+};
+#define PGW__CRASHED_RUNS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__crashed_runs__descriptor) \
+    , 0,NULL }
+
+
 struct  Pgw__EngineModel
 {
   ProtobufCMessage base;
@@ -989,6 +1022,44 @@
 void   pgw__news__free_unpacked
                      (Pgw__News *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__CrashedRun methods */
+void   pgw__crashed_run__init
+                     (Pgw__CrashedRun         *message);
+size_t pgw__crashed_run__get_packed_size
+                     (const Pgw__CrashedRun   *message);
+size_t pgw__crashed_run__pack
+                     (const Pgw__CrashedRun   *message,
+                      uint8_t             *out);
+size_t pgw__crashed_run__pack_to_buffer
+                     (const Pgw__CrashedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__CrashedRun *
+       pgw__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__crashed_run__free_unpacked
+                     (Pgw__CrashedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__CrashedRuns methods */
+void   pgw__crashed_runs__init
+                     (Pgw__CrashedRuns         *message);
+size_t pgw__crashed_runs__get_packed_size
+                     (const Pgw__CrashedRuns   *message);
+size_t pgw__crashed_runs__pack
+                     (const Pgw__CrashedRuns   *message,
+                      uint8_t             *out);
+size_t pgw__crashed_runs__pack_to_buffer
+                     (const Pgw__CrashedRuns   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__CrashedRuns *
+       pgw__crashed_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__crashed_runs__free_unpacked
+                     (Pgw__CrashedRuns *message,
+                      ProtobufCAllocator *allocator);
 /* Pgw__EngineModel methods */
 void   pgw__engine_model__init
                      (Pgw__EngineModel         *message);
@@ -1127,6 +1198,12 @@
 typedef void (*Pgw__News_Closure)
                  (const Pgw__News *message,
                   void *closure_data);
+typedef void (*Pgw__CrashedRun_Closure)
+                 (const Pgw__CrashedRun *message,
+                  void *closure_data);
+typedef void (*Pgw__CrashedRuns_Closure)
+                 (const Pgw__CrashedRuns *message,
+                  void *closure_data);
 typedef void (*Pgw__EngineModel_Closure)
                  (const Pgw__EngineModel *message,
                   void *closure_data);
@@ -1165,6 +1242,8 @@
 extern const ProtobufCMessageDescriptor pgw__documents__descriptor;
 extern const ProtobufCMessageDescriptor pgw__kind_revision__descriptor;
 extern const ProtobufCMessageDescriptor pgw__news__descriptor;
+extern const ProtobufCMessageDescriptor pgw__crashed_run__descriptor;
+extern const ProtobufCMessageDescriptor pgw__crashed_runs__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_model__descriptor;
 extern const ProtobufCMessageDescriptor pgw__held_part__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_state__descriptor;
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -144,16 +144,20 @@
 {
     for (unsigned i = 0; i < scene->upstreams; i++) {
         char address[32];
-        char id[8];
+        char id[16];
         struct pgw_upstream_facts facts = {
             .id = id,
             .service = "service",
             .address = address,
             .zone = "a",
             .slots = 1,
+            .revision = scene->incarnation,
         };
 
         g_snprintf(id, sizeof(id), "u%u", i);
+        if (scene->incarnation > 0) {
+            g_snprintf(id, sizeof(id), "u%u.%u", i, scene->incarnation);
+        }
         g_snprintf(address, sizeof(address), LOOPBACK ":%u",
                    port_of(scene->listeners[i]));
         pgw_upstream_table_put(pgw_gateway_upstreams(scene->gateway), &facts);
@@ -161,6 +165,13 @@
     pgw_gateway_pump(scene->gateway);
 }
 
+void
+scene_restart_upstreams(struct scene *scene)
+{
+    scene->incarnation++;
+    scene_run(scene, put_upstreams);
+}
+
 void *
 scene_loop_main(void *loop)
 {
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -24,6 +24,7 @@
 /**
  * struct scene - the gateway and its upstreams
  * @listeners: sockets of the upstreams
+ * @incarnation: how often all upstreams were started again
  * @routes_version: version of the configuration in force
  */
 struct scene {
@@ -32,6 +33,7 @@
     pthread_t thread;
     int listeners[SCENE_UPSTREAMS];
     unsigned upstreams;
+    unsigned incarnation;
     uint64_t routes_version;
 };
 
@@ -46,6 +48,10 @@
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
 
+/** scene_restart_upstreams() - the list names new incarnations at all
+ * addresses, as after a crash of each */
+void scene_restart_upstreams(struct scene *scene);
+
 /** scene_listen() - a listening socket on loopback and where it listens */
 int scene_listen(struct pgw_address *address);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -590,6 +590,86 @@
     scene_free(scene);
 }
 
+/* The next upstream that gets the request crashes while it runs it. */
+static void
+crash_next(struct scene *scene)
+{
+    unsigned which;
+    int upstream = scene_accept_any(scene, &which);
+
+    g_free(scene_read_request(upstream));
+    scene_reset(upstream);
+}
+
+/*
+ * A request brings down each upstream that begins to run it: three of them die
+ * with it, one after the other, and the caller is told that nobody knows. The
+ * upstreams come back and the caller sends the same again, as a new attempt.
+ * It must be refused as not run before it reaches a fourth, and told to stay
+ * away for long; a request for something else is served.
+ */
+static void
+test_request_that_crashes_upstreams(void)
+{
+    struct scene *scene = ready_scene(3);
+    int caller = scene_call(scene, "/again/", "a");
+    int other;
+    int upstream;
+    unsigned which;
+    char *answer;
+
+    for (unsigned i = 0; i < 3; i++) {
+        crash_next(scene);
+    }
+    expect_status(caller, "HTTP/1.1 502 ");
+    scene_restart_upstreams(scene);
+    caller = scene_call(scene, "/again/", "b");
+    answer = scene_read_until(caller, "}}");
+    assert_has(answer, "HTTP/1.1 503 ");
+    assert_has(answer, "crashes_upstreams");
+    assert_has(answer, "\"ran\":\"no\"");
+    assert_has(answer, "Retry-After: 30.000");
+    g_free(answer);
+    close(caller);
+    other = scene_call(scene, "/again/other", "c");
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "c", 200, "", "ok");
+    expect_ok(other);
+    close(upstream);
+    scene_free(scene);
+}
+
+/*
+ * Many callers ask for the same thing. Three upstreams crash while they run
+ * it, but it ends well at another one: it does no harm, and is let through.
+ */
+static void
+test_innocent_beside_crashes(void)
+{
+    struct scene *scene = ready_scene(3);
+    int caller = scene_call(scene, "/again/", "a");
+    int upstream;
+    unsigned which;
+
+    crash_next(scene);
+    crash_next(scene);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    scene_restart_upstreams(scene);
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    caller = scene_call(scene, "/again/", "b");
+    crash_next(scene);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "b", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -623,5 +703,9 @@
     g_test_add_func("/gateway/resumption_waits", test_resumption_may_wait);
     g_test_add_func("/gateway/kept_connection",
                     test_kept_connection_ends_with_the_stop);
+    g_test_add_func("/gateway/crashing_request",
+                    test_request_that_crashes_upstreams);
+    g_test_add_func("/gateway/innocent_beside_crashes",
+                    test_innocent_beside_crashes);
     return g_test_run();
 }
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -6,6 +6,8 @@
 
 /**
  * struct fleet - entries on one loop; the first one is everybody's seed
+ * @poison: what each knows of requests that crash upstreams, or NULL
+ * @look: looks whether the last one holds a request back
  * @heard: documents that each heard of
  * @last: revisions that the last one heard of, in their order
  * @wanted: stop once the last entry has heard of so many
@@ -13,6 +15,8 @@
 struct fleet {
     struct pgw_loop *loop;
     struct pgw_mesh *meshes[ENTRIES];
+    struct pgw_poison *poison[ENTRIES];
+    struct pgw_timer look;
     struct pgw_timer limit;
     unsigned heard[ENTRIES];
     uint64_t last[32];
@@ -62,6 +66,7 @@
         .seed_count = index > 0,
         .instance = "e",
         .zone = "a",
+        .poison = fleet->poison[index],
         .on_document = on_document,
         .context = &hearers[index],
     };
@@ -179,6 +184,63 @@
     pgw_loop_free(fleet.loop);
 }
 
+static const struct pgw_fingerprint harmful = {{1, 2, 3}};
+
+static void
+look_due(struct pgw_timer *timer)
+{
+    struct fleet *fleet = pgw_container_of(timer, struct fleet, look);
+
+    if (pgw_poison_holds(fleet->poison[ENTRIES - 1], &harmful, pgw_now_us())) {
+        pgw_loop_stop(fleet->loop);
+        return;
+    }
+    pgw_timer_start(fleet->loop, timer, 2000);
+}
+
+static void
+crash(struct pgw_poison *poison, const char *upstream)
+{
+    pgw_poison_broke(poison, &harmful, upstream, pgw_now_us());
+    pgw_poison_crashed(poison, upstream, pgw_now_us());
+}
+
+/*
+ * A caller's request crashes an upstream at each of two entries, before a
+ * third entry starts, and one more afterwards. The third entry has seen none
+ * of it and must hold the request back: the caller comes there next.
+ */
+static void
+test_crashes_are_told(void)
+{
+    struct fleet fleet = {.wanted = 99};
+    struct pgw_poison_options options = PGW_POISON_OPTIONS_INIT;
+
+    fleet.loop = pgw_loop_new(NULL);
+    fleet.limit.on_due = limit_due;
+    fleet.look.on_due = look_due;
+    pgw_timer_start(fleet.loop, &fleet.limit, 20000000);
+    pgw_timer_start(fleet.loop, &fleet.look, 0);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        fleet.poison[i] = pgw_poison_new(&options);
+    }
+    add_entry(&fleet, 0);
+    add_entry(&fleet, 1);
+    crash(fleet.poison[0], "a");
+    crash(fleet.poison[1], "b");
+    add_entry(&fleet, 2);
+    crash(fleet.poison[1], "c");
+    pgw_loop_run(fleet.loop);
+    g_assert_false(fleet.late);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        pgw_mesh_free(fleet.meshes[i]);
+        pgw_poison_free(fleet.poison[i]);
+    }
+    pgw_timer_stop(fleet.loop, &fleet.limit);
+    pgw_timer_stop(fleet.loop, &fleet.look);
+    pgw_loop_free(fleet.loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -187,5 +249,6 @@
     g_test_add_func("/mesh/news", test_news_reach_who_hears_nothing);
     g_test_add_func("/mesh/much", test_much_is_known);
     g_test_add_func("/mesh/old_copies", test_old_copies_are_dropped);
+    g_test_add_func("/mesh/crashes", test_crashes_are_told);
     return g_test_run();
 }
--- /dev/null
+++ b/tests/unit/test_poison.c
@@ -0,0 +1,205 @@
+#include "gateway/poison.h"
+#include <string.h>
+
+#define SECOND ((uint64_t)G_USEC_PER_SEC)
+
+struct heard {
+    struct pgw_poison_news items[16];
+    size_t count;
+};
+
+static void
+on_news(const struct pgw_poison_news *news, size_t count, void *context)
+{
+    struct heard *heard = context;
+
+    for (size_t i = 0; i < count; i++) {
+        g_assert_cmpuint(heard->count, <, G_N_ELEMENTS(heard->items));
+        heard->items[heard->count++] = news[i];
+    }
+}
+
+static struct pgw_fingerprint
+make(uint8_t number)
+{
+    struct pgw_fingerprint out = {{0}};
+
+    out.bytes[0] = number;
+    return out;
+}
+
+static struct pgw_poison *
+poison_new(struct heard *heard)
+{
+    struct pgw_poison_options options = PGW_POISON_OPTIONS_INIT;
+    struct pgw_poison *poison = pgw_poison_new(&options);
+
+    if (heard != NULL) {
+        pgw_poison_listen(poison, on_news, heard);
+    }
+    return poison;
+}
+
+static void
+crash(struct pgw_poison *poison, const struct pgw_fingerprint *fingerprint,
+      const char *upstream, uint64_t now_us)
+{
+    pgw_poison_broke(poison, fingerprint, upstream, now_us);
+    pgw_poison_crashed(poison, upstream, now_us + 100);
+}
+
+/*
+ * One request crashes three engines, one after the other; another caller's
+ * request was running beside it in two of the crashes. The first is held back
+ * from then on, the other is not.
+ */
+static void
+test_third_crash_holds(void)
+{
+    struct pgw_poison *poison = poison_new(NULL);
+    struct pgw_fingerprint bad = make(1);
+    struct pgw_fingerprint innocent = make(2);
+
+    pgw_poison_broke(poison, &innocent, "a", SECOND);
+    crash(poison, &bad, "a", SECOND);
+    pgw_poison_broke(poison, &innocent, "b", 2 * SECOND);
+    crash(poison, &bad, "b", 2 * SECOND);
+    g_assert_false(pgw_poison_holds(poison, &bad, 2 * SECOND));
+    crash(poison, &bad, "c", 3 * SECOND);
+    g_assert_true(pgw_poison_holds(poison, &bad, 4 * SECOND));
+    g_assert_false(pgw_poison_holds(poison, &innocent, 4 * SECOND));
+    g_assert_false(pgw_poison_holds(poison, &bad, 604 * SECOND));
+    pgw_poison_free(poison);
+}
+
+/*
+ * Connections break without a crash: an upstream that resets some of its
+ * answers, or one whose end comes long after. Nothing is counted, and one
+ * crash counts once, however often the request was running there.
+ */
+static void
+test_only_crashes_count(void)
+{
+    struct pgw_poison *poison = poison_new(NULL);
+    struct pgw_fingerprint bad = make(1);
+
+    for (unsigned i = 0; i < 9; i++) {
+        pgw_poison_broke(poison, &bad, "a", SECOND + i);
+    }
+    g_assert_false(pgw_poison_holds(poison, &bad, SECOND));
+    pgw_poison_crashed(poison, "a", 2 * SECOND);
+    pgw_poison_crashed(poison, "a", 2 * SECOND);
+    pgw_poison_broke(poison, &bad, "b", 3 * SECOND);
+    pgw_poison_crashed(poison, "b", 30 * SECOND);
+    pgw_poison_broke(poison, &bad, "c", 31 * SECOND);
+    pgw_poison_crashed(poison, "c", 32 * SECOND);
+    g_assert_false(pgw_poison_holds(poison, &bad, 32 * SECOND));
+    pgw_poison_free(poison);
+}
+
+/* The word of the crash comes before the run's connection ends. */
+static void
+test_crash_known_first(void)
+{
+    struct heard heard = {0};
+    struct pgw_poison *poison = poison_new(&heard);
+    struct pgw_fingerprint bad = make(1);
+
+    pgw_poison_crashed(poison, "a", SECOND);
+    g_assert_cmpuint(heard.count, ==, 0);
+    pgw_poison_broke(poison, &bad, "a", 2 * SECOND);
+    g_assert_cmpuint(heard.count, ==, 1);
+    pgw_poison_free(poison);
+}
+
+/*
+ * A request that many send alike was running in three crashes, at three
+ * entries, and ends well at one of them. That one tells the others, and all of
+ * them let it pass.
+ */
+static void
+test_good_end_clears(void)
+{
+    struct heard heard = {0};
+    struct pgw_poison *here = poison_new(&heard);
+    struct pgw_poison *there = poison_new(NULL);
+    struct pgw_fingerprint popular = make(1);
+
+    crash(here, &popular, "a", SECOND);
+    crash(here, &popular, "b", SECOND);
+    crash(here, &popular, "c", SECOND);
+    pgw_poison_hear(there, heard.items, heard.count, SECOND);
+    g_assert_true(pgw_poison_holds(there, &popular, SECOND));
+    heard.count = 0;
+    pgw_poison_ended_well(here, &popular);
+    pgw_poison_ended_well(here, &popular);
+    g_assert_cmpuint(heard.count, ==, 1);
+    pgw_poison_hear(there, heard.items, heard.count, SECOND);
+    g_assert_false(pgw_poison_holds(here, &popular, SECOND));
+    g_assert_false(pgw_poison_holds(there, &popular, SECOND));
+    pgw_poison_free(here);
+    pgw_poison_free(there);
+}
+
+/* What is known already is not passed on again: entries in a ring would tell
+ * each other the same for ever. */
+static void
+test_told_once(void)
+{
+    struct heard heard = {0};
+    struct pgw_poison *poison = poison_new(&heard);
+    struct pgw_poison_news news = {make(1), 7};
+    struct pgw_poison_news clear = {make(1), 0};
+    GArray *known;
+
+    pgw_poison_hear(poison, &news, 1, SECOND);
+    pgw_poison_hear(poison, &news, 1, SECOND);
+    g_assert_cmpuint(heard.count, ==, 1);
+    known = pgw_poison_known(poison);
+    g_assert_cmpuint(known->len, ==, 1);
+    g_array_unref(known);
+    pgw_poison_hear(poison, &clear, 1, SECOND);
+    pgw_poison_hear(poison, &clear, 1, SECOND);
+    g_assert_cmpuint(heard.count, ==, 2);
+    pgw_poison_free(poison);
+}
+
+/* Memory is bounded: what is beyond it is not counted until older records have
+ * expired. */
+static void
+test_bounded(void)
+{
+    struct pgw_poison_options options = PGW_POISON_OPTIONS_INIT;
+    struct pgw_poison *poison;
+    struct pgw_fingerprint late = make(9);
+
+    options.records_max = 2;
+    poison = pgw_poison_new(&options);
+    for (uint8_t i = 1; i < 4; i++) {
+        struct pgw_fingerprint each = make(i);
+
+        crash(poison, &each, "a", SECOND);
+    }
+    crash(poison, &late, "b", SECOND);
+    crash(poison, &late, "c", SECOND);
+    crash(poison, &late, "d", SECOND);
+    g_assert_false(pgw_poison_holds(poison, &late, SECOND));
+    crash(poison, &late, "e", 900 * SECOND);
+    crash(poison, &late, "f", 900 * SECOND);
+    crash(poison, &late, "g", 900 * SECOND);
+    g_assert_true(pgw_poison_holds(poison, &late, 900 * SECOND));
+    pgw_poison_free(poison);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/poison/third_crash_holds", test_third_crash_holds);
+    g_test_add_func("/poison/only_crashes_count", test_only_crashes_count);
+    g_test_add_func("/poison/crash_known_first", test_crash_known_first);
+    g_test_add_func("/poison/good_end_clears", test_good_end_clears);
+    g_test_add_func("/poison/told_once", test_told_once);
+    g_test_add_func("/poison/bounded", test_bounded);
+    return g_test_run();
+}
