--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
 """Draws a day of trouble from all kinds that the platform's tool lists.
 
-draw.py SEED passports|labels COUNT prints a day with COUNT troubles; some come
-twice. The same seed gives the same day.
+draw.py SEED passports|labels COUNT [grown] prints a day with COUNT troubles; some
+come twice. The same seed gives the same day. "grown" adds the kinds that only the
+larger deployments know.
 """
 
 import random
@@ -93,12 +94,26 @@
          ("service", both),
          ("how", ["errors", "shed", "busy", "hang", "reset", "mute", "slow",
                   "errors one_zone"])),
+        ("shift", ("share", (.3, .7)), span),
         ("srv_slow", ("share", (.15, .4)), ("x", (3, 8)), span,
          ("service", both)),
         ("version_bump", ("count", [0])),
     ]
 
 
+def grown_kinds(services):
+    """The same for kinds that only the larger deployments know."""
+    engines, plain, _ = services
+    both = ("service", [engines, plain])
+    span = ("for_s", (3, 8))
+    return [
+        ("idle_race", ("share", (.3, .8)), ("x", (100, 600)), span),
+        ("srv_flap", ("share", (.1, .25)), ("gap_s", (1, 3)), span, both),
+        ("srv_lying_health", ("share", (.1, .3)), span, both,
+         ("how", ["bad", "errors", "hang", "reset"])),
+    ]
+
+
 def draw_field(rng, domain):
     """A number of a range, or one of some choices."""
     if isinstance(domain, tuple):
@@ -106,8 +121,8 @@
     return rng.choice(domain)
 
 
-def draw_trouble(rng, services):
-    kind, *fields = rng.choice(kinds(services))
+def draw_trouble(rng, known):
+    kind, *fields = rng.choice(known)
     trouble = {"at": round(rng.uniform(FIRST_S, LAST_S), 2), "kind": kind}
     for name, domain in fields:
         value = draw_field(rng, domain)
@@ -122,9 +137,9 @@
     return "  { " + ", ".join(fields) + " },"
 
 
-def draw_troubles(rng, services, count):
+def draw_troubles(rng, known, count):
     for _ in range(count):
-        trouble = draw_trouble(rng, services)
+        trouble = draw_trouble(rng, known)
         yield trouble
         if rng.random() < TWICE_SHARE:
             yield {**trouble, "at": round(trouble["at"] + rng.uniform(.5, 4),
@@ -134,7 +149,10 @@
 def main():
     seed, site, count = int(sys.argv[1]), sys.argv[2], int(sys.argv[3])
     rng = random.Random(seed)
-    troubles = list(draw_troubles(rng, SERVICES[site], count))
+    known = kinds(SERVICES[site])
+    if sys.argv[4:] == ["grown"]:
+        known += grown_kinds(SERVICES[site])
+    troubles = list(draw_troubles(rng, known, count))
     closing = rng.choice(["", "kill_all", "power_off_all"])
     print(f'name = "own-{seed}"\nslot = "trouble"\nseed = {seed}')
     print("one = 0.3\nzero = -0.1\ngoal = { floor = 0.05 }\nlabels = []")
