Keep runs that broke off in arrays

Cause: the analyser of script/lint cannot follow an intrusive list whose items are freed while it is walked, and called two loops a use after free.

Change: runs and dead upstreams are plain items of arrays, in the order of time; an item costs no allocation of its own.

Measured: lint clean; test_poison, test_mesh and test_gateway as before.

--- a/src/gateway/poison.c
+++ b/src/gateway/poison.c
@@ -27,7 +27,6 @@
 
 /* struct broken_run - a run that broke off; its upstream may have crashed */
 struct broken_run {
-    struct pgw_list link;
     struct pgw_fingerprint fingerprint;
     uint64_t crash;
     uint64_t at_us;
@@ -35,7 +34,6 @@
 
 /* struct dead_upstream - an incarnation that crashed of late */
 struct dead_upstream {
-    struct pgw_list link;
     uint64_t crash;
     uint64_t at_us;
 };
@@ -48,9 +46,8 @@
 struct pgw_poison {
     struct pgw_poison_options options;
     GHashTable *records;
-    struct pgw_list broken;
-    unsigned broken_count;
-    struct pgw_list dead;
+    GArray *broken;
+    GArray *dead;
     void (*on_news)(const struct pgw_poison_news *news, size_t count,
                     void *context);
     void *context;
@@ -65,37 +62,18 @@
     poison->options = *options;
     poison->records = g_hash_table_new_full(
         pgw_fingerprint_hash, pgw_fingerprint_equal, NULL, g_free);
-    pgw_list_init(&poison->broken);
-    pgw_list_init(&poison->dead);
+    poison->broken = g_array_new(FALSE, FALSE, sizeof(struct broken_run));
+    poison->dead = g_array_new(FALSE, FALSE, sizeof(struct dead_upstream));
     pgw_metric_register_counter(&crashes_counted);
     pgw_metric_register_gauge(&remembered);
     return poison;
 }
 
-static void
-broken_free(struct pgw_poison *poison, struct broken_run *run)
-{
-    pgw_list_remove(&run->link);
-    poison->broken_count--;
-    g_free(run);
-}
-
-static void
-dead_free(struct dead_upstream *dead)
-{
-    pgw_list_remove(&dead->link);
-    g_free(dead);
-}
-
 void
 pgw_poison_free(struct pgw_poison *poison)
 {
-    pgw_list_foreach_safe (item, &poison->broken) {
-        broken_free(poison, pgw_container_of(item, struct broken_run, link));
-    }
-    pgw_list_foreach_safe (item, &poison->dead) {
-        dead_free(pgw_container_of(item, struct dead_upstream, link));
-    }
+    g_array_unref(poison->broken);
+    g_array_unref(poison->dead);
     g_hash_table_destroy(poison->records);
     g_free(poison);
 }
@@ -119,31 +97,37 @@
     }
 }
 
+static struct broken_run *
+broken_at(const struct pgw_poison *poison, guint index)
+{
+    return &g_array_index(poison->broken, struct broken_run, index);
+}
+
+static struct dead_upstream *
+dead_at(const struct pgw_poison *poison, guint index)
+{
+    return &g_array_index(poison->dead, struct dead_upstream, index);
+}
+
 /* What is older than the time in which both belong together. */
 static void
 forget_old(struct pgw_poison *poison, uint64_t now_us)
 {
     uint64_t link_us = poison->options.link_us;
+    guint old = 0;
 
-    pgw_list_foreach_safe (item, &poison->broken) {
-        struct broken_run *run =
-            pgw_container_of(item, struct broken_run, link);
-
-        if (run->at_us + link_us > now_us &&
-            poison->broken_count <= BROKEN_MAX) {
-            break;
-        }
-        broken_free(poison, run);
+    while (old < poison->broken->len &&
+           (broken_at(poison, old)->at_us + link_us <= now_us ||
+            poison->broken->len - old >= BROKEN_MAX)) {
+        old++;
     }
-    pgw_list_foreach_safe (item, &poison->dead) {
-        struct dead_upstream *dead =
-            pgw_container_of(item, struct dead_upstream, link);
-
-        if (dead->at_us + link_us > now_us) {
-            break;
-        }
-        dead_free(dead);
+    g_array_remove_range(poison->broken, 0, old);
+    old = 0;
+    while (old < poison->dead->len &&
+           dead_at(poison, old)->at_us + link_us <= now_us) {
+        old++;
     }
+    g_array_remove_range(poison->dead, 0, old);
 }
 
 static gboolean
@@ -212,18 +196,15 @@
     return true;
 }
 
-static struct dead_upstream *
-find_dead(struct pgw_poison *poison, uint64_t crash)
+static bool
+is_dead(const struct pgw_poison *poison, uint64_t crash)
 {
-    pgw_list_foreach (item, &poison->dead) {
-        struct dead_upstream *dead =
-            pgw_container_of(item, struct dead_upstream, link);
-
-        if (dead->crash == crash) {
-            return dead;
+    for (guint i = 0; i < poison->dead->len; i++) {
+        if (dead_at(poison, i)->crash == crash) {
+            return true;
         }
     }
-    return NULL;
+    return false;
 }
 
 void
@@ -231,55 +212,52 @@
                  const struct pgw_fingerprint *fingerprint,
                  const char *upstream, uint64_t now_us)
 {
-    struct pgw_poison_news news = {*fingerprint, pgw_place_id_hash(upstream)};
-    struct broken_run *run;
+    struct broken_run run = {*fingerprint, pgw_place_id_hash(upstream),
+                             now_us};
+    struct pgw_poison_news news = {*fingerprint, run.crash};
 
     forget_old(poison, now_us);
-    if (find_dead(poison, news.crash) != NULL) {
-        if (count_crash(poison, fingerprint, news.crash, now_us)) {
-            tell(poison, &news, 1);
+    if (!is_dead(poison, run.crash)) {
+        g_array_append_val(poison->broken, run);
+    }
+    else if (count_crash(poison, fingerprint, run.crash, now_us)) {
+        tell(poison, &news, 1);
+    }
+}
+
+/* Counts what broke off at an upstream that has crashed. */
+static void
+link_runs(struct pgw_poison *poison, uint64_t crash, GArray *news,
+          uint64_t now_us)
+{
+    for (guint i = poison->broken->len; i > 0; i--) {
+        const struct broken_run *run = broken_at(poison, i - 1);
+        struct pgw_poison_news item = {run->fingerprint, crash};
+
+        if (run->crash != crash) {
+            continue;
         }
-        return;
+        if (count_crash(poison, &run->fingerprint, crash, now_us)) {
+            g_array_append_val(news, item);
+        }
+        g_array_remove_index(poison->broken, i - 1);
     }
-    run = g_new0(struct broken_run, 1);
-    run->fingerprint = *fingerprint;
-    run->crash = news.crash;
-    run->at_us = now_us;
-    pgw_list_append(&poison->broken, &run->link);
-    poison->broken_count++;
 }
 
 void
 pgw_poison_crashed(struct pgw_poison *poison, const char *upstream,
                    uint64_t now_us)
 {
-    uint64_t crash = pgw_place_id_hash(upstream);
-    struct dead_upstream *dead;
+    struct dead_upstream dead = {pgw_place_id_hash(upstream), now_us};
     GArray *news;
 
     forget_old(poison, now_us);
-    if (find_dead(poison, crash) != NULL) {
+    if (is_dead(poison, dead.crash)) {
         return;
     }
-    dead = g_new0(struct dead_upstream, 1);
-    dead->crash = crash;
-    dead->at_us = now_us;
-    pgw_list_append(&poison->dead, &dead->link);
+    g_array_append_val(poison->dead, dead);
     news = g_array_new(FALSE, FALSE, sizeof(struct pgw_poison_news));
-    pgw_list_foreach_safe (item, &poison->broken) {
-        struct broken_run *run =
-            pgw_container_of(item, struct broken_run, link);
-
-        if (run->crash != crash) {
-            continue;
-        }
-        if (count_crash(poison, &run->fingerprint, crash, now_us)) {
-            struct pgw_poison_news item_news = {run->fingerprint, crash};
-
-            g_array_append_val(news, item_news);
-        }
-        broken_free(poison, run);
-    }
+    link_runs(poison, dead.crash, news, now_us);
     tell(poison, (const struct pgw_poison_news *)(void *)news->data,
          news->len);
     g_array_unref(news);
--- a/src/gateway/poison.h
+++ b/src/gateway/poison.h
@@ -2,7 +2,6 @@
 #define PGW_GATEWAY_POISON_H
 
 #include "parsleygw/quarantine.h"
-#include "util/list.h"
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
