Explain any request of the gateway path from its logs

Cause: to get from a request's id to its cause an engineer had to know which lines of which processes to look for. Lines did not say a request's objective, its limit, how long it had no place, or how old a configuration was that turned it down; sidecars' lines did not say which engine they meant. A burst of requests that end well could use up a second's lines, so that the one that failed was left out; lines that a full pipe refused were not counted.

Change: parsleygw explain ID and explain failed read collected logs and name the cause, with the time line of what its upstreams, their sidecars and its entry went through (text, JSON, page). Lines carry what was missing.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -24,7 +24,8 @@
     PGW_CLI_IF_VERSION = 1 << 1,
     PGW_CLI_DECLARE = 1 << 2, /* --pool, --zone, --address */
     PGW_CLI_LIMITS = 1 << 3,  /* --share, --max-inflight */
-    PGW_CLI_EVENTS = 1 << 4,  /* --request, --since, --format, --output */
+    PGW_CLI_EVENTS = 1 << 4,  /* --request, --since, --output */
+    PGW_CLI_FORMAT = 1 << 5,  /* --format */
 };
 
 /**
@@ -149,5 +150,7 @@
 PGW_CLI_COMMAND(quarantine_lift);
 PGW_CLI_COMMAND(status);
 PGW_CLI_COMMAND(timeline);
+PGW_CLI_COMMAND(explain);
+PGW_CLI_COMMAND(explain_failed);
 
 #endif
--- a/src/cli/commands.c
+++ b/src/cli/commands.c
@@ -92,7 +92,11 @@
     {"quarantine", "lift", "FINGERPRINT", "let it run again", 1, 1, 0,
      "quarantine", pgw_cli_quarantine_lift},
     {"timeline", NULL, "", "events of all processes in causal order", 0, 0,
-     PGW_CLI_EVENTS, NULL, pgw_cli_timeline},
+     PGW_CLI_EVENTS | PGW_CLI_FORMAT, NULL, pgw_cli_timeline},
+    {"explain", "failed", "[FILE..]", "causes of all failed requests in logs",
+     0, -1, 0, NULL, pgw_cli_explain_failed},
+    {"explain", NULL, "ID [FILE..]", "a request's path and cause, from logs",
+     1, -1, PGW_CLI_FORMAT, NULL, pgw_cli_explain},
     {"completion", "bash", "", "completion script for bash", 0, 0, 0, NULL,
      pgw_cli_complete},
 };
--- a/src/cli/options.c
+++ b/src/cli/options.c
@@ -69,7 +69,7 @@
      OPT_MAX_INFLIGHT, PGW_CLI_LIMITS},
     {"request", "ID", "only this request", OPT_REQUEST, PGW_CLI_EVENTS},
     {"since", "TIME", "how far back: 90s, 5m, 2h", OPT_SINCE, PGW_CLI_EVENTS},
-    {"format", "FORMAT", "text, json or html", OPT_FORMAT, PGW_CLI_EVENTS},
+    {"format", "FORMAT", "text, json or html", OPT_FORMAT, PGW_CLI_FORMAT},
     {"output", "FILE", "write to a file", OPT_OUTPUT, PGW_CLI_EVENTS},
     {"help", NULL, "show the commands", OPT_HELP, 0},
     {"version", NULL, "show the version", OPT_VERSION, 0},
--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -180,6 +180,9 @@
 {
     GString *out = g_string_new(event->text);
 
+    if (event->kind == PGW_TIMELINE_LOG_LINE) {
+        return g_string_free(out, FALSE);
+    }
     append_number(out, pgw_trace_kind_label_a(event->kind), event->a);
     append_number(out, pgw_trace_kind_label_b(event->kind), event->b);
     return g_string_free(out, FALSE);
--- a/src/cli/timeline.h
+++ b/src/cli/timeline.h
@@ -6,11 +6,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Lines of logs have their numbers in @text alone. */
+#define PGW_TIMELINE_LOG_LINE (-2)
+
 /**
  * struct pgw_timeline_event - one event of one process
  * @hlc: hybrid logical clock
  * @lane: index of its process
- * @kind: its kind's number, or -1 for a kind this program does not know
+ * @kind: its kind's number, -1 for a kind this program does not know,
+ *   %PGW_TIMELINE_LOG_LINE for a line of a log
  * @kind_name: its kind's name
  * @request: 32 digits, or NULL
  * @attempt: number of the attempt, 0 for none
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -58,6 +58,10 @@
 static void
 leave_queue(struct pgw_exchange *exchange)
 {
+    if (exchange->queued_at_us > 0) {
+        exchange->queued_us += pgw_now_us() - exchange->queued_at_us;
+        exchange->queued_at_us = 0;
+    }
     pgw_waiting_remove(&exchange->gateway->waiting, &exchange->waiting);
     pgw_metric_gauge_set(&waiting_now, exchange->gateway->waiting.count);
 }
@@ -101,6 +105,18 @@
     return MIN(rank, ranks - 1);
 }
 
+/* A line that may be left out when there are many: the whole answer came from
+ * the first upstream that was asked, and in time. */
+static bool
+is_routine(const struct pgw_exchange *exchange, const char *outcome,
+           uint64_t first_us)
+{
+    return strcmp(outcome, "answered") == 0 && exchange->status < 400 &&
+           exchange->sends == 1 &&
+           (exchange->route->objective_ms == 0 ||
+            first_us <= exchange->route->objective_ms * 1000ULL);
+}
+
 static void
 log_end(const struct pgw_exchange *exchange, const char *outcome)
 {
@@ -108,28 +124,36 @@
     uint64_t first = exchange->first_event_us == 0
                          ? 0
                          : exchange->first_event_us - exchange->received_us;
+    uint64_t queued = exchange->queued_us;
 
-    pgw_log_info("request_end",
-                 "request=%s route=%s rank=%u config=%" G_GUINT64_FORMAT
-                 " outcome=%s status=%u sends=%u runs=%u load=%u "
-                 "load_age_ms=%" G_GUINT64_FORMAT " "
-                 "upstream=%s weights=%" G_GUINT64_FORMAT
-                 " tokens=%u missing=%u fetch=%s "
-                 "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
-                 " events=%" G_GUINT64_FORMAT,
-                 exchange->facts.id, exchange->route->name,
-                 pgw_exchange_rank(exchange, PGW_WAITING_RANKS),
-                 pgw_route_table_version(exchange->table), outcome,
-                 exchange->status, exchange->sends, exchange->runs,
-                 exchange->load_seen, exchange->load_age_us / 1000,
-                 exchange->tried_count == 0
-                     ? "-"
-                     : exchange->tried[exchange->tried_count - 1]->id,
-                 exchange->weights, exchange->facts.prompt.tokens,
-                 exchange->missing_tokens,
-                 exchange->fetched == NULL ? "-" : exchange->fetched,
-                 first / 1000, (now - exchange->received_us) / 1000,
-                 exchange->events.events);
+    if (exchange->queued_at_us > 0) {
+        queued += now - exchange->queued_at_us;
+    }
+    pgw_log_some(
+        is_routine(exchange, outcome, first), "request_end",
+        "request=%s route=%s service=%s rank=%u "
+        "config=%" G_GUINT64_FORMAT " outcome=%s status=%u objective_ms=%u "
+        "limit_ms=%" G_GUINT64_FORMAT " queued_ms=%" G_GUINT64_FORMAT
+        " sends=%u runs=%u load=%u "
+        "load_age_ms=%" G_GUINT64_FORMAT " "
+        "upstream=%s weights=%" G_GUINT64_FORMAT
+        " tokens=%u missing=%u fetch=%s "
+        "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
+        " events=%" G_GUINT64_FORMAT,
+        exchange->facts.id, exchange->route->name, exchange->service,
+        pgw_exchange_rank(exchange, PGW_WAITING_RANKS),
+        pgw_route_table_version(exchange->table), outcome, exchange->status,
+        exchange->route->objective_ms,
+        (exchange->deadline_us - exchange->received_us) / 1000, queued / 1000,
+        exchange->sends, exchange->runs, exchange->load_seen,
+        exchange->load_age_us / 1000,
+        exchange->tried_count == 0
+            ? "-"
+            : exchange->tried[exchange->tried_count - 1]->id,
+        exchange->weights, exchange->facts.prompt.tokens,
+        exchange->missing_tokens,
+        exchange->fetched == NULL ? "-" : exchange->fetched, first / 1000,
+        (now - exchange->received_us) / 1000, exchange->events.events);
     if (first > 0) {
         pgw_metric_histogram_record_us(&first_answer, first);
     }
@@ -303,6 +327,7 @@
     if (exchange->phase != PGW_PHASE_RELAYING) {
         exchange->phase = PGW_PHASE_WAITING;
     }
+    exchange->queued_at_us = now;
     pgw_waiting_add(&gateway->waiting, &exchange->waiting,
                     pgw_exchange_rank(exchange, PGW_WAITING_RANKS));
     pgw_metric_gauge_set(&waiting_now, gateway->waiting.count);
@@ -343,12 +368,19 @@
 }
 
 static void
-refuse_early(struct pgw_caller *caller, uint64_t config, const char *id,
-             unsigned status, const char *reason, uint32_t retry_after_ms)
+refuse_early(const struct pgw_gateway *gateway, struct pgw_caller *caller,
+             const char *id, unsigned status, const char *reason,
+             uint32_t retry_after_ms)
 {
-    pgw_log_info("request_refused",
-                 "request=%s status=%u reason=%s config=%" G_GUINT64_FORMAT,
-                 id, status, reason, config);
+    const struct pgw_route_table *routes = gateway->routes;
+
+    pgw_log_info(
+        "request_refused",
+        "request=%s status=%u reason=%s config=%" G_GUINT64_FORMAT
+        " config_age_ms=%" G_GUINT64_FORMAT,
+        id, status, reason,
+        routes == NULL ? 0 : pgw_route_table_version(routes),
+        routes == NULL ? 0 : (pgw_now_us() - gateway->routes_at_us) / 1000);
     answer_own(caller, status, reason, false, retry_after_ms);
 }
 
@@ -378,24 +410,22 @@
     struct pgw_exchange *exchange;
     struct pgw_fingerprint fingerprint;
     uint64_t now = pgw_now_us();
-    uint64_t config =
-        gateway->routes == NULL ? 0 : pgw_route_table_version(gateway->routes);
 
     register_metrics();
     pgw_metric_counter_add(&requests, 1);
     if (!gateway->options.codec->read_request(&facts, caller->head)) {
-        refuse_early(caller, config, "-", 400, "malformed", 0);
+        refuse_early(gateway, caller, "-", 400, "malformed", 0);
         return;
     }
     if (gateway->routes == NULL) {
-        refuse_early(caller, config, facts.id, 503, "no_configuration",
+        refuse_early(gateway, caller, facts.id, 503, "no_configuration",
                      NO_CONFIG_RETRY_MS);
         return;
     }
     route = pgw_route_table_match(gateway->routes, facts.host,
                                   pgw_http_head_target(caller->head));
     if (route == NULL) {
-        refuse_early(caller, config, facts.id, 404, "no_route", 0);
+        refuse_early(gateway, caller, facts.id, 404, "no_route", 0);
         return;
     }
     if (!route->open && pgw_route_table_has_keys(gateway->routes)) {
@@ -404,7 +434,7 @@
                 ? NULL
                 : pgw_route_table_workspace(gateway->routes, facts.key);
         if (workspace == NULL) {
-            refuse_early(caller, config, facts.id, 401, "unauthorized", 0);
+            refuse_early(gateway, caller, facts.id, 401, "unauthorized", 0);
             return;
         }
     }
@@ -417,7 +447,7 @@
      */
     if (pgw_poison_holds(gateway->poison, &fingerprint, now)) {
         pgw_metric_counter_add(&poisonous, 1);
-        refuse_early(caller, config, facts.id, 503, "crashes_upstreams",
+        refuse_early(gateway, caller, facts.id, 503, "crashes_upstreams",
                      POISON_RETRY_MS);
         return;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 /**
  * struct pgw_gateway - one entry
  * @routes: configuration in force, NULL before the first
+ * @routes_at_us: since when
  * @budgets: repeats that it may make
  * @poison: requests that were running when upstreams crashed
  * @waiting: requests without a place
@@ -23,6 +24,7 @@
     struct pgw_caller_server *server;
     struct pgw_call_pool *pool;
     struct pgw_route_table *routes;
+    uint64_t routes_at_us;
     struct pgw_upstream_table *upstreams;
     struct pgw_budgets *budgets;
     struct pgw_poison *poison;
@@ -58,6 +60,8 @@
  * @upstream: where the current attempt is
  * @counted_tokens: memory that it counts at @upstream
  * @prefill_tokens: and prompt tokens without a first event
+ * @queued_at_us: since when it waits for a place, 0: it does not
+ * @queued_us: how long it has waited in all
  * @load_seen: requests that its upstream was taken to have when it was chosen
  * @load_age_us: age of the report that this rests on
  * @fetched: where missing prompt parts are fetched from, for logs
@@ -94,6 +98,8 @@
     uint32_t counted_tokens;
     uint32_t prefill_tokens;
     uint32_t missing_tokens;
+    uint64_t queued_at_us;
+    uint64_t queued_us;
     uint32_t load_seen;
     uint64_t load_age_us;
     const char *fetched;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -131,6 +131,7 @@
 #endif
     pgw_route_table_unref(gateway->routes);
     gateway->routes = pgw_route_table_ref(table);
+    gateway->routes_at_us = pgw_now_us();
     pgw_caller_server_set_limits(gateway->server,
                                  pgw_route_table_limits(table));
     pgw_log_info("configuration", "version=%" G_GUINT64_FORMAT, version);
--- a/src/gateway/guard_ask.c
+++ b/src/gateway/guard_ask.c
@@ -70,9 +70,10 @@
 
         if (version != model->order.running) {
             pgw_log_info("weights_running",
-                         "model=%s version=%" G_GUINT64_FORMAT
+                         "engine=%s model=%s version=%" G_GUINT64_FORMAT
                          " before=%" G_GUINT64_FORMAT,
-                         model->model, version, model->order.running);
+                         guard->engine, model->model, version,
+                         model->order.running);
         }
         pgw_weights_order_report(&model->order, version, guard->report.busy,
                                  now);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -1,6 +1,6 @@
 #include "gateway/guard_links.h"
-#include "gateway/poison.h"
 #include "gateway/candidates.h"
+#include "gateway/poison.h"
 #include "libparsleygw/link.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
--- a/src/gateway/guard_order.c
+++ b/src/gateway/guard_order.c
@@ -38,6 +38,12 @@
     return pgw_container_of(call, struct pgw_engine_guard, order_call);
 }
 
+static const char *const answer_names[] = {
+    [PGW_ORDER_ACCEPTED] = "accepted", [PGW_ORDER_BUSY] = "busy",
+    [PGW_ORDER_FENCED] = "fenced",     [PGW_ORDER_OTHER] = "other_instance",
+    [PGW_ORDER_REFUSED] = "refused",   [PGW_ORDER_LOST] = "lost",
+};
+
 static void
 order_settled(struct pgw_engine_guard *guard, enum pgw_order_answer answer)
 {
@@ -46,10 +52,11 @@
     guard->ordering = NULL;
     if (model != NULL) {
         pgw_log_info("order_answer",
-                     "model=%s version=%" G_GUINT64_FORMAT
-                     " status=%u answer=%d token=%" G_GUINT64_FORMAT,
-                     model->model, model->order.wanted, guard->order_status,
-                     (int)answer, model->order.token);
+                     "engine=%s model=%s version=%" G_GUINT64_FORMAT
+                     " status=%u answer=%s token=%" G_GUINT64_FORMAT,
+                     guard->engine, model->model, model->order.wanted,
+                     guard->order_status, answer_names[answer],
+                     model->order.token);
         pgw_weights_order_answer(&model->order, answer, pgw_now_us());
     }
     pgw_guard_ask_report(guard);
@@ -123,11 +130,10 @@
     guard->ordering = model;
     pgw_metric_counter_add(&orders_given, 1);
     pgw_log_info("order",
-                 "model=%s version=%" G_GUINT64_FORMAT
-                 " instance=%s token=%" G_GUINT64_FORMAT
-                 " sequence=%" G_GUINT64_FORMAT,
-                 order.model, order.version, order.instance, order.token,
-                 order.sequence);
+                 "engine=%s upstream=%s model=%s version=%" G_GUINT64_FORMAT
+                 " token=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT,
+                 guard->engine, order.instance, order.model, order.version,
+                 order.token, order.sequence);
     pgw_weights_order_sent(&model->order, pgw_now_us());
     if (!pgw_call_start(&guard->order_call, guard->pool, &options)) {
         guard->ordering = NULL;
@@ -214,17 +220,18 @@
 }
 
 static void
-log_wanted(const struct pgw_guard_model *model, uint32_t turn)
+log_wanted(const struct pgw_engine_guard *guard,
+           const struct pgw_guard_model *model, uint32_t turn)
 {
     uint64_t now = pgw_now_us();
     uint64_t due = model->order.due_us;
 
-    pgw_log_info("weights_wanted",
-                 "model=%s version=%" G_GUINT64_FORMAT
-                 " running=%" G_GUINT64_FORMAT
-                 " turn=%u due_ms=%" G_GUINT64_FORMAT,
-                 model->model, model->order.wanted, model->order.running, turn,
-                 due > now ? (due - now) / 1000 : 0);
+    pgw_log_info(
+        "weights_wanted",
+        "engine=%s model=%s version=%" G_GUINT64_FORMAT
+        " running=%" G_GUINT64_FORMAT " turn=%u due_ms=%" G_GUINT64_FORMAT,
+        guard->engine, model->model, model->order.wanted, model->order.running,
+        turn, due > now ? (due - now) / 1000 : 0);
 }
 
 void
@@ -243,7 +250,7 @@
     }
     if (version > model->order.wanted) {
         pgw_weights_order_want(&model->order, version, turn, pgw_now_us());
-        log_wanted(model, turn);
+        log_wanted(guard, model, turn);
     }
     pgw_guard_step(guard);
 }
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,4 +1,5 @@
 #include "util/log.h"
+#include "util/log_bound.h"
 
 #include <fcntl.h>
 #include <stdarg.h>
@@ -16,27 +17,17 @@
     char *zone;
     int level;
     int fd;
-    unsigned lines_per_s;
 } logger = {.level = PGW_LOG_INFO, .fd = STDERR_FILENO};
 
-/**
- * struct log_second - what was written in the current second
- * @lock: between threads
- * @second: of the monotonic clock
- * @written: lines in it
- * @dropped: lines that were not written since the last note of them
- */
+/* Room for lines, shared by all threads. */
 static struct {
     GMutex lock;
-    gint64 second;
-    unsigned written;
-    unsigned dropped;
-} bound;
+    struct pgw_log_bound bound;
+} room;
 
 static const char *const level_names[] = {
-    [PGW_LOG_ERROR] = "error",
-    [PGW_LOG_WARNING] = "warning",
-    [PGW_LOG_INFO] = "info",
+    [PGW_LOG_ERROR] = "error", [PGW_LOG_WARNING] = "warning",
+    [PGW_LOG_INFO] = "info",   [PGW_LOG_ROUTINE] = "info",
     [PGW_LOG_DEBUG] = "debug",
 };
 
@@ -44,6 +35,7 @@
     [PGW_LOG_ERROR] = G_LOG_LEVEL_CRITICAL,
     [PGW_LOG_WARNING] = G_LOG_LEVEL_WARNING,
     [PGW_LOG_INFO] = G_LOG_LEVEL_INFO,
+    [PGW_LOG_ROUTINE] = G_LOG_LEVEL_INFO,
     [PGW_LOG_DEBUG] = G_LOG_LEVEL_DEBUG,
 };
 
@@ -286,12 +278,12 @@
     }
     va_end(args);
     const GLogField fields[] = {
-        {"GLIB_DOMAIN", LOG_DOMAIN, -1},
-        {"PGW_LEVEL", level_names[level], -1},
-        {"PGW_EVENT", event, -1},
-        {"PGW_PAIRS", pairs->str, -1},
+        {"GLIB_DOMAIN", LOG_DOMAIN, -1}, {"PGW_LEVEL", level_names[level], -1},
+        {"PGW_EVENT", event, -1},        {"PGW_PAIRS", pairs->str, -1},
+        {"PGW_ROUTINE", "1", -1},
     };
-    g_log_structured_array(level_flags[level], fields, G_N_ELEMENTS(fields));
+    g_log_structured_array(level_flags[level], fields,
+                           G_N_ELEMENTS(fields) - (level != PGW_LOG_ROUTINE));
     g_string_free(pairs, TRUE);
 }
 
@@ -337,53 +329,48 @@
     return flags & G_LOG_LEVEL_DEBUG ? PGW_LOG_DEBUG : PGW_LOG_INFO;
 }
 
+/* A line is one write(), so that lines of several threads never mix. What a
+ * full pipe refuses is lost, and counted: a log reader that hangs must not
+ * hold up requests. */
 static void
 write_all(const GString *line)
 {
-    /* A line is one write(), so that lines of several threads never mix. What
-     * a full pipe refuses is lost: a log reader that hangs must not hold up
-     * requests. */
-    if (write(logger.fd, line->str, line->len) < 0) {
-        /* nowhere left to report it */
+    if (write(logger.fd, line->str, line->len) >= 0) {
+        return;
     }
+    g_mutex_lock(&room.lock);
+    pgw_log_bound_lost(&room.bound);
+    g_mutex_unlock(&room.lock);
+}
+
+static void
+tell_dropped(unsigned lines)
+{
+    GString *line = g_string_new(NULL);
+
+    append_head(line, level_names[PGW_LOG_WARNING], "log_dropped");
+    g_string_append_printf(line, " lines=%u\n", lines);
+    write_all(line);
+    g_string_free(line, TRUE);
 }
 
-/*
- * Failure: under a burst each request writes lines, and a reader that cannot
- * follow costs the requests their processor. Symptom: late answers. A second
- * has room for a fixed number of lines; how many were left out is noted once
- * the next second begins.
- */
 static bool
-has_room(enum pgw_log_level level)
+has_room(enum pgw_log_level level, bool routine)
 {
-    gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
     unsigned dropped = 0;
-    bool room;
+    bool has;
 
-    if (logger.lines_per_s == 0 || level == PGW_LOG_ERROR) {
+    if (level == PGW_LOG_ERROR) {
         return true;
     }
-    g_mutex_lock(&bound.lock);
-    if (second != bound.second) {
-        dropped = bound.dropped;
-        bound.second = second;
-        bound.written = 0;
-        bound.dropped = 0;
-    }
-    room = bound.written < logger.lines_per_s;
-    bound.written += room;
-    bound.dropped += !room;
-    g_mutex_unlock(&bound.lock);
+    g_mutex_lock(&room.lock);
+    has = pgw_log_bound_take(&room.bound, routine, g_get_monotonic_time(),
+                             &dropped);
+    g_mutex_unlock(&room.lock);
     if (dropped > 0) {
-        GString *line = g_string_new(NULL);
-
-        append_head(line, level_names[PGW_LOG_WARNING], "log_dropped");
-        g_string_append_printf(line, " lines=%u\n", dropped);
-        write_all(line);
-        g_string_free(line, TRUE);
+        tell_dropped(dropped);
     }
-    return room;
+    return has;
 }
 
 static GLogWriterOutput
@@ -395,7 +382,8 @@
     const char *pairs = find_field(fields, count, "PGW_PAIRS");
     GString *line;
 
-    if (!pgw_log_enabled(level) || !has_room(level)) {
+    if (!pgw_log_enabled(level) ||
+        !has_room(level, find_field(fields, count, "PGW_ROUTINE") != NULL)) {
         return G_LOG_WRITER_HANDLED;
     }
     line = g_string_sized_new(256);
@@ -422,7 +410,7 @@
         fcntl(fd, F_SETFL, flags | O_NONBLOCK);
     }
     logger.fd = fd;
-    logger.lines_per_s = lines_per_s;
+    room.bound.lines_per_s = lines_per_s;
 }
 
 static int
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -22,11 +22,17 @@
 
 /**
  * enum pgw_log_level - levels, the most severe first
+ * @PGW_LOG_ERROR: always written
+ * @PGW_LOG_WARNING: trouble
+ * @PGW_LOG_INFO: decisions and changes
+ * @PGW_LOG_ROUTINE: info of which some lines do; printed as "info"
+ * @PGW_LOG_DEBUG: off by default
  */
 enum pgw_log_level {
     PGW_LOG_ERROR,
     PGW_LOG_WARNING,
     PGW_LOG_INFO,
+    PGW_LOG_ROUTINE,
     PGW_LOG_DEBUG,
 };
 
@@ -70,6 +76,21 @@
         }                                                                     \
     } while (0)
 
+/**
+ * pgw_log_some() - an info event that may be a routine one
+ * @routine: one of many alike, which may be left out
+ *
+ * Routine lines get at most %PGW_LOG_ROUTINE_SHARE of a second's lines, so
+ * that however many requests end well, there is room for those that do not.
+ */
+#define pgw_log_some(routine, ...)                                            \
+    do {                                                                      \
+        if (pgw_log_enabled(PGW_LOG_INFO)) {                                  \
+            pgw_log_event((routine) ? PGW_LOG_ROUTINE : PGW_LOG_INFO,         \
+                          __VA_ARGS__);                                       \
+        }                                                                     \
+    } while (0)
+
 #define pgw_log_error(...) pgw_log_at(PGW_LOG_ERROR, __VA_ARGS__)
 #define pgw_log_warning(...) pgw_log_at(PGW_LOG_WARNING, __VA_ARGS__)
 #define pgw_log_info(...) pgw_log_at(PGW_LOG_INFO, __VA_ARGS__)
