Give the order to load once the engine's queue is empty

Of the requests that engines refused in a rollout over half had been sent before the order, up to two seconds: an engine refuses all that waits there when it is told to load, each takes a repeat from the budget, and those without one are refused to their callers.

Change: after the entries were told, the order waits until the engine reports an empty queue, at most 300 ms.

--- a/src/gateway/guard_ask.c
+++ b/src/gateway/guard_ask.c
@@ -76,7 +76,7 @@
                          model->order.running);
         }
         pgw_weights_order_report(&model->order, version, guard->report.busy,
-                                 now);
+                                 guard->report.load.waiting, now);
     }
     pgw_guard_step(guard);
     if (pgw_guard_is_urgent(guard)) {
--- a/src/gateway/weights_order.c
+++ b/src/gateway/weights_order.c
@@ -32,9 +32,10 @@
 
 void
 pgw_weights_order_report(struct pgw_weights_order *order, uint64_t version,
-                         bool busy, uint64_t now_us)
+                         bool busy, uint32_t queued, uint64_t now_us)
 {
     order->running = version;
+    order->queued = queued;
     if (!order->sent || busy) {
         return;
     }
@@ -138,5 +139,17 @@
         order->not_before_us = now_us + order->options.again_us;
         return open_again(order);
     }
+    /*
+     * Failure: an engine is told to load while requests wait there. Symptom:
+     * it refuses all of them at once, and those that have no repeat left are
+     * refused to their callers. Nothing new comes since it was announced, so
+     * the queue empties as runs end, before which it would not load anyway;
+     * each report that says so is followed by a step.
+     */
+    if (order->queued > 0 &&
+        now_us < order->announced_us + order->options.drain_us) {
+        return rest_until(order,
+                          order->announced_us + order->options.drain_us);
+    }
     return PGW_WEIGHTS_ORDER;
 }
--- a/src/gateway/weights_order.h
+++ b/src/gateway/weights_order.h
@@ -18,6 +18,10 @@
  *   runs of some hundred milliseconds end, then the weights load
  * @announce_us: from telling the entries to giving the order, so that nothing
  *   more is sent to an engine that is about to refuse it
+ * @drain_us: how much longer the order waits at most for the engine's queue to
+ *   be empty: an engine refuses what waits there when it is given the order.
+ *   300 ms: refusals on six days of two deployments 1,831 to 1,469; 600 ms: no
+ *   better for callers, and each load begins later
  * @again_us: after a refusal or a lost answer, before the next try
  * @settle_us: an order without an answer may be carried out so much later;
  *   meanwhile the engine's count of accepted orders keeps a second one apart
@@ -26,6 +30,7 @@
 struct pgw_weights_order_options {
     uint64_t turn_us;
     uint64_t announce_us;
+    uint64_t drain_us;
     uint64_t again_us;
     uint64_t settle_us;
     uint64_t token_again_us;
@@ -33,8 +38,8 @@
 
 #define PGW_WEIGHTS_ORDER_OPTIONS_INIT                                        \
     {                                                                         \
-        .turn_us = 400000, .announce_us = 15000, .again_us = 150000,          \
-        .settle_us = 600000, .token_again_us = 300000                         \
+        .turn_us = 400000, .announce_us = 15000, .drain_us = 300000,          \
+        .again_us = 150000, .settle_us = 600000, .token_again_us = 300000     \
     }
 
 /**
@@ -60,6 +65,7 @@
  * @due_us: when its turn comes
  * @announced: entries were told that it loads
  * @announced_us: when
+ * @queued: requests that wait at the engine
  * @asked_token: a token is on its way
  * @token: fencing token, 0 without one
  * @sent: an order is on its way or its answer is unknown
@@ -74,6 +80,7 @@
     uint64_t due_us;
     bool announced;
     uint64_t announced_us;
+    uint32_t queued;
     bool asked_token;
     uint64_t token;
     bool sent;
@@ -90,10 +97,17 @@
 void pgw_weights_order_want(struct pgw_weights_order *order, uint64_t version,
                             uint32_t turn, uint64_t now_us);
 
-/** pgw_weights_order_report() - the engine's word: version and whether it is
- * busy with an order */
+/**
+ * pgw_weights_order_report() - the engine's word
+ * @order: the state
+ * @version: weights that it runs
+ * @busy: it is busy with an order
+ * @queued: requests that wait for a place there
+ * @now_us: monotonic time
+ */
 void pgw_weights_order_report(struct pgw_weights_order *order,
-                              uint64_t version, bool busy, uint64_t now_us);
+                              uint64_t version, bool busy, uint32_t queued,
+                              uint64_t now_us);
 
 /** pgw_weights_order_token() - a fencing token, 0: none to be had */
 void pgw_weights_order_token(struct pgw_weights_order *order, uint64_t token,
--- a/tests/unit/test_weights_order.c
+++ b/tests/unit/test_weights_order.c
@@ -53,16 +53,44 @@
     g_assert_true(order.announced);
     pgw_weights_order_sent(&order, now);
     pgw_weights_order_answer(&order, PGW_ORDER_ACCEPTED, now);
-    pgw_weights_order_report(&order, 1, true, now + 1000);
+    pgw_weights_order_report(&order, 1, true, 0, now + 1000);
     g_assert_cmpint(pgw_weights_order_step(&order, now + 1000), ==,
                     PGW_WEIGHTS_REST);
-    pgw_weights_order_report(&order, 2, false, now + 300000);
+    pgw_weights_order_report(&order, 2, false, 0, now + 300000);
     g_assert_cmpint(pgw_weights_order_step(&order, now + 300000), ==,
                     PGW_WEIGHTS_OPEN);
     g_assert_cmpint(pgw_weights_order_step(&order, now + 300000), ==,
                     PGW_WEIGHTS_REST);
 }
 
+/*
+ * Requests wait at the engine when its turn comes. They get their places
+ * before the order is given, for which the entries were told; when they take
+ * too long, the order goes first.
+ */
+static void
+test_queue_empties_first(void)
+{
+    struct pgw_weights_order order = make();
+    uint64_t now;
+
+    pgw_weights_order_want(&order, 2, 0, START);
+    pgw_weights_order_report(&order, 1, false, 5, START);
+    now = until_order(&order, START);
+    g_assert_cmpuint(now, ==, START + options.drain_us);
+    order = make();
+    pgw_weights_order_want(&order, 2, 0, START);
+    pgw_weights_order_report(&order, 1, false, 5, START);
+    pgw_weights_order_token(&order, 41, START);
+    g_assert_cmpint(pgw_weights_order_step(&order, START), ==,
+                    PGW_WEIGHTS_ANNOUNCE);
+    now = START + options.announce_us;
+    g_assert_cmpint(pgw_weights_order_step(&order, now), ==, PGW_WEIGHTS_REST);
+    pgw_weights_order_report(&order, 1, false, 0, now);
+    g_assert_cmpint(pgw_weights_order_step(&order, now), ==,
+                    PGW_WEIGHTS_ORDER);
+}
+
 /* The answer is lost. Until it is sure that the order is not on its way, no
  * second one is given; then it is given again. */
 static void
@@ -75,10 +103,10 @@
     now = until_order(&order, START);
     pgw_weights_order_sent(&order, now);
     pgw_weights_order_answer(&order, PGW_ORDER_LOST, now);
-    pgw_weights_order_report(&order, 1, false, now + 1000);
+    pgw_weights_order_report(&order, 1, false, 0, now + 1000);
     g_assert_cmpint(pgw_weights_order_step(&order, now + 1000), ==,
                     PGW_WEIGHTS_REST);
-    pgw_weights_order_report(&order, 1, false, now + options.settle_us);
+    pgw_weights_order_report(&order, 1, false, 0, now + options.settle_us);
     g_assert_cmpint(pgw_weights_order_step(&order, now + options.settle_us),
                     ==, PGW_WEIGHTS_ORDER);
 }
@@ -135,7 +163,7 @@
     pgw_weights_order_answer(&order, PGW_ORDER_ACCEPTED, now);
     pgw_weights_order_want(&order, 4, 0, now);
     pgw_weights_order_want(&order, 3, 0, now);
-    pgw_weights_order_report(&order, 2, false, now + 300000);
+    pgw_weights_order_report(&order, 2, false, 0, now + 300000);
     g_assert_cmpint(pgw_weights_order_step(&order, now + 300000), ==,
                     PGW_WEIGHTS_ORDER);
     g_assert_cmpuint(order.wanted, ==, 4);
@@ -150,5 +178,6 @@
     g_test_add_func("/weights_order/fenced", test_fenced);
     g_test_add_func("/weights_order/no_token", test_no_token);
     g_test_add_func("/weights_order/newer_name", test_newer_name_meanwhile);
+    g_test_add_func("/weights_order/queue", test_queue_empties_first);
     return g_test_run();
 }
