Order weights for engines that have no sidecar

Cause: an engine that starts at an address that a plain service had has no process of ours beside it, and only sidecars gave orders.

Reports from another machine are old, so nothing is concluded from one for a second after an order: without that the same order went out 50 times and one engine loaded twice.

Ruled out: a rule by addresses or names (none is published), registering sidecars in the store (a write for each start of 10,000).

--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -75,11 +75,13 @@
     guard->loop = loop;
     guard->options = *options;
     pgw_list_init(&guard->entries);
-    guard->listener =
-        pgw_listener_new(loop, &options->listen, on_accept, guard, error);
-    if (guard->listener == NULL) {
-        g_free(guard);
-        return NULL;
+    if (options->listen.size > 0) {
+        guard->listener =
+            pgw_listener_new(loop, &options->listen, on_accept, guard, error);
+        if (guard->listener == NULL) {
+            g_free(guard);
+            return NULL;
+        }
     }
     guard->instance = g_strdup(options->instance);
     guard->zone = g_strdup(options->zone);
@@ -89,7 +91,9 @@
     guard->events_body = g_string_new(NULL);
     pgw_held_parts_init(&guard->parts);
     guard->events_timer.on_due = pgw_guard_events_due;
-    pgw_timer_start(loop, &guard->events_timer, 0);
+    if (guard->listener != NULL) {
+        pgw_timer_start(loop, &guard->events_timer, 0);
+    }
     guard->report_timer.on_due = pgw_guard_report_due;
     guard->step_timer.on_due = pgw_guard_step_due;
     pgw_timer_start(loop, &guard->report_timer, 0);
@@ -122,11 +126,14 @@
     pgw_timer_stop(guard->loop, &guard->events_timer);
     pgw_held_parts_dispose(&guard->parts);
     g_string_free(guard->events_body, TRUE);
-    pgw_list_foreach_safe (link, &guard->entries) {
-        pgw_link_close(
-            pgw_container_of(link, struct pgw_guard_entry, in_guard)->link);
+    if (!pgw_list_is_empty(&guard->entries)) {
+        pgw_list_foreach_safe (link, &guard->entries) {
+            pgw_link_close(
+                pgw_container_of(link, struct pgw_guard_entry, in_guard)
+                    ->link);
+        }
+        pgw_loop_run_tasks(guard->loop);
     }
-    pgw_loop_run_tasks(guard->loop);
     pgw_timer_stop(guard->loop, &guard->report_timer);
     pgw_timer_stop(guard->loop, &guard->step_timer);
     pgw_listener_free(guard->listener);
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -77,11 +77,14 @@
  * @instance: name of this process
  * @zone: its availability zone
  * @engine: address of the engine
- * @listen: where entries connect
+ * @listen: where entries connect; without an address (size 0) none do, and
+ *   cache events are not followed, as nobody would hear of them
  * @codec: how the engine is spoken to
  * @get_token: ask for a new fencing token above all before; the answer comes
  *   through pgw_engine_guard_take_token()
- * @context: handed to @get_token
+ * @report_lag_us: how old the engine's reports may be, 0 on its own machine
+ * @may_order: asked right before each order; NULL: always
+ * @context: handed to @get_token and @may_order
  */
 struct pgw_engine_guard_options {
     const char *instance;
@@ -90,6 +93,8 @@
     struct pgw_address listen;
     const struct pgw_engine_codec *codec;
     void (*get_token)(void *context);
+    uint64_t report_lag_us;
+    bool (*may_order)(void *context);
     void *context;
 };
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -25,12 +25,18 @@
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
 
+/**
+ * struct guard_link - the connection to the process beside one engine
+ * @engine: address of the engine
+ * @refused_at_us: since when nobody listens there, 0: somebody may
+ */
 struct guard_link {
     struct pgw_guard_links *links;
-    char *engine; /* address of the engine */
+    char *engine;
     struct pgw_address address;
     struct pgw_link *link;
     struct pgw_timer timer;
+    uint64_t refused_at_us;
     bool wanted;
 };
 
@@ -243,6 +249,19 @@
     g_free(guard);
 }
 
+/* Only a machine that answers can say that nobody listens: one that is cut off
+ * or down says nothing, and its sidecar may be giving orders. */
+static void
+note_refusal(struct guard_link *guard, bool refused)
+{
+    if (!refused) {
+        guard->refused_at_us = 0;
+    }
+    else if (guard->refused_at_us == 0) {
+        guard->refused_at_us = pgw_now_us();
+    }
+}
+
 static void
 on_closed(struct pgw_link *link, const GError *error, void *context)
 {
@@ -250,7 +269,7 @@
     struct pgw_guard_links *links = guard->links;
     struct pgw_upstream *upstream;
 
-    (void)link;
+    note_refusal(guard, pgw_link_was_refused(link));
     guard->link = NULL;
     upstream = find_upstream(links, guard->engine);
     if (upstream != NULL) {
@@ -456,3 +475,22 @@
         announce_to(value);
     }
 }
+
+uint32_t
+pgw_guard_links_turn(struct pgw_guard_links *links,
+                     const struct pgw_upstream *upstream, uint64_t version)
+{
+    return turn_of(links, upstream, version);
+}
+
+bool
+pgw_guard_links_is_refused(const struct pgw_guard_links *links,
+                           const struct pgw_upstream *upstream,
+                           uint64_t for_us)
+{
+    const struct guard_link *guard =
+        g_hash_table_lookup(links->by_engine, upstream->address_text);
+
+    return guard != NULL && guard->refused_at_us > 0 &&
+           pgw_now_us() - guard->refused_at_us >= for_us;
+}
--- a/src/gateway/guard_links.h
+++ b/src/gateway/guard_links.h
@@ -31,6 +31,17 @@
 /** pgw_guard_links_refresh() - the list of upstreams has changed */
 void pgw_guard_links_refresh(struct pgw_guard_links *links);
 
+/** pgw_guard_links_turn() - an engine's turn to load a version, 0 first */
+uint32_t pgw_guard_links_turn(struct pgw_guard_links *links,
+                              const struct pgw_upstream *upstream,
+                              uint64_t version);
+
+/** pgw_guard_links_is_refused() - for so long an engine's machine has answered
+ * that no process of ours listens there */
+bool pgw_guard_links_is_refused(const struct pgw_guard_links *links,
+                                const struct pgw_upstream *upstream,
+                                uint64_t for_us);
+
 /** pgw_guard_links_announce() - weights were named: tell all whose they are */
 void pgw_guard_links_announce(struct pgw_guard_links *links);
 
--- a/src/gateway/guard_order.c
+++ b/src/gateway/guard_order.c
@@ -144,6 +144,13 @@
     g_string_free(bytes, TRUE);
 }
 
+static bool
+may_order(const struct pgw_engine_guard *guard)
+{
+    return guard->options.may_order == NULL ||
+           guard->options.may_order(guard->options.context);
+}
+
 /* Returns when to look again, 0: on news only. */
 static uint64_t
 step_model(struct pgw_engine_guard *guard, struct pgw_guard_model *model)
@@ -162,7 +169,8 @@
         case PGW_WEIGHTS_ORDER:
             /* One order at a time; nothing is known of an engine that does
              * not answer, so no order is made for it either. */
-            if (guard->ordering != NULL || !guard->alive) {
+            if (guard->ordering != NULL || !guard->alive ||
+                !may_order(guard)) {
                 return pgw_now_us() + STEP_AGAIN_US;
             }
             give_order(guard, model);
@@ -200,8 +208,7 @@
 static struct pgw_guard_model *
 model_get(struct pgw_engine_guard *guard, const char *name)
 {
-    static const struct pgw_weights_order_options options =
-        PGW_WEIGHTS_ORDER_OPTIONS_INIT;
+    struct pgw_weights_order_options options = PGW_WEIGHTS_ORDER_OPTIONS_INIT;
     struct pgw_guard_model *model;
 
     for (size_t i = 0; i < guard->model_count; i++) {
@@ -215,6 +222,7 @@
     }
     model = &guard->models[guard->model_count++];
     model->model = g_strdup(name);
+    options.report_lag_us = guard->options.report_lag_us;
     pgw_weights_order_init(&model->order, &options);
     model->order.running = pgw_guard_version_of(&guard->report, name);
     return model;
--- a/src/gateway/weights_order.c
+++ b/src/gateway/weights_order.c
@@ -36,7 +36,8 @@
 {
     order->running = version;
     order->queued = queued;
-    if (!order->sent || busy) {
+    if (!order->sent || busy ||
+        now_us - order->sent_us < order->options.report_lag_us) {
         return;
     }
     /* Not busy any more: an accepted order is done; one without an answer is
--- a/src/gateway/weights_order.h
+++ b/src/gateway/weights_order.h
@@ -26,6 +26,8 @@
  * @settle_us: an order without an answer may be carried out so much later;
  *   meanwhile the engine's count of accepted orders keeps a second one apart
  * @token_again_us: pause after no fencing token could be had
+ * @report_lag_us: how old a report may be; one that comes sooner after an
+ *   order says nothing of it. An engine reports to its own machine without lag
  */
 struct pgw_weights_order_options {
     uint64_t turn_us;
@@ -34,6 +36,7 @@
     uint64_t again_us;
     uint64_t settle_us;
     uint64_t token_again_us;
+    uint64_t report_lag_us;
 };
 
 #define PGW_WEIGHTS_ORDER_OPTIONS_INIT                                        \
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -37,6 +37,7 @@
     uint64_t sent_us;
     GError *error;
     bool connecting;
+    bool refused; /* nobody listens at the address */
     bool closing;
     bool wants_write;
     bool deaf; /* the peer takes nothing more; what it sent is still read */
@@ -201,6 +202,7 @@
     getsockopt(link->watch.fd, SOL_SOCKET, SO_ERROR, &code, &size);
     if (code != 0) {
         errno = code;
+        link->refused = code == ECONNREFUSED;
         link_break_errno(link, "connect");
         return;
     }
@@ -325,6 +327,12 @@
     return pgw_buffer_size(&link->out) + (size_t)unsent;
 }
 
+bool
+pgw_link_was_refused(const struct pgw_link *link)
+{
+    return link->refused;
+}
+
 bool
 pgw_link_is_open(const struct pgw_link *link)
 {
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -58,6 +58,10 @@
 /** pgw_link_pending() - bytes queued and not yet received by the peer */
 size_t pgw_link_pending(const struct pgw_link *link);
 
+/** pgw_link_was_refused() - the peer's machine answered that nobody listens
+ * there; to be asked while the link's end is told */
+bool pgw_link_was_refused(const struct pgw_link *link);
+
 /** pgw_link_is_open() - connected and not closing */
 bool pgw_link_is_open(const struct pgw_link *link);
 
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -35,6 +35,16 @@
     return (uint64_t)g_get_monotonic_time();
 }
 
+uint64_t
+pgw_boot_now_us(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (uint64_t)now.tv_sec * G_USEC_PER_SEC +
+           (uint64_t)now.tv_nsec / 1000;
+}
+
 static void
 loop_wake(struct pgw_loop *loop)
 {
--- a/src/util/loop.h
+++ b/src/util/loop.h
@@ -86,4 +86,8 @@
 /** pgw_now_us() - monotonic clock in microseconds */
 uint64_t pgw_now_us(void);
 
+/** pgw_boot_now_us() - the same, going on while the machine is suspended; for
+ * rights that end by others' clocks */
+uint64_t pgw_boot_now_us(void);
+
 #endif
--- /dev/null
+++ b/tests/unit/scene_engine.c
@@ -0,0 +1,70 @@
+#include "scene_engine.h"
+
+#include "scene_gateway.h"
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Serves one request of the guard; reports and orders as @engine says. */
+static void
+serve_one(struct scene_engine *engine, int fd)
+{
+    char *head = scene_read_until(fd, "\r\n\r\n");
+    char *text;
+
+    if (strstr(head, "POST ") == head) {
+        g_free(engine->order);
+        engine->order = scene_read_until(fd, "}");
+        engine->orders++;
+        scene_send(fd, "HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n");
+    }
+    else if (strstr(head, "/api/report") != NULL) {
+        text = g_strdup_printf(
+            "{\"models\":[{\"name\":\"m\",\"version\":%" G_GUINT64_FORMAT
+            "}],\"busy\":%s,\"sequence\":%u,\"active\":1,\"kv_total\":900}",
+            engine->version, engine->busy ? "true" : "false",
+            engine->sequence);
+        scene_answer(fd, "r", 200, "", text);
+        g_free(text);
+    }
+    else {
+        scene_answer(fd, "e", 200, "",
+                     "{\"boot_epoch\":1,\"next\":0,\"lost_count\":false,"
+                     "\"events\":[]}");
+    }
+    g_free(head);
+}
+
+/* Plays the engine until @done says so. */
+void
+scene_engine_play(struct scene_engine *engine,
+                  bool (*done)(const struct scene_engine *engine))
+{
+    struct pollfd waits[16] = {{.fd = engine->listener, .events = POLLIN}};
+    unsigned count = 1;
+
+    while (!done(engine)) {
+        g_assert_cmpint(poll(waits, count, SCENE_TIMEOUT_S * 1000), >, 0);
+        for (unsigned i = 1; i < count; i++) {
+            char byte;
+
+            if (waits[i].revents != 0 &&
+                recv(waits[i].fd, &byte, 1, MSG_PEEK) == 1) {
+                serve_one(engine, waits[i].fd);
+            }
+            else if (waits[i].revents != 0) {
+                close(waits[i].fd);
+                waits[i] = waits[--count];
+            }
+        }
+        if (waits[0].revents != 0) {
+            g_assert_cmpuint(count, <, G_N_ELEMENTS(waits));
+            waits[count++] = (struct pollfd){
+                .fd = accept(engine->listener, NULL, NULL), .events = POLLIN};
+        }
+    }
+    for (unsigned i = 1; i < count; i++) {
+        close(waits[i].fd);
+    }
+}
--- /dev/null
+++ b/tests/unit/scene_engine.h
@@ -0,0 +1,31 @@
+#ifndef UNIT_SCENE_ENGINE_H
+#define UNIT_SCENE_ENGINE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct scene_engine - what an engine that the test plays answers
+ * @listener: its listening socket
+ * @version: weights that it reports, of the model "m"
+ * @busy: it reports that it carries out an order
+ * @sequence: orders that it reports
+ * @orders: orders that it has taken
+ * @order: body of the last one, to be freed
+ */
+struct scene_engine {
+    int listener;
+    uint64_t version;
+    bool busy;
+    unsigned sequence;
+    unsigned orders;
+    char *order;
+};
+
+/** scene_engine_play() - answer what comes until @done says so; what else is
+ * waited for must wake it through a report, which are asked for all the time
+ */
+void scene_engine_play(struct scene_engine *engine,
+                       bool (*done)(const struct scene_engine *engine));
+
+#endif
--- a/tests/unit/test_engine_guard.c
+++ b/tests/unit/test_engine_guard.c
@@ -1,3 +1,4 @@
+#include "scene_engine.h"
 #include "scene_gateway.h"
 
 #include "codec.h"
@@ -5,7 +6,6 @@
 #include "libparsleygw/link.h"
 #include "util/log.h"
 #include <arpa/inet.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -109,81 +109,6 @@
     g_free(stage);
 }
 
-/**
- * struct engine - what the test's engine answers
- * @orders: orders that it has taken
- * @order: body of the last one
- */
-struct engine {
-    uint64_t version;
-    bool busy;
-    unsigned sequence;
-    unsigned orders;
-    char *order;
-};
-
-/* Serves one request of the guard; reports and orders as @engine says. */
-static void
-serve_one(struct engine *engine, int fd)
-{
-    char *head = scene_read_until(fd, "\r\n\r\n");
-    char *text;
-
-    if (strstr(head, "POST ") == head) {
-        g_free(engine->order);
-        engine->order = scene_read_until(fd, "}");
-        engine->orders++;
-        scene_send(fd, "HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n");
-    }
-    else if (strstr(head, "/api/report") != NULL) {
-        text = g_strdup_printf(
-            "{\"models\":[{\"name\":\"m\",\"version\":%" G_GUINT64_FORMAT
-            "}],\"busy\":%s,\"sequence\":%u,\"active\":1,\"kv_total\":900}",
-            engine->version, engine->busy ? "true" : "false",
-            engine->sequence);
-        scene_answer(fd, "r", 200, "", text);
-        g_free(text);
-    }
-    else {
-        scene_answer(fd, "e", 200, "",
-                     "{\"boot_epoch\":1,\"next\":0,\"lost_count\":false,"
-                     "\"events\":[]}");
-    }
-    g_free(head);
-}
-
-/* Plays the engine until @done says so. */
-static void
-play(struct engine *engine, bool (*done)(const struct engine *engine))
-{
-    struct pollfd waits[16] = {{.fd = stage->engine, .events = POLLIN}};
-    unsigned count = 1;
-
-    while (!done(engine)) {
-        g_assert_cmpint(poll(waits, count, SCENE_TIMEOUT_S * 1000), >, 0);
-        for (unsigned i = 1; i < count; i++) {
-            char byte;
-
-            if (waits[i].revents != 0 &&
-                recv(waits[i].fd, &byte, 1, MSG_PEEK) == 1) {
-                serve_one(engine, waits[i].fd);
-            }
-            else if (waits[i].revents != 0) {
-                close(waits[i].fd);
-                waits[i] = waits[--count];
-            }
-        }
-        if (waits[0].revents != 0) {
-            g_assert_cmpuint(count, <, G_N_ELEMENTS(waits));
-            waits[count++] = (struct pollfd){
-                .fd = accept(stage->engine, NULL, NULL), .events = POLLIN};
-        }
-    }
-    for (unsigned i = 1; i < count; i++) {
-        close(waits[i].fd);
-    }
-}
-
 static struct pgw_task name_task;
 
 static void
@@ -205,20 +130,20 @@
 }
 
 static bool
-is_told(const struct engine *engine)
+is_told(const struct scene_engine *engine)
 {
     (void)engine;
     return entry_knows_version(1, false);
 }
 
 static bool
-is_ordered(const struct engine *engine)
+is_ordered(const struct scene_engine *engine)
 {
     return engine->orders > 0;
 }
 
 static bool
-is_open_again(const struct engine *engine)
+is_open_again(const struct scene_engine *engine)
 {
     (void)engine;
     return entry_knows_version(2, false);
@@ -233,13 +158,14 @@
 static void
 test_order(void)
 {
-    struct engine engine = {.version = 1, .sequence = 3};
+    struct scene_engine engine = {.version = 1, .sequence = 3};
 
     stage_open();
-    play(&engine, is_told);
+    engine.listener = stage->engine;
+    scene_engine_play(&engine, is_told);
     name_task.run = name_weights;
     pgw_loop_post(stage->loop, &name_task);
-    play(&engine, is_ordered);
+    scene_engine_play(&engine, is_ordered);
     g_assert_true(entry_knows_version(1, true));
     g_assert_nonnull(strstr(engine.order, "\"version\":2"));
     g_assert_nonnull(strstr(engine.order, "\"fence\":41"));
@@ -247,7 +173,7 @@
     g_assert_nonnull(strstr(engine.order, "\"method\":\"block\""));
     engine.version = 2;
     engine.sequence = 4;
-    play(&engine, is_open_again);
+    scene_engine_play(&engine, is_open_again);
     g_assert_cmpuint(engine.orders, ==, 1);
     g_assert_cmpuint(stage->tokens, ==, 1);
     g_free(engine.order);
--- a/tests/unit/test_weights_order.c
+++ b/tests/unit/test_weights_order.c
@@ -91,6 +91,33 @@
                     PGW_WEIGHTS_ORDER);
 }
 
+/*
+ * The engine is on another machine, and its reports there are old: right after
+ * the order one still says the older weights and that it is not busy. A second
+ * order would be taken as another load.
+ */
+static void
+test_old_reports(void)
+{
+    struct pgw_weights_order_options far = options;
+    struct pgw_weights_order order;
+    uint64_t now;
+
+    far.report_lag_us = 1000000;
+    pgw_weights_order_init(&order, &far);
+    order.running = 1;
+    pgw_weights_order_want(&order, 2, 0, START);
+    now = until_order(&order, START);
+    pgw_weights_order_sent(&order, now);
+    pgw_weights_order_answer(&order, PGW_ORDER_ACCEPTED, now);
+    pgw_weights_order_report(&order, 1, false, 0, now + 900000);
+    g_assert_cmpint(pgw_weights_order_step(&order, now + 900000), ==,
+                    PGW_WEIGHTS_REST);
+    pgw_weights_order_report(&order, 2, false, 0, now + 1000000);
+    g_assert_cmpint(pgw_weights_order_step(&order, now + 1000000), ==,
+                    PGW_WEIGHTS_OPEN);
+}
+
 /* The answer is lost. Until it is sure that the order is not on its way, no
  * second one is given; then it is given again. */
 static void
@@ -178,6 +205,7 @@
     g_test_add_func("/weights_order/fenced", test_fenced);
     g_test_add_func("/weights_order/no_token", test_no_token);
     g_test_add_func("/weights_order/newer_name", test_newer_name_meanwhile);
+    g_test_add_func("/weights_order/old_reports", test_old_reports);
     g_test_add_func("/weights_order/queue", test_queue_empties_first);
     return g_test_run();
 }
