--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -598,6 +598,15 @@
     server->limits = *limits;
 }
 
+void
+pgw_caller_server_pause(struct pgw_caller_server *server, bool paused)
+{
+    if (server->listening) {
+        pgw_loop_fd_modify(server->loop, &server->watch,
+                           paused ? 0 : EPOLLIN);
+    }
+}
+
 void
 pgw_caller_server_drain(struct pgw_caller_server *server)
 {
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -110,6 +110,9 @@
 void pgw_caller_server_set_limits(struct pgw_caller_server *server,
                                   const struct pgw_caller_limits *limits);
 
+/** pgw_caller_server_pause() - connections wait in the kernel meanwhile */
+void pgw_caller_server_pause(struct pgw_caller_server *server, bool paused);
+
 /**
  * pgw_caller_server_drain() - end kept connections as they become idle
  *
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
  * @exchanges: all requests that are not ended
  * @pump: looks at what waits, once for all that has changed in a turn
  * @pump_timer: looks at it when an upstream that refused is asked again
+ * @start_timer: callers are let in without a configuration
  * @weights: model -> &struct pgw_named_weights
  * @pump_at_us: when @pump_timer is due, 0: it is not set
  */
@@ -34,6 +35,7 @@
     struct pgw_list exchanges;
     struct pgw_task pump;
     struct pgw_timer pump_timer;
+    struct pgw_timer start_timer;
     GHashTable *weights;
     uint64_t pump_at_us;
     bool pump_posted;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,6 +1,16 @@
 #include "gateway/exchange.h"
 #include "util/log.h"
 
+/*
+ * Failure: a process that has just started is sent connections before its
+ * first configuration has come. Symptom: the callers are told to come back
+ * after 400 ms, for a configuration that is there after 15 ms at the most; 180
+ * of 61,050 requests on a day on which all lose their power once. Connections
+ * wait in the kernel until it is there, but no longer than this: without the
+ * store callers must hear at once that they have to go elsewhere.
+ */
+#define START_PAUSE_US 100000
+
 static void
 on_request(struct pgw_caller *caller, void *context)
 {
@@ -39,6 +49,15 @@
     pgw_poison_crashed(gateway->poison, upstream->id, pgw_now_us());
 }
 
+static void
+start_due(struct pgw_timer *timer)
+{
+    struct pgw_gateway *gateway =
+        pgw_container_of(timer, struct pgw_gateway, start_timer);
+
+    pgw_caller_server_pause(gateway->server, false);
+}
+
 struct pgw_gateway *
 pgw_gateway_new(struct pgw_loop *loop,
                 const struct pgw_gateway_options *options, GError **error)
@@ -56,6 +75,11 @@
         g_free(gateway);
         return NULL;
     }
+#ifndef PGW_DISABLE_GATEWAY_START
+    pgw_caller_server_pause(gateway->server, true);
+#endif
+    gateway->start_timer.on_due = start_due;
+    pgw_timer_start(loop, &gateway->start_timer, START_PAUSE_US);
     gateway->instance = g_strdup(options->instance);
     gateway->zone = g_strdup(options->zone);
     gateway->pool = pgw_call_pool_new(loop, &pool);
@@ -76,6 +100,7 @@
             pgw_container_of(link, struct pgw_exchange, in_gateway));
     }
     pgw_timer_stop(gateway->loop, &gateway->pump_timer);
+    pgw_timer_stop(gateway->loop, &gateway->start_timer);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_upstream_table_free(gateway->upstreams);
@@ -132,6 +157,7 @@
     pgw_route_table_unref(gateway->routes);
     gateway->routes = pgw_route_table_ref(table);
     gateway->routes_at_us = pgw_now_us();
+    start_due(&gateway->start_timer);
     pgw_caller_server_set_limits(gateway->server,
                                  pgw_route_table_limits(table));
     pgw_log_info("configuration", "version=%" G_GUINT64_FORMAT, version);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -84,6 +84,36 @@
     scene_free(scene);
 }
 
+static void
+do_nothing(struct scene *scene)
+{
+    (void)scene;
+}
+
+/*
+ * A caller connects before the process has its first configuration, which
+ * comes right after. The caller must be served, not told to come back.
+ */
+static void
+test_connects_before_the_configuration(void)
+{
+    struct scene *scene = scene_new(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream;
+
+    /* Turns of the loop in which it could have read the request. */
+    for (unsigned i = 0; i < 5; i++) {
+        scene_run(scene, do_nothing);
+    }
+    scene_set_routes(scene, 5, true);
+    upstream = scene_accept(scene, 0);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 /*
  * The caller's key is taken away and a late copy of the older configuration
  * comes afterwards. The caller must stay out: versions never go back.
@@ -703,6 +733,8 @@
     g_test_add_func("/gateway/resumption_waits", test_resumption_may_wait);
     g_test_add_func("/gateway/kept_connection",
                     test_kept_connection_ends_with_the_stop);
+    g_test_add_func("/gateway/before_configuration",
+                    test_connects_before_the_configuration);
     g_test_add_func("/gateway/crashing_request",
                     test_request_that_crashes_upstreams);
     g_test_add_func("/gateway/innocent_beside_crashes",
