Divide sending, relaying and the end of attempts

Change: forward.c sends, relay.c takes what comes back, attempt.c knows how an attempt ends and whether another one may follow. Nothing else changes.

--- /dev/null
+++ b/src/gateway/attempt.c
@@ -0,0 +1,196 @@
+#include "gateway/exchange.h"
+#include "util/log.h"
+#include "util/metric.h"
+
+/* How often one request is offered in all, refusals by upstreams included. */
+#define SENDS_MAX 5
+
+static struct pgw_metric_counter repeats = {
+    .name = "pgw_gateway_repeats_total",
+    .help = "Requests sent once more",
+};
+
+void
+pgw_attempt_end_prefill(struct pgw_exchange *exchange)
+{
+    struct pgw_upstream *upstream = exchange->upstream;
+
+    upstream->prefill_tokens -= exchange->prefill_tokens;
+    upstream->long_prefills -= exchange->prefill_tokens >= PGW_LONG_PREFILL;
+    exchange->prefill_tokens = 0;
+}
+
+void
+pgw_attempt_leave(struct pgw_exchange *exchange)
+{
+    struct pgw_upstream *upstream = exchange->upstream;
+
+    if (upstream == NULL) {
+        return;
+    }
+    upstream->inflight--;
+    upstream->inflight_tokens -= exchange->counted_tokens;
+    pgw_attempt_end_prefill(exchange);
+    exchange->counted_tokens = 0;
+    exchange->upstream = NULL;
+    pgw_upstream_unref(upstream);
+}
+
+void
+pgw_attempt_enter(struct pgw_exchange *exchange,
+                  const struct pgw_choice *choice)
+{
+    struct pgw_upstream *upstream = pgw_upstream_ref(choice->upstream);
+    const struct pgw_prompt *prompt = &exchange->facts.prompt;
+
+    exchange->upstream = upstream;
+    exchange->missing_tokens = choice->missing_tokens;
+    exchange->load_seen = pgw_upstream_load_estimate(upstream, pgw_now_us());
+    exchange->load_age_us =
+        upstream->load_at_us == 0 ? 0 : pgw_now_us() - upstream->load_at_us;
+    upstream->inflight++;
+    if (exchange->facts.model != NULL) {
+        uint32_t own = prompt->part_count == 0
+                           ? prompt->tokens
+                           : prompt->parts[prompt->part_count - 1].tokens;
+
+        exchange->counted_tokens = prompt->tokens + prompt->output_tokens;
+        exchange->prefill_tokens = own + choice->missing_tokens;
+    }
+    upstream->inflight_tokens += exchange->counted_tokens;
+    upstream->prefill_tokens += exchange->prefill_tokens;
+    upstream->long_prefills += exchange->prefill_tokens >= PGW_LONG_PREFILL;
+    if (exchange->tried_count < PGW_TRIED_MAX) {
+        exchange->tried[exchange->tried_count++] = pgw_upstream_ref(upstream);
+    }
+}
+
+void
+pgw_attempt_note(struct pgw_exchange *exchange, enum pgw_attempt_result result)
+{
+    pgw_upstream_note(exchange->upstream, result, pgw_now_us());
+}
+
+/* Whether the request may be sent to another upstream although this one may
+ * have run it. */
+bool
+pgw_attempt_may_repeat(const struct pgw_exchange *exchange)
+{
+    const struct pgw_route *route = exchange->route;
+
+    if (exchange->runs >= MAX(route->max_attempts, 1) ||
+        pgw_poison_holds(exchange->gateway->poison, &exchange->fingerprint,
+                         pgw_now_us())) {
+        return false;
+    }
+#ifndef PGW_DISABLE_GATEWAY_ONCE
+    /*
+     * Failure: an upstream takes a request and breaks off. Symptom when it is
+     * sent again: a record is written twice. Only the route says what may be
+     * repeated, and only streams that may be resumed go on elsewhere.
+     */
+    return route->stream ? route->resumable : route->repeatable;
+#else
+    return true;
+#endif
+}
+
+bool
+pgw_attempt_take_repeat(struct pgw_exchange *exchange)
+{
+    if (exchange->sends >= SENDS_MAX || exchange->caller == NULL ||
+        !pgw_budgets_withdraw(exchange->gateway->budgets, exchange->service)) {
+        return false;
+    }
+    pgw_metric_register_counter(&repeats);
+    pgw_metric_counter_add(&repeats, 1);
+    return true;
+}
+
+static void
+log_attempt(const struct pgw_exchange *exchange, const char *outcome)
+{
+    pgw_log_info("attempt_end",
+                 "request=%s upstream=%s outcome=%s status=%u runs=%u "
+                 "ms=%" G_GUINT64_FORMAT,
+                 exchange->facts.id, exchange->upstream->id, outcome,
+                 exchange->status, exchange->runs,
+                 (pgw_now_us() - exchange->sent_us) / 1000);
+}
+
+static void
+reset_answer(struct pgw_exchange *exchange)
+{
+    pgw_buffer_dispose(&exchange->answer);
+    exchange->status = 0;
+    exchange->not_run = false;
+    exchange->is_stream = false;
+    pgw_event_stream_restart(&exchange->events);
+}
+
+void
+pgw_attempt_give_up(struct pgw_exchange *exchange, const char *why)
+{
+    log_attempt(exchange, why);
+    pgw_attempt_leave(exchange);
+    exchange->may_have_run = true;
+    pgw_exchange_refuse(exchange, 502, why, 0);
+}
+
+void
+pgw_attempt_repeat(struct pgw_exchange *exchange, const char *why)
+{
+    log_attempt(exchange, why);
+    exchange->may_have_run = true;
+    pgw_attempt_leave(exchange);
+    reset_answer(exchange);
+    pgw_exchange_place(exchange);
+}
+
+/* Nobody ran it: another upstream may, within the budget. */
+void
+pgw_attempt_not_run(struct pgw_exchange *exchange, const char *why,
+                    bool arrived)
+{
+    log_attempt(exchange, why);
+    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
+    pgw_attempt_leave(exchange);
+    if (exchange->caller == NULL) {
+        pgw_exchange_finish(exchange, "caller_gone");
+        return;
+    }
+    /* What did not arrive anywhere costs no upstream anything. */
+    if (arrived ? !pgw_attempt_take_repeat(exchange)
+                : exchange->sends >= SENDS_MAX) {
+        if (exchange->phase == PGW_PHASE_RELAYING || exchange->may_have_run) {
+            pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
+        }
+        else {
+            pgw_exchange_refuse(exchange, 503, "upstreams_refuse", 250);
+        }
+        return;
+    }
+    reset_answer(exchange);
+    pgw_exchange_place(exchange);
+}
+
+/* The outcome at this upstream is not known. */
+void
+pgw_attempt_unknown(struct pgw_exchange *exchange, const char *why)
+{
+    log_attempt(exchange, why);
+    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
+    exchange->may_have_run = true;
+    pgw_attempt_leave(exchange);
+    if (exchange->caller == NULL) {
+        pgw_exchange_finish(exchange, "caller_gone");
+        return;
+    }
+    if (!pgw_attempt_may_repeat(exchange) ||
+        !pgw_attempt_take_repeat(exchange)) {
+        pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
+        return;
+    }
+    reset_answer(exchange);
+    pgw_exchange_place(exchange);
+}
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -602,8 +602,7 @@
 pgw_caller_server_pause(struct pgw_caller_server *server, bool paused)
 {
     if (server->listening) {
-        pgw_loop_fd_modify(server->loop, &server->watch,
-                           paused ? 0 : EPOLLIN);
+        pgw_loop_fd_modify(server->loop, &server->watch, paused ? 0 : EPOLLIN);
     }
 }
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -75,7 +75,7 @@
     pgw_timer_stop(gateway->loop, &exchange->timer);
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_call_cancel(&exchange->call);
-    pgw_exchange_leave(exchange);
+    pgw_attempt_leave(exchange);
     pgw_list_remove(&exchange->in_gateway);
     if (exchange->caller != NULL) {
         exchange->caller->owner = NULL;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -151,7 +151,42 @@
 /** pgw_exchange_send() - send it to the chosen upstream */
 void pgw_exchange_send(struct pgw_exchange *exchange,
                        const struct pgw_choice *choice);
-/** pgw_exchange_leave() - the attempt is over: give back what it counts */
-void pgw_exchange_leave(struct pgw_exchange *exchange);
+
+/* relay.c */
+/* What comes back from an upstream, on its way to the caller. */
+extern const struct pgw_call_ops pgw_relay_ops;
+
+/* attempt.c */
+/** pgw_attempt_enter() - the attempt begins: count what it takes */
+void pgw_attempt_enter(struct pgw_exchange *exchange,
+                       const struct pgw_choice *choice);
+/** pgw_attempt_leave() - the attempt is over: give back what it counts */
+void pgw_attempt_leave(struct pgw_exchange *exchange);
+/** pgw_attempt_end_prefill() - its prompt has been read */
+void pgw_attempt_end_prefill(struct pgw_exchange *exchange);
+/** pgw_attempt_note() - account how it went for its upstream's health */
+void pgw_attempt_note(struct pgw_exchange *exchange,
+                      enum pgw_attempt_result result);
+/** pgw_attempt_may_repeat() - the route, and what is known of the request,
+ * allow another upstream although this one may have run it */
+bool pgw_attempt_may_repeat(const struct pgw_exchange *exchange);
+/** pgw_attempt_take_repeat() - a repeat from the budget, if there is one */
+bool pgw_attempt_take_repeat(struct pgw_exchange *exchange);
+/** pgw_attempt_repeat() - it may have run; another upstream gets it, for which
+ * a repeat was taken */
+void pgw_attempt_repeat(struct pgw_exchange *exchange, const char *why);
+/** pgw_attempt_give_up() - the caller is told that nobody knows; @why is the
+ * outcome */
+void pgw_attempt_give_up(struct pgw_exchange *exchange, const char *why);
+/**
+ * pgw_attempt_not_run() - nobody ran it: another upstream may, in the budget
+ * @exchange: the request
+ * @why: outcome for logs
+ * @arrived: the upstream got it and refused; costs a repeat
+ */
+void pgw_attempt_not_run(struct pgw_exchange *exchange, const char *why,
+                         bool arrived);
+/** pgw_attempt_unknown() - whether this upstream ran it is not known */
+void pgw_attempt_unknown(struct pgw_exchange *exchange, const char *why);
 
 #endif
