Take only refused connections as the sign of a crash

Cause: by reading: a connection that cannot be made also means that this entry is cut off from the upstream. Runs that broke off in such a cut counted as crashes of three upstreams, and were told to all entries.

Change: only an answer of the machine that nobody listens there counts; one that stays silent is known by its sidecar, the list or its next incarnation.

Measured: /gateway/crashes_by_refusal.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -338,6 +338,9 @@
 
     getsockopt(connection->watch.fd, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
+        if (connection->call != NULL) {
+            connection->call->refused = error == ECONNREFUSED;
+        }
         connection_fail(connection, PGW_CALL_NO_CONNECTION);
         return;
     }
@@ -479,6 +482,7 @@
     call->reused = connection != NULL;
     call->sent = false;
     call->answered = false;
+    call->refused = false;
     if (connection == NULL) {
         connection = connection_open(pool, peer);
     }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -56,6 +56,7 @@
  * @connection: while the call runs, else NULL
  * @sent: some byte of the request was handed to the network
  * @reused: the connection had carried other calls before
+ * @refused: the peer's machine said that nobody listens at its address
  * @answered: the head of the answer has come
  * @timer: the call's deadline
  */
@@ -65,6 +66,7 @@
     bool sent;
     bool reused;
     bool answered;
+    bool refused;
     struct pgw_timer timer;
 };
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -230,10 +230,13 @@
                                               : PGW_RESULT_UNREACHABLE);
     }
     if (!call->sent) {
-        /* No listener at its address any more: what broke off there a moment
-         * ago may have crashed it. */
-        pgw_poison_crashed(exchange->gateway->poison, exchange->upstream->id,
-                           pgw_now_us());
+        /* Nobody listens at its address any more: what broke off there a
+         * moment ago may have crashed it. One that does not answer may only
+         * be cut off from this entry. */
+        if (call->refused) {
+            pgw_poison_crashed(exchange->gateway->poison,
+                               exchange->upstream->id, pgw_now_us());
+        }
         if (exchange->runs > 0) {
             exchange->runs--;
         }
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -165,6 +165,14 @@
     pgw_gateway_pump(scene->gateway);
 }
 
+void
+scene_stop_listening(struct scene *scene, unsigned upstream)
+{
+    /* The port stays taken, so that nobody else answers there. */
+    g_assert_cmpint(shutdown(scene->listeners[upstream], SHUT_RDWR), ==, 0);
+    scene->stopped[upstream] = true;
+}
+
 void
 scene_restart_upstreams(struct scene *scene)
 {
@@ -319,8 +327,10 @@
     struct pollfd waits[SCENE_UPSTREAMS];
 
     for (unsigned i = 0; i < scene->upstreams; i++) {
-        waits[i] =
-            (struct pollfd){.fd = scene->listeners[i], .events = POLLIN};
+        waits[i] = (struct pollfd){
+            .fd = scene->stopped[i] ? -1 : scene->listeners[i],
+            .events = POLLIN,
+        };
     }
     g_assert_cmpint(poll(waits, scene->upstreams, SCENE_TIMEOUT_S * 1000), >,
                     0);
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -24,6 +24,7 @@
 /**
  * struct scene - the gateway and its upstreams
  * @listeners: sockets of the upstreams
+ * @stopped: those where nobody listens any more
  * @incarnation: how often all upstreams were started again
  * @routes_version: version of the configuration in force
  */
@@ -32,6 +33,7 @@
     struct pgw_gateway *gateway;
     pthread_t thread;
     int listeners[SCENE_UPSTREAMS];
+    bool stopped[SCENE_UPSTREAMS];
     unsigned upstreams;
     unsigned incarnation;
     uint64_t routes_version;
@@ -48,6 +50,10 @@
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
 
+/** scene_stop_listening() - nobody listens at an upstream's address any more
+ */
+void scene_stop_listening(struct scene *scene, unsigned upstream);
+
 /** scene_restart_upstreams() - the list names new incarnations at all
  * addresses, as after a crash of each */
 void scene_restart_upstreams(struct scene *scene);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -670,6 +670,35 @@
     scene_free(scene);
 }
 
+/*
+ * The same, before anybody says that the upstreams are gone: another request
+ * finds that nobody listens where the first one broke off, at all three.
+ */
+static void
+test_crash_shown_by_refused_connections(void)
+{
+    struct scene *scene = ready_scene(3);
+    int caller = scene_call(scene, "/again/", "a");
+    char *answer;
+
+    for (unsigned i = 0; i < 3; i++) {
+        unsigned which;
+        int upstream = scene_accept_any(scene, &which);
+
+        g_free(scene_read_request(upstream));
+        scene_stop_listening(scene, which);
+        scene_reset(upstream);
+    }
+    expect_status(caller, "HTTP/1.1 502 ");
+    expect_status(scene_call(scene, "/late/", "b"), "HTTP/1.1 503 ");
+    caller = scene_call(scene, "/again/", "c");
+    answer = scene_read_until(caller, "}}");
+    assert_has(answer, "crashes_upstreams");
+    g_free(answer);
+    close(caller);
+    scene_free(scene);
+}
+
 /*
  * Many callers ask for the same thing. Three upstreams crash while they run
  * it, but it ends well at another one: it does no harm, and is let through.
@@ -737,6 +766,8 @@
                     test_connects_before_the_configuration);
     g_test_add_func("/gateway/crashing_request",
                     test_request_that_crashes_upstreams);
+    g_test_add_func("/gateway/crashes_by_refusal",
+                    test_crash_shown_by_refused_connections);
     g_test_add_func("/gateway/innocent_beside_crashes",
                     test_innocent_beside_crashes);
     return g_test_run();
