Read what others write in pieces; tell starts under one id apart

Cause: (1) a configuration of many routes was parsed, written and parsed again in one turn of the loop; (2) one unreadable object made a whole list invalid, and a line with a service that does not exist took the address of a living upstream; (3) an upstream may now start again under its id, and what was believed of its former process was believed of the new one. The start of a process goes with its reports, cache events and lines; a new one resets load, cache, health, leaving and orders, and late words of earlier starts are passed over.

--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -23,6 +23,8 @@
  * @model_count: number of @models
  * @busy: it carries out an order
  * @sequence: orders that it accepted
+ * @started_ms: when its process started, by its own clock, in Unix
+ *   milliseconds; 0: not said
  */
 struct pgw_engine_report {
     struct pgw_upstream_load load;
@@ -30,6 +32,7 @@
     size_t model_count;
     bool busy;
     uint64_t sequence;
+    uint64_t started_ms;
 };
 
 /**
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,9 @@
  * @wait_share: part of a request's time that it may wait for a place
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
+ * @on_answered_by: an upstream's address was answered by this one; NULL:
+ * nobody is told
+ * @context: handed to @on_answered_by
  */
 struct pgw_gateway_options {
     const char *instance;
@@ -50,6 +53,8 @@
     uint64_t old_weights_us;
     double wait_share;
     double hedge_share;
+    void (*on_answered_by)(const char *id, void *context);
+    void *context;
 };
 
 struct pgw_gateway;
--- a/src/gateway/guard_ask.c
+++ b/src/gateway/guard_ask.c
@@ -88,6 +88,36 @@
     start_report_timer(guard);
 }
 
+/*
+ * Failure: the engine crashes and starts again under its id between two
+ * reports. Symptom: an order that the former process was given counts as under
+ * way, parts that it held are told as held. What is known of the former
+ * process ends with the first report of the new one; an answer to the question
+ * for cache events that is still under way would be the former's.
+ */
+static void
+note_start(struct pgw_engine_guard *guard, uint64_t started_ms)
+{
+    if (guard->report.started_ms == 0 || started_ms == 0 ||
+        guard->report.started_ms == started_ms) {
+        return;
+    }
+#ifndef PGW_DISABLE_GUARD_STARTS
+    pgw_log_warning("engine_restarted",
+                    "engine=%s started_ms=%" G_GUINT64_FORMAT
+                    " before_ms=%" G_GUINT64_FORMAT,
+                    guard->engine, started_ms, guard->report.started_ms);
+    for (size_t i = 0; i < guard->model_count; i++) {
+        pgw_weights_order_restarted(&guard->models[i].order);
+    }
+    pgw_held_parts_clear(&guard->parts);
+    if (pgw_call_is_running(&guard->events_call)) {
+        pgw_call_cancel(&guard->events_call);
+        pgw_timer_start(guard->loop, &guard->events_timer, 0);
+    }
+#endif
+}
+
 static struct pgw_engine_guard *
 of_report(struct pgw_call *call)
 {
@@ -122,6 +152,7 @@
         report_failed(guard);
         return;
     }
+    note_start(guard, report.started_ms);
     pgw_guard_report_clear(&guard->report);
     guard->report = report;
     take_report(guard);
@@ -193,6 +224,15 @@
     g_string_append_len(of_events(call)->events_body, data, (gssize)size);
 }
 
+/* The reports have not told of its start yet, or no longer tell of it. */
+static bool
+is_of_other_process(const struct pgw_engine_guard *guard,
+                    const struct pgw_cache_events *events)
+{
+    return events->started_ms != 0 && guard->report.started_ms != 0 &&
+           events->started_ms != guard->report.started_ms;
+}
+
 static void
 events_done(struct pgw_call *call)
 {
@@ -205,6 +245,12 @@
         pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
         return;
     }
+    if (is_of_other_process(guard, &events)) {
+        g_free(events.events);
+        pgw_guard_ask_report(guard);
+        pgw_timer_start(guard->loop, &guard->events_timer, EVENTS_AGAIN_US);
+        return;
+    }
     pgw_held_parts_take(&guard->parts, &events);
     g_free(events.events);
     if (guard->parts.reset || g_hash_table_size(guard->parts.changed) > 0) {
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -205,6 +205,8 @@
     }
     note_entries(guard->links, state->entries, now);
     upstream->guarded = true;
+    pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
+                               upstream, state->started_ms);
     for (size_t i = 0; i < state->n_models; i++) {
         pgw_upstream_set_version(upstream, state->models[i]->name,
                                  state->models[i]->version);
--- a/src/gateway/guard_tell.c
+++ b/src/gateway/guard_tell.c
@@ -95,6 +95,7 @@
     }
     state.address = (char *)guard->engine;
     state.alive = guard->alive;
+    state.started_ms = guard->report.started_ms;
     state.loading = pgw_guard_is_loading(guard);
     state.n_models = guard->report.model_count;
     state.models = pointers;
@@ -164,6 +165,7 @@
     const struct pgw_engine_report *told = &guard->told;
 
     if (guard->alive != guard->told_alive ||
+        now->started_ms != told->started_ms ||
         pgw_guard_is_loading(guard) != guard->told_loading ||
         now->model_count != told->model_count) {
         return true;
--- a/src/gateway/held_parts.c
+++ b/src/gateway/held_parts.c
@@ -31,6 +31,8 @@
     g_hash_table_remove_all(parts->changed);
     g_hash_table_remove_all(parts->long_held);
     g_hash_table_remove_all(parts->far_changed);
+    parts->epoch = 0;
+    parts->next = 0;
     parts->reset = true;
     parts->far_reset = true;
 }
--- a/src/gateway/held_parts.h
+++ b/src/gateway/held_parts.h
@@ -32,6 +32,7 @@
 /**
  * struct pgw_cache_events - one answer of an engine
  * @epoch: changes when the engine starts anew
+ * @started_ms: start of the process that answered, 0: not said
  * @next: where the next call begins
  * @gap: events before these are lost
  * @events: array of @count events, owned
@@ -39,6 +40,7 @@
  */
 struct pgw_cache_events {
     uint64_t epoch;
+    uint64_t started_ms;
     uint64_t next;
     bool gap;
     struct pgw_cache_event *events;
@@ -74,7 +76,7 @@
 void pgw_held_parts_take(struct pgw_held_parts *parts,
                          const struct pgw_cache_events *events);
 
-/** pgw_held_parts_clear() - the engine dropped everything */
+/** pgw_held_parts_clear() - the engine dropped everything, or started anew */
 void pgw_held_parts_clear(struct pgw_held_parts *parts);
 
 /** pgw_held_parts_tokens() - tokens of a part that are held */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -68,6 +68,10 @@
             exchange->upstream->displaced = true;
             pgw_poison_crashed(exchange->gateway->poison,
                                exchange->upstream->id, pgw_now_us());
+            if (exchange->gateway->options.on_answered_by != NULL) {
+                exchange->gateway->options.on_answered_by(
+                    facts.instance, exchange->gateway->options.context);
+            }
         }
         return true;
     }
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -193,7 +193,8 @@
     struct pgw_upstream *other = pgw_upstream_table_at(table, facts->address);
 
     if (other != NULL) {
-        if (other->revision > facts->revision) {
+        /* One that was seen not to be there keeps no address. */
+        if (other->revision > facts->revision && !other->displaced) {
             return false;
         }
         pgw_log_info("upstream_replaced", "upstream=%s by=%s", other->id,
@@ -204,17 +205,107 @@
     return true;
 }
 
+/* Nothing that was believed of the process before holds for the new one. */
+static void
+forget_process(struct pgw_upstream *upstream)
+{
+    upstream->leaving = false;
+    upstream->displaced = false;
+    upstream->loading = false;
+    upstream->cold_until_us = 0;
+    upstream->load = (struct pgw_upstream_load){0};
+    upstream->load_at_us = 0;
+    upstream->memory_at_us = 0;
+    upstream->failures = 0;
+    upstream->failure_rate = 0;
+    upstream->avoid_until_us = 0;
+    upstream->refusals = 0;
+    upstream->full_until_us = 0;
+    pgw_upstream_forget_parts(upstream);
+}
+
+static bool
+is_earlier_start(const struct pgw_upstream *upstream, uint64_t started_ms)
+{
+    for (size_t i = 0; i < upstream->earlier_count; i++) {
+        if (upstream->earlier_ms[i] == started_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+remember_start(struct pgw_upstream *upstream, uint64_t started_ms)
+{
+    if (upstream->earlier_count == PGW_UPSTREAM_STARTS_MAX) {
+        memmove(upstream->earlier_ms, upstream->earlier_ms + 1,
+                (PGW_UPSTREAM_STARTS_MAX - 1) * sizeof(uint64_t));
+        upstream->earlier_count--;
+    }
+    upstream->earlier_ms[upstream->earlier_count++] = started_ms;
+}
+
+void
+pgw_upstream_table_started(struct pgw_upstream_table *table,
+                           struct pgw_upstream *upstream, uint64_t started_ms)
+{
+    uint64_t before = upstream->started_ms;
+
+    if (started_ms == 0 || started_ms == before) {
+        return;
+    }
+    upstream->started_ms = started_ms;
+    if (before == 0) {
+        return; /* the first word of it */
+    }
+    pgw_log_info("upstream_restarted",
+                 "upstream=%s started_ms=%" G_GUINT64_FORMAT
+                 " before_ms=%" G_GUINT64_FORMAT,
+                 upstream->id, started_ms, before);
+    remember_start(upstream, before);
+    if (!upstream->leaving && table->on_lost != NULL) {
+        table->on_lost(upstream, table->context);
+    }
+    forget_process(upstream);
+}
+
+/*
+ * Failure: an upstream crashes and starts again under its id; a line that its
+ * former process wrote arrives behind one of the new process. Symptom: what
+ * the former held, ran or refused is believed of the new one, or one that has
+ * started again is taken to be leaving for ever. Starts that are over are
+ * remembered, and lines of theirs are passed over.
+ */
+static bool
+is_late_word(const struct pgw_upstream *upstream,
+             const struct pgw_upstream_facts *facts)
+{
+    bool late = facts->started_ms != 0 &&
+                is_earlier_start(upstream, facts->started_ms);
+
+#ifdef PGW_DISABLE_GATEWAY_STARTS
+    late = false;
+#endif
+    return late;
+}
+
 struct pgw_upstream *
 pgw_upstream_table_put(struct pgw_upstream_table *table,
                        const struct pgw_upstream_facts *facts)
 {
     struct pgw_upstream *upstream = pgw_upstream_table_find(table, facts->id);
+
     if (upstream == NULL && claim_address(table, facts)) {
         upstream = upstream_new(table, facts);
     }
     if (upstream == NULL) {
         return NULL;
     }
+    if (is_late_word(upstream, facts)) {
+        return upstream;
+    }
+    pgw_upstream_table_started(table, upstream, facts->started_ms);
     upstream->slots = MAX(facts->slots, 1);
     upstream->revision = facts->revision;
     upstream->displaced = false;
@@ -222,7 +313,7 @@
     /*
      * Failure: an old copy of the list arrives late and says "ready" of an
      * upstream that is leaving. Symptom: it is given requests that it drops.
-     * One that leaves never comes back under the same id, so leaving stays.
+     * A process that leaves never stays, so leaving holds for all its time.
      */
 #ifndef PGW_DISABLE_GATEWAY_LEAVING
     upstream->leaving = upstream->leaving || facts->leaving;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -32,12 +32,14 @@
 
 /**
  * struct pgw_upstream_facts - one line of the platform's list
- * @id: incarnation of the upstream: new at each of its starts
+ * @id: its name in the list; mostly new at each of its starts
  * @service: what it serves
  * @address: "IP:PORT"
  * @zone: its availability zone
  * @slots: requests that it runs at once
  * @revision: of this line in the list
+ * @started_ms: when its process started, by its own clock, in Unix
+ *   milliseconds; tells apart starts under one id. 0: not said
  * @leaving: it finishes what it has and goes
  * @cold_ms: how much longer it stays slow after its start
  * @models: weights, for engines
@@ -50,6 +52,7 @@
     const char *zone;
     uint32_t slots;
     uint64_t revision;
+    uint64_t started_ms;
     bool leaving;
     uint32_t cold_ms;
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
@@ -74,10 +77,16 @@
     uint64_t kv_total;
 };
 
+/* Starts under one id that are told apart from the present one. */
+#define PGW_UPSTREAM_STARTS_MAX 4
+
 /**
  * struct pgw_upstream - one upstream
  * @references: held by the table and by each request on its way
  * @revision: of its line in the list
+ * @started_ms: start of the process that all below is known of, 0: not said
+ * @earlier_ms: starts before it, of which late words may come
+ * @earlier_count: number of @earlier_ms
  * @displaced: another incarnation answered at its address
  * @removed: no longer in the list
  * @lapsed_at_us: when it was dropped from the list
@@ -116,6 +125,9 @@
     bool same_zone;
     uint32_t slots;
     uint64_t revision;
+    uint64_t started_ms;
+    uint64_t earlier_ms[PGW_UPSTREAM_STARTS_MAX];
+    size_t earlier_count;
     bool leaving;
     bool displaced;
     bool removed;
@@ -207,6 +219,20 @@
 pgw_upstream_table_put(struct pgw_upstream_table *table,
                        const struct pgw_upstream_facts *facts);
 
+/**
+ * pgw_upstream_table_started() - the word of the process beside an upstream on
+ * when that one started
+ * @table: the table
+ * @upstream: one of its upstreams
+ * @started_ms: as in &struct pgw_upstream_facts; 0: not said
+ *
+ * That process asks its upstream itself, one question after the other, so its
+ * word holds whatever the list or a clock that was set back says.
+ */
+void pgw_upstream_table_started(struct pgw_upstream_table *table,
+                                struct pgw_upstream *upstream,
+                                uint64_t started_ms);
+
 /** pgw_upstream_table_remove() - it is no longer in the list */
 void pgw_upstream_table_remove(struct pgw_upstream_table *table,
                                struct pgw_upstream *upstream);
--- a/src/gateway/weights_order.c
+++ b/src/gateway/weights_order.c
@@ -49,6 +49,14 @@
     }
 }
 
+void
+pgw_weights_order_restarted(struct pgw_weights_order *order)
+{
+    order->sent = false;
+    order->accepted = false;
+    order->queued = 0;
+}
+
 void
 pgw_weights_order_token(struct pgw_weights_order *order, uint64_t token,
                         uint64_t now_us)
--- a/src/gateway/weights_order.h
+++ b/src/gateway/weights_order.h
@@ -112,6 +112,10 @@
                               uint64_t version, bool busy, uint32_t queued,
                               uint64_t now_us);
 
+/** pgw_weights_order_restarted() - the engine has started anew: an order that
+ * was on its way went to the process before */
+void pgw_weights_order_restarted(struct pgw_weights_order *order);
+
 /** pgw_weights_order_token() - a fencing token, 0: none to be had */
 void pgw_weights_order_token(struct pgw_weights_order *order, uint64_t token,
                              uint64_t now_us);
--- a/src/libparsleygw/json_slice.c
+++ b/src/libparsleygw/json_slice.c
@@ -53,8 +53,8 @@
 }
 
 bool
-pgw_json__slice_init(struct pgw_json__slice *slice, const char *text,
-                     size_t size, const char *member)
+pgw_json__slice_member(const char **out, size_t *out_size, const char *text,
+                       size_t size, const char *member)
 {
     const char *end = text + size;
     const char *at = skip_space(text, end);
@@ -75,11 +75,12 @@
             return false;
         }
         at = skip_space(at + 1, end);
+        *out = at;
+        at = skip_value(at, end);
         if (found == length && memcmp(name, member, length) == 0) {
-            *slice = (struct pgw_json__slice){.next = at + 1, .end = end};
-            return at < end && *at == '[';
+            *out_size = (size_t)(at - *out);
+            return *out_size > 0;
         }
-        at = skip_value(at, end);
         if (at < end && *at == ',') {
             at = skip_space(at + 1, end);
         }
@@ -87,6 +88,22 @@
     return false;
 }
 
+bool
+pgw_json__slice_init(struct pgw_json__slice *slice, const char *text,
+                     size_t size, const char *member)
+{
+    const char *array;
+    size_t array_size;
+
+    if (!pgw_json__slice_member(&array, &array_size, text, size, member) ||
+        *array != '[') {
+        return false;
+    }
+    *slice =
+        (struct pgw_json__slice){.next = array + 1, .end = array + array_size};
+    return true;
+}
+
 bool
 pgw_json__slice_next(struct pgw_json__slice *slice, const char **text,
                      size_t *size)
--- a/src/libparsleygw/json_slice.h
+++ b/src/libparsleygw/json_slice.h
@@ -16,6 +16,21 @@
     const char *end;
 };
 
+/**
+ * pgw_json__slice_member() - text of one member of a top-level object
+ * @out: receives where its value begins
+ * @out_size: and its bytes
+ * @text: JSON text
+ * @size: its bytes
+ * @member: name of the member; must need no escapes
+ *
+ * What the value holds is not looked at: it may be no valid JSON.
+ *
+ * Return: false when there is no such member.
+ */
+bool pgw_json__slice_member(const char **out, size_t *out_size,
+                            const char *text, size_t size, const char *member);
+
 /**
  * pgw_json__slice_init() - find an array member of a top-level object
  * @slice: to be walked with pgw_json__slice_next()
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3506,7 +3506,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[13] =
 {
   {
     "address",
@@ -3652,6 +3652,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3665,12 +3677,13 @@
   9,   /* field[9] = parts */
   8,   /* field[8] = parts_reset */
   4,   /* field[4] = running */
+  12,   /* field[12] = started_ms */
   5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange pgw__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3680,7 +3693,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  12,
+  13,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   1,  pgw__engine_state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -618,10 +618,14 @@
    * entries that are connected to the sidecar
    */
   uint32_t entries;
+  /*
+   * when the engine's process started, by its clock
+   */
+  uint64_t started_ms;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -10,6 +10,7 @@
  * @version: weights that it reports, of the model "m"
  * @busy: it reports that it carries out an order
  * @sequence: orders that it reports
+ * @started_ms: when its process started, as it says; 0: it does not
  * @orders: orders that it has taken
  * @order: body of the last one, to be freed
  */
@@ -18,6 +19,7 @@
     uint64_t version;
     bool busy;
     unsigned sequence;
+    uint64_t started_ms;
     unsigned orders;
     char *order;
 };
--- a/tests/unit/test_engine_guard.c
+++ b/tests/unit/test_engine_guard.c
@@ -180,11 +180,46 @@
     stage_close();
 }
 
+static bool
+is_ordered_again(const struct scene_engine *engine)
+{
+    return engine->orders > 1;
+}
+
+/*
+ * The engine takes an order, crashes and is back under its id before the next
+ * report, with its old weights and no order accepted. It is ordered again at
+ * once, with its new count, and not only when the first order is given up.
+ */
+static void
+test_restart_during_an_order(void)
+{
+    struct scene_engine engine = {
+        .version = 1, .sequence = 3, .started_ms = 1000};
+
+    stage_open();
+    engine.listener = stage->engine;
+    scene_engine_play(&engine, is_told);
+    name_task.run = name_weights;
+    pgw_loop_post(stage->loop, &name_task);
+    scene_engine_play(&engine, is_ordered);
+    engine.started_ms = 2000;
+    engine.sequence = 0;
+    /* Busy with something else: without the start the first order would count
+     * as the one that it is busy with. */
+    engine.busy = true;
+    scene_engine_play(&engine, is_ordered_again);
+    g_assert_nonnull(strstr(engine.order, "\"expect\":0"));
+    g_free(engine.order);
+    stage_close();
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/engine_guard/order", test_order);
+    g_test_add_func("/engine_guard/restart", test_restart_during_an_order);
     return g_test_run();
 }
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -74,6 +74,68 @@
     g_assert_cmpuint(platform_decode_weights(&copy), ==, 0);
 }
 
+/* Lines that somebody else wrote name no upstream; one that lacks only what is
+ * not needed does. */
+static void
+test_foreign_lines(void)
+{
+    static const char *const bad[] = {
+        "7",
+        "\"text\"",
+        "{}",
+        "{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":4,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"zone\":\"z\",\"capacity\":4,"
+        "\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":4,\"state\":\"warming\"}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":\"4\",\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":4,\"state\":\"ready\",\"models\":{}}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":4,\"state\":\"ready\",\"born\":\"now\"}",
+    };
+    struct platform_server server;
+    struct pgw_document copy;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        copy = document("servers", "i", bad[i]);
+        g_assert_false(platform_decode_server(&server, &copy));
+        platform_server_dispose(&server);
+    }
+    copy = document("servers", "i",
+                    "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+                    "\"zone\":\"z\",\"capacity\":4,\"state\":"
+                    "\"draining\",\"born\":1796300000123}");
+    g_assert_true(platform_decode_server(&server, &copy));
+    g_assert_true(server.facts.leaving);
+    g_assert_cmpuint(server.facts.started_ms, ==, UINT64_C(1796300000123));
+    platform_server_dispose(&server);
+}
+
+/* A large configuration is read a few elements at a time, and is not used
+ * before its last one, nor if one of them makes no sense. */
+static void
+test_config_in_pieces(void)
+{
+    struct pgw_document copy = document("config", "main", config);
+    struct platform_config_reader *reader = platform_config_reader_new(&copy);
+    unsigned steps = 1;
+
+    g_assert_nonnull(reader);
+    while (platform_config_reader_step(reader, 1) == PLATFORM_CONFIG_MORE) {
+        steps++;
+    }
+    /* Two routes, two services, a workspace, and the end. */
+    g_assert_cmpuint(steps, ==, 6);
+    g_assert_nonnull(
+        pgw_route_table_workspace(platform_config_reader_table(reader), "k1"));
+    platform_config_reader_free(reader);
+    copy = document("config", "main", "{\"version\":7,\"routes\":[{},7]}");
+    g_assert_null(platform_decode_config(&copy));
+}
+
 static void
 test_server(void)
 {
@@ -155,6 +217,9 @@
     g_test_add_func("/platform_decode/config", test_config);
     g_test_add_func("/platform_decode/bad", test_bad_documents);
     g_test_add_func("/platform_decode/server", test_server);
+    g_test_add_func("/platform_decode/foreign", test_foreign_lines);
+    g_test_add_func("/platform_decode/config_in_pieces",
+                    test_config_in_pieces);
     g_test_add_func("/platform_decode/settings", test_settings);
     g_test_add_func("/platform_decode/settings_missing",
                     test_settings_name_what_is_missing);
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -226,6 +226,43 @@
     stop(self);
 }
 
+/*
+ * Somebody else has written objects that cannot be read: nested far deeper
+ * than is taken, bytes that are no text, a name that is a number. The list is
+ * taken all the same; what cannot be read is passed on as it stands, or is
+ * left out where it has no name.
+ */
+static void
+test_foreign_objects(void)
+{
+    struct follower *self = follow();
+    int fd = accept(self->listener, NULL, NULL);
+    GString *page = g_string_new("{\"items\":[" OBJECT("a", "3") ",");
+
+    g_string_append(page, "{\"metadata\":{\"name\":\"b\",\"revision\":4},"
+                          "\"specification\":");
+    for (unsigned i = 0; i < 5000; i++) {
+        g_string_append_c(page, '[');
+    }
+    for (unsigned i = 0; i < 5000; i++) {
+        g_string_append_c(page, ']');
+    }
+    g_string_append(page,
+                    "},{\"metadata\":{\"name\":7,\"revision\":5}},"
+                    "{\"metadata\":{\"name\":\"c\",\"revision\":6},"
+                    "\"specification\":\"\x81\xfe\"},7,"
+                    "{\"metadata\":[]}," OBJECT(
+                        "d", "7") "],"
+                                  "\"has_more\":false,\"current_rev\":8}");
+    serve(fd, "GET /api/objects/servers HTTP", 200, page->str);
+    serve(fd, "servers?watch=8&", 200, "{\"events\":[],\"current_rev\":8}");
+    serve(fd, "servers?watch=8&", 200, "{\"events\":[],\"current_rev\":8}");
+    expect_news(self, "a 0;b 0;c 0;d 0;");
+    g_string_free(page, TRUE);
+    close(fd);
+    stop(self);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -234,6 +271,7 @@
     g_test_add_func("/platform_feed/history", test_history_is_lost);
     g_test_add_func("/platform_feed/trouble", test_trouble_and_return);
     g_test_add_func("/platform_feed/half_a_list", test_half_a_list_is_no_news);
+    g_test_add_func("/platform_feed/foreign", test_foreign_objects);
     g_test_add_func("/platform_feed/short_watches",
                     test_watches_are_short_in_trouble);
     return g_test_run();
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -143,6 +143,71 @@
     pgw_upstream_table_free(table);
 }
 
+static struct pgw_upstream *
+put_started(struct pgw_upstream_table *table, uint64_t started_ms,
+            bool leaving)
+{
+    struct pgw_upstream_facts facts = {
+        .id = "i",
+        .service = "s",
+        .address = "127.0.0.1:1",
+        .zone = "a",
+        .slots = 4,
+        .started_ms = started_ms,
+        .leaving = leaving,
+    };
+
+    return pgw_upstream_table_put(table, &facts);
+}
+
+/*
+ * An upstream that was leaving, had failed and held parts crashes and starts
+ * again under its id. Requests go to it at once and expect nothing of its
+ * former process; a line of that one, which comes late, changes nothing.
+ */
+static void
+test_start_under_the_same_id(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 1000, true);
+    struct pgw_upstream_load load = {.running = 9, .kv_total = 100};
+
+    pgw_upstream_hold(upstream, 5, 96);
+    pgw_upstream_take_load(upstream, &load, NOW);
+    pgw_upstream_note(upstream, PGW_RESULT_UNREACHABLE, NOW);
+    g_assert_true(put_started(table, 2000, false) == upstream);
+    g_assert_false(upstream->leaving);
+    g_assert_false(pgw_upstream_holds(upstream, 5, 100, true, NOW));
+    g_assert_cmpuint(pgw_upstream_load_estimate(upstream, NOW), ==, 0);
+    g_assert_cmpuint(upstream->avoid_until_us, ==, 0);
+    put_started(table, 1000, true);
+    g_assert_false(upstream->leaving);
+    g_assert_cmpuint(upstream->started_ms, ==, 2000);
+    pgw_upstream_table_free(table);
+}
+
+/*
+ * The clock of its machine was set back before it started again: the list says
+ * a lower time than before, and so does the process beside it. Both count, and
+ * what that process says holds over a line that is behind.
+ */
+static void
+test_start_after_a_clock_step(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 9000, true);
+
+    put_started(table, 4000, false);
+    g_assert_cmpuint(upstream->started_ms, ==, 4000);
+    g_assert_false(upstream->leaving);
+    pgw_upstream_table_started(table, upstream, 9000);
+    g_assert_cmpuint(upstream->started_ms, ==, 9000);
+    put_started(table, 4000, true);
+    g_assert_cmpuint(upstream->started_ms, ==, 9000);
+    g_assert_false(upstream->leaving);
+    pgw_upstream_table_free(table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,5 +223,8 @@
     g_test_add_func("/upstream_table/load", test_load_of_others_fades);
     g_test_add_func("/upstream_table/pauses", test_pauses_grow_and_end);
     g_test_add_func("/upstream_table/parts", test_parts);
+    g_test_add_func("/upstream_table/same_id", test_start_under_the_same_id);
+    g_test_add_func("/upstream_table/clock_step",
+                    test_start_after_a_clock_step);
     return g_test_run();
 }
