Let the next engine load when one is done

Cause: engines loaded new weights in groups that began every 0.4 s. Change: every entry opens the same window over the engines that it reaches: a fifth of the pool, up to twice that when a free load's observed time says that the rest would be late. An engine that hears from nobody begins by itself in the second half of the time that is left. Turns in milliseconds are gone.

--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -22,7 +22,8 @@
         const Pgw__LoadWeights *load = (const Pgw__LoadWeights *)message;
 
         pgw_engine_guard_name_weights(peer->guard, load->model, load->version,
-                                      load->turn, load->instance);
+                                      load->start_in_ms * 1000ULL,
+                                      load->instance);
     }
     return false;
 }
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -118,9 +118,10 @@
 /** pgw_engine_guard_entries() - entries that are connected */
 unsigned pgw_engine_guard_entries(const struct pgw_engine_guard *guard);
 
-/** pgw_engine_guard_name_weights() - weights that the engine is to run */
+/** pgw_engine_guard_name_weights() - weights that the engine is to run, and in
+ * how many microseconds to begin at the latest */
 void pgw_engine_guard_name_weights(struct pgw_engine_guard *guard,
                                    const char *name, uint64_t version,
-                                   uint32_t turn, const char *instance);
+                                   uint64_t start_in_us, const char *instance);
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -205,6 +205,26 @@
     return named == NULL ? 0 : pgw_named_weights_newest(named);
 }
 
+GHashTable *
+pgw_gateway_models(const struct pgw_gateway *gateway)
+{
+    return gateway->weights;
+}
+
+uint64_t
+pgw_gateway_weights_left(const struct pgw_gateway *gateway, const char *model,
+                         uint64_t version)
+{
+    const struct pgw_named_weights *named =
+        g_hash_table_lookup(gateway->weights, model);
+
+    return named == NULL
+               ? UINT64_MAX
+               : pgw_named_weights_left(named, version,
+                                        gateway->options.old_weights_us,
+                                        pgw_now_us());
+}
+
 /* All that waits is looked at, since what blocks the first may not block the
  * next: another service, a smaller prompt. */
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -100,6 +100,14 @@
 void pgw_gateway_name_weights(struct pgw_gateway *gateway, const char *model,
                               uint64_t version, uint64_t age_us);
 
+/** pgw_gateway_models() - those of which a version was named: its keys */
+GHashTable *pgw_gateway_models(const struct pgw_gateway *gateway);
+
+/** pgw_gateway_weights_left() - how long an engine with these weights may
+ * still be used, in microseconds; %UINT64_MAX: they are the newest */
+uint64_t pgw_gateway_weights_left(const struct pgw_gateway *gateway,
+                                  const char *model, uint64_t version);
+
 /** pgw_gateway_weights() - newest version named of a model, 0: none */
 uint64_t pgw_gateway_weights(const struct pgw_gateway *gateway,
                              const char *model);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -1,9 +1,11 @@
 #include "gateway/guard_links.h"
 #include "gateway/candidates.h"
+#include "gateway/load_window.h"
 #include "gateway/poison.h"
 #include "libparsleygw/link.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
+#include "util/metric.h"
 #include "util/random.h"
 #include <netinet/in.h>
 #include <string.h>
@@ -25,10 +27,23 @@
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
 
+/* While engines load, the window is looked at at least this often. */
+#define WINDOW_US 250000
+
+static struct pgw_metric_gauge window_size = {
+    .name = "pgw_weights_window",
+    .help = "Engines that load weights at once; 0: no rollout",
+};
+static struct pgw_metric_gauge load_expected_ms = {
+    .name = "pgw_weights_load_expected_ms",
+    .help = "Time that an engine is away for a load, as observed",
+};
+
 /**
  * struct guard_link - the connection to the process beside one engine
  * @engine: address of the engine
  * @refused_at_us: since when nobody listens there, 0: somebody may
+ * @told_version: the last one that its turn was told of
  */
 struct guard_link {
     struct pgw_guard_links *links;
@@ -37,6 +52,7 @@
     struct pgw_link *link;
     struct pgw_timer timer;
     uint64_t refused_at_us;
+    uint64_t told_version;
     bool wanted;
 };
 
@@ -45,31 +61,21 @@
     struct pgw_gateway *gateway;
     GHashTable *by_engine;
     uint16_t port;
-    double at_once_share;
     uint32_t entries;
     uint64_t entries_at_us;
-    GArray *places; /* uint64_t, ascending: the pool that was put in order */
-    char *ordered_service;
-    uint64_t ordered_version;
+    struct pgw_load_pace pace;
+    struct pgw_timer window_timer;
+    unsigned window; /* of the last rollout, 0: none is under way */
     bool closing;
 };
 
 static struct pgw_upstream *
-find_upstream(struct pgw_guard_links *links, const char *engine)
+find_upstream(const struct pgw_guard_links *links, const char *engine)
 {
     return pgw_upstream_table_at(pgw_gateway_upstreams(links->gateway),
                                  engine);
 }
 
-static int
-compare_places(const void *left, const void *right)
-{
-    uint64_t a = *(const uint64_t *)left;
-    uint64_t b = *(const uint64_t *)right;
-
-    return a < b ? -1 : a > b;
-}
-
 /* Place of an engine in the order in which a version is loaded: each rollout
  * draws anew, so that it is not always the same ones that serve the old
  * weights longest; all entries draw alike. */
@@ -79,97 +85,180 @@
     return upstream->id_hash * (2 * version + 1);
 }
 
-/* Puts a pool in order for a version. One order serves all engines of a round
- * of announcements: to count for each of 3,000 engines who goes before it took
- * 14 ms of a core (two runs), 74 ms where an entry has a share of 0.19. */
+static bool
+runs_model(const struct pgw_upstream *upstream, const char *model)
+{
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        if (strcmp(upstream->models[i].model, model) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells an engine of a version, and when to begin at the latest. */
 static void
-order_pool(struct pgw_guard_links *links, const char *service,
-           uint64_t version)
+tell_weights(struct guard_link *guard, const struct pgw_upstream *upstream,
+             const char *model, uint64_t version, uint64_t start_in_us)
 {
-    const struct pgw_upstream_pool *pool = pgw_upstream_table_pool(
-        pgw_gateway_upstreams(links->gateway), service);
+    Pgw__LoadWeights message = PGW__LOAD_WEIGHTS__INIT;
 
-    g_array_set_size(links->places, 0);
-    g_free(links->ordered_service);
-    links->ordered_service = g_strdup(service);
-    links->ordered_version = version;
-    for (unsigned i = 0; pool != NULL && i < pool->all->len; i++) {
-        const struct pgw_upstream *upstream = g_ptr_array_index(pool->all, i);
+    message.model = (char *)model;
+    message.version = version;
+    message.instance = upstream->id;
+    message.start_in_ms = (uint32_t)MIN(start_in_us / 1000, UINT32_MAX);
+    pgw_link_send(guard->link, PGW_FRAME_LOAD_WEIGHTS, &message.base);
+}
 
-        if (!upstream->leaving && !upstream->removed) {
-            uint64_t place = place_of(upstream, version);
+/* By itself it begins late; it is told when its turn has come. */
+static void
+announce_to(struct guard_link *guard)
+{
+    const struct pgw_guard_links *links = guard->links;
+    struct pgw_upstream *upstream = find_upstream(links, guard->engine);
+
+    if (upstream == NULL || guard->link == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        const char *model = upstream->models[i].model;
+        uint64_t version = pgw_gateway_weights(links->gateway, model);
+        uint64_t left;
 
-            g_array_append_val(links->places, place);
+        if (version == 0) {
+            continue;
         }
+        left = pgw_gateway_weights_left(links->gateway, model,
+                                        upstream->models[i].version);
+        tell_weights(
+            guard, upstream, model, version,
+            left == UINT64_MAX
+                ? 0
+                : pgw_load_window_latest(
+                      (double)place_of(upstream, version) / (double)UINT64_MAX,
+                      left, pgw_load_pace_expected(&links->pace)));
     }
-    g_array_sort(links->places, compare_places);
 }
 
-/* Number of engines that are before @place. */
-static unsigned
-count_before(const GArray *places, uint64_t place)
+/**
+ * struct rollout - one model's engines that this entry can reach
+ * @model: its name
+ * @engines: each with its &struct guard_link
+ * @count: number of @engines
+ * @input: what is known of it
+ */
+struct rollout {
+    const char *model;
+    struct pgw_load_engine *engines;
+    size_t count;
+    struct pgw_load_window_input input;
+};
+
+/* Whether its engine can load now, if it is told to. */
+static bool
+is_reached(const struct guard_link *guard, const struct pgw_upstream *upstream)
 {
-    unsigned low = 0;
-    unsigned high = places->len;
+    return guard->link != NULL && upstream != NULL && upstream->guarded &&
+           !upstream->leaving && !upstream->removed && !upstream->displaced &&
+           (!upstream->loading || upstream->loads_since_us > 0);
+}
 
-    while (low < high) {
-        unsigned middle = low + (high - low) / 2;
+static void
+add_engine(struct rollout *rollout, struct guard_link *guard,
+           const struct pgw_upstream *upstream)
+{
+    const struct pgw_guard_links *links = guard->links;
+    uint64_t version = pgw_upstream_version(upstream, rollout->model);
+    uint64_t left =
+        pgw_gateway_weights_left(links->gateway, rollout->model, version);
+
+    rollout->input.left_us = MIN(rollout->input.left_us, left);
+    rollout->engines[rollout->count++] = (struct pgw_load_engine){
+        .place = place_of(upstream, rollout->input.wanted),
+        .version = version,
+        .loading = upstream->loads_since_us > 0,
+        .context = guard,
+    };
+}
 
-        if (g_array_index(places, uint64_t, middle) < place) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
+static void
+tell_window(const struct rollout *rollout)
+{
+    for (size_t i = 0; i < rollout->count; i++) {
+        struct guard_link *guard = rollout->engines[i].context;
+
+        if (rollout->engines[i].go &&
+            guard->told_version != rollout->input.wanted) {
+            guard->told_version = rollout->input.wanted;
+            tell_weights(guard, find_upstream(guard->links, guard->engine),
+                         rollout->model, rollout->input.wanted, 0);
         }
     }
-    return low;
 }
 
-static uint32_t
-turn_of(struct pgw_guard_links *links, const struct pgw_upstream *upstream,
-        uint64_t version)
+static void
+open_window(struct pgw_guard_links *links, const char *model, uint64_t wanted)
 {
-    unsigned at_once;
+    const struct pgw_load_window_options options =
+        PGW_LOAD_WINDOW_OPTIONS_INIT;
+    unsigned most = g_hash_table_size(links->by_engine);
+    struct rollout rollout = {
+        .model = model,
+        .engines = g_new0(struct pgw_load_engine, most),
+        .input = {.wanted = wanted,
+                  .left_us = UINT64_MAX,
+                  .load_us = pgw_load_pace_expected(&links->pace)},
+    };
+    GHashTableIter iter;
+    void *value;
 
-    if (links->ordered_service == NULL || links->ordered_version != version ||
-        strcmp(links->ordered_service, upstream->service) != 0) {
-        order_pool(links, upstream->service, version);
+    g_hash_table_iter_init(&iter, links->by_engine);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct guard_link *guard = value;
+        const struct pgw_upstream *upstream =
+            find_upstream(links, guard->engine);
+
+        if (is_reached(guard, upstream) && runs_model(upstream, model)) {
+            add_engine(&rollout, guard, upstream);
+        }
     }
-    at_once =
-        (unsigned)((double)links->places->len * links->at_once_share + 0.5);
-    return count_before(links->places, place_of(upstream, version)) /
-           MAX(at_once, 1);
+    links->window = pgw_load_window_open(rollout.engines, rollout.count,
+                                         &rollout.input, &options);
+    pgw_metric_gauge_set(&window_size, links->window);
+    pgw_metric_gauge_set(&load_expected_ms, rollout.input.load_us / 1000);
+    tell_window(&rollout);
+    g_free(rollout.engines);
 }
 
-/* The pools may have changed since the last round of announcements. */
 static void
-forget_order(struct pgw_guard_links *links)
+open_windows(struct pgw_guard_links *links)
 {
-    g_clear_pointer(&links->ordered_service, g_free);
+    GHashTableIter iter;
+    void *model;
+
+    links->window = 0;
+    g_hash_table_iter_init(&iter, pgw_gateway_models(links->gateway));
+    while (g_hash_table_iter_next(&iter, &model, NULL)) {
+        open_window(links, model, pgw_gateway_weights(links->gateway, model));
+    }
+    if (links->window > 0) {
+        /* Time alone widens it, too. */
+        pgw_timer_start(links->loop, &links->window_timer, WINDOW_US);
+    }
 }
 
 static void
-announce_to(struct guard_link *guard)
+window_due(struct pgw_timer *timer)
 {
-    struct pgw_upstream *upstream = find_upstream(guard->links, guard->engine);
-
-    if (upstream == NULL || guard->link == NULL) {
-        return;
-    }
-    for (size_t i = 0; i < upstream->model_count; i++) {
-        const char *model = upstream->models[i].model;
-        uint64_t version = pgw_gateway_weights(guard->links->gateway, model);
-        Pgw__LoadWeights message = PGW__LOAD_WEIGHTS__INIT;
+    open_windows(
+        pgw_container_of(timer, struct pgw_guard_links, window_timer));
+}
 
-        if (version == 0) {
-            continue;
-        }
-        message.model = (char *)model;
-        message.version = version;
-        message.turn = turn_of(guard->links, upstream, version);
-        message.instance = upstream->id;
-        pgw_link_send(guard->link, PGW_FRAME_LOAD_WEIGHTS, &message.base);
-    }
+/* Once for all that comes in a turn of the loop. */
+static void
+post_windows(struct pgw_guard_links *links)
+{
+    pgw_timer_start(links->loop, &links->window_timer, 0);
 }
 
 /* Sidecars count the entries that are connected to them. One that has just
@@ -187,6 +276,34 @@
     }
 }
 
+/* The weights that its engine runs, and whether it is away for others. */
+static void
+take_versions(struct pgw_guard_links *links, struct pgw_upstream *upstream,
+              const Pgw__EngineState *state, uint64_t now_us)
+{
+    bool loads = state->alive && state->loading;
+    bool newer = false;
+
+    for (size_t i = 0; i < state->n_models; i++) {
+        newer |= state->models[i]->version >
+                 pgw_upstream_version(upstream, state->models[i]->name);
+        pgw_upstream_set_version(upstream, state->models[i]->name,
+                                 state->models[i]->version);
+    }
+    if (!loads && newer && upstream->loads_since_us > 0) {
+        pgw_load_pace_note(&links->pace, now_us - upstream->loads_since_us);
+    }
+    if (newer || loads != (upstream->loads_since_us > 0)) {
+        post_windows(links);
+    }
+    if (!loads) {
+        upstream->loads_since_us = 0;
+    }
+    else if (upstream->loads_since_us == 0) {
+        upstream->loads_since_us = now_us;
+    }
+}
+
 static void
 take_state(struct guard_link *guard, const Pgw__EngineState *state)
 {
@@ -207,10 +324,7 @@
     upstream->guarded = true;
     pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
                                upstream, state->started_ms);
-    for (size_t i = 0; i < state->n_models; i++) {
-        pgw_upstream_set_version(upstream, state->models[i]->name,
-                                 state->models[i]->version);
-    }
+    take_versions(guard->links, upstream, state, now);
     if (state->parts_reset) {
         pgw_upstream_forget_parts(upstream);
     }
@@ -279,11 +393,13 @@
          * was announced is not waited for. */
         upstream->guarded = false;
         upstream->loading = false;
+        upstream->loads_since_us = 0;
         pgw_upstream_forget_parts(upstream);
     }
     if (links->closing) {
         return;
     }
+    post_windows(links);
     pgw_log_info("guard_link_lost", "engine=%s reason=%s", guard->engine,
                  error == NULL ? "closed" : error->message);
     if (!guard->wanted) {
@@ -305,8 +421,9 @@
     hello.role = (char *)"entry";
     hello.zone = (char *)pgw_gateway_zone(guard->links->gateway);
     pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
-    forget_order(guard->links);
+    guard->told_version = 0;
     announce_to(guard);
+    post_windows(guard->links);
 }
 
 static const struct pgw_link_ops link_ops = {
@@ -360,15 +477,16 @@
 
 struct pgw_guard_links *
 pgw_guard_links_new(struct pgw_loop *loop, struct pgw_gateway *gateway,
-                    uint16_t port, double at_once_share)
+                    uint16_t port)
 {
     struct pgw_guard_links *links = g_new0(struct pgw_guard_links, 1);
 
     links->loop = loop;
     links->gateway = gateway;
     links->port = port;
-    links->at_once_share = at_once_share;
-    links->places = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    links->window_timer.on_due = window_due;
+    pgw_metric_register_gauge(&window_size);
+    pgw_metric_register_gauge(&load_expected_ms);
     links->by_engine =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, guard_free);
     return links;
@@ -381,6 +499,7 @@
     void *value;
 
     links->closing = true;
+    pgw_timer_stop(links->loop, &links->window_timer);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct guard_link *guard = value;
@@ -391,8 +510,6 @@
     }
     pgw_loop_run_tasks(links->loop);
     g_hash_table_destroy(links->by_engine);
-    g_array_unref(links->places);
-    g_free(links->ordered_service);
     g_free(links);
 }
 
@@ -439,7 +556,6 @@
     GHashTableIter iter;
     void *value;
 
-    forget_order(links);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         ((struct guard_link *)value)->wanted = false;
@@ -463,6 +579,7 @@
         }
     }
     drop_unwanted(links);
+    post_windows(links);
 }
 
 void
@@ -471,18 +588,11 @@
     GHashTableIter iter;
     void *value;
 
-    forget_order(links);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         announce_to(value);
     }
-}
-
-uint32_t
-pgw_guard_links_turn(struct pgw_guard_links *links,
-                     const struct pgw_upstream *upstream, uint64_t version)
-{
-    return turn_of(links, upstream, version);
+    post_windows(links);
 }
 
 bool
--- a/src/gateway/guard_links.h
+++ b/src/gateway/guard_links.h
@@ -19,23 +19,15 @@
  * @loop: serves the links
  * @gateway: whose upstreams they report on
  * @port: port on which the processes beside the engines listen
- * @at_once_share: engines of a pool that load at the same time, as a part of
- *   all; weights come slower to each when more do
  */
 struct pgw_guard_links *pgw_guard_links_new(struct pgw_loop *loop,
                                             struct pgw_gateway *gateway,
-                                            uint16_t port,
-                                            double at_once_share);
+                                            uint16_t port);
 void pgw_guard_links_free(struct pgw_guard_links *links);
 
 /** pgw_guard_links_refresh() - the list of upstreams has changed */
 void pgw_guard_links_refresh(struct pgw_guard_links *links);
 
-/** pgw_guard_links_turn() - an engine's turn to load a version, 0 first */
-uint32_t pgw_guard_links_turn(struct pgw_guard_links *links,
-                              const struct pgw_upstream *upstream,
-                              uint64_t version);
-
 /** pgw_guard_links_is_refused() - for so long an engine's machine has answered
  * that no process of ours listens there */
 bool pgw_guard_links_is_refused(const struct pgw_guard_links *links,
--- a/src/gateway/guard_order.c
+++ b/src/gateway/guard_order.c
@@ -230,25 +230,25 @@
 
 static void
 log_wanted(const struct pgw_engine_guard *guard,
-           const struct pgw_guard_model *model, uint32_t turn)
+           const struct pgw_guard_model *model)
 {
     uint64_t now = pgw_now_us();
     uint64_t due = model->order.due_us;
 
-    pgw_log_info(
-        "weights_wanted",
-        "engine=%s model=%s version=%" G_GUINT64_FORMAT
-        " running=%" G_GUINT64_FORMAT " turn=%u due_ms=%" G_GUINT64_FORMAT,
-        guard->engine, model->model, model->order.wanted, model->order.running,
-        turn, due > now ? (due - now) / 1000 : 0);
+    pgw_log_info("weights_wanted",
+                 "engine=%s model=%s version=%" G_GUINT64_FORMAT
+                 " running=%" G_GUINT64_FORMAT " due_ms=%" G_GUINT64_FORMAT,
+                 guard->engine, model->model, model->order.wanted,
+                 model->order.running, due > now ? (due - now) / 1000 : 0);
 }
 
 void
 pgw_engine_guard_name_weights(struct pgw_engine_guard *guard, const char *name,
-                              uint64_t version, uint32_t turn,
+                              uint64_t version, uint64_t start_in_us,
                               const char *instance)
 {
     struct pgw_guard_model *model = model_get(guard, name);
+    bool is_new;
 
     if (model == NULL) {
         return;
@@ -257,9 +257,10 @@
         g_free(model->instance);
         model->instance = g_strdup(instance);
     }
-    if (version > model->order.wanted) {
-        pgw_weights_order_want(&model->order, version, turn, pgw_now_us());
-        log_wanted(guard, model, turn);
+    is_new = version > model->order.wanted;
+    pgw_weights_order_want(&model->order, version, start_in_us, pgw_now_us());
+    if (is_new) {
+        log_wanted(guard, model);
     }
     pgw_guard_step(guard);
 }
--- /dev/null
+++ b/src/gateway/load_window.c
@@ -0,0 +1,97 @@
+#include "gateway/load_window.h"
+#include <glib.h>
+#include <stdlib.h>
+
+/* Where in the time that is left the first and the last engine begin that are
+ * told nothing. */
+#define LATEST_FIRST 0.5
+#define LATEST_LAST 0.9
+
+void
+pgw_load_pace_note(struct pgw_load_pace *pace, uint64_t us)
+{
+    pace->samples[pace->next] = us;
+    pace->next = (pace->next + 1) % PGW_LOAD_PACE_SAMPLES;
+    pace->count = MIN(pace->count + 1, PGW_LOAD_PACE_SAMPLES);
+}
+
+uint64_t
+pgw_load_pace_expected(const struct pgw_load_pace *pace)
+{
+    uint64_t least = 0;
+
+    for (size_t i = 0; i < pace->count; i++) {
+        if (least == 0 || pace->samples[i] < least) {
+            least = pace->samples[i];
+        }
+    }
+    return least;
+}
+
+unsigned
+pgw_load_window_size(const struct pgw_load_window_input *input,
+                     const struct pgw_load_window_options *options,
+                     unsigned count, unsigned pending)
+{
+    unsigned usual = MAX((unsigned)((double)count * options->share + 0.5), 1);
+    uint64_t rounds = 0;
+    unsigned needed = 0;
+
+    if (input->load_us > 0) {
+        /* The last round has to be over, not to begin, in time. */
+        rounds = MAX(input->left_us / input->load_us, 1);
+        needed = (unsigned)((pending + rounds - 1) / rounds);
+    }
+    return MIN(MAX(usual, MIN(needed, usual * options->widen_most)),
+               MAX(count, 1));
+}
+
+static int
+compare_engines(const void *left, const void *right)
+{
+    const struct pgw_load_engine *a = left;
+    const struct pgw_load_engine *b = right;
+
+    if (a->version != b->version) {
+        return a->version < b->version ? -1 : 1;
+    }
+    return a->place < b->place ? -1 : a->place > b->place;
+}
+
+unsigned
+pgw_load_window_open(struct pgw_load_engine *engines, size_t count,
+                     const struct pgw_load_window_input *input,
+                     const struct pgw_load_window_options *options)
+{
+    unsigned pending = 0;
+    unsigned loading = 0;
+    unsigned size;
+
+    for (size_t i = 0; i < count; i++) {
+        pending += engines[i].version < input->wanted;
+        loading += engines[i].loading;
+    }
+    if (pending == 0) {
+        return 0;
+    }
+    size = pgw_load_window_size(input, options, (unsigned)count, pending);
+    qsort(engines, count, sizeof(engines[0]), compare_engines);
+    for (size_t i = 0; i < count; i++) {
+        engines[i].go = false;
+        if (engines[i].version < input->wanted && !engines[i].loading &&
+            loading < size) {
+            engines[i].go = true;
+            loading++;
+        }
+    }
+    return size;
+}
+
+uint64_t
+pgw_load_window_latest(double place, uint64_t left_us, uint64_t load_us)
+{
+    double usable = left_us > load_us ? (double)(left_us - load_us) : 0;
+
+    return (uint64_t)(usable *
+                      (LATEST_FIRST + (LATEST_LAST - LATEST_FIRST) * place));
+}
--- /dev/null
+++ b/src/gateway/load_window.h
@@ -0,0 +1,135 @@
+#ifndef PGW_GATEWAY_LOAD_WINDOW_H
+#define PGW_GATEWAY_LOAD_WINDOW_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * DOC: Which engines of a pool load new weights now
+ *
+ * Pure decisions; every entry makes them alike from what the processes beside
+ * the engines report. A few engines load at a time and the next one begins as
+ * soon as one is done, so that the pace follows the time that a load takes
+ * there: with groups that began every 0.4 s where a load takes 1.3 s half of
+ * the engines loaded together, and a third of all requests was refused.
+ */
+
+/* Loads whose time is remembered. */
+#define PGW_LOAD_PACE_SAMPLES 8
+
+/**
+ * struct pgw_load_pace - how long loads take here
+ * @samples: the last ones, in microseconds
+ * @count: number of @samples
+ * @next: which one is replaced next
+ */
+struct pgw_load_pace {
+    uint64_t samples[PGW_LOAD_PACE_SAMPLES];
+    size_t count;
+    size_t next;
+};
+
+/** pgw_load_pace_note() - an engine was away for a load for so long */
+void pgw_load_pace_note(struct pgw_load_pace *pace, uint64_t us);
+
+/**
+ * pgw_load_pace_expected() - time that the next load takes
+ *
+ * Return: the least of the last ones; 0: none was seen. Others had long runs
+ * to end first, or loaded beside too many. Their time must not widen the
+ * window: more load at once then, which makes each slower still, until nobody
+ * serves.
+ */
+uint64_t pgw_load_pace_expected(const struct pgw_load_pace *pace);
+
+/**
+ * struct pgw_load_engine - an engine of the pool
+ * @place: its place in the order that all entries draw alike
+ * @version: weights that it runs
+ * @loading: it is away for a load, whichever version it loads
+ * @context: the caller's
+ * @go: out: it may begin
+ */
+struct pgw_load_engine {
+    uint64_t place;
+    uint64_t version;
+    bool loading;
+    void *context;
+    bool go;
+};
+
+/**
+ * struct pgw_load_window_options - thresholds
+ * @share: engines that load at once, as a part of the pool
+ * @widen_most: and at most so many times that, when time is short. Where loads
+ *   share a link more of them end no sooner, and the rest must serve
+ */
+struct pgw_load_window_options {
+    double share;
+    unsigned widen_most;
+};
+
+/* A fifth: weights come slower to each where more load at once. */
+#define PGW_LOAD_WINDOW_OPTIONS_INIT                                          \
+    {                                                                         \
+        .share = 0.19, .widen_most = 2                                        \
+    }
+
+/**
+ * struct pgw_load_window_input - what is known of a rollout
+ * @wanted: newest version
+ * @left_us: until engines with the oldest weights may not be used any more
+ * @load_us: time that a load takes, 0: not known
+ */
+struct pgw_load_window_input {
+    uint64_t wanted;
+    uint64_t left_us;
+    uint64_t load_us;
+};
+
+/**
+ * pgw_load_window_size() - how many engines load at once
+ * @input: of the rollout
+ * @options: thresholds
+ * @count: engines of the pool
+ * @pending: those that have not loaded
+ *
+ * More than usual when the rest would not be done in time.
+ */
+unsigned pgw_load_window_size(const struct pgw_load_window_input *input,
+                              const struct pgw_load_window_options *options,
+                              unsigned count, unsigned pending);
+
+/**
+ * pgw_load_window_open() - who may begin
+ * @engines: those that can be reached; sorted in place
+ * @count: number of @engines
+ * @input: of the rollout
+ * @options: thresholds
+ *
+ * Engines with the oldest weights go first: their time runs out first.
+ *
+ * Return: the size of the window, 0: all have loaded.
+ */
+unsigned pgw_load_window_open(struct pgw_load_engine *engines, size_t count,
+                              const struct pgw_load_window_input *input,
+                              const struct pgw_load_window_options *options);
+
+/**
+ * pgw_load_window_latest() - when an engine begins that nobody tells to
+ * @place: its place among the pool's, from 0 to 1
+ * @left_us: as in &struct pgw_load_window_input
+ * @load_us: as there
+ *
+ * Failure: entries are gone or cut off while a version is rolled out. Symptom:
+ * engines that wait for their word run old weights beyond the deployment's
+ * bound. Each begins by itself in the second half of the time that is left, so
+ * that the last one has loaded before its end, and not all at once.
+ *
+ * Return: microseconds from now.
+ */
+uint64_t pgw_load_window_latest(double place, uint64_t left_us,
+                                uint64_t load_us);
+
+#endif
--- a/src/gateway/named_weights.c
+++ b/src/gateway/named_weights.c
@@ -39,3 +39,17 @@
     }
     return least;
 }
+
+uint64_t
+pgw_named_weights_left(const struct pgw_named_weights *weights,
+                       uint64_t version, uint64_t limit_us, uint64_t now_us)
+{
+    for (size_t i = 0; i < weights->count; i++) {
+        if (weights->named[i].version > version) {
+            uint64_t end_us = weights->named[i].at_us + limit_us;
+
+            return end_us > now_us ? end_us - now_us : 0;
+        }
+    }
+    return UINT64_MAX;
+}
--- a/src/gateway/named_weights.h
+++ b/src/gateway/named_weights.h
@@ -61,4 +61,17 @@
 uint64_t pgw_named_weights_least(const struct pgw_named_weights *weights,
                                  uint64_t limit_us, uint64_t now_us);
 
+/**
+ * pgw_named_weights_left() - how long an engine may still be used
+ * @weights: of its model
+ * @version: version that it runs
+ * @limit_us: as above
+ * @now_us: monotonic time
+ *
+ * Return: microseconds; %UINT64_MAX when its version is the newest.
+ */
+uint64_t pgw_named_weights_left(const struct pgw_named_weights *weights,
+                                uint64_t version, uint64_t limit_us,
+                                uint64_t now_us);
+
 #endif
--- a/src/gateway/unguarded.c
+++ b/src/gateway/unguarded.c
@@ -128,10 +128,10 @@
         uint64_t version = wanted_version(self, upstream, i);
 
         if (version > 0) {
-            pgw_engine_guard_name_weights(
-                ward->guard, upstream->models[i].model, version,
-                pgw_guard_links_turn(self->links, upstream, version),
-                upstream->id);
+            /* It has waited for seconds by now: it begins at once. */
+            pgw_engine_guard_name_weights(ward->guard,
+                                          upstream->models[i].model, version,
+                                          0, upstream->id);
         }
     }
 }
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -212,6 +212,7 @@
     upstream->leaving = false;
     upstream->displaced = false;
     upstream->loading = false;
+    upstream->loads_since_us = 0;
     upstream->cold_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
     upstream->load_at_us = 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -92,7 +92,8 @@
  * @lapsed_at_us: when it was dropped from the list
  * @lapsed_until_us: dropped from the list while the platform's store was away;
  *   counts as there until then, 0: is in the list
- * @loading: its sidecar says that it changes its weights
+ * @loading: its sidecar says that it changes its weights, or is not alive
+ * @loads_since_us: since when it is away for a load, 0: it is not
  * @guarded: its sidecar's word is fresh, so @models is
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
@@ -137,6 +138,7 @@
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
     bool loading;
+    uint64_t loads_since_us;
     uint64_t loading_until_us;
     bool guarded;
     uint32_t inflight;
--- a/src/gateway/weights_order.c
+++ b/src/gateway/weights_order.c
@@ -17,15 +17,20 @@
 
 void
 pgw_weights_order_want(struct pgw_weights_order *order, uint64_t version,
-                       uint32_t turn, uint64_t now_us)
+                       uint64_t start_in_us, uint64_t now_us)
 {
-    if (version <= order->wanted) {
+    if (version < order->wanted) {
         return;
     }
     /* The turn of a rollout that is under way counts on: a version that is
-     * named meanwhile takes the place of the one before. */
-    if (order->wanted <= order->running || order->due_us > now_us) {
-        order->due_us = now_us + turn * order->options.turn_us;
+     * named meanwhile takes the place of the one before. Once the order for
+     * that one is out, the next version has a turn of its own. */
+    if (order->wanted <= order->running ||
+        (order->sent && version > order->wanted)) {
+        order->due_us = now_us + start_in_us;
+    }
+    else {
+        order->due_us = MIN(order->due_us, now_us + start_in_us);
     }
     order->wanted = version;
 }
@@ -123,7 +128,8 @@
         return order->announced ? open_again(order) : rest_until(order, 0);
     }
     if (now_us < order->due_us) {
-        return rest_until(order, order->due_us);
+        return order->announced ? open_again(order)
+                                : rest_until(order, order->due_us);
     }
     if (now_us < order->not_before_us) {
         return rest_until(order, order->not_before_us);
--- a/src/gateway/weights_order.h
+++ b/src/gateway/weights_order.h
@@ -14,8 +14,6 @@
 
 /**
  * struct pgw_weights_order_options - times
- * @turn_us: time that a group of engines has before the next one begins:
- *   runs of some hundred milliseconds end, then the weights load
  * @announce_us: from telling the entries to giving the order, so that nothing
  *   more is sent to an engine that is about to refuse it
  * @drain_us: how much longer the order waits at most for the engine's queue to
@@ -30,7 +28,6 @@
  *   order says nothing of it. An engine reports to its own machine without lag
  */
 struct pgw_weights_order_options {
-    uint64_t turn_us;
     uint64_t announce_us;
     uint64_t drain_us;
     uint64_t again_us;
@@ -41,8 +38,8 @@
 
 #define PGW_WEIGHTS_ORDER_OPTIONS_INIT                                        \
     {                                                                         \
-        .turn_us = 400000, .announce_us = 15000, .drain_us = 300000,          \
-        .again_us = 150000, .settle_us = 600000, .token_again_us = 300000     \
+        .announce_us = 15000, .drain_us = 300000, .again_us = 150000,         \
+        .settle_us = 600000, .token_again_us = 300000                         \
     }
 
 /**
@@ -96,9 +93,15 @@
 void pgw_weights_order_init(struct pgw_weights_order *order,
                             const struct pgw_weights_order_options *options);
 
-/** pgw_weights_order_want() - a version was named; older ones are ignored */
+/**
+ * pgw_weights_order_want() - a version was named, or its turn has come
+ * @order: the state
+ * @version: older ones are ignored
+ * @start_in_us: when to begin at the latest; the soonest that was said holds
+ * @now_us: monotonic time
+ */
 void pgw_weights_order_want(struct pgw_weights_order *order, uint64_t version,
-                            uint32_t turn, uint64_t now_us);
+                            uint64_t start_in_us, uint64_t now_us);
 
 /**
  * pgw_weights_order_report() - the engine's word
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3727,39 +3727,40 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "turn",
-    3,
+    "instance",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pgw__LoadWeights, turn),
-    NULL,
+    offsetof(Pgw__LoadWeights, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "instance",
-    4,
+    "start_in_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Pgw__LoadWeights, instance),
+    offsetof(Pgw__LoadWeights, start_in_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned pgw__load_weights__field_indices_by_name[] = {
-  3,   /* field[3] = instance */
+  2,   /* field[2] = instance */
   0,   /* field[0] = model */
-  2,   /* field[2] = turn */
+  3,   /* field[3] = start_in_ms */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange pgw__load_weights__number_ranges[1 + 1] =
+static const ProtobufCIntRange pgw__load_weights__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 4, 2 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor pgw__load_weights__descriptor =
@@ -3773,7 +3774,7 @@
   4,
   pgw__load_weights__field_descriptors,
   pgw__load_weights__field_indices_by_name,
-  1,  pgw__load_weights__number_ranges,
+  2,  pgw__load_weights__number_ranges,
   (ProtobufCMessageInit) pgw__load_weights__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -636,18 +636,18 @@
   ProtobufCMessage base;
   char *model;
   uint64_t version;
-  /*
-   * how many groups of engines load before it
-   */
-  uint32_t turn;
   /*
    * incarnation of the engine as the list names it
    */
   char *instance;
+  /*
+   * when to begin at the latest; 0: now
+   */
+  uint32_t start_in_ms;
 };
 #define PGW__LOAD_WEIGHTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__load_weights__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Pgw__Hello methods */
--- /dev/null
+++ b/tests/unit/test_load_window.c
@@ -0,0 +1,148 @@
+#include "gateway/load_window.h"
+#include <glib.h>
+
+#define POOL 18
+#define SECOND UINT64_C(1000000)
+
+static const struct pgw_load_window_options options =
+    PGW_LOAD_WINDOW_OPTIONS_INIT;
+
+static void
+fill(struct pgw_load_engine *engines, size_t count, uint64_t version)
+{
+    for (size_t i = 0; i < count; i++) {
+        engines[i] = (struct pgw_load_engine){
+            .place = (i * 7) % count,
+            .version = version,
+        };
+    }
+}
+
+static unsigned
+count_go(const struct pgw_load_engine *engines, size_t count)
+{
+    unsigned go = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        go += engines[i].go;
+    }
+    return go;
+}
+
+/*
+ * A version is rolled out over 18 engines that take 1.3 s each. As one is done
+ * the next begins: never more than three are away, and all have loaded after
+ * six rounds, which no clock but the loads themselves has set.
+ */
+static void
+test_next_begins_when_one_is_done(void)
+{
+    struct pgw_load_engine engines[POOL];
+    struct pgw_load_window_input input = {
+        .wanted = 2, .left_us = 10 * SECOND, .load_us = 1300000};
+    unsigned rounds = 0;
+
+    fill(engines, POOL, 1);
+    while (pgw_load_window_open(engines, POOL, &input, &options) > 0) {
+        g_assert_cmpuint(count_go(engines, POOL), ==, 3);
+        for (size_t i = 0; i < POOL; i++) {
+            engines[i].loading = engines[i].go;
+        }
+        g_assert_cmpuint(pgw_load_window_open(engines, POOL, &input, &options),
+                         ==, 3);
+        g_assert_cmpuint(count_go(engines, POOL), ==, 0);
+        for (size_t i = 0; i < POOL; i++) {
+            engines[i].version = engines[i].loading ? 2 : engines[i].version;
+            engines[i].loading = false;
+        }
+        rounds++;
+        input.left_us -= input.load_us;
+    }
+    g_assert_cmpuint(rounds, ==, 6);
+}
+
+/* Loads take so long that one after the other would not be done in time. */
+static void
+test_wider_when_time_is_short(void)
+{
+    struct pgw_load_window_input input = {
+        .wanted = 2, .left_us = 10 * SECOND, .load_us = 4 * SECOND};
+
+    g_assert_cmpuint(pgw_load_window_size(&input, &options, POOL, 8), ==, 4);
+    input.left_us = 3 * SECOND;
+    g_assert_cmpuint(pgw_load_window_size(&input, &options, POOL, 5), ==, 5);
+    /* The rest of the pool has to serve, however late it is. */
+    input.left_us = 0;
+    g_assert_cmpuint(pgw_load_window_size(&input, &options, POOL, POOL), ==,
+                     6);
+    /* Nothing is known of loads yet. */
+    input.load_us = 0;
+    g_assert_cmpuint(pgw_load_window_size(&input, &options, POOL, POOL), ==,
+                     3);
+    g_assert_cmpuint(pgw_load_window_size(&input, &options, 1, 1), ==, 1);
+}
+
+/* A version is named while the one before is rolled out: engines that have not
+ * loaded that one go first, and skip it. */
+static void
+test_oldest_weights_go_first(void)
+{
+    struct pgw_load_engine engines[POOL];
+    struct pgw_load_window_input input = {
+        .wanted = 3, .left_us = 5 * SECOND, .load_us = SECOND};
+
+    fill(engines, POOL, 2);
+    engines[4].version = 1;
+    engines[9].version = 1;
+    engines[15].version = 1;
+    g_assert_cmpuint(pgw_load_window_open(engines, POOL, &input, &options), ==,
+                     4);
+    g_assert_cmpuint(engines[0].version, ==, 1);
+    g_assert_cmpuint(engines[2].version, ==, 1);
+    g_assert_true(engines[0].go && engines[1].go && engines[2].go);
+    g_assert_cmpuint(count_go(engines, POOL), ==, 4);
+}
+
+/* Loads beside many others, or behind long runs, take longer: what is expected
+ * is the time of one that was held up by nothing. */
+static void
+test_pace_is_that_of_a_free_load(void)
+{
+    struct pgw_load_pace pace = {0};
+
+    g_assert_cmpuint(pgw_load_pace_expected(&pace), ==, 0);
+    pgw_load_pace_note(&pace, 30 * SECOND);
+    g_assert_cmpuint(pgw_load_pace_expected(&pace), ==, 30 * SECOND);
+    pgw_load_pace_note(&pace, SECOND);
+    pgw_load_pace_note(&pace, 3 * SECOND);
+    g_assert_cmpuint(pgw_load_pace_expected(&pace), ==, SECOND);
+    /* All loads take longer from now on. */
+    for (unsigned i = 0; i < PGW_LOAD_PACE_SAMPLES; i++) {
+        pgw_load_pace_note(&pace, 5 * SECOND);
+    }
+    g_assert_cmpuint(pgw_load_pace_expected(&pace), ==, 5 * SECOND);
+}
+
+static void
+test_alone_all_are_done_in_time(void)
+{
+    for (unsigned i = 0; i <= 10; i++) {
+        uint64_t at = pgw_load_window_latest(i / 10.0, 10 * SECOND, SECOND);
+
+        g_assert_cmpuint(at, >=, 4 * SECOND);
+        g_assert_cmpuint(at + SECOND, <, 10 * SECOND);
+    }
+    g_assert_cmpuint(pgw_load_window_latest(0.5, SECOND, 2 * SECOND), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/load_window/next", test_next_begins_when_one_is_done);
+    g_test_add_func("/load_window/wider", test_wider_when_time_is_short);
+    g_test_add_func("/load_window/oldest", test_oldest_weights_go_first);
+    g_test_add_func("/load_window/pace", test_pace_is_that_of_a_free_load);
+    g_test_add_func("/load_window/alone", test_alone_all_are_done_in_time);
+    return g_test_run();
+}
