Keep long runs off engines about to load; old weights cost less

Cause: engines end their runs before they load, so 1.3 s of load were 2.2 to 4.9 s away; engines that waited for their turn began by themselves and had 16 of 18 away at once; 30,000 tokens for old weights drove all requests to the few engines that had loaded.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -242,6 +242,9 @@
                        survey->missing[position] + own_tokens(input->prompt),
                        options, input->now_us);
     cost += survey->candidates.rank[position] * rank_tokens;
+    if (upstream->loads_next) {
+        cost += input->run_ms * options->delay_tokens;
+    }
     if (!upstream->same_zone) {
         cost += (double)input->size * options->zone_tokens_per_kb / 1024;
     }
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -95,6 +95,9 @@
  *   about two milliseconds
  * @failing_tokens: cost of an upstream that fails always
  * @old_tokens: cost of older weights, in tokens
+ * @delay_tokens: what each millisecond costs that a request will run at an
+ *   engine which is among the next to load: until its runs have ended it
+ *   serves nobody
  * @bad_rate: failure rate above which an upstream counts as unhealthy
  */
 struct pgw_choose_options {
@@ -114,6 +117,7 @@
     uint32_t fetch_min_tokens;
     double failing_tokens;
     uint32_t old_tokens;
+    double delay_tokens;
     double bad_rate;
 };
 
@@ -124,7 +128,7 @@
         .full_tokens = 2000, .long_prefill_tokens = 6000, .rank_share = 0.02, \
         .rank_tokens = 15, .reread_weight = 2.5, .fetch_tokens = 100,         \
         .fetch_share = 0.12, .fetch_min_tokens = 32, .failing_tokens = 4000,  \
-        .old_tokens = 30000, .bad_rate = 0.35                                 \
+        .old_tokens = 8000, .delay_tokens = 20, .bad_rate = 0.35              \
     }
 
 #define PGW_TRIED_MAX 8
@@ -136,9 +140,10 @@
  * @tried_count: number of @tried
  * @prompt: of an engine's request; NULL for a plain call
  * @model: whose weights; NULL for a plain call
- * @version: newest version that was named, 0: not known
+ * @version: engines with older weights cost more, 0: none does
  * @least_version: engines with older weights are not used
  * @size: bytes of the request
+ * @run_ms: how long it runs once its prompt is read, as far as can be told
  * @kv_tokens: memory of one engine where it has not said
  * @now_us: monotonic time
  * @random: settles between equals, and who of a large pool is weighed
@@ -152,6 +157,7 @@
     uint64_t version;
     uint64_t least_version;
     size_t size;
+    double run_ms;
     uint64_t kv_tokens;
     uint64_t now_us;
     uint64_t random;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -275,6 +275,8 @@
     if (exchange->facts.model != NULL) {
         input.prompt = &exchange->facts.prompt;
         input.model = exchange->facts.model;
+        input.run_ms =
+            gateway->token_ms.value * exchange->facts.prompt.output_tokens;
         input.kv_tokens = service == NULL ? 0 : service->kv_tokens;
         input.size =
             HEAD_SIZE_GUESS + (exchange->caller == NULL
@@ -282,7 +284,8 @@
                                    : pgw_buffer_size(&exchange->caller->body));
     }
     if (named != NULL) {
-        input.version = pgw_named_weights_newest(named);
+        input.version = pgw_named_weights_least(
+            named, gateway->options.new_weights_us, input.now_us);
         input.least_version = pgw_named_weights_least(
             named, gateway->options.old_weights_us,
             input.now_us +
--- /dev/null
+++ b/src/gateway/estimate.h
@@ -0,0 +1,33 @@
+#ifndef PGW_GATEWAY_ESTIMATE_H
+#define PGW_GATEWAY_ESTIMATE_H
+
+#include <stdint.h>
+
+/**
+ * DOC: Quantities that are learnt from what is observed
+ *
+ * A moving mean that begins with a stated prior. One odd sample moves it
+ * little; a lasting change is followed within some ten samples. Silence
+ * changes nothing: the last regime is the best guess for the next one.
+ */
+
+/**
+ * struct pgw_estimate - one quantity
+ * @value: what is believed
+ * @samples: how many it rests on
+ * @at_us: when the last one came, 0: none has
+ */
+struct pgw_estimate {
+    double value;
+    uint64_t samples;
+    uint64_t at_us;
+};
+
+/** pgw_estimate_init() - nothing is known but a prior above 0 */
+void pgw_estimate_init(struct pgw_estimate *estimate, double prior);
+
+/** pgw_estimate_note() - it was observed; what is not above 0 says nothing */
+void pgw_estimate_note(struct pgw_estimate *estimate, double sample,
+                       uint64_t now_us);
+
+#endif
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_EXCHANGE_H
 #define PGW_GATEWAY_EXCHANGE_H
 
+#include "gateway/estimate.h"
 #include "gateway/gateway.h"
 #include "gateway/named_weights.h"
 #include "gateway/poison.h"
@@ -17,6 +18,8 @@
  * @pump_timer: looks at it when an upstream that refused is asked again
  * @start_timer: callers are let in without a configuration
  * @weights: model -> &struct pgw_named_weights
+ * @token_ms: time that a run takes for each token of the longest answer that
+ *   its caller allows, as observed
  * @pump_at_us: when @pump_timer is due, 0: it is not set
  * @on_expected: is told which shared parts are sent to an engine
  * @expected_context: handed to @on_expected
@@ -39,6 +42,7 @@
     struct pgw_timer pump_timer;
     struct pgw_timer start_timer;
     GHashTable *weights;
+    struct pgw_estimate token_ms;
     uint64_t pump_at_us;
     bool pump_posted;
     void (*on_expected)(const struct pgw_upstream *upstream,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,10 @@
  */
 #define START_PAUSE_US 100000
 
+/* Time for each token of an answer before any was seen: a step of a busy
+ * engine, in milliseconds. */
+#define TOKEN_MS_PRIOR 20
+
 static void
 on_request(struct pgw_caller *caller, void *context)
 {
@@ -84,6 +88,7 @@
     gateway->zone = g_strdup(options->zone);
     gateway->pool = pgw_call_pool_new(loop, &pool);
     gateway->upstreams = pgw_upstream_table_new(options->zone);
+    pgw_estimate_init(&gateway->token_ms, TOKEN_MS_PRIOR);
     gateway->budgets = pgw_budgets_new(&options->budgets);
     gateway->poison = pgw_poison_new(&options->poison);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,8 @@
  * @choose: thresholds of placement
  * @poison: thresholds for requests that crash upstreams
  * @old_weights_us: for how long older weights are used after newer were named
+ * @new_weights_us: answers with the weights of before count in full until so
+ *   long after newer were named
  * @wait_share: part of a request's time that it may wait for a place
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
@@ -51,6 +53,7 @@
     struct pgw_choose_options choose;
     struct pgw_poison_options poison;
     uint64_t old_weights_us;
+    uint64_t new_weights_us;
     double wait_share;
     double hedge_share;
     void (*on_answered_by)(const char *id, void *context);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -27,8 +27,11 @@
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
 
+/* Longest wait between a version's naming and the first loads: half of the
+ * 1.5 s in which answers with the weights of before count in full. */
+#define LEAD_MAX_US 750000
 /* While engines load, the window is looked at at least this often. */
-#define WINDOW_US 250000
+#define WINDOW_US 100000
 
 static struct pgw_metric_gauge window_size = {
     .name = "pgw_weights_window",
@@ -64,6 +67,8 @@
     uint32_t entries;
     uint64_t entries_at_us;
     struct pgw_load_pace pace;
+    uint64_t rollout_version;
+    uint64_t rollout_at_us;
     struct pgw_timer window_timer;
     unsigned window; /* of the last rollout, 0: none is under way */
     bool closing;
@@ -110,6 +115,16 @@
     pgw_link_send(guard->link, PGW_FRAME_LOAD_WEIGHTS, &message.base);
 }
 
+/* The weights that an engine runs when it hears of @wanted. One that is away
+ * for a load gets those of before: it serves with them until its next turn. */
+static uint64_t
+soon_running(const struct pgw_upstream *upstream, size_t model,
+             uint64_t wanted)
+{
+    return upstream->loads_since_us == 0 ? upstream->models[model].version
+                                         : wanted - 1;
+}
+
 /* By itself it begins late; it is told when its turn has come. */
 static void
 announce_to(struct guard_link *guard)
@@ -129,14 +144,14 @@
             continue;
         }
         left = pgw_gateway_weights_left(links->gateway, model,
-                                        upstream->models[i].version);
+                                        soon_running(upstream, i, version));
         tell_weights(
             guard, upstream, model, version,
             left == UINT64_MAX
                 ? 0
-                : pgw_load_window_latest(
-                      (double)place_of(upstream, version) / (double)UINT64_MAX,
-                      left, pgw_load_pace_expected(&links->pace)));
+                : pgw_load_window_latest((double)place_of(upstream, version) /
+                                             (double)UINT64_MAX,
+                                         left));
     }
 }
 
@@ -181,13 +196,51 @@
     };
 }
 
+/* Time from a version's naming to the first loads: as long as a load itself,
+ * as far as that is known. */
+static uint64_t
+lead_us(const struct pgw_guard_links *links)
+{
+    uint64_t load_us = pgw_load_pace_expected(&links->pace);
+
+    return load_us == 0 ? LEAD_MAX_US / 2 : MIN(load_us, LEAD_MAX_US);
+}
+
+/* A rollout begins when nothing loads; one that follows on another has engines
+ * that are about to load already. */
+static void
+note_rollout(struct pgw_guard_links *links, const struct rollout *rollout)
+{
+    bool under_way = false;
+
+    if (links->window == 0 ||
+        links->rollout_version == rollout->input.wanted) {
+        return;
+    }
+    for (size_t i = 0; i < rollout->count; i++) {
+        under_way |= rollout->engines[i].loading;
+    }
+    links->rollout_version = rollout->input.wanted;
+    links->rollout_at_us = under_way ? 0 : pgw_now_us();
+}
+
+/*
+ * A gain: engines that are about to load get no long runs, so that they are
+ * away for the load alone. The first ones are known only once the version is
+ * named; they wait a moment for their runs to end, while old weights are still
+ * as good as new ones.
+ */
 static void
-tell_window(const struct rollout *rollout)
+tell_window(const struct pgw_guard_links *links, const struct rollout *rollout)
 {
+    bool leads = pgw_now_us() < links->rollout_at_us + lead_us(links);
+
     for (size_t i = 0; i < rollout->count; i++) {
         struct guard_link *guard = rollout->engines[i].context;
 
-        if (rollout->engines[i].go &&
+        find_upstream(guard->links, guard->engine)->loads_next =
+            rollout->engines[i].next || rollout->engines[i].go;
+        if (rollout->engines[i].go && !leads &&
             guard->told_version != rollout->input.wanted) {
             guard->told_version = rollout->input.wanted;
             tell_weights(guard, find_upstream(guard->links, guard->engine),
@@ -224,9 +277,10 @@
     }
     links->window = pgw_load_window_open(rollout.engines, rollout.count,
                                          &rollout.input, &options);
+    note_rollout(links, &rollout);
     pgw_metric_gauge_set(&window_size, links->window);
     pgw_metric_gauge_set(&load_expected_ms, rollout.input.load_us / 1000);
-    tell_window(&rollout);
+    tell_window(links, &rollout);
     g_free(rollout.engines);
 }
 
--- a/src/gateway/guard_order.c
+++ b/src/gateway/guard_order.c
@@ -132,9 +132,10 @@
     pgw_log_info("order",
                  "engine=%s upstream=%s model=%s version=%" G_GUINT64_FORMAT
                  " token=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
-                 " queued=%u",
+                 " queued=%u running=%u kv_used=%" G_GUINT64_FORMAT,
                  guard->engine, order.instance, order.model, order.version,
-                 order.token, order.sequence, model->order.queued);
+                 order.token, order.sequence, model->order.queued,
+                 guard->report.load.running, guard->report.load.kv_used);
     pgw_weights_order_sent(&model->order, pgw_now_us());
     if (!pgw_call_start(&guard->order_call, guard->pool, &options)) {
         guard->ordering = NULL;
--- a/src/gateway/load_window.c
+++ b/src/gateway/load_window.c
@@ -4,8 +4,8 @@
 
 /* Where in the time that is left the first and the last engine begin that are
  * told nothing. */
-#define LATEST_FIRST 0.5
-#define LATEST_LAST 0.9
+#define LATEST_FIRST 0.85
+#define LATEST_LAST 1.0
 
 void
 pgw_load_pace_note(struct pgw_load_pace *pace, uint64_t us)
@@ -29,21 +29,12 @@
 }
 
 unsigned
-pgw_load_window_size(const struct pgw_load_window_input *input,
-                     const struct pgw_load_window_options *options,
-                     unsigned count, unsigned pending)
+pgw_load_window_size(const struct pgw_load_window_options *options,
+                     unsigned count)
 {
-    unsigned usual = MAX((unsigned)((double)count * options->share + 0.5), 1);
-    uint64_t rounds = 0;
-    unsigned needed = 0;
+    unsigned usual = (unsigned)((double)count * options->share + 0.5);
 
-    if (input->load_us > 0) {
-        /* The last round has to be over, not to begin, in time. */
-        rounds = MAX(input->left_us / input->load_us, 1);
-        needed = (unsigned)((pending + rounds - 1) / rounds);
-    }
-    return MIN(MAX(usual, MIN(needed, usual * options->widen_most)),
-               MAX(count, 1));
+    return MAX(usual, 1);
 }
 
 static int
@@ -65,6 +56,7 @@
 {
     unsigned pending = 0;
     unsigned loading = 0;
+    unsigned next = 0;
     unsigned size;
 
     for (size_t i = 0; i < count; i++) {
@@ -74,24 +66,29 @@
     if (pending == 0) {
         return 0;
     }
-    size = pgw_load_window_size(input, options, (unsigned)count, pending);
+    size = pgw_load_window_size(options, (unsigned)count);
     qsort(engines, count, sizeof(engines[0]), compare_engines);
     for (size_t i = 0; i < count; i++) {
         engines[i].go = false;
-        if (engines[i].version < input->wanted && !engines[i].loading &&
-            loading < size) {
+        engines[i].next = false;
+        if (engines[i].version >= input->wanted || engines[i].loading) {
+            continue;
+        }
+        if (loading < size) {
             engines[i].go = true;
             loading++;
         }
+        else if (next < size) {
+            engines[i].next = true;
+            next++;
+        }
     }
     return size;
 }
 
 uint64_t
-pgw_load_window_latest(double place, uint64_t left_us, uint64_t load_us)
+pgw_load_window_latest(double place, uint64_t left_us)
 {
-    double usable = left_us > load_us ? (double)(left_us - load_us) : 0;
-
-    return (uint64_t)(usable *
+    return (uint64_t)((double)left_us *
                       (LATEST_FIRST + (LATEST_LAST - LATEST_FIRST) * place));
 }
--- a/src/gateway/load_window.h
+++ b/src/gateway/load_window.h
@@ -50,6 +50,7 @@
  * @loading: it is away for a load, whichever version it loads
  * @context: the caller's
  * @go: out: it may begin
+ * @next: out: it is about to be told to
  */
 struct pgw_load_engine {
     uint64_t place;
@@ -57,23 +58,21 @@
     bool loading;
     void *context;
     bool go;
+    bool next;
 };
 
 /**
  * struct pgw_load_window_options - thresholds
  * @share: engines that load at once, as a part of the pool
- * @widen_most: and at most so many times that, when time is short. Where loads
- *   share a link more of them end no sooner, and the rest must serve
  */
 struct pgw_load_window_options {
     double share;
-    unsigned widen_most;
 };
 
 /* A fifth: weights come slower to each where more load at once. */
 #define PGW_LOAD_WINDOW_OPTIONS_INIT                                          \
     {                                                                         \
-        .share = 0.19, .widen_most = 2                                        \
+        .share = 0.19                                                         \
     }
 
 /**
@@ -90,16 +89,14 @@
 
 /**
  * pgw_load_window_size() - how many engines load at once
- * @input: of the rollout
  * @options: thresholds
  * @count: engines of the pool
- * @pending: those that have not loaded
  *
- * More than usual when the rest would not be done in time.
+ * Not more when time is short: engines that load share a link, so each takes
+ * longer then, which makes time shorter still, until nobody serves.
  */
-unsigned pgw_load_window_size(const struct pgw_load_window_input *input,
-                              const struct pgw_load_window_options *options,
-                              unsigned count, unsigned pending);
+unsigned pgw_load_window_size(const struct pgw_load_window_options *options,
+                              unsigned count);
 
 /**
  * pgw_load_window_open() - who may begin
@@ -119,17 +116,15 @@
 /**
  * pgw_load_window_latest() - when an engine begins that nobody tells to
  * @place: its place among the pool's, from 0 to 1
- * @left_us: as in &struct pgw_load_window_input
- * @load_us: as there
+ * @left_us: until it may not be used any more with the weights that it has
  *
  * Failure: entries are gone or cut off while a version is rolled out. Symptom:
  * engines that wait for their word run old weights beyond the deployment's
- * bound. Each begins by itself in the second half of the time that is left, so
- * that the last one has loaded before its end, and not all at once.
+ * bound. Each begins by itself when it is about to be of no use, which costs
+ * the callers nothing then.
  *
  * Return: microseconds from now.
  */
-uint64_t pgw_load_window_latest(double place, uint64_t left_us,
-                                uint64_t load_us);
+uint64_t pgw_load_window_latest(double place, uint64_t left_us);
 
 #endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -153,6 +153,21 @@
     pgw_buffer_append(&exchange->answer, data, size);
 }
 
+/* How long a whole run took behind its first event. */
+static void
+note_run(const struct pgw_exchange *exchange)
+{
+    uint64_t now = pgw_now_us();
+
+    if (exchange->is_stream && exchange->sends == 1 &&
+        exchange->facts.prompt.output_tokens > 0) {
+        pgw_estimate_note(&exchange->gateway->token_ms,
+                          (double)(now - exchange->first_event_us) / 1000.0 /
+                              exchange->facts.prompt.output_tokens,
+                          now);
+    }
+}
+
 static void
 deliver(struct pgw_exchange *exchange)
 {
@@ -175,6 +190,7 @@
                          pgw_buffer_size(&exchange->answer));
     }
     pgw_caller_end(caller);
+    note_run(exchange);
     pgw_exchange_finish(exchange, "answered");
 }
 
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -94,6 +94,7 @@
  *   counts as there until then, 0: is in the list
  * @loading: its sidecar says that it changes its weights, or is not alive
  * @loads_since_us: since when it is away for a load, 0: it is not
+ * @loads_next: it is among the next ones: what runs long there delays it
  * @guarded: its sidecar's word is fresh, so @models is
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
@@ -139,6 +140,7 @@
     size_t model_count;
     bool loading;
     uint64_t loads_since_us;
+    bool loads_next;
     uint64_t loading_until_us;
     bool guarded;
     uint32_t inflight;
