Keep short prompt parts in the store of kept memory, too

Cause: a part below 1,024 tokens that no engine is known to hold was read again, though the store has room for all shared parts in use. Change: what an engine lacks is fetched from the store, and saved there by the engine that reads it, from the same 32 tokens on as between engines.

--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -5,8 +5,7 @@
 
 /* Shared parts from this size on are fetched from wherever they may be, also
  * where the engine should hold them: an eviction that was not heard of costs
- * reading them again, a needless fetch a millisecond. The store keeps only
- * such parts. */
+ * reading them again, a needless fetch a millisecond. */
 #define FETCH_LONG_TOKENS 1024
 
 /*
@@ -108,6 +107,7 @@
         exchange->table, exchange->facts.prompt.parts[0].id);
     uint64_t version =
         pgw_upstream_version(choice->upstream, exchange->facts.model);
+    uint32_t fetch_min = exchange->gateway->options.choose.fetch_min_tokens;
 
     exchange->weights = version;
     exchange->fetched = NULL;
@@ -121,22 +121,20 @@
         g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
     }
     forward->cache_salt = salt;
-    if (version == 0 ||
-        (choice->missing_tokens <
-             exchange->gateway->options.choose.fetch_min_tokens &&
-         choice->shared_tokens < FETCH_LONG_TOKENS)) {
+    if (version == 0 || (choice->missing_tokens < fetch_min &&
+                         choice->shared_tokens < FETCH_LONG_TOKENS)) {
         return;
     }
     if (choice->holder != NULL) {
         exchange->fetched = "engine";
         forward->fetch_from = choice->holder->address_text;
     }
-    else if (store != NULL && choice->shared_tokens >= FETCH_LONG_TOKENS) {
+    else if (store != NULL) {
         exchange->fetched = "store";
         forward->fetch_from = store->store_address;
     }
     if (store != NULL && choice->holder == NULL &&
-        choice->missing_tokens >= FETCH_LONG_TOKENS) {
+        choice->missing_tokens >= fetch_min) {
         forward->save_to = store->store_address;
     }
 }
