Name the mechanisms and let each be switched off alone

Cause: what a mechanism is worth could only be measured by changing code, and an operator could not take one out that does harm. Change: a policy file ({"off": [...]}) that the platform's two programs take, checked, with errors that list the names; log lines and a metric say what is off. Where missing parts come from is a pure decision of its own (source.c).

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -8,6 +8,33 @@
  * at all. */
 #define REFUSALS_IN_A_ROW 3
 
+void
+pgw_choose_options_apply(struct pgw_choose_options *options,
+                         const struct pgw_policy *policy)
+{
+    const struct {
+        enum pgw_mechanism mechanism;
+        double *weight;
+    } weights[] = {
+        {PGW_LOAD_NEXT, &options->delay_tokens},
+        {PGW_WEIGHTS_PRICE, &options->old_tokens},
+        {PGW_PROMPT_RANK, &options->rank_share},
+        {PGW_PROMPT_RANK, &options->rank_tokens},
+        {PGW_LONG_PREFILLS, &options->long_prefill_tokens},
+        {PGW_CROWD_HARM, &options->harm_share},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(weights); i++) {
+        if (!pgw_policy_is_on(policy, weights[i].mechanism)) {
+            *weights[i].weight = 0;
+        }
+    }
+    options->rests = pgw_policy_is_on(policy, PGW_REFUSAL_REST);
+    if (!pgw_policy_is_on(policy, PGW_ENGINE_FETCH)) {
+        options->fetch_min_tokens = UINT32_MAX;
+    }
+}
+
 static bool
 was_tried(const struct pgw_choose_input *input,
           const struct pgw_upstream *upstream)
@@ -297,11 +324,13 @@
  */
 static bool
 rests(struct pgw_choice *out, const struct pgw_upstream *upstream,
-      const struct pgw_choose_input *input)
+      const struct pgw_choose_input *input,
+      const struct pgw_choose_options *options)
 {
     /* A plain service that is full has a place again within milliseconds, and
      * an engine that refuses once may have meant a long prompt. */
-    if (input->prompt == NULL || upstream->refusals < REFUSALS_IN_A_ROW ||
+    if (!options->rests || input->prompt == NULL ||
+        upstream->refusals < REFUSALS_IN_A_ROW ||
         input->now_us >= upstream->full_until_us) {
         return false;
     }
@@ -333,7 +362,7 @@
             continue;
         }
         out->busy = true;
-        if (rests(out, upstream, input)) {
+        if (rests(out, upstream, input, options)) {
             continue;
         }
         if (!unhealthy && is_unhealthy(upstream, options, input->now_us)) {
@@ -382,8 +411,10 @@
     }
     out->missing_tokens = missing_tokens(out->upstream, input, true);
     out->shared_tokens = shared_tokens(input->prompt);
-    out->holder =
-        find_holder(out->upstream, out->shared_tokens, input, &survey);
+    if (options->fetch_min_tokens < UINT32_MAX) {
+        out->holder =
+            find_holder(out->upstream, out->shared_tokens, input, &survey);
+    }
     if (out->holder != NULL) {
         out->holder_missing = missing_tokens(out->holder, input, false);
     }
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_CHOOSE_H
 #define PGW_GATEWAY_CHOOSE_H
 
+#include "gateway/policy.h"
 #include "gateway/upstream_table.h"
 
 /**
@@ -98,6 +99,7 @@
  * @delay_tokens: what each millisecond costs that a request will run at an
  *   engine which is among the next to load: until its runs have ended it
  *   serves nobody
+ * @rests: engines that refuse several times in a row rest
  * @bad_rate: failure rate above which an upstream counts as unhealthy
  */
 struct pgw_choose_options {
@@ -116,8 +118,9 @@
     double fetch_share;
     uint32_t fetch_min_tokens;
     double failing_tokens;
-    uint32_t old_tokens;
+    double old_tokens;
     double delay_tokens;
+    bool rests;
     double bad_rate;
 };
 
@@ -128,9 +131,14 @@
         .full_tokens = 2000, .long_prefill_tokens = 6000, .rank_share = 0.02, \
         .rank_tokens = 15, .reread_weight = 2.5, .fetch_tokens = 100,         \
         .fetch_share = 0.3, .fetch_min_tokens = 32, .failing_tokens = 4000,   \
-        .old_tokens = 8000, .delay_tokens = 20, .bad_rate = 0.35              \
+        .old_tokens = 8000, .delay_tokens = 20, .rests = true,                \
+        .bad_rate = 0.35                                                      \
     }
 
+/** pgw_choose_options_apply() - leave out what is switched off */
+void pgw_choose_options_apply(struct pgw_choose_options *options,
+                              const struct pgw_policy *policy);
+
 #define PGW_TRIED_MAX 8
 
 /**
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -285,7 +285,11 @@
     }
     if (named != NULL) {
         input.version = pgw_named_weights_least(
-            named, gateway->options.new_weights_us, input.now_us);
+            named,
+            pgw_policy_is_on(&gateway->options.policy, PGW_WEIGHTS_GRACE)
+                ? gateway->options.new_weights_us
+                : 0,
+            input.now_us);
         input.least_version = pgw_named_weights_least(
             named, gateway->options.old_weights_us,
             input.now_us +
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -3,6 +3,7 @@
 
 #include "gateway/call.h"
 #include "gateway/held_parts.h"
+#include "gateway/policy.h"
 #include "gateway/upstream_table.h"
 #include "gateway/weights_order.h"
 
@@ -83,6 +84,7 @@
  * @listen: where entries connect; without an address (size 0) none do, and
  *   cache events are not followed, as nobody would hear of them
  * @codec: how the engine is spoken to
+ * @policy: mechanisms that are switched off
  * @get_token: ask for a new fencing token above all before; the answer comes
  *   through pgw_engine_guard_take_token()
  * @report_lag_us: how old the engine's reports may be, 0 on its own machine
@@ -95,6 +97,7 @@
     struct pgw_address engine;
     struct pgw_address listen;
     const struct pgw_engine_codec *codec;
+    struct pgw_policy policy;
     void (*get_token)(void *context);
     uint64_t report_lag_us;
     bool (*may_order)(void *context);
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -1,13 +1,9 @@
 #include "gateway/exchange.h"
 #include "gateway/silence.h"
+#include "gateway/source.h"
 #include "util/metric.h"
 #include <string.h>
 
-/* Shared parts from this size on are fetched from wherever they may be, also
- * where the engine should hold them: an eviction that was not heard of costs
- * reading them again, a needless fetch a millisecond. */
-#define FETCH_LONG_TOKENS 1024
-
 /*
  * Engines are told the route's priority alone, in steps of two. With the
  * workspace's before it, long prompts of one workspace went before short ones
@@ -82,7 +78,7 @@
     char salt[PGW_CACHE_SALT_SIZE];
 
     pgw_cache_salt(salt, version, prompt->isolated_to);
-    for (size_t i = 0; version > 0 && i + 1 < prompt->part_count; i++) {
+    for (size_t i = 0; i + 1 < prompt->part_count; i++) {
         uint32_t tokens = prompt->parts[i].tokens;
         uint64_t key =
             pgw_part_key(exchange->facts.model, salt, prompt->parts[i].id);
@@ -93,58 +89,74 @@
         }
         pgw_prefix_memory_note(&upstream->expected, key, now);
     }
-    if (count > 0 && gateway->on_expected != NULL) {
+    if (count > 0 && gateway->on_expected != NULL &&
+        pgw_policy_is_on(&gateway->options.policy, PGW_EXPECTED_PARTS)) {
         gateway->on_expected(upstream, unknown, count,
                              gateway->expected_context);
     }
 }
 
+/* The store that keeps the prompt's parts; NULL: there is none. */
+static const struct pgw_service *
+store_of(const struct pgw_exchange *exchange)
+{
+    return pgw_policy_is_on(&exchange->gateway->options.policy, PGW_STORE)
+               ? pgw_route_table_kv_store(exchange->table,
+                                          exchange->facts.prompt.parts[0].id)
+               : NULL;
+}
+
+static void
+fill_source(struct pgw_forward *forward, struct pgw_exchange *exchange,
+            const struct pgw_choice *choice)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_service *store = store_of(exchange);
+    struct pgw_source_options options = PGW_SOURCE_OPTIONS_INIT;
+    struct pgw_source_input input = {
+        .shared = choice->shared_tokens,
+        .missing = choice->missing_tokens,
+        .has_holder = choice->holder != NULL,
+        .holder_missing = choice->holder_missing,
+        .has_store = store != NULL,
+    };
+    struct pgw_source source;
+
+    options.rest_from_store =
+        pgw_policy_is_on(&gateway->options.policy, PGW_STORE_REST);
+    source = pgw_source_decide(&input, &options);
+    if (source.from == PGW_SOURCE_ENGINE) {
+        exchange->fetched = "engine";
+        forward->fetch_from = choice->holder->address_text;
+    }
+    else if (source.from == PGW_SOURCE_STORE) {
+        exchange->fetched = "store";
+        forward->fetch_from = store->store_address;
+    }
+    if (source.save) {
+        forward->save_to = store->store_address;
+    }
+}
+
 static void
 fill_engine(struct pgw_forward *forward, struct pgw_exchange *exchange,
             const struct pgw_choice *choice, char salt[PGW_CACHE_SALT_SIZE])
 {
-    const struct pgw_service *store = pgw_route_table_kv_store(
-        exchange->table, exchange->facts.prompt.parts[0].id);
     uint64_t version =
         pgw_upstream_version(choice->upstream, exchange->facts.model);
-    uint32_t fetch_min = exchange->gateway->options.choose.fetch_min_tokens;
 
     exchange->weights = version;
     exchange->fetched = NULL;
     forward->weights = version;
-    note_parts(exchange, choice->upstream, version);
-    if (version > 0) {
-        pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
-    }
-    else {
+    forward->cache_salt = salt;
+    if (version == 0) {
         /* Not known under which weights it will run: share nothing. */
         g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
-    }
-    forward->cache_salt = salt;
-    if (version == 0 || (choice->missing_tokens < fetch_min &&
-                         choice->shared_tokens < FETCH_LONG_TOKENS)) {
         return;
     }
-    /*
-     * A gain: an engine that holds the first of several parts, which many
-     * prompts share, is no source for the rest, and a request has one source.
-     * On one day 2.6 of 6.8 million tokens that engines lacked were asked for
-     * where they were not, and read again.
-     */
-    if (choice->holder != NULL &&
-        (store == NULL || choice->holder_missing < fetch_min)) {
-        exchange->fetched = "engine";
-        forward->fetch_from = choice->holder->address_text;
-    }
-    else if (store != NULL) {
-        exchange->fetched = "store";
-        forward->fetch_from = store->store_address;
-    }
-    if (store != NULL &&
-        (choice->holder == NULL || choice->holder_missing >= fetch_min) &&
-        choice->missing_tokens >= fetch_min) {
-        forward->save_to = store->store_address;
-    }
+    pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
+    note_parts(exchange, choice->upstream, version);
+    fill_source(forward, exchange, choice);
 }
 
 static void
@@ -171,8 +183,11 @@
     }
     if (exchange->facts.model != NULL) {
         out->priority =
-            (int)MIN(exchange->route->priority * ROUTE_PRIORITY_STEP,
-                     PGW_PRIORITIES - 1);
+            pgw_policy_is_on(&exchange->gateway->options.policy,
+                             PGW_ROUTE_PRIORITY)
+                ? (int)MIN(exchange->route->priority * ROUTE_PRIORITY_STEP,
+                           PGW_PRIORITIES - 1)
+                : 0;
         fill_engine(out, exchange, choice, salt);
     }
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -71,6 +71,7 @@
 
     gateway->loop = loop;
     gateway->options = *options;
+    pgw_choose_options_apply(&gateway->options.choose, &options->policy);
     pgw_list_init(&gateway->exchanges);
     pgw_waiting_init(&gateway->waiting);
     gateway->server = pgw_caller_server_new(loop, &options->listen,
@@ -136,6 +137,12 @@
     return gateway->zone;
 }
 
+const struct pgw_policy *
+pgw_gateway_policy(const struct pgw_gateway *gateway)
+{
+    return &gateway->options.policy;
+}
+
 uint16_t
 pgw_gateway_port(const struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/codec.h"
 #include "gateway/event_stream.h"
 #include "gateway/poison.h"
+#include "gateway/policy.h"
 #include "gateway/route_table.h"
 #include "gateway/upstream_table.h"
 #include "gateway/waiting.h"
@@ -31,6 +32,7 @@
  * @zone: its availability zone
  * @listen: where callers connect
  * @codec: how the deployment spells requests
+ * @policy: mechanisms that are switched off
  * @budgets: bounds of repeats
  * @choose: thresholds of placement
  * @poison: thresholds for requests that crash upstreams
@@ -49,6 +51,7 @@
     const char *zone;
     struct pgw_address listen;
     const struct pgw_codec *codec;
+    struct pgw_policy policy;
     struct pgw_budgets_options budgets;
     struct pgw_choose_options choose;
     struct pgw_poison_options poison;
@@ -75,6 +78,9 @@
 /** pgw_gateway_zone() - its availability zone */
 const char *pgw_gateway_zone(const struct pgw_gateway *gateway);
 
+/** pgw_gateway_policy() - mechanisms that are switched off */
+const struct pgw_policy *pgw_gateway_policy(const struct pgw_gateway *gateway);
+
 /** pgw_gateway_port() - where it listens */
 uint16_t pgw_gateway_port(const struct pgw_gateway *gateway);
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -203,6 +203,10 @@
 {
     uint64_t load_us = pgw_load_pace_expected(&links->pace);
 
+    if (!pgw_policy_is_on(pgw_gateway_policy(links->gateway), PGW_LOAD_LEAD)) {
+        return 0;
+    }
+
     return load_us == 0 ? LEAD_MAX_US / 2 : MIN(load_us, LEAD_MAX_US);
 }
 
@@ -252,8 +256,7 @@
 static void
 open_window(struct pgw_guard_links *links, const char *model, uint64_t wanted)
 {
-    const struct pgw_load_window_options options =
-        PGW_LOAD_WINDOW_OPTIONS_INIT;
+    struct pgw_load_window_options options = PGW_LOAD_WINDOW_OPTIONS_INIT;
     unsigned most = g_hash_table_size(links->by_engine);
     struct rollout rollout = {
         .model = model,
@@ -265,6 +268,10 @@
     GHashTableIter iter;
     void *value;
 
+    if (!pgw_policy_is_on(pgw_gateway_policy(links->gateway),
+                          PGW_LOAD_WINDOW)) {
+        options.share = 1.0;
+    }
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct guard_link *guard = value;
--- a/src/gateway/guard_tell.c
+++ b/src/gateway/guard_tell.c
@@ -202,7 +202,10 @@
     tell_group(guard, false, SIZE_MAX);
     if (far) {
         guard->told_far_us = guard->told_us;
-        tell_group(guard, true, far_parts_most(guard));
+        tell_group(guard, true,
+                   pgw_policy_is_on(&guard->options.policy, PGW_FAR_PARTS)
+                       ? far_parts_most(guard)
+                       : 0);
     }
 }
 
--- /dev/null
+++ b/src/gateway/policy.c
@@ -0,0 +1,108 @@
+#include "gateway/policy.h"
+#include "parsleygw/errors.h"
+#include "util/json_reader.h"
+#include "util/log.h"
+#include "util/metric.h"
+#include <string.h>
+
+static struct pgw_metric_gauge mechanisms_off = {
+    .name = "pgw_mechanisms_off",
+    .help = "Mechanisms that are switched off",
+};
+
+static const char *const names[PGW_MECHANISMS] = {
+    [PGW_LOAD_WINDOW] = "load_window",
+    [PGW_LOAD_LEAD] = "load_lead",
+    [PGW_LOAD_NEXT] = "load_next",
+    [PGW_LOAD_DRAIN] = "load_drain",
+    [PGW_WEIGHTS_GRACE] = "weights_grace",
+    [PGW_WEIGHTS_PRICE] = "weights_price",
+    [PGW_FAR_PARTS] = "far_parts",
+    [PGW_EXPECTED_PARTS] = "expected_parts",
+    [PGW_ENGINE_FETCH] = "engine_fetch",
+    [PGW_STORE] = "store",
+    [PGW_STORE_REST] = "store_rest",
+    [PGW_PROMPT_RANK] = "prompt_rank",
+    [PGW_LONG_PREFILLS] = "long_prefills",
+    [PGW_CROWD_HARM] = "crowd_harm",
+    [PGW_REFUSAL_REST] = "refusal_rest",
+    [PGW_ROUTE_PRIORITY] = "route_priority",
+};
+
+struct file {
+    char **off;
+};
+
+static const struct pgw_json_field fields[] = {
+    {
+        .key = "off",
+        .offset = offsetof(struct file, off),
+        .type = PGW_JSON_STRING_LIST,
+    },
+};
+
+const char *
+pgw_mechanism_name(enum pgw_mechanism mechanism)
+{
+    return names[mechanism];
+}
+
+static bool
+switch_off(struct pgw_policy *policy, const char *name, const char *path,
+           GError **error)
+{
+    GString *known = g_string_new(NULL);
+
+    for (size_t i = 0; i < PGW_MECHANISMS; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            policy->off[i] = true;
+            g_string_free(known, TRUE);
+            return true;
+        }
+        g_string_append_printf(known, "%s%s", i == 0 ? "" : ", ", names[i]);
+    }
+    g_set_error(error, PGW_ERROR, PGW_ERROR_INVALID,
+                "%s: off: no mechanism is called \"%s\"; write one of %s",
+                path, name, known->str);
+    g_string_free(known, TRUE);
+    return false;
+}
+
+bool
+pgw_policy_load(struct pgw_policy *out, const char *path, GError **error)
+{
+    struct file file = {0};
+    JsonNode *root = NULL;
+    bool good = true;
+
+    *out = (struct pgw_policy){0};
+    if (!pgw_json_load(&root, path, error)) {
+        return false;
+    }
+    if (!pgw_json_read(&file, fields, G_N_ELEMENTS(fields), root, path,
+                       error)) {
+        json_node_unref(root);
+        return false;
+    }
+    for (size_t i = 0; good && file.off != NULL && file.off[i] != NULL; i++) {
+        good = switch_off(out, file.off[i], path, error);
+    }
+    pgw_json_dispose(&file, fields, G_N_ELEMENTS(fields));
+    json_node_unref(root);
+    return good;
+}
+
+void
+pgw_policy_log(const struct pgw_policy *policy)
+{
+    unsigned count = 0;
+
+    for (size_t i = 0; i < PGW_MECHANISMS; i++) {
+        if (policy->off[i]) {
+            pgw_log_warning("mechanism_off", "name=%s", names[i]);
+            count++;
+        }
+    }
+    pgw_metric_register_gauge(&mechanisms_off);
+    pgw_metric_gauge_set(&mechanisms_off, count);
+}
