--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Draws a day of trouble from all kinds that the platform's tool lists.
 
-draw.py SEED passports|labels COUNT [grown] prints a day with COUNT troubles; some
+draw.py SEED COUNT [grown] prints a day with COUNT troubles for any deployment; some
 come twice. The same seed gives the same day. "grown" adds the kinds that only the
 larger deployments know.
 """
@@ -9,10 +9,9 @@
 import random
 import sys
 
-SERVICES = {
-    "passports": ("leidsogn", "stimpill", "minni"),
-    "labels": ("rule-llm", "label-app", "prompt-cache"),
-}
+# A deployment's engines, plain service and store of kept memory: the tool puts in
+# its names, by the order in which its file lists them.
+SERVICES = ("@s0", "@s2", "@s1")
 # A trouble comes a second time so often.
 TWICE_SHARE = 0.15
 # Seconds of the day in which troubles begin.
@@ -151,11 +150,11 @@
 
 
 def main():
-    seed, site, count = int(sys.argv[1]), sys.argv[2], int(sys.argv[3])
+    seed, count = int(sys.argv[1]), int(sys.argv[2])
     rng = random.Random(seed)
-    known = kinds(SERVICES[site])
-    if sys.argv[4:] == ["grown"]:
-        known += grown_kinds(SERVICES[site])
+    known = kinds(SERVICES)
+    if sys.argv[3:] == ["grown"]:
+        known += grown_kinds(SERVICES)
     troubles = list(draw_troubles(rng, known, count))
     closing = rng.choice(["", "kill_all", "power_off_all"])
     print(f'name = "own-{seed}"\nslot = "trouble"\nseed = {seed}')
--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -56,7 +56,7 @@
 
 def play_own(options, site):
     """Days of our own, several at a time."""
-    words = ["passports" if "vordu" in site.name else "labels", str(TROUBLES)]
+    words = [str(TROUBLES)]
     if "grown" in site.name:
         words.append("grown")
     seeds = range(options.seed, options.seed + options.own)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -341,24 +341,28 @@
         self.ip = soak.ip(role, index)
         self.zone = "ab"[index % 2]
         self.starts, self.version, self.sequence = 0, 1, 0
+        self.life, self.born = 0, 0
         self.token, self.busy, self.state = 0, False, "ready"
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
     @property
     def id(self):
-        return f"i-{self.ip}-{self.starts}"
+        return f"i-{self.ip}-{self.life}"
 
     async def list(self):
         await self.store.put("servers", self.id, {
             "service": "guide" if self.engine else "plain",
             "address": f"{self.ip}:{PROXY_PORT}", "zone": self.zone,
             "capacity": 8, "state": self.state, "cold_left_ms": 0,
+            "born": self.born,
             "models": [{"name": MODEL, "version": self.version}]
             if self.engine else []})
 
-    async def start(self):
+    async def start(self, same_id=False):
         self.starts += 1
+        self.life += not same_id
+        self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
         self.state = "ready"
         await self.server.open(self.ip, APP_PORT)
@@ -375,6 +379,16 @@
         await asyncio.sleep(self.soak.random.random() * 2)
         await self.store.delete("servers", old)
 
+    async def restart(self):
+        """Crashes and starts again under its id, with its old weights; only
+        the time of its start tells."""
+        if self.server.server is None:
+            return
+        self.server.close()
+        self.proxy.reset()
+        await asyncio.sleep(self.soak.random.random() * 0.3)
+        await self.start(same_id=True)
+
     async def leave(self):
         """Says that it leaves; what arrives two seconds later is too late."""
         old, self.state = self.id, "draining"
@@ -389,11 +403,12 @@
         if target == "/api/report":
             writer.write(answer(200, {
                 "models": [{"name": MODEL, "version": self.version}],
-                "busy": self.busy, "sequence": self.sequence, "queued": 0,
+                "born": self.born, "busy": self.busy, "sequence": self.sequence, "queued": 0,
                 "active": 0, "kv_used": 0, "kv_total": 90000}))
         elif target.startswith("/api/kv-events"):
             await asyncio.sleep(0.8)
             writer.write(answer(200, {"boot_epoch": self.starts, "next": 0,
+                                      "born": self.born,
                                       "lost_count": False, "events": []}))
         elif target == "/api/order":
             writer.write(answer(self.take_order(json.loads(body), fields)))
@@ -697,6 +712,25 @@
         await asyncio.sleep(0.15)
 
 
+async def foreign(soak, fleet, upstream, for_s):
+    """Somebody else writes lines into the list, with the address of one that
+    lives; they name no upstream, and that one is served on."""
+    good = {"service": "plain", "zone": "a", "capacity": 8, "state": "ready",
+            "address": f"{upstream.ip}:{PROXY_PORT}"}
+    deep = []
+    for _ in range(200):
+        deep = [deep]
+    lines = [{**good, "state": "warming"}, {**good, "service": "nobody's"},
+             {**good, "capacity": "8"}, {**good, "address": 7}, 7, None, "x",
+             deep, {**good, "born": "now"}, {"service": "plain"}]
+    names = [f"foreign-{soak.random.randrange(4)}" for _ in range(3)]
+    for name in names:
+        await fleet.store.put("servers", name, soak.random.choice(lines))
+    await asyncio.sleep(for_s)
+    for name in names:
+        await fleet.store.delete("servers", name)
+
+
 async def fault(soak, fleet):
     """One fault, from its beginning to its end."""
     pick = soak.random
@@ -705,7 +739,9 @@
     for_s = 0.2 + pick.random() * 2.5
     kind = pick.choice(["kill", "term", "pause", "sidecar", "herd", "store",
                         "proxy", "reset", "crash", "leave", "keys",
-                        "weights", "links", "hup", "poison"])
+                        "weights", "links", "hup", "poison"]
+                       + (["restart", "foreign"] if soak.options.more
+                          else []))
     print(f"{time.monotonic():.2f} {kind} {entry.index} {upstream.ip} "
           f"{for_s:.1f}s", flush=True)
     if kind in ("kill", "term", "sidecar"):
@@ -742,6 +778,10 @@
         await upstream.crash()
     elif kind == "leave":
         await upstream.leave()
+    elif kind == "restart":
+        await upstream.restart()
+    elif kind == "foreign":
+        await foreign(soak, fleet, upstream, for_s)
     elif kind == "keys":
         await fleet.change_keys()
     elif kind == "weights":
@@ -836,6 +876,9 @@
     parser.add_argument("--bin", default="build")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--more", action="store_true",
+                        help="also restarts under one id and foreign lines; "
+                        "seeds below 1000 are kept without")
     options = parser.parse_args()
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
