--- a/tests/unit/test_event_docs.c
+++ b/tests/unit/test_event_docs.c
@@ -83,11 +83,16 @@
 static char *
 row_of(const char *page, const char *event)
 {
-    char *start = g_strdup_printf("\n| `%s` |", event);
-    const char *row = strstr(page, start);
-    char *out =
-        row == NULL ? NULL : g_strndup(row + 1, strcspn(row + 1, "\n"));
+    char *start = g_strdup_printf("| `%s` |", event);
+    char **lines = g_strsplit(page, "\n", -1);
+    char *out = NULL;
 
+    for (size_t i = 0; out == NULL && lines[i] != NULL; i++) {
+        if (g_str_has_prefix(lines[i], start)) {
+            out = g_strdup(lines[i]);
+        }
+    }
+    g_strfreev(lines);
     g_free(start);
     return out;
 }
