Say in explain what came before a request as before

Cause: explain wrote '-1669 ms after the request came' and 'after 1 runs'. Change: before or after, and the number of runs in words that fit.

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -145,11 +145,23 @@
                        inquiry->last_us + AFTER_US);
 }
 
-/* How much later than the request's first line, in milliseconds. */
-static int
-later_ms(const struct inquiry *inquiry, const struct pgw_log_line *line)
+/**
+ * struct moment - when something was seen, for a reader
+ * @text: "12 ms after" or "12 ms before"; the request came then
+ */
+struct moment {
+    char text[32];
+};
+
+static struct moment
+moment_of(const struct inquiry *inquiry, const struct pgw_log_line *line)
 {
-    return (int)((line->ts_us - inquiry->first_us) / 1000);
+    int64_t later_ms = (int64_t)(line->ts_us - inquiry->first_us) / 1000;
+    struct moment moment;
+
+    g_snprintf(moment.text, sizeof(moment.text), "%" G_GINT64_FORMAT " ms %s",
+               ABS(later_ms), later_ms < 0 ? "before" : "after");
+    return moment;
 }
 
 /* An upstream broke off or could not be reached: by its end, or not. */
@@ -163,9 +175,9 @@
     if (loss != NULL) {
         conclude(inquiry, PGW_CAUSE_UPSTREAM_LOST,
                  "upstream %s %s (%s): it was going down, as %s says (%s, "
-                 "%d ms after the request came)",
+                 "%s the request came)",
                  upstream, what, text_of(attempt, "outcome"), loss->instance,
-                 loss->event, later_ms(inquiry, loss));
+                 loss->event, moment_of(inquiry, loss).text);
         return;
     }
     conclude(inquiry, PGW_CAUSE_CONNECTION,
@@ -344,10 +356,10 @@
     }
     else if (order != NULL) {
         conclude(inquiry, PGW_CAUSE_WEIGHTS,
-                 "upstream %s was told to load version %s around then (%d ms "
-                 "after the request came)",
+                 "upstream %s was told to load version %s around then (%s the "
+                 "request came)",
                  upstream, text_of(order, "version"),
-                 later_ms(inquiry, order));
+                 moment_of(inquiry, order).text);
     }
     else if (pgw_log_line_number(end, "missing") >= LONG_TOKENS) {
         conclude(inquiry, PGW_CAUSE_LONG_PROMPT,
@@ -359,10 +371,10 @@
     }
     else if ((loss = find_loss(inquiry, upstream)) != NULL) {
         conclude(inquiry, PGW_CAUSE_UPSTREAM_LOST,
-                 "upstream %s was going down, as %s says (%s, %d ms after the "
-                 "request came)",
+                 "upstream %s was going down, as %s says (%s, %s the request "
+                 "came)",
                  upstream, loss->instance, loss->event,
-                 later_ms(inquiry, loss));
+                 moment_of(inquiry, loss).text);
     }
     else if (pgw_log_line_number(end, "load") >= CROWD) {
         conclude(inquiry, PGW_CAUSE_CROWDED,
@@ -391,9 +403,10 @@
     else if (pgw_log_line_number(end, "status") >= 400) {
         conclude(inquiry, PGW_CAUSE_UPSTREAM_FAILED,
                  "upstream %s answered with a failure of its own (%s), after "
-                 "%s runs in all",
+                 "%s run%s in all",
                  text_of(end, "upstream"), text_of(end, "status"),
-                 text_of(end, "runs"));
+                 text_of(end, "runs"),
+                 pgw_log_line_number(end, "runs") == 1 ? "" : "s");
     }
     else if (attempt != NULL && pgw_log_line_number(end, "first_ms") <=
                                     pgw_log_line_number(end, "objective_ms")) {
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -57,6 +57,17 @@
       "outcome=upstreams_refuse status=503 sends=1 upstream=u1 total_ms=8"},
      "weights",
      "version 4"},
+    {"load before a slow answer",
+     {"order engine=10.0.0.1:80 upstream=u1 model=m version=4 token=7",
+      END "outcome=answered status=200 objective_ms=10 sends=1 runs=1 "
+          "upstream=u1 first_ms=20 total_ms=30"},
+     "weights",
+     "ms before the request came"},
+    {"failure of its own",
+     {END "outcome=answered status=500 objective_ms=300 sends=1 runs=1 "
+          "upstream=u1 first_ms=90 total_ms=93"},
+     "upstream_failed",
+     "1 run in all"},
     {"other incarnation",
      {"attempt_end request=r upstream=u1 outcome=not_run status=421 ms=3", END
       "outcome=upstreams_refuse status=503 sends=1 upstream=u1 total_ms=8"},
