Let engines load by themselves only once they are of no use

Cause: engines that hear from nobody began in the last 15 % of their time, also while entries were telling others; where loads take 2.6 s ten of 18 then loaded at once, 7 to 11 s each. An engine that stands still held its place in the window for good. Change: own starts come when the weights may not be used any more; a load is waited for four times the usual time, five seconds at least.

--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -32,10 +32,11 @@
     return re.findall(r'\[PGW_[A-Z_]+\] = "([a-z_]+)"', NAMES.read_text())
 
 
-def make_copy(folder, name):
-    """A clone whose programs start with the mechanism switched off."""
+def make_copy(folder, commit, name):
+    """A clone of a commit whose programs start with the mechanism switched off."""
     copy = pathlib.Path(folder) / (name or "all-on")
     subprocess.run(["git", "clone", "-q", str(ROOT), str(copy)], check=True)
+    subprocess.run(["git", "checkout", "-q", commit], cwd=copy, check=True)
     (copy / "deploy" / "policy.json").write_text(
         json.dumps({"off": [name] if name else []}))
     system = copy / "deploy" / "system.toml"
@@ -71,7 +72,7 @@
 
 def play_mechanism(options, folder, name):
     """All sites with one mechanism off: site -> kind -> mean of the runs."""
-    copy = make_copy(folder, name)
+    copy = make_copy(folder, options.commit, name)
     result = {}
     for site in options.sites:
         runs = [play(options, copy, name, site) for _ in range(options.runs)]
@@ -106,6 +107,9 @@
                         help="mechanisms that are played at a time")
     parser.add_argument("--only", default="", help="names, joined by commas")
     options = parser.parse_args()
+    options.commit = subprocess.run(
+        ["git", "rev-parse", "HEAD"], cwd=ROOT, check=True,
+        capture_output=True, text=True).stdout.strip()
     options.sites = [site.resolve() for site in options.sites]
     names = options.only.split(",") if options.only else mechanisms()
     heads = [f"{site.stem} {kind}" for site in options.sites
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -30,6 +30,8 @@
 /* Longest wait between a version's naming and the first loads: half of the
  * 1.5 s in which answers with the weights of before count in full. */
 #define LEAD_MAX_US 750000
+/* An engine that loads is waited for at least so long. */
+#define UNDER_WAY_LEAST_US 5000000
 /* While engines load, the window is looked at at least this often. */
 #define WINDOW_US 100000
 
@@ -169,6 +171,23 @@
     struct pgw_load_window_input input;
 };
 
+/*
+ * Failure: an engine stands still in the middle of its load, or its sidecar
+ * gets no answer to the order. Symptom: it takes its place in the window for
+ * good, and with a few of them no other engine loads. After four times the
+ * usual time, and five seconds at least, it is no longer waited for.
+ */
+static bool
+is_under_way(const struct pgw_guard_links *links,
+             const struct pgw_upstream *upstream)
+{
+    uint64_t limit =
+        MAX(4 * pgw_load_pace_expected(&links->pace), UNDER_WAY_LEAST_US);
+
+    return upstream->loads_since_us > 0 &&
+           pgw_now_us() - upstream->loads_since_us < limit;
+}
+
 /* Whether its engine can load now, if it is told to. */
 static bool
 is_reached(const struct guard_link *guard, const struct pgw_upstream *upstream)
@@ -191,7 +210,7 @@
     rollout->engines[rollout->count++] = (struct pgw_load_engine){
         .place = place_of(upstream, rollout->input.wanted),
         .version = version,
-        .loading = upstream->loads_since_us > 0,
+        .loading = is_under_way(links, upstream),
         .context = guard,
     };
 }
--- a/src/gateway/load_window.c
+++ b/src/gateway/load_window.c
@@ -2,10 +2,10 @@
 #include <glib.h>
 #include <stdlib.h>
 
-/* Where in the time that is left the first and the last engine begin that are
- * told nothing. */
-#define LATEST_FIRST 0.85
-#define LATEST_LAST 1.0
+/* When the first and the last engine begin that are told nothing, as parts of
+ * the time that is left. */
+#define LATEST_FIRST 1.0
+#define LATEST_LAST 1.15
 
 void
 pgw_load_pace_note(struct pgw_load_pace *pace, uint64_t us)
