Count a sidecar as there once it is connected to

Cause: an entry that started before the sidecars was refused once and counted that from then on, also while it was connected. Where it had heard nothing of the engine it took the lease and gave orders beside the sidecar: the engine got the lower fencing token second. Change: a connection that is made ends the refusal.

--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -172,6 +172,12 @@
     struct guard_link *guard = context;
     Pgw__Hello hello = PGW__HELLO__INIT;
 
+    /*
+     * Failure: an entry that started before the sidecars was refused once, and
+     * counts from then. Symptom: it gives orders to an engine whose sidecar
+     * does so, too. Who is connected to is there.
+     */
+    note_refusal(guard, false);
     hello.protocol = PGW_PROTOCOL;
     hello.instance = (char *)pgw_gateway_instance(guard->links->gateway);
     hello.role = (char *)"entry";
--- a/tests/unit/test_unguarded.c
+++ b/tests/unit/test_unguarded.c
@@ -133,8 +133,10 @@
     pgw_upstream_table_put(pgw_gateway_upstreams(stage->gateway), &facts);
 }
 
+/* @port: where a sidecar would listen; @refused_us: for so long nobody has to
+ * listen there before an entry may act. */
 static void
-stage_open(bool other_holds)
+stage_open_at(bool other_holds, uint16_t port, uint64_t refused_us)
 {
     struct pgw_gateway_options gateway = {
         .instance = "entry-1",
@@ -149,6 +151,7 @@
         .codec = &platform_engine_codec,
         .lease = PGW_LEASE_OPTIONS_INIT,
         .store = &store,
+        .refused_us = refused_us,
     };
     struct pgw_address engine;
 
@@ -161,8 +164,7 @@
     g_assert_true(pgw_address_parse(&gateway.listen, "127.0.0.1:0", NULL));
     stage->loop = pgw_loop_new(NULL);
     stage->gateway = pgw_gateway_new(stage->loop, &gateway, NULL);
-    stage->links =
-        pgw_guard_links_new(stage->loop, stage->gateway, closed_port());
+    stage->links = pgw_guard_links_new(stage->loop, stage->gateway, port);
     put_engine(&engine, 1);
     pgw_gateway_name_weights(stage->gateway, "m", 2, 0);
     pgw_guard_links_refresh(stage->links);
@@ -172,6 +174,12 @@
     pthread_create(&stage->thread, NULL, scene_loop_main, stage->loop);
 }
 
+static void
+stage_open(bool other_holds)
+{
+    stage_open_at(other_holds, closed_port(), 0);
+}
+
 static void
 stage_close(void)
 {
@@ -242,6 +250,48 @@
     stage_close();
 }
 
+/* A socket that is bound, so that connections to its port are refused. */
+static int
+bind_only(uint16_t *port)
+{
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(in);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, sizeof(in)), ==, 0);
+    getsockname(fd, (struct sockaddr *)&in, &size);
+    *port = ntohs(in.sin_port);
+    return fd;
+}
+
+/*
+ * An entry starts before the sidecars and is refused once; then it is
+ * connected, and the sidecar has not said anything of its engine yet, which
+ * has old weights. The sidecar is there to give orders: two that do so would
+ * take turns, and the one with the lower fencing token would be refused.
+ */
+static void
+test_sidecar_that_starts_later(void)
+{
+    uint16_t port;
+    int sidecar = bind_only(&port);
+    int link;
+
+    stage_open_at(false, port, 1500000);
+    g_usleep(100000);
+    g_assert_cmpint(listen(sidecar, 8), ==, 0);
+    link = accept(sidecar, NULL, NULL);
+    g_assert_cmpint(link, >=, 0);
+    g_usleep(2500000);
+    pthread_mutex_lock(&stage->lock);
+    g_assert_cmpuint(stage->reads, ==, 0);
+    pthread_mutex_unlock(&stage->lock);
+    stage_close();
+    close(link);
+    close(sidecar);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -249,5 +299,6 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/unguarded/orders", test_entry_orders);
     g_test_add_func("/unguarded/no_lease", test_no_order_without_the_lease);
+    g_test_add_func("/unguarded/starts_later", test_sidecar_that_starts_later);
     return g_test_run();
 }
