--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -150,6 +150,7 @@
         upstream->guarded = false;
         upstream->loading = false;
         upstream->loads_since_us = 0;
+        upstream->loads_next = false;
         pgw_upstream_forget_parts(upstream);
     }
     if (links->closing) {
--- a/src/gateway/load_window.h
+++ b/src/gateway/load_window.h
@@ -37,9 +37,7 @@
  * pgw_load_pace_expected() - time that the next load takes
  *
  * Return: the least of the last ones; 0: none was seen. Others had long runs
- * to end first, or loaded beside too many. Their time must not widen the
- * window: more load at once then, which makes each slower still, until nobody
- * serves.
+ * to end first, or loaded beside too many.
  */
 uint64_t pgw_load_pace_expected(const struct pgw_load_pace *pace);
 
