Tell how late a caller's leaving is noticed, and what the cut call could do

Change: run_cancelled says how long the close may have gone unnoticed, the age of the call, when the upstream's machine was last heard, the connection and what it had not acknowledged. pgw_caller_gone_late_seconds has the same lateness as a histogram. The loop's bound is never below the true lateness (/loop/late).

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -3,8 +3,10 @@
 #include "util/metric.h"
 #include "util/socket.h"
 #include <errno.h>
+#include <linux/sockios.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -518,6 +520,21 @@
     }
 }
 
+void
+pgw_call_trace(struct pgw_call_trace *out, const struct pgw_call *call)
+{
+    int fd = call->connection->watch.fd;
+    struct pgw_address own = {.size = sizeof(own.storage)};
+
+    *out = (struct pgw_call_trace){.unacked = -1};
+    if (getsockname(fd, (struct sockaddr *)&own.storage, &own.size) == 0) {
+        out->port = pgw_address_port(&own);
+    }
+    if (ioctl(fd, SIOCOUTQ, &out->unacked) != 0) {
+        out->unacked = -1;
+    }
+}
+
 void
 pgw_call_pause(struct pgw_call *call, bool pause)
 {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -152,6 +152,20 @@
     return call->connection != NULL;
 }
 
+/**
+ * struct pgw_call_trace - what the socket of a running call tells, for logs
+ * @port: local port, 0: not known
+ * @unacked: bytes of the request that the peer's machine has not acknowledged,
+ *   -1: not known
+ */
+struct pgw_call_trace {
+    unsigned port;
+    int unacked;
+};
+
+/** pgw_call_trace() - read it; the call must be running */
+void pgw_call_trace(struct pgw_call_trace *out, const struct pgw_call *call);
+
 /** pgw_call_pause() - stop or go on reading the answer */
 void pgw_call_pause(struct pgw_call *call, bool pause);
 
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -34,6 +34,12 @@
     .help = "Connections of callers that are open",
 };
 
+static struct pgw_metric_histogram gone_late = {
+    .name = "pgw_caller_gone_late_seconds",
+    .help = "How long a caller that left before its answer was complete may "
+            "have gone unnoticed",
+};
+
 struct pgw_caller_server {
     struct pgw_loop_fd watch;
     struct pgw_loop *loop;
@@ -101,6 +107,8 @@
     caller->busy = false;
     caller_close(caller);
     if (busy) {
+        caller->gone_late_us = pgw_loop_late_us(caller->server->loop);
+        pgw_metric_histogram_record_us(&gone_late, caller->gone_late_us);
         caller->server->ops->on_gone(caller, caller->server->context);
     }
 }
@@ -564,6 +572,7 @@
 
     pgw_metric_register_counter(&accepted);
     pgw_metric_register_gauge(&open_callers);
+    pgw_metric_register_histogram(&gone_late);
     server->loop = loop;
     server->ops = ops;
     server->context = context;
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -24,6 +24,7 @@
  * @body: its whole body
  * @owner: the owner's data for the current request
  * @head_at_us: when the first byte of the request was read
+ * @gone_late_us: once it is gone: for how long that may have gone unnoticed
  */
 struct pgw_caller {
     struct pgw_caller_server *server;
@@ -31,6 +32,7 @@
     struct pgw_buffer body;
     void *owner;
     uint64_t head_at_us;
+    uint64_t gone_late_us;
     /* the rest belongs to caller.c */
     struct pgw_loop_fd watch;
     struct pgw_list in_server;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -473,9 +473,33 @@
     pgw_exchange_place(exchange);
 }
 
+/* Whether an upstream goes on for a caller that has left cannot be seen here;
+ * how late that was noticed and whether its upstream could hear of it can. */
+static void
+log_cancelled(const struct pgw_exchange *exchange, uint64_t late_us)
+{
+    const struct pgw_upstream *upstream = exchange->upstream;
+    uint64_t now = pgw_now_us();
+    struct pgw_call_trace trace;
+
+    pgw_call_trace(&trace, &exchange->call);
+    pgw_log_info(
+        "run_cancelled",
+        "request=%s upstream=%s late_ms=%" G_GUINT64_FORMAT
+        " sent_ms=%" G_GUINT64_FORMAT " heard_ms=%" G_GUINT64_FORMAT
+        " port=%u reused=%d unacked=%d events=%" G_GUINT64_FORMAT,
+        exchange->facts.id, upstream->id, late_us / 1000,
+        (now - exchange->sent_us) / 1000,
+        upstream->heard_at_us == 0 ? 0 : (now - upstream->heard_at_us) / 1000,
+        trace.port, exchange->call.reused, trace.unacked,
+        exchange->events.events);
+}
+
 void
 pgw_exchange_caller_gone(struct pgw_exchange *exchange)
 {
+    uint64_t late_us = exchange->caller->gone_late_us;
+
     exchange->caller = NULL;
     /*
      * A call that must not run twice is left to its upstream: cut off half
@@ -485,5 +509,8 @@
         !exchange->route->stream) {
         return;
     }
+    if (exchange->upstream != NULL && pgw_call_is_running(&exchange->call)) {
+        log_cancelled(exchange, late_us);
+    }
     pgw_exchange_finish(exchange, "caller_gone");
 }
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -78,6 +78,7 @@
     }
     note_entries(guard->links, state->entries, now);
     upstream->guarded = true;
+    upstream->heard_at_us = now;
     pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
                                upstream, state->started_ms);
     pgw_guard_rollout_take(guard->links, upstream, state, now);
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -215,6 +215,7 @@
     upstream->loads_since_us = 0;
     upstream->cold_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
+    upstream->heard_at_us = 0;
     upstream->load_at_us = 0;
     upstream->memory_at_us = 0;
     upstream->failures = 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -96,6 +96,7 @@
  * @loads_since_us: since when it is away for a load, 0: it is not
  * @loads_next: it is among the next ones: what runs long there delays it
  * @guarded: its sidecar's word is fresh, so @models is
+ * @heard_at_us: when a byte last came from it or its sidecar, 0: never
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
  * @prefill_tokens: prompt tokens of those without a first event
@@ -143,6 +144,7 @@
     bool loads_next;
     uint64_t loading_until_us;
     bool guarded;
+    uint64_t heard_at_us;
     uint32_t inflight;
     uint64_t inflight_tokens;
     uint64_t prefill_tokens;
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #define LOOP_EVENTS 128
+/* A wait that lasted so long began with nothing to serve. */
+#define SLEPT_US 1000
 
 static struct pgw_metric_histogram turn = {
     .name = "pgw_loop_turn_seconds",
@@ -24,6 +26,7 @@
     struct pgw_timer **heap;
     size_t heap_size;
     size_t heap_capacity;
+    uint64_t unheard_since_us;
     struct epoll_event ready[LOOP_EVENTS];
     int ready_count;
     int ready_index;
@@ -303,16 +306,34 @@
     }
 }
 
+uint64_t
+pgw_loop_late_us(const struct pgw_loop *loop)
+{
+    return pgw_now_us() - loop->unheard_since_us;
+}
+
 void
 pgw_loop_run(struct pgw_loop *loop)
 {
+    uint64_t began_us = pgw_now_us();
+    uint64_t ended_us = began_us;
+    int served = 0;
+
+    loop->unheard_since_us = began_us;
     pgw_metric_register_histogram(&turn);
     while (!atomic_load(&loop->stop)) {
-        uint64_t began_us;
+        uint64_t before_us = began_us;
+        bool all_heard = served < LOOP_EVENTS;
 
         loop->ready_count = epoll_wait(loop->epoll_fd, loop->ready,
                                        LOOP_EVENTS, loop_timeout_ms(loop));
         began_us = pgw_now_us();
+        if (began_us - ended_us >= SLEPT_US) {
+            loop->unheard_since_us = began_us;
+        }
+        else if (all_heard) {
+            loop->unheard_since_us = before_us;
+        }
         for (int i = 0; i < loop->ready_count; i++) {
             struct pgw_loop_fd *watch = loop->ready[i].data.ptr;
 
@@ -321,10 +342,12 @@
                 watch->on_ready(watch, loop->ready[i].events);
             }
         }
+        served = loop->ready_count;
         loop->ready_count = 0;
         loop->ready_index = 0;
         loop_run_timers(loop);
         pgw_loop_run_tasks(loop);
-        pgw_metric_histogram_record_us(&turn, pgw_now_us() - began_us);
+        ended_us = pgw_now_us();
+        pgw_metric_histogram_record_us(&turn, ended_us - began_us);
     }
 }
--- a/src/util/loop.h
+++ b/src/util/loop.h
@@ -59,6 +59,15 @@
 /** pgw_loop_stop() - make pgw_loop_run() return; any thread */
 void pgw_loop_stop(struct pgw_loop *loop);
 
+/**
+ * pgw_loop_late_us() - how late what is being served may be heard of
+ * @loop: a loop whose callback is running
+ *
+ * Return: the longest time, in microseconds, for which the descriptor that is
+ * being served may have been ready.
+ */
+uint64_t pgw_loop_late_us(const struct pgw_loop *loop);
+
 /** pgw_loop_run_tasks() - run what is queued; the loop must not be running */
 void pgw_loop_run_tasks(struct pgw_loop *loop);
 
--- a/tests/unit/test_loop.c
+++ b/tests/unit/test_loop.c
@@ -180,6 +180,59 @@
     pgw_loop_free(loop);
 }
 
+/* One callback holds the loop; what became ready meanwhile is told to be late
+ * by no less than it is. */
+struct late_case {
+    struct pgw_loop *loop;
+    struct pgw_timer timer;
+    struct pgw_loop_fd watch;
+    uint64_t ready_at_us;
+    uint64_t held_us;
+    bool seen;
+};
+
+static void
+late_timer_due(struct pgw_timer *timer)
+{
+    struct late_case *late = pgw_container_of(timer, struct late_case, timer);
+    uint64_t one = 1;
+
+    g_assert_cmpint(write(late->watch.fd, &one, sizeof(one)), ==, sizeof(one));
+    late->ready_at_us = pgw_now_us();
+    while (pgw_now_us() - late->ready_at_us < late->held_us) {
+    }
+}
+
+static void
+late_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct late_case *late = pgw_container_of(watch, struct late_case, watch);
+    uint64_t true_us = pgw_now_us() - late->ready_at_us;
+
+    (void)events;
+    g_assert_cmpuint(pgw_loop_late_us(late->loop), >=, true_us);
+    late->seen = true;
+    pgw_loop_stop(late->loop);
+}
+
+static void
+test_late(void)
+{
+    struct late_case late = {.held_us = 20000};
+
+    late.loop = pgw_loop_new(NULL);
+    late.watch.fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    late.watch.on_ready = late_ready;
+    late.timer.on_due = late_timer_due;
+    g_assert_true(pgw_loop_fd_add(late.loop, &late.watch, EPOLLIN, NULL));
+    pgw_timer_start(late.loop, &late.timer, 5000);
+    pgw_loop_run(late.loop);
+    g_assert_true(late.seen);
+    pgw_loop_fd_remove(late.loop, &late.watch);
+    close(late.watch.fd);
+    pgw_loop_free(late.loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -188,5 +241,6 @@
     g_test_add_func("/loop/tasks-of-threads", test_tasks_of_threads);
     g_test_add_func("/loop/removal-within-a-batch",
                     test_removal_within_a_batch);
+    g_test_add_func("/loop/late", test_late);
     return g_test_run();
 }
