Leave engines alone whose machine has fallen silent

Callers saw: requests that hang until they leave, and then a failure of which nobody can say whether it ran.

Cause: the word of a sidecar counts until its connection ends, four seconds later, and a suspended engine runs nothing that the entry knows of, so it looks idle.

Mend: an entry notes when a byte last came from an engine or its sidecar. After 1.25 s (2.5 s in another zone, whose sidecars speak more seldom) an engine is used only if no other can be and is no source of prompt parts; after 2.5 s it gets one request a second. It holds since both speak at least once a second while the machine runs, a busy engine far more often. Where a sidecar's connection was closed, reset or refused its machine answers, and silence says nothing.

/choose/silent fails with GATEWAY_SILENT switched off.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -43,6 +43,7 @@
     struct pgw_upstream *upstream = pgw_upstream_ref(choice->upstream);
     const struct pgw_prompt *prompt = &exchange->facts.prompt;
 
+    pgw_upstream_probe(upstream, pgw_now_us());
     exchange->upstream = upstream;
     exchange->missing_tokens = choice->missing_tokens;
     exchange->load_seen = pgw_upstream_load_estimate(upstream, pgw_now_us());
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -53,6 +53,7 @@
 {
     return now_us < upstream->avoid_until_us ||
            now_us < upstream->full_until_us ||
+           pgw_upstream_silence(upstream, now_us) != PGW_HEARD ||
            upstream->failure_rate > options->bad_rate;
 }
 
@@ -200,6 +201,7 @@
              (best == NULL || best->same_zone || !other->same_zone)) ||
             !pgw_upstream_is_usable(other, input->now_us) ||
             input->now_us < other->avoid_until_us ||
+            pgw_upstream_silence(other, input->now_us) != PGW_HEARD ||
             pgw_upstream_version(other, input->model) != version) {
             continue;
         }
@@ -316,6 +318,34 @@
                : engine_cost(upstream, position, input, options, survey);
 }
 
+static void
+ask_again_at(struct pgw_choice *out, uint64_t at_us)
+{
+    if (out->retry_at_us == 0 || at_us < out->retry_at_us) {
+        out->retry_at_us = at_us;
+    }
+}
+
+/*
+ * Failure: an engine's machine is suspended while all others load or are full.
+ * Symptom: it looks idle, so it is sent request after request, none of which
+ * can be taken back or told to be "not run"; their callers wait for nothing
+ * until they leave. Without a word of its sidecar or a byte of its own it gets
+ * one request at a time to find out; what waits for a place elsewhere can
+ * still be refused truthfully.
+ */
+static bool
+waits_for_word(struct pgw_choice *out, const struct pgw_upstream *upstream,
+               const struct pgw_choose_input *input)
+{
+    if (pgw_upstream_silence(upstream, input->now_us) != PGW_SILENT_LONG ||
+        input->now_us >= upstream->probe_at_us) {
+        return false;
+    }
+    ask_again_at(out, upstream->probe_at_us);
+    return true;
+}
+
 /*
  * Failure: an engine loads new weights while the word of its sidecar does not
  * get here, or more entries than it has places send to it. Symptom: it refuses
@@ -335,9 +365,7 @@
         input->now_us >= upstream->full_until_us) {
         return false;
     }
-    if (out->retry_at_us == 0 || upstream->full_until_us < out->retry_at_us) {
-        out->retry_at_us = upstream->full_until_us;
-    }
+    ask_again_at(out, upstream->full_until_us);
     return true;
 }
 
@@ -363,7 +391,8 @@
             continue;
         }
         out->busy = true;
-        if (rests(out, upstream, input, options)) {
+        if (waits_for_word(out, upstream, input) ||
+            rests(out, upstream, input, options)) {
             continue;
         }
         if (!unhealthy && is_unhealthy(upstream, options, input->now_us)) {
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -78,7 +78,7 @@
     }
     note_entries(guard->links, state->entries, now);
     upstream->guarded = true;
-    upstream->heard_at_us = now;
+    pgw_upstream_hear(upstream, now);
     pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
                                upstream, state->started_ms);
     pgw_guard_rollout_take(guard->links, upstream, state, now);
@@ -153,6 +153,10 @@
         upstream->loads_since_us = 0;
         upstream->loads_next = false;
         pgw_upstream_forget_parts(upstream);
+        /* Its machine answers, so that its silence would say nothing. */
+        if (pgw_link_was_ended(link)) {
+            upstream->heard_at_us = 0;
+        }
     }
     if (links->closing) {
         return;
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -21,6 +21,14 @@
 #define FULL_BASE_US 30000
 #define FULL_DOUBLINGS_MAX 3
 
+/* Sidecars speak once a second, to entries of other zones up to twice as
+ * seldom; a busy upstream is heard many times a second. */
+#define SILENT_NEAR_US 1250000
+#define SILENT_FAR_US 2500000
+#define SILENT_LONG_US 2500000
+/* Requests to a silent upstream are so far apart. */
+#define PROBE_US 1000000
+
 /* Tokens of one block of an engine's memory. */
 #define KV_BLOCK_TOKENS 16
 /* A part of a request that was sent there counts as held for this time; by
@@ -216,6 +224,7 @@
     upstream->cold_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
     upstream->heard_at_us = 0;
+    upstream->probe_at_us = 0;
     upstream->load_at_us = 0;
     upstream->memory_at_us = 0;
     upstream->failures = 0;
@@ -406,6 +415,48 @@
     upstream->loading_until_us = until_us;
 }
 
+void
+pgw_upstream_hear(struct pgw_upstream *upstream, uint64_t now_us)
+{
+    upstream->heard_at_us = now_us;
+    upstream->probe_at_us = 0;
+}
+
+void
+pgw_upstream_answers(struct pgw_upstream *upstream, uint64_t now_us)
+{
+    if (upstream->heard_at_us > 0) {
+        pgw_upstream_hear(upstream, now_us);
+    }
+}
+
+enum pgw_silence
+pgw_upstream_silence(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    uint64_t silent_us =
+        upstream->heard_at_us == 0 || now_us < upstream->heard_at_us
+            ? 0
+            : now_us - upstream->heard_at_us;
+
+#ifdef PGW_DISABLE_GATEWAY_SILENT
+    silent_us = 0;
+#endif
+    if (silent_us >= SILENT_LONG_US) {
+        return PGW_SILENT_LONG;
+    }
+    return silent_us >= (upstream->same_zone ? SILENT_NEAR_US : SILENT_FAR_US)
+               ? PGW_SILENT
+               : PGW_HEARD;
+}
+
+void
+pgw_upstream_probe(struct pgw_upstream *upstream, uint64_t now_us)
+{
+    if (pgw_upstream_silence(upstream, now_us) == PGW_SILENT_LONG) {
+        upstream->probe_at_us = now_us + PROBE_US;
+    }
+}
+
 void
 pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
                          uint64_t version)
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -96,7 +96,10 @@
  * @loads_since_us: since when it is away for a load, 0: it is not
  * @loads_next: it is among the next ones: what runs long there delays it
  * @guarded: its sidecar's word is fresh, so @models is
- * @heard_at_us: when a byte last came from it or its sidecar, 0: never
+ * @heard_at_us: when a byte last came from it or its sidecar, 0: no sidecar
+ *   speaks for it
+ * @probe_at_us: while it is silent, no request is sent there before
+ * @silent_told: its silence stands in the log
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
  * @prefill_tokens: prompt tokens of those without a first event
@@ -145,6 +148,8 @@
     uint64_t loading_until_us;
     bool guarded;
     uint64_t heard_at_us;
+    uint64_t probe_at_us;
+    bool silent_told;
     uint32_t inflight;
     uint64_t inflight_tokens;
     uint64_t prefill_tokens;
@@ -277,6 +282,33 @@
 void pgw_upstream_set_loading(struct pgw_upstream *upstream, bool loading,
                               uint64_t until_us);
 
+/**
+ * enum pgw_silence - for how long nothing came from an upstream's machine
+ * @PGW_HEARD: it was heard of lately, or no sidecar speaks for it
+ * @PGW_SILENT: it, or what leads there, seems to stand still: used only if
+ *   nothing else can be
+ * @PGW_SILENT_LONG: it does: it gets one request now and then, to find out
+ */
+enum pgw_silence {
+    PGW_HEARD,
+    PGW_SILENT,
+    PGW_SILENT_LONG,
+};
+
+/** pgw_upstream_hear() - its sidecar has spoken */
+void pgw_upstream_hear(struct pgw_upstream *upstream, uint64_t now_us);
+
+/** pgw_upstream_answers() - some byte of an answer came from itself */
+void pgw_upstream_answers(struct pgw_upstream *upstream, uint64_t now_us);
+
+/** pgw_upstream_silence() - how silent its machine is */
+enum pgw_silence pgw_upstream_silence(const struct pgw_upstream *upstream,
+                                      uint64_t now_us);
+
+/** pgw_upstream_probe() - a request is sent there: while it is silent, the
+ * next one has to wait */
+void pgw_upstream_probe(struct pgw_upstream *upstream, uint64_t now_us);
+
 /** pgw_upstream_set_version() - newest word on the weights of a model */
 void pgw_upstream_set_version(struct pgw_upstream *upstream, const char *model,
                               uint64_t version);
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -38,6 +38,7 @@
     GError *error;
     bool connecting;
     bool refused; /* nobody listens at the address */
+    bool ended;   /* by the peer's machine, which said so */
     bool closing;
     bool wants_write;
     bool deaf; /* the peer takes nothing more; what it sent is still read */
@@ -81,6 +82,8 @@
 static void
 link_break_errno(struct pgw_link *link, const char *what)
 {
+    link->ended |=
+        errno == ECONNRESET || errno == ECONNREFUSED || errno == EPIPE;
     link_break(link, g_error_new(PGW_ERROR, PGW_ERROR_UNAVAILABLE,
                                  "%s: %s: check that the peer runs and that "
                                  "its address is right",
@@ -179,6 +182,7 @@
         return;
     }
     if (got == 0) {
+        link->ended = true;
         link_break(link, g_error_new(PGW_ERROR, PGW_ERROR_UNAVAILABLE,
                                      "the peer closed the connection"));
         return;
@@ -333,6 +337,12 @@
     return link->refused;
 }
 
+bool
+pgw_link_was_ended(const struct pgw_link *link)
+{
+    return link->ended;
+}
+
 bool
 pgw_link_is_open(const struct pgw_link *link)
 {
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -62,6 +62,10 @@
  * there; to be asked while the link's end is told */
 bool pgw_link_was_refused(const struct pgw_link *link);
 
+/** pgw_link_was_ended() - the peer's machine closed, reset or refused it, so
+ * that machine answers; to be asked while the link's end is told */
+bool pgw_link_was_ended(const struct pgw_link *link);
+
 /** pgw_link_is_open() - connected and not closing */
 bool pgw_link_is_open(const struct pgw_link *link);
 
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -517,6 +517,65 @@
     pgw_upstream_table_free(pool.table);
 }
 
+/*
+ * An engine's machine is suspended: nothing comes from it or its sidecar. It
+ * runs nothing that this entry knows of, so it looks idle, and the other one
+ * is full. Requests must wait for a place, where they can still be refused
+ * truthfully, rather than be sent where nobody takes them; one a second may,
+ * since only an answer shows that the sidecar alone stands still.
+ */
+static void
+test_silent_upstream_is_left_alone(void)
+{
+    struct pool pool;
+    struct pgw_upstream *silent;
+    struct pgw_upstream *other;
+
+    pool_init(&pool);
+    silent = add(&pool, "silent", "a", 1);
+    other = add(&pool, "other", "a", 2);
+    ask_prompt(&pool, 100);
+    other->inflight = 4;
+    pgw_upstream_hear(silent, NOW - 1000000);
+    g_assert_true(choose(&pool).upstream == silent);
+    pgw_upstream_hear(silent, NOW - 1500000);
+    g_assert_true(choose(&pool).upstream == other);
+    other->inflight = other->slots;
+    g_assert_true(choose(&pool).upstream == silent);
+
+    pgw_upstream_hear(silent, NOW - 3000000);
+    g_assert_true(choose(&pool).upstream == silent);
+    pgw_upstream_probe(silent, NOW);
+    g_assert_null(choose(&pool).upstream);
+    g_assert_true(choose(&pool).busy);
+    g_assert_cmpuint(choose(&pool).retry_at_us, ==, NOW + 1000000);
+    pool.input.now_us = NOW + 1000000;
+    g_assert_true(choose(&pool).upstream == silent);
+
+    /* Its own answer counts like its sidecar's word. */
+    pgw_upstream_probe(silent, pool.input.now_us);
+    pgw_upstream_answers(silent, pool.input.now_us);
+    g_assert_true(choose(&pool).upstream == silent);
+    pgw_upstream_table_free(pool.table);
+}
+
+/* Nobody speaks for a plain upstream, or for an engine whose sidecar's machine
+ * has said that it does not run: that none does says nothing. */
+static void
+test_silence_without_sidecar(void)
+{
+    struct pool pool;
+    struct pgw_upstream *upstream;
+
+    pool_init(&pool);
+    upstream = add(&pool, "one", "a", 1);
+    pgw_upstream_answers(upstream, NOW - 60000000);
+    pgw_upstream_probe(upstream, NOW);
+    g_assert_cmpint(pgw_upstream_silence(upstream, NOW), ==, PGW_HEARD);
+    g_assert_true(choose(&pool).upstream == upstream);
+    pgw_upstream_table_free(pool.table);
+}
+
 static void
 test_switched_off(void)
 {
@@ -559,6 +618,8 @@
     g_test_add_func("/choose/old_weights_price",
                     test_old_weights_have_a_price);
     g_test_add_func("/choose/some_parts", test_holder_of_some_parts);
+    g_test_add_func("/choose/silent", test_silent_upstream_is_left_alone);
+    g_test_add_func("/choose/no_sidecar", test_silence_without_sidecar);
     g_test_add_func("/choose/switched_off", test_switched_off);
     return g_test_run();
 }
