Send streams on from an engine whose machine has fallen silent

Callers saw: a stream that stands still until they give up, 3.2 s later, and no answer.

Cause: a running stream waits for its next event without end, whatever is known of the machine that makes it.

Mend: four times a second the gateway looks for upstreams that were not heard of, says so (upstream_silent, pgw_gateway_silent_upstreams), and sends what may run again to another engine if one has room and the budget allows it. The connection is closed, so the first run ends as soon as the machine wakes. It holds for requests that may be resumed or repeated; one that must not run twice stays where it is.

/gateway/silent_engine fails without it: nothing goes on elsewhere within 20 s.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -300,6 +300,15 @@
     pgw_choose(out, &input, &gateway->options.choose);
 }
 
+bool
+pgw_exchange_has_place(const struct pgw_exchange *exchange)
+{
+    struct pgw_choice choice;
+
+    make_choice(&choice, exchange);
+    return choice.upstream != NULL;
+}
+
 /* Waiting longer than this cannot end in time: refused at once, the caller
  * has the rest of its time to come back. */
 static uint64_t
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -17,6 +17,7 @@
  * @pump: looks at what waits, once for all that has changed in a turn
  * @pump_timer: looks at it when an upstream that refused is asked again
  * @start_timer: callers are let in without a configuration
+ * @unheard_timer: looks for upstreams that have fallen silent
  * @weights: model -> &struct pgw_named_weights
  * @token_ms: time that a run takes for each token of the longest answer that
  *   its caller allows, as observed
@@ -43,6 +44,7 @@
     struct pgw_task pump;
     struct pgw_timer pump_timer;
     struct pgw_timer start_timer;
+    struct pgw_timer unheard_timer;
     GHashTable *weights;
     struct pgw_estimate token_ms;
     struct pgw_estimate read_rate;
@@ -144,6 +146,8 @@
 void pgw_exchange_caller_gone(struct pgw_exchange *exchange);
 /** pgw_exchange_place() - try to send it; it waits if there is no place */
 void pgw_exchange_place(struct pgw_exchange *exchange);
+/** pgw_exchange_has_place() - another upstream could take it now */
+bool pgw_exchange_has_place(const struct pgw_exchange *exchange);
 /**
  * pgw_exchange_rank() - how urgent it is: 0 goes first
  * @exchange: the request
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,4 +1,5 @@
 #include "gateway/exchange.h"
+#include "gateway/unheard.h"
 #include "util/log.h"
 
 /*
@@ -97,6 +98,7 @@
     gateway->budgets = pgw_budgets_new(&options->budgets);
     gateway->poison = pgw_poison_new(&options->poison);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
+    pgw_unheard_start(gateway);
     gateway->weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -111,6 +113,7 @@
     }
     pgw_timer_stop(gateway->loop, &gateway->pump_timer);
     pgw_timer_stop(gateway->loop, &gateway->start_timer);
+    pgw_unheard_stop(gateway);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_upstream_table_free(gateway->upstreams);
--- /dev/null
+++ b/src/gateway/unheard.c
@@ -0,0 +1,115 @@
+#include "gateway/unheard.h"
+#include "gateway/exchange.h"
+#include "util/log.h"
+#include "util/metric.h"
+
+#define LOOK_US 250000
+/* A request is not taken back from an upstream that it has just reached. */
+#define LEAST_AGE_US 1000000
+
+static struct pgw_metric_gauge silent_now = {
+    .name = "pgw_gateway_silent_upstreams",
+    .help = "Upstreams of which, and of whose sidecar, nothing is heard",
+};
+static struct pgw_metric_counter moved = {
+    .name = "pgw_gateway_moved_total",
+    .help = "Requests sent on since their upstream had fallen silent",
+};
+
+/* Says once that an upstream has fallen silent, and once that it has not. */
+static bool
+note_silence(struct pgw_upstream *upstream, uint64_t now_us)
+{
+    bool silent = pgw_upstream_silence(upstream, now_us) != PGW_HEARD;
+
+    if (silent != upstream->silent_told) {
+        upstream->silent_told = silent;
+        pgw_log_info("upstream_silent",
+                     "upstream=%s silent=%d heard_ms=%" G_GUINT64_FORMAT
+                     " inflight=%u",
+                     upstream->id, silent,
+                     silent ? (now_us - upstream->heard_at_us) / 1000 : 0,
+                     upstream->inflight);
+    }
+    return silent;
+}
+
+static bool
+is_stuck(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    return exchange->upstream != NULL && exchange->caller != NULL &&
+           exchange->upstream->silent_told &&
+           pgw_call_is_running(&exchange->call) &&
+           now_us - exchange->sent_us >= LEAST_AGE_US;
+}
+
+/*
+ * Failure: the machine of an engine is suspended in the middle of its streams.
+ * Symptom: their callers wait until they give up, seconds later, and the
+ * engine, which cannot hear of that, goes on for callers that have left. One
+ * that may be resumed goes on at another engine before its caller leaves; the
+ * connection is closed, so that the first engine ends as soon as it hears
+ * anything. Only where there is a place: here it may still go on.
+ */
+static void
+move(struct pgw_exchange *exchange)
+{
+    if (!pgw_attempt_may_repeat(exchange) ||
+        !pgw_exchange_has_place(exchange) ||
+        !pgw_attempt_take_repeat(exchange)) {
+        return;
+    }
+    pgw_metric_counter_add(&moved, 1);
+    pgw_call_cancel(&exchange->call);
+    pgw_attempt_note(exchange, PGW_RESULT_SILENT);
+    pgw_attempt_repeat(exchange, "silent");
+}
+
+void
+pgw_unheard_look(struct pgw_gateway *gateway)
+{
+    uint64_t now = pgw_now_us();
+    unsigned silent = 0;
+
+    pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
+        silent += note_silence(
+            pgw_container_of(link, struct pgw_upstream, in_table), now);
+    }
+    pgw_metric_gauge_set(&silent_now, silent);
+    if (silent == 0) {
+        return;
+    }
+    pgw_list_foreach_safe (link, &gateway->exchanges) {
+        struct pgw_exchange *exchange =
+            pgw_container_of(link, struct pgw_exchange, in_gateway);
+
+        if (is_stuck(exchange, now)) {
+            move(exchange);
+        }
+    }
+}
+
+static void
+look_due(struct pgw_timer *timer)
+{
+    struct pgw_gateway *gateway =
+        pgw_container_of(timer, struct pgw_gateway, unheard_timer);
+
+    pgw_unheard_look(gateway);
+    pgw_timer_start(gateway->loop, timer, LOOK_US);
+}
+
+void
+pgw_unheard_start(struct pgw_gateway *gateway)
+{
+    pgw_metric_register_gauge(&silent_now);
+    pgw_metric_register_counter(&moved);
+    gateway->unheard_timer.on_due = look_due;
+    pgw_timer_start(gateway->loop, &gateway->unheard_timer, LOOK_US);
+}
+
+void
+pgw_unheard_stop(struct pgw_gateway *gateway)
+{
+    pgw_timer_stop(gateway->loop, &gateway->unheard_timer);
+}
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -367,6 +367,80 @@
     scene_free(scene);
 }
 
+/* Nothing was heard of any upstream for 1.5 s, neither by a sidecar nor in an
+ * answer. */
+static void
+fall_silent(struct scene *scene)
+{
+    pgw_list_foreach (
+        link, pgw_upstream_table_all(pgw_gateway_upstreams(scene->gateway))) {
+        pgw_upstream_hear(
+            pgw_container_of(link, struct pgw_upstream, in_table),
+            pgw_now_us() - 1500000);
+    }
+}
+
+/*
+ * The machines of two engines are suspended in the middle of a stream each.
+ * Nothing ends their connections, so without a look at who was heard of their
+ * callers wait until they give up. The stream that may be resumed goes on at a
+ * third engine, once and in order, and the engine that stands still finds its
+ * connection closed when it wakes; the other stream is left where it is, since
+ * it must not run twice.
+ */
+static void
+test_silent_engine(void)
+{
+    struct scene *scene = ready_scene(3);
+    int flow = scene_call(scene, "/flow/", "a");
+    int brook;
+    unsigned first;
+    unsigned second;
+    int one = scene_accept_any(scene, &first);
+    int other;
+    int two;
+    char *request;
+    char *answer;
+    char byte;
+
+    g_free(scene_read_request(one));
+    scene_begin_stream(one, "a");
+    scene_chunk(one, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+    g_free(scene_read_until(flow, "id: 2\ndata: x\n\n"));
+    /* Each has one place, so this one is elsewhere. */
+    brook = scene_call(scene, "/brook/", "b");
+    other = scene_accept_any(scene, &second);
+    g_free(scene_read_request(other));
+    scene_begin_stream(other, "b");
+    scene_chunk(other, "id: 1\ndata: z\n\n");
+    g_free(scene_read_until(brook, "id: 1\ndata: z\n\n"));
+    scene_run(scene, fall_silent);
+
+    two = scene_accept(scene, 3 - first - second);
+    request = scene_read_request(two);
+    assert_has(request, "\r\nLast-Event-Id: 2\r\n");
+    g_free(request);
+    g_assert_cmpint(recv(one, &byte, 1, 0), <=, 0);
+    scene_begin_stream(two, "a");
+    scene_chunk(two, "id: 3\ndata: y\n\n");
+    scene_send(two, "0\r\n\r\n");
+    answer = scene_read_until(flow, "\r\n0\r\n\r\n");
+    assert_has(answer, "id: 3\ndata: y\n\n");
+    assert_lacks(answer, "HTTP/1.1");
+    g_free(answer);
+
+    scene_chunk(other, "id: 2\ndata: z\n\n");
+    scene_send(other, "0\r\n\r\n");
+    g_free(scene_read_until(brook, "id: 2\ndata: z\n\n"));
+    g_assert_true(scene_is_quiet(scene, second));
+    close(brook);
+    close(flow);
+    close(one);
+    close(two);
+    close(other);
+    scene_free(scene);
+}
+
 /*
  * A stream that may not be resumed breaks: the caller's connection ends
  * without the last chunk, so that half an answer does not look whole.
@@ -750,6 +824,7 @@
     g_test_add_func("/gateway/answer_without_mark", test_answer_without_mark);
     g_test_add_func("/gateway/reset_is_no_end", test_reset_is_no_end);
     g_test_add_func("/gateway/stream_resumes", test_stream_resumes);
+    g_test_add_func("/gateway/silent_engine", test_silent_engine);
     g_test_add_func("/gateway/broken_stream", test_broken_stream_shows);
     g_test_add_func("/gateway/failed_resumption",
                     test_failed_resumption_is_no_end);
