Drop what an upstream has not taken when its request is given up

Callers saw: nothing; operators pay.

Cause: an ordinary close keeps what is in the send queue, and the kernel goes on sending it until the other machine takes it.

Mend: a connection that is given up with unacknowledged bytes is reset, which drops them. Where everything was acknowledged it is closed as before, since a reset is sent only once and a close until it has arrived.

Looked for elsewhere: all connections of the gateway path end in this one place, so the same holds for calls of the store, of orders and reports that run out of time, and for streams that are sent on from a silent engine. /gateway/given_up_request fails with GATEWAY_UNACKED switched off.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -104,6 +104,29 @@
     pgw_timer_stop(connection->pool->loop, &connection->idle_timer);
 }
 
+/*
+ * Failure: a request is given up while its upstream's machine is suspended or
+ * cut off. Symptom: the kernel goes on sending it after an ordinary close, so
+ * that it arrives seconds later, for a caller that has left or has its answer
+ * from elsewhere. What was not acknowledged is dropped by a reset. Where all
+ * was, an ordinary close is better: it is sent again until the peer has it.
+ */
+static void
+drop_unacked(int fd)
+{
+#ifndef PGW_DISABLE_GATEWAY_UNACKED
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    int unacked = 0;
+
+    if (ioctl(fd, SIOCOUTQ, &unacked) == 0 && unacked > 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0) {
+        pgw_log_warning("no_reset", "errno=%d unacked=%d", errno, unacked);
+    }
+#else
+    (void)fd;
+#endif
+}
+
 /* Closes the socket at once and frees the memory from the loop, since the
  * connection's own callbacks may be on the stack. */
 static void
@@ -116,6 +139,7 @@
     connection->reader.stop = true;
     leave_idle(connection);
     pgw_loop_fd_remove(connection->pool->loop, &connection->watch);
+    drop_unacked(connection->watch.fd);
     close(connection->watch.fd);
     connection->reap.run = connection_reap;
     pgw_loop_post(connection->pool->loop, &connection->reap);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -142,7 +142,8 @@
 bool pgw_call_start(struct pgw_call *call, struct pgw_call_pool *pool,
                     const struct pgw_call_options *options);
 
-/** pgw_call_cancel() - close the call's connection; no callback follows */
+/** pgw_call_cancel() - close the call's connection; no callback follows, and
+ * what has not reached the peer's machine never will */
 void pgw_call_cancel(struct pgw_call *call);
 
 /** pgw_call_is_running() - started and not over */
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -279,15 +279,9 @@
     }
 }
 
-int
-scene_call(struct scene *scene, const char *path, const char *id)
-{
-    return scene_call_as(scene, SCENE_KEY, path, id);
-}
-
-int
-scene_call_as(struct scene *scene, const char *key, const char *path,
-              const char *id)
+static int
+call_with(struct scene *scene, const char *key, const char *path,
+          const char *id, const char *body)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -296,8 +290,8 @@
                                  "Attempt-Id: %s\r\n"
                                  "Deadline-Ms: 60000\r\n"
                                  "Authorization: Bearer %s\r\n"
-                                 "Content-Length: 4\r\n\r\nbody",
-                                 path, id, key);
+                                 "Content-Length: %zu\r\n\r\n%s",
+                                 path, id, key, strlen(body), body);
 
     inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
     address.sin_port = htons(pgw_gateway_port(scene->gateway));
@@ -309,6 +303,26 @@
     return fd;
 }
 
+int
+scene_call(struct scene *scene, const char *path, const char *id)
+{
+    return call_with(scene, SCENE_KEY, path, id, "body");
+}
+
+int
+scene_call_as(struct scene *scene, const char *key, const char *path,
+              const char *id)
+{
+    return call_with(scene, key, path, id, "body");
+}
+
+int
+scene_call_with_body(struct scene *scene, const char *path, const char *id,
+                     const char *body)
+{
+    return call_with(scene, SCENE_KEY, path, id, body);
+}
+
 int
 scene_accept(struct scene *scene, unsigned upstream)
 {
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -86,6 +86,10 @@
 int scene_call_as(struct scene *scene, const char *key, const char *path,
                   const char *id);
 
+/** scene_call_with_body() - the same with a body of one's own */
+int scene_call_with_body(struct scene *scene, const char *path, const char *id,
+                         const char *body);
+
 /** scene_send() - send text on a socket */
 void scene_send(int fd, const char *text);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1,5 +1,6 @@
 #include "scene_gateway.h"
 #include "util/log.h"
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -441,6 +442,38 @@
     scene_free(scene);
 }
 
+/*
+ * The machine of an engine stands still, so that nothing of a request is
+ * acknowledged beyond what its kernel can hold. The caller leaves. The rest of
+ * the request must not be sent on until the machine wakes, when it would run
+ * for nobody: the connection is reset.
+ */
+static void
+test_given_up_request_never_arrives(void)
+{
+    struct scene *scene = ready_scene(1);
+    int least = 1;
+    GString *body = g_string_new(NULL);
+    struct pollfd waits = {.events = 0};
+    char first;
+    int caller;
+
+    g_assert_cmpint(setsockopt(scene->listeners[0], SOL_SOCKET, SO_RCVBUF,
+                               &least, sizeof(least)),
+                    ==, 0);
+    g_string_set_size(body, 1000000);
+    memset(body->str, 'x', body->len);
+    caller = scene_call_with_body(scene, "/flow/", "a", body->str);
+    waits.fd = scene_accept(scene, 0);
+    g_assert_cmpint(recv(waits.fd, &first, 1, MSG_PEEK), ==, 1);
+    close(caller);
+    g_assert_cmpint(poll(&waits, 1, SCENE_TIMEOUT_S * 1000), ==, 1);
+    g_assert_true((waits.revents & (POLLERR | POLLHUP)) != 0);
+    close(waits.fd);
+    g_string_free(body, TRUE);
+    scene_free(scene);
+}
+
 /*
  * A stream that may not be resumed breaks: the caller's connection ends
  * without the last chunk, so that half an answer does not look whole.
@@ -825,6 +858,8 @@
     g_test_add_func("/gateway/reset_is_no_end", test_reset_is_no_end);
     g_test_add_func("/gateway/stream_resumes", test_stream_resumes);
     g_test_add_func("/gateway/silent_engine", test_silent_engine);
+    g_test_add_func("/gateway/given_up_request",
+                    test_given_up_request_never_arrives);
     g_test_add_func("/gateway/broken_stream", test_broken_stream_shows);
     g_test_add_func("/gateway/failed_resumption",
                     test_failed_resumption_is_no_end);
