See a stream stand still after a second, wherever its engine is

Change: an engine that has a stream of ours and sends nothing for a second stands still, whatever its zone; it is looked for ten times a second.

--- a/src/gateway/unheard.c
+++ b/src/gateway/unheard.c
@@ -3,9 +3,14 @@
 #include "util/log.h"
 #include "util/metric.h"
 
-#define LOOK_US 250000
+#define LOOK_US 100000
 /* A request is not taken back from an upstream that it has just reached. */
 #define LEAST_AGE_US 1000000
+/* An engine that generates sends something many times in a second, so that one
+ * which does not stands still, however seldom its sidecar speaks. Callers wait
+ * two seconds and more for an event, and the next engine has to read the
+ * prompt in what is left of that. */
+#define STILL_US 1000000
 
 static struct pgw_metric_gauge silent_now = {
     .name = "pgw_gateway_silent_upstreams",
@@ -28,7 +33,7 @@
                      "upstream=%s silent=%d heard_ms=%" G_GUINT64_FORMAT
                      " inflight=%u",
                      upstream->id, silent,
-                     silent ? (now_us - upstream->heard_at_us) / 1000 : 0,
+                     pgw_upstream_silent_us(upstream, now_us) / 1000,
                      upstream->inflight);
     }
     return silent;
@@ -37,10 +42,16 @@
 static bool
 is_stuck(const struct pgw_exchange *exchange, uint64_t now_us)
 {
-    return exchange->upstream != NULL && exchange->caller != NULL &&
-           exchange->upstream->silent_told &&
-           pgw_call_is_running(&exchange->call) &&
-           now_us - exchange->sent_us >= LEAST_AGE_US;
+    const struct pgw_upstream *upstream = exchange->upstream;
+
+    if (upstream == NULL || exchange->caller == NULL ||
+        !pgw_call_is_running(&exchange->call) ||
+        now_us - exchange->sent_us < LEAST_AGE_US) {
+        return false;
+    }
+    return exchange->phase == PGW_PHASE_RELAYING
+               ? pgw_upstream_silent_us(upstream, now_us) >= STILL_US
+               : pgw_upstream_silence(upstream, now_us) != PGW_HEARD;
 }
 
 /*
@@ -70,13 +81,18 @@
 {
     uint64_t now = pgw_now_us();
     unsigned silent = 0;
+    bool still = false;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
-        silent += note_silence(
-            pgw_container_of(link, struct pgw_upstream, in_table), now);
+        struct pgw_upstream *upstream =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        silent += note_silence(upstream, now);
+        still |= upstream->inflight > 0 &&
+                 pgw_upstream_silent_us(upstream, now) >= STILL_US;
     }
     pgw_metric_gauge_set(&silent_now, silent);
-    if (silent == 0) {
+    if (!still) {
         return;
     }
     pgw_list_foreach_safe (link, &gateway->exchanges) {
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -430,8 +430,8 @@
     }
 }
 
-enum pgw_silence
-pgw_upstream_silence(const struct pgw_upstream *upstream, uint64_t now_us)
+uint64_t
+pgw_upstream_silent_us(const struct pgw_upstream *upstream, uint64_t now_us)
 {
     uint64_t silent_us =
         upstream->heard_at_us == 0 || now_us < upstream->heard_at_us
@@ -441,6 +441,14 @@
 #ifdef PGW_DISABLE_GATEWAY_SILENT
     silent_us = 0;
 #endif
+    return silent_us;
+}
+
+enum pgw_silence
+pgw_upstream_silence(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    uint64_t silent_us = pgw_upstream_silent_us(upstream, now_us);
+
     if (silent_us >= SILENT_LONG_US) {
         return PGW_SILENT_LONG;
     }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -301,6 +301,11 @@
 /** pgw_upstream_answers() - some byte of an answer came from itself */
 void pgw_upstream_answers(struct pgw_upstream *upstream, uint64_t now_us);
 
+/** pgw_upstream_silent_us() - since when nothing came from its machine, in
+ * microseconds; 0: no sidecar speaks for it */
+uint64_t pgw_upstream_silent_us(const struct pgw_upstream *upstream,
+                                uint64_t now_us);
+
 /** pgw_upstream_silence() - how silent its machine is */
 enum pgw_silence pgw_upstream_silence(const struct pgw_upstream *upstream,
                                       uint64_t now_us);
