--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,7 @@
  * @deadline_us: the caller gets its final answer by then
  * @runs: upstreams that may have run it
  * @sends: upstreams that it was sent to, refusals included
+ * @stuck_told: that it waits for a silent upstream stands in the log
  * @may_have_run: some attempt ended without saying that it did not run
  * @upstream: where the current attempt is
  * @counted_tokens: memory that it counts at @upstream
@@ -112,6 +113,7 @@
     uint64_t first_event_us;
     uint32_t runs;
     uint32_t sends;
+    bool stuck_told;
     bool may_have_run;
     struct pgw_upstream *tried[PGW_TRIED_MAX];
     size_t tried_count;
--- a/src/gateway/unheard.c
+++ b/src/gateway/unheard.c
@@ -54,6 +54,33 @@
                : pgw_upstream_silence(upstream, now_us) != PGW_HEARD;
 }
 
+/* NULL: it goes on elsewhere, and a repeat was taken for it. */
+static const char *
+why_it_stays(struct pgw_exchange *exchange)
+{
+    if (!pgw_attempt_may_repeat(exchange)) {
+        return "may_not_repeat";
+    }
+    if (!pgw_exchange_has_place(exchange)) {
+        return "no_place";
+    }
+    return pgw_attempt_take_repeat(exchange) ? NULL : "no_repeat_left";
+}
+
+static void
+note_stuck(struct pgw_exchange *exchange, const char *stays, uint64_t now_us)
+{
+    if (exchange->stuck_told) {
+        return;
+    }
+    exchange->stuck_told = true;
+    pgw_log_info(
+        "request_stuck",
+        "request=%s upstream=%s silent_ms=%" G_GUINT64_FORMAT " stays=%s",
+        exchange->facts.id, exchange->upstream->id,
+        pgw_upstream_silent_us(exchange->upstream, now_us) / 1000, stays);
+}
+
 /*
  * Failure: the machine of an engine is suspended in the middle of its streams.
  * Symptom: their callers wait until they give up, seconds later, and the
@@ -63,11 +90,12 @@
  * anything. Only where there is a place: here it may still go on.
  */
 static void
-move(struct pgw_exchange *exchange)
+move(struct pgw_exchange *exchange, uint64_t now_us)
 {
-    if (!pgw_attempt_may_repeat(exchange) ||
-        !pgw_exchange_has_place(exchange) ||
-        !pgw_attempt_take_repeat(exchange)) {
+    const char *stays = why_it_stays(exchange);
+
+    if (stays != NULL) {
+        note_stuck(exchange, stays, now_us);
         return;
     }
     pgw_metric_counter_add(&moved, 1);
@@ -100,7 +128,7 @@
             pgw_container_of(link, struct pgw_exchange, in_gateway);
 
         if (is_stuck(exchange, now)) {
-            move(exchange);
+            move(exchange, now);
         }
     }
 }
