End an entry's runs when the path from it has fallen silent

Callers saw: nothing; those behind them waited longer. In the older path the word that a caller left is one frame on the link to the sidecar. If the path swallows it, nothing says it again: twelve callers hang up behind a cut, and 30 s later the engine still reports running 12, cancelled 0, in three of three runs, while the entry has none in flight. It would go on until the deadline of each.

Cause: a sidecar speaks to entries that have runs and they look at its silence, but not the other way round; a path that takes bytes and drops them gives no error.

--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -17,6 +17,8 @@
 #define SILENCE_IDLE_US UINT64_C(75000000)
 #define SILENCE_CHECK_US UINT64_C(250000)
 #define SILENCE_CHECK_IDLE_US UINT64_C(2500000)
+/* While attempts run there, a sidecar hears from us at least so often. */
+#define HEARTBEAT_US UINT64_C(2000000)
 /*
  * All upstreams that cannot be reached share some 220 attempts a second:
  * when a region is gone, attempts at each one's own pace were a third of a
@@ -94,6 +96,15 @@
     }
 }
 
+/* A window of no bytes for no attempt. */
+static void
+send_heartbeat(const struct upstream *upstream)
+{
+    Pgw__Window window = PGW__WINDOW__INIT;
+
+    pgw_link_send(upstream->link, PGW_FRAME_WINDOW, &window.base);
+}
+
 static void
 take_hello(struct upstream *upstream, const Pgw__Hello *hello)
 {
@@ -106,6 +117,8 @@
         return;
     }
     upstream->greeted = true;
+    /* From now on it may rely on them. */
+    send_heartbeat(upstream);
     forget_failures(upstream);
     upstream->incarnation = hello->incarnation;
     if (!upstream->is_seed) {
@@ -267,6 +280,18 @@
     return now - heard > (waits ? SILENCE_MAX_US : SILENCE_IDLE_US);
 }
 
+/* A sidecar that hears nothing ends our attempts, so those whose callers take
+ * nothing, or wait for a first token, have to be spoken for. */
+static void
+heartbeat_if_due(const struct upstream *upstream)
+{
+    if (!pgw_list_is_empty(&upstream->attempts) &&
+        upstream_can_talk(upstream) &&
+        pgw_now_us() - pgw_link_sent_us(upstream->link) >= HEARTBEAT_US) {
+        send_heartbeat(upstream);
+    }
+}
+
 static void
 retry_due(struct pgw_timer *timer)
 {
@@ -285,6 +310,7 @@
         return;
     }
     upstream_drop_if_unused(upstream);
+    heartbeat_if_due(upstream);
     pgw_timer_start(
         upstream->entry->loop, timer,
         upstream->greeted && pgw_list_is_empty(&upstream->attempts) &&
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -300,6 +300,7 @@
 {
     struct run *run = find_run(peer, &window->request, window->attempt);
 
+    peer->has_heartbeat |= window->bytes == 0;
     if (run == NULL) {
         return;
     }
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -15,6 +15,8 @@
  * @connection: its connection
  * @instance: its name, NULL before Hello
  * @runs: its attempts (&struct run) by request and attempt
+ * @busy_us: since when it has attempts, 0: it has none
+ * @has_heartbeat: it says that it is there while it has attempts
  */
 struct peer {
     struct pgw_list link;
@@ -22,6 +24,8 @@
     struct pgw_link *connection;
     char *instance;
     GHashTable *runs;
+    uint64_t busy_us;
+    bool has_heartbeat;
 };
 
 /**
@@ -159,6 +163,8 @@
 /* peer.c */
 void peer_accept(int fd, void *context);
 void peer_send_state(struct peer *peer);
+/** peer_is_silent() - it has attempts and has not been heard for too long */
+bool peer_is_silent(struct peer *peer, uint64_t now_us);
 
 /* gate.c */
 void gate_open(struct peer *peer, Pgw__Open *open);
--- a/src/sidecar/peer.c
+++ b/src/sidecar/peer.c
@@ -2,6 +2,9 @@
 #include "sidecar/orders.h"
 #include "util/log.h"
 
+/* Three heartbeats of an entry. */
+#define PEER_SILENCE_US UINT64_C(6000000)
+
 void
 peer_send_state(struct peer *peer)
 {
@@ -116,6 +119,32 @@
     g_free(peer);
 }
 
+/*
+ * Failure: the path from an entry falls silent without an end of the
+ * connection, and the callers of its attempts leave. Symptom: the word that
+ * they left is lost, and the engine computes for nobody until the deadline of
+ * each, while others wait behind them. An entry speaks every other second
+ * while it has attempts; one that missed three words is taken as gone.
+ */
+bool
+peer_is_silent(struct peer *peer, uint64_t now_us)
+{
+    if (g_hash_table_size(peer->runs) == 0) {
+        peer->busy_us = 0;
+        return false;
+    }
+    if (peer->busy_us == 0) {
+        peer->busy_us = now_us;
+    }
+#ifdef PGW_DISABLE_PEER_SILENT
+    return false;
+#endif
+    /* One that never sends heartbeats is an older version. */
+    return peer->has_heartbeat &&
+           now_us - MAX(pgw_link_heard_us(peer->connection), peer->busy_us) >
+               PEER_SILENCE_US;
+}
+
 static const struct pgw_link_ops peer_ops = {
     .on_frame = on_frame,
     .on_closed = on_closed,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -200,6 +200,12 @@
         uint64_t quiet = now - pgw_link_sent_us(peer->connection);
         bool busy = g_hash_table_size(peer->runs) > 0;
 
+        if (peer_is_silent(peer, now)) {
+            pgw_log_warning("entry_silent", "entry=%s runs=%u", peer->instance,
+                            g_hash_table_size(peer->runs));
+            pgw_link_close(peer->connection);
+            continue;
+        }
         if (peer->instance != NULL &&
             quiet >= (busy ? STATE_INTERVAL_US : STATE_IDLE_US)) {
             peer_send_state(peer);
--- a/tests/failure/fail_caller_gone.c
+++ b/tests/failure/fail_caller_gone.c
@@ -6,6 +6,7 @@
  * wait behind them.
  */
 #include <arpa/inet.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -167,11 +168,100 @@
     fleet_free(fleet);
 }
 
+/* So many callers stream at once, and all hang up together. */
+#define CALLERS 12
+
+struct herd {
+    struct fleet *fleet;
+    struct fleet_caller *callers[CALLERS];
+};
+
+static void
+herd_start(struct herd *herd, bool proxied)
+{
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+
+    options.engines = 1;
+    options.proxy_links = proxied;
+    herd->fleet = fleet_new(&options);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        char prompt[32];
+
+        g_snprintf(prompt, sizeof(prompt), "is ford %u open?", i);
+        herd->callers[i] =
+            fleet_caller_start(herd->fleet->entries[0], prompt, 3000);
+    }
+    for (unsigned i = 0; i < CALLERS; i++) {
+        fleet_caller_wait_begun(herd->callers[i], 1000);
+    }
+}
+
+static void
+herd_hang_up(struct herd *herd)
+{
+    for (unsigned i = 0; i < CALLERS; i++) {
+        struct harness_stream stream;
+
+        fleet_caller_hang_up(herd->callers[i]);
+        fleet_caller_finish(herd->callers[i], &stream);
+        g_assert_false(stream.done);
+        harness_stream_dispose(&stream);
+    }
+}
+
+static void
+herd_end(struct herd *herd)
+{
+    wait_cancelled(herd->fleet, CALLERS);
+    g_assert_true(
+        harness_wait_until(entry_is_idle, herd->fleet->entries[0], LIMIT_S));
+    fleet_free(herd->fleet);
+}
+
+/*
+ * The machine of a sidecar stands still while twelve callers stream through
+ * it, and all of them hang up. The entry's word that they left lies in the
+ * sidecar's socket until the machine goes on; then each of the runs must end,
+ * since nobody is left who would say it again.
+ */
+static void
+test_while_sidecar_stands_still(void)
+{
+    struct herd herd;
+
+    herd_start(&herd, false);
+    harness_process_signal(herd.fleet->sidecars[0], SIGSTOP);
+    herd_hang_up(&herd);
+    harness_process_signal(herd.fleet->sidecars[0], SIGCONT);
+    herd_end(&herd);
+}
+
+/*
+ * Twelve callers stream, the path from the entry to the sidecar swallows
+ * everything, and all of them hang up. The word that they left never arrives.
+ * The sidecar hears nothing more from the entry and must end the runs by
+ * itself, without being told: otherwise the engine's "running" stays at twelve
+ * until the deadline of each, while the entry has "inflight" at none.
+ */
+static void
+test_while_cut_off(void)
+{
+    struct herd herd;
+
+    herd_start(&herd, true);
+    fleet_set_mode(herd.fleet->links[0], "{\"mode\":\"stall\"}");
+    herd_hang_up(&herd);
+    herd_end(&herd);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/caller-gone/while-streaming", test_while_streaming);
     g_test_add_func("/caller-gone/while-waiting", test_while_waiting);
+    g_test_add_func("/caller-gone/sidecar-stands-still",
+                    test_while_sidecar_stands_still);
+    g_test_add_func("/caller-gone/cut-off", test_while_cut_off);
     return g_test_run();
 }
