Pile up no more at an engine than it reads in 400 ms

Change: what an entry has an engine read at a time is bounded; the rest waits at the entry, where the next free engine takes it and a refusal is still true.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -183,6 +183,24 @@
            (double)(used + need) <= (double)total * options->memory_share;
 }
 
+/*
+ * Failure: most engines of a pool are away, and one is back first. Symptom:
+ * all that waits is sent there at once, to wait for its turn to be read; what
+ * may not run twice cannot be taken back when another engine is free, or when
+ * the machine of this one stands still. More than it reads in a part of an
+ * objective waits at the entry, where the next free engine takes it. One
+ * prompt alone always may.
+ */
+static bool
+fits_reading(const struct pgw_upstream *upstream, uint32_t tokens,
+             const struct pgw_choose_input *input,
+             const struct pgw_choose_options *options)
+{
+    return upstream->prefill_tokens == 0 || input->read_rate <= 0 ||
+           (double)(upstream->prefill_tokens + tokens) <=
+               options->reading_ms * input->read_rate;
+}
+
 /* The engine that lacks least of the prompt by its sidecar's word and could
  * give it to @upstream; NULL when none has more. */
 static struct pgw_upstream *
@@ -256,7 +274,10 @@
     double cost;
 
     if (load + 1 > options->engine_depth * upstream->slots ||
-        !fits_memory(upstream, input, options)) {
+        !fits_memory(upstream, input, options) ||
+        !fits_reading(upstream,
+                      survey->missing[position] + own_tokens(input->prompt),
+                      input, options)) {
         return DBL_MAX;
     }
     if (version < input->least_version) {
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -72,6 +72,9 @@
  * @engine_depth: the same for engines, whose queue only delays
  * @memory_share: part of an engine's memory that may be promised; preemption
  *   begins when it is full, and estimates of several entries overlap
+ * @reading_ms: what this entry has an engine read at a time, in milliseconds
+ * of its reading: objectives of engines' requests are 300 to 1,000 ms, and
+ * other entries have it read, too
  * @zone_tokens_per_kb: what a KiB of a request costs that crosses to another
  *   availability zone, in tokens: where such bytes are dear, 20 KB cost as
  *   much as reading 400 tokens again
@@ -106,6 +109,7 @@
     double plain_depth;
     double engine_depth;
     double memory_share;
+    double reading_ms;
     double zone_tokens_per_kb;
     double request_tokens;
     double harm_share;
@@ -127,11 +131,12 @@
 #define PGW_CHOOSE_OPTIONS_INIT                                               \
     {                                                                         \
         .plain_depth = 2.0, .engine_depth = 1.0, .memory_share = 0.92,        \
-        .zone_tokens_per_kb = 20, .request_tokens = 20, .harm_share = 0.02,   \
-        .full_tokens = 2000, .long_prefill_tokens = 6000, .rank_share = 0.02, \
-        .rank_tokens = 15, .reread_weight = 2.5, .fetch_tokens = 100,         \
-        .fetch_share = 0.3, .fetch_min_tokens = 32, .failing_tokens = 4000,   \
-        .old_ms = 120, .delay_share = 0.33, .rests = true, .bad_rate = 0.35   \
+        .reading_ms = 400, .zone_tokens_per_kb = 20, .request_tokens = 20,    \
+        .harm_share = 0.02, .full_tokens = 2000, .long_prefill_tokens = 6000, \
+        .rank_share = 0.02, .rank_tokens = 15, .reread_weight = 2.5,          \
+        .fetch_tokens = 100, .fetch_share = 0.3, .fetch_min_tokens = 32,      \
+        .failing_tokens = 4000, .old_ms = 120, .delay_share = 0.33,           \
+        .rests = true, .bad_rate = 0.35                                       \
     }
 
 /** pgw_choose_options_apply() - leave out what is switched off */
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -559,6 +559,41 @@
     pgw_upstream_table_free(pool.table);
 }
 
+/*
+ * All engines but one are away for new weights, and many requests wait. If all
+ * of them are sent to that one, those that may not run twice are stuck there
+ * when the next engine is back, or when the machine of this one stands still.
+ * It gets what it reads in 400 ms, and one prompt however long; what is left
+ * waits here and goes to the next one.
+ */
+static void
+test_reading_is_not_piled_up(void)
+{
+    struct pool pool;
+    struct pgw_upstream *first;
+    struct pgw_upstream *next;
+
+    pool_init(&pool);
+    first = add(&pool, "first", "a", 1);
+    first->slots = 64;
+    ask_prompt(&pool, 3700);
+    /* 60 tokens a ms: 24,000 tokens in 400 ms, six prompts of 4,000. */
+    for (unsigned i = 0; i < 6; i++) {
+        g_assert_true(choose(&pool).upstream == first);
+        first->inflight++;
+        first->prefill_tokens += 4000;
+    }
+    g_assert_null(choose(&pool).upstream);
+    g_assert_true(choose(&pool).busy);
+    next = add(&pool, "next", "a", 2);
+    g_assert_true(choose(&pool).upstream == next);
+
+    ask_prompt(&pool, 60000);
+    next->inflight = 1;
+    g_assert_true(choose(&pool).upstream == next);
+    pgw_upstream_table_free(pool.table);
+}
+
 /* Nobody speaks for a plain upstream, or for an engine whose sidecar's machine
  * has said that it does not run: that none does says nothing. */
 static void
@@ -619,6 +654,7 @@
                     test_old_weights_have_a_price);
     g_test_add_func("/choose/some_parts", test_holder_of_some_parts);
     g_test_add_func("/choose/silent", test_silent_upstream_is_left_alone);
+    g_test_add_func("/choose/reading", test_reading_is_not_piled_up);
     g_test_add_func("/choose/no_sidecar", test_silence_without_sidecar);
     g_test_add_func("/choose/switched_off", test_switched_off);
     return g_test_run();
