Name a silent upstream as the cause of what was stuck there

explain said that the caller had left, or that the request was slow, where its engine's machine stood still (request_stuck).

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -488,6 +488,27 @@
              "crashed: see poison_crash with its fingerprint");
 }
 
+/* It waited at an upstream of which nothing was heard, and could not go on
+ * elsewhere. */
+static bool
+tell_stuck(struct inquiry *inquiry)
+{
+    for (guint i = 0; i < inquiry->out->lines->len; i++) {
+        const struct pgw_log_line *line =
+            g_ptr_array_index(inquiry->out->lines, i);
+
+        if (is_event(line, "request_stuck")) {
+            conclude(inquiry, PGW_CAUSE_UPSTREAM_SILENT,
+                     "nothing came from upstream %s or its sidecar for %s ms, "
+                     "and the request stayed there (%s)",
+                     text_of(line, "upstream"), text_of(line, "silent_ms"),
+                     text_of(line, "stays"));
+            return true;
+        }
+    }
+    return false;
+}
+
 /* How a request ended, by its last line's outcome, or its reason where it was
  * refused before it was placed. */
 static const struct {
@@ -518,6 +539,9 @@
     if (outcome == NULL) {
         outcome = text_of(inquiry->end, "reason");
     }
+    if (!pgw_line_went_well(inquiry->end) && tell_stuck(inquiry)) {
+        return;
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
         if (strcmp(ends[i].outcome, outcome) == 0) {
             ends[i].tell(inquiry);
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -130,6 +130,14 @@
       END "outcome=upstream_lost status=502 sends=1 upstream=u1 total_ms=90"},
      "answer_damaged",
      "cut_event"},
+    {"stuck",
+     {"request_stuck request=r upstream=u1 silent_ms=1012 "
+      "stays=may_not_repeat",
+      "run_cancelled request=r upstream=u1 late_ms=0 sent_ms=2100 "
+      "heard_ms=2000 port=4000 reused=1 unacked=0 events=3",
+      END "outcome=caller_gone status=200 sends=1 upstream=u1 total_ms=2100"},
+     "upstream_silent",
+     "may_not_repeat"},
     {"caller gone",
      {END "outcome=caller_gone status=0 sends=1 upstream=u1 total_ms=90"},
      "caller_left",
