Look at requests whose silent upstream has left the list, too

The look for silent upstreams skipped the requests unless one of the table had some: a stream that had found no place stayed at its engine once that one's line had lapsed, 2.5 s later. All requests are looked at; one entry has some hundred.

--- a/src/gateway/unheard.c
+++ b/src/gateway/unheard.c
@@ -109,20 +109,13 @@
 {
     uint64_t now = pgw_now_us();
     unsigned silent = 0;
-    bool still = false;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
-        struct pgw_upstream *upstream =
-            pgw_container_of(link, struct pgw_upstream, in_table);
-
-        silent += note_silence(upstream, now);
-        still |= upstream->inflight > 0 &&
-                 pgw_upstream_silent_us(upstream, now) >= STILL_US;
+        silent += note_silence(
+            pgw_container_of(link, struct pgw_upstream, in_table), now);
     }
     pgw_metric_gauge_set(&silent_now, silent);
-    if (!still) {
-        return;
-    }
+    /* Requests at an upstream that has left the list are looked at, too. */
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
             pgw_container_of(link, struct pgw_exchange, in_gateway);
