Bound what an engine is given to read only while most of its pool is away

Change: it holds while less than half of the candidates can be used, which is where requests pile up at the first engine that is back. /choose/reading has both cases.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -130,11 +130,13 @@
  * @candidates: upstreams that are weighed
  * @missing: shared tokens that each lacks, counting what is on its way there
  * @confirmed: the same by its sidecar's word alone
+ * @few: less than half of the candidates can be used now
  */
 struct survey {
     struct pgw_candidates candidates;
     uint32_t missing[PGW_CANDIDATES_MAX];
     uint32_t confirmed[PGW_CANDIDATES_MAX];
+    bool few;
 };
 
 /* A part counts only behind all before it. */
@@ -189,7 +191,9 @@
  * may not run twice cannot be taken back when another engine is free, or when
  * the machine of this one stands still. More than it reads in a part of an
  * objective waits at the entry, where the next free engine takes it. One
- * prompt alone always may.
+ * prompt alone always may. While most engines are there the costs spread
+ * requests, and a bound would only send prompts away from where they are
+ * cached.
  */
 static bool
 fits_reading(const struct pgw_upstream *upstream, uint32_t tokens,
@@ -275,9 +279,10 @@
 
     if (load + 1 > options->engine_depth * upstream->slots ||
         !fits_memory(upstream, input, options) ||
-        !fits_reading(upstream,
-                      survey->missing[position] + own_tokens(input->prompt),
-                      input, options)) {
+        (survey->few &&
+         !fits_reading(upstream,
+                       survey->missing[position] + own_tokens(input->prompt),
+                       input, options))) {
         return DBL_MAX;
     }
     if (version < input->least_version) {
@@ -309,6 +314,7 @@
 {
     struct pgw_candidates *candidates = &out->candidates;
     struct pgw_level_chain chain = {0};
+    size_t usable = 0;
 
     if (input->prompt == NULL) {
         pgw_candidates_pick(candidates, input->pool, from, NULL, input->random,
@@ -326,7 +332,9 @@
     for (size_t i = 0; i < candidates->count; i++) {
         out->missing[i] = missing_tokens(candidates->items[i], input, true);
         out->confirmed[i] = missing_tokens(candidates->items[i], input, false);
+        usable += pgw_upstream_is_usable(candidates->items[i], input->now_us);
     }
+    out->few = usable * 2 < candidates->count;
 }
 
 static double
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -72,9 +72,9 @@
  * @engine_depth: the same for engines, whose queue only delays
  * @memory_share: part of an engine's memory that may be promised; preemption
  *   begins when it is full, and estimates of several entries overlap
- * @reading_ms: what this entry has an engine read at a time, in milliseconds
- *   of its reading: objectives are 300 to 1,000 ms, and other entries have it
- *   read, too
+ * @reading_ms: what this entry has an engine read at a time while most of its
+ *   pool is away, in milliseconds of its reading: objectives are 300 to 1,000
+ *   ms, and other entries have it read, too
  * @zone_tokens_per_kb: what a KiB of a request costs that crosses to another
  *   availability zone, in tokens: where such bytes are dear, 20 KB cost as
  *   much as reading 400 tokens again
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -571,10 +571,18 @@
 {
     struct pool pool;
     struct pgw_upstream *first;
+    struct pgw_upstream *away[4];
     struct pgw_upstream *next;
 
     pool_init(&pool);
     first = add(&pool, "first", "a", 1);
+    for (unsigned i = 0; i < G_N_ELEMENTS(away); i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "away%u", i);
+        away[i] = add(&pool, id, "a", 10 + i);
+        pgw_upstream_set_loading(away[i], true, NOW + 1000000);
+    }
     first->slots = 64;
     ask_prompt(&pool, 3700);
     /* 60 tokens a ms: 24,000 tokens in 400 ms, six prompts of 4,000. */
@@ -588,6 +596,14 @@
     next = add(&pool, "next", "a", 2);
     g_assert_true(choose(&pool).upstream == next);
 
+    /* Where most of the pool is there the costs decide. */
+    next->inflight = next->slots;
+    g_assert_null(choose(&pool).upstream);
+    pgw_upstream_set_loading(away[0], false, 0);
+    away[0]->inflight = away[0]->slots;
+    g_assert_true(choose(&pool).upstream == first);
+    pgw_upstream_set_loading(away[0], true, NOW + 1000000);
+
     ask_prompt(&pool, 60000);
     next->inflight = 1;
     g_assert_true(choose(&pool).upstream == next);
