--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -11,10 +11,6 @@
 #define RECONNECT_US 500000
 /* What changes within this time is announced together. */
 #define NEWS_US 150000
-/* An entry that knows less than a peer waits so long for the store to tell it
- * before it asks: its own watch takes changes together for 350 ms. A leaving
- * upstream or a revoked key is known everywhere within a second. */
-#define ASK_AFTER_US 450000
 /* A frame of copies is sent when it has so many bytes; with one more object of
  * the most that the store takes (1 MiB) it stays below PGW_FRAME_MAX. */
 #define FRAME_BYTES ((size_t)1 << 20)
@@ -226,7 +222,8 @@
         /* The one that was asked goes behind the others. */
         pgw_list_remove(&peer->in_mesh);
         pgw_list_append(&mesh->peers, &peer->in_mesh);
-        pgw_timer_start(mesh->loop, &mesh->ask_timer, ASK_AFTER_US);
+        pgw_timer_start(mesh->loop, &mesh->ask_timer,
+                        mesh->options.ask_after_us);
         return;
     }
 }
@@ -319,7 +316,8 @@
     }
     else if (is_ahead(peer) && mesh->ask_timer.position == 0) {
         pgw_timer_start(mesh->loop, &mesh->ask_timer,
-                        mesh->reached.count == 0 ? 0 : ASK_AFTER_US);
+                        mesh->reached.count == 0 ? 0
+                                                 : mesh->options.ask_after_us);
     }
     revisions_clear(&since);
 }
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -29,6 +29,8 @@
  * @seed_count: number of @seeds
  * @instance: name of this process
  * @zone: its availability zone
+ * @ask_after_us: who knows less than a peer waits so long for the platform's
+ *   store before it asks that peer
  * @on_document: a newer copy came, from whichever side
  * @context: handed to @on_document
  * @poison: what is known of requests that crash upstreams, kept alike on all
@@ -40,6 +42,7 @@
     size_t seed_count;
     const char *instance;
     const char *zone;
+    uint64_t ask_after_us;
     void (*on_document)(const struct pgw_document *document, void *context);
     void *context;
     struct pgw_poison *poison;
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -66,6 +66,7 @@
         .seed_count = index > 0,
         .instance = "e",
         .zone = "a",
+        .ask_after_us = 450000,
         .poison = fleet->poison[index],
         .on_document = on_document,
         .context = &hearers[index],
