--- /dev/null
+++ b/bench/placement/sidecar.c
@@ -0,0 +1,153 @@
+/* The sidecar beside an engine: what it knows, and when it says so. */
+#include "gateway/guard_budget.h"
+#include "sim.h"
+
+#define REPORT_US 100000
+#define PUSH_MAX_US 1000000
+/* A load that has changed by so many requests is told. */
+#define NEWS_REQUESTS 2
+
+/* The last report, and what has been announced since. */
+static struct pgw_upstream_load
+current_load(const struct sim_engine *engine)
+{
+    struct pgw_upstream_load load = engine->report;
+    struct pgw_unread unread = pgw_announced_unread(&engine->announced);
+
+    load.running += engine->arrivals;
+    load.long_prefills = MAX(load.long_prefills, unread.prompts);
+    load.unread = unread.tokens;
+    load.kv_used += engine->arriving_tokens;
+    return load;
+}
+
+void
+sim_sidecar_answer(struct sim_answer *out, struct sim_engine *engine,
+                   uint64_t key)
+{
+    out->load = current_load(engine);
+    out->part =
+        pgw_held_parts_answer(&engine->parts, key, engine->sim->now_us);
+    engine->sim->bytes += PGW_GUARD_STATE_BYTES + PGW_GUARD_PART_BYTES;
+}
+
+static void
+tell(struct sim_engine *engine, bool far, size_t most)
+{
+    struct sim *sim = engine->sim;
+    GArray *words = pgw_held_parts_changes(&engine->parts, far, most);
+
+    for (unsigned i = 0; i < sim->entry_count; i++) {
+        struct pgw_upstream *upstream =
+            sim->entries[i].upstreams[engine->index];
+
+        if (upstream->same_zone == far) {
+            continue;
+        }
+        pgw_upstream_take_load(upstream, &engine->told, sim->now_us);
+        for (unsigned j = 0; j < words->len; j++) {
+            sim_entry_take_part(upstream,
+                                &g_array_index(words, struct pgw_told_part, j),
+                                sim->now_us);
+        }
+        sim->bytes += PGW_GUARD_LOAD_BYTES + words->len * PGW_GUARD_PART_BYTES;
+    }
+    g_array_unref(words);
+}
+
+static bool
+is_news(const struct sim_engine *engine)
+{
+    struct pgw_upstream_load now = current_load(engine);
+    int moved = (int)(now.running + now.waiting) -
+                (int)(engine->told.running + engine->told.waiting);
+
+    return engine->sim->now_us - engine->told_us >= PUSH_MAX_US ||
+           now.long_prefills != engine->told.long_prefills ||
+           ABS(moved) >= NEWS_REQUESTS ||
+           pgw_held_parts_is_news(&engine->parts, false);
+}
+
+static void
+tell_zone(struct sim_engine *engine)
+{
+    if (is_news(engine)) {
+        engine->told = current_load(engine);
+        engine->told_us = engine->sim->now_us;
+        tell(engine, false, SIZE_MAX);
+    }
+}
+
+static void
+tell_other_zones(struct sim_engine *engine)
+{
+    const struct sim_options *options = &engine->sim->options;
+    unsigned entries = (options->zones - 1) * options->entries;
+    uint64_t now = engine->sim->now_us;
+
+    if (entries > 0 && options->homes == 0 &&
+        now - engine->told_far_us >= pgw_guard_far_period_us(entries)) {
+        engine->told_far_us = now;
+        tell(engine, true, pgw_guard_far_parts_most(entries));
+    }
+}
+
+void
+sim_sidecar_expect(struct sim_engine *engine,
+                   const struct sim_announcement *announcement)
+{
+    engine->arrivals++;
+    if (announcement->to_read >= PGW_LONG_PREFILL) {
+        pgw_announced_add(&engine->announced, announcement->request,
+                          announcement->to_read, engine->sim->now_us);
+    }
+    engine->arriving_tokens += announcement->memory;
+    pgw_held_parts_expect(&engine->parts, announcement->key,
+                          announcement->tokens, engine->sim->now_us);
+    tell_zone(engine);
+}
+
+static void
+find_announced(struct sim_engine *engine)
+{
+    guint count = g_hash_table_size(engine->runs);
+    struct pgw_engine_run *runs = g_new0(struct pgw_engine_run, count + 1);
+    GHashTableIter iter;
+    void *value;
+    size_t i = 0;
+
+    g_hash_table_iter_init(&iter, engine->runs);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        const struct sim_job *job = value;
+
+        runs[i].id = job->id;
+        runs[i++].events = job->is_read;
+    }
+    pgw_announced_report(&engine->announced, runs, count,
+                         g_queue_get_length(&engine->waiting),
+                         engine->sim->now_us);
+    g_free(runs);
+}
+
+void
+sim_sidecar_report(struct sim *sim, void *what)
+{
+    struct sim_engine *engine = what;
+
+    engine->report = (struct pgw_upstream_load){
+        .running = engine->running,
+        .waiting = g_queue_get_length(&engine->waiting),
+        .slots = sim->options.slots,
+        .long_prefills = engine->long_reads,
+        .kv_used = engine->kv_pinned,
+        .kv_total = sim->options.kv_tokens,
+    };
+    engine->arrivals = 0;
+    find_announced(engine);
+    engine->arriving_tokens = 0;
+    tell_zone(engine);
+    tell_other_zones(engine);
+    if (sim->now_us < sim->end_us) {
+        sim_at(sim, sim->now_us + REPORT_US, sim_sidecar_report, engine);
+    }
+}
--- /dev/null
+++ b/src/gateway/announced.h
@@ -0,0 +1,75 @@
+#ifndef PGW_GATEWAY_ANNOUNCED_H
+#define PGW_GATEWAY_ANNOUNCED_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Long prompts that entries have announced to a sidecar
+ *
+ * An engine's report counts its requests, but not what is left to be read of
+ * them, nor what waits in its queue. The sidecar adds up what was announced
+ * and finds in each report what has become of it.
+ */
+
+/**
+ * struct pgw_engine_run - a request that an engine runs, by its report
+ * @id: pgw_announced_id() of the request
+ * @tokens: in memory
+ * @events: that it has generated; 0: its prompt is being read
+ */
+struct pgw_engine_run {
+    uint64_t id;
+    uint32_t tokens;
+    uint64_t events;
+};
+
+/**
+ * struct pgw_announced - requests that may not have been read yet
+ * @requests: pgw_announced_id() -> &struct announced_request
+ */
+struct pgw_announced {
+    GHashTable *requests;
+};
+
+/**
+ * struct pgw_unread - what an engine has before it
+ * @tokens: prompt tokens that are left to be read
+ * @prompts: long prompts of which some are
+ */
+struct pgw_unread {
+    uint64_t tokens;
+    uint32_t prompts;
+};
+
+/** pgw_announced_id() - hash of a request's id */
+uint64_t pgw_announced_id(const char *id);
+
+void pgw_announced_init(struct pgw_announced *announced);
+void pgw_announced_dispose(struct pgw_announced *announced);
+
+/** pgw_announced_clear() - the engine started anew: it has none of them */
+void pgw_announced_clear(struct pgw_announced *announced);
+
+/** pgw_announced_add() - an entry sends a prompt of which @to_read tokens have
+ * to be read */
+void pgw_announced_add(struct pgw_announced *announced, uint64_t id,
+                       uint32_t to_read, uint64_t now_us);
+
+/**
+ * pgw_announced_report() - find in a report what has become of them
+ * @announced: the requests
+ * @runs: requests that the engine runs
+ * @count: number of @runs
+ * @waiting: requests in its queue
+ * @now_us: monotonic time
+ */
+void pgw_announced_report(struct pgw_announced *announced,
+                          const struct pgw_engine_run *runs, size_t count,
+                          uint32_t waiting, uint64_t now_us);
+
+/** pgw_announced_unread() - what is left to be read */
+struct pgw_unread pgw_announced_unread(const struct pgw_announced *announced);
+
+#endif
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -32,6 +32,19 @@
     return false;
 }
 
+/* Homes are taken in before all others. */
+static bool
+is_home(const struct pgw_candidates *candidates,
+        const struct pgw_upstream *upstream)
+{
+    for (size_t i = 0; i < candidates->home_count; i++) {
+        if (candidates->items[i] == upstream) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 append(struct pgw_candidates *out, struct pgw_upstream *upstream,
        uint32_t rank)
@@ -48,8 +61,12 @@
 add_all(struct pgw_candidates *out, const GPtrArray *from, uint64_t random)
 {
     for (unsigned i = 0; i < from->len; i++) {
-        append(out, g_ptr_array_index(from, (random + i) % from->len),
-               PGW_PLACE_RANK_MAX);
+        struct pgw_upstream *upstream =
+            g_ptr_array_index(from, (random + i) % from->len);
+
+        if (!is_home(out, upstream)) {
+            append(out, upstream, PGW_PLACE_RANK_MAX);
+        }
     }
 }
 
@@ -81,14 +98,13 @@
     append(out, upstream, rank);
 }
 
-/* Ranks @from for the prompt and takes in the first ones. */
-static void
-add_ranked(struct pgw_candidates *out, const GPtrArray *from,
-           const struct pgw_level_chain *chain, uint64_t now_us)
+/* Positions in @from of the first @most in rank; returns their number. */
+static size_t
+rank(uint32_t *out, size_t most, const GPtrArray *from,
+     const struct pgw_level_chain *chain, uint64_t now_us)
 {
     size_t count = MIN(from->len, RANKED_MAX);
     struct pgw_place_node *nodes = g_new0(struct pgw_place_node, count);
-    uint32_t order[PGW_PLACE_RANK_MAX];
     size_t ranked;
 
     for (size_t i = 0; i < count; i++) {
@@ -99,17 +115,52 @@
             .usable = pgw_upstream_is_usable(upstream, now_us),
         };
     }
-    ranked = pgw_place_rank(order, PGW_PLACE_RANK_MAX, nodes, count, chain);
-    for (size_t i = 0; i < ranked; i++) {
-        set_rank(out, g_ptr_array_index(from, order[i]), (uint32_t)i);
-    }
+    ranked = pgw_place_rank(out, most, nodes, count, chain);
     g_free(nodes);
+    return ranked;
+}
+
+/* Takes in the first in rank of @from, behind the homes. */
+static void
+add_ranked(struct pgw_candidates *out, const GPtrArray *from,
+           const struct pgw_level_chain *chain, uint64_t now_us)
+{
+    uint32_t order[PGW_PLACE_RANK_MAX];
+    size_t ranked = rank(order, PGW_PLACE_RANK_MAX, from, chain, now_us);
+    uint32_t next = (uint32_t)out->home_count;
+
+    for (size_t i = 0; i < ranked && next < PGW_PLACE_RANK_MAX; i++) {
+        struct pgw_upstream *upstream = g_ptr_array_index(from, order[i]);
+
+        if (!is_home(out, upstream)) {
+            set_rank(out, upstream, next++);
+        }
+    }
+}
+
+void
+pgw_homes_pick(struct pgw_homes *out, const struct pgw_upstream_pool *pool,
+               const struct pgw_level_chain *chain, size_t count,
+               uint64_t now_us)
+{
+    uint32_t order[PGW_HOMES_MAX];
+
+    out->count = 0;
+    if (pool->all->len <= PGW_CANDIDATES_MAX || count == 0) {
+        return;
+    }
+    out->count =
+        rank(order, MIN(count, PGW_HOMES_MAX), pool->all, chain, now_us);
+    for (size_t i = 0; i < out->count; i++) {
+        out->items[i] = g_ptr_array_index(pool->all, order[i]);
+    }
 }
 
 void
 pgw_candidates_pick(struct pgw_candidates *out,
                     const struct pgw_upstream_pool *pool,
                     enum pgw_candidates_from from,
+                    const struct pgw_homes *homes,
                     const struct pgw_level_chain *chain, uint64_t random,
                     uint64_t now_us)
 {
@@ -118,6 +169,10 @@
 
     out->count = 0;
     out->all = pool->all->len <= PGW_CANDIDATES_MAX;
+    for (size_t i = 0; homes != NULL && i < homes->count; i++) {
+        append(out, homes->items[i], (uint32_t)i);
+    }
+    out->home_count = out->count;
     if (from == PGW_CANDIDATES_ANYWHERE) {
         drawn = DRAWN_ANYWHERE;
     }
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -23,12 +23,14 @@
  * @items: these; the order between equals is the draw's
  * @rank: rank of each for the prompt, %PGW_PLACE_RANK_MAX for the rest
  * @count: number of @items
+ * @home_count: how many of the first are homes of the prompt
  * @all: no upstream of the pool is missing
  */
 struct pgw_candidates {
     struct pgw_upstream *items[PGW_CANDIDATES_MAX];
     uint32_t rank[PGW_CANDIDATES_MAX];
     size_t count;
+    size_t home_count;
     bool all;
 };
 
@@ -43,11 +45,38 @@
     PGW_CANDIDATES_ANYWHERE,
 };
 
+/* Homes of a prompt: the first in rank of a pool that is not weighed whole. */
+#define PGW_HOMES_MAX 4
+
+/**
+ * struct pgw_homes - where entries of all zones look for a prompt's parts
+ * @items: the first in rank of the whole pool
+ * @count: number of @items
+ */
+struct pgw_homes {
+    struct pgw_upstream *items[PGW_HOMES_MAX];
+    size_t count;
+};
+
+/**
+ * pgw_homes_pick() - the homes of a prompt
+ * @out: receives them; none where the pool is weighed whole
+ * @pool: upstreams of the service
+ * @chain: shared parts of the prompt
+ * @count: how many, %PGW_HOMES_MAX at most
+ * @now_us: monotonic time
+ */
+void pgw_homes_pick(struct pgw_homes *out,
+                    const struct pgw_upstream_pool *pool,
+                    const struct pgw_level_chain *chain, size_t count,
+                    uint64_t now_us);
+
 /**
  * pgw_candidates_pick() - upstreams to weigh for one request
  * @out: receives them
  * @pool: upstreams of the service
  * @from: where to look
+ * @homes: weighed beside the own zone, before it in rank; NULL: none
  * @chain: shared parts of the prompt; NULL: a plain call
  * @random: the draw; the same one gives the same candidates
  * @now_us: monotonic time
@@ -55,6 +84,7 @@
 void pgw_candidates_pick(struct pgw_candidates *out,
                          const struct pgw_upstream_pool *pool,
                          enum pgw_candidates_from from,
+                         const struct pgw_homes *homes,
                          const struct pgw_level_chain *chain, uint64_t random,
                          uint64_t now_us);
 
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -1,5 +1,4 @@
 #include "gateway/choose.h"
-#include "gateway/candidates.h"
 #include <float.h>
 #include <string.h>
 #include <xxhash.h>
@@ -81,8 +80,8 @@
     return cost + upstream->failure_rate;
 }
 
-static uint32_t
-shared_tokens(const struct pgw_prompt *prompt)
+uint32_t
+pgw_prompt_shared(const struct pgw_prompt *prompt)
 {
     uint32_t total = 0;
 
@@ -146,7 +145,7 @@
 {
     const struct pgw_prompt *prompt = input->prompt;
     uint64_t version = pgw_upstream_version(upstream, input->model);
-    uint32_t missing = shared_tokens(prompt);
+    uint32_t missing = pgw_prompt_shared(prompt);
     char salt[PGW_CACHE_SALT_SIZE];
 
     pgw_cache_salt(salt, version, prompt->isolated_to);
@@ -264,6 +263,77 @@
            fullness * fullness * options->full_tokens;
 }
 
+/* What was announced is known; of the rest the number of prompts is. */
+static double
+reading_for_others(const struct pgw_upstream *upstream,
+                   const struct pgw_choose_options *options, uint64_t now_us)
+{
+    if (options->long_prefill_tokens <= 0) {
+        return 0;
+    }
+    return upstream->load.unread > 0
+               ? pgw_upstream_unread(upstream, now_us)
+               : pgw_upstream_long_prefills(upstream, now_us) *
+                     options->long_prefill_tokens;
+}
+
+static bool
+is_home(const struct survey *survey, size_t position)
+{
+    return position < survey->candidates.home_count;
+}
+
+/*
+ * Failure: all engines of a pool are full. Symptom: whoever has a free place
+ * gets the next prompt, cold; it is read again each time, which takes three
+ * times the engine's time, so that they stay full long after the cause is
+ * over. A home is worth a wait in its queue, and so is who holds the parts.
+ */
+static double
+depth_limit(const struct pgw_upstream *upstream, size_t position,
+            const struct pgw_choose_input *input,
+            const struct pgw_choose_options *options,
+            const struct survey *survey)
+{
+    bool affine =
+        survey->candidates.home_count > 0 &&
+        (is_home(survey, position) || survey->missing[position] == 0) &&
+        pgw_prompt_shared(input->prompt) >= PGW_LONG_PREFILL;
+
+    return (affine ? options->home_depth : options->engine_depth) *
+           upstream->slots;
+}
+
+/*
+ * Failure: long prompts take all places of an engine. Symptom: it puts them
+ * back as soon as a request of a more urgent route comes, and reads them again
+ * from their beginning. One prompt is read at a time, so more than some only
+ * wait there in place of others.
+ */
+static bool
+fits_beside_long(const struct pgw_upstream *upstream, uint32_t tokens,
+                 const struct pgw_choose_input *input,
+                 const struct pgw_choose_options *options)
+{
+    double there = upstream->long_prefills +
+                   pgw_upstream_long_prefills(upstream, input->now_us);
+
+    return tokens < PGW_LONG_PREFILL ||
+           there < MAX(options->long_share * upstream->slots, 1);
+}
+
+/* What is read where other entries do not look for it will be read again. */
+static double
+stray_cost(size_t position, const struct pgw_choose_input *input,
+           const struct pgw_choose_options *options,
+           const struct survey *survey)
+{
+    return survey->candidates.home_count == 0 || is_home(survey, position) ||
+                   survey->missing[position] == 0
+               ? 0
+               : options->stray_share * pgw_prompt_shared(input->prompt);
+}
+
 static double
 engine_cost(const struct pgw_upstream *upstream, size_t position,
             const struct pgw_choose_input *input,
@@ -273,12 +343,15 @@
     uint32_t load = pgw_upstream_load_estimate(upstream, input->now_us);
     uint64_t version = pgw_upstream_version(upstream, input->model);
     double rank_tokens =
-        MAX(options->rank_share * shared_tokens(input->prompt),
+        MAX(options->rank_share * pgw_prompt_shared(input->prompt),
             options->rank_tokens);
     double cost;
 
-    if (load + 1 > options->engine_depth * upstream->slots ||
+    if (load + 1 > depth_limit(upstream, position, input, options, survey) ||
         !fits_memory(upstream, input, options) ||
+        !fits_beside_long(
+            upstream, survey->missing[position] + own_tokens(input->prompt),
+            input, options) ||
         (survey->few &&
          !fits_reading(upstream,
                        survey->missing[position] + own_tokens(input->prompt),
@@ -289,14 +362,14 @@
         return DBL_MAX;
     }
     cost = (double)upstream->prefill_tokens +
-           pgw_upstream_long_prefills(upstream, input->now_us) *
-               options->long_prefill_tokens;
+           reading_for_others(upstream, options, input->now_us);
     cost += missing_cost(upstream, survey->missing[position], input, options,
                          survey);
     cost += crowd_cost(upstream,
                        survey->missing[position] + own_tokens(input->prompt),
                        options, input->now_us);
     cost += survey->candidates.rank[position] * rank_tokens;
+    cost += stray_cost(position, input, options, survey);
     if (upstream->loads_next) {
         cost += MAX(input->run_ms - input->turn_ms, 0) * options->delay_share *
                 input->read_rate;
@@ -308,27 +381,33 @@
     return cost + upstream->failure_rate * options->failing_tokens;
 }
 
+void
+pgw_prompt_chain(struct pgw_level_chain *out, const struct pgw_prompt *prompt)
+{
+    *out = (struct pgw_level_chain){0};
+    for (size_t i = 0; i + 1 < prompt->part_count && i < PGW_LEVEL_MAX; i++) {
+        out->levels[i].hash_high = prompt->parts[i].id;
+        out->levels[i].hash_low = prompt->parts[i].id;
+        out->count = i + 1;
+    }
+}
+
 static void
 make_survey(struct survey *out, const struct pgw_choose_input *input,
             enum pgw_candidates_from from)
 {
     struct pgw_candidates *candidates = &out->candidates;
-    struct pgw_level_chain chain = {0};
+    struct pgw_level_chain chain;
     size_t usable = 0;
 
     if (input->prompt == NULL) {
-        pgw_candidates_pick(candidates, input->pool, from, NULL, input->random,
-                            input->now_us);
+        pgw_candidates_pick(candidates, input->pool, from, NULL, NULL,
+                            input->random, input->now_us);
         return;
     }
-    for (size_t i = 0; i + 1 < input->prompt->part_count && i < PGW_LEVEL_MAX;
-         i++) {
-        chain.levels[i].hash_high = input->prompt->parts[i].id;
-        chain.levels[i].hash_low = input->prompt->parts[i].id;
-        chain.count = i + 1;
-    }
-    pgw_candidates_pick(candidates, input->pool, from, &chain, input->random,
-                        input->now_us);
+    pgw_prompt_chain(&chain, input->prompt);
+    pgw_candidates_pick(candidates, input->pool, from, input->homes, &chain,
+                        input->random, input->now_us);
     for (size_t i = 0; i < candidates->count; i++) {
         out->missing[i] = missing_tokens(candidates->items[i], input, true);
         out->confirmed[i] = missing_tokens(candidates->items[i], input, false);
@@ -469,7 +548,7 @@
         return;
     }
     out->missing_tokens = missing_tokens(out->upstream, input, true);
-    out->shared_tokens = shared_tokens(input->prompt);
+    out->shared_tokens = pgw_prompt_shared(input->prompt);
     if (options->fetch_min_tokens < UINT32_MAX) {
         out->holder =
             find_holder(out->upstream, out->shared_tokens, input, &survey);
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_CHOOSE_H
 #define PGW_GATEWAY_CHOOSE_H
 
+#include "gateway/candidates.h"
 #include "gateway/policy.h"
 #include "gateway/upstream_table.h"
 
@@ -70,6 +71,13 @@
  * @plain_depth: a plain upstream gets no more than this times its slots: its
  *   own short queue hides the time between two answers
  * @engine_depth: the same for engines, whose queue only delays
+ * @home_depth: the same for homes of a prompt and for holders of its parts, in
+ *   pools that are not weighed whole
+ * @long_share: part of an engine's places that long prompts may take which it
+ *   has not read yet
+ * @stray_share: cost of reading shared parts on an engine that is no home of
+ *   the prompt, in times their tokens: they are read again by who looks for
+ *   them at the homes
  * @memory_share: part of an engine's memory that may be promised; preemption
  *   begins when it is full, and estimates of several entries overlap
  * @reading_ms: what this entry has an engine read at a time while most of its
@@ -108,6 +116,9 @@
 struct pgw_choose_options {
     double plain_depth;
     double engine_depth;
+    double home_depth;
+    double long_share;
+    double stray_share;
     double memory_share;
     double reading_ms;
     double zone_tokens_per_kb;
@@ -130,7 +141,8 @@
 
 #define PGW_CHOOSE_OPTIONS_INIT                                               \
     {                                                                         \
-        .plain_depth = 2.0, .engine_depth = 1.0, .memory_share = 0.92,        \
+        .plain_depth = 2.0, .engine_depth = 1.0, .home_depth = 2.0,           \
+        .long_share = 0.5, .stray_share = 1.0, .memory_share = 0.92,          \
         .reading_ms = 400, .zone_tokens_per_kb = 20, .request_tokens = 20,    \
         .harm_share = 0.02, .full_tokens = 2000, .long_prefill_tokens = 6000, \
         .rank_share = 0.02, .rank_tokens = 15, .reread_weight = 2.5,          \
@@ -151,6 +163,7 @@
  * @tried: upstreams that had the request before
  * @tried_count: number of @tried
  * @prompt: of an engine's request; NULL for a plain call
+ * @homes: of the prompt, whose sidecars were asked; NULL: none
  * @model: whose weights; NULL for a plain call
  * @version: engines with older weights cost more, 0: none does
  * @least_version: engines with older weights are not used
@@ -167,6 +180,7 @@
     struct pgw_upstream *const *tried;
     size_t tried_count;
     const struct pgw_prompt *prompt;
+    const struct pgw_homes *homes;
     const char *model;
     uint64_t version;
     uint64_t least_version;
@@ -201,6 +215,13 @@
     uint64_t retry_at_us;
 };
 
+/** pgw_prompt_chain() - the shared parts of a prompt, for ranking */
+void pgw_prompt_chain(struct pgw_level_chain *out,
+                      const struct pgw_prompt *prompt);
+
+/** pgw_prompt_shared() - tokens of its shared parts */
+uint32_t pgw_prompt_shared(const struct pgw_prompt *prompt);
+
 /** pgw_choose() - pick an upstream */
 void pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
                 const struct pgw_choose_options *options);
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -74,6 +74,7 @@
     leave_queue(exchange);
     pgw_timer_stop(gateway->loop, &exchange->timer);
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
+    pgw_home_probe_drop(exchange);
     pgw_call_cancel(&exchange->call);
     pgw_attempt_leave(exchange);
     pgw_list_remove(&exchange->in_gateway);
@@ -137,7 +138,8 @@
         " sends=%u runs=%u load=%u "
         "load_age_ms=%" G_GUINT64_FORMAT " "
         "upstream=%s weights=%" G_GUINT64_FORMAT
-        " tokens=%u missing=%u fetch=%s "
+        " tokens=%u homes=%zu probe_ms=%" G_GUINT64_FORMAT
+        " missing=%u fetch=%s "
         "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
         " events=%" G_GUINT64_FORMAT,
         exchange->facts.id, exchange->route->name, exchange->service,
@@ -151,6 +153,7 @@
             ? "-"
             : exchange->tried[exchange->tried_count - 1]->id,
         exchange->weights, exchange->facts.prompt.tokens,
+        exchange->homes.count, exchange->probing_us / 1000,
         exchange->missing_tokens,
         exchange->fetched == NULL ? "-" : exchange->fetched, first / 1000,
         (now - exchange->received_us) / 1000, exchange->events.events);
@@ -274,6 +277,7 @@
 
     if (exchange->facts.model != NULL) {
         input.prompt = &exchange->facts.prompt;
+        input.homes = &exchange->homes;
         input.model = exchange->facts.model;
         input.run_ms =
             gateway->token_ms.value * exchange->facts.prompt.output_tokens;
@@ -330,6 +334,9 @@
         deadline_due(&exchange->timer);
         return;
     }
+    if (pgw_home_probe_begin(exchange)) {
+        return;
+    }
     make_choice(&choice, exchange);
     if (choice.upstream != NULL) {
         leave_queue(exchange);
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -4,20 +4,36 @@
 #include <string.h>
 
 /* What an entry sends there is told to the others before the engine's own
- * events can say so. */
+ * report and events can say so. */
 static void
 take_expected(struct pgw_engine_guard *guard,
               const Pgw__ExpectedParts *message)
 {
+    guard->arrivals.requests++;
+    if (message->to_read >= PGW_LONG_PREFILL) {
+        pgw_announced_add(&guard->announced, message->request,
+                          message->to_read, pgw_now_us());
+    }
+    guard->arrivals.memory += message->memory;
     for (size_t i = 0; i < message->n_parts; i++) {
         pgw_held_parts_expect(&guard->parts, message->parts[i]->key,
-                              message->parts[i]->tokens);
+                              message->parts[i]->tokens, pgw_now_us());
     }
-    if (guard->alive && pgw_held_parts_is_news(&guard->parts, false)) {
+    if (guard->alive && pgw_guard_is_news(guard)) {
         pgw_guard_tell_all(guard, false);
     }
 }
 
+static void
+take_hello(struct pgw_guard_entry *peer, const Pgw__Hello *hello)
+{
+    peer->far = strcmp(hello->zone, peer->guard->zone) != 0;
+    peer->on_request = hello->on_request;
+    if (peer->guard->alive && !peer->on_request) {
+        pgw_guard_send_state(peer->guard, peer);
+    }
+}
+
 static bool
 on_frame(struct pgw_link *link, enum pgw_frame_type type,
          ProtobufCMessage *message, void *context)
@@ -26,12 +42,7 @@
 
     (void)link;
     if (type == PGW_FRAME_HELLO) {
-        const Pgw__Hello *hello = (const Pgw__Hello *)message;
-
-        peer->far = strcmp(hello->zone, peer->guard->zone) != 0;
-        if (peer->guard->alive) {
-            pgw_guard_send_state(peer->guard, peer);
-        }
+        take_hello(peer, (const Pgw__Hello *)message);
     }
     else if (type == PGW_FRAME_LOAD_WEIGHTS) {
         const Pgw__LoadWeights *load = (const Pgw__LoadWeights *)message;
@@ -43,6 +54,10 @@
     else if (type == PGW_FRAME_EXPECTED_PARTS) {
         take_expected(peer->guard, (const Pgw__ExpectedParts *)message);
     }
+    else if (type == PGW_FRAME_ENGINE_PROBE) {
+        pgw_guard_answer_probe(peer->guard, peer,
+                               (const Pgw__EngineProbe *)message);
+    }
     return false;
 }
 
@@ -109,6 +124,7 @@
     guard->report_body = g_string_new(NULL);
     guard->events_body = g_string_new(NULL);
     pgw_held_parts_init(&guard->parts);
+    pgw_announced_init(&guard->announced);
     guard->events_timer.on_due = pgw_guard_events_due;
     if (guard->listener != NULL) {
         pgw_timer_start(loop, &guard->events_timer, 0);
@@ -144,6 +160,7 @@
     pgw_call_cancel(&guard->events_call);
     pgw_timer_stop(guard->loop, &guard->events_timer);
     pgw_held_parts_dispose(&guard->parts);
+    pgw_announced_dispose(&guard->announced);
     g_string_free(guard->events_body, TRUE);
     if (!pgw_list_is_empty(&guard->entries)) {
         pgw_list_foreach_safe (link, &guard->entries) {
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_ENGINE_GUARD_H
 #define PGW_GATEWAY_ENGINE_GUARD_H
 
+#include "gateway/announced.h"
 #include "gateway/call.h"
 #include "gateway/held_parts.h"
 #include "gateway/policy.h"
@@ -26,6 +27,8 @@
  * @sequence: orders that it accepted
  * @started_ms: when its process started, by its own clock, in Unix
  *   milliseconds; 0: not said
+ * @runs: requests that it runs; owned
+ * @run_count: number of @runs
  */
 struct pgw_engine_report {
     struct pgw_upstream_load load;
@@ -34,6 +37,8 @@
     bool busy;
     uint64_t sequence;
     uint64_t started_ms;
+    struct pgw_engine_run *runs;
+    size_t run_count;
 };
 
 /**
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,8 +24,10 @@
  * @read_rate: tokens that an engine reads in a millisecond, as observed
  * @turn_ms: time until an engine that loads next is told to, on average
  * @pump_at_us: when @pump_timer is due, 0: it is not set
- * @on_expected: is told which shared parts are sent to an engine
- * @expected_context: handed to @on_expected
+ * @sidecars: how sidecars are reached, NULL: they are not
+ * @sidecars_context: handed to @sidecars
+ * @probes: number of a probe -> the &struct pgw_exchange that waits for it
+ * @last_probe: number of the last one
  */
 struct pgw_gateway {
     struct pgw_loop *loop;
@@ -51,10 +53,10 @@
     double turn_ms;
     uint64_t pump_at_us;
     bool pump_posted;
-    void (*on_expected)(const struct pgw_upstream *upstream,
-                        const struct pgw_shared_part *parts, size_t count,
-                        void *context);
-    void *expected_context;
+    const struct pgw_sidecar_ops *sidecars;
+    void *sidecars_context;
+    GHashTable *probes;
+    uint64_t last_probe;
 };
 
 /**
@@ -80,6 +82,11 @@
  * @sends: upstreams that it was sent to, refusals included
  * @stuck_told: that it waits for a silent upstream stands in the log
  * @may_have_run: some attempt ended without saying that it did not run
+ * @homes: of the prompt, that may be chosen beside the own zone; held
+ * @probe: answers of sidecars that it waits for, 0: none
+ * @probed_at_us: when it last asked for them
+ * @probing_us: how long it has waited for them in all
+ * @answered: by position in @homes, whether what is known of it is fresh
  * @upstream: where the current attempt is
  * @counted_tokens: memory that it counts at @upstream
  * @prefill_tokens: and prompt tokens without a first event
@@ -117,6 +124,11 @@
     bool may_have_run;
     struct pgw_upstream *tried[PGW_TRIED_MAX];
     size_t tried_count;
+    struct pgw_homes homes;
+    uint64_t probe;
+    uint64_t probed_at_us;
+    uint64_t probing_us;
+    bool answered[PGW_HOMES_MAX];
     struct pgw_call call;
     struct pgw_upstream *upstream;
     uint32_t counted_tokens;
@@ -167,6 +179,18 @@
 /** pgw_exchange_finish() - the caller has its answer; frees the exchange */
 void pgw_exchange_finish(struct pgw_exchange *exchange, const char *outcome);
 
+/* home_probe.c */
+/**
+ * pgw_home_probe_begin() - ask the sidecars of a prompt's homes
+ * @exchange: a request that is about to be placed
+ *
+ * Return: true when answers are waited for; pgw_exchange_place() is called
+ * once they are there, or are not waited for any longer.
+ */
+bool pgw_home_probe_begin(struct pgw_exchange *exchange);
+/** pgw_home_probe_drop() - wait for no answers, forget the homes */
+void pgw_home_probe_drop(struct pgw_exchange *exchange);
+
 /* forward.c */
 /** pgw_exchange_send() - send it to the chosen upstream */
 void pgw_exchange_send(struct pgw_exchange *exchange,
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -1,3 +1,4 @@
+#include "gateway/announced.h"
 #include "gateway/exchange.h"
 #include "gateway/silence.h"
 #include "gateway/source.h"
@@ -63,16 +64,21 @@
                : (uint32_t)((exchange->deadline_us - now) / 1000);
 }
 
-/* From now on the prompt's shared parts are expected there: requests for the
+/*
+ * From now on the prompt's shared parts are expected there: requests for the
  * same parts that come meanwhile find them, and need not read them elsewhere.
+ * A long prompt is announced whatever the engine holds: other entries must
+ * not take it for idle until its next report.
  */
 static void
-note_parts(const struct pgw_exchange *exchange, struct pgw_upstream *upstream,
-           uint64_t version)
+announce(const struct pgw_exchange *exchange, const struct pgw_choice *choice,
+         uint64_t version)
 {
+    struct pgw_upstream *upstream = choice->upstream;
     const struct pgw_gateway *gateway = exchange->gateway;
     const struct pgw_prompt *prompt = &exchange->facts.prompt;
     struct pgw_shared_part unknown[PGW_PROMPT_PARTS_MAX];
+    struct pgw_announcement announcement = {.parts = unknown};
     size_t count = 0;
     uint64_t now = pgw_now_us();
     char salt[PGW_CACHE_SALT_SIZE];
@@ -89,10 +95,16 @@
         }
         pgw_prefix_memory_note(&upstream->expected, key, now);
     }
-    if (count > 0 && gateway->on_expected != NULL &&
+    announcement.to_read =
+        prompt->tokens - choice->shared_tokens + choice->missing_tokens;
+    announcement.memory = prompt->tokens + prompt->output_tokens;
+    announcement.request = pgw_announced_id(exchange->facts.id);
+    announcement.count = count;
+    if ((count > 0 || announcement.to_read >= PGW_LONG_PREFILL) &&
+        gateway->sidecars != NULL &&
         pgw_policy_is_on(&gateway->options.policy, PGW_EXPECTED_PARTS)) {
-        gateway->on_expected(upstream, unknown, count,
-                             gateway->expected_context);
+        gateway->sidecars->announce(gateway->sidecars_context, upstream,
+                                    &announcement);
     }
 }
 
@@ -155,7 +167,7 @@
         return;
     }
     pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
-    note_parts(exchange, choice->upstream, version);
+    announce(exchange, choice, version);
     fill_source(forward, exchange, choice);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -99,6 +99,7 @@
     gateway->poison = pgw_poison_new(&options->poison);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
     pgw_unheard_start(gateway);
+    gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     gateway->weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -121,6 +122,7 @@
     pgw_poison_free(gateway->poison);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->weights);
+    g_hash_table_destroy(gateway->probes);
     g_free(gateway->instance);
     g_free(gateway->zone);
     g_free(gateway);
@@ -225,15 +227,11 @@
 }
 
 void
-pgw_gateway_on_expected(
-    struct pgw_gateway *gateway,
-    void (*on_expected)(const struct pgw_upstream *upstream,
-                        const struct pgw_shared_part *parts, size_t count,
-                        void *context),
-    void *context)
+pgw_gateway_set_sidecars(struct pgw_gateway *gateway,
+                         const struct pgw_sidecar_ops *ops, void *context)
 {
-    gateway->on_expected = on_expected;
-    gateway->expected_context = context;
+    gateway->sidecars = ops;
+    gateway->sidecars_context = context;
 }
 
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,7 @@
  * @wait_share: part of a request's time that it may wait for a place
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
+ * @probe_wait_us: for how long the answers of sidecars are waited for
  * @on_answered_by: an upstream's address was answered by this one; NULL:
  * nobody is told
  * @context: handed to @on_answered_by
@@ -59,6 +60,7 @@
     uint64_t new_weights_us;
     double wait_share;
     double hedge_share;
+    uint64_t probe_wait_us;
     void (*on_answered_by)(const char *id, void *context);
     void *context;
 };
@@ -119,14 +121,45 @@
     uint32_t tokens;
 };
 
-/** pgw_gateway_on_expected() - be told which shared parts are sent to an
- * engine that is not known to hold them; NULL: nobody is */
-void pgw_gateway_on_expected(
-    struct pgw_gateway *gateway,
-    void (*on_expected)(const struct pgw_upstream *upstream,
-                        const struct pgw_shared_part *parts, size_t count,
-                        void *context),
-    void *context);
+/**
+ * struct pgw_announcement - a request on its way to an engine
+ * @parts: shared parts of its prompt that the engine is not known to hold
+ * @count: number of @parts
+ * @to_read: tokens of the prompt that the engine has to read
+ * @memory: tokens of the engine's memory that it takes at most
+ * @request: pgw_announced_id() of the request
+ */
+struct pgw_announcement {
+    const struct pgw_shared_part *parts;
+    size_t count;
+    uint32_t to_read;
+    uint32_t memory;
+    uint64_t request;
+};
+
+/**
+ * struct pgw_sidecar_ops - how the sidecars of engines are reached
+ * @announce: a request is sent to an engine
+ * @probe: ask for an engine's load and which parts it holds; the answer comes
+ *   through pgw_gateway_probe_answered(). false: it cannot be asked now
+ */
+struct pgw_sidecar_ops {
+    void (*announce)(void *context, const struct pgw_upstream *upstream,
+                     const struct pgw_announcement *announcement);
+    bool (*probe)(void *context, const struct pgw_upstream *upstream,
+                  uint64_t probe, const uint64_t *keys, size_t count);
+};
+
+/** pgw_gateway_set_sidecars() - reach sidecars by @ops, which is not copied;
+ * NULL: they are not reached */
+void pgw_gateway_set_sidecars(struct pgw_gateway *gateway,
+                              const struct pgw_sidecar_ops *ops,
+                              void *context);
+
+/** pgw_gateway_probe_answered() - what a sidecar said stands in the table of
+ * upstreams */
+void pgw_gateway_probe_answered(struct pgw_gateway *gateway, uint64_t probe,
+                                const struct pgw_upstream *upstream);
 
 /** pgw_gateway_set_load() - time that an engine is away for a load, in
  * microseconds; 0: not known */
--- a/src/gateway/guard_ask.c
+++ b/src/gateway/guard_ask.c
@@ -64,6 +64,10 @@
     }
     guard->alive = true;
     guard->failures = 0;
+    guard->arrivals_before = (struct pgw_guard_arrivals){0};
+    pgw_announced_report(&guard->announced, guard->report.runs,
+                         guard->report.run_count, guard->report.load.waiting,
+                         now);
     for (size_t i = 0; i < guard->model_count; i++) {
         struct pgw_guard_model *model = &guard->models[i];
         uint64_t version = pgw_guard_version_of(&guard->report, model->model);
@@ -111,6 +115,7 @@
         pgw_weights_order_restarted(&guard->models[i].order);
     }
     pgw_held_parts_clear(&guard->parts);
+    pgw_announced_clear(&guard->announced);
     if (pgw_call_is_running(&guard->events_call)) {
         pgw_call_cancel(&guard->events_call);
         pgw_timer_start(guard->loop, &guard->events_timer, 0);
@@ -183,6 +188,8 @@
         .timeout_us = REPORT_TIMEOUT_US,
     };
 
+    guard->arrivals_before = guard->arrivals;
+    guard->arrivals = (struct pgw_guard_arrivals){0};
     guard->options.codec->write_report(bytes);
     options.bytes = bytes->str;
     options.size = bytes->len;
--- a/src/gateway/guard_link_state.h
+++ b/src/gateway/guard_link_state.h
@@ -9,13 +9,22 @@
  * DOC: Inside of an entry's connections to the processes beside the engines
  *
  * guard_links.c connects and hears what the engines hold and do,
- * guard_rollout.c tells them when to load. Nobody else includes this.
+ * guard_probe.c asks them and announces requests, guard_rollout.c tells them
+ * when to load. Nobody else includes this.
  */
 
+/* Links to sidecars that only answer probes: each takes a descriptor of some
+ * thousand. Of a larger pool those are linked whose engines are homes of what
+ * an entry is asked for. */
+#define PGW_PROBE_LINKS_MAX 512
+
 /**
  * struct guard_link - the connection to the process beside one engine
  * @engine: address of the engine
  * @refused_at_us: since when nobody listens there, 0: somebody may
+ * @on_request: in another zone of a large pool: it answers probes, and sends
+ *   nothing else
+ * @probed_at_us: when it was last asked, 0: never
  * @told: for each of the engine's models the last version that its turn was
  *   told of
  */
@@ -26,6 +35,8 @@
     struct pgw_link *link;
     struct pgw_timer timer;
     uint64_t refused_at_us;
+    bool on_request;
+    uint64_t probed_at_us;
     uint64_t told[PGW_UPSTREAM_MODELS_MAX];
     bool wanted;
 };
@@ -47,6 +58,26 @@
 pgw_guard_link_upstream(const struct pgw_guard_links *links,
                         const char *engine);
 
+/** pgw_guard_link_take_part() - a sidecar's word on a part; @word: its tokens,
+ * times two, and one more when it is on its way there */
+void pgw_guard_link_take_part(struct pgw_upstream *upstream, uint64_t key,
+                              uint32_t word, uint64_t now_us);
+
+/** pgw_guard_link_add() - begin to connect to the sidecar of an upstream */
+struct guard_link *pgw_guard_link_add(struct pgw_guard_links *links,
+                                      const struct pgw_upstream *upstream,
+                                      bool on_request);
+
+/* guard_probe.c */
+/* Requests and probes of the gateway, on their way to sidecars. */
+extern const struct pgw_sidecar_ops pgw_guard_sidecar_ops;
+/** pgw_guard_probe_is_used() - a link that answers probes was used lately */
+bool pgw_guard_probe_is_used(const struct guard_link *guard, uint64_t now_us);
+/** pgw_guard_probe_take() - an answer to a probe */
+void pgw_guard_probe_take(struct guard_link *guard,
+                          struct pgw_upstream *upstream,
+                          const Pgw__EngineState *state, uint64_t now_us);
+
 /* guard_rollout.c */
 /** pgw_guard_rollout_init() - its part of the state */
 void pgw_guard_rollout_init(struct pgw_guard_links *links);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -13,11 +13,11 @@
 /* Longest time for which "loading" is believed without another word: one that
  * loads says so once a second. */
 #define LOADING_MAX_US 4000000
-/* Up to so many engines an entry hears of those of other zones, too: what is
- * cached where decides more than the way, and all of them are weighed for a
- * prompt. Beyond, its own zone has engines enough, and the control traffic of
- * all would not fit. */
-#define FAR_MAX PGW_CANDIDATES_MAX
+/* Up to so many engines an entry gets reports of those of other zones, too,
+ * and all of them are weighed for a prompt. Of more, such reports would be too
+ * rare to be worth their bytes: their sidecars are asked when a prompt might
+ * go there. */
+#define REPORT_LINKS_MAX PGW_CANDIDATES_MAX
 /* The highest count of entries holds for so long. */
 #define ENTRIES_HOLD_US 5000000
 /* A process that has been silent for so long may be cut off: its word on load
@@ -47,9 +47,9 @@
     }
 }
 
-static void
-take_part(struct pgw_upstream *upstream, uint64_t key, uint32_t word,
-          uint64_t now_us)
+void
+pgw_guard_link_take_part(struct pgw_upstream *upstream, uint64_t key,
+                         uint32_t word, uint64_t now_us)
 {
     if (word % 2 == 1) {
         pgw_prefix_memory_note(&upstream->expected, key, now_us);
@@ -68,15 +68,21 @@
         .running = state->running,
         .waiting = state->waiting,
         .long_prefills = state->long_prefills,
+        .unread = state->unread,
         .kv_used = state->kv_used,
         .kv_total = state->kv_total,
     };
     uint64_t now = pgw_now_us();
 
-    if (upstream == NULL || strcmp(state->address, guard->engine) != 0) {
+    if (upstream == NULL || (*state->address != '\0' &&
+                             strcmp(state->address, guard->engine) != 0)) {
         return;
     }
     note_entries(guard->links, state->entries, now);
+    if (guard->on_request) {
+        pgw_guard_probe_take(guard, upstream, state, now);
+        return;
+    }
     upstream->guarded = true;
     pgw_upstream_hear(upstream, now);
     pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
@@ -87,7 +93,8 @@
     }
     for (size_t i = 0; i < state->n_part_keys && i < state->n_part_words;
          i++) {
-        take_part(upstream, state->part_keys[i], state->part_words[i], now);
+        pgw_guard_link_take_part(upstream, state->part_keys[i],
+                                 state->part_words[i], now);
     }
     pgw_upstream_set_loading(upstream, state->loading || !state->alive,
                              now + (state->alive ? LOADING_MAX_US : FRESH_US));
@@ -122,6 +129,18 @@
     g_free(guard);
 }
 
+/* The last report may be old: the list speaks again, and a load that was
+ * announced is not waited for. */
+static void
+forget_reports(struct pgw_upstream *upstream)
+{
+    upstream->guarded = false;
+    upstream->loading = false;
+    upstream->loads_since_us = 0;
+    upstream->loads_next = false;
+    pgw_upstream_forget_parts(upstream);
+}
+
 /* Only a machine that answers can say that nobody listens: one that is cut off
  * or down says nothing, and its sidecar may be giving orders. */
 static void
@@ -146,13 +165,7 @@
     guard->link = NULL;
     upstream = pgw_guard_link_upstream(links, guard->engine);
     if (upstream != NULL) {
-        /* Its last word may be old: the list speaks again, and a load that
-         * was announced is not waited for. */
-        upstream->guarded = false;
-        upstream->loading = false;
-        upstream->loads_since_us = 0;
-        upstream->loads_next = false;
-        pgw_upstream_forget_parts(upstream);
+        forget_reports(upstream);
         /* Its machine answers, so that its silence would say nothing. */
         if (pgw_link_was_ended(link)) {
             upstream->heard_at_us = 0;
@@ -172,23 +185,33 @@
                     RECONNECT_US + pgw_random_u64() % RECONNECT_US);
 }
 
+static void
+say_hello(const struct guard_link *guard)
+{
+    const struct pgw_gateway *gateway = guard->links->gateway;
+    Pgw__Hello hello = PGW__HELLO__INIT;
+
+    hello.protocol = PGW_PROTOCOL;
+    hello.instance = (char *)pgw_gateway_instance(gateway);
+    hello.role = (char *)"entry";
+    hello.zone = (char *)pgw_gateway_zone(gateway);
+    hello.on_request = guard->on_request;
+    pgw_link_send(guard->link, PGW_FRAME_HELLO, &hello.base);
+}
+
 static void
 on_open(struct pgw_link *link, void *context)
 {
     struct guard_link *guard = context;
-    Pgw__Hello hello = PGW__HELLO__INIT;
 
     /*
      * Failure: an entry that started before the sidecars was refused once, and
      * counts from then. Symptom: it gives orders to an engine whose sidecar
      * does so, too. Who is connected to is there.
      */
+    (void)link;
     note_refusal(guard, false);
-    hello.protocol = PGW_PROTOCOL;
-    hello.instance = (char *)pgw_gateway_instance(guard->links->gateway);
-    hello.role = (char *)"entry";
-    hello.zone = (char *)pgw_gateway_zone(guard->links->gateway);
-    pgw_link_send(link, PGW_FRAME_HELLO, &hello.base);
+    say_hello(guard);
     memset(guard->told, 0, sizeof(guard->told));
     pgw_guard_rollout_announce(guard);
     pgw_guard_rollout_post(guard->links);
@@ -221,8 +244,9 @@
     }
 }
 
-static void
-add(struct pgw_guard_links *links, const struct pgw_upstream *upstream)
+struct guard_link *
+pgw_guard_link_add(struct pgw_guard_links *links,
+                   const struct pgw_upstream *upstream, bool on_request)
 {
     struct guard_link *guard = g_new0(struct guard_link, 1);
 
@@ -238,35 +262,11 @@
             htons(links->port);
     }
     guard->wanted = true;
+    guard->on_request = on_request;
     guard->timer.on_due = connect_due;
     g_hash_table_insert(links->by_engine, guard->engine, guard);
     pgw_timer_start(links->loop, &guard->timer, 0);
-}
-
-static void
-on_expected(const struct pgw_upstream *upstream,
-            const struct pgw_shared_part *parts, size_t count, void *context)
-{
-    const struct pgw_guard_links *links = context;
-    const struct guard_link *guard =
-        g_hash_table_lookup(links->by_engine, upstream->address_text);
-    Pgw__ExpectedParts message = PGW__EXPECTED_PARTS__INIT;
-    Pgw__HeldPart items[PGW_PROMPT_PARTS_MAX];
-    Pgw__HeldPart *pointers[PGW_PROMPT_PARTS_MAX];
-
-    if (guard == NULL || guard->link == NULL ||
-        !pgw_link_is_open(guard->link)) {
-        return;
-    }
-    for (size_t i = 0; i < count; i++) {
-        pgw__held_part__init(&items[i]);
-        items[i].key = parts[i].key;
-        items[i].tokens = parts[i].tokens;
-        pointers[i] = &items[i];
-    }
-    message.n_parts = count;
-    message.parts = pointers;
-    pgw_link_send(guard->link, PGW_FRAME_EXPECTED_PARTS, &message.base);
+    return guard;
 }
 
 struct pgw_guard_links *
@@ -279,7 +279,7 @@
     links->gateway = gateway;
     links->port = port;
     pgw_guard_rollout_init(links);
-    pgw_gateway_on_expected(gateway, on_expected, links);
+    pgw_gateway_set_sidecars(gateway, &pgw_guard_sidecar_ops, links);
     links->by_engine =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, guard_free);
     return links;
@@ -292,7 +292,7 @@
     void *value;
 
     links->closing = true;
-    pgw_gateway_on_expected(links->gateway, NULL, NULL);
+    pgw_gateway_set_sidecars(links->gateway, NULL, NULL);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct guard_link *guard = value;
@@ -329,9 +329,8 @@
     }
 }
 
-/* Whether the engines are few enough to hear of all of them. */
-static bool
-are_few(const struct pgw_guard_links *links)
+static unsigned
+count_engines(const struct pgw_guard_links *links)
 {
     unsigned engines = 0;
 
@@ -340,13 +339,71 @@
         engines += pgw_container_of(item, struct pgw_upstream, in_table)
                        ->model_count > 0;
     }
-    return engines <= FAR_MAX;
+    return engines;
+}
+
+/**
+ * struct reach - whose sidecars an entry connects to
+ * @reports: all of them, for reports
+ * @probes: all of them, so that any home can be asked
+ */
+struct reach {
+    bool reports;
+    bool probes;
+};
+
+/*
+ * Failure: engines come into the list one by one, so that at first they are
+ * few, and their sidecars are asked for reports; then there are more, and the
+ * reports end. Symptom: all of them count as suspended, since nothing has come
+ * from them for seconds. Of one that only answers probes silence says nothing.
+ */
+static void
+set_on_request(struct guard_link *guard, struct pgw_upstream *upstream,
+               bool on_request)
+{
+    if (guard->on_request == on_request) {
+        return;
+    }
+    guard->on_request = on_request;
+    forget_reports(upstream);
+    upstream->heard_at_us = 0;
+    if (guard->link != NULL && pgw_link_is_open(guard->link)) {
+        say_hello(guard);
+    }
+}
+
+static void
+refresh_link(struct pgw_guard_links *links, struct pgw_upstream *upstream,
+             const struct reach *reach, uint64_t now_us)
+{
+    struct guard_link *guard =
+        g_hash_table_lookup(links->by_engine, upstream->address_text);
+    bool reports = upstream->same_zone || reach->reports;
+
+    if (guard == NULL) {
+        if (reports || reach->probes) {
+            pgw_guard_link_add(links, upstream, !reports);
+        }
+        return;
+    }
+    guard->wanted =
+        reports || reach->probes || pgw_guard_probe_is_used(guard, now_us);
+    set_on_request(guard, upstream, !reports);
+    pgw_guard_rollout_announce(guard);
 }
 
 void
 pgw_guard_links_refresh(struct pgw_guard_links *links)
 {
-    bool all = are_few(links);
+    unsigned engines = count_engines(links);
+    struct reach reach = {
+        .reports = engines <= REPORT_LINKS_MAX,
+        .probes = engines <= PGW_PROBE_LINKS_MAX &&
+                  pgw_policy_is_on(pgw_gateway_policy(links->gateway),
+                                   PGW_HOME_PROBES),
+    };
+    uint64_t now = pgw_now_us();
     GHashTableIter iter;
     void *value;
 
@@ -356,20 +413,11 @@
     }
     pgw_list_foreach (
         item, pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway))) {
-        const struct pgw_upstream *upstream =
+        struct pgw_upstream *upstream =
             pgw_container_of(item, struct pgw_upstream, in_table);
-        struct guard_link *guard;
 
-        if (upstream->model_count == 0 || (!upstream->same_zone && !all)) {
-            continue;
-        }
-        guard = g_hash_table_lookup(links->by_engine, upstream->address_text);
-        if (guard == NULL) {
-            add(links, upstream);
-        }
-        else {
-            guard->wanted = true;
-            pgw_guard_rollout_announce(guard);
+        if (upstream->model_count > 0) {
+            refresh_link(links, upstream, &reach, now);
         }
     }
     drop_unwanted(links);
--- a/src/gateway/guard_rollout.c
+++ b/src/gateway/guard_rollout.c
@@ -70,7 +70,7 @@
     struct pgw_upstream *upstream =
         pgw_guard_link_upstream(links, guard->engine);
 
-    if (upstream == NULL || guard->link == NULL) {
+    if (upstream == NULL || guard->link == NULL || guard->on_request) {
         return;
     }
     for (size_t i = 0; i < upstream->model_count; i++) {
@@ -128,8 +128,9 @@
 static bool
 is_reached(const struct guard_link *guard, const struct pgw_upstream *upstream)
 {
-    return guard->link != NULL && upstream != NULL && upstream->guarded &&
-           !upstream->leaving && !upstream->removed && !upstream->displaced &&
+    return guard->link != NULL && !guard->on_request && upstream != NULL &&
+           upstream->guarded && !upstream->leaving && !upstream->removed &&
+           !upstream->displaced &&
            (!upstream->loading || upstream->loads_since_us > 0);
 }
 
--- a/src/gateway/guard_state.h
+++ b/src/gateway/guard_state.h
@@ -23,6 +23,7 @@
  * struct pgw_guard_entry - one entry
  * @known: it has said who it is and been told everything
  * @far: it is in another zone: told less, and less often
+ * @on_request: it is told nothing but answers to its probes
  */
 struct pgw_guard_entry {
     struct pgw_list in_guard;
@@ -30,8 +31,27 @@
     struct pgw_link *link;
     bool known;
     bool far;
+    bool on_request;
 };
 
+/**
+ * struct pgw_guard_arrivals - requests that entries have announced
+ * @requests: their number
+ * @memory: tokens of memory that they take at most
+ */
+struct pgw_guard_arrivals {
+    uint32_t requests;
+    uint64_t memory;
+};
+
+/**
+ * struct pgw_engine_guard - the process beside one engine
+ * @announced: long prompts that may not have been read yet
+ * @arrivals: announced since the last report was asked for, so that it may
+ *   lack them
+ * @arrivals_before: announced before that, after the report before: lacking
+ *   in what is known until the answer is there
+ */
 struct pgw_engine_guard {
     struct pgw_loop *loop;
     struct pgw_engine_guard_options options;
@@ -54,6 +74,9 @@
     unsigned report_status;
     unsigned order_status;
     struct pgw_engine_report report;
+    struct pgw_announced announced;
+    struct pgw_guard_arrivals arrivals;
+    struct pgw_guard_arrivals arrivals_before;
     struct pgw_engine_report told;
     uint64_t told_us;
     uint64_t told_far_us;
@@ -92,6 +115,11 @@
  */
 void pgw_guard_send_state(const struct pgw_engine_guard *guard,
                           struct pgw_guard_entry *peer);
+/** pgw_guard_answer_probe() - the engine's load and which of the parts it
+ * holds, to one entry */
+void pgw_guard_answer_probe(const struct pgw_engine_guard *guard,
+                            struct pgw_guard_entry *peer,
+                            const Pgw__EngineProbe *probe);
 /** pgw_guard_tell_all() - to all entries; those far away when it is urgent or
  * their time has come */
 void pgw_guard_tell_all(struct pgw_engine_guard *guard, bool urgent);
--- a/src/gateway/guard_tell.c
+++ b/src/gateway/guard_tell.c
@@ -1,3 +1,4 @@
+#include "gateway/guard_budget.h"
 #include "gateway/guard_state.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -9,26 +10,13 @@
 /* Entries hear something at least this often, so that a load they add up
  * themselves does not drift. */
 #define PUSH_MAX_US 1000000
-/* Bytes a second that the process beside an engine sends to entries of other
- * zones, all together: half of what the design allows it for control (16 KB).
- * With entries that ask 140 times a second for parts of 227 to 568 tokens,
- * which were told only from 1,024 tokens on, 3.1 of 7.6 million shared tokens
- * were read again on one day. */
-#define FAR_BYTES_S 8192ULL
-/* Of these, what goes into the frames that carry the parts. */
-#define FAR_FRAME_BYTES_S 2048ULL
-/* They hear nothing more often than this, however few they are. */
-#define FAR_PUSH_MIN_US 100000
-/* Size of a state without parts, and of a part in it, in bytes. */
-#define STATE_BYTES 80
-#define PART_BYTES 10
-
 void
 pgw_guard_report_clear(struct pgw_engine_report *report)
 {
     for (size_t i = 0; i < report->model_count; i++) {
         g_free(report->models[i].model);
     }
+    g_free(report->runs);
     memset(report, 0, sizeof(*report));
 }
 
@@ -38,6 +26,8 @@
 {
     pgw_guard_report_clear(out);
     *out = *from;
+    out->runs = NULL;
+    out->run_count = 0;
     for (size_t i = 0; i < from->model_count; i++) {
         out->models[i].model = g_strdup(from->models[i].model);
     }
@@ -78,35 +68,78 @@
     g_free(state->part_words);
 }
 
-/* @words: parts to be told; with @reset all that were told before are void. */
-static void
-send_state(const struct pgw_engine_guard *guard, struct pgw_guard_entry *peer,
-           const GArray *words, bool reset)
+/*
+ * The engine's own load is 100 ms old at the most, in which entries that all
+ * know of the same idle engine send it a prompt each: what they have announced
+ * counts as being there.
+ */
+static struct pgw_upstream_load
+current_load(const struct pgw_engine_guard *guard)
 {
-    Pgw__EngineState state = PGW__ENGINE_STATE__INIT;
-    Pgw__EngineModel models[PGW_UPSTREAM_MODELS_MAX];
-    Pgw__EngineModel *pointers[PGW_UPSTREAM_MODELS_MAX];
+    struct pgw_upstream_load load = guard->report.load;
+    struct pgw_unread unread = pgw_announced_unread(&guard->announced);
+
+    load.running += guard->arrivals.requests + guard->arrivals_before.requests;
+    load.long_prefills = MAX(load.long_prefills, unread.prompts);
+    load.unread = unread.tokens;
+    load.kv_used += guard->arrivals.memory + guard->arrivals_before.memory;
+    return load;
+}
+
+/**
+ * struct report - what is sent to an entry beside the load
+ * @words: parts to be told
+ * @reset: all that were told before are void
+ * @identity: also who the engine is and which weights it runs
+ * @probe: the probe that is answered, 0: none
+ */
+struct report {
+    const GArray *words;
+    bool reset;
+    bool identity;
+    uint64_t probe;
+};
 
+static void
+fill_identity(Pgw__EngineState *state, const struct pgw_engine_guard *guard,
+              Pgw__EngineModel *models, Pgw__EngineModel **pointers)
+{
     for (size_t i = 0; i < guard->report.model_count; i++) {
         pgw__engine_model__init(&models[i]);
         models[i].name = guard->report.models[i].model;
         models[i].version = guard->report.models[i].version;
         pointers[i] = &models[i];
     }
-    state.address = (char *)guard->engine;
+    state->address = (char *)guard->engine;
+    state->started_ms = guard->report.started_ms;
+    state->n_models = guard->report.model_count;
+    state->models = pointers;
+}
+
+static void
+send_state(const struct pgw_engine_guard *guard, struct pgw_guard_entry *peer,
+           const struct report *report)
+{
+    struct pgw_upstream_load load = current_load(guard);
+    Pgw__EngineState state = PGW__ENGINE_STATE__INIT;
+    Pgw__EngineModel models[PGW_UPSTREAM_MODELS_MAX];
+    Pgw__EngineModel *pointers[PGW_UPSTREAM_MODELS_MAX];
+
+    if (report->identity) {
+        fill_identity(&state, guard, models, pointers);
+    }
     state.alive = guard->alive;
-    state.started_ms = guard->report.started_ms;
     state.loading = pgw_guard_is_loading(guard);
-    state.n_models = guard->report.model_count;
-    state.models = pointers;
-    state.running = guard->report.load.running;
-    state.waiting = guard->report.load.waiting;
-    state.long_prefills = guard->report.load.long_prefills;
+    state.running = load.running;
+    state.waiting = load.waiting;
+    state.long_prefills = load.long_prefills;
     state.entries = pgw_engine_guard_entries(guard);
-    state.kv_used = guard->report.load.kv_used;
-    state.kv_total = guard->report.load.kv_total;
-    state.parts_reset = reset;
-    fill_parts(&state, words);
+    state.unread = load.unread;
+    state.kv_used = load.kv_used;
+    state.kv_total = load.kv_total;
+    state.parts_reset = report->reset;
+    state.probe = report->probe;
+    fill_parts(&state, report->words);
     pgw_link_send(peer->link, PGW_FRAME_ENGINE_STATE, &state.base);
     free_parts(&state);
 }
@@ -117,60 +150,69 @@
 {
     GArray *all = pgw_held_parts_all(&guard->parts, peer->far);
 
-    send_state(guard, peer, all, true);
+    send_state(
+        guard, peer,
+        &(struct report){.words = all, .reset = true, .identity = true});
     peer->known = true;
     g_array_unref(all);
 }
 
-static unsigned
-count_far(const struct pgw_engine_guard *guard)
+void
+pgw_guard_answer_probe(const struct pgw_engine_guard *guard,
+                       struct pgw_guard_entry *peer,
+                       const Pgw__EngineProbe *probe)
 {
-    unsigned count = 0;
+    GArray *words = g_array_new(FALSE, FALSE, sizeof(struct pgw_told_part));
+    uint64_t now = pgw_now_us();
 
-    pgw_list_foreach (link, &guard->entries) {
-        count += pgw_container_of(link, struct pgw_guard_entry, in_guard)->far;
+    for (size_t i = 0; i < probe->n_part_keys; i++) {
+        struct pgw_told_part word =
+            pgw_held_parts_answer(&guard->parts, probe->part_keys[i], now);
+
+        g_array_append_val(words, word);
     }
-    return MAX(count, 1);
+    send_state(guard, peer,
+               &(struct report){
+                   .words = words, .identity = true, .probe = probe->probe});
+    g_array_unref(words);
 }
 
-/* A part of the budget goes into frames, so it sets how often they are sent.
- */
-static uint64_t
-far_period_us(const struct pgw_engine_guard *guard)
+static unsigned
+count_far(const struct pgw_engine_guard *guard)
 {
-    uint64_t us = (uint64_t)count_far(guard) * STATE_BYTES * 1000000ULL /
-                  FAR_FRAME_BYTES_S;
-
-    return MAX(us, FAR_PUSH_MIN_US);
-}
+    unsigned count = 0;
 
-/* And the rest into parts. */
-static size_t
-far_parts_most(const struct pgw_engine_guard *guard)
-{
-    uint64_t bytes =
-        (FAR_BYTES_S - FAR_FRAME_BYTES_S) * far_period_us(guard) / 1000000ULL;
-    uint64_t part_bytes = (uint64_t)count_far(guard) * PART_BYTES;
+    pgw_list_foreach (link, &guard->entries) {
+        const struct pgw_guard_entry *peer =
+            pgw_container_of(link, struct pgw_guard_entry, in_guard);
 
-    return MAX(bytes / part_bytes, 1);
+        count += peer->far && !peer->on_request;
+    }
+    return count;
 }
 
-/* Parts change in the array @words; an entry that is new gets all. */
+/* An entry that is new gets all. */
 static void
-tell_group(struct pgw_engine_guard *guard, bool far, size_t most)
+tell_group(struct pgw_engine_guard *guard, bool far, bool identity,
+           size_t most)
 {
     bool reset = far ? guard->parts.far_reset : guard->parts.reset;
     GArray *words = pgw_held_parts_changes(&guard->parts, far, most);
+    struct report report = {
+        .words = words,
+        .reset = reset,
+        .identity = identity || reset,
+    };
 
     pgw_list_foreach (link, &guard->entries) {
         struct pgw_guard_entry *peer =
             pgw_container_of(link, struct pgw_guard_entry, in_guard);
 
-        if (peer->far != far) {
+        if (peer->far != far || peer->on_request) {
             continue;
         }
         if (peer->known) {
-            send_state(guard, peer, words, reset);
+            send_state(guard, peer, &report);
         }
         else {
             pgw_guard_send_state(guard, peer);
@@ -182,7 +224,8 @@
 static bool
 is_far_due(const struct pgw_engine_guard *guard)
 {
-    return pgw_now_us() - guard->told_far_us >= far_period_us(guard);
+    return pgw_now_us() - guard->told_far_us >=
+           pgw_guard_far_period_us(count_far(guard));
 }
 
 /* Changes of the engine's state go to all at once; those of its load and its
@@ -193,15 +236,16 @@
     bool far = urgent || is_far_due(guard);
 
     report_copy(&guard->told, &guard->report);
+    guard->told.load = current_load(guard);
     guard->told_alive = guard->alive;
     guard->told_loading = pgw_guard_is_loading(guard);
     guard->told_us = pgw_now_us();
-    tell_group(guard, false, SIZE_MAX);
+    tell_group(guard, false, urgent, SIZE_MAX);
     if (far) {
         guard->told_far_us = guard->told_us;
-        tell_group(guard, true,
+        tell_group(guard, true, urgent,
                    pgw_policy_is_on(&guard->options.policy, PGW_FAR_PARTS)
-                       ? far_parts_most(guard)
+                       ? pgw_guard_far_parts_most(count_far(guard))
                        : 0);
     }
 }
@@ -236,16 +280,16 @@
 bool
 pgw_guard_is_news(const struct pgw_engine_guard *guard)
 {
-    const struct pgw_upstream_load *now = &guard->report.load;
+    struct pgw_upstream_load now = current_load(guard);
     const struct pgw_upstream_load *told = &guard->told.load;
 
     return pgw_now_us() - guard->told_us >= PUSH_MAX_US ||
            pgw_held_parts_is_news(&guard->parts, false) ||
            (pgw_held_parts_is_news(&guard->parts, true) &&
             is_far_due(guard)) ||
-           now->long_prefills != told->long_prefills ||
-           distance(now->running + now->waiting,
+           now.long_prefills != told->long_prefills ||
+           distance(now.running + now.waiting,
                     told->running + told->waiting) >= NEWS_REQUESTS ||
-           distance(now->kv_used, told->kv_used) >
-               now->kv_total / NEWS_MEMORY_PARTS;
+           distance(now.kv_used, told->kv_used) >
+               now.kv_total / NEWS_MEMORY_PARTS;
 }
--- a/src/gateway/held_parts.c
+++ b/src/gateway/held_parts.c
@@ -4,6 +4,11 @@
 /* Keys that are remembered as asked for before older ones are forgotten: an
  * engine holds some hundred shared parts, and twice as many are kept. */
 #define ASKED_MAX 4096
+/* A part is taken to be on its way for so long: a request waits in the
+ * engine's queue, and its whole prompt is read before the part is held. */
+#define ARRIVING_US 4000000
+/* Parts on their way that are remembered. */
+#define ARRIVING_MAX 1024
 
 static GHashTable *
 key_table(void)
@@ -19,6 +24,8 @@
         .asked = key_table(),
         .asked_before = key_table(),
         .expected = key_table(),
+        .arriving =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free),
         .near_changed = key_table(),
         .far_changed = key_table(),
         .far_known = key_table(),
@@ -32,6 +39,7 @@
     g_hash_table_destroy(parts->asked);
     g_hash_table_destroy(parts->asked_before);
     g_hash_table_destroy(parts->expected);
+    g_hash_table_destroy(parts->arriving);
     g_hash_table_destroy(parts->near_changed);
     g_hash_table_destroy(parts->far_changed);
     g_hash_table_destroy(parts->far_known);
@@ -42,6 +50,7 @@
 {
     g_hash_table_remove_all(parts->tokens);
     g_hash_table_remove_all(parts->expected);
+    g_hash_table_remove_all(parts->arriving);
     g_hash_table_remove_all(parts->near_changed);
     g_hash_table_remove_all(parts->far_changed);
     g_hash_table_remove_all(parts->far_known);
@@ -104,15 +113,38 @@
             set(parts->tokens, event->key, event->tokens);
         }
         g_hash_table_remove(parts->expected, &event->key);
+        g_hash_table_remove(parts->arriving, &event->key);
         if (is_asked(parts, event->key)) {
             note_change(parts, event->key);
         }
     }
 }
 
+static gboolean
+is_old(void *key, void *value, void *now_us)
+{
+    (void)key;
+    return *(uint64_t *)now_us - *(uint64_t *)value >= ARRIVING_US;
+}
+
+/* A request may be refused, and nothing will come of it: what is too old to be
+ * on its way goes when there are many. */
+static void
+note_arrival(struct pgw_held_parts *parts, uint64_t key, uint64_t now_us)
+{
+    if (g_hash_table_size(parts->arriving) >= ARRIVING_MAX) {
+        g_hash_table_foreach_remove(parts->arriving, is_old, &now_us);
+    }
+    if (g_hash_table_size(parts->arriving) >= ARRIVING_MAX) {
+        return;
+    }
+    g_hash_table_replace(parts->arriving, g_memdup2(&key, sizeof(key)),
+                         g_memdup2(&now_us, sizeof(now_us)));
+}
+
 void
 pgw_held_parts_expect(struct pgw_held_parts *parts, uint64_t key,
-                      uint32_t tokens)
+                      uint32_t tokens, uint64_t now_us)
 {
     bool is_new = !is_asked(parts, key);
 
@@ -124,6 +156,7 @@
     set(parts->asked, key, 1);
     if (pgw_held_parts_tokens(parts, key) == 0) {
         set(parts->expected, key, tokens);
+        note_arrival(parts, key, now_us);
         note_change(parts, key);
     }
     else if (is_new) {
@@ -144,7 +177,22 @@
                : parts->reset || g_hash_table_size(parts->near_changed) > 0;
 }
 
-/* What there is to say of a part. */
+struct pgw_told_part
+pgw_held_parts_answer(const struct pgw_held_parts *parts, uint64_t key,
+                      uint64_t now_us)
+{
+    const uint64_t *at_us = g_hash_table_lookup(parts->arriving, &key);
+    uint32_t held = pgw_held_parts_tokens(parts, key);
+
+    return (struct pgw_told_part){
+        .key = key,
+        .tokens = held,
+        .expected =
+            held == 0 && at_us != NULL && now_us - *at_us < ARRIVING_US,
+    };
+}
+
+/* What there is to say of a part to who was not told yet. */
 static struct pgw_told_part
 word_of(const struct pgw_held_parts *parts, uint64_t key)
 {
--- a/src/gateway/held_parts.h
+++ b/src/gateway/held_parts.h
@@ -69,6 +69,8 @@
  * @asked: keys that entries asked for lately; nothing else is told
  * @asked_before: those asked for before @asked was begun
  * @expected: key -> tokens of parts on their way, until that has been told
+ * @arriving: key -> when a request with the part was last announced, until the
+ *   engine says what became of it
  * @near_changed: keys to be told to entries of the zone
  * @far_changed: keys to be told to the others
  * @far_known: key -> tokens, as the others were told
@@ -82,6 +84,7 @@
     GHashTable *asked;
     GHashTable *asked_before;
     GHashTable *expected;
+    GHashTable *arriving;
     GHashTable *near_changed;
     GHashTable *far_changed;
     GHashTable *far_known;
@@ -104,14 +107,20 @@
  * @parts: the parts
  * @key: pgw_part_key() of the part
  * @tokens: its size
+ * @now_us: monotonic time
  */
 void pgw_held_parts_expect(struct pgw_held_parts *parts, uint64_t key,
-                           uint32_t tokens);
+                           uint32_t tokens, uint64_t now_us);
 
 /** pgw_held_parts_tokens() - tokens of a part that are held */
 uint32_t pgw_held_parts_tokens(const struct pgw_held_parts *parts,
                                uint64_t key);
 
+/** pgw_held_parts_answer() - what there is to say of a part to who asks; 0
+ * tokens: it is neither held nor on its way */
+struct pgw_told_part pgw_held_parts_answer(const struct pgw_held_parts *parts,
+                                           uint64_t key, uint64_t now_us);
+
 /** pgw_held_parts_is_news() - something was not told yet */
 bool pgw_held_parts_is_news(const struct pgw_held_parts *parts, bool far);
 
--- /dev/null
+++ b/src/gateway/home_probe.c
@@ -0,0 +1,201 @@
+#include "gateway/exchange.h"
+#include "util/metric.h"
+
+/* Answers are asked for again after this time, as engines report so often. */
+#define ANSWER_FRESH_US 100000
+
+static struct pgw_metric_counter probes = {
+    .name = "pgw_gateway_probes_total",
+    .help = "Sidecars asked before a prompt was sent",
+};
+static struct pgw_metric_counter unanswered = {
+    .name = "pgw_gateway_probes_unanswered_total",
+    .help = "Of these, answers that were not waited for any longer",
+};
+
+static void
+end_wait(struct pgw_exchange *exchange)
+{
+    if (exchange->probe != 0) {
+        exchange->probing_us += pgw_now_us() - exchange->probed_at_us;
+        g_hash_table_remove(exchange->gateway->probes, &exchange->probe);
+        exchange->probe = 0;
+    }
+}
+
+void
+pgw_home_probe_drop(struct pgw_exchange *exchange)
+{
+    end_wait(exchange);
+    for (size_t i = 0; i < exchange->homes.count; i++) {
+        pgw_upstream_unref(exchange->homes.items[i]);
+    }
+    exchange->homes.count = 0;
+}
+
+/* An engine of which nothing fresh is known looks idle, whatever it does. */
+static void
+drop_unknown(struct pgw_exchange *exchange)
+{
+    struct pgw_homes *homes = &exchange->homes;
+    size_t kept = 0;
+
+    for (size_t i = 0; i < homes->count; i++) {
+        if (exchange->answered[i]) {
+            homes->items[kept++] = homes->items[i];
+        }
+        else {
+            pgw_upstream_unref(homes->items[i]);
+        }
+    }
+    homes->count = kept;
+}
+
+static void
+go_on(struct pgw_exchange *exchange)
+{
+    end_wait(exchange);
+    /* Fresh from now on: it must not ask again before it is placed. */
+    exchange->probed_at_us = pgw_now_us();
+    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
+    drop_unknown(exchange);
+    pgw_exchange_place(exchange);
+}
+
+static void
+wait_due(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+
+    for (size_t i = 0; i < exchange->homes.count; i++) {
+        pgw_metric_counter_add(&unanswered, !exchange->answered[i]);
+    }
+    go_on(exchange);
+}
+
+void
+pgw_gateway_probe_answered(struct pgw_gateway *gateway, uint64_t probe,
+                           const struct pgw_upstream *upstream)
+{
+    struct pgw_exchange *exchange =
+        g_hash_table_lookup(gateway->probes, &probe);
+    bool whole = true;
+
+    if (exchange == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < exchange->homes.count; i++) {
+        exchange->answered[i] |= exchange->homes.items[i] == upstream;
+        whole = whole && exchange->answered[i];
+    }
+    if (whole) {
+        go_on(exchange);
+    }
+}
+
+static bool
+ask_sidecar(const struct pgw_exchange *exchange,
+            const struct pgw_upstream *upstream)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_prompt *prompt = &exchange->facts.prompt;
+    uint64_t keys[PGW_PROMPT_PARTS_MAX];
+    char salt[PGW_CACHE_SALT_SIZE];
+
+    pgw_cache_salt(salt, pgw_upstream_version(upstream, exchange->facts.model),
+                   prompt->isolated_to);
+    for (size_t i = 0; i + 1 < prompt->part_count; i++) {
+        keys[i] =
+            pgw_part_key(exchange->facts.model, salt, prompt->parts[i].id);
+    }
+    return gateway->sidecars->probe(gateway->sidecars_context, upstream,
+                                    exchange->probe, keys,
+                                    prompt->part_count - 1);
+}
+
+/* Returns whether answers are on their way. */
+static bool
+ask_all(struct pgw_exchange *exchange)
+{
+    const struct pgw_homes *homes = &exchange->homes;
+    bool any = false;
+
+    for (size_t i = 0; i < homes->count; i++) {
+        bool asked = false;
+
+        if (!homes->items[i]->same_zone) {
+            asked = ask_sidecar(exchange, homes->items[i]);
+            pgw_metric_counter_add(&probes, asked);
+        }
+        /* Sidecars of the own zone send reports unasked. */
+        exchange->answered[i] = homes->items[i]->same_zone;
+        any |= asked;
+    }
+    return any;
+}
+
+/* Short parts are read again faster than a sidecar answers. */
+static bool
+is_worth_asking(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+
+    return gateway->sidecars != NULL && exchange->facts.model != NULL &&
+           exchange->facts.prompt.part_count > 0 &&
+           pgw_prompt_shared(&exchange->facts.prompt) >= PGW_LONG_PREFILL &&
+           pgw_policy_is_on(&gateway->options.policy, PGW_HOME_PROBES) &&
+           !pgw_list_is_linked(&exchange->waiting.link) &&
+           (exchange->probed_at_us == 0 ||
+            pgw_now_us() - exchange->probed_at_us >= ANSWER_FRESH_US);
+}
+
+static void
+pick_homes(struct pgw_exchange *exchange)
+{
+    const struct pgw_upstream_pool *pool = pgw_upstream_table_pool(
+        exchange->gateway->upstreams, exchange->service);
+    struct pgw_level_chain chain;
+
+    pgw_home_probe_drop(exchange);
+    if (pool == NULL) {
+        return;
+    }
+    pgw_prompt_chain(&chain, &exchange->facts.prompt);
+    pgw_homes_pick(&exchange->homes, pool, &chain, PGW_HOMES_MAX,
+                   pgw_now_us());
+    for (size_t i = 0; i < exchange->homes.count; i++) {
+        pgw_upstream_ref(exchange->homes.items[i]);
+    }
+}
+
+bool
+pgw_home_probe_begin(struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    if (!is_worth_asking(exchange)) {
+        return false;
+    }
+    pgw_metric_register_counter(&probes);
+    pgw_metric_register_counter(&unanswered);
+    pick_homes(exchange);
+    if (exchange->homes.count == 0) {
+        return false;
+    }
+    exchange->probed_at_us = pgw_now_us();
+    exchange->probe = ++gateway->last_probe;
+    g_hash_table_insert(gateway->probes, &exchange->probe, exchange);
+    if (!ask_all(exchange)) {
+        end_wait(exchange);
+        drop_unknown(exchange);
+        return false;
+    }
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        exchange->phase = PGW_PHASE_WAITING;
+    }
+    exchange->attempt_timer.on_due = wait_due;
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+                    gateway->options.probe_wait_us);
+    return true;
+}
--- a/src/gateway/policy.c
+++ b/src/gateway/policy.c
@@ -26,6 +26,7 @@
     [PGW_CROWD_HARM] = "crowd_harm",
     [PGW_REFUSAL_REST] = "refusal_rest",
     [PGW_ROUTE_PRIORITY] = "route_priority",
+    [PGW_HOME_PROBES] = "home_probes",
 };
 
 struct file {
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -30,6 +30,7 @@
  * @PGW_CROWD_HARM: long prompts go beside running requests as short ones do
  * @PGW_REFUSAL_REST: engines that refuse several times in a row do not rest
  * @PGW_ROUTE_PRIORITY: engines are told one urgency for all
+ * @PGW_HOME_PROBES: prompts stay in the entry's zone if its pool is large
  * @PGW_MECHANISMS: number of these
  */
 enum pgw_mechanism {
@@ -48,6 +49,7 @@
     PGW_CROWD_HARM,
     PGW_REFUSAL_REST,
     PGW_ROUTE_PRIORITY,
+    PGW_HOME_PROBES,
     PGW_MECHANISMS,
 };
 
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -557,9 +557,11 @@
     upstream->load.kv_used = load->kv_used;
     upstream->load.kv_total = load->kv_total;
     upstream->load.long_prefills = load->long_prefills;
+    upstream->load.unread = load->unread;
     upstream->memory_at_us = now_us;
     upstream->load_own_tokens = upstream->inflight_tokens;
     upstream->load_own_long = upstream->long_prefills;
+    upstream->load_own_unread = upstream->prefill_tokens;
 }
 
 /* What others had there when the report was made, fading with its age. */
@@ -591,18 +593,34 @@
                                               upstream->memory_at_us, now_us);
 }
 
-double
-pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
-                           uint64_t now_us)
+/* What a report said of others, fading with its age: they are read by then. */
+static double
+fading(uint64_t reported, uint64_t own, const struct pgw_upstream *upstream,
+       uint64_t now_us)
 {
     uint64_t age = now_us - upstream->memory_at_us;
 
     if (upstream->memory_at_us == 0 || age >= LONG_FADE_US ||
-        upstream->load.long_prefills <= upstream->load_own_long) {
+        reported <= own) {
         return 0;
     }
-    return (double)(upstream->load.long_prefills - upstream->load_own_long) *
-           (double)(LONG_FADE_US - age) / LONG_FADE_US;
+    return (double)(reported - own) * (double)(LONG_FADE_US - age) /
+           LONG_FADE_US;
+}
+
+double
+pgw_upstream_unread(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    return fading(upstream->load.unread, upstream->load_own_unread, upstream,
+                  now_us);
+}
+
+double
+pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
+                           uint64_t now_us)
+{
+    return fading(upstream->load.long_prefills, upstream->load_own_long,
+                  upstream, now_us);
 }
 
 static void
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -64,7 +64,8 @@
  * @running: requests that it runs
  * @waiting: requests in its queue
  * @slots: requests that it runs at once, 0: not said
- * @long_prefills: long prompts that it is reading
+ * @long_prefills: long prompts that it is reading, or has still to read
+ * @unread: tokens of these that it has not read, where they were announced
  * @kv_used: tokens of memory that cannot be freed
  * @kv_total: tokens of memory, 0: not said
  */
@@ -73,6 +74,7 @@
     uint32_t waiting;
     uint32_t slots;
     uint32_t long_prefills;
+    uint64_t unread;
     uint64_t kv_used;
     uint64_t kv_total;
 };
@@ -110,6 +112,7 @@
  * @load_own: @inflight at that time
  * @load_own_tokens: @inflight_tokens at that time
  * @load_own_long: @long_prefills at that time
+ * @load_own_unread: @prefill_tokens at that time
  * @failures: in a row
  * @failure_rate: moving share of failed attempts, 0..1
  * @avoid_until_us: not to be chosen before, while others can be
@@ -160,6 +163,7 @@
     uint32_t load_own;
     uint64_t load_own_tokens;
     uint32_t load_own_long;
+    uint64_t load_own_unread;
     uint32_t failures;
     double failure_rate;
     uint64_t avoid_until_us;
@@ -357,6 +361,11 @@
 double pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
                                   uint64_t now_us);
 
+/** pgw_upstream_unread() - prompt tokens that it has to read for others, as
+ * far as they were announced */
+double pgw_upstream_unread(const struct pgw_upstream *upstream,
+                           uint64_t now_us);
+
 /** pgw_upstream_note()  - account the end of an attempt */
 void pgw_upstream_note(struct pgw_upstream *upstream,
                        enum pgw_attempt_result result, uint64_t now_us);
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -24,6 +24,7 @@
         [PGW_FRAME_NEWS] = &pgw__news__descriptor,
         [PGW_FRAME_CRASHED_RUNS] = &pgw__crashed_runs__descriptor,
         [PGW_FRAME_EXPECTED_PARTS] = &pgw__expected_parts__descriptor,
+        [PGW_FRAME_ENGINE_PROBE] = &pgw__engine_probe__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &pgw__engine_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__engine_probe__init
+                     (Pgw__EngineProbe         *message)
+{
+  static const Pgw__EngineProbe init_value = PGW__ENGINE_PROBE__INIT;
+  *message = init_value;
+}
+size_t pgw__engine_probe__get_packed_size
+                     (const Pgw__EngineProbe *message)
+{
+  assert(message->base.descriptor == &pgw__engine_probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__engine_probe__pack
+                     (const Pgw__EngineProbe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__engine_probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__engine_probe__pack_to_buffer
+                     (const Pgw__EngineProbe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__engine_probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__EngineProbe *
+       pgw__engine_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__EngineProbe *)
+     protobuf_c_message_unpack (&pgw__engine_probe__descriptor,
+                                allocator, len, data);
+}
+void   pgw__engine_probe__free_unpacked
+                     (Pgw__EngineProbe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__engine_probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pgw__expected_parts__init
                      (Pgw__ExpectedParts         *message)
 {
@@ -1222,7 +1267,7 @@
   assert(message->base.descriptor == &pgw__load_weights__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[7] =
 {
   {
     "protocol",
@@ -1296,11 +1341,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "on_request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Hello, on_request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__hello__field_indices_by_name[] = {
   5,   /* field[5] = clock */
   4,   /* field[4] = incarnation */
   1,   /* field[1] = instance */
+  6,   /* field[6] = on_request */
   0,   /* field[0] = protocol */
   2,   /* field[2] = role */
   3,   /* field[3] = zone */
@@ -1308,7 +1366,7 @@
 static const ProtobufCIntRange pgw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pgw__hello__descriptor =
 {
@@ -1318,7 +1376,7 @@
   "Pgw__Hello",
   "pgw",
   sizeof(Pgw__Hello),
-  6,
+  7,
   pgw__hello__field_descriptors,
   pgw__hello__field_indices_by_name,
   1,  pgw__hello__number_ranges,
@@ -3551,7 +3609,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[16] =
 {
   {
     "address",
@@ -3721,6 +3779,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probe",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3734,15 +3816,17 @@
   12,   /* field[12] = part_keys */
   13,   /* field[13] = part_words */
   8,   /* field[8] = parts_reset */
+  14,   /* field[14] = probe */
   4,   /* field[4] = running */
   11,   /* field[11] = started_ms */
+  15,   /* field[15] = unread */
   5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange pgw__engine_state__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3752,14 +3836,65 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  14,
+  16,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   2,  pgw__engine_state__number_ranges,
   (ProtobufCMessageInit) pgw__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__expected_parts__field_descriptors[1] =
+static const ProtobufCFieldDescriptor pgw__engine_probe__field_descriptors[2] =
+{
+  {
+    "probe",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineProbe, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pgw__EngineProbe, n_part_keys),
+    offsetof(Pgw__EngineProbe, part_keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__engine_probe__field_indices_by_name[] = {
+  1,   /* field[1] = part_keys */
+  0,   /* field[0] = probe */
+};
+static const ProtobufCIntRange pgw__engine_probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__engine_probe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.EngineProbe",
+  "EngineProbe",
+  "Pgw__EngineProbe",
+  "pgw",
+  sizeof(Pgw__EngineProbe),
+  2,
+  pgw__engine_probe__field_descriptors,
+  pgw__engine_probe__field_indices_by_name,
+  1,  pgw__engine_probe__number_ranges,
+  (ProtobufCMessageInit) pgw__engine_probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__expected_parts__field_descriptors[4] =
 {
   {
     "parts",
@@ -3773,14 +3908,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to_read",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ExpectedParts, to_read),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ExpectedParts, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ExpectedParts, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__expected_parts__field_indices_by_name[] = {
+  2,   /* field[2] = memory */
   0,   /* field[0] = parts */
+  3,   /* field[3] = request */
+  1,   /* field[1] = to_read */
 };
 static const ProtobufCIntRange pgw__expected_parts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pgw__expected_parts__descriptor =
 {
@@ -3790,7 +3964,7 @@
   "Pgw__ExpectedParts",
   "pgw",
   sizeof(Pgw__ExpectedParts),
-  1,
+  4,
   pgw__expected_parts__field_descriptors,
   pgw__expected_parts__field_indices_by_name,
   1,  pgw__expected_parts__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Pgw__EngineModel Pgw__EngineModel;
 typedef struct Pgw__HeldPart Pgw__HeldPart;
 typedef struct Pgw__EngineState Pgw__EngineState;
+typedef struct Pgw__EngineProbe Pgw__EngineProbe;
 typedef struct Pgw__ExpectedParts Pgw__ExpectedParts;
 typedef struct Pgw__LoadWeights Pgw__LoadWeights;
 
@@ -71,10 +72,14 @@
    * hybrid logical clock
    */
   uint64_t clock;
+  /*
+   * an entry: states are sent as answers to probes only
+   */
+  protobuf_c_boolean on_request;
 };
 #define PGW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Pgw__Level
@@ -579,9 +584,12 @@
 {
   ProtobufCMessage base;
   /*
-   * IP:PORT of the engine
+   * IP:PORT of the engine; empty: as said before, as
    */
   char *address;
+  /*
+   * are "models" and "started_ms" then
+   */
   /*
    * it answered the last report
    */
@@ -628,10 +636,37 @@
    * when the engine's process started, by its clock
    */
   uint64_t started_ms;
+  /*
+   * prompt tokens that it has to read, of what was announced
+   */
+  uint64_t unread;
+  /*
+   * answers this probe: parts are those asked for
+   */
+  uint64_t probe;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * An entry asks a sidecar, before it sends a prompt, for the load of its engine
+ * and for parts of the prompt. The answer is an EngineState.
+ */
+struct  Pgw__EngineProbe
+{
+  ProtobufCMessage base;
+  /*
+   * number of the probe at this entry, not 0
+   */
+  uint64_t probe;
+  size_t n_part_keys;
+  uint64_t *part_keys;
+};
+#define PGW__ENGINE_PROBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_probe__descriptor) \
+    , 0, 0,NULL }
 
 
 /*
@@ -643,10 +678,22 @@
   ProtobufCMessage base;
   size_t n_parts;
   Pgw__HeldPart **parts;
+  /*
+   * prompt tokens that the engine has to read for it
+   */
+  uint32_t to_read;
+  /*
+   * tokens of memory that it takes at most
+   */
+  uint32_t memory;
+  /*
+   * hash of the request's id
+   */
+  uint64_t request;
 };
 #define PGW__EXPECTED_PARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__expected_parts__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -1146,6 +1193,25 @@
 void   pgw__engine_state__free_unpacked
                      (Pgw__EngineState *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__EngineProbe methods */
+void   pgw__engine_probe__init
+                     (Pgw__EngineProbe         *message);
+size_t pgw__engine_probe__get_packed_size
+                     (const Pgw__EngineProbe   *message);
+size_t pgw__engine_probe__pack
+                     (const Pgw__EngineProbe   *message,
+                      uint8_t             *out);
+size_t pgw__engine_probe__pack_to_buffer
+                     (const Pgw__EngineProbe   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__EngineProbe *
+       pgw__engine_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__engine_probe__free_unpacked
+                     (Pgw__EngineProbe *message,
+                      ProtobufCAllocator *allocator);
 /* Pgw__ExpectedParts methods */
 void   pgw__expected_parts__init
                      (Pgw__ExpectedParts         *message);
@@ -1261,6 +1327,9 @@
 typedef void (*Pgw__EngineState_Closure)
                  (const Pgw__EngineState *message,
                   void *closure_data);
+typedef void (*Pgw__EngineProbe_Closure)
+                 (const Pgw__EngineProbe *message,
+                  void *closure_data);
 typedef void (*Pgw__ExpectedParts_Closure)
                  (const Pgw__ExpectedParts *message,
                   void *closure_data);
@@ -1298,6 +1367,7 @@
 extern const ProtobufCMessageDescriptor pgw__engine_model__descriptor;
 extern const ProtobufCMessageDescriptor pgw__held_part__descriptor;
 extern const ProtobufCMessageDescriptor pgw__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor pgw__engine_probe__descriptor;
 extern const ProtobufCMessageDescriptor pgw__expected_parts__descriptor;
 extern const ProtobufCMessageDescriptor pgw__load_weights__descriptor;
 
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -73,6 +73,7 @@
     for (size_t i = 0; i < out.model_count; i++) {
         g_free(out.models[i].model);
     }
+    g_free(out.runs);
     return good;
 }
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -222,6 +222,12 @@
 
 struct scene *
 scene_new(unsigned upstreams)
+{
+    return scene_new_waiting(upstreams, 0);
+}
+
+struct scene *
+scene_new_waiting(unsigned upstreams, uint64_t probe_wait_us)
 {
     struct scene *scene = g_new0(struct scene, 1);
     struct pgw_gateway_options options = {
@@ -233,6 +239,7 @@
         .poison = PGW_POISON_OPTIONS_INIT,
         .wait_share = 0.9,
         .hedge_share = 1000,
+        .probe_wait_us = probe_wait_us,
     };
 
     g_assert_true(pgw_address_parse(&options.listen, LOOPBACK ":0", NULL));
@@ -281,7 +288,7 @@
 
 static int
 call_with(struct scene *scene, const char *key, const char *path,
-          const char *id, const char *body)
+          const char *id, const char *fields, const char *body)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -289,9 +296,9 @@
                                  "Host: h.example\r\n"
                                  "Attempt-Id: %s\r\n"
                                  "Deadline-Ms: 60000\r\n"
-                                 "Authorization: Bearer %s\r\n"
+                                 "Authorization: Bearer %s\r\n%s"
                                  "Content-Length: %zu\r\n\r\n%s",
-                                 path, id, key, strlen(body), body);
+                                 path, id, key, fields, strlen(body), body);
 
     inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
     address.sin_port = htons(pgw_gateway_port(scene->gateway));
@@ -306,21 +313,28 @@
 int
 scene_call(struct scene *scene, const char *path, const char *id)
 {
-    return call_with(scene, SCENE_KEY, path, id, "body");
+    return call_with(scene, SCENE_KEY, path, id, "", "body");
 }
 
 int
 scene_call_as(struct scene *scene, const char *key, const char *path,
               const char *id)
 {
-    return call_with(scene, key, path, id, "body");
+    return call_with(scene, key, path, id, "", "body");
 }
 
 int
 scene_call_with_body(struct scene *scene, const char *path, const char *id,
                      const char *body)
 {
-    return call_with(scene, SCENE_KEY, path, id, body);
+    return call_with(scene, SCENE_KEY, path, id, "", body);
+}
+
+int
+scene_call_with_fields(struct scene *scene, const char *path, const char *id,
+                       const char *fields)
+{
+    return call_with(scene, SCENE_KEY, path, id, fields, "body");
 }
 
 int
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -50,6 +50,10 @@
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
 
+/** scene_new_waiting() - the same with a time that answers of sidecars are
+ * waited for, in microseconds */
+struct scene *scene_new_waiting(unsigned upstreams, uint64_t probe_wait_us);
+
 /** scene_stop_listening() - nobody listens at an upstream's address any more
  */
 void scene_stop_listening(struct scene *scene, unsigned upstream);
@@ -90,6 +94,11 @@
 int scene_call_with_body(struct scene *scene, const char *path, const char *id,
                          const char *body);
 
+/** scene_call_with_fields() - the same with further header lines, each with
+ * its CRLF */
+int scene_call_with_fields(struct scene *scene, const char *path,
+                           const char *id, const char *fields);
+
 /** scene_send() - send text on a socket */
 void scene_send(int fd, const char *text);
 
--- /dev/null
+++ b/tests/unit/test_announced.c
@@ -0,0 +1,83 @@
+#include "gateway/announced.h"
+
+#define MS UINT64_C(1000)
+
+static void
+expect_unread(const struct pgw_announced *announced, uint64_t tokens,
+              uint32_t prompts)
+{
+    struct pgw_unread unread = pgw_announced_unread(announced);
+
+    g_assert_cmpuint(unread.tokens, ==, tokens);
+    g_assert_cmpuint(unread.prompts, ==, prompts);
+}
+
+/* Guards against an engine that looks idle while prompts wait in its queue. */
+static void
+test_waits_reads_ends(void)
+{
+    struct pgw_announced announced;
+    struct pgw_engine_run reading = {.id = pgw_announced_id("a")};
+    struct pgw_engine_run answering = {.id = reading.id, .events = 1};
+
+    pgw_announced_init(&announced);
+    pgw_announced_add(&announced, pgw_announced_id("a"), 5000, 0);
+    pgw_announced_add(&announced, pgw_announced_id("b"), 9000, 0);
+    expect_unread(&announced, 14000, 2);
+    pgw_announced_report(&announced, &reading, 1, 1, 100 * MS);
+    expect_unread(&announced, 14000, 2);
+    pgw_announced_report(&announced, &answering, 1, 1, 200 * MS);
+    expect_unread(&announced, 9000, 1);
+    reading.id = pgw_announced_id("b");
+    pgw_announced_report(&announced, &reading, 1, 0, 300 * MS);
+    expect_unread(&announced, 9000, 1);
+    pgw_announced_report(&announced, NULL, 0, 0, 400 * MS);
+    expect_unread(&announced, 0, 0);
+    pgw_announced_dispose(&announced);
+}
+
+/* Guards against prompts that count for good although they never got there. */
+static void
+test_lost_on_its_way(void)
+{
+    struct pgw_announced announced;
+
+    pgw_announced_init(&announced);
+    pgw_announced_add(&announced, 1, 5000, 0);
+    pgw_announced_report(&announced, NULL, 0, 0, 20 * MS);
+    expect_unread(&announced, 5000, 1);
+    pgw_announced_report(&announced, NULL, 0, 0, 100 * MS);
+    expect_unread(&announced, 0, 0);
+    pgw_announced_add(&announced, 2, 5000, 0);
+    pgw_announced_report(&announced, NULL, 0, 3, 2900 * MS);
+    expect_unread(&announced, 5000, 1);
+    pgw_announced_report(&announced, NULL, 0, 3, 3000 * MS);
+    expect_unread(&announced, 0, 0);
+    pgw_announced_dispose(&announced);
+}
+
+/* Guards against a flood of announcements that fills the memory. */
+static void
+test_bounded(void)
+{
+    struct pgw_announced announced;
+
+    pgw_announced_init(&announced);
+    for (uint64_t i = 0; i < 100000; i++) {
+        pgw_announced_add(&announced, i, 2000, 0);
+    }
+    g_assert_cmpuint(pgw_announced_unread(&announced).prompts, <=, 1024);
+    pgw_announced_clear(&announced);
+    expect_unread(&announced, 0, 0);
+    pgw_announced_dispose(&announced);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/announced/progress", test_waits_reads_ends);
+    g_test_add_func("/announced/lost", test_lost_on_its_way);
+    g_test_add_func("/announced/bounded", test_bounded);
+    return g_test_run();
+}
--- a/tests/unit/test_engine_guard.c
+++ b/tests/unit/test_engine_guard.c
@@ -17,6 +17,8 @@
  * @states: states that the entry has heard
  * @loading: the last one said that the engine loads
  * @version: weights in the last one
+ * @answer: the last answer to a probe: its number, what is unread,
+ *          the word on the first part
  * @lock: of what the entry has heard; a POSIX one, as the thread sanitizer
  *        does not see those inside GLib
  */
@@ -31,6 +33,11 @@
     unsigned states;
     bool loading;
     uint64_t version;
+    struct {
+        uint64_t probe;
+        uint64_t unread;
+        uint32_t part;
+    } answer;
 };
 
 static struct stage *stage;
@@ -57,7 +64,15 @@
     pthread_mutex_lock(&stage->lock);
     stage->states++;
     stage->loading = state->loading;
-    stage->version = state->n_models > 0 ? state->models[0]->version : 0;
+    if (state->n_models > 0) {
+        stage->version = state->models[0]->version;
+    }
+    if (state->probe != 0) {
+        stage->answer.probe = state->probe;
+        stage->answer.unread = state->unread;
+        stage->answer.part =
+            state->n_part_words > 0 ? state->part_words[0] : 0;
+    }
     pthread_mutex_unlock(&stage->lock);
     return false;
 }
@@ -214,6 +229,68 @@
     stage_close();
 }
 
+static struct pgw_task probe_task;
+
+/* As an entry of another zone: announces a prompt, and asks about its part. */
+static void
+announce_and_probe(struct pgw_task *task)
+{
+    uint64_t keys[] = {77};
+    Pgw__Hello hello = PGW__HELLO__INIT;
+    Pgw__HeldPart part = PGW__HELD_PART__INIT;
+    Pgw__HeldPart *parts[] = {&part};
+    Pgw__ExpectedParts announcement = PGW__EXPECTED_PARTS__INIT;
+    Pgw__EngineProbe probe = PGW__ENGINE_PROBE__INIT;
+
+    (void)task;
+    hello.instance = (char *)"e";
+    hello.zone = (char *)"b";
+    hello.on_request = true;
+    pgw_link_send(stage->entry, PGW_FRAME_HELLO, &hello.base);
+    part.key = keys[0];
+    part.tokens = 5000;
+    announcement.parts = parts;
+    announcement.n_parts = 1;
+    announcement.to_read = 6000;
+    announcement.memory = 6100;
+    announcement.request = 1;
+    pgw_link_send(stage->entry, PGW_FRAME_EXPECTED_PARTS, &announcement.base);
+    probe.probe = 9;
+    probe.part_keys = keys;
+    probe.n_part_keys = 1;
+    pgw_link_send(stage->entry, PGW_FRAME_ENGINE_PROBE, &probe.base);
+}
+
+static bool
+is_answered(const struct scene_engine *engine)
+{
+    bool answered;
+
+    (void)engine;
+    pthread_mutex_lock(&stage->lock);
+    answered = stage->answer.probe == 9;
+    pthread_mutex_unlock(&stage->lock);
+    return answered;
+}
+
+/* Guards against entries that all send to one engine between two of its
+ * reports: what one announces is told to the next who asks. */
+static void
+test_probe_counts_what_is_announced(void)
+{
+    struct scene_engine engine = {.version = 1};
+
+    stage_open();
+    engine.listener = stage->engine;
+    scene_engine_play(&engine, is_told);
+    probe_task.run = announce_and_probe;
+    pgw_loop_post(stage->loop, &probe_task);
+    scene_engine_play(&engine, is_answered);
+    g_assert_cmpuint(stage->answer.unread, ==, 6000);
+    g_assert_cmpuint(stage->answer.part, ==, 1);
+    stage_close();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -221,5 +298,7 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/engine_guard/order", test_order);
     g_test_add_func("/engine_guard/restart", test_restart_during_an_order);
+    g_test_add_func("/engine_guard/probe",
+                    test_probe_counts_what_is_announced);
     return g_test_run();
 }
--- a/tests/unit/test_held_parts.c
+++ b/tests/unit/test_held_parts.c
@@ -47,7 +47,7 @@
     pgw_held_parts_init(&parts);
     take(&parts, 1, false, 1, 9, 700);
     expect_words(&parts, false, 9, "");
-    pgw_held_parts_expect(&parts, 7, 5000);
+    pgw_held_parts_expect(&parts, 7, 5000, 0);
     expect_words(&parts, false, 9, "7:5000?");
     expect_words(&parts, true, 9, "7:5000?");
     take(&parts, 1, false, 2, 7, 5000);
@@ -59,7 +59,7 @@
     expect_words(&parts, false, 9, "7:0");
     expect_words(&parts, true, 9, "7:0");
     /* It holds this one already: the others hear that it does. */
-    pgw_held_parts_expect(&parts, 9, 700);
+    pgw_held_parts_expect(&parts, 9, 700, 0);
     expect_words(&parts, false, 9, "9:700");
     pgw_held_parts_dispose(&parts);
 }
@@ -73,7 +73,7 @@
 
     pgw_held_parts_init(&parts);
     for (uint64_t key = 1; key <= 4; key++) {
-        pgw_held_parts_expect(&parts, key, 0);
+        pgw_held_parts_expect(&parts, key, 0, 0);
         take(&parts, 1, false, key, key, (uint32_t)(key * 100));
     }
     expect_words(&parts, true, 2, "4:400 3:300");
@@ -99,8 +99,8 @@
     for (uint64_t key = 1; key <= 3; key++) {
         take(&parts, 1, false, key, key, (uint32_t)(key * 100));
     }
-    pgw_held_parts_expect(&parts, 1, 100);
-    pgw_held_parts_expect(&parts, 2, 100);
+    pgw_held_parts_expect(&parts, 1, 100, 0);
+    pgw_held_parts_expect(&parts, 2, 100, 0);
     expect_words(&parts, true, 1, "2:200");
     all = pgw_held_parts_all(&parts, false);
     g_assert_cmpuint(all->len, ==, 2);
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -204,6 +204,11 @@
     g_assert_cmpuint(out.models[0].version, ==, 3);
     g_assert_cmpuint(out.load.running, ==, 12);
     g_assert_cmpuint(out.load.long_prefills, ==, 1);
+    g_assert_cmpuint(out.run_count, ==, 3);
+    g_assert_cmpuint(out.runs[1].id, ==, pgw_announced_id("b"));
+    g_assert_cmpuint(out.runs[1].tokens, ==, 9000);
+    g_assert_cmpuint(out.runs[1].events, ==, 4);
+    g_free(out.runs);
     g_free(out.models[0].model);
     g_assert_true(
         platform_engine_codec.read_events(&changes, events, strlen(events)));
