--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -287,7 +287,8 @@
  * Failure: all engines of a pool are full. Symptom: whoever has a free place
  * gets the next prompt, cold; it is read again each time, which takes three
  * times the engine's time, so that they stay full long after the cause is
- * over. A home is worth a wait in its queue, and so is who holds the parts.
+ * over. A home is worth a wait in its queue, and so is who holds the parts. An
+ * engine that will load weights refuses its queue then, and drops the parts.
  */
 static double
 depth_limit(const struct pgw_upstream *upstream, size_t position,
@@ -298,6 +299,8 @@
     bool affine =
         survey->candidates.home_count > 0 &&
         (is_home(survey, position) || survey->missing[position] == 0) &&
+        pgw_upstream_version(upstream, input->model) >=
+            input->newest_version &&
         pgw_prompt_shared(input->prompt) >= PGW_LONG_PREFILL;
 
     return (affine ? options->home_depth : options->engine_depth) *
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -167,6 +167,7 @@
  * @model: whose weights; NULL for a plain call
  * @version: engines with older weights cost more, 0: none does
  * @least_version: engines with older weights are not used
+ * @newest_version: engines with older weights will load it
  * @size: bytes of the request
  * @run_ms: how long it runs once its prompt is read, as far as can be told
  * @read_rate: tokens that an engine reads in a millisecond
@@ -184,6 +185,7 @@
     const char *model;
     uint64_t version;
     uint64_t least_version;
+    uint64_t newest_version;
     size_t size;
     double run_ms;
     double read_rate;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -290,6 +290,7 @@
                                    : pgw_buffer_size(&exchange->caller->body));
     }
     if (named != NULL) {
+        input.newest_version = pgw_named_weights_newest(named);
         input.version = pgw_named_weights_least(
             named,
             pgw_policy_is_on(&gateway->options.policy, PGW_WEIGHTS_GRACE)
