Name liveness of upstreams in the field's terms; take figures out of comments

The largest pool that is ranked is that of the design, so that entries with other orders of a list find the same homes.

--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -5,9 +5,8 @@
 /* An own zone with fewer upstreams than this is not looked at alone: a few
  * that are busy or failing would send every request to the second look. */
 #define NEAR_MIN 8
-/* Drawn for a plain call. Of 556 or 3,000 queues of 0 to 19 requests each the
- * shortest of 16 is 0.75 requests longer than the shortest of all (means of
- * 4,000 choices), and entries that decide at the same moment on the same
+/* Drawn for a plain call: the shortest queue of so many is hardly longer than
+ * the shortest of all, and entries that decide at the same moment on the same
  * reports do not all go to one upstream. */
 #define DRAWN_PLAIN 16
 /* Drawn for a prompt beside the first in rank: when those are full it goes to
@@ -15,10 +14,9 @@
 #define DRAWN_PROMPT 32
 /* Drawn when nothing nearby could take the request. */
 #define DRAWN_ANYWHERE 96
-/* Most upstreams that are ranked: a zone of the size that the design aims at
- * has 556 engines; ranking one takes 7 ns (difference of pools of 556 and
- * 3,000, 4,000 choices of each). */
-#define RANKED_MAX 4096
+/* Most upstreams that are ranked: all of the largest pool that the design aims
+ * at, or entries with other orders of the list would find other homes. */
+#define RANKED_MAX 16384
 
 static bool
 is_in(const struct pgw_candidates *candidates,
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -13,9 +13,8 @@
  * 10,000 upstreams, and no upstream is left out for its place in the list.
  */
 
-/* Most upstreams that one choice weighs: with 128 engines 67 us for a prompt,
- * a sixth of what an entry needs for a whole request with six events; 32 us
- * where 64 of 556 are weighed (means of 4,000 choices). */
+/* Most upstreams that one choice weighs: it then takes a small part of what an
+ * entry needs for a whole request. */
 #define PGW_CANDIDATES_MAX 128
 
 /**
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -28,7 +28,7 @@
             *weights[i].weight = 0;
         }
     }
-    options->rests = pgw_policy_is_on(policy, PGW_REFUSAL_REST);
+    options->back_off = pgw_policy_is_on(policy, PGW_REFUSAL_REST);
     if (!pgw_policy_is_on(policy, PGW_ENGINE_FETCH)) {
         options->fetch_min_tokens = UINT32_MAX;
     }
@@ -52,7 +52,7 @@
 {
     return now_us < upstream->avoid_until_us ||
            now_us < upstream->full_until_us ||
-           pgw_upstream_silence(upstream, now_us) != PGW_HEARD ||
+           pgw_upstream_liveness(upstream, now_us) != PGW_RESPONSIVE ||
            upstream->failure_rate > options->bad_rate;
 }
 
@@ -222,7 +222,7 @@
              (best == NULL || best->same_zone || !other->same_zone)) ||
             !pgw_upstream_is_usable(other, input->now_us) ||
             input->now_us < other->avoid_until_us ||
-            pgw_upstream_silence(other, input->now_us) != PGW_HEARD ||
+            pgw_upstream_liveness(other, input->now_us) != PGW_RESPONSIVE ||
             pgw_upstream_version(other, input->model) != version) {
             continue;
         }
@@ -446,10 +446,10 @@
  * still be refused truthfully.
  */
 static bool
-waits_for_word(struct pgw_choice *out, const struct pgw_upstream *upstream,
-               const struct pgw_choose_input *input)
+awaits_probe(struct pgw_choice *out, const struct pgw_upstream *upstream,
+             const struct pgw_choose_input *input)
 {
-    if (pgw_upstream_silence(upstream, input->now_us) != PGW_SILENT_LONG ||
+    if (pgw_upstream_liveness(upstream, input->now_us) != PGW_UNRESPONSIVE ||
         input->now_us >= upstream->probe_at_us) {
         return false;
     }
@@ -465,13 +465,13 @@
  * Until it is asked again requests wait, which they can do for far longer.
  */
 static bool
-rests(struct pgw_choice *out, const struct pgw_upstream *upstream,
-      const struct pgw_choose_input *input,
-      const struct pgw_choose_options *options)
+backs_off(struct pgw_choice *out, const struct pgw_upstream *upstream,
+          const struct pgw_choose_input *input,
+          const struct pgw_choose_options *options)
 {
     /* A plain service that is full has a place again within milliseconds, and
      * an engine that refuses once may have meant a long prompt. */
-    if (!options->rests || input->prompt == NULL ||
+    if (!options->back_off || input->prompt == NULL ||
         upstream->refusals < REFUSALS_IN_A_ROW ||
         input->now_us >= upstream->full_until_us) {
         return false;
@@ -502,8 +502,8 @@
             continue;
         }
         out->busy = true;
-        if (waits_for_word(out, upstream, input) ||
-            rests(out, upstream, input, options)) {
+        if (awaits_probe(out, upstream, input) ||
+            backs_off(out, upstream, input, options)) {
             continue;
         }
         if (!unhealthy && is_unhealthy(upstream, options, input->now_us)) {
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -110,7 +110,7 @@
  * @delay_share: what each millisecond costs that a request will run beyond the
  *   turn of an engine which is among the next to load, as a part of what an
  *   engine reads in it: until its runs have ended it serves nobody
- * @rests: engines that refuse several times in a row rest
+ * @back_off: engines that refuse several times in a row are left alone
  * @bad_rate: failure rate above which an upstream counts as unhealthy
  */
 struct pgw_choose_options {
@@ -135,7 +135,7 @@
     double failing_tokens;
     double old_ms;
     double delay_share;
-    bool rests;
+    bool back_off;
     double bad_rate;
 };
 
@@ -148,7 +148,7 @@
         .rank_share = 0.02, .rank_tokens = 15, .reread_weight = 2.5,          \
         .fetch_tokens = 100, .fetch_share = 0.3, .fetch_min_tokens = 32,      \
         .failing_tokens = 4000, .old_ms = 120, .delay_share = 0.33,           \
-        .rests = true, .bad_rate = 0.35                                       \
+        .back_off = true, .bad_rate = 0.35                                    \
     }
 
 /** pgw_choose_options_apply() - leave out what is switched off */
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -17,9 +17,8 @@
 #define NO_CONFIG_RETRY_MS 400
 
 /* Microseconds that pass for each token of a prompt before it begins to run on
- * an engine that is busy: prompts of 17,000 tokens took 1.9 s where all others
- * were loading. An engine whose weights will be too old by then is not used.
- */
+ * an engine that is busy while all others load. An engine whose weights will
+ * be too old by then is not used. */
 #define OLD_WEIGHTS_TOKEN_US 100ULL
 /* Priorities of routes that are told apart within one of workspaces. */
 #define ROUTE_RANKS 3
@@ -238,7 +237,8 @@
         return;
     }
     if (exchange->upstream != NULL) {
-        pgw_upstream_note(exchange->upstream, PGW_RESULT_SILENT, pgw_now_us());
+        pgw_upstream_note(exchange->upstream, PGW_RESULT_TIMEOUT,
+                          pgw_now_us());
     }
     pgw_exchange_refuse(exchange, 504, "deadline", 0);
 }
@@ -500,16 +500,17 @@
     struct pgw_call_trace trace;
 
     pgw_call_trace(&trace, &exchange->call);
-    pgw_log_info(
-        "run_cancelled",
-        "request=%s upstream=%s late_ms=%" G_GUINT64_FORMAT
-        " sent_ms=%" G_GUINT64_FORMAT " heard_ms=%" G_GUINT64_FORMAT
-        " port=%u reused=%d unacked=%d events=%" G_GUINT64_FORMAT,
-        exchange->facts.id, upstream->id, late_us / 1000,
-        (now - exchange->sent_us) / 1000,
-        upstream->heard_at_us == 0 ? 0 : (now - upstream->heard_at_us) / 1000,
-        trace.port, exchange->call.reused, trace.unacked,
-        exchange->events.events);
+    pgw_log_info("run_cancelled",
+                 "request=%s upstream=%s late_ms=%" G_GUINT64_FORMAT
+                 " sent_ms=%" G_GUINT64_FORMAT " heard_ms=%" G_GUINT64_FORMAT
+                 " port=%u reused=%d unacked=%d events=%" G_GUINT64_FORMAT,
+                 exchange->facts.id, upstream->id, late_us / 1000,
+                 (now - exchange->sent_us) / 1000,
+                 upstream->last_seen_us == 0
+                     ? 0
+                     : (now - upstream->last_seen_us) / 1000,
+                 trace.port, exchange->call.reused, trace.unacked,
+                 exchange->events.events);
 }
 
 void
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -17,7 +17,7 @@
  * @pump: looks at what waits, once for all that has changed in a turn
  * @pump_timer: looks at it when an upstream that refused is asked again
  * @start_timer: callers are let in without a configuration
- * @unheard_timer: looks for upstreams that have fallen silent
+ * @unresponsive_timer: looks for upstreams that have fallen silent
  * @weights: model -> &struct pgw_named_weights
  * @token_ms: time that a run takes for each token of the longest answer that
  *   its caller allows, as observed
@@ -46,7 +46,7 @@
     struct pgw_task pump;
     struct pgw_timer pump_timer;
     struct pgw_timer start_timer;
-    struct pgw_timer unheard_timer;
+    struct pgw_timer unresponsive_timer;
     GHashTable *weights;
     struct pgw_estimate token_ms;
     struct pgw_estimate read_rate;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -1,16 +1,13 @@
 #include "gateway/announced.h"
 #include "gateway/exchange.h"
-#include "gateway/silence.h"
+#include "gateway/response_timeout.h"
 #include "gateway/source.h"
 #include "util/metric.h"
 #include <string.h>
 
-/*
- * Engines are told the route's priority alone, in steps of two. With the
- * workspace's before it, long prompts of one workspace went before short ones
- * of another: 4.5 instead of 3.6 in 100 requests failed, mean of six days of
- * the label deployment, one run of each.
- */
+/* Engines are told the route's priority alone, in steps of two: with the
+ * workspace's before it, long prompts of one workspace would go before short
+ * ones of another, which wait for less. */
 #define ROUTE_PRIORITY_STEP 2
 
 static struct pgw_metric_counter sends = {
@@ -30,7 +27,7 @@
         return;
     }
     pgw_call_cancel(&exchange->call);
-    pgw_attempt_note(exchange, PGW_RESULT_SILENT);
+    pgw_attempt_note(exchange, PGW_RESULT_TIMEOUT);
     pgw_attempt_repeat(exchange, "silent");
 }
 
@@ -47,11 +44,11 @@
     exchange->attempt_timer.on_due = silent_due;
     pgw_timer_start(
         gateway->loop, &exchange->attempt_timer,
-        pgw_silence_limit_us((uint64_t)exchange->route->objective_ms * 1000,
-                             gateway->options.hedge_share,
-                             exchange->facts.model == NULL
-                                 ? 0
-                                 : MAX(exchange->facts.prompt.tokens, 1)));
+        pgw_response_timeout_us((uint64_t)exchange->route->objective_ms * 1000,
+                                gateway->options.hedge_share,
+                                exchange->facts.model == NULL
+                                    ? 0
+                                    : MAX(exchange->facts.prompt.tokens, 1)));
 }
 
 static uint32_t
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,5 +1,5 @@
 #include "gateway/exchange.h"
-#include "gateway/unheard.h"
+#include "gateway/unresponsive.h"
 #include "util/log.h"
 
 /*
@@ -98,7 +98,7 @@
     gateway->budgets = pgw_budgets_new(&options->budgets);
     gateway->poison = pgw_poison_new(&options->poison);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
-    pgw_unheard_start(gateway);
+    pgw_unresponsive_start(gateway);
     gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     gateway->weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -114,7 +114,7 @@
     }
     pgw_timer_stop(gateway->loop, &gateway->pump_timer);
     pgw_timer_stop(gateway->loop, &gateway->start_timer);
-    pgw_unheard_stop(gateway);
+    pgw_unresponsive_stop(gateway);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_upstream_table_free(gateway->upstreams);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -84,7 +84,7 @@
         return;
     }
     upstream->guarded = true;
-    pgw_upstream_hear(upstream, now);
+    pgw_upstream_note_seen(upstream, now);
     pgw_upstream_table_started(pgw_gateway_upstreams(guard->links->gateway),
                                upstream, state->started_ms);
     pgw_guard_rollout_take(guard->links, upstream, state, now);
@@ -168,7 +168,7 @@
         forget_reports(upstream);
         /* Its machine answers, so that its silence would say nothing. */
         if (pgw_link_was_ended(link)) {
-            upstream->heard_at_us = 0;
+            upstream->last_seen_us = 0;
         }
     }
     if (links->closing) {
@@ -367,7 +367,7 @@
     }
     guard->on_request = on_request;
     forget_reports(upstream);
-    upstream->heard_at_us = 0;
+    upstream->last_seen_us = 0;
     if (guard->link != NULL && pgw_link_is_open(guard->link)) {
         say_hello(guard);
     }
--- a/src/gateway/guard_rollout.c
+++ b/src/gateway/guard_rollout.c
@@ -151,8 +151,7 @@
 
 /*
  * A gain: engines that are about to load get no long runs, so that they are
- * away for the load alone: 1.3 s where it was 2.2 to 4.9 s, since an engine
- * ends its runs before it loads.
+ * away for the load alone: an engine ends its runs before it loads.
  */
 static void
 tell_window(struct pgw_guard_links *links, const struct rollout *rollout)
--- a/src/gateway/load_window.h
+++ b/src/gateway/load_window.h
@@ -108,7 +108,7 @@
  * engines that wait for their word run old weights beyond the deployment's
  * bound. Each begins by itself once it is of no use, which costs the callers
  * nothing then. Sooner it would load beside those that were told to, and all
- * would take longer: ten of 18 at once, 7 to 11 s each instead of 2.6 s.
+ * would take longer.
  *
  * Return: microseconds from now.
  */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -44,7 +44,7 @@
     const struct pgw_codec *codec = exchange->gateway->options.codec;
     struct pgw_answer_facts facts = {0};
 
-    pgw_upstream_answers(exchange->upstream, pgw_now_us());
+    pgw_upstream_note_answer(exchange->upstream, pgw_now_us());
     codec->read_answer(&facts, head);
     /*
      * Failure: the answer to an earlier request on this connection comes late,
@@ -167,7 +167,7 @@
 {
     struct pgw_exchange *exchange = exchange_of(call);
 
-    pgw_upstream_answers(exchange->upstream, pgw_now_us());
+    pgw_upstream_note_answer(exchange->upstream, pgw_now_us());
     if (exchange->not_run || exchange->caller == NULL) {
         return;
     }
--- a/src/gateway/source.c
+++ b/src/gateway/source.c
@@ -2,8 +2,7 @@
 
 /*
  * A gain: an engine that holds the first of several parts, which many prompts
- * share, is no source for the rest. On one day 2.6 of 6.8 million tokens that
- * engines lacked were asked for where they were not, and read again.
+ * share, is no source for the rest: what it lacks would be read again.
  */
 static bool
 is_good_holder(const struct pgw_source_input *input,
--- a/src/gateway/unheard.c
+++ b/src/gateway/unresponsive.c
@@ -1,4 +1,4 @@
-#include "gateway/unheard.h"
+#include "gateway/unresponsive.h"
 #include "gateway/exchange.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -23,17 +23,17 @@
 
 /* Says once that an upstream has fallen silent, and once that it has not. */
 static bool
-note_silence(struct pgw_upstream *upstream, uint64_t now_us)
+note_liveness(struct pgw_upstream *upstream, uint64_t now_us)
 {
-    bool silent = pgw_upstream_silence(upstream, now_us) != PGW_HEARD;
+    bool silent = pgw_upstream_liveness(upstream, now_us) != PGW_RESPONSIVE;
 
-    if (silent != upstream->silent_told) {
-        upstream->silent_told = silent;
+    if (silent != upstream->suspect_logged) {
+        upstream->suspect_logged = silent;
         pgw_log_info("upstream_silent",
                      "upstream=%s silent=%d heard_ms=%" G_GUINT64_FORMAT
                      " inflight=%u",
                      upstream->id, silent,
-                     pgw_upstream_silent_us(upstream, now_us) / 1000,
+                     pgw_upstream_unseen_us(upstream, now_us) / 1000,
                      upstream->inflight);
     }
     return silent;
@@ -50,8 +50,8 @@
         return false;
     }
     return exchange->phase == PGW_PHASE_RELAYING
-               ? pgw_upstream_silent_us(upstream, now_us) >= STILL_US
-               : pgw_upstream_silence(upstream, now_us) != PGW_HEARD;
+               ? pgw_upstream_unseen_us(upstream, now_us) >= STILL_US
+               : pgw_upstream_liveness(upstream, now_us) != PGW_RESPONSIVE;
 }
 
 /* NULL: it goes on elsewhere, and a repeat was taken for it. */
@@ -78,7 +78,7 @@
         "request_stuck",
         "request=%s upstream=%s silent_ms=%" G_GUINT64_FORMAT " stays=%s",
         exchange->facts.id, exchange->upstream->id,
-        pgw_upstream_silent_us(exchange->upstream, now_us) / 1000, stays);
+        pgw_upstream_unseen_us(exchange->upstream, now_us) / 1000, stays);
 }
 
 /*
@@ -100,18 +100,18 @@
     }
     pgw_metric_counter_add(&moved, 1);
     pgw_call_cancel(&exchange->call);
-    pgw_attempt_note(exchange, PGW_RESULT_SILENT);
+    pgw_attempt_note(exchange, PGW_RESULT_TIMEOUT);
     pgw_attempt_repeat(exchange, "silent");
 }
 
 void
-pgw_unheard_look(struct pgw_gateway *gateway)
+pgw_unresponsive_look(struct pgw_gateway *gateway)
 {
     uint64_t now = pgw_now_us();
     unsigned silent = 0;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
-        silent += note_silence(
+        silent += note_liveness(
             pgw_container_of(link, struct pgw_upstream, in_table), now);
     }
     pgw_metric_gauge_set(&silent_now, silent);
@@ -130,23 +130,23 @@
 look_due(struct pgw_timer *timer)
 {
     struct pgw_gateway *gateway =
-        pgw_container_of(timer, struct pgw_gateway, unheard_timer);
+        pgw_container_of(timer, struct pgw_gateway, unresponsive_timer);
 
-    pgw_unheard_look(gateway);
+    pgw_unresponsive_look(gateway);
     pgw_timer_start(gateway->loop, timer, LOOK_US);
 }
 
 void
-pgw_unheard_start(struct pgw_gateway *gateway)
+pgw_unresponsive_start(struct pgw_gateway *gateway)
 {
     pgw_metric_register_gauge(&silent_now);
     pgw_metric_register_counter(&moved);
-    gateway->unheard_timer.on_due = look_due;
-    pgw_timer_start(gateway->loop, &gateway->unheard_timer, LOOK_US);
+    gateway->unresponsive_timer.on_due = look_due;
+    pgw_timer_start(gateway->loop, &gateway->unresponsive_timer, LOOK_US);
 }
 
 void
-pgw_unheard_stop(struct pgw_gateway *gateway)
+pgw_unresponsive_stop(struct pgw_gateway *gateway)
 {
-    pgw_timer_stop(gateway->loop, &gateway->unheard_timer);
+    pgw_timer_stop(gateway->loop, &gateway->unresponsive_timer);
 }
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -23,9 +23,9 @@
 
 /* Sidecars speak once a second, to entries of other zones up to twice as
  * seldom; a busy upstream is heard many times a second. */
-#define SILENT_NEAR_US 1250000
-#define SILENT_FAR_US 2500000
-#define SILENT_LONG_US 2500000
+#define SUSPECT_NEAR_US 1250000
+#define SUSPECT_FAR_US 2500000
+#define UNRESPONSIVE_US 2500000
 /* Requests to a silent upstream are so far apart. */
 #define PROBE_US 1000000
 
@@ -223,7 +223,7 @@
     upstream->loads_since_us = 0;
     upstream->cold_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
-    upstream->heard_at_us = 0;
+    upstream->last_seen_us = 0;
     upstream->probe_at_us = 0;
     upstream->load_at_us = 0;
     upstream->memory_at_us = 0;
@@ -416,27 +416,27 @@
 }
 
 void
-pgw_upstream_hear(struct pgw_upstream *upstream, uint64_t now_us)
+pgw_upstream_note_seen(struct pgw_upstream *upstream, uint64_t now_us)
 {
-    upstream->heard_at_us = now_us;
+    upstream->last_seen_us = now_us;
     upstream->probe_at_us = 0;
 }
 
 void
-pgw_upstream_answers(struct pgw_upstream *upstream, uint64_t now_us)
+pgw_upstream_note_answer(struct pgw_upstream *upstream, uint64_t now_us)
 {
-    if (upstream->heard_at_us > 0) {
-        pgw_upstream_hear(upstream, now_us);
+    if (upstream->last_seen_us > 0) {
+        pgw_upstream_note_seen(upstream, now_us);
     }
 }
 
 uint64_t
-pgw_upstream_silent_us(const struct pgw_upstream *upstream, uint64_t now_us)
+pgw_upstream_unseen_us(const struct pgw_upstream *upstream, uint64_t now_us)
 {
     uint64_t silent_us =
-        upstream->heard_at_us == 0 || now_us < upstream->heard_at_us
+        upstream->last_seen_us == 0 || now_us < upstream->last_seen_us
             ? 0
-            : now_us - upstream->heard_at_us;
+            : now_us - upstream->last_seen_us;
 
 #ifdef PGW_DISABLE_GATEWAY_SILENT
     silent_us = 0;
@@ -444,23 +444,24 @@
     return silent_us;
 }
 
-enum pgw_silence
-pgw_upstream_silence(const struct pgw_upstream *upstream, uint64_t now_us)
+enum pgw_liveness
+pgw_upstream_liveness(const struct pgw_upstream *upstream, uint64_t now_us)
 {
-    uint64_t silent_us = pgw_upstream_silent_us(upstream, now_us);
+    uint64_t silent_us = pgw_upstream_unseen_us(upstream, now_us);
 
-    if (silent_us >= SILENT_LONG_US) {
-        return PGW_SILENT_LONG;
+    if (silent_us >= UNRESPONSIVE_US) {
+        return PGW_UNRESPONSIVE;
     }
-    return silent_us >= (upstream->same_zone ? SILENT_NEAR_US : SILENT_FAR_US)
-               ? PGW_SILENT
-               : PGW_HEARD;
+    return silent_us >=
+                   (upstream->same_zone ? SUSPECT_NEAR_US : SUSPECT_FAR_US)
+               ? PGW_SUSPECT
+               : PGW_RESPONSIVE;
 }
 
 void
 pgw_upstream_probe(struct pgw_upstream *upstream, uint64_t now_us)
 {
-    if (pgw_upstream_silence(upstream, now_us) == PGW_SILENT_LONG) {
+    if (pgw_upstream_liveness(upstream, now_us) == PGW_UNRESPONSIVE) {
         upstream->probe_at_us = now_us + PROBE_US;
     }
 }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -98,10 +98,10 @@
  * @loads_since_us: since when it is away for a load, 0: it is not
  * @loads_next: it is among the next ones: what runs long there delays it
  * @guarded: its sidecar's word is fresh, so @models is
- * @heard_at_us: when a byte last came from it or its sidecar, 0: no sidecar
- *   speaks for it
+ * @last_seen_us: when a byte last came from it or its sidecar, 0: no sidecar
+ *   reports on it
  * @probe_at_us: while it is silent, no request is sent there before
- * @silent_told: its silence stands in the log
+ * @suspect_logged: that it does not respond stands in the log
  * @inflight: requests that this entry has there
  * @inflight_tokens: memory that they take at most
  * @prefill_tokens: prompt tokens of those without a first event
@@ -150,9 +150,9 @@
     bool loads_next;
     uint64_t loading_until_us;
     bool guarded;
-    uint64_t heard_at_us;
+    uint64_t last_seen_us;
     uint64_t probe_at_us;
-    bool silent_told;
+    bool suspect_logged;
     uint32_t inflight;
     uint64_t inflight_tokens;
     uint64_t prefill_tokens;
@@ -180,7 +180,7 @@
  * @PGW_RESULT_ERROR: it answered with a failure of its own
  * @PGW_RESULT_BROKEN: the connection broke or what came is no answer
  * @PGW_RESULT_UNREACHABLE: no connection was established
- * @PGW_RESULT_SILENT: nothing came for so long that it was given up
+ * @PGW_RESULT_TIMEOUT: nothing came for so long that it was given up
  */
 enum pgw_attempt_result {
     PGW_RESULT_GOOD,
@@ -188,7 +188,7 @@
     PGW_RESULT_ERROR,
     PGW_RESULT_BROKEN,
     PGW_RESULT_UNREACHABLE,
-    PGW_RESULT_SILENT,
+    PGW_RESULT_TIMEOUT,
 };
 
 /**
@@ -287,32 +287,32 @@
                               uint64_t until_us);
 
 /**
- * enum pgw_silence - for how long nothing came from an upstream's machine
- * @PGW_HEARD: it was heard of lately, or no sidecar speaks for it
- * @PGW_SILENT: it, or what leads there, seems to stand still: used only if
- *   nothing else can be
- * @PGW_SILENT_LONG: it does: it gets one request now and then, to find out
+ * enum pgw_liveness - whether an upstream's machine responds
+ * @PGW_RESPONSIVE: it was seen lately, or no sidecar reports on it
+ * @PGW_SUSPECT: nothing came from it for long enough that it, or the network,
+ *   may have stopped: used only if nothing else can be
+ * @PGW_UNRESPONSIVE: it has stopped: one request a second probes it
  */
-enum pgw_silence {
-    PGW_HEARD,
-    PGW_SILENT,
-    PGW_SILENT_LONG,
+enum pgw_liveness {
+    PGW_RESPONSIVE,
+    PGW_SUSPECT,
+    PGW_UNRESPONSIVE,
 };
 
-/** pgw_upstream_hear() - its sidecar has spoken */
-void pgw_upstream_hear(struct pgw_upstream *upstream, uint64_t now_us);
+/** pgw_upstream_note_seen() - a report of its sidecar came */
+void pgw_upstream_note_seen(struct pgw_upstream *upstream, uint64_t now_us);
 
-/** pgw_upstream_answers() - some byte of an answer came from itself */
-void pgw_upstream_answers(struct pgw_upstream *upstream, uint64_t now_us);
+/** pgw_upstream_note_answer() - some byte of an answer came from it */
+void pgw_upstream_note_answer(struct pgw_upstream *upstream, uint64_t now_us);
 
-/** pgw_upstream_silent_us() - since when nothing came from its machine, in
- * microseconds; 0: no sidecar speaks for it */
-uint64_t pgw_upstream_silent_us(const struct pgw_upstream *upstream,
+/** pgw_upstream_unseen_us() - for how long nothing came from its machine, in
+ * microseconds; 0: no sidecar reports on it */
+uint64_t pgw_upstream_unseen_us(const struct pgw_upstream *upstream,
                                 uint64_t now_us);
 
-/** pgw_upstream_silence() - how silent its machine is */
-enum pgw_silence pgw_upstream_silence(const struct pgw_upstream *upstream,
-                                      uint64_t now_us);
+/** pgw_upstream_liveness() - whether its machine responds */
+enum pgw_liveness pgw_upstream_liveness(const struct pgw_upstream *upstream,
+                                        uint64_t now_us);
 
 /** pgw_upstream_probe() - a request is sent there: while it is silent, the
  * next one has to wait */
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -536,14 +536,14 @@
     other = add(&pool, "other", "a", 2);
     ask_prompt(&pool, 100);
     other->inflight = 4;
-    pgw_upstream_hear(silent, NOW - 1000000);
+    pgw_upstream_note_seen(silent, NOW - 1000000);
     g_assert_true(choose(&pool).upstream == silent);
-    pgw_upstream_hear(silent, NOW - 1500000);
+    pgw_upstream_note_seen(silent, NOW - 1500000);
     g_assert_true(choose(&pool).upstream == other);
     other->inflight = other->slots;
     g_assert_true(choose(&pool).upstream == silent);
 
-    pgw_upstream_hear(silent, NOW - 3000000);
+    pgw_upstream_note_seen(silent, NOW - 3000000);
     g_assert_true(choose(&pool).upstream == silent);
     pgw_upstream_probe(silent, NOW);
     g_assert_null(choose(&pool).upstream);
@@ -554,7 +554,7 @@
 
     /* Its own answer counts like its sidecar's word. */
     pgw_upstream_probe(silent, pool.input.now_us);
-    pgw_upstream_answers(silent, pool.input.now_us);
+    pgw_upstream_note_answer(silent, pool.input.now_us);
     g_assert_true(choose(&pool).upstream == silent);
     pgw_upstream_table_free(pool.table);
 }
@@ -620,9 +620,9 @@
 
     pool_init(&pool);
     upstream = add(&pool, "one", "a", 1);
-    pgw_upstream_answers(upstream, NOW - 60000000);
+    pgw_upstream_note_answer(upstream, NOW - 60000000);
     pgw_upstream_probe(upstream, NOW);
-    g_assert_cmpint(pgw_upstream_silence(upstream, NOW), ==, PGW_HEARD);
+    g_assert_cmpint(pgw_upstream_liveness(upstream, NOW), ==, PGW_RESPONSIVE);
     g_assert_true(choose(&pool).upstream == upstream);
     pgw_upstream_table_free(pool.table);
 }
@@ -635,13 +635,13 @@
 
     pgw_choose_options_apply(&changed, &policy);
     g_assert_cmpfloat(changed.old_ms, ==, options.old_ms);
-    g_assert_true(changed.rests);
+    g_assert_true(changed.back_off);
     policy.off[PGW_WEIGHTS_PRICE] = true;
     policy.off[PGW_REFUSAL_REST] = true;
     pgw_choose_options_apply(&changed, &policy);
     g_assert_cmpfloat(changed.old_ms, ==, 0);
     g_assert_cmpfloat(changed.delay_share, ==, options.delay_share);
-    g_assert_false(changed.rests);
+    g_assert_false(changed.back_off);
 }
 
 int
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -1,4 +1,4 @@
-#include "gateway/silence.h"
+#include "gateway/response_timeout.h"
 #include <glib.h>
 
 /* Tokens that an engine reads in a millisecond, alone. */
@@ -14,21 +14,21 @@
 {
     uint64_t all_us = UINT64_C(8) * 17000 * 1000 / ENGINE_TOKENS_PER_MS;
 
-    g_assert_cmpuint(pgw_silence_limit_us(800000, 0.7, 17000), >, all_us);
+    g_assert_cmpuint(pgw_response_timeout_us(800000, 0.7, 17000), >, all_us);
 }
 
 /* An engine that hangs is given up within seconds all the same. */
 static void
 test_hanging_engine_is_given_up(void)
 {
-    g_assert_cmpuint(pgw_silence_limit_us(300000, 0.7, 400), <, 500000);
-    g_assert_cmpuint(pgw_silence_limit_us(800000, 0.7, 17000), <, 5000000);
+    g_assert_cmpuint(pgw_response_timeout_us(300000, 0.7, 400), <, 500000);
+    g_assert_cmpuint(pgw_response_timeout_us(800000, 0.7, 17000), <, 5000000);
 }
 
 static void
 test_plain_call(void)
 {
-    g_assert_cmpuint(pgw_silence_limit_us(300000, 0.5, 0), ==, 150000);
+    g_assert_cmpuint(pgw_response_timeout_us(300000, 0.5, 0), ==, 150000);
 }
 
 int
