Bound what a sidecar sends to the entries of its zone

Cause: each change of load and each announcement is told to all entries of the zone at once, so bytes grow with load and entries: in bench/placement 19.1 KB/s a sidecar at 1.5 times the load of 145 engines with 20 entries a zone, where 16 KB/s are allowed for control; a zone of 52 entries would take more.

Change: a token bucket of 15 KB/s (8 KB/s where entries of other zones get reports, too) for what can wait; what is urgent goes at once and is counted.

--- a/bench/placement/sidecar.c
+++ b/bench/placement/sidecar.c
@@ -1,5 +1,4 @@
 /* The sidecar beside an engine: what it knows, and when it says so. */
-#include "gateway/guard_budget.h"
 #include "sim.h"
 
 #define REPORT_US 100000
@@ -31,10 +30,12 @@
     engine->sim->bytes += PGW_GUARD_STATE_BYTES + PGW_GUARD_PART_BYTES;
 }
 
-static void
+/* Returns the bytes that it takes. */
+static size_t
 tell(struct sim_engine *engine, bool far, size_t most)
 {
     struct sim *sim = engine->sim;
+    size_t bytes = 0;
     GArray *words = pgw_held_parts_changes(&engine->parts, far, most);
 
     for (unsigned i = 0; i < sim->entry_count; i++) {
@@ -50,9 +51,11 @@
                                 &g_array_index(words, struct pgw_told_part, j),
                                 sim->now_us);
         }
-        sim->bytes += PGW_GUARD_LOAD_BYTES + words->len * PGW_GUARD_PART_BYTES;
+        bytes += PGW_GUARD_LOAD_BYTES + words->len * PGW_GUARD_PART_BYTES;
     }
+    sim->bytes += bytes;
     g_array_unref(words);
+    return bytes;
 }
 
 static bool
@@ -71,10 +74,12 @@
 static void
 tell_zone(struct sim_engine *engine)
 {
-    if (is_news(engine)) {
+    uint64_t now = engine->sim->now_us;
+
+    if (is_news(engine) && pgw_guard_budget_has(&engine->budget, 0, now)) {
         engine->told = current_load(engine);
-        engine->told_us = engine->sim->now_us;
-        tell(engine, false, SIZE_MAX);
+        engine->told_us = now;
+        pgw_guard_budget_spend(&engine->budget, tell(engine, false, SIZE_MAX));
     }
 }
 
--- a/bench/placement/sim.h
+++ b/bench/placement/sim.h
@@ -3,6 +3,7 @@
 
 #include "gateway/announced.h"
 #include "gateway/choose.h"
+#include "gateway/guard_budget.h"
 #include "gateway/held_parts.h"
 #include <glib.h>
 
@@ -194,6 +195,7 @@
     struct pgw_announced announced;
     unsigned arrivals;
     uint64_t arriving_tokens;
+    struct pgw_guard_budget budget;
     struct pgw_upstream_load told;
     uint64_t told_us;
     uint64_t told_far_us;
--- a/src/gateway/guard_budget.c
+++ b/src/gateway/guard_budget.c
@@ -1,6 +1,10 @@
 #include "gateway/guard_budget.h"
 #include <glib.h>
 
+/* Bytes a second for the entries of the own zone; fewer where entries of other
+ * zones get reports, too. */
+#define NEAR_BYTES_S 15360.0
+#define NEAR_BYTES_BESIDE_FAR_S 8000.0
 /* Bytes a second for all entries of other zones together. */
 #define FAR_BYTES_S 8192ULL
 /* Of these, what goes into the frames that carry the parts. */
@@ -8,6 +12,28 @@
 /* Reports are no more frequent than this, however few the entries. */
 #define FAR_PUSH_MIN_US 100000
 
+bool
+pgw_guard_budget_has(struct pgw_guard_budget *budget, unsigned far_entries,
+                     uint64_t now_us)
+{
+    double rate = far_entries > 0 ? NEAR_BYTES_BESIDE_FAR_S : NEAR_BYTES_S;
+    double filled =
+        budget->at_us == 0
+            ? rate
+            : budget->bytes + (double)(now_us - budget->at_us) * rate / 1e6;
+
+    /* What was not sent for a second comes at once at the most. */
+    budget->bytes = MIN(filled, rate);
+    budget->at_us = now_us;
+    return budget->bytes > 0;
+}
+
+void
+pgw_guard_budget_spend(struct pgw_guard_budget *budget, size_t bytes)
+{
+    budget->bytes -= (double)bytes;
+}
+
 uint64_t
 pgw_guard_far_period_us(unsigned entries)
 {
--- a/src/gateway/guard_budget.h
+++ b/src/gateway/guard_budget.h
@@ -1,17 +1,40 @@
 #ifndef PGW_GATEWAY_GUARD_BUDGET_H
 #define PGW_GATEWAY_GUARD_BUDGET_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /**
- * DOC: What a sidecar sends to entries of other zones
+ * DOC: What a sidecar sends to entries
  *
- * A sidecar may send 16 KB/s for control, however many entries there are. Half
- * of that goes to those of other zones: the more of them, the rarer its
- * reports to each.
+ * A sidecar may send 16 KB/s for control, however many entries there are. The
+ * more of them, the rarer its reports to each.
  */
 
+/**
+ * struct pgw_guard_budget - what may be sent to the entries of the own zone
+ * @bytes: that may be sent now; below 0 after what could not wait
+ * @at_us: when that was worked out, 0: never
+ */
+struct pgw_guard_budget {
+    double bytes;
+    uint64_t at_us;
+};
+
+/**
+ * pgw_guard_budget_has() - whether a report that can wait may be sent now
+ * @budget: the budget
+ * @far_entries: entries of other zones that get reports, too
+ * @now_us: monotonic time
+ */
+bool pgw_guard_budget_has(struct pgw_guard_budget *budget,
+                          unsigned far_entries, uint64_t now_us);
+
+/** pgw_guard_budget_spend() - so many bytes were sent; call
+ * pgw_guard_budget_has() before */
+void pgw_guard_budget_spend(struct pgw_guard_budget *budget, size_t bytes);
+
 /* Size of a report, in bytes: with and without who the engine is, and of a
  * part in it. */
 #define PGW_GUARD_STATE_BYTES 80
--- a/src/gateway/guard_state.h
+++ b/src/gateway/guard_state.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_GUARD_STATE_H
 
 #include "gateway/engine_guard.h"
+#include "gateway/guard_budget.h"
 #include "libparsleygw/link.h"
 
 /**
@@ -77,6 +78,7 @@
     struct pgw_announced announced;
     struct pgw_guard_arrivals arrivals;
     struct pgw_guard_arrivals arrivals_before;
+    struct pgw_guard_budget budget;
     struct pgw_engine_report told;
     uint64_t told_us;
     uint64_t told_far_us;
@@ -127,8 +129,9 @@
 bool pgw_guard_is_loading(const struct pgw_engine_guard *guard);
 /** pgw_guard_is_urgent() - entries must hear of a change at once */
 bool pgw_guard_is_urgent(const struct pgw_engine_guard *guard);
-/** pgw_guard_is_news() - enough has changed to tell them */
-bool pgw_guard_is_news(const struct pgw_engine_guard *guard);
+/** pgw_guard_is_news() - enough has changed to tell them, and there are bytes
+ * left for it */
+bool pgw_guard_is_news(struct pgw_engine_guard *guard);
 /** pgw_guard_report_clear() - give back what a report owns */
 void pgw_guard_report_clear(struct pgw_engine_report *report);
 
--- a/src/gateway/guard_tell.c
+++ b/src/gateway/guard_tell.c
@@ -1,4 +1,3 @@
-#include "gateway/guard_budget.h"
 #include "gateway/guard_state.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -203,6 +202,9 @@
         .reset = reset,
         .identity = identity || reset,
     };
+    size_t size =
+        (report.identity ? PGW_GUARD_STATE_BYTES : PGW_GUARD_LOAD_BYTES) +
+        words->len * PGW_GUARD_PART_BYTES;
 
     pgw_list_foreach (link, &guard->entries) {
         struct pgw_guard_entry *peer =
@@ -211,6 +213,9 @@
         if (peer->far != far || peer->on_request) {
             continue;
         }
+        if (!far) {
+            pgw_guard_budget_spend(&guard->budget, size);
+        }
         if (peer->known) {
             send_state(guard, peer, &report);
         }
@@ -277,8 +282,8 @@
     return false;
 }
 
-bool
-pgw_guard_is_news(const struct pgw_engine_guard *guard)
+static bool
+has_changed(const struct pgw_engine_guard *guard)
 {
     struct pgw_upstream_load now = current_load(guard);
     const struct pgw_upstream_load *told = &guard->told.load;
@@ -293,3 +298,11 @@
            distance(now.kv_used, told->kv_used) >
                now.kv_total / NEWS_MEMORY_PARTS;
 }
+
+bool
+pgw_guard_is_news(struct pgw_engine_guard *guard)
+{
+    return has_changed(guard) &&
+           pgw_guard_budget_has(&guard->budget, count_far(guard),
+                                pgw_now_us());
+}
