--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -433,6 +433,101 @@
     pgw_upstream_table_free(pool.table);
 }
 
+static void
+pick_homes(struct pgw_homes *out, struct pool *pool)
+{
+    struct pgw_level_chain chain;
+
+    pgw_prompt_chain(&chain, &pool->prompt);
+    pgw_homes_pick(out, pool->input.pool, &chain, PGW_HOMES_MAX, NOW);
+}
+
+/* Guards against entries that look for a prompt's parts at different engines,
+ * since they are in different zones or list the engines in another order. */
+static void
+test_homes_are_the_same_for_all(void)
+{
+    struct pool pool;
+    struct pool other;
+    struct pgw_homes homes;
+    struct pgw_homes homes_of_other;
+
+    pool_init(&pool);
+    add_many(&pool);
+    ask_prompt(&pool, 13000);
+    pick_homes(&homes, &pool);
+    pool_init(&other);
+    for (unsigned i = 1200; i > 0; i--) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "u%u", i - 1);
+        add(&other, id, "a", 1000 + i - 1);
+    }
+    ask_prompt(&other, 13000);
+    pick_homes(&homes_of_other, &other);
+    g_assert_cmpuint(homes.count, ==, PGW_HOMES_MAX);
+    g_assert_cmpuint(homes_of_other.count, ==, PGW_HOMES_MAX);
+    for (size_t i = 0; i < PGW_HOMES_MAX; i++) {
+        g_assert_cmpstr(homes.items[i]->id, ==, homes_of_other.items[i]->id);
+    }
+    pgw_upstream_table_free(other.table);
+    pgw_upstream_table_free(pool.table);
+}
+
+/* Guards against a prompt that leaves its homes for the first free place: it
+ * waits for them while they are full, and not while they will load weights. */
+static void
+test_full_home_is_worth_a_wait(void)
+{
+    struct pool pool;
+    struct pgw_homes homes;
+    struct pgw_upstream *upstream;
+
+    pool_init(&pool);
+    add_many(&pool);
+    ask_prompt(&pool, 13000);
+    pick_homes(&homes, &pool);
+    pool.input.homes = &homes;
+    for (size_t i = 0; i < homes.count; i++) {
+        homes.items[i]->inflight = homes.items[i]->slots;
+    }
+    pgw_upstream_hold(homes.items[2], shared_key(1), 13000);
+    g_assert_true(choose(&pool).upstream == homes.items[2]);
+    pool.input.newest_version = 2;
+    upstream = choose(&pool).upstream;
+    g_assert_nonnull(upstream);
+    for (size_t i = 0; i < homes.count; i++) {
+        g_assert_true(upstream != homes.items[i]);
+    }
+    pgw_upstream_table_free(pool.table);
+}
+
+/* Guards against an engine whose places are all taken by prompts that wait to
+ * be read, and which puts them back for more urgent requests. */
+static void
+test_long_prompts_leave_places(void)
+{
+    struct pool pool;
+    struct pgw_upstream *busy;
+    struct pgw_upstream *other;
+
+    pool_init(&pool);
+    busy = add(&pool, "busy", "a", 1);
+    other = add(&pool, "other", "a", 2);
+    pgw_upstream_hold(busy, shared_key(1), 13000);
+    busy->long_prefills = busy->slots / 2;
+    other->inflight = other->slots - 1;
+    ask_prompt(&pool, 100);
+    g_assert_true(choose(&pool).upstream == busy);
+    ask_prompt(&pool, 13000);
+    pool.prompt.parts[1].tokens = 4000;
+    pool.prompt.tokens = 17000;
+    g_assert_true(choose(&pool).upstream == other);
+    other->leaving = true;
+    g_assert_null(choose(&pool).upstream);
+    pgw_upstream_table_free(pool.table);
+}
+
 /*
  * An engine is about to load new weights, for which its runs have to end. It
  * is the idler one, so a short answer goes there; one that runs for a second
@@ -663,6 +758,9 @@
     g_test_add_func("/choose/equals", test_equals_share_calls);
     g_test_add_func("/choose/large_pool", test_large_pool_is_used_whole);
     g_test_add_func("/choose/homes", test_prompts_have_homes_in_a_large_pool);
+    g_test_add_func("/choose/same_homes", test_homes_are_the_same_for_all);
+    g_test_add_func("/choose/full_home", test_full_home_is_worth_a_wait);
+    g_test_add_func("/choose/long_places", test_long_prompts_leave_places);
     g_test_add_func("/choose/refusing", test_refusing_upstream_rests);
     g_test_add_func("/choose/loads_next",
                     test_long_runs_avoid_an_engine_about_to_load);
