Take reports without a name only from the sidecar that named this engine

Cause: reports name their engine only when something of it changes. The upstream then counted as reported on, so that the list's word on its weights was not heeded: once newer weights were too old it was not used any more.

Change: a link's reports count once one of them has named its engine.

--- a/src/gateway/guard_link_state.h
+++ b/src/gateway/guard_link_state.h
@@ -22,6 +22,7 @@
  * struct guard_link - the connection to the process beside one engine
  * @engine: address of the engine
  * @refused_at_us: since when nobody listens there, 0: somebody may
+ * @identified: its reports are of this engine
  * @on_request: in another zone of a large pool: it answers probes, and sends
  *   nothing else
  * @probed_at_us: when it was last asked, 0: never
@@ -35,6 +36,7 @@
     struct pgw_link *link;
     struct pgw_timer timer;
     uint64_t refused_at_us;
+    bool identified;
     bool on_request;
     uint64_t probed_at_us;
     uint64_t told[PGW_UPSTREAM_MODELS_MAX];
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -59,6 +59,21 @@
     }
 }
 
+/*
+ * Failure: the sidecar that is connected to is that of another engine.
+ * Symptom: the upstream counts as reported on, so that the list no longer says
+ * which weights it runs, and nobody else does: it is not used any more.
+ * Reports that name no engine are of the one that was named before.
+ */
+static bool
+is_for_this_engine(struct guard_link *guard, const Pgw__EngineState *state)
+{
+    if (*state->address != '\0') {
+        guard->identified = strcmp(state->address, guard->engine) == 0;
+    }
+    return guard->identified;
+}
+
 static void
 take_state(struct guard_link *guard, const Pgw__EngineState *state)
 {
@@ -74,8 +89,7 @@
     };
     uint64_t now = pgw_now_us();
 
-    if (upstream == NULL || (*state->address != '\0' &&
-                             strcmp(state->address, guard->engine) != 0)) {
+    if (upstream == NULL || !is_for_this_engine(guard, state)) {
         return;
     }
     note_entries(guard->links, state->entries, now);
@@ -211,6 +225,7 @@
      */
     (void)link;
     note_refusal(guard, false);
+    guard->identified = false;
     say_hello(guard);
     memset(guard->told, 0, sizeof(guard->told));
     pgw_guard_rollout_announce(guard);
--- a/tests/unit/test_guard_links.c
+++ b/tests/unit/test_guard_links.c
@@ -1,21 +1,33 @@
 #include "codec.h"
 #include "gateway/gateway.h"
 #include "gateway/guard_links.h"
+#include "libparsleygw/link.h"
 #include "util/log.h"
+#include <string.h>
 
 /* Nobody listens there. */
 #define PORT 9
 #define LATER_US UINT64_C(10000000)
+/* For so long the entry may take what the sidecar sends. */
+#define RUN_US 500000
 
-/** struct stage - an entry's links to sidecars that are never reached */
+/**
+ * struct stage - an entry's links to sidecars
+ * @sidecar: listens as that of one engine; NULL: none is ever reached
+ * @link: what has connected to it
+ * @timer: ends the loop after the sidecar has sent its reports
+ */
 struct stage {
     struct pgw_loop *loop;
     struct pgw_gateway *gateway;
     struct pgw_guard_links *links;
+    struct pgw_listener *sidecar;
+    struct pgw_link *link;
+    struct pgw_timer timer;
 };
 
 static void
-open_stage(struct stage *stage)
+open_stage(struct stage *stage, uint16_t port)
 {
     struct pgw_gateway_options options = {
         .instance = "entry",
@@ -27,10 +39,9 @@
     };
 
     g_assert_true(pgw_address_parse(&options.listen, "127.0.0.1:0", NULL));
-    stage->loop = pgw_loop_new(NULL);
     stage->gateway = pgw_gateway_new(stage->loop, &options, NULL);
     g_assert_nonnull(stage->gateway);
-    stage->links = pgw_guard_links_new(stage->loop, stage->gateway, PORT);
+    stage->links = pgw_guard_links_new(stage->loop, stage->gateway, port);
 }
 
 static void
@@ -80,10 +91,10 @@
 static void
 test_pool_grows(void)
 {
-    struct stage stage;
+    struct stage stage = {.loop = pgw_loop_new(NULL)};
     uint64_t now = pgw_now_us();
 
-    open_stage(&stage);
+    open_stage(&stage, PORT);
     list_engines(&stage, 0, 100);
     see_all(&stage, now);
     list_engines(&stage, 100, 60);
@@ -104,11 +115,88 @@
     close_stage(&stage);
 }
 
+static bool
+on_frame(struct pgw_link *link, enum pgw_frame_type type,
+         ProtobufCMessage *message, void *context)
+{
+    Pgw__EngineState other = PGW__ENGINE_STATE__INIT;
+    Pgw__EngineState nameless = PGW__ENGINE_STATE__INIT;
+    struct stage *stage = context;
+
+    (void)message;
+    if (type == PGW_FRAME_HELLO) {
+        other.address = (char *)"127.0.0.1:1";
+        other.alive = true;
+        nameless.alive = true;
+        nameless.running = 6;
+        pgw_link_send(link, PGW_FRAME_ENGINE_STATE, &other.base);
+        pgw_link_send(link, PGW_FRAME_ENGINE_STATE, &nameless.base);
+        pgw_timer_start(stage->loop, &stage->timer, RUN_US);
+    }
+    return false;
+}
+
+static void
+on_closed(struct pgw_link *link, const GError *error, void *context)
+{
+    struct stage *stage = context;
+
+    (void)link;
+    (void)error;
+    stage->link = NULL;
+}
+
+static const struct pgw_link_ops ops = {
+    .on_frame = on_frame,
+    .on_closed = on_closed,
+};
+
+static void
+on_accept(int fd, void *context)
+{
+    struct stage *stage = context;
+
+    stage->link = pgw_link_accept(stage->loop, fd, &ops, stage, NULL);
+}
+
+static void
+stop_due(struct pgw_timer *timer)
+{
+    pgw_loop_stop(pgw_container_of(timer, struct stage, timer)->loop);
+}
+
+/* Guards against a sidecar of another engine whose reports, once they name no
+ * engine, count for the one that it was taken for. */
+static void
+test_other_engines_sidecar(void)
+{
+    struct stage stage = {.loop = pgw_loop_new(NULL),
+                          .timer = {.on_due = stop_due}};
+    struct pgw_address address;
+    const struct pgw_upstream *upstream;
+
+    g_assert_true(pgw_address_parse(&address, "127.0.0.1:0", NULL));
+    stage.sidecar =
+        pgw_listener_new(stage.loop, &address, on_accept, &stage, NULL);
+    open_stage(&stage, pgw_listener_port(stage.sidecar));
+    list_engines(&stage, 0, 1);
+    pgw_loop_run(stage.loop);
+    g_assert_nonnull(stage.link);
+    upstream =
+        pgw_upstream_table_find(pgw_gateway_upstreams(stage.gateway), "e0");
+    g_assert_false(upstream->guarded);
+    g_assert_cmpuint(upstream->load.running, ==, 0);
+    pgw_link_close(stage.link);
+    pgw_listener_free(stage.sidecar);
+    close_stage(&stage);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/guard_links/pool_grows", test_pool_grows);
+    g_test_add_func("/guard_links/other_engine", test_other_engines_sidecar);
     return g_test_run();
 }
