Decode a report's load in one place

The same six fields were read for reports and for answers to probes. Nothing else changes; test_guard_links and test_home_probe pass.

--- a/src/gateway/guard_link_state.h
+++ b/src/gateway/guard_link_state.h
@@ -60,6 +60,9 @@
 pgw_guard_link_upstream(const struct pgw_guard_links *links,
                         const char *engine);
 
+/** pgw_guard_link_load() - the load in a sidecar's report */
+struct pgw_upstream_load pgw_guard_link_load(const Pgw__EngineState *state);
+
 /** pgw_guard_link_take_part() - a sidecar's word on a part; @word: its tokens,
  * times two, and one more when it is on its way there */
 void pgw_guard_link_take_part(struct pgw_upstream *upstream, uint64_t key,
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -59,6 +59,19 @@
     }
 }
 
+struct pgw_upstream_load
+pgw_guard_link_load(const Pgw__EngineState *state)
+{
+    return (struct pgw_upstream_load){
+        .running = state->running,
+        .waiting = state->waiting,
+        .long_prefills = state->long_prefills,
+        .unread = state->unread,
+        .kv_used = state->kv_used,
+        .kv_total = state->kv_total,
+    };
+}
+
 /*
  * Failure: the sidecar that is connected to is that of another engine.
  * Symptom: the upstream counts as reported on, so that the list no longer says
@@ -79,14 +92,7 @@
 {
     struct pgw_upstream *upstream =
         pgw_guard_link_upstream(guard->links, guard->engine);
-    struct pgw_upstream_load load = {
-        .running = state->running,
-        .waiting = state->waiting,
-        .long_prefills = state->long_prefills,
-        .unread = state->unread,
-        .kv_used = state->kv_used,
-        .kv_total = state->kv_total,
-    };
+    struct pgw_upstream_load load = pgw_guard_link_load(state);
     uint64_t now = pgw_now_us();
 
     if (upstream == NULL || !is_for_this_engine(guard, state)) {
--- a/src/gateway/guard_probe.c
+++ b/src/gateway/guard_probe.c
@@ -108,14 +108,7 @@
                      const Pgw__EngineState *state, uint64_t now_us)
 {
     struct pgw_gateway *gateway = guard->links->gateway;
-    struct pgw_upstream_load load = {
-        .running = state->running,
-        .waiting = state->waiting,
-        .long_prefills = state->long_prefills,
-        .unread = state->unread,
-        .kv_used = state->kv_used,
-        .kv_total = state->kv_total,
-    };
+    struct pgw_upstream_load load = pgw_guard_link_load(state);
 
     pgw_upstream_table_started(pgw_gateway_upstreams(gateway), upstream,
                                state->started_ms);
