--- a/src/gateway/announced.c
+++ b/src/gateway/announced.c
@@ -11,6 +11,7 @@
 
 /**
  * struct announced_request - one of them
+ * @id: pgw_announced_id() of the request
  * @to_read: tokens that are left to be read
  * @at_us: when it was announced
  * @seen: a report had it
--- a/tests/unit/test_home_probe.c
+++ b/tests/unit/test_home_probe.c
@@ -264,7 +264,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    pgw_log_init("test", "", g_getenv("TEST_LOG") ? "debug" : "error");
+    pgw_log_init("test", "", "error");
     g_test_add_func("/home_probe/holder", test_goes_to_its_holder);
     g_test_add_func("/home_probe/unanswered", test_unanswered);
     g_test_add_func("/home_probe/caller_leaves", test_caller_leaves);
