--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -2,11 +2,14 @@
 """Plays rounds of days with the platform's tool and says where they stand.
 
 rounds.py --tool PROGRAM [--score] [--hunt DAYS] [--own DAYS] SITE...
+rounds.py --tool PROGRAM --regression FOLDER
 
 For each site file: the standard days, days that the tool draws, and days that
 deploy/days/draw.py draws. One table is printed: broken rules with counts, score,
 worth, the largest prices, each beside the figures of the last committed round
-(bench/results/platform.json); --keep writes the new ones there. Exits with 1 when
+(bench/results/platform.json); --keep writes the new ones there. --regression plays
+what has to be played before each landing: the sites that deploy/regression.json
+lists, each with as many drawn days as it says. Exits with 1 when
 a rule was broken. The tool is run in the current checkout and leaves its entries
 in journal/.
 """
@@ -23,6 +26,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 JOURNAL = ROOT / "journal"
 RESULTS = ROOT / "bench" / "results" / "platform.json"
+REGRESSION = ROOT / "deploy" / "regression.json"
 DRAW = ROOT / "deploy" / "days" / "draw.py"
 # How the tool begins a line that says why it plays nothing.
 REFUSED = "\nfleetbench: "
@@ -138,7 +142,9 @@
 def parse():
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("sites", nargs="+", type=pathlib.Path)
+    parser.add_argument("sites", nargs="*", type=pathlib.Path)
+    parser.add_argument("--regression", type=pathlib.Path, metavar="FOLDER",
+                        help="where the sites of deploy/regression.json lie")
     parser.add_argument("--tool", required=True)
     parser.add_argument("--score", action="store_true",
                         help="play the standard days")
@@ -152,20 +158,34 @@
     parser.add_argument("--why", default="a round")
     parser.add_argument("--keep", action="store_true",
                         help="write the figures to bench/results/platform.json")
-    return parser.parse_args()
+    options = parser.parse_args()
+    if bool(options.sites) == (options.regression is not None):
+        parser.error("name sites, or --regression with their folder")
+    return options
+
+
+def listed_sites(options):
+    """Sites to play, each with the number of days that the tool draws."""
+    if options.regression is None:
+        return [(site, options.hunt) for site in options.sites]
+    options.score = True
+    return [(options.regression / entry["site"], entry["hunt"])
+            for entry in json.loads(REGRESSION.read_text())["sites"]]
 
 
 def main():
     options = parse()
+    sites = listed_sites(options)
     kept = json.loads(RESULTS.read_text()) if RESULTS.exists() else {}
-    kinds = [kind for kind, wanted in (("standard", options.score),
-                                       ("drawn", options.hunt),
-                                       ("own", options.own)) if wanted]
     broken = False
     print("| site | days | number | broken rules | score | mean worth "
           "| least worth | largest prices of a day |")
     print("|---|---|---|---|---|---|---|---|")
-    for site in options.sites:
+    for site, hunt in sites:
+        options.hunt = hunt
+        kinds = [kind for kind, wanted in (("standard", options.score),
+                                           ("drawn", options.hunt),
+                                           ("own", options.own)) if wanted]
         for kind in kinds:
             now = play(options, site.resolve(), kind)
             rows = kept.setdefault(site.stem, {})
