Reset calls that are given up before all of them was written

A call that is given up is reset when the peer's machine has not acknowledged all that was written. When the caller leaves between two writes and the peer has read everything so far, nothing is unacknowledged, and the connection ends by an ordinary close: the upstream waits for the rest of a body that never comes.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -106,24 +106,30 @@
 
 /*
  * Failure: a request is given up while its upstream's machine is suspended or
- * cut off. Symptom: the kernel goes on sending it after an ordinary close, so
- * that it arrives seconds later, for a caller that has left or has its answer
- * from elsewhere. What was not acknowledged is dropped by a reset. Where all
- * was, an ordinary close is better: it is sent again until the peer has it.
+ * cut off, or before all of it was written. Symptom: the kernel goes on sending
+ * it after an ordinary close, so that it arrives seconds later, for a caller
+ * that has left or has its answer from elsewhere. What was not acknowledged is
+ * dropped by a reset. Where all was, an ordinary close is better: it is sent
+ * again until the peer has it.
  */
 static void
-drop_unacked(int fd)
+drop_unacked(const struct pgw_connection *connection)
 {
 #ifndef PGW_DISABLE_GATEWAY_UNACKED
     struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    int fd = connection->watch.fd;
     int unacked = 0;
 
-    if (ioctl(fd, SIOCOUTQ, &unacked) == 0 && unacked > 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0) {
-        pgw_log_warning("no_reset", "errno=%d unacked=%d", errno, unacked);
+    if (pgw_buffer_size(&connection->out) == 0 &&
+        (ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0)) {
+        return;
+    }
+    if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0) {
+        pgw_log_warning("no_reset", "errno=%d unacked=%d unwritten=%zu", errno,
+                        unacked, pgw_buffer_size(&connection->out));
     }
 #else
-    (void)fd;
+    (void)connection;
 #endif
 }
 
@@ -139,7 +145,7 @@
     connection->reader.stop = true;
     leave_idle(connection);
     pgw_loop_fd_remove(connection->pool->loop, &connection->watch);
-    drop_unacked(connection->watch.fd);
+    drop_unacked(connection);
     close(connection->watch.fd);
     connection->reap.run = connection_reap;
     pgw_loop_post(connection->pool->loop, &connection->reap);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -2,16 +2,6 @@
 #include "gateway/unresponsive.h"
 #include "util/log.h"
 
-/*
- * Failure: a process that has just started is sent connections before its
- * first configuration has come. Symptom: the callers are told to come back
- * after 400 ms, for a configuration that is there after 15 ms at the most; 180
- * of 61,050 requests on a day on which all lose their power once. Connections
- * wait in the kernel until it is there, but no longer than this: without the
- * store callers must hear at once that they have to go elsewhere.
- */
-#define START_PAUSE_US 100000
-
 /* Time for each token of an answer before any was seen: a step of a busy
  * engine, in milliseconds. */
 #define TOKEN_MS_PRIOR 20
@@ -84,11 +74,18 @@
         g_free(gateway);
         return NULL;
     }
+    /*
+     * Failure: a process that has just started is sent connections before its
+     * first configuration has come. Symptom: callers are told to come back for
+     * a configuration that is there some milliseconds later. Connections wait
+     * in the kernel until it is there, but not for long: without the store
+     * callers must hear at once that they have to go elsewhere.
+     */
 #ifndef PGW_DISABLE_GATEWAY_START
     pgw_caller_server_pause(gateway->server, true);
 #endif
     gateway->start_timer.on_due = start_due;
-    pgw_timer_start(loop, &gateway->start_timer, START_PAUSE_US);
+    pgw_timer_start(loop, &gateway->start_timer, options->start_pause_us);
     gateway->instance = g_strdup(options->instance);
     gateway->zone = g_strdup(options->zone);
     gateway->pool = pgw_call_pool_new(loop, &pool);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,8 @@
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
  * @probe_wait_us: for how long the answers of sidecars are waited for
+ * @start_pause_us: for how long connections of callers wait for the first
+ *   configuration
  * @on_answered_by: an upstream's address was answered by this one; NULL:
  * nobody is told
  * @context: handed to @on_answered_by
@@ -61,6 +63,7 @@
     double wait_share;
     double hedge_share;
     uint64_t probe_wait_us;
+    uint64_t start_pause_us;
     void (*on_answered_by)(const char *id, void *context);
     void *context;
 };
