Enforce usage caps of workspaces over all entries

Cause: rate_per_s, burst_size, unit and uncached_tokens of a workspace were read nowhere on the gateway's path. Change: a sidecar owns each workspace's token bucket (rendezvous hashing over the list). Entries admit a small part of a bucket that is more than half full by themselves and report it; for all else they ask the owner before the request is placed, and refuse what is beyond the cap at once with 429. An owner that starts begins with a nearly empty bucket; one that stands in for an owner that some entries cannot reach grants their part of the rate; entries that reach nobody admit what the deployment's bounds leave beside that. Ways weighed: a fixed part of the rate for each entry (1,500 tokens a second, where one prompt has 17,000); entries that tell each other what they spent (31 entries admit a long prompt each before the word is there, 527,000 tokens where 232,000 are left for the smallest workspaces).

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -106,11 +106,11 @@
 
 /*
  * Failure: a request is given up while its upstream's machine is suspended or
- * cut off, or before all of it was written. Symptom: the kernel goes on sending
- * it after an ordinary close, so that it arrives seconds later, for a caller
- * that has left or has its answer from elsewhere. What was not acknowledged is
- * dropped by a reset. Where all was, an ordinary close is better: it is sent
- * again until the peer has it.
+ * cut off, or before all of it was written. Symptom: the kernel goes on
+ * sending it after an ordinary close, so that it arrives seconds later, for a
+ * caller that has left or has its answer from elsewhere. What was not
+ * acknowledged is dropped by a reset. Where all was, an ordinary close is
+ * better: it is sent again until the peer has it.
  */
 static void
 drop_unacked(const struct pgw_connection *connection)
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -22,6 +22,7 @@
  * @deadline_ms: how long the caller waits, 0: not said
  * @model: model's name, NULL for a plain call
  * @prompt: parts of the prompt
+ * @has_tokens: the sizes of prompt and answer were sent
  * @resume_after: the caller has events up to this one
  * @has_resume: @resume_after was sent
  */
@@ -32,6 +33,7 @@
     uint32_t deadline_ms;
     const char *model;
     struct pgw_prompt prompt;
+    bool has_tokens;
     uint64_t resume_after;
     bool has_resume;
 };
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -74,6 +74,7 @@
     pgw_timer_stop(gateway->loop, &exchange->timer);
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_home_probe_drop(exchange);
+    pgw_quota_end(gateway->quota, exchange);
     pgw_call_cancel(&exchange->call);
     pgw_attempt_leave(exchange);
     pgw_list_remove(&exchange->in_gateway);
@@ -487,7 +488,9 @@
     pgw_timer_start(gateway->loop, &exchange->timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
                                                 : 0);
-    pgw_exchange_place(exchange);
+    if (pgw_quota_admit(gateway->quota, exchange)) {
+        pgw_exchange_place(exchange);
+    }
 }
 
 /* Whether an upstream goes on for a caller that has left cannot be seen here;
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -58,6 +58,9 @@
         pgw_guard_answer_probe(peer->guard, peer,
                                (const Pgw__EngineProbe *)message);
     }
+    else if (type == PGW_FRAME_QUOTA_ASK) {
+        pgw_guard_take_quota_ask(peer, (const Pgw__QuotaAsk *)message);
+    }
     return false;
 }
 
@@ -106,6 +109,7 @@
 
     pgw_guard_register_order_metrics();
     pgw_guard_register_ask_metrics();
+    pgw_guard_register_quota_metrics();
     guard->loop = loop;
     guard->options = *options;
     pgw_list_init(&guard->entries);
@@ -125,6 +129,7 @@
     guard->events_body = g_string_new(NULL);
     pgw_held_parts_init(&guard->parts);
     pgw_announced_init(&guard->announced);
+    guard->quotas = pgw_quota_buckets_new(&options->quotas);
     guard->events_timer.on_due = pgw_guard_events_due;
     if (guard->listener != NULL) {
         pgw_timer_start(loop, &guard->events_timer, 0);
@@ -161,6 +166,7 @@
     pgw_timer_stop(guard->loop, &guard->events_timer);
     pgw_held_parts_dispose(&guard->parts);
     pgw_announced_dispose(&guard->announced);
+    pgw_quota_buckets_free(guard->quotas);
     g_string_free(guard->events_body, TRUE);
     if (!pgw_list_is_empty(&guard->entries)) {
         pgw_list_foreach_safe (link, &guard->entries) {
--- a/src/gateway/engine_guard.h
+++ b/src/gateway/engine_guard.h
@@ -5,6 +5,7 @@
 #include "gateway/call.h"
 #include "gateway/held_parts.h"
 #include "gateway/policy.h"
+#include "gateway/quota_bucket.h"
 #include "gateway/upstream_table.h"
 #include "gateway/weights_order.h"
 
@@ -92,6 +93,7 @@
  * @policy: mechanisms that are switched off
  * @get_token: ask for a new fencing token above all before; the answer comes
  *   through pgw_engine_guard_take_token()
+ * @quotas: how buckets of workspaces start
  * @report_lag_us: how old the engine's reports may be, 0 on its own machine
  * @may_order: asked right before each order; NULL: always
  * @context: handed to @get_token and @may_order
@@ -104,6 +106,7 @@
     const struct pgw_engine_codec *codec;
     struct pgw_policy policy;
     void (*get_token)(void *context);
+    struct pgw_quota_buckets_options quotas;
     uint64_t report_lag_us;
     bool (*may_order)(void *context);
     void *context;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
  * @routes_at_us: since when
  * @budgets: repeats that it may make
  * @poison: requests that were running when upstreams crashed
+ * @quota: quotas of workspaces
  * @waiting: requests without a place
  * @exchanges: all requests that are not ended
  * @pump: looks at what waits, once for all that has changed in a turn
@@ -41,6 +42,7 @@
     struct pgw_upstream_table *upstreams;
     struct pgw_budgets *budgets;
     struct pgw_poison *poison;
+    struct pgw_quota *quota;
     struct pgw_waiting waiting;
     struct pgw_list exchanges;
     struct pgw_task pump;
@@ -87,6 +89,9 @@
  * @probed_at_us: when it last asked for them
  * @probing_us: how long it has waited for them in all
  * @answered: by position in @homes, whether what is known of it is fresh
+ * @quota_cost: units of its workspace's quota that it needs
+ * @quota_spent: units that were taken for it
+ * @quota_ask: the ask to the owner of the quota that it waits for, 0: none
  * @upstream: where the current attempt is
  * @counted_tokens: memory that it counts at @upstream
  * @prefill_tokens: and prompt tokens without a first event
@@ -129,6 +134,9 @@
     uint64_t probed_at_us;
     uint64_t probing_us;
     bool answered[PGW_HOMES_MAX];
+    double quota_cost;
+    double quota_spent;
+    uint64_t quota_ask;
     struct pgw_call call;
     struct pgw_upstream *upstream;
     uint32_t counted_tokens;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -228,6 +228,9 @@
                           : PGW_PHASE_SENT;
     exchange->sends++;
     exchange->runs++;
+    if (exchange->runs > 1) {
+        pgw_quota_repeat(gateway->quota, exchange);
+    }
     exchange->sent_us = pgw_now_us();
     exchange->call.ops = &pgw_relay_ops;
     if (!pgw_call_start(&exchange->call, gateway->pool, &options)) {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -94,6 +94,7 @@
     pgw_estimate_init(&gateway->read_rate, READ_RATE_PRIOR);
     gateway->budgets = pgw_budgets_new(&options->budgets);
     gateway->poison = pgw_poison_new(&options->poison);
+    gateway->quota = pgw_quota_new(gateway, &options->quota);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_lost, gateway);
     pgw_unresponsive_start(gateway);
     gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -114,6 +115,7 @@
     pgw_unresponsive_stop(gateway);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
+    pgw_quota_free(gateway->quota);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_budgets_free(gateway->budgets);
     pgw_poison_free(gateway->poison);
@@ -131,6 +133,12 @@
     return gateway->poison;
 }
 
+struct pgw_quota *
+pgw_gateway_quota(struct pgw_gateway *gateway)
+{
+    return gateway->quota;
+}
+
 const char *
 pgw_gateway_instance(const struct pgw_gateway *gateway)
 {
@@ -321,6 +329,7 @@
 pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries)
 {
     pgw_budgets_set_entries(gateway->budgets, entries);
+    pgw_quota_set_entries(gateway->quota, entries);
 }
 
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/event_stream.h"
 #include "gateway/poison.h"
 #include "gateway/policy.h"
+#include "gateway/quota.h"
 #include "gateway/route_table.h"
 #include "gateway/upstream_table.h"
 #include "gateway/waiting.h"
@@ -35,6 +36,7 @@
  * @policy: mechanisms that are switched off
  * @budgets: bounds of repeats
  * @choose: thresholds of placement
+ * @quota: what may be spent beyond the quotas of workspaces
  * @poison: thresholds for requests that crash upstreams
  * @old_weights_us: for how long older weights are used after newer were named
  * @new_weights_us: answers with the weights of before count in full until so
@@ -57,6 +59,7 @@
     struct pgw_policy policy;
     struct pgw_budgets_options budgets;
     struct pgw_choose_options choose;
+    struct pgw_quota_bounds quota;
     struct pgw_poison_options poison;
     uint64_t old_weights_us;
     uint64_t new_weights_us;
@@ -145,12 +148,16 @@
  * @announce: a request is sent to an engine
  * @probe: ask for an engine's load and which parts it holds; the answer comes
  *   through pgw_gateway_probe_answered(). false: it cannot be asked now
+ * @ask_quota: ask the owner of a quota, or report to it; the answer comes
+ *   through pgw_quota_answered(). false: it cannot be asked now
  */
 struct pgw_sidecar_ops {
     void (*announce)(void *context, const struct pgw_upstream *upstream,
                      const struct pgw_announcement *announcement);
     bool (*probe)(void *context, const struct pgw_upstream *upstream,
                   uint64_t probe, const uint64_t *keys, size_t count);
+    bool (*ask_quota)(void *context, const struct pgw_upstream *upstream,
+                      const struct pgw_quota_ask *ask);
 };
 
 /** pgw_gateway_set_sidecars() - reach sidecars by @ops, which is not copied;
@@ -180,7 +187,11 @@
 uint64_t pgw_gateway_weights(const struct pgw_gateway *gateway,
                              const char *model);
 
-/** pgw_gateway_set_entries() - how many entries share the bounds of repeats */
+/** pgw_gateway_quota() - quotas of workspaces, to be told of answers */
+struct pgw_quota *pgw_gateway_quota(struct pgw_gateway *gateway);
+
+/** pgw_gateway_set_entries() - how many entries share quotas and the bounds of
+ * repeats */
 void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
 
 /** pgw_gateway_poison() - what is known of requests that crash upstreams, to
--- a/src/gateway/guard_link_state.h
+++ b/src/gateway/guard_link_state.h
@@ -83,6 +83,10 @@
                           struct pgw_upstream *upstream,
                           const Pgw__EngineState *state, uint64_t now_us);
 
+/** pgw_guard_quota_take() - the answer of a quota's owner */
+void pgw_guard_quota_take(const struct guard_link *guard,
+                          const Pgw__QuotaAnswer *message);
+
 /* guard_rollout.c */
 /** pgw_guard_rollout_init() - its part of the state */
 void pgw_guard_rollout_init(struct pgw_guard_links *links);
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -136,6 +136,9 @@
     if (type == PGW_FRAME_ENGINE_STATE) {
         take_state(context, (const Pgw__EngineState *)message);
     }
+    else if (type == PGW_FRAME_QUOTA_ANSWER) {
+        pgw_guard_quota_take(context, (const Pgw__QuotaAnswer *)message);
+    }
     return false;
 }
 
@@ -442,6 +445,7 @@
         }
     }
     drop_unwanted(links);
+    pgw_quota_upstreams_changed(pgw_gateway_quota(links->gateway));
     pgw_guard_rollout_post(links);
 }
 
--- a/src/gateway/guard_probe.c
+++ b/src/gateway/guard_probe.c
@@ -63,23 +63,31 @@
     return count;
 }
 
-/* The first probe of a sidecar only connects to it. */
-static bool
-probe(void *context, const struct pgw_upstream *upstream, uint64_t probe,
-      const uint64_t *keys, size_t count)
+/* The open link to a sidecar that is asked something; NULL: there is none. The
+ * first question only connects to it. */
+static struct guard_link *
+link_to_ask(struct pgw_guard_links *links, const struct pgw_upstream *upstream)
 {
-    struct pgw_guard_links *links = context;
     struct guard_link *guard = link_of(links, upstream);
-    Pgw__EngineProbe message = PGW__ENGINE_PROBE__INIT;
 
     if (guard == NULL) {
         if (count_probe_links(links) >= PGW_PROBE_LINKS_MAX) {
-            return false;
+            return NULL;
         }
         guard = pgw_guard_link_add(links, upstream, true);
     }
     guard->probed_at_us = pgw_now_us();
-    if (!is_open(guard)) {
+    return is_open(guard) ? guard : NULL;
+}
+
+static bool
+probe(void *context, const struct pgw_upstream *upstream, uint64_t probe,
+      const uint64_t *keys, size_t count)
+{
+    struct guard_link *guard = link_to_ask(context, upstream);
+    Pgw__EngineProbe message = PGW__ENGINE_PROBE__INIT;
+
+    if (guard == NULL) {
         return false;
     }
     message.probe = probe;
@@ -89,9 +97,52 @@
     return true;
 }
 
+static bool
+ask_quota(void *context, const struct pgw_upstream *upstream,
+          const struct pgw_quota_ask *ask)
+{
+    struct guard_link *guard = link_to_ask(context, upstream);
+    Pgw__QuotaAsk message = PGW__QUOTA_ASK__INIT;
+
+    if (guard == NULL) {
+        return false;
+    }
+    message.workspace = ask->request.workspace;
+    message.ask = ask->ask;
+    message.rate = ask->request.terms.rate;
+    message.burst = ask->request.terms.burst;
+    message.version = ask->request.terms.version;
+    message.spent = ask->request.spent;
+    message.refused = ask->request.refused;
+    message.cost = ask->request.cost;
+    message.stands_in = ask->stands_in;
+    pgw_link_send(guard->link, PGW_FRAME_QUOTA_ASK, &message.base);
+    return true;
+}
+
+void
+pgw_guard_quota_take(const struct guard_link *guard,
+                     const Pgw__QuotaAnswer *message)
+{
+    struct pgw_quota_answer answer = {
+        .granted = message->granted,
+        .level = message->level,
+        .wait_ms = message->wait_ms,
+        .retry_ms = message->retry_ms,
+    };
+    const struct pgw_upstream *upstream =
+        pgw_guard_link_upstream(guard->links, guard->engine);
+
+    if (upstream != NULL) {
+        pgw_quota_answered(pgw_gateway_quota(guard->links->gateway), upstream,
+                           message->workspace, message->ask, &answer);
+    }
+}
+
 const struct pgw_sidecar_ops pgw_guard_sidecar_ops = {
     .announce = announce,
     .probe = probe,
+    .ask_quota = ask_quota,
 };
 
 bool
--- a/src/gateway/guard_state.h
+++ b/src/gateway/guard_state.h
@@ -3,6 +3,7 @@
 
 #include "gateway/engine_guard.h"
 #include "gateway/guard_budget.h"
+#include "gateway/quota_bucket.h"
 #include "libparsleygw/link.h"
 
 /**
@@ -25,6 +26,8 @@
  * @known: it has said who it is and been told everything
  * @far: it is in another zone: told less, and less often
  * @on_request: it is told nothing but answers to its probes
+ * @stood_in_at_us: when it last asked for a quota that another sidecar owns,
+ *   0: never
  */
 struct pgw_guard_entry {
     struct pgw_list in_guard;
@@ -33,6 +36,7 @@
     bool known;
     bool far;
     bool on_request;
+    uint64_t stood_in_at_us;
 };
 
 /**
@@ -47,6 +51,7 @@
 
 /**
  * struct pgw_engine_guard - the process beside one engine
+ * @quotas: buckets of workspaces that this sidecar owns
  * @announced: long prompts that may not have been read yet
  * @arrivals: announced since the last report was asked for, so that it may
  *   lack them
@@ -75,6 +80,7 @@
     unsigned report_status;
     unsigned order_status;
     struct pgw_engine_report report;
+    struct pgw_quota_buckets *quotas;
     struct pgw_announced announced;
     struct pgw_guard_arrivals arrivals;
     struct pgw_guard_arrivals arrivals_before;
@@ -112,6 +118,13 @@
 /** pgw_guard_register_order_metrics() - counters of this part */
 void pgw_guard_register_order_metrics(void);
 
+/* guard_quota.c */
+/** pgw_guard_take_quota_ask() - answer an entry on a workspace's quota */
+void pgw_guard_take_quota_ask(struct pgw_guard_entry *peer,
+                              const Pgw__QuotaAsk *ask);
+/** pgw_guard_register_quota_metrics() - counters of this part */
+void pgw_guard_register_quota_metrics(void);
+
 /* guard_tell.c */
 /** pgw_guard_send_state() - everything that is known, to one entry that is new
  */
--- /dev/null
+++ b/src/gateway/quota_owners.c
@@ -0,0 +1,123 @@
+#include "gateway/quota.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* An owner that leaves an ask unanswered for so long is passed over: far
+ * longer than a way there and back, and a turn of a busy process. */
+#define SILENT_US 300000
+/* For so long; then it is asked again. */
+#define PASSED_OVER_US 2000000
+
+void
+pgw_quota_owners_clear(struct pgw_quota_owners *owners)
+{
+    for (size_t i = 0; i < owners->count; i++) {
+        pgw_upstream_unref(owners->items[i]);
+    }
+    memset(owners, 0, sizeof(*owners));
+}
+
+static int
+lowest_first(const void *a, const void *b)
+{
+    const struct pgw_upstream *left = *(struct pgw_upstream *const *)a;
+    const struct pgw_upstream *right = *(struct pgw_upstream *const *)b;
+
+    return left->id_hash < right->id_hash ? -1
+                                          : left->id_hash > right->id_hash;
+}
+
+static void
+copy_state(struct pgw_quota_owners *to, size_t position,
+           const struct pgw_quota_owners *from)
+{
+    for (size_t i = 0; i < from->count; i++) {
+        if (from->items[i]->id_hash == to->items[position]->id_hash) {
+            to->asked_at_us[position] = from->asked_at_us[i];
+            to->passed_over_until_us[position] = from->passed_over_until_us[i];
+        }
+    }
+}
+
+void
+pgw_quota_owners_set(struct pgw_quota_owners *owners,
+                     const struct pgw_list *upstreams)
+{
+    struct pgw_quota_owners before = *owners;
+    GPtrArray *engines = g_ptr_array_new();
+
+    pgw_list_foreach (link, upstreams) {
+        struct pgw_upstream *upstream =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        if (upstream->model_count > 0 && !upstream->leaving) {
+            g_ptr_array_add(engines, upstream);
+        }
+    }
+    g_ptr_array_sort(engines, lowest_first);
+    memset(owners, 0, sizeof(*owners));
+    owners->count = MIN(engines->len, PGW_QUOTA_OWNERS_MAX);
+    for (size_t i = 0; i < owners->count; i++) {
+        owners->items[i] = pgw_upstream_ref(g_ptr_array_index(engines, i));
+        copy_state(owners, i, &before);
+    }
+    g_ptr_array_unref(engines);
+    pgw_quota_owners_clear(&before);
+}
+
+size_t
+pgw_quota_owners_rank(size_t *out, size_t most,
+                      const struct pgw_quota_owners *owners,
+                      uint64_t workspace)
+{
+    uint64_t scores[PGW_QUOTA_OWNERS_MAX];
+    size_t count = 0;
+
+    for (size_t i = 0; i < owners->count; i++) {
+        uint64_t hash = owners->items[i]->id_hash;
+
+        scores[i] = XXH3_64bits_withSeed(&hash, sizeof(hash), workspace);
+    }
+    while (count < most && count < owners->count) {
+        size_t best = owners->count;
+
+        for (size_t i = 0; i < owners->count; i++) {
+            bool taken = false;
+
+            for (size_t j = 0; j < count; j++) {
+                taken = taken || out[j] == i;
+            }
+            if (!taken &&
+                (best == owners->count || scores[i] > scores[best])) {
+                best = i;
+            }
+        }
+        out[count++] = best;
+    }
+    return count;
+}
+
+bool
+pgw_quota_owners_may_ask(struct pgw_quota_owners *owners, size_t position,
+                         uint64_t now_us)
+{
+    uint64_t asked = owners->asked_at_us[position];
+
+    if (asked > 0 && now_us - asked > SILENT_US) {
+        owners->asked_at_us[position] = 0;
+        owners->passed_over_until_us[position] = now_us + PASSED_OVER_US;
+    }
+    return now_us >= owners->passed_over_until_us[position];
+}
+
+void
+pgw_quota_owners_note_answer(struct pgw_quota_owners *owners,
+                             const struct pgw_upstream *upstream)
+{
+    for (size_t i = 0; i < owners->count; i++) {
+        if (owners->items[i]->id_hash == upstream->id_hash) {
+            owners->asked_at_us[i] = 0;
+            owners->passed_over_until_us[i] = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/quota_share.h
@@ -0,0 +1,111 @@
+#ifndef PGW_GATEWAY_QUOTA_SHARE_H
+#define PGW_GATEWAY_QUOTA_SHARE_H
+
+#include "gateway/quota_bucket.h"
+
+/**
+ * DOC: What an entry may admit of a workspace's quota without asking
+ *
+ * While the bucket at the owner is more than half full, an entry admits a
+ * small part of it by itself and reports it afterwards. Everything else waits
+ * for the owner's word: long prompts, and all requests of a workspace that is
+ * near its quota. What an entry keeps for itself so is small, and void after a
+ * second, however long the process was suspended.
+ *
+ * An entry that gets no word admits what the bounds leave beside all that the
+ * owner may grant to the others meanwhile.
+ */
+
+/**
+ * struct pgw_quota_bounds - what may be spent beyond the quotas
+ * @window_s: in any so many seconds,
+ * @overage: this share of what the quota allows in them,
+ * @slack: and so many units
+ */
+struct pgw_quota_bounds {
+    double window_s;
+    double overage;
+    double slack;
+};
+
+/**
+ * struct pgw_quota_share - one workspace at one entry; zeroed: nothing known
+ * @level: of the bucket, as the owner last said
+ * @level_at_us: when that was, 0: never
+ * @unreported: units admitted that the owner has not been told
+ * @unanswered: units that it was told since it last answered
+ * @refused: units refused that it has not been told
+ * @refuse_until_us: the owner refuses until then
+ * @retry_at_us: when refused callers should come back
+ * @alone: units that may be admitted without the owner's word
+ * @alone_at_us: when that was worked out, 0: never
+ */
+struct pgw_quota_share {
+    double level;
+    uint64_t level_at_us;
+    double unreported;
+    double unanswered;
+    double refused;
+    uint64_t refuse_until_us;
+    uint64_t retry_at_us;
+    double alone;
+    uint64_t alone_at_us;
+};
+
+/**
+ * enum pgw_quota_verdict - what to do with a request
+ * @PGW_QUOTA_ADMIT: it is within the quota; call pgw_quota_share_spend()
+ * @PGW_QUOTA_ASK: the owner decides
+ * @PGW_QUOTA_REFUSE: it is beyond the quota
+ */
+enum pgw_quota_verdict {
+    PGW_QUOTA_ADMIT,
+    PGW_QUOTA_ASK,
+    PGW_QUOTA_REFUSE,
+};
+
+/**
+ * pgw_quota_share_decide() - on a request that has come
+ * @share: of its workspace
+ * @terms: its quota
+ * @entries: entries that there are
+ * @cost: its units
+ * @now_us: time that also counts while the process is suspended
+ */
+enum pgw_quota_verdict
+pgw_quota_share_decide(const struct pgw_quota_share *share,
+                       const struct pgw_quota_terms *terms, uint32_t entries,
+                       double cost, uint64_t now_us);
+
+/**
+ * pgw_quota_share_decide_alone() - on a request to which no owner answers
+ *
+ * @bounds: what may be spent beyond the quotas; the rest as above
+ *
+ * Return: never %PGW_QUOTA_ASK.
+ */
+enum pgw_quota_verdict
+pgw_quota_share_decide_alone(struct pgw_quota_share *share,
+                             const struct pgw_quota_terms *terms,
+                             const struct pgw_quota_bounds *bounds,
+                             uint32_t entries, double cost, uint64_t now_us);
+
+/** pgw_quota_share_spend() - units were admitted, or given back if below 0 */
+void pgw_quota_share_spend(struct pgw_quota_share *share, double units);
+
+/** pgw_quota_share_is_due() - the owner must be told what was spent */
+bool pgw_quota_share_is_due(const struct pgw_quota_share *share,
+                            const struct pgw_quota_terms *terms,
+                            uint32_t entries);
+
+/** pgw_quota_share_report() - fill in what the owner is told now, and count
+ * it as told */
+void pgw_quota_share_report(struct pgw_quota_share *share,
+                            struct pgw_quota_request *out);
+
+/** pgw_quota_share_take() - the owner's word */
+void pgw_quota_share_take(struct pgw_quota_share *share,
+                          const struct pgw_quota_answer *answer,
+                          uint64_t now_us);
+
+#endif
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_ROUTE_TABLE_H
 
 #include "gateway/caller.h"
+#include "gateway/quota.h"
 #include "util/address.h"
 #include <glib.h>
 #include <stdbool.h>
@@ -83,11 +84,17 @@
  * @name: its name
  * @priority: goes before the route's; 0 is first
  * @isolated: shares no cached prompt with any other
+ * @quota_rate: units a second that it may spend, 0: no limit
+ * @quota_burst: units that it may spend at once
+ * @quota_units: what these are
  */
 struct pgw_workspace {
     char *name;
     uint32_t priority;
     bool isolated;
+    double quota_rate;
+    double quota_burst;
+    struct pgw_quota_units quota_units;
 };
 
 struct pgw_route_table;
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -25,6 +25,8 @@
         [PGW_FRAME_CRASHED_RUNS] = &pgw__crashed_runs__descriptor,
         [PGW_FRAME_EXPECTED_PARTS] = &pgw__expected_parts__descriptor,
         [PGW_FRAME_ENGINE_PROBE] = &pgw__engine_probe__descriptor,
+        [PGW_FRAME_QUOTA_ASK] = &pgw__quota_ask__descriptor,
+        [PGW_FRAME_QUOTA_ANSWER] = &pgw__quota_answer__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1267,6 +1267,96 @@
   assert(message->base.descriptor == &pgw__load_weights__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__quota_ask__init
+                     (Pgw__QuotaAsk         *message)
+{
+  static const Pgw__QuotaAsk init_value = PGW__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t pgw__quota_ask__get_packed_size
+                     (const Pgw__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &pgw__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__quota_ask__pack
+                     (const Pgw__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__quota_ask__pack_to_buffer
+                     (const Pgw__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__QuotaAsk *
+       pgw__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__QuotaAsk *)
+     protobuf_c_message_unpack (&pgw__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   pgw__quota_ask__free_unpacked
+                     (Pgw__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__quota_answer__init
+                     (Pgw__QuotaAnswer         *message)
+{
+  static const Pgw__QuotaAnswer init_value = PGW__QUOTA_ANSWER__INIT;
+  *message = init_value;
+}
+size_t pgw__quota_answer__get_packed_size
+                     (const Pgw__QuotaAnswer *message)
+{
+  assert(message->base.descriptor == &pgw__quota_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__quota_answer__pack
+                     (const Pgw__QuotaAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__quota_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__quota_answer__pack_to_buffer
+                     (const Pgw__QuotaAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__quota_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__QuotaAnswer *
+       pgw__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__QuotaAnswer *)
+     protobuf_c_message_unpack (&pgw__quota_answer__descriptor,
+                                allocator, len, data);
+}
+void   pgw__quota_answer__free_unpacked
+                     (Pgw__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__quota_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[7] =
 {
   {
@@ -4049,3 +4139,248 @@
   (ProtobufCMessageInit) pgw__load_weights__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__quota_ask__field_descriptors[9] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stands_in",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAsk, stands_in),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__quota_ask__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  3,   /* field[3] = burst */
+  7,   /* field[7] = cost */
+  2,   /* field[2] = rate */
+  6,   /* field[6] = refused */
+  5,   /* field[5] = spent */
+  8,   /* field[8] = stands_in */
+  4,   /* field[4] = version */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange pgw__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor pgw__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.QuotaAsk",
+  "QuotaAsk",
+  "Pgw__QuotaAsk",
+  "pgw",
+  sizeof(Pgw__QuotaAsk),
+  9,
+  pgw__quota_ask__field_descriptors,
+  pgw__quota_ask__field_indices_by_name,
+  1,  pgw__quota_ask__number_ranges,
+  (ProtobufCMessageInit) pgw__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__quota_answer__field_descriptors[6] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__QuotaAnswer, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__quota_answer__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  2,   /* field[2] = granted */
+  3,   /* field[3] = level */
+  5,   /* field[5] = retry_ms */
+  4,   /* field[4] = wait_ms */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange pgw__quota_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pgw__quota_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.QuotaAnswer",
+  "QuotaAnswer",
+  "Pgw__QuotaAnswer",
+  "pgw",
+  sizeof(Pgw__QuotaAnswer),
+  6,
+  pgw__quota_answer__field_descriptors,
+  pgw__quota_answer__field_indices_by_name,
+  1,  pgw__quota_answer__number_ranges,
+  (ProtobufCMessageInit) pgw__quota_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -43,6 +43,8 @@
 typedef struct Pgw__EngineProbe Pgw__EngineProbe;
 typedef struct Pgw__ExpectedParts Pgw__ExpectedParts;
 typedef struct Pgw__LoadWeights Pgw__LoadWeights;
+typedef struct Pgw__QuotaAsk Pgw__QuotaAsk;
+typedef struct Pgw__QuotaAnswer Pgw__QuotaAnswer;
 
 
 /* --- enums --- */
@@ -718,6 +720,82 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * An entry tells the sidecar that owns a workspace's quota what it has spent,
+ * and asks for what a request needs.
+ */
+struct  Pgw__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t workspace;
+  /*
+   * number of the ask at this entry
+   */
+  uint64_t ask;
+  /*
+   * units a second that the operator allows
+   */
+  double rate;
+  /*
+   * units that may be spent at once
+   */
+  double burst;
+  /*
+   * of the configuration that says so
+   */
+  uint64_t version;
+  /*
+   * since the last one; below 0: given back
+   */
+  double spent;
+  /*
+   * units of requests refused since
+   */
+  double refused;
+  /*
+   * units of the request, 0: only a report
+   */
+  double cost;
+  /*
+   * the sidecar stands in for one that does not answer
+   */
+  protobuf_c_boolean stands_in;
+};
+#define PGW__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__quota_ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Pgw__QuotaAnswer
+{
+  ProtobufCMessage base;
+  uint64_t workspace;
+  uint64_t ask;
+  /*
+   * units that were taken for the ask, 0: refused
+   */
+  double granted;
+  /*
+   * units left; below 0: overdrawn
+   */
+  double level;
+  /*
+   * until the bucket is no longer overdrawn
+   */
+  uint32_t wait_ms;
+  /*
+   * when a refused caller should come back
+   */
+  uint32_t retry_ms;
+};
+#define PGW__QUOTA_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__quota_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 /* Pgw__Hello methods */
 void   pgw__hello__init
                      (Pgw__Hello         *message);
@@ -1250,6 +1328,44 @@
 void   pgw__load_weights__free_unpacked
                      (Pgw__LoadWeights *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__QuotaAsk methods */
+void   pgw__quota_ask__init
+                     (Pgw__QuotaAsk         *message);
+size_t pgw__quota_ask__get_packed_size
+                     (const Pgw__QuotaAsk   *message);
+size_t pgw__quota_ask__pack
+                     (const Pgw__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t pgw__quota_ask__pack_to_buffer
+                     (const Pgw__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__QuotaAsk *
+       pgw__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__quota_ask__free_unpacked
+                     (Pgw__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__QuotaAnswer methods */
+void   pgw__quota_answer__init
+                     (Pgw__QuotaAnswer         *message);
+size_t pgw__quota_answer__get_packed_size
+                     (const Pgw__QuotaAnswer   *message);
+size_t pgw__quota_answer__pack
+                     (const Pgw__QuotaAnswer   *message,
+                      uint8_t             *out);
+size_t pgw__quota_answer__pack_to_buffer
+                     (const Pgw__QuotaAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__QuotaAnswer *
+       pgw__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__quota_answer__free_unpacked
+                     (Pgw__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pgw__Hello_Closure)
@@ -1336,6 +1452,12 @@
 typedef void (*Pgw__LoadWeights_Closure)
                  (const Pgw__LoadWeights *message,
                   void *closure_data);
+typedef void (*Pgw__QuotaAsk_Closure)
+                 (const Pgw__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Pgw__QuotaAnswer_Closure)
+                 (const Pgw__QuotaAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1370,6 +1492,8 @@
 extern const ProtobufCMessageDescriptor pgw__engine_probe__descriptor;
 extern const ProtobufCMessageDescriptor pgw__expected_parts__descriptor;
 extern const ProtobufCMessageDescriptor pgw__load_weights__descriptor;
+extern const ProtobufCMessageDescriptor pgw__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor pgw__quota_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
