--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -3,9 +3,6 @@
 #include "util/log.h"
 #include "util/metric.h"
 
-/* For how long the owner's word is waited for: a way to another zone and back
- * and a few turns of busy processes. */
-#define ANSWER_WAIT_US 40000
 /* What was admitted is reported after this time at the latest. */
 #define REPORT_US 250000
 /* Who is asked in turn: the owner, and those that stand in for it. */
@@ -277,7 +274,7 @@
     g_hash_table_insert(quota->asks, &exchange->quota_ask, exchange);
     exchange->attempt_timer.on_due = answer_late;
     pgw_timer_start(quota->gateway->loop, &exchange->attempt_timer,
-                    ANSWER_WAIT_US);
+                    quota->gateway->options.quota_wait_us);
     return true;
 }
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -125,12 +125,16 @@
     pgw_route_table_unref(next_table);
 }
 
-void
-scene_set_routes(struct scene *scene, uint64_t version, bool with_key)
+static void
+set_routes(struct scene *scene, uint64_t version, const char *key, double rate)
 {
-    const char *keys[] = {with_key ? SCENE_KEY : "other-key", NULL};
+    const char *keys[] = {key, NULL};
     const char *later_keys[] = {SCENE_KEY_LATER, NULL};
-    struct pgw_workspace workspace = {.name = g_strdup("parish")};
+    struct pgw_workspace workspace = {
+        .name = g_strdup("parish"),
+        .quota_rate = rate,
+        .quota_burst = rate,
+    };
     struct pgw_workspace later = {.name = g_strdup("hostel"), .priority = 1};
 
     next_table = pgw_route_table_new(version);
@@ -140,6 +144,18 @@
     scene_run(scene, apply_table);
 }
 
+void
+scene_set_routes(struct scene *scene, uint64_t version, bool with_key)
+{
+    set_routes(scene, version, with_key ? SCENE_KEY : "other-key", 0);
+}
+
+void
+scene_set_quota(struct scene *scene, uint64_t version, double rate)
+{
+    set_routes(scene, version, SCENE_KEY, rate);
+}
+
 static void
 put_upstreams(struct scene *scene)
 {
@@ -235,6 +251,7 @@
         .wait_share = 0.9,
         .hedge_share = 1000,
         .probe_wait_us = probe_wait_us,
+        .quota_wait_us = SCENE_TIMEOUT_S * 1000000ULL,
         .start_pause_us = start_pause_us,
     };
 
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -86,6 +86,10 @@
  */
 void scene_set_routes(struct scene *scene, uint64_t version, bool with_key);
 
+/** scene_set_quota() - the same with the key, whose workspace may spend @rate
+ * requests a second */
+void scene_set_quota(struct scene *scene, uint64_t version, double rate);
+
 /** scene_call() - connect as a caller and send a request; returns the socket
  */
 int scene_call(struct scene *scene, const char *path, const char *id);
--- /dev/null
+++ b/tests/unit/test_quota.c
@@ -0,0 +1,259 @@
+#include "scene_gateway.h"
+#include <string.h>
+#include <unistd.h>
+
+/* Sidecars that own quotas, played by the test. */
+#define OWNERS 3
+
+/**
+ * struct owners - what they were asked
+ * @reachable: asks reach them
+ * @asks: number of asks for a request
+ * @last: the last one
+ * @asked: position of the one that got it
+ * @given_back: units that were reported as given back
+ */
+struct owners {
+    bool reachable[OWNERS];
+    unsigned asks;
+    struct pgw_quota_ask last;
+    int asked;
+    double given_back;
+    struct pgw_quota_answer answer;
+};
+
+static struct owners owners;
+
+static bool
+ask_quota(void *context, const struct pgw_upstream *upstream,
+          const struct pgw_quota_ask *ask)
+{
+    int position = atoi(upstream->id + 1);
+
+    (void)context;
+    if (!owners.reachable[position]) {
+        return false;
+    }
+    owners.given_back -= MIN(ask->request.spent, 0);
+    if (ask->ask != 0) {
+        owners.asks++;
+        owners.last = *ask;
+        owners.asked = position;
+    }
+    return true;
+}
+
+static const struct pgw_sidecar_ops ops = {.ask_quota = ask_quota};
+
+static void
+add_owners(struct scene *scene)
+{
+    for (int i = 0; i < OWNERS; i++) {
+        char id[16];
+        char address[32];
+        struct pgw_upstream_facts facts = {
+            .id = id,
+            .service = "engines",
+            .address = address,
+            .zone = "a",
+            .slots = 1,
+            .models = {{(char *)"m", 1}},
+            .model_count = 1,
+        };
+
+        g_snprintf(id, sizeof(id), "e%d", i);
+        g_snprintf(address, sizeof(address), "127.0.0.1:%d", i + 1);
+        pgw_upstream_table_put(pgw_gateway_upstreams(scene->gateway), &facts);
+    }
+    pgw_gateway_set_sidecars(scene->gateway, &ops, NULL);
+    pgw_quota_upstreams_changed(pgw_gateway_quota(scene->gateway));
+}
+
+/* On the gateway's thread, like the sidecar's word. */
+static void
+answer_ask(struct scene *scene)
+{
+    char id[16];
+
+    g_snprintf(id, sizeof(id), "e%d", owners.asked);
+    pgw_quota_answered(
+        pgw_gateway_quota(scene->gateway),
+        pgw_upstream_table_find(pgw_gateway_upstreams(scene->gateway), id),
+        owners.last.request.workspace, owners.last.ask, &owners.answer);
+}
+
+static void
+do_nothing(struct scene *scene)
+{
+    (void)scene;
+}
+
+static void
+wait_for_asks(struct scene *scene, unsigned asks)
+{
+    for (unsigned i = 0; i < 20000; i++) {
+        scene_run(scene, do_nothing);
+        if (owners.asks >= asks) {
+            return;
+        }
+        g_usleep(1000);
+    }
+    g_assert_cmpuint(owners.asks, >=, asks);
+}
+
+static struct scene *
+open_scene(void)
+{
+    struct scene *scene = scene_new(1);
+
+    memset(&owners, 0, sizeof(owners));
+    for (int i = 0; i < OWNERS; i++) {
+        owners.reachable[i] = true;
+    }
+    scene_set_quota(scene, 5, 100);
+    scene_run(scene, add_owners);
+    return scene;
+}
+
+static void
+expect(int caller, const char *status, const char *text)
+{
+    char *answer = scene_read_until(caller, text);
+
+    g_assert_true(g_str_has_prefix(answer, status));
+    g_free(answer);
+    close(caller);
+}
+
+static void
+serve(struct scene *scene, int caller, const char *id)
+{
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, id, 200, "", "ok");
+    expect(caller, "HTTP/1.1 200 ", "ok");
+    close(upstream);
+}
+
+/* A request must not reach an upstream before the owner has granted it, and a
+ * refused one never, with the promise that it did not run. */
+static void
+test_owner_decides(void)
+{
+    struct scene *scene = open_scene();
+    int caller = scene_call(scene, "/once/", "a");
+
+    wait_for_asks(scene, 1);
+    g_assert_cmpfloat(owners.last.request.cost, ==, 1);
+    g_assert_cmpfloat(owners.last.request.terms.rate, ==, 100);
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    scene_run(scene, answer_ask);
+    serve(scene, caller, "a");
+    caller = scene_call(scene, "/once/", "b");
+    wait_for_asks(scene, 2);
+    owners.answer = (struct pgw_quota_answer){
+        .level = -500, .wait_ms = 590000, .retry_ms = 590000};
+    scene_run(scene, answer_ask);
+    expect(caller, "HTTP/1.1 429 ", "\"ran\":\"no\"");
+    /* What the owner said holds for the next one, too. */
+    caller = scene_call(scene, "/once/", "c");
+    expect(caller, "HTTP/1.1 429 ", "Retry-After: 5");
+    g_assert_cmpuint(owners.asks, ==, 2);
+    g_assert_true(scene_is_quiet(scene, 0));
+    scene_free(scene);
+}
+
+/* Requests of a workspace that is far below its quota must not wait for the
+ * owner's word each time. */
+static void
+test_plenty_is_not_asked_for(void)
+{
+    struct scene *scene = open_scene();
+    unsigned calls = 0;
+
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 99};
+    /* The owner's word is fresh for a time: on a busy machine not for the next
+     * call, but for one of many. */
+    while (calls == owners.asks && calls < 100) {
+        unsigned asks = owners.asks;
+        int caller = scene_call(scene, "/once/", "a");
+
+        calls++;
+        while (scene_is_quiet(scene, 0)) {
+            scene_run(scene, do_nothing);
+            if (owners.asks > asks) {
+                asks = owners.asks;
+                scene_run(scene, answer_ask);
+            }
+        }
+        serve(scene, caller, "a");
+    }
+    g_assert_cmpuint(owners.asks, <, calls);
+    scene_free(scene);
+}
+
+/* The owner cannot be reached: the next in rank stands in for it, and says so
+ * by what it is told. With nobody at all a caller is sent elsewhere at once.
+ */
+static void
+test_others_stand_in(void)
+{
+    struct scene *scene = open_scene();
+    int caller = scene_call(scene, "/once/", "a");
+
+    wait_for_asks(scene, 1);
+    g_assert_false(owners.last.stands_in);
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    scene_run(scene, answer_ask);
+    serve(scene, caller, "a");
+    owners.reachable[owners.asked] = false;
+    caller = scene_call(scene, "/once/", "b");
+    wait_for_asks(scene, 2);
+    g_assert_true(owners.last.stands_in);
+    scene_run(scene, answer_ask);
+    serve(scene, caller, "b");
+    memset(owners.reachable, 0, sizeof(owners.reachable));
+    caller = scene_call(scene, "/once/", "c");
+    expect(caller, "HTTP/1.1 429 ", "\"ran\":\"no\"");
+    scene_free(scene);
+}
+
+/* What was taken for a request that no upstream ran must be given back: else
+ * callers are refused below their quota. */
+static void
+test_not_run_is_given_back(void)
+{
+    struct scene *scene = open_scene();
+    int caller = scene_call(scene, "/once/", "a");
+
+    wait_for_asks(scene, 1);
+    close(caller);
+    for (unsigned i = 0; i < 200; i++) {
+        scene_run(scene, do_nothing);
+    }
+    /* Too late: its caller has left. */
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    scene_run(scene, answer_ask);
+    scene_stop_listening(scene, 0);
+    caller = scene_call(scene, "/late/", "b");
+    wait_for_asks(scene, 2);
+    scene_run(scene, answer_ask);
+    expect(caller, "HTTP/1.1 503 ", "\"ran\":\"no\"");
+    caller = scene_call(scene, "/once/", "c");
+    wait_for_asks(scene, 3);
+    g_assert_cmpfloat(owners.given_back, ==, 2);
+    close(caller);
+    scene_free(scene);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/quota/owner_decides", test_owner_decides);
+    g_test_add_func("/quota/plenty", test_plenty_is_not_asked_for);
+    g_test_add_func("/quota/stand_in", test_others_stand_in);
+    g_test_add_func("/quota/given_back", test_not_run_is_given_back);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_quota_bucket.c
@@ -0,0 +1,118 @@
+#include "gateway/quota_bucket.h"
+#include <glib.h>
+
+#define S UINT64_C(1000000)
+
+static struct pgw_quota_buckets *
+full_buckets(void)
+{
+    struct pgw_quota_buckets_options options = PGW_QUOTA_BUCKETS_OPTIONS_INIT;
+
+    options.full_until_us = UINT64_MAX;
+    return pgw_quota_buckets_new(&options);
+}
+
+static struct pgw_quota_request
+request_of(double cost)
+{
+    return (struct pgw_quota_request){
+        .workspace = 7,
+        .terms = {.rate = 1000, .burst = 2000, .version = 3},
+        .cost = cost,
+        .share = 1,
+    };
+}
+
+static struct pgw_quota_answer
+ask(struct pgw_quota_buckets *buckets, double cost, uint64_t now_us)
+{
+    struct pgw_quota_request request = request_of(cost);
+    struct pgw_quota_answer answer;
+
+    pgw_quota_buckets_take(&answer, buckets, &request, now_us);
+    return answer;
+}
+
+/* A prompt that is larger than the bucket must be granted all the same, and
+ * what it took too much must be missing afterwards. */
+static void
+test_long_prompt_overdraws(void)
+{
+    struct pgw_quota_buckets *buckets = full_buckets();
+    struct pgw_quota_answer answer = ask(buckets, 5000, S);
+
+    g_assert_cmpfloat(answer.granted, ==, 5000);
+    g_assert_cmpfloat(answer.level, ==, -3000);
+    g_assert_cmpuint(answer.wait_ms, ==, 2000);
+    answer = ask(buckets, 1, 3 * S);
+    g_assert_cmpfloat(answer.granted, ==, 0);
+    answer = ask(buckets, 1, 4 * S + 1000);
+    g_assert_cmpfloat(answer.granted, ==, 1);
+    pgw_quota_buckets_free(buckets);
+}
+
+/* An owner that starts must not give out a whole burst: another one may have
+ * given it out a moment before. */
+static void
+test_new_owner_starts_low(void)
+{
+    struct pgw_quota_buckets_options options = PGW_QUOTA_BUCKETS_OPTIONS_INIT;
+    struct pgw_quota_buckets *buckets = pgw_quota_buckets_new(&options);
+    struct pgw_quota_answer answer = ask(buckets, 0, S);
+
+    g_assert_cmpfloat(answer.level, ==, 250);
+    answer = ask(buckets, 0, 2 * S);
+    g_assert_cmpfloat(answer.level, ==, 850);
+    answer = ask(buckets, 0, 4 * S);
+    g_assert_cmpfloat(answer.level, ==, 2000);
+    pgw_quota_buckets_free(buckets);
+}
+
+/* Entries that have not read the lowered quota yet must not raise it again. */
+static void
+test_newest_terms_hold(void)
+{
+    struct pgw_quota_buckets *buckets = full_buckets();
+    struct pgw_quota_request lowered = request_of(0);
+    struct pgw_quota_answer answer = ask(buckets, 0, S);
+
+    g_assert_cmpfloat(answer.level, ==, 2000);
+    lowered.terms = (struct pgw_quota_terms){100, 200, 4};
+    pgw_quota_buckets_take(&answer, buckets, &lowered, S);
+    g_assert_cmpfloat(answer.level, ==, 200);
+    answer = ask(buckets, 150, 2 * S);
+    g_assert_cmpfloat(answer.level, ==, 50);
+    answer = ask(buckets, 0, 3 * S);
+    g_assert_cmpfloat(answer.level, ==, 150);
+    pgw_quota_buckets_free(buckets);
+}
+
+/* A refused caller must not be sent back into the crowd that was refused with
+ * it, and what was given back must be there for others. */
+static void
+test_refused_callers_are_spread(void)
+{
+    struct pgw_quota_buckets *buckets = full_buckets();
+    struct pgw_quota_request back = request_of(0);
+    struct pgw_quota_answer answer = ask(buckets, 2000, S);
+    uint32_t first = ask(buckets, 500, S).retry_ms;
+
+    g_assert_cmpuint(first, ==, 500);
+    g_assert_cmpuint(ask(buckets, 500, S).retry_ms, ==, 1000);
+    g_assert_cmpuint(ask(buckets, 5000, S).retry_ms, ==, 2000);
+    back.spent = -2000;
+    pgw_quota_buckets_take(&answer, buckets, &back, S);
+    g_assert_cmpfloat(answer.level, ==, 2000);
+    pgw_quota_buckets_free(buckets);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/quota_bucket/overdraft", test_long_prompt_overdraws);
+    g_test_add_func("/quota_bucket/new_owner", test_new_owner_starts_low);
+    g_test_add_func("/quota_bucket/newest_terms", test_newest_terms_hold);
+    g_test_add_func("/quota_bucket/refused", test_refused_callers_are_spread);
+    return g_test_run();
+}
