--- a/src/gateway/documents.h
+++ b/src/gateway/documents.h
@@ -8,10 +8,11 @@
 /**
  * DOC: Copies of the platform's objects that entries hold in common
  *
- * Each object has a revision that only grows. Copies come from the platform's
- * store and from other entries, in any order and any number of times; the
- * highest revision of each wins. Deleted objects leave a mark, so that a late
- * copy does not bring them back.
+ * Each object has a revision that only grows; a deployment whose store may
+ * lose writes puts the count of that into its upper bits. Copies come from the
+ * platform's store and from other entries, in any order and any number of
+ * times; the highest revision of each wins. Deleted objects leave a mark, so
+ * that a late copy does not bring them back.
  */
 
 /**
--- a/src/gateway/engine_guard.c
+++ b/src/gateway/engine_guard.c
@@ -29,6 +29,7 @@
 {
     peer->far = strcmp(hello->zone, peer->guard->zone) != 0;
     peer->on_request = hello->on_request;
+    peer->started_us = pgw_now_us() - hello->age_ms * 1000ULL;
     if (peer->guard->alive && !peer->on_request) {
         pgw_guard_send_state(peer->guard, peer);
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 
 /**
  * struct pgw_gateway - one entry
+ * @started_us: when it was made
  * @routes: configuration in force, NULL before the first
  * @routes_at_us: since when
  * @budgets: repeats that it may make
@@ -32,6 +33,7 @@
  */
 struct pgw_gateway {
     struct pgw_loop *loop;
+    uint64_t started_us;
     struct pgw_gateway_options options;
     char *instance;
     char *zone;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -64,6 +64,7 @@
     struct pgw_call_pool_options pool = PGW_CALL_POOL_OPTIONS_INIT;
 
     gateway->loop = loop;
+    gateway->started_us = pgw_now_us();
     gateway->options = *options;
     pgw_choose_options_apply(&gateway->options.choose, &options->policy);
     pgw_list_init(&gateway->exchanges);
@@ -145,6 +146,14 @@
     return gateway->instance;
 }
 
+uint32_t
+pgw_gateway_age_ms(const struct pgw_gateway *gateway)
+{
+    uint64_t ms = (pgw_now_us() - gateway->started_us) / 1000;
+
+    return (uint32_t)MIN(ms, UINT32_MAX);
+}
+
 const char *
 pgw_gateway_zone(const struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,9 @@
 /** pgw_gateway_instance() - name of this process */
 const char *pgw_gateway_instance(const struct pgw_gateway *gateway);
 
+/** pgw_gateway_age_ms() - for how long it has been running */
+uint32_t pgw_gateway_age_ms(const struct pgw_gateway *gateway);
+
 /** pgw_gateway_zone() - its availability zone */
 const char *pgw_gateway_zone(const struct pgw_gateway *gateway);
 
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -219,6 +219,7 @@
     hello.role = (char *)"entry";
     hello.zone = (char *)pgw_gateway_zone(gateway);
     hello.on_request = guard->on_request;
+    hello.age_ms = pgw_gateway_age_ms(gateway);
     pgw_link_send(guard->link, PGW_FRAME_HELLO, &hello.base);
 }
 
--- a/src/gateway/guard_quota.c
+++ b/src/gateway/guard_quota.c
@@ -5,6 +5,9 @@
  * one: it asks again each time that a workspace is near its quota. */
 #define STANDS_IN_US 2000000
 
+/* Entries that run for less have just started. */
+#define YOUNG_US 5000000
+
 static struct pgw_metric_counter asks = {
     .name = "pgw_quota_owner_asks_total",
     .help = "Asks and reports on quotas that this process owns",
@@ -41,6 +44,25 @@
     return (double)count / entries;
 }
 
+/* Most entries have started with this process: the whole deployment has, and
+ * nobody else can be granting what this one grants. */
+static bool
+has_restarted(const struct pgw_engine_guard *guard, uint64_t now_us)
+{
+    unsigned entries = 0;
+    unsigned young = 0;
+
+    pgw_list_foreach (link, &guard->entries) {
+        const struct pgw_guard_entry *entry =
+            pgw_container_of(link, struct pgw_guard_entry, in_guard);
+
+        entries++;
+        young +=
+            entry->started_us > 0 && now_us - entry->started_us < YOUNG_US;
+    }
+    return young * 2 > entries;
+}
+
 void
 pgw_guard_take_quota_ask(struct pgw_guard_entry *peer,
                          const Pgw__QuotaAsk *ask)
@@ -57,6 +79,7 @@
         .refused = ask->refused,
         .cost = ask->cost,
         .share = ask->stands_in ? stand_in_share(peer, now) : 1,
+        .restarted = has_restarted(peer->guard, now),
     };
 
     pgw_quota_buckets_take(&answer, peer->guard->quotas, &request, now);
--- a/src/gateway/guard_state.h
+++ b/src/gateway/guard_state.h
@@ -26,6 +26,7 @@
  * @known: it has said who it is and been told everything
  * @far: it is in another zone: told less, and less often
  * @on_request: it is told nothing but answers to its probes
+ * @started_us: when it started, as it said; 0: it did not
  * @stood_in_at_us: when it last asked for a quota that another sidecar owns,
  *   0: never
  */
@@ -36,6 +37,7 @@
     bool known;
     bool far;
     bool on_request;
+    uint64_t started_us;
     uint64_t stood_in_at_us;
 };
 
--- a/src/gateway/quota_bucket.c
+++ b/src/gateway/quota_bucket.c
@@ -36,6 +36,14 @@
     return XXH3_64bits(workspace, strlen(workspace));
 }
 
+double
+pgw_quota_beyond(const struct pgw_quota_bounds *bounds,
+                 const struct pgw_quota_terms *terms)
+{
+    return (terms->rate * bounds->window_s + terms->burst) * bounds->overage +
+           bounds->slack;
+}
+
 struct pgw_quota_buckets *
 pgw_quota_buckets_new(const struct pgw_quota_buckets_options *options)
 {
@@ -82,12 +90,17 @@
     }
     bucket->workspace = request->workspace;
     bucket->terms = request->terms;
-    bucket->slow = now_us >= options->full_until_us;
-    bucket->level =
-        bucket->slow
-            ? MIN(request->terms.rate * request->share * options->start_s,
-                  request->terms.burst)
-            : request->terms.burst;
+    bucket->level = request->terms.burst;
+    if (now_us >= options->full_until_us) {
+        double part =
+            request->restarted ? options->restart_part : options->start_part;
+
+        bucket->slow = !request->restarted;
+        bucket->level =
+            MIN(pgw_quota_beyond(&options->bounds, &request->terms) * part *
+                    request->share,
+                request->terms.burst);
+    }
     bucket->at_us = now_us;
     bucket->made_us = now_us;
     g_hash_table_insert(buckets->by_workspace, &bucket->workspace, bucket);
--- a/src/gateway/quota_bucket.h
+++ b/src/gateway/quota_bucket.h
@@ -15,7 +15,9 @@
  *
  * What was spent is in no store. An owner that starts, or takes over, knows
  * nothing of it, while another one may still be granting for some entries: its
- * buckets start nearly empty and fill slower at first.
+ * buckets start with a part of what the bounds leave beyond the quota, and
+ * fill slower at first. When entries have just started, too, there is no other
+ * one.
  */
 
 /**
@@ -30,31 +32,53 @@
     uint64_t version;
 };
 
+/**
+ * struct pgw_quota_bounds - what may be spent beyond the quotas
+ * @window_s: in any so many seconds,
+ * @overage: this share of what the quota allows in them,
+ * @slack: and so many units
+ */
+struct pgw_quota_bounds {
+    double window_s;
+    double overage;
+    double slack;
+};
+
+/** pgw_quota_beyond() - units that the bounds leave beyond a quota */
+double pgw_quota_beyond(const struct pgw_quota_bounds *bounds,
+                        const struct pgw_quota_terms *terms);
+
 struct pgw_quota_buckets;
 
 /**
  * struct pgw_quota_buckets_options - how buckets begin
+ * @bounds: what may be spent beyond the quotas
  * @full_until_us: until then buckets start full: nobody can have spent
  *   anything; 0: they never do
- * @start_s: seconds of the rate that a bucket else starts with
- * @slow_us: for how long it fills slower
+ * @start_part: part of what the bounds leave that a bucket else starts with
+ * @restart_part: the same where no other owner can be granting
+ * @slow_us: for how long it fills slower where another one can
  * @slow_share: part of the rate at which it does
  */
 struct pgw_quota_buckets_options {
+    struct pgw_quota_bounds bounds;
     uint64_t full_until_us;
-    double start_s;
+    double start_part;
+    double restart_part;
     uint64_t slow_us;
     double slow_share;
 };
 
 /*
  * Two owners overlap while entries do not yet all have the list of upstreams
- * that names the new one, for a second at most: it then has granted less than
- * a second of the rate.
+ * that names the new one, for a second at most. What both then grant, the
+ * start of the second one and what entries without an owner admit stay
+ * together below what the bounds leave.
  */
 #define PGW_QUOTA_BUCKETS_OPTIONS_INIT                                        \
     {                                                                         \
-        .start_s = 0.25, .slow_us = 2000000, .slow_share = 0.6                \
+        .start_part = 0.4, .restart_part = 0.8, .slow_us = 2000000,           \
+        .slow_share = 0.6                                                     \
     }
 
 /**
@@ -66,6 +90,7 @@
  * @cost: units that a request needs now, 0: only a report
  * @share: part of the rate that this owner may grant; below 1 where it stands
  *   in for another one that only some entries cannot reach
+ * @restarted: entries have just started as well
  */
 struct pgw_quota_request {
     uint64_t workspace;
@@ -74,6 +99,7 @@
     double refused;
     double cost;
     double share;
+    bool restarted;
 };
 
 /**
--- a/src/gateway/quota_share.c
+++ b/src/gateway/quota_share.c
@@ -9,7 +9,7 @@
 #define REPORT_STEPS 4
 /* Part of what the bounds leave beside the quotas that entries without an
  * owner use; the rest is for changes of owners. */
-#define ALONE_PART 0.5
+#define ALONE_PART 0.2
 
 static bool
 is_plenty(const struct pgw_quota_share *share,
@@ -49,12 +49,10 @@
                              const struct pgw_quota_bounds *bounds,
                              uint32_t entries, double cost, uint64_t now_us)
 {
-    double beyond =
-        (terms->rate * bounds->window_s + terms->burst) * bounds->overage +
-        bounds->slack;
     /* In a window at most what has gathered before it, and what comes in it.
      */
-    double most = beyond * ALONE_PART / 2 / MAX(entries, 1);
+    double most =
+        pgw_quota_beyond(bounds, terms) * ALONE_PART / 2 / MAX(entries, 1);
 
     if (is_plenty(share, terms, now_us) && own_part(share, entries) > 0) {
         return PGW_QUOTA_ADMIT;
--- a/src/gateway/quota_share.h
+++ b/src/gateway/quota_share.h
@@ -16,18 +16,6 @@
  * owner may grant to the others meanwhile.
  */
 
-/**
- * struct pgw_quota_bounds - what may be spent beyond the quotas
- * @window_s: in any so many seconds,
- * @overage: this share of what the quota allows in them,
- * @slack: and so many units
- */
-struct pgw_quota_bounds {
-    double window_s;
-    double overage;
-    double slack;
-};
-
 /**
  * struct pgw_quota_share - one workspace at one entry; zeroed: nothing known
  * @level: of the bucket, as the owner last said
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1357,7 +1357,7 @@
   assert(message->base.descriptor == &pgw__quota_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[8] =
 {
   {
     "protocol",
@@ -1443,8 +1443,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Hello, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__hello__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
   5,   /* field[5] = clock */
   4,   /* field[4] = incarnation */
   1,   /* field[1] = instance */
@@ -1456,7 +1469,7 @@
 static const ProtobufCIntRange pgw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pgw__hello__descriptor =
 {
@@ -1466,7 +1479,7 @@
   "Pgw__Hello",
   "pgw",
   sizeof(Pgw__Hello),
-  7,
+  8,
   pgw__hello__field_descriptors,
   pgw__hello__field_indices_by_name,
   1,  pgw__hello__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -78,10 +78,14 @@
    * an entry: states are sent as answers to probes only
    */
   protobuf_c_boolean on_request;
+  /*
+   * an entry: for how long it has been running
+   */
+  uint32_t age_ms;
 };
 #define PGW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Pgw__Level
