--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -27,6 +27,7 @@
  * @PGW_CAUSE_NO_ROUTE: no route of the configuration matched
  * @PGW_CAUSE_BAD_KEY: the configuration does not hold the caller's key
  * @PGW_CAUSE_POISON: it was running in several crashes
+ * @PGW_CAUSE_QUOTA: its workspace had spent its quota
  * @PGW_CAUSE_UPSTREAM_FAILED: the upstream answered with a failure of its own
  * @PGW_CAUSE_UPSTREAM_LOST: the upstream went down or was replaced
  * @PGW_CAUSE_UPSTREAM_FULL: the upstream said that it did not run it
@@ -48,6 +49,7 @@
     PGW_CAUSE_NO_ROUTE,
     PGW_CAUSE_BAD_KEY,
     PGW_CAUSE_POISON,
+    PGW_CAUSE_QUOTA,
     PGW_CAUSE_UPSTREAM_FAILED,
     PGW_CAUSE_UPSTREAM_LOST,
     PGW_CAUSE_UPSTREAM_FULL,
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -35,6 +35,7 @@
     [PGW_CAUSE_NO_ROUTE] = "no_route",
     [PGW_CAUSE_BAD_KEY] = "bad_key",
     [PGW_CAUSE_POISON] = "poison",
+    [PGW_CAUSE_QUOTA] = "quota",
     [PGW_CAUSE_UPSTREAM_FAILED] = "upstream_failed",
     [PGW_CAUSE_UPSTREAM_LOST] = "upstream_lost",
     [PGW_CAUSE_UPSTREAM_FULL] = "upstream_full",
@@ -488,6 +489,15 @@
              "crashed: see poison_crash with its fingerprint");
 }
 
+static void
+end_over_quota(struct inquiry *inquiry)
+{
+    conclude(inquiry, PGW_CAUSE_QUOTA,
+             "its workspace had spent its quota, or its owner could not be "
+             "asked: see pgw_quota_asks_unanswered_total at %s",
+             inquiry->end->instance);
+}
+
 /* It waited at an upstream of which nothing was heard, and could not go on
  * elsewhere. */
 static bool
@@ -529,6 +539,7 @@
     {"no_route", end_no_route},
     {"unauthorized", end_unauthorized},
     {"crashes_upstreams", end_poison},
+    {"over_quota", end_over_quota},
 };
 
 static void
