--- a/src/gateway/guard_link_state.h
+++ b/src/gateway/guard_link_state.h
@@ -3,7 +3,6 @@
 
 #include "gateway/guard_links.h"
 #include "gateway/load_window.h"
-#include "gateway/zone_balance.h"
 #include "libparsleygw/link.h"
 
 /**
@@ -50,8 +49,7 @@
  * @entries: entries that there are, as sidecars count them
  * @entries_at_us: when that was last confirmed
  * @divided: sidecars of other zones answer probes, and send nothing else
- * @balance: loads of the zones
- * @balance_timer: looks whether @divided still fits
+ * @refresh: looks whether @divided still fits, once for a turn of the loop
  */
 struct pgw_guard_links {
     struct pgw_loop *loop;
@@ -61,8 +59,8 @@
     uint32_t entries;
     uint64_t entries_at_us;
     bool divided;
-    struct pgw_zone_balance balance;
-    struct pgw_timer balance_timer;
+    struct pgw_task refresh;
+    bool refresh_posted;
     struct pgw_load_pace pace;
     struct pgw_timer window_timer;
     bool closing;
--- a/src/gateway/guard_links.c
+++ b/src/gateway/guard_links.c
@@ -22,8 +22,6 @@
 /* A process that has been silent for so long may be cut off: its word on load
  * and weights is no longer fresh. It speaks once a second. */
 #define FRESH_US 2500000
-/* How often the loads of the zones are compared. */
-#define BALANCE_US 500000
 
 struct pgw_upstream *
 pgw_guard_link_upstream(const struct pgw_guard_links *links,
@@ -42,9 +40,15 @@
 {
     if (entries >= links->entries ||
         now_us - links->entries_at_us > ENTRIES_HOLD_US) {
+        bool changed = links->entries != entries;
+
         links->entries = entries;
         links->entries_at_us = now_us;
         pgw_gateway_set_entries(links->gateway, entries);
+        if (changed && !links->refresh_posted) {
+            links->refresh_posted = true;
+            pgw_loop_post(links->loop, &links->refresh);
+        }
     }
 }
 
@@ -330,26 +334,25 @@
             : links->entries * (engines->all - engines->near) / engines->all;
 
     return engines->all <= REPORT_LINKS_MAX &&
-           (pgw_guard_reports_reach_far(far, !links->divided) ||
-            !pgw_zone_balance_is_even(&links->balance, links->divided));
+           pgw_guard_reports_reach_far(far, !links->divided);
 }
 
-/* Whether far reports still fit what is known of entries and loads. */
+/* The number of entries has changed. */
 static void
-balance_due(struct pgw_timer *timer)
+refresh_run(struct pgw_task *task)
 {
     struct pgw_guard_links *links =
-        pgw_container_of(timer, struct pgw_guard_links, balance_timer);
-    struct engine_count engines = count_engines(links);
+        pgw_container_of(task, struct pgw_guard_links, refresh);
+    struct engine_count engines;
 
-    pgw_zone_balance_look(
-        &links->balance,
-        pgw_upstream_table_all(pgw_gateway_upstreams(links->gateway)),
-        pgw_now_us());
+    links->refresh_posted = false;
+    if (links->closing) {
+        return;
+    }
+    engines = count_engines(links);
     if (reports_reach(links, &engines) == links->divided) {
         pgw_guard_links_refresh(links);
     }
-    pgw_timer_start(links->loop, &links->balance_timer, BALANCE_US);
 }
 
 struct pgw_guard_links *
@@ -361,8 +364,7 @@
     links->loop = loop;
     links->gateway = gateway;
     links->port = port;
-    links->balance_timer.on_due = balance_due;
-    pgw_timer_start(loop, &links->balance_timer, BALANCE_US);
+    links->refresh.run = refresh_run;
     pgw_guard_rollout_init(links);
     pgw_gateway_set_sidecars(gateway, &pgw_guard_sidecar_ops, links);
     links->by_engine =
@@ -377,7 +379,6 @@
     void *value;
 
     links->closing = true;
-    pgw_timer_stop(links->loop, &links->balance_timer);
     pgw_gateway_set_sidecars(links->gateway, NULL, NULL);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -473,9 +474,8 @@
         return;
     }
     links->divided = divided;
-    pgw_log_info("far_reports", "asked_for=%d entries=%u near=%.2f far=%.2f",
-                 (int)divided, links->entries, links->balance.near,
-                 links->balance.far);
+    pgw_log_info("far_reports", "asked_for=%d entries=%u", (int)divided,
+                 links->entries);
     pgw_upstream_table_set_divided(pgw_gateway_upstreams(links->gateway),
                                    divided);
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -17,8 +17,9 @@
  */
 
 /* Sidecars among which quotas are divided: those with the lowest hashes. Each
- * entry is connected to all of them, which takes a descriptor each. */
-#define PGW_QUOTA_OWNERS_MAX 64
+ * entry is connected to all of them, which takes a descriptor each of some
+ * thousand. */
+#define PGW_QUOTA_OWNERS_MAX 512
 
 /**
  * struct pgw_quota_ask - what is sent to an owner
