Let requests wait for the links of an entry that has just started

Cause: an entry that starts has its configuration some milliseconds before it is connected to any sidecar. Nobody could be asked on quotas then, and an entry that reaches nobody admits next to nothing: callers got 429 for quotas that were hardly used. Measured: /quota/waits_for_links.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,8 @@
  *   up for a request that may run again
  * @probe_wait_us: for how long the answers of sidecars are waited for
  * @quota_wait_us: for how long the word of a quota's owner is waited for
+ * @quota_start_us: until so long after the start requests wait for the links
+ * to owners of quotas
  * @start_pause_us: for how long connections of callers wait for the first
  *   configuration
  * @on_answered_by: an upstream's address was answered by this one; NULL:
@@ -68,6 +70,7 @@
     double hedge_share;
     uint64_t probe_wait_us;
     uint64_t quota_wait_us;
+    uint64_t quota_start_us;
     uint64_t start_pause_us;
     void (*on_answered_by)(const char *id, void *context);
     void *context;
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -5,6 +5,8 @@
 
 /* What was admitted is reported after this time at the latest. */
 #define REPORT_US 250000
+/* How often an entry that has just started looks for a link. */
+#define LINKS_US 20000
 /* Who is asked in turn: the owner, and those that stand in for it. */
 #define TRIES 3
 /* A caller that was refused because nobody answered comes to another entry,
@@ -278,6 +280,36 @@
     return true;
 }
 
+static void
+links_due(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+
+    if (pgw_quota_admit(exchange->gateway->quota, exchange)) {
+        pgw_exchange_place(exchange);
+    }
+}
+
+/*
+ * Failure: an entry that has just started has its configuration before it has
+ * connected to any sidecar. Symptom: callers are refused for quotas that are
+ * hardly used. Requests wait for the links, but not for long.
+ */
+static bool
+waits_for_links(struct pgw_quota *quota, struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = quota->gateway;
+
+    if (pgw_now_us() - gateway->started_us >=
+        gateway->options.quota_start_us) {
+        return false;
+    }
+    exchange->attempt_timer.on_due = links_due;
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer, LINKS_US);
+    return true;
+}
+
 bool
 pgw_quota_admit(struct pgw_quota *quota, struct pgw_exchange *exchange)
 {
@@ -299,6 +331,7 @@
         return true;
     case PGW_QUOTA_ASK:
         return !ask_owner(quota, workspace, exchange) &&
+               !waits_for_links(quota, exchange) &&
                decide_alone(quota, workspace, exchange);
     case PGW_QUOTA_REFUSE:
         break;
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -252,6 +252,7 @@
         .hedge_share = 1000,
         .probe_wait_us = probe_wait_us,
         .quota_wait_us = SCENE_TIMEOUT_S * 1000000ULL,
+        .quota_start_us = start_pause_us,
         .start_pause_us = start_pause_us,
     };
 
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -54,8 +54,9 @@
  * waited for, in microseconds */
 struct scene *scene_new_waiting(unsigned upstreams, uint64_t probe_wait_us);
 
-/** scene_new_paused() - the same, where callers wait for the configuration as
- * long as the test may take: a busy machine ends that pause no sooner */
+/** scene_new_paused() - the same, where callers wait for the configuration,
+ * and requests for links to sidecars, as long as the test may take: a busy
+ * machine ends that pause no sooner */
 struct scene *scene_new_paused(unsigned upstreams);
 
 /** scene_stop_listening() - nobody listens at an upstream's address any more
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -102,10 +102,8 @@
 }
 
 static struct scene *
-open_scene(void)
+set_up(struct scene *scene)
 {
-    struct scene *scene = scene_new(1);
-
     memset(&owners, 0, sizeof(owners));
     for (int i = 0; i < OWNERS; i++) {
         owners.reachable[i] = true;
@@ -115,6 +113,12 @@
     return scene;
 }
 
+static struct scene *
+open_scene(void)
+{
+    return set_up(scene_new(1));
+}
+
 static void
 expect(int caller, const char *status, const char *text)
 {
@@ -219,6 +223,29 @@
     scene_free(scene);
 }
 
+/* Callers that come to an entry before it has reached any sidecar must be
+ * served once it has, not refused for a quota that nobody has used. */
+static void
+test_waits_for_links(void)
+{
+    struct scene *scene = set_up(scene_new_paused(1));
+    int caller;
+
+    memset(owners.reachable, 0, sizeof(owners.reachable));
+    caller = scene_call(scene, "/once/", "a");
+    for (unsigned i = 0; i < 50; i++) {
+        scene_run(scene, do_nothing);
+    }
+    for (int i = 0; i < OWNERS; i++) {
+        owners.reachable[i] = true;
+    }
+    wait_for_asks(scene, 1);
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    scene_run(scene, answer_ask);
+    serve(scene, caller, "a");
+    scene_free(scene);
+}
+
 /* What was taken for a request that no upstream ran must be given back: else
  * callers are refused below their quota. */
 static void
@@ -254,6 +281,7 @@
     g_test_add_func("/quota/owner_decides", test_owner_decides);
     g_test_add_func("/quota/plenty", test_plenty_is_not_asked_for);
     g_test_add_func("/quota/stand_in", test_others_stand_in);
+    g_test_add_func("/quota/waits_for_links", test_waits_for_links);
     g_test_add_func("/quota/given_back", test_not_run_is_given_back);
     return g_test_run();
 }
