--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,7 +45,7 @@
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
  * @probe_wait_us: for how long the answers of sidecars are waited for
- * @quota_wait_us: for how long the word of a quota's owner is waited for
+ * @quota_wait_us: for how long the answer of a quota's owner is waited for
  * @quota_start_us: until so long after the start requests wait for the links
  * to owners of quotas
  * @start_pause_us: for how long connections of callers wait for the first
@@ -195,7 +195,7 @@
 uint64_t pgw_gateway_weights(const struct pgw_gateway *gateway,
                              const char *model);
 
-/** pgw_gateway_quota() - quotas of workspaces, to be told of answers */
+/** pgw_gateway_quota() - quotas of workspaces, which take owners' answers */
 struct pgw_quota *pgw_gateway_quota(struct pgw_gateway *gateway);
 
 /** pgw_gateway_set_entries() - how many entries share quotas and the bounds of
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -59,7 +59,8 @@
     return has_tokens ? tokens : units->plain;
 }
 
-/* Sends what is to be told, to the first that can be reached. */
+/* Sends an ask with all that is unreported to the first that can be reached.
+ */
 static bool
 send_ask(struct pgw_quota *quota, struct workspace_quota *workspace,
          uint64_t ask, double cost)
@@ -181,7 +182,9 @@
     if (version >= workspace->terms.version) {
         workspace->terms = (struct pgw_quota_terms){
             .rate = said->quota_rate,
-            .burst = said->quota_burst,
+            /* An empty bucket that takes nothing would never grant. */
+            .burst = said->quota_burst > 0 ? said->quota_burst
+                                           : said->quota_rate / 2,
             .version = version,
         };
     }
@@ -212,7 +215,8 @@
     pgw_exchange_refuse(exchange, 429, "over_quota", (uint32_t)retry_ms);
 }
 
-/* When a caller should come back that is refused on the owner's word. */
+/* When a caller should come back that is refused by the owner's last answer.
+ */
 static uint64_t
 retry_ms_of(const struct pgw_quota_share *share)
 {
--- a/src/gateway/quota_bucket.c
+++ b/src/gateway/quota_bucket.c
@@ -5,8 +5,8 @@
 
 /* Refused units count for so long, falling off evenly. */
 #define REFUSED_US 1000000
-/* Bounds of what a refused caller is told: sooner it only comes to be refused
- * again, later most callers have given up. */
+/* Bounds of the time after which a refused caller comes back: sooner it only
+ * comes to be refused again, later most callers have given up. */
 #define RETRY_LEAST_MS 50
 #define RETRY_MOST_MS 2000
 /* A bucket that nobody asked for so long is full. */
--- a/src/gateway/quota_share.c
+++ b/src/gateway/quota_share.c
@@ -1,7 +1,7 @@
 #include "gateway/quota_share.h"
 #include <glib.h>
 
-/* The owner's word is believed for so long. */
+/* The owner's answer holds for so long. */
 #define FRESH_US 1000000
 /* Part of a bucket that all entries together may admit without asking. */
 #define FREE_PART 0.25
--- a/src/gateway/quota_share.h
+++ b/src/gateway/quota_share.h
@@ -8,24 +8,24 @@
  *
  * While the bucket at the owner is more than half full, an entry admits a
  * small part of it by itself and reports it afterwards. Everything else waits
- * for the owner's word: long prompts, and all requests of a workspace that is
- * near its quota. What an entry keeps for itself so is small, and void after a
- * second, however long the process was suspended.
+ * for the owner's answer: long prompts, and all requests of a workspace that
+ * is near its quota. What an entry keeps for itself so is small, and void
+ * after a second, however long the process was suspended.
  *
- * An entry that gets no word admits what the bounds leave beside all that the
- * owner may grant to the others meanwhile.
+ * An entry that gets no answer admits what the bounds leave beside all that
+ * the owner may grant to the others meanwhile.
  */
 
 /**
  * struct pgw_quota_share - one workspace at one entry; zeroed: nothing known
  * @level: of the bucket, as the owner last said
  * @level_at_us: when that was, 0: never
- * @unreported: units admitted that the owner has not been told
- * @unanswered: units that it was told since it last answered
- * @refused: units refused that it has not been told
+ * @unreported: units admitted and not reported to the owner yet
+ * @unanswered: units reported since its last answer
+ * @refused: units refused and not reported yet
  * @refuse_until_us: the owner refuses until then
  * @retry_at_us: when refused callers should come back
- * @alone: units that may be admitted without the owner's word
+ * @alone: units that may be admitted without the owner's answer
  * @alone_at_us: when that was worked out, 0: never
  */
 struct pgw_quota_share {
@@ -81,17 +81,17 @@
 /** pgw_quota_share_spend() - units were admitted, or given back if below 0 */
 void pgw_quota_share_spend(struct pgw_quota_share *share, double units);
 
-/** pgw_quota_share_is_due() - the owner must be told what was spent */
+/** pgw_quota_share_is_due() - what was spent must be reported now */
 bool pgw_quota_share_is_due(const struct pgw_quota_share *share,
                             const struct pgw_quota_terms *terms,
                             uint32_t entries);
 
-/** pgw_quota_share_report() - fill in what the owner is told now, and count
- * it as told */
+/** pgw_quota_share_report() - fill in what is unreported, and count it as
+ * reported */
 void pgw_quota_share_report(struct pgw_quota_share *share,
                             struct pgw_quota_request *out);
 
-/** pgw_quota_share_take() - the owner's word */
+/** pgw_quota_share_take() - the owner's answer */
 void pgw_quota_share_take(struct pgw_quota_share *share,
                           const struct pgw_quota_answer *answer,
                           uint64_t now_us);
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -126,14 +126,15 @@
 }
 
 static void
-set_routes(struct scene *scene, uint64_t version, const char *key, double rate)
+set_routes(struct scene *scene, uint64_t version, const char *key, double rate,
+           double burst)
 {
     const char *keys[] = {key, NULL};
     const char *later_keys[] = {SCENE_KEY_LATER, NULL};
     struct pgw_workspace workspace = {
         .name = g_strdup("parish"),
         .quota_rate = rate,
-        .quota_burst = rate,
+        .quota_burst = burst,
     };
     struct pgw_workspace later = {.name = g_strdup("hostel"), .priority = 1};
 
@@ -147,13 +148,14 @@
 void
 scene_set_routes(struct scene *scene, uint64_t version, bool with_key)
 {
-    set_routes(scene, version, with_key ? SCENE_KEY : "other-key", 0);
+    set_routes(scene, version, with_key ? SCENE_KEY : "other-key", 0, 0);
 }
 
 void
-scene_set_quota(struct scene *scene, uint64_t version, double rate)
+scene_set_quota(struct scene *scene, uint64_t version, double rate,
+                double burst)
 {
-    set_routes(scene, version, SCENE_KEY, rate);
+    set_routes(scene, version, SCENE_KEY, rate, burst);
 }
 
 static void
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -88,8 +88,9 @@
 void scene_set_routes(struct scene *scene, uint64_t version, bool with_key);
 
 /** scene_set_quota() - the same with the key, whose workspace may spend @rate
- * requests a second */
-void scene_set_quota(struct scene *scene, uint64_t version, double rate);
+ * requests a second, and @burst at once */
+void scene_set_quota(struct scene *scene, uint64_t version, double rate,
+                     double burst);
 
 /** scene_call() - connect as a caller and send a request; returns the socket
  */
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -108,7 +108,7 @@
     for (int i = 0; i < OWNERS; i++) {
         owners.reachable[i] = true;
     }
-    scene_set_quota(scene, 5, 100);
+    scene_set_quota(scene, 5, 100, 100);
     scene_run(scene, add_owners);
     return scene;
 }
@@ -168,6 +168,23 @@
     scene_free(scene);
 }
 
+/* A quota without a burst must not refuse everything. */
+static void
+test_no_burst(void)
+{
+    struct scene *scene = set_up(scene_new(1));
+    int caller;
+
+    scene_set_quota(scene, 6, 100, 0);
+    caller = scene_call(scene, "/once/", "a");
+    wait_for_asks(scene, 1);
+    g_assert_cmpfloat(owners.last.request.terms.burst, ==, 50);
+    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    scene_run(scene, answer_ask);
+    serve(scene, caller, "a");
+    scene_free(scene);
+}
+
 /* Requests of a workspace that is far below its quota must not wait for the
  * owner's word each time. */
 static void
@@ -279,6 +296,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quota/owner_decides", test_owner_decides);
+    g_test_add_func("/quota/no_burst", test_no_burst);
     g_test_add_func("/quota/plenty", test_plenty_is_not_asked_for);
     g_test_add_func("/quota/stand_in", test_others_stand_in);
     g_test_add_func("/quota/waits_for_links", test_waits_for_links);
