--- a/tests/unit/test_quota_play.c
+++ b/tests/unit/test_quota_play.c
@@ -1,5 +1,6 @@
 #include "gateway/quota_share.h"
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 /*
@@ -15,6 +16,9 @@
 #define WAIT_US (40 * MS)
 #define REPORT_US (250 * MS)
 #define PLAY_US (40000 * MS)
+/* Drawn schedules, and the length of each. */
+#define SCHEDULES 150
+#define SCHEDULE_US (24000 * MS)
 
 static const struct pgw_quota_bounds bounds = {8, 0.1, 190000};
 
@@ -43,6 +47,12 @@
  * @cut_from_us: from then on some entries reach nobody,
  * @cut_until_us: until then,
  * @cut: these many
+ * @length_us: how long it lasts, 0: %PLAY_US
+ * @way_us: a way takes up to so much, 0: always %WAY_US
+ * @lost_in: one word in so many is lost, 0: none
+ * @suspended: the entry that stands still
+ * @suspended_from_us: from then on
+ * @suspended_until_us: until then
  */
 struct play {
     struct pgw_quota_terms terms;
@@ -53,6 +63,13 @@
     uint64_t cut_from_us;
     uint64_t cut_until_us;
     unsigned cut;
+    uint64_t length_us;
+    uint64_t way_us;
+    unsigned lost_in;
+    unsigned suspended;
+    uint64_t suspended_from_us;
+    uint64_t suspended_until_us;
+    GRand *random;
     struct pgw_quota_buckets *owner;
     struct pgw_quota_share shares[ENTRIES];
     uint64_t reported_us[ENTRIES];
@@ -77,15 +94,26 @@
     g_array_append_val(play->runs, run);
 }
 
+static uint64_t
+way(struct play *play)
+{
+    return play->way_us == 0
+               ? WAY_US
+               : MS * (uint64_t)g_rand_int_range(play->random, 1,
+                                                 (int)(play->way_us / MS) + 1);
+}
+
 static void
 send_word(struct play *play, unsigned entry, double cost, uint64_t now_us)
 {
     struct word *word = g_new0(struct word, 1);
 
-    word->at_us = now_us + WAY_US;
+    word->at_us = now_us + way(play);
     word->asked_us = now_us;
     word->entry = entry;
-    word->lost = is_cut(play, entry, now_us);
+    word->lost = is_cut(play, entry, now_us) ||
+                 (play->lost_in > 0 &&
+                  g_rand_int_range(play->random, 0, (int)play->lost_in) == 0);
     word->request = (struct pgw_quota_request){
         .workspace = 1,
         .terms = play->terms,
@@ -141,7 +169,7 @@
         pgw_quota_buckets_take(&word->answer, play->owner, &word->request,
                                now_us);
         word->is_answer = true;
-        word->at_us = now_us + WAY_US;
+        word->at_us = now_us + way(play);
         return false;
     }
     pgw_quota_share_take(share, &word->answer, now_us);
@@ -154,6 +182,13 @@
     return true;
 }
 
+static bool
+is_suspended(const struct play *play, unsigned entry, uint64_t now_us)
+{
+    return entry == play->suspended && now_us >= play->suspended_from_us &&
+           now_us < play->suspended_until_us;
+}
+
 static void
 take_words(struct play *play, uint64_t now_us)
 {
@@ -162,7 +197,9 @@
     for (unsigned i = 0; i < count; i++) {
         struct word *word = g_queue_pop_head(play->words);
 
-        if (word->at_us > now_us || !take_word(play, word, now_us)) {
+        if (word->at_us > now_us ||
+            (is_suspended(play, word->entry, now_us) && word->is_answer) ||
+            !take_word(play, word, now_us)) {
             g_queue_push_tail(play->words, word);
         }
         else {
@@ -177,6 +214,9 @@
 {
     struct pgw_quota_share *share = &play->shares[entry];
 
+    if (is_suspended(play, entry, now_us)) {
+        return;
+    }
     play->asked += tokens;
     switch (
         pgw_quota_share_decide(share, &play->terms, ENTRIES, tokens, now_us)) {
@@ -209,14 +249,17 @@
 static void
 run_play(struct play *play)
 {
-    GRand *random = g_rand_new_with_seed(42);
+    uint64_t end = play->length_us == 0 ? PLAY_US : play->length_us;
     double due[2] = {0, 0};
     const double sizes[2] = {17000, 390};
 
+    if (play->random == NULL) {
+        play->random = g_rand_new_with_seed(42);
+    }
     play->words = g_queue_new();
     play->runs = g_array_new(FALSE, FALSE, sizeof(struct run));
     begin_owner(play, true);
-    for (uint64_t now = MS; now < PLAY_US; now += MS) {
+    for (uint64_t now = MS; now < end; now += MS) {
         if (play->restart_us > 0 && now == play->restart_us) {
             begin_owner(play, false);
             play->restarted = play->restart_all;
@@ -228,12 +271,12 @@
         for (size_t kind = 0; kind < 2; kind++) {
             for (due[kind] += play->load / 2 / 1000; due[kind] > 0;) {
                 double tokens =
-                    sizes[kind] * g_rand_double_range(random, 0.2, 1.8);
+                    sizes[kind] * g_rand_double_range(play->random, 0.2, 1.8);
 
                 due[kind] -= tokens;
-                request_comes(play,
-                              (unsigned)g_rand_int_range(random, 0, ENTRIES),
-                              tokens, now);
+                request_comes(
+                    play, (unsigned)g_rand_int_range(play->random, 0, ENTRIES),
+                    tokens, now);
             }
         }
         for (unsigned i = 0; i < ENTRIES; i++) {
@@ -244,7 +287,6 @@
             }
         }
     }
-    g_rand_free(random);
 }
 
 /* Most tokens that ran in any window of the bound's length. */
@@ -291,6 +333,7 @@
 static void
 end_play(struct play *play)
 {
+    g_rand_free(play->random);
     g_queue_free_full(play->words, g_free);
     g_array_unref(play->runs);
     pgw_quota_buckets_free(play->owner);
@@ -376,6 +419,50 @@
     }
 }
 
+static uint64_t
+draw_us(GRand *random, unsigned least_s, unsigned most_s)
+{
+    return MS * (uint64_t)g_rand_int_range(random, (int)least_s * 1000,
+                                           (int)most_s * 1000);
+}
+
+/* Schedules drawn from a seed: loads around and above the quota, slow and lost
+ * words, an owner that starts again, entries that are cut off and one that is
+ * suspended with its answers. None may break the bound. */
+static void
+test_drawn_schedules(void)
+{
+    for (unsigned seed = 0; seed < SCHEDULES; seed++) {
+        GRand *random = g_rand_new_with_seed(seed);
+        double rate =
+            exp(g_rand_double_range(random, log(47000), log(604586)));
+        struct play play = {
+            .terms = {rate, rate, 1},
+            .load = rate * g_rand_double_range(random, 0.5, 7),
+            .restart_us = g_rand_boolean(random) ? draw_us(random, 2, 20) : 0,
+            .restart_all = g_rand_boolean(random),
+            .cut_from_us = draw_us(random, 1, 10),
+            .cut = (unsigned)g_rand_int_range(random, 0, 12),
+            .length_us = SCHEDULE_US,
+            .way_us = draw_us(random, 0, 1) / 30 + MS,
+            .lost_in = (unsigned)g_rand_int_range(random, 20, 200),
+            .suspended = (unsigned)g_rand_int_range(random, 0, ENTRIES),
+            .suspended_from_us = draw_us(random, 1, 15),
+            .random = random,
+        };
+
+        play.cut_until_us = play.cut_from_us + draw_us(random, 1, 12);
+        play.suspended_until_us =
+            play.suspended_from_us + draw_us(random, 1, 5);
+        run_play(&play);
+        if (most_in_window(&play) > allowed(&play)) {
+            g_error("seed %u: %.0f units ran in a window, %.0f are allowed",
+                    seed, most_in_window(&play), allowed(&play));
+        }
+        end_play(&play);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -384,5 +471,6 @@
     g_test_add_func("/quota_play/below", test_below_the_quota);
     g_test_add_func("/quota_play/owner_restarts", test_owner_restarts);
     g_test_add_func("/quota_play/cut_off", test_entries_are_cut_off);
+    g_test_add_func("/quota_play/schedules", test_drawn_schedules);
     return g_test_run();
 }
