Look at what quota owners were asked under a lock in test_quota

The product's code is not concerned. Change: what both threads use is under a lock; all checks are as they were.

--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -1,4 +1,5 @@
 #include "scene_gateway.h"
+#include <pthread.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -22,25 +23,73 @@
     struct pgw_quota_answer answer;
 };
 
+/* Asked on the gateway's thread, looked at on the test's. */
 static struct owners owners;
+static pthread_mutex_t owners_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static struct owners
+look(void)
+{
+    struct owners copy;
+
+    pthread_mutex_lock(&owners_lock);
+    copy = owners;
+    pthread_mutex_unlock(&owners_lock);
+    return copy;
+}
+
+static void
+set_reachable(int position, bool reachable)
+{
+    pthread_mutex_lock(&owners_lock);
+    owners.reachable[position] = reachable;
+    pthread_mutex_unlock(&owners_lock);
+}
+
+static void
+set_all_reachable(bool reachable)
+{
+    for (int i = 0; i < OWNERS; i++) {
+        set_reachable(i, reachable);
+    }
+}
+
+static void
+set_answer(struct pgw_quota_answer answer)
+{
+    pthread_mutex_lock(&owners_lock);
+    owners.answer = answer;
+    pthread_mutex_unlock(&owners_lock);
+}
+
+static void
+forget_asks(void)
+{
+    pthread_mutex_lock(&owners_lock);
+    memset(&owners, 0, sizeof(owners));
+    pthread_mutex_unlock(&owners_lock);
+}
 
 static bool
 ask_quota(void *context, const struct pgw_upstream *upstream,
           const struct pgw_quota_ask *ask)
 {
     int position = atoi(upstream->id + 1);
+    bool reachable;
 
     (void)context;
-    if (!owners.reachable[position]) {
-        return false;
+    pthread_mutex_lock(&owners_lock);
+    reachable = owners.reachable[position];
+    if (reachable) {
+        owners.given_back -= MIN(ask->request.spent, 0);
     }
-    owners.given_back -= MIN(ask->request.spent, 0);
-    if (ask->ask != 0) {
+    if (reachable && ask->ask != 0) {
         owners.asks++;
         owners.last = *ask;
         owners.asked = position;
     }
-    return true;
+    pthread_mutex_unlock(&owners_lock);
+    return reachable;
 }
 
 static const struct pgw_sidecar_ops ops = {.ask_quota = ask_quota};
@@ -73,13 +122,14 @@
 static void
 answer_ask(struct scene *scene)
 {
+    struct owners seen = look();
     char id[16];
 
-    g_snprintf(id, sizeof(id), "e%d", owners.asked);
+    g_snprintf(id, sizeof(id), "e%d", seen.asked);
     pgw_quota_answered(
         pgw_gateway_quota(scene->gateway),
         pgw_upstream_table_find(pgw_gateway_upstreams(scene->gateway), id),
-        owners.last.request.workspace, owners.last.ask, &owners.answer);
+        seen.last.request.workspace, seen.last.ask, &seen.answer);
 }
 
 static void
@@ -93,21 +143,19 @@
 {
     for (unsigned i = 0; i < 20000; i++) {
         scene_run(scene, do_nothing);
-        if (owners.asks >= asks) {
+        if (look().asks >= asks) {
             return;
         }
         g_usleep(1000);
     }
-    g_assert_cmpuint(owners.asks, >=, asks);
+    g_assert_cmpuint(look().asks, >=, asks);
 }
 
 static struct scene *
 set_up(struct scene *scene)
 {
-    memset(&owners, 0, sizeof(owners));
-    for (int i = 0; i < OWNERS; i++) {
-        owners.reachable[i] = true;
-    }
+    forget_asks();
+    set_all_reachable(true);
     scene_set_quota(scene, 5, 100, 100);
     scene_run(scene, add_owners);
     return scene;
@@ -149,21 +197,21 @@
     int caller = scene_call(scene, "/once/", "a");
 
     wait_for_asks(scene, 1);
-    g_assert_cmpfloat(owners.last.request.cost, ==, 1);
-    g_assert_cmpfloat(owners.last.request.terms.rate, ==, 100);
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    g_assert_cmpfloat(look().last.request.cost, ==, 1);
+    g_assert_cmpfloat(look().last.request.terms.rate, ==, 100);
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 10});
     scene_run(scene, answer_ask);
     serve(scene, caller, "a");
     caller = scene_call(scene, "/once/", "b");
     wait_for_asks(scene, 2);
-    owners.answer = (struct pgw_quota_answer){
-        .level = -500, .wait_ms = 590000, .retry_ms = 590000};
+    set_answer((struct pgw_quota_answer){
+        .level = -500, .wait_ms = 590000, .retry_ms = 590000});
     scene_run(scene, answer_ask);
     expect(caller, "HTTP/1.1 429 ", "\"ran\":\"no\"");
     /* What the owner said holds for the next one, too. */
     caller = scene_call(scene, "/once/", "c");
     expect(caller, "HTTP/1.1 429 ", "Retry-After: 5");
-    g_assert_cmpuint(owners.asks, ==, 2);
+    g_assert_cmpuint(look().asks, ==, 2);
     g_assert_true(scene_is_quiet(scene, 0));
     scene_free(scene);
 }
@@ -178,8 +226,8 @@
     scene_set_quota(scene, 6, 100, 0);
     caller = scene_call(scene, "/once/", "a");
     wait_for_asks(scene, 1);
-    g_assert_cmpfloat(owners.last.request.terms.burst, ==, 50);
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    g_assert_cmpfloat(look().last.request.terms.burst, ==, 50);
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 10});
     scene_run(scene, answer_ask);
     serve(scene, caller, "a");
     scene_free(scene);
@@ -193,24 +241,24 @@
     struct scene *scene = open_scene();
     unsigned calls = 0;
 
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 99};
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 99});
     /* The owner's word is fresh for a time: on a busy machine not for the next
      * call, but for one of many. */
-    while (calls == owners.asks && calls < 100) {
-        unsigned asks = owners.asks;
+    while (calls == look().asks && calls < 100) {
+        unsigned asks = look().asks;
         int caller = scene_call(scene, "/once/", "a");
 
         calls++;
         while (scene_is_quiet(scene, 0)) {
             scene_run(scene, do_nothing);
-            if (owners.asks > asks) {
-                asks = owners.asks;
+            if (look().asks > asks) {
+                asks = look().asks;
                 scene_run(scene, answer_ask);
             }
         }
         serve(scene, caller, "a");
     }
-    g_assert_cmpuint(owners.asks, <, calls);
+    g_assert_cmpuint(look().asks, <, calls);
     scene_free(scene);
 }
 
@@ -224,17 +272,17 @@
     int caller = scene_call(scene, "/once/", "a");
 
     wait_for_asks(scene, 1);
-    g_assert_false(owners.last.stands_in);
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    g_assert_false(look().last.stands_in);
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 10});
     scene_run(scene, answer_ask);
     serve(scene, caller, "a");
-    owners.reachable[owners.asked] = false;
+    set_reachable(look().asked, false);
     caller = scene_call(scene, "/once/", "b");
     wait_for_asks(scene, 2);
-    g_assert_true(owners.last.stands_in);
+    g_assert_true(look().last.stands_in);
     scene_run(scene, answer_ask);
     serve(scene, caller, "b");
-    memset(owners.reachable, 0, sizeof(owners.reachable));
+    set_all_reachable(false);
     caller = scene_call(scene, "/once/", "c");
     expect(caller, "HTTP/1.1 429 ", "\"ran\":\"no\"");
     scene_free(scene);
@@ -248,16 +296,14 @@
     struct scene *scene = set_up(scene_new_paused(1));
     int caller;
 
-    memset(owners.reachable, 0, sizeof(owners.reachable));
+    set_all_reachable(false);
     caller = scene_call(scene, "/once/", "a");
     for (unsigned i = 0; i < 50; i++) {
         scene_run(scene, do_nothing);
     }
-    for (int i = 0; i < OWNERS; i++) {
-        owners.reachable[i] = true;
-    }
+    set_all_reachable(true);
     wait_for_asks(scene, 1);
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 10});
     scene_run(scene, answer_ask);
     serve(scene, caller, "a");
     scene_free(scene);
@@ -277,7 +323,7 @@
         scene_run(scene, do_nothing);
     }
     /* Too late: its caller has left. */
-    owners.answer = (struct pgw_quota_answer){.granted = 1, .level = 10};
+    set_answer((struct pgw_quota_answer){.granted = 1, .level = 10});
     scene_run(scene, answer_ask);
     scene_stop_listening(scene, 0);
     caller = scene_call(scene, "/late/", "b");
@@ -286,7 +332,7 @@
     expect(caller, "HTTP/1.1 503 ", "\"ran\":\"no\"");
     caller = scene_call(scene, "/once/", "c");
     wait_for_asks(scene, 3);
-    g_assert_cmpfloat(owners.given_back, ==, 2);
+    g_assert_cmpfloat(look().given_back, ==, 2);
     close(caller);
     scene_free(scene);
 }
