End requests whose upstream's process is known to be over

Change: what was sent to a process before another one took its place, and has had no byte for 0.4 s since, is repeated or ended at once.

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -267,12 +267,19 @@
     const char *outcome;
     void (*blame)(struct inquiry *inquiry, const struct pgw_log_line *attempt);
 } attempts[] = {
-    {"not_run", blame_refusal},       {"no_connection", blame_unreachable},
-    {"no_socket", blame_unreachable}, {"closed", blame_broken},
-    {"timeout", blame_broken},        {"garbled", blame_damage},
-    {"cut_event", blame_damage},      {"not_genuine", blame_damage},
-    {"out_of_order", blame_damage},   {"answer_too_large", blame_damage},
-    {"silent", blame_silence},        {"error", blame_error},
+    {"not_run", blame_refusal},
+    {"no_connection", blame_unreachable},
+    {"no_socket", blame_unreachable},
+    {"closed", blame_broken},
+    {"timeout", blame_broken},
+    {"process_ended", blame_broken},
+    {"garbled", blame_damage},
+    {"cut_event", blame_damage},
+    {"not_genuine", blame_damage},
+    {"out_of_order", blame_damage},
+    {"answer_too_large", blame_damage},
+    {"silent", blame_silence},
+    {"error", blame_error},
 };
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
  * @wait_share: part of a request's time that it may wait for a place
  * @hedge_share: part of the objective after which a silent upstream is given
  *   up for a request that may run again
+ * @last_bytes_us: what a process sent may come so long after another one was
+ *   first known to have taken its place
  * @probe_wait_us: for how long the answers of sidecars are waited for
  * @quota_wait_us: for how long the answer of a quota's owner is waited for
  * @quota_start_us: until so long after the start requests wait for the links
@@ -68,6 +70,7 @@
     uint64_t new_weights_us;
     double wait_share;
     double hedge_share;
+    uint64_t last_bytes_us;
     uint64_t probe_wait_us;
     uint64_t quota_wait_us;
     uint64_t quota_start_us;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -44,7 +44,8 @@
     const struct pgw_codec *codec = exchange->gateway->options.codec;
     struct pgw_answer_facts facts = {0};
 
-    pgw_upstream_note_answer(exchange->upstream, pgw_now_us());
+    exchange->heard_us = pgw_now_us();
+    pgw_upstream_note_answer(exchange->upstream, exchange->heard_us);
     codec->read_answer(&facts, head);
     /*
      * Failure: the answer to an earlier request on this connection comes late,
@@ -72,6 +73,7 @@
             pgw_log_info("upstream_displaced", "upstream=%s by=%s",
                          exchange->upstream->id, facts.instance);
             exchange->upstream->displaced = true;
+            exchange->upstream->ended_at_us = pgw_now_us();
             pgw_poison_crashed(exchange->gateway->poison,
                                exchange->upstream->id, pgw_now_us());
             if (exchange->gateway->options.on_answered_by != NULL) {
@@ -167,7 +169,8 @@
 {
     struct pgw_exchange *exchange = exchange_of(call);
 
-    pgw_upstream_note_answer(exchange->upstream, pgw_now_us());
+    exchange->heard_us = pgw_now_us();
+    pgw_upstream_note_answer(exchange->upstream, exchange->heard_us);
     if (exchange->not_run || exchange->caller == NULL) {
         return;
     }
--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -20,6 +20,10 @@
     .name = "pgw_gateway_moved_total",
     .help = "Requests sent on since their upstream had fallen silent",
 };
+static struct pgw_metric_counter orphaned = {
+    .name = "pgw_gateway_orphaned_total",
+    .help = "Requests whose upstream's process was over without an answer",
+};
 
 /* Says once that an upstream has fallen silent, and once that it has not. */
 static bool
@@ -104,6 +108,32 @@
     pgw_attempt_repeat(exchange, "silent");
 }
 
+/* Sent to a process whose place another one has taken, and nothing has come
+ * since. */
+static bool
+is_orphaned(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    uint64_t ended =
+        exchange->upstream == NULL ? 0 : exchange->upstream->ended_at_us;
+
+    return exchange->sent_us < ended && pgw_call_is_running(&exchange->call) &&
+           now_us >= MAX(ended, exchange->heard_us) +
+                         exchange->gateway->options.last_bytes_us;
+}
+
+/*
+ * Failure: the machine of an upstream loses its power, so that nothing closes
+ * its connections, and its successor is listed. Symptom: callers wait for the
+ * dead process until their deadlines.
+ */
+static void
+end_orphaned(struct pgw_exchange *exchange)
+{
+    pgw_metric_counter_add(&orphaned, 1);
+    pgw_call_cancel(&exchange->call);
+    pgw_attempt_unknown(exchange, "process_ended");
+}
+
 void
 pgw_unresponsive_look(struct pgw_gateway *gateway)
 {
@@ -120,7 +150,10 @@
         struct pgw_exchange *exchange =
             pgw_container_of(link, struct pgw_exchange, in_gateway);
 
-        if (is_stuck(exchange, now)) {
+        if (is_orphaned(exchange, now)) {
+            end_orphaned(exchange);
+        }
+        else if (is_stuck(exchange, now)) {
             move(exchange, now);
         }
     }
@@ -141,6 +174,7 @@
 {
     pgw_metric_register_gauge(&silent_now);
     pgw_metric_register_counter(&moved);
+    pgw_metric_register_counter(&orphaned);
     gateway->unresponsive_timer.on_due = look_due;
     pgw_timer_start(gateway->loop, &gateway->unresponsive_timer, LOOK_US);
 }
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -226,6 +226,7 @@
         }
         pgw_log_info("upstream_replaced", "upstream=%s by=%s", other->id,
                      facts->id);
+        other->ended_at_us = (uint64_t)g_get_monotonic_time();
         pgw_upstream_table_remove(table, other);
     }
 #endif
@@ -294,6 +295,7 @@
                  " before_ms=%" G_GUINT64_FORMAT,
                  upstream->id, started_ms, before);
     remember_start(upstream, before);
+    upstream->ended_at_us = (uint64_t)g_get_monotonic_time();
     if (!upstream->leaving && table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -90,6 +90,9 @@
  * @earlier_ms: starts before it, of which late words may come
  * @earlier_count: number of @earlier_ms
  * @displaced: another incarnation answered at its address
+ * @ended_at_us: when another process was first known to have taken the place
+ *   of one that ran here; what was sent before has nobody to answer it, 0:
+ * never
  * @removed: no longer in the list
  * @lapsed_at_us: when it was dropped from the list
  * @lapsed_until_us: dropped from the list while the platform's store was away;
@@ -139,6 +142,7 @@
     size_t earlier_count;
     bool leaving;
     bool displaced;
+    uint64_t ended_at_us;
     bool removed;
     uint64_t lapsed_at_us;
     uint64_t lapsed_until_us;
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -59,6 +59,10 @@
  * machine ends that pause no sooner */
 struct scene *scene_new_paused(unsigned upstreams);
 
+/** scene_new_impatient() - the same, where nothing is expected of a process
+ * any more once another one has its place */
+struct scene *scene_new_impatient(unsigned upstreams);
+
 /** scene_stop_listening() - nobody listens at an upstream's address any more
  */
 void scene_stop_listening(struct scene *scene, unsigned upstream);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -887,6 +887,62 @@
     scene_free(scene);
 }
 
+/*
+ * An upstream's machine loses its power: nothing closes its connections, and
+ * callers of the dead process wait until their deadlines.
+ */
+static void
+test_process_ended(void)
+{
+    struct scene *scene = scene_new_impatient(1);
+    int once;
+    int dead;
+    int again;
+    int repeat;
+    int successor;
+    char *answer;
+
+    scene_set_routes(scene, 5, true);
+    once = scene_call(scene, "/once/", "a");
+    dead = scene_accept(scene, 0);
+    g_free(scene_read_request(dead));
+    scene_restart_upstreams(scene);
+    answer = scene_read_until(once, "}}");
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 502 "));
+    assert_has(answer, "upstream_lost");
+    assert_has(answer, "\"ran\":\"unknown\"");
+    g_free(answer);
+    close(once);
+    again = scene_call(scene, "/again/", "b");
+    repeat = scene_accept(scene, 0);
+    g_free(scene_read_request(repeat));
+    scene_restart_upstreams(scene);
+    successor = scene_accept(scene, 0);
+    g_free(scene_read_request(successor));
+    scene_answer(successor, "b", 200, "", "ok");
+    expect_ok(again);
+    close(dead);
+    close(repeat);
+    close(successor);
+    scene_free(scene);
+}
+
+/* What a process had answered before its successor was listed is delivered. */
+static void
+test_last_answer_of_a_process(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    scene_restart_upstreams(scene);
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -933,5 +989,8 @@
                     test_crash_shown_by_refused_connections);
     g_test_add_func("/gateway/innocent_beside_crashes",
                     test_innocent_beside_crashes);
+    g_test_add_func("/gateway/process_ended", test_process_ended);
+    g_test_add_func("/gateway/last_answer_of_a_process",
+                    test_last_answer_of_a_process);
     return g_test_run();
 }
