Let unread tokens shrink by the rate of reading

Cause: what a report said to be unread had faded 0.4 s later, whatever it was; a prompt of 17,000 tokens takes half a second beside answers, and nothing is reported in between while the load does not change. Change: it shrinks by the rate that entries observe.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -266,13 +266,14 @@
 /* What was announced is known; of the rest the number of prompts is. */
 static double
 reading_for_others(const struct pgw_upstream *upstream,
-                   const struct pgw_choose_options *options, uint64_t now_us)
+                   const struct pgw_choose_options *options, double read_rate,
+                   uint64_t now_us)
 {
     if (options->long_prefill_tokens <= 0) {
         return 0;
     }
     return upstream->load.unread > 0
-               ? pgw_upstream_unread(upstream, now_us)
+               ? pgw_upstream_unread(upstream, read_rate, now_us)
                : pgw_upstream_long_prefills(upstream, now_us) *
                      options->long_prefill_tokens;
 }
@@ -364,8 +365,9 @@
     if (version < input->least_version) {
         return DBL_MAX;
     }
-    cost = (double)upstream->prefill_tokens +
-           reading_for_others(upstream, options, input->now_us);
+    cost =
+        (double)upstream->prefill_tokens +
+        reading_for_others(upstream, options, input->read_rate, input->now_us);
     cost += missing_cost(upstream, survey->missing[position], input, options,
                          survey);
     cost += crowd_cost(upstream,
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -8,6 +8,9 @@
 #define LOAD_FADE_US 1000000
 /* A long prompt is read in some hundred milliseconds. */
 #define LONG_FADE_US 400000
+/* Sidecars report at least once a second; what was said longer ago may concern
+ * a process that is gone. */
+#define UNREAD_MAX_US 1200000
 /* Weight of one attempt in the moving failure rate: about the last 16 count.
  */
 #define RATE_WEIGHT (1.0 / 16.0)
@@ -631,10 +634,18 @@
 }
 
 double
-pgw_upstream_unread(const struct pgw_upstream *upstream, uint64_t now_us)
+pgw_upstream_unread(const struct pgw_upstream *upstream, double read_rate,
+                    uint64_t now_us)
 {
-    return fading(upstream->load.unread, upstream->load_own_unread, upstream,
-                  now_us);
+    uint64_t reported = upstream->load.unread;
+    uint64_t own = upstream->load_own_unread;
+    uint64_t age = now_us - upstream->memory_at_us;
+
+    if (upstream->memory_at_us == 0 || age >= UNREAD_MAX_US ||
+        reported <= own) {
+        return 0;
+    }
+    return MAX((double)(reported - own) - (double)age / 1000 * read_rate, 0);
 }
 
 double
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -374,10 +374,15 @@
 double pgw_upstream_long_prefills(const struct pgw_upstream *upstream,
                                   uint64_t now_us);
 
-/** pgw_upstream_unread() - prompt tokens that it has to read for others, as
- * far as they were announced */
+/**
+ * pgw_upstream_unread() - prompt tokens that it has to read for others, as far
+ * as they were announced
+ * @upstream: the engine
+ * @read_rate: tokens that an engine reads in a millisecond
+ * @now_us: monotonic time
+ */
 double pgw_upstream_unread(const struct pgw_upstream *upstream,
-                           uint64_t now_us);
+                           double read_rate, uint64_t now_us);
 
 /** pgw_upstream_note()  - account the end of an attempt */
 void pgw_upstream_note(struct pgw_upstream *upstream,
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -237,6 +237,25 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against an engine that looks idle long before it has read what it
+ * was sent. */
+static void
+test_unread(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put(table, "i", false);
+    struct pgw_upstream_load load = {
+        .running = 1, .kv_total = 100000, .long_prefills = 1, .unread = 20000};
+
+    pgw_upstream_take_load(upstream, &load, NOW);
+    g_assert_cmpfloat(pgw_upstream_unread(upstream, 40, NOW), ==, 20000);
+    g_assert_cmpfloat(pgw_upstream_unread(upstream, 40, NOW + 450000), ==,
+                      2000);
+    g_assert_cmpfloat(pgw_upstream_unread(upstream, 40, NOW + 600000), ==, 0);
+    g_assert_cmpfloat(pgw_upstream_unread(upstream, 1, NOW + 2000000), ==, 0);
+    pgw_upstream_table_free(table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -255,6 +274,7 @@
     g_test_add_func("/upstream_table/same_id", test_start_under_the_same_id);
     g_test_add_func("/upstream_table/clock_step",
                     test_start_after_a_clock_step);
+    g_test_add_func("/upstream_table/unread", test_unread);
     g_test_add_func("/upstream_table/divided",
                     test_divided_pool_stays_divided);
     return g_test_run();
