Name the crashed runs that entries exchange by their frame's name

Cause: poison_news, hear, listen and tell are metaphors for records that are sent, taken and counted; the frame that carries them is CrashedRuns. Change: struct pgw_crashed_run, crashed_runs.c, pgw_poison_add, pgw_poison_subscribe; last_byte_us for heard_us. No behaviour changes. Measured: test_poison, prop_poison, test_mesh and test_gateway pass.

--- a/src/gateway/poison_news.c
+++ b/src/gateway/crashed_runs.c
@@ -1,4 +1,4 @@
-#include "gateway/poison_news.h"
+#include "gateway/crashed_runs.h"
 #include "util/log.h"
 #include <string.h>
 
@@ -6,7 +6,7 @@
 #define ITEMS_MAX 1024
 
 static void
-send_some(struct pgw_link *link, const struct pgw_poison_news *news,
+send_some(struct pgw_link *link, const struct pgw_crashed_run *crashed,
           size_t count)
 {
     Pgw__CrashedRuns message = PGW__CRASHED_RUNS__INIT;
@@ -15,10 +15,10 @@
 
     for (size_t i = 0; i < count; i++) {
         pgw__crashed_run__init(&items[i]);
-        items[i].fingerprint.data = (uint8_t *)news[i].fingerprint.bytes;
-        items[i].fingerprint.len = sizeof(news[i].fingerprint.bytes);
-        items[i].crash = news[i].crash;
-        items[i].age_us = news[i].age_us;
+        items[i].fingerprint.data = (uint8_t *)crashed[i].fingerprint.bytes;
+        items[i].fingerprint.len = sizeof(crashed[i].fingerprint.bytes);
+        items[i].crash = crashed[i].crash;
+        items[i].age_us = crashed[i].age_us;
         pointers[i] = &items[i];
     }
     message.n_runs = count;
@@ -29,32 +29,32 @@
 }
 
 void
-pgw_poison_news_send(struct pgw_link *link, const struct pgw_poison_news *news,
-                     size_t count)
+pgw_crashed_runs_send(struct pgw_link *link,
+                      const struct pgw_crashed_run *crashed, size_t count)
 {
     for (size_t i = 0; i < count; i += ITEMS_MAX) {
-        send_some(link, news + i, MIN(count - i, ITEMS_MAX));
+        send_some(link, crashed + i, MIN(count - i, ITEMS_MAX));
     }
 }
 
 void
-pgw_poison_news_take(struct pgw_poison *poison,
-                     const Pgw__CrashedRuns *message, uint64_t now_us)
+pgw_crashed_runs_take(struct pgw_poison *poison,
+                      const Pgw__CrashedRuns *message, uint64_t now_us)
 {
     for (size_t i = 0; i < message->n_runs; i++) {
         const Pgw__CrashedRun *run = message->runs[i];
-        struct pgw_poison_news news = {
+        struct pgw_crashed_run crashed = {
             .crash = run->crash,
             .age_us = run->age_us,
         };
 
-        if (run->fingerprint.len != sizeof(news.fingerprint.bytes)) {
+        if (run->fingerprint.len != sizeof(crashed.fingerprint.bytes)) {
             pgw_log_warning("crashed_run", "outcome=ignored bytes=%zu",
                             run->fingerprint.len);
             continue;
         }
-        memcpy(news.fingerprint.bytes, run->fingerprint.data,
-               sizeof(news.fingerprint.bytes));
-        pgw_poison_hear(poison, &news, 1, now_us);
+        memcpy(crashed.fingerprint.bytes, run->fingerprint.data,
+               sizeof(crashed.fingerprint.bytes));
+        pgw_poison_add(poison, &crashed, 1, now_us);
     }
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -84,7 +84,8 @@
  * @deadline_us: the caller gets its final answer by then
  * @runs: upstreams that may have run it
  * @sends: upstreams that it was sent to, refusals included
- * @heard_us: when a byte of the present attempt's answer last came, 0: none
+ * @last_byte_us: when a byte of the present attempt's answer last came, 0:
+ * none
  * @announced: its long prompt counts as unread at the sidecar of @upstream
  * @stuck_told: that it waits for a silent upstream stands in the log
  * @may_have_run: some attempt ended without saying that it did not run
@@ -126,7 +127,7 @@
     uint64_t received_us;
     uint64_t deadline_us;
     uint64_t sent_us;
-    uint64_t heard_us;
+    uint64_t last_byte_us;
     uint64_t first_event_us;
     uint32_t runs;
     uint32_t sends;
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -233,7 +233,7 @@
         pgw_quota_repeat(gateway->quota, exchange);
     }
     exchange->sent_us = pgw_now_us();
-    exchange->heard_us = 0;
+    exchange->last_byte_us = 0;
     exchange->call.ops = &pgw_relay_ops;
     if (!pgw_call_start(&exchange->call, gateway->pool, &options)) {
         exchange->runs--;
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -1,5 +1,5 @@
 #include "gateway/mesh.h"
-#include "gateway/poison_news.h"
+#include "gateway/crashed_runs.h"
 #include "libparsleygw/link.h"
 #include "util/list.h"
 #include "util/log.h"
@@ -326,28 +326,29 @@
 take_crashed_runs(struct peer *peer, const Pgw__CrashedRuns *message)
 {
     if (peer->mesh->options.poison != NULL) {
-        pgw_poison_news_take(peer->mesh->options.poison, message,
-                             pgw_now_us());
+        pgw_crashed_runs_take(peer->mesh->options.poison, message,
+                              pgw_now_us());
     }
 }
 
 /* To all peers, also to the one that it came from: that one knows it already
  * and does not pass it on. */
 static void
-on_poison_news(const struct pgw_poison_news *news, size_t count, void *context)
+on_crashed_runs(const struct pgw_crashed_run *news, size_t count,
+                void *context)
 {
     struct pgw_mesh *mesh = context;
 
     pgw_list_foreach (link, &mesh->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, in_mesh);
 
-        pgw_poison_news_send(peer->link, news, count);
+        pgw_crashed_runs_send(peer->link, news, count);
     }
 }
 
-/* A peer that is new, or was cut off, hears of everything that is known. */
+/* A peer that is new, or was cut off, gets everything that is known. */
 static void
-tell_known_poison(struct peer *peer)
+send_known_crashes(struct peer *peer)
 {
     GArray *known;
 
@@ -355,9 +356,9 @@
         return;
     }
     known = pgw_poison_known(peer->mesh->options.poison, pgw_now_us());
-    pgw_poison_news_send(peer->link,
-                         (const struct pgw_poison_news *)(void *)known->data,
-                         known->len);
+    pgw_crashed_runs_send(peer->link,
+                          (const struct pgw_crashed_run *)(void *)known->data,
+                          known->len);
     g_array_unref(known);
 }
 
@@ -417,7 +418,7 @@
 {
     pgw_list_append(&peer->mesh->peers, &peer->in_mesh);
     tell_peer(peer);
-    tell_known_poison(peer);
+    send_known_crashes(peer);
 }
 
 static void
@@ -504,7 +505,7 @@
         return NULL;
     }
     if (options->poison != NULL) {
-        pgw_poison_listen(options->poison, on_poison_news, mesh);
+        pgw_poison_subscribe(options->poison, on_crashed_runs, mesh);
     }
     mesh->instance = g_strdup(options->instance);
     mesh->zone = g_strdup(options->zone);
@@ -517,7 +518,7 @@
 {
     mesh->closing = true;
     if (mesh->options.poison != NULL) {
-        pgw_poison_listen(mesh->options.poison, NULL, NULL);
+        pgw_poison_subscribe(mesh->options.poison, NULL, NULL);
     }
     pgw_list_foreach_safe (link, &mesh->peers) {
         pgw_link_close(pgw_container_of(link, struct peer, in_mesh)->link);
--- a/src/gateway/poison.c
+++ b/src/gateway/poison.c
@@ -27,8 +27,8 @@
  * @holds: how often it was held back
  * @held_until_us: it is held back until then
  *
- * Void crashes stay: the word of a crash that goes round behind that of the
- * good end must not look new, or entries tell each other both for ever.
+ * Void crashes stay: a crash that arrives behind the good end that made it
+ * void must not look new, or entries would pass both on for ever.
  */
 struct record {
     struct pgw_fingerprint fingerprint;
@@ -64,8 +64,8 @@
     GHashTable *records;
     GArray *broken;
     GArray *dead;
-    void (*on_news)(const struct pgw_poison_news *news, size_t count,
-                    void *context);
+    void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
+                       void *context);
     void *context;
 };
 
@@ -95,21 +95,21 @@
 }
 
 void
-pgw_poison_listen(struct pgw_poison *poison,
-                  void (*on_news)(const struct pgw_poison_news *news,
-                                  size_t count, void *context),
-                  void *context)
+pgw_poison_subscribe(struct pgw_poison *poison,
+                     void (*on_crashed)(const struct pgw_crashed_run *crashed,
+                                        size_t count, void *context),
+                     void *context)
 {
-    poison->on_news = on_news;
+    poison->on_crashed = on_crashed;
     poison->context = context;
 }
 
 static void
-tell(const struct pgw_poison *poison, const struct pgw_poison_news *news,
-     size_t count)
+publish(const struct pgw_poison *poison, const struct pgw_crashed_run *crashed,
+        size_t count)
 {
-    if (count > 0 && poison->on_news != NULL) {
-        poison->on_news(news, count, poison->context);
+    if (count > 0 && poison->on_crashed != NULL) {
+        poison->on_crashed(crashed, count, poison->context);
     }
 }
 
@@ -289,25 +289,25 @@
 {
     struct broken_run run = {*fingerprint, pgw_place_id_hash(upstream),
                              now_us};
-    struct pgw_poison_news news = {*fingerprint, run.crash, 0};
+    struct pgw_crashed_run crashed = {*fingerprint, run.crash, 0};
 
     forget_old(poison, now_us);
     if (!is_dead(poison, run.crash)) {
         g_array_append_val(poison->broken, run);
     }
     else if (count_crash(poison, fingerprint, run.crash, now_us, now_us)) {
-        tell(poison, &news, 1);
+        publish(poison, &crashed, 1);
     }
 }
 
 /* Counts what broke off at an upstream that has crashed. */
 static void
-link_runs(struct pgw_poison *poison, uint64_t crash, GArray *news,
+link_runs(struct pgw_poison *poison, uint64_t crash, GArray *crashed,
           uint64_t now_us)
 {
     for (guint i = poison->broken->len; i > 0; i--) {
         const struct broken_run *run = broken_at(poison, i - 1);
-        struct pgw_poison_news item = {run->fingerprint, crash,
+        struct pgw_crashed_run item = {run->fingerprint, crash,
                                        now_us - run->at_us};
 
         if (run->crash != crash) {
@@ -315,7 +315,7 @@
         }
         if (count_crash(poison, &run->fingerprint, crash, run->at_us,
                         now_us)) {
-            g_array_append_val(news, item);
+            g_array_append_val(crashed, item);
         }
         g_array_remove_index(poison->broken, i - 1);
     }
@@ -326,18 +326,18 @@
                    uint64_t now_us)
 {
     struct dead_upstream dead = {pgw_place_id_hash(upstream), now_us};
-    GArray *news;
+    GArray *crashed;
 
     forget_old(poison, now_us);
     if (is_dead(poison, dead.crash)) {
         return;
     }
     g_array_append_val(poison->dead, dead);
-    news = g_array_new(FALSE, FALSE, sizeof(struct pgw_poison_news));
-    link_runs(poison, dead.crash, news, now_us);
-    tell(poison, (const struct pgw_poison_news *)(void *)news->data,
-         news->len);
-    g_array_unref(news);
+    crashed = g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
+    link_runs(poison, dead.crash, crashed, now_us);
+    publish(poison, (const struct pgw_crashed_run *)(void *)crashed->data,
+            crashed->len);
+    g_array_unref(crashed);
 }
 
 /* Return: whether anything counted against it. */
@@ -362,27 +362,28 @@
 pgw_poison_ended_well(struct pgw_poison *poison,
                       const struct pgw_fingerprint *fingerprint)
 {
-    struct pgw_poison_news news = {*fingerprint, 0, 0};
+    struct pgw_crashed_run crashed = {*fingerprint, 0, 0};
 
     if (g_hash_table_size(poison->records) > 0 && clear(poison, fingerprint)) {
-        tell(poison, &news, 1);
+        publish(poison, &crashed, 1);
     }
 }
 
 void
-pgw_poison_hear(struct pgw_poison *poison, const struct pgw_poison_news *news,
-                size_t count, uint64_t now_us)
+pgw_poison_add(struct pgw_poison *poison,
+               const struct pgw_crashed_run *crashed, size_t count,
+               uint64_t now_us)
 {
     for (size_t i = 0; i < count; i++) {
-        const struct pgw_fingerprint *fingerprint = &news[i].fingerprint;
-        uint64_t age = MIN(news[i].age_us, now_us);
-        bool is_new = news[i].crash == 0
+        const struct pgw_fingerprint *fingerprint = &crashed[i].fingerprint;
+        uint64_t age = MIN(crashed[i].age_us, now_us);
+        bool is_new = crashed[i].crash == 0
                           ? clear(poison, fingerprint)
-                          : count_crash(poison, fingerprint, news[i].crash,
+                          : count_crash(poison, fingerprint, crashed[i].crash,
                                         now_us - age, now_us);
 
         if (is_new) {
-            tell(poison, &news[i], 1);
+            publish(poison, &crashed[i], 1);
         }
     }
 }
@@ -403,7 +404,8 @@
 GArray *
 pgw_poison_known(const struct pgw_poison *poison, uint64_t now_us)
 {
-    GArray *news = g_array_new(FALSE, FALSE, sizeof(struct pgw_poison_news));
+    GArray *crashed =
+        g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
     GHashTableIter iter;
     gpointer value;
 
@@ -413,12 +415,12 @@
 
         for (uint32_t i = record->count - record->valid; i < record->count;
              i++) {
-            struct pgw_poison_news item = {record->fingerprint,
+            struct pgw_crashed_run item = {record->fingerprint,
                                            record->crashes[i],
                                            now_us - record->at_us[i]};
 
-            g_array_append_val(news, item);
+            g_array_append_val(crashed, item);
         }
     }
-    return news;
+    return crashed;
 }
--- a/src/gateway/poison.h
+++ b/src/gateway/poison.h
@@ -16,18 +16,18 @@
  * that ended well since is innocent.
  *
  * Pure state: nothing is sent here, time is passed in as monotonic
- * microseconds. Entries tell each other what they count (&struct
- * pgw_poison_news).
+ * microseconds. Entries send each other what they count (&struct
+ * pgw_crashed_run).
  */
 
 /**
- * struct pgw_poison_news - what one entry tells the others
+ * struct pgw_crashed_run - what entries exchange
  * @fingerprint: of the request
  * @crash: hash of the incarnation that crashed while running it; 0: it ended
  *   well, what was counted is void
  * @age_us: how long ago the run broke off
  */
-struct pgw_poison_news {
+struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
     uint64_t crash;
     uint64_t age_us;
@@ -83,15 +83,16 @@
 void pgw_poison_free(struct pgw_poison *poison);
 
 /**
- * pgw_poison_listen() - be told of what others should hear
+ * pgw_poison_subscribe() - get what other entries have to know
  * @poison: the state
- * @on_news: gets @count items; NULL: nobody listens
- * @context: handed to @on_news
+ * @on_crashed: gets @count items; NULL: nobody does
+ * @context: handed to @on_crashed
  */
-void pgw_poison_listen(struct pgw_poison *poison,
-                       void (*on_news)(const struct pgw_poison_news *news,
-                                       size_t count, void *context),
-                       void *context);
+void
+pgw_poison_subscribe(struct pgw_poison *poison,
+                     void (*on_crashed)(const struct pgw_crashed_run *crashed,
+                                        size_t count, void *context),
+                     void *context);
 
 /**
  * pgw_poison_broke() - a run ended with its connection
@@ -112,17 +113,17 @@
 void pgw_poison_ended_well(struct pgw_poison *poison,
                            const struct pgw_fingerprint *fingerprint);
 
-/** pgw_poison_hear() - another entry's word; passed on if it is new */
-void pgw_poison_hear(struct pgw_poison *poison,
-                     const struct pgw_poison_news *news, size_t count,
-                     uint64_t now_us);
+/** pgw_poison_add() - count what another entry sent; passed on if it is new */
+void pgw_poison_add(struct pgw_poison *poison,
+                    const struct pgw_crashed_run *crashed, size_t count,
+                    uint64_t now_us);
 
 /** pgw_poison_holds() - the request would crash the next upstream, too */
 bool pgw_poison_holds(const struct pgw_poison *poison,
                       const struct pgw_fingerprint *fingerprint,
                       uint64_t now_us);
 
-/** pgw_poison_known() - all that counts, of &struct pgw_poison_news */
+/** pgw_poison_known() - all that counts, of &struct pgw_crashed_run */
 GArray *pgw_poison_known(const struct pgw_poison *poison, uint64_t now_us);
 
 #endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -44,8 +44,8 @@
     const struct pgw_codec *codec = exchange->gateway->options.codec;
     struct pgw_answer_facts facts = {0};
 
-    exchange->heard_us = pgw_now_us();
-    pgw_upstream_note_answer(exchange->upstream, exchange->heard_us);
+    exchange->last_byte_us = pgw_now_us();
+    pgw_upstream_note_answer(exchange->upstream, exchange->last_byte_us);
     codec->read_answer(&facts, head);
     /*
      * Failure: the answer to an earlier request on this connection comes late,
@@ -169,8 +169,8 @@
 {
     struct pgw_exchange *exchange = exchange_of(call);
 
-    exchange->heard_us = pgw_now_us();
-    pgw_upstream_note_answer(exchange->upstream, exchange->heard_us);
+    exchange->last_byte_us = pgw_now_us();
+    pgw_upstream_note_answer(exchange->upstream, exchange->last_byte_us);
     if (exchange->not_run || exchange->caller == NULL) {
         return;
     }
--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -117,7 +117,7 @@
         exchange->upstream == NULL ? 0 : exchange->upstream->ended_at_us;
 
     return exchange->sent_us < ended && pgw_call_is_running(&exchange->call) &&
-           now_us >= MAX(ended, exchange->heard_us) +
+           now_us >= MAX(ended, exchange->last_byte_us) +
                          exchange->gateway->options.last_bytes_us;
 }
 
--- a/tests/unit/test_poison.c
+++ b/tests/unit/test_poison.c
@@ -4,12 +4,12 @@
 #define SECOND ((uint64_t)G_USEC_PER_SEC)
 
 struct heard {
-    struct pgw_poison_news items[16];
+    struct pgw_crashed_run items[16];
     size_t count;
 };
 
 static void
-on_news(const struct pgw_poison_news *news, size_t count, void *context)
+on_news(const struct pgw_crashed_run *news, size_t count, void *context)
 {
     struct heard *heard = context;
 
@@ -35,7 +35,7 @@
     struct pgw_poison *poison = pgw_poison_new(&options);
 
     if (heard != NULL) {
-        pgw_poison_listen(poison, on_news, heard);
+        pgw_poison_subscribe(poison, on_news, heard);
     }
     return poison;
 }
@@ -107,7 +107,7 @@
 {
     struct pgw_poison *poison = poison_new(NULL);
     struct pgw_fingerprint popular = make(1);
-    struct pgw_poison_news far = {popular, 99, SECOND};
+    struct pgw_crashed_run far = {popular, 99, SECOND};
 
     pgw_poison_broke(poison, &popular, "a", 2 * SECOND);
     pgw_poison_broke(poison, &popular, "b", 2 * SECOND + 1000);
@@ -115,7 +115,7 @@
     pgw_poison_crashed(poison, "a", 2 * SECOND);
     pgw_poison_crashed(poison, "b", 5 * SECOND);
     pgw_poison_crashed(poison, "c", 8 * SECOND);
-    pgw_poison_hear(poison, &far, 1, 3 * SECOND);
+    pgw_poison_add(poison, &far, 1, 3 * SECOND);
     g_assert_false(pgw_poison_holds(poison, &popular, 8 * SECOND));
     pgw_poison_free(poison);
 }
@@ -172,14 +172,14 @@
 
         heard.count = 0;
         crash(here, &popular, name, i * SECOND);
-        pgw_poison_hear(there, heard.items, heard.count, i * SECOND);
+        pgw_poison_add(there, heard.items, heard.count, i * SECOND);
     }
     g_assert_true(pgw_poison_holds(there, &popular, 3 * SECOND));
     heard.count = 0;
     pgw_poison_ended_well(here, &popular);
     pgw_poison_ended_well(here, &popular);
     g_assert_cmpuint(heard.count, ==, 1);
-    pgw_poison_hear(there, heard.items, heard.count, 3 * SECOND);
+    pgw_poison_add(there, heard.items, heard.count, 3 * SECOND);
     g_assert_false(pgw_poison_holds(here, &popular, 3 * SECOND));
     g_assert_false(pgw_poison_holds(there, &popular, 3 * SECOND));
     pgw_poison_free(here);
@@ -193,18 +193,18 @@
 {
     struct heard heard = {0};
     struct pgw_poison *poison = poison_new(&heard);
-    struct pgw_poison_news news = {make(1), 7, 0};
-    struct pgw_poison_news clear = {make(1), 0, 0};
+    struct pgw_crashed_run news = {make(1), 7, 0};
+    struct pgw_crashed_run clear = {make(1), 0, 0};
     GArray *known;
 
-    pgw_poison_hear(poison, &news, 1, SECOND);
-    pgw_poison_hear(poison, &news, 1, SECOND);
+    pgw_poison_add(poison, &news, 1, SECOND);
+    pgw_poison_add(poison, &news, 1, SECOND);
     g_assert_cmpuint(heard.count, ==, 1);
     known = pgw_poison_known(poison, SECOND);
     g_assert_cmpuint(known->len, ==, 1);
     g_array_unref(known);
-    pgw_poison_hear(poison, &clear, 1, SECOND);
-    pgw_poison_hear(poison, &clear, 1, SECOND);
+    pgw_poison_add(poison, &clear, 1, SECOND);
+    pgw_poison_add(poison, &clear, 1, SECOND);
     g_assert_cmpuint(heard.count, ==, 2);
     pgw_poison_free(poison);
 }
