Grant a request only where its workspace's bucket holds what it costs

Cause: a granted request might overdraw the bucket, so that long prompts were refused no more often than short ones. Change: the bucket has to hold the cost, or be full. Bounds are only tighter.

--- a/src/gateway/quota_bucket.c
+++ b/src/gateway/quota_bucket.c
@@ -160,7 +160,10 @@
         bucket->level = MIN(bucket->level, bucket->terms.burst);
     }
     bucket->level = MIN(bucket->level - request->spent, bucket->terms.burst);
-    out->granted = bucket->level > 0 ? request->cost : 0;
+    /* One that is larger than a full bucket may empty it. */
+    out->granted = bucket->level >= MIN(request->cost, bucket->terms.burst)
+                       ? request->cost
+                       : 0;
     bucket->level -= out->granted;
     note_refused(bucket, request->refused + request->cost - out->granted,
                  now_us);
--- a/src/gateway/quota_bucket.h
+++ b/src/gateway/quota_bucket.h
@@ -8,10 +8,10 @@
  * DOC: Token buckets of workspaces, at their owner
  *
  * A workspace's quota holds over all entries together. One sidecar, its owner,
- * keeps the bucket; entries ask it or report to it. A request is granted while
- * the bucket is not empty, and may overdraw it: a long prompt is no less
- * likely to be granted than a short one, and what it takes too much is taken
- * from those behind it.
+ * keeps the bucket; entries ask it or report to it. A request is granted where
+ * the bucket holds what it costs. Beyond its quota a workspace so loses its
+ * long prompts first, each of which would take the place of dozens of short
+ * requests; of what entries report the bucket may be overdrawn.
  *
  * What was spent is in no store. An owner that starts, or takes over, knows
  * nothing of it, while another one may still be granting for some entries: its
--- a/tests/unit/test_quota_bucket.c
+++ b/tests/unit/test_quota_bucket.c
@@ -129,10 +129,44 @@
     pgw_quota_buckets_free(buckets);
 }
 
+/* Guards against short requests that are refused for long prompts: a workspace
+ * asks for twice its quota, and its short requests alone are within it. */
+static void
+test_short_requests_pass(void)
+{
+    struct pgw_quota_buckets *buckets = full_buckets();
+    struct pgw_quota_request request = request_of(0);
+    unsigned granted[2] = {0};
+    unsigned asked[2] = {0};
+    double units = 0;
+    const unsigned seconds = 30;
+
+    request.terms = (struct pgw_quota_terms){47000, 47000, 3};
+    for (unsigned ms = 0; ms < seconds * 1000; ms += 10) {
+        for (unsigned is_long = 0; is_long <= (ms % 330 == 0); is_long++) {
+            struct pgw_quota_answer answer;
+
+            request.cost = is_long ? 17020 : 388;
+            pgw_quota_buckets_take(&answer, buckets, &request,
+                                   S + ms * UINT64_C(1000));
+            asked[is_long]++;
+            granted[is_long] += answer.granted > 0;
+            units += answer.granted;
+        }
+    }
+    g_assert_cmpuint(granted[0] * 100, >=, asked[0] * 99);
+    g_assert_cmpuint(granted[1], >, 0);
+    /* The quota is used but for what one long prompt waits for. */
+    g_assert_cmpfloat(units, >, 47000.0 * seconds - 17020);
+    g_assert_cmpfloat(units, <=, 47000.0 * seconds + 47000);
+    pgw_quota_buckets_free(buckets);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/quota_bucket/short_requests", test_short_requests_pass);
     g_test_add_func("/quota_bucket/overdraft", test_long_prompt_overdraws);
     g_test_add_func("/quota_bucket/new_owner", test_new_owner_starts_low);
     g_test_add_func("/quota_bucket/restart_of_all", test_restart_of_all);
