--- a/tests/unit/test_home_probe.c
+++ b/tests/unit/test_home_probe.c
@@ -208,6 +208,8 @@
     g_assert_cmpint(serve(scene, caller), ==, sidecars.homes[1]);
     g_assert_cmpint(sidecars.announced, ==, sidecars.homes[1]);
     g_assert_cmpuint(sidecars.to_read, ==, 3000);
+    /* The turn of the loop that answered the caller is over. */
+    scene_run(scene, look);
     g_assert_cmpuint(sidecars.ended, ==, 1);
     scene_free(scene);
 }
