--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -113,6 +113,8 @@
     struct sim_result other;
 
     options.homes = PGW_HOMES_MAX;
+    options.seconds = 6;
+    options.warm_s = 2;
     blind.long_prefill_tokens = 0;
     knowing = play(&options, "parsleygw");
     sim_run(&other, &options, &blind, sim_policy_find("parsleygw"));
