Name records of crashed runs and quota levels in tests by what they are

Cause: the renaming of crashed runs left news, heard and hear in its tests and in mesh.c; each end of a prefill hashed the request's id, also where nothing had been announced. Change: crashed, published, take_level; the hash is made where it is sent. No check and no behaviour changes.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -17,11 +17,12 @@
 end_announcement(struct pgw_exchange *exchange)
 {
     const struct pgw_gateway *gateway = exchange->gateway;
-    struct pgw_announcement over = {
-        .request = pgw_announced_id(exchange->facts.id),
-    };
 
     if (exchange->announced && gateway->sidecars != NULL) {
+        struct pgw_announcement over = {
+            .request = pgw_announced_id(exchange->facts.id),
+        };
+
         gateway->sidecars->announce(gateway->sidecars_context,
                                     exchange->upstream, &over);
     }
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -334,7 +334,7 @@
 /* To all peers, also to the one that it came from: that one knows it already
  * and does not pass it on. */
 static void
-on_crashed_runs(const struct pgw_crashed_run *news, size_t count,
+on_crashed_runs(const struct pgw_crashed_run *runs, size_t count,
                 void *context)
 {
     struct pgw_mesh *mesh = context;
@@ -342,7 +342,7 @@
     pgw_list_foreach (link, &mesh->peers) {
         struct peer *peer = pgw_container_of(link, struct peer, in_mesh);
 
-        pgw_crashed_runs_send(peer->link, news, count);
+        pgw_crashed_runs_send(peer->link, runs, count);
     }
 }
 
--- a/tests/property/prop_poison.cc
+++ b/tests/property/prop_poison.cc
@@ -25,7 +25,7 @@
 // Words on their way: to whom, and what.
 struct word {
     unsigned to;
-    pgw_crashed_run news;
+    pgw_crashed_run crashed;
 };
 
 struct fleet {
@@ -35,14 +35,14 @@
 };
 
 void
-on_news(const pgw_crashed_run *news, size_t count, void *context)
+on_crashed(const pgw_crashed_run *crashed, size_t count, void *context)
 {
     entry *from = static_cast<entry *>(context);
 
     for (size_t i = 0; i < count; i++) {
         for (unsigned to = 0; to < entries; to++) {
             if (to != from->index) {
-                from->all->words.push_back({to, news[i]});
+                from->all->words.push_back({to, crashed[i]});
                 from->all->told++;
             }
         }
@@ -55,7 +55,7 @@
     word next = all->words[which];
 
     all->words.erase(all->words.begin() + (long)which);
-    pgw_poison_add(all->list[next.to].poison, &next.news, 1, now);
+    pgw_poison_add(all->list[next.to].poison, &next.crashed, 1, now);
 }
 
 void
@@ -97,7 +97,7 @@
 
         for (unsigned i = 0; i < entries; i++) {
             all.list[i] = {&all, i, pgw_poison_new(&options)};
-            pgw_poison_subscribe(all.list[i].poison, on_news, &all.list[i]);
+            pgw_poison_subscribe(all.list[i].poison, on_crashed, &all.list[i]);
         }
         for (uint32_t number : random_script(300)) {
             act(&all, number, now);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,7 +39,7 @@
 # be those of a zone that lost its power.
 POISON_APART_S = 0.5
 # A request that has crashed upstreams three times may reach so many more, later
-# than this time after the third; an entry that starts hears of it from a peer.
+# than this time after the third; an entry that starts gets it from a peer.
 POISON_KNOWN_S = 3.0
 POISON_MORE = 1
 # A process that is told to stop within this time of its start may not have
--- a/tests/unit/test_home_probe.c
+++ b/tests/unit/test_home_probe.c
@@ -22,7 +22,7 @@
  * @announced: position of the engine that a request was announced to, or -1
  * @to_read: tokens that it was told to have to read
  * @request: id of that request
- * @ended: how often it was told that this has been read
+ * @ended: how often an end of that request was announced
  */
 struct sidecars {
     unsigned asked;
--- a/tests/unit/test_poison.c
+++ b/tests/unit/test_poison.c
@@ -3,19 +3,19 @@
 
 #define SECOND ((uint64_t)G_USEC_PER_SEC)
 
-struct heard {
+struct published {
     struct pgw_crashed_run items[16];
     size_t count;
 };
 
 static void
-on_news(const struct pgw_crashed_run *news, size_t count, void *context)
+on_crashed(const struct pgw_crashed_run *crashed, size_t count, void *context)
 {
-    struct heard *heard = context;
+    struct published *published = context;
 
     for (size_t i = 0; i < count; i++) {
-        g_assert_cmpuint(heard->count, <, G_N_ELEMENTS(heard->items));
-        heard->items[heard->count++] = news[i];
+        g_assert_cmpuint(published->count, <, G_N_ELEMENTS(published->items));
+        published->items[published->count++] = crashed[i];
     }
 }
 
@@ -29,13 +29,13 @@
 }
 
 static struct pgw_poison *
-poison_new(struct heard *heard)
+poison_new(struct published *published)
 {
     struct pgw_poison_options options = PGW_POISON_OPTIONS_INIT;
     struct pgw_poison *poison = pgw_poison_new(&options);
 
-    if (heard != NULL) {
-        pgw_poison_subscribe(poison, on_news, heard);
+    if (published != NULL) {
+        pgw_poison_subscribe(poison, on_crashed, published);
     }
     return poison;
 }
@@ -143,14 +143,14 @@
 static void
 test_crash_known_first(void)
 {
-    struct heard heard = {0};
-    struct pgw_poison *poison = poison_new(&heard);
+    struct published published = {0};
+    struct pgw_poison *poison = poison_new(&published);
     struct pgw_fingerprint bad = make(1);
 
     pgw_poison_crashed(poison, "a", SECOND);
-    g_assert_cmpuint(heard.count, ==, 0);
+    g_assert_cmpuint(published.count, ==, 0);
     pgw_poison_broke(poison, &bad, "a", 2 * SECOND);
-    g_assert_cmpuint(heard.count, ==, 1);
+    g_assert_cmpuint(published.count, ==, 1);
     pgw_poison_free(poison);
 }
 
@@ -162,24 +162,24 @@
 static void
 test_good_end_clears(void)
 {
-    struct heard heard = {0};
-    struct pgw_poison *here = poison_new(&heard);
+    struct published published = {0};
+    struct pgw_poison *here = poison_new(&published);
     struct pgw_poison *there = poison_new(NULL);
     struct pgw_fingerprint popular = make(1);
 
     for (uint64_t i = 1; i <= 3; i++) {
         char name[] = {(char)('a' + i), '\0'};
 
-        heard.count = 0;
+        published.count = 0;
         crash(here, &popular, name, i * SECOND);
-        pgw_poison_add(there, heard.items, heard.count, i * SECOND);
+        pgw_poison_add(there, published.items, published.count, i * SECOND);
     }
     g_assert_true(pgw_poison_holds(there, &popular, 3 * SECOND));
-    heard.count = 0;
+    published.count = 0;
     pgw_poison_ended_well(here, &popular);
     pgw_poison_ended_well(here, &popular);
-    g_assert_cmpuint(heard.count, ==, 1);
-    pgw_poison_add(there, heard.items, heard.count, 3 * SECOND);
+    g_assert_cmpuint(published.count, ==, 1);
+    pgw_poison_add(there, published.items, published.count, 3 * SECOND);
     g_assert_false(pgw_poison_holds(here, &popular, 3 * SECOND));
     g_assert_false(pgw_poison_holds(there, &popular, 3 * SECOND));
     pgw_poison_free(here);
@@ -191,21 +191,21 @@
 static void
 test_told_once(void)
 {
-    struct heard heard = {0};
-    struct pgw_poison *poison = poison_new(&heard);
-    struct pgw_crashed_run news = {make(1), 7, 0};
+    struct published published = {0};
+    struct pgw_poison *poison = poison_new(&published);
+    struct pgw_crashed_run crashed = {make(1), 7, 0};
     struct pgw_crashed_run clear = {make(1), 0, 0};
     GArray *known;
 
-    pgw_poison_add(poison, &news, 1, SECOND);
-    pgw_poison_add(poison, &news, 1, SECOND);
-    g_assert_cmpuint(heard.count, ==, 1);
+    pgw_poison_add(poison, &crashed, 1, SECOND);
+    pgw_poison_add(poison, &crashed, 1, SECOND);
+    g_assert_cmpuint(published.count, ==, 1);
     known = pgw_poison_known(poison, SECOND);
     g_assert_cmpuint(known->len, ==, 1);
     g_array_unref(known);
     pgw_poison_add(poison, &clear, 1, SECOND);
     pgw_poison_add(poison, &clear, 1, SECOND);
-    g_assert_cmpuint(heard.count, ==, 2);
+    g_assert_cmpuint(published.count, ==, 2);
     pgw_poison_free(poison);
 }
 
--- a/tests/unit/test_quota_share.c
+++ b/tests/unit/test_quota_share.c
@@ -8,7 +8,7 @@
 static const struct pgw_quota_bounds bounds = {8, 0.1, 2000};
 
 static void
-hear(struct pgw_quota_share *share, double level, uint64_t now_us)
+take_level(struct pgw_quota_share *share, double level, uint64_t now_us)
 {
     struct pgw_quota_answer answer = {
         .level = level, .wait_ms = level < 0 ? 300 : 0, .retry_ms = 400};
@@ -30,7 +30,7 @@
     struct pgw_quota_share share = {0};
 
     g_assert_cmpint(decide(&share, 10, S), ==, PGW_QUOTA_ASK);
-    hear(&share, 4000, S);
+    take_level(&share, 4000, S);
     g_assert_cmpint(decide(&share, 10, S), ==, PGW_QUOTA_ADMIT);
     g_assert_cmpint(decide(&share, 10, 3 * S), ==, PGW_QUOTA_ASK);
 }
@@ -42,7 +42,7 @@
     struct pgw_quota_share share = {0};
     double admitted = 0;
 
-    hear(&share, 4000, S);
+    take_level(&share, 4000, S);
     g_assert_cmpint(decide(&share, 3000, S), ==, PGW_QUOTA_ASK);
     while (decide(&share, 10, S) == PGW_QUOTA_ADMIT) {
         pgw_quota_share_spend(&share, 10);
@@ -50,7 +50,7 @@
     }
     g_assert_cmpfloat(admitted * ENTRIES, <=, 1000);
     g_assert_true(pgw_quota_share_is_due(&share, &terms, ENTRIES));
-    hear(&share, 1999, S);
+    take_level(&share, 1999, S);
     g_assert_cmpint(decide(&share, 10, S), ==, PGW_QUOTA_ASK);
 }
 
@@ -60,7 +60,7 @@
 {
     struct pgw_quota_share share = {0};
 
-    hear(&share, -300, S);
+    take_level(&share, -300, S);
     g_assert_cmpint(decide(&share, 10, S + 299000), ==, PGW_QUOTA_REFUSE);
     g_assert_cmpint(decide(&share, 10, S + 300000), ==, PGW_QUOTA_ASK);
 }
@@ -91,7 +91,7 @@
 {
     struct pgw_quota_share share = {0};
 
-    hear(&share, 4000, S);
+    take_level(&share, 4000, S);
     g_assert_cmpint(pgw_quota_share_decide_alone(&share, &terms, &bounds,
                                                  ENTRIES, 3000, S + 40000),
                     ==, PGW_QUOTA_ADMIT);
