Log the limits that upstreams name, and count them

Callers saw nothing: two engines of the label site got more than the limits that they had named. No line and no metric said whether an entry had heard of a limit, so the three hypotheses of the incident could not be told apart.

The codec reads the field of an answer (a decimal number above 0, once; any other value is logged and not used), whatever the answer's status. Nothing acts on it yet: no choice changes.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -3,6 +3,7 @@
 
 #include "gateway/choose.h"
 #include "gateway/http_reader.h"
+#include "gateway/upstream_notice.h"
 #include "gateway/upstream_table.h"
 #include <glib.h>
 #include <stdbool.h>
@@ -83,6 +84,7 @@
  * @load: the upstream's load
  * @weights: version of the weights that run it, 0: not stated
  * @is_stream: the body is a stream of events
+ * @notice: what the upstream states about itself
  */
 struct pgw_answer_facts {
     const char *id;
@@ -93,6 +95,7 @@
     struct pgw_upstream_load load;
     uint64_t weights;
     bool is_stream;
+    struct pgw_upstream_notice notice;
 };
 
 /**
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -40,6 +40,24 @@
     }
 }
 
+/* Also applies to answers that are dropped later: the statements concern the
+ * process that answered, unless it is another one than was asked. */
+static void
+apply_notice(const struct pgw_exchange *exchange,
+             const struct pgw_answer_facts *facts)
+{
+    struct pgw_notice_origin origin = {
+        .source = "answer",
+        .asked_us = exchange->sent_us,
+    };
+
+    if (facts->instance == NULL ||
+        strcmp(facts->instance, exchange->upstream->id) == 0) {
+        pgw_upstream_notice_apply(exchange->upstream, &facts->notice, &origin,
+                                  pgw_now_us());
+    }
+}
+
 static bool
 on_head(struct pgw_call *call, const struct pgw_http_head *head)
 {
@@ -50,6 +68,7 @@
     exchange->last_byte_us = pgw_now_us();
     pgw_upstream_mark_answering(exchange->upstream, exchange->last_byte_us);
     codec->read_answer(&facts, head);
+    apply_notice(exchange, &facts);
     /*
      * Failure: the answer to an earlier request on this connection arrives
      * late or twice. Symptom: a caller gets another caller's answer. Upstreams
--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -16,6 +16,10 @@
     .name = "pgw_gateway_silent_upstreams",
     .help = "Upstreams that, like their sidecars, have stopped sending",
 };
+static struct pgw_metric_gauge limited_upstreams = {
+    .name = "pgw_gateway_limited_upstreams",
+    .help = "Upstreams that name a limit of requests a second",
+};
 static struct pgw_metric_counter failed_over = {
     .name = "pgw_gateway_moved_total",
     .help = "Requests moved to another upstream after theirs stopped sending",
@@ -145,12 +149,17 @@
 {
     uint64_t now_us = pgw_now_us();
     unsigned suspects = 0;
+    unsigned limited = 0;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
-        suspects += log_liveness_change(
-            pgw_container_of(link, struct pgw_upstream, in_table), now_us);
+        struct pgw_upstream *upstream =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        suspects += log_liveness_change(upstream, now_us);
+        limited += upstream->limit > 0;
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
+    pgw_metric_gauge_set(&limited_upstreams, limited);
     /* Includes requests at upstreams that are no longer in the table. */
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
@@ -179,6 +188,7 @@
 pgw_unresponsive_start(struct pgw_gateway *gateway)
 {
     pgw_metric_register_gauge(&unresponsive_upstreams);
+    pgw_metric_register_gauge(&limited_upstreams);
     pgw_metric_register_counter(&failed_over);
     pgw_metric_register_counter(&process_ended);
     gateway->unresponsive_timer.on_due = check_due;
--- /dev/null
+++ b/src/gateway/upstream_notice.h
@@ -0,0 +1,56 @@
+#ifndef PGW_GATEWAY_UPSTREAM_NOTICE_H
+#define PGW_GATEWAY_UPSTREAM_NOTICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: What an upstream states about itself in an answer
+ *
+ * An upstream may state in the head of any answer, whatever its status, how
+ * much it can take. The statement is about the process that answered, not
+ * about the request. It is newer than the platform's list and arrives while
+ * the platform's store is unreachable.
+ */
+
+struct pgw_upstream;
+
+/**
+ * struct pgw_upstream_notice - statements in the head of one answer
+ * @limit: requests a second that the upstream takes from all entries
+ *   together, 0: it names no limit
+ * @invalid_field: name of a field with an invalid value, which is not used;
+ *   NULL: all values are valid
+ */
+struct pgw_upstream_notice {
+    double limit;
+    const char *invalid_field;
+};
+
+/**
+ * struct pgw_notice_origin - where a notice comes from
+ * @source: "answer" or "sidecar", for logs
+ * @asked_us: when the request was sent that the upstream answered
+ */
+struct pgw_notice_origin {
+    const char *source;
+    uint64_t asked_us;
+};
+
+/**
+ * pgw_upstream_notice_apply() - update what is known of an upstream
+ * @upstream: the upstream that answered
+ * @notice: statements in its answer
+ * @origin: where they come from
+ * @now_us: monotonic time
+ *
+ * Answers on different connections overtake each other. Therefore only an
+ * answer to a request that was sent after a limit was last named ends that
+ * limit.
+ */
+void pgw_upstream_notice_apply(struct pgw_upstream *upstream,
+                               const struct pgw_upstream_notice *notice,
+                               const struct pgw_notice_origin *origin,
+                               uint64_t now_us);
+
+#endif
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -260,6 +260,8 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
+    upstream->limit = 0;
+    upstream->limit_heard_us = 0;
     pgw_upstream_clear_parts(upstream);
 }
 
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -141,6 +141,10 @@
  * @avoid_until_us: chosen before this time only if no other upstream can be
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
+ * @limit: requests a second that it takes from all entries together, as it
+ *   stated; 0: it named no limit
+ * @limit_heard_us: when it last named a limit
+ * @limit_logged_us: when a limit was last logged
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
  * @expected: parts of requests that this entry sent there recently
@@ -193,6 +197,9 @@
     uint64_t avoid_until_us;
     uint32_t refusals;
     uint64_t full_until_us;
+    double limit;
+    uint64_t limit_heard_us;
+    uint64_t limit_logged_us;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
 };
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -184,6 +184,48 @@
     pgw_http_reader_dispose(&reader);
 }
 
+static void
+read_notice(struct pgw_upstream_notice *out, const char *fields)
+{
+    struct pgw_http_reader reader;
+    char *text = g_strdup_printf("HTTP/1.1 503 Unavailable\r\n%s\r\n", fields);
+
+    read_head(&reader, true, text);
+    platform_read_notice(out, &reader.head);
+    pgw_http_reader_dispose(&reader);
+    g_free(text);
+}
+
+/* Guards against limits taken from values that are no sensible numbers. */
+static void
+test_limit_values(void)
+{
+    static const char *const invalid[] = {
+        "",    "0",    "0.0", "-3",    "x",       "7x",
+        "inf", "0x10", "1e3", "1.2.3", "2000000", ".",
+    };
+    struct pgw_upstream_notice notice;
+
+    read_notice(&notice, "");
+    g_assert_cmpfloat(notice.limit, ==, 0);
+    g_assert_null(notice.invalid_field);
+    read_notice(&notice, "Server-Limit: 7.4\r\n");
+    g_assert_cmpfloat_with_epsilon(notice.limit, 7.4, 1e-9);
+    g_assert_null(notice.invalid_field);
+    read_notice(&notice, "Server-Limit: 7.4\r\nserver-limit: 7.4\r\n");
+    g_assert_cmpfloat(notice.limit, ==, 0);
+    g_assert_cmpstr(notice.invalid_field, ==, "Server-Limit");
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        char *field = g_strdup_printf("Server-Limit: %s\r\n", invalid[i]);
+
+        read_notice(&notice, field);
+        g_assert_cmpfloat(notice.limit, ==, 0);
+        g_assert_cmpstr(notice.invalid_field, ==, "Server-Limit");
+        g_free(field);
+    }
+    g_assert_false(platform_codec.keep_answer_field("server-limit"));
+}
+
 static void
 test_engine(void)
 {
@@ -233,6 +275,7 @@
     g_test_add_func("/platform_codec/forward_drops_reserved_fields",
                     test_forward_drops_reserved_fields);
     g_test_add_func("/platform_codec/responses", test_responses);
+    g_test_add_func("/platform_codec/limit_values", test_limit_values);
     g_test_add_func("/platform_codec/engine", test_engine);
     return g_test_run();
 }
