Show requests that reach an upstream at its limit

Upstreams that name a limit get all requests that placement has for them.

In the soak upstreams name limits that change, often all of a service, with restarts, pauses and outages of the store beside it, and count what arrives from the entries that have passed such an answer on.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,10 @@
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
 STARTING_S = 0.3
+# An upstream's limit is judged over windows of this length, from this time on
+# after it was first named; an entry is bound from this time on after its answer.
+LIMIT_WINDOW_S, LIMIT_SETTLED_S, TOLD_S = 4.0, 3.0, 0.5
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
 
 
 def free_net():
@@ -108,6 +112,7 @@
         self.promised = set()
         self.once = set()
         self.answers = {}
+        self.sent_to, self.served_by = {}, {}
         self.failed = {}
         self.poison = Poison(self)
         self.broken = None
@@ -131,6 +136,48 @@
             self.fail(f"{attempt} ran after 'not run' was promised")
 
 
+class Limit:
+    """The requests a second that an upstream takes from all entries together,
+    and what arrives from those that were told."""
+
+    def __init__(self, soak, name):
+        self.soak, self.name = soak, name
+        self.per_s, self.since, self.told, self.arrived = 0.0, 0.0, {}, []
+
+    def begin(self, per_s):
+        if self.per_s == 0:
+            self.since, self.told, self.arrived = time.monotonic(), {}, []
+        self.per_s = per_s
+
+    def end(self):
+        self.per_s, self.told = 0.0, {}
+
+    def excuse(self, entry):
+        """A restart or a pause of an entry excuses it."""
+        self.told.pop(entry, None)
+        self.arrived = [(at, e) for at, e in self.arrived if e != entry]
+
+    def field(self):
+        return f"Server-Limit: {self.per_s}\r\n" if self.per_s > 0 else ""
+
+    def note_passed_on(self, entry):
+        """A caller has got an answer with the limit from an entry."""
+        if self.per_s > 0:
+            self.told.setdefault(entry, time.monotonic())
+
+    def note_arrival(self, entry):
+        now = time.monotonic()
+        if self.per_s == 0 or now < self.told.get(entry, now) + TOLD_S:
+            return
+        self.arrived = [(at, e) for at, e in self.arrived
+                        if at > now - LIMIT_WINDOW_S] + [(now, entry)]
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * self.per_s + LIMIT_SLACK
+        if now > self.since + LIMIT_SETTLED_S and len(self.arrived) > allowed:
+            self.soak.fail(f"{self.name} named a limit of {self.per_s} a "
+                           f"second and got {len(self.arrived)} requests in "
+                           f"{LIMIT_WINDOW_S} s, allowed {allowed}")
+
+
 async def read_head(reader):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     lines = head.split("\r\n")
@@ -348,6 +395,7 @@
         self.starts, self.version, self.sequence = 0, 1, 0
         self.life, self.born = 0, 0
         self.token, self.busy, self.state = 0, False, "ready"
+        self.limit = Limit(soak, self.ip)
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -366,6 +414,7 @@
 
     async def start(self, same_id=False):
         self.starts += 1
+        self.limit.end()
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
@@ -445,10 +494,13 @@
 
     async def run(self, target, fields, body, writer):
         attempt = fields["attempt-id"]
+        self.limit.note_arrival(self.soak.sent_to.get(attempt))
+        self.soak.served_by[attempt] = self
+        notices = self.limit.field()
         if fields.get("expect-instance") != self.id or self.soak.random.random(
         ) < 0.01 or fields.get("expect-version", str(
                 self.version)) != str(self.version) or self.busy:
-            writer.write(answer(503, b"", "Not-Run: 1\r\n"))
+            writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"))
             return
         if "authorization" in fields or fields.get("tenant") != "parish":
             self.soak.fail(f"{attempt} came with a key or without workspace")
@@ -459,7 +511,8 @@
         if body != attempt.encode():
             self.soak.fail(f"{attempt} came with the body {body[:60]!r}")
         self.soak.note_run(attempt)
-        own = f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
+        own = (f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
+               f"{notices}")
         await asyncio.sleep(self.soak.random.random() * 0.05)
         if not self.engine:
             writer.write(answer(200, f"done {attempt}".encode(), own))
@@ -634,7 +687,7 @@
     """One request of a caller, checked against what it was promised."""
     attempt = f"a{number}"
     body = attempt if body is None else body
-    entry = soak.random.randrange(ENTRIES)
+    entry = soak.sent_to[attempt] = soak.random.randrange(ENTRIES)
     key = soak.random.choice(fleet.keys + list(fleet.revoked)[-1:])
     sent_at = time.monotonic()
     if route in ("once", "brook"):
@@ -654,6 +707,8 @@
                       f"Content-Length: {len(body)}\r\n\r\n{body}"
                       ).encode())
         start, fields = await asyncio.wait_for(read_head(reader), 6)
+        if "server-limit" in fields:
+            soak.served_by[attempt].limit.note_passed_on(entry)
         got = await asyncio.wait_for(read_body(reader, fields), 6)
     except (OSError, ValueError, asyncio.IncompleteReadError,
             asyncio.TimeoutError) as error:
@@ -738,6 +793,25 @@
         await fleet.store.delete("servers", name)
 
 
+def excuse(fleet, process):
+    if process.role == "entry":
+        for upstream in fleet.engines + fleet.plains:
+            upstream.limit.excuse(process.index)
+
+
+async def limit(soak, fleet):
+    """Upstreams of one service, often all of them, name limits that change."""
+    pick = soak.random
+    upstreams = pick.choice([fleet.engines, fleet.plains])
+    chosen = pick.sample(upstreams, pick.randrange(1, len(upstreams) + 1))
+    for _ in range(3):
+        for upstream in chosen:
+            upstream.limit.begin(round(0.5 + pick.random() * 3, 1))
+        await asyncio.sleep(1.5 + pick.random() * 2)
+    for upstream in chosen:
+        upstream.limit.end()
+
+
 async def fault(soak, fleet):
     """One fault, from its beginning to its end."""
     pick = soak.random
@@ -748,21 +822,26 @@
                         "proxy", "reset", "crash", "leave", "keys",
                         "weights", "links", "hup", "poison"]
                        + (["restart", "foreign"] if soak.options.more
-                          else []))
+                          else [])
+                       + (["limit"] * 4 if soak.options.notices else []))
     print(f"{time.monotonic():.2f} {kind} {entry.index} {upstream.ip} "
           f"{for_s:.1f}s", flush=True)
     if kind in ("kill", "term", "sidecar"):
         process = sidecar if kind == "sidecar" else entry
         await process.restart(signal.SIGTERM if kind == "term"
                               else signal.SIGKILL, for_s / 3)
+        excuse(fleet, process)
     elif kind == "pause":
         process = pick.choice([entry, sidecar])
         process.signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         process.signal(signal.SIGCONT)
+        excuse(fleet, process)
     elif kind == "herd":
         await asyncio.gather(*[process.restart(signal.SIGKILL, 0.1)
                                for process in fleet.entries])
+        for process in fleet.entries:
+            excuse(fleet, process)
     elif kind == "store":
         fleet.store.mode = pick.choice(["silent", "refuse", "slow", "lost"])
         await asyncio.sleep(for_s)
@@ -793,6 +872,8 @@
         await fleet.change_keys()
     elif kind == "weights":
         await fleet.name_weights(fleet.weights + 1)
+    elif kind == "limit":
+        await limit(soak, fleet)
 
 
 async def faults(soak, fleet, until):
@@ -886,6 +967,9 @@
     parser.add_argument("--more", action="store_true",
                         help="also restarts under one id and foreign lines; "
                         "seeds below 1000 are kept without")
+    parser.add_argument("--notices", action="store_true",
+                        help="also upstreams that say in their answers what "
+                        "they take")
     options = parser.parse_args()
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
