--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -43,6 +43,7 @@
     [PGW_CAUSE_CONNECTION] = "connection",
     [PGW_CAUSE_ANSWER_DAMAGED] = "answer_damaged",
     [PGW_CAUSE_WEIGHTS] = "weights",
+    [PGW_CAUSE_UPSTREAM_LIMITS] = "upstream_limits",
     [PGW_CAUSE_NO_PLACE] = "no_place",
     [PGW_CAUSE_LONG_PROMPT] = "long_prompt",
     [PGW_CAUSE_CROWDED] = "crowded",
@@ -488,6 +489,15 @@
              text_of(inquiry->end, "config_age_ms"));
 }
 
+static void
+end_upstream_limits(struct inquiry *inquiry)
+{
+    conclude(inquiry, PGW_CAUSE_UPSTREAM_LIMITS,
+             "all upstreams of service %s that could take it were at limits "
+             "that they had named: see upstream_limit",
+             text_of(inquiry->end, "service"));
+}
+
 static void
 end_poison(struct inquiry *inquiry)
 {
@@ -547,6 +557,7 @@
     {"unauthorized", end_unauthorized},
     {"crashes_upstreams", end_poison},
     {"over_quota", end_over_quota},
+    {"upstream_limits", end_upstream_limits},
 };
 
 static void
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -505,6 +505,34 @@
     return true;
 }
 
+/*
+ * Failure: an upstream in need names a limit, and entries go on sending what
+ * its load and its cached parts attract. Symptom: it gets several times the
+ * requests that it can take. Every way to an upstream leads through the
+ * choice, so the limit is checked here, also for unhealthy upstreams: a pool
+ * without any other is no reason to exceed it.
+ */
+static bool
+is_at_limit(struct pgw_choice *out, const struct pgw_upstream *upstream,
+            const struct pgw_choose_input *input)
+{
+#ifndef PGW_DISABLE_GATEWAY_LIMIT
+    uint64_t next_us;
+
+    if (pgw_limit_share_allows(&upstream->limit, input->now_us)) {
+        return false;
+    }
+    out->limited_per_s += upstream->limit.per_s;
+    next_us = pgw_limit_share_next_us(&upstream->limit, input->now_us);
+    if (next_us > 0) {
+        set_retry_at(out, next_us);
+    }
+    return true;
+#else
+    return false;
+#endif
+}
+
 /* One pass over the candidates, over unhealthy ones only with
  * @include_unhealthy. */
 static struct pgw_upstream *
@@ -513,20 +541,30 @@
               const struct candidate_set *set, bool include_unhealthy)
 {
     struct pgw_upstream *best = NULL;
+    struct pgw_upstream *limited = NULL;
     double best_cost = DBL_MAX;
+    double limited_cost = DBL_MAX;
 
+    out->limited_per_s = 0;
+    out->only_limited = true;
     for (size_t i = 0; i < set->candidates.count; i++) {
         struct pgw_upstream *upstream = set->candidates.items[i];
+        bool at_limit;
         double cost;
 
         if (!pgw_upstream_is_usable(upstream, input->now_us)) {
-            out->busy |= upstream->loading && !upstream->leaving;
+            if (upstream->loading && !upstream->leaving) {
+                out->busy = true;
+                out->only_limited = false;
+            }
             continue;
         }
         if (was_tried(input, upstream)) {
             continue;
         }
         out->busy = true;
+        at_limit = is_at_limit(out, upstream, input);
+        out->only_limited &= at_limit;
         if (awaits_probe(out, upstream, input) ||
             is_backing_off(out, upstream, input, options)) {
             continue;
@@ -536,11 +574,19 @@
             continue;
         }
         cost = candidate_cost(upstream, i, input, options, set);
-        if (cost < best_cost) {
+        if (at_limit && cost < limited_cost) {
+            limited_cost = cost;
+            limited = upstream;
+        }
+        else if (!at_limit && cost < best_cost) {
             best_cost = cost;
             best = upstream;
         }
     }
+    out->only_limited &= out->limited_per_s > 0;
+    if (limited_cost < best_cost) {
+        out->limited = limited;
+    }
     return best;
 }
 
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -215,6 +215,10 @@
  * @missing_tokens: shared tokens that @upstream lacks
  * @shared_tokens: all shared tokens of the prompt
  * @busy: some upstream may take the request later
+ * @limited: would have been chosen, but is at its limit; NULL: none
+ * @limited_per_s: sum of the limits of all evaluated upstreams that are at
+ *   them
+ * @only_limited: every upstream that may take the request is at its limit
  * @retry_at_us: end of the earliest backoff or probe interval that ruled out
  *   an upstream; 0: none did
  */
@@ -225,6 +229,9 @@
     uint32_t missing_tokens;
     uint32_t shared_tokens;
     bool busy;
+    struct pgw_upstream *limited;
+    double limited_per_s;
+    bool only_limited;
     uint64_t retry_at_us;
 };
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -1,4 +1,5 @@
 #include "gateway/exchange.h"
+#include "gateway/upstream_limits.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include "util/random.h"
@@ -14,6 +15,9 @@
 /* When a caller may retry if no slot was free: about the time of one
  * generation. */
 #define NO_SLOT_RETRY_MS 250
+/* Longest retry time of requests beyond the limits of upstreams. Limits are
+ * named for seconds, so a later time would keep callers away for nothing. */
+#define LIMIT_RETRY_MAX_MS 10000
 /* A process without a configuration gets one within a second. */
 #define NO_CONFIG_RETRY_MS 400
 
@@ -330,6 +334,61 @@
                       exchange->gateway->options.queue_time_share);
 }
 
+/* Queued requests for the same service that are dispatched before a request of
+ * this rank. */
+static unsigned
+count_queued_before(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    unsigned rank = pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS);
+    unsigned count = 0;
+
+    for (unsigned i = 0; i <= rank; i++) {
+        pgw_list_foreach (link, &gateway->waiting.queues[i]) {
+            const struct pgw_exchange *other =
+                pgw_container_of(link, struct pgw_exchange, waiting.link);
+
+            count += strcmp(other->service, exchange->service) == 0;
+        }
+    }
+    return count;
+}
+
+/*
+ * Failure: all upstreams of a pool are at their limits, or nearly so. Symptom:
+ * callers wait in the queue for requests that others get first, and are
+ * refused only when no time is left to try elsewhere. A request whose turn
+ * would come too late is refused at once, with the time until its turn. Its
+ * caller's retry is spread over half of that time, so that callers refused
+ * together do not return together.
+ */
+static bool
+refuse_beyond_limits(struct pgw_exchange *exchange,
+                     const struct pgw_choice *choice, uint64_t now_us)
+{
+    uint64_t wait_us;
+    uint64_t retry_ms;
+
+    if (!choice->only_limited) {
+        return false;
+    }
+    wait_us =
+        pgw_upstream_limits_wait_us(exchange->gateway, choice->limited_per_s,
+                                    count_queued_before(exchange) + 1);
+    if (wait_us <= queue_time_limit_us(exchange, now_us)) {
+        return false;
+    }
+    if (exchange->may_have_run) {
+        pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
+        return true;
+    }
+    retry_ms = wait_us / 1000;
+    retry_ms += pgw_random_u64() % (retry_ms / 2 + 1);
+    pgw_exchange_refuse(exchange, 503, "upstream_limits",
+                        (uint32_t)MIN(retry_ms, LIMIT_RETRY_MAX_MS));
+    return true;
+}
+
 void
 pgw_exchange_dispatch(struct pgw_exchange *exchange)
 {
@@ -345,6 +404,9 @@
         return;
     }
     choose_upstream(&choice, exchange);
+    if (choice.limited != NULL) {
+        pgw_upstream_limits_want(gateway, choice.limited);
+    }
     if (choice.upstream != NULL) {
         leave_queue(exchange);
         pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
@@ -352,7 +414,8 @@
         return;
     }
     pgw_gateway_dispatch_queued_at(gateway, choice.retry_at_us);
-    if (pgw_list_is_linked(&exchange->waiting.link)) {
+    if (pgw_list_is_linked(&exchange->waiting.link) ||
+        refuse_beyond_limits(exchange, &choice, now)) {
         return;
     }
     /* A stream that is queued to resume keeps its phase, since its head was
--- a/src/gateway/engine_sidecar.c
+++ b/src/gateway/engine_sidecar.c
@@ -71,6 +71,10 @@
         pgw_engine_sidecar_handle_quota_ask(entry,
                                             (const Pgw__QuotaAsk *)message);
     }
+    else if (type == PGW_FRAME_LIMIT_ASK) {
+        pgw_engine_sidecar_handle_limit_ask(entry,
+                                            (const Pgw__LimitAsk *)message);
+    }
     return false;
 }
 
@@ -140,6 +144,7 @@
     pgw_cached_parts_init(&sidecar->cached_parts);
     pgw_announced_prompts_init(&sidecar->announced_prompts);
     sidecar->quotas = pgw_quota_buckets_new(&options->quotas);
+    sidecar->limits = pgw_limit_ledger_new();
     sidecar->events_timer.on_due = pgw_engine_sidecar_on_events_timer;
     if (sidecar->listener != NULL) {
         pgw_timer_start(loop, &sidecar->events_timer, 0);
@@ -177,6 +182,7 @@
     pgw_cached_parts_dispose(&sidecar->cached_parts);
     pgw_announced_prompts_dispose(&sidecar->announced_prompts);
     pgw_quota_buckets_free(sidecar->quotas);
+    pgw_limit_ledger_free(sidecar->limits);
     g_string_free(sidecar->events_body, TRUE);
     if (!pgw_list_is_empty(&sidecar->entries)) {
         pgw_list_foreach_safe (link, &sidecar->entries) {
--- a/src/gateway/engine_sidecar.h
+++ b/src/gateway/engine_sidecar.h
@@ -6,6 +6,7 @@
 #include "gateway/call.h"
 #include "gateway/policy.h"
 #include "gateway/quota_bucket.h"
+#include "gateway/upstream_notice.h"
 #include "gateway/upstream_table.h"
 #include "gateway/weights_order.h"
 
@@ -73,6 +74,8 @@
  * @write_order_request: append a complete request with an order
  * @write_events_request: append a complete long poll for cache events from
  *   number @since on
+ * @read_notice: read what the engine states about itself in the head of any
+ *   answer
  * @read_events: decode the answer; false: it is invalid. The array is owned
  *   by the caller
  */
@@ -86,6 +89,8 @@
                                  uint32_t wait_ms);
     bool (*read_events)(struct pgw_cache_events *out, const char *body,
                         size_t size);
+    void (*read_notice)(struct pgw_upstream_notice *out,
+                        const struct pgw_http_head *head);
 };
 
 struct pgw_engine_sidecar;
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_ENGINE_SIDECAR_INTERNAL_H
 
 #include "gateway/engine_sidecar.h"
+#include "gateway/limit_ledger.h"
 #include "gateway/quota_bucket.h"
 #include "gateway/report_budget.h"
 #include "libparsleygw/link.h"
@@ -59,12 +60,22 @@
     uint64_t kv_tokens;
 };
 
+/** enum pgw_sidecar_poll - kinds of polls that an engine is always asked */
+enum pgw_sidecar_poll {
+    PGW_SIDECAR_POLL_REPORT,
+    PGW_SIDECAR_POLL_EVENTS,
+    PGW_SIDECAR_POLL_COUNT,
+};
+
 /**
  * struct pgw_engine_sidecar - the sidecar of one engine
  * @engine: address of the engine
  * @cached_parts: parts in the engine's KV cache
  * @report: the engine's last report
  * @quotas: quota buckets of the workspaces that this sidecar owns
+ * @limits: limits of upstreams that this sidecar owns
+ * @named_limits: limit that the engine named in its last answer to each kind
+ *   of poll, 0: none
  * @announced_prompts: long prompts that may not be prefilled yet
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
@@ -75,6 +86,7 @@
  * @reported_us: when it was sent
  * @reported_remote_us: when the last one to entries of other zones was sent
  * @reported_alive: @alive in the last report to the entries
+ * @reported_limit: limit of the engine in the last report to the entries
  * @reported_loading: whether that report said that the engine is loading
  * @ordered_model: the model whose order is in flight, NULL: none
  * @failed_polls: failed polls in a row
@@ -103,6 +115,8 @@
     unsigned order_status;
     struct pgw_engine_report report;
     struct pgw_quota_buckets *quotas;
+    struct pgw_limit_ledger *limits;
+    double named_limits[PGW_SIDECAR_POLL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
@@ -115,6 +129,7 @@
     struct pgw_sidecar_model *ordered_model;
     unsigned failed_polls;
     bool alive;
+    double reported_limit;
     bool reported_alive;
     bool reported_loading;
 };
@@ -154,6 +169,20 @@
  * quotas */
 void pgw_engine_sidecar_register_quota_metrics(void);
 
+/* engine_sidecar_limit.c */
+/** pgw_engine_sidecar_handle_limit_ask() - answer an entry's ask for requests
+ * to an upstream at its limit */
+void pgw_engine_sidecar_handle_limit_ask(struct pgw_connected_entry *entry,
+                                         const Pgw__LimitAsk *ask);
+/** pgw_engine_sidecar_read_notice() - read what the engine states about itself
+ * in the head of its answer to a poll */
+void pgw_engine_sidecar_read_notice(struct pgw_engine_sidecar *sidecar,
+                                    enum pgw_sidecar_poll poll,
+                                    const struct pgw_http_head *head);
+/** pgw_engine_sidecar_limit() - limit that the engine names to this sidecar,
+ * 0: none */
+double pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar);
+
 /* engine_sidecar_reports.c */
 /** pgw_engine_sidecar_send_full_state() - send a full report to an entry that
  * has just connected */
--- /dev/null
+++ b/src/gateway/engine_sidecar_limit.c
@@ -0,0 +1,60 @@
+#include "gateway/engine_sidecar_internal.h"
+
+/* Share of the limit for the entries that are connected: the others, which
+ * cannot ask, each use an equal share of their own. */
+static double
+connected_share(const struct pgw_engine_sidecar *sidecar, uint32_t entries)
+{
+    unsigned connected = pgw_engine_sidecar_entry_count(sidecar);
+
+    return entries > connected ? (double)connected / entries : 1;
+}
+
+void
+pgw_engine_sidecar_handle_limit_ask(struct pgw_connected_entry *entry,
+                                    const Pgw__LimitAsk *ask)
+{
+    Pgw__LimitAnswer message = PGW__LIMIT_ANSWER__INIT;
+    struct pgw_limit_answer answer;
+    struct pgw_limit_ask request = {
+        .upstream = ask->upstream,
+        .per_s = ask->per_s,
+        .age_us = ask->age_us,
+        .wanted = ask->wanted,
+        .share = connected_share(entry->sidecar, ask->entries),
+    };
+
+    pgw_limit_ledger_ask(&answer, entry->sidecar->limits, &request,
+                         pgw_now_us());
+    message.upstream = ask->upstream;
+    message.granted = answer.granted;
+    message.retry_ms = answer.retry_ms;
+    message.per_s = answer.per_s;
+    message.age_us = answer.age_us;
+    pgw_link_send(entry->link, PGW_FRAME_LIMIT_ANSWER, &message.base);
+}
+
+void
+pgw_engine_sidecar_read_notice(struct pgw_engine_sidecar *sidecar,
+                               enum pgw_sidecar_poll poll,
+                               const struct pgw_http_head *head)
+{
+    struct pgw_upstream_notice notice = {0};
+
+    sidecar->options.codec->read_notice(&notice, head);
+    if (notice.invalid_field == NULL) {
+        sidecar->named_limits[poll] = notice.limit;
+    }
+}
+
+/* Engines may name a limit in answers to one kind of poll only. */
+double
+pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar)
+{
+    for (size_t i = 0; i < PGW_SIDECAR_POLL_COUNT; i++) {
+        if (sidecar->named_limits[i] > 0) {
+            return sidecar->named_limits[i];
+        }
+    }
+    return 0;
+}
--- a/src/gateway/engine_sidecar_poll.c
+++ b/src/gateway/engine_sidecar_poll.c
@@ -127,6 +127,7 @@
     for (size_t i = 0; i < sidecar->model_count; i++) {
         pgw_weights_order_handle_restart(&sidecar->models[i].order);
     }
+    memset(sidecar->named_limits, 0, sizeof(sidecar->named_limits));
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
     if (pgw_call_is_running(&sidecar->events_call)) {
@@ -147,6 +148,7 @@
 {
     struct pgw_engine_sidecar *sidecar = report_call_sidecar(call);
 
+    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_POLL_REPORT, head);
     sidecar->report_status = head->status;
     g_string_truncate(sidecar->report_body, 0);
     return true;
@@ -233,6 +235,7 @@
 {
     struct pgw_engine_sidecar *sidecar = events_call_sidecar(call);
 
+    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_POLL_EVENTS, head);
     sidecar->events_status = head->status;
     g_string_truncate(sidecar->events_body, 0);
     return true;
--- a/src/gateway/engine_sidecar_reports.c
+++ b/src/gateway/engine_sidecar_reports.c
@@ -143,6 +143,7 @@
     state.unread = load.pending_tokens;
     state.kv_used = load.kv_used;
     state.kv_total = load.kv_total;
+    state.limit = pgw_engine_sidecar_limit(sidecar);
     state.parts_reset = report->parts_reset;
     state.probe = report->probe;
     fill_parts(&state, report->updates);
@@ -258,6 +259,7 @@
     report_copy(&sidecar->reported, &sidecar->report);
     sidecar->reported.load = current_load(sidecar);
     sidecar->reported_alive = sidecar->alive;
+    sidecar->reported_limit = pgw_engine_sidecar_limit(sidecar);
     sidecar->reported_loading = pgw_engine_sidecar_is_loading(sidecar);
     sidecar->reported_us = pgw_now_us();
     report_to_zone_group(sidecar, false, urgent, SIZE_MAX);
@@ -279,7 +281,7 @@
 }
 
 /* Changes that decide whether requests may be sent to the engine: whether it
- * is alive, its start, its weights and its loads. */
+ * is alive, its limit, its start, its weights and its loads. */
 bool
 pgw_engine_sidecar_has_urgent_change(const struct pgw_engine_sidecar *sidecar)
 {
@@ -287,6 +289,8 @@
     const struct pgw_engine_report *reported = &sidecar->reported;
 
     if (sidecar->alive != sidecar->reported_alive ||
+        (pgw_engine_sidecar_limit(sidecar) > 0) !=
+            (sidecar->reported_limit > 0) ||
         now->started_ms != reported->started_ms ||
         pgw_engine_sidecar_is_loading(sidecar) != sidecar->reported_loading ||
         now->model_count != reported->model_count) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,6 +35,7 @@
  * @sidecars_context: passed to @sidecars
  * @probes: number of a probe -> the &struct pgw_exchange that waits for it
  * @last_probe: number of the last probe
+ * @entries: number of entries in the deployment, 0: not known
  */
 struct pgw_gateway {
     struct pgw_loop *loop;
@@ -66,6 +67,7 @@
     void *sidecars_context;
     GHashTable *probes;
     uint64_t last_probe;
+    uint32_t entries;
 };
 
 /**
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 #include "gateway/unresponsive.h"
+#include "gateway/upstream_limits.h"
 #include "util/log.h"
 
 /* Initial estimates, used until runs have been measured. */
@@ -103,6 +104,7 @@
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
                                gateway);
     pgw_unresponsive_start(gateway);
+    pgw_upstream_limits_register_metrics();
     gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     gateway->target_weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -344,6 +346,7 @@
 void
 pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries)
 {
+    gateway->entries = entries;
     pgw_retry_budgets_set_entries(gateway->budgets, entries);
     pgw_quota_set_entries(gateway->quota, entries);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/codec.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/event_stream.h"
+#include "gateway/limit_ledger.h"
 #include "gateway/policy.h"
 #include "gateway/quota.h"
 #include "gateway/retry_budgets.h"
@@ -168,6 +169,9 @@
  *   0, the long prompt announced before has been prefilled or cancelled
  * @probe: ask for an engine's load and its cached parts; the answer arrives
  *   through pgw_gateway_probe_answered(). false: the sidecar is not reachable
+ * @ask_limit: ask the owner of an upstream's limit, @owner, for requests that
+ *   may be sent there; the answer arrives through
+ *   pgw_upstream_limits_handle_answer(). false: the owner is not reachable
  * @ask_quota: ask the owner of a quota for units, or report units to it; the
  *   answer arrives through pgw_quota_handle_answer(). false: the owner is not
  *   reachable
@@ -179,6 +183,8 @@
                   uint64_t probe, const uint64_t *keys, size_t count);
     bool (*ask_quota)(void *context, const struct pgw_upstream *upstream,
                       const struct pgw_quota_ask *ask);
+    bool (*ask_limit)(void *context, const struct pgw_upstream *owner,
+                      const struct pgw_limit_ask *ask);
 };
 
 /** pgw_gateway_set_sidecars() - reach sidecars through @ops, which is not
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -155,6 +155,16 @@
     quota->entries = MAX(entries, 1);
 }
 
+const struct pgw_upstream *
+pgw_quota_owner(const struct pgw_quota *quota, uint64_t key)
+{
+    size_t position;
+
+    return pgw_quota_owners_rank(&position, 1, &quota->owners, key) == 0
+               ? NULL
+               : quota->owners.items[position];
+}
+
 void
 pgw_quota_upstreams_changed(struct pgw_quota *quota)
 {
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -105,6 +105,11 @@
 /** pgw_quota_set_entries() - set the number of entries in the deployment */
 void pgw_quota_set_entries(struct pgw_quota *quota, uint32_t entries);
 
+/** pgw_quota_owner() - upstream whose sidecar owns the quota with this key;
+ * NULL: there is none */
+const struct pgw_upstream *pgw_quota_owner(const struct pgw_quota *quota,
+                                           uint64_t key);
+
 /** pgw_quota_upstreams_changed() - select the owners again */
 void pgw_quota_upstreams_changed(struct pgw_quota *quota);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -1,4 +1,5 @@
 #include "gateway/exchange.h"
+#include "gateway/upstream_limits.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
@@ -51,10 +52,17 @@
         .asked_us = exchange->sent_us,
     };
 
-    if (facts->instance == NULL ||
-        strcmp(facts->instance, exchange->upstream->id) == 0) {
-        pgw_upstream_notice_apply(exchange->upstream, &facts->notice, &origin,
-                                  pgw_now_us());
+    struct pgw_upstream *upstream = exchange->upstream;
+    bool was_limited = upstream->limit.per_s > 0;
+
+    if (facts->instance != NULL &&
+        strcmp(facts->instance, upstream->id) != 0) {
+        return;
+    }
+    pgw_upstream_notice_apply(upstream, &facts->notice, &origin, pgw_now_us());
+    if (was_limited && upstream->limit.per_s <= 0) {
+        pgw_upstream_limits_report_end(exchange->gateway, upstream);
+        pgw_gateway_dispatch_queued(exchange->gateway);
     }
 }
 
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -2,6 +2,7 @@
 #include "gateway/crash_quarantine.h"
 #include "gateway/report_budget.h"
 #include "gateway/sidecar_links_internal.h"
+#include "gateway/upstream_notice.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include "util/random.h"
@@ -79,6 +80,22 @@
     };
 }
 
+/* A sidecar may not hear of a limit that the engine names to entries, so only
+ * a limit that the sidecar has reported ends with its reports. */
+void
+pgw_sidecar_link_apply_limit(struct pgw_upstream *upstream,
+                             const Pgw__EngineState *state, uint64_t now_us)
+{
+    if (state->limit > 0) {
+        pgw_upstream_notice_set_limit(upstream, state->limit, "sidecar",
+                                      now_us);
+        upstream->limit.from_sidecar = true;
+    }
+    else if (upstream->limit.from_sidecar) {
+        pgw_upstream_notice_set_limit(upstream, 0, "sidecar", now_us);
+    }
+}
+
 /*
  * Failure: the connection leads to another engine's sidecar. Symptom: reports
  * replace the list of upstreams as the source of the upstream's versions, but
@@ -116,6 +133,7 @@
     pgw_upstream_table_set_start(pgw_gateway_upstreams(link->links->gateway),
                                  upstream, state->started_ms);
     pgw_sidecar_links_rollout_apply_report(link->links, upstream, state, now);
+    pgw_sidecar_link_apply_limit(upstream, state, now);
     if (state->parts_reset) {
         pgw_upstream_clear_parts(upstream);
     }
@@ -150,6 +168,10 @@
         pgw_sidecar_link_handle_quota_answer(
             context, (const Pgw__QuotaAnswer *)message);
     }
+    else if (type == PGW_FRAME_LIMIT_ANSWER) {
+        pgw_sidecar_link_handle_limit_answer(
+            context, (const Pgw__LimitAnswer *)message);
+    }
     return false;
 }
 
@@ -507,6 +529,7 @@
     GHashTableIter iter;
     void *value;
 
+    links->links_all = scope.reports || scope.probes;
     set_remote_probe_only(links, !scope.reports);
     g_hash_table_iter_init(&iter, links->by_engine);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/gateway/sidecar_links_internal.h
+++ b/src/gateway/sidecar_links_internal.h
@@ -54,6 +54,7 @@
  * @entry_count_us: when that number was last confirmed
  * @remote_probe_only: sidecars of other zones answer probes, and send no other
  *   reports
+ * @links_all: every entry is to be connected to every sidecar
  * @refresh_task: checks whether @remote_probe_only still fits, once per
  *   iteration of the loop
  * @refresh_posted: @refresh_task is posted
@@ -69,6 +70,7 @@
     uint32_t entry_count;
     uint64_t entry_count_us;
     bool remote_probe_only;
+    bool links_all;
     struct pgw_task refresh_task;
     bool refresh_posted;
     struct pgw_weights_load_times load_times;
@@ -96,6 +98,11 @@
 void pgw_sidecar_link_apply_part(struct pgw_upstream *upstream, uint64_t key,
                                  uint32_t update, uint64_t now_us);
 
+/** pgw_sidecar_link_apply_limit() - apply the limit in a sidecar's report */
+void pgw_sidecar_link_apply_limit(struct pgw_upstream *upstream,
+                                  const Pgw__EngineState *state,
+                                  uint64_t now_us);
+
 /** pgw_sidecar_link_add() - add a link to an upstream's sidecar, and start to
  * connect */
 struct sidecar_link *pgw_sidecar_link_add(struct pgw_sidecar_links *links,
@@ -121,6 +128,11 @@
 void pgw_sidecar_link_handle_quota_answer(const struct sidecar_link *link,
                                           const Pgw__QuotaAnswer *message);
 
+/** pgw_sidecar_link_handle_limit_answer() - pass on the answer of a limit's
+ * owner */
+void pgw_sidecar_link_handle_limit_answer(const struct sidecar_link *link,
+                                          const Pgw__LimitAnswer *message);
+
 /* sidecar_links_rollout.c */
 /** pgw_sidecar_links_rollout_init() - initialize the state of rollouts */
 void pgw_sidecar_links_rollout_init(struct pgw_sidecar_links *links);
--- a/src/gateway/sidecar_links_probe.c
+++ b/src/gateway/sidecar_links_probe.c
@@ -1,4 +1,5 @@
 #include "gateway/sidecar_links_internal.h"
+#include "gateway/upstream_limits.h"
 
 /* Idle time after which a probe-only link is closed, in pools with more
  * engines than links. */
@@ -141,10 +142,46 @@
     }
 }
 
+static bool
+ask_limit(void *context, const struct pgw_upstream *owner,
+          const struct pgw_limit_ask *ask)
+{
+    struct pgw_sidecar_links *links = context;
+    struct sidecar_link *link = get_open_link(links, owner);
+    Pgw__LimitAsk message = PGW__LIMIT_ASK__INIT;
+
+    if (link == NULL) {
+        return false;
+    }
+    message.upstream = (char *)ask->upstream;
+    message.per_s = ask->per_s;
+    message.age_us = ask->age_us;
+    message.wanted = ask->wanted;
+    message.entries = links->links_all ? links->entry_count : 0;
+    pgw_link_send(link->connection, PGW_FRAME_LIMIT_ASK, &message.base);
+    return true;
+}
+
+void
+pgw_sidecar_link_handle_limit_answer(const struct sidecar_link *link,
+                                     const Pgw__LimitAnswer *message)
+{
+    struct pgw_limit_answer answer = {
+        .granted = message->granted,
+        .retry_ms = message->retry_ms,
+        .per_s = message->per_s,
+        .age_us = message->age_us,
+    };
+
+    pgw_upstream_limits_handle_answer(link->links->gateway, message->upstream,
+                                      &answer);
+}
+
 const struct pgw_sidecar_ops pgw_sidecar_links_ops = {
     .announce = announce,
     .probe = probe,
     .ask_quota = ask_quota,
+    .ask_limit = ask_limit,
 };
 
 bool
@@ -181,6 +218,7 @@
     pgw_upstream_set_loading(
         upstream, state->loading || !state->alive,
         now_us + (state->alive ? LOADING_VALID_US : UNREACHABLE_VALID_US));
+    pgw_sidecar_link_apply_limit(upstream, state, now_us);
     if (state->alive) {
         pgw_upstream_update_load(upstream, &load, now_us);
     }
--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -156,7 +156,7 @@
             pgw_container_of(link, struct pgw_upstream, in_table);
 
         suspects += log_liveness_change(upstream, now_us);
-        limited += upstream->limit > 0;
+        limited += upstream->limit.per_s > 0;
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
     pgw_metric_gauge_set(&limited_upstreams, limited);
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -29,7 +29,7 @@
 
 /**
  * struct pgw_notice_origin - where a notice comes from
- * @source: "answer" or "sidecar", for logs
+ * @source: "answer", "sidecar" or "owner", for logs
  * @asked_us: when the request was sent that the upstream answered
  */
 struct pgw_notice_origin {
@@ -53,4 +53,9 @@
                                const struct pgw_notice_origin *origin,
                                uint64_t now_us);
 
+/** pgw_upstream_notice_set_limit() - set the limit of an upstream, as heard at
+ * @heard_us; 0: it has ended. @source: as in &struct pgw_notice_origin */
+void pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
+                                   const char *source, uint64_t heard_us);
+
 #endif
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -42,8 +42,27 @@
  * some seconds. */
 #define UNCONFIRMED_PART_US 8000000
 
+/* How long the statements of a removed upstream are kept. An id names one
+ * process for ever; the store lists entries again within seconds. */
+#define DEPARTED_KEPT_US 60000000ULL
+
+/**
+ * struct departed - what an upstream that was removed has stated about itself
+ * @id: its name in the list
+ * @started_ms: start time of the process that stated it
+ * @removed_at_us: when it was removed
+ * @limit: its limit
+ */
+struct departed {
+    char *id;
+    uint64_t started_ms;
+    uint64_t removed_at_us;
+    struct pgw_limit_share limit;
+};
+
 struct pgw_upstream_table {
     char *zone;
+    GHashTable *departed; /* id -> struct departed */
     GHashTable *by_id;
     GHashTable *by_address; /* the upstream that an address belongs to */
     GHashTable *by_service; /* name -> struct pgw_upstream_pool */
@@ -63,12 +82,23 @@
     g_free(pool);
 }
 
+static void
+departed_free(void *data)
+{
+    struct departed *departed = data;
+
+    g_free(departed->id);
+    g_free(departed);
+}
+
 struct pgw_upstream_table *
 pgw_upstream_table_new(const char *zone)
 {
     struct pgw_upstream_table *table = g_new0(struct pgw_upstream_table, 1);
 
     table->zone = g_strdup(zone);
+    table->departed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, departed_free);
     table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     table->by_address = g_hash_table_new(g_str_hash, g_str_equal);
     table->by_service =
@@ -116,6 +146,7 @@
         pgw_upstream_table_remove(
             table, pgw_container_of(link, struct pgw_upstream, in_table));
     }
+    g_hash_table_destroy(table->departed);
     g_hash_table_destroy(table->by_id);
     g_hash_table_destroy(table->by_address);
     g_hash_table_destroy(table->by_service);
@@ -178,6 +209,54 @@
     }
 }
 
+static gboolean
+has_expired(void *key, void *value, void *now_us)
+{
+    const struct departed *departed = value;
+
+    (void)key;
+    return *(const uint64_t *)now_us - departed->removed_at_us >
+           DEPARTED_KEPT_US;
+}
+
+/*
+ * Failure: the store loses an upstream's record, or an old copy of the list
+ * lacks it, and it is listed again. Symptom: entries treat it as one that has
+ * stated nothing, although its process never stopped doing so. Statements are
+ * kept for its id and start time.
+ */
+static void
+remember_statements(struct pgw_upstream_table *table,
+                    const struct pgw_upstream *upstream)
+{
+    uint64_t now_us = (uint64_t)g_get_monotonic_time();
+    struct departed *departed;
+
+    if (upstream->limit.per_s <= 0) {
+        return;
+    }
+    g_hash_table_foreach_remove(table->departed, has_expired, &now_us);
+    departed = g_new0(struct departed, 1);
+    departed->id = g_strdup(upstream->id);
+    departed->started_ms = upstream->started_ms;
+    departed->removed_at_us = now_us;
+    departed->limit = upstream->limit;
+    g_hash_table_replace(table->departed, departed->id, departed);
+}
+
+static void
+restore_statements(struct pgw_upstream_table *table,
+                   struct pgw_upstream *upstream, uint64_t started_ms)
+{
+    const struct departed *departed =
+        g_hash_table_lookup(table->departed, upstream->id);
+
+    if (departed != NULL && departed->started_ms == started_ms) {
+        upstream->limit = departed->limit;
+    }
+    g_hash_table_remove(table->departed, upstream->id);
+}
+
 static struct pgw_upstream *
 upstream_new(struct pgw_upstream_table *table,
              const struct pgw_upstream_facts *facts)
@@ -205,6 +284,7 @@
     g_hash_table_insert(table->by_id, upstream->id, upstream);
     g_hash_table_replace(table->by_address, upstream->address_text, upstream);
     pool_add(table, upstream, facts->model_count > 0);
+    restore_statements(table, upstream, facts->started_ms);
     return upstream;
 }
 
@@ -260,8 +340,7 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
-    upstream->limit = 0;
-    upstream->limit_heard_us = 0;
+    upstream->limit = (struct pgw_limit_share){0};
     pgw_upstream_clear_parts(upstream);
 }
 
@@ -387,6 +466,7 @@
     if (!upstream->leaving && table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
+    remember_statements(table, upstream);
     g_hash_table_remove(table->by_id, upstream->id);
     if (pgw_upstream_table_find_address(table, upstream->address_text) ==
         upstream) {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_UPSTREAM_TABLE_H
 #define PGW_GATEWAY_UPSTREAM_TABLE_H
 
+#include "gateway/limit_share.h"
 #include "gateway/recent_parts.h"
 #include "util/address.h"
 #include "util/list.h"
@@ -141,10 +142,7 @@
  * @avoid_until_us: chosen before this time only if no other upstream can be
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
- * @limit: requests a second that it takes from all entries together, as it
- *   stated; 0: it named no limit
- * @limit_heard_us: when it last named a limit
- * @limit_logged_us: when a limit was last logged
+ * @limit: this entry's share of the request rate that it accepts
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
  * @expected: parts of requests that this entry sent there recently
@@ -197,9 +195,7 @@
     uint64_t avoid_until_us;
     uint32_t refusals;
     uint64_t full_until_us;
-    double limit;
-    uint64_t limit_heard_us;
-    uint64_t limit_logged_us;
+    struct pgw_limit_share limit;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
 };
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -27,6 +27,8 @@
         [PGW_FRAME_ENGINE_PROBE] = &pgw__engine_probe__descriptor,
         [PGW_FRAME_QUOTA_ASK] = &pgw__quota_ask__descriptor,
         [PGW_FRAME_QUOTA_ANSWER] = &pgw__quota_answer__descriptor,
+        [PGW_FRAME_LIMIT_ASK] = &pgw__limit_ask__descriptor,
+        [PGW_FRAME_LIMIT_ANSWER] = &pgw__limit_answer__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &pgw__quota_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__limit_ask__init
+                     (Pgw__LimitAsk         *message)
+{
+  static const Pgw__LimitAsk init_value = PGW__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t pgw__limit_ask__get_packed_size
+                     (const Pgw__LimitAsk *message)
+{
+  assert(message->base.descriptor == &pgw__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__limit_ask__pack
+                     (const Pgw__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__limit_ask__pack_to_buffer
+                     (const Pgw__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__LimitAsk *
+       pgw__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__LimitAsk *)
+     protobuf_c_message_unpack (&pgw__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   pgw__limit_ask__free_unpacked
+                     (Pgw__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__limit_answer__init
+                     (Pgw__LimitAnswer         *message)
+{
+  static const Pgw__LimitAnswer init_value = PGW__LIMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t pgw__limit_answer__get_packed_size
+                     (const Pgw__LimitAnswer *message)
+{
+  assert(message->base.descriptor == &pgw__limit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__limit_answer__pack
+                     (const Pgw__LimitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__limit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__limit_answer__pack_to_buffer
+                     (const Pgw__LimitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__limit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__LimitAnswer *
+       pgw__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__LimitAnswer *)
+     protobuf_c_message_unpack (&pgw__limit_answer__descriptor,
+                                allocator, len, data);
+}
+void   pgw__limit_answer__free_unpacked
+                     (Pgw__LimitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__limit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[8] =
 {
   {
@@ -3712,7 +3802,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[16] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[17] =
 {
   {
     "address",
@@ -3906,6 +3996,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3913,6 +4015,7 @@
   10,   /* field[10] = entries */
   7,   /* field[7] = kv_total */
   6,   /* field[6] = kv_used */
+  16,   /* field[16] = limit */
   2,   /* field[2] = loading */
   9,   /* field[9] = long_prefills */
   3,   /* field[3] = models */
@@ -3929,7 +4032,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -3939,7 +4042,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  16,
+  17,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   2,  pgw__engine_state__number_ranges,
@@ -4397,3 +4500,183 @@
   (ProtobufCMessageInit) pgw__quota_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__limit_ask__field_descriptors[5] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAsk, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAsk, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAsk, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAsk, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAsk, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__limit_ask__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  4,   /* field[4] = entries */
+  1,   /* field[1] = per_s */
+  0,   /* field[0] = upstream */
+  3,   /* field[3] = wanted */
+};
+static const ProtobufCIntRange pgw__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pgw__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.LimitAsk",
+  "LimitAsk",
+  "Pgw__LimitAsk",
+  "pgw",
+  sizeof(Pgw__LimitAsk),
+  5,
+  pgw__limit_ask__field_descriptors,
+  pgw__limit_ask__field_indices_by_name,
+  1,  pgw__limit_ask__number_ranges,
+  (ProtobufCMessageInit) pgw__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__limit_answer__field_descriptors[5] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAnswer, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAnswer, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAnswer, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__LimitAnswer, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__limit_answer__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
+  1,   /* field[1] = granted */
+  3,   /* field[3] = per_s */
+  2,   /* field[2] = retry_ms */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange pgw__limit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pgw__limit_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.LimitAnswer",
+  "LimitAnswer",
+  "Pgw__LimitAnswer",
+  "pgw",
+  sizeof(Pgw__LimitAnswer),
+  5,
+  pgw__limit_answer__field_descriptors,
+  pgw__limit_answer__field_indices_by_name,
+  1,  pgw__limit_answer__number_ranges,
+  (ProtobufCMessageInit) pgw__limit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Pgw__LoadWeights Pgw__LoadWeights;
 typedef struct Pgw__QuotaAsk Pgw__QuotaAsk;
 typedef struct Pgw__QuotaAnswer Pgw__QuotaAnswer;
+typedef struct Pgw__LimitAsk Pgw__LimitAsk;
+typedef struct Pgw__LimitAnswer Pgw__LimitAnswer;
 
 
 /* --- enums --- */
@@ -650,10 +652,14 @@
    * answers this probe: parts are those asked for
    */
   uint64_t probe;
+  /*
+   * requests a second that the engine takes from all
+   */
+  double limit;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -800,6 +806,65 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * An entry asks the sidecar that owns an upstream's limit for requests that it
+ * may send there, or tells that the limit has ended.
+ */
+struct  Pgw__LimitAsk
+{
+  ProtobufCMessage base;
+  /*
+   * id of the upstream in the list
+   */
+  char *upstream;
+  /*
+   * the limit, requests a second; 0: it has ended
+   */
+  double per_s;
+  /*
+   * since the upstream said so
+   */
+  uint64_t age_us;
+  /*
+   * requests that would be sent now
+   */
+  uint32_t wanted;
+  /*
+   * entries that are to be connected to the sidecar;
+   */
+  uint32_t entries;
+};
+#define PGW__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__limit_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Pgw__LimitAnswer
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * requests that may be sent
+   */
+  uint32_t granted;
+  /*
+   * when to ask for more
+   */
+  uint32_t retry_ms;
+  /*
+   * by the newest word that came from any entry
+   */
+  double per_s;
+  /*
+   * of that word
+   */
+  uint64_t age_us;
+};
+#define PGW__LIMIT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__limit_answer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 /* Pgw__Hello methods */
 void   pgw__hello__init
                      (Pgw__Hello         *message);
@@ -1370,6 +1435,44 @@
 void   pgw__quota_answer__free_unpacked
                      (Pgw__QuotaAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__LimitAsk methods */
+void   pgw__limit_ask__init
+                     (Pgw__LimitAsk         *message);
+size_t pgw__limit_ask__get_packed_size
+                     (const Pgw__LimitAsk   *message);
+size_t pgw__limit_ask__pack
+                     (const Pgw__LimitAsk   *message,
+                      uint8_t             *out);
+size_t pgw__limit_ask__pack_to_buffer
+                     (const Pgw__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__LimitAsk *
+       pgw__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__limit_ask__free_unpacked
+                     (Pgw__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__LimitAnswer methods */
+void   pgw__limit_answer__init
+                     (Pgw__LimitAnswer         *message);
+size_t pgw__limit_answer__get_packed_size
+                     (const Pgw__LimitAnswer   *message);
+size_t pgw__limit_answer__pack
+                     (const Pgw__LimitAnswer   *message,
+                      uint8_t             *out);
+size_t pgw__limit_answer__pack_to_buffer
+                     (const Pgw__LimitAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__LimitAnswer *
+       pgw__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__limit_answer__free_unpacked
+                     (Pgw__LimitAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pgw__Hello_Closure)
@@ -1462,6 +1565,12 @@
 typedef void (*Pgw__QuotaAnswer_Closure)
                  (const Pgw__QuotaAnswer *message,
                   void *closure_data);
+typedef void (*Pgw__LimitAsk_Closure)
+                 (const Pgw__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Pgw__LimitAnswer_Closure)
+                 (const Pgw__LimitAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1498,6 +1607,8 @@
 extern const ProtobufCMessageDescriptor pgw__load_weights__descriptor;
 extern const ProtobufCMessageDescriptor pgw__quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor pgw__quota_answer__descriptor;
+extern const ProtobufCMessageDescriptor pgw__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor pgw__limit_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/unit/scene_engine.c
+++ b/tests/unit/scene_engine.c
@@ -27,7 +27,8 @@
             engine->version, engine->busy ? "true" : "false", engine->sequence,
             engine->started_ms == 0 ? ",\"sessions\":" : ",\"born\":",
             engine->started_ms);
-        scene_answer(fd, "r", 200, "", text);
+        scene_answer(fd, "r", 200,
+                     engine->fields == NULL ? "" : engine->fields, text);
         g_free(text);
     }
     else {
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -11,6 +11,8 @@
  * @busy: it reports that it is executing an order
  * @sequence: reported number of orders
  * @started_ms: reported start time of its process; 0: not reported
+ * @fields: additional header lines of its reports, each with its CRLF; NULL:
+ *   none
  * @orders: number of orders received
  * @order: body of the last order, to be freed
  */
@@ -20,6 +22,7 @@
     bool busy;
     unsigned sequence;
     uint64_t started_ms;
+    const char *fields;
     unsigned orders;
     char *order;
 };
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -33,6 +33,7 @@
     pthread_mutex_t lock;
     unsigned report_count;
     bool loading;
+    double limit;
     uint64_t version;
     struct {
         uint64_t probe;
@@ -65,6 +66,7 @@
     pthread_mutex_lock(&fixture->lock);
     fixture->report_count++;
     fixture->loading = state->loading;
+    fixture->limit = state->limit;
     if (state->n_models > 0) {
         fixture->version = state->models[0]->version;
     }
@@ -297,6 +299,34 @@
     close_fixture();
 }
 
+static bool
+is_limit_reported(const struct scene_engine *engine)
+{
+    bool reported;
+
+    pthread_mutex_lock(&fixture->lock);
+    reported = (fixture->limit > 0) == (engine->fields != NULL);
+    pthread_mutex_unlock(&fixture->lock);
+    return reported;
+}
+
+/* Guards against a limit that an engine names only to its sidecar, and that no
+ * entry hears of. */
+static void
+test_limit_is_reported(void)
+{
+    struct scene_engine engine = {.version = 1,
+                                  .fields = "Server-Limit: 2.5\r\n"};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_limit_reported);
+    g_assert_cmpfloat_with_epsilon(fixture->limit, 2.5, 1e-9);
+    engine.fields = NULL;
+    scene_engine_serve(&engine, is_limit_reported);
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -307,5 +337,7 @@
                     test_restart_during_order);
     g_test_add_func("/engine_sidecar/probe_counts_announced",
                     test_probe_counts_announced);
+    g_test_add_func("/engine_sidecar/limit_is_reported",
+                    test_limit_is_reported);
     return g_test_run();
 }
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -92,6 +92,10 @@
       END "outcome=no_place status=503 sends=0 queued_ms=800 total_ms=800"},
      "no_place",
      "800 ms"},
+    {"limits",
+     {END "outcome=upstream_limits status=503 sends=0 queued_ms=0 total_ms=1"},
+     "upstream_limits",
+     "at limits"},
     {"late, long prompt",
      {"weights_named model=m version=5 age_ms=0",
       END "outcome=answered status=200 objective_ms=600 sends=1 runs=1 "
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -26,7 +26,7 @@
 
     g_free(scene_read_request(fd));
     scene_answer(fd, id, 200, fields, "done");
-    answer = scene_read_all(caller);
+    answer = scene_read_until(caller, "done");
     g_assert_nonnull(strstr(answer, "200"));
     g_free(answer);
     close(caller);
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -31,6 +31,27 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against a limit that is forgotten when the upstream's record is lost
+ * and listed again, and against one that outlives its process. */
+static void
+test_limit_survives_a_lost_record(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put(table, "i", false);
+
+    pgw_limit_share_set(&upstream->limit, 3, 1);
+    pgw_upstream_table_remove(table, upstream);
+    upstream = put(table, "i", false);
+    g_assert_cmpfloat(upstream->limit.per_s, ==, 3);
+    pgw_upstream_table_set_start(table, upstream, 5);
+    pgw_upstream_table_set_start(table, upstream, 6);
+    g_assert_cmpfloat(upstream->limit.per_s, ==, 0);
+    pgw_limit_share_set(&upstream->limit, 3, 1);
+    pgw_upstream_table_remove(table, upstream);
+    g_assert_cmpfloat(put(table, "j", false)->limit.per_s, ==, 0);
+    pgw_upstream_table_free(table);
+}
+
 /*
  * An upstream crashes and restarts at its address with a new id, before the
  * record of the former process expires. Requests go only to the new upstream,
@@ -276,6 +297,8 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/upstream_table/leaving_is_permanent",
                     test_leaving_is_permanent);
+    g_test_add_func("/upstream_table/limit_survives_a_lost_record",
+                    test_limit_survives_a_lost_record);
     g_test_add_func("/upstream_table/address_belongs_to_newest_line",
                     test_address_belongs_to_the_newest);
     g_test_add_func("/upstream_table/malformed_address_is_rejected",
