Log upstreams that say in their answers that they leave, and count them

Callers saw nothing; an engine that had said that it leaves got requests for seven seconds more. No line said whether an entry had heard of it.

Nothing acts on it yet.

--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -20,6 +20,10 @@
     .name = "pgw_gateway_limited_upstreams",
     .help = "Upstreams that name a limit of requests a second",
 };
+static struct pgw_metric_gauge leaving_upstreams = {
+    .name = "pgw_gateway_said_leaving_upstreams",
+    .help = "Upstreams that state in their answers that they are draining",
+};
 static struct pgw_metric_counter failed_over = {
     .name = "pgw_gateway_moved_total",
     .help = "Requests moved to another upstream after theirs stopped sending",
@@ -150,6 +154,7 @@
     uint64_t now_us = pgw_now_us();
     unsigned suspects = 0;
     unsigned limited = 0;
+    unsigned leaving = 0;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
         struct pgw_upstream *upstream =
@@ -157,9 +162,11 @@
 
         suspects += log_liveness_change(upstream, now_us);
         limited += upstream->limit.per_s > 0;
+        leaving += upstream->said_leaving;
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
     pgw_metric_gauge_set(&limited_upstreams, limited);
+    pgw_metric_gauge_set(&leaving_upstreams, leaving);
     /* Includes requests at upstreams that are no longer in the table. */
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
@@ -189,6 +196,7 @@
 {
     pgw_metric_register_gauge(&unresponsive_upstreams);
     pgw_metric_register_gauge(&limited_upstreams);
+    pgw_metric_register_gauge(&leaving_upstreams);
     pgw_metric_register_counter(&failed_over);
     pgw_metric_register_counter(&process_ended);
     gateway->unresponsive_timer.on_due = check_due;
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -35,6 +35,11 @@
         pgw_log_warning("notice_invalid", "upstream=%s field=%s source=%s",
                         upstream->id, notice->invalid_field, origin->source);
     }
+    if (notice->leaving && !upstream->said_leaving) {
+        upstream->said_leaving = true;
+        pgw_log_info("upstream_leaving", "upstream=%s source=%s", upstream->id,
+                     origin->source);
+    }
     if (notice->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, notice->limit, origin->source,
                                       now_us);
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -19,11 +19,13 @@
  * struct pgw_upstream_notice - statements in the head of one answer
  * @limit: requests a second that the upstream takes from all entries
  *   together, 0: it names no limit
+ * @leaving: the upstream will stop and takes no new requests
  * @invalid_field: name of a field with an invalid value, which is not used;
  *   NULL: all values are valid
  */
 struct pgw_upstream_notice {
     double limit;
+    bool leaving;
     const char *invalid_field;
 };
 
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -326,6 +326,7 @@
 reset_process_state(struct pgw_upstream *upstream)
 {
     upstream->leaving = false;
+    upstream->said_leaving = false;
     upstream->displaced = false;
     upstream->loading = false;
     upstream->loading_since_us = 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -104,6 +104,7 @@
  *   still arrive
  * @earlier_start_count: number of @earlier_starts_ms
  * @leaving: the upstream is draining
+ * @said_leaving: it has stated in an answer that it is draining
  * @displaced: another incarnation answered at its address
  * @replaced_at_us: when the entry learned that a new process replaced the one
  *   running here; requests sent before get no answer. 0: never
@@ -163,6 +164,7 @@
     uint64_t earlier_starts_ms[PGW_UPSTREAM_STARTS_MAX];
     size_t earlier_start_count;
     bool leaving;
+    bool said_leaving;
     bool displaced;
     uint64_t replaced_at_us;
     bool removed;
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -226,6 +226,26 @@
     g_assert_true(platform_codec.keep_answer_field("server-limit"));
 }
 
+/* Guards against an upstream that counts as leaving because of a value that
+ * makes no sense. */
+static void
+test_leaving_values(void)
+{
+    struct pgw_upstream_notice notice;
+
+    read_notice(&notice, "Server-Leaving: 1\r\nServer-Limit: x\r\n");
+    g_assert_true(notice.leaving);
+    g_assert_cmpstr(notice.invalid_field, ==, "Server-Limit");
+    read_notice(&notice, "Server-Leaving: 1\r\nServer-Leaving: 1\r\n");
+    g_assert_false(notice.leaving);
+    g_assert_cmpstr(notice.invalid_field, ==, "Server-Leaving");
+    read_notice(&notice, "Server-Leaving: 7\r\n");
+    g_assert_false(notice.leaving);
+    g_assert_cmpstr(notice.invalid_field, ==, "Server-Leaving");
+    read_notice(&notice, "Server-Leaving: no\r\n");
+    g_assert_false(notice.leaving);
+}
+
 static void
 test_engine(void)
 {
@@ -276,6 +296,7 @@
                     test_forward_drops_reserved_fields);
     g_test_add_func("/platform_codec/responses", test_responses);
     g_test_add_func("/platform_codec/limit_values", test_limit_values);
+    g_test_add_func("/platform_codec/leaving_values", test_leaving_values);
     g_test_add_func("/platform_codec/engine", test_engine);
     return g_test_run();
 }
