Show requests that reach an upstream that said it leaves

An upstream that says so in its answers, while the list does not, gets all requests that placement has for it.

test_upstream_notice plays each way to an upstream for each statement: three cases of leaving fail, and two of three where a refusal says it (in the third the backoff after a refusal hides the fault).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,6 +50,9 @@
 # after it was first named; an entry is bound from this time on after its answer.
 LIMIT_WINDOW_S, LIMIT_SETTLED_S, TOLD_S = 4.0, 3.0, 0.5
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+# A request that a caller sent later than this after its entry had passed on an
+# answer of an upstream that leaves must not reach that upstream.
+DRAIN_S = 2.0
 
 
 def free_net():
@@ -112,7 +115,7 @@
         self.promised = set()
         self.once = set()
         self.answers = {}
-        self.sent_to, self.served_by = {}, {}
+        self.sent_to, self.sent_at, self.served_by = {}, {}, {}
         self.failed = {}
         self.poison = Poison(self)
         self.broken = None
@@ -178,6 +181,37 @@
                            f"{LIMIT_WINDOW_S} s, allowed {allowed}")
 
 
+class Departure:
+    """An upstream that says in its answers that it leaves."""
+
+    def __init__(self, soak, name):
+        self.soak, self.name, self.told = soak, name, {}
+        self.begun = False
+
+    def begin(self):
+        self.begun = True
+
+    def end(self):
+        self.begun, self.told = False, {}
+
+    def excuse(self, entry):
+        self.told.pop(entry, None)
+
+    def field(self):
+        return "Server-Leaving: 1\r\n" if self.begun else ""
+
+    def note_passed_on(self, entry):
+        if self.begun:
+            self.told.setdefault(entry, time.monotonic())
+
+    def note_arrival(self, entry, sent_at):
+        late_s = sent_at - self.told.get(entry, sent_at)
+        if late_s > DRAIN_S:
+            self.soak.fail(f"{self.name} got a request that was sent "
+                           f"{late_s:.1f} s after entry {entry} had passed on "
+                           "that it leaves")
+
+
 async def read_head(reader):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     lines = head.split("\r\n")
@@ -396,6 +430,7 @@
         self.life, self.born = 0, 0
         self.token, self.busy, self.state = 0, False, "ready"
         self.limit = Limit(soak, self.ip)
+        self.departure = Departure(soak, self.ip)
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -415,6 +450,7 @@
     async def start(self, same_id=False):
         self.starts += 1
         self.limit.end()
+        self.departure.end()
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
@@ -455,6 +491,17 @@
         await asyncio.sleep(0.3)
         await self.start()
 
+    async def leave_unlisted(self):
+        """Says that it leaves in its answers only, and serves for long."""
+        old, life = self.id, self.life
+        self.departure.begin()
+        await asyncio.sleep(5.5)
+        if life == self.life and self.server.server is not None:
+            self.server.close()
+            await asyncio.sleep(0.3)
+            await self.start()
+            await self.store.delete("servers", old)
+
     async def handle(self, method, target, fields, body, writer):
         if target == "/api/report":
             writer.write(answer(200, {
@@ -494,9 +541,11 @@
 
     async def run(self, target, fields, body, writer):
         attempt = fields["attempt-id"]
-        self.limit.note_arrival(self.soak.sent_to.get(attempt))
+        entry = self.soak.sent_to.get(attempt)
+        self.limit.note_arrival(entry)
+        self.departure.note_arrival(entry, self.soak.sent_at.get(attempt, 0))
         self.soak.served_by[attempt] = self
-        notices = self.limit.field()
+        notices = self.limit.field() + self.departure.field()
         if fields.get("expect-instance") != self.id or self.soak.random.random(
         ) < 0.01 or fields.get("expect-version", str(
                 self.version)) != str(self.version) or self.busy:
@@ -689,7 +738,7 @@
     body = attempt if body is None else body
     entry = soak.sent_to[attempt] = soak.random.randrange(ENTRIES)
     key = soak.random.choice(fleet.keys + list(fleet.revoked)[-1:])
-    sent_at = time.monotonic()
+    sent_at = soak.sent_at[attempt] = time.monotonic()
     if route in ("once", "brook"):
         soak.once.add(attempt)
     model = (f"Model: {MODEL}\r\nToken-Count: 60,8\r\nPrompt-Prefix: "
@@ -709,6 +758,8 @@
         start, fields = await asyncio.wait_for(read_head(reader), 6)
         if "server-limit" in fields:
             soak.served_by[attempt].limit.note_passed_on(entry)
+        if "server-leaving" in fields:
+            soak.served_by[attempt].departure.note_passed_on(entry)
         got = await asyncio.wait_for(read_body(reader, fields), 6)
     except (OSError, ValueError, asyncio.IncompleteReadError,
             asyncio.TimeoutError) as error:
@@ -797,6 +848,7 @@
     if process.role == "entry":
         for upstream in fleet.engines + fleet.plains:
             upstream.limit.excuse(process.index)
+            upstream.departure.excuse(process.index)
 
 
 async def limit(soak, fleet):
@@ -823,7 +875,7 @@
                         "weights", "links", "hup", "poison"]
                        + (["restart", "foreign"] if soak.options.more
                           else [])
-                       + (["limit"] * 4 if soak.options.notices else []))
+                       + [kind for kind in soak.options.notices for _ in range(4)])
     print(f"{time.monotonic():.2f} {kind} {entry.index} {upstream.ip} "
           f"{for_s:.1f}s", flush=True)
     if kind in ("kill", "term", "sidecar"):
@@ -874,6 +926,8 @@
         await fleet.name_weights(fleet.weights + 1)
     elif kind == "limit":
         await limit(soak, fleet)
+    elif kind == "unlisted":
+        await upstream.leave_unlisted()
 
 
 async def faults(soak, fleet, until):
@@ -967,9 +1021,10 @@
     parser.add_argument("--more", action="store_true",
                         help="also restarts under one id and foreign lines; "
                         "seeds below 1000 are kept without")
-    parser.add_argument("--notices", action="store_true",
+    parser.add_argument("--notices", nargs="*", default=[],
+                        choices=["limit", "unlisted"],
                         help="also upstreams that say in their answers what "
-                        "they take")
+                        "they take, or that they leave")
     options = parser.parse_args()
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -4,6 +4,7 @@
 
 /* A limit that allows no second request while a test runs. */
 #define TINY_LIMIT "Server-Limit: 0.001\r\n"
+#define LEAVING "Server-Leaving: 1\r\n"
 /* The upstream closes its connection, so that the next request needs a new one
  * and the test sees it. */
 #define CLOSE "Connection: close\r\n"
@@ -14,25 +15,17 @@
     (void)scene;
 }
 
-/* Serves one request at any upstream, whose answer has additional fields.
- * Returns the upstream. */
-static unsigned
-serve_one(struct scene *scene, const char *id, const char *fields)
-{
-    unsigned upstream;
-    int caller = scene_call(scene, "/again/", id);
-    int fd = scene_accept_any(scene, &upstream);
-    char *answer;
-
-    g_free(scene_read_request(fd));
-    scene_answer(fd, id, 200, fields, "done");
-    answer = scene_read_until(caller, "done");
-    g_assert_nonnull(strstr(answer, "200"));
-    g_free(answer);
-    close(caller);
-    close(fd);
-    return upstream;
-}
+/**
+ * struct notice - a statement after which an upstream takes no request
+ * @name: for the names of the tests
+ * @fields: header lines of the answer
+ * @refused: the answer is a refusal; else the request was run
+ */
+struct notice {
+    const char *name;
+    const char *fields;
+    bool refused;
+};
 
 static struct scene *
 start(unsigned upstreams)
@@ -43,83 +36,152 @@
     return scene;
 }
 
+/* Answers a request at an upstream, and reads the answer as its caller. */
 static void
-finish_call(int caller, int fd, const char *id)
+finish_call(int caller, int fd, const char *id, const char *fields)
 {
     char *answer;
 
-    scene_answer(fd, id, 200, CLOSE, "done");
+    scene_answer(fd, id, 200, fields, "done");
     answer = scene_read_until(caller, "done");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 200"));
     g_free(answer);
     close(caller);
     close(fd);
 }
 
-/* Guards against a new request that is sent to an upstream at its limit. */
+/* Accepts the next request at an upstream and reads it. */
+static int
+accept_request(struct scene *scene, unsigned upstream)
+{
+    int fd = scene_accept(scene, upstream);
+
+    g_free(scene_read_request(fd));
+    return fd;
+}
+
+/* Serves one request at any upstream, whose answer has additional fields.
+ * Returns the upstream. */
+static unsigned
+serve_one(struct scene *scene, const char *id, const char *fields)
+{
+    unsigned upstream;
+    int caller = scene_call(scene, "/again/", id);
+    int fd = scene_accept_any(scene, &upstream);
+
+    g_free(scene_read_request(fd));
+    finish_call(caller, fd, id, fields);
+    return upstream;
+}
+
+/* Lets one upstream state a notice, and returns it. A refused request is
+ * served by another upstream. */
+static unsigned
+give_notice(struct scene *scene, const struct notice *notice)
+{
+    unsigned held;
+    unsigned other;
+    int caller;
+    int fd;
+    char *refusal;
+
+    if (!notice->refused) {
+        return serve_one(scene, "notice", notice->fields);
+    }
+    caller = scene_call(scene, "/again/", "notice");
+    fd = scene_accept_any(scene, &held);
+    g_free(scene_read_request(fd));
+    refusal = g_strdup_printf("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%s"
+                              "Content-Length: 0\r\n\r\n",
+                              notice->fields);
+    scene_send(fd, refusal);
+    g_free(refusal);
+    close(fd);
+    fd = scene_accept_any(scene, &other);
+    g_assert_cmpuint(other, !=, held);
+    g_free(scene_read_request(fd));
+    finish_call(caller, fd, "notice", CLOSE);
+    return held;
+}
+
+/* Guards against a queued request that is sent to an upstream that takes none.
+ */
 static void
-test_limit_holds_for_queue(void)
+test_queue(gconstpointer notice)
 {
     struct scene *scene = start(2);
-    unsigned limited = serve_one(scene, "a", TINY_LIMIT CLOSE);
-    unsigned other = 1 - limited;
+    unsigned held = give_notice(scene, notice);
+    unsigned other = 1 - held;
     int caller_b = scene_call(scene, "/again/", "b");
-    int fd_b = scene_accept(scene, other);
+    int fd_b = accept_request(scene, other);
     int caller_c;
-    int fd_c;
 
-    g_free(scene_read_request(fd_b));
     /* The other upstream has no free slot, so this request is queued. */
     caller_c = scene_call(scene, "/again/", "c");
-    finish_call(caller_b, fd_b, "b");
-    fd_c = scene_accept(scene, other);
-    g_free(scene_read_request(fd_c));
-    finish_call(caller_c, fd_c, "c");
-    g_assert_true(scene_has_no_connection(scene, limited));
+    finish_call(caller_b, fd_b, "b", CLOSE);
+    finish_call(caller_c, accept_request(scene, other), "c", CLOSE);
+    g_assert_true(scene_has_no_connection(scene, held));
     scene_free(scene);
 }
 
-/* Guards against a retry that is sent to an upstream at its limit. */
+/* Occupies the two other upstreams. Returns the callers and connections. */
 static void
-test_limit_holds_for_retry(void)
+occupy(struct scene *scene, const char *path, int callers[2], int fds[2],
+       unsigned upstreams[2])
 {
-    struct scene *scene = start(2);
-    unsigned limited = serve_one(scene, "a", TINY_LIMIT CLOSE);
-    int caller = scene_call(scene, "/again/", "b");
-    int fd = scene_accept(scene, 1 - limited);
-    char *answer;
+    static const char *const ids[] = {"b", "c"};
 
-    g_free(scene_read_request(fd));
-    scene_refuse(fd);
-    answer = scene_read_until(caller, "\r\n\r\n");
-    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
-    g_assert_nonnull(strstr(answer, "Retry-After"));
-    g_free(answer);
-    scene_run(scene, do_nothing);
-    g_assert_true(scene_has_no_connection(scene, limited));
-    close(caller);
-    close(fd);
+    for (unsigned i = 0; i < 2; i++) {
+        callers[i] = scene_call(scene, i == 0 ? path : "/again/", ids[i]);
+        fds[i] = scene_accept_any(scene, &upstreams[i]);
+        g_free(scene_read_request(fds[i]));
+    }
+}
+
+/* Guards against a retry that is sent to an upstream that takes none. */
+static void
+test_retry(gconstpointer notice)
+{
+    struct scene *scene = start(3);
+    unsigned held = give_notice(scene, notice);
+    unsigned upstreams[2];
+    int callers[2];
+    int fds[2];
+
+    occupy(scene, "/again/", callers, fds, upstreams);
+    scene_refuse(fds[0]);
+    finish_call(callers[1], fds[1], "c", CLOSE);
+    finish_call(callers[0], accept_request(scene, upstreams[1]), "b", CLOSE);
+    g_assert_true(scene_has_no_connection(scene, held));
+    close(fds[0]);
     scene_free(scene);
 }
 
-/* Guards against a stream that is resumed at an upstream at its limit. */
+/* Guards against a stream that is resumed at an upstream that takes no
+ * request. */
 static void
-test_limit_holds_for_resumed_stream(void)
+test_resumed_stream(gconstpointer notice)
 {
-    struct scene *scene = start(2);
-    unsigned limited = serve_one(scene, "a", TINY_LIMIT CLOSE);
-    int caller = scene_call(scene, "/flow/", "b");
-    int fd = scene_accept(scene, 1 - limited);
+    struct scene *scene = start(3);
+    unsigned held = give_notice(scene, notice);
+    unsigned upstreams[2];
+    int callers[2];
+    int fds[2];
+    int resumed;
 
-    g_free(scene_read_request(fd));
-    scene_begin_stream(fd, "b");
-    scene_chunk(fd, "id: 1\ndata: x\n\n");
-    g_free(scene_read_until(caller, "data: x"));
-    scene_reset(fd);
-    /* The stream ends without its last chunk: it is incomplete. */
-    g_free(scene_read_all(caller));
-    scene_run(scene, do_nothing);
-    g_assert_true(scene_has_no_connection(scene, limited));
-    close(caller);
+    occupy(scene, "/flow/", callers, fds, upstreams);
+    scene_begin_stream(fds[0], "b");
+    scene_chunk(fds[0], "id: 1\ndata: x\n\n");
+    g_free(scene_read_until(callers[0], "data: x"));
+    scene_reset(fds[0]);
+    finish_call(callers[1], fds[1], "c", CLOSE);
+    resumed = accept_request(scene, upstreams[1]);
+    scene_begin_stream(resumed, "b");
+    scene_chunk(resumed, "id: 2\ndata: y\n\n");
+    g_free(scene_read_until(callers[0], "data: y"));
+    g_assert_true(scene_has_no_connection(scene, held));
+    close(resumed);
+    close(callers[0]);
     scene_free(scene);
 }
 
@@ -145,30 +207,26 @@
     scene_free(scene);
 }
 
-/* Guards against a limit that is read only from answers with success. */
+/* Guards against a retry that waits for an upstream whose limit allows none
+ * within its deadline. */
 static void
-test_limit_in_refusal(void)
+test_retry_beyond_limits_is_refused(void)
 {
     struct scene *scene = start(2);
-    unsigned limited;
-    int caller_a = scene_call(scene, "/again/", "a");
-    int refused = scene_accept_any(scene, &limited);
-    int caller_b;
-    int fd;
+    unsigned limited = serve_one(scene, "a", TINY_LIMIT CLOSE);
+    int caller = scene_call(scene, "/again/", "b");
+    int fd = accept_request(scene, 1 - limited);
+    char *answer;
 
-    g_free(scene_read_request(refused));
-    scene_send(refused, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" TINY_LIMIT CLOSE
-                        "Content-Length: 0\r\n\r\n");
-    fd = scene_accept(scene, 1 - limited);
-    g_free(scene_read_request(fd));
-    close(refused);
-    /* Only the upstream at its limit has a free slot. */
-    caller_b = scene_call(scene, "/again/", "b");
-    finish_call(caller_a, fd, "a");
-    fd = scene_accept(scene, 1 - limited);
-    g_free(scene_read_request(fd));
-    finish_call(caller_b, fd, "b");
+    scene_refuse(fd);
+    answer = scene_read_until(caller, "\r\n\r\n");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(answer, "Retry-After"));
+    g_free(answer);
+    scene_run(scene, do_nothing);
     g_assert_true(scene_has_no_connection(scene, limited));
+    close(caller);
+    close(fd);
     scene_free(scene);
 }
 
@@ -187,20 +245,45 @@
     scene_free(scene);
 }
 
+static void
+add_tests(const struct notice *notice)
+{
+    static const struct {
+        const char *way;
+        void (*run)(gconstpointer notice);
+    } ways[] = {
+        {"queue", test_queue},
+        {"retry", test_retry},
+        {"resumed_stream", test_resumed_stream},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ways); i++) {
+        char *path = g_strdup_printf("/upstream_notice/%s/%s", notice->name,
+                                     ways[i].way);
+
+        g_test_add_data_func(path, notice, ways[i].run);
+        g_free(path);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
+    static const struct notice notices[] = {
+        {"limit", TINY_LIMIT CLOSE, false},
+        {"limit_in_refusal", TINY_LIMIT CLOSE, true},
+        {"leaving", LEAVING CLOSE, false},
+        {"leaving_in_refusal", LEAVING CLOSE, true},
+    };
+
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/upstream_notice/limit_holds_for_queue",
-                    test_limit_holds_for_queue);
-    g_test_add_func("/upstream_notice/limit_holds_for_retry",
-                    test_limit_holds_for_retry);
-    g_test_add_func("/upstream_notice/limit_holds_for_resumed_stream",
-                    test_limit_holds_for_resumed_stream);
+    for (size_t i = 0; i < G_N_ELEMENTS(notices); i++) {
+        add_tests(&notices[i]);
+    }
     g_test_add_func("/upstream_notice/limited_pool_refuses_at_once",
                     test_limited_pool_refuses_at_once);
-    g_test_add_func("/upstream_notice/limit_in_refusal",
-                    test_limit_in_refusal);
+    g_test_add_func("/upstream_notice/retry_beyond_limits_is_refused",
+                    test_retry_beyond_limits_is_refused);
     g_test_add_func("/upstream_notice/limit_ends", test_limit_ends);
     return g_test_run();
 }
