Take an upstream's own word that it leaves

Callers saw nothing; an engine that had said in its answers that it leaves got requests for seven seconds more while the store that lists it was down, two seconds are allowed.

Class of fault: statements of an upstream about itself in its answers, as with limits.

Change: an answer with the field, whatever its status, marks the process as leaving for good, on every way to it, since the choice asks one function. Records of the list and older copies of it do not undo that; an id that vanishes and is listed again keeps it for a minute; a new process at the address does not inherit it. Sidecars read the field and the state in the engine's reports, which were polled ten times a second and not read for it, and tell all entries; their word holds as long as they repeat it. Quotas stay with the owners that the list names, since entries hear of a leaving upstream at different times.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -553,7 +553,8 @@
         double cost;
 
         if (!pgw_upstream_is_usable(upstream, input->now_us)) {
-            if (upstream->loading && !upstream->leaving) {
+            if (upstream->loading &&
+                !pgw_upstream_is_leaving(upstream, input->now_us)) {
                 out->busy = true;
                 out->only_limited = false;
             }
--- a/src/gateway/engine_sidecar.h
+++ b/src/gateway/engine_sidecar.h
@@ -27,6 +27,7 @@
  * @models: models and versions that it runs; names are owned
  * @model_count: number of @models
  * @busy: it is executing an order
+ * @leaving: it is draining
  * @sequence: number of orders that it has accepted
  * @started_ms: when its process started, by its own clock, in Unix
  *   milliseconds; 0: unknown
@@ -40,6 +41,7 @@
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
     bool busy;
+    bool leaving;
     uint64_t sequence;
     uint64_t started_ms;
     struct pgw_engine_run *runs;
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -74,8 +74,7 @@
  * @report: the engine's last report
  * @quotas: quota buckets of the workspaces that this sidecar owns
  * @limits: limits of upstreams that this sidecar owns
- * @named_limits: limit that the engine named in its last answer to each kind
- *   of poll, 0: none
+ * @notices: what the engine stated in its last answer to each kind of poll
  * @announced_prompts: long prompts that may not be prefilled yet
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
@@ -87,6 +86,7 @@
  * @reported_remote_us: when the last one to entries of other zones was sent
  * @reported_alive: @alive in the last report to the entries
  * @reported_limit: limit of the engine in the last report to the entries
+ * @reported_leaving: whether that report said that the engine leaves
  * @reported_loading: whether that report said that the engine is loading
  * @ordered_model: the model whose order is in flight, NULL: none
  * @failed_polls: failed polls in a row
@@ -116,7 +116,7 @@
     struct pgw_engine_report report;
     struct pgw_quota_buckets *quotas;
     struct pgw_limit_ledger *limits;
-    double named_limits[PGW_SIDECAR_POLL_COUNT];
+    struct pgw_upstream_notice notices[PGW_SIDECAR_POLL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
@@ -130,6 +130,7 @@
     unsigned failed_polls;
     bool alive;
     double reported_limit;
+    bool reported_leaving;
     bool reported_alive;
     bool reported_loading;
 };
@@ -182,6 +183,8 @@
 /** pgw_engine_sidecar_limit() - limit that the engine names to this sidecar,
  * 0: none */
 double pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar);
+/** pgw_engine_sidecar_is_leaving() - the engine says that it is draining */
+bool pgw_engine_sidecar_is_leaving(const struct pgw_engine_sidecar *sidecar);
 
 /* engine_sidecar_reports.c */
 /** pgw_engine_sidecar_send_full_state() - send a full report to an entry that
--- a/src/gateway/engine_sidecar_limit.c
+++ b/src/gateway/engine_sidecar_limit.c
@@ -43,18 +43,29 @@
 
     sidecar->options.codec->read_notice(&notice, head);
     if (notice.invalid_field == NULL) {
-        sidecar->named_limits[poll] = notice.limit;
+        sidecar->notices[poll] = notice;
     }
 }
 
-/* Engines may name a limit in answers to one kind of poll only. */
+/* Engines may state something in answers to one kind of poll only. */
 double
 pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar)
 {
     for (size_t i = 0; i < PGW_SIDECAR_POLL_COUNT; i++) {
-        if (sidecar->named_limits[i] > 0) {
-            return sidecar->named_limits[i];
+        if (sidecar->notices[i].limit > 0) {
+            return sidecar->notices[i].limit;
         }
     }
     return 0;
 }
+
+bool
+pgw_engine_sidecar_is_leaving(const struct pgw_engine_sidecar *sidecar)
+{
+    for (size_t i = 0; i < PGW_SIDECAR_POLL_COUNT; i++) {
+        if (sidecar->notices[i].leaving) {
+            return true;
+        }
+    }
+    return sidecar->report.leaving;
+}
--- a/src/gateway/engine_sidecar_poll.c
+++ b/src/gateway/engine_sidecar_poll.c
@@ -127,7 +127,7 @@
     for (size_t i = 0; i < sidecar->model_count; i++) {
         pgw_weights_order_handle_restart(&sidecar->models[i].order);
     }
-    memset(sidecar->named_limits, 0, sizeof(sidecar->named_limits));
+    memset(sidecar->notices, 0, sizeof(sidecar->notices));
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
     if (pgw_call_is_running(&sidecar->events_call)) {
--- a/src/gateway/engine_sidecar_reports.c
+++ b/src/gateway/engine_sidecar_reports.c
@@ -143,6 +143,7 @@
     state.unread = load.pending_tokens;
     state.kv_used = load.kv_used;
     state.kv_total = load.kv_total;
+    state.leaving = pgw_engine_sidecar_is_leaving(sidecar);
     state.limit = pgw_engine_sidecar_limit(sidecar);
     state.parts_reset = report->parts_reset;
     state.probe = report->probe;
@@ -259,6 +260,7 @@
     report_copy(&sidecar->reported, &sidecar->report);
     sidecar->reported.load = current_load(sidecar);
     sidecar->reported_alive = sidecar->alive;
+    sidecar->reported_leaving = pgw_engine_sidecar_is_leaving(sidecar);
     sidecar->reported_limit = pgw_engine_sidecar_limit(sidecar);
     sidecar->reported_loading = pgw_engine_sidecar_is_loading(sidecar);
     sidecar->reported_us = pgw_now_us();
@@ -281,7 +283,7 @@
 }
 
 /* Changes that decide whether requests may be sent to the engine: whether it
- * is alive, its limit, its start, its weights and its loads. */
+ * is alive or leaves, its limit, its start, its weights and its loads. */
 bool
 pgw_engine_sidecar_has_urgent_change(const struct pgw_engine_sidecar *sidecar)
 {
@@ -289,6 +291,7 @@
     const struct pgw_engine_report *reported = &sidecar->reported;
 
     if (sidecar->alive != sidecar->reported_alive ||
+        pgw_engine_sidecar_is_leaving(sidecar) != sidecar->reported_leaving ||
         (pgw_engine_sidecar_limit(sidecar) > 0) !=
             (sidecar->reported_limit > 0) ||
         now->started_ms != reported->started_ms ||
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -15,6 +15,9 @@
 /* How long a report that an engine is loading stays valid. A sidecar repeats
  * it once per second. */
 #define LOADING_VALID_US 4000000
+/* How long a report that an engine is leaving stays valid. A sidecar repeats
+ * it once per second. */
+#define LEAVING_VALID_US 4000000
 /* Largest pool in which an entry gets reports from sidecars of other zones,
  * too, and considers all engines for a prompt. */
 #define REPORT_LINKS_MAX PGW_CANDIDATES_MAX
@@ -80,12 +83,26 @@
     };
 }
 
+/* The report may be of a former process at the engine's address, so a process
+ * counts as leaving only as long as reports say so. */
+static void
+apply_leaving(struct pgw_upstream *upstream, bool leaving, uint64_t now_us)
+{
+    if (leaving && upstream->sidecar_leaving_until_us == 0) {
+        pgw_log_info("upstream_leaving", "upstream=%s source=sidecar",
+                     upstream->id);
+    }
+    upstream->sidecar_leaving_until_us =
+        leaving ? now_us + LEAVING_VALID_US : 0;
+}
+
 /* A sidecar may not hear of a limit that the engine names to entries, so only
  * a limit that the sidecar has reported ends with its reports. */
 void
-pgw_sidecar_link_apply_limit(struct pgw_upstream *upstream,
-                             const Pgw__EngineState *state, uint64_t now_us)
+pgw_sidecar_link_apply_notices(struct pgw_upstream *upstream,
+                               const Pgw__EngineState *state, uint64_t now_us)
 {
+    apply_leaving(upstream, state->leaving, now_us);
     if (state->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, state->limit, "sidecar",
                                       now_us);
@@ -133,7 +150,7 @@
     pgw_upstream_table_set_start(pgw_gateway_upstreams(link->links->gateway),
                                  upstream, state->started_ms);
     pgw_sidecar_links_rollout_apply_report(link->links, upstream, state, now);
-    pgw_sidecar_link_apply_limit(upstream, state, now);
+    pgw_sidecar_link_apply_notices(upstream, state, now);
     if (state->parts_reset) {
         pgw_upstream_clear_parts(upstream);
     }
@@ -193,6 +210,7 @@
     upstream->sidecar_is_reporting = false;
     upstream->loading = false;
     upstream->loading_since_us = 0;
+    upstream->sidecar_leaving_until_us = 0;
     upstream->is_next_to_load = false;
     pgw_upstream_clear_parts(upstream);
 }
--- a/src/gateway/sidecar_links_internal.h
+++ b/src/gateway/sidecar_links_internal.h
@@ -98,10 +98,11 @@
 void pgw_sidecar_link_apply_part(struct pgw_upstream *upstream, uint64_t key,
                                  uint32_t update, uint64_t now_us);
 
-/** pgw_sidecar_link_apply_limit() - apply the limit in a sidecar's report */
-void pgw_sidecar_link_apply_limit(struct pgw_upstream *upstream,
-                                  const Pgw__EngineState *state,
-                                  uint64_t now_us);
+/** pgw_sidecar_link_apply_notices() - apply what the engine states about
+ * itself by its sidecar's report */
+void pgw_sidecar_link_apply_notices(struct pgw_upstream *upstream,
+                                    const Pgw__EngineState *state,
+                                    uint64_t now_us);
 
 /** pgw_sidecar_link_add() - add a link to an upstream's sidecar, and start to
  * connect */
--- a/src/gateway/sidecar_links_probe.c
+++ b/src/gateway/sidecar_links_probe.c
@@ -218,7 +218,7 @@
     pgw_upstream_set_loading(
         upstream, state->loading || !state->alive,
         now_us + (state->alive ? LOADING_VALID_US : UNREACHABLE_VALID_US));
-    pgw_sidecar_link_apply_limit(upstream, state, now_us);
+    pgw_sidecar_link_apply_notices(upstream, state, now_us);
     if (state->alive) {
         pgw_upstream_update_load(upstream, &load, now_us);
     }
--- a/src/gateway/sidecar_links_rollout.c
+++ b/src/gateway/sidecar_links_rollout.c
@@ -135,7 +135,8 @@
 can_load(const struct sidecar_link *link, const struct pgw_upstream *upstream)
 {
     return link->connection != NULL && !link->probe_only && upstream != NULL &&
-           upstream->sidecar_is_reporting && !upstream->leaving &&
+           upstream->sidecar_is_reporting &&
+           !pgw_upstream_is_leaving(upstream, pgw_now_us()) &&
            !upstream->removed && !upstream->displaced &&
            (!upstream->loading || upstream->loading_since_us > 0);
 }
--- a/src/gateway/sidecarless.c
+++ b/src/gateway/sidecarless.c
@@ -95,8 +95,8 @@
              const struct pgw_upstream *upstream)
 {
     return upstream->same_zone && !upstream->sidecar_is_reporting &&
-           !upstream->leaving && !upstream->removed &&
-           upstream->delisted_until_us == 0 &&
+           !pgw_upstream_is_leaving(upstream, pgw_now_us()) &&
+           !upstream->removed && upstream->delisted_until_us == 0 &&
            has_old_weights(self, upstream) &&
            pgw_sidecar_links_is_refused(self->links, upstream,
                                         self->options.refused_us);
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -52,12 +52,14 @@
  * @started_ms: start time of the process that stated it
  * @removed_at_us: when it was removed
  * @limit: its limit
+ * @said_leaving: it has stated that it is draining
  */
 struct departed {
     char *id;
     uint64_t started_ms;
     uint64_t removed_at_us;
     struct pgw_limit_share limit;
+    bool said_leaving;
 };
 
 struct pgw_upstream_table {
@@ -232,7 +234,7 @@
     uint64_t now_us = (uint64_t)g_get_monotonic_time();
     struct departed *departed;
 
-    if (upstream->limit.per_s <= 0) {
+    if (upstream->limit.per_s <= 0 && !upstream->said_leaving) {
         return;
     }
     g_hash_table_foreach_remove(table->departed, has_expired, &now_us);
@@ -241,6 +243,7 @@
     departed->started_ms = upstream->started_ms;
     departed->removed_at_us = now_us;
     departed->limit = upstream->limit;
+    departed->said_leaving = upstream->said_leaving;
     g_hash_table_replace(table->departed, departed->id, departed);
 }
 
@@ -253,6 +256,7 @@
 
     if (departed != NULL && departed->started_ms == started_ms) {
         upstream->limit = departed->limit;
+        upstream->said_leaving = departed->said_leaving;
     }
     g_hash_table_remove(table->departed, upstream->id);
 }
@@ -327,6 +331,7 @@
 {
     upstream->leaving = false;
     upstream->said_leaving = false;
+    upstream->sidecar_leaving_until_us = 0;
     upstream->displaced = false;
     upstream->loading = false;
     upstream->loading_since_us = 0;
@@ -387,7 +392,8 @@
                  upstream->id, started_ms, earlier_start_ms);
     add_earlier_start(upstream, earlier_start_ms);
     upstream->replaced_at_us = (uint64_t)g_get_monotonic_time();
-    if (!upstream->leaving && table->on_lost != NULL) {
+    if (!pgw_upstream_is_leaving(upstream, (uint64_t)g_get_monotonic_time()) &&
+        table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
     reset_process_state(upstream);
@@ -464,7 +470,8 @@
 {
     struct pgw_upstream_pool *pool = pool_get(table, upstream->service);
 
-    if (!upstream->leaving && table->on_lost != NULL) {
+    if (!pgw_upstream_is_leaving(upstream, (uint64_t)g_get_monotonic_time()) &&
+        table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
     remember_statements(table, upstream);
@@ -506,10 +513,28 @@
     return &table->all;
 }
 
+/*
+ * Failure: an upstream leaves while the store is down, or its record is late.
+ * Symptom: the list shows it as ready, and it gets requests until it ends. Its
+ * own statements are newer than the list.
+ */
+bool
+pgw_upstream_is_leaving(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+#ifndef PGW_DISABLE_GATEWAY_SAID_LEAVING
+    if (upstream->said_leaving ||
+        now_us < upstream->sidecar_leaving_until_us) {
+        return true;
+    }
+#endif
+    return upstream->leaving;
+}
+
 bool
 pgw_upstream_is_usable(const struct pgw_upstream *upstream, uint64_t now_us)
 {
-    if (upstream->leaving || upstream->removed || upstream->displaced) {
+    if (pgw_upstream_is_leaving(upstream, now_us) || upstream->removed ||
+        upstream->displaced) {
         return false;
     }
     if (upstream->delisted_until_us > 0 &&
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -105,6 +105,8 @@
  * @earlier_start_count: number of @earlier_starts_ms
  * @leaving: the upstream is draining
  * @said_leaving: it has stated in an answer that it is draining
+ * @sidecar_leaving_until_us: when its sidecar's report that it is draining
+ *   expires, 0: the sidecar does not report so
  * @displaced: another incarnation answered at its address
  * @replaced_at_us: when the entry learned that a new process replaced the one
  *   running here; requests sent before get no answer. 0: never
@@ -165,6 +167,7 @@
     size_t earlier_start_count;
     bool leaving;
     bool said_leaving;
+    uint64_t sidecar_leaving_until_us;
     bool displaced;
     uint64_t replaced_at_us;
     bool removed;
@@ -316,6 +319,11 @@
 struct pgw_upstream *pgw_upstream_ref(struct pgw_upstream *upstream);
 void pgw_upstream_unref(struct pgw_upstream *upstream);
 
+/** pgw_upstream_is_leaving() - it is draining, as the list, one of its answers
+ * or its sidecar says */
+bool pgw_upstream_is_leaving(const struct pgw_upstream *upstream,
+                             uint64_t now_us);
+
 /** pgw_upstream_is_usable() - listed, or delisted within its grace period, and
  * neither leaving, displaced nor loading weights */
 bool pgw_upstream_is_usable(const struct pgw_upstream *upstream,
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3802,7 +3802,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[18] =
 {
   {
     "address",
@@ -4008,6 +4008,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -4015,6 +4027,7 @@
   10,   /* field[10] = entries */
   7,   /* field[7] = kv_total */
   6,   /* field[6] = kv_used */
+  17,   /* field[17] = leaving */
   16,   /* field[16] = limit */
   2,   /* field[2] = loading */
   9,   /* field[9] = long_prefills */
@@ -4032,7 +4045,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -4042,7 +4055,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  17,
+  18,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   2,  pgw__engine_state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -652,6 +652,10 @@
    * answers this probe: parts are those asked for
    */
   uint64_t probe;
+  /*
+   * the engine says that it leaves
+   */
+  protobuf_c_boolean leaving;
   /*
    * requests a second that the engine takes from all
    */
@@ -659,7 +663,7 @@
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -11,6 +11,7 @@
  * @busy: it reports that it is executing an order
  * @sequence: reported number of orders
  * @started_ms: reported start time of its process; 0: not reported
+ * @draining: it reports that it is draining
  * @fields: additional header lines of its reports, each with its CRLF; NULL:
  *   none
  * @orders: number of orders received
@@ -22,6 +23,7 @@
     bool busy;
     unsigned sequence;
     uint64_t started_ms;
+    bool draining;
     const char *fields;
     unsigned orders;
     char *order;
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -34,6 +34,7 @@
     unsigned report_count;
     bool loading;
     double limit;
+    bool leaving;
     uint64_t version;
     struct {
         uint64_t probe;
@@ -67,6 +68,7 @@
     fixture->report_count++;
     fixture->loading = state->loading;
     fixture->limit = state->limit;
+    fixture->leaving = state->leaving;
     if (state->n_models > 0) {
         fixture->version = state->models[0]->version;
     }
@@ -327,6 +329,36 @@
     close_fixture();
 }
 
+static bool
+is_leaving_reported(const struct scene_engine *engine)
+{
+    bool reported;
+
+    pthread_mutex_lock(&fixture->lock);
+    reported =
+        fixture->leaving == (engine->fields != NULL || engine->draining);
+    pthread_mutex_unlock(&fixture->lock);
+    return reported;
+}
+
+/* Guards against entries that do not hear of an engine that tells its sidecar
+ * that it leaves, in a field of its answers or in its report. */
+static void
+test_leaving_is_reported(void)
+{
+    struct scene_engine engine = {.version = 1,
+                                  .fields = "Server-Leaving: 1\r\n"};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_leaving_reported);
+    engine.fields = NULL;
+    scene_engine_serve(&engine, is_leaving_reported);
+    engine.draining = true;
+    scene_engine_serve(&engine, is_leaving_reported);
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -337,6 +369,8 @@
                     test_restart_during_order);
     g_test_add_func("/engine_sidecar/probe_counts_announced",
                     test_probe_counts_announced);
+    g_test_add_func("/engine_sidecar/leaving_is_reported",
+                    test_leaving_is_reported);
     g_test_add_func("/engine_sidecar/limit_is_reported",
                     test_limit_is_reported);
     return g_test_run();
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -31,6 +31,25 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against a leaving upstream that counts as ready when an older copy of
+ * its record is listed again, and against a successor that counts as leaving.
+ */
+static void
+test_said_leaving_survives_a_lost_record(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put(table, "i", false);
+
+    upstream->said_leaving = true;
+    put(table, "i", false);
+    g_assert_false(pgw_upstream_is_usable(upstream, NOW));
+    pgw_upstream_table_remove(table, upstream);
+    upstream = put(table, "i", false);
+    g_assert_false(pgw_upstream_is_usable(upstream, NOW));
+    g_assert_true(pgw_upstream_is_usable(put(table, "j", false), NOW));
+    pgw_upstream_table_free(table);
+}
+
 /* Guards against a limit that is forgotten when the upstream's record is lost
  * and listed again, and against one that outlives its process. */
 static void
@@ -297,6 +316,8 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/upstream_table/leaving_is_permanent",
                     test_leaving_is_permanent);
+    g_test_add_func("/upstream_table/said_leaving_survives_a_lost_record",
+                    test_said_leaving_survives_a_lost_record);
     g_test_add_func("/upstream_table/limit_survives_a_lost_record",
                     test_limit_survives_a_lost_record);
     g_test_add_func("/upstream_table/address_belongs_to_newest_line",
