--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -23,6 +23,25 @@
                  per_s, before, source);
 }
 
+/* A time that ends earlier than the one that the upstream named before does
+ * not end that one. */
+static void
+extend_rest(struct pgw_upstream *upstream, uint64_t rest_us,
+            const char *source, uint64_t now_us)
+{
+    uint64_t until_us = now_us + rest_us;
+
+    if (until_us <= upstream->rest_until_us) {
+        return;
+    }
+    if (now_us >= upstream->rest_until_us) {
+        pgw_log_info("upstream_rest",
+                     "upstream=%s rest_ms=%" G_GUINT64_FORMAT " source=%s",
+                     upstream->id, rest_us / 1000, source);
+    }
+    upstream->rest_until_us = until_us;
+}
+
 void
 pgw_upstream_notice_apply(struct pgw_upstream *upstream,
                           const struct pgw_upstream_notice *notice,
@@ -40,6 +59,9 @@
         pgw_log_info("upstream_leaving", "upstream=%s source=%s", upstream->id,
                      origin->source);
     }
+    if (notice->rest_us > 0) {
+        extend_rest(upstream, notice->rest_us, origin->source, now_us);
+    }
     if (notice->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, notice->limit, origin->source,
                                       now_us);
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -20,12 +20,15 @@
  * @limit: requests a second that the upstream takes from all entries
  *   together, 0: it names no limit
  * @leaving: the upstream will stop and takes no new requests
+ * @rest_us: the upstream wants no requests from this process for so long, 0:
+ * it does not say so
  * @invalid_field: name of a field with an invalid value, which is not used;
  *   NULL: all values are valid
  */
 struct pgw_upstream_notice {
     double limit;
     bool leaving;
+    uint64_t rest_us;
     const char *invalid_field;
 };
 
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -346,6 +346,7 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
+    upstream->rest_until_us = 0;
     upstream->limit = (struct pgw_limit_share){0};
     pgw_upstream_clear_parts(upstream);
 }
