Show requests that reach an upstream that asked for rest

An upstream that turns a request away and names a time gets the entry's next requests after the entry's own backoff, 30 to 240 ms later.

test_upstream_notice: a queued request, a retry and a resumed stream reach such an upstream, and callers of a pool that rests as a whole wait. The queued case now waits until the gateway has read the request that is to be queued: before, it could be read after a slot had become free, and the case passed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,6 +53,8 @@
 # A request that a caller sent later than this after its entry had passed on an
 # answer of an upstream that leaves must not reach that upstream.
 DRAIN_S = 2.0
+# Requests of one entry that may reach an upstream that has asked it for rest.
+REST_ARRIVALS = 2
 
 
 def free_net():
@@ -212,6 +214,50 @@
                            "that it leaves")
 
 
+class Rest:
+    """An upstream that turns entries away and asks each for rest."""
+
+    def __init__(self, soak, name):
+        self.soak, self.name = soak, name
+        self.begun, self.spans, self.arrived = False, {}, {}
+
+    def begin(self):
+        self.begun = True
+
+    def end(self):
+        self.begun = False
+
+    def forget(self):
+        """A restart of the upstream, or trouble on its connections."""
+        self.spans, self.arrived = {}, {}
+
+    def excuse(self, entry):
+        self.spans.pop(entry, None)
+
+    def ask(self, entry):
+        """Returns the field that asks an entry for rest."""
+        now = time.monotonic()
+        rest_s = round(0.3 + self.soak.random.random() * 3, 2)
+        until = now + rest_s
+        if until > self.spans.get(entry, (0, 0))[1]:
+            begin = min(now + TOLD_S,
+                        self.spans.get(entry, (now + TOLD_S, 0))[0]
+                        if now < self.spans.get(entry, (0, 0))[1]
+                        else now + TOLD_S)
+            if now >= self.spans.get(entry, (0, 0))[1]:
+                self.arrived[entry] = 0
+            self.spans[entry] = (begin, until)
+        return f"Retry-After: {rest_s}\r\n"
+
+    def note_arrival(self, entry):
+        begin, until = self.spans.get(entry, (0, 0))
+        if begin < time.monotonic() < until:
+            self.arrived[entry] += 1
+            if self.arrived[entry] > REST_ARRIVALS:
+                self.soak.fail(f"{self.name} had asked entry {entry} for rest "
+                               f"and got {self.arrived[entry]} requests")
+
+
 async def read_head(reader):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     lines = head.split("\r\n")
@@ -431,6 +477,7 @@
         self.token, self.busy, self.state = 0, False, "ready"
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
+        self.rest = Rest(soak, self.ip)
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -451,6 +498,7 @@
         self.starts += 1
         self.limit.end()
         self.departure.end()
+        self.rest.forget()
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
@@ -545,7 +593,12 @@
         self.limit.note_arrival(entry)
         self.departure.note_arrival(entry, self.soak.sent_at.get(attempt, 0))
         self.soak.served_by[attempt] = self
+        self.rest.note_arrival(entry)
         notices = self.limit.field() + self.departure.field()
+        if self.rest.begun and self.proxy.mode == "good":
+            writer.write(answer(503, b"", "Not-Run: 1\r\n" + notices
+                                + self.rest.ask(entry)))
+            return
         if fields.get("expect-instance") != self.id or self.soak.random.random(
         ) < 0.01 or fields.get("expect-version", str(
                 self.version)) != str(self.version) or self.busy:
@@ -849,6 +902,7 @@
         for upstream in fleet.engines + fleet.plains:
             upstream.limit.excuse(process.index)
             upstream.departure.excuse(process.index)
+            upstream.rest.excuse(process.index)
 
 
 async def limit(soak, fleet):
@@ -864,6 +918,18 @@
         upstream.limit.end()
 
 
+async def rest(soak, fleet):
+    """Upstreams of one service, at times all of them, ask for rest."""
+    upstreams = soak.random.choice([fleet.engines, fleet.plains])
+    chosen = soak.random.sample(upstreams,
+                                soak.random.randrange(1, len(upstreams) + 1))
+    for upstream in chosen:
+        upstream.rest.begin()
+    await asyncio.sleep(1 + soak.random.random() * 4)
+    for upstream in chosen:
+        upstream.rest.end()
+
+
 async def fault(soak, fleet):
     """One fault, from its beginning to its end."""
     pick = soak.random
@@ -902,10 +968,12 @@
         fleet.store_troubled = time.monotonic()
     elif kind == "proxy":
         await upstream.proxy.harm(for_s)
+        upstream.rest.forget()
     elif kind == "links":
         await pick.choice(fleet.links).harm(for_s)
     elif kind == "reset":
         upstream.proxy.reset()
+        upstream.rest.forget()
     elif kind == "hup":
         for process in fleet.entries + fleet.sidecars:
             if process.serves():
@@ -926,6 +994,8 @@
         await fleet.name_weights(fleet.weights + 1)
     elif kind == "limit":
         await limit(soak, fleet)
+    elif kind == "rest":
+        await rest(soak, fleet)
     elif kind == "unlisted":
         await upstream.leave_unlisted()
 
@@ -1022,9 +1092,9 @@
                         help="also restarts under one id and foreign lines; "
                         "seeds below 1000 are kept without")
     parser.add_argument("--notices", nargs="*", default=[],
-                        choices=["limit", "unlisted"],
+                        choices=["limit", "unlisted", "rest"],
                         help="also upstreams that say in their answers what "
-                        "they take, or that they leave")
+                        "they take, that they leave, or that they want rest")
     options = parser.parse_args()
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -1,10 +1,13 @@
 #include "scene_gateway.h"
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 /* A limit that allows no second request while a test runs. */
 #define TINY_LIMIT "Server-Limit: 0.001\r\n"
 #define LEAVING "Server-Leaving: 1\r\n"
+/* A time of rest that does not end while a test runs. */
+#define LONG_REST "Retry-After: 600\r\n"
 /* The upstream closes its connection, so that the next request needs a new one
  * and the test sees it. */
 #define CLOSE "Connection: close\r\n"
@@ -15,6 +18,23 @@
     (void)scene;
 }
 
+static unsigned request_count;
+
+static void
+count_requests(struct scene *scene)
+{
+    request_count = pgw_gateway_request_count(scene->gateway);
+}
+
+/* Waits until the gateway has read so many requests that have no answer. */
+static void
+wait_for_requests(struct scene *scene, unsigned count)
+{
+    do {
+        scene_run(scene, count_requests);
+    } while (request_count < count);
+}
+
 /**
  * struct notice - a statement after which an upstream takes no request
  * @name: for the names of the tests
@@ -74,6 +94,17 @@
     return upstream;
 }
 
+static void
+refuse_with(int fd, const char *fields)
+{
+    char *refusal = g_strdup_printf("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%s"
+                                    "Content-Length: 0\r\n\r\n",
+                                    fields);
+
+    scene_send(fd, refusal);
+    g_free(refusal);
+}
+
 /* Lets one upstream state a notice, and returns it. A refused request is
  * served by another upstream. */
 static unsigned
@@ -83,7 +114,6 @@
     unsigned other;
     int caller;
     int fd;
-    char *refusal;
 
     if (!notice->refused) {
         return serve_one(scene, "notice", notice->fields);
@@ -91,11 +121,7 @@
     caller = scene_call(scene, "/again/", "notice");
     fd = scene_accept_any(scene, &held);
     g_free(scene_read_request(fd));
-    refusal = g_strdup_printf("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%s"
-                              "Content-Length: 0\r\n\r\n",
-                              notice->fields);
-    scene_send(fd, refusal);
-    g_free(refusal);
+    refuse_with(fd, notice->fields);
     close(fd);
     fd = scene_accept_any(scene, &other);
     g_assert_cmpuint(other, !=, held);
@@ -118,6 +144,7 @@
 
     /* The other upstream has no free slot, so this request is queued. */
     caller_c = scene_call(scene, "/again/", "c");
+    wait_for_requests(scene, 2);
     finish_call(caller_b, fd_b, "b", CLOSE);
     finish_call(caller_c, accept_request(scene, other), "c", CLOSE);
     g_assert_true(scene_has_no_connection(scene, held));
@@ -207,6 +234,57 @@
     scene_free(scene);
 }
 
+/* Guards against callers who wait for a pool that has asked for more rest than
+ * they have time, and against a wrong word on when to come back. */
+static void
+test_resting_pool_refuses_at_once(void)
+{
+    struct scene *scene = start(1);
+    int first = scene_call(scene, "/again/", "a");
+    int fd = accept_request(scene, 0);
+    int second;
+    char *answer;
+
+    refuse_with(fd, LONG_REST CLOSE);
+    answer = scene_read_until(first, "retry_after_ms");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
+    g_free(answer);
+    second = scene_call(scene, "/once/", "b");
+    answer = scene_read_until(second, "retry_after_ms");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(answer, "\"ran\":\"no\""));
+    g_assert_cmpint(atoi(strstr(answer, "Retry-After: ") + 13), >=, 10);
+    g_free(answer);
+    scene_run(scene, do_nothing);
+    g_assert_true(scene_has_no_connection(scene, 0));
+    close(first);
+    close(second);
+    close(fd);
+    scene_free(scene);
+}
+
+/* Guards against a request that is refused although the rest of its upstream
+ * ends in time. */
+static void
+test_rest_ends(void)
+{
+    struct scene *scene = start(2);
+    unsigned resting;
+    int caller = scene_call(scene, "/again/", "a");
+    int fd = scene_accept_any(scene, &resting);
+    int other;
+
+    g_free(scene_read_request(fd));
+    refuse_with(fd, "Retry-After: 0.2\r\n" CLOSE);
+    close(fd);
+    /* The other upstream has no free slot until the end of the test. */
+    other = accept_request(scene, 1 - resting);
+    fd = scene_call(scene, "/once/", "b");
+    finish_call(fd, accept_request(scene, resting), "b", CLOSE);
+    finish_call(caller, other, "a", CLOSE);
+    scene_free(scene);
+}
+
 /* Guards against a retry that waits for an upstream whose limit allows none
  * within its deadline. */
 static void
@@ -274,6 +352,7 @@
         {"limit_in_refusal", TINY_LIMIT CLOSE, true},
         {"leaving", LEAVING CLOSE, false},
         {"leaving_in_refusal", LEAVING CLOSE, true},
+        {"rest", LONG_REST CLOSE, true},
     };
 
     g_test_init(&argc, &argv, NULL);
@@ -285,5 +364,8 @@
     g_test_add_func("/upstream_notice/retry_beyond_limits_is_refused",
                     test_retry_beyond_limits_is_refused);
     g_test_add_func("/upstream_notice/limit_ends", test_limit_ends);
+    g_test_add_func("/upstream_notice/resting_pool_refuses_at_once",
+                    test_resting_pool_refuses_at_once);
+    g_test_add_func("/upstream_notice/rest_ends", test_rest_ends);
     return g_test_run();
 }
