Keep the rest that upstreams ask for

Callers of one entry got 26 refusals, and 13 requests reached each of two engines that had asked the entry for three seconds of rest, two are allowed.

Class of fault: statements of an upstream about itself in its answers.

Change: a refusal that names a time, 503 or 429, keeps the upstream out of the choice until then, in the last resort too; a later, shorter time does not end an earlier one, and a restart of the upstream does. A request that can be served neither by others nor by one of them in time is refused at once (upstreams_rest, or upstream_limits where some are at limits), not run, with the time until the first rest ends, spread over half of it. A sidecar keeps the rest that its engine asks it for, by kind of call.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -533,6 +533,30 @@
 #endif
 }
 
+/*
+ * Failure: an upstream turns a request away and asks for a time without any.
+ * Symptom: it gets more after each backoff, refuses all of them, and each
+ * takes a retry from the budget, until callers of other upstreams get none.
+ */
+static bool
+is_resting(struct pgw_choice *out, const struct pgw_upstream *upstream,
+           const struct pgw_choose_input *input)
+{
+#ifndef PGW_DISABLE_GATEWAY_REST
+    if (input->now_us >= upstream->rest_until_us) {
+        return false;
+    }
+    if (out->rest_until_us == 0 ||
+        upstream->rest_until_us < out->rest_until_us) {
+        out->rest_until_us = upstream->rest_until_us;
+    }
+    set_retry_at(out, upstream->rest_until_us);
+    return true;
+#else
+    return false;
+#endif
+}
+
 /* One pass over the candidates, over unhealthy ones only with
  * @include_unhealthy. */
 static struct pgw_upstream *
@@ -546,7 +570,8 @@
     double limited_cost = DBL_MAX;
 
     out->limited_per_s = 0;
-    out->only_limited = true;
+    out->rest_until_us = 0;
+    out->only_held = true;
     for (size_t i = 0; i < set->candidates.count; i++) {
         struct pgw_upstream *upstream = set->candidates.items[i];
         bool at_limit;
@@ -556,16 +581,16 @@
             if (upstream->loading &&
                 !pgw_upstream_is_leaving(upstream, input->now_us)) {
                 out->busy = true;
-                out->only_limited = false;
+                out->only_held = false;
             }
             continue;
         }
-        if (was_tried(input, upstream)) {
+        if (is_resting(out, upstream, input) || was_tried(input, upstream)) {
             continue;
         }
         out->busy = true;
         at_limit = is_at_limit(out, upstream, input);
-        out->only_limited &= at_limit;
+        out->only_held &= at_limit;
         if (awaits_probe(out, upstream, input) ||
             is_backing_off(out, upstream, input, options)) {
             continue;
@@ -584,7 +609,7 @@
             best = upstream;
         }
     }
-    out->only_limited &= out->limited_per_s > 0;
+    out->only_held &= out->limited_per_s > 0 || out->rest_until_us > 0;
     if (limited_cost < best_cost) {
         out->limited = limited;
     }
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -15,9 +15,10 @@
 /* When a caller may retry if no slot was free: about the time of one
  * generation. */
 #define NO_SLOT_RETRY_MS 250
-/* Longest retry time of requests beyond the limits of upstreams. Limits are
- * named for seconds, so a later time would keep callers away for nothing. */
-#define LIMIT_RETRY_MAX_MS 10000
+/* Longest retry time of requests that upstreams hold back, without its random
+ * part. Limits and rests last for seconds, so a later time would keep callers
+ * away for nothing. */
+#define HELD_RETRY_MAX_MS 10000
 /* A process without a configuration gets one within a second. */
 #define NO_CONFIG_RETRY_MS 400
 
@@ -354,27 +355,44 @@
     return count;
 }
 
+/* Estimated time until the first of the upstreams that hold requests back, by
+ * their limits or their rest, takes this request. */
+static uint64_t
+held_back_for_us(const struct pgw_exchange *exchange,
+                 const struct pgw_choice *choice, uint64_t now_us)
+{
+    uint64_t wait_us = UINT64_MAX;
+
+    if (choice->limited_per_s > 0) {
+        wait_us = pgw_upstream_limits_wait_us(
+            exchange->gateway, choice->limited_per_s,
+            count_queued_before(exchange) + 1);
+    }
+    if (choice->rest_until_us > now_us) {
+        wait_us = MIN(wait_us, choice->rest_until_us - now_us);
+    }
+    return wait_us;
+}
+
 /*
- * Failure: all upstreams of a pool are at their limits, or nearly so. Symptom:
- * callers wait in the queue for requests that others get first, and are
- * refused only when no time is left to try elsewhere. A request whose turn
+ * Failure: all upstreams of a pool are at their limits or want no requests.
+ * Symptom: callers wait in the queue for requests that others get first, and
+ * are refused only when no time is left to try elsewhere. A request whose turn
  * would come too late is refused at once, with the time until its turn. Its
  * caller's retry is spread over half of that time, so that callers refused
  * together do not return together.
  */
 static bool
-refuse_beyond_limits(struct pgw_exchange *exchange,
-                     const struct pgw_choice *choice, uint64_t now_us)
+refuse_held_back(struct pgw_exchange *exchange,
+                 const struct pgw_choice *choice, uint64_t now_us)
 {
     uint64_t wait_us;
     uint64_t retry_ms;
 
-    if (!choice->only_limited) {
+    if (!choice->only_held) {
         return false;
     }
-    wait_us =
-        pgw_upstream_limits_wait_us(exchange->gateway, choice->limited_per_s,
-                                    count_queued_before(exchange) + 1);
+    wait_us = held_back_for_us(exchange, choice, now_us);
     if (wait_us <= queue_time_limit_us(exchange, now_us)) {
         return false;
     }
@@ -382,10 +400,12 @@
         pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
         return true;
     }
-    retry_ms = wait_us / 1000;
+    retry_ms = MIN(wait_us / 1000, HELD_RETRY_MAX_MS);
     retry_ms += pgw_random_u64() % (retry_ms / 2 + 1);
-    pgw_exchange_refuse(exchange, 503, "upstream_limits",
-                        (uint32_t)MIN(retry_ms, LIMIT_RETRY_MAX_MS));
+    pgw_exchange_refuse(exchange, 503,
+                        choice->limited_per_s > 0 ? "upstream_limits"
+                                                  : "upstreams_rest",
+                        (uint32_t)retry_ms);
     return true;
 }
 
@@ -415,7 +435,7 @@
     }
     pgw_gateway_dispatch_queued_at(gateway, choice.retry_at_us);
     if (pgw_list_is_linked(&exchange->waiting.link) ||
-        refuse_beyond_limits(exchange, &choice, now)) {
+        refuse_held_back(exchange, &choice, now)) {
         return;
     }
     /* A stream that is queued to resume keeps its phase, since its head was
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -60,11 +60,17 @@
     uint64_t kv_tokens;
 };
 
-/** enum pgw_sidecar_poll - kinds of polls that an engine is always asked */
-enum pgw_sidecar_poll {
-    PGW_SIDECAR_POLL_REPORT,
-    PGW_SIDECAR_POLL_EVENTS,
-    PGW_SIDECAR_POLL_COUNT,
+/**
+ * enum pgw_sidecar_call - kinds of calls to the engine
+ * @PGW_SIDECAR_CALL_REPORT: poll for a report
+ * @PGW_SIDECAR_CALL_EVENTS: long poll for cache events
+ * @PGW_SIDECAR_CALL_ORDER: order to load weights
+ */
+enum pgw_sidecar_call {
+    PGW_SIDECAR_CALL_REPORT,
+    PGW_SIDECAR_CALL_EVENTS,
+    PGW_SIDECAR_CALL_ORDER,
+    PGW_SIDECAR_CALL_COUNT,
 };
 
 /**
@@ -74,7 +80,8 @@
  * @report: the engine's last report
  * @quotas: quota buckets of the workspaces that this sidecar owns
  * @limits: limits of upstreams that this sidecar owns
- * @notices: what the engine stated in its last answer to each kind of poll
+ * @notices: what the engine stated in its last answer to each kind of call
+ * @rest_until_us: by kind of call, until when the engine wants none
  * @announced_prompts: long prompts that may not be prefilled yet
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
@@ -116,7 +123,8 @@
     struct pgw_engine_report report;
     struct pgw_quota_buckets *quotas;
     struct pgw_limit_ledger *limits;
-    struct pgw_upstream_notice notices[PGW_SIDECAR_POLL_COUNT];
+    struct pgw_upstream_notice notices[PGW_SIDECAR_CALL_COUNT];
+    uint64_t rest_until_us[PGW_SIDECAR_CALL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
@@ -170,16 +178,20 @@
  * quotas */
 void pgw_engine_sidecar_register_quota_metrics(void);
 
-/* engine_sidecar_limit.c */
+/* engine_sidecar_notice.c */
 /** pgw_engine_sidecar_handle_limit_ask() - answer an entry's ask for requests
  * to an upstream at its limit */
 void pgw_engine_sidecar_handle_limit_ask(struct pgw_connected_entry *entry,
                                          const Pgw__LimitAsk *ask);
 /** pgw_engine_sidecar_read_notice() - read what the engine states about itself
- * in the head of its answer to a poll */
+ * in the head of its answer to a call */
 void pgw_engine_sidecar_read_notice(struct pgw_engine_sidecar *sidecar,
-                                    enum pgw_sidecar_poll poll,
+                                    enum pgw_sidecar_call call,
                                     const struct pgw_http_head *head);
+/** pgw_engine_sidecar_rest_us() - time for which the engine wants no calls of
+ * a kind, in microseconds */
+uint64_t pgw_engine_sidecar_rest_us(const struct pgw_engine_sidecar *sidecar,
+                                    enum pgw_sidecar_call call);
 /** pgw_engine_sidecar_limit() - limit that the engine names to this sidecar,
  * 0: none */
 double pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar);
--- a/src/gateway/engine_sidecar_limit.c
+++ b/src/gateway/engine_sidecar_notice.c
@@ -36,22 +36,36 @@
 
 void
 pgw_engine_sidecar_read_notice(struct pgw_engine_sidecar *sidecar,
-                               enum pgw_sidecar_poll poll,
+                               enum pgw_sidecar_call call,
                                const struct pgw_http_head *head)
 {
     struct pgw_upstream_notice notice = {0};
 
     sidecar->options.codec->read_notice(&notice, head);
-    if (notice.invalid_field == NULL) {
-        sidecar->notices[poll] = notice;
+    sidecar->rest_until_us[call] =
+        MAX(sidecar->rest_until_us[call], pgw_now_us() + notice.rest_us);
+    /* Orders are too rare for a statement in their answers to be current. */
+    if (notice.invalid_field == NULL && call != PGW_SIDECAR_CALL_ORDER) {
+        sidecar->notices[call] = notice;
     }
 }
 
-/* Engines may state something in answers to one kind of poll only. */
+uint64_t
+pgw_engine_sidecar_rest_us(const struct pgw_engine_sidecar *sidecar,
+                           enum pgw_sidecar_call call)
+{
+    uint64_t now_us = pgw_now_us();
+
+    return sidecar->rest_until_us[call] > now_us
+               ? sidecar->rest_until_us[call] - now_us
+               : 0;
+}
+
+/* Engines may state something in answers to one kind of call only. */
 double
 pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar)
 {
-    for (size_t i = 0; i < PGW_SIDECAR_POLL_COUNT; i++) {
+    for (size_t i = 0; i < PGW_SIDECAR_CALL_COUNT; i++) {
         if (sidecar->notices[i].limit > 0) {
             return sidecar->notices[i].limit;
         }
@@ -62,7 +76,7 @@
 bool
 pgw_engine_sidecar_is_leaving(const struct pgw_engine_sidecar *sidecar)
 {
-    for (size_t i = 0; i < PGW_SIDECAR_POLL_COUNT; i++) {
+    for (size_t i = 0; i < PGW_SIDECAR_CALL_COUNT; i++) {
         if (sidecar->notices[i].leaving) {
             return true;
         }
--- a/src/gateway/engine_sidecar_orders.c
+++ b/src/gateway/engine_sidecar_orders.c
@@ -71,7 +71,10 @@
 static bool
 order_head(struct pgw_call *call, const struct pgw_http_head *head)
 {
-    order_call_sidecar(call)->order_status = head->status;
+    struct pgw_engine_sidecar *sidecar = order_call_sidecar(call);
+
+    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_CALL_ORDER, head);
+    sidecar->order_status = head->status;
     return true;
 }
 
@@ -162,6 +165,9 @@
 static uint64_t
 step_model(struct pgw_engine_sidecar *sidecar, struct pgw_sidecar_model *model)
 {
+    uint64_t rest_us =
+        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_ORDER);
+
     for (;;) {
         switch (pgw_weights_order_next_step(&model->order, pgw_now_us())) {
         case PGW_WEIGHTS_WAIT:
@@ -177,8 +183,8 @@
             /* One order at a time, and none without a current report of the
              * engine, as an order carries values from it. */
             if (sidecar->ordered_model != NULL || !sidecar->alive ||
-                !may_send_order(sidecar)) {
-                return pgw_now_us() + STEP_RETRY_US;
+                rest_us > 0 || !may_send_order(sidecar)) {
+                return pgw_now_us() + MAX(STEP_RETRY_US, rest_us);
             }
             send_order(sidecar, model);
             break;
--- a/src/gateway/engine_sidecar_poll.c
+++ b/src/gateway/engine_sidecar_poll.c
@@ -128,6 +128,7 @@
         pgw_weights_order_handle_restart(&sidecar->models[i].order);
     }
     memset(sidecar->notices, 0, sizeof(sidecar->notices));
+    memset(sidecar->rest_until_us, 0, sizeof(sidecar->rest_until_us));
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
     if (pgw_call_is_running(&sidecar->events_call)) {
@@ -148,7 +149,7 @@
 {
     struct pgw_engine_sidecar *sidecar = report_call_sidecar(call);
 
-    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_POLL_REPORT, head);
+    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_CALL_REPORT, head);
     sidecar->report_status = head->status;
     g_string_truncate(sidecar->report_body, 0);
     return true;
@@ -203,7 +204,13 @@
         .address = &sidecar->options.engine,
         .timeout_us = REPORT_TIMEOUT_US,
     };
+    uint64_t rest_us =
+        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_REPORT);
 
+    if (rest_us > 0) {
+        pgw_timer_start(sidecar->loop, timer, rest_us);
+        goto done;
+    }
     sidecar->arrivals_before_poll = sidecar->arrivals_since_poll;
     sidecar->arrivals_since_poll = (struct pgw_announced_arrivals){0};
     sidecar->options.codec->write_report_request(bytes);
@@ -213,6 +220,7 @@
     if (!pgw_call_start(&sidecar->report_call, sidecar->pool, &options)) {
         handle_failed_poll(sidecar);
     }
+done:
     g_string_free(bytes, TRUE);
 }
 
@@ -235,7 +243,7 @@
 {
     struct pgw_engine_sidecar *sidecar = events_call_sidecar(call);
 
-    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_POLL_EVENTS, head);
+    pgw_engine_sidecar_read_notice(sidecar, PGW_SIDECAR_CALL_EVENTS, head);
     sidecar->events_status = head->status;
     g_string_truncate(sidecar->events_body, 0);
     return true;
@@ -313,7 +321,13 @@
         .address = &sidecar->options.engine,
         .timeout_us = EVENTS_TIMEOUT_US,
     };
+    uint64_t rest_us =
+        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_EVENTS);
 
+    if (rest_us > 0) {
+        pgw_timer_start(sidecar->loop, timer, rest_us);
+        goto done;
+    }
     sidecar->options.codec->write_events_request(
         bytes, sidecar->cached_parts.next, EVENTS_LONG_POLL_MS);
     options.bytes = bytes->str;
@@ -323,6 +337,7 @@
         pgw_timer_start(sidecar->loop, &sidecar->events_timer,
                         EVENTS_RETRY_US);
     }
+done:
     g_string_free(bytes, TRUE);
 }
 
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -53,6 +53,7 @@
  * @removed_at_us: when it was removed
  * @limit: its limit
  * @said_leaving: it has stated that it is draining
+ * @rest_until_us: when it takes requests again
  */
 struct departed {
     char *id;
@@ -60,6 +61,7 @@
     uint64_t removed_at_us;
     struct pgw_limit_share limit;
     bool said_leaving;
+    uint64_t rest_until_us;
 };
 
 struct pgw_upstream_table {
@@ -234,7 +236,8 @@
     uint64_t now_us = (uint64_t)g_get_monotonic_time();
     struct departed *departed;
 
-    if (upstream->limit.per_s <= 0 && !upstream->said_leaving) {
+    if (upstream->limit.per_s <= 0 && !upstream->said_leaving &&
+        upstream->rest_until_us <= now_us) {
         return;
     }
     g_hash_table_foreach_remove(table->departed, has_expired, &now_us);
@@ -244,6 +247,7 @@
     departed->removed_at_us = now_us;
     departed->limit = upstream->limit;
     departed->said_leaving = upstream->said_leaving;
+    departed->rest_until_us = upstream->rest_until_us;
     g_hash_table_replace(table->departed, departed->id, departed);
 }
 
@@ -257,6 +261,7 @@
     if (departed != NULL && departed->started_ms == started_ms) {
         upstream->limit = departed->limit;
         upstream->said_leaving = departed->said_leaving;
+        upstream->rest_until_us = departed->rest_until_us;
     }
     g_hash_table_remove(table->departed, upstream->id);
 }
--- a/tests/unit/scene_engine.c
+++ b/tests/unit/scene_engine.c
@@ -19,6 +19,15 @@
         engine->orders++;
         scene_send(fd, "HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n");
     }
+    else if (strstr(head, "/api/report") != NULL &&
+             engine->refuse_for != NULL) {
+        engine->reports_refused++;
+        text = g_strdup_printf("HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               engine->refuse_for);
+        scene_send(fd, text);
+        g_free(text);
+    }
     else if (strstr(head, "/api/report") != NULL) {
         text = g_strdup_printf(
             "{\"models\":[{\"name\":\"m\",\"version\":%" G_GUINT64_FORMAT
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -12,6 +12,9 @@
  * @sequence: reported number of orders
  * @started_ms: reported start time of its process; 0: not reported
  * @draining: it reports that it is draining
+ * @refuse_for: it refuses to report and asks for so many seconds of rest;
+ * NULL: it reports
+ * @reports_refused: number of reports refused
  * @fields: additional header lines of its reports, each with its CRLF; NULL:
  *   none
  * @orders: number of orders received
@@ -24,6 +27,8 @@
     unsigned sequence;
     uint64_t started_ms;
     bool draining;
+    const char *refuse_for;
+    unsigned reports_refused;
     const char *fields;
     unsigned orders;
     char *order;
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -359,6 +359,37 @@
     close_fixture();
 }
 
+static bool
+has_refused_reports(const struct scene_engine *engine)
+{
+    return engine->reports_refused > 1;
+}
+
+static bool
+has_refused_and_reported(const struct scene_engine *engine)
+{
+    return engine->reports_refused > 0 && is_reported(engine);
+}
+
+/* Guards against a sidecar that goes on polling an engine that has asked it
+ * for rest. */
+static void
+test_rest_of_polls(void)
+{
+    struct scene_engine engine = {.version = 1, .refuse_for = "0.3"};
+    uint64_t begin_us;
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    begin_us = pgw_now_us();
+    scene_engine_serve(&engine, has_refused_reports);
+    /* The second poll does not come before the time has passed. */
+    g_assert_cmpuint(pgw_now_us() - begin_us, >=, 300000);
+    engine.refuse_for = NULL;
+    scene_engine_serve(&engine, has_refused_and_reported);
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -369,6 +400,7 @@
                     test_restart_during_order);
     g_test_add_func("/engine_sidecar/probe_counts_announced",
                     test_probe_counts_announced);
+    g_test_add_func("/engine_sidecar/rest_of_polls", test_rest_of_polls);
     g_test_add_func("/engine_sidecar/leaving_is_reported",
                     test_leaving_is_reported);
     g_test_add_func("/engine_sidecar/limit_is_reported",
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -1,3 +1,4 @@
+#include "gateway/upstream_notice.h"
 #include "gateway/upstream_table.h"
 #include "util/log.h"
 
@@ -50,6 +51,29 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against a rest that is cut short by a later, shorter one, or that the
+ * successor of the upstream has to keep. */
+static void
+test_rest_is_kept(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put(table, "i", false);
+    struct pgw_notice_origin origin = {.source = "answer"};
+    struct pgw_upstream_notice rest = {.rest_us = 5000};
+
+    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW);
+    rest.rest_us = 1000;
+    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW + 1);
+    g_assert_cmpuint(upstream->rest_until_us, ==, NOW + 5000);
+    rest.rest_us = 6000;
+    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW + 2);
+    g_assert_cmpuint(upstream->rest_until_us, ==, NOW + 6002);
+    pgw_upstream_table_set_start(table, upstream, 5);
+    pgw_upstream_table_set_start(table, upstream, 6);
+    g_assert_cmpuint(upstream->rest_until_us, ==, 0);
+    pgw_upstream_table_free(table);
+}
+
 /* Guards against a limit that is forgotten when the upstream's record is lost
  * and listed again, and against one that outlives its process. */
 static void
@@ -318,6 +342,7 @@
                     test_leaving_is_permanent);
     g_test_add_func("/upstream_table/said_leaving_survives_a_lost_record",
                     test_said_leaving_survives_a_lost_record);
+    g_test_add_func("/upstream_table/rest_is_kept", test_rest_is_kept);
     g_test_add_func("/upstream_table/limit_survives_a_lost_record",
                     test_limit_survives_a_lost_record);
     g_test_add_func("/upstream_table/address_belongs_to_newest_line",
