Bound how often entries ask for requests under a limit

Callers see nothing of it. An owner of a limit answered each refused entry with 50 ms at least: 940 entries would have made some 12,000 asks a second at one sidecar, 1.8 MB/s of the 16 KB/s that control may take.

The owner adapts the retry time of refused asks to their number, towards 60 a second, from the first 60 asks on; an ask names all requests that came since the last one, 16 at most, and a queued request counts once.

Without the change the bound is missed.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -425,7 +425,8 @@
     }
     choose_upstream(&choice, exchange);
     if (choice.limited != NULL) {
-        pgw_upstream_limits_want(gateway, choice.limited);
+        pgw_upstream_limits_want(gateway, choice.limited,
+                                 !pgw_list_is_linked(&exchange->waiting.link));
     }
     if (choice.upstream != NULL) {
         leave_queue(exchange);
--- a/src/gateway/limit_ledger.c
+++ b/src/gateway/limit_ledger.c
@@ -6,7 +6,14 @@
 #define BURST_S 0.25
 /* Entries that ask more often would only be refused more often. */
 #define MIN_RETRY_MS 50
-#define MAX_RETRY_MS 2000
+#define MAX_RETRY_MS 10000
+/* Asks a second for one limit, at 150 bytes with their answers: half of what
+ * control messages of a process may take. */
+#define ASKS_PER_S 60
+/* Times over which asks are counted: at the start of a limit all entries ask
+ * at once, which shows their number early. */
+#define ASKS_SPAN_MIN_US 100000
+#define ASKS_SPAN_MAX_US 1000000
 /* A limit that nobody asked for in this time has ended, or its upstream has.
  */
 #define IDLE_US 60000000ULL
@@ -19,6 +26,9 @@
     uint64_t heard_us;
     double level;
     uint64_t refilled_at_us;
+    uint64_t asks_since_us;
+    uint32_t asks;
+    uint32_t retry_ms;
 };
 
 struct pgw_limit_ledger {
@@ -82,6 +92,8 @@
         bucket = g_new0(struct bucket, 1);
         bucket->upstream = g_strdup(ask->upstream);
         bucket->refilled_at_us = now_us;
+        bucket->asks_since_us = now_us;
+        bucket->retry_ms = MIN_RETRY_MS;
         g_hash_table_insert(ledger->by_upstream, bucket->upstream, bucket);
     }
     return bucket;
@@ -99,13 +111,31 @@
     bucket->refilled_at_us = now_us;
 }
 
+/* Adapts the retry time of refused asks to their number: entries that ask
+ * every retry time make ASKS_PER_S asks together. */
+static void
+count_ask(struct bucket *bucket, uint64_t now_us)
+{
+    uint64_t span_us = MAX(now_us - bucket->asks_since_us, ASKS_SPAN_MIN_US);
+    double asks_per_s = ++bucket->asks * 1e6 / (double)span_us;
+
+    if (span_us < ASKS_SPAN_MAX_US && bucket->asks < ASKS_PER_S) {
+        return;
+    }
+    bucket->retry_ms =
+        (uint32_t)CLAMP(bucket->retry_ms * asks_per_s / ASKS_PER_S,
+                        MIN_RETRY_MS, MAX_RETRY_MS);
+    bucket->asks_since_us = now_us;
+    bucket->asks = 0;
+}
+
 static uint32_t
 retry_ms(const struct bucket *bucket, double share)
 {
     double per_s = bucket->per_s * share;
     double ms = per_s > 0 ? (1 - bucket->level) / per_s * 1000 : MAX_RETRY_MS;
 
-    return (uint32_t)CLAMP(ms, MIN_RETRY_MS, MAX_RETRY_MS);
+    return (uint32_t)CLAMP(ms, bucket->retry_ms, MAX_RETRY_MS);
 }
 
 void
@@ -117,6 +147,7 @@
     double share = CLAMP(ask->share, 0, 1);
     uint64_t heard_us = now_us - MIN(ask->age_us, now_us);
 
+    count_ask(bucket, now_us);
     refill(bucket, share, now_us);
     if (heard_us > bucket->heard_us) {
         bucket->per_s = ask->per_s;
--- a/src/gateway/upstream_limits.c
+++ b/src/gateway/upstream_limits.c
@@ -12,6 +12,9 @@
 /* Number of entries that is assumed until a sidecar has reported it. Too high
  * a number leaves part of a limit unused, too low a one exceeds it. */
 #define ENTRIES_ASSUMED 8
+/* Most requests of one ask: grants that are not used within a second are lost
+ * to the other entries. */
+#define ASK_REQUESTS_MAX 16
 
 static struct pgw_metric_counter held_back = {
     .name = "pgw_gateway_limit_held_back_total",
@@ -82,6 +85,15 @@
                               now_us);
 }
 
+/* Requests that have come since the last ask, and those that are queued. */
+static uint32_t
+count_wanted(const struct pgw_gateway *gateway,
+             const struct pgw_limit_share *share)
+{
+    return CLAMP(MAX(share->wanted, gateway->waiting.count), 1,
+                 ASK_REQUESTS_MAX);
+}
+
 /* Sends an ask unless the last one is unanswered, too recent, or has shown
  * that the owner is not available. */
 static void
@@ -104,8 +116,7 @@
         }
         return;
     }
-    if (!send_ask(gateway, upstream,
-                  MIN(share->wanted, gateway->waiting.count + 1))) {
+    if (!send_ask(gateway, upstream, count_wanted(gateway, share))) {
         fall_back(gateway, share, now_us);
         return;
     }
@@ -116,13 +127,13 @@
 
 void
 pgw_upstream_limits_want(struct pgw_gateway *gateway,
-                         struct pgw_upstream *upstream)
+                         struct pgw_upstream *upstream, bool is_new)
 {
     struct pgw_limit_share *share = &upstream->limit;
     uint64_t now_us = pgw_now_us();
 
-    pgw_metric_counter_add(&held_back, 1);
-    share->wanted++;
+    pgw_metric_counter_add(&held_back, is_new);
+    share->wanted += is_new;
     ask_or_fall_back(gateway, upstream, now_us);
     pgw_gateway_dispatch_queued_at(
         gateway, share->asked_us > 0 ? share->asked_us + ANSWER_TIMEOUT_US
--- a/src/gateway/upstream_limits.h
+++ b/src/gateway/upstream_limits.h
@@ -16,10 +16,14 @@
 /** pgw_upstream_limits_register_metrics() - register the counters */
 void pgw_upstream_limits_register_metrics(void);
 
-/** pgw_upstream_limits_want() - a request would have gone to an upstream at
- * its limit: ask for grants, or fall back to an equal share */
+/**
+ * pgw_upstream_limits_want() - ask for grants, or fall back to an equal share
+ * @gateway: the gateway
+ * @upstream: upstream at its limit that a request would have gone to
+ * @is_new: the request was not queued for it before
+ */
 void pgw_upstream_limits_want(struct pgw_gateway *gateway,
-                              struct pgw_upstream *upstream);
+                              struct pgw_upstream *upstream, bool is_new);
 
 /** pgw_upstream_limits_report_end() - tell the owner that a limit has ended,
  * so that other entries learn it with their next ask */
--- a/tests/unit/test_limit_share.c
+++ b/tests/unit/test_limit_share.c
@@ -4,7 +4,6 @@
 
 #define STEP_US 1000
 #define ROUND_TRIP_US 3000
-#define ENTRIES_MAX 300
 #define WINDOW_US 4000000ULL
 #define ARRIVALS_MAX 65536
 
@@ -12,6 +11,7 @@
 #define SEED 36
 
 static GRand *play_random;
+static unsigned ask_count;
 
 /**
  * struct play - entries that send to one upstream at its limit
@@ -67,6 +67,7 @@
         return;
     }
     pgw_limit_ledger_ask(&entry->answer, ledger, &message, now_us);
+    ask_count++;
     entry->answer_at_us = now_us + ROUND_TRIP_US;
 }
 
@@ -78,7 +79,9 @@
     }
     entry->answer_at_us = 0;
     pgw_limit_share_grant(&entry->share, entry->answer.granted, now_us);
-    entry->share.ask_at_us = now_us + entry->answer.retry_ms * 1000ULL;
+    entry->share.ask_at_us =
+        now_us + (uint64_t)(entry->answer.retry_ms * 1000.0 *
+                            (1 + g_rand_double(play_random)));
 }
 
 static bool
@@ -105,6 +108,7 @@
     size_t first = 0;
 
     play_random = g_rand_new_with_seed(SEED);
+    ask_count = 0;
     for (unsigned i = 0; i < play->entries; i++) {
         pgw_limit_share_set(&entries[i].share, play->limit, 1);
     }
@@ -133,8 +137,11 @@
             g_assert_cmpfloat((double)(count - first), <=, allowed);
         }
     }
-    g_test_message("%s: %.2f of %.2f a second", play->name, (double)count / 40,
-                   play->limit);
+    g_test_message("%s: %.2f of %.2f a second, %u asks a second", play->name,
+                   (double)count / 40, play->limit, ask_count / 40);
+    /* Control messages of a process: 16 KB/s, 150 bytes an ask and answer;
+     * granted asks carry requests and are bounded by the limit. */
+    g_assert_cmpfloat(ask_count / 40.0, <=, 16000.0 / 150 + play->limit);
     g_assert_cmpfloat((double)count, >=, 0.5 * 40 * MIN(play->limit, wanted));
     g_rand_free(play_random);
     pgw_limit_ledger_free(ledger);
@@ -215,6 +222,11 @@
          .limit = 4,
          .active = 300,
          .wanted_per_s = 2},
+        {.name = "most_entries",
+         .entries = 940,
+         .limit = 10,
+         .active = 940,
+         .wanted_per_s = 1},
         {.name = "large_limit",
          .entries = 80,
          .limit = 200,
