--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1095,7 +1095,13 @@
                         choices=["limit", "unlisted", "rest"],
                         help="also upstreams that say in their answers what "
                         "they take, that they leave, or that they want rest")
+    parser.add_argument("--scale", type=int, default=1,
+                        help="so many times the entries, engines and plain "
+                        "services")
     options = parser.parse_args()
+    global ENTRIES, ENGINES, PLAINS
+    ENTRIES, ENGINES, PLAINS = (n * options.scale
+                                for n in (ENTRIES, ENGINES, PLAINS))
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
 
