--- a/src/gateway/limit_share.c
+++ b/src/gateway/limit_share.c
@@ -20,6 +20,9 @@
         return;
     }
     share->heard_us = now_us;
+    if (per_s < share->per_s) {
+        share->grants = (uint32_t)(share->grants * per_s / share->per_s);
+    }
     share->fallback_per_s *= share->per_s > 0 ? per_s / share->per_s : 0;
     share->per_s = per_s;
 }
--- a/tests/unit/test_limit_share.c
+++ b/tests/unit/test_limit_share.c
@@ -194,6 +194,9 @@
         pgw_limit_share_allows(&share, 2 + PGW_LIMIT_GRANT_VALID_US));
     pgw_limit_share_grant(&share, 1, 2 + PGW_LIMIT_GRANT_VALID_US);
     g_assert_cmpuint(share.grants, ==, 1);
+    pgw_limit_share_grant(&share, 3, 2 + PGW_LIMIT_GRANT_VALID_US);
+    pgw_limit_share_set(&share, 5, 3);
+    g_assert_cmpuint(share.grants, ==, 2);
     pgw_limit_share_set(&share, 0, 3);
     g_assert_true(pgw_limit_share_allows(&share, 3));
 }
