Refuse a run that was held while its engine asked for rest

Older path: a run that waits for its prompt's import, or for suspects, was checked when it came, and could start in the engine's rest. It is checked again when it is offered. fail_rest and fail_crash pass; no test plays this order of events.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -65,7 +65,6 @@
         .source = "answer",
         .asked_us = exchange->sent_us,
     };
-
     struct pgw_upstream *upstream = exchange->upstream;
     bool was_limited = upstream->limit.per_s > 0;
 
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -186,6 +186,15 @@
             return;
         }
     }
+    /* The engine may have asked for rest while the run was held or its prompt
+     * imported. */
+    if (rest_ms(sidecar) > 0) {
+        run_send_fail(run, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
+                      rest_ms(sidecar),
+                      "the engine asked for rest: send to another one");
+        run_free(run);
+        return;
+    }
     pgw_admit_offer(&answer, sidecar->admit, &run->item, pgw_now_us());
     switch (answer.verdict) {
     case PGW_ADMIT_RUN:
