Check an engine's requested time where runs are handed to it

Two faults of reading once more: runs that were held behind a suspect passed neither check and could reach an engine in the time for which it wants none; and the time was parsed by a second parser, which took 1.2 from '1.2.3'.

Cause: three checks at three places instead of one where every run passes. Now run_hand_over() checks, beside the probes' answer, and the parser is one for both paths (util/decimal).

No test plays a held run at an engine that wants none.

--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -66,17 +66,6 @@
     return chain->prompt_tokens - MIN(chain->prompt_tokens, *matched);
 }
 
-/* Time for which the engine wants no requests, in milliseconds. */
-static uint32_t
-rest_ms(const struct sidecar *sidecar)
-{
-    uint64_t now = pgw_now_us();
-
-    return sidecar->rest_until_us > now
-               ? (uint32_t)((sidecar->rest_until_us - now) / 1000) + 1
-               : 0;
-}
-
 /* Why an attempt cannot even wait here; false when it can. */
 static bool
 must_refuse(const struct sidecar *sidecar, const char *model,
@@ -95,9 +84,9 @@
         *message = "the upstream does not answer";
         return true;
     }
-    if (rest_ms(sidecar) > 0) {
+    if (gate_backoff_ms(sidecar) > 0) {
         *refusal = PGW_REFUSAL_OVERLOADED;
-        *message = "the engine asked for rest: send to another one";
+        *message = GATE_BACKOFF_MESSAGE;
         return true;
     }
     if (orders_is_closed(sidecar->orders)) {
@@ -186,15 +175,6 @@
             return;
         }
     }
-    /* The engine may have asked for rest while the run was held or its prompt
-     * imported. */
-    if (rest_ms(sidecar) > 0) {
-        run_send_fail(run, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO,
-                      rest_ms(sidecar),
-                      "the engine asked for rest: send to another one");
-        run_free(run);
-        return;
-    }
     pgw_admit_offer(&answer, sidecar->admit, &run->item, pgw_now_us());
     switch (answer.verdict) {
     case PGW_ADMIT_RUN:
@@ -233,7 +213,7 @@
         MIN(run->item.uncached_tokens, total - MIN(total, tokens));
     if (must_refuse(run->sidecar, run->open->model, run->open->version,
                     &refusal, &message)) {
-        run_send_fail(run, refusal, PGW_RAN_NO, rest_ms(run->sidecar),
+        run_send_fail(run, refusal, PGW_RAN_NO, gate_backoff_ms(run->sidecar),
                       message);
         gate_finish(run);
         return;
@@ -266,7 +246,7 @@
         return;
     }
     if (must_refuse(sidecar, open->model, open->version, &refusal, &message)) {
-        run_send_fail(run, refusal, PGW_RAN_NO, rest_ms(run->sidecar),
+        run_send_fail(run, refusal, PGW_RAN_NO, gate_backoff_ms(run->sidecar),
                       message);
         run_free(run);
         return;
--- a/src/sidecar/gate_internal.h
+++ b/src/sidecar/gate_internal.h
@@ -14,7 +14,13 @@
 /** run_offer() - ask the admission for a place */
 void run_offer(struct run *run);
 
+#define GATE_BACKOFF_MESSAGE                                                  \
+    "the engine requested a backoff: send to another one"
+
 /* gate_run.c */
+/** gate_backoff_ms() - remaining time of the backoff that the engine
+ * requested, in milliseconds */
+uint32_t gate_backoff_ms(const struct sidecar *sidecar);
 /** run_start() - the admission gave a place: claim, or wait for a suspect */
 void run_start(struct run *run);
 /** run_withdraw() - whether it certainly has not run and now never will */
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -99,9 +99,29 @@
     }
 }
 
+uint32_t
+gate_backoff_ms(const struct sidecar *sidecar)
+{
+    uint64_t now = pgw_now_us();
+
+    return sidecar->rest_until_us > now
+               ? (uint32_t)((sidecar->rest_until_us - now) / 1000) + 1
+               : 0;
+}
+
+/* A run with a claim is handed over in any case: its key is taken, and an
+ * engine refuses one such request sooner than many. */
 static void
 run_hand_over(struct run *run)
 {
+    uint32_t backoff_ms = gate_backoff_ms(run->sidecar);
+
+    if (backoff_ms > 0 && run->claim == NULL) {
+        run_send_fail(run, PGW_REFUSAL_OVERLOADED, PGW_RAN_NO, backoff_ms,
+                      GATE_BACKOFF_MESSAGE);
+        gate_finish(run);
+        return;
+    }
     run->state = RUN_SENT;
     run->sent_us = pgw_now_us();
     run->heard_us = run->sent_us;
@@ -248,7 +268,7 @@
                       "the deadline passed while the request waited");
         run_free(run);
     }
-    while (now >= sidecar->rest_until_us &&
+    while (gate_backoff_ms(sidecar) == 0 &&
            (item = pgw_admit_next(sidecar->admit, now)) != NULL) {
         run_start(pgw_container_of(item, struct run, item));
     }
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -1,7 +1,7 @@
 #include "sidecar/claims.h"
 #include "sidecar/suspicion.h"
+#include "util/decimal.h"
 #include "util/log.h"
-#include <string.h>
 
 /* An engine that is away for longer is one that does not serve. */
 #define REST_MAX_S 3600
@@ -205,9 +205,7 @@
     if (text == NULL || (run->status != 503 && run->status != 429)) {
         return 0;
     }
-    seconds = g_ascii_strtod(text, NULL);
-    if (text[strspn(text, "0123456789.")] != '\0' || seconds <= 0 ||
-        seconds > REST_MAX_S) {
+    if (!pgw_decimal_parse(&seconds, text, REST_MAX_S)) {
         pgw_log_warning("rest_invalid", "retry_after=%s", text);
         return 0;
     }
