--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -36,7 +36,7 @@
  * @PGW_CAUSE_ANSWER_DAMAGED: what came was no whole answer
  * @PGW_CAUSE_WEIGHTS: the engine was loading, or had just loaded, new weights
  * @PGW_CAUSE_UPSTREAM_LIMITS: all upstreams were at the limits that they named
- * @PGW_CAUSE_UPSTREAMS_REST: all upstreams had asked for a time without
+ * @PGW_CAUSE_UPSTREAMS_IN_BACKOFF: all upstreams had asked for a time without
  * requests
  * @PGW_CAUSE_NO_PLACE: no upstream had a place for it
  * @PGW_CAUSE_LONG_PROMPT: its prompt had to be read
@@ -61,7 +61,7 @@
     PGW_CAUSE_ANSWER_DAMAGED,
     PGW_CAUSE_WEIGHTS,
     PGW_CAUSE_UPSTREAM_LIMITS,
-    PGW_CAUSE_UPSTREAMS_REST,
+    PGW_CAUSE_UPSTREAMS_IN_BACKOFF,
     PGW_CAUSE_NO_PLACE,
     PGW_CAUSE_LONG_PROMPT,
     PGW_CAUSE_CROWDED,
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -44,7 +44,7 @@
     [PGW_CAUSE_ANSWER_DAMAGED] = "answer_damaged",
     [PGW_CAUSE_WEIGHTS] = "weights",
     [PGW_CAUSE_UPSTREAM_LIMITS] = "upstream_limits",
-    [PGW_CAUSE_UPSTREAMS_REST] = "upstreams_rest",
+    [PGW_CAUSE_UPSTREAMS_IN_BACKOFF] = "upstreams_in_backoff",
     [PGW_CAUSE_NO_PLACE] = "no_place",
     [PGW_CAUSE_LONG_PROMPT] = "long_prompt",
     [PGW_CAUSE_CROWDED] = "crowded",
@@ -500,11 +500,11 @@
 }
 
 static void
-end_upstreams_rest(struct inquiry *inquiry)
+end_upstreams_in_backoff(struct inquiry *inquiry)
 {
-    conclude(inquiry, PGW_CAUSE_UPSTREAMS_REST,
+    conclude(inquiry, PGW_CAUSE_UPSTREAMS_IN_BACKOFF,
              "all upstreams of service %s that could take it had asked %s for "
-             "a time without requests: see upstream_rest",
+             "a time without requests: see upstream_backoff",
              text_of(inquiry->end, "service"), inquiry->end->instance);
 }
 
@@ -568,7 +568,7 @@
     {"crashes_upstreams", end_poison},
     {"over_quota", end_over_quota},
     {"upstream_limits", end_upstream_limits},
-    {"upstreams_rest", end_upstreams_rest},
+    {"upstreams_in_backoff", end_upstreams_in_backoff},
 };
 
 static void
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -506,9 +506,9 @@
 }
 
 /*
- * Failure: an upstream in need names a limit, and entries go on sending what
- * its load and its cached parts attract. Symptom: it gets several times the
- * requests that it can take. Every way to an upstream leads through the
+ * Failure: an overloaded upstream names a limit, and entries go on sending
+ * what its load and its cached parts attract. Symptom: it gets several times
+ * the requests that it can take. Every way to an upstream leads through the
  * choice, so the limit is checked here, also for unhealthy upstreams: a pool
  * without any other is no reason to exceed it.
  */
@@ -539,18 +539,19 @@
  * takes a retry from the budget, until callers of other upstreams get none.
  */
 static bool
-is_resting(struct pgw_choice *out, const struct pgw_upstream *upstream,
-           const struct pgw_choose_input *input)
+has_requested_backoff(struct pgw_choice *out,
+                      const struct pgw_upstream *upstream,
+                      const struct pgw_choose_input *input)
 {
-#ifndef PGW_DISABLE_GATEWAY_REST
-    if (input->now_us >= upstream->rest_until_us) {
+#ifndef PGW_DISABLE_GATEWAY_RETRY_AFTER
+    if (input->now_us >= upstream->backoff_until_us) {
         return false;
     }
-    if (out->rest_until_us == 0 ||
-        upstream->rest_until_us < out->rest_until_us) {
-        out->rest_until_us = upstream->rest_until_us;
+    if (out->backoff_until_us == 0 ||
+        upstream->backoff_until_us < out->backoff_until_us) {
+        out->backoff_until_us = upstream->backoff_until_us;
     }
-    set_retry_at(out, upstream->rest_until_us);
+    set_retry_at(out, upstream->backoff_until_us);
     return true;
 #else
     return false;
@@ -570,8 +571,8 @@
     double limited_cost = DBL_MAX;
 
     out->limited_per_s = 0;
-    out->rest_until_us = 0;
-    out->only_held = true;
+    out->backoff_until_us = 0;
+    out->only_throttled = true;
     for (size_t i = 0; i < set->candidates.count; i++) {
         struct pgw_upstream *upstream = set->candidates.items[i];
         bool at_limit;
@@ -581,16 +582,17 @@
             if (upstream->loading &&
                 !pgw_upstream_is_leaving(upstream, input->now_us)) {
                 out->busy = true;
-                out->only_held = false;
+                out->only_throttled = false;
             }
             continue;
         }
-        if (is_resting(out, upstream, input) || was_tried(input, upstream)) {
+        if (has_requested_backoff(out, upstream, input) ||
+            was_tried(input, upstream)) {
             continue;
         }
         out->busy = true;
         at_limit = is_at_limit(out, upstream, input);
-        out->only_held &= at_limit;
+        out->only_throttled &= at_limit;
         if (awaits_probe(out, upstream, input) ||
             is_backing_off(out, upstream, input, options)) {
             continue;
@@ -609,7 +611,7 @@
             best = upstream;
         }
     }
-    out->only_held &= out->limited_per_s > 0 || out->rest_until_us > 0;
+    out->only_throttled &= out->limited_per_s > 0 || out->backoff_until_us > 0;
     if (limited_cost < best_cost) {
         out->limited = limited;
     }
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -218,9 +218,9 @@
  * @limited: would have been chosen, but is at its limit; NULL: none
  * @limited_per_s: sum of the limits of all evaluated upstreams that are at
  *   them
- * @rest_until_us: when the first of the evaluated upstreams that want no
- *   requests takes some again; 0: none rests
- * @only_held: every upstream that may take the request is at its limit or
+ * @backoff_until_us: when the first of the evaluated upstreams that want no
+ *   requests takes some again; 0: all do
+ * @only_throttled: every upstream that may take the request is at its limit or
  *   wants no requests
  * @retry_at_us: end of the earliest backoff or probe interval that ruled out
  *   an upstream; 0: none did
@@ -234,8 +234,8 @@
     bool busy;
     struct pgw_upstream *limited;
     double limited_per_s;
-    uint64_t rest_until_us;
-    bool only_held;
+    uint64_t backoff_until_us;
+    bool only_throttled;
     uint64_t retry_at_us;
 };
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -16,9 +16,9 @@
  * generation. */
 #define NO_SLOT_RETRY_MS 250
 /* Longest retry time of requests that upstreams hold back, without its random
- * part. Limits and rests last for seconds, so a later time would keep callers
- * away for nothing. */
-#define HELD_RETRY_MAX_MS 10000
+ * part. Limits and backoffs last for seconds, so a later time would keep
+ * callers away for nothing. */
+#define THROTTLED_RETRY_MAX_MS 10000
 /* A process without a configuration gets one within a second. */
 #define NO_CONFIG_RETRY_MS 400
 
@@ -356,10 +356,10 @@
 }
 
 /* Estimated time until the first of the upstreams that hold requests back, by
- * their limits or their rest, takes this request. */
+ * their limits or the backoff that they requested, takes this request. */
 static uint64_t
-held_back_for_us(const struct pgw_exchange *exchange,
-                 const struct pgw_choice *choice, uint64_t now_us)
+throttle_delay_us(const struct pgw_exchange *exchange,
+                  const struct pgw_choice *choice, uint64_t now_us)
 {
     uint64_t wait_us = UINT64_MAX;
 
@@ -368,8 +368,8 @@
             exchange->gateway, choice->limited_per_s,
             count_queued_before(exchange) + 1);
     }
-    if (choice->rest_until_us > now_us) {
-        wait_us = MIN(wait_us, choice->rest_until_us - now_us);
+    if (choice->backoff_until_us > now_us) {
+        wait_us = MIN(wait_us, choice->backoff_until_us - now_us);
     }
     return wait_us;
 }
@@ -383,16 +383,16 @@
  * together do not return together.
  */
 static bool
-refuse_held_back(struct pgw_exchange *exchange,
+refuse_throttled(struct pgw_exchange *exchange,
                  const struct pgw_choice *choice, uint64_t now_us)
 {
     uint64_t wait_us;
     uint64_t retry_ms;
 
-    if (!choice->only_held) {
+    if (!choice->only_throttled) {
         return false;
     }
-    wait_us = held_back_for_us(exchange, choice, now_us);
+    wait_us = throttle_delay_us(exchange, choice, now_us);
     if (wait_us <= queue_time_limit_us(exchange, now_us)) {
         return false;
     }
@@ -400,11 +400,11 @@
         pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
         return true;
     }
-    retry_ms = MIN(wait_us / 1000, HELD_RETRY_MAX_MS);
+    retry_ms = MIN(wait_us / 1000, THROTTLED_RETRY_MAX_MS);
     retry_ms += pgw_random_u64() % (retry_ms / 2 + 1);
     pgw_exchange_refuse(exchange, 503,
                         choice->limited_per_s > 0 ? "upstream_limits"
-                                                  : "upstreams_rest",
+                                                  : "upstreams_in_backoff",
                         (uint32_t)retry_ms);
     return true;
 }
@@ -436,7 +436,7 @@
     }
     pgw_gateway_dispatch_queued_at(gateway, choice.retry_at_us);
     if (pgw_list_is_linked(&exchange->waiting.link) ||
-        refuse_held_back(exchange, &choice, now)) {
+        refuse_throttled(exchange, &choice, now)) {
         return;
     }
     /* A stream that is queued to resume keeps its phase, since its head was
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -81,7 +81,7 @@
  * @quotas: quota buckets of the workspaces that this sidecar owns
  * @limits: limits of upstreams that this sidecar owns
  * @notices: what the engine stated in its last answer to each kind of call
- * @rest_until_us: by kind of call, until when the engine wants none
+ * @backoff_until_us: by kind of call, until when the engine wants none
  * @announced_prompts: long prompts that may not be prefilled yet
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
@@ -124,7 +124,7 @@
     struct pgw_quota_buckets *quotas;
     struct pgw_limit_ledger *limits;
     struct pgw_upstream_notice notices[PGW_SIDECAR_CALL_COUNT];
-    uint64_t rest_until_us[PGW_SIDECAR_CALL_COUNT];
+    uint64_t backoff_until_us[PGW_SIDECAR_CALL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
@@ -188,10 +188,11 @@
 void pgw_engine_sidecar_read_notice(struct pgw_engine_sidecar *sidecar,
                                     enum pgw_sidecar_call call,
                                     const struct pgw_http_head *head);
-/** pgw_engine_sidecar_rest_us() - time for which the engine wants no calls of
- * a kind, in microseconds */
-uint64_t pgw_engine_sidecar_rest_us(const struct pgw_engine_sidecar *sidecar,
-                                    enum pgw_sidecar_call call);
+/** pgw_engine_sidecar_backoff_us() - time for which the engine wants no calls
+ * of a kind, in microseconds */
+uint64_t
+pgw_engine_sidecar_backoff_us(const struct pgw_engine_sidecar *sidecar,
+                              enum pgw_sidecar_call call);
 /** pgw_engine_sidecar_limit() - limit that the engine names to this sidecar,
  * 0: none */
 double pgw_engine_sidecar_limit(const struct pgw_engine_sidecar *sidecar);
--- a/src/gateway/engine_sidecar_notice.c
+++ b/src/gateway/engine_sidecar_notice.c
@@ -42,8 +42,8 @@
     struct pgw_upstream_notice notice = {0};
 
     sidecar->options.codec->read_notice(&notice, head);
-    sidecar->rest_until_us[call] =
-        MAX(sidecar->rest_until_us[call], pgw_now_us() + notice.rest_us);
+    sidecar->backoff_until_us[call] = MAX(
+        sidecar->backoff_until_us[call], pgw_now_us() + notice.retry_after_us);
     /* Orders are too rare for a statement in their answers to be current. */
     if (notice.invalid_field == NULL && call != PGW_SIDECAR_CALL_ORDER) {
         sidecar->notices[call] = notice;
@@ -51,13 +51,13 @@
 }
 
 uint64_t
-pgw_engine_sidecar_rest_us(const struct pgw_engine_sidecar *sidecar,
-                           enum pgw_sidecar_call call)
+pgw_engine_sidecar_backoff_us(const struct pgw_engine_sidecar *sidecar,
+                              enum pgw_sidecar_call call)
 {
     uint64_t now_us = pgw_now_us();
 
-    return sidecar->rest_until_us[call] > now_us
-               ? sidecar->rest_until_us[call] - now_us
+    return sidecar->backoff_until_us[call] > now_us
+               ? sidecar->backoff_until_us[call] - now_us
                : 0;
 }
 
--- a/src/gateway/engine_sidecar_orders.c
+++ b/src/gateway/engine_sidecar_orders.c
@@ -165,8 +165,8 @@
 static uint64_t
 step_model(struct pgw_engine_sidecar *sidecar, struct pgw_sidecar_model *model)
 {
-    uint64_t rest_us =
-        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_ORDER);
+    uint64_t backoff_us =
+        pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_ORDER);
 
     for (;;) {
         switch (pgw_weights_order_next_step(&model->order, pgw_now_us())) {
@@ -183,8 +183,8 @@
             /* One order at a time, and none without a current report of the
              * engine, as an order carries values from it. */
             if (sidecar->ordered_model != NULL || !sidecar->alive ||
-                rest_us > 0 || !may_send_order(sidecar)) {
-                return pgw_now_us() + MAX(STEP_RETRY_US, rest_us);
+                backoff_us > 0 || !may_send_order(sidecar)) {
+                return pgw_now_us() + MAX(STEP_RETRY_US, backoff_us);
             }
             send_order(sidecar, model);
             break;
--- a/src/gateway/engine_sidecar_poll.c
+++ b/src/gateway/engine_sidecar_poll.c
@@ -128,7 +128,7 @@
         pgw_weights_order_handle_restart(&sidecar->models[i].order);
     }
     memset(sidecar->notices, 0, sizeof(sidecar->notices));
-    memset(sidecar->rest_until_us, 0, sizeof(sidecar->rest_until_us));
+    memset(sidecar->backoff_until_us, 0, sizeof(sidecar->backoff_until_us));
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
     if (pgw_call_is_running(&sidecar->events_call)) {
@@ -204,11 +204,11 @@
         .address = &sidecar->options.engine,
         .timeout_us = REPORT_TIMEOUT_US,
     };
-    uint64_t rest_us =
-        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_REPORT);
+    uint64_t backoff_us =
+        pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_REPORT);
 
-    if (rest_us > 0) {
-        pgw_timer_start(sidecar->loop, timer, rest_us);
+    if (backoff_us > 0) {
+        pgw_timer_start(sidecar->loop, timer, backoff_us);
         goto done;
     }
     sidecar->arrivals_before_poll = sidecar->arrivals_since_poll;
@@ -321,11 +321,11 @@
         .address = &sidecar->options.engine,
         .timeout_us = EVENTS_TIMEOUT_US,
     };
-    uint64_t rest_us =
-        pgw_engine_sidecar_rest_us(sidecar, PGW_SIDECAR_CALL_EVENTS);
+    uint64_t backoff_us =
+        pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_EVENTS);
 
-    if (rest_us > 0) {
-        pgw_timer_start(sidecar->loop, timer, rest_us);
+    if (backoff_us > 0) {
+        pgw_timer_start(sidecar->loop, timer, backoff_us);
         goto done;
     }
     sidecar->options.codec->write_events_request(
--- a/src/gateway/limit_ledger.c
+++ b/src/gateway/limit_ledger.c
@@ -23,7 +23,7 @@
 struct bucket {
     char *upstream;
     double per_s;
-    uint64_t heard_us;
+    uint64_t stated_at_us;
     double level;
     uint64_t refilled_at_us;
     uint64_t asks_since_us;
@@ -145,17 +145,17 @@
 {
     struct bucket *bucket = get_bucket(ledger, ask, now_us);
     double share = CLAMP(ask->share, 0, 1);
-    uint64_t heard_us = now_us - MIN(ask->age_us, now_us);
+    uint64_t stated_at_us = now_us - MIN(ask->age_us, now_us);
 
     count_ask(bucket, now_us);
     refill(bucket, share, now_us);
-    if (heard_us > bucket->heard_us) {
+    if (stated_at_us > bucket->stated_at_us) {
         bucket->per_s = ask->per_s;
-        bucket->heard_us = heard_us;
+        bucket->stated_at_us = stated_at_us;
     }
     *out = (struct pgw_limit_answer){
         .per_s = bucket->per_s,
-        .age_us = now_us - bucket->heard_us,
+        .age_us = now_us - bucket->stated_at_us,
     };
     if (bucket->per_s <= 0) {
         return;
--- a/src/gateway/limit_ledger.h
+++ b/src/gateway/limit_ledger.h
@@ -22,7 +22,7 @@
  * struct pgw_limit_ask - an entry's ask for requests to one upstream
  * @upstream: id of the upstream
  * @per_s: limit that the entry knows, 0: the limit has ended
- * @age_us: time since the entry heard this from the upstream
+ * @age_us: time since the upstream stated this to the entry
  * @wanted: number of requests that it would send now
  * @share: share of the limit that may be granted; below 1 if not all entries
  *   are connected to the owner
@@ -40,7 +40,7 @@
  * @granted: number of requests that may be sent
  * @retry_ms: when more can be granted
  * @per_s: limit by the newest statement that any entry has reported
- * @age_us: time since that entry heard it
+ * @age_us: time since it was stated
  */
 struct pgw_limit_answer {
     uint32_t granted;
--- a/src/gateway/limit_share.c
+++ b/src/gateway/limit_share.c
@@ -14,12 +14,12 @@
 {
     if (per_s <= 0) {
         *share = (struct pgw_limit_share){
-            .heard_us = now_us,
+            .stated_at_us = now_us,
             .logged_us = share->logged_us,
         };
         return;
     }
-    share->heard_us = now_us;
+    share->stated_at_us = now_us;
     if (per_s < share->per_s) {
         share->grants = (uint32_t)(share->grants * per_s / share->per_s);
     }
--- a/src/gateway/limit_share.h
+++ b/src/gateway/limit_share.h
@@ -25,7 +25,7 @@
  * struct pgw_limit_share - one entry's share at one upstream; zeroed: the
  * upstream names no limit
  * @per_s: the limit, requests a second from all entries; 0: none
- * @heard_us: when it was last named or ended
+ * @stated_at_us: when it was last named or ended
  * @logged_us: when a change was last logged
  * @from_sidecar: the upstream's sidecar reports the limit
  * @grants: requests that may be sent
@@ -39,7 +39,7 @@
  */
 struct pgw_limit_share {
     double per_s;
-    uint64_t heard_us;
+    uint64_t stated_at_us;
     uint64_t logged_us;
     bool from_sidecar;
     uint32_t grants;
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -96,7 +96,7 @@
         leaving ? now_us + LEAVING_VALID_US : 0;
 }
 
-/* A sidecar may not hear of a limit that the engine names to entries, so only
+/* An engine may name a limit to entries and not to its sidecar, so only
  * a limit that the sidecar has reported ends with its reports. */
 void
 pgw_sidecar_link_apply_notices(struct pgw_upstream *upstream,
--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -24,8 +24,8 @@
     .name = "pgw_gateway_said_leaving_upstreams",
     .help = "Upstreams that state in their answers that they are draining",
 };
-static struct pgw_metric_gauge resting_upstreams = {
-    .name = "pgw_gateway_resting_upstreams",
+static struct pgw_metric_gauge backoff_upstreams = {
+    .name = "pgw_gateway_backoff_upstreams",
     .help = "Upstreams that want no requests from this entry for a time",
 };
 static struct pgw_metric_counter failed_over = {
@@ -159,7 +159,7 @@
     unsigned suspects = 0;
     unsigned limited = 0;
     unsigned leaving = 0;
-    unsigned resting = 0;
+    unsigned in_backoff = 0;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
         struct pgw_upstream *upstream =
@@ -168,12 +168,12 @@
         suspects += log_liveness_change(upstream, now_us);
         limited += upstream->limit.per_s > 0;
         leaving += upstream->said_leaving;
-        resting += now_us < upstream->rest_until_us;
+        in_backoff += now_us < upstream->backoff_until_us;
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
     pgw_metric_gauge_set(&limited_upstreams, limited);
     pgw_metric_gauge_set(&leaving_upstreams, leaving);
-    pgw_metric_gauge_set(&resting_upstreams, resting);
+    pgw_metric_gauge_set(&backoff_upstreams, in_backoff);
     /* Includes requests at upstreams that are no longer in the table. */
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
@@ -204,7 +204,7 @@
     pgw_metric_register_gauge(&unresponsive_upstreams);
     pgw_metric_register_gauge(&limited_upstreams);
     pgw_metric_register_gauge(&leaving_upstreams);
-    pgw_metric_register_gauge(&resting_upstreams);
+    pgw_metric_register_gauge(&backoff_upstreams);
     pgw_metric_register_counter(&failed_over);
     pgw_metric_register_counter(&process_ended);
     gateway->unresponsive_timer.on_due = check_due;
--- a/src/gateway/upstream_limits.c
+++ b/src/gateway/upstream_limits.c
@@ -17,7 +17,7 @@
 #define ASK_REQUESTS_MAX 16
 
 static struct pgw_metric_counter held_back = {
-    .name = "pgw_gateway_limit_held_back_total",
+    .name = "pgw_gateway_limit_throttled_total",
     .help = "Choices that passed over the best upstream because of its limit",
 };
 static struct pgw_metric_counter asks = {
@@ -62,7 +62,7 @@
     struct pgw_limit_ask ask = {
         .upstream = upstream->id,
         .per_s = upstream->limit.per_s,
-        .age_us = now_us - upstream->limit.heard_us,
+        .age_us = now_us - upstream->limit.stated_at_us,
         .wanted = wanted,
     };
     const struct pgw_upstream *owner =
@@ -156,16 +156,16 @@
         pgw_upstream_table_find(gateway->upstreams, upstream_id);
     struct pgw_limit_share *share;
     uint64_t now_us = pgw_now_us();
-    uint64_t heard_us = now_us - MIN(answer->age_us, now_us);
+    uint64_t stated_at_us = now_us - MIN(answer->age_us, now_us);
 
     if (upstream == NULL) {
         return;
     }
     share = &upstream->limit;
     share->asked_us = 0;
-    if (heard_us > share->heard_us) {
+    if (stated_at_us > share->stated_at_us) {
         pgw_upstream_notice_set_limit(upstream, answer->per_s, "owner",
-                                      heard_us);
+                                      stated_at_us);
     }
     if (share->per_s <= 0) {
         pgw_gateway_dispatch_queued(gateway);
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -7,17 +7,17 @@
 
 void
 pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
-                              const char *source, uint64_t heard_us)
+                              const char *source, uint64_t stated_at_us)
 {
     double before = upstream->limit.per_s;
 
-    pgw_limit_share_set(&upstream->limit, per_s, heard_us);
+    pgw_limit_share_set(&upstream->limit, per_s, stated_at_us);
     if (per_s == before ||
         (per_s > 0 && before > 0 &&
-         heard_us - upstream->limit.logged_us < CHANGE_LOG_INTERVAL_US)) {
+         stated_at_us - upstream->limit.logged_us < CHANGE_LOG_INTERVAL_US)) {
         return;
     }
-    upstream->limit.logged_us = heard_us;
+    upstream->limit.logged_us = stated_at_us;
     pgw_log_info("upstream_limit",
                  "upstream=%s per_s=%.3f before=%.3f source=%s", upstream->id,
                  per_s, before, source);
@@ -26,20 +26,20 @@
 /* A time that ends earlier than the one that the upstream named before does
  * not end that one. */
 static void
-extend_rest(struct pgw_upstream *upstream, uint64_t rest_us,
-            const char *source, uint64_t now_us)
+extend_backoff(struct pgw_upstream *upstream, uint64_t retry_after_us,
+               const char *source, uint64_t now_us)
 {
-    uint64_t until_us = now_us + rest_us;
+    uint64_t until_us = now_us + retry_after_us;
 
-    if (until_us <= upstream->rest_until_us) {
+    if (until_us <= upstream->backoff_until_us) {
         return;
     }
-    if (now_us >= upstream->rest_until_us) {
-        pgw_log_info("upstream_rest",
-                     "upstream=%s rest_ms=%" G_GUINT64_FORMAT " source=%s",
-                     upstream->id, rest_us / 1000, source);
+    if (now_us >= upstream->backoff_until_us) {
+        pgw_log_info("upstream_backoff",
+                     "upstream=%s backoff_ms=%" G_GUINT64_FORMAT " source=%s",
+                     upstream->id, retry_after_us / 1000, source);
     }
-    upstream->rest_until_us = until_us;
+    upstream->backoff_until_us = until_us;
 }
 
 void
@@ -59,15 +59,16 @@
         pgw_log_info("upstream_leaving", "upstream=%s source=%s", upstream->id,
                      origin->source);
     }
-    if (notice->rest_us > 0) {
-        extend_rest(upstream, notice->rest_us, origin->source, now_us);
+    if (notice->retry_after_us > 0) {
+        extend_backoff(upstream, notice->retry_after_us, origin->source,
+                       now_us);
     }
     if (notice->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, notice->limit, origin->source,
                                       now_us);
     }
     else if (notice->invalid_field == NULL && limit->per_s > 0 &&
-             origin->asked_us > limit->heard_us) {
+             origin->asked_us > limit->stated_at_us) {
         pgw_upstream_notice_set_limit(upstream, 0, origin->source, now_us);
     }
 }
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -20,15 +20,15 @@
  * @limit: requests a second that the upstream takes from all entries
  *   together, 0: it names no limit
  * @leaving: the upstream will stop and takes no new requests
- * @rest_us: the upstream wants no requests from this process for so long, 0:
- * it does not say so
+ * @retry_after_us: the upstream wants no requests from this process for so
+ * long, 0: it does not say so
  * @invalid_field: name of a field with an invalid value, which is not used;
  *   NULL: all values are valid
  */
 struct pgw_upstream_notice {
     double limit;
     bool leaving;
-    uint64_t rest_us;
+    uint64_t retry_after_us;
     const char *invalid_field;
 };
 
@@ -58,9 +58,10 @@
                                const struct pgw_notice_origin *origin,
                                uint64_t now_us);
 
-/** pgw_upstream_notice_set_limit() - set the limit of an upstream, as heard at
- * @heard_us; 0: it has ended. @source: as in &struct pgw_notice_origin */
+/** pgw_upstream_notice_set_limit() - set the limit of an upstream, as stated
+ * at
+ * @stated_at_us; 0: it has ended. @source: as in &struct pgw_notice_origin */
 void pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
-                                   const char *source, uint64_t heard_us);
+                                   const char *source, uint64_t stated_at_us);
 
 #endif
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -53,7 +53,7 @@
  * @removed_at_us: when it was removed
  * @limit: its limit
  * @said_leaving: it has stated that it is draining
- * @rest_until_us: when it takes requests again
+ * @backoff_until_us: when it takes requests again
  */
 struct departed {
     char *id;
@@ -61,7 +61,7 @@
     uint64_t removed_at_us;
     struct pgw_limit_share limit;
     bool said_leaving;
-    uint64_t rest_until_us;
+    uint64_t backoff_until_us;
 };
 
 struct pgw_upstream_table {
@@ -237,7 +237,7 @@
     struct departed *departed;
 
     if (upstream->limit.per_s <= 0 && !upstream->said_leaving &&
-        upstream->rest_until_us <= now_us) {
+        upstream->backoff_until_us <= now_us) {
         return;
     }
     g_hash_table_foreach_remove(table->departed, has_expired, &now_us);
@@ -247,7 +247,7 @@
     departed->removed_at_us = now_us;
     departed->limit = upstream->limit;
     departed->said_leaving = upstream->said_leaving;
-    departed->rest_until_us = upstream->rest_until_us;
+    departed->backoff_until_us = upstream->backoff_until_us;
     g_hash_table_replace(table->departed, departed->id, departed);
 }
 
@@ -261,7 +261,7 @@
     if (departed != NULL && departed->started_ms == started_ms) {
         upstream->limit = departed->limit;
         upstream->said_leaving = departed->said_leaving;
-        upstream->rest_until_us = departed->rest_until_us;
+        upstream->backoff_until_us = departed->backoff_until_us;
     }
     g_hash_table_remove(table->departed, upstream->id);
 }
@@ -351,7 +351,7 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
-    upstream->rest_until_us = 0;
+    upstream->backoff_until_us = 0;
     upstream->limit = (struct pgw_limit_share){0};
     pgw_upstream_clear_parts(upstream);
 }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -145,7 +145,7 @@
  * @avoid_until_us: chosen before this time only if no other upstream can be
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
- * @rest_until_us: never chosen before this time, as it stated
+ * @backoff_until_us: never chosen before this time, as it stated
  * @limit: this entry's share of the request rate that it accepts
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
@@ -201,7 +201,7 @@
     uint64_t avoid_until_us;
     uint32_t refusals;
     uint64_t full_until_us;
-    uint64_t rest_until_us;
+    uint64_t backoff_until_us;
     struct pgw_limit_share limit;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -856,11 +856,11 @@
    */
   uint32_t retry_ms;
   /*
-   * by the newest word that came from any entry
+   * by the newest statement to any entry
    */
   double per_s;
   /*
-   * of that word
+   * of that statement
    */
   uint64_t age_us;
 };
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -104,8 +104,8 @@
 {
     uint64_t now = pgw_now_us();
 
-    return sidecar->rest_until_us > now
-               ? (uint32_t)((sidecar->rest_until_us - now) / 1000) + 1
+    return sidecar->backoff_until_us > now
+               ? (uint32_t)((sidecar->backoff_until_us - now) / 1000) + 1
                : 0;
 }
 
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -4,7 +4,7 @@
 #include "util/log.h"
 
 /* An engine that is away for longer is one that does not serve. */
-#define REST_MAX_S 3600
+#define RETRY_AFTER_MAX_S 3600
 
 static ProtobufCBinaryData
 run_id(const struct run *run)
@@ -196,7 +196,7 @@
  * fraction; any other text is not used.
  */
 static uint32_t
-take_rest_ms(struct run *run, struct pgw_transfer *transfer)
+read_retry_after_ms(struct run *run, struct pgw_transfer *transfer)
 {
     const char *text = pgw_transfer_header(transfer, "Retry-After");
     struct sidecar *sidecar = run->sidecar;
@@ -205,13 +205,14 @@
     if (text == NULL || (run->status != 503 && run->status != 429)) {
         return 0;
     }
-    if (!pgw_decimal_parse(&seconds, text, REST_MAX_S)) {
-        pgw_log_warning("rest_invalid", "retry_after=%s", text);
+    if (!pgw_decimal_parse(&seconds, text, RETRY_AFTER_MAX_S)) {
+        pgw_log_warning("retry_after_invalid", "retry_after=%s", text);
         return 0;
     }
-    sidecar->rest_until_us =
-        MAX(sidecar->rest_until_us, pgw_now_us() + (uint64_t)(seconds * 1e6));
-    pgw_log_info("engine_rest", "rest_ms=%u", (uint32_t)(seconds * 1000));
+    sidecar->backoff_until_us = MAX(sidecar->backoff_until_us,
+                                    pgw_now_us() + (uint64_t)(seconds * 1e6));
+    pgw_log_info("engine_backoff", "backoff_ms=%u",
+                 (uint32_t)(seconds * 1000));
     return (uint32_t)(seconds * 1000);
 }
 
@@ -230,7 +231,7 @@
     }
     if (run->refused && !run->ended) {
         run_send_fail(run, refusal_from_status(run->status), PGW_RAN_NO,
-                      take_rest_ms(run, transfer),
+                      read_retry_after_ms(run, transfer),
                       "the upstream refused the request");
     }
     else if (run->failed && !run->refused) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -187,7 +187,7 @@
     struct sidecar_view view;
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
-    uint64_t rest_until_us;
+    uint64_t backoff_until_us;
 };
 
 /* sidecar.c */
--- a/tests/failure/fail_rest.c
+++ b/tests/failure/fail_retry_after.c
@@ -1,26 +1,28 @@
 #include "harness_fleet.h"
 
-#define REST_MS "1500"
+#define RETRY_AFTER_MS "1500"
 #define CALLS 20
 
 static gint64
-requests_at_rest(const struct fleet *fleet)
+requests_in_backoff(const struct fleet *fleet)
 {
     gint64 count = 0;
 
     for (unsigned i = 0; i < fleet->options.engines; i++) {
         count +=
             harness_get_int(harness_process_url(fleet->engines[i], "/_stats"),
-                            "requests_at_rest");
+                            "requests_in_backoff");
     }
     return count;
 }
 
-/* Guards against requests that reach an engine which has asked for rest. */
+/* Guards against requests that reach an engine that has requested a backoff.
+ */
 static void
-test_rest_is_kept(void)
+test_backoff_is_kept(void)
 {
-    static const char *const engine_args[] = {"--rest-ms", REST_MS, NULL};
+    static const char *const engine_args[] = {"--retry-after-ms",
+                                              RETRY_AFTER_MS, NULL};
     struct fleet_options options = FLEET_OPTIONS_INIT;
     struct fleet *fleet;
     char *body = fleet_body("what is left?", 4);
@@ -46,7 +48,7 @@
         harness_answer_dispose(&answer);
         g_usleep(status == 200 ? 0 : 50000);
     }
-    g_assert_cmpint(requests_at_rest(fleet), ==, 0);
+    g_assert_cmpint(requests_in_backoff(fleet), ==, 0);
     g_free(body);
     fleet_free(fleet);
 }
@@ -55,6 +57,6 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/rest/is_kept", test_rest_is_kept);
+    g_test_add_func("/retry_after/is_kept", test_backoff_is_kept);
     return g_test_run();
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,8 +53,8 @@
 # A request that a caller sent later than this after its entry had passed on an
 # answer of an upstream that leaves must not reach that upstream.
 DRAIN_S = 2.0
-# Requests of one entry that may reach an upstream that has asked it for rest.
-REST_ARRIVALS = 2
+# Requests of one entry that may reach an upstream that has requested a backoff.
+BACKOFF_ARRIVALS = 2
 
 
 def free_net():
@@ -224,8 +224,8 @@
                            "that it leaves")
 
 
-class Rest:
-    """An upstream that turns entries away and asks each for rest."""
+class Backoff:
+    """An upstream that refuses requests and requests a backoff of each entry."""
 
     def __init__(self, soak, name):
         self.soak, self.name = soak, name
@@ -245,10 +245,10 @@
         self.spans.pop(entry, None)
 
     def ask(self, entry):
-        """Returns the field that asks an entry for rest."""
+        """Returns the field that requests a backoff of an entry."""
         now = time.monotonic()
-        rest_s = round(0.3 + self.soak.random.random() * 3, 2)
-        until = now + rest_s
+        retry_after_s = round(0.3 + self.soak.random.random() * 3, 2)
+        until = now + retry_after_s
         if until > self.spans.get(entry, (0, 0))[1]:
             begin = min(now + TOLD_S,
                         self.spans.get(entry, (now + TOLD_S, 0))[0]
@@ -257,14 +257,14 @@
             if now >= self.spans.get(entry, (0, 0))[1]:
                 self.arrived[entry] = 0
             self.spans[entry] = (begin, until)
-        return f"Retry-After: {rest_s}\r\n"
+        return f"Retry-After: {retry_after_s}\r\n"
 
     def note_arrival(self, entry):
         begin, until = self.spans.get(entry, (0, 0))
         if begin < time.monotonic() < until:
             self.arrived[entry] += 1
-            if self.arrived[entry] > REST_ARRIVALS:
-                self.soak.fail(f"{self.name} had asked entry {entry} for rest "
+            if self.arrived[entry] > BACKOFF_ARRIVALS:
+                self.soak.fail(f"{self.name} had requested a backoff of entry {entry} "
                                f"and got {self.arrived[entry]} requests")
 
 
@@ -487,7 +487,7 @@
         self.token, self.busy, self.state = 0, False, "ready"
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
-        self.rest = Rest(soak, self.ip)
+        self.backoff = Backoff(soak, self.ip)
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -508,7 +508,7 @@
         self.starts += 1
         self.limit.end()
         self.departure.end()
-        self.rest.forget()
+        self.backoff.forget()
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
@@ -603,11 +603,11 @@
         self.limit.note_arrival(entry)
         self.departure.note_arrival(entry, self.soak.sent_at.get(attempt, 0))
         self.soak.served_by[attempt] = self
-        self.rest.note_arrival(entry)
+        self.backoff.note_arrival(entry)
         notices = self.limit.field() + self.departure.field()
-        if self.rest.begun and self.proxy.mode == "good":
+        if self.backoff.begun and self.proxy.mode == "good":
             writer.write(answer(503, b"", "Not-Run: 1\r\n" + notices
-                                + self.rest.ask(entry)))
+                                + self.backoff.ask(entry)))
             return
         if fields.get("expect-instance") != self.id or self.soak.random.random(
         ) < 0.01 or fields.get("expect-version", str(
@@ -912,7 +912,7 @@
         for upstream in fleet.engines + fleet.plains:
             upstream.limit.excuse(process.index)
             upstream.departure.excuse(process.index)
-            upstream.rest.excuse(process.index)
+            upstream.backoff.excuse(process.index)
 
 
 async def limit(soak, fleet):
@@ -928,16 +928,16 @@
         upstream.limit.end()
 
 
-async def rest(soak, fleet):
-    """Upstreams of one service, at times all of them, ask for rest."""
+async def backoff(soak, fleet):
+    """Upstreams of one service, at times all of them, request a backoff."""
     upstreams = soak.random.choice([fleet.engines, fleet.plains])
     chosen = soak.random.sample(upstreams,
                                 soak.random.randrange(1, len(upstreams) + 1))
     for upstream in chosen:
-        upstream.rest.begin()
+        upstream.backoff.begin()
     await asyncio.sleep(1 + soak.random.random() * 4)
     for upstream in chosen:
-        upstream.rest.end()
+        upstream.backoff.end()
 
 
 async def fault(soak, fleet):
@@ -978,12 +978,12 @@
         fleet.store_troubled = time.monotonic()
     elif kind == "proxy":
         await upstream.proxy.harm(for_s)
-        upstream.rest.forget()
+        upstream.backoff.forget()
     elif kind == "links":
         await pick.choice(fleet.links).harm(for_s)
     elif kind == "reset":
         upstream.proxy.reset()
-        upstream.rest.forget()
+        upstream.backoff.forget()
     elif kind == "hup":
         for process in fleet.entries + fleet.sidecars:
             if process.serves():
@@ -1004,8 +1004,8 @@
         await fleet.name_weights(fleet.weights + 1)
     elif kind == "limit":
         await limit(soak, fleet)
-    elif kind == "rest":
-        await rest(soak, fleet)
+    elif kind == "backoff":
+        await backoff(soak, fleet)
     elif kind == "unlisted":
         await upstream.leave_unlisted()
 
@@ -1102,9 +1102,9 @@
                         help="also restarts under one id and foreign lines; "
                         "seeds below 1000 are kept without")
     parser.add_argument("--notices", nargs="*", default=[],
-                        choices=["limit", "unlisted", "rest"],
+                        choices=["limit", "unlisted", "backoff"],
                         help="also upstreams that say in their answers what "
-                        "they take, that they leave, or that they want rest")
+                        "they take, that they leave, or that they request a backoff")
     parser.add_argument("--scale", type=int, default=1,
                         help="so many times the entries, engines and plain "
                         "services")
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -66,7 +66,7 @@
     OPTION_CRASH_ON,
     OPTION_CRASH_LINGER_MS,
     OPTION_STOP_AT,
-    OPTION_REST_MS,
+    OPTION_RETRY_AFTER_MS,
     OPTION_IGNORE_FENCE,
     OPTION_LOAD_MS,
     OPTION_KV_RATE,
@@ -93,7 +93,7 @@
     {"crash-on", required_argument, NULL, OPTION_CRASH_ON},
     {"crash-linger-ms", required_argument, NULL, OPTION_CRASH_LINGER_MS},
     {"stop-at", required_argument, NULL, OPTION_STOP_AT},
-    {"rest-ms", required_argument, NULL, OPTION_REST_MS},
+    {"retry-after-ms", required_argument, NULL, OPTION_RETRY_AFTER_MS},
     {"ignore-fence", no_argument, NULL, OPTION_IGNORE_FENCE},
     {"load-ms", required_argument, NULL, OPTION_LOAD_MS},
     {"kv-rate", required_argument, NULL, OPTION_KV_RATE},
@@ -191,8 +191,8 @@
     case OPTION_STOP_AT:
         engine->stop_at = (unsigned)number;
         return true;
-    case OPTION_REST_MS:
-        engine->rest_us = (uint64_t)(number * 1000);
+    case OPTION_RETRY_AFTER_MS:
+        engine->retry_after_us = (uint64_t)(number * 1000);
         return number > 0;
     case OPTION_LOAD_MS:
         arguments->load_ms = number;
@@ -325,34 +325,34 @@
                        "another engine or later");
 }
 
-/* The first request is refused with a time of rest. Return: whether the engine
- * rests and has refused the request. */
+/* The first request is refused with Retry-After. Return: whether the time is
+ * not over, and the request was refused. */
 static bool
-refuse_for_rest(struct engine *engine, struct standin_call *call)
+refuse_in_backoff(struct engine *engine, struct standin_call *call)
 {
     uint64_t now = (uint64_t)g_get_monotonic_time();
-    bool rests;
+    bool in_backoff;
     char seconds[32];
 
-    if (engine->options.rest_us == 0) {
+    if (engine->options.retry_after_us == 0) {
         return false;
     }
     pthread_mutex_lock(&engine->lock);
-    if (engine->rest_until == 0) {
-        engine->rest_until = now + engine->options.rest_us;
+    if (engine->backoff_until == 0) {
+        engine->backoff_until = now + engine->options.retry_after_us;
     }
     else {
-        engine->stats.requests_at_rest += now < engine->rest_until;
+        engine->stats.requests_in_backoff += now < engine->backoff_until;
     }
-    rests = now < engine->rest_until;
+    in_backoff = now < engine->backoff_until;
     pthread_mutex_unlock(&engine->lock);
-    if (rests) {
+    if (in_backoff) {
         snprintf(seconds, sizeof(seconds), "%.3f",
-                 (double)engine->options.rest_us / 1e6);
+                 (double)engine->options.retry_after_us / 1e6);
         standin_call_add_header(call, "Retry-After", seconds);
         refuse_overloaded(call);
     }
-    return rests;
+    return in_backoff;
 }
 
 /* Return: whether the engine takes the request; else it has been answered. */
@@ -402,7 +402,7 @@
                            "prompt must not be empty and max_tokens must "
                            "exceed resume_from");
     }
-    else if (!refuse_for_rest(engine, call) &&
+    else if (!refuse_in_backoff(engine, call) &&
              accept_completion(engine, call, body, &load_order)) {
         request = request_new(engine, call, body, load_order);
         if (!engine_batch_submit(engine, request)) {
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -35,7 +35,8 @@
  * @kv_rate: tokens a second to or from the KV store
  * @crash_on: a prompt with this text ends the process, or NULL
  * @crash_linger_us: time from the break of that answer to the end
- * @rest_us: the first request is refused and asked for so much rest, 0 never
+ * @retry_after_us: Retry-After of the first request, which is refused; 0: none
+ * is
  * @stop_at: answers end by themselves after so many tokens, 0 for never
  */
 struct engine_options {
@@ -54,7 +55,7 @@
     const char *weight_store;
     const char *crash_on;
     uint64_t crash_linger_us;
-    uint64_t rest_us;
+    uint64_t retry_after_us;
     unsigned stop_at;
     bool ignore_fence;
 };
@@ -76,7 +77,7 @@
     uint64_t prefilled_tokens;
     uint64_t cached_tokens;
     uint64_t resume_mismatches;
-    uint64_t requests_at_rest;
+    uint64_t requests_in_backoff;
 };
 
 /**
@@ -127,7 +128,7 @@
     unsigned waiting_count;
     unsigned running_count;
     uint64_t arrivals;
-    uint64_t rest_until; /* 0: it has not asked for rest */
+    uint64_t backoff_until; /* 0: no backoff was requested */
     uint64_t reap_at;
     struct engine_load loads[ENGINE_LOAD_SAMPLES];
     uint64_t load_count;
--- a/tests/standins/engine_reports_lib.c
+++ b/tests/standins/engine_reports_lib.c
@@ -207,13 +207,13 @@
         out,
         "{\"requests\":%" PRIu64 ",\"cancelled\":%" PRIu64
         ",\"prefilled_tokens\":%" PRIu64 ",\"cached_tokens\":%" PRIu64
-        ",\"resume_mismatches\":%" PRIu64 ",\"requests_at_rest\":%" PRIu64
+        ",\"resume_mismatches\":%" PRIu64 ",\"requests_in_backoff\":%" PRIu64
         ",\"running\":%u,\"waiting\":%u,\"cache_blocks\":%u,"
         "\"executions\":{",
         stats->requests, stats->cancelled, stats->prefilled_tokens,
         stats->cached_tokens, stats->resume_mismatches,
-        stats->requests_at_rest, engine->running_count, engine->waiting_count,
-        engine_cache_size(engine->cache));
+        stats->requests_in_backoff, engine->running_count,
+        engine->waiting_count, engine_cache_size(engine->cache));
     g_hash_table_iter_init(&iter, engine->executions);
     while (g_hash_table_iter_next(&iter, &id, &count)) {
         g_string_append_printf(out, "%s\"%s\":%u", comma, (const char *)id,
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -12,7 +12,7 @@
  * @sequence: reported number of orders
  * @started_ms: reported start time of its process; 0: not reported
  * @draining: it reports that it is draining
- * @refuse_for: it refuses to report and asks for so many seconds of rest;
+ * @refuse_for: it refuses to report, with Retry-After in seconds;
  * NULL: it reports
  * @reports_refused: number of reports refused
  * @fields: additional header lines of its reports, each with its CRLF; NULL:
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -341,8 +341,8 @@
     return reported;
 }
 
-/* Guards against entries that do not hear of an engine that tells its sidecar
- * that it leaves, in a field of its answers or in its report. */
+/* Guards against entries that get no report of an engine that tells its
+ * sidecar that it leaves, in a field of its answers or in its report. */
 static void
 test_leaving_is_reported(void)
 {
@@ -371,10 +371,10 @@
     return engine->reports_refused > 0 && is_reported(engine);
 }
 
-/* Guards against a sidecar that goes on polling an engine that has asked it
- * for rest. */
+/* Guards against a sidecar that goes on polling an engine that has requested
+ * a backoff. */
 static void
-test_rest_of_polls(void)
+test_backoff_of_polls(void)
 {
     struct scene_engine engine = {.version = 1, .refuse_for = "0.3"};
     uint64_t begin_us;
@@ -400,7 +400,7 @@
                     test_restart_during_order);
     g_test_add_func("/engine_sidecar/probe_counts_announced",
                     test_probe_counts_announced);
-    g_test_add_func("/engine_sidecar/rest_of_polls", test_rest_of_polls);
+    g_test_add_func("/engine_sidecar/backoff_of_polls", test_backoff_of_polls);
     g_test_add_func("/engine_sidecar/leaving_is_reported",
                     test_leaving_is_reported);
     g_test_add_func("/engine_sidecar/limit_is_reported",
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -96,9 +96,10 @@
      {END "outcome=upstream_limits status=503 sends=0 queued_ms=0 total_ms=1"},
      "upstream_limits",
      "at limits"},
-    {"rest",
-     {END "outcome=upstreams_rest status=503 sends=0 queued_ms=0 total_ms=1"},
-     "upstreams_rest",
+    {"backoff",
+     {END "outcome=upstreams_in_backoff status=503 sends=0 queued_ms=0 "
+          "total_ms=1"},
+     "upstreams_in_backoff",
      "without requests"},
     {"late, long prompt",
      {"weights_named model=m version=5 age_ms=0",
--- a/tests/unit/test_limit_share.c
+++ b/tests/unit/test_limit_share.c
@@ -53,7 +53,7 @@
     struct pgw_limit_ask message = {
         .upstream = "u",
         .per_s = play->limit,
-        .age_us = now_us - entry->share.heard_us,
+        .age_us = now_us - entry->share.stated_at_us,
         .wanted = 1,
         .share = (double)(play->entries - play->unreachable) / play->entries,
     };
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -246,10 +246,10 @@
     g_assert_false(notice.leaving);
 }
 
-/* Guards against a time of rest that is taken from another answer than a
+/* Guards against a Retry-After that is taken from another answer than a
  * refusal, or from a value that makes no sense. */
 static void
-test_rest_values(void)
+test_retry_after_values(void)
 {
     static const char *const invalid[] = {"0", "-1", "4000", "soon",
                                           "Wed, 21 Oct 2026 07:28:00 GMT"};
@@ -257,20 +257,20 @@
     struct pgw_http_reader reader;
 
     read_notice(&notice, "Retry-After: 3\r\n");
-    g_assert_cmpuint(notice.rest_us, ==, 3000000);
+    g_assert_cmpuint(notice.retry_after_us, ==, 3000000);
     read_notice(&notice, "Retry-After: 0.25\r\n");
-    g_assert_cmpuint(notice.rest_us, ==, 250000);
+    g_assert_cmpuint(notice.retry_after_us, ==, 250000);
     for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
         char *field = g_strdup_printf("Retry-After: %s\r\n", invalid[i]);
 
         read_notice(&notice, field);
-        g_assert_cmpuint(notice.rest_us, ==, 0);
+        g_assert_cmpuint(notice.retry_after_us, ==, 0);
         g_assert_cmpstr(notice.invalid_field, ==, "Retry-After");
         g_free(field);
     }
     read_head(&reader, true, "HTTP/1.1 200 OK\r\nRetry-After: 3\r\n\r\n");
     platform_read_notice(&notice, &reader.head);
-    g_assert_cmpuint(notice.rest_us, ==, 0);
+    g_assert_cmpuint(notice.retry_after_us, ==, 0);
     pgw_http_reader_dispose(&reader);
 }
 
@@ -325,7 +325,8 @@
     g_test_add_func("/platform_codec/responses", test_responses);
     g_test_add_func("/platform_codec/limit_values", test_limit_values);
     g_test_add_func("/platform_codec/leaving_values", test_leaving_values);
-    g_test_add_func("/platform_codec/rest_values", test_rest_values);
+    g_test_add_func("/platform_codec/retry_after_values",
+                    test_retry_after_values);
     g_test_add_func("/platform_codec/engine", test_engine);
     return g_test_run();
 }
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -6,8 +6,8 @@
 /* A limit that allows no second request while a test runs. */
 #define TINY_LIMIT "Server-Limit: 0.001\r\n"
 #define LEAVING "Server-Leaving: 1\r\n"
-/* A time of rest that does not end while a test runs. */
-#define LONG_REST "Retry-After: 600\r\n"
+/* A backoff that does not end while a test runs. */
+#define LONG_RETRY_AFTER "Retry-After: 600\r\n"
 /* The upstream closes its connection, so that the next request needs a new one
  * and the test sees it. */
 #define CLOSE "Connection: close\r\n"
@@ -234,10 +234,10 @@
     scene_free(scene);
 }
 
-/* Guards against callers who wait for a pool that has asked for more rest than
- * they have time, and against a wrong word on when to come back. */
+/* Guards against callers who wait for a pool whose backoff is longer than
+ * their time, and against a wrong word on when to come back. */
 static void
-test_resting_pool_refuses_at_once(void)
+test_pool_in_backoff_refuses_at_once(void)
 {
     struct scene *scene = start(1);
     int first = scene_call(scene, "/again/", "a");
@@ -245,7 +245,7 @@
     int second;
     char *answer;
 
-    refuse_with(fd, LONG_REST CLOSE);
+    refuse_with(fd, LONG_RETRY_AFTER CLOSE);
     answer = scene_read_until(first, "retry_after_ms");
     g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
     g_free(answer);
@@ -263,24 +263,24 @@
     scene_free(scene);
 }
 
-/* Guards against a request that is refused although the rest of its upstream
- * ends in time. */
+/* Guards against a request that is refused although the backoff of its
+ * upstream ends in time. */
 static void
-test_rest_ends(void)
+test_backoff_ends(void)
 {
     struct scene *scene = start(2);
-    unsigned resting;
+    unsigned in_backoff;
     int caller = scene_call(scene, "/again/", "a");
-    int fd = scene_accept_any(scene, &resting);
+    int fd = scene_accept_any(scene, &in_backoff);
     int other;
 
     g_free(scene_read_request(fd));
     refuse_with(fd, "Retry-After: 0.2\r\n" CLOSE);
     close(fd);
     /* The other upstream has no free slot until the end of the test. */
-    other = accept_request(scene, 1 - resting);
+    other = accept_request(scene, 1 - in_backoff);
     fd = scene_call(scene, "/once/", "b");
-    finish_call(fd, accept_request(scene, resting), "b", CLOSE);
+    finish_call(fd, accept_request(scene, in_backoff), "b", CLOSE);
     finish_call(caller, other, "a", CLOSE);
     scene_free(scene);
 }
@@ -352,7 +352,7 @@
         {"limit_in_refusal", TINY_LIMIT CLOSE, true},
         {"leaving", LEAVING CLOSE, false},
         {"leaving_in_refusal", LEAVING CLOSE, true},
-        {"rest", LONG_REST CLOSE, true},
+        {"backoff", LONG_RETRY_AFTER CLOSE, true},
     };
 
     g_test_init(&argc, &argv, NULL);
@@ -364,8 +364,8 @@
     g_test_add_func("/upstream_notice/retry_beyond_limits_is_refused",
                     test_retry_beyond_limits_is_refused);
     g_test_add_func("/upstream_notice/limit_ends", test_limit_ends);
-    g_test_add_func("/upstream_notice/resting_pool_refuses_at_once",
-                    test_resting_pool_refuses_at_once);
-    g_test_add_func("/upstream_notice/rest_ends", test_rest_ends);
+    g_test_add_func("/upstream_notice/pool_in_backoff_refuses_at_once",
+                    test_pool_in_backoff_refuses_at_once);
+    g_test_add_func("/upstream_notice/backoff_ends", test_backoff_ends);
     return g_test_run();
 }
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -51,26 +51,26 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against a rest that is cut short by a later, shorter one, or that the
- * successor of the upstream has to keep. */
+/* Guards against a backoff that is cut short by a later, shorter one, or that
+ * the successor of the upstream has to keep. */
 static void
-test_rest_is_kept(void)
+test_backoff_is_kept(void)
 {
     struct pgw_upstream_table *table = pgw_upstream_table_new("a");
     struct pgw_upstream *upstream = put(table, "i", false);
     struct pgw_notice_origin origin = {.source = "answer"};
-    struct pgw_upstream_notice rest = {.rest_us = 5000};
-
-    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW);
-    rest.rest_us = 1000;
-    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW + 1);
-    g_assert_cmpuint(upstream->rest_until_us, ==, NOW + 5000);
-    rest.rest_us = 6000;
-    pgw_upstream_notice_apply(upstream, &rest, &origin, NOW + 2);
-    g_assert_cmpuint(upstream->rest_until_us, ==, NOW + 6002);
+    struct pgw_upstream_notice backoff = {.retry_after_us = 5000};
+
+    pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW);
+    backoff.retry_after_us = 1000;
+    pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW + 1);
+    g_assert_cmpuint(upstream->backoff_until_us, ==, NOW + 5000);
+    backoff.retry_after_us = 6000;
+    pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW + 2);
+    g_assert_cmpuint(upstream->backoff_until_us, ==, NOW + 6002);
     pgw_upstream_table_set_start(table, upstream, 5);
     pgw_upstream_table_set_start(table, upstream, 6);
-    g_assert_cmpuint(upstream->rest_until_us, ==, 0);
+    g_assert_cmpuint(upstream->backoff_until_us, ==, 0);
     pgw_upstream_table_free(table);
 }
 
@@ -342,7 +342,7 @@
                     test_leaving_is_permanent);
     g_test_add_func("/upstream_table/said_leaving_survives_a_lost_record",
                     test_said_leaving_survives_a_lost_record);
-    g_test_add_func("/upstream_table/rest_is_kept", test_rest_is_kept);
+    g_test_add_func("/upstream_table/backoff_is_kept", test_backoff_is_kept);
     g_test_add_func("/upstream_table/limit_survives_a_lost_record",
                     test_limit_survives_a_lost_record);
     g_test_add_func("/upstream_table/address_belongs_to_newest_line",
