--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -1,4 +1,5 @@
 #include "gateway/upstream_table.h"
+#include "gateway/departed_upstreams.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include <string.h>
@@ -42,31 +43,9 @@
  * some seconds. */
 #define UNCONFIRMED_PART_US 8000000
 
-/* How long the statements of a removed upstream are kept. An id names one
- * process for ever; the store lists entries again within seconds. */
-#define DEPARTED_KEPT_US 60000000ULL
-
-/**
- * struct departed - what an upstream that was removed has stated about itself
- * @id: its name in the list
- * @started_ms: start time of the process that stated it
- * @removed_at_us: when it was removed
- * @limit: its limit
- * @said_leaving: it has stated that it is draining
- * @backoff_until_us: when it takes requests again
- */
-struct departed {
-    char *id;
-    uint64_t started_ms;
-    uint64_t removed_at_us;
-    struct pgw_limit_share limit;
-    bool said_leaving;
-    uint64_t backoff_until_us;
-};
-
 struct pgw_upstream_table {
     char *zone;
-    GHashTable *departed; /* id -> struct departed */
+    struct pgw_departed_upstreams *departed;
     GHashTable *by_id;
     GHashTable *by_address; /* the upstream that an address belongs to */
     GHashTable *by_service; /* name -> struct pgw_upstream_pool */
@@ -86,23 +65,13 @@
     g_free(pool);
 }
 
-static void
-departed_free(void *data)
-{
-    struct departed *departed = data;
-
-    g_free(departed->id);
-    g_free(departed);
-}
-
 struct pgw_upstream_table *
 pgw_upstream_table_new(const char *zone)
 {
     struct pgw_upstream_table *table = g_new0(struct pgw_upstream_table, 1);
 
     table->zone = g_strdup(zone);
-    table->departed =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, departed_free);
+    table->departed = pgw_departed_upstreams_new();
     table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     table->by_address = g_hash_table_new(g_str_hash, g_str_equal);
     table->by_service =
@@ -150,7 +119,7 @@
         pgw_upstream_table_remove(
             table, pgw_container_of(link, struct pgw_upstream, in_table));
     }
-    g_hash_table_destroy(table->departed);
+    pgw_departed_upstreams_free(table->departed);
     g_hash_table_destroy(table->by_id);
     g_hash_table_destroy(table->by_address);
     g_hash_table_destroy(table->by_service);
@@ -213,59 +182,6 @@
     }
 }
 
-static gboolean
-has_expired(void *key, void *value, void *now_us)
-{
-    const struct departed *departed = value;
-
-    (void)key;
-    return *(const uint64_t *)now_us - departed->removed_at_us >
-           DEPARTED_KEPT_US;
-}
-
-/*
- * Failure: the store loses an upstream's record, or an old copy of the list
- * lacks it, and it is listed again. Symptom: entries treat it as one that has
- * stated nothing, although its process never stopped doing so. Statements are
- * kept for its id and start time.
- */
-static void
-remember_statements(struct pgw_upstream_table *table,
-                    const struct pgw_upstream *upstream)
-{
-    uint64_t now_us = (uint64_t)g_get_monotonic_time();
-    struct departed *departed;
-
-    if (upstream->limit.per_s <= 0 && !upstream->said_leaving &&
-        upstream->backoff_until_us <= now_us) {
-        return;
-    }
-    g_hash_table_foreach_remove(table->departed, has_expired, &now_us);
-    departed = g_new0(struct departed, 1);
-    departed->id = g_strdup(upstream->id);
-    departed->started_ms = upstream->started_ms;
-    departed->removed_at_us = now_us;
-    departed->limit = upstream->limit;
-    departed->said_leaving = upstream->said_leaving;
-    departed->backoff_until_us = upstream->backoff_until_us;
-    g_hash_table_replace(table->departed, departed->id, departed);
-}
-
-static void
-restore_statements(struct pgw_upstream_table *table,
-                   struct pgw_upstream *upstream, uint64_t started_ms)
-{
-    const struct departed *departed =
-        g_hash_table_lookup(table->departed, upstream->id);
-
-    if (departed != NULL && departed->started_ms == started_ms) {
-        upstream->limit = departed->limit;
-        upstream->said_leaving = departed->said_leaving;
-        upstream->backoff_until_us = departed->backoff_until_us;
-    }
-    g_hash_table_remove(table->departed, upstream->id);
-}
-
 static struct pgw_upstream *
 upstream_new(struct pgw_upstream_table *table,
              const struct pgw_upstream_facts *facts)
@@ -293,7 +209,8 @@
     g_hash_table_insert(table->by_id, upstream->id, upstream);
     g_hash_table_replace(table->by_address, upstream->address_text, upstream);
     pool_add(table, upstream, facts->model_count > 0);
-    restore_statements(table, upstream, facts->started_ms);
+    pgw_departed_upstreams_restore(table->departed, upstream,
+                                   facts->started_ms);
     return upstream;
 }
 
@@ -480,7 +397,8 @@
         table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
-    remember_statements(table, upstream);
+    pgw_departed_upstreams_add(table->departed, upstream,
+                               (uint64_t)g_get_monotonic_time());
     g_hash_table_remove(table->by_id, upstream->id);
     if (pgw_upstream_table_find_address(table, upstream->address_text) ==
         upstream) {
