Decode a misdirected answer's status in the adapter alone

No behaviour changes. The gateway compared an answer's status with 421 to tell whether its statements concern the upstream that was asked; the meaning of that status belongs to the codec, which knew it already.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,8 +8,6 @@
  * so that no caller gets a success status with a truncated body. A longer
  * answer than this ends the attempt. */
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
-/* Another process than was asked answered, or it runs other weights. */
-#define MISDIRECTED_STATUS 421
 
 static struct pgw_metric_counter foreign_answers = {
     .name = "pgw_gateway_foreign_answers_total",
@@ -44,22 +42,22 @@
 }
 
 /* The statements concern the process that answered. It may be another one than
- * was asked, which then names itself or refuses as misdirected. */
+ * was asked, which then names itself. */
 static bool
 is_from_upstream(const struct pgw_exchange *exchange,
-                 const struct pgw_answer_facts *facts, unsigned status)
+                 const struct pgw_answer_facts *facts)
 {
     if (facts->instance != NULL) {
         return strcmp(facts->instance, exchange->upstream->id) == 0;
     }
-    return status != MISDIRECTED_STATUS && (facts->genuine || facts->not_run);
+    return facts->genuine || facts->not_run;
 }
 
 /* Also applies to answers that are dropped later, as they belong to another
  * request. */
 static void
 apply_notice(const struct pgw_exchange *exchange,
-             const struct pgw_answer_facts *facts, unsigned status)
+             const struct pgw_answer_facts *facts)
 {
     struct pgw_notice_origin origin = {
         .source = "answer",
@@ -68,7 +66,7 @@
     struct pgw_upstream *upstream = exchange->upstream;
     bool was_limited = upstream->limit.per_s > 0;
 
-    if (!is_from_upstream(exchange, facts, status)) {
+    if (!is_from_upstream(exchange, facts)) {
         return;
     }
     pgw_upstream_notice_apply(upstream, &facts->notice, &origin, pgw_now_us());
@@ -88,7 +86,7 @@
     exchange->last_byte_us = pgw_now_us();
     pgw_upstream_mark_answering(exchange->upstream, exchange->last_byte_us);
     codec->read_answer(&facts, head);
-    apply_notice(exchange, &facts, head->status);
+    apply_notice(exchange, &facts);
     /*
      * Failure: the answer to an earlier request on this connection arrives
      * late or twice. Symptom: a caller gets another caller's answer. Upstreams
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -175,10 +175,19 @@
     g_assert_cmpuint(facts.weights, ==, 5);
     pgw_http_reader_dispose(&reader);
     read_head(&reader, true,
-              "HTTP/1.1 421 Misdirected\r\nInstance-Id: i\r\n\r\n");
+              "HTTP/1.1 421 Misdirected\r\nInstance-Id: i\r\n"
+              "Server-Leaving: 1\r\n\r\n");
     platform_codec.read_answer(&facts, &reader.head);
     g_assert_true(facts.not_run);
     g_assert_false(facts.genuine);
+    g_assert_true(facts.notice.leaving);
+    pgw_http_reader_dispose(&reader);
+    facts = (struct pgw_answer_facts){0};
+    read_head(&reader, true,
+              "HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\n\r\n");
+    platform_codec.read_answer(&facts, &reader.head);
+    g_assert_true(facts.not_run);
+    g_assert_false(facts.notice.leaving);
     g_assert_false(platform_codec.keep_answer_field("server-load"));
     g_assert_true(platform_codec.keep_answer_field("Server-Seal"));
     pgw_http_reader_dispose(&reader);
