Count upstreams with statements beside the statements

No behaviour changes. The gauges of limited, leaving and backing-off upstreams stood in the check for unresponsive ones, which has nothing to do with them.

--- a/src/gateway/unresponsive.c
+++ b/src/gateway/unresponsive.c
@@ -1,5 +1,6 @@
 #include "gateway/unresponsive.h"
 #include "gateway/exchange.h"
+#include "gateway/upstream_notice.h"
 #include "util/log.h"
 #include "util/metric.h"
 
@@ -16,18 +17,6 @@
     .name = "pgw_gateway_silent_upstreams",
     .help = "Upstreams that, like their sidecars, have stopped sending",
 };
-static struct pgw_metric_gauge limited_upstreams = {
-    .name = "pgw_gateway_limited_upstreams",
-    .help = "Upstreams that name a limit of requests a second",
-};
-static struct pgw_metric_gauge leaving_upstreams = {
-    .name = "pgw_gateway_said_leaving_upstreams",
-    .help = "Upstreams that state in their answers that they are draining",
-};
-static struct pgw_metric_gauge backoff_upstreams = {
-    .name = "pgw_gateway_backoff_upstreams",
-    .help = "Upstreams that want no requests from this entry for a time",
-};
 static struct pgw_metric_counter failed_over = {
     .name = "pgw_gateway_moved_total",
     .help = "Requests moved to another upstream after theirs stopped sending",
@@ -157,23 +146,13 @@
 {
     uint64_t now_us = pgw_now_us();
     unsigned suspects = 0;
-    unsigned limited = 0;
-    unsigned leaving = 0;
-    unsigned in_backoff = 0;
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
-        struct pgw_upstream *upstream =
-            pgw_container_of(link, struct pgw_upstream, in_table);
-
-        suspects += log_liveness_change(upstream, now_us);
-        limited += upstream->limit.per_s > 0;
-        leaving += upstream->said_leaving;
-        in_backoff += now_us < upstream->backoff_until_us;
+        suspects += log_liveness_change(
+            pgw_container_of(link, struct pgw_upstream, in_table), now_us);
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
-    pgw_metric_gauge_set(&limited_upstreams, limited);
-    pgw_metric_gauge_set(&leaving_upstreams, leaving);
-    pgw_metric_gauge_set(&backoff_upstreams, in_backoff);
+    pgw_upstream_notice_update_metrics(gateway->upstreams, now_us);
     /* Includes requests at upstreams that are no longer in the table. */
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
@@ -202,9 +181,7 @@
 pgw_unresponsive_start(struct pgw_gateway *gateway)
 {
     pgw_metric_register_gauge(&unresponsive_upstreams);
-    pgw_metric_register_gauge(&limited_upstreams);
-    pgw_metric_register_gauge(&leaving_upstreams);
-    pgw_metric_register_gauge(&backoff_upstreams);
+    pgw_upstream_notice_register_metrics();
     pgw_metric_register_counter(&failed_over);
     pgw_metric_register_counter(&process_ended);
     gateway->unresponsive_timer.on_due = check_due;
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -1,10 +1,53 @@
 #include "gateway/upstream_notice.h"
 #include "gateway/upstream_table.h"
 #include "util/log.h"
+#include "util/metric.h"
 
 /* Changes of a limit are logged at most this often. */
 #define CHANGE_LOG_INTERVAL_US 1000000
 
+static struct pgw_metric_gauge limited_upstreams = {
+    .name = "pgw_gateway_limited_upstreams",
+    .help = "Upstreams that name a limit of requests a second",
+};
+static struct pgw_metric_gauge leaving_upstreams = {
+    .name = "pgw_gateway_said_leaving_upstreams",
+    .help = "Upstreams that state in their answers that they are draining",
+};
+static struct pgw_metric_gauge backoff_upstreams = {
+    .name = "pgw_gateway_backoff_upstreams",
+    .help = "Upstreams that want no requests from this entry for a time",
+};
+
+void
+pgw_upstream_notice_register_metrics(void)
+{
+    pgw_metric_register_gauge(&limited_upstreams);
+    pgw_metric_register_gauge(&leaving_upstreams);
+    pgw_metric_register_gauge(&backoff_upstreams);
+}
+
+void
+pgw_upstream_notice_update_metrics(struct pgw_upstream_table *table,
+                                   uint64_t now_us)
+{
+    unsigned limited = 0;
+    unsigned leaving = 0;
+    unsigned in_backoff = 0;
+
+    pgw_list_foreach (link, pgw_upstream_table_all(table)) {
+        const struct pgw_upstream *upstream =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        limited += upstream->limit.per_s > 0;
+        leaving += upstream->said_leaving;
+        in_backoff += now_us < upstream->backoff_until_us;
+    }
+    pgw_metric_gauge_set(&limited_upstreams, limited);
+    pgw_metric_gauge_set(&leaving_upstreams, leaving);
+    pgw_metric_gauge_set(&backoff_upstreams, in_backoff);
+}
+
 void
 pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
                               const char *source, uint64_t stated_at_us)
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -14,6 +14,7 @@
  */
 
 struct pgw_upstream;
+struct pgw_upstream_table;
 
 /**
  * struct pgw_upstream_notice - statements in the head of one answer
@@ -64,4 +65,12 @@
 void pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
                                    const char *source, uint64_t stated_at_us);
 
+/** pgw_upstream_notice_register_metrics() - register the gauges */
+void pgw_upstream_notice_register_metrics(void);
+
+/** pgw_upstream_notice_update_metrics() - count the upstreams with statements
+ */
+void pgw_upstream_notice_update_metrics(struct pgw_upstream_table *table,
+                                        uint64_t now_us);
+
 #endif
