--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,8 @@
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
 STARTING_S = 0.3
+# Lines of each entry's log that are printed when a promise is broken.
+LINES_SHOWN = 25
 # An upstream's limit is judged over windows of this length, from this time on
 # after it was first named; an entry is bound from this time on after its answer.
 LIMIT_WINDOW_S, LIMIT_SETTLED_S, TOLD_S = 4.0, 3.0, 0.5
@@ -128,10 +130,22 @@
     def ip(self, role, index):
         return f"127.{self.net}.{role}.{index + 1}"
 
-    def fail(self, text):
+    def fail(self, text, about=None):
+        """Ends the run. @about: address of an upstream whose log lines tell why."""
         if self.broken is None:
             self.broken = text
             print("BROKEN:", text, flush=True)
+            if about is not None:
+                self.print_lines(about)
+
+    def print_lines(self, ip):
+        """Prints the last lines of the entries that name an upstream."""
+        for index in range(ENTRIES):
+            with open(f"{self.dir}/entry-{index}.log", encoding="utf-8") as log:
+                lines = [line for line in log
+                         if ip in line and "event=request_end" not in line]
+            print(f"entry {index}:\n{''.join(lines[-LINES_SHOWN:])}", end="",
+                  flush=True)
 
     def note_run(self, attempt):
         count = self.runs[attempt] = self.runs.get(attempt, 0) + 1
@@ -190,7 +204,8 @@
         if now > self.since + LIMIT_SETTLED_S and len(self.arrived) > allowed:
             self.soak.fail(f"{self.name} named a limit of {self.per_s} a "
                            f"second and got {len(self.arrived)} requests in "
-                           f"{LIMIT_WINDOW_S} s, allowed {allowed:.1f}")
+                           f"{LIMIT_WINDOW_S} s, allowed {allowed:.1f}",
+                           self.name)
 
 
 class Departure:
@@ -221,7 +236,7 @@
         if late_s > DRAIN_S:
             self.soak.fail(f"{self.name} got a request that was sent "
                            f"{late_s:.1f} s after entry {entry} had passed on "
-                           "that it leaves")
+                           "that it leaves", self.name)
 
 
 class Backoff:
@@ -265,7 +280,7 @@
             self.arrived[entry] += 1
             if self.arrived[entry] > BACKOFF_ARRIVALS:
                 self.soak.fail(f"{self.name} had requested a backoff of entry {entry} "
-                               f"and got {self.arrived[entry]} requests")
+                               f"and got {self.arrived[entry]} requests", self.name)
 
 
 async def read_head(reader):
@@ -961,6 +976,7 @@
         excuse(fleet, process)
     elif kind == "pause":
         process = pick.choice([entry, sidecar])
+        print(f"pauses {process.role} {process.index}", flush=True)
         process.signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         process.signal(signal.SIGCONT)
