Show statements that are lost at a restart or with a lost record

A restarted upstream's backoff, limit or leaving may arrive before the list or a report names its new start, which then erases it together with the former process's state; a sidecar does the same, even with a limit in the very answer that shows the new start. An answer to a request whose upstream's record was removed and listed again is applied to the removed record alone.

--- a/tests/unit/scene_engine.c
+++ b/tests/unit/scene_engine.c
@@ -6,6 +6,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+static void
+refuse_for(int fd, const char *retry_after)
+{
+    char *text = g_strdup_printf("HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
+                                 "Content-Length: 0\r\n\r\n",
+                                 retry_after);
+
+    scene_send(fd, text);
+    g_free(text);
+}
+
 /* Serves one request of the sidecar. */
 static void
 serve_one(struct scene_engine *engine, int fd)
@@ -22,13 +33,10 @@
     else if (strstr(head, "/api/report") != NULL &&
              engine->refuse_for != NULL) {
         engine->reports_refused++;
-        text = g_strdup_printf("HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
-                               "Content-Length: 0\r\n\r\n",
-                               engine->refuse_for);
-        scene_send(fd, text);
-        g_free(text);
+        refuse_for(fd, engine->refuse_for);
     }
     else if (strstr(head, "/api/report") != NULL) {
+        engine->reports++;
         text = g_strdup_printf(
             "{\"models\":[{\"name\":\"m\",\"version\":%" G_GUINT64_FORMAT
             "}],\"busy\":%s,\"sequence\":%u,\"active\":1,\"state\":\"%s\","
@@ -42,6 +50,10 @@
                      engine->fields == NULL ? "" : engine->fields, text);
         g_free(text);
     }
+    else if (engine->events_refused_for != NULL) {
+        engine->events_refused++;
+        refuse_for(fd, engine->events_refused_for);
+    }
     else {
         scene_answer(fd, "e", 200, "",
                      "{\"boot_epoch\":1,\"next\":0,\"lost_count\":false,"
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -15,6 +15,10 @@
  * @refuse_for: it refuses to report, with Retry-After in seconds;
  * NULL: it reports
  * @reports_refused: number of reports refused
+ * @reports: number of reports
+ * @events_refused_for: it refuses long polls for cache events, with
+ *   Retry-After in seconds; NULL: it answers them
+ * @events_refused: number of these refused
  * @fields: additional header lines of its reports, each with its CRLF; NULL:
  *   none
  * @orders: number of orders received
@@ -29,6 +33,9 @@
     bool draining;
     const char *refuse_for;
     unsigned reports_refused;
+    unsigned reports;
+    const char *events_refused_for;
+    unsigned events_refused;
     const char *fields;
     unsigned orders;
     char *order;
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -196,6 +196,24 @@
     scene->stopped[upstream] = true;
 }
 
+static void
+remove_and_list(struct scene *scene)
+{
+    struct pgw_upstream_table *table = pgw_gateway_upstreams(scene->gateway);
+
+    pgw_list_foreach_safe (link, pgw_upstream_table_all(table)) {
+        pgw_upstream_table_remove(
+            table, pgw_container_of(link, struct pgw_upstream, in_table));
+    }
+    list_upstreams(scene);
+}
+
+void
+scene_list_again(struct scene *scene)
+{
+    scene_run(scene, remove_and_list);
+}
+
 void
 scene_restart_upstreams(struct scene *scene)
 {
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -69,6 +69,10 @@
 /** scene_stop_listening() - an upstream refuses connections from now on */
 void scene_stop_listening(struct scene *scene, unsigned upstream);
 
+/** scene_list_again() - remove the records of all upstreams, and list the same
+ * processes again */
+void scene_list_again(struct scene *scene);
+
 /** scene_restart_upstreams() - list new incarnations at the addresses of all
  * upstreams, as after a crash of each */
 void scene_restart_upstreams(struct scene *scene);
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -17,6 +17,10 @@
  * @tokens: number of fencing tokens given so far
  * @report_count: reports that the entry has received
  * @loading: whether the engine is loading, by the entry's last report
+ * @limit: limit in the last report
+ * @leaving: whether the engine leaves, by the last report
+ * @started_ms: start of the engine's process, by the last report with one
+ * @limit_at_start: limit in the first report with that start
  * @version: version in the last report with weights
  * @probe_answer: the last answer to a probe: its number, the tokens left to
  *   prefill, the update of the first part
@@ -35,6 +39,8 @@
     bool loading;
     double limit;
     bool leaving;
+    uint64_t started_ms;
+    double limit_at_start;
     uint64_t version;
     struct {
         uint64_t probe;
@@ -67,6 +73,10 @@
     pthread_mutex_lock(&fixture->lock);
     fixture->report_count++;
     fixture->loading = state->loading;
+    if (state->started_ms != 0 && state->started_ms != fixture->started_ms) {
+        fixture->started_ms = state->started_ms;
+        fixture->limit_at_start = state->limit;
+    }
     fixture->limit = state->limit;
     fixture->leaving = state->leaving;
     if (state->n_models > 0) {
@@ -390,6 +400,65 @@
     close_fixture();
 }
 
+static bool
+is_start_reported(const struct scene_engine *engine)
+{
+    bool reported;
+
+    pthread_mutex_lock(&fixture->lock);
+    reported = fixture->started_ms == engine->started_ms;
+    pthread_mutex_unlock(&fixture->lock);
+    return reported;
+}
+
+/* Guards against a limit that is lost because it is in the same answer as the
+ * engine's new start. */
+static void
+test_limit_with_a_restart(void)
+{
+    struct scene_engine engine = {.version = 1, .started_ms = 1000};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_start_reported);
+    engine.started_ms = 2000;
+    engine.fields = "Server-Limit: 2.5\r\n";
+    scene_engine_serve(&engine, is_start_reported);
+    g_assert_cmpfloat_with_epsilon(fixture->limit_at_start, 2.5, 1e-9);
+    close_fixture();
+}
+
+static bool
+has_refused_events(const struct scene_engine *engine)
+{
+    return engine->events_refused > 0;
+}
+
+static bool
+has_reported_often(const struct scene_engine *engine)
+{
+    return engine->reports > 5;
+}
+
+/* Guards against a backoff that ends early because the engine's new start is
+ * reported after it. */
+static void
+test_backoff_before_a_known_restart(void)
+{
+    struct scene_engine engine = {.version = 1, .started_ms = 1000};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_start_reported);
+    engine.started_ms = 2000;
+    engine.events_refused_for = "600";
+    scene_engine_serve(&engine, has_refused_events);
+    engine.reports = 0;
+    scene_engine_serve(&engine, has_reported_often);
+    g_assert_cmpuint(engine.events_refused, ==, 1);
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -405,5 +474,9 @@
                     test_leaving_is_reported);
     g_test_add_func("/engine_sidecar/limit_is_reported",
                     test_limit_is_reported);
+    g_test_add_func("/engine_sidecar/limit_with_a_restart",
+                    test_limit_with_a_restart);
+    g_test_add_func("/engine_sidecar/backoff_before_a_known_restart",
+                    test_backoff_before_a_known_restart);
     return g_test_run();
 }
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -323,6 +323,36 @@
     scene_free(scene);
 }
 
+/* Guards against a statement that is lost because the upstream's record was
+ * removed and listed again while the request ran. */
+static void
+test_record_lost_meanwhile(gconstpointer data)
+{
+    const struct notice *notice = data;
+    struct scene *scene = start(2);
+    unsigned held;
+    int caller = scene_call(scene, "/again/", "a");
+    int fd = scene_accept_any(scene, &held);
+
+    g_free(scene_read_request(fd));
+    scene_list_again(scene);
+    if (notice->refused) {
+        refuse_with(fd, notice->fields);
+        close(fd);
+        fd = accept_request(scene, 1 - held);
+        finish_call(caller, fd, "a", CLOSE);
+    }
+    else {
+        finish_call(caller, fd, "a", notice->fields);
+    }
+    for (unsigned i = 0; i < 4; i++) {
+        caller = scene_call(scene, "/again/", "b");
+        finish_call(caller, accept_request(scene, 1 - held), "b", CLOSE);
+    }
+    g_assert_true(scene_has_no_connection(scene, held));
+    scene_free(scene);
+}
+
 static void
 add_tests(const struct notice *notice)
 {
@@ -333,6 +363,7 @@
         {"queue", test_queue},
         {"retry", test_retry},
         {"resumed_stream", test_resumed_stream},
+        {"record_lost_meanwhile", test_record_lost_meanwhile},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(ways); i++) {
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -276,6 +276,70 @@
     pgw_upstream_table_free(table);
 }
 
+/* Applies all statements that an upstream can make to one. */
+static void
+state_everything(struct pgw_upstream *upstream, uint64_t now_us)
+{
+    struct pgw_notice_origin origin = {.source = "answer", .asked_us = now_us};
+    struct pgw_upstream_notice notice = {
+        .limit = 3, .leaving = true, .retry_after_us = 5000000};
+
+    pgw_upstream_notice_apply(upstream, &notice, &origin, now_us);
+}
+
+static void
+assert_statements_kept(const struct pgw_upstream *upstream, uint64_t now_us)
+{
+    g_assert_cmpfloat(upstream->limit.per_s, ==, 3);
+    g_assert_cmpuint(upstream->backoff_until_us, ==, now_us + 5000000);
+    g_assert_false(pgw_upstream_is_usable(upstream, now_us));
+}
+
+/* Guards against statements of a restarted upstream that are lost when the
+ * list names the restart later than they arrive. */
+static void
+test_statements_before_a_known_restart(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 1000, false);
+    uint64_t now = (uint64_t)g_get_monotonic_time();
+
+    state_everything(upstream, now);
+    g_assert_true(put_started(table, 2000, false) == upstream);
+    assert_statements_kept(upstream, now);
+    pgw_upstream_table_free(table);
+}
+
+/* Guards against the same loss when the record is listed again only after the
+ * restart. */
+static void
+test_statements_before_a_restart_while_delisted(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 1000, false);
+    uint64_t now = (uint64_t)g_get_monotonic_time();
+
+    state_everything(upstream, now);
+    pgw_upstream_table_remove(table, upstream);
+    assert_statements_kept(put_started(table, 2000, false), now);
+    pgw_upstream_table_free(table);
+}
+
+/* Guards against an upstream that stays unused because its former process was
+ * leaving. */
+static void
+test_leaving_ends_after_a_restart(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 1000, false);
+    uint64_t now = (uint64_t)g_get_monotonic_time();
+
+    state_everything(upstream, now);
+    put_started(table, 2000, false);
+    g_assert_true(pgw_upstream_is_usable(upstream, now + 60000000));
+    pgw_upstream_table_free(table);
+}
+
 /* An engine is listed after its pool was set to remote reports on request. The
  * pool must keep the setting: otherwise engines that do not report count as
  * idle. Pools of plain services never have it. */
@@ -353,6 +417,13 @@
                     test_removed_upstream_is_kept_while_referenced);
     g_test_add_func("/upstream_table/load_of_others_decays",
                     test_load_of_other_entries_decays);
+    g_test_add_func("/upstream_table/statements_before_a_known_restart",
+                    test_statements_before_a_known_restart);
+    g_test_add_func(
+        "/upstream_table/statements_before_a_restart_while_delisted",
+        test_statements_before_a_restart_while_delisted);
+    g_test_add_func("/upstream_table/leaving_ends_after_a_restart",
+                    test_leaving_ends_after_a_restart);
     g_test_add_func("/upstream_table/backoff_grows_to_its_limit",
                     test_backoff_grows_to_its_limit);
     g_test_add_func("/upstream_table/cached_and_expected_parts",
