--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -65,7 +65,7 @@
     const struct pgw_prompt *prompt = &exchange->facts.prompt;
 
     pgw_upstream_schedule_probe(upstream, pgw_now_us());
-    pgw_limit_share_take(&upstream->limit, pgw_now_us());
+    pgw_limit_share_take(&upstream->stated.limit, pgw_now_us());
     exchange->upstream = upstream;
     exchange->missing_tokens = choice->missing_tokens;
     exchange->load_at_choice =
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -519,11 +519,11 @@
 #ifndef PGW_DISABLE_GATEWAY_LIMIT
     uint64_t next_us;
 
-    if (pgw_limit_share_allows(&upstream->limit, input->now_us)) {
+    if (pgw_limit_share_allows(&upstream->stated.limit, input->now_us)) {
         return false;
     }
-    out->limited_per_s += upstream->limit.per_s;
-    next_us = pgw_limit_share_next_us(&upstream->limit, input->now_us);
+    out->limited_per_s += upstream->stated.limit.per_s;
+    next_us = pgw_limit_share_next_us(&upstream->stated.limit, input->now_us);
     if (next_us > 0) {
         set_retry_at(out, next_us);
     }
@@ -544,14 +544,14 @@
                       const struct pgw_choose_input *input)
 {
 #ifndef PGW_DISABLE_GATEWAY_RETRY_AFTER
-    if (input->now_us >= upstream->backoff_until_us) {
+    if (input->now_us >= upstream->stated.backoff_until_us) {
         return false;
     }
     if (out->backoff_until_us == 0 ||
-        upstream->backoff_until_us < out->backoff_until_us) {
-        out->backoff_until_us = upstream->backoff_until_us;
+        upstream->stated.backoff_until_us < out->backoff_until_us) {
+        out->backoff_until_us = upstream->stated.backoff_until_us;
     }
-    set_retry_at(out, upstream->backoff_until_us);
+    set_retry_at(out, upstream->stated.backoff_until_us);
     return true;
 #else
     return false;
--- a/src/gateway/departed_upstreams.c
+++ b/src/gateway/departed_upstreams.c
@@ -5,21 +5,17 @@
 #define KEPT_US 60000000ULL
 
 /**
- * struct statements - what a removed upstream has stated about itself
+ * struct departed - a removed upstream that has stated something about itself
  * @id: its name in the list
  * @started_ms: start time of the process that stated it
  * @removed_at_us: when it was removed
- * @limit: its limit
- * @said_leaving: it has stated that it is draining
- * @backoff_until_us: when it takes requests again
+ * @stated: what it has stated
  */
-struct statements {
+struct departed {
     char *id;
     uint64_t started_ms;
     uint64_t removed_at_us;
-    struct pgw_limit_share limit;
-    bool said_leaving;
-    uint64_t backoff_until_us;
+    struct pgw_upstream_statements stated;
 };
 
 struct pgw_departed_upstreams {
@@ -27,12 +23,12 @@
 };
 
 static void
-statements_free(void *data)
+departed_free(void *data)
 {
-    struct statements *statements = data;
+    struct departed *departed = data;
 
-    g_free(statements->id);
-    g_free(statements);
+    g_free(departed->id);
+    g_free(departed);
 }
 
 struct pgw_departed_upstreams *
@@ -42,7 +38,7 @@
         g_new0(struct pgw_departed_upstreams, 1);
 
     departed->by_id =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, statements_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, departed_free);
     return departed;
 }
 
@@ -56,10 +52,10 @@
 static gboolean
 has_expired(void *key, void *value, void *now_us)
 {
-    const struct statements *statements = value;
+    const struct departed *departed = value;
 
     (void)key;
-    return *(const uint64_t *)now_us - statements->removed_at_us > KEPT_US;
+    return *(const uint64_t *)now_us - departed->removed_at_us > KEPT_US;
 }
 
 void
@@ -67,21 +63,19 @@
                            const struct pgw_upstream *upstream,
                            uint64_t now_us)
 {
-    struct statements *statements;
+    struct departed *added;
 
-    if (upstream->limit.per_s <= 0 && !upstream->said_leaving &&
-        upstream->backoff_until_us <= now_us) {
+    if (upstream->stated.limit.per_s <= 0 && !upstream->stated.leaving &&
+        upstream->stated.backoff_until_us <= now_us) {
         return;
     }
     g_hash_table_foreach_remove(departed->by_id, has_expired, &now_us);
-    statements = g_new0(struct statements, 1);
-    statements->id = g_strdup(upstream->id);
-    statements->started_ms = upstream->started_ms;
-    statements->removed_at_us = now_us;
-    statements->limit = upstream->limit;
-    statements->said_leaving = upstream->said_leaving;
-    statements->backoff_until_us = upstream->backoff_until_us;
-    g_hash_table_replace(departed->by_id, statements->id, statements);
+    added = g_new0(struct departed, 1);
+    added->id = g_strdup(upstream->id);
+    added->started_ms = upstream->started_ms;
+    added->removed_at_us = now_us;
+    added->stated = upstream->stated;
+    g_hash_table_replace(departed->by_id, added->id, added);
 }
 
 void
@@ -89,13 +83,11 @@
                                struct pgw_upstream *upstream,
                                uint64_t started_ms)
 {
-    const struct statements *statements =
+    const struct departed *found =
         g_hash_table_lookup(departed->by_id, upstream->id);
 
-    if (statements != NULL && statements->started_ms == started_ms) {
-        upstream->limit = statements->limit;
-        upstream->said_leaving = statements->said_leaving;
-        upstream->backoff_until_us = statements->backoff_until_us;
+    if (found != NULL && found->started_ms == started_ms) {
+        upstream->stated = found->stated;
     }
     g_hash_table_remove(departed->by_id, upstream->id);
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -64,13 +64,13 @@
         .asked_us = exchange->sent_us,
     };
     struct pgw_upstream *upstream = exchange->upstream;
-    bool was_limited = upstream->limit.per_s > 0;
+    bool was_limited = upstream->stated.limit.per_s > 0;
 
     if (!is_from_upstream(exchange, facts)) {
         return;
     }
     pgw_upstream_notice_apply(upstream, &facts->notice, &origin, pgw_now_us());
-    if (was_limited && upstream->limit.per_s <= 0) {
+    if (was_limited && upstream->stated.limit.per_s <= 0) {
         pgw_upstream_limits_report_end(exchange->gateway, upstream);
         pgw_gateway_dispatch_queued(exchange->gateway);
     }
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -106,9 +106,9 @@
     if (state->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, state->limit, "sidecar",
                                       now_us);
-        upstream->limit.from_sidecar = true;
+        upstream->stated.limit.from_sidecar = true;
     }
-    else if (upstream->limit.from_sidecar) {
+    else if (upstream->stated.limit.from_sidecar) {
         pgw_upstream_notice_set_limit(upstream, 0, "sidecar", now_us);
     }
 }
--- a/src/gateway/upstream_limits.c
+++ b/src/gateway/upstream_limits.c
@@ -61,8 +61,8 @@
     uint64_t now_us = pgw_now_us();
     struct pgw_limit_ask ask = {
         .upstream = upstream->id,
-        .per_s = upstream->limit.per_s,
-        .age_us = now_us - upstream->limit.stated_at_us,
+        .per_s = upstream->stated.limit.per_s,
+        .age_us = now_us - upstream->stated.limit.stated_at_us,
         .wanted = wanted,
     };
     const struct pgw_upstream *owner =
@@ -100,7 +100,7 @@
 ask_or_fall_back(struct pgw_gateway *gateway, struct pgw_upstream *upstream,
                  uint64_t now_us)
 {
-    struct pgw_limit_share *share = &upstream->limit;
+    struct pgw_limit_share *share = &upstream->stated.limit;
 
     if (share->asked_us > 0 && now_us - share->asked_us < ANSWER_TIMEOUT_US) {
         return;
@@ -129,7 +129,7 @@
 pgw_upstream_limits_want(struct pgw_gateway *gateway,
                          struct pgw_upstream *upstream, bool is_new)
 {
-    struct pgw_limit_share *share = &upstream->limit;
+    struct pgw_limit_share *share = &upstream->stated.limit;
     uint64_t now_us = pgw_now_us();
 
     pgw_metric_counter_add(&held_back, is_new);
@@ -161,7 +161,7 @@
     if (upstream == NULL) {
         return;
     }
-    share = &upstream->limit;
+    share = &upstream->stated.limit;
     share->asked_us = 0;
     if (stated_at_us > share->stated_at_us) {
         pgw_upstream_notice_set_limit(upstream, answer->per_s, "owner",
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -39,9 +39,9 @@
         const struct pgw_upstream *upstream =
             pgw_container_of(link, struct pgw_upstream, in_table);
 
-        limited += upstream->limit.per_s > 0;
-        leaving += upstream->said_leaving;
-        in_backoff += now_us < upstream->backoff_until_us;
+        limited += upstream->stated.limit.per_s > 0;
+        leaving += upstream->stated.leaving;
+        in_backoff += now_us < upstream->stated.backoff_until_us;
     }
     pgw_metric_gauge_set(&limited_upstreams, limited);
     pgw_metric_gauge_set(&leaving_upstreams, leaving);
@@ -52,15 +52,15 @@
 pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
                               const char *source, uint64_t stated_at_us)
 {
-    double before = upstream->limit.per_s;
+    double before = upstream->stated.limit.per_s;
 
-    pgw_limit_share_set(&upstream->limit, per_s, stated_at_us);
-    if (per_s == before ||
-        (per_s > 0 && before > 0 &&
-         stated_at_us - upstream->limit.logged_us < CHANGE_LOG_INTERVAL_US)) {
+    pgw_limit_share_set(&upstream->stated.limit, per_s, stated_at_us);
+    if (per_s == before || (per_s > 0 && before > 0 &&
+                            stated_at_us - upstream->stated.limit.logged_us <
+                                CHANGE_LOG_INTERVAL_US)) {
         return;
     }
-    upstream->limit.logged_us = stated_at_us;
+    upstream->stated.limit.logged_us = stated_at_us;
     pgw_log_info("upstream_limit",
                  "upstream=%s per_s=%.3f before=%.3f source=%s", upstream->id,
                  per_s, before, source);
@@ -74,15 +74,15 @@
 {
     uint64_t until_us = now_us + retry_after_us;
 
-    if (until_us <= upstream->backoff_until_us) {
+    if (until_us <= upstream->stated.backoff_until_us) {
         return;
     }
-    if (now_us >= upstream->backoff_until_us) {
+    if (now_us >= upstream->stated.backoff_until_us) {
         pgw_log_info("upstream_backoff",
                      "upstream=%s backoff_ms=%" G_GUINT64_FORMAT " source=%s",
                      upstream->id, retry_after_us / 1000, source);
     }
-    upstream->backoff_until_us = until_us;
+    upstream->stated.backoff_until_us = until_us;
 }
 
 void
@@ -91,14 +91,14 @@
                           const struct pgw_notice_origin *origin,
                           uint64_t now_us)
 {
-    const struct pgw_limit_share *limit = &upstream->limit;
+    const struct pgw_limit_share *limit = &upstream->stated.limit;
 
     if (notice->invalid_field != NULL) {
         pgw_log_warning("notice_invalid", "upstream=%s field=%s source=%s",
                         upstream->id, notice->invalid_field, origin->source);
     }
-    if (notice->leaving && !upstream->said_leaving) {
-        upstream->said_leaving = true;
+    if (notice->leaving && !upstream->stated.leaving) {
+        upstream->stated.leaving = true;
         pgw_log_info("upstream_leaving", "upstream=%s source=%s", upstream->id,
                      origin->source);
     }
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -252,7 +252,6 @@
 reset_process_state(struct pgw_upstream *upstream)
 {
     upstream->leaving = false;
-    upstream->said_leaving = false;
     upstream->sidecar_leaving_until_us = 0;
     upstream->displaced = false;
     upstream->loading = false;
@@ -268,8 +267,7 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
-    upstream->backoff_until_us = 0;
-    upstream->limit = (struct pgw_limit_share){0};
+    upstream->stated = (struct pgw_upstream_statements){0};
     pgw_upstream_clear_parts(upstream);
 }
 
@@ -446,7 +444,7 @@
 pgw_upstream_is_leaving(const struct pgw_upstream *upstream, uint64_t now_us)
 {
 #ifndef PGW_DISABLE_GATEWAY_SAID_LEAVING
-    if (upstream->said_leaving ||
+    if (upstream->stated.leaving ||
         now_us < upstream->sidecar_leaving_until_us) {
         return true;
     }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -85,6 +85,19 @@
 /* Former processes with the same id whose late messages are recognized. */
 #define PGW_UPSTREAM_STARTS_MAX 4
 
+/**
+ * struct pgw_upstream_statements - what an upstream has stated about itself in
+ * its answers
+ * @limit: this entry's share of the request rate that it accepts
+ * @leaving: it is draining
+ * @backoff_until_us: it wants no requests from this entry before this time
+ */
+struct pgw_upstream_statements {
+    struct pgw_limit_share limit;
+    bool leaving;
+    uint64_t backoff_until_us;
+};
+
 /**
  * struct pgw_upstream - one upstream
  * @in_table: link in the table's list
@@ -104,7 +117,6 @@
  *   still arrive
  * @earlier_start_count: number of @earlier_starts_ms
  * @leaving: the upstream is draining
- * @said_leaving: it has stated in an answer that it is draining
  * @sidecar_leaving_until_us: when its sidecar's report that it is draining
  *   expires, 0: the sidecar does not report so
  * @displaced: another incarnation answered at its address
@@ -145,8 +157,7 @@
  * @avoid_until_us: chosen before this time only if no other upstream can be
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
- * @backoff_until_us: never chosen before this time, as it stated
- * @limit: this entry's share of the request rate that it accepts
+ * @stated: what it has stated about itself
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
  * @expected: parts of requests that this entry sent there recently
@@ -167,7 +178,6 @@
     uint64_t earlier_starts_ms[PGW_UPSTREAM_STARTS_MAX];
     size_t earlier_start_count;
     bool leaving;
-    bool said_leaving;
     uint64_t sidecar_leaving_until_us;
     bool displaced;
     uint64_t replaced_at_us;
@@ -201,8 +211,7 @@
     uint64_t avoid_until_us;
     uint32_t refusals;
     uint64_t full_until_us;
-    uint64_t backoff_until_us;
-    struct pgw_limit_share limit;
+    struct pgw_upstream_statements stated;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
 };
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -41,7 +41,7 @@
     struct pgw_upstream_table *table = pgw_upstream_table_new("a");
     struct pgw_upstream *upstream = put(table, "i", false);
 
-    upstream->said_leaving = true;
+    upstream->stated.leaving = true;
     put(table, "i", false);
     g_assert_false(pgw_upstream_is_usable(upstream, NOW));
     pgw_upstream_table_remove(table, upstream);
@@ -64,13 +64,13 @@
     pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW);
     backoff.retry_after_us = 1000;
     pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW + 1);
-    g_assert_cmpuint(upstream->backoff_until_us, ==, NOW + 5000);
+    g_assert_cmpuint(upstream->stated.backoff_until_us, ==, NOW + 5000);
     backoff.retry_after_us = 6000;
     pgw_upstream_notice_apply(upstream, &backoff, &origin, NOW + 2);
-    g_assert_cmpuint(upstream->backoff_until_us, ==, NOW + 6002);
+    g_assert_cmpuint(upstream->stated.backoff_until_us, ==, NOW + 6002);
     pgw_upstream_table_set_start(table, upstream, 5);
     pgw_upstream_table_set_start(table, upstream, 6);
-    g_assert_cmpuint(upstream->backoff_until_us, ==, 0);
+    g_assert_cmpuint(upstream->stated.backoff_until_us, ==, 0);
     pgw_upstream_table_free(table);
 }
 
@@ -82,16 +82,16 @@
     struct pgw_upstream_table *table = pgw_upstream_table_new("a");
     struct pgw_upstream *upstream = put(table, "i", false);
 
-    pgw_limit_share_set(&upstream->limit, 3, 1);
+    pgw_limit_share_set(&upstream->stated.limit, 3, 1);
     pgw_upstream_table_remove(table, upstream);
     upstream = put(table, "i", false);
-    g_assert_cmpfloat(upstream->limit.per_s, ==, 3);
+    g_assert_cmpfloat(upstream->stated.limit.per_s, ==, 3);
     pgw_upstream_table_set_start(table, upstream, 5);
     pgw_upstream_table_set_start(table, upstream, 6);
-    g_assert_cmpfloat(upstream->limit.per_s, ==, 0);
-    pgw_limit_share_set(&upstream->limit, 3, 1);
+    g_assert_cmpfloat(upstream->stated.limit.per_s, ==, 0);
+    pgw_limit_share_set(&upstream->stated.limit, 3, 1);
     pgw_upstream_table_remove(table, upstream);
-    g_assert_cmpfloat(put(table, "j", false)->limit.per_s, ==, 0);
+    g_assert_cmpfloat(put(table, "j", false)->stated.limit.per_s, ==, 0);
     pgw_upstream_table_free(table);
 }
 
@@ -290,8 +290,8 @@
 static void
 assert_statements_kept(const struct pgw_upstream *upstream, uint64_t now_us)
 {
-    g_assert_cmpfloat(upstream->limit.per_s, ==, 3);
-    g_assert_cmpuint(upstream->backoff_until_us, ==, now_us + 5000000);
+    g_assert_cmpfloat(upstream->stated.limit.per_s, ==, 3);
+    g_assert_cmpuint(upstream->stated.backoff_until_us, ==, now_us + 5000000);
     g_assert_false(pgw_upstream_is_usable(upstream, now_us));
 }
 
