Keep what an engine states together with its new start

A sidecar forgot its engine's limit for a poll, and a backoff for good, when a report named another start: also a limit in the head of that very answer, and a backoff that the new process had requested of other calls before.

Cause: what was stated was erased with the former process's state, although the answer that shows the new start, or an earlier one, is the new process's. Change: the answer's own statement stays, that of the last cache events stays if the same process sent them, and backoffs end by themselves.

--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -81,6 +81,8 @@
  * @quotas: quota buckets of the workspaces that this sidecar owns
  * @limits: limits of upstreams that this sidecar owns
  * @notices: what the engine stated in its last answer to each kind of call
+ * @events_started_ms: start of the process that answered the last long poll
+ *   for cache events, 0: unknown
  * @backoff_until_us: by kind of call, until when the engine wants none
  * @announced_prompts: long prompts that may not be prefilled yet
  * @arrivals_since_poll: requests announced since the last poll started; its
@@ -124,6 +126,7 @@
     struct pgw_quota_buckets *quotas;
     struct pgw_limit_ledger *limits;
     struct pgw_upstream_notice notices[PGW_SIDECAR_CALL_COUNT];
+    uint64_t events_started_ms;
     uint64_t backoff_until_us[PGW_SIDECAR_CALL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_announced_arrivals arrivals_since_poll;
--- a/src/gateway/engine_sidecar_poll.c
+++ b/src/gateway/engine_sidecar_poll.c
@@ -127,8 +127,13 @@
     for (size_t i = 0; i < sidecar->model_count; i++) {
         pgw_weights_order_handle_restart(&sidecar->models[i].order);
     }
-    memset(sidecar->notices, 0, sizeof(sidecar->notices));
-    memset(sidecar->backoff_until_us, 0, sizeof(sidecar->backoff_until_us));
+    /* The new process may have stated these before; the answer that shows its
+     * start replaces what the former one stated in reports. Backoffs end by
+     * themselves. */
+    if (sidecar->events_started_ms != started_ms) {
+        sidecar->notices[PGW_SIDECAR_CALL_EVENTS] =
+            (struct pgw_upstream_notice){0};
+    }
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
     if (pgw_call_is_running(&sidecar->events_call)) {
@@ -279,6 +284,7 @@
                         EVENTS_RETRY_US);
         return;
     }
+    sidecar->events_started_ms = events.started_ms;
     if (is_from_other_process(sidecar, &events)) {
         g_free(events.events);
         pgw_engine_sidecar_poll_now(sidecar);
