Keep what an upstream states before its restart is known

Cause: an answer does not tell which process sent it, and every statement from before a restart is known counted as the former one's. Change: a restart ends no statement. Limits and backoffs end by themselves; leaving ends 20 s after the restart is known, also if a request sent before brought it. The price is that an upstream whose former process had stated something is used a little later. upstream_restarted shows what is kept.

--- a/src/gateway/departed_upstreams.c
+++ b/src/gateway/departed_upstreams.c
@@ -66,6 +66,7 @@
     struct departed *added;
 
     if (upstream->stated.limit.per_s <= 0 && !upstream->stated.leaving &&
+        upstream->stated.leaving_until_us <= now_us &&
         upstream->stated.backoff_until_us <= now_us) {
         return;
     }
@@ -86,8 +87,12 @@
     const struct departed *found =
         g_hash_table_lookup(departed->by_id, upstream->id);
 
-    if (found != NULL && found->started_ms == started_ms) {
+    if (found != NULL) {
         upstream->stated = found->stated;
+        if (found->started_ms != started_ms) {
+            pgw_upstream_statements_expire(&upstream->stated,
+                                           (uint64_t)g_get_monotonic_time());
+        }
     }
     g_hash_table_remove(departed->by_id, upstream->id);
 }
--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/departed_upstreams.h
@@ -23,7 +23,8 @@
                                 uint64_t now_us);
 
 /** pgw_departed_upstreams_restore() - apply kept statements to an upstream
- * that is listed again; @started_ms: start time of its process, 0: unknown */
+ * that is listed again; @started_ms: start time of its process, 0: unknown. If
+ * it is another one than before, statements that have no end get one */
 void pgw_departed_upstreams_restore(struct pgw_departed_upstreams *departed,
                                     struct pgw_upstream *upstream,
                                     uint64_t started_ms);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -59,11 +59,12 @@
 apply_notice(const struct pgw_exchange *exchange,
              const struct pgw_answer_facts *facts)
 {
+    struct pgw_upstream *upstream = exchange->upstream;
     struct pgw_notice_origin origin = {
         .source = "answer",
         .asked_us = exchange->sent_us,
+        .may_be_former = exchange->sent_us < upstream->replaced_at_us,
     };
-    struct pgw_upstream *upstream = exchange->upstream;
     bool was_limited = upstream->stated.limit.per_s > 0;
 
     if (!is_from_upstream(exchange, facts)) {
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -40,7 +40,8 @@
             pgw_container_of(link, struct pgw_upstream, in_table);
 
         limited += upstream->stated.limit.per_s > 0;
-        leaving += upstream->stated.leaving;
+        leaving += upstream->stated.leaving ||
+                   now_us < upstream->stated.leaving_until_us;
         in_backoff += now_us < upstream->stated.backoff_until_us;
     }
     pgw_metric_gauge_set(&limited_upstreams, limited);
@@ -99,6 +100,9 @@
     }
     if (notice->leaving && !upstream->stated.leaving) {
         upstream->stated.leaving = true;
+        if (origin->may_be_former) {
+            pgw_upstream_statements_expire(&upstream->stated, now_us);
+        }
         pgw_log_info("upstream_leaving", "upstream=%s source=%s", upstream->id,
                      origin->source);
     }
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -37,10 +37,12 @@
  * struct pgw_notice_origin - where a notice comes from
  * @source: "answer", "sidecar" or "owner", for logs
  * @asked_us: when the request was sent that the upstream answered
+ * @may_be_former: the process that answered may have been replaced since
  */
 struct pgw_notice_origin {
     const char *source;
     uint64_t asked_us;
+    bool may_be_former;
 };
 
 /**
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -43,6 +43,10 @@
  * some seconds. */
 #define UNCONFIRMED_PART_US 8000000
 
+/* How long an upstream whose former process may have stated that it is
+ * draining counts as draining: such a process ends sooner. */
+#define FORMER_LEAVING_US 20000000ULL
+
 struct pgw_upstream_table {
     char *zone;
     struct pgw_departed_upstreams *departed;
@@ -246,11 +250,26 @@
     return true;
 }
 
-/* Resets all state of the former process: none of it applies to the new one.
+void
+pgw_upstream_statements_expire(struct pgw_upstream_statements *stated,
+                               uint64_t now_us)
+{
+    if (stated->leaving) {
+        stated->leaving = false;
+        stated->leaving_until_us = now_us + FORMER_LEAVING_US;
+    }
+}
+
+/*
+ * Resets the state of the former process. Statements of the new one may have
+ * arrived before its start is known, and an answer does not tell which process
+ * sent it, so they are kept until they end.
  */
 static void
 reset_process_state(struct pgw_upstream *upstream)
 {
+    pgw_upstream_statements_expire(&upstream->stated,
+                                   (uint64_t)g_get_monotonic_time());
     upstream->leaving = false;
     upstream->sidecar_leaving_until_us = 0;
     upstream->displaced = false;
@@ -267,7 +286,6 @@
     upstream->avoid_until_us = 0;
     upstream->refusals = 0;
     upstream->full_until_us = 0;
-    upstream->stated = (struct pgw_upstream_statements){0};
     pgw_upstream_clear_parts(upstream);
 }
 
@@ -309,8 +327,9 @@
     }
     pgw_log_info("upstream_restarted",
                  "upstream=%s started_ms=%" G_GUINT64_FORMAT
-                 " before_ms=%" G_GUINT64_FORMAT,
-                 upstream->id, started_ms, earlier_start_ms);
+                 " before_ms=%" G_GUINT64_FORMAT " limit=%.3f leaving=%d",
+                 upstream->id, started_ms, earlier_start_ms,
+                 upstream->stated.limit.per_s, upstream->stated.leaving);
     add_earlier_start(upstream, earlier_start_ms);
     upstream->replaced_at_us = (uint64_t)g_get_monotonic_time();
     if (!pgw_upstream_is_leaving(upstream, (uint64_t)g_get_monotonic_time()) &&
@@ -445,6 +464,7 @@
 {
 #ifndef PGW_DISABLE_GATEWAY_SAID_LEAVING
     if (upstream->stated.leaving ||
+        now_us < upstream->stated.leaving_until_us ||
         now_us < upstream->sidecar_leaving_until_us) {
         return true;
     }
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -90,14 +90,22 @@
  * its answers
  * @limit: this entry's share of the request rate that it accepts
  * @leaving: it is draining
+ * @leaving_until_us: it may be draining until then: the process that stated it
+ *   may be a former one
  * @backoff_until_us: it wants no requests from this entry before this time
  */
 struct pgw_upstream_statements {
     struct pgw_limit_share limit;
     bool leaving;
+    uint64_t leaving_until_us;
     uint64_t backoff_until_us;
 };
 
+/** pgw_upstream_statements_expire() - give statements that may be those of a
+ * former process an end; limits and backoffs end by themselves */
+void pgw_upstream_statements_expire(struct pgw_upstream_statements *stated,
+                                    uint64_t now_us);
+
 /**
  * struct pgw_upstream - one upstream
  * @in_table: link in the table's list
