Apply an answer's statements to the record that is listed now

An upstream's limit or leaving was lost when its record was removed and listed again while the request ran: the answer was applied to the removed record, and requests went on.

Change: the answer is applied to the listed record of the same id; if there is none, it is kept for the record's return, as the statements from before the removal are.

--- a/src/gateway/departed_upstreams.c
+++ b/src/gateway/departed_upstreams.c
@@ -65,6 +65,7 @@
 {
     struct departed *added;
 
+    g_hash_table_remove(departed->by_id, upstream->id);
     if (upstream->stated.limit.per_s <= 0 && !upstream->stated.leaving &&
         upstream->stated.leaving_until_us <= now_us &&
         upstream->stated.backoff_until_us <= now_us) {
@@ -76,7 +77,7 @@
     added->started_ms = upstream->started_ms;
     added->removed_at_us = now_us;
     added->stated = upstream->stated;
-    g_hash_table_replace(departed->by_id, added->id, added);
+    g_hash_table_insert(departed->by_id, added->id, added);
 }
 
 void
--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/departed_upstreams.h
@@ -17,7 +17,7 @@
 void pgw_departed_upstreams_free(struct pgw_departed_upstreams *departed);
 
 /** pgw_departed_upstreams_add() - keep the statements of an upstream that is
- * being removed; does nothing if it has made none */
+ * not in the table, instead of those kept before */
 void pgw_departed_upstreams_add(struct pgw_departed_upstreams *departed,
                                 const struct pgw_upstream *upstream,
                                 uint64_t now_us);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -53,17 +53,33 @@
     return facts->genuine || facts->not_run;
 }
 
+/* The record that the request was sent by may have been removed, and the
+ * upstream listed again, since then. */
+static struct pgw_upstream *
+find_listed(const struct pgw_exchange *exchange)
+{
+    struct pgw_upstream *listed =
+        exchange->upstream->removed
+            ? pgw_upstream_table_find(exchange->gateway->upstreams,
+                                      exchange->upstream->id)
+            : NULL;
+
+    return listed != NULL ? listed : exchange->upstream;
+}
+
 /* Also applies to answers that are dropped later, as they belong to another
  * request. */
 static void
 apply_notice(const struct pgw_exchange *exchange,
              const struct pgw_answer_facts *facts)
 {
-    struct pgw_upstream *upstream = exchange->upstream;
+    struct pgw_upstream *upstream = find_listed(exchange);
     struct pgw_notice_origin origin = {
         .source = "answer",
         .asked_us = exchange->sent_us,
-        .may_be_former = exchange->sent_us < upstream->replaced_at_us,
+        .may_be_former =
+            exchange->sent_us < upstream->replaced_at_us ||
+            exchange->upstream->started_ms != upstream->started_ms,
     };
     bool was_limited = upstream->stated.limit.per_s > 0;
 
@@ -71,6 +87,10 @@
         return;
     }
     pgw_upstream_notice_apply(upstream, &facts->notice, &origin, pgw_now_us());
+    if (upstream->removed) {
+        pgw_upstream_table_keep_statements(exchange->gateway->upstreams,
+                                           upstream);
+    }
     if (was_limited && upstream->stated.limit.per_s <= 0) {
         pgw_upstream_limits_report_end(exchange->gateway, upstream);
         pgw_gateway_dispatch_queued(exchange->gateway);
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -428,6 +428,14 @@
     pgw_upstream_unref(upstream);
 }
 
+void
+pgw_upstream_table_keep_statements(struct pgw_upstream_table *table,
+                                   const struct pgw_upstream *upstream)
+{
+    pgw_departed_upstreams_add(table->departed, upstream,
+                               (uint64_t)g_get_monotonic_time());
+}
+
 struct pgw_upstream *
 pgw_upstream_table_find(const struct pgw_upstream_table *table, const char *id)
 {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -338,6 +338,13 @@
 struct pgw_upstream *pgw_upstream_ref(struct pgw_upstream *upstream);
 void pgw_upstream_unref(struct pgw_upstream *upstream);
 
+/**
+ * pgw_upstream_table_keep_statements() - keep the statements of an upstream
+ * that made them after it was removed; they hold if it is listed again
+ */
+void pgw_upstream_table_keep_statements(struct pgw_upstream_table *table,
+                                        const struct pgw_upstream *upstream);
+
 /** pgw_upstream_is_leaving() - it is draining, as the list, one of its answers
  * or its sidecar says */
 bool pgw_upstream_is_leaving(const struct pgw_upstream *upstream,
