Send one request first when an upstream's backoff has ended

Change: after a backoff one request is sent as a trial; the others follow its answer, unless that requests another backoff. Without an answer another goes after 300 ms. The check is in the choice, which every way to an upstream passes.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -1,5 +1,6 @@
 #include "gateway/announced_prompts.h"
 #include "gateway/exchange.h"
+#include "gateway/upstream_notice.h"
 #include "util/log.h"
 #include "util/metric.h"
 
@@ -65,7 +66,7 @@
     const struct pgw_prompt *prompt = &exchange->facts.prompt;
 
     pgw_upstream_schedule_probe(upstream, pgw_now_us());
-    pgw_limit_share_take(&upstream->stated.limit, pgw_now_us());
+    pgw_upstream_notice_count_request(upstream, pgw_now_us());
     exchange->upstream = upstream;
     exchange->missing_tokens = choice->missing_tokens;
     exchange->load_at_choice =
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -558,6 +558,24 @@
 #endif
 }
 
+/*
+ * Failure: many requests are queued when an upstream's backoff ends. Symptom:
+ * they reach it together, it refuses all of them and requests another backoff,
+ * and each takes a retry from the budget. The first request is a trial, and
+ * the others follow its answer.
+ */
+static bool
+awaits_trial(struct pgw_choice *out, const struct pgw_upstream *upstream,
+             const struct pgw_choose_input *input)
+{
+    if (!upstream->stated.recovering ||
+        input->now_us >= upstream->stated.next_trial_us) {
+        return false;
+    }
+    set_retry_at(out, upstream->stated.next_trial_us);
+    return true;
+}
+
 /* One pass over the candidates, over unhealthy ones only with
  * @include_unhealthy. */
 static struct pgw_upstream *
@@ -594,6 +612,7 @@
         at_limit = is_at_limit(out, upstream, input);
         out->only_throttled &= at_limit;
         if (awaits_probe(out, upstream, input) ||
+            awaits_trial(out, upstream, input) ||
             is_backing_off(out, upstream, input, options)) {
             continue;
         }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -82,6 +82,7 @@
             exchange->upstream->started_ms != upstream->started_ms,
     };
     bool was_limited = upstream->stated.limit.per_s > 0;
+    bool was_recovering = upstream->stated.recovering;
 
     if (!is_from_upstream(exchange, facts)) {
         return;
@@ -95,6 +96,9 @@
         pgw_upstream_limits_report_end(exchange->gateway, upstream);
         pgw_gateway_dispatch_queued(exchange->gateway);
     }
+    if (was_recovering && !upstream->stated.recovering) {
+        pgw_gateway_dispatch_queued(exchange->gateway);
+    }
 }
 
 static bool
--- a/src/gateway/upstream_notice.c
+++ b/src/gateway/upstream_notice.c
@@ -5,6 +5,9 @@
 
 /* Changes of a limit are logged at most this often. */
 #define CHANGE_LOG_INTERVAL_US 1000000
+/* An upstream whose backoff has ended gets one request per interval until it
+ * answers. Longer, and requests queue while it may be idle. */
+#define TRIAL_INTERVAL_US 300000
 
 static struct pgw_metric_gauge limited_upstreams = {
     .name = "pgw_gateway_limited_upstreams",
@@ -84,6 +87,17 @@
                      upstream->id, retry_after_us / 1000, source);
     }
     upstream->stated.backoff_until_us = until_us;
+    upstream->stated.recovering = true;
+}
+
+void
+pgw_upstream_notice_count_request(struct pgw_upstream *upstream,
+                                  uint64_t now_us)
+{
+    pgw_limit_share_take(&upstream->stated.limit, now_us);
+    if (upstream->stated.recovering) {
+        upstream->stated.next_trial_us = now_us + TRIAL_INTERVAL_US;
+    }
 }
 
 void
@@ -110,6 +124,9 @@
         extend_backoff(upstream, notice->retry_after_us, origin->source,
                        now_us);
     }
+    else if (origin->asked_us >= upstream->stated.backoff_until_us) {
+        upstream->stated.recovering = false;
+    }
     if (notice->limit > 0) {
         pgw_upstream_notice_set_limit(upstream, notice->limit, origin->source,
                                       now_us);
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -67,6 +67,11 @@
 void pgw_upstream_notice_set_limit(struct pgw_upstream *upstream, double per_s,
                                    const char *source, uint64_t stated_at_us);
 
+/** pgw_upstream_notice_count_request() - account a request that is sent to an
+ * upstream */
+void pgw_upstream_notice_count_request(struct pgw_upstream *upstream,
+                                       uint64_t now_us);
+
 /** pgw_upstream_notice_register_metrics() - register the gauges */
 void pgw_upstream_notice_register_metrics(void);
 
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -93,12 +93,16 @@
  * @leaving_until_us: it may be draining until then: the process that stated it
  *   may be a former one
  * @backoff_until_us: it wants no requests from this entry before this time
+ * @recovering: it has answered no request sent after that time
+ * @next_trial_us: while @recovering, no request is sent before this time
  */
 struct pgw_upstream_statements {
     struct pgw_limit_share limit;
     bool leaving;
     uint64_t leaving_until_us;
     uint64_t backoff_until_us;
+    bool recovering;
+    uint64_t next_trial_us;
 };
 
 /** pgw_upstream_statements_expire() - give statements that may be those of a
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -1,4 +1,5 @@
 #include "gateway/choose.h"
+#include "gateway/upstream_notice.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -745,6 +746,57 @@
     g_assert_false(applied.refusal_backoff_enabled);
 }
 
+/* Guards against queued requests that reach an upstream together when its
+ * backoff ends. */
+static void
+test_end_of_backoff_gets_one_trial(void)
+{
+    struct pool pool;
+    struct pgw_upstream *upstream;
+    struct pgw_upstream_notice notice = {.retry_after_us = 1000000};
+    struct pgw_notice_origin origin = {.source = "answer"};
+    struct pgw_choice choice;
+
+    pool_init(&pool);
+    upstream = add(&pool, "i", "a", 1);
+    pgw_upstream_notice_apply(upstream, &notice, &origin, NOW);
+    pool.input.now_us = NOW + 1000000;
+    g_assert_true(choose(&pool).upstream == upstream);
+    pgw_upstream_notice_count_request(upstream, pool.input.now_us);
+    choice = choose(&pool);
+    g_assert_null(choice.upstream);
+    g_assert_true(choice.busy);
+    g_assert_cmpuint(choice.retry_at_us, ==, NOW + 1300000);
+    /* The answer to a request from before the backoff shows nothing. */
+    notice.retry_after_us = 0;
+    origin.asked_us = NOW - 1;
+    pgw_upstream_notice_apply(upstream, &notice, &origin, pool.input.now_us);
+    g_assert_null(choose(&pool).upstream);
+    origin.asked_us = pool.input.now_us;
+    pgw_upstream_notice_apply(upstream, &notice, &origin, pool.input.now_us);
+    g_assert_true(choose(&pool).upstream == upstream);
+    pgw_upstream_table_free(pool.table);
+}
+
+/* Guards against an upstream that stays unused because the trial after its
+ * backoff gets no answer. */
+static void
+test_unanswered_trial_is_repeated(void)
+{
+    struct pool pool;
+    struct pgw_upstream *upstream;
+    struct pgw_upstream_notice notice = {.retry_after_us = 1000000};
+    struct pgw_notice_origin origin = {.source = "answer"};
+
+    pool_init(&pool);
+    upstream = add(&pool, "i", "a", 1);
+    pgw_upstream_notice_apply(upstream, &notice, &origin, NOW);
+    pgw_upstream_notice_count_request(upstream, NOW + 1000000);
+    pool.input.now_us = NOW + 1300000;
+    g_assert_true(choose(&pool).upstream == upstream);
+    pgw_upstream_table_free(pool.table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -786,6 +838,10 @@
                     test_unresponsive_engine_gets_one_probe);
     g_test_add_func("/choose/backlog_limit", test_backlog_is_limited);
     g_test_add_func("/choose/no_sidecar", test_no_sidecar_is_responsive);
+    g_test_add_func("/choose/end_of_backoff_gets_one_trial",
+                    test_end_of_backoff_gets_one_trial);
+    g_test_add_func("/choose/unanswered_trial_is_repeated",
+                    test_unanswered_trial_is_repeated);
     g_test_add_func("/choose/policy", test_policy_disables_costs);
     return g_test_run();
 }
