Relay answers of more than one megabyte

A caller of a plain service got a closed connection instead of a complete answer of more than 1 MB, however fast it read: the whole answer is written at once, and the bound for callers of streams that have stopped reading was checked before anything was sent.

Measured: /gateway/large_answer, 3 MB, failed before and passes.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -16,8 +16,8 @@
 #define ACCEPT_BATCH 32
 /* Most bytes of pipelined requests that are buffered. */
 #define PIPELINE_LIMIT ((size_t)64 * 1024)
-/* A caller with more buffered output than this has stopped reading; its
- * connection is closed, which bounds the memory for slow callers. */
+/* A caller of a stream with more buffered output than this has stopped
+ * reading; its connection is closed, which bounds the memory for it. */
 #define OUT_LIMIT ((size_t)1024 * 1024)
 /* Most bytes that are reserved for an announced body before it arrives. */
 #define BODY_RESERVE ((size_t)256 * 1024)
@@ -421,7 +421,8 @@
     else {
         pgw_buffer_append(&caller->out, data, size);
     }
-    if (pgw_buffer_size(&caller->out) > OUT_LIMIT) {
+    /* An answer that is not a stream is complete and bounded by its reader. */
+    if (caller->chunked && pgw_buffer_size(&caller->out) > OUT_LIMIT) {
         pgw_log_warning("caller_slow", "pending=%zu",
                         pgw_buffer_size(&caller->out));
         shutdown(caller->watch.fd, SHUT_RDWR);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -950,6 +950,30 @@
     scene_free(scene);
 }
 
+/* Guards against an answer that is lost because it is larger than what may
+ * wait for a caller of a stream. */
+static void
+test_large_answer(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call_with_fields(scene, "/once/", "id-1",
+                                        "Connection: close\r\n");
+    int upstream = scene_accept(scene, 0);
+    char *body = g_strnfill(3000000, 'x');
+    char *answer;
+
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "id-1", 200, "", body);
+    answer = scene_read_all(caller);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+    g_assert_true(g_str_has_suffix(answer, body));
+    g_free(answer);
+    g_free(body);
+    close(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -999,6 +1023,7 @@
     g_test_add_func("/gateway/completed_run_clears_quarantine",
                     test_completed_run_clears_quarantine);
     g_test_add_func("/gateway/process_ended", test_dead_process_ends_attempts);
+    g_test_add_func("/gateway/large_answer", test_large_answer);
     g_test_add_func("/gateway/last_answer_of_a_process",
                     test_final_answer_is_delivered);
     return g_test_run();
