Drain until callers have been sent their answers

An entry of the platform that is stopped could end while a caller still read its answer: a request counted until its answer was complete in memory. With answers of several megabytes and a caller that reads slowly the caller got a part of it.

Change: a connection with unsent bytes counts as a request.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -650,7 +650,17 @@
 unsigned
 pgw_caller_server_request_count(const struct pgw_caller_server *server)
 {
-    return server->request_count;
+    unsigned count = server->request_count;
+
+    /* A connection whose answer is complete may still have to send it. */
+    pgw_list_foreach (link, &server->callers) {
+        const struct pgw_caller *caller =
+            pgw_container_of(link, struct pgw_caller, in_server);
+
+        count += !caller->closed && !caller->request_is_active &&
+                 pgw_buffer_size(&caller->out) > 0;
+    }
+    return count;
 }
 
 void
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -136,7 +136,7 @@
 void pgw_caller_server_close_idle(struct pgw_caller_server *server);
 
 /** pgw_caller_server_request_count() - number of requests being read or
- * answered */
+ * answered, until all bytes of the answer are sent */
 unsigned
 pgw_caller_server_request_count(const struct pgw_caller_server *server);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -974,6 +974,41 @@
     scene_free(scene);
 }
 
+static unsigned request_count;
+
+static void
+count_requests(struct scene *scene)
+{
+    request_count = pgw_gateway_request_count(scene->gateway);
+}
+
+/* Guards against a drain that ends while a slow caller still reads its answer.
+ */
+static void
+test_answer_counts_until_it_is_sent(void)
+{
+    struct scene *scene = ready_scene(1);
+    int caller = scene_call_with_fields(scene, "/once/", "id-1",
+                                        "Connection: close\r\n");
+    int upstream = scene_accept(scene, 0);
+    /* More than the kernel takes of it while nobody reads. */
+    char *body = g_strnfill(8000000, 'x');
+
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "id-1", 200, "", body);
+    g_free(scene_read_until(caller, "\r\n\r\n"));
+    scene_run(scene, count_requests);
+    g_assert_cmpuint(request_count, ==, 1);
+    g_free(scene_read_all(caller));
+    do {
+        scene_run(scene, count_requests);
+    } while (request_count > 0);
+    g_free(body);
+    close(caller);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1024,6 +1059,8 @@
                     test_completed_run_clears_quarantine);
     g_test_add_func("/gateway/process_ended", test_dead_process_ends_attempts);
     g_test_add_func("/gateway/large_answer", test_large_answer);
+    g_test_add_func("/gateway/answer_counts_until_it_is_sent",
+                    test_answer_counts_until_it_is_sent);
     g_test_add_func("/gateway/last_answer_of_a_process",
                     test_final_answer_is_delivered);
     return g_test_run();
