--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -126,9 +126,11 @@
 {
     struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
     unsigned inflight = atomic_load(&entry->inflight);
-    unsigned reading = atomic_load(&entry->reading);
+    unsigned unanswered = atomic_load(&entry->unanswered);
 
-    if (inflight + reading > 0 && pgw_now_us() < entry->drain_until_us) {
+    /* A request that is refused is never in flight, and its answer is lost if
+     * the HTTP server stops before it is sent. */
+    if (inflight + unanswered > 0 && pgw_now_us() < entry->drain_until_us) {
         pgw_timer_start(entry->loop, timer, DRAIN_CHECK_US);
         return;
     }
@@ -169,7 +171,8 @@
     do {
         pgw_loop_run_tasks(entry->loop);
         refuse_rest(entry);
-        if (atomic_load(&entry->inflight) == 0) {
+        if (atomic_load(&entry->inflight) == 0 &&
+            atomic_load(&entry->unanswered) == 0) {
             return;
         }
         g_usleep(FINISH_CHECK_US);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -99,6 +99,7 @@
  * @workspaces: requests in progress of each workspace
  * @inflight: exchanges not yet ended, over all threads
  * @reading: requests whose body is still on its way
+ * @unanswered: requests whose head has arrived and whose answer is not sent
  * @usable: upstreams that take new work, for readiness
  * @leaving: no new work
  */
@@ -134,6 +135,7 @@
     struct workspace_count *workspaces;
     atomic_uint inflight;
     atomic_uint reading;
+    atomic_uint unanswered;
     atomic_uint usable;
     atomic_bool leaving;
 };
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -324,6 +324,7 @@
     struct exchange *exchange = exchange_new(http->entry, connection);
 
     *slot = exchange;
+    atomic_fetch_add(&http->entry->unanswered, 1);
     account_accept();
     if (!format_from_path(&exchange->format, method, path)) {
         struct refusal refusal = {0};
@@ -414,6 +415,7 @@
         return;
     }
     *slot = NULL;
+    atomic_fetch_sub(&exchange->entry->unanswered, 1);
     pthread_mutex_lock(&exchange->output.lock);
     exchange->output.suspended = false;
     pthread_mutex_unlock(&exchange->output.lock);
