Log how an entry saw that a sidecar was silent, older path

Its line does not tell whether the sidecar sent nothing for two seconds, or whether the entry, or the machine, stood still. It now has the times since anything was received and queued and since the attempts began, and how late the check was.

--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -293,6 +293,24 @@
     }
 }
 
+/* A check that is late itself shows that this process stood still, and perhaps
+ * its whole machine. */
+static void
+log_silence(const struct upstream *upstream, const struct pgw_timer *check)
+{
+    uint64_t now = pgw_now_us();
+
+    pgw_log_warning(
+        "upstream_silent",
+        "upstream=%s heard_ms=%" G_GUINT64_FORMAT
+        " queued_ms=%" G_GUINT64_FORMAT " busy_ms=%" G_GUINT64_FORMAT
+        " late_ms=%" G_GUINT64_FORMAT " greeted=%d attempts=%d",
+        upstream->id, (now - pgw_link_last_received_us(upstream->link)) / 1000,
+        (now - pgw_link_last_queued_us(upstream->link)) / 1000,
+        (now - upstream->busy_us) / 1000, (now - check->due_us) / 1000,
+        upstream->greeted, !pgw_list_is_empty(&upstream->attempts));
+}
+
 static void
 retry_due(struct pgw_timer *timer)
 {
@@ -306,7 +324,7 @@
         return;
     }
     if (is_silent(upstream)) {
-        pgw_log_warning("upstream_silent", "upstream=%s", upstream->id);
+        log_silence(upstream, timer);
         pgw_link_close(upstream->link);
         return;
     }
