Refuse queued requests once their pool's backoffs leave them no time

Callers whose requests were queued when all upstreams of a pool requested longer backoffs waited for the rest of their time, and were then told to return after 250 ms, into the same backoffs; so were callers whose retries were used up.

Cause: only a request that is about to be queued was compared with the backoffs, and each other refusal named a constant.

Change: queued requests are compared as well, unless limits decide, whose turns are estimates; and every refusal for want of an upstream names when the first of them takes requests again, spread, if all hold them back.

Measured: /upstream_notice/queued_request_is_refused_at_once failed before and passes; the other 25 cases pass.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -196,7 +196,8 @@
             pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
         }
         else {
-            pgw_exchange_refuse(exchange, 503, "upstreams_refuse", 250);
+            pgw_exchange_refuse(exchange, 503, "upstreams_refuse",
+                                pgw_exchange_retry_ms(exchange));
         }
         return;
     }
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -228,45 +228,10 @@
     pgw_gateway_dispatch_queued(gateway);
 }
 
-/* A request that never reached an upstream is reported as not run; for any
- * other the outcome is unknown. */
+/* @tried_count: number of the upstreams tried before that are left out */
 static void
-on_deadline(struct pgw_timer *timer)
-{
-    struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, deadline_timer);
-
-    if (exchange->caller == NULL) {
-        pgw_exchange_finish(exchange, "abandoned");
-        return;
-    }
-    if (exchange->upstream == NULL && !exchange->may_have_run) {
-        pgw_exchange_refuse(exchange, 503, "no_place", NO_SLOT_RETRY_MS);
-        return;
-    }
-    if (exchange->upstream != NULL) {
-        pgw_upstream_record_attempt(exchange->upstream, PGW_RESULT_TIMEOUT,
-                                    pgw_now_us());
-    }
-    pgw_exchange_refuse(exchange, 504, "deadline", 0);
-}
-
-static void
-on_queue_timeout(struct pgw_timer *timer)
-{
-    struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
-
-    if (exchange->may_have_run) {
-        pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
-    }
-    else {
-        pgw_exchange_refuse(exchange, 503, "no_place", NO_SLOT_RETRY_MS);
-    }
-}
-
-static void
-choose_upstream(struct pgw_choice *out, const struct pgw_exchange *exchange)
+choose_upstream(struct pgw_choice *out, const struct pgw_exchange *exchange,
+                size_t tried_count)
 {
     struct pgw_gateway *gateway = exchange->gateway;
     const struct pgw_service *service =
@@ -279,7 +244,7 @@
     struct pgw_choose_input input = {
         .pool = pgw_upstream_table_pool(gateway->upstreams, exchange->service),
         .tried = exchange->tried,
-        .tried_count = exchange->tried_count,
+        .tried_count = tried_count,
         .now_us = pgw_now_us(),
         .random = pgw_random_u64(),
     };
@@ -320,7 +285,7 @@
 {
     struct pgw_choice choice;
 
-    choose_upstream(&choice, exchange);
+    choose_upstream(&choice, exchange, exchange->tried_count);
     return choice.upstream != NULL;
 }
 
@@ -374,38 +339,101 @@
     return wait_us;
 }
 
+/* The retry times of callers are spread over half of the delay, so that those
+ * refused together do not return together. */
+static uint32_t
+throttled_retry_ms(uint64_t delay_us)
+{
+    uint64_t retry_ms = MIN(delay_us / 1000, THROTTLED_RETRY_MAX_MS);
+
+    return (uint32_t)(retry_ms + pgw_random_u64() % (retry_ms / 2 + 1));
+}
+
+/* A caller that returns may be served by any upstream, also by one that was
+ * tried. */
+uint32_t
+pgw_exchange_retry_ms(const struct pgw_exchange *exchange)
+{
+    struct pgw_choice choice;
+    uint64_t now_us = pgw_now_us();
+
+    choose_upstream(&choice, exchange, 0);
+    return choice.upstream == NULL && choice.only_throttled
+               ? MAX(throttled_retry_ms(
+                         throttle_delay_us(exchange, &choice, now_us)),
+                     NO_SLOT_RETRY_MS)
+               : NO_SLOT_RETRY_MS;
+}
+
+/* A request that never reached an upstream is reported as not run; for any
+ * other the outcome is unknown. */
+static void
+on_deadline(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, deadline_timer);
+
+    if (exchange->caller == NULL) {
+        pgw_exchange_finish(exchange, "abandoned");
+        return;
+    }
+    if (exchange->upstream == NULL && !exchange->may_have_run) {
+        pgw_exchange_refuse(exchange, 503, "no_place",
+                            pgw_exchange_retry_ms(exchange));
+        return;
+    }
+    if (exchange->upstream != NULL) {
+        pgw_upstream_record_attempt(exchange->upstream, PGW_RESULT_TIMEOUT,
+                                    pgw_now_us());
+    }
+    pgw_exchange_refuse(exchange, 504, "deadline", 0);
+}
+
+static void
+on_queue_timeout(struct pgw_timer *timer)
+{
+    struct pgw_exchange *exchange =
+        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+
+    if (exchange->may_have_run) {
+        pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
+    }
+    else {
+        pgw_exchange_refuse(exchange, 503, "no_place",
+                            pgw_exchange_retry_ms(exchange));
+    }
+}
+
 /*
  * Failure: all upstreams of a pool are at their limits or want no requests.
  * Symptom: callers wait in the queue for requests that others get first, and
  * are refused only when no time is left to try elsewhere. A request whose turn
- * would come too late is refused at once, with the time until its turn. Its
- * caller's retry is spread over half of that time, so that callers refused
- * together do not return together.
+ * would come too late is refused at once, with the time until its turn. The
+ * turn of a queued request at a limit is an estimate that changes with the
+ * grants of its owner, so that request waits on.
  */
 static bool
 refuse_throttled(struct pgw_exchange *exchange,
                  const struct pgw_choice *choice, uint64_t now_us)
 {
-    uint64_t wait_us;
-    uint64_t retry_ms;
+    bool is_queued = pgw_list_is_linked(&exchange->waiting.link);
+    uint64_t delay_us;
 
-    if (!choice->only_throttled) {
+    if (!choice->only_throttled || (is_queued && choice->limited_per_s > 0)) {
         return false;
     }
-    wait_us = throttle_delay_us(exchange, choice, now_us);
-    if (wait_us <= queue_time_limit_us(exchange, now_us)) {
+    delay_us = throttle_delay_us(exchange, choice, now_us);
+    if (delay_us <= queue_time_limit_us(exchange, now_us)) {
         return false;
     }
     if (exchange->may_have_run) {
         pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
         return true;
     }
-    retry_ms = MIN(wait_us / 1000, THROTTLED_RETRY_MAX_MS);
-    retry_ms += pgw_random_u64() % (retry_ms / 2 + 1);
     pgw_exchange_refuse(exchange, 503,
                         choice->limited_per_s > 0 ? "upstream_limits"
                                                   : "upstreams_in_backoff",
-                        (uint32_t)retry_ms);
+                        throttled_retry_ms(delay_us));
     return true;
 }
 
@@ -423,7 +451,7 @@
     if (pgw_home_probe_begin(exchange)) {
         return;
     }
-    choose_upstream(&choice, exchange);
+    choose_upstream(&choice, exchange, exchange->tried_count);
     if (choice.limited != NULL) {
         pgw_upstream_limits_want(gateway, choice.limited,
                                  !pgw_list_is_linked(&exchange->waiting.link));
@@ -435,8 +463,8 @@
         return;
     }
     pgw_gateway_dispatch_queued_at(gateway, choice.retry_at_us);
-    if (pgw_list_is_linked(&exchange->waiting.link) ||
-        refuse_throttled(exchange, &choice, now)) {
+    if (refuse_throttled(exchange, &choice, now) ||
+        pgw_list_is_linked(&exchange->waiting.link)) {
         return;
     }
     /* A stream that is queued to resume keeps its phase, since its head was
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -263,6 +263,35 @@
     scene_free(scene);
 }
 
+/* Guards against queued requests that wait for a pool whose backoff began
+ * after they were queued and is longer than their time. */
+static void
+test_queued_request_is_refused_at_once(void)
+{
+    struct scene *scene = start(1);
+    int first = scene_call(scene, "/again/", "a");
+    int fd = accept_request(scene, 0);
+    int second = scene_call(scene, "/once/", "b");
+    char *answer;
+
+    /* The only slot is occupied, so the second request is queued. */
+    wait_for_requests(scene, 2);
+    refuse_with(fd, LONG_RETRY_AFTER CLOSE);
+    answer = scene_read_until(first, "retry_after_ms");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
+    g_free(answer);
+    answer = scene_read_until(second, "retry_after_ms");
+    g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(answer, "\"ran\":\"no\""));
+    g_assert_cmpint(atoi(strstr(answer, "Retry-After: ") + 13), >=, 10);
+    g_free(answer);
+    g_assert_true(scene_has_no_connection(scene, 0));
+    close(first);
+    close(second);
+    close(fd);
+    scene_free(scene);
+}
+
 /* Guards against a request that is refused although the backoff of its
  * upstream ends in time. */
 static void
@@ -397,6 +426,8 @@
     g_test_add_func("/upstream_notice/limit_ends", test_limit_ends);
     g_test_add_func("/upstream_notice/pool_in_backoff_refuses_at_once",
                     test_pool_in_backoff_refuses_at_once);
+    g_test_add_func("/upstream_notice/queued_request_is_refused_at_once",
+                    test_queued_request_is_refused_at_once);
     g_test_add_func("/upstream_notice/backoff_ends", test_backoff_ends);
     return g_test_run();
 }
