--- a/tests/failure/fail_retry_after.c
+++ b/tests/failure/fail_retry_after.c
@@ -16,8 +16,7 @@
     return count;
 }
 
-/* Guards against requests that reach an engine that has requested a backoff.
- */
+/* Guards against requests for an engine that has requested a backoff. */
 static void
 test_backoff_is_kept(void)
 {
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -746,8 +746,7 @@
     g_assert_false(applied.refusal_backoff_enabled);
 }
 
-/* Guards against queued requests that reach an upstream together when its
- * backoff ends. */
+/* Guards against queued requests that arrive together after a backoff. */
 static void
 test_end_of_backoff_gets_one_trial(void)
 {
@@ -778,8 +777,7 @@
     pgw_upstream_table_free(pool.table);
 }
 
-/* Guards against an upstream that stays unused because the trial after its
- * backoff gets no answer. */
+/* Guards against an upstream that stays unused after an unanswered trial. */
 static void
 test_unanswered_trial_is_repeated(void)
 {
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -322,8 +322,7 @@
     return reported;
 }
 
-/* Guards against a limit that an engine names only to its sidecar, and that no
- * entry hears of. */
+/* Guards against a limit that is known to the sidecar alone. */
 static void
 test_limit_is_reported(void)
 {
@@ -351,8 +350,7 @@
     return reported;
 }
 
-/* Guards against entries that get no report of an engine that tells its
- * sidecar that it leaves, in a field of its answers or in its report. */
+/* Guards against a leaving engine that is known to the sidecar alone. */
 static void
 test_leaving_is_reported(void)
 {
@@ -381,8 +379,7 @@
     return engine->reports_refused > 0 && is_reported(engine);
 }
 
-/* Guards against a sidecar that goes on polling an engine that has requested
- * a backoff. */
+/* Guards against polls of an engine that has requested a backoff. */
 static void
 test_backoff_of_polls(void)
 {
@@ -411,8 +408,7 @@
     return reported;
 }
 
-/* Guards against a limit that is lost because it is in the same answer as the
- * engine's new start. */
+/* Guards against a limit that is lost beside the engine's new start. */
 static void
 test_limit_with_a_restart(void)
 {
@@ -440,8 +436,7 @@
     return engine->reports > 5;
 }
 
-/* Guards against a backoff that ends early because the engine's new start is
- * reported after it. */
+/* Guards against a backoff that the engine's new start ends early. */
 static void
 test_backoff_before_a_known_restart(void)
 {
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -950,8 +950,7 @@
     scene_free(scene);
 }
 
-/* Guards against an answer that is lost because it is larger than what may
- * wait for a caller of a stream. */
+/* Guards against a large answer that is lost. */
 static void
 test_large_answer(void)
 {
@@ -982,8 +981,7 @@
     request_count = pgw_gateway_request_count(scene->gateway);
 }
 
-/* Guards against a drain that ends while a slow caller still reads its answer.
- */
+/* Guards against a drain that ends before a slow caller has its answer. */
 static void
 test_answer_counts_until_it_is_sent(void)
 {
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -235,8 +235,7 @@
     g_assert_true(platform_codec.keep_answer_field("server-limit"));
 }
 
-/* Guards against an upstream that counts as leaving because of a value that
- * makes no sense. */
+/* Guards against an upstream that leaves because of an invalid value. */
 static void
 test_leaving_values(void)
 {
@@ -255,8 +254,7 @@
     g_assert_false(notice.leaving);
 }
 
-/* Guards against a Retry-After that is taken from another answer than a
- * refusal, or from a value that makes no sense. */
+/* Guards against a Retry-After of an answer that is no refusal, or invalid. */
 static void
 test_retry_after_values(void)
 {
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -130,8 +130,7 @@
     return held;
 }
 
-/* Guards against a queued request that is sent to an upstream that takes none.
- */
+/* Guards against a queued request for an upstream that takes none. */
 static void
 test_queue(gconstpointer notice)
 {
@@ -184,8 +183,7 @@
     scene_free(scene);
 }
 
-/* Guards against a stream that is resumed at an upstream that takes no
- * request. */
+/* Guards against a stream that is resumed where no request is taken. */
 static void
 test_resumed_stream(gconstpointer notice)
 {
@@ -212,8 +210,7 @@
     scene_free(scene);
 }
 
-/* Guards against requests that are sent to a pool whose upstreams are all at
- * their limits, and against callers who wait there for nothing. */
+/* Guards against callers who wait for a pool that is at its limits. */
 static void
 test_limited_pool_refuses_at_once(void)
 {
@@ -234,8 +231,7 @@
     scene_free(scene);
 }
 
-/* Guards against callers who wait for a pool whose backoff is longer than
- * their time, and against a wrong word on when to come back. */
+/* Guards against callers who wait for a pool that is in a long backoff. */
 static void
 test_pool_in_backoff_refuses_at_once(void)
 {
@@ -263,8 +259,7 @@
     scene_free(scene);
 }
 
-/* Guards against queued requests that wait for a pool whose backoff began
- * after they were queued and is longer than their time. */
+/* Guards against queued requests that wait for a pool in a long backoff. */
 static void
 test_queued_request_is_refused_at_once(void)
 {
@@ -292,8 +287,7 @@
     scene_free(scene);
 }
 
-/* Guards against a request that is refused although the backoff of its
- * upstream ends in time. */
+/* Guards against a refusal although the backoff ends in time. */
 static void
 test_backoff_ends(void)
 {
@@ -314,8 +308,7 @@
     scene_free(scene);
 }
 
-/* Guards against a retry that waits for an upstream whose limit allows none
- * within its deadline. */
+/* Guards against a retry that waits for a limit beyond its deadline. */
 static void
 test_retry_beyond_limits_is_refused(void)
 {
@@ -337,8 +330,7 @@
     scene_free(scene);
 }
 
-/* Guards against an upstream that stays limited after it has ended its limit.
- */
+/* Guards against an upstream that stays limited after its limit's end. */
 static void
 test_limit_ends(void)
 {
@@ -352,8 +344,7 @@
     scene_free(scene);
 }
 
-/* Guards against a statement that is lost because the upstream's record was
- * removed and listed again while the request ran. */
+/* Guards against a statement that is lost with its upstream's record. */
 static void
 test_record_lost_meanwhile(gconstpointer data)
 {
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -32,9 +32,7 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against a leaving upstream that counts as ready when an older copy of
- * its record is listed again, and against a successor that counts as leaving.
- */
+/* Guards against a leaving upstream that is ready again by an old record. */
 static void
 test_said_leaving_survives_a_lost_record(void)
 {
@@ -51,8 +49,7 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against a backoff that is cut short by a later, shorter one, or that
- * the successor of the upstream has to keep. */
+/* Guards against a backoff that a shorter one ends, or a successor keeps. */
 static void
 test_backoff_is_kept(void)
 {
@@ -75,9 +72,7 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against a limit that is forgotten when the upstream's record is lost
- * and listed again, and against one that outlives its process's first answer
- * without it. */
+/* Guards against a limit that is lost with a record, or never ends. */
 static void
 test_limit_survives_a_lost_record(void)
 {
@@ -301,8 +296,7 @@
     g_assert_false(pgw_upstream_is_usable(upstream, now_us));
 }
 
-/* Guards against statements of a restarted upstream that are lost when the
- * list names the restart later than they arrive. */
+/* Guards against statements that are lost when a restart becomes known. */
 static void
 test_statements_before_a_known_restart(void)
 {
@@ -316,8 +310,7 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against the same loss when the record is listed again only after the
- * restart. */
+/* Guards against statements that a restart of a delisted upstream erases. */
 static void
 test_statements_before_a_restart_while_delisted(void)
 {
@@ -331,8 +324,7 @@
     pgw_upstream_table_free(table);
 }
 
-/* Guards against an upstream that stays unused because its former process was
- * leaving. */
+/* Guards against an upstream that stays unused after its former one left. */
 static void
 test_leaving_ends_after_a_restart(void)
 {
