Let the trial after a backoff and kept statements be switched off

For mutation tests alone; the default build is the same. script/mutate: GATEWAY_TRIAL is caught by test_choose, GATEWAY_RESTART_STATEMENTS by test_upstream_table, and the three of the statements are still caught.

--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -568,12 +568,16 @@
 awaits_trial(struct pgw_choice *out, const struct pgw_upstream *upstream,
              const struct pgw_choose_input *input)
 {
+#ifndef PGW_DISABLE_GATEWAY_TRIAL
     if (!upstream->stated.recovering ||
         input->now_us >= upstream->stated.next_trial_us) {
         return false;
     }
     set_retry_at(out, upstream->stated.next_trial_us);
     return true;
+#else
+    return false;
+#endif
 }
 
 /* One pass over the candidates, over unhealthy ones only with
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -270,6 +270,9 @@
 {
     pgw_upstream_statements_expire(&upstream->stated,
                                    (uint64_t)g_get_monotonic_time());
+#ifdef PGW_DISABLE_GATEWAY_RESTART_STATEMENTS
+    upstream->stated = (struct pgw_upstream_statements){0};
+#endif
     upstream->leaving = false;
     upstream->sidecar_leaving_until_us = 0;
     upstream->displaced = false;
