--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -215,8 +215,8 @@
  * frees the exchange */
 void pgw_exchange_refuse(struct pgw_exchange *exchange, unsigned status,
                          const char *reason, uint32_t retry_after_ms);
-/** pgw_exchange_retry_ms() - when a caller that is refused may return: when the
- * first of the upstreams takes requests again, if all hold them back */
+/** pgw_exchange_retry_ms() - when a caller that is refused may return: when
+ * the first of the upstreams takes requests again, if all hold them back */
 uint32_t pgw_exchange_retry_ms(const struct pgw_exchange *exchange);
 /** pgw_exchange_free() - release all resources and close the call */
 void pgw_exchange_free(struct pgw_exchange *exchange);
