Excuse an entry of the soak as soon as it has restarted

After a herd of restarts the entries were excused once all of them were back, which is seconds later if one is still draining; an entry that was back could be blamed for what its former process had been told.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -934,6 +934,11 @@
             upstream.backoff.excuse(process.index)
 
 
+async def restart(fleet, process, number, pause_s):
+    await process.restart(number, pause_s)
+    excuse(fleet, process)
+
+
 async def limit(soak, fleet):
     """Upstreams of one service, often all of them, name limits that change."""
     pick = soak.random
@@ -991,9 +996,8 @@
           f"{for_s:.1f}s", flush=True)
     if kind in ("kill", "term", "sidecar"):
         process = sidecar if kind == "sidecar" else entry
-        await process.restart(signal.SIGTERM if kind == "term"
-                              else signal.SIGKILL, for_s / 3)
-        excuse(fleet, process)
+        await restart(fleet, process, signal.SIGTERM if kind == "term"
+                      else signal.SIGKILL, for_s / 3)
     elif kind == "pause":
         process = pick.choice([entry, sidecar])
         print(f"pauses {process.role} {process.index}", flush=True)
@@ -1002,10 +1006,8 @@
         process.signal(signal.SIGCONT)
         excuse(fleet, process)
     elif kind == "herd":
-        await asyncio.gather(*[process.restart(signal.SIGKILL, 0.1)
+        await asyncio.gather(*[restart(fleet, process, signal.SIGKILL, 0.1)
                                for process in fleet.entries])
-        for process in fleet.entries:
-            excuse(fleet, process)
     elif kind == "store":
         fleet.store.mode = pick.choice(["silent", "refuse", "slow", "lost"])
         await asyncio.sleep(for_s)
