Keep one copy of a refusal and of a large answer in the tests

No behaviour changes. The refusal was written in scene_refuse(), in test_upstream_notice and in scene_engine; two cases of test_gateway began with the same lines. A comment says that an answer does not name its process.

Measured: test_upstream_notice, test_engine_sidecar, test_upstream_table, test_choose, test_home_probe and both cases pass; with the safeguard of unsent answers taken out, in the working tree, its case still fails.

--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -262,8 +262,8 @@
 
 /*
  * Resets the state of the former process. Statements of the new one may have
- * arrived before its start is known, and an answer does not tell which process
- * sent it, so they are kept until they end.
+ * arrived before its start is known, and an answer does not name the process
+ * that sent it, so they are kept until they end.
  */
 static void
 reset_process_state(struct pgw_upstream *upstream)
--- a/tests/unit/scene_engine.c
+++ b/tests/unit/scene_engine.c
@@ -9,12 +9,10 @@
 static void
 refuse_for(int fd, const char *retry_after)
 {
-    char *text = g_strdup_printf("HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
-                                 "Content-Length: 0\r\n\r\n",
-                                 retry_after);
+    char *field = g_strdup_printf("Retry-After: %s\r\n", retry_after);
 
-    scene_send(fd, text);
-    g_free(text);
+    scene_refuse_with(fd, field);
+    g_free(field);
 }
 
 /* Serves one request of the sidecar. */
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -498,11 +498,21 @@
     g_free(text);
 }
 
+void
+scene_refuse_with(int fd, const char *fields)
+{
+    char *text = g_strdup_printf("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%s"
+                                 "Content-Length: 0\r\n\r\n",
+                                 fields);
+
+    scene_send(fd, text);
+    g_free(text);
+}
+
 void
 scene_refuse(int fd)
 {
-    scene_send(fd, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"
-                   "Content-Length: 0\r\n\r\n");
+    scene_refuse_with(fd, "");
 }
 
 void
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -146,6 +146,10 @@
 /** scene_refuse() - answer that the request was not run */
 void scene_refuse(int fd);
 
+/** scene_refuse_with() - the same with additional header lines, each with its
+ * CRLF */
+void scene_refuse_with(int fd, const char *fields);
+
 /** scene_begin_stream() - send the head of a chunked stream */
 void scene_begin_stream(int fd, const char *id);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -950,26 +950,37 @@
     scene_free(scene);
 }
 
+/* Lets an upstream answer with a large body, which is returned. The caller's
+ * connection ends with the answer. */
+static char *
+answer_with_large_body(struct scene *scene, int *caller, size_t size)
+{
+    char *body = g_strnfill(size, 'x');
+    int upstream;
+
+    *caller = scene_call_with_fields(scene, "/once/", "id-1",
+                                     "Connection: close\r\n");
+    upstream = scene_accept(scene, 0);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "id-1", 200, "", body);
+    close(upstream);
+    return body;
+}
+
 /* Guards against a large answer that is lost. */
 static void
 test_large_answer(void)
 {
     struct scene *scene = ready_scene(1);
-    int caller = scene_call_with_fields(scene, "/once/", "id-1",
-                                        "Connection: close\r\n");
-    int upstream = scene_accept(scene, 0);
-    char *body = g_strnfill(3000000, 'x');
-    char *answer;
+    int caller;
+    char *body = answer_with_large_body(scene, &caller, 3000000);
+    char *answer = scene_read_all(caller);
 
-    g_free(scene_read_request(upstream));
-    scene_answer(upstream, "id-1", 200, "", body);
-    answer = scene_read_all(caller);
     g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
     g_assert_true(g_str_has_suffix(answer, body));
     g_free(answer);
     g_free(body);
     close(caller);
-    close(upstream);
     scene_free(scene);
 }
 
@@ -986,14 +997,10 @@
 test_answer_counts_until_it_is_sent(void)
 {
     struct scene *scene = ready_scene(1);
-    int caller = scene_call_with_fields(scene, "/once/", "id-1",
-                                        "Connection: close\r\n");
-    int upstream = scene_accept(scene, 0);
-    /* More than the kernel takes of it while nobody reads. */
-    char *body = g_strnfill(8000000, 'x');
+    int caller;
 
-    g_free(scene_read_request(upstream));
-    scene_answer(upstream, "id-1", 200, "", body);
+    /* More than the kernel takes of it while nobody reads. */
+    g_free(answer_with_large_body(scene, &caller, 8000000));
     g_free(scene_read_until(caller, "\r\n\r\n"));
     scene_run(scene, count_requests);
     g_assert_cmpuint(request_count, ==, 1);
@@ -1001,9 +1008,7 @@
     do {
         scene_run(scene, count_requests);
     } while (request_count > 0);
-    g_free(body);
     close(caller);
-    close(upstream);
     scene_free(scene);
 }
 
--- a/tests/unit/test_upstream_notice.c
+++ b/tests/unit/test_upstream_notice.c
@@ -94,17 +94,6 @@
     return upstream;
 }
 
-static void
-refuse_with(int fd, const char *fields)
-{
-    char *refusal = g_strdup_printf("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%s"
-                                    "Content-Length: 0\r\n\r\n",
-                                    fields);
-
-    scene_send(fd, refusal);
-    g_free(refusal);
-}
-
 /* Lets one upstream state a notice, and returns it. A refused request is
  * served by another upstream. */
 static unsigned
@@ -121,7 +110,7 @@
     caller = scene_call(scene, "/again/", "notice");
     fd = scene_accept_any(scene, &held);
     g_free(scene_read_request(fd));
-    refuse_with(fd, notice->fields);
+    scene_refuse_with(fd, notice->fields);
     close(fd);
     fd = scene_accept_any(scene, &other);
     g_assert_cmpuint(other, !=, held);
@@ -241,7 +230,7 @@
     int second;
     char *answer;
 
-    refuse_with(fd, LONG_RETRY_AFTER CLOSE);
+    scene_refuse_with(fd, LONG_RETRY_AFTER CLOSE);
     answer = scene_read_until(first, "retry_after_ms");
     g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
     g_free(answer);
@@ -271,7 +260,7 @@
 
     /* The only slot is occupied, so the second request is queued. */
     wait_for_requests(scene, 2);
-    refuse_with(fd, LONG_RETRY_AFTER CLOSE);
+    scene_refuse_with(fd, LONG_RETRY_AFTER CLOSE);
     answer = scene_read_until(first, "retry_after_ms");
     g_assert_nonnull(strstr(answer, "HTTP/1.1 503"));
     g_free(answer);
@@ -298,7 +287,7 @@
     int other;
 
     g_free(scene_read_request(fd));
-    refuse_with(fd, "Retry-After: 0.2\r\n" CLOSE);
+    scene_refuse_with(fd, "Retry-After: 0.2\r\n" CLOSE);
     close(fd);
     /* The other upstream has no free slot until the end of the test. */
     other = accept_request(scene, 1 - in_backoff);
@@ -357,7 +346,7 @@
     g_free(scene_read_request(fd));
     scene_list_again(scene);
     if (notice->refused) {
-        refuse_with(fd, notice->fields);
+        scene_refuse_with(fd, notice->fields);
         close(fd);
         fd = accept_request(scene, 1 - held);
         finish_call(caller, fd, "a", CLOSE);
