Don't claim that a request has not run when its time is over

A caller of the gateway whose route's timeout passed while an upstream worked on its request got a 504 with "ran":"no". Found while the answers of a stopping entry were read.

Cause: the error's body took "ran" from a flag that is set when an attempt has ended, and the attempt in progress was not counted.

Change: an attempt in progress counts, for the status as for the body.

Measured: /gateway/route_timeout looks at the body now; it fails three of three times on the code before, with "ran":"no", and passes with the change.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -218,7 +218,8 @@
             pgw_caller_abort(caller);
         }
         else {
-            answer_with_error(caller, status, reason, exchange->may_have_run,
+            answer_with_error(caller, status, reason,
+                              pgw_exchange_may_have_run(exchange),
                               retry_after_ms);
         }
     }
@@ -377,7 +378,7 @@
         pgw_exchange_finish(exchange, "abandoned");
         return;
     }
-    if (exchange->upstream == NULL && !exchange->may_have_run) {
+    if (!pgw_exchange_may_have_run(exchange)) {
         pgw_exchange_refuse(exchange, 503, "no_place",
                             pgw_exchange_retry_ms(exchange));
         return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -211,6 +211,14 @@
  */
 unsigned pgw_exchange_rank(const struct pgw_exchange *exchange,
                            unsigned ranks);
+/** pgw_exchange_may_have_run() - an attempt is in progress, or one has ended
+ * that may have run the request */
+static inline bool
+pgw_exchange_may_have_run(const struct pgw_exchange *exchange)
+{
+    return exchange->upstream != NULL || exchange->may_have_run;
+}
+
 /** pgw_exchange_refuse() - answer the caller with an error of the gateway;
  * frees the exchange */
 void pgw_exchange_refuse(struct pgw_exchange *exchange, unsigned status,
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -664,18 +664,24 @@
                              "/once/");
 }
 
-/* The route's timeout expires without an answer: the caller gets a 504, and
- * the upstream's connection is closed. */
+/* The route's timeout expires without an answer: the caller gets a 504 that
+ * does not claim that the request has not run, and the upstream's connection
+ * is closed. */
 static void
 test_route_timeout(void)
 {
     struct scene *scene = ready_scene(1);
     int caller = scene_call(scene, "/late/", "a");
     int upstream = scene_accept(scene, 0);
+    char *answer;
     char *rest;
 
     g_free(scene_read_request(upstream));
-    expect_status(caller, "HTTP/1.1 504 ");
+    answer = scene_read_until(caller, "}}");
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 504 "));
+    assert_has(answer, "\"ran\":\"unknown\"");
+    g_free(answer);
+    close(caller);
     rest = scene_read_all(upstream);
     g_free(rest);
     close(upstream);
