Answer every request that is sent to a stopping entry, gateway

Cause: the stop judged by what the process had read, not by what the kernel held. It closed the listening socket with the connections that waited in its backlog, and then each connection without a request that was read, also one whose bytes lay in the kernel. An idle timeout and the end of a stream whose head had not announced the close did the same to kept connections.

Change: one listener for callers, links and gossip closes in an order that loses nothing: a socket filter ignores new handshakes, those that have begun end, what is established is accepted, then the socket is closed. After that every connection is read before it is judged idle, one without a byte is given a second for its first request, and the process ends when no caller is owed an answer. A caller whose handshake is ignored repeats it after a second and is refused then. What an idle connection receives after its close is not read; it is counted (pgw_caller_unanswered_total, caller_unanswered).

Why this is enough: a connection that a caller takes as established is either accepted or its handshake was ignored, and a request whose bytes have arrived is always read. A request that crosses the close of an idle kept connection is left; its caller sees the end of the connection before any byte of an answer.

--- a/bench/control/peers.c
+++ b/bench/control/peers.c
@@ -7,6 +7,7 @@
 #include "control.h"
 #include "libparsleygw/sync.h"
 #include "util/hlc.h"
+#include "util/listener.h"
 #include "util/random.h"
 
 #define STATE_IDLE_US UINT64_C(30000000)
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -1,5 +1,6 @@
 #include "gateway/caller.h"
 #include "parsleygw/errors.h"
+#include "util/listener.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include "util/socket.h"
@@ -10,10 +11,6 @@
 #include <unistd.h>
 
 #define READ_SIZE 65536
-#define LISTEN_BACKLOG 1024
-/* Most accepts in one turn of the loop, so that a burst of connections does
- * not delay answers. */
-#define ACCEPT_BATCH 32
 /* Most bytes of pipelined requests that are buffered. */
 #define PIPELINE_LIMIT ((size_t)64 * 1024)
 /* A caller of a stream with more buffered output than this has stopped
@@ -23,6 +20,10 @@
 #define BODY_RESERVE ((size_t)256 * 1024)
 /* Time for a caller to read the last answer after the half-close. */
 #define LINGER_US 500000
+/* Time for the first bytes on a connection that was accepted last before the
+ * server stops: a lost packet is sent again three times. Each connection that
+ * its caller opened in advance holds a stop for so long. */
+#define FIRST_REQUEST_MS 1000
 /* TCP_USER_TIMEOUT of the connections. */
 #define USER_TIMEOUT_MS 5000
 
@@ -35,6 +36,10 @@
     .help = "Connections of callers that are open",
 };
 
+static struct pgw_metric_counter unanswered_requests = {
+    .name = "pgw_caller_unanswered_total",
+    .help = "Requests whose connection was closed here without an answer",
+};
 static struct pgw_metric_histogram gone_unnoticed = {
     .name = "pgw_caller_gone_late_seconds",
     .help =
@@ -43,7 +48,7 @@
 };
 
 struct pgw_caller_server {
-    struct pgw_loop_fd watch;
+    struct pgw_listener *listener;
     struct pgw_loop *loop;
     const struct pgw_caller_ops *ops;
     void *context;
@@ -51,13 +56,10 @@
     struct pgw_list callers;
     char *buffer;
     unsigned request_count;
-    uint16_t port;
-    bool listening;
     bool draining;
+    bool closing;
 };
 
-static void parse_requests(struct pgw_caller *caller);
-
 static void
 caller_reap(struct pgw_task *task)
 {
@@ -102,6 +104,14 @@
     pgw_loop_post(server->loop, &caller->reap);
 }
 
+static void
+note_unanswered(const struct pgw_caller *caller, const char *reason)
+{
+    pgw_metric_counter_add(&unanswered_requests, 1);
+    pgw_log_info("caller_unanswered", "reason=%s complete=%d", reason,
+                 (int)caller->request_is_complete);
+}
+
 static void
 handle_disconnect(struct pgw_caller *caller)
 {
@@ -122,8 +132,7 @@
 {
     uint32_t events = EPOLLRDHUP;
 
-    if (pgw_buffer_size(&caller->in) < PIPELINE_LIMIT &&
-        !caller->half_closed) {
+    if (pgw_buffer_size(&caller->in) < PIPELINE_LIMIT) {
         events |= EPOLLIN;
     }
     if (pgw_buffer_size(&caller->out) > 0) {
@@ -167,6 +176,7 @@
 static void
 half_close(struct pgw_caller *caller)
 {
+    caller->is_half_closed = true;
     shutdown(caller->watch.fd, SHUT_WR);
     pgw_timer_start(caller->server->loop, &caller->timer, LINGER_US);
 }
@@ -180,6 +190,7 @@
     pgw_log_info("caller_error", "status=%u head_bytes=%zu", status,
                  caller->reader.head_size);
     caller->discards_input = true;
+    caller->is_rejected = true;
     caller->close_after_answer = true;
     set_request_active(caller, true);
     pgw_caller_begin(caller, status, "Content-Type: application/json\r\n",
@@ -262,6 +273,7 @@
 
         if (!caller->request_is_active) {
             caller->received_at_us = pgw_now_us();
+            caller->is_used = true;
             caller->reader.head_limit = server->limits.head_bytes;
             set_request_active(caller, true);
             start_timer(caller, server->limits.head_timeout_ms);
@@ -286,24 +298,67 @@
     }
 }
 
-static void
+/* Return: whether bytes were read */
+static bool
 caller_read(struct pgw_caller *caller)
 {
     char *buffer = caller->server->buffer;
     ssize_t received = recv(caller->watch.fd, buffer, READ_SIZE, 0);
 
     if (received < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
+        return false;
     }
     if (received <= 0) {
         handle_disconnect(caller);
+        return false;
+    }
+    if (caller->closed_idle) {
+        caller->closed_idle = false;
+        note_unanswered(caller, "crossed_close");
+    }
+    if (!caller->discards_input) { /* or the rest of a rejected request */
+        pgw_buffer_append(&caller->in, buffer, (size_t)received);
+        parse_requests(caller);
+    }
+    return true;
+}
+
+/*
+ * Closes a connection on which no request has arrived. What the kernel holds
+ * is read first: closing it unread would reset a request that the caller has
+ * sent. A request that is still on the network cannot be known; the half-close
+ * tells its caller that it was not read.
+ */
+static void
+close_if_idle(struct pgw_caller *caller)
+{
+    while (!caller->closed && !caller->request_is_active &&
+           !caller->next_is_posted && !caller->discards_input &&
+           caller_read(caller)) {
+    }
+    if (caller->closed || caller->request_is_active ||
+        caller->next_is_posted || caller->discards_input) {
+        return;
+    }
+    caller->discards_input = true;
+    caller->closed_idle = true;
+    half_close(caller);
+}
+
+/* Closes the connection if its last answer has been sent. */
+static void
+handle_sent(struct pgw_caller *caller)
+{
+    if (caller->closed || caller->request_is_complete ||
+        pgw_buffer_size(&caller->out) > 0) {
         return;
     }
-    if (caller->discards_input) {
-        return; /* the rest of a rejected request is dropped */
+    if (caller->close_after_answer) {
+        half_close(caller);
+    }
+    else if (caller->server->closing) {
+        close_if_idle(caller);
     }
-    pgw_buffer_append(&caller->in, buffer, (size_t)received);
-    parse_requests(caller);
 }
 
 static void
@@ -327,28 +382,41 @@
     }
     if (!caller->closed && (events & EPOLLOUT) != 0) {
         caller_flush(caller);
-        if (!caller->request_is_complete && caller->close_after_answer &&
-            !caller->closed && pgw_buffer_size(&caller->out) == 0) {
-            half_close(caller);
-        }
+        handle_sent(caller);
     }
     watch_events(caller);
 }
 
+static bool
+is_incomplete(const struct pgw_caller *caller)
+{
+    return !caller->closed && caller->request_is_active &&
+           !caller->request_is_complete && !caller->answer_is_begun &&
+           !caller->discards_input;
+}
+
+static void
+reject_incomplete(struct pgw_caller *caller, unsigned status)
+{
+    caller->reader.stop = true;
+    answer_error(caller, status);
+}
+
 static void
 on_timeout(struct pgw_timer *timer)
 {
     struct pgw_caller *caller =
         pgw_container_of(timer, struct pgw_caller, timer);
 
-    if (caller->request_is_active && !caller->answer_is_begun &&
-        !caller->discards_input) {
-        /* The request is incomplete: answer with an error, then close. */
-        caller->reader.stop = true;
-        answer_error(caller, 408);
+    if (is_incomplete(caller)) {
+        reject_incomplete(caller, 408);
+        return;
+    }
+    if (caller->request_is_active || caller->discards_input) {
+        handle_disconnect(caller);
         return;
     }
-    handle_disconnect(caller);
+    close_if_idle(caller);
 }
 
 static void
@@ -360,6 +428,9 @@
     caller->next_is_posted = false;
     if (!caller->closed && !caller->request_is_complete) {
         parse_requests(caller);
+        if (caller->server->closing) {
+            handle_sent(caller);
+        }
         watch_events(caller);
     }
 }
@@ -445,16 +516,6 @@
     caller->owner = NULL;
     set_request_active(caller, false);
     pgw_buffer_dispose(&caller->body);
-    /*
-     * Failure: a graceful drain begins while a stream runs whose head did not
-     * announce the end of the connection, so the connection is kept alive.
-     * Symptom: the caller's next request is accepted on it and lost when the
-     * process ends. Once the server has stopped listening, every connection is
-     * closed after its answer.
-     */
-    if (!caller->server->listening) {
-        caller->close_after_answer = true;
-    }
     if (caller->close_after_answer) {
         caller->discards_input = true;
         if (pgw_buffer_size(&caller->out) == 0) {
@@ -465,7 +526,10 @@
     }
     pgw_http_reader_next(&caller->reader);
     start_timer(caller, caller->server->limits.idle_timeout_ms);
-    if (pgw_buffer_size(&caller->in) > 0 && !caller->next_is_posted) {
+    /* A drain that began after the head of this answer did not announce the
+     * end of the connection: it is closed as soon as it is idle. */
+    if ((pgw_buffer_size(&caller->in) > 0 || caller->server->closing) &&
+        !caller->next_is_posted) {
         caller->next_is_posted = true;
         caller->next.run = run_next;
         pgw_loop_post(caller->server->loop, &caller->next);
@@ -494,8 +558,9 @@
 }
 
 static void
-accept_caller(struct pgw_caller_server *server, int fd)
+accept_caller(int fd, void *context)
 {
+    struct pgw_caller_server *server = context;
     struct pgw_caller *caller = g_new0(struct pgw_caller, 1);
 
     pgw_socket_tune(fd, USER_TIMEOUT_MS);
@@ -516,64 +581,6 @@
     start_timer(caller, server->limits.idle_timeout_ms);
 }
 
-static void
-server_ready(struct pgw_loop_fd *watch, uint32_t events)
-{
-    struct pgw_caller_server *server =
-        pgw_container_of(watch, struct pgw_caller_server, watch);
-
-    (void)events;
-    for (unsigned i = 0; i < ACCEPT_BATCH; i++) {
-        int fd = accept4(watch->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-        if (fd < 0) {
-            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
-                pgw_log_warning("accept_failed", "errno=%d", errno);
-            }
-            return;
-        }
-        accept_caller(server, fd);
-    }
-}
-
-static void
-stop_listening(struct pgw_caller_server *server)
-{
-    if (server->listening) {
-        server->listening = false;
-        pgw_loop_fd_remove(server->loop, &server->watch);
-        close(server->watch.fd);
-    }
-}
-
-static bool
-start_listening(struct pgw_caller_server *server,
-                const struct pgw_address *address)
-{
-    struct pgw_address bound = {.size = sizeof(bound.storage)};
-    int one = 1;
-    int fd = socket(address->storage.ss_family,
-                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    if (fd < 0) {
-        return false;
-    }
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    server->watch.fd = fd;
-    server->watch.on_ready = server_ready;
-    if (bind(fd, (const struct sockaddr *)&address->storage, address->size) !=
-            0 ||
-        listen(fd, LISTEN_BACKLOG) != 0 ||
-        getsockname(fd, (struct sockaddr *)&bound.storage, &bound.size) != 0 ||
-        !pgw_loop_fd_add(server->loop, &server->watch, EPOLLIN, NULL)) {
-        close(fd);
-        return false;
-    }
-    server->port = (uint16_t)pgw_address_port(&bound);
-    server->listening = true;
-    return true;
-}
-
 struct pgw_caller_server *
 pgw_caller_server_new(struct pgw_loop *loop, const struct pgw_address *address,
                       const struct pgw_caller_ops *ops, void *context,
@@ -582,6 +589,7 @@
     struct pgw_caller_server *server = g_new0(struct pgw_caller_server, 1);
 
     pgw_metric_register_counter(&accepted_connections);
+    pgw_metric_register_counter(&unanswered_requests);
     pgw_metric_register_gauge(&open_connections);
     pgw_metric_register_histogram(&gone_unnoticed);
     server->loop = loop;
@@ -590,14 +598,9 @@
     server->limits = (struct pgw_caller_limits)PGW_CALLER_LIMITS_INIT;
     server->buffer = g_malloc(READ_SIZE);
     pgw_list_init(&server->callers);
-    if (!start_listening(server, address)) {
-        char name[PGW_ADDRESS_TEXT_SIZE];
-
-        pgw_address_format(name, address);
-        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
-                    "cannot listen on %s (%s): free the port or change the "
-                    "setting",
-                    name, g_strerror(errno));
+    server->listener =
+        pgw_listener_new(loop, address, accept_caller, server, error);
+    if (server->listener == NULL) {
         g_free(server->buffer);
         g_free(server);
         return NULL;
@@ -608,7 +611,7 @@
 uint16_t
 pgw_caller_server_port(const struct pgw_caller_server *server)
 {
-    return server->port;
+    return pgw_listener_port(server->listener);
 }
 
 void
@@ -621,9 +624,7 @@
 void
 pgw_caller_server_pause(struct pgw_caller_server *server, bool paused)
 {
-    if (server->listening) {
-        pgw_loop_fd_modify(server->loop, &server->watch, paused ? 0 : EPOLLIN);
-    }
+    pgw_listener_pause(server->listener, paused);
 }
 
 void
@@ -632,19 +633,53 @@
     server->draining = true;
 }
 
-void
-pgw_caller_server_close_idle(struct pgw_caller_server *server)
+static void
+on_listener_closed(void *context)
 {
-    server->draining = true;
-    stop_listening(server);
+    struct pgw_caller_server *server = context;
+
     pgw_list_foreach_safe (link, &server->callers) {
         struct pgw_caller *caller =
             pgw_container_of(link, struct pgw_caller, in_server);
 
-        if (!caller->request_is_active && pgw_buffer_size(&caller->out) == 0) {
-            caller_close(caller);
+        if (caller->closed || pgw_buffer_size(&caller->out) > 0) {
+            continue;
+        }
+        if (caller->is_used) {
+            close_if_idle(caller);
+        }
+        else if (!caller->request_is_active && !caller->discards_input) {
+            start_timer(caller, FIRST_REQUEST_MS);
+        }
+    }
+}
+
+void
+pgw_caller_server_close(struct pgw_caller_server *server)
+{
+    server->draining = true;
+    server->closing = true;
+    pgw_listener_close(server->listener, on_listener_closed);
+}
+
+/* The kernel delivers what was sent before the half-close, also after the end
+ * of this process, unless it still receives the rest of a rejected request. */
+static bool
+can_be_left(const struct pgw_caller *caller)
+{
+    return caller->closed || (caller->is_half_closed && !caller->is_rejected);
+}
+
+bool
+pgw_caller_server_is_closed(const struct pgw_caller_server *server)
+{
+    pgw_list_foreach (link, &server->callers) {
+        if (!can_be_left(
+                pgw_container_of(link, struct pgw_caller, in_server))) {
+            return false;
         }
     }
+    return !pgw_listener_is_open(server->listener);
 }
 
 unsigned
@@ -666,9 +701,15 @@
 void
 pgw_caller_server_free(struct pgw_caller_server *server)
 {
-    stop_listening(server);
+    pgw_listener_free(server->listener);
     pgw_list_foreach_safe (link, &server->callers) {
-        caller_close(pgw_container_of(link, struct pgw_caller, in_server));
+        struct pgw_caller *caller =
+            pgw_container_of(link, struct pgw_caller, in_server);
+
+        if (caller->request_is_active) {
+            note_unanswered(caller, "stop");
+        }
+        caller_close(caller);
     }
     pgw_loop_run_tasks(server->loop);
     g_free(server->buffer);
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -54,7 +54,10 @@
     bool close_after_answer;
     bool answer_is_begun;
     bool discards_input;
-    bool half_closed;
+    bool is_used;        /* bytes of a request have arrived */
+    bool is_rejected;    /* before its request was complete */
+    bool is_half_closed; /* after the last answer, or when idle */
+    bool closed_idle;    /* the latter, and no bytes have come since */
     bool next_is_posted;
     bool closed;
 };
@@ -127,13 +130,25 @@
  * pgw_caller_server_drain() - stop reusing connections
  *
  * From now on each connection is closed after its answer. Idle connections
- * stay open until pgw_caller_server_close_idle().
+ * stay open until pgw_caller_server_close().
  */
 void pgw_caller_server_drain(struct pgw_caller_server *server);
 
-/** pgw_caller_server_close_idle() - stop accepting and close idle connections
+/**
+ * pgw_caller_server_close() - stop accepting and close all connections without
+ * losing a request
+ *
+ * First no handshake begins any more, then established connections are
+ * accepted. Every request that has arrived is answered, also the first one of
+ * a connection that comes within a second. A connection is closed after its
+ * last answer, or at once if it is idle. Requests in progress are not bounded
+ * in time.
  */
-void pgw_caller_server_close_idle(struct pgw_caller_server *server);
+void pgw_caller_server_close(struct pgw_caller_server *server);
+
+/** pgw_caller_server_is_closed() - pgw_caller_server_close() is complete: no
+ * caller is owed an answer */
+bool pgw_caller_server_is_closed(const struct pgw_caller_server *server);
 
 /** pgw_caller_server_request_count() - number of requests being read or
  * answered, until all bytes of the answer are sent */
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -6,6 +6,7 @@
 #include "gateway/quota_bucket.h"
 #include "gateway/report_budget.h"
 #include "libparsleygw/link.h"
+#include "util/listener.h"
 
 /**
  * DOC: Internals of an engine's sidecar
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -358,9 +358,15 @@
 }
 
 void
-pgw_gateway_close_idle(struct pgw_gateway *gateway)
+pgw_gateway_close(struct pgw_gateway *gateway)
 {
-    pgw_caller_server_close_idle(gateway->server);
+    pgw_caller_server_close(gateway->server);
+}
+
+bool
+pgw_gateway_is_closed(const struct pgw_gateway *gateway)
+{
+    return pgw_caller_server_is_closed(gateway->server);
 }
 
 unsigned
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -242,8 +242,12 @@
  */
 void pgw_gateway_drain(struct pgw_gateway *gateway);
 
-/** pgw_gateway_close_idle() - stop accepting and close idle connections */
-void pgw_gateway_close_idle(struct pgw_gateway *gateway);
+/** pgw_gateway_close() - stop accepting, answer every request that was sent
+ * and close all connections */
+void pgw_gateway_close(struct pgw_gateway *gateway);
+
+/** pgw_gateway_is_closed() - pgw_gateway_close() is complete */
+bool pgw_gateway_is_closed(const struct pgw_gateway *gateway);
 
 /** pgw_gateway_request_count() - number of requests being read or answered */
 unsigned pgw_gateway_request_count(const struct pgw_gateway *gateway);
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -2,6 +2,7 @@
 #include "gateway/crashed_runs.h"
 #include "libparsleygw/link.h"
 #include "util/list.h"
+#include "util/listener.h"
 #include "util/log.h"
 #include "util/random.h"
 #include <string.h>
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -4,14 +4,12 @@
 #include "util/socket.h"
 #include <errno.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define LINK_READ_SIZE 65536
-#define LISTEN_BACKLOG 512
 /* Data that stays unacknowledged longer than this closes the connection. A
  * peer whose host failed sends no reset, and writes would queue forever. */
 #define LINK_USER_TIMEOUT_MS 3000
@@ -372,96 +370,3 @@
 {
     link_start_close(link, NULL);
 }
-
-struct pgw_listener {
-    struct pgw_loop_fd loop_fd;
-    struct pgw_loop *loop;
-    void (*on_accept)(int fd, void *context);
-    void *context;
-    uint16_t port;
-};
-
-static void
-listener_accept(struct pgw_loop_fd *loop_fd, uint32_t events)
-{
-    struct pgw_listener *listener =
-        pgw_container_of(loop_fd, struct pgw_listener, loop_fd);
-    int fd;
-
-    (void)events;
-    while ((fd = accept4(loop_fd->fd, NULL, NULL,
-                         SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
-        listener->on_accept(fd, listener->context);
-    }
-}
-
-static int
-open_listening_socket(const struct pgw_address *address)
-{
-    int enable = 1;
-    int fd = socket(address->storage.ss_family,
-                    SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-    if (fd < 0) {
-        return -1;
-    }
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable));
-    if (bind(fd, (const struct sockaddr *)&address->storage, address->size) !=
-            0 ||
-        listen(fd, LISTEN_BACKLOG) != 0) {
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
-struct pgw_listener *
-pgw_listener_new(struct pgw_loop *loop, const struct pgw_address *address,
-                 void (*on_accept)(int fd, void *context), void *context,
-                 GError **error)
-{
-    struct pgw_listener *listener;
-    struct pgw_address bound = *address;
-    char text[PGW_ADDRESS_TEXT_SIZE];
-    int fd = open_listening_socket(address);
-
-    if (fd < 0) {
-        pgw_address_format(text, address);
-        g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
-                    "cannot listen on %s (%s): free the port or change the "
-                    "setting",
-                    text, g_strerror(errno));
-        return NULL;
-    }
-    getsockname(fd, (struct sockaddr *)&bound.storage, &bound.size);
-    listener = g_new0(struct pgw_listener, 1);
-    listener->loop_fd =
-        (struct pgw_loop_fd){.fd = fd, .on_ready = listener_accept};
-    listener->loop = loop;
-    listener->on_accept = on_accept;
-    listener->context = context;
-    listener->port = (uint16_t)pgw_address_port(&bound);
-    if (!pgw_loop_fd_add(loop, &listener->loop_fd, EPOLLIN, error)) {
-        close(fd);
-        g_free(listener);
-        return NULL;
-    }
-    return listener;
-}
-
-uint16_t
-pgw_listener_port(const struct pgw_listener *listener)
-{
-    return listener->port;
-}
-
-void
-pgw_listener_free(struct pgw_listener *listener)
-{
-    if (listener == NULL) {
-        return;
-    }
-    pgw_loop_fd_remove(listener->loop, &listener->loop_fd);
-    close(listener->loop_fd.fd);
-    g_free(listener);
-}
--- a/src/libparsleygw/link.h
+++ b/src/libparsleygw/link.h
@@ -87,28 +87,4 @@
 /** pgw_link_register_metrics() - export the bytes of all links in /metrics */
 void pgw_link_register_metrics(void);
 
-/**
- * struct pgw_listener - listening TCP socket
- */
-struct pgw_listener;
-
-/**
- * pgw_listener_new() - listen on a numeric address
- * @loop: event loop of the listener
- * @address: the address; port 0 selects a free port
- * @on_accept: called for each accepted socket, which it owns
- * @context: passed to @on_accept
- * @error: %PGW_ERROR_IO
- */
-struct pgw_listener *pgw_listener_new(struct pgw_loop *loop,
-                                      const struct pgw_address *address,
-                                      void (*on_accept)(int fd, void *context),
-                                      void *context, GError **error);
-
-/** pgw_listener_port() - port of the listening socket */
-uint16_t pgw_listener_port(const struct pgw_listener *listener);
-
-/** pgw_listener_free() - stop listening and free the listener */
-void pgw_listener_free(struct pgw_listener *listener);
-
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -10,6 +10,7 @@
 #include "parsleygw/config.h"
 #include "parsleygw/settings.h"
 #include "sidecar/engine_list.h"
+#include "util/listener.h"
 #include "util/metric.h"
 #include "util/trace.h"
 #include "util/transfer.h"
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -350,4 +350,5 @@
         ended_us = pgw_now_us();
         pgw_metric_histogram_record_us(&turn, ended_us - began_us);
     }
+    atomic_store(&loop->stop, false);
 }
--- a/src/util/loop.h
+++ b/src/util/loop.h
@@ -53,7 +53,7 @@
 /** pgw_loop_free() - free a stopped loop; tasks still queued do not run */
 void pgw_loop_free(struct pgw_loop *loop);
 
-/** pgw_loop_run() - serve until pgw_loop_stop() */
+/** pgw_loop_run() - serve until pgw_loop_stop(); may be called again */
 void pgw_loop_run(struct pgw_loop *loop);
 
 /** pgw_loop_stop() - make pgw_loop_run() return; any thread */
--- a/src/util/socket.c
+++ b/src/util/socket.c
@@ -1,6 +1,7 @@
 #include "util/socket.h"
+#include <linux/filter.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 /* First probe after a second of silence, then one each second; two without an
@@ -9,6 +10,10 @@
 #define PROBE_INTERVAL_S 1
 #define PROBE_COUNT 2
 
+/* Offset of the flags in a TCP header, and the bit that begins a handshake. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_BIT_SYN 0x02
+
 void
 pgw_socket_tune(int fd, unsigned user_timeout_ms)
 {
@@ -25,3 +30,33 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
                sizeof(user_timeout_ms));
 }
+
+bool
+pgw_socket_ignore_handshakes(int fd)
+{
+    struct sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_BIT_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    struct sock_fprog program = {
+        .len = sizeof(code) / sizeof(code[0]),
+        .filter = code,
+    };
+
+    return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program)) == 0;
+}
+
+uint64_t
+pgw_socket_received_bytes(int fd)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received;
+}
--- a/tests/failure/fail_frames.c
+++ b/tests/failure/fail_frames.c
@@ -12,6 +12,7 @@
 
 #include "harness_fleet.h"
 #include "libparsleygw/link.h"
+#include "util/listener.h"
 #include "util/random.h"
 
 #define LIMIT_S 60
--- a/tests/unit/test_event_docs.c
+++ b/tests/unit/test_event_docs.c
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <string.h>
 
-static const char *const folders[] = {"src/gateway", "platform"};
+static const char *const folders[] = {"src/gateway", "src/util", "platform"};
 
 static char *
 root_path(const char *name)
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -720,7 +720,7 @@
 begin_close(struct scene *scene)
 {
     pgw_gateway_drain(scene->gateway);
-    pgw_gateway_close_idle(scene->gateway);
+    pgw_gateway_close(scene->gateway);
 }
 
 /*
--- a/tests/unit/test_link.c
+++ b/tests/unit/test_link.c
@@ -6,6 +6,7 @@
 
 #include "libparsleygw/link.h"
 #include "parsleygw/errors.h"
+#include "util/listener.h"
 
 #define FRAMES 500
 
--- a/tests/unit/test_sidecar_links.c
+++ b/tests/unit/test_sidecar_links.c
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 #include "gateway/sidecar_links.h"
 #include "libparsleygw/link.h"
+#include "util/listener.h"
 #include "util/log.h"
 #include <string.h>
 
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "libparsleygw/sync.h"
+#include "util/listener.h"
 
 #define REPLICAS 3
 #define MANY_LINKS 40
