Answer what is left when an entry's time to stop is over, gateway

When the grace period of an entry ended, callers that it had not served were closed without an answer, though their requests waited in its queue, or had arrived in part only, and never ran.

Cause: the drain's end at its time limit was the end of the process. Nothing looked at the requests that were left.

Measured: /gateway/rest_is_refused holds one running, one queued and one incomplete request.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -662,6 +662,19 @@
     pgw_listener_close(server->listener, on_listener_closed);
 }
 
+void
+pgw_caller_server_refuse_rest(struct pgw_caller_server *server)
+{
+    pgw_list_foreach (link, &server->callers) {
+        struct pgw_caller *caller =
+            pgw_container_of(link, struct pgw_caller, in_server);
+
+        if (is_incomplete(caller)) {
+            reject_incomplete(caller, 503);
+        }
+    }
+}
+
 /* The kernel delivers what was sent before the half-close, also after the end
  * of this process, unless it still receives the rest of a rejected request. */
 static bool
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -146,6 +146,10 @@
  */
 void pgw_caller_server_close(struct pgw_caller_server *server);
 
+/** pgw_caller_server_refuse_rest() - answer with status 503 what has arrived
+ * in part only; to end pgw_caller_server_close() early */
+void pgw_caller_server_refuse_rest(struct pgw_caller_server *server);
+
 /** pgw_caller_server_is_closed() - pgw_caller_server_close() is complete: no
  * caller is owed an answer */
 bool pgw_caller_server_is_closed(const struct pgw_caller_server *server);
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -564,6 +564,10 @@
         refuse_request(gateway, caller, "-", 400, "malformed", 0);
         return;
     }
+    if (gateway->refuses_all) {
+        refuse_request(gateway, caller, facts.id, 503, "stopping", 0);
+        return;
+    }
     if (gateway->routes == NULL) {
         refuse_request(gateway, caller, facts.id, 503, "no_configuration",
                        NO_CONFIG_RETRY_MS);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -363,6 +363,22 @@
     pgw_caller_server_close(gateway->server);
 }
 
+void
+pgw_gateway_refuse_rest(struct pgw_gateway *gateway)
+{
+    gateway->refuses_all = true;
+    pgw_list_foreach_safe (link, &gateway->exchanges) {
+        struct pgw_exchange *exchange =
+            pgw_container_of(link, struct pgw_exchange, in_gateway);
+        unsigned status = pgw_exchange_may_have_run(exchange) ? 502 : 503;
+
+        if (exchange->caller != NULL) {
+            pgw_exchange_refuse(exchange, status, "stopping", 0);
+        }
+    }
+    pgw_caller_server_refuse_rest(gateway->server);
+}
+
 bool
 pgw_gateway_is_closed(const struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -246,6 +246,15 @@
  * and close all connections */
 void pgw_gateway_close(struct pgw_gateway *gateway);
 
+/**
+ * pgw_gateway_refuse_rest() - answer all callers now, since no time is left
+ * @gateway: a gateway that is being closed
+ *
+ * A request that was not sent to an upstream is refused as not run, the
+ * outcome of any other is reported as unknown.
+ */
+void pgw_gateway_refuse_rest(struct pgw_gateway *gateway);
+
 /** pgw_gateway_is_closed() - pgw_gateway_close() is complete */
 bool pgw_gateway_is_closed(const struct pgw_gateway *gateway);
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -350,12 +350,25 @@
     }
 }
 
+int
+scene_connect(struct scene *scene)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
+    address.sin_port = htons(pgw_gateway_port(scene->gateway));
+    set_timeout(fd);
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    return fd;
+}
+
 static int
 send_request(struct scene *scene, const char *key, const char *path,
              const char *id, const char *fields, const char *body)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int fd = scene_connect(scene);
     char *text = g_strdup_printf("POST %s HTTP/1.1\r\n"
                                  "Host: h.example\r\n"
                                  "Attempt-Id: %s\r\n"
@@ -364,11 +377,6 @@
                                  "Content-Length: %zu\r\n\r\n%s",
                                  path, id, key, fields, strlen(body), body);
 
-    inet_pton(AF_INET, LOOPBACK, &address.sin_addr);
-    address.sin_port = htons(pgw_gateway_port(scene->gateway));
-    set_timeout(fd);
-    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                    ==, 0);
     scene_send(fd, text);
     g_free(text);
     return fd;
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -104,6 +104,9 @@
 void scene_set_quota(struct scene *scene, uint64_t version, double rate,
                      double burst);
 
+/** scene_connect() - connect as a caller */
+int scene_connect(struct scene *scene);
+
 /** scene_call() - connect as a caller, send a request and return the socket */
 int scene_call(struct scene *scene, const char *path, const char *id);
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1018,6 +1018,53 @@
     scene_free(scene);
 }
 
+static void
+refuse_rest(struct scene *scene)
+{
+    pgw_gateway_drain(scene->gateway);
+    pgw_gateway_close(scene->gateway);
+    pgw_gateway_refuse_rest(scene->gateway);
+}
+
+/* Guards against callers that get no answer when the time of a stop is over:
+ * one whose request runs, one in the queue, one that still sends. */
+static void
+test_rest_is_refused(void)
+{
+    struct scene *scene = ready_scene(1);
+    int running = scene_call(scene, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+    int queued;
+    int sending;
+    char *answer;
+
+    g_free(scene_read_request(upstream));
+    queued = scene_call(scene, "/once/", "b");
+    sending = scene_connect(scene);
+    scene_send(sending, "POST /none/ HTTP/1.1\r\nHost: h.example\r\n"
+                        "Expect: 100-continue\r\n"
+                        "Content-Length: 10\r\n\r\n");
+    g_free(scene_read_until(sending, "HTTP/1.1 100 Continue\r\n\r\n"));
+    scene_run(scene, refuse_rest);
+    answer = scene_read_all(running);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 502 "));
+    assert_has(answer, "\"ran\":\"unknown\"");
+    g_free(answer);
+    answer = scene_read_all(queued);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503 "));
+    assert_has(answer, "\"ran\":\"no\"");
+    g_free(answer);
+    answer = scene_read_all(sending);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503 "));
+    assert_has(answer, "\"ran\":\"no\"");
+    g_free(answer);
+    close(running);
+    close(queued);
+    close(sending);
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1070,6 +1117,7 @@
     g_test_add_func("/gateway/large_answer", test_large_answer);
     g_test_add_func("/gateway/answer_counts_until_it_is_sent",
                     test_answer_counts_until_it_is_sent);
+    g_test_add_func("/gateway/rest_is_refused", test_rest_is_refused);
     g_test_add_func("/gateway/last_answer_of_a_process",
                     test_final_answer_is_delivered);
     return g_test_run();
