--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,5 +1,6 @@
 #include "entry/entry.h"
 #include "entry/exchange.h"
+#include "entry/http.h"
 #include "entry/upstream.h"
 #include "entry/workspace_count.h"
 #include "libparsleygw/store_worker.h"
@@ -11,6 +12,9 @@
 #define WATCH_INTERVAL_US UINT64_C(200000)
 #define DRAIN_CHECK_US UINT64_C(20000)
 #define DRAIN_LINGER_US UINT64_C(500000)
+/* Time to close the port and to send what is left, beyond the drain timeout;
+ * operators add it to that when they set how soon a process is killed. */
+#define CLOSE_LIMIT_US UINT64_C(1500000)
 #define FINISH_CHECK_US 2000
 #define FINISH_LIMIT_US UINT64_C(500000)
 #define LIST_INTERVAL_US UINT64_C(10000000)
@@ -113,6 +117,7 @@
         struct exchange *exchange = link->data;
         struct refusal refusal = {0};
 
+        entry->unfinished += !exchange->ended;
         refusal_set(&refusal, PGW_REFUSAL_LEAVING, forward_ran(exchange), 0,
                     "the instance stops and its drain timeout has passed");
         forward_refuse(exchange, &refusal);
@@ -121,23 +126,47 @@
     g_list_free(all);
 }
 
+static bool
+is_drained(const struct entry *entry)
+{
+    /* A request that is refused is never in flight, and its answer is lost if
+     * the HTTP server stops before it is sent. */
+    return entry->close_until_us > 0 && http_is_closed(entry->http) &&
+           atomic_load(&entry->inflight) == 0 &&
+           atomic_load(&entry->unanswered) == 0;
+}
+
+/*
+ * New requests are refused as not run until the last old one has ended. Then
+ * the listening socket is closed, so that what is left is finite: the stop
+ * ends also while callers keep coming, and no request that was sent is cut
+ * off.
+ */
 static void
 drain_due(struct pgw_timer *timer)
 {
     struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
-    unsigned inflight = atomic_load(&entry->inflight);
-    unsigned unanswered = atomic_load(&entry->unanswered);
+    uint64_t now = pgw_now_us();
+    bool in_time = now < entry->drain_until_us;
 
-    /* A request that is refused is never in flight, and its answer is lost if
-     * the HTTP server stops before it is sent. */
-    if (inflight + unanswered > 0 && pgw_now_us() < entry->drain_until_us) {
+    if (!in_time) {
+        refuse_rest(entry);
+    }
+    if (entry->close_until_us == 0 &&
+        (!in_time || atomic_load(&entry->inflight) == 0)) {
+        entry->close_until_us =
+            MAX(now, entry->drain_until_us) + CLOSE_LIMIT_US;
+        http_close(entry->http);
+    }
+    if (!is_drained(entry) &&
+        (entry->close_until_us == 0 || now < entry->close_until_us)) {
         pgw_timer_start(entry->loop, timer, DRAIN_CHECK_US);
         return;
     }
-    pgw_log_info("drain_end", "unfinished=%u", inflight);
-    pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_END, NULL, 0, inflight, 0,
-                     NULL);
-    refuse_rest(entry);
+    pgw_log_info("drain_end", "unfinished=%u unanswered=%u", entry->unfinished,
+                 atomic_load(&entry->unanswered));
+    pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_END, NULL, 0,
+                     entry->unfinished, 0, NULL);
     pgw_loop_stop(entry->loop);
 }
 
@@ -152,9 +181,8 @@
                      atomic_load(&entry->inflight), 0, NULL);
     entry->drain_until_us =
         pgw_now_us() + (uint64_t)entry->settings->drain_timeout_ms * 1000;
-    /* New requests are refused as not run until the last old one has ended,
-     * and for a while in any case, in which the balancer sees /readyz;
-     * closing the port first would reset callers that just connected. */
+    /* In any case the port stays open for a while, in which the balancer sees
+     * /readyz. */
     pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_LINGER_US);
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -29,6 +29,7 @@
  */
 
 struct exchange;
+struct http;
 struct upstream;
 
 /**
@@ -96,6 +97,9 @@
  * @watch_timer: next look for callers that went away
  * @drain_timer: checks whether a planned stop is over
  * @drain_until_us: when it gives up waiting
+ * @close_until_us: when it gives up closing @http; 0: not yet begun
+ * @unfinished: requests that it cut off
+ * @http: the HTTP server, once it is started
  * @workspaces: requests in progress of each workspace
  * @inflight: exchanges not yet ended, over all threads
  * @reading: requests whose body is still on its way
@@ -132,6 +136,9 @@
     struct pgw_timer watch_timer;
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
+    uint64_t close_until_us;
+    unsigned unfinished;
+    struct http *http;
     struct workspace_count *workspaces;
     atomic_uint inflight;
     atomic_uint reading;
--- a/src/entry/guard.c
+++ b/src/entry/guard.c
@@ -1,7 +1,9 @@
 #include "entry/guard.h"
 #include "entry/exchange.h"
 #include "util/log.h"
+#include "util/socket.h"
 #include <pthread.h>
+#include <stdatomic.h>
 #include <sys/socket.h>
 
 /* The system would let a send buffer grow to megabytes, so that each caller
@@ -15,10 +17,13 @@
  * struct guard - all connections of the HTTP server
  * @lock: of the list and its members
  * @callers: &struct caller
+ * @count: connections in @callers and those that the HTTP server has yet to
+ *   begin
  */
 struct guard {
     pthread_mutex_t lock;
     struct pgw_list callers;
+    atomic_uint count;
     struct pgw_loop *loop;
     struct pgw_timer timer;
     uint64_t head_us;
@@ -29,6 +34,7 @@
  * struct caller - one connection
  * @fd: its socket, open as long as it is listed
  * @due_us: when it is closed unless more has come; UINT64_MAX: never
+ * @answered_bytes: bytes that had arrived when its last answer was sent
  * @fresh: no answer was given on it yet
  * @in_body: the head is whole
  */
@@ -37,6 +43,7 @@
     struct guard *guard;
     int fd;
     uint64_t due_us;
+    uint64_t answered_bytes;
     bool fresh;
     bool in_body;
 };
@@ -164,6 +171,51 @@
     pthread_mutex_unlock(&guard->lock);
     *socket_context = NULL;
     g_free(caller);
+    atomic_fetch_sub(&guard->count, 1);
+}
+
+void
+guard_accepted(struct guard *guard)
+{
+    atomic_fetch_add(&guard->count, 1);
+}
+
+void
+guard_not_added(struct guard *guard)
+{
+    atomic_fetch_sub(&guard->count, 1);
+}
+
+unsigned
+guard_connections(const struct guard *guard)
+{
+    return atomic_load(&guard->count);
+}
+
+static bool
+caller_is_idle(const struct caller *caller, bool first_may_come)
+{
+    return pgw_socket_received_bytes(caller->fd) <= caller->answered_bytes &&
+           !(caller->fresh && first_may_come);
+}
+
+bool
+guard_is_idle(struct guard *guard, uint64_t first_until_us)
+{
+    bool first_may_come = pgw_now_us() < first_until_us;
+    unsigned listed = 0;
+    bool is_idle = true;
+
+    pthread_mutex_lock(&guard->lock);
+    pgw_list_foreach (link, &guard->callers) {
+        const struct caller *caller =
+            pgw_container_of(link, struct caller, link);
+
+        listed++;
+        is_idle = is_idle && caller_is_idle(caller, first_may_come);
+    }
+    pthread_mutex_unlock(&guard->lock);
+    return is_idle && listed == atomic_load(&guard->count);
 }
 
 static struct caller *
@@ -204,6 +256,7 @@
 
     caller->in_body = false;
     caller->fresh = false;
+    caller->answered_bytes = pgw_socket_received_bytes(caller->fd);
     caller->due_us = pgw_now_us() + caller->guard->head_us;
     pthread_mutex_unlock(&caller->guard->lock);
 }
--- a/src/entry/guard.h
+++ b/src/entry/guard.h
@@ -41,4 +41,24 @@
 /** guard_answered() - the next head's time begins */
 void guard_answered(struct MHD_Connection *connection);
 
+/** guard_accepted() - a connection is about to be given to the HTTP server */
+void guard_accepted(struct guard *guard);
+
+/** guard_not_added() - the HTTP server did not take it */
+void guard_not_added(struct guard *guard);
+
+/** guard_connections() - connections that were accepted and are not closed */
+unsigned guard_connections(const struct guard *guard);
+
+/**
+ * guard_is_idle() - no caller waits for an answer
+ * @guard: the guard
+ * @first_until_us: until then a connection without a byte counts as one whose
+ *   first request is on its way
+ *
+ * A caller waits if bytes have arrived since its last answer, whether the HTTP
+ * server has read them or not.
+ */
+bool guard_is_idle(struct guard *guard, uint64_t first_until_us);
+
 #endif
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -4,7 +4,10 @@
 #include "parsleygw/errors.h"
 #include "util/address.h"
 #include "util/hex.h"
+#include "util/listener.h"
 #include "util/log.h"
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Holds a request's head and nothing else; it is the limit on a head's size
  * and the bulk of what an open stream costs. */
@@ -12,12 +15,33 @@
 #define RESPONSE_BLOCK ((size_t)2 << 10)
 #define GRANT_BELOW ((size_t)16 << 10)
 #define CONNECTION_SLACK 256u
-
+/* Connections that a stop accepts beyond the limit, and those that the HTTP
+ * server still counts although they are closed. */
+#define CONNECTION_RESERVE 2048u
+/* How soon a full server looks whether it may accept again. */
+#define ACCEPT_RETRY_US UINT64_C(5000)
+/* Time for the first bytes on a connection that was accepted last before the
+ * server stops: a lost packet is sent again three times. Each connection that
+ * its caller opened in advance holds a stop for so long. */
+#define FIRST_REQUEST_US UINT64_C(1000000)
+
+/**
+ * struct http - the HTTP server and its listening socket
+ * @listener: accepts on the entry's loop, so that a stop knows of every
+ *   connection that the kernel has established
+ * @accept_timer: continues to accept after the server was full
+ * @max_connections: beyond it, connections wait in the listen backlog
+ * @first_until_us: after the listener has closed: how long the first request
+ *   of a connection is waited for
+ */
 struct http {
     struct MHD_Daemon *daemon;
     struct entry *entry;
     struct guard *guard;
-    uint16_t port;
+    struct pgw_listener *listener;
+    struct pgw_timer accept_timer;
+    unsigned max_connections;
+    uint64_t first_until_us;
 };
 
 static const struct filter *const filters[] = {
@@ -430,59 +454,125 @@
     exchange_unref(exchange);
 }
 
+static void
+accept_again(struct pgw_timer *timer)
+{
+    struct http *http = pgw_container_of(timer, struct http, accept_timer);
+
+    if (guard_connections(http->guard) < http->max_connections) {
+        pgw_listener_pause(http->listener, false);
+        return;
+    }
+    pgw_timer_start(http->entry->loop, timer, ACCEPT_RETRY_US);
+}
+
+static void
+add_connection(int fd, void *context)
+{
+    struct http *http = context;
+    struct pgw_address peer = {.size = sizeof(peer.storage)};
+
+    if (getpeername(fd, (struct sockaddr *)&peer.storage, &peer.size) != 0) {
+        close(fd); /* reset by the caller */
+        return;
+    }
+    guard_accepted(http->guard);
+    if (MHD_add_connection(http->daemon, fd, (struct sockaddr *)&peer.storage,
+                           peer.size) != MHD_YES) {
+        guard_not_added(http->guard); /* the HTTP server has closed it */
+        pgw_log_warning("accept_failed", "connections=%u",
+                        guard_connections(http->guard));
+    }
+    if (guard_connections(http->guard) >= http->max_connections &&
+        http->accept_timer.position == 0) {
+        pgw_listener_pause(http->listener, true);
+        pgw_timer_start(http->entry->loop, &http->accept_timer,
+                        ACCEPT_RETRY_US);
+    }
+}
+
+static void
+listener_closed(void *context)
+{
+    struct http *http = context;
+
+    http->first_until_us = pgw_now_us() + FIRST_REQUEST_US;
+}
+
 struct http *
 http_start(struct entry *entry, GError **error)
 {
     const struct pgw_entry_settings *settings = entry->settings;
     struct http *http = g_new0(struct http, 1);
     struct pgw_address address;
-    const union MHD_DaemonInfo *info;
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                     MHD_USE_NO_LISTEN_SOCKET;
 
     http->entry = entry;
+    http->accept_timer.on_due = accept_again;
+    http->max_connections = settings->max_inflight + CONNECTION_SLACK;
     http->guard =
         guard_new(entry->loop, (uint64_t)settings->header_timeout_ms * 1000,
                   (uint64_t)settings->body_timeout_ms * 1000);
     if (!pgw_address_parse(&address, settings->listen, error)) {
         goto fail;
     }
-    if (address.storage.ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
     http->daemon = MHD_start_daemon(
-        flags, 0, NULL, NULL, handle, http, MHD_OPTION_SOCK_ADDR,
-        &address.storage, MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
-        MHD_OPTION_CONNECTION_LIMIT, settings->max_inflight + CONNECTION_SLACK,
+        flags, 0, NULL, NULL, handle, http, MHD_OPTION_THREAD_POOL_SIZE,
+        settings->threads, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
+        http->max_connections + CONNECTION_RESERVE,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_limit_s(settings),
         MHD_OPTION_NOTIFY_CONNECTION, guard_notify, http->guard,
         MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
     if (http->daemon == NULL) {
         g_set_error(error, PGW_ERROR, PGW_ERROR_IO,
-                    "cannot listen on %s: free the port or change 'listen'",
-                    settings->listen);
+                    "cannot start the HTTP server: raise the limits of "
+                    "threads and open files");
+        goto fail;
+    }
+    http->listener =
+        pgw_listener_new(entry->loop, &address, add_connection, http, error);
+    if (http->listener == NULL) {
         goto fail;
     }
-    info = MHD_get_daemon_info(http->daemon, MHD_DAEMON_INFO_BIND_PORT);
-    http->port = info == NULL ? 0 : info->port;
+    entry->http = http;
     return http;
 fail:
-    guard_free(http->guard);
-    g_free(http);
+    http_stop(http);
     return NULL;
 }
 
 uint16_t
 http_port(const struct http *http)
 {
-    return http->port;
+    return pgw_listener_port(http->listener);
+}
+
+void
+http_close(struct http *http)
+{
+    pgw_timer_stop(http->entry->loop, &http->accept_timer);
+    pgw_listener_close(http->listener, listener_closed);
+}
+
+bool
+http_is_closed(struct http *http)
+{
+    return !pgw_listener_is_open(http->listener) &&
+           guard_is_idle(http->guard, http->first_until_us);
 }
 
 void
 http_stop(struct http *http)
 {
     if (http != NULL) {
-        MHD_stop_daemon(http->daemon);
+        http->entry->http = NULL;
+        pgw_timer_stop(http->entry->loop, &http->accept_timer);
+        pgw_listener_free(http->listener);
+        if (http->daemon != NULL) {
+            MHD_stop_daemon(http->daemon);
+        }
         guard_free(http->guard);
         g_free(http);
     }
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -15,6 +15,14 @@
 /** http_port() - the port it listens on */
 uint16_t http_port(const struct http *http);
 
+/** http_close() - stop accepting, once every established connection is
+ * accepted; on the loop's thread */
+void http_close(struct http *http);
+
+/** http_is_closed() - http_close() is complete and every request that callers
+ * have sent is answered; on the loop's thread */
+bool http_is_closed(struct http *http);
+
 /** http_stop() - close all connections and end the threads */
 void http_stop(struct http *http);
 
