--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -126,6 +126,18 @@
     g_list_free(all);
 }
 
+static void
+refuse_incomplete(struct entry *entry)
+{
+    struct refusal refusal = {0};
+
+    refusal_set(&refusal, PGW_REFUSAL_LEAVING, PGW_RAN_NO, 0,
+                "the instance stops before the request has arrived in full: "
+                "send to another one");
+    http_refuse_incomplete(entry->http, &refusal);
+    refusal_dispose(&refusal);
+}
+
 static bool
 is_drained(const struct entry *entry)
 {
@@ -151,6 +163,7 @@
 
     if (!in_time) {
         refuse_rest(entry);
+        refuse_incomplete(entry);
     }
     if (entry->close_until_us == 0 &&
         (!in_time || atomic_load(&entry->inflight) == 0)) {
--- a/src/entry/guard.c
+++ b/src/entry/guard.c
@@ -37,6 +37,7 @@
  * @answered_bytes: bytes that had arrived when its last answer was sent
  * @fresh: no answer was given on it yet
  * @in_body: the head is whole
+ * @in_answer: the request is whole and not yet answered
  */
 struct caller {
     struct pgw_list link;
@@ -46,46 +47,59 @@
     uint64_t answered_bytes;
     bool fresh;
     bool in_body;
+    bool in_answer;
 };
 
 /* Nothing of ours is under way to a caller that still sends, so the answer
  * may go past the HTTP server. It has no hook for this. */
 static void
-send_refusal(const struct caller *caller)
+send_refusal(const struct caller *caller, const char *status_line,
+             const struct refusal *refusal)
+{
+    char *body = refusal_render(refusal);
+    char *text = g_strdup_printf("HTTP/1.1 %s\r\n"
+                                 "Content-Type: application/json\r\n"
+                                 "Content-Length: %zu\r\n"
+                                 "Connection: close\r\n\r\n%s",
+                                 status_line, strlen(body), body);
+
+    send(caller->fd, text, strlen(text), MSG_NOSIGNAL | MSG_DONTWAIT);
+    g_free(text);
+    g_free(body);
+}
+
+static void
+refuse_late(const struct caller *caller)
 {
     struct refusal refusal = {0};
-    GString *text = g_string_new(NULL);
-    char *body;
 
     refusal_set(&refusal, PGW_REFUSAL_BAD_REQUEST, PGW_RAN_NO, 0,
                 "the %s took too long to come: send it faster, or the "
                 "operator raises %s",
                 caller->in_body ? "body" : "head",
                 caller->in_body ? "body_timeout_ms" : "header_timeout_ms");
-    body = refusal_render(&refusal);
-    g_string_printf(text,
-                    "HTTP/1.1 408 Request Timeout\r\n"
-                    "Content-Type: application/json\r\n"
-                    "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                    strlen(body), body);
-    send(caller->fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
-    g_string_free(text, TRUE);
-    g_free(body);
+    send_refusal(caller, "408 Request Timeout", &refusal);
     refusal_dispose(&refusal);
 }
 
+/* The HTTP server sees the end and closes the socket itself. */
 static void
-close_late(struct caller *caller)
+end_connection(struct caller *caller)
 {
     caller->due_us = UINT64_MAX;
+    shutdown(caller->fd, SHUT_RDWR);
+}
+
+static void
+close_late(struct caller *caller)
+{
     /* One that only kept an answered connection open expects no word. */
     if (caller->fresh || caller->in_body) {
         pgw_log_info("caller_slow", "part=%s",
                      caller->in_body ? "body" : "head");
-        send_refusal(caller);
+        refuse_late(caller);
     }
-    /* The HTTP server sees the end and closes the socket itself. */
-    shutdown(caller->fd, SHUT_RDWR);
+    end_connection(caller);
 }
 
 static void
@@ -199,6 +213,21 @@
            !(caller->fresh && first_may_come);
 }
 
+void
+guard_refuse_incomplete(struct guard *guard, const struct refusal *refusal)
+{
+    pthread_mutex_lock(&guard->lock);
+    pgw_list_foreach (link, &guard->callers) {
+        struct caller *caller = pgw_container_of(link, struct caller, link);
+
+        if (!caller->in_answer && !caller_is_idle(caller, false)) {
+            send_refusal(caller, "503 Service Unavailable", refusal);
+            end_connection(caller);
+        }
+    }
+    pthread_mutex_unlock(&guard->lock);
+}
+
 bool
 guard_is_idle(struct guard *guard, uint64_t first_until_us)
 {
@@ -245,6 +274,7 @@
     struct caller *caller = caller_lock(connection);
 
     caller->in_body = false;
+    caller->in_answer = true;
     caller->due_us = UINT64_MAX;
     pthread_mutex_unlock(&caller->guard->lock);
 }
@@ -255,6 +285,7 @@
     struct caller *caller = caller_lock(connection);
 
     caller->in_body = false;
+    caller->in_answer = false;
     caller->fresh = false;
     caller->answered_bytes = pgw_socket_received_bytes(caller->fd);
     caller->due_us = pgw_now_us() + caller->guard->head_us;
--- a/src/entry/guard.h
+++ b/src/entry/guard.h
@@ -14,6 +14,7 @@
  */
 
 struct guard;
+struct refusal;
 
 /**
  * guard_new() - make a guard
@@ -35,7 +36,8 @@
 /** guard_head_done() - the head is whole; the body's time begins */
 void guard_head_done(struct MHD_Connection *connection);
 
-/** guard_body_done() - the request is whole; no limit until the next head */
+/** guard_body_done() - nothing more of the request is waited for; no limit
+ * until the next head */
 void guard_body_done(struct MHD_Connection *connection);
 
 /** guard_answered() - the next head's time begins */
@@ -61,4 +63,9 @@
  */
 bool guard_is_idle(struct guard *guard, uint64_t first_until_us);
 
+/** guard_refuse_incomplete() - refuse the requests of which only a part has
+ * arrived, and close their connections */
+void guard_refuse_incomplete(struct guard *guard,
+                             const struct refusal *refusal);
+
 #endif
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -354,6 +354,7 @@
         struct refusal refusal = {0};
         enum MHD_Result result;
 
+        guard_body_done(connection);
         refusal_set(&refusal, PGW_REFUSAL_UNKNOWN_PROFILE, PGW_RAN_NO, 0,
                     "no such path: POST /v1/chat/completions, POST "
                     "/v1/completions or call /svc/PROFILE/PATH");
@@ -394,6 +395,7 @@
     if (exchange == NULL) {
         guard_head_done(connection);
         if (is_probe(method, path)) {
+            guard_body_done(connection);
             return respond_probe(http, connection, path);
         }
         return begin_exchange(http, connection, path, method, slot);
@@ -563,6 +565,12 @@
            guard_is_idle(http->guard, http->first_until_us);
 }
 
+void
+http_refuse_incomplete(struct http *http, const struct refusal *refusal)
+{
+    guard_refuse_incomplete(http->guard, refusal);
+}
+
 void
 http_stop(struct http *http)
 {
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -8,6 +8,7 @@
  */
 
 struct http;
+struct refusal;
 
 /** http_start() - listen for callers; %PGW_ERROR_IO or %PGW_ERROR_INVALID */
 struct http *http_start(struct entry *entry, GError **error);
@@ -23,6 +24,10 @@
  * have sent is answered; on the loop's thread */
 bool http_is_closed(struct http *http);
 
+/** http_refuse_incomplete() - refuse the requests of which only a part has
+ * arrived, since no time is left for the rest; on the loop's thread */
+void http_refuse_incomplete(struct http *http, const struct refusal *refusal);
+
 /** http_stop() - close all connections and end the threads */
 void http_stop(struct http *http);
 
--- a/tests/unit/test_entry_stop.c
+++ b/tests/unit/test_entry_stop.c
@@ -216,11 +216,41 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a request that has arrived in part when the time to stop is
+ * over, and is closed without an answer. */
+static void
+assert_incomplete_is_refused(const char *part)
+{
+    struct fixture fixture;
+    int caller;
+
+    fixture_init(&fixture, ",\"drain_timeout_ms\":300");
+    caller = caller_connect(&fixture);
+    caller_send(caller, part);
+    begin_stop(&fixture);
+    assert_refused(caller);
+    fixture_dispose(&fixture);
+}
+
+static void
+test_incomplete_body(void)
+{
+    assert_incomplete_is_refused(HEAD "{");
+}
+
+static void
+test_incomplete_head(void)
+{
+    assert_incomplete_is_refused("POST /v1/completions HTTP/1.1\r\nHost:");
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/entry_stop/refusal_on_its_way", test_refusal_on_its_way);
+    g_test_add_func("/entry_stop/incomplete_body", test_incomplete_body);
+    g_test_add_func("/entry_stop/incomplete_head", test_incomplete_head);
     return g_test_run();
 }
