--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -319,6 +319,8 @@
                         enum pgw_frame_type type,
                         const ProtobufCMessage *message);
 void forward_link_lost(struct exchange *exchange);
+/** forward_not_run() - the sidecar has ended without starting the attempt */
+void forward_not_run(struct exchange *exchange);
 /** forward_ran() - whether the request ran, as far as is known now */
 enum pgw_ran forward_ran(const struct exchange *exchange);
 void forward_refuse(struct exchange *exchange, const struct refusal *refusal);
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -483,6 +483,21 @@
     forward_step(exchange, &event, NULL);
 }
 
+void
+forward_not_run(struct exchange *exchange)
+{
+    struct pgw_attempt_event event = {
+        .kind = PGW_ATTEMPT_FAIL,
+        .id = exchange->id,
+        .attempt = exchange->attempt_number,
+        .refusal = PGW_REFUSAL_LEAVING,
+        .ran = PGW_RAN_NO,
+    };
+
+    leave_target(exchange);
+    forward_step(exchange, &event, NULL);
+}
+
 void
 forward_caller_gone(struct exchange *exchange)
 {
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -77,6 +77,18 @@
     return true;
 }
 
+/* Nothing was started for the attempts that are left, so they may go
+ * elsewhere. Each one leaves the list as it is ended. */
+static void
+take_end(struct upstream *upstream)
+{
+    while (!pgw_list_is_empty(&upstream->attempts)) {
+        forward_not_run(pgw_container_of(pgw_list_first(&upstream->attempts),
+                                         struct exchange, at_target));
+    }
+    pgw_link_close(upstream->link);
+}
+
 static void
 take_state(struct upstream *upstream, const Pgw__State *state)
 {
@@ -94,6 +106,9 @@
         pgw_members_apply_status(upstream->entry->members, upstream->id,
                                  upstream->incarnation, &word);
     }
+    if (state->ended) {
+        take_end(upstream);
+    }
 }
 
 /* A window of no bytes for no attempt. */
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -2931,7 +2931,7 @@
   (ProtobufCMessageInit) pgw__window__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pgw__state__field_descriptors[10] =
 {
   {
     "leaving",
@@ -3041,9 +3041,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__State, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__state__field_indices_by_name[] = {
   4,   /* field[4] = clock */
+  9,   /* field[9] = ended */
   1,   /* field[1] = engine */
   0,   /* field[0] = leaving */
   8,   /* field[8] = loading */
@@ -3056,7 +3069,7 @@
 static const ProtobufCIntRange pgw__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pgw__state__descriptor =
 {
@@ -3066,7 +3079,7 @@
   "Pgw__State",
   "pgw",
   sizeof(Pgw__State),
-  9,
+  10,
   pgw__state__field_descriptors,
   pgw__state__field_indices_by_name,
   1,  pgw__state__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -376,10 +376,14 @@
    * the engine changes its weights: no new work
    */
   protobuf_c_boolean loading;
+  /*
+   * the sidecar stops: an attempt on this connection
+   */
+  protobuf_c_boolean ended;
 };
 #define PGW__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -219,19 +219,15 @@
     }
 }
 
+/* Ends a run for its entry. @waited and @ran: what the refusal says. */
 static void
-run_expire(struct run *run)
+run_give_up(struct run *run, enum pgw_refusal refusal, const char *waited,
+            const char *ran)
 {
-    bool withdrawn;
+    bool withdrawn = run_withdraw(run);
 
-    if (run->state == RUN_BROKEN) {
-        return;
-    }
-    withdrawn = run_withdraw(run);
-    run_send_fail(run, PGW_REFUSAL_DEADLINE,
-                  withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
-                  withdrawn ? "the deadline passed while the request waited"
-                            : "the deadline passed while the request ran");
+    run_send_fail(run, refusal, withdrawn ? PGW_RAN_NO : PGW_RAN_UNKNOWN, 0,
+                  withdrawn ? waited : ran);
     /* A call that may not be repeated runs on: cutting it off would leave
      * even its service unsure whether it ran. */
     if (withdrawn || run->open->repeatable) {
@@ -245,7 +241,46 @@
 void
 run_deadline_due(struct pgw_timer *timer)
 {
-    run_expire(pgw_container_of(timer, struct run, deadline));
+    struct run *run = pgw_container_of(timer, struct run, deadline);
+
+    /* Its crash is still to be told. */
+    if (run->state != RUN_BROKEN) {
+        run_give_up(run, PGW_REFUSAL_DEADLINE,
+                    "the deadline passed while the request waited",
+                    "the deadline passed while the request ran");
+    }
+}
+
+static struct run *
+first_unanswered(struct sidecar *sidecar)
+{
+    pgw_list_foreach (link, &sidecar->all_runs) {
+        struct run *run = pgw_container_of(link, struct run, link);
+
+        if (!run->ended) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+void
+gate_refuse_rest(struct sidecar *sidecar)
+{
+    struct run *run;
+
+    /* Those that wait go first, or the end of others would start them. */
+    gate_refuse_waiting(sidecar, PGW_REFUSAL_LEAVING);
+    while ((run = first_unanswered(sidecar)) != NULL) {
+        if (run->state == RUN_BROKEN) {
+            run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                          "the upstream crashed");
+            continue;
+        }
+        run_give_up(run, PGW_REFUSAL_LEAVING,
+                    "the instance stops: send to another one",
+                    "the instance stops and its drain timeout has passed");
+    }
 }
 
 static void
--- a/src/sidecar/peer.c
+++ b/src/sidecar/peer.c
@@ -14,6 +14,7 @@
 
     pgw_admit_load_get(&load, sidecar->admit);
     state.leaving = sidecar->leaving;
+    state.ended = sidecar->ended;
     state.engine = sidecar->engine.incarnation;
     state.version = sidecar->engine.version;
     state.loading = orders_is_closed(sidecar->orders);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -16,6 +16,9 @@
 /* Sidecars are many before few entries, which hear of a change from many. */
 #define PUSH_LINKS 2
 #define DRAIN_CHECK_US UINT64_C(20000)
+/* An entry closes its link as soon as it hears of the end; one that stands
+ * still for longer keeps no process here. */
+#define CLOSE_LIMIT_US UINT64_C(1000000)
 #define STORE_THREADS 4
 #define TRACE_EVENTS (1u << 14)
 
@@ -236,16 +239,46 @@
     return true;
 }
 
+/*
+ * A request that is sent to this process while it ends must not get an unknown
+ * outcome, since it has not run. What it has read is answered; what is still
+ * on its way cannot be known, so each entry is told that its attempts without
+ * an answer have not run, and closes its link.
+ */
+static void
+listener_closed(void *context)
+{
+    struct sidecar *sidecar = context;
+
+    sidecar->ended = true;
+    sidecar_push_state(sidecar);
+}
+
+static void
+begin_close(struct sidecar *sidecar)
+{
+    pgw_log_info("drain_end", "unfinished=%u", sidecar->runs);
+    pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_END, NULL, 0,
+                     sidecar->runs, 0, NULL);
+    gate_refuse_rest(sidecar);
+    sidecar->close_until_us = pgw_now_us() + CLOSE_LIMIT_US;
+    pgw_listener_close(sidecar->listener, listener_closed);
+}
+
 static void
 drain_due(struct pgw_timer *timer)
 {
     struct sidecar *sidecar =
         pgw_container_of(timer, struct sidecar, drain_timer);
+    uint64_t now = pgw_now_us();
 
-    if (is_drained(sidecar) || pgw_now_us() >= sidecar->drain_until_us) {
-        pgw_log_info("drain_end", "unfinished=%u", sidecar->runs);
-        pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_END, NULL, 0,
-                         sidecar->runs, 0, NULL);
+    if (sidecar->close_until_us == 0 &&
+        (is_drained(sidecar) || now >= sidecar->drain_until_us)) {
+        begin_close(sidecar);
+    }
+    if (sidecar->close_until_us > 0 &&
+        (now >= sidecar->close_until_us ||
+         (sidecar->ended && pgw_list_is_empty(&sidecar->peers)))) {
         pgw_loop_stop(sidecar->loop);
         return;
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -153,6 +153,9 @@
  * @view: copy for other threads
  * @drain_timer: checks whether a planned stop is over
  * @drain_until_us: when it gives up waiting
+ * @close_until_us: when it gives up waiting for entries to close their links;
+ *   0: the port is open
+ * @ended: no attempt is left, and none that comes is run
  */
 struct sidecar {
     struct pgw_sidecar_settings *settings;
@@ -188,6 +191,8 @@
     struct sidecar_view view;
     struct pgw_timer drain_timer;
     uint64_t drain_until_us;
+    uint64_t close_until_us;
+    bool ended;
     uint64_t backoff_until_us;
 };
 
--- a/tests/failure/fail_frames.c
+++ b/tests/failure/fail_frames.c
@@ -430,6 +430,39 @@
     fleet_free(fleet);
 }
 
+static void
+end_without_running(struct fake *fake, const Pgw__Open *open)
+{
+    Pgw__State state = PGW__STATE__INIT;
+
+    (void)open;
+    state.engine = 7;
+    state.version = (char *)fake->version;
+    state.upstream_alive = true;
+    state.leaving = true;
+    state.ended = true;
+    pgw_link_send(fake->link, PGW_FRAME_STATE, &state.base);
+    pgw_link_close(fake->link);
+}
+
+/* Guards against an unknown outcome of a call that its sidecar has not run,
+ * since it ended meanwhile. */
+static void
+test_ended_sidecar(void)
+{
+    static const char *const headers[] = {"Idempotency-Key: tray-2", NULL};
+    struct fleet *fleet = start_fleet();
+    struct fake *fake = fake_start(fleet, "fake", "desk", end_without_running);
+    struct harness_answer answer;
+
+    fleet_call(&answer, fleet->entries[0], "/svc/print/x",
+               &(struct harness_call){.body = "x", .headers = headers});
+    fleet_assert_refusal(&answer, 503, "leaving", "no");
+    harness_answer_dispose(&answer);
+    fake_stop(fake);
+    fleet_free(fleet);
+}
+
 /* Holds the first request's frames back until a second one is open, then
  * answers each with frames of both, crossed, doubled and late. */
 static void
@@ -521,6 +554,7 @@
     g_test_add_func("/frames/broken", test_broken_frames);
     g_test_add_func("/frames/lost-end", test_lost_end);
     g_test_add_func("/frames/no-status", test_no_status);
+    g_test_add_func("/frames/ended-sidecar", test_ended_sidecar);
     g_test_add_func("/frames/crossed-answers", test_crossed_answers);
     return g_test_run();
 }
--- a/tests/failure/fail_sidecar_frames.c
+++ b/tests/failure/fail_sidecar_frames.c
@@ -4,6 +4,7 @@
  * End or Fail whose "ran" is true, no place at the upstream stays taken, and
  * who does not speak the protocol is cut off without harm to others.
  */
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -97,6 +98,12 @@
            fleet_status_int(data, "waiting") == 0;
 }
 
+static bool
+has_run(void *data)
+{
+    return fleet_status_int(data, "running") > 0;
+}
+
 static void
 assert_idle(struct harness_process *sidecar)
 {
@@ -317,6 +324,89 @@
     fleet_free(fleet);
 }
 
+#define LARGE_BODY 300000
+
+static void
+wait_leaving(struct entry_end *end)
+{
+    bool leaving = false;
+
+    while (!leaving) {
+        enum pgw_frame_type type;
+        Pgw__State *state =
+            (Pgw__State *)entry_end_next(end, 1u << PGW_FRAME_STATE, &type);
+
+        g_assert_nonnull(state);
+        leaving = state->leaving;
+        pgw_frame_free(&state->base);
+    }
+}
+
+/* Guards against a request that reaches a sidecar while it ends, and whose
+ * entry hears nothing before the end of the connection. */
+static void
+test_open_while_it_ends(void)
+{
+    struct fleet *fleet = start_fleet("", NULL);
+    struct harness_process *sidecar = fleet->sidecars[1];
+    struct entry_end *end = entry_end_greet(sidecar);
+    char *body = g_strnfill(LARGE_BODY, 'x');
+    Pgw__Open open = PGW__OPEN__INIT;
+    bool told = false;
+
+    harness_process_signal(sidecar, SIGTERM);
+    wait_leaving(end);
+    harness_process_signal(sidecar, SIGSTOP);
+    fill_open(&open, end, true);
+    open.repeatable = false;
+    open.idempotency_key = "tray-8";
+    /* More than the sidecar reads in one turn of its loop. */
+    open.body.data = (uint8_t *)body;
+    open.body.len = LARGE_BODY;
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
+    /* Its drain is due by then. */
+    g_usleep(800000);
+    harness_process_signal(sidecar, SIGCONT);
+    while (!told) {
+        enum pgw_frame_type type;
+        ProtobufCMessage *message = entry_end_next(
+            end, 1u << PGW_FRAME_STATE | 1u << PGW_FRAME_FAIL, &type);
+
+        g_assert_nonnull(message);
+        told = type == PGW_FRAME_STATE
+                   ? ((Pgw__State *)message)->ended
+                   : ((Pgw__Fail *)message)->ran == PGW_RAN_NO;
+        pgw_frame_free(message);
+    }
+    entry_end_free(end);
+    g_assert_cmpint(harness_process_wait(sidecar), ==, 0);
+    g_free(body);
+    fleet_free(fleet);
+}
+
+/* Guards against an entry that waits for the end of a call which its sidecar
+ * cuts off when the time of its stop is over. */
+static void
+test_drain_timeout(void)
+{
+    static const char *const args[] = {"--delay-ms", "5000", NULL};
+    struct fleet *fleet = start_fleet(",\"drain_timeout_ms\":300", args);
+    struct harness_process *sidecar = fleet->sidecars[1];
+    struct entry_end *end = entry_end_greet(sidecar);
+    Pgw__Open open = PGW__OPEN__INIT;
+
+    fill_open(&open, end, true);
+    open.repeatable = false;
+    open.idempotency_key = "tray-9";
+    entry_end_send(end, PGW_FRAME_OPEN, &open.base);
+    g_assert_true(harness_wait_until(has_run, sidecar, LIMIT_S));
+    harness_process_signal(sidecar, SIGTERM);
+    assert_fail(end, PGW_REFUSAL_LEAVING, PGW_RAN_UNKNOWN);
+    entry_end_free(end);
+    g_assert_cmpint(harness_process_wait(sidecar), ==, 0);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -327,5 +417,8 @@
     g_test_add_func("/sidecar-frames/queue-bytes", test_queue_bytes);
     g_test_add_func("/sidecar-frames/entry-lost", test_entry_lost);
     g_test_add_func("/sidecar-frames/shut-window", test_shut_window);
+    g_test_add_func("/sidecar-frames/open-while-it-ends",
+                    test_open_while_it_ends);
+    g_test_add_func("/sidecar-frames/drain-timeout", test_drain_timeout);
     return g_test_run();
 }
