Keep one copy of the time for a first request

Entries of both paths wait as long for the first request of a connection that they accepted last; the time stands with the listener now. No change of behaviour: test_caller and test_entry_stop pass.

--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -20,10 +20,6 @@
 #define CONNECTION_RESERVE 2048u
 /* How soon a full server looks whether it may accept again. */
 #define ACCEPT_RETRY_US UINT64_C(5000)
-/* Time for the first bytes on a connection that was accepted last before the
- * server stops: a lost packet is sent again three times. Each connection that
- * its caller opened in advance holds a stop for so long. */
-#define FIRST_REQUEST_US UINT64_C(1000000)
 
 /**
  * struct http - the HTTP server and its listening socket
@@ -498,7 +494,7 @@
 {
     struct http *http = context;
 
-    http->first_until_us = pgw_now_us() + FIRST_REQUEST_US;
+    http->first_until_us = pgw_now_us() + PGW_FIRST_REQUEST_US;
 }
 
 struct http *
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -20,10 +20,6 @@
 #define BODY_RESERVE ((size_t)256 * 1024)
 /* Time for a caller to read the last answer after the half-close. */
 #define LINGER_US 500000
-/* Time for the first bytes on a connection that was accepted last before the
- * server stops: a lost packet is sent again three times. Each connection that
- * its caller opened in advance holds a stop for so long. */
-#define FIRST_REQUEST_MS 1000
 /* TCP_USER_TIMEOUT of the connections. */
 #define USER_TIMEOUT_MS 5000
 
@@ -649,7 +645,7 @@
             close_if_idle(caller);
         }
         else if (!caller->request_is_active && !caller->discards_input) {
-            start_timer(caller, FIRST_REQUEST_MS);
+            start_timer(caller, PGW_FIRST_REQUEST_US / 1000);
         }
     }
 }
--- a/src/util/listener.h
+++ b/src/util/listener.h
@@ -16,6 +16,15 @@
 
 struct pgw_listener;
 
+/**
+ * PGW_FIRST_REQUEST_US - time for the first bytes on a connection that was
+ * accepted just before its listener closed
+ *
+ * A lost packet is sent again three times within it. Each connection that its
+ * peer opened in advance holds a stop for so long.
+ */
+#define PGW_FIRST_REQUEST_US UINT64_C(1000000)
+
 /**
  * pgw_listener_new() - listen on a numeric address
  * @loop: event loop of the listener
