Move the end of a sidecar's attempts to gate.c

The loop stands with the other loops over all attempts now, as gate_abandon_all() does, and run_give_up() is shared by the gate's files.

--- a/src/sidecar/gate_internal.h
+++ b/src/sidecar/gate_internal.h
@@ -25,6 +25,15 @@
 void run_start(struct run *run);
 /** run_withdraw() - whether it certainly has not run and now never will */
 bool run_withdraw(struct run *run);
+/**
+ * run_give_up() - end a run for its entry, as not run if it can be withdrawn
+ * @run: freed unless it has to run to its end
+ * @refusal: the reason
+ * @waited: message if the run was withdrawn
+ * @ran: message if it may have run
+ */
+void run_give_up(struct run *run, enum pgw_refusal refusal, const char *waited,
+                 const char *ran);
 /** run_resume() - go on with an answer that was held back */
 void run_resume(struct run *run);
 /** run_free() - forget a run that the admission no longer knows */
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -219,8 +219,7 @@
     }
 }
 
-/* Ends a run for its entry. @waited and @ran: what the refusal says. */
-static void
+void
 run_give_up(struct run *run, enum pgw_refusal refusal, const char *waited,
             const char *ran)
 {
@@ -251,38 +250,6 @@
     }
 }
 
-static struct run *
-first_unanswered(struct sidecar *sidecar)
-{
-    pgw_list_foreach (link, &sidecar->all_runs) {
-        struct run *run = pgw_container_of(link, struct run, link);
-
-        if (!run->ended) {
-            return run;
-        }
-    }
-    return NULL;
-}
-
-void
-gate_refuse_rest(struct sidecar *sidecar)
-{
-    struct run *run;
-
-    /* Those that wait go first, or the end of others would start them. */
-    gate_refuse_waiting(sidecar, PGW_REFUSAL_LEAVING);
-    while ((run = first_unanswered(sidecar)) != NULL) {
-        if (run->state == RUN_BROKEN) {
-            run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
-                          "the upstream crashed");
-            continue;
-        }
-        run_give_up(run, PGW_REFUSAL_LEAVING,
-                    "the instance stops: send to another one",
-                    "the instance stops and its drain timeout has passed");
-    }
-}
-
 static void
 gate_tick(struct pgw_timer *timer)
 {
