Log crashes that are not counted, who saw them and how late

Operators could not see why a request that crashes upstreams was not refused: poison_crash is written for a crash that counts only.

Change: no decision differs. poison_crash has source= (this entry or another), counted=0 for a crash taken for one with an earlier one, and late_ms=, the time from the broken connection to the confirmed crash; poison_unmatched counts runs whose upstream was not seen to crash.

--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -148,6 +148,9 @@
         expired++;
     }
     g_array_remove_range(quarantine->interrupted, 0, expired);
+    if (expired > 0) {
+        pgw_log_info("poison_unmatched", "runs=%u", expired);
+    }
     expired = 0;
     while (expired < quarantine->crashed_upstreams->len &&
            crashed_at(quarantine, expired)->at_us + crash_match_us <= now_us) {
@@ -269,17 +272,36 @@
         now_us + MIN(duration_us, quarantine->options.record_lifetime_us);
 }
 
-/* Adds a crash to a fingerprint. Returns whether it is new and counts. */
+static void
+log_crash(const struct record *record, uint64_t crash, const char *source,
+          bool counted, uint64_t at_us, uint64_t now_us)
+{
+    char name[PGW_FINGERPRINT_HEX];
+
+    pgw_fingerprint_print(name, &record->fingerprint);
+    pgw_log_info("poison_crash",
+                 "fingerprint=%s crash=%016" G_GINT64_MODIFIER
+                 "x crashes=%u held=%d source=%s counted=%d "
+                 "late_ms=%" G_GUINT64_FORMAT,
+                 name, crash, record->counted,
+                 (int)(now_us < record->quarantined_until_us), source,
+                 (int)counted, (now_us - at_us) / 1000);
+}
+
+/* Adds a crash to a fingerprint. Returns whether it is new and counts.
+ * @source: who saw it, for logs */
 static bool
 count_crash(struct pgw_crash_quarantine *quarantine,
             const struct pgw_fingerprint *fingerprint, uint64_t crash,
-            uint64_t at_us, uint64_t now_us)
+            const char *source, uint64_t at_us, uint64_t now_us)
 {
     struct record *record = get_record(quarantine, fingerprint, now_us);
-    char name[PGW_FINGERPRINT_HEX];
 
-    if (record == NULL || has_crash(record, crash) ||
-        is_near_counted_crash(quarantine, record, at_us)) {
+    if (record == NULL || has_crash(record, crash)) {
+        return false;
+    }
+    if (is_near_counted_crash(quarantine, record, at_us)) {
+        log_crash(record, crash, source, false, at_us, now_us);
         return false;
     }
     append_crash(record, crash, at_us);
@@ -287,12 +309,7 @@
         quarantine_record(quarantine, record, now_us);
     }
     pgw_metric_counter_add(&crashes_counted, 1);
-    pgw_fingerprint_print(name, fingerprint);
-    pgw_log_info("poison_crash",
-                 "fingerprint=%s crash=%016" G_GINT64_MODIFIER
-                 "x crashes=%u held=%d",
-                 name, crash, record->counted,
-                 (int)(now_us < record->quarantined_until_us));
+    log_crash(record, crash, source, true, at_us, now_us);
     return true;
 }
 
@@ -320,7 +337,8 @@
     if (!has_crashed(quarantine, run.crash)) {
         g_array_append_val(quarantine->interrupted, run);
     }
-    else if (count_crash(quarantine, fingerprint, run.crash, now_us, now_us)) {
+    else if (count_crash(quarantine, fingerprint, run.crash, "own", now_us,
+                         now_us)) {
         publish(quarantine, &crashed, 1);
     }
 }
@@ -338,8 +356,8 @@
         if (run->crash != crash) {
             continue;
         }
-        if (count_crash(quarantine, &run->fingerprint, crash, run->at_us,
-                        now_us)) {
+        if (count_crash(quarantine, &run->fingerprint, crash, "own",
+                        run->at_us, now_us)) {
             g_array_append_val(crashed, item);
         }
         g_array_remove_index(quarantine->interrupted, i - 1);
@@ -412,7 +430,7 @@
             crashed[i].crash == 0
                 ? clear_record(quarantine, fingerprint)
                 : count_crash(quarantine, fingerprint, crashed[i].crash,
-                              now_us - age_us, now_us);
+                              "entry", now_us - age_us, now_us);
 
         if (is_new) {
             publish(quarantine, &crashed[i], 1);
