Add failing tests of a request that ends a whole service at once

What callers saw: a request under which three upstreams had crashed was sent to upstreams again and again.

The soak's judge had the product's assumption (crashes less than 0.5 s apart count as one), and the gateway's test scene switched the exception off. The judge now counts each upstream that the request ended, as the stated rule does; its bound stays (one run later than 3 s after the third crash). New acts follow the faults: outbreak (all of a service crash at once, are back 3 s later, and again), power_loss (a popular request runs at all of a service when it loses its power; all who send it then must be served).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,13 +35,12 @@
 # A revoked key may work this long after the store's answer, by the settings'
 # bound of two seconds and one for a busy machine.
 REVOKE_GRACE_S = 3.0
-# Crashes of a request that lie closer together than this count as one: they may
-# be those of a zone that lost its power.
-POISON_APART_S = 0.5
 # A request that has crashed upstreams three times may reach so many more, later
 # than this time after the third; an entry that starts gets it from a peer.
 POISON_KNOWN_S = 3.0
 POISON_MORE = 1
+# Callers that send one request together after their service's power loss.
+POPULAR_CALLERS = 20
 # A process that is told to stop within this time of its start may not have
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
@@ -81,11 +80,12 @@
 
     def __init__(self, soak):
         self.soak, self.number, self.crashed, self.late = soak, 0, [], 0
-        self.counted, self.forgotten_at = [], 0.0
+        self.forgotten_at, self.down_s = 0.0, None
 
-    def begin(self):
+    def begin(self, down_s=None):
+        """@down_s: how long what it crashes is down, None: any time."""
         self.number += 1
-        self.crashed, self.counted, self.late = [], [], 0
+        self.crashed, self.late, self.down_s = [], 0, down_s
 
     @property
     def body(self):
@@ -96,15 +96,13 @@
         now = time.monotonic()
         if body != self.body:
             return
-        if len(self.counted) >= 3 and now > max(
-                self.counted[2], self.forgotten_at) + POISON_KNOWN_S:
+        if len(self.crashed) >= 3 and now > max(
+                self.crashed[2], self.forgotten_at) + POISON_KNOWN_S:
             self.late += 1
         if self.late > POISON_MORE:
             self.soak.fail(f"'{body}' reached {self.late} upstreams after it "
                            f"had crashed {len(self.crashed)}")
         self.crashed.append(now)
-        if not self.counted or now > self.counted[-1] + POISON_APART_S:
-            self.counted.append(now)
 
 
 class Soak:
@@ -122,6 +120,7 @@
         self.sent_to, self.sent_at, self.served_by = {}, {}, {}
         self.failed = {}
         self.poison = Poison(self)
+        self.popular_run_s = 0.0
         self.broken = None
         self.stopping = False
         self.faults = 0
@@ -452,7 +451,9 @@
                 self.forward, self.ip, self.port, reuse_address=True)
 
     def close(self):
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
+            self.server = None
 
     async def forward(self, reader, writer):
         try:
@@ -536,14 +537,19 @@
         await asyncio.sleep(list_after_s)
         await self.list()
 
-    async def crash(self):
+    async def crash(self, down_s=None):
+        """@down_s: so long its port is closed; None: any time, in which what
+        stands before it accepts connections and resets them."""
         if self.server.server is None:
             # Accepted while it went down: no process is left to answer.
             self.server.reset()
             return
         old = self.id
+        if down_s is not None:
+            self.proxy.close()
         self.server.close()
-        await asyncio.sleep(self.soak.random.random())
+        await asyncio.sleep(self.soak.random.random() if down_s is None
+                            else down_s)
         await self.start()
         await asyncio.sleep(self.soak.random.random() * 2)
         await self.store.delete("servers", old)
@@ -637,9 +643,11 @@
             self.soak.fail(f"{attempt} came with a key or without workspace")
         if body.startswith(b"poison"):
             self.soak.poison.note_run(body.decode())
-            asyncio.ensure_future(self.crash())
+            asyncio.ensure_future(self.crash(self.soak.poison.down_s))
             return
-        if body != attempt.encode():
+        if body.startswith(b"popular"):
+            await asyncio.sleep(self.soak.popular_run_s)
+        elif body != attempt.encode():
             self.soak.fail(f"{attempt} came with the body {body[:60]!r}")
         self.soak.note_run(attempt)
         own = (f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
@@ -896,15 +904,15 @@
     soak.answers[outcome] = soak.answers.get(outcome, 0) + 1
 
 
-async def poison(soak, fleet):
-    """A caller sends a request that crashes what runs it, every 150 ms."""
-    soak.poison.begin()
-    for number in range(30):
+async def poison(soak, fleet, times=30, pause_s=0.15, down_s=None):
+    """A caller sends a request that crashes what runs it, again and again."""
+    soak.poison.begin(down_s)
+    for number in range(times):
         if soak.broken is not None:
             return
         await call(soak, fleet, "again", f"{soak.poison.number}-{number}",
                    soak.poison.body)
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(pause_s)
 
 
 async def foreign(soak, fleet, upstream, for_s):
@@ -1087,6 +1095,41 @@
         soak.fail(f"not recovered: {new}, old weights on {behind}")
 
 
+async def outbreak(soak, fleet):
+    """A request that crashes all of a service at once, and again when they are
+    back."""
+    await poison(soak, fleet, times=150, pause_s=0.05, down_s=3.0)
+
+
+async def send_popular(soak, fleet, name, count):
+    """@count callers send one body at the same time."""
+    return await asyncio.gather(*[
+        call(soak, fleet, "again", f"{name}-{number}", f"popular {name}")
+        for number in range(count)])
+
+
+async def power_loss(soak, fleet):
+    """A service loses its power while a popular request runs at each of its
+    upstreams. When they are back, all who send it are served."""
+    soak.popular_run_s = 0.5
+    running = asyncio.ensure_future(
+        send_popular(soak, fleet, "power", 4 * PLAINS))
+    await asyncio.sleep(0.25)
+    await asyncio.gather(*[upstream.crash(1.0) for upstream in fleet.plains])
+    await running
+    soak.popular_run_s = 0.05
+    await asyncio.sleep(1.0)
+    for turn in range(2):
+        outcomes = await send_popular(soak, fleet, f"power-{turn}",
+                                      POPULAR_CALLERS)
+        if set(outcomes) - {"200", "401"}:
+            soak.fail(f"after a power loss callers of a request that had run "
+                      f"at all upstreams got {sorted(outcomes)}")
+
+
+ACTS = {"outbreak": outbreak, "power_loss": power_loss}
+
+
 async def explain(soak):
     """Each failure that a caller was told of has a cause by the logs alone.
 
@@ -1120,6 +1163,10 @@
     try:
         await faults(soak, fleet, time.monotonic() + options.seconds)
         await settle(soak, fleet)
+        for act in options.acts:
+            if soak.broken is None:
+                await ACTS[act](soak, fleet)
+                await settle(soak, fleet)
         soak.stopping = True
         await load
     finally:
@@ -1134,6 +1181,7 @@
 
 
 def main():
+    global ENTRIES, ENGINES, PLAINS
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin", default="build")
     parser.add_argument("--seed", type=int, default=1)
@@ -1146,13 +1194,16 @@
                         help="also upstreams that state in their answers what "
                         "they take, that they leave, or that they request a "
                         "backoff, or any of these at once after a restart")
+    parser.add_argument("--acts", nargs="*", default=[], choices=sorted(ACTS),
+                        help="what follows the faults, one after the other")
+    parser.add_argument("--plains", type=int, default=PLAINS,
+                        help="plain services")
     parser.add_argument("--scale", type=int, default=1,
                         help="so many times the entries, engines and plain "
                         "services")
     options = parser.parse_args()
-    global ENTRIES, ENGINES, PLAINS
     ENTRIES, ENGINES, PLAINS = (n * options.scale
-                                for n in (ENTRIES, ENGINES, PLAINS))
+                                for n in (ENTRIES, ENGINES, options.plains))
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -263,7 +263,7 @@
 
 static struct scene *
 new_scene(unsigned upstreams, uint64_t probe_wait_us, uint64_t start_pause_us,
-          uint64_t final_answer_grace_us)
+          uint64_t final_answer_grace_us, bool with_crash_gap)
 {
     struct scene *scene = g_new0(struct scene, 1);
     struct pgw_gateway_options options = {
@@ -286,7 +286,9 @@
     /* One slot means one request at a time. */
     options.choose.plain_max_load = 1.0;
     /* The test never sleeps, so its crashes follow each other closely. */
-    options.crash_quarantine.min_crash_gap_us = 0;
+    if (!with_crash_gap) {
+        options.crash_quarantine.min_crash_gap_us = 0;
+    }
     scene->loop = pgw_loop_new(NULL);
     scene->gateway = pgw_gateway_new(scene->loop, &options, NULL);
     g_assert_nonnull(scene->gateway);
@@ -302,25 +304,32 @@
 struct scene *
 scene_new(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false);
 }
 
 struct scene *
 scene_new_with_probe_wait(unsigned upstreams, uint64_t probe_wait_us)
 {
-    return new_scene(upstreams, probe_wait_us, START_PAUSE_US, TEST_TIME_US);
+    return new_scene(upstreams, probe_wait_us, START_PAUSE_US, TEST_TIME_US,
+                     false);
 }
 
 struct scene *
 scene_new_with_start_pause(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US);
+    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US, false);
 }
 
 struct scene *
 scene_new_without_answer_grace(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, 0);
+    return new_scene(upstreams, 0, START_PAUSE_US, 0, false);
+}
+
+struct scene *
+scene_new_with_crash_gap(unsigned upstreams)
+{
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, true);
 }
 
 void
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -66,6 +66,10 @@
  * process whose successor is listed ends at once */
 struct scene *scene_new_without_answer_grace(unsigned upstreams);
 
+/** scene_new_with_crash_gap() - as scene_new(), with the gateway's own rule on
+ * crashes of one request that follow each other closely */
+struct scene *scene_new_with_crash_gap(unsigned upstreams);
+
 /** scene_stop_listening() - an upstream refuses connections from now on */
 void scene_stop_listening(struct scene *scene, unsigned upstream);
 
