Log software versions and where streams go on

Operators could not see at which software version a stream began or went on: no line had a server's version, and Resumes was not read.

Change: no decision differs.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -26,6 +26,8 @@
  * @has_tokens: the caller stated the sizes of prompt and answer
  * @resume_after: id of the last event that the caller has
  * @has_resume: @resume_after is set
+ * @resumes: id of the attempt that brought the stream's first event, NULL: not
+ *   stated
  */
 struct pgw_request_facts {
     const char *id;
@@ -37,6 +39,7 @@
     bool has_tokens;
     uint64_t resume_after;
     bool has_resume;
+    const char *resumes;
 };
 
 /* Priorities that engines distinguish. */
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -96,6 +96,7 @@
     pgw_route_table_unref(exchange->table);
     g_free((char *)exchange->facts.id);
     g_free((char *)exchange->facts.model);
+    g_free((char *)exchange->facts.resumes);
     g_free(exchange);
 }
 
@@ -505,6 +506,7 @@
     /* The caller's head may be freed before the upstream has answered. */
     exchange->facts.id = g_strdup(facts->id);
     exchange->facts.model = g_strdup(facts->model);
+    exchange->facts.resumes = g_strdup(facts->resumes);
     exchange->received_us = caller->received_at_us;
     if (limit_ms == 0 ||
         (route->timeout_ms > 0 && route->timeout_ms < limit_ms)) {
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -2,6 +2,7 @@
 #include "gateway/exchange.h"
 #include "gateway/response_timeout.h"
 #include "gateway/source.h"
+#include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
 
@@ -209,6 +210,23 @@
     }
 }
 
+/* A stream that goes on shows in the logs where it does. */
+static void
+log_resumption(const struct pgw_exchange *exchange,
+               const struct pgw_forward *forward,
+               const struct pgw_upstream *upstream)
+{
+    if (forward->has_resume) {
+        pgw_log_info("stream_resumed",
+                     "request=%s resumes=%s after=%" G_GUINT64_FORMAT
+                     " upstream=%s software=%s",
+                     exchange->facts.id,
+                     exchange->facts.resumes == NULL ? "-"
+                                                     : exchange->facts.resumes,
+                     forward->resume_after, upstream->id, upstream->software);
+    }
+}
+
 void
 pgw_exchange_send(struct pgw_exchange *exchange,
                   const struct pgw_choice *choice)
@@ -227,6 +245,7 @@
     pgw_metric_register_counter(&sends);
     pgw_metric_counter_add(&sends, 1);
     fill_forward(&forward, exchange, choice, salt);
+    log_resumption(exchange, &forward, choice->upstream);
     gateway->options.codec->write_request(bytes, &forward);
     options.bytes = bytes->str;
     options.size = bytes->len;
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -186,6 +186,12 @@
     }
 }
 
+static const char *
+software_of(const struct pgw_upstream_facts *facts)
+{
+    return g_intern_string(facts->software == NULL ? "" : facts->software);
+}
+
 static struct pgw_upstream *
 upstream_new(struct pgw_upstream_table *table,
              const struct pgw_upstream_facts *facts)
@@ -206,6 +212,7 @@
     upstream->id = g_strdup(facts->id);
     upstream->service = g_strdup(facts->service);
     upstream->zone = g_strdup(facts->zone);
+    upstream->software = software_of(facts);
     upstream->address_text = g_strdup(facts->address);
     upstream->id_hash = pgw_place_id_hash(facts->address);
     upstream->same_zone = strcmp(facts->zone, table->zone) == 0;
@@ -380,6 +387,7 @@
     }
     pgw_upstream_table_set_start(table, upstream, facts->started_ms);
     upstream->slots = MAX(facts->slots, 1);
+    upstream->software = software_of(facts);
     upstream->revision = facts->revision;
     upstream->displaced = false;
     upstream->delisted_until_us = 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -43,6 +43,8 @@
  * @started_ms: start time of the process by its own clock, in Unix
  *   milliseconds; distinguishes processes with the same id. 0: unknown
  * @leaving: the upstream is draining and will stop
+ * @software: version of its software, which has no order; "" or NULL: not
+ *   stated
  * @warmup_ms: remaining time for which the upstream is slow after its start
  * @models: models and weights of an engine
  * @model_count: number of @models; 0 for a plain service
@@ -56,6 +58,7 @@
     uint64_t revision;
     uint64_t started_ms;
     bool leaving;
+    const char *software;
     uint32_t warmup_ms;
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
@@ -128,6 +131,7 @@
  * @earlier_starts_ms: start times of former processes, whose messages may
  *   still arrive
  * @earlier_start_count: number of @earlier_starts_ms
+ * @software: version of its software, interned; "": not stated
  * @leaving: the upstream is draining
  * @sidecar_leaving_until_us: when its sidecar's report that it is draining
  *   expires, 0: the sidecar does not report so
@@ -189,6 +193,7 @@
     uint64_t started_ms;
     uint64_t earlier_starts_ms[PGW_UPSTREAM_STARTS_MAX];
     size_t earlier_start_count;
+    const char *software;
     bool leaving;
     uint64_t sidecar_leaving_until_us;
     bool displaced;
