Add failing tests of streams that go on at another software version

What callers saw: events of two software versions in one stream.

Change: the soak's engines list a software version and write it into their events, and its clients take broken streams up at any entry, with Last-Event-Id and Resumes. Three acts follow the faults: engines of two versions reset their streams, an entry is killed twice, all engines of one version leave. The soak judges the joined streams itself (two allowed), and that half of the share of new streams goes on while two engines of each version serve.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,6 +41,8 @@
 POISON_MORE = 1
 # Callers that send one request together after their service's power loss.
 POPULAR_CALLERS = 20
+# Streams of one act, their events, and how many may hold events of two versions.
+STREAMS, STREAM_EVENTS, JOINED_MAX = 83, 40, 2
 # A process that is told to stop within this time of its start may not have
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
@@ -499,7 +501,7 @@
         self.ip = soak.ip(role, index)
         self.zone = "ab"[index % 2]
         self.starts, self.version, self.sequence = 0, 1, 0
-        self.life, self.born = 0, 0
+        self.life, self.born, self.software = 0, 0, "v1"
         self.token, self.busy, self.state = 0, False, "ready"
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
@@ -516,6 +518,7 @@
             "service": "guide" if self.engine else "plain",
             "address": f"{self.ip}:{PROXY_PORT}", "zone": self.zone,
             "capacity": 8, "state": self.state, "cold_left_ms": 0,
+            "version": self.software,
             "born": self.born,
             "models": [{"name": MODEL, "version": self.version}]
             if self.engine else []})
@@ -645,7 +648,10 @@
             self.soak.poison.note_run(body.decode())
             asyncio.ensure_future(self.crash(self.soak.poison.down_s))
             return
-        if body.startswith(b"popular"):
+        text, events = attempt, 9
+        if body.startswith(b"stream"):
+            text, events = self.software, STREAM_EVENTS + 1
+        elif body.startswith(b"popular"):
             await asyncio.sleep(self.soak.popular_run_s)
         elif body != attempt.encode():
             self.soak.fail(f"{attempt} came with the body {body[:60]!r}")
@@ -659,9 +665,9 @@
         writer.write((f"HTTP/1.1 200 X\r\n{own}Content-Type: "
                       "text/event-stream\r\nTransfer-Encoding: chunked"
                       "\r\n\r\n").encode())
-        for event in range(int(fields.get("last-event-id", 0)) + 1, 9):
-            text = f"id: {event}\ndata: {attempt}\n\n"
-            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+        for event in range(int(fields.get("last-event-id", 0)) + 1, events):
+            line = f"id: {event}\ndata: {text}\n\n"
+            writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
             await writer.drain()
             await asyncio.sleep(0.01)
         writer.write(b"0\r\n\r\n")
@@ -1127,7 +1133,168 @@
                       f"at all upstreams got {sorted(outcomes)}")
 
 
-ACTS = {"outbreak": outbreak, "power_loss": power_loss}
+class Streams:
+    """Streams that clients take up again, and the versions that wrote them."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.began, self.joined = {}, []
+        self.new, self.new_begun, self.taken_up, self.gone_on = 0, 0, 0, 0
+
+    def note_event(self, name, version):
+        """A client has got an event of a stream from a version."""
+        if self.began.setdefault(name, version) != version:
+            self.joined.append(name)
+        if len(set(self.joined)) > JOINED_MAX:
+            self.soak.fail(f"{len(set(self.joined))} streams hold events of "
+                           f"two software versions: {self.joined[-1]} began at "
+                           f"{self.began[name]} and went on at {version}")
+
+
+async def read_events(reader, on_event):
+    """Reads a chunked stream; returns whether it came to its end."""
+    data = b""
+    while True:
+        size = int((await reader.readline()).strip() or b"x", 16)
+        data += (await reader.readexactly(size + 2))[:size]
+        while b"\n\n" in data:
+            event, _, data = data.partition(b"\n\n")
+            on_event(event.decode().split("\n"))
+        if size == 0:
+            return True
+
+
+async def attempt_stream(soak, fleet, streams, name, attempt, state):
+    """One attempt of a stream at any entry; @state: the last id and the attempt
+    that brought the first event. Returns its status, "cut" or "done"."""
+    entry = soak.sent_to[attempt] = soak.random.randrange(ENTRIES)
+    soak.sent_at[attempt] = time.monotonic()
+    up = (f"Last-Event-Id: {state['last']}\r\nResumes: {state['first']}\r\n"
+          if state["last"] > 0 else "")
+    body = f"stream {name}"
+
+    def on_event(lines):
+        fields = dict(line.split(": ", 1) for line in lines)
+        if int(fields["id"]) != state["last"] + 1:
+            soak.fail(f"stream {name}: event {fields['id']} came after "
+                      f"{state['last']}")
+        state["last"] = int(fields["id"])
+        state["first"] = state["first"] or attempt
+        streams.note_event(name, fields["data"])
+
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(soak.ip(2, entry), FRONT), 1)
+    except (OSError, asyncio.TimeoutError):
+        return "no connection"
+    try:
+        writer.write((f"POST /flow/s HTTP/1.1\r\nHost: h.example\r\n"
+                      f"Attempt-Id: {attempt}\r\nDeadline-Ms: 4000\r\n{up}"
+                      f"Model: {MODEL}\r\nToken-Count: 60,{STREAM_EVENTS}\r\n"
+                      f"Prompt-Prefix: 1:40,{len(soak.sent_to):x}2:20\r\n"
+                      f"Authorization: Bearer {fleet.keys[-1]}\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+        start, _ = await asyncio.wait_for(read_head(reader), 6)
+        if start[1] != "200":
+            return start[1]
+        await asyncio.wait_for(read_events(reader, on_event), 6)
+        return "done"
+    except (OSError, ValueError, asyncio.IncompleteReadError,
+            asyncio.TimeoutError):
+        return "cut"
+    finally:
+        writer.close()
+
+
+async def stream(soak, fleet, streams, name):
+    """A client that takes its stream up until it has all events."""
+    state = {"last": 0, "first": None}
+    for number in range(6):
+        taken_up, before = state["last"] > 0, state["last"]
+        outcome = await attempt_stream(soak, fleet, streams, name,
+                                       f"s{name}-{number}", state)
+        if taken_up:
+            streams.taken_up += 1
+            streams.gone_on += state["last"] > before
+        else:
+            streams.new += 1
+            streams.new_begun += state["last"] > 0
+        if outcome == "done":
+            return
+        await asyncio.sleep(0.05)
+
+
+async def streams_during(soak, fleet, name, trouble):
+    """Streams that begin before and while @trouble runs."""
+    streams = Streams(soak)
+    running = []
+    for number in range(STREAMS):
+        running.append(asyncio.ensure_future(
+            stream(soak, fleet, streams, f"{name}-{number}")))
+        if number == STREAMS // 3:
+            running.append(asyncio.ensure_future(trouble()))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*running)
+    print(f"{name}: {streams.new_begun} of {streams.new} new streams, "
+          f"{streams.gone_on} of {streams.taken_up} taken up again",
+          flush=True)
+    return streams
+
+
+async def two_versions(soak, fleet):
+    """Half of the engines restart with another software version."""
+    for index, engine in enumerate(fleet.engines):
+        engine.software = f"v{1 + index % 2}"
+        if index % 2 == 1:
+            await engine.crash(0.1)
+
+
+def judge_share(soak, streams):
+    """Half of the share of new streams must go on, while two servers of each
+    version serve."""
+    if streams.taken_up >= 12 and (
+            streams.gone_on * streams.new * 2
+            < streams.new_begun * streams.taken_up):
+        soak.fail(f"{streams.gone_on} of {streams.taken_up} streams went on, "
+                  f"and {streams.new_begun} of {streams.new} new ones began")
+
+
+async def engine_resets(soak, fleet):
+    """Engines of two versions reset their streams now and then."""
+    async def trouble():
+        for _ in range(12):
+            soak.random.choice(fleet.engines).server.reset()
+            await asyncio.sleep(0.1)
+    await two_versions(soak, fleet)
+    await settle(soak, fleet)
+    judge_share(soak, await streams_during(soak, fleet, "resets", trouble))
+
+
+async def entry_deaths(soak, fleet):
+    """An entry ends at once, and again, while it relays streams."""
+    async def trouble():
+        for _ in range(2):
+            await fleet.entries[0].restart(signal.SIGKILL, 0.3)
+            await asyncio.sleep(0.5)
+    await two_versions(soak, fleet)
+    await settle(soak, fleet)
+    judge_share(soak, await streams_during(soak, fleet, "deaths", trouble))
+
+
+async def version_gone(soak, fleet):
+    """All engines of one version leave for good."""
+    async def trouble():
+        for engine in fleet.engines[1::2]:
+            engine.software = "v1"
+        await asyncio.gather(*[e.crash(2.0) for e in fleet.engines[1::2]])
+    await two_versions(soak, fleet)
+    await settle(soak, fleet)
+    await streams_during(soak, fleet, "gone", trouble)
+
+
+ACTS = {"outbreak": outbreak, "power_loss": power_loss,
+        "engine_resets": engine_resets, "entry_deaths": entry_deaths,
+        "version_gone": version_gone}
 
 
 async def explain(soak):
