Let streams go on only at the software version that began them

What callers saw: events of two software versions in one stream, after a resumption within an answer and when they took a stream up at any entry.

Cause: an entry chose the upstream of a stream that goes on like that of a new one; it knew no versions, and Resumes was not read.

Change: the first event that is passed on fixes the version of a stream, and the choice takes only upstreams of it. For a stream that a caller takes up the version is found before the first send: known to the entry, or asked of the sidecars that keep it. If nobody knows it, or no upstream runs it, the request is refused at once as not run, or the stream is cut off so that its caller can take it up. The check is in pgw_exchange_dispatch(), which all attempts pass.

--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -38,6 +38,8 @@
  * @PGW_CAUSE_UPSTREAM_LIMITS: all upstreams were at the limits that they named
  * @PGW_CAUSE_UPSTREAMS_IN_BACKOFF: all upstreams had asked for a time without
  * requests
+ * @PGW_CAUSE_STREAM_VERSION: no upstream runs the software version that began
+ * its stream, or that version is not known
  * @PGW_CAUSE_NO_PLACE: no upstream had a place for it
  * @PGW_CAUSE_LONG_PROMPT: its prompt had to be read
  * @PGW_CAUSE_CROWDED: many others ran at its upstream
@@ -62,6 +64,7 @@
     PGW_CAUSE_WEIGHTS,
     PGW_CAUSE_UPSTREAM_LIMITS,
     PGW_CAUSE_UPSTREAMS_IN_BACKOFF,
+    PGW_CAUSE_STREAM_VERSION,
     PGW_CAUSE_NO_PLACE,
     PGW_CAUSE_LONG_PROMPT,
     PGW_CAUSE_CROWDED,
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -45,6 +45,7 @@
     [PGW_CAUSE_WEIGHTS] = "weights",
     [PGW_CAUSE_UPSTREAM_LIMITS] = "upstream_limits",
     [PGW_CAUSE_UPSTREAMS_IN_BACKOFF] = "upstreams_in_backoff",
+    [PGW_CAUSE_STREAM_VERSION] = "stream_version",
     [PGW_CAUSE_NO_PLACE] = "no_place",
     [PGW_CAUSE_LONG_PROMPT] = "long_prompt",
     [PGW_CAUSE_CROWDED] = "crowded",
@@ -508,6 +509,24 @@
              text_of(inquiry->end, "service"), inquiry->end->instance);
 }
 
+static void
+end_stream_version_gone(struct inquiry *inquiry)
+{
+    conclude(inquiry, PGW_CAUSE_STREAM_VERSION,
+             "no upstream of service %s runs the software version that began "
+             "the stream: see stream_refused",
+             text_of(inquiry->end, "service"));
+}
+
+static void
+end_stream_origin_unknown(struct inquiry *inquiry)
+{
+    conclude(inquiry, PGW_CAUSE_STREAM_VERSION,
+             "service %s has several software versions, and neither %s nor a "
+             "sidecar knew which one began the stream: see stream_refused",
+             text_of(inquiry->end, "service"), inquiry->end->instance);
+}
+
 static void
 end_poison(struct inquiry *inquiry)
 {
@@ -569,6 +588,8 @@
     {"over_quota", end_over_quota},
     {"upstream_limits", end_upstream_limits},
     {"upstreams_in_backoff", end_upstreams_in_backoff},
+    {"stream_version_gone", end_stream_version_gone},
+    {"stream_origin_unknown", end_stream_origin_unknown},
 };
 
 static void
--- a/src/gateway/choose.c
+++ b/src/gateway/choose.c
@@ -654,16 +654,32 @@
                             : find_cheapest(out, input, options, set, true);
 }
 
-void
-pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
-           const struct pgw_choose_options *options)
+/* The upstreams of @pool that run a software version. */
+static void
+pool_filter(struct pgw_upstream_pool *out,
+            const struct pgw_upstream_pool *pool, const char *software)
+{
+    *out = *pool;
+    out->all = g_ptr_array_new();
+    out->local = g_ptr_array_new();
+    for (unsigned i = 0; i < pool->all->len; i++) {
+        struct pgw_upstream *upstream = g_ptr_array_index(pool->all, i);
+
+        if (upstream->software == software) {
+            g_ptr_array_add(out->all, upstream);
+            if (upstream->same_zone) {
+                g_ptr_array_add(out->local, upstream);
+            }
+        }
+    }
+}
+
+static void
+choose_from_pool(struct pgw_choice *out, const struct pgw_choose_input *input,
+                 const struct pgw_choose_options *options)
 {
     struct candidate_set set;
 
-    memset(out, 0, sizeof(*out));
-    if (input->pool == NULL) {
-        return;
-    }
     out->upstream =
         choose_from(out, input, options, &set, PGW_CANDIDATES_LOCAL_ZONE);
     if (out->upstream == NULL && !set.candidates.all) {
@@ -683,3 +699,28 @@
         out->holder_missing = missing_tokens(out->holder, input, false);
     }
 }
+
+void
+pgw_choose(struct pgw_choice *out, const struct pgw_choose_input *input,
+           const struct pgw_choose_options *options)
+{
+    struct pgw_choose_input filtered = *input;
+    struct pgw_upstream_pool matching;
+
+    memset(out, 0, sizeof(*out));
+    if (input->pool == NULL) {
+        return;
+    }
+    if (input->software == NULL) {
+        choose_from_pool(out, input, options);
+        return;
+    }
+    /* The version is more selective than the prompt's homes, which may run
+     * another one. */
+    pool_filter(&matching, input->pool, input->software);
+    filtered.pool = &matching;
+    filtered.homes = NULL;
+    choose_from_pool(out, &filtered, options);
+    g_ptr_array_unref(matching.all);
+    g_ptr_array_unref(matching.local);
+}
--- a/src/gateway/choose.h
+++ b/src/gateway/choose.h
@@ -179,6 +179,7 @@
  * @version: engines with older weights cost more, 0: no such cost
  * @min_version: engines with older weights are not used
  * @newest_version: engines with older weights are going to load this version
+ * @software: only upstreams of this software version, interned; NULL: of any
  * @size: bytes of the request
  * @run_ms: estimated time from the end of prefill to the end of the answer
  * @prefill_tokens_per_ms: prefill rate of an engine
@@ -197,6 +198,7 @@
     uint64_t version;
     uint64_t min_version;
     uint64_t newest_version;
+    const char *software;
     size_t size;
     double run_ms;
     double prefill_tokens_per_ms;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -78,6 +78,7 @@
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_home_probe_drop(exchange);
     pgw_suspect_wait_drop(exchange);
+    pgw_stream_origin_drop(exchange);
     pgw_quota_end(gateway->quota, exchange);
     pgw_call_cancel(&exchange->call);
     pgw_attempt_count_end(exchange);
@@ -245,6 +246,7 @@
         .pool = pgw_upstream_table_pool(gateway->upstreams, exchange->service),
         .tried = exchange->tried,
         .tried_count = tried_count,
+        .software = exchange->software_is_fixed ? exchange->software : NULL,
         .now_us = pgw_now_us(),
         .random = pgw_random_u64(),
     };
@@ -449,7 +451,8 @@
         on_deadline(&exchange->deadline_timer);
         return;
     }
-    if (pgw_suspect_wait_begin(exchange) || pgw_home_probe_begin(exchange)) {
+    if (pgw_suspect_wait_begin(exchange) ||
+        pgw_stream_origin_begin(exchange) || pgw_home_probe_begin(exchange)) {
         return;
     }
     choose_upstream(&choice, exchange, exchange->tried_count);
--- a/src/gateway/engine_sidecar.c
+++ b/src/gateway/engine_sidecar.c
@@ -75,6 +75,14 @@
         pgw_engine_sidecar_handle_limit_ask(entry,
                                             (const Pgw__LimitAsk *)message);
     }
+    else if (type == PGW_FRAME_STREAM_ORIGINS) {
+        pgw_engine_sidecar_handle_stream_origins(
+            entry->sidecar, (const Pgw__StreamOrigins *)message);
+    }
+    else if (type == PGW_FRAME_STREAM_ORIGIN_ASK) {
+        pgw_engine_sidecar_handle_stream_ask(
+            entry, (const Pgw__StreamOriginAsk *)message);
+    }
     return false;
 }
 
@@ -145,6 +153,8 @@
     pgw_announced_prompts_init(&sidecar->announced_prompts);
     sidecar->quotas = pgw_quota_buckets_new(&options->quotas);
     sidecar->limits = pgw_limit_ledger_new();
+    sidecar->streams =
+        pgw_stream_ledger_new(PGW_SOFTWARE_MIXED_US, PGW_SIDECAR_STREAMS_MAX);
     sidecar->events_timer.on_due = pgw_engine_sidecar_on_events_timer;
     if (sidecar->listener != NULL) {
         pgw_timer_start(loop, &sidecar->events_timer, 0);
@@ -183,6 +193,7 @@
     pgw_announced_prompts_dispose(&sidecar->announced_prompts);
     pgw_quota_buckets_free(sidecar->quotas);
     pgw_limit_ledger_free(sidecar->limits);
+    pgw_stream_ledger_free(sidecar->streams);
     g_string_free(sidecar->events_body, TRUE);
     if (!pgw_list_is_empty(&sidecar->entries)) {
         pgw_list_foreach_safe (link, &sidecar->entries) {
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/engine_sidecar_internal.h
@@ -5,6 +5,7 @@
 #include "gateway/limit_ledger.h"
 #include "gateway/quota_bucket.h"
 #include "gateway/report_budget.h"
+#include "gateway/stream_ledger.h"
 #include "libparsleygw/link.h"
 #include "util/listener.h"
 
@@ -13,7 +14,8 @@
  *
  * engine_sidecar_poll.c polls the engine for reports and cache events,
  * engine_sidecar_orders.c orders it to load weights, engine_sidecar_quota.c
- * answers quota requests, engine_sidecar_reports.c sends reports to the
+ * answers quota requests, engine_sidecar_streams.c keeps the software versions
+ * of streams, engine_sidecar_reports.c sends reports to the
  * entries, and engine_sidecar.c owns the state and the connections. No other
  * file includes this header.
  */
@@ -81,6 +83,7 @@
  * @report: the engine's last report
  * @quotas: quota buckets of the workspaces that this sidecar owns
  * @limits: limits of upstreams that this sidecar owns
+ * @streams: attempts that this sidecar owns, with their software versions
  * @notices: what the engine stated in its last answer to each kind of call
  * @events_started_ms: start of the process that answered the last long poll
  *   for cache events, 0: unknown
@@ -126,6 +129,7 @@
     struct pgw_engine_report report;
     struct pgw_quota_buckets *quotas;
     struct pgw_limit_ledger *limits;
+    struct pgw_stream_ledger *streams;
     struct pgw_upstream_notice notices[PGW_SIDECAR_CALL_COUNT];
     uint64_t events_started_ms;
     uint64_t backoff_until_us[PGW_SIDECAR_CALL_COUNT];
@@ -182,6 +186,20 @@
  * quotas */
 void pgw_engine_sidecar_register_quota_metrics(void);
 
+/* engine_sidecar_streams.c */
+/* Attempts that a sidecar keeps: twice those of a minute, if 512 sidecars own
+ * 120,000 a second. They take 3 MB. */
+#define PGW_SIDECAR_STREAMS_MAX 32768
+/** pgw_engine_sidecar_handle_stream_origins() - keep the software versions of
+ * an entry's attempts */
+void
+pgw_engine_sidecar_handle_stream_origins(struct pgw_engine_sidecar *sidecar,
+                                         const Pgw__StreamOrigins *message);
+/** pgw_engine_sidecar_handle_stream_ask() - answer an entry's ask for the
+ * version of an attempt */
+void pgw_engine_sidecar_handle_stream_ask(struct pgw_connected_entry *entry,
+                                          const Pgw__StreamOriginAsk *ask);
+
 /* engine_sidecar_notice.c */
 /** pgw_engine_sidecar_handle_limit_ask() - answer an entry's ask for requests
  * to an upstream at its limit */
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,7 @@
  * @budgets: retry budgets of services
  * @crash_quarantine: requests that were running when upstreams crashed
  * @quota: quotas of workspaces
+ * @stream_origins: software versions of streams
  * @waiting: requests that are queued for a free slot
  * @exchanges: all requests that have not ended
  * @dispatch_task: tries to dispatch the queued requests, once for all changes
@@ -55,6 +56,7 @@
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
     struct pgw_quota *quota;
+    struct pgw_stream_origins *stream_origins;
     struct pgw_wait_queue waiting;
     struct pgw_list exchanges;
     struct pgw_task dispatch_task;
@@ -114,6 +116,14 @@
  *   fingerprint may run
  * @suspect_until_us: when that wait ends with a refusal, 0: it does not wait
  * @trial: token of the trial that the request has claimed, 0: none
+ * @software: with @software_is_fixed, the version of the software at which a
+ *   stream goes on; NULL: not known, it goes on nowhere
+ * @software_is_fixed: the caller has events of the stream
+ * @sent_software: software version of the current attempt's upstream
+ * @origin_ask: number of the ask for @software whose answers are awaited, 0:
+ *   none
+ * @origin_answers: number of answers that are awaited
+ * @origin_any: some sidecar that answered knows attempts
  * @probe: number of the probe whose answers are awaited, 0: none
  * @probed_at_us: when the last probe was sent
  * @probes_waited_us: total time spent waiting for answers to probes
@@ -168,6 +178,12 @@
     struct pgw_timer suspect_timer;
     uint64_t suspect_until_us;
     uint64_t trial;
+    const char *software;
+    bool software_is_fixed;
+    const char *sent_software;
+    uint64_t origin_ask;
+    unsigned origin_answers;
+    bool origin_any;
     struct pgw_homes homes;
     uint64_t probe;
     uint64_t probed_at_us;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -101,6 +101,7 @@
     gateway->crash_quarantine =
         pgw_crash_quarantine_new(&options->crash_quarantine);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
+    gateway->stream_origins = pgw_stream_origins_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
                                gateway);
     pgw_unresponsive_start(gateway);
@@ -124,6 +125,7 @@
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_quota_free(gateway->quota);
+    pgw_stream_origins_free(gateway->stream_origins);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
@@ -141,6 +143,12 @@
     return gateway->crash_quarantine;
 }
 
+struct pgw_stream_origins *
+pgw_gateway_stream_origins(struct pgw_gateway *gateway)
+{
+    return gateway->stream_origins;
+}
+
 struct pgw_quota *
 pgw_gateway_quota(struct pgw_gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/quota.h"
 #include "gateway/retry_budgets.h"
 #include "gateway/route_table.h"
+#include "gateway/stream_origins.h"
 #include "gateway/upstream_table.h"
 #include "gateway/wait_queue.h"
 
@@ -165,6 +166,12 @@
 
 /**
  * struct pgw_sidecar_ops - messages to the sidecars of engines
+ * @reaches: whether messages can be sent to a sidecar; if not, the entry
+ *   starts to connect to it
+ * @send_origins: send the software versions of attempts to a sidecar that
+ *   keeps them
+ * @ask_origin: ask for the version of an attempt; the answer arrives through
+ *   pgw_stream_origins_handle_answer(). false: the sidecar is not reachable
  * @announce: announce a request in flight; with no @parts and @pending_tokens
  *   0, the long prompt announced before has been prefilled or cancelled
  * @probe: ask for an engine's load and its cached parts; the answer arrives
@@ -177,6 +184,12 @@
  *   reachable
  */
 struct pgw_sidecar_ops {
+    bool (*reaches)(void *context, const struct pgw_upstream *upstream);
+    void (*send_origins)(void *context, const struct pgw_upstream *owner,
+                         const struct pgw_stream_origin *origins,
+                         size_t count);
+    bool (*ask_origin)(void *context, const struct pgw_upstream *owner,
+                       uint64_t ask, uint32_t id);
     void (*announce)(void *context, const struct pgw_upstream *upstream,
                      const struct pgw_announcement *announcement);
     bool (*probe)(void *context, const struct pgw_upstream *upstream,
@@ -218,6 +231,10 @@
 uint64_t pgw_gateway_target_version(const struct pgw_gateway *gateway,
                                     const char *model);
 
+/** pgw_gateway_stream_origins() - software versions of streams */
+struct pgw_stream_origins *
+pgw_gateway_stream_origins(struct pgw_gateway *gateway);
+
 /** pgw_gateway_quota() - quotas of workspaces; answers of their owners are
  * handed to it */
 struct pgw_quota *pgw_gateway_quota(struct pgw_gateway *gateway);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -223,6 +223,7 @@
     if (exchange->prefill_tokens > 0 || exchange->first_event_us == 0) {
         handle_first_event(exchange);
     }
+    pgw_stream_origin_set_begun(exchange);
     if (exchange->phase != PGW_PHASE_RELAYING) {
         exchange->phase = PGW_PHASE_RELAYING;
         pgw_caller_begin(exchange->caller, exchange->status,
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -189,6 +189,10 @@
         pgw_sidecar_link_handle_limit_answer(
             context, (const Pgw__LimitAnswer *)message);
     }
+    else if (type == PGW_FRAME_STREAM_ORIGIN_ANSWER) {
+        pgw_sidecar_link_handle_origin_answer(
+            context, (const Pgw__StreamOriginAnswer *)message);
+    }
     return false;
 }
 
@@ -564,6 +568,8 @@
     }
     close_unneeded(links);
     pgw_quota_upstreams_changed(pgw_gateway_quota(links->gateway));
+    pgw_stream_origins_upstreams_changed(
+        pgw_gateway_stream_origins(links->gateway));
     pgw_sidecar_links_rollout_schedule(links);
 }
 
--- a/src/gateway/sidecar_links_internal.h
+++ b/src/gateway/sidecar_links_internal.h
@@ -134,6 +134,12 @@
 void pgw_sidecar_link_handle_limit_answer(const struct sidecar_link *link,
                                           const Pgw__LimitAnswer *message);
 
+/** pgw_sidecar_link_handle_origin_answer() - pass on the version of an attempt
+ */
+void
+pgw_sidecar_link_handle_origin_answer(const struct sidecar_link *link,
+                                      const Pgw__StreamOriginAnswer *message);
+
 /* sidecar_links_rollout.c */
 /** pgw_sidecar_links_rollout_init() - initialize the state of rollouts */
 void pgw_sidecar_links_rollout_init(struct pgw_sidecar_links *links);
--- a/src/gateway/sidecar_links_probe.c
+++ b/src/gateway/sidecar_links_probe.c
@@ -177,7 +177,88 @@
                                       &answer);
 }
 
+static bool
+reaches(void *context, const struct pgw_upstream *upstream)
+{
+    return get_open_link(context, upstream) != NULL;
+}
+
+/* Positions in a message's list of versions are bytes. */
+#define VERSIONS_PER_MESSAGE 250
+
+static void
+send_origins(void *context, const struct pgw_upstream *owner,
+             const struct pgw_stream_origin *origins, size_t count)
+{
+    const struct sidecar_link *link = find_link(context, owner);
+    Pgw__StreamOrigins message = PGW__STREAM_ORIGINS__INIT;
+    char *versions[VERSIONS_PER_MESSAGE];
+    uint32_t *ids = g_new(uint32_t, count);
+    uint8_t *software_of = g_new(uint8_t, count);
+
+    message.software = versions;
+    message.ids = ids;
+    message.software_of.data = software_of;
+    for (size_t i = 0; is_open(link) && i < count; i++) {
+        size_t position = 0;
+
+        while (position < message.n_software &&
+               versions[position] != origins[i].software) {
+            position++;
+        }
+        if (position == VERSIONS_PER_MESSAGE) {
+            continue;
+        }
+        if (position == message.n_software) {
+            versions[message.n_software++] = (char *)origins[i].software;
+        }
+        ids[message.n_ids] = origins[i].id;
+        software_of[message.n_ids++] = (uint8_t)position;
+    }
+    message.software_of.len = message.n_ids;
+    if (message.n_ids > 0) {
+        pgw_link_send(link->connection, PGW_FRAME_STREAM_ORIGINS,
+                      &message.base);
+    }
+    g_free(software_of);
+    g_free(ids);
+}
+
+static bool
+ask_origin(void *context, const struct pgw_upstream *owner, uint64_t ask,
+           uint32_t id)
+{
+    const struct sidecar_link *link = find_link(context, owner);
+    Pgw__StreamOriginAsk message = PGW__STREAM_ORIGIN_ASK__INIT;
+
+    if (!is_open(link)) {
+        return false;
+    }
+    message.ask = ask;
+    message.id = id;
+    pgw_link_send(link->connection, PGW_FRAME_STREAM_ORIGIN_ASK,
+                  &message.base);
+    return true;
+}
+
+void
+pgw_sidecar_link_handle_origin_answer(const struct sidecar_link *link,
+                                      const Pgw__StreamOriginAnswer *message)
+{
+    struct pgw_stream_origin_answer answer = {
+        .software = message->known ? g_intern_string(message->software) : NULL,
+        .any = message->any,
+    };
+
+    pgw_stream_origins_handle_answer(
+        pgw_gateway_stream_origins(link->links->gateway), message->ask,
+        &answer);
+}
+
 const struct pgw_sidecar_ops pgw_sidecar_links_ops = {
+    .reaches = reaches,
+    .send_origins = send_origins,
+    .ask_origin = ask_origin,
     .announce = announce,
     .probe = probe,
     .ask_quota = ask_quota,
--- /dev/null
+++ b/src/gateway/stream_origins.h
@@ -0,0 +1,78 @@
+#ifndef PGW_GATEWAY_STREAM_ORIGINS_H
+#define PGW_GATEWAY_STREAM_ORIGINS_H
+
+#include "gateway/upstream_table.h"
+
+/**
+ * DOC: The software versions at which streams began
+ *
+ * What two software versions write does not fit together, so a stream goes on
+ * only at the version that began it. Within one answer the entry knows it. A
+ * caller that takes a stream up names the attempt that began it, perhaps at
+ * another entry, which may have ended. While several versions of a service are
+ * listed, each entry therefore sends the versions of its attempts to the
+ * sidecars of some engines, found by rendezvous hashing of the attempt's id.
+ * An entry that does not know an attempt asks them. While a service has a
+ * single version, nothing is sent.
+ */
+
+/* Sidecars that keep the versions of an attempt. */
+#define PGW_STREAM_OWNERS 2
+
+/**
+ * struct pgw_stream_origin - an attempt, as entries send it to sidecars
+ * @id: hash of its id
+ * @software: interned version
+ */
+struct pgw_stream_origin {
+    uint32_t id;
+    const char *software;
+};
+
+/**
+ * struct pgw_stream_origin_answer - what a sidecar knows of an attempt
+ * @software: interned version, NULL: it does not know the attempt
+ * @any: it knows some attempt, so several versions are listed or were lately
+ */
+struct pgw_stream_origin_answer {
+    const char *software;
+    bool any;
+};
+
+struct pgw_exchange;
+struct pgw_gateway;
+struct pgw_stream_origins;
+
+struct pgw_stream_origins *pgw_stream_origins_new(struct pgw_gateway *gateway);
+void pgw_stream_origins_free(struct pgw_stream_origins *origins);
+
+/** pgw_stream_origins_upstreams_changed() - select the sidecars again */
+void pgw_stream_origins_upstreams_changed(struct pgw_stream_origins *origins);
+
+/**
+ * pgw_stream_origin_begin() - find the version at which a stream goes on
+ * @exchange: a request that is about to be dispatched
+ *
+ * Return: true if an answer is awaited, and pgw_exchange_dispatch() is called
+ * again, or if the stream cannot go on, and the request was refused and is
+ * freed.
+ */
+bool pgw_stream_origin_begin(struct pgw_exchange *exchange);
+
+/** pgw_stream_origin_set_sent() - the request is sent to an upstream */
+void pgw_stream_origin_set_sent(struct pgw_exchange *exchange,
+                                const struct pgw_upstream *upstream);
+
+/** pgw_stream_origin_set_begun() - an event is passed on to the caller: from
+ * now on the stream goes on only at its version */
+void pgw_stream_origin_set_begun(struct pgw_exchange *exchange);
+
+/** pgw_stream_origin_drop() - stop waiting for answers */
+void pgw_stream_origin_drop(struct pgw_exchange *exchange);
+
+/** pgw_stream_origins_handle_answer() - apply a sidecar's answer */
+void pgw_stream_origins_handle_answer(
+    struct pgw_stream_origins *origins, uint64_t ask,
+    const struct pgw_stream_origin_answer *answer);
+
+#endif
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream_table.c
@@ -66,6 +66,7 @@
 
     g_ptr_array_unref(pool->all);
     g_ptr_array_unref(pool->local);
+    g_hash_table_destroy(pool->software);
     g_free(pool);
 }
 
@@ -151,11 +152,92 @@
         pool = g_new0(struct pgw_upstream_pool, 1);
         pool->all = g_ptr_array_new();
         pool->local = g_ptr_array_new();
+        pool->software = g_hash_table_new(NULL, NULL);
         g_hash_table_insert(table->by_service, g_strdup(service), pool);
     }
     return pool;
 }
 
+static void
+pool_set_mixed(struct pgw_upstream_pool *pool)
+{
+    pool->mixed_until_us =
+        (uint64_t)g_get_monotonic_time() + PGW_SOFTWARE_MIXED_US;
+}
+
+/* @change: 1 or -1 upstreams of a version more */
+static void
+pool_count_software(struct pgw_upstream_pool *pool, const char *software,
+                    int change)
+{
+    int count;
+
+    if (software == NULL) {
+        return;
+    }
+    if (g_hash_table_size(pool->software) > 1) {
+        pool_set_mixed(pool);
+    }
+    count = GPOINTER_TO_INT(g_hash_table_lookup(pool->software, software)) +
+            change;
+    if (count > 0) {
+        g_hash_table_insert(pool->software, (char *)software,
+                            GINT_TO_POINTER(count));
+    }
+    else {
+        g_hash_table_remove(pool->software, software);
+    }
+    if (change > 0) {
+        if (pool->last_software != NULL && pool->last_software != software) {
+            pool_set_mixed(pool);
+        }
+        pool->last_software = software;
+    }
+}
+
+bool
+pgw_upstream_pool_is_mixed(const struct pgw_upstream_pool *pool,
+                           uint64_t now_us)
+{
+    return g_hash_table_size(pool->software) > 1 ||
+           now_us < pool->mixed_until_us;
+}
+
+bool
+pgw_upstream_pool_has_software(const struct pgw_upstream_pool *pool,
+                               const char *software,
+                               struct pgw_upstream *const *tried,
+                               size_t tried_count, uint64_t now_us)
+{
+    for (unsigned i = 0; i < pool->all->len; i++) {
+        struct pgw_upstream *upstream = g_ptr_array_index(pool->all, i);
+        bool was_tried = false;
+
+        for (size_t j = 0; j < tried_count; j++) {
+            was_tried = was_tried || tried[j] == upstream;
+        }
+        if (upstream->software == software && !was_tried &&
+            !upstream->displaced &&
+            !pgw_upstream_is_leaving(upstream, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+set_software(struct pgw_upstream_table *table, struct pgw_upstream *upstream,
+             const char *software)
+{
+    struct pgw_upstream_pool *pool = pool_get(table, upstream->service);
+
+    if (upstream->software != software) {
+        pool_count_software(pool, upstream->software, -1);
+        upstream->software = software;
+        pool_count_software(pool, software, 1);
+    }
+}
+
 static void
 pool_add(struct pgw_upstream_table *table, struct pgw_upstream *upstream,
          bool is_engine)
@@ -212,7 +294,6 @@
     upstream->id = g_strdup(facts->id);
     upstream->service = g_strdup(facts->service);
     upstream->zone = g_strdup(facts->zone);
-    upstream->software = software_of(facts);
     upstream->address_text = g_strdup(facts->address);
     upstream->id_hash = pgw_place_id_hash(facts->address);
     upstream->same_zone = strcmp(facts->zone, table->zone) == 0;
@@ -220,6 +301,7 @@
     g_hash_table_insert(table->by_id, upstream->id, upstream);
     g_hash_table_replace(table->by_address, upstream->address_text, upstream);
     pool_add(table, upstream, facts->model_count > 0);
+    set_software(table, upstream, software_of(facts));
     pgw_departed_upstreams_restore(table->departed, upstream,
                                    facts->started_ms);
     return upstream;
@@ -341,6 +423,7 @@
                  upstream->id, started_ms, earlier_start_ms,
                  upstream->stated.limit.per_s, upstream->stated.leaving);
     add_earlier_start(upstream, earlier_start_ms);
+    set_software(table, upstream, NULL);
     upstream->replaced_at_us = (uint64_t)g_get_monotonic_time();
     if (!pgw_upstream_is_leaving(upstream, (uint64_t)g_get_monotonic_time()) &&
         table->on_lost != NULL) {
@@ -387,7 +470,7 @@
     }
     pgw_upstream_table_set_start(table, upstream, facts->started_ms);
     upstream->slots = MAX(facts->slots, 1);
-    upstream->software = software_of(facts);
+    set_software(table, upstream, software_of(facts));
     upstream->revision = facts->revision;
     upstream->displaced = false;
     upstream->delisted_until_us = 0;
@@ -434,6 +517,7 @@
     }
     g_ptr_array_remove(pool->all, upstream);
     g_ptr_array_remove(pool->local, upstream);
+    pool_count_software(pool, upstream->software, -1);
     pgw_list_remove(&upstream->in_table);
     upstream->removed = true;
     pgw_upstream_unref(upstream);
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -131,7 +131,8 @@
  * @earlier_starts_ms: start times of former processes, whose messages may
  *   still arrive
  * @earlier_start_count: number of @earlier_starts_ms
- * @software: version of its software, interned; "": not stated
+ * @software: version of its software, interned; "": not stated; NULL: its
+ *   process has restarted, and the list does not name the new one's yet
  * @leaving: the upstream is draining
  * @sidecar_leaving_until_us: when its sidecar's report that it is draining
  *   expires, 0: the sidecar does not report so
@@ -258,14 +259,44 @@
  * @engines: the upstreams are engines, which have sidecars that report on them
  * @remote_on_request: sidecars in remote zones report only in answer to a
  *   probe
+ * @software: version of the software -> number of upstreams that run it
+ * @last_software: version of the last upstream that was added
+ * @mixed_until_us: two versions were listed within %PGW_SOFTWARE_MIXED_US
+ *   before this time
  */
 struct pgw_upstream_pool {
     GPtrArray *all;
     GPtrArray *local;
     bool engines;
     bool remote_on_request;
+    GHashTable *software;
+    const char *last_software;
+    uint64_t mixed_until_us;
 };
 
+/* How long a stream that began at another version may still be resumed:
+ * callers wait for a whole answer for no longer. */
+#define PGW_SOFTWARE_MIXED_US 60000000ULL
+
+/** pgw_upstream_pool_is_mixed() - upstreams of several software versions are
+ * listed, or were lately */
+bool pgw_upstream_pool_is_mixed(const struct pgw_upstream_pool *pool,
+                                uint64_t now_us);
+
+/**
+ * pgw_upstream_pool_has_software() - whether an upstream of a version can be
+ * chosen, now or when it is less busy
+ * @pool: the upstreams
+ * @software: interned version
+ * @tried: upstreams that are left out
+ * @tried_count: number of @tried
+ * @now_us: monotonic time
+ */
+bool pgw_upstream_pool_has_software(const struct pgw_upstream_pool *pool,
+                                    const char *software,
+                                    struct pgw_upstream *const *tried,
+                                    size_t tried_count, uint64_t now_us);
+
 struct pgw_upstream_table;
 
 /**
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -29,6 +29,10 @@
         [PGW_FRAME_QUOTA_ANSWER] = &pgw__quota_answer__descriptor,
         [PGW_FRAME_LIMIT_ASK] = &pgw__limit_ask__descriptor,
         [PGW_FRAME_LIMIT_ANSWER] = &pgw__limit_answer__descriptor,
+        [PGW_FRAME_STREAM_ORIGINS] = &pgw__stream_origins__descriptor,
+        [PGW_FRAME_STREAM_ORIGIN_ASK] = &pgw__stream_origin_ask__descriptor,
+        [PGW_FRAME_STREAM_ORIGIN_ANSWER] =
+            &pgw__stream_origin_answer__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1492,6 +1492,141 @@
   assert(message->base.descriptor == &pgw__limit_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__stream_origins__init
+                     (Pgw__StreamOrigins         *message)
+{
+  static const Pgw__StreamOrigins init_value = PGW__STREAM_ORIGINS__INIT;
+  *message = init_value;
+}
+size_t pgw__stream_origins__get_packed_size
+                     (const Pgw__StreamOrigins *message)
+{
+  assert(message->base.descriptor == &pgw__stream_origins__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__stream_origins__pack
+                     (const Pgw__StreamOrigins *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__stream_origins__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__stream_origins__pack_to_buffer
+                     (const Pgw__StreamOrigins *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__stream_origins__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__StreamOrigins *
+       pgw__stream_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__StreamOrigins *)
+     protobuf_c_message_unpack (&pgw__stream_origins__descriptor,
+                                allocator, len, data);
+}
+void   pgw__stream_origins__free_unpacked
+                     (Pgw__StreamOrigins *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__stream_origins__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__stream_origin_ask__init
+                     (Pgw__StreamOriginAsk         *message)
+{
+  static const Pgw__StreamOriginAsk init_value = PGW__STREAM_ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t pgw__stream_origin_ask__get_packed_size
+                     (const Pgw__StreamOriginAsk *message)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__stream_origin_ask__pack
+                     (const Pgw__StreamOriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__stream_origin_ask__pack_to_buffer
+                     (const Pgw__StreamOriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__StreamOriginAsk *
+       pgw__stream_origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__StreamOriginAsk *)
+     protobuf_c_message_unpack (&pgw__stream_origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   pgw__stream_origin_ask__free_unpacked
+                     (Pgw__StreamOriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__stream_origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__stream_origin_answer__init
+                     (Pgw__StreamOriginAnswer         *message)
+{
+  static const Pgw__StreamOriginAnswer init_value = PGW__STREAM_ORIGIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t pgw__stream_origin_answer__get_packed_size
+                     (const Pgw__StreamOriginAnswer *message)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__stream_origin_answer__pack
+                     (const Pgw__StreamOriginAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__stream_origin_answer__pack_to_buffer
+                     (const Pgw__StreamOriginAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__stream_origin_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__StreamOriginAnswer *
+       pgw__stream_origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__StreamOriginAnswer *)
+     protobuf_c_message_unpack (&pgw__stream_origin_answer__descriptor,
+                                allocator, len, data);
+}
+void   pgw__stream_origin_answer__free_unpacked
+                     (Pgw__StreamOriginAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__stream_origin_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[8] =
 {
   {
@@ -4867,3 +5002,195 @@
   (ProtobufCMessageInit) pgw__limit_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__stream_origins__field_descriptors[3] =
+{
+  {
+    "software",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pgw__StreamOrigins, n_software),
+    offsetof(Pgw__StreamOrigins, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ids",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Pgw__StreamOrigins, n_ids),
+    offsetof(Pgw__StreamOrigins, ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software_of",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOrigins, software_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__stream_origins__field_indices_by_name[] = {
+  1,   /* field[1] = ids */
+  0,   /* field[0] = software */
+  2,   /* field[2] = software_of */
+};
+static const ProtobufCIntRange pgw__stream_origins__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pgw__stream_origins__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.StreamOrigins",
+  "StreamOrigins",
+  "Pgw__StreamOrigins",
+  "pgw",
+  sizeof(Pgw__StreamOrigins),
+  3,
+  pgw__stream_origins__field_descriptors,
+  pgw__stream_origins__field_indices_by_name,
+  1,  pgw__stream_origins__number_ranges,
+  (ProtobufCMessageInit) pgw__stream_origins__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__stream_origin_ask__field_descriptors[2] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAsk, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__stream_origin_ask__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  1,   /* field[1] = id */
+};
+static const ProtobufCIntRange pgw__stream_origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pgw__stream_origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.StreamOriginAsk",
+  "StreamOriginAsk",
+  "Pgw__StreamOriginAsk",
+  "pgw",
+  sizeof(Pgw__StreamOriginAsk),
+  2,
+  pgw__stream_origin_ask__field_descriptors,
+  pgw__stream_origin_ask__field_indices_by_name,
+  1,  pgw__stream_origin_ask__number_ranges,
+  (ProtobufCMessageInit) pgw__stream_origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__stream_origin_answer__field_descriptors[4] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAnswer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAnswer, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAnswer, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "any",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__StreamOriginAnswer, any),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__stream_origin_answer__field_indices_by_name[] = {
+  3,   /* field[3] = any */
+  0,   /* field[0] = ask */
+  1,   /* field[1] = known */
+  2,   /* field[2] = software */
+};
+static const ProtobufCIntRange pgw__stream_origin_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pgw__stream_origin_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.StreamOriginAnswer",
+  "StreamOriginAnswer",
+  "Pgw__StreamOriginAnswer",
+  "pgw",
+  sizeof(Pgw__StreamOriginAnswer),
+  4,
+  pgw__stream_origin_answer__field_descriptors,
+  pgw__stream_origin_answer__field_indices_by_name,
+  1,  pgw__stream_origin_answer__number_ranges,
+  (ProtobufCMessageInit) pgw__stream_origin_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -48,6 +48,9 @@
 typedef struct Pgw__QuotaAnswer Pgw__QuotaAnswer;
 typedef struct Pgw__LimitAsk Pgw__LimitAsk;
 typedef struct Pgw__LimitAnswer Pgw__LimitAnswer;
+typedef struct Pgw__StreamOrigins Pgw__StreamOrigins;
+typedef struct Pgw__StreamOriginAsk Pgw__StreamOriginAsk;
+typedef struct Pgw__StreamOriginAnswer Pgw__StreamOriginAnswer;
 
 
 /* --- enums --- */
@@ -913,6 +916,65 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * Streams that an entry has sent to engines, and their software versions.
+ */
+struct  Pgw__StreamOrigins
+{
+  ProtobufCMessage base;
+  /*
+   * the versions
+   */
+  size_t n_software;
+  char **software;
+  /*
+   * hashes of the attempts
+   */
+  size_t n_ids;
+  uint32_t *ids;
+  /*
+   * for each id, position of its version
+   */
+  ProtobufCBinaryData software_of;
+};
+#define PGW__STREAM_ORIGINS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__stream_origins__descriptor) \
+    , 0,NULL, 0,NULL, {0,NULL} }
+
+
+/*
+ * An entry asks at which version an attempt began a stream.
+ */
+struct  Pgw__StreamOriginAsk
+{
+  ProtobufCMessage base;
+  /*
+   * number of the ask at this entry
+   */
+  uint64_t ask;
+  uint32_t id;
+};
+#define PGW__STREAM_ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__stream_origin_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Pgw__StreamOriginAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  protobuf_c_boolean known;
+  char *software;
+  /*
+   * some stream's version was sent here lately
+   */
+  protobuf_c_boolean any;
+};
+#define PGW__STREAM_ORIGIN_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__stream_origin_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
 /* Pgw__Hello methods */
 void   pgw__hello__init
                      (Pgw__Hello         *message);
@@ -1540,6 +1602,63 @@
 void   pgw__limit_answer__free_unpacked
                      (Pgw__LimitAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__StreamOrigins methods */
+void   pgw__stream_origins__init
+                     (Pgw__StreamOrigins         *message);
+size_t pgw__stream_origins__get_packed_size
+                     (const Pgw__StreamOrigins   *message);
+size_t pgw__stream_origins__pack
+                     (const Pgw__StreamOrigins   *message,
+                      uint8_t             *out);
+size_t pgw__stream_origins__pack_to_buffer
+                     (const Pgw__StreamOrigins   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__StreamOrigins *
+       pgw__stream_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__stream_origins__free_unpacked
+                     (Pgw__StreamOrigins *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__StreamOriginAsk methods */
+void   pgw__stream_origin_ask__init
+                     (Pgw__StreamOriginAsk         *message);
+size_t pgw__stream_origin_ask__get_packed_size
+                     (const Pgw__StreamOriginAsk   *message);
+size_t pgw__stream_origin_ask__pack
+                     (const Pgw__StreamOriginAsk   *message,
+                      uint8_t             *out);
+size_t pgw__stream_origin_ask__pack_to_buffer
+                     (const Pgw__StreamOriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__StreamOriginAsk *
+       pgw__stream_origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__stream_origin_ask__free_unpacked
+                     (Pgw__StreamOriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__StreamOriginAnswer methods */
+void   pgw__stream_origin_answer__init
+                     (Pgw__StreamOriginAnswer         *message);
+size_t pgw__stream_origin_answer__get_packed_size
+                     (const Pgw__StreamOriginAnswer   *message);
+size_t pgw__stream_origin_answer__pack
+                     (const Pgw__StreamOriginAnswer   *message,
+                      uint8_t             *out);
+size_t pgw__stream_origin_answer__pack_to_buffer
+                     (const Pgw__StreamOriginAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__StreamOriginAnswer *
+       pgw__stream_origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__stream_origin_answer__free_unpacked
+                     (Pgw__StreamOriginAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pgw__Hello_Closure)
@@ -1641,6 +1760,15 @@
 typedef void (*Pgw__LimitAnswer_Closure)
                  (const Pgw__LimitAnswer *message,
                   void *closure_data);
+typedef void (*Pgw__StreamOrigins_Closure)
+                 (const Pgw__StreamOrigins *message,
+                  void *closure_data);
+typedef void (*Pgw__StreamOriginAsk_Closure)
+                 (const Pgw__StreamOriginAsk *message,
+                  void *closure_data);
+typedef void (*Pgw__StreamOriginAnswer_Closure)
+                 (const Pgw__StreamOriginAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1680,6 +1808,9 @@
 extern const ProtobufCMessageDescriptor pgw__quota_answer__descriptor;
 extern const ProtobufCMessageDescriptor pgw__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor pgw__limit_answer__descriptor;
+extern const ProtobufCMessageDescriptor pgw__stream_origins__descriptor;
+extern const ProtobufCMessageDescriptor pgw__stream_origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor pgw__stream_origin_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -175,6 +175,7 @@
             .zone = "a",
             .slots = 1,
             .revision = scene->incarnation,
+            .software = scene->software[i],
         };
 
         g_snprintf(id, sizeof(id), "u%u", i);
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -25,6 +25,7 @@
  * struct scene - the gateway and its upstreams
  * @listeners: listening sockets of the upstreams
  * @stopped: upstreams that no longer listen
+ * @software: software versions of the upstreams, NULL: not listed
  * @incarnation: number of restarts of all upstreams
  * @routes_version: version of the configuration in force
  */
@@ -35,6 +36,7 @@
     int listeners[SCENE_UPSTREAMS];
     bool stopped[SCENE_UPSTREAMS];
     unsigned upstreams;
+    const char *software[SCENE_UPSTREAMS];
     unsigned incarnation;
     uint64_t routes_version;
 };
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -101,6 +101,16 @@
           "total_ms=1"},
      "upstreams_in_backoff",
      "without requests"},
+    {"stream without its version",
+     {END "outcome=stream_version_gone status=503 sends=0 queued_ms=0 "
+          "total_ms=1"},
+     "stream_version",
+     "no upstream of service"},
+    {"stream of an unknown version",
+     {END "outcome=stream_origin_unknown status=503 sends=0 queued_ms=0 "
+          "total_ms=1"},
+     "stream_version",
+     "knew which one"},
     {"late, long prompt",
      {"weights_named model=m version=5 age_ms=0",
       END "outcome=answered status=200 objective_ms=600 sends=1 runs=1 "
