Insert sidecars that own streams without a copy that the linter rejects

Cause: the analyzer rejects the size of a pointer to a structure in a memmove(). Change: the insertion moves the items one by one. No decision differs.

--- a/src/gateway/stream_origins.c
+++ b/src/gateway/stream_origins.c
@@ -106,22 +106,21 @@
 static void
 owners_insert(struct owner_list *owners, struct pgw_upstream *upstream)
 {
-    size_t position = owners->count;
+    size_t position;
 
+    if (owners->count == OWNERS_MAX) {
+        if (upstream->id_hash >= owners->items[OWNERS_MAX - 1]->id_hash) {
+            return;
+        }
+        pgw_upstream_unref(owners->items[--owners->count]);
+    }
+    position = owners->count++;
     while (position > 0 &&
            upstream->id_hash < owners->items[position - 1]->id_hash) {
+        owners->items[position] = owners->items[position - 1];
         position--;
     }
-    if (position == OWNERS_MAX) {
-        return;
-    }
-    if (owners->count == OWNERS_MAX) {
-        pgw_upstream_unref(owners->items[--owners->count]);
-    }
-    memmove(owners->items + position + 1, owners->items + position,
-            (owners->count - position) * sizeof(owners->items[0]));
     owners->items[position] = pgw_upstream_ref(upstream);
-    owners->count++;
 }
 
 void
