Ask for a stream's version also where one version is listed

Cause, by reading: an entry whose list is old knows one version only. It sent a stream that a caller took up there to that version without asking, though the stream had begun at a newer one that another entry's list had.

Change: sidecars are asked for each stream that is taken up and unknown. A version that the entry does not list has the request refused at once; with a single version a stream waits for an upstream as before.

The old list itself has no test of its own yet.

--- a/src/gateway/stream_origins.c
+++ b/src/gateway/stream_origins.c
@@ -498,28 +498,39 @@
 static bool
 find_origin(struct pgw_exchange *exchange)
 {
-    const struct pgw_gateway *gateway = exchange->gateway;
-    struct pgw_stream_origins *origins = gateway->stream_origins;
+    struct pgw_stream_origins *origins = exchange->gateway->stream_origins;
     const char *software;
-    uint64_t now_us = pgw_now_us();
     uint64_t id;
 
     if (exchange->facts.resumes == NULL) {
         return decide_unknown(exchange, false);
     }
     id = hash_attempt(exchange->facts.resumes);
-    if (pgw_stream_ledger_find(&software, origins->own, id, now_us)) {
+    if (pgw_stream_ledger_find(&software, origins->own, id, pgw_now_us())) {
         fix_version(exchange, software, "own");
         return false;
     }
-    /* A single version for so long is known without asking. */
-    if (!is_mixed(exchange) &&
-        now_us - gateway->started_us > PGW_SOFTWARE_MIXED_US) {
-        return decide_unknown(exchange, false);
-    }
+    /* Also with a single version here: another entry's list may be newer. */
     return start_asking(exchange, id) || decide_unknown(exchange, false);
 }
 
+/* Whether no upstream can take the stream, now or later. With a single version
+ * it waits for an upstream, as any other request. */
+static bool
+is_version_gone(const struct pgw_exchange *exchange)
+{
+    const struct pgw_upstream_pool *pool = pool_of(exchange);
+
+    if (pool == NULL || (exchange->software != NULL &&
+                         pgw_upstream_pool_has_software(
+                             pool, exchange->software, exchange->tried,
+                             exchange->tried_count, pgw_now_us()))) {
+        return false;
+    }
+    return is_mixed(exchange) || (exchange->software != NULL &&
+                                  exchange->software != pool->last_software);
+}
+
 /*
  * Failure: a stream goes on at a server of another software version than the
  * one that began it. Symptom: its caller holds events that do not fit
@@ -541,11 +552,7 @@
          find_origin(exchange))) {
         return true;
     }
-    if (!exchange->software_is_fixed || !is_mixed(exchange) ||
-        (exchange->software != NULL &&
-         pgw_upstream_pool_has_software(pool_of(exchange), exchange->software,
-                                        exchange->tried, exchange->tried_count,
-                                        pgw_now_us()))) {
+    if (!exchange->software_is_fixed || !is_version_gone(exchange)) {
         return false;
     }
     pgw_metric_counter_add(&gone, 1);
