--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,6 +43,8 @@
 POPULAR_CALLERS = 20
 # Streams of one act, their events, and how many may hold events of two versions.
 STREAMS, STREAM_EVENTS, JOINED_MAX = 83, 40, 2
+# Clients give up a stream whose next event does not come for so long.
+EVENT_GAP_S = 1.0
 # A process that is told to stop within this time of its start may not have
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
@@ -1155,7 +1157,8 @@
     """Reads a chunked stream; returns whether it came to its end."""
     data = b""
     while True:
-        size = int((await reader.readline()).strip() or b"x", 16)
+        size = int((await asyncio.wait_for(
+            reader.readline(), EVENT_GAP_S)).strip() or b"x", 16)
         data += (await reader.readexactly(size + 2))[:size]
         while b"\n\n" in data:
             event, _, data = data.partition(b"\n\n")
@@ -1283,6 +1286,20 @@
     judge_share(soak, await streams_during(soak, fleet, "deaths", trouble))
 
 
+async def entry_freezes(soak, fleet):
+    """An entry stands still, and again, while it relays streams; their clients
+    give up and take them up elsewhere."""
+    async def trouble():
+        for _ in range(2):
+            fleet.entries[0].signal(signal.SIGSTOP)
+            await asyncio.sleep(2.5)
+            fleet.entries[0].signal(signal.SIGCONT)
+            await asyncio.sleep(0.3)
+    await two_versions(soak, fleet)
+    await settle(soak, fleet)
+    judge_share(soak, await streams_during(soak, fleet, "freezes", trouble))
+
+
 async def version_gone(soak, fleet):
     """All engines of one version leave for good."""
     async def trouble():
@@ -1295,7 +1312,7 @@
 
 
 ACTS = {"outbreak": outbreak, "power_loss": power_loss,
-        "engine_resets": engine_resets, "entry_deaths": entry_deaths,
+        "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone}
 
 
