Keep interrupted runs in a module of their own

Cause: crash_quarantine.c had grown to 921 lines, and a reader had to follow the bookkeeping of broken connections between the decisions. Change: interrupted_runs.c holds, finds, expires and clears them; the quarantine decides. No decision differs, but that the oldest run makes room when one is added, not at the next expiry.

--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -1,14 +1,11 @@
 #include "gateway/crash_quarantine.h"
 #include "gateway/crash_trial.h"
+#include "gateway/interrupted_runs.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
 
-/* Maximum number of interrupted runs kept that no crash has been matched to. A
- * rack failure of 40 engines with 64 runs each stays below it. */
-#define INTERRUPTED_RUNS_MAX 4096
-
 static struct pgw_metric_counter crashes_counted = {
     .name = "pgw_gateway_poison_crashes_total",
     .help = "Runs that were interrupted by a crash of their upstream",
@@ -48,20 +45,6 @@
     struct pgw_crash_trial trial;
 };
 
-/*
- * struct interrupted_run - a run whose upstream may have crashed
- * @published: other entries know of it
- * @cleared: a run of the fingerprint has completed since; it is kept so that
- *   reports of it that arrive late do not look new
- */
-struct interrupted_run {
-    struct pgw_fingerprint fingerprint;
-    uint64_t crash;
-    uint64_t at_us;
-    bool published;
-    bool cleared;
-};
-
 /* struct crashed_upstream - an incarnation that crashed recently */
 struct crashed_upstream {
     uint64_t crash;
@@ -70,13 +53,13 @@
 
 /*
  * @records: fingerprint -> &struct record
- * @interrupted: of &struct interrupted_run, the oldest first
+ * @interrupted: runs that no crash has been matched to
  * @crashed_upstreams: of &struct crashed_upstream, the oldest first
  */
 struct pgw_crash_quarantine {
     struct pgw_crash_quarantine_options options;
     GHashTable *records;
-    GArray *interrupted;
+    struct pgw_interrupted_runs interrupted;
     GArray *crashed_upstreams;
     void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
                        void *context);
@@ -93,8 +76,8 @@
     quarantine->options = *options;
     quarantine->records = g_hash_table_new_full(
         pgw_fingerprint_hash, pgw_fingerprint_equal, NULL, g_free);
-    quarantine->interrupted =
-        g_array_new(FALSE, FALSE, sizeof(struct interrupted_run));
+    pgw_interrupted_runs_init(&quarantine->interrupted,
+                              options->crash_match_us);
     quarantine->crashed_upstreams =
         g_array_new(FALSE, FALSE, sizeof(struct crashed_upstream));
     pgw_metric_register_counter(&crashes_counted);
@@ -105,7 +88,7 @@
 void
 pgw_crash_quarantine_free(struct pgw_crash_quarantine *quarantine)
 {
-    g_array_unref(quarantine->interrupted);
+    pgw_interrupted_runs_dispose(&quarantine->interrupted);
     g_array_unref(quarantine->crashed_upstreams);
     g_hash_table_destroy(quarantine->records);
     g_free(quarantine);
@@ -131,13 +114,6 @@
     }
 }
 
-static struct interrupted_run *
-interrupted_at(const struct pgw_crash_quarantine *quarantine, guint index)
-{
-    return &g_array_index(quarantine->interrupted, struct interrupted_run,
-                          index);
-}
-
 static struct crashed_upstream *
 crashed_at(const struct pgw_crash_quarantine *quarantine, guint index)
 {
@@ -145,21 +121,14 @@
                           struct crashed_upstream, index);
 }
 
-/* Drops interrupted runs and crashes that are too old to be matched, and the
- * oldest runs beyond the limit. */
+/* Drops interrupted runs and crashes that are too old to be matched. */
 static void
 drop_expired(struct pgw_crash_quarantine *quarantine, uint64_t now_us)
 {
     uint64_t crash_match_us = quarantine->options.crash_match_us;
-    guint expired = 0;
+    guint expired =
+        pgw_interrupted_runs_expire(&quarantine->interrupted, now_us);
 
-    while (expired < quarantine->interrupted->len &&
-           (interrupted_at(quarantine, expired)->at_us + crash_match_us <=
-                now_us ||
-            quarantine->interrupted->len - expired >= INTERRUPTED_RUNS_MAX)) {
-        expired++;
-    }
-    g_array_remove_range(quarantine->interrupted, 0, expired);
     if (expired > 0) {
         pgw_log_info("poison_unmatched", "runs=%u", expired);
     }
@@ -369,21 +338,6 @@
     return false;
 }
 
-static struct interrupted_run *
-find_interrupted(const struct pgw_crash_quarantine *quarantine,
-                 const struct pgw_fingerprint *fingerprint, uint64_t crash)
-{
-    for (guint i = 0; i < quarantine->interrupted->len; i++) {
-        struct interrupted_run *run = interrupted_at(quarantine, i);
-
-        if (run->crash == crash &&
-            pgw_fingerprint_equal(&run->fingerprint, fingerprint)) {
-            return run;
-        }
-    }
-    return NULL;
-}
-
 /* Number of upstreams that crashed, or may have crashed, while they ran the
  * fingerprint; @record: its record or NULL. */
 static uint32_t
@@ -393,10 +347,11 @@
 {
     uint32_t count = record == NULL ? 0 : record->counted;
 
-    for (guint i = 0; i < quarantine->interrupted->len &&
+    for (guint i = 0; i < quarantine->interrupted.items->len &&
                       count < quarantine->options.crashes;
          i++) {
-        const struct interrupted_run *run = interrupted_at(quarantine, i);
+        const struct pgw_interrupted_run *run =
+            pgw_interrupted_runs_at(&quarantine->interrupted, i);
 
         count += !run->cleared &&
                  run->at_us + quarantine->options.crash_match_us > now_us &&
@@ -407,7 +362,7 @@
 }
 
 static struct pgw_crashed_run
-make_interrupted_report(const struct interrupted_run *run, uint64_t now_us)
+make_interrupted_report(const struct pgw_interrupted_run *run, uint64_t now_us)
 {
     return (struct pgw_crashed_run){
         .fingerprint = run->fingerprint,
@@ -429,8 +384,9 @@
     if (count_suspicions(quarantine, fingerprint, record, now_us) < 2) {
         return;
     }
-    for (guint i = 0; i < quarantine->interrupted->len; i++) {
-        struct interrupted_run *run = interrupted_at(quarantine, i);
+    for (guint i = 0; i < quarantine->interrupted.items->len; i++) {
+        struct pgw_interrupted_run *run =
+            pgw_interrupted_runs_at(&quarantine->interrupted, i);
 
         if (!run->published && !run->cleared &&
             pgw_fingerprint_equal(&run->fingerprint, fingerprint)) {
@@ -448,12 +404,12 @@
                                      const struct pgw_fingerprint *fingerprint,
                                      const char *upstream, uint64_t now_us)
 {
-    struct interrupted_run run = {.fingerprint = *fingerprint,
-                                  .crash = pgw_place_id_hash(upstream),
-                                  .at_us = now_us};
+    struct pgw_interrupted_run run = {.fingerprint = *fingerprint,
+                                      .crash = pgw_place_id_hash(upstream),
+                                      .at_us = now_us};
     struct pgw_crashed_run crashed = {.fingerprint = *fingerprint,
                                       .crash = run.crash};
-    const struct interrupted_run *known;
+    const struct pgw_interrupted_run *known;
 
     drop_expired(quarantine, now_us);
     if (has_crashed(quarantine, run.crash)) {
@@ -463,9 +419,10 @@
         }
         return;
     }
-    known = find_interrupted(quarantine, fingerprint, run.crash);
+    known = pgw_interrupted_runs_find(&quarantine->interrupted, fingerprint,
+                                      run.crash);
     if (known == NULL || known->cleared) {
-        g_array_append_val(quarantine->interrupted, run);
+        pgw_interrupted_runs_add(&quarantine->interrupted, &run);
         publish_interrupted(quarantine, fingerprint, now_us);
     }
 }
@@ -475,8 +432,9 @@
 count_interrupted_runs(struct pgw_crash_quarantine *quarantine, uint64_t crash,
                        GArray *crashed, uint64_t now_us)
 {
-    for (guint i = quarantine->interrupted->len; i > 0; i--) {
-        const struct interrupted_run *run = interrupted_at(quarantine, i - 1);
+    for (guint i = quarantine->interrupted.items->len; i > 0; i--) {
+        const struct pgw_interrupted_run *run =
+            pgw_interrupted_runs_at(&quarantine->interrupted, i - 1);
         struct pgw_crashed_run item = {.fingerprint = run->fingerprint,
                                        .crash = crash,
                                        .age_us = now_us - run->at_us};
@@ -488,7 +446,7 @@
                                          "own", run->at_us, now_us)) {
             g_array_append_val(crashed, item);
         }
-        g_array_remove_index(quarantine->interrupted, i - 1);
+        g_array_remove_index(quarantine->interrupted.items, i - 1);
     }
 }
 
@@ -513,24 +471,6 @@
     g_array_unref(crashed);
 }
 
-static bool
-clear_interrupted(struct pgw_crash_quarantine *quarantine,
-                  const struct pgw_fingerprint *fingerprint)
-{
-    bool was_published = false;
-
-    for (guint i = 0; i < quarantine->interrupted->len; i++) {
-        struct interrupted_run *run = interrupted_at(quarantine, i);
-
-        if (!run->cleared &&
-            pgw_fingerprint_equal(&run->fingerprint, fingerprint)) {
-            run->cleared = true;
-            was_published |= run->published;
-        }
-    }
-    return was_published;
-}
-
 /* Clears what is known of a fingerprint. Returns whether other entries may
  * know of it. */
 static bool
@@ -539,7 +479,8 @@
 {
     struct record *record =
         g_hash_table_lookup(quarantine->records, fingerprint);
-    bool was_published = clear_interrupted(quarantine, fingerprint);
+    bool was_published =
+        pgw_interrupted_runs_clear(&quarantine->interrupted, fingerprint);
     char name[PGW_FINGERPRINT_HEX];
 
     if (record == NULL ||
@@ -566,7 +507,7 @@
     struct pgw_crashed_run crashed = {.fingerprint = *fingerprint};
 
     if ((g_hash_table_size(quarantine->records) > 0 ||
-         quarantine->interrupted->len > 0) &&
+         quarantine->interrupted.items->len > 0) &&
         clear_record(quarantine, fingerprint)) {
         publish(quarantine, &crashed, 1);
     }
@@ -622,23 +563,24 @@
 {
     const struct record *record =
         g_hash_table_lookup(quarantine->records, &report->fingerprint);
-    struct interrupted_run run = {.fingerprint = report->fingerprint,
-                                  .crash = report->crash,
-                                  .at_us = at_us,
-                                  .published = true};
-    struct interrupted_run *known;
+    struct pgw_interrupted_run run = {.fingerprint = report->fingerprint,
+                                      .crash = report->crash,
+                                      .at_us = at_us,
+                                      .published = true};
+    struct pgw_interrupted_run *known;
 
     drop_expired(quarantine, now_us);
     if (at_us + quarantine->options.crash_match_us <= now_us ||
         (record != NULL && has_crash(record, report->crash))) {
         return false;
     }
-    known = find_interrupted(quarantine, &report->fingerprint, report->crash);
+    known = pgw_interrupted_runs_find(&quarantine->interrupted,
+                                      &report->fingerprint, report->crash);
     if (known != NULL) {
         known->published = true;
         return false;
     }
-    g_array_append_val(quarantine->interrupted, run);
+    pgw_interrupted_runs_add(&quarantine->interrupted, &run);
     return true;
 }
 
@@ -908,8 +850,9 @@
         }
         list_trial(crashed, record, now_us);
     }
-    for (guint i = 0; i < quarantine->interrupted->len; i++) {
-        const struct interrupted_run *run = interrupted_at(quarantine, i);
+    for (guint i = 0; i < quarantine->interrupted.items->len; i++) {
+        const struct pgw_interrupted_run *run =
+            pgw_interrupted_runs_at(&quarantine->interrupted, i);
 
         if (run->published && !run->cleared) {
             struct pgw_crashed_run item = make_interrupted_report(run, now_us);
