Pass reports of trials on a limited number of times

Cause: an entry knew the last trial that had ended, only. The ends of two trials that cross each other made each other look new, so that entries sent both to each other for ever. The property that entries become quiet had no trials among its acts.

Change: only the end of the trial that stands is passed on; eight ends and failures are known; a report of an interrupted run or a trial is passed on three times at most, in a new field. Crashes and completed runs stay as they are: they are known for good.

--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -6,6 +6,10 @@
 #include "util/metric.h"
 #include <string.h>
 
+/* An entry is connected to seeds alone, and these to each other: two more
+ * entries lie between any two. */
+#define HOPS_MAX 3
+
 static struct pgw_metric_counter crashes_counted = {
     .name = "pgw_gateway_poison_crashes_total",
     .help = "Runs that were interrupted by a crash of their upstream",
@@ -547,6 +551,7 @@
            uint64_t token, uint64_t now_us)
 {
     pgw_crash_trial_end(&record->trial, token);
+    pgw_crash_trial_ignore(&record->trial, token);
     record->failed_trial = token;
     if (now_us >= record->quarantined_until_us) {
         start_quarantine(quarantine, record, now_us);
@@ -593,9 +598,11 @@
     uint64_t left_us =
         MIN(report->left_us, quarantine->options.quarantine_max_us);
 
-    if (!pgw_crash_trial_end(&record->trial, report->crash)) {
+    if (pgw_crash_trial_has_ended(&record->trial, report->crash)) {
         return false;
     }
+    pgw_crash_trial_end(&record->trial, report->crash);
+    pgw_crash_trial_ignore(&record->trial, report->crash);
     record->failed_trial = report->crash;
     record->quarantine_count =
         MAX(record->quarantine_count, report->quarantines);
@@ -678,8 +685,19 @@
                            uint64_t now_us)
 {
     for (size_t i = 0; i < count; i++) {
-        if (merge_one(quarantine, &crashed[i], now_us)) {
-            publish(quarantine, &crashed[i], 1);
+        struct pgw_crashed_run report = crashed[i];
+
+        report.hops++;
+        /*
+         * Failure: reports of several trials cross each other, and each makes
+         * the others look new. Symptom: entries send them to each other for
+         * ever, until they are out of memory. A report is passed on a limited
+         * number of times; only crashes and completed runs are known for good.
+         */
+        if (merge_one(quarantine, &crashed[i], now_us) &&
+            (report.kind == PGW_CRASHED_RUN_CRASHED ||
+             report.hops <= HOPS_MAX)) {
+            publish(quarantine, &report, 1);
         }
     }
 }
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -53,6 +53,7 @@
  * @kind: what happened
  * @left_us: how long the claim, the trial or the quarantine lasts
  * @quarantines: how often the fingerprint was quarantined, of a failed trial
+ * @hops: number of entries that have passed the report on
  */
 struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
@@ -61,6 +62,7 @@
     enum pgw_crashed_run_kind kind;
     uint64_t left_us;
     uint32_t quarantines;
+    uint32_t hops;
 };
 
 /**
--- a/src/gateway/crash_trial.c
+++ b/src/gateway/crash_trial.c
@@ -1,4 +1,16 @@
 #include "gateway/crash_trial.h"
+#include <string.h>
+
+bool
+pgw_crash_trial_has_ended(const struct pgw_crash_trial *trial, uint64_t token)
+{
+    for (size_t i = 0; i < trial->ended_count; i++) {
+        if (trial->ended[i] == token) {
+            return true;
+        }
+    }
+    return false;
+}
 
 bool
 pgw_crash_trial_claim(struct pgw_crash_trial *trial, uint64_t token,
@@ -6,7 +18,7 @@
 {
     bool stands = trial->token != 0 && now_us < trial->until_us;
 
-    if (token == trial->ended_token ||
+    if (pgw_crash_trial_has_ended(trial, token) ||
         (stands && (trial->started || trial->token < token))) {
         return false;
     }
@@ -29,7 +41,7 @@
 pgw_crash_trial_start(struct pgw_crash_trial *trial, uint64_t token,
                       uint64_t until_us)
 {
-    if (token == trial->ended_token ||
+    if (pgw_crash_trial_has_ended(trial, token) ||
         (trial->started && trial->token <= token)) {
         return false;
     }
@@ -40,16 +52,28 @@
     return true;
 }
 
+void
+pgw_crash_trial_ignore(struct pgw_crash_trial *trial, uint64_t token)
+{
+    if (token == 0 || pgw_crash_trial_has_ended(trial, token)) {
+        return;
+    }
+    if (trial->ended_count == PGW_CRASH_TRIAL_ENDED_MAX) {
+        trial->ended_count--;
+        memmove(trial->ended, trial->ended + 1,
+                trial->ended_count * sizeof(trial->ended[0]));
+    }
+    trial->ended[trial->ended_count++] = token;
+}
+
 bool
 pgw_crash_trial_end(struct pgw_crash_trial *trial, uint64_t token)
 {
-    if (token == trial->ended_token) {
+    if (token == 0 || trial->token != token) {
         return false;
     }
-    trial->ended_token = token;
-    if (trial->token == token) {
-        trial->token = 0;
-        trial->started = false;
-    }
+    pgw_crash_trial_ignore(trial, token);
+    trial->token = 0;
+    trial->started = false;
     return true;
 }
--- a/src/gateway/crash_trial.h
+++ b/src/gateway/crash_trial.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_CRASH_TRIAL_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /**
@@ -13,11 +14,15 @@
  * Entries apply the same reports in any order.
  */
 
+/* Trials that ended lately and whose late reports are ignored. */
+#define PGW_CRASH_TRIAL_ENDED_MAX 8
+
 /**
  * struct pgw_crash_trial - the trial of one fingerprint
  * @token: token of its claim, 0: there is no trial
- * @ended_token: token of the last trial that ended; a late claim with it is
- *   ignored
+ * @ended: tokens of trials that stood and have ended, or have failed, the
+ *   oldest first; a late report with one of them is ignored
+ * @ended_count: number of @ended
  * @settled_us: the claim stands from this time on, if no other one does
  * @until_us: when the claim, or the started trial, is over
  * @started: the request was sent to an upstream
@@ -25,7 +30,8 @@
  */
 struct pgw_crash_trial {
     uint64_t token;
-    uint64_t ended_token;
+    uint64_t ended[PGW_CRASH_TRIAL_ENDED_MAX];
+    size_t ended_count;
     uint64_t settled_us;
     uint64_t until_us;
     bool started;
@@ -49,8 +55,17 @@
 bool pgw_crash_trial_start(struct pgw_crash_trial *trial, uint64_t token,
                            uint64_t until_us);
 
-/** pgw_crash_trial_end() - apply the end of a trial; returns whether it is new
+/** pgw_crash_trial_has_ended() - whether the trial with a token ended lately
  */
+bool pgw_crash_trial_has_ended(const struct pgw_crash_trial *trial,
+                               uint64_t token);
+
+/** pgw_crash_trial_ignore() - ignore late reports of a trial */
+void pgw_crash_trial_ignore(struct pgw_crash_trial *trial, uint64_t token);
+
+/** pgw_crash_trial_end() - apply the end of a trial; returns whether it stood.
+ * The end of another one changes nothing, and is not passed on: entries would
+ * send two such ends to each other for ever. */
 bool pgw_crash_trial_end(struct pgw_crash_trial *trial, uint64_t token);
 
 #endif
--- a/src/gateway/crashed_runs.c
+++ b/src/gateway/crashed_runs.c
@@ -27,6 +27,7 @@
     out->age_us = run->age_us;
     out->left_us = run->left_us;
     out->quarantines = run->quarantines;
+    out->hops = run->hops;
 }
 
 static void
@@ -89,6 +90,7 @@
     out->age_us = run->age_us;
     out->left_us = run->left_us;
     out->quarantines = run->quarantines;
+    out->hops = run->hops;
     return read_fingerprint(&out->fingerprint, &run->fingerprint);
 }
 
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3855,7 +3855,7 @@
   (ProtobufCMessageInit) pgw__crashed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[7] =
 {
   {
     "fingerprint",
@@ -3929,10 +3929,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hops",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__SuspectRun, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__suspect_run__field_indices_by_name[] = {
   3,   /* field[3] = age_us */
   0,   /* field[0] = fingerprint */
+  6,   /* field[6] = hops */
   2,   /* field[2] = id */
   1,   /* field[1] = kind */
   4,   /* field[4] = left_us */
@@ -3941,7 +3954,7 @@
 static const ProtobufCIntRange pgw__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pgw__suspect_run__descriptor =
 {
@@ -3951,7 +3964,7 @@
   "Pgw__SuspectRun",
   "pgw",
   sizeof(Pgw__SuspectRun),
-  6,
+  7,
   pgw__suspect_run__field_descriptors,
   pgw__suspect_run__field_indices_by_name,
   1,  pgw__suspect_run__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -585,10 +585,14 @@
    * how often the request was quarantined
    */
   uint32_t quarantines;
+  /*
+   * entries that have passed it on
+   */
+  uint32_t hops;
 };
 #define PGW__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__suspect_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pgw__CrashedRuns
--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -8,6 +8,7 @@
 #include "gateway/crash_quarantine.h"
 }
 #include <deque>
+#include <string>
 
 namespace {
 
@@ -21,6 +22,7 @@
     fleet *all;
     unsigned index;
     pgw_crash_quarantine *quarantine;
+    uint64_t trial = 0;
 };
 
 // A message in flight: its receiver and its content.
@@ -106,7 +108,7 @@
     for (unsigned i = 0; i < entries; i++) {
         all.list[i] = {&all, i, pgw_crash_quarantine_new(&options)};
         for (uint64_t crash = 1; crash <= 3; crash++) {
-            pgw_crashed_run crashed = {fingerprint, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0};
+            pgw_crashed_run crashed = {fingerprint, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, 0};
 
             pgw_crash_quarantine_merge(all.list[i].quarantine, &crashed, 1, now);
         }
@@ -147,6 +149,72 @@
     }
 }
 
+// Entries that claim, start, end and fail trials of one request in any order
+// become quiet: what is still on its way is passed on a limited number of times.
+void
+check_trials_become_quiet(const std::vector<uint32_t> &script)
+{
+    pgw_crash_quarantine_options options = PGW_CRASH_QUARANTINE_OPTIONS_INIT;
+    pgw_fingerprint fingerprint = {{1}};
+    uint64_t now = 20000000;
+    uint64_t claims = 0;
+    uint64_t sent_max = 0;
+    fleet all;
+
+    options.trial_settle_us = 0;
+    for (unsigned i = 0; i < entries; i++) {
+        all.list[i] = {&all, i, pgw_crash_quarantine_new(&options)};
+        for (uint64_t crash = 1; crash <= 3; crash++) {
+            pgw_crashed_run crashed = {fingerprint, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, 0};
+
+            pgw_crash_quarantine_merge(all.list[i].quarantine, &crashed, 1, now);
+        }
+        pgw_crash_quarantine_subscribe(all.list[i].quarantine, on_crashed, &all.list[i]);
+    }
+    for (uint32_t number : script) {
+        entry *at = &all.list[number % entries];
+
+        switch (number / 4 % 5) {
+        case 0:
+            if (pgw_crash_quarantine_admit(at->quarantine, &fingerprint, &at->trial, ++claims,
+                                           now) == PGW_CRASH_TRIAL) {
+                pgw_crash_quarantine_start_trial(at->quarantine, &fingerprint, at->trial,
+                                                 now + 900000, now);
+            }
+            break;
+        case 1:
+        case 2:
+            if (at->trial != 0) {
+                pgw_crash_quarantine_end_trial(at->quarantine, &fingerprint, at->trial,
+                                               number / 4 % 5 == 1, now);
+                at->trial = 0;
+            }
+            break;
+        case 3:
+            pgw_crash_quarantine_clear(at->quarantine, &fingerprint);
+            for (uint64_t crash = 1; crash <= 3; crash++) {
+                pgw_crash_quarantine_add_interrupted(at->quarantine, &fingerprint,
+                                                     std::to_string(++claims).c_str(), now);
+            }
+            break;
+        default:
+            if (!all.messages.empty()) {
+                deliver(&all, number / 32 % all.messages.size(), now);
+            }
+        }
+        now += number / 32 % 3 * 1000;
+        // Each act has a few reports, passed on once by each entry and report.
+        sent_max += 16 * entries * entries;
+    }
+    while (!all.messages.empty() && all.sent <= sent_max) {
+        deliver(&all, all.sent % all.messages.size(), now);
+    }
+    RC_ASSERT(all.messages.empty());
+    for (entry &each : all.list) {
+        pgw_crash_quarantine_free(each.quarantine);
+    }
+}
+
 } // namespace
 
 int
@@ -178,5 +246,8 @@
         }
     });
     good = rc::check("a suspect has one trial", [] { check_one_trial(random_script(200)); }) && good;
+    good =
+        rc::check("trials become quiet", [] { check_trials_become_quiet(random_script(200)); }) &&
+        good;
     return good ? 0 : 1;
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -912,15 +912,18 @@
     soak.answers[outcome] = soak.answers.get(outcome, 0) + 1
 
 
-async def poison(soak, fleet, times=30, pause_s=0.15, down_s=None):
-    """A caller sends a request that crashes what runs it, again and again."""
+async def poison(soak, fleet, times=30, pause_s=0.15, down_s=None, callers=1):
+    """Callers send a request that crashes what runs it, again and again."""
+    async def send(caller):
+        for number in range(times):
+            if soak.broken is not None:
+                return
+            await call(soak, fleet, "again",
+                       f"{soak.poison.number}-{caller}-{number}",
+                       soak.poison.body)
+            await asyncio.sleep(pause_s)
     soak.poison.begin(down_s)
-    for number in range(times):
-        if soak.broken is not None:
-            return
-        await call(soak, fleet, "again", f"{soak.poison.number}-{number}",
-                   soak.poison.body)
-        await asyncio.sleep(pause_s)
+    await asyncio.gather(*[send(caller) for caller in range(callers)])
 
 
 async def foreign(soak, fleet, upstream, for_s):
@@ -1109,6 +1112,11 @@
     await poison(soak, fleet, times=150, pause_s=0.05, down_s=3.0)
 
 
+async def crowd(soak, fleet):
+    """The same from several callers at once, so that trials cross each other."""
+    await poison(soak, fleet, times=150, pause_s=0.02, down_s=3.0, callers=6)
+
+
 async def send_popular(soak, fleet, name, count):
     """@count callers send one body at the same time."""
     return await asyncio.gather(*[
@@ -1311,7 +1319,7 @@
     await streams_during(soak, fleet, "gone", trouble)
 
 
-ACTS = {"outbreak": outbreak, "power_loss": power_loss,
+ACTS = {"outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone}
 
