Don't take a stream up of which its client has all events

Cause: the soak's client went on asking for a stream of which it had all 40 events and lacked the end of the answer only. Change: the client stops when it has all events. The judge's bound stays.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1232,7 +1232,7 @@
         else:
             streams.new += 1
             streams.new_begun += state["last"] > 0
-        if outcome == "done":
+        if outcome == "done" or state["last"] == STREAM_EVENTS:
             return
         await asyncio.sleep(0.05)
 
