Delay messages between entries in the soak's crowd

Cause: with messages that arrive within a millisecond the claims of trials hardly ever cross each other.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1113,8 +1113,13 @@
 
 
 async def crowd(soak, fleet):
-    """The same from several callers at once, so that trials cross each other."""
+    """The same from several callers at once while messages between entries are
+    late, so that trials cross each other."""
+    for link in fleet.links:
+        link.mode = "delay"
     await poison(soak, fleet, times=150, pause_s=0.02, down_s=3.0, callers=6)
+    for link in fleet.links:
+        link.mode = "good"
 
 
 async def send_popular(soak, fleet, name, count):
