Log the prompt parts of runs whose connections broke

Callers lost streams to engines that ended one a second; the logs named only the digests of whole requests, so that nothing showed whether these crashes had a part in common. run_interrupted names the digests of request and shared parts, events passed on and attempts, which also shows whether the entry multiplied a crash by its own retries. No logic has changed.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -101,12 +101,35 @@
     pgw_upstream_record_attempt(exchange->upstream, result, pgw_now_us());
 }
 
+/* Names all that may have crashed the upstream. The last part of a prompt is
+ * the request's own, as is its fingerprint. */
+static void
+log_interrupted(const struct pgw_exchange *exchange)
+{
+    const struct pgw_prompt *prompt = &exchange->facts.prompt;
+    GString *parts = g_string_new(prompt->part_count > 1 ? NULL : "-");
+    char name[PGW_FINGERPRINT_HEX];
+
+    for (size_t i = 0; i + 1 < prompt->part_count; i++) {
+        g_string_append_printf(parts, "%s%016" G_GINT64_MODIFIER "x",
+                               i == 0 ? "" : ",", prompt->parts[i].id);
+    }
+    pgw_fingerprint_print(name, &exchange->fingerprint);
+    pgw_log_info("run_interrupted",
+                 "request=%s upstream=%s fingerprint=%s parts=%s "
+                 "events=%" G_GUINT64_FORMAT " sends=%u",
+                 exchange->facts.id, exchange->upstream->id, name, parts->str,
+                 exchange->events.events, exchange->sends);
+    g_string_free(parts, TRUE);
+}
+
 void
 pgw_attempt_record_interrupted(struct pgw_exchange *exchange)
 {
     struct pgw_crash_quarantine *quarantine =
         exchange->gateway->crash_quarantine;
 
+    log_interrupted(exchange);
     pgw_crash_quarantine_add_interrupted(quarantine, &exchange->fingerprint,
                                          exchange->upstream->id, pgw_now_us());
     if (exchange->trial != 0) {
