--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -419,6 +419,22 @@
     return send_request(scene, SCENE_KEY, path, id, fields, "body");
 }
 
+int
+scene_call_with_prompt(struct scene *scene, const char *path, const char *id,
+                       const char *parts)
+{
+    char *fields = g_strdup_printf("Model: m\r\nToken-Count: 60,8\r\n"
+                                   "Prompt-Prefix: %s\r\n"
+                                   "Connection: close\r\n",
+                                   parts);
+    char *body = g_strdup_printf("%s body", id);
+    int fd = send_request(scene, SCENE_KEY, path, id, fields, body);
+
+    g_free(fields);
+    g_free(body);
+    return fd;
+}
+
 int
 scene_accept(struct scene *scene, unsigned upstream)
 {
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -129,6 +129,11 @@
 int scene_call_with_fields(struct scene *scene, const char *path,
                            const char *id, const char *fields);
 
+/** scene_call_with_prompt() - send a prompt with these parts, as the wire has
+ * them, and with a body that no other attempt has */
+int scene_call_with_prompt(struct scene *scene, const char *path,
+                           const char *id, const char *parts);
+
 /** scene_send() - send text on a socket */
 void scene_send(int fd, const char *text);
 
