Draw prompt parts that crash engines in the soak

The soak's crashing request was one body sent again, which a digest of whole requests finds; no act had requests that are different and share what crashes. Two acts: parts that crash engines (one or two, first, middle or before a part that sound prompts share, on both kinds of stream routes, beside an entry's end, a silent store or a power loss), judged by sends after the fifth crash and by the share of sound prompts that begin; and power losses of all engines under a part that all share.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,8 @@
 import tempfile
 import time
 
+import crashing_parts
+
 ENTRIES, ENGINES, PLAINS = 3, 4, 2
 GUARD_PORT, APP_PORT, PROXY_PORT = 17340, 18785, 18786
 FRONT, READY, CONTROL, STORE_PORT = 18782, 18789, 18783, 18784
@@ -124,6 +126,7 @@
         self.sent_to, self.sent_at, self.served_by = {}, {}, {}
         self.failed = {}
         self.poison = Poison(self)
+        self.parts = crashing_parts.Parts(self)
         self.popular_run_s = 0.0
         self.broken = None
         self.stopping = False
@@ -508,6 +511,7 @@
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
         self.backoff = Backoff(soak, self.ip)
+        self.crashing = []
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -634,6 +638,7 @@
         self.departure.note_arrival(entry, self.soak.sent_at.get(attempt, 0))
         self.soak.served_by[attempt] = self
         self.backoff.note_arrival(entry)
+        self.soak.parts.note_arrival(fields, entry)
         notices = self.limit.field() + self.departure.field()
         if self.backoff.begun and self.proxy.mode == "good":
             writer.write(answer(503, b"", "Not-Run: 1\r\n" + notices
@@ -660,6 +665,10 @@
         self.soak.note_run(attempt)
         own = (f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
                f"{notices}")
+        self.crashing = self.soak.parts.faulty(fields)
+        if self.crashing:
+            await crashing_parts.crash(self, writer, own)
+            return
         await asyncio.sleep(self.soak.random.random() * 0.05)
         if not self.engine:
             writer.write(answer(200, f"done {attempt}".encode(), own))
@@ -1324,7 +1333,51 @@
     await streams_during(soak, fleet, "gone", trouble)
 
 
-ACTS = {"outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
+async def ask_prompt(soak, fleet, route, attempt, entry, prompt):
+    """One attempt of a prompt; returns whether its stream has begun."""
+    soak.sent_to[attempt], soak.sent_at[attempt] = entry, time.monotonic()
+    if route == "brook":
+        soak.once.add(attempt)
+    begun = False
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(soak.ip(2, entry), FRONT), 1)
+    except (OSError, asyncio.TimeoutError):
+        return False
+    try:
+        writer.write((f"POST /{route}/p HTTP/1.1\r\nHost: h.example\r\n"
+                      f"Attempt-Id: {attempt}\r\nDeadline-Ms: 4000\r\n"
+                      f"Model: {MODEL}\r\nToken-Count: 90,8\r\n"
+                      f"Prompt-Prefix: {prompt}\r\n"
+                      f"Authorization: Bearer {fleet.keys[-1]}\r\n"
+                      f"Connection: close\r\nContent-Length: {len(attempt)}"
+                      f"\r\n\r\n{attempt}").encode())
+        start, fields = await asyncio.wait_for(read_head(reader), 6)
+        if start[1] != "200":
+            if int(start[1]) in (429, 503, 408, 421):
+                soak.promised.add(attempt)
+            soak.failed[attempt] = int(start[1])
+            return False
+        begun = (await asyncio.wait_for(reader.readline(), 6)) != b""
+        await asyncio.wait_for(reader.read(), 6)
+        return begun
+    except (OSError, ValueError, asyncio.IncompleteReadError,
+            asyncio.TimeoutError):
+        return begun
+    finally:
+        writer.close()
+
+
+async def crashing(soak, fleet):
+    await crashing_parts.crashing_parts(soak, fleet, ask_prompt)
+
+
+async def shared_part(soak, fleet):
+    await crashing_parts.shared_part_power_losses(soak, fleet, ask_prompt)
+
+
+ACTS = {"crashing_parts": crashing, "shared_part": shared_part,
+        "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone}
 
@@ -1397,12 +1450,15 @@
                         help="what follows the faults, one after the other")
     parser.add_argument("--plains", type=int, default=PLAINS,
                         help="plain services")
+    parser.add_argument("--engines", type=int, default=ENGINES,
+                        help="model engines")
     parser.add_argument("--scale", type=int, default=1,
                         help="so many times the entries, engines and plain "
                         "services")
     options = parser.parse_args()
     ENTRIES, ENGINES, PLAINS = (n * options.scale
-                                for n in (ENTRIES, ENGINES, options.plains))
+                                for n in (ENTRIES, options.engines,
+                                          options.plains))
     options.bin = os.path.abspath(options.bin)
     sys.exit(asyncio.run(run(options)))
 
