Hold a failed trial against one part, and explain crashes by a part found faulty

A property of a whole fleet (prop_crash_parts: entries, engines, messages that are up to 100 ms late, a power loss) showed sound parts that all prompts share refused for a minute, so that nobody was served: their trials ran beside that of the faulty part, at the first engine that was back, or were interrupted by a second power loss. Trials of one service now start one after the other and not at an upstream that runs another one; of two that collide the one in more crashes is blamed, or neither; a trial of several parts speaks against all of them together; the crashes of a quarantined part count against no other key.

--- a/src/gateway/crash_keys.c
+++ b/src/gateway/crash_keys.c
@@ -8,6 +8,7 @@
 {
     out->items[0] = *request;
     out->count = 1;
+    out->pool = 0;
 }
 
 void
--- a/src/gateway/crash_keys.h
+++ b/src/gateway/crash_keys.h
@@ -21,10 +21,12 @@
  * @items: the whole request first, then the parts of its prompt that other
  *   requests may share
  * @count: number of @items
+ * @pool: hash of the service that runs it, 0: not known
  */
 struct pgw_crash_keys {
     struct pgw_fingerprint items[PGW_CRASH_KEYS_MAX];
     size_t count;
+    uint64_t pool;
 };
 
 /** pgw_crash_keys_init() - keys of a request without a prompt */
--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -8,12 +8,6 @@
     .help = "Runs that were interrupted by a crash of their upstream",
 };
 
-/* struct crashed_upstream - an incarnation that crashed recently */
-struct crashed_upstream {
-    uint64_t crash;
-    uint64_t at_us;
-};
-
 struct pgw_crash_quarantine *
 pgw_crash_quarantine_new(const struct pgw_crash_quarantine_options *options)
 {
@@ -30,7 +24,9 @@
     quarantine->options = *options;
     quarantine->table = pgw_crash_table_new(&table);
     quarantine->crashed_upstreams =
-        g_array_new(FALSE, FALSE, sizeof(struct crashed_upstream));
+        g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_upstream));
+    quarantine->explained =
+        g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_upstream));
     pgw_metric_register_counter(&crashes_counted);
     return quarantine;
 }
@@ -39,6 +35,7 @@
 pgw_crash_quarantine_free(struct pgw_crash_quarantine *quarantine)
 {
     g_array_unref(quarantine->crashed_upstreams);
+    g_array_unref(quarantine->explained);
     pgw_crash_table_free(quarantine->table);
     g_free(quarantine);
 }
@@ -73,38 +70,89 @@
     g_array_unref(reports);
 }
 
-static struct crashed_upstream *
-crashed_at(const struct pgw_crash_quarantine *quarantine, guint index)
+static struct pgw_crashed_upstream *
+crashed_at(const GArray *list, guint index)
 {
-    return &g_array_index(quarantine->crashed_upstreams,
-                          struct crashed_upstream, index);
+    return &g_array_index(list, struct pgw_crashed_upstream, index);
 }
 
 static void
-drop_crashed_upstreams(struct pgw_crash_quarantine *quarantine,
-                       uint64_t now_us)
+drop_old(GArray *list, uint64_t age_max_us, uint64_t now_us)
 {
-    uint64_t match_us = quarantine->options.crash_match_us;
     guint expired = 0;
 
-    while (expired < quarantine->crashed_upstreams->len &&
-           crashed_at(quarantine, expired)->at_us + match_us <= now_us) {
+    while (expired < list->len &&
+           crashed_at(list, expired)->at_us + age_max_us <= now_us) {
         expired++;
     }
-    g_array_remove_range(quarantine->crashed_upstreams, 0, expired);
+    g_array_remove_range(list, 0, expired);
+}
+
+static void
+drop_crashed_upstreams(struct pgw_crash_quarantine *quarantine,
+                       uint64_t now_us)
+{
+    uint64_t match_us = quarantine->options.crash_match_us;
+
+    drop_old(quarantine->crashed_upstreams, match_us, now_us);
+    drop_old(quarantine->explained, match_us, now_us);
 }
 
 static bool
-has_crashed(const struct pgw_crash_quarantine *quarantine, uint64_t crash)
+lists_crash(const GArray *list, uint64_t crash)
 {
-    for (guint i = 0; i < quarantine->crashed_upstreams->len; i++) {
-        if (crashed_at(quarantine, i)->crash == crash) {
+    for (guint i = 0; i < list->len; i++) {
+        if (crashed_at(list, i)->crash == crash) {
             return true;
         }
     }
     return false;
 }
 
+static bool
+has_crashed(const struct pgw_crash_quarantine *quarantine, uint64_t crash)
+{
+    return lists_crash(quarantine->crashed_upstreams, crash);
+}
+
+void
+pgw_crash_quarantine__explain(struct pgw_crash_quarantine *quarantine,
+                              const struct pgw_crash_record *faulty,
+                              uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    for (uint32_t i = 0; i < faulty->count; i++) {
+        struct pgw_crashed_upstream explained = {faulty->crashes[i].crash,
+                                                 now_us};
+
+        if (!faulty->crashes[i].cleared &&
+            !lists_crash(quarantine->explained, explained.crash)) {
+            g_array_append_val(quarantine->explained, explained);
+        }
+    }
+    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pgw_crash_record *record = value;
+
+        if (record != faulty && now_us >= record->quarantined_until_us) {
+            pgw_crash_record_explain(record, faulty);
+        }
+    }
+}
+
+/* Whether a report of a crash comes after its cause was found, which is
+ * another key. */
+static bool
+is_explained(const struct pgw_crash_quarantine *quarantine,
+             const struct pgw_crash_record *record, uint64_t crash,
+             uint64_t now_us)
+{
+    return now_us >= record->quarantined_until_us &&
+           lists_crash(quarantine->explained, crash);
+}
+
 uint32_t
 pgw_crash_quarantine__suspicions(const struct pgw_crash_quarantine *quarantine,
                                  const struct pgw_crash_record *record,
@@ -266,7 +314,8 @@
 {
     struct pgw_recorded_crash *added;
 
-    if (pgw_crash_record_find(record, crash) != NULL) {
+    if (pgw_crash_record_find(record, crash) != NULL ||
+        is_explained(quarantine, record, crash, now_us)) {
         return;
     }
     added = pgw_crash_record_add(
@@ -377,7 +426,7 @@
 add_crash(struct pgw_crash_quarantine *quarantine, uint64_t crash,
           const char *source, uint32_t hops, uint64_t now_us)
 {
-    struct crashed_upstream crashed = {crash, now_us};
+    struct pgw_crashed_upstream crashed = {crash, now_us};
     struct pgw_crashed_run confirmation = {
         .crash = crash, .kind = PGW_CRASHED_RUN_UPSTREAM, .hops = hops};
     GArray *reports;
@@ -514,7 +563,8 @@
         return;
     }
     known = pgw_crash_record_find(record, report->crash);
-    if (known == NULL) {
+    if (known == NULL &&
+        !is_explained(quarantine, record, report->crash, now_us)) {
         known = pgw_crash_record_add(record, report->crash, at_us, expired_us,
                                      false);
     }
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -20,6 +20,8 @@
  * request is resent. It is quarantined only after two failed trials, and after
  * more crashes. If several parts were suspects in the last trial, requests
  * that have all of them are refused, until those that are sound were cleared.
+ * The crashes of a quarantined part count no longer against other keys that
+ * were running in some of them.
  *
  * Crashes of one moment alone start no quarantine, since a power loss ends all
  * upstreams that run a popular request or part, and its next run completes.
@@ -63,6 +65,8 @@
  * @kind: what happened
  * @left_us: how long the claim, the trial or the quarantine lasts
  * @quarantines: how often the key was quarantined, of a failed trial
+ * @upstream: hash of the incarnation that runs a trial, or has interrupted
+ *   it, of a claim that of the service; 0: not known
  * @partners: other parts that were suspects in a failed trial, NULL: none;
  *   valid during the call that passes the report
  * @hops: number of entries that have passed the report on
@@ -76,6 +80,7 @@
     enum pgw_crashed_run_kind kind;
     uint64_t left_us;
     uint32_t quarantines;
+    uint64_t upstream;
     const struct pgw_crash_keys *partners;
     uint32_t hops;
     bool seeds_only;
@@ -236,11 +241,17 @@
                            uint64_t random, uint64_t now_us);
 
 /** pgw_crash_quarantine_start_trial() - the request with this claim is sent to
- * an upstream; its run ends before @until_us */
+ * the incarnation @upstream; its run ends before @until_us */
 void pgw_crash_quarantine_start_trial(struct pgw_crash_quarantine *quarantine,
                                       const struct pgw_crash_keys *keys,
-                                      uint64_t trial, uint64_t until_us,
-                                      uint64_t now_us);
+                                      uint64_t trial, const char *upstream,
+                                      uint64_t until_us, uint64_t now_us);
+
+/** pgw_crash_quarantine_has_trial_at() - whether an incarnation runs another
+ * trial than @trial, of any entry */
+bool pgw_crash_quarantine_has_trial_at(
+    const struct pgw_crash_quarantine *quarantine, uint64_t trial,
+    const char *upstream, uint64_t now_us);
 
 /**
  * pgw_crash_quarantine_end_trial() - end a claim or a trial
--- a/src/gateway/crash_quarantine_internal.h
+++ b/src/gateway/crash_quarantine_internal.h
@@ -8,14 +8,22 @@
  * entries lie between any two. */
 #define PGW_CRASH_HOPS_MAX 3
 
+/* struct pgw_crashed_upstream - an incarnation that crashed recently */
+struct pgw_crashed_upstream {
+    uint64_t crash;
+    uint64_t at_us;
+};
+
 /*
  * @table: what is known of keys
- * @crashed_upstreams: of &struct crashed_upstream, the oldest first
+ * @crashed_upstreams: of &struct pgw_crashed_upstream, the oldest first
+ * @explained: the same of those whose cause is known
  */
 struct pgw_crash_quarantine {
     struct pgw_crash_quarantine_options options;
     struct pgw_crash_table *table;
     GArray *crashed_upstreams;
+    GArray *explained;
     void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
                        void *context);
     void *context;
@@ -40,6 +48,13 @@
                                  struct pgw_crash_record *record,
                                  uint64_t now_us);
 
+/** pgw_crash_quarantine__explain() - clear the crashes of a part that was
+ * found faulty from the records of other keys that were running in some of
+ * them */
+void pgw_crash_quarantine__explain(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_crash_record *faulty,
+                                   uint64_t now_us);
+
 /* crash_suspects.c */
 /** pgw_crash_suspects__merge() - apply another entry's report of a trial;
  * returns whether it is new */
--- a/src/gateway/crash_record.c
+++ b/src/gateway/crash_record.c
@@ -37,7 +37,7 @@
 }
 
 /* Returns the crash to be replaced: the oldest one that does not count, or the
- * oldest one. */
+ * oldest one that interrupted no trial, or the oldest one. */
 static struct pgw_recorded_crash *
 find_replaceable(struct pgw_crash_record *record, uint64_t expired_us,
                  bool replaces_oldest)
@@ -47,6 +47,11 @@
             return &record->crashes[i];
         }
     }
+    for (uint32_t i = 0; i < record->count && replaces_oldest; i++) {
+        if (record->crashes[i].trial == 0) {
+            return &record->crashes[i];
+        }
+    }
     return replaces_oldest ? &record->crashes[0] : NULL;
 }
 
@@ -87,6 +92,62 @@
     return count;
 }
 
+static bool
+has_trial(const struct pgw_crash_record *record, uint64_t trial)
+{
+    for (uint32_t i = 0; i < record->count; i++) {
+        if (record->crashes[i].trial == trial && !record->crashes[i].cleared) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+pgw_crash_record_failed_trials(const struct pgw_crash_record *record,
+                               struct pgw_crash_record *const *partners,
+                               size_t partner_count)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < record->count; i++) {
+        const struct pgw_recorded_crash *crash = &record->crashes[i];
+        bool is_of_all = partner_count > 0 || crash->trial_parts == 1;
+
+        for (size_t j = 0; j < partner_count && crash->trial_parts > 1; j++) {
+            is_of_all = is_of_all && has_trial(partners[j], crash->trial);
+        }
+        count += crash->trial != 0 && !crash->cleared && is_of_all;
+    }
+    return count;
+}
+
+void
+pgw_crash_record_explain(struct pgw_crash_record *record,
+                         const struct pgw_crash_record *faulty)
+{
+    struct pgw_recorded_crash *shared[PGW_CRASH_RECORD_MAX];
+    uint32_t shared_count = 0;
+    uint32_t faulty_count = 0;
+
+    for (uint32_t i = 0; i < faulty->count; i++) {
+        struct pgw_recorded_crash *known;
+
+        if (faulty->crashes[i].cleared) {
+            continue;
+        }
+        faulty_count++;
+        known = pgw_crash_record_find(record, faulty->crashes[i].crash);
+        if (known != NULL && !known->cleared) {
+            shared[shared_count++] = known;
+        }
+    }
+    for (uint32_t i = 0; i < shared_count && shared_count < faulty_count;
+         i++) {
+        shared[i]->cleared = true;
+    }
+}
+
 static bool
 is_one_moment(uint64_t a_us, uint64_t b_us, uint64_t gap_us)
 {
@@ -153,7 +214,6 @@
     record->quarantine_count = 0;
     record->quarantined_until_us = 0;
     record->failed_trial = 0;
-    record->failed_trials = 0;
     if (record->trial.token != 0) {
         pgw_crash_trial_end(&record->trial, record->trial.token);
     }
--- a/src/gateway/crash_record.h
+++ b/src/gateway/crash_record.h
@@ -34,7 +34,11 @@
  * @crash: hash of the upstream's incarnation
  * @at_us: when the run was interrupted
  * @confirmed: the upstream's process has ended
- * @cleared: a run of the key has completed since
+ * @cleared: a run of the key has completed since, or the crash has another
+ *   cause
+ * @trial: token of the key's trial that it interrupted, 0: none
+ * @trial_parts: number of parts that were suspects in that trial and have not
+ *   been cleared since
  * @reach: entries that it was reported to
  */
 struct pgw_recorded_crash {
@@ -42,6 +46,8 @@
     uint64_t at_us;
     bool confirmed;
     bool cleared;
+    uint64_t trial;
+    uint32_t trial_parts;
     enum pgw_crash_reach reach;
 };
 
@@ -55,7 +61,6 @@
  * @quarantine_count: how often the key was quarantined
  * @quarantined_until_us: end of the last quarantine
  * @failed_trial: token of the trial that started it, 0: none did
- * @failed_trials: number of trials that were interrupted
  * @partners: parts that were suspects in the same trial, and of which none is
  *   cleared yet; a request is refused if it has all of them; NULL: none
  * @trial: current trial
@@ -69,7 +74,6 @@
     uint32_t quarantine_count;
     uint64_t quarantined_until_us;
     uint64_t failed_trial;
-    uint32_t failed_trials;
     struct pgw_crash_keys *partners;
     struct pgw_crash_trial trial;
 };
@@ -107,6 +111,31 @@
 uint32_t pgw_crash_record_suspicions(const struct pgw_crash_record *record,
                                      uint64_t expired_us);
 
+/**
+ * pgw_crash_record_failed_trials() - number of failed trials that speak
+ * against a part
+ * @record: the part's record
+ * @partners: records of other parts that may be to blame instead
+ * @partner_count: number of @partners
+ *
+ * Those of the part alone, and of the part together with all @partners.
+ */
+uint32_t
+pgw_crash_record_failed_trials(const struct pgw_crash_record *record,
+                               struct pgw_crash_record *const *partners,
+                               size_t partner_count);
+
+/**
+ * pgw_crash_record_explain() - clear crashes that another key has caused
+ * @record: a record with the same crashes, and perhaps others
+ * @faulty: record of the key that was found faulty
+ *
+ * Nothing is cleared if all crashes of @faulty are crashes of @record, too:
+ * then the cause may be either.
+ */
+void pgw_crash_record_explain(struct pgw_crash_record *record,
+                              const struct pgw_crash_record *faulty);
+
 /** pgw_crash_record_moments() - number of moments, at least @gap_us apart, at
  * which the confirmed crashes happened */
 uint32_t pgw_crash_record_moments(const struct pgw_crash_record *record,
--- a/src/gateway/crash_suspects.c
+++ b/src/gateway/crash_suspects.c
@@ -1,4 +1,5 @@
 #include "gateway/crash_quarantine_internal.h"
+#include "parsleygw/place.h"
 #include "util/log.h"
 
 /* Bits of a claim's token that are random; the rest is the number of suspects,
@@ -58,6 +59,9 @@
         .kind = kind,
         .left_us = left_us,
         .quarantines = record->quarantine_count,
+        .upstream = kind == PGW_CRASHED_RUN_TRIAL_CLAIMED
+                        ? record->trial.pool
+                        : record->trial.upstream,
     };
 
     if (kind == PGW_CRASHED_RUN_TRIAL_FAILED) {
@@ -82,6 +86,9 @@
 fail_trial(struct pgw_crash_quarantine *quarantine,
            struct pgw_crash_record *record, uint64_t token, uint64_t now_us)
 {
+    struct pgw_crashed_run report;
+
+    report = make_trial_report(record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
     pgw_crash_trial_end(&record->trial, token);
     pgw_crash_trial_ignore(&record->trial, token);
     record->failed_trial = token;
@@ -89,8 +96,12 @@
         pgw_crash_quarantine__start(quarantine, record, now_us);
     }
     log_trial(record, "failed", token);
-    publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_FAILED, token,
-                  record->quarantined_until_us - now_us);
+    report.left_us = record->quarantined_until_us - now_us;
+    report.quarantines = record->quarantine_count;
+    pgw_crash_quarantine__publish(quarantine, &report, 1);
+    if (record->is_part) {
+        pgw_crash_quarantine__explain(quarantine, record, now_us);
+    }
 }
 
 static void
@@ -104,16 +115,141 @@
     }
 }
 
+/* Returns the number of records of a part's partners. */
+static size_t
+find_partners(struct pgw_crash_record **out,
+              const struct pgw_crash_quarantine *quarantine,
+              const struct pgw_crash_record *record)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; record->partners != NULL && i < record->partners->count;
+         i++) {
+        out[count] = pgw_crash_table_find(quarantine->table,
+                                          &record->partners->items[i]);
+        count += out[count] != NULL;
+    }
+    return count;
+}
+
+/* Ends a quarantine that too few failed trials are left for. */
+static void
+lift_unproven(const struct pgw_crash_quarantine *quarantine,
+              struct pgw_crash_record *record, uint64_t now_us)
+{
+    struct pgw_crash_record *partners[PGW_CRASH_KEYS_MAX];
+    size_t count = find_partners(partners, quarantine, record);
+
+    if (now_us < record->quarantined_until_us &&
+        pgw_crash_record_failed_trials(record, partners, count) <
+            quarantine->options.part_trials) {
+        record->quarantined_until_us = now_us;
+        record->quarantine_count--;
+        log_trial(record, "lifted", record->failed_trial);
+    }
+}
+
+/*
+ * Two entries may send trials of different parts to one upstream at the same
+ * moment. Its crash is held against the part that is in more crashes, and
+ * against neither if both are in as many: one of them is sound. Returns
+ * whether it is held against @record.
+ */
+static bool
+blame_one(const struct pgw_crash_quarantine *quarantine,
+          const struct pgw_crash_record *record, uint64_t upstream,
+          uint64_t token, uint64_t now_us)
+{
+    uint32_t crashes =
+        pgw_crash_quarantine__suspicions(quarantine, record, now_us);
+    bool is_blamed = true;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pgw_crash_record *other = value;
+        struct pgw_recorded_crash *crash =
+            pgw_crash_record_find(other, upstream);
+        bool has_failed =
+            crash != NULL && crash->trial != 0 && crash->trial != token;
+        bool runs = other->trial.started && other->trial.token != token &&
+                    other->trial.upstream == upstream;
+        uint32_t other_crashes;
+
+        if (!other->is_part || (!has_failed && !runs)) {
+            continue;
+        }
+        other_crashes =
+            pgw_crash_quarantine__suspicions(quarantine, other, now_us);
+        is_blamed = is_blamed && crashes > other_crashes;
+        if (has_failed && crashes >= other_crashes) {
+            crash->trial = 0;
+            lift_unproven(quarantine, other, now_us);
+        }
+    }
+    return is_blamed;
+}
+
+/* Holds a failed trial against a part. The report that its run was interrupted
+ * may arrive later. */
+static void
+add_failed_trial(const struct pgw_crash_quarantine *quarantine,
+                 struct pgw_crash_record *record, uint64_t upstream,
+                 uint64_t token, size_t parts, uint64_t now_us)
+{
+    struct pgw_recorded_crash *crash = pgw_crash_record_find(record, upstream);
+
+    if (upstream == 0) {
+        return;
+    }
+    if (crash == NULL) {
+        crash = pgw_crash_record_add(
+            record, upstream, now_us,
+            pgw_crash_table_expired_us(quarantine->table, now_us), true);
+    }
+    if (crash != NULL &&
+        blame_one(quarantine, record, upstream, token, now_us)) {
+        crash->trial = token;
+        crash->trial_parts = (uint32_t)parts;
+    }
+}
+
 /* A part's trial was interrupted, which proves nothing yet: the upstream may
  * have ended for another reason. */
 static void
 note_failed_trial(struct pgw_crash_quarantine *quarantine,
-                  struct pgw_crash_record *record, uint64_t token)
+                  struct pgw_crash_record *record,
+                  const struct pgw_crash_keys *parts, uint64_t token)
 {
+    struct pgw_crashed_run report =
+        make_trial_report(record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
+
+    report.partners = parts;
     pgw_crash_trial_end(&record->trial, token);
     pgw_crash_trial_ignore(&record->trial, token);
     log_trial(record, "interrupted", token);
-    publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
+    pgw_crash_quarantine__publish(quarantine, &report, 1);
+}
+
+static bool
+is_proven(const struct pgw_crash_quarantine *quarantine,
+          const struct suspects *parts, size_t index, uint64_t now_us)
+{
+    const struct pgw_crash_quarantine_options *options = &quarantine->options;
+    const struct pgw_crash_record *record = parts->items[index];
+    struct pgw_crash_record *partners[PGW_CRASH_KEYS_MAX];
+    size_t count = 0;
+
+    for (size_t i = 0; i < parts->count; i++) {
+        if (i != index) {
+            partners[count++] = parts->items[i];
+        }
+    }
+    return pgw_crash_record_failed_trials(record, partners, count) >=
+               options->part_trials &&
+           pgw_crash_quarantine__suspicions(quarantine, record, now_us) >=
+               options->part_crashes;
 }
 
 /*
@@ -123,37 +259,30 @@
  */
 static void
 fail_parts(struct pgw_crash_quarantine *quarantine,
-           const struct suspects *suspects, uint64_t token, uint64_t now_us)
+           const struct suspects *parts, uint64_t token, uint64_t now_us)
 {
-    const struct pgw_crash_quarantine_options *options = &quarantine->options;
-    struct pgw_crash_keys partners = {.count = 0};
-    bool is_proven = false;
+    struct pgw_crash_keys keys = {.count = 0};
+    bool any_proven = false;
 
-    for (size_t i = 0; i < suspects->count; i++) {
-        struct pgw_crash_record *record = suspects->items[i];
+    for (size_t i = 0; i < parts->count; i++) {
+        struct pgw_crash_record *record = parts->items[i];
 
-        if (record->is_part) {
-            record->failed_trials++;
-            partners.items[partners.count++] = record->key;
-            is_proven =
-                is_proven ||
-                (record->failed_trials >= options->part_trials &&
-                 pgw_crash_quarantine__suspicions(
-                     quarantine, record, now_us) >= options->part_crashes);
-        }
+        keys.items[keys.count++] = record->key;
+        add_failed_trial(quarantine, record, record->trial.upstream, token,
+                         parts->count, now_us);
     }
-    for (size_t i = 0; i < suspects->count; i++) {
-        struct pgw_crash_record *record = suspects->items[i];
+    for (size_t i = 0; i < parts->count; i++) {
+        any_proven = any_proven || is_proven(quarantine, parts, i, now_us);
+    }
+    for (size_t i = 0; i < parts->count; i++) {
+        struct pgw_crash_record *record = parts->items[i];
 
-        if (!record->is_part) {
-            continue;
-        }
-        if (is_proven) {
-            pgw_crash_record_set_partners(record, &partners);
+        if (any_proven) {
+            pgw_crash_record_set_partners(record, &keys);
             fail_trial(quarantine, record, token, now_us);
         }
         else {
-            note_failed_trial(quarantine, record, token);
+            note_failed_trial(quarantine, record, &keys, token);
         }
     }
 }
@@ -164,22 +293,36 @@
                                uint64_t trial, bool interrupted,
                                uint64_t now_us)
 {
-    struct suspects suspects;
+    struct suspects held;
+    struct suspects parts = {.count = 0};
 
-    find_held(&suspects, quarantine, keys, trial);
-    if (interrupted) {
-        fail_parts(quarantine, &suspects, trial, now_us);
-    }
-    for (size_t i = 0; i < suspects.count; i++) {
-        struct pgw_crash_record *record = suspects.items[i];
+    find_held(&held, quarantine, keys, trial);
+    for (size_t i = 0; i < held.count; i++) {
+        struct pgw_crash_record *record = held.items[i];
 
         if (!interrupted) {
             end_without_result(quarantine, record, trial);
         }
-        else if (!record->is_part) {
+        else if (record->is_part) {
+            parts.items[parts.count++] = record;
+        }
+        else {
             fail_trial(quarantine, record, trial, now_us);
         }
     }
+    fail_parts(quarantine, &parts, trial, now_us);
+}
+
+/* Number of suspects in the trial; a report may list the part itself. */
+static size_t
+count_parts(const struct pgw_crash_record *record,
+            const struct pgw_crashed_run *report)
+{
+    if (report->partners == NULL) {
+        return 1;
+    }
+    return report->partners->count +
+           !pgw_crash_keys_contain(report->partners, &record->key);
 }
 
 /* The run of another entry's trial has failed. */
@@ -196,7 +339,10 @@
     }
     pgw_crash_trial_end(&record->trial, report->crash);
     pgw_crash_trial_ignore(&record->trial, report->crash);
-    record->failed_trials++;
+    if (record->is_part) {
+        add_failed_trial(quarantine, record, report->upstream, report->crash,
+                         count_parts(record, report), now_us);
+    }
     if (left_us == 0) {
         return true;
     }
@@ -207,6 +353,7 @@
         MAX(record->quarantined_until_us, now_us + left_us);
     if (record->is_part) {
         pgw_crash_record_set_partners(record, report->partners);
+        pgw_crash_quarantine__explain(quarantine, record, now_us);
     }
     return true;
 }
@@ -224,6 +371,10 @@
     bool stands =
         pgw_crash_trial_claim(trial, report->crash, now_us + left_us, now_us);
 
+    if (trial->token == report->crash) {
+        trial->pool = report->upstream;
+    }
+
     if (!stands && trial->is_own && trial->token != report->crash &&
         trial->token != 0 && now_us < trial->until_us) {
         publish_trial(quarantine, record,
@@ -253,9 +404,13 @@
     case PGW_CRASHED_RUN_TRIAL_CLAIMED:
         return merge_claim(quarantine, record, report, now_us);
     case PGW_CRASHED_RUN_TRIAL_STARTED:
-        return pgw_crash_trial_start(&record->trial, report->crash,
-                                     now_us +
-                                         MIN(report->left_us, trial_max_us));
+        if (!pgw_crash_trial_start(&record->trial, report->crash,
+                                   now_us +
+                                       MIN(report->left_us, trial_max_us))) {
+            return false;
+        }
+        record->trial.upstream = report->upstream;
+        return true;
     case PGW_CRASHED_RUN_TRIAL_ENDED:
         return pgw_crash_trial_end(&record->trial, report->crash);
     case PGW_CRASHED_RUN_TRIAL_FAILED:
@@ -267,14 +422,15 @@
 
 static void
 claim(struct pgw_crash_quarantine *quarantine, struct pgw_crash_record *record,
-      uint64_t token, uint64_t now_us)
+      uint64_t token, uint64_t pool, uint64_t settled_us, uint64_t now_us)
 {
     const struct pgw_crash_quarantine_options *options = &quarantine->options;
     struct pgw_crash_trial *trial = &record->trial;
 
     pgw_crash_trial_claim(trial, token, now_us + options->trial_claim_us,
                           now_us);
-    trial->settled_us = now_us + options->trial_settle_us;
+    trial->settled_us = settled_us;
+    trial->pool = pool;
     trial->is_own = true;
     log_trial(record, "claimed", token);
     publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_CLAIMED, token,
@@ -314,6 +470,32 @@
     return true;
 }
 
+/*
+ * Failure: all upstreams of a service are down, and trials of several parts
+ * wait for one. Symptom: all start at the first that is back, and a sound part
+ * is blamed for the crash by a faulty one. Of the trials that wait, that with
+ * the lowest token starts first; the next one then knows where it runs.
+ */
+static bool
+starts_next(const struct pgw_crash_quarantine *quarantine, uint64_t pool,
+            uint64_t token, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct pgw_crash_trial *other =
+            &((const struct pgw_crash_record *)value)->trial;
+
+        if (other->token != 0 && other->token < token && !other->started &&
+            other->pool == pool && now_us < other->until_us) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Returns the verdict on a request with suspects. */
 static enum pgw_crash_verdict
 admit_suspects(struct pgw_crash_quarantine *quarantine,
@@ -321,8 +503,11 @@
                const struct suspects *suspects, uint64_t *trial,
                uint64_t random, uint64_t now_us)
 {
+    /* Trials that end with one crash do not start together again. */
+    uint64_t settle_us = quarantine->options.trial_settle_us;
     bool is_settled = true;
 
+    settle_us += settle_us == 0 ? 0 : random % settle_us;
     for (size_t i = 0; i < suspects->count; i++) {
         if (end_overdue_trial(quarantine, suspects->items[i], now_us)) {
             return PGW_CRASH_REFUSE;
@@ -350,14 +535,17 @@
 
         if (record->trial.token != *trial ||
             now_us >= record->trial.until_us) {
-            claim(quarantine, record, *trial, now_us);
+            claim(quarantine, record, *trial, keys->pool, now_us + settle_us,
+                  now_us);
         }
         else {
             renew_claim(quarantine, record, now_us);
         }
         is_settled = is_settled && now_us >= record->trial.settled_us;
     }
-    return is_settled ? PGW_CRASH_TRIAL : PGW_CRASH_WAIT;
+    return is_settled && starts_next(quarantine, keys->pool, *trial, now_us)
+               ? PGW_CRASH_TRIAL
+               : PGW_CRASH_WAIT;
 }
 
 enum pgw_crash_verdict
@@ -396,8 +584,8 @@
 void
 pgw_crash_quarantine_start_trial(struct pgw_crash_quarantine *quarantine,
                                  const struct pgw_crash_keys *keys,
-                                 uint64_t trial, uint64_t until_us,
-                                 uint64_t now_us)
+                                 uint64_t trial, const char *upstream,
+                                 uint64_t until_us, uint64_t now_us)
 {
     struct suspects suspects;
 
@@ -409,7 +597,9 @@
         if (record->is_part) {
             end_us = MIN(end_us, now_us + quarantine->options.part_trial_us);
         }
-        if (pgw_crash_trial_start(&record->trial, trial, end_us)) {
+        if (pgw_crash_trial_start(&record->trial, trial, end_us) ||
+            record->trial.upstream != pgw_place_id_hash(upstream)) {
+            record->trial.upstream = pgw_place_id_hash(upstream);
             log_trial(record, "started", trial);
             publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_STARTED,
                           trial, end_us - now_us);
@@ -417,6 +607,28 @@
     }
 }
 
+bool
+pgw_crash_quarantine_has_trial_at(
+    const struct pgw_crash_quarantine *quarantine, uint64_t trial,
+    const char *upstream, uint64_t now_us)
+{
+    uint64_t incarnation = pgw_place_id_hash(upstream);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct pgw_crash_trial *other =
+            &((const struct pgw_crash_record *)value)->trial;
+
+        if (other->started && other->token != trial &&
+            other->upstream == incarnation && now_us < other->until_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 pgw_crash_quarantine_is_active(const struct pgw_crash_quarantine *quarantine,
                                const struct pgw_crash_keys *keys,
@@ -449,10 +661,40 @@
     return false;
 }
 
+/* A part was cleared: the others of its failed trials are more likely faulty.
+ */
+static void
+leave_trials(const struct pgw_crash_quarantine *quarantine,
+             const struct pgw_crash_record *record)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    for (uint32_t i = 0; i < record->count; i++) {
+        const struct pgw_recorded_crash *left = &record->crashes[i];
+
+        if (left->trial == 0 || left->cleared || left->trial_parts < 2) {
+            continue;
+        }
+        g_hash_table_iter_init(&iter,
+                               pgw_crash_table_records(quarantine->table));
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            struct pgw_recorded_crash *crash =
+                pgw_crash_record_find(value, left->crash);
+
+            if (crash != NULL && crash != left &&
+                crash->trial == left->trial && crash->trial_parts > 1) {
+                crash->trial_parts--;
+            }
+        }
+    }
+}
+
 void
 pgw_crash_suspects__release(struct pgw_crash_quarantine *quarantine,
                             const struct pgw_crash_record *record)
 {
+    leave_trials(quarantine, record);
     for (size_t i = 0; record->partners != NULL && i < record->partners->count;
          i++) {
         struct pgw_crash_record *partner = pgw_crash_table_find(
--- a/src/gateway/crash_trial.c
+++ b/src/gateway/crash_trial.c
@@ -33,6 +33,7 @@
     trial->token = token;
     trial->until_us = until_us;
     trial->started = false;
+    trial->upstream = 0;
     trial->is_own = false;
     return true;
 }
@@ -75,5 +76,6 @@
     pgw_crash_trial_ignore(trial, token);
     trial->token = 0;
     trial->started = false;
+    trial->upstream = 0;
     return true;
 }
--- a/src/gateway/crash_trial.h
+++ b/src/gateway/crash_trial.h
@@ -25,7 +25,9 @@
  * @ended_count: number of @ended
  * @settled_us: the claim stands from this time on, if no other one does
  * @until_us: when the claim, or the started trial, is over
+ * @pool: hash of the service that runs it, 0: not known
  * @started: the request was sent to an upstream
+ * @upstream: hash of that upstream's incarnation, 0: not known
  * @is_own: a request of this entry has claimed it
  */
 struct pgw_crash_trial {
@@ -34,7 +36,9 @@
     size_t ended_count;
     uint64_t settled_us;
     uint64_t until_us;
+    uint64_t pool;
     bool started;
+    uint64_t upstream;
     bool is_own;
 };
 
--- a/src/gateway/crashed_runs.c
+++ b/src/gateway/crashed_runs.c
@@ -46,6 +46,7 @@
     out->hops = run->hops;
     out->part = run->is_part;
     out->seeds_only = run->seeds_only;
+    out->upstream = run->upstream;
 }
 
 static void
@@ -135,6 +136,7 @@
     out->hops = run->hops;
     out->is_part = run->part;
     out->seeds_only = run->seeds_only;
+    out->upstream = run->upstream;
     out->partners = partners;
     return read_fingerprint(&out->fingerprint, &run->fingerprint) &&
            read_partners(partners, run);
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 #include "gateway/upstream_limits.h"
+#include "parsleygw/place.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include "util/random.h"
@@ -467,7 +468,7 @@
     if (choice.upstream != NULL) {
         leave_queue(exchange);
         pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
-        pgw_suspect_wait_end(exchange);
+        pgw_suspect_wait_end(exchange, choice.upstream);
         pgw_exchange_send(exchange, &choice);
         return;
     }
@@ -635,6 +636,7 @@
     }
     exchange = exchange_new(gateway, caller, &facts, route, workspace);
     exchange->crash_keys = crash_keys;
+    exchange->crash_keys.pool = pgw_place_id_hash(exchange->service);
     pgw_retry_budgets_deposit(gateway->budgets, exchange->service);
     pgw_timer_start(gateway->loop, &exchange->deadline_timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -279,9 +279,10 @@
  * two trials at one upstream would be blamed for one crash */
 bool pgw_suspect_wait_is_apart(const struct pgw_exchange *exchange,
                                const struct pgw_upstream *upstream);
-/** pgw_suspect_wait_end() - the request is sent to an upstream; starts its
+/** pgw_suspect_wait_end() - the request is sent to @upstream; starts its
  * trial if it has claimed one */
-void pgw_suspect_wait_end(struct pgw_exchange *exchange);
+void pgw_suspect_wait_end(struct pgw_exchange *exchange,
+                          const struct pgw_upstream *upstream);
 /** pgw_suspect_wait_pass() - the trial's run has begun to answer and goes on:
  * what it has is cleared before the run ends */
 void pgw_suspect_wait_pass(struct pgw_exchange *exchange);
--- a/src/gateway/suspect_wait.c
+++ b/src/gateway/suspect_wait.c
@@ -81,23 +81,15 @@
 pgw_suspect_wait_is_apart(const struct pgw_exchange *exchange,
                           const struct pgw_upstream *upstream)
 {
-    if (exchange->trial == 0) {
-        return true;
-    }
-    pgw_list_foreach (link, &exchange->gateway->exchanges) {
-        const struct pgw_exchange *other =
-            pgw_container_of(link, struct pgw_exchange, in_gateway);
-
-        if (other != exchange && other->trial != 0 &&
-            other->upstream == upstream) {
-            return false;
-        }
-    }
-    return true;
+    return exchange->trial == 0 ||
+           !pgw_crash_quarantine_has_trial_at(
+               exchange->gateway->crash_quarantine, exchange->trial,
+               upstream->id, pgw_now_us());
 }
 
 void
-pgw_suspect_wait_end(struct pgw_exchange *exchange)
+pgw_suspect_wait_end(struct pgw_exchange *exchange,
+                     const struct pgw_upstream *upstream)
 {
     struct pgw_gateway *gateway = exchange->gateway;
 
@@ -106,7 +98,8 @@
     if (exchange->trial != 0) {
         pgw_crash_quarantine_start_trial(
             gateway->crash_quarantine, &exchange->crash_keys, exchange->trial,
-            exchange->deadline_us + RESULT_MARGIN_US, pgw_now_us());
+            upstream->id, exchange->deadline_us + RESULT_MARGIN_US,
+            pgw_now_us());
     }
 }
 
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3894,7 +3894,7 @@
   (ProtobufCMessageInit) pgw__crashed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[11] =
 {
   {
     "fingerprint",
@@ -4016,6 +4016,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__SuspectRun, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__suspect_run__field_indices_by_name[] = {
   3,   /* field[3] = age_us */
@@ -4028,11 +4040,12 @@
   9,   /* field[9] = partners */
   5,   /* field[5] = quarantines */
   8,   /* field[8] = seeds_only */
+  10,   /* field[10] = upstream */
 };
 static const ProtobufCIntRange pgw__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pgw__suspect_run__descriptor =
 {
@@ -4042,7 +4055,7 @@
   "Pgw__SuspectRun",
   "pgw",
   sizeof(Pgw__SuspectRun),
-  10,
+  11,
   pgw__suspect_run__field_descriptors,
   pgw__suspect_run__field_indices_by_name,
   1,  pgw__suspect_run__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -613,14 +613,18 @@
    */
   protobuf_c_boolean seeds_only;
   /*
-   * failed: all parts that were suspects
+   * failed: other parts that were suspects
    */
   size_t n_partners;
   ProtobufCBinaryData *partners;
+  /*
+   * started, failed: hash of the incarnation, claimed: of
+   */
+  uint64_t upstream;
 };
 #define PGW__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__suspect_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Pgw__CrashedRuns
--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -120,7 +120,7 @@
     for (unsigned i = 0; i < entries; i++) {
         all.list[i] = {&all, i, pgw_crash_quarantine_new(&options)};
         for (uint64_t crash = 1; crash <= 3; crash++) {
-            pgw_crashed_run crashed = {fingerprint, false, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, nullptr, 0, false};
+            pgw_crashed_run crashed = {fingerprint, false, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, 0, nullptr, 0, false};
 
             pgw_crash_quarantine_merge(all.list[i].quarantine, &crashed, 1, now);
         }
@@ -141,7 +141,7 @@
                 RC_ASSERT(!other.runs);
             }
             each->runs = true;
-            pgw_crash_quarantine_start_trial(quarantine, &keys, each->token, now + 9000000,
+            pgw_crash_quarantine_start_trial(quarantine, &keys, each->token, "z", now + 9000000,
                                              now);
         }
         now += number / 512 % 50 * 1000;
@@ -178,7 +178,7 @@
     for (unsigned i = 0; i < entries; i++) {
         all.list[i] = {&all, i, pgw_crash_quarantine_new(&options)};
         for (uint64_t crash = 1; crash <= 3; crash++) {
-            pgw_crashed_run crashed = {fingerprint, false, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, nullptr, 0, false};
+            pgw_crashed_run crashed = {fingerprint, false, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, 0, nullptr, 0, false};
 
             pgw_crash_quarantine_merge(all.list[i].quarantine, &crashed, 1, now);
         }
@@ -191,7 +191,7 @@
         case 0:
             if (pgw_crash_quarantine_admit(at->quarantine, &keys, &at->trial, ++claims,
                                            now) == PGW_CRASH_TRIAL) {
-                pgw_crash_quarantine_start_trial(at->quarantine, &keys, at->trial,
+                pgw_crash_quarantine_start_trial(at->quarantine, &keys, at->trial, "z",
                                                  now + 900000, now);
             }
             break;
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -199,8 +199,8 @@
                     PGW_CRASH_WAIT);
     g_assert_cmpint(admit(quarantine, &first, 9, 5 * SECOND), ==,
                     PGW_CRASH_TRIAL);
-    pgw_crash_quarantine_start_trial(quarantine, &faulty, first, 9 * SECOND,
-                                     5 * SECOND);
+    pgw_crash_quarantine_start_trial(quarantine, &faulty, first, "z",
+                                     9 * SECOND, 5 * SECOND);
     g_assert_cmpint(admit(quarantine, &second, 3, 6 * SECOND), ==,
                     PGW_CRASH_WAIT);
     pgw_crash_quarantine_end_trial(quarantine, &faulty, first, true,
@@ -227,8 +227,8 @@
     admit(quarantine, &trial, 7, 4 * SECOND);
     g_assert_cmpint(admit(quarantine, &trial, 8, 5 * SECOND), ==,
                     PGW_CRASH_TRIAL);
-    pgw_crash_quarantine_start_trial(quarantine, &popular, trial, 9 * SECOND,
-                                     5 * SECOND);
+    pgw_crash_quarantine_start_trial(quarantine, &popular, trial, "z",
+                                     9 * SECOND, 5 * SECOND);
     pgw_crash_quarantine_clear(quarantine, &popular);
     g_assert_cmpint(admit(quarantine, &other, 8, 5 * SECOND), ==,
                     PGW_CRASH_ALLOW);
@@ -253,7 +253,7 @@
     published.count = 0;
     admit(local, &trial, 7, 4 * SECOND);
     admit(local, &trial, 7, 5 * SECOND);
-    pgw_crash_quarantine_start_trial(local, &faulty, trial, 9 * SECOND,
+    pgw_crash_quarantine_start_trial(local, &faulty, trial, "z", 9 * SECOND,
                                      5 * SECOND);
     pgw_crash_quarantine_merge(remote, published.items, published.count,
                                5 * SECOND);
@@ -276,7 +276,7 @@
 
     crash_at_once(local);
     admit(local, &trial, 7, 4 * SECOND);
-    pgw_crash_quarantine_start_trial(local, &faulty, trial, 9 * SECOND,
+    pgw_crash_quarantine_start_trial(local, &faulty, trial, "z", 9 * SECOND,
                                      5 * SECOND);
     pgw_crash_quarantine_end_trial(local, &faulty, trial, true, 6 * SECOND);
     known = pgw_crash_quarantine_list(local, 16 * SECOND);
