Give a trial only to requests that can wait for it, and known sound parts more trials

The same property showed two more ways to refuse everybody: claims went to the oldest waiting requests, which were given up before the claim stood, so that for 15 s no trial started; and a part that all share was blamed for two crashes of a faulty part that was not a suspect yet. Traced: few engines are up after a power loss and the faulty part is not a suspect yet.

--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -491,6 +491,7 @@
     struct pgw_crashed_run reports[PGW_CRASH_KEYS_MAX];
     size_t count = 0;
 
+    pgw_completed_parts_add(&quarantine->completed, keys);
     if (g_hash_table_size(pgw_crash_table_records(quarantine->table)) == 0) {
         return;
     }
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -108,6 +108,7 @@
  * @part_crashes: number of crashed incarnations from which on failed trials
  *   quarantine a part
  * @part_trials: number of failed trials that quarantine a part
+ * @completed_part_trials: the same of a part of which a run has completed here
  * @min_crash_gap_us: crashes of one key that are less than this apart are of
  *   one moment
  * @crash_match_us: an interrupted run is attributed to the crash of its
@@ -128,6 +129,7 @@
     uint32_t crashes;
     uint32_t part_crashes;
     uint32_t part_trials;
+    uint32_t completed_part_trials;
     uint64_t min_crash_gap_us;
     uint64_t crash_match_us;
     uint64_t quarantine_us;
@@ -146,7 +148,9 @@
  * part_crashes: a sound part whose requests are few may be in three crashes of
  * a faulty one, and its trial may run beside a fourth. part_trials: a second
  * power loss may interrupt the trial of a part that all requests share, which
- * no other request would run then.
+ * no other request would run then. completed_part_trials: so may a faulty part
+ * that is not a suspect yet, and more often so when few upstreams are up; a
+ * part that was sound before is most likely still so.
  * min_crash_gap_us: a zone that loses power takes all upstreams of a service
  * down at once, and a popular request may be running at each of them.
  * crash_match_us: the list's record of a service without a sidecar expires
@@ -165,7 +169,7 @@
 #define PGW_CRASH_QUARANTINE_OPTIONS_INIT                                     \
     {                                                                         \
         .crashes = 3, .part_crashes = 5, .part_trials = 2,                    \
-        .min_crash_gap_us = G_USEC_PER_SEC / 2,                               \
+        .completed_part_trials = 4, .min_crash_gap_us = G_USEC_PER_SEC / 2,   \
         .crash_match_us = 8 * (uint64_t)G_USEC_PER_SEC,                       \
         .quarantine_us = 60 * (uint64_t)G_USEC_PER_SEC,                       \
         .quarantine_max_us = 3600 * (uint64_t)G_USEC_PER_SEC,                 \
@@ -228,6 +232,7 @@
  * @quarantine: the state
  * @keys: keys of the request
  * @trial: token of the trial that the request has claimed, 0: none; updated
+ * @may_claim: it can wait until a claim stands
  * @random: random number for the token of a new claim
  * @now_us: monotonic time
  *
@@ -238,7 +243,7 @@
 enum pgw_crash_verdict
 pgw_crash_quarantine_admit(struct pgw_crash_quarantine *quarantine,
                            const struct pgw_crash_keys *keys, uint64_t *trial,
-                           uint64_t random, uint64_t now_us);
+                           bool may_claim, uint64_t random, uint64_t now_us);
 
 /** pgw_crash_quarantine_start_trial() - the request with this claim is sent to
  * the incarnation @upstream; its run ends before @until_us */
--- a/src/gateway/crash_quarantine_internal.h
+++ b/src/gateway/crash_quarantine_internal.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_CRASH_QUARANTINE_INTERNAL_H
 #define PGW_GATEWAY_CRASH_QUARANTINE_INTERNAL_H
 
+#include "gateway/completed_parts.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/crash_table.h"
 
@@ -18,12 +19,14 @@
  * @table: what is known of keys
  * @crashed_upstreams: of &struct pgw_crashed_upstream, the oldest first
  * @explained: the same of those whose cause is known
+ * @completed: parts of runs that completed here
  */
 struct pgw_crash_quarantine {
     struct pgw_crash_quarantine_options options;
     struct pgw_crash_table *table;
     GArray *crashed_upstreams;
     GArray *explained;
+    struct pgw_completed_parts completed;
     void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
                        void *context);
     void *context;
--- a/src/gateway/crash_suspects.c
+++ b/src/gateway/crash_suspects.c
@@ -81,6 +81,17 @@
     pgw_crash_quarantine__publish(quarantine, &report, 1);
 }
 
+/* A part that is quarantined alone has caused its crashes. */
+static void
+explain_crashes(struct pgw_crash_quarantine *quarantine,
+                const struct pgw_crash_record *record, uint64_t now_us)
+{
+    if (record->is_part && now_us < record->quarantined_until_us &&
+        (record->partners == NULL || record->partners->count == 0)) {
+        pgw_crash_quarantine__explain(quarantine, record, now_us);
+    }
+}
+
 /* A trial was interrupted, or its entry has ended without a result. */
 static void
 fail_trial(struct pgw_crash_quarantine *quarantine,
@@ -99,9 +110,7 @@
     report.left_us = record->quarantined_until_us - now_us;
     report.quarantines = record->quarantine_count;
     pgw_crash_quarantine__publish(quarantine, &report, 1);
-    if (record->is_part) {
-        pgw_crash_quarantine__explain(quarantine, record, now_us);
-    }
+    explain_crashes(quarantine, record, now_us);
 }
 
 static void
@@ -239,6 +248,10 @@
     const struct pgw_crash_quarantine_options *options = &quarantine->options;
     const struct pgw_crash_record *record = parts->items[index];
     struct pgw_crash_record *partners[PGW_CRASH_KEYS_MAX];
+    uint32_t trials =
+        pgw_completed_parts_has(&quarantine->completed, &record->key)
+            ? options->completed_part_trials
+            : options->part_trials;
     size_t count = 0;
 
     for (size_t i = 0; i < parts->count; i++) {
@@ -246,8 +259,7 @@
             partners[count++] = parts->items[i];
         }
     }
-    return pgw_crash_record_failed_trials(record, partners, count) >=
-               options->part_trials &&
+    return pgw_crash_record_failed_trials(record, partners, count) >= trials &&
            pgw_crash_quarantine__suspicions(quarantine, record, now_us) >=
                options->part_crashes;
 }
@@ -353,7 +365,7 @@
         MAX(record->quarantined_until_us, now_us + left_us);
     if (record->is_part) {
         pgw_crash_record_set_partners(record, report->partners);
-        pgw_crash_quarantine__explain(quarantine, record, now_us);
+        explain_crashes(quarantine, record, now_us);
     }
     return true;
 }
@@ -501,7 +513,7 @@
 admit_suspects(struct pgw_crash_quarantine *quarantine,
                const struct pgw_crash_keys *keys,
                const struct suspects *suspects, uint64_t *trial,
-               uint64_t random, uint64_t now_us)
+               bool may_claim, uint64_t random, uint64_t now_us)
 {
     /* Trials that end with one crash do not start together again. */
     uint64_t settle_us = quarantine->options.trial_settle_us;
@@ -525,6 +537,10 @@
             return PGW_CRASH_WAIT;
         }
     }
+    /* Others could not claim it until this request is given up. */
+    if (*trial == 0 && !may_claim) {
+        return PGW_CRASH_WAIT;
+    }
     if (*trial == 0) {
         random &= (UINT64_C(1) << TOKEN_RANDOM_BITS) - 1;
         *trial =
@@ -551,7 +567,7 @@
 enum pgw_crash_verdict
 pgw_crash_quarantine_admit(struct pgw_crash_quarantine *quarantine,
                            const struct pgw_crash_keys *keys, uint64_t *trial,
-                           uint64_t random, uint64_t now_us)
+                           bool may_claim, uint64_t random, uint64_t now_us)
 {
     struct suspects suspects = {.count = 0};
 
@@ -578,7 +594,8 @@
         *trial = 0;
         return PGW_CRASH_ALLOW;
     }
-    return admit_suspects(quarantine, keys, &suspects, trial, random, now_us);
+    return admit_suspects(quarantine, keys, &suspects, trial, may_claim,
+                          random, now_us);
 }
 
 void
--- a/src/gateway/suspect_wait.c
+++ b/src/gateway/suspect_wait.c
@@ -4,6 +4,8 @@
 
 /* Interval at which a waiting request asks again. */
 #define RECHECK_US 20000
+/* A claim stands and its trial starts within this time. */
+#define CLAIM_TIME_US 1000000
 /* A trial's result arrives at the latest so long after its deadline. */
 #define RESULT_MARGIN_US 1000000
 /* A faulty prompt crashes its engine when that begins to answer. */
@@ -27,6 +29,7 @@
     struct pgw_gateway *gateway = exchange->gateway;
 
     if (exchange->suspect_until_us == 0) {
+        exchange->suspect_since_us = now_us;
         exchange->suspect_until_us =
             now_us + pgw_exchange_queue_time_us(exchange, now_us);
         pgw_metric_register_counter(&waits);
@@ -53,13 +56,26 @@
     }
 }
 
+/* A request that is refused before its claim stands only delays others. */
+static bool
+may_claim(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    uint64_t waits_us =
+        exchange->suspect_until_us - exchange->suspect_since_us;
+
+    return exchange->suspect_until_us == 0 ||
+           now_us + MIN(CLAIM_TIME_US, waits_us / 2) <=
+               exchange->suspect_until_us;
+}
+
 bool
 pgw_suspect_wait_begin(struct pgw_exchange *exchange)
 {
     uint64_t now_us = pgw_now_us();
     enum pgw_crash_verdict verdict = pgw_crash_quarantine_admit(
         exchange->gateway->crash_quarantine, &exchange->crash_keys,
-        &exchange->trial, pgw_random_u64(), now_us);
+        &exchange->trial, may_claim(exchange, now_us), pgw_random_u64(),
+        now_us);
 
     if (verdict == PGW_CRASH_REFUSE) {
         refuse(exchange, PGW_CRASH_QUARANTINE_RETRY_MS);
