Send streams to callers of HTTP/1.0 without chunks

Callers of HTTP/1.0 got the chunk sizes of a stream as part of its body: chunks do not exist there. The stream now ends with its connection; one that is broken off ends with a reset. Found by checks of answers with neither a length nor chunks, one for every kind of route: complete answers, streams cut within an event, their resumption, a caller of HTTP/1.0. The last failed before ('chunked' in the head), the others passed.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -443,8 +443,10 @@
         return;
     }
     caller->answer_is_begun = true;
-    caller->chunked = length < 0;
-    if (server->draining) {
+    caller->is_stream = length < 0;
+    /* HTTP/1.0 has no chunks: the end of the connection ends the stream. */
+    caller->chunked = caller->is_stream && !caller->reader.head.is_http_1_0;
+    if (server->draining || caller->is_stream != caller->chunked) {
         caller->close_after_answer = true;
     }
     size = g_snprintf(head, sizeof(head), "HTTP/1.1 %u %s\r\n", status,
@@ -455,6 +457,9 @@
         size =
             g_snprintf(head, sizeof(head), "Transfer-Encoding: chunked\r\n");
     }
+    else if (caller->is_stream) {
+        size = 0;
+    }
     else {
         size = g_snprintf(head, sizeof(head),
                           "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
@@ -487,9 +492,12 @@
     }
     else {
         pgw_buffer_append(&caller->out, data, size);
+        if (caller->is_stream) {
+            caller_flush(caller);
+        }
     }
     /* An answer that is not a stream is complete and bounded by its reader. */
-    if (caller->chunked && pgw_buffer_size(&caller->out) > OUT_LIMIT) {
+    if (caller->is_stream && pgw_buffer_size(&caller->out) > OUT_LIMIT) {
         pgw_log_warning("caller_slow", "pending=%zu",
                         pgw_buffer_size(&caller->out));
         shutdown(caller->watch.fd, SHUT_RDWR);
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -50,6 +50,7 @@
     uint32_t events;
     bool request_is_active;
     bool request_is_complete;
+    bool is_stream;
     bool chunked;
     bool close_after_answer;
     bool answer_is_begun;
--- a/src/gateway/http_reader.c
+++ b/src/gateway/http_reader.c
@@ -210,6 +210,7 @@
     head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     head->length = head->has_length ? parser->content_length : 0;
     head->keep_alive = http_should_keep_alive(parser) != 0;
+    head->is_http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
     reader->head_done = true;
     if (!is_interim(parser) && !reader->stop) {
         reader->ops->on_head(reader);
--- a/src/gateway/http_reader.h
+++ b/src/gateway/http_reader.h
@@ -46,6 +46,7 @@
     const char *method;
     unsigned status;
     bool keep_alive;
+    bool is_http_1_0;
     bool has_length;
     bool chunked;
     uint64_t length;
