Let an answer without an end mark clear a suspect only if its upstream lives

An answer with neither a length nor chunks ends with its connection, and so does one whose engine crashes between two events. The second counted as a completed run and cleared the part that caused the crash.

--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -457,6 +457,13 @@
     add_crash(quarantine, pgw_place_id_hash(upstream), "own", 0, now_us);
 }
 
+bool
+pgw_crash_quarantine_has_crashed(const struct pgw_crash_quarantine *quarantine,
+                                 const char *upstream)
+{
+    return has_crashed(quarantine, pgw_place_id_hash(upstream));
+}
+
 /* Clears what is known of a key. Returns whether other entries may know of
  * it, and which. */
 static enum pgw_crash_reach
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -216,6 +216,12 @@
 void pgw_crash_quarantine_add_crash(struct pgw_crash_quarantine *quarantine,
                                     const char *upstream, uint64_t now_us);
 
+/** pgw_crash_quarantine_has_crashed() - whether a crash of an incarnation
+ * became known lately */
+bool
+pgw_crash_quarantine_has_crashed(const struct pgw_crash_quarantine *quarantine,
+                                 const char *upstream);
+
 /** pgw_crash_quarantine_clear() - clear the crashes of a request's keys after
  * a completed run */
 void pgw_crash_quarantine_clear(struct pgw_crash_quarantine *quarantine,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "gateway/moving_average.h"
 #include "gateway/target_weights.h"
+#include "gateway/unframed_runs.h"
 
 /* When a caller may resend a request that crashes its upstreams: the longest
  * time that any caller waits, since an earlier retry would be refused too. */
@@ -18,6 +19,7 @@
  * @budgets: retry budgets of services
  * @crash_quarantine: requests and prompt parts that were running when
  *   upstreams crashed
+ * @unframed_runs: runs that ended with their connections
  * @quota: quotas of workspaces
  * @stream_origins: software versions of streams
  * @waiting: requests that are queued for a free slot
@@ -56,6 +58,7 @@
     struct pgw_upstream_table *upstreams;
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
+    struct pgw_unframed_runs *unframed_runs;
     struct pgw_quota *quota;
     struct pgw_stream_origins *stream_origins;
     struct pgw_wait_queue waiting;
@@ -146,6 +149,7 @@
  * @load_report_age_us: age of the report on which the estimate rests
  * @fetch_source: where missing prompt parts are fetched from, for logs
  * @weights: version of the weights that produce its events
+ * @is_unframed: the answer has neither a length nor chunks
  * @not_run: the upstream states that it did not run the request
  * @answer_fields: header lines for the caller
  * @answer: body received so far, if the answer is not a stream
@@ -208,6 +212,7 @@
     const char *fetch_source;
     uint64_t weights;
     unsigned status;
+    bool is_unframed;
     bool not_run;
     bool is_stream;
     GString *answer_fields;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -100,6 +100,8 @@
     gateway->budgets = pgw_retry_budgets_new(&options->budgets);
     gateway->crash_quarantine =
         pgw_crash_quarantine_new(&options->crash_quarantine);
+    gateway->unframed_runs =
+        pgw_unframed_runs_new(loop, gateway->crash_quarantine);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
     gateway->stream_origins = pgw_stream_origins_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
@@ -128,6 +130,7 @@
     pgw_stream_origins_free(gateway->stream_origins);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
+    pgw_unframed_runs_free(gateway->unframed_runs);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->target_weights);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -132,6 +132,7 @@
     exchange->status = head->status;
     exchange->not_run = facts.not_run;
     exchange->is_stream = facts.is_stream && head->status < 300;
+    exchange->is_unframed = !head->has_length && !head->chunked;
     if (facts.not_run) {
         /* The list of upstreams still names an incarnation that has ended. */
         if (facts.instance != NULL &&
@@ -310,6 +311,11 @@
     if (exchange->status >= 300) {
         completed.count = 1;
     }
+    if (exchange->is_unframed) {
+        pgw_unframed_runs_add(exchange->gateway->unframed_runs, &completed,
+                              exchange->upstream->id);
+        return;
+    }
     pgw_crash_quarantine_clear(exchange->gateway->crash_quarantine,
                                &completed);
     if (completed.count == exchange->crash_keys.count) {
