--- a/src/gateway/crash_quarantine.c
+++ b/src/gateway/crash_quarantine.c
@@ -88,9 +88,9 @@
     g_array_remove_range(list, 0, expired);
 }
 
-static void
-drop_crashed_upstreams(struct pgw_crash_quarantine *quarantine,
-                       uint64_t now_us)
+void
+pgw_crash_quarantine__drop_crashed(struct pgw_crash_quarantine *quarantine,
+                                   uint64_t now_us)
 {
     uint64_t match_us = quarantine->options.crash_match_us;
 
@@ -109,8 +109,9 @@
     return false;
 }
 
-static bool
-has_crashed(const struct pgw_crash_quarantine *quarantine, uint64_t crash)
+bool
+pgw_crash_quarantine__has_crashed(
+    const struct pgw_crash_quarantine *quarantine, uint64_t crash)
 {
     return lists_crash(quarantine->crashed_upstreams, crash);
 }
@@ -142,12 +143,10 @@
     }
 }
 
-/* Whether a report of a crash comes after its cause was found, which is
- * another key. */
-static bool
-is_explained(const struct pgw_crash_quarantine *quarantine,
-             const struct pgw_crash_record *record, uint64_t crash,
-             uint64_t now_us)
+bool
+pgw_crash_quarantine__is_explained(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record, uint64_t crash, uint64_t now_us)
 {
     return now_us >= record->quarantined_until_us &&
            lists_crash(quarantine->explained, crash);
@@ -195,13 +194,11 @@
                  (int)counted, (now_us - at_us) / 1000);
 }
 
-/* Adds a confirmed crash to a whole request. Returns whether it is new and
- * counts.
- * @source: who saw it, for logs */
-static bool
-count_crash(struct pgw_crash_quarantine *quarantine,
-            struct pgw_crash_record *record, uint64_t crash,
-            const char *source, uint64_t at_us, uint64_t now_us)
+bool
+pgw_crash_quarantine__count(struct pgw_crash_quarantine *quarantine,
+                            struct pgw_crash_record *record, uint64_t crash,
+                            const char *source, uint64_t at_us,
+                            uint64_t now_us)
 {
     const struct pgw_crash_quarantine_options *options = &quarantine->options;
     struct pgw_recorded_crash *known = pgw_crash_record_find(record, crash);
@@ -238,9 +235,10 @@
     return true;
 }
 
-static struct pgw_crashed_run
-make_report(const struct pgw_crash_record *record,
-            const struct pgw_recorded_crash *crash, uint64_t now_us)
+struct pgw_crashed_run
+pgw_crash_quarantine__make_report(const struct pgw_crash_record *record,
+                                  const struct pgw_recorded_crash *crash,
+                                  uint64_t now_us)
 {
     return (struct pgw_crashed_run){
         .fingerprint = record->key,
@@ -254,11 +252,11 @@
 
 /* A single interrupted run is not worth a message to all: most are no crash,
  * and a part that ran in one crash is most likely sound. Of a part the seeds
- * learn, since each entry may get only one of the requests with it.
- * @hops: number of entries that have passed on what led to this */
-static void
-share(struct pgw_crash_quarantine *quarantine, struct pgw_crash_record *record,
-      uint32_t hops, uint64_t now_us)
+ * learn, since each entry may get only one of the requests with it. */
+void
+pgw_crash_quarantine__share(struct pgw_crash_quarantine *quarantine,
+                            struct pgw_crash_record *record, uint32_t hops,
+                            uint64_t now_us)
 {
     uint64_t expired_us =
         pgw_crash_table_expired_us(quarantine->table, now_us);
@@ -277,7 +275,8 @@
 
         if (!is_known && !crash->cleared && crash->reach < reach &&
             (crash->confirmed || crash->at_us > expired_us)) {
-            struct pgw_crashed_run report = make_report(record, crash, now_us);
+            struct pgw_crashed_run report =
+                pgw_crash_quarantine__make_report(record, crash, now_us);
 
             report.hops = hops;
             report.seeds_only = !to_all;
@@ -303,7 +302,7 @@
         pgw_crash_record_add(
             record, crash, now_us,
             pgw_crash_table_expired_us(quarantine->table, now_us), false);
-        share(quarantine, record, 0, now_us);
+        pgw_crash_quarantine__share(quarantine, record, 0, now_us);
     }
 }
 
@@ -315,15 +314,17 @@
     struct pgw_recorded_crash *added;
 
     if (pgw_crash_record_find(record, crash) != NULL ||
-        is_explained(quarantine, record, crash, now_us)) {
+        pgw_crash_quarantine__is_explained(quarantine, record, crash,
+                                           now_us)) {
         return;
     }
     added = pgw_crash_record_add(
         record, crash, now_us,
         pgw_crash_table_expired_us(quarantine->table, now_us), false);
     if (added != NULL) {
-        added->confirmed = has_crashed(quarantine, crash);
-        share(quarantine, record, 0, now_us);
+        added->confirmed =
+            pgw_crash_quarantine__has_crashed(quarantine, crash);
+        pgw_crash_quarantine__share(quarantine, record, 0, now_us);
     }
 }
 
@@ -334,7 +335,7 @@
 {
     uint64_t crash = pgw_place_id_hash(upstream);
 
-    drop_crashed_upstreams(quarantine, now_us);
+    pgw_crash_quarantine__drop_crashed(quarantine, now_us);
     for (size_t i = 0; i < keys->count; i++) {
         struct pgw_crash_record *record = pgw_crash_table_get(
             quarantine->table, &keys->items[i], i > 0, now_us);
@@ -345,11 +346,11 @@
         if (record->is_part) {
             add_interrupted_part(quarantine, record, crash, now_us);
         }
-        else if (!has_crashed(quarantine, crash)) {
+        else if (!pgw_crash_quarantine__has_crashed(quarantine, crash)) {
             add_interrupted_request(quarantine, record, crash, now_us);
         }
-        else if (count_crash(quarantine, record, crash, "own", now_us,
-                             now_us)) {
+        else if (pgw_crash_quarantine__count(quarantine, record, crash, "own",
+                                             now_us, now_us)) {
             struct pgw_crashed_run report = {.fingerprint = record->key,
                                              .crash = crash};
 
@@ -358,22 +359,20 @@
     }
 }
 
-/* Confirms a crash of a part. A sound part that ran in one crash is too common
- * for a log line. Returns whether it counts. */
-static bool
-confirm_part(struct pgw_crash_quarantine *quarantine,
-             struct pgw_crash_record *record, struct pgw_recorded_crash *crash,
-             const char *source, uint64_t now_us)
+bool
+pgw_crash_quarantine__confirm_part(struct pgw_crash_record *record,
+                                   struct pgw_recorded_crash *crash,
+                                   const char *source, uint64_t now_us)
 {
     if (crash->cleared) {
         return false;
     }
     crash->confirmed = true;
+    /* A sound part that ran in one crash is too common for a log line. */
     if (pgw_crash_record_confirmed(record) > 1) {
         log_crash(record, crash->crash, source, true, crash->at_us, now_us);
     }
     pgw_metric_counter_add(&crashes_counted, 1);
-    (void)quarantine;
     return true;
 }
 
@@ -399,8 +398,8 @@
             continue;
         }
         if (record->is_part) {
-            has_parts |=
-                confirm_part(quarantine, record, known, source, now_us);
+            has_parts |= pgw_crash_quarantine__confirm_part(record, known,
+                                                            source, now_us);
         }
         else if (known->cleared) {
             pgw_crash_record_remove(record, known);
@@ -408,8 +407,8 @@
         else {
             uint64_t at_us = known->at_us;
 
-            if (count_crash(quarantine, record, crash, source, at_us,
-                            now_us)) {
+            if (pgw_crash_quarantine__count(quarantine, record, crash, source,
+                                            at_us, now_us)) {
                 struct pgw_crashed_run report = {.fingerprint = record->key,
                                                  .crash = crash,
                                                  .age_us = now_us - at_us};
@@ -421,10 +420,10 @@
     return has_parts;
 }
 
-/* Returns whether the crash was not known. */
-static bool
-add_crash(struct pgw_crash_quarantine *quarantine, uint64_t crash,
-          const char *source, uint32_t hops, uint64_t now_us)
+bool
+pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
+                                uint64_t crash, const char *source,
+                                uint32_t hops, uint64_t now_us)
 {
     struct pgw_crashed_upstream crashed = {crash, now_us};
     struct pgw_crashed_run confirmation = {
@@ -432,8 +431,8 @@
     GArray *reports;
     uint32_t unmatched;
 
-    drop_crashed_upstreams(quarantine, now_us);
-    if (has_crashed(quarantine, crash)) {
+    pgw_crash_quarantine__drop_crashed(quarantine, now_us);
+    if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
         return false;
     }
     g_array_append_val(quarantine->crashed_upstreams, crashed);
@@ -454,21 +453,21 @@
 pgw_crash_quarantine_add_crash(struct pgw_crash_quarantine *quarantine,
                                const char *upstream, uint64_t now_us)
 {
-    add_crash(quarantine, pgw_place_id_hash(upstream), "own", 0, now_us);
+    pgw_crash_quarantine__add_crash(quarantine, pgw_place_id_hash(upstream),
+                                    "own", 0, now_us);
 }
 
 bool
 pgw_crash_quarantine_has_crashed(const struct pgw_crash_quarantine *quarantine,
                                  const char *upstream)
 {
-    return has_crashed(quarantine, pgw_place_id_hash(upstream));
+    return pgw_crash_quarantine__has_crashed(quarantine,
+                                             pgw_place_id_hash(upstream));
 }
 
-/* Clears what is known of a key. Returns whether other entries may know of
- * it, and which. */
-static enum pgw_crash_reach
-clear_record(struct pgw_crash_quarantine *quarantine,
-             const struct pgw_fingerprint *key)
+enum pgw_crash_reach
+pgw_crash_quarantine__clear_record(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_fingerprint *key)
 {
     struct pgw_crash_record *record =
         pgw_crash_table_find(quarantine->table, key);
@@ -486,7 +485,7 @@
         pgw_log_info("poison_cleared", "fingerprint=%s part=%d", name,
                      (int)record->is_part);
     }
-    pgw_crash_suspects__release(quarantine, record);
+    pgw_crash_blame__release(quarantine, record);
     pgw_crash_record_clear(record);
     return reach;
 }
@@ -503,7 +502,8 @@
         return;
     }
     for (size_t i = 0; i < keys->count; i++) {
-        enum pgw_crash_reach reach = clear_record(quarantine, &keys->items[i]);
+        enum pgw_crash_reach reach =
+            pgw_crash_quarantine__clear_record(quarantine, &keys->items[i]);
 
         if (reach != PGW_CRASH_REACH_NONE) {
             reports[count++] = (struct pgw_crashed_run){
@@ -515,198 +515,3 @@
     }
     pgw_crash_quarantine__publish(quarantine, reports, count);
 }
-
-/* Returns whether the report is new. */
-static bool
-merge_interrupted_request(struct pgw_crash_quarantine *quarantine,
-                          const struct pgw_crashed_run *report, uint64_t at_us,
-                          uint64_t now_us)
-{
-    uint64_t expired_us =
-        pgw_crash_table_expired_us(quarantine->table, now_us);
-    struct pgw_crash_record *record;
-    struct pgw_recorded_crash *known;
-
-    if (at_us <= expired_us) {
-        return false;
-    }
-    record = pgw_crash_table_get(quarantine->table, &report->fingerprint,
-                                 false, now_us);
-    known =
-        record == NULL ? NULL : pgw_crash_record_find(record, report->crash);
-    if (record == NULL || known != NULL) {
-        if (known != NULL) {
-            known->reach = PGW_CRASH_REACH_ALL;
-        }
-        return false;
-    }
-    known =
-        pgw_crash_record_add(record, report->crash, at_us, expired_us, false);
-    if (known == NULL) {
-        return false;
-    }
-    known->reach = PGW_CRASH_REACH_ALL;
-    return true;
-}
-
-/* Adds another entry's report of a part, and passes it on if it is new. */
-static void
-merge_part(struct pgw_crash_quarantine *quarantine,
-           const struct pgw_crashed_run *report, uint64_t at_us,
-           uint64_t now_us)
-{
-    uint64_t expired_us =
-        pgw_crash_table_expired_us(quarantine->table, now_us);
-    bool is_confirmed = report->kind == PGW_CRASHED_RUN_CRASHED ||
-                        has_crashed(quarantine, report->crash);
-    struct pgw_crash_record *record;
-    struct pgw_recorded_crash *known;
-
-    if (!is_confirmed && at_us <= expired_us) {
-        return;
-    }
-    record = pgw_crash_table_get(quarantine->table, &report->fingerprint, true,
-                                 now_us);
-    if (record == NULL) {
-        return;
-    }
-    known = pgw_crash_record_find(record, report->crash);
-    if (known == NULL &&
-        !is_explained(quarantine, record, report->crash, now_us)) {
-        known = pgw_crash_record_add(record, report->crash, at_us, expired_us,
-                                     false);
-    }
-    if (known == NULL || known->cleared) {
-        return;
-    }
-    if (is_confirmed && !known->confirmed) {
-        confirm_part(quarantine, record, known, "entry", now_us);
-    }
-    if (report->seeds_only) {
-        share(quarantine, record, report->hops + 1, now_us);
-    }
-    else if (known->reach != PGW_CRASH_REACH_ALL) {
-        struct pgw_crashed_run copy = *report;
-
-        copy.hops++;
-        known->reach = PGW_CRASH_REACH_ALL;
-        if (copy.hops <= PGW_CRASH_HOPS_MAX) {
-            pgw_crash_quarantine__publish(quarantine, &copy, 1);
-        }
-    }
-}
-
-static bool
-merge_crash(struct pgw_crash_quarantine *quarantine,
-            const struct pgw_crashed_run *report, uint64_t at_us,
-            uint64_t now_us)
-{
-    struct pgw_crash_record *record = pgw_crash_table_get(
-        quarantine->table, &report->fingerprint, false, now_us);
-
-    return record != NULL && count_crash(quarantine, record, report->crash,
-                                         "entry", at_us, now_us);
-}
-
-/* Returns whether the report is new, and is passed on as it is. */
-static bool
-merge_one(struct pgw_crash_quarantine *quarantine,
-          struct pgw_crashed_run *report, uint64_t now_us)
-{
-    uint64_t at_us = now_us - MIN(report->age_us, now_us);
-    enum pgw_crash_reach reach;
-
-    switch (report->kind) {
-    case PGW_CRASHED_RUN_CRASHED:
-        if (report->crash == 0) {
-            reach = clear_record(quarantine, &report->fingerprint);
-            report->seeds_only = reach == PGW_CRASH_REACH_SEEDS;
-            return reach != PGW_CRASH_REACH_NONE;
-        }
-        if (!report->is_part) {
-            return merge_crash(quarantine, report, at_us, now_us);
-        }
-        merge_part(quarantine, report, at_us, now_us);
-        return false;
-    case PGW_CRASHED_RUN_INTERRUPTED:
-        if (!report->is_part) {
-            return merge_interrupted_request(quarantine, report, at_us,
-                                             now_us);
-        }
-        merge_part(quarantine, report, at_us, now_us);
-        return false;
-    case PGW_CRASHED_RUN_UPSTREAM:
-        add_crash(quarantine, report->crash, "entry", report->hops + 1,
-                  now_us);
-        return false;
-    default:
-        return pgw_crash_suspects__merge(quarantine, report, now_us);
-    }
-}
-
-void
-pgw_crash_quarantine_merge(struct pgw_crash_quarantine *quarantine,
-                           const struct pgw_crashed_run *crashed, size_t count,
-                           uint64_t now_us)
-{
-    drop_crashed_upstreams(quarantine, now_us);
-    for (size_t i = 0; i < count; i++) {
-        struct pgw_crashed_run report = crashed[i];
-        bool is_new = merge_one(quarantine, &report, now_us);
-
-        report.hops++;
-        /*
-         * Failure: reports of several trials cross each other, and each makes
-         * the others look new. Symptom: entries send them to each other for
-         * ever, until they are out of memory. A report is passed on a limited
-         * number of times; only crashes and completed runs of whole requests
-         * are known for good.
-         */
-        if (is_new &&
-            (report.hops <= PGW_CRASH_HOPS_MAX ||
-             (report.kind == PGW_CRASHED_RUN_CRASHED && !report.is_part))) {
-            pgw_crash_quarantine__publish(quarantine, &report, 1);
-        }
-    }
-}
-
-/* Whether a crash is to be sent to an entry that connects. */
-static bool
-is_listed(const struct pgw_crash_record *record,
-          const struct pgw_recorded_crash *crash, uint64_t expired_us)
-{
-    if (crash->cleared || (!crash->confirmed && crash->at_us <= expired_us)) {
-        return false;
-    }
-    return record->is_part
-               ? crash->reach == PGW_CRASH_REACH_ALL
-               : crash->confirmed || crash->reach == PGW_CRASH_REACH_ALL;
-}
-
-GArray *
-pgw_crash_quarantine_list(const struct pgw_crash_quarantine *quarantine,
-                          uint64_t now_us)
-{
-    uint64_t expired_us =
-        pgw_crash_table_expired_us(quarantine->table, now_us);
-    GArray *crashed =
-        g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct pgw_crash_record *record = value;
-
-        for (uint32_t i = 0; i < record->count; i++) {
-            struct pgw_crashed_run item =
-                make_report(record, &record->crashes[i], now_us);
-
-            if (is_listed(record, &record->crashes[i], expired_us)) {
-                g_array_append_val(crashed, item);
-            }
-        }
-        pgw_crash_suspects__list(crashed, record, now_us);
-    }
-    return crashed;
-}
--- a/src/gateway/crash_quarantine_internal.h
+++ b/src/gateway/crash_quarantine_internal.h
@@ -9,6 +9,16 @@
  * entries lie between any two. */
 #define PGW_CRASH_HOPS_MAX 3
 
+/**
+ * struct pgw_crash_suspects - records of a request's keys, some of them
+ * @items: the records
+ * @count: number of @items
+ */
+struct pgw_crash_suspects {
+    struct pgw_crash_record *items[PGW_CRASH_KEYS_MAX];
+    size_t count;
+};
+
 /* struct pgw_crashed_upstream - an incarnation that crashed recently */
 struct pgw_crashed_upstream {
     uint64_t crash;
@@ -58,6 +68,62 @@
                                    const struct pgw_crash_record *faulty,
                                    uint64_t now_us);
 
+/** pgw_crash_quarantine__drop_crashed() - drop crashes that are too old to be
+ * matched */
+void
+pgw_crash_quarantine__drop_crashed(struct pgw_crash_quarantine *quarantine,
+                                   uint64_t now_us);
+
+/** pgw_crash_quarantine__has_crashed() - whether a crash became known lately
+ */
+bool pgw_crash_quarantine__has_crashed(
+    const struct pgw_crash_quarantine *quarantine, uint64_t crash);
+
+/** pgw_crash_quarantine__is_explained() - whether a report of a crash comes
+ * after its cause was found, which is another key */
+bool pgw_crash_quarantine__is_explained(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record, uint64_t crash, uint64_t now_us);
+
+/** pgw_crash_quarantine__count() - add a confirmed crash to a whole request;
+ * returns whether it is new and counts. @source: who saw it, for logs */
+bool pgw_crash_quarantine__count(struct pgw_crash_quarantine *quarantine,
+                                 struct pgw_crash_record *record,
+                                 uint64_t crash, const char *source,
+                                 uint64_t at_us, uint64_t now_us);
+
+/** pgw_crash_quarantine__confirm_part() - confirm a crash of a part; returns
+ * whether it counts. @source: as above */
+bool pgw_crash_quarantine__confirm_part(struct pgw_crash_record *record,
+                                        struct pgw_recorded_crash *crash,
+                                        const char *source, uint64_t now_us);
+
+/** pgw_crash_quarantine__add_crash() - add the crash of an incarnation;
+ * returns whether it was not known. @hops: number of entries that have passed
+ * it on */
+bool pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
+                                     uint64_t crash, const char *source,
+                                     uint32_t hops, uint64_t now_us);
+
+/** pgw_crash_quarantine__clear_record() - clear what is known of a key;
+ * returns which other entries may know of it */
+enum pgw_crash_reach
+pgw_crash_quarantine__clear_record(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_fingerprint *key);
+
+/** pgw_crash_quarantine__make_report() - report on a crash of a key */
+struct pgw_crashed_run
+pgw_crash_quarantine__make_report(const struct pgw_crash_record *record,
+                                  const struct pgw_recorded_crash *crash,
+                                  uint64_t now_us);
+
+/** pgw_crash_quarantine__share() - report the crashes of a key that other
+ * entries have to learn of. @hops: number of entries that have passed on what
+ * led to this */
+void pgw_crash_quarantine__share(struct pgw_crash_quarantine *quarantine,
+                                 struct pgw_crash_record *record,
+                                 uint32_t hops, uint64_t now_us);
+
 /* crash_suspects.c */
 /** pgw_crash_suspects__merge() - apply another entry's report of a trial;
  * returns whether it is new */
@@ -71,9 +137,39 @@
                               const struct pgw_crash_record *record,
                               uint64_t now_us);
 
-/** pgw_crash_suspects__release() - a key was cleared: the parts that were
+/** pgw_crash_suspects__make_report() - report on a key's trial */
+struct pgw_crashed_run
+pgw_crash_suspects__make_report(const struct pgw_crash_record *record,
+                                enum pgw_crashed_run_kind kind, uint64_t token,
+                                uint64_t left_us);
+
+/** pgw_crash_suspects__log() - log the state of a key's trial */
+void pgw_crash_suspects__log(const struct pgw_crash_record *record,
+                             const char *state, uint64_t token);
+
+/* crash_blame.c */
+/** pgw_crash_blame__fail() - quarantine a key whose trial was interrupted, or
+ * whose entry has ended without a result */
+void pgw_crash_blame__fail(struct pgw_crash_quarantine *quarantine,
+                           struct pgw_crash_record *record, uint64_t token,
+                           uint64_t now_us);
+
+/** pgw_crash_blame__fail_parts() - the trial of these parts was interrupted;
+ * quarantines them together if that proves enough */
+void pgw_crash_blame__fail_parts(struct pgw_crash_quarantine *quarantine,
+                                 const struct pgw_crash_suspects *parts,
+                                 uint64_t token, uint64_t now_us);
+
+/** pgw_crash_blame__merge() - the trial of another entry has failed; returns
+ * whether the report is new */
+bool pgw_crash_blame__merge(struct pgw_crash_quarantine *quarantine,
+                            struct pgw_crash_record *record,
+                            const struct pgw_crashed_run *report,
+                            uint64_t now_us);
+
+/** pgw_crash_blame__release() - a key was cleared: the parts that were
  * suspects together with it are so without it */
-void pgw_crash_suspects__release(struct pgw_crash_quarantine *quarantine,
-                                 const struct pgw_crash_record *record);
+void pgw_crash_blame__release(struct pgw_crash_quarantine *quarantine,
+                              const struct pgw_crash_record *record);
 
 #endif
--- a/src/gateway/crash_suspects.c
+++ b/src/gateway/crash_suspects.c
@@ -6,19 +6,10 @@
  * so that of several requests the one with the fewest runs first. */
 #define TOKEN_RANDOM_BITS 56
 
-/**
- * struct suspects - records of a request's keys, some of them
- * @items: the records
- * @count: number of @items
- */
-struct suspects {
-    struct pgw_crash_record *items[PGW_CRASH_KEYS_MAX];
-    size_t count;
-};
-
 /* Adds the records that a trial holds. */
 static void
-find_held(struct suspects *out, const struct pgw_crash_quarantine *quarantine,
+find_held(struct pgw_crash_suspects *out,
+          const struct pgw_crash_quarantine *quarantine,
           const struct pgw_crash_keys *keys, uint64_t trial)
 {
     out->count = 0;
@@ -32,9 +23,9 @@
     }
 }
 
-static void
-log_trial(const struct pgw_crash_record *record, const char *state,
-          uint64_t token)
+void
+pgw_crash_suspects__log(const struct pgw_crash_record *record,
+                        const char *state, uint64_t token)
 {
     char name[PGW_FINGERPRINT_HEX];
 
@@ -47,10 +38,10 @@
                  record->partners == NULL ? 0 : record->partners->count);
 }
 
-static struct pgw_crashed_run
-make_trial_report(const struct pgw_crash_record *record,
-                  enum pgw_crashed_run_kind kind, uint64_t token,
-                  uint64_t left_us)
+struct pgw_crashed_run
+pgw_crash_suspects__make_report(const struct pgw_crash_record *record,
+                                enum pgw_crashed_run_kind kind, uint64_t token,
+                                uint64_t left_us)
 {
     struct pgw_crashed_run report = {
         .fingerprint = record->key,
@@ -76,237 +67,30 @@
               enum pgw_crashed_run_kind kind, uint64_t token, uint64_t left_us)
 {
     struct pgw_crashed_run report =
-        make_trial_report(record, kind, token, left_us);
+        pgw_crash_suspects__make_report(record, kind, token, left_us);
 
     pgw_crash_quarantine__publish(quarantine, &report, 1);
 }
 
-/* A part that is quarantined alone has caused its crashes. */
-static void
-explain_crashes(struct pgw_crash_quarantine *quarantine,
-                const struct pgw_crash_record *record, uint64_t now_us)
-{
-    if (record->is_part && now_us < record->quarantined_until_us &&
-        (record->partners == NULL || record->partners->count == 0)) {
-        pgw_crash_quarantine__explain(quarantine, record, now_us);
-    }
-}
-
-/* A trial was interrupted, or its entry has ended without a result. */
-static void
-fail_trial(struct pgw_crash_quarantine *quarantine,
-           struct pgw_crash_record *record, uint64_t token, uint64_t now_us)
-{
-    struct pgw_crashed_run report;
-
-    report = make_trial_report(record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
-    pgw_crash_trial_end(&record->trial, token);
-    pgw_crash_trial_ignore(&record->trial, token);
-    record->failed_trial = token;
-    if (now_us >= record->quarantined_until_us) {
-        pgw_crash_quarantine__start(quarantine, record, now_us);
-    }
-    log_trial(record, "failed", token);
-    report.left_us = record->quarantined_until_us - now_us;
-    report.quarantines = record->quarantine_count;
-    pgw_crash_quarantine__publish(quarantine, &report, 1);
-    explain_crashes(quarantine, record, now_us);
-}
-
 static void
 end_without_result(struct pgw_crash_quarantine *quarantine,
                    struct pgw_crash_record *record, uint64_t token)
 {
     if (pgw_crash_trial_end(&record->trial, token)) {
-        log_trial(record, "ended", token);
+        pgw_crash_suspects__log(record, "ended", token);
         publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_ENDED, token,
                       0);
     }
 }
 
-/* Returns the number of records of a part's partners. */
-static size_t
-find_partners(struct pgw_crash_record **out,
-              const struct pgw_crash_quarantine *quarantine,
-              const struct pgw_crash_record *record)
-{
-    size_t count = 0;
-
-    for (size_t i = 0; record->partners != NULL && i < record->partners->count;
-         i++) {
-        out[count] = pgw_crash_table_find(quarantine->table,
-                                          &record->partners->items[i]);
-        count += out[count] != NULL;
-    }
-    return count;
-}
-
-/* Ends a quarantine that too few failed trials are left for. */
-static void
-lift_unproven(const struct pgw_crash_quarantine *quarantine,
-              struct pgw_crash_record *record, uint64_t now_us)
-{
-    struct pgw_crash_record *partners[PGW_CRASH_KEYS_MAX];
-    size_t count = find_partners(partners, quarantine, record);
-
-    if (now_us < record->quarantined_until_us &&
-        pgw_crash_record_failed_trials(record, partners, count) <
-            quarantine->options.part_trials) {
-        record->quarantined_until_us = now_us;
-        record->quarantine_count--;
-        log_trial(record, "lifted", record->failed_trial);
-    }
-}
-
-/*
- * Two entries may send trials of different parts to one upstream at the same
- * moment. Its crash is held against the part that is in more crashes, and
- * against neither if both are in as many: one of them is sound. Returns
- * whether it is held against @record.
- */
-static bool
-blame_one(const struct pgw_crash_quarantine *quarantine,
-          const struct pgw_crash_record *record, uint64_t upstream,
-          uint64_t token, uint64_t now_us)
-{
-    uint32_t crashes =
-        pgw_crash_quarantine__suspicions(quarantine, record, now_us);
-    bool is_blamed = true;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, pgw_crash_table_records(quarantine->table));
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct pgw_crash_record *other = value;
-        struct pgw_recorded_crash *crash =
-            pgw_crash_record_find(other, upstream);
-        bool has_failed =
-            crash != NULL && crash->trial != 0 && crash->trial != token;
-        bool runs = other->trial.started && other->trial.token != token &&
-                    other->trial.upstream == upstream;
-        uint32_t other_crashes;
-
-        if (!other->is_part || (!has_failed && !runs)) {
-            continue;
-        }
-        other_crashes =
-            pgw_crash_quarantine__suspicions(quarantine, other, now_us);
-        is_blamed = is_blamed && crashes > other_crashes;
-        if (has_failed && crashes >= other_crashes) {
-            crash->trial = 0;
-            lift_unproven(quarantine, other, now_us);
-        }
-    }
-    return is_blamed;
-}
-
-/* Holds a failed trial against a part. The report that its run was interrupted
- * may arrive later. */
-static void
-add_failed_trial(const struct pgw_crash_quarantine *quarantine,
-                 struct pgw_crash_record *record, uint64_t upstream,
-                 uint64_t token, size_t parts, uint64_t now_us)
-{
-    struct pgw_recorded_crash *crash = pgw_crash_record_find(record, upstream);
-
-    if (upstream == 0) {
-        return;
-    }
-    if (crash == NULL) {
-        crash = pgw_crash_record_add(
-            record, upstream, now_us,
-            pgw_crash_table_expired_us(quarantine->table, now_us), true);
-    }
-    if (crash != NULL &&
-        blame_one(quarantine, record, upstream, token, now_us)) {
-        crash->trial = token;
-        crash->trial_parts = (uint32_t)parts;
-    }
-}
-
-/* A part's trial was interrupted, which proves nothing yet: the upstream may
- * have ended for another reason. */
-static void
-note_failed_trial(struct pgw_crash_quarantine *quarantine,
-                  struct pgw_crash_record *record,
-                  const struct pgw_crash_keys *parts, uint64_t token)
-{
-    struct pgw_crashed_run report =
-        make_trial_report(record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
-
-    report.partners = parts;
-    pgw_crash_trial_end(&record->trial, token);
-    pgw_crash_trial_ignore(&record->trial, token);
-    log_trial(record, "interrupted", token);
-    pgw_crash_quarantine__publish(quarantine, &report, 1);
-}
-
-static bool
-is_proven(const struct pgw_crash_quarantine *quarantine,
-          const struct suspects *parts, size_t index, uint64_t now_us)
-{
-    const struct pgw_crash_quarantine_options *options = &quarantine->options;
-    const struct pgw_crash_record *record = parts->items[index];
-    struct pgw_crash_record *partners[PGW_CRASH_KEYS_MAX];
-    uint32_t trials =
-        pgw_completed_parts_has(&quarantine->completed, &record->key)
-            ? options->completed_part_trials
-            : options->part_trials;
-    size_t count = 0;
-
-    for (size_t i = 0; i < parts->count; i++) {
-        if (i != index) {
-            partners[count++] = parts->items[i];
-        }
-    }
-    return pgw_crash_record_failed_trials(record, partners, count) >= trials &&
-           pgw_crash_quarantine__suspicions(quarantine, record, now_us) >=
-               options->part_crashes;
-}
-
-/*
- * The trial of several parts has failed. Which of them is faulty is not known.
- * So they are quarantined together: a request is refused if it has all of
- * them. One that has only some is a trial of these alone.
- */
-static void
-fail_parts(struct pgw_crash_quarantine *quarantine,
-           const struct suspects *parts, uint64_t token, uint64_t now_us)
-{
-    struct pgw_crash_keys keys = {.count = 0};
-    bool any_proven = false;
-
-    for (size_t i = 0; i < parts->count; i++) {
-        struct pgw_crash_record *record = parts->items[i];
-
-        keys.items[keys.count++] = record->key;
-        add_failed_trial(quarantine, record, record->trial.upstream, token,
-                         parts->count, now_us);
-    }
-    for (size_t i = 0; i < parts->count; i++) {
-        any_proven = any_proven || is_proven(quarantine, parts, i, now_us);
-    }
-    for (size_t i = 0; i < parts->count; i++) {
-        struct pgw_crash_record *record = parts->items[i];
-
-        if (any_proven) {
-            pgw_crash_record_set_partners(record, &keys);
-            fail_trial(quarantine, record, token, now_us);
-        }
-        else {
-            note_failed_trial(quarantine, record, &keys, token);
-        }
-    }
-}
-
 void
 pgw_crash_quarantine_end_trial(struct pgw_crash_quarantine *quarantine,
                                const struct pgw_crash_keys *keys,
                                uint64_t trial, bool interrupted,
                                uint64_t now_us)
 {
-    struct suspects held;
-    struct suspects parts = {.count = 0};
+    struct pgw_crash_suspects held;
+    struct pgw_crash_suspects parts = {.count = 0};
 
     find_held(&held, quarantine, keys, trial);
     for (size_t i = 0; i < held.count; i++) {
@@ -319,55 +103,10 @@
             parts.items[parts.count++] = record;
         }
         else {
-            fail_trial(quarantine, record, trial, now_us);
+            pgw_crash_blame__fail(quarantine, record, trial, now_us);
         }
     }
-    fail_parts(quarantine, &parts, trial, now_us);
-}
-
-/* Number of suspects in the trial; a report may list the part itself. */
-static size_t
-count_parts(const struct pgw_crash_record *record,
-            const struct pgw_crashed_run *report)
-{
-    if (report->partners == NULL) {
-        return 1;
-    }
-    return report->partners->count +
-           !pgw_crash_keys_contain(report->partners, &record->key);
-}
-
-/* The run of another entry's trial has failed. */
-static bool
-merge_failed_trial(struct pgw_crash_quarantine *quarantine,
-                   struct pgw_crash_record *record,
-                   const struct pgw_crashed_run *report, uint64_t now_us)
-{
-    uint64_t left_us =
-        MIN(report->left_us, quarantine->options.quarantine_max_us);
-
-    if (pgw_crash_trial_has_ended(&record->trial, report->crash)) {
-        return false;
-    }
-    pgw_crash_trial_end(&record->trial, report->crash);
-    pgw_crash_trial_ignore(&record->trial, report->crash);
-    if (record->is_part) {
-        add_failed_trial(quarantine, record, report->upstream, report->crash,
-                         count_parts(record, report), now_us);
-    }
-    if (left_us == 0) {
-        return true;
-    }
-    record->failed_trial = report->crash;
-    record->quarantine_count =
-        MAX(record->quarantine_count, report->quarantines);
-    record->quarantined_until_us =
-        MAX(record->quarantined_until_us, now_us + left_us);
-    if (record->is_part) {
-        pgw_crash_record_set_partners(record, report->partners);
-        explain_crashes(quarantine, record, now_us);
-    }
-    return true;
+    pgw_crash_blame__fail_parts(quarantine, &parts, trial, now_us);
 }
 
 /* A claim of another entry. An entry that loses against this one's trial may
@@ -426,7 +165,7 @@
     case PGW_CRASHED_RUN_TRIAL_ENDED:
         return pgw_crash_trial_end(&record->trial, report->crash);
     case PGW_CRASHED_RUN_TRIAL_FAILED:
-        return merge_failed_trial(quarantine, record, report, now_us);
+        return pgw_crash_blame__merge(quarantine, record, report, now_us);
     default:
         return false;
     }
@@ -444,7 +183,7 @@
     trial->settled_us = settled_us;
     trial->pool = pool;
     trial->is_own = true;
-    log_trial(record, "claimed", token);
+    pgw_crash_suspects__log(record, "claimed", token);
     publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_CLAIMED, token,
                   options->trial_claim_us);
 }
@@ -478,7 +217,7 @@
         end_without_result(quarantine, record, token);
         return false;
     }
-    fail_trial(quarantine, record, token, now_us);
+    pgw_crash_blame__fail(quarantine, record, token, now_us);
     return true;
 }
 
@@ -512,7 +251,7 @@
 static enum pgw_crash_verdict
 admit_suspects(struct pgw_crash_quarantine *quarantine,
                const struct pgw_crash_keys *keys,
-               const struct suspects *suspects, uint64_t *trial,
+               const struct pgw_crash_suspects *suspects, uint64_t *trial,
                bool may_claim, uint64_t random, uint64_t now_us)
 {
     /* Trials that end with one crash do not start together again. */
@@ -569,7 +308,7 @@
                            const struct pgw_crash_keys *keys, uint64_t *trial,
                            bool may_claim, uint64_t random, uint64_t now_us)
 {
-    struct suspects suspects = {.count = 0};
+    struct pgw_crash_suspects suspects = {.count = 0};
 
 #ifdef PGW_DISABLE_POISON_TRIAL
     *trial = 0;
@@ -604,7 +343,7 @@
                                  uint64_t trial, const char *upstream,
                                  uint64_t until_us, uint64_t now_us)
 {
-    struct suspects suspects;
+    struct pgw_crash_suspects suspects;
 
     find_held(&suspects, quarantine, keys, trial);
     for (size_t i = 0; i < suspects.count; i++) {
@@ -617,7 +356,7 @@
         if (pgw_crash_trial_start(&record->trial, trial, end_us) ||
             record->trial.upstream != pgw_place_id_hash(upstream)) {
             record->trial.upstream = pgw_place_id_hash(upstream);
-            log_trial(record, "started", trial);
+            pgw_crash_suspects__log(record, "started", trial);
             publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_STARTED,
                           trial, end_us - now_us);
         }
@@ -678,51 +417,6 @@
     return false;
 }
 
-/* A part was cleared: the others of its failed trials are more likely faulty.
- */
-static void
-leave_trials(const struct pgw_crash_quarantine *quarantine,
-             const struct pgw_crash_record *record)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    for (uint32_t i = 0; i < record->count; i++) {
-        const struct pgw_recorded_crash *left = &record->crashes[i];
-
-        if (left->trial == 0 || left->cleared || left->trial_parts < 2) {
-            continue;
-        }
-        g_hash_table_iter_init(&iter,
-                               pgw_crash_table_records(quarantine->table));
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            struct pgw_recorded_crash *crash =
-                pgw_crash_record_find(value, left->crash);
-
-            if (crash != NULL && crash != left &&
-                crash->trial == left->trial && crash->trial_parts > 1) {
-                crash->trial_parts--;
-            }
-        }
-    }
-}
-
-void
-pgw_crash_suspects__release(struct pgw_crash_quarantine *quarantine,
-                            const struct pgw_crash_record *record)
-{
-    leave_trials(quarantine, record);
-    for (size_t i = 0; record->partners != NULL && i < record->partners->count;
-         i++) {
-        struct pgw_crash_record *partner = pgw_crash_table_find(
-            quarantine->table, &record->partners->items[i]);
-
-        if (partner != NULL && partner->partners != NULL) {
-            pgw_crash_keys_remove(partner->partners, &record->key);
-        }
-    }
-}
-
 void
 pgw_crash_suspects__list(GArray *crashed,
                          const struct pgw_crash_record *record,
@@ -731,18 +425,18 @@
     const struct pgw_crash_trial *trial = &record->trial;
 
     if (record->failed_trial != 0 && now_us < record->quarantined_until_us) {
-        struct pgw_crashed_run item = make_trial_report(
+        struct pgw_crashed_run item = pgw_crash_suspects__make_report(
             record, PGW_CRASHED_RUN_TRIAL_FAILED, record->failed_trial,
             record->quarantined_until_us - now_us);
 
         g_array_append_val(crashed, item);
     }
     if (trial->token != 0 && now_us < trial->until_us) {
-        struct pgw_crashed_run item =
-            make_trial_report(record,
-                              trial->started ? PGW_CRASHED_RUN_TRIAL_STARTED
-                                             : PGW_CRASHED_RUN_TRIAL_CLAIMED,
-                              trial->token, trial->until_us - now_us);
+        struct pgw_crashed_run item = pgw_crash_suspects__make_report(
+            record,
+            trial->started ? PGW_CRASHED_RUN_TRIAL_STARTED
+                           : PGW_CRASHED_RUN_TRIAL_CLAIMED,
+            trial->token, trial->until_us - now_us);
 
         g_array_append_val(crashed, item);
     }
