--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import time
 
 import crashing_parts
+import one_entry
 
 ENTRIES, ENGINES, PLAINS = 3, 4, 2
 GUARD_PORT, APP_PORT, PROXY_PORT = 17340, 18785, 18786
@@ -128,6 +129,7 @@
         self.poison = Poison(self)
         self.parts = crashing_parts.Parts(self)
         self.popular_run_s = 0.0
+        self.sent = 0
         self.broken = None
         self.stopping = False
         self.faults = 0
@@ -839,17 +841,20 @@
         self.store.server.close()
 
 
-async def call(soak, fleet, route, number, body=None):
+async def call(soak, fleet, route, number, body=None, entry=None):
     """One request of a caller, checked against what it was promised."""
     attempt = f"a{number}"
+    soak.sent += 1
     body = attempt if body is None else body
-    entry = soak.sent_to[attempt] = soak.random.randrange(ENTRIES)
+    if entry is None:
+        entry = soak.random.randrange(ENTRIES)
+    soak.sent_to[attempt] = entry
     key = soak.random.choice(fleet.keys + list(fleet.revoked)[-1:])
     sent_at = soak.sent_at[attempt] = time.monotonic()
     if route in ("once", "brook"):
         soak.once.add(attempt)
     model = (f"Model: {MODEL}\r\nToken-Count: 60,8\r\nPrompt-Prefix: "
-             f"{number % 5:x}1:40,{number:x}2:20\r\n"
+             f"{soak.sent % 5:x}1:40,{soak.sent:x}2:20\r\n"
              if route in ("flow", "brook") else "")
     try:
         reader, writer = await asyncio.wait_for(
@@ -1376,7 +1381,11 @@
     await crashing_parts.shared_part_power_losses(soak, fleet, ask_prompt)
 
 
-ACTS = {"crashing_parts": crashing, "shared_part": shared_part,
+async def most_at_one_entry(soak, fleet):
+    await one_entry.one_entry(soak, fleet, call)
+
+
+ACTS = {"one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone}
