Don't forget a crash of which reports are still on their way

The property of quiet entries took 40 s instead of 4: a record keeps eight crashes, and a cleared one that made room looked new when a report of it arrived, so that it was passed on again, three times at most. Only crashes at least a second older make room now.

--- a/src/gateway/crash_record.c
+++ b/src/gateway/crash_record.c
@@ -2,6 +2,9 @@
 #include <glib.h>
 #include <string.h>
 
+/* Reports between entries arrive within this time. */
+#define LATE_US 1000000
+
 void
 pgw_crash_record_free(struct pgw_crash_record *record)
 {
@@ -36,14 +39,16 @@
     memmove(crash, crash + 1, (record->count - index) * sizeof(*crash));
 }
 
-/* Returns the crash to be replaced: the oldest one that does not count, or the
+/* Returns the crash to be replaced: the oldest one that does not count and of
+ * which no report is on its way, as that would look new; or the
  * oldest one that interrupted no trial, or the oldest one. */
 static struct pgw_recorded_crash *
-find_replaceable(struct pgw_crash_record *record, uint64_t expired_us,
-                 bool replaces_oldest)
+find_replaceable(struct pgw_crash_record *record, uint64_t at_us,
+                 uint64_t expired_us, bool replaces_oldest)
 {
     for (uint32_t i = 0; i < record->count; i++) {
-        if (!counts(&record->crashes[i], expired_us)) {
+        if (!counts(&record->crashes[i], expired_us) &&
+            record->crashes[i].at_us + LATE_US <= at_us) {
             return &record->crashes[i];
         }
     }
@@ -62,7 +67,7 @@
     struct pgw_recorded_crash *added;
 
     if (record->count == PGW_CRASH_RECORD_MAX) {
-        added = find_replaceable(record, expired_us, replaces_oldest);
+        added = find_replaceable(record, at_us, expired_us, replaces_oldest);
         if (added == NULL) {
             return NULL;
         }
