--- a/bench/placement/sim.h
+++ b/bench/placement/sim.h
@@ -1,10 +1,10 @@
 #ifndef BENCH_PLACEMENT_SIM_H
 #define BENCH_PLACEMENT_SIM_H
 
-#include "gateway/announced_prompts.h"
-#include "gateway/cached_parts.h"
-#include "gateway/choose.h"
-#include "gateway/report_budget.h"
+#include "gateway/placement/choose.h"
+#include "gateway/sidecar/report_budget.h"
+#include "gateway/upstream/announced_prompts.h"
+#include "gateway/upstream/cached_parts.h"
 #include <glib.h>
 
 /**
--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -3,7 +3,7 @@
 
 ablation.py --tool PROGRAM [--runs N] [--jobs N] [--only NAME,...] SITE...
 
-For each mechanism that `src/gateway/policy.c` names, and once with none switched
+For each mechanism that `src/gateway/config/policy.c` names, and once with none switched
 off, a copy of the committed sources is built whose programs are started with a
 policy file, and the standard days of each site are played. A table is printed:
 the mean worth of the days with trouble and that of the quiet day, as differences
--- a/src/gateway/codec.h
+++ b/src/gateway/config/codec.h
@@ -1,10 +1,10 @@
-#ifndef PGW_GATEWAY_CODEC_H
-#define PGW_GATEWAY_CODEC_H
+#ifndef PGW_GATEWAY_CONFIG_CODEC_H
+#define PGW_GATEWAY_CONFIG_CODEC_H
 
-#include "gateway/choose.h"
-#include "gateway/http_reader.h"
-#include "gateway/upstream_notice.h"
-#include "gateway/upstream_table.h"
+#include "gateway/http/http_reader.h"
+#include "gateway/placement/choose.h"
+#include "gateway/upstream/upstream_notice.h"
+#include "gateway/upstream/upstream_table.h"
 #include <glib.h>
 #include <stdbool.h>
 
--- a/src/gateway/documents.c
+++ b/src/gateway/config/documents.c
@@ -1,4 +1,4 @@
-#include "gateway/documents.h"
+#include "gateway/config/documents.h"
 #include <string.h>
 
 struct pgw_documents {
--- a/src/gateway/documents.h
+++ b/src/gateway/config/documents.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_DOCUMENTS_H
-#define PGW_GATEWAY_DOCUMENTS_H
+#ifndef PGW_GATEWAY_CONFIG_DOCUMENTS_H
+#define PGW_GATEWAY_CONFIG_DOCUMENTS_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/gateway/policy.c
+++ b/src/gateway/config/policy.c
@@ -1,4 +1,4 @@
-#include "gateway/policy.h"
+#include "gateway/config/policy.h"
 #include "parsleygw/errors.h"
 #include "util/json_reader.h"
 #include "util/log.h"
--- a/src/gateway/policy.h
+++ b/src/gateway/config/policy.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_POLICY_H
-#define PGW_GATEWAY_POLICY_H
+#ifndef PGW_GATEWAY_CONFIG_POLICY_H
+#define PGW_GATEWAY_CONFIG_POLICY_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/gateway/route_table.c
+++ b/src/gateway/config/route_table.c
@@ -1,4 +1,4 @@
-#include "gateway/route_table.h"
+#include "gateway/config/route_table.h"
 #include "util/log.h"
 #include <string.h>
 #include <xxhash.h>
--- a/src/gateway/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_ROUTE_TABLE_H
-#define PGW_GATEWAY_ROUTE_TABLE_H
+#ifndef PGW_GATEWAY_CONFIG_ROUTE_TABLE_H
+#define PGW_GATEWAY_CONFIG_ROUTE_TABLE_H
 
-#include "gateway/caller.h"
-#include "gateway/quota.h"
+#include "gateway/http/caller.h"
+#include "gateway/quota/quota.h"
 #include "util/address.h"
 #include <glib.h>
 #include <stdbool.h>
--- a/src/gateway/completed_parts.c
+++ b/src/gateway/crash/completed_parts.c
@@ -1,4 +1,4 @@
-#include "gateway/completed_parts.h"
+#include "gateway/crash/completed_parts.h"
 #include <string.h>
 
 /* The halves of a key are the part's id and the workspace it is isolated to.
--- a/src/gateway/completed_parts.h
+++ b/src/gateway/crash/completed_parts.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_COMPLETED_PARTS_H
-#define PGW_GATEWAY_COMPLETED_PARTS_H
+#ifndef PGW_GATEWAY_CRASH_COMPLETED_PARTS_H
+#define PGW_GATEWAY_CRASH_COMPLETED_PARTS_H
 
-#include "gateway/crash_keys.h"
+#include "gateway/crash/crash_keys.h"
 
 /**
  * DOC: Prompt parts of runs that completed
--- a/src/gateway/crash_blame.c
+++ b/src/gateway/crash/crash_blame.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_quarantine_internal.h"
+#include "gateway/crash/crash_quarantine_internal.h"
 
 /* A part that is quarantined alone has caused its crashes. */
 static void
--- a/src/gateway/crash_keys.c
+++ b/src/gateway/crash/crash_keys.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_keys.h"
+#include "gateway/crash/crash_keys.h"
 #include <string.h>
 #include <xxhash.h>
 
--- a/src/gateway/crash_keys.h
+++ b/src/gateway/crash/crash_keys.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_CRASH_KEYS_H
-#define PGW_GATEWAY_CRASH_KEYS_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_KEYS_H
+#define PGW_GATEWAY_CRASH_CRASH_KEYS_H
 
 #include "parsleygw/quarantine.h"
 #include <stdbool.h>
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_CRASH_QUARANTINE_H
-#define PGW_GATEWAY_CRASH_QUARANTINE_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_QUARANTINE_H
+#define PGW_GATEWAY_CRASH_CRASH_QUARANTINE_H
 
-#include "gateway/crash_keys.h"
+#include "gateway/crash/crash_keys.h"
 #include <glib.h>
 
 /**
--- a/src/gateway/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -1,9 +1,9 @@
-#ifndef PGW_GATEWAY_CRASH_QUARANTINE_INTERNAL_H
-#define PGW_GATEWAY_CRASH_QUARANTINE_INTERNAL_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_QUARANTINE_INTERNAL_H
+#define PGW_GATEWAY_CRASH_CRASH_QUARANTINE_INTERNAL_H
 
-#include "gateway/completed_parts.h"
-#include "gateway/crash_quarantine.h"
-#include "gateway/crash_table.h"
+#include "gateway/crash/completed_parts.h"
+#include "gateway/crash/crash_quarantine.h"
+#include "gateway/crash/crash_table.h"
 
 /* An entry is connected to seeds alone, and these to each other: two more
  * entries lie between any two. */
--- a/src/gateway/crash_record.c
+++ b/src/gateway/crash/crash_record.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_record.h"
+#include "gateway/crash/crash_record.h"
 #include <glib.h>
 #include <string.h>
 
--- a/src/gateway/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_CRASH_RECORD_H
-#define PGW_GATEWAY_CRASH_RECORD_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_RECORD_H
+#define PGW_GATEWAY_CRASH_CRASH_RECORD_H
 
-#include "gateway/crash_keys.h"
-#include "gateway/crash_trial.h"
+#include "gateway/crash/crash_keys.h"
+#include "gateway/crash/crash_trial.h"
 
 /**
  * DOC: Crashes in which one key was running
--- a/src/gateway/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_quarantine_internal.h"
+#include "gateway/crash/crash_quarantine_internal.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 
--- a/src/gateway/crash_table.c
+++ b/src/gateway/crash/crash_table.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_table.h"
+#include "gateway/crash/crash_table.h"
 #include "util/log.h"
 #include "util/metric.h"
 
--- a/src/gateway/crash_table.h
+++ b/src/gateway/crash/crash_table.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_CRASH_TABLE_H
-#define PGW_GATEWAY_CRASH_TABLE_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_TABLE_H
+#define PGW_GATEWAY_CRASH_CRASH_TABLE_H
 
-#include "gateway/crash_record.h"
+#include "gateway/crash/crash_record.h"
 #include <glib.h>
 
 /**
--- a/src/gateway/crash_trial.c
+++ b/src/gateway/crash/crash_trial.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_trial.h"
+#include "gateway/crash/crash_trial.h"
 #include <string.h>
 
 bool
--- a/src/gateway/crash_trial.h
+++ b/src/gateway/crash/crash_trial.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_CRASH_TRIAL_H
-#define PGW_GATEWAY_CRASH_TRIAL_H
+#ifndef PGW_GATEWAY_CRASH_CRASH_TRIAL_H
+#define PGW_GATEWAY_CRASH_CRASH_TRIAL_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/gateway/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -1,4 +1,4 @@
-#include "gateway/crashed_runs.h"
+#include "gateway/crash/crashed_runs.h"
 #include "util/log.h"
 #include <string.h>
 
--- a/src/gateway/crashed_runs.h
+++ b/src/gateway/crash/crashed_runs.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_CRASHED_RUNS_H
-#define PGW_GATEWAY_CRASHED_RUNS_H
+#ifndef PGW_GATEWAY_CRASH_CRASHED_RUNS_H
+#define PGW_GATEWAY_CRASH_CRASHED_RUNS_H
 
-#include "gateway/crash_quarantine.h"
+#include "gateway/crash/crash_quarantine.h"
 #include "libparsleygw/link.h"
 
 /** pgw_crashed_runs_send() - send runs to a peer; nothing is sent if @count is
--- a/src/gateway/suspect_wait.c
+++ b/src/gateway/crash/suspect_wait.c
@@ -1,4 +1,4 @@
-#include "gateway/exchange.h"
+#include "gateway/request/exchange.h"
 #include "util/metric.h"
 #include "util/random.h"
 
--- a/src/gateway/unframed_runs.c
+++ b/src/gateway/crash/unframed_runs.c
@@ -1,4 +1,4 @@
-#include "gateway/unframed_runs.h"
+#include "gateway/crash/unframed_runs.h"
 #include "util/list.h"
 
 /* Crashes become known within this time: connections are refused, or the
--- a/src/gateway/unframed_runs.h
+++ b/src/gateway/crash/unframed_runs.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_UNFRAMED_RUNS_H
-#define PGW_GATEWAY_UNFRAMED_RUNS_H
+#ifndef PGW_GATEWAY_CRASH_UNFRAMED_RUNS_H
+#define PGW_GATEWAY_CRASH_UNFRAMED_RUNS_H
 
-#include "gateway/crash_quarantine.h"
+#include "gateway/crash/crash_quarantine.h"
 #include "util/loop.h"
 
 /**
--- a/src/gateway/call.c
+++ b/src/gateway/http/call.c
@@ -1,4 +1,4 @@
-#include "gateway/call.h"
+#include "gateway/http/call.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include "util/socket.h"
--- a/src/gateway/call.h
+++ b/src/gateway/http/call.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_CALL_H
-#define PGW_GATEWAY_CALL_H
+#ifndef PGW_GATEWAY_HTTP_CALL_H
+#define PGW_GATEWAY_HTTP_CALL_H
 
-#include "gateway/http_reader.h"
+#include "gateway/http/http_reader.h"
 #include "util/address.h"
 #include "util/buffer.h"
 #include "util/list.h"
--- a/src/gateway/caller.c
+++ b/src/gateway/http/caller.c
@@ -1,4 +1,4 @@
-#include "gateway/caller.h"
+#include "gateway/http/caller.h"
 #include "parsleygw/errors.h"
 #include "util/listener.h"
 #include "util/log.h"
--- a/src/gateway/event_stream.c
+++ b/src/gateway/http/event_stream.c
@@ -1,4 +1,4 @@
-#include "gateway/event_stream.h"
+#include "gateway/http/event_stream.h"
 #include <string.h>
 
 /* Reads the id of a complete event and counts it. Lines end in LF or CRLF. */
--- a/src/gateway/event_stream.h
+++ b/src/gateway/http/event_stream.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_EVENT_STREAM_H
-#define PGW_GATEWAY_EVENT_STREAM_H
+#ifndef PGW_GATEWAY_HTTP_EVENT_STREAM_H
+#define PGW_GATEWAY_HTTP_EVENT_STREAM_H
 
 #include "util/buffer.h"
 #include <stdbool.h>
--- a/src/gateway/http_reader.h
+++ b/src/gateway/http/http_reader.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_HTTP_READER_H
-#define PGW_GATEWAY_HTTP_READER_H
+#ifndef PGW_GATEWAY_HTTP_HTTP_READER_H
+#define PGW_GATEWAY_HTTP_HTTP_READER_H
 
 #include <glib.h>
 #include <http_parser.h>
--- a/src/gateway/status_server.c
+++ b/src/gateway/http/status_server.c
@@ -1,5 +1,5 @@
-#include "gateway/status_server.h"
-#include "gateway/caller.h"
+#include "gateway/http/status_server.h"
+#include "gateway/http/caller.h"
 #include "util/metric.h"
 #include <string.h>
 
--- a/src/gateway/status_server.h
+++ b/src/gateway/http/status_server.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_STATUS_SERVER_H
-#define PGW_GATEWAY_STATUS_SERVER_H
+#ifndef PGW_GATEWAY_HTTP_STATUS_SERVER_H
+#define PGW_GATEWAY_HTTP_STATUS_SERVER_H
 
 #include "util/address.h"
 #include "util/loop.h"
--- a/src/gateway/gossip.c
+++ b/src/gateway/peer/gossip.c
@@ -1,5 +1,5 @@
-#include "gateway/gossip.h"
-#include "gateway/crashed_runs.h"
+#include "gateway/peer/gossip.h"
+#include "gateway/crash/crashed_runs.h"
 #include "libparsleygw/link.h"
 #include "util/list.h"
 #include "util/listener.h"
--- a/src/gateway/gossip.h
+++ b/src/gateway/peer/gossip.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_GOSSIP_H
-#define PGW_GATEWAY_GOSSIP_H
+#ifndef PGW_GATEWAY_PEER_GOSSIP_H
+#define PGW_GATEWAY_PEER_GOSSIP_H
 
-#include "gateway/crash_quarantine.h"
-#include "gateway/documents.h"
+#include "gateway/config/documents.h"
+#include "gateway/crash/crash_quarantine.h"
 #include "util/address.h"
 #include "util/loop.h"
 
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/peer/sidecar_links.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_SIDECAR_LINKS_H
-#define PGW_GATEWAY_SIDECAR_LINKS_H
+#ifndef PGW_GATEWAY_PEER_SIDECAR_LINKS_H
+#define PGW_GATEWAY_PEER_SIDECAR_LINKS_H
 
-#include "gateway/gateway.h"
+#include "gateway/request/gateway.h"
 
 /**
  * DOC: An entry's connections to the sidecars of engines
--- a/src/gateway/sidecar_links_internal.h
+++ b/src/gateway/peer/sidecar_links_internal.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_SIDECAR_LINKS_INTERNAL_H
-#define PGW_GATEWAY_SIDECAR_LINKS_INTERNAL_H
+#ifndef PGW_GATEWAY_PEER_SIDECAR_LINKS_INTERNAL_H
+#define PGW_GATEWAY_PEER_SIDECAR_LINKS_INTERNAL_H
 
-#include "gateway/rollout_window.h"
-#include "gateway/sidecar_links.h"
+#include "gateway/peer/sidecar_links.h"
+#include "gateway/sidecar/rollout_window.h"
 #include "libparsleygw/link.h"
 
 /**
--- a/src/gateway/sidecar_links_probe.c
+++ b/src/gateway/peer/sidecar_links_probe.c
@@ -1,5 +1,5 @@
-#include "gateway/sidecar_links_internal.h"
-#include "gateway/upstream_limits.h"
+#include "gateway/peer/sidecar_links_internal.h"
+#include "gateway/quota/upstream_limits.h"
 
 /* Idle time after which a probe-only link is closed, in pools with more
  * engines than links. */
--- a/src/gateway/sidecar_links_rollout.c
+++ b/src/gateway/peer/sidecar_links_rollout.c
@@ -1,4 +1,4 @@
-#include "gateway/sidecar_links_internal.h"
+#include "gateway/peer/sidecar_links_internal.h"
 #include "util/metric.h"
 #include <string.h>
 
--- a/src/gateway/candidates.c
+++ b/src/gateway/placement/candidates.c
@@ -1,4 +1,4 @@
-#include "gateway/candidates.h"
+#include "gateway/placement/candidates.h"
 #include "parsleygw/place.h"
 #include <xxhash.h>
 
--- a/src/gateway/candidates.h
+++ b/src/gateway/placement/candidates.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_CANDIDATES_H
-#define PGW_GATEWAY_CANDIDATES_H
+#ifndef PGW_GATEWAY_PLACEMENT_CANDIDATES_H
+#define PGW_GATEWAY_PLACEMENT_CANDIDATES_H
 
-#include "gateway/upstream_table.h"
+#include "gateway/upstream/upstream_table.h"
 #include "parsleygw/level.h"
 
 /**
--- a/src/gateway/choose.c
+++ b/src/gateway/placement/choose.c
@@ -1,4 +1,4 @@
-#include "gateway/choose.h"
+#include "gateway/placement/choose.h"
 #include <float.h>
 #include <string.h>
 #include <xxhash.h>
--- a/src/gateway/choose.h
+++ b/src/gateway/placement/choose.h
@@ -1,9 +1,9 @@
-#ifndef PGW_GATEWAY_CHOOSE_H
-#define PGW_GATEWAY_CHOOSE_H
+#ifndef PGW_GATEWAY_PLACEMENT_CHOOSE_H
+#define PGW_GATEWAY_PLACEMENT_CHOOSE_H
 
-#include "gateway/candidates.h"
-#include "gateway/policy.h"
-#include "gateway/upstream_table.h"
+#include "gateway/config/policy.h"
+#include "gateway/placement/candidates.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: Choice of the upstream for a request
--- a/src/gateway/home_probe.c
+++ b/src/gateway/placement/home_probe.c
@@ -1,4 +1,4 @@
-#include "gateway/exchange.h"
+#include "gateway/request/exchange.h"
 #include "util/metric.h"
 
 /* Answers are reused for this long, the interval of engines' reports. */
--- a/src/gateway/response_timeout.c
+++ b/src/gateway/placement/response_timeout.c
@@ -1,4 +1,4 @@
-#include "gateway/response_timeout.h"
+#include "gateway/placement/response_timeout.h"
 
 uint64_t
 pgw_response_timeout_us(uint64_t objective_us, double share,
--- a/src/gateway/source.c
+++ b/src/gateway/placement/source.c
@@ -1,4 +1,4 @@
-#include "gateway/source.h"
+#include "gateway/placement/source.h"
 
 /*
  * An optimization: an engine that has only the first part cached, shared by
--- a/src/gateway/source.h
+++ b/src/gateway/placement/source.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_SOURCE_H
-#define PGW_GATEWAY_SOURCE_H
+#ifndef PGW_GATEWAY_PLACEMENT_SOURCE_H
+#define PGW_GATEWAY_PLACEMENT_SOURCE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/gateway/wait_queue.c
+++ b/src/gateway/placement/wait_queue.c
@@ -1,4 +1,4 @@
-#include "gateway/wait_queue.h"
+#include "gateway/placement/wait_queue.h"
 #include <glib.h>
 
 void
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/placement/wait_queue.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_WAIT_QUEUE_H
-#define PGW_GATEWAY_WAIT_QUEUE_H
+#ifndef PGW_GATEWAY_PLACEMENT_WAIT_QUEUE_H
+#define PGW_GATEWAY_PLACEMENT_WAIT_QUEUE_H
 
 #include "util/list.h"
 #include <stdbool.h>
--- a/src/gateway/limit_ledger.c
+++ b/src/gateway/quota/limit_ledger.c
@@ -1,4 +1,4 @@
-#include "gateway/limit_ledger.h"
+#include "gateway/quota/limit_ledger.h"
 #include <glib.h>
 
 /* Time for which unused requests add up. Grants are valid for another second,
--- a/src/gateway/limit_ledger.h
+++ b/src/gateway/quota/limit_ledger.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_LIMIT_LEDGER_H
-#define PGW_GATEWAY_LIMIT_LEDGER_H
+#ifndef PGW_GATEWAY_QUOTA_LIMIT_LEDGER_H
+#define PGW_GATEWAY_QUOTA_LIMIT_LEDGER_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/gateway/limit_share.c
+++ b/src/gateway/quota/limit_share.c
@@ -1,4 +1,4 @@
-#include "gateway/limit_share.h"
+#include "gateway/quota/limit_share.h"
 #include <glib.h>
 
 /* A share that was not used for this long starts anew, so that requests do not
--- a/src/gateway/limit_share.h
+++ b/src/gateway/quota/limit_share.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_LIMIT_SHARE_H
-#define PGW_GATEWAY_LIMIT_SHARE_H
+#ifndef PGW_GATEWAY_QUOTA_LIMIT_SHARE_H
+#define PGW_GATEWAY_QUOTA_LIMIT_SHARE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/gateway/quota.c
+++ b/src/gateway/quota/quota.c
@@ -1,5 +1,5 @@
-#include "gateway/quota.h"
-#include "gateway/exchange.h"
+#include "gateway/quota/quota.h"
+#include "gateway/request/exchange.h"
 #include "util/log.h"
 #include "util/metric.h"
 
--- a/src/gateway/quota.h
+++ b/src/gateway/quota/quota.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_QUOTA_H
-#define PGW_GATEWAY_QUOTA_H
+#ifndef PGW_GATEWAY_QUOTA_QUOTA_H
+#define PGW_GATEWAY_QUOTA_QUOTA_H
 
-#include "gateway/quota_share.h"
-#include "gateway/upstream_table.h"
+#include "gateway/quota/quota_share.h"
+#include "gateway/upstream/upstream_table.h"
 #include <glib.h>
 
 /**
--- a/src/gateway/quota_bucket.c
+++ b/src/gateway/quota/quota_bucket.c
@@ -1,4 +1,4 @@
-#include "gateway/quota_bucket.h"
+#include "gateway/quota/quota_bucket.h"
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
--- a/src/gateway/quota_bucket.h
+++ b/src/gateway/quota/quota_bucket.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_QUOTA_BUCKET_H
-#define PGW_GATEWAY_QUOTA_BUCKET_H
+#ifndef PGW_GATEWAY_QUOTA_QUOTA_BUCKET_H
+#define PGW_GATEWAY_QUOTA_QUOTA_BUCKET_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/gateway/quota_owners.c
+++ b/src/gateway/quota/quota_owners.c
@@ -1,4 +1,4 @@
-#include "gateway/quota.h"
+#include "gateway/quota/quota.h"
 #include <string.h>
 #include <xxhash.h>
 
--- a/src/gateway/quota_share.c
+++ b/src/gateway/quota/quota_share.c
@@ -1,4 +1,4 @@
-#include "gateway/quota_share.h"
+#include "gateway/quota/quota_share.h"
 #include <glib.h>
 
 /* How long the level in the owner's answer is used. */
--- a/src/gateway/quota_share.h
+++ b/src/gateway/quota/quota_share.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_QUOTA_SHARE_H
-#define PGW_GATEWAY_QUOTA_SHARE_H
+#ifndef PGW_GATEWAY_QUOTA_QUOTA_SHARE_H
+#define PGW_GATEWAY_QUOTA_QUOTA_SHARE_H
 
-#include "gateway/quota_bucket.h"
+#include "gateway/quota/quota_bucket.h"
 
 /**
  * DOC: Units of a workspace's quota that an entry admits without asking
--- a/src/gateway/retry_budgets.c
+++ b/src/gateway/quota/retry_budgets.c
@@ -1,4 +1,4 @@
-#include "gateway/retry_budgets.h"
+#include "gateway/quota/retry_budgets.h"
 
 struct pgw_retry_budgets {
     struct pgw_retry_budgets_options options;
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/quota/retry_budgets.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_RETRY_BUDGETS_H
-#define PGW_GATEWAY_RETRY_BUDGETS_H
+#ifndef PGW_GATEWAY_QUOTA_RETRY_BUDGETS_H
+#define PGW_GATEWAY_QUOTA_RETRY_BUDGETS_H
 
 #include "parsleygw/retry.h"
 #include <stdint.h>
--- a/src/gateway/upstream_limits.c
+++ b/src/gateway/quota/upstream_limits.c
@@ -1,6 +1,6 @@
-#include "gateway/upstream_limits.h"
-#include "gateway/exchange.h"
-#include "gateway/upstream_notice.h"
+#include "gateway/quota/upstream_limits.h"
+#include "gateway/request/exchange.h"
+#include "gateway/upstream/upstream_notice.h"
 #include "util/metric.h"
 #include "util/random.h"
 
--- a/src/gateway/upstream_limits.h
+++ b/src/gateway/quota/upstream_limits.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_UPSTREAM_LIMITS_H
-#define PGW_GATEWAY_UPSTREAM_LIMITS_H
+#ifndef PGW_GATEWAY_QUOTA_UPSTREAM_LIMITS_H
+#define PGW_GATEWAY_QUOTA_UPSTREAM_LIMITS_H
 
-#include "gateway/gateway.h"
-#include "gateway/limit_ledger.h"
+#include "gateway/quota/limit_ledger.h"
+#include "gateway/request/gateway.h"
 
 /**
  * DOC: Asks for requests to upstreams at their limits
--- a/src/gateway/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -1,6 +1,6 @@
-#include "gateway/announced_prompts.h"
-#include "gateway/exchange.h"
-#include "gateway/upstream_notice.h"
+#include "gateway/request/exchange.h"
+#include "gateway/upstream/announced_prompts.h"
+#include "gateway/upstream/upstream_notice.h"
 #include "util/log.h"
 #include "util/metric.h"
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -1,5 +1,5 @@
-#include "gateway/exchange.h"
-#include "gateway/upstream_limits.h"
+#include "gateway/quota/upstream_limits.h"
+#include "gateway/request/exchange.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include "util/metric.h"
--- a/src/gateway/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -1,11 +1,11 @@
-#ifndef PGW_GATEWAY_EXCHANGE_H
-#define PGW_GATEWAY_EXCHANGE_H
+#ifndef PGW_GATEWAY_REQUEST_EXCHANGE_H
+#define PGW_GATEWAY_REQUEST_EXCHANGE_H
 
-#include "gateway/crash_quarantine.h"
-#include "gateway/gateway.h"
-#include "gateway/moving_average.h"
-#include "gateway/target_weights.h"
-#include "gateway/unframed_runs.h"
+#include "gateway/crash/crash_quarantine.h"
+#include "gateway/crash/unframed_runs.h"
+#include "gateway/request/gateway.h"
+#include "gateway/upstream/moving_average.h"
+#include "gateway/upstream/target_weights.h"
 
 /* When a caller may resend a request that crashes its upstreams: the longest
  * time that any caller waits, since an earlier retry would be refused too. */
--- a/src/gateway/forward.c
+++ b/src/gateway/request/forward.c
@@ -1,7 +1,7 @@
-#include "gateway/announced_prompts.h"
-#include "gateway/exchange.h"
-#include "gateway/response_timeout.h"
-#include "gateway/source.h"
+#include "gateway/placement/response_timeout.h"
+#include "gateway/placement/source.h"
+#include "gateway/request/exchange.h"
+#include "gateway/upstream/announced_prompts.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
--- a/src/gateway/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -1,6 +1,6 @@
-#include "gateway/exchange.h"
-#include "gateway/unresponsive.h"
-#include "gateway/upstream_limits.h"
+#include "gateway/quota/upstream_limits.h"
+#include "gateway/request/exchange.h"
+#include "gateway/upstream/unresponsive.h"
 #include "util/log.h"
 
 /* Initial estimates, used until runs have been measured. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -1,20 +1,20 @@
-#ifndef PGW_GATEWAY_GATEWAY_H
-#define PGW_GATEWAY_GATEWAY_H
-
-#include "gateway/call.h"
-#include "gateway/caller.h"
-#include "gateway/choose.h"
-#include "gateway/codec.h"
-#include "gateway/crash_quarantine.h"
-#include "gateway/event_stream.h"
-#include "gateway/limit_ledger.h"
-#include "gateway/policy.h"
-#include "gateway/quota.h"
-#include "gateway/retry_budgets.h"
-#include "gateway/route_table.h"
-#include "gateway/stream_origins.h"
-#include "gateway/upstream_table.h"
-#include "gateway/wait_queue.h"
+#ifndef PGW_GATEWAY_REQUEST_GATEWAY_H
+#define PGW_GATEWAY_REQUEST_GATEWAY_H
+
+#include "gateway/config/codec.h"
+#include "gateway/config/policy.h"
+#include "gateway/config/route_table.h"
+#include "gateway/crash/crash_quarantine.h"
+#include "gateway/http/call.h"
+#include "gateway/http/caller.h"
+#include "gateway/http/event_stream.h"
+#include "gateway/placement/choose.h"
+#include "gateway/placement/wait_queue.h"
+#include "gateway/quota/limit_ledger.h"
+#include "gateway/quota/quota.h"
+#include "gateway/quota/retry_budgets.h"
+#include "gateway/request/stream_origins.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: The entry: a reverse proxy between callers and upstreams
--- a/src/gateway/stream_ledger.c
+++ b/src/gateway/request/stream_ledger.c
@@ -1,4 +1,4 @@
-#include "gateway/stream_ledger.h"
+#include "gateway/request/stream_ledger.h"
 #include "util/list.h"
 #include <glib.h>
 
--- a/src/gateway/stream_ledger.h
+++ b/src/gateway/request/stream_ledger.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_STREAM_LEDGER_H
-#define PGW_GATEWAY_STREAM_LEDGER_H
+#ifndef PGW_GATEWAY_REQUEST_STREAM_LEDGER_H
+#define PGW_GATEWAY_REQUEST_STREAM_LEDGER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/gateway/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -1,6 +1,6 @@
-#include "gateway/stream_origins.h"
-#include "gateway/exchange.h"
-#include "gateway/stream_ledger.h"
+#include "gateway/request/stream_origins.h"
+#include "gateway/request/exchange.h"
+#include "gateway/request/stream_ledger.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/request/stream_origins.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_STREAM_ORIGINS_H
-#define PGW_GATEWAY_STREAM_ORIGINS_H
+#ifndef PGW_GATEWAY_REQUEST_STREAM_ORIGINS_H
+#define PGW_GATEWAY_REQUEST_STREAM_ORIGINS_H
 
-#include "gateway/upstream_table.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: The software versions at which streams began
--- a/src/gateway/engine_sidecar.c
+++ b/src/gateway/sidecar/engine_sidecar.c
@@ -1,4 +1,4 @@
-#include "gateway/engine_sidecar_internal.h"
+#include "gateway/sidecar/engine_sidecar_internal.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
--- a/src/gateway/engine_sidecar.h
+++ b/src/gateway/sidecar/engine_sidecar.h
@@ -1,14 +1,14 @@
-#ifndef PGW_GATEWAY_ENGINE_SIDECAR_H
-#define PGW_GATEWAY_ENGINE_SIDECAR_H
+#ifndef PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_H
+#define PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_H
 
-#include "gateway/announced_prompts.h"
-#include "gateway/cached_parts.h"
-#include "gateway/call.h"
-#include "gateway/policy.h"
-#include "gateway/quota_bucket.h"
-#include "gateway/upstream_notice.h"
-#include "gateway/upstream_table.h"
-#include "gateway/weights_order.h"
+#include "gateway/config/policy.h"
+#include "gateway/http/call.h"
+#include "gateway/quota/quota_bucket.h"
+#include "gateway/sidecar/weights_order.h"
+#include "gateway/upstream/announced_prompts.h"
+#include "gateway/upstream/cached_parts.h"
+#include "gateway/upstream/upstream_notice.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: The sidecar of a model engine
--- a/src/gateway/engine_sidecar_internal.h
+++ b/src/gateway/sidecar/engine_sidecar_internal.h
@@ -1,11 +1,11 @@
-#ifndef PGW_GATEWAY_ENGINE_SIDECAR_INTERNAL_H
-#define PGW_GATEWAY_ENGINE_SIDECAR_INTERNAL_H
+#ifndef PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_INTERNAL_H
+#define PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_INTERNAL_H
 
-#include "gateway/engine_sidecar.h"
-#include "gateway/limit_ledger.h"
-#include "gateway/quota_bucket.h"
-#include "gateway/report_budget.h"
-#include "gateway/stream_ledger.h"
+#include "gateway/quota/limit_ledger.h"
+#include "gateway/quota/quota_bucket.h"
+#include "gateway/request/stream_ledger.h"
+#include "gateway/sidecar/engine_sidecar.h"
+#include "gateway/sidecar/report_budget.h"
 #include "libparsleygw/link.h"
 #include "util/listener.h"
 
--- a/src/gateway/engine_sidecar_notice.c
+++ b/src/gateway/sidecar/engine_sidecar_notice.c
@@ -1,4 +1,4 @@
-#include "gateway/engine_sidecar_internal.h"
+#include "gateway/sidecar/engine_sidecar_internal.h"
 
 /* Share of the limit for the entries that are connected: the others, which
  * cannot ask, each use an equal share of their own. */
--- a/src/gateway/engine_sidecar_quota.c
+++ b/src/gateway/sidecar/engine_sidecar_quota.c
@@ -1,4 +1,4 @@
-#include "gateway/engine_sidecar_internal.h"
+#include "gateway/sidecar/engine_sidecar_internal.h"
 #include "util/metric.h"
 
 /* An entry that asked for another owner's quota within this time cannot reach
--- a/src/gateway/lease.c
+++ b/src/gateway/sidecar/lease.c
@@ -1,4 +1,4 @@
-#include "gateway/lease.h"
+#include "gateway/sidecar/lease.h"
 #include <string.h>
 
 void
--- a/src/gateway/lease.h
+++ b/src/gateway/sidecar/lease.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_LEASE_H
-#define PGW_GATEWAY_LEASE_H
+#ifndef PGW_GATEWAY_SIDECAR_LEASE_H
+#define PGW_GATEWAY_SIDECAR_LEASE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/gateway/report_budget.h
+++ b/src/gateway/sidecar/report_budget.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_REPORT_BUDGET_H
-#define PGW_GATEWAY_REPORT_BUDGET_H
+#ifndef PGW_GATEWAY_SIDECAR_REPORT_BUDGET_H
+#define PGW_GATEWAY_SIDECAR_REPORT_BUDGET_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/gateway/rollout_window.c
+++ b/src/gateway/sidecar/rollout_window.c
@@ -1,4 +1,4 @@
-#include "gateway/rollout_window.h"
+#include "gateway/sidecar/rollout_window.h"
 #include <glib.h>
 #include <stdlib.h>
 
--- a/src/gateway/rollout_window.h
+++ b/src/gateway/sidecar/rollout_window.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_ROLLOUT_WINDOW_H
-#define PGW_GATEWAY_ROLLOUT_WINDOW_H
+#ifndef PGW_GATEWAY_SIDECAR_ROLLOUT_WINDOW_H
+#define PGW_GATEWAY_SIDECAR_ROLLOUT_WINDOW_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/gateway/sidecarless.c
+++ b/src/gateway/sidecar/sidecarless.c
@@ -1,4 +1,4 @@
-#include "gateway/sidecarless.h"
+#include "gateway/sidecar/sidecarless.h"
 #include "util/log.h"
 #include <string.h>
 
--- a/src/gateway/sidecarless.h
+++ b/src/gateway/sidecar/sidecarless.h
@@ -1,9 +1,9 @@
-#ifndef PGW_GATEWAY_SIDECARLESS_H
-#define PGW_GATEWAY_SIDECARLESS_H
+#ifndef PGW_GATEWAY_SIDECAR_SIDECARLESS_H
+#define PGW_GATEWAY_SIDECAR_SIDECARLESS_H
 
-#include "gateway/engine_sidecar.h"
-#include "gateway/lease.h"
-#include "gateway/sidecar_links.h"
+#include "gateway/peer/sidecar_links.h"
+#include "gateway/sidecar/engine_sidecar.h"
+#include "gateway/sidecar/lease.h"
 
 /**
  * DOC: Weights of engines that have no sidecar
--- a/src/gateway/weights_order.c
+++ b/src/gateway/sidecar/weights_order.c
@@ -1,4 +1,4 @@
-#include "gateway/weights_order.h"
+#include "gateway/sidecar/weights_order.h"
 #include <glib.h>
 #include <string.h>
 
--- a/src/gateway/weights_order.h
+++ b/src/gateway/sidecar/weights_order.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_WEIGHTS_ORDER_H
-#define PGW_GATEWAY_WEIGHTS_ORDER_H
+#ifndef PGW_GATEWAY_SIDECAR_WEIGHTS_ORDER_H
+#define PGW_GATEWAY_SIDECAR_WEIGHTS_ORDER_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/gateway/announced_prompts.c
+++ b/src/gateway/upstream/announced_prompts.c
@@ -1,4 +1,4 @@
-#include "gateway/announced_prompts.h"
+#include "gateway/upstream/announced_prompts.h"
 #include <string.h>
 #include <xxhash.h>
 
--- a/src/gateway/cached_parts.c
+++ b/src/gateway/upstream/cached_parts.c
@@ -1,4 +1,4 @@
-#include "gateway/cached_parts.h"
+#include "gateway/upstream/cached_parts.h"
 #include <stdlib.h>
 
 /* Maximum number of keys in a generation of requested keys. A full generation
--- a/src/gateway/cached_parts.h
+++ b/src/gateway/upstream/cached_parts.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_CACHED_PARTS_H
-#define PGW_GATEWAY_CACHED_PARTS_H
+#ifndef PGW_GATEWAY_UPSTREAM_CACHED_PARTS_H
+#define PGW_GATEWAY_UPSTREAM_CACHED_PARTS_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/gateway/delisted.c
+++ b/src/gateway/upstream/delisted.c
@@ -1,4 +1,4 @@
-#include "gateway/delisted.h"
+#include "gateway/upstream/delisted.h"
 #include "util/log.h"
 
 /* If more than this share of all upstreams is delisted at once, the list is
--- a/src/gateway/delisted.h
+++ b/src/gateway/upstream/delisted.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_DELISTED_H
-#define PGW_GATEWAY_DELISTED_H
+#ifndef PGW_GATEWAY_UPSTREAM_DELISTED_H
+#define PGW_GATEWAY_UPSTREAM_DELISTED_H
 
-#include "gateway/upstream_table.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: Upstreams that vanish from the list without having announced a drain
--- a/src/gateway/departed_upstreams.c
+++ b/src/gateway/upstream/departed_upstreams.c
@@ -1,4 +1,4 @@
-#include "gateway/departed_upstreams.h"
+#include "gateway/upstream/departed_upstreams.h"
 
 /* An id names one process for ever; the store lists entries again within
  * seconds. */
--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/upstream/departed_upstreams.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_DEPARTED_UPSTREAMS_H
-#define PGW_GATEWAY_DEPARTED_UPSTREAMS_H
+#ifndef PGW_GATEWAY_UPSTREAM_DEPARTED_UPSTREAMS_H
+#define PGW_GATEWAY_UPSTREAM_DEPARTED_UPSTREAMS_H
 
-#include "gateway/upstream_table.h"
+#include "gateway/upstream/upstream_table.h"
 
 /**
  * DOC: Statements of upstreams that are no longer listed
--- a/src/gateway/recent_parts.c
+++ b/src/gateway/upstream/recent_parts.c
@@ -1,4 +1,4 @@
-#include "gateway/recent_parts.h"
+#include "gateway/upstream/recent_parts.h"
 #include <string.h>
 
 static size_t
--- a/src/gateway/recent_parts.h
+++ b/src/gateway/upstream/recent_parts.h
@@ -1,5 +1,5 @@
-#ifndef PGW_GATEWAY_RECENT_PARTS_H
-#define PGW_GATEWAY_RECENT_PARTS_H
+#ifndef PGW_GATEWAY_UPSTREAM_RECENT_PARTS_H
+#define PGW_GATEWAY_UPSTREAM_RECENT_PARTS_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/gateway/target_weights.c
+++ b/src/gateway/upstream/target_weights.c
@@ -1,4 +1,4 @@
-#include "gateway/target_weights.h"
+#include "gateway/upstream/target_weights.h"
 #include <string.h>
 
 uint64_t
--- a/src/gateway/unresponsive.h
+++ b/src/gateway/upstream/unresponsive.h
@@ -1,7 +1,7 @@
-#ifndef PGW_GATEWAY_UNRESPONSIVE_H
-#define PGW_GATEWAY_UNRESPONSIVE_H
+#ifndef PGW_GATEWAY_UPSTREAM_UNRESPONSIVE_H
+#define PGW_GATEWAY_UPSTREAM_UNRESPONSIVE_H
 
-#include "gateway/gateway.h"
+#include "gateway/request/gateway.h"
 
 /**
  * DOC: Failover from upstreams that do not respond
--- a/src/gateway/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -1,5 +1,5 @@
-#include "gateway/upstream_table.h"
-#include "gateway/departed_upstreams.h"
+#include "gateway/upstream/upstream_table.h"
+#include "gateway/upstream/departed_upstreams.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include <string.h>
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -1,8 +1,8 @@
-#ifndef PGW_GATEWAY_UPSTREAM_TABLE_H
-#define PGW_GATEWAY_UPSTREAM_TABLE_H
+#ifndef PGW_GATEWAY_UPSTREAM_UPSTREAM_TABLE_H
+#define PGW_GATEWAY_UPSTREAM_UPSTREAM_TABLE_H
 
-#include "gateway/limit_share.h"
-#include "gateway/recent_parts.h"
+#include "gateway/quota/limit_share.h"
+#include "gateway/upstream/recent_parts.h"
 #include "util/address.h"
 #include "util/list.h"
 #include <glib.h>
--- a/tests/property/prop_crash_parts.cc
+++ b/tests/property/prop_crash_parts.cc
@@ -4,7 +4,7 @@
 // crash, and sound ones go on.
 #include "prop_support.h"
 extern "C" {
-#include "gateway/crash_quarantine.h"
+#include "gateway/crash/crash_quarantine.h"
 }
 #include <algorithm>
 #include <deque>
--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -5,7 +5,7 @@
 // 200,000 times a second.
 #include "prop_support.h"
 extern "C" {
-#include "gateway/crash_quarantine.h"
+#include "gateway/crash/crash_quarantine.h"
 }
 #include <deque>
 #include <string>
--- a/tests/property/prop_lease.cc
+++ b/tests/property/prop_lease.cc
@@ -4,7 +4,7 @@
 // process must hold the lease once there are no more faults.
 #include "prop_support.h"
 extern "C" {
-#include "gateway/lease.h"
+#include "gateway/sidecar/lease.h"
 }
 #include <string>
 #include <vector>
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -1,6 +1,6 @@
 #include "scene_gateway.h"
 
-#include "gateway/engine_sidecar.h"
+#include "gateway/sidecar/engine_sidecar.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -2,7 +2,7 @@
 #define UNIT_SCENE_GATEWAY_H
 
 #include "codec.h"
-#include "gateway/gateway.h"
+#include "gateway/request/gateway.h"
 #include "libparsleygw/link.h"
 #include <pthread.h>
 
--- a/tests/unit/test_cached_parts.c
+++ b/tests/unit/test_cached_parts.c
@@ -1,4 +1,4 @@
-#include "gateway/cached_parts.h"
+#include "gateway/upstream/cached_parts.h"
 
 static void
 apply_event(struct pgw_cached_parts *parts, uint64_t epoch, bool gap,
--- a/tests/unit/test_caller.c
+++ b/tests/unit/test_caller.c
@@ -1,4 +1,4 @@
-#include "gateway/caller.h"
+#include "gateway/http/caller.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <arpa/inet.h>
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -1,5 +1,5 @@
-#include "gateway/choose.h"
-#include "gateway/upstream_notice.h"
+#include "gateway/placement/choose.h"
+#include "gateway/upstream/upstream_notice.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_quarantine.h"
+#include "gateway/crash/crash_quarantine.h"
 #include <string.h>
 
 #define SECOND ((uint64_t)G_USEC_PER_SEC)
--- a/tests/unit/test_delisted.c
+++ b/tests/unit/test_delisted.c
@@ -1,4 +1,4 @@
-#include "gateway/delisted.h"
+#include "gateway/upstream/delisted.h"
 
 #define NOW UINT64_C(100000000)
 #define SECOND UINT64_C(1000000)
--- a/tests/unit/test_documents.c
+++ b/tests/unit/test_documents.c
@@ -1,4 +1,4 @@
-#include "gateway/documents.h"
+#include "gateway/config/documents.h"
 
 static bool
 put(struct pgw_documents *documents, uint64_t revision, bool deleted,
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -2,7 +2,7 @@
 #include "scene_gateway.h"
 
 #include "codec.h"
-#include "gateway/engine_sidecar.h"
+#include "gateway/sidecar/engine_sidecar.h"
 #include "libparsleygw/link.h"
 #include "util/log.h"
 #include <arpa/inet.h>
--- a/tests/unit/test_event_docs.c
+++ b/tests/unit/test_event_docs.c
@@ -149,14 +149,20 @@
 
     g_assert_nonnull(dir);
     while ((name = g_dir_read_name(dir)) != NULL) {
-        if (g_str_has_suffix(name, ".c")) {
-            char *file = g_build_filename(folder, name, NULL);
+        char *file = g_build_filename(folder, name, NULL);
+        char *file_path = root_path(file);
+
+        if (g_file_test(file_path, G_FILE_TEST_IS_DIR)) {
+            check_folder(page, logged_events, file);
+        }
+        else if (g_str_has_suffix(name, ".c")) {
             char *source = read_file(file);
 
             check_source(page, logged_events, source);
             g_free(source);
-            g_free(file);
         }
+        g_free(file_path);
+        g_free(file);
     }
     g_dir_close(dir);
     g_free(path);
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -1,4 +1,4 @@
-#include "gateway/event_stream.h"
+#include "gateway/http/event_stream.h"
 #include <string.h>
 
 static const char answer[] = "id: 1\ndata: a\n\n"
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1,4 +1,4 @@
-#include "gateway/exchange.h"
+#include "gateway/request/exchange.h"
 #include "scene_gateway.h"
 #include "util/log.h"
 #include <poll.h>
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -1,4 +1,4 @@
-#include "gateway/gossip.h"
+#include "gateway/peer/gossip.h"
 #include "util/log.h"
 #include <string.h>
 
--- a/tests/unit/test_http_reader.c
+++ b/tests/unit/test_http_reader.c
@@ -1,4 +1,4 @@
-#include "gateway/http_reader.h"
+#include "gateway/http/http_reader.h"
 #include <string.h>
 
 struct recorder {
--- a/tests/unit/test_limit_share.c
+++ b/tests/unit/test_limit_share.c
@@ -1,5 +1,5 @@
-#include "gateway/limit_ledger.h"
-#include "gateway/limit_share.h"
+#include "gateway/quota/limit_ledger.h"
+#include "gateway/quota/limit_share.h"
 #include <glib.h>
 
 #define STEP_US 1000
--- a/tests/unit/test_moving_average.c
+++ b/tests/unit/test_moving_average.c
@@ -1,4 +1,4 @@
-#include "gateway/moving_average.h"
+#include "gateway/upstream/moving_average.h"
 #include <glib.h>
 
 #define NOW UINT64_C(100000000)
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -1,5 +1,5 @@
 #include "decode.h"
-#include "gateway/route_table.h"
+#include "gateway/config/route_table.h"
 #include "settings.h"
 #include "util/log.h"
 #include <glib/gstdio.h>
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -1,4 +1,4 @@
-#include "gateway/policy.h"
+#include "gateway/config/policy.h"
 #include "parsleygw/errors.h"
 #include <glib/gstdio.h>
 #include <string.h>
--- a/tests/unit/test_quota_bucket.c
+++ b/tests/unit/test_quota_bucket.c
@@ -1,4 +1,4 @@
-#include "gateway/quota_bucket.h"
+#include "gateway/quota/quota_bucket.h"
 #include <glib.h>
 
 #define S UINT64_C(1000000)
--- a/tests/unit/test_quota_play.c
+++ b/tests/unit/test_quota_play.c
@@ -1,4 +1,4 @@
-#include "gateway/quota_share.h"
+#include "gateway/quota/quota_share.h"
 #include <glib.h>
 #include <math.h>
 #include <string.h>
--- a/tests/unit/test_report_budget.c
+++ b/tests/unit/test_report_budget.c
@@ -1,4 +1,4 @@
-#include "gateway/report_budget.h"
+#include "gateway/sidecar/report_budget.h"
 #include <glib.h>
 
 #define SECONDS 60
--- a/tests/unit/test_retry_budgets.c
+++ b/tests/unit/test_retry_budgets.c
@@ -1,4 +1,4 @@
-#include "gateway/retry_budgets.h"
+#include "gateway/quota/retry_budgets.h"
 
 static unsigned
 withdraw_all(struct pgw_retry_budgets *budgets, const char *service)
--- a/tests/unit/test_rollout_play.c
+++ b/tests/unit/test_rollout_play.c
@@ -1,5 +1,5 @@
-#include "gateway/choose.h"
-#include "gateway/rollout_window.h"
+#include "gateway/placement/choose.h"
+#include "gateway/sidecar/rollout_window.h"
 #include <stdlib.h>
 
 /**
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -1,4 +1,4 @@
-#include "gateway/route_table.h"
+#include "gateway/config/route_table.h"
 #include <string.h>
 
 static void
--- a/tests/unit/test_sidecar_links.c
+++ b/tests/unit/test_sidecar_links.c
@@ -1,6 +1,6 @@
 #include "codec.h"
-#include "gateway/gateway.h"
-#include "gateway/sidecar_links.h"
+#include "gateway/peer/sidecar_links.h"
+#include "gateway/request/gateway.h"
 #include "libparsleygw/link.h"
 #include "util/listener.h"
 #include "util/log.h"
--- a/tests/unit/test_sidecarless.c
+++ b/tests/unit/test_sidecarless.c
@@ -2,7 +2,7 @@
 #include "scene_gateway.h"
 
 #include "codec.h"
-#include "gateway/sidecarless.h"
+#include "gateway/sidecar/sidecarless.h"
 #include "util/log.h"
 #include <arpa/inet.h>
 #include <poll.h>
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -1,4 +1,4 @@
-#include "gateway/response_timeout.h"
+#include "gateway/placement/response_timeout.h"
 #include <glib.h>
 
 /* Tokens that an otherwise idle engine prefills in a millisecond. */
--- a/tests/unit/test_source.c
+++ b/tests/unit/test_source.c
@@ -1,4 +1,4 @@
-#include "gateway/source.h"
+#include "gateway/placement/source.h"
 #include <glib.h>
 
 static const struct pgw_source_options options = PGW_SOURCE_OPTIONS_INIT;
--- a/tests/unit/test_stream_ledger.c
+++ b/tests/unit/test_stream_ledger.c
@@ -1,4 +1,4 @@
-#include "gateway/stream_ledger.h"
+#include "gateway/request/stream_ledger.h"
 #include <glib.h>
 
 #define SECOND 1000000ULL
--- a/tests/unit/test_target_weights.c
+++ b/tests/unit/test_target_weights.c
@@ -1,4 +1,4 @@
-#include "gateway/target_weights.h"
+#include "gateway/upstream/target_weights.h"
 #include <glib.h>
 
 #define LIMIT_US UINT64_C(6800000)
--- a/tests/unit/test_unframed_runs.c
+++ b/tests/unit/test_unframed_runs.c
@@ -1,4 +1,4 @@
-#include "gateway/unframed_runs.h"
+#include "gateway/crash/unframed_runs.h"
 
 /* Expires only when a test fails. */
 #define TIMEOUT_US 20000000
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -1,5 +1,5 @@
-#include "gateway/upstream_notice.h"
-#include "gateway/upstream_table.h"
+#include "gateway/upstream/upstream_notice.h"
+#include "gateway/upstream/upstream_table.h"
 #include "util/log.h"
 
 #define NOW UINT64_C(100000000)
--- a/tests/unit/test_weights_order.c
+++ b/tests/unit/test_weights_order.c
@@ -1,4 +1,4 @@
-#include "gateway/weights_order.h"
+#include "gateway/sidecar/weights_order.h"
 #include <glib.h>
 
 #define CLOCK_START_US UINT64_C(10000000)
