--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -41,6 +41,8 @@
  * @priority: 0 is the most urgent
  * @timeout_ms: longest time until the end of the answer
  * @objective_ms: latency objective, 0: none
+ * @pause_objective_ms: longest pause between two events of a stream for which
+ *   the answer is in time, 0: none
  */
 struct pgw_route {
     char *name;
@@ -56,6 +58,7 @@
     uint32_t priority;
     uint32_t timeout_ms;
     uint32_t objective_ms;
+    uint32_t pause_objective_ms;
 };
 
 /**
