Learn engines' prefill rates at their sidecars, and log pauses and forecasts

Callers of short prompts had streams that paused beside long prompts, and nothing said so: a stream late by its pace was a routine line, engines were taken to be equally fast, and the load header's fourth figure was dropped.

Each sidecar measures its engine's prefill rate over busy periods and reports it in a new optional field; entries keep it, and what an answer states of its machine, in struct pgw_engine_pace. request_end names the workspace, the longest pause and the forecast; explain has the cause "paused".

--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -43,6 +43,8 @@
  * @PGW_CAUSE_NO_PLACE: no upstream had a place for it
  * @PGW_CAUSE_LONG_PROMPT: its prompt had to be read
  * @PGW_CAUSE_CROWDED: many others ran at its upstream
+ * @PGW_CAUSE_PAUSED: its stream paused while its upstream prefilled others'
+ *   prompts
  * @PGW_CAUSE_SLOW: none of these: its upstream took long
  */
 enum pgw_cause {
@@ -68,6 +70,7 @@
     PGW_CAUSE_NO_PLACE,
     PGW_CAUSE_LONG_PROMPT,
     PGW_CAUSE_CROWDED,
+    PGW_CAUSE_PAUSED,
     PGW_CAUSE_SLOW,
     PGW_CAUSE_COUNT,
 };
@@ -126,6 +129,10 @@
  * release the array, not what it points to */
 GPtrArray *pgw_logs_list(const struct pgw_logs *logs);
 
+/** pgw_line_is_paused() - a request_end line of a stream with a pause above
+ * the objective of its route */
+bool pgw_line_is_paused(const struct pgw_log_line *line);
+
 /** pgw_line_went_well() - a request_end line of a whole answer from the first
  * upstream, in time */
 bool pgw_line_went_well(const struct pgw_log_line *line);
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -49,6 +49,7 @@
     [PGW_CAUSE_NO_PLACE] = "no_place",
     [PGW_CAUSE_LONG_PROMPT] = "long_prompt",
     [PGW_CAUSE_CROWDED] = "crowded",
+    [PGW_CAUSE_PAUSED] = "paused",
     [PGW_CAUSE_SLOW] = "slow",
 };
 
@@ -399,6 +400,29 @@
     }
 }
 
+/* It began in time, but its stream stood still for too long. */
+static void
+blame_pause(struct inquiry *inquiry)
+{
+    const struct pgw_log_line *end = inquiry->end;
+    uint64_t prompts = pgw_log_line_number(end, "pause_prompts");
+
+    if (prompts > 0) {
+        conclude(inquiry, PGW_CAUSE_PAUSED,
+                 "its stream paused for %s ms, over the %s ms of its route, "
+                 "beside %" G_GUINT64_FORMAT
+                 " long prompt%s that upstream %s was prefilling",
+                 text_of(end, "pause_ms"), text_of(end, "pause_objective_ms"),
+                 prompts, prompts == 1 ? "" : "s", text_of(end, "upstream"));
+        return;
+    }
+    conclude(inquiry, PGW_CAUSE_SLOW,
+             "its stream from upstream %s paused for %s ms, over the %s ms of "
+             "its route, and no long prompt was known there",
+             text_of(end, "upstream"), text_of(end, "pause_ms"),
+             text_of(end, "pause_objective_ms"));
+}
+
 static void
 end_answered(struct inquiry *inquiry)
 {
@@ -423,6 +447,11 @@
                                     pgw_log_line_number(end, "objective_ms")) {
         blame_attempt(inquiry, attempt);
     }
+    else if (pgw_line_is_paused(end) &&
+             pgw_log_line_number(end, "first_ms") <=
+                 pgw_log_line_number(end, "objective_ms")) {
+        blame_pause(inquiry);
+    }
     else {
         blame_time(inquiry);
     }
--- a/src/cli/explain_logs.c
+++ b/src/cli/explain_logs.c
@@ -43,6 +43,14 @@
     g_free(logs->wanted);
 }
 
+bool
+pgw_line_is_paused(const struct pgw_log_line *line)
+{
+    uint64_t objective = pgw_log_line_number(line, "pause_objective_ms");
+
+    return objective > 0 && pgw_log_line_number(line, "pause_ms") > objective;
+}
+
 bool
 pgw_line_went_well(const struct pgw_log_line *line)
 {
@@ -51,6 +59,7 @@
     return g_strcmp0(pgw_log_line_get(line, "outcome"), "answered") == 0 &&
            pgw_log_line_number(line, "status") < 400 &&
            pgw_log_line_number(line, "sends") <= 1 &&
+           !pgw_line_is_paused(line) &&
            (objective == 0 ||
             pgw_log_line_number(line, "first_ms") <= objective);
 }
--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -8,6 +8,9 @@
     .help = "Runs that were interrupted by a crash of their upstream",
 };
 
+/* From this number of crashes on, a request or part is logged. */
+#define LOGGED_CRASHES 2
+
 struct pgw_crash_quarantine *
 pgw_crash_quarantine_new(const struct pgw_crash_quarantine_options *options)
 {
@@ -177,12 +180,25 @@
         now_us + MIN(duration_us, quarantine->options.quarantine_max_us);
 }
 
+/* Of the requests that were running in one crash nearly all are in no other
+ * one, and each entry knows of all of them: lines about these would be
+ * thousands for each crash. Which requests ran is in run_interrupted. */
+static bool
+is_logged(const struct pgw_crash_record *record)
+{
+    return pgw_crash_record_confirmed(record) >= LOGGED_CRASHES ||
+           record->quarantined_until_us != 0 || record->trial.token != 0;
+}
+
 static void
 log_crash(const struct pgw_crash_record *record, uint64_t crash,
           const char *source, bool counted, uint64_t at_us, uint64_t now_us)
 {
     char name[PGW_FINGERPRINT_HEX];
 
+    if (!is_logged(record)) {
+        return;
+    }
     pgw_fingerprint_print(name, &record->key);
     pgw_log_info("poison_crash",
                  "fingerprint=%s part=%d crash=%016" G_GINT64_MODIFIER
@@ -481,9 +497,11 @@
     if (record->quarantined_until_us != 0 || record->trial.token != 0 ||
         (!record->is_part && pgw_crash_record_confirmed(record) > 0)) {
         reach = PGW_CRASH_REACH_ALL;
-        pgw_fingerprint_print(name, key);
-        pgw_log_info("poison_cleared", "fingerprint=%s part=%d", name,
-                     (int)record->is_part);
+        if (is_logged(record)) {
+            pgw_fingerprint_print(name, key);
+            pgw_log_info("poison_cleared", "fingerprint=%s part=%d", name,
+                         (int)record->is_part);
+        }
     }
     pgw_crash_blame__release(quarantine, record);
     pgw_crash_record_clear(record);
--- a/src/gateway/pace/engine_pace.h
+++ b/src/gateway/pace/engine_pace.h
@@ -25,6 +25,7 @@
  * @slowdown: how long work takes at the moment, in multiples of the usual
  *   time; 0: not stated
  * @slowdown_at_us: when it was stated
+ * @ignored: number of figures that were invalid and ignored
  */
 struct pgw_engine_pace {
     double prefill_rate;
@@ -32,6 +33,7 @@
     uint64_t prefill_rate_at_us;
     double slowdown;
     uint64_t slowdown_at_us;
+    uint32_t ignored;
 };
 
 /** pgw_engine_pace_reset() - the engine has restarted */
@@ -41,21 +43,24 @@
  * pgw_engine_pace_add_prefill() - add an observed prefill
  * @pace: the engine's speed
  * @tokens: prompt tokens that were prefilled without a pause
- * @took_us: time that they took; samples of 0 are ignored
+ * @took_us: time that they took
  * @now_us: monotonic time
  *
  * Outliers are clamped, so that neither one request that hung nor a wrong
  * figure changes the estimate much.
+ *
+ * Return: false if the sample was ignored: its rate is not finite, not
+ * positive or above %PGW_ENGINE_PREFILL_RATE_MAX.
  */
-void pgw_engine_pace_add_prefill(struct pgw_engine_pace *pace, double tokens,
+bool pgw_engine_pace_add_prefill(struct pgw_engine_pace *pace, double tokens,
                                  uint64_t took_us, uint64_t now_us);
 
 /**
  * pgw_engine_pace_set_prefill_rate() - set the rate that a sidecar has
  * observed
  * @pace: the engine's speed
- * @tokens_per_ms: the rate; not finite, negative or above
- *   %PGW_ENGINE_PREFILL_RATE_MAX: ignored
+ * @tokens_per_ms: the rate; 0: unknown, nothing changes; not finite, negative
+ *   or above %PGW_ENGINE_PREFILL_RATE_MAX: ignored
  * @now_us: monotonic time
  *
  * Return: false if the figure was ignored.
@@ -66,8 +71,8 @@
 /**
  * pgw_engine_pace_set_slowdown() - set how long work takes at the moment
  * @pace: the engine's speed
- * @slowdown: in multiples of the usual time; not finite, not positive or above
- *   %PGW_ENGINE_SLOWDOWN_MAX: ignored
+ * @slowdown: in multiples of the usual time; not finite, below
+ *   %PGW_ENGINE_SLOWDOWN_MIN or above %PGW_ENGINE_SLOWDOWN_MAX: ignored
  * @now_us: monotonic time
  *
  * Return: false if the figure was ignored.
@@ -93,6 +98,8 @@
 #define PGW_ENGINE_PREFILL_RATE_MAX 10000.0
 /* A machine that is slower by more than this does no useful work. */
 #define PGW_ENGINE_SLOWDOWN_MAX 100.0
+/* A figure below this would draw all prompts to the engine that states it. */
+#define PGW_ENGINE_SLOWDOWN_MIN 0.1
 /* Machines change their speed several times a second. */
 #define PGW_ENGINE_SLOWDOWN_VALID_US 1000000ULL
 
--- a/src/gateway/peer/sidecar_links.c
+++ b/src/gateway/peer/sidecar_links.c
@@ -83,6 +83,14 @@
     };
 }
 
+void
+pgw_sidecar_link_apply_pace(struct pgw_upstream *upstream,
+                            const Pgw__EngineState *state, uint64_t now_us)
+{
+    pgw_upstream_set_prefill_rate(upstream, state->prefill_per_s / 1000.0,
+                                  now_us);
+}
+
 /* The report may be of a former process at the engine's address, so a process
  * counts as leaving only as long as reports say so. */
 static void
@@ -164,6 +172,7 @@
         now + (state->alive ? LOADING_VALID_US : UNREACHABLE_VALID_US));
     if (state->alive) {
         pgw_upstream_update_load(upstream, &load, now);
+        pgw_sidecar_link_apply_pace(upstream, state, now);
     }
     else {
         pgw_crash_quarantine_add_crash(
--- a/src/gateway/peer/sidecar_links_internal.h
+++ b/src/gateway/peer/sidecar_links_internal.h
@@ -104,6 +104,12 @@
                                     const Pgw__EngineState *state,
                                     uint64_t now_us);
 
+/** pgw_sidecar_link_apply_pace() - apply what its sidecar reports of the
+ * engine's speed */
+void pgw_sidecar_link_apply_pace(struct pgw_upstream *upstream,
+                                 const Pgw__EngineState *state,
+                                 uint64_t now_us);
+
 /** pgw_sidecar_link_add() - add a link to an upstream's sidecar, and start to
  * connect */
 struct sidecar_link *pgw_sidecar_link_add(struct pgw_sidecar_links *links,
--- a/src/gateway/peer/sidecar_links_probe.c
+++ b/src/gateway/peer/sidecar_links_probe.c
@@ -47,6 +47,7 @@
     message.to_read = announcement->pending_tokens;
     message.memory = announcement->kv_tokens;
     message.request = announcement->request;
+    message.prefilled = announcement->prefilled_tokens;
     pgw_link_send(link->connection, PGW_FRAME_EXPECTED_PARTS, &message.base);
 }
 
@@ -302,6 +303,7 @@
     pgw_sidecar_link_apply_notices(upstream, state, now_us);
     if (state->alive) {
         pgw_upstream_update_load(upstream, &load, now_us);
+        pgw_sidecar_link_apply_pace(upstream, state, now_us);
     }
     pgw_gateway_probe_answered(gateway, state->probe, upstream);
 }
--- a/src/gateway/placement/choose.h
+++ b/src/gateway/placement/choose.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_PLACEMENT_CHOOSE_H
 
 #include "gateway/config/policy.h"
+#include "gateway/pace/forecast.h"
 #include "gateway/placement/candidates.h"
 #include "gateway/upstream/upstream_table.h"
 
@@ -226,6 +227,8 @@
  *   wants no requests
  * @retry_at_us: end of the earliest backoff or probe interval that ruled out
  *   an upstream; 0: none did
+ * @forecast: what the caller will see if @upstream gets the request now;
+ *   zeroed: no forecast was made
  */
 struct pgw_choice {
     struct pgw_upstream *upstream;
@@ -239,6 +242,7 @@
     uint64_t backoff_until_us;
     bool only_throttled;
     uint64_t retry_at_us;
+    struct pgw_forecast forecast;
 };
 
 /** pgw_prompt_chain() - shared parts of a prompt as a chain of levels, for
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -12,6 +12,20 @@
     .help = "Retries of requests",
 };
 
+/* Tokens that the engine has prefilled for the prompt, if it has begun to
+ * answer; 0: unknown. */
+static uint32_t
+prefilled_tokens(const struct pgw_exchange *exchange)
+{
+    uint32_t fetched_tokens =
+        exchange->fetch_source == NULL ? 0 : exchange->missing_tokens;
+
+    return exchange->began_us == 0
+               ? 0
+               : exchange->prefill_tokens -
+                     MIN(fetched_tokens, exchange->prefill_tokens);
+}
+
 /* A sidecar cannot tell that a prompt was prefilled between two reports of its
  * engine, or that the request was cancelled. The entry announces both. */
 static void
@@ -22,6 +36,7 @@
     if (exchange->prefill_is_announced && gateway->sidecars != NULL) {
         struct pgw_announcement prefill_end = {
             .request = pgw_announced_prompts_id(exchange->facts.id),
+            .prefilled_tokens = prefilled_tokens(exchange),
         };
 
         gateway->sidecars->announce(gateway->sidecars_context,
@@ -69,6 +84,7 @@
     pgw_upstream_notice_count_request(upstream, pgw_now_us());
     exchange->upstream = upstream;
     exchange->missing_tokens = choice->missing_tokens;
+    exchange->forecast = choice->forecast;
     exchange->load_at_choice =
         pgw_upstream_load_estimate(upstream, pgw_now_us());
     exchange->load_report_age_us =
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -114,7 +114,7 @@
 }
 
 /* Whether the log line may be sampled: the first upstream answered, without an
- * error and within the objective. */
+ * error and within the objectives. */
 static bool
 is_routine(const struct pgw_exchange *exchange, const char *outcome,
            uint64_t first_us)
@@ -122,7 +122,14 @@
     return strcmp(outcome, "answered") == 0 && exchange->status < 400 &&
            exchange->sends == 1 &&
            (exchange->route->objective_ms == 0 ||
-            first_us <= exchange->route->objective_ms * 1000ULL);
+            first_us <= exchange->route->objective_ms * 1000ULL) &&
+           !pgw_stream_pace_is_late(exchange);
+}
+
+static const char *
+workspace_name(const struct pgw_workspace *workspace)
+{
+    return workspace == NULL ? "-" : workspace->name;
 }
 
 static void
@@ -137,37 +144,44 @@
     if (exchange->queued_at_us > 0) {
         queued += now - exchange->queued_at_us;
     }
-    pgw_log_some(is_routine(exchange, outcome, first), "request_end",
-                 "request=%s route=%s service=%s rank=%u "
-                 "config=%" G_GUINT64_FORMAT
-                 " outcome=%s status=%u objective_ms=%u "
-                 "limit_ms=%" G_GUINT64_FORMAT " queued_ms=%" G_GUINT64_FORMAT
-                 " sends=%u runs=%u load=%u "
-                 "load_age_ms=%" G_GUINT64_FORMAT " "
-                 "upstream=%s weights=%" G_GUINT64_FORMAT
-                 " tokens=%u homes=%zu probe_ms=%" G_GUINT64_FORMAT
-                 " missing=%u fetch=%s "
-                 "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
-                 " events=%" G_GUINT64_FORMAT,
-                 exchange->facts.id, exchange->route->name, exchange->service,
-                 pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS),
-                 pgw_route_table_version(exchange->table), outcome,
-                 exchange->status, exchange->route->objective_ms,
-                 (exchange->deadline_us - exchange->received_us) / 1000,
-                 queued / 1000, exchange->sends, exchange->runs,
-                 exchange->load_at_choice, exchange->load_report_age_us / 1000,
-                 exchange->tried_count == 0
-                     ? "-"
-                     : exchange->tried[exchange->tried_count - 1]->id,
-                 exchange->weights, exchange->facts.prompt.tokens,
-                 exchange->homes.count, exchange->probes_waited_us / 1000,
-                 exchange->missing_tokens,
-                 exchange->fetch_source == NULL ? "-" : exchange->fetch_source,
-                 first / 1000, (now - exchange->received_us) / 1000,
-                 exchange->events.events);
+    pgw_log_some(
+        is_routine(exchange, outcome, first), "request_end",
+        "request=%s route=%s service=%s rank=%u "
+        "config=%" G_GUINT64_FORMAT " outcome=%s status=%u objective_ms=%u "
+        "limit_ms=%" G_GUINT64_FORMAT " queued_ms=%" G_GUINT64_FORMAT
+        " sends=%u runs=%u load=%u "
+        "load_age_ms=%" G_GUINT64_FORMAT " "
+        "upstream=%s weights=%" G_GUINT64_FORMAT
+        " tokens=%u homes=%zu probe_ms=%" G_GUINT64_FORMAT
+        " missing=%u fetch=%s "
+        "first_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
+        " events=%" G_GUINT64_FORMAT
+        " workspace=%s pause_ms=%" G_GUINT64_FORMAT
+        " pause_objective_ms=%u pause_prompts=%u "
+        "forecast_first_ms=%.0f forecast_end_ms=%.0f",
+        exchange->facts.id, exchange->route->name, exchange->service,
+        pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS),
+        pgw_route_table_version(exchange->table), outcome, exchange->status,
+        exchange->route->objective_ms,
+        (exchange->deadline_us - exchange->received_us) / 1000, queued / 1000,
+        exchange->sends, exchange->runs, exchange->load_at_choice,
+        exchange->load_report_age_us / 1000,
+        exchange->tried_count == 0
+            ? "-"
+            : exchange->tried[exchange->tried_count - 1]->id,
+        exchange->weights, exchange->facts.prompt.tokens,
+        exchange->homes.count, exchange->probes_waited_us / 1000,
+        exchange->missing_tokens,
+        exchange->fetch_source == NULL ? "-" : exchange->fetch_source,
+        first / 1000, (now - exchange->received_us) / 1000,
+        exchange->events.events, workspace_name(exchange->workspace),
+        exchange->pace.longest_pause_us / 1000,
+        exchange->route->pause_objective_ms, exchange->pace.long_prefills,
+        exchange->forecast.first_ms, exchange->forecast.end_ms);
     if (first > 0) {
         pgw_metric_histogram_record_us(&first_answer_time, first);
     }
+    pgw_stream_pace_record(exchange, strcmp(outcome, "answered") == 0, now);
 }
 
 void
@@ -525,19 +539,19 @@
 
 static void
 refuse_request(const struct pgw_gateway *gateway, struct pgw_caller *caller,
-               const char *id, unsigned status, const char *reason,
-               uint32_t retry_after_ms)
+               const char *id, const struct pgw_workspace *workspace,
+               unsigned status, const char *reason, uint32_t retry_after_ms)
 {
     const struct pgw_route_table *routes = gateway->routes;
 
-    pgw_log_info("request_refused",
-                 "request=%s status=%u reason=%s config=%" G_GUINT64_FORMAT
-                 " config_age_ms=%" G_GUINT64_FORMAT,
-                 id, status, reason,
-                 routes == NULL ? 0 : pgw_route_table_version(routes),
-                 routes == NULL
-                     ? 0
-                     : (pgw_now_us() - gateway->routes_set_at_us) / 1000);
+    pgw_log_info(
+        "request_refused",
+        "request=%s status=%u reason=%s config=%" G_GUINT64_FORMAT
+        " config_age_ms=%" G_GUINT64_FORMAT " workspace=%s",
+        id, status, reason,
+        routes == NULL ? 0 : pgw_route_table_version(routes),
+        routes == NULL ? 0 : (pgw_now_us() - gateway->routes_set_at_us) / 1000,
+        workspace_name(workspace));
     answer_with_error(caller, status, reason, false, retry_after_ms);
 }
 
@@ -590,22 +604,22 @@
     register_metrics();
     pgw_metric_counter_add(&requests, 1);
     if (!gateway->options.codec->read_request(&facts, caller->head)) {
-        refuse_request(gateway, caller, "-", 400, "malformed", 0);
+        refuse_request(gateway, caller, "-", NULL, 400, "malformed", 0);
         return;
     }
     if (gateway->refuses_all) {
-        refuse_request(gateway, caller, facts.id, 503, "stopping", 0);
+        refuse_request(gateway, caller, facts.id, NULL, 503, "stopping", 0);
         return;
     }
     if (gateway->routes == NULL) {
-        refuse_request(gateway, caller, facts.id, 503, "no_configuration",
-                       NO_CONFIG_RETRY_MS);
+        refuse_request(gateway, caller, facts.id, NULL, 503,
+                       "no_configuration", NO_CONFIG_RETRY_MS);
         return;
     }
     route = pgw_route_table_match(gateway->routes, facts.host,
                                   pgw_http_head_target(caller->head));
     if (route == NULL) {
-        refuse_request(gateway, caller, facts.id, 404, "no_route", 0);
+        refuse_request(gateway, caller, facts.id, NULL, 404, "no_route", 0);
         return;
     }
     if (!route->open && pgw_route_table_has_keys(gateway->routes)) {
@@ -614,7 +628,8 @@
                 ? NULL
                 : pgw_route_table_workspace(gateway->routes, facts.key);
         if (workspace == NULL) {
-            refuse_request(gateway, caller, facts.id, 401, "unauthorized", 0);
+            refuse_request(gateway, caller, facts.id, NULL, 401,
+                           "unauthorized", 0);
             return;
         }
     }
@@ -632,8 +647,8 @@
     if (pgw_crash_quarantine_is_active(gateway->crash_quarantine, &crash_keys,
                                        now)) {
         pgw_metric_counter_add(&quarantined, 1);
-        refuse_request(gateway, caller, facts.id, 503, "crashes_upstreams",
-                       PGW_CRASH_QUARANTINE_RETRY_MS);
+        refuse_request(gateway, caller, facts.id, workspace, 503,
+                       "crashes_upstreams", PGW_CRASH_QUARANTINE_RETRY_MS);
         return;
     }
     exchange = exchange_new(gateway, caller, &facts, route, workspace);
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -94,6 +94,19 @@
     PGW_PHASE_RELAYING,
 };
 
+/**
+ * struct pgw_stream_pace - pauses of a stream
+ * @last_event_us: when the last event was relayed, 0: none was
+ * @longest_pause_us: longest time between two events
+ * @long_prefills: long prompts that were taken to be pending at the upstream
+ *   when that pause ended
+ */
+struct pgw_stream_pace {
+    uint64_t last_event_us;
+    uint64_t longest_pause_us;
+    uint32_t long_prefills;
+};
+
 /**
  * struct pgw_exchange - one request of a caller
  * @caller: NULL after the caller has disconnected
@@ -145,6 +158,9 @@
  * @missing_tokens: tokens of shared parts that @upstream did not have cached
  * @queued_at_us: since when the request is queued, 0: it is not
  * @queued_us: total time in the queue, without the current wait
+ * @forecast: what was expected when the current attempt was sent; zeroed: no
+ *   forecast was made
+ * @pace: how evenly the caller gets the events of a stream
  * @load_at_choice: estimated requests at @upstream when it was chosen
  * @load_report_age_us: age of the report on which the estimate rests
  * @fetch_source: where missing prompt parts are fetched from, for logs
@@ -207,6 +223,8 @@
     uint32_t missing_tokens;
     uint64_t queued_at_us;
     uint64_t queued_us;
+    struct pgw_forecast forecast;
+    struct pgw_stream_pace pace;
     uint32_t load_at_choice;
     uint64_t load_report_age_us;
     const char *fetch_source;
@@ -313,6 +331,18 @@
 void pgw_exchange_send(struct pgw_exchange *exchange,
                        const struct pgw_choice *choice);
 
+/* stream_pace.c */
+/** pgw_stream_pace_add_event() - events are relayed now */
+void pgw_stream_pace_add_event(struct pgw_exchange *exchange, uint64_t now_us);
+/** pgw_stream_pace_is_late() - a pause of the stream exceeded the objective of
+ * its route */
+bool pgw_stream_pace_is_late(const struct pgw_exchange *exchange);
+/** pgw_stream_pace_record() - update the metrics of pauses and forecasts with
+ * a request that ends now
+ * @is_answered: the caller got the whole answer */
+void pgw_stream_pace_record(const struct pgw_exchange *exchange,
+                            bool is_answered, uint64_t now_us);
+
 /* relay.c */
 /* Callbacks that relay an upstream's answer to the caller. */
 extern const struct pgw_call_ops pgw_relay_ops;
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -225,6 +225,7 @@
     if (exchange->prefill_tokens > 0 || exchange->first_event_us == 0) {
         handle_first_event(exchange);
     }
+    pgw_stream_pace_add_event(exchange, pgw_now_us());
     pgw_stream_origin_set_begun(exchange);
     pgw_suspect_wait_pass(exchange);
     if (exchange->phase != PGW_PHASE_RELAYING) {
--- a/src/gateway/sidecar/engine_sidecar.c
+++ b/src/gateway/sidecar/engine_sidecar.c
@@ -13,6 +13,8 @@
     if (message->to_read == 0 && message->n_parts == 0) {
         pgw_announced_prompts_end(&sidecar->announced_prompts,
                                   message->request);
+        pgw_prefill_meter_end(&sidecar->prefill_meter, message->request,
+                              message->prefilled, pgw_now_us());
         return;
     }
     sidecar->arrivals_since_poll.requests++;
@@ -20,6 +22,8 @@
         pgw_announced_prompts_add(&sidecar->announced_prompts,
                                   message->request, message->to_read,
                                   pgw_now_us());
+        pgw_prefill_meter_begin(&sidecar->prefill_meter, message->request,
+                                pgw_now_us());
     }
     sidecar->arrivals_since_poll.kv_tokens += message->memory;
     for (size_t i = 0; i < message->n_parts; i++) {
@@ -151,6 +155,7 @@
     sidecar->events_body = g_string_new(NULL);
     pgw_cached_parts_init(&sidecar->cached_parts);
     pgw_announced_prompts_init(&sidecar->announced_prompts);
+    pgw_prefill_meter_init(&sidecar->prefill_meter);
     sidecar->quotas = pgw_quota_buckets_new(&options->quotas);
     sidecar->limits = pgw_limit_ledger_new();
     sidecar->streams =
@@ -191,6 +196,7 @@
     pgw_timer_stop(sidecar->loop, &sidecar->events_timer);
     pgw_cached_parts_dispose(&sidecar->cached_parts);
     pgw_announced_prompts_dispose(&sidecar->announced_prompts);
+    pgw_prefill_meter_dispose(&sidecar->prefill_meter);
     pgw_quota_buckets_free(sidecar->quotas);
     pgw_limit_ledger_free(sidecar->limits);
     pgw_stream_ledger_free(sidecar->streams);
--- a/src/gateway/sidecar/engine_sidecar_internal.h
+++ b/src/gateway/sidecar/engine_sidecar_internal.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_INTERNAL_H
 #define PGW_GATEWAY_SIDECAR_ENGINE_SIDECAR_INTERNAL_H
 
+#include "gateway/pace/prefill_meter.h"
 #include "gateway/quota/limit_ledger.h"
 #include "gateway/quota/quota_bucket.h"
 #include "gateway/request/stream_ledger.h"
@@ -89,6 +90,7 @@
  *   for cache events, 0: unknown
  * @backoff_until_us: by kind of call, until when the engine wants none
  * @announced_prompts: long prompts that may not be prefilled yet
+ * @prefill_meter: measures the engine's prefill rate with these
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
  * @arrivals_before_poll: requests announced between the last two polls;
@@ -134,6 +136,7 @@
     uint64_t events_started_ms;
     uint64_t backoff_until_us[PGW_SIDECAR_CALL_COUNT];
     struct pgw_announced_prompts announced_prompts;
+    struct pgw_prefill_meter prefill_meter;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
     struct pgw_report_budget budget;
--- a/src/gateway/sidecar/engine_sidecar_poll.c
+++ b/src/gateway/sidecar/engine_sidecar_poll.c
@@ -78,6 +78,7 @@
             .waiting = sidecar->report.load.waiting,
         },
         now);
+    pgw_prefill_meter_expire(&sidecar->prefill_meter, now);
     for (size_t i = 0; i < sidecar->model_count; i++) {
         struct pgw_sidecar_model *model = &sidecar->models[i];
         uint64_t version =
@@ -136,6 +137,7 @@
     }
     pgw_cached_parts_clear(&sidecar->cached_parts);
     pgw_announced_prompts_clear(&sidecar->announced_prompts);
+    pgw_prefill_meter_clear(&sidecar->prefill_meter);
     if (pgw_call_is_running(&sidecar->events_call)) {
         pgw_call_cancel(&sidecar->events_call);
         pgw_timer_start(sidecar->loop, &sidecar->events_timer, 0);
--- a/src/gateway/sidecar/engine_sidecar_reports.c
+++ b/src/gateway/sidecar/engine_sidecar_reports.c
@@ -145,6 +145,8 @@
     state.kv_total = load.kv_total;
     state.leaving = pgw_engine_sidecar_is_leaving(sidecar);
     state.limit = pgw_engine_sidecar_limit(sidecar);
+    state.prefill_per_s =
+        (uint32_t)(sidecar->prefill_meter.pace.prefill_rate * 1000);
     state.parts_reset = report->parts_reset;
     state.probe = report->probe;
     fill_parts(&state, report->updates);
--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -2,6 +2,7 @@
 #include "gateway/upstream/departed_upstreams.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
+#include "util/metric.h"
 #include <string.h>
 
 /* Time in which the weight of a load report falls to zero: most requests last
@@ -47,6 +48,11 @@
  * draining counts as draining: such a process ends sooner. */
 #define FORMER_LEAVING_US 20000000ULL
 
+static struct pgw_metric_counter invalid_paces = {
+    .name = "pgw_gateway_invalid_paces_total",
+    .help = "Invalid figures of the speed of engines and machines",
+};
+
 struct pgw_upstream_table {
     char *zone;
     struct pgw_departed_upstreams *departed;
@@ -369,6 +375,7 @@
     upstream->loading_since_us = 0;
     upstream->warmup_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
+    pgw_engine_pace_reset(&upstream->pace);
     upstream->last_seen_us = 0;
     upstream->probe_at_us = 0;
     upstream->load_reported_at_us = 0;
@@ -731,6 +738,40 @@
                                     : now_us - UNCONFIRMED_PART_US);
 }
 
+/* Only the first invalid figure of a process is logged. */
+static void
+count_invalid_pace(const struct pgw_upstream *upstream, const char *figure)
+{
+    pgw_metric_register_counter(&invalid_paces);
+    pgw_metric_counter_add(&invalid_paces, 1);
+    if (upstream->pace.ignored == 1) {
+        pgw_log_warning("pace_invalid", "upstream=%s figure=%s", upstream->id,
+                        figure);
+    }
+}
+
+static void
+apply_slowdown(struct pgw_upstream *upstream,
+               const struct pgw_upstream_load *load, uint64_t now_us)
+{
+    double slowdown = load->slowdown_is_invalid ? -1 : load->slowdown;
+
+    if (slowdown != 0 &&
+        !pgw_engine_pace_set_slowdown(&upstream->pace, slowdown, now_us)) {
+        count_invalid_pace(upstream, "slowdown");
+    }
+}
+
+void
+pgw_upstream_set_prefill_rate(struct pgw_upstream *upstream,
+                              double tokens_per_ms, uint64_t now_us)
+{
+    if (!pgw_engine_pace_set_prefill_rate(&upstream->pace, tokens_per_ms,
+                                          now_us)) {
+        count_invalid_pace(upstream, "prefill_rate");
+    }
+}
+
 void
 pgw_upstream_update_load(struct pgw_upstream *upstream,
                          const struct pgw_upstream_load *load, uint64_t now_us)
@@ -739,6 +780,7 @@
     upstream->load.waiting = load->waiting;
     upstream->load_reported_at_us = now_us;
     upstream->own_inflight_at_report = upstream->inflight;
+    apply_slowdown(upstream, load, now_us);
     if (load->slots > 0) {
         upstream->slots = load->slots;
     }
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_UPSTREAM_UPSTREAM_TABLE_H
 #define PGW_GATEWAY_UPSTREAM_UPSTREAM_TABLE_H
 
+#include "gateway/pace/engine_pace.h"
 #include "gateway/quota/limit_share.h"
 #include "gateway/upstream/recent_parts.h"
 #include "util/address.h"
@@ -74,6 +75,9 @@
  *   announced
  * @kv_used: KV cache tokens that cannot be evicted
  * @kv_total: size of the KV cache in tokens, 0: unknown
+ * @slowdown: how long work takes on its machine at the moment, in multiples of
+ *   the usual time, 0: not stated
+ * @slowdown_is_invalid: it was stated with an invalid value
  */
 struct pgw_upstream_load {
     uint32_t running;
@@ -83,6 +87,8 @@
     uint64_t pending_tokens;
     uint64_t kv_used;
     uint64_t kv_total;
+    double slowdown;
+    bool slowdown_is_invalid;
 };
 
 /* Former processes with the same id whose late messages are recognized. */
@@ -175,6 +181,7 @@
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
  * @stated: what it has stated about itself
+ * @pace: what is known of its speed
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
  * @expected: parts of requests that this entry sent there recently
@@ -230,6 +237,7 @@
     uint32_t refusals;
     uint64_t full_until_us;
     struct pgw_upstream_statements stated;
+    struct pgw_engine_pace pace;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
 };
@@ -468,6 +476,12 @@
 bool pgw_upstream_has_part(const struct pgw_upstream *upstream, uint64_t key,
                            uint32_t tokens, bool expected, uint64_t now_us);
 
+/** pgw_upstream_set_prefill_rate() - set the rate that the upstream's sidecar
+ * has observed, in tokens a millisecond; an invalid one is counted and ignored
+ */
+void pgw_upstream_set_prefill_rate(struct pgw_upstream *upstream,
+                                   double tokens_per_ms, uint64_t now_us);
+
 /** pgw_upstream_update_load() - store a load report received at @now_us */
 void pgw_upstream_update_load(struct pgw_upstream *upstream,
                               const struct pgw_upstream_load *load,
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -4215,7 +4215,7 @@
   (ProtobufCMessageInit) pgw__held_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[18] =
+static const ProtobufCFieldDescriptor pgw__engine_state__field_descriptors[19] =
 {
   {
     "address",
@@ -4433,6 +4433,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefill_per_s",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__EngineState, prefill_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -4448,6 +4460,7 @@
   12,   /* field[12] = part_keys */
   13,   /* field[13] = part_words */
   8,   /* field[8] = parts_reset */
+  18,   /* field[18] = prefill_per_s */
   14,   /* field[14] = probe */
   4,   /* field[4] = running */
   11,   /* field[11] = started_ms */
@@ -4458,7 +4471,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor pgw__engine_state__descriptor =
 {
@@ -4468,7 +4481,7 @@
   "Pgw__EngineState",
   "pgw",
   sizeof(Pgw__EngineState),
-  18,
+  19,
   pgw__engine_state__field_descriptors,
   pgw__engine_state__field_indices_by_name,
   2,  pgw__engine_state__number_ranges,
@@ -4526,7 +4539,7 @@
   (ProtobufCMessageInit) pgw__engine_probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__expected_parts__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pgw__expected_parts__field_descriptors[5] =
 {
   {
     "parts",
@@ -4576,17 +4589,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefilled",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ExpectedParts, prefilled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__expected_parts__field_indices_by_name[] = {
   2,   /* field[2] = memory */
   0,   /* field[0] = parts */
+  4,   /* field[4] = prefilled */
   3,   /* field[3] = request */
   1,   /* field[1] = to_read */
 };
 static const ProtobufCIntRange pgw__expected_parts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pgw__expected_parts__descriptor =
 {
@@ -4596,7 +4622,7 @@
   "Pgw__ExpectedParts",
   "pgw",
   sizeof(Pgw__ExpectedParts),
-  4,
+  5,
   pgw__expected_parts__field_descriptors,
   pgw__expected_parts__field_indices_by_name,
   1,  pgw__expected_parts__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -743,10 +743,17 @@
    * requests a second that the engine takes from all
    */
   double limit;
+  /*
+   * entries, as its reports name it; 0: none
+   */
+  /*
+   * prompt tokens that it prefills in a second, as
+   */
+  uint32_t prefill_per_s;
 };
 #define PGW__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -789,10 +796,14 @@
    * hash of the request's id
    */
   uint64_t request;
+  /*
+   * at the end of the prefill: tokens that the engine
+   */
+  uint32_t prefilled;
 };
 #define PGW__EXPECTED_PARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__expected_parts__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -128,6 +128,19 @@
       "upstream=u1 first_ms=900 total_ms=950"},
      "crowded",
      "11 others"},
+    {"paused beside a long prompt",
+     {END "outcome=answered status=200 objective_ms=600 sends=1 runs=1 load=2 "
+          "upstream=u1 first_ms=90 total_ms=950 pause_ms=610 "
+          "pause_objective_ms=400 pause_prompts=1"},
+     "paused",
+     "610 ms, over the 400 ms of its route, beside 1 long prompt that "
+     "upstream u1"},
+    {"paused beside none",
+     {END "outcome=answered status=200 objective_ms=600 sends=1 runs=1 load=2 "
+          "upstream=u1 first_ms=90 total_ms=950 pause_ms=610 "
+          "pause_objective_ms=400 pause_prompts=0"},
+     "slow",
+     "no long prompt"},
     {"late, nothing found",
      {END "outcome=answered status=200 objective_ms=600 sends=1 runs=1 load=0 "
           "upstream=u1 first_ms=900 total_ms=950"},
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -320,6 +320,45 @@
     g_free(cache_events.events);
 }
 
+/* Guards against a fourth figure that moves prompts to another engine although
+ * it makes no sense, or that takes the other three with it. */
+static void
+test_load_figures(void)
+{
+    static const struct {
+        const char *load;
+        double slowdown;
+        bool invalid;
+    } cases[] = {
+        {"3,1,8", 0, false},           {"3,1,8,100", 1, false},
+        {"3,1,8,250.5", 2.505, false}, {"3,1,8,", 0, true},
+        {"3,1,8,-100", 0, true},       {"3,1,8,nan", 0, true},
+        {"3,1,8,inf", 0, true},        {"3,1,8,1e3", 0, true},
+        {"3,1,8,0", 0, true},          {"3,1,8,99999999999999999999", 0, true},
+        {"3,1,8,100,7", 0, true},      {"3,1,8;100", 0, true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nServer-Load: %s\r\n"
+                                     "\r\n",
+                                     cases[i].load);
+        struct pgw_answer_facts facts = {0};
+        struct pgw_http_reader reader;
+
+        read_head(&reader, true, text);
+        platform_codec.read_answer(&facts, &reader.head);
+        g_assert_true(facts.has_load);
+        g_assert_cmpuint(facts.load.running, ==, 3);
+        g_assert_cmpuint(facts.load.waiting, ==, 1);
+        g_assert_cmpuint(facts.load.slots, ==, 8);
+        g_assert_cmpfloat(ABS(facts.load.slowdown - cases[i].slowdown), <,
+                          1e-9);
+        g_assert_cmpint(facts.load.slowdown_is_invalid, ==, cases[i].invalid);
+        pgw_http_reader_dispose(&reader);
+        g_free(text);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -335,5 +374,6 @@
     g_test_add_func("/platform_codec/retry_after_values",
                     test_retry_after_values);
     g_test_add_func("/platform_codec/engine", test_engine);
+    g_test_add_func("/platform_codec/load_figures", test_load_figures);
     return g_test_run();
 }
--- a/tests/unit/test_report_budget.c
+++ b/tests/unit/test_report_budget.c
@@ -1,4 +1,6 @@
 #include "gateway/sidecar/report_budget.h"
+#include "libparsleygw/frame.h"
+#include "proto/parsleygw.pb-c.h"
 #include <glib.h>
 
 #define SECONDS 60
@@ -84,6 +86,29 @@
     g_assert_true(pgw_report_budget_reaches_remote(4, false));
 }
 
+/* Guards against reports that are larger than what the budget counts. */
+static void
+test_report_size(void)
+{
+    Pgw__EngineState state = {
+        .base = PROTOBUF_C_MESSAGE_INIT(&pgw__engine_state__descriptor),
+        .address = (char *)"",
+        .alive = true,
+        .running = 500,
+        .waiting = 500,
+        .long_prefills = 100,
+        .entries = 500,
+        .unread = 10000000,
+        .kv_used = 10000000,
+        .kv_total = 10000000,
+        .prefill_per_s = 1000000,
+    };
+
+    g_assert_cmpuint(pgw__engine_state__get_packed_size(&state) +
+                         PGW_FRAME_HEADER_SIZE,
+                     <=, PGW_REPORT_LOAD_BYTES);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -92,5 +117,6 @@
     g_test_add_func("/report_budget/refills", test_refills);
     g_test_add_func("/report_budget/remote_hysteresis",
                     test_remote_hysteresis);
+    g_test_add_func("/report_budget/report_size", test_report_size);
     return g_test_run();
 }
