--- a/src/gateway/pace/engine_pace.h
+++ b/src/gateway/pace/engine_pace.h
@@ -18,8 +18,8 @@
 
 /**
  * struct pgw_engine_pace - speed of one engine; zeroed: unknown
- * @prefill_rate: prompt tokens that it prefills in a millisecond when its
- *   machine is as usual, 0: unknown
+ * @prefill_rate: prompt tokens that it prefills in a millisecond with its
+ *   machine as it is on average, 0: unknown
  * @samples: number of observations behind @prefill_rate
  * @prefill_rate_at_us: time of the last of these
  * @slowdown: how long work takes at the moment, in multiples of the usual
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -22,6 +22,8 @@
  * @started_ms: start of the engine's process, by the last report with one
  * @limit_at_start: limit in the first report with that start
  * @version: version in the last report with weights
+ * @prefill_per_s: prefill rate in the last report
+ * @long_prefills: long prompts in the last report
  * @probe_answer: the last answer to a probe: its number, the tokens left to
  *   prefill, the update of the first part
  * @lock: guards what the entry has received; a POSIX mutex, as the thread
@@ -42,6 +44,8 @@
     uint64_t started_ms;
     double limit_at_start;
     uint64_t version;
+    uint32_t prefill_per_s;
+    uint32_t long_prefills;
     struct {
         uint64_t probe;
         uint64_t unread;
@@ -79,6 +83,8 @@
     }
     fixture->limit = state->limit;
     fixture->leaving = state->leaving;
+    fixture->prefill_per_s = state->prefill_per_s;
+    fixture->long_prefills = state->long_prefills;
     if (state->n_models > 0) {
         fixture->version = state->models[0]->version;
     }
@@ -311,6 +317,69 @@
     close_fixture();
 }
 
+static struct pgw_task announce_task;
+
+/* Announces a prompt with the first call, and its end with the second. */
+static void
+announce_next(struct pgw_task *task)
+{
+    Pgw__ExpectedParts announcement = PGW__EXPECTED_PARTS__INIT;
+
+    (void)task;
+    announcement.request = 1;
+    if (fixture->long_prefills == 0) {
+        announcement.to_read = 6000;
+    }
+    else {
+        announcement.prefilled = 6000;
+    }
+    pgw_link_send(fixture->entry, PGW_FRAME_EXPECTED_PARTS,
+                  &announcement.base);
+}
+
+static bool
+is_prefilling(const struct scene_engine *engine)
+{
+    bool prefilling;
+
+    (void)engine;
+    pthread_mutex_lock(&fixture->lock);
+    prefilling = fixture->long_prefills == 1;
+    pthread_mutex_unlock(&fixture->lock);
+    return prefilling;
+}
+
+static bool
+is_measured(const struct scene_engine *engine)
+{
+    bool measured;
+
+    (void)engine;
+    pthread_mutex_lock(&fixture->lock);
+    measured = fixture->prefill_per_s > 0;
+    pthread_mutex_unlock(&fixture->lock);
+    return measured;
+}
+
+/* Guards against a rate that the sidecar measures and keeps to itself. */
+static void
+test_prefill_rate_is_reported(void)
+{
+    struct scene_engine engine = {.version = 1};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_reported);
+    announce_task.run = announce_next;
+    pgw_loop_post(fixture->loop, &announce_task);
+    scene_engine_serve(&engine, is_prefilling);
+    g_usleep(10000);
+    pgw_loop_post(fixture->loop, &announce_task);
+    scene_engine_serve(&engine, is_measured);
+    g_assert_cmpuint(fixture->prefill_per_s, <, 600000);
+    close_fixture();
+}
+
 static bool
 is_limit_reported(const struct scene_engine *engine)
 {
@@ -473,5 +542,7 @@
                     test_limit_with_a_restart);
     g_test_add_func("/engine_sidecar/backoff_before_a_known_restart",
                     test_backoff_before_a_known_restart);
+    g_test_add_func("/engine_sidecar/prefill_rate_is_reported",
+                    test_prefill_rate_is_reported);
     return g_test_run();
 }
--- a/tests/unit/test_sidecar_links.c
+++ b/tests/unit/test_sidecar_links.c
@@ -16,6 +16,7 @@
  * struct fixture - an entry's links to sidecars
  * @sidecar: listener of one engine's simulated sidecar; NULL: no sidecar runs
  * @link: the entry's connection to it
+ * @reports_pace: the sidecar reports its engine's speed
  * @timer: ends the loop after the sidecar has sent its reports
  */
 struct fixture {
@@ -24,6 +25,7 @@
     struct pgw_sidecar_links *links;
     struct pgw_listener *sidecar;
     struct pgw_link *link;
+    bool reports_pace;
     struct pgw_timer timer;
 };
 
@@ -118,6 +120,24 @@
     close_fixture(&fixture);
 }
 
+/* The report of a sidecar that has measured its engine, of an older sidecar
+ * and of a faulty one. */
+static void
+report_pace(struct pgw_link *link)
+{
+    static const uint32_t figures[] = {40000, 0, UINT32_MAX};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(figures); i++) {
+        Pgw__EngineState state = PGW__ENGINE_STATE__INIT;
+
+        state.address = (char *)"127.0.0.1:10000";
+        state.alive = true;
+        state.started_ms = 1;
+        state.prefill_per_s = figures[i];
+        pgw_link_send(link, PGW_FRAME_ENGINE_STATE, &state.base);
+    }
+}
+
 static bool
 on_frame(struct pgw_link *link, enum pgw_frame_type type,
          ProtobufCMessage *message, void *context)
@@ -127,7 +147,11 @@
     struct fixture *fixture = context;
 
     (void)message;
-    if (type == PGW_FRAME_HELLO) {
+    if (type == PGW_FRAME_HELLO && fixture->reports_pace) {
+        report_pace(link);
+        pgw_timer_start(fixture->loop, &fixture->timer, RUN_US);
+    }
+    else if (type == PGW_FRAME_HELLO) {
         other_engine.address = (char *)"127.0.0.1:1";
         other_engine.alive = true;
         without_address.alive = true;
@@ -169,6 +193,32 @@
     pgw_loop_stop(pgw_container_of(timer, struct fixture, timer)->loop);
 }
 
+/* Guards against a rate that is lost with a report of an older sidecar, or
+ * replaced by a figure that no engine has. */
+static void
+test_reported_pace(void)
+{
+    struct fixture fixture = {.loop = pgw_loop_new(NULL),
+                              .reports_pace = true,
+                              .timer = {.on_due = on_stop_timer}};
+    struct pgw_address address;
+    const struct pgw_upstream *upstream;
+
+    g_assert_true(pgw_address_parse(&address, "127.0.0.1:0", NULL));
+    fixture.sidecar =
+        pgw_listener_new(fixture.loop, &address, on_accept, &fixture, NULL);
+    open_fixture(&fixture, pgw_listener_port(fixture.sidecar));
+    list_engines(&fixture, 0, 1);
+    pgw_loop_run(fixture.loop);
+    upstream =
+        pgw_upstream_table_find(pgw_gateway_upstreams(fixture.gateway), "e0");
+    g_assert_cmpfloat(upstream->pace.prefill_rate, ==, 40);
+    g_assert_cmpuint(upstream->pace.ignored, ==, 1);
+    pgw_link_close(fixture.link);
+    pgw_listener_free(fixture.sidecar);
+    close_fixture(&fixture);
+}
+
 /* Reports of another engine's sidecar must not be applied to the linked
  * engine, also when they carry no address. */
 static void
@@ -202,5 +252,6 @@
     pgw_log_init("test", "", "error");
     g_test_add_func("/sidecar_links/pool_grows", test_pool_grows);
     g_test_add_func("/sidecar_links/other_engine", test_other_engines_sidecar);
+    g_test_add_func("/sidecar_links/reported_pace", test_reported_pace);
     return g_test_run();
 }
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -243,8 +243,10 @@
 
     pgw_upstream_set_cached_part(upstream, 5, 96);
     pgw_upstream_update_load(upstream, &load, NOW);
+    pgw_upstream_set_prefill_rate(upstream, 40, NOW);
     pgw_upstream_record_attempt(upstream, PGW_RESULT_UNREACHABLE, NOW);
     g_assert_true(put_started(table, 2000, false) == upstream);
+    g_assert_cmpfloat(pgw_engine_pace_rate(&upstream->pace, 20, NOW), ==, 20);
     g_assert_false(upstream->leaving);
     g_assert_false(pgw_upstream_has_part(upstream, 5, 100, true, NOW));
     g_assert_cmpuint(pgw_upstream_load_estimate(upstream, NOW), ==, 0);
@@ -255,6 +257,27 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against an answer without the figure, as older upstreams send, or
+ * with a wrong one, that ends or changes what the upstream stated before. */
+static void
+test_stated_slowdown(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put(table, "i", false);
+    struct pgw_upstream_load slow = {.slowdown = 4};
+    struct pgw_upstream_load unstated = {.running = 3};
+    struct pgw_upstream_load invalid = {.running = 5,
+                                        .slowdown_is_invalid = true};
+
+    pgw_upstream_update_load(upstream, &slow, NOW);
+    pgw_upstream_update_load(upstream, &unstated, NOW);
+    pgw_upstream_update_load(upstream, &invalid, NOW);
+    g_assert_cmpfloat(pgw_engine_pace_rate(&upstream->pace, 20, NOW), ==, 5);
+    g_assert_cmpuint(upstream->load.running, ==, 5);
+    g_assert_cmpuint(upstream->pace.ignored, ==, 1);
+    pgw_upstream_table_free(table);
+}
+
 /*
  * The machine's clock was set back before the upstream restarted, so the list
  * and the sidecar report a lower start time than before. Either counts as a
@@ -434,5 +457,6 @@
                     test_pending_tokens_of_others);
     g_test_add_func("/upstream_table/new_engine_keeps_remote_on_request",
                     test_new_engine_keeps_remote_on_request);
+    g_test_add_func("/upstream_table/stated_slowdown", test_stated_slowdown);
     return g_test_run();
 }
