--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -8,9 +8,6 @@
     .help = "Runs that were interrupted by a crash of their upstream",
 };
 
-/* From this number of crashes on, a request or part is logged. */
-#define LOGGED_CRASHES 2
-
 struct pgw_crash_quarantine *
 pgw_crash_quarantine_new(const struct pgw_crash_quarantine_options *options)
 {
@@ -180,23 +177,25 @@
         now_us + MIN(duration_us, quarantine->options.quarantine_max_us);
 }
 
-/* Of the requests that were running in one crash nearly all are in no other
- * one, and each entry knows of all of them: lines about these would be
- * thousands for each crash. Which requests ran is in run_interrupted. */
+/* Only suspects are logged. Nearly all requests that were running in a crash
+ * are in no other one, and each entry knows of all of them, so there would be
+ * thousands of lines. Which requests ran is in run_interrupted. */
 static bool
-is_logged(const struct pgw_crash_record *record)
+is_logged(const struct pgw_crash_quarantine *quarantine,
+          const struct pgw_crash_record *record)
 {
-    return pgw_crash_record_confirmed(record) >= LOGGED_CRASHES ||
+    return pgw_crash_record_confirmed(record) >= quarantine->options.crashes ||
            record->quarantined_until_us != 0 || record->trial.token != 0;
 }
 
 static void
-log_crash(const struct pgw_crash_record *record, uint64_t crash,
+log_crash(const struct pgw_crash_quarantine *quarantine,
+          const struct pgw_crash_record *record, uint64_t crash,
           const char *source, bool counted, uint64_t at_us, uint64_t now_us)
 {
     char name[PGW_FINGERPRINT_HEX];
 
-    if (!is_logged(record)) {
+    if (!is_logged(quarantine, record)) {
         return;
     }
     pgw_fingerprint_print(name, &record->key);
@@ -226,7 +225,7 @@
      * out, since a popular request may be in more of them than are kept. */
     if (pgw_crash_record_confirmed(record) >= options->crashes &&
         pgw_crash_record_is_near(record, at_us, options->min_crash_gap_us)) {
-        log_crash(record, crash, source, false, at_us, now_us);
+        log_crash(quarantine, record, crash, source, false, at_us, now_us);
         if (known != NULL) {
             pgw_crash_record_remove(record, known);
         }
@@ -247,7 +246,7 @@
         pgw_crash_quarantine__start(quarantine, record, now_us);
     }
     pgw_metric_counter_add(&crashes_counted, 1);
-    log_crash(record, crash, source, true, at_us, now_us);
+    log_crash(quarantine, record, crash, source, true, at_us, now_us);
     return true;
 }
 
@@ -376,18 +375,17 @@
 }
 
 bool
-pgw_crash_quarantine__confirm_part(struct pgw_crash_record *record,
-                                   struct pgw_recorded_crash *crash,
-                                   const char *source, uint64_t now_us)
+pgw_crash_quarantine__confirm_part(
+    const struct pgw_crash_quarantine *quarantine,
+    struct pgw_crash_record *record, struct pgw_recorded_crash *crash,
+    const char *source, uint64_t now_us)
 {
     if (crash->cleared) {
         return false;
     }
     crash->confirmed = true;
-    /* A sound part that ran in one crash is too common for a log line. */
-    if (pgw_crash_record_confirmed(record) > 1) {
-        log_crash(record, crash->crash, source, true, crash->at_us, now_us);
-    }
+    log_crash(quarantine, record, crash->crash, source, true, crash->at_us,
+              now_us);
     pgw_metric_counter_add(&crashes_counted, 1);
     return true;
 }
@@ -414,8 +412,8 @@
             continue;
         }
         if (record->is_part) {
-            has_parts |= pgw_crash_quarantine__confirm_part(record, known,
-                                                            source, now_us);
+            has_parts |= pgw_crash_quarantine__confirm_part(
+                quarantine, record, known, source, now_us);
         }
         else if (known->cleared) {
             pgw_crash_record_remove(record, known);
@@ -497,7 +495,7 @@
     if (record->quarantined_until_us != 0 || record->trial.token != 0 ||
         (!record->is_part && pgw_crash_record_confirmed(record) > 0)) {
         reach = PGW_CRASH_REACH_ALL;
-        if (is_logged(record)) {
+        if (is_logged(quarantine, record)) {
             pgw_fingerprint_print(name, key);
             pgw_log_info("poison_cleared", "fingerprint=%s part=%d", name,
                          (int)record->is_part);
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -94,9 +94,10 @@
 
 /** pgw_crash_quarantine__confirm_part() - confirm a crash of a part; returns
  * whether it counts. @source: as above */
-bool pgw_crash_quarantine__confirm_part(struct pgw_crash_record *record,
-                                        struct pgw_recorded_crash *crash,
-                                        const char *source, uint64_t now_us);
+bool pgw_crash_quarantine__confirm_part(
+    const struct pgw_crash_quarantine *quarantine,
+    struct pgw_crash_record *record, struct pgw_recorded_crash *crash,
+    const char *source, uint64_t now_us);
 
 /** pgw_crash_quarantine__add_crash() - add the crash of an incarnation;
  * returns whether it was not known. @hops: number of entries that have passed
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -65,7 +65,8 @@
         return;
     }
     if (is_confirmed && !known->confirmed) {
-        pgw_crash_quarantine__confirm_part(record, known, "entry", now_us);
+        pgw_crash_quarantine__confirm_part(quarantine, record, known, "entry",
+                                           now_us);
     }
     if (report->seeds_only) {
         pgw_crash_quarantine__share(quarantine, record, report->hops + 1,
--- a/src/gateway/sidecar/engine_sidecar_internal.h
+++ b/src/gateway/sidecar/engine_sidecar_internal.h
@@ -91,6 +91,8 @@
  * @backoff_until_us: by kind of call, until when the engine wants none
  * @announced_prompts: long prompts that may not be prefilled yet
  * @prefill_meter: measures the engine's prefill rate with these
+ * @logged_prefill_per_s: rate in the last log line, 0: none was written
+ * @pace_logged_us: when it was written
  * @arrivals_since_poll: requests announced since the last poll started; its
  *   answer may not include them
  * @arrivals_before_poll: requests announced between the last two polls;
@@ -137,6 +139,8 @@
     uint64_t backoff_until_us[PGW_SIDECAR_CALL_COUNT];
     struct pgw_announced_prompts announced_prompts;
     struct pgw_prefill_meter prefill_meter;
+    double logged_prefill_per_s;
+    uint64_t pace_logged_us;
     struct pgw_announced_arrivals arrivals_since_poll;
     struct pgw_announced_arrivals arrivals_before_poll;
     struct pgw_report_budget budget;
--- a/src/gateway/sidecar/engine_sidecar_poll.c
+++ b/src/gateway/sidecar/engine_sidecar_poll.c
@@ -19,6 +19,15 @@
 /* Failed polls in a row after which the engine counts as unreachable. */
 #define FAILED_POLLS_MAX 2
 
+/* A change of the prefill rate by this share is logged, at most once in
+ * PACE_LOG_INTERVAL_US. */
+#define PACE_LOG_SHARE 0.25
+#define PACE_LOG_INTERVAL_US 2000000
+
+static struct pgw_metric_gauge prefill_rate = {
+    .name = "pgw_engine_prefill_tokens_per_s",
+    .help = "Prompt tokens that the engine prefills in a second, as measured",
+};
 static struct pgw_metric_counter reports_failed = {
     .name = "pgw_engine_reports_failed_total",
     .help = "Polls for an engine report that failed",
@@ -58,6 +67,25 @@
     return 0;
 }
 
+static void
+publish_pace(struct pgw_engine_sidecar *sidecar, uint64_t now_us)
+{
+    const struct pgw_engine_pace *pace = &sidecar->prefill_meter.pace;
+    double per_s = pace->prefill_rate * 1000;
+    double before = sidecar->logged_prefill_per_s;
+
+    pgw_metric_gauge_set(&prefill_rate, (int64_t)per_s);
+    if (ABS(per_s - before) <= before * PACE_LOG_SHARE ||
+        now_us - sidecar->pace_logged_us < PACE_LOG_INTERVAL_US) {
+        return;
+    }
+    sidecar->logged_prefill_per_s = per_s;
+    sidecar->pace_logged_us = now_us;
+    pgw_log_info("engine_pace",
+                 "engine=%s prefill_per_s=%.0f before=%.0f samples=%u",
+                 sidecar->engine, per_s, before, pace->samples);
+}
+
 static void
 handle_report(struct pgw_engine_sidecar *sidecar)
 {
@@ -79,6 +107,7 @@
         },
         now);
     pgw_prefill_meter_expire(&sidecar->prefill_meter, now);
+    publish_pace(sidecar, now);
     for (size_t i = 0; i < sidecar->model_count; i++) {
         struct pgw_sidecar_model *model = &sidecar->models[i];
         uint64_t version =
@@ -353,4 +382,5 @@
 pgw_engine_sidecar_register_poll_metrics(void)
 {
     pgw_metric_register_counter(&reports_failed);
+    pgw_metric_register_gauge(&prefill_rate);
 }
