Measure engines by the tokens that they prefill, also beside store fetches

A sidecar's first samples lay between 1 and 75 tokens a millisecond for engines that prefill 26 to 70: prompts whose shared parts were asked from the store counted as fetched, but a cold store has none of them, so the engine prefilled them. Announcements now carry the tokens that the engine prefills, without what another engine holds; what a store is asked for counts as prefilled.

--- a/src/gateway/pace/engine_pace.h
+++ b/src/gateway/pace/engine_pace.h
@@ -95,7 +95,7 @@
                             double pool_rate, uint64_t now_us);
 
 /* Ten times the fastest engine known. */
-#define PGW_ENGINE_PREFILL_RATE_MAX 10000.0
+#define PGW_ENGINE_PREFILL_RATE_MAX 1000.0
 /* A machine that is slower by more than this does no useful work. */
 #define PGW_ENGINE_SLOWDOWN_MAX 100.0
 /* A figure below this would draw all prompts to the engine that states it. */
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -12,18 +12,13 @@
     .help = "Retries of requests",
 };
 
-/* Tokens that the engine has prefilled for the prompt, if it has begun to
- * answer; 0: unknown. */
-static uint32_t
-prefilled_tokens(const struct pgw_exchange *exchange)
+uint32_t
+pgw_attempt_prefilled_tokens(const struct pgw_exchange *exchange,
+                             uint32_t pending_tokens, uint32_t missing_tokens)
 {
-    uint32_t fetched_tokens =
-        exchange->fetch_source == NULL ? 0 : exchange->missing_tokens;
-
-    return exchange->began_us == 0
-               ? 0
-               : exchange->prefill_tokens -
-                     MIN(fetched_tokens, exchange->prefill_tokens);
+    return g_strcmp0(exchange->fetch_source, "engine") == 0
+               ? pending_tokens - MIN(missing_tokens, pending_tokens)
+               : pending_tokens;
 }
 
 /* A sidecar cannot tell that a prompt was prefilled between two reports of its
@@ -36,7 +31,11 @@
     if (exchange->prefill_is_announced && gateway->sidecars != NULL) {
         struct pgw_announcement prefill_end = {
             .request = pgw_announced_prompts_id(exchange->facts.id),
-            .prefilled_tokens = prefilled_tokens(exchange),
+            .prefilled_tokens = exchange->began_us == 0
+                                    ? 0
+                                    : pgw_attempt_prefilled_tokens(
+                                          exchange, exchange->prefill_tokens,
+                                          exchange->missing_tokens),
         };
 
         gateway->sidecars->announce(gateway->sidecars_context,
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -358,6 +358,18 @@
 /** pgw_attempt_count_prefill_end() - remove the prompt from the upstream's
  * pending tokens */
 void pgw_attempt_count_prefill_end(struct pgw_exchange *exchange);
+/**
+ * pgw_attempt_prefilled_tokens() - tokens of a prompt that its engine prefills
+ * @exchange: the request, with its source of missing tokens
+ * @pending_tokens: tokens that the engine does not have cached
+ * @missing_tokens: shared tokens among these
+ *
+ * What another engine holds is fetched from it. A store may lack what it is
+ * asked for, so that counts as prefilled.
+ */
+uint32_t pgw_attempt_prefilled_tokens(const struct pgw_exchange *exchange,
+                                      uint32_t pending_tokens,
+                                      uint32_t missing_tokens);
 /** pgw_attempt_record_result() - account the result for the upstream's health
  */
 void pgw_attempt_record_result(struct pgw_exchange *exchange,
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -96,6 +96,8 @@
     }
     announcement.pending_tokens =
         prompt->tokens - choice->shared_tokens + choice->missing_tokens;
+    announcement.prefilled_tokens = pgw_attempt_prefilled_tokens(
+        exchange, announcement.pending_tokens, choice->missing_tokens);
     announcement.kv_tokens = prompt->tokens + prompt->output_tokens;
     announcement.request = pgw_announced_prompts_id(exchange->facts.id);
     announcement.count = count;
@@ -173,8 +175,8 @@
         return;
     }
     pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
-    announce(exchange, choice, version);
     fill_kv_source(forward, exchange, choice);
+    announce(exchange, choice, version);
 }
 
 static void
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -155,8 +155,8 @@
  * @pending_tokens: tokens of the prompt that the engine has to prefill
  * @kv_tokens: most tokens that the request occupies in the engine's KV cache
  * @request: pgw_announced_prompts_id() of the request
- * @prefilled_tokens: at the end of the prefill, tokens that the engine has
- *   prefilled for it; 0: unknown
+ * @prefilled_tokens: @pending_tokens without those that the engine fetches; at
+ *   the end of the prefill, those that it has prefilled; 0: unknown
  */
 struct pgw_announcement {
     const struct pgw_shared_part *parts;
--- a/src/gateway/sidecar/engine_sidecar.c
+++ b/src/gateway/sidecar/engine_sidecar.c
@@ -22,6 +22,8 @@
         pgw_announced_prompts_add(&sidecar->announced_prompts,
                                   message->request, message->to_read,
                                   pgw_now_us());
+    }
+    if (message->prefilled >= PGW_LONG_PREFILL_TOKENS) {
         pgw_prefill_meter_begin(&sidecar->prefill_meter, message->request,
                                 pgw_now_us());
     }
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -797,7 +797,7 @@
    */
   uint64_t request;
   /*
-   * at the end of the prefill: tokens that the engine
+   * tokens that the engine prefills for it, without
    */
   uint32_t prefilled;
 };
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -330,9 +330,7 @@
     if (fixture->long_prefills == 0) {
         announcement.to_read = 6000;
     }
-    else {
-        announcement.prefilled = 6000;
-    }
+    announcement.prefilled = 6000;
     pgw_link_send(fixture->entry, PGW_FRAME_EXPECTED_PARTS,
                   &announcement.base);
 }
