Count a machine's slowdown once, not in the observed rate and again

Only the deviation from the average of what was stated now changes an observed rate; without one the pool's rate is divided by what was stated.

--- a/src/gateway/pace/engine_pace.c
+++ b/src/gateway/pace/engine_pace.c
@@ -7,6 +7,9 @@
 #define MIN_WEIGHT (1.0 / 8.0)
 /* Samples are clamped to the estimate times or divided by this factor. */
 #define OUTLIER_FACTOR 4.0
+/* Time over which stated slowdowns are averaged: about that of the samples
+ * behind a prefill rate. */
+#define MEAN_US 8000000.0
 
 void
 pgw_engine_pace_reset(struct pgw_engine_pace *pace)
@@ -62,6 +65,28 @@
     return true;
 }
 
+/* Statements come with answers, at irregular times. Each counts for the time
+ * since the one before it. */
+static void
+add_to_mean(struct pgw_engine_pace *pace, double slowdown, uint64_t now_us)
+{
+    double since_last_us;
+    double average_us;
+
+    if (pace->mean_slowdown <= 0) {
+        pace->mean_slowdown = slowdown;
+        pace->slowdown_since_us = now_us;
+        return;
+    }
+    if (now_us <= pace->slowdown_at_us) {
+        return;
+    }
+    since_last_us = (double)(now_us - pace->slowdown_at_us);
+    average_us = MIN((double)(now_us - pace->slowdown_since_us), MEAN_US);
+    pace->mean_slowdown += MIN(since_last_us / average_us, 1.0) *
+                           (slowdown - pace->mean_slowdown);
+}
+
 bool
 pgw_engine_pace_set_slowdown(struct pgw_engine_pace *pace, double slowdown,
                              uint64_t now_us)
@@ -71,6 +96,7 @@
         pace->ignored++;
         return false;
     }
+    add_to_mean(pace, slowdown, now_us);
     pace->slowdown = slowdown;
     pace->slowdown_at_us = now_us;
     return true;
@@ -81,20 +107,23 @@
 {
     uint64_t age_us =
         now_us > pace->slowdown_at_us ? now_us - pace->slowdown_at_us : 0;
+    double fresh = 1.0 - (double)MIN(age_us, PGW_ENGINE_SLOWDOWN_VALID_US) /
+                             (double)PGW_ENGINE_SLOWDOWN_VALID_US;
 
-    if (pace->slowdown <= 0 || age_us >= PGW_ENGINE_SLOWDOWN_VALID_US) {
-        return 1.0;
-    }
-    return 1.0 +
-           (pace->slowdown - 1.0) *
-               (1.0 - (double)age_us / (double)PGW_ENGINE_SLOWDOWN_VALID_US);
+    return pace->mean_slowdown +
+           (pace->slowdown - pace->mean_slowdown) * fresh;
 }
 
 double
 pgw_engine_pace_rate(const struct pgw_engine_pace *pace, double pool_rate,
                      uint64_t now_us)
 {
-    double usual = pace->prefill_rate > 0 ? pace->prefill_rate : pool_rate;
+    bool is_observed = pace->prefill_rate > 0;
+    double rate = is_observed ? pace->prefill_rate : pool_rate;
 
-    return usual / current_slowdown(pace, now_us);
+    if (pace->mean_slowdown <= 0) {
+        return rate;
+    }
+    return rate * (is_observed ? pace->mean_slowdown : 1.0) /
+           current_slowdown(pace, now_us);
 }
--- a/src/gateway/pace/engine_pace.h
+++ b/src/gateway/pace/engine_pace.h
@@ -25,6 +25,9 @@
  * @slowdown: how long work takes at the moment, in multiples of the usual
  *   time; 0: not stated
  * @slowdown_at_us: when it was stated
+ * @slowdown_since_us: when one was stated first
+ * @mean_slowdown: average of what was stated, 0: none was; @prefill_rate was
+ *   observed with about this one
  * @ignored: number of figures that were invalid and ignored
  */
 struct pgw_engine_pace {
@@ -33,6 +36,8 @@
     uint64_t prefill_rate_at_us;
     double slowdown;
     uint64_t slowdown_at_us;
+    uint64_t slowdown_since_us;
+    double mean_slowdown;
     uint32_t ignored;
 };
 
@@ -89,7 +94,9 @@
  * @now_us: monotonic time
  *
  * A stated slowdown counts for %PGW_ENGINE_SLOWDOWN_VALID_US and fades to the
- * usual speed until then.
+ * average one until then. An observed rate includes the average slowdown, so
+ * only the deviation from it counts; the pool's rate is that of an engine on a
+ * usual machine.
  */
 double pgw_engine_pace_rate(const struct pgw_engine_pace *pace,
                             double pool_rate, uint64_t now_us);
