--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -12,6 +12,15 @@
     .help = "Retries of requests",
 };
 
+uint32_t
+pgw_attempt_prefilled_tokens(const struct pgw_exchange *exchange,
+                             uint32_t pending_tokens, uint32_t missing_tokens)
+{
+    return g_strcmp0(exchange->fetch_source, "engine") == 0
+               ? pending_tokens - MIN(missing_tokens, pending_tokens)
+               : pending_tokens;
+}
+
 /* A sidecar cannot tell that a prompt was prefilled between two reports of its
  * engine, or that the request was cancelled. The entry announces both. */
 static void
@@ -22,6 +31,11 @@
     if (exchange->prefill_is_announced && gateway->sidecars != NULL) {
         struct pgw_announcement prefill_end = {
             .request = pgw_announced_prompts_id(exchange->facts.id),
+            .prefilled_tokens = exchange->began_us == 0
+                                    ? 0
+                                    : pgw_attempt_prefilled_tokens(
+                                          exchange, exchange->prefill_tokens,
+                                          exchange->missing_tokens),
         };
 
         gateway->sidecars->announce(gateway->sidecars_context,
@@ -69,6 +83,7 @@
     pgw_upstream_notice_count_request(upstream, pgw_now_us());
     exchange->upstream = upstream;
     exchange->missing_tokens = choice->missing_tokens;
+    exchange->forecast = choice->forecast;
     exchange->load_at_choice =
         pgw_upstream_load_estimate(upstream, pgw_now_us());
     exchange->load_report_age_us =
