Do not relay a refusal that its upstream does not confirm

Cause: the relay told apart "not run" and all other answers, and passed the status of the others on unchanged.

Change: on a route that may run once such an answer ends as an attempt with an unknown outcome: 502 of the gateway, without the seal.

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -283,6 +283,7 @@
     {"answer_too_large", blame_damage},
     {"silent", blame_silence},
     {"error", blame_error},
+    {"unconfirmed_refusal", blame_error},
 };
 
 static void
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -1,5 +1,6 @@
 #include "gateway/quota/upstream_limits.h"
 #include "gateway/request/exchange.h"
+#include "gateway/request/unconfirmed_refusal.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include <string.h>
@@ -358,6 +359,15 @@
         pgw_attempt_record_result(exchange, PGW_RESULT_COMPLETED);
         clear_crash_keys(exchange);
     }
+    /*
+     * Failure: an upstream answers with 503 or 429 and does not state that it
+     * did not run the request. Symptom if the answer is relayed: the caller
+     * sends a request again that must not run twice, and that may have run.
+     */
+    if (pgw_refusal_is_unconfirmed(exchange->route, exchange->status)) {
+        pgw_attempt_handle_unknown(exchange, "unconfirmed_refusal");
+        return;
+    }
     deliver(exchange);
 }
 
