--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -453,21 +453,40 @@
     return late;
 }
 
+/*
+ * Failure: an upstream restarts with the same id at another address. Symptom:
+ * its requests go to the former address and are lost there. The upstream of
+ * the former address is removed, and the new one knows nothing of it.
+ */
+static bool
+has_moved(const struct pgw_upstream *upstream,
+          const struct pgw_upstream_facts *facts)
+{
+    return strcmp(upstream->address_text, facts->address) != 0 ||
+           strcmp(upstream->service, facts->service) != 0;
+}
+
 struct pgw_upstream *
 pgw_upstream_table_put(struct pgw_upstream_table *table,
                        const struct pgw_upstream_facts *facts)
 {
     struct pgw_upstream *upstream = pgw_upstream_table_find(table, facts->id);
 
+    if (upstream != NULL && is_from_earlier_process(upstream, facts)) {
+        return upstream;
+    }
+    if (upstream != NULL && has_moved(upstream, facts)) {
+        pgw_log_info("upstream_moved", "upstream=%s address=%s from=%s",
+                     facts->id, facts->address, upstream->address_text);
+        pgw_upstream_table_remove(table, upstream);
+        upstream = NULL;
+    }
     if (upstream == NULL && claim_address(table, facts)) {
         upstream = upstream_new(table, facts);
     }
     if (upstream == NULL) {
         return NULL;
     }
-    if (is_from_earlier_process(upstream, facts)) {
-        return upstream;
-    }
     pgw_upstream_table_set_start(table, upstream, facts->started_ms);
     upstream->slots = MAX(facts->slots, 1);
     set_software(table, upstream, software_of(facts));
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -97,9 +97,40 @@
         "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
         "\"capacity\":4,\"state\":\"ready\",\"born\":\"now\"}",
     };
+    /* Fields of another type beside all that are required. */
+    static const char *const wrong_fields[] = {
+        "\"born\":17.5",
+        "\"born\":-17",
+        "\"born\":0",
+        "\"born\":null",
+        "\"born\":[17]",
+        "\"version\":7",
+        "\"version\":null",
+        "\"cold_left_ms\":\"50\"",
+        "\"cold_left_ms\":-1",
+        "\"sequence\":{}",
+        "\"sequence\":\"4\"",
+        "\"models\":[7]",
+        "\"models\":\"m\"",
+        "\"models\":[{\"version\":1}]",
+        "\"models\":[{\"name\":\"m\",\"version\":\"1\"}]",
+    };
     struct platform_server server;
     struct pgw_document document;
 
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong_fields); i++) {
+        char *body = g_strdup_printf(
+            "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+            "\"capacity\":4,\"state\":\"ready\",%s}",
+            wrong_fields[i]);
+
+        document = make_document("servers", "i", body);
+        if (platform_decode_server(&server, &document)) {
+            g_error("accepted: %s", body);
+        }
+        platform_server_dispose(&server);
+        g_free(body);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
         document = make_document("servers", "i", invalid[i]);
         g_assert_false(platform_decode_server(&server, &document));
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -121,6 +121,33 @@
     }
 }
 
+/* Guards against requests that go to the former address of an upstream that
+ * has restarted with the same id elsewhere. A late record of the former
+ * process changes nothing. */
+static void
+test_restart_at_another_address(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream_facts former = {.id = "i",
+                                        .service = "s",
+                                        .zone = "a",
+                                        .address = "127.0.0.1:1",
+                                        .started_ms = 1000};
+    struct pgw_upstream_facts restarted = former;
+    struct pgw_upstream *upstream = pgw_upstream_table_put(table, &former);
+
+    upstream->inflight = 3;
+    restarted.address = "127.0.0.1:2";
+    restarted.started_ms = 2000;
+    restarted.revision = 1;
+    upstream = pgw_upstream_table_put(table, &restarted);
+    g_assert_cmpstr(upstream->address_text, ==, "127.0.0.1:2");
+    g_assert_cmpuint(upstream->inflight, ==, 0);
+    g_assert_null(pgw_upstream_table_find_address(table, "127.0.0.1:1"));
+    g_assert_cmpuint(pgw_upstream_table_pool(table, "s")->all->len, ==, 1);
+    pgw_upstream_table_free(table);
+}
+
 static void
 test_malformed_address_is_rejected(void)
 {
@@ -409,6 +436,8 @@
                     test_limit_survives_a_lost_record);
     g_test_add_func("/upstream_table/address_belongs_to_newest_line",
                     test_address_belongs_to_the_newest);
+    g_test_add_func("/upstream_table/restart_at_another_address",
+                    test_restart_at_another_address);
     g_test_add_func("/upstream_table/malformed_address_is_rejected",
                     test_malformed_address_is_rejected);
     g_test_add_func("/upstream_table/removed_is_kept_while_referenced",
