Notice an engine's restart after a report without a start time

What callers would see: after a report whose start time was missing or no number the sidecar forgot the start of the engine's process, so a restart right after it went unnoticed: parts that the former process had cached counted as cached, and an order that it had got as in progress.

Change: such a report leaves the known start time in place.

Evidence: the new test waits in vain without the change, and passes with it.

--- a/src/gateway/sidecar/engine_sidecar_poll.c
+++ b/src/gateway/sidecar/engine_sidecar_poll.c
@@ -180,6 +180,10 @@
         return;
     }
     detect_restart(sidecar, report.started_ms);
+    /* A restart after a report without a start time would go unnoticed. */
+    if (report.started_ms == 0) {
+        report.started_ms = sidecar->report.started_ms;
+    }
     pgw_engine_report_clear(&sidecar->report);
     sidecar->report = report;
     handle_report(sidecar);
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -247,6 +247,42 @@
     close_fixture();
 }
 
+static unsigned reports_before;
+
+static bool
+is_reported_once_more(const struct scene_engine *engine)
+{
+    return engine->reports > reports_before;
+}
+
+/* Guards against a restart that goes unnoticed because a report between the
+ * two processes names no start time. */
+static void
+test_restart_after_report_without_start(void)
+{
+    struct scene_engine engine = {
+        .version = 1, .sequence = 3, .started_ms = 1000};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    scene_engine_serve(&engine, is_reported);
+    target_task.run = set_target;
+    pgw_loop_post(fixture->loop, &target_task);
+    scene_engine_serve(&engine, is_ordered);
+    engine.started_ms = 0;
+    engine.sequence = 4;
+    engine.busy = true;
+    /* The second one is sent after the first was handled. */
+    reports_before = engine.reports + 1;
+    scene_engine_serve(&engine, is_reported_once_more);
+    engine.started_ms = 2000;
+    engine.sequence = 0;
+    scene_engine_serve(&engine, is_ordered_again);
+    g_assert_nonnull(strstr(engine.order, "\"expect\":0"));
+    g_free(engine.order);
+    close_fixture();
+}
+
 static struct pgw_task probe_task;
 
 /* Announces a prompt and probes its part, as an entry of another zone. */
@@ -462,6 +498,8 @@
     g_test_add_func("/engine_sidecar/order", test_order);
     g_test_add_func("/engine_sidecar/restart_during_order",
                     test_restart_during_order);
+    g_test_add_func("/engine_sidecar/restart_after_report_without_start",
+                    test_restart_after_report_without_start);
     g_test_add_func("/engine_sidecar/probe_counts_announced",
                     test_probe_counts_announced);
     g_test_add_func("/engine_sidecar/backoff_of_polls", test_backoff_of_polls);
