Let the soak play uneven engines, a crowd of one workspace, killed engines

Change: three acts of the soak on engines that work in steps (stepping.py), as real ones do: an engine's speed is stated in the fourth figure of its load and changes five times a second; long prompts come beside short streams, judged by the longest pause that the route declares, hard only where the fast engines have room for all (three of a hundred); one workspace sends nine times its usual while a third can be served, judged by shares; engines are killed under streams that may not be resumed, judged by order, runs and promises. Such engines keep copies of runs and go on from them, so that a run may outlive its engine and still counts as one.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,7 +26,12 @@
 import time
 
 import crashing_parts
+import killed_engines
 import one_entry
+import one_workspace
+import stepping
+import uneven_engines
+from wire import answer, read_body, read_head
 
 ENTRIES, ENGINES, PLAINS = 3, 4, 2
 GUARD_PORT, APP_PORT, PROXY_PORT = 17340, 18785, 18786
@@ -52,6 +57,8 @@
 # reached its main() yet; the signal then ends it, and it has served nobody.
 # Seeds 104 and 105: an entry was told to stop 20 ms after it was started.
 STARTING_S = 0.3
+# A configuration is in force at all entries by then.
+CONFIGURED_S = 1.0
 # Lines of each entry's log that are printed when a promise is broken.
 LINES_SHOWN = 25
 # An upstream's limit is judged over windows of this length, from this time on
@@ -129,6 +136,11 @@
         self.poison = Poison(self)
         self.parts = crashing_parts.Parts(self)
         self.popular_run_s = 0.0
+        # What engines that work in steps are doing, and their addresses.
+        self.stream_events, self.working, self.engines = {}, {}, {}
+        self.gone_on = 0
+        self.workspaces = {"parish"}
+        self.model, self.read_head = MODEL, read_head
         self.sent = 0
         self.broken = None
         self.stopping = False
@@ -138,6 +150,16 @@
     def ip(self, role, index):
         return f"127.{self.net}.{role}.{index + 1}"
 
+    def front(self, entry):
+        return self.ip(2, entry), FRONT
+
+    def engine_at(self, address):
+        return self.engines.get((address or "").partition(":")[0])
+
+    @staticmethod
+    def is_resumable(route):
+        return route == "flow"
+
     def fail(self, text, about=None):
         """Ends the run. @about: address of an upstream whose log lines tell why."""
         if self.broken is None:
@@ -291,37 +313,6 @@
                                f"and got {self.arrived[entry]} requests", self.name)
 
 
-async def read_head(reader):
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    lines = head.split("\r\n")
-    fields = {}
-    for line in lines[1:]:
-        name, colon, value = line.partition(":")
-        if colon:
-            fields[name.lower()] = value.strip()
-    return lines[0].split(" "), fields
-
-
-async def read_body(reader, fields):
-    if "content-length" in fields:
-        return await reader.readexactly(int(fields["content-length"]))
-    if fields.get("transfer-encoding") != "chunked":
-        return b""
-    body = b""
-    while True:
-        size = int((await reader.readline()).strip() or b"x", 16)
-        body += (await reader.readexactly(size + 2))[:size]
-        if size == 0:
-            return body
-
-
-def answer(status, body=b"", fields=""):
-    if isinstance(body, (dict, list)):
-        body = json.dumps(body).encode()
-    return (f"HTTP/1.1 {status} X\r\n{fields}Content-Length: {len(body)}"
-            "\r\n\r\n").encode() + body
-
-
 class Server:
     """Serves HTTP on one address until it is closed."""
 
@@ -513,7 +504,9 @@
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
         self.backoff = Backoff(soak, self.ip)
-        self.crashing = []
+        self.crashing, self.steps, self.copies = [], None, {}
+        if engine:
+            soak.engines[self.ip] = self
         self.server = Server(self.handle)
         self.proxy = Proxy(soak, self.ip, PROXY_PORT, APP_PORT)
 
@@ -521,6 +514,13 @@
     def id(self):
         return f"i-{self.ip}-{self.life}"
 
+    def begin_steps(self, percent):
+        self.steps = stepping.Steps(self, percent)
+
+    def end_steps(self):
+        steps, self.steps = self.steps, None
+        steps.stop()
+
     async def list(self):
         await self.store.put("servers", self.id, {
             "service": "guide" if self.engine else "plain",
@@ -537,6 +537,9 @@
         self.limit.end()
         self.departure.end()
         self.backoff.forget()
+        self.copies = {}
+        if self.steps is not None:
+            self.steps.restart()
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
@@ -601,7 +604,9 @@
             writer.write(answer(200, {
                 "models": [{"name": MODEL, "version": self.version}],
                 "born": self.born, "busy": self.busy, "sequence": self.sequence, "queued": 0,
-                "active": 0, "kv_used": 0, "kv_total": 90000}))
+                "active": 0, "kv_used": 0, "kv_total": 90000,
+                **({} if self.steps is None else self.steps.report())},
+                "" if self.steps is None else self.steps.load()))
         elif target.startswith("/api/kv-events"):
             await asyncio.sleep(0.8)
             writer.write(answer(200, {"boot_epoch": self.starts, "next": 0,
@@ -651,8 +656,16 @@
                 self.version)) != str(self.version) or self.busy:
             writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"))
             return
-        if "authorization" in fields or fields.get("tenant") != "parish":
+        if self.steps is not None and self.steps.is_full():
+            writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"
+                                + self.steps.load()))
+            return
+        if "authorization" in fields or (
+                fields.get("tenant") not in self.soak.workspaces):
             self.soak.fail(f"{attempt} came with a key or without workspace")
+        goes_on = stepping.take_copy(self, fields, writer)
+        if goes_on == "refused":
+            return
         if body.startswith(b"poison"):
             self.soak.poison.note_run(body.decode())
             asyncio.ensure_future(self.crash(self.soak.poison.down_s))
@@ -664,13 +677,21 @@
             await asyncio.sleep(self.soak.popular_run_s)
         elif body != attempt.encode():
             self.soak.fail(f"{attempt} came with the body {body[:60]!r}")
-        self.soak.note_run(attempt)
+        if goes_on:
+            self.soak.gone_on += 1
+        else:
+            self.soak.note_run(attempt)
         own = (f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
                f"{notices}")
         self.crashing = self.soak.parts.faulty(fields)
         if self.crashing:
             await crashing_parts.crash(self, writer, own)
             return
+        if self.steps is not None:
+            await self.steps.serve(
+                fields, writer, own, int(fields.get("last-event-id", 0)) + 1,
+                self.soak.stream_events.get(attempt, events - 1) + 1)
+            return
         await asyncio.sleep(self.soak.random.random() * 0.05)
         if not self.engine:
             writer.write(answer(200, f"done {attempt}".encode(), own))
@@ -754,6 +775,7 @@
         self.plains = [Upstream(soak, self.store, 3, i, False)
                        for i in range(PLAINS)]
         self.keys, self.revoked, self.version, self.weights = ["k1"], {}, 0, 1
+        self.more_routes, self.more_workspaces = [], []
         self.entries, self.sidecars = [], []
         self.links = [Proxy(soak, soak.ip(2, i), CONTROL_PROXY, CONTROL)
                       for i in range(2)]
@@ -807,10 +829,29 @@
                         "path_prefix": f"/{n}/", "kind": k,
                         "timeout_ms": 4000, "target_latency_ms": 500,
                         "priority": 1, "service": s, "max_attempts": a,
-                        "resumable": r} for n, k, s, r, a in routes],
+                        "resumable": r} for n, k, s, r, a in routes]
+            + self.more_routes,
             "services": [{"name": "plain"},
                          {"name": "guide", "engine_kind": {"capacity": 8}}],
-            "tenants": [{"name": "parish", "api_keys": self.keys}]})
+            "tenants": [{"name": "parish", "api_keys": self.keys}]
+            + self.more_workspaces})
+
+    async def set_routes(self, routes):
+        """Adds streams to the engines that may not be resumed."""
+        self.more_routes = [{
+            "host": "h.example", "path_prefix": f"/{route['name']}/",
+            "kind": "stream", "timeout_ms": 4000, "target_latency_ms": 500,
+            "priority": 1, "service": "guide", "max_attempts": 2,
+            "resumable": False, **route} for route in routes]
+        await self.configure()
+        await asyncio.sleep(CONFIGURED_S)
+
+    async def set_workspaces(self, keys):
+        self.more_workspaces = [{"name": name, "api_keys": [key]}
+                                for name, key in keys.items()]
+        self.soak.workspaces |= set(keys)
+        await self.configure()
+        await asyncio.sleep(CONFIGURED_S)
 
     async def name_weights(self, version):
         self.weights = version
@@ -1385,7 +1426,10 @@
     await one_entry.one_entry(soak, fleet, call)
 
 
-ACTS = {"one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
+ACTS = {"uneven_engines": uneven_engines.uneven_engines,
+        "one_workspace": one_workspace.one_workspace,
+        "killed_engines": killed_engines.killed_engines,
+        "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone}
