--- a/tests/soak/killed_engines.py
+++ b/tests/soak/killed_engines.py
@@ -7,6 +7,8 @@
 import stepping
 
 TOKENS, EVENTS, PER_S = 2000, 60, 18
+# A second attempt is allowed where the first has not run.
+ROUTES = [{"name": "river", "max_attempts": 2, "resumable": False}]
 FOR_S, PAUSE_S, DOWN_S = 12.0, (0.3, 1.2), (0.3, 1.5)
 
 
@@ -28,13 +30,14 @@
 
 async def killed_engines(soak, fleet):
     name, streams, waiting = f"killed-{soak.random.randrange(1 << 20):x}", [], []
+    await fleet.set_routes(ROUTES)
     for engine in fleet.engines:
         engine.begin_steps(100)
 
     async def one(number):
         streams.append(await stepping.ask(
             soak, soak.random.randrange(len(fleet.entries)), fleet.keys[-1],
-            "brook", f"{name}-{number}", TOKENS, EVENTS))
+            "river", f"{name}-{number}", TOKENS, EVENTS))
 
     until = time.monotonic() + FOR_S
     killing = asyncio.ensure_future(kill(soak, fleet, until))
