Take a record whose name is not printable for no upstream

What callers would see: requests name their upstream in a header field. A record of another writer whose name holds a line break would add header fields, such as another workspace, to each request that is sent to its address.

--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -136,6 +136,13 @@
         g_assert_false(platform_decode_server(&server, &document));
         platform_server_dispose(&server);
     }
+    /* A name that would add a field to each request. */
+    document = make_document("servers", "i\r\nTenant: other",
+                             "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+                             "\"zone\":\"z\",\"capacity\":4,\"state\":"
+                             "\"ready\"}");
+    g_assert_false(platform_decode_server(&server, &document));
+    platform_server_dispose(&server);
     document = make_document("servers", "i",
                              "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
                              "\"zone\":\"z\",\"capacity\":4,\"state\":"
