--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -478,6 +478,7 @@
     if (upstream != NULL && has_moved(upstream, facts)) {
         pgw_log_info("upstream_moved", "upstream=%s address=%s from=%s",
                      facts->id, facts->address, upstream->address_text);
+        upstream->replaced_at_us = (uint64_t)g_get_monotonic_time();
         pgw_upstream_table_remove(table, upstream);
         upstream = NULL;
     }
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -122,8 +122,7 @@
 }
 
 /* Guards against requests that go to the former address of an upstream that
- * has restarted with the same id elsewhere. A late record of the former
- * process changes nothing. */
+ * has restarted with the same id elsewhere. */
 static void
 test_restart_at_another_address(void)
 {
@@ -134,9 +133,11 @@
                                         .address = "127.0.0.1:1",
                                         .started_ms = 1000};
     struct pgw_upstream_facts restarted = former;
-    struct pgw_upstream *upstream = pgw_upstream_table_put(table, &former);
+    struct pgw_upstream *ended =
+        pgw_upstream_ref(pgw_upstream_table_put(table, &former));
+    struct pgw_upstream *upstream;
 
-    upstream->inflight = 3;
+    ended->inflight = 3;
     restarted.address = "127.0.0.1:2";
     restarted.started_ms = 2000;
     restarted.revision = 1;
@@ -145,6 +146,9 @@
     g_assert_cmpuint(upstream->inflight, ==, 0);
     g_assert_null(pgw_upstream_table_find_address(table, "127.0.0.1:1"));
     g_assert_cmpuint(pgw_upstream_table_pool(table, "s")->all->len, ==, 1);
+    /* Requests at the former process end. */
+    g_assert_cmpuint(ended->replaced_at_us, >, 0);
+    pgw_upstream_unref(ended);
     pgw_upstream_table_free(table);
 }
 
