Free the store operations that are in flight when a sidecar ends

What was seen: LeakSanitizer at the end of a sidecar in fail_region: 72 bytes from drive() in suspicion.c (KNOWN-RED, 1 of 2 under the sanitizers).

Cause: when a sidecar stops, the store's worker drops results without calling their callbacks, as its header says. The context of such a callback, a struct operation of 72 bytes, belonged to nobody else.

Change: the suspicion keeps its operations in a list and frees those left.

No test ends a sidecar with an operation in flight on purpose.

--- a/src/sidecar/suspicion.c
+++ b/src/sidecar/suspicion.c
@@ -19,12 +19,14 @@
     struct sidecar *sidecar;
     struct pgw_quarantine *machine;
     struct pgw_copies *copies;
-    GHashTable *runs; /* struct run by ticket */
+    GHashTable *runs;           /* struct run by ticket */
+    struct pgw_list operations; /* struct operation in flight */
     uint64_t last_ticket;
     struct pgw_timer timer;
 };
 
 struct operation {
+    struct pgw_list link;
     struct suspicion *suspicion;
     struct pgw_fingerprint fingerprint;
     char name[PGW_FINGERPRINT_HEX];
@@ -54,10 +56,19 @@
     suspicion->machine = pgw_quarantine_new(&options);
     suspicion->copies = pgw_copies_new(COPIES_MAX);
     suspicion->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
+    pgw_list_init(&suspicion->operations);
     suspicion->timer.on_due = timer_due;
     return suspicion;
 }
 
+static void
+operation_free(struct operation *operation)
+{
+    pgw_list_remove(&operation->link);
+    g_free(operation->value);
+    g_free(operation);
+}
+
 void
 suspicion_free(struct suspicion *suspicion)
 {
@@ -65,6 +76,10 @@
         return;
     }
     pgw_timer_stop(suspicion->sidecar->loop, &suspicion->timer);
+    /* The worker has dropped their results with their callbacks. */
+    pgw_list_foreach_safe (link, &suspicion->operations) {
+        operation_free(pgw_container_of(link, struct operation, link));
+    }
     pgw_quarantine_free(suspicion->machine);
     pgw_copies_free(suspicion->copies);
     g_hash_table_unref(suspicion->runs);
@@ -98,8 +113,7 @@
     pgw_quarantine_io_done(suspicion->machine, &operation->fingerprint, reply,
                            pgw_hlc_wall_us());
     tell_peers(operation, reply);
-    g_free(operation->value);
-    g_free(operation);
+    operation_free(operation);
     drive(suspicion);
 }
 
@@ -113,6 +127,7 @@
                                   pgw_hlc_wall_us())) {
         struct operation *operation = g_new0(struct operation, 1);
 
+        pgw_list_append(&suspicion->operations, &operation->link);
         operation->suspicion = suspicion;
         operation->fingerprint = fingerprint;
         operation->kind = io.kind;
