Count a short stream that is not served as late in the soak's uneven engines

The judgement had left such streams out, so a play in which almost none was served was called too small to judge.

--- a/tests/soak/stepping.py
+++ b/tests/soak/stepping.py
@@ -184,7 +184,7 @@
 
     def __init__(self):
         self.status, self.at, self.done, self.retry_after_s = None, [], False, 0.0
-        self.sent_at = time.monotonic()
+        self.sent_at, self.ended_at = time.monotonic(), None
 
     def longest_pause_s(self):
         return max((b - a for a, b in zip(self.at, self.at[1:])), default=0.0)
@@ -224,6 +224,7 @@
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(*soak.front(entry)), 1)
     except (OSError, asyncio.TimeoutError):
+        stream.ended_at = time.monotonic()
         return stream
     try:
         writer.write((f"POST /{route}/p HTTP/1.1\r\nHost: h.example\r\n"
@@ -250,5 +251,6 @@
             asyncio.TimeoutError):
         stream.status = "cut"
     finally:
+        stream.ended_at = time.monotonic()
         writer.close()
     return stream
--- a/tests/soak/uneven_engines.py
+++ b/tests/soak/uneven_engines.py
@@ -49,20 +49,22 @@
 
 def judge(soak, name, begin, short, lag, is_ample):
     late_s = GAP_TARGET_MS / 1000
-    chosen = [s for s in short if s.sent_at >= begin + SETTLED_S and s.done
-              and not lag.within(s.at[0], s.at[-1])]
-    late = sum(s.longest_pause_s() > late_s for s in chosen)
+    # One that is not served is not on time either.
+    chosen = [s for s in short if s.sent_at >= begin + SETTLED_S
+              and not lag.within(s.sent_at, s.ended_at)]
+    late = sum(not s.done or s.longest_pause_s() > late_s for s in chosen)
     served = sum(s.done for s in short)
     first = sorted(s.at[0] - s.sent_at for s in short if s.at)
     print(f"{name}: {served} of {len(short)} short streams served, {late} of "
-          f"{len(chosen)} with a pause over {GAP_TARGET_MS} ms, median first "
+          f"{len(chosen)} late (not served, or a pause over {GAP_TARGET_MS} ms), median first "
           f"event {first[len(first) // 2] * 1000 if first else -1:.0f} ms",
           flush=True)
     if is_ample and len(chosen) < JUDGED_MIN:
         print(f"{name}: too few to judge", flush=True)
     elif is_ample and late > LATE_MAX * len(chosen):
-        soak.fail(f"{late} of {len(chosen)} short streams had a pause over "
-                  f"{GAP_TARGET_MS} ms, with room for all on fast engines")
+        soak.fail(f"{late} of {len(chosen)} short streams were not served or had "
+                  f"a pause over {GAP_TARGET_MS} ms, with room for all on fast "
+                  "engines")
 
 
 async def uneven_engines(soak, fleet):
