--- a/src/gateway/config/codec.h
+++ b/src/gateway/config/codec.h
@@ -58,6 +58,10 @@
  * @weights: version of the weights that must run it, 0: any
  * @fetch_from: "IP:PORT" from which to fetch cached parts, NULL: none
  * @save_to: "IP:PORT" of the store to which to save parts, NULL: none
+ * @backup_to: "IP:PORT" of the engine that receives a copy of the run's KV
+ *   cache, NULL: none
+ * @backup_at: "IP:PORT" of the engine that holds the copy from which the run
+ *   of the same attempt goes on, NULL: it begins
  * @resume_after: id of the last event that the caller has
  * @has_resume: @resume_after is set
  */
@@ -73,6 +77,8 @@
     uint64_t weights;
     const char *fetch_from;
     const char *save_to;
+    const char *backup_to;
+    const char *backup_at;
     uint64_t resume_after;
     bool has_resume;
 };
--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -68,6 +68,10 @@
  * @is_engine: its upstreams are model engines
  * @slots: requests that one engine runs at once
  * @kv_tokens: size of one engine's KV cache in tokens
+ * @backups: its engines send the KV cache of a run to another engine as it
+ *   grows
+ * @kv_token_bytes: bytes of KV cache of one token, 0: not stated
+ * @link_mbps: speed of an engine's link, in Mbit/s, 0: not stated
  * @is_kv_store: the service stores KV cache and takes no requests
  * @store_address: address of the KV store, NULL for any other service
  * @zone: availability zone of the store
@@ -78,6 +82,9 @@
     bool is_engine;
     uint32_t slots;
     uint64_t kv_tokens;
+    bool backups;
+    double kv_token_bytes;
+    double link_mbps;
     bool is_kv_store;
     char *store_address;
     char *zone;
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -144,7 +144,8 @@
 {
     const struct pgw_route *route = exchange->route;
 
-    if (exchange->runs >= MAX(route->max_attempts, 1) ||
+    if (pgw_run_cover_is_used(&exchange->cover) ||
+        exchange->runs >= MAX(route->max_attempts, 1) ||
         pgw_crash_quarantine_is_active(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys, pgw_now_us())) {
         return false;
@@ -222,10 +223,16 @@
     log_attempt(exchange, why);
     pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     pgw_attempt_count_end(exchange);
+    pgw_run_cover_handle_not_run(exchange, arrived);
     if (exchange->caller == NULL) {
         pgw_exchange_finish(exchange, "caller_gone");
         return;
     }
+    /* Its run has begun elsewhere, so it may not begin again. */
+    if (pgw_run_cover_is_used(&exchange->cover)) {
+        pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
+        return;
+    }
     /* A request that reached no upstream costs none of them any work, so its
      * retry does not count against the budget. */
     if (arrived ? !pgw_attempt_take_retry(exchange)
@@ -243,13 +250,18 @@
     pgw_exchange_dispatch(exchange);
 }
 
-void
-pgw_attempt_handle_unknown(struct pgw_exchange *exchange, const char *why)
+static void
+end_attempt(struct pgw_exchange *exchange, const char *why)
 {
     log_attempt(exchange, why);
     pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     exchange->may_have_run = true;
     pgw_attempt_count_end(exchange);
+}
+
+static void
+retry_unknown(struct pgw_exchange *exchange)
+{
     if (exchange->caller == NULL) {
         pgw_exchange_finish(exchange, "caller_gone");
         return;
@@ -262,3 +274,22 @@
     discard_answer(exchange);
     pgw_exchange_dispatch(exchange);
 }
+
+void
+pgw_attempt_handle_unknown(struct pgw_exchange *exchange, const char *why)
+{
+    end_attempt(exchange, why);
+    retry_unknown(exchange);
+}
+
+void
+pgw_attempt_handle_lost(struct pgw_exchange *exchange, const char *why)
+{
+    end_attempt(exchange, why);
+    if (pgw_run_cover_go_on(exchange)) {
+        discard_answer(exchange);
+        pgw_exchange_dispatch(exchange);
+        return;
+    }
+    retry_unknown(exchange);
+}
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -80,6 +80,7 @@
     pgw_home_probe_drop(exchange);
     pgw_suspect_wait_drop(exchange);
     pgw_stream_origin_drop(exchange);
+    pgw_run_cover_dispose(&exchange->cover);
     pgw_quota_end(gateway->quota, exchange);
     pgw_call_cancel(&exchange->call);
     pgw_attempt_count_end(exchange);
@@ -452,7 +453,7 @@
         on_deadline(&exchange->deadline_timer);
         return;
     }
-    if (pgw_suspect_wait_begin(exchange) ||
+    if (pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
         pgw_stream_origin_begin(exchange) || pgw_home_probe_begin(exchange)) {
         return;
     }
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_REQUEST_EXCHANGE_H
 #define PGW_GATEWAY_REQUEST_EXCHANGE_H
 
+#include "gateway/cover/run_cover.h"
 #include "gateway/crash/crash_quarantine.h"
 #include "gateway/crash/unframed_runs.h"
 #include "gateway/request/gateway.h"
@@ -20,6 +21,7 @@
  * @crash_quarantine: requests and prompt parts that were running when
  *   upstreams crashed
  * @unframed_runs: runs that ended with their connections
+ * @losses: engines that ended lately
  * @quota: quotas of workspaces
  * @stream_origins: software versions of streams
  * @waiting: requests that are queued for a free slot
@@ -59,6 +61,7 @@
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
     struct pgw_unframed_runs *unframed_runs;
+    struct pgw_engine_losses losses;
     struct pgw_quota *quota;
     struct pgw_stream_origins *stream_origins;
     struct pgw_wait_queue waiting;
@@ -115,6 +118,7 @@
  * @stuck_is_logged: a log line says that the request stays at an upstream that
  *   is not responsive
  * @may_have_run: some attempt ended and may have run the request
+ * @cover: copy of its run at another engine
  * @homes: engines where all entries look for the prompt's cached parts, and
  *   which may be chosen outside the own zone; references are held
  * @suspect_timer: asks again whether a request that waits for a trial may run
@@ -192,6 +196,7 @@
     uint64_t origin_ask;
     unsigned origin_answers;
     bool origin_any;
+    struct pgw_run_cover cover;
     struct pgw_homes homes;
     uint64_t probe;
     uint64_t probed_at_us;
@@ -360,5 +365,8 @@
  * the request again if its route and the budget allow it */
 void pgw_attempt_handle_unknown(struct pgw_exchange *exchange,
                                 const char *why);
+/** pgw_attempt_handle_lost() - the same for an attempt whose upstream has
+ * ended it and is no longer at work; its run may go on from a copy */
+void pgw_attempt_handle_lost(struct pgw_exchange *exchange, const char *why);
 
 #endif
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -173,8 +173,11 @@
         return;
     }
     pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
-    announce(exchange, choice, version);
-    fill_kv_source(forward, exchange, choice);
+    pgw_run_cover_fill(forward, exchange, choice);
+    if (forward->backup_at == NULL) {
+        announce(exchange, choice, version);
+        fill_kv_source(forward, exchange, choice);
+    }
 }
 
 static void
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -47,6 +47,7 @@
 
     pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
                                    pgw_now_us());
+    pgw_run_cover_add_loss(gateway, upstream);
 }
 
 static void
@@ -107,6 +108,7 @@
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
                                gateway);
     pgw_unresponsive_start(gateway);
+    pgw_run_cover_register_metrics();
     pgw_upstream_limits_register_metrics();
     gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     gateway->target_weights =
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -144,6 +144,7 @@
             pgw_crash_quarantine_add_crash(exchange->gateway->crash_quarantine,
                                            exchange->upstream->id,
                                            pgw_now_us());
+            pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
             if (exchange->gateway->options.on_incarnation_seen != NULL) {
                 exchange->gateway->options.on_incarnation_seen(
                     facts.instance, exchange->gateway->options.context);
@@ -343,7 +344,7 @@
         (exchange->phase == PGW_PHASE_RELAYING && !exchange->is_stream)) {
         pgw_attempt_record_result(exchange, PGW_RESULT_BROKEN);
         pgw_attempt_record_interrupted(exchange);
-        pgw_attempt_handle_unknown(exchange, "cut_event");
+        pgw_attempt_handle_lost(exchange, "cut_event");
         return;
     }
     if (exchange->status >= 500) {
@@ -386,6 +387,7 @@
             pgw_crash_quarantine_add_crash(exchange->gateway->crash_quarantine,
                                            exchange->upstream->id,
                                            pgw_now_us());
+            pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
         }
         if (exchange->runs > 0) {
             exchange->runs--;
@@ -394,6 +396,10 @@
         return;
     }
     pgw_attempt_record_interrupted(exchange);
+    if (why == PGW_CALL_CLOSED) {
+        pgw_attempt_handle_lost(exchange, names[why]);
+        return;
+    }
     pgw_attempt_handle_unknown(exchange, names[why]);
 }
 
--- a/src/gateway/upstream/unresponsive.c
+++ b/src/gateway/upstream/unresponsive.c
@@ -29,7 +29,8 @@
 /* Logs when an upstream stops responding and when it responds again. Returns
  * whether it is suspect or unresponsive. */
 static bool
-log_liveness_change(struct pgw_upstream *upstream, uint64_t now_us)
+log_liveness_change(struct pgw_gateway *gateway, struct pgw_upstream *upstream,
+                    uint64_t now_us)
 {
     bool suspect = pgw_upstream_liveness(upstream, now_us) != PGW_RESPONSIVE;
 
@@ -41,6 +42,9 @@
                      upstream->id, suspect,
                      pgw_upstream_since_seen_us(upstream, now_us) / 1000,
                      upstream->inflight);
+        if (suspect) {
+            pgw_run_cover_add_loss(gateway, upstream);
+        }
     }
     return suspect;
 }
@@ -101,7 +105,8 @@
 static void
 fail_over(struct pgw_exchange *exchange, uint64_t now_us)
 {
-    const char *reason_to_stay = reserve_retry(exchange);
+    const char *reason_to_stay =
+        pgw_run_cover_go_on(exchange) ? NULL : reserve_retry(exchange);
 
     if (reason_to_stay != NULL) {
         log_stalled(exchange, reason_to_stay, now_us);
@@ -138,7 +143,7 @@
 {
     pgw_metric_counter_add(&process_ended, 1);
     pgw_call_cancel(&exchange->call);
-    pgw_attempt_handle_unknown(exchange, "process_ended");
+    pgw_attempt_handle_lost(exchange, "process_ended");
 }
 
 void
@@ -149,7 +154,8 @@
 
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
         suspects += log_liveness_change(
-            pgw_container_of(link, struct pgw_upstream, in_table), now_us);
+            gateway, pgw_container_of(link, struct pgw_upstream, in_table),
+            now_us);
     }
     pgw_metric_gauge_set(&unresponsive_upstreams, suspects);
     pgw_upstream_notice_update_metrics(gateway->upstreams, now_us);
