--- a/src/gateway/cover/cover_policy.c
+++ b/src/gateway/cover/cover_policy.c
@@ -67,19 +67,28 @@
         out->risk = input->engine->failure_rate;
         out->reason = "engine_ill";
     }
+    out->is_endangered = out->risk >= options->min_risk;
+    if (!out->is_endangered) {
+        out->reason = "long_prompt";
+        out->risk = input->prompt_tokens >= options->long_tokens
+                        ? options->prior_risk
+                        : 0;
+    }
 }
 
 /* Cost of copying a token, in tokens that an engine prefills meanwhile. */
 static double
-copy_weight(const struct pgw_cover_input *input,
-            const struct pgw_cover_options *options)
+copy_cost(const struct pgw_cover_input *input,
+          const struct pgw_cover_options *options)
 {
-    if (input->kv_token_bytes <= 0 || input->link_bytes_per_ms <= 0 ||
-        input->prefill_tokens_per_ms <= 0) {
-        return options->copy_weight;
+    double time = options->copy_time;
+
+    if (input->kv_token_bytes > 0 && input->link_bytes_per_ms > 0 &&
+        input->prefill_tokens_per_ms > 0) {
+        time = input->kv_token_bytes / input->link_bytes_per_ms *
+               input->prefill_tokens_per_ms;
     }
-    return input->kv_token_bytes / input->link_bytes_per_ms *
-           input->prefill_tokens_per_ms;
+    return options->link_weight * time;
 }
 
 static bool
@@ -88,7 +97,7 @@
          const struct pgw_cover_options *options)
 {
     bool is_remote = g_strcmp0(holder->zone, input->engine->zone) != 0;
-    double cost = copy_weight(input, options) * input->prompt_tokens *
+    double cost = copy_cost(input, options) * input->prompt_tokens *
                   (is_remote ? options->remote_factor : 1);
 
     return cover->risk * (input->prompt_tokens + options->answer_tokens) >
@@ -99,7 +108,7 @@
  * no room for the copy. */
 static bool
 has_room(double *load, double *kv, const struct pgw_upstream *upstream,
-         const struct pgw_cover_input *input,
+         double limit_share, const struct pgw_cover_input *input,
          const struct pgw_cover_options *options)
 {
     uint64_t total = upstream->load.kv_total > 0 ? upstream->load.kv_total
@@ -113,7 +122,8 @@
     *load = (double)pgw_upstream_load_estimate(upstream, input->now_us) /
             upstream->slots;
     *kv = total == 0 ? 0 : (double)(used + need) / (double)total;
-    return *load <= options->max_load && *kv <= options->max_kv;
+    return *load <= options->max_load * limit_share &&
+           *kv <= options->max_kv * limit_share;
 }
 
 /* A copy is of use only where the same weights and the same software run. */
@@ -170,7 +180,7 @@
         return;
     }
     assess_risk(out, input, options);
-    if (out->risk < options->min_risk) {
+    if (out->risk <= 0) {
         out->reason = "no_danger";
         return;
     }
@@ -183,7 +193,9 @@
 
         if (!is_compatible(upstream, input) ||
             !is_healthy(upstream, input, options) ||
-            !has_room(&load, &kv, upstream, input, options) ||
+            !has_room(&load, &kv, upstream,
+                      out->is_endangered ? 1.0 : options->calm_share, input,
+                      options) ||
             !is_worth(out, upstream, input, options)) {
             continue;
         }
