--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -21,10 +21,13 @@
     .name = "pgw_gateway_runs_continued_total",
     .help = "Runs that went on from their copy after their engine had ended",
 };
+static struct pgw_metric_counter not_continued = {
+    .name = "pgw_gateway_runs_not_continued_total",
+    .help = "Runs with a copy that ended with their engine",
+};
 static struct pgw_metric_counter not_found = {
     .name = "pgw_gateway_copies_not_found_total",
-    .help = "Runs that could not go on, since their holder had no copy or "
-            "was not usable",
+    .help = "Runs that were to go on and whose holder had no copy",
 };
 
 void
@@ -33,6 +36,7 @@
     pgw_metric_register_counter(&covered);
     pgw_metric_register_counter(&covered_tokens);
     pgw_metric_register_counter(&continued);
+    pgw_metric_register_counter(&not_continued);
     pgw_metric_register_counter(&not_found);
 }
 
@@ -121,6 +125,7 @@
 
     if (cover->state == PGW_COPY_DUE) {
         forward->backup_at = cover->holder->address_text;
+        forward->has_resume = true;
         pgw_copy_step(&cover->state, PGW_COPY_CONTINUED);
         return;
     }
@@ -168,23 +173,48 @@
     return exchange->events.events == 0 || exchange->events.has_id;
 }
 
+static void
+log_not_continued(const struct pgw_exchange *exchange, const char *reason)
+{
+    pgw_metric_counter_add(&not_continued, 1);
+    pgw_log_info("run_not_continued",
+                 "request=%s holder=%s events=%" G_GUINT64_FORMAT " reason=%s",
+                 exchange->facts.id, exchange->cover.holder->id,
+                 exchange->events.events, reason);
+}
+
+/* Returns NULL, or the reason why a covered run ends with its engine. */
+static const char *
+reserve_continuation(struct pgw_exchange *exchange)
+{
+    if (!is_position_known(exchange)) {
+        return "no_event_id";
+    }
+    if (pgw_crash_quarantine_is_active(exchange->gateway->crash_quarantine,
+                                       &exchange->crash_keys, pgw_now_us())) {
+        return "crashes_upstreams";
+    }
+    if (!is_holder_fit(exchange)) {
+        return "holder_unfit";
+    }
+    return pgw_attempt_take_retry(exchange) ? NULL : "no_repeat_left";
+}
+
 bool
 pgw_run_cover_go_on(struct pgw_exchange *exchange)
 {
     struct pgw_run_cover *cover = &exchange->cover;
+    const char *reason;
 
-    if (cover->state != PGW_COPY_GROWING || exchange->caller == NULL ||
-        !is_position_known(exchange) ||
-        pgw_crash_quarantine_is_active(exchange->gateway->crash_quarantine,
-                                       &exchange->crash_keys, pgw_now_us())) {
+    if (cover->state != PGW_COPY_GROWING || exchange->caller == NULL) {
         return false;
     }
-    if (!is_holder_fit(exchange)) {
-        pgw_metric_counter_add(&not_found, 1);
+    reason = reserve_continuation(exchange);
+    if (reason != NULL) {
+        log_not_continued(exchange, reason);
         return false;
     }
-    return pgw_attempt_take_retry(exchange) &&
-           pgw_copy_step(&cover->state, PGW_COPY_LOST) == PGW_COPY_GO_ON;
+    return pgw_copy_step(&cover->state, PGW_COPY_LOST) == PGW_COPY_GO_ON;
 }
 
 static void
@@ -222,7 +252,7 @@
     if (!is_holder_fit(exchange) ||
         !pgw_suspect_wait_is_apart(exchange, cover->holder)) {
         pgw_copy_step(&cover->state, PGW_COPY_UNFIT);
-        pgw_metric_counter_add(&not_found, 1);
+        log_not_continued(exchange, "holder_unfit");
         pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
         return true;
     }
