--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -326,7 +326,8 @@
             return data != NULL;
         }
         if (result != PGW_HTTP_DONE) {
-            connection_fail(connection, PGW_CALL_MALFORMED);
+            connection_fail(connection, data == NULL ? PGW_CALL_CLOSED
+                                                     : PGW_CALL_MALFORMED);
             return false;
         }
         if (!connection->skipping) {
