--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -125,7 +125,6 @@
 
     if (cover->state == PGW_COPY_DUE) {
         forward->backup_at = cover->holder->address_text;
-        forward->has_resume = true;
         pgw_copy_step(&cover->state, PGW_COPY_CONTINUED);
         return;
     }
@@ -165,14 +164,6 @@
            holder->software == cover->software;
 }
 
-/* The first event that the holder sends must be the one after the last that
- * was relayed. So it must have had an id. */
-static bool
-is_position_known(const struct pgw_exchange *exchange)
-{
-    return exchange->events.events == 0 || exchange->events.has_id;
-}
-
 static void
 log_not_continued(const struct pgw_exchange *exchange, const char *reason)
 {
@@ -187,8 +178,11 @@
 static const char *
 reserve_continuation(struct pgw_exchange *exchange)
 {
-    if (!is_position_known(exchange)) {
-        return "no_event_id";
+    /* The first event that the holder sends must be the one after the last
+     * that was relayed. A run without any is still being prefilled, and its
+     * holder has nothing to go on from. */
+    if (!exchange->events.has_id) {
+        return "no_event";
     }
     if (pgw_crash_quarantine_is_active(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys, pgw_now_us())) {
@@ -197,7 +191,7 @@
     if (!is_holder_fit(exchange)) {
         return "holder_unfit";
     }
-    return pgw_attempt_take_retry(exchange) ? NULL : "no_repeat_left";
+    return pgw_attempt_take_reserved_retry(exchange) ? NULL : "no_repeat_left";
 }
 
 bool
--- a/src/gateway/quota/retry_budgets.c
+++ b/src/gateway/quota/retry_budgets.c
@@ -1,8 +1,26 @@
 #include "gateway/quota/retry_budgets.h"
 
+/* The deployment's limit holds for each ten seconds. One slot more, since the
+ * current one is incomplete: the window is never shorter for retries. */
+#define WINDOW_SLOTS 11
+#define SLOT_US 1000000ULL
+
+/*
+ * Requests and retries of one service, by second.
+ * @slot: number of the second that an item counts
+ */
+struct retry_window {
+    struct {
+        uint64_t slot;
+        uint32_t requests;
+        uint32_t retries;
+    } items[WINDOW_SLOTS];
+};
+
 struct pgw_retry_budgets {
     struct pgw_retry_budgets_options options;
     GHashTable *by_service;
+    GHashTable *windows; /* service -> struct retry_window */
 };
 
 struct pgw_retry_budgets *
@@ -14,6 +32,8 @@
     budgets->by_service =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                               (GDestroyNotify)pgw_retry_budget_free);
+    budgets->windows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return budgets;
 }
 
@@ -21,6 +41,7 @@
 pgw_retry_budgets_free(struct pgw_retry_budgets *budgets)
 {
     g_hash_table_destroy(budgets->by_service);
+    g_hash_table_destroy(budgets->windows);
     g_free(budgets);
 }
 
@@ -78,3 +99,70 @@
 {
     return pgw_retry_budget_withdraw(get_or_add(budgets, service));
 }
+
+static struct retry_window *
+get_window(struct pgw_retry_budgets *budgets, const char *service)
+{
+    struct retry_window *window =
+        g_hash_table_lookup(budgets->windows, service);
+
+    if (window == NULL) {
+        window = g_new0(struct retry_window, 1);
+        g_hash_table_insert(budgets->windows, g_strdup(service), window);
+    }
+    return window;
+}
+
+static void
+count(struct pgw_retry_budgets *budgets, const char *service, uint64_t now_us,
+      uint32_t requests, uint32_t retries)
+{
+    struct retry_window *window = get_window(budgets, service);
+    uint64_t slot = now_us / SLOT_US;
+    size_t i = slot % WINDOW_SLOTS;
+
+    if (window->items[i].slot != slot) {
+        window->items[i].slot = slot;
+        window->items[i].requests = 0;
+        window->items[i].retries = 0;
+    }
+    window->items[i].requests += requests;
+    window->items[i].retries += retries;
+}
+
+void
+pgw_retry_budgets_count_request(struct pgw_retry_budgets *budgets,
+                                const char *service, uint64_t now_us)
+{
+    count(budgets, service, now_us, 1, 0);
+}
+
+void
+pgw_retry_budgets_count_retry(struct pgw_retry_budgets *budgets,
+                              const char *service, uint64_t now_us)
+{
+    count(budgets, service, now_us, 0, 1);
+}
+
+bool
+pgw_retry_budgets_has_room(struct pgw_retry_budgets *budgets,
+                           const char *service, uint64_t now_us)
+{
+    const struct retry_window *window = get_window(budgets, service);
+    uint64_t slot = now_us / SLOT_US;
+    uint64_t requests = 0;
+    uint64_t retries = 1;
+
+    for (size_t i = 0; i < WINDOW_SLOTS; i++) {
+        uint64_t age = slot - window->items[i].slot;
+
+        if (window->items[i].slot > slot || age >= WINDOW_SLOTS) {
+            continue;
+        }
+        retries += window->items[i].retries;
+        /* The oldest second may lie outside of the limit's window. */
+        requests += age + 1 < WINDOW_SLOTS ? window->items[i].requests : 0;
+    }
+    return retries * 1000 <= requests * budgets->options.share_permille +
+                                 (uint64_t)slack_per_entry(budgets) * 1000;
+}
--- a/src/gateway/quota/retry_budgets.h
+++ b/src/gateway/quota/retry_budgets.h
@@ -9,7 +9,10 @@
  *
  * The deployment limits the retries of each service over all entries. An
  * entry's budget is a share of its own requests to the service, plus the slack
- * divided by the number of entries.
+ * divided by the number of entries. Its bucket holds no more than that part of
+ * the slack, so that retries are spread over time. What is counted besides, in
+ * a sliding window, shows how much of the limit itself is left for the few
+ * runs that are lost for good without a retry.
  */
 
 struct pgw_retry_budgets;
@@ -44,6 +47,20 @@
 void pgw_retry_budgets_deposit(struct pgw_retry_budgets *budgets,
                                const char *service);
 
+/** pgw_retry_budgets_count_request() - count a request to a service in the
+ * sliding window */
+void pgw_retry_budgets_count_request(struct pgw_retry_budgets *budgets,
+                                     const char *service, uint64_t now_us);
+
+/** pgw_retry_budgets_count_retry() - count a retry in the sliding window */
+void pgw_retry_budgets_count_retry(struct pgw_retry_budgets *budgets,
+                                   const char *service, uint64_t now_us);
+
+/** pgw_retry_budgets_has_room() - whether one more retry keeps this entry's
+ * share of the limit within the sliding window */
+bool pgw_retry_budgets_has_room(struct pgw_retry_budgets *budgets,
+                                const char *service, uint64_t now_us);
+
 /** pgw_retry_budgets_withdraw() - take one retry; false: the budget is used up
  */
 bool pgw_retry_budgets_withdraw(struct pgw_retry_budgets *budgets,
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -163,19 +163,37 @@
 #endif
 }
 
-bool
-pgw_attempt_take_retry(struct pgw_exchange *exchange)
+static bool
+take_retry(struct pgw_exchange *exchange, bool reserved)
 {
-    if (exchange->sends >= SENDS_MAX || exchange->caller == NULL ||
-        !pgw_retry_budgets_withdraw(exchange->gateway->budgets,
-                                    exchange->service)) {
+    struct pgw_retry_budgets *budgets = exchange->gateway->budgets;
+
+    if (exchange->sends >= SENDS_MAX || exchange->caller == NULL) {
         return false;
     }
+    if (!pgw_retry_budgets_withdraw(budgets, exchange->service) &&
+        (!reserved || !pgw_retry_budgets_has_room(budgets, exchange->service,
+                                                  pgw_now_us()))) {
+        return false;
+    }
+    pgw_retry_budgets_count_retry(budgets, exchange->service, pgw_now_us());
     pgw_metric_register_counter(&retries);
     pgw_metric_counter_add(&retries, 1);
     return true;
 }
 
+bool
+pgw_attempt_take_retry(struct pgw_exchange *exchange)
+{
+    return take_retry(exchange, false);
+}
+
+bool
+pgw_attempt_take_reserved_retry(struct pgw_exchange *exchange)
+{
+    return take_retry(exchange, true);
+}
+
 static void
 log_attempt(const struct pgw_exchange *exchange, const char *outcome)
 {
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -641,6 +641,7 @@
     exchange->crash_keys = crash_keys;
     exchange->crash_keys.pool = pgw_place_id_hash(exchange->service);
     pgw_retry_budgets_deposit(gateway->budgets, exchange->service);
+    pgw_retry_budgets_count_request(gateway->budgets, exchange->service, now);
     pgw_timer_start(gateway->loop, &exchange->deadline_timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
                                                 : 0);
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -346,6 +346,9 @@
 /** pgw_attempt_take_retry() - take a retry from the budget; false: none is
  * left */
 bool pgw_attempt_take_retry(struct pgw_exchange *exchange);
+/** pgw_attempt_take_reserved_retry() - the same for a run that cannot begin
+ * again: it may use what other retries leave of the deployment's limit */
+bool pgw_attempt_take_reserved_retry(struct pgw_exchange *exchange);
 /** pgw_attempt_retry() - end an attempt that may have run and dispatch the
  * request again; the caller has taken the retry */
 void pgw_attempt_retry(struct pgw_exchange *exchange, const char *why);
