--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -592,6 +592,34 @@
     {"stream_origin_unknown", end_stream_origin_unknown},
 };
 
+/* Adds to the sentence what became of the run's copy at another engine. */
+static void
+tell_copy(struct inquiry *inquiry)
+{
+    char *sentence = inquiry->out->sentence;
+
+    for (guint i = 0; i < inquiry->out->lines->len; i++) {
+        const struct pgw_log_line *line =
+            g_ptr_array_index(inquiry->out->lines, i);
+
+        if (is_event(line, "run_continued")) {
+            inquiry->out->sentence = g_strdup_printf(
+                "%s; its run went on at %s after event %s of %s", sentence,
+                text_of(line, "at"), text_of(line, "after"),
+                text_of(line, "from"));
+            g_free(sentence);
+            return;
+        }
+        if (is_event(line, "run_not_continued")) {
+            inquiry->out->sentence = g_strdup_printf(
+                "%s; its copy at %s was not used (%s)", sentence,
+                text_of(line, "holder"), text_of(line, "reason"));
+            g_free(sentence);
+            return;
+        }
+    }
+}
+
 static void
 tell_end(struct inquiry *inquiry)
 {
@@ -601,6 +629,7 @@
         outcome = text_of(inquiry->end, "reason");
     }
     if (!pgw_line_went_well(inquiry->end) && tell_stuck(inquiry)) {
+        tell_copy(inquiry);
         return;
     }
     for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
@@ -612,6 +641,7 @@
         conclude(inquiry, PGW_CAUSE_UNKNOWN,
                  "outcome %s: the logs say no more", outcome);
     }
+    tell_copy(inquiry);
 }
 
 /* Whether a line of no request helps to understand this one. */
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -144,6 +144,22 @@
           "upstream=u1 first_ms=300 total_ms=320"},
      "upstream_silent",
      "u2"},
+    {"went on",
+     {"attempt_end request=r upstream=u2 outcome=closed status=200 runs=1 "
+      "ms=210",
+      "run_continued request=r from=u2 at=u1 after=12 events=12",
+      END "outcome=answered status=200 objective_ms=600 sends=2 runs=2 "
+          "upstream=u1 first_ms=300 total_ms=320"},
+     "connection",
+     "went on at u1 after event 12 of u2"},
+    {"copy not used",
+     {"attempt_end request=r upstream=u2 outcome=closed status=200 runs=1 "
+      "ms=210",
+      "run_not_continued request=r holder=u1 events=3 reason=holder_unfit",
+      END "outcome=upstream_lost status=502 sends=1 runs=1 upstream=u2 "
+          "total_ms=220"},
+     "connection",
+     "copy at u1 was not used (holder_unfit)"},
     {"damaged",
      {"attempt_end request=r upstream=u1 outcome=cut_event runs=1 ms=70",
       END "outcome=upstream_lost status=502 sends=1 upstream=u1 total_ms=90"},
