--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -42,6 +42,8 @@
     "Deadline-Ms: 10000\r\n"
     "Tenant: somebody-else\r\n"
     "Kv-Fetch: 10.0.0.1:1\r\n"
+    "Kv-Backup: 10.0.0.1:1\r\n"
+    "Kv-From: 10.0.0.1:1/stolen\r\n"
     "Hold: 9\r\n"
     "X-Own: kept\r\n"
     "Connection: X-Gone\r\n"
@@ -148,6 +150,8 @@
     g_assert_cmpuint(occurrences(out->str, "Last-Event-Id"), ==, 1);
     g_assert_cmpuint(occurrences(out->str, "Content-Length"), ==, 1);
     g_assert_null(strstr(out->str, "Kv-Fetch"));
+    g_assert_null(strstr(out->str, "Kv-Backup"));
+    g_assert_null(strstr(out->str, "Kv-From"));
     g_assert_null(strstr(out->str, "Hold"));
     g_assert_null(strstr(out->str, "X-Gone"));
     g_assert_null(strstr(out->str, "secret"));
@@ -155,6 +159,35 @@
     pgw_http_reader_dispose(&reader);
 }
 
+/* Guards against a run that goes on from another run's memory: the copy is
+ * named by the attempt's own id, whatever the caller sent. */
+static void
+test_forward_names_copies(void)
+{
+    struct pgw_http_reader reader;
+    struct pgw_forward forward = {
+        .head = &reader.head,
+        .body = "hi",
+        .body_size = 2,
+        .priority = -1,
+        .backup_to = "10.0.0.7:80",
+    };
+    GString *out = g_string_new(NULL);
+
+    read_head(&reader, false, stream_request);
+    platform_codec.write_request(out, &forward);
+    g_assert_nonnull(strstr(out->str, "\r\nKv-Backup: 10.0.0.7:80\r\n"));
+    g_assert_null(strstr(out->str, "Kv-From"));
+    g_string_truncate(out, 0);
+    forward.backup_to = NULL;
+    forward.backup_at = "10.0.0.7:80";
+    platform_codec.write_request(out, &forward);
+    g_assert_nonnull(strstr(out->str, "\r\nKv-From: 10.0.0.7:80/abc\r\n"));
+    g_assert_null(strstr(out->str, "Kv-Backup"));
+    g_string_free(out, TRUE);
+    pgw_http_reader_dispose(&reader);
+}
+
 static void
 test_responses(void)
 {
@@ -329,6 +362,8 @@
                     test_invalid_requests_are_rejected);
     g_test_add_func("/platform_codec/forward_drops_reserved_fields",
                     test_forward_drops_reserved_fields);
+    g_test_add_func("/platform_codec/forward_names_copies",
+                    test_forward_names_copies);
     g_test_add_func("/platform_codec/responses", test_responses);
     g_test_add_func("/platform_codec/limit_values", test_limit_values);
     g_test_add_func("/platform_codec/leaving_values", test_leaving_values);
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -61,6 +61,27 @@
     pgw_route_table_unref(table);
 }
 
+/* Guards earlier deployments: runs are copied only where the configuration
+ * states that engines take copies. */
+static void
+test_copies_are_offered(void)
+{
+    struct pgw_document document = make_document(
+        "config", "main",
+        "{\"version\":1,\"services\":[{\"name\":\"s\",\"engine_kind\":"
+        "{\"kv_token_bytes\":163840,\"link_mbps\":1100000.0,"
+        "\"backups\":true}},{\"name\":\"t\",\"engine_kind\":"
+        "{\"capacity\":12}}]}");
+    struct pgw_route_table *table = platform_decode_config(&document);
+    const struct pgw_service *service = pgw_route_table_service(table, "s");
+
+    g_assert_true(service->backups);
+    g_assert_cmpfloat(service->link_mbps, ==, 1100000);
+    g_assert_cmpfloat(service->kv_token_bytes, ==, 163840);
+    g_assert_false(pgw_route_table_service(table, "t")->backups);
+    pgw_route_table_unref(table);
+}
+
 static void
 test_invalid_documents_are_rejected(void)
 {
@@ -219,6 +240,7 @@
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
     g_test_add_func("/platform_decode/config", test_config);
+    g_test_add_func("/platform_decode/copies", test_copies_are_offered);
     g_test_add_func("/platform_decode/invalid_documents_are_rejected",
                     test_invalid_documents_are_rejected);
     g_test_add_func("/platform_decode/server", test_server);
