--- a/src/gateway/cover/cover_policy.c
+++ b/src/gateway/cover/cover_policy.c
@@ -27,11 +27,11 @@
     return MIN(input->pool->all->len, options->candidates);
 }
 
-/* Share of a zone's engines that were lost. Lost ones may still be listed, so
- * those that the sample misses are estimated from its size. */
+/* Share of a zone's engines that were lost lately. Lost ones may still be
+ * listed, so those that the sample misses are estimated from its size. */
 static double
-zone_risk(const struct pgw_cover_input *input, const char *zone,
-          const struct pgw_cover_options *options)
+zone_share(const struct pgw_cover_input *input, const char *zone,
+           const struct pgw_cover_options *options)
 {
     unsigned count = candidate_count(input, options);
     unsigned in_zone = 0;
@@ -48,32 +48,24 @@
                         ((double)MAX(in_zone, 1) * input->pool->all->len));
 }
 
+/* The rate of losses goes on for the time of the run. */
 static void
 assess_risk(struct pgw_cover *out, const struct pgw_cover_input *input,
             const struct pgw_cover_options *options)
 {
-    double zone = zone_risk(input, input->engine->zone, options);
-    unsigned lost = pgw_engine_losses_count(input->losses, input->service, 0,
-                                            input->now_us);
-
-    out->risk = MIN(1.0, (double)lost / input->pool->all->len);
-    out->reason = "engines_lost";
-    if (zone > out->risk) {
-        out->risk = zone;
-        out->reason = "zone_lost";
-    }
+    double times = input->run_ms * 1000 / (double)PGW_ENGINE_LOSS_TIME_US;
+    double zone = zone_share(input, input->engine->zone, options);
+    double all = (double)pgw_engine_losses_count(input->losses, input->service,
+                                                 0, input->now_us) /
+                 input->pool->all->len;
+
+    out->risk = MIN(1.0, MAX(all, zone) * times);
+    out->reason = zone > all ? "zone_lost" : "engines_lost";
     if (input->engine->failure_rate >= options->ill_failure_rate &&
         input->engine->failure_rate > out->risk) {
         out->risk = input->engine->failure_rate;
         out->reason = "engine_ill";
     }
-    out->is_endangered = out->risk >= options->min_risk;
-    if (!out->is_endangered) {
-        out->reason = "long_prompt";
-        out->risk = input->prompt_tokens >= options->long_tokens
-                        ? options->prior_risk
-                        : 0;
-    }
 }
 
 /* Cost of copying a token, in tokens that an engine prefills meanwhile. */
@@ -97,18 +89,20 @@
          const struct pgw_cover_options *options)
 {
     bool is_remote = g_strcmp0(holder->zone, input->engine->zone) != 0;
-    double cost = copy_cost(input, options) * input->prompt_tokens *
-                  (is_remote ? options->remote_factor : 1);
+    double token_cost =
+        options->room_weight +
+        copy_cost(input, options) * (is_remote ? options->remote_factor : 1);
 
-    return cover->risk * (input->prompt_tokens + options->answer_tokens) >
-           cost;
+    return cover->risk * options->use_share *
+               (input->prompt_tokens + options->answer_tokens) >
+           token_cost * input->prompt_tokens;
 }
 
 /* Shares of the slots and of the KV cache that are taken; false if there is
  * no room for the copy. */
 static bool
 has_room(double *load, double *kv, const struct pgw_upstream *upstream,
-         double limit_share, const struct pgw_cover_input *input,
+         const struct pgw_cover_input *input,
          const struct pgw_cover_options *options)
 {
     uint64_t total = upstream->load.kv_total > 0 ? upstream->load.kv_total
@@ -122,8 +116,7 @@
     *load = (double)pgw_upstream_load_estimate(upstream, input->now_us) /
             upstream->slots;
     *kv = total == 0 ? 0 : (double)(used + need) / (double)total;
-    return *load <= options->max_load * limit_share &&
-           *kv <= options->max_kv * limit_share;
+    return *load <= options->max_load && *kv <= options->max_kv;
 }
 
 /* A copy is of use only where the same weights and the same software run. */
@@ -158,14 +151,14 @@
  * an engine in a zone that loses engines may be the next. */
 static double
 holder_cost(const struct pgw_upstream *upstream, double load, double kv,
-            double own_zone_risk, const struct pgw_cover_input *input,
+            double own_zone_share, const struct pgw_cover_input *input,
             const struct pgw_cover_options *options)
 {
     bool is_remote = g_strcmp0(upstream->zone, input->engine->zone) != 0;
 
     return load + kv + (is_remote ? 1.0 / options->remote_factor : 0) +
            options->spread * random_share(input->random, upstream->id_hash) +
-           (is_remote ? 0 : own_zone_risk);
+           (is_remote ? 0 : own_zone_share);
 }
 
 void
@@ -173,7 +166,7 @@
                  const struct pgw_cover_options *options)
 {
     double lowest_cost = 0;
-    double own_zone_risk;
+    double own_zone_share;
 
     *out = (struct pgw_cover){.reason = "short"};
     if (input->prompt_tokens < options->min_tokens) {
@@ -184,7 +177,7 @@
         out->reason = "no_danger";
         return;
     }
-    own_zone_risk = zone_risk(input, input->engine->zone, options);
+    own_zone_share = zone_share(input, input->engine->zone, options);
     for (unsigned i = 0; i < candidate_count(input, options); i++) {
         struct pgw_upstream *upstream = candidate_at(input, i);
         double load;
@@ -193,13 +186,11 @@
 
         if (!is_compatible(upstream, input) ||
             !is_healthy(upstream, input, options) ||
-            !has_room(&load, &kv, upstream,
-                      out->is_endangered ? 1.0 : options->calm_share, input,
-                      options) ||
+            !has_room(&load, &kv, upstream, input, options) ||
             !is_worth(out, upstream, input, options)) {
             continue;
         }
-        cost = holder_cost(upstream, load, kv, own_zone_risk, input, options);
+        cost = holder_cost(upstream, load, kv, own_zone_share, input, options);
         if (out->holder == NULL || cost < lowest_cost) {
             out->holder = upstream;
             lowest_cost = cost;
--- a/src/gateway/cover/cover_policy.h
+++ b/src/gateway/cover/cover_policy.h
@@ -9,11 +9,11 @@
  *
  * Answers the load of engines that end in the middle of runs which no other
  * engine may begin again. A copy costs time of two links and room at its
- * holder; without it, the loss of an engine costs the prompt's prefill and the
- * caller's answer. A run is covered where the expected loss exceeds the cost
- * and another engine has room: long prompts while there is room to spare,
- * others only while engines of the service are being lost.
- * Pure functions over an entry's state, with clock and randomness passed in.
+ * holder, where cached parts yield to it; without it, the loss of an engine
+ * costs the prompt's prefill and the caller's answer. A run is covered where
+ * the expected loss exceeds the cost, so only while engines are being lost,
+ * and only if another engine has room. Pure functions over an entry's state,
+ * with clock and randomness passed in.
  */
 
 /**
@@ -22,20 +22,19 @@
  *   those of its prompt
  * @min_tokens: shorter prompts are not covered: setting a transfer up costs an
  *   engine as much as their prefill
- * @long_tokens: prompts from this size on are covered without a sign of danger
- * @prior_risk: probability that an engine without a sign of danger is lost
- *   during a run of a long prompt, which takes seconds
+ * @use_share: share of the runs whose engine is lost that go on from their
+ *   copy; others have no event yet, or lose their holder too
+ * @room_weight: cost of the room that a copied token takes, in tokens of
+ *   prefill: parts of prompts yield to it, some of which are prefilled again
  * @link_weight: cost of a link's time as a share of the cost of an engine's:
  *   transfers run beside the engine, and links are mostly idle
  * @copy_time: time of copying a token, as a share of the time of its prefill,
  *   if the configuration does not state the sizes from which it follows
  * @remote_factor: factor of that cost between availability zones
- * @min_risk: a smaller share of lost engines is no sign of a series
  * @ill_failure_rate: an engine with a higher rate of failed attempts may be
  *   about to end
  * @max_load: highest share of a holder's slots that are taken
  * @max_kv: highest share of a holder's KV cache that is taken, with the copy
- * @calm_share: share of these two limits without a sign of danger
  * @spread: random part of a holder's cost, so that the copies of several
  *   entries do not all go to the engine that reported the most room
  * @candidates: engines of a pool that are evaluated
@@ -43,27 +42,24 @@
 struct pgw_cover_options {
     double answer_tokens;
     uint32_t min_tokens;
-    uint32_t long_tokens;
-    double prior_risk;
+    double use_share;
+    double room_weight;
     double link_weight;
     double copy_time;
     double remote_factor;
-    double min_risk;
     double ill_failure_rate;
     double max_load;
     double max_kv;
-    double calm_share;
     double spread;
     unsigned candidates;
 };
 
 #define PGW_COVER_OPTIONS_INIT                                                \
     {                                                                         \
-        .answer_tokens = 10000, .min_tokens = 500,                            \
-        .long_tokens = PGW_LONG_PREFILL_TOKENS, .prior_risk = 0.01,           \
-        .link_weight = 0.1, .copy_time = 0.1, .remote_factor = 2,             \
-        .min_risk = 0.02, .ill_failure_rate = 0.2, .max_load = 0.8,           \
-        .max_kv = 0.8, .calm_share = 0.8, .spread = 0.3, .candidates = 64     \
+        .answer_tokens = 10000, .min_tokens = 500, .use_share = 0.6,          \
+        .room_weight = 0.02, .link_weight = 0.1, .copy_time = 0.1,            \
+        .remote_factor = 2, .ill_failure_rate = 0.2, .max_load = 0.8,         \
+        .max_kv = 0.8, .spread = 0.3, .candidates = 64                        \
     }
 
 /**
@@ -75,6 +71,7 @@
  * @model: name of the model
  * @prompt_tokens: size of the prompt
  * @output_tokens: maximum size of the answer
+ * @run_ms: estimated time until the end of the answer
  * @kv_tokens: KV cache size of an engine that has not reported its own
  * @kv_token_bytes: bytes of KV cache of one token, 0: unknown
  * @link_bytes_per_ms: speed of an engine's link, 0: unknown
@@ -90,6 +87,7 @@
     const char *model;
     uint32_t prompt_tokens;
     uint32_t output_tokens;
+    double run_ms;
     uint64_t kv_tokens;
     double kv_token_bytes;
     double link_bytes_per_ms;
@@ -102,13 +100,11 @@
  * struct pgw_cover - result of pgw_cover_decide()
  * @holder: the engine that receives the copy, NULL: the run is not covered
  * @reason: why, for logs: what endangers the run, or what rules a copy out
- * @is_endangered: there is a sign of danger
- * @risk: assumed probability that the run's engine is lost, 0..1
+ * @risk: assumed probability that the engine is lost during the run, 0..1
  */
 struct pgw_cover {
     struct pgw_upstream *holder;
     const char *reason;
-    bool is_endangered;
     double risk;
 };
 
--- a/src/gateway/cover/engine_losses.c
+++ b/src/gateway/cover/engine_losses.c
@@ -11,8 +11,10 @@
                       uint64_t service, uint64_t zone, uint64_t now_us)
 {
     for (size_t i = 0; i < PGW_ENGINE_LOSSES_MAX; i++) {
-        if (losses->items[i].engine == engine && losses->items[i].at_us > 0) {
-            losses->items[i].at_us = now_us;
+        const struct pgw_engine_loss *loss = &losses->items[i];
+
+        if (loss->engine == engine && loss->at_us > 0 &&
+            now_us < loss->at_us + PGW_ENGINE_LOSS_SIGNS_US) {
             return;
         }
     }
--- a/src/gateway/cover/engine_losses.h
+++ b/src/gateway/cover/engine_losses.h
@@ -13,10 +13,10 @@
 
 /* The last losses that are kept. A pool that lost more is endangered whatever
  * the exact number. */
-#define PGW_ENGINE_LOSSES_MAX 128
-/* How long a loss endangers other engines. The runs of a prompt end within ten
- * seconds, so a longer time would cover runs for a danger that is over. */
-#define PGW_ENGINE_LOSS_TIME_US 10000000ULL
+#define PGW_ENGINE_LOSSES_MAX 256
+/* The time over which the rate of losses is taken: long enough for the next
+ * one of a series, and short enough to be forgotten soon after its end. */
+#define PGW_ENGINE_LOSS_TIME_US 60000000ULL
 
 /**
  * struct pgw_engine_losses - recent losses; zeroed: none
@@ -33,11 +33,14 @@
     size_t next;
 };
 
+/* Signs of one loss follow each other within this time: the platform's list
+ * names a lost engine for up to four seconds. */
+#define PGW_ENGINE_LOSS_SIGNS_US 6000000ULL
+
 /**
  * pgw_engine_losses_add() - record that an engine has ended
  * @losses: the losses
- * @engine: hash of its id; an engine that is recorded already counts once, and
- *   from now on
+ * @engine: hash of its address; several signs of one loss count once
  * @service: hash of its service's name
  * @zone: hash of its zone's name
  * @now_us: monotonic time, not 0
--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -79,6 +79,10 @@
         .model = exchange->facts.model,
         .prompt_tokens = exchange->facts.prompt.tokens,
         .output_tokens = exchange->facts.prompt.output_tokens,
+        .run_ms = gateway->ms_per_output_token.value *
+                      exchange->facts.prompt.output_tokens +
+                  exchange->facts.prompt.tokens /
+                      MAX(gateway->prefill_rate.value, 1),
         .kv_tokens = service->kv_tokens,
         .kv_token_bytes = service->kv_token_bytes,
         .link_bytes_per_ms = service->link_mbps * MBPS_BYTES_PER_MS,
