--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -80,6 +80,7 @@
     pgw_home_probe_drop(exchange);
     pgw_suspect_wait_drop(exchange);
     pgw_stream_origin_drop(exchange);
+    pgw_run_cover_dispose(&exchange->cover);
     pgw_quota_end(gateway->quota, exchange);
     pgw_call_cancel(&exchange->call);
     pgw_attempt_count_end(exchange);
@@ -466,7 +467,7 @@
         on_deadline(&exchange->deadline_timer);
         return;
     }
-    if (pgw_suspect_wait_begin(exchange) ||
+    if (pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
         pgw_stream_origin_begin(exchange) || pgw_home_probe_begin(exchange)) {
         return;
     }
@@ -655,6 +656,7 @@
     exchange->crash_keys = crash_keys;
     exchange->crash_keys.pool = pgw_place_id_hash(exchange->service);
     pgw_retry_budgets_deposit(gateway->budgets, exchange->service);
+    pgw_retry_budgets_count_request(gateway->budgets, exchange->service, now);
     pgw_timer_start(gateway->loop, &exchange->deadline_timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
                                                 : 0);
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -175,8 +175,11 @@
         return;
     }
     pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
-    fill_kv_source(forward, exchange, choice);
-    announce(exchange, choice, version);
+    pgw_run_cover_fill(forward, exchange, choice);
+    if (forward->backup_at == NULL) {
+        fill_kv_source(forward, exchange, choice);
+        announce(exchange, choice, version);
+    }
 }
 
 static void
