Read the mechanisms' names where they are again

Symptom: deploy/ablation.py ended with a missing file. Cause: policy.c has moved to src/gateway/config. Change: the path. Not run: the ablation itself.

--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -22,7 +22,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-NAMES = ROOT / "src" / "gateway" / "policy.c"
+NAMES = ROOT / "src" / "gateway" / "config" / "policy.c"
 # Longest time for one call of the tool, in seconds.
 CALL_S = 1200
 
