Bound what all callers of an entry have not read

Callers saw: nothing yet; an entry whose callers all stop reading would be killed for its memory, with the requests of all others. Cause: caller.c bounds the buffer of one connection, not their sum. Evidence: 1 MB for each stream and any size for other answers, without a bound on their number. The buffer of a connection that is given up is freed at once.

--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -50,6 +50,7 @@
     void *context;
     struct pgw_caller_limits limits;
     struct pgw_list callers;
+    struct pgw_slow_callers slow;
     char *buffer;
     unsigned request_count;
     bool draining;
@@ -88,6 +89,7 @@
         return;
     }
     caller->closed = true;
+    pgw_slow_callers_update(&server->slow, &caller->slow, 0);
     caller->reader.stop = true;
     set_request_active(caller, false);
     pgw_metric_gauge_add(&open_connections, -1);
@@ -134,6 +136,10 @@
     if (pgw_buffer_size(&caller->out) > 0) {
         events |= EPOLLOUT;
     }
+    if (!caller->closed) {
+        pgw_slow_callers_update(&caller->server->slow, &caller->slow,
+                                pgw_buffer_size(&caller->out));
+    }
     if (!caller->closed && events != caller->events) {
         caller->events = events;
         pgw_loop_fd_modify(caller->server->loop, &caller->watch, events);
@@ -475,6 +481,29 @@
     pgw_buffer_append(&caller->out, head, (size_t)size);
 }
 
+/* The loop reports the disconnect, since the owner of either caller may be
+ * within a write now. */
+static void
+give_up(struct pgw_caller *caller)
+{
+    pgw_log_warning("caller_slow", "pending=%zu total=%zu",
+                    pgw_buffer_size(&caller->out),
+                    caller->server->slow.pending);
+    shutdown(caller->watch.fd, SHUT_RDWR);
+    pgw_buffer_dispose(&caller->out);
+    watch_events(caller);
+}
+
+static void
+give_up_slowest(struct pgw_caller_server *server)
+{
+    struct pgw_slow_caller *slow;
+
+    while ((slow = pgw_slow_callers_excess(&server->slow)) != NULL) {
+        give_up(pgw_container_of(slow, struct pgw_caller, slow));
+    }
+}
+
 void
 pgw_caller_write(struct pgw_caller *caller, const void *data, size_t size)
 {
@@ -497,12 +526,11 @@
         }
     }
     /* An answer that is not a stream is complete and bounded by its reader. */
+    watch_events(caller);
     if (caller->is_stream && pgw_buffer_size(&caller->out) > OUT_LIMIT) {
-        pgw_log_warning("caller_slow", "pending=%zu",
-                        pgw_buffer_size(&caller->out));
-        shutdown(caller->watch.fd, SHUT_RDWR);
+        give_up(caller);
     }
-    watch_events(caller);
+    give_up_slowest(caller->server);
 }
 
 void
@@ -602,6 +630,7 @@
     server->limits = (struct pgw_caller_limits)PGW_CALLER_LIMITS_INIT;
     server->buffer = g_malloc(READ_SIZE);
     pgw_list_init(&server->callers);
+    pgw_slow_callers_init(&server->slow);
     server->listener =
         pgw_listener_new(loop, address, accept_caller, server, error);
     if (server->listener == NULL) {
@@ -625,6 +654,13 @@
     server->limits = *limits;
 }
 
+void
+pgw_caller_server_set_pending_bound(struct pgw_caller_server *server,
+                                    size_t bytes)
+{
+    server->slow.bound = bytes;
+}
+
 void
 pgw_caller_server_pause(struct pgw_caller_server *server, bool paused)
 {
--- a/src/gateway/http/caller.h
+++ b/src/gateway/http/caller.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_HTTP_CALLER_H
 
 #include "gateway/http/http_reader.h"
+#include "gateway/http/slow_callers.h"
 #include "util/address.h"
 #include "util/buffer.h"
 #include "util/list.h"
@@ -45,6 +46,7 @@
     struct pgw_http_reader reader;
     struct pgw_buffer in;
     struct pgw_buffer out;
+    struct pgw_slow_caller slow;
     struct pgw_timer timer;
     size_t body_limit;
     uint32_t events;
@@ -123,6 +125,12 @@
 void pgw_caller_server_set_limits(struct pgw_caller_server *server,
                                   const struct pgw_caller_limits *limits);
 
+/** pgw_caller_server_set_pending_bound() - most bytes of answers that are
+ * buffered for all callers; beyond it the one that has been slow for longest
+ * is closed; 0: no bound */
+void pgw_caller_server_set_pending_bound(struct pgw_caller_server *server,
+                                         size_t bytes);
+
 /** pgw_caller_server_pause() - stop or continue accepting; meanwhile
  * connections wait in the listen backlog */
 void pgw_caller_server_pause(struct pgw_caller_server *server, bool paused);
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -79,6 +79,8 @@
     }
     /*
      * Failure: a process that has just started gets connections before its
+    pgw_caller_server_set_pending_bound(gateway->server,
+                                        options->pending_bound);
      * first configuration. Symptom: it refuses requests that it could serve
      * some milliseconds later. Connections wait in the listen backlog until
      * the configuration has arrived, but only for a short time: while the
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -46,6 +46,8 @@
  *   after a newer target version was announced
  * @queue_time_share: part of the time until its deadline that a request may be
  *   queued
+ * @pending_bound: most bytes of answers that are buffered for all callers, 0:
+ *   no bound
  * @response_timeout_share: part of the objective after which a plain service
  *   that has not answered is given up, if the request may be retried
  * @final_answer_grace_us: how long an upstream's process may still send an
@@ -73,6 +75,7 @@
     uint64_t old_weights_usable_us;
     uint64_t weights_grace_us;
     double queue_time_share;
+    size_t pending_bound;
     double response_timeout_share;
     uint64_t final_answer_grace_us;
     uint64_t probe_wait_us;
--- a/tests/unit/test_caller.c
+++ b/tests/unit/test_caller.c
@@ -318,6 +318,45 @@
     fixture_dispose(&fixture);
 }
 
+static struct pgw_caller *slow_callers[2];
+
+static void
+begin_slow_stream(struct fixture *fixture, struct pgw_caller *caller)
+{
+    slow_callers[fixture->requests - 1] = caller;
+    pgw_caller_begin(caller, 200, "", -1);
+}
+
+/* Guards against callers that stop reading, each within its own bound, and
+ * together take all memory: the first of them is closed, the other stays. */
+static void
+test_slowest_caller_is_closed(void)
+{
+    static char piece[64 * 1024];
+    struct fixture fixture;
+    int fds[2];
+
+    fixture_init(&fixture);
+    pgw_caller_server_set_pending_bound(fixture.server, 1000000);
+    fixture.on_request = begin_slow_stream;
+    for (int i = 0; i < 2; i++) {
+        fds[i] = caller_connect(&fixture);
+        caller_send(fds[i], REQUEST);
+        run_until(&fixture, i == 0 ? has_one_request : has_two_requests);
+    }
+    for (int i = 0; i < 2; i++) {
+        while (pgw_caller_pending(slow_callers[i]) < 600000) {
+            pgw_caller_write(slow_callers[i], piece, sizeof(piece));
+        }
+    }
+    g_assert_cmpuint(pgw_caller_pending(slow_callers[0]), ==, 0);
+    g_assert_cmpuint(pgw_caller_pending(slow_callers[1]), >=, 600000);
+    g_free(caller_read_all(fds[0]));
+    close(fds[0]);
+    close(fds[1]);
+    fixture_dispose(&fixture);
+}
+
 static int idle_caller;
 
 /* Lasts until the idle timeout of the other connection, which gets a request
@@ -363,6 +402,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
+    g_test_add_func("/caller/slowest_is_closed",
+                    test_slowest_caller_is_closed);
     g_test_add_func("/caller/backlog_is_answered", test_backlog_is_answered);
     g_test_add_func("/caller/paused_backlog_is_answered",
                     test_paused_backlog_is_answered);
