Share engines between workspaces while prompts wait

Callers saw: under too little room a workspace with many requests got most of an entry's queue, a less urgent workspace nothing before the more urgent ones were done; each waited a third of its time and was told to return after 250 ms, whatever the queue. Cause: the queue is ordered by rank and arrival, arrivals overtake it, and refusals know neither the rate nor the other callers. Change: prompts that no engine takes now wait in start-time fair queues between workspaces (libparsleygw/fair_queue.h lists them), within one by latest start. While a workspace asks for more than its max-min share, its last request is refused at once (no_room) when its turn would come too late. Refusals name a time for which room is promised to nobody else; entries tell each other of promises, and a caller that returns at its time goes first in its workspace. Plain services, and prompts while none waits, are served as before.

--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -41,6 +41,8 @@
  * @PGW_CAUSE_STREAM_VERSION: no upstream runs the software version that began
  * its stream, or that version is not known
  * @PGW_CAUSE_NO_PLACE: no upstream had a place for it
+ * @PGW_CAUSE_NO_ROOM: others waited for its service, and its turn would have
+ * come too late
  * @PGW_CAUSE_LONG_PROMPT: its prompt had to be read
  * @PGW_CAUSE_CROWDED: many others ran at its upstream
  * @PGW_CAUSE_SLOW: none of these: its upstream took long
@@ -66,6 +68,7 @@
     PGW_CAUSE_UPSTREAMS_IN_BACKOFF,
     PGW_CAUSE_STREAM_VERSION,
     PGW_CAUSE_NO_PLACE,
+    PGW_CAUSE_NO_ROOM,
     PGW_CAUSE_LONG_PROMPT,
     PGW_CAUSE_CROWDED,
     PGW_CAUSE_SLOW,
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -47,6 +47,7 @@
     [PGW_CAUSE_UPSTREAMS_IN_BACKOFF] = "upstreams_in_backoff",
     [PGW_CAUSE_STREAM_VERSION] = "stream_version",
     [PGW_CAUSE_NO_PLACE] = "no_place",
+    [PGW_CAUSE_NO_ROOM] = "no_room",
     [PGW_CAUSE_LONG_PROMPT] = "long_prompt",
     [PGW_CAUSE_CROWDED] = "crowded",
     [PGW_CAUSE_SLOW] = "slow",
@@ -318,12 +319,57 @@
     return found;
 }
 
+/* It was refused while others of its service waited. */
+static const struct pgw_log_line *
+find_room_refusal(const struct inquiry *inquiry)
+{
+    const GPtrArray *lines = inquiry->out->lines;
+
+    for (guint i = 0; i < lines->len; i++) {
+        const struct pgw_log_line *line = g_ptr_array_index(lines, i);
+
+        if (is_event(line, "room_refused")) {
+            return line;
+        }
+    }
+    return NULL;
+}
+
+static void
+blame_room(struct inquiry *inquiry)
+{
+    const struct pgw_log_line *line = find_room_refusal(inquiry);
+
+    if (line == NULL) {
+        conclude(inquiry, PGW_CAUSE_NO_ROOM,
+                 "its turn at service %s would have come too late; the line "
+                 "room_refused is missing",
+                 text_of(inquiry->end, "service"));
+        return;
+    }
+    conclude(
+        inquiry, PGW_CAUSE_NO_ROOM,
+        "%s requests with %s tokens were before it, at %s tokens a second "
+        "for the entry; its workspace %s asks for %s times its share, and "
+        "workspace %s got most (%s of all); it may return after %s ms%s",
+        text_of(line, "before"), text_of(line, "queued_tokens"),
+        text_of(line, "tokens_per_s"), text_of(line, "workspace"),
+        text_of(line, "ratio"), text_of(line, "top"),
+        text_of(line, "top_share"), text_of(line, "retry_ms"),
+        pgw_log_line_number(line, "promised") == 0 ? ", without room promised"
+                                                   : "");
+}
+
 static void
 blame_queue(struct inquiry *inquiry)
 {
     unsigned gone = 0;
     unsigned loading = 0;
 
+    if (find_room_refusal(inquiry) != NULL) {
+        blame_room(inquiry);
+        return;
+    }
     for (guint i = 0; i < inquiry->logs->changes->len; i++) {
         const struct pgw_log_line *line =
             g_ptr_array_index(inquiry->logs->changes, i);
@@ -578,6 +624,7 @@
     {"upstreams_refuse", end_attempt},
     {"out_of_order", end_attempt},
     {"no_place", blame_queue},
+    {"no_room", blame_room},
     {"no_place_to_repeat", blame_queue},
     {"deadline", blame_time},
     {"malformed", end_malformed},
--- a/src/gateway/config/policy.h
+++ b/src/gateway/config/policy.h
@@ -42,6 +42,8 @@
  *   requests
  * @PGW_MECHANISM_HOME_PROBES: prompts stay in the entry's zone if the pool is
  *   large
+ * @PGW_MECHANISM_FAIR_SHARE: requests for engines wait by rank and arrival,
+ * and are refused only after a third of their time
  * @PGW_MECHANISM_COUNT: number of mechanisms
  */
 enum pgw_mechanism {
@@ -61,6 +63,7 @@
     PGW_MECHANISM_REFUSAL_BACKOFF,
     PGW_MECHANISM_ROUTE_PRIORITY,
     PGW_MECHANISM_HOME_PROBES,
+    PGW_MECHANISM_FAIR_SHARE,
     PGW_MECHANISM_COUNT,
 };
 
--- a/src/gateway/peer/gossip.c
+++ b/src/gateway/peer/gossip.c
@@ -1,5 +1,6 @@
 #include "gateway/peer/gossip.h"
 #include "gateway/crash/crashed_runs.h"
+#include "gateway/peer/return_news.h"
 #include "libparsleygw/link.h"
 #include "util/list.h"
 #include "util/listener.h"
@@ -12,6 +13,9 @@
 #define RECONNECT_US 500000
 /* Changes within this time are advertised together. */
 #define ADVERTISE_DELAY_US 150000
+/* Promises within this time are told together: they are of use 0.1 s after
+ * they were made. */
+#define PROMISE_DELAY_US 20000
 /* A frame of documents is sent once it has this size. With one more object of
  * the largest size that the store accepts (1 MiB), it stays below
  * PGW_FRAME_MAX_SIZE. */
@@ -60,6 +64,9 @@
     struct revisions own_revisions;
     struct pgw_timer advertise_timer;
     struct pgw_timer request_timer;
+    struct pgw_timer promise_timer;
+    struct pgw_returned_caller promises[PGW_RETURN_NEWS_MAX];
+    size_t promise_count;
     struct pgw_listener *listener;
     struct pgw_list peers;
     struct seed *seeds;
@@ -374,6 +381,74 @@
     g_free(to_all);
 }
 
+static bool
+is_seed(const struct pgw_gossip *gossip)
+{
+    pgw_list_foreach (link, &gossip->peers) {
+        if (pgw_container_of(link, struct peer, in_gossip)->seed < 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A seed tells all its peers, any other entry one seed, which passes it on. An
+ * entry that is not connected to that seed does not hear of these promises. */
+static void
+send_promises(struct pgw_timer *timer)
+{
+    struct pgw_gossip *gossip =
+        pgw_container_of(timer, struct pgw_gossip, promise_timer);
+    bool to_all = is_seed(gossip);
+
+    pgw_list_foreach (link, &gossip->peers) {
+        pgw_return_news_send(
+            pgw_container_of(link, struct peer, in_gossip)->link,
+            gossip->promises, gossip->promise_count, !to_all, pgw_now_us());
+        if (!to_all) {
+            break;
+        }
+    }
+    gossip->promise_count = 0;
+}
+
+/* What is beyond the room of a message is not told: its callers are new ones
+ * to other entries. */
+static void
+on_promise(const struct pgw_returned_caller *caller, void *context)
+{
+    struct pgw_gossip *gossip = context;
+
+    if (gossip->promise_count == 0) {
+        pgw_timer_start(gossip->loop, &gossip->promise_timer,
+                        PROMISE_DELAY_US);
+    }
+    if (gossip->promise_count < PGW_RETURN_NEWS_MAX) {
+        gossip->promises[gossip->promise_count++] = *caller;
+    }
+}
+
+static void
+handle_promises(struct peer *peer, Pgw__News *message)
+{
+    struct pgw_gossip *gossip = peer->gossip;
+
+    if (gossip->options.shares != NULL) {
+        pgw_return_news_receive(gossip->options.shares, message, pgw_now_us());
+    }
+    if (!message->pass_on) {
+        return;
+    }
+    message->pass_on = false;
+    pgw_list_foreach (link, &gossip->peers) {
+        struct peer *other = pgw_container_of(link, struct peer, in_gossip);
+
+        if (other != peer) {
+            pgw_link_send(other->link, PGW_FRAME_NEWS, &message->base);
+        }
+    }
+}
+
 /* Sends all counted crashes to a peer that has connected or reconnected. */
 static void
 send_all_crashes(struct peer *peer)
@@ -404,7 +479,14 @@
         }
     }
     else if (type == PGW_FRAME_NEWS) {
-        handle_revisions(context, (const Pgw__News *)message);
+        Pgw__News *news = (Pgw__News *)message;
+
+        if (news->n_promises > 0) {
+            handle_promises(context, news);
+        }
+        else {
+            handle_revisions(context, news);
+        }
     }
     else if (type == PGW_FRAME_CRASHED_RUNS) {
         handle_crashed_runs(context, (const Pgw__CrashedRuns *)message);
@@ -526,6 +608,7 @@
     gossip->documents = pgw_documents_new();
     gossip->advertise_timer.on_due = advertise_due;
     gossip->request_timer.on_due = request_due;
+    gossip->promise_timer.on_due = send_promises;
     gossip->listener =
         pgw_listener_new(loop, &options->listen, on_accept, gossip, error);
     if (gossip->listener == NULL) {
@@ -537,6 +620,10 @@
         pgw_crash_quarantine_subscribe(options->quarantine, on_crashed_runs,
                                        gossip);
     }
+    if (options->shares != NULL) {
+        options->shares->on_promise = on_promise;
+        options->shares->context = gossip;
+    }
     gossip->instance = g_strdup(options->instance);
     gossip->zone = g_strdup(options->zone);
     add_seeds(gossip);
@@ -550,6 +637,9 @@
     if (gossip->options.quarantine != NULL) {
         pgw_crash_quarantine_subscribe(gossip->options.quarantine, NULL, NULL);
     }
+    if (gossip->options.shares != NULL) {
+        gossip->options.shares->on_promise = NULL;
+    }
     pgw_list_foreach_safe (link, &gossip->peers) {
         pgw_link_close(pgw_container_of(link, struct peer, in_gossip)->link);
     }
@@ -559,6 +649,7 @@
     }
     pgw_timer_stop(gossip->loop, &gossip->advertise_timer);
     pgw_timer_stop(gossip->loop, &gossip->request_timer);
+    pgw_timer_stop(gossip->loop, &gossip->promise_timer);
     pgw_listener_free(gossip->listener);
     pgw_documents_free(gossip->documents);
     revisions_clear(&gossip->own_revisions);
--- a/src/gateway/peer/gossip.h
+++ b/src/gateway/peer/gossip.h
@@ -3,6 +3,7 @@
 
 #include "gateway/config/documents.h"
 #include "gateway/crash/crash_quarantine.h"
+#include "gateway/share/share_table.h"
 #include "util/address.h"
 #include "util/loop.h"
 
@@ -19,7 +20,8 @@
  *
  * The same connections carry the crashes that each entry counts (&struct
  * pgw_crash_quarantine), since a request that crashes engines may reach
- * another entry with each retry.
+ * another entry with each retry, and the times that refused callers were
+ * promised, since they return to any entry.
  */
 
 struct pgw_gossip;
@@ -36,6 +38,7 @@
  * @on_document: called with each newer document, from the store or a peer
  * @context: passed to @on_document
  * @quarantine: crash quarantine whose crashes all entries share; NULL: none
+ * @shares: shared services whose promises all entries share; NULL: none
  */
 struct pgw_gossip_options {
     struct pgw_address listen;
@@ -47,6 +50,7 @@
     void (*on_document)(const struct pgw_document *document, void *context);
     void *context;
     struct pgw_crash_quarantine *quarantine;
+    struct pgw_share_table *shares;
 };
 
 /** pgw_gossip_new() - listen and start to connect to seeds; fails with
--- a/src/gateway/placement/wait_queue.c
+++ b/src/gateway/placement/wait_queue.c
@@ -5,6 +5,7 @@
 pgw_wait_queue_init(struct pgw_wait_queue *queue)
 {
     queue->count = 0;
+    pgw_list_init(&queue->shared);
     for (unsigned i = 0; i < PGW_WAIT_QUEUE_RANKS; i++) {
         pgw_list_init(&queue->queues[i]);
     }
@@ -19,6 +20,15 @@
     queue->count++;
 }
 
+void
+pgw_wait_queue_add_shared(struct pgw_wait_queue *queue,
+                          struct pgw_wait_queue_item *item)
+{
+    item->rank = PGW_WAIT_QUEUE_RANKS;
+    pgw_list_append(&queue->shared, &item->link);
+    queue->count++;
+}
+
 void
 pgw_wait_queue_remove(struct pgw_wait_queue *queue,
                       struct pgw_wait_queue_item *item)
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -65,6 +65,7 @@
         exchange->queued_us += pgw_now_us() - exchange->queued_at_us;
         exchange->queued_at_us = 0;
     }
+    pgw_room_wait_drop(exchange);
     pgw_wait_queue_remove(&exchange->gateway->waiting, &exchange->waiting);
     pgw_metric_gauge_set(&queued_now, exchange->gateway->waiting.count);
 }
@@ -74,6 +75,7 @@
 {
     struct pgw_gateway *gateway = exchange->gateway;
 
+    pgw_room_wait_count_result(exchange);
     leave_queue(exchange);
     pgw_timer_stop(gateway->loop, &exchange->deadline_timer);
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
@@ -311,7 +313,7 @@
 {
     const struct pgw_gateway *gateway = exchange->gateway;
     unsigned rank = pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS);
-    unsigned count = 0;
+    unsigned count = pgw_room_wait_count_before(exchange);
 
     for (unsigned i = 0; i <= rank; i++) {
         pgw_list_foreach (link, &gateway->waiting.queues[i]) {
@@ -360,7 +362,11 @@
 {
     struct pgw_choice choice;
     uint64_t now_us = pgw_now_us();
+    uint32_t room_ms = pgw_room_wait_retry_ms(exchange, "not_placed");
 
+    if (room_ms > 0) {
+        return room_ms;
+    }
     choose_upstream(&choice, exchange, 0);
     return choice.upstream == NULL && choice.only_throttled
                ? MAX(throttled_retry_ms(
@@ -369,6 +375,15 @@
                : NO_SLOT_RETRY_MS;
 }
 
+/* The room is not known any more if the others that waited are gone. */
+static uint32_t
+no_room_retry_ms(const struct pgw_exchange *exchange)
+{
+    uint32_t room_ms = pgw_room_wait_retry_ms(exchange, "no_room");
+
+    return room_ms > 0 ? room_ms : NO_SLOT_RETRY_MS;
+}
+
 /* A request that never reached an upstream is reported as not run; for any
  * other the outcome is unknown. */
 static void
@@ -402,6 +417,10 @@
     if (exchange->may_have_run) {
         pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
     }
+    else if (exchange->is_displaced) {
+        pgw_exchange_refuse(exchange, 503, "no_room",
+                            no_room_retry_ms(exchange));
+    }
     else {
         pgw_exchange_refuse(exchange, 503, "no_place",
                             pgw_exchange_retry_ms(exchange));
@@ -441,12 +460,46 @@
     return true;
 }
 
+/* Returns false if the request was refused, and is freed. */
+static bool
+enqueue(struct pgw_exchange *exchange, uint64_t now_us)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    /* A stream that is queued to resume keeps its phase, since its head was
+     * sent: a second head would appear within the caller's answer. It goes
+     * before all that have not begun. */
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        exchange->phase = PGW_PHASE_QUEUED;
+    }
+    if (exchange->share == NULL || exchange->phase == PGW_PHASE_RELAYING) {
+        pgw_wait_queue_add(&gateway->waiting, &exchange->waiting,
+                           pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS));
+    }
+    else if (pgw_room_wait_begin(exchange, now_us)) {
+        pgw_wait_queue_add_shared(&gateway->waiting, &exchange->waiting);
+    }
+    else {
+        pgw_exchange_refuse(exchange, 503, "no_room",
+                            no_room_retry_ms(exchange));
+        return false;
+    }
+    exchange->queued_at_us = now_us;
+    pgw_metric_gauge_set(&queued_now, gateway->waiting.count);
+    exchange->attempt_timer.on_due = on_queue_timeout;
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+                    pgw_exchange_queue_time_us(exchange, now_us) *
+                        (exchange->turn.returned ? PGW_RETURNED_PATIENCE : 1));
+    return true;
+}
+
 void
 pgw_exchange_dispatch(struct pgw_exchange *exchange)
 {
     struct pgw_gateway *gateway = exchange->gateway;
     uint64_t now = pgw_now_us();
     struct pgw_choice choice;
+    bool takes_turn;
 
     if (exchange->deadline_us < now + MIN_ATTEMPT_TIME_US) {
         on_deadline(&exchange->deadline_timer);
@@ -461,11 +514,15 @@
         pgw_upstream_limits_want(gateway, choice.limited,
                                  !pgw_list_is_linked(&exchange->waiting.link));
     }
+    takes_turn = !pgw_list_is_linked(&exchange->waiting.link) &&
+                 pgw_room_wait_has_turns(exchange);
     if (choice.upstream != NULL &&
-        !pgw_suspect_wait_is_apart(exchange, choice.upstream)) {
+        (takes_turn ||
+         !pgw_suspect_wait_is_apart(exchange, choice.upstream))) {
         choice.upstream = NULL;
     }
     if (choice.upstream != NULL) {
+        pgw_room_wait_end(exchange, &choice);
         leave_queue(exchange);
         pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
         pgw_suspect_wait_end(exchange, choice.upstream);
@@ -477,18 +534,9 @@
         pgw_list_is_linked(&exchange->waiting.link)) {
         return;
     }
-    /* A stream that is queued to resume keeps its phase, since its head was
-     * sent: a second head would appear within the caller's answer. */
-    if (exchange->phase != PGW_PHASE_RELAYING) {
-        exchange->phase = PGW_PHASE_QUEUED;
+    if (enqueue(exchange, now) && takes_turn) {
+        pgw_gateway_dispatch_queued(gateway);
     }
-    exchange->queued_at_us = now;
-    pgw_wait_queue_add(&gateway->waiting, &exchange->waiting,
-                       pgw_exchange_rank(exchange, PGW_WAIT_QUEUE_RANKS));
-    pgw_metric_gauge_set(&queued_now, gateway->waiting.count);
-    exchange->attempt_timer.on_due = on_queue_timeout;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
-                    pgw_exchange_queue_time_us(exchange, now));
 }
 
 static struct pgw_exchange *
@@ -639,6 +687,7 @@
     exchange = exchange_new(gateway, caller, &facts, route, workspace);
     exchange->crash_keys = crash_keys;
     exchange->crash_keys.pool = pgw_place_id_hash(exchange->service);
+    pgw_room_wait_init(exchange);
     pgw_retry_budgets_deposit(gateway->budgets, exchange->service);
     pgw_timer_start(gateway->loop, &exchange->deadline_timer,
                     exchange->deadline_us > now ? exchange->deadline_us - now
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -4,6 +4,7 @@
 #include "gateway/crash/crash_quarantine.h"
 #include "gateway/crash/unframed_runs.h"
 #include "gateway/request/gateway.h"
+#include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
 #include "gateway/upstream/target_weights.h"
 
@@ -23,6 +24,7 @@
  * @quota: quotas of workspaces
  * @stream_origins: software versions of streams
  * @waiting: requests that are queued for a free slot
+ * @shares: shared services and their refused callers
  * @exchanges: all requests that have not ended
  * @dispatch_task: tries to dispatch the queued requests, once for all changes
  *   of one turn of the loop
@@ -62,6 +64,7 @@
     struct pgw_quota *quota;
     struct pgw_stream_origins *stream_origins;
     struct pgw_wait_queue waiting;
+    struct pgw_share_table *shares;
     struct pgw_list exchanges;
     struct pgw_task dispatch_task;
     struct pgw_timer dispatch_timer;
@@ -101,6 +104,13 @@
  * @facts: decoded head; host and key point into the caller's head
  * @crash_keys: what of the request may crash upstreams
  * @waiting: link in the gateway's queue
+ * @share: state of the service that the request shares with others, NULL: it
+ *   does not
+ * @turn: position among the requests that wait for @share
+ * @before: what was before it when it was queued
+ * @is_displaced: it is refused in favour of others of its workspace
+ * @return_early: its caller has sent it before this time, which a refusal
+ * named
  * @deadline_timer: expires at @deadline_us
  * @attempt_timer: while queued: the longest time in the queue; while sent: the
  *   response timeout of the attempt
@@ -167,6 +177,11 @@
     struct pgw_crash_keys crash_keys;
     enum pgw_exchange_phase phase;
     struct pgw_wait_queue_item waiting;
+    struct pgw_service_share *share;
+    struct pgw_queue_order_item turn;
+    struct pgw_queue_place before;
+    bool is_displaced;
+    struct pgw_return return_early;
     struct pgw_timer deadline_timer;
     struct pgw_timer attempt_timer;
     uint64_t received_us;
@@ -296,6 +311,39 @@
 /** pgw_suspect_wait_drop() - stop waiting, and give up a claimed trial */
 void pgw_suspect_wait_drop(struct pgw_exchange *exchange);
 
+/* room_wait.c */
+/** pgw_room_wait_init() - prepare an accepted request; its service is shared
+ * if it runs at engines */
+void pgw_room_wait_init(struct pgw_exchange *exchange);
+/** pgw_room_wait_has_turns() - others wait for the shared service: a request
+ * that arrives takes its place among them */
+bool pgw_room_wait_has_turns(const struct pgw_exchange *exchange);
+/**
+ * pgw_room_wait_begin() - give a request its place among those that wait
+ * @exchange: a request that cannot be sent now
+ * @now_us: monotonic time
+ *
+ * Return: false if it will not be served in time; the caller refuses it.
+ */
+bool pgw_room_wait_begin(struct pgw_exchange *exchange, uint64_t now_us);
+/** pgw_room_wait_end() - the request is sent */
+void pgw_room_wait_end(struct pgw_exchange *exchange,
+                       const struct pgw_choice *choice);
+/** pgw_room_wait_drop() - give up the request's place, if it has one */
+void pgw_room_wait_drop(struct pgw_exchange *exchange);
+/** pgw_room_wait_count_before() - requests that wait for the shared service
+ * and are before this one; all of them if it does not wait itself */
+unsigned pgw_room_wait_count_before(const struct pgw_exchange *exchange);
+/** pgw_room_wait_retry_ms() - when the caller returns that is refused for
+ * @reason; 0: nothing is known of the room */
+uint32_t pgw_room_wait_retry_ms(const struct pgw_exchange *exchange,
+                                const char *reason);
+/** pgw_room_wait_count_result() - count an answer to a caller that returned */
+void pgw_room_wait_count_result(const struct pgw_exchange *exchange);
+/** pgw_room_wait_dispatch() - try the requests that wait for shared services,
+ * in their order */
+void pgw_room_wait_dispatch(struct pgw_gateway *gateway);
+
 /* home_probe.c */
 /**
  * pgw_home_probe_begin() - probe the sidecars of a prompt's homes
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -71,16 +71,18 @@
     pgw_choose_options_apply(&gateway->options.choose, &options->policy);
     pgw_list_init(&gateway->exchanges);
     pgw_wait_queue_init(&gateway->waiting);
+    gateway->shares = pgw_share_table_new();
     gateway->server = pgw_caller_server_new(loop, &options->listen,
                                             &caller_ops, gateway, error);
     if (gateway->server == NULL) {
+        pgw_share_table_free(gateway->shares);
         g_free(gateway);
         return NULL;
     }
-    /*
-     * Failure: a process that has just started gets connections before its
     pgw_caller_server_set_pending_bound(gateway->server,
                                         options->pending_bound);
+    /*
+     * Failure: a process that has just started gets connections before its
      * first configuration. Symptom: it refuses requests that it could serve
      * some milliseconds later. Connections wait in the listen backlog until
      * the configuration has arrived, but only for a short time: while the
@@ -129,6 +131,7 @@
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_quota_free(gateway->quota);
+    pgw_share_table_free(gateway->shares);
     pgw_stream_origins_free(gateway->stream_origins);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
@@ -142,6 +145,12 @@
     g_free(gateway);
 }
 
+struct pgw_share_table *
+pgw_gateway_shares(struct pgw_gateway *gateway)
+{
+    return gateway->shares;
+}
+
 struct pgw_crash_quarantine *
 pgw_gateway_crash_quarantine(struct pgw_gateway *gateway)
 {
@@ -313,6 +322,7 @@
                 pgw_container_of(link, struct pgw_exchange, waiting.link));
         }
     }
+    pgw_room_wait_dispatch(gateway);
 }
 
 void
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -87,6 +87,7 @@
 };
 
 struct pgw_gateway;
+struct pgw_share_table;
 struct pgw_exchange;
 
 /** pgw_gateway_new() - listen for callers; %PGW_ERROR_IO */
@@ -246,6 +247,10 @@
  * budgets */
 void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
 
+/** pgw_gateway_shares() - shared services, whose promises entries tell each
+ * other */
+struct pgw_share_table *pgw_gateway_shares(struct pgw_gateway *gateway);
+
 /** pgw_gateway_crash_quarantine() - requests that crash upstreams, to be
  * exchanged with other entries by gossip */
 struct pgw_crash_quarantine *
--- a/src/libparsleygw/fair_queue.c
+++ b/src/libparsleygw/fair_queue.c
@@ -190,3 +190,93 @@
     }
     remove_idle_flows(queue);
 }
+
+double
+pgw_fair_queue__cost(const struct pgw_admit_item *item)
+{
+    return (double)item->uncached_tokens + item->max_tokens;
+}
+
+/* A waiting item and its virtual start time, if all before it in its flow are
+ * served. */
+struct start {
+    double time;
+    struct pgw_admit_item *item;
+};
+
+struct order {
+    pgw_fair_queue_compare compare;
+    uint64_t now_us;
+};
+
+static int
+compare_in_flow(const void *a, const void *b, void *context)
+{
+    const struct start *first = a;
+    const struct start *second = b;
+    const struct order *order = context;
+
+    return order->compare(first->item, second->item, order->now_us);
+}
+
+static int
+compare_starts(const void *a, const void *b, void *context)
+{
+    const struct start *first = a;
+    const struct start *second = b;
+
+    if (first->time != second->time) {
+        return first->time < second->time ? -1 : 1;
+    }
+    return compare_in_flow(a, b, context);
+}
+
+static void
+add_starts(GArray *starts, const struct pgw_admit_flow *flow,
+           struct order *order)
+{
+    GArray *own =
+        g_array_sized_new(FALSE, FALSE, sizeof(struct start), flow->count);
+    double time = flow->start.key;
+
+    pgw_list_foreach (link, &flow->items) {
+        struct start start = {
+            .item =
+                pgw_container_of(link, struct pgw_admit_item, position.queue),
+        };
+
+        g_array_append_val(own, start);
+    }
+    g_array_sort_with_data(own, compare_in_flow, order);
+    for (guint i = 0; i < own->len; i++) {
+        struct start *start = &g_array_index(own, struct start, i);
+
+        start->time = time;
+        time += pgw_fair_queue__cost(start->item) / flow->share;
+    }
+    g_array_append_vals(starts, own->data, own->len);
+    g_array_free(own, TRUE);
+}
+
+void
+pgw_fair_queue__list(const struct pgw_fair_queue *queue, GPtrArray *out,
+                     pgw_fair_queue_compare compare, uint64_t now_us)
+{
+    GArray *starts =
+        g_array_sized_new(FALSE, FALSE, sizeof(struct start), queue->count);
+    struct order order = {.compare = compare, .now_us = now_us};
+    GHashTableIter iter;
+    void *flow;
+
+    g_hash_table_iter_init(&iter, queue->flows);
+    while (g_hash_table_iter_next(&iter, &flow, NULL)) {
+        if (((const struct pgw_admit_flow *)flow)->count > 0) {
+            add_starts(starts, flow, &order);
+        }
+    }
+    g_array_sort_with_data(starts, compare_starts, &order);
+    for (guint i = 0; i < starts->len; i++) {
+        g_ptr_array_add(out, g_array_index(starts, struct start, i).item);
+    }
+    g_array_free(starts, TRUE);
+}
--- a/src/libparsleygw/fair_queue.h
+++ b/src/libparsleygw/fair_queue.h
@@ -87,6 +87,21 @@
                                          struct pgw_admit_item *item,
                                          uint32_t uncached_tokens);
 
+/* Estimated tokens of an item: those of its prompt that must be prefilled and
+ * those of its answer. */
+double pgw_fair_queue__cost(const struct pgw_admit_item *item);
+
+/* Order of two items of one workspace: negative if @a is served first. */
+typedef int (*pgw_fair_queue_compare)(const struct pgw_admit_item *a,
+                                      const struct pgw_admit_item *b,
+                                      uint64_t now_us);
+
+/* Appends all waiting items to @out in the order in which they would be served
+ * at their estimated costs if no more arrived. Within a workspace @compare
+ * decides instead of the time of arrival. */
+void pgw_fair_queue__list(const struct pgw_fair_queue *queue, GPtrArray *out,
+                          pgw_fair_queue_compare compare, uint64_t now_us);
+
 /* Removes any item without a charge. */
 void pgw_fair_queue__remove(struct pgw_fair_queue *queue,
                             struct pgw_admit_item *item);
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &pgw__kind_revision__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__return_promise__init
+                     (Pgw__ReturnPromise         *message)
+{
+  static const Pgw__ReturnPromise init_value = PGW__RETURN_PROMISE__INIT;
+  *message = init_value;
+}
+size_t pgw__return_promise__get_packed_size
+                     (const Pgw__ReturnPromise *message)
+{
+  assert(message->base.descriptor == &pgw__return_promise__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__return_promise__pack
+                     (const Pgw__ReturnPromise *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__return_promise__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__return_promise__pack_to_buffer
+                     (const Pgw__ReturnPromise *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__return_promise__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__ReturnPromise *
+       pgw__return_promise__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__ReturnPromise *)
+     protobuf_c_message_unpack (&pgw__return_promise__descriptor,
+                                allocator, len, data);
+}
+void   pgw__return_promise__free_unpacked
+                     (Pgw__ReturnPromise *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__return_promise__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pgw__news__init
                      (Pgw__News         *message)
 {
@@ -3740,7 +3785,71 @@
   (ProtobufCMessageInit) pgw__kind_revision__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pgw__return_promise__field_descriptors[3] =
+{
+  {
+    "caller",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ReturnPromise, caller),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ReturnPromise, due_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_time_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__ReturnPromise, in_time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__return_promise__field_indices_by_name[] = {
+  0,   /* field[0] = caller */
+  1,   /* field[1] = due_ms */
+  2,   /* field[2] = in_time_ms */
+};
+static const ProtobufCIntRange pgw__return_promise__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pgw__return_promise__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.ReturnPromise",
+  "ReturnPromise",
+  "Pgw__ReturnPromise",
+  "pgw",
+  sizeof(Pgw__ReturnPromise),
+  3,
+  pgw__return_promise__field_descriptors,
+  pgw__return_promise__field_indices_by_name,
+  1,  pgw__return_promise__number_ranges,
+  (ProtobufCMessageInit) pgw__return_promise__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__news__field_descriptors[4] =
 {
   {
     "kinds",
@@ -3766,15 +3875,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "promises",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pgw__News, n_promises),
+    offsetof(Pgw__News, promises),
+    &pgw__return_promise__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__News, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__news__field_indices_by_name[] = {
   1,   /* field[1] = ask */
   0,   /* field[0] = kinds */
+  3,   /* field[3] = pass_on */
+  2,   /* field[2] = promises */
 };
 static const ProtobufCIntRange pgw__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pgw__news__descriptor =
 {
@@ -3784,7 +3919,7 @@
   "Pgw__News",
   "pgw",
   sizeof(Pgw__News),
-  2,
+  4,
   pgw__news__field_descriptors,
   pgw__news__field_indices_by_name,
   1,  pgw__news__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Pgw__Document Pgw__Document;
 typedef struct Pgw__Documents Pgw__Documents;
 typedef struct Pgw__KindRevision Pgw__KindRevision;
+typedef struct Pgw__ReturnPromise Pgw__ReturnPromise;
 typedef struct Pgw__News Pgw__News;
 typedef struct Pgw__CrashedRun Pgw__CrashedRun;
 typedef struct Pgw__SuspectRun Pgw__SuspectRun;
@@ -515,6 +516,33 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A caller that was refused with a promised time to return.
+ */
+struct  Pgw__ReturnPromise
+{
+  ProtobufCMessage base;
+  /*
+   * hash of what it sends
+   */
+  uint64_t caller;
+  /*
+   * until its time
+   */
+  uint32_t due_ms;
+  /*
+   * until its request is late, 0: it is
+   */
+  uint32_t in_time_ms;
+};
+#define PGW__RETURN_PROMISE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__return_promise__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Either revisions or promises.
+ */
 struct  Pgw__News
 {
   ProtobufCMessage base;
@@ -524,10 +552,16 @@
    * send what is newer than these
    */
   protobuf_c_boolean ask;
+  size_t n_promises;
+  Pgw__ReturnPromise **promises;
+  /*
+   * promises: to all other entries
+   */
+  protobuf_c_boolean pass_on;
 };
 #define PGW__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__news__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -1372,6 +1406,25 @@
 void   pgw__kind_revision__free_unpacked
                      (Pgw__KindRevision *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__ReturnPromise methods */
+void   pgw__return_promise__init
+                     (Pgw__ReturnPromise         *message);
+size_t pgw__return_promise__get_packed_size
+                     (const Pgw__ReturnPromise   *message);
+size_t pgw__return_promise__pack
+                     (const Pgw__ReturnPromise   *message,
+                      uint8_t             *out);
+size_t pgw__return_promise__pack_to_buffer
+                     (const Pgw__ReturnPromise   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__ReturnPromise *
+       pgw__return_promise__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__return_promise__free_unpacked
+                     (Pgw__ReturnPromise *message,
+                      ProtobufCAllocator *allocator);
 /* Pgw__News methods */
 void   pgw__news__init
                      (Pgw__News         *message);
@@ -1754,6 +1807,9 @@
 typedef void (*Pgw__KindRevision_Closure)
                  (const Pgw__KindRevision *message,
                   void *closure_data);
+typedef void (*Pgw__ReturnPromise_Closure)
+                 (const Pgw__ReturnPromise *message,
+                  void *closure_data);
 typedef void (*Pgw__News_Closure)
                  (const Pgw__News *message,
                   void *closure_data);
@@ -1830,6 +1886,7 @@
 extern const ProtobufCMessageDescriptor pgw__document__descriptor;
 extern const ProtobufCMessageDescriptor pgw__documents__descriptor;
 extern const ProtobufCMessageDescriptor pgw__kind_revision__descriptor;
+extern const ProtobufCMessageDescriptor pgw__return_promise__descriptor;
 extern const ProtobufCMessageDescriptor pgw__news__descriptor;
 extern const ProtobufCMessageDescriptor pgw__crashed_run__descriptor;
 extern const ProtobufCMessageDescriptor pgw__suspect_run__descriptor;
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -419,6 +419,18 @@
     return send_request(scene, SCENE_KEY, path, id, fields, "body");
 }
 
+int
+scene_call_with_key_and_prompt(struct scene *scene, const char *key,
+                               const char *path, const char *id)
+{
+    char *body = g_strdup_printf("%s body", id);
+    int fd = send_request(scene, key, path, id,
+                          "Model: m\r\nToken-Count: 60,8\r\n", body);
+
+    g_free(body);
+    return fd;
+}
+
 int
 scene_call_with_prompt(struct scene *scene, const char *path, const char *id,
                        const char *parts)
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -134,6 +134,11 @@
 int scene_call_with_prompt(struct scene *scene, const char *path,
                            const char *id, const char *parts);
 
+/** scene_call_with_key_and_prompt() - send a prompt of 68 tokens with another
+ * key */
+int scene_call_with_key_and_prompt(struct scene *scene, const char *key,
+                                   const char *path, const char *id);
+
 /** scene_send() - send text on a socket */
 void scene_send(int fd, const char *text);
 
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -92,6 +92,13 @@
       END "outcome=no_place status=503 sends=0 queued_ms=800 total_ms=800"},
      "no_place",
      "800 ms"},
+    {"no room",
+     {"room_refused request=r workspace=small service=s reason=no_room "
+      "returned=0 ratio=1.20 before=7 queued_tokens=900 tokens_per_s=300 "
+      "retry_ms=800 promised=1 top=large top_share=0.81",
+      END "outcome=no_room status=503 sends=0 queued_ms=0 total_ms=1"},
+     "no_room",
+     "workspace large got most (0.81 of all)"},
     {"limits",
      {END "outcome=upstream_limits status=503 sends=0 queued_ms=0 total_ms=1"},
      "upstream_limits",
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -664,6 +664,44 @@
                              "/once/");
 }
 
+/* Failure: one workspace has queued many prompts. A less urgent one that comes
+ * later gets its share of the engine, not the end of the queue. */
+static void
+test_workspaces_share_engine(void)
+{
+    static const char *const expected[] = {"b", "e", "c", "d"};
+    struct scene *scene = ready_scene(1);
+    int callers[G_N_ELEMENTS(expected)];
+    int running =
+        scene_call_with_key_and_prompt(scene, SCENE_KEY, "/once/", "a");
+    int upstream = scene_accept(scene, 0);
+
+    g_free(scene_read_request(upstream));
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        const char id[] = {(char)('b' + i), '\0'};
+
+        callers[i] = scene_call_with_key_and_prompt(
+            scene, *id == 'e' ? SCENE_KEY_LOW_PRIORITY : SCENE_KEY, "/once/",
+            id);
+        /* This answer shows that the request before it was read. */
+        expect_status(scene_call(scene, "/none/", "x"), "HTTP/1.1 404 ");
+    }
+    scene_answer(upstream, "a", 200, "", "ok");
+    expect_ok(running);
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        char *request = scene_read_request(upstream);
+        char *line = g_strdup_printf("Attempt-Id: %s\r\n", expected[i]);
+
+        assert_has(request, line);
+        g_free(line);
+        g_free(request);
+        scene_answer(upstream, expected[i], 200, "", "ok");
+        expect_ok(callers[*expected[i] - 'b']);
+    }
+    close(upstream);
+    scene_free(scene);
+}
+
 /* The route's timeout expires without an answer: the caller gets a 504 that
  * does not claim that the request has not run, and the upstream's connection
  * is closed. */
@@ -1098,6 +1136,8 @@
                     test_failed_resumption_is_incomplete);
     g_test_add_func("/gateway/caller_leaves", test_caller_disconnects);
     g_test_add_func("/gateway/urgent_first", test_urgent_request_goes_first);
+    g_test_add_func("/gateway/workspaces_share_engine",
+                    test_workspaces_share_engine);
     g_test_add_func("/gateway/urgent_workspace_first",
                     test_urgent_workspace_goes_first);
     g_test_add_func("/gateway/route_timeout", test_route_timeout);
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -7,6 +7,7 @@
 /**
  * struct fleet - entries on one loop; the first one is the seed of the others
  * @quarantine: crash quarantine of each entry, or NULL
+ * @shares: shared services of each entry, or NULL
  * @poll_timer: checks whether the last entry has quarantined the request
  * @timeout: stops the loop and sets @timed_out
  * @received_count: number of documents that each entry has received
@@ -17,6 +18,7 @@
     struct pgw_loop *loop;
     struct pgw_gossip *gossip[ENTRIES];
     struct pgw_crash_quarantine *quarantine[ENTRIES];
+    struct pgw_share_table *shares[ENTRIES];
     struct pgw_timer poll_timer;
     struct pgw_timer timeout;
     unsigned received_count[ENTRIES];
@@ -71,6 +73,7 @@
         .zone = "a",
         .request_delay_us = 450000,
         .quarantine = fleet->quarantine[index],
+        .shares = fleet->shares[index],
         .on_document = on_document,
         .context = &entry_contexts[index],
     };
@@ -253,6 +256,61 @@
     pgw_loop_free(fleet.loop);
 }
 
+/* The last entry has heard of the first one's promise and of the second one's.
+ * Those that are made before the entries are connected reach nobody. */
+static void
+promise_due(struct pgw_timer *timer)
+{
+    struct fleet *fleet = pgw_container_of(timer, struct fleet, poll_timer);
+    struct pgw_returned_caller heard;
+    bool is_known = true;
+
+    for (unsigned i = 0; i < ENTRIES - 1; i++) {
+        struct pgw_returned_caller caller = {
+            .key = i + 1,
+            .at = {.at_us = pgw_now_us() + 5000000, .is_promised = true},
+        };
+
+        is_known &= pgw_returned_callers_take(
+                        &fleet->shares[ENTRIES - 1]->returned, i + 1,
+                        pgw_now_us(), &heard) == PGW_RETURNED_EARLY;
+        pgw_share_table_refuse(fleet->shares[i], &caller);
+    }
+    if (is_known) {
+        pgw_loop_stop(fleet->loop);
+    }
+    else {
+        pgw_timer_start(fleet->loop, timer, 10000);
+    }
+}
+
+/* Failure: a caller returns to another entry than the one that promised it a
+ * time, and is refused there like a new one. */
+static void
+test_promises_are_shared(void)
+{
+    struct fleet fleet = {.expected_count = 99};
+
+    fleet.loop = pgw_loop_new(NULL);
+    fleet.timeout.on_due = timeout_due;
+    fleet.poll_timer.on_due = promise_due;
+    pgw_timer_start(fleet.loop, &fleet.timeout, 20000000);
+    pgw_timer_start(fleet.loop, &fleet.poll_timer, 0);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        fleet.shares[i] = pgw_share_table_new();
+        add_entry(&fleet, i);
+    }
+    pgw_loop_run(fleet.loop);
+    g_assert_false(fleet.timed_out);
+    for (unsigned i = 0; i < ENTRIES; i++) {
+        pgw_gossip_free(fleet.gossip[i]);
+        pgw_share_table_free(fleet.shares[i]);
+    }
+    pgw_timer_stop(fleet.loop, &fleet.timeout);
+    pgw_timer_stop(fleet.loop, &fleet.poll_timer);
+    pgw_loop_free(fleet.loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -265,5 +323,6 @@
     g_test_add_func("/gossip/old_copies_are_dropped",
                     test_old_copies_are_dropped);
     g_test_add_func("/gossip/crashes_are_shared", test_crashes_are_shared);
+    g_test_add_func("/gossip/promises_are_shared", test_promises_are_shared);
     return g_test_run();
 }
