--- a/src/gateway/config/policy.h
+++ b/src/gateway/config/policy.h
@@ -44,6 +44,8 @@
  *   large
  * @PGW_MECHANISM_RUN_COVER: runs have no copy at another engine, and end with
  *   their engine
+ * @PGW_MECHANISM_FAIR_SHARE: requests for engines wait by rank and arrival,
+ * and are refused only after a third of their time
  * @PGW_MECHANISM_COUNT: number of mechanisms
  */
 enum pgw_mechanism {
@@ -64,6 +66,7 @@
     PGW_MECHANISM_ROUTE_PRIORITY,
     PGW_MECHANISM_HOME_PROBES,
     PGW_MECHANISM_RUN_COVER,
+    PGW_MECHANISM_FAIR_SHARE,
     PGW_MECHANISM_COUNT,
 };
 
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -46,6 +46,8 @@
  *   after a newer target version was announced
  * @queue_time_share: part of the time until its deadline that a request may be
  *   queued
+ * @pending_bound: most bytes of answers that are buffered for all callers, 0:
+ *   no bound
  * @response_timeout_share: part of the objective after which a plain service
  *   that has not answered is given up, if the request may be retried
  * @final_answer_grace_us: how long an upstream's process may still send an
@@ -73,6 +75,7 @@
     uint64_t old_weights_usable_us;
     uint64_t weights_grace_us;
     double queue_time_share;
+    size_t pending_bound;
     double response_timeout_share;
     uint64_t final_answer_grace_us;
     uint64_t probe_wait_us;
@@ -84,6 +87,7 @@
 };
 
 struct pgw_gateway;
+struct pgw_share_table;
 struct pgw_exchange;
 
 /** pgw_gateway_new() - listen for callers; %PGW_ERROR_IO */
@@ -246,6 +250,10 @@
  * budgets */
 void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
 
+/** pgw_gateway_shares() - shared services, whose promises entries tell each
+ * other */
+struct pgw_share_table *pgw_gateway_shares(struct pgw_gateway *gateway);
+
 /** pgw_gateway_crash_quarantine() - requests that crash upstreams, to be
  * exchanged with other entries by gossip */
 struct pgw_crash_quarantine *
