Keep the retry limit after runs went on from copies

What callers saw: nothing yet; a deployment's retry limit could be exceeded. Cause: a reserved retry may use all that others left of the limit, and the bucket did not know: it gave its retries on top, up to the limit once more within ten seconds. Evidence: read in the code; the new test, with the check taken out, sums more retries in ten seconds than the limit allows. Change: retries are taken and counted in one place. While a reserved retry that the bucket did not give is in the sliding window, every other retry must have room there too. Without one the bucket decides alone, as before.

--- a/src/gateway/quota/retry_budgets.c
+++ b/src/gateway/quota/retry_budgets.c
@@ -8,12 +8,14 @@
 /*
  * Requests and retries of one service, by second.
  * @slot: number of the second that an item counts
+ * @borrowed: retries that the bucket did not give
  */
 struct retry_window {
     struct {
         uint64_t slot;
         uint32_t requests;
         uint32_t retries;
+        uint32_t borrowed;
     } items[WINDOW_SLOTS];
 };
 
@@ -115,7 +117,7 @@
 
 static void
 count(struct pgw_retry_budgets *budgets, const char *service, uint64_t now_us,
-      uint32_t requests, uint32_t retries)
+      uint32_t requests, uint32_t retries, uint32_t borrowed)
 {
     struct retry_window *window = get_window(budgets, service);
     uint64_t slot = now_us / SLOT_US;
@@ -125,23 +127,25 @@
         window->items[i].slot = slot;
         window->items[i].requests = 0;
         window->items[i].retries = 0;
+        window->items[i].borrowed = 0;
     }
     window->items[i].requests += requests;
     window->items[i].retries += retries;
+    window->items[i].borrowed += borrowed;
 }
 
 void
 pgw_retry_budgets_count_request(struct pgw_retry_budgets *budgets,
                                 const char *service, uint64_t now_us)
 {
-    count(budgets, service, now_us, 1, 0);
+    count(budgets, service, now_us, 1, 0, 0);
 }
 
 void
 pgw_retry_budgets_count_retry(struct pgw_retry_budgets *budgets,
                               const char *service, uint64_t now_us)
 {
-    count(budgets, service, now_us, 0, 1);
+    count(budgets, service, now_us, 0, 1, 0);
 }
 
 bool
@@ -166,3 +170,43 @@
     return retries * 1000 <= requests * budgets->options.share_permille +
                                  (uint64_t)slack_per_entry(budgets) * 1000;
 }
+
+static bool
+has_borrowed(struct pgw_retry_budgets *budgets, const char *service,
+             uint64_t now_us)
+{
+    const struct retry_window *window = get_window(budgets, service);
+    uint64_t slot = now_us / SLOT_US;
+
+    for (size_t i = 0; i < WINDOW_SLOTS; i++) {
+        if (window->items[i].borrowed > 0 && window->items[i].slot <= slot &&
+            slot - window->items[i].slot < WINDOW_SLOTS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Failure: reserved retries use all that is left of the limit, and the bucket
+ * gives others as before. Symptom: the deployment's limit is exceeded, by up
+ * to as much again. The bucket keeps the limit by itself only while nothing
+ * was taken past it.
+ */
+bool
+pgw_retry_budgets_take(struct pgw_retry_budgets *budgets, const char *service,
+                       bool reserved, uint64_t now_us)
+{
+    bool has_room = pgw_retry_budgets_has_room(budgets, service, now_us);
+    bool borrows;
+
+    if (!has_room && has_borrowed(budgets, service, now_us)) {
+        return false;
+    }
+    borrows = !pgw_retry_budgets_withdraw(budgets, service);
+    if (borrows && (!reserved || !has_room)) {
+        return false;
+    }
+    count(budgets, service, now_us, 0, 1, borrows);
+    return true;
+}
--- a/src/gateway/quota/retry_budgets.h
+++ b/src/gateway/quota/retry_budgets.h
@@ -66,4 +66,20 @@
 bool pgw_retry_budgets_withdraw(struct pgw_retry_budgets *budgets,
                                 const char *service);
 
+/**
+ * pgw_retry_budgets_take() - take and count one retry
+ * @budgets: the budgets
+ * @service: the service that gets it
+ * @reserved: the retry may use what others leave of the limit
+ * @now_us: monotonic time
+ *
+ * As long as a retry that did so is in the sliding window, all others must
+ * keep this entry's share of the limit as well.
+ *
+ * Return: false if none is left.
+ */
+bool pgw_retry_budgets_take(struct pgw_retry_budgets *budgets,
+                            const char *service, bool reserved,
+                            uint64_t now_us);
+
 #endif
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -181,17 +181,13 @@
 static bool
 take_retry(struct pgw_exchange *exchange, bool reserved)
 {
-    struct pgw_retry_budgets *budgets = exchange->gateway->budgets;
-
     if (exchange->sends >= SENDS_MAX || exchange->caller == NULL) {
         return false;
     }
-    if (!pgw_retry_budgets_withdraw(budgets, exchange->service) &&
-        (!reserved || !pgw_retry_budgets_has_room(budgets, exchange->service,
-                                                  pgw_now_us()))) {
+    if (!pgw_retry_budgets_take(exchange->gateway->budgets, exchange->service,
+                                reserved, pgw_now_us())) {
         return false;
     }
-    pgw_retry_budgets_count_retry(budgets, exchange->service, pgw_now_us());
     pgw_metric_register_counter(&retries);
     pgw_metric_counter_add(&retries, 1);
     return true;
--- a/tests/unit/test_retry_budgets.c
+++ b/tests/unit/test_retry_budgets.c
@@ -81,6 +81,63 @@
     pgw_retry_budgets_free(budgets);
 }
 
+/*
+ * Guards against a limit that is exceeded after runs went on from copies: they
+ * used what was left of it, and the bucket's retries came on top. 100 requests
+ * a second, and a caller of retries that takes all it gets.
+ */
+static void
+test_others_keep_the_limit_after_reserved(void)
+{
+    struct pgw_retry_budgets_options options = {
+        .share_permille = 200, .slack = 40, .entries = 4};
+    struct pgw_retry_budgets *budgets = pgw_retry_budgets_new(&options);
+    unsigned taken[40] = {0};
+
+    for (unsigned second = 0; second < 40; second++) {
+        uint64_t now_us = (50 + second) * 1000000ULL;
+
+        for (unsigned i = 0; i < 100; i++) {
+            pgw_retry_budgets_deposit(budgets, "s");
+            pgw_retry_budgets_count_request(budgets, "s", now_us);
+        }
+        while (second >= 15 &&
+               pgw_retry_budgets_take(budgets, "s", second == 15, now_us)) {
+            taken[second]++;
+        }
+    }
+    for (unsigned from = 0; from + 10 <= 40; from++) {
+        unsigned sum = 0;
+
+        for (unsigned i = 0; i < 10; i++) {
+            sum += taken[from + i];
+        }
+        g_assert_cmpuint(sum, <=, 100 * 10 / 5 + 10);
+    }
+    g_assert_cmpuint(taken[15], ==, 100 * 10 / 5 + 10);
+    pgw_retry_budgets_free(budgets);
+}
+
+/* Guards earlier deployments: without reserved retries the bucket alone
+ * decides. */
+static void
+test_bucket_decides_without_reserved(void)
+{
+    struct pgw_retry_budgets_options options = {
+        .share_permille = 200, .slack = 40, .entries = 4};
+    struct pgw_retry_budgets *budgets = pgw_retry_budgets_new(&options);
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < 10; i++) {
+        pgw_retry_budgets_count_retry(budgets, "s", 50000000);
+    }
+    while (pgw_retry_budgets_take(budgets, "s", false, 50000000)) {
+        count++;
+    }
+    g_assert_cmpuint(count, ==, 10);
+    pgw_retry_budgets_free(budgets);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -89,5 +146,9 @@
     g_test_add_func("/retry_budgets/slack",
                     test_slack_is_divided_among_entries);
     g_test_add_func("/retry_budgets/window", test_window_keeps_the_limit);
+    g_test_add_func("/retry_budgets/after_reserved",
+                    test_others_keep_the_limit_after_reserved);
+    g_test_add_func("/retry_budgets/bucket_alone",
+                    test_bucket_decides_without_reserved);
     return g_test_run();
 }
