Let runs go on only after closed connections, and log once that one can't

What callers saw: nothing new. Cause: an answer that was framed to its end but stopped within an event counted as the end of its engine. That engine is alive, so the run went on at a second engine beside it, past the route's number of attempts. And a run that stays at a silent engine was counted and logged as not continued every tenth of a second. Change: only an answer without a length may have ended with its engine. The request remembers that it was logged.

--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -145,6 +145,7 @@
     cover->since_us = pgw_now_us();
     cover->weights = forward->weights;
     cover->software = choice->upstream->software;
+    cover->end_is_logged = false;
     forward->backup_to = cover->holder->address_text;
     pgw_metric_counter_add(&covered, 1);
     pgw_metric_counter_add(&covered_tokens, exchange->facts.prompt.tokens);
@@ -168,9 +169,14 @@
            holder->software == cover->software;
 }
 
+/* A stalled run is examined several times a second. */
 static void
-log_not_continued(const struct pgw_exchange *exchange, const char *reason)
+log_not_continued(struct pgw_exchange *exchange, const char *reason)
 {
+    if (exchange->cover.end_is_logged) {
+        return;
+    }
+    exchange->cover.end_is_logged = true;
     pgw_metric_counter_add(&not_continued, 1);
     pgw_log_info("run_not_continued",
                  "request=%s holder=%s events=%" G_GUINT64_FORMAT " reason=%s",
--- a/src/gateway/cover/run_cover.h
+++ b/src/gateway/cover/run_cover.h
@@ -25,6 +25,7 @@
  * @since_us: when the copied attempt was sent
  * @weights: version of the weights that run it
  * @software: version of the software that runs it, interned
+ * @end_is_logged: it was logged that the run ends with its engine
  */
 struct pgw_run_cover {
     enum pgw_copy_state state;
@@ -32,6 +33,7 @@
     uint64_t since_us;
     uint64_t weights;
     const char *software;
+    bool end_is_logged;
 };
 
 /** pgw_run_cover_is_used() - the run goes on from its copy, or was to: it may
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -346,7 +346,14 @@
         (exchange->phase == PGW_PHASE_RELAYING && !exchange->is_stream)) {
         pgw_attempt_record_result(exchange, PGW_RESULT_BROKEN);
         pgw_attempt_record_interrupted(exchange);
-        pgw_attempt_handle_lost(exchange, "cut_event");
+        /* A body that was framed to its end does not show that the engine has
+         * ended. */
+        if (exchange->is_unframed) {
+            pgw_attempt_handle_lost(exchange, "cut_event");
+        }
+        else {
+            pgw_attempt_handle_unknown(exchange, "cut_event");
+        }
         return;
     }
     if (exchange->status >= 500) {
--- a/tests/unit/test_cover_gateway.c
+++ b/tests/unit/test_cover_gateway.c
@@ -1,5 +1,6 @@
 #include "gateway/request/exchange.h"
 #include "scene_gateway.h"
+#include "util/metric.h"
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -357,6 +358,65 @@
     end_run(&run, -1);
 }
 
+/* Guards against an engine that is alive while the run goes on elsewhere: it
+ * ended its answer properly, but within an event. */
+static void
+test_framed_cut(void)
+{
+    struct run run = begin_run(covered_scene(3, true), true);
+
+    scene_chunk(run.fd, "id: 3\nda");
+    scene_send(run.fd, "0\r\n\r\n");
+    expect_cut(&run);
+    close(run.fd);
+    end_run(&run, -1);
+}
+
+/* No other engine can take a run that began. */
+static void
+set_other_weights_elsewhere(struct scene *scene)
+{
+    pgw_list_foreach (
+        link, pgw_upstream_table_all(pgw_gateway_upstreams(scene->gateway))) {
+        struct pgw_upstream *upstream =
+            pgw_container_of(link, struct pgw_upstream, in_table);
+
+        if (upstream->inflight == 0) {
+            pgw_upstream_set_version(upstream, "m", 8);
+        }
+    }
+}
+
+static uint64_t
+not_continued_total(void)
+{
+    static const char name[] = "\npgw_gateway_runs_not_continued_total ";
+    char *text = pgw_metric_render();
+    const char *line = strstr(text, name);
+    uint64_t total;
+
+    g_assert_nonnull(line);
+    total = g_ascii_strtoull(line + strlen(name), NULL, 10);
+    g_free(text);
+    return total;
+}
+
+/* Guards against a log line every tenth of a second, and a wrong figure, for a
+ * run that stays at a silent engine. */
+static void
+test_silent_engine_logs_once(void)
+{
+    struct run run = begin_run(covered_scene(3, true), true);
+    uint64_t before = not_continued_total();
+
+    scene_run(run.scene, set_other_weights_elsewhere);
+    scene_run(run.scene, set_unresponsive);
+    g_usleep(1500 * 1000);
+    g_assert_cmpuint(not_continued_total() - before, ==, 1);
+    close(run.fd);
+    end_run(&run, -1);
+}
+
 /* Guards against work for a caller that left while its run goes on. */
 static void
 test_caller_leaves(void)
@@ -429,6 +489,9 @@
                     test_holder_is_cut_off);
     g_test_add_func("/cover_gateway/silent_engine", test_silent_engine);
     g_test_add_func("/cover_gateway/garbled_answer", test_garbled_answer);
+    g_test_add_func("/cover_gateway/framed_cut", test_framed_cut);
+    g_test_add_func("/cover_gateway/silent_engine_logs_once",
+                    test_silent_engine_logs_once);
     g_test_add_func("/cover_gateway/caller_leaves", test_caller_leaves);
     g_test_add_func("/cover_gateway/other_weights", test_other_weights);
     g_test_add_func("/cover_gateway/not_offered", test_not_offered);
