Count an engine's silence from the entry's own return

What callers saw: nothing yet. Cause: an entry whose machine is suspended in a turn of its loop looks at its engines' silence before it reads what they sent. It took all for lost: their covered runs went on at a second engine while the first was well, past the route's number of attempts, and the losses that were counted had every run covered for a minute. Evidence: with the check taken out, /cover_gateway/entry_pauses loses its stream. Change: after checks that were half a second apart no run goes on from its copy for silence, and none counts as a loss, for a second. Streams that may be resumed are moved as before.

--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -35,6 +35,9 @@
  * @start_timer: ends the pause before callers are accepted without a
  *   configuration
  * @unresponsive_timer: checks upstreams for liveness
+ * @liveness_checked_us: when it last did, 0: never
+ * @resumed_us: when the entry last found that it had been stopped itself, 0:
+ *   never
  * @target_weights: model -> &struct pgw_target_weights
  * @ms_per_output_token: observed time from the first event to the end of a
  *   run, divided by the most output tokens that its caller allows
@@ -73,6 +76,8 @@
     struct pgw_timer dispatch_timer;
     struct pgw_timer start_timer;
     struct pgw_timer unresponsive_timer;
+    uint64_t liveness_checked_us;
+    uint64_t resumed_us;
     GHashTable *target_weights;
     struct pgw_moving_average ms_per_output_token;
     struct pgw_moving_average prefill_rate;
--- a/src/gateway/upstream/unresponsive.c
+++ b/src/gateway/upstream/unresponsive.c
@@ -12,6 +12,9 @@
  * reports. Callers give up after two seconds or more without an event, and the
  * next engine must prefill the prompt in the rest of that time. */
 #define STREAM_STALL_US 1000000
+/* An entry whose checks are this far apart was stopped itself: a busy one is
+ * late by less. */
+#define OWN_PAUSE_US 500000
 
 static struct pgw_metric_gauge unresponsive_upstreams = {
     .name = "pgw_gateway_silent_upstreams",
@@ -26,6 +29,29 @@
     .help = "Requests whose upstream process ended without an answer",
 };
 
+/*
+ * Failure: the entry's own machine is suspended. Symptom: what was sent to it
+ * meanwhile is unread, so it takes all engines for lost, and runs go on at a
+ * second engine while the first is well. Silence counts from the entry's own
+ * return.
+ */
+static bool
+hears_again(const struct pgw_gateway *gateway, uint64_t now_us)
+{
+    return gateway->resumed_us == 0 ||
+           now_us - gateway->resumed_us >= STREAM_STALL_US;
+}
+
+static void
+notice_own_pause(struct pgw_gateway *gateway, uint64_t now_us)
+{
+    if (gateway->liveness_checked_us > 0 &&
+        now_us - gateway->liveness_checked_us >= OWN_PAUSE_US) {
+        gateway->resumed_us = now_us;
+    }
+    gateway->liveness_checked_us = now_us;
+}
+
 /* Logs when an upstream stops responding and when it responds again. Returns
  * whether it is suspect or unresponsive. */
 static bool
@@ -42,7 +68,7 @@
                      upstream->id, suspect,
                      pgw_upstream_since_seen_us(upstream, now_us) / 1000,
                      upstream->inflight);
-        if (suspect) {
+        if (suspect && hears_again(gateway, now_us)) {
             pgw_run_cover_add_loss(gateway, upstream);
         }
     }
@@ -106,7 +132,9 @@
 fail_over(struct pgw_exchange *exchange, uint64_t now_us)
 {
     const char *reason_to_stay =
-        pgw_run_cover_go_on(exchange) ? NULL : reserve_retry(exchange);
+        hears_again(exchange->gateway, now_us) && pgw_run_cover_go_on(exchange)
+            ? NULL
+            : reserve_retry(exchange);
 
     if (reason_to_stay != NULL) {
         log_stalled(exchange, reason_to_stay, now_us);
@@ -152,6 +180,7 @@
     uint64_t now_us = pgw_now_us();
     unsigned suspects = 0;
 
+    notice_own_pause(gateway, now_us);
     pgw_list_foreach (link, pgw_upstream_table_all(gateway->upstreams)) {
         suspects += log_liveness_change(
             gateway, pgw_container_of(link, struct pgw_upstream, in_table),
--- a/tests/unit/test_cover_gateway.c
+++ b/tests/unit/test_cover_gateway.c
@@ -1,4 +1,5 @@
 #include "gateway/request/exchange.h"
+#include "gateway/upstream/unresponsive.h"
 #include "scene_gateway.h"
 #include "util/metric.h"
 #include <arpa/inet.h>
@@ -401,6 +402,39 @@
     return total;
 }
 
+/* The entry is stopped within a turn of its loop: what it would hear of its
+ * engines is unread when it looks at their silence. */
+static void
+pause_entry(struct scene *scene)
+{
+    pgw_list_foreach (
+        link, pgw_upstream_table_all(pgw_gateway_upstreams(scene->gateway))) {
+        pgw_upstream_mark_seen(
+            pgw_container_of(link, struct pgw_upstream, in_table),
+            pgw_now_us());
+    }
+    pgw_unresponsive_check(scene->gateway);
+    scene->gateway->losses = (struct pgw_engine_losses){0};
+    g_usleep(1200 * 1000);
+    pgw_unresponsive_check(scene->gateway);
+    g_assert_cmpuint(scene->gateway->losses.next, ==, 0);
+}
+
+/* Guards against a second engine at work, and against engines that count as
+ * lost, when it was the entry that stopped. */
+static void
+test_entry_pauses(void)
+{
+    struct run run = begin_run(covered_scene(3, true), true);
+
+    scene_run(run.scene, pause_entry);
+    scene_chunk(run.fd, "id: 3\ndata: z\n\n");
+    g_free(scene_read_until(run.caller, "id: 3\ndata: z\n\n"));
+    close(run.fd);
+    close(scene_accept(run.scene, run.holder));
+    end_run(&run, -1);
+}
+
 /* Guards against a log line every tenth of a second, and a wrong figure, for a
  * run that stays at a silent engine. */
 static void
@@ -490,6 +524,7 @@
     g_test_add_func("/cover_gateway/silent_engine", test_silent_engine);
     g_test_add_func("/cover_gateway/garbled_answer", test_garbled_answer);
     g_test_add_func("/cover_gateway/framed_cut", test_framed_cut);
+    g_test_add_func("/cover_gateway/entry_pauses", test_entry_pauses);
     g_test_add_func("/cover_gateway/silent_engine_logs_once",
                     test_silent_engine_logs_once);
     g_test_add_func("/cover_gateway/caller_leaves", test_caller_leaves);
