Cut a run that goes on with another event than the next

What callers saw: nothing yet. Cause: of a run that went on at another engine only ids that do not increase were refused. A holder that begins later than asked would have left a gap within one answer. Evidence: the new tests; with the call taken out, the caller gets event 4 after event 2. Change: if all ids so far were consecutive, the first event of the holder must have the next id. Streams that may be resumed are read as before. Result: test_event_stream and test_cover_gateway pass.

--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -129,6 +129,7 @@
 
     if (cover->state == PGW_COPY_DUE) {
         forward->backup_at = cover->holder->address_text;
+        pgw_event_stream_require_next(&exchange->events);
         pgw_copy_step(&cover->state, PGW_COPY_CONTINUED);
         return;
     }
--- a/src/gateway/http/event_stream.c
+++ b/src/gateway/http/event_stream.c
@@ -14,9 +14,14 @@
         if (length > 3 && memcmp(event, "id:", 3) == 0) {
             uint64_t id = g_ascii_strtoull(event + 3, NULL, 10);
 
-            if (stream->has_id && id <= stream->last_id) {
+            if ((stream->has_id && id <= stream->last_id) ||
+                (stream->next_id != 0 && id != stream->next_id)) {
                 stream->out_of_order = true;
             }
+            if (!stream->has_id) {
+                stream->first_id = id;
+            }
+            stream->next_id = 0;
             stream->last_id = id;
             stream->has_id = true;
         }
@@ -84,6 +89,16 @@
     stream->scanned = stream->scanned > size ? stream->scanned - size : 0;
 }
 
+void
+pgw_event_stream_require_next(struct pgw_event_stream *stream)
+{
+    bool is_consecutive =
+        stream->has_id &&
+        stream->last_id - stream->first_id + 1 == stream->events;
+
+    stream->next_id = is_consecutive ? stream->last_id + 1 : 0;
+}
+
 void
 pgw_event_stream_discard_partial(struct pgw_event_stream *stream)
 {
--- a/src/gateway/http/event_stream.h
+++ b/src/gateway/http/event_stream.h
@@ -21,16 +21,20 @@
  * struct pgw_event_stream - state of one answer
  * @pending: bytes that were not yet consumed
  * @scanned: bytes of @pending that were searched for the end of an event
+ * @first_id: id of the first complete event
  * @last_id: id of the last complete event
+ * @next_id: id that the next event must have, 0: any larger one
  * @has_id: some event had an id
  * @events: number of complete events
- * @out_of_order: an id is not larger than the one before it, or an event
- *   exceeds %PGW_EVENT_SIZE_MAX
+ * @out_of_order: an id is not larger than the one before it or not
+ *   @next_id, or an event exceeds %PGW_EVENT_SIZE_MAX
  */
 struct pgw_event_stream {
     struct pgw_buffer pending;
     size_t scanned;
+    uint64_t first_id;
     uint64_t last_id;
+    uint64_t next_id;
     bool has_id;
     uint64_t events;
     bool out_of_order;
@@ -51,6 +55,11 @@
 /** pgw_event_stream_consume() - remove bytes that were relayed */
 void pgw_event_stream_consume(struct pgw_event_stream *stream, size_t size);
 
+/** pgw_event_stream_require_next() - the next event comes from another
+ * upstream: if each one so far had the id after that of the one before it, so
+ * must this one */
+void pgw_event_stream_require_next(struct pgw_event_stream *stream);
+
 /** pgw_event_stream_discard_partial() - drop the incomplete event of a run
  * that has ended */
 void pgw_event_stream_discard_partial(struct pgw_event_stream *stream);
--- a/tests/unit/test_cover_gateway.c
+++ b/tests/unit/test_cover_gateway.c
@@ -248,6 +248,25 @@
     end_run(&run, holder);
 }
 
+/* Guards against a gap: the holder's first event is not the next one. */
+static void
+test_holder_skips(void)
+{
+    struct run run = begin_run(covered_scene(3, true), true);
+    int holder;
+    char *answer;
+
+    scene_reset(run.fd);
+    holder = accept_continued(&run, "\r\nLast-Event-Id: 2\r\n");
+    scene_begin_stream(holder, "a");
+    scene_chunk(holder, "id: 4\ndata: y\n\n");
+    answer = scene_read_all(run.caller);
+    assert_lacks(answer, "id: 4");
+    assert_lacks(answer, "\r\n0\r\n\r\n");
+    g_free(answer);
+    end_run(&run, holder);
+}
+
 /* Guards against a third engine: the holder dies too. */
 static void
 test_holder_dies(void)
@@ -516,6 +535,7 @@
     g_test_add_func("/cover_gateway/lost_before_first_event",
                     test_lost_before_first_event);
     g_test_add_func("/cover_gateway/no_copy", test_no_copy);
+    g_test_add_func("/cover_gateway/holder_skips", test_holder_skips);
     g_test_add_func("/cover_gateway/holder_dies", test_holder_dies);
     g_test_add_func("/cover_gateway/holder_restarted", test_holder_restarted);
     g_test_add_func("/cover_gateway/holder_replaced", test_holder_replaced);
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -65,6 +65,37 @@
     pgw_event_stream_dispose(&stream);
 }
 
+/* Guards against a gap: another upstream goes on after events that it has not
+ * sent. Ids that were not consecutive before may go on with any larger one. */
+static void
+test_next(void)
+{
+    struct pgw_event_stream stream = {0};
+    struct pgw_event_stream uneven = {0};
+
+    pgw_event_stream_feed(&stream, "id: 4\n\nid: 5\n\n", 14);
+    pgw_event_stream_consume(&stream, 14);
+    pgw_event_stream_require_next(&stream);
+    pgw_event_stream_feed(&stream, "id: 6\n\nid: 8\n\n", 14);
+    g_assert_false(stream.out_of_order);
+    pgw_event_stream_dispose(&stream);
+
+    stream = (struct pgw_event_stream){0};
+    pgw_event_stream_feed(&stream, "id: 4\n\nid: 5\n\n", 14);
+    pgw_event_stream_consume(&stream, 14);
+    pgw_event_stream_require_next(&stream);
+    pgw_event_stream_feed(&stream, "id: 7\n\n", 7);
+    g_assert_true(stream.out_of_order);
+    pgw_event_stream_dispose(&stream);
+
+    pgw_event_stream_feed(&uneven, "id: 4\n\nid: 6\n\n", 14);
+    pgw_event_stream_consume(&uneven, 14);
+    pgw_event_stream_require_next(&uneven);
+    pgw_event_stream_feed(&uneven, "id: 9\n\n", 7);
+    g_assert_false(uneven.out_of_order);
+    pgw_event_stream_dispose(&uneven);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -72,5 +103,6 @@
     g_test_add_func("/event_stream/pieces", test_pieces);
     g_test_add_func("/event_stream/restart", test_discards_partial_event);
     g_test_add_func("/event_stream/order", test_order);
+    g_test_add_func("/event_stream/next", test_next);
     return g_test_run();
 }
