Tell other entries of a promise once

A caller that repeats before its time is refused with the promise that it has. The entry told all other entries of it again at each refusal, and counted it as a new one: a caller that repeats at once set the amount of gossip. A promise is now told when its time is another one than the caller was known with. test_return_times told_once fails without the change in share_table.c; test_return_times, test_gossip, test_service_share, test_gateway and prop_fair_share pass.

--- a/src/gateway/share/return_times.c
+++ b/src/gateway/share/return_times.c
@@ -128,11 +128,17 @@
     return least;
 }
 
-void
+bool
 pgw_returned_callers_add(struct pgw_returned_callers *callers,
                          const struct pgw_returned_caller *caller)
 {
-    *place_of(callers, caller->key) = *caller;
+    struct pgw_returned_caller *place = place_of(callers, caller->key);
+    bool is_new = place->key != caller->key ||
+                  place->at.at_us != caller->at.at_us ||
+                  place->at.is_promised != caller->at.is_promised;
+
+    *place = *caller;
+    return is_new;
 }
 
 enum pgw_returned
--- a/src/gateway/share/return_times.h
+++ b/src/gateway/share/return_times.h
@@ -106,8 +106,9 @@
     struct pgw_returned_caller items[PGW_RETURNED_CALLERS_MAX];
 };
 
-/** pgw_returned_callers_add() - remember a caller whose key is not 0 */
-void pgw_returned_callers_add(struct pgw_returned_callers *callers,
+/** pgw_returned_callers_add() - remember a caller whose key is not 0; false:
+ * it was known with this time */
+bool pgw_returned_callers_add(struct pgw_returned_callers *callers,
                               const struct pgw_returned_caller *caller);
 
 /** enum pgw_returned - how a caller's request relates to its last refusal */
--- a/src/gateway/share/room_wait.c
+++ b/src/gateway/share/room_wait.c
@@ -280,12 +280,12 @@
         return 0;
     }
     choose_return(&caller.at, exchange, now);
-    pgw_share_table_refuse(exchange->gateway->shares, &caller);
+    pgw_metric_counter_add(
+        &promised, pgw_share_table_refuse(exchange->gateway->shares, &caller));
     pgw_metric_counter_add(strcmp(reason, "no_room") == 0
                                ? &refused_no_room
                                : &refused_not_placed,
                            1);
-    pgw_metric_counter_add(&promised, caller.at.is_promised);
     top = pgw_fair_share_top(&share->shares, &top_part, now);
     pgw_log_info(
         "room_refused",
--- a/src/gateway/share/share_table.c
+++ b/src/gateway/share/share_table.c
@@ -38,12 +38,19 @@
     return share;
 }
 
-void
+/* A caller that repeats before its time is refused with the same promise as
+ * often as it likes. */
+bool
 pgw_share_table_refuse(struct pgw_share_table *table,
                        const struct pgw_returned_caller *caller)
 {
-    pgw_returned_callers_add(&table->returned, caller);
-    if (caller->at.is_promised && table->on_promise != NULL) {
+    bool is_new = pgw_returned_callers_add(&table->returned, caller);
+
+    if (!is_new || !caller->at.is_promised) {
+        return false;
+    }
+    if (table->on_promise != NULL) {
         table->on_promise(caller, table->context);
     }
+    return true;
 }
--- a/src/gateway/share/share_table.h
+++ b/src/gateway/share/share_table.h
@@ -32,8 +32,8 @@
                                               const char *service);
 
 /** pgw_share_table_refuse() - remember a refused caller, and tell other
- * entries if it was promised a time */
-void pgw_share_table_refuse(struct pgw_share_table *table,
+ * entries if it was promised another time than before; true: it was */
+bool pgw_share_table_refuse(struct pgw_share_table *table,
                             const struct pgw_returned_caller *caller);
 
 #endif
--- a/tests/unit/test_return_times.c
+++ b/tests/unit/test_return_times.c
@@ -1,4 +1,4 @@
-#include "gateway/share/return_times.h"
+#include "gateway/share/share_table.h"
 
 #define NOW_US 5000000ULL
 
@@ -97,6 +97,40 @@
     g_assert_cmpuint(last_us, >, NOW_US + 900000);
 }
 
+static void
+count_promise(const struct pgw_returned_caller *caller, void *context)
+{
+    unsigned *count = context;
+
+    (void)caller;
+    ++*count;
+}
+
+/* Failure: a caller that repeats at once makes its entry tell all others of
+ * its promise each time. */
+static void
+test_told_once(void)
+{
+    struct pgw_share_table *table = pgw_share_table_new();
+    struct pgw_returned_caller caller = {
+        .key = 7,
+        .at = {.at_us = NOW_US + 300000, .is_promised = true},
+    };
+    unsigned told = 0;
+
+    table->on_promise = count_promise;
+    table->context = &told;
+    g_assert_true(pgw_share_table_refuse(table, &caller));
+    for (int i = 0; i < 100; i++) {
+        g_assert_false(pgw_share_table_refuse(table, &caller));
+    }
+    g_assert_cmpuint(told, ==, 1);
+    caller.at.at_us++;
+    g_assert_true(pgw_share_table_refuse(table, &caller));
+    g_assert_cmpuint(told, ==, 2);
+    pgw_share_table_free(table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -104,5 +138,6 @@
     g_test_add_func("/return_times/callers", test_returned_callers);
     g_test_add_func("/return_times/promises_stay", test_promises_stay);
     g_test_add_func("/return_times/spread", test_spread);
+    g_test_add_func("/return_times/told_once", test_told_once);
     return g_test_run();
 }
