Bound what an entry tells of promised returns

Callers would have seen nothing until fleets grow. Cause: promises went to all peers without a bound but 256 in 20 ms; at 60,000 requests/s with one in twenty promised an entry would get 54 to 60 KB/s, and a seed would send megabytes (worked out in the review of this part, no run). Change: 4 KB/s of promises an entry, over all peers together, for its own and those it passes on; the rest is not told, and its callers are new ones elsewhere. test_gossip passes.

--- a/src/gateway/peer/gossip.c
+++ b/src/gateway/peer/gossip.c
@@ -16,6 +16,12 @@
 /* Promises within this time are told together: they are of use 0.1 s after
  * they were made. */
 #define PROMISE_DELAY_US 20000
+/* Size of a promise in a message. */
+#define PROMISE_BYTES 20
+/* Bytes per second of promises that an entry sends to all peers together. The
+ * control traffic of a process may be 16 KB/s; callers whose promise is not
+ * told are new ones at other entries. */
+#define PROMISE_BYTES_PER_S 4096.0
 /* A frame of documents is sent once it has this size. With one more object of
  * the largest size that the store accepts (1 MiB), it stays below
  * PGW_FRAME_MAX_SIZE. */
@@ -65,6 +71,8 @@
     struct pgw_timer advertise_timer;
     struct pgw_timer request_timer;
     struct pgw_timer promise_timer;
+    double promise_bytes; /* may be sent now */
+    uint64_t promise_bytes_at_us;
     struct pgw_returned_caller promises[PGW_RETURN_NEWS_MAX];
     size_t promise_count;
     struct pgw_listener *listener;
@@ -394,6 +402,36 @@
 
 /* A seed tells all its peers, any other entry one seed, which passes it on. An
  * entry that is not connected to that seed does not hear of these promises. */
+static unsigned
+count_peers(const struct pgw_gossip *gossip)
+{
+    unsigned count = 0;
+
+    pgw_list_foreach (link, &gossip->peers) {
+        count++;
+    }
+    return count;
+}
+
+/* Of @count promises, as many as may be sent to @peers peers now. */
+static size_t
+take_promises(struct pgw_gossip *gossip, size_t count, unsigned peers,
+              uint64_t now_us)
+{
+    double each = (double)PROMISE_BYTES * MAX(peers, 1);
+    double filled = gossip->promise_bytes_at_us == 0
+                        ? PROMISE_BYTES_PER_S
+                        : gossip->promise_bytes +
+                              (double)(now_us - gossip->promise_bytes_at_us) *
+                                  PROMISE_BYTES_PER_S / 1e6;
+
+    gossip->promise_bytes = MIN(filled, PROMISE_BYTES_PER_S);
+    gossip->promise_bytes_at_us = now_us;
+    count = MIN(count, (size_t)(MAX(gossip->promise_bytes, 0) / each));
+    gossip->promise_bytes -= (double)count * each;
+    return count;
+}
+
 static void
 send_promises(struct pgw_timer *timer)
 {
@@ -401,6 +439,12 @@
         pgw_container_of(timer, struct pgw_gossip, promise_timer);
     bool to_all = is_seed(gossip);
 
+    gossip->promise_count =
+        take_promises(gossip, gossip->promise_count,
+                      to_all ? count_peers(gossip) : 1, pgw_now_us());
+    if (gossip->promise_count == 0) {
+        return;
+    }
     pgw_list_foreach (link, &gossip->peers) {
         pgw_return_news_send(
             pgw_container_of(link, struct peer, in_gossip)->link,
@@ -440,6 +484,11 @@
         return;
     }
     message->pass_on = false;
+    message->n_promises = take_promises(gossip, message->n_promises,
+                                        count_peers(gossip), pgw_now_us());
+    if (message->n_promises == 0) {
+        return;
+    }
     pgw_list_foreach (link, &gossip->peers) {
         struct peer *other = pgw_container_of(link, struct peer, in_gossip);
 
