--- a/bench/placement/engine.c
+++ b/bench/placement/engine.c
@@ -19,6 +19,12 @@
     engine->sim = sim;
     engine->index = index;
     engine->zone = index / sim->options.engines;
+    engine->rate = sim->options.read_rate;
+    if (sim->options.slowest > 0) {
+        engine->rate *= index % 3 == 0   ? sim->options.slowest
+                        : index % 3 == 1 ? 2 - sim->options.slowest
+                                         : 1;
+    }
     g_queue_init(&engine->waiting);
     g_queue_init(&engine->order);
     engine->memory = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -136,12 +142,43 @@
 
 /* Microseconds to read @tokens behind @before others. */
 static uint64_t
-read_us(const struct sim_options *options, double tokens, double before)
+read_us(const struct sim_engine *engine, double tokens, double before)
 {
+    const struct sim_options *options = &engine->sim->options;
     double pairs = tokens * (before + tokens / 2) / 1e6;
 
-    return (uint64_t)(1000 * (tokens / options->read_rate +
-                              pairs * options->pairs_ms));
+    return (uint64_t)(1000 *
+                      (tokens / engine->rate + pairs * options->pairs_ms));
+}
+
+/* While the engine reads, a token of each answer comes with each piece; an
+ * event takes as many pieces as it has tokens. */
+static void
+pause_job(const struct sim_engine *engine, struct sim_job *job)
+{
+    const struct sim_options *options = &engine->sim->options;
+    uint64_t since = MAX(job->read_at_us, engine->reading_since_us);
+    double reading_ms = engine->reader_free_us > since
+                            ? (double)(engine->reader_free_us - since) / 1000
+                            : 0;
+    double event_ms = MIN(options->stride, job->prompt.output_tokens) *
+                      (options->step_ms + options->piece / engine->rate);
+
+    job->pause_ms = MAX(job->pause_ms, MIN(reading_ms, event_ms));
+}
+
+static void
+pause_runs(struct sim_engine *engine)
+{
+    GHashTableIter iter;
+    void *run;
+
+    g_hash_table_iter_init(&iter, engine->runs);
+    while (g_hash_table_iter_next(&iter, &run, NULL)) {
+        if (((struct sim_job *)run)->is_read) {
+            pause_job(engine, run);
+        }
+    }
 }
 
 static void begin(struct sim_engine *engine, struct sim_job *job);
@@ -171,7 +208,7 @@
     double reading_ms = engine->reader_free_us > now
                             ? (double)(engine->reader_free_us - now) / 1000
                             : 0;
-    double slow_ms = options->step_ms + options->piece / options->read_rate;
+    double slow_ms = options->step_ms + options->piece / engine->rate;
     double slow = MIN(reading_ms / slow_ms, job->prompt.output_tokens);
 
     return (uint64_t)(1000 *
@@ -185,6 +222,8 @@
     struct sim_job *job = what;
 
     job->is_read = true;
+    job->read_at_us = sim->now_us;
+    pause_job(job->engine, job);
     job->engine->long_reads -= job->missing >= PGW_LONG_PREFILL_TOKENS;
     if (job->version == sim->version) {
         hold(job->engine, job->key, job->part.tokens);
@@ -224,13 +263,17 @@
     }
     job->missing = read;
     engine->long_reads += read >= PGW_LONG_PREFILL_TOKENS;
-    took = read_us(options, read, job->prompt.tokens - read);
+    took = read_us(engine, read, job->prompt.tokens - read);
     /* Out of memory: what began last is put back and read once more. */
     if (engine->kv_pinned > options->kv_tokens && engine->running > 1) {
         sim->result.preempted++;
         took *= 2;
     }
+    if (engine->reader_free_us < ready) {
+        engine->reading_since_us = ready;
+    }
     engine->reader_free_us = MAX(engine->reader_free_us, ready) + took;
+    pause_runs(engine);
     engine->reading_us += took;
     sim_at(sim, engine->reader_free_us, job_read, job);
 }
--- a/bench/placement/entry.c
+++ b/bench/placement/entry.c
@@ -41,6 +41,8 @@
                    i / 250, i % 250 + 1);
         entry->upstreams[i] = pgw_upstream_table_put(entry->table, &facts);
         entry->upstreams[i]->sidecar_is_reporting = true;
+        pgw_engine_pace_set_prefill_rate(&entry->upstreams[i]->pace,
+                                         engine->rate, sim->now_us + 1);
     }
 }
 
@@ -256,6 +258,7 @@
         return;
     }
     if (took <= kind->objective_ms) {
+        job->in_time = true;
         sim->result.in_time[job->kind]++;
     }
     else if (took <= kind->limit_ms) {
@@ -269,9 +272,13 @@
 void
 sim_entry_end(struct sim *sim, void *what)
 {
-    (void)sim;
-    leave(what);
-    g_free(what);
+    struct sim_job *job = what;
+
+    if (job->in_time && sim->options.pause_ms > 0) {
+        sim->result.paused[job->kind] += job->pause_ms > sim->options.pause_ms;
+    }
+    leave(job);
+    g_free(job);
 }
 
 void
--- a/bench/placement/policy.c
+++ b/bench/placement/policy.c
@@ -30,16 +30,40 @@
     return &entry->sim->engines[strtoul(upstream->id + 1, NULL, 10)];
 }
 
+/* The sidecar's answer to a claim, without the way there. */
+static bool
+grant(const struct sim_engine *engine, const struct pgw_choice *choice)
+{
+    uint64_t pending =
+        pgw_announced_prompts_pending(&engine->announced).tokens;
+
+    return pending == 0 ||
+           pending + choice->pending_tokens <= choice->backlog_limit_tokens;
+}
+
 static bool
 choose_gateway(struct sim_entry *entry, struct sim_job *job)
 {
+    static const struct pgw_lanes_options lanes = PGW_LANES_OPTIONS_INIT;
+    const struct sim_options *options = &entry->sim->options;
     struct pgw_choose_input input = ask(entry, job);
     struct pgw_choice choice;
 
+    if (options->divided) {
+        pgw_lanes_update(&entry->lanes, &lanes, input.pool, input.now_us);
+    }
+    input.may_wait = options->waits;
+    input.objective_ms = options->kinds[job->kind].objective_ms;
     pgw_choose(&choice, &input, &entry->sim->choose);
-    if (choice.upstream == NULL) {
+    if (choice.upstream == NULL ||
+        (choice.needs_claim &&
+         !grant(engine_of(entry, choice.upstream), &choice))) {
         return false;
     }
+    if (options->divided) {
+        pgw_lanes_count_prompt(&entry->lanes, &lanes, choice.pending_tokens,
+                               job->prompt.tokens, input.now_us);
+    }
     job->engine = engine_of(entry, choice.upstream);
     job->missing = choice.missing_tokens;
     job->source = choice.holder == NULL || choice.holder_missing > 0
--- a/bench/placement/run.c
+++ b/bench/placement/run.c
@@ -26,6 +26,7 @@
     .read_rate = 61.8,
     .pairs_ms = 0.367,
     .step_ms = 3.09,
+    .stride = 8,
     .piece = 1024,
     .kv_tokens = 131748,
     .fetch_ms = 1.7,
--- a/bench/placement/sim.h
+++ b/bench/placement/sim.h
@@ -2,6 +2,7 @@
 #define BENCH_PLACEMENT_SIM_H
 
 #include "gateway/placement/choose.h"
+#include "gateway/placement/lanes.h"
 #include "gateway/sidecar/report_budget.h"
 #include "gateway/upstream/announced_prompts.h"
 #include "gateway/upstream/cached_parts.h"
@@ -57,8 +58,12 @@
  * @slots: requests that an engine runs at once
  * @queue: requests that wait at an engine before it refuses
  * @read_rate: tokens that it reads in a millisecond
+ * @slowest: rate of every third engine in multiples of @read_rate; as much is
+ *   added to that of every other third. 0: all are alike
  * @pairs_ms: milliseconds for a million pairs of tokens
  * @step_ms: time for a token of the answer
+ * @stride: tokens of an answer in one event
+ * @pause_ms: longest pause between two events that is in time, 0: any is
  * @piece: tokens of a prompt that it reads between two tokens of answers
  * @kv_tokens: memory of an engine
  * @fetch_ms: time to begin a fetch
@@ -68,6 +73,8 @@
  * @events_lag_us: age of an engine's cache events
  * @homes: homes whose sidecars are asked before a long prompt is sent; 0:
  *   sidecars report to the entries of all zones, as often as they may
+ * @divided: the pool may be divided between long and short prompts
+ * @waits: long prompts wait for engines' backlogs
  * @dead: share of the engines that are down, and known to be
  * @named_s: seconds between versions of the weights, each of which empties all
  *   memory; 0: none
@@ -83,8 +90,11 @@
     unsigned slots;
     unsigned queue;
     double read_rate;
+    double slowest;
     double pairs_ms;
     double step_ms;
+    unsigned stride;
+    double pause_ms;
     double piece;
     uint64_t kv_tokens;
     double fetch_ms;
@@ -93,6 +103,8 @@
     uint64_t far_hop_us;
     uint64_t events_lag_us;
     unsigned homes;
+    bool divided;
+    bool waits;
     double dead;
     double named_s;
     double seconds;
@@ -104,6 +116,7 @@
  * struct sim_result - what callers got
  * @asked: requests of each kind
  * @in_time: of these, first token within the objective
+ * @paused: of @in_time, with a longer pause than is in time
  * @late: answered, but later
  * @refused: not served
  * @shared: shared tokens asked for
@@ -118,6 +131,7 @@
 struct sim_result {
     uint64_t asked[SIM_KINDS];
     uint64_t in_time[SIM_KINDS];
+    uint64_t paused[SIM_KINDS];
     uint64_t late[SIM_KINDS];
     uint64_t refused[SIM_KINDS];
     uint64_t shared;
@@ -172,6 +186,9 @@
     unsigned sends;
     bool is_read;
     bool announced;
+    bool in_time;
+    uint64_t read_at_us;
+    double pause_ms;
     struct pgw_homes homes;
     struct sim_answer answers[PGW_HOMES_MAX];
 };
@@ -187,7 +204,9 @@
     unsigned running;
     unsigned long_reads;
     uint64_t kv_pinned;
+    double rate;
     uint64_t reader_free_us;
+    uint64_t reading_since_us;
     uint64_t reading_us;
     GHashTable *memory; /* key -> link in @order */
     GQueue order;       /* of struct sim_held, least recently used first */
@@ -210,6 +229,7 @@
     unsigned turn;
     struct pgw_upstream_table *table;
     struct pgw_upstream **upstreams; /* by the engine's index */
+    struct pgw_lanes lanes;
 };
 
 /**
--- a/src/gateway/config/policy.c
+++ b/src/gateway/config/policy.c
@@ -27,6 +27,8 @@
     [PGW_MECHANISM_REFUSAL_BACKOFF] = "refusal_rest",
     [PGW_MECHANISM_ROUTE_PRIORITY] = "route_priority",
     [PGW_MECHANISM_HOME_PROBES] = "home_probes",
+    [PGW_MECHANISM_LANES] = "lanes",
+    [PGW_MECHANISM_BACKLOG_WAIT] = "backlog_wait",
     [PGW_MECHANISM_RUN_COVER] = "run_cover",
     [PGW_MECHANISM_FAIR_SHARE] = "fair_share",
 };
--- a/src/gateway/config/policy.h
+++ b/src/gateway/config/policy.h
@@ -42,6 +42,9 @@
  *   requests
  * @PGW_MECHANISM_HOME_PROBES: prompts stay in the entry's zone if the pool is
  *   large
+ * @PGW_MECHANISM_LANES: long and short prompts share all engines of a pool
+ * @PGW_MECHANISM_BACKLOG_WAIT: long prompts are sent to engines whatever their
+ *   backlog is
  * @PGW_MECHANISM_RUN_COVER: runs have no copy at another engine, and end with
  *   their engine
  * @PGW_MECHANISM_FAIR_SHARE: requests for engines wait by rank and arrival,
@@ -65,6 +68,8 @@
     PGW_MECHANISM_REFUSAL_BACKOFF,
     PGW_MECHANISM_ROUTE_PRIORITY,
     PGW_MECHANISM_HOME_PROBES,
+    PGW_MECHANISM_LANES,
+    PGW_MECHANISM_BACKLOG_WAIT,
     PGW_MECHANISM_RUN_COVER,
     PGW_MECHANISM_FAIR_SHARE,
     PGW_MECHANISM_COUNT,
--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -43,6 +43,8 @@
  * @objective_ms: latency objective, 0: none
  * @pause_objective_ms: longest pause between two events of a stream for which
  *   the answer is in time, 0: none
+ * @patience_ms: callers leave a stream that brings no event for this long, 0:
+ *   not known
  */
 struct pgw_route {
     char *name;
@@ -59,6 +61,7 @@
     uint32_t timeout_ms;
     uint32_t objective_ms;
     uint32_t pause_objective_ms;
+    uint32_t patience_ms;
 };
 
 /**
--- a/src/gateway/cover/cover_policy.c
+++ b/src/gateway/cover/cover_policy.c
@@ -132,6 +132,17 @@
            upstream->software == input->engine->software;
 }
 
+/* Engines of other zones whose sidecars report on request only look empty. One
+ * that short prompts get first is kept free for them: a copy of a long prompt
+ * takes as much of its KV cache as forty of them. */
+static bool
+may_hold(const struct pgw_upstream *upstream,
+         const struct pgw_cover_input *input)
+{
+    return (upstream->same_zone || !input->pool->remote_on_request) &&
+           upstream->lane != PGW_LANE_SHORT;
+}
+
 static bool
 is_healthy(const struct pgw_upstream *upstream,
            const struct pgw_cover_input *input,
@@ -184,7 +195,7 @@
         double kv;
         double cost;
 
-        if (!is_compatible(upstream, input) ||
+        if (!is_compatible(upstream, input) || !may_hold(upstream, input) ||
             !is_healthy(upstream, input, options) ||
             !has_room(&load, &kv, upstream, input, options) ||
             !is_worth(out, upstream, input, options)) {
--- a/src/gateway/pace/forecast.h
+++ b/src/gateway/pace/forecast.h
@@ -19,17 +19,13 @@
  * @prefill_rate: tokens that the engine prefills in a millisecond
  * @backlog_tokens: pending tokens of the prompts before this one
  * @pending_tokens: pending tokens of this prompt
- * @ms_per_output_token: time for a token of the answer without prefill
- * @output_tokens: most tokens of the answer
- * @running: streams that run there
+ * @generation_ms: time from the first event to the end of the answer
  */
 struct pgw_forecast_input {
     double prefill_rate;
     double backlog_tokens;
     double pending_tokens;
-    double ms_per_output_token;
-    uint32_t output_tokens;
-    uint32_t running;
+    double generation_ms;
 };
 
 /**
--- a/src/gateway/peer/sidecar_links.c
+++ b/src/gateway/peer/sidecar_links.c
@@ -198,6 +198,13 @@
         pgw_sidecar_link_handle_limit_answer(
             context, (const Pgw__LimitAnswer *)message);
     }
+    else if (type == PGW_FRAME_PREFILL_ANSWER) {
+        const Pgw__PrefillAnswer *answer = (const Pgw__PrefillAnswer *)message;
+
+        pgw_gateway_prefill_answered(
+            ((struct sidecar_link *)context)->links->gateway, answer->claim,
+            answer->granted, answer->unread);
+    }
     else if (type == PGW_FRAME_STREAM_ORIGIN_ANSWER) {
         pgw_sidecar_link_handle_origin_answer(
             context, (const Pgw__StreamOriginAnswer *)message);
--- a/src/gateway/peer/sidecar_links_probe.c
+++ b/src/gateway/peer/sidecar_links_probe.c
@@ -163,6 +163,24 @@
     return true;
 }
 
+static bool
+claim_prefill(void *context, const struct pgw_upstream *upstream,
+              const struct pgw_prefill_claim *claim)
+{
+    struct sidecar_link *link = get_open_link(context, upstream);
+    Pgw__PrefillClaim message = PGW__PREFILL_CLAIM__INIT;
+
+    if (link == NULL) {
+        return false;
+    }
+    message.claim = claim->claim;
+    message.request = claim->request;
+    message.to_read = claim->pending_tokens;
+    message.limit = claim->limit_tokens;
+    pgw_link_send(link->connection, PGW_FRAME_PREFILL_CLAIM, &message.base);
+    return true;
+}
+
 void
 pgw_sidecar_link_handle_limit_answer(const struct sidecar_link *link,
                                      const Pgw__LimitAnswer *message)
@@ -264,6 +282,7 @@
     .probe = probe,
     .ask_quota = ask_quota,
     .ask_limit = ask_limit,
+    .claim_prefill = claim_prefill,
 };
 
 bool
--- a/src/gateway/placement/candidates.c
+++ b/src/gateway/placement/candidates.c
@@ -101,7 +101,8 @@
  * number. */
 static size_t
 rank_upstreams(uint32_t *out, size_t max_count, const GPtrArray *from,
-               const struct pgw_level_chain *chain, uint64_t now_us)
+               const struct pgw_level_chain *chain, enum pgw_lane avoided,
+               uint64_t now_us)
 {
     size_t count = MIN(from->len, RANKED_MAX);
     struct pgw_place_node *nodes = g_new0(struct pgw_place_node, count);
@@ -112,7 +113,8 @@
 
         nodes[i] = (struct pgw_place_node){
             .id_hash = upstream->id_hash,
-            .usable = pgw_upstream_is_usable(upstream, now_us),
+            .usable = pgw_upstream_is_usable(upstream, now_us) &&
+                      (avoided == PGW_LANE_NONE || upstream->lane != avoided),
         };
     }
     ranked = pgw_place_rank(out, max_count, nodes, count, chain);
@@ -123,11 +125,12 @@
 /* Adds the highest ranked of @from, with ranks after those of the homes. */
 static void
 add_ranked(struct pgw_candidates *out, const GPtrArray *from,
-           const struct pgw_level_chain *chain, uint64_t now_us)
+           const struct pgw_level_chain *chain, enum pgw_lane avoided,
+           uint64_t now_us)
 {
     uint32_t positions[PGW_PLACE_RANK_MAX];
-    size_t ranked =
-        rank_upstreams(positions, PGW_PLACE_RANK_MAX, from, chain, now_us);
+    size_t ranked = rank_upstreams(positions, PGW_PLACE_RANK_MAX, from, chain,
+                                   avoided, now_us);
     uint32_t next = (uint32_t)out->home_count;
 
     for (size_t i = 0; i < ranked && next < PGW_PLACE_RANK_MAX; i++) {
@@ -159,7 +162,7 @@
         return;
     }
     out->count = rank_upstreams(positions, MIN(count, PGW_HOMES_MAX),
-                                pool->all, chain, now_us);
+                                pool->all, chain, PGW_LANE_SHORT, now_us);
     for (size_t i = 0; i < out->count; i++) {
         out->items[i] = g_ptr_array_index(pool->all, positions[i]);
     }
@@ -170,8 +173,8 @@
                     const struct pgw_upstream_pool *pool,
                     enum pgw_candidates_scope scope,
                     const struct pgw_homes *homes,
-                    const struct pgw_level_chain *chain, uint64_t random,
-                    uint64_t now_us)
+                    const struct pgw_level_chain *chain, enum pgw_lane avoided,
+                    uint64_t random, uint64_t now_us)
 {
     const GPtrArray *from = pool->all;
     unsigned samples = chain == NULL ? SAMPLES_PLAIN : SAMPLES_PROMPT;
@@ -196,7 +199,7 @@
         add_all(out, from, random);
     }
     if (chain != NULL) {
-        add_ranked(out, from, chain, now_us);
+        add_ranked(out, from, chain, avoided, now_us);
     }
     if (!all_reported || from->len > PGW_CANDIDATES_MAX) {
         add_samples(out, from, samples, random);
--- a/src/gateway/placement/candidates.h
+++ b/src/gateway/placement/candidates.h
@@ -83,6 +83,8 @@
  * @homes: homes of the prompt, added first and with the first ranks; NULL:
  *   none
  * @chain: shared parts of the prompt; NULL: a plain call
+ * @avoided: engines of this lane are not ranked for the prompt;
+ *   %PGW_LANE_NONE: all are
  * @random: seed of the sample; the same seed gives the same candidates
  * @now_us: monotonic time
  */
@@ -90,7 +92,8 @@
                          const struct pgw_upstream_pool *pool,
                          enum pgw_candidates_scope scope,
                          const struct pgw_homes *homes,
-                         const struct pgw_level_chain *chain, uint64_t random,
+                         const struct pgw_level_chain *chain,
+                         enum pgw_lane avoided, uint64_t random,
                          uint64_t now_us);
 
 #endif
--- a/src/gateway/placement/choose.c
+++ b/src/gateway/placement/choose.c
@@ -6,6 +6,15 @@
 /* An engine that refuses this many requests in a row gets none until its
  * backoff ends. */
 #define BACKOFF_REFUSALS 3
+/* Engines whose rate differs by less than this factor count as equal. */
+#define EQUAL_RATES 1.4
+/* Part of the objective that a short prompt may wait without a cost. */
+#define START_DELAY_FREE_SHARE 0.05
+/* Part of the objective that short prompts may wait in an engine's queue. */
+#define START_DELAY_SHARE 0.6
+/* Shortest time until a prompt that waits for a backlog is tried again: the
+ * interval of engines' reports is longer, and each trial probes its homes. */
+#define BACKLOG_RETRY_US 20000
 
 void
 pgw_choose_options_apply(struct pgw_choose_options *options,
@@ -268,9 +277,12 @@
 {
     double load = pgw_upstream_load_estimate(upstream, now_us);
     double fullness = load / upstream->slots;
+    double interference_weight = upstream->lane == PGW_LANE_NONE
+                                     ? options->prefill_interference_weight
+                                     : options->divided_interference_weight;
 
     return load * (options->running_cost_tokens +
-                   options->prefill_interference_weight * pending_tokens) +
+                   interference_weight * pending_tokens) +
            fullness * fullness * options->full_cost_tokens;
 }
 
@@ -356,6 +368,164 @@
                : options->non_home_weight * pgw_prompt_shared(input->prompt);
 }
 
+/* Pending tokens of the prompt at a candidate. */
+static uint32_t
+pending_tokens_at(size_t position, const struct pgw_choose_input *input,
+                  const struct candidate_set *set)
+{
+    return set->missing[position] + unshared_tokens(input->prompt);
+}
+
+/* Cost of mixing long and short prompts in a divided pool. */
+static double
+lane_cost(const struct pgw_upstream *upstream, uint32_t pending_tokens,
+          const struct pgw_choose_options *options)
+{
+    if (pending_tokens < PGW_LONG_PREFILL_TOKENS) {
+        return upstream->lane == PGW_LANE_LONG
+                   ? options->short_lane_cost_tokens
+                   : 0;
+    }
+    return upstream->lane == PGW_LANE_SHORT ? options->long_lane_cost_tokens
+                                            : 0;
+}
+
+static double
+engine_rate(const struct pgw_upstream *upstream,
+            const struct pgw_choose_input *input)
+{
+    return pgw_engine_pace_rate(&upstream->pace, input->prefill_tokens_per_ms,
+                                input->now_us);
+}
+
+/* Tokens that an engine has to prefill before the prompt. */
+static double
+backlog_tokens(const struct pgw_upstream *upstream,
+               const struct pgw_choose_input *input,
+               const struct pgw_choose_options *options)
+{
+    return (double)upstream->prefill_tokens +
+           other_entries_prefill(upstream, options,
+                                 input->prefill_tokens_per_ms, input->now_us);
+}
+
+/* Whether a long prompt takes part in the limit of backlogs. */
+static bool
+is_backlog_limited(const struct pgw_upstream *upstream,
+                   uint32_t pending_tokens,
+                   const struct pgw_choose_input *input)
+{
+    return input->may_wait && input->objective_ms > 0 &&
+           input->prefill_tokens_per_ms > 0 &&
+           upstream->lane != PGW_LANE_NONE &&
+           pending_tokens >= PGW_LONG_PREFILL_TOKENS;
+}
+
+/*
+ * Failure: more short prompts arrive than all engines prefill, and each is
+ * sent at once. Symptom: they wait in the engines' queues, all of them for
+ * longer than their objective, and nobody can decide any more whose turn it
+ * is. Therefore they stay queued at the entry while even the best engine lets
+ * them wait for most of the objective.
+ *
+ * Return: microseconds until the engine takes the prompt, 0: now.
+ */
+static uint64_t
+start_wait_us(const struct pgw_upstream *upstream,
+              const struct pgw_choose_input *input)
+{
+    uint64_t delay_us =
+        pgw_start_delay_estimate_us(&upstream->start_delay, input->now_us);
+    uint64_t limit_us =
+        (uint64_t)(input->objective_ms * 1000 * START_DELAY_SHARE);
+
+    return input->may_wait && limit_us > 0 && delay_us > limit_us
+               ? delay_us - limit_us
+               : 0;
+}
+
+/* Most milliseconds of prefill before a prompt. A large one would be late
+ * behind any backlog; it still gets in where half an objective is pending. */
+static double
+backlog_limit_ms(double prompt_ms, const struct pgw_choose_input *input)
+{
+    return MAX(input->objective_ms - prompt_ms, input->objective_ms / 2);
+}
+
+/*
+ * Failure: an engine becomes free, or looks so in a report that is older than
+ * the decisions on it, while long prompts wait at many entries. Symptom: it
+ * gets all of them, and the last one waits for seconds while other engines are
+ * idle again. Therefore an engine's backlog is limited to the latency
+ * objective, and further long prompts stay queued at their entries, where they
+ * can still go elsewhere.
+ *
+ * Return: microseconds until the engine takes the prompt, 0: now.
+ */
+static uint64_t
+backlog_wait_us(const struct pgw_upstream *upstream, uint32_t pending_tokens,
+                const struct pgw_choose_input *input,
+                const struct pgw_choose_options *options)
+{
+    double rate = engine_rate(upstream, input);
+    double backlog_ms;
+    double limit_ms;
+
+    if (pending_tokens < PGW_LONG_PREFILL_TOKENS) {
+        return start_wait_us(upstream, input);
+    }
+    if (!is_backlog_limited(upstream, pending_tokens, input) ||
+        upstream == input->granted) {
+        return 0;
+    }
+    backlog_ms = backlog_tokens(upstream, input, options) / rate;
+    limit_ms = backlog_limit_ms(pending_tokens / rate, input);
+    if (backlog_ms > limit_ms) {
+        return (uint64_t)((backlog_ms - limit_ms) * 1000) + 1;
+    }
+    return upstream->claim_at_us > input->now_us
+               ? upstream->claim_at_us - input->now_us
+               : 0;
+}
+
+/* Time that prefill takes at an engine, in multiples of the pool's average.
+ * Observed rates of equal engines differ by a third, since an engine that is
+ * busy is observed while it does other work, too. */
+static double
+engine_slowness(const struct pgw_upstream *upstream,
+                const struct pgw_choose_input *input)
+{
+    double rate = engine_rate(upstream, input);
+    double slowness = rate > 0 ? input->prefill_tokens_per_ms / rate : 1;
+
+    return slowness > 1 / EQUAL_RATES && slowness < EQUAL_RATES ? 1 : slowness;
+}
+
+/* Cost of the time until the first event. A long prompt takes longer at a slow
+ * engine, as any backlog does. A short one waits in a queue; what is a small
+ * part of the objective costs nothing, since no caller is served worse. */
+static double
+start_cost(const struct pgw_upstream *upstream, size_t position,
+           const struct pgw_choose_input *input,
+           const struct pgw_choose_options *options,
+           const struct candidate_set *set)
+{
+    double backlog = backlog_tokens(upstream, input, options);
+    uint32_t pending_tokens = pending_tokens_at(position, input, set);
+    double slowness = engine_slowness(upstream, input);
+    double delay_ms;
+
+    if (pending_tokens >= PGW_LONG_PREFILL_TOKENS) {
+        return backlog * slowness + pending_tokens * (slowness - 1);
+    }
+    delay_ms = (double)pgw_start_delay_estimate_us(&upstream->start_delay,
+                                                   input->now_us) /
+                   1000 -
+               input->objective_ms * START_DELAY_FREE_SHARE;
+    return backlog * slowness +
+           MAX(delay_ms, 0) * input->prefill_tokens_per_ms;
+}
+
 static double
 engine_cost(const struct pgw_upstream *upstream, size_t position,
             const struct pgw_choose_input *input,
@@ -371,28 +541,25 @@
 
     if (load + 1 > max_load(upstream, position, input, options, set) ||
         !fits_kv_cache(upstream, input, options) ||
-        !fits_long_prefills(
-            upstream, set->missing[position] + unshared_tokens(input->prompt),
-            input, options) ||
+        !fits_long_prefills(upstream, pending_tokens_at(position, input, set),
+                            input, options) ||
         (set->mostly_unavailable &&
-         !fits_backlog(upstream,
-                       set->missing[position] + unshared_tokens(input->prompt),
+         !fits_backlog(upstream, pending_tokens_at(position, input, set),
                        input, options))) {
         return DBL_MAX;
     }
     if (version < input->min_version) {
         return DBL_MAX;
     }
-    cost = (double)upstream->prefill_tokens +
-           other_entries_prefill(upstream, options,
-                                 input->prefill_tokens_per_ms, input->now_us);
+    cost = start_cost(upstream, position, input, options, set);
     cost += missing_parts_cost(upstream, set->missing[position], input,
                                options, set);
-    cost += load_cost(upstream,
-                      set->missing[position] + unshared_tokens(input->prompt),
+    cost += load_cost(upstream, pending_tokens_at(position, input, set),
                       options, input->now_us);
     cost += set->candidates.rank[position] * rank_cost;
     cost += non_home_cost(position, input, options, set);
+    cost +=
+        lane_cost(upstream, pending_tokens_at(position, input, set), options);
     if (upstream->is_next_to_load) {
         cost += MAX(input->run_ms - input->load_wait_ms, 0) *
                 options->load_delay_weight * input->prefill_tokens_per_ms;
@@ -429,11 +596,14 @@
 
     if (input->prompt == NULL) {
         pgw_candidates_pick(candidates, input->pool, scope, NULL, NULL,
-                            input->random, input->now_us);
+                            PGW_LANE_NONE, input->random, input->now_us);
         return;
     }
     pgw_prompt_chain(&chain, input->prompt);
     pgw_candidates_pick(candidates, input->pool, scope, input->homes, &chain,
+                        input->prompt->tokens < PGW_LONG_PREFILL_TOKENS
+                            ? PGW_LANE_LONG
+                            : PGW_LANE_SHORT,
                         input->random, input->now_us);
     for (size_t i = 0; i < candidates->count; i++) {
         out->missing[i] = missing_tokens(candidates->items[i], input, true);
@@ -591,6 +761,7 @@
     struct pgw_upstream *limited = NULL;
     double best_cost = DBL_MAX;
     double limited_cost = DBL_MAX;
+    uint64_t best_wait_us = 0;
 
     out->limited_per_s = 0;
     out->backoff_until_us = 0;
@@ -632,12 +803,23 @@
         else if (!at_limit && cost < best_cost) {
             best_cost = cost;
             best = upstream;
+            best_wait_us =
+                input->prompt == NULL
+                    ? 0
+                    : backlog_wait_us(upstream,
+                                      pending_tokens_at(i, input, set), input,
+                                      options);
         }
     }
     out->only_throttled &= out->limited_per_s > 0 || out->backoff_until_us > 0;
     if (limited_cost < best_cost) {
         out->limited = limited;
     }
+    out->waits_for_backlog = best != NULL && best_wait_us > 0;
+    if (out->waits_for_backlog) {
+        set_retry_at(out, input->now_us + MAX(best_wait_us, BACKLOG_RETRY_US));
+        return NULL;
+    }
     return best;
 }
 
@@ -650,8 +832,9 @@
 
     collect_candidates(set, input, scope);
     upstream = find_cheapest(out, input, options, set, false);
-    return upstream != NULL ? upstream
-                            : find_cheapest(out, input, options, set, true);
+    return upstream != NULL || out->waits_for_backlog
+               ? upstream
+               : find_cheapest(out, input, options, set, true);
 }
 
 /* The upstreams of @pool that run a software version. */
@@ -674,6 +857,39 @@
     }
 }
 
+static void
+fill_forecast(struct pgw_choice *out, const struct pgw_choose_input *input,
+              const struct pgw_choose_options *options)
+{
+    const struct pgw_upstream *upstream = out->upstream;
+    struct pgw_forecast_input forecast = {
+        .prefill_rate = engine_rate(upstream, input),
+        .backlog_tokens = backlog_tokens(upstream, input, options),
+        .pending_tokens = out->pending_tokens,
+        .generation_ms = input->run_ms,
+    };
+
+    pgw_forecast_compute(&out->forecast, &forecast);
+}
+
+/* The engine's sidecar applies the limit to all that entries have sent there,
+ * which this entry does not know yet. */
+static void
+fill_claim(struct pgw_choice *out, const struct pgw_choose_input *input)
+{
+    double rate = engine_rate(out->upstream, input);
+    double prompt_ms;
+
+    out->needs_claim =
+        is_backlog_limited(out->upstream, out->pending_tokens, input);
+    if (out->needs_claim) {
+        prompt_ms = out->pending_tokens / rate;
+        out->backlog_limit_tokens =
+            (uint32_t)(rate *
+                       (backlog_limit_ms(prompt_ms, input) + prompt_ms));
+    }
+}
+
 static void
 choose_from_pool(struct pgw_choice *out, const struct pgw_choose_input *input,
                  const struct pgw_choose_options *options)
@@ -682,7 +898,8 @@
 
     out->upstream =
         choose_from(out, input, options, &set, PGW_CANDIDATES_LOCAL_ZONE);
-    if (out->upstream == NULL && !set.candidates.all) {
+    if (out->upstream == NULL && !out->waits_for_backlog &&
+        !set.candidates.all) {
         out->upstream =
             choose_from(out, input, options, &set, PGW_CANDIDATES_ALL_ZONES);
     }
@@ -690,6 +907,9 @@
         return;
     }
     out->missing_tokens = missing_tokens(out->upstream, input, true);
+    out->pending_tokens = out->missing_tokens + unshared_tokens(input->prompt);
+    fill_forecast(out, input, options);
+    fill_claim(out, input);
     out->shared_tokens = pgw_prompt_shared(input->prompt);
     if (options->fetch_min_tokens < UINT32_MAX) {
         out->holder =
--- a/src/gateway/placement/choose.h
+++ b/src/gateway/placement/choose.h
@@ -97,6 +97,12 @@
  *   that runs on the engine, in multiples of the prompt's pending tokens:
  *   steps with prefill take five times as long, so long prompts go where few
  *   other requests are decoding
+ * @divided_interference_weight: the same in a pool that is divided between
+ *   long and short prompts
+ * @short_lane_cost_tokens: cost of a short prompt at an engine for long ones,
+ *   in tokens: 25 ms of prefill
+ * @long_lane_cost_tokens: cost of a long prompt at an engine for short ones,
+ *   in tokens: about one cold prompt that is prefilled before it
  * @full_cost_tokens: extra cost of an engine with all slots taken, in tokens
  * @long_prefill_tokens: assumed pending tokens of a long prompt that an engine
  *   prefills for another entry
@@ -132,6 +138,9 @@
     double remote_zone_tokens_per_kb;
     double running_cost_tokens;
     double prefill_interference_weight;
+    double divided_interference_weight;
+    double short_lane_cost_tokens;
+    double long_lane_cost_tokens;
     double full_cost_tokens;
     double long_prefill_tokens;
     double rank_cost_share;
@@ -153,13 +162,14 @@
         .long_prefill_share = 0.5, .non_home_weight = 1.0, .kv_share = 0.92,  \
         .max_backlog_ms = 400, .remote_zone_tokens_per_kb = 20,               \
         .running_cost_tokens = 20, .prefill_interference_weight = 0.02,       \
-        .full_cost_tokens = 2000, .long_prefill_tokens = 6000,                \
-        .rank_cost_share = 0.02, .min_rank_cost_tokens = 15,                  \
-        .recompute_weight = 2.5, .fetch_cost_tokens = 100,                    \
-        .fetch_cost_weight = 0.3, .fetch_min_tokens = 32,                     \
-        .failure_cost_tokens = 4000, .old_weights_cost_ms = 120,              \
-        .load_delay_weight = 0.33, .refusal_backoff_enabled = true,           \
-        .unhealthy_failure_rate = 0.35                                        \
+        .divided_interference_weight = 0.1, .short_lane_cost_tokens = 1500,   \
+        .long_lane_cost_tokens = 15000, .full_cost_tokens = 2000,             \
+        .long_prefill_tokens = 6000, .rank_cost_share = 0.02,                 \
+        .min_rank_cost_tokens = 15, .recompute_weight = 2.5,                  \
+        .fetch_cost_tokens = 100, .fetch_cost_weight = 0.3,                   \
+        .fetch_min_tokens = 32, .failure_cost_tokens = 4000,                  \
+        .old_weights_cost_ms = 120, .load_delay_weight = 0.33,                \
+        .refusal_backoff_enabled = true, .unhealthy_failure_rate = 0.35       \
     }
 
 /** pgw_choose_options_apply() - disable the terms of mechanisms that are off
@@ -185,6 +195,9 @@
  * @run_ms: estimated time from the end of prefill to the end of the answer
  * @prefill_tokens_per_ms: prefill rate of an engine
  * @load_wait_ms: how long an engine that loads next waits for its turn
+ * @objective_ms: latency objective of the first event, 0: none
+ * @may_wait: the request can still be queued
+ * @granted: engine whose sidecar has granted the prompt; NULL: none
  * @kv_tokens: KV cache size of an engine that has not reported its own
  * @now_us: monotonic time
  * @random: breaks ties, and seeds the sample of a large pool
@@ -204,6 +217,9 @@
     double run_ms;
     double prefill_tokens_per_ms;
     double load_wait_ms;
+    double objective_ms;
+    bool may_wait;
+    const struct pgw_upstream *granted;
     uint64_t kv_tokens;
     uint64_t now_us;
     uint64_t random;
@@ -226,9 +242,12 @@
  * @only_throttled: every upstream that may take the request is at its limit or
  *   wants no requests
  * @retry_at_us: end of the earliest backoff or probe interval that ruled out
- *   an upstream; 0: none did
- * @forecast: what the caller will see if @upstream gets the request now;
- *   zeroed: no forecast was made
+ *   an upstream, or when an engine's backlog is short enough; 0: none did
+ * @pending_tokens: tokens that @upstream has to prefill
+ * @needs_claim: the sidecar of @upstream has to grant the prompt
+ * @backlog_limit_tokens: most tokens that may be pending there with the prompt
+ * @waits_for_backlog: the best engine has too many tokens to prefill now
+ * @forecast: of the prompt at @upstream
  */
 struct pgw_choice {
     struct pgw_upstream *upstream;
@@ -242,6 +261,10 @@
     uint64_t backoff_until_us;
     bool only_throttled;
     uint64_t retry_at_us;
+    uint32_t pending_tokens;
+    bool needs_claim;
+    uint32_t backlog_limit_tokens;
+    bool waits_for_backlog;
     struct pgw_forecast forecast;
 };
 
--- a/src/gateway/placement/home_probe.c
+++ b/src/gateway/placement/home_probe.c
@@ -16,6 +16,7 @@
 static void
 stop_waiting(struct pgw_exchange *exchange)
 {
+    pgw_timer_stop(exchange->gateway->loop, &exchange->probe_timer);
     if (exchange->probe != 0) {
         exchange->probes_waited_us += pgw_now_us() - exchange->probed_at_us;
         g_hash_table_remove(exchange->gateway->probes, &exchange->probe);
@@ -59,7 +60,6 @@
     /* Answers are fresh from now on, so that no further probe is sent before
      * the request is dispatched. */
     exchange->probed_at_us = pgw_now_us();
-    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     remove_unanswered(exchange);
     pgw_exchange_dispatch(exchange);
 }
@@ -68,7 +68,7 @@
 on_probe_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, probe_timer);
 
     for (size_t i = 0; i < exchange->homes.count; i++) {
         pgw_metric_counter_add(&unanswered, !exchange->home_is_fresh[i]);
@@ -149,7 +149,6 @@
                PGW_LONG_PREFILL_TOKENS &&
            pgw_policy_is_on(&gateway->options.policy,
                             PGW_MECHANISM_HOME_PROBES) &&
-           !pgw_list_is_linked(&exchange->waiting.link) &&
            (exchange->probed_at_us == 0 ||
             pgw_now_us() - exchange->probed_at_us >= ANSWER_VALID_US);
 }
@@ -178,6 +177,10 @@
 {
     struct pgw_gateway *gateway = exchange->gateway;
 
+    if (exchange->probe != 0) {
+        return true; /* queued requests are tried whenever an upstream changes
+                      */
+    }
     if (!is_worth_probing(exchange)) {
         return false;
     }
@@ -198,8 +201,8 @@
     if (exchange->phase != PGW_PHASE_RELAYING) {
         exchange->phase = PGW_PHASE_QUEUED;
     }
-    exchange->attempt_timer.on_due = on_probe_timeout;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+    exchange->probe_timer.on_due = on_probe_timeout;
+    pgw_timer_start(gateway->loop, &exchange->probe_timer,
                     gateway->options.probe_wait_us);
     return true;
 }
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -50,6 +50,8 @@
     struct pgw_upstream *upstream = exchange->upstream;
 
     end_announcement(exchange);
+    pgw_start_delay_end(&upstream->start_delay, &exchange->start_wait,
+                        exchange->began_us != 0, pgw_now_us());
     upstream->prefill_tokens -= exchange->prefill_tokens;
     upstream->long_prefills -=
         exchange->prefill_tokens >= PGW_LONG_PREFILL_TOKENS;
@@ -100,6 +102,11 @@
         exchange->reserved_tokens = prompt->tokens + prompt->output_tokens;
         exchange->prefill_tokens = unshared_tokens + choice->missing_tokens;
     }
+    if (exchange->facts.model != NULL &&
+        exchange->prefill_tokens < PGW_LONG_PREFILL_TOKENS) {
+        pgw_start_delay_begin(&upstream->start_delay, &exchange->start_wait,
+                              pgw_now_us());
+    }
     upstream->inflight_tokens += exchange->reserved_tokens;
     upstream->prefill_tokens += exchange->prefill_tokens;
     upstream->long_prefills +=
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -24,6 +24,11 @@
  * that is busy because all others load weights. An engine whose weights will
  * be too old by then is not used. */
 #define OLD_WEIGHTS_TOKEN_US 100ULL
+/* Part of its time for which a long prompt waits for an engine's backlog. Less
+ * than BACKLOG_QUEUE_SHARE, so that it is sent rather than refused. */
+#define BACKLOG_WAIT_SHARE 0.5
+/* Part of the time left for which such a prompt is queued at least. */
+#define BACKLOG_QUEUE_SHARE 0.6
 /* Route priorities that are distinguished within one workspace priority. */
 #define ROUTE_RANKS 3
 
@@ -80,6 +85,7 @@
     pgw_timer_stop(gateway->loop, &exchange->deadline_timer);
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_home_probe_drop(exchange);
+    pgw_prefill_claim_drop(exchange);
     pgw_suspect_wait_drop(exchange);
     pgw_stream_origin_drop(exchange);
     pgw_run_cover_dispose(&exchange->cover);
@@ -247,6 +253,86 @@
     pgw_gateway_dispatch_queued(gateway);
 }
 
+static bool
+needs_lanes(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway_options *options = &exchange->gateway->options;
+
+    return exchange->facts.model != NULL &&
+           exchange->route->pause_objective_ms > 0 &&
+           options->lanes.window_us > 0 &&
+           pgw_policy_is_on(&options->policy, PGW_MECHANISM_LANES);
+}
+
+/* Updates the division of a service's pool. Returns NULL where no pause is
+ * promised. */
+static struct pgw_lanes *
+update_lanes(struct pgw_exchange *exchange, uint64_t now_us)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_upstream_pool *pool =
+        pgw_upstream_table_pool(gateway->upstreams, exchange->service);
+    struct pgw_lanes *lanes =
+        g_hash_table_lookup(gateway->lanes, exchange->service);
+
+    if (pool == NULL) {
+        return NULL;
+    }
+    if (!needs_lanes(exchange)) {
+        if (lanes != NULL) {
+            pgw_lanes_expire(lanes, &gateway->options.lanes, pool, now_us);
+        }
+        return NULL;
+    }
+    if (lanes == NULL) {
+        lanes = g_new0(struct pgw_lanes, 1);
+        g_hash_table_insert(gateway->lanes, g_strdup(exchange->service),
+                            lanes);
+    }
+    pgw_lanes_update(lanes, &gateway->options.lanes, pool, now_us);
+    return lanes;
+}
+
+/* When the caller gives up unless the first event has come. */
+static uint64_t
+first_event_due_us(const struct pgw_exchange *exchange)
+{
+    return exchange->route->patience_ms == 0
+               ? exchange->deadline_us
+               : MIN(exchange->deadline_us,
+                     exchange->received_us +
+                         exchange->route->patience_ms * 1000ULL);
+}
+
+static uint64_t
+time_left_us(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    uint64_t due_us = first_event_due_us(exchange);
+
+    return due_us > now_us ? due_us - now_us : 0;
+}
+
+/* Until when the request may wait for an engine's backlog: not for so long
+ * that it could not end before its deadline, or that its caller leaves. */
+static uint64_t
+backlog_wait_end_us(const struct pgw_exchange *exchange)
+{
+    uint64_t limit_us = first_event_due_us(exchange) - exchange->received_us;
+
+    return exchange->received_us +
+           (uint64_t)((double)limit_us * BACKLOG_WAIT_SHARE);
+}
+
+static bool
+may_wait_for_backlog(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    return exchange->phase != PGW_PHASE_RELAYING &&
+           exchange->route->pause_objective_ms > 0 &&
+           pgw_policy_is_on(&exchange->gateway->options.policy,
+                            PGW_MECHANISM_BACKLOG_WAIT) &&
+           now_us < backlog_wait_end_us(exchange);
+}
+
 /* @tried_count: number of the upstreams tried before that are left out */
 static void
 choose_upstream(struct pgw_choice *out, const struct pgw_exchange *exchange,
@@ -277,6 +363,9 @@
                        exchange->facts.prompt.output_tokens;
         input.load_wait_ms = gateway->load_wait_ms;
         input.prefill_tokens_per_ms = gateway->prefill_rate.value;
+        input.objective_ms = exchange->route->objective_ms;
+        input.may_wait = may_wait_for_backlog(exchange, input.now_us);
+        input.granted = exchange->claim_is_granted ? exchange->claimed : NULL;
         input.kv_tokens = service == NULL ? 0 : service->kv_tokens;
         input.size = HEAD_SIZE_ESTIMATE +
                      (exchange->caller == NULL
@@ -315,9 +404,7 @@
 pgw_exchange_queue_time_us(const struct pgw_exchange *exchange,
                            uint64_t now_us)
 {
-    uint64_t left = exchange->deadline_us - now_us;
-
-    return (uint64_t)((double)left *
+    return (uint64_t)((double)time_left_us(exchange, now_us) *
                       exchange->gateway->options.queue_time_share);
 }
 
@@ -508,19 +595,43 @@
     return true;
 }
 
+/*
+ * Failure: a request was queued for a free slot before it waits for a backlog,
+ * or the backlog is longer than its wait. Symptom: it is refused as not run,
+ * though engines could have taken it. It stays queued until its wait ends, and
+ * is tried then.
+ */
+static void
+wait_for_backlog(struct pgw_exchange *exchange, uint64_t now_us)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+    double share = MAX(gateway->options.queue_time_share, BACKLOG_QUEUE_SHARE);
+    uint64_t end_us =
+        exchange->queued_at_us +
+        (uint64_t)((double)time_left_us(exchange, exchange->queued_at_us) *
+                   share);
+
+    pgw_gateway_dispatch_queued_at(gateway, backlog_wait_end_us(exchange));
+    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+                    end_us > now_us ? end_us - now_us : 0);
+}
+
 void
 pgw_exchange_dispatch(struct pgw_exchange *exchange)
 {
     struct pgw_gateway *gateway = exchange->gateway;
     uint64_t now = pgw_now_us();
     struct pgw_choice choice;
+    struct pgw_lanes *lanes;
     bool takes_turn;
 
     if (exchange->deadline_us < now + MIN_ATTEMPT_TIME_US) {
         on_deadline(&exchange->deadline_timer);
         return;
     }
-    if (pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
+    lanes = update_lanes(exchange, now);
+    if (pgw_prefill_claim_is_pending(exchange) ||
+        pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
         pgw_stream_origin_begin(exchange) || pgw_home_probe_begin(exchange)) {
         return;
     }
@@ -530,27 +641,52 @@
                                  !pgw_list_is_linked(&exchange->waiting.link));
     }
     takes_turn = !pgw_list_is_linked(&exchange->waiting.link) &&
+                 !exchange->claim_is_granted &&
                  pgw_room_wait_has_turns(exchange);
     if (choice.upstream != NULL &&
         (takes_turn ||
          !pgw_suspect_wait_is_apart(exchange, choice.upstream))) {
         choice.upstream = NULL;
     }
+    if (choice.upstream != NULL &&
+        pgw_prefill_claim_begin(exchange, &choice)) {
+        return;
+    }
     if (choice.upstream != NULL) {
+        if (exchange->claimed == choice.upstream) {
+            pgw_prefill_claim_take(exchange);
+        }
+        else {
+            pgw_prefill_claim_drop(exchange);
+        }
         pgw_room_wait_end(exchange, &choice);
         leave_queue(exchange);
         pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
         pgw_suspect_wait_end(exchange, choice.upstream);
+        if (lanes != NULL) {
+            pgw_lanes_count_prompt(lanes, &gateway->options.lanes,
+                                   choice.pending_tokens,
+                                   exchange->facts.prompt.tokens, now);
+        }
         pgw_exchange_send(exchange, &choice);
         return;
     }
+    pgw_prefill_claim_drop(exchange);
     pgw_gateway_dispatch_queued_at(gateway, choice.retry_at_us);
-    if (refuse_throttled(exchange, &choice, now) ||
-        pgw_list_is_linked(&exchange->waiting.link)) {
+    if (refuse_throttled(exchange, &choice, now)) {
         return;
     }
-    if (enqueue(exchange, now) && takes_turn) {
-        pgw_gateway_dispatch_queued(gateway);
+    if (!pgw_list_is_linked(&exchange->waiting.link)) {
+        if (!enqueue(exchange, now)) {
+            return;
+        }
+        if (takes_turn) {
+            pgw_gateway_dispatch_queued(gateway);
+        }
+    }
+    if (choice.waits_for_backlog && !exchange->turn.returned &&
+        !exchange->is_displaced) {
+        wait_for_backlog(exchange, now);
     }
 }
 
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -4,6 +4,7 @@
 #include "gateway/cover/run_cover.h"
 #include "gateway/crash/crash_quarantine.h"
 #include "gateway/crash/unframed_runs.h"
+#include "gateway/placement/lanes.h"
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
@@ -42,12 +43,15 @@
  * @ms_per_output_token: observed time from the first event to the end of a
  *   run, divided by the most output tokens that its caller allows
  * @prefill_rate: observed prefill speed of an engine, in tokens per ms
+ * @lanes: service -> &struct pgw_lanes, the division of its pool
  * @load_wait_ms: mean time that an engine which is next to load weights
  *   waits for its turn
  * @dispatch_due_us: when @dispatch_timer expires, 0: it is not set
  * @dispatch_is_posted: @dispatch_task is posted and has not run
  * @sidecars: how sidecars are reached, NULL: they are not
  * @sidecars_context: passed to @sidecars
+ * @claims: number of a claim -> the &struct pgw_exchange that waits for it
+ * @last_claim: number of the last claim
  * @probes: number of a probe -> the &struct pgw_exchange that waits for it
  * @last_probe: number of the last probe
  * @entries: number of entries in the deployment, 0: not known
@@ -81,12 +85,15 @@
     GHashTable *target_weights;
     struct pgw_moving_average ms_per_output_token;
     struct pgw_moving_average prefill_rate;
+    GHashTable *lanes;
     double load_wait_ms;
     uint64_t dispatch_due_us;
     bool dispatch_is_posted;
     bool refuses_all; /* the process ends at once */
     const struct pgw_sidecar_ops *sidecars;
     void *sidecars_context;
+    GHashTable *claims;
+    uint64_t last_claim;
     GHashTable *probes;
     uint64_t last_probe;
     uint32_t entries;
@@ -135,6 +142,7 @@
  * @deadline_timer: expires at @deadline_us
  * @attempt_timer: while queued: the longest time in the queue; while sent: the
  *   response timeout of the attempt
+ * @probe_timer: ends the wait for answers to a probe
  * @deadline_us: the caller gets its final answer by then
  * @runs: attempts that may have run the request
  * @sends: all attempts, including those that an upstream refused
@@ -161,6 +169,13 @@
  *   none
  * @origin_answers: number of answers that are awaited
  * @origin_any: some sidecar that answered knows attempts
+ * @start_wait: among the short prompts that wait for their first event
+ * @claim_timer: ends the wait for the answer to a claim
+ * @claim: number of the claim whose answer is awaited, 0: none
+ * @claimed: engine that was asked to take the prompt; a reference is held.
+ *   NULL: none
+ * @claim_is_granted: its sidecar counts the prompt as pending, or has not
+ *   answered in time and may do so
  * @probe: number of the probe whose answers are awaited, 0: none
  * @probed_at_us: when the last probe was sent
  * @probes_waited_us: total time spent waiting for answers to probes
@@ -209,6 +224,7 @@
     struct pgw_return return_early;
     struct pgw_timer deadline_timer;
     struct pgw_timer attempt_timer;
+    struct pgw_timer probe_timer;
     uint64_t received_us;
     uint64_t deadline_us;
     uint64_t sent_us;
@@ -232,6 +248,11 @@
     uint64_t origin_ask;
     unsigned origin_answers;
     bool origin_any;
+    struct pgw_start_wait start_wait;
+    struct pgw_timer claim_timer;
+    uint64_t claim;
+    struct pgw_upstream *claimed;
+    bool claim_is_granted;
     struct pgw_run_cover cover;
     struct pgw_homes homes;
     uint64_t probe;
@@ -384,6 +405,26 @@
 /** pgw_home_probe_drop() - stop waiting for answers and release the homes */
 void pgw_home_probe_drop(struct pgw_exchange *exchange);
 
+/* prefill_claim.c */
+/**
+ * pgw_prefill_claim_begin() - ask the sidecar of the chosen engine whether the
+ * engine takes a long prompt now
+ * @exchange: a request that is about to be sent
+ * @choice: where to
+ *
+ * Return: true when an answer is awaited; pgw_exchange_dispatch() is called
+ * then. false: the request may be sent.
+ */
+bool pgw_prefill_claim_begin(struct pgw_exchange *exchange,
+                             const struct pgw_choice *choice);
+/** pgw_prefill_claim_is_pending() - an answer is awaited */
+bool pgw_prefill_claim_is_pending(const struct pgw_exchange *exchange);
+/** pgw_prefill_claim_take() - the request is sent to the engine that granted
+ * it, whose sidecar gets its announcement next */
+void pgw_prefill_claim_take(struct pgw_exchange *exchange);
+/** pgw_prefill_claim_drop() - give up the claim */
+void pgw_prefill_claim_drop(struct pgw_exchange *exchange);
+
 /* forward.c */
 /** pgw_exchange_send() - start an attempt at the chosen upstream */
 void pgw_exchange_send(struct pgw_exchange *exchange,
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -115,6 +115,9 @@
     pgw_run_cover_register_metrics();
     pgw_upstream_limits_register_metrics();
     gateway->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
+    gateway->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
+    gateway->lanes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->target_weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -142,6 +145,8 @@
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->target_weights);
     g_hash_table_destroy(gateway->probes);
+    g_hash_table_destroy(gateway->claims);
+    g_hash_table_destroy(gateway->lanes);
     g_free(gateway->instance);
     g_free(gateway->zone);
     g_free(gateway);
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/http/caller.h"
 #include "gateway/http/event_stream.h"
 #include "gateway/placement/choose.h"
+#include "gateway/placement/lanes.h"
 #include "gateway/placement/wait_queue.h"
 #include "gateway/quota/limit_ledger.h"
 #include "gateway/quota/quota.h"
@@ -38,6 +39,7 @@
  * @policy: which mechanisms are switched off
  * @budgets: bounds of retries
  * @choose: thresholds of placement
+ * @lanes: when pools are divided between long and short prompts
  * @quota: what may be spent beyond the quotas of workspaces
  * @crash_quarantine: thresholds for requests that crash upstreams
  * @old_weights_usable_us: how long older weights may be used after a newer
@@ -70,6 +72,7 @@
     struct pgw_policy policy;
     struct pgw_retry_budgets_options budgets;
     struct pgw_choose_options choose;
+    struct pgw_lanes_options lanes;
     struct pgw_quota_bounds quota;
     struct pgw_crash_quarantine_options crash_quarantine;
     uint64_t old_weights_usable_us;
@@ -171,6 +174,21 @@
     uint32_t prefilled_tokens;
 };
 
+/**
+ * struct pgw_prefill_claim - a long prompt that an engine is asked to take
+ * @claim: number of the claim at this entry
+ * @request: pgw_announced_prompts_id() of the request
+ * @pending_tokens: tokens of the prompt that the engine has to prefill
+ * @limit_tokens: most tokens that may be pending there with it; a prompt is
+ *   always granted while no other is pending
+ */
+struct pgw_prefill_claim {
+    uint64_t claim;
+    uint64_t request;
+    uint32_t pending_tokens;
+    uint32_t limit_tokens;
+};
+
 /**
  * struct pgw_sidecar_ops - messages to the sidecars of engines
  * @reaches: whether messages can be sent to a sidecar; if not, the entry
@@ -183,6 +201,9 @@
  *   0, the long prompt announced before has been prefilled or cancelled
  * @probe: ask for an engine's load and its cached parts; the answer arrives
  *   through pgw_gateway_probe_answered(). false: the sidecar is not reachable
+ * @claim_prefill: ask an engine's sidecar whether the engine takes a long
+ *   prompt now; the answer arrives through pgw_gateway_prefill_answered().
+ *   false: the sidecar is not reachable
  * @ask_limit: ask the owner of an upstream's limit, @owner, for requests that
  *   may be sent there; the answer arrives through
  *   pgw_upstream_limits_handle_answer(). false: the owner is not reachable
@@ -205,6 +226,8 @@
                       const struct pgw_quota_ask *ask);
     bool (*ask_limit)(void *context, const struct pgw_upstream *owner,
                       const struct pgw_limit_ask *ask);
+    bool (*claim_prefill)(void *context, const struct pgw_upstream *upstream,
+                          const struct pgw_prefill_claim *claim);
 };
 
 /** pgw_gateway_set_sidecars() - reach sidecars through @ops, which is not
@@ -218,6 +241,16 @@
 void pgw_gateway_probe_answered(struct pgw_gateway *gateway, uint64_t probe,
                                 const struct pgw_upstream *upstream);
 
+/**
+ * pgw_gateway_prefill_answered() - a sidecar has answered a claim
+ * @gateway: the gateway
+ * @claim: number of the claim
+ * @granted: the prompt counts as pending at the engine
+ * @pending_tokens: pending tokens of other requests there
+ */
+void pgw_gateway_prefill_answered(struct pgw_gateway *gateway, uint64_t claim,
+                                  bool granted, uint64_t pending_tokens);
+
 /** pgw_gateway_set_weights_loading_time() - how long an engine is unavailable
  * while it loads weights, in microseconds; 0: not known */
 void pgw_gateway_set_weights_loading_time(struct pgw_gateway *gateway,
--- a/src/gateway/sidecar/engine_sidecar.c
+++ b/src/gateway/sidecar/engine_sidecar.c
@@ -37,6 +37,27 @@
     }
 }
 
+static void
+handle_prefill_claim(const struct pgw_connected_entry *entry,
+                     const Pgw__PrefillClaim *message)
+{
+    struct pgw_engine_sidecar *sidecar = entry->sidecar;
+    Pgw__PrefillAnswer answer = PGW__PREFILL_ANSWER__INIT;
+
+    pgw_announced_prompts_end(&sidecar->announced_prompts, message->request);
+    answer.claim = message->claim;
+    answer.unread =
+        pgw_announced_prompts_pending(&sidecar->announced_prompts).tokens;
+    answer.granted = answer.unread == 0 ||
+                     answer.unread + message->to_read <= message->limit;
+    if (answer.granted) {
+        pgw_announced_prompts_add(&sidecar->announced_prompts,
+                                  message->request, message->to_read,
+                                  pgw_now_us());
+    }
+    pgw_link_send(entry->link, PGW_FRAME_PREFILL_ANSWER, &answer.base);
+}
+
 static void
 handle_hello(struct pgw_connected_entry *entry, const Pgw__Hello *hello)
 {
@@ -73,6 +94,9 @@
         pgw_engine_sidecar_answer_probe(entry->sidecar, entry,
                                         (const Pgw__EngineProbe *)message);
     }
+    else if (type == PGW_FRAME_PREFILL_CLAIM) {
+        handle_prefill_claim(entry, (const Pgw__PrefillClaim *)message);
+    }
     else if (type == PGW_FRAME_QUOTA_ASK) {
         pgw_engine_sidecar_handle_quota_ask(entry,
                                             (const Pgw__QuotaAsk *)message);
--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -285,6 +285,8 @@
              const struct pgw_upstream_facts *facts)
 {
     struct pgw_upstream *upstream = g_new0(struct pgw_upstream, 1);
+
+    pgw_start_delay_init(&upstream->start_delay);
     GError *error = NULL;
 
     if (!pgw_address_parse(&upstream->address, facts->address, &error)) {
@@ -376,10 +378,12 @@
     upstream->warmup_until_us = 0;
     upstream->load = (struct pgw_upstream_load){0};
     pgw_engine_pace_reset(&upstream->pace);
+    upstream->start_delay.average_us = 0;
     upstream->last_seen_us = 0;
     upstream->probe_at_us = 0;
     upstream->load_reported_at_us = 0;
     upstream->kv_reported_at_us = 0;
+    upstream->pending_reported_at_us = 0;
     upstream->failures = 0;
     upstream->failure_rate = 0;
     upstream->avoid_until_us = 0;
@@ -812,11 +816,24 @@
     upstream->load.long_prefills = load->long_prefills;
     upstream->load.pending_tokens = load->pending_tokens;
     upstream->kv_reported_at_us = now_us;
+    upstream->pending_reported_at_us = now_us;
     upstream->own_tokens_at_report = upstream->inflight_tokens;
     upstream->own_long_prefills_at_report = upstream->long_prefills;
     upstream->own_prefill_tokens_at_report = upstream->prefill_tokens;
 }
 
+void
+pgw_upstream_set_pending_tokens(struct pgw_upstream *upstream, uint64_t tokens,
+                                uint64_t now_us)
+{
+    upstream->load.pending_tokens = tokens;
+    if (tokens == 0) {
+        upstream->load.long_prefills = 0;
+    }
+    upstream->own_prefill_tokens_at_report = upstream->prefill_tokens;
+    upstream->pending_reported_at_us = now_us;
+}
+
 /* The other entries' share of a reported number, decreasing to zero with the
  * report's age. */
 static uint64_t
@@ -873,10 +890,10 @@
 {
     uint64_t reported = upstream->load.pending_tokens;
     uint64_t own = upstream->own_prefill_tokens_at_report;
-    uint64_t age_us = now_us - upstream->kv_reported_at_us;
+    uint64_t age_us = now_us - upstream->pending_reported_at_us;
 
-    if (upstream->kv_reported_at_us == 0 || age_us >= PENDING_MAX_AGE_US ||
-        reported <= own) {
+    if (upstream->pending_reported_at_us == 0 ||
+        age_us >= PENDING_MAX_AGE_US || reported <= own) {
         return 0;
     }
     return MAX((double)(reported - own) -
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_UPSTREAM_UPSTREAM_TABLE_H
 
 #include "gateway/pace/engine_pace.h"
+#include "gateway/pace/start_delay.h"
 #include "gateway/quota/limit_share.h"
 #include "gateway/upstream/recent_parts.h"
 #include "util/address.h"
@@ -119,6 +120,18 @@
 void pgw_upstream_statements_expire(struct pgw_upstream_statements *stated,
                                     uint64_t now_us);
 
+/**
+ * enum pgw_lane - prompts that an engine gets first
+ * @PGW_LANE_NONE: any
+ * @PGW_LANE_SHORT: short ones
+ * @PGW_LANE_LONG: long ones
+ */
+enum pgw_lane {
+    PGW_LANE_NONE,
+    PGW_LANE_SHORT,
+    PGW_LANE_LONG,
+};
+
 /**
  * struct pgw_upstream - one upstream
  * @in_table: link in the table's list
@@ -172,16 +185,22 @@
  * @load_reported_at_us: when it came, 0: never
  * @kv_reported_at_us: when KV cache usage was last reported, 0: never
  * @own_inflight_at_report: @inflight at @load_reported_at_us
+ * @pending_reported_at_us: when pending tokens were last reported, 0: never
  * @own_tokens_at_report: @inflight_tokens at @kv_reported_at_us
  * @own_long_prefills_at_report: @long_prefills at @kv_reported_at_us
- * @own_prefill_tokens_at_report: @prefill_tokens at @kv_reported_at_us
+ * @own_prefill_tokens_at_report: @prefill_tokens at @pending_reported_at_us
  * @failures: consecutive failures
  * @failure_rate: exponential moving average of failed attempts, 0..1
  * @avoid_until_us: chosen before this time only if no other upstream can be
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
  * @stated: what it has stated about itself
+ * @claim_at_us: its sidecar refused a long prompt, and is asked for none
+ *   before this time
+ * @lane: which prompts it gets first
  * @pace: what is known of its speed
+ * @start_delay: how long short prompts of this entry wait for their first
+ * event
  * @cached_parts: parts in the engine's KV cache as its sidecar reports them:
  *   key to tokens; only while @sidecar_is_reporting
  * @expected: parts of requests that this entry sent there recently
@@ -227,6 +246,7 @@
     struct pgw_upstream_load load;
     uint64_t load_reported_at_us;
     uint64_t kv_reported_at_us;
+    uint64_t pending_reported_at_us;
     uint32_t own_inflight_at_report;
     uint64_t own_tokens_at_report;
     uint32_t own_long_prefills_at_report;
@@ -237,7 +257,10 @@
     uint32_t refusals;
     uint64_t full_until_us;
     struct pgw_upstream_statements stated;
+    uint64_t claim_at_us;
+    enum pgw_lane lane;
     struct pgw_engine_pace pace;
+    struct pgw_start_delay start_delay;
     GHashTable *cached_parts;
     struct pgw_recent_parts expected;
 };
@@ -487,6 +510,11 @@
                               const struct pgw_upstream_load *load,
                               uint64_t now_us);
 
+/** pgw_upstream_set_pending_tokens() - set the pending prompt tokens of other
+ * requests than the entry's own, as the sidecar has just counted them */
+void pgw_upstream_set_pending_tokens(struct pgw_upstream *upstream,
+                                     uint64_t tokens, uint64_t now_us);
+
 /** pgw_upstream_load_estimate() - estimated number of requests there now, of
  * all entries */
 uint32_t pgw_upstream_load_estimate(const struct pgw_upstream *upstream,
--- a/src/libparsleygw/frame.c
+++ b/src/libparsleygw/frame.c
@@ -33,6 +33,8 @@
         [PGW_FRAME_STREAM_ORIGIN_ASK] = &pgw__stream_origin_ask__descriptor,
         [PGW_FRAME_STREAM_ORIGIN_ANSWER] =
             &pgw__stream_origin_answer__descriptor,
+        [PGW_FRAME_PREFILL_CLAIM] = &pgw__prefill_claim__descriptor,
+        [PGW_FRAME_PREFILL_ANSWER] = &pgw__prefill_answer__descriptor,
 };
 
 void
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -1672,6 +1672,96 @@
   assert(message->base.descriptor == &pgw__stream_origin_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pgw__prefill_claim__init
+                     (Pgw__PrefillClaim         *message)
+{
+  static const Pgw__PrefillClaim init_value = PGW__PREFILL_CLAIM__INIT;
+  *message = init_value;
+}
+size_t pgw__prefill_claim__get_packed_size
+                     (const Pgw__PrefillClaim *message)
+{
+  assert(message->base.descriptor == &pgw__prefill_claim__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__prefill_claim__pack
+                     (const Pgw__PrefillClaim *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__prefill_claim__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__prefill_claim__pack_to_buffer
+                     (const Pgw__PrefillClaim *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__prefill_claim__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__PrefillClaim *
+       pgw__prefill_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__PrefillClaim *)
+     protobuf_c_message_unpack (&pgw__prefill_claim__descriptor,
+                                allocator, len, data);
+}
+void   pgw__prefill_claim__free_unpacked
+                     (Pgw__PrefillClaim *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__prefill_claim__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pgw__prefill_answer__init
+                     (Pgw__PrefillAnswer         *message)
+{
+  static const Pgw__PrefillAnswer init_value = PGW__PREFILL_ANSWER__INIT;
+  *message = init_value;
+}
+size_t pgw__prefill_answer__get_packed_size
+                     (const Pgw__PrefillAnswer *message)
+{
+  assert(message->base.descriptor == &pgw__prefill_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pgw__prefill_answer__pack
+                     (const Pgw__PrefillAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pgw__prefill_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pgw__prefill_answer__pack_to_buffer
+                     (const Pgw__PrefillAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pgw__prefill_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pgw__PrefillAnswer *
+       pgw__prefill_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pgw__PrefillAnswer *)
+     protobuf_c_message_unpack (&pgw__prefill_answer__descriptor,
+                                allocator, len, data);
+}
+void   pgw__prefill_answer__free_unpacked
+                     (Pgw__PrefillAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pgw__prefill_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pgw__hello__field_descriptors[8] =
 {
   {
@@ -5459,3 +5549,144 @@
   (ProtobufCMessageInit) pgw__stream_origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pgw__prefill_claim__field_descriptors[4] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillClaim, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillClaim, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_read",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillClaim, to_read),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillClaim, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__prefill_claim__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
+  3,   /* field[3] = limit */
+  1,   /* field[1] = request */
+  2,   /* field[2] = to_read */
+};
+static const ProtobufCIntRange pgw__prefill_claim__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pgw__prefill_claim__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.PrefillClaim",
+  "PrefillClaim",
+  "Pgw__PrefillClaim",
+  "pgw",
+  sizeof(Pgw__PrefillClaim),
+  4,
+  pgw__prefill_claim__field_descriptors,
+  pgw__prefill_claim__field_indices_by_name,
+  1,  pgw__prefill_claim__number_ranges,
+  (ProtobufCMessageInit) pgw__prefill_claim__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pgw__prefill_answer__field_descriptors[3] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillAnswer, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__PrefillAnswer, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pgw__prefill_answer__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
+  1,   /* field[1] = granted */
+  2,   /* field[2] = unread */
+};
+static const ProtobufCIntRange pgw__prefill_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pgw__prefill_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pgw.PrefillAnswer",
+  "PrefillAnswer",
+  "Pgw__PrefillAnswer",
+  "pgw",
+  sizeof(Pgw__PrefillAnswer),
+  3,
+  pgw__prefill_answer__field_descriptors,
+  pgw__prefill_answer__field_indices_by_name,
+  1,  pgw__prefill_answer__number_ranges,
+  (ProtobufCMessageInit) pgw__prefill_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -52,6 +52,8 @@
 typedef struct Pgw__StreamOrigins Pgw__StreamOrigins;
 typedef struct Pgw__StreamOriginAsk Pgw__StreamOriginAsk;
 typedef struct Pgw__StreamOriginAnswer Pgw__StreamOriginAnswer;
+typedef struct Pgw__PrefillClaim Pgw__PrefillClaim;
+typedef struct Pgw__PrefillAnswer Pgw__PrefillAnswer;
 
 
 /* --- enums --- */
@@ -1056,6 +1058,50 @@
     , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * An entry asks a sidecar whether its engine takes a long prompt now. One that is
+ * granted counts as pending there until the entry sends it or gives it up.
+ */
+struct  Pgw__PrefillClaim
+{
+  ProtobufCMessage base;
+  /*
+   * number of the claim at this entry
+   */
+  uint64_t claim;
+  /*
+   * hash of the request's id
+   */
+  uint64_t request;
+  /*
+   * prompt tokens that the engine would have to read
+   */
+  uint32_t to_read;
+  /*
+   * most tokens that may be pending with it, unless none is
+   */
+  uint32_t limit;
+};
+#define PGW__PREFILL_CLAIM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__prefill_claim__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Pgw__PrefillAnswer
+{
+  ProtobufCMessage base;
+  uint64_t claim;
+  protobuf_c_boolean granted;
+  /*
+   * pending tokens of other requests
+   */
+  uint64_t unread;
+};
+#define PGW__PREFILL_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pgw__prefill_answer__descriptor) \
+    , 0, 0, 0 }
+
+
 /* Pgw__Hello methods */
 void   pgw__hello__init
                      (Pgw__Hello         *message);
@@ -1759,6 +1805,44 @@
 void   pgw__stream_origin_answer__free_unpacked
                      (Pgw__StreamOriginAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Pgw__PrefillClaim methods */
+void   pgw__prefill_claim__init
+                     (Pgw__PrefillClaim         *message);
+size_t pgw__prefill_claim__get_packed_size
+                     (const Pgw__PrefillClaim   *message);
+size_t pgw__prefill_claim__pack
+                     (const Pgw__PrefillClaim   *message,
+                      uint8_t             *out);
+size_t pgw__prefill_claim__pack_to_buffer
+                     (const Pgw__PrefillClaim   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__PrefillClaim *
+       pgw__prefill_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__prefill_claim__free_unpacked
+                     (Pgw__PrefillClaim *message,
+                      ProtobufCAllocator *allocator);
+/* Pgw__PrefillAnswer methods */
+void   pgw__prefill_answer__init
+                     (Pgw__PrefillAnswer         *message);
+size_t pgw__prefill_answer__get_packed_size
+                     (const Pgw__PrefillAnswer   *message);
+size_t pgw__prefill_answer__pack
+                     (const Pgw__PrefillAnswer   *message,
+                      uint8_t             *out);
+size_t pgw__prefill_answer__pack_to_buffer
+                     (const Pgw__PrefillAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Pgw__PrefillAnswer *
+       pgw__prefill_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pgw__prefill_answer__free_unpacked
+                     (Pgw__PrefillAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pgw__Hello_Closure)
@@ -1872,6 +1956,12 @@
 typedef void (*Pgw__StreamOriginAnswer_Closure)
                  (const Pgw__StreamOriginAnswer *message,
                   void *closure_data);
+typedef void (*Pgw__PrefillClaim_Closure)
+                 (const Pgw__PrefillClaim *message,
+                  void *closure_data);
+typedef void (*Pgw__PrefillAnswer_Closure)
+                 (const Pgw__PrefillAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1915,6 +2005,8 @@
 extern const ProtobufCMessageDescriptor pgw__stream_origins__descriptor;
 extern const ProtobufCMessageDescriptor pgw__stream_origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor pgw__stream_origin_answer__descriptor;
+extern const ProtobufCMessageDescriptor pgw__prefill_claim__descriptor;
+extern const ProtobufCMessageDescriptor pgw__prefill_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/unit/scene_engine.c
+++ b/tests/unit/scene_engine.c
@@ -38,10 +38,10 @@
         text = g_strdup_printf(
             "{\"models\":[{\"name\":\"m\",\"version\":%" G_GUINT64_FORMAT
             "}],\"busy\":%s,\"sequence\":%u,\"active\":1,\"state\":\"%s\","
-            "\"kv_total\":900%s"
+            "\"queued\":%u,\"kv_total\":900%s"
             "%" G_GUINT64_FORMAT "}",
             engine->version, engine->busy ? "true" : "false", engine->sequence,
-            engine->draining ? "draining" : "ready",
+            engine->draining ? "draining" : "ready", engine->queued,
             engine->started_ms == 0 ? ",\"sessions\":" : ",\"born\":",
             engine->started_ms);
         scene_answer(fd, "r", 200,
--- a/tests/unit/scene_engine.h
+++ b/tests/unit/scene_engine.h
@@ -12,6 +12,7 @@
  * @sequence: reported number of orders
  * @started_ms: reported start time of its process; 0: not reported
  * @draining: it reports that it is draining
+ * @queued: reported number of requests in its queue
  * @refuse_for: it refuses to report, with Retry-After in seconds;
  * NULL: it reports
  * @reports_refused: number of reports refused
@@ -31,6 +32,7 @@
     unsigned sequence;
     uint64_t started_ms;
     bool draining;
+    unsigned queued;
     const char *refuse_for;
     unsigned reports_refused;
     unsigned reports;
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -10,6 +10,8 @@
 
 #define LOOPBACK "127.0.0.1"
 #define START_PAUSE_US 100000
+#define OBJECTIVE_MS 1000
+#define PATIENCE_MS 200
 /* Longer than a test may take. */
 #define TEST_TIME_US (SCENE_TIMEOUT_S * 1000000ULL)
 
@@ -116,6 +118,13 @@
     add_route(table, "/brook/", &(struct pgw_route){.stream = true});
     add_route(table, "/late/", &(struct pgw_route){.timeout_ms = 300});
     add_route(table, "/open/", &(struct pgw_route){.open = true});
+    add_route(
+        table, "/soon/",
+        &(struct pgw_route){.stream = true, .objective_ms = OBJECTIVE_MS});
+    add_route(table, "/brief/",
+              &(struct pgw_route){.stream = true,
+                                  .objective_ms = OBJECTIVE_MS,
+                                  .patience_ms = PATIENCE_MS});
 }
 
 static struct pgw_route_table *next_table;
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -49,7 +49,8 @@
  * "/once/" must run at most once, one to "/again/" is repeatable, "/flow/" is
  * a resumable stream, "/brook/" a stream that is not resumable, "/late/" has a
  * timeout of 300 ms, "/open/" needs no key, "/first/" has a higher priority
- * than "/once/". All routes have the same service.
+ * than "/once/", "/soon/" is a stream with a latency objective, and "/brief/"
+ * one whose callers also leave early. All routes have the same service.
  */
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -795,6 +795,207 @@
     pgw_upstream_table_free(pool.table);
 }
 
+#define OBJECTIVE_MS 1000
+#define LONG_TOKENS 12000
+#define SHORT_TOKENS 400
+
+/**
+ * struct lanes_pool - a pool divided between short and long prompts
+ * @shorts: engine for short prompts
+ * @longs: engine for long ones
+ */
+struct lanes_pool {
+    struct pool pool;
+    struct pgw_upstream *shorts;
+    struct pgw_upstream *longs;
+};
+
+/* Prompts are sent to it without shared parts. */
+static void
+lanes_pool_init(struct lanes_pool *lanes, uint32_t tokens)
+{
+    struct pool *pool = &lanes->pool;
+
+    pool_init(pool);
+    lanes->shorts = add(pool, "shorts", "a", 1);
+    lanes->longs = add(pool, "longs", "a", 2);
+    lanes->shorts->lane = PGW_LANE_SHORT;
+    lanes->longs->lane = PGW_LANE_LONG;
+    set_prompt(pool, 0);
+    pool->prompt.parts[1].tokens = tokens;
+    pool->prompt.tokens = tokens;
+    pool->input.objective_ms = OBJECTIVE_MS;
+    pool->input.may_wait = true;
+}
+
+/* Guards against a long prompt that is sent behind a backlog which alone takes
+ * longer than its objective. */
+static void
+test_long_prompt_waits_for_backlog(void)
+{
+    struct lanes_pool lanes;
+    struct pgw_choose_input *input = &lanes.pool.input;
+    struct pgw_choice choice;
+
+    lanes_pool_init(&lanes, LONG_TOKENS);
+    lanes.shorts->prefill_tokens = 200000;
+    lanes.longs->prefill_tokens = 60000;
+    choice = choose(&lanes.pool);
+    g_assert_null(choice.upstream);
+    g_assert_true(choice.waits_for_backlog);
+    g_assert_false(choice.only_throttled);
+    /* The backlog of 1000 ms has to fall to 800 ms. */
+    g_assert_cmpuint(choice.retry_at_us, >=, NOW + 200000);
+    g_assert_cmpuint(choice.retry_at_us, <=, NOW + 200001);
+    /* It is no longer waited for. */
+    input->may_wait = false;
+    choice = choose(&lanes.pool);
+    g_assert_true(choice.upstream == lanes.longs);
+    g_assert_false(choice.waits_for_backlog);
+    g_assert_false(choice.needs_claim);
+    /* Its sidecar knows the true backlog. */
+    input->may_wait = true;
+    input->granted = lanes.longs;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    input->granted = NULL;
+    /* Within the objective. */
+    lanes.longs->prefill_tokens = 48000;
+    choice = choose(&lanes.pool);
+    g_assert_true(choice.upstream == lanes.longs);
+    g_assert_true(choice.needs_claim);
+    g_assert_cmpuint(choice.pending_tokens, ==, LONG_TOKENS);
+    g_assert_cmpuint(choice.backlog_limit_tokens, ==, 60000);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against a prompt longer than the objective that never gets an engine:
+ * it waits until less than half of the objective is pending there. */
+static void
+test_longest_prompt_takes_idle_engine(void)
+{
+    struct lanes_pool lanes;
+    double half_tokens;
+
+    lanes_pool_init(&lanes, 90000);
+    half_tokens = lanes.pool.input.objective_ms *
+                  lanes.pool.input.prefill_tokens_per_ms / 2;
+    lanes.shorts->prefill_tokens = 100000;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    lanes.longs->prefill_tokens = (uint64_t)half_tokens;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    lanes.longs->prefill_tokens = (uint64_t)half_tokens + 100;
+    g_assert_true(choose(&lanes.pool).waits_for_backlog);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against short prompts that are sent into the queues of engines that
+ * all take longer than the objective: they stay queued at the entry, and go to
+ * the engine with the shorter queue. */
+static void
+test_short_prompt_waits_for_start(void)
+{
+    struct lanes_pool lanes;
+    struct pgw_start_wait waits[2] = {0};
+
+    lanes_pool_init(&lanes, 100);
+    pgw_start_delay_begin(&lanes.shorts->start_delay, &waits[0], NOW);
+    pgw_start_delay_begin(&lanes.longs->start_delay, &waits[1], NOW);
+    lanes.pool.input.now_us =
+        NOW + (uint64_t)(lanes.pool.input.objective_ms * 1000);
+    g_assert_true(choose(&lanes.pool).waits_for_backlog);
+    lanes.pool.input.may_wait = false;
+    g_assert_nonnull(choose(&lanes.pool).upstream);
+    lanes.pool.input.may_wait = true;
+    pgw_start_delay_end(&lanes.longs->start_delay, &waits[1], false, NOW);
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against claims at an engine that has just refused one. */
+static void
+test_refused_claim_waits(void)
+{
+    struct lanes_pool lanes;
+
+    lanes_pool_init(&lanes, LONG_TOKENS);
+    lanes.longs->claim_at_us = NOW + 30000;
+    g_assert_null(choose(&lanes.pool).upstream);
+    g_assert_cmpuint(choose(&lanes.pool).retry_at_us, ==, NOW + 30000);
+    lanes.pool.input.now_us = NOW + 30000;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against an engine that one kind of prompts may not use at all. */
+static void
+test_lanes_spill(void)
+{
+    struct lanes_pool lanes;
+    struct pgw_choice choice;
+
+    lanes_pool_init(&lanes, SHORT_TOKENS);
+    choice = choose(&lanes.pool);
+    g_assert_true(choice.upstream == lanes.shorts);
+    g_assert_false(choice.needs_claim);
+    /* A short prompt neither waits nor asks, however long the backlog. */
+    lanes.shorts->inflight = lanes.shorts->slots;
+    lanes.longs->prefill_tokens = 200000;
+    choice = choose(&lanes.pool);
+    g_assert_true(choice.upstream == lanes.longs);
+    g_assert_false(choice.needs_claim);
+    pgw_upstream_table_free(lanes.pool.table);
+
+    lanes_pool_init(&lanes, LONG_TOKENS);
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    lanes.longs->inflight = lanes.longs->slots;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.shorts);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against a slow engine that gets as many prompts as a fast one. */
+static void
+test_slow_engine_gets_less(void)
+{
+    struct lanes_pool lanes;
+
+    lanes_pool_init(&lanes, LONG_TOKENS);
+    lanes.shorts->lane = PGW_LANE_NONE;
+    lanes.longs->lane = PGW_LANE_NONE;
+    g_assert_true(
+        pgw_engine_pace_set_prefill_rate(&lanes.shorts->pace, 20, NOW));
+    g_assert_true(
+        pgw_engine_pace_set_prefill_rate(&lanes.longs->pace, 60, NOW));
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    /* The slow one takes 400 ms longer, as does a backlog of 24,000 tokens. */
+    lanes.longs->prefill_tokens = 20000;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.longs);
+    lanes.longs->prefill_tokens = 28000;
+    g_assert_true(choose(&lanes.pool).upstream == lanes.shorts);
+    g_assert_cmpfloat_with_epsilon(choose(&lanes.pool).forecast.first_ms, 600,
+                                   1);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
+/* Guards against waits and claims in a pool that is not divided. */
+static void
+test_undivided_pool_does_not_wait(void)
+{
+    struct lanes_pool lanes;
+    struct pgw_choice choice;
+
+    lanes_pool_init(&lanes, LONG_TOKENS);
+    lanes.shorts->lane = PGW_LANE_NONE;
+    lanes.longs->lane = PGW_LANE_NONE;
+    lanes.shorts->prefill_tokens = 200000;
+    lanes.longs->prefill_tokens = 100000;
+    lanes.longs->claim_at_us = NOW + 30000;
+    choice = choose(&lanes.pool);
+    g_assert_true(choice.upstream == lanes.longs);
+    g_assert_false(choice.needs_claim);
+    g_assert_false(choice.waits_for_backlog);
+    pgw_upstream_table_free(lanes.pool.table);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -841,5 +1042,16 @@
     g_test_add_func("/choose/unanswered_trial_is_repeated",
                     test_unanswered_trial_is_repeated);
     g_test_add_func("/choose/policy", test_policy_disables_costs);
+    g_test_add_func("/choose/waits_for_backlog",
+                    test_long_prompt_waits_for_backlog);
+    g_test_add_func("/choose/short_prompt_waits",
+                    test_short_prompt_waits_for_start);
+    g_test_add_func("/choose/longest_prompt",
+                    test_longest_prompt_takes_idle_engine);
+    g_test_add_func("/choose/refused_claim", test_refused_claim_waits);
+    g_test_add_func("/choose/lanes_spill", test_lanes_spill);
+    g_test_add_func("/choose/slow_engine", test_slow_engine_gets_less);
+    g_test_add_func("/choose/undivided_pool",
+                    test_undivided_pool_does_not_wait);
     return g_test_run();
 }
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -26,6 +26,9 @@
  * @long_prefills: long prompts in the last report
  * @probe_answer: the last answer to a probe: its number, the tokens left to
  *   prefill, the update of the first part
+ * @other: connection of another entry to the sidecar, NULL: there is none
+ * @claim_answer: the last answer to a claim: its number, whether the prompt
+ *   was granted, the tokens pending before it
  * @lock: guards what the entry has received; a POSIX mutex, as the thread
  *   sanitizer does not see those inside GLib
  */
@@ -51,6 +54,12 @@
         uint64_t unread;
         uint32_t part;
     } probe_answer;
+    struct pgw_link *other;
+    struct {
+        uint64_t claim;
+        bool granted;
+        uint64_t unread;
+    } claim_answer;
 };
 
 static struct fixture *fixture;
@@ -63,6 +72,16 @@
     pgw_engine_sidecar_set_token(fixture->sidecar, 40 + fixture->tokens);
 }
 
+static void
+take_claim_answer(const Pgw__PrefillAnswer *answer)
+{
+    pthread_mutex_lock(&fixture->lock);
+    fixture->claim_answer.claim = answer->claim;
+    fixture->claim_answer.granted = answer->granted;
+    fixture->claim_answer.unread = answer->unread;
+    pthread_mutex_unlock(&fixture->lock);
+}
+
 static bool
 on_frame(struct pgw_link *link, enum pgw_frame_type type,
          ProtobufCMessage *message, void *context)
@@ -71,6 +90,9 @@
 
     (void)link;
     (void)context;
+    if (type == PGW_FRAME_PREFILL_ANSWER) {
+        take_claim_answer((const Pgw__PrefillAnswer *)message);
+    }
     if (type != PGW_FRAME_ENGINE_STATE) {
         return false;
     }
@@ -139,6 +161,9 @@
     pgw_loop_stop(fixture->loop);
     pthread_join(fixture->thread, NULL);
     pgw_link_close(fixture->entry);
+    if (fixture->other != NULL) {
+        pgw_link_close(fixture->other);
+    }
     pgw_engine_sidecar_free(fixture->sidecar);
     pgw_loop_free(fixture->loop);
     close(fixture->engine);
@@ -557,6 +582,93 @@
     close_fixture();
 }
 
+static struct pgw_task claim_task;
+static Pgw__PrefillClaim next_claim;
+static bool next_is_others;
+static bool ends_first;
+
+static void
+send_claim(struct pgw_task *task)
+{
+    struct pgw_link *link = fixture->entry;
+    Pgw__ExpectedParts end = PGW__EXPECTED_PARTS__INIT;
+
+    (void)task;
+    if (next_is_others) {
+        if (fixture->other == NULL) {
+            fixture->other = scene_connect_entry(fixture->loop,
+                                                 fixture->sidecar, &link_ops);
+        }
+        link = fixture->other;
+    }
+    if (ends_first) {
+        end.request = 1;
+        pgw_link_send(fixture->entry, PGW_FRAME_EXPECTED_PARTS, &end.base);
+    }
+    pgw_link_send(link, PGW_FRAME_PREFILL_CLAIM, &next_claim.base);
+}
+
+static bool
+is_claim_answered(const struct scene_engine *engine)
+{
+    bool answered;
+
+    (void)engine;
+    pthread_mutex_lock(&fixture->lock);
+    answered = fixture->claim_answer.claim == next_claim.claim;
+    pthread_mutex_unlock(&fixture->lock);
+    return answered;
+}
+
+/* An entry claims 6000 tokens for a request, of at most 10000. Returns whether
+ * the sidecar grants them. */
+static bool
+claim(struct scene_engine *engine, bool is_others, uint64_t request)
+{
+    uint64_t number = next_claim.claim + 1;
+
+    pgw__prefill_claim__init(&next_claim);
+    next_claim.claim = number;
+    next_claim.request = request;
+    next_claim.to_read = 6000;
+    next_claim.limit = 10000;
+    next_is_others = is_others;
+    claim_task.run = send_claim;
+    pgw_loop_post(fixture->loop, &claim_task);
+    scene_engine_serve(engine, is_claim_answered);
+    return fixture->claim_answer.granted;
+}
+
+/* Guards against two entries that send long prompts to an engine at once, and
+ * against a prompt that counts twice because its claim is repeated. */
+static void
+test_claims_of_two_entries(void)
+{
+    struct scene_engine engine = {.version = 1, .queued = 1};
+
+    open_fixture();
+    engine.listener = fixture->engine;
+    ends_first = false;
+    scene_engine_serve(&engine, is_reported);
+    g_assert_true(claim(&engine, false, 1));
+    g_assert_cmpuint(fixture->claim_answer.unread, ==, 0);
+    g_assert_false(claim(&engine, true, 2));
+    g_assert_cmpuint(fixture->claim_answer.unread, ==, 6000);
+    g_assert_true(claim(&engine, false, 1));
+    g_assert_cmpuint(fixture->claim_answer.unread, ==, 0);
+    g_assert_false(claim(&engine, true, 2));
+    g_assert_cmpuint(fixture->claim_answer.unread, ==, 6000);
+    /* The end arrives on another connection than the claim, so that the first
+     * claim after it may overtake it. */
+    ends_first = true;
+    while (!claim(&engine, true, 2)) {
+    }
+    g_assert_cmpuint(fixture->claim_answer.unread, ==, 0);
+    ends_first = false;
+    g_assert_false(claim(&engine, false, 1));
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -580,5 +692,7 @@
                     test_backoff_before_a_known_restart);
     g_test_add_func("/engine_sidecar/prefill_rate_is_reported",
                     test_prefill_rate_is_reported);
+    g_test_add_func("/engine_sidecar/claims_of_two_entries",
+                    test_claims_of_two_entries);
     return g_test_run();
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -127,6 +127,102 @@
     }
 }
 
+/* 48 engines of unequal speed in four zones before 24 entries: long prompts
+ * keep most of them reading, beside short streams. */
+static struct sim_options
+uneven_load(void)
+{
+    struct sim_options options = sim_defaults;
+
+    options.zones = 4;
+    options.entries = 6;
+    options.engines = 12;
+    options.slots = 48;
+    options.queue = 144;
+    options.read_rate = 64.2;
+    options.slowest = 0.6;
+    options.pairs_ms = 0.647;
+    options.step_ms = 4.23;
+    options.stride = 6;
+    options.pause_ms = 400;
+    options.piece = 4096;
+    options.kv_tokens = 164869;
+    options.far_hop_us = 500;
+    options.homes = PGW_HOMES_MAX;
+    options.seconds = 8;
+    options.warm_s = 2;
+    options.kinds[0].per_s = 90;
+    options.kinds[0].parts = 1400;
+    options.kinds[0].output = 20;
+    options.kinds[0].objective_ms = 800;
+    options.kinds[0].limit_ms = 8000;
+    options.kinds[1].per_s = 1000;
+    options.kinds[1].parts = 6000;
+    options.kinds[1].output = 8;
+    options.kinds[1].objective_ms = 500;
+    options.kinds[1].limit_ms = 4000;
+    return options;
+}
+
+static double
+in_pace(const struct sim_result *result, unsigned kind)
+{
+    return (double)(result->in_time[kind] - result->paused[kind]) /
+           (double)result->asked[kind];
+}
+
+static uint64_t
+all_in_pace(const struct sim_result *result)
+{
+    uint64_t callers = 0;
+
+    for (unsigned i = 0; i < SIM_KINDS; i++) {
+        callers += result->in_time[i] - result->paused[i];
+    }
+    return callers;
+}
+
+/* Guards against short streams that pause beside long prompts while other
+ * engines could run them: of a hundred three may be late. */
+static void
+test_short_streams_keep_their_pace(void)
+{
+    struct sim_options options = uneven_load();
+    struct sim_result mixed = play(&options, "parsleygw");
+    struct sim_result apart;
+
+    options.divided = true;
+    options.waits = true;
+    apart = play(&options, "parsleygw");
+    g_test_message("short in pace: %.3f, %.3f; long: %.3f, %.3f",
+                   in_pace(&mixed, 1), in_pace(&apart, 1), in_pace(&mixed, 0),
+                   in_pace(&apart, 0));
+    g_assert_cmpfloat(in_pace(&apart, 1), >=, 0.97);
+    g_assert_cmpfloat(in_pace(&mixed, 1), <, 0.97);
+    g_assert_cmpuint(all_in_pace(&apart), >, all_in_pace(&mixed));
+}
+
+/* Guards against the same when a third of the engines is gone, where callers
+ * of short prompts would pay for the long ones. */
+static void
+test_short_streams_with_a_third_gone(void)
+{
+    struct sim_options options = uneven_load();
+    struct sim_result mixed;
+    struct sim_result apart;
+
+    options.dead = 0.33;
+    mixed = play(&options, "parsleygw");
+    options.divided = true;
+    options.waits = true;
+    apart = play(&options, "parsleygw");
+    g_test_message("short in pace: %.3f, %.3f; long: %.3f, %.3f",
+                   in_pace(&mixed, 1), in_pace(&apart, 1), in_pace(&mixed, 0),
+                   in_pace(&apart, 0));
+    g_assert_cmpfloat(in_pace(&apart, 1), >, in_pace(&mixed, 1) + 0.1);
+    g_assert_cmpuint(all_in_pace(&apart), >, all_in_pace(&mixed));
+}
+
 /* Guards against a choice that serves callers worse than those of the
  * literature at a load that the engines can bear. */
 static void
@@ -182,6 +278,10 @@
     g_test_add_func("/placement/overload", test_overload);
     g_test_add_func("/placement/rare_reports", test_rare_reports);
     g_test_add_func("/placement/unlisted_reads", test_unlisted_reads);
+    g_test_add_func("/placement/short_streams_keep_their_pace",
+                    test_short_streams_keep_their_pace);
+    g_test_add_func("/placement/short_streams_with_a_third_gone",
+                    test_short_streams_with_a_third_gone);
     g_test_add_func("/placement/baselines", test_baselines);
     g_test_add_func("/placement/bytes", test_bytes);
     g_test_add_func("/placement/repeats", test_repeats);
