--- a/src/gateway/placement/choose.c
+++ b/src/gateway/placement/choose.c
@@ -1,4 +1,5 @@
 #include "gateway/placement/choose.h"
+#include "gateway/placement/engine_wait.h"
 #include <float.h>
 #include <string.h>
 #include <xxhash.h>
@@ -6,12 +7,8 @@
 /* An engine that refuses this many requests in a row gets none until its
  * backoff ends. */
 #define BACKOFF_REFUSALS 3
-/* Engines whose rate differs by less than this factor count as equal. */
-#define EQUAL_RATES 1.4
 /* Part of the objective that a short prompt may wait without a cost. */
 #define START_DELAY_FREE_SHARE 0.05
-/* Part of the objective that short prompts may wait in an engine's queue. */
-#define START_DELAY_SHARE 0.6
 /* Shortest time until a prompt that waits for a backlog is tried again: the
  * interval of engines' reports is longer, and each trial probes its homes. */
 #define BACKLOG_RETRY_US 20000
@@ -286,23 +283,6 @@
            fullness * fullness * options->full_cost_tokens;
 }
 
-/* Estimated tokens that an engine has to prefill for other entries: those
- * announced if any were, else from the number of long prompts. */
-static double
-other_entries_prefill(const struct pgw_upstream *upstream,
-                      const struct pgw_choose_options *options,
-                      double prefill_tokens_per_ms, uint64_t now_us)
-{
-    if (options->long_prefill_tokens <= 0) {
-        return 0;
-    }
-    return upstream->load.pending_tokens > 0
-               ? pgw_upstream_others_pending_tokens(
-                     upstream, prefill_tokens_per_ms, now_us)
-               : pgw_upstream_others_long_prefills(upstream, now_us) *
-                     options->long_prefill_tokens;
-}
-
 static bool
 is_home(const struct candidate_set *set, size_t position)
 {
@@ -390,117 +370,6 @@
                                             : 0;
 }
 
-static double
-engine_rate(const struct pgw_upstream *upstream,
-            const struct pgw_choose_input *input)
-{
-    return pgw_engine_pace_rate(&upstream->pace, input->prefill_tokens_per_ms,
-                                input->now_us);
-}
-
-/* Tokens that an engine has to prefill before the prompt. */
-static double
-backlog_tokens(const struct pgw_upstream *upstream,
-               const struct pgw_choose_input *input,
-               const struct pgw_choose_options *options)
-{
-    return (double)upstream->prefill_tokens +
-           other_entries_prefill(upstream, options,
-                                 input->prefill_tokens_per_ms, input->now_us);
-}
-
-/* Whether a long prompt takes part in the limit of backlogs. */
-static bool
-is_backlog_limited(const struct pgw_upstream *upstream,
-                   uint32_t pending_tokens,
-                   const struct pgw_choose_input *input)
-{
-    return input->may_wait && input->objective_ms > 0 &&
-           input->prefill_tokens_per_ms > 0 &&
-           upstream->lane != PGW_LANE_NONE &&
-           pending_tokens >= PGW_LONG_PREFILL_TOKENS;
-}
-
-/*
- * Failure: more short prompts arrive than all engines prefill, and each is
- * sent at once. Symptom: they wait in the engines' queues, all of them for
- * longer than their objective, and nobody can decide any more whose turn it
- * is. Therefore they stay queued at the entry while even the best engine lets
- * them wait for most of the objective.
- *
- * Return: microseconds until the engine takes the prompt, 0: now.
- */
-static uint64_t
-start_wait_us(const struct pgw_upstream *upstream,
-              const struct pgw_choose_input *input)
-{
-    uint64_t delay_us =
-        pgw_start_delay_estimate_us(&upstream->start_delay, input->now_us);
-    uint64_t limit_us =
-        (uint64_t)(input->objective_ms * 1000 * START_DELAY_SHARE);
-
-    return input->may_wait && limit_us > 0 && delay_us > limit_us
-               ? delay_us - limit_us
-               : 0;
-}
-
-/* Most milliseconds of prefill before a prompt. A large one would be late
- * behind any backlog; it still gets in where half an objective is pending. */
-static double
-backlog_limit_ms(double prompt_ms, const struct pgw_choose_input *input)
-{
-    return MAX(input->objective_ms - prompt_ms, input->objective_ms / 2);
-}
-
-/*
- * Failure: an engine becomes free, or looks so in a report that is older than
- * the decisions on it, while long prompts wait at many entries. Symptom: it
- * gets all of them, and the last one waits for seconds while other engines are
- * idle again. Therefore an engine's backlog is limited to the latency
- * objective, and further long prompts stay queued at their entries, where they
- * can still go elsewhere.
- *
- * Return: microseconds until the engine takes the prompt, 0: now.
- */
-static uint64_t
-backlog_wait_us(const struct pgw_upstream *upstream, uint32_t pending_tokens,
-                const struct pgw_choose_input *input,
-                const struct pgw_choose_options *options)
-{
-    double rate = engine_rate(upstream, input);
-    double backlog_ms;
-    double limit_ms;
-
-    if (pending_tokens < PGW_LONG_PREFILL_TOKENS) {
-        return start_wait_us(upstream, input);
-    }
-    if (!is_backlog_limited(upstream, pending_tokens, input) ||
-        upstream == input->granted) {
-        return 0;
-    }
-    backlog_ms = backlog_tokens(upstream, input, options) / rate;
-    limit_ms = backlog_limit_ms(pending_tokens / rate, input);
-    if (backlog_ms > limit_ms) {
-        return (uint64_t)((backlog_ms - limit_ms) * 1000) + 1;
-    }
-    return upstream->claim_at_us > input->now_us
-               ? upstream->claim_at_us - input->now_us
-               : 0;
-}
-
-/* Time that prefill takes at an engine, in multiples of the pool's average.
- * Observed rates of equal engines differ by a third, since an engine that is
- * busy is observed while it does other work, too. */
-static double
-engine_slowness(const struct pgw_upstream *upstream,
-                const struct pgw_choose_input *input)
-{
-    double rate = engine_rate(upstream, input);
-    double slowness = rate > 0 ? input->prefill_tokens_per_ms / rate : 1;
-
-    return slowness > 1 / EQUAL_RATES && slowness < EQUAL_RATES ? 1 : slowness;
-}
-
 /* Cost of the time until the first event. A long prompt takes longer at a slow
  * engine, as any backlog does. A short one waits in a queue; what is a small
  * part of the objective costs nothing, since no caller is served worse. */
@@ -510,9 +379,9 @@
            const struct pgw_choose_options *options,
            const struct candidate_set *set)
 {
-    double backlog = backlog_tokens(upstream, input, options);
+    double backlog = pgw_engine_backlog_tokens(upstream, input, options);
     uint32_t pending_tokens = pending_tokens_at(position, input, set);
-    double slowness = engine_slowness(upstream, input);
+    double slowness = pgw_engine_slowness(upstream, input);
     double delay_ms;
 
     if (pending_tokens >= PGW_LONG_PREFILL_TOKENS) {
@@ -806,9 +675,9 @@
             best_wait_us =
                 input->prompt == NULL
                     ? 0
-                    : backlog_wait_us(upstream,
-                                      pending_tokens_at(i, input, set), input,
-                                      options);
+                    : pgw_engine_wait_us(upstream,
+                                         pending_tokens_at(i, input, set),
+                                         input, options);
         }
     }
     out->only_throttled &= out->limited_per_s > 0 || out->backoff_until_us > 0;
@@ -863,8 +732,8 @@
 {
     const struct pgw_upstream *upstream = out->upstream;
     struct pgw_forecast_input forecast = {
-        .prefill_rate = engine_rate(upstream, input),
-        .backlog_tokens = backlog_tokens(upstream, input, options),
+        .prefill_rate = pgw_engine_rate(upstream, input),
+        .backlog_tokens = pgw_engine_backlog_tokens(upstream, input, options),
         .pending_tokens = out->pending_tokens,
         .generation_ms = input->run_ms,
     };
@@ -872,24 +741,6 @@
     pgw_forecast_compute(&out->forecast, &forecast);
 }
 
-/* The engine's sidecar applies the limit to all that entries have sent there,
- * which this entry does not know yet. */
-static void
-fill_claim(struct pgw_choice *out, const struct pgw_choose_input *input)
-{
-    double rate = engine_rate(out->upstream, input);
-    double prompt_ms;
-
-    out->needs_claim =
-        is_backlog_limited(out->upstream, out->pending_tokens, input);
-    if (out->needs_claim) {
-        prompt_ms = out->pending_tokens / rate;
-        out->backlog_limit_tokens =
-            (uint32_t)(rate *
-                       (backlog_limit_ms(prompt_ms, input) + prompt_ms));
-    }
-}
-
 static void
 choose_from_pool(struct pgw_choice *out, const struct pgw_choose_input *input,
                  const struct pgw_choose_options *options)
@@ -909,7 +760,11 @@
     out->missing_tokens = missing_tokens(out->upstream, input, true);
     out->pending_tokens = out->missing_tokens + unshared_tokens(input->prompt);
     fill_forecast(out, input, options);
-    fill_claim(out, input);
+    /* The engine's sidecar applies the limit to all that entries have sent
+     * there, which this entry does not know yet. */
+    out->backlog_limit_tokens =
+        pgw_engine_backlog_limit(out->upstream, out->pending_tokens, input);
+    out->needs_claim = out->backlog_limit_tokens > 0;
     out->shared_tokens = pgw_prompt_shared(input->prompt);
     if (options->fetch_min_tokens < UINT32_MAX) {
         out->holder =
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -118,12 +118,14 @@
     add_route(table, "/brook/", &(struct pgw_route){.stream = true});
     add_route(table, "/late/", &(struct pgw_route){.timeout_ms = 300});
     add_route(table, "/open/", &(struct pgw_route){.open = true});
-    add_route(
-        table, "/soon/",
-        &(struct pgw_route){.stream = true, .objective_ms = OBJECTIVE_MS});
+    add_route(table, "/soon/",
+              &(struct pgw_route){.stream = true,
+                                  .objective_ms = OBJECTIVE_MS,
+                                  .pause_objective_ms = OBJECTIVE_MS});
     add_route(table, "/brief/",
               &(struct pgw_route){.stream = true,
                                   .objective_ms = OBJECTIVE_MS,
+                                  .pause_objective_ms = OBJECTIVE_MS,
                                   .patience_ms = PATIENCE_MS});
 }
 
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -49,7 +49,7 @@
  * "/once/" must run at most once, one to "/again/" is repeatable, "/flow/" is
  * a resumable stream, "/brook/" a stream that is not resumable, "/late/" has a
  * timeout of 300 ms, "/open/" needs no key, "/first/" has a higher priority
- * than "/once/", "/soon/" is a stream with a latency objective, and "/brief/"
+ * than "/once/", "/soon/" is a stream with objectives, and "/brief/"
  * one whose callers also leave early. All routes have the same service.
  */
 struct scene *scene_new(unsigned upstreams);
