Log runs that an entry abandons, and when it learns of a crash

The record of the incident could not tell whether the evidence of a crash was lost or late: the line of a run that an entry gave up had no fingerprint, and no line said when an entry knew that an upstream had ended.

run_abandoned and upstream_crash add both. No decision changes.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -436,9 +436,10 @@
 
 bool
 pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
-                                uint64_t crash, const char *source,
+                                uint64_t crash, const char *upstream,
                                 uint32_t hops, uint64_t now_us)
 {
+    const char *source = upstream == NULL ? "entry" : "own";
     struct pgw_crashed_upstream crashed = {crash, now_us};
     struct pgw_crashed_run confirmation = {
         .crash = crash, .kind = PGW_CRASHED_RUN_UPSTREAM, .hops = hops};
@@ -450,6 +451,9 @@
         return false;
     }
     g_array_append_val(quarantine->crashed_upstreams, crashed);
+    pgw_log_info("upstream_crash",
+                 "upstream=%s crash=%016" G_GINT64_MODIFIER "x source=%s",
+                 upstream == NULL ? "-" : upstream, crash, source);
     reports = g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
     if (count_interrupted_runs(quarantine, crash, source, reports, now_us) &&
         hops <= PGW_CRASH_HOPS_MAX) {
@@ -468,7 +472,7 @@
                                const char *upstream, uint64_t now_us)
 {
     pgw_crash_quarantine__add_crash(quarantine, pgw_place_id_hash(upstream),
-                                    "own", 0, now_us);
+                                    upstream, 0, now_us);
 }
 
 bool
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -100,10 +100,10 @@
     const char *source, uint64_t now_us);
 
 /** pgw_crash_quarantine__add_crash() - add the crash of an incarnation;
- * returns whether it was not known. @hops: number of entries that have passed
- * it on */
+ * returns whether it was not known. @upstream: its id, NULL: another entry has
+ * reported the crash; @hops: number of entries that have passed it on */
 bool pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
-                                     uint64_t crash, const char *source,
+                                     uint64_t crash, const char *upstream,
                                      uint32_t hops, uint64_t now_us);
 
 /** pgw_crash_quarantine__clear_record() - clear what is known of a key;
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -125,7 +125,7 @@
         merge_part(quarantine, report, at_us, now_us);
         return false;
     case PGW_CRASHED_RUN_UPSTREAM:
-        pgw_crash_quarantine__add_crash(quarantine, report->crash, "entry",
+        pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL,
                                         report->hops + 1, now_us);
         return false;
     default:
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -66,6 +66,7 @@
     if (upstream == NULL) {
         return;
     }
+    pgw_attempt_record_abandoned(exchange);
     upstream->inflight--;
     upstream->inflight_tokens -= exchange->reserved_tokens;
     pgw_attempt_count_prefill_end(exchange);
@@ -123,26 +124,40 @@
     pgw_upstream_record_attempt(exchange->upstream, result, pgw_now_us());
 }
 
-/* Names all that may have crashed the upstream. The last part of a prompt is
- * the request's own, as is its fingerprint. */
-static void
-log_interrupted(const struct pgw_exchange *exchange)
+/* The prompt's parts that may crash the upstream. The last one is the
+ * request's own, as is its fingerprint. */
+static char *
+print_shared_parts(const struct pgw_prompt *prompt)
 {
-    const struct pgw_prompt *prompt = &exchange->facts.prompt;
-    GString *parts = g_string_new(prompt->part_count > 1 ? NULL : "-");
-    char name[PGW_FINGERPRINT_HEX];
+    GString *out = g_string_new(prompt->part_count > 1 ? NULL : "-");
 
     for (size_t i = 0; i + 1 < prompt->part_count; i++) {
-        g_string_append_printf(parts, "%s%016" G_GINT64_MODIFIER "x",
+        g_string_append_printf(out, "%s%016" G_GINT64_MODIFIER "x",
                                i == 0 ? "" : ",", prompt->parts[i].id);
     }
+    return g_string_free(out, FALSE);
+}
+
+void
+pgw_attempt_record_abandoned(struct pgw_exchange *exchange)
+{
+    char name[PGW_FINGERPRINT_HEX];
+    char *parts;
+
+    if (exchange->upstream == NULL || !exchange->call.sent ||
+        exchange->run_is_over) {
+        return;
+    }
+    exchange->run_is_over = true;
+    parts = print_shared_parts(&exchange->facts.prompt);
     pgw_fingerprint_print(name, &exchange->crash_keys.items[0]);
-    pgw_log_info("run_interrupted",
+    pgw_log_info("run_abandoned",
                  "request=%s upstream=%s fingerprint=%s parts=%s "
-                 "events=%" G_GUINT64_FORMAT " sends=%u",
-                 exchange->facts.id, exchange->upstream->id, name, parts->str,
-                 exchange->events.events, exchange->sends);
-    g_string_free(parts, TRUE);
+                 "events=%" G_GUINT64_FORMAT " sends=%u ms=%" G_GUINT64_FORMAT,
+                 exchange->facts.id, exchange->upstream->id, name, parts,
+                 exchange->events.events, exchange->sends,
+                 (pgw_now_us() - exchange->sent_us) / 1000);
+    g_free(parts);
 }
 
 void
@@ -150,8 +165,17 @@
 {
     struct pgw_crash_quarantine *quarantine =
         exchange->gateway->crash_quarantine;
+    char *parts = print_shared_parts(&exchange->facts.prompt);
+    char name[PGW_FINGERPRINT_HEX];
 
-    log_interrupted(exchange);
+    exchange->run_is_over = true;
+    pgw_fingerprint_print(name, &exchange->crash_keys.items[0]);
+    pgw_log_info("run_interrupted",
+                 "request=%s upstream=%s fingerprint=%s parts=%s "
+                 "events=%" G_GUINT64_FORMAT " sends=%u",
+                 exchange->facts.id, exchange->upstream->id, name, parts,
+                 exchange->events.events, exchange->sends);
+    g_free(parts);
     pgw_crash_quarantine_add_interrupted(quarantine, &exchange->crash_keys,
                                          exchange->upstream->id, pgw_now_us());
     if (exchange->trial != 0) {
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -154,6 +154,8 @@
  * @stuck_is_logged: a log line says that the request stays at an upstream that
  *   is not responsive
  * @may_have_run: some attempt ended and may have run the request
+ * @run_is_over: the current attempt's run has ended at its upstream, or is
+ *   recorded as abandoned or interrupted
  * @cover: copy of its run at another engine
  * @homes: engines where all entries look for the prompt's cached parts, and
  *   which may be chosen outside the own zone; references are held
@@ -236,6 +238,7 @@
     bool prefill_is_announced;
     bool stuck_is_logged;
     bool may_have_run;
+    bool run_is_over;
     struct pgw_upstream *tried[PGW_TRIED_MAX];
     size_t tried_count;
     struct pgw_timer suspect_timer;
@@ -476,6 +479,10 @@
 /** pgw_attempt_record_interrupted() - the connection broke during the run; its
  * upstream may have crashed */
 void pgw_attempt_record_interrupted(struct pgw_exchange *exchange);
+/** pgw_attempt_record_abandoned() - the entry closes the connection of a run
+ * that has not ended. The upstream works on it until it sees that, and may
+ * crash meanwhile. Nothing is recorded for a run that is over. */
+void pgw_attempt_record_abandoned(struct pgw_exchange *exchange);
 /** pgw_attempt_may_retry() - whether another upstream may get the request
  * although this one may have run it */
 bool pgw_attempt_may_retry(const struct pgw_exchange *exchange);
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -259,6 +259,7 @@
     exchange->phase = exchange->phase == PGW_PHASE_RELAYING
                           ? PGW_PHASE_RELAYING
                           : PGW_PHASE_SENT;
+    exchange->run_is_over = false;
     exchange->sends++;
     exchange->runs++;
     if (exchange->runs > 1) {
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -331,6 +331,7 @@
 {
     struct pgw_exchange *exchange = exchange_of(call);
 
+    exchange->run_is_over = true;
     if (exchange->not_run) {
         pgw_attempt_record_result(exchange, PGW_RESULT_REFUSED);
         if (exchange->runs > 0) {
