Add a failing test of crashes that follow an abandoned run

What callers saw: one request ended 13 upstreams of a service, whose callers were refused for three seconds at a time.

The test brings it about with real sockets: three runs of one request are given up (callers leave, a stream's callers leave, deadline, response timeout), then the upstreams end. Two more of the request must run one after the other.

--- /dev/null
+++ b/tests/unit/test_abandoned_run.c
@@ -0,0 +1,196 @@
+#include "scene_gateway.h"
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static struct scene *
+ready_scene(void)
+{
+    struct scene *scene = scene_new_with_crash_gap(SCENE_UPSTREAMS);
+
+    scene_set_routes(scene, 1, true);
+    return scene;
+}
+
+#define NO_REUSE "Connection: close\r\n"
+#define BRIEF NO_REUSE "Deadline-Ms: 300\r\n"
+
+static void
+expect(int caller, const char *text)
+{
+    char *answer = scene_read_all(caller);
+
+    if (strstr(answer, text) == NULL) {
+        g_error("no '%s' in: %s", text, answer);
+    }
+    g_free(answer);
+    close(caller);
+}
+
+/* Waits until the gateway has closed a connection to an upstream. */
+static void
+wait_closed(int upstream)
+{
+    char *rest = scene_read_all(upstream);
+
+    g_free(rest);
+    close(upstream);
+}
+
+/* One request runs at each upstream. */
+static void
+run_everywhere(struct scene *scene, const char *path, const char *fields,
+               int *callers, int *upstreams)
+{
+    static const char *const ids[] = {"a", "b", "c"};
+
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        unsigned which;
+
+        callers[i] = scene_call_with_fields(scene, path, ids[i], fields);
+        upstreams[i] = scene_accept_any(scene, &which);
+        g_free(scene_read_request(upstreams[i]));
+    }
+}
+
+/* The gateway gives the runs up: its callers leave, or wait no longer. */
+static void
+abandon_all(struct scene *scene, const char *path, bool callers_leave)
+{
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+
+    run_everywhere(scene, path, callers_leave ? NO_REUSE : BRIEF, callers,
+                   upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS && callers_leave; i++) {
+        close(callers[i]);
+    }
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        wait_closed(upstreams[i]);
+    }
+    for (unsigned i = 0; i < SCENE_UPSTREAMS && !callers_leave; i++) {
+        expect(callers[i], "HTTP/1.1 504 ");
+    }
+}
+
+/* Of two requests with the same body one runs, and its crash refuses both. */
+static void
+expect_one_run(struct scene *scene, const char *path)
+{
+    unsigned which;
+    int callers[2];
+    int upstream;
+
+    callers[0] = scene_call_with_fields(scene, path, "d", NO_REUSE);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    callers[1] = scene_call_with_fields(scene, path, "e", NO_REUSE);
+    scene_reset(upstream);
+    expect(callers[0], "HTTP/1.1 502 ");
+    expect(callers[1], "crashes_upstreams");
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        g_assert_true(scene_has_no_connection(scene, i));
+    }
+}
+
+/* Guards against a request that crashes upstreams just after its callers left,
+ * and that nothing is held against. */
+static void
+test_callers_leave_before_crash(void)
+{
+    struct scene *scene = ready_scene();
+
+    abandon_all(scene, "/again/", true);
+    scene_restart_upstreams(scene);
+    expect_one_run(scene, "/again/");
+    scene_free(scene);
+}
+
+/* Guards against the same with streams. */
+static void
+test_stream_callers_leave_before_crash(void)
+{
+    struct scene *scene = ready_scene();
+
+    abandon_all(scene, "/flow/", true);
+    scene_restart_upstreams(scene);
+    expect_one_run(scene, "/flow/");
+    scene_free(scene);
+}
+
+/* Guards against the same with runs that end at their deadline. */
+static void
+test_deadline_before_crash(void)
+{
+    struct scene *scene = ready_scene();
+
+    abandon_all(scene, "/again/", false);
+    scene_restart_upstreams(scene);
+    expect_one_run(scene, "/again/");
+    scene_free(scene);
+}
+
+/* Guards against the same with runs that are sent to another upstream after
+ * the response timeout. */
+static void
+test_response_timeout_before_crash(void)
+{
+    struct scene *scene = ready_scene();
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+
+    run_everywhere(scene, "/quick/", NO_REUSE, callers, upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        scene_stop_listening(scene, i);
+    }
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        wait_closed(upstreams[i]);
+        close(callers[i]);
+    }
+    scene_listen_again(scene);
+    scene_restart_upstreams(scene);
+    expect_one_run(scene, "/quick/");
+    scene_free(scene);
+}
+
+/* Guards against slow requests that wait for each other though no upstream has
+ * crashed. */
+static void
+test_slow_requests_run_together(void)
+{
+    struct scene *scene = ready_scene();
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+
+    for (unsigned round = 0; round < 3; round++) {
+        abandon_all(scene, "/again/", true);
+    }
+    run_everywhere(scene, "/again/", NO_REUSE, callers, upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        scene_answer(upstreams[i],
+                     i == 0   ? "a"
+                     : i == 1 ? "b"
+                              : "c",
+                     200, "", "ok");
+        expect(callers[i], "HTTP/1.1 200 ");
+        close(upstreams[i]);
+    }
+    scene_free(scene);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/abandoned_run/slow_requests_run_together",
+                    test_slow_requests_run_together);
+    g_test_add_func("/abandoned_run/callers_leave_before_crash",
+                    test_callers_leave_before_crash);
+    g_test_add_func("/abandoned_run/stream_callers_leave_before_crash",
+                    test_stream_callers_leave_before_crash);
+    g_test_add_func("/abandoned_run/deadline_before_crash",
+                    test_deadline_before_crash);
+    g_test_add_func("/abandoned_run/response_timeout_before_crash",
+                    test_response_timeout_before_crash);
+    return g_test_run();
+}
