Count crashes that follow an abandoned run

What callers saw: one request ended up to 13 upstreams of a service and was sent on 7 times more than allowed; the service's callers were refused for three seconds at a time.

Cause: an entry that stops waiting for a run (response timeout, caller gone, deadline) closed the connection and forgot the run. The upstream works on it for some milliseconds more, and a request that crashes upstreams later than its entry waits left no evidence. Class of fault: a run was taken to be over when its entry stops waiting for it.

Change: every attempt that ends without a result is recorded, in the one place that all attempts end in, so that no way of giving up is left out. It counts nothing by itself: only once a crash of that upstream is confirmed, and only if the upstream has not answered this entry later than a second after. It makes a suspect, never a quarantine without a trial, as the moment of the crash is known only roughly. A report of a crash from another entry confirms this entry's runs there, too. No message is added; CrashedRun has a field that older entries ignore.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -212,7 +212,7 @@
 bool
 pgw_crash_quarantine__count(struct pgw_crash_quarantine *quarantine,
                             struct pgw_crash_record *record, uint64_t crash,
-                            const char *source, uint64_t at_us,
+                            bool abandoned, const char *source, uint64_t at_us,
                             uint64_t now_us)
 {
     const struct pgw_crash_quarantine_options *options = &quarantine->options;
@@ -237,6 +237,7 @@
             pgw_crash_table_expired_us(quarantine->table, now_us), true);
     }
     known->at_us = at_us;
+    known->abandoned = abandoned;
     known->confirmed = true;
     known->cleared = false;
     record->last_us = MAX(record->last_us, at_us);
@@ -258,6 +259,7 @@
     return (struct pgw_crashed_run){
         .fingerprint = record->key,
         .is_part = record->is_part,
+        .abandoned = crash->abandoned,
         .crash = crash->crash,
         .age_us = now_us - MIN(crash->at_us, now_us),
         .kind = crash->confirmed ? PGW_CRASHED_RUN_CRASHED
@@ -289,7 +291,8 @@
         bool is_known = crash->confirmed && !record->is_part;
 
         if (!is_known && !crash->cleared && crash->reach < reach &&
-            (crash->confirmed || crash->at_us > expired_us)) {
+            (crash->confirmed ||
+             (!crash->abandoned && crash->at_us > expired_us))) {
             struct pgw_crashed_run report =
                 pgw_crash_quarantine__make_report(record, crash, now_us);
 
@@ -307,7 +310,8 @@
                         struct pgw_crash_record *record, uint64_t crash,
                         uint64_t now_us)
 {
-    struct pgw_recorded_crash *known = pgw_crash_record_find(record, crash);
+    struct pgw_recorded_crash *known =
+        pgw_crash_record_find_interrupted(record, crash);
 
     if (known != NULL && !known->confirmed && known->cleared) {
         pgw_crash_record_remove(record, known);
@@ -326,11 +330,11 @@
                      struct pgw_crash_record *record, uint64_t crash,
                      uint64_t now_us)
 {
-    struct pgw_recorded_crash *added;
+    struct pgw_recorded_crash *added =
+        pgw_crash_record_find_interrupted(record, crash);
 
-    if (pgw_crash_record_find(record, crash) != NULL ||
-        pgw_crash_quarantine__is_explained(quarantine, record, crash,
-                                           now_us)) {
+    if (added != NULL || pgw_crash_quarantine__is_explained(quarantine, record,
+                                                            crash, now_us)) {
         return;
     }
     added = pgw_crash_record_add(
@@ -343,37 +347,110 @@
     }
 }
 
-void
-pgw_crash_quarantine_add_interrupted(struct pgw_crash_quarantine *quarantine,
-                                     const struct pgw_crash_keys *keys,
-                                     const char *upstream, uint64_t now_us)
+/* Counts a run of a whole request at an upstream that has crashed. */
+static void
+count_own(struct pgw_crash_quarantine *quarantine,
+          struct pgw_crash_record *record, uint64_t crash, bool abandoned,
+          uint64_t now_us)
 {
-    uint64_t crash = pgw_place_id_hash(upstream);
+    struct pgw_crashed_run report = {
+        .fingerprint = record->key,
+        .abandoned = abandoned,
+        .crash = crash,
+    };
 
-    pgw_crash_quarantine__drop_crashed(quarantine, now_us);
-    for (size_t i = 0; i < keys->count; i++) {
-        struct pgw_crash_record *record = pgw_crash_table_get(
-            quarantine->table, &keys->items[i], i > 0, now_us);
+    if (pgw_crash_quarantine__count(quarantine, record, crash, abandoned,
+                                    "own", now_us, now_us)) {
+        pgw_crash_quarantine__publish(quarantine, &report, 1);
+    }
+}
 
-        if (record == NULL) {
-            continue;
-        }
+static void
+add_interrupted_key(struct pgw_crash_quarantine *quarantine,
+                    struct pgw_crash_record *record, uint64_t crash,
+                    uint64_t now_us)
+{
+    if (record->is_part) {
+        add_interrupted_part(quarantine, record, crash, now_us);
+    }
+    else if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
+        count_own(quarantine, record, crash, false, now_us);
+    }
+    else {
+        add_interrupted_request(quarantine, record, crash, now_us);
+    }
+}
+
+/* Other runs of the key at the upstream may have left evidence already. */
+static void
+add_abandoned_key(struct pgw_crash_quarantine *quarantine,
+                  struct pgw_crash_record *record, uint64_t crash,
+                  uint64_t now_us)
+{
+    struct pgw_recorded_crash *known;
+
+    if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
         if (record->is_part) {
             add_interrupted_part(quarantine, record, crash, now_us);
         }
-        else if (!pgw_crash_quarantine__has_crashed(quarantine, crash)) {
-            add_interrupted_request(quarantine, record, crash, now_us);
+        else {
+            count_own(quarantine, record, crash, true, now_us);
         }
-        else if (pgw_crash_quarantine__count(quarantine, record, crash, "own",
-                                             now_us, now_us)) {
-            struct pgw_crashed_run report = {.fingerprint = record->key,
-                                             .crash = crash};
+        return;
+    }
+    known = pgw_crash_record_find(record, crash);
+    if (known != NULL &&
+        (known->confirmed || (!known->cleared && !known->abandoned))) {
+        return;
+    }
+    if (known != NULL) {
+        pgw_crash_record_remove(record, known);
+    }
+    known = pgw_crash_record_add(
+        record, crash, now_us,
+        pgw_crash_table_expired_us(quarantine->table, now_us), false);
+    if (known != NULL) {
+        known->abandoned = true;
+    }
+}
+
+static void
+add_unfinished(struct pgw_crash_quarantine *quarantine,
+               const struct pgw_crash_keys *keys, const char *upstream,
+               void (*add_key)(struct pgw_crash_quarantine *quarantine,
+                               struct pgw_crash_record *record, uint64_t crash,
+                               uint64_t now_us),
+               uint64_t now_us)
+{
+    uint64_t crash = pgw_place_id_hash(upstream);
+
+    pgw_crash_quarantine__drop_crashed(quarantine, now_us);
+    for (size_t i = 0; i < keys->count; i++) {
+        struct pgw_crash_record *record = pgw_crash_table_get(
+            quarantine->table, &keys->items[i], i > 0, now_us);
 
-            pgw_crash_quarantine__publish(quarantine, &report, 1);
+        if (record != NULL) {
+            add_key(quarantine, record, crash, now_us);
         }
     }
 }
 
+void
+pgw_crash_quarantine_add_interrupted(struct pgw_crash_quarantine *quarantine,
+                                     const struct pgw_crash_keys *keys,
+                                     const char *upstream, uint64_t now_us)
+{
+    add_unfinished(quarantine, keys, upstream, add_interrupted_key, now_us);
+}
+
+void
+pgw_crash_quarantine_add_abandoned(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_crash_keys *keys,
+                                   const char *upstream, uint64_t now_us)
+{
+    add_unfinished(quarantine, keys, upstream, add_abandoned_key, now_us);
+}
+
 bool
 pgw_crash_quarantine__confirm_part(
     const struct pgw_crash_quarantine *quarantine,
@@ -390,11 +467,12 @@
     return true;
 }
 
-/* Counts the interrupted runs of an upstream that has crashed. Returns whether
+/* Counts the unfinished runs of an upstream that has crashed. Returns whether
  * parts are among them. */
 static bool
-count_interrupted_runs(struct pgw_crash_quarantine *quarantine, uint64_t crash,
-                       const char *source, GArray *reports, uint64_t now_us)
+count_unfinished_runs(struct pgw_crash_quarantine *quarantine, uint64_t crash,
+                      uint64_t answered_us, const char *source,
+                      GArray *reports, uint64_t now_us)
 {
     uint64_t expired_us =
         pgw_crash_table_expired_us(quarantine->table, now_us);
@@ -411,7 +489,12 @@
         if (known == NULL || known->confirmed || known->at_us <= expired_us) {
             continue;
         }
-        if (record->is_part) {
+        if (known->abandoned &&
+            known->at_us + quarantine->options.abandoned_run_us <
+                answered_us) {
+            pgw_crash_record_remove(record, known);
+        }
+        else if (record->is_part) {
             has_parts |= pgw_crash_quarantine__confirm_part(
                 quarantine, record, known, source, now_us);
         }
@@ -420,10 +503,13 @@
         }
         else {
             uint64_t at_us = known->at_us;
+            bool abandoned = known->abandoned;
 
-            if (pgw_crash_quarantine__count(quarantine, record, crash, source,
-                                            at_us, now_us)) {
+            if (pgw_crash_quarantine__count(quarantine, record, crash,
+                                            abandoned, source, at_us,
+                                            now_us)) {
                 struct pgw_crashed_run report = {.fingerprint = record->key,
+                                                 .abandoned = abandoned,
                                                  .crash = crash,
                                                  .age_us = now_us - at_us};
 
@@ -437,12 +523,17 @@
 bool
 pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
                                 uint64_t crash, const char *upstream,
-                                uint32_t hops, uint64_t now_us)
+                                uint64_t answered_us, uint32_t hops,
+                                uint64_t now_us)
 {
     const char *source = upstream == NULL ? "entry" : "own";
     struct pgw_crashed_upstream crashed = {crash, now_us};
     struct pgw_crashed_run confirmation = {
-        .crash = crash, .kind = PGW_CRASHED_RUN_UPSTREAM, .hops = hops};
+        .crash = crash,
+        .age_us = answered_us == 0 ? 0 : now_us - MIN(answered_us, now_us),
+        .kind = PGW_CRASHED_RUN_UPSTREAM,
+        .hops = hops,
+    };
     GArray *reports;
     uint32_t unmatched;
 
@@ -455,7 +546,8 @@
                  "upstream=%s crash=%016" G_GINT64_MODIFIER "x source=%s",
                  upstream == NULL ? "-" : upstream, crash, source);
     reports = g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
-    if (count_interrupted_runs(quarantine, crash, source, reports, now_us) &&
+    if (count_unfinished_runs(quarantine, crash, answered_us, source, reports,
+                              now_us) &&
         hops <= PGW_CRASH_HOPS_MAX) {
         g_array_append_val(reports, confirmation);
     }
@@ -469,10 +561,11 @@
 
 void
 pgw_crash_quarantine_add_crash(struct pgw_crash_quarantine *quarantine,
-                               const char *upstream, uint64_t now_us)
+                               const char *upstream, uint64_t answered_us,
+                               uint64_t now_us)
 {
     pgw_crash_quarantine__add_crash(quarantine, pgw_place_id_hash(upstream),
-                                    upstream, 0, now_us);
+                                    upstream, answered_us, 0, now_us);
 }
 
 bool
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -23,6 +23,11 @@
  * The crashes of a quarantined part count no longer against other keys that
  * were running in some of them.
  *
+ * An entry stops waiting for a run when its caller leaves, its time is over,
+ * or it is sent to another upstream. The upstream works on it until it sees
+ * the close, and may crash by it. Such a run counts like an interrupted one,
+ * once its upstream is known to have crashed.
+ *
  * Crashes of one moment alone start no quarantine, since a power loss ends all
  * upstreams that run a popular request or part, and its next run completes.
  *
@@ -61,7 +66,9 @@
  * @crash: hash of the incarnation that ran it; 0 of a run of kind
  *   %PGW_CRASHED_RUN_CRASHED: the run completed and clears the crashes counted
  *   so far; of a trial: its token
- * @age_us: how long ago the run was interrupted
+ * @age_us: how long ago the run was interrupted; of kind
+ *   %PGW_CRASHED_RUN_UPSTREAM: how long ago the upstream last answered, 0: not
+ *   known
  * @kind: what happened
  * @left_us: how long the claim, the trial or the quarantine lasts
  * @quarantines: how often the key was quarantined, of a failed trial
@@ -71,6 +78,7 @@
  *   valid during the call that passes the report
  * @hops: number of entries that have passed the report on
  * @seeds_only: not sent to other entries than seeds
+ * @abandoned: the entry had abandoned the run when its upstream crashed
  */
 struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
@@ -84,6 +92,7 @@
     const struct pgw_crash_keys *partners;
     uint32_t hops;
     bool seeds_only;
+    bool abandoned;
 };
 
 /**
@@ -113,6 +122,8 @@
  *   one moment
  * @crash_match_us: an interrupted run is attributed to the crash of its
  *   upstream if they are less than this apart
+ * @abandoned_run_us: how long an upstream may go on with an abandoned run; a
+ *   crash that it has survived by this time has another cause
  * @quarantine_us: length of the first quarantine; after it one more crash
  *   starts the next one, ten times as long
  * @quarantine_max_us: longest quarantine
@@ -132,6 +143,7 @@
     uint32_t completed_part_trials;
     uint64_t min_crash_gap_us;
     uint64_t crash_match_us;
+    uint64_t abandoned_run_us;
     uint64_t quarantine_us;
     uint64_t quarantine_max_us;
     uint64_t record_lifetime_us;
@@ -156,6 +168,9 @@
  * crash_match_us: the list's record of a service without a sidecar expires
  * after three heartbeats of 1.2 s, and the list is acted on two to four
  * seconds later.
+ * abandoned_run_us: an upstream stops within half a second of the close of its
+ * connection, and a lost packet delays that close. With more, a request that
+ * is only slow would be held responsible for crashes after it.
  * quarantine_us, quarantine_max_us: what is quarantined by mistake runs again
  * after a minute; what is faulty costs a crash then, so that three further
  * crashes take an hour and eleven minutes.
@@ -171,6 +186,7 @@
         .crashes = 3, .part_crashes = 5, .part_trials = 2,                    \
         .completed_part_trials = 4, .min_crash_gap_us = G_USEC_PER_SEC / 2,   \
         .crash_match_us = 8 * (uint64_t)G_USEC_PER_SEC,                       \
+        .abandoned_run_us = G_USEC_PER_SEC,                                   \
         .quarantine_us = 60 * (uint64_t)G_USEC_PER_SEC,                       \
         .quarantine_max_us = 3600 * (uint64_t)G_USEC_PER_SEC,                 \
         .record_lifetime_us = 600 * (uint64_t)G_USEC_PER_SEC,                 \
@@ -211,10 +227,24 @@
                                      const struct pgw_crash_keys *keys,
                                      const char *upstream, uint64_t now_us);
 
-/** pgw_crash_quarantine_add_crash() - add an incarnation that ended without a
- * drain */
+/** pgw_crash_quarantine_add_abandoned() - add a run that the entry has stopped
+ * waiting for, before it ended */
+void
+pgw_crash_quarantine_add_abandoned(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_crash_keys *keys,
+                                   const char *upstream, uint64_t now_us);
+
+/**
+ * pgw_crash_quarantine_add_crash() - add an incarnation that ended without a
+ * drain
+ * @quarantine: the state
+ * @upstream: its id
+ * @answered_us: when it last answered this entry, 0: never
+ * @now_us: monotonic time
+ */
 void pgw_crash_quarantine_add_crash(struct pgw_crash_quarantine *quarantine,
-                                    const char *upstream, uint64_t now_us);
+                                    const char *upstream, uint64_t answered_us,
+                                    uint64_t now_us);
 
 /** pgw_crash_quarantine_has_crashed() - whether a crash of an incarnation
  * became known lately */
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -86,11 +86,14 @@
     const struct pgw_crash_record *record, uint64_t crash, uint64_t now_us);
 
 /** pgw_crash_quarantine__count() - add a confirmed crash to a whole request;
- * returns whether it is new and counts. @source: who saw it, for logs */
+ * returns whether it is new and counts. @abandoned: its run had been
+ * abandoned;
+ * @source: who saw it, for logs */
 bool pgw_crash_quarantine__count(struct pgw_crash_quarantine *quarantine,
                                  struct pgw_crash_record *record,
-                                 uint64_t crash, const char *source,
-                                 uint64_t at_us, uint64_t now_us);
+                                 uint64_t crash, bool abandoned,
+                                 const char *source, uint64_t at_us,
+                                 uint64_t now_us);
 
 /** pgw_crash_quarantine__confirm_part() - confirm a crash of a part; returns
  * whether it counts. @source: as above */
@@ -101,10 +104,12 @@
 
 /** pgw_crash_quarantine__add_crash() - add the crash of an incarnation;
  * returns whether it was not known. @upstream: its id, NULL: another entry has
- * reported the crash; @hops: number of entries that have passed it on */
+ * reported the crash; @answered_us: when it was last known to run, 0: not
+ * known; @hops: number of entries that have passed it on */
 bool pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
                                      uint64_t crash, const char *upstream,
-                                     uint32_t hops, uint64_t now_us);
+                                     uint64_t answered_us, uint32_t hops,
+                                     uint64_t now_us);
 
 /** pgw_crash_quarantine__clear_record() - clear what is known of a key;
  * returns which other entries may know of it */
--- a/src/gateway/crash/crash_record.c
+++ b/src/gateway/crash/crash_record.c
@@ -15,7 +15,9 @@
 static bool
 counts(const struct pgw_recorded_crash *crash, uint64_t expired_us)
 {
-    return !crash->cleared && (crash->confirmed || crash->at_us > expired_us);
+    return !crash->cleared &&
+           (crash->confirmed ||
+            (!crash->abandoned && crash->at_us > expired_us));
 }
 
 struct pgw_recorded_crash *
@@ -29,6 +31,20 @@
     return NULL;
 }
 
+struct pgw_recorded_crash *
+pgw_crash_record_find_interrupted(struct pgw_crash_record *record,
+                                  uint64_t crash)
+{
+    struct pgw_recorded_crash *known = pgw_crash_record_find(record, crash);
+
+    if (known == NULL || !known->abandoned || known->confirmed ||
+        known->cleared) {
+        return known;
+    }
+    pgw_crash_record_remove(record, known);
+    return NULL;
+}
+
 void
 pgw_crash_record_remove(struct pgw_crash_record *record,
                         struct pgw_recorded_crash *crash)
@@ -39,13 +55,19 @@
     memmove(crash, crash + 1, (record->count - index) * sizeof(*crash));
 }
 
-/* Returns the crash to be replaced: the oldest one that does not count and of
- * which no report is on its way, as that would look new; or the
+/* Returns the crash to be replaced: the oldest run that was abandoned and is
+ * not known to have crashed its upstream; or the oldest crash that does not
+ * count and of which no report is on its way, as that would look new; or the
  * oldest one that interrupted no trial, or the oldest one. */
 static struct pgw_recorded_crash *
 find_replaceable(struct pgw_crash_record *record, uint64_t at_us,
                  uint64_t expired_us, bool replaces_oldest)
 {
+    for (uint32_t i = 0; i < record->count; i++) {
+        if (record->crashes[i].abandoned && !record->crashes[i].confirmed) {
+            return &record->crashes[i];
+        }
+    }
     for (uint32_t i = 0; i < record->count; i++) {
         if (!counts(&record->crashes[i], expired_us) &&
             record->crashes[i].at_us + LATE_US <= at_us) {
@@ -183,7 +205,8 @@
         uint64_t at_us = record->crashes[i].at_us;
         uint32_t known = 0;
 
-        if (!counts(&record->crashes[i], UINT64_MAX)) {
+        if (!counts(&record->crashes[i], UINT64_MAX) ||
+            record->crashes[i].abandoned) {
             continue;
         }
         while (known < count &&
--- a/src/gateway/crash/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -11,6 +11,9 @@
  * suspicion until the crash is confirmed, or until it is too old to be matched
  * with one. A completed run clears the crashes counted so far; they are kept,
  * so that reports of them that arrive late do not look new.
+ *
+ * A run that its entry has abandoned goes on at the upstream for a moment, and
+ * is most likely only slow. It counts from the confirmation of a crash on.
  */
 
 /* Maximum number of crashes kept in a record, cleared ones included. */
@@ -32,7 +35,9 @@
  * struct pgw_recorded_crash - an upstream that crashed, or may have crashed,
  * while it ran the key
  * @crash: hash of the upstream's incarnation
- * @at_us: when the run was interrupted
+ * @at_us: when the run was interrupted or abandoned
+ * @abandoned: its entry closed the connection, so that the time of the crash
+ *   is known only roughly
  * @confirmed: the upstream's process has ended
  * @cleared: a run of the key has completed since, or the crash has another
  *   cause
@@ -44,6 +49,7 @@
 struct pgw_recorded_crash {
     uint64_t crash;
     uint64_t at_us;
+    bool abandoned;
     bool confirmed;
     bool cleared;
     uint64_t trial;
@@ -84,6 +90,12 @@
 struct pgw_recorded_crash *
 pgw_crash_record_find(struct pgw_crash_record *record, uint64_t crash);
 
+/** pgw_crash_record_find_interrupted() - the same for a run that was
+ * interrupted there, which replaces one that was only abandoned */
+struct pgw_recorded_crash *
+pgw_crash_record_find_interrupted(struct pgw_crash_record *record,
+                                  uint64_t crash);
+
 /** pgw_crash_record_remove() - remove a crash that was found */
 void pgw_crash_record_remove(struct pgw_crash_record *record,
                              struct pgw_recorded_crash *crash);
@@ -137,7 +149,8 @@
                               const struct pgw_crash_record *faulty);
 
 /** pgw_crash_record_moments() - number of moments, at least @gap_us apart, at
- * which the confirmed crashes happened */
+ * which the confirmed crashes happened; those after abandoned runs are left
+ * out */
 uint32_t pgw_crash_record_moments(const struct pgw_crash_record *record,
                                   uint64_t gap_us);
 
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -16,8 +16,9 @@
     }
     record = pgw_crash_table_get(quarantine->table, &report->fingerprint,
                                  false, now_us);
-    known =
-        record == NULL ? NULL : pgw_crash_record_find(record, report->crash);
+    known = record == NULL
+                ? NULL
+                : pgw_crash_record_find_interrupted(record, report->crash);
     if (record == NULL || known != NULL) {
         if (known != NULL) {
             known->reach = PGW_CRASH_REACH_ALL;
@@ -55,7 +56,7 @@
     if (record == NULL) {
         return;
     }
-    known = pgw_crash_record_find(record, report->crash);
+    known = pgw_crash_record_find_interrupted(record, report->crash);
     if (known == NULL && !pgw_crash_quarantine__is_explained(
                              quarantine, record, report->crash, now_us)) {
         known = pgw_crash_record_add(record, report->crash, at_us, expired_us,
@@ -90,10 +91,18 @@
 {
     struct pgw_crash_record *record = pgw_crash_table_get(
         quarantine->table, &report->fingerprint, false, now_us);
-
-    return record != NULL &&
-           pgw_crash_quarantine__count(quarantine, record, report->crash,
-                                       "entry", at_us, now_us);
+    bool is_new =
+        record != NULL &&
+        pgw_crash_quarantine__count(quarantine, record, report->crash,
+                                    report->abandoned, "entry", at_us, now_us);
+
+    /* It confirms what this entry's runs there have left. An entry that
+     * connects is told of crashes long past, too. */
+    if (at_us > pgw_crash_table_expired_us(quarantine->table, now_us)) {
+        pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL, at_us,
+                                        PGW_CRASH_HOPS_MAX + 1, now_us);
+    }
+    return is_new;
 }
 
 /* Returns whether the report is new, and is passed on as it is. */
@@ -126,6 +135,7 @@
         return false;
     case PGW_CRASHED_RUN_UPSTREAM:
         pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL,
+                                        report->age_us == 0 ? 0 : at_us,
                                         report->hops + 1, now_us);
         return false;
     default:
@@ -164,7 +174,8 @@
 is_listed(const struct pgw_crash_record *record,
           const struct pgw_recorded_crash *crash, uint64_t expired_us)
 {
-    if (crash->cleared || (!crash->confirmed && crash->at_us <= expired_us)) {
+    if (crash->cleared || (!crash->confirmed &&
+                           (crash->abandoned || crash->at_us <= expired_us))) {
         return false;
     }
     return record->is_part
--- a/src/gateway/crash/crash_table.c
+++ b/src/gateway/crash/crash_table.c
@@ -112,8 +112,8 @@
             struct pgw_recorded_crash *crash = &record->crashes[i - 1];
 
             if (!crash->confirmed && crash->at_us <= expired_us) {
+                unmatched += !crash->abandoned;
                 pgw_crash_record_remove(record, crash);
-                unmatched++;
             }
         }
         if (is_obsolete(table, record, now_us)) {
--- a/src/gateway/crash/crash_table.h
+++ b/src/gateway/crash/crash_table.h
@@ -53,7 +53,7 @@
 
 /** pgw_crash_table_expire() - remove records without anything that counts or
  * may arrive again, and unconfirmed crashes of whole requests that are too
- * old; returns the number of the latter */
+ * old; returns the number of the latter, without abandoned runs */
 uint32_t pgw_crash_table_expire(struct pgw_crash_table *table,
                                 uint64_t now_us);
 
--- a/src/gateway/crash/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -15,6 +15,7 @@
     out->crash = run->crash;
     out->age_us = run->age_us;
     out->part = run->is_part;
+    out->abandoned = run->abandoned;
     out->seeds_only = run->seeds_only;
     out->hops = run->is_part ? run->hops : 0;
 }
@@ -152,6 +153,7 @@
             .crash = run->crash,
             .age_us = run->age_us,
             .is_part = run->part,
+            .abandoned = run->abandoned,
             .seeds_only = run->seeds_only,
             .hops = run->hops,
         };
--- a/src/gateway/peer/sidecar_links.c
+++ b/src/gateway/peer/sidecar_links.c
@@ -177,7 +177,7 @@
     else {
         pgw_crash_quarantine_add_crash(
             pgw_gateway_crash_quarantine(link->links->gateway), upstream->id,
-            now);
+            upstream->answered_us, now);
     }
     pgw_gateway_dispatch_queued(link->links->gateway);
 }
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -158,6 +158,9 @@
                  exchange->events.events, exchange->sends,
                  (pgw_now_us() - exchange->sent_us) / 1000);
     g_free(parts);
+    pgw_crash_quarantine_add_abandoned(exchange->gateway->crash_quarantine,
+                                       &exchange->crash_keys,
+                                       exchange->upstream->id, pgw_now_us());
 }
 
 void
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -46,7 +46,7 @@
     struct pgw_gateway *gateway = context;
 
     pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
-                                   pgw_now_us());
+                                   upstream->answered_us, pgw_now_us());
     pgw_run_cover_add_loss(gateway, upstream);
 }
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -142,9 +142,9 @@
                          exchange->upstream->id, facts.instance);
             exchange->upstream->displaced = true;
             exchange->upstream->replaced_at_us = pgw_now_us();
-            pgw_crash_quarantine_add_crash(exchange->gateway->crash_quarantine,
-                                           exchange->upstream->id,
-                                           pgw_now_us());
+            pgw_crash_quarantine_add_crash(
+                exchange->gateway->crash_quarantine, exchange->upstream->id,
+                exchange->upstream->answered_us, pgw_now_us());
             pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
             if (exchange->gateway->options.on_incarnation_seen != NULL) {
                 exchange->gateway->options.on_incarnation_seen(
@@ -159,6 +159,7 @@
         pgw_attempt_handle_unknown(exchange, "not_genuine");
         return true;
     }
+    exchange->upstream->answered_us = exchange->last_byte_us;
     if (facts.weights > 0 && exchange->facts.model != NULL) {
         pgw_upstream_set_version(exchange->upstream, exchange->facts.model,
                                  facts.weights);
@@ -248,6 +249,9 @@
 
     exchange->last_byte_us = pgw_now_us();
     pgw_upstream_mark_answering(exchange->upstream, exchange->last_byte_us);
+    if (!exchange->not_run) {
+        exchange->upstream->answered_us = exchange->last_byte_us;
+    }
     if (exchange->not_run || exchange->caller == NULL) {
         return;
     }
@@ -403,9 +407,9 @@
          * runs that were interrupted there may have crashed it. A connection
          * attempt without an answer may only mean that the network is down. */
         if (call->refused) {
-            pgw_crash_quarantine_add_crash(exchange->gateway->crash_quarantine,
-                                           exchange->upstream->id,
-                                           pgw_now_us());
+            pgw_crash_quarantine_add_crash(
+                exchange->gateway->crash_quarantine, exchange->upstream->id,
+                exchange->upstream->answered_us, pgw_now_us());
             pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
         }
         if (exchange->runs > 0) {
--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -380,6 +380,7 @@
     pgw_engine_pace_reset(&upstream->pace);
     upstream->start_delay.average_us = 0;
     upstream->last_seen_us = 0;
+    upstream->answered_us = 0;
     upstream->probe_at_us = 0;
     upstream->load_reported_at_us = 0;
     upstream->kv_reported_at_us = 0;
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -175,6 +175,7 @@
  *   @models
  * @last_seen_us: when the last byte came from it or its sidecar, 0: no sidecar
  *   reports on it
+ * @answered_us: when the last byte of one of its own answers came, 0: none did
  * @probe_at_us: while the upstream is unresponsive, no request is sent before
  * @suspect_logged: the log says that it does not respond
  * @inflight: requests of this entry in flight
@@ -237,6 +238,7 @@
     uint64_t loading_until_us;
     bool sidecar_is_reporting;
     uint64_t last_seen_us;
+    uint64_t answered_us;
     uint64_t probe_at_us;
     bool suspect_logged;
     uint32_t inflight;
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -4016,7 +4016,7 @@
   (ProtobufCMessageInit) pgw__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__crashed_run__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pgw__crashed_run__field_descriptors[7] =
 {
   {
     "fingerprint",
@@ -4090,8 +4090,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "abandoned",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__CrashedRun, abandoned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__crashed_run__field_indices_by_name[] = {
+  6,   /* field[6] = abandoned */
   2,   /* field[2] = age_us */
   1,   /* field[1] = crash */
   0,   /* field[0] = fingerprint */
@@ -4102,7 +4115,7 @@
 static const ProtobufCIntRange pgw__crashed_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pgw__crashed_run__descriptor =
 {
@@ -4112,7 +4125,7 @@
   "Pgw__CrashedRun",
   "pgw",
   sizeof(Pgw__CrashedRun),
-  6,
+  7,
   pgw__crashed_run__field_descriptors,
   pgw__crashed_run__field_indices_by_name,
   1,  pgw__crashed_run__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -596,10 +596,14 @@
    * of a part: entries that have passed it on
    */
   uint32_t hops;
+  /*
+   * its entry had closed the connection before the crash
+   */
+  protobuf_c_boolean abandoned;
 };
 #define PGW__CRASHED_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__crashed_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -625,9 +629,12 @@
    */
   uint64_t id;
   /*
-   * since the run broke off
+   * since the run broke off; kind 6: since the upstream's
    */
   uint64_t age_us;
+  /*
+   * last answer, 0: not known
+   */
   /*
    * of the claim, the run or the quarantine
    */
