--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -530,13 +530,18 @@
     struct pgw_crash_keys faulty = make_keys(1);
     struct pgw_crash_keys beside = make_keys(2);
     struct pgw_crash_quarantine *other = quarantine_new(&published);
-    struct pgw_crash_quarantine *quarantine = abandon_three(&faulty);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(NULL);
 
     for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
-        crash(other, &beside, upstreams[i], (i + 1) * SECOND);
+        uint64_t at_us = (i + 1) * SECOND;
+
+        published.count = 0;
+        pgw_crash_quarantine_add_abandoned(quarantine, &faulty, upstreams[i],
+                                           at_us);
+        crash(other, &beside, upstreams[i], at_us);
+        pgw_crash_quarantine_merge(quarantine, published.items,
+                                   published.count, at_us + 200);
     }
-    pgw_crash_quarantine_merge(quarantine, published.items, published.count,
-                               4 * SECOND);
     g_assert_cmpint(ask(quarantine, &faulty, 4 * SECOND), ==, PGW_CRASH_WAIT);
     pgw_crash_quarantine_free(quarantine);
     pgw_crash_quarantine_free(other);
