Wait for the result of a trial that is abandoned

What callers saw: a request that crashes its upstreams later than its entry or its caller waits ended one upstream with each trial, and two where the response timeout sent the trial on to a second one.

Cause: a trial whose run was abandoned (caller gone, deadline) ended without a result at once, so the next one could start before the upstream had crashed; and the response timeout moved a trial as any other request.

Change: a trial stays at its upstream until it answers or its time is over. One that is abandoned is kept: it fails with a crash of its upstream, and ends without a result once the upstream has answered another request a second later, or after eight seconds. Its time is renewed for other entries, which would take it for failed otherwise. In request/, as it holds a reference to the upstream.

Result: test_abandoned_run trial_stays_at_its_upstream and trial_fails_after_its_caller_left failed before (1 of 1) and pass, 3 of 3; slow_trial_is_repeated holds that a slow request is not refused (passes before and after). test_gateway, test_crash_quarantine, test_gossip and both crash properties pass.

--- a/src/gateway/crash/crash_trial.c
+++ b/src/gateway/crash/crash_trial.c
@@ -1,6 +1,10 @@
 #include "gateway/crash/crash_trial.h"
+#include <glib.h>
 #include <string.h>
 
+/* Reports of one time differ by their ways, which take less than this. */
+#define RENEWED_US 500000
+
 bool
 pgw_crash_trial_has_ended(const struct pgw_crash_trial *trial, uint64_t token)
 {
@@ -43,9 +47,15 @@
                       uint64_t until_us)
 {
     if (pgw_crash_trial_has_ended(trial, token) ||
-        (trial->started && trial->token <= token)) {
+        (trial->started && trial->token < token)) {
         return false;
     }
+    if (trial->started && trial->token == token) {
+        bool is_longer = until_us > trial->until_us + RENEWED_US;
+
+        trial->until_us = MAX(trial->until_us, until_us);
+        return is_longer;
+    }
     trial->is_own = trial->is_own && trial->token == token;
     trial->token = token;
     trial->until_us = until_us;
--- a/src/gateway/crash/crash_trial.h
+++ b/src/gateway/crash/crash_trial.h
@@ -54,8 +54,8 @@
 bool pgw_crash_trial_claim(struct pgw_crash_trial *trial, uint64_t token,
                            uint64_t until_us, uint64_t now_us);
 
-/** pgw_crash_trial_start() - apply the start of a trial; returns whether it is
- * new */
+/** pgw_crash_trial_start() - apply the start of a trial, or that it lasts
+ * longer; returns whether that is new */
 bool pgw_crash_trial_start(struct pgw_crash_trial *trial, uint64_t token,
                            uint64_t until_us);
 
--- /dev/null
+++ b/src/gateway/request/abandoned_trials.c
@@ -0,0 +1,114 @@
+#include "gateway/request/abandoned_trials.h"
+#include "util/list.h"
+
+/* Interval at which results are looked for. */
+#define CHECK_US 100000
+/* An upstream that has answered this long after the close had seen it. */
+#define RUN_OVER_US 1000000
+/* A crash that is not known by then is never attributed to the run. */
+#define CRASH_KNOWN_US 8000000
+/* Other entries take a trial for failed if its result is later than this. */
+#define RESULT_DUE_US (CRASH_KNOWN_US + 2000000)
+
+struct abandoned_trial {
+    struct pgw_list in_trials;
+    struct pgw_crash_keys keys;
+    uint64_t trial;
+    struct pgw_upstream *upstream;
+    uint64_t abandoned_us;
+};
+
+struct pgw_abandoned_trials {
+    struct pgw_loop *loop;
+    struct pgw_crash_quarantine *quarantine;
+    struct pgw_list trials;
+    struct pgw_timer timer;
+};
+
+static void
+remove_trial(struct abandoned_trial *trial)
+{
+    pgw_list_remove(&trial->in_trials);
+    pgw_upstream_unref(trial->upstream);
+    g_free(trial);
+}
+
+static void
+settle(struct pgw_abandoned_trials *trials, struct abandoned_trial *trial,
+       uint64_t now_us)
+{
+    bool crashed = pgw_crash_quarantine_has_crashed(trials->quarantine,
+                                                    trial->upstream->id);
+    bool is_over =
+        trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US ||
+        now_us >= trial->abandoned_us + CRASH_KNOWN_US;
+
+    if (crashed || is_over) {
+        pgw_crash_quarantine_end_trial(trials->quarantine, &trial->keys,
+                                       trial->trial, crashed, now_us);
+        remove_trial(trial);
+    }
+}
+
+static void
+on_check(struct pgw_timer *timer)
+{
+    struct pgw_abandoned_trials *trials =
+        pgw_container_of(timer, struct pgw_abandoned_trials, timer);
+    uint64_t now_us = pgw_now_us();
+
+    pgw_list_foreach_safe (link, &trials->trials) {
+        settle(trials,
+               pgw_container_of(link, struct abandoned_trial, in_trials),
+               now_us);
+    }
+    if (!pgw_list_is_empty(&trials->trials)) {
+        pgw_timer_start(trials->loop, timer, CHECK_US);
+    }
+}
+
+struct pgw_abandoned_trials *
+pgw_abandoned_trials_new(struct pgw_loop *loop,
+                         struct pgw_crash_quarantine *quarantine)
+{
+    struct pgw_abandoned_trials *trials =
+        g_new0(struct pgw_abandoned_trials, 1);
+
+    trials->loop = loop;
+    trials->quarantine = quarantine;
+    trials->timer.on_due = on_check;
+    pgw_list_init(&trials->trials);
+    return trials;
+}
+
+void
+pgw_abandoned_trials_free(struct pgw_abandoned_trials *trials)
+{
+    pgw_timer_stop(trials->loop, &trials->timer);
+    pgw_list_foreach_safe (link, &trials->trials) {
+        remove_trial(
+            pgw_container_of(link, struct abandoned_trial, in_trials));
+    }
+    g_free(trials);
+}
+
+void
+pgw_abandoned_trials_add(struct pgw_abandoned_trials *trials,
+                         const struct pgw_crash_keys *keys, uint64_t trial,
+                         struct pgw_upstream *upstream)
+{
+    struct abandoned_trial *added = g_new0(struct abandoned_trial, 1);
+    uint64_t now_us = pgw_now_us();
+
+    added->keys = *keys;
+    added->trial = trial;
+    added->upstream = pgw_upstream_ref(upstream);
+    added->abandoned_us = now_us;
+    if (pgw_list_is_empty(&trials->trials)) {
+        pgw_timer_start(trials->loop, &trials->timer, CHECK_US);
+    }
+    pgw_list_append(&trials->trials, &added->in_trials);
+    pgw_crash_quarantine_start_trial(trials->quarantine, keys, trial,
+                                     upstream->id, now_us + RESULT_DUE_US,
+                                     now_us);
+}
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -161,6 +161,12 @@
     pgw_crash_quarantine_add_abandoned(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys,
                                        exchange->upstream->id, pgw_now_us());
+    if (exchange->trial != 0) {
+        pgw_abandoned_trials_add(exchange->gateway->abandoned_trials,
+                                 &exchange->crash_keys, exchange->trial,
+                                 exchange->upstream);
+        exchange->trial = 0;
+    }
 }
 
 void
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -86,6 +86,7 @@
     pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_home_probe_drop(exchange);
     pgw_prefill_claim_drop(exchange);
+    pgw_attempt_record_abandoned(exchange);
     pgw_suspect_wait_drop(exchange);
     pgw_stream_origin_drop(exchange);
     pgw_run_cover_dispose(&exchange->cover);
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/crash/crash_quarantine.h"
 #include "gateway/crash/unframed_runs.h"
 #include "gateway/placement/lanes.h"
+#include "gateway/request/abandoned_trials.h"
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
@@ -22,6 +23,7 @@
  * @budgets: retry budgets of services
  * @crash_quarantine: requests and prompt parts that were running when
  *   upstreams crashed
+ * @abandoned_trials: trials of these whose runs were abandoned
  * @unframed_runs: runs that ended with their connections
  * @losses: engines that ended lately
  * @quota: quotas of workspaces
@@ -69,6 +71,7 @@
     struct pgw_upstream_table *upstreams;
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
+    struct pgw_abandoned_trials *abandoned_trials;
     struct pgw_unframed_runs *unframed_runs;
     struct pgw_engine_losses losses;
     struct pgw_quota *quota;
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -17,14 +17,16 @@
 };
 
 /* The upstream has not answered, but another one may still answer in time.
- * Closing the connection ends the run. */
+ * Closing the connection ends the run. A trial stays where it is: it may be
+ * about to crash this upstream. */
 static void
 on_response_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
         pgw_container_of(timer, struct pgw_exchange, attempt_timer);
 
-    if (exchange->call.answered || !pgw_attempt_may_retry(exchange) ||
+    if (exchange->call.answered || exchange->trial != 0 ||
+        !pgw_attempt_may_retry(exchange) ||
         !pgw_attempt_take_retry(exchange)) {
         return;
     }
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -105,6 +105,8 @@
     gateway->budgets = pgw_retry_budgets_new(&options->budgets);
     gateway->crash_quarantine =
         pgw_crash_quarantine_new(&options->crash_quarantine);
+    gateway->abandoned_trials =
+        pgw_abandoned_trials_new(loop, gateway->crash_quarantine);
     gateway->unframed_runs =
         pgw_unframed_runs_new(loop, gateway->crash_quarantine);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
@@ -140,6 +142,7 @@
     pgw_stream_origins_free(gateway->stream_origins);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
+    pgw_abandoned_trials_free(gateway->abandoned_trials);
     pgw_unframed_runs_free(gateway->unframed_runs);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
--- a/src/gateway/upstream/unresponsive.c
+++ b/src/gateway/upstream/unresponsive.c
@@ -99,6 +99,9 @@
     if (!pgw_attempt_may_retry(exchange)) {
         return "may_not_repeat";
     }
+    if (exchange->trial != 0) {
+        return "trial";
+    }
     if (!pgw_exchange_has_free_upstream(exchange)) {
         return "no_place";
     }
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -120,8 +120,7 @@
     add_route(table, "/brisk/",
               &(struct pgw_route){.repeatable = true, .timeout_ms = 1500});
     add_route(table, "/quick/",
-              &(struct pgw_route){
-                  .repeatable = true, .objective_ms = 1, .timeout_ms = 1500});
+              &(struct pgw_route){.repeatable = true, .objective_ms = 1});
     add_route(table, "/open/", &(struct pgw_route){.open = true});
     add_route(table, "/soon/",
               &(struct pgw_route){.stream = true,
--- a/tests/unit/test_abandoned_run.c
+++ b/tests/unit/test_abandoned_run.c
@@ -1,4 +1,5 @@
 #include "scene_gateway.h"
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -185,6 +186,92 @@
     scene_free(scene);
 }
 
+/* The request crashes all upstreams, and is a suspect afterwards. */
+static void
+make_suspect(struct scene *scene, const char *path)
+{
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+
+    run_everywhere(scene, path, callers, upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        close(callers[i]);
+        wait_closed(upstreams[i]);
+    }
+    scene_restart_upstreams(scene);
+}
+
+/* Guards against a trial that runs at two upstreams, since its entry sent it
+ * to the next one before the first had answered. */
+static void
+test_trial_stays_at_its_upstream(void)
+{
+    struct scene *scene = ready_scene();
+    struct pollfd closed = {.events = POLLIN};
+    unsigned which;
+    int caller;
+
+    make_suspect(scene, "/quick/");
+    caller = scene_call_with_fields(scene, "/quick/", "d", NO_REUSE);
+    closed.fd = scene_accept_any(scene, &which);
+    g_free(scene_read_request(closed.fd));
+    g_assert_cmpint(poll(&closed, 1, 1500), ==, 0);
+    scene_answer(closed.fd, "d", 200, "", "ok");
+    expect(caller, "HTTP/1.1 200 ");
+    close(closed.fd);
+    scene_free(scene);
+}
+
+/* Guards against a request that crashes one upstream after the other, since
+ * the callers of its trials leave before the crash. */
+static void
+test_trial_fails_after_its_caller_left(void)
+{
+    struct scene *scene = ready_scene();
+    unsigned which;
+    int upstream;
+    int caller;
+
+    make_suspect(scene, "/again/");
+    caller = scene_call_with_fields(scene, "/again/", "d", NO_REUSE);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    close(caller);
+    wait_closed(upstream);
+    scene_restart_upstreams(scene);
+    caller = scene_call_with_fields(scene, "/again/", "e", NO_REUSE);
+    expect(caller, "crashes_upstreams");
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        g_assert_true(scene_has_no_connection(scene, i));
+    }
+    scene_free(scene);
+}
+
+/* Guards against a slow request that is refused for a minute, since the
+ * callers of its trial left. */
+static void
+test_slow_trial_is_repeated(void)
+{
+    struct scene *scene = ready_scene();
+    unsigned which;
+    int upstream;
+    int caller;
+
+    make_suspect(scene, "/again/");
+    caller = scene_call_with_fields(scene, "/again/", "d", NO_REUSE);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    close(caller);
+    wait_closed(upstream);
+    caller = scene_call_with_fields(scene, "/again/", "e", NO_REUSE);
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    scene_answer(upstream, "e", 200, "", "ok");
+    expect(caller, "HTTP/1.1 200 ");
+    close(upstream);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -199,5 +286,11 @@
                     test_deadline_before_crash);
     g_test_add_func("/abandoned_run/response_timeout_before_crash",
                     test_response_timeout_before_crash);
+    g_test_add_func("/abandoned_run/trial_stays_at_its_upstream",
+                    test_trial_stays_at_its_upstream);
+    g_test_add_func("/abandoned_run/trial_fails_after_its_caller_left",
+                    test_trial_fails_after_its_caller_left);
+    g_test_add_func("/abandoned_run/slow_trial_is_repeated",
+                    test_slow_trial_is_repeated);
     return g_test_run();
 }
