Try suspects whose callers have little time

What callers saw: after crashes of a service with a time limit of 0.3 to 1 s, a request that had been running in them was refused for as long as the crashes were remembered, ten minutes, even if it was harmless: no trial ever started.

Cause: a claim takes 250 to 500 ms, and a request waits for 0.13 to 0.33 s there (record: seven claims, none started).

Change: a request with a claim waits for up to half of its time left, and the claim stands after a quarter to a half of that, at most 250 to 500 ms as before. With less than 80 ms left nothing is claimed. Two entries start at once if a message takes longer than half of the shorter time; that is one crash more, and the trial that ends first decides.

The tests pass one second where they passed true: the same settle time.

--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -130,7 +130,8 @@
  * @record_lifetime_us: how long a record is kept after its last crash and its
  *   last quarantine
  * @trial_settle_us: time between the claim of a trial and its start, in which
- *   claims of other entries arrive
+ *   claims of other entries arrive; less if the request cannot wait for so
+ * long
  * @trial_claim_us: how long a claim lasts that is not renewed
  * @part_trial_us: longest time for which a trial holds others with its part
  *   back
@@ -268,7 +269,7 @@
  * @quarantine: the state
  * @keys: keys of the request
  * @trial: token of the trial that the request has claimed, 0: none; updated
- * @may_claim: it can wait until a claim stands
+ * @claim_us: how long it can wait until its claim stands, 0: it cannot
  * @random: random number for the token of a new claim
  * @now_us: monotonic time
  *
@@ -276,10 +277,9 @@
  * until it starts its trial with pgw_crash_quarantine_start_trial(), or gives
  * it up with pgw_crash_quarantine_end_trial().
  */
-enum pgw_crash_verdict
-pgw_crash_quarantine_admit(struct pgw_crash_quarantine *quarantine,
-                           const struct pgw_crash_keys *keys, uint64_t *trial,
-                           bool may_claim, uint64_t random, uint64_t now_us);
+enum pgw_crash_verdict pgw_crash_quarantine_admit(
+    struct pgw_crash_quarantine *quarantine, const struct pgw_crash_keys *keys,
+    uint64_t *trial, uint64_t claim_us, uint64_t random, uint64_t now_us);
 
 /** pgw_crash_quarantine_start_trial() - the request with this claim is sent to
  * the incarnation @upstream; its run ends before @until_us */
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -252,10 +252,11 @@
 admit_suspects(struct pgw_crash_quarantine *quarantine,
                const struct pgw_crash_keys *keys,
                const struct pgw_crash_suspects *suspects, uint64_t *trial,
-               bool may_claim, uint64_t random, uint64_t now_us)
+               uint64_t claim_us, uint64_t random, uint64_t now_us)
 {
     /* Trials that end with one crash do not start together again. */
-    uint64_t settle_us = quarantine->options.trial_settle_us;
+    uint64_t settle_us =
+        MIN(quarantine->options.trial_settle_us, claim_us / 2);
     bool is_settled = true;
 
     settle_us += settle_us == 0 ? 0 : random % settle_us;
@@ -277,7 +278,7 @@
         }
     }
     /* Others could not claim it until this request is given up. */
-    if (*trial == 0 && !may_claim) {
+    if (*trial == 0 && claim_us == 0) {
         return PGW_CRASH_WAIT;
     }
     if (*trial == 0) {
@@ -306,7 +307,7 @@
 enum pgw_crash_verdict
 pgw_crash_quarantine_admit(struct pgw_crash_quarantine *quarantine,
                            const struct pgw_crash_keys *keys, uint64_t *trial,
-                           bool may_claim, uint64_t random, uint64_t now_us)
+                           uint64_t claim_us, uint64_t random, uint64_t now_us)
 {
     struct pgw_crash_suspects suspects = {.count = 0};
 
@@ -333,8 +334,8 @@
         *trial = 0;
         return PGW_CRASH_ALLOW;
     }
-    return admit_suspects(quarantine, keys, &suspects, trial, may_claim,
-                          random, now_us);
+    return admit_suspects(quarantine, keys, &suspects, trial, claim_us, random,
+                          now_us);
 }
 
 void
--- a/src/gateway/crash/suspect_wait.c
+++ b/src/gateway/crash/suspect_wait.c
@@ -6,6 +6,11 @@
 #define RECHECK_US 20000
 /* A claim stands and its trial starts within this time. */
 #define CLAIM_TIME_US 1000000
+/* In less, entries do not learn of each other's claims. */
+#define CLAIM_TIME_MIN_US 40000
+/* Part of a request's time left that it waits for its claim; it runs in the
+ * rest. */
+#define CLAIM_SHARE 2
 /* A trial's result arrives at the latest so long after its deadline. */
 #define RESULT_MARGIN_US 1000000
 /* A faulty prompt crashes its engine when that begins to answer. */
@@ -29,7 +34,6 @@
     struct pgw_gateway *gateway = exchange->gateway;
 
     if (exchange->suspect_until_us == 0) {
-        exchange->suspect_since_us = now_us;
         exchange->suspect_until_us =
             now_us + pgw_exchange_queue_time_us(exchange, now_us);
         pgw_metric_register_counter(&waits);
@@ -56,26 +60,27 @@
     }
 }
 
-/* A request that is refused before its claim stands only delays others. */
-static bool
-may_claim(const struct pgw_exchange *exchange, uint64_t now_us)
+/* How long a request can wait for its claim. A trial that ends well lets all
+ * others run, so it may wait for longer than a slot is worth waiting for. */
+static uint64_t
+claim_time_us(const struct pgw_exchange *exchange, uint64_t now_us)
 {
-    uint64_t waits_us =
-        exchange->suspect_until_us - exchange->suspect_since_us;
+    uint64_t left_us =
+        exchange->deadline_us > now_us ? exchange->deadline_us - now_us : 0;
+    uint64_t claim_us = MIN(CLAIM_TIME_US, left_us / CLAIM_SHARE);
 
-    return exchange->suspect_until_us == 0 ||
-           now_us + MIN(CLAIM_TIME_US, waits_us / 2) <=
-               exchange->suspect_until_us;
+    return claim_us < CLAIM_TIME_MIN_US ? 0 : claim_us;
 }
 
 bool
 pgw_suspect_wait_begin(struct pgw_exchange *exchange)
 {
     uint64_t now_us = pgw_now_us();
+    uint64_t claim_us = claim_time_us(exchange, now_us);
+    uint64_t claimed = exchange->trial;
     enum pgw_crash_verdict verdict = pgw_crash_quarantine_admit(
         exchange->gateway->crash_quarantine, &exchange->crash_keys,
-        &exchange->trial, may_claim(exchange, now_us), pgw_random_u64(),
-        now_us);
+        &exchange->trial, claim_us, pgw_random_u64(), now_us);
 
     if (verdict == PGW_CRASH_REFUSE) {
         refuse(exchange, PGW_CRASH_QUARANTINE_RETRY_MS);
@@ -90,6 +95,10 @@
         return true;
     }
     start_wait(exchange, now_us);
+    if (exchange->trial != claimed && exchange->trial != 0) {
+        exchange->suspect_until_us =
+            MAX(exchange->suspect_until_us, now_us + claim_us + RECHECK_US);
+    }
     return true;
 }
 
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -163,7 +163,6 @@
  * @homes: engines where all entries look for the prompt's cached parts, and
  *   which may be chosen outside the own zone; references are held
  * @suspect_timer: asks again whether a request that waits for a trial may run
- * @suspect_since_us: when that wait began
  * @suspect_until_us: when that wait ends with a refusal, 0: it does not wait
  * @trial: token of the trial that the request has claimed, 0: none
  * @software: with @software_is_fixed, the version of the software at which a
@@ -245,7 +244,6 @@
     struct pgw_upstream *tried[PGW_TRIED_MAX];
     size_t tried_count;
     struct pgw_timer suspect_timer;
-    uint64_t suspect_since_us;
     uint64_t suspect_until_us;
     uint64_t trial;
     const char *software;
--- a/tests/property/prop_crash_parts.cc
+++ b/tests/property/prop_crash_parts.cc
@@ -221,7 +221,7 @@
     pgw_crash_quarantine *quarantine = all->list[request.at_entry].quarantine;
 
     switch (pgw_crash_quarantine_admit(quarantine, &request.keys, &request.trial,
-                                       all->now + second <= request.gives_up_at, all->random(), all->now)) {
+                                       all->now + second <= request.gives_up_at ? second : 0, all->random(), all->now)) {
     case PGW_CRASH_ALLOW:
     case PGW_CRASH_TRIAL:
         send(all, given, request);
--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -135,7 +135,7 @@
             pgw_crash_quarantine_end_trial(quarantine, &keys, each->token, false, now);
             each->token = 0;
         }
-        else if (pgw_crash_quarantine_admit(quarantine, &keys, &each->token, true,
+        else if (pgw_crash_quarantine_admit(quarantine, &keys, &each->token, 1000000,
                                             number / 4 % 97 * 1024 + ++claims, now) == PGW_CRASH_TRIAL) {
             for (const trial_entry &other : waiting) {
                 RC_ASSERT(!other.runs);
@@ -189,7 +189,7 @@
 
         switch (number / 4 % 5) {
         case 0:
-            if (pgw_crash_quarantine_admit(at->quarantine, &keys, &at->trial, true, ++claims,
+            if (pgw_crash_quarantine_admit(at->quarantine, &keys, &at->trial, 1000000, ++claims,
                                            now) == PGW_CRASH_TRIAL) {
                 pgw_crash_quarantine_start_trial(at->quarantine, &keys, at->trial, "z",
                                                  now + 900000, now);
--- a/tests/unit/test_abandoned_run.c
+++ b/tests/unit/test_abandoned_run.c
@@ -201,6 +201,31 @@
     scene_restart_upstreams(scene);
 }
 
+/* Guards against suspects that are never tried, and so never cleared, since
+ * their callers wait for less time than a claim takes. */
+static void
+test_suspect_with_little_time_is_tried(void)
+{
+    struct scene *scene = ready_scene();
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+    unsigned which;
+
+    run_everywhere(scene, "/late/", callers, upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        scene_reset(upstreams[i]);
+        expect(callers[i], "HTTP/1.1 502 ");
+    }
+    scene_restart_upstreams(scene);
+    callers[0] = scene_call_with_fields(scene, "/late/", "d", NO_REUSE);
+    upstreams[0] = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstreams[0]));
+    scene_answer(upstreams[0], "d", 200, "", "ok");
+    expect(callers[0], "HTTP/1.1 200 ");
+    close(upstreams[0]);
+    scene_free(scene);
+}
+
 /* Guards against a trial that runs at two upstreams, since its entry sent it
  * to the next one before the first had answered. */
 static void
@@ -286,6 +311,8 @@
                     test_deadline_before_crash);
     g_test_add_func("/abandoned_run/response_timeout_before_crash",
                     test_response_timeout_before_crash);
+    g_test_add_func("/abandoned_run/suspect_with_little_time_is_tried",
+                    test_suspect_with_little_time_is_tried);
     g_test_add_func("/abandoned_run/trial_stays_at_its_upstream",
                     test_trial_stays_at_its_upstream);
     g_test_add_func("/abandoned_run/trial_fails_after_its_caller_left",
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -167,7 +167,7 @@
 {
     struct pgw_crash_keys fingerprint = make_keys(1);
 
-    return pgw_crash_quarantine_admit(quarantine, &fingerprint, trial, true,
+    return pgw_crash_quarantine_admit(quarantine, &fingerprint, trial, SECOND,
                                       random, now_us);
 }
 
@@ -461,7 +461,7 @@
 {
     uint64_t trial = 0;
 
-    return pgw_crash_quarantine_admit(quarantine, keys, &trial, true, 1,
+    return pgw_crash_quarantine_admit(quarantine, keys, &trial, SECOND, 1,
                                       now_us);
 }
 
