Let one crash after an abandoned trial pass

Cause: the caller of its trial had left 0.19 s before the second power loss, and one failed trial quarantines a request. An abandoned trial is at work for longer than its caller waits, so chance finds it more often.

Change: the crash after an abandoned trial quarantines a request from the fifth crash on, the second such trial; before, it ends without a result. A crash of the trial's upstream always counts, however close to the one before: it was left out as of one moment within half a second.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -217,13 +217,17 @@
 {
     const struct pgw_crash_quarantine_options *options = &quarantine->options;
     struct pgw_recorded_crash *known = pgw_crash_record_find(record, crash);
+    bool is_of_trial =
+        record->trial.started && record->trial.upstream == crash;
 
     if (known != NULL && known->confirmed) {
         return false;
     }
-    /* Further crashes of one moment add nothing to a suspect. They are left
-     * out, since a popular request may be in more of them than are kept. */
+    /* Further crashes of one moment add nothing to a suspect, unless its trial
+     * ran there. They are left out, since a popular request may be in more of
+     * them than are kept. */
     if (pgw_crash_record_confirmed(record) >= options->crashes &&
+        !is_of_trial &&
         pgw_crash_record_is_near(record, at_us, options->min_crash_gap_us)) {
         log_crash(quarantine, record, crash, source, false, at_us, now_us);
         if (known != NULL) {
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -116,6 +116,8 @@
  *   as many moments, a whole request is quarantined without a trial
  * @part_crashes: number of crashed incarnations from which on failed trials
  *   quarantine a part
+ * @abandoned_trial_crashes: number of crashed incarnations from which on the
+ *   crash after an abandoned trial quarantines a request
  * @part_trials: number of failed trials that quarantine a part
  * @completed_part_trials: the same of a part of which a run has completed here
  * @min_crash_gap_us: crashes of one key that are less than this apart are of
@@ -140,6 +142,7 @@
 struct pgw_crash_quarantine_options {
     uint32_t crashes;
     uint32_t part_crashes;
+    uint32_t abandoned_trial_crashes;
     uint32_t part_trials;
     uint32_t completed_part_trials;
     uint64_t min_crash_gap_us;
@@ -159,7 +162,10 @@
  * ever in three crashes without completing once. Two crashes are too few for
  * that.
  * part_crashes: a sound part whose requests are few may be in three crashes of
- * a faulty one, and its trial may run beside a fourth. part_trials: a second
+ * a faulty one, and its trial may run beside a fourth.
+ * abandoned_trial_crashes: the upstream of a slow trial whose caller has left
+ * may lose power soon afterwards; that it does so twice is hardly chance.
+ * part_trials: a second
  * power loss may interrupt the trial of a part that all requests share, which
  * no other request would run then. completed_part_trials: so may a faulty part
  * that is not a suspect yet, and more often so when few upstreams are up; a
@@ -184,8 +190,9 @@
  */
 #define PGW_CRASH_QUARANTINE_OPTIONS_INIT                                     \
     {                                                                         \
-        .crashes = 3, .part_crashes = 5, .part_trials = 2,                    \
-        .completed_part_trials = 4, .min_crash_gap_us = G_USEC_PER_SEC / 2,   \
+        .crashes = 3, .part_crashes = 5, .abandoned_trial_crashes = 5,        \
+        .part_trials = 2, .completed_part_trials = 4,                         \
+        .min_crash_gap_us = G_USEC_PER_SEC / 2,                               \
         .crash_match_us = 8 * (uint64_t)G_USEC_PER_SEC,                       \
         .abandoned_run_us = G_USEC_PER_SEC,                                   \
         .quarantine_us = 60 * (uint64_t)G_USEC_PER_SEC,                       \
@@ -288,6 +295,12 @@
                                       uint64_t trial, const char *upstream,
                                       uint64_t until_us, uint64_t now_us);
 
+/** pgw_crash_quarantine_end_abandoned_trial() - the upstream of a trial whose
+ * run was abandoned has crashed */
+void pgw_crash_quarantine_end_abandoned_trial(
+    struct pgw_crash_quarantine *quarantine, const struct pgw_crash_keys *keys,
+    uint64_t trial, uint64_t now_us);
+
 /** pgw_crash_quarantine_has_trial_at() - whether an incarnation runs another
  * trial than @trial, of any entry */
 bool pgw_crash_quarantine_has_trial_at(
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -83,6 +83,32 @@
     }
 }
 
+void
+pgw_crash_quarantine_end_abandoned_trial(
+    struct pgw_crash_quarantine *quarantine, const struct pgw_crash_keys *keys,
+    uint64_t trial, uint64_t now_us)
+{
+    struct pgw_crash_suspects held;
+    struct pgw_crash_suspects parts = {.count = 0};
+
+    find_held(&held, quarantine, keys, trial);
+    for (size_t i = 0; i < held.count; i++) {
+        struct pgw_crash_record *record = held.items[i];
+
+        if (record->is_part) {
+            parts.items[parts.count++] = record;
+        }
+        else if (pgw_crash_record_confirmed(record) >=
+                 quarantine->options.abandoned_trial_crashes) {
+            pgw_crash_blame__fail(quarantine, record, trial, now_us);
+        }
+        else {
+            end_without_result(quarantine, record, trial);
+        }
+    }
+    pgw_crash_blame__fail_parts(quarantine, &parts, trial, now_us);
+}
+
 void
 pgw_crash_quarantine_end_trial(struct pgw_crash_quarantine *quarantine,
                                const struct pgw_crash_keys *keys,
--- a/src/gateway/request/abandoned_trials.c
+++ b/src/gateway/request/abandoned_trials.c
@@ -43,11 +43,18 @@
         trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US ||
         now_us >= trial->abandoned_us + CRASH_KNOWN_US;
 
-    if (crashed || is_over) {
+    if (!crashed && !is_over) {
+        return;
+    }
+    if (crashed) {
+        pgw_crash_quarantine_end_abandoned_trial(
+            trials->quarantine, &trial->keys, trial->trial, now_us);
+    }
+    else {
         pgw_crash_quarantine_end_trial(trials->quarantine, &trial->keys,
-                                       trial->trial, crashed, now_us);
-        remove_trial(trial);
+                                       trial->trial, false, now_us);
     }
+    remove_trial(trial);
 }
 
 static void
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 
 import crashing_parts
 import killed_engines
+import late_crashes
 import one_entry
 import one_workspace
 import stepping
@@ -135,6 +136,7 @@
         self.failed = {}
         self.poison = Poison(self)
         self.parts = crashing_parts.Parts(self)
+        self.late = late_crashes.Late(self)
         self.popular_run_s = 0.0
         # What engines that work in steps are doing, and their addresses.
         self.stream_events, self.working, self.engines = {}, {}, {}
@@ -331,6 +333,7 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        writer.reader = reader
         try:
             while True:
                 start, fields = await read_head(reader)
@@ -670,6 +673,11 @@
             self.soak.poison.note_run(body.decode())
             asyncio.ensure_future(self.crash(self.soak.poison.down_s))
             return
+        if body and body == self.soak.late.body.encode():
+            await late_crashes.serve(
+                self, attempt, writer,
+                f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n")
+            return
         text, events = attempt, 9
         if body.startswith(b"stream"):
             text, events = self.software, STREAM_EVENTS + 1
@@ -1428,6 +1436,8 @@
 
 ACTS = {"uneven_engines": uneven_engines.uneven_engines,
         "one_workspace": one_workspace.one_workspace,
+        "late_crashes": late_crashes.late_crashes,
+        "slow_request": late_crashes.slow_request,
         "killed_engines": killed_engines.killed_engines,
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
