Count crashes that follow an abandoned run on the older path

What callers saw: a request that ends its engine after its caller has left ended one engine after the other; nothing was ever held against it.

Cause: a sidecar that gets a cancel, loses its entry or sees a deadline pass closed the engine's connection and freed the run, while the engine went on with it.

Change: such a run gives its place to others at once and waits, without a connection, until the engine was asked a second later; if the engine has ended by then, its crash is told as that of a run whose answer broke off. A suspect keeps its place for that time, so that nothing runs beside it. The engine is asked no more often than before.

--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -277,7 +277,7 @@
     }
     pgw_trace_record(run->sidecar->trace, PGW_TRACE_CANCEL, &run->key.request,
                      run->key.attempt, withdrawn, 0, NULL);
-    gate_finish(run);
+    gate_abandon(run);
 }
 
 static struct run *
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -89,6 +89,8 @@
  * @held: link in the sidecar's list of those that wait for such a one
  * @doubt_us: broken: only what the engine is asked after it counts
  * @settled: broken, and its crash, if it was one, is reported
+ * @abandoned: broken by this sidecar, which waits no longer for its end, and
+ *   has given its place to others
  * @unsent: broken, and the upstream took no connection for it
  * @import: its wait for the KV store, NULL without one
  * @import_asked: the KV store was asked, or is left out
@@ -133,6 +135,7 @@
     struct pgw_list held;
     uint64_t doubt_us;
     bool settled;
+    bool abandoned;
     bool unsent;
     struct kv_wait *import;
     bool import_asked;
@@ -211,5 +214,8 @@
 
 /* gate.c: end of a run, reported by run.c */
 void gate_finish(struct run *run);
+/** gate_abandon() - nobody waits for the run any more: close its connection,
+ * and finish it once the engine can no longer crash by it */
+void gate_abandon(struct run *run);
 
 #endif
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -4,6 +4,9 @@
 #include "sidecar/suspicion.h"
 
 #define GATE_TICK_US UINT64_C(20000)
+/* An engine stops a run within half a second of the close of its connection;
+ * a crash after more than this has another cause. */
+#define ABANDONED_US UINT64_C(1000000)
 
 void
 run_free(struct run *run)
@@ -28,8 +31,8 @@
     if (run->answer != NULL) {
         g_byte_array_unref(run->answer);
     }
+    sidecar->runs -= !run->abandoned;
     g_free(run);
-    sidecar->runs--;
 }
 
 static void run_hand_over(struct run *run);
@@ -55,8 +58,9 @@
     }
 }
 
-void
-gate_finish(struct run *run)
+/* Gives its place at the engine to others. */
+static void
+release_place(struct run *run)
 {
     struct sidecar *sidecar = run->sidecar;
 
@@ -67,17 +71,56 @@
         pgw_admit_done(sidecar->admit, &run->item, run->completion_tokens,
                        pgw_now_us());
     }
-    if (run->state >= RUN_SENT) {
+    if (run->state >= RUN_SENT && !run->abandoned) {
         sidecar->handed--;
     }
     if (sidecar->exclusive == run) {
         sidecar->exclusive = NULL;
     }
+}
+
+void
+gate_finish(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+
+    release_place(run);
     run_free(run);
     release_held(sidecar);
     gate_pump(sidecar);
 }
 
+void
+gate_abandon(struct run *run)
+{
+    struct sidecar *sidecar = run->sidecar;
+
+    if (!sidecar->is_model || run->state < RUN_SENT) {
+        gate_finish(run);
+        return;
+    }
+    /* Nothing runs beside a suspect until it is known what became of it. */
+    if (!run->alone) {
+        release_place(run);
+        run->abandoned = true;
+        sidecar->runs--;
+    }
+    run->state = RUN_BROKEN;
+    run->doubt_us = pgw_now_us() + ABANDONED_US;
+    pgw_timer_stop(sidecar->loop, &run->deadline);
+    kv_forget(sidecar->kv, run);
+    if (run->transfer != NULL) {
+        pgw_transfer_cancel(run->transfer);
+        run->transfer = NULL;
+    }
+    if (run->peer != NULL) {
+        g_hash_table_remove(run->peer->runs, &run->key);
+        run->peer = NULL;
+    }
+    release_held(sidecar);
+    gate_pump(sidecar);
+}
+
 static const char *
 claim_advice(enum pgw_refusal refusal)
 {
@@ -229,9 +272,12 @@
                   withdrawn ? waited : ran);
     /* A call that may not be repeated runs on: cutting it off would leave
      * even its service unsure whether it ran. */
-    if (withdrawn || run->open->repeatable) {
+    if (withdrawn) {
         gate_finish(run);
     }
+    else if (run->open->repeatable) {
+        gate_abandon(run);
+    }
     else {
         run_resume(run);
     }
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -34,6 +34,7 @@
  * @load_us: time that loading weights takes
  * @kv_rate: tokens a second to or from the KV store
  * @crash_on: a prompt with this text ends the process, or NULL
+ * @crash_after_us: time from its begin to that end, even if its caller leaves
  * @crash_linger_us: time from the break of that answer to the end
  * @retry_after_us: Retry-After of the first request, which is refused; 0: none
  * is
@@ -54,6 +55,7 @@
     double kv_rate;
     const char *weight_store;
     const char *crash_on;
+    uint64_t crash_after_us;
     uint64_t crash_linger_us;
     uint64_t retry_after_us;
     unsigned stop_at;
--- a/tests/standins/engine_batch_lib.c
+++ b/tests/standins/engine_batch_lib.c
@@ -210,6 +210,11 @@
 {
     uint64_t *linger_us = &engine->options.crash_linger_us;
 
+    /* It computes until then, and answers nobody. */
+    if (engine->options.crash_after_us > 0) {
+        pthread_mutex_unlock(&engine->lock);
+        end_later(&engine->options.crash_after_us);
+    }
     if (*linger_us == 0) {
         _exit(CRASH_STATUS);
     }
