Split the question whether an abandoned run was over

No change of what is decided: test_abandoned_run, test_crash_quarantine, prop_crash_parts and prop_crash_quarantine pass.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -471,6 +471,16 @@
     return true;
 }
 
+/* Whether an upstream that answered at @answered_us had ended an abandoned run
+ * by then. */
+static bool
+was_over(const struct pgw_crash_quarantine *quarantine,
+         const struct pgw_recorded_crash *run, uint64_t answered_us)
+{
+    return run->abandoned &&
+           run->at_us + quarantine->options.abandoned_run_us < answered_us;
+}
+
 /* Counts the unfinished runs of an upstream that has crashed. Returns whether
  * parts are among them. */
 static bool
@@ -493,18 +503,14 @@
         if (known == NULL || known->confirmed || known->at_us <= expired_us) {
             continue;
         }
-        if (known->abandoned &&
-            known->at_us + quarantine->options.abandoned_run_us <
-                answered_us) {
+        if (was_over(quarantine, known, answered_us) ||
+            (known->cleared && !record->is_part)) {
             pgw_crash_record_remove(record, known);
         }
         else if (record->is_part) {
             has_parts |= pgw_crash_quarantine__confirm_part(
                 quarantine, record, known, source, now_us);
         }
-        else if (known->cleared) {
-            pgw_crash_record_remove(record, known);
-        }
         else {
             uint64_t at_us = known->at_us;
             bool abandoned = known->abandoned;
