Let trials become rarer that all callers leave early

Cause: an abandoned trial ended as soon as its upstream was known to be well, so trials without a result followed each other every two seconds.

Change: after two abandoned trials the next one waits for eight seconds, then twice as long each time, up to 64 s. Nobody waits longer for a request that is well: one whose callers all leave early gets no answer from its trials either.

--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -79,6 +79,7 @@
  * @hops: number of entries that have passed the report on
  * @seeds_only: not sent to other entries than seeds
  * @abandoned: the entry had abandoned the run when its upstream crashed
+ * @abandoned_trials: of a trial: how many of the key were abandoned
  */
 struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
@@ -93,6 +94,7 @@
     uint32_t hops;
     bool seeds_only;
     bool abandoned;
+    uint32_t abandoned_trials;
 };
 
 /**
@@ -118,6 +120,11 @@
  *   quarantine a part
  * @abandoned_trial_crashes: number of crashed incarnations from which on the
  *   crash after an abandoned trial quarantines a request
+ * @abandoned_trials: number of a request's trials that may be abandoned before
+ *   the next one has to wait
+ * @abandoned_trial_us: how long the next one waits then, twice as long each
+ *   time
+ * @abandoned_trial_max_us: longest of these times
  * @part_trials: number of failed trials that quarantine a part
  * @completed_part_trials: the same of a part of which a run has completed here
  * @min_crash_gap_us: crashes of one key that are less than this apart are of
@@ -143,6 +150,9 @@
     uint32_t crashes;
     uint32_t part_crashes;
     uint32_t abandoned_trial_crashes;
+    uint32_t abandoned_trials;
+    uint64_t abandoned_trial_us;
+    uint64_t abandoned_trial_max_us;
     uint32_t part_trials;
     uint32_t completed_part_trials;
     uint64_t min_crash_gap_us;
@@ -165,32 +175,34 @@
  * a faulty one, and its trial may run beside a fourth.
  * abandoned_trial_crashes: the upstream of a slow trial whose caller has left
  * may lose power soon afterwards; that it does so twice is hardly chance.
- * part_trials: a second
- * power loss may interrupt the trial of a part that all requests share, which
- * no other request would run then. completed_part_trials: so may a faulty part
- * that is not a suspect yet, and more often so when few upstreams are up; a
- * part that was sound before is most likely still so.
- * min_crash_gap_us: a zone that loses power takes all upstreams of a service
- * down at once, and a popular request may be running at each of them.
- * crash_match_us: the list's record of a service without a sidecar expires
- * after three heartbeats of 1.2 s, and the list is acted on two to four
- * seconds later.
- * abandoned_run_us: an upstream stops within half a second of the close of its
- * connection, and a lost packet delays that close. With more, a request that
- * is only slow would be held responsible for crashes after it.
- * quarantine_us, quarantine_max_us: what is quarantined by mistake runs again
- * after a minute; what is faulty costs a crash then, so that three further
- * crashes take an hour and eleven minutes.
- * trial_settle_us: an entry that has used up its share of a processor receives
- * nothing for a tenth of a second. Two entries start at once if a message
- * takes longer than half of this. trial_claim_us: the claim of an entry that
- * has ended delays others so long, and part_trial_us its trial; all requests
- * may share the part. records_max: an engine that crashes with 64 runs adds
- * some 200; 8,192 records of some 500 bytes take 4 MB.
+ * abandoned_trials: a trial that all callers leave early shows nothing, and
+ * may crash an upstream. part_trials: a second power loss may interrupt the
+ * trial of a part that all requests share, which no other request would run
+ * then. completed_part_trials: so may a faulty part that is not a suspect yet,
+ * and more often so when few upstreams are up; a part that was sound before is
+ * most likely still so. min_crash_gap_us: a zone that loses power takes all
+ * upstreams of a service down at once, and a popular request may be running at
+ * each of them. crash_match_us: the list's record of a service without a
+ * sidecar expires after three heartbeats of 1.2 s, and the list is acted on
+ * two to four seconds later. abandoned_run_us: an upstream stops within half a
+ * second of the close of its connection, and a lost packet delays that close.
+ * With more, a request that is only slow would be held responsible for crashes
+ * after it. quarantine_us, quarantine_max_us: what is quarantined by mistake
+ * runs again after a minute; what is faulty costs a crash then, so that three
+ * further crashes take an hour and eleven minutes. trial_settle_us: an entry
+ * that has used up its share of a processor receives nothing for a tenth of a
+ * second. Two entries start at once if a message takes longer than half of
+ * this. trial_claim_us: the claim of an entry that has ended delays others so
+ * long, and part_trial_us its trial; all requests may share the part.
+ * records_max: an engine that crashes with 64 runs adds some 200; 8,192
+ * records of some 500 bytes take 4 MB.
  */
 #define PGW_CRASH_QUARANTINE_OPTIONS_INIT                                     \
     {                                                                         \
         .crashes = 3, .part_crashes = 5, .abandoned_trial_crashes = 5,        \
+        .abandoned_trials = 2,                                                \
+        .abandoned_trial_us = 8 * (uint64_t)G_USEC_PER_SEC,                   \
+        .abandoned_trial_max_us = 64 * (uint64_t)G_USEC_PER_SEC,              \
         .part_trials = 2, .completed_part_trials = 4,                         \
         .min_crash_gap_us = G_USEC_PER_SEC / 2,                               \
         .crash_match_us = 8 * (uint64_t)G_USEC_PER_SEC,                       \
@@ -295,6 +307,25 @@
                                       uint64_t trial, const char *upstream,
                                       uint64_t until_us, uint64_t now_us);
 
+/**
+ * pgw_crash_quarantine_abandon_trial() - the run of a trial was abandoned
+ * @quarantine: the state
+ * @keys: keys of the request
+ * @trial: token of the trial
+ * @upstream: where it ran
+ * @now_us: monotonic time
+ * @may_end_early: set to whether the trial may end as soon as @upstream is
+ * known to be well
+ *
+ * Return: when the trial ends without a result at the latest. Other entries
+ * take it for failed two seconds later.
+ */
+uint64_t
+pgw_crash_quarantine_abandon_trial(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_crash_keys *keys,
+                                   uint64_t trial, const char *upstream,
+                                   uint64_t now_us, bool *may_end_early);
+
 /** pgw_crash_quarantine_end_abandoned_trial() - the upstream of a trial whose
  * run was abandoned has crashed */
 void pgw_crash_quarantine_end_abandoned_trial(
--- a/src/gateway/crash/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -64,6 +64,7 @@
  * @crashes: the last crashes
  * @count: number of @crashes
  * @last_us: time of the last crash
+ * @abandoned_trials: number of trials that were abandoned
  * @quarantine_count: how often the key was quarantined
  * @quarantined_until_us: end of the last quarantine
  * @failed_trial: token of the trial that started it, 0: none did
@@ -77,6 +78,7 @@
     struct pgw_recorded_crash crashes[PGW_CRASH_RECORD_MAX];
     uint32_t count;
     uint64_t last_us;
+    uint32_t abandoned_trials;
     uint32_t quarantine_count;
     uint64_t quarantined_until_us;
     uint64_t failed_trial;
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -5,6 +5,8 @@
 /* Bits of a claim's token that are random; the rest is the number of suspects,
  * so that of several requests the one with the fewest runs first. */
 #define TOKEN_RANDOM_BITS 56
+/* A trial whose result is later than this has failed with its entry. */
+#define RESULT_LATE_US 2000000
 
 /* Adds the records that a trial holds. */
 static void
@@ -50,6 +52,7 @@
         .kind = kind,
         .left_us = left_us,
         .quarantines = record->quarantine_count,
+        .abandoned_trials = record->abandoned_trials,
         .upstream = kind == PGW_CRASHED_RUN_TRIAL_CLAIMED
                         ? record->trial.pool
                         : record->trial.upstream,
@@ -177,6 +180,8 @@
     if (record->is_part) {
         trial_max_us = quarantine->options.part_trial_us;
     }
+    record->abandoned_trials =
+        MAX(record->abandoned_trials, report->abandoned_trials);
     switch (report->kind) {
     case PGW_CRASHED_RUN_TRIAL_CLAIMED:
         return merge_claim(quarantine, record, report, now_us);
@@ -390,6 +395,34 @@
     }
 }
 
+uint64_t
+pgw_crash_quarantine_abandon_trial(struct pgw_crash_quarantine *quarantine,
+                                   const struct pgw_crash_keys *keys,
+                                   uint64_t trial, const char *upstream,
+                                   uint64_t now_us, bool *may_end_early)
+{
+    const struct pgw_crash_quarantine_options *options = &quarantine->options;
+    uint64_t wait_us = options->abandoned_trial_us;
+    uint32_t count = 0;
+    struct pgw_crash_suspects held;
+
+    find_held(&held, quarantine, keys, trial);
+    for (size_t i = 0; i < held.count; i++) {
+        if (!held.items[i]->is_part) {
+            count = ++held.items[i]->abandoned_trials;
+        }
+    }
+    for (uint32_t i = options->abandoned_trials + 1;
+         i < count && wait_us < options->abandoned_trial_max_us; i++) {
+        wait_us *= 2;
+    }
+    *may_end_early = count <= options->abandoned_trials;
+    pgw_crash_quarantine_start_trial(quarantine, keys, trial, upstream,
+                                     now_us + wait_us + RESULT_LATE_US,
+                                     now_us);
+    return now_us + wait_us;
+}
+
 bool
 pgw_crash_quarantine_has_trial_at(
     const struct pgw_crash_quarantine *quarantine, uint64_t trial,
--- a/src/gateway/request/abandoned_trials.c
+++ b/src/gateway/request/abandoned_trials.c
@@ -5,10 +5,6 @@
 #define CHECK_US 100000
 /* An upstream that has answered this long after the close had seen it. */
 #define RUN_OVER_US 1000000
-/* A crash that is not known by then is never attributed to the run. */
-#define CRASH_KNOWN_US 8000000
-/* Other entries take a trial for failed if its result is later than this. */
-#define RESULT_DUE_US (CRASH_KNOWN_US + 2000000)
 
 struct abandoned_trial {
     struct pgw_list in_trials;
@@ -16,6 +12,8 @@
     uint64_t trial;
     struct pgw_upstream *upstream;
     uint64_t abandoned_us;
+    uint64_t end_us;
+    bool may_end_early;
 };
 
 struct pgw_abandoned_trials {
@@ -40,8 +38,9 @@
     bool crashed = pgw_crash_quarantine_has_crashed(trials->quarantine,
                                                     trial->upstream->id);
     bool is_over =
-        trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US ||
-        now_us >= trial->abandoned_us + CRASH_KNOWN_US;
+        now_us >= trial->end_us ||
+        (trial->may_end_early &&
+         trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US);
 
     if (!crashed && !is_over) {
         return;
@@ -111,11 +110,11 @@
     added->trial = trial;
     added->upstream = pgw_upstream_ref(upstream);
     added->abandoned_us = now_us;
+    added->end_us = pgw_crash_quarantine_abandon_trial(
+        trials->quarantine, keys, trial, upstream->id, now_us,
+        &added->may_end_early);
     if (pgw_list_is_empty(&trials->trials)) {
         pgw_timer_start(trials->loop, &trials->timer, CHECK_US);
     }
     pgw_list_append(&trials->trials, &added->in_trials);
-    pgw_crash_quarantine_start_trial(trials->quarantine, keys, trial,
-                                     upstream->id, now_us + RESULT_DUE_US,
-                                     now_us);
 }
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -4132,7 +4132,7 @@
   (ProtobufCMessageInit) pgw__crashed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[12] =
 {
   {
     "fingerprint",
@@ -4266,8 +4266,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "abandoned_trials",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__SuspectRun, abandoned_trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__suspect_run__field_indices_by_name[] = {
+  11,   /* field[11] = abandoned_trials */
   3,   /* field[3] = age_us */
   0,   /* field[0] = fingerprint */
   6,   /* field[6] = hops */
@@ -4283,7 +4296,7 @@
 static const ProtobufCIntRange pgw__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pgw__suspect_run__descriptor =
 {
@@ -4293,7 +4306,7 @@
   "Pgw__SuspectRun",
   "pgw",
   sizeof(Pgw__SuspectRun),
-  11,
+  12,
   pgw__suspect_run__field_descriptors,
   pgw__suspect_run__field_indices_by_name,
   1,  pgw__suspect_run__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -664,10 +664,17 @@
    * started, failed: hash of the incarnation, claimed: of
    */
   uint64_t upstream;
+  /*
+   * the service; 0: not known
+   */
+  /*
+   * trials of the request that were abandoned
+   */
+  uint32_t abandoned_trials;
 };
 #define PGW__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__suspect_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Pgw__CrashedRuns
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -547,6 +547,46 @@
     pgw_crash_quarantine_free(other);
 }
 
+/* Guards against trials without a result that follow each other for as long as
+ * callers leave before the answer. */
+static void
+test_abandoned_trials_get_rarer(void)
+{
+    static const uint64_t waits_us[] = {8 * SECOND, 8 * SECOND, 8 * SECOND,
+                                        16 * SECOND, 32 * SECOND};
+    struct published published = {.count = 0};
+    struct pgw_crash_keys keys = make_keys(1);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+    uint64_t now_us = SECOND;
+
+    crash(quarantine, &keys, "a", now_us);
+    crash(quarantine, &keys, "b", now_us);
+    crash(quarantine, &keys, "c", now_us);
+    for (size_t i = 0; i < G_N_ELEMENTS(waits_us); i++) {
+        bool may_end_early;
+        uint64_t trial = 0;
+
+        published.count = 0;
+        g_assert_cmpint(admit(quarantine, &trial, i + 1, now_us), ==,
+                        PGW_CRASH_WAIT);
+        now_us += SECOND;
+        g_assert_cmpint(admit(quarantine, &trial, i + 1, now_us), ==,
+                        PGW_CRASH_TRIAL);
+        pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "d",
+                                         now_us + SECOND, now_us);
+        published.count = 0;
+        g_assert_cmpuint(pgw_crash_quarantine_abandon_trial(quarantine, &keys,
+                                                            trial, "d", now_us,
+                                                            &may_end_early),
+                         ==, now_us + waits_us[i]);
+        g_assert_cmpint(may_end_early, ==, i < 2);
+        g_assert_cmpuint(published.items[0].abandoned_trials, ==, i + 1);
+        pgw_crash_quarantine_end_trial(quarantine, &keys, trial, false,
+                                       now_us);
+    }
+    pgw_crash_quarantine_free(quarantine);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -583,5 +623,7 @@
                     test_abandoned_runs_end);
     g_test_add_func("/crash_quarantine/reports_confirm_abandoned_runs",
                     test_reports_confirm_abandoned_runs);
+    g_test_add_func("/crash_quarantine/abandoned_trials_get_rarer",
+                    test_abandoned_trials_get_rarer);
     return g_test_run();
 }
