--- a/tests/soak/late_crashes.py
+++ b/tests/soak/late_crashes.py
@@ -28,6 +28,7 @@
     def begin(self, body, crash_after_s, slow_s=0.0):
         self.body, self.crash_after_s = body, crash_after_s
         self.crashes, self.runs, self.late, self.slow_s = [], 0, 0, slow_s
+        self.ended = set()
         self.close_seen_s = self.soak.random.uniform(*CLOSE_SEEN_S)
 
     def note_run(self):
@@ -61,7 +62,9 @@
         if await works_on(late, writer, late.slow_s):
             writer.write(answer(200, f"done {attempt}".encode(), own))
     elif await works_on(late, writer, late.crash_after_s) and (
-            upstream.server.server is not None):
+            upstream.server.server is not None) and (
+            upstream.id not in late.ended):
+        late.ended.add(upstream.id)
         late.crashes.append(time.monotonic())
         asyncio.ensure_future(upstream.crash(
             upstream.soak.random.uniform(*DOWN_S)))
