--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -139,8 +139,7 @@
  * @record_lifetime_us: how long a record is kept after its last crash and its
  *   last quarantine
  * @trial_settle_us: time between the claim of a trial and its start, in which
- *   claims of other entries arrive; less if the request cannot wait for so
- * long
+ *   claims of other entries arrive; less if the request cannot wait so long
  * @trial_claim_us: how long a claim lasts that is not renewed
  * @part_trial_us: longest time for which a trial holds others with its part
  *   back
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -87,8 +87,7 @@
 
 /** pgw_crash_quarantine__count() - add a confirmed crash to a whole request;
  * returns whether it is new and counts. @abandoned: its run had been
- * abandoned;
- * @source: who saw it, for logs */
+ * abandoned; @source: who saw it, for logs */
 bool pgw_crash_quarantine__count(struct pgw_crash_quarantine *quarantine,
                                  struct pgw_crash_record *record,
                                  uint64_t crash, bool abandoned,
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -96,8 +96,8 @@
         pgw_crash_quarantine__count(quarantine, record, report->crash,
                                     report->abandoned, "entry", at_us, now_us);
 
-    /* It confirms what this entry's runs there have left. An entry that
-     * connects is told of crashes long past, too. */
+    /* Confirms this entry's own unfinished runs at that upstream. An entry
+     * that connects receives reports of older crashes, too. */
     if (at_us > pgw_crash_table_expired_us(quarantine->table, now_us)) {
         pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL, at_us,
                                         PGW_CRASH_HOPS_MAX + 1, now_us);
