Cancel a pending answer of the store before a test frees its lease

Cause: the fixture plays the store and posts its answers as tasks. One that is posted when the loop stops runs after the lease was freed. The product does not do this: platform_lease_free() cancels the calls of the store first. The fixture does the same now.

--- a/tests/unit/test_sidecarless.c
+++ b/tests/unit/test_sidecarless.c
@@ -45,6 +45,9 @@
 answer_run(struct pgw_task *task)
 {
     (void)task;
+    if (fixture->sidecarless == NULL) {
+        return;
+    }
     switch (fixture->pending_call) {
     case READ:
         pgw_sidecarless_finish_read(fixture->sidecarless,
@@ -188,6 +191,9 @@
     pgw_loop_stop(fixture->loop);
     pthread_join(fixture->thread, NULL);
     pgw_sidecarless_free(fixture->sidecarless);
+    /* Cancels a pending answer, as a store does; it runs when the links are
+     * freed. */
+    fixture->sidecarless = NULL;
     pgw_sidecar_links_free(fixture->links);
     pgw_gateway_free(fixture->gateway);
     pgw_loop_free(fixture->loop);
