Test two more ways in which an entry gives a run up

The postmortem of crashes after abandoned runs says of answers that are not genuine, and of runs whose copy goes on elsewhere, that they were only read. Both now have a test: the run that was given up counts once its upstream has crashed.

--- a/tests/unit/test_abandoned_run.c
+++ b/tests/unit/test_abandoned_run.c
@@ -1,4 +1,6 @@
 #include "scene_gateway.h"
+
+#include "util/log.h"
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -161,6 +163,27 @@
     scene_free(scene);
 }
 
+/* Guards against the same with runs that are given up at an answer that is not
+ * genuine. */
+static void
+test_false_answer_before_crash(void)
+{
+    struct scene *scene = ready_scene();
+    int callers[SCENE_UPSTREAMS];
+    int upstreams[SCENE_UPSTREAMS];
+
+    run_everywhere(scene, "/once/", callers, upstreams);
+    for (unsigned i = 0; i < SCENE_UPSTREAMS; i++) {
+        scene_send(upstreams[i],
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        wait_closed(upstreams[i]);
+        expect(callers[i], "HTTP/1.1 502 ");
+    }
+    scene_restart_upstreams(scene);
+    expect_one_run(scene, "/once/");
+    scene_free(scene);
+}
+
 /* Guards against slow requests that wait for each other though no upstream has
  * crashed. */
 static void
@@ -329,6 +352,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    pgw_log_init("test", "", "error");
     g_test_add_func("/abandoned_run/slow_requests_run_together",
                     test_slow_requests_run_together);
     g_test_add_func("/abandoned_run/callers_leave_before_crash",
@@ -339,6 +363,8 @@
                     test_deadline_before_crash);
     g_test_add_func("/abandoned_run/response_timeout_before_crash",
                     test_response_timeout_before_crash);
+    g_test_add_func("/abandoned_run/false_answer_before_crash",
+                    test_false_answer_before_crash);
     g_test_add_func("/abandoned_run/suspect_with_little_time_is_tried",
                     test_suspect_with_little_time_is_tried);
     g_test_add_func("/abandoned_run/trial_stays_at_its_upstream",
--- a/tests/unit/test_cover_gateway.c
+++ b/tests/unit/test_cover_gateway.c
@@ -365,6 +365,48 @@
     end_run(&run, holder);
 }
 
+/* All engines crash. The run that was taken from the first one counts. */
+static void
+expect_counted(struct scene *scene)
+{
+    struct pgw_crash_quarantine *quarantine = scene->gateway->crash_quarantine;
+    unsigned counted = 0;
+    GArray *runs;
+
+    pgw_list_foreach (
+        link, pgw_upstream_table_all(pgw_gateway_upstreams(scene->gateway))) {
+        pgw_crash_quarantine_add_crash(
+            quarantine,
+            pgw_container_of(link, struct pgw_upstream, in_table)->id, 0,
+            pgw_now_us());
+    }
+    runs = pgw_crash_quarantine_list(quarantine, pgw_now_us());
+    for (guint i = 0; i < runs->len; i++) {
+        const struct pgw_crashed_run *run =
+            &g_array_index(runs, struct pgw_crashed_run, i);
+
+        counted += run->kind == PGW_CRASHED_RUN_CRASHED && !run->is_part &&
+                   run->abandoned;
+    }
+    g_array_unref(runs);
+    g_assert_cmpuint(counted, ==, 1);
+}
+
+/* Guards against a request that crashes an engine just after its run went on
+ * elsewhere, and that nothing is held against. */
+static void
+test_silent_engine_crashes(void)
+{
+    struct run run = begin_run(covered_scene(3, true), true);
+    int holder;
+
+    scene_run(run.scene, set_unresponsive);
+    holder = accept_continued(&run, "\r\nLast-Event-Id: 2\r\n");
+    scene_run(run.scene, expect_counted);
+    close(run.fd);
+    end_run(&run, holder);
+}
+
 /* Guards against an engine that works on while the run goes on elsewhere: it
  * sent bytes that are no answer, so it is alive. */
 static void
@@ -542,6 +584,8 @@
     g_test_add_func("/cover_gateway/holder_is_cut_off",
                     test_holder_is_cut_off);
     g_test_add_func("/cover_gateway/silent_engine", test_silent_engine);
+    g_test_add_func("/cover_gateway/silent_engine_crashes",
+                    test_silent_engine_crashes);
     g_test_add_func("/cover_gateway/garbled_answer", test_garbled_answer);
     g_test_add_func("/cover_gateway/framed_cut", test_framed_cut);
     g_test_add_func("/cover_gateway/entry_pauses", test_entry_pauses);
