Restart entries in the soak while a request crashes upstreams late

The postmortem leaves open that an entry that stops or is killed takes the evidence of its runs along; nothing played it. The act late_crashes_restarts kills or stops an entry every 1.5 to 5 s while the request of late_crashes is sent.

--- a/tests/soak/late_crashes.py
+++ b/tests/soak/late_crashes.py
@@ -2,6 +2,7 @@
 stopped waiting: a request that crashes them then, and one that is only slow."""
 import asyncio
 import json
+import signal
 import time
 
 from wire import answer, read_body, read_head
@@ -15,6 +16,7 @@
 OBJECTIVE_MS, TIMEOUT_MS, ATTEMPTS = (100, 300, 1000), (300, 1000, 4000), (1, 2, 3)
 FOR_S, CALLERS, PAUSE_S = 14.0, 3, 0.1
 ROUTE = "late"
+RESTART_EVERY_S, RESTART_PAUSE_S = (1.5, 5.0), (0.1, 0.8)
 
 
 class Late:
@@ -145,6 +147,26 @@
           f"answers={answers}", flush=True)
 
 
+async def restart_entries(soak, fleet, until):
+    """Kills and stops entries, one after the other."""
+    pick = soak.random
+    while soak.broken is None:
+        await asyncio.sleep(pick.uniform(*RESTART_EVERY_S))
+        if time.monotonic() > until:
+            return
+        entry = pick.choice(fleet.entries)
+        if entry.serves():
+            await entry.restart(pick.choice([signal.SIGKILL, signal.SIGTERM]),
+                                pick.uniform(*RESTART_PAUSE_S))
+
+
+async def late_crashes_restarts(soak, fleet):
+    """The same while entries take evidence along as they are restarted."""
+    await asyncio.gather(
+        late_crashes(soak, fleet),
+        restart_entries(soak, fleet, time.monotonic() + FOR_S))
+
+
 async def slow_request(soak, fleet):
     """A harmless request is given up again and again, first beside no crash and
     then beside two power losses; afterwards all its callers are served."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1437,6 +1437,7 @@
 ACTS = {"uneven_engines": uneven_engines.uneven_engines,
         "one_workspace": one_workspace.one_workspace,
         "late_crashes": late_crashes.late_crashes,
+        "late_crashes_restarts": late_crashes.late_crashes_restarts,
         "slow_request": late_crashes.slow_request,
         "killed_engines": killed_engines.killed_engines,
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
