Hold a broken run responsible for the end of its engine a while longer

An engine breaks off the answer to a faulty request and ends half a second later. The sidecar asked it 0.2 s after the break, found it alive, reported the run as broken off by an engine that lives, and forgot it. Each time the request was sent again it ended another engine, and was never quarantined.

A run was taken to be over when the process that waits for it stops waiting. Here that process is the sidecar, at the first answer of its engine after a broken one.

Change: the caller gets its answer as before, and the run is kept as an abandoned one is: for a second and until the engine has answered after it. If the engine has ended by then, the run counts as crashed. Nothing runs beside a suspect meanwhile.

--- a/src/sidecar/gate_crash.c
+++ b/src/sidecar/gate_crash.c
@@ -60,16 +60,20 @@
     if (run->settled) {
         return;
     }
-    run->settled = true;
     if (!engine->alive || engine->incarnation != run->engine) {
+        run->settled = true;
         suspicion_crashed(run->sidecar->suspicion, run, run->engine);
         return;
     }
-    if (!run->ended) {
-        run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
-                      "the upstream broke off its answer");
+    if (run->ended) {
+        run->settled = true;
+        gate_finish(run);
+        return;
     }
-    gate_finish(run);
+    run_send_fail(run, PGW_REFUSAL_UPSTREAM_FAILED, PGW_RAN_UNKNOWN, 0,
+                  "the upstream broke off its answer");
+    /* The engine may still be about to end. */
+    gate_abandon(run);
 }
 
 static void
