--- a/review/standins.py
+++ b/review/standins.py
@@ -478,7 +478,13 @@
     """Runs a case and ends with its status, without waiting for stand-ins."""
     run = Run(os.path.dirname(os.path.abspath(path)))
 
+    def stop():
+        run.note("stopped from outside")
+        run.close()
+        os._exit(2)
+
     async def play():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             status = await case(run).main()
         except (OSError, RuntimeError, AssertionError) as error:
