Log what suspects are answered, and answers shortly before a crash

Logs could not tell whether a request that goes on crashing upstreams was tried without a result, or was answered before each crash: a trial's end had no reason, and an answer before a crash left no line.

suspect_answered names each answer to a request that was running in three crashes; answered_before_crash (routine) names answers that came less than half a second before their upstream was last known to run.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -51,6 +51,17 @@
     quarantine->context = context;
 }
 
+void
+pgw_crash_quarantine_subscribe_crashes(struct pgw_crash_quarantine *quarantine,
+                                       void (*on_crash)(uint64_t crash,
+                                                        uint64_t answered_us,
+                                                        void *context),
+                                       void *context)
+{
+    quarantine->on_crash = on_crash;
+    quarantine->crash_context = context;
+}
+
 void
 pgw_crash_quarantine__publish(const struct pgw_crash_quarantine *quarantine,
                               const struct pgw_crashed_run *crashed,
@@ -555,6 +566,9 @@
     pgw_log_info("upstream_crash",
                  "upstream=%s crash=%016" G_GINT64_MODIFIER "x source=%s",
                  upstream == NULL ? "-" : upstream, crash, source);
+    if (quarantine->on_crash != NULL) {
+        quarantine->on_crash(crash, answered_us, quarantine->crash_context);
+    }
     reports = g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
     if (count_unfinished_runs(quarantine, crash, answered_us, source, reports,
                               now_us) &&
@@ -586,6 +600,25 @@
                                              pgw_place_id_hash(upstream));
 }
 
+uint32_t
+pgw_crash_quarantine_crashes(const struct pgw_crash_quarantine *quarantine,
+                             const struct pgw_crash_keys *keys,
+                             uint64_t now_us)
+{
+    uint32_t crashes = 0;
+
+    for (size_t i = 0; i < keys->count; i++) {
+        const struct pgw_crash_record *record =
+            pgw_crash_table_find(quarantine->table, &keys->items[i]);
+
+        if (record != NULL) {
+            crashes = MAX(crashes, pgw_crash_quarantine__suspicions(
+                                       quarantine, record, now_us));
+        }
+    }
+    return crashes;
+}
+
 enum pgw_crash_reach
 pgw_crash_quarantine__clear_record(struct pgw_crash_quarantine *quarantine,
                                    const struct pgw_fingerprint *key)
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -234,6 +234,19 @@
                        void *context),
     void *context);
 
+/**
+ * pgw_crash_quarantine_subscribe_crashes() - set the callback for crashes
+ * @quarantine: the state
+ * @on_crash: called when the crash of an incarnation becomes known, with the
+ *   hash of its id and the time at which it was last known to run, 0: not
+ *   known; NULL: no callback
+ * @context: passed to @on_crash
+ */
+void pgw_crash_quarantine_subscribe_crashes(
+    struct pgw_crash_quarantine *quarantine,
+    void (*on_crash)(uint64_t crash, uint64_t answered_us, void *context),
+    void *context);
+
 /**
  * pgw_crash_quarantine_add_interrupted() - add a run whose connection broke
  * @quarantine: the state
@@ -271,6 +284,13 @@
 pgw_crash_quarantine_has_crashed(const struct pgw_crash_quarantine *quarantine,
                                  const char *upstream);
 
+/** pgw_crash_quarantine_crashes() - number of crashes that count against a
+ * request: the most of any of its keys */
+uint32_t
+pgw_crash_quarantine_crashes(const struct pgw_crash_quarantine *quarantine,
+                             const struct pgw_crash_keys *keys,
+                             uint64_t now_us);
+
 /** pgw_crash_quarantine_clear() - clear the crashes of a request's keys after
  * a completed run */
 void pgw_crash_quarantine_clear(struct pgw_crash_quarantine *quarantine,
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -40,6 +40,8 @@
     void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
                        void *context);
     void *context;
+    void (*on_crash)(uint64_t crash, uint64_t answered_us, void *context);
+    void *crash_context;
 };
 
 /* crash_quarantine.c */
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/crash/unframed_runs.h"
 #include "gateway/placement/lanes.h"
 #include "gateway/request/abandoned_trials.h"
+#include "gateway/request/answered_runs.h"
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
@@ -25,6 +26,7 @@
  *   upstreams crashed
  * @abandoned_trials: trials of these whose runs were abandoned
  * @unframed_runs: runs that ended with their connections
+ * @answered_runs: runs whose upstreams may still crash of them
  * @losses: engines that ended lately
  * @quota: quotas of workspaces
  * @stream_origins: software versions of streams
@@ -73,6 +75,7 @@
     struct pgw_crash_quarantine *crash_quarantine;
     struct pgw_abandoned_trials *abandoned_trials;
     struct pgw_unframed_runs *unframed_runs;
+    struct pgw_answered_runs *answered_runs;
     struct pgw_engine_losses losses;
     struct pgw_quota *quota;
     struct pgw_stream_origins *stream_origins;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -109,6 +109,8 @@
         pgw_abandoned_trials_new(loop, gateway->crash_quarantine);
     gateway->unframed_runs =
         pgw_unframed_runs_new(loop, gateway->crash_quarantine);
+    gateway->answered_runs =
+        pgw_answered_runs_new(loop, gateway->crash_quarantine);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
     gateway->stream_origins = pgw_stream_origins_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
@@ -144,6 +146,7 @@
     pgw_retry_budgets_free(gateway->budgets);
     pgw_abandoned_trials_free(gateway->abandoned_trials);
     pgw_unframed_runs_free(gateway->unframed_runs);
+    pgw_answered_runs_free(gateway->answered_runs);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->target_weights);
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -330,12 +330,50 @@
     }
 }
 
+/* The end of an attempt that did not crash its upstream shows in the logs if
+ * the request has crashed others. */
+static void
+log_suspect(const struct pgw_exchange *exchange)
+{
+    struct pgw_crash_quarantine *quarantine =
+        exchange->gateway->crash_quarantine;
+    uint32_t crashes = pgw_crash_quarantine_crashes(
+        quarantine, &exchange->crash_keys, pgw_now_us());
+    char name[PGW_FINGERPRINT_HEX];
+
+    if (crashes < exchange->gateway->options.crash_quarantine.crashes) {
+        return;
+    }
+    pgw_fingerprint_print(name, &exchange->crash_keys.items[0]);
+    pgw_log_info("suspect_answered",
+                 "request=%s upstream=%s fingerprint=%s crashes=%u "
+                 "trial=%016" G_GINT64_MODIFIER "x status=%u not_run=%d "
+                 "ms=%" G_GUINT64_FORMAT,
+                 exchange->facts.id, exchange->upstream->id, name, crashes,
+                 exchange->trial, exchange->status, (int)exchange->not_run,
+                 (pgw_now_us() - exchange->sent_us) / 1000);
+}
+
+static void
+keep_answered_run(const struct pgw_exchange *exchange)
+{
+    const struct pgw_answered_run run = {
+        .request = exchange->facts.id,
+        .keys = &exchange->crash_keys,
+        .upstream = exchange->upstream,
+        .status = exchange->status,
+    };
+
+    pgw_answered_runs_add(exchange->gateway->answered_runs, &run);
+}
+
 static void
 on_done(struct pgw_call *call)
 {
     struct pgw_exchange *exchange = exchange_of(call);
 
     exchange->run_is_over = true;
+    log_suspect(exchange);
     if (exchange->not_run) {
         pgw_attempt_record_result(exchange, PGW_RESULT_REFUSED);
         if (exchange->runs > 0) {
@@ -361,6 +399,7 @@
         }
         return;
     }
+    keep_answered_run(exchange);
     if (exchange->status >= 500) {
         pgw_attempt_record_result(exchange, PGW_RESULT_ERROR);
         if (exchange->caller != NULL && pgw_attempt_may_retry(exchange) &&
--- a/tests/soak/late_crashes.py
+++ b/tests/soak/late_crashes.py
@@ -72,18 +72,18 @@
             upstream.soak.random.uniform(*DOWN_S)))
 
 
-async def send(soak, fleet, attempt, patience_s):
-    """One attempt at any entry; returns the status and the error's code."""
+async def ask(soak, fleet, attempt, route, body, patience_s):
+    """One request at any entry; returns its status, None: no answer came in
+    time, and the body."""
     entry = soak.random.randrange(len(fleet.entries))
     soak.sent_to[attempt], soak.sent_at[attempt] = entry, time.monotonic()
-    body = soak.late.body
     try:
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(soak.ip(2, entry), FRONT), 1)
     except (OSError, asyncio.TimeoutError):
-        return None, ""
+        return None, b""
     try:
-        writer.write((f"POST /{ROUTE}/x HTTP/1.1\r\nHost: h.example\r\n"
+        writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: h.example\r\n"
                       f"Attempt-Id: {attempt}\r\nDeadline-Ms: 4000\r\n"
                       f"Authorization: Bearer {fleet.keys[-1]}\r\n"
                       f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -92,13 +92,20 @@
         got = await asyncio.wait_for(read_body(reader, fields), patience_s)
     except (OSError, ValueError, asyncio.IncompleteReadError,
             asyncio.TimeoutError):
-        return None, ""
+        return None, b""
     finally:
         writer.close()
-    if start[1] == "200":
-        return 200, ""
-    soak.failed[attempt] = int(start[1])
-    return int(start[1]), json.loads(got)["error"]["code"]
+    return int(start[1]), got
+
+
+async def send(soak, fleet, attempt, patience_s):
+    """One attempt at any entry; returns the status and the error's code."""
+    status, got = await ask(soak, fleet, attempt, ROUTE, soak.late.body,
+                            patience_s)
+    if status in (None, 200):
+        return status, ""
+    soak.failed[attempt] = status
+    return status, json.loads(got)["error"]["code"]
 
 
 async def set_route(soak, fleet):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 import one_workspace
 import stepping
 import uneven_engines
+import unproven_attempts
 from wire import answer, read_body, read_head
 
 ENTRIES, ENGINES, PLAINS = 3, 4, 2
@@ -137,6 +138,7 @@
         self.poison = Poison(self)
         self.parts = crashing_parts.Parts(self)
         self.late = late_crashes.Late(self)
+        self.unproven = unproven_attempts.Unproven(self)
         self.popular_run_s = 0.0
         # What engines that work in steps are doing, and their addresses.
         self.stream_events, self.working, self.engines = {}, {}, {}
@@ -504,6 +506,7 @@
         self.starts, self.version, self.sequence = 0, 1, 0
         self.life, self.born, self.software = 0, 0, "v1"
         self.token, self.busy, self.state = 0, False, "ready"
+        self.full = False
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
         self.backoff = Backoff(soak, self.ip)
@@ -656,7 +659,7 @@
             return
         if fields.get("expect-instance") != self.id or self.soak.random.random(
         ) < 0.01 or fields.get("expect-version", str(
-                self.version)) != str(self.version) or self.busy:
+                self.version)) != str(self.version) or self.busy or self.full:
             writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"))
             return
         if self.steps is not None and self.steps.is_full():
@@ -678,6 +681,9 @@
                 self, attempt, writer,
                 f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n")
             return
+        if body and body == self.soak.unproven.body.encode():
+            await unproven_attempts.serve(self, attempt, writer)
+            return
         text, events = attempt, 9
         if body.startswith(b"stream"):
             text, events = self.software, STREAM_EVENTS + 1
@@ -1443,7 +1449,7 @@
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
-        "version_gone": version_gone}
+        "version_gone": version_gone, **unproven_attempts.ACTS}
 
 
 async def explain(soak):
