--- a/src/gateway/config/codec.h
+++ b/src/gateway/config/codec.h
@@ -112,6 +112,8 @@
  * @read_request: decode a caller's head; false: it is malformed. The decoded
  *   strings point into the head
  * @write_request: append the whole request as it goes to an upstream
+ * @write_status_check: append a status check of the upstream at @host, with
+ *   the path that its service names
  * @read_answer: decode an upstream's head
  * @keep_answer_field: whether callers get this field of an upstream's head
  */
@@ -119,6 +121,8 @@
     bool (*read_request)(struct pgw_request_facts *out,
                          const struct pgw_http_head *head);
     void (*write_request)(GString *out, const struct pgw_forward *forward);
+    void (*write_status_check)(GString *out, const char *path,
+                               const char *host);
     void (*read_answer)(struct pgw_answer_facts *out,
                         const struct pgw_http_head *head);
     bool (*keep_answer_field)(const char *name);
--- a/src/gateway/config/route_table.c
+++ b/src/gateway/config/route_table.c
@@ -39,6 +39,7 @@
 
     g_free(service->name);
     g_free(service->store_address);
+    g_free(service->status_path);
     g_free(service->zone);
     g_free(service);
 }
--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -78,6 +78,7 @@
  * @is_kv_store: the service stores KV cache and takes no requests
  * @store_address: address of the KV store, NULL for any other service
  * @zone: availability zone of the store
+ * @status_path: path of its upstreams' status check, NULL: not stated
  */
 struct pgw_service {
     char *name;
@@ -91,6 +92,7 @@
     bool is_kv_store;
     char *store_address;
     char *zone;
+    char *status_path;
 };
 
 /**
--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -183,6 +183,11 @@
          i++) {
         duration_us *= 10;
     }
+    if (record->trials >= PGW_CRASH_TRIALS_MAX) {
+        duration_us = MAX(
+            duration_us,
+            quarantine->options.unproven_wait_us[PGW_CRASH_TRIALS_MAX - 1]);
+    }
     record->quarantine_count++;
     record->quarantined_until_us =
         now_us + MIN(duration_us, quarantine->options.quarantine_max_us);
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -23,6 +23,11 @@
  * The crashes of a quarantined part count no longer against other keys that
  * were running in some of them.
  *
+ * A trial that ends without a crash and without a completed run proves
+ * nothing: its upstream refused it, failed by itself, or was not waited for.
+ * The next one waits longer each time. After three trials, whatever became of
+ * them, there is none for ten minutes.
+ *
  * An entry stops waiting for a run when its caller leaves, its time is over,
  * or it is sent to another upstream. The upstream works on it until it sees
  * the close, and may crash by it. Such a run counts like an interrupted one,
@@ -43,7 +48,8 @@
  *   confirmed yet
  * @PGW_CRASHED_RUN_TRIAL_CLAIMED: an entry is about to start a trial
  * @PGW_CRASHED_RUN_TRIAL_STARTED: an entry runs a trial
- * @PGW_CRASHED_RUN_TRIAL_ENDED: a trial ended without a result
+ * @PGW_CRASHED_RUN_TRIAL_ENDED: a trial ended without a result; the next one
+ *   starts after @left_us
  * @PGW_CRASHED_RUN_TRIAL_FAILED: a trial was interrupted; of a part that is
  *   not quarantined for it, @left_us is 0
  * @PGW_CRASHED_RUN_UPSTREAM: an upstream has crashed, which confirms the
@@ -70,7 +76,8 @@
  *   %PGW_CRASHED_RUN_UPSTREAM: how long ago the upstream last answered, 0: not
  *   known
  * @kind: what happened
- * @left_us: how long the claim, the trial or the quarantine lasts
+ * @left_us: how long the claim, the trial, the quarantine or the wait for the
+ *   next trial lasts
  * @quarantines: how often the key was quarantined, of a failed trial
  * @upstream: hash of the incarnation that runs a trial, or has interrupted
  *   it, of a claim that of the service; 0: not known
@@ -79,7 +86,7 @@
  * @hops: number of entries that have passed the report on
  * @seeds_only: not sent to other entries than seeds
  * @abandoned: the entry had abandoned the run when its upstream crashed
- * @abandoned_trials: of a trial: how many of the key were abandoned
+ * @trials: of a trial: how many of the key have ended without a completed run
  */
 struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
@@ -94,9 +101,26 @@
     uint32_t hops;
     bool seeds_only;
     bool abandoned;
-    uint32_t abandoned_trials;
+    uint32_t trials;
+};
+
+/**
+ * enum pgw_trial_result - how a trial ended that did not complete
+ * @PGW_TRIAL_WITHDRAWN: it reached no upstream
+ * @PGW_TRIAL_UNPROVEN: it reached an upstream, which neither crashed nor
+ *   completed it: the upstream refused it, answered with an error of its own,
+ *   or was not waited for
+ * @PGW_TRIAL_FAILED: the connection to its upstream broke during the run
+ */
+enum pgw_trial_result {
+    PGW_TRIAL_WITHDRAWN,
+    PGW_TRIAL_UNPROVEN,
+    PGW_TRIAL_FAILED,
 };
 
+/* Trials of one key, whatever became of them, before the longest wait. */
+#define PGW_CRASH_TRIALS_MAX 3
+
 /**
  * enum pgw_crash_verdict - what may be done with a request
  * @PGW_CRASH_ALLOW: it may run
@@ -120,11 +144,9 @@
  *   quarantine a part
  * @abandoned_trial_crashes: number of crashed incarnations from which on the
  *   crash after an abandoned trial quarantines a request
- * @abandoned_trials: number of a request's trials that may be abandoned before
- *   the next one has to wait
- * @abandoned_trial_us: how long the next one waits then, twice as long each
- *   time
- * @abandoned_trial_max_us: longest of these times
+ * @abandoned_trial_us: how long an abandoned trial is unsettled at most
+ * @unproven_wait_us: how long the next trial waits after the first, second and
+ *   third one; after the third also if it has failed
  * @part_trials: number of failed trials that quarantine a part
  * @completed_part_trials: the same of a part of which a run has completed here
  * @min_crash_gap_us: crashes of one key that are less than this apart are of
@@ -149,9 +171,8 @@
     uint32_t crashes;
     uint32_t part_crashes;
     uint32_t abandoned_trial_crashes;
-    uint32_t abandoned_trials;
     uint64_t abandoned_trial_us;
-    uint64_t abandoned_trial_max_us;
+    uint64_t unproven_wait_us[PGW_CRASH_TRIALS_MAX];
     uint32_t part_trials;
     uint32_t completed_part_trials;
     uint64_t min_crash_gap_us;
@@ -174,34 +195,37 @@
  * a faulty one, and its trial may run beside a fourth.
  * abandoned_trial_crashes: the upstream of a slow trial whose caller has left
  * may lose power soon afterwards; that it does so twice is hardly chance.
- * abandoned_trials: a trial that all callers leave early shows nothing, and
- * may crash an upstream. part_trials: a second power loss may interrupt the
- * trial of a part that all requests share, which no other request would run
- * then. completed_part_trials: so may a faulty part that is not a suspect yet,
- * and more often so when few upstreams are up; a part that was sound before is
- * most likely still so. min_crash_gap_us: a zone that loses power takes all
- * upstreams of a service down at once, and a popular request may be running at
- * each of them. crash_match_us: the list's record of a service without a
- * sidecar expires after three heartbeats of 1.2 s, and the list is acted on
- * two to four seconds later. abandoned_run_us: an upstream stops within half a
- * second of the close of its connection, and a lost packet delays that close.
- * With more, a request that is only slow would be held responsible for crashes
- * after it. quarantine_us, quarantine_max_us: what is quarantined by mistake
- * runs again after a minute; what is faulty costs a crash then, so that three
- * further crashes take an hour and eleven minutes. trial_settle_us: an entry
- * that has used up its share of a processor receives nothing for a tenth of a
- * second. Two entries start at once if a message takes longer than half of
- * this. trial_claim_us: the claim of an entry that has ended delays others so
- * long, and part_trial_us its trial; all requests may share the part.
- * records_max: an engine that crashes with 64 runs adds some 200; 8,192
- * records of some 500 bytes take 4 MB.
+ * unproven_wait_us: upstreams that come back after a crash are full for some
+ * seconds, and refuse the first two trials alike. Three runs more are what a
+ * faulty request may cost in the minutes after its crashes. part_trials: a
+ * second power loss may interrupt the trial of a part that all requests share,
+ * which no other request would run then. completed_part_trials: so may a
+ * faulty part that is not a suspect yet, and more often so when few upstreams
+ * are up; a part that was sound before is most likely still so.
+ * min_crash_gap_us: a zone that loses power takes all upstreams of a service
+ * down at once, and a popular request may be running at each of them.
+ * crash_match_us: the list's record of a service without a sidecar expires
+ * after three heartbeats of 1.2 s, and the list is acted on two to four
+ * seconds later. abandoned_run_us: an upstream stops within half a second of
+ * the close of its connection, and a lost packet delays that close. With more,
+ * a request that is only slow would be held responsible for crashes after it.
+ * quarantine_us, quarantine_max_us: what is quarantined by mistake runs again
+ * after a minute; what is faulty costs a crash then, so that three further
+ * crashes take an hour and eleven minutes. trial_settle_us: an entry that has
+ * used up its share of a processor receives nothing for a tenth of a second.
+ * Two entries start at once if a message takes longer than half of this.
+ * trial_claim_us: the claim of an entry that has ended delays others so long,
+ * and part_trial_us its trial; all requests may share the part. records_max:
+ * an engine that crashes with 64 runs adds some 200; 8,192 records of some 500
+ * bytes take 4 MB.
  */
 #define PGW_CRASH_QUARANTINE_OPTIONS_INIT                                     \
     {                                                                         \
         .crashes = 3, .part_crashes = 5, .abandoned_trial_crashes = 5,        \
-        .abandoned_trials = 2,                                                \
         .abandoned_trial_us = 8 * (uint64_t)G_USEC_PER_SEC,                   \
-        .abandoned_trial_max_us = 64 * (uint64_t)G_USEC_PER_SEC,              \
+        .unproven_wait_us = {(uint64_t)G_USEC_PER_SEC,                        \
+                             20 * (uint64_t)G_USEC_PER_SEC,                   \
+                             600 * (uint64_t)G_USEC_PER_SEC},                 \
         .part_trials = 2, .completed_part_trials = 4,                         \
         .min_crash_gap_us = G_USEC_PER_SEC / 2,                               \
         .crash_match_us = 8 * (uint64_t)G_USEC_PER_SEC,                       \
@@ -333,17 +357,13 @@
  * @trial: token of the trial
  * @upstream: where it ran
  * @now_us: monotonic time
- * @may_end_early: set to whether the trial may end as soon as @upstream is
- * known to be well
  *
  * Return: when the trial ends without a result at the latest. Other entries
  * take it for failed two seconds later.
  */
-uint64_t
-pgw_crash_quarantine_abandon_trial(struct pgw_crash_quarantine *quarantine,
-                                   const struct pgw_crash_keys *keys,
-                                   uint64_t trial, const char *upstream,
-                                   uint64_t now_us, bool *may_end_early);
+uint64_t pgw_crash_quarantine_abandon_trial(
+    struct pgw_crash_quarantine *quarantine, const struct pgw_crash_keys *keys,
+    uint64_t trial, const char *upstream, uint64_t now_us);
 
 /** pgw_crash_quarantine_end_abandoned_trial() - the upstream of a trial whose
  * run was abandoned has crashed */
@@ -362,16 +382,29 @@
  * @quarantine: the state
  * @keys: keys of the request
  * @trial: its token
- * @interrupted: the connection to its upstream broke during the run
+ * @result: how it ended
  * @now_us: monotonic time
  *
  * A run that completed is reported with pgw_crash_quarantine_clear() before.
  */
 void pgw_crash_quarantine_end_trial(struct pgw_crash_quarantine *quarantine,
                                     const struct pgw_crash_keys *keys,
-                                    uint64_t trial, bool interrupted,
+                                    uint64_t trial,
+                                    enum pgw_trial_result result,
                                     uint64_t now_us);
 
+/** pgw_crash_quarantine_trials() - number of trials of a request's suspects
+ * that have ended without a completed run: the most of any of them */
+uint32_t
+pgw_crash_quarantine_trials(const struct pgw_crash_quarantine *quarantine,
+                            const struct pgw_crash_keys *keys);
+
+/** pgw_crash_quarantine_trial_wait_us() - how long it takes until a trial of
+ * the request's suspects may start; 0: one may now, or is in progress */
+uint64_t pgw_crash_quarantine_trial_wait_us(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_keys *keys, uint64_t now_us);
+
 /** pgw_crash_quarantine_is_active() - whether a request is quarantined, as a
  * whole or for parts of its prompt */
 bool
--- a/src/gateway/crash/crash_record.c
+++ b/src/gateway/crash/crash_record.c
@@ -239,7 +239,9 @@
     for (uint32_t i = 0; i < record->count; i++) {
         record->crashes[i].cleared = true;
     }
-    record->abandoned_trials = 0;
+    record->trials = 0;
+    record->next_trial_us = 0;
+    record->unproven_trial = 0;
     record->quarantine_count = 0;
     record->quarantined_until_us = 0;
     record->failed_trial = 0;
--- a/src/gateway/crash/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -64,7 +64,10 @@
  * @crashes: the last crashes
  * @count: number of @crashes
  * @last_us: time of the last crash
- * @abandoned_trials: number of trials that were abandoned
+ * @trials: number of trials since the last completed run that have ended
+ *   otherwise, as far as they are bounded
+ * @next_trial_us: no trial starts before
+ * @unproven_trial: token of the trial after which others wait until then
  * @quarantine_count: how often the key was quarantined
  * @quarantined_until_us: end of the last quarantine
  * @failed_trial: token of the trial that started it, 0: none did
@@ -78,7 +81,9 @@
     struct pgw_recorded_crash crashes[PGW_CRASH_RECORD_MAX];
     uint32_t count;
     uint64_t last_us;
-    uint32_t abandoned_trials;
+    uint32_t trials;
+    uint64_t next_trial_us;
+    uint64_t unproven_trial;
     uint32_t quarantine_count;
     uint64_t quarantined_until_us;
     uint64_t failed_trial;
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -52,7 +52,7 @@
         .kind = kind,
         .left_us = left_us,
         .quarantines = record->quarantine_count,
-        .abandoned_trials = record->abandoned_trials,
+        .trials = record->trials,
         .upstream = kind == PGW_CRASHED_RUN_TRIAL_CLAIMED
                         ? record->trial.pool
                         : record->trial.upstream,
@@ -76,8 +76,8 @@
 }
 
 static void
-end_without_result(struct pgw_crash_quarantine *quarantine,
-                   struct pgw_crash_record *record, uint64_t token)
+withdraw(struct pgw_crash_quarantine *quarantine,
+         struct pgw_crash_record *record, uint64_t token)
 {
     if (pgw_crash_trial_end(&record->trial, token)) {
         pgw_crash_suspects__log(record, "ended", token);
@@ -86,6 +86,55 @@
     }
 }
 
+static bool
+is_bounded(const struct pgw_crash_quarantine *quarantine,
+           const struct pgw_crash_record *record, uint64_t now_us)
+{
+    return !record->is_part ||
+           (!pgw_completed_parts_has(&quarantine->completed, &record->key) &&
+            pgw_crash_quarantine__suspicions(quarantine, record, now_us) >=
+                quarantine->options.part_crashes);
+}
+
+void
+pgw_crash_suspects__count_trial(struct pgw_crash_quarantine *quarantine,
+                                struct pgw_crash_record *record,
+                                uint64_t now_us)
+{
+    if (is_bounded(quarantine, record, now_us)) {
+        record->trials++;
+    }
+}
+
+/*
+ * Failure: a request that crashes upstreams is refused by a full one, or gets
+ * an error of the upstream's own. Symptom: trials without a result follow each
+ * other as fast as callers send the request. The next one waits, at all
+ * entries, and the number of trials is bounded.
+ */
+static void
+end_unproven(struct pgw_crash_quarantine *quarantine,
+             struct pgw_crash_record *record, uint64_t token, uint64_t now_us)
+{
+    uint64_t wait_us = 0;
+
+    if (!pgw_crash_trial_end(&record->trial, token)) {
+        return;
+    }
+    pgw_crash_suspects__count_trial(quarantine, record, now_us);
+    if (record->trials > 0) {
+        wait_us =
+            quarantine->options
+                .unproven_wait_us[MIN(record->trials, PGW_CRASH_TRIALS_MAX) -
+                                  1];
+        record->next_trial_us = now_us + wait_us;
+        record->unproven_trial = token;
+    }
+    pgw_crash_suspects__log(record, "unproven", token);
+    publish_trial(quarantine, record, PGW_CRASHED_RUN_TRIAL_ENDED, token,
+                  wait_us);
+}
+
 void
 pgw_crash_quarantine_end_abandoned_trial(
     struct pgw_crash_quarantine *quarantine, const struct pgw_crash_keys *keys,
@@ -106,7 +155,7 @@
             pgw_crash_blame__fail(quarantine, record, trial, now_us);
         }
         else {
-            end_without_result(quarantine, record, trial);
+            end_unproven(quarantine, record, trial, now_us);
         }
     }
     pgw_crash_blame__fail_parts(quarantine, &parts, trial, now_us);
@@ -115,7 +164,7 @@
 void
 pgw_crash_quarantine_end_trial(struct pgw_crash_quarantine *quarantine,
                                const struct pgw_crash_keys *keys,
-                               uint64_t trial, bool interrupted,
+                               uint64_t trial, enum pgw_trial_result result,
                                uint64_t now_us)
 {
     struct pgw_crash_suspects held;
@@ -125,8 +174,11 @@
     for (size_t i = 0; i < held.count; i++) {
         struct pgw_crash_record *record = held.items[i];
 
-        if (!interrupted) {
-            end_without_result(quarantine, record, trial);
+        if (result == PGW_TRIAL_WITHDRAWN) {
+            withdraw(quarantine, record, trial);
+        }
+        else if (result == PGW_TRIAL_UNPROVEN) {
+            end_unproven(quarantine, record, trial, now_us);
         }
         else if (record->is_part) {
             parts.items[parts.count++] = record;
@@ -165,6 +217,31 @@
     return stands;
 }
 
+/* Another entry's trial has ended; returns whether that is new. */
+static bool
+merge_end(const struct pgw_crash_quarantine *quarantine,
+          struct pgw_crash_record *record,
+          const struct pgw_crashed_run *report, uint64_t now_us)
+{
+    uint64_t left_us =
+        MIN(report->left_us,
+            quarantine->options.unproven_wait_us[PGW_CRASH_TRIALS_MAX - 1]);
+
+    if (pgw_crash_trial_has_ended(&record->trial, report->crash)) {
+        return false;
+    }
+    if (left_us == 0) {
+        return pgw_crash_trial_end(&record->trial, report->crash);
+    }
+    pgw_crash_trial_end(&record->trial, report->crash);
+    pgw_crash_trial_ignore(&record->trial, report->crash);
+    if (now_us + left_us > record->next_trial_us) {
+        record->next_trial_us = now_us + left_us;
+        record->unproven_trial = report->crash;
+    }
+    return true;
+}
+
 bool
 pgw_crash_suspects__merge(struct pgw_crash_quarantine *quarantine,
                           const struct pgw_crashed_run *report,
@@ -180,8 +257,7 @@
     if (record->is_part) {
         trial_max_us = quarantine->options.part_trial_us;
     }
-    record->abandoned_trials =
-        MAX(record->abandoned_trials, report->abandoned_trials);
+    record->trials = MAX(record->trials, report->trials);
     switch (report->kind) {
     case PGW_CRASHED_RUN_TRIAL_CLAIMED:
         return merge_claim(quarantine, record, report, now_us);
@@ -194,7 +270,7 @@
         record->trial.upstream = report->upstream;
         return true;
     case PGW_CRASHED_RUN_TRIAL_ENDED:
-        return pgw_crash_trial_end(&record->trial, report->crash);
+        return merge_end(quarantine, record, report, now_us);
     case PGW_CRASHED_RUN_TRIAL_FAILED:
         return pgw_crash_blame__merge(quarantine, record, report, now_us);
     default:
@@ -245,7 +321,7 @@
         return false;
     }
     if (record->is_part) {
-        end_without_result(quarantine, record, token);
+        withdraw(quarantine, record, token);
         return false;
     }
     pgw_crash_blame__fail(quarantine, record, token, now_us);
@@ -278,6 +354,17 @@
     return true;
 }
 
+static bool
+must_wait(const struct pgw_crash_suspects *suspects, uint64_t now_us)
+{
+    for (size_t i = 0; i < suspects->count; i++) {
+        if (now_us < suspects->items[i]->next_trial_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns the verdict on a request with suspects. */
 static enum pgw_crash_verdict
 admit_suspects(struct pgw_crash_quarantine *quarantine,
@@ -296,14 +383,20 @@
             return PGW_CRASH_REFUSE;
         }
     }
+    if (must_wait(suspects, now_us)) {
+        pgw_crash_quarantine_end_trial(quarantine, keys, *trial,
+                                       PGW_TRIAL_WITHDRAWN, now_us);
+        *trial = 0;
+        return PGW_CRASH_WAIT;
+    }
     /* A request that waits for another one's trial holds no trial back. */
     for (size_t i = 0; i < suspects->count; i++) {
         const struct pgw_crash_trial *current = &suspects->items[i]->trial;
 
         if (current->token != 0 && current->token != *trial &&
             now_us < current->until_us) {
-            pgw_crash_quarantine_end_trial(quarantine, keys, *trial, false,
-                                           now_us);
+            pgw_crash_quarantine_end_trial(quarantine, keys, *trial,
+                                           PGW_TRIAL_WITHDRAWN, now_us);
             *trial = 0;
             return PGW_CRASH_WAIT;
         }
@@ -360,8 +453,8 @@
         }
     }
     if (suspects.count == 0) {
-        pgw_crash_quarantine_end_trial(quarantine, keys, *trial, false,
-                                       now_us);
+        pgw_crash_quarantine_end_trial(quarantine, keys, *trial,
+                                       PGW_TRIAL_WITHDRAWN, now_us);
         *trial = 0;
         return PGW_CRASH_ALLOW;
     }
@@ -399,28 +492,46 @@
 pgw_crash_quarantine_abandon_trial(struct pgw_crash_quarantine *quarantine,
                                    const struct pgw_crash_keys *keys,
                                    uint64_t trial, const char *upstream,
-                                   uint64_t now_us, bool *may_end_early)
+                                   uint64_t now_us)
 {
-    const struct pgw_crash_quarantine_options *options = &quarantine->options;
-    uint64_t wait_us = options->abandoned_trial_us;
-    uint32_t count = 0;
-    struct pgw_crash_suspects held;
+    uint64_t end_us = now_us + quarantine->options.abandoned_trial_us;
 
-    find_held(&held, quarantine, keys, trial);
-    for (size_t i = 0; i < held.count; i++) {
-        if (!held.items[i]->is_part) {
-            count = ++held.items[i]->abandoned_trials;
-        }
+    pgw_crash_quarantine_start_trial(quarantine, keys, trial, upstream,
+                                     end_us + RESULT_LATE_US, now_us);
+    return end_us;
+}
+
+uint32_t
+pgw_crash_quarantine_trials(const struct pgw_crash_quarantine *quarantine,
+                            const struct pgw_crash_keys *keys)
+{
+    uint32_t trials = 0;
+
+    for (size_t i = 0; i < keys->count; i++) {
+        const struct pgw_crash_record *record =
+            pgw_crash_table_find(quarantine->table, &keys->items[i]);
+
+        trials = record == NULL ? trials : MAX(trials, record->trials);
     }
-    for (uint32_t i = options->abandoned_trials + 1;
-         i < count && wait_us < options->abandoned_trial_max_us; i++) {
-        wait_us *= 2;
+    return trials;
+}
+
+uint64_t
+pgw_crash_quarantine_trial_wait_us(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_keys *keys, uint64_t now_us)
+{
+    uint64_t wait_us = 0;
+
+    for (size_t i = 0; i < keys->count; i++) {
+        const struct pgw_crash_record *record =
+            pgw_crash_table_find(quarantine->table, &keys->items[i]);
+
+        if (record != NULL && now_us < record->next_trial_us) {
+            wait_us = MAX(wait_us, record->next_trial_us - now_us);
+        }
     }
-    *may_end_early = count <= options->abandoned_trials;
-    pgw_crash_quarantine_start_trial(quarantine, keys, trial, upstream,
-                                     now_us + wait_us + RESULT_LATE_US,
-                                     now_us);
-    return now_us + wait_us;
+    return wait_us;
 }
 
 bool
@@ -491,6 +602,13 @@
 
         g_array_append_val(crashed, item);
     }
+    if (now_us < record->next_trial_us) {
+        struct pgw_crashed_run item = pgw_crash_suspects__make_report(
+            record, PGW_CRASHED_RUN_TRIAL_ENDED, record->unproven_trial,
+            record->next_trial_us - now_us);
+
+        g_array_append_val(crashed, item);
+    }
     if (trial->token != 0 && now_us < trial->until_us) {
         struct pgw_crashed_run item = pgw_crash_suspects__make_report(
             record,
--- a/src/gateway/crash/crash_table.c
+++ b/src/gateway/crash/crash_table.c
@@ -67,7 +67,10 @@
 is_too_old(const struct pgw_crash_table *table,
            const struct pgw_crash_record *record, uint64_t now_us)
 {
-    return MAX(record->last_us, record->quarantined_until_us) <
+    uint64_t held_until_us =
+        MAX(record->quarantined_until_us, record->next_trial_us);
+
+    return MAX(record->last_us, held_until_us) <
            before(now_us, table->options.lifetime_us);
 }
 
@@ -75,6 +78,7 @@
 has_trial_or_quarantine(const struct pgw_crash_record *record, uint64_t now_us)
 {
     return now_us < record->quarantined_until_us ||
+           now_us < record->next_trial_us ||
            (record->trial.token != 0 && now_us < record->trial.until_us);
 }
 
--- a/src/gateway/crash/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -44,7 +44,7 @@
     out->age_us = run->age_us;
     out->left_us = run->left_us;
     out->quarantines = run->quarantines;
-    out->abandoned_trials = run->abandoned_trials;
+    out->trials = run->trials;
     out->hops = run->hops;
     out->part = run->is_part;
     out->seeds_only = run->seeds_only;
@@ -135,7 +135,7 @@
     out->age_us = run->age_us;
     out->left_us = run->left_us;
     out->quarantines = run->quarantines;
-    out->abandoned_trials = run->abandoned_trials;
+    out->trials = run->trials;
     out->hops = run->hops;
     out->is_part = run->part;
     out->seeds_only = run->seeds_only;
--- a/src/gateway/crash/suspect_wait.c
+++ b/src/gateway/crash/suspect_wait.c
@@ -72,6 +72,21 @@
     return claim_us < CLAIM_TIME_MIN_US ? 0 : claim_us;
 }
 
+/* Refuses a request that could not wait for the next trial. */
+static bool
+refuse_early(struct pgw_exchange *exchange, uint64_t now_us)
+{
+    uint64_t wait_us = pgw_crash_quarantine_trial_wait_us(
+        exchange->gateway->crash_quarantine, &exchange->crash_keys, now_us);
+
+    if (wait_us <= pgw_exchange_queue_time_us(exchange, now_us)) {
+        return false;
+    }
+    refuse(exchange,
+           (uint32_t)MIN(wait_us / 1000 + 1, PGW_CRASH_QUARANTINE_RETRY_MS));
+    return true;
+}
+
 bool
 pgw_suspect_wait_begin(struct pgw_exchange *exchange)
 {
@@ -89,6 +104,9 @@
     if (verdict != PGW_CRASH_WAIT) {
         return false;
     }
+    if (refuse_early(exchange, now_us)) {
+        return true;
+    }
     if (exchange->suspect_until_us != 0 &&
         now_us >= exchange->suspect_until_us) {
         refuse(exchange, pgw_exchange_retry_ms(exchange));
@@ -140,15 +158,20 @@
 }
 
 void
-pgw_suspect_wait_drop(struct pgw_exchange *exchange)
+pgw_suspect_wait_end_trial(struct pgw_exchange *exchange,
+                           enum pgw_trial_result result)
 {
-    struct pgw_gateway *gateway = exchange->gateway;
-
-    pgw_timer_stop(gateway->loop, &exchange->suspect_timer);
     if (exchange->trial != 0) {
-        pgw_crash_quarantine_end_trial(gateway->crash_quarantine,
+        pgw_crash_quarantine_end_trial(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys, exchange->trial,
-                                       false, pgw_now_us());
+                                       result, pgw_now_us());
         exchange->trial = 0;
     }
 }
+
+void
+pgw_suspect_wait_drop(struct pgw_exchange *exchange)
+{
+    pgw_timer_stop(exchange->gateway->loop, &exchange->suspect_timer);
+    pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_WITHDRAWN);
+}
--- a/src/gateway/placement/choose.c
+++ b/src/gateway/placement/choose.c
@@ -43,9 +43,12 @@
 }
 
 static bool
-was_tried(const struct pgw_choose_input *input,
-          const struct pgw_upstream *upstream)
+is_excluded(const struct pgw_choose_input *input,
+            const struct pgw_upstream *upstream)
 {
+    if (input->only != NULL && upstream != input->only) {
+        return true;
+    }
     for (size_t i = 0; i < input->tried_count; i++) {
         if (input->tried[i] == upstream) {
             return true;
@@ -649,7 +652,7 @@
             continue;
         }
         if (has_requested_backoff(out, upstream, input) ||
-            was_tried(input, upstream)) {
+            is_excluded(input, upstream)) {
             continue;
         }
         out->busy = true;
--- a/src/gateway/placement/choose.h
+++ b/src/gateway/placement/choose.h
@@ -184,6 +184,7 @@
  * @pool: upstreams of the service, NULL: none was ever known
  * @tried: upstreams that earlier attempts of the request went to
  * @tried_count: number of @tried
+ * @only: the only upstream that may be chosen, NULL: any
  * @prompt: prompt of an engine's request; NULL for a plain call
  * @homes: homes of the prompt whose sidecars were probed; NULL: none
  * @model: model of the request; NULL for a plain call
@@ -206,6 +207,7 @@
     const struct pgw_upstream_pool *pool;
     struct pgw_upstream *const *tried;
     size_t tried_count;
+    const struct pgw_upstream *only;
     const struct pgw_prompt *prompt;
     const struct pgw_homes *homes;
     const char *model;
--- a/src/gateway/request/abandoned_trials.c
+++ b/src/gateway/request/abandoned_trials.c
@@ -13,7 +13,6 @@
     struct pgw_upstream *upstream;
     uint64_t abandoned_us;
     uint64_t end_us;
-    bool may_end_early;
 };
 
 struct pgw_abandoned_trials {
@@ -39,8 +38,7 @@
                                                     trial->upstream->id);
     bool is_over =
         now_us >= trial->end_us ||
-        (trial->may_end_early &&
-         trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US);
+        trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US;
 
     if (!crashed && !is_over) {
         return;
@@ -51,7 +49,8 @@
     }
     else {
         pgw_crash_quarantine_end_trial(trials->quarantine, &trial->keys,
-                                       trial->trial, false, now_us);
+                                       trial->trial, PGW_TRIAL_UNPROVEN,
+                                       now_us);
     }
     remove_trial(trial);
 }
@@ -111,8 +110,7 @@
     added->upstream = pgw_upstream_ref(upstream);
     added->abandoned_us = now_us;
     added->end_us = pgw_crash_quarantine_abandon_trial(
-        trials->quarantine, keys, trial, upstream->id, now_us,
-        &added->may_end_early);
+        trials->quarantine, keys, trial, upstream->id, now_us);
     if (pgw_list_is_empty(&trials->trials)) {
         pgw_timer_start(trials->loop, &trials->timer, CHECK_US);
     }
--- a/src/gateway/request/abandoned_trials.h
+++ b/src/gateway/request/abandoned_trials.h
@@ -12,8 +12,7 @@
  * run until it sees the close, so the trial has no result yet. It fails with a
  * crash of its upstream; it ends without a result once the upstream has
  * answered another request too late for the run to be the cause of a crash, or
- * after a fixed time if several were abandoned. Until then no other trial of
- * the same suspects starts.
+ * after a fixed time. Until then no other trial of the same suspects starts.
  */
 
 struct pgw_abandoned_trials;
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -187,11 +187,7 @@
     g_free(parts);
     pgw_crash_quarantine_add_interrupted(quarantine, &exchange->crash_keys,
                                          exchange->upstream->id, pgw_now_us());
-    if (exchange->trial != 0) {
-        pgw_crash_quarantine_end_trial(quarantine, &exchange->crash_keys,
-                                       exchange->trial, true, pgw_now_us());
-        exchange->trial = 0;
-    }
+    pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_FAILED);
 }
 
 bool
@@ -293,6 +289,9 @@
     pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     pgw_attempt_count_end(exchange);
     pgw_run_cover_handle_not_run(exchange, arrived);
+    if (arrived) {
+        pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_UNPROVEN);
+    }
     if (exchange->caller == NULL) {
         pgw_exchange_finish(exchange, "caller_gone");
         return;
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -87,6 +87,7 @@
     pgw_home_probe_drop(exchange);
     pgw_prefill_claim_drop(exchange);
     pgw_attempt_record_abandoned(exchange);
+    pgw_trial_room_drop(exchange);
     pgw_suspect_wait_drop(exchange);
     pgw_stream_origin_drop(exchange);
     pgw_run_cover_dispose(&exchange->cover);
@@ -334,10 +335,11 @@
            now_us < backlog_wait_end_us(exchange);
 }
 
-/* @tried_count: number of the upstreams tried before that are left out */
+/* @tried_count: number of the upstreams tried before that are left out
+ * @only: the only upstream that may be chosen, NULL: any */
 static void
-choose_upstream(struct pgw_choice *out, const struct pgw_exchange *exchange,
-                size_t tried_count)
+choose_among(struct pgw_choice *out, const struct pgw_exchange *exchange,
+             size_t tried_count, const struct pgw_upstream *only)
 {
     struct pgw_gateway *gateway = exchange->gateway;
     const struct pgw_service *service =
@@ -351,6 +353,7 @@
         .pool = pgw_upstream_table_pool(gateway->upstreams, exchange->service),
         .tried = exchange->tried,
         .tried_count = tried_count,
+        .only = only,
         .software = exchange->software_is_fixed ? exchange->software : NULL,
         .now_us = pgw_now_us(),
         .random = pgw_random_u64(),
@@ -390,6 +393,18 @@
     pgw_choose(out, &input, &gateway->options.choose);
 }
 
+static void
+choose_upstream(struct pgw_choice *out, const struct pgw_exchange *exchange,
+                size_t tried_count)
+{
+    const struct pgw_upstream *has_room = pgw_trial_room_at(exchange);
+
+    choose_among(out, exchange, tried_count, has_room);
+    if (out->upstream == NULL && has_room != NULL) {
+        choose_among(out, exchange, tried_count, NULL);
+    }
+}
+
 bool
 pgw_exchange_has_free_upstream(const struct pgw_exchange *exchange)
 {
@@ -649,6 +664,10 @@
          !pgw_suspect_wait_is_apart(exchange, choice.upstream))) {
         choice.upstream = NULL;
     }
+    if (choice.upstream != NULL &&
+        pgw_trial_room_begin(exchange, choice.upstream)) {
+        return;
+    }
     if (choice.upstream != NULL &&
         pgw_prefill_claim_begin(exchange, &choice)) {
         return;
@@ -663,6 +682,7 @@
         pgw_room_wait_end(exchange, &choice);
         leave_queue(exchange);
         pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
+        pgw_trial_room_drop(exchange);
         pgw_suspect_wait_end(exchange, choice.upstream);
         if (lanes != NULL) {
             pgw_lanes_count_prompt(lanes, &gateway->options.lanes,
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
+#include "gateway/upstream/status_check.h"
 #include "gateway/upstream/target_weights.h"
 
 /* When a caller may resend a request that crashes its upstreams: the longest
@@ -168,6 +169,13 @@
  * @suspect_timer: asks again whether a request that waits for a trial may run
  * @suspect_until_us: when that wait ends with a refusal, 0: it does not wait
  * @trial: token of the trial that the request has claimed, 0: none
+ * @room_check: asks an upstream whether it has room for the trial
+ * @room_at: upstream that had room at @room_known_us; a reference is held.
+ *   NULL: none
+ * @room_known_us: when it said so
+ * @room_ask_at_us: no upstream is asked before
+ * @room_until_us: when the wait for room ends with a refusal, 0: it does not
+ *   wait
  * @software: with @software_is_fixed, the version of the software at which a
  *   stream goes on; NULL: not known, it goes on nowhere
  * @software_is_fixed: the caller has events of the stream
@@ -249,6 +257,11 @@
     struct pgw_timer suspect_timer;
     uint64_t suspect_until_us;
     uint64_t trial;
+    struct pgw_status_check room_check;
+    struct pgw_upstream *room_at;
+    uint64_t room_known_us;
+    uint64_t room_ask_at_us;
+    uint64_t room_until_us;
     const char *software;
     bool software_is_fixed;
     const char *sent_software;
@@ -297,6 +310,11 @@
 void pgw_gateway_dispatch_queued_at(struct pgw_gateway *gateway,
                                     uint64_t at_us);
 
+/** pgw_gateway_handle_crash() - an upstream's process has ended, as this entry
+ * has seen */
+void pgw_gateway_handle_crash(struct pgw_gateway *gateway,
+                              const struct pgw_upstream *upstream);
+
 /* dispatch.c */
 /** pgw_exchange_begin() - accept a request that was received completely */
 void pgw_exchange_begin(struct pgw_gateway *gateway,
@@ -364,6 +382,28 @@
 /** pgw_suspect_wait_pass() - the trial's run has begun to answer and goes on:
  * what it has is cleared before the run ends */
 void pgw_suspect_wait_pass(struct pgw_exchange *exchange);
+/**
+ * pgw_trial_room_begin() - let an upstream say that it has room for a trial
+ * @exchange: a request that is about to be sent
+ * @upstream: the upstream that was chosen for it
+ *
+ * A full upstream refuses a trial, which shows nothing and makes the next one
+ * wait longer. So a trial that follows such a one is sent only to an upstream
+ * that has just served a status check.
+ *
+ * Return: true if the request waits, and pgw_exchange_dispatch() is called
+ * again, or if it was refused and is freed. Otherwise it may be sent.
+ */
+bool pgw_trial_room_begin(struct pgw_exchange *exchange,
+                          struct pgw_upstream *upstream);
+/** pgw_trial_room_at() - upstream that has just said so, NULL: none */
+const struct pgw_upstream *
+pgw_trial_room_at(const struct pgw_exchange *exchange);
+/** pgw_trial_room_drop() - ask no more */
+void pgw_trial_room_drop(struct pgw_exchange *exchange);
+/** pgw_suspect_wait_end_trial() - end the request's trial, if it has one */
+void pgw_suspect_wait_end_trial(struct pgw_exchange *exchange,
+                                enum pgw_trial_result result);
 /** pgw_suspect_wait_drop() - stop waiting, and give up a claimed trial */
 void pgw_suspect_wait_drop(struct pgw_exchange *exchange);
 
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -39,17 +39,22 @@
     .render_error = render_error,
 };
 
-/* The upstream left the list without announcing a drain. */
-static void
-on_upstream_delisted(struct pgw_upstream *upstream, void *context)
+void
+pgw_gateway_handle_crash(struct pgw_gateway *gateway,
+                         const struct pgw_upstream *upstream)
 {
-    struct pgw_gateway *gateway = context;
-
     pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
                                    upstream->answered_us, pgw_now_us());
     pgw_run_cover_add_loss(gateway, upstream);
 }
 
+/* The upstream left the list without announcing a drain. */
+static void
+on_upstream_delisted(struct pgw_upstream *upstream, void *context)
+{
+    pgw_gateway_handle_crash(context, upstream);
+}
+
 static void
 on_start_pause_end(struct pgw_timer *timer)
 {
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -142,10 +142,7 @@
                          exchange->upstream->id, facts.instance);
             exchange->upstream->displaced = true;
             exchange->upstream->replaced_at_us = pgw_now_us();
-            pgw_crash_quarantine_add_crash(
-                exchange->gateway->crash_quarantine, exchange->upstream->id,
-                exchange->upstream->answered_us, pgw_now_us());
-            pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
+            pgw_gateway_handle_crash(exchange->gateway, exchange->upstream);
             if (exchange->gateway->options.on_incarnation_seen != NULL) {
                 exchange->gateway->options.on_incarnation_seen(
                     facts.instance, exchange->gateway->options.context);
@@ -401,8 +398,13 @@
     }
     keep_answered_run(exchange);
     if (exchange->status >= 500) {
+        bool is_trial = exchange->trial != 0;
+
         pgw_attempt_record_result(exchange, PGW_RESULT_ERROR);
-        if (exchange->caller != NULL && pgw_attempt_may_retry(exchange) &&
+        pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_UNPROVEN);
+        /* The next trial would come too late for this caller. */
+        if (!is_trial && exchange->caller != NULL &&
+            pgw_attempt_may_retry(exchange) &&
             pgw_attempt_take_retry(exchange)) {
             pgw_attempt_retry(exchange, "error");
             return;
@@ -446,10 +448,7 @@
          * runs that were interrupted there may have crashed it. A connection
          * attempt without an answer may only mean that the network is down. */
         if (call->refused) {
-            pgw_crash_quarantine_add_crash(
-                exchange->gateway->crash_quarantine, exchange->upstream->id,
-                exchange->upstream->answered_us, pgw_now_us());
-            pgw_run_cover_add_loss(exchange->gateway, exchange->upstream);
+            pgw_gateway_handle_crash(exchange->gateway, exchange->upstream);
         }
         if (exchange->runs > 0) {
             exchange->runs--;
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -4267,12 +4267,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "abandoned_trials",
+    "trials",
     12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Pgw__SuspectRun, abandoned_trials),
+    offsetof(Pgw__SuspectRun, trials),
     NULL,
     NULL,
     0,             /* flags */
@@ -4280,7 +4280,6 @@
   },
 };
 static const unsigned pgw__suspect_run__field_indices_by_name[] = {
-  11,   /* field[11] = abandoned_trials */
   3,   /* field[3] = age_us */
   0,   /* field[0] = fingerprint */
   6,   /* field[6] = hops */
@@ -4291,6 +4290,7 @@
   9,   /* field[9] = partners */
   5,   /* field[5] = quarantines */
   8,   /* field[8] = seeds_only */
+  11,   /* field[11] = trials */
   10,   /* field[10] = upstream */
 };
 static const ProtobufCIntRange pgw__suspect_run__number_ranges[1 + 1] =
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -636,9 +636,12 @@
    * last answer, 0: not known
    */
   /*
-   * of the claim, the run or the quarantine
+   * of the claim, the run or the quarantine; ended: until
    */
   uint64_t left_us;
+  /*
+   * the next one may start
+   */
   /*
    * how often the request was quarantined
    */
@@ -668,9 +671,9 @@
    * the service; 0: not known
    */
   /*
-   * trials of the request that were abandoned
+   * trials of the key that ended without a completed run
    */
-  uint32_t abandoned_trials;
+  uint32_t trials;
 };
 #define PGW__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__suspect_run__descriptor) \
--- a/tests/property/prop_crash_parts.cc
+++ b/tests/property/prop_crash_parts.cc
@@ -171,7 +171,7 @@
 
         pgw_crash_quarantine_add_interrupted(quarantine, &each.keys, which->name.c_str(), all->now);
         if (each.trial != 0) {
-            pgw_crash_quarantine_end_trial(quarantine, &each.keys, each.trial, true, all->now);
+            pgw_crash_quarantine_end_trial(quarantine, &each.keys, each.trial, PGW_TRIAL_FAILED, all->now);
         }
     }
     for (unsigned i = 0; i < entries; i++) {
@@ -233,7 +233,7 @@
         }
         // falls through
     case PGW_CRASH_REFUSE:
-        pgw_crash_quarantine_end_trial(quarantine, &request.keys, request.trial, false, all->now);
+        pgw_crash_quarantine_end_trial(quarantine, &request.keys, request.trial, PGW_TRIAL_WITHDRAWN, all->now);
     }
 }
 
--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -132,7 +132,7 @@
 
         if (each->runs) {
             each->runs = false;
-            pgw_crash_quarantine_end_trial(quarantine, &keys, each->token, false, now);
+            pgw_crash_quarantine_end_trial(quarantine, &keys, each->token, PGW_TRIAL_WITHDRAWN, now);
             each->token = 0;
         }
         else if (pgw_crash_quarantine_admit(quarantine, &keys, &each->token, 1000000,
@@ -199,7 +199,7 @@
         case 2:
             if (at->trial != 0) {
                 pgw_crash_quarantine_end_trial(at->quarantine, &keys, at->trial,
-                                               number / 4 % 5 == 1, now);
+                                               (pgw_trial_result)(number / 20 % 3), now);
                 at->trial = 0;
             }
             break;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -618,6 +618,9 @@
             writer.write(answer(200, {"boot_epoch": self.starts, "next": 0,
                                       "born": self.born,
                                       "lost_count": False, "events": []}))
+        elif target == "/health":
+            writer.write(answer(503 if self.full else 200, b"",
+                                f"Instance-Id: {self.id}\r\n"))
         elif target == "/api/order":
             writer.write(answer(self.take_order(json.loads(body), fields)))
         else:
@@ -845,8 +848,9 @@
                         "priority": 1, "service": s, "max_attempts": a,
                         "resumable": r} for n, k, s, r, a in routes]
             + self.more_routes,
-            "services": [{"name": "plain"},
-                         {"name": "guide", "engine_kind": {"capacity": 8}}],
+            "services": [{"name": "plain", "health_path": "/health"},
+                         {"name": "guide", "health_path": "/health",
+                          "engine_kind": {"capacity": 8}}],
             "tenants": [{"name": "parish", "api_keys": self.keys}]
             + self.more_workspaces})
 
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -158,6 +158,10 @@
 
     next_table = pgw_route_table_new(version);
     add_routes(next_table);
+    pgw_route_table_add_service(
+        next_table,
+        &(struct pgw_service){.name = g_strdup("service"),
+                              .status_path = g_strdup(scene->status_path)});
     pgw_route_table_add_workspace(next_table, &workspace, keys);
     pgw_route_table_add_workspace(next_table, &low_priority,
                                   low_priority_keys);
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -28,6 +28,8 @@
  * @software: software versions of the upstreams, NULL: not listed
  * @incarnation: number of restarts of all upstreams
  * @routes_version: version of the configuration in force
+ * @status_path: path of the upstreams' status check in the next configuration,
+ *   NULL: there is none
  */
 struct scene {
     struct pgw_loop *loop;
@@ -39,6 +41,7 @@
     const char *software[SCENE_UPSTREAMS];
     unsigned incarnation;
     uint64_t routes_version;
+    const char *status_path;
 };
 
 /**
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -203,8 +203,8 @@
                                      9 * SECOND, 5 * SECOND);
     g_assert_cmpint(admit(quarantine, &second, 3, 6 * SECOND), ==,
                     PGW_CRASH_WAIT);
-    pgw_crash_quarantine_end_trial(quarantine, &faulty, first, true,
-                                   6 * SECOND);
+    pgw_crash_quarantine_end_trial(quarantine, &faulty, first,
+                                   PGW_TRIAL_FAILED, 6 * SECOND);
     g_assert_cmpint(admit(quarantine, &second, 3, 6 * SECOND), ==,
                     PGW_CRASH_REFUSE);
     g_assert_cmpint(admit(quarantine, &second, 3, 65 * SECOND), ==,
@@ -278,7 +278,8 @@
     admit(local, &trial, 7, 4 * SECOND);
     pgw_crash_quarantine_start_trial(local, &faulty, trial, "z", 9 * SECOND,
                                      5 * SECOND);
-    pgw_crash_quarantine_end_trial(local, &faulty, trial, true, 6 * SECOND);
+    pgw_crash_quarantine_end_trial(local, &faulty, trial, PGW_TRIAL_FAILED,
+                                   6 * SECOND);
     known = pgw_crash_quarantine_list(local, 16 * SECOND);
     pgw_crash_quarantine_merge(
         joining, (const struct pgw_crashed_run *)(void *)known->data,
@@ -547,44 +548,153 @@
     pgw_crash_quarantine_free(other);
 }
 
-/* Guards against trials without a result that follow each other for as long as
- * callers leave before the answer. */
+/* Runs a trial that ends in this way, after what is left of the wait for it.
+ * Returns how long the next one has to wait. */
+static uint64_t
+run_trial(struct pgw_crash_quarantine *quarantine, uint64_t token,
+          enum pgw_trial_result result, uint64_t *now_us)
+{
+    struct pgw_crash_keys keys = make_keys(1);
+    uint64_t trial = 0;
+
+    g_assert_cmpint(admit(quarantine, &trial, token, *now_us), ==,
+                    PGW_CRASH_WAIT);
+    *now_us += SECOND;
+    g_assert_cmpint(admit(quarantine, &trial, token, *now_us), ==,
+                    PGW_CRASH_TRIAL);
+    pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "d",
+                                     *now_us + SECOND, *now_us);
+    pgw_crash_quarantine_end_trial(quarantine, &keys, trial, result, *now_us);
+    return pgw_crash_quarantine_trial_wait_us(quarantine, &keys, *now_us);
+}
+
 static void
-test_abandoned_trials_get_rarer(void)
+crash_three(struct pgw_crash_quarantine *quarantine, uint64_t now_us)
 {
-    static const uint64_t waits_us[] = {8 * SECOND, 8 * SECOND, 8 * SECOND,
-                                        16 * SECOND, 32 * SECOND};
-    struct published published = {.count = 0};
     struct pgw_crash_keys keys = make_keys(1);
-    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
-    uint64_t now_us = SECOND;
 
     crash(quarantine, &keys, "a", now_us);
     crash(quarantine, &keys, "b", now_us);
     crash(quarantine, &keys, "c", now_us);
+}
+
+/* Guards against trials without a result that follow each other for as long as
+ * upstreams refuse them, fail by themselves or are not waited for. */
+static void
+test_unproven_trials_get_rarer(void)
+{
+    static const uint64_t waits_us[] = {SECOND, 20 * SECOND, 600 * SECOND,
+                                        600 * SECOND};
+    struct published published = {.count = 0};
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+    uint64_t now_us = SECOND;
+
+    crash_three(quarantine, now_us);
     for (size_t i = 0; i < G_N_ELEMENTS(waits_us); i++) {
-        bool may_end_early;
         uint64_t trial = 0;
 
         published.count = 0;
-        g_assert_cmpint(admit(quarantine, &trial, i + 1, now_us), ==,
+        g_assert_cmpuint(
+            run_trial(quarantine, i + 1, PGW_TRIAL_UNPROVEN, &now_us), ==,
+            waits_us[i]);
+        g_assert_cmpuint(published.items[published.count - 1].trials, ==,
+                         i + 1);
+        now_us += waits_us[i] - 1;
+        g_assert_cmpint(admit(quarantine, &trial, 9, now_us), ==,
                         PGW_CRASH_WAIT);
-        now_us += SECOND;
-        g_assert_cmpint(admit(quarantine, &trial, i + 1, now_us), ==,
-                        PGW_CRASH_TRIAL);
-        pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "d",
-                                         now_us + SECOND, now_us);
-        published.count = 0;
-        g_assert_cmpuint(pgw_crash_quarantine_abandon_trial(quarantine, &keys,
-                                                            trial, "d", now_us,
-                                                            &may_end_early),
-                         ==, now_us + waits_us[i]);
-        g_assert_cmpint(may_end_early, ==, i < 2);
-        g_assert_cmpuint(published.items[0].abandoned_trials, ==, i + 1);
-        pgw_crash_quarantine_end_trial(quarantine, &keys, trial, false,
-                                       now_us);
+        g_assert_cmpuint(trial, ==, 0);
+        now_us++;
+    }
+    pgw_crash_quarantine_free(quarantine);
+}
+
+/* Guards against a request that is refused for good after trials without a
+ * result, though it completes. */
+static void
+test_completed_run_forgets_trials(void)
+{
+    struct published published = {.count = 0};
+    struct pgw_crash_keys keys = make_keys(1);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+    uint64_t now_us = SECOND;
+
+    crash_three(quarantine, now_us);
+    run_trial(quarantine, 1, PGW_TRIAL_UNPROVEN, &now_us);
+    pgw_crash_quarantine_clear(quarantine, &keys);
+    g_assert_cmpuint(
+        pgw_crash_quarantine_trial_wait_us(quarantine, &keys, now_us), ==, 0);
+    g_assert_cmpint(ask(quarantine, &keys, now_us), ==, PGW_CRASH_ALLOW);
+    pgw_crash_quarantine_free(quarantine);
+}
+
+/* Guards against a fourth run within minutes where trials without a result and
+ * failed ones alternate. */
+static void
+test_mixed_trials_are_bounded(void)
+{
+    for (unsigned mask = 0; mask < 1 << PGW_CRASH_TRIALS_MAX; mask++) {
+        struct published published = {.count = 0};
+        struct pgw_crash_keys keys = make_keys(1);
+        struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+        uint64_t now_us = SECOND;
+        unsigned trials = 0;
+
+        crash_three(quarantine, now_us);
+        for (uint64_t step = 0; step < 300; step++) {
+            uint64_t trial = 0;
+
+            published.count = 0;
+            if (admit(quarantine, &trial, step + 1, now_us) ==
+                    PGW_CRASH_WAIT &&
+                trial != 0) {
+                now_us += SECOND;
+                g_assert_cmpint(admit(quarantine, &trial, step + 1, now_us),
+                                ==, PGW_CRASH_TRIAL);
+                pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "d",
+                                                 now_us + SECOND, now_us);
+                pgw_crash_quarantine_end_trial(
+                    quarantine, &keys, trial,
+                    mask >> trials & 1 ? PGW_TRIAL_FAILED : PGW_TRIAL_UNPROVEN,
+                    now_us);
+                trials++;
+            }
+            now_us += SECOND;
+        }
+        g_assert_cmpuint(trials, <=, PGW_CRASH_TRIALS_MAX);
+        pgw_crash_quarantine_free(quarantine);
     }
+}
+
+/* Guards against an entry that starts a trial at once, since it was not told
+ * that the last one of another entry proved nothing. */
+static void
+test_wait_for_trial_is_shared(void)
+{
+    struct published published = {.count = 0};
+    struct published forwarded = {.count = 0};
+    struct pgw_crash_keys keys = make_keys(1);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+    struct pgw_crash_quarantine *other = quarantine_new(&forwarded);
+    struct pgw_crash_quarantine *late = quarantine_new(&forwarded);
+    GArray *known;
+    uint64_t now_us = SECOND;
+
+    crash_three(quarantine, now_us);
+    run_trial(quarantine, 1, PGW_TRIAL_UNPROVEN, &now_us);
+    pgw_crash_quarantine_merge(other, published.items, published.count,
+                               now_us);
+    known = pgw_crash_quarantine_list(quarantine, now_us);
+    pgw_crash_quarantine_merge(
+        late, (const struct pgw_crashed_run *)(void *)known->data, known->len,
+        now_us);
+    g_assert_cmpuint(pgw_crash_quarantine_trial_wait_us(other, &keys, now_us),
+                     ==, SECOND);
+    g_assert_cmpuint(pgw_crash_quarantine_trial_wait_us(late, &keys, now_us),
+                     ==, SECOND);
+    g_array_unref(known);
     pgw_crash_quarantine_free(quarantine);
+    pgw_crash_quarantine_free(other);
+    pgw_crash_quarantine_free(late);
 }
 
 int
@@ -623,7 +733,13 @@
                     test_abandoned_runs_end);
     g_test_add_func("/crash_quarantine/reports_confirm_abandoned_runs",
                     test_reports_confirm_abandoned_runs);
-    g_test_add_func("/crash_quarantine/abandoned_trials_get_rarer",
-                    test_abandoned_trials_get_rarer);
+    g_test_add_func("/crash_quarantine/unproven_trials_get_rarer",
+                    test_unproven_trials_get_rarer);
+    g_test_add_func("/crash_quarantine/completed_run_forgets_trials",
+                    test_completed_run_forgets_trials);
+    g_test_add_func("/crash_quarantine/mixed_trials_are_bounded",
+                    test_mixed_trials_are_bounded);
+    g_test_add_func("/crash_quarantine/wait_for_trial_is_shared",
+                    test_wait_for_trial_is_shared);
     return g_test_run();
 }
