Take an answer for the end of a run only if its upstream survives it

Callers saw a request that crashes upstreams go on crashing them for as long as it came: ten upstreams and more in 20 s, each after an answer in full, as the users' record names a late attempt with an answer.

Cause: a complete answer cleared all crashes counted against the request, at all entries, and the crash 20 to 60 ms later met no run that it could be held against.

Change: a run whose answer has arrived is kept until its upstream has answered something half a second later; then it is complete and clears. If the upstream's process ends before, the run counts like an abandoned one, and a trial has failed. The upstream of a trial is asked by its status check, so that others wait half a second for the result and not for other traffic. Answers that end with their connections, which had a list of their own, are kept alike. An entry that sees a process end tells the others, 16 in a second at most, as their answered runs need it. A request with a part that is quarantined together with others waits for a trial of these. A second crash under one id counts if its process has answered in between.

/gateway/completed_run_clears_quarantine let the upstream restart that answers; an answer of a process that has ended is evidence now, so the others restart there.

--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -3,6 +3,11 @@
 #include "util/log.h"
 #include "util/metric.h"
 
+/* A crash is reported to other entries as that of the upstream, which runs
+ * that they have had answered may have caused. More at once are a power loss.
+ */
+#define UPSTREAM_REPORTS_PER_S_MAX 16
+
 static struct pgw_metric_counter crashes_counted = {
     .name = "pgw_gateway_poison_crashes_total",
     .help = "Runs that were interrupted by a crash of their upstream",
@@ -55,6 +60,7 @@
 pgw_crash_quarantine_subscribe_crashes(struct pgw_crash_quarantine *quarantine,
                                        void (*on_crash)(uint64_t crash,
                                                         uint64_t answered_us,
+                                                        bool has_ended,
                                                         void *context),
                                        void *context)
 {
@@ -109,15 +115,21 @@
     drop_old(quarantine->explained, match_us, now_us);
 }
 
-static bool
-lists_crash(const GArray *list, uint64_t crash)
+static struct pgw_crashed_upstream *
+find_crash(const GArray *list, uint64_t crash)
 {
     for (guint i = 0; i < list->len; i++) {
         if (crashed_at(list, i)->crash == crash) {
-            return true;
+            return crashed_at(list, i);
         }
     }
-    return false;
+    return NULL;
+}
+
+static bool
+lists_crash(const GArray *list, uint64_t crash)
+{
+    return find_crash(list, crash) != NULL;
 }
 
 bool
@@ -546,14 +558,45 @@
     return has_parts;
 }
 
+/* Adds a crash; false if it was known. An id may be that of a process which
+ * has started since the last crash under it. */
+static bool
+add_crashed_upstream(struct pgw_crash_quarantine *quarantine, uint64_t crash,
+                     uint64_t answered_us, uint64_t now_us)
+{
+    struct pgw_crashed_upstream added = {crash, now_us};
+    GArray *list = quarantine->crashed_upstreams;
+    struct pgw_crashed_upstream *known = find_crash(list, crash);
+
+    if (known != NULL && answered_us <= known->at_us) {
+        return false;
+    }
+    if (known != NULL) {
+        g_array_remove_index(list, (guint)(known - crashed_at(list, 0)));
+    }
+    g_array_append_val(list, added);
+    return true;
+}
+
+/* Of many upstreams that end together, by a power loss, only some are
+ * reported: no single request is the cause. */
+static bool
+may_report_upstream(struct pgw_crash_quarantine *quarantine, uint64_t now_us)
+{
+    if (now_us >= quarantine->reports_since_us + G_USEC_PER_SEC) {
+        quarantine->reports_since_us = now_us;
+        quarantine->reports = 0;
+    }
+    return quarantine->reports++ < UPSTREAM_REPORTS_PER_S_MAX;
+}
+
 bool
 pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
                                 uint64_t crash, const char *upstream,
-                                uint64_t answered_us, uint32_t hops,
-                                uint64_t now_us)
+                                uint64_t answered_us, bool has_ended,
+                                uint32_t hops, uint64_t now_us)
 {
     const char *source = upstream == NULL ? "entry" : "own";
-    struct pgw_crashed_upstream crashed = {crash, now_us};
     struct pgw_crashed_run confirmation = {
         .crash = crash,
         .age_us = answered_us == 0 ? 0 : now_us - MIN(answered_us, now_us),
@@ -562,22 +605,25 @@
     };
     GArray *reports;
     uint32_t unmatched;
+    bool has_parts;
 
     pgw_crash_quarantine__drop_crashed(quarantine, now_us);
-    if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
+    if (!add_crashed_upstream(quarantine, crash, answered_us, now_us)) {
         return false;
     }
-    g_array_append_val(quarantine->crashed_upstreams, crashed);
     pgw_log_info("upstream_crash",
                  "upstream=%s crash=%016" G_GINT64_MODIFIER "x source=%s",
                  upstream == NULL ? "-" : upstream, crash, source);
     if (quarantine->on_crash != NULL) {
-        quarantine->on_crash(crash, answered_us, quarantine->crash_context);
+        quarantine->on_crash(crash, answered_us, has_ended,
+                             quarantine->crash_context);
     }
     reports = g_array_new(FALSE, FALSE, sizeof(struct pgw_crashed_run));
-    if (count_unfinished_runs(quarantine, crash, answered_us, source, reports,
-                              now_us) &&
-        hops <= PGW_CRASH_HOPS_MAX) {
+    has_parts = count_unfinished_runs(quarantine, crash, answered_us, source,
+                                      reports, now_us);
+    if (hops <= PGW_CRASH_HOPS_MAX &&
+        (has_parts ||
+         (has_ended && may_report_upstream(quarantine, now_us)))) {
         g_array_append_val(reports, confirmation);
     }
     publish_array(quarantine, reports);
@@ -594,7 +640,16 @@
                                uint64_t now_us)
 {
     pgw_crash_quarantine__add_crash(quarantine, pgw_place_id_hash(upstream),
-                                    upstream, answered_us, 0, now_us);
+                                    upstream, answered_us, false, 0, now_us);
+}
+
+void
+pgw_crash_quarantine_add_end(struct pgw_crash_quarantine *quarantine,
+                             const char *upstream, uint64_t answered_us,
+                             uint64_t now_us)
+{
+    pgw_crash_quarantine__add_crash(quarantine, pgw_place_id_hash(upstream),
+                                    upstream, answered_us, true, 0, now_us);
 }
 
 bool
@@ -605,6 +660,17 @@
                                              pgw_place_id_hash(upstream));
 }
 
+bool
+pgw_crash_quarantine_has_crashed_since(
+    const struct pgw_crash_quarantine *quarantine, const char *upstream,
+    uint64_t since_us)
+{
+    const struct pgw_crashed_upstream *crashed =
+        find_crash(quarantine->crashed_upstreams, pgw_place_id_hash(upstream));
+
+    return crashed != NULL && crashed->at_us >= since_us;
+}
+
 uint32_t
 pgw_crash_quarantine_crashes(const struct pgw_crash_quarantine *quarantine,
                              const struct pgw_crash_keys *keys,
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -262,13 +262,14 @@
  * pgw_crash_quarantine_subscribe_crashes() - set the callback for crashes
  * @quarantine: the state
  * @on_crash: called when the crash of an incarnation becomes known, with the
- *   hash of its id and the time at which it was last known to run, 0: not
- *   known; NULL: no callback
+ *   hash of its id, the time at which it was last known to run, 0: not known,
+ *   and whether its process is known to have ended; NULL: no callback
  * @context: passed to @on_crash
  */
 void pgw_crash_quarantine_subscribe_crashes(
     struct pgw_crash_quarantine *quarantine,
-    void (*on_crash)(uint64_t crash, uint64_t answered_us, void *context),
+    void (*on_crash)(uint64_t crash, uint64_t answered_us, bool has_ended,
+                     void *context),
     void *context);
 
 /**
@@ -302,12 +303,23 @@
                                     const char *upstream, uint64_t answered_us,
                                     uint64_t now_us);
 
+/** pgw_crash_quarantine_add_end() - the same for one whose process is known to
+ * have ended; other entries are told, whose runs it may have ended */
+void pgw_crash_quarantine_add_end(struct pgw_crash_quarantine *quarantine,
+                                  const char *upstream, uint64_t answered_us,
+                                  uint64_t now_us);
+
 /** pgw_crash_quarantine_has_crashed() - whether a crash of an incarnation
  * became known lately */
 bool
 pgw_crash_quarantine_has_crashed(const struct pgw_crash_quarantine *quarantine,
                                  const char *upstream);
 
+/** pgw_crash_quarantine_has_crashed_since() - the same, since a time */
+bool pgw_crash_quarantine_has_crashed_since(
+    const struct pgw_crash_quarantine *quarantine, const char *upstream,
+    uint64_t since_us);
+
 /** pgw_crash_quarantine_crashes() - number of crashes that count against a
  * request: the most of any of its keys */
 uint32_t
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -30,6 +30,8 @@
  * @crashed_upstreams: of &struct pgw_crashed_upstream, the oldest first
  * @explained: the same of those whose cause is known
  * @completed: parts of runs that completed here
+ * @reports_since_us: since when @reports are counted
+ * @reports: crashes of upstreams that were reported since then
  */
 struct pgw_crash_quarantine {
     struct pgw_crash_quarantine_options options;
@@ -37,10 +39,13 @@
     GArray *crashed_upstreams;
     GArray *explained;
     struct pgw_completed_parts completed;
+    uint64_t reports_since_us;
+    uint32_t reports;
     void (*on_crashed)(const struct pgw_crashed_run *crashed, size_t count,
                        void *context);
     void *context;
-    void (*on_crash)(uint64_t crash, uint64_t answered_us, void *context);
+    void (*on_crash)(uint64_t crash, uint64_t answered_us, bool has_ended,
+                     void *context);
     void *crash_context;
 };
 
@@ -106,11 +111,12 @@
 /** pgw_crash_quarantine__add_crash() - add the crash of an incarnation;
  * returns whether it was not known. @upstream: its id, NULL: another entry has
  * reported the crash; @answered_us: when it was last known to run, 0: not
- * known; @hops: number of entries that have passed it on */
+ * known; @has_ended: its process is known to have ended; @hops: number of
+ * entries that have passed it on */
 bool pgw_crash_quarantine__add_crash(struct pgw_crash_quarantine *quarantine,
                                      uint64_t crash, const char *upstream,
-                                     uint64_t answered_us, uint32_t hops,
-                                     uint64_t now_us);
+                                     uint64_t answered_us, bool has_ended,
+                                     uint32_t hops, uint64_t now_us);
 
 /** pgw_crash_quarantine__clear_record() - clear what is known of a key;
  * returns which other entries may know of it */
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -100,7 +100,7 @@
      * that connects receives reports of older crashes, too. */
     if (at_us > pgw_crash_table_expired_us(quarantine->table, now_us)) {
         pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL, at_us,
-                                        PGW_CRASH_HOPS_MAX + 1, now_us);
+                                        false, PGW_CRASH_HOPS_MAX + 1, now_us);
     }
     return is_new;
 }
@@ -135,7 +135,7 @@
         return false;
     case PGW_CRASHED_RUN_UPSTREAM:
         pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL,
-                                        report->age_us == 0 ? 0 : at_us,
+                                        report->age_us == 0 ? 0 : at_us, false,
                                         report->hops + 1, now_us);
         return false;
     default:
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -354,11 +354,34 @@
     return true;
 }
 
+/* Whether a part with which this one is quarantined is being tried. If that
+ * one is sound, this one is to blame. */
 static bool
-must_wait(const struct pgw_crash_suspects *suspects, uint64_t now_us)
+has_trial_of_partner(const struct pgw_crash_quarantine *quarantine,
+                     const struct pgw_crash_record *record, uint64_t now_us)
+{
+    if (record->partners == NULL || now_us >= record->quarantined_until_us) {
+        return false;
+    }
+    for (size_t i = 0; i < record->partners->count; i++) {
+        const struct pgw_crash_record *partner = pgw_crash_table_find(
+            quarantine->table, &record->partners->items[i]);
+
+        if (partner != NULL && partner->trial.started &&
+            now_us < partner->trial.until_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+must_wait(const struct pgw_crash_quarantine *quarantine,
+          const struct pgw_crash_suspects *suspects, uint64_t now_us)
 {
     for (size_t i = 0; i < suspects->count; i++) {
-        if (now_us < suspects->items[i]->next_trial_us) {
+        if (now_us < suspects->items[i]->next_trial_us ||
+            has_trial_of_partner(quarantine, suspects->items[i], now_us)) {
             return true;
         }
     }
@@ -383,7 +406,7 @@
             return PGW_CRASH_REFUSE;
         }
     }
-    if (must_wait(suspects, now_us)) {
+    if (must_wait(quarantine, suspects, now_us)) {
         pgw_crash_quarantine_end_trial(quarantine, keys, *trial,
                                        PGW_TRIAL_WITHDRAWN, now_us);
         *trial = 0;
--- a/src/gateway/request/answered_runs.h
+++ b/src/gateway/request/answered_runs.h
@@ -6,13 +6,17 @@
 #include "util/loop.h"
 
 /**
- * DOC: Runs whose answers have just arrived
+ * DOC: Runs whose answers have arrived, and prove nothing yet
  *
- * An upstream may crash of a request that it has answered already. A run is
- * kept until its upstream has answered another request too late for the run to
- * be the cause of a crash.
+ * An upstream may crash of a request that it has just answered. An answer with
+ * neither a length nor chunks ends with its connection, and so does one whose
+ * upstream has crashed between two events. A run is complete once its upstream
+ * has answered something too late for the run to be the cause of a crash; the
+ * upstream of a trial is asked. A run whose upstream crashes before counts
+ * like an interrupted one.
  */
 
+struct pgw_gateway;
 struct pgw_answered_runs;
 
 /**
@@ -20,20 +24,25 @@
  * @request: id of the request, for logs
  * @keys: keys of the request
  * @upstream: where it ran; a reference is held
+ * @sent_us: when it was sent
  * @status: status of the answer
+ * @is_unframed: the answer has neither a length nor chunks
+ * @trial: token of the trial that it was, 0: none; the trial ends with what
+ *   the run proves
  */
 struct pgw_answered_run {
     const char *request;
     const struct pgw_crash_keys *keys;
     struct pgw_upstream *upstream;
+    uint64_t sent_us;
     unsigned status;
+    bool is_unframed;
+    uint64_t trial;
 };
 
-/** pgw_answered_runs_new() - keep runs until crashes that @quarantine learns
- * of, which becomes the subscriber of its crashes */
-struct pgw_answered_runs *
-pgw_answered_runs_new(struct pgw_loop *loop,
-                      struct pgw_crash_quarantine *quarantine);
+/** pgw_answered_runs_new() - keep the runs of a gateway; subscribes to the
+ * crashes of its quarantine */
+struct pgw_answered_runs *pgw_answered_runs_new(struct pgw_gateway *gateway);
 void pgw_answered_runs_free(struct pgw_answered_runs *runs);
 
 /** pgw_answered_runs_add() - add a run; @run is copied */
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -3,7 +3,6 @@
 
 #include "gateway/cover/run_cover.h"
 #include "gateway/crash/crash_quarantine.h"
-#include "gateway/crash/unframed_runs.h"
 #include "gateway/placement/lanes.h"
 #include "gateway/request/abandoned_trials.h"
 #include "gateway/request/answered_runs.h"
@@ -26,8 +25,7 @@
  * @crash_quarantine: requests and prompt parts that were running when
  *   upstreams crashed
  * @abandoned_trials: trials of these whose runs were abandoned
- * @unframed_runs: runs that ended with their connections
- * @answered_runs: runs whose upstreams may still crash of them
+ * @answered_runs: runs whose answers prove nothing yet
  * @losses: engines that ended lately
  * @quota: quotas of workspaces
  * @stream_origins: software versions of streams
@@ -75,7 +73,6 @@
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
     struct pgw_abandoned_trials *abandoned_trials;
-    struct pgw_unframed_runs *unframed_runs;
     struct pgw_answered_runs *answered_runs;
     struct pgw_engine_losses losses;
     struct pgw_quota *quota;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -43,16 +43,20 @@
 pgw_gateway_handle_crash(struct pgw_gateway *gateway,
                          const struct pgw_upstream *upstream)
 {
-    pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
-                                   upstream->answered_us, pgw_now_us());
+    pgw_crash_quarantine_add_end(gateway->crash_quarantine, upstream->id,
+                                 upstream->answered_us, pgw_now_us());
     pgw_run_cover_add_loss(gateway, upstream);
 }
 
-/* The upstream left the list without announcing a drain. */
+/* The upstream left the list without announcing a drain, and may serve on. */
 static void
 on_upstream_delisted(struct pgw_upstream *upstream, void *context)
 {
-    pgw_gateway_handle_crash(context, upstream);
+    struct pgw_gateway *gateway = context;
+
+    pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
+                                   upstream->answered_us, pgw_now_us());
+    pgw_run_cover_add_loss(gateway, upstream);
 }
 
 static void
@@ -112,10 +116,7 @@
         pgw_crash_quarantine_new(&options->crash_quarantine);
     gateway->abandoned_trials =
         pgw_abandoned_trials_new(loop, gateway->crash_quarantine);
-    gateway->unframed_runs =
-        pgw_unframed_runs_new(loop, gateway->crash_quarantine);
-    gateway->answered_runs =
-        pgw_answered_runs_new(loop, gateway->crash_quarantine);
+    gateway->answered_runs = pgw_answered_runs_new(gateway);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
     gateway->stream_origins = pgw_stream_origins_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
@@ -142,6 +143,7 @@
     pgw_timer_stop(gateway->loop, &gateway->dispatch_timer);
     pgw_timer_stop(gateway->loop, &gateway->start_timer);
     pgw_unresponsive_stop(gateway);
+    pgw_answered_runs_free(gateway->answered_runs);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
     pgw_quota_free(gateway->quota);
@@ -150,8 +152,6 @@
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
     pgw_abandoned_trials_free(gateway->abandoned_trials);
-    pgw_unframed_runs_free(gateway->unframed_runs);
-    pgw_answered_runs_free(gateway->answered_runs);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->target_weights);
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -306,27 +306,6 @@
     pgw_exchange_finish(exchange, "answered");
 }
 
-/* An upstream that rejects a request with an error has not run its prompt. */
-static void
-clear_crash_keys(struct pgw_exchange *exchange)
-{
-    struct pgw_crash_keys completed = exchange->crash_keys;
-
-    if (exchange->status >= 300) {
-        completed.count = 1;
-    }
-    if (exchange->is_unframed) {
-        pgw_unframed_runs_add(exchange->gateway->unframed_runs, &completed,
-                              exchange->upstream->id);
-        return;
-    }
-    pgw_crash_quarantine_clear(exchange->gateway->crash_quarantine,
-                               &completed);
-    if (completed.count == exchange->crash_keys.count) {
-        exchange->trial = 0;
-    }
-}
-
 /* The end of an attempt that did not crash its upstream shows in the logs if
  * the request has crashed others. */
 static void
@@ -351,23 +330,30 @@
                  (pgw_now_us() - exchange->sent_us) / 1000);
 }
 
+/* The answer proves nothing until its upstream is known to have survived it;
+ * neither does it end the trial that the run may be. */
 static void
-keep_answered_run(const struct pgw_exchange *exchange)
+keep_answered_run(struct pgw_exchange *exchange)
 {
     const struct pgw_answered_run run = {
         .request = exchange->facts.id,
         .keys = &exchange->crash_keys,
         .upstream = exchange->upstream,
+        .sent_us = exchange->sent_us,
         .status = exchange->status,
+        .is_unframed = exchange->is_unframed,
+        .trial = exchange->trial,
     };
 
     pgw_answered_runs_add(exchange->gateway->answered_runs, &run);
+    exchange->trial = 0;
 }
 
 static void
 on_done(struct pgw_call *call)
 {
     struct pgw_exchange *exchange = exchange_of(call);
+    bool is_trial;
 
     exchange->run_is_over = true;
     log_suspect(exchange);
@@ -396,12 +382,10 @@
         }
         return;
     }
+    is_trial = exchange->trial != 0;
     keep_answered_run(exchange);
     if (exchange->status >= 500) {
-        bool is_trial = exchange->trial != 0;
-
         pgw_attempt_record_result(exchange, PGW_RESULT_ERROR);
-        pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_UNPROVEN);
         /* The next trial would come too late for this caller. */
         if (!is_trial && exchange->caller != NULL &&
             pgw_attempt_may_retry(exchange) &&
@@ -412,7 +396,6 @@
     }
     else {
         pgw_attempt_record_result(exchange, PGW_RESULT_COMPLETED);
-        clear_crash_keys(exchange);
     }
     /*
      * Failure: an upstream answers with 503 or 429 and does not state that it
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -193,13 +193,13 @@
             .address = address,
             .zone = "a",
             .slots = 1,
-            .revision = scene->incarnation,
+            .revision = scene->restarts,
             .software = scene->software[i],
         };
 
         g_snprintf(id, sizeof(id), "u%u", i);
-        if (scene->incarnation > 0) {
-            g_snprintf(id, sizeof(id), "u%u.%u", i, scene->incarnation);
+        if (scene->incarnations[i] > 0) {
+            g_snprintf(id, sizeof(id), "u%u.%u", i, scene->incarnations[i]);
         }
         g_snprintf(address, sizeof(address), LOOPBACK ":%u",
                    port_of(scene->listeners[i]));
@@ -237,7 +237,18 @@
 void
 scene_restart_upstreams(struct scene *scene)
 {
-    scene->incarnation++;
+    scene->restarts++;
+    for (unsigned i = 0; i < scene->upstreams; i++) {
+        scene->incarnations[i]++;
+    }
+    scene_run(scene, list_upstreams);
+}
+
+void
+scene_restart_upstream(struct scene *scene, unsigned upstream)
+{
+    scene->restarts++;
+    scene->incarnations[upstream]++;
     scene_run(scene, list_upstreams);
 }
 
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -26,7 +26,8 @@
  * @listeners: listening sockets of the upstreams
  * @stopped: upstreams that no longer listen
  * @software: software versions of the upstreams, NULL: not listed
- * @incarnation: number of restarts of all upstreams
+ * @restarts: number of changes of the list by restarts
+ * @incarnations: number of the upstreams' restarts
  * @routes_version: version of the configuration in force
  * @status_path: path of the upstreams' status check in the next configuration,
  *   NULL: there is none
@@ -39,7 +40,8 @@
     bool stopped[SCENE_UPSTREAMS];
     unsigned upstreams;
     const char *software[SCENE_UPSTREAMS];
-    unsigned incarnation;
+    unsigned restarts;
+    unsigned incarnations[SCENE_UPSTREAMS];
     uint64_t routes_version;
     const char *status_path;
 };
@@ -89,6 +91,9 @@
  * upstreams, as after a crash of each */
 void scene_restart_upstreams(struct scene *scene);
 
+/** scene_restart_upstream() - the same for one upstream */
+void scene_restart_upstream(struct scene *scene, unsigned upstream);
+
 /** scene_listen() - open a listening socket on loopback and return its address
  * in @address */
 int scene_listen(struct pgw_address *address);
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -355,6 +355,43 @@
     pgw_crash_quarantine_free(quarantine);
 }
 
+/* Guards against reports of each upstream that a power loss ends, from each
+ * entry. */
+static void
+test_upstream_reports_are_bounded(void)
+{
+    struct published published = {0};
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+
+    for (unsigned i = 0; i < 40; i++) {
+        char name[] = {(char)('0' + i), '\0'};
+
+        pgw_crash_quarantine_add_end(quarantine, name, 0, SECOND + i);
+    }
+    g_assert_cmpuint(published.count, ==, 16);
+    g_assert_cmpint(published.items[0].kind, ==, PGW_CRASHED_RUN_UPSTREAM);
+    pgw_crash_quarantine_free(quarantine);
+}
+
+/* Guards against the crash of a process that is taken for the last crash of
+ * another one under its id. */
+static void
+test_second_crash_under_one_id(void)
+{
+    struct published published = {0};
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+
+    pgw_crash_quarantine_add_end(quarantine, "a", SECOND, 2 * SECOND);
+    pgw_crash_quarantine_add_end(quarantine, "a", SECOND, 3 * SECOND);
+    g_assert_false(
+        pgw_crash_quarantine_has_crashed_since(quarantine, "a", 3 * SECOND));
+    pgw_crash_quarantine_add_end(quarantine, "a", 4 * SECOND, 5 * SECOND);
+    g_assert_true(
+        pgw_crash_quarantine_has_crashed_since(quarantine, "a", 3 * SECOND));
+    g_assert_cmpuint(published.count, ==, 2);
+    pgw_crash_quarantine_free(quarantine);
+}
+
 /*
  * A popular request was running in three crashes and then completes at one
  * entry. That entry informs the others, and all of them end the quarantine.
@@ -722,6 +759,10 @@
                     test_crashes_of_one_moment_are_bounded);
     g_test_add_func("/crash_quarantine/crash_before_interruption",
                     test_crash_before_interruption);
+    g_test_add_func("/crash_quarantine/upstream_reports_are_bounded",
+                    test_upstream_reports_are_bounded);
+    g_test_add_func("/crash_quarantine/second_crash_under_one_id",
+                    test_second_crash_under_one_id);
     g_test_add_func("/crash_quarantine/completed_run_clears",
                     test_completed_run_clears);
     g_test_add_func("/crash_quarantine/published_once", test_published_once);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -923,7 +923,11 @@
     crash_next_upstream(scene);
     upstream = scene_accept_any(scene, &which);
     g_free(scene_read_request(upstream));
-    scene_restart_upstreams(scene);
+    for (unsigned i = 0; i < 3; i++) {
+        if (i != which) {
+            scene_restart_upstream(scene, i);
+        }
+    }
     scene_answer(upstream, "a", 200, "", "ok");
     expect_ok(caller);
     close(upstream);
