--- a/tests/property/prop_crash_quarantine.cc
+++ b/tests/property/prop_crash_quarantine.cc
@@ -228,6 +228,76 @@
     }
 }
 
+// Whatever becomes of its trials, a request that has crashed three upstreams
+// reaches at most three more within five minutes, over all entries.
+void
+check_five_minutes(std::vector<uint32_t> script)
+{
+    pgw_crash_quarantine_options options = PGW_CRASH_QUARANTINE_OPTIONS_INIT;
+    pgw_fingerprint fingerprint = {{1}};
+    pgw_crash_keys keys = request_keys(fingerprint);
+    uint64_t begin = 20000000;
+    uint64_t claims = 0;
+    unsigned arrivals = 0;
+    uint64_t runs_until[entries] = {};
+    fleet all;
+
+    script.push_back(1);
+    for (unsigned i = 0; i < entries; i++) {
+        all.list[i] = {&all, i, pgw_crash_quarantine_new(&options)};
+        for (uint64_t crash = 1; crash <= 3; crash++) {
+            pgw_crashed_run crashed = {fingerprint, false, crash, 0, PGW_CRASHED_RUN_CRASHED, 0, 0, 0, nullptr, 0, false};
+
+            pgw_crash_quarantine_merge(all.list[i].quarantine, &crashed, 1, begin);
+        }
+        pgw_crash_quarantine_subscribe(all.list[i].quarantine, on_crashed, &all.list[i]);
+    }
+    for (uint64_t now = begin; now < begin + 300000000; now += step_us) {
+        uint32_t number = script[now / step_us % script.size()];
+        unsigned index = (number + now / step_us) % entries;
+        entry *at = &all.list[index];
+        pgw_crash_quarantine *quarantine = at->quarantine;
+        std::string upstream = "u" + std::to_string(arrivals);
+
+        if (runs_until[index] == 0 && at->trial != 0 && number / 64 % 8 == 0) {
+            pgw_crash_quarantine_end_trial(quarantine, &keys, at->trial, PGW_TRIAL_WITHDRAWN, now);
+            at->trial = 0;
+        }
+        else if (runs_until[index] == 0 &&
+                 pgw_crash_quarantine_admit(quarantine, &keys, &at->trial, 1000000, ++claims,
+                                            now) == PGW_CRASH_TRIAL) {
+            arrivals++;
+            upstream = "u" + std::to_string(arrivals);
+            pgw_crash_quarantine_start_trial(quarantine, &keys, at->trial, upstream.c_str(),
+                                             now + 9000000, now);
+            runs_until[index] = now + step_us * (1 + number / 8 % 8);
+        }
+        for (unsigned i = 0; i < entries; i++) {
+            quarantine = all.list[i].quarantine;
+            if (runs_until[i] == 0 || now < runs_until[i]) {
+                continue;
+            }
+            if (number / 512 % 2 == 0) {
+                pgw_crash_quarantine_add_interrupted(quarantine, &keys, upstream.c_str(), now);
+                pgw_crash_quarantine_add_crash(quarantine, upstream.c_str(), 0, now);
+            }
+            pgw_crash_quarantine_end_trial(quarantine, &keys, all.list[i].trial,
+                                           number / 512 % 2 == 0 ? PGW_TRIAL_FAILED
+                                                                 : PGW_TRIAL_UNPROVEN,
+                                           now);
+            all.list[i].trial = 0;
+            runs_until[i] = 0;
+        }
+        while (!all.messages.empty()) {
+            deliver(&all, number % all.messages.size(), now);
+        }
+    }
+    RC_ASSERT(arrivals <= 3u);
+    for (entry &each : all.list) {
+        pgw_crash_quarantine_free(each.quarantine);
+    }
+}
+
 } // namespace
 
 int
@@ -262,5 +332,8 @@
     good =
         rc::check("trials become quiet", [] { check_trials_become_quiet(random_script(200)); }) &&
         good;
+    good = rc::check("five minutes have three trials",
+                     [] { check_five_minutes(random_script(50)); }) &&
+           good;
     return good ? 0 : 1;
 }
