--- a/src/gateway/request/trial_room.c
+++ b/src/gateway/request/trial_room.c
@@ -21,26 +21,30 @@
         pgw_container_of(timer, struct pgw_exchange, suspect_timer));
 }
 
+/* An upstream that has ended stays listed for a while, so that it may be
+ * chosen again. */
 static void
 on_result(struct pgw_status_check *check, enum pgw_upstream_status status)
 {
     struct pgw_exchange *exchange =
         pgw_container_of(check, struct pgw_exchange, room_check);
+    uint64_t now_us = pgw_now_us();
 
-    if (status == PGW_UPSTREAM_BUSY) {
-        forget_room(exchange);
-        exchange->room_ask_at_us = pgw_now_us() + ASK_AGAIN_US;
-        exchange->suspect_timer.on_due = on_ask_again;
-        pgw_timer_start(exchange->gateway->loop, &exchange->suspect_timer,
-                        ASK_AGAIN_US);
+    if (status == PGW_UPSTREAM_WELL) {
+        exchange->room_known_us = now_us;
+        pgw_exchange_dispatch(exchange);
         return;
     }
     if (status == PGW_UPSTREAM_ENDED) {
+        pgw_upstream_record_attempt(exchange->room_at, PGW_RESULT_UNREACHABLE,
+                                    now_us);
         pgw_gateway_handle_crash(exchange->gateway, exchange->room_at);
-        forget_room(exchange);
     }
-    exchange->room_known_us = pgw_now_us();
-    pgw_exchange_dispatch(exchange);
+    forget_room(exchange);
+    exchange->room_ask_at_us = now_us + ASK_AGAIN_US;
+    exchange->suspect_timer.on_due = on_ask_again;
+    pgw_timer_start(exchange->gateway->loop, &exchange->suspect_timer,
+                    ASK_AGAIN_US);
 }
 
 const struct pgw_upstream *
