Bound trials of prompt parts that prove nothing

Cause: as for whole requests; besides, trials of a part were not bounded below five crashes, which entries may not have counted though five engines have ended; and the crashes of a part were explained by another faulty one in the same crashes, though it had been tried without completing.

Change: trials of each part are bounded that has not completed at this entry; failed ones are, as before, by what they prove. A part that was tried and has not completed is not explained by another one.

--- a/src/gateway/crash/crash_blame.c
+++ b/src/gateway/crash/crash_blame.c
@@ -19,16 +19,14 @@
 {
     struct pgw_crashed_run report;
 
-    if (!record->is_part) {
-        pgw_crash_suspects__count_trial(quarantine, record, now_us);
-    }
+    record->trials += !record->is_part;
     report = pgw_crash_suspects__make_report(
         record, PGW_CRASHED_RUN_TRIAL_FAILED, token, 0);
     pgw_crash_trial_end(&record->trial, token);
     pgw_crash_trial_ignore(&record->trial, token);
     record->failed_trial = token;
     if (now_us >= record->quarantined_until_us ||
-        record->trials >= PGW_CRASH_TRIALS_MAX) {
+        pgw_crash_record_has_used_trials(record)) {
         pgw_crash_quarantine__start(quarantine, record, now_us);
     }
     pgw_crash_suspects__log(record, "failed", token);
@@ -198,11 +196,10 @@
         keys.items[keys.count++] = record->key;
         add_failed_trial(quarantine, record, record->trial.upstream, token,
                          parts->count, now_us);
-        pgw_crash_suspects__count_trial(quarantine, record, now_us);
     }
     for (size_t i = 0; i < parts->count; i++) {
         any_proven = any_proven || is_proven(quarantine, parts, i, now_us) ||
-                     parts->items[i]->trials >= PGW_CRASH_TRIALS_MAX;
+                     pgw_crash_record_has_used_trials(parts->items[i]);
     }
     for (size_t i = 0; i < parts->count; i++) {
         struct pgw_crash_record *record = parts->items[i];
--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -139,6 +139,13 @@
     return lists_crash(quarantine->crashed_upstreams, crash);
 }
 
+/* A key that has been tried and has not completed may be faulty, too. */
+static bool
+may_be_explained(const struct pgw_crash_record *record, uint64_t now_us)
+{
+    return now_us >= record->quarantined_until_us && record->trials == 0;
+}
+
 void
 pgw_crash_quarantine__explain(struct pgw_crash_quarantine *quarantine,
                               const struct pgw_crash_record *faulty,
@@ -160,7 +167,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct pgw_crash_record *record = value;
 
-        if (record != faulty && now_us >= record->quarantined_until_us) {
+        if (record != faulty && may_be_explained(record, now_us)) {
             pgw_crash_record_explain(record, faulty);
         }
     }
@@ -171,7 +178,7 @@
     const struct pgw_crash_quarantine *quarantine,
     const struct pgw_crash_record *record, uint64_t crash, uint64_t now_us)
 {
-    return now_us >= record->quarantined_until_us &&
+    return may_be_explained(record, now_us) &&
            lists_crash(quarantine->explained, crash);
 }
 
@@ -195,7 +202,7 @@
          i++) {
         duration_us *= 10;
     }
-    if (record->trials >= PGW_CRASH_TRIALS_MAX) {
+    if (pgw_crash_record_has_used_trials(record)) {
         duration_us = MAX(
             duration_us,
             quarantine->options.unproven_wait_us[PGW_CRASH_TRIALS_MAX - 1]);
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_CRASH_CRASH_QUARANTINE_H
 
 #include "gateway/crash/crash_keys.h"
+#include "gateway/crash/crash_trial.h"
 #include <glib.h>
 
 /**
@@ -118,9 +119,6 @@
     PGW_TRIAL_FAILED,
 };
 
-/* Trials of one key, whatever became of them, before the longest wait. */
-#define PGW_CRASH_TRIALS_MAX 3
-
 /**
  * enum pgw_crash_verdict - what may be done with a request
  * @PGW_CRASH_ALLOW: it may run
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -138,13 +138,6 @@
                                  uint32_t hops, uint64_t now_us);
 
 /* crash_suspects.c */
-/** pgw_crash_suspects__count_trial() - a trial has ended without a completed
- * run. Trials of a part are not bounded as long as it is most likely sound:
- * all requests may share it. */
-void pgw_crash_suspects__count_trial(struct pgw_crash_quarantine *quarantine,
-                                     struct pgw_crash_record *record,
-                                     uint64_t now_us);
-
 /** pgw_crash_suspects__merge() - apply another entry's report of a trial;
  * returns whether it is new */
 bool pgw_crash_suspects__merge(struct pgw_crash_quarantine *quarantine,
--- a/src/gateway/crash/crash_record.c
+++ b/src/gateway/crash/crash_record.c
@@ -149,6 +149,24 @@
     return count;
 }
 
+uint32_t
+pgw_crash_record_trials(const struct pgw_crash_record *record)
+{
+    uint32_t trials = record->trials;
+
+    for (uint32_t i = 0; i < record->count && record->is_part; i++) {
+        trials += record->crashes[i].trial != 0 && !record->crashes[i].cleared;
+    }
+    return trials;
+}
+
+bool
+pgw_crash_record_has_used_trials(const struct pgw_crash_record *record)
+{
+    return record->trials > 0 &&
+           pgw_crash_record_trials(record) >= PGW_CRASH_TRIALS_MAX;
+}
+
 void
 pgw_crash_record_explain(struct pgw_crash_record *record,
                          const struct pgw_crash_record *faulty)
--- a/src/gateway/crash/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -65,7 +65,7 @@
  * @count: number of @crashes
  * @last_us: time of the last crash
  * @trials: number of trials since the last completed run that have ended
- *   otherwise, as far as they are bounded
+ *   otherwise; of a part, those that have not failed
  * @next_trial_us: no trial starts before
  * @unproven_trial: token of the trial after which others wait until then
  * @quarantine_count: how often the key was quarantined
@@ -144,6 +144,15 @@
                                struct pgw_crash_record *const *partners,
                                size_t partner_count);
 
+/** pgw_crash_record_trials() - number of trials since the last completed run
+ * that have ended otherwise, failed or not */
+uint32_t pgw_crash_record_trials(const struct pgw_crash_record *record);
+
+/** pgw_crash_record_has_used_trials() - whether the next trial has to wait for
+ * the longest time. That of a part has not if all have failed: it is
+ * quarantined by what they prove. */
+bool pgw_crash_record_has_used_trials(const struct pgw_crash_record *record);
+
 /**
  * pgw_crash_record_explain() - clear crashes that another key has caused
  * @record: a record with the same crashes, and perhaps others
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -86,24 +86,14 @@
     }
 }
 
-static bool
-is_bounded(const struct pgw_crash_quarantine *quarantine,
-           const struct pgw_crash_record *record, uint64_t now_us)
+static uint64_t
+unproven_wait_us(const struct pgw_crash_quarantine *quarantine,
+                 const struct pgw_crash_record *record)
 {
-    return !record->is_part ||
-           (!pgw_completed_parts_has(&quarantine->completed, &record->key) &&
-            pgw_crash_quarantine__suspicions(quarantine, record, now_us) >=
-                quarantine->options.part_crashes);
-}
+    uint32_t trials =
+        MIN(pgw_crash_record_trials(record), PGW_CRASH_TRIALS_MAX);
 
-void
-pgw_crash_suspects__count_trial(struct pgw_crash_quarantine *quarantine,
-                                struct pgw_crash_record *record,
-                                uint64_t now_us)
-{
-    if (is_bounded(quarantine, record, now_us)) {
-        record->trials++;
-    }
+    return quarantine->options.unproven_wait_us[trials - 1];
 }
 
 /*
@@ -121,12 +111,11 @@
     if (!pgw_crash_trial_end(&record->trial, token)) {
         return;
     }
-    pgw_crash_suspects__count_trial(quarantine, record, now_us);
-    if (record->trials > 0) {
-        wait_us =
-            quarantine->options
-                .unproven_wait_us[MIN(record->trials, PGW_CRASH_TRIALS_MAX) -
-                                  1];
+    /* All requests may share a part that was sound here before. */
+    if (!record->is_part ||
+        !pgw_completed_parts_has(&quarantine->completed, &record->key)) {
+        record->trials++;
+        wait_us = unproven_wait_us(quarantine, record);
         record->next_trial_us = now_us + wait_us;
         record->unproven_trial = token;
     }
@@ -534,7 +523,9 @@
         const struct pgw_crash_record *record =
             pgw_crash_table_find(quarantine->table, &keys->items[i]);
 
-        trials = record == NULL ? trials : MAX(trials, record->trials);
+        if (record != NULL) {
+            trials = MAX(trials, pgw_crash_record_trials(record));
+        }
     }
     return trials;
 }
--- a/src/gateway/crash/crash_trial.h
+++ b/src/gateway/crash/crash_trial.h
@@ -17,6 +17,9 @@
 /* Trials that ended lately and whose late reports are ignored. */
 #define PGW_CRASH_TRIAL_ENDED_MAX 8
 
+/* Trials of one key, whatever became of them, before the longest wait. */
+#define PGW_CRASH_TRIALS_MAX 3
+
 /**
  * struct pgw_crash_trial - the trial of one fingerprint
  * @token: token of its claim, 0: there is no trial
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -21,10 +21,13 @@
     def __init__(self, soak):
         self.soak = soak
         self.bad, self.crashes, self.late = [], {}, {}
+        self.result = "crash"
         self.disturbed, self.sent, self.last_faulty = {}, [], 0.0
 
-    def begin(self, bad):
-        self.bad = bad
+    def begin(self, bad, result="crash"):
+        """@result: what becomes of attempts: "crash", "answer" before the crash,
+        or "not_run" from the fifth crash on."""
+        self.bad, self.result = bad, result
         self.crashes = {part: [] for part in bad}
         self.late = {part: 0 for part in bad}
         self.sent, self.last_faulty = [], 0.0
@@ -38,6 +41,11 @@
                for item in fields.get("prompt-prefix", "").split(",")[:-1]]
         return [part for part in self.bad if part in ids]
 
+    def refuses(self, fields):
+        """Whether engines refuse a request as not run."""
+        return self.result == "not_run" and any(
+            len(self.crashes[part]) >= CRASHES for part in self.faulty(fields))
+
     def note_arrival(self, fields, entry):
         now = time.monotonic()
         for part in self.faulty(fields):
@@ -83,6 +91,9 @@
     """The engine begins to answer the faulty prompt, and ends."""
     soak = upstream.soak
     parts = upstream.crashing
+    if soak.parts.result == "answer":
+        await crash_later(upstream, writer, own)
+        return
     await asyncio.sleep(soak.random.random() * 0.05)
     if upstream.server.server is not None:
         soak.parts.note_crash(parts)
@@ -93,6 +104,22 @@
     asyncio.ensure_future(upstream.crash(soak.random.uniform(*DOWN_S)))
 
 
+async def crash_later(upstream, writer, own):
+    """The engine answers the faulty prompt, and ends shortly afterwards."""
+    soak, parts, life = upstream.soak, upstream.crashing, upstream.id
+    writer.write((f"HTTP/1.1 200 X\r\n{own}Content-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "b\r\nid: 1\ndata:\r\n3\r\n x\n\r\n1\r\n\n\r\n0\r\n\r\n"
+                  ).encode())
+
+    async def end():
+        await asyncio.sleep(0.02 + soak.random.random() * 0.04)
+        if upstream.server.server is not None and upstream.id == life:
+            soak.parts.note_crash(parts)
+            await upstream.crash(soak.random.uniform(*DOWN_S))
+    asyncio.ensure_future(end())
+
+
 async def send(soak, fleet, ask, route, attempt, prompt):
     """One attempt at any entry; notes whether a sound prompt begins."""
     parts, entry = soak.parts, soak.random.randrange(len(fleet.entries))
@@ -174,7 +201,14 @@
             "store_silent": store_silent, "power": engines_lose_power}
 
 
-async def crashing_parts(soak, fleet, ask):
+async def burst(soak, fleet, ask, source, name):
+    """As many faulty prompts at once as there are engines."""
+    await asyncio.gather(*[send(
+        soak, fleet, ask, "flow", f"{name}-burst-{number}", next(source)[1])
+        for number in range(len(fleet.engines))])
+
+
+async def crashing_parts(soak, fleet, ask, result="crash"):
     """What is drawn: one such part or two, its place, the route, and what else
     happens meanwhile."""
     pick = soak.random
@@ -189,14 +223,16 @@
     await traffic(soak, fleet, ask, route, source, f"{name}-calm", CALM_S, 0)
     calm = (calm, time.monotonic())
     sent = soak.parts.sent
-    soak.parts.begin([f"bad{name[6:]}{i}" for i in range(count)])
+    soak.parts.begin([f"bad{name[6:]}{i}" for i in range(count)], result)
     soak.parts.sent = sent
+    if result == "not_run":
+        await burst(soak, fleet, ask, source, name)
     beside = asyncio.ensure_future(TROUBLES[trouble](soak, fleet))
     await traffic(soak, fleet, ask, route, source, name, FAULTY_S,
                   FAULTY_SHARE)
     await beside
     soak.parts.judge(f"{name} parts={count} place={place} route={route} "
-                     f"beside={trouble}", calm)
+                     f"beside={trouble} result={result}", calm)
 
 
 async def shared_part_power_losses(soak, fleet, ask):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -669,6 +669,9 @@
             writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"
                                 + self.steps.load()))
             return
+        if self.soak.parts.refuses(fields):
+            writer.write(answer(503, b"", "Not-Run: 1\r\n"))
+            return
         if "authorization" in fields or (
                 fields.get("tenant") not in self.soak.workspaces):
             self.soak.fail(f"{attempt} came with a key or without workspace")
@@ -1436,6 +1439,16 @@
     await crashing_parts.crashing_parts(soak, fleet, ask_prompt)
 
 
+async def answered_parts(soak, fleet):
+    """The same, with a complete answer before each crash."""
+    await crashing_parts.crashing_parts(soak, fleet, ask_prompt, "answer")
+
+
+async def refused_parts(soak, fleet):
+    """The same, with engines that refuse such prompts from the fifth crash on."""
+    await crashing_parts.crashing_parts(soak, fleet, ask_prompt, "not_run")
+
+
 async def shared_part(soak, fleet):
     await crashing_parts.shared_part_power_losses(soak, fleet, ask_prompt)
 
@@ -1451,6 +1464,7 @@
         "slow_request": late_crashes.slow_request,
         "killed_engines": killed_engines.killed_engines,
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
+        "answered_parts": answered_parts, "refused_parts": refused_parts,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone, **unproven_attempts.ACTS}
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -664,42 +664,105 @@
     pgw_crash_quarantine_free(quarantine);
 }
 
+/* A request of its own, with a part that others share if @has_part. */
+static struct pgw_crash_keys
+keys_of_trial(uint8_t number, bool has_part)
+{
+    struct pgw_crash_keys keys = make_keys(has_part ? number : 1);
+
+    if (has_part) {
+        pgw_crash_keys_add_part(&keys, 7, NULL);
+    }
+    return keys;
+}
+
+/* Returns the number of trials of five minutes after five crashes at once.
+ * Bits of @mask: which trials crash their upstreams. */
+static unsigned
+count_trials(unsigned mask, bool has_part)
+{
+    struct pgw_crash_quarantine *quarantine = quarantine_new(NULL);
+    uint64_t now_us = SECOND;
+    unsigned trials = 0;
+
+    for (uint8_t i = 0; i < 5; i++) {
+        struct pgw_crash_keys keys = keys_of_trial(i, has_part);
+        char name[] = {(char)('a' + i), '\0'};
+
+        crash(quarantine, &keys, name, now_us);
+    }
+    for (uint64_t step = 0; step < 300; step++) {
+        struct pgw_crash_keys keys =
+            keys_of_trial((uint8_t)(100 + trials), has_part);
+        char name[] = {(char)('A' + trials), '\0'};
+        uint64_t trial = 0;
+
+        pgw_crash_quarantine_admit(quarantine, &keys, &trial, SECOND, step + 1,
+                                   now_us);
+        now_us += SECOND;
+        if (trial != 0 &&
+            pgw_crash_quarantine_admit(quarantine, &keys, &trial, SECOND,
+                                       step + 1, now_us) == PGW_CRASH_TRIAL) {
+            bool fails = (mask >> trials & 1) != 0;
+
+            pgw_crash_quarantine_start_trial(quarantine, &keys, trial, name,
+                                             now_us + SECOND, now_us);
+            if (fails) {
+                crash(quarantine, &keys, name, now_us);
+            }
+            pgw_crash_quarantine_end_trial(
+                quarantine, &keys, trial,
+                fails ? PGW_TRIAL_FAILED : PGW_TRIAL_UNPROVEN, now_us);
+            trials++;
+        }
+    }
+    pgw_crash_quarantine_free(quarantine);
+    return trials;
+}
+
 /* Guards against a fourth run within minutes where trials without a result and
  * failed ones alternate. */
 static void
 test_mixed_trials_are_bounded(void)
 {
-    for (unsigned mask = 0; mask < 1 << PGW_CRASH_TRIALS_MAX; mask++) {
-        struct published published = {.count = 0};
-        struct pgw_crash_keys keys = make_keys(1);
-        struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
-        uint64_t now_us = SECOND;
-        unsigned trials = 0;
-
-        crash_three(quarantine, now_us);
-        for (uint64_t step = 0; step < 300; step++) {
-            uint64_t trial = 0;
-
-            published.count = 0;
-            if (admit(quarantine, &trial, step + 1, now_us) ==
-                    PGW_CRASH_WAIT &&
-                trial != 0) {
-                now_us += SECOND;
-                g_assert_cmpint(admit(quarantine, &trial, step + 1, now_us),
-                                ==, PGW_CRASH_TRIAL);
-                pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "d",
-                                                 now_us + SECOND, now_us);
-                pgw_crash_quarantine_end_trial(
-                    quarantine, &keys, trial,
-                    mask >> trials & 1 ? PGW_TRIAL_FAILED : PGW_TRIAL_UNPROVEN,
-                    now_us);
-                trials++;
-            }
-            now_us += SECOND;
-        }
-        g_assert_cmpuint(trials, <=, PGW_CRASH_TRIALS_MAX);
-        pgw_crash_quarantine_free(quarantine);
+    for (unsigned mask = 0; mask < 16; mask++) {
+        g_assert_cmpuint(count_trials(mask, false), <=, 3);
+        g_assert_cmpuint(count_trials(mask, true), <=, 3);
+    }
+}
+
+/* Guards against a part that all requests share and that is held back, since
+ * full upstreams refused its trials. */
+static void
+test_sound_part_is_not_held_back(void)
+{
+    struct pgw_crash_quarantine *quarantine = quarantine_new(NULL);
+    struct pgw_crash_keys sound = keys_of_trial(99, true);
+    uint64_t now_us = SECOND;
+
+    pgw_crash_quarantine_clear(quarantine, &sound);
+    for (uint8_t i = 0; i < 5; i++) {
+        struct pgw_crash_keys keys = keys_of_trial(i, true);
+        char name[] = {(char)('a' + i), '\0'};
+
+        crash(quarantine, &keys, name, now_us);
     }
+    for (uint8_t i = 0; i < 5; i++) {
+        struct pgw_crash_keys keys = keys_of_trial((uint8_t)(100 + i), true);
+        uint64_t trial = 0;
+
+        pgw_crash_quarantine_admit(quarantine, &keys, &trial, SECOND, i + 1,
+                                   now_us);
+        now_us += SECOND;
+        g_assert_cmpint(pgw_crash_quarantine_admit(quarantine, &keys, &trial,
+                                                   SECOND, i + 1, now_us),
+                        ==, PGW_CRASH_TRIAL);
+        pgw_crash_quarantine_start_trial(quarantine, &keys, trial, "z",
+                                         now_us + SECOND, now_us);
+        pgw_crash_quarantine_end_trial(quarantine, &keys, trial,
+                                       PGW_TRIAL_UNPROVEN, now_us);
+    }
+    pgw_crash_quarantine_free(quarantine);
 }
 
 /* Guards against an entry that starts a trial at once, since it was not told
@@ -780,6 +843,8 @@
                     test_completed_run_forgets_trials);
     g_test_add_func("/crash_quarantine/mixed_trials_are_bounded",
                     test_mixed_trials_are_bounded);
+    g_test_add_func("/crash_quarantine/sound_part_is_not_held_back",
+                    test_sound_part_is_not_held_back);
     g_test_add_func("/crash_quarantine/wait_for_trial_is_shared",
                     test_wait_for_trial_is_shared);
     return g_test_run();
