Let a reset connection fail a trial only with the end of its upstream

Callers of a harmless request were refused for a minute where, after a power loss, a full upstream reset the connection of its trial: upstreams reset connections beyond their maximum and live on. Found while looking for results that are taken for proof: a broken connection was one of them.

Change: such a trial is kept like an answered one, and its upstream is asked at once. It has failed if no process listens, and proves nothing if the upstream still answers half a second later. Where a service names no status check it has failed, as before.

--- a/src/gateway/request/answered_runs.c
+++ b/src/gateway/request/answered_runs.c
@@ -29,7 +29,7 @@
     uint64_t sent_us;
     uint64_t answered_us;
     unsigned status;
-    bool is_unframed;
+    bool is_cut;
     uint64_t trial;
     struct pgw_status_check check;
 };
@@ -66,11 +66,12 @@
 settle_survived(const struct answered_run *run)
 {
     struct pgw_crash_keys completed = run->keys;
+    bool is_answered = run->status > 0 && run->status < 500;
 
     if (run->status >= 300) {
         completed.count = 1;
     }
-    if (run->status < 500) {
+    if (is_answered) {
         pgw_crash_quarantine_clear(run->runs->gateway->crash_quarantine,
                                    &completed);
     }
@@ -101,7 +102,7 @@
     uint64_t now_us = pgw_now_us();
 
     log_crash(run, now_us);
-    if (run->is_unframed) {
+    if (run->is_cut) {
         pgw_crash_quarantine_add_interrupted(quarantine, &run->keys,
                                              run->upstream->id, now_us);
     }
@@ -281,7 +282,7 @@
     added->sent_us = run->sent_us;
     added->answered_us = pgw_now_us();
     added->status = run->status;
-    added->is_unframed = run->is_unframed;
+    added->is_cut = run->is_cut;
     added->trial = run->trial;
     if (runs->count == RUNS_MAX) {
         make_room(runs);
@@ -292,7 +293,8 @@
     pgw_list_append(&runs->runs, &added->in_runs);
     runs->count++;
     if (pgw_crash_quarantine_has_crashed_since(quarantine, run->upstream->id,
-                                               run->sent_us)) {
+                                               run->sent_us) ||
+        (run->status == 0 && status_path(added) == NULL)) {
         settle_crashed(added);
         remove_run(added);
         return;
@@ -303,4 +305,7 @@
             added->answered_us + CRASH_KNOWN_US + RESULT_MARGIN_US,
             added->answered_us);
     }
+    if (run->status == 0) {
+        ask_upstream(added);
+    }
 }
--- a/src/gateway/request/answered_runs.h
+++ b/src/gateway/request/answered_runs.h
@@ -20,13 +20,14 @@
 struct pgw_answered_runs;
 
 /**
- * struct pgw_answered_run - a run whose answer has arrived
+ * struct pgw_answered_run - a run whose answer has arrived, or whose
+ * connection broke
  * @request: id of the request, for logs
  * @keys: keys of the request
  * @upstream: where it ran; a reference is held
  * @sent_us: when it was sent
- * @status: status of the answer
- * @is_unframed: the answer has neither a length nor chunks
+ * @status: status of the answer, 0: it is incomplete
+ * @is_cut: its connection has ended, by which the answer ended, too
  * @trial: token of the trial that it was, 0: none; the trial ends with what
  *   the run proves
  */
@@ -36,7 +37,7 @@
     struct pgw_upstream *upstream;
     uint64_t sent_us;
     unsigned status;
-    bool is_unframed;
+    bool is_cut;
     uint64_t trial;
 };
 
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -187,7 +187,19 @@
     g_free(parts);
     pgw_crash_quarantine_add_interrupted(quarantine, &exchange->crash_keys,
                                          exchange->upstream->id, pgw_now_us());
-    pgw_suspect_wait_end_trial(exchange, PGW_TRIAL_FAILED);
+    if (exchange->trial != 0) {
+        const struct pgw_answered_run run = {
+            .request = exchange->facts.id,
+            .keys = &exchange->crash_keys,
+            .upstream = exchange->upstream,
+            .sent_us = exchange->sent_us,
+            .is_cut = true,
+            .trial = exchange->trial,
+        };
+
+        pgw_answered_runs_add(exchange->gateway->answered_runs, &run);
+        exchange->trial = 0;
+    }
 }
 
 bool
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -341,7 +341,7 @@
         .upstream = exchange->upstream,
         .sent_us = exchange->sent_us,
         .status = exchange->status,
-        .is_unframed = exchange->is_unframed,
+        .is_cut = exchange->is_unframed,
         .trial = exchange->trial,
     };
 
--- a/tests/unit/test_unproven_trial.c
+++ b/tests/unit/test_unproven_trial.c
@@ -128,6 +128,29 @@
     scene_free(scene);
 }
 
+/* Guards against a harmless request that is refused for a minute, since a full
+ * upstream resets the connection of its trial. */
+static void
+test_reset_by_a_living_upstream_proves_nothing(void)
+{
+    struct scene *scene = suspect_scene();
+    int caller = scene_call_with_fields(scene, "/again/", "d", NO_REUSE);
+    int upstream = accept_request(scene, "Attempt-Id: d");
+
+    scene_reset(upstream);
+    for (unsigned i = 0; i < 3; i++) {
+        upstream = accept_request(scene, "GET /health ");
+        scene_send(upstream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                             "Connection: close\r\n\r\n");
+        close(upstream);
+    }
+    upstream = accept_request(scene, "Attempt-Id: d");
+    scene_answer(upstream, "d", 200, "", "ok");
+    expect(caller, "HTTP/1.1 200 ");
+    close(upstream);
+    scene_free(scene);
+}
+
 /* Guards against a status check that is answered by the bytes of another
  * request, or by another process at the address. */
 static void
@@ -163,6 +186,9 @@
                     test_own_error_of_a_trial_is_delivered);
     g_test_add_func("/unproven_trial/full_upstream_gets_no_second_trial",
                     test_full_upstream_gets_no_second_trial);
+    g_test_add_func(
+        "/unproven_trial/reset_by_a_living_upstream_proves_nothing",
+        test_reset_by_a_living_upstream_proves_nothing);
     g_test_add_func("/unproven_trial/foreign_status_is_no_room",
                     test_foreign_status_is_no_room);
     return g_test_run();
