Count crashes that follow an answer on the older path

Callers saw a request end one engine after the other, each some 50 ms after its answer: the sidecar took the end of the answer for the end of the run and cleared the suspect; the crash met no run.

Change: a run whose answer is whole gives its place to others and is kept until its engine is asked half a second later. Then it has succeeded; if the engine has ended, the run has crashed it.

--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -91,6 +91,7 @@
  * @settled: broken, and its crash, if it was one, is reported
  * @abandoned: broken by this sidecar, which waits no longer for its end, and
  *   has given its place to others
+ * @answered: its answer is whole; the engine may still crash of it
  * @unsent: broken, and the upstream took no connection for it
  * @import: its wait for the KV store, NULL without one
  * @import_asked: the KV store was asked, or is left out
@@ -136,6 +137,7 @@
     uint64_t doubt_us;
     bool settled;
     bool abandoned;
+    bool answered;
     bool unsent;
     struct kv_wait *import;
     bool import_asked;
@@ -214,6 +216,11 @@
 
 /* gate.c: end of a run, reported by run.c */
 void gate_finish(struct run *run);
+/** gate_keep_answered() - its caller has the whole answer: give its place to
+ * others, and keep it until its engine is known to have survived it, or ended
+ */
+void gate_keep_answered(struct run *run);
+
 /** gate_abandon() - nobody waits for the run any more: close its connection,
  * and finish it once the engine can no longer crash by it */
 void gate_abandon(struct run *run);
--- a/src/sidecar/gate_crash.c
+++ b/src/sidecar/gate_crash.c
@@ -67,6 +67,9 @@
     }
     if (run->ended) {
         run->settled = true;
+        if (run->answered) {
+            suspicion_succeeded(run->sidecar->suspicion, run);
+        }
         gate_finish(run);
         return;
     }
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -7,6 +7,8 @@
 /* An engine stops a run within half a second of the close of its connection;
  * a crash after more than this has another cause. */
 #define ABANDONED_US UINT64_C(1000000)
+/* The same of an engine that has answered. */
+#define ANSWERED_US UINT64_C(500000)
 
 void
 run_free(struct run *run)
@@ -90,23 +92,15 @@
     gate_pump(sidecar);
 }
 
-void
-gate_abandon(struct run *run)
+/* Keeps a run whose entry waits no longer until its engine is asked after a
+ * time. */
+static void
+keep_until(struct run *run, uint64_t doubt_us)
 {
     struct sidecar *sidecar = run->sidecar;
 
-    if (!sidecar->is_model || run->state < RUN_SENT) {
-        gate_finish(run);
-        return;
-    }
-    /* Nothing runs beside a suspect until it is known what became of it. */
-    if (!run->alone) {
-        release_place(run);
-        run->abandoned = true;
-        sidecar->runs--;
-    }
     run->state = RUN_BROKEN;
-    run->doubt_us = pgw_now_us() + ABANDONED_US;
+    run->doubt_us = doubt_us;
     pgw_timer_stop(sidecar->loop, &run->deadline);
     kv_forget(sidecar->kv, run);
     if (run->transfer != NULL) {
@@ -121,6 +115,43 @@
     gate_pump(sidecar);
 }
 
+static void
+leave_place(struct run *run)
+{
+    release_place(run);
+    run->abandoned = true;
+    run->sidecar->runs--;
+}
+
+void
+gate_abandon(struct run *run)
+{
+    if (!run->sidecar->is_model || run->state < RUN_SENT) {
+        gate_finish(run);
+        return;
+    }
+    /* Nothing runs beside a suspect until it is known what became of it. */
+    if (!run->alone) {
+        leave_place(run);
+    }
+    keep_until(run, pgw_now_us() + ABANDONED_US);
+}
+
+/* Others run beside it meanwhile, also beside a suspect: it is over for its
+ * engine unless that crashes of it. */
+void
+gate_keep_answered(struct run *run)
+{
+    if (!run->sidecar->is_model) {
+        suspicion_succeeded(run->sidecar->suspicion, run);
+        gate_finish(run);
+        return;
+    }
+    leave_place(run);
+    run->answered = true;
+    keep_until(run, pgw_now_us() + ANSWERED_US);
+}
+
 static const char *
 claim_advice(enum pgw_refusal refusal)
 {
--- a/src/sidecar/run.c
+++ b/src/sidecar/run.c
@@ -242,8 +242,9 @@
         }
     }
     else if (!run->ended) {
-        suspicion_succeeded(run->sidecar->suspicion, run);
         run_send_end(run);
+        gate_keep_answered(run);
+        return;
     }
     gate_finish(run);
 }
--- a/tests/failure/fail_abandoned_run.c
+++ b/tests/failure/fail_abandoned_run.c
@@ -139,6 +139,26 @@
     fleet_free(crash.fleet);
 }
 
+/* Guards against a request that ends one engine after the other, each time
+ * just after its answer. */
+static void
+test_engines_survive_answers(void)
+{
+    static const char *const args[] = {"--crash-on", "POISON",
+                                       "--crash-answered-ms", "50", NULL};
+    struct crash crash = {.fleet = start_with(args, 2, 0)};
+
+    for (unsigned i = 0; i < REPEATS; i++) {
+        struct harness_answer answer;
+
+        crash.before = count_crashed(crash.fleet);
+        send_poison(&answer, crash.fleet->entries[i % 2], 0);
+        expect_few_crashes(&crash, answer.status == 200);
+        harness_answer_dispose(&answer);
+    }
+    fleet_free(crash.fleet);
+}
+
 struct sent {
     struct fleet *fleet;
     struct harness_process *entry;
@@ -205,6 +225,8 @@
                     test_engines_survive_deadlines);
     g_test_add_func("/abandoned_run/engines_survive_late_ends",
                     test_engines_survive_late_ends);
+    g_test_add_func("/abandoned_run/engines_survive_answers",
+                    test_engines_survive_answers);
     g_test_add_func("/abandoned_run/engines_survive_killed_entries",
                     test_engines_survive_killed_entries);
     return g_test_run();
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -66,6 +66,7 @@
     OPTION_CRASH_ON,
     OPTION_CRASH_LINGER_MS,
     OPTION_CRASH_AFTER_MS,
+    OPTION_CRASH_ANSWERED_MS,
     OPTION_STOP_AT,
     OPTION_RETRY_AFTER_MS,
     OPTION_IGNORE_FENCE,
@@ -94,6 +95,7 @@
     {"crash-on", required_argument, NULL, OPTION_CRASH_ON},
     {"crash-linger-ms", required_argument, NULL, OPTION_CRASH_LINGER_MS},
     {"crash-after-ms", required_argument, NULL, OPTION_CRASH_AFTER_MS},
+    {"crash-answered-ms", required_argument, NULL, OPTION_CRASH_ANSWERED_MS},
     {"stop-at", required_argument, NULL, OPTION_STOP_AT},
     {"retry-after-ms", required_argument, NULL, OPTION_RETRY_AFTER_MS},
     {"ignore-fence", no_argument, NULL, OPTION_IGNORE_FENCE},
@@ -193,6 +195,9 @@
     case OPTION_CRASH_AFTER_MS:
         engine->crash_after_us = (uint64_t)(number * 1000);
         return true;
+    case OPTION_CRASH_ANSWERED_MS:
+        engine->crash_answered_us = (uint64_t)(number * 1000);
+        return true;
     case OPTION_STOP_AT:
         engine->stop_at = (unsigned)number;
         return true;
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -35,6 +35,8 @@
  * @kv_rate: tokens a second to or from the KV store
  * @crash_on: a prompt with this text ends the process, or NULL
  * @crash_after_us: time from its begin to that end, even if its caller leaves
+ * @crash_answered_us: time from the end of that prompt's answer, which is
+ *   whole, to the end of the process; 0: it ends as it begins the prompt
  * @crash_linger_us: time from the break of that answer to the end
  * @retry_after_us: Retry-After of the first request, which is refused; 0: none
  * is
@@ -56,6 +58,7 @@
     const char *weight_store;
     const char *crash_on;
     uint64_t crash_after_us;
+    uint64_t crash_answered_us;
     uint64_t crash_linger_us;
     uint64_t retry_after_us;
     unsigned stop_at;
