Count the crashes of each process, also under one id

Callers saw a request crash two upstreams again and again where these start again under the ids that they had: ten crashes in 20 s, nobody refused.

Cause: crashes were told apart by the upstream's id, so each upstream counted once, and two of them never make three.

Change: an upstream names its process by id and start, if that is known; crashes, runs and trials are recorded for the process that the request was sent to, which a restart in between does not change.

--- a/src/gateway/crash/suspect_wait.c
+++ b/src/gateway/crash/suspect_wait.c
@@ -127,7 +127,7 @@
     return exchange->trial == 0 ||
            !pgw_crash_quarantine_has_trial_at(
                exchange->gateway->crash_quarantine, exchange->trial,
-               upstream->id, pgw_now_us());
+               upstream->process, pgw_now_us());
 }
 
 void
@@ -141,7 +141,7 @@
     if (exchange->trial != 0) {
         pgw_crash_quarantine_start_trial(
             gateway->crash_quarantine, &exchange->crash_keys, exchange->trial,
-            upstream->id, exchange->deadline_us + RESULT_MARGIN_US,
+            upstream->process, exchange->deadline_us + RESULT_MARGIN_US,
             pgw_now_us());
     }
 }
--- a/src/gateway/request/abandoned_trials.c
+++ b/src/gateway/request/abandoned_trials.c
@@ -11,6 +11,7 @@
     struct pgw_crash_keys keys;
     uint64_t trial;
     struct pgw_upstream *upstream;
+    char *process;
     uint64_t abandoned_us;
     uint64_t end_us;
 };
@@ -27,6 +28,7 @@
 {
     pgw_list_remove(&trial->in_trials);
     pgw_upstream_unref(trial->upstream);
+    g_free(trial->process);
     g_free(trial);
 }
 
@@ -34,8 +36,8 @@
 settle(struct pgw_abandoned_trials *trials, struct abandoned_trial *trial,
        uint64_t now_us)
 {
-    bool crashed = pgw_crash_quarantine_has_crashed(trials->quarantine,
-                                                    trial->upstream->id);
+    bool crashed =
+        pgw_crash_quarantine_has_crashed(trials->quarantine, trial->process);
     bool is_over =
         now_us >= trial->end_us ||
         trial->upstream->answered_us >= trial->abandoned_us + RUN_OVER_US;
@@ -100,7 +102,7 @@
 void
 pgw_abandoned_trials_add(struct pgw_abandoned_trials *trials,
                          const struct pgw_crash_keys *keys, uint64_t trial,
-                         struct pgw_upstream *upstream)
+                         struct pgw_upstream *upstream, const char *process)
 {
     struct abandoned_trial *added = g_new0(struct abandoned_trial, 1);
     uint64_t now_us = pgw_now_us();
@@ -108,9 +110,10 @@
     added->keys = *keys;
     added->trial = trial;
     added->upstream = pgw_upstream_ref(upstream);
+    added->process = g_strdup(process);
     added->abandoned_us = now_us;
     added->end_us = pgw_crash_quarantine_abandon_trial(
-        trials->quarantine, keys, trial, upstream->id, now_us);
+        trials->quarantine, keys, trial, process, now_us);
     if (pgw_list_is_empty(&trials->trials)) {
         pgw_timer_start(trials->loop, &trials->timer, CHECK_US);
     }
--- a/src/gateway/request/abandoned_trials.h
+++ b/src/gateway/request/abandoned_trials.h
@@ -28,9 +28,11 @@
  * @keys: keys of the request
  * @trial: token of the trial
  * @upstream: where it ran; a reference is held
+ * @process: its process, as &pgw_upstream.process named it
  */
 void pgw_abandoned_trials_add(struct pgw_abandoned_trials *trials,
                               const struct pgw_crash_keys *keys,
-                              uint64_t trial, struct pgw_upstream *upstream);
+                              uint64_t trial, struct pgw_upstream *upstream,
+                              const char *process);
 
 #endif
--- a/src/gateway/request/answered_runs.c
+++ b/src/gateway/request/answered_runs.c
@@ -2,6 +2,7 @@
 #include "gateway/request/exchange.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
+#include <string.h>
 
 /* An upstream that has answered something this long after a run's answer will
  * not crash of that run. */
@@ -25,7 +26,8 @@
     struct pgw_crash_keys keys;
     char *request;
     struct pgw_upstream *upstream;
-    uint64_t incarnation;
+    char *process;
+    uint64_t crash;
     uint64_t sent_us;
     uint64_t answered_us;
     unsigned status;
@@ -49,6 +51,7 @@
     run->runs->count--;
     pgw_upstream_unref(run->upstream);
     g_free(run->request);
+    g_free(run->process);
     g_free(run);
 }
 
@@ -104,11 +107,11 @@
     log_crash(run, now_us);
     if (run->is_cut) {
         pgw_crash_quarantine_add_interrupted(quarantine, &run->keys,
-                                             run->upstream->id, now_us);
+                                             run->process, now_us);
     }
     else {
         pgw_crash_quarantine_add_abandoned(quarantine, &run->keys,
-                                           run->upstream->id, now_us);
+                                           run->process, now_us);
     }
     end_trial(run, PGW_TRIAL_FAILED);
 }
@@ -174,7 +177,7 @@
         struct answered_run *run =
             pgw_container_of(link, struct answered_run, in_runs);
 
-        if (run->incarnation != crash) {
+        if (run->crash != crash) {
             continue;
         }
         if (is_survived(run, MAX(answered_us, run->upstream->answered_us))) {
@@ -200,8 +203,12 @@
     if (now_us < run->answered_us + SURVIVED_US) {
         return;
     }
-    if (is_survived(run, run->upstream->answered_us) ||
-        (cannot_ask && now_us >= run->answered_us + UNASKED_US)) {
+    if (strcmp(run->process, run->upstream->process) != 0) {
+        settle_crashed(run);
+        remove_run(run);
+    }
+    else if (is_survived(run, run->upstream->answered_us) ||
+             (cannot_ask && now_us >= run->answered_us + UNASKED_US)) {
         settle_survived(run);
         remove_run(run);
     }
@@ -278,7 +285,8 @@
     added->keys = *run->keys;
     added->request = g_strdup(run->request);
     added->upstream = pgw_upstream_ref(run->upstream);
-    added->incarnation = pgw_place_id_hash(run->upstream->id);
+    added->process = g_strdup(run->process);
+    added->crash = pgw_place_id_hash(run->process);
     added->sent_us = run->sent_us;
     added->answered_us = pgw_now_us();
     added->status = run->status;
@@ -292,7 +300,7 @@
     }
     pgw_list_append(&runs->runs, &added->in_runs);
     runs->count++;
-    if (pgw_crash_quarantine_has_crashed_since(quarantine, run->upstream->id,
+    if (pgw_crash_quarantine_has_crashed_since(quarantine, run->process,
                                                run->sent_us) ||
         (run->status == 0 && status_path(added) == NULL)) {
         settle_crashed(added);
@@ -301,7 +309,7 @@
     }
     if (run->trial != 0) {
         pgw_crash_quarantine_start_trial(
-            quarantine, run->keys, run->trial, run->upstream->id,
+            quarantine, run->keys, run->trial, run->process,
             added->answered_us + CRASH_KNOWN_US + RESULT_MARGIN_US,
             added->answered_us);
     }
--- a/src/gateway/request/answered_runs.h
+++ b/src/gateway/request/answered_runs.h
@@ -25,6 +25,7 @@
  * @request: id of the request, for logs
  * @keys: keys of the request
  * @upstream: where it ran; a reference is held
+ * @process: its process, as &pgw_upstream.process named it
  * @sent_us: when it was sent
  * @status: status of the answer, 0: it is incomplete
  * @is_cut: its connection has ended, by which the answer ended, too
@@ -35,6 +36,7 @@
     const char *request;
     const struct pgw_crash_keys *keys;
     struct pgw_upstream *upstream;
+    const char *process;
     uint64_t sent_us;
     unsigned status;
     bool is_cut;
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -85,6 +85,8 @@
     pgw_upstream_schedule_probe(upstream, pgw_now_us());
     pgw_upstream_notice_count_request(upstream, pgw_now_us());
     exchange->upstream = upstream;
+    g_free(exchange->process);
+    exchange->process = g_strdup(upstream->process);
     exchange->missing_tokens = choice->missing_tokens;
     exchange->forecast = choice->forecast;
     exchange->load_at_choice =
@@ -160,11 +162,11 @@
     g_free(parts);
     pgw_crash_quarantine_add_abandoned(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys,
-                                       exchange->upstream->id, pgw_now_us());
+                                       exchange->process, pgw_now_us());
     if (exchange->trial != 0) {
         pgw_abandoned_trials_add(exchange->gateway->abandoned_trials,
                                  &exchange->crash_keys, exchange->trial,
-                                 exchange->upstream);
+                                 exchange->upstream, exchange->process);
         exchange->trial = 0;
     }
 }
@@ -186,12 +188,13 @@
                  exchange->events.events, exchange->sends);
     g_free(parts);
     pgw_crash_quarantine_add_interrupted(quarantine, &exchange->crash_keys,
-                                         exchange->upstream->id, pgw_now_us());
+                                         exchange->process, pgw_now_us());
     if (exchange->trial != 0) {
         const struct pgw_answered_run run = {
             .request = exchange->facts.id,
             .keys = &exchange->crash_keys,
             .upstream = exchange->upstream,
+            .process = exchange->process,
             .sent_us = exchange->sent_us,
             .is_cut = true,
             .trial = exchange->trial,
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -110,6 +110,7 @@
     g_free((char *)exchange->facts.id);
     g_free((char *)exchange->facts.model);
     g_free((char *)exchange->facts.resumes);
+    g_free(exchange->process);
     g_free(exchange);
 }
 
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -198,6 +198,7 @@
  * @quota_ask: number of the ask to the quota's owner whose answer is
  *   awaited, 0: none
  * @upstream: upstream of the current attempt, NULL between attempts
+ * @process: process that the current or last attempt was sent to
  * @reserved_tokens: tokens of KV cache counted at @upstream for this request
  * @prefill_tokens: pending prompt tokens counted at @upstream; 0 after the
  *   first event
@@ -281,6 +282,7 @@
     uint64_t quota_ask;
     struct pgw_call call;
     struct pgw_upstream *upstream;
+    char *process;
     uint32_t reserved_tokens;
     uint32_t prefill_tokens;
     uint32_t missing_tokens;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -43,7 +43,7 @@
 pgw_gateway_handle_crash(struct pgw_gateway *gateway,
                          const struct pgw_upstream *upstream)
 {
-    pgw_crash_quarantine_add_end(gateway->crash_quarantine, upstream->id,
+    pgw_crash_quarantine_add_end(gateway->crash_quarantine, upstream->process,
                                  upstream->answered_us, pgw_now_us());
     pgw_run_cover_add_loss(gateway, upstream);
 }
@@ -54,8 +54,9 @@
 {
     struct pgw_gateway *gateway = context;
 
-    pgw_crash_quarantine_add_crash(gateway->crash_quarantine, upstream->id,
-                                   upstream->answered_us, pgw_now_us());
+    pgw_crash_quarantine_add_crash(gateway->crash_quarantine,
+                                   upstream->process, upstream->answered_us,
+                                   pgw_now_us());
     pgw_run_cover_add_loss(gateway, upstream);
 }
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -339,6 +339,7 @@
         .request = exchange->facts.id,
         .keys = &exchange->crash_keys,
         .upstream = exchange->upstream,
+        .process = exchange->process,
         .sent_us = exchange->sent_us,
         .status = exchange->status,
         .is_cut = exchange->is_unframed,
--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -116,6 +116,7 @@
     models_clear(upstream);
     g_hash_table_destroy(upstream->cached_parts);
     g_free(upstream->id);
+    g_free(upstream->process);
     g_free(upstream->service);
     g_free(upstream->zone);
     g_free(upstream->address_text);
@@ -280,6 +281,18 @@
     return g_intern_string(facts->software == NULL ? "" : facts->software);
 }
 
+/* An upstream may start again under its id. Crashes count by process. */
+static void
+set_process(struct pgw_upstream *upstream)
+{
+    g_free(upstream->process);
+    upstream->process =
+        upstream->started_ms == 0
+            ? g_strdup(upstream->id)
+            : g_strdup_printf("%s@%" G_GUINT64_FORMAT, upstream->id,
+                              upstream->started_ms);
+}
+
 static struct pgw_upstream *
 upstream_new(struct pgw_upstream_table *table,
              const struct pgw_upstream_facts *facts)
@@ -300,6 +313,7 @@
     upstream->cached_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     upstream->id = g_strdup(facts->id);
+    set_process(upstream);
     upstream->service = g_strdup(facts->service);
     upstream->zone = g_strdup(facts->zone);
     upstream->address_text = g_strdup(facts->address);
@@ -427,6 +441,7 @@
     }
     upstream->started_ms = started_ms;
     if (earlier_start_ms == 0) {
+        set_process(upstream);
         return; /* the first known start is not a restart */
     }
     pgw_log_info("upstream_restarted",
@@ -441,6 +456,7 @@
         table->on_lost != NULL) {
         table->on_lost(upstream, table->context);
     }
+    set_process(upstream);
     reset_process_state(upstream);
 }
 
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -137,6 +137,7 @@
  * @in_table: link in the table's list
  * @references: held by the table and by each request in flight
  * @id: name in the platform's list
+ * @process: names the process: @id, and its start if that is known
  * @service: service that the upstream belongs to
  * @zone: availability zone
  * @address_text: @address as in the list
@@ -210,6 +211,7 @@
     struct pgw_list in_table;
     int references;
     char *id;
+    char *process;
     char *service;
     char *zone;
     char *address_text;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -557,7 +557,7 @@
         await asyncio.sleep(list_after_s)
         await self.list()
 
-    async def crash(self, down_s=None):
+    async def crash(self, down_s=None, same_id=False):
         """@down_s: so long its port is closed; None: any time, in which what
         stands before it accepts connections and resets them."""
         if self.server.server is None:
@@ -570,9 +570,10 @@
         self.server.close()
         await asyncio.sleep(self.soak.random.random() if down_s is None
                             else down_s)
-        await self.start()
+        await self.start(same_id)
         await asyncio.sleep(self.soak.random.random() * 2)
-        await self.store.delete("servers", old)
+        if not same_id:
+            await self.store.delete("servers", old)
 
     async def restart(self, state=None, list_after_s=0.0):
         """Crashes and starts again under its id, with its old weights; only
--- a/tests/soak/unproven_attempts.py
+++ b/tests/soak/unproven_attempts.py
@@ -49,9 +49,11 @@
     def __init__(self, soak):
         self.soak, self.body, self.result = soak, "", None
         self.crashes, self.runs, self.late = [], 0, 0
+        self.keep_ids = False
 
-    def begin(self, body, result):
-        self.body, self.result = body, result
+    def begin(self, body, result, keep_ids=False):
+        """@keep_ids: upstreams start again under their ids."""
+        self.body, self.result, self.keep_ids = body, result, keep_ids
         self.crashes, self.runs, self.late = [], 0, 0
         self.ended = set()
 
@@ -67,12 +69,14 @@
 
     async def end(self, upstream, after_s):
         """The upstream crashes some time after it began the request."""
-        ended = upstream.id
+        ended = upstream.id, upstream.starts
         await asyncio.sleep(after_s)
-        if ended not in self.ended and upstream.id == ended:
+        if ended not in self.ended and (
+                upstream.id, upstream.starts) == ended:
             self.ended.add(ended)
             self.crashes.append(time.monotonic())
-            await upstream.crash(self.soak.random.uniform(*DOWN_S))
+            await upstream.crash(self.soak.random.uniform(*DOWN_S),
+                                 self.keep_ids)
 
 
 async def serve(upstream, attempt, writer):
@@ -116,11 +120,11 @@
         "target_latency_ms": 100, "timeout_ms": 1000, "max_attempts": 2}])
 
 
-async def repeat(soak, fleet, result):
+async def repeat(soak, fleet, result, keep_ids=False):
     """The request is sent again and again, whatever becomes of it."""
     await set_route(fleet)
     name = f"unproven-{result}-{soak.random.randrange(1 << 20):x}"
-    soak.unproven.begin(name, RESULTS[result])
+    soak.unproven.begin(name, RESULTS[result], keep_ids)
     answers, number, until = {}, 0, time.monotonic() + FOR_S
     while time.monotonic() < until and soak.broken is None:
         number += 1
@@ -186,6 +190,11 @@
         soak.fail(f"{name}: callers got {sorted(outcomes, key=str)}")
 
 
+async def same_ids(soak, fleet):
+    """A request that crashes upstreams which start again under their ids."""
+    await repeat(soak, fleet, soak.random.choice(["crash", "answer"]), True)
+
+
 def harmless_act(result, *status):
     async def act(soak, fleet):
         await harmless(soak, fleet, result, status)
@@ -194,6 +203,7 @@
 
 
 ACTS = {**{f"unproven_{result}": repeats(result) for result in RESULTS},
+        "unproven_same_ids": same_ids,
         "harmless_full": harmless_act("full", 200),
         "harmless_flaky": harmless_act("flaky", 200, 500),
         "harmless_missing": harmless_act("missing", 404)}
--- a/tests/unit/test_upstream_table.c
+++ b/tests/unit/test_upstream_table.c
@@ -288,6 +288,35 @@
     pgw_upstream_table_free(table);
 }
 
+static void
+note_lost(struct pgw_upstream *upstream, void *context)
+{
+    char **lost = context;
+
+    g_free(*lost);
+    *lost = g_strdup(upstream->process);
+}
+
+/* Guards against crashes of successive processes under one id that count as
+ * one: the loss of a process is that of the former one. */
+static void
+test_processes_under_one_id(void)
+{
+    struct pgw_upstream_table *table = pgw_upstream_table_new("a");
+    struct pgw_upstream *upstream = put_started(table, 1000, false);
+    char *lost = NULL;
+
+    pgw_upstream_table_on_lost(table, note_lost, &lost);
+    g_assert_cmpstr(upstream->process, ==, "i@1000");
+    put_started(table, 2000, false);
+    g_assert_cmpstr(lost, ==, "i@1000");
+    g_assert_cmpstr(upstream->process, ==, "i@2000");
+    put_started(table, 3000, false);
+    g_assert_cmpstr(lost, ==, "i@2000");
+    g_free(lost);
+    pgw_upstream_table_free(table);
+}
+
 /* Guards against an answer without the figure, as older upstreams send, or
  * with a wrong one, that ends or changes what the upstream stated before. */
 static void
@@ -484,6 +513,8 @@
                     test_cached_and_expected_parts);
     g_test_add_func("/upstream_table/restart_with_same_id",
                     test_restart_with_the_same_id);
+    g_test_add_func("/upstream_table/processes_under_one_id",
+                    test_processes_under_one_id);
     g_test_add_func("/upstream_table/restart_after_clock_set_back",
                     test_restart_after_clock_was_set_back);
     g_test_add_func("/upstream_table/pending_tokens_of_others",
