Hold sound prompt parts back for less time after power losses

Two causes by the logs: engines refuse trials for reasons of their own, so that a second refusal held a shared part back for 20 s; and an answered trial kept other trials away from its engine while its result was awaited.

Change: trials of a part are bounded from five crashes on, as such prompts are judged, also those that another part explains; below, the next one starts at once. An answered trial keeps no other one away. The result of an answer is awaited for 0.3 s instead of 0.5 s, five times the latest crash seen after an answer.

--- a/src/gateway/crash/crash_blame.c
+++ b/src/gateway/crash/crash_blame.c
@@ -26,7 +26,7 @@
     pgw_crash_trial_ignore(&record->trial, token);
     record->failed_trial = token;
     if (now_us >= record->quarantined_until_us ||
-        pgw_crash_record_has_used_trials(record)) {
+        pgw_crash_suspects__has_used_trials(quarantine, record)) {
         pgw_crash_quarantine__start(quarantine, record, now_us);
     }
     pgw_crash_suspects__log(record, "failed", token);
@@ -198,8 +198,9 @@
                          parts->count, now_us);
     }
     for (size_t i = 0; i < parts->count; i++) {
-        any_proven = any_proven || is_proven(quarantine, parts, i, now_us) ||
-                     pgw_crash_record_has_used_trials(parts->items[i]);
+        any_proven =
+            any_proven || is_proven(quarantine, parts, i, now_us) ||
+            pgw_crash_suspects__has_used_trials(quarantine, parts->items[i]);
     }
     for (size_t i = 0; i < parts->count; i++) {
         struct pgw_crash_record *record = parts->items[i];
--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -202,7 +202,7 @@
          i++) {
         duration_us *= 10;
     }
-    if (pgw_crash_record_has_used_trials(record)) {
+    if (pgw_crash_suspects__has_used_trials(quarantine, record)) {
         duration_us = MAX(
             duration_us,
             quarantine->options.unproven_wait_us[PGW_CRASH_TRIALS_MAX - 1]);
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -360,6 +360,13 @@
                                       uint64_t trial, const char *upstream,
                                       uint64_t until_us, uint64_t now_us);
 
+/** pgw_crash_quarantine_answer_trial() - the run of the trial is over; its
+ * result is known before @until_us. Other trials may run at @upstream. */
+void pgw_crash_quarantine_answer_trial(struct pgw_crash_quarantine *quarantine,
+                                       const struct pgw_crash_keys *keys,
+                                       uint64_t trial, const char *upstream,
+                                       uint64_t until_us, uint64_t now_us);
+
 /**
  * pgw_crash_quarantine_abandon_trial() - the run of a trial was abandoned
  * @quarantine: the state
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -138,6 +138,13 @@
                                  uint32_t hops, uint64_t now_us);
 
 /* crash_suspects.c */
+/** pgw_crash_suspects__has_used_trials() - whether the next trial has to wait
+ * for the longest time. That of a part has not if all have failed: it is
+ * quarantined by what they prove. */
+bool pgw_crash_suspects__has_used_trials(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record);
+
 /** pgw_crash_suspects__merge() - apply another entry's report of a trial;
  * returns whether it is new */
 bool pgw_crash_suspects__merge(struct pgw_crash_quarantine *quarantine,
--- a/src/gateway/crash/crash_record.c
+++ b/src/gateway/crash/crash_record.c
@@ -160,11 +160,17 @@
     return trials;
 }
 
-bool
-pgw_crash_record_has_used_trials(const struct pgw_crash_record *record)
+uint32_t
+pgw_crash_record_uncompleted(const struct pgw_crash_record *record)
 {
-    return record->trials > 0 &&
-           pgw_crash_record_trials(record) >= PGW_CRASH_TRIALS_MAX;
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < record->count; i++) {
+        const struct pgw_recorded_crash *crash = &record->crashes[i];
+
+        count += crash->confirmed && (!crash->cleared || crash->explained);
+    }
+    return count;
 }
 
 void
@@ -190,6 +196,7 @@
     for (uint32_t i = 0; i < shared_count && shared_count < faulty_count;
          i++) {
         shared[i]->cleared = true;
+        shared[i]->explained = true;
     }
 }
 
@@ -256,6 +263,7 @@
 {
     for (uint32_t i = 0; i < record->count; i++) {
         record->crashes[i].cleared = true;
+        record->crashes[i].explained = false;
     }
     record->trials = 0;
     record->next_trial_us = 0;
--- a/src/gateway/crash/crash_record.h
+++ b/src/gateway/crash/crash_record.h
@@ -41,6 +41,7 @@
  * @confirmed: the upstream's process has ended
  * @cleared: a run of the key has completed since, or the crash has another
  *   cause
+ * @explained: it has another cause
  * @trial: token of the key's trial that it interrupted, 0: none
  * @trial_parts: number of parts that were suspects in that trial and have not
  *   been cleared since
@@ -52,6 +53,7 @@
     bool abandoned;
     bool confirmed;
     bool cleared;
+    bool explained;
     uint64_t trial;
     uint32_t trial_parts;
     enum pgw_crash_reach reach;
@@ -148,10 +150,9 @@
  * that have ended otherwise, failed or not */
 uint32_t pgw_crash_record_trials(const struct pgw_crash_record *record);
 
-/** pgw_crash_record_has_used_trials() - whether the next trial has to wait for
- * the longest time. That of a part has not if all have failed: it is
- * quarantined by what they prove. */
-bool pgw_crash_record_has_used_trials(const struct pgw_crash_record *record);
+/** pgw_crash_record_uncompleted() - number of crashes since the last completed
+ * run, also those with another cause */
+uint32_t pgw_crash_record_uncompleted(const struct pgw_crash_record *record);
 
 /**
  * pgw_crash_record_explain() - clear crashes that another key has caused
--- a/src/gateway/crash/crash_suspects.c
+++ b/src/gateway/crash/crash_suspects.c
@@ -86,6 +86,28 @@
     }
 }
 
+/* All requests may share a part, and engines refuse trials of it for reasons
+ * of their own. So the trials of a part are bounded only where the part is
+ * most likely faulty. */
+static bool
+is_bounded(const struct pgw_crash_quarantine *quarantine,
+           const struct pgw_crash_record *record)
+{
+    return !record->is_part ||
+           (!pgw_completed_parts_has(&quarantine->completed, &record->key) &&
+            pgw_crash_record_uncompleted(record) >=
+                quarantine->options.part_crashes);
+}
+
+bool
+pgw_crash_suspects__has_used_trials(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record)
+{
+    return record->trials > 0 && is_bounded(quarantine, record) &&
+           pgw_crash_record_trials(record) >= PGW_CRASH_TRIALS_MAX;
+}
+
 static uint64_t
 unproven_wait_us(const struct pgw_crash_quarantine *quarantine,
                  const struct pgw_crash_record *record)
@@ -111,9 +133,7 @@
     if (!pgw_crash_trial_end(&record->trial, token)) {
         return;
     }
-    /* All requests may share a part that was sound here before. */
-    if (!record->is_part ||
-        !pgw_completed_parts_has(&quarantine->completed, &record->key)) {
+    if (is_bounded(quarantine, record)) {
         record->trials++;
         wait_us = unproven_wait_us(quarantine, record);
         record->next_trial_us = now_us + wait_us;
@@ -500,6 +520,22 @@
     }
 }
 
+void
+pgw_crash_quarantine_answer_trial(struct pgw_crash_quarantine *quarantine,
+                                  const struct pgw_crash_keys *keys,
+                                  uint64_t trial, const char *upstream,
+                                  uint64_t until_us, uint64_t now_us)
+{
+    struct pgw_crash_suspects held;
+
+    pgw_crash_quarantine_start_trial(quarantine, keys, trial, upstream,
+                                     until_us, now_us);
+    find_held(&held, quarantine, keys, trial);
+    for (size_t i = 0; i < held.count; i++) {
+        held.items[i]->trial.is_answered = true;
+    }
+}
+
 uint64_t
 pgw_crash_quarantine_abandon_trial(struct pgw_crash_quarantine *quarantine,
                                    const struct pgw_crash_keys *keys,
@@ -562,7 +598,7 @@
         const struct pgw_crash_trial *other =
             &((const struct pgw_crash_record *)value)->trial;
 
-        if (other->started && other->token != trial &&
+        if (other->started && !other->is_answered && other->token != trial &&
             other->upstream == incarnation && now_us < other->until_us) {
             return true;
         }
--- a/src/gateway/crash/crash_trial.c
+++ b/src/gateway/crash/crash_trial.c
@@ -37,6 +37,7 @@
     trial->token = token;
     trial->until_us = until_us;
     trial->started = false;
+    trial->is_answered = false;
     trial->upstream = 0;
     trial->is_own = false;
     return true;
@@ -86,6 +87,7 @@
     pgw_crash_trial_ignore(trial, token);
     trial->token = 0;
     trial->started = false;
+    trial->is_answered = false;
     trial->upstream = 0;
     return true;
 }
--- a/src/gateway/crash/crash_trial.h
+++ b/src/gateway/crash/crash_trial.h
@@ -31,6 +31,7 @@
  * @pool: hash of the service that runs it, 0: not known
  * @started: the request was sent to an upstream
  * @upstream: hash of that upstream's incarnation, 0: not known
+ * @is_answered: its run is over, and awaits what becomes of that upstream
  * @is_own: a request of this entry has claimed it
  */
 struct pgw_crash_trial {
@@ -42,6 +43,7 @@
     uint64_t pool;
     bool started;
     uint64_t upstream;
+    bool is_answered;
     bool is_own;
 };
 
--- a/src/gateway/request/answered_runs.c
+++ b/src/gateway/request/answered_runs.c
@@ -6,7 +6,7 @@
 
 /* An upstream that has answered something this long after a run's answer will
  * not crash of that run. */
-#define SURVIVED_US 500000
+#define SURVIVED_US 300000
 /* A crash becomes known within this time: a connection is refused, or the
  * list's record expires. */
 #define CRASH_KNOWN_US 8000000
@@ -15,7 +15,7 @@
 #define UNASKED_US 1000000
 /* Other entries wait for the result of a trial for so long beyond that. */
 #define RESULT_MARGIN_US 2000000
-#define CHECK_INTERVAL_US 100000
+#define CHECK_INTERVAL_US 50000
 /* Some 400 bytes each; an entry relays fewer answers in the time for which a
  * busy upstream's runs are kept. */
 #define RUNS_MAX 4096
@@ -308,7 +308,7 @@
         return;
     }
     if (run->trial != 0) {
-        pgw_crash_quarantine_start_trial(
+        pgw_crash_quarantine_answer_trial(
             quarantine, run->keys, run->trial, run->process,
             added->answered_us + CRASH_KNOWN_US + RESULT_MARGIN_US,
             added->answered_us);
