Bound what comes before the answer to a call

A faulty upstream that sent interim answers, answers of other requests or one such answer without end was read until the request's deadline: the entry had no time for others meanwhile. Three of fourteen kinds of bytes without end (test_endless_bytes) were not closed after 64 MB.

Change: more than 1 MB before its answer ends a call as malformed, and so does a larger body than the caller of the pool allows; nobody sets that yet.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -13,6 +13,9 @@
 #define READ_SIZE 65536
 /* With more peers than this, those without a connection are removed. */
 #define PEERS_KEPT 1024
+/* Interim answers and late ones to earlier requests may come before the answer
+ * to a call, and are a few kilobytes. */
+#define UNANSWERED_MAX ((size_t)1024 * 1024)
 /* A connection is closed this long before the end of the keep-alive time that
  * the peer announced: a request that is sent while the peer closes is lost. */
 #define KEEP_ALIVE_MARGIN_US 700000
@@ -53,6 +56,9 @@
  * @keep_us: how long the connection may stay idle
  * @events: epoll events that are watched
  * @skipping: the current answer belongs to another request and is dropped
+ * @unanswered: bytes that came for the current call before its answer
+ * @body_size: bytes of the answer's body so far
+ * @body_max: most bytes of the answer's body, 0: no bound
  */
 struct pgw_connection {
     struct pgw_loop_fd watch;
@@ -72,6 +78,9 @@
     bool paused;
     bool skipping;
     bool closed;
+    size_t unanswered;
+    size_t body_size;
+    size_t body_max;
 };
 
 /* Upstreams come and go, so an address without a connection is removed once
@@ -246,13 +255,24 @@
     }
 }
 
+static bool
+exceeds_body_max(const struct pgw_connection *connection)
+{
+    return connection->body_max > 0 &&
+           connection->body_size > connection->body_max;
+}
+
 static void
 on_body(struct pgw_http_reader *reader, const char *data, size_t size)
 {
     struct pgw_connection *connection =
         pgw_container_of(reader, struct pgw_connection, reader);
 
-    if (connection->call != NULL && !connection->skipping) {
+    if (connection->call == NULL || connection->skipping) {
+        return;
+    }
+    connection->body_size += size;
+    if (!exceeds_body_max(connection)) {
         connection->call->ops->on_body(connection->call, data, size);
     }
 }
@@ -306,6 +326,21 @@
     }
 }
 
+/*
+ * Failure: a faulty upstream sends without end: interim answers, answers of
+ * other requests, or a body. Symptom: the process reads until the call's
+ * deadline and has no time for others, or runs out of memory.
+ */
+static bool
+takes_too_much(struct pgw_connection *connection, size_t consumed)
+{
+    if (!connection->call->answered) {
+        connection->unanswered += consumed;
+    }
+    return connection->unanswered > UNANSWERED_MAX ||
+           exceeds_body_max(connection);
+}
+
 /* Parses received bytes; @data is NULL when the peer has closed. Returns false
  * when the connection must not be read any further. */
 static bool
@@ -322,6 +357,10 @@
             connection_close(connection);
             return false;
         }
+        if (takes_too_much(connection, consumed)) {
+            connection_fail(connection, PGW_CALL_MALFORMED);
+            return false;
+        }
         if (result == PGW_HTTP_MORE) {
             return data != NULL;
         }
@@ -536,6 +575,9 @@
     }
     connection->call = call;
     connection->paused = false;
+    connection->unanswered = 0;
+    connection->body_size = 0;
+    connection->body_max = options->body_max;
     connection->reader.no_body = options->no_body;
     call->connection = connection;
     pgw_buffer_append(&connection->out, options->bytes, options->size);
--- a/src/gateway/http/call.h
+++ b/src/gateway/http/call.h
@@ -80,6 +80,7 @@
  *   requests that must not be retried if the peer closes an idle connection
  *   at the moment of the call
  * @no_body: the request is a HEAD, so its answer has no body
+ * @body_max: an answer with a larger body is malformed, 0: no bound
  */
 struct pgw_call_options {
     const struct pgw_address *address;
@@ -88,6 +89,7 @@
     uint64_t timeout_us;
     bool fresh;
     bool no_body;
+    size_t body_max;
 };
 
 /**
