Bound the bytes of a stream

An upstream that sent events or blank lines without end was relayed until its caller left or the deadline passed, as fast as both could: 64 MB within a second on loopback (/endless_bytes/events, blank_lines, which failed). A stream ends as too large after 32 MB; its caller sees it broken off.

--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -217,6 +217,7 @@
  * @answer_fields: header lines for the caller
  * @answer: body received so far, if the answer is not a stream
  * @events: events of a stream
+ * @stream_size: bytes of the stream so far, over all attempts
  */
 struct pgw_exchange {
     struct pgw_list in_gateway;
@@ -301,6 +302,7 @@
     GString *answer_fields;
     struct pgw_buffer answer;
     struct pgw_event_stream events;
+    size_t stream_size;
 };
 
 /* gateway.c */
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -9,6 +9,9 @@
  * so that no caller gets a success status with a truncated body. A longer
  * answer than this ends the attempt. */
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
+/* A million events of usual size. Relaying more would take the time of other
+ * requests until the caller leaves. */
+#define STREAM_MAX ((size_t)32 * 1024 * 1024)
 
 static struct pgw_metric_counter foreign_answers = {
     .name = "pgw_gateway_foreign_answers_total",
@@ -213,10 +216,13 @@
     size_t complete_size =
         pgw_event_stream_feed(&exchange->events, data, size);
 
-    if (exchange->events.out_of_order) {
+    exchange->stream_size += size;
+    if (exchange->events.out_of_order || exchange->stream_size > STREAM_MAX) {
         pgw_call_cancel(&exchange->call);
         pgw_attempt_record_result(exchange, PGW_RESULT_BROKEN);
-        pgw_attempt_abandon(exchange, "out_of_order");
+        pgw_attempt_abandon(exchange, exchange->events.out_of_order
+                                          ? "out_of_order"
+                                          : "answer_too_large");
         return;
     }
     if (complete_size == 0) {
--- a/tests/unit/test_endless_bytes.c
+++ b/tests/unit/test_endless_bytes.c
@@ -40,6 +40,10 @@
      "1\r\na\r\n"},
     {"event", "/brook/", GENUINE "Content-Type: text/event-stream\r\n\r\n",
      "data: a\n"},
+    {"events", "/brook/", GENUINE "Content-Type: text/event-stream\r\n\r\n",
+     "data: a\n\n"},
+    {"blank_lines", "/brook/",
+     GENUINE "Content-Type: text/event-stream\r\n\r\n", "\n"},
 };
 
 /* Sends until the connection is closed; fails if it takes too much. */
