Bound the incomplete answers of all requests together

Several upstreams that send answers without end at once could take all the memory of an entry, since each answer may have 8 MB and its buffer twice as much: seven of them exceed 110 MB.

--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -267,10 +267,17 @@
                  (pgw_now_us() - exchange->sent_us) / 1000);
 }
 
+void
+pgw_attempt_drop_answer(struct pgw_exchange *exchange)
+{
+    exchange->gateway->answers_size -= pgw_buffer_size(&exchange->answer);
+    pgw_buffer_dispose(&exchange->answer);
+}
+
 static void
 discard_answer(struct pgw_exchange *exchange)
 {
-    pgw_buffer_dispose(&exchange->answer);
+    pgw_attempt_drop_answer(exchange);
     exchange->status = 0;
     exchange->not_run = false;
     exchange->is_stream = false;
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -104,7 +104,7 @@
     if (exchange->answer_fields != NULL) {
         g_string_free(exchange->answer_fields, TRUE);
     }
-    pgw_buffer_dispose(&exchange->answer);
+    pgw_attempt_drop_answer(exchange);
     pgw_event_stream_dispose(&exchange->events);
     pgw_route_table_unref(exchange->table);
     g_free((char *)exchange->facts.id);
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -32,6 +32,7 @@
  * @waiting: requests that are queued for a free slot
  * @shares: shared services and their refused callers
  * @exchanges: all requests that have not ended
+ * @answers_size: bytes of incomplete answers that are held
  * @dispatch_task: tries to dispatch the queued requests, once for all changes
  *   of one turn of the loop
  * @dispatch_timer: does the same when an upstream that refused may be tried
@@ -80,6 +81,7 @@
     struct pgw_wait_queue waiting;
     struct pgw_share_table *shares;
     struct pgw_list exchanges;
+    size_t answers_size;
     struct pgw_task dispatch_task;
     struct pgw_timer dispatch_timer;
     struct pgw_timer start_timer;
@@ -524,6 +526,8 @@
 /** pgw_attempt_record_interrupted() - the connection broke during the run; its
  * upstream may have crashed */
 void pgw_attempt_record_interrupted(struct pgw_exchange *exchange);
+/** pgw_attempt_drop_answer() - drop what is held of the answer */
+void pgw_attempt_drop_answer(struct pgw_exchange *exchange);
 /** pgw_attempt_record_abandoned() - the entry closes the connection of a run
  * that has not ended. The upstream works on it until it sees that, and may
  * crash meanwhile. Nothing is recorded for a run that is over. */
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -50,6 +50,8 @@
  *   queued
  * @pending_bound: most bytes of answers that are buffered for all callers, 0:
  *   no bound
+ * @answers_bound: most bytes of incomplete answers that are held for all
+ *   requests, 0: no bound
  * @response_timeout_share: part of the objective after which a plain service
  *   that has not answered is given up, if the request may be retried
  * @final_answer_grace_us: how long an upstream's process may still send an
@@ -79,6 +81,7 @@
     uint64_t weights_grace_us;
     double queue_time_share;
     size_t pending_bound;
+    size_t answers_bound;
     double response_timeout_share;
     uint64_t final_answer_grace_us;
     uint64_t probe_wait_us;
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -245,6 +245,41 @@
     pgw_event_stream_consume(&exchange->events, complete_size);
 }
 
+static void
+give_up_answer(struct pgw_exchange *exchange)
+{
+    pgw_call_cancel(&exchange->call);
+    pgw_attempt_handle_unknown(exchange, "answer_too_large");
+}
+
+/*
+ * Failure: many upstreams send answers without end at once, each of which is
+ * within its own bound. Symptom: the entry is out of memory and ends with all
+ * its requests. Of all answers the largest one is given up.
+ */
+static void
+bound_answers(struct pgw_gateway *gateway)
+{
+    struct pgw_exchange *largest = NULL;
+
+    if (gateway->options.answers_bound == 0 ||
+        gateway->answers_size <= gateway->options.answers_bound) {
+        return;
+    }
+    pgw_list_foreach (link, &gateway->exchanges) {
+        struct pgw_exchange *exchange =
+            pgw_container_of(link, struct pgw_exchange, in_gateway);
+
+        if (largest == NULL || pgw_buffer_size(&exchange->answer) >
+                                   pgw_buffer_size(&largest->answer)) {
+            largest = exchange;
+        }
+    }
+    if (largest != NULL) {
+        give_up_answer(largest);
+    }
+}
+
 static void
 on_body(struct pgw_call *call, const char *data, size_t size)
 {
@@ -263,11 +298,12 @@
         return;
     }
     if (pgw_buffer_size(&exchange->answer) + size > ANSWER_MAX) {
-        pgw_call_cancel(call);
-        pgw_attempt_handle_unknown(exchange, "answer_too_large");
+        give_up_answer(exchange);
         return;
     }
     pgw_buffer_append(&exchange->answer, data, size);
+    exchange->gateway->answers_size += size;
+    bound_answers(exchange->gateway);
 }
 
 /* Measures the time from the first event to the end of a run. */
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -294,7 +294,8 @@
 
 static struct scene *
 new_scene(unsigned upstreams, uint64_t probe_wait_us, uint64_t start_pause_us,
-          uint64_t final_answer_grace_us, bool with_crash_gap)
+          uint64_t final_answer_grace_us, bool with_crash_gap,
+          size_t answers_bound)
 {
     struct scene *scene = g_new0(struct scene, 1);
     struct pgw_gateway_options options = {
@@ -311,6 +312,7 @@
         .quota_wait_us = TEST_TIME_US,
         .quota_start_us = start_pause_us,
         .start_pause_us = start_pause_us,
+        .answers_bound = answers_bound,
     };
 
     g_assert_true(pgw_address_parse(&options.listen, LOOPBACK ":0", NULL));
@@ -335,32 +337,38 @@
 struct scene *
 scene_new(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, 0);
 }
 
 struct scene *
 scene_new_with_probe_wait(unsigned upstreams, uint64_t probe_wait_us)
 {
     return new_scene(upstreams, probe_wait_us, START_PAUSE_US, TEST_TIME_US,
-                     false);
+                     false, 0);
 }
 
 struct scene *
 scene_new_with_start_pause(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US, false);
+    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US, false, 0);
 }
 
 struct scene *
 scene_new_without_answer_grace(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, 0, false);
+    return new_scene(upstreams, 0, START_PAUSE_US, 0, false, 0);
 }
 
 struct scene *
 scene_new_with_crash_gap(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, true);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, true, 0);
+}
+
+struct scene *
+scene_new_with_answers_bound(unsigned upstreams, size_t bytes)
+{
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, bytes);
 }
 
 void
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -80,6 +80,10 @@
  * crashes of one request that follow each other closely */
 struct scene *scene_new_with_crash_gap(unsigned upstreams);
 
+/** scene_new_with_answers_bound() - as scene_new(), with a bound of the
+ * incomplete answers that the gateway holds */
+struct scene *scene_new_with_answers_bound(unsigned upstreams, size_t bytes);
+
 /** scene_stop_listening() - an upstream refuses connections from now on */
 void scene_stop_listening(struct scene *scene, unsigned upstream);
 
--- a/tests/unit/test_endless_bytes.c
+++ b/tests/unit/test_endless_bytes.c
@@ -101,6 +101,58 @@
     scene_free(scene);
 }
 
+/* Sends the first @size bytes of an answer of as many or more. */
+static int
+begin_answer(struct scene *scene, const char *id, size_t length, size_t size)
+{
+    unsigned which;
+    int upstream = scene_accept_any(scene, &which);
+    char *head =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+                        "Server-Seal: s\r\nContent-Length: %zu\r\n\r\n",
+                        id, length);
+    char *body = g_strnfill(size, 'b');
+
+    g_free(scene_read_request(upstream));
+    scene_send(upstream, head);
+    scene_send(upstream, body);
+    g_free(head);
+    g_free(body);
+    return upstream;
+}
+
+/* Guards against answers that each are within bounds, and together take all
+ * the memory of an entry: the largest one is given up. */
+static void
+test_many_answers_are_bounded(void)
+{
+    struct scene *scene =
+        scene_new_with_answers_bound(2, (size_t)4 * 1024 * 1024);
+    int callers[2];
+    int upstreams[2];
+    char *answer;
+
+    scene_set_routes(scene, 1, true);
+    callers[0] =
+        scene_call_with_fields(scene, "/once/", "a", "Connection: close\r\n");
+    upstreams[0] = begin_answer(scene, "a", 6000000, 3000000);
+    callers[1] =
+        scene_call_with_fields(scene, "/once/", "b", "Connection: close\r\n");
+    upstreams[1] = begin_answer(scene, "b", 2000000, 2000000);
+    answer = scene_read_all(callers[0]);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 502 "));
+    g_free(answer);
+    answer = scene_read_all(callers[1]);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+    g_assert_cmpuint(strlen(answer), >, 2000000);
+    g_free(answer);
+    for (unsigned i = 0; i < 2; i++) {
+        close(callers[i]);
+        close(upstreams[i]);
+    }
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -112,5 +164,7 @@
         g_test_add_data_func(path, &cases[i], test_connection_is_closed);
         g_free(path);
     }
+    g_test_add_func("/endless_bytes/many_answers_are_bounded",
+                    test_many_answers_are_bounded);
     return g_test_run();
 }
