--- a/src/gateway/sidecar/engine_sidecar_orders.c
+++ b/src/gateway/sidecar/engine_sidecar_orders.c
@@ -6,6 +6,8 @@
 /* An order without an answer after this time is lost: the engine's reports
  * show whether it was accepted. */
 #define ORDER_TIMEOUT_US 400000
+/* Only the status of the answer matters. */
+#define ANSWER_BYTES_MAX ((size_t)64 * 1024)
 /* Delay before an order that cannot be sent yet is checked again: equals the
  * interval of reports during a load. */
 #define STEP_RETRY_US 40000
@@ -128,6 +130,7 @@
     struct pgw_call_options options = {
         .address = &sidecar->options.engine,
         .timeout_us = ORDER_TIMEOUT_US,
+        .body_max = ANSWER_BYTES_MAX,
         .fresh = true,
     };
     GString *bytes = g_string_new(NULL);
--- a/src/gateway/sidecar/engine_sidecar_poll.c
+++ b/src/gateway/sidecar/engine_sidecar_poll.c
@@ -8,10 +8,14 @@
 #define REPORT_INTERVAL_US 100000
 #define REPORT_INTERVAL_LOADING_US 40000
 #define REPORT_TIMEOUT_US 400000
+/* A report of an engine with 256 requests in flight has some 20 KB. */
+#define REPORT_BYTES_MAX ((size_t)1024 * 1024)
 /* How long the engine may hold a long poll for cache events; shorter ones
  * count as probes. */
 #define EVENTS_LONG_POLL_MS 800
 #define EVENTS_TIMEOUT_US 2000000
+/* Some 40,000 events; an engine keeps a few thousand. */
+#define EVENTS_BYTES_MAX ((size_t)4 * 1024 * 1024)
 /* Delay before the next poll after an answer with events, so that events in
  * quick succession are reported together. */
 #define EVENTS_BATCH_DELAY_US 30000
@@ -243,6 +247,7 @@
     struct pgw_call_options options = {
         .address = &sidecar->options.engine,
         .timeout_us = REPORT_TIMEOUT_US,
+        .body_max = REPORT_BYTES_MAX,
     };
     uint64_t backoff_us =
         pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_REPORT);
@@ -361,6 +366,7 @@
     struct pgw_call_options options = {
         .address = &sidecar->options.engine,
         .timeout_us = EVENTS_TIMEOUT_US,
+        .body_max = EVENTS_BYTES_MAX,
     };
     uint64_t backoff_us =
         pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_EVENTS);
--- a/src/gateway/upstream/status_check.c
+++ b/src/gateway/upstream/status_check.c
@@ -4,6 +4,8 @@
 
 /* A busy plain service queues a check for some tens of milliseconds. */
 #define TIMEOUT_US 500000
+/* Only the head of the answer matters. */
+#define ANSWER_BYTES_MAX ((size_t)64 * 1024)
 /* A kept connection may have been closed by the upstream, idle or ended. */
 #define ATTEMPTS_MAX 3
 
@@ -85,6 +87,7 @@
     struct pgw_call_options options = {
         .address = &check->upstream->address,
         .timeout_us = TIMEOUT_US,
+        .body_max = ANSWER_BYTES_MAX,
         .fresh = true,
     };
     bool started;
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -669,6 +669,50 @@
     close_fixture();
 }
 
+/* Accepts calls until one is to this path. */
+static int
+accept_call(const char *path)
+{
+    for (;;) {
+        int fd = accept(fixture->engine, NULL, NULL);
+        char *head;
+
+        g_assert_cmpint(fd, >=, 0);
+        head = scene_read_until(fd, "\r\n\r\n");
+        if (strstr(head, path) != NULL) {
+            g_free(head);
+            return fd;
+        }
+        g_free(head);
+        close(fd);
+    }
+}
+
+/* Guards against an engine whose answers have no end, and that take all the
+ * memory of its sidecar. */
+static void
+test_answer_without_end(gconstpointer path)
+{
+    static char block[65536];
+    /* What the sidecar takes, and what the sockets between hold. */
+    const size_t limit = (size_t)32 * 1024 * 1024;
+    size_t total = 0;
+    ssize_t sent;
+    int fd;
+
+    open_fixture();
+    fd = accept_call(path);
+    scene_send(fd, "HTTP/1.1 200 OK\r\n\r\n");
+    memset(block, 'a', sizeof(block));
+    do {
+        sent = send(fd, block, sizeof(block), MSG_NOSIGNAL);
+        total += sent > 0 ? (size_t)sent : 0;
+    } while (sent > 0 && total <= limit);
+    g_assert_cmpuint(total, <=, limit);
+    close(fd);
+    close_fixture();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -694,5 +738,9 @@
                     test_prefill_rate_is_reported);
     g_test_add_func("/engine_sidecar/claims_of_two_entries",
                     test_claims_of_two_entries);
+    g_test_add_data_func("/engine_sidecar/report_without_end", "/api/report",
+                         test_answer_without_end);
+    g_test_add_data_func("/engine_sidecar/events_without_end",
+                         "/api/kv-events", test_answer_without_end);
     return g_test_run();
 }
