Stop the response timer where its attempt ends

Cause: one timer of a request served the wait for a quota's owner, the wait for a stream's version, the longest time in the queue and the response timeout. Each use stopped the one before by setting the timer anew. Since waits for trials, claims and probes have timers of their own, a request can have neither an attempt nor a place in the queue, and pgw_attempt_retry(), unlike the three other ways in which an attempt ends, left the timer armed: on_response_timeout() then accounted a null upstream.

Change: each purpose has its own timer. The response timer is stopped in pgw_attempt_count_end(), which every end of an attempt passes; the queue's where a request leaves the queue; the quota's with the request. No callback can be due for what is over, whichever way it ended.

--- a/src/gateway/cover/run_cover.c
+++ b/src/gateway/cover/run_cover.c
@@ -261,7 +261,6 @@
         pgw_exchange_refuse(exchange, 502, "upstream_lost", 0);
         return true;
     }
-    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     pgw_suspect_wait_end(exchange, cover->holder);
     log_continued(exchange);
     pgw_metric_counter_add(&continued, 1);
--- a/src/gateway/quota/quota.c
+++ b/src/gateway/quota/quota.c
@@ -272,7 +272,7 @@
 on_answer_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, quota_timer);
     struct pgw_quota *quota = exchange->gateway->quota;
 
     remove_ask(quota, exchange);
@@ -293,8 +293,8 @@
     pgw_metric_counter_add(&asks, 1);
     exchange->quota_ask = ask;
     g_hash_table_insert(quota->asks, &exchange->quota_ask, exchange);
-    exchange->attempt_timer.on_due = on_answer_timeout;
-    pgw_timer_start(quota->gateway->loop, &exchange->attempt_timer,
+    exchange->quota_timer.on_due = on_answer_timeout;
+    pgw_timer_start(quota->gateway->loop, &exchange->quota_timer,
                     quota->gateway->options.quota_wait_us);
     return true;
 }
@@ -303,7 +303,7 @@
 on_link_check(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, quota_timer);
 
     if (pgw_quota_admit(exchange->gateway->quota, exchange)) {
         pgw_exchange_dispatch(exchange);
@@ -324,8 +324,8 @@
         gateway->options.quota_start_us) {
         return false;
     }
-    exchange->attempt_timer.on_due = on_link_check;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer, LINK_CHECK_US);
+    exchange->quota_timer.on_due = on_link_check;
+    pgw_timer_start(gateway->loop, &exchange->quota_timer, LINK_CHECK_US);
     return true;
 }
 
@@ -375,6 +375,7 @@
 {
     struct workspace_quota *workspace;
 
+    pgw_timer_stop(quota->gateway->loop, &exchange->quota_timer);
     remove_ask(quota, exchange);
     if (exchange->quota_spent <= 0 || exchange->runs > 0 ||
         exchange->may_have_run) {
@@ -410,7 +411,7 @@
         return;
     }
     remove_ask(quota, exchange);
-    pgw_timer_stop(quota->gateway->loop, &exchange->attempt_timer);
+    pgw_timer_stop(quota->gateway->loop, &exchange->quota_timer);
     if (answer->granted > 0) {
         exchange->quota_spent = exchange->quota_cost;
         pgw_exchange_dispatch(exchange);
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -66,6 +66,7 @@
     if (upstream == NULL) {
         return;
     }
+    pgw_timer_stop(exchange->gateway->loop, &exchange->response_timer);
     pgw_attempt_record_abandoned(exchange);
     upstream->inflight--;
     upstream->inflight_tokens -= exchange->reserved_tokens;
@@ -308,7 +309,6 @@
                            bool arrived)
 {
     log_attempt(exchange, why);
-    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     pgw_attempt_count_end(exchange);
     pgw_run_cover_handle_not_run(exchange, arrived);
     if (arrived) {
@@ -344,7 +344,6 @@
 end_attempt(struct pgw_exchange *exchange, const char *why)
 {
     log_attempt(exchange, why);
-    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
     exchange->may_have_run = true;
     pgw_attempt_count_end(exchange);
 }
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -70,6 +70,7 @@
         exchange->queued_us += pgw_now_us() - exchange->queued_at_us;
         exchange->queued_at_us = 0;
     }
+    pgw_timer_stop(exchange->gateway->loop, &exchange->queue_timer);
     pgw_room_wait_drop(exchange);
     pgw_wait_queue_remove(&exchange->gateway->waiting, &exchange->waiting);
     pgw_metric_gauge_set(&queued_now, exchange->gateway->waiting.count);
@@ -83,7 +84,6 @@
     pgw_room_wait_count_result(exchange);
     leave_queue(exchange);
     pgw_timer_stop(gateway->loop, &exchange->deadline_timer);
-    pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
     pgw_home_probe_drop(exchange);
     pgw_prefill_claim_drop(exchange);
     pgw_attempt_record_abandoned(exchange);
@@ -531,7 +531,7 @@
 on_queue_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, queue_timer);
 
     if (exchange->may_have_run) {
         pgw_exchange_refuse(exchange, 502, "no_place_to_repeat", 0);
@@ -605,8 +605,8 @@
     }
     exchange->queued_at_us = now_us;
     pgw_metric_gauge_set(&queued_now, gateway->waiting.count);
-    exchange->attempt_timer.on_due = on_queue_timeout;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+    exchange->queue_timer.on_due = on_queue_timeout;
+    pgw_timer_start(gateway->loop, &exchange->queue_timer,
                     pgw_exchange_queue_time_us(exchange, now_us) *
                         (exchange->turn.returned ? PGW_RETURNED_PATIENCE : 1));
     return true;
@@ -629,7 +629,7 @@
                    share);
 
     pgw_gateway_dispatch_queued_at(gateway, backlog_wait_end_us(exchange));
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer,
+    pgw_timer_start(gateway->loop, &exchange->queue_timer,
                     end_us > now_us ? end_us - now_us : 0);
 }
 
@@ -682,7 +682,6 @@
         }
         pgw_room_wait_end(exchange, &choice);
         leave_queue(exchange);
-        pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
         pgw_trial_room_drop(exchange);
         pgw_suspect_wait_end(exchange, choice.upstream);
         if (lanes != NULL) {
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -146,8 +146,11 @@
  * @return_early: its caller has sent it before this time, which a refusal
  * named
  * @deadline_timer: expires at @deadline_us
- * @attempt_timer: while queued: the longest time in the queue; while sent: the
- *   response timeout of the attempt
+ * @quota_timer: ends the wait for the answer of a quota's owner, or for links
+ *   to owners
+ * @origin_timer: ends the wait for answers about @software
+ * @queue_timer: while queued: ends the longest time in the queue
+ * @response_timer: while an attempt is in progress: its response timeout
  * @probe_timer: ends the wait for answers to a probe
  * @deadline_us: the caller gets its final answer by then
  * @runs: attempts that may have run the request
@@ -239,7 +242,10 @@
     bool is_displaced;
     struct pgw_return return_early;
     struct pgw_timer deadline_timer;
-    struct pgw_timer attempt_timer;
+    struct pgw_timer quota_timer;
+    struct pgw_timer origin_timer;
+    struct pgw_timer queue_timer;
+    struct pgw_timer response_timer;
     struct pgw_timer probe_timer;
     uint64_t received_us;
     uint64_t deadline_us;
@@ -501,8 +507,8 @@
  * requests and tokens */
 void pgw_attempt_count_start(struct pgw_exchange *exchange,
                              const struct pgw_choice *choice);
-/** pgw_attempt_count_end() - remove the attempt from these counts and release
- * the upstream; does nothing without one */
+/** pgw_attempt_count_end() - remove the attempt from these counts, stop its
+ * timer and release the upstream; does nothing without one */
 void pgw_attempt_count_end(struct pgw_exchange *exchange);
 /** pgw_attempt_count_prefill_end() - remove the prompt from the upstream's
  * pending tokens */
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -23,7 +23,7 @@
 on_response_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, response_timer);
 
     if (exchange->call.answered || exchange->trial != 0 ||
         !pgw_attempt_may_retry(exchange) ||
@@ -45,9 +45,9 @@
         exchange->phase == PGW_PHASE_RELAYING) {
         return;
     }
-    exchange->attempt_timer.on_due = on_response_timeout;
+    exchange->response_timer.on_due = on_response_timeout;
     pgw_timer_start(
-        gateway->loop, &exchange->attempt_timer,
+        gateway->loop, &exchange->response_timer,
         pgw_response_timeout_us((uint64_t)exchange->route->objective_ms * 1000,
                                 gateway->options.response_timeout_share,
                                 exchange->facts.model == NULL
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -206,7 +206,7 @@
     if (exchange->first_event_us == 0) {
         exchange->first_event_us = pgw_now_us();
     }
-    pgw_timer_stop(exchange->gateway->loop, &exchange->attempt_timer);
+    pgw_timer_stop(exchange->gateway->loop, &exchange->response_timer);
     pgw_attempt_count_prefill_end(exchange);
 }
 
--- a/src/gateway/request/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -434,14 +434,14 @@
 
     g_hash_table_remove(gateway->stream_origins->asks, &exchange->origin_ask);
     exchange->origin_ask = 0;
-    pgw_timer_stop(gateway->loop, &exchange->attempt_timer);
+    pgw_timer_stop(gateway->loop, &exchange->origin_timer);
 }
 
 static void
 on_answer_timeout(struct pgw_timer *timer)
 {
     struct pgw_exchange *exchange =
-        pgw_container_of(timer, struct pgw_exchange, attempt_timer);
+        pgw_container_of(timer, struct pgw_exchange, origin_timer);
 
     stop_waiting(exchange);
     if (!decide_unknown(exchange, exchange->origin_any)) {
@@ -489,8 +489,8 @@
         return false;
     }
     g_hash_table_insert(origins->asks, &exchange->origin_ask, exchange);
-    exchange->attempt_timer.on_due = on_answer_timeout;
-    pgw_timer_start(gateway->loop, &exchange->attempt_timer, ANSWER_WAIT_US);
+    exchange->origin_timer.on_due = on_answer_timeout;
+    pgw_timer_start(gateway->loop, &exchange->origin_timer, ANSWER_WAIT_US);
     return true;
 }
 
--- a/src/gateway/share/room_wait.c
+++ b/src/gateway/share/room_wait.c
@@ -149,7 +149,7 @@
 displace(struct pgw_exchange *exchange)
 {
     exchange->is_displaced = true;
-    pgw_timer_start(exchange->gateway->loop, &exchange->attempt_timer, 0);
+    pgw_timer_start(exchange->gateway->loop, &exchange->queue_timer, 0);
 }
 
 bool
