Let the soak's store refuse writes of an older revision

Cause of the first: watches waited on a condition of asyncio. One that is cancelled in the turn of the loop in which its time ends takes the condition's lock again and swallows the cancellation, and the loop waits for it for good. Watches now wait for an event that each change replaces.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -368,33 +368,51 @@
     def __init__(self, soak):
         self.soak, self.mode, self.revision = soak, "good", 1
         self.objects, self.events, self.oldest = {}, [], 0
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.server = Server(self.handle)
 
-    async def put(self, kind, name, specification, create=True):
-        async with self.changed:
-            known = self.objects.setdefault(kind, {})
-            if not create and name not in known:
-                return None
-            self.revision += 1
-            known[name] = {"metadata": {"name": name,
-                                        "revision": self.revision},
-                           "specification": specification, "status": None}
-            self.record(kind, known[name], False)
-            return known[name]
+    @staticmethod
+    def refusal(method, known, revision):
+        """Status that refuses a write, None: it is applied."""
+        if method == "PUT" and known is None:
+            return 404
+        if method == "POST" and known is not None or (
+                revision not in (None, (known or {}).get("metadata", {}).get(
+                    "revision"))):
+            return 409
+        return None
+
+    async def put(self, kind, name, specification):
+        known = self.objects.setdefault(kind, {})
+        self.revision += 1
+        known[name] = {"metadata": {"name": name, "revision": self.revision},
+                       "specification": specification, "status": None}
+        self.record(kind, known[name], False)
+        return known[name]
 
     async def delete(self, kind, name):
-        async with self.changed:
-            known = self.objects.get(kind, {}).pop(name, None)
-            if known is not None:
-                self.revision += 1
-                self.record(kind, known, True)
+        known = self.objects.get(kind, {}).pop(name, None)
+        if known is not None:
+            self.revision += 1
+            self.record(kind, known, True)
 
     def record(self, kind, known, deleted):
         self.events.append((self.revision, kind, known, deleted))
         if len(self.events) > self.HISTORY:
             self.oldest = self.events.pop(0)[0]
-        self.changed.notify_all()
+        # Who waits for the next change waits for an event of its own.
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait_for_change(self, kind, revision, wait_s):
+        """Returns once there is one, or after the time."""
+        until = time.monotonic() + wait_s
+        while not self.since(kind, revision):
+            try:
+                await asyncio.wait_for(self.changed.wait(),
+                                       until - time.monotonic())
+            except asyncio.TimeoutError:
+                return
 
     def since(self, kind, revision):
         return [{"object": o, "deleted": d} for r, k, o, d in self.events
@@ -415,14 +433,21 @@
         if method in ("PUT", "POST"):
             given = json.loads(body)
             name = given["metadata"]["name"]
-            stored = await self.put(kind, name, given["specification"],
-                                    method == "POST")
+            refused = self.refusal(method, self.objects.get(kind, {}).get(name),
+                                   given["metadata"].get("revision"))
+            stored = None if refused else await self.put(
+                kind, name, given["specification"])
             if self.mode == "lost":
                 writer.transport.abort()
                 return
-            writer.write(answer(404) if stored is None
+            writer.write(answer(refused, {}) if refused
                          else answer(200, stored))
             return
+        if len(parts) > 4:
+            known = self.objects.get(kind, {}).get(parts[4])
+            writer.write(answer(404, {}) if known is None
+                         else answer(200, known))
+            return
         if "watch" not in asked:
             writer.write(answer(200, {
                 "items": list(self.objects.get(kind, {}).values()),
@@ -432,13 +457,8 @@
         if revision < self.oldest:
             writer.write(answer(410, {}))
             return
-        try:
-            async with self.changed:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: self.since(kind, revision)),
-                    int(asked["wait_ms"]) / 1000)
-        except asyncio.TimeoutError:
-            pass
+        await self.wait_for_change(kind, revision,
+                                   int(asked["wait_ms"]) / 1000)
         writer.write(answer(200, {"events": self.since(kind, revision),
                                   "current_rev": self.revision}))
 
