Give an engine orders only under a lease on them

Engines here do not check tokens, so the older order counts as much as the newer one.

Cause: the right to give an engine orders was nowhere written down. A sidecar took it for granted for its lifetime, an entry on an inference: an address that refuses connections for five seconds has no sidecar. Behind a cut that refuses connections that is wrong, and the sidecar, which reaches the store, goes on. The lease of a zone kept entries apart from each other only.

Evidence: the new act of the soak refuses connections to two sidecars for nine seconds while weights are named.

Change: whoever gives an engine orders holds a lease on the orders of its host, by one conditional write to the platform's store, whose revision is the fencing token. Nobody else acquires it before its term and the deployment's bound are over, so a wrong inference costs a few reads. The lease is taken when weights are named and lasts for a rollout, which goes on while the store is down.

--- a/src/gateway/sidecar/engine_sidecar.h
+++ b/src/gateway/sidecar/engine_sidecar.h
@@ -17,8 +17,9 @@
  * engine's own machine, and reports changes to the entries. No other process
  * sends orders to the engine: entries announce target versions and select the
  * engine when it may load. The sidecar's fencing token comes from the
- * platform's store. It is requested only when an order is due, and again only
- * after the engine has seen a higher one.
+ * platform's store with the right to give orders, which ends (order_lease.h).
+ * It is requested when the engine has to load, and again when it has ended or
+ * the engine has seen a higher one.
  */
 
 /**
@@ -110,8 +111,8 @@
  *   is delivered through pgw_engine_sidecar_set_token()
  * @quotas: initial state of the workspaces' quota buckets
  * @report_lag_us: maximum age of the engine's reports, 0 on its own machine
- * @may_send_order: called right before each order; false delays it. NULL:
- *   orders are always sent
+ * @may_send_order: called right before each order; false: the token may not
+ *   be used any more, and a new one is requested. NULL: orders are always sent
  * @context: argument of @get_token and @may_send_order
  */
 struct pgw_engine_sidecar_options {
@@ -136,10 +137,10 @@
                        GError **error);
 void pgw_engine_sidecar_free(struct pgw_engine_sidecar *sidecar);
 
-/** pgw_engine_sidecar_set_token() - set the fencing token; 0: none is
- * available now */
+/** pgw_engine_sidecar_set_token() - set the fencing token, and how long orders
+ * may carry it, in microseconds; 0: none is available now */
 void pgw_engine_sidecar_set_token(struct pgw_engine_sidecar *sidecar,
-                                  uint64_t token);
+                                  uint64_t token, uint64_t valid_us);
 
 /** pgw_engine_sidecar_port() - port that entries connect to */
 uint16_t pgw_engine_sidecar_port(const struct pgw_engine_sidecar *sidecar);
--- a/src/gateway/sidecar/engine_sidecar_orders.c
+++ b/src/gateway/sidecar/engine_sidecar_orders.c
@@ -171,6 +171,10 @@
     uint64_t backoff_us =
         pgw_engine_sidecar_backoff_us(sidecar, PGW_SIDECAR_CALL_ORDER);
 
+    /* An order carries values of a current report of the engine. */
+    if (!sidecar->alive) {
+        return 0;
+    }
     for (;;) {
         switch (pgw_weights_order_next_step(&model->order, pgw_now_us())) {
         case PGW_WEIGHTS_WAIT:
@@ -183,12 +187,14 @@
             pgw_engine_sidecar_report_to_entries(sidecar, true);
             break;
         case PGW_WEIGHTS_SEND_ORDER:
-            /* One order at a time, and none without a current report of the
-             * engine, as an order carries values from it. */
-            if (sidecar->ordered_model != NULL || !sidecar->alive ||
-                backoff_us > 0 || !may_send_order(sidecar)) {
+            /* One order at a time. */
+            if (sidecar->ordered_model != NULL || backoff_us > 0) {
                 return pgw_now_us() + MAX(STEP_RETRY_US, backoff_us);
             }
+            if (!may_send_order(sidecar)) {
+                pgw_weights_order_drop_token(&model->order);
+                break;
+            }
             send_order(sidecar, model);
             break;
         }
@@ -291,10 +297,10 @@
 
 void
 pgw_engine_sidecar_set_token(struct pgw_engine_sidecar *sidecar,
-                             uint64_t token)
+                             uint64_t token, uint64_t valid_us)
 {
     for (size_t i = 0; i < sidecar->model_count; i++) {
-        pgw_weights_order_set_token(&sidecar->models[i].order, token,
+        pgw_weights_order_set_token(&sidecar->models[i].order, token, valid_us,
                                     pgw_now_us());
     }
     pgw_engine_sidecar_step_orders(sidecar);
--- a/src/gateway/sidecar/lease.h
+++ b/src/gateway/sidecar/lease.h
@@ -18,6 +18,10 @@
  * acts of two holders are always at least the pause apart, even if messages
  * are lost or delayed or processes are paused.
  *
+ * A store that is restored from a backup has lost writes, and a lease with
+ * them. So a process that does not hold the lease acquires it no sooner than
+ * the term and the pause after it has noticed that.
+ *
  * A pure state machine: events and the time go in, the next step comes out.
  * The time must include suspend (CLOCK_BOOTTIME): a process that resumes must
  * not act under a lease that has expired meanwhile.
@@ -78,6 +82,24 @@
     PGW_LEASE_FAILED,
 };
 
+/**
+ * struct pgw_lease_answer - the store's answer to a call
+ * @result: %PGW_LEASE_DONE, _ABSENT or _FAILED for a read, _DONE, _CONFLICT or
+ *   _FAILED for a write
+ * @names_self: of a read: the object names this process as its holder
+ * @write_number: of a read: number of the write in the object, if @names_self
+ * @revision: revision of the object, with %PGW_LEASE_DONE only
+ * @restored_us: when this process noticed that the store was restored, 0: it
+ *   was not. A write that crosses a restore is a conflict
+ */
+struct pgw_lease_answer {
+    enum pgw_lease_result result;
+    bool names_self;
+    uint64_t write_number;
+    uint64_t revision;
+    uint64_t restored_us;
+};
+
 /**
  * struct pgw_lease - lease state of one process
  * @options: times
@@ -92,6 +114,10 @@
  * @call_in_flight: a call has not ended yet
  * @write_sent_us: when the last write was sent
  * @valid_until_us: end of the term in which this process may act
+ * @own_revision: revision of the last write of this process that is known to
+ *   have taken effect
+ * @restored_us: when the process noticed that the store was restored, 0: it
+ *   was not
  * @next_call_us: no call is made before this time
  */
 struct pgw_lease {
@@ -106,6 +132,8 @@
     bool call_in_flight;
     uint64_t write_sent_us;
     uint64_t valid_until_us;
+    uint64_t own_revision;
+    uint64_t restored_us;
     uint64_t next_call_us;
 };
 
@@ -120,24 +148,14 @@
  * be reported with pgw_lease_finish_read() or pgw_lease_finish_write() */
 enum pgw_lease_step pgw_lease_step(struct pgw_lease *lease, uint64_t now_us);
 
-/**
- * pgw_lease_finish_read() - report the result of a read
- * @lease: the state
- * @result: %PGW_LEASE_DONE, _ABSENT or _FAILED
- * @names_self: the object names this process as its holder
- * @write_number: number of the write in the object, if @names_self
- * @revision: revision of the object
- * @now_us: the time
- */
+/** pgw_lease_finish_read() - report the answer to a read */
 void pgw_lease_finish_read(struct pgw_lease *lease,
-                           enum pgw_lease_result result, bool names_self,
-                           uint64_t write_number, uint64_t revision,
+                           const struct pgw_lease_answer *answer,
                            uint64_t now_us);
 
-/** pgw_lease_finish_write() - report the result of a write; @revision is the
- * new one, used with %PGW_LEASE_DONE only */
+/** pgw_lease_finish_write() - report the answer to a write */
 void pgw_lease_finish_write(struct pgw_lease *lease,
-                            enum pgw_lease_result result, uint64_t revision,
+                            const struct pgw_lease_answer *answer,
                             uint64_t now_us);
 
 /** pgw_lease_holds() - whether this process holds the lease and may act */
--- a/src/gateway/sidecar/sidecarless.c
+++ b/src/gateway/sidecar/sidecarless.c
@@ -11,17 +11,18 @@
 /**
  * struct managed_engine - an engine that this process gives orders to
  * @id: incarnation of the engine
+ * @orders: lease on its orders
  * @sidecar: sidecar for the engine that runs within this process
  */
 struct managed_engine {
+    struct pgw_sidecarless *sidecarless;
     char *id;
+    struct pgw_order_lease *orders;
     struct pgw_engine_sidecar *sidecar;
 };
 
 /*
  * @managed_engines: id -> &struct managed_engine
- * @token_requested: a fencing token for all managed engines was requested and
- *   has not arrived
  * @logged_holds: whether the process holds the lease, as last logged
  */
 struct pgw_sidecarless {
@@ -33,7 +34,6 @@
     struct pgw_lease lease;
     GHashTable *managed_engines;
     struct pgw_timer timer;
-    bool token_requested;
     bool logged_holds;
 };
 
@@ -43,6 +43,7 @@
     struct managed_engine *engine = data;
 
     pgw_engine_sidecar_free(engine->sidecar);
+    pgw_order_lease_free(engine->orders);
     g_free(engine->id);
     g_free(engine);
 }
@@ -50,20 +51,31 @@
 static void
 get_token(void *context)
 {
-    struct pgw_sidecarless *self = context;
+    const struct managed_engine *engine = context;
 
-    if (!self->token_requested) {
-        self->token_requested = true;
-        self->options.store->get_token(self->options.context);
+    if (pgw_lease_holds(&engine->sidecarless->lease, pgw_boot_now_us())) {
+        pgw_order_lease_request(engine->orders);
+    }
+    else {
+        pgw_engine_sidecar_set_token(engine->sidecar, 0, 0);
     }
 }
 
+static void
+on_token(void *context, uint64_t token, uint64_t valid_us)
+{
+    const struct managed_engine *engine = context;
+
+    pgw_engine_sidecar_set_token(engine->sidecar, token, valid_us);
+}
+
 static bool
 may_send_order(void *context)
 {
-    const struct pgw_sidecarless *self = context;
+    const struct managed_engine *engine = context;
 
-    return pgw_lease_holds(&self->lease, pgw_boot_now_us());
+    return pgw_lease_holds(&engine->sidecarless->lease, pgw_boot_now_us()) &&
+           pgw_order_lease_holds(engine->orders);
 }
 
 static uint64_t
@@ -114,11 +126,21 @@
         .report_lag_us = REPORT_LAG_US,
         .get_token = get_token,
         .may_send_order = may_send_order,
-        .context = self,
     };
     struct managed_engine *engine = g_new0(struct managed_engine, 1);
+    struct pgw_order_lease_options orders = {
+        .engine = upstream->address,
+        .lease = self->options.orders,
+        .store = self->options.order_store,
+        .store_context = self->options.order_context,
+        .on_token = on_token,
+        .context = engine,
+    };
 
+    options.context = engine;
+    engine->sidecarless = self;
     engine->id = g_strdup(upstream->id);
+    engine->orders = pgw_order_lease_new(self->loop, &orders);
     /* Only listening can fail, and this sidecar has no listen address. */
     engine->sidecar = pgw_engine_sidecar_new(self->loop, &options, NULL);
     g_hash_table_insert(self->managed_engines, engine->id, engine);
@@ -272,34 +294,16 @@
 
 void
 pgw_sidecarless_finish_read(struct pgw_sidecarless *sidecarless,
-                            enum pgw_lease_result result, bool names_self,
-                            uint64_t write_number, uint64_t revision)
+                            const struct pgw_lease_answer *answer)
 {
-    pgw_lease_finish_read(&sidecarless->lease, result, names_self,
-                          write_number, revision, pgw_boot_now_us());
+    pgw_lease_finish_read(&sidecarless->lease, answer, pgw_boot_now_us());
     step_lease(sidecarless);
 }
 
 void
 pgw_sidecarless_finish_write(struct pgw_sidecarless *sidecarless,
-                             enum pgw_lease_result result, uint64_t revision)
+                             const struct pgw_lease_answer *answer)
 {
-    pgw_lease_finish_write(&sidecarless->lease, result, revision,
-                           pgw_boot_now_us());
+    pgw_lease_finish_write(&sidecarless->lease, answer, pgw_boot_now_us());
     tick(sidecarless);
 }
-
-void
-pgw_sidecarless_finish_token(struct pgw_sidecarless *sidecarless,
-                             uint64_t token)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    sidecarless->token_requested = false;
-    g_hash_table_iter_init(&iter, sidecarless->managed_engines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pgw_engine_sidecar_set_token(((struct managed_engine *)value)->sidecar,
-                                     token);
-    }
-}
--- a/src/gateway/sidecar/sidecarless.h
+++ b/src/gateway/sidecar/sidecarless.h
@@ -3,7 +3,7 @@
 
 #include "gateway/peer/sidecar_links.h"
 #include "gateway/sidecar/engine_sidecar.h"
-#include "gateway/sidecar/lease.h"
+#include "gateway/sidecar/order_lease.h"
 
 /**
  * DOC: Weights of engines that have no sidecar
@@ -13,7 +13,9 @@
  * weights, and only one process at a time may do so. If the entries of its
  * availability zone find that no sidecar listens there and that its weights
  * are old, one of them takes a lease in the store and acts as the engine's
- * sidecar until the weights are loaded.
+ * sidecar until the weights are loaded. A cut that refuses connections looks
+ * alike, so it also needs the lease on the engine's orders, which a sidecar
+ * that lives behind the cut may hold.
  */
 
 /**
@@ -23,13 +25,10 @@
  * @write: write the lease object with this process as the holder and the
  *   number of the write, if it still has @revision; @revision 0: create it.
  *   The result goes to pgw_sidecarless_finish_write()
- * @get_token: get a new fencing token; the result goes to
- *   pgw_sidecarless_finish_token()
  */
 struct pgw_sidecarless_store {
     void (*read)(void *context);
     void (*write)(void *context, uint64_t revision, uint64_t write_number);
-    void (*get_token)(void *context);
 };
 
 /**
@@ -41,6 +40,9 @@
  *   connections to the sidecar's port for this time
  * @store: calls to the store
  * @context: passed to the functions of @store
+ * @orders: times of the leases on engines' orders
+ * @order_store: calls to the store for these leases
+ * @order_context: passed to the functions of @order_store
  */
 struct pgw_sidecarless_options {
     const char *instance;
@@ -49,6 +51,9 @@
     uint64_t refused_us;
     const struct pgw_sidecarless_store *store;
     void *context;
+    struct pgw_lease_options orders;
+    const struct pgw_order_lease_store *order_store;
+    void *order_context;
 };
 
 struct pgw_sidecarless;
@@ -63,17 +68,10 @@
 
 /** pgw_sidecarless_finish_read() - see pgw_lease_finish_read() */
 void pgw_sidecarless_finish_read(struct pgw_sidecarless *sidecarless,
-                                 enum pgw_lease_result result, bool names_self,
-                                 uint64_t write_number, uint64_t revision);
+                                 const struct pgw_lease_answer *answer);
 
 /** pgw_sidecarless_finish_write() - see pgw_lease_finish_write() */
 void pgw_sidecarless_finish_write(struct pgw_sidecarless *sidecarless,
-                                  enum pgw_lease_result result,
-                                  uint64_t revision);
-
-/** pgw_sidecarless_finish_token() - report a fencing token; 0: none is
- * available now */
-void pgw_sidecarless_finish_token(struct pgw_sidecarless *sidecarless,
-                                  uint64_t token);
+                                  const struct pgw_lease_answer *answer);
 
 #endif
--- a/src/gateway/sidecar/weights_order.c
+++ b/src/gateway/sidecar/weights_order.c
@@ -65,13 +65,22 @@
 
 void
 pgw_weights_order_set_token(struct pgw_weights_order *order, uint64_t token,
-                            uint64_t now_us)
+                            uint64_t valid_us, uint64_t now_us)
 {
     order->token_requested = false;
-    order->token = MAX(order->token, token);
     if (token == 0) {
-        order->retry_at_us = now_us + order->options.token_retry_delay_us;
+        order->token_retry_at_us =
+            now_us + order->options.token_retry_delay_us;
+        return;
     }
+    order->token = MAX(order->token, token);
+    order->token_until_us = now_us + valid_us;
+}
+
+void
+pgw_weights_order_drop_token(struct pgw_weights_order *order)
+{
+    order->token = 0;
 }
 
 void
@@ -120,6 +129,23 @@
     return PGW_WEIGHTS_ANNOUNCE_AVAILABLE;
 }
 
+static bool
+has_token(const struct pgw_weights_order *order, uint64_t now_us)
+{
+    return order->token > 0 && now_us < order->token_until_us;
+}
+
+/* Waits for the start of the load; until then a token is requested again after
+ * a failure. */
+static enum pgw_weights_order_step
+wait_for_start(struct pgw_weights_order *order, uint64_t now_us)
+{
+    return wait_until(order,
+                      has_token(order, now_us) || order->token_requested
+                          ? order->start_at_us
+                          : MIN(order->start_at_us, order->token_retry_at_us));
+}
+
 enum pgw_weights_order_step
 pgw_weights_order_next_step(struct pgw_weights_order *order, uint64_t now_us)
 {
@@ -130,19 +156,25 @@
         return order->announced ? announce_available(order)
                                 : wait_until(order, 0);
     }
+    /* Already before the start: the store may be down by then. */
+    if (!has_token(order, now_us) && !order->token_requested &&
+        now_us >= order->token_retry_at_us) {
+        order->token_requested = true;
+        return PGW_WEIGHTS_REQUEST_TOKEN;
+    }
     if (now_us < order->start_at_us) {
         return order->announced ? announce_available(order)
-                                : wait_until(order, order->start_at_us);
+                                : wait_for_start(order, now_us);
     }
     if (now_us < order->retry_at_us) {
         return wait_until(order, order->retry_at_us);
     }
-    if (order->token == 0) {
-        if (order->token_requested) {
-            return wait_until(order, 0);
-        }
-        order->token_requested = true;
-        return PGW_WEIGHTS_REQUEST_TOKEN;
+    if (!has_token(order, now_us)) {
+        return order->announced
+                   ? announce_available(order)
+                   : wait_until(order, order->token_requested
+                                           ? 0
+                                           : order->token_retry_at_us);
     }
     if (!order->announced) {
         order->announced = true;
--- a/src/gateway/sidecar/weights_order.h
+++ b/src/gateway/sidecar/weights_order.h
@@ -75,6 +75,8 @@
  * @queued_requests: length of the engine's queue
  * @token_requested: a request for a fencing token is pending
  * @token: fencing token, 0 without one
+ * @token_until_us: no order carries @token after this time
+ * @token_retry_at_us: no token is requested before this time
  * @in_flight: an order was sent and is not resolved yet
  * @accepted: the engine accepted that order
  * @sent_us: when it was sent
@@ -92,6 +94,8 @@
     uint32_t queued_requests;
     bool token_requested;
     uint64_t token;
+    uint64_t token_until_us;
+    uint64_t token_retry_at_us;
     bool in_flight;
     bool accepted;
     uint64_t sent_us;
@@ -130,10 +134,20 @@
  * order in flight went to the previous process */
 void pgw_weights_order_handle_restart(struct pgw_weights_order *order);
 
-/** pgw_weights_order_set_token() - set the fencing token; 0: none is
- * available, and it is requested again later */
+/**
+ * pgw_weights_order_set_token() - set the fencing token
+ * @order: the state
+ * @token: the token; 0: none is available, and it is requested again later
+ * @valid_us: how long orders may carry it
+ * @now_us: monotonic time
+ */
 void pgw_weights_order_set_token(struct pgw_weights_order *order,
-                                 uint64_t token, uint64_t now_us);
+                                 uint64_t token, uint64_t valid_us,
+                                 uint64_t now_us);
+
+/** pgw_weights_order_drop_token() - orders may not carry the token any more;
+ * a new one is requested */
+void pgw_weights_order_drop_token(struct pgw_weights_order *order);
 
 /** pgw_weights_order_mark_sent() - the order is in flight */
 void pgw_weights_order_mark_sent(struct pgw_weights_order *order,
--- a/src/util/address.c
+++ b/src/util/address.c
@@ -86,27 +86,34 @@
 }
 
 void
-pgw_address_format(char out[PGW_ADDRESS_TEXT_SIZE],
-                   const struct pgw_address *address)
+pgw_address_format_host(char out[PGW_ADDRESS_TEXT_SIZE],
+                        const struct pgw_address *address)
 {
-    char host[INET6_ADDRSTRLEN] = "";
-
+    *out = '\0';
     if (address->storage.ss_family == AF_INET6) {
         const struct sockaddr_in6 *in6 = (const void *)&address->storage;
 
-        inet_ntop(AF_INET6, &in6->sin6_addr, host, sizeof(host));
-        g_snprintf(out, PGW_ADDRESS_TEXT_SIZE, "[%s]:%u", host,
-                   pgw_address_port(address));
+        inet_ntop(AF_INET6, &in6->sin6_addr, out, PGW_ADDRESS_TEXT_SIZE);
     }
     else {
         const struct sockaddr_in *in = (const void *)&address->storage;
 
-        inet_ntop(AF_INET, &in->sin_addr, host, sizeof(host));
-        g_snprintf(out, PGW_ADDRESS_TEXT_SIZE, "%s:%u", host,
-                   pgw_address_port(address));
+        inet_ntop(AF_INET, &in->sin_addr, out, PGW_ADDRESS_TEXT_SIZE);
     }
 }
 
+void
+pgw_address_format(char out[PGW_ADDRESS_TEXT_SIZE],
+                   const struct pgw_address *address)
+{
+    char host[PGW_ADDRESS_TEXT_SIZE];
+
+    pgw_address_format_host(host, address);
+    g_snprintf(out, PGW_ADDRESS_TEXT_SIZE,
+               address->storage.ss_family == AF_INET6 ? "[%s]:%u" : "%s:%u",
+               host, pgw_address_port(address));
+}
+
 unsigned
 pgw_address_port(const struct pgw_address *address)
 {
--- a/src/util/address.h
+++ b/src/util/address.h
@@ -36,6 +36,11 @@
 void pgw_address_format(char out[PGW_ADDRESS_TEXT_SIZE],
                         const struct pgw_address *address);
 
+/** pgw_address_format_host() - write the IP number of an address, without its
+ * port */
+void pgw_address_format_host(char out[PGW_ADDRESS_TEXT_SIZE],
+                             const struct pgw_address *address);
+
 /**
  * pgw_address_port() - port of an address in host byte order
  * @address: an IPv4 or IPv6 address
--- a/tests/property/prop_lease.cc
+++ b/tests/property/prop_lease.cc
@@ -1,11 +1,13 @@
 // Several processes compete for one lease. Their calls are delayed, fail, lose
-// their answers or take effect seconds later, and processes pause and resume.
-// The acts of two processes must always be at least the pause apart, and a
-// process must hold the lease once there are no more faults.
+// their answers or take effect seconds later, processes pause and resume, and
+// the store is restored from backups. The acts of two processes must always be
+// at least the pause apart, and a process must hold the lease once there are
+// no more faults.
 #include "prop_support.h"
 extern "C" {
 #include "gateway/sidecar/lease.h"
 }
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,9 @@
 
 constexpr unsigned processes = 3;
 constexpr uint64_t tick_interval_us = 50000;
+// Oldest backup that the store is restored from.
+constexpr uint64_t backup_age_us = 5000000;
+constexpr unsigned era_shift = 40;
 
 // A call in flight: when the store applies it, and when its answer arrives.
 struct call {
@@ -22,14 +27,23 @@
     bool applied, answer_lost;
     enum pgw_lease_result result;
     bool names_self;
-    uint64_t write_number, revision;
+    uint64_t write_number, revision, era;
 };
 
-struct simulation {
+// What the store holds. Its revisions go back when it is restored.
+struct store {
     bool exists = false;
     unsigned holder = 0;
-    uint64_t writes = 0, revision = 10, now = 1000000;
+    uint64_t writes = 0, revision = 10;
+};
+
+struct simulation : store {
+    uint64_t era = 1, now = 1000000;
+    std::deque<store> backups;
     pgw_lease list[processes];
+    uint64_t known_era[processes] = {1, 1, 1};
+    uint64_t read_era[processes] = {};
+    uint64_t restored_us[processes] = {};
     uint64_t paused_until_us[processes] = {};
     uint64_t last_act_us[processes] = {};
     std::vector<call> calls;
@@ -40,6 +54,7 @@
 apply_call(simulation *sim, call *one)
 {
     one->applied = true;
+    one->era = sim->era;
     if (one->step == PGW_LEASE_READ) {
         one->result = sim->exists ? PGW_LEASE_DONE : PGW_LEASE_ABSENT;
         one->names_self = sim->exists && sim->holder == one->from;
@@ -60,21 +75,43 @@
     one->result = PGW_LEASE_DONE;
 }
 
+void
+restore(simulation *sim, uint32_t number)
+{
+    const store backup = sim->backups[number % sim->backups.size()];
+
+    static_cast<store &>(*sim) = backup;
+    sim->backups.clear();
+    sim->era++;
+}
+
 void
 finish_call(simulation *sim, const call &one)
 {
     pgw_lease *lease = &sim->list[one.from];
+    pgw_lease_answer answer = {};
 
+    if (!one.answer_lost && one.era > sim->known_era[one.from]) {
+        sim->known_era[one.from] = one.era;
+        sim->restored_us[one.from] = sim->now;
+    }
+    answer.result = one.answer_lost ? PGW_LEASE_FAILED : one.result;
+    answer.names_self = one.names_self;
+    answer.write_number = one.write_number;
+    answer.revision = one.era << era_shift | one.revision;
+    answer.restored_us = sim->restored_us[one.from];
     if (one.step == PGW_LEASE_READ) {
-        pgw_lease_finish_read(
-            lease, one.answer_lost ? PGW_LEASE_FAILED : one.result,
-            one.names_self, one.write_number, one.revision, sim->now);
+        if (!one.answer_lost) {
+            sim->read_era[one.from] = one.era;
+        }
+        pgw_lease_finish_read(lease, &answer, sim->now);
+        return;
     }
-    else {
-        pgw_lease_finish_write(lease,
-                               one.answer_lost ? PGW_LEASE_FAILED : one.result,
-                               one.revision, sim->now);
+    if (answer.result == PGW_LEASE_DONE &&
+        one.era != sim->read_era[one.from]) {
+        answer.result = PGW_LEASE_CONFLICT;
     }
+    pgw_lease_finish_write(lease, &answer, sim->now);
 }
 
 void
@@ -89,7 +126,8 @@
     }
     one.from = index;
     one.step = next;
-    one.expected_revision = lease->revision;
+    one.expected_revision =
+        lease->revision & ((UINT64_C(1) << era_shift) - 1);
     one.writes = lease->write_count;
     one.answer_lost = !without_faults && number % 4 == 0;
     // A call whose answer is lost may be applied up to six seconds later.
@@ -123,6 +161,13 @@
      const pgw_lease_options &options)
 {
     sim->now += tick_interval_us;
+    sim->backups.push_back(*sim);
+    if (sim->backups.size() > backup_age_us / tick_interval_us) {
+        sim->backups.pop_front();
+    }
+    if (!without_faults && number % 199 == 0) {
+        restore(sim, number / 199);
+    }
     for (size_t i = 0; i < sim->calls.size(); i++) {
         if (!sim->calls[i].applied &&
             sim->calls[i].applied_at_us <= sim->now) {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,6 +30,7 @@
 import late_crashes
 import one_entry
 import one_workspace
+import refused_sidecars
 import stepping
 import uneven_engines
 import unproven_attempts
@@ -70,6 +71,8 @@
 # A request that a caller sent later than this after its entry had passed on an
 # answer of an upstream that leaves must not reach that upstream.
 DRAIN_S = 2.0
+# Orders of two processes to one engine are this far apart.
+LEASE_S = 3.0
 # Requests of one entry that may reach an upstream that has requested a backoff.
 BACKOFF_ARRIVALS = 2
 
@@ -466,8 +469,9 @@
 class Proxy:
     """Passes connections on, and does harm to them by its mode."""
 
-    def __init__(self, soak, ip, port, behind):
+    def __init__(self, soak, ip, port, behind, behind_ip=None):
         self.soak, self.ip, self.port, self.behind = soak, ip, port, behind
+        self.behind_ip = behind_ip or ip
         self.mode, self.server, self.pipes = "good", None, set()
 
     async def open(self):
@@ -482,7 +486,7 @@
 
     async def forward(self, reader, writer):
         try:
-            other = await asyncio.open_connection(self.ip, self.behind)
+            other = await asyncio.open_connection(self.behind_ip, self.behind)
         except OSError:
             writer.transport.abort()
             return
@@ -526,6 +530,7 @@
         self.starts, self.version, self.sequence = 0, 1, 0
         self.life, self.born, self.software = 0, 0, "v1"
         self.token, self.busy, self.state = 0, False, "ready"
+        self.holder = (None, 0.0)
         self.full = False
         self.limit = Limit(soak, self.ip)
         self.departure = Departure(soak, self.ip)
@@ -569,6 +574,7 @@
         self.life += not same_id
         self.born = time.time_ns() // 1000000
         self.sequence, self.token, self.busy = 0, 0, False
+        self.holder = (None, 0.0)
         self.state = "ready"
         if state is not None:
             state()
@@ -655,6 +661,7 @@
                            f"{self.token}")
             return 412
         self.token = order["fence"]
+        self.note_holder(order["holder"])
         if self.busy or order.get("expect", self.sequence) != self.sequence:
             return 409
         self.sequence += 1
@@ -662,6 +669,13 @@
         asyncio.ensure_future(self.load(order["version"], self.starts))
         return 202
 
+    def note_holder(self, holder):
+        now, (last, at) = time.monotonic(), self.holder
+        self.holder = (holder, now)
+        if last not in (None, holder) and now - at < LEASE_S:
+            self.soak.fail(f"{self.id} got orders of {last} and {holder} "
+                           f"within {now - at:.1f} s")
+
     async def load(self, version, starts):
         await asyncio.sleep(0.2)
         if starts == self.starts:
@@ -820,6 +834,10 @@
         self.entries, self.sidecars = [], []
         self.links = [Proxy(soak, soak.ip(2, i), CONTROL_PROXY, CONTROL)
                       for i in range(2)]
+        # With these, entries reach sidecars through proxies.
+        self.guards = [Proxy(soak, soak.ip(1, i), GUARD_PORT, GUARD_PORT,
+                             soak.ip(4, i)) for i in range(ENGINES)
+                       ] if "refused_sidecars" in soak.options.acts else []
 
     def settings(self, role, index, name, extra):
         # An entry knows itself by its address; it reaches the others through
@@ -842,7 +860,7 @@
         await self.name_weights(1)
         for upstream in self.engines + self.plains:
             await upstream.start()
-        for link in self.links:
+        for link in self.links + self.guards:
             await link.open()
         for i in range(ENTRIES):
             ip = self.soak.ip(2, i)
@@ -854,7 +872,10 @@
             ip = self.soak.ip(1, i)
             self.sidecars.append(Process(
                 self.soak, "sidecar", i, self.settings(
-                    1, i, f"sidecar-{i}", {"app": f"{ip}:{APP_PORT}"})))
+                    1, i, f"sidecar-{i}", {
+                        "app": f"{ip}:{APP_PORT}",
+                        **({"bind_ip": self.soak.ip(4, i)}
+                           if self.guards else {})})))
         for process in self.entries + self.sidecars:
             await process.start()
 
@@ -919,7 +940,7 @@
         for upstream in self.engines + self.plains:
             upstream.server.close()
             upstream.proxy.close()
-        for link in self.links:
+        for link in self.links + self.guards:
             link.close()
         self.store.server.close()
 
@@ -1484,6 +1505,7 @@
         "late_crashes_restarts": late_crashes.late_crashes_restarts,
         "slow_request": late_crashes.slow_request,
         "killed_engines": killed_engines.killed_engines,
+        "refused_sidecars": refused_sidecars.refused_sidecars,
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
         "answered_parts": answered_parts, "refused_parts": refused_parts,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
--- a/tests/unit/test_engine_sidecar.c
+++ b/tests/unit/test_engine_sidecar.c
@@ -10,6 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Longer than a test takes. */
+#define TOKEN_VALID_US (60 * UINT64_C(1000000))
+
 /**
  * struct fixture - a sidecar between a simulated engine and a simulated entry
  * @entry: the entry's connection to the sidecar
@@ -69,7 +72,8 @@
 {
     (void)context;
     fixture->tokens++;
-    pgw_engine_sidecar_set_token(fixture->sidecar, 40 + fixture->tokens);
+    pgw_engine_sidecar_set_token(fixture->sidecar, 40 + fixture->tokens,
+                                 TOKEN_VALID_US);
 }
 
 static void
--- a/tests/unit/test_sidecarless.c
+++ b/tests/unit/test_sidecarless.c
@@ -11,6 +11,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/**
+ * enum order_holder - who holds the lease on the engine's orders
+ * @NOBODY: there is no object
+ * @FORMER: another process, which does not renew it
+ * @SIDECAR: the engine's sidecar, which renews it
+ */
+enum order_holder {
+    NOBODY,
+    FORMER,
+    SIDECAR,
+};
+
 /**
  * struct fixture - an entry and an engine without a sidecar; the test acts as
  * the store
@@ -19,6 +31,12 @@
  * @revision: revision of the lease object
  * @held_by_other: another entry holds the lease
  * @reads: how often the lease was read; protected by @lock
+ * @orders: the entry's lease on the orders of the engine, NULL: none
+ * @order_task: runs on the loop and answers the last call for it
+ * @is_order_write: that call is a write
+ * @order_holder: who holds it by the store
+ * @order_revision: revision of its object
+ * @order_reads: how often it was read; protected by @lock
  */
 struct fixture {
     struct pgw_loop *loop;
@@ -30,13 +48,18 @@
     struct pgw_task answer_task;
     enum {
         READ,
-        WRITE,
-        TOKEN
+        WRITE
     } pending_call;
     uint64_t revision;
     bool held_by_other;
     pthread_mutex_t lock;
     unsigned reads;
+    struct pgw_order_lease *orders;
+    struct pgw_task order_task;
+    bool is_order_write;
+    enum order_holder order_holder;
+    uint64_t order_revision;
+    unsigned order_reads;
 };
 
 static struct fixture *fixture;
@@ -44,23 +67,22 @@
 static void
 answer_run(struct pgw_task *task)
 {
+    struct pgw_lease_answer answer = {.result = PGW_LEASE_DONE};
+
     (void)task;
     if (fixture->sidecarless == NULL) {
         return;
     }
     switch (fixture->pending_call) {
     case READ:
-        pgw_sidecarless_finish_read(fixture->sidecarless,
-                                    fixture->held_by_other ? PGW_LEASE_DONE
-                                                           : PGW_LEASE_ABSENT,
-                                    false, 0, fixture->revision);
+        answer.result =
+            fixture->held_by_other ? PGW_LEASE_DONE : PGW_LEASE_ABSENT;
+        answer.revision = fixture->revision;
+        pgw_sidecarless_finish_read(fixture->sidecarless, &answer);
         break;
     case WRITE:
-        pgw_sidecarless_finish_write(fixture->sidecarless, PGW_LEASE_DONE,
-                                     ++fixture->revision);
-        break;
-    case TOKEN:
-        pgw_sidecarless_finish_token(fixture->sidecarless, 41);
+        answer.revision = ++fixture->revision;
+        pgw_sidecarless_finish_write(fixture->sidecarless, &answer);
         break;
     }
 }
@@ -92,17 +114,84 @@
     post_answer(WRITE);
 }
 
-static void
-get_token(void *context)
+static const struct pgw_sidecarless_store store = {
+    .read = read_lease,
+    .write = write_lease,
+};
+
+static void *
+open_order_lease(void *context, struct pgw_order_lease *lease,
+                 const char *engine_host)
 {
     (void)context;
-    post_answer(TOKEN);
+    g_assert_cmpstr(engine_host, ==, "127.0.0.1");
+    fixture->orders = lease;
+    return fixture;
 }
 
-static const struct pgw_sidecarless_store store = {
-    .read = read_lease,
-    .write = write_lease,
-    .get_token = get_token,
+static void
+close_order_lease(void *object)
+{
+    (void)object;
+    fixture->orders = NULL;
+}
+
+static void
+answer_order_call(struct pgw_task *task)
+{
+    struct pgw_lease_answer answer = {.result = PGW_LEASE_DONE};
+
+    (void)task;
+    if (fixture->orders == NULL) {
+        return;
+    }
+    if (fixture->is_order_write) {
+        answer.revision = 41;
+        pgw_order_lease_finish_write(fixture->orders, &answer);
+        return;
+    }
+    if (fixture->order_holder == NOBODY) {
+        answer.result = PGW_LEASE_ABSENT;
+    }
+    fixture->order_revision += fixture->order_holder == SIDECAR;
+    answer.revision = fixture->order_revision;
+    pgw_order_lease_finish_read(fixture->orders, &answer);
+}
+
+static void
+post_order_answer(bool is_write)
+{
+    fixture->is_order_write = is_write;
+    fixture->order_task.run = answer_order_call;
+    pgw_loop_post(fixture->loop, &fixture->order_task);
+}
+
+static void
+read_order_lease(void *object)
+{
+    (void)object;
+    pthread_mutex_lock(&fixture->lock);
+    fixture->order_reads++;
+    pthread_mutex_unlock(&fixture->lock);
+    post_order_answer(false);
+}
+
+static void
+write_order_lease(void *object, uint64_t revision, uint64_t number)
+{
+    (void)object;
+    (void)number;
+    g_assert_cmpuint(
+        revision, ==,
+        fixture->order_holder == NOBODY ? 0 : fixture->order_revision);
+    post_order_answer(true);
+}
+
+static const struct pgw_order_lease_store order_store = {
+    .open = open_order_lease,
+    .close = close_order_lease,
+    .read = read_order_lease,
+    .write = write_order_lease,
 };
 
 /* Returns a loopback port without a listener. */
@@ -137,6 +226,10 @@
     pgw_upstream_table_put(pgw_gateway_upstreams(fixture->gateway), &facts);
 }
 
+/* The entry's lease on orders lasts for longer than a test. */
+static uint64_t order_term_us = SCENE_TIMEOUT_S * UINT64_C(1000000);
+static enum order_holder order_holder = NOBODY;
+
 /* @port: port on which a sidecar would listen; @refused_us: how long it must
  * have refused connections before an entry may act. */
 static void
@@ -156,11 +249,15 @@
         .lease = PGW_LEASE_OPTIONS_INIT,
         .store = &store,
         .refused_us = refused_us,
+        .orders = {.term_us = order_term_us, .poll_us = 1, .retry_us = 1},
+        .order_store = &order_store,
     };
     struct pgw_address engine;
 
     fixture = g_new0(struct fixture, 1);
     pthread_mutex_init(&fixture->lock, NULL);
+    fixture->order_holder = order_holder;
+    fixture->order_revision = 5;
     fixture->held_by_other = held_by_other;
     fixture->revision = 7;
     fixture->engine.version = 1;
@@ -301,6 +398,46 @@
     close(sidecar);
 }
 
+static bool
+is_lease_polled(const struct scene_engine *engine)
+{
+    bool polled;
+
+    (void)engine;
+    pthread_mutex_lock(&fixture->lock);
+    polled = fixture->order_reads > 20;
+    pthread_mutex_unlock(&fixture->lock);
+    return polled;
+}
+
+/* Guards against orders of two processes in turn, when a cut refuses an
+ * entry's connections to a sidecar that lives and gives orders. */
+static void
+test_no_order_beside_a_cut_off_sidecar(void)
+{
+    order_holder = SIDECAR;
+    fixture_open(false);
+    scene_engine_serve(&fixture->engine, is_lease_polled);
+    g_assert_cmpuint(fixture->engine.orders, ==, 0);
+    fixture_close();
+    order_holder = NOBODY;
+}
+
+/* Guards against an engine that keeps old weights after its sidecar is lost
+ * for good. */
+static void
+test_order_after_a_lost_sidecar(void)
+{
+    order_holder = FORMER;
+    order_term_us = 200000;
+    fixture_open(false);
+    scene_engine_serve(&fixture->engine, is_ordered);
+    g_assert_nonnull(strstr(fixture->engine.order, "\"fence\":41"));
+    fixture_close();
+    order_term_us = SCENE_TIMEOUT_S * UINT64_C(1000000);
+    order_holder = NOBODY;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -311,5 +448,9 @@
                     test_no_order_without_lease);
     g_test_add_func("/sidecarless/no_lease_with_late_sidecar",
                     test_no_lease_with_late_sidecar);
+    g_test_add_func("/sidecarless/no_order_beside_a_cut_off_sidecar",
+                    test_no_order_beside_a_cut_off_sidecar);
+    g_test_add_func("/sidecarless/order_after_a_lost_sidecar",
+                    test_order_after_a_lost_sidecar);
     return g_test_run();
 }
--- a/tests/unit/test_weights_order.c
+++ b/tests/unit/test_weights_order.c
@@ -4,6 +4,7 @@
 #define CLOCK_START_US UINT64_C(10000000)
 /* Delay of a scheduled start. */
 #define START_DELAY_US UINT64_C(1200000)
+#define TOKEN_VALID_US UINT64_C(8000000)
 
 static const struct pgw_weights_order_options options =
     PGW_WEIGHTS_ORDER_OPTIONS_INIT;
@@ -25,7 +26,7 @@
     for (unsigned i = 0; i < 20; i++) {
         switch (pgw_weights_order_next_step(order, now)) {
         case PGW_WEIGHTS_REQUEST_TOKEN:
-            pgw_weights_order_set_token(order, 41, now);
+            pgw_weights_order_set_token(order, 41, TOKEN_VALID_US, now);
             break;
         case PGW_WEIGHTS_SEND_ORDER:
             return now;
@@ -83,7 +84,7 @@
     order = make_order();
     pgw_weights_order_set_target(&order, 2, 0, CLOCK_START_US);
     pgw_weights_order_apply_report(&order, 1, false, 5, CLOCK_START_US);
-    pgw_weights_order_set_token(&order, 41, CLOCK_START_US);
+    pgw_weights_order_set_token(&order, 41, TOKEN_VALID_US, CLOCK_START_US);
     g_assert_cmpint(pgw_weights_order_next_step(&order, CLOCK_START_US), ==,
                     PGW_WEIGHTS_ANNOUNCE_LOADING);
     now = CLOCK_START_US + options.announce_lead_us;
@@ -157,7 +158,7 @@
     now += options.retry_delay_us;
     g_assert_cmpint(pgw_weights_order_next_step(&order, now), ==,
                     PGW_WEIGHTS_REQUEST_TOKEN);
-    pgw_weights_order_set_token(&order, 99, now);
+    pgw_weights_order_set_token(&order, 99, TOKEN_VALID_US, now);
     run_until_order(&order, now);
     g_assert_cmpuint(order.token, ==, 99);
 }
@@ -172,7 +173,7 @@
                     PGW_WEIGHTS_REQUEST_TOKEN);
     g_assert_cmpint(pgw_weights_order_next_step(&order, CLOCK_START_US), ==,
                     PGW_WEIGHTS_WAIT);
-    pgw_weights_order_set_token(&order, 0, CLOCK_START_US);
+    pgw_weights_order_set_token(&order, 0, 0, CLOCK_START_US);
     g_assert_cmpint(pgw_weights_order_next_step(&order, CLOCK_START_US), ==,
                     PGW_WEIGHTS_WAIT);
     g_assert_false(order.announced);
