Keep drain times after a cut of one entry alone

Cause: an entry cannot tell whether the store was down, so that records of live upstreams have expired and return within two seconds, or only its own path to the store was. It took the first for true for each removal that it heard of within 1.3 s of a failure, and granted 2.2 s from then on: more than the drain time, counted from when it heard of the removal.

Change: the feed says when a disruption began and ended and whether a change was missed meanwhile. What is heard in time gets the ordinary grace period; what was missed gets none, as it may be as old as the disruption.

--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -160,9 +160,11 @@
  * @replaced_at_us: when the entry learned that a new process replaced the one
  *   running here; requests sent before get no answer. 0: never
  * @removed: no longer in the table
+ * @added_us: when it was first listed, set by who reads the list
  * @delisted_at_us: when its record vanished from the list
  * @delisted_until_us: end of the grace period in which a delisted upstream
  *   stays usable, 0: it is listed
+ * @delisting_was_missed: its record vanished while the list was not received
  * @warmup_until_us: end of the time for which it is slow after its start
  * @models: models and weights of an engine
  * @model_count: number of @models
@@ -229,8 +231,10 @@
     bool displaced;
     uint64_t replaced_at_us;
     bool removed;
+    uint64_t added_us;
     uint64_t delisted_at_us;
     uint64_t delisted_until_us;
+    bool delisting_was_missed;
     uint64_t warmup_until_us;
     struct pgw_model_version models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -10,6 +10,8 @@
  * struct fixture - a feed on its own thread; the test acts as the store
  * @lock: protects @emitted
  * @emitted: "NAME DELETED;" for each document that was emitted, in order
+ * @missed: names of the documents that were emitted as missed changes, in
+ * order
  */
 struct fixture {
     struct pgw_loop *loop;
@@ -20,6 +22,7 @@
     int listener;
     pthread_mutex_t lock;
     GString *emitted;
+    GString *missed;
 };
 
 static void
@@ -33,6 +36,9 @@
     pthread_mutex_lock(&self->lock);
     g_string_append_printf(self->emitted, "%s %d;", document->name,
                            (int)document->deleted);
+    if (platform_feed_disruption(self->feed)->is_catching_up) {
+        g_string_append(self->missed, document->name);
+    }
     pthread_mutex_unlock(&self->lock);
 }
 
@@ -57,6 +63,7 @@
 
     pthread_mutex_init(&self->lock, NULL);
     self->emitted = g_string_new(NULL);
+    self->missed = g_string_new(NULL);
     self->documents = pgw_documents_new();
     options.known_documents = self->documents;
     g_assert_true(pgw_address_parse(&address, "127.0.0.1:0", NULL));
@@ -91,6 +98,7 @@
     pgw_documents_free(self->documents);
     close(self->listener);
     g_string_free(self->emitted, TRUE);
+    g_string_free(self->missed, TRUE);
     pthread_mutex_destroy(&self->lock);
     g_free(self);
 }
@@ -346,6 +354,63 @@
     fixture_free(self);
 }
 
+static struct pgw_list_disruption disruption;
+static struct fixture *observed;
+
+static void
+read_disruption(struct pgw_task *task)
+{
+    (void)task;
+    disruption = *platform_feed_disruption(observed->feed);
+    pgw_loop_stop(observed->loop);
+}
+
+/* Runs on the feed's thread, which is then started again. */
+static void
+copy_disruption(struct fixture *self)
+{
+    static struct pgw_task task = {.run = read_disruption};
+
+    observed = self;
+    pgw_loop_post(self->loop, &task);
+    pthread_join(self->thread, NULL);
+    pthread_create(&self->thread, NULL, loop_main, self->loop);
+}
+
+/* Guards against a deletion that was missed during a disruption and is taken
+ * for a new one. */
+static void
+test_changes_after_a_failure_are_missed_ones(void)
+{
+    struct fixture *self = fixture_new();
+    int fd = accept(self->listener, NULL, NULL);
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[" OBJECT("a", "3") "," OBJECT(
+              "b", "4") "],\"has_more\":false,\"current_rev\":7}");
+    serve(fd, "watch=7&", 503, "");
+    serve(fd, "watch=7&", 200,
+          "{\"events\":[{\"deleted\":true,\"object\":" OBJECT(
+              "a", "8") "}],\"current_rev\":8}");
+    serve(fd, "watch=8&", 200,
+          "{\"events\":[{\"deleted\":true,\"object\":" OBJECT(
+              "b", "9") "}],\"current_rev\":9}");
+    serve(fd, "watch=9&", 410, "");
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[" OBJECT(
+              "c", "10") "],\"has_more\":false,\"current_rev\":10}");
+    serve(fd, "watch=10&", 200, "{\"events\":[],\"current_rev\":10}");
+    copy_disruption(self);
+    expect_documents(self, "a 0;b 0;a 1;b 1;c 0;");
+    g_assert_cmpstr(self->missed->str, ==, "ac");
+    g_assert_cmpuint(disruption.began_us, >, 0);
+    g_assert_cmpuint(disruption.failed_us, >=, disruption.began_us);
+    g_assert_cmpuint(disruption.ended_us, >=, disruption.failed_us);
+    g_assert_false(disruption.is_catching_up);
+    close(fd);
+    fixture_free(self);
+}
+
 /*
  * Guards against a list that one unreadable object of another writer makes
  * unusable: nested deeper than the parser allows, invalid UTF-8, or a name
@@ -405,5 +470,7 @@
                     test_unreadable_objects_do_not_block_list);
     g_test_add_func("/platform_feed/watches_are_short_until_store_recovers",
                     test_watches_are_short_until_store_recovers);
+    g_test_add_func("/platform_feed/changes_after_a_failure_are_missed_ones",
+                    test_changes_after_a_failure_are_missed_ones);
     return g_test_run();
 }
