Count how late a delisting is heard against the drain time

Cause: the grace period for many was the drain time less half a second, which fits a pause of 350 ms between two watches of the list. The pause grows in a series of changes to half of what the drain time leaves: 850 ms with three seconds, 1,350 ms with four. The grace period did not know it.

Change: it is computed from the longest pause, which bounds how late a delisting is heard.

Result: /delisted/grace_periods_keep_drain_times, for drain times of 1 to 10 s, fails before with three seconds (2.5 s where 2.05 are left) and passes. With two seconds the period is 1.5 s as before.

--- a/src/gateway/upstream/delisted.c
+++ b/src/gateway/upstream/delisted.c
@@ -7,9 +7,9 @@
 /* An upstream that was delisted alone is used for this share of its drain
  * time, in case the list is wrong. */
 #define SINGLE_GRACE_SHARE 0.5
-/* Of the drain time: a delisting takes up to 400 ms to reach the entry, and a
- * request 100 ms to reach the upstream. */
-#define DELIVERY_US 500000ULL
+/* Of the drain time, beside how late a delisting is heard: 50 ms for the
+ * answer of the store, 100 ms for a request to reach the upstream. */
+#define DELIVERY_US 150000ULL
 /* More of a service than is taken away at once: a zone of three. */
 #define LAPSED_SHARE 0.35
 /* A service of three may lose one upstream. */
@@ -28,7 +28,8 @@
     *out = (struct pgw_delisted_options){
         .single_grace_us =
             (uint64_t)((double)bounds->drain_us * SINGLE_GRACE_SHARE),
-        .mass_grace_us = bounds->drain_us - MIN(DELIVERY_US, bounds->drain_us),
+        .mass_grace_us = bounds->drain_us -
+                         MIN(bounds->heard_us + DELIVERY_US, bounds->drain_us),
         .recovering_us = RECOVERING_US,
         .relist_us = RELIST_US,
     };
--- a/src/gateway/upstream/delisted.h
+++ b/src/gateway/upstream/delisted.h
@@ -24,9 +24,11 @@
 /**
  * struct pgw_delisted_bounds - bounds of the deployment
  * @drain_us: how long an upstream that leaves continues to serve
+ * @heard_us: how late the entry hears of a delisting
  */
 struct pgw_delisted_bounds {
     uint64_t drain_us;
+    uint64_t heard_us;
 };
 
 /**
--- a/tests/unit/test_delisted.c
+++ b/tests/unit/test_delisted.c
@@ -185,6 +185,31 @@
     pgw_upstream_table_free(table);
 }
 
+/* Guards against grace periods that are longer than what is left of the drain
+ * time when a slow watch has delivered the delisting. */
+static void
+test_grace_periods_keep_drain_times(void)
+{
+    /* Drain time, and how late a delisting is heard, in ms. */
+    static const uint64_t bounds_ms[][2] = {
+        {1000, 350}, {2000, 350}, {3000, 850}, {4000, 1350}, {10000, 4350},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bounds_ms); i++) {
+        const struct pgw_delisted_bounds bounds = {
+            .drain_us = bounds_ms[i][0] * 1000,
+            .heard_us = bounds_ms[i][1] * 1000,
+        };
+        uint64_t left_us = bounds.drain_us - bounds.heard_us - SECOND / 10;
+        struct pgw_delisted_options periods;
+
+        pgw_delisted_options_init(&periods, &bounds);
+        g_assert_cmpuint(periods.single_grace_us, <=, left_us);
+        g_assert_cmpuint(periods.mass_grace_us, <=, left_us);
+        g_assert_cmpuint(periods.mass_grace_us, >=, periods.single_grace_us);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,6 +222,8 @@
                     test_leaving_during_a_cut);
     g_test_add_func("/delisted/release_during_a_cut",
                     test_release_during_a_cut);
+    g_test_add_func("/delisted/grace_periods_keep_drain_times",
+                    test_grace_periods_keep_drain_times);
     g_test_add_func("/delisted/mass_delisting", test_mass_delisting);
     return g_test_run();
 }
