--- a/src/util/rcu.c
+++ b/src/util/rcu.c
@@ -134,6 +134,8 @@
 {
     void *old;
 
+    /* A reader that sees the snapshot sees what was written to it before. */
+    ck_pr_fence_release();
     ORDER_RELEASE(&cell->snapshot);
     old = ck_pr_fas_ptr(&cell->snapshot, snapshot);
     if (old != NULL) {
