Join no streams of two versions after a restart of all entries

Cause: an entry took "single" for known from what it lacked: no sidecar had any stream, none could be asked, or none answered in 150 ms. An entry that has just started has listed nothing for a minute, and the sidecars of the old version had gone with their engines, so nobody knew, and its list showed one version. Class: an empty table taken for knowledge after a restart.

Evidence: soak act rejoined_replaced (engines and sidecars of v1.1 start, those of v1 leave, 50 ms later all entries are killed). With both versions left, sidecars know all streams and none is joined.

Change: a record of each service in the platform's store outlives entries and the engines of a version: the versions that were listed lately, which of them is listed alone and since when, and whether an entry has seen only this one for a minute. An entry takes a version for the only one if it has seen no other for a minute itself, if the record says so, or at the first start of the deployment. In its first 1.5 s an entry that lacks links or the record lets such a stream wait. Sidecars that start again are sent what they own. What none of these settles is refused.

Clients of the soak's streams count tries only once an entry accepts the connection, for at most four seconds: all entries are down for 0.3 s.

--- a/src/gateway/peer/sidecar_links.c
+++ b/src/gateway/peer/sidecar_links.c
@@ -313,6 +313,8 @@
     memset(link->start_sent, 0, sizeof(link->start_sent));
     pgw_sidecar_link_send_target_weights(link);
     pgw_sidecar_links_rollout_schedule(link->links);
+    pgw_stream_origins_sidecar_connected(
+        pgw_gateway_stream_origins(link->links->gateway));
 }
 
 static const struct pgw_link_ops link_ops = {
--- a/src/gateway/peer/sidecar_links_probe.c
+++ b/src/gateway/peer/sidecar_links_probe.c
@@ -266,7 +266,6 @@
 {
     struct pgw_stream_origin_answer answer = {
         .software = message->known ? g_intern_string(message->software) : NULL,
-        .any = message->any,
     };
 
     pgw_stream_origins_handle_answer(
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -28,6 +28,7 @@
  * @answered_runs: runs whose answers prove nothing yet
  * @losses: engines that ended lately
  * @quota: quotas of workspaces
+ * @software_records: software versions of services
  * @stream_origins: software versions of streams
  * @waiting: requests that are queued for a free slot
  * @shares: shared services and their refused callers
@@ -77,6 +78,7 @@
     struct pgw_answered_runs *answered_runs;
     struct pgw_engine_losses losses;
     struct pgw_quota *quota;
+    struct pgw_software_records *software_records;
     struct pgw_stream_origins *stream_origins;
     struct pgw_wait_queue waiting;
     struct pgw_share_table *shares;
@@ -185,7 +187,7 @@
  * @origin_ask: number of the ask for @software whose answers are awaited, 0:
  *   none
  * @origin_answers: number of answers that are awaited
- * @origin_any: some sidecar that answered knows attempts
+ * @origin_is_complete: all sidecars that may know it were asked
  * @start_wait: among the short prompts that wait for their first event
  * @claim_timer: ends the wait for the answer to a claim
  * @claim: number of the claim whose answer is awaited, 0: none
@@ -274,7 +276,7 @@
     const char *sent_software;
     uint64_t origin_ask;
     unsigned origin_answers;
-    bool origin_any;
+    bool origin_is_complete;
     struct pgw_start_wait start_wait;
     struct pgw_timer claim_timer;
     uint64_t claim;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -119,6 +119,7 @@
         pgw_abandoned_trials_new(loop, gateway->crash_quarantine);
     gateway->answered_runs = pgw_answered_runs_new(gateway);
     gateway->quota = pgw_quota_new(gateway, &options->quota);
+    gateway->software_records = pgw_software_records_new(gateway);
     gateway->stream_origins = pgw_stream_origins_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
                                gateway);
@@ -150,6 +151,7 @@
     pgw_quota_free(gateway->quota);
     pgw_share_table_free(gateway->shares);
     pgw_stream_origins_free(gateway->stream_origins);
+    pgw_software_records_free(gateway->software_records);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
     pgw_abandoned_trials_free(gateway->abandoned_trials);
@@ -176,6 +178,12 @@
     return gateway->crash_quarantine;
 }
 
+struct pgw_software_records *
+pgw_gateway_software_records(struct pgw_gateway *gateway)
+{
+    return gateway->software_records;
+}
+
 struct pgw_stream_origins *
 pgw_gateway_stream_origins(struct pgw_gateway *gateway)
 {
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/quota/limit_ledger.h"
 #include "gateway/quota/quota.h"
 #include "gateway/quota/retry_budgets.h"
+#include "gateway/request/software_records.h"
 #include "gateway/request/stream_origins.h"
 #include "gateway/upstream/upstream_table.h"
 
@@ -60,6 +61,7 @@
  * @quota_wait_us: longest wait for the answer of a quota's owner
  * @quota_start_us: for this time after the start, requests wait for links to
  *   the owners of quotas
+ * @is_first_start: the whole deployment starts for the first time
  * @start_pause_us: longest time that connections of callers wait for the first
  *   configuration
  * @on_incarnation_seen: another incarnation with this id has answered at an
@@ -88,6 +90,7 @@
     uint64_t quota_wait_us;
     uint64_t quota_start_us;
     uint64_t start_pause_us;
+    bool is_first_start;
     void (*on_incarnation_seen)(const char *id, void *context);
     void *context;
 };
@@ -274,6 +277,10 @@
 uint64_t pgw_gateway_target_version(const struct pgw_gateway *gateway,
                                     const char *model);
 
+/** pgw_gateway_software_records() - software versions of services */
+struct pgw_software_records *
+pgw_gateway_software_records(struct pgw_gateway *gateway);
+
 /** pgw_gateway_stream_origins() - software versions of streams */
 struct pgw_stream_origins *
 pgw_gateway_stream_origins(struct pgw_gateway *gateway);
--- a/src/gateway/request/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -32,6 +32,14 @@
 /* When a caller may retry whose stream no sidecar knows: what the first entry
  * sent may still arrive. */
 #define UNKNOWN_RETRY_MS 250
+/* For this time after the start, a stream that nobody knows waits for links to
+ * sidecars and for the record of its service. Links are open within a second.
+ */
+#define START_WAIT_US 1500000
+/* Interval at which it is looked for again. */
+#define LOOK_AGAIN_US 50000
+/* Sidecars that connect within this time get what they own together. */
+#define SEND_AGAIN_US 300000
 
 static struct pgw_metric_counter resumed = {
     .name = "pgw_gateway_streams_resumed_total",
@@ -75,7 +83,7 @@
  * @owners: sidecars that attempts are sent to
  * @leaving: sidecars of leaving engines, which are asked only
  * @pending: of &struct pending_origin, the oldest first
- * @mixed_pools: pools that had several versions at the last attempt
+ * @sent_pools: pools whose attempts were sent to sidecars at the last attempt
  * @available_bytes: bytes that may be sent now
  * @asks: number of an ask -> the &struct pgw_exchange that waits for answers
  */
@@ -85,7 +93,8 @@
     struct owner_list owners;
     struct owner_list leaving;
     GArray *pending;
-    GHashTable *mixed_pools;
+    GHashTable *sent_pools;
+    struct pgw_timer send_again_timer;
     struct pgw_timer flush_timer;
     double available_bytes;
     uint64_t refilled_at_us;
@@ -140,8 +149,11 @@
                               ? &origins->leaving
                               : &origins->owners,
                           upstream);
+            pgw_software_records_add(origins->gateway->software_records,
+                                     upstream->service);
         }
     }
+    pgw_software_records_check(origins->gateway->software_records);
 }
 
 /* Finds the reachable sidecars with the highest scores for an attempt. */
@@ -291,6 +303,13 @@
     return pool != NULL && pgw_upstream_pool_is_mixed(pool, pgw_now_us());
 }
 
+static bool
+is_single(const struct pgw_exchange *exchange)
+{
+    return pgw_software_records_is_single(exchange->gateway->software_records,
+                                          exchange->service);
+}
+
 /* Keeps the version of an attempt. When a second version appears, sidecars get
  * those of all earlier attempts, too. */
 static void
@@ -301,11 +320,11 @@
     struct pgw_upstream_pool *pool = pool_of(exchange);
 
     pgw_stream_ledger_put(origins->own, id, software, pgw_now_us());
-    if (!is_mixed(exchange)) {
-        g_hash_table_remove(origins->mixed_pools, pool);
+    if (is_single(exchange)) {
+        g_hash_table_remove(origins->sent_pools, pool);
         return;
     }
-    if (g_hash_table_add(origins->mixed_pools, pool)) {
+    if (g_hash_table_add(origins->sent_pools, pool)) {
         pgw_stream_ledger_foreach(origins->own, pgw_now_us(), enqueue,
                                   origins);
     }
@@ -314,6 +333,27 @@
     }
 }
 
+static void
+on_send_again(struct pgw_timer *timer)
+{
+    struct pgw_stream_origins *origins =
+        pgw_container_of(timer, struct pgw_stream_origins, send_again_timer);
+
+    if (g_hash_table_size(origins->sent_pools) > 0) {
+        pgw_stream_ledger_foreach(origins->own, pgw_now_us(), enqueue,
+                                  origins);
+    }
+}
+
+void
+pgw_stream_origins_sidecar_connected(struct pgw_stream_origins *origins)
+{
+    if (origins->send_again_timer.position == 0) {
+        pgw_timer_start(origins->gateway->loop, &origins->send_again_timer,
+                        SEND_AGAIN_US);
+    }
+}
+
 struct pgw_stream_origins *
 pgw_stream_origins_new(struct pgw_gateway *gateway)
 {
@@ -328,8 +368,9 @@
         pgw_stream_ledger_new(PGW_SOFTWARE_MIXED_US, OWN_RECORDS_MAX);
     origins->pending =
         g_array_new(FALSE, FALSE, sizeof(struct pending_origin));
-    origins->mixed_pools = g_hash_table_new(NULL, NULL);
+    origins->sent_pools = g_hash_table_new(NULL, NULL);
     origins->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    origins->send_again_timer.on_due = on_send_again;
     origins->flush_timer.on_due = on_flush;
     origins->available_bytes = BYTES_PER_S;
     origins->refilled_at_us = pgw_now_us();
@@ -340,10 +381,11 @@
 pgw_stream_origins_free(struct pgw_stream_origins *origins)
 {
     pgw_timer_stop(origins->gateway->loop, &origins->flush_timer);
+    pgw_timer_stop(origins->gateway->loop, &origins->send_again_timer);
     owners_clear(&origins->owners);
     owners_clear(&origins->leaving);
     g_hash_table_destroy(origins->asks);
-    g_hash_table_destroy(origins->mixed_pools);
+    g_hash_table_destroy(origins->sent_pools);
     g_array_unref(origins->pending);
     pgw_stream_ledger_free(origins->own);
     g_free(origins);
@@ -361,13 +403,12 @@
     return exchange->route->stream && exchange->route->resumable;
 }
 
-/* Whether the caller has events of an earlier attempt. */
-static bool
-is_taken_up(const struct pgw_exchange *exchange)
+bool
+pgw_stream_origin_is_resumed(const struct pgw_exchange *exchange)
 {
     const struct pgw_request_facts *facts = &exchange->facts;
 
-    return facts->has_resume &&
+    return is_resumable(exchange) && facts->has_resume &&
            (facts->resumes != NULL || facts->resume_after > 0);
 }
 
@@ -410,23 +451,60 @@
     }
 }
 
-/* Nobody knows the attempt. While a service has a single version, entries send
- * nothing, and the stream can only have begun at it. Returns whether the
- * request was refused. */
+/* Nobody knows the attempt. Returns whether the request was refused. */
 static bool
-decide_unknown(struct pgw_exchange *exchange, bool may_be_mixed)
+decide_unknown(struct pgw_exchange *exchange)
 {
-    const struct pgw_upstream_pool *pool = pool_of(exchange);
-
-    if (may_be_mixed || is_mixed(exchange) || pool == NULL) {
+    if (!is_single(exchange)) {
         pgw_metric_counter_add(&unknown, 1);
         refuse(exchange, "stream_origin_unknown", UNKNOWN_RETRY_MS);
         return true;
     }
-    fix_version(exchange, pool->last_software, "single");
+    fix_version(exchange, pgw_upstream_pool_software(pool_of(exchange)),
+                "single");
     return false;
 }
 
+static void
+on_look_again(struct pgw_timer *timer)
+{
+    pgw_exchange_dispatch(
+        pgw_container_of(timer, struct pgw_exchange, origin_timer));
+}
+
+/* Whether an entry that has just started may soon know more. */
+static bool
+may_learn(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+
+    return gateway->sidecars != NULL &&
+           pgw_now_us() - gateway->started_us < START_WAIT_US &&
+           (!exchange->origin_is_complete ||
+            !pgw_software_records_is_read(gateway->software_records,
+                                          exchange->service));
+}
+
+/*
+ * Failure: an entry that has just started reaches no sidecar yet, or has not
+ * read the record of the service. Symptom: it refuses streams that could go
+ * on. Returns whether the request waits or was refused.
+ */
+static bool
+wait_or_decide(struct pgw_exchange *exchange)
+{
+    if (is_single(exchange) || !may_learn(exchange)) {
+        return decide_unknown(exchange);
+    }
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        exchange->phase = PGW_PHASE_QUEUED;
+    }
+    exchange->origin_timer.on_due = on_look_again;
+    pgw_timer_start(exchange->gateway->loop, &exchange->origin_timer,
+                    LOOK_AGAIN_US);
+    return true;
+}
+
 static void
 stop_waiting(struct pgw_exchange *exchange)
 {
@@ -444,7 +522,7 @@
         pgw_container_of(timer, struct pgw_exchange, origin_timer);
 
     stop_waiting(exchange);
-    if (!decide_unknown(exchange, exchange->origin_any)) {
+    if (!wait_or_decide(exchange)) {
         pgw_exchange_dispatch(exchange);
     }
 }
@@ -457,6 +535,7 @@
     const struct pgw_gateway *gateway = origins->gateway;
     const struct owner_list *lists[] = {&origins->owners, &origins->leaving};
     unsigned asked = 0;
+    size_t known = 0;
 
     if (gateway->sidecars == NULL) {
         return 0;
@@ -465,12 +544,14 @@
         struct pgw_upstream *owners[ASKED];
         size_t count = rank_owners(owners, ASKED, gateway, lists[i], id);
 
+        known += MIN(lists[i]->count, ASKED);
         for (size_t j = 0; j < count; j++) {
             asked += gateway->sidecars->ask_origin(gateway->sidecars_context,
                                                    owners[j],
                                                    exchange->origin_ask, id);
         }
     }
+    exchange->origin_is_complete = asked == known;
     return asked;
 }
 
@@ -482,7 +563,6 @@
     struct pgw_stream_origins *origins = gateway->stream_origins;
 
     exchange->origin_ask = ++origins->last_ask;
-    exchange->origin_any = false;
     exchange->origin_answers = ask_owners(origins, exchange, (uint32_t)id);
     if (exchange->origin_answers == 0) {
         exchange->origin_ask = 0;
@@ -503,7 +583,7 @@
     uint64_t id;
 
     if (exchange->facts.resumes == NULL) {
-        return decide_unknown(exchange, false);
+        return wait_or_decide(exchange);
     }
     id = hash_attempt(exchange->facts.resumes);
     if (pgw_stream_ledger_find(&software, origins->own, id, pgw_now_us())) {
@@ -511,7 +591,7 @@
         return false;
     }
     /* Also with a single version here: another entry's list may be newer. */
-    return start_asking(exchange, id) || decide_unknown(exchange, false);
+    return start_asking(exchange, id) || wait_or_decide(exchange);
 }
 
 /* Whether no upstream can take the stream, now or later. With a single version
@@ -527,8 +607,9 @@
                              exchange->tried_count, pgw_now_us()))) {
         return false;
     }
-    return is_mixed(exchange) || (exchange->software != NULL &&
-                                  exchange->software != pool->last_software);
+    return is_mixed(exchange) ||
+           (exchange->software != NULL &&
+            exchange->software != pgw_upstream_pool_software(pool));
 }
 
 /*
@@ -547,9 +628,9 @@
     if (!is_resumable(exchange)) {
         return false;
     }
-    if (exchange->origin_ask != 0 ||
-        (!exchange->software_is_fixed && is_taken_up(exchange) &&
-         find_origin(exchange))) {
+    if (exchange->origin_timer.position != 0 ||
+        (!exchange->software_is_fixed &&
+         pgw_stream_origin_is_resumed(exchange) && find_origin(exchange))) {
         return true;
     }
     if (!exchange->software_is_fixed || !is_version_gone(exchange)) {
@@ -590,9 +671,7 @@
 void
 pgw_stream_origin_drop(struct pgw_exchange *exchange)
 {
-    if (exchange->origin_ask != 0) {
-        stop_waiting(exchange);
-    }
+    stop_waiting(exchange);
 }
 
 void
@@ -605,7 +684,6 @@
     if (exchange == NULL) {
         return;
     }
-    exchange->origin_any |= answer->any;
     exchange->origin_answers--;
     if (answer->software == NULL && exchange->origin_answers > 0) {
         return;
@@ -614,7 +692,7 @@
     if (answer->software != NULL) {
         fix_version(exchange, answer->software, "sidecar");
     }
-    else if (decide_unknown(exchange, exchange->origin_any)) {
+    else if (wait_or_decide(exchange)) {
         return;
     }
     pgw_exchange_dispatch(exchange);
--- a/src/gateway/request/stream_origins.h
+++ b/src/gateway/request/stream_origins.h
@@ -12,8 +12,8 @@
  * another entry, which may have ended. While several versions of a service are
  * listed, each entry therefore sends the versions of its attempts to the
  * sidecars of some engines, found by rendezvous hashing of the attempt's id.
- * An entry that does not know an attempt asks them. While a service has a
- * single version, nothing is sent.
+ * An entry that does not know an attempt asks them. While all streams that may
+ * be taken up began at one version (software_records.h), nothing is sent.
  */
 
 /* Sidecars that keep the versions of an attempt. */
@@ -32,11 +32,9 @@
 /**
  * struct pgw_stream_origin_answer - what a sidecar knows of an attempt
  * @software: interned version, NULL: it does not know the attempt
- * @any: it knows some attempt, so several versions are listed or were lately
  */
 struct pgw_stream_origin_answer {
     const char *software;
-    bool any;
 };
 
 struct pgw_exchange;
@@ -46,9 +44,18 @@
 struct pgw_stream_origins *pgw_stream_origins_new(struct pgw_gateway *gateway);
 void pgw_stream_origins_free(struct pgw_stream_origins *origins);
 
-/** pgw_stream_origins_upstreams_changed() - select the sidecars again */
+/** pgw_stream_origins_upstreams_changed() - select the sidecars again, and
+ * check the records of versions */
 void pgw_stream_origins_upstreams_changed(struct pgw_stream_origins *origins);
 
+/** pgw_stream_origins_sidecar_connected() - a sidecar that has just started
+ * has no attempts: what it owns is sent again */
+void pgw_stream_origins_sidecar_connected(struct pgw_stream_origins *origins);
+
+/** pgw_stream_origin_is_resumed() - the caller takes up a stream of which it
+ * has events, or of an attempt that it names */
+bool pgw_stream_origin_is_resumed(const struct pgw_exchange *exchange);
+
 /**
  * pgw_stream_origin_begin() - find the version at which a stream goes on
  * @exchange: a request that is about to be dispatched
--- a/src/gateway/upstream/upstream_table.c
+++ b/src/gateway/upstream/upstream_table.c
@@ -160,6 +160,7 @@
         pool->all = g_ptr_array_new();
         pool->local = g_ptr_array_new();
         pool->software = g_hash_table_new(NULL, NULL);
+        pool->since_us = (uint64_t)g_get_monotonic_time();
         g_hash_table_insert(table->by_service, g_strdup(service), pool);
     }
     return pool;
@@ -202,6 +203,21 @@
     }
 }
 
+const char *
+pgw_upstream_pool_software(const struct pgw_upstream_pool *pool)
+{
+    GHashTableIter iter;
+    gpointer software = NULL;
+
+    if (g_hash_table_size(pool->software) > 1) {
+        return NULL;
+    }
+    g_hash_table_iter_init(&iter, pool->software);
+    return g_hash_table_iter_next(&iter, &software, NULL)
+               ? software
+               : pool->last_software;
+}
+
 bool
 pgw_upstream_pool_is_mixed(const struct pgw_upstream_pool *pool,
                            uint64_t now_us)
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -300,6 +300,7 @@
  *   probe
  * @software: version of the software -> number of upstreams that run it
  * @last_software: version of the last upstream that was added
+ * @since_us: when the pool was created
  * @mixed_until_us: two versions were listed within %PGW_SOFTWARE_MIXED_US
  *   before this time
  */
@@ -310,6 +311,7 @@
     bool remote_on_request;
     GHashTable *software;
     const char *last_software;
+    uint64_t since_us;
     uint64_t mixed_until_us;
 };
 
@@ -317,6 +319,10 @@
  * callers wait for a whole answer for no longer. */
 #define PGW_SOFTWARE_MIXED_US 60000000ULL
 
+/** pgw_upstream_pool_software() - the version that its upstreams run, or that
+ * the last one ran; NULL: none was listed, or they run several */
+const char *pgw_upstream_pool_software(const struct pgw_upstream_pool *pool);
+
 /** pgw_upstream_pool_is_mixed() - upstreams of several software versions are
  * listed, or were lately */
 bool pgw_upstream_pool_is_mixed(const struct pgw_upstream_pool *pool,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 import one_entry
 import one_workspace
 import refused_sidecars
+import rejoined
 import stepping
 import uneven_engines
 import unproven_attempts
@@ -54,6 +55,8 @@
 POPULAR_CALLERS = 20
 # Streams of one act, their events, and how many may hold events of two versions.
 STREAMS, STREAM_EVENTS, JOINED_MAX = 83, 40, 2
+# Clients try a stream so often, within this time.
+STREAM_TRIES, STREAM_PATIENCE_S = 6, 4.0
 # Clients give up a stream whose next event does not come for so long.
 EVENT_GAP_S = 1.0
 # A process that is told to stop within this time of its start may not have
@@ -143,9 +146,13 @@
         self.late = late_crashes.Late(self)
         self.unproven = unproven_attempts.Unproven(self)
         self.popular_run_s = 0.0
+        # Pauses between the events of a stream, and between streams that begin.
+        self.event_pause_s, self.begin_pause_s = 0.01, 0.02
         # What engines that work in steps are doing, and their addresses.
         self.stream_events, self.working, self.engines = {}, {}, {}
         self.gone_on = 0
+        # Acts around a release so far, and releases: names are not used again.
+        self.rejoined, self.releases = 0, 0
         self.workspaces = {"parish"}
         self.model, self.read_head = MODEL, read_head
         self.sent = 0
@@ -758,7 +765,8 @@
             line = f"id: {event}\ndata: {text}\n\n"
             writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
             await writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.soak.event_pause_s
+                                if body.startswith(b"stream") else 0.01)
         writer.write(b"0\r\n\r\n")
 
 
@@ -768,16 +776,23 @@
     def __init__(self, soak, role, index, settings):
         self.soak, self.role, self.index = soak, role, index
         self.path = f"{soak.dir}/{role}-{index}"
-        with open(self.path + ".conf", "w", encoding="ascii") as out:
-            out.write("".join(f"{k}={v}\n" for k, v in settings.items()))
+        self.settings = settings
         self.process, self.started_at, self.starts = None, 0.0, 0
         # Restarts of one process come one after the other, as a platform
         # does it. Seed 201: two overlapping herds started an entry twice, and
         # the second could not listen.
         self.restarting = asyncio.Lock()
 
+    def write_settings(self):
+        """The whole system starts with the first start of its processes."""
+        settings = {**self.settings,
+                    "bootstrap": "true" if self.starts == 0 else "false"}
+        with open(self.path + ".conf", "w", encoding="ascii") as out:
+            out.write("".join(f"{k}={v}\n" for k, v in settings.items()))
+
     async def start(self):
         self.started_at = time.monotonic()
+        self.write_settings()
         self.starts += 1
         with open(self.path + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -1343,10 +1358,14 @@
 async def stream(soak, fleet, streams, name):
     """A client that takes its stream up until it has all events."""
     state = {"last": 0, "first": None}
-    for number in range(6):
+    tried, give_up_at = 0, time.monotonic() + STREAM_PATIENCE_S
+    for number in range(200):
+        if tried == STREAM_TRIES or time.monotonic() > give_up_at:
+            return
         taken_up, before = state["last"] > 0, state["last"]
         outcome = await attempt_stream(soak, fleet, streams, name,
                                        f"s{name}-{number}", state)
+        tried += outcome != "no connection"
         if outcome == "no connection":
             pass  # The entry is down: it is not in touch.
         elif taken_up:
@@ -1369,7 +1388,7 @@
             stream(soak, fleet, streams, f"{name}-{number}")))
         if number == STREAMS // 3:
             running.append(asyncio.ensure_future(trouble()))
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(soak.begin_pause_s)
     await asyncio.gather(*running)
     print(f"{name}: {streams.new_begun} of {streams.new} new streams, "
           f"{streams.gone_on} of {streams.taken_up} taken up again",
@@ -1499,6 +1518,13 @@
     await one_entry.one_entry(soak, fleet, call)
 
 
+def rejoined_act(act):
+    async def run_act(soak, fleet):
+        await act(soak, fleet, streams_during, settle, judge_share)
+    run_act.__doc__ = act.__doc__
+    return run_act
+
+
 ACTS = {"uneven_engines": uneven_engines.uneven_engines,
         "one_workspace": one_workspace.one_workspace,
         "late_crashes": late_crashes.late_crashes,
@@ -1510,7 +1536,8 @@
         "answered_parts": answered_parts, "refused_parts": refused_parts,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
-        "version_gone": version_gone, **unproven_attempts.ACTS}
+        "version_gone": version_gone, **unproven_attempts.ACTS,
+        **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
 
 async def explain(soak):
--- a/tests/unit/scene_gateway.c
+++ b/tests/unit/scene_gateway.c
@@ -295,7 +295,7 @@
 static struct scene *
 new_scene(unsigned upstreams, uint64_t probe_wait_us, uint64_t start_pause_us,
           uint64_t final_answer_grace_us, bool with_crash_gap,
-          size_t answers_bound)
+          size_t answers_bound, const char *const *restarted_software)
 {
     struct scene *scene = g_new0(struct scene, 1);
     struct pgw_gateway_options options = {
@@ -313,6 +313,7 @@
         .quota_start_us = start_pause_us,
         .start_pause_us = start_pause_us,
         .answers_bound = answers_bound,
+        .is_first_start = restarted_software == NULL,
     };
 
     g_assert_true(pgw_address_parse(&options.listen, LOOPBACK ":0", NULL));
@@ -328,6 +329,9 @@
     scene->upstreams = upstreams;
     for (unsigned i = 0; i < upstreams; i++) {
         scene->listeners[i] = listen_on_loopback();
+        if (restarted_software != NULL) {
+            scene->software[i] = restarted_software[i];
+        }
     }
     pthread_create(&scene->thread, NULL, scene_loop_main, scene->loop);
     scene_run(scene, list_upstreams);
@@ -337,38 +341,48 @@
 struct scene *
 scene_new(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, 0);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, 0,
+                     NULL);
+}
+
+struct scene *
+scene_new_after_restart(unsigned upstreams, const char *const *software)
+{
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, 0,
+                     software);
 }
 
 struct scene *
 scene_new_with_probe_wait(unsigned upstreams, uint64_t probe_wait_us)
 {
     return new_scene(upstreams, probe_wait_us, START_PAUSE_US, TEST_TIME_US,
-                     false, 0);
+                     false, 0, NULL);
 }
 
 struct scene *
 scene_new_with_start_pause(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US, false, 0);
+    return new_scene(upstreams, 0, TEST_TIME_US, TEST_TIME_US, false, 0, NULL);
 }
 
 struct scene *
 scene_new_without_answer_grace(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, 0, false, 0);
+    return new_scene(upstreams, 0, START_PAUSE_US, 0, false, 0, NULL);
 }
 
 struct scene *
 scene_new_with_crash_gap(unsigned upstreams)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, true, 0);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, true, 0,
+                     NULL);
 }
 
 struct scene *
 scene_new_with_answers_bound(unsigned upstreams, size_t bytes)
 {
-    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, bytes);
+    return new_scene(upstreams, 0, START_PAUSE_US, TEST_TIME_US, false, bytes,
+                     NULL);
 }
 
 void
--- a/tests/unit/scene_gateway.h
+++ b/tests/unit/scene_gateway.h
@@ -62,6 +62,11 @@
 struct scene *scene_new(unsigned upstreams);
 void scene_free(struct scene *scene);
 
+/** scene_new_after_restart() - as scene_new(), but the gateway is started
+ * again in a deployment that has run before, and first lists these versions */
+struct scene *scene_new_after_restart(unsigned upstreams,
+                                      const char *const *software);
+
 /** scene_new_with_probe_wait() - as scene_new(), with a longest wait for
  * answers of probed sidecars, in microseconds */
 struct scene *scene_new_with_probe_wait(unsigned upstreams,
--- a/tests/unit/test_stream_origins.c
+++ b/tests/unit/test_stream_origins.c
@@ -18,6 +18,16 @@
     return scene;
 }
 
+/* The same, at an entry that has just started again. */
+static struct scene *
+restarted_scene(const char *const *software, unsigned count)
+{
+    struct scene *scene = scene_new_after_restart(count, software);
+
+    scene_set_routes(scene, 1, true);
+    return scene;
+}
+
 /* A caller whose stream began with the attempt @resumes, or at another entry.
  */
 static int
@@ -223,6 +233,55 @@
     scene_free(scene);
 }
 
+/* Guards against a list that shows one version, since the one before has left
+ * while no entry ran. */
+static void
+test_unknown_after_a_restart(void)
+{
+    static const char *const software[] = {"v2", "v2"};
+    struct scene *scene = restarted_scene(software, 2);
+
+    expect_refusal(take_up(scene, "b", "elsewhere", 2),
+                   "stream_origin_unknown");
+    scene_free(scene);
+}
+
+static void
+set_settled_record(struct scene *scene)
+{
+    const struct pgw_software_record record = {
+        .versions = {g_intern_string(scene->software[0])},
+        .count = 1,
+        .settled = true,
+    };
+
+    pgw_software_records_set(pgw_gateway_software_records(scene->gateway),
+                             "service", &record);
+}
+
+/* Guards against refusals after a restart of a service without a release. */
+static void
+test_goes_on_after_a_restart(void)
+{
+    static const char *const software[] = {"v2", "v2"};
+    struct scene *scene = restarted_scene(software, 2);
+
+    scene_run(scene, set_settled_record);
+    expect_goes_on(scene, take_up(scene, "b", "elsewhere", 2), "b", "v2");
+    scene_free(scene);
+}
+
+/* Guards against refusals of a service whose list names no versions. */
+static void
+test_without_versions_after_a_restart(void)
+{
+    static const char *const software[] = {NULL, NULL};
+    struct scene *scene = restarted_scene(software, 2);
+
+    expect_goes_on(scene, take_up(scene, "b", "elsewhere", 2), "b", NULL);
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -241,5 +300,11 @@
                     test_goes_on_at_a_single_version);
     g_test_add_func("/stream_origins/unknown_after_a_release",
                     test_unknown_after_a_release);
+    g_test_add_func("/stream_origins/unknown_after_a_restart",
+                    test_unknown_after_a_restart);
+    g_test_add_func("/stream_origins/goes_on_after_a_restart",
+                    test_goes_on_after_a_restart);
+    g_test_add_func("/stream_origins/without_versions_after_a_restart",
+                    test_without_versions_after_a_restart);
     return g_test_run();
 }
