Let streams that go on come before new requests

Cause: a stream that a caller takes up queued like a new request, behind those whose objective may still be met, and was refused for them.

Change: such a stream goes first within its workspace, waits as long as a caller that returns at a promised time, and is not refused for others. Half an answer is worth nothing, and is paid for already.

Result: /queue_order/resumed_first, which cannot compile before, passes.

--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -584,6 +584,7 @@
 enqueue(struct pgw_exchange *exchange, uint64_t now_us)
 {
     struct pgw_gateway *gateway = exchange->gateway;
+    bool is_patient = exchange->turn.is_resumed || exchange->turn.returned;
 
     /* A stream that is queued to resume keeps its phase, since its head was
      * sent: a second head would appear within the caller's answer. It goes
@@ -608,7 +609,7 @@
     exchange->queue_timer.on_due = on_queue_timeout;
     pgw_timer_start(gateway->loop, &exchange->queue_timer,
                     pgw_exchange_queue_time_us(exchange, now_us) *
-                        (exchange->turn.returned ? PGW_RETURNED_PATIENCE : 1));
+                        (is_patient ? PGW_RETURNED_PATIENCE : 1));
     return true;
 }
 
--- a/src/gateway/share/queue_order.c
+++ b/src/gateway/share/queue_order.c
@@ -92,6 +92,9 @@
     uint64_t first_us = latest_start(first, now_us, &first_is_late);
     uint64_t second_us = latest_start(second, now_us, &second_is_late);
 
+    if (first->is_resumed != second->is_resumed) {
+        return first->is_resumed ? -1 : 1;
+    }
     if (first->returned != second->returned) {
         return first->returned ? -1 : 1;
     }
--- a/src/gateway/share/queue_order.h
+++ b/src/gateway/share/queue_order.h
@@ -11,11 +11,11 @@
  * DOC: Order of the requests that wait for one service
  *
  * Start-time fair queueing by tokens between workspaces. Within a workspace:
- * callers that come back at a promised time, then requests that may still
- * begin in time, by their latest start, then the late ones by the latest start
- * for their deadline, then callers that were refused and come back too early.
- * What cannot be placed is passed over, so that room which the first one
- * cannot use goes to the next.
+ * streams that have begun and broken off, then callers that come back at a
+ * promised time, then requests that may still begin in time, by their latest
+ * start, then the late ones by the latest start for their deadline, then
+ * callers that were refused and come back too early. What cannot be placed is
+ * passed over, so that room which the first one cannot use goes to the next.
  *
  * Load answered: one workspace at many times its usual beside small ones, and
  * long prompts beside short ones.
@@ -24,6 +24,7 @@
 /**
  * struct pgw_queue_order_item - a waiting request; zero before use
  * @admit: its workspace, share and tokens
+ * @is_resumed: the caller has events of the stream already
  * @returned: the caller comes back at a time that it was promised
  * @is_early: the caller was refused and comes back before its time
  * @in_time_start_us: latest start for an answer within the objective, 0: the
@@ -34,6 +35,7 @@
  */
 struct pgw_queue_order_item {
     struct pgw_admit_item admit;
+    bool is_resumed;
     bool returned;
     bool is_early;
     uint64_t in_time_start_us;
--- a/src/gateway/share/room_wait.c
+++ b/src/gateway/share/room_wait.c
@@ -1,4 +1,5 @@
 #include "gateway/request/exchange.h"
+#include "gateway/request/stream_origins.h"
 #include "parsleygw/level.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -133,6 +134,7 @@
     }
     turn->late_start_us =
         before_us(exchange->deadline_us, prefill_ms + run_ms);
+    turn->is_resumed = pgw_stream_origin_is_resumed(exchange);
     recognise(exchange);
 }
 
@@ -166,7 +168,7 @@
 
     exchange->is_displaced = false;
     turn->turn_by_us =
-        turn->returned || exchange->sends > 0
+        turn->is_resumed || turn->returned || exchange->sends > 0
             ? 0
             : MIN(turn->late_start_us,
                   now_us + pgw_exchange_queue_time_us(exchange, now_us));
--- a/src/gateway/share/service_share.h
+++ b/src/gateway/share/service_share.h
@@ -13,7 +13,8 @@
  * its workspace asks for more than its share, its queue would only grow: the
  * last one of the workspace is refused as soon as the work before it will not
  * be done in time. A workspace that asks for no more than its share is never
- * refused so, nor is a caller that comes back at a promised time.
+ * refused so, nor is a caller that comes back at a promised time, nor one that
+ * takes up a stream: half an answer is worth less than a late one.
  *
  * Load answered: more requests than room, for seconds.
  */
--- a/tests/unit/test_queue_order.c
+++ b/tests/unit/test_queue_order.c
@@ -53,6 +53,29 @@
     pgw_queue_order_dispose(&order);
 }
 
+/* Guards against a stream that its caller takes up and that is refused while
+ * new requests begin. */
+static void
+test_resumed_first(void)
+{
+    static const size_t expected[] = {2, 1, 0};
+    struct pgw_queue_order_item items[] = {
+        make_item(1, 10, NOW_US + 100),
+        make_item(1, 10, NOW_US + 500),
+        make_item(1, 10, NOW_US - 1),
+    };
+    struct pgw_queue_order order;
+
+    items[1].returned = true;
+    items[2].is_resumed = true;
+    pgw_queue_order_init(&order);
+    for (size_t i = 0; i < G_N_ELEMENTS(items); i++) {
+        pgw_queue_order_add(&order, &items[i]);
+    }
+    assert_order(&order, items, expected, G_N_ELEMENTS(items));
+    pgw_queue_order_dispose(&order);
+}
+
 /* Failure: the prompts of one workspace, or one long prompt, take the turns of
  * the others. */
 static void
@@ -100,6 +123,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/queue_order/within", test_within_workspace);
+    g_test_add_func("/queue_order/resumed_first", test_resumed_first);
     g_test_add_func("/queue_order/between", test_between_workspaces);
     g_test_add_func("/queue_order/shares", test_shares);
     return g_test_run();
