Begin idle time when the caller has received its answer

Cause: the idle timer (4 s) was started when the last byte of an answer was put into the entry's buffer. Nothing that was sent later started it again, and when due it half-closed the connection, after which the buffer cannot be sent. Class: a timer that starts with the end of a decision, not of what it waits for.

Evidence: with an idle timeout of 40 s the same callers got all (18 of 18), which rules out TCP_USER_TIMEOUT; no caller_slow, which rules out the bound on buffered answers.

Change: the timer looks four times within the idle timeout at what the caller has not acknowledged, in the entry and in the kernel, and idle time begins once that is nothing. A caller that receives nothing for the whole timeout is closed, with the event caller_stopped_reading. A connection that ends with its answer has no idle timer; it was left armed where a request was rejected before its body.

--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -5,8 +5,10 @@
 #include "util/metric.h"
 #include "util/socket.h"
 #include <errno.h>
+#include <linux/sockios.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +22,10 @@
 #define BODY_RESERVE ((size_t)256 * 1024)
 /* Time for a caller to read the last answer after the half-close. */
 #define LINGER_US 500000
+/* Checks per idle timeout of what a caller has received of its answer. An idle
+ * connection is closed up to one interval late; more checks cost more calls.
+ */
+#define IDLE_CHECKS 4
 /* TCP_USER_TIMEOUT of the connections. */
 #define USER_TIMEOUT_MS 5000
 
@@ -152,6 +158,57 @@
     pgw_timer_start(caller->server->loop, &caller->timer, (uint64_t)ms * 1000);
 }
 
+/* Bytes that the caller has not acknowledged, here and in the kernel. */
+static size_t
+unacked_bytes(const struct pgw_caller *caller)
+{
+    int in_kernel = 0;
+
+    if (ioctl(caller->watch.fd, SIOCOUTQ, &in_kernel) != 0) {
+        in_kernel = 0;
+    }
+    return pgw_buffer_size(&caller->out) + (size_t)in_kernel;
+}
+
+/* The last answer is complete. Idle time begins once the caller has received
+ * it: until then the timer looks at what is left in shorter intervals. */
+static void
+start_idle_timer(struct pgw_caller *caller, bool is_being_sent)
+{
+    uint32_t idle_ms = caller->server->limits.idle_timeout_ms;
+
+    caller->unacked = is_being_sent ? SIZE_MAX : 0;
+    caller->progress_at_us = pgw_now_us();
+    start_timer(caller, is_being_sent ? idle_ms / IDLE_CHECKS : idle_ms);
+}
+
+/* Return: whether the caller has received some of its answer lately, and the
+ * timer was started again */
+static bool
+wait_for_receipt(struct pgw_caller *caller)
+{
+    uint64_t idle_us = caller->server->limits.idle_timeout_ms * UINT64_C(1000);
+    size_t before = caller->unacked;
+    uint64_t now_us = pgw_now_us();
+
+    caller->unacked = unacked_bytes(caller);
+    if (caller->unacked == 0) {
+        if (before > 0) {
+            start_idle_timer(caller, false);
+        }
+        return before > 0;
+    }
+    if (before == 0 || caller->unacked < before) {
+        caller->progress_at_us = now_us;
+    }
+    if (now_us >= caller->progress_at_us + idle_us) {
+        return false;
+    }
+    pgw_timer_start(caller->server->loop, &caller->timer,
+                    idle_us / IDLE_CHECKS);
+    return true;
+}
+
 static void
 caller_flush(struct pgw_caller *caller)
 {
@@ -347,7 +404,8 @@
     half_close(caller);
 }
 
-/* Closes the connection if its last answer has been sent. */
+/* The last answer has been sent: closes the connection, or waits for the next
+ * request. */
 static void
 handle_sent(struct pgw_caller *caller)
 {
@@ -361,6 +419,9 @@
     else if (caller->server->closing) {
         close_if_idle(caller);
     }
+    else if (!caller->request_is_active) {
+        start_idle_timer(caller, true);
+    }
 }
 
 static void
@@ -418,6 +479,15 @@
         handle_disconnect(caller);
         return;
     }
+    if (wait_for_receipt(caller)) {
+        return;
+    }
+    if (pgw_buffer_size(&caller->out) > 0) {
+        pgw_log_info("caller_stopped_reading", "pending=%zu",
+                     pgw_buffer_size(&caller->out));
+        handle_disconnect(caller);
+        return;
+    }
     close_if_idle(caller);
 }
 
@@ -550,6 +620,7 @@
     pgw_buffer_dispose(&caller->body);
     if (caller->close_after_answer) {
         caller->discards_input = true;
+        pgw_timer_stop(caller->server->loop, &caller->timer);
         if (pgw_buffer_size(&caller->out) == 0) {
             half_close(caller);
         }
@@ -557,7 +628,7 @@
         return;
     }
     pgw_http_reader_next(&caller->reader);
-    start_timer(caller, caller->server->limits.idle_timeout_ms);
+    start_idle_timer(caller, pgw_buffer_size(&caller->out) > 0);
     /* A drain that began after the head of this answer did not announce the
      * end of the connection: it is closed as soon as it is idle. */
     if ((pgw_buffer_size(&caller->in) > 0 || caller->server->closing) &&
--- a/src/gateway/http/caller.h
+++ b/src/gateway/http/caller.h
@@ -49,6 +49,8 @@
     struct pgw_slow_caller slow;
     struct pgw_timer timer;
     size_t body_limit;
+    size_t unacked; /* bytes of its last answer that it has not received */
+    uint64_t progress_at_us; /* when it last received some */
     uint32_t events;
     bool request_is_active;
     bool request_is_complete;
@@ -86,7 +88,8 @@
  * @head_timeout_ms: longest time from the first byte to the end of the head
  * @body_timeout_ms: longest time from the end of the head to the end of the
  *   body
- * @idle_timeout_ms: longest time between two requests
+ * @idle_timeout_ms: longest time between the receipt of an answer and the next
+ *   request, and longest time in which a caller receives nothing of an answer
  */
 struct pgw_caller_limits {
     size_t head_bytes;
--- a/tests/unit/test_caller.c
+++ b/tests/unit/test_caller.c
@@ -397,6 +397,87 @@
     fixture_dispose(&fixture);
 }
 
+#define LONG_ANSWER ((size_t)24 * 1024 * 1024)
+/* What a slow caller reads in one turn of the server's loop. */
+#define SLOW_READ ((size_t)128 * 1024)
+
+static size_t slow_received;
+static struct pgw_caller *long_caller;
+
+static void
+answer_long(struct fixture *fixture, struct pgw_caller *caller)
+{
+    char *body = g_malloc0(LONG_ANSWER);
+
+    (void)fixture;
+    long_caller = caller;
+    pgw_caller_begin(caller, 200, "", (int64_t)LONG_ANSWER);
+    pgw_caller_write(caller, body, LONG_ANSWER);
+    pgw_caller_end(caller);
+    g_free(body);
+}
+
+/* Reads some of the answer; returns whether it has ended. */
+static bool
+read_slowly(struct fixture *fixture)
+{
+    static char buffer[SLOW_READ];
+    ssize_t received = recv(idle_caller, buffer, SLOW_READ, MSG_DONTWAIT);
+
+    (void)fixture;
+    slow_received += received > 0 ? (size_t)received : 0;
+    return received == 0 || slow_received >= LONG_ANSWER;
+}
+
+static bool
+is_given_up(struct fixture *fixture)
+{
+    return pgw_caller_server_request_count(fixture->server) == 0;
+}
+
+static void
+request_long_answer(struct fixture *fixture)
+{
+    struct pgw_caller_limits limits = PGW_CALLER_LIMITS_INIT;
+
+    fixture_init(fixture);
+    limits.idle_timeout_ms = 50;
+    pgw_caller_server_set_limits(fixture->server, &limits);
+    fixture->on_request = answer_long;
+    idle_caller = caller_connect(fixture);
+    caller_send(idle_caller, REQUEST);
+    run_until(fixture, has_one_request);
+    g_assert_cmpuint(pgw_caller_pending(long_caller), >, 0);
+}
+
+/* Guards against an idle timeout that cuts an answer off which its caller
+ * still reads. */
+static void
+test_answer_outlasts_idle_timeout(void)
+{
+    struct fixture fixture;
+
+    request_long_answer(&fixture);
+    slow_received = 0;
+    run_until(&fixture, read_slowly);
+    g_assert_cmpuint(slow_received, >=, LONG_ANSWER);
+    close(idle_caller);
+    fixture_dispose(&fixture);
+}
+
+/* Guards against a connection that stays open for good because its caller
+ * reads nothing. */
+static void
+test_caller_that_reads_nothing_is_closed(void)
+{
+    struct fixture fixture;
+
+    request_long_answer(&fixture);
+    run_until(&fixture, is_given_up);
+    close(idle_caller);
+    fixture_dispose(&fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -417,5 +498,9 @@
                     test_request_after_stream_is_answered);
     g_test_add_func("/caller/idle_timeout_reads_first",
                     test_idle_timeout_reads_first);
+    g_test_add_func("/caller/answer_outlasts_idle_timeout",
+                    test_answer_outlasts_idle_timeout);
+    g_test_add_func("/caller/reads_nothing_is_closed",
+                    test_caller_that_reads_nothing_is_closed);
     return g_test_run();
 }
