Leave slow engines time to load within a rollout

Cause: three of 18 engines loaded at a time, six rounds of 1.4 to 2 s, which takes all the time for which old weights are usable even without trouble. The last two began 11 s after the naming, were four times as slow by then, and had not finished at the end. Orders followed their selection within 0.1 s, which rules out the lease and the sidecar's queue; the slow engine that held a place for 5.6 s cost one round only.

Change: the window is sized so that undisturbed loads, one after the other in each place, take half of that time, at least about a fifth of the pool as before and at most a quarter. It follows the shortest recent load, so loads that slow each other down do not widen it.

--- a/src/gateway/peer/sidecar_links_rollout.c
+++ b/src/gateway/peer/sidecar_links_rollout.c
@@ -198,6 +198,8 @@
     void *value;
     unsigned size;
 
+    options.load_us = pgw_weights_load_times_expected_us(&links->load_times);
+    options.usable_us = pgw_gateway_old_weights_usable_us(links->gateway);
     if (!pgw_policy_is_on(pgw_gateway_policy(links->gateway),
                           PGW_MECHANISM_LOAD_WINDOW)) {
         options.loading_share = 1.0;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -320,6 +320,12 @@
     return gateway->target_weights;
 }
 
+uint64_t
+pgw_gateway_old_weights_usable_us(const struct pgw_gateway *gateway)
+{
+    return gateway->options.old_weights_usable_us;
+}
+
 uint64_t
 pgw_gateway_weights_usable_for_us(const struct pgw_gateway *gateway,
                                   const char *model, uint64_t version)
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -266,6 +266,10 @@
  * of the table */
 GHashTable *pgw_gateway_target_models(const struct pgw_gateway *gateway);
 
+/** pgw_gateway_old_weights_usable_us() - how long older weights may be used
+ * after a newer version was announced, in microseconds */
+uint64_t pgw_gateway_old_weights_usable_us(const struct pgw_gateway *gateway);
+
 /** pgw_gateway_weights_usable_for_us() - how long an engine with this version
  * of the weights may still be used, in microseconds; %UINT64_MAX: no newer
  * version is announced */
--- a/src/gateway/sidecar/rollout_window.c
+++ b/src/gateway/sidecar/rollout_window.c
@@ -6,6 +6,9 @@
  * the time for which their weights are usable. */
 #define UNSELECTED_START_FIRST 1.0
 #define UNSELECTED_START_LAST 1.15
+/* Share of the time for which old weights are usable that undisturbed loads
+ * may take. */
+#define UNDISTURBED_SHARE 0.5
 
 void
 pgw_weights_load_times_add(struct pgw_weights_load_times *times, uint64_t us)
@@ -28,13 +31,25 @@
     return shortest_us;
 }
 
+/* The window with which undisturbed loads end in time. */
+static double
+size_in_time(const struct pgw_rollout_window_options *options, unsigned count)
+{
+    return options->usable_us == 0
+               ? 0
+               : (double)count * (double)options->load_us /
+                     ((double)options->usable_us * UNDISTURBED_SHARE);
+}
+
 unsigned
 pgw_rollout_window_size(const struct pgw_rollout_window_options *options,
                         unsigned count)
 {
     unsigned size = (unsigned)((double)count * options->loading_share + 0.5);
+    double size_max = (double)count * options->loading_share_max;
+    double in_time = MIN(size_in_time(options, count), size_max);
 
-    return MAX(size, 1);
+    return MAX(MAX(size, (unsigned)in_time), 1);
 }
 
 static int
--- a/src/gateway/sidecar/rollout_window.h
+++ b/src/gateway/sidecar/rollout_window.h
@@ -65,16 +65,23 @@
 /**
  * struct pgw_rollout_window_options - thresholds
  * @loading_share: share of the pool that loads at once
+ * @loading_share_max: the same where loads take long
+ * @load_us: expected duration of an undisturbed load, 0: not known
+ * @usable_us: how long old weights may be used after a newer version was
+ *   announced, 0: not known
  */
 struct pgw_rollout_window_options {
     double loading_share;
+    double loading_share_max;
+    uint64_t load_us;
+    uint64_t usable_us;
 };
 
 /* About a fifth: engines that load at once share bandwidth, so each load takes
  * longer with more of them. */
 #define PGW_ROLLOUT_WINDOW_OPTIONS_INIT                                       \
     {                                                                         \
-        .loading_share = 0.19                                                 \
+        .loading_share = 0.19, .loading_share_max = 0.25                      \
     }
 
 /**
@@ -82,9 +89,14 @@
  * @options: thresholds
  * @count: number of engines in the pool
  *
- * The window does not grow when time runs short: engines that load share a
- * link, so each load would take longer, which leaves less time still, until no
- * engine serves.
+ * Failure: undisturbed loads alone take as long as old weights may be used.
+ * Symptom: engines that are slow while the last ones load keep old weights
+ * beyond the deployment's limit. The window is larger where undisturbed loads
+ * would take more than half of that time.
+ *
+ * It does not grow when time runs short: engines that load share a link, so
+ * each load would take longer, which leaves less time still, until no engine
+ * serves.
  *
  * Return: at least 1.
  */
--- a/tests/unit/test_rollout_window.c
+++ b/tests/unit/test_rollout_window.c
@@ -70,6 +70,24 @@
     g_assert_cmpuint(pgw_rollout_window_size(&options, 0), ==, 1);
 }
 
+/* Guards against loads that take all the time for which old weights are
+ * usable, so that slow engines keep them for too long. */
+static void
+test_reserve(void)
+{
+    struct pgw_rollout_window_options timed = PGW_ROLLOUT_WINDOW_OPTIONS_INIT;
+
+    timed.usable_us = 11 * SECOND_US;
+    g_assert_cmpuint(pgw_rollout_window_size(&timed, POOL), ==, 3);
+    timed.load_us = SECOND_US / 2;
+    g_assert_cmpuint(pgw_rollout_window_size(&timed, POOL), ==, 3);
+    timed.load_us = 14 * SECOND_US / 10;
+    g_assert_cmpuint(pgw_rollout_window_size(&timed, POOL), ==, 4);
+    timed.load_us = 20 * SECOND_US;
+    g_assert_cmpuint(pgw_rollout_window_size(&timed, POOL), ==, 4);
+    g_assert_cmpuint(pgw_rollout_window_size(&timed, 3), ==, 1);
+}
+
 /* A version is announced while the previous one is rolled out: engines that
  * have not loaded the previous one start first, and skip it. */
 static void
@@ -137,6 +155,7 @@
     g_test_add_func("/rollout_window/next_starts_after_finish",
                     test_next_starts_after_finish);
     g_test_add_func("/rollout_window/size", test_size);
+    g_test_add_func("/rollout_window/reserve", test_reserve);
     g_test_add_func("/rollout_window/oldest_weights_first",
                     test_oldest_weights_start_first);
     g_test_add_func("/rollout_window/expected_load_time",
