Tell with reports of crashes that a part has completed a run

All prompts of a service begin with one part. After a power loss of its five engines all were refused for a minute: 0 of 74 began (a drawn case of prop_crash_parts, listed in KNOWN-RED.txt).

Cause: a part that has completed a run is refused after four failed trials, any other after two, and each entry knew its own completed runs only. The entry that judged had none: its prompts still ran when power was lost. Ruled out: late messages (the case has no delay) and trials of two parts at one engine. With completed runs known to all entries in a scratch copy of the test the case passes. Class: what one entry has not seen is taken for what has not been.

Change: reports of crashes of a part, which entries send each other anyway, say whether a run with it has completed (a new field in two messages), and those who pass them on add what they know.

--- a/src/gateway/crash/completed_parts.c
+++ b/src/gateway/crash/completed_parts.c
@@ -12,14 +12,21 @@
     return words[0] ^ words[1];
 }
 
+void
+pgw_completed_parts_add_part(struct pgw_completed_parts *parts,
+                             const struct pgw_fingerprint *part)
+{
+    uint64_t word = word_of(part);
+
+    parts->slots[word % PGW_COMPLETED_PARTS_SIZE] = word;
+}
+
 void
 pgw_completed_parts_add(struct pgw_completed_parts *parts,
                         const struct pgw_crash_keys *keys)
 {
     for (size_t i = 1; i < keys->count; i++) {
-        uint64_t word = word_of(&keys->items[i]);
-
-        parts->slots[word % PGW_COMPLETED_PARTS_SIZE] = word;
+        pgw_completed_parts_add_part(parts, &keys->items[i]);
     }
 }
 
--- a/src/gateway/crash/completed_parts.h
+++ b/src/gateway/crash/completed_parts.h
@@ -25,6 +25,10 @@
 void pgw_completed_parts_add(struct pgw_completed_parts *parts,
                              const struct pgw_crash_keys *keys);
 
+/** pgw_completed_parts_add_part() - a run with a part completed */
+void pgw_completed_parts_add_part(struct pgw_completed_parts *parts,
+                                  const struct pgw_fingerprint *part);
+
 /** pgw_completed_parts_has() - whether a run with a part completed */
 bool pgw_completed_parts_has(const struct pgw_completed_parts *parts,
                              const struct pgw_fingerprint *part);
--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -290,10 +290,17 @@
     return true;
 }
 
+/*
+ * Failure: all upstreams lose power while they run a part that all requests
+ * share, and the entry that judges it has not seen a run with it complete.
+ * Symptom: it is quarantined after the trials that suffice for a part which
+ * never completed. Reports of crashes tell what other entries have seen.
+ */
 struct pgw_crashed_run
-pgw_crash_quarantine__make_report(const struct pgw_crash_record *record,
-                                  const struct pgw_recorded_crash *crash,
-                                  uint64_t now_us)
+pgw_crash_quarantine__make_report(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record,
+    const struct pgw_recorded_crash *crash, uint64_t now_us)
 {
     return (struct pgw_crashed_run){
         .fingerprint = record->key,
@@ -303,6 +310,9 @@
         .age_us = now_us - MIN(crash->at_us, now_us),
         .kind = crash->confirmed ? PGW_CRASHED_RUN_CRASHED
                                  : PGW_CRASHED_RUN_INTERRUPTED,
+        .has_completed =
+            record->is_part &&
+            pgw_completed_parts_has(&quarantine->completed, &record->key),
     };
 }
 
@@ -332,8 +342,8 @@
         if (!is_known && !crash->cleared && crash->reach < reach &&
             (crash->confirmed ||
              (!crash->abandoned && crash->at_us > expired_us))) {
-            struct pgw_crashed_run report =
-                pgw_crash_quarantine__make_report(record, crash, now_us);
+            struct pgw_crashed_run report = pgw_crash_quarantine__make_report(
+                quarantine, record, crash, now_us);
 
             report.hops = hops;
             report.seeds_only = !to_all;
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -88,6 +88,8 @@
  * @seeds_only: not sent to other entries than seeds
  * @abandoned: the entry had abandoned the run when its upstream crashed
  * @trials: of a trial: how many of the key have ended without a completed run
+ * @has_completed: of the crash or interruption of a part: a run with it has
+ *   completed, at whichever entry
  */
 struct pgw_crashed_run {
     struct pgw_fingerprint fingerprint;
@@ -103,6 +105,7 @@
     bool seeds_only;
     bool abandoned;
     uint32_t trials;
+    bool has_completed;
 };
 
 /**
--- a/src/gateway/crash/crash_quarantine_internal.h
+++ b/src/gateway/crash/crash_quarantine_internal.h
@@ -125,10 +125,10 @@
                                    const struct pgw_fingerprint *key);
 
 /** pgw_crash_quarantine__make_report() - report on a crash of a key */
-struct pgw_crashed_run
-pgw_crash_quarantine__make_report(const struct pgw_crash_record *record,
-                                  const struct pgw_recorded_crash *crash,
-                                  uint64_t now_us);
+struct pgw_crashed_run pgw_crash_quarantine__make_report(
+    const struct pgw_crash_quarantine *quarantine,
+    const struct pgw_crash_record *record,
+    const struct pgw_recorded_crash *crash, uint64_t now_us);
 
 /** pgw_crash_quarantine__share() - report the crashes of a key that other
  * entries have to learn of. @hops: number of entries that have passed on what
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -56,6 +56,10 @@
     if (record == NULL) {
         return;
     }
+    if (report->has_completed) {
+        pgw_completed_parts_add_part(&quarantine->completed,
+                                     &report->fingerprint);
+    }
     known = pgw_crash_record_find_interrupted(record, report->crash);
     if (known == NULL && !pgw_crash_quarantine__is_explained(
                              quarantine, record, report->crash, now_us)) {
@@ -77,6 +81,8 @@
         struct pgw_crashed_run copy = *report;
 
         copy.hops++;
+        copy.has_completed = pgw_completed_parts_has(&quarantine->completed,
+                                                     &report->fingerprint);
         known->reach = PGW_CRASH_REACH_ALL;
         if (copy.hops <= PGW_CRASH_HOPS_MAX) {
             pgw_crash_quarantine__publish(quarantine, &copy, 1);
@@ -200,7 +206,7 @@
 
         for (uint32_t i = 0; i < record->count; i++) {
             struct pgw_crashed_run item = pgw_crash_quarantine__make_report(
-                record, &record->crashes[i], now_us);
+                quarantine, record, &record->crashes[i], now_us);
 
             if (is_listed(record, &record->crashes[i], expired_us)) {
                 g_array_append_val(crashed, item);
--- a/src/gateway/crash/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -18,6 +18,7 @@
     out->abandoned = run->abandoned;
     out->seeds_only = run->seeds_only;
     out->hops = run->is_part ? run->hops : 0;
+    out->has_completed = run->has_completed;
 }
 
 /* @partners: room for PGW_CRASH_KEYS_MAX of them */
@@ -49,6 +50,7 @@
     out->part = run->is_part;
     out->seeds_only = run->seeds_only;
     out->upstream = run->upstream;
+    out->has_completed = run->has_completed;
 }
 
 static void
@@ -140,6 +142,7 @@
     out->is_part = run->part;
     out->seeds_only = run->seeds_only;
     out->upstream = run->upstream;
+    out->has_completed = run->has_completed;
     out->partners = partners;
     return read_fingerprint(&out->fingerprint, &run->fingerprint) &&
            read_partners(partners, run);
@@ -158,6 +161,7 @@
             .abandoned = run->abandoned,
             .seeds_only = run->seeds_only,
             .hops = run->hops,
+            .has_completed = run->has_completed,
         };
 
         if (read_fingerprint(&crashed.fingerprint, &run->fingerprint)) {
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -4016,7 +4016,7 @@
   (ProtobufCMessageInit) pgw__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__crashed_run__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pgw__crashed_run__field_descriptors[8] =
 {
   {
     "fingerprint",
@@ -4102,12 +4102,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_completed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__CrashedRun, has_completed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__crashed_run__field_indices_by_name[] = {
   6,   /* field[6] = abandoned */
   2,   /* field[2] = age_us */
   1,   /* field[1] = crash */
   0,   /* field[0] = fingerprint */
+  7,   /* field[7] = has_completed */
   5,   /* field[5] = hops */
   3,   /* field[3] = part */
   4,   /* field[4] = seeds_only */
@@ -4115,7 +4128,7 @@
 static const ProtobufCIntRange pgw__crashed_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pgw__crashed_run__descriptor =
 {
@@ -4125,14 +4138,14 @@
   "Pgw__CrashedRun",
   "pgw",
   sizeof(Pgw__CrashedRun),
-  7,
+  8,
   pgw__crashed_run__field_descriptors,
   pgw__crashed_run__field_indices_by_name,
   1,  pgw__crashed_run__number_ranges,
   (ProtobufCMessageInit) pgw__crashed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pgw__suspect_run__field_descriptors[13] =
 {
   {
     "fingerprint",
@@ -4278,10 +4291,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_completed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__SuspectRun, has_completed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__suspect_run__field_indices_by_name[] = {
   3,   /* field[3] = age_us */
   0,   /* field[0] = fingerprint */
+  12,   /* field[12] = has_completed */
   6,   /* field[6] = hops */
   2,   /* field[2] = id */
   1,   /* field[1] = kind */
@@ -4296,7 +4322,7 @@
 static const ProtobufCIntRange pgw__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pgw__suspect_run__descriptor =
 {
@@ -4306,7 +4332,7 @@
   "Pgw__SuspectRun",
   "pgw",
   sizeof(Pgw__SuspectRun),
-  12,
+  13,
   pgw__suspect_run__field_descriptors,
   pgw__suspect_run__field_indices_by_name,
   1,  pgw__suspect_run__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -600,10 +600,14 @@
    * its entry had closed the connection before the crash
    */
   protobuf_c_boolean abandoned;
+  /*
+   * of a part: a run with it has completed somewhere
+   */
+  protobuf_c_boolean has_completed;
 };
 #define PGW__CRASHED_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__crashed_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -674,10 +678,14 @@
    * trials of the key that ended without a completed run
    */
   uint32_t trials;
+  /*
+   * interrupted, of a part: a run with it has completed
+   */
+  protobuf_c_boolean has_completed;
 };
 #define PGW__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__suspect_run__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Pgw__CrashedRuns
@@ -1066,7 +1074,7 @@
   protobuf_c_boolean known;
   char *software;
   /*
-   * some stream's version was sent here lately
+   * for entries of earlier versions: some stream's version was sent here lately
    */
   protobuf_c_boolean any;
 };
