Let a server of the soak leave once

Cause: two faults told the same server to leave 0.07 s apart, by draw. Both closed it 3.5 s later and started it again, and the second start found the port taken. A server that crashes as its time to leave ends does the same. The comment said that this could not happen.

Change: a server that has been replaced while it left, or is being replaced then, is not started by the one that left.

Result: /UpstreamTest/test_leaves_twice and test_crashes_while_leaving fail before (both with that error) and pass.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,6 +74,8 @@
 # A request that a caller sent later than this after its entry had passed on an
 # answer of an upstream that leaves must not reach that upstream.
 DRAIN_S = 2.0
+# A server that leaves serves for so long.
+LEAVE_S = 3.5
 # Orders of two processes to one engine are this far apart.
 LEASE_S = 3.0
 # Requests of one entry that may reach an upstream that has requested a backoff.
@@ -620,9 +622,11 @@
 
     async def leave(self):
         """Says that it leaves; what arrives two seconds later is too late."""
-        old, self.state = self.id, "draining"
+        old, start, self.state = self.id, self.starts, "draining"
         await self.list()
-        await asyncio.sleep(3.5)
+        await asyncio.sleep(LEAVE_S)
+        if self.starts != start or self.server.server is None:
+            return  # It has been replaced meanwhile, or is just now.
         self.server.close()
         await self.store.delete("servers", old)
         await asyncio.sleep(0.3)
@@ -1203,8 +1207,8 @@
 
 
 async def faults(soak, fleet, until):
-    """Series that overlap: a new fault begins before the last has ended, but
-    never two at the same process or upstream."""
+    """Series that overlap: a new fault begins before the last has ended, at
+    times at the same process or upstream."""
     running = set()
     while time.monotonic() < until and soak.broken is None:
         if len(running) < 2:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
 """Tests of the soak's own parts."""
 import asyncio
+import random
+import types
 import unittest
 
 import soak
@@ -32,6 +34,40 @@
     return len(pending)
 
 
+async def replace_while_leaving(replace):
+    """Returns how often an upstream started that was replaced as it left."""
+    net, held = soak.free_net()
+    run = types.SimpleNamespace(
+        random=random.Random(1), engines={},
+        ip=lambda role, index: f"127.{net}.{role}.{index + 1}")
+    upstream = soak.Upstream(run, soak.Store(run), 3, 0, False)
+    await upstream.start()
+    try:
+        await asyncio.gather(upstream.leave(), replace(upstream))
+    finally:
+        upstream.server.close()
+        upstream.proxy.close()
+        held.close()
+    return upstream.starts
+
+
+async def crash_late(upstream):
+    """Its port is closed when the time to leave is over."""
+    await asyncio.sleep(soak.LEAVE_S - 0.1)
+    await upstream.crash(0.5)
+
+
+class UpstreamTest(unittest.TestCase):
+    def test_leaves_twice(self):
+        """Guards against a second process that cannot listen on the port."""
+        self.assertEqual(asyncio.run(replace_while_leaving(
+            soak.Upstream.leave)), 2)
+
+    def test_crashes_while_leaving(self):
+        """Guards against the same when it crashes just before its end."""
+        self.assertEqual(asyncio.run(replace_while_leaving(crash_late)), 2)
+
+
 class StoreTest(unittest.TestCase):
     def test_cancelled_watches_end(self):
         """Guards against a soak that goes on for good after its last line."""
