Tell in attempt_end whether an answer named its request

The log could not tell a refusal of the request that waited from a copy of an earlier one on the same connection, nor an attempt on a connection that had carried the request before.

attempt_end has named= (the answer carries the attempt's id) and earlier_calls= (calls that the connection had carried before). No logic changed.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -56,6 +56,7 @@
  * @keep_us: how long the connection may stay idle
  * @events: epoll events that are watched
  * @skipping: the current answer belongs to another request and is dropped
+ * @calls: calls that it has carried, including the current one
  * @unanswered: bytes that came for the current call before its answer
  * @body_size: bytes of the answer's body so far
  * @body_max: most bytes of the answer's body, 0: no bound
@@ -78,6 +79,7 @@
     bool paused;
     bool skipping;
     bool closed;
+    unsigned calls;
     size_t unanswered;
     size_t body_size;
     size_t body_max;
@@ -573,6 +575,7 @@
     if (connection == NULL) {
         return false;
     }
+    call->earlier_calls = connection->calls++;
     connection->call = call;
     connection->paused = false;
     connection->unanswered = 0;
--- a/src/gateway/http/call.h
+++ b/src/gateway/http/call.h
@@ -56,6 +56,7 @@
  * @connection: NULL unless the call is running
  * @sent: at least one byte of the request was handed to the kernel
  * @reused: the connection has carried other calls before
+ * @earlier_calls: how many
  * @refused: the peer's machine refused the connection: no process listens
  * @answered: the head of the answer has arrived
  * @timer: the call's timeout
@@ -67,6 +68,7 @@
     bool reused;
     bool answered;
     bool refused;
+    unsigned earlier_calls;
     struct pgw_timer timer;
 };
 
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -262,10 +262,11 @@
 {
     pgw_log_info("attempt_end",
                  "request=%s upstream=%s outcome=%s status=%u runs=%u "
-                 "ms=%" G_GUINT64_FORMAT,
+                 "ms=%" G_GUINT64_FORMAT " named=%d earlier_calls=%u",
                  exchange->facts.id, exchange->upstream->id, outcome,
                  exchange->status, exchange->runs,
-                 (pgw_now_us() - exchange->sent_us) / 1000);
+                 (pgw_now_us() - exchange->sent_us) / 1000,
+                 (int)exchange->is_named, exchange->call.earlier_calls);
 }
 
 void
@@ -280,6 +281,7 @@
 {
     pgw_attempt_drop_answer(exchange);
     exchange->status = 0;
+    exchange->is_named = false;
     exchange->not_run = false;
     exchange->is_stream = false;
     pgw_event_stream_discard_partial(&exchange->events);
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -220,6 +220,7 @@
  * @fetch_source: where missing prompt parts are fetched from, for logs
  * @weights: version of the weights that produce its events
  * @is_unframed: the answer has neither a length nor chunks
+ * @is_named: the answer names the request
  * @not_run: the upstream states that it did not run the request
  * @answer_fields: header lines for the caller
  * @answer: body received so far, if the answer is not a stream
@@ -307,6 +308,7 @@
     uint64_t weights;
     unsigned status;
     bool is_unframed;
+    bool is_named;
     bool not_run;
     bool is_stream;
     GString *answer_fields;
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -134,6 +134,7 @@
                                  pgw_now_us());
     }
     exchange->status = head->status;
+    exchange->is_named = facts.id != NULL;
     exchange->not_run = facts.not_run;
     exchange->is_stream = facts.is_stream && head->status < 300;
     exchange->is_unframed = !head->has_length && !head->chunked;
