Add a failing soak of upstreams that answer requests twice

Callers see a request run twice that may run once, and get the answers of other callers: an upstream's second answer comes up to 30 ms later on the kept connection, without the id of its attempt.

The log has not_run named=0 on reused connections.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 import one_entry
 import one_workspace
 import refused_sidecars
+import repeated_answers
 import rejoined
 import stepping
 import uneven_engines
@@ -148,6 +149,8 @@
         self.late = late_crashes.Late(self)
         self.unproven = unproven_attempts.Unproven(self)
         self.popular_run_s = 0.0
+        # What upstreams repeat, None: nothing.
+        self.repeats = None
         # Pauses between the events of a stream, and between streams that begin.
         self.event_pause_s, self.begin_pause_s = 0.01, 0.02
         # What engines that work in steps are doing, and their addresses.
@@ -661,6 +664,11 @@
                                 f"Instance-Id: {self.id}\r\n"))
         elif target == "/api/order":
             writer.write(answer(self.take_order(json.loads(body), fields)))
+        elif self.soak.repeats is not None:
+            recorder = repeated_answers.Recorder(writer)
+            await self.run(target, fields, body, recorder)
+            if self.soak.repeats is not None:
+                self.soak.repeats.repeat(recorder)
         else:
             await self.run(target, fields, body, writer)
 
@@ -715,6 +723,9 @@
             writer.write(answer(503, b"", f"Not-Run: 1\r\n{notices}"
                                 + self.steps.load()))
             return
+        if self.soak.repeats is not None and self.soak.repeats.refuse(
+                self, attempt, writer):
+            return
         if self.soak.parts.refuses(fields):
             writer.write(answer(503, b"", "Not-Run: 1\r\n"))
             return
@@ -1522,6 +1533,12 @@
     await one_entry.one_entry(soak, fleet, call)
 
 
+def repeated_act(options):
+    async def run_act(soak, fleet):
+        await repeated_answers.repeated(soak, fleet, call, *options)
+    return run_act
+
+
 def rejoined_act(act):
     async def run_act(soak, fleet):
         await act(soak, fleet, streams_during, settle, judge_share)
@@ -1541,6 +1558,8 @@
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
         "version_gone": version_gone, **unproven_attempts.ACTS,
+        **{name: repeated_act(options)
+           for name, options in repeated_answers.ACTS.items()},
         **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
 
