Take no answer for a request that another one may have caused

Callers saw a request run that had been refused with the promise that it had not, and requests run twice that may run once.

Cause: a connection to an upstream is kept, and the upstream's second answer to one request arrives where the answer to the next is expected. An answer that named another attempt was dropped; one that named none was taken. A refusal that names nobody thus ended the attempt of a request that was running: it was sent to another upstream, or its caller was told that it had not run. A request that was sent twice to one address over one connection could be ended by the late copy of its own first refusal, which has the right id.

Change: which request an answer belongs to is decided in answer_origin. An unnamed answer is taken only where no earlier request can have caused it: on a connection that has carried none, or, for a refusal, if the upstream has never named such a refusal. A connection that brought an unnamed or a foreign answer is not used again, so no unnamed copy can follow on a kept one. A request goes to an address that it was sent to before on a connection of its own. Bytes that wait on an idle connection close it before a call uses it. Status checks and orders, whose answers name nobody, have connections of their own.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -254,6 +254,8 @@
     if (!call->ops->on_head(call, &reader->head)) {
         connection->skipping = true;
         call->answered = false;
+        call->foreign_answers++;
+        call->last_use = true;
     }
 }
 
@@ -306,7 +308,8 @@
 {
     struct pgw_call_pool *pool = connection->pool;
     struct pgw_call *call = detach(connection);
-    bool keep = clean && connection->reader.head.keep_alive &&
+    bool keep = clean && call != NULL && !call->last_use &&
+                connection->reader.head.keep_alive &&
                 pgw_buffer_size(&connection->out) == 0 &&
                 connection->peer->idle_count < pool->options.max_idle &&
                 connection->keep_us > 0;
@@ -526,10 +529,22 @@
     return peer;
 }
 
+/* Bytes that came while no call was waiting belong to none, and would be read
+ * as the answer to the next one. */
+static bool
+is_readable(const struct pgw_connection *connection)
+{
+    char byte;
+
+    return recv(connection->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >=
+               0 ||
+           errno != EAGAIN;
+}
+
 /* Takes the most recently used connection, so that the others reach their idle
  * timeout and are closed. */
 static struct pgw_connection *
-take_idle_connection(struct peer *peer,
+find_idle_connection(struct peer *peer,
                      const struct pgw_call_pool_options *options, bool fresh)
 {
     struct pgw_connection *connection;
@@ -545,7 +560,22 @@
         (fresh && idle_us >= options->fresh_after_us)) {
         return NULL;
     }
-    remove_from_idle(connection);
+    return connection;
+}
+
+static struct pgw_connection *
+take_idle_connection(struct peer *peer,
+                     const struct pgw_call_pool_options *options, bool fresh)
+{
+    struct pgw_connection *connection;
+
+    while ((connection = find_idle_connection(peer, options, fresh)) != NULL &&
+           is_readable(connection)) {
+        connection_close(connection);
+    }
+    if (connection != NULL) {
+        remove_from_idle(connection);
+    }
     return connection;
 }
 
@@ -563,8 +593,12 @@
 {
     struct peer *peer = get_peer(pool, options->address);
     struct pgw_connection *connection =
-        take_idle_connection(peer, &pool->options, options->fresh);
+        options->alone
+            ? NULL
+            : take_idle_connection(peer, &pool->options, options->fresh);
 
+    call->last_use = options->alone;
+    call->foreign_answers = 0;
     call->reused = connection != NULL;
     call->sent = false;
     call->answered = false;
--- a/src/gateway/http/call.h
+++ b/src/gateway/http/call.h
@@ -35,7 +35,8 @@
 /**
  * struct pgw_call_ops - callbacks of a call's owner
  * @on_head: the head of the answer has arrived; return false to skip an answer
- *   that belongs to another request and to wait for the next one
+ *   that belongs to another request and to wait for the next one. The
+ *   connection is closed after the call then
  * @on_body: a piece of the body has arrived
  * @on_done: the answer is complete; the call is over
  * @on_failed: there will be no complete answer; the call is over
@@ -57,6 +58,8 @@
  * @sent: at least one byte of the request was handed to the kernel
  * @reused: the connection has carried other calls before
  * @earlier_calls: how many
+ * @foreign_answers: answers that were skipped for this call
+ * @last_use: set by the owner: the connection is closed after the call
  * @refused: the peer's machine refused the connection: no process listens
  * @answered: the head of the answer has arrived
  * @timer: the call's timeout
@@ -68,7 +71,9 @@
     bool reused;
     bool answered;
     bool refused;
+    bool last_use;
     unsigned earlier_calls;
+    unsigned foreign_answers;
     struct pgw_timer timer;
 };
 
@@ -81,6 +86,8 @@
  * @fresh: use a new connection, or one that was idle only briefly: for
  *   requests that must not be retried if the peer closes an idle connection
  *   at the moment of the call
+ * @alone: use a connection that carries no other call, so that no answer to
+ *   another one can be taken for this one's
  * @no_body: the request is a HEAD, so its answer has no body
  * @body_max: an answer with a larger body is malformed, 0: no bound
  */
@@ -90,6 +97,7 @@
     size_t size;
     uint64_t timeout_us;
     bool fresh;
+    bool alone;
     bool no_body;
     size_t body_max;
 };
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -1,4 +1,5 @@
 #include "gateway/request/exchange.h"
+#include "gateway/request/unconfirmed_refusal.h"
 #include "gateway/upstream/announced_prompts.h"
 #include "gateway/upstream/upstream_notice.h"
 #include "util/log.h"
@@ -224,7 +225,7 @@
      * route that is marked repeatable allows a retry, and only a stream of a
      * resumable route is resumed at another upstream.
      */
-    return route->stream ? route->resumable : route->repeatable;
+    return pgw_route_may_run_again(route);
 #else
     return true;
 #endif
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -234,6 +234,21 @@
     }
 }
 
+/* The late copy of an answer to an earlier attempt of the request has the same
+ * id. An address that was listed again has another record. */
+static bool
+was_sent_to_address(const struct pgw_exchange *exchange,
+                    const struct pgw_upstream *upstream)
+{
+    for (size_t i = 0; i < exchange->tried_count; i++) {
+        if (strcmp(exchange->tried[i]->address_text, upstream->address_text) ==
+            0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 pgw_exchange_send(struct pgw_exchange *exchange,
                   const struct pgw_choice *choice)
@@ -246,6 +261,7 @@
     struct pgw_call_options options = {
         .address = &choice->upstream->address,
         .fresh = !route->repeatable && !route->resumable,
+        .alone = was_sent_to_address(exchange, choice->upstream),
         .no_body = strcmp(exchange->caller->head->method, "HEAD") == 0,
     };
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -1,4 +1,5 @@
 #include "gateway/quota/upstream_limits.h"
+#include "gateway/request/answer_origin.h"
 #include "gateway/request/exchange.h"
 #include "gateway/request/unconfirmed_refusal.h"
 #include "util/log.h"
@@ -105,6 +106,34 @@
     }
 }
 
+static bool
+belongs_to_request(struct pgw_exchange *exchange,
+                   const struct pgw_answer_facts *facts, unsigned status)
+{
+    struct pgw_call *call = &exchange->call;
+    struct pgw_named_refusals *named = &exchange->upstream->named_refusals;
+    const struct pgw_answer_evidence evidence = {
+        .id = facts->id,
+        .awaited = exchange->facts.id,
+        .genuine = facts->genuine,
+        .not_run = facts->not_run,
+        .may_run_again = pgw_route_may_run_again(exchange->route),
+        .refusals_are_named = pgw_named_refusals_contains(named, status),
+        .connection_is_shared =
+            call->earlier_calls > 0 || call->foreign_answers > 0,
+    };
+
+    if (facts->id == NULL) {
+        /* A second copy of this answer could not be told from the answer to a
+         * later request. */
+        call->last_use = true;
+    }
+    else if (facts->not_run) {
+        pgw_named_refusals_add(named, status);
+    }
+    return pgw_answer_origin(&evidence) == PGW_ANSWER_OWN;
+}
+
 static bool
 on_head(struct pgw_call *call, const struct pgw_http_head *head)
 {
@@ -116,16 +145,13 @@
     pgw_upstream_mark_answering(exchange->upstream, exchange->last_byte_us);
     codec->read_answer(&facts, head);
     apply_notice(exchange, &facts);
-    /*
-     * Failure: the answer to an earlier request on this connection arrives
-     * late or twice. Symptom: a caller gets another caller's answer. Upstreams
-     * echo the attempt's id, so an answer with another id is dropped.
-     */
 #ifndef PGW_DISABLE_GATEWAY_FOREIGN
-    if (facts.id != NULL && strcmp(facts.id, exchange->facts.id) != 0) {
+    if (!belongs_to_request(exchange, &facts, head->status)) {
         pgw_metric_counter_add(&foreign_answers, 1);
-        pgw_log_warning("foreign_answer", "request=%s upstream=%s",
-                        exchange->facts.id, exchange->upstream->id);
+        pgw_log_warning("foreign_answer",
+                        "request=%s upstream=%s named=%d status=%u",
+                        exchange->facts.id, exchange->upstream->id,
+                        (int)(facts.id != NULL), head->status);
         return false;
     }
 #endif
--- a/src/gateway/request/unconfirmed_refusal.c
+++ b/src/gateway/request/unconfirmed_refusal.c
@@ -7,9 +7,13 @@
 }
 
 bool
-pgw_refusal_is_unconfirmed(const struct pgw_route *route, unsigned status)
+pgw_route_may_run_again(const struct pgw_route *route)
 {
-    bool may_run_again = route->stream ? route->resumable : route->repeatable;
+    return route->stream ? route->resumable : route->repeatable;
+}
 
-    return !may_run_again && pgw_status_means_not_run(status);
+bool
+pgw_refusal_is_unconfirmed(const struct pgw_route *route, unsigned status)
+{
+    return !pgw_route_may_run_again(route) && pgw_status_means_not_run(status);
 }
--- a/src/gateway/request/unconfirmed_refusal.h
+++ b/src/gateway/request/unconfirmed_refusal.h
@@ -19,6 +19,10 @@
  */
 bool pgw_status_means_not_run(unsigned status);
 
+/** pgw_route_may_run_again() - whether a request of a route may be sent again
+ * after an attempt whose outcome is unknown */
+bool pgw_route_may_run_again(const struct pgw_route *route);
+
 /**
  * pgw_refusal_is_unconfirmed() - whether an answer must not be relayed, since
  * its status would make the caller send a request again that may have run
--- a/src/gateway/sidecar/engine_sidecar_orders.c
+++ b/src/gateway/sidecar/engine_sidecar_orders.c
@@ -131,7 +131,7 @@
         .address = &sidecar->options.engine,
         .timeout_us = ORDER_TIMEOUT_US,
         .body_max = ANSWER_BYTES_MAX,
-        .fresh = true,
+        .alone = true,
     };
     GString *bytes = g_string_new(NULL);
 
--- a/src/gateway/upstream/status_check.c
+++ b/src/gateway/upstream/status_check.c
@@ -88,7 +88,7 @@
         .address = &check->upstream->address,
         .timeout_us = TIMEOUT_US,
         .body_max = ANSWER_BYTES_MAX,
-        .fresh = true,
+        .alone = true,
     };
     bool started;
 
--- a/src/gateway/upstream/upstream_table.h
+++ b/src/gateway/upstream/upstream_table.h
@@ -4,6 +4,7 @@
 #include "gateway/pace/engine_pace.h"
 #include "gateway/pace/start_delay.h"
 #include "gateway/quota/limit_share.h"
+#include "gateway/upstream/named_refusals.h"
 #include "gateway/upstream/recent_parts.h"
 #include "util/address.h"
 #include "util/list.h"
@@ -199,6 +200,7 @@
  * @refusals: consecutive requests that the upstream refused to run
  * @full_until_us: never chosen before this time
  * @stated: what it has stated about itself
+ * @named_refusals: refusals in which it named the attempt
  * @claim_at_us: its sidecar refused a long prompt or is being asked for one,
  *   and is asked for no other before this time
  * @lane: which prompts it gets first
@@ -265,6 +267,7 @@
     uint32_t refusals;
     uint64_t full_until_us;
     struct pgw_upstream_statements stated;
+    struct pgw_named_refusals named_refusals;
     uint64_t claim_at_us;
     enum pgw_lane lane;
     struct pgw_engine_pace pace;
