Take no answer for whole that ends within its head

Callers of the older path would get a 200 with an empty body, framed as whole, when an upstream stops within its answer's head and closes; a deletion in the object API was believed done.

Cause: libcurl reports such an answer as complete from the status line on.

Evidence: /cut_head/transfer and /cut_head/store fail without the check, at the first cut after the status line. The gateway, which has a parser of its own, answers 502 at each byte of four heads (/cut_head/gateway passes on the code before, too).

Change: an answer counts as complete once the empty line after its head has come; all four users of libcurl check that.

Unit and property tests pass.

--- a/src/cli/fetch.c
+++ b/src/cli/fetch.c
@@ -96,6 +96,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, answer);
+    pgw_curl_head_watch(easy, &answer->head);
     g_free(url);
     return easy;
 }
@@ -105,13 +106,15 @@
 {
     struct pgw_cli_answer *answer = NULL;
     CURL *easy = message->easy_handle;
+    CURLcode code;
 
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&answer);
-    if (message->data.result == CURLE_OK) {
+    code = pgw_curl_head_check(&answer->head, message->data.result);
+    if (code == CURLE_OK) {
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer->status);
     }
     else {
-        answer->problem = g_strdup(curl_easy_strerror(message->data.result));
+        answer->problem = g_strdup(curl_easy_strerror(code));
     }
     curl_multi_remove_handle(multi, easy);
     curl_easy_cleanup(easy);
--- a/src/cli/fetch.h
+++ b/src/cli/fetch.h
@@ -2,6 +2,7 @@
 #define PGW_CLI_FETCH_H
 
 #include "cli/cli.h"
+#include "util/curl_head.h"
 
 /**
  * struct pgw_cli_answer - what one process's admin server said
@@ -9,12 +10,14 @@
  * @status: HTTP status, 0 when there was no answer
  * @body: the body
  * @problem: why there was no answer, or NULL
+ * @head: progress of its head
  */
 struct pgw_cli_answer {
     char *address;
     long status;
     GString *body;
     char *problem;
+    struct pgw_curl_head head;
 };
 
 /**
--- a/src/libparsleygw/orders_engine.c
+++ b/src/libparsleygw/orders_engine.c
@@ -5,6 +5,7 @@
 
 #include "config_internal.h"
 #include "parsleygw/errors.h"
+#include "util/curl_head.h"
 
 #define CALL_TIMEOUT_MS 2000L
 #define RESPONSE_MAX_BYTES 65536
@@ -29,6 +30,7 @@
 {
     CURL *curl = curl_easy_init();
     char *url = g_strconcat(base, path, NULL);
+    struct pgw_curl_head head;
     CURLcode code;
     long status = 0;
 
@@ -41,7 +43,8 @@
     if (body != NULL) {
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
     }
-    code = curl_easy_perform(curl);
+    pgw_curl_head_watch(curl, &head);
+    code = pgw_curl_head_check(&head, curl_easy_perform(curl));
     if (code == CURLE_OK) {
         curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     }
--- a/src/libparsleygw/store_http.c
+++ b/src/libparsleygw/store_http.c
@@ -6,6 +6,7 @@
 #include "parsleygw/errors.h"
 #include "parsleygw/store.h"
 #include "store_response.h"
+#include "util/curl_head.h"
 
 struct http_store {
     struct pgw_store base;
@@ -278,6 +279,7 @@
 {
     gint64 timeout_ms =
         ((gint64)deadline_us - g_get_monotonic_time() + 999) / 1000;
+    struct pgw_curl_head head;
     CURLcode code;
 
     if (timeout_ms <= 0) {
@@ -288,7 +290,8 @@
         return false;
     }
     curl_easy_setopt(call->curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-    code = curl_easy_perform(call->curl);
+    pgw_curl_head_watch(call->curl, &head);
+    code = pgw_curl_head_check(&head, curl_easy_perform(call->curl));
     if (code != CURLE_OK) {
         set_transport_error(call, code, error);
         return false;
--- /dev/null
+++ b/src/util/curl_head.h
@@ -0,0 +1,31 @@
+#ifndef PGW_UTIL_CURL_HEAD_H
+#define PGW_UTIL_CURL_HEAD_H
+
+#include <curl/curl.h>
+#include <stdbool.h>
+
+/**
+ * DOC: Answers that end within their head
+ *
+ * libcurl reports an answer whose connection closes after the status line as
+ * complete: with the status and an empty body. Only the empty line after the
+ * head shows that the head is whole.
+ */
+
+/**
+ * struct pgw_curl_head - progress of one answer's head
+ * @complete: the empty line after the head of the last answer has arrived
+ */
+struct pgw_curl_head {
+    bool complete;
+};
+
+/** pgw_curl_head_watch() - watch the head of the answer to a request; @head
+ * must outlive the request */
+void pgw_curl_head_watch(CURL *easy, struct pgw_curl_head *head);
+
+/** pgw_curl_head_check() - the result of a request: %CURLE_PARTIAL_FILE in
+ * place of %CURLE_OK if its answer ended within its head */
+CURLcode pgw_curl_head_check(const struct pgw_curl_head *head, CURLcode code);
+
+#endif
--- a/src/util/transfer.c
+++ b/src/util/transfer.c
@@ -1,4 +1,5 @@
 #include "util/transfer.h"
+#include "util/curl_head.h"
 #include <sys/epoll.h>
 
 #define TRANSFER_CONNECT_TIMEOUT_MS 1000L
@@ -13,6 +14,7 @@
     struct pgw_transfer_pool *pool;
     CURL *easy;
     struct curl_slist *headers;
+    struct pgw_curl_head head;
     const struct pgw_transfer_ops *ops;
     void *context;
     bool head_done;
@@ -58,13 +60,14 @@
 
     while ((message = curl_multi_info_read(pool->multi, &left)) != NULL) {
         struct pgw_transfer *transfer = NULL;
-        CURLcode code = message->data.result;
+        CURLcode code;
         long status = 0;
 
         if (message->msg != CURLMSG_DONE) {
             continue;
         }
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        code = pgw_curl_head_check(&transfer->head, message->data.result);
         curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
                           &status);
         /* An answer without a body has a head all the same. */
@@ -278,6 +281,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    pgw_curl_head_watch(easy, &transfer->head);
     set_method(easy, options);
     curl_multi_add_handle(pool->multi, easy);
     return transfer;
