Read lists of the object API that hold an odd object

Entries and sidecars of the older path would stop following a list, or end, when another writer leaves one odd object in it: a value that is nested too deeply made the whole list unreadable, and readers of claims and quarantine records handed such values to a recursive parser that overflows the stack.

Evidence: /odd_objects/list_with_one fails on the code before (the list is refused), /odd_objects/readers_reject ends with SIGSEGV there.

Cause: the bound on nesting was checked for the list as a whole, and not by the two readers that used the parser directly.

Change: an object whose value cannot be read is listed with its text, which the readers reject, so that it names nothing and still exists; others hold. Readers of claims and quarantine records, and the command line, parse with the bound.

The gateway reads object by object since before; no fault was found there.

--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -1,4 +1,5 @@
 #include "cli/objects.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 
@@ -27,7 +28,7 @@
 {
     const char *stored =
         pgw_config_set_value(apply->stored, change->kind, change->name);
-    JsonNode *node = stored == NULL ? NULL : json_from_string(stored, NULL);
+    JsonNode *node = stored == NULL ? NULL : pgw_json_parse_text(stored);
     bool result = node == NULL || !json_node_equal(node, change->value);
 
     g_clear_pointer(&node, json_node_unref);
@@ -54,7 +55,7 @@
     if (!apply->ok || value == NULL || strcmp(kind, apply->kind) != 0) {
         return;
     }
-    change.value = json_from_string(value, NULL);
+    change.value = pgw_json_parse_text(value);
     change.base = pgw_config_set_value(apply->stored, kind, name) == NULL
                       ? 0
                       : pgw_config_set_version(apply->stored, kind, name);
--- a/src/cli/explain_command.c
+++ b/src/cli/explain_command.c
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 #include "cli/explain.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 
@@ -112,7 +113,7 @@
     JsonObject *object = to_json(explanation);
     char *text = pgw_timeline_to_json(timeline);
 
-    json_object_set_member(object, "timeline", json_from_string(text, NULL));
+    json_object_set_member(object, "timeline", pgw_json_parse_text(text));
     print_json(object);
     g_free(text);
 }
--- a/src/cli/objects.c
+++ b/src/cli/objects.c
@@ -1,4 +1,5 @@
 #include "cli/objects.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 
@@ -78,7 +79,7 @@
 static JsonNode *
 parse_value(const char *text)
 {
-    return text == NULL ? NULL : json_from_string(text, NULL);
+    return text == NULL ? NULL : pgw_json_parse_text(text);
 }
 
 bool
--- a/src/cli/recheck.c
+++ b/src/cli/recheck.c
@@ -1,4 +1,5 @@
 #include "cli/objects.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 
@@ -25,7 +26,7 @@
         .kind = change->kind,
         .name = change->name,
         .base = version,
-        .value = before == NULL ? NULL : json_from_string(before, NULL),
+        .value = before == NULL ? NULL : pgw_json_parse_text(before),
     };
     uint64_t restored;
     bool ok = pgw_cli_write(cli, &restored, &back, error);
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -1,6 +1,7 @@
 #include "cli/fetch.h"
 #include "cli/objects.h"
 #include "cli/table.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 
@@ -22,7 +23,7 @@
                      const struct pgw_cli_answer *answer)
 {
     out->root = answer->status == 200 && answer->body->len > 0
-                    ? json_from_string(answer->body->str, NULL)
+                    ? pgw_json_parse_text(answer->body->str)
                     : NULL;
     out->object = out->root != NULL && JSON_NODE_HOLDS_OBJECT(out->root)
                       ? json_node_get_object(out->root)
--- a/src/cli/timeline_command.c
+++ b/src/cli/timeline_command.c
@@ -1,5 +1,6 @@
 #include "cli/fetch.h"
 #include "cli/timeline.h"
+#include "util/json_reader.h"
 
 #include "parsleygw/errors.h"
 #include "util/hex.h"
@@ -96,7 +97,7 @@
         const struct pgw_cli_answer *answer =
             &g_array_index(answers, struct pgw_cli_answer, i);
         JsonNode *root = answer->status == 200
-                             ? json_from_string(answer->body->str, NULL)
+                             ? pgw_json_parse_text(answer->body->str)
                              : NULL;
 
         if (!pgw_timeline_add(timeline, root)) {
--- a/src/libparsleygw/claim_record.c
+++ b/src/libparsleygw/claim_record.c
@@ -1,6 +1,7 @@
 #include "claim_record.h"
 
 #include "parsleygw/errors.h"
+#include "util/json_reader.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -416,12 +417,9 @@
 pgw_claim__object_parse(const char *json, size_t length, GError **error)
 {
     struct pgw_claim_object *object = pgw_claim__object_new();
-    JsonParser *parser = json_parser_new_immutable();
     JsonNode *root = NULL;
 
-    if (json_parser_load_from_data(parser, json, (gssize)length, NULL)) {
-        root = json_parser_get_root(parser);
-    }
+    pgw_json_parse(&root, json, length, "claim object", NULL);
     if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root) ||
         !parse_members(object, json_node_get_object(root))) {
         g_set_error_literal(error, PGW_ERROR, PGW_ERROR_INVALID,
@@ -429,6 +427,6 @@
                             "last good version, keys in it are refused");
         g_clear_pointer(&object, pgw_claim__object_free);
     }
-    g_object_unref(parser);
+    g_clear_pointer(&root, json_node_unref);
     return object;
 }
--- a/src/libparsleygw/quarantine_record.c
+++ b/src/libparsleygw/quarantine_record.c
@@ -1,5 +1,6 @@
 #include "parsleygw/errors.h"
 #include "parsleygw/quarantine.h"
+#include "util/json_reader.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -111,14 +112,11 @@
 pgw_quarantine_record_parse(struct pgw_quarantine_record *out,
                             const char *json, size_t length, GError **error)
 {
-    JsonParser *parser = json_parser_new_immutable();
     JsonNode *root = NULL;
     bool ok = false;
 
     memset(out, 0, sizeof(*out));
-    if (json_parser_load_from_data(parser, json, (gssize)length, NULL)) {
-        root = json_parser_get_root(parser);
-    }
+    pgw_json_parse(&root, json, length, "quarantine record", NULL);
     if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
         JsonObject *object = json_node_get_object(root);
 
@@ -133,7 +131,7 @@
                             "quarantine record is malformed; delete the "
                             "object to lift the quarantine");
     }
-    g_object_unref(parser);
+    g_clear_pointer(&root, json_node_unref);
     return ok;
 }
 
--- a/src/libparsleygw/store_response.c
+++ b/src/libparsleygw/store_response.c
@@ -41,6 +41,46 @@
     return true;
 }
 
+/* Reads a member that is text without escapes, as names are. */
+static char *
+copy_plain_text(const char *text, size_t size, const char *member)
+{
+    const char *value;
+    size_t length;
+
+    if (!pgw_json__slice_member(&value, &length, text, size, member) ||
+        length < 2 || value[0] != '"' || memchr(value, '\\', length) != NULL) {
+        return NULL;
+    }
+    while (length > 2 && g_ascii_isspace(value[length - 1])) {
+        length--;
+    }
+    return value[length - 1] == '"' ? g_strndup(value + 1, length - 2) : NULL;
+}
+
+/* An object whose value no reader accepts, such as one that is nested too
+ * deeply, still exists: it is listed with its text, which its readers reject.
+ * Others in the list hold. */
+static bool
+take_unreadable(struct pgw_store_object *out, const char *text, size_t size)
+{
+    const char *value;
+    size_t length;
+    char *name = copy_plain_text(text, size, "name");
+
+    *out = (struct pgw_store_object){.name = name};
+    if (name == NULL ||
+        !pgw_json__slice_member(&value, &length, text, size, "version")) {
+        g_clear_pointer(&out->name, g_free);
+        return false;
+    }
+    out->version = g_ascii_strtoull(value, NULL, 10);
+    out->value = pgw_json__slice_member(&value, &length, text, size, "value")
+                     ? g_strndup(value, length)
+                     : NULL;
+    return true;
+}
+
 /* The collection's version is outside the array. Parsing only the text around
  * the array's elements keeps memory small. */
 static bool
@@ -79,7 +119,8 @@
     ok = pgw_json__slice_init(&slice, text, size, member);
     array = slice.next;
     while (ok && pgw_json__slice_next(&slice, &element, &length)) {
-        ok = pgw_store__parse_object(&object, element, length);
+        ok = pgw_store__parse_object(&object, element, length) ||
+             take_unreadable(&object, element, length);
         if (ok) {
             g_array_append_val(objects, object);
         }
--- a/src/util/json_reader.c
+++ b/src/util/json_reader.c
@@ -135,6 +135,15 @@
     return ok;
 }
 
+JsonNode *
+pgw_json_parse_text(const char *text)
+{
+    JsonNode *root = NULL;
+
+    pgw_json_parse(&root, text, strlen(text), "text", NULL);
+    return root;
+}
+
 static bool
 set_file_error(GError **error, const GError *cause, const char *path)
 {
--- a/src/util/json_reader.h
+++ b/src/util/json_reader.h
@@ -72,6 +72,10 @@
 bool pgw_json_parse(JsonNode **out, const char *text, size_t size,
                     const char *where, GError **error);
 
+/** pgw_json_parse_text() - parse text that ends with a zero byte; NULL if
+ * pgw_json_parse() does not accept it */
+JsonNode *pgw_json_parse_text(const char *text);
+
 /**
  * pgw_json_load() - parse a file of at most 1 MB
  * @out: receives the root; release with json_node_unref()
