Play odd objects and entries out of step in the soak

Nothing in the product changes.

odd_objects: another writer leaves objects with ports out of range, numbers that are too large or of another type, deep nesting, 70 KB and nothing, among servers, target versions, leases and records of versions, while entries and sidecars are killed and start again.

out_of_step: two engines of a new version join while an entry stands still for 1.2 s, or is cut off from the other entries too, or the engines have no sidecars; their streams are broken every 0.15 s and taken up.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,8 +28,10 @@
 import crashing_parts
 import killed_engines
 import late_crashes
+import odd_objects
 import one_entry
 import one_workspace
+import out_of_step
 import refused_sidecars
 import repeated_answers
 import rejoined
@@ -1560,6 +1562,8 @@
         "version_gone": version_gone, **unproven_attempts.ACTS,
         **{name: repeated_act(options)
            for name, options in repeated_answers.ACTS.items()},
+        **odd_objects.ACTS,
+        **{name: rejoined_act(act) for name, act in out_of_step.ACTS.items()},
         **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
 
