Give requests their own connection where refusals name nobody

Once an upstream has refused without a name, requests that may not run again go there on connections of their own, where each answer is theirs.

--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -1,6 +1,7 @@
 #include "gateway/placement/response_timeout.h"
 #include "gateway/placement/source.h"
 #include "gateway/request/exchange.h"
+#include "gateway/request/unconfirmed_refusal.h"
 #include "gateway/upstream/announced_prompts.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -249,6 +250,17 @@
     return false;
 }
 
+/* A refusal that names nobody is certainly the request's own only on a
+ * connection that carries no other one. */
+static bool
+needs_own_connection(const struct pgw_exchange *exchange,
+                     const struct pgw_upstream *upstream)
+{
+    return was_sent_to_address(exchange, upstream) ||
+           (upstream->named_refusals.some_are_unnamed &&
+            !pgw_route_may_run_again(exchange->route));
+}
+
 void
 pgw_exchange_send(struct pgw_exchange *exchange,
                   const struct pgw_choice *choice)
@@ -261,7 +273,7 @@
     struct pgw_call_options options = {
         .address = &choice->upstream->address,
         .fresh = !route->repeatable && !route->resumable,
-        .alone = was_sent_to_address(exchange, choice->upstream),
+        .alone = needs_own_connection(exchange, choice->upstream),
         .no_body = strcmp(exchange->caller->head->method, "HEAD") == 0,
     };
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -128,6 +128,9 @@
          * later request. */
         call->last_use = true;
     }
+    if (facts->not_run && facts->id == NULL) {
+        named->some_are_unnamed = true;
+    }
     else if (facts->not_run) {
         pgw_named_refusals_add(named, status);
     }
--- a/src/gateway/upstream/named_refusals.h
+++ b/src/gateway/upstream/named_refusals.h
@@ -8,10 +8,12 @@
  * requests by name
  * @statuses: such statuses
  * @count: number of @statuses
+ * @some_are_unnamed: it has also refused one without a name
  */
 struct pgw_named_refusals {
     unsigned short statuses[4];
     unsigned char count;
+    bool some_are_unnamed;
 };
 
 /** pgw_named_refusals_add() - an upstream has refused a request by name */
--- a/tests/unit/test_answer_origin.c
+++ b/tests/unit/test_answer_origin.c
@@ -90,6 +90,42 @@
     }
 }
 
+/* Guards against a request that waits until its deadline at an upstream that
+ * names some refusals only: the unnamed one is its own. */
+static void
+test_sometimes_named(void)
+{
+    struct scene *scene = ready_scene(1);
+    int upstream = serve_first(scene, "/once/");
+    int refused[2];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
+        refused[i] = scene_call(scene, "/once/", i == 0 ? "b" : "c");
+        if (i == 1) {
+            close(upstream);
+            upstream = scene_accept(scene, 0);
+        }
+        g_free(scene_read_request(upstream));
+        scene_refuse_with(upstream, i == 0 ? "" : "Attempt-Id: c\r\n");
+    }
+    /* The next one has a connection of its own, where no name is needed. */
+    for (size_t i = 0; i < 2; i++) {
+        int caller = scene_call(scene, "/once/", "d");
+        int next = scene_accept(scene, 0);
+
+        g_free(scene_read_request(next));
+        scene_refuse(next);
+        /* Its connection is closed once the refusal was taken. */
+        g_free(scene_read_all(next));
+        close(next);
+        close(caller);
+    }
+    close(refused[0]);
+    close(refused[1]);
+    close(upstream);
+    scene_free(scene);
+}
+
 /* Guards against another caller's answer that names no request. */
 static void
 test_repeated_answer(void)
@@ -207,6 +243,7 @@
     g_test_add_func("/answer_origin/decision", test_decision);
     g_test_add_func("/answer_origin/named_refusals", test_named_refusals);
     g_test_add_func("/answer_origin/repeated_refusal", test_repeated_refusal);
+    g_test_add_func("/answer_origin/sometimes_named", test_sometimes_named);
     g_test_add_func("/answer_origin/repeated_answer", test_repeated_answer);
     g_test_add_func("/answer_origin/refusal_of_an_earlier_attempt",
                     test_refusal_of_an_earlier_attempt);
