Prove nothing by a refusal that may be another request's

Callers of a request that may run again would be told that it has not run, though the refusal that ended its run was a copy of an earlier one: an unnamed refusal on a reused connection was taken for the request's own if it may run again, where the upstream names its refusals.

Such an answer now proves nothing: the attempt ends as unknown (unnamed_refusal), and the request is sent elsewhere or answered with 502. /answer_origin/uncertain_refusal expects 502 with an unknown outcome; the code before answers 503 there, by reading.

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -281,6 +281,7 @@
     {"garbled", blame_damage},
     {"cut_event", blame_damage},
     {"not_genuine", blame_damage},
+    {"unnamed_refusal", blame_damage},
     {"out_of_order", blame_damage},
     {"answer_too_large", blame_damage},
     {"silent", blame_silence},
--- a/src/gateway/request/answer_origin.c
+++ b/src/gateway/request/answer_origin.c
@@ -17,8 +17,8 @@
     if (evidence->genuine) {
         return PGW_ANSWER_FOREIGN;
     }
-    return evidence->not_run && evidence->refusals_are_named &&
-                   !evidence->may_run_again
-               ? PGW_ANSWER_FOREIGN
-               : PGW_ANSWER_OWN;
+    if (!evidence->not_run || !evidence->refusals_are_named) {
+        return PGW_ANSWER_OWN;
+    }
+    return evidence->may_run_again ? PGW_ANSWER_UNCERTAIN : PGW_ANSWER_FOREIGN;
 }
--- a/src/gateway/request/answer_origin.h
+++ b/src/gateway/request/answer_origin.h
@@ -21,10 +21,13 @@
  * enum pgw_answer_origin - where an answer belongs
  * @PGW_ANSWER_OWN: to the request that waits for one
  * @PGW_ANSWER_FOREIGN: to another request; the awaited answer follows
+ * @PGW_ANSWER_UNCERTAIN: to this or another one; it proves nothing, and the
+ *   request need not wait for another, as it may run again
  */
 enum pgw_answer_origin {
     PGW_ANSWER_OWN,
     PGW_ANSWER_FOREIGN,
+    PGW_ANSWER_UNCERTAIN,
 };
 
 /**
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -106,9 +106,9 @@
     }
 }
 
-static bool
-belongs_to_request(struct pgw_exchange *exchange,
-                   const struct pgw_answer_facts *facts, unsigned status)
+static enum pgw_answer_origin
+answer_origin(struct pgw_exchange *exchange,
+              const struct pgw_answer_facts *facts, unsigned status)
 {
     struct pgw_call *call = &exchange->call;
     struct pgw_named_refusals *named = &exchange->upstream->named_refusals;
@@ -134,7 +134,7 @@
     else if (facts->not_run) {
         pgw_named_refusals_add(named, status);
     }
-    return pgw_answer_origin(&evidence) == PGW_ANSWER_OWN;
+    return pgw_answer_origin(&evidence);
 }
 
 static bool
@@ -143,21 +143,33 @@
     struct pgw_exchange *exchange = exchange_of(call);
     const struct pgw_codec *codec = exchange->gateway->options.codec;
     struct pgw_answer_facts facts = {0};
+    enum pgw_answer_origin origin;
 
     exchange->last_byte_us = pgw_now_us();
     pgw_upstream_mark_answering(exchange->upstream, exchange->last_byte_us);
     codec->read_answer(&facts, head);
+    origin = answer_origin(exchange, &facts, head->status);
     apply_notice(exchange, &facts);
-#ifndef PGW_DISABLE_GATEWAY_FOREIGN
-    if (!belongs_to_request(exchange, &facts, head->status)) {
+#ifdef PGW_DISABLE_GATEWAY_FOREIGN
+    origin = PGW_ANSWER_OWN;
+#endif
+    switch (origin) {
+    case PGW_ANSWER_OWN:
+        break;
+    case PGW_ANSWER_FOREIGN:
         pgw_metric_counter_add(&foreign_answers, 1);
         pgw_log_warning("foreign_answer",
                         "request=%s upstream=%s named=%d status=%u",
                         exchange->facts.id, exchange->upstream->id,
                         (int)(facts.id != NULL), head->status);
         return false;
+    case PGW_ANSWER_UNCERTAIN:
+        exchange->status = head->status;
+        pgw_call_cancel(call);
+        pgw_attempt_record_result(exchange, PGW_RESULT_REFUSED);
+        pgw_attempt_handle_unknown(exchange, "unnamed_refusal");
+        return true;
     }
-#endif
     if (facts.has_load) {
         pgw_upstream_update_load(exchange->upstream, &facts.load,
                                  pgw_now_us());
