--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -124,8 +124,8 @@
     };
 
     if (facts->id == NULL) {
-        /* A second copy of this answer could not be told from the answer to a
-         * later request. */
+        /* A second copy of this answer could not be distinguished from the
+         * answer to a later request. */
         call->last_use = true;
     }
     if (facts->not_run && facts->id == NULL) {
