--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 import repeated_answers
 import rejoined
 import stepping
+import stopped_entries
 import uneven_engines
 import unproven_attempts
 from wire import answer, read_body, read_head
@@ -150,6 +151,7 @@
         self.parts = crashing_parts.Parts(self)
         self.late = late_crashes.Late(self)
         self.unproven = unproven_attempts.Unproven(self)
+        self.stops = stopped_entries.Stops(self)
         self.popular_run_s = 0.0
         # What upstreams repeat, None: nothing.
         self.repeats = None
@@ -750,6 +752,12 @@
             await unproven_attempts.serve(self, attempt, writer)
             return
         text, events = attempt, 9
+        if self.soak.stops.owns(body):
+            self.soak.note_run(attempt)
+            await self.soak.stops.serve(
+                fields, body, writer, f"Attempt-Id: {attempt}\r\n"
+                f"Server-Seal: s.{attempt}\r\n")
+            return
         if body.startswith(b"stream"):
             text, events = self.software, STREAM_EVENTS + 1
         elif body.startswith(b"popular"):
@@ -1562,7 +1570,7 @@
         "version_gone": version_gone, **unproven_attempts.ACTS,
         **{name: repeated_act(options)
            for name, options in repeated_answers.ACTS.items()},
-        **odd_objects.ACTS,
+        **odd_objects.ACTS, **stopped_entries.ACTS,
         **{name: rejoined_act(act) for name, act in out_of_step.ACTS.items()},
         **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
