Log answers whose connection ends before they are received

An answer counts as answered once it is written. If its connection ended after that, by the kernel or with the process, no line named the request: an operator could not tell it from one that was received, and the hypotheses on the incident could not be told apart.

answer_unreceived names the request, who ended the connection, the kernel's error and what was not acknowledged.

--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -42,6 +42,11 @@
     .name = "pgw_caller_unanswered_total",
     .help = "Requests whose connection was closed here without an answer",
 };
+static struct pgw_metric_counter unreceived_answers = {
+    .name = "pgw_caller_unreceived_total",
+    .help = "Answers whose connection ended before the caller had received "
+            "them",
+};
 static struct pgw_metric_histogram gone_unnoticed = {
     .name = "pgw_caller_gone_late_seconds",
     .help =
@@ -112,15 +117,53 @@
 note_unanswered(const struct pgw_caller *caller, const char *reason)
 {
     pgw_metric_counter_add(&unanswered_requests, 1);
-    pgw_log_info("caller_unanswered", "reason=%s complete=%d", reason,
+    pgw_log_info("caller_unanswered", "request=%s reason=%s complete=%d",
+                 caller->name[0] == '\0' ? "-" : caller->name, reason,
                  (int)caller->request_is_complete);
 }
 
+/* Bytes that the caller has not acknowledged, here and in the kernel. */
+static size_t
+unacked_bytes(const struct pgw_caller *caller)
+{
+    int in_kernel = 0;
+
+    if (ioctl(caller->watch.fd, SIOCOUTQ, &in_kernel) != 0) {
+        in_kernel = 0;
+    }
+    return pgw_buffer_size(&caller->out) + (size_t)in_kernel;
+}
+
+/* An answer whose connection ends before it was received has been logged as
+ * answered; without this line nothing shows that its caller lacks it. */
+static void
+note_unreceived(const struct pgw_caller *caller, const char *reason)
+{
+    size_t unacked = unacked_bytes(caller);
+    socklen_t size = sizeof(int);
+    int error = 0;
+
+    getsockopt(caller->watch.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    /* The end of a half-closed connection counts as one byte. */
+    if (error != ETIMEDOUT && unacked <= (caller->is_half_closed ? 1 : 0)) {
+        return;
+    }
+    pgw_metric_counter_add(&unreceived_answers, 1);
+    pgw_log_info("answer_unreceived",
+                 "request=%s reason=%s error=%s unacked=%zu unwritten=%zu "
+                 "complete=%d",
+                 caller->name[0] == '\0' ? "-" : caller->name, reason,
+                 error == 0 ? "none" : g_strerror(error), unacked,
+                 pgw_buffer_size(&caller->out),
+                 (int)!caller->request_is_active);
+}
+
 static void
-handle_disconnect(struct pgw_caller *caller)
+handle_disconnect(struct pgw_caller *caller, const char *reason)
 {
     bool is_waiting = caller->request_is_complete;
 
+    note_unreceived(caller, reason);
     caller->request_is_complete = false;
     caller_close(caller);
     if (is_waiting) {
@@ -158,18 +201,6 @@
     pgw_timer_start(caller->server->loop, &caller->timer, (uint64_t)ms * 1000);
 }
 
-/* Bytes that the caller has not acknowledged, here and in the kernel. */
-static size_t
-unacked_bytes(const struct pgw_caller *caller)
-{
-    int in_kernel = 0;
-
-    if (ioctl(caller->watch.fd, SIOCOUTQ, &in_kernel) != 0) {
-        in_kernel = 0;
-    }
-    return pgw_buffer_size(&caller->out) + (size_t)in_kernel;
-}
-
 /* The last answer is complete. Idle time begins once the caller has received
  * it: until then the timer looks at what is left in shorter intervals. */
 static void
@@ -332,6 +363,7 @@
 
         if (!caller->request_is_active) {
             caller->received_at_us = pgw_now_us();
+            caller->name[0] = '\0';
             caller->is_used = true;
             caller->reader.head_limit = server->limits.head_bytes;
             set_request_active(caller, true);
@@ -368,7 +400,7 @@
         return false;
     }
     if (received <= 0) {
-        handle_disconnect(caller);
+        handle_disconnect(caller, "closed");
         return false;
     }
     if (caller->closed_idle) {
@@ -431,13 +463,13 @@
         pgw_container_of(watch, struct pgw_caller, watch);
 
     if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
-        handle_disconnect(caller);
+        handle_disconnect(caller, "ended");
         return;
     }
     /* A caller that half-closes counts as disconnected: nobody would receive
      * the answer. */
     if ((events & EPOLLRDHUP) != 0 && caller->request_is_complete) {
-        handle_disconnect(caller);
+        handle_disconnect(caller, "closed");
         return;
     }
     if ((events & (EPOLLIN | EPOLLRDHUP)) != 0) {
@@ -476,7 +508,7 @@
         return;
     }
     if (caller->request_is_active || caller->discards_input) {
-        handle_disconnect(caller);
+        handle_disconnect(caller, "timeout");
         return;
     }
     if (wait_for_receipt(caller)) {
@@ -485,7 +517,7 @@
     if (pgw_buffer_size(&caller->out) > 0) {
         pgw_log_info("caller_stopped_reading", "pending=%zu",
                      pgw_buffer_size(&caller->out));
-        handle_disconnect(caller);
+        handle_disconnect(caller, "timeout");
         return;
     }
     close_if_idle(caller);
@@ -693,6 +725,7 @@
 
     pgw_metric_register_counter(&accepted_connections);
     pgw_metric_register_counter(&unanswered_requests);
+    pgw_metric_register_counter(&unreceived_answers);
     pgw_metric_register_gauge(&open_connections);
     pgw_metric_register_histogram(&gone_unnoticed);
     server->loop = loop;
@@ -822,6 +855,18 @@
     return count;
 }
 
+unsigned
+pgw_caller_server_connection_count(const struct pgw_caller_server *server)
+{
+    unsigned count = 0;
+
+    pgw_list_foreach (link, &server->callers) {
+        count +=
+            !pgw_container_of(link, struct pgw_caller, in_server)->closed;
+    }
+    return count;
+}
+
 void
 pgw_caller_server_free(struct pgw_caller_server *server)
 {
@@ -833,6 +878,9 @@
         if (caller->request_is_active) {
             note_unanswered(caller, "stop");
         }
+        if (!caller->closed) {
+            note_unreceived(caller, "stop");
+        }
         caller_close(caller);
     }
     pgw_loop_run_tasks(server->loop);
--- a/src/gateway/http/caller.h
+++ b/src/gateway/http/caller.h
@@ -18,6 +18,9 @@
 
 struct pgw_caller_server;
 
+/* Longest name of a request that logs show, with its NUL: a UUID fits. */
+#define PGW_CALLER_NAME_SIZE 40
+
 /**
  * struct pgw_caller - one connection of a caller
  * @server: the server that accepted it
@@ -26,6 +29,7 @@
  * @owner: the owner's data for the current request
  * @received_at_us: when the first byte of the request was read
  * @gone_unnoticed_us: after a disconnect: how long it may have gone unnoticed
+ * @name: of the last request, for logs; set by the owner, or empty
  * @request_is_active: a request is being read or answered
  * @request_is_complete: it was received and handed to the owner
  * @answer_is_begun: the head of the answer was written
@@ -38,6 +42,7 @@
     void *owner;
     uint64_t received_at_us;
     uint64_t gone_unnoticed_us;
+    char name[PGW_CALLER_NAME_SIZE];
     /* The members below are private to caller.c. */
     struct pgw_loop_fd watch;
     struct pgw_list in_server;
@@ -171,6 +176,10 @@
 unsigned
 pgw_caller_server_request_count(const struct pgw_caller_server *server);
 
+/** pgw_caller_server_connection_count() - number of open connections */
+unsigned
+pgw_caller_server_connection_count(const struct pgw_caller_server *server);
+
 /** pgw_caller_server_free() - close all connections; no callbacks follow */
 void pgw_caller_server_free(struct pgw_caller_server *server);
 
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -126,13 +126,13 @@
 }
 
 /* Whether the log line may be sampled: the first upstream answered, without an
- * error and within the objectives. */
+ * error and within the objectives, and no stop is in progress. */
 static bool
 is_routine(const struct pgw_exchange *exchange, const char *outcome,
            uint64_t first_us)
 {
     return strcmp(outcome, "answered") == 0 && exchange->status < 400 &&
-           exchange->sends == 1 &&
+           exchange->sends == 1 && !exchange->gateway->is_draining &&
            (exchange->route->objective_ms == 0 ||
             first_us <= exchange->route->objective_ms * 1000ULL) &&
            !pgw_stream_pace_is_late(exchange);
@@ -814,6 +814,7 @@
         refuse_request(gateway, caller, "-", NULL, 400, "malformed", 0);
         return;
     }
+    g_strlcpy(caller->name, facts.id, sizeof(caller->name));
     if (gateway->refuses_all) {
         refuse_request(gateway, caller, facts.id, NULL, 503, "stopping", 0);
         return;
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -97,6 +97,7 @@
     double load_wait_ms;
     uint64_t dispatch_due_us;
     bool dispatch_is_posted;
+    bool is_draining; /* a planned stop is in progress */
     bool refuses_all; /* the process ends at once */
     const struct pgw_sidecar_ops *sidecars;
     void *sidecars_context;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -410,6 +410,10 @@
 void
 pgw_gateway_drain(struct pgw_gateway *gateway)
 {
+    gateway->is_draining = true;
+    pgw_log_info("drain_begin", "requests=%u queued=%u connections=%u",
+                 pgw_gateway_request_count(gateway), gateway->waiting.count,
+                 pgw_caller_server_connection_count(gateway->server));
     pgw_caller_server_drain(gateway->server);
 }
 
