Decide here, not in the kernel, when a caller has gone

Cause: connections to callers had TCP_USER_TIMEOUT 5000. The kernel counts it from the first moment at which the caller's window was closed, also while the caller reads on and acknowledges. The entry had logged the request as answered.

Change: peer_progress decides from samples of the connection. A caller that acknowledges anything, a window probe too, is alive; one that leaves probes or retransmissions unanswered for five seconds is gone, as before. Complete answers are bounded by the idle timeout without progress, streams by their deadline and the bound on buffered answers. A half-closed connection stays open, and a stopping process waits, until its caller has acknowledged everything, at most until the grace period ends.

Why it holds: no option ends a connection with data outstanding any more, and each state in which data is outstanding has a timer of its own.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -481,7 +481,8 @@
         pgw_log_warning("no_socket", "errno=%d", errno);
         return NULL;
     }
-    pgw_socket_tune(fd, pool->options.user_timeout_ms);
+    pgw_socket_tune(fd, &(struct pgw_socket_options){
+                            .user_timeout_ms = pool->options.user_timeout_ms});
     if (connect(fd, (const struct sockaddr *)&address->storage,
                 address->size) != 0 &&
         errno != EINPROGRESS) {
--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -5,10 +5,8 @@
 #include "util/metric.h"
 #include "util/socket.h"
 #include <errno.h>
-#include <linux/sockios.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,14 +18,21 @@
 #define OUT_LIMIT ((size_t)1024 * 1024)
 /* Most bytes that are reserved for an announced body before it arrives. */
 #define BODY_RESERVE ((size_t)256 * 1024)
-/* Time for a caller to read the last answer after the half-close. */
+/* Time for a caller to close the connection after the half-close, once it has
+ * received the last answer; until then, interval of the samples of that. */
 #define LINGER_US 500000
 /* Checks per idle timeout of what a caller has received of its answer. An idle
  * connection is closed up to one interval late; more checks cost more calls.
  */
 #define IDLE_CHECKS 4
-/* TCP_USER_TIMEOUT of the connections. */
-#define USER_TIMEOUT_MS 5000
+/* Interval of the samples of an answer in progress. Callers that are gone are
+ * noticed up to one interval late. */
+#define ANSWER_CHECK_US 1000000
+/* A caller that has acknowledged nothing for so long is gone: four
+ * retransmissions are lost by then. */
+#define SILENCE_US 5000000
+/* Lost keep-alive probes that end an idle connection after the same time. */
+#define IDLE_PROBES 4
 
 static struct pgw_metric_counter accepted_connections = {
     .name = "pgw_caller_connections_total",
@@ -126,12 +131,10 @@
 static size_t
 unacked_bytes(const struct pgw_caller *caller)
 {
-    int in_kernel = 0;
+    struct pgw_socket_sample sample;
 
-    if (ioctl(caller->watch.fd, SIOCOUTQ, &in_kernel) != 0) {
-        in_kernel = 0;
-    }
-    return pgw_buffer_size(&caller->out) + (size_t)in_kernel;
+    pgw_socket_sample(&sample, caller->watch.fd);
+    return pgw_buffer_size(&caller->out) + sample.unacked;
 }
 
 /* An answer whose connection ends before it was received has been logged as
@@ -201,45 +204,83 @@
     pgw_timer_start(caller->server->loop, &caller->timer, (uint64_t)ms * 1000);
 }
 
+/* Interval of the samples of a complete answer. */
+static uint64_t
+receipt_interval_us(const struct pgw_caller *caller)
+{
+    uint64_t idle_us = caller->server->limits.idle_timeout_ms * UINT64_C(1000);
+
+    return caller->close_after_answer ? MIN(LINGER_US, idle_us / IDLE_CHECKS)
+                                      : idle_us / IDLE_CHECKS;
+}
+
 /* The last answer is complete. Idle time begins once the caller has received
  * it: until then the timer looks at what is left in shorter intervals. */
 static void
 start_idle_timer(struct pgw_caller *caller, bool is_being_sent)
 {
-    uint32_t idle_ms = caller->server->limits.idle_timeout_ms;
+    pgw_peer_progress_begin(&caller->progress, pgw_now_us());
+    if (is_being_sent) {
+        pgw_timer_start(caller->server->loop, &caller->timer,
+                        receipt_interval_us(caller));
+    }
+    else {
+        caller->progress.unacked = 0;
+        start_timer(caller, caller->server->limits.idle_timeout_ms);
+    }
+}
+
+static enum pgw_peer_state
+sample_caller(struct pgw_caller *caller, uint64_t stall_us)
+{
+    const struct pgw_peer_bounds bounds = {
+        .stall_us = stall_us,
+        .silence_us = SILENCE_US,
+    };
+    struct pgw_socket_sample sample;
 
-    caller->unacked = is_being_sent ? SIZE_MAX : 0;
-    caller->progress_at_us = pgw_now_us();
-    start_timer(caller, is_being_sent ? idle_ms / IDLE_CHECKS : idle_ms);
+    pgw_socket_sample(&sample, caller->watch.fd);
+    sample.unacked += pgw_buffer_size(&caller->out);
+    return pgw_peer_progress_update(&caller->progress, &sample, &bounds,
+                                    pgw_now_us());
 }
 
-/* Return: whether the caller has received some of its answer lately, and the
- * timer was started again */
+/* Return: whether the caller receives its complete answer, and the timer was
+ * started again */
 static bool
 wait_for_receipt(struct pgw_caller *caller)
 {
-    uint64_t idle_us = caller->server->limits.idle_timeout_ms * UINT64_C(1000);
-    size_t before = caller->unacked;
-    uint64_t now_us = pgw_now_us();
+    size_t before = caller->progress.unacked;
+    enum pgw_peer_state state = sample_caller(
+        caller, caller->server->limits.idle_timeout_ms * UINT64_C(1000));
 
-    caller->unacked = unacked_bytes(caller);
-    if (caller->unacked == 0) {
-        if (before > 0) {
-            start_idle_timer(caller, false);
-        }
-        return before > 0;
+    if (state == PGW_PEER_DONE && before > 0 && !caller->is_half_closed) {
+        start_idle_timer(caller, false);
+        return true;
     }
-    if (before == 0 || caller->unacked < before) {
-        caller->progress_at_us = now_us;
-    }
-    if (now_us >= caller->progress_at_us + idle_us) {
+    if (state != PGW_PEER_RECEIVES) {
         return false;
     }
     pgw_timer_start(caller->server->loop, &caller->timer,
-                    idle_us / IDLE_CHECKS);
+                    receipt_interval_us(caller));
     return true;
 }
 
+/*
+ * Failure: the caller of a stream has vanished without a reset. Symptom: its
+ * run goes on until its deadline, and what it is sent is buffered. The stream
+ * may pause for any time, so only silence ends it.
+ */
+static void
+check_answer(struct pgw_caller *caller)
+{
+    if (sample_caller(caller, 0) == PGW_PEER_GONE) {
+        handle_disconnect(caller, "silent");
+        return;
+    }
+    pgw_timer_start(caller->server->loop, &caller->timer, ANSWER_CHECK_US);
+}
+
 static void
 caller_flush(struct pgw_caller *caller)
 {
@@ -262,12 +303,14 @@
 }
 
 /* Half-closes the connection after its last answer, so that the caller can
- * read the answer before the connection is closed. */
+ * read the answer before the connection is closed. A close with bytes that the
+ * caller has not acknowledged would leave them to the kernel. */
 static void
 half_close(struct pgw_caller *caller)
 {
     caller->is_half_closed = true;
     shutdown(caller->watch.fd, SHUT_WR);
+    pgw_peer_progress_begin(&caller->progress, pgw_now_us());
     pgw_timer_start(caller->server->loop, &caller->timer, LINGER_US);
 }
 
@@ -507,13 +550,21 @@
         reject_incomplete(caller, 408);
         return;
     }
-    if (caller->request_is_active || caller->discards_input) {
+    if (caller->is_answer_checked) {
+        check_answer(caller);
+        return;
+    }
+    if (caller->request_is_active) {
         handle_disconnect(caller, "timeout");
         return;
     }
     if (wait_for_receipt(caller)) {
         return;
     }
+    if (caller->discards_input) {
+        handle_disconnect(caller, "timeout");
+        return;
+    }
     if (pgw_buffer_size(&caller->out) > 0) {
         pgw_log_info("caller_stopped_reading", "pending=%zu",
                      pgw_buffer_size(&caller->out));
@@ -581,6 +632,11 @@
                           server->limits.idle_timeout_ms / 1000);
     }
     pgw_buffer_append(&caller->out, head, (size_t)size);
+    if (caller->is_stream) {
+        caller->is_answer_checked = true;
+        pgw_peer_progress_begin(&caller->progress, pgw_now_us());
+        pgw_timer_start(server->loop, &caller->timer, ANSWER_CHECK_US);
+    }
 }
 
 /* The loop reports the disconnect, since the owner of either caller may be
@@ -647,15 +703,18 @@
     caller_flush(caller);
     caller->request_is_complete = false;
     caller->answer_is_begun = false;
+    caller->is_answer_checked = false;
     caller->owner = NULL;
     set_request_active(caller, false);
     pgw_buffer_dispose(&caller->body);
     if (caller->close_after_answer) {
         caller->discards_input = true;
-        pgw_timer_stop(caller->server->loop, &caller->timer);
         if (pgw_buffer_size(&caller->out) == 0) {
             half_close(caller);
         }
+        else {
+            start_idle_timer(caller, true);
+        }
         watch_events(caller);
         return;
     }
@@ -698,7 +757,7 @@
     struct pgw_caller_server *server = context;
     struct pgw_caller *caller = g_new0(struct pgw_caller, 1);
 
-    pgw_socket_tune(fd, USER_TIMEOUT_MS);
+    pgw_socket_tune(fd, &(struct pgw_socket_options){.probes = IDLE_PROBES});
     caller->server = server;
     caller->watch.fd = fd;
     caller->watch.on_ready = caller_ready;
@@ -819,12 +878,17 @@
     }
 }
 
-/* The kernel delivers what was sent before the half-close, also after the end
- * of this process, unless it still receives the rest of a rejected request. */
+/*
+ * Failure: the process ends while a caller has not received all of its answer.
+ * Symptom: what is left to the kernel is lost if the instance ends with the
+ * process, or if the kernel gives up a caller that reads slowly. A rejected
+ * request may still be sent, and would reset the connection.
+ */
 static bool
 can_be_left(const struct pgw_caller *caller)
 {
-    return caller->closed || (caller->is_half_closed && !caller->is_rejected);
+    return caller->closed || (caller->is_half_closed && !caller->is_rejected &&
+                              unacked_bytes(caller) == 0);
 }
 
 bool
@@ -861,8 +925,7 @@
     unsigned count = 0;
 
     pgw_list_foreach (link, &server->callers) {
-        count +=
-            !pgw_container_of(link, struct pgw_caller, in_server)->closed;
+        count += !pgw_container_of(link, struct pgw_caller, in_server)->closed;
     }
     return count;
 }
--- a/src/gateway/http/caller.h
+++ b/src/gateway/http/caller.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_HTTP_CALLER_H
 
 #include "gateway/http/http_reader.h"
+#include "gateway/http/peer_progress.h"
 #include "gateway/http/slow_callers.h"
 #include "util/address.h"
 #include "util/buffer.h"
@@ -54,8 +55,7 @@
     struct pgw_slow_caller slow;
     struct pgw_timer timer;
     size_t body_limit;
-    size_t unacked; /* bytes of its last answer that it has not received */
-    uint64_t progress_at_us; /* when it last received some */
+    struct pgw_peer_progress progress; /* of its last answer */
     uint32_t events;
     bool request_is_active;
     bool request_is_complete;
@@ -64,10 +64,11 @@
     bool close_after_answer;
     bool answer_is_begun;
     bool discards_input;
-    bool is_used;        /* bytes of a request have arrived */
-    bool is_rejected;    /* before its request was complete */
-    bool is_half_closed; /* after the last answer, or when idle */
-    bool closed_idle;    /* the latter, and no bytes have come since */
+    bool is_used;           /* bytes of a request have arrived */
+    bool is_rejected;       /* before its request was complete */
+    bool is_half_closed;    /* after the last answer, or when idle */
+    bool is_answer_checked; /* the timer samples the answer in progress */
+    bool closed_idle;       /* the latter, and no bytes have come since */
     bool next_is_posted;
     bool closed;
 };
--- a/src/libparsleygw/link.c
+++ b/src/libparsleygw/link.c
@@ -247,7 +247,8 @@
 {
     struct pgw_link *link = g_new0(struct pgw_link, 1);
 
-    pgw_socket_tune(fd, LINK_USER_TIMEOUT_MS);
+    pgw_socket_tune(fd, &(struct pgw_socket_options){
+                            .user_timeout_ms = LINK_USER_TIMEOUT_MS});
     link->loop_fd =
         (struct pgw_loop_fd){.fd = fd, .on_ready = link_handle_events};
     link->loop = loop;
--- a/src/util/socket.c
+++ b/src/util/socket.c
@@ -1,34 +1,51 @@
 #include "util/socket.h"
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
-/* First probe after a second of silence, then one each second; two without an
- * answer break the connection. */
+/* First probe after a second of silence, then one each second. */
 #define PROBE_IDLE_S 1
 #define PROBE_INTERVAL_S 1
-#define PROBE_COUNT 2
 
 /* Offset of the flags in a TCP header, and the bit that begins a handshake. */
 #define TCP_FLAGS_OFFSET 13
 #define TCP_FLAG_BIT_SYN 0x02
 
 void
-pgw_socket_tune(int fd, unsigned user_timeout_ms)
+pgw_socket_tune(int fd, const struct pgw_socket_options *options)
 {
     int one = 1;
     int idle = PROBE_IDLE_S;
     int interval = PROBE_INTERVAL_S;
-    int count = PROBE_COUNT;
 
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-               sizeof(user_timeout_ms));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &options->probes,
+               sizeof(options->probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &options->user_timeout_ms,
+               sizeof(options->user_timeout_ms));
+}
+
+void
+pgw_socket_sample(struct pgw_socket_sample *out, int fd)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+    int unacked = 0;
+
+    *out = (struct pgw_socket_sample){0};
+    if (ioctl(fd, SIOCOUTQ, &unacked) != 0 ||
+        getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return;
+    }
+    out->unacked = (size_t)unacked;
+    out->acked = info.tcpi_bytes_acked;
+    out->unanswered = info.tcpi_probes + info.tcpi_retransmits;
 }
 
 bool
