Pass on only what ends before a stop cuts it

Cause: how much of the grace period is left was looked at when the listener closed, and not when a request became whole, got a place or was tried again. The class is a bound in time that is checked when something begins, and not when it goes on.

Change: drain_window decides, without a network, whether a request will have ended before the cut: by its deadline, or by the longest run of its route lately, with a margin, if it may run again or the stop is young. It is asked when a request is whole, before each attempt and for all that is queued; what does not fit is refused at once, not run or, between attempts, unknown. Runs in progress count as runs of their age, so that long ones are not missing from the estimate. A body that never became whole is refused by id, and explain names the stop as the cause.

Why it holds: after three seconds a request that must not run again is passed on only if its deadline is before the cut.

--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -24,6 +24,7 @@
  * @PGW_CAUSE_CALLER_LEFT: its caller closed the connection
  * @PGW_CAUSE_BAD_REQUEST: the request is not proper
  * @PGW_CAUSE_NO_CONFIGURATION: the entry had not heard of one yet
+ * @PGW_CAUSE_STOPPING: a planned stop of the entry left no time for it
  * @PGW_CAUSE_NO_ROUTE: no route of the configuration matched
  * @PGW_CAUSE_BAD_KEY: the configuration does not hold the caller's key
  * @PGW_CAUSE_POISON: it was running in several crashes
@@ -55,6 +56,7 @@
     PGW_CAUSE_CALLER_LEFT,
     PGW_CAUSE_BAD_REQUEST,
     PGW_CAUSE_NO_CONFIGURATION,
+    PGW_CAUSE_STOPPING,
     PGW_CAUSE_NO_ROUTE,
     PGW_CAUSE_BAD_KEY,
     PGW_CAUSE_POISON,
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -32,6 +32,7 @@
     [PGW_CAUSE_CALLER_LEFT] = "caller_left",
     [PGW_CAUSE_BAD_REQUEST] = "bad_request",
     [PGW_CAUSE_NO_CONFIGURATION] = "no_configuration",
+    [PGW_CAUSE_STOPPING] = "stopping",
     [PGW_CAUSE_NO_ROUTE] = "no_route",
     [PGW_CAUSE_BAD_KEY] = "bad_key",
     [PGW_CAUSE_POISON] = "poison",
@@ -548,6 +549,14 @@
                            : ": it had just started");
 }
 
+static void
+end_stopping(struct inquiry *inquiry)
+{
+    conclude(inquiry, PGW_CAUSE_STOPPING,
+             "a planned stop of %s left no time for it",
+             inquiry->end->instance);
+}
+
 static void
 end_no_route(struct inquiry *inquiry)
 {
@@ -660,6 +669,7 @@
     {"deadline", blame_time},
     {"malformed", end_malformed},
     {"no_configuration", end_no_configuration},
+    {"stopping", end_stopping},
     {"no_route", end_no_route},
     {"unauthorized", end_unauthorized},
     {"crashes_upstreams", end_poison},
--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -318,7 +318,7 @@
 answer_error(struct pgw_caller *caller, unsigned status)
 {
     struct pgw_caller_server *server = caller->server;
-    char *body = server->ops->render_error(status, server->context);
+    char *body = server->ops->render_error(caller, status, server->context);
 
     pgw_log_info("caller_error", "status=%u head_bytes=%zu", status,
                  caller->reader.head_size);
@@ -341,6 +341,7 @@
     struct pgw_caller_server *server = caller->server;
     const char *expect = pgw_http_head_find(&reader->head, "Expect");
 
+    caller->head = &reader->head;
     caller->body_limit = server->limits.body_bytes;
     if (reader->head.has_length && reader->head.length > caller->body_limit) {
         reader->stop = true;
@@ -383,7 +384,6 @@
 
     pgw_timer_stop(caller->server->loop, &caller->timer);
     caller->request_is_complete = true;
-    caller->head = &reader->head;
     caller->close_after_answer = !reader->head.keep_alive;
 }
 
@@ -406,6 +406,7 @@
 
         if (!caller->request_is_active) {
             caller->received_at_us = pgw_now_us();
+            caller->head = NULL;
             caller->name[0] = '\0';
             caller->is_used = true;
             caller->reader.head_limit = server->limits.head_bytes;
--- a/src/gateway/http/caller.h
+++ b/src/gateway/http/caller.h
@@ -25,7 +25,8 @@
 /**
  * struct pgw_caller - one connection of a caller
  * @server: the server that accepted it
- * @head: head of the current request, valid until the answer ends
+ * @head: head of the current request, valid until the answer ends; NULL until
+ *   it has arrived
  * @body: its complete body
  * @owner: the owner's data for the current request
  * @received_at_us: when the first byte of the request was read
@@ -84,7 +85,8 @@
 struct pgw_caller_ops {
     void (*on_request)(struct pgw_caller *caller, void *context);
     void (*on_gone)(struct pgw_caller *caller, void *context);
-    char *(*render_error)(unsigned status, void *context);
+    char *(*render_error)(const struct pgw_caller *caller, unsigned status,
+                          void *context);
 };
 
 /**
--- a/src/gateway/http/status_server.c
+++ b/src/gateway/http/status_server.c
@@ -49,8 +49,9 @@
 }
 
 static char *
-render_error(unsigned status, void *context)
+render_error(const struct pgw_caller *caller, unsigned status, void *context)
 {
+    (void)caller;
     (void)context;
     return g_strdup_printf("error %u", status);
 }
--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -214,6 +214,7 @@
 
     if (pgw_run_cover_is_used(&exchange->cover) ||
         exchange->runs >= MAX(route->max_attempts, 1) ||
+        !pgw_exchange_fits_drain(exchange) ||
         pgw_crash_quarantine_is_active(exchange->gateway->crash_quarantine,
                                        &exchange->crash_keys, pgw_now_us())) {
         return false;
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -1,5 +1,6 @@
 #include "gateway/quota/upstream_limits.h"
 #include "gateway/request/exchange.h"
+#include "gateway/request/unconfirmed_refusal.h"
 #include "parsleygw/place.h"
 #include "util/log.h"
 #include "util/metric.h"
@@ -31,6 +32,9 @@
 #define BACKLOG_QUEUE_SHARE 0.6
 /* Route priorities that are distinguished within one workspace priority. */
 #define ROUTE_RANKS 3
+/* Routes whose run times are kept: 100 KB. Routes come and go with the
+ * configuration. */
+#define RUN_TIMES_MAX 1024
 
 static struct pgw_metric_counter requests = {
     .name = "pgw_gateway_requests_total",
@@ -256,6 +260,49 @@
     pgw_gateway_dispatch_queued(gateway);
 }
 
+bool
+pgw_exchange_fits_drain(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_run_times *times =
+        g_hash_table_lookup(gateway->run_times, exchange->route->name);
+    const struct pgw_drain_request request = {
+        .deadline_us = exchange->deadline_us,
+        .longest_run_us = times == NULL ? 0 : pgw_run_times_longest_us(times),
+        .may_run_again = pgw_route_may_run_again(exchange->route),
+    };
+
+    return !gateway->is_draining ||
+           pgw_drain_window_fits(&gateway->drain, &request, pgw_now_us());
+}
+
+void
+pgw_exchange_record_run(const struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+    uint64_t now = pgw_now_us();
+    struct pgw_run_times *times =
+        g_hash_table_lookup(gateway->run_times, exchange->route->name);
+
+    if (times == NULL) {
+        if (g_hash_table_size(gateway->run_times) >= RUN_TIMES_MAX) {
+            g_hash_table_remove_all(gateway->run_times);
+        }
+        times = g_new0(struct pgw_run_times, 1);
+        g_hash_table_insert(gateway->run_times,
+                            g_strdup(exchange->route->name), times);
+    }
+    pgw_run_times_add(times, now - exchange->sent_us, now);
+}
+
+void
+pgw_exchange_refuse_stopping(struct pgw_exchange *exchange)
+{
+    pgw_exchange_refuse(exchange,
+                        pgw_exchange_may_have_run(exchange) ? 502 : 503,
+                        "stopping", 0);
+}
+
 static bool
 needs_lanes(const struct pgw_exchange *exchange)
 {
@@ -647,6 +694,15 @@
         on_deadline(&exchange->deadline_timer);
         return;
     }
+    /*
+     * Failure: a request becomes whole, gets a place or is tried again late in
+     * a planned stop. Symptom: it is cut at the end of the grace period, and
+     * nobody knows whether it ran.
+     */
+    if (!pgw_exchange_fits_drain(exchange)) {
+        pgw_exchange_refuse_stopping(exchange);
+        return;
+    }
     lanes = update_lanes(exchange, now);
     if (pgw_prefill_claim_is_pending(exchange) ||
         pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
--- /dev/null
+++ b/src/gateway/request/drain_window.c
@@ -0,0 +1,50 @@
+#include "gateway/request/drain_window.h"
+
+/* Until then the balancer still sends new connections. Later ones would be
+ * retried at entries that stay. */
+#define EARLY_US 3000000
+/* A run may take longer than all that were seen lately, in percent of these.
+ * The outcome of a request that must not run again stays unknown if it is cut.
+ */
+#define MARGIN_AGAIN 150
+#define MARGIN_ONCE 400
+
+bool
+pgw_drain_window_fits(const struct pgw_drain_window *window,
+                      const struct pgw_drain_request *request, uint64_t now_us)
+{
+    uint64_t need_us =
+        request->deadline_us > now_us ? request->deadline_us - now_us : 0;
+    uint64_t margin = request->may_run_again ? MARGIN_AGAIN : MARGIN_ONCE;
+    bool is_early = now_us < window->begun_us + EARLY_US;
+
+    if (window->cut_us == 0) {
+        return true;
+    }
+    if (request->longest_run_us > 0 && (request->may_run_again || is_early) &&
+        request->longest_run_us * margin / 100 < need_us) {
+        need_us = request->longest_run_us * margin / 100;
+    }
+    return now_us + need_us <= window->cut_us;
+}
+
+void
+pgw_run_times_add(struct pgw_run_times *times, uint64_t run_us,
+                  uint64_t now_us)
+{
+    if (now_us >= times->since_us + PGW_RUN_TIMES_SPAN_US) {
+        times->since_us = now_us;
+        times->earlier_us = times->longest_us;
+        times->longest_us = 0;
+    }
+    if (run_us > times->longest_us) {
+        times->longest_us = run_us;
+    }
+}
+
+uint64_t
+pgw_run_times_longest_us(const struct pgw_run_times *times)
+{
+    return times->longest_us > times->earlier_us ? times->longest_us
+                                                 : times->earlier_us;
+}
--- /dev/null
+++ b/src/gateway/request/drain_window.h
@@ -0,0 +1,66 @@
+#ifndef PGW_GATEWAY_REQUEST_DRAIN_WINDOW_H
+#define PGW_GATEWAY_REQUEST_DRAIN_WINDOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Which requests an entry still takes during a planned stop
+ *
+ * At the end of the grace period the requests in progress are cut. A request
+ * is passed on only if it will have ended by then; any other is refused at
+ * once, while another entry still has time for it. The same is decided again
+ * whenever an attempt is about to begin, and for requests that are queued.
+ */
+
+/**
+ * struct pgw_drain_window - the time that a planned stop leaves
+ * @begun_us: when the stop began
+ * @cut_us: when the requests in progress are cut, 0: never
+ */
+struct pgw_drain_window {
+    uint64_t begun_us;
+    uint64_t cut_us;
+};
+
+/**
+ * struct pgw_drain_request - a request that is about to be passed on
+ * @deadline_us: when it ends in any case
+ * @longest_run_us: longest time that such requests took lately, 0: not known
+ * @may_run_again: its caller loses time but no work if it is cut
+ */
+struct pgw_drain_request {
+    uint64_t deadline_us;
+    uint64_t longest_run_us;
+    bool may_run_again;
+};
+
+/** pgw_drain_window_fits() - whether the request will have ended before the
+ * cut; always true without a stop */
+bool pgw_drain_window_fits(const struct pgw_drain_window *window,
+                           const struct pgw_drain_request *request,
+                           uint64_t now_us);
+
+/**
+ * struct pgw_run_times - how long the runs of one route take
+ * @since_us: when the current span of %PGW_RUN_TIMES_SPAN_US began
+ * @longest_us: longest run of the current span
+ * @earlier_us: longest run of the span before
+ */
+struct pgw_run_times {
+    uint64_t since_us;
+    uint64_t longest_us;
+    uint64_t earlier_us;
+};
+
+#define PGW_RUN_TIMES_SPAN_US UINT64_C(30000000)
+
+/** pgw_run_times_add() - a run has ended after @run_us */
+void pgw_run_times_add(struct pgw_run_times *times, uint64_t run_us,
+                       uint64_t now_us);
+
+/** pgw_run_times_longest_us() - longest run of the last two spans in which
+ * any ended, 0: none did */
+uint64_t pgw_run_times_longest_us(const struct pgw_run_times *times);
+
+#endif
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/placement/lanes.h"
 #include "gateway/request/abandoned_trials.h"
 #include "gateway/request/answered_runs.h"
+#include "gateway/request/drain_window.h"
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
@@ -53,6 +54,8 @@
  *   waits for its turn
  * @dispatch_due_us: when @dispatch_timer expires, 0: it is not set
  * @dispatch_is_posted: @dispatch_task is posted and has not run
+ * @drain: the time that a planned stop leaves
+ * @run_times: name of a route -> &struct pgw_run_times
  * @sidecars: how sidecars are reached, NULL: they are not
  * @sidecars_context: passed to @sidecars
  * @claims: number of a claim -> the &struct pgw_exchange that waits for it
@@ -98,6 +101,8 @@
     uint64_t dispatch_due_us;
     bool dispatch_is_posted;
     bool is_draining; /* a planned stop is in progress */
+    struct pgw_drain_window drain;
+    GHashTable *run_times;
     bool refuses_all; /* the process ends at once */
     const struct pgw_sidecar_ops *sidecars;
     void *sidecars_context;
@@ -342,6 +347,15 @@
 /** pgw_exchange_has_free_upstream() - whether another upstream could take the
  * request now */
 bool pgw_exchange_has_free_upstream(const struct pgw_exchange *exchange);
+/** pgw_exchange_fits_drain() - an attempt that begins now will have ended when
+ * a planned stop, if there is one, cuts what is left */
+bool pgw_exchange_fits_drain(const struct pgw_exchange *exchange);
+/** pgw_exchange_record_run() - the current attempt has taken so long; it has
+ * ended, or a planned stop has to know */
+void pgw_exchange_record_run(const struct pgw_exchange *exchange);
+/** pgw_exchange_refuse_stopping() - answer the caller, since the entry stops;
+ * frees the exchange */
+void pgw_exchange_refuse_stopping(struct pgw_exchange *exchange);
 /**
  * pgw_exchange_rank() - position of the request by urgency, 0 is first
  * @exchange: the request
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -26,9 +26,17 @@
 }
 
 static char *
-render_error(unsigned status, void *context)
+render_error(const struct pgw_caller *caller, unsigned status, void *context)
 {
-    (void)context;
+    const struct pgw_gateway *gateway = context;
+    struct pgw_request_facts facts = {0};
+
+    if (caller->head != NULL &&
+        gateway->options.codec->read_request(&facts, caller->head)) {
+        pgw_log_info("request_refused", "request=%s status=%u reason=%s",
+                     facts.id, status,
+                     gateway->refuses_all ? "stopping" : "incomplete");
+    }
     return g_strdup_printf("{\"error\":{\"code\":\"http_%u\",\"ran\":\"no\"}}",
                            status);
 }
@@ -130,6 +138,8 @@
     gateway->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
     gateway->lanes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gateway->run_times =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->target_weights =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return gateway;
@@ -158,6 +168,7 @@
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
     g_hash_table_destroy(gateway->target_weights);
+    g_hash_table_destroy(gateway->run_times);
     g_hash_table_destroy(gateway->probes);
     g_hash_table_destroy(gateway->claims);
     g_hash_table_destroy(gateway->lanes);
@@ -408,15 +419,37 @@
 }
 
 void
-pgw_gateway_drain(struct pgw_gateway *gateway)
+pgw_gateway_drain(struct pgw_gateway *gateway, uint64_t cut_us)
 {
     gateway->is_draining = true;
+    gateway->drain = (struct pgw_drain_window){
+        .begun_us = pgw_now_us(),
+        .cut_us = cut_us,
+    };
     pgw_log_info("drain_begin", "requests=%u queued=%u connections=%u",
                  pgw_gateway_request_count(gateway), gateway->waiting.count,
                  pgw_caller_server_connection_count(gateway->server));
     pgw_caller_server_drain(gateway->server);
 }
 
+void
+pgw_gateway_refuse_late(struct pgw_gateway *gateway)
+{
+    pgw_list_foreach_safe (link, &gateway->exchanges) {
+        struct pgw_exchange *exchange =
+            pgw_container_of(link, struct pgw_exchange, in_gateway);
+
+        if (exchange->upstream != NULL) {
+            /* Long runs would be missing among those that have ended. */
+            pgw_exchange_record_run(exchange);
+        }
+        else if (exchange->caller != NULL &&
+                 !pgw_exchange_fits_drain(exchange)) {
+            pgw_exchange_refuse_stopping(exchange);
+        }
+    }
+}
+
 void
 pgw_gateway_close(struct pgw_gateway *gateway)
 {
@@ -430,10 +463,9 @@
     pgw_list_foreach_safe (link, &gateway->exchanges) {
         struct pgw_exchange *exchange =
             pgw_container_of(link, struct pgw_exchange, in_gateway);
-        unsigned status = pgw_exchange_may_have_run(exchange) ? 502 : 503;
 
         if (exchange->caller != NULL) {
-            pgw_exchange_refuse(exchange, status, "stopping", 0);
+            pgw_exchange_refuse_stopping(exchange);
         }
     }
     pgw_caller_server_refuse_rest(gateway->server);
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -313,9 +313,19 @@
 /** pgw_gateway_pool() - connections to upstreams, which other modules share */
 struct pgw_call_pool *pgw_gateway_pool(struct pgw_gateway *gateway);
 
-/** pgw_gateway_drain() - from now on, close each connection after its answer
+/**
+ * pgw_gateway_drain() - begin a planned stop
+ * @gateway: the gateway
+ * @cut_us: when pgw_gateway_refuse_rest() will be called, 0: not at all
+ *
+ * From now on each connection is closed after its answer, and a request is
+ * passed on only if it will have ended at @cut_us. Any other is refused.
  */
-void pgw_gateway_drain(struct pgw_gateway *gateway);
+void pgw_gateway_drain(struct pgw_gateway *gateway, uint64_t cut_us);
+
+/** pgw_gateway_refuse_late() - refuse the queued requests that would not end
+ * before the cut; to be called now and then during a planned stop */
+void pgw_gateway_refuse_late(struct pgw_gateway *gateway);
 
 /** pgw_gateway_close() - stop accepting, answer every request that was sent
  * and close all connections */
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -468,6 +468,7 @@
         return;
     }
     is_trial = exchange->trial != 0;
+    pgw_exchange_record_run(exchange);
     keep_answered_run(exchange);
     if (exchange->status >= 500) {
         pgw_attempt_record_result(exchange, PGW_RESULT_ERROR);
--- /dev/null
+++ b/tests/unit/test_drain_window.c
@@ -0,0 +1,92 @@
+#include "gateway/request/drain_window.h"
+#include <glib.h>
+
+#define SECOND UINT64_C(1000000)
+
+static const struct pgw_drain_window window = {
+    .begun_us = 100 * SECOND,
+    .cut_us = 107 * SECOND,
+};
+
+static bool
+fits(uint64_t now_us, uint64_t deadline_us, uint64_t longest_us, bool again)
+{
+    const struct pgw_drain_request request = {
+        .deadline_us = deadline_us,
+        .longest_run_us = longest_us,
+        .may_run_again = again,
+    };
+
+    return pgw_drain_window_fits(&window, &request, now_us);
+}
+
+/* A request that must not run again may not be cut once it was passed on. */
+static void
+test_once_only_is_never_cut(void)
+{
+    for (uint64_t now = 103 * SECOND; now < 110 * SECOND; now += SECOND / 10) {
+        for (uint64_t left = 0; left < 10 * SECOND; left += SECOND / 10) {
+            g_assert_cmpint(fits(now, now + left, 1000, false), ==,
+                            now + left <= window.cut_us);
+        }
+    }
+}
+
+/* Long deadlines must not turn callers away who are served in no time. */
+static void
+test_short_runs_are_taken(void)
+{
+    g_assert_true(fits(101 * SECOND, 131 * SECOND, SECOND / 10, false));
+    g_assert_true(fits(106 * SECOND, 131 * SECOND, SECOND / 10, true));
+    g_assert_false(fits(106 * SECOND, 131 * SECOND, SECOND, true));
+}
+
+/* Nothing is known of a route's runs: each may last until its deadline. */
+static void
+test_unknown_runs_last_until_the_deadline(void)
+{
+    g_assert_true(fits(101 * SECOND, 106 * SECOND, 0, true));
+    g_assert_false(fits(101 * SECOND, 108 * SECOND, 0, true));
+}
+
+/* Many short runs must not hide a long one that is as likely to come again. */
+static void
+test_longest_run_is_kept(void)
+{
+    struct pgw_run_times times = {0};
+
+    pgw_run_times_add(&times, 9 * SECOND, 100 * SECOND);
+    for (unsigned i = 0; i < 100000; i++) {
+        pgw_run_times_add(&times, 1, 101 * SECOND);
+    }
+    pgw_run_times_add(&times, 1, 131 * SECOND);
+    g_assert_cmpuint(pgw_run_times_longest_us(&times), ==, 9 * SECOND);
+    pgw_run_times_add(&times, 1, 162 * SECOND);
+    g_assert_cmpuint(pgw_run_times_longest_us(&times), ==, 1);
+}
+
+/* Without a stop nothing is turned away. */
+static void
+test_no_stop(void)
+{
+    const struct pgw_drain_window none = {0};
+    const struct pgw_drain_request request = {.deadline_us = UINT64_MAX};
+
+    g_assert_true(pgw_drain_window_fits(&none, &request, SECOND));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/drain_window/once_only_is_never_cut",
+                    test_once_only_is_never_cut);
+    g_test_add_func("/drain_window/short_runs_are_taken",
+                    test_short_runs_are_taken);
+    g_test_add_func("/drain_window/unknown_runs_last_until_the_deadline",
+                    test_unknown_runs_last_until_the_deadline);
+    g_test_add_func("/drain_window/longest_run_is_kept",
+                    test_longest_run_is_kept);
+    g_test_add_func("/drain_window/no_stop", test_no_stop);
+    return g_test_run();
+}
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -729,7 +729,7 @@
 static void
 begin_drain(struct scene *scene)
 {
-    pgw_gateway_drain(scene->gateway);
+    pgw_gateway_drain(scene->gateway, 0);
 }
 
 /* During a graceful drain, running requests are answered and their connections
@@ -757,7 +757,7 @@
 static void
 begin_close(struct scene *scene)
 {
-    pgw_gateway_drain(scene->gateway);
+    pgw_gateway_drain(scene->gateway, 0);
     pgw_gateway_close(scene->gateway);
 }
 
@@ -1063,7 +1063,7 @@
 static void
 refuse_rest(struct scene *scene)
 {
-    pgw_gateway_drain(scene->gateway);
+    pgw_gateway_drain(scene->gateway, 0);
     pgw_gateway_close(scene->gateway);
     pgw_gateway_refuse_rest(scene->gateway);
 }
