Decide here when an upstream has stopped reading

A request of 512 KB to an upstream that reads 4 KB each 250 ms got its connection reset 2.5 s after it began: the upstream saw a broken body, the caller a 502 or a second attempt, though nobody had gone.

Cause: as for callers, TCP_USER_TIMEOUT, here 2500 ms, counts the time of a closed window. Found by looking for the cause of the resets elsewhere.

Change: connections of calls are sampled each half second by peer_progress; one whose peer acknowledges nothing for two seconds is closed, so silent upstreams are given up after the same time as before.

Evidence: test_slow_caller's slow_upstream_gets_body fails on the code before (recv gives -1 after 3.3 s) and passes now.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -1,4 +1,5 @@
 #include "gateway/http/call.h"
+#include "gateway/http/peer_progress.h"
 #include "util/log.h"
 #include "util/metric.h"
 #include "util/socket.h"
@@ -19,6 +20,10 @@
 /* A connection is closed this long before the end of the keep-alive time that
  * the peer announced: a request that is sent while the peer closes is lost. */
 #define KEEP_ALIVE_MARGIN_US 700000
+/* Interval of the samples of a connection whose call is in progress. */
+#define PEER_CHECK_US 500000
+/* Lost keep-alive probes that end a connection, 3 s after the last byte. */
+#define IDLE_PROBES 2
 
 static struct pgw_metric_counter opened_connections = {
     .name = "pgw_call_connections_total",
@@ -52,7 +57,8 @@
  * @call: the current call, NULL while idle
  * @out: bytes of the request that were not yet handed to the kernel
  * @idle_timer: while connecting: the connect timeout; while idle: the end of
- *   the idle time
+ *   the idle time; else the next sample of @progress
+ * @progress: what the peer has acknowledged of the request
  * @keep_us: how long the connection may stay idle
  * @events: epoll events that are watched
  * @skipping: the current answer belongs to another request and is dropped
@@ -72,6 +78,7 @@
     struct pgw_http_reader reader;
     struct pgw_buffer out;
     struct pgw_timer idle_timer;
+    struct pgw_peer_progress progress;
     uint64_t idle_since_us;
     uint64_t keep_us;
     uint32_t events;
@@ -417,6 +424,44 @@
     }
 }
 
+/*
+ * Failure: an upstream reads a large request slowly, and the kernel is told to
+ * bound the time of unacknowledged bytes. Symptom: it resets the connection in
+ * the middle of the request, which counts as a broken run. Only a peer that
+ * acknowledges nothing is gone.
+ */
+static void
+on_peer_check(struct pgw_timer *timer)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(timer, struct pgw_connection, idle_timer);
+    const struct pgw_peer_bounds bounds = {
+        .silence_us = connection->pool->options.silence_us,
+    };
+    struct pgw_socket_sample sample;
+
+    pgw_socket_sample(&sample, connection->watch.fd);
+    sample.unacked += pgw_buffer_size(&connection->out);
+    if (pgw_peer_progress_update(&connection->progress, &sample, &bounds,
+                                 pgw_now_us()) == PGW_PEER_GONE) {
+        pgw_log_info("peer_silent", "peer=%s unacked=%zu unanswered=%u",
+                     connection->peer->name, sample.unacked,
+                     sample.unanswered);
+        connection_fail(connection, PGW_CALL_CLOSED);
+        return;
+    }
+    pgw_timer_start(connection->pool->loop, timer, PEER_CHECK_US);
+}
+
+static void
+start_peer_checks(struct pgw_connection *connection)
+{
+    pgw_peer_progress_begin(&connection->progress, pgw_now_us());
+    connection->idle_timer.on_due = on_peer_check;
+    pgw_timer_start(connection->pool->loop, &connection->idle_timer,
+                    PEER_CHECK_US);
+}
+
 static void
 finish_connect(struct pgw_connection *connection)
 {
@@ -432,7 +477,7 @@
         return;
     }
     connection->connecting = false;
-    pgw_timer_stop(connection->pool->loop, &connection->idle_timer);
+    start_peer_checks(connection);
 }
 
 static void
@@ -481,8 +526,7 @@
         pgw_log_warning("no_socket", "errno=%d", errno);
         return NULL;
     }
-    pgw_socket_tune(fd, &(struct pgw_socket_options){
-                            .user_timeout_ms = pool->options.user_timeout_ms});
+    pgw_socket_tune(fd, &(struct pgw_socket_options){.probes = IDLE_PROBES});
     if (connect(fd, (const struct sockaddr *)&address->storage,
                 address->size) != 0 &&
         errno != EINPROGRESS) {
@@ -619,6 +663,9 @@
     connection->reader.no_body = options->no_body;
     call->connection = connection;
     pgw_buffer_append(&connection->out, options->bytes, options->size);
+    if (!connection->connecting) {
+        start_peer_checks(connection);
+    }
     if (!connection->connecting && !connection_flush(connection)) {
         /* The peer has closed the connection; the loop will see the reset. */
         pgw_buffer_consume(&connection->out,
