Count incomplete events in the bound on held answers

A faulty upstream that accepts many streams and sends each of them an event without end, below the bound of one event, filled the memory of the entry that had called it: 256 KB for each of the 370 connections that an upstream takes, twice that while buffers grow, beside 110 MB.

Cause: the bound on incomplete answers of all upstreams counted bodies, and not what a stream holds of its next event.

Change: both are counted in one sum, and the largest is given up.

Evidence: test_endless_bytes, many_events_are_bounded: on the code before no stream is given up, and the test fails; it passes now.

--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -271,11 +271,29 @@
                  (int)exchange->is_named, exchange->call.earlier_calls);
 }
 
+size_t
+pgw_attempt_held_size(const struct pgw_exchange *exchange)
+{
+    return pgw_buffer_size(&exchange->answer) +
+           pgw_buffer_size(&exchange->events.pending);
+}
+
+void
+pgw_attempt_count_held(struct pgw_exchange *exchange)
+{
+    struct pgw_gateway *gateway = exchange->gateway;
+
+    gateway->answers_size -= exchange->held_size;
+    exchange->held_size = pgw_attempt_held_size(exchange);
+    gateway->answers_size += exchange->held_size;
+}
+
 void
 pgw_attempt_drop_answer(struct pgw_exchange *exchange)
 {
-    exchange->gateway->answers_size -= pgw_buffer_size(&exchange->answer);
     pgw_buffer_dispose(&exchange->answer);
+    pgw_event_stream_discard_partial(&exchange->events);
+    pgw_attempt_count_held(exchange);
 }
 
 static void
@@ -286,7 +304,6 @@
     exchange->is_named = false;
     exchange->not_run = false;
     exchange->is_stream = false;
-    pgw_event_stream_discard_partial(&exchange->events);
 }
 
 void
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -230,6 +230,8 @@
  * @not_run: the upstream states that it did not run the request
  * @answer_fields: header lines for the caller
  * @answer: body received so far, if the answer is not a stream
+ * @held_size: bytes of @answer and of an incomplete event that are counted in
+ *   the gateway's @answers_size
  * @events: events of a stream
  * @stream_size: bytes of the stream so far, over all attempts
  */
@@ -319,6 +321,7 @@
     bool is_stream;
     GString *answer_fields;
     struct pgw_buffer answer;
+    size_t held_size;
     struct pgw_event_stream events;
     size_t stream_size;
 };
@@ -551,6 +554,11 @@
 /** pgw_attempt_record_interrupted() - the connection broke during the run; its
  * upstream may have crashed */
 void pgw_attempt_record_interrupted(struct pgw_exchange *exchange);
+/** pgw_attempt_held_size() - bytes of the answer that are held now */
+size_t pgw_attempt_held_size(const struct pgw_exchange *exchange);
+/** pgw_attempt_count_held() - count what is held of the answer in the
+ * gateway's sum */
+void pgw_attempt_count_held(struct pgw_exchange *exchange);
 /** pgw_attempt_drop_answer() - drop what is held of the answer */
 void pgw_attempt_drop_answer(struct pgw_exchange *exchange);
 /** pgw_attempt_record_abandoned() - the entry closes the connection of a run
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -252,6 +252,41 @@
     pgw_attempt_count_prefill_end(exchange);
 }
 
+static void
+give_up_answer(struct pgw_exchange *exchange)
+{
+    pgw_call_cancel(&exchange->call);
+    pgw_attempt_handle_unknown(exchange, "answer_too_large");
+}
+
+/*
+ * Failure: many upstreams send answers or events without end at once, each of
+ * which is within its own bound. Symptom: the entry is out of memory and ends
+ * with all its requests. Of all answers the largest one is given up.
+ */
+static void
+bound_answers(struct pgw_gateway *gateway)
+{
+    struct pgw_exchange *largest = NULL;
+
+    if (gateway->options.answers_bound == 0 ||
+        gateway->answers_size <= gateway->options.answers_bound) {
+        return;
+    }
+    pgw_list_foreach (link, &gateway->exchanges) {
+        struct pgw_exchange *exchange =
+            pgw_container_of(link, struct pgw_exchange, in_gateway);
+
+        if (largest == NULL ||
+            pgw_attempt_held_size(exchange) > pgw_attempt_held_size(largest)) {
+            largest = exchange;
+        }
+    }
+    if (largest != NULL) {
+        give_up_answer(largest);
+    }
+}
+
 static void
 relay_events(struct pgw_exchange *exchange, const char *data, size_t size)
 {
@@ -268,6 +303,8 @@
         return;
     }
     if (complete_size == 0) {
+        pgw_attempt_count_held(exchange);
+        bound_answers(exchange->gateway);
         return;
     }
     if (exchange->prefill_tokens > 0 || exchange->first_event_us == 0) {
@@ -285,41 +322,8 @@
                      pgw_buffer_head(&exchange->events.pending),
                      complete_size);
     pgw_event_stream_consume(&exchange->events, complete_size);
-}
-
-static void
-give_up_answer(struct pgw_exchange *exchange)
-{
-    pgw_call_cancel(&exchange->call);
-    pgw_attempt_handle_unknown(exchange, "answer_too_large");
-}
-
-/*
- * Failure: many upstreams send answers without end at once, each of which is
- * within its own bound. Symptom: the entry is out of memory and ends with all
- * its requests. Of all answers the largest one is given up.
- */
-static void
-bound_answers(struct pgw_gateway *gateway)
-{
-    struct pgw_exchange *largest = NULL;
-
-    if (gateway->options.answers_bound == 0 ||
-        gateway->answers_size <= gateway->options.answers_bound) {
-        return;
-    }
-    pgw_list_foreach (link, &gateway->exchanges) {
-        struct pgw_exchange *exchange =
-            pgw_container_of(link, struct pgw_exchange, in_gateway);
-
-        if (largest == NULL || pgw_buffer_size(&exchange->answer) >
-                                   pgw_buffer_size(&largest->answer)) {
-            largest = exchange;
-        }
-    }
-    if (largest != NULL) {
-        give_up_answer(largest);
-    }
+    pgw_attempt_count_held(exchange);
+    bound_answers(exchange->gateway);
 }
 
 static void
@@ -344,7 +348,7 @@
         return;
     }
     pgw_buffer_append(&exchange->answer, data, size);
-    exchange->gateway->answers_size += size;
+    pgw_attempt_count_held(exchange);
     bound_answers(exchange->gateway);
 }
 
--- a/tests/unit/test_endless_bytes.c
+++ b/tests/unit/test_endless_bytes.c
@@ -153,6 +153,45 @@
     scene_free(scene);
 }
 
+/* Many events that each are within bounds must not fill the memory. */
+static void
+test_many_events_are_bounded(void)
+{
+    struct scene *scene = scene_new_with_answers_bound(2, 300000);
+    char *event = g_strnfill(200000, 'e');
+    int callers[2];
+    int upstreams[2];
+    char *answer;
+
+    scene_set_routes(scene, 1, true);
+    for (unsigned i = 0; i < 2; i++) {
+        const char *id = i == 0 ? "a" : "b";
+        unsigned which;
+
+        callers[i] = scene_call(scene, "/brook/", id);
+        upstreams[i] = scene_accept_any(scene, &which);
+        g_free(scene_read_request(upstreams[i]));
+        scene_begin_stream(upstreams[i], id);
+        scene_chunk(upstreams[i], "id: 1\ndata: first\n\n");
+        g_free(scene_read_until(callers[i], "first"));
+        scene_chunk(upstreams[i], event);
+    }
+    answer = scene_read_all(callers[0]);
+    g_assert_null(strstr(answer, "0\r\n\r\n"));
+    scene_chunk(upstreams[1], "\n\n");
+    scene_chunk(upstreams[1], "");
+    g_free(answer);
+    answer = scene_read_until(callers[1], "0\r\n\r\n");
+    g_assert_cmpuint(strlen(answer), >, 200000);
+    g_free(answer);
+    g_free(event);
+    for (unsigned i = 0; i < 2; i++) {
+        close(callers[i]);
+        close(upstreams[i]);
+    }
+    scene_free(scene);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -166,5 +205,7 @@
     }
     g_test_add_func("/endless_bytes/many_answers_are_bounded",
                     test_many_answers_are_bounded);
+    g_test_add_func("/endless_bytes/many_events_are_bounded",
+                    test_many_events_are_bounded);
     return g_test_run();
 }
