Keep a connection while its events are handled

Cause: a connection that carries one call is closed before the call's owner learns of the answer. The owner, a lease's write to the platform's store, dropped an engine without a sidecar; freeing that engine's pool runs all tasks that are posted, the one that frees the connection on the stack among them. connection_ready then read freed memory. The class: tasks of one object are run within a callback of another.

Change: a connection whose events are being handled is freed when they have been.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -82,6 +82,8 @@
     uint64_t idle_since_us;
     uint64_t keep_us;
     uint32_t events;
+    bool in_callback; /* its events are being handled */
+    bool reap_is_due; /* it is freed when they have been */
     bool connecting;
     bool paused;
     bool skipping;
@@ -110,6 +112,10 @@
     struct pgw_connection *connection =
         pgw_container_of(task, struct pgw_connection, reap);
 
+    if (connection->in_callback) {
+        connection->reap_is_due = true;
+        return;
+    }
     pgw_list_remove(&connection->in_pool);
     release_peer(connection->pool, connection->peer);
     pgw_http_reader_dispose(&connection->reader);
@@ -481,11 +487,8 @@
 }
 
 static void
-connection_ready(struct pgw_loop_fd *watch, uint32_t events)
+handle_events(struct pgw_connection *connection, uint32_t events)
 {
-    struct pgw_connection *connection =
-        pgw_container_of(watch, struct pgw_connection, watch);
-
     if (connection->connecting) {
         finish_connect(connection);
         if (connection->closed) {
@@ -507,6 +510,25 @@
     watch_events(connection);
 }
 
+/*
+ * Failure: a callback frees another pool, which runs the tasks that are
+ * posted. Symptom: this connection, which is closed after its call, is freed
+ * while its events are handled.
+ */
+static void
+connection_ready(struct pgw_loop_fd *watch, uint32_t events)
+{
+    struct pgw_connection *connection =
+        pgw_container_of(watch, struct pgw_connection, watch);
+
+    connection->in_callback = true;
+    handle_events(connection, events);
+    connection->in_callback = false;
+    if (connection->reap_is_due) {
+        connection_reap(&connection->reap);
+    }
+}
+
 static void
 on_connect_timeout(struct pgw_timer *timer)
 {
