Hold the port on which no sidecar listens in test_sidecarless

Callers saw nothing, the fault is the test's.

Cause: the test took a port by listening and closing, and then let its engine listen on any port. The engine, or another test that runs beside it, may get the same one. The entry then has a connection to its sidecar and sends no order, or the engine waits for the rest of a request that is a link's frame.

Change: the port stays bound, without listening, until the test ends.

--- a/tests/unit/test_sidecarless.c
+++ b/tests/unit/test_sidecarless.c
@@ -26,6 +26,7 @@
 /**
  * struct fixture - an entry and an engine without a sidecar; the test acts as
  * the store
+ * @no_sidecar: holds the port on which a sidecar would listen, -1: none
  * @answer_task: runs on the loop and answers the last call to the store
  * @pending_call: that call
  * @revision: revision of the lease object
@@ -44,6 +45,7 @@
     struct pgw_sidecar_links *links;
     struct pgw_sidecarless *sidecarless;
     struct scene_engine engine;
+    int no_sidecar;
     pthread_t thread;
     struct pgw_task answer_task;
     enum {
@@ -194,17 +196,20 @@
     .write = write_order_lease,
 };
 
-/* Returns a loopback port without a listener. */
-static uint16_t
-closed_port(void)
+/* Returns a socket that is bound but does not listen: connections to its port
+ * are refused, and nobody else can listen there. */
+static int
+bind_without_listening(uint16_t *port)
 {
-    struct pgw_address address;
-    struct sockaddr_in in;
-    int fd = scene_listen(&address);
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(in);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-    memcpy(&in, &address.storage, sizeof(in));
-    close(fd);
-    return ntohs(in.sin_port);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, sizeof(in)), ==, 0);
+    getsockname(fd, (struct sockaddr *)&in, &size);
+    *port = ntohs(in.sin_port);
+    return fd;
 }
 
 static void
@@ -255,6 +260,7 @@
     struct pgw_address engine;
 
     fixture = g_new0(struct fixture, 1);
+    fixture->no_sidecar = -1;
     pthread_mutex_init(&fixture->lock, NULL);
     fixture->order_holder = order_holder;
     fixture->order_revision = 5;
@@ -279,7 +285,11 @@
 static void
 fixture_open(bool held_by_other)
 {
-    fixture_open_at(held_by_other, closed_port(), 0);
+    uint16_t port;
+    int no_sidecar = bind_without_listening(&port);
+
+    fixture_open_at(held_by_other, port, 0);
+    fixture->no_sidecar = no_sidecar;
 }
 
 static void
@@ -295,6 +305,9 @@
     pgw_gateway_free(fixture->gateway);
     pgw_loop_free(fixture->loop);
     close(fixture->engine.listener);
+    if (fixture->no_sidecar >= 0) {
+        close(fixture->no_sidecar);
+    }
     pthread_mutex_destroy(&fixture->lock);
     g_free(fixture->engine.order);
     g_free(fixture);
@@ -354,22 +367,6 @@
     fixture_close();
 }
 
-/* Returns a socket that is bound but does not listen, so that connections to
- * its port are refused. */
-static int
-bind_without_listening(uint16_t *port)
-{
-    struct sockaddr_in in = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t size = sizeof(in);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, sizeof(in)), ==, 0);
-    getsockname(fd, (struct sockaddr *)&in, &size);
-    *port = ntohs(in.sin_port);
-    return fd;
-}
-
 /*
  * An entry starts before the sidecar, so its first connection is refused. Then
  * it connects, while the sidecar has not yet reported on its engine, which has
