Give up vanished peers as soon as before

Callers of an upstream whose machine vanished waited for three seconds until it was given up, and the run of a caller that had vanished went on for seven, where the kernel's bounds were 2.5 and 5 s before.

Cause: the silence was counted from the second sample at which a retransmission was unanswered, not from the last one at which the peer had acknowledged something.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -431,8 +431,8 @@
 }
 
 /*
- * Failure: an upstream reads a large request slowly, and the kernel is told to
- * bound the time of unacknowledged bytes. Symptom: it resets the connection in
+ * Failure: an upstream reads a large request slowly, and the kernel bounds the
+ * time of unacknowledged bytes. Symptom: it resets the connection in
  * the middle of the request, which counts as a broken run. Only a peer that
  * acknowledges nothing is gone.
  */
--- a/src/gateway/http/call.h
+++ b/src/gateway/http/call.h
@@ -111,7 +111,7 @@
  * @max_idle: most idle connections for each address
  * @head_limit: most bytes of an answer's head
  * @silence_us: a peer that acknowledges nothing of a request for so long is
- *   gone; the connection is closed up to half a second later
+ *   gone, and the connection is closed
  */
 struct pgw_call_pool_options {
     uint64_t connect_timeout_us;
@@ -127,14 +127,14 @@
  * SYN is resent only after a second, too late compared to a retry at another
  * upstream. 4 s of idle time: upstreams announce keep-alive times of 5 s and
  * more. 250 ms for requests that must not be retried: servers close idle
- * connections after whole seconds. 2 s of silence: three retransmissions are
+ * connections after whole seconds. 2.5 s of silence: three retransmissions are
  * lost by then, and time is left for another upstream.
  */
 #define PGW_CALL_POOL_OPTIONS_INIT                                            \
     {                                                                         \
         .connect_timeout_us = 400000, .idle_us = 4000000,                     \
         .fresh_after_us = 250000, .max_idle = 64, .head_limit = 32768,        \
-        .silence_us = 2000000                                                 \
+        .silence_us = 2500000                                                 \
     }
 
 /** pgw_call_pool_new() - create an empty pool on a loop */
--- a/src/gateway/http/peer_progress.h
+++ b/src/gateway/http/peer_progress.h
@@ -41,6 +41,7 @@
  * @unacked: bytes that the peer had not acknowledged
  * @acked: bytes that it had acknowledged
  * @progress_at_us: when it had last acknowledged some
+ * @sampled_at_us: when the last sample was taken, at first when it began
  * @silent_since_us: since when its probes and retransmissions are unanswered,
  *   0: they are not
  */
@@ -48,6 +49,7 @@
     size_t unacked;
     uint64_t acked;
     uint64_t progress_at_us;
+    uint64_t sampled_at_us;
     uint64_t silent_since_us;
 };
 
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -695,9 +695,9 @@
         return;
     }
     /*
-     * Failure: a request becomes whole, gets a place or is tried again late in
-     * a planned stop. Symptom: it is cut at the end of the grace period, and
-     * nobody knows whether it ran.
+     * Failure: a request is complete, gets a slot or is retried late in a
+     * planned stop. Symptom: it is cut at the end of the grace period with an
+     * unknown outcome.
      */
     if (!pgw_exchange_fits_drain(exchange)) {
         pgw_exchange_refuse_stopping(exchange);
