Refuse calls that would begin late in a sidecar's stop, older path

Callers of a service whose sidecar stopped got "leaving", ran "unknown", for calls that may run once: these had waited in the sidecar's queue, began late in its drain time and were cut at its end.

Cause: the same class: what is left of the drain time was looked at only for new requests, not when a waiting one gets a place.

What does not fit is refused at once as not run, while other upstreams and entries have time for it.

--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -6,12 +6,12 @@
 #include "gateway/placement/lanes.h"
 #include "gateway/request/abandoned_trials.h"
 #include "gateway/request/answered_runs.h"
-#include "gateway/request/drain_window.h"
 #include "gateway/request/gateway.h"
 #include "gateway/share/share_table.h"
 #include "gateway/upstream/moving_average.h"
 #include "gateway/upstream/status_check.h"
 #include "gateway/upstream/target_weights.h"
+#include "libparsleygw/drain_window.h"
 
 /* When a caller may resend a request that crashes its upstreams: the longest
  * time that any caller waits, since an earlier retry would be refused too. */
--- a/src/gateway/request/drain_window.c
+++ b/src/libparsleygw/drain_window.c
@@ -1,4 +1,4 @@
-#include "gateway/request/drain_window.h"
+#include "libparsleygw/drain_window.h"
 
 /* Until then the balancer still sends new connections. Later ones would be
  * retried at entries that stay. */
--- a/src/sidecar/gate.c
+++ b/src/sidecar/gate.c
@@ -380,6 +380,37 @@
     return NULL;
 }
 
+static struct run *
+first_late(struct sidecar *sidecar)
+{
+    pgw_list_foreach (link, &sidecar->all_runs) {
+        struct run *run = pgw_container_of(link, struct run, link);
+
+        if (run->state == RUN_WAITING && !run_fits_drain(run)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+void
+gate_refuse_late(struct sidecar *sidecar)
+{
+    uint64_t now = pgw_now_us();
+    struct run *run;
+
+    pgw_list_foreach (link, &sidecar->all_runs) {
+        run = pgw_container_of(link, struct run, link);
+        if (run->state == RUN_SENT || run->state == RUN_STARTED) {
+            pgw_run_times_add(&sidecar->run_times, now - run->sent_us, now);
+        }
+    }
+    /* The end of one may start others. */
+    while ((run = first_late(sidecar)) != NULL) {
+        run_refuse_late(run);
+    }
+}
+
 void
 gate_refuse_rest(struct sidecar *sidecar)
 {
--- a/src/sidecar/gate_internal.h
+++ b/src/sidecar/gate_internal.h
@@ -23,6 +23,11 @@
 uint32_t gate_backoff_ms(const struct sidecar *sidecar);
 /** run_start() - the admission gave a place: claim, or wait for a suspect */
 void run_start(struct run *run);
+/** run_fits_drain() - a run that begins now will have ended when a planned
+ * stop cuts it; always true without a stop */
+bool run_fits_drain(const struct run *run);
+/** run_refuse_late() - refuse a waiting run that does not fit, as not run */
+void run_refuse_late(struct run *run);
 /** run_withdraw() - whether it certainly has not run and now never will */
 bool run_withdraw(struct run *run);
 /**
--- a/src/sidecar/gate_run.c
+++ b/src/sidecar/gate_run.c
@@ -74,7 +74,10 @@
                        pgw_now_us());
     }
     if (run->state >= RUN_SENT && !run->abandoned) {
+        uint64_t now = pgw_now_us();
+
         sidecar->handed--;
+        pgw_run_times_add(&sidecar->run_times, now - run->sent_us, now);
     }
     if (sidecar->exclusive == run) {
         sidecar->exclusive = NULL;
@@ -208,12 +211,37 @@
     run->call->start(run);
 }
 
+bool
+run_fits_drain(const struct run *run)
+{
+    const struct sidecar *sidecar = run->sidecar;
+    const struct pgw_drain_request request = {
+        .deadline_us = run->item.deadline,
+        .longest_run_us = pgw_run_times_longest_us(&sidecar->run_times),
+        .may_run_again = run->open->repeatable,
+    };
+
+    return pgw_drain_window_fits(&sidecar->drain, &request, pgw_now_us());
+}
+
+void
+run_refuse_late(struct run *run)
+{
+    run_send_fail(run, PGW_REFUSAL_LEAVING, PGW_RAN_NO, 0,
+                  "the instance stops: send to another one");
+    gate_finish(run);
+}
+
 /* The gate has a place free at the upstream. */
 void
 run_start(struct run *run)
 {
     struct sidecar *sidecar = run->sidecar;
 
+    if (!run_fits_drain(run)) {
+        run_refuse_late(run);
+        return;
+    }
     if (sidecar->exclusive != NULL) {
         pgw_list_append(&sidecar->held, &run->held);
         return;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -272,8 +272,11 @@
         pgw_container_of(timer, struct sidecar, drain_timer);
     uint64_t now = pgw_now_us();
 
+    if (sidecar->close_until_us == 0) {
+        gate_refuse_late(sidecar);
+    }
     if (sidecar->close_until_us == 0 &&
-        (is_drained(sidecar) || now >= sidecar->drain_until_us)) {
+        (is_drained(sidecar) || now >= sidecar->drain.cut_us)) {
         begin_close(sidecar);
     }
     if (sidecar->close_until_us > 0 &&
@@ -288,13 +291,18 @@
 void
 sidecar_drain(struct sidecar *sidecar)
 {
+    uint64_t now;
+
     if (sidecar->leaving) {
         return;
     }
     sidecar->leaving = true;
     orders_close(sidecar->orders);
-    sidecar->drain_until_us =
-        pgw_now_us() + (uint64_t)sidecar->settings->drain_timeout_ms * 1000;
+    now = pgw_now_us();
+    sidecar->drain = (struct pgw_drain_window){
+        .begun_us = now,
+        .cut_us = now + (uint64_t)sidecar->settings->drain_timeout_ms * 1000,
+    };
     pgw_trace_record(sidecar->trace, PGW_TRACE_DRAIN_BEGIN, NULL, 0,
                      sidecar->runs, 0, NULL);
     pgw_log_info("drain_begin", "runs=%u", sidecar->runs);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -2,6 +2,7 @@
 #define PGW_SIDECAR_SIDECAR_H
 
 #include "libparsleygw/config_feed.h"
+#include "libparsleygw/drain_window.h"
 #include "libparsleygw/link.h"
 #include "libparsleygw/orders.h"
 #include "libparsleygw/sync.h"
@@ -152,7 +153,8 @@
  * @runs: attempts that wait or run
  * @view: copy for other threads
  * @drain_timer: checks whether a planned stop is over
- * @drain_until_us: when it gives up waiting
+ * @drain: the time that a planned stop leaves
+ * @run_times: how long runs took lately
  * @close_until_us: when it gives up waiting for entries to close their links;
  *   0: the port is open
  * @ended: no attempt is left, and none that comes is run
@@ -190,7 +192,8 @@
     unsigned runs;
     struct sidecar_view view;
     struct pgw_timer drain_timer;
-    uint64_t drain_until_us;
+    struct pgw_drain_window drain;
+    struct pgw_run_times run_times;
     uint64_t close_until_us;
     bool ended;
     uint64_t backoff_until_us;
--- a/tests/failure/fail_drain.c
+++ b/tests/failure/fail_drain.c
@@ -162,6 +162,7 @@
 
 struct print {
     struct harness_process *entry;
+    const char *key;
     struct harness_answer answer;
 };
 
@@ -169,11 +170,13 @@
 print_main(void *data)
 {
     struct print *print = data;
-    const char *headers[] = {"Idempotency-Key: tray-1", NULL};
+    char *key = g_strconcat("Idempotency-Key: ", print->key, NULL);
+    const char *headers[] = {key, NULL};
 
     fleet_call(
         &print->answer, print->entry, "/svc/print/labels",
         &(struct harness_call){.body = "peanut free", .headers = headers});
+    g_free(key);
     return NULL;
 }
 
@@ -198,6 +201,7 @@
     fleet = fleet_new(&options);
     start_callers(fleet);
     print.entry = fleet->entries[0];
+    print.key = "tray-1";
     g_assert_cmpint(pthread_create(&printer, NULL, print_main, &print), ==, 0);
     g_assert_true(harness_wait_until(has_run, fleet->sidecars[2], LIMIT_S));
     harness_process_signal(fleet->sidecars[0], SIGTERM);
@@ -219,6 +223,47 @@
     fleet_free(fleet);
 }
 
+static bool
+has_waiting(void *data)
+{
+    return fleet_status_int(data, "waiting") > 0;
+}
+
+/* Guards against calls that wait in a stopping sidecar, begin late and are cut
+ * with an unknown outcome. */
+static void
+test_sidecar_queue(void)
+{
+    static const char *const delay[] = {"--delay-ms", "1500", NULL};
+    struct fleet_options options = FLEET_OPTIONS_INIT;
+    struct fleet *fleet;
+    struct print prints[] = {{.key = "tray-1"}, {.key = "tray-2"}};
+    pthread_t printers[G_N_ELEMENTS(prints)];
+
+    options.engines = 1;
+    options.service = true;
+    options.service_args = delay;
+    options.sidecar_settings = ",\"max_running\":1,\"drain_timeout_ms\":2000";
+    fleet = fleet_new(&options);
+    for (unsigned i = 0; i < G_N_ELEMENTS(prints); i++) {
+        prints[i].entry = fleet->entries[0];
+        g_assert_cmpint(
+            pthread_create(&printers[i], NULL, print_main, &prints[i]), ==, 0);
+        g_assert_true(harness_wait_until(i == 0 ? has_run : has_waiting,
+                                         fleet->sidecars[1], LIMIT_S));
+    }
+    harness_process_signal(fleet->sidecars[1], SIGTERM);
+    for (unsigned i = 0; i < G_N_ELEMENTS(prints); i++) {
+        pthread_join(printers[i], NULL);
+    }
+    g_assert_cmpint(prints[0].answer.status, ==, 200);
+    fleet_assert_refusal(&prints[1].answer, 503, "leaving", "no");
+    harness_answer_dispose(&prints[0].answer);
+    harness_answer_dispose(&prints[1].answer);
+    g_assert_cmpint(harness_process_wait(fleet->sidecars[1]), ==, 0);
+    fleet_free(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -228,5 +273,6 @@
     g_test_add_func("/drain/entry-body-on-its-way",
                     test_entry_body_on_its_way);
     g_test_add_func("/drain/sidecar", test_sidecar);
+    g_test_add_func("/drain/sidecar-queue", test_sidecar_queue);
     return g_test_run();
 }
--- a/tests/unit/test_drain_window.c
+++ b/tests/unit/test_drain_window.c
@@ -1,4 +1,4 @@
-#include "gateway/request/drain_window.h"
+#include "libparsleygw/drain_window.h"
 #include <glib.h>
 
 #define SECOND UINT64_C(1000000)
