--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -108,6 +108,17 @@
                                     entry);
 }
 
+static void
+withdraw_late(struct entry *entry)
+{
+    GList *all = g_hash_table_get_values(entry->exchanges);
+
+    for (GList *link = all; link != NULL; link = link->next) {
+        forward_withdraw_late(link->data);
+    }
+    g_list_free(all);
+}
+
 static void
 refuse_rest(struct entry *entry)
 {
@@ -159,16 +170,16 @@
 {
     struct entry *entry = pgw_container_of(timer, struct entry, drain_timer);
     uint64_t now = pgw_now_us();
-    bool in_time = now < entry->drain_until_us;
+    bool in_time = now < entry->drain.cut_us;
 
+    withdraw_late(entry);
     if (!in_time) {
         refuse_rest(entry);
         refuse_incomplete(entry);
     }
     if (entry->close_until_us == 0 &&
         (!in_time || atomic_load(&entry->inflight) == 0)) {
-        entry->close_until_us =
-            MAX(now, entry->drain_until_us) + CLOSE_LIMIT_US;
+        entry->close_until_us = MAX(now, entry->drain.cut_us) + CLOSE_LIMIT_US;
         http_close(entry->http);
     }
     if (!is_drained(entry) &&
@@ -186,14 +197,19 @@
 void
 entry_drain(struct entry *entry)
 {
+    uint64_t now;
+
     if (atomic_exchange(&entry->leaving, true)) {
         return;
     }
     pgw_log_info("drain_begin", "inflight=%u", atomic_load(&entry->inflight));
     pgw_trace_record(entry->trace, PGW_TRACE_DRAIN_BEGIN, NULL, 0,
                      atomic_load(&entry->inflight), 0, NULL);
-    entry->drain_until_us =
-        pgw_now_us() + (uint64_t)entry->settings->drain_timeout_ms * 1000;
+    now = pgw_now_us();
+    entry->drain = (struct pgw_drain_window){
+        .begun_us = now,
+        .cut_us = now + (uint64_t)entry->settings->drain_timeout_ms * 1000,
+    };
     /* In any case the port stays open for a while, in which the balancer sees
      * /readyz. */
     pgw_timer_start(entry->loop, &entry->drain_timer, DRAIN_LINGER_US);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -2,6 +2,7 @@
 #define PGW_ENTRY_ENTRY_H
 
 #include "libparsleygw/config_feed.h"
+#include "libparsleygw/drain_window.h"
 #include "libparsleygw/link.h"
 #include "libparsleygw/loss.h"
 #include "libparsleygw/suspects.h"
@@ -96,7 +97,7 @@
  * @probes: &struct exchange by probe number
  * @watch_timer: next look for callers that went away
  * @drain_timer: checks whether a planned stop is over
- * @drain_until_us: when it gives up waiting
+ * @drain: the time that a planned stop leaves
  * @close_until_us: when it gives up closing @http; 0: not yet begun
  * @unfinished: requests that it cut off
  * @http: the HTTP server, once it is started
@@ -135,7 +136,7 @@
     GHashTable *probes;
     struct pgw_timer watch_timer;
     struct pgw_timer drain_timer;
-    uint64_t drain_until_us;
+    struct pgw_drain_window drain;
     uint64_t close_until_us;
     unsigned unfinished;
     struct http *http;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -176,6 +176,7 @@
  * @versions_tried: weights versions that had no place for it, since it was
  *   sent last
  * @failures: failed attempts
+ * @withdrawn: a planned stop has taken the call back, unless it had begun
  * @suspect: a quarantine record names its fingerprint
  * @ended: the caller has its final answer
  */
@@ -216,6 +217,7 @@
     uint64_t first_token_us;
     struct pgw_version_tried versions_tried;
     uint32_t failures;
+    bool withdrawn;
     bool suspect;
     bool ended;
 };
@@ -323,6 +325,10 @@
 void forward_not_run(struct exchange *exchange);
 /** forward_ran() - whether the request ran, as far as is known now */
 enum pgw_ran forward_ran(const struct exchange *exchange);
+/** forward_withdraw_late() - take a call that must not run again back from
+ * the queue of its sidecar, if it might still run when a planned stop cuts it
+ */
+void forward_withdraw_late(struct exchange *exchange);
 void forward_refuse(struct exchange *exchange, const struct refusal *refusal);
 void forward_caller_gone(struct exchange *exchange);
 void forward_grant(struct pgw_task *task);
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -63,6 +63,18 @@
     return attempt->next_sequence > 0 ? PGW_RAN_YES : PGW_RAN_UNKNOWN;
 }
 
+static void
+refuse_late(struct exchange *exchange)
+{
+    struct refusal refusal = {0};
+
+    refusal_set(&refusal, PGW_REFUSAL_LEAVING, forward_ran(exchange), 0,
+                "the instance stops before the call would have ended: send to "
+                "another one");
+    forward_refuse(exchange, &refusal);
+    refusal_dispose(&refusal);
+}
+
 static void
 schedule_timer(struct exchange *exchange)
 {
@@ -198,6 +210,33 @@
     }
 }
 
+/* How long calls take is not known here, so only their deadline counts. */
+static bool
+fits_drain(const struct exchange *exchange)
+{
+    uint64_t now = pgw_now_us();
+    const struct pgw_drain_request request = {
+        .deadline_us =
+            now +
+            (uint64_t)pgw_attempt_deadline_ms(&exchange->attempt, now) * 1000,
+    };
+
+    return exchange->request.repeatable ||
+           pgw_drain_window_fits(&exchange->entry->drain, &request, now);
+}
+
+void
+forward_withdraw_late(struct exchange *exchange)
+{
+    if (exchange->ended || exchange->withdrawn ||
+        !exchange->attempt.in_flight || fits_drain(exchange)) {
+        return;
+    }
+    /* A sidecar does not cancel a call of this kind that has begun. */
+    send_cancel(exchange, exchange->attempt_number);
+    exchange->withdrawn = true;
+}
+
 void
 forward_send(struct exchange *exchange, struct upstream *upstream,
              uint32_t uncached_tokens)
@@ -206,6 +245,10 @@
     struct levels_frame levels;
     bool recorded;
 
+    if (!fits_drain(exchange)) {
+        refuse_late(exchange);
+        return;
+    }
     exchange->attempt_number =
         pgw_attempt_start(&exchange->attempt, pgw_place_id_hash(upstream->id));
     if (exchange->attempt_number == 0) {
@@ -353,6 +396,11 @@
         start_again(exchange, decision);
         break;
     case PGW_ATTEMPT_REFUSE:
+        if (exchange->withdrawn &&
+            decision->refusal == PGW_REFUSAL_CANCELLED) {
+            refuse_late(exchange);
+            break;
+        }
         refuse_decided(exchange, decision, message);
         break;
     }
--- a/tests/failure/fail_drain.c
+++ b/tests/failure/fail_drain.c
@@ -229,22 +229,25 @@
     return fleet_status_int(data, "waiting") > 0;
 }
 
-/* Guards against calls that wait in a stopping sidecar, begin late and are cut
- * with an unknown outcome. */
+/* Stops a process while one call runs and one waits behind it; the second
+ * could begin in time and would be cut. */
 static void
-test_sidecar_queue(void)
+stop_with_queue(bool is_entry)
 {
     static const char *const delay[] = {"--delay-ms", "1500", NULL};
     struct fleet_options options = FLEET_OPTIONS_INIT;
     struct fleet *fleet;
+    struct harness_process *stopped;
     struct print prints[] = {{.key = "tray-1"}, {.key = "tray-2"}};
     pthread_t printers[G_N_ELEMENTS(prints)];
 
     options.engines = 1;
     options.service = true;
     options.service_args = delay;
+    options.entry_settings = ",\"drain_timeout_ms\":2000";
     options.sidecar_settings = ",\"max_running\":1,\"drain_timeout_ms\":2000";
     fleet = fleet_new(&options);
+    stopped = is_entry ? fleet->entries[0] : fleet->sidecars[1];
     for (unsigned i = 0; i < G_N_ELEMENTS(prints); i++) {
         prints[i].entry = fleet->entries[0];
         g_assert_cmpint(
@@ -252,7 +255,7 @@
         g_assert_true(harness_wait_until(i == 0 ? has_run : has_waiting,
                                          fleet->sidecars[1], LIMIT_S));
     }
-    harness_process_signal(fleet->sidecars[1], SIGTERM);
+    harness_process_signal(stopped, SIGTERM);
     for (unsigned i = 0; i < G_N_ELEMENTS(prints); i++) {
         pthread_join(printers[i], NULL);
     }
@@ -260,10 +263,26 @@
     fleet_assert_refusal(&prints[1].answer, 503, "leaving", "no");
     harness_answer_dispose(&prints[0].answer);
     harness_answer_dispose(&prints[1].answer);
-    g_assert_cmpint(harness_process_wait(fleet->sidecars[1]), ==, 0);
+    g_assert_cmpint(harness_process_wait(stopped), ==, 0);
     fleet_free(fleet);
 }
 
+/* Guards against calls that wait in a stopping sidecar, begin late and are cut
+ * with an unknown outcome. */
+static void
+test_sidecar_queue(void)
+{
+    stop_with_queue(false);
+}
+
+/* Guards against calls of a stopping entry that wait at a sidecar, begin late
+ * and are cut with an unknown outcome. */
+static void
+test_entry_queue(void)
+{
+    stop_with_queue(true);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -274,5 +293,6 @@
                     test_entry_body_on_its_way);
     g_test_add_func("/drain/sidecar", test_sidecar);
     g_test_add_func("/drain/sidecar-queue", test_sidecar_queue);
+    g_test_add_func("/drain/entry-queue", test_entry_queue);
     return g_test_run();
 }
