Keep a pool while events of its connections are handled

A pool that is freed within a callback of its own connection left that connection to use freed memory; no owner does this today.

Change: a pool is freed with its last connection.

Evidence: test_call_pool, own_is_freed_in_callback: heap-use-after-free on the address build before, passes now.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -49,6 +49,7 @@
     GHashTable *peers;
     struct pgw_list all;
     char *buffer;
+    bool is_freed; /* its memory is freed with its last connection */
 };
 
 /**
@@ -106,21 +107,33 @@
     }
 }
 
+static void
+pool_dispose(struct pgw_call_pool *pool)
+{
+    g_hash_table_destroy(pool->peers);
+    g_free(pool->buffer);
+    g_free(pool);
+}
+
 static void
 connection_reap(struct pgw_task *task)
 {
     struct pgw_connection *connection =
         pgw_container_of(task, struct pgw_connection, reap);
+    struct pgw_call_pool *pool = connection->pool;
 
     if (connection->in_callback) {
         connection->reap_is_due = true;
         return;
     }
     pgw_list_remove(&connection->in_pool);
-    release_peer(connection->pool, connection->peer);
+    release_peer(pool, connection->peer);
     pgw_http_reader_dispose(&connection->reader);
     pgw_buffer_dispose(&connection->out);
     g_free(connection);
+    if (pool->is_freed && pgw_list_is_empty(&pool->all)) {
+        pool_dispose(pool);
+    }
 }
 
 static void
@@ -511,9 +524,9 @@
 }
 
 /*
- * Failure: a callback frees another pool, which runs the tasks that are
- * posted. Symptom: this connection, which is closed after its call, is freed
- * while its events are handled.
+ * Failure: a callback frees this pool or another one, which runs the tasks
+ * that are posted. Symptom: this connection, which is closed after its call,
+ * is freed while its events are handled.
  */
 static void
 connection_ready(struct pgw_loop_fd *watch, uint32_t events)
@@ -666,7 +679,6 @@
 
     call->last_use = options->alone;
     call->foreign_answers = 0;
-    call->reused = connection != NULL;
     call->sent = false;
     call->answered = false;
     call->refused = false;
@@ -770,7 +782,9 @@
         connection_close(connection);
     }
     pgw_loop_run_tasks(pool->loop);
-    g_hash_table_destroy(pool->peers);
-    g_free(pool->buffer);
-    g_free(pool);
+    if (pgw_list_is_empty(&pool->all)) {
+        pool_dispose(pool);
+        return;
+    }
+    pool->is_freed = true;
 }
--- a/tests/unit/test_call_pool.c
+++ b/tests/unit/test_call_pool.c
@@ -63,9 +63,8 @@
     return GINT_TO_POINTER(upstream);
 }
 
-/* A connection must outlive a callback that frees another pool. */
 static void
-test_pool_is_freed_in_callback(void)
+free_in_callback(bool is_own)
 {
     static const char request[] =
         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
@@ -75,7 +74,7 @@
     struct owner owner = {
         .call.ops = &ops,
         .loop = loop,
-        .other = pgw_call_pool_new(loop, &options),
+        .other = is_own ? pool : pgw_call_pool_new(loop, &options),
     };
     struct pgw_address address;
     int listener = scene_listen(&address);
@@ -95,15 +94,33 @@
     pthread_join(thread, &upstream);
     close(GPOINTER_TO_INT(upstream));
     close(listener);
-    pgw_call_pool_free(pool);
+    if (!is_own) {
+        pgw_call_pool_free(pool);
+    }
     pgw_loop_free(loop);
 }
 
+/* A connection must outlive a callback that frees another pool. */
+static void
+test_pool_is_freed_in_callback(void)
+{
+    free_in_callback(false);
+}
+
+/* A pool must outlive a callback of its own connection that frees it. */
+static void
+test_own_pool_is_freed_in_callback(void)
+{
+    free_in_callback(true);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/call_pool/freed_in_callback",
                     test_pool_is_freed_in_callback);
+    g_test_add_func("/call_pool/own_is_freed_in_callback",
+                    test_own_pool_is_freed_in_callback);
     return g_test_run();
 }
