Remove the second try of status checks

No change for callers. Status checks have had connections of their own since, so a check never meets a kept connection and its second and third tries could not happen; what a call says in `reused` it says in earlier_calls. The log field keeps its name.

--- a/src/gateway/http/call.h
+++ b/src/gateway/http/call.h
@@ -56,8 +56,7 @@
  * @ops: the owner's callbacks; @on_done or @on_failed ends the call
  * @connection: NULL unless the call is running
  * @sent: at least one byte of the request was handed to the kernel
- * @reused: the connection has carried other calls before
- * @earlier_calls: how many
+ * @earlier_calls: calls that the connection has carried before
  * @foreign_answers: answers that were skipped for this call
  * @last_use: set by the owner: the connection is closed after the call
  * @refused: the peer's machine refused the connection: no process listens
@@ -68,7 +67,6 @@
     const struct pgw_call_ops *ops;
     struct pgw_connection *connection;
     bool sent;
-    bool reused;
     bool answered;
     bool refused;
     bool last_use;
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -949,7 +949,7 @@
                  upstream->last_seen_us == 0
                      ? 0
                      : (now - upstream->last_seen_us) / 1000,
-                 socket.port, exchange->call.reused, socket.unacked,
+                 socket.port, exchange->call.earlier_calls > 0, socket.unacked,
                  exchange->events.events);
 }
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -512,7 +512,7 @@
 
     /* A reused connection that is closed before an answer was probably closed
      * for being idle, which says nothing about the upstream's health. */
-    if (why != PGW_CALL_CLOSED || !call->reused || call->answered) {
+    if (why != PGW_CALL_CLOSED || call->earlier_calls == 0 || call->answered) {
         pgw_attempt_record_result(
             exchange, call->sent ? PGW_RESULT_BROKEN : PGW_RESULT_UNREACHABLE);
     }
--- a/src/gateway/upstream/status_check.c
+++ b/src/gateway/upstream/status_check.c
@@ -6,8 +6,6 @@
 #define TIMEOUT_US 500000
 /* Only the head of the answer matters. */
 #define ANSWER_BYTES_MAX ((size_t)64 * 1024)
-/* A kept connection may have been closed by the upstream, idle or ended. */
-#define ATTEMPTS_MAX 3
 
 static struct pgw_status_check *
 check_of(struct pgw_call *call)
@@ -20,8 +18,6 @@
 {
     pgw_upstream_unref(check->upstream);
     check->upstream = NULL;
-    g_free(check->path);
-    check->path = NULL;
 }
 
 static void
@@ -80,37 +76,12 @@
     finish(check_of(call), check_of(call)->status);
 }
 
-static bool
-send_check(struct pgw_status_check *check)
-{
-    GString *bytes = g_string_sized_new(128);
-    struct pgw_call_options options = {
-        .address = &check->upstream->address,
-        .timeout_us = TIMEOUT_US,
-        .body_max = ANSWER_BYTES_MAX,
-        .alone = true,
-    };
-    bool started;
-
-    check->codec->write_status_check(bytes, check->path,
-                                     check->upstream->address_text);
-    options.bytes = bytes->str;
-    options.size = bytes->len;
-    check->attempts++;
-    started = pgw_call_start(&check->call, check->pool, &options);
-    g_string_free(bytes, TRUE);
-    return started;
-}
-
 static void
 on_failed(struct pgw_call *call, enum pgw_call_failure why)
 {
     struct pgw_status_check *check = check_of(call);
-    bool was_idle = why == PGW_CALL_CLOSED && call->reused && !call->answered;
 
-    if (was_idle && check->attempts < ATTEMPTS_MAX && send_check(check)) {
-        return;
-    }
+    (void)why;
     finish(check, call->refused ? PGW_UPSTREAM_ENDED : PGW_UPSTREAM_BUSY);
 }
 
@@ -127,17 +98,27 @@
                        const struct pgw_codec *codec,
                        struct pgw_upstream *upstream, const char *path)
 {
+    GString *bytes = g_string_sized_new(128);
+    struct pgw_call_options options = {
+        .address = &upstream->address,
+        .timeout_us = TIMEOUT_US,
+        .body_max = ANSWER_BYTES_MAX,
+        .alone = true,
+    };
+    bool started;
+
     check->upstream = pgw_upstream_ref(upstream);
-    check->pool = pool;
     check->codec = codec;
-    check->path = g_strdup(path);
-    check->attempts = 0;
     check->call.ops = &check_ops;
-    if (!send_check(check)) {
+    codec->write_status_check(bytes, path, upstream->address_text);
+    options.bytes = bytes->str;
+    options.size = bytes->len;
+    started = pgw_call_start(&check->call, pool, &options);
+    if (!started) {
         reset(check);
-        return false;
     }
-    return true;
+    g_string_free(bytes, TRUE);
+    return started;
 }
 
 void
--- a/src/gateway/upstream/status_check.h
+++ b/src/gateway/upstream/status_check.h
@@ -36,9 +36,6 @@
     struct pgw_upstream *upstream;
     struct pgw_call call;
     const struct pgw_codec *codec;
-    struct pgw_call_pool *pool;
-    char *path;
-    unsigned attempts;
     enum pgw_upstream_status status;
 };
 
