--- a/tests/unit/test_endless_bytes.c
+++ b/tests/unit/test_endless_bytes.c
@@ -78,11 +78,16 @@
     return NULL;
 }
 
-/* Guards against an entry that takes what an upstream sends without end. */
 static void
-test_connection_is_closed(gconstpointer data)
+begin_drain(struct scene *scene)
+{
+    pgw_gateway_drain(scene->gateway,
+                      pgw_now_us() + SCENE_TIMEOUT_S * UINT64_C(1000000));
+}
+
+static void
+play_endless(const struct endless *endless, bool is_stopping)
 {
-    const struct endless *endless = data;
     struct scene *scene = scene_new(1);
     pthread_t reader;
     int caller;
@@ -93,6 +98,9 @@
                                     "Connection: close\r\n");
     upstream = scene_accept(scene, 0);
     g_free(scene_read_request(upstream));
+    if (is_stopping) {
+        scene_run(scene, begin_drain);
+    }
     pthread_create(&reader, NULL, read_all, &caller);
     expect_closed(upstream, endless);
     pthread_join(reader, NULL);
@@ -101,6 +109,20 @@
     scene_free(scene);
 }
 
+/* Guards against an entry that takes what an upstream sends without end. */
+static void
+test_connection_is_closed(gconstpointer data)
+{
+    play_endless(data, false);
+}
+
+/* Guards against the same while the entry stops. */
+static void
+test_connection_is_closed_stopping(gconstpointer data)
+{
+    play_endless(data, true);
+}
+
 /* Sends the first @size bytes of an answer of as many or more. */
 static int
 begin_answer(struct scene *scene, const char *id, size_t length, size_t size)
@@ -202,6 +224,10 @@
 
         g_test_add_data_func(path, &cases[i], test_connection_is_closed);
         g_free(path);
+        path = g_strconcat("/endless_bytes/stopping/", cases[i].name, NULL);
+        g_test_add_data_func(path, &cases[i],
+                             test_connection_is_closed_stopping);
+        g_free(path);
     }
     g_test_add_func("/endless_bytes/many_answers_are_bounded",
                     test_many_answers_are_bounded);
