Count idle time from the receipt of an answer

Callers on kept connections that read an answer for some 15 s lost their next request: the entry closed the connection as it was sent, so it was not answered and not passed on (caller_unanswered reason=crossed_close).

Cause: idle time began when the last byte was handed to the kernel, which holds more than 100 KB; the connection says Keep-Alive: timeout=15, and its caller had just received the answer.

Change: what the kernel holds counts as being sent, so idle time begins when all of it was acknowledged.

The soak says for each request that was cut when it began, became whole and ended; its checks are unchanged.

--- a/src/gateway/http/caller.c
+++ b/src/gateway/http/caller.c
@@ -214,22 +214,6 @@
                                       : idle_us / IDLE_CHECKS;
 }
 
-/* The last answer is complete. Idle time begins once the caller has received
- * it: until then the timer looks at what is left in shorter intervals. */
-static void
-start_idle_timer(struct pgw_caller *caller, bool is_being_sent)
-{
-    pgw_peer_progress_begin(&caller->progress, pgw_now_us());
-    if (is_being_sent) {
-        pgw_timer_start(caller->server->loop, &caller->timer,
-                        receipt_interval_us(caller));
-    }
-    else {
-        caller->progress.unacked = 0;
-        start_timer(caller, caller->server->limits.idle_timeout_ms);
-    }
-}
-
 static enum pgw_peer_state
 sample_caller(struct pgw_caller *caller, uint64_t stall_us)
 {
@@ -245,6 +229,29 @@
                                     pgw_now_us());
 }
 
+static void
+start_idle_timer(struct pgw_caller *caller)
+{
+    caller->progress.unacked = 0;
+    start_timer(caller, caller->server->limits.idle_timeout_ms);
+}
+
+/* The last answer is complete. Idle time begins once the caller has received
+ * it, what the kernel holds included: until then the timer looks at what is
+ * left in shorter intervals. */
+static void
+await_receipt(struct pgw_caller *caller)
+{
+    pgw_peer_progress_begin(&caller->progress, pgw_now_us());
+    if (sample_caller(caller, 0) == PGW_PEER_DONE &&
+        !caller->close_after_answer) {
+        start_idle_timer(caller);
+        return;
+    }
+    pgw_timer_start(caller->server->loop, &caller->timer,
+                    receipt_interval_us(caller));
+}
+
 /* Return: whether the caller receives its complete answer, and the timer was
  * started again */
 static bool
@@ -255,7 +262,7 @@
         caller, caller->server->limits.idle_timeout_ms * UINT64_C(1000));
 
     if (state == PGW_PEER_DONE && before > 0 && !caller->is_half_closed) {
-        start_idle_timer(caller, false);
+        start_idle_timer(caller);
         return true;
     }
     if (state != PGW_PEER_RECEIVES) {
@@ -496,7 +503,7 @@
         close_if_idle(caller);
     }
     else if (!caller->request_is_active) {
-        start_idle_timer(caller, true);
+        await_receipt(caller);
     }
 }
 
@@ -714,13 +721,13 @@
             half_close(caller);
         }
         else {
-            start_idle_timer(caller, true);
+            await_receipt(caller);
         }
         watch_events(caller);
         return;
     }
     pgw_http_reader_next(&caller->reader);
-    start_idle_timer(caller, pgw_buffer_size(&caller->out) > 0);
+    await_receipt(caller);
     /* A drain that began after the head of this answer did not announce the
      * end of the connection: it is closed as soon as it is idle. */
     if ((pgw_buffer_size(&caller->in) > 0 || caller->server->closing) &&
--- a/tests/soak/stopped_entries.py
+++ b/tests/soak/stopped_entries.py
@@ -94,6 +94,17 @@
         return request.whole_at <= term + EARLY_S and (
             request.work_end >= term + AT_WORK_S or request.work_end == 0)
 
+    def describe(self, attempt, request):
+        """What became of a request, in seconds after the SIGTERM before."""
+        term = max((at for at in self.terms.get(request.entry, [])
+                    if at <= request.end_at), default=request.begun_at)
+        worked = (f"{request.work_end - term:.2f}" if request.work_end else "-")
+        return (f"{attempt} at entry {request.entry} begun "
+                f"{request.begun_at - term:.2f} whole "
+                f"{request.whole_at - term:.2f} upstream ended {worked} "
+                f"{request.end} {request.end_at - term:.2f} s after SIGTERM, "
+                f"passed on: {request.passed_at is not None}")
+
     def judge(self):
         """Prints what ended how, and fails if a request was lost."""
         lost, excused, cut, ends = [], 0, [], {}
@@ -107,14 +118,11 @@
                      if request.end_at >= at and request.end_at
                      <= at + GRACE_S + 1.0]
             if not terms:
-                cut.append((attempt, request.end))
+                cut.append(self.describe(attempt, request))
             elif self.is_excused(request, terms[-1]):
                 excused += 1
             else:
-                lost.append(f"{attempt} whole {request.whole_at - terms[-1]:.2f} s"
-                            f" and {request.end} {request.end_at - terms[-1]:.2f}"
-                            f" s after SIGTERM, passed on: "
-                            f"{request.passed_at is not None}")
+                lost.append(self.describe(attempt, request))
         print(f"stops: {ends} lost={len(lost)} excused={excused} "
               f"cut away from a stop={len(cut)}", flush=True)
         if lost or cut:
--- a/tests/unit/test_caller.c
+++ b/tests/unit/test_caller.c
@@ -466,6 +466,75 @@
     fixture_dispose(&fixture);
 }
 
+/* Fits in the buffers of the kernel. */
+#define SHORT_ANSWER ((size_t)128 * 1024)
+#define PAUSED_READ ((size_t)4096)
+#define READ_PAUSE_US 45000
+/* All is read before, and the next request comes after it. */
+#define RECEIPT_IDLE_MS 2000
+#define NEXT_REQUEST_US UINT64_C(2600000)
+
+static uint64_t answered_us;
+
+static void
+answer_short(struct fixture *fixture, struct pgw_caller *caller)
+{
+    char *body = g_malloc0(SHORT_ANSWER);
+
+    fixture->on_request = NULL;
+    pgw_caller_begin(caller, 200, "", (int64_t)SHORT_ANSWER);
+    pgw_caller_write(caller, body, SHORT_ANSWER);
+    pgw_caller_end(caller);
+    g_assert_cmpuint(pgw_caller_pending(caller), ==, 0);
+    answered_us = pgw_now_us();
+    g_free(body);
+}
+
+static bool
+read_with_pauses(struct fixture *fixture)
+{
+    static char buffer[PAUSED_READ];
+    ssize_t received = recv(idle_caller, buffer, PAUSED_READ, MSG_DONTWAIT);
+
+    (void)fixture;
+    g_usleep(READ_PAUSE_US);
+    slow_received += received > 0 ? (size_t)received : 0;
+    return received == 0 || slow_received >= SHORT_ANSWER;
+}
+
+static bool
+is_next_request_due(struct fixture *fixture)
+{
+    (void)fixture;
+    return pgw_now_us() >= answered_us + NEXT_REQUEST_US;
+}
+
+/* Guards against an idle timeout that counts the time in which a caller reads
+ * an answer out of the kernel's buffers, so that its next request is lost. */
+static void
+test_idle_time_begins_with_receipt(void)
+{
+    struct pgw_caller_limits limits = PGW_CALLER_LIMITS_INIT;
+    struct fixture fixture;
+    int small = 4 * PAUSED_READ;
+
+    fixture_init(&fixture);
+    limits.idle_timeout_ms = RECEIPT_IDLE_MS;
+    pgw_caller_server_set_limits(fixture.server, &limits);
+    fixture.on_request = answer_short;
+    idle_caller = caller_connect(&fixture);
+    setsockopt(idle_caller, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    caller_send(idle_caller, REQUEST);
+    run_until(&fixture, has_one_request);
+    slow_received = 0;
+    run_until(&fixture, read_with_pauses);
+    run_until(&fixture, is_next_request_due);
+    caller_send(idle_caller, REQUEST);
+    run_until(&fixture, has_two_requests);
+    close(idle_caller);
+    fixture_dispose(&fixture);
+}
+
 /* Guards against a connection that stays open for good because its caller
  * reads nothing. */
 static void
@@ -499,6 +568,8 @@
                     test_request_after_stream_is_answered);
     g_test_add_func("/caller/idle_timeout_reads_first",
                     test_idle_timeout_reads_first);
+    g_test_add_func("/caller/idle_time_begins_with_receipt",
+                    test_idle_time_begins_with_receipt);
     g_test_add_func("/caller/answer_outlasts_idle_timeout",
                     test_answer_outlasts_idle_timeout);
     g_test_add_func("/caller/reads_nothing_is_closed",
