--- a/src/libparsleygw/drain_window.h
+++ b/src/libparsleygw/drain_window.h
@@ -5,11 +5,11 @@
 #include <stdint.h>
 
 /**
- * DOC: Which requests an entry still takes during a planned stop
+ * DOC: Which requests a process still begins during a planned stop
  *
  * At the end of the grace period the requests in progress are cut. A request
- * is passed on only if it will have ended by then; any other is refused at
- * once, while another entry still has time for it. The same is decided again
+ * is begun only if it will have ended by then; any other is refused at
+ * once, while another process still has time for it. The same is decided again
  * whenever an attempt is about to begin, and for requests that are queued.
  */
 
--- a/tests/unit/test_drain_window.c
+++ b/tests/unit/test_drain_window.c
@@ -41,6 +41,13 @@
     g_assert_false(fits(106 * SECOND, 131 * SECOND, SECOND, true));
 }
 
+/* A stream that lasts twice as long as those before must not be cut. */
+static void
+test_longer_runs_are_not_cut(void)
+{
+    g_assert_false(fits(103 * SECOND, 113 * SECOND, 5 * SECOND / 2, true));
+}
+
 /* Nothing is known of a route's runs: each may last until its deadline. */
 static void
 test_unknown_runs_last_until_the_deadline(void)
@@ -83,6 +90,8 @@
                     test_once_only_is_never_cut);
     g_test_add_func("/drain_window/short_runs_are_taken",
                     test_short_runs_are_taken);
+    g_test_add_func("/drain_window/longer_runs_are_not_cut",
+                    test_longer_runs_are_not_cut);
     g_test_add_func("/drain_window/unknown_runs_last_until_the_deadline",
                     test_unknown_runs_last_until_the_deadline);
     g_test_add_func("/drain_window/longest_run_is_kept",
