--- a/tests/unit/test_drain_window.c
+++ b/tests/unit/test_drain_window.c
@@ -41,6 +41,15 @@
     g_assert_false(fits(106 * SECOND, 131 * SECOND, SECOND, true));
 }
 
+/* Early in a stop requests that may run again must not be turned away for a
+ * run that is unlikely to last much longer than those before. */
+static void
+test_early_runs_are_taken(void)
+{
+    g_assert_true(fits(102 * SECOND, 112 * SECOND, 3 * SECOND, true));
+    g_assert_false(fits(102 * SECOND, 112 * SECOND, 3 * SECOND, false));
+}
+
 /* A stream that lasts twice as long as those before must not be cut. */
 static void
 test_longer_runs_are_not_cut(void)
@@ -90,6 +99,8 @@
                     test_once_only_is_never_cut);
     g_test_add_func("/drain_window/short_runs_are_taken",
                     test_short_runs_are_taken);
+    g_test_add_func("/drain_window/early_runs_are_taken",
+                    test_early_runs_are_taken);
     g_test_add_func("/drain_window/longer_runs_are_not_cut",
                     test_longer_runs_are_not_cut);
     g_test_add_func("/drain_window/unknown_runs_last_until_the_deadline",
