--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -180,8 +180,8 @@
 void gate_forget_peer(struct peer *peer);
 /** gate_refuse_waiting() - tell all waiting attempts that they did not run */
 void gate_refuse_waiting(struct sidecar *sidecar, enum pgw_refusal refusal);
-/** gate_refuse_late() - refuse waiting attempts, as not run, that would not end
- * within the drain time of a planned stop */
+/** gate_refuse_late() - refuse waiting attempts, as not run, that would not
+ * end within the drain time of a planned stop */
 void gate_refuse_late(struct sidecar *sidecar);
 /** gate_refuse_rest() - tell the entries of all attempts that they end now */
 void gate_refuse_rest(struct sidecar *sidecar);
