--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -225,6 +225,7 @@
  * @load_report_age_us: age of the report on which the estimate rests
  * @fetch_source: where missing prompt parts are fetched from, for logs
  * @weights: version of the weights that produce its events
+ * @answer_weights: version that the answer names, 0: none
  * @is_unframed: the answer has neither a length nor chunks
  * @is_named: the answer names the request
  * @not_run: the upstream states that it did not run the request
@@ -314,6 +315,7 @@
     uint64_t load_report_age_us;
     const char *fetch_source;
     uint64_t weights;
+    uint64_t answer_weights;
     unsigned status;
     bool is_unframed;
     bool is_named;
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -25,6 +25,15 @@
         "Prompt tokens that an engine prefills in a millisecond, as observed",
 };
 
+static struct pgw_metric_counter old_weights_starts = {
+    .name = "pgw_gateway_old_weights_starts_total",
+    .help = "Runs that began after a newer version of their weights was named",
+};
+static struct pgw_metric_counter late_old_weights_starts = {
+    .name = "pgw_gateway_late_old_weights_starts_total",
+    .help = "The same, later than old weights may be used",
+};
+
 static struct pgw_exchange *
 exchange_of(struct pgw_call *call)
 {
@@ -179,6 +188,7 @@
     exchange->not_run = facts.not_run;
     exchange->is_stream = facts.is_stream && head->status < 300;
     exchange->is_unframed = !head->has_length && !head->chunked;
+    exchange->answer_weights = facts.weights;
     if (facts.not_run) {
         /* The list of upstreams still names an incarnation that has ended. */
         if (facts.instance != NULL &&
@@ -239,11 +249,52 @@
                          (int64_t)gateway->prefill_rate.value);
 }
 
+/* Shows how late a run began after a newer version was named, and why: it was
+ * sent late, or waited at the engine. */
+static void
+log_old_weights(const struct pgw_exchange *exchange, uint64_t now_us)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_target_weights *target =
+        exchange->facts.model == NULL
+            ? NULL
+            : g_hash_table_lookup(gateway->target_weights,
+                                  exchange->facts.model);
+    const struct pgw_target_version *newer =
+        target == NULL ? NULL
+                       : pgw_target_weights_next(target, exchange->weights);
+    uint64_t age_us;
+    bool late;
+
+    if (newer == NULL) {
+        return;
+    }
+    age_us = now_us - newer->announced_at_us;
+    late = age_us > gateway->options.old_weights_usable_us;
+    pgw_metric_register_counter(&old_weights_starts);
+    pgw_metric_register_counter(&late_old_weights_starts);
+    pgw_metric_counter_add(&old_weights_starts, 1);
+    pgw_metric_counter_add(&late_old_weights_starts, late);
+    pgw_log_some(!late, "old_weights_start",
+                 "request=%s upstream=%s expected=%" G_GUINT64_FORMAT
+                 " weights=%" G_GUINT64_FORMAT " newer=%" G_GUINT64_FORMAT
+                 " newer_age_ms=%" G_GUINT64_FORMAT
+                 " sent_ms=%" G_GUINT64_FORMAT
+                 " load=%u load_age_ms=%" G_GUINT64_FORMAT
+                 " slots=%u forecast_first_ms=%.0f",
+                 exchange->facts.id, exchange->upstream->id, exchange->weights,
+                 exchange->answer_weights, newer->version, age_us / 1000,
+                 (now_us - exchange->sent_us) / 1000, exchange->load_at_choice,
+                 exchange->load_report_age_us / 1000,
+                 exchange->upstream->slots, exchange->forecast.first_ms);
+}
+
 /* The first event shows that the prompt has been prefilled. */
 static void
 handle_first_event(struct pgw_exchange *exchange)
 {
     measure_prefill_rate(exchange, pgw_now_us());
+    log_old_weights(exchange, pgw_now_us());
     exchange->began_us = pgw_now_us();
     if (exchange->first_event_us == 0) {
         exchange->first_event_us = pgw_now_us();
--- a/src/gateway/sidecar/engine_sidecar_internal.h
+++ b/src/gateway/sidecar/engine_sidecar_internal.h
@@ -106,6 +106,7 @@
  * @reported_leaving: whether that report said that the engine leaves
  * @reported_loading: whether that report said that the engine is loading
  * @ordered_model: the model whose order is in flight, NULL: none
+ * @ordered_version: version that this order loads
  * @failed_polls: failed polls in a row
  * @alive: the engine answers polls
  */
@@ -150,6 +151,7 @@
     struct pgw_sidecar_model models[PGW_UPSTREAM_MODELS_MAX];
     size_t model_count;
     struct pgw_sidecar_model *ordered_model;
+    uint64_t ordered_version;
     unsigned failed_polls;
     bool alive;
     double reported_limit;
--- a/src/gateway/sidecar/engine_sidecar_orders.c
+++ b/src/gateway/sidecar/engine_sidecar_orders.c
@@ -60,8 +60,9 @@
     if (model != NULL) {
         pgw_log_info("order_answer",
                      "engine=%s model=%s version=%" G_GUINT64_FORMAT
+                     " wanted=%" G_GUINT64_FORMAT
                      " status=%u answer=%s token=%" G_GUINT64_FORMAT,
-                     sidecar->engine, model->model,
+                     sidecar->engine, model->model, sidecar->ordered_version,
                      model->order.target_version, sidecar->order_status,
                      answer_names[answer], model->order.token);
         pgw_weights_order_handle_answer(&model->order, answer, pgw_now_us());
@@ -140,6 +141,7 @@
     options.size = bytes->len;
     sidecar->order_call.ops = &order_ops;
     sidecar->ordered_model = model;
+    sidecar->ordered_version = order.version;
     pgw_metric_counter_add(&orders_given, 1);
     pgw_log_info("order",
                  "engine=%s upstream=%s model=%s version=%" G_GUINT64_FORMAT
--- a/src/gateway/upstream/target_weights.c
+++ b/src/gateway/upstream/target_weights.c
@@ -40,17 +40,30 @@
     return oldest_usable;
 }
 
+const struct pgw_target_version *
+pgw_target_weights_next(const struct pgw_target_weights *weights,
+                        uint64_t version)
+{
+    for (size_t i = 0; i < weights->count; i++) {
+        if (weights->versions[i].version > version) {
+            return &weights->versions[i];
+        }
+    }
+    return NULL;
+}
+
 uint64_t
 pgw_target_weights_usable_for_us(const struct pgw_target_weights *weights,
                                  uint64_t version, uint64_t limit_us,
                                  uint64_t now_us)
 {
-    for (size_t i = 0; i < weights->count; i++) {
-        if (weights->versions[i].version > version) {
-            uint64_t end_us = weights->versions[i].announced_at_us + limit_us;
+    const struct pgw_target_version *next =
+        pgw_target_weights_next(weights, version);
+    uint64_t end_us;
 
-            return end_us > now_us ? end_us - now_us : 0;
-        }
+    if (next == NULL) {
+        return UINT64_MAX;
     }
-    return UINT64_MAX;
+    end_us = next->announced_at_us + limit_us;
+    return end_us > now_us ? end_us - now_us : 0;
 }
--- a/src/gateway/upstream/target_weights.h
+++ b/src/gateway/upstream/target_weights.h
@@ -48,6 +48,12 @@
 bool pgw_target_weights_add(struct pgw_target_weights *weights,
                             uint64_t version, uint64_t announced_at_us);
 
+/** pgw_target_weights_next() - the first announced version that is newer than
+ * @version, NULL: none */
+const struct pgw_target_version *
+pgw_target_weights_next(const struct pgw_target_weights *weights,
+                        uint64_t version);
+
 /** pgw_target_weights_newest() - the newest announced version, 0: none */
 uint64_t pgw_target_weights_newest(const struct pgw_target_weights *weights);
 
