--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 import crashing_parts
 import killed_engines
 import late_crashes
+import late_starts
 import odd_objects
 import one_entry
 import one_workspace
@@ -152,6 +153,7 @@
         self.late = late_crashes.Late(self)
         self.unproven = unproven_attempts.Unproven(self)
         self.stops = stopped_entries.Stops(self)
+        self.starts = late_starts.Starts(self)
         self.popular_run_s = 0.0
         # What upstreams repeat, None: nothing.
         self.repeats = None
@@ -181,7 +183,7 @@
 
     @staticmethod
     def is_resumable(route):
-        return route == "flow"
+        return route in ("flow", "menu")
 
     def fail(self, text, about=None):
         """Ends the run. @about: address of an upstream whose log lines tell why."""
@@ -388,8 +390,14 @@
         self.soak, self.mode, self.revision = soak, "good", 1
         self.objects, self.events, self.oldest = {}, [], 0
         self.changed = asyncio.Event()
+        # How late a watch tells of a change, and connections that are silent.
+        self.tell_late_s, self.watching, self.silent = 0.0, {}, set()
         self.server = Server(self.handle)
 
+    def silence_watches(self, kind):
+        """Nothing more comes on connections with such a watch."""
+        self.silent |= {w for w, k in self.watching.items() if k == kind}
+
     @staticmethod
     def refusal(method, known, revision):
         """Status that refuses a write, None: it is applied."""
@@ -476,8 +484,16 @@
         if revision < self.oldest:
             writer.write(answer(410, {}))
             return
+        self.watching[writer] = kind
         await self.wait_for_change(kind, revision,
                                    int(asked["wait_ms"]) / 1000)
+        del self.watching[writer]
+        await asyncio.sleep(self.tell_late_s)
+        while writer in self.silent and not writer.reader.at_eof():
+            await asyncio.sleep(0.1)
+        if writer in self.silent:
+            self.silent.discard(writer)
+            raise ConnectionError
         writer.write(answer(200, {"events": self.since(kind, revision),
                                   "current_rev": self.revision}))
 
@@ -552,6 +568,8 @@
         self.departure = Departure(soak, self.ip)
         self.backoff = Backoff(soak, self.ip)
         self.crashing, self.steps, self.copies = [], None, {}
+        # What becomes of orders: "answered", "late" or "lost".
+        self.orders = "answered"
         if engine:
             soak.engines[self.ip] = self
         self.server = Server(self.handle)
@@ -561,8 +579,8 @@
     def id(self):
         return f"i-{self.ip}-{self.life}"
 
-    def begin_steps(self, percent):
-        self.steps = stepping.Steps(self, percent)
+    def begin_steps(self, percent, queue_max=stepping.QUEUED_MAX):
+        self.steps = stepping.Steps(self, percent, queue_max)
 
     def end_steps(self):
         steps, self.steps = self.steps, None
@@ -667,7 +685,7 @@
             writer.write(answer(503 if self.full else 200, b"",
                                 f"Instance-Id: {self.id}\r\n"))
         elif target == "/api/order":
-            writer.write(answer(self.take_order(json.loads(body), fields)))
+            await self.answer_order(json.loads(body), fields, writer)
         elif self.soak.repeats is not None:
             recorder = repeated_answers.Recorder(writer)
             await self.run(target, fields, body, recorder)
@@ -676,6 +694,22 @@
         else:
             await self.run(target, fields, body, writer)
 
+    async def answer_order(self, order, fields, writer):
+        if self.orders == "answered":
+            writer.write(answer(self.take_order(order, fields)))
+            return
+        if self.orders == "late":
+            asyncio.get_running_loop().call_later(
+                self.soak.random.uniform(*late_starts.LATE_ORDER_S),
+                self.take_late_order, order, fields, self.starts)
+        while not writer.reader.at_eof():
+            await asyncio.sleep(0.1)
+
+    def take_late_order(self, order, fields, starts):
+        """Newer orders may have come before it."""
+        if starts == self.starts and order["fence"] >= self.token:
+            self.take_order(order, fields)
+
     def take_order(self, order, fields):
         if fields.get("expect-instance", self.id) != self.id:
             return 421
@@ -700,6 +734,8 @@
                            f"within {now - at:.1f} s")
 
     async def load(self, version, starts):
+        if self.steps is not None:
+            await self.steps.empty()
         await asyncio.sleep(0.2)
         if starts == self.starts:
             self.version, self.busy = version, False
@@ -766,7 +802,7 @@
             self.soak.fail(f"{attempt} came with the body {body[:60]!r}")
         if goes_on:
             self.soak.gone_on += 1
-        else:
+        elif self.steps is None:
             self.soak.note_run(attempt)
         own = (f"Attempt-Id: {attempt}\r\nServer-Seal: s.{attempt}\r\n"
                f"{notices}")
@@ -777,7 +813,7 @@
         if self.steps is not None:
             await self.steps.serve(
                 fields, writer, own, int(fields.get("last-event-id", 0)) + 1,
-                self.soak.stream_events.get(attempt, events - 1) + 1)
+                self.soak.stream_events.get(attempt, events - 1) + 1, goes_on)
             return
         await asyncio.sleep(self.soak.random.random() * 0.05)
         if not self.engine:
@@ -887,6 +923,8 @@
             f"{CONTROL if (role, index) == (2, i) else CONTROL_PROXY}"
             for i in range(2))
         ip = self.soak.ip(role, index)
+        if set(self.soak.options.acts) & set(late_starts.ACTS):
+            extra = {**extra, "bounds.version_ms": late_starts.BOUND_MS}
         return {"node_name": name, "zone": "ab"[index % 2], "bind_ip": ip,
                 "port_range": f"{GUARD_PORT},{GUARD_PORT + 9}",
                 "seed_nodes": seeds, "bounds.drain_ms": 2000,
@@ -1570,7 +1608,7 @@
         "version_gone": version_gone, **unproven_attempts.ACTS,
         **{name: repeated_act(options)
            for name, options in repeated_answers.ACTS.items()},
-        **odd_objects.ACTS, **stopped_entries.ACTS,
+        **odd_objects.ACTS, **stopped_entries.ACTS, **late_starts.ACTS,
         **{name: rejoined_act(act) for name, act in out_of_step.ACTS.items()},
         **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
--- a/tests/soak/stepping.py
+++ b/tests/soak/stepping.py
@@ -28,14 +28,15 @@
     def __init__(self, attempt, prompt_tokens, writer):
         self.attempt, self.left, self.writer = attempt, prompt_tokens, writer
         self.tokens, self.events = prompt_tokens, 0
-        self.turns, self.ended = asyncio.Queue(), False
+        self.turns, self.ended, self.begun = asyncio.Queue(), False, False
 
 
 class Steps:
     """How an engine works. @percent: how long work takes, 100 is as usual."""
 
-    def __init__(self, upstream, percent=100, slots=8):
+    def __init__(self, upstream, percent=100, queue_max=QUEUED_MAX, slots=8):
         self.upstream, self.usual, self.percent = upstream, percent, percent
+        self.queue_max = queue_max
         self.slots, self.runs, self.work = slots, [], asyncio.Event()
         self.random = random.Random(percent)
         self.tasks = [asyncio.ensure_future(self.step()),
@@ -62,7 +63,8 @@
     async def step(self):
         while True:
             for run in self.runs:
-                if run.writer.transport.is_closing():
+                if run.writer.transport.is_closing() or (
+                        run.writer.reader.at_eof()):
                     run.ended = True
                     run.turns.put_nowait(False)
             self.runs = [run for run in self.runs if not run.ended]
@@ -80,6 +82,7 @@
                 if run is reading:
                     run.left -= piece
                 if run.left <= 0:
+                    run.begun = True
                     run.turns.put_nowait(True)
 
     def load(self):
@@ -95,10 +98,21 @@
                           run.events, 5] for run in taken]}
 
     def is_full(self):
-        return len(self.runs) >= self.slots + QUEUED_MAX
+        return len(self.runs) >= self.slots + self.queue_max
 
-    async def serve(self, fields, writer, own, first, events):
-        """Streams events @first to @events - 1 of one request."""
+    async def empty(self):
+        """Refuses what has not begun, and waits for the end of what has."""
+        for run in self.runs:
+            if not run.begun:
+                run.ended = True
+                run.turns.put_nowait("refused")
+        self.work.set()
+        while any(run.begun and not run.ended for run in self.runs):
+            await asyncio.sleep(STEP_S)
+
+    async def serve(self, fields, writer, own, first, events, goes_on):
+        """Streams events @first to @events - 1 of one request. @goes_on: its run
+        has begun elsewhere."""
         soak, attempt = self.upstream.soak, fields["attempt-id"]
         run = Run(attempt, int(fields["token-count"].split(",")[0]), writer)
         backup = soak.engine_at(fields.get("kv-backup"))
@@ -107,9 +121,18 @@
         self.runs.append(run)
         self.work.set()
         try:
-            if not await run.turns.get():
+            turn = await run.turns.get()
+            if turn == "refused":
+                writer.write(answer(503, b"", "Not-Run: 1\r\nAttempt-Id: "
+                                    f"{attempt}\r\n"))
+            if turn is not True:
                 return
-            writer.write((f"HTTP/1.1 200 X\r\n{own}{self.load()}Content-Type: "
+            if not goes_on:
+                soak.note_run(attempt)
+                soak.starts.note_begin(self.upstream, attempt)
+            writer.write((f"HTTP/1.1 200 X\r\n{own}{self.load()}"
+                          f"Weight-Versions: {self.upstream.version}\r\n"
+                          "Content-Type: "
                           "text/event-stream\r\nTransfer-Encoding: chunked"
                           "\r\n\r\n").encode())
             for event in range(first, events):
