--- a/src/gateway/config/documents.c
+++ b/src/gateway/config/documents.c
@@ -55,6 +55,7 @@
     stored->name = g_strdup(document->name);
     stored->revision = document->revision;
     stored->deleted = document->deleted;
+    stored->changed_after_us = document->changed_after_us;
     stored->body = document->deleted ? NULL : g_strdup(document->body);
     g_hash_table_replace(documents->by_key, key, stored);
     return stored;
--- a/src/gateway/config/documents.h
+++ b/src/gateway/config/documents.h
@@ -22,6 +22,8 @@
  * @revision: revision of the last change or of the deletion
  * @deleted: the object was deleted; @body is NULL
  * @body: JSON text
+ * @changed_after_us: monotonic time after which the change was made: the last
+ *   time at which it is known not to have been; 0: not known
  */
 struct pgw_document {
     char *kind;
@@ -29,6 +31,7 @@
     uint64_t revision;
     bool deleted;
     char *body;
+    uint64_t changed_after_us;
 };
 
 struct pgw_documents;
--- a/src/gateway/peer/gossip.c
+++ b/src/gateway/peer/gossip.c
@@ -84,6 +84,17 @@
     bool closing;
 };
 
+/* Peers do not share a clock, so that ages are sent. */
+static uint32_t
+age_ms(const struct pgw_document *document, uint64_t now_us)
+{
+    return document->changed_after_us == 0
+               ? 0
+               : (uint32_t)MIN((now_us - document->changed_after_us) / 1000 +
+                                   1,
+                               UINT32_MAX);
+}
+
 static void
 encode_document(Pgw__Document *out, const struct pgw_document *document)
 {
@@ -92,6 +103,7 @@
     out->name = document->name;
     out->revision = document->revision;
     out->deleted = document->deleted;
+    out->age_ms = age_ms(document, pgw_now_us());
     if (!document->deleted) {
         out->body.data = (uint8_t *)document->body;
         out->body.len = strlen(document->body);
@@ -281,12 +293,16 @@
 {
     char *body =
         g_strndup((const char *)message->body.data, message->body.len);
+    uint64_t now = pgw_now_us();
     struct pgw_document document = {
         .kind = message->kind,
         .name = message->name,
         .revision = message->revision,
         .deleted = message->deleted,
         .body = body,
+        .changed_after_us = message->age_ms == 0
+                                ? 0
+                                : now - MIN(message->age_ms * 1000ULL, now),
     };
 
     store_document(peer->gossip, &document);
--- a/src/proto/parsleygw.pb-c.c
+++ b/src/proto/parsleygw.pb-c.c
@@ -3696,7 +3696,7 @@
   (ProtobufCMessageInit) pgw__objects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pgw__document__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pgw__document__field_descriptors[6] =
 {
   {
     "kind",
@@ -3758,8 +3758,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pgw__Document, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pgw__document__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
   4,   /* field[4] = body */
   3,   /* field[3] = deleted */
   0,   /* field[0] = kind */
@@ -3769,7 +3782,7 @@
 static const ProtobufCIntRange pgw__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pgw__document__descriptor =
 {
@@ -3779,7 +3792,7 @@
   "Pgw__Document",
   "pgw",
   sizeof(Pgw__Document),
-  5,
+  6,
   pgw__document__field_descriptors,
   pgw__document__field_indices_by_name,
   1,  pgw__document__number_ranges,
--- a/src/proto/parsleygw.pb-c.h
+++ b/src/proto/parsleygw.pb-c.h
@@ -486,10 +486,14 @@
    * JSON, as the platform holds it
    */
   ProtobufCBinaryData body;
+  /*
+   * how old the change is at most, 0: not known
+   */
+  uint32_t age_ms;
 };
 #define PGW__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pgw__document__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
 
 
 struct  Pgw__Documents
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define ENTRIES 3
+/* Older than any delivery takes. */
+#define CHANGE_AGE_US 40000000
 
 /**
  * struct fleet - entries on one loop; the first one is the seed of the others
@@ -112,6 +114,8 @@
 {
     struct fleet fleet = {.expected_count = 1};
     struct pgw_document document = make_document(4, false);
+    const struct pgw_document *copy;
+    uint64_t received_us;
 
     fleet.loop = pgw_loop_new(NULL);
     fleet.timeout.on_due = timeout_due;
@@ -119,13 +123,18 @@
     for (unsigned i = 0; i < ENTRIES; i++) {
         add_entry(&fleet, i);
     }
+    document.changed_after_us = pgw_now_us() - CHANGE_AGE_US;
     pgw_gossip_put(fleet.gossip[1], &document);
     pgw_loop_run(fleet.loop);
+    received_us = pgw_now_us();
     g_assert_false(fleet.timed_out);
-    g_assert_cmpuint(pgw_documents_find(pgw_gossip_documents(fleet.gossip[2]),
-                                        "config", "main")
-                         ->revision,
-                     ==, 4);
+    copy = pgw_documents_find(pgw_gossip_documents(fleet.gossip[2]), "config",
+                              "main");
+    g_assert_cmpuint(copy->revision, ==, 4);
+    /* Peers know the age of a change, not only when they received it. */
+    g_assert_cmpuint(copy->changed_after_us, >, 0);
+    g_assert_cmpuint(copy->changed_after_us, <,
+                     received_us - CHANGE_AGE_US / 2);
     for (unsigned i = 0; i < ENTRIES; i++) {
         pgw_gossip_free(fleet.gossip[i]);
     }
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -12,6 +12,7 @@
  * @emitted: "NAME DELETED;" for each document that was emitted, in order
  * @missed: names of the documents that were emitted as missed changes, in
  * order
+ * @changed_after_us: of the last document that was emitted
  */
 struct fixture {
     struct pgw_loop *loop;
@@ -23,6 +24,7 @@
     pthread_mutex_t lock;
     GString *emitted;
     GString *missed;
+    uint64_t changed_after_us;
 };
 
 static void
@@ -34,6 +36,7 @@
         return;
     }
     pthread_mutex_lock(&self->lock);
+    self->changed_after_us = document->changed_after_us;
     g_string_append_printf(self->emitted, "%s %d;", document->name,
                            (int)document->deleted);
     if (platform_feed_disruption(self->feed)->is_catching_up) {
@@ -57,6 +60,7 @@
     struct platform_feed_options options = {
         .kind = "servers",
         .retain_unlisted_after_restore = retain_after_restore,
+        .watch_ms = 6000,
         .on_document = on_document,
         .context = self,
     };
@@ -448,6 +452,45 @@
     fixture_free(self);
 }
 
+static uint64_t
+last_changed_after_us(struct fixture *self)
+{
+    uint64_t changed_after_us;
+
+    pthread_mutex_lock(&self->lock);
+    changed_after_us = self->changed_after_us;
+    pthread_mutex_unlock(&self->lock);
+    return changed_after_us;
+}
+
+/* Guards against a change that counts as new at its late receipt: the first
+ * watch is cut off and the second one is answered late. */
+static void
+test_change_is_as_old_as_last_whole_response(void)
+{
+    struct fixture *self = fixture_new();
+    int fd = accept(self->listener, NULL, NULL);
+    uint64_t listed_us;
+    uint64_t answered_us;
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":7}");
+    listed_us = pgw_now_us();
+    g_usleep(30000);
+    serve(fd, "watch=7&", 200, "{\"events\":[],\"current_rev\":7}");
+    g_usleep(60000);
+    answered_us = pgw_now_us();
+    serve(fd, "watch=7&", 200,
+          "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
+              "a", "8") "}],\"current_rev\":8}");
+    serve(fd, "watch=8&", 200, "{\"events\":[],\"current_rev\":8}");
+    g_assert_cmpuint(last_changed_after_us(self), >, 0);
+    g_assert_cmpuint(last_changed_after_us(self), <=, listed_us + 30000);
+    g_assert_cmpuint(last_changed_after_us(self), <, answered_us - 60000);
+    close(fd);
+    fixture_free(self);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -472,5 +515,7 @@
                     test_watches_are_short_until_store_recovers);
     g_test_add_func("/platform_feed/changes_after_a_failure_are_missed_ones",
                     test_changes_after_a_failure_are_missed_ones);
+    g_test_add_func("/platform_feed/change_is_as_old_as_last_whole_response",
+                    test_change_is_as_old_as_last_whole_response);
     return g_test_run();
 }
