--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -268,6 +268,15 @@
              text_of(attempt, "upstream"), text_of(attempt, "status"));
 }
 
+static void
+blame_old_weights(struct inquiry *inquiry, const struct pgw_log_line *attempt)
+{
+    conclude(inquiry, PGW_CAUSE_WEIGHTS,
+             "it had waited for %s ms at upstream %s and not begun when the "
+             "weights there became too old",
+             text_of(attempt, "ms"), text_of(attempt, "upstream"));
+}
+
 /* How an attempt ended, by its line's outcome. */
 static const struct {
     const char *outcome;
@@ -287,6 +296,7 @@
     {"answer_too_large", blame_damage},
     {"silent", blame_silence},
     {"error", blame_error},
+    {"weights_expired", blame_old_weights},
     {"unconfirmed_refusal", blame_error},
 };
 
--- a/src/gateway/placement/choose.c
+++ b/src/gateway/placement/choose.c
@@ -398,6 +398,28 @@
            MAX(delay_ms, 0) * input->prefill_tokens_per_ms;
 }
 
+/*
+ * Failure: an engine with older weights has a long queue. Symptom: a request
+ * is sent in time, and begins when the weights may no longer be used.
+ */
+static bool
+begins_in_time(const struct pgw_upstream *upstream, uint32_t pending_tokens,
+               const struct pgw_choose_input *input,
+               const struct pgw_choose_options *options)
+{
+    uint64_t usable_us =
+        input->target_weights == NULL
+            ? UINT64_MAX
+            : pgw_target_weights_usable_for_us(
+                  input->target_weights,
+                  pgw_upstream_version(upstream, input->model),
+                  input->old_weights_usable_us, input->now_us);
+
+    return usable_us == UINT64_MAX ||
+           usable_us >
+               pgw_engine_start_us(upstream, pending_tokens, input, options);
+}
+
 static double
 engine_cost(const struct pgw_upstream *upstream, size_t position,
             const struct pgw_choose_input *input,
@@ -420,7 +442,8 @@
                        input, options))) {
         return DBL_MAX;
     }
-    if (version < input->min_version) {
+    if (!begins_in_time(upstream, pending_tokens_at(position, input, set),
+                        input, options)) {
         return DBL_MAX;
     }
     cost = start_cost(upstream, position, input, options, set);
--- a/src/gateway/placement/choose.h
+++ b/src/gateway/placement/choose.h
@@ -4,6 +4,7 @@
 #include "gateway/config/policy.h"
 #include "gateway/pace/forecast.h"
 #include "gateway/placement/candidates.h"
+#include "gateway/upstream/target_weights.h"
 #include "gateway/upstream/upstream_table.h"
 
 /**
@@ -189,7 +190,9 @@
  * @homes: homes of the prompt whose sidecars were probed; NULL: none
  * @model: model of the request; NULL for a plain call
  * @version: engines with older weights cost more, 0: no such cost
- * @min_version: engines with older weights are not used
+ * @target_weights: announced versions of the model, NULL: none
+ * @old_weights_usable_us: a prompt that begins later than this after the
+ *   announcement of a newer version is not sent to an engine
  * @newest_version: engines with older weights are going to load this version
  * @software: only upstreams of this software version, interned; NULL: of any
  * @size: bytes of the request
@@ -212,7 +215,8 @@
     const struct pgw_homes *homes;
     const char *model;
     uint64_t version;
-    uint64_t min_version;
+    const struct pgw_target_weights *target_weights;
+    uint64_t old_weights_usable_us;
     uint64_t newest_version;
     const char *software;
     size_t size;
--- a/src/gateway/placement/engine_wait.c
+++ b/src/gateway/placement/engine_wait.c
@@ -5,6 +5,12 @@
 /* Part of the objective that short prompts may wait in an engine's queue. */
 #define START_DELAY_SHARE 0.6
 
+/* Least time for each token of a prompt until it begins, on an engine that is
+ * busy because all others load weights. */
+#define START_TOKEN_US 100ULL
+/* A start is taken to be this many times later than observed queues show. */
+#define START_MARGIN 1.5
+
 /* Estimated tokens that an engine has to prefill for other entries: those
  * announced if any were, else from the number of long prompts. */
 static double
@@ -130,6 +136,29 @@
     return slowness > 1 / EQUAL_RATES && slowness < EQUAL_RATES ? 1 : slowness;
 }
 
+uint64_t
+pgw_engine_start_us(const struct pgw_upstream *upstream,
+                    uint32_t pending_tokens,
+                    const struct pgw_choose_input *input,
+                    const struct pgw_choose_options *options)
+{
+    double rate = pgw_engine_rate(upstream, input);
+    double load = pgw_upstream_load_estimate(upstream, input->now_us);
+    double queued = MAX(load + 1 - upstream->slots, 0);
+    double wait_ms = queued * input->run_ms / MAX(upstream->slots, 1);
+    uint64_t observed_us =
+        pgw_start_delay_estimate_us(&upstream->start_delay, input->now_us);
+
+    if (rate > 0) {
+        wait_ms += (pgw_engine_backlog_tokens(upstream, input, options) +
+                    pending_tokens) /
+                   rate;
+    }
+    return MAX(
+        input->prompt->tokens * START_TOKEN_US,
+        (uint64_t)(START_MARGIN * MAX(wait_ms * 1000, (double)observed_us)));
+}
+
 uint32_t
 pgw_engine_backlog_limit(const struct pgw_upstream *upstream,
                          uint32_t pending_tokens,
--- a/src/gateway/placement/engine_wait.h
+++ b/src/gateway/placement/engine_wait.h
@@ -29,6 +29,23 @@
                                  const struct pgw_choose_input *input,
                                  const struct pgw_choose_options *options);
 
+/**
+ * pgw_engine_start_us() - time until a prompt that is sent now begins to run
+ * @upstream: the engine
+ * @pending_tokens: tokens of the prompt that it has to prefill
+ * @input: the request
+ * @options: weights of the choice
+ *
+ * The estimate is rather too long: what other entries have sent since the
+ * engine's last report is not known.
+ *
+ * Return: microseconds.
+ */
+uint64_t pgw_engine_start_us(const struct pgw_upstream *upstream,
+                             uint32_t pending_tokens,
+                             const struct pgw_choose_input *input,
+                             const struct pgw_choose_options *options);
+
 /**
  * pgw_engine_wait_us() - how long a prompt stays queued before it is sent
  * @upstream: the engine
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -21,10 +21,6 @@
 /* A process without a configuration gets one within a second. */
 #define NO_CONFIG_RETRY_MS 400
 
-/* Time for each token of a prompt until the prompt starts to run on an engine
- * that is busy because all others load weights. An engine whose weights will
- * be too old by then is not used. */
-#define OLD_WEIGHTS_TOKEN_US 100ULL
 /* Part of its time for which a long prompt waits for an engine's backlog. Less
  * than BACKLOG_QUEUE_SHARE, so that it is sent rather than refused. */
 #define BACKLOG_WAIT_SHARE 0.5
@@ -433,10 +429,8 @@
                 ? gateway->options.weights_grace_us
                 : 0,
             input.now_us);
-        input.min_version = pgw_target_weights_oldest_usable(
-            target, gateway->options.old_weights_usable_us,
-            input.now_us +
-                exchange->facts.prompt.tokens * OLD_WEIGHTS_TOKEN_US);
+        input.target_weights = target;
+        input.old_weights_usable_us = gateway->options.old_weights_usable_us;
     }
     pgw_choose(out, &input, &gateway->options.choose);
 }
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -42,6 +42,7 @@
  * @start_timer: ends the pause before callers are accepted without a
  *   configuration
  * @unresponsive_timer: checks upstreams for liveness
+ * @old_weights_timer: withdraws requests when the time of their weights ends
  * @liveness_checked_us: when it last did, 0: never
  * @resumed_us: when the entry last found that it had been stopped itself, 0:
  *   never
@@ -91,6 +92,7 @@
     struct pgw_timer dispatch_timer;
     struct pgw_timer start_timer;
     struct pgw_timer unresponsive_timer;
+    struct pgw_timer old_weights_timer;
     uint64_t liveness_checked_us;
     uint64_t resumed_us;
     GHashTable *target_weights;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway/quota/upstream_limits.h"
 #include "gateway/request/exchange.h"
+#include "gateway/request/old_weights.h"
 #include "gateway/upstream/unresponsive.h"
 #include "util/log.h"
 
@@ -155,6 +156,7 @@
     pgw_timer_stop(gateway->loop, &gateway->dispatch_timer);
     pgw_timer_stop(gateway->loop, &gateway->start_timer);
     pgw_unresponsive_stop(gateway);
+    pgw_old_weights_stop(gateway);
     pgw_answered_runs_free(gateway->answered_runs);
     pgw_caller_server_free(gateway->server);
     pgw_call_pool_free(gateway->pool);
@@ -295,6 +297,7 @@
                      "model=%s version=%" G_GUINT64_FORMAT
                      " age_ms=%" G_GUINT64_FORMAT,
                      model, version, age_us / 1000);
+        pgw_old_weights_schedule(gateway);
     }
 }
 
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -43,8 +43,10 @@
  * @lanes: when pools are divided between long and short prompts
  * @quota: what may be spent beyond the quotas of workspaces
  * @crash_quarantine: thresholds for requests that crash upstreams
- * @old_weights_usable_us: how long older weights may be used after a newer
- *   target version was announced
+ * @old_weights_usable_us: how long after a newer target version was announced
+ *   requests for older weights may be sent, if they begin by then
+ * @old_weights_end_us: how long after such an announcement requests for older
+ *   weights that have not begun stay at their engines, 0: for ever
  * @weights_grace_us: how long answers with the previous weights count in full
  *   after a newer target version was announced
  * @queue_time_share: part of the time until its deadline that a request may be
@@ -80,6 +82,7 @@
     struct pgw_quota_bounds quota;
     struct pgw_crash_quarantine_options crash_quarantine;
     uint64_t old_weights_usable_us;
+    uint64_t old_weights_end_us;
     uint64_t weights_grace_us;
     double queue_time_share;
     size_t pending_bound;
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -358,7 +358,7 @@
         bound_answers(exchange->gateway);
         return;
     }
-    if (exchange->prefill_tokens > 0 || exchange->first_event_us == 0) {
+    if (exchange->began_us == 0) {
         handle_first_event(exchange);
     }
     pgw_stream_pace_add_event(exchange, pgw_now_us());
--- a/src/gateway/sidecar/rollout_window.c
+++ b/src/gateway/sidecar/rollout_window.c
@@ -5,7 +5,7 @@
 /* Engines that were never selected start loading between these multiples of
  * the time for which their weights are usable. */
 #define UNSELECTED_START_FIRST 1.0
-#define UNSELECTED_START_LAST 1.15
+#define UNSELECTED_START_LAST 1.05
 /* Share of the time for which old weights are usable that undisturbed loads
  * may take. */
 #define UNDISTURBED_SHARE 0.5
--- a/src/gateway/upstream/target_weights.c
+++ b/src/gateway/upstream/target_weights.c
@@ -40,6 +40,22 @@
     return oldest_usable;
 }
 
+uint64_t
+pgw_target_weights_next_end_us(const struct pgw_target_weights *weights,
+                               uint64_t limit_us, uint64_t now_us)
+{
+    uint64_t next_us = 0;
+
+    for (size_t i = 0; i < weights->count; i++) {
+        uint64_t end_us = weights->versions[i].announced_at_us + limit_us;
+
+        if (end_us > now_us && (next_us == 0 || end_us < next_us)) {
+            next_us = end_us;
+        }
+    }
+    return next_us;
+}
+
 const struct pgw_target_version *
 pgw_target_weights_next(const struct pgw_target_weights *weights,
                         uint64_t version)
--- a/src/gateway/upstream/target_weights.h
+++ b/src/gateway/upstream/target_weights.h
@@ -71,6 +71,12 @@
 pgw_target_weights_oldest_usable(const struct pgw_target_weights *weights,
                                  uint64_t limit_us, uint64_t now_us);
 
+/** pgw_target_weights_next_end_us() - when older weights stop being usable
+ * next, after @now_us; 0: they do not */
+uint64_t
+pgw_target_weights_next_end_us(const struct pgw_target_weights *weights,
+                               uint64_t limit_us, uint64_t now_us);
+
 /**
  * pgw_target_weights_usable_for_us() - how long an engine may still be used
  * @weights: versions of its model
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -248,18 +248,56 @@
 {
     struct pool pool;
     struct pgw_upstream *old;
+    struct pgw_target_weights target = {0};
 
     pool_init(&pool);
     old = add(&pool, "old", "a", 1);
     set_prompt(&pool, 100);
     pool.input.version = 2;
-    pool.input.min_version = 1;
+    pool.input.target_weights = &target;
+    pool.input.old_weights_usable_us = 6000000;
+    pgw_target_weights_add(&target, 1, NOW - 10000000);
     g_assert_true(choose(&pool).upstream == old);
-    pool.input.min_version = 2;
+    pgw_target_weights_add(&target, 2, NOW - 5900000);
+    g_assert_true(choose(&pool).upstream == old);
+    target.versions[1].announced_at_us = NOW - 6000000;
     g_assert_null(choose(&pool).upstream);
     pgw_upstream_table_free(pool.table);
 }
 
+/* Guards against a request that is sent in time to an engine with old weights
+ * and begins there too late, behind others. */
+static void
+test_old_weights_need_time_for_the_queue(void)
+{
+    struct pool pool;
+    struct pgw_upstream *old;
+    struct pgw_target_weights target = {0};
+    struct pgw_start_wait wait = {0};
+
+    pool_init(&pool);
+    old = add(&pool, "old", "a", 1);
+    set_prompt(&pool, 100);
+    pool.input.target_weights = &target;
+    pool.input.old_weights_usable_us = 6000000;
+    pgw_target_weights_add(&target, 2, NOW - 5000000);
+    g_assert_true(choose(&pool).upstream == old);
+    /* Its backlog takes longer than the weights may be used. */
+    old->prefill_tokens = 60 * 1200;
+    g_assert_null(choose(&pool).upstream);
+    old->prefill_tokens = 0;
+    /* A request has waited there for 0.8 s and has not begun. */
+    pgw_start_delay_begin(&old->start_delay, &wait, NOW - 800000);
+    g_assert_null(choose(&pool).upstream);
+    pgw_start_delay_end(&old->start_delay, &wait, false, NOW);
+    g_assert_true(choose(&pool).upstream == old);
+    /* Without a newer version nothing of this counts. */
+    old->prefill_tokens = 60 * 1200;
+    pool.input.target_weights = NULL;
+    g_assert_true(choose(&pool).upstream == old);
+    pgw_upstream_table_free(pool.table);
+}
+
 /* Slots are free but the KV cache is nearly full: a prompt of 17,000 tokens
  * must wait, a short one need not. */
 static void
@@ -1008,6 +1046,8 @@
                     test_prompt_follows_its_cached_part);
     g_test_add_func("/choose/weights_of_cached_parts",
                     test_cached_parts_depend_on_weights);
+    g_test_add_func("/choose/old_weights_queue",
+                    test_old_weights_need_time_for_the_queue);
     g_test_add_func("/choose/min_version",
                     test_weights_below_minimum_are_not_used);
     g_test_add_func("/choose/kv_cache_limit",
--- a/tests/unit/test_target_weights.c
+++ b/tests/unit/test_target_weights.c
@@ -52,10 +52,33 @@
         43);
 }
 
+/* Each version that is not the first ends the time of older ones. */
+static void
+test_ends_come_in_order(void)
+{
+    struct pgw_target_weights weights = {0};
+
+    g_assert_cmpuint(pgw_target_weights_next_end_us(&weights, LIMIT_US, 1), ==,
+                     0);
+    pgw_target_weights_add(&weights, 2, 1000);
+    pgw_target_weights_add(&weights, 3, 5000);
+    g_assert_cmpuint(pgw_target_weights_next_end_us(&weights, LIMIT_US, 1), ==,
+                     1000 + LIMIT_US);
+    g_assert_cmpuint(
+        pgw_target_weights_next_end_us(&weights, LIMIT_US, 1000 + LIMIT_US),
+        ==, 5000 + LIMIT_US);
+    g_assert_cmpuint(
+        pgw_target_weights_next_end_us(&weights, LIMIT_US, 5000 + LIMIT_US),
+        ==, 0);
+    g_assert_cmpuint(pgw_target_weights_next(&weights, 2)->version, ==, 3);
+    g_assert_null(pgw_target_weights_next(&weights, 3));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/target_weights/ends_in_order", test_ends_come_in_order);
     g_test_add_func("/target_weights/own_deadline",
                     test_each_version_has_own_deadline);
     g_test_add_func("/target_weights/many", test_many_versions);
