--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -422,7 +422,7 @@
     }
     if (target != NULL) {
         input.newest_version = pgw_target_weights_newest(target);
-        input.version = pgw_target_weights_oldest_usable(
+        input.version = pgw_target_weights_oldest_preferred(
             target,
             pgw_policy_is_on(&gateway->options.policy,
                              PGW_MECHANISM_WEIGHTS_GRACE)
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -282,7 +282,8 @@
 
 void
 pgw_gateway_set_target_weights(struct pgw_gateway *gateway, const char *model,
-                               uint64_t version, uint64_t age_us)
+                               uint64_t version, uint64_t age_us,
+                               uint64_t received_ago_us)
 {
     struct pgw_target_weights *target =
         g_hash_table_lookup(gateway->target_weights, model);
@@ -292,7 +293,8 @@
         target = g_new0(struct pgw_target_weights, 1);
         g_hash_table_insert(gateway->target_weights, g_strdup(model), target);
     }
-    if (pgw_target_weights_add(target, version, now - MIN(age_us, now))) {
+    if (pgw_target_weights_add(target, version, now - MIN(age_us, now),
+                               now - MIN(received_ago_us, now))) {
         pgw_log_info("weights_named",
                      "model=%s version=%" G_GUINT64_FORMAT
                      " age_ms=%" G_GUINT64_FORMAT,
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -147,11 +147,12 @@
  * @gateway: the gateway
  * @model: name of the model
  * @version: the target version; ignored if it is not newer than the last one
- * @age_us: time since it was announced, as far as is known
+ * @age_us: longest time for which it may have been announced
+ * @received_ago_us: how long ago entries have received it
  */
 void pgw_gateway_set_target_weights(struct pgw_gateway *gateway,
                                     const char *model, uint64_t version,
-                                    uint64_t age_us);
+                                    uint64_t age_us, uint64_t received_ago_us);
 
 /**
  * struct pgw_shared_part - a shared part of a prompt that is sent to an engine
--- a/src/gateway/upstream/target_weights.c
+++ b/src/gateway/upstream/target_weights.c
@@ -10,7 +10,7 @@
 
 bool
 pgw_target_weights_add(struct pgw_target_weights *weights, uint64_t version,
-                       uint64_t announced_at_us)
+                       uint64_t announced_at_us, uint64_t received_at_us)
 {
     if (version <= pgw_target_weights_newest(weights)) {
         return false;
@@ -22,7 +22,10 @@
         weights->count--;
     }
     weights->versions[weights->count++] = (struct pgw_target_version){
-        .version = version, .announced_at_us = announced_at_us};
+        .version = version,
+        .announced_at_us = announced_at_us,
+        .received_at_us = received_at_us,
+    };
     return true;
 }
 
@@ -40,6 +43,20 @@
     return oldest_usable;
 }
 
+uint64_t
+pgw_target_weights_oldest_preferred(const struct pgw_target_weights *weights,
+                                    uint64_t grace_us, uint64_t now_us)
+{
+    uint64_t oldest = 0;
+
+    for (size_t i = 0; i < weights->count; i++) {
+        if (now_us >= weights->versions[i].received_at_us + grace_us) {
+            oldest = weights->versions[i].version;
+        }
+    }
+    return oldest;
+}
+
 uint64_t
 pgw_target_weights_next_end_us(const struct pgw_target_weights *weights,
                                uint64_t limit_us, uint64_t now_us)
--- a/src/gateway/upstream/target_weights.h
+++ b/src/gateway/upstream/target_weights.h
@@ -20,11 +20,13 @@
 /**
  * struct pgw_target_version - one announced version
  * @version: its number
- * @announced_at_us: when it was announced, in monotonic time
+ * @announced_at_us: when it was announced at the earliest, in monotonic time
+ * @received_at_us: when this process received it
  */
 struct pgw_target_version {
     uint64_t version;
     uint64_t announced_at_us;
+    uint64_t received_at_us;
 };
 
 /**
@@ -41,12 +43,14 @@
  * pgw_target_weights_add() - add an announced version
  * @weights: versions of its model
  * @version: its number
- * @announced_at_us: when it was announced, in monotonic time
+ * @announced_at_us: when it was announced at the earliest, in monotonic time
+ * @received_at_us: when this process received it
  *
  * Return: true if it is newer than all others; false: it was ignored.
  */
 bool pgw_target_weights_add(struct pgw_target_weights *weights,
-                            uint64_t version, uint64_t announced_at_us);
+                            uint64_t version, uint64_t announced_at_us,
+                            uint64_t received_at_us);
 
 /** pgw_target_weights_next() - the first announced version that is newer than
  * @version, NULL: none */
@@ -71,6 +75,21 @@
 pgw_target_weights_oldest_usable(const struct pgw_target_weights *weights,
                                  uint64_t limit_us, uint64_t now_us);
 
+/**
+ * pgw_target_weights_oldest_preferred() - the oldest version that is not worth
+ * less than newer ones
+ * @weights: versions of the model
+ * @grace_us: how long older versions are worth as much after the receipt of a
+ *   version. All processes receive it at about the same time, but know with
+ *   different precision how long ago it was announced
+ * @now_us: monotonic time
+ *
+ * Return: the version; 0: all versions are worth the same.
+ */
+uint64_t
+pgw_target_weights_oldest_preferred(const struct pgw_target_weights *weights,
+                                    uint64_t grace_us, uint64_t now_us);
+
 /** pgw_target_weights_next_end_us() - when older weights stop being usable
  * next, after @now_us; 0: they do not */
 uint64_t
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -256,9 +256,9 @@
     pool.input.version = 2;
     pool.input.target_weights = &target;
     pool.input.old_weights_usable_us = 6000000;
-    pgw_target_weights_add(&target, 1, NOW - 10000000);
+    pgw_target_weights_add(&target, 1, NOW - 10000000, NOW - 10000000);
     g_assert_true(choose(&pool).upstream == old);
-    pgw_target_weights_add(&target, 2, NOW - 5900000);
+    pgw_target_weights_add(&target, 2, NOW - 5900000, NOW - 5900000);
     g_assert_true(choose(&pool).upstream == old);
     target.versions[1].announced_at_us = NOW - 6000000;
     g_assert_null(choose(&pool).upstream);
@@ -280,7 +280,7 @@
     set_prompt(&pool, 100);
     pool.input.target_weights = &target;
     pool.input.old_weights_usable_us = 6000000;
-    pgw_target_weights_add(&target, 2, NOW - 5000000);
+    pgw_target_weights_add(&target, 2, NOW - 5000000, NOW - 5000000);
     g_assert_true(choose(&pool).upstream == old);
     /* Its backlog takes longer than the weights may be used. */
     old->prefill_tokens = 60 * 1200;
--- a/tests/unit/test_old_weights.c
+++ b/tests/unit/test_old_weights.c
@@ -35,7 +35,7 @@
     pgw_upstream_set_version(
         pgw_upstream_table_find(pgw_gateway_upstreams(scene->gateway), id),
         "m", 2);
-    pgw_gateway_set_target_weights(scene->gateway, "m", 2, END_US - 20000);
+    pgw_gateway_set_target_weights(scene->gateway, "m", 2, END_US - 20000, 0);
 }
 
 static struct scene *
--- a/tests/unit/test_sidecarless.c
+++ b/tests/unit/test_sidecarless.c
@@ -274,7 +274,7 @@
     fixture->links =
         pgw_sidecar_links_new(fixture->loop, fixture->gateway, port);
     put_engine(&engine, 1);
-    pgw_gateway_set_target_weights(fixture->gateway, "m", 2, 0);
+    pgw_gateway_set_target_weights(fixture->gateway, "m", 2, 0, 0);
     pgw_sidecar_links_refresh(fixture->links);
     options.lease.poll_us = 1;
     fixture->sidecarless = pgw_sidecarless_new(fixture->loop, fixture->gateway,
--- a/tests/unit/test_target_weights.c
+++ b/tests/unit/test_target_weights.c
@@ -15,9 +15,9 @@
 
     g_assert_cmpuint(
         pgw_target_weights_oldest_usable(&weights, LIMIT_US, LIMIT_US), ==, 0);
-    g_assert_true(pgw_target_weights_add(&weights, 2, 1000));
-    g_assert_true(pgw_target_weights_add(&weights, 3, 5000000));
-    g_assert_false(pgw_target_weights_add(&weights, 2, 6000000));
+    g_assert_true(pgw_target_weights_add(&weights, 2, 1000, 1000));
+    g_assert_true(pgw_target_weights_add(&weights, 3, 5000000, 5000000));
+    g_assert_false(pgw_target_weights_add(&weights, 2, 6000000, 6000000));
     g_assert_cmpuint(pgw_target_weights_newest(&weights), ==, 3);
     g_assert_cmpuint(pgw_target_weights_oldest_usable(&weights, LIMIT_US,
                                                       1000 + LIMIT_US - 1),
@@ -41,7 +41,8 @@
         uint64_t before =
             pgw_target_weights_oldest_usable(&weights, LIMIT_US, i * 1000000);
 
-        g_assert_true(pgw_target_weights_add(&weights, i, i * 1000000));
+        g_assert_true(
+            pgw_target_weights_add(&weights, i, i * 1000000, i * 1000000));
         g_assert_cmpuint(
             pgw_target_weights_oldest_usable(&weights, LIMIT_US, i * 1000000),
             >=, before);
@@ -52,6 +53,22 @@
         43);
 }
 
+/* Guards against entries that prefer new weights at different times, as they
+ * know with different precision when these were announced. */
+static void
+test_preference_counts_from_receipt(void)
+{
+    struct pgw_target_weights weights = {0};
+
+    pgw_target_weights_add(&weights, 2, 1000, 5000);
+    g_assert_cmpuint(pgw_target_weights_oldest_preferred(&weights, 100, 5099),
+                     ==, 0);
+    g_assert_cmpuint(pgw_target_weights_oldest_preferred(&weights, 100, 5100),
+                     ==, 2);
+    g_assert_cmpuint(pgw_target_weights_oldest_usable(&weights, 100, 1100), ==,
+                     2);
+}
+
 /* Each version that is not the first ends the time of older ones. */
 static void
 test_ends_come_in_order(void)
@@ -60,8 +77,8 @@
 
     g_assert_cmpuint(pgw_target_weights_next_end_us(&weights, LIMIT_US, 1), ==,
                      0);
-    pgw_target_weights_add(&weights, 2, 1000);
-    pgw_target_weights_add(&weights, 3, 5000);
+    pgw_target_weights_add(&weights, 2, 1000, 1000);
+    pgw_target_weights_add(&weights, 3, 5000, 5000);
     g_assert_cmpuint(pgw_target_weights_next_end_us(&weights, LIMIT_US, 1), ==,
                      1000 + LIMIT_US);
     g_assert_cmpuint(
@@ -78,6 +95,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/target_weights/preferred",
+                    test_preference_counts_from_receipt);
     g_test_add_func("/target_weights/ends_in_order", test_ends_come_in_order);
     g_test_add_func("/target_weights/own_deadline",
                     test_each_version_has_own_deadline);
