--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 import refused_sidecars
 import repeated_answers
 import rejoined
+import silent_watches
 import stepping
 import stopped_entries
 import uneven_engines
@@ -394,9 +395,10 @@
         self.tell_late_s, self.watching, self.silent = 0.0, {}, set()
         self.server = Server(self.handle)
 
-    def silence_watches(self, kind):
-        """Nothing more comes on connections with such a watch."""
-        self.silent |= {w for w, k in self.watching.items() if k == kind}
+    def silence_watches(self, kind=None):
+        """Nothing more comes on connections with a watch, of one kind or any."""
+        self.silent |= {w for w, k in self.watching.items()
+                        if kind in (None, k)}
 
     @staticmethod
     def refusal(method, known, revision):
@@ -1609,6 +1611,7 @@
         **{name: repeated_act(options)
            for name, options in repeated_answers.ACTS.items()},
         **odd_objects.ACTS, **stopped_entries.ACTS, **late_starts.ACTS,
+        **silent_watches.ACTS,
         **{name: rejoined_act(act) for name, act in out_of_step.ACTS.items()},
         **{name: rejoined_act(act) for name, act in rejoined.ACTS.items()}}
 
--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -491,6 +491,48 @@
     fixture_free(self);
 }
 
+/* @task: posted to the fixture's loop */
+struct renewal {
+    struct pgw_task task;
+    struct fixture *fixture;
+};
+
+static void
+renew(struct pgw_task *task)
+{
+    struct renewal *renewal = pgw_container_of(task, struct renewal, task);
+
+    platform_feed_renew(renewal->fixture->feed);
+}
+
+/* Guards against a watch that waits on a dead connection although another one
+ * has shown that connections are dead. */
+static void
+test_renewed_watch_uses_new_connection(void)
+{
+    struct fixture *self = fixture_new();
+    struct renewal renewal = {.task.run = renew, .fixture = self};
+    int silent = accept(self->listener, NULL, NULL);
+    int fd;
+    char *head;
+
+    serve(silent, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":7}");
+    head = scene_read_until(silent, "\r\n\r\n");
+    g_assert_nonnull(strstr(head, "watch=7&"));
+    pgw_loop_post(self->loop, &renewal.task);
+    fd = accept(self->listener, NULL, NULL);
+    serve(fd, "watch=7&", 200,
+          "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
+              "a", "8") "}],\"current_rev\":8}");
+    serve(fd, "watch=8&", 200, "{\"events\":[],\"current_rev\":8}");
+    expect_documents(self, "a 0;");
+    g_free(head);
+    close(fd);
+    close(silent);
+    fixture_free(self);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -517,5 +559,7 @@
                     test_changes_after_a_failure_are_missed_ones);
     g_test_add_func("/platform_feed/change_is_as_old_as_last_whole_response",
                     test_change_is_as_old_as_last_whole_response);
+    g_test_add_func("/platform_feed/renewed_watch_uses_new_connection",
+                    test_renewed_watch_uses_new_connection);
     return g_test_run();
 }
