--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -438,4 +438,10 @@
 pgw_crash_quarantine_list(const struct pgw_crash_quarantine *quarantine,
                           uint64_t now_us);
 
+/** pgw_crash_quarantine_list_suspects() - the same of the keys that so many
+ * crashes speak against that they are only run as trials; free the array with
+ * g_array_unref() */
+GArray *pgw_crash_quarantine_list_suspects(
+    const struct pgw_crash_quarantine *quarantine, uint64_t now_us);
+
 #endif
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -189,9 +189,10 @@
                : crash->confirmed || crash->reach == PGW_CRASH_REACH_ALL;
 }
 
-GArray *
-pgw_crash_quarantine_list(const struct pgw_crash_quarantine *quarantine,
-                          uint64_t now_us)
+/* @confirmed_min: records with fewer confirmed crashes are left out */
+static GArray *
+list_crashes(const struct pgw_crash_quarantine *quarantine,
+             uint32_t confirmed_min, uint64_t now_us)
 {
     uint64_t expired_us =
         pgw_crash_table_expired_us(quarantine->table, now_us);
@@ -204,6 +205,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct pgw_crash_record *record = value;
 
+        if (pgw_crash_record_confirmed(record) < confirmed_min) {
+            continue;
+        }
         for (uint32_t i = 0; i < record->count; i++) {
             struct pgw_crashed_run item = pgw_crash_quarantine__make_report(
                 quarantine, record, &record->crashes[i], now_us);
@@ -216,3 +220,17 @@
     }
     return crashed;
 }
+
+GArray *
+pgw_crash_quarantine_list(const struct pgw_crash_quarantine *quarantine,
+                          uint64_t now_us)
+{
+    return list_crashes(quarantine, 0, now_us);
+}
+
+GArray *
+pgw_crash_quarantine_list_suspects(
+    const struct pgw_crash_quarantine *quarantine, uint64_t now_us)
+{
+    return list_crashes(quarantine, quarantine->options.crashes, now_us);
+}
--- a/src/gateway/crash/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -53,9 +53,11 @@
     out->has_completed = run->has_completed;
 }
 
+/* Passes a message with the runs, which is valid during the call. */
 static void
-send_frame(struct pgw_link *link, const struct pgw_crashed_run *crashed,
-           size_t count)
+with_message(const struct pgw_crashed_run *crashed, size_t count,
+             void (*use)(const Pgw__CrashedRuns *message, void *context),
+             void *context)
 {
     Pgw__CrashedRuns message = PGW__CRASHED_RUNS__INIT;
     Pgw__CrashedRun *runs = g_new(Pgw__CrashedRun, count);
@@ -77,7 +79,7 @@
             message.suspects[message.n_suspects++] = &suspects[i];
         }
     }
-    pgw_link_send(link, PGW_FRAME_CRASHED_RUNS, &message.base);
+    use(&message, context);
     g_free(message.suspects);
     g_free(message.runs);
     g_free(partners);
@@ -85,12 +87,38 @@
     g_free(runs);
 }
 
+static void
+send_message(const Pgw__CrashedRuns *message, void *context)
+{
+    pgw_link_send(context, PGW_FRAME_CRASHED_RUNS, &message->base);
+}
+
+static void
+pack_message(const Pgw__CrashedRuns *message, void *context)
+{
+    GByteArray *out = context;
+
+    g_byte_array_set_size(out,
+                          (guint)pgw__crashed_runs__get_packed_size(message));
+    pgw__crashed_runs__pack(message, out->data);
+}
+
+GByteArray *
+pgw_crashed_runs_pack(const struct pgw_crashed_run *crashed, size_t count)
+{
+    GByteArray *out = g_byte_array_new();
+
+    with_message(crashed, MIN(count, RUNS_PER_FRAME_MAX), pack_message, out);
+    return out;
+}
+
 void
 pgw_crashed_runs_send(struct pgw_link *link,
                       const struct pgw_crashed_run *crashed, size_t count)
 {
     for (size_t i = 0; i < count; i += RUNS_PER_FRAME_MAX) {
-        send_frame(link, crashed + i, MIN(count - i, RUNS_PER_FRAME_MAX));
+        with_message(crashed + i, MIN(count - i, RUNS_PER_FRAME_MAX),
+                     send_message, link);
     }
 }
 
@@ -177,3 +205,42 @@
         }
     }
 }
+
+/* Claims and trials that are over say nothing any more. */
+static bool
+is_over(const Pgw__SuspectRun *run, uint64_t elapsed_us)
+{
+    return run->kind != PGW_CRASHED_RUN_TRIAL_FAILED &&
+           run->left_us <= elapsed_us;
+}
+
+bool
+pgw_crashed_runs_unpack(struct pgw_crash_quarantine *quarantine,
+                        const uint8_t *data, size_t size, uint64_t elapsed_us,
+                        uint64_t now_us)
+{
+    Pgw__CrashedRuns *message = pgw__crashed_runs__unpack(NULL, size, data);
+    size_t kept = 0;
+
+    if (message == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < message->n_runs; i++) {
+        message->runs[i]->age_us += elapsed_us;
+    }
+    for (size_t i = 0; i < message->n_suspects; i++) {
+        Pgw__SuspectRun *run = message->suspects[i];
+
+        if (is_over(run, elapsed_us)) {
+            pgw__suspect_run__free_unpacked(run, NULL);
+            continue;
+        }
+        run->age_us += elapsed_us;
+        run->left_us -= MIN(run->left_us, elapsed_us);
+        message->suspects[kept++] = run;
+    }
+    message->n_suspects = kept;
+    pgw_crashed_runs_receive(quarantine, message, now_us);
+    pgw__crashed_runs__free_unpacked(message, NULL);
+    return true;
+}
--- a/src/gateway/crash/crashed_runs.h
+++ b/src/gateway/crash/crashed_runs.h
@@ -22,4 +22,23 @@
                               const Pgw__CrashedRuns *message,
                               uint64_t now_us);
 
+/** pgw_crashed_runs_pack() - encode runs, to be kept outside the process; free
+ * with g_byte_array_unref() */
+GByteArray *pgw_crashed_runs_pack(const struct pgw_crashed_run *crashed,
+                                  size_t count);
+
+/**
+ * pgw_crashed_runs_unpack() - add encoded runs to the quarantine
+ * @quarantine: the quarantine
+ * @data: bytes of pgw_crashed_runs_pack()
+ * @size: number of @data
+ * @elapsed_us: time since they were encoded
+ * @now_us: monotonic time
+ *
+ * Return: false: the bytes are malformed, and nothing was added.
+ */
+bool pgw_crashed_runs_unpack(struct pgw_crash_quarantine *quarantine,
+                             const uint8_t *data, size_t size,
+                             uint64_t elapsed_us, uint64_t now_us);
+
 #endif
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import time
 
 import crashing_parts
+import forgotten_crashes
 import killed_engines
 import late_crashes
 import late_starts
@@ -111,6 +112,8 @@
     def __init__(self, soak):
         self.soak, self.number, self.crashed, self.late = soak, 0, [], 0
         self.forgotten_at, self.down_s = 0.0, None
+        # What entries knew before their restarts counts after them.
+        self.is_remembered = False
 
     def begin(self, down_s=None):
         """@down_s: how long what it crashes is down, None: any time."""
@@ -126,8 +129,9 @@
         now = time.monotonic()
         if body != self.body:
             return
+        forgotten_at = 0.0 if self.is_remembered else self.forgotten_at
         if len(self.crashed) >= 3 and now > max(
-                self.crashed[2], self.forgotten_at) + POISON_KNOWN_S:
+                self.crashed[2], forgotten_at) + POISON_KNOWN_S:
             self.late += 1
         if self.late > POISON_MORE:
             self.soak.fail(f"'{body}' reached {self.late} upstreams after it "
@@ -1583,6 +1587,10 @@
     await one_entry.one_entry(soak, fleet, call)
 
 
+async def all_entries_lose_power(soak, fleet):
+    await forgotten_crashes.forgotten_crashes(soak, fleet, poison)
+
+
 def repeated_act(options):
     async def run_act(soak, fleet):
         await repeated_answers.repeated(soak, fleet, call, *options)
@@ -1604,6 +1612,7 @@
         "killed_engines": killed_engines.killed_engines,
         "refused_sidecars": refused_sidecars.refused_sidecars,
         "one_entry": most_at_one_entry, "crashing_parts": crashing, "shared_part": shared_part,
+        "forgotten_crashes": all_entries_lose_power,
         "answered_parts": answered_parts, "refused_parts": refused_parts,
         "outbreak": outbreak, "crowd": crowd, "power_loss": power_loss,
         "engine_resets": engine_resets, "entry_deaths": entry_deaths, "entry_freezes": entry_freezes,
