--- a/src/gateway/upstream/target_weights.c
+++ b/src/gateway/upstream/target_weights.c
@@ -29,32 +29,40 @@
     return true;
 }
 
-uint64_t
-pgw_target_weights_oldest_usable(const struct pgw_target_weights *weights,
-                                 uint64_t limit_us, uint64_t now_us)
+static uint64_t
+began_us(const struct pgw_target_version *version, bool from_receipt)
+{
+    return from_receipt ? version->received_at_us : version->announced_at_us;
+}
+
+/* The newest version that began @limit_us ago or earlier. */
+static uint64_t
+newest_since(const struct pgw_target_weights *weights, bool from_receipt,
+             uint64_t limit_us, uint64_t now_us)
 {
-    uint64_t oldest_usable = 0;
+    uint64_t newest = 0;
 
     for (size_t i = 0; i < weights->count; i++) {
-        if (now_us >= weights->versions[i].announced_at_us + limit_us) {
-            oldest_usable = weights->versions[i].version;
+        if (now_us >=
+            began_us(&weights->versions[i], from_receipt) + limit_us) {
+            newest = weights->versions[i].version;
         }
     }
-    return oldest_usable;
+    return newest;
+}
+
+uint64_t
+pgw_target_weights_oldest_usable(const struct pgw_target_weights *weights,
+                                 uint64_t limit_us, uint64_t now_us)
+{
+    return newest_since(weights, false, limit_us, now_us);
 }
 
 uint64_t
 pgw_target_weights_oldest_preferred(const struct pgw_target_weights *weights,
                                     uint64_t grace_us, uint64_t now_us)
 {
-    uint64_t oldest = 0;
-
-    for (size_t i = 0; i < weights->count; i++) {
-        if (now_us >= weights->versions[i].received_at_us + grace_us) {
-            oldest = weights->versions[i].version;
-        }
-    }
-    return oldest;
+    return newest_since(weights, true, grace_us, now_us);
 }
 
 uint64_t
--- a/src/libparsleygw/json_slice.c
+++ b/src/libparsleygw/json_slice.c
@@ -123,3 +123,14 @@
     *size = (size_t)(slice->next - at);
     return *size > 0;
 }
+
+bool
+pgw_json__slice_flag(const char *text, size_t size, const char *member)
+{
+    const char *value;
+    size_t value_size;
+
+    return pgw_json__slice_member(&value, &value_size, text, size, member) &&
+           value_size >= strlen("true") &&
+           strncmp(value, "true", strlen("true")) == 0;
+}
--- a/src/libparsleygw/json_slice.h
+++ b/src/libparsleygw/json_slice.h
@@ -31,6 +31,9 @@
 bool pgw_json__slice_member(const char **out, size_t *out_size,
                             const char *text, size_t size, const char *member);
 
+/** pgw_json__slice_flag() - whether a member of a top-level object is true */
+bool pgw_json__slice_flag(const char *text, size_t size, const char *member);
+
 /**
  * pgw_json__slice_init() - find an array member of a top-level object
  * @slice: receives the array; iterate with pgw_json__slice_next()
