--- a/src/gateway/config/documents.c
+++ b/src/gateway/config/documents.c
@@ -61,6 +61,22 @@
     return stored;
 }
 
+const struct pgw_document *
+pgw_documents_refine(struct pgw_documents *documents,
+                     const struct pgw_document *document)
+{
+    char *key = make_key(document->kind, document->name);
+    struct pgw_document *stored = g_hash_table_lookup(documents->by_key, key);
+
+    g_free(key);
+    if (stored == NULL || stored->revision != document->revision ||
+        document->changed_after_us <= stored->changed_after_us) {
+        return NULL;
+    }
+    stored->changed_after_us = document->changed_after_us;
+    return stored;
+}
+
 const struct pgw_document *
 pgw_documents_find(const struct pgw_documents *documents, const char *kind,
                    const char *name)
--- a/src/gateway/config/documents.h
+++ b/src/gateway/config/documents.h
@@ -52,6 +52,18 @@
 pgw_documents_put(struct pgw_documents *documents,
                   const struct pgw_document *document);
 
+/**
+ * pgw_documents_refine() - learn more precisely when a change was made
+ * @documents: the collection
+ * @document: another copy of the stored revision
+ *
+ * Return: the stored document if @document says that its change is younger
+ * than was known, else NULL.
+ */
+const struct pgw_document *
+pgw_documents_refine(struct pgw_documents *documents,
+                     const struct pgw_document *document);
+
 /** pgw_documents_find() - the stored copy or tombstone, NULL if there is none
  */
 const struct pgw_document *
--- a/src/gateway/peer/gossip.c
+++ b/src/gateway/peer/gossip.c
@@ -265,14 +265,27 @@
     }
 }
 
-static void
+static bool
+is_pushed(const struct pgw_gossip *gossip, const struct pgw_document *document)
+{
+    return g_strcmp0(gossip->options.pushed_kind, document->kind) == 0;
+}
+
+/* Returns the stored document if @document is newer, else NULL. */
+static const struct pgw_document *
 store_document(struct pgw_gossip *gossip, const struct pgw_document *document)
 {
     const struct pgw_document *stored =
         pgw_documents_put(gossip->documents, document);
 
     if (stored == NULL) {
-        return;
+        stored = is_pushed(gossip, document)
+                     ? pgw_documents_refine(gossip->documents, document)
+                     : NULL;
+        if (stored != NULL) {
+            gossip->options.on_document(stored, gossip->options.context);
+        }
+        return NULL;
     }
     raise_revision(&gossip->own_revisions, stored->kind, stored->revision);
     if (gossip->advertise_timer.position == 0) {
@@ -280,12 +293,40 @@
                         ADVERTISE_DELAY_US);
     }
     gossip->options.on_document(stored, gossip->options.context);
+    return stored;
+}
+
+static void
+push_document(struct pgw_gossip *gossip, const struct pgw_document *document)
+{
+    GPtrArray *list = g_ptr_array_new();
+
+    g_ptr_array_add(list, (void *)document);
+    pgw_list_foreach (link, &gossip->peers) {
+        struct peer *peer = pgw_container_of(link, struct peer, in_gossip);
+
+        if (pgw_link_is_open(peer->link)) {
+            send_documents(peer->link, list);
+        }
+    }
+    g_ptr_array_unref(list);
+}
+
+bool
+pgw_gossip_is_seed(const struct pgw_gossip *gossip)
+{
+    return gossip->seed_count < gossip->options.seed_count;
 }
 
 void
 pgw_gossip_put(struct pgw_gossip *gossip, const struct pgw_document *document)
 {
-    store_document(gossip, document);
+    const struct pgw_document *stored = store_document(gossip, document);
+
+    if (stored != NULL && pgw_gossip_is_seed(gossip) &&
+        is_pushed(gossip, stored)) {
+        push_document(gossip, stored);
+    }
 }
 
 static void
--- a/src/gateway/peer/gossip.h
+++ b/src/gateway/peer/gossip.h
@@ -35,7 +35,11 @@
  * @zone: availability zone of this process
  * @request_delay_us: how long an entry with older revisions than a peer waits
  *   for the platform's store before it requests documents from the peer
- * @on_document: called with each newer document, from the store or a peer
+ * @pushed_kind: kind of small objects whose age matters, NULL: none. Seeds
+ * send a change of them to all peers as soon as the store tells it, as they
+ * know best how old it is
+ * @on_document: called with each newer document, from the store or a peer, and
+ *   again when a peer knows better how old one of @pushed_kind is
  * @context: passed to @on_document
  * @quarantine: crash quarantine whose crashes all entries share; NULL: none
  * @shares: shared services whose promises all entries share; NULL: none
@@ -47,6 +51,7 @@
     const char *instance;
     const char *zone;
     uint64_t request_delay_us;
+    const char *pushed_kind;
     void (*on_document)(const struct pgw_document *document, void *context);
     void *context;
     struct pgw_crash_quarantine *quarantine;
@@ -60,6 +65,10 @@
                                   GError **error);
 void pgw_gossip_free(struct pgw_gossip *gossip);
 
+/** pgw_gossip_is_seed() - whether other entries connect to this one, as its
+ * address is among the seeds */
+bool pgw_gossip_is_seed(const struct pgw_gossip *gossip);
+
 /** pgw_gossip_put() - add a document from the platform's store */
 void pgw_gossip_put(struct pgw_gossip *gossip,
                     const struct pgw_document *document);
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -423,6 +423,12 @@
     pgw_quota_set_entries(gateway->quota, entries);
 }
 
+uint32_t
+pgw_gateway_entries(const struct pgw_gateway *gateway)
+{
+    return gateway->entries;
+}
+
 void
 pgw_gateway_drain(struct pgw_gateway *gateway, uint64_t cut_us)
 {
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -301,6 +301,9 @@
  * budgets */
 void pgw_gateway_set_entries(struct pgw_gateway *gateway, uint32_t entries);
 
+/** pgw_gateway_entries() - that number, 0: not known */
+uint32_t pgw_gateway_entries(const struct pgw_gateway *gateway);
+
 /** pgw_gateway_shares() - shared services, whose promises entries tell each
  * other */
 struct pgw_share_table *pgw_gateway_shares(struct pgw_gateway *gateway);
--- a/tests/unit/test_documents.c
+++ b/tests/unit/test_documents.c
@@ -50,6 +50,35 @@
     pgw_documents_free(documents);
 }
 
+/* Guards against entries that take a naming for older than the one that knows
+ * best; an older or a newer revision says nothing about its age. */
+static void
+test_age_is_refined(void)
+{
+    struct pgw_documents *documents = pgw_documents_new();
+    struct pgw_document document = {
+        .kind = (char *)"versions",
+        .name = (char *)"m",
+        .revision = 4,
+        .body = (char *)"{}",
+        .changed_after_us = 1000,
+    };
+
+    g_assert_null(pgw_documents_refine(documents, &document));
+    pgw_documents_put(documents, &document);
+    g_assert_null(pgw_documents_refine(documents, &document));
+    document.changed_after_us = 3000;
+    document.revision = 3;
+    g_assert_null(pgw_documents_refine(documents, &document));
+    document.revision = 4;
+    g_assert_cmpuint(
+        pgw_documents_refine(documents, &document)->changed_after_us, ==,
+        3000);
+    document.changed_after_us = 0;
+    g_assert_null(pgw_documents_refine(documents, &document));
+    pgw_documents_free(documents);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -57,5 +86,6 @@
     g_test_add_func("/documents/highest_revision_wins",
                     test_highest_revision_wins);
     g_test_add_func("/documents/list_by_kind", test_list_by_kind);
+    g_test_add_func("/documents/age_is_refined", test_age_is_refined);
     return g_test_run();
 }
--- a/tests/unit/test_platform_watch_pause.c
+++ b/tests/unit/test_platform_watch_pause.c
@@ -85,6 +85,17 @@
                      PAUSE_MIN_US);
 }
 
+/* Guards against calls that grow with the number of entries. */
+static void
+test_many_entries_watch_for_longer(void)
+{
+    g_assert_cmpuint(platform_watch_ms(0, false), ==, 1500);
+    g_assert_cmpuint(platform_watch_ms(5, false), ==, 1500);
+    g_assert_cmpuint(platform_watch_ms(31, false), ==, 3100);
+    g_assert_cmpuint(platform_watch_ms(940, false), ==, PLATFORM_WATCH_MAX_MS);
+    g_assert_cmpuint(platform_watch_ms(940, true), ==, 1500);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -95,5 +106,7 @@
                     test_maximum_is_within_drain_time);
     g_test_add_func("/platform_watch_pause/single_change_waits_minimum",
                     test_single_change_waits_minimum);
+    g_test_add_func("/platform_watch_pause/many_entries",
+                    test_many_entries_watch_for_longer);
     return g_test_run();
 }
