--- a/tests/unit/test_platform_feed.c
+++ b/tests/unit/test_platform_feed.c
@@ -13,6 +13,7 @@
  * @missed: names of the documents that were emitted as missed changes, in
  * order
  * @changed_after_us: of the last document that was emitted
+ * @silences: watches that got no response in their time
  */
 struct fixture {
     struct pgw_loop *loop;
@@ -25,6 +26,7 @@
     GString *emitted;
     GString *missed;
     uint64_t changed_after_us;
+    unsigned silences;
 };
 
 static void
@@ -45,6 +47,16 @@
     pthread_mutex_unlock(&self->lock);
 }
 
+static void
+on_silence(void *context)
+{
+    struct fixture *self = context;
+
+    pthread_mutex_lock(&self->lock);
+    self->silences++;
+    pthread_mutex_unlock(&self->lock);
+}
+
 static void *
 loop_main(void *loop)
 {
@@ -62,6 +74,7 @@
         .retain_unlisted_after_restore = retain_after_restore,
         .watch_ms = 6000,
         .on_document = on_document,
+        .on_silence = on_silence,
         .context = self,
     };
 
@@ -522,10 +535,12 @@
     g_assert_nonnull(strstr(head, "watch=7&"));
     pgw_loop_post(self->loop, &renewal.task);
     fd = accept(self->listener, NULL, NULL);
-    serve(fd, "watch=7&", 200,
+    /* Short, as the new connection may meet the same trouble. */
+    serve(fd, "watch=7&wait_ms=200", 200,
           "{\"events\":[{\"deleted\":false,\"object\":" OBJECT(
               "a", "8") "}],\"current_rev\":8}");
-    serve(fd, "watch=8&", 200, "{\"events\":[],\"current_rev\":8}");
+    serve(fd, "watch=8&wait_ms=6000", 200,
+          "{\"events\":[],\"current_rev\":8}");
     expect_documents(self, "a 0;");
     g_free(head);
     close(fd);
@@ -533,6 +548,32 @@
     fixture_free(self);
 }
 
+/* Guards against watches that are renewed at the moment at which the store
+ * cuts off all of them: the new ones may miss what it drops then. */
+static void
+test_cut_watch_is_no_silence(void)
+{
+    struct fixture *self = fixture_new();
+    int fd = accept(self->listener, NULL, NULL);
+    char *head;
+
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":7}");
+    head = scene_read_until(fd, "\r\n\r\n");
+    close(fd);
+    fd = accept(self->listener, NULL, NULL);
+    serve(fd, "watch=7&wait_ms=200", 410, "");
+    serve(fd, "GET /api/objects/servers HTTP", 200,
+          "{\"items\":[],\"has_more\":false,\"current_rev\":9}");
+    serve(fd, "watch=9&", 200, "{\"events\":[],\"current_rev\":9}");
+    pthread_mutex_lock(&self->lock);
+    g_assert_cmpuint(self->silences, ==, 0);
+    pthread_mutex_unlock(&self->lock);
+    g_free(head);
+    close(fd);
+    fixture_free(self);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -561,5 +602,7 @@
                     test_change_is_as_old_as_last_whole_response);
     g_test_add_func("/platform_feed/renewed_watch_uses_new_connection",
                     test_renewed_watch_uses_new_connection);
+    g_test_add_func("/platform_feed/cut_watch_is_no_silence",
+                    test_cut_watch_is_no_silence);
     return g_test_run();
 }
