--- a/tests/unit/test_platform_crash_records.c
+++ b/tests/unit/test_platform_crash_records.c
@@ -25,8 +25,8 @@
     int listener;
     int fd;
     void (*step)(struct life *life);
-    GMutex lock;
-    GCond done;
+    pthread_mutex_t lock;
+    pthread_cond_t done;
     bool is_done;
 };
 
@@ -41,10 +41,10 @@
     struct life *life = pgw_container_of(task, struct life, task);
 
     life->step(life);
-    g_mutex_lock(&life->lock);
+    pthread_mutex_lock(&life->lock);
     life->is_done = true;
-    g_cond_signal(&life->done);
-    g_mutex_unlock(&life->lock);
+    pthread_cond_signal(&life->done);
+    pthread_mutex_unlock(&life->lock);
 }
 
 static void
@@ -54,11 +54,11 @@
     life->is_done = false;
     life->task.run = run_step;
     pgw_loop_post(life->loop, &life->task);
-    g_mutex_lock(&life->lock);
+    pthread_mutex_lock(&life->lock);
     while (!life->is_done) {
-        g_cond_wait(&life->done, &life->lock);
+        pthread_cond_wait(&life->done, &life->lock);
     }
-    g_mutex_unlock(&life->lock);
+    pthread_mutex_unlock(&life->lock);
 }
 
 static void
@@ -76,6 +76,8 @@
         PGW_CRASH_QUARANTINE_OPTIONS_INIT;
     struct pgw_address address;
 
+    pthread_mutex_init(&life->lock, NULL);
+    pthread_cond_init(&life->done, NULL);
     life->listener = scene_listen(&address);
     life->loop = pgw_loop_new(NULL);
     life->store = platform_store_new(life->loop, &address);
@@ -97,6 +99,8 @@
     pgw_loop_free(life->loop);
     close(life->fd);
     close(life->listener);
+    pthread_cond_destroy(&life->done);
+    pthread_mutex_destroy(&life->lock);
     g_free(life);
 }
 
