--- a/src/gateway/crash/crashed_runs.c
+++ b/src/gateway/crash/crashed_runs.c
@@ -206,7 +206,7 @@
     }
 }
 
-/* Claims and trials that are over say nothing any more. */
+/* Claims and trials that are over are dropped. */
 static bool
 is_over(const Pgw__SuspectRun *run, uint64_t elapsed_us)
 {
--- a/src/gateway/peer/gossip.h
+++ b/src/gateway/peer/gossip.h
@@ -36,7 +36,7 @@
  * @request_delay_us: how long an entry with older revisions than a peer waits
  *   for the platform's store before it requests documents from the peer
  * @pushed_kind: kind of small objects whose age matters, NULL: none. Seeds
- * send a change of them to all peers as soon as the store tells it, as they
+ * send a change of them to all peers as soon as the store reports it, as they
  * know best how old it is
  * @on_document: called with each newer document, from the store or a peer, and
  *   again when a peer knows better how old one of @pushed_kind is
