--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -73,7 +73,8 @@
  * @crash: hash of the incarnation that ran it; 0 of a run of kind
  *   %PGW_CRASHED_RUN_CRASHED: the run completed and clears the crashes counted
  *   so far; of a trial: its token
- * @age_us: how long ago the run was interrupted; of kind
+ * @age_us: how long ago the run was interrupted, or, of one that its entry
+ *   had abandoned, how long ago that entry learned of the crash; of kind
  *   %PGW_CRASHED_RUN_UPSTREAM: how long ago the upstream last answered, 0: not
  *   known
  * @kind: what happened
--- a/src/gateway/crash/crash_reports.c
+++ b/src/gateway/crash/crash_reports.c
@@ -103,10 +103,13 @@
                                     report->abandoned, "entry", at_us, now_us);
 
     /* Confirms this entry's own unfinished runs at that upstream. An entry
-     * that connects receives reports of older crashes, too. */
+     * that connects receives reports of older crashes, too. An upstream ran
+     * until it interrupted a run; how long it ran after one was abandoned is
+     * not known. */
     if (at_us > pgw_crash_table_expired_us(quarantine->table, now_us)) {
-        pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL, at_us,
-                                        false, PGW_CRASH_HOPS_MAX + 1, now_us);
+        pgw_crash_quarantine__add_crash(quarantine, report->crash, NULL,
+                                        report->abandoned ? 0 : at_us, false,
+                                        PGW_CRASH_HOPS_MAX + 1, now_us);
     }
     return is_new;
 }
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -585,6 +585,35 @@
     pgw_crash_quarantine_free(other);
 }
 
+/* Guards against an entry that hears late of a crash, takes the upstream for
+ * one that ran until then, and drops the run that caused it. */
+static void
+test_late_reports_confirm_abandoned_runs(void)
+{
+    static const char *const upstreams[] = {"a", "b", "c"};
+    struct published published = {.count = 0};
+    struct pgw_crash_keys faulty = make_keys(1);
+    struct pgw_crash_keys beside = make_keys(2);
+    struct pgw_crash_quarantine *other = quarantine_new(&published);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(NULL);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+        uint64_t late_us = (i + 3) * SECOND;
+
+        pgw_crash_quarantine_add_abandoned(quarantine, &faulty, upstreams[i],
+                                           (i + 1) * SECOND);
+        pgw_crash_quarantine_add_end(other, upstreams[i], 0, late_us);
+        published.count = 0;
+        pgw_crash_quarantine_add_abandoned(other, &beside, upstreams[i],
+                                           late_us);
+        pgw_crash_quarantine_merge(quarantine, published.items,
+                                   published.count, late_us);
+    }
+    g_assert_cmpint(ask(quarantine, &faulty, 5 * SECOND), ==, PGW_CRASH_WAIT);
+    pgw_crash_quarantine_free(quarantine);
+    pgw_crash_quarantine_free(other);
+}
+
 /* Runs a trial that ends in this way, after what is left of the wait for it.
  * Returns how long the next one has to wait. */
 static uint64_t
@@ -837,6 +866,8 @@
                     test_abandoned_runs_end);
     g_test_add_func("/crash_quarantine/reports_confirm_abandoned_runs",
                     test_reports_confirm_abandoned_runs);
+    g_test_add_func("/crash_quarantine/late_reports_confirm_abandoned_runs",
+                    test_late_reports_confirm_abandoned_runs);
     g_test_add_func("/crash_quarantine/unproven_trials_get_rarer",
                     test_unproven_trials_get_rarer);
     g_test_add_func("/crash_quarantine/completed_run_forgets_trials",
