--- a/src/gateway/crash/crash_quarantine.c
+++ b/src/gateway/crash/crash_quarantine.c
@@ -357,7 +357,7 @@
 static void
 add_interrupted_request(struct pgw_crash_quarantine *quarantine,
                         struct pgw_crash_record *record, uint64_t crash,
-                        uint64_t now_us)
+                        uint64_t at_us, uint64_t now_us)
 {
     struct pgw_recorded_crash *known =
         pgw_crash_record_find_interrupted(record, crash);
@@ -368,7 +368,7 @@
     }
     if (known == NULL) {
         pgw_crash_record_add(
-            record, crash, now_us,
+            record, crash, at_us,
             pgw_crash_table_expired_us(quarantine->table, now_us), false);
         pgw_crash_quarantine__share(quarantine, record, 0, now_us);
     }
@@ -377,7 +377,7 @@
 static void
 add_interrupted_part(struct pgw_crash_quarantine *quarantine,
                      struct pgw_crash_record *record, uint64_t crash,
-                     uint64_t now_us)
+                     uint64_t at_us, uint64_t now_us)
 {
     struct pgw_recorded_crash *added =
         pgw_crash_record_find_interrupted(record, crash);
@@ -387,7 +387,7 @@
         return;
     }
     added = pgw_crash_record_add(
-        record, crash, now_us,
+        record, crash, at_us,
         pgw_crash_table_expired_us(quarantine->table, now_us), false);
     if (added != NULL) {
         added->confirmed =
@@ -400,16 +400,17 @@
 static void
 count_own(struct pgw_crash_quarantine *quarantine,
           struct pgw_crash_record *record, uint64_t crash, bool abandoned,
-          uint64_t now_us)
+          uint64_t at_us, uint64_t now_us)
 {
     struct pgw_crashed_run report = {
         .fingerprint = record->key,
         .abandoned = abandoned,
         .crash = crash,
+        .age_us = now_us - at_us,
     };
 
     if (pgw_crash_quarantine__count(quarantine, record, crash, abandoned,
-                                    "own", now_us, now_us)) {
+                                    "own", at_us, now_us)) {
         pgw_crash_quarantine__publish(quarantine, &report, 1);
     }
 }
@@ -417,16 +418,16 @@
 static void
 add_interrupted_key(struct pgw_crash_quarantine *quarantine,
                     struct pgw_crash_record *record, uint64_t crash,
-                    uint64_t now_us)
+                    uint64_t at_us, uint64_t now_us)
 {
     if (record->is_part) {
-        add_interrupted_part(quarantine, record, crash, now_us);
+        add_interrupted_part(quarantine, record, crash, at_us, now_us);
     }
     else if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
-        count_own(quarantine, record, crash, false, now_us);
+        count_own(quarantine, record, crash, false, at_us, now_us);
     }
     else {
-        add_interrupted_request(quarantine, record, crash, now_us);
+        add_interrupted_request(quarantine, record, crash, at_us, now_us);
     }
 }
 
@@ -434,16 +435,16 @@
 static void
 add_abandoned_key(struct pgw_crash_quarantine *quarantine,
                   struct pgw_crash_record *record, uint64_t crash,
-                  uint64_t now_us)
+                  uint64_t at_us, uint64_t now_us)
 {
     struct pgw_recorded_crash *known;
 
     if (pgw_crash_quarantine__has_crashed(quarantine, crash)) {
         if (record->is_part) {
-            add_interrupted_part(quarantine, record, crash, now_us);
+            add_interrupted_part(quarantine, record, crash, at_us, now_us);
         }
         else {
-            count_own(quarantine, record, crash, true, now_us);
+            count_own(quarantine, record, crash, true, at_us, now_us);
         }
         return;
     }
@@ -456,7 +457,7 @@
         pgw_crash_record_remove(record, known);
     }
     known = pgw_crash_record_add(
-        record, crash, now_us,
+        record, crash, at_us,
         pgw_crash_table_expired_us(quarantine->table, now_us), false);
     if (known != NULL) {
         known->abandoned = true;
@@ -468,8 +469,8 @@
                const struct pgw_crash_keys *keys, const char *upstream,
                void (*add_key)(struct pgw_crash_quarantine *quarantine,
                                struct pgw_crash_record *record, uint64_t crash,
-                               uint64_t now_us),
-               uint64_t now_us)
+                               uint64_t at_us, uint64_t now_us),
+               uint64_t at_us, uint64_t now_us)
 {
     uint64_t crash = pgw_place_id_hash(upstream);
 
@@ -479,7 +480,7 @@
             quarantine->table, &keys->items[i], i > 0, now_us);
 
         if (record != NULL) {
-            add_key(quarantine, record, crash, now_us);
+            add_key(quarantine, record, crash, at_us, now_us);
         }
     }
 }
@@ -489,7 +490,18 @@
                                      const struct pgw_crash_keys *keys,
                                      const char *upstream, uint64_t now_us)
 {
-    add_unfinished(quarantine, keys, upstream, add_interrupted_key, now_us);
+    add_unfinished(quarantine, keys, upstream, add_interrupted_key, now_us,
+                   now_us);
+}
+
+void
+pgw_crash_quarantine_add_cut(struct pgw_crash_quarantine *quarantine,
+                             const struct pgw_crash_keys *keys,
+                             const char *upstream, uint64_t cut_us,
+                             uint64_t now_us)
+{
+    add_unfinished(quarantine, keys, upstream, add_interrupted_key, cut_us,
+                   now_us);
 }
 
 void
@@ -497,7 +509,8 @@
                                    const struct pgw_crash_keys *keys,
                                    const char *upstream, uint64_t now_us)
 {
-    add_unfinished(quarantine, keys, upstream, add_abandoned_key, now_us);
+    add_unfinished(quarantine, keys, upstream, add_abandoned_key, now_us,
+                   now_us);
 }
 
 bool
--- a/src/gateway/crash/crash_quarantine.h
+++ b/src/gateway/crash/crash_quarantine.h
@@ -286,6 +286,13 @@
                                      const struct pgw_crash_keys *keys,
                                      const char *upstream, uint64_t now_us);
 
+/** pgw_crash_quarantine_add_cut() - the same for a run whose connection broke
+ * at @cut_us, when nobody knew yet that a crash cut its answer */
+void pgw_crash_quarantine_add_cut(struct pgw_crash_quarantine *quarantine,
+                                  const struct pgw_crash_keys *keys,
+                                  const char *upstream, uint64_t cut_us,
+                                  uint64_t now_us);
+
 /** pgw_crash_quarantine_add_abandoned() - add a run that the entry has stopped
  * waiting for, before it ended */
 void
--- a/src/gateway/request/answered_runs.c
+++ b/src/gateway/request/answered_runs.c
@@ -106,8 +106,8 @@
 
     log_crash(run, now_us);
     if (run->is_cut) {
-        pgw_crash_quarantine_add_interrupted(quarantine, &run->keys,
-                                             run->process, now_us);
+        pgw_crash_quarantine_add_cut(quarantine, &run->keys, run->process,
+                                     run->answered_us, now_us);
     }
     else {
         pgw_crash_quarantine_add_abandoned(quarantine, &run->keys,
--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -614,6 +614,23 @@
     pgw_crash_quarantine_free(other);
 }
 
+/* Guards against the same after an answer that a crash cut before anybody
+ * knew of it. */
+static void
+test_cut_runs_tell_when_they_were_cut(void)
+{
+    struct published published = {.count = 0};
+    struct pgw_crash_keys keys = make_keys(1);
+    struct pgw_crash_quarantine *quarantine = quarantine_new(&published);
+
+    pgw_crash_quarantine_add_end(quarantine, "a", 0, 3 * SECOND);
+    published.count = 0;
+    pgw_crash_quarantine_add_cut(quarantine, &keys, "a", SECOND, 3 * SECOND);
+    g_assert_cmpuint(published.count, ==, 1);
+    g_assert_cmpuint(published.items[0].age_us, ==, 2 * SECOND);
+    pgw_crash_quarantine_free(quarantine);
+}
+
 /* Runs a trial that ends in this way, after what is left of the wait for it.
  * Returns how long the next one has to wait. */
 static uint64_t
@@ -868,6 +885,8 @@
                     test_reports_confirm_abandoned_runs);
     g_test_add_func("/crash_quarantine/late_reports_confirm_abandoned_runs",
                     test_late_reports_confirm_abandoned_runs);
+    g_test_add_func("/crash_quarantine/cut_runs_tell_when_they_were_cut",
+                    test_cut_runs_tell_when_they_were_cut);
     g_test_add_func("/crash_quarantine/unproven_trials_get_rarer",
                     test_unproven_trials_get_rarer);
     g_test_add_func("/crash_quarantine/completed_run_forgets_trials",
