--- a/tests/unit/test_crash_quarantine.c
+++ b/tests/unit/test_crash_quarantine.c
@@ -558,10 +558,36 @@
     pgw_crash_quarantine_free(quarantine);
 }
 
-/* Guards against an entry that never learns that an upstream crashed where
- * only it has abandoned a run. */
+/* An entry whose run was interrupted reports the crash. */
 static void
-test_reports_confirm_abandoned_runs(void)
+report_interrupted(struct pgw_crash_quarantine *entry,
+                   struct published *published,
+                   const struct pgw_crash_keys *keys, const char *upstream,
+                   uint64_t now_us)
+{
+    published->count = 0;
+    crash(entry, keys, upstream, now_us);
+}
+
+/* An entry that has abandoned its run reports the crash as it learns of it. */
+static void
+report_abandoned(struct pgw_crash_quarantine *entry,
+                 struct published *published,
+                 const struct pgw_crash_keys *keys, const char *upstream,
+                 uint64_t now_us)
+{
+    pgw_crash_quarantine_add_end(entry, upstream, 0, now_us);
+    published->count = 0;
+    pgw_crash_quarantine_add_abandoned(entry, keys, upstream, now_us);
+}
+
+/* Abandoned runs count by what another entry reports so long after each. */
+static void
+expect_confirmed(void (*report)(struct pgw_crash_quarantine *entry,
+                                struct published *published,
+                                const struct pgw_crash_keys *keys,
+                                const char *upstream, uint64_t now_us),
+                 uint64_t delay_us)
 {
     static const char *const upstreams[] = {"a", "b", "c"};
     struct published published = {.count = 0};
@@ -573,49 +599,34 @@
     for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
         uint64_t at_us = (i + 1) * SECOND;
 
-        published.count = 0;
         pgw_crash_quarantine_add_abandoned(quarantine, &faulty, upstreams[i],
                                            at_us);
-        crash(other, &beside, upstreams[i], at_us);
+        report(other, &published, &beside, upstreams[i], at_us + delay_us);
         pgw_crash_quarantine_merge(quarantine, published.items,
-                                   published.count, at_us + 200);
+                                   published.count, at_us + delay_us + 200);
     }
-    g_assert_cmpint(ask(quarantine, &faulty, 4 * SECOND), ==, PGW_CRASH_WAIT);
+    g_assert_cmpint(ask(quarantine, &faulty, 4 * SECOND + delay_us), ==,
+                    PGW_CRASH_WAIT);
     pgw_crash_quarantine_free(quarantine);
     pgw_crash_quarantine_free(other);
 }
 
-/* Guards against an entry that hears late of a crash, takes the upstream for
- * one that ran until then, and drops the run that caused it. */
+/* Guards against an entry that never learns that an upstream crashed where
+ * only it has abandoned a run. */
 static void
-test_late_reports_confirm_abandoned_runs(void)
+test_reports_confirm_abandoned_runs(void)
 {
-    static const char *const upstreams[] = {"a", "b", "c"};
-    struct published published = {.count = 0};
-    struct pgw_crash_keys faulty = make_keys(1);
-    struct pgw_crash_keys beside = make_keys(2);
-    struct pgw_crash_quarantine *other = quarantine_new(&published);
-    struct pgw_crash_quarantine *quarantine = quarantine_new(NULL);
-
-    for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
-        uint64_t late_us = (i + 3) * SECOND;
+    expect_confirmed(report_interrupted, 0);
+}
 
-        pgw_crash_quarantine_add_abandoned(quarantine, &faulty, upstreams[i],
-                                           (i + 1) * SECOND);
-        pgw_crash_quarantine_add_end(other, upstreams[i], 0, late_us);
-        published.count = 0;
-        pgw_crash_quarantine_add_abandoned(other, &beside, upstreams[i],
-                                           late_us);
-        pgw_crash_quarantine_merge(quarantine, published.items,
-                                   published.count, late_us);
-    }
-    g_assert_cmpint(ask(quarantine, &faulty, 5 * SECOND), ==, PGW_CRASH_WAIT);
-    pgw_crash_quarantine_free(quarantine);
-    pgw_crash_quarantine_free(other);
+/* Guards against late reports of a crash that clear what has caused it. */
+static void
+test_late_reports_confirm_abandoned_runs(void)
+{
+    expect_confirmed(report_abandoned, 2 * SECOND);
 }
 
-/* Guards against the same after an answer that a crash cut before anybody
- * knew of it. */
+/* Guards against the same after an answer that a crash cut. */
 static void
 test_cut_runs_tell_when_they_were_cut(void)
 {
