--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -225,6 +225,128 @@
                             f"{named}Server-Seal: s.{attempt}\r\n"))
 
 
+class EngineServer:
+    """A sound model server: keeps the parts of prompts under their salt, and
+    notes which tenant's request made each part and which requests use it."""
+
+    MODEL = "guide"
+
+    def __init__(self, number, service, address):
+        self.id, self.service, self.address = f"i-{number}", service, address
+        self.running, self.order_count = 0, 0
+        # Per salt: the chain of parts up to one -> the tenant that made it.
+        self.kept, self.events, self.uses = {}, [], []
+        self.runs = {}
+        self.server = Server(self.handle)
+
+    async def open(self):
+        await self.server.open(self.address, APP)
+
+    def models(self):
+        return [{"name": self.MODEL, "version": 1, "adapters": []}]
+
+    def entry(self):
+        return {"service": self.service, "address": f"{self.address}:{APP}",
+                "zone": "a", "version": "v1", "capacity": 12,
+                "state": "ready", "cold_left_ms": 0, "stage": "colocated",
+                "models": self.models(), "sequence": 1}
+
+    def report(self):
+        return {"stage": "colocated", "models": self.models(), "busy": False,
+                "sequence": self.order_count, "queued": 0,
+                "active": self.running, "kv_used": 0, "kv_total": 143654,
+                "sessions": 0, "state": "ready", "runs": []}
+
+    async def wait_for_events(self, target):
+        since = int(target.partition("since=")[2] or 0)
+        if since >= len(self.events):
+            await asyncio.sleep(0.8)
+        events = [[i + 1, "+", *event, self.MODEL]
+                  for i, event in enumerate(self.events)][since:]
+        return {"boot_epoch": 1, "next": len(self.events),
+                "lost_count": False, "events": events}
+
+    def take_parts(self, attempt, fields):
+        """Looks up the parts of a prompt, and keeps those that are missing."""
+        salt, chain = fields.get("cache-salt", ""), ()
+        tenant = fields.get("tenant", "")
+        is_kept = True
+        for part in fields.get("prompt-prefix", "").split(","):
+            name, _, tokens = part.strip().partition(":")
+            chain += (name,)
+            maker = self.kept.get((salt, chain))
+            is_kept = is_kept and maker is not None
+            if is_kept:
+                self.uses.append((attempt, name, tenant, maker))
+            else:
+                self.kept[salt, chain] = tenant
+                self.events.append((salt, name, int(tokens)))
+
+    async def handle(self, _method, target, fields, _body, writer):
+        if target == "/api/report":
+            writer.write(answer(200, self.report()))
+        elif target.startswith("/api/kv-events"):
+            writer.write(answer(200, await self.wait_for_events(target)))
+        elif target == "/healthz":
+            writer.write(answer(200, b"", f"Instance-Id: {self.id}\r\n"))
+        elif target.startswith("/api/"):
+            writer.write(answer(404))
+        elif fields.get("expect-instance", self.id) != self.id or fields.get(
+                "expect-version", "1") != "1":
+            writer.write(answer(421, b"", f"Instance-Id: {self.id}\r\n"))
+        else:
+            await self.run(fields, writer)
+
+    async def run(self, fields, writer):
+        attempt = fields["attempt-id"]
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        self.running += 1
+        try:
+            self.take_parts(attempt, fields)
+            writer.write((f"HTTP/1.1 200 X\r\nAttempt-Id: {attempt}\r\n"
+                          f"Server-Seal: s.{attempt}\r\nWeight-Versions: 1"
+                          "\r\nContent-Type: text/event-stream\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n").encode())
+            for event in range(1, 6):
+                await asyncio.sleep(0.03)
+                line = f"id: {event}\ndata: {attempt}\n\n"
+                writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+
+
+class Sidecar:
+    """A sidecar beside an engine."""
+
+    def __init__(self, net, directory, engine):
+        self.engine, self.net = engine, net
+        self.path = f"{directory}/sidecar-{engine.id}"
+        self.process = None
+
+    def start(self):
+        ip = self.engine.address
+        settings = {"node_name": f"side-{self.engine.id}", "zone": "a",
+                    "bind_ip": ip, "port_range": "17340,17355",
+                    "seed_nodes": f"127.{self.net}.2.1:{CONTROL}",
+                    "bootstrap": "true", "app": f"{ip}:{APP}",
+                    "bounds.lease_ms": 3000,
+                    "platform.address": f"127.{self.net}.0.1:{STORE_PORT}"}
+        with open(f"{self.path}.conf", "w", encoding="ascii") as out:
+            out.write("".join(f"{name}={value}\n"
+                              for name, value in settings.items()))
+        with open(f"{self.path}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                deploy_command("sidecar"),
+                env={"PARSLEYGW_BOOT": f"{self.path}.conf"}, stdout=log,
+                stderr=log)
+
+    def kill(self):
+        if self.process is not None:
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
+
+
 class Entry:
     """An entry on an edge machine, started and restarted as the platform does
     it: its descriptors and its memory are those of the settings."""
