--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -234,6 +234,8 @@
     def __init__(self, number, service, address):
         self.id, self.service, self.address = f"i-{number}", service, address
         self.running, self.order_count = 0, 0
+        # Time until the first event, between two events, and their number.
+        self.first_s, self.pause_s, self.event_count = 0.03, 0.03, 5
         # Per salt: the chain of parts up to one -> the tenant that made it.
         self.kept, self.events, self.uses = {}, [], []
         self.runs = {}
@@ -307,8 +309,12 @@
                           f"Server-Seal: s.{attempt}\r\nWeight-Versions: 1"
                           "\r\nContent-Type: text/event-stream\r\n"
                           "Transfer-Encoding: chunked\r\n\r\n").encode())
-            for event in range(1, 6):
-                await asyncio.sleep(0.03)
+            for event in range(int(fields.get("last-event-id", 0)) + 1,
+                               self.event_count + 1):
+                await asyncio.sleep(self.first_s if event == 1
+                                    else self.pause_s)
+                if writer.transport.is_closing():
+                    return
                 line = f"id: {event}\ndata: {attempt}\n\n"
                 writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
             writer.write(b"0\r\n\r\n")
