--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,168 +1,164 @@
-"""Most new connections go to one entry, whose descriptors run out."""
+"""A tenant becomes isolated; others go on with what its requests have cached."""
 import asyncio
 import os
 import sys
+import tempfile
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "lib-2"))
-from standins import (CANNOT_RUN, FRONT, READY, Deployment, now, read_body,
-                      read_head, request_head)
+from standins import (CANNOT_RUN, FRONT, STORE_PORT, EngineServer,
+                      Entry, Sidecar, Store, free_net, now, read_body,
+                      read_head)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = os.path.dirname(os.path.abspath(__file__))
-# Of the sheet: descriptors and edge machines, time limit and work of
-# `catalogue-read`, requests a second of all four kinds, `contact_ms`.
-FDS, EDGES, LIMIT_MS, WORK_S = 3075, 26, 1500, 0.03
-PER_S = 65.2 + 732 + 199 + 79.7
-CONTACT_S = 4.0
-# Clients keep a connection until the entry closes it, after `idle_timeout_ms`.
-KEEP_S = 20.0
-# New connections that the platform hands to this entry, and for how long.
-# Afterwards it gets its share again.
-SKEW_PER_S, SKEW_S = 900.0, 4.0
-AFTER_S = 11.0
-# Clients give a connection one second.
-PATIENCE_S = 1.0
-# The rule asks for so many clients that try.
-TRIES_MIN = 7
-
-
-class Platform:
-    """Asks the entry once a second, on a connection that it keeps, whether it
-    is ready. Two misses in a row take the entry out."""
-
-    def __init__(self, address):
-        self.address, self.answers, self.stopped = address, [], False
-        self.reader = self.writer = None
-
-    async def exchange(self):
-        if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(
-                self.address, READY)
-        self.writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: r\r\n\r\n")
-        start, fields = await read_head(self.reader)
-        await read_body(self.reader, fields)
-        return int(start[1])
-
-    async def ask(self):
-        try:
-            return await asyncio.wait_for(self.exchange(), PATIENCE_S)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            if self.writer is not None:
-                self.writer.close()
-            self.writer = None
-            return 0
-
-    async def run(self):
-        while not self.stopped:
-            due = now() + 1
-            self.answers.append((now(), await self.ask()))
-            await asyncio.sleep(max(due - now(), 0))
-
-    def is_in(self, at):
-        """Whether the entry was in rotation at a moment."""
-        misses = 0
-        for asked, status in self.answers:
-            if asked <= at:
-                misses = 0 if status == 200 else misses + 1
-        return misses < 2
-
-
-class Try:
-    """A client's new connection with one request."""
-
-    def __init__(self, number):
-        self.attempt, self.at, self.outcome = f"a{number:05d}", now(), None
-        self.ended = 0.0
-
-    async def send(self, address):
-        writer = None
-        try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(address, FRONT), PATIENCE_S)
-            writer.write(request_head("GET", self.attempt, LIMIT_MS))
-            start, fields = await asyncio.wait_for(read_head(reader),
-                                                   PATIENCE_S)
-            await read_body(reader, fields)
-            self.outcome = start[1]
-        except asyncio.TimeoutError:
-            self.outcome = "not taken" if writer is None else "not answered"
-        except (OSError, asyncio.IncompleteReadError):
-            self.outcome = "closed"
-        self.ended = now()
-        if writer is not None and self.outcome == "200":
-            try:
-                await asyncio.wait_for(reader.read(1), KEEP_S)
-            except (OSError, asyncio.TimeoutError):
-                pass
-        if writer is not None:
-            writer.close()
-
-
-async def send_all(deployment, tries, tasks, per_s, for_s):
-    began, count = now(), int(per_s * for_s)
-    for i in range(count):
-        attempt = Try(len(tries))
-        tries.append(attempt)
-        tasks.append(asyncio.ensure_future(
-            attempt.send(deployment.entry.address)))
-        await asyncio.sleep(max(began + (i + 1) / per_s - now(), 0))
-
-
-def longest_refusal(tries, platform):
-    """Returns the longest time between tries that were taken while the entry
-    was in rotation, and the clients that tried meanwhile."""
-    best, since, count = (0.0, 0), None, 0
-    for attempt in sorted(tries, key=lambda one: one.at):
-        taken = attempt.outcome not in ("not taken", "not answered")
-        if taken or not platform.is_in(attempt.at):
-            since, count = None, 0
-            continue
-        since = attempt.at if since is None else since
-        count += 1
-        best = max(best, (attempt.ended - since, count))
-    return best
-
-
-def write_record(tries, platform, deployment, began):
+# A configuration is in force at all machines so long after its ack; the script
+# waits for a second more.
+CONFIG_S = 2.0
+ENGINES, LIMIT_MS = 3, 6000
+# The shared parts of `route-counsel` prompts, and the part of a request.
+SHARED, OWN_TOKENS = ("5c1e07a2:8000", "91bd3f06:5300"), 3720
+REQUESTS = 12
+
+
+def configuration(version, isolated):
+    return {"version": version,
+            "routes": [{"name": "r-1", "host": "h.example",
+                        "path_prefix": "/counsel/", "kind": "stream",
+                        "timeout_ms": LIMIT_MS, "target_latency_ms": 600,
+                        "priority": 1, "service": "engines",
+                        "max_attempts": 2, "no_auth": False,
+                        "session_affinity": True, "resumable": True,
+                        "gap_target_ms": 250}],
+            "services": [{"name": "engines", "health_path": "/healthz",
+                          "max_connections": 160, "protocol": "h1",
+                          "tls_mode": False,
+                          "engine_kind": {
+                              "capacity": 12, "kv_capacity": 143654,
+                              "kv_token_bytes": 163840,
+                              "link_mbps": 1100000.0, "moves": True,
+                              "backups": True, "stride": 8,
+                              "max_inflight": 12, "pin_ms": 4000.0,
+                              "hold_ms": 2000.0, "handle_s": 5.0,
+                              "models": [{"name": EngineServer.MODEL}]}}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "skalholt", "api_keys": ["key-s"],
+                         "priority": 1, "isolated": isolated},
+                        {"name": "hella", "api_keys": ["key-h"],
+                         "priority": 1, "isolated": False}]}
+
+
+class Deployment:
+    """A store, engines with their sidecars, and one entry."""
+
+    def __init__(self):
+        self.net, self.held = free_net()
+        directory = tempfile.mkdtemp(prefix="review-")
+        self.store = Store()
+        self.engines = [EngineServer(i, "engines", f"127.{self.net}.1.{i}")
+                        for i in range(1, ENGINES + 1)]
+        self.sidecars = [Sidecar(self.net, directory, engine)
+                         for engine in self.engines]
+        self.entry = Entry(self.net, directory, {
+            "limits.memory_mb": 260, "limits.max_fds": 4100,
+            "bounds.contact_ms": 3000, "bounds.config_ms": 2000,
+            "bounds.drain_ms": 2000, "bounds.grace_s": 8,
+            "bounds.version_ms": 6000, "bounds.lease_ms": 3000})
+        self.sent = []
+
+    async def open(self):
+        await self.store.server.open(f"127.{self.net}.0.1", STORE_PORT)
+        self.store.put("config", "main", configuration(7, False))
+        self.store.put("versions", EngineServer.MODEL,
+                       {"model": EngineServer.MODEL, "version": 1})
+        for engine in self.engines:
+            await engine.open()
+            self.store.put("servers", engine.id, engine.entry())
+        for sidecar in self.sidecars:
+            sidecar.start()
+        self.entry.start()
+        await asyncio.sleep(3)
+
+    def close(self):
+        for process in [*self.sidecars, self.entry]:
+            process.kill()
+
+    async def ask(self, key, attempt):
+        """One prompt with the shared parts and a part of its own."""
+        parts = ",".join([*SHARED, f"{attempt}:{OWN_TOKENS}"])
+        body = b"{}"
+        reader, writer = await asyncio.open_connection(self.entry.address,
+                                                       FRONT)
+        writer.write((f"POST /counsel/x HTTP/1.1\r\nHost: h.example\r\n"
+                      f"Attempt-Id: {attempt}\r\nDeadline-Ms: {LIMIT_MS}\r\n"
+                      f"Authorization: Bearer {key}\r\n"
+                      f"Model: {EngineServer.MODEL}\r\n"
+                      f"Token-Count: {13300 + OWN_TOKENS},15\r\n"
+                      f"Prompt-Prefix: {parts}\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        start, fields = await asyncio.wait_for(read_head(reader),
+                                               LIMIT_MS / 1000)
+        await read_body(reader, fields)
+        writer.close()
+        self.sent.append((now(), attempt, key, start[1]))
+
+    async def ask_often(self, key, first):
+        for i in range(REQUESTS):
+            await self.ask(key, f"{first + i:016x}")
+
+
+def foreign_uses(engines, isolated, after):
+    """Uses of parts that another tenant's request made, where one of the two
+    tenants is isolated, by requests that were sent later than @after."""
+    return [use for engine in engines for use in engine.uses
+            if use[0] in after and use[2] != use[3]
+            and (use[2] in isolated or use[3] in isolated)]
+
+
+def write_record(deployment, acked_at, foreign):
     with open(f"{HERE}/record.txt", "w", encoding="ascii") as record:
-        record.write(f"trouble {int(TROUBLE)}, descriptors {FDS}\n")
-        for asked, status in platform.answers:
-            record.write(f"{asked - began:7.3f} ready answer={status}\n")
-        for attempt in tries:
-            record.write(f"{attempt.at - began:7.3f} {attempt.attempt} "
-                         f"outcome={attempt.outcome} "
-                         f"runs={deployment.ran(attempt.attempt)}\n")
+        record.write(f"trouble {int(TROUBLE)}\n")
+        for at, attempt, key, status in deployment.sent:
+            record.write(f"{at - acked_at:7.3f} s after the ack: {attempt} "
+                         f"key={key} status={status}\n")
+        for engine in deployment.engines:
+            for attempt, part, tenant, maker in engine.uses:
+                use = (attempt, part, tenant, maker)
+                record.write(f"{engine.id} {attempt} of {tenant} uses part "
+                             f"{part} that {maker} made"
+                             f"{' FOREIGN' if use in foreign else ''}\n")
 
 
 async def main():
-    deployment = Deployment("idempotent", LIMIT_MS, WORK_S, {
-        "limits.memory_mb": 120, "limits.max_fds": FDS,
-        "bounds.contact_ms": 4000, "bounds.drain_ms": 3000,
-        "bounds.grace_s": 8}, slots=60)
-    await deployment.open()
-    platform = Platform(deployment.entry.address)
-    asking = asyncio.ensure_future(platform.run())
-    tries, tasks, began = [], [], now()
+    deployment = Deployment()
     try:
-        await send_all(deployment, tries, tasks,
-                       SKEW_PER_S if TROUBLE else PER_S / EDGES, SKEW_S)
-        await send_all(deployment, tries, tasks, PER_S / EDGES, AFTER_S)
-        platform.stopped = True
-        await asking
-        await asyncio.gather(*tasks)
+        await deployment.open()
+        await deployment.ask_often("key-s", 0x1000)
+        deployment.store.put("config", "main", configuration(9, TROUBLE))
+        acked_at = now()
+        await asyncio.sleep(CONFIG_S + 1)
+        known = len(deployment.sent)
+        await deployment.ask_often("key-h", 0x2000)
+        await deployment.ask_often("key-s", 0x3000)
     finally:
-        deployment.entry.kill()
-    write_record(tries, platform, deployment, began)
-    refusal_s, count = longest_refusal(tries, platform)
-    print(f"in rotation, the entry took no new connection for {refusal_s:.1f} "
-          f"s while {count} clients tried; allowed {CONTACT_S:.1f} s or fewer "
-          f"than {TRIES_MIN} clients")
-    return 1 if refusal_s >= CONTACT_S and count >= TRIES_MIN else 0
+        deployment.close()
+    after = {attempt for _, attempt, _, _ in deployment.sent[known:]}
+    foreign = foreign_uses(deployment.engines,
+                           {"skalholt"} if TROUBLE else set(), after)
+    write_record(deployment, acked_at, foreign)
+    answered = sum(status == "200" for _, _, _, status in deployment.sent)
+    print(f"{answered} of {len(deployment.sent)} answered; "
+          f"{len({use[0] for use in foreign})} requests used parts that "
+          "another tenant's request made, one of the two being isolated")
+    if answered < len(deployment.sent):
+        return CANNOT_RUN
+    return 1 if foreign else 0
 
 
 if __name__ == "__main__":
     try:
         sys.exit(asyncio.run(main()))
-    except (OSError, KeyError) as error:
+    except (OSError, KeyError, asyncio.TimeoutError,
+            asyncio.IncompleteReadError) as error:
         print(f"cannot run: {error!r}")
         sys.exit(CANNOT_RUN)
