Hold streams that begin late in a stop until they are sure to end

Cause: pgw_drain_window_fits() concluded from how long other streams of the route had taken how long this one may take. Later than 3 s after the signal nothing excuses a cut, and engines that turn slow at that moment show it nowhere before.

Change: the forecast still decides what begins, so nothing is refused that is served today. A stream that may run again and begins later than 2.5 s is provisional: its events are held until those that may follow fit into the time left at the promised pause or twice its own longest, whichever is longer. If its own pace cannot make it, its caller gets a complete 502 at once, and none of the stream.

--- a/src/gateway/request/attempt.c
+++ b/src/gateway/request/attempt.c
@@ -300,6 +300,12 @@
 discard_answer(struct pgw_exchange *exchange)
 {
     pgw_attempt_drop_answer(exchange);
+    /* The next attempt begins the stream again: its caller has none of it. */
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        pgw_event_stream_dispose(&exchange->events);
+        exchange->events = (struct pgw_event_stream){0};
+        exchange->pace = (struct pgw_stream_pace){0};
+    }
     exchange->status = 0;
     exchange->is_named = false;
     exchange->not_run = false;
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -256,17 +256,25 @@
     pgw_gateway_dispatch_queued(gateway);
 }
 
-bool
-pgw_exchange_fits_drain(const struct pgw_exchange *exchange)
+struct pgw_drain_request
+pgw_exchange_drain_request(const struct pgw_exchange *exchange)
 {
-    const struct pgw_gateway *gateway = exchange->gateway;
-    const struct pgw_run_times *times =
-        g_hash_table_lookup(gateway->run_times, exchange->route->name);
-    const struct pgw_drain_request request = {
+    const struct pgw_run_times *times = g_hash_table_lookup(
+        exchange->gateway->run_times, exchange->route->name);
+
+    return (struct pgw_drain_request){
         .deadline_us = exchange->deadline_us,
         .longest_run_us = times == NULL ? 0 : pgw_run_times_longest_us(times),
         .may_run_again = pgw_route_may_run_again(exchange->route),
     };
+}
+
+bool
+pgw_exchange_fits_drain(const struct pgw_exchange *exchange)
+{
+    const struct pgw_gateway *gateway = exchange->gateway;
+    const struct pgw_drain_request request =
+        pgw_exchange_drain_request(exchange);
 
     return !gateway->is_draining ||
            pgw_drain_window_fits(&gateway->drain, &request, pgw_now_us());
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -222,7 +222,10 @@
  * @queued_us: total time in the queue, without the current wait
  * @forecast: what was expected when the current attempt was sent; zeroed: no
  *   forecast was made
- * @pace: how evenly the caller gets the events of a stream
+ * @pace: how evenly the events of a stream arrive
+ * @forecast_end_us: when the current attempt's run ends by the forecast on
+ *   which it was begun in a planned stop, 0: its events are relayed as they
+ *   arrive
  * @load_at_choice: estimated requests at @upstream when it was chosen
  * @load_report_age_us: age of the report on which the estimate rests
  * @fetch_source: where missing prompt parts are fetched from, for logs
@@ -232,7 +235,8 @@
  * @is_named: the answer names the request
  * @not_run: the upstream states that it did not run the request
  * @answer_fields: header lines for the caller
- * @answer: body received so far, if the answer is not a stream
+ * @answer: body received so far, if the answer is not a stream; else complete
+ *   events that are held
  * @held_size: bytes of @answer and of an incomplete event that are counted in
  *   the gateway's @answers_size
  * @events: events of a stream
@@ -313,6 +317,7 @@
     uint64_t queued_us;
     struct pgw_forecast forecast;
     struct pgw_stream_pace pace;
+    uint64_t forecast_end_us;
     uint32_t load_at_choice;
     uint64_t load_report_age_us;
     const char *fetch_source;
@@ -357,6 +362,9 @@
 /** pgw_exchange_fits_drain() - an attempt that begins now will have ended when
  * a planned stop, if there is one, cuts what is left */
 bool pgw_exchange_fits_drain(const struct pgw_exchange *exchange);
+/** pgw_exchange_drain_request() - the request as a planned stop sees it */
+struct pgw_drain_request
+pgw_exchange_drain_request(const struct pgw_exchange *exchange);
 /** pgw_exchange_record_run() - the current attempt has taken so long; it has
  * ended, or a planned stop has to know */
 void pgw_exchange_record_run(const struct pgw_exchange *exchange);
@@ -512,6 +520,20 @@
 void pgw_exchange_send(struct pgw_exchange *exchange,
                        const struct pgw_choice *choice);
 
+/* drain_hold.c */
+/** pgw_drain_hold_begin() - an attempt begins: in a planned stop its stream
+ * may be provisional (drain_window.h) */
+void pgw_drain_hold_begin(struct pgw_exchange *exchange);
+/** pgw_drain_hold_judge() - what is done with events that have just arrived */
+enum pgw_drain_verdict
+pgw_drain_hold_judge(const struct pgw_exchange *exchange);
+/** pgw_drain_hold_is_hopeless() - whether a provisional stream that brings no
+ * event will not end before the cut */
+bool pgw_drain_hold_is_hopeless(const struct pgw_exchange *exchange);
+/** pgw_drain_hold_give_up() - answer the caller of a provisional stream that
+ * will not end before the cut; frees the exchange */
+void pgw_drain_hold_give_up(struct pgw_exchange *exchange);
+
 /* stream_pace.c */
 /** pgw_stream_pace_add_event() - events are relayed now */
 void pgw_stream_pace_add_event(struct pgw_exchange *exchange, uint64_t now_us);
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -286,6 +286,7 @@
     options.size = bytes->len;
     pgw_attempt_count_start(exchange, choice);
     pgw_stream_origin_set_sent(exchange, choice->upstream);
+    pgw_drain_hold_begin(exchange);
     exchange->phase = exchange->phase == PGW_PHASE_RELAYING
                           ? PGW_PHASE_RELAYING
                           : PGW_PHASE_SENT;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -453,6 +453,10 @@
         if (exchange->upstream != NULL) {
             /* Long runs would be missing among those that have ended. */
             pgw_exchange_record_run(exchange);
+            if (exchange->caller != NULL &&
+                pgw_drain_hold_is_hopeless(exchange)) {
+                pgw_drain_hold_give_up(exchange);
+            }
         }
         else if (exchange->caller != NULL &&
                  !pgw_exchange_fits_drain(exchange)) {
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -330,8 +330,9 @@
  */
 void pgw_gateway_drain(struct pgw_gateway *gateway, uint64_t cut_us);
 
-/** pgw_gateway_refuse_late() - refuse the queued requests that would not end
- * before the cut; to be called now and then during a planned stop */
+/** pgw_gateway_refuse_late() - refuse the queued requests and give up the
+ * provisional streams that would not end before the cut; to be called now and
+ * then during a planned stop */
 void pgw_gateway_refuse_late(struct pgw_gateway *gateway);
 
 /** pgw_gateway_close() - stop accepting, answer every request that was sent
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -338,6 +338,26 @@
     }
 }
 
+/* Relays the complete events that are held, and after them those at the front
+ * of the stream. */
+static void
+pass_events(struct pgw_exchange *exchange, size_t complete_size)
+{
+    exchange->forecast_end_us = 0;
+    pgw_stream_origin_set_begun(exchange);
+    if (exchange->phase != PGW_PHASE_RELAYING) {
+        exchange->phase = PGW_PHASE_RELAYING;
+        pgw_caller_begin(exchange->caller, exchange->status,
+                         exchange->answer_fields->str, -1);
+    }
+    pgw_caller_write(exchange->caller, pgw_buffer_head(&exchange->answer),
+                     pgw_buffer_size(&exchange->answer));
+    pgw_buffer_dispose(&exchange->answer);
+    pgw_caller_write(exchange->caller,
+                     pgw_buffer_head(&exchange->events.pending),
+                     complete_size);
+}
+
 static void
 relay_events(struct pgw_exchange *exchange, const char *data, size_t size)
 {
@@ -362,16 +382,20 @@
         handle_first_event(exchange);
     }
     pgw_stream_pace_add_event(exchange, pgw_now_us());
-    pgw_stream_origin_set_begun(exchange);
     pgw_suspect_wait_pass(exchange);
-    if (exchange->phase != PGW_PHASE_RELAYING) {
-        exchange->phase = PGW_PHASE_RELAYING;
-        pgw_caller_begin(exchange->caller, exchange->status,
-                         exchange->answer_fields->str, -1);
+    switch (pgw_drain_hold_judge(exchange)) {
+    case PGW_DRAIN_GIVE_UP:
+        pgw_drain_hold_give_up(exchange);
+        return;
+    case PGW_DRAIN_HOLD:
+        pgw_buffer_append(&exchange->answer,
+                          pgw_buffer_head(&exchange->events.pending),
+                          complete_size);
+        break;
+    case PGW_DRAIN_RELAY:
+        pass_events(exchange, complete_size);
+        break;
     }
-    pgw_caller_write(exchange->caller,
-                     pgw_buffer_head(&exchange->events.pending),
-                     complete_size);
     pgw_event_stream_consume(&exchange->events, complete_size);
     pgw_attempt_count_held(exchange);
     bound_answers(exchange->gateway);
@@ -547,6 +571,10 @@
         pgw_attempt_handle_unknown(exchange, "unconfirmed_refusal");
         return;
     }
+    if (exchange->is_stream && exchange->caller != NULL &&
+        pgw_buffer_size(&exchange->answer) > 0) {
+        pass_events(exchange, 0);
+    }
     deliver(exchange);
 }
 
--- a/src/libparsleygw/drain_window.h
+++ b/src/libparsleygw/drain_window.h
@@ -11,6 +11,11 @@
  * is begun only if it will have ended by then; any other is refused at
  * once, while another process still has time for it. The same is decided again
  * whenever an attempt is about to begin, and for requests that are queued.
+ *
+ * How long other requests took does not bound this one. A stream that begins
+ * late on such a forecast is provisional: its events are held until the rest
+ * of it is sure to end in time. Otherwise its caller gets a final answer while
+ * there is time for another process, and no part of a stream.
  */
 
 /**
@@ -41,6 +46,57 @@
                            const struct pgw_drain_request *request,
                            uint64_t now_us);
 
+/**
+ * pgw_drain_window_forecast_end_us() - until when a provisional run may last
+ * @window: the stop
+ * @request: a request that fits
+ * @now_us: when its attempt begins
+ *
+ * Return: 0 if the attempt is not provisional: the request ends before the cut
+ * in any case, or it begins early in the stop, or there is none.
+ */
+uint64_t
+pgw_drain_window_forecast_end_us(const struct pgw_drain_window *window,
+                                 const struct pgw_drain_request *request,
+                                 uint64_t now_us);
+
+/* Number of events of a stream that states no length. */
+#define PGW_DRAIN_EVENTS_UNKNOWN UINT64_MAX
+
+/**
+ * struct pgw_drain_stream - progress of a provisional stream
+ * @events_left: most events that may follow, %PGW_DRAIN_EVENTS_UNKNOWN
+ * @promised_pause_us: longest pause between two events of an answer that is in
+ *   time, 0: none is promised
+ * @longest_pause_us: longest pause so far, 0: fewer than two events have come
+ * @answer_due_us: when its caller expects an event
+ * @forecast_end_us: as returned by pgw_drain_window_forecast_end_us()
+ */
+struct pgw_drain_stream {
+    uint64_t events_left;
+    uint64_t promised_pause_us;
+    uint64_t longest_pause_us;
+    uint64_t answer_due_us;
+    uint64_t forecast_end_us;
+};
+
+/**
+ * enum pgw_drain_verdict - what is done with a provisional stream
+ * @PGW_DRAIN_HOLD: it is not decided yet; its events are held
+ * @PGW_DRAIN_RELAY: it ends before the cut; its events are relayed
+ * @PGW_DRAIN_GIVE_UP: it does not; its caller gets an error
+ */
+enum pgw_drain_verdict {
+    PGW_DRAIN_HOLD,
+    PGW_DRAIN_RELAY,
+    PGW_DRAIN_GIVE_UP,
+};
+
+/** pgw_drain_window_judge() - decide what is done with a provisional stream */
+enum pgw_drain_verdict
+pgw_drain_window_judge(const struct pgw_drain_window *window,
+                       const struct pgw_drain_stream *stream, uint64_t now_us);
+
 /**
  * struct pgw_run_times - how long the runs of one route take
  * @since_us: when the current span of %PGW_RUN_TIMES_SPAN_US began
--- a/tests/unit/test_drain_window.c
+++ b/tests/unit/test_drain_window.c
@@ -81,6 +81,83 @@
     g_assert_cmpuint(pgw_run_times_longest_us(&times), ==, 1);
 }
 
+static enum pgw_drain_verdict
+judge(uint64_t now_us, uint64_t events_left, uint64_t longest_pause_us)
+{
+    const struct pgw_drain_stream stream = {
+        .events_left = events_left,
+        .promised_pause_us = SECOND / 5,
+        .longest_pause_us = longest_pause_us,
+        .answer_due_us = 104 * SECOND,
+        .forecast_end_us = 105 * SECOND,
+    };
+
+    return pgw_drain_window_judge(&window, &stream, now_us);
+}
+
+/* Guards against streams begun late on the runs of others, which are relayed
+ * at once and cut in the middle. */
+static void
+test_late_streams_are_provisional(void)
+{
+    struct pgw_drain_request request = {
+        .deadline_us = 113 * SECOND,
+        .longest_run_us = SECOND / 2,
+        .may_run_again = true,
+    };
+
+    g_assert_cmpuint(
+        pgw_drain_window_forecast_end_us(&window, &request, 103 * SECOND), ==,
+        105 * SECOND);
+    g_assert_cmpuint(
+        pgw_drain_window_forecast_end_us(&window, &request, 102 * SECOND), ==,
+        0);
+    request.deadline_us = window.cut_us;
+    g_assert_cmpuint(
+        pgw_drain_window_forecast_end_us(&window, &request, 103 * SECOND), ==,
+        0);
+}
+
+/* Guards against a stream that is relayed before its rest is sure to end. */
+static void
+test_streams_are_held_until_sure(void)
+{
+    const uint64_t now = 103 * SECOND + SECOND / 2;
+
+    g_assert_cmpint(judge(now, 29, 0), ==, PGW_DRAIN_HOLD);
+    g_assert_cmpint(judge(now, 29, SECOND / 100), ==, PGW_DRAIN_HOLD);
+    g_assert_cmpint(judge(now, 17, SECOND / 100), ==, PGW_DRAIN_RELAY);
+    g_assert_cmpint(judge(now, 0, 0), ==, PGW_DRAIN_RELAY);
+    /* Twice as slow as promised. */
+    g_assert_cmpint(judge(now, 17, SECOND / 5), ==, PGW_DRAIN_HOLD);
+    g_assert_cmpint(judge(now, 8, SECOND / 5), ==, PGW_DRAIN_RELAY);
+}
+
+/* Guards against callers who wait for a stream that will be cut. */
+static void
+test_hopeless_streams_are_given_up(void)
+{
+    const uint64_t now = 103 * SECOND + SECOND / 2;
+
+    g_assert_cmpint(judge(now, 29, SECOND / 5), ==, PGW_DRAIN_GIVE_UP);
+    g_assert_cmpint(judge(104 * SECOND, 29, SECOND / 10), ==,
+                    PGW_DRAIN_GIVE_UP);
+    g_assert_cmpint(judge(104 * SECOND, 29, SECOND / 20), ==, PGW_DRAIN_RELAY);
+    g_assert_cmpint(judge(104 * SECOND, 29, 0), ==, PGW_DRAIN_HOLD);
+    g_assert_cmpint(judge(105 * SECOND, 29, 0), ==, PGW_DRAIN_GIVE_UP);
+    g_assert_cmpint(judge(108 * SECOND, 1, 1), ==, PGW_DRAIN_GIVE_UP);
+}
+
+/* Guards against a stream without a length that is relayed before its end. */
+static void
+test_streams_of_unknown_length_are_held(void)
+{
+    g_assert_cmpint(judge(104 * SECOND, PGW_DRAIN_EVENTS_UNKNOWN, 1), ==,
+                    PGW_DRAIN_HOLD);
+    g_assert_cmpint(judge(105 * SECOND, PGW_DRAIN_EVENTS_UNKNOWN, 1), ==,
+                    PGW_DRAIN_GIVE_UP);
+}
+
 /* Without a stop nothing is turned away. */
 static void
 test_no_stop(void)
@@ -107,6 +184,14 @@
                     test_unknown_runs_last_until_the_deadline);
     g_test_add_func("/drain_window/longest_run_is_kept",
                     test_longest_run_is_kept);
+    g_test_add_func("/drain_window/late_streams_are_provisional",
+                    test_late_streams_are_provisional);
+    g_test_add_func("/drain_window/streams_are_held_until_sure",
+                    test_streams_are_held_until_sure);
+    g_test_add_func("/drain_window/hopeless_streams_are_given_up",
+                    test_hopeless_streams_are_given_up);
+    g_test_add_func("/drain_window/streams_of_unknown_length_are_held",
+                    test_streams_of_unknown_length_are_held);
     g_test_add_func("/drain_window/no_stop", test_no_stop);
     return g_test_run();
 }
