Name the isolated workspaces in the salt of those that share parts

Isolated workspaces whose names are alike in 95 bytes shared parts.

Cause: the salt of all that share parts was the version of the weights, whoever shared them, and salts were cut at 95 bytes.

Change: that salt ends with a digest of the workspaces that are isolated or were when they were removed, derived from the configuration and from a record in the platform's store, which outlives all processes. Names are digested. A configuration that leaves the set as it is changes no salt, so that nothing is read again; without isolated workspaces the salt is the one of before.

--- a/src/gateway/config/route_table.c
+++ b/src/gateway/config/route_table.c
@@ -147,6 +147,12 @@
     return table->version;
 }
 
+const GPtrArray *
+pgw_route_table_workspaces(const struct pgw_route_table *table)
+{
+    return table->workspaces;
+}
+
 const struct pgw_caller_limits *
 pgw_route_table_limits(const struct pgw_route_table *table)
 {
--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -133,6 +133,10 @@
 void pgw_route_table_set_limits(struct pgw_route_table *table,
                                 const struct pgw_caller_limits *limits);
 
+/** pgw_route_table_workspaces() - all workspaces, of &struct pgw_workspace */
+const GPtrArray *
+pgw_route_table_workspaces(const struct pgw_route_table *table);
+
 /** pgw_route_table_version() - version of the configuration */
 uint64_t pgw_route_table_version(const struct pgw_route_table *table);
 
--- a/src/gateway/placement/choose.c
+++ b/src/gateway/placement/choose.c
@@ -111,15 +111,6 @@
                : prompt->parts[prompt->part_count - 1].tokens;
 }
 
-void
-pgw_cache_salt(char out[PGW_CACHE_SALT_SIZE], uint64_t version,
-               const char *isolated_to)
-{
-    g_snprintf(out, PGW_CACHE_SALT_SIZE, "w%" G_GUINT64_FORMAT "%s%s", version,
-               isolated_to == NULL ? "" : "-",
-               isolated_to == NULL ? "" : isolated_to);
-}
-
 uint64_t
 pgw_part_id(const char *text, size_t size)
 {
@@ -161,7 +152,7 @@
     uint32_t missing = pgw_prompt_shared(prompt);
     char salt[PGW_CACHE_SALT_SIZE];
 
-    pgw_cache_salt(salt, version, prompt->isolated_to);
+    pgw_cache_salt(salt, version, prompt->cache_scope);
     for (size_t i = 0; i + 1 < prompt->part_count; i++) {
         uint64_t key = pgw_part_key(input->model, salt, prompt->parts[i].id);
 
--- a/src/gateway/placement/choose.h
+++ b/src/gateway/placement/choose.h
@@ -3,6 +3,7 @@
 
 #include "gateway/config/policy.h"
 #include "gateway/pace/forecast.h"
+#include "gateway/placement/cache_salt.h"
 #include "gateway/placement/candidates.h"
 #include "gateway/upstream/target_weights.h"
 #include "gateway/upstream/upstream_table.h"
@@ -34,8 +35,8 @@
  * @part_count: number of @parts
  * @tokens: size of the prompt
  * @output_tokens: maximum number of tokens of the answer
- * @isolated_to: the only workspace that may use its cached parts, NULL: all
- *   may
+ * @isolated_to: the isolated workspace that sends it, NULL: it is not isolated
+ * @cache_scope: who may use its cached parts (cache_salt.h), NULL: all
  */
 struct pgw_prompt {
     struct pgw_prompt_part parts[PGW_PROMPT_PARTS_MAX];
@@ -43,23 +44,9 @@
     uint32_t tokens;
     uint32_t output_tokens;
     const char *isolated_to;
+    const char *cache_scope;
 };
 
-#define PGW_CACHE_SALT_SIZE 96
-
-/**
- * pgw_cache_salt() - salt under which a prompt's parts are cached
- * @out: receives the salt
- * @version: version of the weights that compute the parts
- * @isolated_to: the only workspace that may use them, NULL: all may
- *
- * Neither the engines nor their KV store check the version or the workspace:
- * they reuse any part that was saved under the same salt. Hence the salt
- * contains both.
- */
-void pgw_cache_salt(char out[PGW_CACHE_SALT_SIZE], uint64_t version,
-                    const char *isolated_to);
-
 /**
  * pgw_part_key() - key of a cached part
  * @model: name of the model
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -683,6 +683,15 @@
                     end_us > now_us ? end_us - now_us : 0);
 }
 
+/* The configuration may have changed while the request was queued. */
+static void
+update_cache_scope(struct pgw_exchange *exchange)
+{
+    exchange->facts.prompt.cache_scope = pgw_isolation_scope(
+        exchange->gateway->isolation,
+        exchange->workspace == NULL ? NULL : exchange->workspace->name);
+}
+
 void
 pgw_exchange_dispatch(struct pgw_exchange *exchange)
 {
@@ -705,6 +714,7 @@
         pgw_exchange_refuse_stopping(exchange);
         return;
     }
+    update_cache_scope(exchange);
     lanes = update_lanes(exchange, now);
     if (pgw_prefill_claim_is_pending(exchange) ||
         pgw_suspect_wait_begin(exchange) || pgw_run_cover_dispatch(exchange) ||
@@ -797,6 +807,7 @@
     }
     exchange->deadline_us = exchange->received_us + limit_ms * 1000;
     exchange->service = pgw_route_pick(route, pgw_random_u64());
+    update_cache_scope(exchange);
     exchange->deadline_timer.on_due = on_deadline;
     pgw_list_append(&gateway->exchanges, &exchange->in_gateway);
     return exchange;
--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -22,6 +22,7 @@
  * @started_us: when the gateway was created
  * @routes: configuration in force, NULL before the first one
  * @routes_set_at_us: when @routes came into force
+ * @isolation: which workspaces share no cached parts
  * @budgets: retry budgets of services
  * @crash_quarantine: requests and prompt parts that were running when
  *   upstreams crashed
@@ -75,6 +76,7 @@
     struct pgw_call_pool *pool;
     struct pgw_route_table *routes;
     uint64_t routes_set_at_us;
+    struct pgw_isolation *isolation;
     struct pgw_upstream_table *upstreams;
     struct pgw_retry_budgets *budgets;
     struct pgw_crash_quarantine *crash_quarantine;
--- a/src/gateway/request/forward.c
+++ b/src/gateway/request/forward.c
@@ -85,7 +85,7 @@
     uint64_t now = pgw_now_us();
     char salt[PGW_CACHE_SALT_SIZE];
 
-    pgw_cache_salt(salt, version, prompt->isolated_to);
+    pgw_cache_salt(salt, version, prompt->cache_scope);
     for (size_t i = 0; i + 1 < prompt->part_count; i++) {
         uint32_t tokens = prompt->parts[i].tokens;
         uint64_t key =
@@ -174,10 +174,13 @@
     if (version == 0) {
         /* The version that will run the prompt is not known, so none of its
          * parts may be shared. */
-        g_snprintf(salt, PGW_CACHE_SALT_SIZE, "once-%s", exchange->facts.id);
+        pgw_cache_salt_once(
+            salt,
+            exchange->workspace == NULL ? NULL : exchange->workspace->name,
+            exchange->facts.id);
         return;
     }
-    pgw_cache_salt(salt, version, exchange->facts.prompt.isolated_to);
+    pgw_cache_salt(salt, version, exchange->facts.prompt.cache_scope);
     pgw_run_cover_fill(forward, exchange, choice);
     if (forward->backup_at == NULL) {
         fill_kv_source(forward, exchange, choice);
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -89,12 +89,14 @@
     gateway->started_us = pgw_now_us();
     gateway->options = *options;
     pgw_choose_options_apply(&gateway->options.choose, &options->policy);
+    gateway->isolation = pgw_isolation_new();
     pgw_list_init(&gateway->exchanges);
     pgw_wait_queue_init(&gateway->waiting);
     gateway->shares = pgw_share_table_new();
     gateway->server = pgw_caller_server_new(loop, &options->listen,
                                             &caller_ops, gateway, error);
     if (gateway->server == NULL) {
+        pgw_isolation_free(gateway->isolation);
         pgw_share_table_free(gateway->shares);
         g_free(gateway);
         return NULL;
@@ -169,6 +171,7 @@
     pgw_abandoned_trials_free(gateway->abandoned_trials);
     pgw_crash_quarantine_free(gateway->crash_quarantine);
     pgw_route_table_unref(gateway->routes);
+    pgw_isolation_free(gateway->isolation);
     g_hash_table_destroy(gateway->target_weights);
     g_hash_table_destroy(gateway->run_times);
     g_hash_table_destroy(gateway->probes);
@@ -203,6 +206,12 @@
     return gateway->stream_origins;
 }
 
+struct pgw_isolation *
+pgw_gateway_isolation(struct pgw_gateway *gateway)
+{
+    return gateway->isolation;
+}
+
 struct pgw_quota *
 pgw_gateway_quota(struct pgw_gateway *gateway)
 {
@@ -261,6 +270,7 @@
     pgw_route_table_unref(gateway->routes);
     gateway->routes = pgw_route_table_ref(table);
     gateway->routes_set_at_us = pgw_now_us();
+    pgw_isolation_set_routes(gateway->isolation, table);
     on_start_pause_end(&gateway->start_timer);
     pgw_caller_server_set_limits(gateway->server,
                                  pgw_route_table_limits(table));
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -2,6 +2,7 @@
 #define PGW_GATEWAY_REQUEST_GATEWAY_H
 
 #include "gateway/config/codec.h"
+#include "gateway/config/isolation.h"
 #include "gateway/config/policy.h"
 #include "gateway/config/route_table.h"
 #include "gateway/crash/crash_quarantine.h"
@@ -293,6 +294,9 @@
 struct pgw_stream_origins *
 pgw_gateway_stream_origins(struct pgw_gateway *gateway);
 
+/** pgw_gateway_isolation() - which workspaces share no cached parts */
+struct pgw_isolation *pgw_gateway_isolation(struct pgw_gateway *gateway);
+
 /** pgw_gateway_quota() - quotas of workspaces; answers of their owners are
  * handed to it */
 struct pgw_quota *pgw_gateway_quota(struct pgw_gateway *gateway);
--- a/src/gateway/request/home_probe.c
+++ b/src/gateway/request/home_probe.c
@@ -106,7 +106,7 @@
     char salt[PGW_CACHE_SALT_SIZE];
 
     pgw_cache_salt(salt, pgw_upstream_version(upstream, exchange->facts.model),
-                   prompt->isolated_to);
+                   prompt->cache_scope);
     for (size_t i = 0; i + 1 < prompt->part_count; i++) {
         keys[i] =
             pgw_part_key(exchange->facts.model, salt, prompt->parts[i].id);
