Ask for keys as soon as a configuration has a list of workspaces

Cause: whether keys are needed was concluded from the number of workspaces; an empty list was taken for an absent one.

Change: the table keeps whether the configuration contains the list.

--- a/src/gateway/config/route_table.c
+++ b/src/gateway/config/route_table.c
@@ -13,6 +13,7 @@
     size_t longest_prefix; /* bytes of the longest path prefix */
     GHashTable *services;  /* name -> struct pgw_service */
     GHashTable *keys;      /* key -> struct pgw_workspace */
+    bool requires_keys;
     GPtrArray *workspaces; /* of struct pgw_workspace, owned */
     GPtrArray *kv_stores;  /* of struct pgw_service, owned by services */
 };
@@ -129,6 +130,7 @@
     struct pgw_workspace *copy = g_memdup2(workspace, sizeof(*workspace));
 
     g_ptr_array_add(table->workspaces, copy);
+    table->requires_keys = true;
     for (size_t i = 0; keys[i] != NULL; i++) {
         g_hash_table_insert(table->keys, g_strdup(keys[i]), copy);
     }
@@ -159,10 +161,16 @@
     return &table->limits;
 }
 
+void
+pgw_route_table_require_keys(struct pgw_route_table *table)
+{
+    table->requires_keys = true;
+}
+
 bool
-pgw_route_table_has_keys(const struct pgw_route_table *table)
+pgw_route_table_requires_keys(const struct pgw_route_table *table)
 {
-    return table->workspaces->len > 0;
+    return table->requires_keys;
 }
 
 /* Truncates @key after its last slash; the first @kept_size bytes are kept. */
--- a/src/gateway/config/route_table.h
+++ b/src/gateway/config/route_table.h
@@ -144,8 +144,13 @@
 const struct pgw_caller_limits *
 pgw_route_table_limits(const struct pgw_route_table *table);
 
-/** pgw_route_table_has_keys() - whether requests need an API key */
-bool pgw_route_table_has_keys(const struct pgw_route_table *table);
+/** pgw_route_table_require_keys() - requests need an API key, also if no
+ * workspace is added: then there is no valid one */
+void pgw_route_table_require_keys(struct pgw_route_table *table);
+
+/** pgw_route_table_requires_keys() - whether requests need an API key: it was
+ * required, or a workspace was added */
+bool pgw_route_table_requires_keys(const struct pgw_route_table *table);
 
 /**
  * pgw_route_table_match() - find the host's route with the longest prefix
--- a/src/gateway/request/dispatch.c
+++ b/src/gateway/request/dispatch.c
@@ -899,7 +899,7 @@
         refuse_request(gateway, caller, facts.id, NULL, 404, "no_route", 0);
         return;
     }
-    if (!route->open && pgw_route_table_has_keys(gateway->routes)) {
+    if (!route->open && pgw_route_table_requires_keys(gateway->routes)) {
         workspace =
             facts.key == NULL
                 ? NULL
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -61,6 +61,46 @@
     pgw_route_table_unref(table);
 }
 
+/* Guards against a workspace that shares what it caches, as its configuration
+ * says neither yes nor no; and against other members of another type. */
+static void
+test_members_of_another_type(void)
+{
+    static const struct {
+        const char *isolated;
+        bool expected;
+    } cases[] = {
+        {"true", true}, {"false", false}, {"null", false}, {"1", true},
+        {"0", true},    {"\"no\"", true}, {"[]", true},    {"{}", true},
+    };
+    struct pgw_document document;
+    struct pgw_route_table *table;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(
+            "{\"version\":1,\"tenants\":[{\"name\":\"w\",\"api_keys\":"
+            "[\"k\"],\"isolated\":%s}]}",
+            cases[i].isolated);
+
+        document = make_document("config", "main", text);
+        table = platform_decode_config(&document);
+        g_assert_cmpint(pgw_route_table_workspace(table, "k")->isolated, ==,
+                        cases[i].expected);
+        pgw_route_table_unref(table);
+        g_free(text);
+    }
+    document = make_document("config", "main",
+                             "{\"version\":1,\"routes\":[{\"host\":\"h\","
+                             "\"path_prefix\":\"/\",\"traffic_split\":"
+                             "[7,{\"service\":\"s\",\"weight\":1}]}]}");
+    table = platform_decode_config(&document);
+    g_assert_cmpstr(pgw_route_pick(pgw_route_table_match(table, "h", "/"), 5),
+                    ==, "s");
+    pgw_route_table_unref(table);
+    document = make_document("config", "main", "{\"version\":\"1\"}");
+    g_assert_null(platform_decode_config(&document));
+}
+
 /* Guards earlier deployments: runs are copied only where the configuration
  * states that engines take copies. */
 static void
@@ -277,6 +317,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     pgw_log_init("test", "", "error");
+    g_test_add_func("/platform_decode/members_of_another_type",
+                    test_members_of_another_type);
     g_test_add_func("/platform_decode/config", test_config);
     g_test_add_func("/platform_decode/copies", test_copies_are_offered);
     g_test_add_func("/platform_decode/invalid_documents_are_rejected",
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -95,7 +95,7 @@
 {
     struct pgw_route_table *table = make_table();
 
-    g_assert_true(pgw_route_table_has_keys(table));
+    g_assert_true(pgw_route_table_requires_keys(table));
     g_assert_cmpstr(pgw_route_table_workspace(table, "k2")->name, ==, "w");
     g_assert_null(pgw_route_table_workspace(table, "k3"));
     pgw_route_table_unref(table);
