Keep unfinished streams in the store while two versions serve

Cause: the version at which a stream began was in the memory of its entry and of two sidecars, and nowhere else.

--- a/src/gateway/request/exchange.h
+++ b/src/gateway/request/exchange.h
@@ -32,6 +32,7 @@
  * @quota: quotas of workspaces
  * @software_records: software versions of services
  * @stream_origins: software versions of streams
+ * @stream_records: unfinished streams in the platform's store
  * @waiting: requests that are queued for a free slot
  * @shares: shared services and their refused callers
  * @exchanges: all requests that have not ended
@@ -86,6 +87,7 @@
     struct pgw_quota *quota;
     struct pgw_software_records *software_records;
     struct pgw_stream_origins *stream_origins;
+    struct pgw_stream_records *stream_records;
     struct pgw_wait_queue waiting;
     struct pgw_share_table *shares;
     struct pgw_list exchanges;
@@ -194,6 +196,9 @@
  *   stream goes on; NULL: not known, it goes on nowhere
  * @software_is_fixed: the caller has events of the stream
  * @sent_software: software version of the current attempt's upstream
+ * @origin_id: hash of the id of the attempt that began the stream, 0: it has
+ * not begun
+ * @origin_sought_us: when its version was first looked for, 0: it was not
  * @origin_ask: number of the ask for @software whose answers are awaited, 0:
  *   none
  * @origin_answers: number of answers that are awaited
@@ -292,6 +297,8 @@
     const char *software;
     bool software_is_fixed;
     const char *sent_software;
+    uint64_t origin_id;
+    uint64_t origin_sought_us;
     uint64_t origin_ask;
     unsigned origin_answers;
     bool origin_is_complete;
--- a/src/gateway/request/gateway.c
+++ b/src/gateway/request/gateway.c
@@ -132,6 +132,7 @@
     gateway->quota = pgw_quota_new(gateway, &options->quota);
     gateway->software_records = pgw_software_records_new(gateway);
     gateway->stream_origins = pgw_stream_origins_new(gateway);
+    gateway->stream_records = pgw_stream_records_new(gateway);
     pgw_upstream_table_on_lost(gateway->upstreams, on_upstream_delisted,
                                gateway);
     pgw_unresponsive_start(gateway);
@@ -165,6 +166,7 @@
     pgw_quota_free(gateway->quota);
     pgw_share_table_free(gateway->shares);
     pgw_stream_origins_free(gateway->stream_origins);
+    pgw_stream_records_free(gateway->stream_records);
     pgw_software_records_free(gateway->software_records);
     pgw_upstream_table_free(gateway->upstreams);
     pgw_retry_budgets_free(gateway->budgets);
@@ -206,6 +208,12 @@
     return gateway->stream_origins;
 }
 
+struct pgw_stream_records *
+pgw_gateway_stream_records(struct pgw_gateway *gateway)
+{
+    return gateway->stream_records;
+}
+
 struct pgw_isolation *
 pgw_gateway_isolation(struct pgw_gateway *gateway)
 {
--- a/src/gateway/request/gateway.h
+++ b/src/gateway/request/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/quota/retry_budgets.h"
 #include "gateway/request/software_records.h"
 #include "gateway/request/stream_origins.h"
+#include "gateway/request/stream_records.h"
 #include "gateway/upstream/upstream_table.h"
 
 /**
@@ -294,6 +295,11 @@
 struct pgw_stream_origins *
 pgw_gateway_stream_origins(struct pgw_gateway *gateway);
 
+/** pgw_gateway_stream_records() - unfinished streams in the platform's store
+ */
+struct pgw_stream_records *
+pgw_gateway_stream_records(struct pgw_gateway *gateway);
+
 /** pgw_gateway_isolation() - which workspaces share no cached parts */
 struct pgw_isolation *pgw_gateway_isolation(struct pgw_gateway *gateway);
 
--- a/src/gateway/request/relay.c
+++ b/src/gateway/request/relay.c
@@ -465,6 +465,7 @@
                          pgw_buffer_size(&exchange->answer));
     }
     pgw_caller_end(caller);
+    pgw_stream_origin_set_complete(exchange);
     measure_decode_time(exchange);
     pgw_exchange_finish(exchange, "answered");
 }
--- a/src/gateway/request/software_records.c
+++ b/src/gateway/request/software_records.c
@@ -215,6 +215,21 @@
                                pool, software_time(pgw_now_us()));
 }
 
+bool
+pgw_software_records_any_mixed(struct pgw_software_records *records)
+{
+    GHashTableIter iter;
+    void *service;
+
+    g_hash_table_iter_init(&iter, records->by_service);
+    while (g_hash_table_iter_next(&iter, &service, NULL)) {
+        if (!pgw_software_records_is_single(records, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 pgw_software_records_is_read(struct pgw_software_records *records,
                              const char *service)
--- a/src/gateway/request/software_records.h
+++ b/src/gateway/request/software_records.h
@@ -60,6 +60,10 @@
 bool pgw_software_records_is_single(struct pgw_software_records *records,
                                     const char *service);
 
+/** pgw_software_records_any_mixed() - whether streams of some service may have
+ * begun at more than one version */
+bool pgw_software_records_any_mixed(struct pgw_software_records *records);
+
 /** pgw_software_records_is_read() - whether the store has answered */
 bool pgw_software_records_is_read(struct pgw_software_records *records,
                                   const char *service);
--- a/src/gateway/request/stream_ledger.c
+++ b/src/gateway/request/stream_ledger.c
@@ -71,6 +71,16 @@
     }
 }
 
+void
+pgw_stream_ledger_remove(struct pgw_stream_ledger *ledger, uint64_t id)
+{
+    struct record *record = g_hash_table_lookup(ledger->by_id, &id);
+
+    if (record != NULL) {
+        remove_record(ledger, record);
+    }
+}
+
 void
 pgw_stream_ledger_put(struct pgw_stream_ledger *ledger, uint64_t id,
                       const char *software, uint64_t now_us)
@@ -120,7 +130,7 @@
 pgw_stream_ledger_foreach(const struct pgw_stream_ledger *ledger,
                           uint64_t now_us,
                           void (*on_record)(uint64_t id, const char *software,
-                                            void *context),
+                                            uint64_t at_us, void *context),
                           void *context)
 {
     pgw_list_foreach (link, &ledger->records) {
@@ -128,7 +138,7 @@
             pgw_container_of(link, struct record, in_ledger);
 
         if (is_current(ledger, record, now_us)) {
-            on_record(record->id, record->software, context);
+            on_record(record->id, record->software, record->at_us, context);
         }
     }
 }
--- a/src/gateway/request/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -270,13 +270,14 @@
 }
 
 static void
-enqueue(uint64_t id, const char *software, void *context)
+enqueue(uint64_t id, const char *software, uint64_t at_us, void *context)
 {
     struct pgw_stream_origins *origins = context;
     struct pending_origin item = {
         .origin = {.id = (uint32_t)id, .software = software},
     };
 
+    (void)at_us;
     if (origins->pending->len >= PENDING_MAX) {
         pgw_metric_counter_add(&dropped, 1);
         g_array_remove_index(origins->pending, 0);
@@ -329,7 +330,7 @@
                                   origins);
     }
     else {
-        enqueue(id, software, origins);
+        enqueue(id, software, pgw_now_us(), origins);
     }
 }
 
@@ -446,8 +447,10 @@
         exchange->facts.resumes == NULL ? "-" : exchange->facts.resumes,
         software == NULL ? "-" : software, source);
     if (exchange->facts.resumes != NULL && software != NULL) {
-        record_origin(origins, exchange, hash_attempt(exchange->facts.resumes),
-                      software);
+        exchange->origin_id = hash_attempt(exchange->facts.resumes);
+        record_origin(origins, exchange, exchange->origin_id, software);
+        pgw_stream_records_begin(exchange->gateway->stream_records,
+                                 exchange->origin_id, software);
     }
 }
 
@@ -485,6 +488,15 @@
                                           exchange->service));
 }
 
+/* Whether the record of an entry that has ended may tell. */
+static bool
+may_read(const struct pgw_exchange *exchange)
+{
+    return exchange->facts.resumes != NULL &&
+           pgw_stream_records_may_tell(exchange->gateway->stream_records,
+                                       exchange->origin_sought_us);
+}
+
 /*
  * Failure: an entry that has just started reaches no sidecar yet, or has not
  * read the record of the service. Symptom: it refuses streams that could go
@@ -493,7 +505,10 @@
 static bool
 wait_or_decide(struct pgw_exchange *exchange)
 {
-    if (is_single(exchange) || !may_learn(exchange)) {
+    if (exchange->origin_sought_us == 0) {
+        exchange->origin_sought_us = pgw_now_us();
+    }
+    if (is_single(exchange) || (!may_learn(exchange) && !may_read(exchange))) {
         return decide_unknown(exchange);
     }
     if (exchange->phase != PGW_PHASE_RELAYING) {
@@ -590,6 +605,11 @@
         fix_version(exchange, software, "own");
         return false;
     }
+    if (pgw_stream_records_find(&software, exchange->gateway->stream_records,
+                                id)) {
+        fix_version(exchange, software, "store");
+        return false;
+    }
     /* Also with a single version here: another entry's list may be newer. */
     return start_asking(exchange, id) || wait_or_decide(exchange);
 }
@@ -659,15 +679,30 @@
 pgw_stream_origin_set_begun(struct pgw_exchange *exchange)
 {
 #ifndef PGW_DISABLE_GATEWAY_STREAM_VERSION
-    if (is_resumable(exchange) && !exchange->software_is_fixed) {
-        exchange->software = exchange->sent_software;
-        exchange->software_is_fixed = true;
+    if (!is_resumable(exchange) || exchange->software_is_fixed) {
+        return;
+    }
+    exchange->software = exchange->sent_software;
+    exchange->software_is_fixed = true;
+    if (exchange->software != NULL) {
+        exchange->origin_id = hash_attempt(exchange->facts.id);
+        pgw_stream_records_begin(exchange->gateway->stream_records,
+                                 exchange->origin_id, exchange->software);
     }
 #else
     (void)exchange;
 #endif
 }
 
+void
+pgw_stream_origin_set_complete(struct pgw_exchange *exchange)
+{
+    if (exchange->origin_id != 0) {
+        pgw_stream_records_end(exchange->gateway->stream_records,
+                               exchange->origin_id);
+    }
+}
+
 void
 pgw_stream_origin_drop(struct pgw_exchange *exchange)
 {
--- a/src/gateway/request/stream_origins.h
+++ b/src/gateway/request/stream_origins.h
@@ -74,6 +74,9 @@
  * now on the stream goes on only at its version */
 void pgw_stream_origin_set_begun(struct pgw_exchange *exchange);
 
+/** pgw_stream_origin_set_complete() - the caller gets the whole stream */
+void pgw_stream_origin_set_complete(struct pgw_exchange *exchange);
+
 /** pgw_stream_origin_drop() - stop waiting for answers */
 void pgw_stream_origin_drop(struct pgw_exchange *exchange);
 
--- a/tests/soak/rejoined.py
+++ b/tests/soak/rejoined.py
@@ -81,6 +81,8 @@
     "rejoined_at_once": Rejoined(gap_s=0.0),
     "rejoined_all_processes": Rejoined(sidecars=True),
     "rejoined_both_stay": Rejoined(both_stay=True, gap_s=1.5),
+    "rejoined_both_stay_all": Rejoined(both_stay=True, gap_s=1.5,
+                                       sidecars=True),
     "rejoined_no_release": Rejoined(release=False),
     "rejoined_no_release_all": Rejoined(release=False, sidecars=True),
 }
