Take no part of an answer for a whole one after a reset

Cause: on a connection that is used again the request is written before the loop reads. The failed write takes the pending error of the socket, and the next reads give the bytes in the queue and then 0, as after a close in order.

Change: a failed write is remembered; after a reset the end of the connection ends no answer. What was received before is read to its end, so that whole answers are delivered.

--- a/src/gateway/http/call.c
+++ b/src/gateway/http/call.c
@@ -62,6 +62,9 @@
  * @progress: what the peer has acknowledged of the request
  * @keep_us: how long the connection may stay idle
  * @events: epoll events that are watched
+ * @is_broken: a write has failed, so that part of the request is missing
+ * @is_reset: a write has found the connection reset. The kernel reports that
+ *   once: what was received before can still be read, and then looks ended
  * @skipping: the current answer belongs to another request and is dropped
  * @calls: calls that it has carried, including the current one
  * @unanswered: bytes that came for the current call before its answer
@@ -87,6 +90,8 @@
     bool reap_is_due; /* it is freed when they have been */
     bool connecting;
     bool paused;
+    bool is_broken;
+    bool is_reset;
     bool skipping;
     bool closed;
     unsigned calls;
@@ -234,7 +239,27 @@
     }
 }
 
-static bool
+/*
+ * Failure: an upstream answers a request before it has read all of it, without
+ * a length, and resets the connection within the answer. Symptom: the write
+ * takes the error, the part that was received ends as an answer without a
+ * length does, and the caller gets it as a whole one. After a reset the end of
+ * the connection is not the end of an answer. EPIPE is none: the peer has
+ * closed in order, and only the rest of the request was in vain.
+ */
+static void
+handle_write_error(struct pgw_connection *connection, int error)
+{
+    connection->is_broken = true;
+    connection->is_reset |= error != EPIPE;
+    pgw_buffer_consume(&connection->out, pgw_buffer_size(&connection->out));
+    /* The loop sees the end of a connection that the kernel has closed. */
+    if (error != EPIPE && error != ECONNRESET) {
+        shutdown(connection->watch.fd, SHUT_RDWR);
+    }
+}
+
+static void
 connection_flush(struct pgw_connection *connection)
 {
     while (pgw_buffer_size(&connection->out) > 0) {
@@ -242,15 +267,18 @@
             send(connection->watch.fd, pgw_buffer_head(&connection->out),
                  pgw_buffer_size(&connection->out), MSG_NOSIGNAL);
 
+        if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
         if (sent < 0) {
-            return errno == EAGAIN || errno == EINTR;
+            handle_write_error(connection, errno);
+            return;
         }
         if (connection->call != NULL) {
             connection->call->sent = true;
         }
         pgw_buffer_consume(&connection->out, (size_t)sent);
     }
-    return true;
 }
 
 static void
@@ -335,7 +363,7 @@
     struct pgw_call_pool *pool = connection->pool;
     struct pgw_call *call = detach(connection);
     bool keep = clean && call != NULL && !call->last_use &&
-                connection->reader.head.keep_alive &&
+                !connection->is_broken && connection->reader.head.keep_alive &&
                 pgw_buffer_size(&connection->out) == 0 &&
                 connection->peer->idle_count < pool->options.max_idle &&
                 connection->keep_us > 0;
@@ -438,7 +466,8 @@
         return;
     }
     /* An answer without a length ends here; any other is incomplete. */
-    if (parse_received(connection, NULL, 0) || connection->call != NULL) {
+    if (connection->is_reset || parse_received(connection, NULL, 0) ||
+        connection->call != NULL) {
         connection_fail(connection, PGW_CALL_CLOSED);
     }
 }
@@ -508,17 +537,16 @@
             return;
         }
     }
-    /* A peer that rejects a request early answers before it closes, so the
-     * answer is read before a write can fail. */
+    /* A peer that rejects a request early answers before it closes. What it
+     * has sent is read to its end, also after a write has failed. */
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
         connection_read(connection);
         if (connection->closed) {
             return;
         }
     }
-    if ((events & EPOLLOUT) != 0 && !connection_flush(connection)) {
-        connection_fail(connection, PGW_CALL_CLOSED);
-        return;
+    if ((events & EPOLLOUT) != 0) {
+        connection_flush(connection);
     }
     watch_events(connection);
 }
@@ -700,10 +728,8 @@
     if (!connection->connecting) {
         start_peer_checks(connection);
     }
-    if (!connection->connecting && !connection_flush(connection)) {
-        /* The peer has closed the connection; the loop will see the reset. */
-        pgw_buffer_consume(&connection->out,
-                           pgw_buffer_size(&connection->out));
+    if (!connection->connecting) {
+        connection_flush(connection);
     }
     watch_events(connection);
     if (options->timeout_us > 0) {
