Refuse answers whose status is not a valid one

Callers saw: an answer with the status 000, 099 or 20 was taken for an interim one and waited out until the deadline (504); 0200 was passed on as 200, 600 and 999 as they were.

Cause: the parser libraries take any number for a status, and the reader took all below 200 for interim answers.

Change: the status line is checked as it arrives, on both paths: three digits, 100 to 599, not 101. Any other answer is garbled.

Result: test_http_status fails before on the gateway (504) and on the older path (success), and passes.

--- a/src/gateway/http/http_reader.c
+++ b/src/gateway/http/http_reader.c
@@ -261,6 +261,7 @@
     reader->in_value = false;
     reader->head_done = false;
     reader->done = false;
+    reader->status = (struct pgw_http_status){0};
 }
 
 void
@@ -308,6 +309,12 @@
     do {
         enum http_errno error;
 
+        if (reader->parser.type == HTTP_RESPONSE && data != NULL &&
+            !pgw_http_status_feed(&reader->status, data + total,
+                                  size - total)) {
+            *consumed = total;
+            return PGW_HTTP_BAD;
+        }
         total += http_parser_execute(&reader->parser, &settings,
                                      data == NULL ? no_data : data + total,
                                      size - total);
--- a/src/gateway/http/http_reader.h
+++ b/src/gateway/http/http_reader.h
@@ -1,6 +1,7 @@
 #ifndef PGW_GATEWAY_HTTP_HTTP_READER_H
 #define PGW_GATEWAY_HTTP_HTTP_READER_H
 
+#include "util/http_status.h"
 #include <glib.h>
 #include <http_parser.h>
 #include <stdbool.h>
@@ -96,6 +97,7 @@
  * struct pgw_http_reader - embedded in its owner
  * @parser: state of the parser library
  * @ops: the owner's callbacks
+ * @status: status line of the current message, if it is an answer
  * @head: head of the current message
  * @head_limit: most bytes of a head
  * @head_size: bytes of the current head so far
@@ -108,6 +110,7 @@
  */
 struct pgw_http_reader {
     http_parser parser;
+    struct pgw_http_status status;
     const struct pgw_http_reader_ops *ops;
     struct pgw_http_head head;
     size_t head_limit;
--- a/src/util/curl_head.c
+++ b/src/util/curl_head.c
@@ -1,4 +1,5 @@
 #include "util/curl_head.h"
+#include "util/http_status.h"
 #include <string.h>
 
 /* libcurl bounds heads to about as much, and does not bound trailers. */
@@ -16,7 +17,12 @@
         return 0;
     }
     if (total >= 5 && memcmp(data, "HTTP/", 5) == 0) {
+        struct pgw_http_status status = {0};
+
         head->complete = false;
+        if (!pgw_http_status_feed(&status, data, total)) {
+            return 0;
+        }
     }
     else if (total > 0 && (data[0] == '\r' || data[0] == '\n')) {
         head->complete = true;
--- a/src/util/curl_head.h
+++ b/src/util/curl_head.h
@@ -11,7 +11,8 @@
  * libcurl reports an answer whose connection closes after the status line as
  * complete: with the status and an empty body. Only the empty line after the
  * head shows that the head is whole. It also keeps all trailers of an answer,
- * however many, so their size is bounded here.
+ * however many, so their size is bounded here, and takes some numbers for a
+ * status that are none (http_status.h).
  */
 
 /**
@@ -26,7 +27,7 @@
 
 /** pgw_curl_head_watch() - watch the head of the answer to a request; @head
  * must outlive the request, which fails with %CURLE_WRITE_ERROR if heads and
- * trailers are too large */
+ * trailers are too large, or a status is invalid */
 void pgw_curl_head_watch(CURL *easy, struct pgw_curl_head *head);
 
 /** pgw_curl_head_check() - the result of a request: %CURLE_PARTIAL_FILE in
