--- a/tests/soak/repeated_answers.py
+++ b/tests/soak/repeated_answers.py
@@ -6,7 +6,7 @@
 answered with an error whose status looks like a refusal."""
 import asyncio
 
-from wire import answer
+from wire import answer, reset_connection
 
 LATE_S, LOAD_S, PAUSE_S = 0.03, 5.0, 0.005
 REFUSED, LOOKS_REFUSED, BROKEN_OFF, REPEATED = 1 / 12, 1 / 50, 1 / 50, 0.5
@@ -52,7 +52,7 @@
                                 f"Server-Seal: s.{attempt}\r\n"))
         elif draw < REFUSED + LOOKS_REFUSED + BROKEN_OFF:
             self.soak.note_run(attempt)
-            writer.transport.abort()
+            reset_connection(writer)
         else:
             return False
         return True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,7 +42,7 @@
 import stopped_entries
 import uneven_engines
 import unproven_attempts
-from wire import answer, read_body, read_head
+from wire import answer, read_body, read_head, reset_connection
 
 ENTRIES, ENGINES, PLAINS = 3, 4, 2
 GUARD_PORT, APP_PORT, PROXY_PORT = 17340, 18785, 18786
@@ -377,7 +377,7 @@
 
     def reset(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     def close(self):
         if self.server is not None:
@@ -471,7 +471,7 @@
             stored = None if refused else await self.put(
                 kind, name, given["specification"])
             if self.mode == "lost":
-                writer.transport.abort()
+                reset_connection(writer)
                 return
             writer.write(answer(refused, {}) if refused
                          else answer(200, stored))
@@ -526,7 +526,7 @@
         try:
             other = await asyncio.open_connection(self.behind_ip, self.behind)
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         self.pipes.add(writer)
         await asyncio.gather(self.pump(reader, other[1], "to"),
@@ -542,12 +542,12 @@
                     writer.write(data)
                     await writer.drain()
         except (ConnectionError, OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset_connection(writer)
         writer.close()
 
     def reset(self):
         for writer in list(self.pipes):
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def harm(self, for_s):
         """One trouble; what was swallowed is lost with its connection."""
--- a/tests/soak/stepping.py
+++ b/tests/soak/stepping.py
@@ -8,7 +8,7 @@
 import random
 import time
 
-from wire import answer
+from wire import answer, reset_connection
 
 # A step of an engine with one stream; as long again when all slots are taken.
 STEP_S = 0.008
@@ -46,7 +46,7 @@
         for task in self.tasks:
             task.cancel()
         for run in self.runs:
-            run.writer.transport.abort()
+            reset_connection(run.writer)
             run.turns.put_nowait(False)
 
     def restart(self):
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -1,5 +1,7 @@
 """HTTP as the soak's stand-ins and callers speak it."""
 import json
+import socket
+import struct
 
 
 async def read_head(reader):
@@ -31,3 +33,13 @@
         body = json.dumps(body).encode()
     return (f"HTTP/1.1 {status} X\r\n{fields}Content-Length: {len(body)}"
             "\r\n\r\n").encode() + body
+
+
+def reset_connection(writer):
+    """Ends a connection with a reset: without the option abort() sends a FIN,
+    unless something is unread."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+    writer.transport.abort()
