Record a stream when it is sent, not with its first event

The version is known when the attempt is sent, and the first event comes later, so the record is now mostly there before it. Writes come in short bursts at the same mean rate, and a version that changes before the first event is written again, which the first form missed.

--- a/src/gateway/request/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -670,8 +670,11 @@
     }
     exchange->sent_software = upstream->software;
     if (!exchange->software_is_fixed && upstream->software != NULL) {
+        exchange->origin_id = hash_attempt(exchange->facts.id);
         record_origin(exchange->gateway->stream_origins, exchange,
-                      hash_attempt(exchange->facts.id), upstream->software);
+                      exchange->origin_id, upstream->software);
+        pgw_stream_records_begin(exchange->gateway->stream_records,
+                                 exchange->origin_id, upstream->software);
     }
 }
 
@@ -679,15 +682,9 @@
 pgw_stream_origin_set_begun(struct pgw_exchange *exchange)
 {
 #ifndef PGW_DISABLE_GATEWAY_STREAM_VERSION
-    if (!is_resumable(exchange) || exchange->software_is_fixed) {
-        return;
-    }
-    exchange->software = exchange->sent_software;
-    exchange->software_is_fixed = true;
-    if (exchange->software != NULL) {
-        exchange->origin_id = hash_attempt(exchange->facts.id);
-        pgw_stream_records_begin(exchange->gateway->stream_records,
-                                 exchange->origin_id, exchange->software);
+    if (is_resumable(exchange) && !exchange->software_is_fixed) {
+        exchange->software = exchange->sent_software;
+        exchange->software_is_fixed = true;
     }
 #else
     (void)exchange;
@@ -707,6 +704,11 @@
 pgw_stream_origin_drop(struct pgw_exchange *exchange)
 {
     stop_waiting(exchange);
+    /* Its caller has none of the stream, and takes up nothing. */
+    if (exchange->phase != PGW_PHASE_RELAYING &&
+        !exchange->software_is_fixed) {
+        pgw_stream_origin_set_complete(exchange);
+    }
 }
 
 void
--- a/src/gateway/request/stream_origins.h
+++ b/src/gateway/request/stream_origins.h
@@ -74,10 +74,11 @@
  * now on the stream goes on only at its version */
 void pgw_stream_origin_set_begun(struct pgw_exchange *exchange);
 
-/** pgw_stream_origin_set_complete() - the caller gets the whole stream */
+/** pgw_stream_origin_set_complete() - nothing of the stream can be taken up:
+ * its caller has all of it, or none */
 void pgw_stream_origin_set_complete(struct pgw_exchange *exchange);
 
-/** pgw_stream_origin_drop() - stop waiting for answers */
+/** pgw_stream_origin_drop() - stop waiting for answers; the request ends */
 void pgw_stream_origin_drop(struct pgw_exchange *exchange);
 
 /** pgw_stream_origins_handle_answer() - apply a sidecar's answer */
--- a/src/gateway/request/stream_records.c
+++ b/src/gateway/request/stream_records.c
@@ -7,9 +7,12 @@
 /* Unfinished streams of an entry that are kept, and those of all entries. */
 #define UNFINISHED_MAX 4096
 #define KNOWN_MAX 65536
-/* Shortest interval between two writes. A shorter one would save streams that
- * last for less than that, and few callers take these up. */
+/* Shortest mean interval between two writes. A shorter one would save streams
+ * that last for less than that, and few callers take these up. */
 #define WRITE_INTERVAL_US 250000
+/* Writes that may follow each other without that interval, so that a stream
+ * that begins alone is written at once. */
+#define WRITES_BURST 8
 /* Streams that begin within this time are written together. */
 #define WRITE_DELAY_US 20000
 /* Time after a write that failed: the store may be away for seconds. */
@@ -37,11 +40,14 @@
 /*
  * @unfinished: streams of this entry that callers may take up
  * @known: streams in the records that were read
- * @written: ids in the record in the store
- * @pending: ids in the write in progress, NULL: there is none
+ * @written: id -> version, of the record in the store
+ * @pending: the same of the write in progress, NULL: there is none
  * @batch: what is collected for a write, of &struct pgw_stream_origin
  * @has_new: @batch has streams that are not in the store
- * @write_from_us: no write begins before
+ * @writes_end_us: when the writes so far would have ended at their mean
+ *   interval
+ * @retry_at_us: no write begins before, as one has failed or nothing is to be
+ *   written
  * @read_began_us: when the last complete read began, 0: there was none
  * @reading_since_us: when the read in progress began, 0: there is none
  * @read_failed_us: when the last read failed
@@ -57,7 +63,8 @@
     GHashTable *pending;
     GArray *batch;
     bool has_new;
-    uint64_t write_from_us;
+    uint64_t writes_end_us;
+    uint64_t retry_at_us;
     struct pgw_timer timer;
     uint64_t read_began_us;
     uint64_t reading_since_us;
@@ -131,7 +138,8 @@
     (void)at_us;
     g_array_append_val(records->batch, origin);
     records->has_new |=
-        !g_hash_table_contains(records->written, GUINT_TO_POINTER(origin.id));
+        g_hash_table_lookup(records->written, GUINT_TO_POINTER(origin.id)) !=
+        software;
 }
 
 static void
@@ -139,11 +147,11 @@
 {
     records->pending = g_hash_table_new(NULL, NULL);
     for (guint i = 0; i < records->batch->len; i++) {
-        g_hash_table_add(
-            records->pending,
-            GUINT_TO_POINTER(
-                g_array_index(records->batch, struct pgw_stream_origin, i)
-                    .id));
+        const struct pgw_stream_origin *origin =
+            &g_array_index(records->batch, struct pgw_stream_origin, i);
+
+        g_hash_table_insert(records->pending, GUINT_TO_POINTER(origin->id),
+                            (void *)origin->software);
     }
     pgw_metric_counter_add(&writes, 1);
     records->store->write(
@@ -163,6 +171,18 @@
     return MAX(WRITE_INTERVAL_US, (uint64_t)(MAX(shared_s, size_s) * 1e6));
 }
 
+/* When the next write may begin. */
+static uint64_t
+write_from_us(const struct pgw_stream_records *records)
+{
+    uint64_t ahead_us = (WRITES_BURST - 1) * write_interval_us(records);
+    uint64_t from_us = records->writes_end_us > ahead_us
+                           ? records->writes_end_us - ahead_us
+                           : 0;
+
+    return MAX(from_us, records->retry_at_us);
+}
+
 static void schedule_write(struct pgw_stream_records *records);
 
 static bool
@@ -171,7 +191,7 @@
     /* Before it was read, the record may have what nobody else knows. */
     return records->store != NULL && records->pending == NULL &&
            records->read_began_us > 0 &&
-           pgw_now_us() >= records->write_from_us &&
+           pgw_now_us() >= write_from_us(records) &&
            pgw_software_records_any_mixed(records->gateway->software_records);
 }
 
@@ -194,16 +214,17 @@
         return;
     }
     if (may_write(records)) {
+        records->writes_end_us = MAX(records->writes_end_us, pgw_now_us()) +
+                                 write_interval_us(records);
         write_batch(records);
-        records->write_from_us = pgw_now_us() + write_interval_us(records);
         return;
     }
     if (records->store != NULL && records->read_began_us == 0 &&
         records->reading_since_us == 0) {
         read_records(records);
     }
-    records->write_from_us =
-        MAX(records->write_from_us, pgw_now_us() + WRITE_INTERVAL_US);
+    records->retry_at_us =
+        MAX(records->retry_at_us, pgw_now_us() + WRITE_INTERVAL_US);
     schedule_write(records);
 }
 
@@ -211,13 +232,13 @@
 schedule_write(struct pgw_stream_records *records)
 {
     uint64_t now_us = pgw_now_us();
+    uint64_t from_us = write_from_us(records);
 
     if (records->timer.position == 0) {
         records->timer.on_due = on_write_due;
         pgw_timer_start(records->gateway->loop, &records->timer,
-                        records->write_from_us > now_us + WRITE_DELAY_US
-                            ? records->write_from_us - now_us
-                            : WRITE_DELAY_US);
+                        from_us > now_us + WRITE_DELAY_US ? from_us - now_us
+                                                          : WRITE_DELAY_US);
     }
 }
 
@@ -262,7 +283,7 @@
         records->written = g_steal_pointer(&records->pending);
     }
     else {
-        records->write_from_us = pgw_now_us() + WRITE_RETRY_US;
+        records->retry_at_us = pgw_now_us() + WRITE_RETRY_US;
     }
     g_clear_pointer(&records->pending, g_hash_table_destroy);
     schedule_write(records);
--- a/src/gateway/request/stream_records.h
+++ b/src/gateway/request/stream_records.h
@@ -4,7 +4,7 @@
 #include "gateway/request/stream_origins.h"
 
 /**
- * DOC: Records of the streams that have begun and not ended
+ * DOC: Records of the streams that were sent and have not ended
  *
  * Entries and sidecars keep in memory at which software version a stream began
  * (stream_origins.h). If all of them end at once, only the platform's store
@@ -68,12 +68,13 @@
 /** pgw_stream_records_forget_written() - the store may have lost the record */
 void pgw_stream_records_forget_written(struct pgw_stream_records *records);
 
-/** pgw_stream_records_begin() - a caller has an event of the stream that the
- * attempt @id began; @software is interned */
+/** pgw_stream_records_begin() - the attempt @id is sent to an upstream of this
+ * version, which may begin a stream; @software is interned. It is known before
+ * the first event, so that a record is there in time */
 void pgw_stream_records_begin(struct pgw_stream_records *records, uint64_t id,
                               const char *software);
 
-/** pgw_stream_records_end() - the caller has the whole stream */
+/** pgw_stream_records_end() - nothing of the stream can be taken up */
 void pgw_stream_records_end(struct pgw_stream_records *records, uint64_t id);
 
 /** pgw_stream_records_find() - version of a stream by the records that were
--- a/tests/unit/test_stream_records.c
+++ b/tests/unit/test_stream_records.c
@@ -211,6 +211,42 @@
     scene_free(scene);
 }
 
+/* Guards against a record of the version at which an attempt failed, and not
+ * of the one that began the stream. */
+static void
+test_last_version_is_kept(void)
+{
+    static const char *const ids[] = {"a"};
+    struct scene *scene = versions_scene("v1", "v2", true);
+    unsigned which;
+    unsigned next;
+    int caller;
+    int upstream;
+
+    kept = (struct kept){0};
+    scene_run(scene, connect_store);
+    caller =
+        scene_call_with_fields(scene, "/flow/", "a", "Connection: close\r\n");
+    upstream = scene_accept_any(scene, &which);
+    g_free(scene_read_request(upstream));
+    wait_for_kept(scene, ids, 1);
+    g_assert_cmpstr(kept.origins[0].software, ==, scene->software[which]);
+    scene_reset(upstream);
+    upstream = scene_accept_any(scene, &next);
+    g_assert_cmpuint(next, !=, which);
+    for (unsigned i = 0; i < SCENE_TIMEOUT_S * 100; i++) {
+        scene_run(scene, nothing);
+        if (strcmp(kept.origins[0].software, scene->software[next]) == 0) {
+            break;
+        }
+        g_usleep(10000);
+    }
+    g_assert_cmpstr(kept.origins[0].software, ==, scene->software[next]);
+    close(upstream);
+    close(caller);
+    scene_free(scene);
+}
+
 /* Guards against writes while all streams begin at one version. */
 static void
 test_one_version_needs_no_record(void)
@@ -376,6 +412,8 @@
                     test_streams_outlive_all_processes);
     g_test_add_func("/stream_records/only_unfinished_streams_are_kept",
                     test_only_unfinished_streams_are_kept);
+    g_test_add_func("/stream_records/last_version_is_kept",
+                    test_last_version_is_kept);
     g_test_add_func("/stream_records/one_version_needs_no_record",
                     test_one_version_needs_no_record);
     g_test_add_func("/stream_records/records_are_read_again",
