Keep streams that have ended out of later records

An entry that read the records again, for a stream that nobody knew, took over its own one each time, with streams that had ended since: they were written on for up to a minute. Only the first read, after the start, has what nobody else knows. Found in reading the change; ended_streams_do_not_return guards it.

--- a/src/gateway/request/stream_ledger.c
+++ b/src/gateway/request/stream_ledger.c
@@ -130,7 +130,7 @@
 pgw_stream_ledger_foreach(const struct pgw_stream_ledger *ledger,
                           uint64_t now_us,
                           void (*on_record)(uint64_t id, const char *software,
-                                            uint64_t at_us, void *context),
+                                            void *context),
                           void *context)
 {
     pgw_list_foreach (link, &ledger->records) {
@@ -138,7 +138,7 @@
             pgw_container_of(link, struct record, in_ledger);
 
         if (is_current(ledger, record, now_us)) {
-            on_record(record->id, record->software, record->at_us, context);
+            on_record(record->id, record->software, context);
         }
     }
 }
--- a/src/gateway/request/stream_ledger.h
+++ b/src/gateway/request/stream_ledger.h
@@ -42,13 +42,10 @@
 /** pgw_stream_ledger_remove() - remove an attempt, if it is there */
 void pgw_stream_ledger_remove(struct pgw_stream_ledger *ledger, uint64_t id);
 
-/** pgw_stream_ledger_foreach() - call a function with each current record and
- * the time at which it was added */
-void
-pgw_stream_ledger_foreach(const struct pgw_stream_ledger *ledger,
-                          uint64_t now_us,
-                          void (*on_record)(uint64_t id, const char *software,
-                                            uint64_t at_us, void *context),
-                          void *context);
+/** pgw_stream_ledger_foreach() - call a function with each current record */
+void pgw_stream_ledger_foreach(
+    const struct pgw_stream_ledger *ledger, uint64_t now_us,
+    void (*on_record)(uint64_t id, const char *software, void *context),
+    void *context);
 
 #endif
--- a/src/gateway/request/stream_origins.c
+++ b/src/gateway/request/stream_origins.c
@@ -270,14 +270,13 @@
 }
 
 static void
-enqueue(uint64_t id, const char *software, uint64_t at_us, void *context)
+enqueue(uint64_t id, const char *software, void *context)
 {
     struct pgw_stream_origins *origins = context;
     struct pending_origin item = {
         .origin = {.id = (uint32_t)id, .software = software},
     };
 
-    (void)at_us;
     if (origins->pending->len >= PENDING_MAX) {
         pgw_metric_counter_add(&dropped, 1);
         g_array_remove_index(origins->pending, 0);
@@ -330,7 +329,7 @@
                                   origins);
     }
     else {
-        enqueue(id, software, pgw_now_us(), origins);
+        enqueue(id, software, origins);
     }
 }
 
--- a/src/gateway/request/stream_records.c
+++ b/src/gateway/request/stream_records.c
@@ -129,13 +129,12 @@
 }
 
 static void
-collect(uint64_t id, const char *software, uint64_t at_us, void *context)
+collect(uint64_t id, const char *software, void *context)
 {
     struct pgw_stream_records *records = context;
     const struct pgw_stream_origin origin = {.id = (uint32_t)id,
                                              .software = software};
 
-    (void)at_us;
     g_array_append_val(records->batch, origin);
     records->has_new |=
         g_hash_table_lookup(records->written, GUINT_TO_POINTER(origin.id)) !=
@@ -254,7 +253,8 @@
         return;
     }
     pgw_stream_ledger_put(records->known, origin->id, origin->software, at_us);
-    if (is_own) {
+    /* Later it has streams that have ended since. */
+    if (is_own && records->read_began_us == 0) {
         pgw_stream_ledger_put(records->unfinished, origin->id,
                               origin->software, at_us);
         schedule_write(records);
--- a/src/gateway/request/stream_records.h
+++ b/src/gateway/request/stream_records.h
@@ -50,8 +50,8 @@
  * @records: the records
  * @origin: the stream
  * @age_us: age of the record
- * @is_own: this entry wrote the record before it was started again, and goes
- * on writing the stream
+ * @is_own: the record is this entry's: what it wrote before it was started
+ *   again is written on
  */
 void pgw_stream_records_add(struct pgw_stream_records *records,
                             const struct pgw_stream_origin *origin,
--- a/tests/unit/test_stream_ledger.c
+++ b/tests/unit/test_stream_ledger.c
@@ -4,11 +4,10 @@
 #define SECOND 1000000ULL
 
 static void
-count_record(uint64_t id, const char *software, uint64_t at_us, void *context)
+count_record(uint64_t id, const char *software, void *context)
 {
     (void)id;
     (void)software;
-    (void)at_us;
     ++*(unsigned *)context;
 }
 
--- a/tests/unit/test_stream_records.c
+++ b/tests/unit/test_stream_records.c
@@ -293,6 +293,36 @@
     scene_free(scene);
 }
 
+/* Guards against streams that have ended, and are kept again since the records
+ * were read again. */
+static void
+test_ended_streams_do_not_return(void)
+{
+    static const char *const first[] = {"a"};
+    static const char *const last[] = {"c"};
+    struct scene *scene = versions_scene("v1", "v2", true);
+    unsigned which;
+    int caller;
+    int upstream;
+
+    kept = (struct kept){0};
+    scene_run(scene, connect_store);
+    upstream = begin_stream(scene, "a", &caller, &which);
+    wait_for_kept(scene, first, 1);
+    finish_stream(caller, upstream);
+    /* Not sooner, as the records were read just now. */
+    g_usleep(300000);
+    caller = take_up(scene, "b", "x");
+    g_free(scene_read_until(caller, "stream_origin_unknown"));
+    close(caller);
+    g_assert_cmpuint(kept.reads, >, 1);
+    upstream = begin_stream(scene, "c", &caller, &which);
+    wait_for_kept(scene, last, 1);
+    close(upstream);
+    close(caller);
+    scene_free(scene);
+}
+
 /* Guards against callers that wait for a store that does not answer, and
  * against a stream that goes on at any version then. */
 static void
@@ -418,6 +448,8 @@
                     test_one_version_needs_no_record);
     g_test_add_func("/stream_records/records_are_read_again",
                     test_records_are_read_again);
+    g_test_add_func("/stream_records/ended_streams_do_not_return",
+                    test_ended_streams_do_not_return);
     g_test_add_func("/stream_records/silent_store_is_not_waited_for",
                     test_silent_store_is_not_waited_for);
     g_test_add_func("/stream_records/objects_are_read_back",
