--- a/src/gateway/request/stream_records.c
+++ b/src/gateway/request/stream_records.c
@@ -9,7 +9,7 @@
 #define KNOWN_MAX 65536
 /* Shortest mean interval between two writes. A shorter one would save streams
  * that last for less than that, and few callers take these up. */
-#define WRITE_INTERVAL_US 250000
+#define WRITE_INTERVAL_US 120000
 /* Writes that may follow each other without that interval, so that a stream
  * that begins alone is written at once. */
 #define WRITES_BURST 8
@@ -18,7 +18,7 @@
 /* Time after a write that failed: the store may be away for seconds. */
 #define WRITE_RETRY_US 1000000
 /* Part of the store's writes that records may take. */
-#define WRITES_SHARE 0.05
+#define WRITES_SHARE 0.1
 /* A quarter of the control traffic that a process may cause. */
 #define BYTES_PER_S 4000
 /* Bytes of a stream in a record, in base64. */
