Read the records' state on the gateway's thread in tests

Cause: test_stream_records read and wrote what its store holds on the test's thread while the gateway's thread writes it. test_platform_isolation let two processes with a thread each parse JSON at once, which no daemon does; GLib, built without the sanitizer, registered its types on one and used them on the other.

Evidence: the sanitizer's reports name write_kept() beside wait_for_kept(), and json_parse on both threads; no frame of the product's code writes what they race for.

Change: the tests look at a copy made on the gateway's thread, and the first process has ended before the second begins, as the test's name says. No check is dropped or weaker; no product code changes.

--- a/tests/unit/test_platform_isolation.c
+++ b/tests/unit/test_platform_isolation.c
@@ -140,6 +140,7 @@
     struct fixture second;
     char *created;
     char *object;
+    char *scope;
 
     fixture_init(&first);
     isolate(&first, 3);
@@ -147,14 +148,16 @@
     created =
         serve(&first, "POST ", "}}", 201, "{\"metadata\":{\"revision\":8}}");
     object = strstr(created, "\r\n\r\n") + 4;
-    fixture_init(&second);
-    g_free(serve(&second, "GET ", "\r\n\r\n", 200, object));
     scene_run(&first.scene, read_scope);
     g_assert_cmpstr(first.scope, !=, "");
-    wait_for_scope(&second, first.scope);
+    scope = g_strdup(first.scope);
+    fixture_dispose(&first);
+    fixture_init(&second);
+    g_free(serve(&second, "GET ", "\r\n\r\n", 200, object));
+    wait_for_scope(&second, scope);
     fixture_dispose(&second);
+    g_free(scope);
     g_free(created);
-    fixture_dispose(&first);
 }
 
 /* Guards against a record that another entry has written meanwhile, or that is
--- a/tests/unit/test_stream_records.c
+++ b/tests/unit/test_stream_records.c
@@ -26,7 +26,9 @@
     struct pgw_stream_records *records;
 };
 
+/* Belongs to the gateway's thread while it runs. */
 static struct kept kept;
+static struct kept copy_of_kept;
 
 static uint32_t
 id_of(const char *attempt)
@@ -116,9 +118,18 @@
 }
 
 static void
-nothing(struct scene *scene)
+copy_kept(struct scene *scene)
 {
     (void)scene;
+    copy_of_kept = kept;
+}
+
+/* What the store has now; valid until the next call. */
+static const struct kept *
+look_at_kept(struct scene *scene)
+{
+    scene_run(scene, copy_kept);
+    return &copy_of_kept;
 }
 
 /* Waits until the store has exactly these streams. */
@@ -126,20 +137,20 @@
 wait_for_kept(struct scene *scene, const char *const *ids, size_t count)
 {
     for (unsigned i = 0; i < SCENE_TIMEOUT_S * 100; i++) {
+        const struct kept *now = look_at_kept(scene);
         size_t found = 0;
 
-        scene_run(scene, nothing);
-        for (size_t j = 0; j < kept.count; j++) {
+        for (size_t j = 0; j < now->count; j++) {
             for (size_t k = 0; k < count; k++) {
-                found += kept.origins[j].id == id_of(ids[k]);
+                found += now->origins[j].id == id_of(ids[k]);
             }
         }
-        if (found == count && kept.count == count) {
+        if (found == count && now->count == count) {
             return;
         }
         g_usleep(10000);
     }
-    g_error("%zu streams are kept", kept.count);
+    g_error("%zu streams are kept", look_at_kept(scene)->count);
 }
 
 static int
@@ -202,10 +213,9 @@
     finish_stream(caller, upstream);
     upstream = begin_stream(scene, "b", &caller, &which);
     wait_for_kept(scene, ids, 1);
-    writes = kept.writes;
+    writes = look_at_kept(scene)->writes;
     g_usleep(600000);
-    scene_run(scene, nothing);
-    g_assert_cmpuint(kept.writes, ==, writes);
+    g_assert_cmpuint(look_at_kept(scene)->writes, ==, writes);
     close(upstream);
     close(caller);
     scene_free(scene);
@@ -230,18 +240,20 @@
     upstream = scene_accept_any(scene, &which);
     g_free(scene_read_request(upstream));
     wait_for_kept(scene, ids, 1);
-    g_assert_cmpstr(kept.origins[0].software, ==, scene->software[which]);
+    g_assert_cmpstr(look_at_kept(scene)->origins[0].software, ==,
+                    scene->software[which]);
     scene_reset(upstream);
     upstream = scene_accept_any(scene, &next);
     g_assert_cmpuint(next, !=, which);
     for (unsigned i = 0; i < SCENE_TIMEOUT_S * 100; i++) {
-        scene_run(scene, nothing);
-        if (strcmp(kept.origins[0].software, scene->software[next]) == 0) {
+        if (strcmp(look_at_kept(scene)->origins[0].software,
+                   scene->software[next]) == 0) {
             break;
         }
         g_usleep(10000);
     }
-    g_assert_cmpstr(kept.origins[0].software, ==, scene->software[next]);
+    g_assert_cmpstr(look_at_kept(scene)->origins[0].software, ==,
+                    scene->software[next]);
     close(upstream);
     close(caller);
     scene_free(scene);
@@ -261,13 +273,21 @@
     scene_run(scene, connect_store);
     upstream = begin_stream(scene, "a", &caller, &which);
     g_usleep(400000);
-    scene_run(scene, nothing);
-    g_assert_cmpuint(kept.writes, ==, 0);
+    g_assert_cmpuint(look_at_kept(scene)->writes, ==, 0);
     close(upstream);
     close(caller);
     scene_free(scene);
 }
 
+static void
+write_of_another_entry(struct scene *scene)
+{
+    (void)scene;
+    kept.origins[0] = (struct pgw_stream_origin){
+        .id = id_of("x"), .software = g_intern_string("v2")};
+    kept.count = 1;
+}
+
 /* Guards against a stream of an entry that has ended, and that is refused by
  * one that has read the records before. */
 static void
@@ -280,9 +300,7 @@
 
     kept = (struct kept){0};
     scene_run(scene, connect_store);
-    kept.origins[0] = (struct pgw_stream_origin){
-        .id = id_of("x"), .software = g_intern_string("v2")};
-    kept.count = 1;
+    scene_run(scene, write_of_another_entry);
     caller = take_up(scene, "b", "x");
     upstream = scene_accept_any(scene, &which);
     g_assert_cmpuint(which, ==, 1);
@@ -315,7 +333,7 @@
     caller = take_up(scene, "b", "x");
     g_free(scene_read_until(caller, "stream_origin_unknown"));
     close(caller);
-    g_assert_cmpuint(kept.reads, >, 1);
+    g_assert_cmpuint(look_at_kept(scene)->reads, >, 1);
     upstream = begin_stream(scene, "c", &caller, &which);
     wait_for_kept(scene, last, 1);
     close(upstream);
